--- /dev/null
+++ b/request.go
@@ -0,0 +1,141 @@
+package kingcuphook
+
+import "time"
+
+// Tier is a service level. 1 is the highest; a larger number is lower.
+type Tier int
+
+// Bounds of a tier.
+const (
+	HighestTier Tier = 1
+	LowestTier  Tier = 5
+	TierCount        = int(LowestTier-HighestTier) + 1
+)
+
+// Index returns the zero-based index of t, for arrays of TierCount.
+func (t Tier) Index() int { return int(t - HighestTier) }
+
+// Valid reports whether t is inside the bounds.
+func (t Tier) Valid() bool { return t >= HighestTier && t <= LowestTier }
+
+// RequestFields are the fields a Request is made from.
+type RequestFields struct {
+	// ID identifies the request; unique over the fleet.
+	ID string
+	// Class is the class of the route, such as "till".
+	Class string
+	// Organisation is the caller's organisation.
+	Organisation string
+	// Model is the model asked for; empty for plain services.
+	Model string
+	// Pool is the name of the pool that serves the route.
+	Pool string
+	// Region is where the request arrived.
+	Region string
+	// DataCentre is where the request arrived.
+	DataCentre string
+	// Tier is the tier of the route.
+	Tier Tier
+	// Arrived is when the request was accepted by this router.
+	Arrived time.Time
+	// Target is the latency target to the first token; 0 means none.
+	Target time.Duration
+	// TokenTarget is the target for the mean time between tokens; 0 means none.
+	TokenTarget time.Duration
+	// Deadline is when the caller gives up; zero means none.
+	Deadline time.Time
+	// NonIdempotent marks a request that must run at most once.
+	NonIdempotent bool
+	// Key is the caller's idempotency key; may be empty.
+	Key string
+	// PromptTokens is the estimated length of the prompt.
+	PromptTokens int
+	// MaxTokens bounds the answer; 0 means the engine's own bound.
+	MaxTokens int
+	// Bytes is the size of the body.
+	Bytes int
+	// Prefix is the chain of block hashes of the prompt: element i covers
+	// blocks 0 to i.
+	Prefix []uint64
+	// Fingerprint is the hash of the whole body, equal for resends.
+	Fingerprint uint64
+	// Stream says that the caller asked for a stream.
+	Stream bool
+}
+
+// Request is what the decisions see of a caller's request. It is immutable.
+type Request struct {
+	f RequestFields
+}
+
+// NewRequest returns a request with the given fields. The prefix is not copied
+// and must not be changed afterwards.
+func NewRequest(f RequestFields) *Request { return &Request{f: f} }
+
+// ID returns the identifier of the request.
+func (r *Request) ID() string { return r.f.ID }
+
+// Class returns the class of the request.
+func (r *Request) Class() string { return r.f.Class }
+
+// Organisation returns the organisation of the caller.
+func (r *Request) Organisation() string { return r.f.Organisation }
+
+// Model returns the model asked for.
+func (r *Request) Model() string { return r.f.Model }
+
+// Pool returns the name of the pool that serves the request.
+func (r *Request) Pool() string { return r.f.Pool }
+
+// Region returns the region the request arrived in.
+func (r *Request) Region() string { return r.f.Region }
+
+// DataCentre returns the data centre the request arrived in.
+func (r *Request) DataCentre() string { return r.f.DataCentre }
+
+// Tier returns the tier of the request.
+func (r *Request) Tier() Tier { return r.f.Tier }
+
+// Arrived returns when the request was accepted.
+func (r *Request) Arrived() time.Time { return r.f.Arrived }
+
+// Target returns the latency target to the first token; 0 means none.
+func (r *Request) Target() time.Duration { return r.f.Target }
+
+// TokenTarget returns the target for the mean time between tokens; 0 means none.
+func (r *Request) TokenTarget() time.Duration { return r.f.TokenTarget }
+
+// TargetTime returns when the first token is due; zero without a target.
+func (r *Request) TargetTime() time.Time {
+	if r.f.Target == 0 {
+		return time.Time{}
+	}
+	return r.f.Arrived.Add(r.f.Target)
+}
+
+// Deadline returns when the caller gives up; zero means never.
+func (r *Request) Deadline() time.Time { return r.f.Deadline }
+
+// NonIdempotent reports whether the request must run at most once.
+func (r *Request) NonIdempotent() bool { return r.f.NonIdempotent }
+
+// Key returns the idempotency key; may be empty.
+func (r *Request) Key() string { return r.f.Key }
+
+// PromptTokens returns the estimated length of the prompt in tokens.
+func (r *Request) PromptTokens() int { return r.f.PromptTokens }
+
+// MaxTokens returns the bound of the answer in tokens; 0 means none.
+func (r *Request) MaxTokens() int { return r.f.MaxTokens }
+
+// Bytes returns the size of the body in bytes.
+func (r *Request) Bytes() int { return r.f.Bytes }
+
+// Prefix returns the chain of block hashes; the caller must not change it.
+func (r *Request) Prefix() []uint64 { return r.f.Prefix }
+
+// Fingerprint returns the hash of the whole body.
+func (r *Request) Fingerprint() uint64 { return r.f.Fingerprint }
+
+// Stream reports whether the caller asked for a stream.
+func (r *Request) Stream() bool { return r.f.Stream }
--- /dev/null
+++ b/table.go
@@ -0,0 +1,303 @@
+package kingcuphook
+
+import (
+	"slices"
+	"time"
+)
+
+// UpstreamKind says what an upstream is.
+type UpstreamKind string
+
+// Values of UpstreamKind.
+const (
+	// UpstreamKindEngine is a model engine with streams and a prefix cache.
+	UpstreamKindEngine UpstreamKind = "engine"
+	// UpstreamKindService is a plain service, called as it is.
+	UpstreamKindService UpstreamKind = "service"
+)
+
+// UpstreamFields are the fields an Upstream is made from.
+type UpstreamFields struct {
+	// Address is the IP number and port; it identifies the upstream.
+	Address string
+	// Region is the region of the upstream.
+	Region string
+	// DataCentre is the data centre of the upstream.
+	DataCentre string
+	// Kind says what the upstream is.
+	Kind UpstreamKind
+	// Models are the models it may serve; empty for plain services.
+	Models []string
+	// Slots is the hint for the requests it runs at once; 0 means unknown.
+	Slots int
+	// Leaving says that the upstream takes no new work.
+	Leaving bool
+	// ChecksFence says that it refuses orders with an old fencing number.
+	ChecksFence bool
+	// Resumes says that it can continue an answer from a given position.
+	Resumes bool
+	// Priorities says that it orders its own queue by request priority.
+	Priorities bool
+}
+
+// Upstream is one row of a pool. It is immutable.
+type Upstream struct {
+	f UpstreamFields
+}
+
+// NewUpstream returns an upstream with the given fields.
+func NewUpstream(f UpstreamFields) *Upstream {
+	f.Models = slices.Clone(f.Models)
+	return &Upstream{f: f}
+}
+
+// Address returns the IP number and port.
+func (u *Upstream) Address() string { return u.f.Address }
+
+// Region returns the region of the upstream.
+func (u *Upstream) Region() string { return u.f.Region }
+
+// DataCentre returns the data centre of the upstream.
+func (u *Upstream) DataCentre() string { return u.f.DataCentre }
+
+// Kind returns what the upstream is.
+func (u *Upstream) Kind() UpstreamKind { return u.f.Kind }
+
+// Models returns the models that the upstream may serve.
+func (u *Upstream) Models() []string { return u.f.Models }
+
+// Slots returns the hint for the requests run at once; 0 means unknown.
+func (u *Upstream) Slots() int { return u.f.Slots }
+
+// Leaving reports whether the upstream takes no new work.
+func (u *Upstream) Leaving() bool { return u.f.Leaving }
+
+// ChecksFence reports whether orders with an old fencing number are refused.
+func (u *Upstream) ChecksFence() bool { return u.f.ChecksFence }
+
+// Resumes reports whether the upstream can continue an answer.
+func (u *Upstream) Resumes() bool { return u.f.Resumes }
+
+// Priorities reports whether the upstream orders its queue by priority.
+func (u *Upstream) Priorities() bool { return u.f.Priorities }
+
+// Fields returns a copy of the fields of u.
+func (u *Upstream) Fields() UpstreamFields {
+	f := u.f
+	f.Models = slices.Clone(f.Models)
+	return f
+}
+
+// PlacementFields declare how many runners of a model a region must have.
+type PlacementFields struct {
+	// Model is the model, adapter and version to be loaded.
+	Model string
+	// Region is the region the bounds hold for.
+	Region string
+	// Min and Max bound the number of runners; Min <= Max.
+	Min, Max int
+}
+
+// PoolFields are the fields a Pool is made from.
+type PoolFields struct {
+	// Name identifies the pool.
+	Name string
+	// Upstreams serve the pool.
+	Upstreams []*Upstream
+	// Placements declare which models are loaded where.
+	Placements []PlacementFields
+	// MaxQueued bounds the requests waiting for the pool at one router; 0 means
+	// the default.
+	MaxQueued int
+	// MaxReloading bounds the upstreams that change model at once; 0 means 1.
+	MaxReloading int
+	// SpillRegions says that requests may go to another region.
+	SpillRegions bool
+}
+
+// Pool is one row of the table of pools. It is immutable.
+type Pool struct {
+	f PoolFields
+}
+
+// NewPool returns a pool with the given fields.
+func NewPool(f PoolFields) *Pool {
+	f.Upstreams = slices.Clone(f.Upstreams)
+	f.Placements = slices.Clone(f.Placements)
+	return &Pool{f: f}
+}
+
+// Name returns the name of the pool.
+func (p *Pool) Name() string { return p.f.Name }
+
+// Upstreams returns the upstreams of the pool; the caller must not change the
+// slice.
+func (p *Pool) Upstreams() []*Upstream { return p.f.Upstreams }
+
+// Placements returns the declared placements; the caller must not change the
+// slice.
+func (p *Pool) Placements() []PlacementFields { return p.f.Placements }
+
+// MaxQueued returns the bound of waiting requests at one router; 0 means the
+// default.
+func (p *Pool) MaxQueued() int { return p.f.MaxQueued }
+
+// MaxReloading returns how many upstreams may change model at once.
+func (p *Pool) MaxReloading() int { return max(p.f.MaxReloading, 1) }
+
+// SpillRegions reports whether requests may go to another region.
+func (p *Pool) SpillRegions() bool { return p.f.SpillRegions }
+
+// Fields returns a copy of the fields of p.
+func (p *Pool) Fields() PoolFields {
+	f := p.f
+	f.Upstreams = slices.Clone(f.Upstreams)
+	f.Placements = slices.Clone(f.Placements)
+	return f
+}
+
+// RouteFields are the fields a Route is made from.
+type RouteFields struct {
+	// Name identifies the route.
+	Name string
+	// Class, Organisation, Model and Path match a request; an empty one matches
+	// every value. Path is a prefix of the URL path.
+	Class, Organisation, Model, Path string
+	// Pool names the pool that serves the route.
+	Pool string
+	// Tier is the service level.
+	Tier Tier
+	// Target is the latency target to the first token, or of the whole answer
+	// of a plain service; 0 means none.
+	Target time.Duration
+	// TokenTarget is the target for the mean time between tokens; 0 means none.
+	TokenTarget time.Duration
+	// Deadline bounds the time of a request when its caller gives none; 0 means
+	// the default of the settings.
+	Deadline time.Duration
+	// NonIdempotent marks every request of the route as running at most once.
+	NonIdempotent bool
+	// OrganisationRate bounds the requests a second of each organisation over
+	// the whole fleet; 0 means no bound.
+	OrganisationRate float64
+	// Rate bounds the requests a second of the route over the whole fleet; 0
+	// means no bound.
+	Rate float64
+}
+
+// Route is one row of the table of routes. It is immutable.
+type Route struct {
+	f RouteFields
+}
+
+// NewRoute returns a route with the given fields.
+func NewRoute(f RouteFields) *Route { return &Route{f: f} }
+
+// Name returns the name of the route.
+func (r *Route) Name() string { return r.f.Name }
+
+// Class returns the class that the route matches.
+func (r *Route) Class() string { return r.f.Class }
+
+// Organisation returns the organisation that the route matches.
+func (r *Route) Organisation() string { return r.f.Organisation }
+
+// Model returns the model that the route matches.
+func (r *Route) Model() string { return r.f.Model }
+
+// Path returns the prefix of the URL path that the route matches.
+func (r *Route) Path() string { return r.f.Path }
+
+// Pool returns the name of the pool that serves the route.
+func (r *Route) Pool() string { return r.f.Pool }
+
+// Tier returns the service level of the route.
+func (r *Route) Tier() Tier { return r.f.Tier }
+
+// Target returns the latency target; 0 means none.
+func (r *Route) Target() time.Duration { return r.f.Target }
+
+// TokenTarget returns the target for the mean time between tokens.
+func (r *Route) TokenTarget() time.Duration { return r.f.TokenTarget }
+
+// Deadline returns the bound of a request's time; 0 means the default.
+func (r *Route) Deadline() time.Duration { return r.f.Deadline }
+
+// NonIdempotent reports whether requests of the route run at most once.
+func (r *Route) NonIdempotent() bool { return r.f.NonIdempotent }
+
+// OrganisationRate returns the bound of requests a second per organisation.
+func (r *Route) OrganisationRate() float64 { return r.f.OrganisationRate }
+
+// Rate returns the bound of requests a second of the route.
+func (r *Route) Rate() float64 { return r.f.Rate }
+
+// Fields returns a copy of the fields of r.
+func (r *Route) Fields() RouteFields { return r.f }
+
+// Tables are both tables at one revision. They are immutable.
+type Tables struct {
+	// revision rises by one with every accepted edit; 0 means none yet.
+	revision int64
+	// routes are in the operator's order: the first that matches is used.
+	routes []*Route
+	// pools has every pool that a route names.
+	pools []*Pool
+	// poolsByName indexes pools; it is never changed once built.
+	poolsByName map[string]*Pool
+}
+
+// NewTables returns both tables at the given revision. It does not validate
+// them; package parser does.
+func NewTables(revision int64, routes []*Route, pools []*Pool) *Tables {
+	t := &Tables{
+		revision:    revision,
+		routes:      slices.Clone(routes),
+		pools:       slices.Clone(pools),
+		poolsByName: make(map[string]*Pool, len(pools)),
+	}
+	for _, p := range t.pools {
+		t.poolsByName[p.Name()] = p
+	}
+	return t
+}
+
+// Revision returns the revision of the tables; 0 means none yet.
+func (t *Tables) Revision() int64 { return t.revision }
+
+// Routes returns the routes in order; the caller must not change the slice.
+func (t *Tables) Routes() []*Route { return t.routes }
+
+// Pools returns the pools; the caller must not change the slice.
+func (t *Tables) Pools() []*Pool { return t.pools }
+
+// Pool returns the pool of the given name, or nil.
+func (t *Tables) Pool(name string) *Pool { return t.poolsByName[name] }
+
+// Match returns the first route that matches, or nil.
+func (t *Tables) Match(class, organisation, model, path string) *Route {
+	for _, r := range t.routes {
+		if r.matches(class, organisation, model, path) {
+			return r
+		}
+	}
+	return nil
+}
+
+func (r *Route) matches(class, organisation, model, path string) bool {
+	return (r.f.Class == "" || r.f.Class == class) &&
+		(r.f.Organisation == "" || r.f.Organisation == organisation) &&
+		(r.f.Model == "" || r.f.Model == model) &&
+		hasPathPrefix(path, r.f.Path)
+}
+
+// hasPathPrefix reports whether prefix covers path at a segment boundary.
+func hasPathPrefix(path, prefix string) bool {
+	if prefix == "" || path == prefix {
+		return true
+	}
+	if len(path) < len(prefix) || path[:len(prefix)] != prefix {
+		return false
+	}
+	return prefix[len(prefix)-1] == '/' || path[len(prefix)] == '/'
+}
