--- /dev/null
+++ b/scheduler/assign.go
@@ -0,0 +1,206 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"github.com/kingcuphook/kingcuphook"
+)
+
+const (
+	// maxParked bounds the requests passed over in one call because they can't
+	// use the slots that are free.
+	maxParked = 32
+	// probeWait is how long only requests below the highest tier are used as
+	// probes after one of them was assigned.
+	probeWait = 5 * time.Second
+	// firstTokenStep weighs a new sample in the usual first-token delay.
+	firstTokenStep = 0.1
+)
+
+// Assign implements kingcuphook.Scheduler.
+func (s *Scheduler) Assign(now time.Time) ([]kingcuphook.Assignment, []kingcuphook.Shed) {
+	sheds := s.shed(s.Admitter.Expire(now))
+	s.slots.reset()
+	p := pass{scheduler: s, now: now}
+	p.queue, _ = s.Admitter.(Queue)
+	for s.Admitter.Len() > 0 && len(p.parked) < maxParked {
+		r := p.next()
+		if r == nil {
+			break
+		}
+		p.place(r)
+	}
+	p.preempt()
+	p.giveBack()
+	return p.assignments, append(sheds, p.sheds...)
+}
+
+// pass is one call of Assign.
+type pass struct {
+	scheduler   *Scheduler
+	now         time.Time
+	queue       Queue
+	assignments []kingcuphook.Assignment
+	sheds       []kingcuphook.Shed
+	// parked has the requests to be given back, in the order they were taken.
+	parked []*kingcuphook.Request
+	// blocked has the models without a usable upstream.
+	blocked []string
+}
+
+func (p *pass) next() *kingcuphook.Request {
+	free := func(t kingcuphook.Tier) int { return p.scheduler.count(p.now, t) }
+	if p.queue == nil {
+		return p.scheduler.Admitter.Next(p.now, free)
+	}
+	return p.queue.NextModel(p.now, free, p.skip())
+}
+
+func (p *pass) skip() func(string) bool {
+	if len(p.blocked) == 0 {
+		return nil
+	}
+	return func(model string) bool { return slices.Contains(p.blocked, model) }
+}
+
+// place assigns r or parks it.
+func (p *pass) place(r *kingcuphook.Request) {
+	s := p.scheduler
+	guaranteed := p.isGuaranteed(r)
+	if row := s.probe(p.now, r); row != nil {
+		choice := kingcuphook.Choice{Upstream: row.upstream, UncachedTokens: r.PromptTokens()}
+		p.assign(kingcuphook.Assignment{Request: r, Choice: choice, Probe: true}, guaranteed)
+		return
+	}
+	choice, ok := s.choose(p.now, r, tierOf(r))
+	if !ok && guaranteed {
+		choice, ok = s.choose(p.now, r, kingcuphook.HighestTier)
+	}
+	if ok {
+		p.assign(kingcuphook.Assignment{Request: r, Choice: choice}, guaranteed)
+		return
+	}
+	p.park(r)
+	if len(s.excluded[r.ID()]) == 0 {
+		p.blocked = append(p.blocked, r.Model())
+	}
+}
+
+func (p *pass) park(r *kingcuphook.Request) { p.parked = append(p.parked, r) }
+
+// isGuaranteed reports whether r, which was just taken, may use the slots of
+// the highest tier.
+func (p *pass) isGuaranteed(r *kingcuphook.Request) bool {
+	if p.queue != nil {
+		return p.queue.Guaranteed()
+	}
+	return p.scheduler.count(p.now, tierOf(r)) == 0
+}
+
+// tierOf returns the tier of r; one out of bounds counts as the lowest.
+func tierOf(r *kingcuphook.Request) kingcuphook.Tier {
+	if !r.Tier().Valid() {
+		return kingcuphook.LowestTier
+	}
+	return r.Tier()
+}
+
+func (p *pass) assign(a kingcuphook.Assignment, guaranteed bool) {
+	p.scheduler.start(p.now, a, guaranteed)
+	p.assignments = append(p.assignments, a)
+}
+
+// giveBack returns the parked requests to their places.
+func (p *pass) giveBack() {
+	for _, r := range slices.Backward(p.parked) {
+		if p.queue != nil {
+			p.queue.Return(p.now, r)
+			continue
+		}
+		p.sheds = append(p.sheds, p.scheduler.Offer(p.now, r)...)
+	}
+}
+
+// choose asks the Selector for an upstream with a free slot of the tier.
+func (s *Scheduler) choose(now time.Time, r *kingcuphook.Request, tier kingcuphook.Tier) (kingcuphook.Choice, bool) {
+	if s.count(now, tier) == 0 {
+		return kingcuphook.Choice{}, false
+	}
+	choice, err := s.selectFree(now, r, tier.Index())
+	return choice, err == nil && choice.Upstream != nil
+}
+
+func (s *Scheduler) selectFree(now time.Time, r *kingcuphook.Request, tier int) (kingcuphook.Choice, error) {
+	excluded := s.excluded[r.ID()]
+	if u, ok := s.Selector.(UsableSelector); ok {
+		return u.SelectUsable(now, r, func(address string) bool {
+			row := s.slots.byAddress[address]
+			return row != nil && row.free[tier] > 0 && !slices.Contains(excluded, address)
+		})
+	}
+	s.barred = append(s.barred[:0], excluded...)
+	for _, row := range s.slots.rows {
+		if row.free[tier] <= 0 {
+			s.barred = append(s.barred, row.upstream.Address())
+		}
+	}
+	return s.Selector.Select(now, r, s.barred)
+}
+
+// probe returns an ejected upstream that r may probe, or nil. Non-idempotent
+// requests never probe, those of the highest tier only if no others come.
+func (s *Scheduler) probe(now time.Time, r *kingcuphook.Request) *slotRow {
+	if s.Ejector == nil || r.NonIdempotent() {
+		return nil
+	}
+	if r.Tier() == kingcuphook.HighestTier && now.Sub(s.lastLower) < probeWait {
+		return nil
+	}
+	for _, row := range s.slots.rows {
+		if !row.ejected || row.leaving || !serves(row.upstream, r.Model()) {
+			continue
+		}
+		if slices.Contains(s.excluded[r.ID()], row.upstream.Address()) {
+			continue
+		}
+		if s.Ejector.Probe(now, row.upstream.Address()) {
+			return row
+		}
+	}
+	return nil
+}
+
+// start books an assignment.
+func (s *Scheduler) start(now time.Time, a kingcuphook.Assignment, guaranteed bool) {
+	r, u := a.Request, a.Choice.Upstream
+	delete(s.excluded, r.ID())
+	if r.Tier() > kingcuphook.HighestTier {
+		s.lastLower = now
+	}
+	if s.running == nil {
+		s.running = make(map[string][]*run)
+	}
+	run := &run{request: r, upstream: u, guaranteed: guaranteed}
+	s.running[r.ID()] = append(s.running[r.ID()], run)
+	s.order = append(s.order, run)
+	s.Limiter.Started(now, u.Address(), r)
+	s.Selector.Started(now, u.Address(), r)
+	if row := s.slots.byAddress[u.Address()]; row != nil {
+		row.running++
+		s.refresh(now, row)
+	}
+}
+
+// learn takes what a sample tells of lengths and delays.
+func (s *Scheduler) learn(r *kingcuphook.Request, sample kingcuphook.Sample) {
+	if s.firstToken == 0 {
+		s.firstToken = sample.FirstToken.Seconds()
+	}
+	if sample.FirstToken > 0 {
+		s.firstToken += firstTokenStep * (sample.FirstToken.Seconds() - s.firstToken)
+	}
+	if s.Predictor != nil && !sample.Failed && !sample.Cancelled && sample.Tokens > 0 {
+		s.Predictor.Observe(r, sample.Tokens)
+	}
+}
