--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -91,8 +91,9 @@
 	if it == nil {
 		return nil
 	}
+	acc := it.queue.account
 	a.remove(it)
-	a.charge(it.request, promptCharge(it.request))
+	a.tiers[tierIndex(it.request)].chargeAccount(acc, promptCharge(it.request))
 	a.grant(it)
 	a.drain.add(now, 1)
 	return it.request
@@ -114,8 +115,8 @@
 // Expire implements kingcuphook.Admitter.
 func (a *Admitter) Expire(now time.Time) []kingcuphook.Shed {
 	var sheds []kingcuphook.Shed
-	for len(a.deadlines) > 0 && !a.deadlines[0].request.Deadline().After(now) {
-		it := a.deadlines[0]
+	for len(a.deadlines) > 0 && a.deadlines[0].deadline <= now.UnixNano() {
+		it := a.deadlines[0].item
 		a.remove(it)
 		sheds = append(sheds, a.newShed(now, it.request, kingcuphook.ErrDeadline))
 	}
@@ -160,7 +161,7 @@
 	if len(a.deadlines) == 0 {
 		return time.Time{}
 	}
-	return a.deadlines[0].request.Deadline()
+	return a.deadlines[0].item.request.Deadline()
 }
 
 // insert puts r into every structure but the list of its lane.
@@ -168,10 +169,12 @@
 	if a.byID == nil {
 		a.byID = make(map[string]*item)
 	}
-	it := &item{request: r, seq: seq, due: dueTime(r), load: a.pressure(r), lane: a.lane(r)}
+	it := newItem(r, seq)
+	it.load = a.pressure(r)
+	it.lane = a.lane(r)
 	a.byID[r.ID()] = it
 	a.bytes += r.Bytes()
-	if !r.Deadline().IsZero() {
+	if it.deadline != 0 {
 		heap.Push(&a.deadlines, it)
 	}
 	a.tiers[tierIndex(r)].insert(it)
@@ -182,7 +185,7 @@
 	r := it.request
 	delete(a.byID, r.ID())
 	a.bytes -= r.Bytes()
-	if !r.Deadline().IsZero() {
+	if it.deadline != 0 {
 		heap.Remove(&a.deadlines, it.deadlineIndex)
 	}
 	a.unlink(it)
@@ -192,7 +195,7 @@
 // pickOrdered returns the first waiting request in the order of the tiers, or
 // nil.
 func (a *Admitter) pickOrdered(now time.Time, free func(kingcuphook.Tier) int, skip func(string) bool) *item {
-	limit := now.Add(a.Margin)
+	limit := a.lateLimit(now)
 	for t := kingcuphook.HighestTier; t <= kingcuphook.LowestTier; t++ {
 		q := &a.tiers[t.Index()]
 		if q.waiting == 0 || free(t) <= 0 {
@@ -205,6 +208,9 @@
 	return nil
 }
 
+// lateLimit returns the due time up to which requests count as late.
+func (a *Admitter) lateLimit(now time.Time) int64 { return now.Add(a.Margin).UnixNano() }
+
 func (a *Admitter) charge(r *kingcuphook.Request, tokens float64) {
 	a.tiers[tierIndex(r)].charge(r.Organisation(), tokens)
 }
@@ -238,14 +244,6 @@
 	return float64(max(r.PromptTokens(), 1))
 }
 
-// dueTime orders requests: the target time, or a late one without a target.
-func dueTime(r *kingcuphook.Request) time.Time {
-	if r.Target() == 0 {
-		return r.Arrived().Add(untargetedDelay)
-	}
-	return r.TargetTime()
-}
-
 func (a *Admitter) refuse(now time.Time, r *kingcuphook.Request) (kingcuphook.Shed, bool) {
 	switch {
 	case a.byID[r.ID()] != nil:
--- /dev/null
+++ b/admitter/admitter_test.go
@@ -0,0 +1,222 @@
+package admitter
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/kingcuphook/kingcuphook"
+)
+
+// TestMain fixes what package rapid draws, so that every run draws the same.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "20260101", "rapid.checks": "300", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+var start = time.Date(2026, 1, 1, 8, 0, 0, 0, time.UTC)
+
+func always(kingcuphook.Tier) int { return 1 }
+
+// highestOnly is a pool whose last slots are kept for the highest tier.
+func highestOnly(t kingcuphook.Tier) int {
+	if t == kingcuphook.HighestTier {
+		return 1
+	}
+	return 0
+}
+
+func request(id string, tier kingcuphook.Tier, organisation string, target time.Duration) *kingcuphook.Request {
+	return kingcuphook.NewRequest(kingcuphook.RequestFields{
+		ID: id, Class: fmt.Sprint("class-", tier), Organisation: organisation,
+		Tier: tier, Arrived: start, Target: target, PromptTokens: 100, Bytes: 100,
+	})
+}
+
+// drainIDs takes everything out and returns the identifiers in order.
+func drainIDs(a *Admitter, now time.Time) string {
+	ids := ""
+	for r := a.Next(now, always); r != nil; r = a.Next(now, always) {
+		ids += r.ID() + " "
+	}
+	return ids
+}
+
+func TestNextOrdersByTierThenTarget(t *testing.T) {
+	is := is.New(t)
+	a := &Admitter{}
+	a.Offer(start, request("low", 5, "o", time.Second))
+	a.Offer(start, request("later", 1, "o", 3*time.Second))
+	a.Offer(start, request("untargeted", 1, "o", 0))
+	a.Offer(start, request("sooner", 1, "o", 2*time.Second))
+	is.Equal(drainIDs(a, start), "sooner later untargeted low ")
+}
+
+func TestNextServesLateRequestsLast(t *testing.T) {
+	is := is.New(t)
+	a := &Admitter{}
+	a.Offer(start, request("late", 1, "a", time.Second))
+	a.Offer(start, request("good", 1, "b", 5*time.Second))
+	a.Offer(start, request("low", 2, "b", 5*time.Second))
+	a.Served(request("", 1, "b", 0), 1_000_000)
+	is.Equal(drainIDs(a, start.Add(2*time.Second)), "good late low ")
+}
+
+func TestNextIsFairByServedTokens(t *testing.T) {
+	is := is.New(t)
+	a := &Admitter{}
+	served := map[string]int{}
+	for i := range 400 {
+		a.Offer(start, request(fmt.Sprint("big-", i), 2, "big", time.Hour))
+		if i < 100 {
+			a.Offer(start, request(fmt.Sprint("small-", i), 2, "small", time.Hour))
+		}
+	}
+	for range 100 {
+		r := a.Next(start, always)
+		served[r.Organisation()]++
+		tokens := 100
+		if r.Organisation() == "small" {
+			tokens = 300
+		}
+		a.Served(r, tokens)
+	}
+	// Prompts have 100 tokens: a request of big costs 200, one of small 400.
+	is.Equal(served["big"], 67)
+	is.Equal(served["small"], 33)
+}
+
+func TestIdleOrganisationEarnsNoCredit(t *testing.T) {
+	is := is.New(t)
+	a := &Admitter{}
+	for i := range 100 {
+		a.Offer(start, request(fmt.Sprint("busy-", i), 2, "busy", time.Hour))
+	}
+	for range 50 {
+		a.Next(start, always)
+	}
+	for i := range 50 {
+		a.Offer(start, request(fmt.Sprint("idle-", i), 2, "idle", time.Hour))
+	}
+	served := map[string]int{}
+	for range 40 {
+		served[a.Next(start, always).Organisation()]++
+	}
+	is.Equal(served["busy"], 20)
+}
+
+func TestShedTakesFromTheBottomAndTheHeaviest(t *testing.T) {
+	is := is.New(t)
+	a := &Admitter{MaxQueued: 5}
+	for i := range 3 {
+		a.Offer(start, request(fmt.Sprint("heavy-", i), 4, "heavy", time.Hour))
+	}
+	a.Offer(start, request("light", 4, "light", time.Hour))
+	is.Equal(len(a.Offer(start, request("top-0", 1, "x", time.Hour))), 0)
+	for i := range 4 {
+		sheds := a.Offer(start, request(fmt.Sprint("top-", i+1), 1, "x", time.Hour))
+		is.Equal(len(sheds), 1)
+		is.True(errors.Is(sheds[0].Err(), kingcuphook.ErrOverloaded))
+		is.Equal(sheds[0].Request().Tier(), kingcuphook.Tier(4))
+		if i < 2 {
+			is.Equal(sheds[0].Request().Organisation(), "heavy")
+		}
+	}
+	is.Equal(a.Offer(start, request("low", 5, "x", time.Hour))[0].Request().ID(), "low")
+}
+
+func TestRetryAfterFollowsTheRateOfService(t *testing.T) {
+	is := is.New(t)
+	a := &Admitter{MaxQueued: 100}
+	now := start
+	for i := range 400 {
+		a.Offer(now, request(fmt.Sprint("r-", i), 1, "o", time.Hour))
+		if i >= 100 {
+			now = now.Add(100 * time.Millisecond)
+			a.Next(now, always)
+		}
+	}
+	// 100 wait and 10 are served a second: 10 s and up to a quarter more.
+	a.Offer(now, request("full", 1, "o", time.Hour))
+	d := a.Offer(now, request("over", 1, "o", time.Hour))[0].RetryAfter()
+	is.True(d >= 9*time.Second && d <= 14*time.Second)
+}
+
+func TestReturnUndoesNext(t *testing.T) {
+	is := is.New(t)
+	a := &Admitter{}
+	for i := range 10 {
+		a.Offer(start, request(fmt.Sprint(i), 1, "o", time.Hour))
+	}
+	a.Offer(start, request("low", 5, "o", time.Hour))
+	for range 1000 {
+		r := a.Next(start, highestOnly)
+		is.Equal(r.ID(), "0")
+		a.Return(start, r)
+	}
+	is.Equal(drainIDs(a, start), "0 1 2 3 4 5 6 7 8 9 low ")
+}
+
+func TestNextModelPassesOverModels(t *testing.T) {
+	is := is.New(t)
+	a := &Admitter{}
+	for i, model := range []string{"m", "m", "n"} {
+		a.Offer(start, kingcuphook.NewRequest(kingcuphook.RequestFields{ID: fmt.Sprint(i), Tier: 1, Model: model, Arrived: start}))
+	}
+	r := a.NextModel(start, always, func(model string) bool { return model == "m" })
+	is.Equal(r.ID(), "2")
+	is.Equal(a.NextModel(start, always, func(model string) bool { return model == "m" }), nil)
+}
+
+// TestEveryClassIsServedUnderEndlessTopTierLoad covers 300 draws of 1 to 12
+// lower classes in tiers 1 to 5 with up to 30 requests each, one or two models
+// and any number of organisations up to 20, while a request of the highest tier
+// arrives before every slot and only the highest tier has free slots.
+func TestEveryClassIsServedUnderEndlessTopTierLoad(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := &Admitter{}
+		classes := rapid.IntRange(1, 12).Draw(t, "classes")
+		bound := map[string]int{}
+		for c := range classes {
+			tier := kingcuphook.Tier(rapid.IntRange(1, 5).Draw(t, "tier"))
+			model := fmt.Sprint("m", rapid.IntRange(0, 1).Draw(t, "model"))
+			for i := range rapid.IntRange(1, 30).Draw(t, "requests") {
+				id := fmt.Sprintf("%d-%d", c, i)
+				a.Offer(start, kingcuphook.NewRequest(kingcuphook.RequestFields{
+					ID: id, Class: fmt.Sprint("c", c), Tier: tier, Model: model, Arrived: start,
+					Organisation: fmt.Sprint(rapid.IntRange(0, 19).Draw(t, "organisation")),
+					Target:       time.Duration(rapid.IntRange(0, 20).Draw(t, "target")) * time.Second,
+				}))
+				// Lanes share a tenth of the slots, at most 0.02 each; the slot that
+				// pays a lane earns it nothing.
+				bound[id] = (i+1)*(max(50, 10*(classes+1))+1) + classes
+			}
+		}
+		now := start
+		for round := 1; len(bound) > 0; round++ {
+			now = now.Add(10 * time.Millisecond)
+			a.Offer(now, kingcuphook.NewRequest(kingcuphook.RequestFields{
+				ID: fmt.Sprint("top-", round), Class: "top", Tier: 1, Arrived: now, Target: time.Second, Organisation: "top",
+			}))
+			r := a.Next(now, highestOnly)
+			if limit, ok := bound[r.ID()]; ok && round > limit {
+				t.Fatalf("%s served in round %d, bound %d", r.ID(), round, limit)
+			}
+			delete(bound, r.ID())
+			if round > 40_000 {
+				t.Fatalf("%d requests are never served", len(bound))
+			}
+		}
+	})
+}
--- /dev/null
+++ b/admitter/bench_test.go
@@ -0,0 +1,67 @@
+package admitter
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/kingcuphook/kingcuphook"
+)
+
+// BenchmarkOfferNext measures one Offer and one Next with 10,000 waiting
+// requests of 2,300 organisations in 5 tiers. The request taken last is the one
+// offered next.
+func BenchmarkOfferNext(b *testing.B) {
+	const waiting = 10_000
+	a := &Admitter{MaxQueued: 2 * waiting}
+	for i := range waiting {
+		a.Offer(start, benchRequest(i))
+	}
+	r := benchRequest(waiting)
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		i++
+		now := start.Add(time.Duration(i) * 10 * time.Microsecond)
+		a.Offer(now, r)
+		r = a.Next(now, always)
+	}
+	if a.Len() != waiting {
+		b.Fatalf("%d requests wait, want %d", a.Len(), waiting)
+	}
+}
+
+// BenchmarkOrganisations reports the memory of a queue that remembers 2,300
+// organisations in each of 5 tiers with 10,000 requests waiting.
+func BenchmarkOrganisations(b *testing.B) {
+	for b.Loop() {
+		before := heapBytes()
+		a := &Admitter{MaxQueued: 20_000}
+		for i := range 2300 * kingcuphook.TierCount {
+			r := benchRequest(i)
+			a.Offer(start, r)
+			if a.Len() > 10_000 {
+				a.Next(start, always)
+			}
+		}
+		b.ReportMetric(float64(heapBytes()-before)/(1<<20), "MiB")
+		runtime.KeepAlive(a)
+	}
+}
+
+func heapBytes() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+func benchRequest(i int) *kingcuphook.Request {
+	tier := kingcuphook.HighestTier + kingcuphook.Tier(i/2300%kingcuphook.TierCount)
+	return kingcuphook.NewRequest(kingcuphook.RequestFields{
+		ID: fmt.Sprint("request-", i), Class: fmt.Sprint("class-", tier), Organisation: fmt.Sprint("organisation-", i%2300),
+		Tier: tier, Arrived: start, Target: time.Duration(1+i%7) * time.Second,
+		Deadline: start.Add(time.Minute + time.Duration(i)*time.Millisecond), PromptTokens: 100 + i%900, Bytes: 2000,
+	})
+}
--- a/admitter/item.go
+++ b/admitter/item.go
@@ -1,7 +1,6 @@
 package admitter
 
 import (
-	"container/heap"
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
@@ -12,8 +11,9 @@
 	request *kingcuphook.Request
 	// seq rises with every offered request and orders equal due times.
 	seq uint64
-	// due is when the first token is due.
-	due time.Time
+	// due is when the first token is due, deadline when the caller gives up; both
+	// in nanoseconds of Unix time. A deadline of 0 means never.
+	due, deadline int64
 	// queue is the queue of its organisation and model; never nil while the
 	// request waits.
 	queue *orgQueue
@@ -28,9 +28,26 @@
 	prev, next *item
 }
 
+// newItem returns an item outside of every structure.
+func newItem(r *kingcuphook.Request, seq uint64) *item {
+	it := &item{request: r, seq: seq, due: dueTime(r).UnixNano()}
+	if !r.Deadline().IsZero() {
+		it.deadline = r.Deadline().UnixNano()
+	}
+	return it
+}
+
+// dueTime returns the target time, or a late one without a target.
+func dueTime(r *kingcuphook.Request) time.Time {
+	if r.Target() == 0 {
+		return r.Arrived().Add(untargetedDelay)
+	}
+	return r.TargetTime()
+}
+
 func (it *item) before(other *item) bool {
-	if !it.due.Equal(other.due) {
-		return it.due.Before(other.due)
+	if it.due != other.due {
+		return it.due < other.due
 	}
 	return it.seq < other.seq
 }
@@ -62,39 +79,39 @@
 }
 
 // deadlineHeap has the item with the earliest deadline first.
-type deadlineHeap []*item
+type deadlineHeap []deadlineEntry
+
+// deadlineEntry keeps the deadline beside the item, to be compared without it.
+type deadlineEntry struct {
+	deadline int64
+	item     *item
+}
 
 func (h deadlineHeap) Len() int { return len(h) }
 func (h deadlineHeap) Less(i, j int) bool {
-	di, dj := h[i].request.Deadline(), h[j].request.Deadline()
-	if !di.Equal(dj) {
-		return di.Before(dj)
+	if h[i].deadline != h[j].deadline {
+		return h[i].deadline < h[j].deadline
 	}
-	return h[i].seq < h[j].seq
+	return h[i].item.seq < h[j].item.seq
 }
 
 func (h deadlineHeap) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
-	h[i].deadlineIndex, h[j].deadlineIndex = i, j
+	h[i].item.deadlineIndex, h[j].item.deadlineIndex = i, j
 }
 
 // Push implements heap.Interface.
 func (h *deadlineHeap) Push(x any) {
 	it := x.(*item)
 	it.deadlineIndex = len(*h)
-	*h = append(*h, it)
+	*h = append(*h, deadlineEntry{it.deadline, it})
 }
 
 // Pop implements heap.Interface.
 func (h *deadlineHeap) Pop() any {
 	n := len(*h) - 1
-	it := (*h)[n]
-	(*h)[n] = nil
+	it := (*h)[n].item
+	(*h)[n] = deadlineEntry{}
 	*h = (*h)[:n]
 	return it
 }
-
-var (
-	_ heap.Interface = (*itemHeap)(nil)
-	_ heap.Interface = (*deadlineHeap)(nil)
-)
--- a/admitter/organisation.go
+++ b/admitter/organisation.go
@@ -1,9 +1,6 @@
 package admitter
 
-import (
-	"container/heap"
-	"time"
-)
+import "container/heap"
 
 func (q *orgQueue) push(it *item) {
 	if it.late {
@@ -24,8 +21,8 @@
 }
 
 // moveLate moves the items due at limit or before to the late heap.
-func (q *orgQueue) moveLate(limit time.Time) {
-	for len(q.onTime) > 0 && !q.onTime[0].due.After(limit) {
+func (q *orgQueue) moveLate(limit int64) {
+	for len(q.onTime) > 0 && q.onTime[0].due <= limit {
 		it := heap.Pop(&q.onTime).(*item)
 		it.late = true
 		heap.Push(&q.late, it)
--- a/admitter/shed.go
+++ b/admitter/shed.go
@@ -19,6 +19,8 @@
 	maxRetryAfter     = 2 * time.Minute
 	// retrySpread is the share of the time by which callers are spread.
 	retrySpread = 0.25
+	// fadeEvery is how often the measured rate is faded.
+	fadeEvery = 100 * time.Millisecond
 )
 
 // shed takes requests out until the bounds hold: from the lowest tier, there
@@ -39,7 +41,7 @@
 func (a *Admitter) victim(now time.Time) *item {
 	t := a.lowestWaiting()
 	acc := t.byLoad[0]
-	limit := now.Add(a.Margin)
+	limit := a.lateLimit(now)
 	var last *item
 	for _, q := range acc.queues {
 		q.moveLate(limit)
@@ -91,12 +93,16 @@
 // drainRate measures the requests served a second, with old ones fading out.
 type drainRate struct {
 	count float64
-	last  time.Time
+	// last is when count was last faded.
+	last time.Time
 }
 
 func (d *drainRate) add(now time.Time, n float64) {
-	d.count = max(d.faded(now)+n, 0)
-	d.last = now
+	if now.Sub(d.last) >= fadeEvery {
+		d.count = d.faded(now)
+		d.last = now
+	}
+	d.count = max(d.count+n, 0)
 }
 
 // rate returns the requests served a second; 0 if fewer than one is remembered.
--- a/admitter/tier.go
+++ b/admitter/tier.go
@@ -3,7 +3,6 @@
 import (
 	"container/heap"
 	"slices"
-	"time"
 )
 
 // maxAccounts bounds the organisations of one tier that are remembered while
@@ -38,7 +37,9 @@
 	// waiting is the number of its waiting requests.
 	waiting int
 	// queues has one queue for each model with a waiting request.
-	queues    []*orgQueue
+	queues []*orgQueue
+	// spare is a dropped queue that can be used again; may be nil.
+	spare     *orgQueue
 	loadIndex int
 }
 
@@ -96,7 +97,7 @@
 
 // pick returns the item to be served next. Items due at limit or before are
 // late.
-func (t *tierQueue) pick(limit time.Time, skip func(string) bool) *item {
+func (t *tierQueue) pick(limit int64, skip func(string) bool) *item {
 	var best *orgQueue
 	for _, l := range t.lanes {
 		if skip != nil && skip(l.model) {
@@ -134,7 +135,10 @@
 }
 
 func (t *tierQueue) charge(organisation string, tokens float64) {
-	acc := t.account(organisation)
+	t.chargeAccount(t.account(organisation), tokens)
+}
+
+func (t *tierQueue) chargeAccount(acc *account, tokens float64) {
 	if acc.waiting == 0 {
 		acc.counter = max(acc.counter, t.floor)
 	}
@@ -184,7 +188,12 @@
 			return q
 		}
 	}
-	q := &orgQueue{account: acc, lane: t.lane(model), onTimeIndex: -1, lateIndex: -1}
+	q := acc.spare
+	acc.spare = nil
+	if q == nil {
+		q = &orgQueue{account: acc, onTimeIndex: -1, lateIndex: -1}
+	}
+	q.lane = t.lane(model)
 	acc.queues = append(acc.queues, q)
 	return q
 }
@@ -204,6 +213,7 @@
 	acc := q.account
 	acc.queues = slices.DeleteFunc(acc.queues, func(o *orgQueue) bool { return o == q })
 	l := q.lane
+	acc.spare = q
 	if len(l.onTime.queues)+len(l.late.queues) > 0 {
 		return
 	}
@@ -212,10 +222,10 @@
 
 // firstOnTime returns the first organisation with a request that is due after
 // limit; it moves the late requests it meets to the late heap.
-func (l *modelLane) firstOnTime(limit time.Time) *orgQueue {
+func (l *modelLane) firstOnTime(limit int64) *orgQueue {
 	for len(l.onTime.queues) > 0 {
 		q := l.onTime.queues[0]
-		if q.onTime[0].due.After(limit) {
+		if q.onTime[0].due > limit {
 			return q
 		}
 		q.moveLate(limit)
