--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -100,6 +100,8 @@
 func TestIdleOrganisationEarnsNoCredit(t *testing.T) {
 	is := is.New(t)
 	a := &Admitter{}
+	a.Offer(start, request("idle", 2, "idle", time.Hour))
+	a.Next(start, always)
 	for i := range 100 {
 		a.Offer(start, request(fmt.Sprint("busy-", i), 2, "busy", time.Hour))
 	}
@@ -168,6 +170,28 @@
 	is.Equal(drainIDs(a, start), "0 1 2 3 4 5 6 7 8 9 low ")
 }
 
+func TestReturnEarnsNoGuarantee(t *testing.T) {
+	is := is.New(t)
+	a := &Admitter{}
+	a.Offer(start, request("low", 5, "o", time.Hour))
+	a.Return(start, a.Next(start, always))
+	a.Offer(start, request("top", 1, "o", time.Hour))
+	is.Equal(drainIDs(a, start), "top low ")
+}
+
+func TestGuaranteeNeedsAFreeSlot(t *testing.T) {
+	is := is.New(t)
+	a := &Admitter{}
+	a.Offer(start, request("low", 5, "o", time.Hour))
+	for i := range 50 {
+		a.Offer(start, request(fmt.Sprint(i), 1, "o", time.Hour))
+		is.Equal(a.Next(start, highestOnly).Tier(), kingcuphook.HighestTier)
+	}
+	is.Equal(a.Next(start, func(kingcuphook.Tier) int { return 0 }), nil)
+	is.Equal(a.Next(start, highestOnly).ID(), "low")
+	is.True(a.Guaranteed())
+}
+
 func TestNextModelPassesOverModels(t *testing.T) {
 	is := is.New(t)
 	a := &Admitter{}
