--- /dev/null
+++ b/throttler/throttler_test.go
@@ -0,0 +1,213 @@
+package throttler
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/kingcuphook/kingcuphook"
+)
+
+const digestRates = 4
+
+var start = time.Date(2026, 1, 1, 8, 0, 0, 0, time.UTC)
+
+// fleet drives routers that exchange a digest a second each with a random peer.
+// A digest has room for digestRates rates; those that don't fit have their turn.
+type fleet struct {
+	rand    *rand.Rand
+	now     time.Time
+	routers []*Throttler
+	turn    []int
+}
+
+func newFleet(seed uint64, n int) *fleet {
+	f := &fleet{rand: rand.New(rand.NewPCG(seed, 1)), now: start, turn: make([]int, n)}
+	for i := range n {
+		t := &Throttler{Rand: rand.New(rand.NewPCG(seed, uint64(i)+2)), DigestRates: digestRates}
+		t.SetRouters(n)
+		f.routers = append(f.routers, t)
+	}
+	return f
+}
+
+// stream is a Poisson stream of requests of one limit.
+type stream struct {
+	limit Limit
+	// demand is in requests a second, spread over the routers by weight.
+	demand  float64
+	weights []float64
+	passed  int
+	offered int
+}
+
+// run passes time by ticks of 50 ms.
+func (f *fleet) run(d time.Duration, streams ...*stream) {
+	const tick = 50 * time.Millisecond
+	for range d / tick {
+		f.now = f.now.Add(tick)
+		for _, s := range streams {
+			f.offer(s, tick)
+		}
+		for i := range f.routers {
+			if f.rand.Float64() < tick.Seconds() {
+				f.exchange(i)
+			}
+		}
+	}
+}
+
+func (f *fleet) offer(s *stream, tick time.Duration) {
+	sum := 0.0
+	for _, w := range s.weights {
+		sum += w
+	}
+	for i, w := range s.weights {
+		for n := f.rand.ExpFloat64(); n < s.demand*w/sum*tick.Seconds(); n += f.rand.ExpFloat64() {
+			s.offered++
+			if ok, _ := f.routers[i].Allow(f.now, []Limit{s.limit}); ok {
+				s.passed++
+			}
+		}
+	}
+}
+
+func (f *fleet) exchange(i int) {
+	j := f.rand.IntN(len(f.routers) - 1)
+	if j >= i {
+		j++
+	}
+	a, b := f.digest(i), f.digest(j)
+	f.routers[j].Learn(f.now, fmt.Sprint(i), a)
+	f.routers[i].Learn(f.now, fmt.Sprint(j), b)
+}
+
+func (f *fleet) digest(i int) []Rate {
+	rates := f.routers[i].Tell(f.now)
+	n := min(len(rates), digestRates)
+	digest := make([]Rate, 0, n)
+	for range n {
+		digest = append(digest, rates[f.turn[i]%len(rates)])
+		f.turn[i]++
+	}
+	return digest
+}
+
+// within reports whether what was allowed of the requests that came passed to
+// within a tenth.
+func (s *stream) within(d time.Duration) error {
+	want := min(float64(s.offered), s.limit.Rate*d.Seconds())
+	if got := float64(s.passed); got < 0.9*want || got > 1.1*want {
+		return fmt.Errorf("limit %v/s, demand %v/s over %v: %v passed, want %v within a tenth", s.limit.Rate, s.demand, d, got, want)
+	}
+	return nil
+}
+
+func (s *stream) reset() { s.passed, s.offered = 0, 0 }
+
+var uneven = []float64{1, 1, 2, 3, 5, 8, 13, 40}
+
+// TestRatesHoldOverTheFleet covers 8 routers with demands spread 40 to 1, on one
+// router alone and evenly; limits of 0.2 to 200 a second; demands of 0.8, 1, 1.5
+// and 8 times the limit, each over a minute or 400 requests at the limit,
+// whichever is longer, after a minute (or as long as it takes for 40 requests) to learn.
+func TestRatesHoldOverTheFleet(t *testing.T) {
+	spreads := map[string][]float64{
+		"uneven": uneven,
+		"one":    {0, 0, 0, 1, 0, 0, 0, 0},
+		"even":   {1, 1, 1, 1, 1, 1, 1, 1},
+	}
+	for name, weights := range spreads {
+		for _, limit := range []float64{0.2, 2, 20, 200} {
+			for _, load := range []float64{0.8, 1, 1.5, 8} {
+				t.Run(fmt.Sprintf("%s/%v/%v", name, limit, load), func(t *testing.T) {
+					is := is.New(t)
+					f := newFleet(1, len(weights))
+					s := &stream{limit: Limit{Key: 1, Rate: limit}, demand: load * limit, weights: weights}
+					f.run(max(time.Minute, time.Duration(40/limit*float64(time.Second))), s)
+					s.reset()
+					d := max(time.Minute, time.Duration(400/limit*float64(time.Second)))
+					f.run(d, s)
+					is.NoErr(s.within(d))
+				})
+			}
+		}
+	}
+}
+
+// TestRatesHoldWithMoreLimitsThanADigestHolds covers 24 limits at once, after two
+// minutes in which each router hears nearly all of them from each peer.
+func TestRatesHoldWithMoreLimitsThanADigestHolds(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(2, len(uneven))
+	streams := make([]*stream, 24)
+	for i := range streams {
+		streams[i] = &stream{limit: Limit{Key: uint64(i), Rate: 10}, demand: 30, weights: uneven}
+	}
+	f.run(2*time.Minute, streams...)
+	for _, s := range streams {
+		s.reset()
+	}
+	f.run(time.Minute, streams...)
+	for _, s := range streams {
+		is.NoErr(s.within(time.Minute))
+	}
+}
+
+// TestRatesHoldAfterTheSpreadTurns lets all demand move to other routers.
+func TestRatesHoldAfterTheSpreadTurns(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3, 8)
+	s := &stream{limit: Limit{Key: 1, Rate: 20}, demand: 60, weights: []float64{1, 1, 1, 1, 0, 0, 0, 0}}
+	f.run(time.Minute, s)
+	s.weights = []float64{0, 0, 0, 0, 1, 2, 3, 4}
+	f.run(time.Minute, s)
+	s.reset()
+	f.run(time.Minute, s)
+	is.NoErr(s.within(time.Minute))
+}
+
+func TestAllowChargesNothingWhenOneLimitRefuses(t *testing.T) {
+	is := is.New(t)
+	th := &Throttler{}
+	wide, narrow := Limit{Key: 1, Rate: 20}, Limit{Key: 2, Rate: 1}
+	passed := 0
+	for range 20 {
+		if ok, retry := th.Allow(start, []Limit{wide, narrow}); ok {
+			passed++
+		} else {
+			is.True(retry >= time.Second)
+		}
+	}
+	is.Equal(passed, minBurst)
+	is.Equal(th.Rejected(), 10)
+	for range 10 {
+		ok, _ := th.Allow(start, []Limit{wide})
+		is.True(ok)
+	}
+	ok, _ := th.Allow(start, []Limit{wide})
+	is.True(!ok)
+}
+
+func TestLimitsOf(t *testing.T) {
+	is := is.New(t)
+	route := kingcuphook.NewRoute(kingcuphook.RouteFields{Name: "letters", Rate: 5, OrganisationRate: 2})
+	a, b := LimitsOf(nil, route, "a"), LimitsOf(nil, route, "b")
+	is.Equal(len(a), 2)
+	is.Equal(a[0], b[0])
+	is.True(a[1].Key != b[1].Key)
+	is.Equal(len(LimitsOf(nil, kingcuphook.NewRoute(kingcuphook.RouteFields{}), "a")), 0)
+}
+
+func TestUnusedLimitsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	th := &Throttler{}
+	th.Allow(start, []Limit{{Key: 1, Rate: 1}})
+	th.Learn(start, "peer", []Rate{{Key: 1, Rate: 3}})
+	th.Allow(start.Add(idleAfter+sweepEvery), []Limit{{Key: 2, Rate: 1}})
+	is.Equal(len(th.limits), 1)
+	is.Equal(len(th.peers), 0)
+}
