--- /dev/null
+++ b/connector/connector_test.go
@@ -0,0 +1,67 @@
+package connector
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+
+	"github.com/matryer/is"
+	"google.golang.org/grpc"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/emulator/storer"
+)
+
+func connect(t *testing.T, store *storer.Store) *Connector {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := grpc.NewServer()
+	(&storer.Server{Store: store}).Register(g)
+	go func() { _ = g.Serve(l) }()
+	t.Cleanup(g.Stop)
+	c := &Connector{Address: l.Addr().String()}
+	if err := c.Connect(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+func TestCallsOverTheWire(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := &storer.Store{}
+	store.SetVMs([]kingcuphook.VM{kingcuphook.NewVM("127.0.0.1:1", "cairo", "cairo-1", kingcuphook.VMStateLive)})
+	c := connect(t, store)
+
+	_, err := c.Get(ctx, "a")
+	is.True(errors.Is(err, kingcuphook.ErrNotFound))
+	revision, err := c.Put(ctx, "a", []byte("1"), kingcuphook.RevisionAbsent, 0)
+	is.NoErr(err)
+	_, err = c.Put(ctx, "a", []byte("2"), kingcuphook.RevisionAbsent, 0)
+	is.True(errors.Is(err, kingcuphook.ErrConflict))
+	entries, _, err := c.Watch(ctx, "a", revision-1)
+	is.NoErr(err)
+	is.Equal(len(entries), 1)
+	is.NoErr(c.Delete(ctx, "a", revision))
+	vms, err := c.VMs(ctx)
+	is.NoErr(err)
+	is.Equal(vms[0].Region(), "cairo")
+}
+
+func TestOutageIsToldFromLostReply(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := &storer.Store{}
+	c := connect(t, store)
+	store.SetFault(storer.Fault{Down: true})
+	_, err := c.Put(ctx, "a", nil, kingcuphook.RevisionAny, 0)
+	is.True(errors.Is(err, kingcuphook.ErrUnavailable))
+	store.SetFault(storer.Fault{LoseReply: true})
+	_, err = c.Put(ctx, "a", nil, kingcuphook.RevisionAny, 0)
+	is.True(errors.Is(err, kingcuphook.ErrOutcomeUnknown))
+}
--- /dev/null
+++ b/dialer/dialer.go
@@ -0,0 +1,201 @@
+// Package dialer runs attempts on upstreams over HTTP: streams of model engines
+// and calls of plain services. It also reads what upstreams report.
+package dialer
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/kingcuphook/kingcuphook"
+)
+
+// Headers sent to upstreams.
+const (
+	headerAttempt    = "X-Attempt-Id"
+	headerRequest    = "X-Request-Id"
+	headerResumeFrom = "X-Resume-From"
+	headerPriority   = "X-Priority"
+	headerKey        = "Idempotency-Key"
+	headerNotStarted = "X-Not-Started"
+)
+
+// Defaults and bounds of Dialer.
+const (
+	defaultDialTimeout   = time.Second
+	defaultMaxAnswer     = 8 << 20
+	keepAliveInterval    = 5 * time.Second
+	keepAliveProbes      = 3
+	idleTimeout          = 30 * time.Second
+	maxIdlePerUpstream   = 64
+	maxResponseHeader    = 64 << 10
+	maxRefusalBodyBytes  = 4 << 10
+	refusalBodyForErrors = 200
+)
+
+// Dialer implements kingcuphook.Engine. Connect must be called before the first
+// attempt. It is safe for concurrent use.
+type Dialer struct {
+	// DialTimeout bounds opening a connection; 0 means 1 s.
+	DialTimeout time.Duration
+	// MaxAnswerBytes bounds the answer of a plain service; 0 means 8 MiB.
+	MaxAnswerBytes int64
+
+	// shared keeps connections open for idempotent work and for queries.
+	shared *http.Client
+	// fresh opens a connection for each request. The HTTP transport repeats a
+	// request on its own only when a kept connection breaks, so requests that
+	// must run at most once go through this one.
+	fresh *http.Client
+}
+
+var _ kingcuphook.Engine = (*Dialer)(nil)
+
+// Connect prepares the transports.
+func (d *Dialer) Connect() {
+	d.shared = &http.Client{Transport: d.transport(false), CheckRedirect: refuseRedirect}
+	d.fresh = &http.Client{Transport: d.transport(true), CheckRedirect: refuseRedirect}
+}
+
+// Close closes the connections that no attempt uses.
+func (d *Dialer) Close() {
+	d.shared.CloseIdleConnections()
+	d.fresh.CloseIdleConnections()
+}
+
+func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+func (d *Dialer) transport(fresh bool) *http.Transport {
+	timeout := d.DialTimeout
+	if timeout == 0 {
+		timeout = defaultDialTimeout
+	}
+	dial := &net.Dialer{
+		Timeout: timeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     keepAliveInterval,
+			Interval: keepAliveInterval,
+			Count:    keepAliveProbes,
+		},
+	}
+	return &http.Transport{
+		DialContext:            dial.DialContext,
+		DisableKeepAlives:      fresh,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    maxIdlePerUpstream,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxResponseHeader,
+	}
+}
+
+// Start implements kingcuphook.Engine.
+func (d *Dialer) Start(ctx context.Context, u *kingcuphook.Upstream, a *kingcuphook.Attempt) (kingcuphook.Stream, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	resp, err := d.send(ctx, u, a)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	return newStream(resp.Body, cancel), nil
+}
+
+// Call implements kingcuphook.Engine.
+func (d *Dialer) Call(ctx context.Context, u *kingcuphook.Upstream, a *kingcuphook.Attempt) (kingcuphook.Answer, error) {
+	resp, err := d.send(ctx, u, a)
+	if err != nil {
+		return kingcuphook.Answer{}, err
+	}
+	defer resp.Body.Close()
+	limit := d.MaxAnswerBytes
+	if limit == 0 {
+		limit = defaultMaxAnswer
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if err != nil {
+		return kingcuphook.Answer{}, fmt.Errorf("dialer: read answer of %s: %w", u.Address(), kingcuphook.ErrOutcomeUnknown)
+	}
+	if int64(len(body)) > limit {
+		return kingcuphook.Answer{}, fmt.Errorf("dialer: answer of %s over %d bytes: %w", u.Address(), limit, errors.Join(kingcuphook.ErrTooLarge, kingcuphook.ErrOutcomeUnknown))
+	}
+	return kingcuphook.NewAnswer(resp.StatusCode, resp.Header.Get("Content-Type"), body), nil
+}
+
+// send sends the attempt and returns a response that was not refused.
+func (d *Dialer) send(ctx context.Context, u *kingcuphook.Upstream, a *kingcuphook.Attempt) (*http.Response, error) {
+	var connected atomic.Bool
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	req, err := newRequest(traced, u, a)
+	if err != nil {
+		return nil, fmt.Errorf("dialer: %w: %w", kingcuphook.ErrUnavailable, err)
+	}
+	client := d.shared
+	if a.Request().NonIdempotent() {
+		client = d.fresh
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		if connected.Load() {
+			return nil, fmt.Errorf("dialer: %s: %w: %w", u.Address(), kingcuphook.ErrOutcomeUnknown, err)
+		}
+		return nil, fmt.Errorf("dialer: %s: %w: %w", u.Address(), kingcuphook.ErrUnavailable, err)
+	}
+	if err := refusal(u, resp); err != nil {
+		return nil, err
+	}
+	return resp, nil
+}
+
+// newRequest builds the HTTP request. The body can't be read again by the
+// transport, which therefore never repeats a request that has one.
+func newRequest(ctx context.Context, u *kingcuphook.Upstream, a *kingcuphook.Attempt) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, a.Method(), "http://"+u.Address()+a.Path(), bytes.NewReader(a.Body()))
+	if err != nil {
+		return nil, err
+	}
+	req.GetBody = nil
+	r := a.Request()
+	req.Header.Set("Content-Type", a.ContentType())
+	req.Header.Set(headerAttempt, a.ID())
+	req.Header.Set(headerRequest, r.ID())
+	req.Header.Set(headerPriority, strconv.Itoa(int(r.Tier())))
+	if a.ResumeFrom() > 0 {
+		req.Header.Set(headerResumeFrom, strconv.Itoa(a.ResumeFrom()))
+	}
+	if r.Key() != "" {
+		req.Header.Set(headerKey, r.Key())
+	}
+	return req, nil
+}
+
+// refusal returns an error if the upstream says that it did not start, or if an
+// engine answers with anything but a stream. It closes a refused response.
+func refusal(u *kingcuphook.Upstream, resp *http.Response) error {
+	if resp.Header.Get(headerNotStarted) != "" {
+		defer resp.Body.Close()
+		return fmt.Errorf("dialer: %s did not start: %w: %s", u.Address(), kingcuphook.ErrUnavailable, readRefusal(resp.Body))
+	}
+	if u.Kind() == kingcuphook.UpstreamKindService || resp.StatusCode == http.StatusOK {
+		return nil
+	}
+	defer resp.Body.Close()
+	return fmt.Errorf("dialer: %s answered %d: %w: %s", u.Address(), resp.StatusCode, kingcuphook.ErrOutcomeUnknown, readRefusal(resp.Body))
+}
+
+func readRefusal(body io.Reader) string {
+	text, err := io.ReadAll(io.LimitReader(body, maxRefusalBodyBytes))
+	if err != nil {
+		return "(unreadable answer)"
+	}
+	return string(text[:min(len(text), refusalBodyForErrors)])
+}
--- /dev/null
+++ b/dialer/stream.go
@@ -0,0 +1,118 @@
+package dialer
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/tidwall/gjson"
+
+	"github.com/kingcuphook/kingcuphook"
+)
+
+// maxEventBytes bounds one server-sent event of an engine.
+const maxEventBytes = 256 << 10
+
+var (
+	dataPrefix = []byte("data:")
+	endMarker  = []byte("[DONE]")
+)
+
+// stream reads the server-sent events of one attempt.
+type stream struct {
+	body   io.ReadCloser
+	reader *bufio.Reader
+	cancel context.CancelFunc
+	// attempt and position are those of the latest frame, for the end marker,
+	// which carries none of its own.
+	attempt  string
+	position int
+	// done is set by the end marker.
+	done bool
+}
+
+func newStream(body io.ReadCloser, cancel context.CancelFunc) *stream {
+	return &stream{body: body, reader: bufio.NewReaderSize(body, 4<<10), cancel: cancel}
+}
+
+// Next implements kingcuphook.Stream. When ctx ends, the attempt is cancelled
+// and can't be read any more.
+func (s *stream) Next(ctx context.Context) (kingcuphook.Frame, error) {
+	if ctx.Done() != nil {
+		stop := context.AfterFunc(ctx, s.cancel)
+		defer stop()
+	}
+	data, err := s.readData()
+	if err != nil {
+		if ctx.Err() != nil {
+			return kingcuphook.Frame{}, ctx.Err()
+		}
+		return kingcuphook.Frame{}, fmt.Errorf("dialer: %w: %w", kingcuphook.ErrBrokenStream, err)
+	}
+	return s.frame(data)
+}
+
+// Close implements kingcuphook.Stream.
+func (s *stream) Close() error {
+	s.cancel()
+	return s.body.Close()
+}
+
+// readData returns the data of the next event.
+func (s *stream) readData() ([]byte, error) {
+	for {
+		line, err := s.readLine()
+		if err != nil {
+			return nil, err
+		}
+		if data, ok := bytes.CutPrefix(line, dataPrefix); ok {
+			return bytes.TrimSpace(data), nil
+		}
+	}
+}
+
+// readLine returns the next line, which is valid until the next call.
+func (s *stream) readLine() ([]byte, error) {
+	line, err := s.reader.ReadSlice('\n')
+	if err == nil {
+		return line, nil
+	}
+	if !errors.Is(err, bufio.ErrBufferFull) {
+		return nil, err
+	}
+	long := bytes.Clone(line)
+	for errors.Is(err, bufio.ErrBufferFull) {
+		if len(long) > maxEventBytes {
+			return nil, kingcuphook.ErrTooLarge
+		}
+		line, err = s.reader.ReadSlice('\n')
+		long = append(long, line...)
+	}
+	return long, err
+}
+
+func (s *stream) frame(data []byte) (kingcuphook.Frame, error) {
+	if bytes.Equal(data, endMarker) {
+		s.done = true
+		return kingcuphook.NewFrame(s.attempt, s.position, kingcuphook.FrameKindEnd, ""), nil
+	}
+	if !gjson.ValidBytes(data) {
+		return kingcuphook.Frame{}, fmt.Errorf("dialer: event is not JSON: %w", kingcuphook.ErrBrokenStream)
+	}
+	id := gjson.GetBytes(data, "id")
+	position := gjson.GetBytes(data, "position")
+	choice := gjson.GetBytes(data, "choices.0")
+	if !id.Exists() || !position.Exists() || !choice.Exists() {
+		return kingcuphook.Frame{}, fmt.Errorf("dialer: event lacks id, position or choice: %w", kingcuphook.ErrBrokenStream)
+	}
+	s.attempt = id.String()
+	s.position = int(position.Int())
+	if finish := choice.Get("finish_reason"); finish.Type == gjson.String {
+		return kingcuphook.NewFrame(s.attempt, s.position, kingcuphook.FrameKindFinish, finish.String()), nil
+	}
+	text := choice.Get("delta.content").String()
+	return kingcuphook.NewFrame(s.attempt, s.position, kingcuphook.FrameKindData, text), nil
+}
--- /dev/null
+++ b/emulator/responder/chat.go
@@ -0,0 +1,160 @@
+package responder
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/tidwall/gjson"
+)
+
+// blockBytes is the size of the prompt blocks that the cache works with.
+const blockBytes = 256
+
+// bytesPerToken is the assumed length of a token of a prompt.
+const bytesPerToken = 4
+
+// run is one chat request being answered.
+type run struct {
+	attempt, id string
+	body        []byte
+	seed        uint64
+	tokens      int
+	resumeFrom  int
+}
+
+func (u *Upstream) serveChat(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
+	if err != nil {
+		return
+	}
+	crashed, up := u.crashSignal()
+	if !up {
+		abort()
+	}
+	priority, _ := strconv.Atoi(r.Header.Get(HeaderPriority))
+	if !u.slots.enter(r.Context(), priority) {
+		notStarted(w, "busy")
+		return
+	}
+	defer u.slots.leave()
+	u.sample()
+	defer u.sample()
+
+	c := newRun(r, body)
+	u.begin(c.id, r.Header.Get(HeaderKey))
+	if !u.prefill(r, c, crashed) {
+		return
+	}
+	u.stream(w, r, c, crashed)
+}
+
+func newRun(r *http.Request, body []byte) run {
+	c := run{
+		attempt: r.Header.Get(HeaderAttempt),
+		id:      r.Header.Get(HeaderRequest),
+		body:    body,
+		seed:    xxhash.Sum64(body),
+	}
+	c.resumeFrom, _ = strconv.Atoi(r.Header.Get(HeaderResumeFrom))
+	c.tokens = AnswerTokens(body)
+	return c
+}
+
+// AnswerTokens returns how many tokens the answer to a body has.
+func AnswerTokens(body []byte) int {
+	n := defaultAnswerTokens + int(xxhash.Sum64(body)%defaultAnswerTokens)
+	if limit := int(gjson.GetBytes(body, "max_tokens").Int()); limit > 0 {
+		n = min(n, limit)
+	}
+	return n
+}
+
+// AnswerText returns the whole answer to a body.
+func AnswerText(body []byte) string {
+	var b strings.Builder
+	seed := xxhash.Sum64(body)
+	for i := range AnswerTokens(body) {
+		b.WriteString(token(seed, i))
+	}
+	return b.String()
+}
+
+func token(seed uint64, i int) string {
+	return fmt.Sprintf("t%d-%04x ", i, (seed+uint64(i)*0x9e3779b97f4a7c15)>>48)
+}
+
+func (u *Upstream) prefill(r *http.Request, c run, crashed <-chan struct{}) bool {
+	cachedBlocks, blocks := u.cache.use(c.body)
+	uncached := (blocks - cachedBlocks) * blockBytes / bytesPerToken
+	wait := time.Duration(uncached) * orDuration(u.PrefillTime, defaultPrefillTime)
+	return u.pause(r, wait, crashed)
+}
+
+// pause waits for d. It reports false when the reader is gone, and breaks the
+// connection when the upstream crashes.
+func (u *Upstream) pause(r *http.Request, d time.Duration, crashed <-chan struct{}) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-crashed:
+		abort()
+	case <-r.Context().Done():
+	}
+	return false
+}
+
+func (u *Upstream) stream(w http.ResponseWriter, r *http.Request, c run, crashed <-chan struct{}) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	flush := http.NewResponseController(w)
+	made := 0
+	for i := c.resumeFrom; i < c.tokens; i++ {
+		if !u.pause(r, orDuration(u.StepTime, defaultStepTime), crashed) {
+			u.cancelled(made)
+			return
+		}
+		u.failMarked(r, c, made)
+		writeChunk(w, c.attempt, i, token(c.seed, i), "")
+		if flush.Flush() != nil {
+			u.cancelled(made)
+			return
+		}
+		made++
+	}
+	u.finish(c.id, made)
+	writeChunk(w, c.attempt, c.tokens, "", "stop")
+	_, _ = io.WriteString(w, "data: [DONE]\n\n")
+}
+
+func (u *Upstream) failMarked(r *http.Request, c run, made int) {
+	if made == crashAfterTokens && strings.Contains(string(c.body), MarkCrash) {
+		u.Crash()
+		abort()
+	}
+	if made == silenceAfterTokens && strings.Contains(string(c.body), MarkSilence) {
+		<-r.Context().Done()
+		abort()
+	}
+}
+
+func writeChunk(w io.Writer, attempt string, position int, text, finish string) {
+	line := append([]byte(`data: {"id":`), gjson.AppendJSONString(nil, attempt)...)
+	line = append(line, `,"object":"chat.completion.chunk","position":`...)
+	line = strconv.AppendInt(line, int64(position), 10)
+	line = append(line, `,"choices":[{"index":0,"delta":{"content":`...)
+	line = gjson.AppendJSONString(line, text)
+	line = append(line, `},"finish_reason":`...)
+	if finish == "" {
+		line = append(line, "null"...)
+	} else {
+		line = gjson.AppendJSONString(line, finish)
+	}
+	line = append(line, "}]}\n\n"...)
+	_, _ = w.Write(line)
+}
