--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -100,7 +100,7 @@
 // Start implements kingcuphook.Engine.
 func (d *Dialer) Start(ctx context.Context, u *kingcuphook.Upstream, a *kingcuphook.Attempt) (kingcuphook.Stream, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	resp, err := d.send(ctx, u, a)
+	resp, err := d.send(ctx, u, a) //nolint:bodyclose // the stream closes it
 	if err != nil {
 		cancel()
 		return nil, err
--- a/dialer/dialer_test.go
+++ b/dialer/dialer_test.go
@@ -27,10 +27,10 @@
 	return d, u
 }
 
-func attempt(body string, nonIdempotent bool) *kingcuphook.Attempt {
+func attempt(body string) *kingcuphook.Attempt {
 	return kingcuphook.NewAttempt(kingcuphook.AttemptFields{
 		ID:      "a1",
-		Request: kingcuphook.NewRequest(kingcuphook.RequestFields{ID: "r1", Key: "k1", NonIdempotent: nonIdempotent}),
+		Request: kingcuphook.NewRequest(kingcuphook.RequestFields{ID: "r1"}),
 		Method:  http.MethodPost,
 		Path:    responder.PathChat,
 		Body:    []byte(body),
@@ -57,10 +57,10 @@
 func TestStreamIsWhole(t *testing.T) {
 	is := is.New(t)
 	d, u := start(t, &responder.Upstream{StepTime: time.Millisecond}, kingcuphook.UpstreamKindEngine)
-	a := attempt(`{"messages":[]}`, false)
+	a := attempt(`{"messages":[]}`)
 	s, err := d.Start(context.Background(), u, a)
 	is.NoErr(err)
-	defer s.Close()
+	defer func() { _ = s.Close() }()
 	text, kind, err := readAll(s)
 	is.NoErr(err)
 	is.Equal(kind, kingcuphook.FrameKindEnd)
@@ -70,9 +70,9 @@
 func TestCrashBreaksTheStream(t *testing.T) {
 	is := is.New(t)
 	d, u := start(t, &responder.Upstream{StepTime: time.Millisecond}, kingcuphook.UpstreamKindEngine)
-	s, err := d.Start(context.Background(), u, attempt(responder.MarkCrash, false))
+	s, err := d.Start(context.Background(), u, attempt(responder.MarkCrash))
 	is.NoErr(err)
-	defer s.Close()
+	defer func() { _ = s.Close() }()
 	_, _, err = readAll(s)
 	is.True(errors.Is(err, kingcuphook.ErrBrokenStream))
 }
@@ -85,7 +85,7 @@
 	d := &Dialer{}
 	d.Connect()
 	u := kingcuphook.NewUpstream(kingcuphook.UpstreamFields{Address: l.Addr().String()})
-	_, err = d.Start(context.Background(), u, attempt("{}", false))
+	_, err = d.Start(context.Background(), u, attempt("{}"))
 	is.True(errors.Is(err, kingcuphook.ErrUnavailable))
 }
 
@@ -124,6 +124,6 @@
 		w.Header().Set(responder.HeaderNotStarted, "true")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}), kingcuphook.UpstreamKindEngine)
-	_, err := d.Start(context.Background(), u, attempt("{}", false))
+	_, err := d.Start(context.Background(), u, attempt("{}"))
 	is.True(errors.Is(err, kingcuphook.ErrUnavailable))
 }
