--- /dev/null
+++ b/loader/loader_test.go
@@ -0,0 +1,65 @@
+package loader
+
+import (
+	"errors"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/kingcuphook/kingcuphook"
+)
+
+const exampleFile = "../example.toml"
+
+func noEnv(string) (string, bool) { return "", false }
+
+func TestExampleLoads(t *testing.T) {
+	is := is.New(t)
+	s, err := (&Loader{File: exampleFile, LookupEnv: noEnv}).Load()
+	is.NoErr(err)
+	is.Equal(s.Node.Region, "cairo")
+}
+
+func TestEnvironmentOverrides(t *testing.T) {
+	is := is.New(t)
+	env := func(name string) (string, bool) {
+		return "127.0.0.1:9999", name == "KINGCUPHOOK_LISTEN_CALLERS"
+	}
+	s, err := (&Loader{File: exampleFile, LookupEnv: env}).Load()
+	is.NoErr(err)
+	is.Equal(s.Listen.Callers, "127.0.0.1:9999")
+}
+
+func TestProblemsNameLineAndReason(t *testing.T) {
+	example, err := os.ReadFile(exampleFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	tests := []struct {
+		old, replacement, reason string
+	}{
+		{`callers = "127.0.0.1:8080"`, `callers = "localhost:80"`, "not an IP number"},
+		{`callers = "127.0.0.1:8080"`, `caller = "127.0.0.1:8080"`, "unknown key"},
+		{`operators = "127.0.0.1:8081"`, `operators = "127.0.0.1:8080"`, "already the address"},
+		{`timeout = "2s"`, `timeout = "2"`, "not a duration"},
+		{`plain-text = true`, `plain-text = false`, "must be set"},
+		{`token = "change-this-token"`, `token = "short"`, "at least 16"},
+		{`max-requests = 20000`, `max-requests = 0`, "above zero"},
+		{`level = "info"`, `level = "loud"`, "not one of"},
+		{`[log]`, `[log`, "expected"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.replacement, func(t *testing.T) {
+			is := is.New(t)
+			text := strings.Replace(string(example), tt.old, tt.replacement, 1)
+			_, err := (&Loader{File: "x.toml", LookupEnv: noEnv}).Parse([]byte(text))
+			var input *kingcuphook.InputError
+			is.True(errors.As(err, &input))
+			is.True(strings.Contains(input.Reason, tt.reason)) // the reason says what is wrong
+			missing := tt.reason == "must be set" || tt.reason == "at least 16"
+			is.True(input.Line > 0 || missing) // the line is known
+		})
+	}
+}
--- /dev/null
+++ b/logger/events.go
@@ -0,0 +1,66 @@
+package logger
+
+// Level is how much an event matters.
+type Level string
+
+// Values of Level.
+const (
+	LevelDebug Level = "debug"
+	LevelInfo  Level = "info"
+	LevelWarn  Level = "warn"
+	LevelError Level = "error"
+)
+
+// Event is one kind of log event. Its number never changes its meaning.
+type Event struct {
+	// Number is unique; it is logged as KCH followed by the number.
+	Number int
+	// Level is the level it is logged at.
+	Level Level
+	// Message says what happened.
+	Message string
+}
+
+// The events of the router. docs/EVENTS.md lists them, and a test compares both.
+var (
+	Started          = Event{1001, LevelInfo, "router started"}
+	Ready            = Event{1002, LevelInfo, "router is ready"}
+	Stopping         = Event{1003, LevelInfo, "planned stop begun; the router is not ready"}
+	Stopped          = Event{1004, LevelInfo, "all requests ended; the router stops"}
+	ListenFailed     = Event{1005, LevelError, "can't listen on an address"}
+	CertificateRead  = Event{1006, LevelInfo, "certificate read again after a change"}
+	CertificateBad   = Event{1007, LevelError, "changed certificate refused; the old one stays in force"}
+	TablesInForce    = Event{1101, LevelInfo, "tables in force"}
+	TablesBad        = Event{1102, LevelError, "tables refused; the old ones stay in force"}
+	TablesOlder      = Event{1103, LevelWarn, "the store returned older tables; not followed"}
+	StoreUnavailable = Event{1104, LevelWarn, "the store can't be reached; what is in force goes on"}
+	StoreAvailable   = Event{1105, LevelInfo, "the store can be reached again"}
+	EditAccepted     = Event{1106, LevelInfo, "edit of the tables accepted"}
+	EditRefused      = Event{1107, LevelWarn, "edit of the tables refused"}
+	RequestFailed    = Event{1201, LevelInfo, "request failed"}
+	RequestPanicked  = Event{1202, LevelError, "request handler panicked"}
+	UpstreamFailed   = Event{1301, LevelWarn, "attempt failed on an upstream"}
+	UpstreamLeaving  = Event{1302, LevelInfo, "upstream says that it is leaving"}
+	PeerFailed       = Event{1401, LevelDebug, "exchange with a peer failed"}
+	PeerJoined       = Event{1402, LevelInfo, "peer joined"}
+	PeerLeft         = Event{1403, LevelInfo, "peer left"}
+	LeaseTaken       = Event{1501, LevelInfo, "lease taken"}
+	LeaseLost        = Event{1502, LevelWarn, "lease lost"}
+	OrderGiven       = Event{1503, LevelInfo, "order given to an upstream"}
+	OrderFailed      = Event{1504, LevelWarn, "order to an upstream failed"}
+	QuarantineBegun  = Event{1601, LevelWarn, "request quarantined after it crashed upstreams"}
+	QuarantineLifted = Event{1602, LevelInfo, "quarantine lifted by an operator"}
+)
+
+// Catalogue returns every event in order of number.
+func Catalogue() []Event {
+	return []Event{
+		Started, Ready, Stopping, Stopped, ListenFailed, CertificateRead, CertificateBad,
+		TablesInForce, TablesBad, TablesOlder, StoreUnavailable, StoreAvailable, EditAccepted, EditRefused,
+		RequestFailed, RequestPanicked,
+		UpstreamFailed, UpstreamLeaving,
+		PeerFailed, PeerJoined, PeerLeft,
+		LeaseTaken, LeaseLost, OrderGiven, OrderFailed,
+		QuarantineBegun, QuarantineLifted,
+	}
+}
--- /dev/null
+++ b/logger/logger.go
@@ -0,0 +1,72 @@
+// Package logger writes numbered, structured log events.
+package logger
+
+import (
+	"io"
+	"strconv"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+)
+
+// Logger writes events. Its zero value writes nothing. It is safe for
+// concurrent use.
+type Logger struct {
+	out log.Logger
+}
+
+// New returns a logger that writes to w. Format is "json" or "logfmt"; events
+// below the level min are left out.
+func New(w io.Writer, format string, lowest Level) *Logger {
+	w = log.NewSyncWriter(w)
+	out := log.NewLogfmtLogger(w)
+	if format == "json" {
+		out = log.NewJSONLogger(w)
+	}
+	out = level.NewFilter(out, allow(lowest))
+	return &Logger{out: log.With(out, "time", log.DefaultTimestampUTC)}
+}
+
+// With returns a logger that adds the fields to each event. Names are in kebab
+// case and follow each other with their values.
+func (l *Logger) With(fields ...any) *Logger {
+	if l == nil || l.out == nil {
+		return l
+	}
+	return &Logger{out: log.With(l.out, fields...)}
+}
+
+// Log writes one event with its fields.
+func (l *Logger) Log(e Event, fields ...any) {
+	if l == nil || l.out == nil {
+		return
+	}
+	out := log.WithPrefix(leveled(l.out, e.Level), "event", "KCH"+strconv.Itoa(e.Number), "message", e.Message)
+	_ = out.Log(fields...)
+}
+
+func leveled(out log.Logger, l Level) log.Logger {
+	switch l {
+	case LevelDebug:
+		return level.Debug(out)
+	case LevelWarn:
+		return level.Warn(out)
+	case LevelError:
+		return level.Error(out)
+	default:
+		return level.Info(out)
+	}
+}
+
+func allow(l Level) level.Option {
+	switch l {
+	case LevelDebug:
+		return level.AllowDebug()
+	case LevelWarn:
+		return level.AllowWarn()
+	case LevelError:
+		return level.AllowError()
+	default:
+		return level.AllowInfo()
+	}
+}
