--- /dev/null
+++ b/selector/score.go
@@ -0,0 +1,373 @@
+package selector
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/kingcuphook/kingcuphook"
+)
+
+const (
+	// narrow is the number of rendezvous candidates weighed at first.
+	narrow = 2
+	// wide is the number of rendezvous candidates weighed once the narrow ones
+	// are too loaded.
+	wide = 6
+	// draws is the number of upstreams drawn by chance when widening.
+	draws = 2
+	// scanned bounds the size of a group that is searched whole for a free
+	// slot, and the draws in a larger one.
+	scanned = 16
+	// scratchSize holds every candidate of one selection.
+	scratchSize = 2 * (wide + draws + maxHolders + scanned)
+	// widenShare is the share of the latency target from which on a prediction
+	// widens the candidates.
+	widenShare = 0.5
+	// boundFactor is how much more than the mean load of its group an upstream
+	// may carry before the candidates are widened.
+	boundFactor = 1.25
+	// boundSlack is the load in requests that is always allowed.
+	boundSlack = 1
+	// spillStop is the share of the target below which the local prediction
+	// must fall to stop spilling.
+	spillStop = 0.7
+	// spillMargin is the share of the target that the remote prediction must
+	// stay below.
+	spillMargin = 0.8
+)
+
+// scored is one candidate that was weighed.
+type scored struct {
+	tracker   *tracker
+	predicted time.Duration
+	cached    int
+	// refused is empty for a usable candidate.
+	refused string
+	// remote says that the candidate is in another region.
+	remote bool
+}
+
+// Select chooses an upstream for a request. The choice has no upstream if none
+// can take the request now; the error says that none can take it at all.
+func (s *Selector) Select(now time.Time, r *kingcuphook.Request, excluded []string) (kingcuphook.Choice, error) {
+	s.init()
+	if len(s.near.trackers)+len(s.region.trackers)+len(s.remote.trackers) == 0 {
+		return kingcuphook.Choice{}, fmt.Errorf("selector: pool %q: %w", r.Pool(), kingcuphook.ErrNoUpstream)
+	}
+	best := s.weigh(now, r, excluded)
+	if best < 0 {
+		return kingcuphook.Choice{}, nil
+	}
+	c := s.scratch[best]
+	return kingcuphook.Choice{
+		Upstream:       c.tracker.upstream,
+		Predicted:      c.predicted,
+		UncachedTokens: r.PromptTokens() - c.cached,
+		Spilled:        c.remote,
+	}, nil
+}
+
+// Explain appends the candidates that Select would weigh to dst.
+func (s *Selector) Explain(now time.Time, r *kingcuphook.Request, dst []kingcuphook.Candidate) []kingcuphook.Candidate {
+	s.init()
+	s.weigh(now, r, nil)
+	for _, c := range s.scratch {
+		dst = append(dst, kingcuphook.Candidate{
+			Upstream:     c.tracker.upstream.Address(),
+			Predicted:    c.predicted,
+			CachedTokens: c.cached,
+			Refused:      c.refused,
+		})
+	}
+	return dst
+}
+
+// weigh fills scratch with the candidates and returns the best one, or -1.
+func (s *Selector) weigh(now time.Time, r *kingcuphook.Request, excluded []string) int {
+	s.scratch = s.scratch[:0]
+	key, known := s.key(r)
+	best := s.weighGroup(now, r, excluded, &s.near, key, known)
+	if best < 0 {
+		best = s.weighGroup(now, r, excluded, &s.region, key, known)
+	}
+	if !s.spills || len(s.remote.trackers) == 0 || r.Target() == 0 {
+		return best
+	}
+	local := s.localWait(now, r, best)
+	if local <= s.spillFrom(now, r) {
+		return best
+	}
+	return s.spill(now, r, excluded, best, local, key, known)
+}
+
+// localWait predicts the time from arrival to the first token when the request
+// stays in its region.
+func (s *Selector) localWait(now time.Time, r *kingcuphook.Request, best int) time.Duration {
+	waited := now.Sub(r.Arrived())
+	if best >= 0 {
+		return waited + s.scratch[best].predicted
+	}
+	fastest := time.Duration(-1)
+	for _, c := range s.scratch {
+		if fastest < 0 || c.predicted < fastest {
+			fastest = c.predicted
+		}
+	}
+	if fastest < 0 {
+		return r.Target() + 1
+	}
+	return waited + s.pace + fastest
+}
+
+// spillFrom returns the local prediction above which a request may go to
+// another region. It is lower while spilling, so that a wait near the target
+// doesn't turn spilling on and off.
+func (s *Selector) spillFrom(now time.Time, r *kingcuphook.Request) time.Duration {
+	hold := orDuration(s.SpillHold, defaultSpillHold)
+	if !s.lastSpill.IsZero() && now.Sub(s.lastSpill) < hold {
+		return time.Duration(spillStop * float64(r.Target()))
+	}
+	return r.Target()
+}
+
+// spill weighs the upstreams of other regions and returns the best one if it
+// meets the target and gains enough, else the local one.
+func (s *Selector) spill(now time.Time, r *kingcuphook.Request, excluded []string, home int, local time.Duration, key uint64, known int) int {
+	from := len(s.scratch)
+	best := s.weighGroup(now, r, excluded, &s.remote, key, known)
+	for i := from; i < len(s.scratch); i++ {
+		s.scratch[i].remote = true
+	}
+	if best < 0 {
+		return home
+	}
+	c := &s.scratch[best]
+	waited := now.Sub(r.Arrived())
+	price := orDuration(s.SpillPrice, defaultSpillPrice) * time.Duration(r.Bytes()) / 1024
+	switch {
+	case float64(waited+c.predicted) > spillMargin*float64(r.Target()):
+		c.refused = reasonFar
+	case local-waited-c.predicted < price:
+		c.refused = reasonPrice
+	default:
+		return best
+	}
+	return home
+}
+
+// key returns the rendezvous key of the request and the number of blocks known
+// of its chain. The key is the deepest block at which prompts branched, so that
+// it stays the same for every question after the same text.
+func (s *Selector) key(r *kingcuphook.Request) (key uint64, known int) {
+	chain := r.Prefix()
+	if len(chain) == 0 || s.NoAffinity {
+		return r.Fingerprint(), 0
+	}
+	for i := len(chain) - 1; i >= 0; i-- {
+		b := s.index.find(chain[i])
+		if b == nil {
+			continue
+		}
+		known = max(known, i+1)
+		if b.branched {
+			return chain[i], known
+		}
+	}
+	return chain[0], known
+}
+
+// weighGroup weighs the upstreams of one group and returns the best one, or -1.
+func (s *Selector) weighGroup(now time.Time, r *kingcuphook.Request, excluded []string, g *group, key uint64, known int) int {
+	if len(g.trackers) == 0 {
+		return -1
+	}
+	from := len(s.scratch)
+	var ranked [wide]*tracker
+	n := g.rank(key, ranked[:])
+	s.weighAll(now, r, excluded, g, ranked[:min(n, narrow)])
+	s.weighHolders(now, r, excluded, g, known)
+	best := s.best(from)
+	if best >= 0 && !s.crowded(r, best) {
+		return best
+	}
+	s.weighAll(now, r, excluded, g, ranked[min(n, narrow):n])
+	s.weighDraws(now, r, excluded, g, from, draws)
+	if best = s.best(from); best >= 0 {
+		return best
+	}
+	s.lift(from)
+	if best = s.best(from); best >= 0 {
+		return best
+	}
+	s.weighDraws(now, r, excluded, g, from, scanned)
+	s.lift(from)
+	return s.best(from)
+}
+
+// crowded reports whether the prediction is long enough to look further.
+func (s *Selector) crowded(r *kingcuphook.Request, i int) bool {
+	return r.Target() > 0 && float64(s.scratch[i].predicted) > widenShare*float64(r.Target())
+}
+
+// rank fills dst with the upstreams of the highest rendezvous score, the
+// highest first, and returns their number.
+func (g *group) rank(key uint64, dst []*tracker) int {
+	var scores [wide]uint64
+	n := 0
+	for _, t := range g.trackers {
+		score := mix(key ^ t.seed)
+		if n == len(dst) && score <= scores[n-1] {
+			continue
+		}
+		if n < len(dst) {
+			n++
+		}
+		i := n - 1
+		for i > 0 && scores[i-1] < score {
+			scores[i], dst[i] = scores[i-1], dst[i-1]
+			i--
+		}
+		scores[i], dst[i] = score, t
+	}
+	return n
+}
+
+// mix spreads the bits of x; it is the last step of xxhash.
+func mix(x uint64) uint64 {
+	const prime2, prime3 = 14029467366897019727, 1609587929392839161
+	x ^= x >> 33
+	x *= prime2
+	x ^= x >> 29
+	x *= prime3
+	return x ^ x>>32
+}
+
+func (s *Selector) weighAll(now time.Time, r *kingcuphook.Request, excluded []string, g *group, ts []*tracker) {
+	for _, t := range ts {
+		s.weighOne(now, r, excluded, g, t)
+	}
+}
+
+// weighHolders weighs the upstreams that are thought to have the longest known
+// part of the prompt cached.
+func (s *Selector) weighHolders(now time.Time, r *kingcuphook.Request, excluded []string, g *group, known int) {
+	if known == 0 {
+		return
+	}
+	b := s.index.find(r.Prefix()[known-1])
+	if b == nil {
+		return
+	}
+	for _, h := range b.holders {
+		if h.epoch == 0 || int(h.upstream) >= len(s.byID) {
+			continue
+		}
+		t := s.byID[h.upstream]
+		if t != nil && h.epoch >= t.born && !t.upstream.Leaving() && s.groupOf(t) == g {
+			s.weighOne(now, r, excluded, g, t)
+		}
+	}
+}
+
+// weighDraws weighs n upstreams drawn by the request's fingerprint and the
+// time, or all of a group that has no more.
+func (s *Selector) weighDraws(now time.Time, r *kingcuphook.Request, excluded []string, g *group, from, n int) {
+	size := len(g.trackers)
+	draw := mix(r.Fingerprint() ^ uint64(now.UnixNano()))
+	for i := 0; i < min(n, size); i++ {
+		at := draw + uint64(i)
+		if n < size {
+			draw = mix(draw + uint64(i))
+			at = draw
+		}
+		t := g.trackers[at%uint64(size)]
+		if !s.weighed(from, t) {
+			s.weighOne(now, r, excluded, g, t)
+		}
+	}
+}
+
+func (s *Selector) weighed(from int, t *tracker) bool {
+	for i := from; i < len(s.scratch); i++ {
+		if s.scratch[i].tracker == t {
+			return true
+		}
+	}
+	return false
+}
+
+// weighOne adds one upstream to scratch unless it is there already.
+func (s *Selector) weighOne(now time.Time, r *kingcuphook.Request, excluded []string, g *group, t *tracker) {
+	if s.weighed(0, t) {
+		return
+	}
+	c := scored{tracker: t, cached: s.cached(t, r)}
+	c.predicted = 2*g.delay + t.predict(now, r.PromptTokens()-c.cached)
+	c.refused = s.refuse(now, r, excluded, g, t)
+	s.scratch = append(s.scratch, c)
+}
+
+// refuse returns why the upstream can't take the request now, or nothing.
+func (s *Selector) refuse(now time.Time, r *kingcuphook.Request, excluded []string, g *group, t *tracker) string {
+	if slices.Contains(excluded, t.upstream.Address()) {
+		return reasonExcluded
+	}
+	if t.leaving || t.upstream.Leaving() {
+		return reasonLeaving
+	}
+	weight := 1.0
+	if s.Ejector != nil {
+		weight = s.Ejector.Weight(now, t.upstream.Address())
+	}
+	if weight <= 0 {
+		return reasonEjected
+	}
+	if s.Limiter != nil {
+		free := s.Limiter.Free(now, t.upstream.Address(), r.Tier())
+		if free <= 0 || float64(t.own) >= weight*float64(t.own+free) {
+			return reasonFull
+		}
+	}
+	if !s.NoBound && g.over(t) {
+		return reasonLoaded
+	}
+	return ""
+}
+
+// over reports whether t carries more than its bounded share of the load.
+func (g *group) over(t *tracker) bool {
+	share := float64(g.load+1) * float64(t.slots) / float64(g.slots)
+	return float64(t.load()) > boundFactor*share+boundSlack
+}
+
+// lift takes the load bound away from the candidates of a group.
+func (s *Selector) lift(from int) {
+	for i := from; i < len(s.scratch); i++ {
+		if s.scratch[i].refused == reasonLoaded {
+			s.scratch[i].refused = ""
+		}
+	}
+}
+
+// best returns the usable candidate with the lowest prediction, or -1. Of equal
+// ones the first is taken.
+func (s *Selector) best(from int) int {
+	best := -1
+	for i := from; i < len(s.scratch); i++ {
+		if s.scratch[i].refused != "" {
+			continue
+		}
+		if best < 0 || s.less(&s.scratch[i], &s.scratch[best]) {
+			best = i
+		}
+	}
+	return best
+}
+
+func (s *Selector) less(a, b *scored) bool {
+	if s.NoPrediction {
+		return a.tracker.load()*b.tracker.slots < b.tracker.load()*a.tracker.slots
+	}
+	return a.predicted < b.predicted
+}
--- /dev/null
+++ b/selector/selector_test.go
@@ -0,0 +1,91 @@
+package selector
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/kingcuphook/kingcuphook"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func upstreams(n int, region string) []*kingcuphook.Upstream {
+	us := make([]*kingcuphook.Upstream, 0, n)
+	for i := range n {
+		us = append(us, kingcuphook.NewUpstream(kingcuphook.UpstreamFields{
+			Address: fmt.Sprintf("%s-%d", region, i), Region: region, DataCentre: region, Slots: 8,
+		}))
+	}
+	return us
+}
+
+func newSelector(us ...*kingcuphook.Upstream) *Selector {
+	s := &Selector{Region: "cairo", DataCentre: "cairo"}
+	s.Update(start, kingcuphook.NewPool(kingcuphook.PoolFields{Name: "p", Upstreams: us, SpillRegions: true}))
+	return s
+}
+
+// question returns a request with the given shared prefix and its own end.
+func question(n int, prefix uint64, arrived time.Time) *kingcuphook.Request {
+	return kingcuphook.NewRequest(kingcuphook.RequestFields{
+		ID: fmt.Sprint("q", n), Tier: 1, Arrived: arrived, Target: time.Second, PromptTokens: 1100, Bytes: 4400,
+		Prefix:      []uint64{prefix, prefix + 1, prefix + 2, prefix + 3, prefix + 4, prefix + 5, prefix + 6, uint64(n) + 1<<40},
+		Fingerprint: uint64(n) + 1<<50,
+	})
+}
+
+func TestRoutersAgreeOnThePlaceOfAPrefix(t *testing.T) {
+	is := is.New(t)
+	a, b := newSelector(upstreams(40, "cairo")...), newSelector(upstreams(40, "cairo")...)
+	for n := range 4 {
+		r := question(n, 7000, start)
+		for _, s := range []*Selector{a, b} {
+			c, err := s.Select(start, r, nil)
+			is.NoErr(err)
+			s.Started(start, c.Upstream.Address(), r)
+			s.Finished(start, c.Upstream.Address(), r, kingcuphook.Sample{FirstToken: 50 * time.Millisecond})
+		}
+	}
+	last := question(9, 7000, start)
+	x, _ := a.Select(start, last, nil)
+	y, _ := b.Select(start, last, nil)
+	is.Equal(x.Upstream.Address(), y.Upstream.Address())
+	is.Equal(x.UncachedTokens, 1100-7*128)
+}
+
+func TestLeavingUpstreamIsNeverChosen(t *testing.T) {
+	is := is.New(t)
+	us := upstreams(2, "cairo")
+	f := us[0].Fields()
+	f.Leaving = true
+	us[0] = kingcuphook.NewUpstream(f)
+	s := newSelector(us...)
+	s.Report(start, kingcuphook.NewLoadReport(kingcuphook.LoadReportFields{Upstream: "cairo-1", Made: start, Leaving: true}))
+	for n := range 50 {
+		c, err := s.Select(start, question(n, uint64(n)*100+1, start), nil)
+		is.NoErr(err)
+		is.Equal(c.Upstream, nil)
+	}
+}
+
+func BenchmarkSelect(b *testing.B) {
+	s := newSelector(upstreams(600, "cairo")...)
+	rs := make([]*kingcuphook.Request, 0, 1000)
+	for n := range 1000 {
+		r := question(n, uint64(n%50)*1000+1, start)
+		c, _ := s.Select(start, r, nil)
+		s.Started(start, c.Upstream.Address(), r)
+		rs = append(rs, r)
+	}
+	b.ReportAllocs()
+	n := 0
+	for b.Loop() {
+		if _, err := s.Select(start, rs[n%len(rs)], nil); err != nil {
+			b.Fatal(err)
+		}
+		n++
+	}
+}
