--- /dev/null
+++ b/server/chat.go
@@ -0,0 +1,245 @@
+package server
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/logger"
+)
+
+// serveChat serves a chat completion, plain or streamed.
+func (s *Server) serveChat(w http.ResponseWriter, r *http.Request) {
+	a, id, err := s.accept(w, r)
+	if err != nil {
+		s.Log.Log(logger.RequestFailed, "request", id, "error", err)
+		writeError(w, id, err)
+		return
+	}
+	defer a.cancel()
+	if a.call.Kind != kingcuphook.UpstreamKindEngine {
+		s.answerCall(w, a)
+		return
+	}
+	if a.call.Request.Stream() {
+		s.answerStream(w, a)
+		return
+	}
+	s.answerChat(w, a)
+}
+
+// answerChat writes the answer once it is whole.
+func (s *Server) answerChat(w http.ResponseWriter, a *accepted) {
+	text := &textWriter{limit: s.Limits.MaxBodyBytes}
+	o, err := s.dispatch(a, text, text)
+	if err != nil {
+		writeError(w, a.call.Request.ID(), err)
+		return
+	}
+	s.limitWrite(w)
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(newChatBody(a.call.Request, text.String(), o))
+}
+
+// answerStream writes the answer as server-sent events.
+func (s *Server) answerStream(w http.ResponseWriter, a *accepted) {
+	events := &eventWriter{
+		w:       w,
+		control: http.NewResponseController(w),
+		timeout: s.Limits.WriteTimeout,
+		prefix:  chunkPrefix(a.call.Request),
+	}
+	o, err := s.dispatch(a, events, events)
+	switch {
+	case err == nil:
+		events.finish(o)
+	case events.begun:
+		events.fail(a.call.Request.ID(), err)
+	default:
+		writeError(w, a.call.Request.ID(), err)
+	}
+}
+
+// timed tells when the first piece of an answer was written.
+type timed interface {
+	firstWrite() time.Time
+}
+
+// dispatch runs the call and tells the observer and the log how it ended.
+func (s *Server) dispatch(a *accepted, w kingcuphook.FrameWriter, t timed) (kingcuphook.Outcome, error) {
+	r := a.call.Request
+	if s.Observer != nil {
+		s.Observer.Begun(r, a.route)
+	}
+	o, err := s.Dispatcher.Dispatch(a.ctx, a.call, w)
+	var first time.Duration
+	if at := t.firstWrite(); !at.IsZero() {
+		first = at.Sub(r.Arrived())
+	}
+	if s.Observer != nil {
+		s.Observer.Ended(r, o, err, first, time.Since(r.Arrived()))
+	}
+	if err != nil {
+		e := asRequestError(err)
+		s.Log.Log(logger.RequestFailed, "request", r.ID(), "class", r.Class(), "organisation", r.Organisation(),
+			"code", e.Code, "ran", e.Ran, "error", e.Err)
+	}
+	return o, err
+}
+
+func (s *Server) limitWrite(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.Limits.WriteTimeout))
+}
+
+// textWriter gathers an answer that is sent only when whole.
+type textWriter struct {
+	bytes.Buffer
+
+	limit int64
+	first time.Time
+}
+
+// WriteData implements kingcuphook.FrameWriter.
+func (t *textWriter) WriteData(text string) error {
+	if t.first.IsZero() {
+		t.first = time.Now()
+	}
+	if int64(t.Len()+len(text)) > t.limit {
+		return kingcuphook.ErrTooLarge
+	}
+	_, err := t.WriteString(text)
+	return err
+}
+
+func (t *textWriter) firstWrite() time.Time { return t.first }
+
+// chatBody is a whole chat completion.
+type chatBody struct {
+	ID      string       `json:"id"`
+	Object  string       `json:"object"`
+	Created int64        `json:"created"`
+	Model   string       `json:"model"`
+	Choices []chatChoice `json:"choices"`
+	Usage   chatUsage    `json:"usage"`
+}
+
+type chatChoice struct {
+	Index        int         `json:"index"`
+	Message      chatMessage `json:"message"`
+	FinishReason string      `json:"finish_reason"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type chatUsage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+func newChatBody(r *kingcuphook.Request, text string, o kingcuphook.Outcome) chatBody {
+	return chatBody{
+		ID:      r.ID(),
+		Object:  "chat.completion",
+		Created: r.Arrived().Unix(),
+		Model:   r.Model(),
+		Choices: []chatChoice{{
+			Message:      chatMessage{Role: "assistant", Content: text},
+			FinishReason: o.Finish,
+		}},
+		Usage: chatUsage{
+			PromptTokens:     r.PromptTokens(),
+			CompletionTokens: o.Tokens,
+			TotalTokens:      r.PromptTokens() + o.Tokens,
+		},
+	}
+}
+
+// eventWriter writes an answer as server-sent events.
+type eventWriter struct {
+	w       http.ResponseWriter
+	control *http.ResponseController
+	timeout time.Duration
+	// prefix is the part of each chunk before its text.
+	prefix []byte
+	line   []byte
+	first  time.Time
+	begun  bool
+}
+
+// WriteData implements kingcuphook.FrameWriter.
+func (e *eventWriter) WriteData(text string) error {
+	if !e.begun {
+		e.begin()
+	}
+	e.line = append(e.line[:0], e.prefix...)
+	e.line = append(e.line, `{"content":`...)
+	e.line = gjson.AppendJSONString(e.line, text)
+	e.line = append(e.line, `},"finish_reason":null}]}`...)
+	e.line = append(e.line, '\n', '\n')
+	return e.flush()
+}
+
+func (e *eventWriter) firstWrite() time.Time { return e.first }
+
+func (e *eventWriter) begin() {
+	e.begun = true
+	e.first = time.Now()
+	h := e.w.Header()
+	h.Set("Content-Type", "text/event-stream")
+	h.Set("Cache-Control", "no-store")
+}
+
+// flush writes line within the timeout.
+func (e *eventWriter) flush() error {
+	if err := e.control.SetWriteDeadline(time.Now().Add(e.timeout)); err != nil {
+		return err
+	}
+	if _, err := e.w.Write(e.line); err != nil {
+		return err
+	}
+	return e.control.Flush()
+}
+
+// finish writes the finish reason and the end marker.
+func (e *eventWriter) finish(o kingcuphook.Outcome) {
+	if !e.begun {
+		e.begin()
+	}
+	e.line = append(e.line[:0], e.prefix...)
+	e.line = append(e.line, `{},"finish_reason":`...)
+	e.line = gjson.AppendJSONString(e.line, o.Finish)
+	e.line = append(e.line, "}]}\n\ndata: [DONE]\n\n"...)
+	_ = e.flush()
+}
+
+// fail writes an error event; the end marker is left out, so that a reader
+// never takes the partial answer for a whole one.
+func (e *eventWriter) fail(id string, err error) {
+	body, marshalErr := json.Marshal(newErrorBody(id, asRequestError(err)))
+	if marshalErr != nil {
+		panic(http.ErrAbortHandler)
+	}
+	e.line = append(e.line[:0], "event: error\ndata: "...)
+	e.line = append(e.line, body...)
+	e.line = append(e.line, '\n', '\n')
+	_ = e.flush()
+}
+
+// chunkPrefix returns the part that all chunks of an answer share.
+func chunkPrefix(r *kingcuphook.Request) []byte {
+	p := append([]byte(`data: {"id":`), gjson.AppendJSONString(nil, r.ID())...)
+	p = append(p, `,"object":"chat.completion.chunk","created":`...)
+	p = strconv.AppendInt(p, r.Arrived().Unix(), 10)
+	p = append(p, `,"model":`...)
+	p = gjson.AppendJSONString(p, r.Model())
+	return append(p, `,"choices":[{"index":0,"delta":`...)
+}
--- /dev/null
+++ b/server/errors.go
@@ -0,0 +1,144 @@
+package server
+
+import (
+	"encoding/json"
+	"errors"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/kingcuphook/kingcuphook"
+)
+
+// Codes of errors that the server itself makes.
+const (
+	codeBadRequest  = "bad-request"
+	codeTooLarge    = "too-large"
+	codeNoRoute     = "no-route"
+	codeNotReady    = "not-ready"
+	codeRateLimited = "rate-limited"
+	codeOverloaded  = "overloaded"
+	codeInternal    = "internal"
+)
+
+// retryWhenNotReady is when a caller of a router without tables comes back.
+const retryWhenNotReady = time.Second
+
+var (
+	errNoRoute = &kingcuphook.RequestError{
+		Code: codeNoRoute,
+		Ran:  kingcuphook.RunStateNotRun,
+		Err:  kingcuphook.ErrNotFound,
+	}
+	errNotReady = &kingcuphook.RequestError{
+		Code:       codeNotReady,
+		Ran:        kingcuphook.RunStateNotRun,
+		RetryAfter: retryWhenNotReady,
+		Err:        kingcuphook.ErrUnavailable,
+	}
+	errTooManyRequests = &kingcuphook.RequestError{
+		Code:       codeOverloaded,
+		Ran:        kingcuphook.RunStateNotRun,
+		RetryAfter: retryWhenNotReady,
+		Err:        kingcuphook.ErrOverloaded,
+	}
+)
+
+func badRequest(err error) error {
+	return &kingcuphook.RequestError{
+		Code: codeBadRequest,
+		Ran:  kingcuphook.RunStateNotRun,
+		Err:  errors.Join(kingcuphook.ErrInvalid, err),
+	}
+}
+
+func bodyError(err error) error {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return &kingcuphook.RequestError{
+			Code: codeTooLarge,
+			Ran:  kingcuphook.RunStateNotRun,
+			Err:  kingcuphook.ErrTooLarge,
+		}
+	}
+	return badRequest(err)
+}
+
+func overRate(after time.Duration) error {
+	return &kingcuphook.RequestError{
+		Code:       codeRateLimited,
+		Ran:        kingcuphook.RunStateNotRun,
+		RetryAfter: after,
+		Err:        kingcuphook.ErrRateLimited,
+	}
+}
+
+// errorBody is the JSON form of an error.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Code      string               `json:"code"`
+	Message   string               `json:"message"`
+	Ran       kingcuphook.RunState `json:"ran"`
+	RequestID string               `json:"request-id,omitempty"`
+	// RetryAfterMS is when to come back, in milliseconds.
+	RetryAfterMS int64 `json:"retry-after-ms,omitempty"`
+}
+
+// asRequestError returns err as a *kingcuphook.RequestError. An error of
+// another type says nothing of what ran.
+func asRequestError(err error) *kingcuphook.RequestError {
+	var e *kingcuphook.RequestError
+	if errors.As(err, &e) {
+		return e
+	}
+	return &kingcuphook.RequestError{Code: codeInternal, Ran: kingcuphook.RunStateUnknown, Err: err}
+}
+
+func newErrorBody(id string, e *kingcuphook.RequestError) errorBody {
+	return errorBody{Error: errorDetail{
+		Code:         e.Code,
+		Message:      e.Err.Error(),
+		Ran:          e.Ran,
+		RequestID:    id,
+		RetryAfterMS: e.RetryAfter.Milliseconds(),
+	}}
+}
+
+// writeError writes err as the whole answer.
+func writeError(w http.ResponseWriter, id string, err error) {
+	e := asRequestError(err)
+	w.Header().Set("Content-Type", "application/json")
+	if e.RetryAfter > 0 {
+		seconds := int(math.Ceil(e.RetryAfter.Seconds()))
+		w.Header().Set("Retry-After", strconv.Itoa(seconds))
+	}
+	w.WriteHeader(statusOf(e))
+	_ = json.NewEncoder(w).Encode(newErrorBody(id, e))
+}
+
+func statusOf(e *kingcuphook.RequestError) int {
+	switch {
+	case e.Code == codeNoRoute:
+		return http.StatusNotFound
+	case errors.Is(e.Err, kingcuphook.ErrTooLarge) && e.Ran == kingcuphook.RunStateNotRun:
+		return http.StatusRequestEntityTooLarge
+	case errors.Is(e.Err, kingcuphook.ErrInvalid):
+		return http.StatusBadRequest
+	case errors.Is(e.Err, kingcuphook.ErrRateLimited):
+		return http.StatusTooManyRequests
+	case errors.Is(e.Err, kingcuphook.ErrConflict):
+		return http.StatusConflict
+	case errors.Is(e.Err, kingcuphook.ErrQuarantined):
+		return http.StatusUnprocessableEntity
+	case errors.Is(e.Err, kingcuphook.ErrDeadline):
+		return http.StatusGatewayTimeout
+	case e.Ran == kingcuphook.RunStateNotRun:
+		return http.StatusServiceUnavailable
+	default:
+		return http.StatusBadGateway
+	}
+}
--- /dev/null
+++ b/server/request.go
@@ -0,0 +1,191 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rs/xid"
+	"github.com/tidwall/gjson"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/hasher"
+)
+
+// Headers of the callers' API.
+const (
+	HeaderRequest       = "X-Request-Id"
+	HeaderClass         = "X-Class"
+	HeaderOrganisation  = "X-Organisation"
+	HeaderKey           = "Idempotency-Key"
+	HeaderNonIdempotent = "X-Non-Idempotent"
+	HeaderDeadline      = "X-Deadline"
+)
+
+// Bounds of what a caller may say of itself.
+const (
+	maxLabelBytes = 128
+	maxKeyBytes   = 256
+)
+
+// accepted is a caller's request that matched a route.
+type accepted struct {
+	call  *kingcuphook.Call
+	route *kingcuphook.Route
+	// ctx ends when the caller is gone or the deadline has passed.
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+// labels are what a caller says of its request in headers.
+type labels struct {
+	class, organisation, key string
+	nonIdempotent            bool
+	deadline                 time.Duration
+}
+
+// accept reads a request, matches it and applies its rates. The identifier is
+// valid also when an error is returned.
+func (s *Server) accept(w http.ResponseWriter, r *http.Request) (*accepted, string, error) {
+	id := xid.New().String()
+	w.Header().Set(HeaderRequest, id)
+	l, err := readLabels(r)
+	if err != nil {
+		return nil, id, badRequest(err)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.Limits.MaxBodyBytes))
+	if err != nil {
+		return nil, id, bodyError(err)
+	}
+	// The read timeout would otherwise cancel a long answer.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	tables := s.Tables()
+	if tables == nil {
+		return nil, id, errNotReady
+	}
+	model := ""
+	if r.URL.Path == PathChat {
+		if !gjson.ValidBytes(body) {
+			return nil, id, badRequest(errors.New("the body is not valid JSON"))
+		}
+		model = gjson.GetBytes(body, "model").String()
+	}
+	route := tables.Match(l.class, l.organisation, model, r.URL.Path)
+	if route == nil {
+		return nil, id, errNoRoute
+	}
+	pool := tables.Pool(route.Pool())
+	if s.Throttle != nil {
+		if ok, after := s.Throttle.Allow(route, l.organisation); !ok {
+			return nil, id, overRate(after)
+		}
+	}
+	return s.newAccepted(r, id, l, model, body, route, pool), id, nil
+}
+
+func (s *Server) newAccepted(r *http.Request, id string, l labels, model string, body []byte, route *kingcuphook.Route, pool *kingcuphook.Pool) *accepted {
+	now := time.Now()
+	deadline := now.Add(s.deadline(l, route))
+	f := kingcuphook.RequestFields{
+		ID:            id,
+		Class:         l.class,
+		Organisation:  l.organisation,
+		Model:         model,
+		Pool:          route.Pool(),
+		Region:        s.Region,
+		DataCentre:    s.DataCentre,
+		Tier:          route.Tier(),
+		Arrived:       now,
+		Target:        route.Target(),
+		TokenTarget:   route.TokenTarget(),
+		Deadline:      deadline,
+		NonIdempotent: l.nonIdempotent || route.NonIdempotent(),
+		Key:           l.key,
+		Bytes:         len(body),
+		Fingerprint:   xxhash.Sum64(body),
+	}
+	if f.Class == "" {
+		f.Class = route.Name()
+	}
+	kind := poolKind(pool)
+	if kind == kingcuphook.UpstreamKindEngine {
+		fillPrompt(&f, model, body)
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), deadline)
+	return &accepted{
+		call: &kingcuphook.Call{
+			Request:     kingcuphook.NewRequest(f),
+			Method:      r.Method,
+			Path:        r.URL.RequestURI(),
+			ContentType: r.Header.Get("Content-Type"),
+			Body:        body,
+			Kind:        kind,
+		},
+		route:  route,
+		ctx:    ctx,
+		cancel: cancel,
+	}
+}
+
+// fillPrompt sets what is known of the prompt of a chat completion.
+func fillPrompt(f *kingcuphook.RequestFields, model string, body []byte) {
+	messages := gjson.GetBytes(body, "messages")
+	prompt := []byte(messages.Raw)
+	f.PromptTokens = hasher.Tokens(len(prompt))
+	f.Prefix = hasher.Append(make([]uint64, 0, len(prompt)/hasher.BlockBytes), model, prompt)
+	f.MaxTokens = int(gjson.GetBytes(body, "max_tokens").Int())
+	f.Stream = gjson.GetBytes(body, "stream").Bool()
+}
+
+func (s *Server) deadline(l labels, route *kingcuphook.Route) time.Duration {
+	bound := s.Limits.Deadline
+	if route.Deadline() > 0 {
+		bound = route.Deadline()
+	}
+	if l.deadline > 0 {
+		bound = min(bound, l.deadline)
+	}
+	return bound
+}
+
+// poolKind returns what serves the pool; a pool has upstreams of one kind.
+func poolKind(p *kingcuphook.Pool) kingcuphook.UpstreamKind {
+	if p == nil || len(p.Upstreams()) == 0 {
+		return kingcuphook.UpstreamKindEngine
+	}
+	return p.Upstreams()[0].Kind()
+}
+
+func readLabels(r *http.Request) (labels, error) {
+	l := labels{
+		class:        r.Header.Get(HeaderClass),
+		organisation: r.Header.Get(HeaderOrganisation),
+		key:          r.Header.Get(HeaderKey),
+	}
+	if len(l.class) > maxLabelBytes || len(l.organisation) > maxLabelBytes {
+		return l, fmt.Errorf("%s and %s are limited to %d bytes", HeaderClass, HeaderOrganisation, maxLabelBytes)
+	}
+	if len(l.key) > maxKeyBytes {
+		return l, fmt.Errorf("%s is limited to %d bytes", HeaderKey, maxKeyBytes)
+	}
+	if text := r.Header.Get(HeaderNonIdempotent); text != "" {
+		marked, err := strconv.ParseBool(text)
+		if err != nil {
+			return l, fmt.Errorf("%s must be true or false, not %q", HeaderNonIdempotent, text)
+		}
+		l.nonIdempotent = marked
+	}
+	if text := r.Header.Get(HeaderDeadline); text != "" {
+		d, err := time.ParseDuration(text)
+		if err != nil || d <= 0 {
+			return l, fmt.Errorf("%s must be a duration such as 5s, not %q", HeaderDeadline, text)
+		}
+		l.deadline = d
+	}
+	return l, nil
+}
