Add membership of routers and the peer link

Gossiper keeps the membership with incarnations and suspicion, exchanges bounded digests with a fixed set of partners and pushes a new revision of the tables along a tree over each data centre. Exchanger carries the digests over gRPC with the credentials it is given.

--- /dev/null
+++ b/exchanger/client.go
@@ -0,0 +1,194 @@
+// Package exchanger carries digests and tables between routers over gRPC with
+// mutual TLS, and encodes digests.
+package exchanger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/status"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/gen/peerpb"
+)
+
+const (
+	defaultTimeout     = time.Second
+	defaultPullTimeout = 10 * time.Second
+	defaultMaxConns    = 64
+	// maxPullBytes bounds the encoded tables of a pull.
+	maxPullBytes = 64 << 20
+)
+
+// Client implements kingcuphook.PeerLink. Its exported fields are set before
+// first use. It is safe for concurrent use.
+type Client struct {
+	// Credentials authenticate both sides; never nil.
+	Credentials credentials.TransportCredentials
+	// Timeout bounds an exchange; 0 means 1 s.
+	Timeout time.Duration
+	// PullTimeout bounds a pull; 0 means 10 s.
+	PullTimeout time.Duration
+	// MaxConns bounds the open connections; 0 means 64. Past it the one used
+	// longest ago is closed.
+	MaxConns int
+
+	mu sync.Mutex
+	// conns holds the open connections by address.
+	conns map[string]*conn
+	// uses counts the calls.
+	uses int64
+}
+
+type conn struct {
+	grpc *grpc.ClientConn
+	// used is the value of uses at the latest call.
+	used int64
+	// calls counts the calls in progress.
+	calls int
+}
+
+var _ kingcuphook.PeerLink = (*Client)(nil)
+
+// Exchange implements kingcuphook.PeerLink. The error wraps ErrUnavailable,
+// ErrInvalid or ErrOutcomeUnknown.
+func (c *Client) Exchange(ctx context.Context, address string, digest []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, orDefault(c.Timeout, defaultTimeout))
+	defer cancel()
+	cc, err := c.open(address)
+	if err != nil {
+		return nil, err
+	}
+	defer c.release(cc)
+	reply, err := peerpb.NewPeerClient(cc.grpc).Exchange(ctx, &peerpb.ExchangeRequest{Digest: digest})
+	if err != nil {
+		return nil, fromStatus("exchange", address, err)
+	}
+	return reply.GetDigest(), nil
+}
+
+// Pull implements kingcuphook.PeerLink. The error wraps ErrNotFound if the peer
+// has nothing newer.
+func (c *Client) Pull(ctx context.Context, address string, revision int64) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, orDefault(c.PullTimeout, defaultPullTimeout))
+	defer cancel()
+	cc, err := c.open(address)
+	if err != nil {
+		return nil, err
+	}
+	defer c.release(cc)
+	stream, err := peerpb.NewPeerClient(cc.grpc).Pull(ctx, &peerpb.PullRequest{Revision: revision})
+	if err != nil {
+		return nil, fromStatus("pull", address, err)
+	}
+	var b []byte
+	for {
+		reply, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			return b, nil
+		}
+		if err != nil {
+			return nil, fromStatus("pull", address, err)
+		}
+		b = append(b, reply.GetChunk()...)
+		if len(b) > maxPullBytes {
+			return nil, fmt.Errorf("exchanger: pull from %s: %w", address, kingcuphook.ErrTooLarge)
+		}
+	}
+}
+
+// Close closes all connections.
+func (c *Client) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var errs []error
+	for _, cc := range c.conns {
+		errs = append(errs, cc.grpc.Close())
+	}
+	c.conns = nil
+	return errors.Join(errs...)
+}
+
+// open returns the connection to address and counts a call on it.
+func (c *Client) open(address string) (*conn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.uses++
+	cc := c.conns[address]
+	if cc == nil {
+		g, err := grpc.NewClient("passthrough:///"+address,
+			grpc.WithTransportCredentials(c.Credentials),
+			grpc.WithReadBufferSize(bufferBytes),
+			grpc.WithWriteBufferSize(bufferBytes),
+		)
+		if err != nil {
+			return nil, fmt.Errorf("exchanger: connect to %s: %w", address, errors.Join(kingcuphook.ErrUnavailable, err))
+		}
+		c.evict()
+		cc = &conn{grpc: g}
+		if c.conns == nil {
+			c.conns = make(map[string]*conn)
+		}
+		c.conns[address] = cc
+	}
+	cc.used = c.uses
+	cc.calls++
+	return cc, nil
+}
+
+func (c *Client) release(cc *conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cc.calls--
+}
+
+// evict closes the idle connection used longest ago if the bound is reached.
+func (c *Client) evict() {
+	limit := c.MaxConns
+	if limit == 0 {
+		limit = defaultMaxConns
+	}
+	if len(c.conns) < limit {
+		return
+	}
+	oldest := ""
+	for a, cc := range c.conns {
+		if cc.calls == 0 && (oldest == "" || cc.used < c.conns[oldest].used) {
+			oldest = a
+		}
+	}
+	if oldest != "" {
+		c.conns[oldest].grpc.Close()
+		delete(c.conns, oldest)
+	}
+}
+
+// fromStatus returns the error that stands for a gRPC status.
+func fromStatus(op, address string, err error) error {
+	cause := kingcuphook.ErrOutcomeUnknown
+	switch status.Code(err) {
+	case codes.InvalidArgument:
+		cause = kingcuphook.ErrInvalid
+	case codes.NotFound:
+		cause = kingcuphook.ErrNotFound
+	case codes.ResourceExhausted:
+		cause = kingcuphook.ErrTooLarge
+	case codes.Unavailable:
+		cause = kingcuphook.ErrUnavailable
+	}
+	return fmt.Errorf("exchanger: %s with %s: %w: %w", op, address, cause, err)
+}
+
+func orDefault(d, def time.Duration) time.Duration {
+	if d == 0 {
+		return def
+	}
+	return d
+}
--- /dev/null
+++ b/exchanger/server.go
@@ -0,0 +1,93 @@
+package exchanger
+
+import (
+	"context"
+	"errors"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/status"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/gen/peerpb"
+)
+
+const (
+	// bufferBytes bounds the buffers of a connection, which carries little.
+	bufferBytes = 4 << 10
+	// chunkBytes bounds a message of a pull.
+	chunkBytes = 64 << 10
+)
+
+// Handler answers the calls of other routers. It is safe for concurrent use.
+type Handler interface {
+	// Exchange takes an encoded digest and returns this router's.
+	Exchange(ctx context.Context, digest []byte) ([]byte, error)
+	// Pull returns the encoded tables if they are newer than revision; else
+	// the error wraps ErrNotFound.
+	Pull(ctx context.Context, revision int64) ([]byte, error)
+}
+
+// Server serves the peer link. Its exported fields are set before NewGRPC.
+type Server struct {
+	peerpb.UnimplementedPeerServer
+
+	// Handler answers the calls; never nil.
+	Handler Handler
+	// Credentials authenticate both sides; never nil.
+	Credentials credentials.TransportCredentials
+}
+
+// NewGRPC returns a gRPC server that serves s. The caller runs and stops it.
+func (s *Server) NewGRPC() *grpc.Server {
+	g := grpc.NewServer(
+		grpc.Creds(s.Credentials),
+		grpc.ReadBufferSize(bufferBytes),
+		grpc.WriteBufferSize(bufferBytes),
+		grpc.MaxRecvMsgSize(chunkBytes),
+	)
+	peerpb.RegisterPeerServer(g, s)
+	return g
+}
+
+// Exchange implements peerpb.PeerServer.
+func (s *Server) Exchange(ctx context.Context, r *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
+	d, err := s.Handler.Exchange(ctx, r.GetDigest())
+	if err != nil {
+		return nil, toStatus(err)
+	}
+	return &peerpb.ExchangeReply{Digest: d}, nil
+}
+
+// Pull implements peerpb.PeerServer.
+func (s *Server) Pull(r *peerpb.PullRequest, stream grpc.ServerStreamingServer[peerpb.PullReply]) error {
+	b, err := s.Handler.Pull(stream.Context(), r.GetRevision())
+	if err != nil {
+		return toStatus(err)
+	}
+	for len(b) > 0 {
+		n := min(len(b), chunkBytes/2)
+		if err := stream.Send(&peerpb.PullReply{Chunk: b[:n]}); err != nil {
+			return err
+		}
+		b = b[n:]
+	}
+	return nil
+}
+
+// toStatus returns the gRPC status that stands for err.
+func toStatus(err error) error {
+	code := codes.Unknown
+	switch {
+	case errors.Is(err, kingcuphook.ErrInvalid):
+		code = codes.InvalidArgument
+	case errors.Is(err, kingcuphook.ErrNotFound):
+		code = codes.NotFound
+	case errors.Is(err, kingcuphook.ErrTooLarge):
+		code = codes.ResourceExhausted
+	case errors.Is(err, kingcuphook.ErrOverloaded), errors.Is(err, kingcuphook.ErrUnavailable):
+		code = codes.Unavailable
+	}
+	return status.Error(code, err.Error())
+}
--- /dev/null
+++ b/gossiper/build.go
@@ -0,0 +1,149 @@
+package gossiper
+
+import (
+	"math/bits"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Request returns the digest to be sent to a peer.
+func (g *Gossiper) Request(now time.Time, to string) *Digest {
+	g.start(now)
+	d := g.header(now)
+	m := g.members[to]
+	if m != nil && m.revision > 0 {
+		g.addChanges(d, m.revision)
+	}
+	d.Joining = g.joining
+	if d.Joining {
+		d.After = g.joinCursor
+	}
+	g.addMembers(d, m)
+	return d
+}
+
+// Reply returns the answer to a digest that was merged before.
+func (g *Gossiper) Reply(now time.Time, request *Digest) *Digest {
+	g.start(now)
+	d := g.header(now)
+	g.addChanges(d, request.Revision)
+	if request.Joining {
+		g.addList(d, request.After)
+		return d
+	}
+	g.addMembers(d, g.members[request.Sender.Address])
+	return d
+}
+
+// header returns a digest with all sections but members and changes.
+func (g *Gossiper) header(now time.Time) *Digest {
+	d := &Digest{
+		Sender:    g.self.entry,
+		Revision:  g.revision,
+		Checksum:  g.checksum,
+		Locations: []Location{g.Location},
+	}
+	g.load.fill(g, now, d)
+	return d
+}
+
+// addChanges adds the changes that lead a peer to the revision in force.
+func (g *Gossiper) addChanges(d *Digest, after int64) {
+	if g.Changes == nil || after >= g.revision {
+		return
+	}
+	c := g.Changes(after, MaxChangesBytes)
+	if len(c) == 0 || len(c) > MaxChangesBytes {
+		return
+	}
+	d.Changes = c
+	d.ChangesAfter = after
+}
+
+// addMembers adds what the receiver should know of itself, the changes told
+// least so far and, if the receiver's members differ, a slice of all.
+func (g *Gossiper) addMembers(d *Digest, to *member) {
+	if to != nil && to.entry.State != StateAlive {
+		d.Members = append(d.Members, to.entry)
+	}
+	g.addQueue(d)
+	if to != nil && to.differs {
+		g.addSlice(d)
+	}
+	g.addNames(d)
+}
+
+// addQueue adds the changes that were told least often.
+func (g *Gossiper) addQueue(d *Digest) {
+	slices.SortStableFunc(g.queue, func(a, b *member) int { return a.sends - b.sends })
+	limit := 3 * bits.Len(uint(len(g.members)+1))
+	for _, m := range g.queue {
+		if len(d.Members) >= MaxMembers {
+			break
+		}
+		m.sends++
+		if m != g.self {
+			d.Members = append(d.Members, m.entry)
+		}
+	}
+	g.queue = slices.DeleteFunc(g.queue, func(m *member) bool {
+		m.queued = m.sends < limit
+		return !m.queued
+	})
+}
+
+// addSlice adds the members that follow the last slice, up to the bound.
+func (g *Gossiper) addSlice(d *Digest) {
+	all := g.ranks().byAddress
+	i := after(all, g.cursor)
+	for range all {
+		if len(d.Members) >= MaxMembers {
+			return
+		}
+		m := all[i%len(all)]
+		i++
+		g.cursor = m.entry.Address
+		if m != g.self {
+			d.Members = append(d.Members, m.entry)
+		}
+	}
+}
+
+// addList answers a joining router with the members that follow address.
+func (g *Gossiper) addList(d *Digest, address string) {
+	d.After = address
+	all := g.ranks().byAddress
+	for _, m := range all[after(all, address):] {
+		if len(d.Members) >= MaxJoinMembers {
+			break
+		}
+		if !m.entry.State.gone() {
+			d.Members = append(d.Members, m.entry)
+		}
+	}
+	g.addNames(d)
+}
+
+// addNames adds the name of a location found among the members.
+func (g *Gossiper) addNames(d *Digest) {
+	if len(d.Members) == 0 {
+		return
+	}
+	e := d.Members[g.Rand.IntN(len(d.Members))]
+	l, ok := g.locations[e.Location]
+	if ok && l != g.Location {
+		d.Locations = append(d.Locations, l)
+	}
+}
+
+// after returns the position of the first member that follows address.
+func after(members []*member, address string) int {
+	i, found := slices.BinarySearchFunc(members, address, func(m *member, a string) int {
+		return strings.Compare(m.entry.Address, a)
+	})
+	if found {
+		i++
+	}
+	return i
+}
--- /dev/null
+++ b/gossiper/fleet_test.go
@@ -0,0 +1,325 @@
+package gossiper_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/exchanger"
+	"github.com/kingcuphook/kingcuphook/gossiper"
+)
+
+const (
+	stepTime       = 50 * time.Millisecond
+	localDelay     = 1500 * time.Microsecond
+	remoteDelay    = 30 * time.Millisecond
+	callTimeout    = time.Second
+	storeDelay     = 20 * time.Millisecond
+	changeBytes    = 250
+	exchangeHeader = 700
+	pullHeader     = 900
+)
+
+// router is one member of a fleet under test.
+type router struct {
+	g        *gossiper.Gossiper
+	address  string
+	location gossiper.Location
+	revision int64
+	// paused routers neither poll nor answer; stopped ones are gone for good.
+	paused, stopped bool
+	bytes           int
+}
+
+// fleet drives gossipers in virtual time.
+type fleet struct {
+	now     time.Time
+	rng     *rand.Rand
+	routers []*router
+	byAddr  map[string]*router
+	events  events
+	// loss is the share of calls that fail.
+	loss float64
+	// cut reports whether a call between two routers fails.
+	cut func(a, b *router) bool
+	// storeCut reports whether a router does not reach the store.
+	storeCut func(r *router) bool
+	store    int64
+	watches  int
+	calls    int
+}
+
+type event struct {
+	at  time.Time
+	seq int
+	run func()
+}
+
+type events struct {
+	list []event
+	seq  int
+}
+
+func (e *events) Len() int           { return len(e.list) }
+func (e *events) Less(i, j int) bool { return e.list[i].before(e.list[j]) }
+func (e *events) Swap(i, j int)      { e.list[i], e.list[j] = e.list[j], e.list[i] }
+func (e *events) Push(x any)         { e.list = append(e.list, x.(event)) }
+func (e *events) Pop() any {
+	last := e.list[len(e.list)-1]
+	e.list = e.list[:len(e.list)-1]
+	return last
+}
+
+func (e event) before(o event) bool {
+	if !e.at.Equal(o.at) {
+		return e.at.Before(o.at)
+	}
+	return e.seq < o.seq
+}
+
+// newFleet returns n routers spread over the data centres; 21 data centres lie
+// in 10 regions.
+func newFleet(n, centres, regions int, seed uint64) *fleet {
+	f := &fleet{
+		now:    time.Unix(1_000_000, 0),
+		rng:    rand.New(rand.NewPCG(seed, 1)),
+		byAddr: make(map[string]*router),
+	}
+	for i := range n {
+		c := i % centres
+		f.add(i, gossiper.Location{Region: fmt.Sprintf("region%d", c%regions), DataCentre: fmt.Sprintf("centre%d", c)}, 1)
+	}
+	f.hint()
+	return f
+}
+
+func (f *fleet) add(i int, l gossiper.Location, incarnation uint64) *router {
+	address := fmt.Sprintf("10.%d.%d.%d:7000", i>>16, i>>8&255, i&255)
+	r := &router{address: address, location: l}
+	r.g = &gossiper.Gossiper{
+		Address:     address,
+		Location:    l,
+		Incarnation: incarnation,
+		Rand:        rand.New(rand.NewPCG(uint64(i), incarnation)),
+	}
+	r.g.Changes = func(after int64, limit int) []byte {
+		if n := int(r.revision-after) * changeBytes; n <= limit {
+			return make([]byte, n)
+		}
+		return nil
+	}
+	f.routers = append(f.routers, r)
+	f.byAddr[address] = r
+	return r
+}
+
+// restart replaces a router by a new life of the same address.
+func (f *fleet) restart(r *router, incarnation uint64) {
+	var i [3]int
+	_, _ = fmt.Sscanf(r.address, "10.%d.%d.%d", &i[0], &i[1], &i[2])
+	f.routers = slices.DeleteFunc(f.routers, func(o *router) bool { return o == r })
+	r.stopped = true
+	f.add(i[0]<<16+i[1]<<8+i[2], r.location, incarnation)
+	f.hint()
+}
+
+// hint gives all routers the platform's list.
+func (f *fleet) hint() {
+	vms := make([]kingcuphook.VM, 0, len(f.routers))
+	for _, r := range f.routers {
+		vms = append(vms, kingcuphook.NewVM(r.address, r.location.Region, r.location.DataCentre, kingcuphook.VMStateLive))
+	}
+	for _, r := range f.routers {
+		r.g.SetHints(f.now, vms)
+	}
+}
+
+func (f *fleet) after(d time.Duration, run func()) {
+	f.events.seq++
+	heap.Push(&f.events, event{at: f.now.Add(d), seq: f.events.seq, run: run})
+}
+
+// run lets d pass.
+func (f *fleet) run(d time.Duration) {
+	f.until(d, func() bool { return false })
+}
+
+// until runs until done is true, and reports how long it took; -1 if it did not
+// happen within limit.
+func (f *fleet) until(limit time.Duration, done func() bool) time.Duration {
+	begin := f.now
+	for end := f.now.Add(limit); f.now.Before(end); {
+		if done() {
+			return f.now.Sub(begin)
+		}
+		f.step()
+	}
+	if done() {
+		return f.now.Sub(begin)
+	}
+	return -1
+}
+
+func (f *fleet) step() {
+	next := f.now.Add(stepTime)
+	for f.events.Len() > 0 && !f.events.list[0].at.After(next) {
+		e := heap.Pop(&f.events).(event)
+		f.now = e.at
+		e.run()
+	}
+	f.now = next
+	for _, r := range f.routers {
+		if r.paused || r.stopped {
+			continue
+		}
+		f.watch(r)
+		f.poll(r)
+	}
+}
+
+func (f *fleet) poll(r *router) {
+	for _, to := range r.g.Poll(f.now) {
+		f.exchange(r, to)
+	}
+}
+
+// watch brings the store's revision to a router that watches it.
+func (f *fleet) watch(r *router) {
+	if !r.g.Watches(f.now) || r.revision >= f.store || f.storeCut != nil && f.storeCut(r) {
+		return
+	}
+	f.watches++
+	revision := f.store
+	f.after(storeDelay, func() { f.apply(r, revision, "") })
+}
+
+func (f *fleet) apply(r *router, revision int64, from string) {
+	if revision <= r.revision {
+		return
+	}
+	r.revision = revision
+	r.g.SetRevision(f.now, revision, from)
+	f.poll(r)
+}
+
+// fails reports whether a call between two routers is lost.
+func (f *fleet) fails(a, b *router) bool {
+	return b == nil || b.paused || b.stopped || a.paused || a.stopped ||
+		f.rng.Float64() < f.loss || f.cut != nil && f.cut(a, b)
+}
+
+func (f *fleet) delay(a, b *router) time.Duration {
+	if a.location.Region == b.location.Region {
+		return localDelay
+	}
+	return remoteDelay
+}
+
+func (f *fleet) exchange(r *router, to string) {
+	f.calls++
+	request := f.encode(r.g.Request(f.now, to))
+	peer := f.byAddr[to]
+	if f.fails(r, peer) {
+		f.after(callTimeout, func() {
+			if !r.paused && !r.stopped {
+				r.g.Failed(f.now, to)
+			}
+		})
+		return
+	}
+	f.charge(r, peer, len(request)+exchangeHeader)
+	f.after(f.delay(r, peer), func() {
+		d := f.receive(peer, request)
+		reply := f.encode(peer.g.Reply(f.now, d))
+		f.charge(r, peer, len(reply))
+		f.after(f.delay(r, peer), func() {
+			if !r.paused && !r.stopped {
+				f.receive(r, reply)
+			}
+		})
+	})
+}
+
+func (f *fleet) receive(r *router, b []byte) *gossiper.Digest {
+	d, err := exchanger.Decode(b)
+	if err != nil {
+		panic(err)
+	}
+	behind, err := r.g.Merge(f.now, d)
+	if err != nil {
+		panic(err)
+	}
+	if !behind {
+		return d
+	}
+	if len(d.Changes) > 0 && d.ChangesAfter <= r.revision {
+		f.apply(r, d.Revision, d.Sender.Address)
+		return d
+	}
+	f.pull(r, f.byAddr[d.Sender.Address])
+	return d
+}
+
+func (f *fleet) pull(r, peer *router) {
+	if f.fails(r, peer) {
+		return
+	}
+	f.after(2*f.delay(r, peer), func() {
+		f.charge(r, peer, pullHeader+changeBytes*int(peer.revision-r.revision))
+		f.apply(r, peer.revision, peer.address)
+	})
+}
+
+func (f *fleet) charge(a, b *router, n int) {
+	a.bytes += n
+	b.bytes += n
+}
+
+func (f *fleet) encode(d *gossiper.Digest) []byte {
+	b, err := exchanger.Encode(d)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+// agrees reports whether all running routers know exactly the running routers.
+func (f *fleet) agrees() bool {
+	want := make([]string, 0, len(f.routers))
+	for _, r := range f.routers {
+		if !r.stopped && !r.paused {
+			want = append(want, r.address)
+		}
+	}
+	slices.Sort(want)
+	for _, r := range f.routers {
+		if r.stopped || r.paused {
+			continue
+		}
+		if r.g.Count(f.now) != len(want) || !slices.Equal(addresses(r.g.Members(f.now)), want) {
+			return false
+		}
+	}
+	return true
+}
+
+func addresses(members []gossiper.Member) []string {
+	a := make([]string, 0, len(members))
+	for _, m := range members {
+		a = append(a, m.Address())
+	}
+	return a
+}
+
+// inForce reports whether all running routers have the store's revision.
+func (f *fleet) inForce() bool {
+	for _, r := range f.routers {
+		if !r.stopped && !r.paused && r.revision < f.store {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/gossiper/push.go
@@ -0,0 +1,96 @@
+package gossiper
+
+import (
+	"slices"
+	"time"
+)
+
+// pusher spreads a new revision along a tree over the data centre.
+type pusher struct {
+	// waiting are the addresses still to be told, in the order found. Those in
+	// urgent do not wait for the pause between pushes.
+	waiting []string
+	urgent  map[string]bool
+	// sent holds the revision last pushed to each address.
+	sent map[string]int64
+	// from is the peer that the revision came from; empty for the store.
+	from string
+	// last is when the last push went out.
+	last time.Time
+	// pause is the least time between two pushes.
+	pause time.Duration
+}
+
+// startPush queues the neighbours in the tree for the revision in force.
+func (g *Gossiper) startPush(now time.Time, from string) {
+	p := &g.push
+	if p.sent == nil {
+		p.sent = make(map[string]int64)
+		p.urgent = make(map[string]bool)
+	}
+	p.from = from
+	p.pause = relayPause
+	if from == "" {
+		p.pause = g.Interval
+	}
+	r := g.ranks()
+	for _, i := range neighbours(r.rank, len(r.local)) {
+		if from == "" && r.rank < watchersPerDataCentre && i < watchersPerDataCentre {
+			continue
+		}
+		g.wait(r.local[i].entry.Address, false)
+	}
+}
+
+func (g *Gossiper) wait(address string, urgent bool) {
+	if urgent {
+		g.push.urgent[address] = true
+	}
+	if !slices.Contains(g.push.waiting, address) {
+		g.push.waiting = append(g.push.waiting, address)
+	}
+}
+
+// duePushes takes out the addresses to be told now.
+func (g *Gossiper) duePushes(now time.Time) []string {
+	p := &g.push
+	rested := now.Sub(p.last) >= p.pause
+	var due, kept []string
+	for _, a := range p.waiting {
+		m := g.members[a]
+		switch {
+		case m == nil || m.entry.State.gone() || m.revision >= g.revision:
+		case !rested && !p.urgent[a]:
+			kept = append(kept, a)
+			continue
+		default:
+			due = append(due, a)
+			p.sent[a] = g.revision
+		}
+		delete(p.urgent, a)
+	}
+	p.waiting = kept
+	if rested && len(due) > 0 {
+		p.last = now
+	}
+	return due
+}
+
+// bypass tells the neighbours beyond a member that could not be told.
+func (g *Gossiper) bypass(m *member) {
+	p := &g.push
+	if p.sent[m.entry.Address] != g.revision || m.revision >= g.revision {
+		return
+	}
+	delete(p.sent, m.entry.Address)
+	r := g.ranks()
+	i := slices.Index(r.local, m)
+	if i < 0 {
+		return
+	}
+	for _, j := range neighbours(i, len(r.local)) {
+		if j != r.rank && r.local[j].entry.Address != p.from && p.sent[r.local[j].entry.Address] != g.revision {
+			g.wait(r.local[j].entry.Address, true)
+		}
+	}
+}
--- /dev/null
+++ b/gossiper/query.go
@@ -0,0 +1,48 @@
+package gossiper
+
+import "time"
+
+// Members returns this router and all members that are not gone, in the order
+// of their addresses.
+func (g *Gossiper) Members(now time.Time) []Member {
+	g.start(now)
+	r := g.ranks()
+	members := make([]Member, 0, len(r.byAddress))
+	for _, m := range r.byAddress {
+		if m.entry.State.gone() {
+			continue
+		}
+		members = append(members, g.view(m))
+	}
+	return members
+}
+
+func (g *Gossiper) view(m *member) Member {
+	l := g.locations[m.entry.Location]
+	return Member{
+		address:   m.entry.Address,
+		location:  l,
+		state:     m.entry.State,
+		reachable: g.reachable(l.Region),
+	}
+}
+
+// Watches reports whether this router is one of those of its data centre that
+// watch the store. Two routers may disagree for a few seconds, which is
+// harmless.
+func (g *Gossiper) Watches(now time.Time) bool {
+	g.start(now)
+	r := g.ranks()
+	return r.rank < watchersPerDataCentre
+}
+
+// Count returns the number of members that are not gone, this router included.
+func (g *Gossiper) Count(now time.Time) int {
+	g.start(now)
+	return len(g.ranks().alive)
+}
+
+// reachable reports whether the latest exchanges with the region succeeded.
+func (g *Gossiper) reachable(region string) bool {
+	return g.failedRegions[region].count < suspectFailures
+}
