--- /dev/null
+++ b/observer/observer.go
@@ -0,0 +1,150 @@
+// Package observer stands around the allocator and the engine and tells the
+// recorder and the meter what passes.
+package observer
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/meter"
+	"github.com/kingcuphook/kingcuphook/recorder"
+)
+
+// Observer sees every request. Its fields are set before use.
+type Observer struct {
+	// Recorder keeps the paths; never nil.
+	Recorder *recorder.Recorder
+	// Meter counts; never nil.
+	Meter *meter.Meter
+}
+
+// Begun tells that a request was accepted for the route.
+func (o *Observer) Begun(r *kingcuphook.Request, route *kingcuphook.Route) {
+	o.Recorder.Begin(r, route.Name())
+}
+
+// Ended tells how a request ended; firstToken is 0 if no token was written.
+func (o *Observer) Ended(r *kingcuphook.Request, out kingcuphook.Outcome, err error, firstToken, total time.Duration) {
+	outcome := outcomeOf(r, out, err, firstToken, total)
+	text := string(outcome)
+	var failure *kingcuphook.RequestError
+	if errors.As(err, &failure) {
+		text = failure.Error()
+	}
+	o.Recorder.End(r, text)
+	o.Meter.Route(r.Class(), r.Tier()).Ended(outcome, firstToken)
+}
+
+func outcomeOf(r *kingcuphook.Request, out kingcuphook.Outcome, err error, firstToken, total time.Duration) meter.Outcome {
+	var failure *kingcuphook.RequestError
+	if errors.As(err, &failure) && failure.Ran == kingcuphook.RunStateNotRun {
+		return meter.OutcomeNotRun
+	}
+	if err != nil {
+		return meter.OutcomeFailed
+	}
+	if attained(r, out, firstToken, total) {
+		return meter.OutcomeAttained
+	}
+	return meter.OutcomeLate
+}
+
+// attained reports whether a whole answer met its targets.
+func attained(r *kingcuphook.Request, out kingcuphook.Outcome, firstToken, total time.Duration) bool {
+	if firstToken == 0 {
+		firstToken = total
+	}
+	if r.Target() > 0 && firstToken > r.Target() {
+		return false
+	}
+	if r.TokenTarget() == 0 || out.Tokens < 2 {
+		return true
+	}
+	gap := (total - firstToken) / time.Duration(out.Tokens-1)
+	return gap <= r.TokenTarget()
+}
+
+// Allocator observes an allocator.
+type Allocator struct {
+	// Next is the allocator that is observed; never nil.
+	Next kingcuphook.Allocator
+	// Observer is told; never nil.
+	Observer *Observer
+}
+
+var _ kingcuphook.Allocator = (*Allocator)(nil)
+
+// Acquire implements kingcuphook.Allocator.
+func (a *Allocator) Acquire(ctx context.Context, r *kingcuphook.Request, excluded []string) (kingcuphook.Slot, error) {
+	rec := a.Observer.Recorder
+	rec.Add(r, recorder.Step{Kind: recorder.StepQueued})
+	begun := time.Now()
+	s, err := a.Next.Acquire(ctx, r, excluded)
+	if err != nil {
+		rec.Add(r, recorder.Step{Kind: recorder.StepNotAssigned, Err: err})
+		return nil, err
+	}
+	a.Observer.Meter.Route(r.Class(), r.Tier()).Queued(time.Since(begun))
+	c := s.Choice()
+	rec.Add(r, recorder.Step{
+		Kind:      recorder.StepAssigned,
+		Upstream:  c.Upstream.Address(),
+		Predicted: c.Predicted,
+		Uncached:  c.UncachedTokens,
+	})
+	return &slot{Slot: s, request: r, observer: a.Observer}, nil
+}
+
+type slot struct {
+	kingcuphook.Slot
+
+	request  *kingcuphook.Request
+	observer *Observer
+}
+
+// Release implements kingcuphook.Slot.
+func (s *slot) Release(sample kingcuphook.Sample) {
+	s.Slot.Release(sample)
+	s.observer.Meter.Tokens(sample.Tokens, sample.Failed || sample.Cancelled)
+	s.observer.Recorder.Add(s.request, recorder.Step{
+		Kind:     recorder.StepReleased,
+		Upstream: s.Choice().Upstream.Address(),
+		Tokens:   sample.Tokens,
+	})
+}
+
+// Engine observes an engine.
+type Engine struct {
+	// Next is the engine that is observed; never nil.
+	Next kingcuphook.Engine
+	// Observer is told; never nil.
+	Observer *Observer
+}
+
+var _ kingcuphook.Engine = (*Engine)(nil)
+
+// Start implements kingcuphook.Engine.
+func (e *Engine) Start(ctx context.Context, u *kingcuphook.Upstream, a *kingcuphook.Attempt) (kingcuphook.Stream, error) {
+	s, err := e.Next.Start(ctx, u, a)
+	e.note(u, a, err)
+	return s, err
+}
+
+// Call implements kingcuphook.Engine.
+func (e *Engine) Call(ctx context.Context, u *kingcuphook.Upstream, a *kingcuphook.Attempt) (kingcuphook.Answer, error) {
+	answer, err := e.Next.Call(ctx, u, a)
+	e.note(u, a, err)
+	return answer, err
+}
+
+func (e *Engine) note(u *kingcuphook.Upstream, a *kingcuphook.Attempt, err error) {
+	r := a.Request()
+	kind := recorder.StepStarted
+	if err != nil {
+		kind = recorder.StepRefused
+	}
+	e.Observer.Recorder.Add(r, recorder.Step{Kind: kind, Upstream: u.Address(), Tokens: a.ResumeFrom(), Err: err})
+	e.Observer.Meter.Route(r.Class(), r.Tier()).Attempted()
+}
