--- a/loader/loader.go
+++ b/configurer/configurer.go
@@ -1,4 +1,4 @@
-package loader
+package configurer
 
 import (
 	"bytes"
@@ -18,8 +18,8 @@
 // KINGCUPHOOK_LISTEN_CALLERS stands for callers in [listen].
 const environmentPrefix = "KINGCUPHOOK_"
 
-// Loader reads settings.
-type Loader struct {
+// Configurer reads settings.
+type Configurer struct {
 	// File is the path of the settings.
 	File string
 	// LookupEnv returns a variable of the environment; nil means os.LookupEnv.
@@ -27,74 +27,74 @@
 }
 
 // Load reads and validates the settings. Its error is a *kingcuphook.InputError.
-func (l *Loader) Load() (*Settings, error) {
-	text, err := os.ReadFile(l.File)
+func (c *Configurer) Load() (*Settings, error) {
+	text, err := os.ReadFile(c.File)
 	if err != nil {
-		return nil, l.refuse(0, err.Error())
+		return nil, c.refuse(0, err.Error())
 	}
-	return l.Parse(text)
+	return c.Parse(text)
 }
 
 // Parse reads settings from text and the environment, and validates them.
-func (l *Loader) Parse(text []byte) (*Settings, error) {
+func (c *Configurer) Parse(text []byte) (*Settings, error) {
 	s := Default()
 	dec := toml.NewDecoder(bytes.NewReader(text))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(&s); err != nil {
-		return nil, l.decodeError(err)
+		return nil, c.decodeError(err)
 	}
-	if err := l.override(reflect.ValueOf(&s).Elem(), environmentPrefix); err != nil {
+	if err := c.override(reflect.ValueOf(&s).Elem(), environmentPrefix); err != nil {
 		return nil, err
 	}
 	if err := s.readToken(); err != nil {
-		return nil, l.refuse(lineOf(text, "operators.token-file"), err.Error())
+		return nil, c.refuse(lineOf(text, "operators.token-file"), err.Error())
 	}
 	if p := s.problem(); p != nil {
-		return nil, l.refuse(lineOf(text, p.key), p.key+": "+p.reason)
+		return nil, c.refuse(lineOf(text, p.key), p.key+": "+p.reason)
 	}
 	return &s, nil
 }
 
-func (l *Loader) refuse(line int, reason string) error {
-	return &kingcuphook.InputError{File: l.File, Line: line, Reason: reason, Err: kingcuphook.ErrInvalid}
+func (c *Configurer) refuse(line int, reason string) error {
+	return &kingcuphook.InputError{File: c.File, Line: line, Reason: reason, Err: kingcuphook.ErrInvalid}
 }
 
-func (l *Loader) decodeError(err error) error {
+func (c *Configurer) decodeError(err error) error {
 	var strict *toml.StrictMissingError
 	if errors.As(err, &strict) && len(strict.Errors) > 0 {
 		first := strict.Errors[0]
 		row, _ := first.Position()
-		return l.refuse(row, fmt.Sprintf("unknown key %q", strings.Join(first.Key(), ".")))
+		return c.refuse(row, fmt.Sprintf("unknown key %q", strings.Join(first.Key(), ".")))
 	}
 	var decode *toml.DecodeError
 	if errors.As(err, &decode) {
 		row, _ := decode.Position()
-		return l.refuse(row, decode.Error())
+		return c.refuse(row, decode.Error())
 	}
-	return l.refuse(0, err.Error())
+	return c.refuse(0, err.Error())
 }
 
 // override sets every field of v for which the environment has a value.
-func (l *Loader) override(v reflect.Value, prefix string) error {
+func (c *Configurer) override(v reflect.Value, prefix string) error {
 	for i := range v.NumField() {
 		tag := v.Type().Field(i).Tag.Get("toml")
 		name := prefix + strings.ToUpper(strings.ReplaceAll(tag, "-", "_"))
 		field := v.Field(i)
 		if field.Kind() == reflect.Struct {
-			if err := l.override(field, name+"_"); err != nil {
+			if err := c.override(field, name+"_"); err != nil {
 				return err
 			}
 			continue
 		}
-		if err := l.overrideField(field, name); err != nil {
+		if err := c.overrideField(field, name); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (l *Loader) overrideField(field reflect.Value, name string) error {
-	lookup := l.LookupEnv
+func (c *Configurer) overrideField(field reflect.Value, name string) error {
+	lookup := c.LookupEnv
 	if lookup == nil {
 		lookup = os.LookupEnv
 	}
--- a/loader/loader_test.go
+++ b/configurer/configurer_test.go
@@ -1,4 +1,4 @@
-package loader
+package configurer
 
 import (
 	"errors"
@@ -17,7 +17,7 @@
 
 func TestExampleLoads(t *testing.T) {
 	is := is.New(t)
-	s, err := (&Loader{File: exampleFile, LookupEnv: noEnv}).Load()
+	s, err := (&Configurer{File: exampleFile, LookupEnv: noEnv}).Load()
 	is.NoErr(err)
 	is.Equal(s.Node.Region, "cairo")
 }
@@ -27,7 +27,7 @@
 	env := func(name string) (string, bool) {
 		return "127.0.0.1:9999", name == "KINGCUPHOOK_LISTEN_CALLERS"
 	}
-	s, err := (&Loader{File: exampleFile, LookupEnv: env}).Load()
+	s, err := (&Configurer{File: exampleFile, LookupEnv: env}).Load()
 	is.NoErr(err)
 	is.Equal(s.Listen.Callers, "127.0.0.1:9999")
 }
@@ -54,7 +54,7 @@
 		t.Run(tt.replacement, func(t *testing.T) {
 			is := is.New(t)
 			text := strings.Replace(string(example), tt.old, tt.replacement, 1)
-			_, err := (&Loader{File: "x.toml", LookupEnv: noEnv}).Parse([]byte(text))
+			_, err := (&Configurer{File: "x.toml", LookupEnv: noEnv}).Parse([]byte(text))
 			var input *kingcuphook.InputError
 			is.True(errors.As(err, &input))
 			is.True(strings.Contains(input.Reason, tt.reason)) // the reason says what is wrong
--- a/loader/settings.go
+++ b/configurer/settings.go
@@ -1,6 +1,6 @@
-// Package loader reads the settings of one VM from a TOML file and the
+// Package configurer reads the settings of one VM from a TOML file and the
 // environment, and refuses them whole if anything is wrong.
-package loader
+package configurer
 
 import (
 	"fmt"
--- a/loader/validate.go
+++ b/configurer/validate.go
@@ -1,4 +1,4 @@
-package loader
+package configurer
 
 import (
 	"fmt"
