--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -48,6 +48,9 @@
 	DialTimeout time.Duration
 	// MaxAnswerBytes bounds the answer of a plain service; 0 means 8 MiB.
 	MaxAnswerBytes int64
+	// OnReport, if set, takes the load reports that come with answers. It must
+	// be safe for concurrent use and return at once.
+	OnReport func(kingcuphook.LoadReport)
 
 	// shared keeps connections open for idempotent work and for queries.
 	shared *http.Client
@@ -150,16 +153,25 @@
 		}
 		return nil, fmt.Errorf("dialer: %s: %w: %w", u.Address(), kingcuphook.ErrUnavailable, err)
 	}
+	d.report(u, resp.Header)
 	if err := refusal(u, resp); err != nil {
 		return nil, err
 	}
 	return resp, nil
 }
 
+// newBody returns a reader of body, or nil if it is empty.
+func newBody(body []byte) io.Reader {
+	if len(body) == 0 {
+		return nil
+	}
+	return bytes.NewReader(body)
+}
+
 // newRequest builds the HTTP request. The body can't be read again by the
 // transport, which therefore never repeats a request that has one.
 func newRequest(ctx context.Context, u *kingcuphook.Upstream, a *kingcuphook.Attempt) (*http.Request, error) {
-	req, err := http.NewRequestWithContext(ctx, a.Method(), "http://"+u.Address()+a.Path(), bytes.NewReader(a.Body()))
+	req, err := http.NewRequestWithContext(ctx, a.Method(), "http://"+u.Address()+a.Path(), newBody(a.Body()))
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/dialer/report.go
@@ -0,0 +1,180 @@
+package dialer
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"github.com/kingcuphook/kingcuphook"
+)
+
+// Paths of what upstreams report and of the orders they take.
+const (
+	pathLoad   = "/load"
+	pathEvents = "/cache-events"
+	pathOrder  = "/order"
+)
+
+// Headers in which an engine may report its load with an answer.
+const (
+	headerRunning   = "X-Load-Running"
+	headerQueued    = "X-Load-Queued"
+	headerReportAge = "X-Load-Age-Ms"
+	headerLeaving   = "X-Leaving"
+)
+
+const (
+	// maxReportBytes bounds the answer to a question for a report.
+	maxReportBytes = 1 << 20
+	// hexBase is the base in which prefixes are written.
+	hexBase = 16
+	// wordBits is the size of a prefix hash.
+	wordBits = 64
+)
+
+// Load asks an upstream for its load.
+func (d *Dialer) Load(ctx context.Context, u *kingcuphook.Upstream) (kingcuphook.LoadReport, error) {
+	body, err := d.query(ctx, u, pathLoad)
+	if err != nil {
+		return kingcuphook.LoadReport{}, err
+	}
+	if !gjson.ValidBytes(body) {
+		return kingcuphook.LoadReport{}, fmt.Errorf("dialer: load report of %s: %w", u.Address(), kingcuphook.ErrInvalid)
+	}
+	v := gjson.ParseBytes(body)
+	age := time.Duration(v.Get("age-ms").Int()) * time.Millisecond
+	return kingcuphook.NewLoadReport(kingcuphook.LoadReportFields{
+		Upstream:     u.Address(),
+		Made:         time.Now().Add(-age),
+		Running:      int(v.Get("running").Int()),
+		Queued:       int(v.Get("queued").Int()),
+		QueuedTokens: int(v.Get("queued-tokens").Int()),
+		CachedTokens: int(v.Get("cached-tokens").Int()),
+		Leaving:      v.Get("leaving").Bool(),
+	}), nil
+}
+
+// Events asks an engine for its cache events after a sequence number.
+func (d *Dialer) Events(ctx context.Context, u *kingcuphook.Upstream, after int64) ([]kingcuphook.CacheEvent, error) {
+	body, err := d.query(ctx, u, pathEvents+"?after="+strconv.FormatInt(after, 10))
+	if err != nil {
+		return nil, err
+	}
+	if !gjson.ValidBytes(body) {
+		return nil, fmt.Errorf("dialer: cache events of %s: %w", u.Address(), kingcuphook.ErrInvalid)
+	}
+	var events []kingcuphook.CacheEvent
+	for _, v := range gjson.ParseBytes(body).Array() {
+		prefix, err := strconv.ParseUint(v.Get("prefix").String(), hexBase, wordBits)
+		if err != nil {
+			return nil, fmt.Errorf("dialer: cache events of %s: %w", u.Address(), kingcuphook.ErrInvalid)
+		}
+		events = append(events, kingcuphook.NewCacheEvent(u.Address(), v.Get("sequence").Int(), prefix, v.Get("stored").Bool()))
+	}
+	return events, nil
+}
+
+// orderBody is an order as upstreams read and answer it.
+type orderBody struct {
+	Model      string `json:"model"`
+	Generation int64  `json:"generation"`
+	Fence      int64  `json:"fence"`
+}
+
+// Order implements kingcuphook.Orderer.
+func (d *Dialer) Order(ctx context.Context, o kingcuphook.Order) error {
+	body, err := json.Marshal(orderBody{Model: o.Model(), Generation: o.Generation(), Fence: o.Fence()})
+	if err != nil {
+		return fmt.Errorf("dialer: order: %w", err)
+	}
+	status, _, err := d.do(ctx, http.MethodPut, o.Upstream(), pathOrder, body)
+	if err != nil {
+		return err
+	}
+	switch {
+	case status == http.StatusConflict:
+		return fmt.Errorf("dialer: order to %s: %w", o.Upstream(), kingcuphook.ErrStaleFence)
+	case status != http.StatusOK:
+		return fmt.Errorf("dialer: order to %s answered %d: %w", o.Upstream(), status, kingcuphook.ErrOutcomeUnknown)
+	}
+	return nil
+}
+
+// Loaded implements kingcuphook.Orderer.
+func (d *Dialer) Loaded(ctx context.Context, u *kingcuphook.Upstream) (kingcuphook.Order, error) {
+	body, err := d.query(ctx, u, pathOrder)
+	if err != nil {
+		return kingcuphook.Order{}, err
+	}
+	var o orderBody
+	if err := json.Unmarshal(body, &o); err != nil {
+		return kingcuphook.Order{}, fmt.Errorf("dialer: order of %s: %w", u.Address(), kingcuphook.ErrInvalid)
+	}
+	return kingcuphook.NewOrder(kingcuphook.OrderFields{
+		Upstream:   u.Address(),
+		Model:      o.Model,
+		Generation: o.Generation,
+		Fence:      o.Fence,
+	}), nil
+}
+
+// query asks an upstream a question that changes nothing.
+func (d *Dialer) query(ctx context.Context, u *kingcuphook.Upstream, path string) ([]byte, error) {
+	status, body, err := d.do(ctx, http.MethodGet, u.Address(), path, nil)
+	if err != nil {
+		return nil, err
+	}
+	if status != http.StatusOK {
+		return nil, fmt.Errorf("dialer: %s%s answered %d: %w", u.Address(), path, status, kingcuphook.ErrUnavailable)
+	}
+	return body, nil
+}
+
+func (d *Dialer) do(ctx context.Context, method, address, path string, body []byte) (int, []byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, newBody(body))
+	if err != nil {
+		return 0, nil, fmt.Errorf("dialer: %w", err)
+	}
+	resp, err := d.shared.Do(req)
+	if err != nil {
+		return 0, nil, fmt.Errorf("dialer: %s: %w: %w", address, kingcuphook.ErrUnavailable, err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxReportBytes))
+	if err != nil {
+		return 0, nil, fmt.Errorf("dialer: %s: %w: %w", address, kingcuphook.ErrUnavailable, err)
+	}
+	return resp.StatusCode, text, nil
+}
+
+// report tells OnReport what the headers of an answer say of the load.
+func (d *Dialer) report(u *kingcuphook.Upstream, h http.Header) {
+	if d.OnReport == nil || h.Get(headerRunning) == "" {
+		return
+	}
+	running, err := strconv.Atoi(h.Get(headerRunning))
+	if err != nil {
+		return
+	}
+	queued, err := strconv.Atoi(h.Get(headerQueued))
+	if err != nil {
+		return
+	}
+	age, err := strconv.Atoi(h.Get(headerReportAge))
+	if err != nil {
+		return
+	}
+	d.OnReport(kingcuphook.NewLoadReport(kingcuphook.LoadReportFields{
+		Upstream: u.Address(),
+		Made:     time.Now().Add(-time.Duration(age) * time.Millisecond),
+		Running:  running,
+		Queued:   queued,
+		Leaving:  h.Get(headerLeaving) == "true",
+	}))
+}
--- a/emulator/responder/cache.go
+++ b/emulator/responder/cache.go
@@ -5,7 +5,9 @@
 	"strconv"
 	"sync"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/tidwall/gjson"
+
+	"github.com/kingcuphook/kingcuphook/hasher"
 )
 
 // maxEvents bounds the cache events kept for readers.
@@ -36,13 +38,12 @@
 // use looks a prompt up, keeps it, and returns how many of its blocks were
 // there and how many it has.
 func (c *prefixCache) use(body []byte) (cached, blocks int) {
+	model := gjson.GetBytes(body, "model").String()
+	messages := gjson.GetBytes(body, "messages").Raw
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var chain uint64
 	missed := false
-	for start := 0; start < len(body); start += blockBytes {
-		end := min(start+blockBytes, len(body))
-		chain = chain*31 + xxhash.Sum64(body[start:end])
+	for _, chain := range hasher.Append(nil, model, []byte(messages)) {
 		blocks++
 		if e, ok := c.blocks[chain]; ok {
 			c.order.MoveToFront(e)
@@ -99,5 +100,5 @@
 func (c *prefixCache) tokens() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.blocks) * blockBytes / bytesPerToken
+	return len(c.blocks) * hasher.BlockTokens
 }
--- a/emulator/responder/call.go
+++ b/emulator/responder/call.go
@@ -77,18 +77,30 @@
 		abort()
 	}
 	u.sample()
+	writeJSON(w, http.StatusOK, u.loadReport())
+}
+
+func (u *Upstream) loadReport() loadAnswer {
 	cached := u.cache.tokens()
 	u.mu.Lock()
+	defer u.mu.Unlock()
 	s := u.history[0]
-	leaving := u.leaving
-	u.mu.Unlock()
-	writeJSON(w, http.StatusOK, loadAnswer{
+	return loadAnswer{
 		Running: s.running,
 		Queued:  s.queued,
 		Cached:  cached,
 		AgeMS:   time.Since(s.at).Milliseconds(),
-		Leaving: leaving,
-	})
+		Leaving: u.leaving,
+	}
+}
+
+// reportInHeaders sends the load report along with an answer.
+func (u *Upstream) reportInHeaders(h http.Header) {
+	l := u.loadReport()
+	h.Set("X-Load-Running", strconv.Itoa(l.Running))
+	h.Set("X-Load-Queued", strconv.Itoa(l.Queued))
+	h.Set("X-Load-Age-Ms", strconv.FormatInt(l.AgeMS, 10))
+	h.Set("X-Leaving", strconv.FormatBool(l.Leaving))
 }
 
 // eventAnswer is one cache event.
--- a/emulator/responder/chat.go
+++ b/emulator/responder/chat.go
@@ -10,13 +10,9 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/tidwall/gjson"
-)
-
-// blockBytes is the size of the prompt blocks that the cache works with.
-const blockBytes = 256
 
-// bytesPerToken is the assumed length of a token of a prompt.
-const bytesPerToken = 4
+	"github.com/kingcuphook/kingcuphook/hasher"
+)
 
 // run is one chat request being answered.
 type run struct {
@@ -90,7 +86,7 @@
 
 func (u *Upstream) prefill(r *http.Request, c run, crashed <-chan struct{}) bool {
 	cachedBlocks, blocks := u.cache.use(c.body)
-	uncached := (blocks - cachedBlocks) * blockBytes / bytesPerToken
+	uncached := (blocks - cachedBlocks) * hasher.BlockTokens
 	wait := time.Duration(uncached) * orDuration(u.PrefillTime, defaultPrefillTime)
 	return u.pause(r, wait, crashed)
 }
@@ -112,6 +108,7 @@
 
 func (u *Upstream) stream(w http.ResponseWriter, r *http.Request, c run, crashed <-chan struct{}) {
 	w.Header().Set("Content-Type", "text/event-stream")
+	u.reportInHeaders(w.Header())
 	flush := http.NewResponseController(w)
 	made := 0
 	for i := c.resumeFrom; i < c.tokens; i++ {
--- /dev/null
+++ b/poller/poller_test.go
@@ -0,0 +1,43 @@
+package poller
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestRateIsBoundedAndEveryUpstreamIsAsked(t *testing.T) {
+	is := is.New(t)
+	var addresses []string
+	for i := range 600 {
+		addresses = append(addresses, fmt.Sprint(i))
+	}
+	p := &Poller{}
+	p.Update(addresses)
+	now := time.Unix(0, 0)
+	asked := make(map[string]int)
+	total := 0
+	const seconds = 160
+	for range seconds * 10 {
+		now = now.Add(100 * time.Millisecond)
+		for _, a := range p.Next(now) {
+			asked[a]++
+			total++
+		}
+	}
+	is.Equal(len(asked), 600)
+	is.True(total <= seconds*defaultRate+maxBurst)
+}
+
+func TestReportsReplaceQuestions(t *testing.T) {
+	is := is.New(t)
+	p := &Poller{}
+	p.Update([]string{"a", "b"})
+	now := time.Unix(0, 0)
+	p.Heard(now, "a")
+	is.Equal(p.Next(now), []string{"b"})
+	p.Update([]string{"b"})
+	is.Equal(p.Next(now.Add(time.Second)), []string{"b"})
+}
