--- a/poller/poller_test.go
+++ b/poller/poller_test.go
@@ -10,7 +10,7 @@
 
 func TestRateIsBoundedAndEveryUpstreamIsAsked(t *testing.T) {
 	is := is.New(t)
-	var addresses []string
+	addresses := make([]string, 0, 600)
 	for i := range 600 {
 		addresses = append(addresses, fmt.Sprint(i))
 	}
--- /dev/null
+++ b/router/certificates.go
@@ -0,0 +1,67 @@
+package router
+
+import (
+	"crypto/tls"
+	"net"
+
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/kingcuphook/kingcuphook/certifier"
+	"github.com/kingcuphook/kingcuphook/configurer"
+	"github.com/kingcuphook/kingcuphook/logger"
+)
+
+// certificates are the TLS settings of a router; all nil for plain text.
+type certificates struct {
+	callers, peers, platform *certifier.Certifier
+}
+
+func (c *certificates) load(s *configurer.Settings, log *logger.Logger) error {
+	if s.TLS.PlainText {
+		return nil
+	}
+	c.callers = &certifier.Certifier{CertificateFile: s.TLS.CallersCertificate, KeyFile: s.TLS.CallersKey, Log: log}
+	c.peers = &certifier.Certifier{
+		CertificateFile: s.TLS.PeersCertificate,
+		KeyFile:         s.TLS.PeersKey,
+		AuthorityFile:   s.TLS.PeersAuthority,
+		Log:             log,
+	}
+	c.platform = &certifier.Certifier{AuthorityFile: s.TLS.PlatformAuthority, Log: log}
+	for _, each := range []*certifier.Certifier{c.callers, c.peers, c.platform} {
+		if err := each.Load(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// callersListener returns l, with TLS unless the settings say plain text.
+func (c *certificates) callersListener(l net.Listener) net.Listener {
+	if c.callers == nil {
+		return l
+	}
+	return tls.NewListener(l, c.callers.Server())
+}
+
+func (c *certificates) platformCredentials() credentials.TransportCredentials {
+	if c.platform == nil {
+		return insecure.NewCredentials()
+	}
+	return credentials.NewTLS(c.platform.Client())
+}
+
+func (c *certificates) peersClientCredentials() credentials.TransportCredentials {
+	if c.peers == nil {
+		return insecure.NewCredentials()
+	}
+	return credentials.NewTLS(c.peers.Client())
+}
+
+func (c *certificates) peersServerCredentials() credentials.TransportCredentials {
+	if c.peers == nil {
+		return insecure.NewCredentials()
+	}
+	return credentials.NewTLS(c.peers.Server())
+}
