Add the operators' tables: parser, encoder, differ, loader, editor, applier, follower

Both tables hang under one head that edits swap; rows are in segments named by revision and content hash.

--- /dev/null
+++ b/differ/advance.go
@@ -0,0 +1,93 @@
+package differ
+
+import (
+	"encoding/binary"
+	"fmt"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/kingcuphook/kingcuphook"
+)
+
+// NextLineage returns the lineage of the state that an edit makes.
+func NextLineage(parent uint64, revision int64, editID string) uint64 {
+	b := make([]byte, 0, 16+len(editID))
+	b = binary.LittleEndian.AppendUint64(b, parent)
+	b = binary.LittleEndian.AppendUint64(b, uint64(revision))
+	return xxhash.Sum64(append(b, editID...))
+}
+
+// Follows reports whether c is the change that follows s.
+func Follows(s *Snapshot, c Change) bool {
+	return c.Revision() == s.Revision()+1 && c.Parent() == s.Lineage()
+}
+
+// Advance returns the snapshot that the change makes of s, keeping at most keep
+// changes. It fills in the former state of the rows. An error wraps ErrConflict
+// if the change does not follow s, and ErrInvalid if it does not fit.
+func Advance(s *Snapshot, c Change, keep int) (*Snapshot, error) {
+	if !Follows(s, c) {
+		return nil, fmt.Errorf("differ: change %d does not follow revision %d: %w",
+			c.Revision(), s.Revision(), kingcuphook.ErrConflict)
+	}
+	if c.Truncated() {
+		return nil, fmt.Errorf("differ: change %d has no rows: %w", c.Revision(), kingcuphook.ErrInvalid)
+	}
+	t, err := Apply(s.Tables(), c.Rows(), c.Revision())
+	if err != nil {
+		return nil, err
+	}
+	recent := s.changes[max(0, len(s.changes)-keep+1):]
+	return NewSnapshot(t, c.Lineage(), slices.Concat(recent, []Change{complete(s.Tables(), c)})), nil
+}
+
+// complete returns c with the former state of its rows taken from t.
+func complete(t *kingcuphook.Tables, c Change) Change {
+	f := c.f
+	if !f.Compact {
+		return c
+	}
+	f.Compact = false
+	f.Rows = slices.Clone(f.Rows)
+	for i, r := range f.Rows {
+		if !r.f.Before.Exists() {
+			continue
+		}
+		r.f.Before, r.f.PreviousBefore = lookUp(t, r.Key())
+		if !r.f.Placed {
+			r.f.PreviousBefore = ""
+		}
+		f.Rows[i] = r
+	}
+	return Change{f: f}
+}
+
+// lookUp returns a row of t and, for a route, the name of the one ahead of it.
+func lookUp(t *kingcuphook.Tables, k Key) (Value, string) {
+	if k.Kind == RowKindRoute {
+		i := slices.IndexFunc(t.Routes(), func(r *kingcuphook.Route) bool { return r.Name() == k.Name })
+		if i < 0 {
+			return Value{}, ""
+		}
+		return Value{Route: t.Routes()[i]}, previous(t.Routes(), i)
+	}
+	if k.Kind == RowKindPool {
+		return poolValue(t.Pool(k.Name)), ""
+	}
+	p := t.Pool(k.Pool)
+	if p == nil {
+		return Value{}, ""
+	}
+	for _, u := range p.Upstreams() {
+		if k.Kind == RowKindUpstream && u.Address() == k.Name {
+			return Value{Upstream: u}, ""
+		}
+	}
+	for _, pl := range p.Placements() {
+		if k.Kind == RowKindPlacement && placementName(pl) == k.Name {
+			return Value{Placement: &pl}, ""
+		}
+	}
+	return Value{}, ""
+}
--- /dev/null
+++ b/editor/editor_test.go
@@ -0,0 +1,105 @@
+package editor
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/emulator/storer"
+	"github.com/kingcuphook/kingcuphook/loader"
+	"github.com/kingcuphook/kingcuphook/parser"
+)
+
+const poolsText = `
+[[pool]]
+name = "p"
+[[pool.upstream]]
+address = "127.0.0.1:9001"
+region = "cairo"
+data-centre = "cairo-1"
+`
+
+// routesText returns a table with one route per name and its tier.
+func routesText(rows ...string) string {
+	var b strings.Builder
+	for _, row := range rows {
+		name, tier, _ := strings.Cut(row, ":")
+		if tier == "" {
+			tier = "1"
+		}
+		fmt.Fprintf(&b, "[[route]]\nname = %q\nclass = %q\npool = \"p\"\ntier = %s\n", name, name, tier)
+	}
+	return b.String()
+}
+
+func edit(t *testing.T, id string, base int64, rows ...string) Edit {
+	t.Helper()
+	routes, err := parser.ParseRoutes("routes.toml", []byte(routesText(rows...)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	pools, err := parser.ParsePools("pools.toml", []byte(poolsText))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return Edit{ID: id, Author: "nour", Base: base, Routes: routes, Pools: pools}
+}
+
+// names returns the routes that the store holds.
+func names(t *testing.T, s kingcuphook.Store) string {
+	t.Helper()
+	l := loader.Loader{Store: s}
+	state, err := l.Load(context.Background(), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ns := make([]string, 0, len(state.Snapshot.Tables().Routes()))
+	for _, r := range state.Snapshot.Tables().Routes() {
+		ns = append(ns, fmt.Sprintf("%s:%d", r.Name(), r.Tier()))
+	}
+	return strings.Join(ns, " ")
+}
+
+func TestSecondOperatorIsRebased(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	var s storer.Store
+	e := Editor{Store: &s}
+	_, err := e.Apply(ctx, edit(t, "1", 0, "a", "b", "c"))
+	is.NoErr(err)
+	_, err = e.Apply(ctx, edit(t, "2", 1, "a", "x", "b:2", "c"))
+	is.NoErr(err)
+	r, err := e.Apply(ctx, edit(t, "3", 1, "a:3", "b", "c", "d"))
+	is.NoErr(err)
+	is.Equal(r.Revision, int64(3))
+	is.True(r.Rebased)
+	is.Equal(names(t, &s), "a:3 x:1 b:2 c:1 d:1")
+
+	_, err = e.Apply(ctx, edit(t, "4", 1, "a:4", "b", "c"))
+	is.True(errors.Is(err, kingcuphook.ErrConflict))
+	is.True(strings.Contains(err.Error(), "Tier:4"))
+	is.True(strings.Contains(err.Error(), "Tier:3"))
+}
+
+func TestLostReplyIsReadBack(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	lose := true
+	s := storer.Store{Hook: func(op, key string) storer.Fault {
+		if op == storer.OpPut && key == "tables/head" && lose {
+			lose = false
+			return storer.Fault{LoseReply: true}
+		}
+		return storer.Fault{}
+	}}
+	e := Editor{Store: &s}
+	r, err := e.Apply(ctx, edit(t, "1", 0, "a"))
+	is.NoErr(err)
+	is.True(r.Repeated)
+	is.Equal(r.Revision, int64(1))
+}
--- /dev/null
+++ b/loader/past.go
@@ -0,0 +1,121 @@
+package loader
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/differ"
+	"github.com/kingcuphook/kingcuphook/encoder"
+)
+
+// Page reads a page of older changes.
+func (l *Loader) Page(ctx context.Context, n encoder.PageName) ([]differ.Change, error) {
+	data, err := l.value(ctx, n.Key)
+	if err != nil {
+		return nil, err
+	}
+	cs, err := encoder.DecodePage(n.Key, data)
+	if err != nil {
+		return nil, fmt.Errorf("loader: %w", err)
+	}
+	return cs, nil
+}
+
+// Changes returns the reversible changes after the given revision up to s,
+// oldest first. An error wraps ErrCompacted if they are not all kept.
+func (l *Loader) Changes(ctx context.Context, s *State, after int64) ([]differ.Change, error) {
+	cs, err := l.Log(ctx, s, after)
+	if err != nil {
+		return nil, err
+	}
+	if !reversible(cs) {
+		return nil, gone(after)
+	}
+	return cs, nil
+}
+
+func gone(revision int64) error {
+	return fmt.Errorf("loader: revision %d is no longer kept: %w", revision, kingcuphook.ErrCompacted)
+}
+
+// Log returns the changes after the given revision up to s, oldest first; some
+// may not be reversible. An error wraps ErrCompacted if they are not all kept.
+func (l *Loader) Log(ctx context.Context, s *State, after int64) ([]differ.Change, error) {
+	if after == s.Snapshot.Revision() {
+		return nil, nil
+	}
+	if after < 0 || after > s.Snapshot.Revision() {
+		return nil, fmt.Errorf("loader: there is no revision %d: %w", after, kingcuphook.ErrNotFound)
+	}
+	if cs, ok := s.Snapshot.Since(after); ok && reversible(cs) {
+		return cs, nil
+	}
+	m, err := l.Manifest(ctx, s.Head.Manifest)
+	if err != nil {
+		return nil, err
+	}
+	cs, err := l.recent(ctx, s, m)
+	if err != nil {
+		return nil, err
+	}
+	for i := len(m.Pages) - 1; i >= 0 && m.Pages[i].Last > after; i-- {
+		page, err := l.Page(ctx, m.Pages[i])
+		if err != nil {
+			return nil, err
+		}
+		cs = append(page, cs...)
+	}
+	for len(cs) > 0 && cs[0].Revision() <= after {
+		cs = cs[1:]
+	}
+	if int64(len(cs)) != s.Snapshot.Revision()-after {
+		return nil, gone(after)
+	}
+	return cs, nil
+}
+
+// recent returns the changes that are newer than the manifest.
+func (l *Loader) recent(ctx context.Context, s *State, m *encoder.Manifest) ([]differ.Change, error) {
+	if cs, ok := s.Snapshot.Since(m.Revision); ok && reversible(cs) {
+		return cs, nil
+	}
+	whole, err := l.whole(ctx, m, s.Snapshot)
+	if err != nil {
+		return nil, err
+	}
+	next := l.advance(whole, s.Head)
+	if next == nil {
+		return nil, fmt.Errorf("loader: %w", &kingcuphook.InputError{
+			File: encoder.HeadKey, Reason: "its changes do not follow its manifest", Err: kingcuphook.ErrInvalid,
+		})
+	}
+	cs, _ := next.Since(m.Revision)
+	return cs, nil
+}
+
+func reversible(cs []differ.Change) bool {
+	for _, c := range cs {
+		if !c.Reversible() {
+			return false
+		}
+	}
+	return true
+}
+
+// At returns the tables as they were at the given revision. An error wraps
+// ErrCompacted if that is no longer kept.
+func (l *Loader) At(ctx context.Context, s *State, revision int64) (*kingcuphook.Tables, error) {
+	cs, err := l.Changes(ctx, s, revision)
+	if err != nil {
+		return nil, err
+	}
+	t := s.Snapshot.Tables()
+	for i := len(cs) - 1; i >= 0; i-- {
+		t, err = differ.Revert(t, cs[i].Rows(), cs[i].Revision()-1)
+		if err != nil {
+			return nil, fmt.Errorf("loader: %w", err)
+		}
+	}
+	return t, nil
+}
