--- a/editor/editor.go
+++ b/editor/editor.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/auditor"
 	"github.com/kingcuphook/kingcuphook/differ"
 	"github.com/kingcuphook/kingcuphook/loader"
 	"github.com/kingcuphook/kingcuphook/parser"
@@ -70,6 +71,9 @@
 type UnknownError struct {
 	// EditID identifies the edit: ask for it later, or send it again.
 	EditID string
+	// Expect is the store's revision of the head that the write expected: once
+	// the head has another one, the edit is accepted or never will be.
+	Expect int64
 	// Err is why nothing more is known.
 	Err error
 }
@@ -107,6 +111,8 @@
 	// InForce returns the highest state in force that is known, and whether every
 	// region was asked. Nil means that nothing is known beside the store.
 	InForce func() (s *differ.Snapshot, complete bool)
+	// Audit takes a record of each edit that is refused; may be nil.
+	Audit *auditor.Auditor
 
 	once sync.Once
 	// turn is held by the edit that is being made.
@@ -138,6 +144,12 @@
 	if err := check(&edit); err != nil {
 		return Result{}, err
 	}
+	r, err := e.apply(ctx, edit)
+	e.Refused(ctx, edit, err)
+	return r, err
+}
+
+func (e *Editor) apply(ctx context.Context, edit Edit) (Result, error) {
 	if err := e.lock(ctx); err != nil {
 		return Result{}, fmt.Errorf("editor: %w", err)
 	}
@@ -146,6 +158,40 @@
 	return a.run(ctx)
 }
 
+// Refused records an edit in the audit trail if the error refuses it. The caller
+// uses it for edits that it refuses itself, such as text that can't be parsed.
+// A record that can't be written is counted by the auditor and not retried.
+func (e *Editor) Refused(ctx context.Context, edit Edit, err error) {
+	refused := errors.Is(err, kingcuphook.ErrInvalid) || errors.Is(err, kingcuphook.ErrConflict) ||
+		errors.Is(err, kingcuphook.ErrCompacted)
+	if e.Audit == nil || !refused || errors.Is(err, kingcuphook.ErrOutcomeUnknown) {
+		return
+	}
+	e.Audit.Add(ctx, auditor.NewRecord(auditor.RecordFields{
+		Kind: auditor.RecordRefused, EditID: edit.ID, Author: edit.Author, Reason: edit.Reason,
+		Time: time.Now(), Revision: edit.Base, Cause: err.Error(),
+	}))
+}
+
+// Rollback makes a new edit that gives the tables the rows they had at an
+// earlier revision; the routes and pools of edit are ignored. Its errors are
+// those of Apply; ErrCompacted says that the revision is no longer kept.
+func (e *Editor) Rollback(ctx context.Context, edit Edit, revision int64) (Result, error) {
+	l := loader.Loader{Store: e.Store}
+	s, err := l.Load(ctx, nil)
+	if err != nil {
+		return Result{}, fmt.Errorf("editor: %w", err)
+	}
+	t, err := l.At(ctx, s, revision)
+	if err != nil {
+		return Result{}, fmt.Errorf("editor: %w", err)
+	}
+	name := fmt.Sprintf("revision %d", revision)
+	edit.Routes = parser.NewRouteTable(name, t.Routes())
+	edit.Pools = parser.NewPoolTable(name, t.Pools())
+	return e.Apply(ctx, edit)
+}
+
 func check(edit *Edit) error {
 	if edit.ID == "" {
 		edit.ID = uuid.NewString()
@@ -210,7 +256,7 @@
 // fail returns the error of the edit when no more is tried.
 func (a *attempt) fail(err error) error {
 	if a.pending {
-		return &UnknownError{EditID: a.edit.ID, Err: err}
+		return &UnknownError{EditID: a.edit.ID, Expect: a.expect, Err: err}
 	}
 	return fmt.Errorf("editor: %w", err)
 }
--- /dev/null
+++ b/historian/historian.go
@@ -0,0 +1,206 @@
+// Package historian answers what was changed in the tables, by whom, when and in
+// which revision, what was refused and why, and what became of an edit.
+package historian
+
+import (
+	"context"
+	"fmt"
+	"slices"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/auditor"
+	"github.com/kingcuphook/kingcuphook/differ"
+	"github.com/kingcuphook/kingcuphook/loader"
+)
+
+// maxFindPages bounds the pages that one search for an edit reads.
+const maxFindPages = 256
+
+// Historian reads the history of the tables. It is safe for concurrent use.
+type Historian struct {
+	// Store is the platform's key-value service.
+	Store kingcuphook.Store
+}
+
+// History returns at most limit accepted edits up to the given revision, newest
+// first; revision 0 means the newest. Edits that are no longer kept are missing.
+func (h *Historian) History(ctx context.Context, revision int64, limit int) ([]differ.Change, error) {
+	var found []differ.Change
+	err := h.walk(ctx, func(c differ.Change) bool {
+		if revision == 0 || c.Revision() <= revision {
+			found = append(found, c)
+		}
+		return len(found) < limit
+	})
+	if err != nil {
+		return nil, err
+	}
+	return found, nil
+}
+
+// Refused returns the other records of the audit trail, newest first: refused
+// edits and what befell the store.
+func (h *Historian) Refused(ctx context.Context) ([]auditor.Record, error) {
+	records, err := auditor.Read(ctx, h.Store)
+	if err != nil {
+		return nil, fmt.Errorf("historian: %w", err)
+	}
+	slices.Reverse(records)
+	return records, nil
+}
+
+// Diff returns the rows that differ between two revisions; to 0 means the
+// newest. An error wraps ErrCompacted if a revision is no longer kept.
+func (h *Historian) Diff(ctx context.Context, from, to int64) ([]differ.Row, error) {
+	l := loader.Loader{Store: h.Store}
+	s, err := l.Load(ctx, nil)
+	if err != nil {
+		return nil, fmt.Errorf("historian: %w", err)
+	}
+	if to == 0 {
+		to = s.Snapshot.Revision()
+	}
+	older, err := l.At(ctx, s, from)
+	if err != nil {
+		return nil, fmt.Errorf("historian: %w", err)
+	}
+	newer, err := l.At(ctx, s, to)
+	if err != nil {
+		return nil, fmt.Errorf("historian: %w", err)
+	}
+	return differ.Diff(older, newer), nil
+}
+
+// Newest returns the newest tables in the store.
+func (h *Historian) Newest(ctx context.Context) (*kingcuphook.Tables, error) {
+	l := loader.Loader{Store: h.Store}
+	s, err := l.Load(ctx, nil)
+	if err != nil {
+		return nil, fmt.Errorf("historian: %w", err)
+	}
+	return s.Snapshot.Tables(), nil
+}
+
+// At returns the tables as they were at a revision. An error wraps ErrCompacted
+// if that is no longer kept.
+func (h *Historian) At(ctx context.Context, revision int64) (*kingcuphook.Tables, error) {
+	l := loader.Loader{Store: h.Store}
+	s, err := l.Load(ctx, nil)
+	if err != nil {
+		return nil, fmt.Errorf("historian: %w", err)
+	}
+	t, err := l.At(ctx, s, revision)
+	if err != nil {
+		return nil, fmt.Errorf("historian: %w", err)
+	}
+	return t, nil
+}
+
+// walk calls visit with each accepted edit, newest first, until it returns
+// false.
+func (h *Historian) walk(ctx context.Context, visit func(differ.Change) bool) error {
+	l := loader.Loader{Store: h.Store}
+	s, err := l.Load(ctx, nil)
+	if err != nil {
+		return fmt.Errorf("historian: %w", err)
+	}
+	if s.Head == nil {
+		return nil
+	}
+	m, err := l.Manifest(ctx, s.Head.Manifest)
+	if err != nil {
+		return fmt.Errorf("historian: %w", err)
+	}
+	recent, _ := s.Snapshot.Since(m.Revision)
+	for _, c := range slices.Backward(recent) {
+		if !visit(c) {
+			return nil
+		}
+	}
+	pages := m.Pages[max(0, len(m.Pages)-maxFindPages):]
+	for _, name := range slices.Backward(pages) {
+		page, err := l.Page(ctx, name)
+		if err != nil {
+			return fmt.Errorf("historian: %w", err)
+		}
+		for _, c := range slices.Backward(page) {
+			if !visit(c) {
+				return nil
+			}
+		}
+	}
+	return nil
+}
+
+// Fate says what became of an edit.
+type Fate string
+
+// Values of Fate.
+const (
+	// FateAccepted says that the edit made a revision.
+	FateAccepted Fate = "accepted"
+	// FateRefused says that the edit was refused and why.
+	FateRefused Fate = "refused"
+	// FateNever says that the edit was not accepted and never will be.
+	FateNever Fate = "not-accepted"
+	// FateUnknown says that the edit is not in what is kept, and that its write
+	// may still be on its way.
+	FateUnknown Fate = "unknown"
+)
+
+// Outcome is what became of an edit.
+type Outcome struct {
+	// Fate is what became of it.
+	Fate Fate
+	// Change is the accepted edit; set if Fate is FateAccepted.
+	Change differ.Change
+	// Record is the refusal; set if Fate is FateRefused.
+	Record auditor.Record
+}
+
+// Find returns what became of an edit. Expect is the store's revision that its
+// write expected of the head, from editor.UnknownError, or 0 if not known.
+func (h *Historian) Find(ctx context.Context, editID string, expect int64) (Outcome, error) {
+	moved, err := h.moved(ctx, expect)
+	if err != nil {
+		return Outcome{}, err
+	}
+	var o Outcome
+	err = h.walk(ctx, func(c differ.Change) bool {
+		if c.EditID() != editID {
+			return true
+		}
+		o = Outcome{Fate: FateAccepted, Change: c}
+		return false
+	})
+	if err != nil || o.Fate != "" {
+		return o, err
+	}
+	records, err := h.Refused(ctx)
+	if err != nil {
+		return Outcome{}, err
+	}
+	for _, r := range records {
+		if r.Fields().EditID == editID {
+			return Outcome{Fate: FateRefused, Record: r}, nil
+		}
+	}
+	if moved {
+		return Outcome{Fate: FateNever}, nil
+	}
+	return Outcome{Fate: FateUnknown}, nil
+}
+
+// moved reports whether the head is another one than a write expected. It is
+// read before the changes, so that a write that takes effect between is found.
+func (h *Historian) moved(ctx context.Context, expect int64) (bool, error) {
+	if expect <= 0 {
+		return false, nil
+	}
+	l := loader.Loader{Store: h.Store}
+	s, err := l.Load(ctx, nil)
+	if err != nil {
+		return false, fmt.Errorf("historian: %w", err)
+	}
+	return s.StoreRevision != expect, nil
+}
