--- /dev/null
+++ b/cmd/kingcuphook/main.go
@@ -0,0 +1,119 @@
+// Command kingcuphook routes language-model traffic with service levels, and is
+// the command line of its operators.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/kingcuphook/kingcuphook"
+)
+
+// Exit codes.
+const (
+	exitOK = iota
+	// exitFailure is every failure without a code of its own.
+	exitFailure
+	// exitUsage is a wrong command line or an input that was refused.
+	exitUsage
+	// exitConflict is an edit that collides with another.
+	exitConflict
+	// exitUnknown is an edit whose outcome is not known.
+	exitUnknown
+	// exitUnavailable is a router or store that can't be reached.
+	exitUnavailable
+)
+
+// options are the options of all commands.
+type options struct {
+	API       string `long:"api" env:"KINGCUPHOOK_API" default:"127.0.0.1:8081" description:"IP number and port of a router's operators' API"`
+	TLS       bool   `long:"tls" env:"KINGCUPHOOK_API_TLS" description:"Call the operators' API over TLS"`
+	TokenFile string `long:"token-file" env:"KINGCUPHOOK_TOKEN_FILE" description:"File with the operators' token"`
+	Token     string `long:"token" env:"KINGCUPHOOK_TOKEN" default-mask:"-" description:"The operators' token itself; prefer the file or the environment"`
+	Author    string `long:"author" env:"USER" description:"Who makes an edit"`
+}
+
+var global options
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+func run(args []string) int {
+	parser := newParser()
+	_, err := parser.ParseArgs(args)
+	if err == nil {
+		return exitOK
+	}
+	var flagsErr *flags.Error
+	if errors.As(err, &flagsErr) {
+		if flagsErr.Type == flags.ErrHelp {
+			fmt.Fprintln(os.Stdout, err)
+			return exitOK
+		}
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	fmt.Fprintln(os.Stderr, "kingcuphook:", err)
+	return exitCode(err)
+}
+
+func newParser() *flags.Parser {
+	global = options{}
+	parser := flags.NewNamedParser("kingcuphook", flags.HelpFlag|flags.PassDoubleDash)
+	parser.ShortDescription = "router for language-model traffic"
+	parser.LongDescription = "Routes language-model traffic with service levels and priorities. Operators edit two tables, routes and pools; the router owns the outcome. Exit codes: 0 done, 1 failed, 2 wrong command line or refused input, 3 conflict with another edit, 4 outcome unknown, 5 router or store unavailable."
+	must(parser.AddGroup("Options", "", &global))
+	for _, c := range []struct {
+		name, short, long string
+		data              any
+	}{
+		{"serve", "run a router", "Runs a router until SIGTERM or SIGINT, then stops as planned: requests in progress end whole.", &serveCommand{}},
+		{"routes", "show and edit the table of routes", "Shows and edits the table of routes.", newTableCommand("routes")},
+		{"pools", "show and edit the table of pools", "Shows and edits the table of pools.", newTableCommand("pools")},
+		{"status", "show the state of a router", "Shows the state of a router, its peers, pools and upstreams.", &statusCommand{}},
+		{"explain", "show the path of a request", "Shows the path of a request through the router: class, tier, queue, candidates, attempts, outcome.", &explainCommand{}},
+		{"quarantine", "show and lift quarantines", "Shows the request bodies that are refused because they crashed upstreams, or lifts one.", &quarantineCommand{}},
+		{"check", "validate settings and tables", "Validates files of settings, routes or pools. Routes and pools given together are checked against each other.", &checkCommand{}},
+		{"stand-in", "run stand-ins of the platform and of upstreams", "Runs a stand-in of the platform and stand-in upstreams on loopback.", &standInCommand{}},
+		{"try", "run everything in one process", "Runs a router with stand-ins and example tables in one process, and prints a call that works.", &tryCommand{}},
+		{"completion", "print the shell completion", "Prints a completion script for bash.", &completionCommand{}},
+	} {
+		must(parser.AddCommand(c.name, c.short, c.long, c.data))
+	}
+	return parser
+}
+
+// must panics on an error that only a wrong declaration of options can cause.
+func must(_ any, err error) {
+	if err != nil {
+		panic(err)
+	}
+}
+
+// exitCode returns the exit code for an error.
+func exitCode(err error) int {
+	switch {
+	case errors.Is(err, kingcuphook.ErrOutcomeUnknown):
+		return exitUnknown
+	case errors.Is(err, kingcuphook.ErrConflict):
+		return exitConflict
+	case errors.Is(err, kingcuphook.ErrInvalid), errors.Is(err, kingcuphook.ErrNotFound):
+		return exitUsage
+	case errors.Is(err, kingcuphook.ErrUnavailable):
+		return exitUnavailable
+	default:
+		return exitFailure
+	}
+}
+
+// stopSignal returns a context that ends with SIGTERM or SIGINT.
+func stopSignal() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+}
--- /dev/null
+++ b/cmd/kingcuphook/standin.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/emulator/responder"
+	"github.com/kingcuphook/kingcuphook/emulator/storer"
+)
+
+// standInHeaderTimeout bounds reading the headers of a request.
+const standInHeaderTimeout = 5 * time.Second
+
+type standInCommand struct {
+	Platform  string   `long:"platform" default:"127.0.0.1:7000" description:"Address of the stand-in of the platform"`
+	Upstreams []string `long:"upstream" description:"Address of a stand-in upstream; may be repeated"`
+	VMs       []string `long:"vm" description:"Router in the list of VMs, as ADDRESS,REGION,DATA-CENTRE; may be repeated"`
+	Slots     int      `long:"slots" default:"8" description:"Requests that an upstream runs at once"`
+	StepMS    int      `long:"step-ms" default:"20" description:"Time between tokens in milliseconds"`
+}
+
+// Execute implements flags.Commander.
+func (c *standInCommand) Execute([]string) error {
+	vms, err := parseVMs(c.VMs)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := stopSignal()
+	defer cancel()
+	store := &storer.Store{}
+	store.SetVMs(vms)
+	address, err := servePlatform(ctx, c.Platform, store)
+	if err != nil {
+		return err
+	}
+	fmt.Println("platform", address)
+	for _, u := range c.Upstreams {
+		step := time.Duration(c.StepMS) * time.Millisecond
+		address, err := serveUpstream(ctx, u, &responder.Upstream{Slots: c.Slots, StepTime: step})
+		if err != nil {
+			return err
+		}
+		fmt.Println("upstream", address)
+	}
+	<-ctx.Done()
+	return nil
+}
+
+// vmParts is the number of parts of a VM on the command line.
+const vmParts = 3
+
+func parseVMs(texts []string) ([]kingcuphook.VM, error) {
+	vms := make([]kingcuphook.VM, 0, len(texts))
+	for _, t := range texts {
+		parts := splitComma(t)
+		if len(parts) != vmParts {
+			return nil, fmt.Errorf("--vm %q is not ADDRESS,REGION,DATA-CENTRE: %w", t, kingcuphook.ErrInvalid)
+		}
+		vms = append(vms, kingcuphook.NewVM(parts[0], parts[1], parts[2], kingcuphook.VMStateLive))
+	}
+	return vms, nil
+}
+
+// servePlatform serves a stand-in of the platform until ctx ends.
+func servePlatform(ctx context.Context, address string, store *storer.Store) (string, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return "", err
+	}
+	g := grpc.NewServer(grpc.MaxRecvMsgSize(2 * kingcuphook.MaxValueBytes))
+	(&storer.Server{Store: store}).Register(g)
+	go func() { _ = g.Serve(l) }()
+	context.AfterFunc(ctx, g.Stop)
+	return l.Addr().String(), nil
+}
+
+// serveUpstream serves a stand-in upstream until ctx ends.
+func serveUpstream(ctx context.Context, address string, u *responder.Upstream) (string, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return "", err
+	}
+	s := &http.Server{Handler: u, ReadHeaderTimeout: standInHeaderTimeout}
+	go func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			fmt.Println("stand-in:", err)
+		}
+	}()
+	context.AfterFunc(ctx, func() { _ = s.Close() })
+	return l.Addr().String(), nil
+}
--- /dev/null
+++ b/cmd/kingcuphook/tables.go
@@ -0,0 +1,345 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"regexp"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/gen/commands"
+	"github.com/kingcuphook/kingcuphook/gen/queries"
+)
+
+const (
+	// waitInterval is how often apply --wait asks for the revision.
+	waitInterval = 200 * time.Millisecond
+	// filePermissions are those of a file that get writes.
+	filePermissions = 0o600
+)
+
+// tableCommand has the commands of one table.
+type tableCommand struct {
+	Get      getCommand      `command:"get" description:"Print the table as it is in force"`
+	Edit     editCommand     `command:"edit" description:"Edit the table: get writes FILE, change it, apply sends it; without FILE the text is read from standard input"`
+	Apply    applyCommand    `command:"apply" description:"Apply a file as the whole table"`
+	History  historyCommand  `command:"history" description:"Show who changed what, newest first"`
+	Diff     diffCommand     `command:"diff" description:"Show the rows that differ between two revisions"`
+	Rollback rollbackCommand `command:"rollback" description:"Restore both tables of an older revision by a new edit"`
+}
+
+func newTableCommand(table string) *tableCommand {
+	c := &tableCommand{}
+	c.Get.table = table
+	c.Edit.table = table
+	c.Apply.table = table
+	c.History.table = table
+	c.Diff.table = table
+	return c
+}
+
+// revisionLine is the comment that ties the text of a table to the revision it
+// was made from.
+const revisionLine = "# revision "
+
+var revisionPattern = regexp.MustCompile(`(?m)^` + revisionLine + `(\d+)\s*$`)
+
+// baseOf returns the revision that a text was made from, or 0.
+func baseOf(text string) int64 {
+	m := revisionPattern.FindStringSubmatch(text)
+	if m == nil {
+		return 0
+	}
+	n, err := strconv.ParseInt(m[1], 10, 64)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+type getCommand struct {
+	Output string `short:"o" long:"output" description:"Write to this file instead of standard output"`
+
+	table string
+}
+
+// Execute implements flags.Commander.
+func (c *getCommand) Execute([]string) error {
+	text, err := fetch(c.table)
+	if err != nil {
+		return err
+	}
+	if c.Output == "" {
+		fmt.Print(text)
+		return nil
+	}
+	return os.WriteFile(c.Output, []byte(text), filePermissions)
+}
+
+// fetch returns the text of a table with its revision on the first line.
+func fetch(table string) (string, error) {
+	c, err := newClient()
+	if err != nil {
+		return "", err
+	}
+	ctx, cancel := bounded()
+	defer cancel()
+	t, err := c.queries.Table(ctx, &queries.TablePayload{Token: &c.token, Table: queries.TableName(table)})
+	if err != nil {
+		return "", explainError(err, false)
+	}
+	return fmt.Sprintf("%s%d\n%s", revisionLine, t.Revision, t.Text), nil
+}
+
+// applyOptions are the options of commands that make an edit.
+type applyOptions struct {
+	Wait    bool          `long:"wait" description:"Return when every region reports the revision"`
+	Timeout time.Duration `long:"timeout" default:"30s" description:"Longest time to wait"`
+	EditID  string        `long:"edit-id" description:"Identifier of the edit; sent again with the same one, an edit takes effect once"`
+}
+
+type applyCommand struct {
+	applyOptions
+
+	Args struct {
+		File string `positional-arg-name:"FILE" description:"Text of the table; - for standard input"`
+	} `positional-args:"yes" required:"yes"`
+
+	table string
+}
+
+// Execute implements flags.Commander.
+func (c *applyCommand) Execute([]string) error {
+	return applyFile(c.table, c.Args.File, c.applyOptions)
+}
+
+type editCommand struct {
+	applyOptions
+
+	Args struct {
+		File string `positional-arg-name:"FILE" description:"Edited text of the table"`
+	} `positional-args:"yes"`
+
+	table string
+}
+
+// Execute implements flags.Commander. A process of the product starts no other,
+// so the text is edited outside and read from a file or standard input.
+func (c *editCommand) Execute([]string) error {
+	file := c.Args.File
+	if file == "" {
+		file = "-"
+	}
+	return applyFile(c.table, file, c.applyOptions)
+}
+
+func applyFile(table, file string, opts applyOptions) error {
+	text, err := readInput(file)
+	if err != nil {
+		return err
+	}
+	c, err := newClient()
+	if err != nil {
+		return err
+	}
+	if global.Author == "" {
+		return fmt.Errorf("no author: set --author: %w", kingcuphook.ErrInvalid)
+	}
+	if opts.EditID == "" {
+		opts.EditID = uuid.NewString()
+	}
+	base := baseOf(text)
+	ctx, cancel := bounded()
+	defer cancel()
+	applied, err := c.commands.Apply(ctx, &commands.ApplyPayload{
+		Token:        &c.token,
+		Table:        commands.TableName(table),
+		Text:         text,
+		BaseRevision: &base,
+		EditID:       &opts.EditID,
+		Author:       global.Author,
+	})
+	if err != nil {
+		err = explainError(err, true)
+		if errors.Is(err, kingcuphook.ErrOutcomeUnknown) {
+			return fmt.Errorf("it is not known whether edit %s was accepted; ask with history, or repeat with --edit-id %s: %w", opts.EditID, opts.EditID, err)
+		}
+		return err
+	}
+	fmt.Printf("revision %d, edit %s\n", applied.Revision, applied.EditID)
+	if !opts.Wait {
+		return nil
+	}
+	return c.waitInForce(applied.Revision, opts.Timeout)
+}
+
+func readInput(file string) (string, error) {
+	if file == "-" {
+		text, err := io.ReadAll(os.Stdin)
+		return string(text), err
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return "", &kingcuphook.InputError{File: file, Reason: err.Error(), Err: kingcuphook.ErrInvalid}
+	}
+	return string(text), nil
+}
+
+// waitInForce waits until every region that the router knows has the revision.
+func (c *client) waitInForce(revision int64, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	begun := time.Now()
+	for {
+		s, err := c.queries.Status(ctx, &queries.StatusPayload{Token: &c.token})
+		if err != nil {
+			return explainError(err, false)
+		}
+		behind := regionsBehind(s, revision)
+		if len(behind) == 0 {
+			fmt.Printf("in force in every region after %s\n", time.Since(begun).Round(time.Millisecond))
+			return nil
+		}
+		select {
+		case <-time.After(waitInterval):
+		case <-ctx.Done():
+			return fmt.Errorf("accepted, but not yet reported by %s: %w", strings.Join(behind, ", "), kingcuphook.ErrUnavailable)
+		}
+	}
+}
+
+// regionsBehind returns the regions in which some router has an older revision.
+func regionsBehind(s *queries.StatusReport, revision int64) []string {
+	var behind []string
+	seen := make(map[string]bool)
+	note := func(region string, in int64) {
+		if in < revision && !seen[region] {
+			seen[region] = true
+			behind = append(behind, region)
+		}
+	}
+	note(s.Region, s.Revision)
+	for _, m := range s.Members {
+		if m.State == "alive" {
+			note(m.Region, m.Revision)
+		}
+	}
+	return behind
+}
+
+type historyCommand struct {
+	Limit int `short:"n" long:"limit" default:"20" description:"Most entries to show"`
+
+	table string
+}
+
+// Execute implements flags.Commander.
+func (c *historyCommand) Execute([]string) error {
+	cl, err := newClient()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := bounded()
+	defer cancel()
+	table := queries.TableName(c.table)
+	changes, err := cl.queries.History(ctx, &queries.HistoryPayload{Token: &cl.token, Table: &table, Limit: c.Limit})
+	if err != nil {
+		return explainError(err, false)
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "REVISION\tTIME\tAUTHOR\tOUTCOME\tEDIT\tROWS")
+	for _, ch := range changes {
+		fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%s\t%s\n", ch.Revision, ch.Time, ch.Author, outcomeText(ch), ch.EditID, rowNames(ch.Rows))
+	}
+	return w.Flush()
+}
+
+func outcomeText(ch *queries.Change) string {
+	if ch.Reason == nil || *ch.Reason == "" {
+		return ch.Outcome
+	}
+	return ch.Outcome + ": " + *ch.Reason
+}
+
+func rowNames(rows []*queries.Row) string {
+	names := make([]string, 0, len(rows))
+	for _, r := range rows {
+		names = append(names, string(r.Table)+"/"+r.Name)
+	}
+	return strings.Join(names, " ")
+}
+
+type diffCommand struct {
+	From int64 `long:"from" required:"yes" description:"Older revision"`
+	To   int64 `long:"to" description:"Newer revision; the one in force if left out"`
+
+	table string
+}
+
+// Execute implements flags.Commander.
+func (c *diffCommand) Execute([]string) error {
+	cl, err := newClient()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := bounded()
+	defer cancel()
+	rows, err := cl.queries.Diff(ctx, &queries.DiffPayload{Token: &cl.token, From: c.From, To: &c.To})
+	if err != nil {
+		return explainError(err, false)
+	}
+	for _, r := range rows {
+		if string(r.Table) == c.table {
+			printRow(r)
+		}
+	}
+	return nil
+}
+
+func printRow(r *queries.Row) {
+	fmt.Printf("%s %s\n", r.Table, r.Name)
+	printPrefixed("- ", r.Before)
+	printPrefixed("+ ", r.After)
+}
+
+func printPrefixed(prefix string, text *string) {
+	if text == nil {
+		return
+	}
+	for line := range strings.Lines(strings.TrimSpace(*text)) {
+		fmt.Print(prefix + line)
+	}
+	if *text != "" {
+		fmt.Println()
+	}
+}
+
+type rollbackCommand struct {
+	Args struct {
+		Revision int64 `positional-arg-name:"REVISION" description:"Revision to restore"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *rollbackCommand) Execute([]string) error {
+	cl, err := newClient()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := bounded()
+	defer cancel()
+	applied, err := cl.commands.Rollback(ctx, &commands.RollbackPayload{Token: &cl.token, Revision: c.Args.Revision, Author: global.Author})
+	if err != nil {
+		return explainError(err, true)
+	}
+	fmt.Printf("revision %d, edit %s\n", applied.Revision, applied.EditID)
+	return nil
+}
--- /dev/null
+++ b/commander/commander.go
@@ -0,0 +1,150 @@
+// Package commander carries out the commands of operators: edits of the tables
+// and lifting quarantines.
+package commander
+
+import (
+	"context"
+	"crypto/subtle"
+	"errors"
+	"strconv"
+
+	"goa.design/goa/v3/security"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/editor"
+	"github.com/kingcuphook/kingcuphook/gen/commands"
+	"github.com/kingcuphook/kingcuphook/logger"
+	"github.com/kingcuphook/kingcuphook/parser"
+)
+
+// Names of the errors of the operators' API.
+const (
+	nameInvalid      = "invalid"
+	nameConflict     = "conflict"
+	nameUnavailable  = "unavailable"
+	nameUnknown      = "unknown"
+	nameUnauthorized = "unauthorized"
+	nameNotFound     = "not-found"
+)
+
+const (
+	hexBase  = 16
+	wordBits = 64
+)
+
+// Lifter lifts the quarantine of a request body.
+type Lifter interface {
+	// Lift reports whether the fingerprint was known.
+	Lift(fingerprint uint64) bool
+}
+
+// Commander implements the commands of the operators' API. Its fields are set
+// before use.
+type Commander struct {
+	// Editor applies edits; never nil.
+	Editor *editor.Editor
+	// Lifter lifts quarantines; nil knows none.
+	Lifter Lifter
+	// Token is what callers must show; never empty.
+	Token string
+	// Log takes events; nil means none.
+	Log *logger.Logger
+}
+
+var _ commands.Service = (*Commander)(nil)
+
+// APIKeyAuth implements the check of the token for commands.
+func (c *Commander) APIKeyAuth(ctx context.Context, key string, _ *security.APIKeyScheme) (context.Context, error) {
+	if !SameToken(key, c.Token) {
+		return ctx, &commands.Problem{Name: nameUnauthorized, Message: "the token is missing or wrong"}
+	}
+	return ctx, nil
+}
+
+// SameToken compares tokens in a time that does not depend on where they differ.
+func SameToken(given, want string) bool {
+	return subtle.ConstantTimeCompare([]byte(given), []byte(want)) == 1
+}
+
+// Apply implements commands.Service.
+func (c *Commander) Apply(ctx context.Context, p *commands.ApplyPayload) (*commands.Applied, error) {
+	edit := editor.Edit{Author: p.Author, Base: editor.BaseNewest}
+	if p.EditID != nil {
+		edit.ID = *p.EditID
+	}
+	if p.BaseRevision != nil && *p.BaseRevision > 0 {
+		edit.Base = *p.BaseRevision
+	}
+	if err := parse(&edit, string(p.Table), p.Text); err != nil {
+		return nil, c.refused(err, edit)
+	}
+	result, err := c.Editor.Apply(ctx, edit)
+	if err != nil {
+		return nil, c.refused(err, edit)
+	}
+	c.Log.Log(logger.EditAccepted, "edit", result.EditID, "author", edit.Author, "table", string(p.Table),
+		"revision", result.Revision, "rows", result.Rows)
+	return &commands.Applied{Revision: result.Revision, EditID: result.EditID}, nil
+}
+
+func parse(edit *editor.Edit, table, text string) error {
+	var err error
+	if table == "routes" {
+		edit.Routes, err = parser.ParseRoutes(table, []byte(text))
+		return err
+	}
+	edit.Pools, err = parser.ParsePools(table, []byte(text))
+	return err
+}
+
+// Rollback implements commands.Service.
+func (c *Commander) Rollback(context.Context, *commands.RollbackPayload) (*commands.Applied, error) {
+	return nil, &commands.Problem{Name: nameNotFound, Message: "rollback is not available"}
+}
+
+// Lift implements commands.Service.
+func (c *Commander) Lift(_ context.Context, p *commands.LiftPayload) error {
+	fingerprint, err := strconv.ParseUint(p.Fingerprint, hexBase, wordBits)
+	if err != nil {
+		return &commands.Problem{Name: nameInvalid, Message: "the fingerprint is not a hexadecimal number"}
+	}
+	if c.Lifter == nil || !c.Lifter.Lift(fingerprint) {
+		return &commands.Problem{Name: nameNotFound, Message: "this fingerprint is not in quarantine"}
+	}
+	c.Log.Log(logger.QuarantineLifted, "fingerprint", p.Fingerprint)
+	return nil
+}
+
+// refused logs a refused edit and returns the API's error for it.
+func (c *Commander) refused(err error, edit editor.Edit) error {
+	p := problemOf(err)
+	if p.EditID == nil && edit.ID != "" {
+		p.EditID = &edit.ID
+	}
+	c.Log.Log(logger.EditRefused, "edit", edit.ID, "author", edit.Author, "problem", p.Name, "error", err)
+	return p
+}
+
+func problemOf(err error) *commands.Problem {
+	p := &commands.Problem{Name: nameUnavailable, Message: err.Error()}
+	var input *kingcuphook.InputError
+	var unknown *editor.UnknownError
+	switch {
+	case errors.As(err, &input):
+		p.Name = nameInvalid
+		p.File = &input.File
+		p.Line = &input.Line
+	case errors.As(err, &unknown):
+		p.Name = nameUnknown
+		p.EditID = &unknown.EditID
+	case errors.Is(err, kingcuphook.ErrInvalid), errors.Is(err, kingcuphook.ErrTooLarge):
+		p.Name = nameInvalid
+	case errors.Is(err, kingcuphook.ErrConflict), errors.Is(err, kingcuphook.ErrCompacted):
+		p.Name = nameConflict
+	case errors.Is(err, kingcuphook.ErrOutcomeUnknown):
+		p.Name = nameUnknown
+	case errors.Is(err, kingcuphook.ErrNotFound):
+		p.Name = nameNotFound
+	}
+	return p
+}
--- a/logger/events.go
+++ b/logger/events.go
@@ -37,6 +37,7 @@
 	StoreAvailable   = Event{1105, LevelInfo, "the store can be reached again"}
 	EditAccepted     = Event{1106, LevelInfo, "edit of the tables accepted"}
 	EditRefused      = Event{1107, LevelWarn, "edit of the tables refused"}
+	TablesForked     = Event{1108, LevelError, "tables in force do not descend from those before"}
 	RequestFailed    = Event{1201, LevelInfo, "request failed"}
 	RequestPanicked  = Event{1202, LevelError, "request handler panicked"}
 	UpstreamFailed   = Event{1301, LevelWarn, "attempt failed on an upstream"}
@@ -56,7 +57,7 @@
 func Catalogue() []Event {
 	return []Event{
 		Started, Ready, Stopping, Stopped, ListenFailed, CertificateRead, CertificateBad,
-		TablesInForce, TablesBad, TablesOlder, StoreUnavailable, StoreAvailable, EditAccepted, EditRefused,
+		TablesInForce, TablesBad, TablesOlder, StoreUnavailable, StoreAvailable, EditAccepted, EditRefused, TablesForked,
 		RequestFailed, RequestPanicked,
 		UpstreamFailed, UpstreamLeaving,
 		PeerFailed, PeerJoined, PeerLeft,
--- /dev/null
+++ b/reporter/reporter.go
@@ -0,0 +1,175 @@
+// Package reporter answers the questions of operators: the tables, their
+// history, the state of the router and the paths of requests.
+package reporter
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"goa.design/goa/v3/security"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/commander"
+	"github.com/kingcuphook/kingcuphook/encoder"
+	"github.com/kingcuphook/kingcuphook/gen/queries"
+	"github.com/kingcuphook/kingcuphook/recorder"
+)
+
+// Names of the errors of the operators' API.
+const (
+	nameUnauthorized = "unauthorized"
+	nameNotFound     = "not-found"
+)
+
+// Source is what the reporter reads from.
+type Source interface {
+	// Tables returns the tables in force; never nil.
+	Tables() *kingcuphook.Tables
+	// Status returns the state of the router.
+	Status() *queries.StatusReport
+	// Quarantine returns the request bodies that are suspect or refused.
+	Quarantine() []*queries.Quarantined
+	// Explain returns the candidates that a request would have now.
+	Explain(r *kingcuphook.Request) []kingcuphook.Candidate
+}
+
+// Reporter implements the queries of the operators' API. Its fields are set
+// before use.
+type Reporter struct {
+	// Source is what is read; never nil.
+	Source Source
+	// Recorder keeps the paths of requests; never nil.
+	Recorder *recorder.Recorder
+	// Token is what callers must show; never empty.
+	Token string
+}
+
+var _ queries.Service = (*Reporter)(nil)
+
+// APIKeyAuth implements the check of the token for queries.
+func (p *Reporter) APIKeyAuth(ctx context.Context, key string, _ *security.APIKeyScheme) (context.Context, error) {
+	if !commander.SameToken(key, p.Token) {
+		return ctx, &queries.Problem{Name: nameUnauthorized, Message: "the token is missing or wrong"}
+	}
+	return ctx, nil
+}
+
+// Table implements queries.Service.
+func (p *Reporter) Table(_ context.Context, q *queries.TablePayload) (*queries.TableResult, error) {
+	t := p.Source.Tables()
+	text, err := tableText(t, string(q.Table))
+	if err != nil {
+		return nil, err
+	}
+	return &queries.TableResult{Revision: t.Revision(), Text: string(text)}, nil
+}
+
+func tableText(t *kingcuphook.Tables, table string) ([]byte, error) {
+	if table == "routes" {
+		return encoder.RoutesTOML(t.Routes())
+	}
+	return encoder.PoolsTOML(t.Pools())
+}
+
+// History implements queries.Service.
+func (p *Reporter) History(context.Context, *queries.HistoryPayload) ([]*queries.Change, error) {
+	return nil, &queries.Problem{Name: nameNotFound, Message: "history is not available"}
+}
+
+// Diff implements queries.Service.
+func (p *Reporter) Diff(context.Context, *queries.DiffPayload) ([]*queries.Row, error) {
+	return nil, &queries.Problem{Name: nameNotFound, Message: "diff is not available"}
+}
+
+// Status implements queries.Service.
+func (p *Reporter) Status(context.Context, *queries.StatusPayload) (*queries.StatusReport, error) {
+	return p.Source.Status(), nil
+}
+
+// Quarantine implements queries.Service.
+func (p *Reporter) Quarantine(context.Context, *queries.QuarantinePayload) ([]*queries.Quarantined, error) {
+	return p.Source.Quarantine(), nil
+}
+
+// Explain implements queries.Service.
+func (p *Reporter) Explain(_ context.Context, q *queries.ExplainPayload) (*queries.Explanation, error) {
+	t, ok := p.Recorder.Trace(q.RequestID)
+	if !ok {
+		return nil, &queries.Problem{
+			Name:    nameNotFound,
+			Message: "this router does not know the request; it keeps the most recent ones only, so ask the router that served it",
+		}
+	}
+	r := t.Request()
+	e := &queries.Explanation{
+		RequestID:    r.ID(),
+		Class:        r.Class(),
+		Organisation: r.Organisation(),
+		Tier:         int(r.Tier()),
+		Route:        t.Route(),
+		Pool:         r.Pool(),
+		Outcome:      t.Outcome(),
+		Steps:        []*queries.Step{},
+	}
+	for _, s := range t.Steps() {
+		e.Steps = append(e.Steps, newStep(s))
+	}
+	if t.Outcome() == "" {
+		e.Steps = append(e.Steps, p.candidates(r)...)
+	}
+	return e, nil
+}
+
+func newStep(s recorder.Step) *queries.Step {
+	step := &queries.Step{AtMs: milliseconds(s.At), Name: string(s.Kind)}
+	if s.Upstream != "" {
+		step.Upstream = &s.Upstream
+	}
+	if d := detail(s); d != "" {
+		step.Detail = &d
+	}
+	return step
+}
+
+func detail(s recorder.Step) string {
+	var parts []string
+	if s.Predicted > 0 {
+		parts = append(parts, fmt.Sprintf("predicted first token after %s", s.Predicted.Round(time.Millisecond)))
+	}
+	if s.Uncached > 0 {
+		parts = append(parts, fmt.Sprintf("%d prompt tokens not cached", s.Uncached))
+	}
+	if s.Tokens > 0 {
+		parts = append(parts, fmt.Sprintf("%d tokens", s.Tokens))
+	}
+	if s.Err != nil {
+		parts = append(parts, s.Err.Error())
+	}
+	return strings.Join(parts, "; ")
+}
+
+// candidates returns the upstreams that a waiting request would be sent to now.
+func (p *Reporter) candidates(r *kingcuphook.Request) []*queries.Step {
+	found := p.Source.Explain(r)
+	steps := make([]*queries.Step, 0, len(found))
+	for _, c := range found {
+		text := fmt.Sprintf("predicted first token after %s; %d prompt tokens cached", c.Predicted.Round(time.Millisecond), c.CachedTokens)
+		if c.Refused != "" {
+			text += "; refused: " + c.Refused
+		}
+		address := c.Upstream
+		steps = append(steps, &queries.Step{
+			AtMs:     milliseconds(time.Since(r.Arrived())),
+			Name:     "candidate",
+			Upstream: &address,
+			Detail:   &text,
+		})
+	}
+	return steps
+}
+
+func milliseconds(d time.Duration) float64 {
+	return float64(d) / float64(time.Millisecond)
+}
--- /dev/null
+++ b/router/control.go
@@ -0,0 +1,360 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/differ"
+	"github.com/kingcuphook/kingcuphook/exchanger"
+	"github.com/kingcuphook/kingcuphook/follower"
+	"github.com/kingcuphook/kingcuphook/gossiper"
+	"github.com/kingcuphook/kingcuphook/logger"
+	"github.com/kingcuphook/kingcuphook/poller"
+)
+
+const (
+	// tickInterval is how often the control loop looks at the clock.
+	tickInterval = 100 * time.Millisecond
+	// vmListInterval is how often the list of VMs is read by a small fleet; a
+	// larger one reads it less often, so that its reads stay at vmListRate a
+	// second.
+	vmListInterval = 2 * time.Second
+	vmListRate     = 100
+	// vmListTimeout and questionTimeout bound one call.
+	vmListTimeout   = 5 * time.Second
+	questionTimeout = 2 * time.Second
+	// inboxSize bounds the events that wait for the control loop.
+	inboxSize = 256
+)
+
+// control is the control loop. Its state belongs to one goroutine; all others
+// send it events or read the view that it publishes.
+type control struct {
+	router *Router
+	rand   *rand.Rand
+	// inbox takes the events. Traffic never waits for it.
+	inbox chan func(now time.Time)
+	// done is closed when the loop ends.
+	done chan struct{}
+
+	gossip *gossiper.Gossiper
+	poll   *poller.Poller
+	// upstreams are those of the tables in force, by address.
+	upstreams map[string]*kingcuphook.Upstream
+	// sequences has the last cache event taken from each upstream.
+	sequences map[string]int64
+	// leaving has the upstreams that the list of VMs calls leaving.
+	leaving map[string]bool
+	reports map[string]kingcuphook.LoadReport
+	// revision is that of the tables handed to the schedulers.
+	revision int64
+	// pulling is set while tables are being pulled from a peer.
+	pulling  bool
+	nextList time.Time
+
+	// view is what others may read; it is replaced, never changed.
+	view atomic.Pointer[view]
+}
+
+// view is a copy of the control state.
+type view struct {
+	members []gossiper.Member
+	routers []follower.Router
+	reports map[string]kingcuphook.LoadReport
+}
+
+func newControl(r *Router) *control {
+	c := &control{
+		router: r,
+		rand:   r.newRand(),
+		inbox:  make(chan func(time.Time), inboxSize),
+		done:   make(chan struct{}),
+		gossip: &gossiper.Gossiper{
+			Address:     r.PeersAddress(),
+			Location:    gossiper.Location{Region: r.Settings.Node.Region, DataCentre: r.Settings.Node.DataCentre},
+			Incarnation: uint64(time.Now().Unix()),
+			Rand:        r.newRand(),
+		},
+		poll:      &poller.Poller{},
+		upstreams: make(map[string]*kingcuphook.Upstream),
+		sequences: make(map[string]int64),
+		leaving:   make(map[string]bool),
+		reports:   make(map[string]kingcuphook.LoadReport),
+	}
+	c.gossip.Changes = c.changes
+	c.view.Store(&view{})
+	return c
+}
+
+// run is the control loop.
+func (c *control) run(ctx context.Context) {
+	defer close(c.done)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case event := <-c.inbox:
+			event(time.Now())
+		case now := <-ticker.C:
+			c.tick(ctx, now)
+		}
+	}
+}
+
+// send queues an event. It reports false if the loop has ended or is behind; the
+// event is then lost, as any message may be.
+func (c *control) send(event func(now time.Time)) bool {
+	select {
+	case <-c.done:
+		return false
+	default:
+	}
+	select {
+	case c.inbox <- event:
+		return true
+	default:
+		return false
+	}
+}
+
+func (c *control) tick(ctx context.Context, now time.Time) {
+	c.takeTables(now)
+	c.listVMs(ctx, now)
+	c.exchange(ctx, now)
+	c.ask(ctx, now)
+	c.publish(now)
+}
+
+// takeTables hands the tables in force to the schedulers and to the peers.
+func (c *control) takeTables(now time.Time) {
+	s := c.router.follower.Current()
+	if s.Revision() == c.revision {
+		return
+	}
+	c.revision = s.Revision()
+	c.router.allocator.Update(s.Tables())
+	c.router.allocator.SetRouters(max(c.gossip.Count(now), 1))
+	c.gossip.SetRevision(now, s.Revision(), "")
+	c.takeUpstreams(s.Tables())
+	if !c.router.stopping.Load() && c.router.ready.CompareAndSwap(false, true) {
+		c.router.Log.Log(logger.Ready, "revision", s.Revision())
+	}
+}
+
+func (c *control) takeUpstreams(t *kingcuphook.Tables) {
+	c.upstreams = make(map[string]*kingcuphook.Upstream)
+	var addresses []string
+	for _, p := range t.Pools() {
+		for _, u := range p.Upstreams() {
+			if c.upstreams[u.Address()] == nil {
+				addresses = append(addresses, u.Address())
+			}
+			c.upstreams[u.Address()] = u
+		}
+	}
+	c.poll.Update(addresses)
+	for a := range c.reports {
+		if c.upstreams[a] == nil {
+			delete(c.reports, a)
+			delete(c.sequences, a)
+		}
+	}
+}
+
+// listVMs reads the platform's list now and then.
+func (c *control) listVMs(ctx context.Context, now time.Time) {
+	if now.Before(c.nextList) {
+		return
+	}
+	interval := max(vmListInterval, time.Duration(c.gossip.Count(now))*time.Second/vmListRate)
+	c.nextList = now.Add(interval/2 + time.Duration(c.rand.Int64N(int64(interval))))
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, vmListTimeout)
+		defer cancel()
+		vms, err := c.router.platform.VMs(ctx)
+		if err != nil {
+			return
+		}
+		c.send(func(now time.Time) { c.takeVMs(now, vms) })
+	}()
+}
+
+// takeVMs splits the list into routers and upstreams.
+func (c *control) takeVMs(now time.Time, vms []kingcuphook.VM) {
+	var routers []kingcuphook.VM
+	left := c.leaving
+	c.leaving = make(map[string]bool)
+	for _, vm := range vms {
+		u := c.upstreams[vm.Address()]
+		if u == nil {
+			routers = append(routers, vm)
+			continue
+		}
+		if vm.State() == kingcuphook.VMStateLeaving {
+			c.leaving[vm.Address()] = true
+		}
+	}
+	c.gossip.SetHints(now, routers)
+	for a := range c.leaving {
+		if !left[a] {
+			c.router.Log.Log(logger.UpstreamLeaving, "upstream", a, "source", "vm-list")
+			c.takeReport(now, c.reportOf(a, now))
+		}
+	}
+	for a := range left {
+		if !c.leaving[a] && c.upstreams[a] != nil {
+			c.takeReport(now, c.reportOf(a, now))
+		}
+	}
+}
+
+// reportOf returns the last report of an upstream, or an empty one.
+func (c *control) reportOf(address string, now time.Time) kingcuphook.LoadReport {
+	if l, ok := c.reports[address]; ok {
+		return l
+	}
+	return kingcuphook.NewLoadReport(kingcuphook.LoadReportFields{Upstream: address, Made: now})
+}
+
+// reported takes a report that came with an answer.
+func (c *control) reported(l kingcuphook.LoadReport) {
+	c.send(func(now time.Time) {
+		c.poll.Heard(now, l.Upstream())
+		c.takeReport(now, l)
+	})
+}
+
+// takeReport hands a report to the schedulers. An upstream that the list of VMs
+// calls leaving is leaving whatever it says itself.
+func (c *control) takeReport(_ time.Time, l kingcuphook.LoadReport) {
+	if old, ok := c.reports[l.Upstream()]; ok && old.Made().After(l.Made()) {
+		return
+	}
+	c.reports[l.Upstream()] = l
+	if c.leaving[l.Upstream()] && !l.Leaving() {
+		l = kingcuphook.NewLoadReport(kingcuphook.LoadReportFields{
+			Upstream:     l.Upstream(),
+			Made:         l.Made(),
+			Running:      l.Running(),
+			Queued:       l.Queued(),
+			QueuedTokens: l.QueuedTokens(),
+			CachedTokens: l.CachedTokens(),
+			Leaving:      true,
+		})
+	}
+	c.router.allocator.Report(l)
+}
+
+// ask asks the upstreams that are due for their load and cache events.
+func (c *control) ask(ctx context.Context, now time.Time) {
+	for _, address := range c.poll.Next(now) {
+		u := c.upstreams[address]
+		after := c.sequences[address]
+		go c.askOne(ctx, u, after)
+	}
+}
+
+func (c *control) askOne(ctx context.Context, u *kingcuphook.Upstream, after int64) {
+	ctx, cancel := context.WithTimeout(ctx, questionTimeout)
+	defer cancel()
+	l, err := c.router.upstreams.Load(ctx, u)
+	if err != nil {
+		return
+	}
+	c.send(func(now time.Time) { c.takeReport(now, l) })
+	if u.Kind() != kingcuphook.UpstreamKindEngine {
+		return
+	}
+	events, err := c.router.upstreams.Events(ctx, u, after)
+	if err != nil || len(events) == 0 {
+		return
+	}
+	c.send(func(time.Time) { c.takeEvents(u.Address(), events) })
+}
+
+func (c *control) takeEvents(address string, events []kingcuphook.CacheEvent) {
+	for _, e := range events {
+		if e.Sequence() <= c.sequences[address] {
+			continue
+		}
+		c.sequences[address] = e.Sequence()
+		c.router.allocator.Cached(e)
+	}
+}
+
+// publish makes the control state readable for others.
+func (c *control) publish(now time.Time) {
+	members := c.gossip.Members(now)
+	v := &view{
+		members: members,
+		routers: make([]follower.Router, 0, len(members)),
+		reports: make(map[string]kingcuphook.LoadReport, len(c.reports)),
+	}
+	for _, m := range members {
+		v.routers = append(v.routers, follower.Router{Address: m.Address(), DataCentre: m.DataCentre()})
+	}
+	for a, l := range c.reports {
+		v.reports[a] = l
+	}
+	c.view.Store(v)
+}
+
+// routers returns the routers thought to be alive.
+func (c *control) routers() []follower.Router { return c.view.Load().routers }
+
+// inForce returns the newest state of the tables known here and whether every
+// region was asked for a newer one.
+func (c *control) inForce() (*differ.Snapshot, bool) {
+	return c.router.follower.Current(), false
+}
+
+// tablesEvent logs what happens to the tables.
+func (c *control) tablesEvent(e follower.Event) {
+	log := c.router.Log
+	switch e.Kind {
+	case follower.EventApplied:
+		log.Log(logger.TablesInForce, "revision", e.InForce, "source", e.Source)
+	case follower.EventForked:
+		log.Log(logger.TablesForked, "revision", e.InForce, "source", e.Source)
+	case follower.EventStoreOlder:
+		log.Log(logger.TablesOlder, "in-force", e.InForce, "store", e.Seen)
+	case follower.EventRefused:
+		log.Log(logger.TablesBad, "in-force", e.InForce, "source", e.Source, "error", e.Err)
+	case follower.EventStoreFailed:
+		log.Log(logger.StoreUnavailable, "error", e.Err)
+	case follower.EventStoreBack:
+		log.Log(logger.StoreAvailable)
+	}
+	c.send(c.takeTables)
+}
+
+// leave tells the peers that this router stops.
+func (c *control) leave() {
+	c.send(func(now time.Time) { c.gossip.Leave(now) })
+}
+
+var errBehind = errors.New("router: the control loop is behind")
+
+// call runs f in the control loop and waits for its end.
+func (c *control) call(ctx context.Context, f func(now time.Time)) error {
+	ran := make(chan struct{})
+	if !c.send(func(now time.Time) { f(now); close(ran) }) {
+		return errBehind
+	}
+	select {
+	case <-ran:
+		return nil
+	case <-c.done:
+		return errBehind
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+var _ exchanger.Handler = (*control)(nil)
--- /dev/null
+++ b/router/operators.go
@@ -0,0 +1,88 @@
+package router
+
+import (
+	"net/http"
+	"time"
+
+	goahttp "goa.design/goa/v3/http"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/commander"
+	"github.com/kingcuphook/kingcuphook/gen/commands"
+	commandsserver "github.com/kingcuphook/kingcuphook/gen/http/commands/server"
+	queriesserver "github.com/kingcuphook/kingcuphook/gen/http/queries/server"
+	"github.com/kingcuphook/kingcuphook/gen/queries"
+	"github.com/kingcuphook/kingcuphook/reporter"
+)
+
+// maxOperatorBodyBytes bounds the body of a call of an operator.
+const maxOperatorBodyBytes = 32 << 20
+
+// operatorsHandler serves the operators' API.
+func (r *Router) operatorsHandler() http.Handler {
+	token := r.Settings.Operators.Token
+	commandEnds := commands.NewEndpoints(&commander.Commander{Editor: r.editor, Token: token, Log: r.Log})
+	queryEnds := queries.NewEndpoints(&reporter.Reporter{Source: r, Recorder: r.recorder, Token: token})
+	mux := goahttp.NewMuxer()
+	dec, enc := goahttp.RequestDecoder, goahttp.ResponseEncoder
+	commandsserver.Mount(mux, commandsserver.New(commandEnds, mux, dec, enc, nil, nil))
+	queriesserver.Mount(mux, queriesserver.New(queryEnds, mux, dec, enc, nil, nil))
+	return http.MaxBytesHandler(mux, maxOperatorBodyBytes)
+}
+
+// Tables implements reporter.Source.
+func (r *Router) Tables() *kingcuphook.Tables { return r.follower.Tables() }
+
+// Explain implements reporter.Source.
+func (r *Router) Explain(req *kingcuphook.Request) []kingcuphook.Candidate {
+	return r.allocator.Explain(req)
+}
+
+// Quarantine implements reporter.Source.
+func (r *Router) Quarantine() []*queries.Quarantined { return []*queries.Quarantined{} }
+
+// Status implements reporter.Source.
+func (r *Router) Status() *queries.StatusReport {
+	v := r.control.view.Load()
+	tables := r.follower.Tables()
+	s := &queries.StatusReport{
+		Address:      r.PeersAddress(),
+		Region:       r.Settings.Node.Region,
+		DataCentre:   r.Settings.Node.DataCentre,
+		Ready:        r.Ready(),
+		Revision:     tables.Revision(),
+		OpenRequests: r.server.Open(),
+		Store:        "available",
+	}
+	if r.follower.StoreFailing() {
+		s.Store = "unavailable"
+	}
+	for _, m := range v.members {
+		s.Members = append(s.Members, &queries.Member{
+			Address:    m.Address(),
+			Region:     m.Region(),
+			DataCentre: m.DataCentre(),
+			State:      string(m.State()),
+		})
+	}
+	for _, p := range tables.Pools() {
+		s.Pools = append(s.Pools, &queries.PoolStatus{Name: p.Name(), Waiting: r.allocator.Waiting(p.Name())})
+		for _, u := range p.Upstreams() {
+			s.Upstreams = append(s.Upstreams, upstreamStatus(p, u, v.reports))
+		}
+	}
+	return s
+}
+
+func upstreamStatus(p *kingcuphook.Pool, u *kingcuphook.Upstream, reports map[string]kingcuphook.LoadReport) *queries.UpstreamStatus {
+	s := &queries.UpstreamStatus{Pool: p.Name(), Address: u.Address(), Region: u.Region()}
+	leaving := u.Leaving()
+	if l, ok := reports[u.Address()]; ok {
+		running, queued := l.Running(), l.Queued()
+		age := time.Since(l.Made()).Seconds()
+		leaving = leaving || l.Leaving()
+		s.Running, s.Queued, s.ReportAgeSeconds = &running, &queued, &age
+	}
+	s.Leaving = &leaving
+	return s
+}
--- /dev/null
+++ b/router/peers.go
@@ -0,0 +1,134 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/exchanger"
+	"github.com/kingcuphook/kingcuphook/gossiper"
+	"github.com/kingcuphook/kingcuphook/logger"
+)
+
+// pullTimeout bounds a pull of the tables.
+const pullTimeout = 10 * time.Second
+
+// exchange begins the exchanges that are due.
+func (c *control) exchange(ctx context.Context, now time.Time) {
+	for _, address := range c.gossip.Poll(now) {
+		payload, err := exchanger.Encode(c.gossip.Request(now, address))
+		if err != nil {
+			c.router.Log.Log(logger.PeerFailed, "peer", address, "error", err)
+			continue
+		}
+		go c.exchangeOne(ctx, address, payload)
+	}
+}
+
+func (c *control) exchangeOne(ctx context.Context, address string, payload []byte) {
+	answer, err := c.router.links.Exchange(ctx, address, payload)
+	if err != nil {
+		c.router.Log.Log(logger.PeerFailed, "peer", address, "error", err)
+		c.send(func(now time.Time) { c.gossip.Failed(now, address) })
+		return
+	}
+	d, err := exchanger.Decode(answer)
+	if err != nil {
+		c.router.Log.Log(logger.PeerFailed, "peer", address, "error", err)
+		return
+	}
+	c.send(func(now time.Time) { c.merge(ctx, now, d) })
+}
+
+// Exchange implements exchanger.Handler.
+func (c *control) Exchange(ctx context.Context, payload []byte) ([]byte, error) {
+	d, err := exchanger.Decode(payload)
+	if err != nil {
+		return nil, err
+	}
+	var reply *gossiper.Digest
+	err = c.call(ctx, func(now time.Time) {
+		c.merge(ctx, now, d)
+		reply = c.gossip.Reply(now, d)
+	})
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", kingcuphook.ErrUnavailable, err)
+	}
+	return exchanger.Encode(reply)
+}
+
+// Pull implements exchanger.Handler.
+func (c *control) Pull(_ context.Context, revision int64) ([]byte, error) {
+	payload, err := c.router.follower.Update(revision)
+	if err != nil {
+		return nil, err
+	}
+	if payload == nil {
+		return nil, fmt.Errorf("router: nothing newer than revision %d: %w", revision, kingcuphook.ErrNotFound)
+	}
+	return payload, nil
+}
+
+// changes returns the encoded changes after a revision, for a digest.
+func (c *control) changes(after int64, limit int) []byte {
+	payload, err := c.router.follower.Update(after)
+	if err != nil || len(payload) > limit {
+		return nil
+	}
+	return payload
+}
+
+// merge takes a peer's digest, and its tables if they are newer.
+func (c *control) merge(ctx context.Context, now time.Time, d *gossiper.Digest) {
+	peer := d.Sender.Address
+	behind, err := c.gossip.Merge(now, d)
+	if err != nil {
+		c.router.Log.Log(logger.PeerFailed, "peer", peer, "error", err)
+		return
+	}
+	if !behind {
+		return
+	}
+	if len(d.Changes) > 0 && d.ChangesAfter <= c.revision {
+		if c.router.follower.Offer(peer, d.Changes) == nil {
+			c.takeTables(now)
+			return
+		}
+	}
+	if c.pulling {
+		return
+	}
+	c.pulling = true
+	revision := c.revision
+	go func() {
+		c.pull(context.WithoutCancel(ctx), peer, revision)
+		c.send(func(now time.Time) {
+			c.pulling = false
+			c.takeTables(now)
+		})
+	}()
+}
+
+// pull brings the tables of a peer into force.
+func (c *control) pull(ctx context.Context, peer string, revision int64) {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	payload, err := c.router.links.Pull(ctx, peer, revision)
+	if errors.Is(err, kingcuphook.ErrNotFound) {
+		return
+	}
+	if err != nil {
+		c.router.Log.Log(logger.PeerFailed, "peer", peer, "error", err)
+		return
+	}
+	err = c.router.follower.Offer(peer, payload)
+	if errors.Is(err, kingcuphook.ErrConflict) && revision > 0 {
+		c.pull(ctx, peer, 0)
+		return
+	}
+	if err != nil {
+		c.router.Log.Log(logger.PeerFailed, "peer", peer, "error", err)
+	}
+}
--- a/router/router.go
+++ b/router/router.go
@@ -178,7 +178,7 @@
 }
 
 func (r *Router) close() {
-	r.links.Close()
+	_ = r.links.Close()
 	r.upstreams.Close()
 	_ = r.platform.Close()
 }
