--- /dev/null
+++ b/measurer/workload.go
@@ -0,0 +1,212 @@
+package measurer
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/hasher"
+)
+
+// poolName is the name of the only pool.
+const poolName = "runners"
+
+// epoch is the start of every run.
+var epoch = time.Unix(1_700_000_000, 0).UTC()
+
+// arrival is one request of the workload, before it reaches a router.
+type arrival struct {
+	at     time.Duration
+	fields kingcuphook.RequestFields
+	class  int
+	router int
+	// length is the number of tokens of the answer.
+	length int
+	// unshared is the number of prompt tokens that no other prompt begins with.
+	unshared int
+}
+
+// generator makes the workload of one case and seed.
+type generator struct {
+	f    *file
+	c    *caseSpec
+	rand *rand.Rand
+	// rate is the number of requests a second at a load of 1.
+	rate float64
+	// organisations has the weight of each organisation; their sum is 1.
+	organisations []float64
+}
+
+func newGenerator(f *file, c *caseSpec, seed uint64) *generator {
+	g := &generator{f: f, c: c, rand: rand.New(rand.NewPCG(seed, 1)), rate: f.capacity()}
+	sum := 0.0
+	for n := range f.Organisations.Count {
+		weight := math.Pow(float64(n+1), -f.Organisations.Skew)
+		g.organisations = append(g.organisations, weight)
+		sum += weight
+	}
+	for n := range g.organisations {
+		g.organisations[n] /= sum
+	}
+	return g
+}
+
+// capacity returns the requests a second that all runners complete with full
+// batches and every shared prefix cached.
+func (f *file) capacity() float64 {
+	shares, work := 0.0, 0.0
+	for _, c := range f.Classes {
+		shares += c.Share
+		work += c.Share * f.work(c.QuestionTokens, c.AnswerTokens, f.Runner.Batch).Seconds()
+	}
+	return sum(f.Runner.Speeds) * shares / work
+}
+
+// work returns the engine time at speed 1 of a request in a batch of that size.
+func (f *file) work(prefill, answer, batch int) time.Duration {
+	r := f.Runner
+	each := r.StepBase.std()/time.Duration(batch) + r.StepSequence.std()
+	return time.Duration(prefill)*r.StepToken.std() + time.Duration(answer)*each
+}
+
+func sum(x []float64) float64 {
+	total := 0.0
+	for _, v := range x {
+		total += v
+	}
+	return total
+}
+
+// arrivals returns the workload in order of time.
+func (g *generator) arrivals() []arrival {
+	peak := g.c.Load
+	if g.c.Burst != nil {
+		peak = max(peak, g.c.Burst.Load)
+	}
+	if g.c.Loud != nil {
+		peak *= 1 + (g.c.Loud.Factor-1)*g.organisations[g.c.Loud.Organisation]
+	}
+	var all []arrival
+	at := 0.0
+	for {
+		at += g.rand.ExpFloat64() / (peak * g.rate)
+		now := time.Duration(at * float64(time.Second))
+		if now >= g.f.Horizon.std() {
+			return all
+		}
+		router := g.rand.IntN(g.f.Routers)
+		if g.rand.Float64()*peak < g.load(now, router) {
+			all = append(all, g.arrival(len(all), now, router))
+		}
+	}
+}
+
+// load returns the load that the callers of a router bring at a time.
+func (g *generator) load(at time.Duration, router int) float64 {
+	load := g.c.Load
+	b := g.c.Burst
+	if b != nil && within(at, b.From, b.To) && (b.Region == 0 || b.Region-1 == router%g.c.regions()) {
+		load = b.Load
+	}
+	if g.loud(at) {
+		load *= 1 + (g.c.Loud.Factor-1)*g.organisations[g.c.Loud.Organisation]
+	}
+	return load
+}
+
+func (g *generator) loud(at time.Duration) bool {
+	return g.c.Loud != nil && within(at, g.c.Loud.From, g.c.Loud.To)
+}
+
+func within(at time.Duration, from, to duration) bool {
+	return at >= from.std() && at < to.std()
+}
+
+func (c *caseSpec) regions() int { return max(c.Regions, 1) }
+
+func (g *generator) arrival(n int, at time.Duration, router int) arrival {
+	class := g.class()
+	spec := g.f.Classes[class]
+	organisation := g.organisation(at)
+	prefix, key := spec.PrefixTokens, uint64(organisation)<<16|uint64(class)
+	if g.c.HotPrefix != nil && g.rand.Float64() < g.c.HotPrefix.Share {
+		prefix, key = g.c.HotPrefix.Tokens, 1<<32
+	}
+	shared := prefix / hasher.BlockTokens
+	prompt := prefix + spec.QuestionTokens
+	fingerprint := g.rand.Uint64() | 1
+	region := regionName(router % g.c.regions())
+	return arrival{
+		at: at, class: class, router: router, length: g.length(spec), unshared: prompt - shared*hasher.BlockTokens,
+		fields: kingcuphook.RequestFields{
+			ID: fmt.Sprintf("r%d", n), Class: spec.Name, Organisation: fmt.Sprintf("org-%d", organisation),
+			Model: "m", Pool: poolName, Region: region, DataCentre: region, Tier: spec.Tier,
+			Arrived: epoch.Add(at), Target: spec.Target.std(), TokenTarget: spec.TokenTarget.std(),
+			Deadline: epoch.Add(at + spec.Deadline.std()), PromptTokens: prompt, Bytes: prompt * hasher.BytesPerToken,
+			Prefix: chain(key, fingerprint, shared, prompt/hasher.BlockTokens), Fingerprint: fingerprint, Stream: true,
+		},
+	}
+}
+
+func regionName(n int) string { return fmt.Sprintf("region-%d", n) }
+
+// chain returns block hashes of which the first shared ones depend on key only.
+func chain(key, fingerprint uint64, shared, blocks int) []uint64 {
+	hashes := make([]uint64, 0, blocks)
+	for i := range min(blocks, hasher.MaxBlocks) {
+		own := key
+		if i >= shared {
+			own = fingerprint
+		}
+		hashes = append(hashes, scramble(own<<8|uint64(i)))
+	}
+	return hashes
+}
+
+// scramble spreads the bits of x.
+func scramble(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+func (g *generator) class() int {
+	shares := make([]float64, 0, len(g.f.Classes))
+	for _, c := range g.f.Classes {
+		shares = append(shares, c.Share)
+	}
+	return g.draw(shares)
+}
+
+func (g *generator) organisation(at time.Duration) int {
+	if !g.loud(at) {
+		return g.draw(g.organisations)
+	}
+	weights := append([]float64(nil), g.organisations...)
+	weights[g.c.Loud.Organisation] *= g.c.Loud.Factor
+	return g.draw(weights)
+}
+
+// draw returns an index by weight.
+func (g *generator) draw(weights []float64) int {
+	at := g.rand.Float64() * sum(weights)
+	for i, weight := range weights {
+		if at < weight {
+			return i
+		}
+		at -= weight
+	}
+	return len(weights) - 1
+}
+
+// length draws a log-normal length with the mean of the class.
+func (g *generator) length(spec classSpec) int {
+	spread := spec.AnswerSpread
+	if g.c.AnswerSpread > 0 {
+		spread = g.c.AnswerSpread
+	}
+	mean := math.Log(float64(spec.AnswerTokens)) - spread*spread/2
+	return max(int(math.Exp(mean+spread*g.rand.NormFloat64())), 2)
+}
--- a/selector/score.go
+++ b/selector/score.go
@@ -51,11 +51,33 @@
 // Select chooses an upstream for a request. The choice has no upstream if none
 // can take the request now; the error says that none can take it at all.
 func (s *Selector) Select(now time.Time, r *kingcuphook.Request, excluded []string) (kingcuphook.Choice, error) {
+	return s.choose(&query{now: now, request: r, excluded: excluded})
+}
+
+// SelectUsable is Select among the upstreams that usable reports.
+func (s *Selector) SelectUsable(now time.Time, r *kingcuphook.Request, usable func(address string) bool) (kingcuphook.Choice, error) {
+	return s.choose(&query{now: now, request: r, usable: usable})
+}
+
+// query is one selection.
+type query struct {
+	now      time.Time
+	request  *kingcuphook.Request
+	excluded []string
+	// usable, if set, reports whether an upstream has a free slot.
+	usable func(address string) bool
+	// key is the rendezvous key, known the number of known blocks.
+	key   uint64
+	known int
+}
+
+func (s *Selector) choose(q *query) (kingcuphook.Choice, error) {
 	s.init()
+	r := q.request
 	if len(s.near.trackers)+len(s.region.trackers)+len(s.remote.trackers) == 0 {
 		return kingcuphook.Choice{}, fmt.Errorf("selector: pool %q: %w", r.Pool(), kingcuphook.ErrNoUpstream)
 	}
-	best := s.weigh(now, r, excluded)
+	best := s.weigh(q)
 	if best < 0 {
 		return kingcuphook.Choice{}, nil
 	}
@@ -71,7 +93,7 @@
 // Explain appends the candidates that Select would weigh to dst.
 func (s *Selector) Explain(now time.Time, r *kingcuphook.Request, dst []kingcuphook.Candidate) []kingcuphook.Candidate {
 	s.init()
-	s.weigh(now, r, nil)
+	s.weigh(&query{now: now, request: r})
 	for _, c := range s.scratch {
 		dst = append(dst, kingcuphook.Candidate{
 			Upstream:     c.tracker.upstream.Address(),
@@ -84,27 +106,28 @@
 }
 
 // weigh fills scratch with the candidates and returns the best one, or -1.
-func (s *Selector) weigh(now time.Time, r *kingcuphook.Request, excluded []string) int {
+func (s *Selector) weigh(q *query) int {
 	s.scratch = s.scratch[:0]
-	key, known := s.key(r)
-	best := s.weighGroup(now, r, excluded, &s.near, key, known)
+	r := q.request
+	q.key, q.known = s.key(r)
+	best := s.weighGroup(q, &s.near)
 	if best < 0 {
-		best = s.weighGroup(now, r, excluded, &s.region, key, known)
+		best = s.weighGroup(q, &s.region)
 	}
 	if !s.spills || len(s.remote.trackers) == 0 || r.Target() == 0 {
 		return best
 	}
-	local := s.localWait(now, r, best)
-	if local <= s.spillFrom(now, r) {
+	local := s.localWait(q, best)
+	if local <= s.spillFrom(q) {
 		return best
 	}
-	return s.spill(now, r, excluded, best, local, key, known)
+	return s.spill(q, best, local)
 }
 
 // localWait predicts the time from arrival to the first token when the request
 // stays in its region.
-func (s *Selector) localWait(now time.Time, r *kingcuphook.Request, best int) time.Duration {
-	waited := now.Sub(r.Arrived())
+func (s *Selector) localWait(q *query, best int) time.Duration {
+	waited := q.waited()
 	if best >= 0 {
 		return waited + s.scratch[best].predicted
 	}
@@ -115,7 +138,7 @@
 		}
 	}
 	if fastest < 0 {
-		return r.Target() + 1
+		return q.request.Target() + 1
 	}
 	return waited + s.pace + fastest
 }
@@ -123,19 +146,20 @@
 // spillFrom returns the local prediction above which a request may go to
 // another region. It is lower while spilling, so that a wait near the target
 // doesn't turn spilling on and off.
-func (s *Selector) spillFrom(now time.Time, r *kingcuphook.Request) time.Duration {
+func (s *Selector) spillFrom(q *query) time.Duration {
+	target := q.request.Target()
 	hold := orDuration(s.SpillHold, defaultSpillHold)
-	if !s.lastSpill.IsZero() && now.Sub(s.lastSpill) < hold {
-		return time.Duration(spillStop * float64(r.Target()))
+	if !s.lastSpill.IsZero() && q.now.Sub(s.lastSpill) < hold {
+		return time.Duration(spillStop * float64(target))
 	}
-	return r.Target()
+	return target
 }
 
 // spill weighs the upstreams of other regions and returns the best one if it
 // meets the target and gains enough, else the local one.
-func (s *Selector) spill(now time.Time, r *kingcuphook.Request, excluded []string, home int, local time.Duration, key uint64, known int) int {
+func (s *Selector) spill(q *query, home int, local time.Duration) int {
 	from := len(s.scratch)
-	best := s.weighGroup(now, r, excluded, &s.remote, key, known)
+	best := s.weighGroup(q, &s.remote)
 	for i := from; i < len(s.scratch); i++ {
 		s.scratch[i].remote = true
 	}
@@ -143,7 +167,7 @@
 		return home
 	}
 	c := &s.scratch[best]
-	waited := now.Sub(r.Arrived())
+	r, waited := q.request, q.waited()
 	price := orDuration(s.SpillPrice, defaultSpillPrice) * time.Duration(r.Bytes()) / 1024
 	switch {
 	case float64(waited+c.predicted) > spillMargin*float64(r.Target()):
@@ -156,6 +180,9 @@
 	return home
 }
 
+// waited returns how long the request has waited.
+func (q *query) waited() time.Duration { return q.now.Sub(q.request.Arrived()) }
+
 // key returns the rendezvous key of the request and the number of blocks known
 // of its chain. The key is the deepest block at which prompts branched, so that
 // it stays the same for every question after the same text.
@@ -178,21 +205,21 @@
 }
 
 // weighGroup weighs the upstreams of one group and returns the best one, or -1.
-func (s *Selector) weighGroup(now time.Time, r *kingcuphook.Request, excluded []string, g *group, key uint64, known int) int {
+func (s *Selector) weighGroup(q *query, g *group) int {
 	if len(g.trackers) == 0 {
 		return -1
 	}
 	from := len(s.scratch)
 	var ranked [wide]*tracker
-	n := g.rank(key, ranked[:])
-	s.weighAll(now, r, excluded, g, ranked[:min(n, narrow)])
-	s.weighHolders(now, r, excluded, g, known)
+	n := g.rank(q.key, ranked[:])
+	s.weighAll(q, g, ranked[:min(n, narrow)])
+	s.weighHolders(q, g)
 	best := s.best(from)
-	if best >= 0 && !s.crowded(r, best) {
+	if best >= 0 && !s.crowded(q.request, best) {
 		return best
 	}
-	s.weighAll(now, r, excluded, g, ranked[min(n, narrow):n])
-	s.weighDraws(now, r, excluded, g, from, draws)
+	s.weighAll(q, g, ranked[min(n, narrow):n])
+	s.weighDraws(q, g, from, draws)
 	if best = s.best(from); best >= 0 {
 		return best
 	}
@@ -200,7 +227,7 @@
 	if best = s.best(from); best >= 0 {
 		return best
 	}
-	s.weighDraws(now, r, excluded, g, from, scanned)
+	s.weighDraws(q, g, from, scanned)
 	s.lift(from)
 	return s.best(from)
 }
@@ -243,19 +270,19 @@
 	return x ^ x>>32
 }
 
-func (s *Selector) weighAll(now time.Time, r *kingcuphook.Request, excluded []string, g *group, ts []*tracker) {
+func (s *Selector) weighAll(q *query, g *group, ts []*tracker) {
 	for _, t := range ts {
-		s.weighOne(now, r, excluded, g, t)
+		s.weighOne(q, g, t)
 	}
 }
 
 // weighHolders weighs the upstreams that are thought to have the longest known
 // part of the prompt cached.
-func (s *Selector) weighHolders(now time.Time, r *kingcuphook.Request, excluded []string, g *group, known int) {
-	if known == 0 {
+func (s *Selector) weighHolders(q *query, g *group) {
+	if q.known == 0 {
 		return
 	}
-	b := s.index.find(r.Prefix()[known-1])
+	b := s.index.find(q.request.Prefix()[q.known-1])
 	if b == nil {
 		return
 	}
@@ -265,16 +292,16 @@
 		}
 		t := s.byID[h.upstream]
 		if t != nil && h.epoch >= t.born && !t.upstream.Leaving() && s.groupOf(t) == g {
-			s.weighOne(now, r, excluded, g, t)
+			s.weighOne(q, g, t)
 		}
 	}
 }
 
 // weighDraws weighs n upstreams drawn by the request's fingerprint and the
 // time, or all of a group that has no more.
-func (s *Selector) weighDraws(now time.Time, r *kingcuphook.Request, excluded []string, g *group, from, n int) {
+func (s *Selector) weighDraws(q *query, g *group, from, n int) {
 	size := len(g.trackers)
-	draw := mix(r.Fingerprint() ^ uint64(now.UnixNano()))
+	draw := mix(q.request.Fingerprint() ^ uint64(q.now.UnixNano()))
 	for i := 0; i < min(n, size); i++ {
 		at := draw + uint64(i)
 		if n < size {
@@ -283,7 +310,7 @@
 		}
 		t := g.trackers[at%uint64(size)]
 		if !s.weighed(from, t) {
-			s.weighOne(now, r, excluded, g, t)
+			s.weighOne(q, g, t)
 		}
 	}
 }
@@ -298,41 +325,32 @@
 }
 
 // weighOne adds one upstream to scratch unless it is there already.
-func (s *Selector) weighOne(now time.Time, r *kingcuphook.Request, excluded []string, g *group, t *tracker) {
+func (s *Selector) weighOne(q *query, g *group, t *tracker) {
 	if s.weighed(0, t) {
 		return
 	}
+	r := q.request
 	c := scored{tracker: t, cached: s.cached(t, r)}
-	c.predicted = 2*g.delay + t.predict(now, r.PromptTokens()-c.cached)
-	c.refused = s.refuse(now, r, excluded, g, t)
+	c.predicted = 2*g.delay + t.predict(q.now, r.PromptTokens()-c.cached)
+	c.refused = s.refuse(q, g, t)
 	s.scratch = append(s.scratch, c)
 }
 
 // refuse returns why the upstream can't take the request now, or nothing.
-func (s *Selector) refuse(now time.Time, r *kingcuphook.Request, excluded []string, g *group, t *tracker) string {
-	if slices.Contains(excluded, t.upstream.Address()) {
+func (s *Selector) refuse(q *query, g *group, t *tracker) string {
+	address := t.upstream.Address()
+	switch {
+	case slices.Contains(q.excluded, address):
 		return reasonExcluded
-	}
-	if t.leaving || t.upstream.Leaving() {
+	case t.leaving || t.upstream.Leaving():
 		return reasonLeaving
-	}
-	weight := 1.0
-	if s.Ejector != nil {
-		weight = s.Ejector.Weight(now, t.upstream.Address())
-	}
-	if weight <= 0 {
-		return reasonEjected
-	}
-	if s.Limiter != nil {
-		free := s.Limiter.Free(now, t.upstream.Address(), r.Tier())
-		if free <= 0 || float64(t.own) >= weight*float64(t.own+free) {
-			return reasonFull
-		}
-	}
-	if !s.NoBound && g.over(t) {
+	case q.usable != nil && !q.usable(address):
+		return reasonUnusable
+	case !s.NoBound && g.over(t):
 		return reasonLoaded
+	default:
+		return ""
 	}
-	return ""
 }
 
 // over reports whether t carries more than its bounded share of the load.
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -24,8 +24,7 @@
 const (
 	reasonExcluded = "excluded"
 	reasonLeaving  = "leaving"
-	reasonEjected  = "ejected"
-	reasonFull     = "no-free-slot"
+	reasonUnusable = "no-free-slot"
 	reasonLoaded   = "over-load-bound"
 	reasonFar      = "remote-misses-target"
 	reasonPrice    = "gain-below-price"
@@ -37,10 +36,6 @@
 	// Region and DataCentre are where the router is. Without a region every
 	// upstream counts as local.
 	Region, DataCentre string
-	// Limiter, if set, says how many requests an upstream may still get.
-	Limiter kingcuphook.Limiter
-	// Ejector, if set, says which share of its work an upstream gets.
-	Ejector kingcuphook.Ejector
 	// RegionDelay and CentreDelay are the one-way delays between regions and
 	// between the data centres of a region; 0 means the default.
 	RegionDelay, CentreDelay time.Duration
