--- a/selector/score.go
+++ b/selector/score.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/hasher"
 )
 
 const (
@@ -19,8 +20,10 @@
 	// scanned bounds the size of a group that is searched whole for a free
 	// slot, and the draws in a larger one.
 	scanned = 16
+	// maxHeld bounds the upstreams with a part of the prompt that are weighed.
+	maxHeld = 8
 	// scratchSize holds every candidate of one selection.
-	scratchSize = 2 * (wide + draws + maxHolders + scanned)
+	scratchSize = 2 * (wide + draws + maxHeld + scanned)
 	// widenShare is the share of the latency target from which on a prediction
 	// widens the candidates.
 	widenShare = 0.5
@@ -51,12 +54,12 @@
 // Select chooses an upstream for a request. The choice has no upstream if none
 // can take the request now; the error says that none can take it at all.
 func (s *Selector) Select(now time.Time, r *kingcuphook.Request, excluded []string) (kingcuphook.Choice, error) {
-	return s.choose(&query{now: now, request: r, excluded: excluded})
+	return s.choose(query{now: now, request: r, excluded: excluded})
 }
 
 // SelectUsable is Select among the upstreams that usable reports.
 func (s *Selector) SelectUsable(now time.Time, r *kingcuphook.Request, usable func(address string) bool) (kingcuphook.Choice, error) {
-	return s.choose(&query{now: now, request: r, usable: usable})
+	return s.choose(query{now: now, request: r, usable: usable})
 }
 
 // query is one selection.
@@ -66,18 +69,26 @@
 	excluded []string
 	// usable, if set, reports whether an upstream has a free slot.
 	usable func(address string) bool
-	// key is the rendezvous key, known the number of known blocks.
-	key   uint64
-	known int
+	// key is the rendezvous key of the request.
+	key uint64
+	// held has what is thought to be cached where, the longest first.
+	held  [maxHeld]held
+	nHeld int
 }
 
-func (s *Selector) choose(q *query) (kingcuphook.Choice, error) {
+// held is how much of a prompt an upstream is thought to have cached.
+type held struct {
+	upstream uint32
+	tokens   int
+}
+
+func (s *Selector) choose(q query) (kingcuphook.Choice, error) {
 	s.init()
 	r := q.request
 	if len(s.near.trackers)+len(s.region.trackers)+len(s.remote.trackers) == 0 {
 		return kingcuphook.Choice{}, fmt.Errorf("selector: pool %q: %w", r.Pool(), kingcuphook.ErrNoUpstream)
 	}
-	best := s.weigh(q)
+	best := s.weigh(&q)
 	if best < 0 {
 		return kingcuphook.Choice{}, nil
 	}
@@ -109,7 +120,7 @@
 func (s *Selector) weigh(q *query) int {
 	s.scratch = s.scratch[:0]
 	r := q.request
-	q.key, q.known = s.key(r)
+	s.recall(q)
 	best := s.weighGroup(q, &s.near)
 	if best < 0 {
 		best = s.weighGroup(q, &s.region)
@@ -183,25 +194,57 @@
 // waited returns how long the request has waited.
 func (q *query) waited() time.Duration { return q.now.Sub(q.request.Arrived()) }
 
-// key returns the rendezvous key of the request and the number of blocks known
-// of its chain. The key is the deepest block at which prompts branched, so that
-// it stays the same for every question after the same text.
-func (s *Selector) key(r *kingcuphook.Request) (key uint64, known int) {
-	chain := r.Prefix()
+// recall fills in the rendezvous key of the request and what is cached of its
+// prompt. The key is the deepest block at which prompts branched, so that it
+// stays the same for every question after the same text.
+func (s *Selector) recall(q *query) {
+	chain := q.request.Prefix()
 	if len(chain) == 0 || s.NoAffinity {
-		return r.Fingerprint(), 0
+		q.key = q.request.Fingerprint()
+		return
 	}
+	q.key = chain[0]
+	branched := false
 	for i := len(chain) - 1; i >= 0; i-- {
 		b := s.index.find(chain[i])
 		if b == nil {
 			continue
 		}
-		known = max(known, i+1)
-		if b.branched {
-			return chain[i], known
+		q.hold(s, b, min((i+1)*hasher.BlockTokens, q.request.PromptTokens()))
+		if b.branched && !branched {
+			q.key, branched = chain[i], true
+		}
+	}
+}
+
+// hold notes the holders of a block that end a longer part of the prompt than
+// what was noted before. A doubtful entry counts for half.
+func (q *query) hold(s *Selector, b *block, tokens int) {
+	for _, h := range b.holders {
+		if h.epoch == 0 || q.nHeld == maxHeld {
+			return
+		}
+		t := s.byID[h.upstream]
+		if t == nil || h.epoch < t.born || q.cached(h.upstream) > 0 {
+			continue
+		}
+		q.held[q.nHeld] = held{upstream: h.upstream, tokens: tokens}
+		if h.epoch < t.epoch {
+			q.held[q.nHeld].tokens = tokens / 2
 		}
+		q.nHeld++
 	}
-	return chain[0], known
+}
+
+// cached returns how many tokens of the prompt the upstream is thought to have
+// cached.
+func (q *query) cached(upstream uint32) int {
+	for _, h := range q.held[:q.nHeld] {
+		if h.upstream == upstream {
+			return h.tokens
+		}
+	}
+	return 0
 }
 
 // weighGroup weighs the upstreams of one group and returns the best one, or -1.
@@ -276,22 +319,12 @@
 	}
 }
 
-// weighHolders weighs the upstreams that are thought to have the longest known
-// part of the prompt cached.
+// weighHolders weighs the upstreams that are thought to have a part of the
+// prompt cached.
 func (s *Selector) weighHolders(q *query, g *group) {
-	if q.known == 0 {
-		return
-	}
-	b := s.index.find(q.request.Prefix()[q.known-1])
-	if b == nil {
-		return
-	}
-	for _, h := range b.holders {
-		if h.epoch == 0 || int(h.upstream) >= len(s.byID) {
-			continue
-		}
+	for _, h := range q.held[:q.nHeld] {
 		t := s.byID[h.upstream]
-		if t != nil && h.epoch >= t.born && !t.upstream.Leaving() && s.groupOf(t) == g {
+		if !t.upstream.Leaving() && s.groupOf(t) == g {
 			s.weighOne(q, g, t)
 		}
 	}
@@ -330,7 +363,7 @@
 		return
 	}
 	r := q.request
-	c := scored{tracker: t, cached: s.cached(t, r)}
+	c := scored{tracker: t, cached: q.cached(t.id)}
 	c.predicted = 2*g.delay + t.predict(q.now, r.PromptTokens()-c.cached)
 	c.refused = s.refuse(q, g, t)
 	s.scratch = append(s.scratch, c)
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -9,7 +9,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/kingcuphook/kingcuphook"
-	"github.com/kingcuphook/kingcuphook/hasher"
 )
 
 // Defaults of the fields of Selector.
@@ -164,7 +163,9 @@
 		s.lastSpill = now
 	}
 	before := t.load()
-	t.started(now, r.ID(), r.PromptTokens()-s.cached(t, r))
+	q := query{request: r}
+	s.recall(&q)
+	t.started(now, r.ID(), r.PromptTokens()-q.cached(t.id))
 	g.move(t, before)
 	s.index.learn(r.Prefix(), r.Fingerprint(), holder{upstream: t.id, epoch: t.epoch})
 }
@@ -232,31 +233,6 @@
 	s.index.drop(e.Prefix(), t.id)
 }
 
-// cached returns how many prompt tokens the upstream is thought to have
-// cached. A doubtful entry counts for half.
-func (s *Selector) cached(t *tracker, r *kingcuphook.Request) int {
-	if s.NoAffinity {
-		return 0
-	}
-	chain := r.Prefix()
-	for i := len(chain) - 1; i >= 0; i-- {
-		b := s.index.find(chain[i])
-		if b == nil {
-			continue
-		}
-		epoch := b.epochOf(t.id)
-		if epoch == 0 || epoch < t.born {
-			continue
-		}
-		tokens := min((i+1)*hasher.BlockTokens, r.PromptTokens())
-		if epoch < t.epoch {
-			tokens /= 2
-		}
-		return tokens
-	}
-	return 0
-}
-
 func orInt(n, otherwise int) int {
 	if n == 0 {
 		return otherwise
--- a/selector/selector_test.go
+++ b/selector/selector_test.go
@@ -71,11 +71,20 @@
 	}
 }
 
+// BenchmarkSelect selects among 600 upstreams for prompts of 60 blocks of which
+// 56 are shared.
 func BenchmarkSelect(b *testing.B) {
 	s := newSelector(upstreams(600, "cairo")...)
 	rs := make([]*kingcuphook.Request, 0, 1000)
 	for n := range 1000 {
-		r := question(n, uint64(n%50)*1000+1, start)
+		f := kingcuphook.RequestFields{ID: fmt.Sprint(n), Tier: 1, Arrived: start, Target: time.Second, PromptTokens: 7700, Fingerprint: uint64(n) + 1<<50}
+		for i := range 60 {
+			f.Prefix = append(f.Prefix, mix(uint64(n%50)<<8|uint64(i)))
+		}
+		for i := range 4 {
+			f.Prefix[56+i] = mix(uint64(n)<<32 | uint64(i))
+		}
+		r := kingcuphook.NewRequest(f)
 		c, _ := s.Select(start, r, nil)
 		s.Started(start, c.Upstream.Address(), r)
 		rs = append(rs, r)
