--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -6,13 +6,15 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/claimer"
+	"github.com/kingcuphook/kingcuphook/quarantiner"
+	"github.com/kingcuphook/kingcuphook/retrier"
 )
 
 // Limits bound the work on one call. A zero field means its default.
@@ -27,6 +29,10 @@
 	FirstByte time.Duration
 	// BetweenTokens is how long a stream may stay silent; default 5 s.
 	BetweenTokens time.Duration
+	// ShareWait bounds the wait for Share; default 1 s.
+	ShareWait time.Duration
+	// HoldWait bounds the wait of a suspect; default 10 s.
+	HoldWait time.Duration
 }
 
 const (
@@ -34,6 +40,8 @@
 	defaultAnswerBytes   = 4 << 20
 	defaultFirstByte     = 30 * time.Second
 	defaultBetweenTokens = 5 * time.Second
+	defaultShareWait     = time.Second
+	defaultHoldWait      = 10 * time.Second
 )
 
 // Dispatcher is the data path of a router. Its fields are set before the first
@@ -43,8 +51,18 @@
 	Allocator kingcuphook.Allocator
 	// Engine runs the attempts.
 	Engine kingcuphook.Engine
-	// Store keeps the idempotency claims.
+	// Store keeps the idempotency claims; it is used only to make a Claimer.
 	Store kingcuphook.Store
+	// Claimer makes the claims; nil means one with the defaults on Store.
+	Claimer *claimer.Claimer
+	// Quarantiner knows the suspects; nil means one with the defaults.
+	Quarantiner *quarantiner.Quarantiner
+	// Share tells the peers of new suspects and returns when they know; nil
+	// tells nobody. It must be safe for concurrent use.
+	Share func(ctx context.Context)
+	// NewBudget makes the retry budget of a class; nil means one with the
+	// defaults.
+	NewBudget func(class string) kingcuphook.RetryBudget
 	// Owner is the identifier of this router.
 	Owner string
 	// Rand is the source of jitter and identifiers; nil means a random seed.
@@ -53,9 +71,11 @@
 	Limits Limits
 
 	once sync.Once
-	// mu guards Rand and sequence.
+	// mu guards Rand and what follows.
 	mu       sync.Mutex
 	sequence uint64
+	budgets  map[string]kingcuphook.RetryBudget
+	counts   Counts
 }
 
 var _ kingcuphook.Dispatcher = (*Dispatcher)(nil)
@@ -64,11 +84,28 @@
 	if d.Rand == nil {
 		d.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
+	if d.Claimer == nil && d.Store != nil {
+		d.Claimer = &claimer.Claimer{Store: d.Store, Rand: d.newRand()}
+	}
+	if d.Quarantiner == nil {
+		d.Quarantiner = &quarantiner.Quarantiner{}
+	}
+	if d.NewBudget == nil {
+		d.NewBudget = func(string) kingcuphook.RetryBudget { return &retrier.Budget{Rand: d.newRand()} }
+	}
+	d.budgets = make(map[string]kingcuphook.RetryBudget)
 	l := &d.Limits
 	setDefault(&l.Attempts, defaultAttempts)
 	setDefault(&l.AnswerBytes, defaultAnswerBytes)
 	setDefaultDuration(&l.FirstByte, defaultFirstByte)
 	setDefaultDuration(&l.BetweenTokens, defaultBetweenTokens)
+	setDefaultDuration(&l.ShareWait, defaultShareWait)
+	setDefaultDuration(&l.HoldWait, defaultHoldWait)
+}
+
+// newRand returns a source of randomness of its own; mu is held or not needed.
+func (d *Dispatcher) newRand() *rand.Rand {
+	return rand.New(rand.NewPCG(d.Rand.Uint64(), d.Rand.Uint64()))
 }
 
 func setDefault(n *int, value int) {
@@ -93,43 +130,46 @@
 	}
 	r := newRun(d, c, w)
 	out, err := r.do(ctx)
+	d.count(func(n *Counts) { n.add(r, err) })
 	if err != nil {
 		return kingcuphook.Outcome{}, r.fail(err)
 	}
 	return out, nil
 }
 
-// attemptID returns an identifier that is unique over the fleet.
-func (d *Dispatcher) attemptID(r *kingcuphook.Request) string {
+// succeeded adds a success to the retry budget of a class.
+func (d *Dispatcher) succeeded(class string, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.sequence++
-	return fmt.Sprintf("%s-%s-%d-%08x", r.ID(), d.Owner, d.sequence, d.Rand.Uint32())
+	d.budget(class).Succeeded(now)
+}
+
+// spend takes retry number n out of the budget of a class. It returns how long
+// to wait before it and whether it is allowed.
+func (d *Dispatcher) spend(class string, now time.Time, n int) (time.Duration, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	b := d.budget(class)
+	if !b.Spend(now) {
+		return 0, false
+	}
+	return b.Delay(n), true
 }
 
-// code returns the stable code of an error.
-func code(err error) string {
-	for _, c := range codes {
-		if errors.Is(err, c.err) {
-			return c.code
-		}
+// budget returns the retry budget of a class; mu is held.
+func (d *Dispatcher) budget(class string) kingcuphook.RetryBudget {
+	b, ok := d.budgets[class]
+	if !ok {
+		b = d.NewBudget(class)
+		d.budgets[class] = b
 	}
-	return "upstream-failed"
+	return b
 }
 
-var codes = []struct {
-	err  error
-	code string
-}{
-	{kingcuphook.ErrQuarantined, "quarantined"},
-	{kingcuphook.ErrTooLarge, "answer-too-large"},
-	{kingcuphook.ErrDeadline, "deadline"},
-	{context.DeadlineExceeded, "deadline"},
-	{context.Canceled, "caller-gone"},
-	{kingcuphook.ErrBrokenStream, "broken-stream"},
-	{kingcuphook.ErrOverloaded, "overloaded"},
-	{kingcuphook.ErrRateLimited, "rate-limited"},
-	{kingcuphook.ErrNoUpstream, "no-upstream"},
-	{kingcuphook.ErrUnavailable, "upstream-unavailable"},
-	{kingcuphook.ErrOutcomeUnknown, "outcome-unknown"},
+// attemptID returns an identifier that is unique over the fleet.
+func (d *Dispatcher) attemptID(r *kingcuphook.Request) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.sequence++
+	return fmt.Sprintf("%s-%s-%d-%08x", r.ID(), d.Owner, d.sequence, d.Rand.Uint32())
 }
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
 	"github.com/kingcuphook/kingcuphook/assembler"
+	"github.com/kingcuphook/kingcuphook/claimer"
 	"github.com/kingcuphook/kingcuphook/tracker"
 )
 
@@ -19,10 +21,17 @@
 	w       kingcuphook.FrameWriter
 	tracker tracker.Tracker
 	answer  assembler.Assembler
-	// attempts counts the dispatches.
+	// ticket is the held claim; its zero value is not held.
+	ticket claimer.Ticket
+	// replayed says that the outcome of an earlier call is returned.
+	replayed bool
+	// attempts counts the dispatches that were not preempted.
 	attempts int
-	// excluded are the upstreams that failed this call.
-	excluded []string
+	// failed are the upstreams that failed this call; they are tried again when
+	// there is no other.
+	failed []string
+	// unable are the upstreams that cannot serve the rest of this call.
+	unable []string
 }
 
 func newRun(d *Dispatcher, c *kingcuphook.Call, w kingcuphook.FrameWriter) *run {
@@ -31,68 +40,114 @@
 		call:    c,
 		request: c.Request,
 		w:       w,
-		tracker: tracker.Tracker{Once: c.Request.NonIdempotent()},
+		tracker: tracker.Tracker{Once: c.Request.NonIdempotent(), Claims: claims(c.Request)},
 		answer:  assembler.Assembler{MaxBytes: d.Limits.AnswerBytes},
 	}
 }
 
-// do attempts the call until it is answered or may not be attempted again.
+// do claims the call if it must, and attempts it until it is answered or may
+// not be attempted again.
 func (r *run) do(ctx context.Context) (kingcuphook.Outcome, error) {
+	if r.tracker.Claims {
+		out, err := r.claim(ctx)
+		if err != nil || r.replayed {
+			return out, err
+		}
+	}
 	for {
 		out, err := r.attempt(ctx)
 		if err == nil {
+			r.succeed(out)
 			return out, nil
 		}
-		if !r.mayRetry(ctx, err) {
-			return out, err
+		if err := r.prepareRetry(ctx, err); err != nil {
+			return kingcuphook.Outcome{}, err
 		}
 	}
 }
 
-// mayRetry reports whether another attempt is allowed after err.
-func (r *run) mayRetry(ctx context.Context, err error) bool {
-	if ctx.Err() != nil || r.attempts >= r.d.Limits.Attempts {
-		return false
+func (r *run) succeed(out kingcuphook.Outcome) {
+	now := time.Now()
+	r.d.succeeded(r.request.Class(), now)
+	r.d.Quarantiner.Cleared(now, r.request.Fingerprint())
+	r.settle(out)
+}
+
+// prepareRetry waits until another attempt may be made after err, or returns
+// the error that ends the call.
+func (r *run) prepareRetry(ctx context.Context, err error) error {
+	if ctx.Err() != nil || isFinal(err) || !r.tracker.Allows(tracker.EventDispatch) {
+		return err
+	}
+	if errors.Is(err, errPreempted) {
+		return nil
+	}
+	if r.attempts >= r.d.Limits.Attempts {
+		return err
+	}
+	wait, ok := r.d.spend(r.request.Class(), time.Now(), max(r.attempts, 1))
+	if !ok {
+		r.d.count(func(n *Counts) { n.NoBudget++ })
+		return err
 	}
-	var final *finalError
-	return !errors.As(err, &final) && r.tracker.Allows(tracker.EventDispatch)
+	if !pause(ctx, wait) {
+		return errors.Join(ctx.Err(), err)
+	}
+	return nil
 }
 
 // attempt acquires a slot and runs the call on it once.
 func (r *run) attempt(ctx context.Context) (kingcuphook.Outcome, error) {
-	slot, err := r.d.Allocator.Acquire(ctx, r.request, r.excluded)
+	slot, suspect, err := r.acquire(ctx)
 	if err != nil {
 		return kingcuphook.Outcome{}, &finalError{err}
 	}
-	var sample kingcuphook.Sample
+	sample := kingcuphook.Sample{Cancelled: true}
 	defer func() { slot.Release(sample) }()
 	upstream := slot.Choice().Upstream
-	if r.answer.Position() > 0 && r.request.Stream() && !upstream.Resumes() {
-		r.excluded = append(r.excluded, upstream.Address())
-		return kingcuphook.Outcome{}, fmt.Errorf("dispatcher: %s cannot resume: %w", upstream.Address(), kingcuphook.ErrBrokenStream)
+	if suspect {
+		defer r.d.Quarantiner.End(r.request.Fingerprint(), upstream.Address())
 	}
-	if err := r.tracker.Apply(tracker.EventDispatch); err != nil {
-		return kingcuphook.Outcome{}, &finalError{err}
+	if err := r.dispatch(); err != nil {
+		return kingcuphook.Outcome{}, err
 	}
-	r.attempts++
 	var out kingcuphook.Outcome
 	if r.call.Kind == kingcuphook.UpstreamKindService {
-		out, err = r.service(ctx, upstream)
+		out, sample, err = r.service(ctx, slot)
 	} else {
 		out, sample, err = r.stream(ctx, slot)
 	}
 	if err != nil {
-		sample.Failed = ctx.Err() == nil
-		sample.Cancelled = ctx.Err() != nil
-		r.excluded = append(r.excluded, upstream.Address())
-		return kingcuphook.Outcome{}, r.broke(err)
+		return kingcuphook.Outcome{}, r.broke(ctx, upstream, err)
 	}
 	out.Attempts = r.attempts
 	return out, r.tracker.Apply(tracker.EventWhole)
 }
 
+// dispatch notes that the first byte is about to go out.
+func (r *run) dispatch() error {
+	if r.tracker.Claims && !r.ticket.Usable(time.Now()) {
+		return &finalError{&kingcuphook.RequestError{
+			Code: codeClaimExpired,
+			Ran:  r.tracker.Says(),
+			Err:  fmt.Errorf("dispatcher: claim too old: %w", kingcuphook.ErrLeaseLost),
+		}}
+	}
+	if err := r.tracker.Apply(tracker.EventDispatch); err != nil {
+		return &finalError{err}
+	}
+	r.attempts++
+	r.d.count(func(n *Counts) {
+		n.Attempts++
+		if r.answer.Position() > 0 {
+			n.Resumed++
+		}
+	})
+	return nil
+}
+
 // broke notes the end of an attempt that gave no whole answer.
-func (r *run) broke(err error) error {
+func (r *run) broke(ctx context.Context, u *kingcuphook.Upstream, err error) error {
 	event := tracker.EventBreak
 	if errors.Is(err, kingcuphook.ErrUnavailable) && r.tracker.State() == tracker.StateDispatched {
 		event = tracker.EventRefuse
@@ -100,129 +155,107 @@
 	if e := r.tracker.Apply(event); e != nil {
 		return &finalError{errors.Join(err, e)}
 	}
-	return err
-}
-
-// service runs the call on a plain service.
-func (r *run) service(ctx context.Context, u *kingcuphook.Upstream) (kingcuphook.Outcome, error) {
-	answer, err := r.d.Engine.Call(ctx, u, r.newAttempt())
-	if err != nil {
-		return kingcuphook.Outcome{}, fmt.Errorf("dispatcher: %w", err)
+	switch {
+	case ctx.Err() != nil:
+		return err
+	case errors.Is(err, errPreempted):
+		r.attempts--
+		r.d.count(func(n *Counts) { n.Preempted++ })
+		return err
+	case errors.Is(err, errSilent):
+		r.d.count(func(n *Counts) { n.Silent++ })
+	case event == tracker.EventBreak && isCrash(err):
+		r.crashed(ctx, u)
 	}
-	return kingcuphook.Outcome{Answer: answer}, nil
-}
-
-func (r *run) newAttempt() *kingcuphook.Attempt {
-	return kingcuphook.NewAttempt(kingcuphook.AttemptFields{
-		ID:          r.d.attemptID(r.request),
-		Request:     r.request,
-		Method:      r.call.Method,
-		Path:        r.call.Path,
-		Body:        r.call.Body,
-		ContentType: r.call.ContentType,
-		ResumeFrom:  r.answer.Position(),
-		Delivered:   r.answer.Text(),
-	})
-}
-
-// stream runs the call on a model engine.
-func (r *run) stream(ctx context.Context, slot kingcuphook.Slot) (kingcuphook.Outcome, kingcuphook.Sample, error) {
-	u := slot.Choice().Upstream
-	if !u.Resumes() {
-		r.answer.Restart()
-	}
-	a := r.newAttempt()
-	r.answer.Begin(a.ID())
-	began := time.Now()
-	s, err := r.d.Engine.Start(ctx, u, a)
-	if err != nil {
-		return kingcuphook.Outcome{}, kingcuphook.Sample{}, fmt.Errorf("dispatcher: %w", err)
-	}
-	defer func() { _ = s.Close() }()
-	sample, err := r.forward(ctx, slot, s, began)
-	if err != nil {
-		return kingcuphook.Outcome{}, sample, err
-	}
-	out := kingcuphook.Outcome{Finish: r.answer.Finish(), Tokens: r.answer.Position()}
-	if r.request.Stream() {
-		return out, sample, nil
-	}
-	return out, sample, r.write(r.answer.Text())
+	r.failed = append(r.failed, u.Address())
+	return err
 }
 
-// forward takes frames until the answer is whole.
-func (r *run) forward(ctx context.Context, slot kingcuphook.Slot, s kingcuphook.Stream, began time.Time) (kingcuphook.Sample, error) {
-	sample := kingcuphook.Sample{UncachedTokens: slot.Choice().UncachedTokens}
-	var last time.Time
-	for !r.answer.Whole() {
-		f, err := s.Next(ctx)
+// acquire waits for a slot on which the call can go on. It reports whether the
+// call is a suspect that has the upstream reserved.
+func (r *run) acquire(ctx context.Context) (kingcuphook.Slot, bool, error) {
+	for {
+		suspect, err := r.judge(ctx)
 		if err != nil {
-			return sample, fmt.Errorf("dispatcher: %w", err)
+			return nil, false, err
 		}
-		ok, err := r.answer.Accept(f)
+		slot, err := r.slot(ctx, suspect)
 		if err != nil {
-			return sample, err
+			return nil, false, err
 		}
-		if !ok || f.Kind() != kingcuphook.FrameKindData {
+		if slot == nil {
 			continue
 		}
-		if err := r.accepted(f); err != nil {
-			return sample, err
+		upstream := slot.Choice().Upstream
+		if r.stuckOn(upstream) {
+			r.unable = append(r.unable, upstream.Address())
+			slot.Release(kingcuphook.Sample{Cancelled: true})
+			continue
 		}
-		last = observe(&sample, began, last)
-		slot.Progress(r.answer.Position())
+		if suspect && !r.d.Quarantiner.Begin(r.request.Fingerprint(), upstream.Address()) {
+			slot.Release(kingcuphook.Sample{Cancelled: true})
+			continue
+		}
+		return slot, suspect, nil
 	}
-	return sample, nil
 }
 
-// accepted passes an accepted data frame on.
-func (r *run) accepted(f kingcuphook.Frame) error {
-	if err := r.tracker.Apply(tracker.EventFrame); err != nil {
-		return &finalError{err}
-	}
-	if !r.request.Stream() {
-		return nil
-	}
-	return r.write(f.Text())
+// stuckOn reports whether an upstream cannot continue what the caller already
+// has.
+func (r *run) stuckOn(u *kingcuphook.Upstream) bool {
+	return r.request.Stream() && r.answer.Position() > 0 && !u.Resumes()
 }
 
-func (r *run) write(text string) error {
-	if err := r.w.WriteData(text); err != nil {
-		return &finalError{fmt.Errorf("dispatcher: write to caller: %w: %w", context.Canceled, err)}
+// slot asks the allocator for a slot. It returns no slot and no error when the
+// caller must ask again.
+func (r *run) slot(ctx context.Context, suspect bool) (kingcuphook.Slot, error) {
+	excluded := slices.Concat(r.unable, r.failed)
+	var busy []string
+	if suspect {
+		busy = r.d.Quarantiner.Busy()
+		excluded = append(excluded, busy...)
 	}
-	return nil
+	slot, err := r.d.Allocator.Acquire(ctx, r.request, excluded)
+	if err == nil || !errors.Is(err, kingcuphook.ErrNoUpstream) {
+		return slot, err
+	}
+	if len(busy) > 0 && pause(ctx, judgeInterval) {
+		return nil, nil
+	}
+	if len(r.failed) == 0 {
+		return nil, err
+	}
+	r.failed = nil
+	return nil, nil
 }
 
-// observe adds a token to the sample and returns its time.
-func observe(s *kingcuphook.Sample, began, last time.Time) time.Time {
-	now := time.Now()
-	s.Tokens++
-	if s.Tokens == 1 {
-		s.FirstToken = now.Sub(began)
-		return now
-	}
-	s.TokenGap += (now.Sub(last) - s.TokenGap) / time.Duration(s.Tokens-1)
-	return now
+func (r *run) newAttempt() *kingcuphook.Attempt {
+	return kingcuphook.NewAttempt(kingcuphook.AttemptFields{
+		ID:          r.d.attemptID(r.request),
+		Request:     r.request,
+		Method:      r.call.Method,
+		Path:        r.call.Path,
+		Body:        r.call.Body,
+		ContentType: r.call.ContentType,
+		ResumeFrom:  r.answer.Position(),
+		Delivered:   r.answer.Text(),
+	})
 }
 
 // fail ends the call with the error that its caller is told.
 func (r *run) fail(err error) error {
-	said := r.tracker.Says()
+	told := &kingcuphook.RequestError{Code: code(err), Ran: r.tracker.Says(), Err: err}
 	_ = r.tracker.Apply(tracker.EventFail)
-	told := &kingcuphook.RequestError{Code: code(err), Ran: said, Err: err}
 	var inner *kingcuphook.RequestError
 	if errors.As(err, &inner) {
 		told.Code = inner.Code
 		told.RetryAfter = inner.RetryAfter
+		if inner.Ran == kingcuphook.RunStateUnknown {
+			told.Ran = inner.Ran
+		}
+	}
+	if told.Ran == kingcuphook.RunStateNotRun && r.d.Claimer != nil {
+		r.d.Claimer.Release(r.ticket)
 	}
 	return told
 }
-
-// finalError is an error after which no attempt is made.
-type finalError struct{ err error }
-
-// Error implements error.
-func (e *finalError) Error() string { return e.err.Error() }
-
-// Unwrap returns the cause.
-func (e *finalError) Unwrap() error { return e.err }
--- /dev/null
+++ b/dispatcher/stream.go
@@ -0,0 +1,183 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/detector"
+	"github.com/kingcuphook/kingcuphook/tracker"
+)
+
+// watch is the supervision of one attempt: it cuts the attempt off when its
+// connection is silent or its slot is taken back.
+type watch struct {
+	detector detector.Detector
+	timer    *time.Timer
+	cancel   context.CancelCauseFunc
+}
+
+// watch starts the supervision of an attempt and returns its context. Stop must
+// be called at the end.
+func (r *run) watch(ctx context.Context, slot kingcuphook.Slot) (context.Context, *watch) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	w := &watch{
+		detector: detector.Detector{First: r.d.Limits.FirstByte, Between: r.d.Limits.BetweenTokens},
+		cancel:   cancel,
+	}
+	now := time.Now()
+	w.detector.Sent(now)
+	w.timer = time.AfterFunc(w.detector.Due().Sub(now), func() { cancel(errSilent) })
+	if r.preemptible(slot.Choice().Upstream) {
+		go awaitPreemption(ctx, slot, cancel)
+	}
+	return ctx, w
+}
+
+// preemptible reports whether the call can be resumed after it was cut off.
+func (r *run) preemptible(u *kingcuphook.Upstream) bool {
+	return !r.request.NonIdempotent() && (u.Resumes() || !r.request.Stream())
+}
+
+func awaitPreemption(ctx context.Context, slot kingcuphook.Slot, cancel context.CancelCauseFunc) {
+	select {
+	case <-slot.Preempted():
+		cancel(errPreempted)
+	case <-ctx.Done():
+	}
+}
+
+// heard notes a sign of life.
+func (w *watch) heard() {
+	now := time.Now()
+	w.detector.Heard(now)
+	w.timer.Reset(w.detector.Due().Sub(now))
+}
+
+func (w *watch) stop() {
+	w.timer.Stop()
+	w.cancel(context.Canceled)
+}
+
+// cut returns the error of an attempt, with the cause if the router cut it off.
+func cut(ctx context.Context, err error) error {
+	cause := context.Cause(ctx)
+	if errors.Is(cause, errSilent) || errors.Is(cause, errPreempted) {
+		return fmt.Errorf("dispatcher: %w: %w", cause, kingcuphook.ErrBrokenStream)
+	}
+	if cause != nil {
+		return fmt.Errorf("dispatcher: %w: %w", cause, err)
+	}
+	return fmt.Errorf("dispatcher: %w", err)
+}
+
+// service runs the call on a plain service.
+func (r *run) service(ctx context.Context, slot kingcuphook.Slot) (kingcuphook.Outcome, kingcuphook.Sample, error) {
+	ctx, w := r.watch(ctx, slot)
+	defer w.stop()
+	began := time.Now()
+	answer, err := r.d.Engine.Call(ctx, slot.Choice().Upstream, r.newAttempt())
+	if err != nil {
+		return kingcuphook.Outcome{}, failedSample(ctx, kingcuphook.Sample{}), cut(ctx, err)
+	}
+	sample := kingcuphook.Sample{FirstToken: time.Since(began), Tokens: 1}
+	return kingcuphook.Outcome{Answer: answer}, sample, nil
+}
+
+// stream runs the call on a model engine.
+func (r *run) stream(ctx context.Context, slot kingcuphook.Slot) (kingcuphook.Outcome, kingcuphook.Sample, error) {
+	u := slot.Choice().Upstream
+	if !u.Resumes() {
+		r.answer.Restart()
+	}
+	a := r.newAttempt()
+	r.answer.Begin(a.ID())
+	ctx, w := r.watch(ctx, slot)
+	defer w.stop()
+	sample := kingcuphook.Sample{UncachedTokens: slot.Choice().UncachedTokens}
+	s, err := r.d.Engine.Start(ctx, u, a)
+	if err != nil {
+		return kingcuphook.Outcome{}, failedSample(ctx, sample), cut(ctx, err)
+	}
+	defer func() { _ = s.Close() }()
+	if err := r.forward(ctx, slot, s, w, &sample); err != nil {
+		return kingcuphook.Outcome{}, failedSample(ctx, sample), err
+	}
+	out := kingcuphook.Outcome{Finish: r.answer.Finish(), Tokens: r.answer.Position()}
+	if r.request.Stream() {
+		return out, sample, nil
+	}
+	return out, sample, r.write(r.answer.Text())
+}
+
+// failedSample says who broke an attempt off: the upstream or the router.
+func failedSample(ctx context.Context, s kingcuphook.Sample) kingcuphook.Sample {
+	cause := context.Cause(ctx)
+	s.Failed = cause == nil || errors.Is(cause, errSilent)
+	s.Cancelled = !s.Failed
+	return s
+}
+
+// forward takes frames until the answer is whole.
+func (r *run) forward(ctx context.Context, slot kingcuphook.Slot, s kingcuphook.Stream, w *watch, sample *kingcuphook.Sample) error {
+	began := time.Now()
+	var last time.Time
+	for !r.answer.Whole() {
+		f, err := s.Next(ctx)
+		if err != nil {
+			return cut(ctx, err)
+		}
+		ok, err := r.answer.Accept(f)
+		if errors.Is(err, kingcuphook.ErrTooLarge) {
+			return &finalError{err}
+		}
+		if err != nil {
+			return &guardError{err}
+		}
+		if !ok {
+			continue
+		}
+		w.heard()
+		if f.Kind() != kingcuphook.FrameKindData {
+			continue
+		}
+		if err := r.accepted(f); err != nil {
+			return err
+		}
+		last = observe(sample, began, last)
+		slot.Progress(r.answer.Position())
+	}
+	return nil
+}
+
+// accepted passes an accepted data frame on.
+func (r *run) accepted(f kingcuphook.Frame) error {
+	if err := r.tracker.Apply(tracker.EventFrame); err != nil {
+		return &finalError{err}
+	}
+	if !r.request.Stream() {
+		return nil
+	}
+	return r.write(f.Text())
+}
+
+func (r *run) write(text string) error {
+	if err := r.w.WriteData(text); err != nil {
+		return &finalError{fmt.Errorf("dispatcher: write to caller: %w: %w", context.Canceled, err)}
+	}
+	return nil
+}
+
+// observe adds a token to the sample and returns its time.
+func observe(s *kingcuphook.Sample, began, last time.Time) time.Time {
+	now := time.Now()
+	s.Tokens++
+	if s.Tokens == 1 {
+		s.FirstToken = now.Sub(began)
+		return now
+	}
+	s.TokenGap += (now.Sub(last) - s.TokenGap) / time.Duration(s.Tokens-1)
+	return now
+}
