Try the tables on a fleet with faults: nothing in force ever reverts

Eight routers in three regions, two operators, lost requests and replies, outages, restarts, a region cut, compaction and a store restored from an older copy. Found by it: a lost reply of a read was told as an unknown outcome of the edit (now: not made), and an older store was asked again sixteen times.

--- a/editor/editor.go
+++ b/editor/editor.go
@@ -87,6 +87,23 @@
 // Unwrap returns ErrOutcomeUnknown and the cause.
 func (e *UnknownError) Unwrap() []error { return []error{kingcuphook.ErrOutcomeUnknown, e.Err} }
 
+// NotMadeError says that the store did not take an edit and that nothing was
+// changed. It wraps ErrUnavailable.
+type NotMadeError struct {
+	// EditID identifies the edit: it can be sent again.
+	EditID string
+	// Err is what the store said last.
+	Err error
+}
+
+// Error implements error.
+func (e *NotMadeError) Error() string {
+	return fmt.Sprintf("editor: edit %s was not made and nothing was changed: %v", e.EditID, e.Err)
+}
+
+// Unwrap returns ErrUnavailable.
+func (e *NotMadeError) Unwrap() error { return kingcuphook.ErrUnavailable }
+
 // OlderStoreError says that the store holds an older revision than a router has
 // in force and that the edit was not made. It wraps ErrUnavailable.
 type OlderStoreError struct {
@@ -138,8 +155,8 @@
 // Apply makes an edit and returns when it is known to be accepted. An error
 // wraps ErrInvalid (a *kingcuphook.InputError), ErrConflict (a
 // *differ.ConflictError), ErrCompacted (the base is no longer kept),
-// ErrOutcomeUnknown (an *UnknownError), or, if nothing was changed, the error of
-// the store.
+// ErrOutcomeUnknown (an *UnknownError), or ErrUnavailable (a *NotMadeError or
+// *OlderStoreError: nothing was changed).
 func (e *Editor) Apply(ctx context.Context, edit Edit) (Result, error) {
 	if err := check(&edit); err != nil {
 		return Result{}, err
@@ -258,6 +275,13 @@
 	if a.pending {
 		return &UnknownError{EditID: a.edit.ID, Expect: a.expect, Err: err}
 	}
+	var older *OlderStoreError
+	if errors.As(err, &older) {
+		return err
+	}
+	if transient(err) || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
+		return &NotMadeError{EditID: a.edit.ID, Err: err}
+	}
 	return fmt.Errorf("editor: %w", err)
 }
 
@@ -280,10 +304,13 @@
 	high, complete := a.editor.inForce()
 	s, err := a.editor.load(ctx)
 	if err != nil {
-		return Result{}, a.pending && transient(err), err
+		return Result{}, transient(err), err
+	}
+	if high.Revision() > s.Snapshot.Revision() && !complete {
+		return Result{}, false, &OlderStoreError{Store: s.Snapshot.Revision(), InForce: high.Revision()}
 	}
 	if high.Revision() > s.Snapshot.Revision() {
-		err := a.editor.repair(ctx, s, high, complete)
+		err := a.editor.repair(ctx, s, high)
 		return Result{}, transient(err) || errors.Is(err, kingcuphook.ErrConflict), err
 	}
 	r, done, err := a.settle(ctx, s)
--- a/editor/repair.go
+++ b/editor/repair.go
@@ -22,11 +22,9 @@
 var errRepaired = fmt.Errorf("the store was brought up to the revision in force: %w", kingcuphook.ErrConflict)
 
 // repair brings a store that holds an older revision up to the state in force,
-// as a new revision. It does so only if every region was asked for a higher one.
-func (e *Editor) repair(ctx context.Context, s *loader.State, high *differ.Snapshot, complete bool) error {
-	if !complete {
-		return &OlderStoreError{Store: s.Snapshot.Revision(), InForce: high.Revision()}
-	}
+// as a new revision. It must only be called if every region was asked for a
+// higher one.
+func (e *Editor) repair(ctx context.Context, s *loader.State, high *differ.Snapshot) error {
 	revision := high.Revision() + 1
 	id := fmt.Sprintf("%s%016x", repairPrefix, high.Lineage())
 	next, err := differ.Advance(high, differ.NewChange(differ.ChangeFields{
--- /dev/null
+++ b/follower/fleet_test.go
@@ -0,0 +1,293 @@
+package follower
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/differ"
+	"github.com/kingcuphook/kingcuphook/editor"
+	"github.com/kingcuphook/kingcuphook/emulator/storer"
+	"github.com/kingcuphook/kingcuphook/historian"
+	"github.com/kingcuphook/kingcuphook/parser"
+)
+
+// fleet is a few routers in three regions before one store, with a model of what
+// was said about each edit.
+type fleet struct {
+	t     *testing.T
+	store *storer.Store
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	members []*member
+	// faulty says that calls to the store fail now and then.
+	faulty bool
+	// cut is the region that no other reaches; empty for none.
+	cut string
+	// said is what the editor said of each edit.
+	said map[string]error
+	// states are the routes of each state seen in force.
+	states map[uint64]string
+	// expect is the store's revision that an unknown edit expected.
+	expect map[string]int64
+}
+
+// member is one router, which restarts as a new follower.
+type member struct {
+	router   Router
+	follower *Follower
+	stop     context.CancelFunc
+}
+
+func newFleet(t *testing.T, seed uint64) *fleet {
+	f := &fleet{
+		t: t, rng: rand.New(rand.NewPCG(seed, 0)), said: make(map[string]error),
+		states: make(map[uint64]string), expect: make(map[string]int64),
+	}
+	f.store = &storer.Store{Hook: f.fault, History: 8}
+	for i := range 8 {
+		m := &member{router: Router{Address: fmt.Sprintf("127.0.0.1:%d", 7000+i), DataCentre: []string{"cairo", "alex", "upper"}[i%3]}}
+		f.members = append(f.members, m)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.members {
+		f.start(m)
+	}
+	return f
+}
+
+// fault decides the fault of one call.
+func (f *fleet) fault(op, _ string) storer.Fault {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.faulty || op == storer.OpWatch && f.rng.IntN(4) > 0 {
+		return storer.Fault{Delay: time.Millisecond}
+	}
+	fault := storer.Fault{Delay: time.Duration(f.rng.IntN(40)) * time.Millisecond}
+	switch f.rng.IntN(8) {
+	case 0:
+		fault.LoseReply = true
+	case 1:
+		fault.LoseRequest = true
+	case 2:
+		fault.Down = true
+	}
+	return fault
+}
+
+func (f *fleet) routers() []Router {
+	rs := make([]Router, len(f.members))
+	for i, m := range f.members {
+		rs[i] = m.router
+	}
+	return rs
+}
+
+// start runs a new follower for m; mu is held.
+func (f *fleet) start(m *member) {
+	ctx, cancel := context.WithCancel(f.t.Context())
+	var last int64
+	next := &Follower{Store: f.store, Self: m.router, Routers: f.routers, Rand: rand.New(rand.NewPCG(f.rng.Uint64(), 0))}
+	next.OnEvent = func(e Event) {
+		if e.InForce < last {
+			f.t.Errorf("%s went back from revision %d to %d", m.router.Address, last, e.InForce)
+		}
+		last = e.InForce
+	}
+	m.follower, m.stop = next, cancel
+	go next.Run(ctx)
+	go f.gossip(ctx, m, next)
+}
+
+// gossip asks a random peer for newer tables every second.
+func (f *fleet) gossip(ctx context.Context, m *member, own *Follower) {
+	for ctx.Err() == nil {
+		for range 2 {
+			f.pull(m, own)
+		}
+		sleep(ctx, time.Second)
+	}
+}
+
+func (f *fleet) pull(m *member, own *Follower) {
+	f.mu.Lock()
+	peer := f.members[f.rng.IntN(len(f.members))]
+	from, reached := peer.follower, f.reaches(m, peer)
+	f.mu.Unlock()
+	if !reached {
+		return
+	}
+	for _, since := range []int64{own.Current().Revision(), 0} {
+		data, err := from.Update(since)
+		if err != nil {
+			f.t.Error(err)
+		}
+		if data == nil || own.Offer(peer.router.Address, data) == nil {
+			break
+		}
+	}
+	s := own.Current()
+	text := tierText(s.Tables())
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if was, ok := f.states[s.Lineage()]; ok && was != text {
+		f.t.Errorf("revision %d is %q on one router and %q on another", s.Revision(), text, was)
+	}
+	f.states[s.Lineage()] = text
+}
+
+// reaches reports whether two routers reach each other; mu is held.
+func (f *fleet) reaches(a, b *member) bool {
+	return a.router.DataCentre == b.router.DataCentre || f.cut != a.router.DataCentre && f.cut != b.router.DataCentre
+}
+
+func (f *fleet) current(m *member) *differ.Snapshot {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return m.follower.Current()
+}
+
+// inForce is what an editor beside m learns of the fleet.
+func (f *fleet) inForce(m *member) func() (*differ.Snapshot, bool) {
+	return func() (*differ.Snapshot, bool) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		high := m.follower.Current()
+		for _, o := range f.members {
+			if s := o.follower.Current(); f.reaches(m, o) && s.Revision() > high.Revision() {
+				high = s
+			}
+		}
+		return high, f.cut == ""
+	}
+}
+
+// operate makes n edits beside m; each adds a route of its own and most change a
+// shared one.
+func (f *fleet) operate(m *member, name string, n int) {
+	e := editor.Editor{Store: f.store, InForce: f.inForce(m)}
+	for i := range n {
+		base := f.current(m)
+		id := fmt.Sprintf("%s-%d", name, i)
+		f.mu.Lock()
+		tier := 1 + f.rng.IntN(5)
+		pause := time.Duration(f.rng.IntN(1500)) * time.Millisecond
+		f.mu.Unlock()
+		routes := append([]*kingcuphook.Route{}, base.Tables().Routes()...)
+		if len(routes) > 0 && tier > 2 {
+			fields := routes[0].Fields()
+			fields.Tier = kingcuphook.Tier(tier)
+			routes[0] = kingcuphook.NewRoute(fields)
+		}
+		routes = append(routes, kingcuphook.NewRoute(kingcuphook.RouteFields{Name: id, Class: id, Pool: "p", Tier: 1}))
+		ctx, cancel := context.WithTimeout(f.t.Context(), 2*time.Second)
+		_, err := e.Apply(ctx, editor.Edit{
+			ID: id, Author: name, Base: base.Revision(),
+			Routes: parser.NewRouteTable("routes", routes), Pools: parser.NewPoolTable("pools", testPools()),
+		})
+		cancel()
+		var unknown *editor.UnknownError
+		f.mu.Lock()
+		f.said[id] = err
+		if errors.As(err, &unknown) {
+			f.expect[id] = unknown.Expect
+		}
+		f.mu.Unlock()
+		time.Sleep(pause)
+	}
+}
+
+func testPools() []*kingcuphook.Pool {
+	u := kingcuphook.NewUpstream(kingcuphook.UpstreamFields{
+		Address: "127.0.0.1:9001", Region: "cairo", DataCentre: "cairo-1", Kind: kingcuphook.UpstreamKindEngine,
+	})
+	return []*kingcuphook.Pool{kingcuphook.NewPool(kingcuphook.PoolFields{Name: "p", Upstreams: []*kingcuphook.Upstream{u}})}
+}
+
+// tierText returns the routes and tiers of the tables.
+func tierText(t *kingcuphook.Tables) string {
+	var text []byte
+	for _, r := range t.Routes() {
+		text = fmt.Appendf(text, "%s:%d ", r.Name(), r.Tier())
+	}
+	return string(text)
+}
+
+// disturb breaks things for a while, n times.
+func (f *fleet) disturb(n int) {
+	for range n {
+		f.mu.Lock()
+		i, kind := f.rng.IntN(len(f.members)), f.rng.IntN(5)
+		f.mu.Unlock()
+		switch kind {
+		case 0:
+			f.mu.Lock()
+			f.members[i].stop()
+			f.start(f.members[i])
+			f.mu.Unlock()
+		case 1:
+			f.setCut(f.members[i].router.DataCentre)
+			time.Sleep(2 * time.Second)
+			f.setCut("")
+		case 2:
+			f.store.Compact()
+		case 3:
+			f.store.SetFault(storer.Fault{Down: true})
+			time.Sleep(3 * time.Second)
+			f.store.SetFault(storer.Fault{})
+		case 4:
+			f.setFaulty(true)
+			time.Sleep(3 * time.Second)
+		}
+		f.setFaulty(false)
+		time.Sleep(time.Second)
+	}
+}
+
+func (f *fleet) setCut(region string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut = region
+}
+
+func (f *fleet) setFaulty(on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.faulty = on
+}
+
+// check compares every router with what the operators were told.
+func (f *fleet) check() {
+	h := historian.Historian{Store: f.store}
+	first := f.current(f.members[0])
+	for _, m := range f.members {
+		s := f.current(m)
+		if s.Revision() != first.Revision() || s.Lineage() != first.Lineage() {
+			f.t.Errorf("%s has revision %d in force, %s has %d", m.router.Address, s.Revision(), f.members[0].router.Address, first.Revision())
+		}
+	}
+	there := make(map[string]bool)
+	for _, r := range first.Tables().Routes() {
+		there[r.Name()] = true
+	}
+	for id, err := range f.said {
+		want := err == nil
+		if errors.Is(err, kingcuphook.ErrOutcomeUnknown) {
+			o, findErr := h.Find(f.t.Context(), id, f.expect[id])
+			if findErr != nil || o.Fate == historian.FateUnknown {
+				f.t.Errorf("the outcome of %s stays unknown: %v", id, findErr)
+			}
+			want = o.Fate == historian.FateAccepted
+		}
+		if there[id] != want {
+			f.t.Errorf("edit %s: in force %t, but its operator was told %v", id, there[id], err)
+		}
+	}
+}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -36,9 +36,12 @@
 	watchTimeout = 30 * time.Second
 	// readTimeout bounds a load of the tables.
 	readTimeout = 10 * time.Second
-	// minBackOff and maxBackOff bound the wait after a failed call.
+	// minBackOff and maxBackOff bound the wait of a watcher after a failed call.
 	minBackOff = 100 * time.Millisecond
-	maxBackOff = 5 * time.Second
+	maxBackOff = 2 * time.Second
+	// maxIdleBackOff bounds the wait of a router that does not watch and has no
+	// tables yet.
+	maxIdleBackOff = 10 * time.Second
 )
 
 // EventKind says what happened to the tables of a router.
--- a/follower/runner.go
+++ b/follower/runner.go
@@ -47,7 +47,7 @@
 		return 0
 	}
 	if err != nil {
-		return r.failed(err)
+		return r.failed(err, watches)
 	}
 	r.succeeded()
 	return 0
@@ -129,15 +129,25 @@
 }
 
 // failed returns how long to wait after a failed call: an exponential delay with
-// full jitter.
-func (r *runner) failed(err error) time.Duration {
+// jitter. A router that does not watch and has tables reads at its usual pace.
+func (r *runner) failed(err error, watches bool) time.Duration {
 	r.failures++
 	r.f.storeFailed(err)
-	limit := minBackOff << min(r.failures, 6)
-	limit = min(limit, maxBackOff)
-	return minBackOff + time.Duration(r.f.Rand.Int64N(int64(limit)))
+	limit := maxBackOff
+	if !watches {
+		limit = maxIdleBackOff
+		if r.f.Current().Revision() > 0 {
+			r.schedule()
+			return 0
+		}
+	}
+	limit = min(limit, minBackOff<<min(r.failures, maxBackOffDoublings))
+	return limit/2 + time.Duration(r.f.Rand.Int64N(int64(limit)/2))
 }
 
+// maxBackOffDoublings bounds the exponent of the delay.
+const maxBackOffDoublings = 10
+
 func (r *runner) succeeded() {
 	r.failures = 0
 	r.f.storeBack()
