--- a/router/schedule.go
+++ b/router/schedule.go
@@ -18,7 +18,7 @@
 	return &scheduler.Scheduler{
 		Admitter:  &admitter.Admitter{},
 		Limiter:   limits,
-		Selector:  &selector.Selector{Region: r.Settings.Node.Region, DataCentre: r.Settings.Node.DataCentre, Limiter: limits, Ejector: ejects},
+		Selector:  &selector.Selector{Region: r.Settings.Node.Region, DataCentre: r.Settings.Node.DataCentre},
 		Ejector:   ejects,
 		Predictor: &predictor.Predictor{},
 		Preemptor: &preemptor.Preemptor{},
