Add scenario tests of the whole path with fleets in one process

Cause: nothing proved the path across routers. Six scenarios now run fleets of one to three routers with stand-ins in one process: an edit in force everywhere, bad tables, two operators, a planned stop under a stream, a store outage with a router restart, and a lost reply.

--- a/cmd/kingcuphook/check.go
+++ b/cmd/kingcuphook/check.go
@@ -42,6 +42,6 @@
 			return err
 		}
 	}
-	fmt.Printf("%d files are valid\n", len(c.Args.Files))
+	fmt.Fprintf(stdout, "%d files are valid\n", len(c.Args.Files))
 	return nil
 }
--- a/cmd/kingcuphook/completion.go
+++ b/cmd/kingcuphook/completion.go
@@ -15,6 +15,6 @@
 
 // Execute implements flags.Commander.
 func (c *completionCommand) Execute([]string) error {
-	fmt.Print(completionScript)
+	fmt.Fprint(stdout, completionScript)
 	return nil
 }
--- a/cmd/kingcuphook/main.go
+++ b/cmd/kingcuphook/main.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -41,10 +42,18 @@
 
 var global options
 
+// The streams of the commands, replaced in tests.
+var (
+	stdin  io.Reader = os.Stdin
+	stdout io.Writer = os.Stdout
+	stderr io.Writer = os.Stderr
+)
+
 func main() {
 	os.Exit(run(os.Args[1:]))
 }
 
+// run runs one command and returns its exit code.
 func run(args []string) int {
 	parser := newParser()
 	_, err := parser.ParseArgs(args)
@@ -54,13 +63,13 @@
 	var flagsErr *flags.Error
 	if errors.As(err, &flagsErr) {
 		if flagsErr.Type == flags.ErrHelp {
-			fmt.Fprintln(os.Stdout, err)
+			fmt.Fprintln(stdout, err)
 			return exitOK
 		}
-		fmt.Fprintln(os.Stderr, err)
+		fmt.Fprintln(stderr, err)
 		return exitUsage
 	}
-	fmt.Fprintln(os.Stderr, "kingcuphook:", err)
+	fmt.Fprintln(stderr, "kingcuphook:", err)
 	return exitCode(err)
 }
 
--- /dev/null
+++ b/cmd/kingcuphook/script_test.go
@@ -0,0 +1,323 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/configurer"
+	"github.com/kingcuphook/kingcuphook/emulator/responder"
+	"github.com/kingcuphook/kingcuphook/emulator/storer"
+	"github.com/kingcuphook/kingcuphook/parser"
+	"github.com/kingcuphook/kingcuphook/router"
+)
+
+// scriptTimeout bounds whatever a script waits for.
+const scriptTimeout = 20 * time.Second
+
+// regions are those of the routers of a fleet, in order.
+var regions = []string{"cairo", "alex", "upper"}
+
+// fleet is what one script works on.
+type fleet struct {
+	store     *storer.Store
+	platform  string
+	upstreams []*responder.Upstream
+	pools     string
+	routers   []*member
+	stream    chan string
+	// losesReplies makes the store lose the replies of its writes.
+	losesReplies atomic.Bool
+}
+
+// member is one router of a fleet.
+type member struct {
+	router *router.Router
+	stop   context.CancelFunc
+	ended  chan error
+}
+
+type fleetKey struct{}
+
+// TestScripts runs the scenarios of testdata/script. Their commands:
+//
+//	fleet N            starts N routers before three engines and a service
+//	kingcuphook ARG... runs the command line against the first router
+//	attempt ARG...     is kingcuphook, whatever the exit code
+//	call N CLASS TEXT  calls router N and prints status and body
+//	stream N TEXT      begins a stream on router N and returns at its first token
+//	rest               prints what is left of the stream
+//	redeem N KEY BODY  calls the redemption service through router N
+//	store STATE        makes the store up, down or lose-reply
+//	restart N          starts router N again after a planned stop
+//	stop N             stops router N as planned, in the background
+//	stopped N          waits until router N has stopped without an error
+//	crash N            crashes upstream N
+//	runs KEY           prints how often the service ran the key
+//	replace FILE A B   replaces the first A in FILE by B
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/script",
+		Setup: func(env *testscript.Env) error {
+			env.Values[fleetKey{}] = &fleet{}
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"fleet":       withFleet(fleetCmd),
+			"kingcuphook": withFleet(commandLine),
+			"attempt":     withFleet(attemptCmd),
+			"call":        withFleet(callCmd),
+			"stream":      withFleet(streamCmd),
+			"rest":        withFleet(restCmd),
+			"redeem":      withFleet(redeemCmd),
+			"store":       withFleet(storeCmd),
+			"restart":     withFleet(restartCmd),
+			"stop":        withFleet(stopCmd),
+			"stopped":     withFleet(stoppedCmd),
+			"crash":       withFleet(crashCmd),
+			"runs":        withFleet(runsCmd),
+			"replace":     withFleet(replaceCmd),
+		},
+	})
+}
+
+func withFleet(f func(*testscript.TestScript, bool, []string, *fleet)) func(*testscript.TestScript, bool, []string) {
+	return func(ts *testscript.TestScript, neg bool, args []string) {
+		fl, ok := ts.Value(fleetKey{}).(*fleet)
+		if !ok {
+			ts.Fatalf("the script has no fleet")
+		}
+		f(ts, neg, args, fl)
+	}
+}
+
+func index(ts *testscript.TestScript, text string) int {
+	var n int
+	if _, err := fmt.Sscan(text, &n); err != nil {
+		ts.Fatalf("%q is not a number", text)
+	}
+	return n
+}
+
+func fleetCmd(ts *testscript.TestScript, _ bool, args []string, f *fleet) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ts.Defer(cancel)
+	f.store = &storer.Store{WatchWait: time.Second, Hook: func(op, _ string) storer.Fault {
+		return storer.Fault{LoseReply: op == storer.OpPut && f.losesReplies.Load()}
+	}}
+	var err error
+	f.platform, err = servePlatform(ctx, anyPort, f.store)
+	ts.Check(err)
+	f.pools = examplePools
+	for _, name := range []string{"ENGINE-1", "ENGINE-2", "ENGINE-3", "SERVICE-1"} {
+		u := &responder.Upstream{StepTime: 5 * time.Millisecond}
+		address, err := serveUpstream(ctx, anyPort, u)
+		ts.Check(err)
+		f.upstreams = append(f.upstreams, u)
+		f.pools = strings.ReplaceAll(f.pools, name, address)
+	}
+	ts.Check(applyExample(ctx, f.store, f.pools))
+	f.routers = make([]*member, index(ts, args[0]))
+	for i := range f.routers {
+		f.start(ts, i)
+	}
+	vms := make([]kingcuphook.VM, 0, len(f.routers))
+	for i, m := range f.routers {
+		vms = append(vms, kingcuphook.NewVM(m.router.PeersAddress(), regions[i%len(regions)], regions[i%len(regions)]+"-1", kingcuphook.VMStateLive))
+	}
+	f.store.SetVMs(vms)
+	ts.Setenv("KINGCUPHOOK_API", f.routers[0].router.OperatorsAddress())
+}
+
+// start starts router i and waits until it is ready.
+func (f *fleet) start(ts *testscript.TestScript, i int) {
+	s := configurer.Default()
+	region := regions[i%len(regions)]
+	s.Node = configurer.Node{Region: region, DataCentre: region + "-1"}
+	s.Listen = configurer.Listen{Callers: anyPort, Operators: anyPort, Admin: anyPort, Peers: anyPort}
+	if m := f.routers[i]; m != nil {
+		s.Listen.Peers = m.router.PeersAddress()
+	}
+	s.Platform.Address = f.platform
+	s.TLS.PlainText = true
+	s.Operators.Token = tryToken
+	s.Stop.DrainDelay = configurer.Duration(100 * time.Millisecond)
+	ctx, cancel := context.WithCancel(context.Background())
+	m := &member{router: &router.Router{Settings: &s}, stop: cancel, ended: make(chan error, 1)}
+	ts.Check(m.router.Listen())
+	go func() { m.ended <- m.router.Run(ctx) }()
+	f.routers[i] = m
+	ts.Defer(cancel)
+	if err := waitReady(ctx, m.router, m.ended); err != nil {
+		ts.Fatalf("router %d: %v", i, err)
+	}
+}
+
+// commandLine runs the command line in this process and checks its exit code.
+func commandLine(ts *testscript.TestScript, neg bool, args []string, f *fleet) {
+	code := attemptLine(ts, args, f)
+	if neg == (code == exitOK) {
+		ts.Fatalf("exit code %d", code)
+	}
+}
+
+// attemptCmd runs the command line whatever its exit code.
+func attemptCmd(ts *testscript.TestScript, _ bool, args []string, f *fleet) {
+	attemptLine(ts, args, f)
+}
+
+// commandMu guards the streams of the command line: scripts run in parallel.
+var commandMu sync.Mutex
+
+func attemptLine(ts *testscript.TestScript, args []string, f *fleet) int {
+	var out, errOut bytes.Buffer
+	commandMu.Lock()
+	defer commandMu.Unlock()
+	stdin, stdout, stderr = strings.NewReader(""), &out, &errOut
+	for i, a := range args {
+		if strings.HasSuffix(a, ".toml") {
+			args[i] = ts.MkAbs(a)
+		}
+	}
+	prefix := []string{"--token", tryToken, "--author", "operator"}
+	if len(f.routers) > 0 {
+		prefix = append(prefix, "--api", f.routers[0].router.OperatorsAddress())
+	}
+	code := run(append(prefix, args...))
+	fmt.Fprintf(&errOut, "exit code %d\n", code)
+	fmt.Fprint(ts.Stdout(), out.String())
+	fmt.Fprint(ts.Stderr(), errOut.String())
+	return code
+}
+
+func (f *fleet) post(n int, path, body string, headers ...string) (*http.Response, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), scriptTimeout)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.routers[n].router.CallersAddress()+path, strings.NewReader(body))
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	context.AfterFunc(ctx, cancel)
+	return resp, nil
+}
+
+func printAnswer(ts *testscript.TestScript, resp *http.Response, err error) {
+	ts.Check(err)
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	ts.Check(err)
+	fmt.Fprintf(ts.Stdout(), "%d %s\n%s", resp.StatusCode, resp.Header.Get("X-Request-Id"), body)
+	ts.Setenv("REQUEST", resp.Header.Get("X-Request-Id"))
+}
+
+func chatBody(text string, stream bool) string {
+	return fmt.Sprintf(`{"model":"small","stream":%t,"messages":[{"role":"user","content":%q}]}`, stream, text)
+}
+
+func callCmd(ts *testscript.TestScript, _ bool, args []string, f *fleet) {
+	resp, err := f.post(index(ts, args[0]), responder.PathChat, chatBody(args[2], false), "X-Class", args[1], "X-Organisation", "cafe-1") //nolint:bodyclose // printAnswer closes it
+	printAnswer(ts, resp, err)
+}
+
+func redeemCmd(ts *testscript.TestScript, _ bool, args []string, f *fleet) {
+	resp, err := f.post(index(ts, args[0]), "/redemptions", args[2], "Idempotency-Key", args[1], "X-Organisation", "cafe-1") //nolint:bodyclose // printAnswer closes it
+	printAnswer(ts, resp, err)
+}
+
+func streamCmd(ts *testscript.TestScript, _ bool, args []string, f *fleet) {
+	resp, err := f.post(index(ts, args[0]), responder.PathChat, chatBody(args[1], true), "X-Class", "till") //nolint:bodyclose // closed when read
+	ts.Check(err)
+	first := make([]byte, 1)
+	_, err = io.ReadFull(resp.Body, first)
+	ts.Check(err)
+	f.stream = make(chan string, 1)
+	go func() {
+		rest, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if err != nil {
+			rest = append(rest, err.Error()...)
+		}
+		f.stream <- string(first) + string(rest)
+	}()
+}
+
+func restCmd(ts *testscript.TestScript, _ bool, _ []string, f *fleet) {
+	fmt.Fprint(ts.Stdout(), <-f.stream)
+}
+
+func storeCmd(_ *testscript.TestScript, _ bool, args []string, f *fleet) {
+	f.store.SetFault(storer.Fault{Down: args[0] == "down"})
+	f.losesReplies.Store(args[0] == "lose-reply")
+}
+
+func stopCmd(ts *testscript.TestScript, _ bool, args []string, f *fleet) {
+	f.routers[index(ts, args[0])].stop()
+}
+
+func stoppedCmd(ts *testscript.TestScript, _ bool, args []string, f *fleet) {
+	select {
+	case err := <-f.routers[index(ts, args[0])].ended:
+		ts.Check(err)
+	case <-time.After(scriptTimeout):
+		ts.Fatalf("the router did not stop")
+	}
+}
+
+func restartCmd(ts *testscript.TestScript, _ bool, args []string, f *fleet) {
+	f.start(ts, index(ts, args[0]))
+}
+
+func crashCmd(ts *testscript.TestScript, _ bool, args []string, f *fleet) {
+	f.upstreams[index(ts, args[0])].Crash()
+}
+
+func runsCmd(ts *testscript.TestScript, _ bool, args []string, f *fleet) {
+	runs := 0
+	for _, u := range f.upstreams {
+		runs += u.Record().Keys[args[0]]
+	}
+	fmt.Fprintf(ts.Stdout(), "%d runs\n", runs)
+}
+
+func replaceCmd(ts *testscript.TestScript, _ bool, args []string, _ *fleet) {
+	text := ts.ReadFile(args[0])
+	if !strings.Contains(text, args[1]) {
+		ts.Fatalf("%s has no %q", args[0], args[1])
+	}
+	ts.Check(os.WriteFile(ts.MkAbs(args[0]), []byte(strings.Replace(text, args[1], args[2], 1)), filePermissions))
+}
+
+// TestExampleTablesAreValid checks the embedded example against the parser.
+func TestExampleTablesAreValid(t *testing.T) {
+	routes, err := parser.ParseRoutes("routes", []byte(exampleRoutes))
+	if err != nil {
+		t.Fatal(err)
+	}
+	pools := strings.NewReplacer("ENGINE-1", "127.0.0.1:1", "ENGINE-2", "127.0.0.1:2", "ENGINE-3", "127.0.0.1:3", "SERVICE-1", "127.0.0.1:4")
+	table, err := parser.ParsePools("pools", []byte(pools.Replace(examplePools)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := parser.Validate(routes, table); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/cmd/kingcuphook/standin.go
+++ b/cmd/kingcuphook/standin.go
@@ -40,14 +40,14 @@
 	if err != nil {
 		return err
 	}
-	fmt.Println("platform", address)
+	fmt.Fprintln(stdout, "platform", address)
 	for _, u := range c.Upstreams {
 		step := time.Duration(c.StepMS) * time.Millisecond
 		address, err := serveUpstream(ctx, u, &responder.Upstream{Slots: c.Slots, StepTime: step})
 		if err != nil {
 			return err
 		}
-		fmt.Println("upstream", address)
+		fmt.Fprintln(stdout, "upstream", address)
 	}
 	<-ctx.Done()
 	return nil
@@ -90,7 +90,7 @@
 	s := &http.Server{Handler: u, ReadHeaderTimeout: standInHeaderTimeout}
 	go func() {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			fmt.Println("stand-in:", err)
+			fmt.Fprintln(stdout, "stand-in:", err)
 		}
 	}()
 	context.AfterFunc(ctx, func() { _ = s.Close() })
--- a/cmd/kingcuphook/status.go
+++ b/cmd/kingcuphook/status.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 	"text/tabwriter"
 
 	"github.com/kingcuphook/kingcuphook/gen/commands"
@@ -23,9 +22,9 @@
 	if err != nil {
 		return explainError(err, false)
 	}
-	fmt.Printf("router %s, region %s, data centre %s\n", s.Address, s.Region, s.DataCentre)
-	fmt.Printf("ready %t, revision %d, store %s, open requests %d\n\n", s.Ready, s.Revision, s.Store, s.OpenRequests)
-	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(stdout, "router %s, region %s, data centre %s\n", s.Address, s.Region, s.DataCentre)
+	fmt.Fprintf(stdout, "ready %t, revision %d, store %s, open requests %d\n\n", s.Ready, s.Revision, s.Store, s.OpenRequests)
+	w := tabwriter.NewWriter(stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "ROUTER\tREGION\tDATA CENTRE\tSTATE\tREVISION")
 	for _, m := range s.Members {
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\n", m.Address, m.Region, m.DataCentre, m.State, m.Revision)
@@ -77,9 +76,9 @@
 	if outcome == "" {
 		outcome = "in progress"
 	}
-	fmt.Printf("request %s: class %s, organisation %s, tier %d\n", e.RequestID, e.Class, e.Organisation, e.Tier)
-	fmt.Printf("route %s, pool %s, outcome %s\n\n", e.Route, e.Pool, outcome)
-	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(stdout, "request %s: class %s, organisation %s, tier %d\n", e.RequestID, e.Class, e.Organisation, e.Tier)
+	fmt.Fprintf(stdout, "route %s, pool %s, outcome %s\n\n", e.Route, e.Pool, outcome)
+	w := tabwriter.NewWriter(stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "AT\tSTEP\tUPSTREAM\tDETAIL")
 	for _, s := range e.Steps {
 		fmt.Fprintf(w, "%.1fms\t%s\t%s\t%s\n", s.AtMs, s.Name, text(s.Upstream), text(s.Detail))
@@ -117,7 +116,7 @@
 	if err != nil {
 		return explainError(err, false)
 	}
-	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	w := tabwriter.NewWriter(stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "FINGERPRINT\tSTATE\tUNTIL")
 	for _, q := range list {
 		fmt.Fprintf(w, "%s\t%s\t%s\n", q.Fingerprint, q.State, text(q.Until))
--- a/cmd/kingcuphook/tables.go
+++ b/cmd/kingcuphook/tables.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"text/tabwriter"
@@ -78,7 +79,7 @@
 		return err
 	}
 	if c.Output == "" {
-		fmt.Print(text)
+		fmt.Fprint(stdout, text)
 		return nil
 	}
 	return os.WriteFile(c.Output, []byte(text), filePermissions)
@@ -174,7 +175,7 @@
 		}
 		return err
 	}
-	fmt.Printf("revision %d, edit %s\n", applied.Revision, applied.EditID)
+	fmt.Fprintf(stdout, "revision %d, edit %s\n", applied.Revision, applied.EditID)
 	if !opts.Wait {
 		return nil
 	}
@@ -183,7 +184,7 @@
 
 func readInput(file string) (string, error) {
 	if file == "-" {
-		text, err := io.ReadAll(os.Stdin)
+		text, err := io.ReadAll(stdin)
 		return string(text), err
 	}
 	text, err := os.ReadFile(file)
@@ -205,7 +206,7 @@
 		}
 		behind := regionsBehind(s, revision)
 		if len(behind) == 0 {
-			fmt.Printf("in force in every region after %s\n", time.Since(begun).Round(time.Millisecond))
+			fmt.Fprintf(stdout, "in force in every region after %s\n", time.Since(begun).Round(time.Millisecond))
 			return nil
 		}
 		select {
@@ -216,22 +217,25 @@
 	}
 }
 
-// regionsBehind returns the regions in which some router has an older revision.
+// regionsBehind returns the regions, in order, that have not reported the
+// revision: one of their routers reported an older one, or none reported yet.
 func regionsBehind(s *queries.StatusReport, revision int64) []string {
-	var behind []string
-	seen := make(map[string]bool)
-	note := func(region string, in int64) {
-		if in < revision && !seen[region] {
-			seen[region] = true
-			behind = append(behind, region)
+	reported := map[string]bool{s.Region: s.Revision >= revision}
+	older := map[string]bool{s.Region: s.Revision < revision}
+	for _, m := range s.Members {
+		if m.State != "alive" {
+			continue
 		}
+		reported[m.Region] = reported[m.Region] || m.Revision >= revision
+		older[m.Region] = older[m.Region] || m.Revision > 0 && m.Revision < revision
 	}
-	note(s.Region, s.Revision)
-	for _, m := range s.Members {
-		if m.State == "alive" {
-			note(m.Region, m.Revision)
+	var behind []string
+	for region := range reported {
+		if older[region] || !reported[region] {
+			behind = append(behind, region)
 		}
 	}
+	slices.Sort(behind)
 	return behind
 }
 
@@ -254,7 +258,7 @@
 	if err != nil {
 		return explainError(err, false)
 	}
-	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	w := tabwriter.NewWriter(stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "REVISION\tTIME\tAUTHOR\tOUTCOME\tEDIT\tROWS")
 	for _, ch := range changes {
 		fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%s\t%s\n", ch.Revision, ch.Time, ch.Author, outcomeText(ch), ch.EditID, rowNames(ch.Rows))
@@ -305,7 +309,7 @@
 }
 
 func printRow(r *queries.Row) {
-	fmt.Printf("%s %s\n", r.Table, r.Name)
+	fmt.Fprintf(stdout, "%s %s\n", r.Table, r.Name)
 	printPrefixed("- ", r.Before)
 	printPrefixed("+ ", r.After)
 }
@@ -315,10 +319,10 @@
 		return
 	}
 	for line := range strings.Lines(strings.TrimSpace(*text)) {
-		fmt.Print(prefix + line)
+		fmt.Fprint(stdout, prefix+line)
 	}
 	if *text != "" {
-		fmt.Println()
+		fmt.Fprintln(stdout)
 	}
 }
 
@@ -340,6 +344,6 @@
 	if err != nil {
 		return explainError(err, true)
 	}
-	fmt.Printf("revision %d, edit %s\n", applied.Revision, applied.EditID)
+	fmt.Fprintf(stdout, "revision %d, edit %s\n", applied.Revision, applied.EditID)
 	return nil
 }
--- a/cmd/kingcuphook/try.go
+++ b/cmd/kingcuphook/try.go
@@ -151,7 +151,7 @@
 }
 
 func printTry(r *router.Router) {
-	fmt.Printf(`kingcuphook is ready. A call, a stream and a redemption:
+	fmt.Fprintf(stdout, `kingcuphook is ready. A call, a stream and a redemption:
 
 curl -H 'X-Class: till' -H 'X-Organisation: cafe-1' -d '{"model":"small","messages":[{"role":"user","content":"Hello"}]}' http://%[1]s/v1/chat/completions
 curl -N -H 'X-Class: till' -H 'X-Organisation: cafe-1' -d '{"model":"small","stream":true,"messages":[{"role":"user","content":"Hello"}]}' http://%[1]s/v1/chat/completions
--- a/gossiper/member.go
+++ b/gossiper/member.go
@@ -51,6 +51,7 @@
 	location  Location
 	state     State
 	reachable bool
+	revision  int64
 }
 
 // Address returns the IP number and port of the peer link.
@@ -65,6 +66,10 @@
 // State returns what is known of the member.
 func (m Member) State() State { return m.state }
 
+// Revision returns the revision of the tables last heard from the member itself;
+// 0 if it was not heard.
+func (m Member) Revision() int64 { return m.revision }
+
 // Reachable reports whether the latest exchange with the member's region, if
 // there was one, succeeded.
 func (m Member) Reachable() bool { return m.reachable }
--- a/gossiper/query.go
+++ b/gossiper/query.go
@@ -19,7 +19,12 @@
 
 func (g *Gossiper) view(m *member) Member {
 	l := g.locations[m.entry.Location]
+	revision := m.revision
+	if m == g.self {
+		revision = g.revision
+	}
 	return Member{
+		revision:  revision,
 		address:   m.entry.Address,
 		location:  l,
 		state:     m.entry.State,
--- a/router/operators.go
+++ b/router/operators.go
@@ -63,6 +63,7 @@
 			Region:     m.Region(),
 			DataCentre: m.DataCentre(),
 			State:      string(m.State()),
+			Revision:   m.Revision(),
 		})
 	}
 	for _, p := range tables.Pools() {
