--- a/server/request.go
+++ b/server/request.go
@@ -62,8 +62,6 @@
 	if err != nil {
 		return nil, id, bodyError(err)
 	}
-	// The read timeout would otherwise cancel a long answer.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	tables := s.Tables()
 	if tables == nil {
 		return nil, id, errNotReady
