--- a/claimer/segment.go
+++ b/claimer/segment.go
@@ -34,8 +34,9 @@
 	return Decode(e.Value())
 }
 
-// load brings the cache in step with the segments that the head names.
-func (s *shard) load(head *Ledger) error {
+// load brings the cache in step with the segments that the head names. A
+// segment that cannot be read stays out of it.
+func (s *shard) load(head *Ledger) {
 	oldest := time.Now().Add(-s.claimer.Retention)
 	kept := make(map[int64][]uint64, len(head.segments))
 	var missing []int64
@@ -54,21 +55,19 @@
 	g.SetLimit(loads)
 	for i, number := range missing {
 		g.Go(func() error {
-			l, err := s.segment(number)
-			if err == nil {
+			if l, err := s.segment(number); err == nil {
 				loaded[i] = starts(l)
 			}
-			return err
+			return nil
 		})
 	}
-	err := g.Wait()
+	_ = g.Wait()
 	for i, number := range missing {
 		if loaded[i] != nil {
 			kept[number] = loaded[i]
 		}
 	}
 	s.sealed = kept
-	return err
 }
 
 // starts returns the sorted starts of the hashes of a ledger.
--- a/claimer/shard.go
+++ b/claimer/shard.go
@@ -25,6 +25,9 @@
 	outageWait = 100 * time.Millisecond
 )
 
+// errMissing says that a segment whose claims still count cannot be read.
+var errMissing = errors.New("segment missing")
+
 // waiter is one claim that waits for the store.
 type waiter struct {
 	hash        Hash
@@ -145,22 +148,21 @@
 		s.refuse(batch, err)
 		return 0
 	}
-	if err := s.load(head); err != nil {
-		s.again(batch)
-		return outageWait
-	}
+	s.load(head)
 	next := s.seal(head, entry.Revision())
 	p := s.plan(next, batch)
 	s.again(p.later)
-	s.refuse(p.failed, kingcuphook.ErrUnavailable)
+	s.finish(p.found)
+	wait := time.Duration(0)
+	if p.failed {
+		wait = outageWait
+	}
 	if len(p.added) == 0 {
-		s.finish(p.found)
-		return 0
+		return wait
 	}
 	s.mark(p.added)
 	err = s.claimer.put(key, next.Encode(), entry.Revision(), 0)
-	s.finish(p.found)
-	return s.conclude(p.added, err)
+	return max(wait, s.conclude(p.added, err))
 }
 
 // conclude ends the claims of a write, or puts them back.
@@ -200,8 +202,10 @@
 // plan is what one write does with each claim of a batch.
 type plan struct {
 	// added are in the new head; found have another's or their own claim; later
-	// wait for the claim of the same key in added; failed cannot be decided.
-	added, found, later, failed []*waiter
+	// must be looked at again.
+	added, found, later []*waiter
+	// failed says that a claim in later could not be decided.
+	failed bool
 }
 
 // plan adds the new claims of a batch to head.
@@ -217,7 +221,8 @@
 		r, ok, err := s.find(head, w.hash, now)
 		switch {
 		case err != nil || head.size() > maxHeadBytes:
-			p.failed = append(p.failed, w)
+			p.later = append(p.later, w)
+			p.failed = true
 		case ok && r.nonce != w.over:
 			w.record = r
 			p.found = append(p.found, w)
@@ -242,7 +247,11 @@
 		if seg.last.Before(oldest) {
 			continue
 		}
-		if _, ok := slices.BinarySearch(s.sealed[seg.number], start); !ok {
+		starts, ok := s.sealed[seg.number]
+		if !ok {
+			return Record{}, false, errMissing
+		}
+		if _, ok := slices.BinarySearch(starts, start); !ok {
 			continue
 		}
 		l, err := s.segment(seg.number)
--- a/detector/detector.go
+++ b/detector/detector.go
@@ -5,6 +5,10 @@
 
 import "time"
 
+// lateness is how much after its due time a look still counts. A later look
+// means that the router itself was paused, and says nothing of the connection.
+const lateness = time.Second
+
 // Detector watches one attempt. It is used by one goroutine.
 type Detector struct {
 	// First is how long the upstream may stay silent after the dispatch.
@@ -39,4 +43,10 @@
 }
 
 // Silent reports whether the connection counts as silent.
-func (d *Detector) Silent(now time.Time) bool { return !now.Before(d.Due()) }
+func (d *Detector) Silent(now time.Time) bool {
+	late := now.Sub(d.Due())
+	return late >= 0 && late <= lateness
+}
+
+// Resume starts the wait again after a look that came too late.
+func (d *Detector) Resume(now time.Time) { d.last = now }
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -111,6 +111,11 @@
 	if err := r.dispatch(); err != nil {
 		return kingcuphook.Outcome{}, err
 	}
+	if r.ticket.Held() {
+		var cancel context.CancelFunc
+		ctx, cancel = detach(ctx)
+		defer cancel()
+	}
 	var out kingcuphook.Outcome
 	if r.call.Kind == kingcuphook.UpstreamKindService {
 		out, sample, err = r.service(ctx, slot)
@@ -124,6 +129,17 @@
 	return out, r.tracker.Apply(tracker.EventWhole)
 }
 
+// detach returns a context that ends at the deadline of ctx only. A claimed call
+// runs to its end also when its caller is gone, so that a resend finds its
+// outcome.
+func detach(ctx context.Context) (context.Context, context.CancelFunc) {
+	free := context.WithoutCancel(ctx)
+	if deadline, ok := ctx.Deadline(); ok {
+		return context.WithDeadline(free, deadline)
+	}
+	return context.WithCancel(free)
+}
+
 // dispatch notes that the first byte is about to go out.
 func (r *run) dispatch() error {
 	if r.tracker.Claims && !r.ticket.Usable(time.Now()) {
@@ -194,6 +210,7 @@
 		}
 		if suspect && !r.d.Quarantiner.Begin(r.request.Fingerprint(), upstream.Address()) {
 			slot.Release(kingcuphook.Sample{Cancelled: true})
+			pause(ctx, judgeInterval)
 			continue
 		}
 		return slot, suspect, nil
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
@@ -14,9 +15,12 @@
 // watch is the supervision of one attempt: it cuts the attempt off when its
 // connection is silent or its slot is taken back.
 type watch struct {
+	cancel context.CancelCauseFunc
+
+	// mu guards what follows.
+	mu       sync.Mutex
 	detector detector.Detector
 	timer    *time.Timer
-	cancel   context.CancelCauseFunc
 }
 
 // watch starts the supervision of an attempt and returns its context. Stop must
@@ -29,7 +33,9 @@
 	}
 	now := time.Now()
 	w.detector.Sent(now)
-	w.timer = time.AfterFunc(w.detector.Due().Sub(now), func() { cancel(errSilent) })
+	w.mu.Lock()
+	w.timer = time.AfterFunc(w.detector.Due().Sub(now), w.look)
+	w.mu.Unlock()
 	if r.preemptible(slot.Choice().Upstream) {
 		go awaitPreemption(ctx, slot, cancel)
 	}
@@ -49,14 +55,34 @@
 	}
 }
 
+// look cuts the attempt off if its connection is silent, and looks again later
+// if it is not.
+func (w *watch) look() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	if w.detector.Silent(now) {
+		w.cancel(errSilent)
+		return
+	}
+	if !now.Before(w.detector.Due()) {
+		w.detector.Resume(now)
+	}
+	w.timer.Reset(w.detector.Due().Sub(now))
+}
+
 // heard notes a sign of life.
 func (w *watch) heard() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	now := time.Now()
 	w.detector.Heard(now)
 	w.timer.Reset(w.detector.Due().Sub(now))
 }
 
 func (w *watch) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.timer.Stop()
 	w.cancel(context.Canceled)
 }
@@ -163,8 +189,9 @@
 	return r.write(f.Text())
 }
 
+// write passes text to the caller. A claimed call goes on without its caller.
 func (r *run) write(text string) error {
-	if err := r.w.WriteData(text); err != nil {
+	if err := r.w.WriteData(text); err != nil && !r.ticket.Held() {
 		return &finalError{fmt.Errorf("dispatcher: write to caller: %w: %w", context.Canceled, err)}
 	}
 	return nil
--- a/emulator/runner/runner.go
+++ b/emulator/runner/runner.go
@@ -62,6 +62,8 @@
 	Upstream string
 	// Fingerprint is the hash of the body.
 	Fingerprint uint64
+	// Began is when the upstream took the attempt.
+	Began time.Time
 	// Tokens is the number of frames made.
 	Tokens int
 	// Finished says that the run came to its end.
@@ -211,7 +213,14 @@
 
 func (e *Engine) begin(u *kingcuphook.Upstream, a *kingcuphook.Attempt) (*Run, <-chan struct{}) {
 	r := a.Request()
-	run := &Run{Attempt: a.ID(), Request: r.ID(), Key: r.Key(), Upstream: u.Address(), Fingerprint: r.Fingerprint()}
+	run := &Run{
+		Attempt:     a.ID(),
+		Request:     r.ID(),
+		Key:         r.Key(),
+		Upstream:    u.Address(),
+		Fingerprint: r.Fingerprint(),
+		Began:       time.Now(),
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.runs = append(e.runs, run)
