Space the claims' writes at a fixed period that a conflict moves

The routers had met at the same phase again and again; now they keep phases that do not meet. One shard at 125 ms is the default.

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -12,16 +12,14 @@
 	"sync"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"github.com/kingcuphook/kingcuphook"
 )
 
 // Defaults of a Claimer whose fields are zero.
 const (
 	defaultPrefix          = "claims/"
-	defaultShards          = 2
-	defaultInterval        = 250 * time.Millisecond
+	defaultShards          = 1
+	defaultInterval        = 125 * time.Millisecond
 	defaultOutcomeInterval = time.Second
 	defaultRetention       = time.Hour
 	defaultHeadBytes       = 64 << 10
@@ -39,9 +37,6 @@
 	leaseFactor = 2
 )
 
-// burst is the number of writes of a shard that may follow each other.
-const burst = 3
-
 // Claimer makes claims. Its fields are set before the first call. It is safe
 // for concurrent use. It runs goroutines only while something waits for the
 // store.
@@ -53,10 +48,10 @@
 	Rand *rand.Rand
 	// Prefix starts every key; empty means "claims/".
 	Prefix string
-	// Shards is the number of heads, equal on all routers; 0 means 2.
+	// Shards is the number of heads, equal on all routers; 0 means 1.
 	Shards int
 	// Interval is the mean time between two writes of a shard by this router;
-	// 0 means 250 ms. Up to three writes may follow each other after a rest.
+	// 0 means 125 ms. Up to three writes may follow each other after a rest.
 	Interval time.Duration
 	// OutcomeInterval is the least time between two writes of outcomes; 0 means
 	// 1 s.
@@ -139,7 +134,7 @@
 		c.shards = append(c.shards, &shard{
 			claimer: c,
 			name:    fmt.Sprintf("%s%d/", c.Prefix, i),
-			pace:    rate.NewLimiter(rate.Every(c.Interval), burst),
+			pace:    pacer{interval: c.Interval},
 		})
 	}
 	c.book.claimer = c
--- a/claimer/shard.go
+++ b/claimer/shard.go
@@ -9,8 +9,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"github.com/kingcuphook/kingcuphook"
 )
 
@@ -22,7 +20,7 @@
 	// conflictWait is the longest wait after a lost compare-and-swap.
 	conflictWait = 20 * time.Millisecond
 	// outageWait is the longest wait after a call that failed.
-	outageWait = 100 * time.Millisecond
+	outageWait = 500 * time.Millisecond
 )
 
 // errMissing says that a segment whose claims still count cannot be read.
@@ -54,7 +52,7 @@
 	waiting []*waiter
 	running bool
 	// pace bounds the commits; used by the writer only.
-	pace *rate.Limiter
+	pace pacer
 	// sealed caches, by number, the sorted starts of the hashes of each sealed
 	// segment; used by the writer only.
 	sealed map[int64][]uint64
@@ -89,18 +87,25 @@
 	}
 }
 
-// write serves the shard until nothing waits.
+// write serves the shard until nothing waits. A commit that follows a conflict
+// is made soon, at a random time, and sets the times of those after it: were it
+// made at the usual time, routers would meet again and again.
 func (s *shard) write() {
+	soon := time.Duration(0)
 	for {
 		batch := s.batch()
 		if batch == nil {
 			return
 		}
-		time.Sleep(s.pace.Reserve().Delay())
-		batch = append(batch, s.more(maxBatch-len(batch))...)
-		if pause := s.commit(batch); pause > 0 {
-			time.Sleep(s.claimer.jitter(pause))
+		if soon > 0 {
+			time.Sleep(s.claimer.jitter(soon))
+			s.pace.moved(time.Now())
+		} else {
+			time.Sleep(s.pace.wait(time.Now()))
+			s.pace.wrote(time.Now())
 		}
+		batch = append(batch, s.more(maxBatch-len(batch))...)
+		soon = s.commit(batch)
 	}
 }
 
@@ -135,7 +140,7 @@
 }
 
 // commit resolves a batch with one compare-and-swap. It returns the longest
-// time to wait before the next one, 0 if all went well.
+// time to wait before the next one, 0 for the usual pace.
 func (s *shard) commit(batch []*waiter) time.Duration {
 	key := s.name + "head"
 	entry, err := s.claimer.get(key)
