--- a/claimer/pacer.go
+++ b/claimer/pacer.go
@@ -6,11 +6,15 @@
 // rest.
 const burst = 3
 
+// moveCost is what a write that follows a conflict takes out of the credit, so
+// that conflicts do not add to the rate of writes without bound.
+const moveCost = 0.5
+
 // pacer spaces the writes of a shard. Under load they come at a fixed period, so
 // that routers whose writes do not meet once do not meet later either.
 type pacer struct {
 	interval time.Duration
-	// credit is the number of writes allowed at once as of last; from 0 to
+	// credit is the number of writes allowed at once as of last; from -moveCost to
 	// burst.
 	credit float64
 	// last is when credit was brought up to date; zero before the first write.
@@ -34,7 +38,7 @@
 
 // moved starts a new period at a write that follows a conflict.
 func (p *pacer) moved(now time.Time) {
-	p.credit = 0
+	p.credit = -moveCost
 	p.last = now
 }
 
