--- a/claimer/shard.go
+++ b/claimer/shard.go
@@ -9,8 +9,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"github.com/kingcuphook/kingcuphook"
 )
 
@@ -22,9 +20,12 @@
 	// conflictWait is the longest wait after a lost compare-and-swap.
 	conflictWait = 20 * time.Millisecond
 	// outageWait is the longest wait after a call that failed.
-	outageWait = 100 * time.Millisecond
+	outageWait = 500 * time.Millisecond
 )
 
+// errMissing says that a segment whose claims still count cannot be read.
+var errMissing = errors.New("segment missing")
+
 // waiter is one claim that waits for the store.
 type waiter struct {
 	hash        Hash
@@ -51,7 +52,7 @@
 	waiting []*waiter
 	running bool
 	// pace bounds the commits; used by the writer only.
-	pace *rate.Limiter
+	pace pacer
 	// sealed caches, by number, the sorted starts of the hashes of each sealed
 	// segment; used by the writer only.
 	sealed map[int64][]uint64
@@ -86,18 +87,25 @@
 	}
 }
 
-// write serves the shard until nothing waits.
+// write serves the shard until nothing waits. A commit that follows a conflict
+// is made soon, at a random time, and sets the times of those after it: were it
+// made at the usual time, routers would meet again and again.
 func (s *shard) write() {
+	soon := time.Duration(0)
 	for {
 		batch := s.batch()
 		if batch == nil {
 			return
 		}
-		time.Sleep(s.pace.Reserve().Delay())
-		batch = append(batch, s.more(maxBatch-len(batch))...)
-		if pause := s.commit(batch); pause > 0 {
-			time.Sleep(s.claimer.jitter(pause))
+		if soon > 0 {
+			time.Sleep(s.claimer.jitter(soon))
+			s.pace.moved(time.Now())
+		} else {
+			time.Sleep(s.pace.wait(time.Now()))
+			s.pace.wrote(time.Now())
 		}
+		batch = append(batch, s.more(maxBatch-len(batch))...)
+		soon = s.commit(batch)
 	}
 }
 
@@ -132,7 +140,7 @@
 }
 
 // commit resolves a batch with one compare-and-swap. It returns the longest
-// time to wait before the next one, 0 if all went well.
+// time to wait before the next one, 0 for the usual pace.
 func (s *shard) commit(batch []*waiter) time.Duration {
 	key := s.name + "head"
 	entry, err := s.claimer.get(key)
@@ -145,22 +153,21 @@
 		s.refuse(batch, err)
 		return 0
 	}
-	if err := s.load(head); err != nil {
-		s.again(batch)
-		return outageWait
-	}
+	s.load(head)
 	next := s.seal(head, entry.Revision())
 	p := s.plan(next, batch)
 	s.again(p.later)
-	s.refuse(p.failed, kingcuphook.ErrUnavailable)
+	s.finish(p.found)
+	wait := time.Duration(0)
+	if p.failed {
+		wait = outageWait
+	}
 	if len(p.added) == 0 {
-		s.finish(p.found)
-		return 0
+		return wait
 	}
 	s.mark(p.added)
 	err = s.claimer.put(key, next.Encode(), entry.Revision(), 0)
-	s.finish(p.found)
-	return s.conclude(p.added, err)
+	return max(wait, s.conclude(p.added, err))
 }
 
 // conclude ends the claims of a write, or puts them back.
@@ -200,8 +207,10 @@
 // plan is what one write does with each claim of a batch.
 type plan struct {
 	// added are in the new head; found have another's or their own claim; later
-	// wait for the claim of the same key in added; failed cannot be decided.
-	added, found, later, failed []*waiter
+	// must be looked at again.
+	added, found, later []*waiter
+	// failed says that a claim in later could not be decided.
+	failed bool
 }
 
 // plan adds the new claims of a batch to head.
@@ -217,7 +226,8 @@
 		r, ok, err := s.find(head, w.hash, now)
 		switch {
 		case err != nil || head.size() > maxHeadBytes:
-			p.failed = append(p.failed, w)
+			p.later = append(p.later, w)
+			p.failed = true
 		case ok && r.nonce != w.over:
 			w.record = r
 			p.found = append(p.found, w)
@@ -242,7 +252,11 @@
 		if seg.last.Before(oldest) {
 			continue
 		}
-		if _, ok := slices.BinarySearch(s.sealed[seg.number], start); !ok {
+		starts, ok := s.sealed[seg.number]
+		if !ok {
+			return Record{}, false, errMissing
+		}
+		if _, ok := slices.BinarySearch(starts, start); !ok {
 			continue
 		}
 		l, err := s.segment(seg.number)
