--- /dev/null
+++ b/router/overhead_test.go
@@ -0,0 +1,194 @@
+package router
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"github.com/kingcuphook/kingcuphook/configurer"
+	"github.com/kingcuphook/kingcuphook/editor"
+	"github.com/kingcuphook/kingcuphook/emulator/storer"
+	"github.com/kingcuphook/kingcuphook/parser"
+)
+
+// benchTokens is the length of the answers in the benchmarks.
+const benchTokens = 64
+
+const benchRoutes = `
+[[route]]
+name = "all"
+path = "/v1/chat/completions"
+pool = "models"
+tier = 1
+`
+
+const benchPools = `
+[[pool]]
+name = "models"
+[[pool.upstream]]
+address = "%s"
+region = "cairo"
+data-centre = "cairo-1"
+kind = "engine"
+models = ["m"]
+slots = 100000
+resumes = true
+`
+
+// serveInstant answers a chat completion at once, as a stream of events.
+func serveInstant(tokens int) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/v1/chat/completions" {
+			http.NotFound(w, r)
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		id := r.Header.Get("X-Attempt-Id")
+		w.Header().Set("Content-Type", "text/event-stream")
+		flush := http.NewResponseController(w)
+		for i := range tokens {
+			fmt.Fprintf(w, `data: {"id":%q,"position":%d,"choices":[{"index":0,"delta":{"content":"word "},"finish_reason":null}]}`+"\n\n", id, i)
+			_ = flush.Flush()
+		}
+		fmt.Fprintf(w, `data: {"id":%q,"position":%d,"choices":[{"index":0,"delta":{},"finish_reason":"stop"}]}`+"\n\ndata: [DONE]\n\n", id, tokens)
+	})
+}
+
+// startBench starts a router before an engine and returns the URLs of both.
+func startBench(b *testing.B, tokens int) (direct, routed string) {
+	b.Helper()
+	engine := httptest.NewServer(serveInstant(tokens))
+	b.Cleanup(engine.Close)
+	store := &storer.Store{}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	g := grpc.NewServer()
+	(&storer.Server{Store: store}).Register(g)
+	go func() { _ = g.Serve(l) }()
+	b.Cleanup(g.Stop)
+	applyBench(b, store, engine.Listener.Addr().String())
+
+	s := configurer.Default()
+	s.Node = configurer.Node{Region: "cairo", DataCentre: "cairo-1"}
+	anyPort := "127.0.0.1:0"
+	s.Listen = configurer.Listen{Callers: anyPort, Operators: anyPort, Admin: anyPort, Peers: anyPort}
+	s.Platform.Address = l.Addr().String()
+	s.TLS.PlainText = true
+	s.Operators.Token = "benchmark-token-0"
+	s.Stop.DrainDelay = 0
+	r := &Router{Settings: &s, Seed: 1}
+	if err := r.Listen(); err != nil {
+		b.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- r.Run(ctx) }()
+	b.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			b.Error(err)
+		}
+	})
+	for !r.Ready() {
+		time.Sleep(time.Millisecond)
+	}
+	return engine.URL, "http://" + r.CallersAddress()
+}
+
+func applyBench(b *testing.B, store *storer.Store, engine string) {
+	b.Helper()
+	routes, err := parser.ParseRoutes("routes", []byte(benchRoutes))
+	if err != nil {
+		b.Fatal(err)
+	}
+	pools, err := parser.ParsePools("pools", fmt.Appendf(nil, benchPools, engine))
+	if err != nil {
+		b.Fatal(err)
+	}
+	e := editor.Editor{Store: store}
+	if _, err := e.Apply(context.Background(), editor.Edit{Author: "bench", Base: editor.BaseNewest, Routes: routes, Pools: pools}); err != nil {
+		b.Fatal(err)
+	}
+}
+
+// benchBody is a request with a prompt of about 4 KB.
+var benchBody = []byte(`{"model":"m","stream":true,"messages":[{"role":"user","content":"` + strings.Repeat("long text ", 400) + `"}]}`)
+
+func call(b *testing.B, client *http.Client, url string) {
+	resp, err := client.Post(url+"/v1/chat/completions", "application/json", bytes.NewReader(benchBody))
+	if err != nil {
+		b.Error(err)
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil || !bytes.HasSuffix(text, []byte("data: [DONE]\n\n")) {
+		b.Errorf("not whole: %d %v %s", resp.StatusCode, err, text[max(0, len(text)-200):])
+	}
+}
+
+// BenchmarkAddedDelay compares the time of a whole answer with and without the
+// router, one request at a time. It reports both and their difference in
+// microseconds.
+func BenchmarkAddedDelay(b *testing.B) {
+	for _, tokens := range []int{1, benchTokens} {
+		b.Run(fmt.Sprintf("tokens=%d", tokens), func(b *testing.B) {
+			direct, routed := startBench(b, tokens)
+			var times [2][]time.Duration
+			client := &http.Client{}
+			for b.Loop() {
+				for i, url := range []string{direct, routed} {
+					begun := time.Now()
+					call(b, client, url)
+					times[i] = append(times[i], time.Since(begun))
+				}
+			}
+			slices.Sort(times[0])
+			slices.Sort(times[1])
+			report(b, times[0], times[1], "p50", 50)
+			report(b, times[0], times[1], "p99", 99)
+		})
+	}
+}
+
+func report(b *testing.B, direct, routed []time.Duration, name string, percent int) {
+	at := func(d []time.Duration) float64 { return float64(d[(len(d)-1)*percent/100].Microseconds()) }
+	b.ReportMetric(at(direct), "direct-"+name+"-µs")
+	b.ReportMetric(at(routed)-at(direct), "added-"+name+"-µs")
+}
+
+// BenchmarkThroughput measures requests with and without the router, many at
+// once, with the client and the engine in the same process.
+func BenchmarkThroughput(b *testing.B) {
+	for _, tokens := range []int{1, benchTokens} {
+		direct, routed := startBench(b, tokens)
+		for name, url := range map[string]string{"direct": direct, "routed": routed} {
+			b.Run(fmt.Sprintf("%s/tokens=%d", name, tokens), func(b *testing.B) {
+				client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
+				b.SetParallelism(8)
+				b.ReportAllocs()
+				begun := time.Now()
+				b.RunParallel(func(pb *testing.PB) {
+					for pb.Next() {
+						call(b, client, url)
+					}
+				})
+				perSecond := float64(b.N) / time.Since(begun).Seconds()
+				b.ReportMetric(perSecond/float64(runtime.GOMAXPROCS(0)), "requests/s/core")
+			})
+		}
+	}
+}
