Copy an event of an engine once

Cause: gjson.GetBytes copies what it returns, three times a token. Before: 683 allocations for a streamed answer of 64 tokens through the router (go test -bench Throughput/routed ./router); after: 561. Times are not compared, the machine was shared.

--- a/dialer/stream.go
+++ b/dialer/stream.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 
 	"github.com/tidwall/gjson"
 
@@ -102,13 +103,17 @@
 	if !gjson.ValidBytes(data) {
 		return kingcuphook.Frame{}, fmt.Errorf("dialer: event is not JSON: %w", kingcuphook.ErrBrokenStream)
 	}
-	id := gjson.GetBytes(data, "id")
-	position := gjson.GetBytes(data, "position")
-	choice := gjson.GetBytes(data, "choices.0")
+	// One copy serves all that is taken out of the event.
+	event := string(data)
+	id := gjson.Get(event, "id")
+	position := gjson.Get(event, "position")
+	choice := gjson.Get(event, "choices.0")
 	if !id.Exists() || !position.Exists() || !choice.Exists() {
 		return kingcuphook.Frame{}, fmt.Errorf("dialer: event lacks id, position or choice: %w", kingcuphook.ErrBrokenStream)
 	}
-	s.attempt = id.String()
+	if id.Str != s.attempt {
+		s.attempt = strings.Clone(id.Str)
+	}
 	s.position = int(position.Int())
 	if finish := choice.Get("finish_reason"); finish.Type == gjson.String {
 		return kingcuphook.NewFrame(s.attempt, s.position, kingcuphook.FrameKindFinish, finish.String()), nil
