--- a/dialer/stream.go
+++ b/dialer/stream.go
@@ -27,6 +27,9 @@
 	body   io.ReadCloser
 	reader *bufio.Reader
 	cancel context.CancelFunc
+	// followed is the context whose end cancels the attempt; stop undoes that.
+	followed context.Context
+	stop     func() bool
 	// attempt and position are those of the latest frame, for the end marker,
 	// which carries none of its own.
 	attempt  string
@@ -42,10 +45,7 @@
 // Next implements kingcuphook.Stream. When ctx ends, the attempt is cancelled
 // and can't be read any more.
 func (s *stream) Next(ctx context.Context) (kingcuphook.Frame, error) {
-	if ctx.Done() != nil {
-		stop := context.AfterFunc(ctx, s.cancel)
-		defer stop()
-	}
+	s.follow(ctx)
 	data, err := s.readData()
 	if err != nil {
 		if ctx.Err() != nil {
@@ -56,8 +56,26 @@
 	return s.frame(data)
 }
 
+// follow cancels the attempt when ctx ends. Callers mostly pass the same ctx
+// again, for which nothing is to be done.
+func (s *stream) follow(ctx context.Context) {
+	if ctx == s.followed {
+		return
+	}
+	s.unfollow()
+	s.followed = ctx
+	s.stop = context.AfterFunc(ctx, s.cancel)
+}
+
+func (s *stream) unfollow() {
+	if s.stop != nil {
+		s.stop()
+	}
+}
+
 // Close implements kingcuphook.Stream.
 func (s *stream) Close() error {
+	s.unfollow()
 	s.cancel()
 	return s.body.Close()
 }
