--- /dev/null
+++ b/selector/score.go
@@ -0,0 +1,424 @@
+package selector
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/hasher"
+)
+
+const (
+	// narrow is the number of rendezvous candidates weighed at first.
+	narrow = 2
+	// wide is the number of rendezvous candidates weighed once the narrow ones
+	// are too loaded.
+	wide = 6
+	// draws is the number of upstreams drawn by chance when widening.
+	draws = 2
+	// scanned bounds the size of a group that is searched whole for a free
+	// slot, and the draws in a larger one.
+	scanned = 16
+	// maxHeld bounds the upstreams with a part of the prompt that are weighed.
+	maxHeld = 8
+	// scratchSize holds every candidate of one selection.
+	scratchSize = 2 * (wide + draws + maxHeld + scanned)
+	// widenShare is the share of the latency target from which on a prediction
+	// widens the candidates.
+	widenShare = 0.5
+	// boundFactor is how much more than the mean load of its group an upstream
+	// may carry before the candidates are widened.
+	boundFactor = 1.25
+	// boundSlack is the load in requests that is always allowed.
+	boundSlack = 1
+	// spillStop is the share of the target below which the local prediction
+	// must fall to stop spilling.
+	spillStop = 0.7
+	// spillMargin is the share of the target that the remote prediction must
+	// stay below.
+	spillMargin = 0.8
+)
+
+// scored is one candidate that was weighed.
+type scored struct {
+	tracker   *tracker
+	predicted time.Duration
+	cached    int
+	// refused is empty for a usable candidate.
+	refused string
+	// remote says that the candidate is in another region.
+	remote bool
+}
+
+// Select chooses an upstream for a request. The choice has no upstream if none
+// can take the request now; the error says that none can take it at all.
+func (s *Selector) Select(now time.Time, r *kingcuphook.Request, excluded []string) (kingcuphook.Choice, error) {
+	return s.choose(query{now: now, request: r, excluded: excluded})
+}
+
+// SelectUsable is Select among the upstreams that usable reports.
+func (s *Selector) SelectUsable(now time.Time, r *kingcuphook.Request, usable func(address string) bool) (kingcuphook.Choice, error) {
+	return s.choose(query{now: now, request: r, usable: usable})
+}
+
+// query is one selection.
+type query struct {
+	now      time.Time
+	request  *kingcuphook.Request
+	excluded []string
+	// usable, if set, reports whether an upstream has a free slot.
+	usable func(address string) bool
+	// key is the rendezvous key of the request.
+	key uint64
+	// held has what is thought to be cached where, the longest first.
+	held  [maxHeld]held
+	nHeld int
+}
+
+// held is how much of a prompt an upstream is thought to have cached.
+type held struct {
+	upstream uint32
+	tokens   int
+}
+
+func (s *Selector) choose(q query) (kingcuphook.Choice, error) {
+	s.init()
+	r := q.request
+	if len(s.near.trackers)+len(s.region.trackers)+len(s.remote.trackers) == 0 {
+		return kingcuphook.Choice{}, fmt.Errorf("selector: pool %q: %w", r.Pool(), kingcuphook.ErrNoUpstream)
+	}
+	best := s.weigh(&q)
+	if best < 0 {
+		return kingcuphook.Choice{}, nil
+	}
+	c := s.scratch[best]
+	return kingcuphook.Choice{
+		Upstream:       c.tracker.upstream,
+		Predicted:      c.predicted,
+		UncachedTokens: r.PromptTokens() - c.cached,
+		Spilled:        c.remote,
+	}, nil
+}
+
+// Explain appends the candidates that Select would weigh to dst.
+func (s *Selector) Explain(now time.Time, r *kingcuphook.Request, dst []kingcuphook.Candidate) []kingcuphook.Candidate {
+	s.init()
+	s.weigh(&query{now: now, request: r})
+	for _, c := range s.scratch {
+		dst = append(dst, kingcuphook.Candidate{
+			Upstream:     c.tracker.upstream.Address(),
+			Predicted:    c.predicted,
+			CachedTokens: c.cached,
+			Refused:      c.refused,
+		})
+	}
+	return dst
+}
+
+// weigh fills scratch with the candidates and returns the best one, or -1.
+func (s *Selector) weigh(q *query) int {
+	s.scratch = s.scratch[:0]
+	r := q.request
+	s.recall(q)
+	best := s.weighGroup(q, &s.near)
+	if best < 0 {
+		best = s.weighGroup(q, &s.region)
+	}
+	if !s.spills || len(s.remote.trackers) == 0 || r.Target() == 0 {
+		return best
+	}
+	local := s.localWait(q, best)
+	if local <= s.spillFrom(q) {
+		return best
+	}
+	return s.spill(q, best, local)
+}
+
+// localWait predicts the time from arrival to the first token when the request
+// stays in its region.
+func (s *Selector) localWait(q *query, best int) time.Duration {
+	waited := q.waited()
+	if best >= 0 {
+		return waited + s.scratch[best].predicted
+	}
+	fastest := time.Duration(-1)
+	for _, c := range s.scratch {
+		if fastest < 0 || c.predicted < fastest {
+			fastest = c.predicted
+		}
+	}
+	if fastest < 0 {
+		return q.request.Target() + 1
+	}
+	return waited + s.pace + fastest
+}
+
+// spillFrom returns the local prediction above which a request may go to
+// another region. It is lower while spilling, so that a wait near the target
+// doesn't turn spilling on and off.
+func (s *Selector) spillFrom(q *query) time.Duration {
+	target := q.request.Target()
+	hold := orDuration(s.SpillHold, defaultSpillHold)
+	if !s.lastSpill.IsZero() && q.now.Sub(s.lastSpill) < hold {
+		return time.Duration(spillStop * float64(target))
+	}
+	return target
+}
+
+// spill weighs the upstreams of other regions and returns the best one if it
+// meets the target and gains enough, else the local one.
+func (s *Selector) spill(q *query, home int, local time.Duration) int {
+	from := len(s.scratch)
+	best := s.weighGroup(q, &s.remote)
+	for i := from; i < len(s.scratch); i++ {
+		s.scratch[i].remote = true
+	}
+	if best < 0 {
+		return home
+	}
+	c := &s.scratch[best]
+	r, waited := q.request, q.waited()
+	price := orDuration(s.SpillPrice, defaultSpillPrice) * time.Duration(r.Bytes()) / 1024
+	switch {
+	case float64(waited+c.predicted) > spillMargin*float64(r.Target()):
+		c.refused = reasonFar
+	case local-waited-c.predicted < price:
+		c.refused = reasonPrice
+	default:
+		return best
+	}
+	return home
+}
+
+// waited returns how long the request has waited.
+func (q *query) waited() time.Duration { return q.now.Sub(q.request.Arrived()) }
+
+// recall fills in the rendezvous key of the request and what is cached of its
+// prompt. The key is the deepest block at which prompts branched, so that it
+// stays the same for every question after the same text.
+func (s *Selector) recall(q *query) {
+	chain := q.request.Prefix()
+	if len(chain) == 0 || s.NoAffinity {
+		q.key = q.request.Fingerprint()
+		return
+	}
+	q.key = chain[0]
+	branched := false
+	for i := len(chain) - 1; i >= 0; i-- {
+		b := s.index.find(chain[i])
+		if b == nil {
+			continue
+		}
+		q.hold(s, b, min((i+1)*hasher.BlockTokens, q.request.PromptTokens()))
+		if b.branched && !branched {
+			q.key, branched = chain[i], true
+		}
+	}
+}
+
+// hold notes the holders of a block that end a longer part of the prompt than
+// what was noted before. A doubtful entry counts for half.
+func (q *query) hold(s *Selector, b *block, tokens int) {
+	for _, h := range b.holders {
+		if h.epoch == 0 || q.nHeld == maxHeld {
+			return
+		}
+		t := s.byID[h.upstream]
+		if t == nil || h.epoch < t.born || q.cached(h.upstream) > 0 {
+			continue
+		}
+		q.held[q.nHeld] = held{upstream: h.upstream, tokens: tokens}
+		if h.epoch < t.epoch {
+			q.held[q.nHeld].tokens = tokens / 2
+		}
+		q.nHeld++
+	}
+}
+
+// cached returns how many tokens of the prompt the upstream is thought to have
+// cached.
+func (q *query) cached(upstream uint32) int {
+	for _, h := range q.held[:q.nHeld] {
+		if h.upstream == upstream {
+			return h.tokens
+		}
+	}
+	return 0
+}
+
+// weighGroup weighs the upstreams of one group and returns the best one, or -1.
+func (s *Selector) weighGroup(q *query, g *group) int {
+	if len(g.trackers) == 0 {
+		return -1
+	}
+	from := len(s.scratch)
+	var ranked [wide]*tracker
+	n := g.rank(q.key, ranked[:])
+	s.weighAll(q, g, ranked[:min(n, narrow)])
+	s.weighHolders(q, g)
+	best := s.best(from)
+	if best >= 0 && !s.crowded(q.request, best) {
+		return best
+	}
+	s.weighAll(q, g, ranked[min(n, narrow):n])
+	s.weighDraws(q, g, from, draws)
+	if best = s.best(from); best >= 0 {
+		return best
+	}
+	s.lift(from)
+	if best = s.best(from); best >= 0 {
+		return best
+	}
+	s.weighDraws(q, g, from, scanned)
+	s.lift(from)
+	return s.best(from)
+}
+
+// crowded reports whether the prediction is long enough to look further.
+func (s *Selector) crowded(r *kingcuphook.Request, i int) bool {
+	return r.Target() > 0 && float64(s.scratch[i].predicted) > widenShare*float64(r.Target())
+}
+
+// rank fills dst with the upstreams of the highest rendezvous score, the
+// highest first, and returns their number.
+func (g *group) rank(key uint64, dst []*tracker) int {
+	var scores [wide]uint64
+	n := 0
+	for _, t := range g.trackers {
+		score := mix(key ^ t.seed)
+		if n == len(dst) && score <= scores[n-1] {
+			continue
+		}
+		if n < len(dst) {
+			n++
+		}
+		i := n - 1
+		for i > 0 && scores[i-1] < score {
+			scores[i], dst[i] = scores[i-1], dst[i-1]
+			i--
+		}
+		scores[i], dst[i] = score, t
+	}
+	return n
+}
+
+// mix spreads the bits of x; it is the last step of xxhash.
+func mix(x uint64) uint64 {
+	const prime2, prime3 = 14029467366897019727, 1609587929392839161
+	x ^= x >> 33
+	x *= prime2
+	x ^= x >> 29
+	x *= prime3
+	return x ^ x>>32
+}
+
+func (s *Selector) weighAll(q *query, g *group, ts []*tracker) {
+	for _, t := range ts {
+		s.weighOne(q, g, t)
+	}
+}
+
+// weighHolders weighs the upstreams that are thought to have a part of the
+// prompt cached.
+func (s *Selector) weighHolders(q *query, g *group) {
+	for _, h := range q.held[:q.nHeld] {
+		t := s.byID[h.upstream]
+		if !t.upstream.Leaving() && s.groupOf(t) == g {
+			s.weighOne(q, g, t)
+		}
+	}
+}
+
+// weighDraws weighs n upstreams drawn by the request's fingerprint and the
+// time, or all of a group that has no more.
+func (s *Selector) weighDraws(q *query, g *group, from, n int) {
+	size := len(g.trackers)
+	draw := mix(q.request.Fingerprint() ^ uint64(q.now.UnixNano()))
+	for i := 0; i < min(n, size); i++ {
+		at := draw + uint64(i)
+		if n < size {
+			draw = mix(draw + uint64(i))
+			at = draw
+		}
+		t := g.trackers[at%uint64(size)]
+		if !s.weighed(from, t) {
+			s.weighOne(q, g, t)
+		}
+	}
+}
+
+func (s *Selector) weighed(from int, t *tracker) bool {
+	for i := from; i < len(s.scratch); i++ {
+		if s.scratch[i].tracker == t {
+			return true
+		}
+	}
+	return false
+}
+
+// weighOne adds one upstream to scratch unless it is there already.
+func (s *Selector) weighOne(q *query, g *group, t *tracker) {
+	if s.weighed(0, t) {
+		return
+	}
+	r := q.request
+	c := scored{tracker: t, cached: q.cached(t.id)}
+	c.predicted = 2*g.delay + t.predict(q.now, r.PromptTokens()-c.cached)
+	c.refused = s.refuse(q, g, t)
+	s.scratch = append(s.scratch, c)
+}
+
+// refuse returns why the upstream can't take the request now, or nothing.
+func (s *Selector) refuse(q *query, g *group, t *tracker) string {
+	address := t.upstream.Address()
+	switch {
+	case slices.Contains(q.excluded, address):
+		return reasonExcluded
+	case t.leaving || t.upstream.Leaving():
+		return reasonLeaving
+	case q.usable != nil && !q.usable(address):
+		return reasonUnusable
+	case !s.NoBound && g.over(t):
+		return reasonLoaded
+	default:
+		return ""
+	}
+}
+
+// over reports whether t carries more than its bounded share of the load.
+func (g *group) over(t *tracker) bool {
+	share := float64(g.load+1) * float64(t.slots) / float64(g.slots)
+	return float64(t.load()) > boundFactor*share+boundSlack
+}
+
+// lift takes the load bound away from the candidates of a group.
+func (s *Selector) lift(from int) {
+	for i := from; i < len(s.scratch); i++ {
+		if s.scratch[i].refused == reasonLoaded {
+			s.scratch[i].refused = ""
+		}
+	}
+}
+
+// best returns the usable candidate with the lowest prediction, or -1. Of equal
+// ones the first is taken.
+func (s *Selector) best(from int) int {
+	best := -1
+	for i := from; i < len(s.scratch); i++ {
+		if s.scratch[i].refused != "" {
+			continue
+		}
+		if best < 0 || s.less(&s.scratch[i], &s.scratch[best]) {
+			best = i
+		}
+	}
+	return best
+}
+
+func (s *Selector) less(a, b *scored) bool {
+	if s.NoPrediction {
+		return a.tracker.load()*b.tracker.slots < b.tracker.load()*a.tracker.slots
+	}
+	return a.predicted < b.predicted
+}
