--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -27,13 +27,16 @@
 // Limiter is the limits of one pool at one router. It is used by one goroutine
 // at a time.
 type Limiter struct {
-	// Rand rounds shares of slots; nil rounds to the nearest.
+	// Rand rounds shares of slots while the place of the router among the others
+	// is unknown; nil rounds to the nearest.
 	Rand *rand.Rand
 	// Routers is how many routers share the upstreams; 0 means 1.
 	Routers int
 	// StaleAfter is the age at which a report is no longer used; 0 means 5 s.
 	StaleAfter time.Duration
 
+	// place is the place of this router among all, counted from 1; 0 if unknown.
+	place     int
 	upstreams map[string]*upstream
 }
 
@@ -42,6 +45,14 @@
 // SetRouters tells how many routers share the upstreams now.
 func (l *Limiter) SetRouters(n int) { l.Routers = n }
 
+// SetPlace tells how many routers share the upstreams and which of them this one
+// is, from 0 to n-1 in an order that all routers agree on. Shares of a slot are
+// then given to one router after the other.
+func (l *Limiter) SetPlace(place, n int) {
+	l.place = place + 1
+	l.Routers = n
+}
+
 // Update takes the pool in force. Upstreams that are gone are forgotten once
 // nothing runs there.
 func (l *Limiter) Update(_ time.Time, p *kingcuphook.Pool) {
@@ -93,10 +104,7 @@
 	u.reportMade = report.Made()
 	u.reportLoad = report.Running() + report.Queued()
 	u.ownAtReport = u.ownAt(report.Made())
-	u.dither = 0.5
-	if l.Rand != nil {
-		u.dither = l.Rand.Float64()
-	}
+	u.dither = l.dither(report)
 	u.learnReport(now, report)
 }
 
--- a/limiter/share.go
+++ b/limiter/share.go
@@ -2,8 +2,11 @@
 
 import (
 	"math"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/kingcuphook/kingcuphook"
 )
 
@@ -12,7 +15,11 @@
 	// hold.
 	crowded = 0.9
 	// evenStep is the share of the difference that is evened out at a report.
-	evenStep = 1.0 / 16
+	evenStep = 1.0 / 32
+	// turnEvery is how long a router keeps its turn for a share of a slot. Shares
+	// that change often are all filled at their highest, since what runs is not
+	// taken back.
+	turnEvery = 8 * time.Second
 )
 
 // allowance returns how many requests the router may have running on u when the
@@ -25,6 +32,26 @@
 	return int(math.Floor(l.reportedShare(u, limit) + u.dither))
 }
 
+// dither returns what is added to shares of slots before they are rounded down.
+// Routers that know their places are spread evenly over one slot, and take
+// turns, so that a free slot is taken by one of them.
+func (l *Limiter) dither(report kingcuphook.LoadReport) float64 {
+	if l.routers() == 1 {
+		return 0
+	}
+	if l.place > 0 {
+		turns := report.Made().Unix() / int64(turnEvery.Seconds())
+		key := report.Upstream() + strconv.FormatInt(turns, 10)
+		turn := float64(xxhash.Sum64String(key)>>11) / (1 << 53)
+		_, frac := math.Modf(turn + float64(l.place)/float64(l.routers()))
+		return frac
+	}
+	if l.Rand != nil {
+		return l.Rand.Float64()
+	}
+	return 0.5
+}
+
 // fixedShare is what the router may use without a report: an equal part of the
 // limit, and at least one.
 func (l *Limiter) fixedShare(limit float64) int {
@@ -39,13 +66,16 @@
 	load = max(load, own)
 	n := float64(l.routers())
 	spare := limit - load
+	if n == 1 {
+		return own + spare
+	}
 	if spare < 0 {
 		return own + spare*own/max(load, 1)
 	}
 	part := 0.5/n + 0.5*(own+1)/(load+n)
 	share := own + spare*part
 	if load >= crowded*limit {
-		share += evenStep * (limit/n - own)
+		share += evenStep * (load/n - own)
 	}
 	return share
 }
