--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -52,8 +52,10 @@
 	laneByKey map[laneKey]*classLane
 	// bytes is the sum of the bodies of the waiting requests.
 	bytes int
-	seq   uint64
-	drain drainRate
+	// first and last are the numbers given to requests that were returned and
+	// offered; first falls and last rises.
+	first, last int64
+	drain       drainRate
 	// taken remembers the latest requests that Next returned.
 	taken takenRing
 	// guaranteed says how the request taken last was taken.
@@ -68,8 +70,8 @@
 	if s, ok := a.refuse(now, r); ok {
 		return []kingcuphook.Shed{s}
 	}
-	a.seq++
-	it := a.insert(r, a.seq)
+	a.last++
+	it := a.insert(r, a.last)
 	it.lane.pushLast(it)
 	return a.shed(now)
 }
@@ -100,14 +102,15 @@
 }
 
 // Return puts a request that Next has just returned back to its place, as if it
-// had not been taken.
+// had not been taken. Of several, the one taken last must be returned first.
 func (a *Admitter) Return(now time.Time, r *kingcuphook.Request) {
 	if a.byID[r.ID()] != nil {
 		return
 	}
 	a.charge(r, -promptCharge(r))
 	a.drain.add(now, -1)
-	it := a.insert(r, 0)
+	a.first--
+	it := a.insert(r, a.first)
 	it.lane.pushFirst(it)
 	a.revoke(it)
 }
@@ -165,7 +168,7 @@
 }
 
 // insert puts r into every structure but the list of its lane.
-func (a *Admitter) insert(r *kingcuphook.Request, seq uint64) *item {
+func (a *Admitter) insert(r *kingcuphook.Request, seq int64) *item {
 	if a.byID == nil {
 		a.byID = make(map[string]*item)
 	}
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -164,9 +164,10 @@
 	}
 	a.Offer(start, request("low", 5, "o", time.Hour))
 	for range 1000 {
-		r := a.Next(start, highestOnly)
-		is.Equal(r.ID(), "0")
-		a.Return(start, r)
+		first, second := a.Next(start, highestOnly), a.Next(start, highestOnly)
+		is.Equal(first.ID()+second.ID(), "01")
+		a.Return(start, second)
+		a.Return(start, first)
 	}
 	is.Equal(drainIDs(a, start), "0 1 2 3 4 5 6 7 8 9 low ")
 }
--- a/admitter/item.go
+++ b/admitter/item.go
@@ -9,8 +9,8 @@
 // item is a waiting request with its places in the structures that hold it.
 type item struct {
 	request *kingcuphook.Request
-	// seq rises with every offered request and orders equal due times.
-	seq uint64
+	// seq orders equal due times; returned requests go before others.
+	seq int64
 	// due is when the first token is due, deadline when the caller gives up; both
 	// in nanoseconds of Unix time. A deadline of 0 means never.
 	due, deadline int64
@@ -29,7 +29,7 @@
 }
 
 // newItem returns an item outside of every structure.
-func newItem(r *kingcuphook.Request, seq uint64) *item {
+func newItem(r *kingcuphook.Request, seq int64) *item {
 	it := &item{request: r, seq: seq, due: dueTime(r).UnixNano()}
 	if !r.Deadline().IsZero() {
 		it.deadline = r.Deadline().UnixNano()
--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -115,6 +115,26 @@
 	}
 }
 
+// Placer is a Scheduler that wants to know its router's place among those that
+// share its upstreams.
+type Placer interface {
+	// SetPlace tells how many routers share the upstreams now and which of them
+	// this one is, from 0 in an order that all agree on.
+	SetPlace(place, n int)
+}
+
+// SetPlace tells how many routers share the upstreams now and which of them this
+// one is, from 0 in an order that all agree on.
+func (a *Allocator) SetPlace(place, n int) {
+	for _, p := range a.list() {
+		p.event(func(time.Time) {
+			if c, ok := p.scheduler.(Placer); ok {
+				c.SetPlace(place, n)
+			}
+		})
+	}
+}
+
 // Explain returns the candidates that the request has now; nil without a pool.
 func (a *Allocator) Explain(r *kingcuphook.Request) []kingcuphook.Candidate {
 	p, err := a.find(r.Pool())
--- a/preemptor/preemptor.go
+++ b/preemptor/preemptor.go
@@ -59,15 +59,15 @@
 	return r.Target() == 0 || now.Add(firstToken).After(r.TargetTime())
 }
 
-// Choose returns the index of the run that loses the least work by giving its
-// slot to r, or -1 if none may be preempted.
+// Choose returns the index of the run that gives its slot to r: of those in the
+// lowest tier the one that loses the least work; -1 if none may be preempted.
 func (p *Preemptor) Choose(r *kingcuphook.Request, runs []Run) int {
 	best := -1
 	for i, run := range runs {
 		if !p.mayPreempt(r, run) {
 			continue
 		}
-		if best < 0 || cheaper(run, runs[best]) {
+		if best < 0 || before(run, runs[best]) {
 			best = i
 		}
 	}
@@ -113,16 +113,15 @@
 		p.counts[run.Request.ID()] < p.maxPerRequest()
 }
 
-// cheaper reports whether preempting a loses less than preempting b; equal ones
-// are taken from the lower tier, then by identifier.
-func cheaper(a, b Run) bool {
-	la, lb := Lost(a), Lost(b)
-	if la != lb {
-		return la < lb
-	}
+// before reports whether a is preempted rather than b: the lower tier goes first,
+// then the one that loses less, then by identifier.
+func before(a, b Run) bool {
 	if a.Request.Tier() != b.Request.Tier() {
 		return a.Request.Tier() > b.Request.Tier()
 	}
+	if la, lb := Lost(a), Lost(b); la != lb {
+		return la < lb
+	}
 	return a.Request.ID() < b.Request.ID()
 }
 
--- a/scheduler/assign.go
+++ b/scheduler/assign.go
@@ -11,9 +11,6 @@
 	// maxParked bounds the requests passed over in one call because they can't
 	// use the slots that are free.
 	maxParked = 32
-	// probeWait is how long only requests below the highest tier are used as
-	// probes after one of them was assigned.
-	probeWait = 5 * time.Second
 	// firstTokenStep weighs a new sample in the usual first-token delay.
 	firstTokenStep = 0.1
 )
@@ -24,6 +21,7 @@
 	s.slots.reset()
 	p := pass{scheduler: s, now: now}
 	p.queue, _ = s.Admitter.(Queue)
+	p.probe()
 	for s.Admitter.Len() > 0 && len(p.parked) < maxParked {
 		r := p.next()
 		if r == nil {
@@ -68,11 +66,6 @@
 func (p *pass) place(r *kingcuphook.Request) {
 	s := p.scheduler
 	guaranteed := p.isGuaranteed(r)
-	if row := s.probe(p.now, r); row != nil {
-		choice := kingcuphook.Choice{Upstream: row.upstream, UncachedTokens: r.PromptTokens()}
-		p.assign(kingcuphook.Assignment{Request: r, Choice: choice, Probe: true}, guaranteed)
-		return
-	}
 	choice, ok := s.choose(p.now, r, tierOf(r))
 	if !ok && guaranteed {
 		choice, ok = s.choose(p.now, r, kingcuphook.HighestTier)
@@ -120,6 +113,7 @@
 		}
 		p.sheds = append(p.sheds, p.scheduler.Offer(p.now, r)...)
 	}
+	p.parked = nil
 }
 
 // choose asks the Selector for an upstream with a free slot of the tier.
@@ -148,29 +142,6 @@
 	return s.Selector.Select(now, r, s.barred)
 }
 
-// probe returns an ejected upstream that r may probe, or nil. Non-idempotent
-// requests never probe, those of the highest tier only if no others come.
-func (s *Scheduler) probe(now time.Time, r *kingcuphook.Request) *slotRow {
-	if s.Ejector == nil || r.NonIdempotent() {
-		return nil
-	}
-	if r.Tier() == kingcuphook.HighestTier && now.Sub(s.lastLower) < probeWait {
-		return nil
-	}
-	for _, row := range s.slots.rows {
-		if !row.ejected || row.leaving || !serves(row.upstream, r.Model()) {
-			continue
-		}
-		if slices.Contains(s.excluded[r.ID()], row.upstream.Address()) {
-			continue
-		}
-		if s.Ejector.Probe(now, row.upstream.Address()) {
-			return row
-		}
-	}
-	return nil
-}
-
 // start books an assignment.
 func (s *Scheduler) start(now time.Time, a kingcuphook.Assignment, guaranteed bool) {
 	r, u := a.Request, a.Choice.Upstream
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -8,16 +8,21 @@
 	"github.com/kingcuphook/kingcuphook/preemptor"
 )
 
-// maxPreempts bounds the preemptions of one call of Assign.
-const maxPreempts = 4
+const (
+	// maxPreempts bounds the requests that one search weighs.
+	maxPreempts = 4
+	// preemptEvery is the least time between two searches.
+	preemptEvery = 10 * time.Millisecond
+)
 
 // preempt gives slots of lower tiers to waiting requests that would miss their
 // target otherwise.
 func (p *pass) preempt() {
 	s := p.scheduler
-	if s.Preemptor == nil || p.queue == nil {
+	if s.Preemptor == nil || p.queue == nil || p.now.Sub(s.lastSearch) < preemptEvery {
 		return
 	}
+	s.lastSearch = p.now
 	for range maxPreempts {
 		r := p.queue.Next(p.now, oneSlot)
 		if r == nil {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -72,6 +72,10 @@
 	firstToken float64
 	// lastLower is when a request below the highest tier was last assigned.
 	lastLower time.Time
+	// lastSearch is when a run to be preempted was last looked for.
+	lastSearch time.Time
+	// lastProbe is when a request to probe with was last looked for.
+	lastProbe time.Time
 	// barred is scratch space of Assign.
 	barred []string
 }
@@ -192,6 +196,14 @@
 	}
 }
 
+// SetPlace tells how many routers share the upstreams now and which of them this
+// one is, from 0.
+func (s *Scheduler) SetPlace(place, n int) {
+	if c, ok := s.Limiter.(interface{ SetPlace(place, n int) }); ok {
+		c.SetPlace(place, n)
+	}
+}
+
 // Explain implements kingcuphook.Scheduler.
 func (s *Scheduler) Explain(now time.Time, r *kingcuphook.Request, dst []kingcuphook.Candidate) []kingcuphook.Candidate {
 	return s.Selector.Explain(now, r, dst)
