--- a/allocator/allocator_test.go
+++ b/allocator/allocator_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -73,6 +74,27 @@
 	})
 }
 
+// acquire calls Acquire in a goroutine and returns where its outcome will be.
+func acquire(ctx context.Context, a *Allocator, r *kingcuphook.Request) <-chan outcome {
+	c := make(chan outcome, 1)
+	go func() {
+		s, err := a.Acquire(ctx, r, nil)
+		c <- outcome{s, err}
+	}()
+	return c
+}
+
+type outcome struct {
+	slot kingcuphook.Slot
+	err  error
+}
+
+// isNotRun reports whether err is a RequestError of the code that says not-run.
+func isNotRun(err error, code string) bool {
+	var re *kingcuphook.RequestError
+	return errors.As(err, &re) && re.Code == code && re.Ran == kingcuphook.RunStateNotRun
+}
+
 func TestAcquireWaitsForRelease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -80,18 +102,15 @@
 		defer a.Close()
 		first, err := a.Acquire(t.Context(), request("a", 1), nil)
 		is.NoErr(err)
-		got := make(chan error)
-		go func() {
-			s, err := a.Acquire(t.Context(), request("b", 1), nil)
-			if err == nil {
-				s.Release(kingcuphook.Sample{})
-			}
-			got <- err
-		}()
+		second := acquire(t.Context(), a, request("b", 5))
 		synctest.Wait()
 		is.Equal(a.Waiting("pool"), 1)
 		first.Release(kingcuphook.Sample{})
-		is.NoErr(<-got)
+		first.Release(kingcuphook.Sample{})
+		got := <-second
+		is.NoErr(got.err)
+		is.Equal(got.slot.Choice().Upstream.Address(), "10.0.0.0:80")
+		got.slot.Release(kingcuphook.Sample{})
 	})
 }
 
@@ -107,8 +126,206 @@
 		_, err = a.Acquire(ctx, request("b", 1), nil)
 		is.True(errors.Is(err, context.DeadlineExceeded))
 		is.Equal(a.Waiting("pool"), 0)
+		_, err = a.Acquire(ctx, request("c", 1), nil)
+		is.True(errors.Is(err, context.DeadlineExceeded))
 		first.Release(kingcuphook.Sample{})
+		_, err = a.Acquire(t.Context(), request("d", 1), nil)
+		is.NoErr(err)
+	})
+}
+
+// TestNoSlotIsLostWhenCallersLeave lets 200 callers with deadlines of their own
+// compete for 3 slots, many of which leave at the moment a slot is handed out.
+func TestNoSlotIsLostWhenCallersLeave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := newAllocator(1, 3)
+		defer a.Close()
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		running, served := 0, 0
+		for i := range 200 {
+			wg.Go(func() {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Duration(i%20)*10*time.Millisecond)
+				defer cancel()
+				s, err := a.Acquire(ctx, request(fmt.Sprint(i), kingcuphook.Tier(1+i%5)), nil)
+				if err != nil {
+					return
+				}
+				mu.Lock()
+				running++
+				served++
+				is.True(running <= 3)
+				mu.Unlock()
+				time.Sleep(10 * time.Millisecond)
+				mu.Lock()
+				running--
+				mu.Unlock()
+				s.Release(kingcuphook.Sample{Tokens: 1})
+			})
+		}
+		wg.Wait()
+		is.True(served >= 40)
+		is.Equal(a.Waiting("pool"), 0)
+		for i := range 3 {
+			_, err := a.Acquire(t.Context(), request(fmt.Sprint("after", i), 1), nil)
+			is.NoErr(err)
+		}
+	})
+}
+
+func TestAcquireAnswersAtTheDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := newAllocator(1, 1)
+		defer a.Close()
+		_, err := a.Acquire(t.Context(), request("a", 1), nil)
+		is.NoErr(err)
+		begun := time.Now()
+		_, err = a.Acquire(t.Context(), kingcuphook.NewRequest(kingcuphook.RequestFields{
+			ID: "b", Pool: "pool", Tier: 1, Arrived: begun, Deadline: begun.Add(730 * time.Millisecond),
+		}), nil)
+		is.Equal(time.Since(begun), 730*time.Millisecond)
+		is.True(isNotRun(err, CodeDeadline))
+		var re *kingcuphook.RequestError
+		is.True(errors.As(err, &re) && re.RetryAfter > 0)
+	})
+}
+
+func TestShedWaiterIsAnsweredAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := newAllocator(1, 1)
+		defer a.Close()
+		f := tables(1, 1).Pools()[0].Fields()
+		f.MaxQueued = 1
+		a.Update(kingcuphook.NewTables(2, nil, []*kingcuphook.Pool{kingcuphook.NewPool(f)}))
+		_, err := a.Acquire(t.Context(), request("a", 1), nil)
+		is.NoErr(err)
+		low := acquire(t.Context(), a, request("low", 5))
+		synctest.Wait()
+		acquire(t.Context(), a, request("top", 1))
+		begun := time.Now()
+		is.True(isNotRun((<-low).err, CodeOverloaded))
+		is.Equal(time.Since(begun), time.Duration(0))
+	})
+}
+
+func TestPreemptedSlotIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := newAllocator(1, 1)
+		defer a.Close()
+		low, err := a.Acquire(t.Context(), request("low", 5), nil)
+		is.NoErr(err)
+		begun := time.Now()
+		top := acquire(t.Context(), a, request("top", 1))
+		<-low.Preempted()
+		is.True(time.Since(begun) > 9*time.Second && time.Since(begun) < 10*time.Second)
+		is.NoErr((<-top).err)
+		again := acquire(t.Context(), a, request("low", 5))
+		low.Release(kingcuphook.Sample{Cancelled: true})
+		synctest.Wait()
+		is.Equal(len(again), 0)
+	})
+}
+
+func TestUpdateReachesWaiters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := newAllocator(0, 0)
+		defer a.Close()
+		first := acquire(t.Context(), a, request("a", 1))
+		synctest.Wait()
+		a.Update(tables(1, 1))
+		got := <-first
+		is.NoErr(got.err)
+		second := acquire(t.Context(), a, request("b", 1))
+		synctest.Wait()
+		a.Update(kingcuphook.NewTables(3, nil, nil))
+		is.True(isNotRun((<-second).err, CodeNoUpstream))
+		got.slot.Release(kingcuphook.Sample{})
+		_, err := a.Acquire(t.Context(), request("c", 1), nil)
+		is.True(isNotRun(err, CodeNoUpstream))
+	})
+}
+
+func TestCloseAnswersWaitersAndKeepsRunning(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := newAllocator(1, 1)
+		first, err := a.Acquire(t.Context(), request("a", 1), nil)
+		is.NoErr(err)
+		second := acquire(t.Context(), a, request("b", 1))
+		synctest.Wait()
+		a.Close()
+		a.Close()
+		is.True(isNotRun((<-second).err, CodeShuttingDown))
 		_, err = a.Acquire(t.Context(), request("c", 1), nil)
+		is.True(isNotRun(err, CodeShuttingDown))
+		first.Progress(3)
+		first.Release(kingcuphook.Sample{Tokens: 3})
+	})
+}
+
+func TestHedgeRunsBesideItsFirstAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := newAllocator(2, 1)
+		defer a.Close()
+		r := request("a", 1)
+		first, err := a.Acquire(t.Context(), r, nil)
 		is.NoErr(err)
+		second, err := a.Acquire(t.Context(), r, []string{first.Choice().Upstream.Address()})
+		is.NoErr(err)
+		is.True(first.Choice().Upstream != second.Choice().Upstream)
+		_, err = a.Acquire(t.Context(), r, []string{"10.0.0.0:80", "10.0.0.1:80"})
+		is.True(isNotRun(err, CodeNoUpstream))
+		waiting := acquire(t.Context(), a, r)
+		synctest.Wait()
+		_, err = a.Acquire(t.Context(), r, nil)
+		is.True(isNotRun(err, CodeDuplicate))
+		second.Release(kingcuphook.Sample{Cancelled: true})
+		is.NoErr((<-waiting).err)
+		first.Release(kingcuphook.Sample{})
+	})
+}
+
+// TestSlotOfCallerThatLeftIsFreed covers a caller that leaves after its slot was
+// handed out and before it has taken it.
+func TestSlotOfCallerThatLeftIsFreed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := newAllocator(1, 1)
+		defer a.Close()
+		p, err := a.find("pool")
+		is.NoErr(err)
+		w, err := p.enter(request("left", 1), nil)
+		is.NoErr(err)
+		next := acquire(t.Context(), a, request("next", 1))
+		synctest.Wait()
+		begun := time.Now()
+		p.leave(w)
+		is.NoErr((<-next).err)
+		is.Equal(time.Since(begun), time.Duration(0))
+	})
+}
+
+func TestSecondReleaseFreesNoOtherSlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := newAllocator(1, 1)
+		defer a.Close()
+		first, err := a.Acquire(t.Context(), request("a", 1), nil)
+		is.NoErr(err)
+		first.Release(kingcuphook.Sample{Cancelled: true})
+		_, err = a.Acquire(t.Context(), request("a", 1), nil)
+		is.NoErr(err)
+		first.Release(kingcuphook.Sample{Cancelled: true})
+		next := acquire(t.Context(), a, request("next", 1))
+		synctest.Wait()
+		is.Equal(len(next), 0)
+		a.Close()
+		<-next
 	})
 }
