--- a/configurer/configurer_test.go
+++ b/configurer/configurer_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"os"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -63,3 +64,28 @@
 		})
 	}
 }
+
+func TestEverySettingIsOnThePage(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../docs/SETTINGS.md")
+	is.NoErr(err)
+	for _, key := range keysOf(reflect.TypeFor[Settings](), "") {
+		if !strings.Contains(string(page), "`"+key+"`") {
+			t.Errorf("docs/SETTINGS.md lacks %s", key)
+		}
+	}
+}
+
+func keysOf(typ reflect.Type, prefix string) []string {
+	var keys []string
+	for i := range typ.NumField() {
+		f := typ.Field(i)
+		key := prefix + f.Tag.Get("toml")
+		if f.Type.Kind() == reflect.Struct {
+			keys = append(keys, keysOf(f.Type, key+".")...)
+			continue
+		}
+		keys = append(keys, key)
+	}
+	return keys
+}
