Add the scenario language and reserve suspects over the fleet

The scenario of eight companions of a poisonous body on four upstreams had one companion refused: two routers tried two suspects on one upstream, which left both suspects of the same two crashes. Trials now reserve the body and the upstream in the store. A lift in the same millisecond as the quarantine, or before a router noticed that it was due, was lost; the time of a quarantine now follows from its crashes and is the same at all routers.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -24,11 +24,13 @@
 	// AnswerBytes bounds an engine's answer that is kept in memory; default
 	// 4 MiB.
 	AnswerBytes int
-	// FirstByte is how long an upstream may stay silent after the dispatch;
-	// default 30 s.
+	// FirstByte is how long an engine may stay silent after the dispatch;
+	// default 10 s.
 	FirstByte time.Duration
-	// BetweenTokens is how long a stream may stay silent; default 5 s.
+	// BetweenTokens is how long a stream may stay silent; default 3 s.
 	BetweenTokens time.Duration
+	// Reply is how long a plain service may take; default 30 s.
+	Reply time.Duration
 	// ShareWait bounds the wait for Share; default 1 s.
 	ShareWait time.Duration
 	// HoldWait bounds the wait of a suspect; default 10 s.
@@ -38,8 +40,9 @@
 const (
 	defaultAttempts      = 4
 	defaultAnswerBytes   = 4 << 20
-	defaultFirstByte     = 30 * time.Second
-	defaultBetweenTokens = 5 * time.Second
+	defaultFirstByte     = 10 * time.Second
+	defaultBetweenTokens = 3 * time.Second
+	defaultReply         = 30 * time.Second
 	defaultShareWait     = time.Second
 	defaultHoldWait      = 10 * time.Second
 )
@@ -51,7 +54,7 @@
 	Allocator kingcuphook.Allocator
 	// Engine runs the attempts.
 	Engine kingcuphook.Engine
-	// Store keeps the idempotency claims; it is used only to make a Claimer.
+	// Store keeps the idempotency claims and the reservations of suspects.
 	Store kingcuphook.Store
 	// Claimer makes the claims; nil means one with the defaults on Store.
 	Claimer *claimer.Claimer
@@ -99,6 +102,7 @@
 	setDefault(&l.AnswerBytes, defaultAnswerBytes)
 	setDefaultDuration(&l.FirstByte, defaultFirstByte)
 	setDefaultDuration(&l.BetweenTokens, defaultBetweenTokens)
+	setDefaultDuration(&l.Reply, defaultReply)
 	setDefaultDuration(&l.ShareWait, defaultShareWait)
 	setDefaultDuration(&l.HoldWait, defaultHoldWait)
 }
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -10,6 +10,7 @@
 	"github.com/kingcuphook/kingcuphook"
 	"github.com/kingcuphook/kingcuphook/assembler"
 	"github.com/kingcuphook/kingcuphook/claimer"
+	"github.com/kingcuphook/kingcuphook/quarantiner"
 	"github.com/kingcuphook/kingcuphook/tracker"
 )
 
@@ -98,15 +99,15 @@
 
 // attempt acquires a slot and runs the call on it once.
 func (r *run) attempt(ctx context.Context) (kingcuphook.Outcome, error) {
-	slot, suspect, err := r.acquire(ctx)
+	slot, t, err := r.acquire(ctx)
 	if err != nil {
 		return kingcuphook.Outcome{}, &finalError{err}
 	}
 	sample := kingcuphook.Sample{Cancelled: true}
 	defer func() { slot.Release(sample) }()
 	upstream := slot.Choice().Upstream
-	if suspect {
-		defer r.d.Quarantiner.End(r.request.Fingerprint(), upstream.Address())
+	if t != nil {
+		defer t.end()
 	}
 	if err := r.dispatch(); err != nil {
 		return kingcuphook.Outcome{}, err
@@ -187,63 +188,79 @@
 	return err
 }
 
-// acquire waits for a slot on which the call can go on. It reports whether the
-// call is a suspect that has the upstream reserved.
-func (r *run) acquire(ctx context.Context) (kingcuphook.Slot, bool, error) {
+// acquire waits for a slot on which the call can go on. The trial is not nil if
+// the call is a suspect; it must be ended after the attempt.
+func (r *run) acquire(ctx context.Context) (kingcuphook.Slot, *trial, error) {
 	for {
 		suspect, err := r.judge(ctx)
 		if err != nil {
-			return nil, false, err
+			return nil, nil, err
 		}
-		slot, err := r.slot(ctx, suspect)
-		if err != nil {
-			return nil, false, err
-		}
-		if slot == nil {
+		if !suspect {
+			slot, err := r.slot(ctx, nil)
+			if slot != nil || err != nil {
+				return slot, nil, err
+			}
 			continue
 		}
-		upstream := slot.Choice().Upstream
-		if r.stuckOn(upstream) {
-			r.unable = append(r.unable, upstream.Address())
-			slot.Release(kingcuphook.Sample{Cancelled: true})
-			continue
+		slot, t, err := r.acquireAlone(ctx)
+		if slot != nil || err != nil {
+			return slot, t, err
 		}
-		if suspect && !r.d.Quarantiner.Begin(r.request.Fingerprint(), upstream.Address()) {
-			slot.Release(kingcuphook.Sample{Cancelled: true})
-			pause(ctx, judgeInterval)
-			continue
+		if !pause(ctx, judgeInterval) {
+			return nil, nil, ctx.Err()
 		}
-		return slot, suspect, nil
 	}
 }
 
+// acquireAlone tries once to get a slot for a suspect where no other one runs.
+// It returns neither slot nor error when the call must be judged again.
+func (r *run) acquireAlone(ctx context.Context) (kingcuphook.Slot, *trial, error) {
+	t := r.d.newTrial(r.request.Fingerprint())
+	if t == nil {
+		return nil, nil, nil
+	}
+	slot, err := r.slot(ctx, r.d.Quarantiner.Busy())
+	if slot == nil || err != nil {
+		t.end()
+		return nil, nil, err
+	}
+	// Another router may have lost an upstream to the body since it was judged.
+	verdict := r.d.Quarantiner.Judge(time.Now(), r.request.Fingerprint())
+	if t.on(slot.Choice().Upstream.Address()) && verdict == quarantiner.VerdictSuspect {
+		return slot, t, nil
+	}
+	slot.Release(kingcuphook.Sample{Cancelled: true})
+	t.end()
+	return nil, nil, nil
+}
+
 // stuckOn reports whether an upstream cannot continue what the caller already
 // has.
 func (r *run) stuckOn(u *kingcuphook.Upstream) bool {
 	return r.request.Stream() && r.answer.Position() > 0 && !u.Resumes()
 }
 
-// slot asks the allocator for a slot. It returns no slot and no error when the
-// caller must ask again.
-func (r *run) slot(ctx context.Context, suspect bool) (kingcuphook.Slot, error) {
-	excluded := slices.Concat(r.unable, r.failed)
-	var busy []string
-	if suspect {
-		busy = r.d.Quarantiner.Busy()
-		excluded = append(excluded, busy...)
-	}
+// slot asks the allocator for a slot outside of busy upstreams. It returns no
+// slot and no error when the caller must ask again.
+func (r *run) slot(ctx context.Context, busy []string) (kingcuphook.Slot, error) {
+	excluded := slices.Concat(r.unable, r.failed, busy)
 	slot, err := r.d.Allocator.Acquire(ctx, r.request, excluded)
-	if err == nil || !errors.Is(err, kingcuphook.ErrNoUpstream) {
+	switch {
+	case err == nil && r.stuckOn(slot.Choice().Upstream):
+		r.unable = append(r.unable, slot.Choice().Upstream.Address())
+		slot.Release(kingcuphook.Sample{Cancelled: true})
+		return nil, nil
+	case err == nil || !errors.Is(err, kingcuphook.ErrNoUpstream):
 		return slot, err
-	}
-	if len(busy) > 0 && pause(ctx, judgeInterval) {
+	case len(busy) > 0 && ctx.Err() == nil:
 		return nil, nil
-	}
-	if len(r.failed) == 0 {
+	case len(r.failed) == 0:
 		return nil, err
+	default:
+		r.failed = nil
+		return nil, nil
 	}
-	r.failed = nil
-	return nil, nil
 }
 
 func (r *run) newAttempt() *kingcuphook.Attempt {
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -31,6 +31,9 @@
 		detector: detector.Detector{First: r.d.Limits.FirstByte, Between: r.d.Limits.BetweenTokens},
 		cancel:   cancel,
 	}
+	if r.call.Kind == kingcuphook.UpstreamKindService {
+		w.detector.First = r.d.Limits.Reply
+	}
 	now := time.Now()
 	w.detector.Sent(now)
 	w.mu.Lock()
--- a/prover/matrix.go
+++ b/prover/matrix.go
@@ -82,7 +82,7 @@
 	case FaultRouterPause:
 		// The stand-in's pause holds the frames and not the timers, so that the
 		// pause looks like a silent connection.
-		if k == KindClaimedStream && s == StepStreaming {
+		if k == KindClaimedStream && begun {
 			return "unknown"
 		}
 	}
--- /dev/null
+++ b/prover/scenario_test.go
@@ -0,0 +1,30 @@
+package prover
+
+import (
+	"testing"
+	"testing/synctest"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// bubble runs each script of a testscript run in a synctest bubble, one after
+// the other.
+type bubble struct{ *testing.T }
+
+func (b bubble) Parallel() {}
+
+func (b bubble) Verbose() bool { return testing.Verbose() }
+
+func (b bubble) Run(name string, f func(testscript.T)) {
+	b.T.Run(name, func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) { f(bubble{t}) })
+	})
+}
+
+func TestScenarios(t *testing.T) {
+	testscript.RunT(bubble{t}, testscript.Params{
+		Dir:   "testdata/scenarios",
+		Cmds:  Commands(),
+		Setup: Setup,
+	})
+}
--- a/quarantiner/exchange.go
+++ b/quarantiner/exchange.go
@@ -81,7 +81,7 @@
 		}
 		return
 	}
-	if own.state != "" && !e.changed.After(own.changed) {
+	if own.state != "" && !e.overrides(own) {
 		return
 	}
 	*own = e
@@ -93,6 +93,15 @@
 	}
 }
 
+// overrides reports whether e is the later change. At the same millisecond the
+// operator's word holds, and then the order of codes.
+func (e *Entry) overrides(own *Entry) bool {
+	if c := e.changed.Truncate(time.Millisecond).Compare(own.changed.Truncate(time.Millisecond)); c != 0 {
+		return c > 0
+	}
+	return slices.Index(codes, e.state) > slices.Index(codes, own.state)
+}
+
 const (
 	entryBytes = 8 + 1 + 1 + 8
 	crashBytes = 8 + 1
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -309,8 +309,10 @@
 		if e == nil {
 			return
 		}
+		// The time is the same at every router that knows the crashes, so that a
+		// lift that comes later holds everywhere.
 		e.state = stateQuarantined
-		e.changed = now
+		e.changed = latest(e.crashes).Add(orDuration(q.Settle, defaultSettle))
 		q.explain(e.crashes)
 	}
 }
