--- a/follower/fleet_test.go
+++ b/follower/fleet_test.go
@@ -13,6 +13,7 @@
 	"github.com/kingcuphook/kingcuphook/differ"
 	"github.com/kingcuphook/kingcuphook/editor"
 	"github.com/kingcuphook/kingcuphook/emulator/storer"
+	"github.com/kingcuphook/kingcuphook/encoder"
 	"github.com/kingcuphook/kingcuphook/historian"
 	"github.com/kingcuphook/kingcuphook/parser"
 )
@@ -34,6 +35,8 @@
 	said map[string]error
 	// states are the routes of each state seen in force.
 	states map[uint64]string
+	// heads are the heads that were read.
+	heads []kingcuphook.Entry
 	// unknown holds the edits whose outcome was told as unknown.
 	unknown map[string]unknownEdit
 }
@@ -44,15 +47,25 @@
 	expect int64
 }
 
-// lateStore is a store whose writes may take effect after the writer gave up.
+// lateStore is a store whose writes may take effect after the writer gave up, and
+// whose reads may be stale.
 type lateStore struct {
 	*storer.Store
-	late func() time.Duration
+	f *fleet
+}
+
+// Get implements kingcuphook.Store. It returns an older head now and then.
+func (s lateStore) Get(ctx context.Context, key string) (kingcuphook.Entry, error) {
+	e, err := s.Store.Get(ctx, key)
+	if err != nil || key != encoder.HeadKey {
+		return e, err
+	}
+	return s.f.stale(e), nil
 }
 
 // Put implements kingcuphook.Store.
 func (s lateStore) Put(ctx context.Context, key string, value []byte, expect int64, id kingcuphook.LeaseID) (int64, error) {
-	d := s.late()
+	d := s.f.late()
 	if d == 0 {
 		return s.Store.Put(ctx, key, value, expect, id)
 	}
@@ -73,6 +86,17 @@
 	return time.Duration(1+f.rng.IntN(2500)) * time.Millisecond
 }
 
+// stale returns the head or, now and then, one that was there before.
+func (f *fleet) stale(e kingcuphook.Entry) kingcuphook.Entry {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.heads = append(f.heads, e)
+	if !f.faulty || f.rng.IntN(4) > 0 {
+		return e
+	}
+	return f.heads[max(0, len(f.heads)-1-f.rng.IntN(8))]
+}
+
 // member is one router, which restarts as a new follower.
 type member struct {
 	router   Router
@@ -129,7 +153,7 @@
 func (f *fleet) start(m *member) {
 	ctx, cancel := context.WithCancel(f.t.Context())
 	var last int64
-	next := &Follower{Store: f.store, Self: m.router, Routers: f.routers, Rand: rand.New(rand.NewPCG(f.rng.Uint64(), 0))}
+	next := &Follower{Store: lateStore{Store: f.store, f: f}, Self: m.router, Routers: f.routers, Rand: rand.New(rand.NewPCG(f.rng.Uint64(), 0))}
 	next.OnEvent = func(e Event) {
 		if e.InForce < last {
 			f.t.Errorf("%s went back from revision %d to %d", m.router.Address, last, e.InForce)
@@ -207,7 +231,7 @@
 // operate makes n edits beside m; each adds a route of its own and most change a
 // shared one.
 func (f *fleet) operate(m *member, name string, n int) {
-	e := editor.Editor{Store: lateStore{Store: f.store, late: f.late}, InForce: f.inForce(m)}
+	e := editor.Editor{Store: lateStore{Store: f.store, f: f}, InForce: f.inForce(m)}
 	for i := range n {
 		base := f.current(m)
 		id := fmt.Sprintf("%s-%d", name, i)
--- a/historian/historian.go
+++ b/historian/historian.go
@@ -191,7 +191,7 @@
 	return Outcome{Fate: FateUnknown}, nil
 }
 
-// moved reports whether the head is another one than a write expected. It is
+// moved reports whether the head is newer than the one that a write expected. It is
 // read before the changes, so that a write that takes effect between is found.
 func (h *Historian) moved(ctx context.Context, expect int64) (bool, error) {
 	if expect <= 0 {
@@ -202,5 +202,5 @@
 	if err != nil {
 		return false, fmt.Errorf("historian: %w", err)
 	}
-	return s.StoreRevision != expect, nil
+	return s.StoreRevision > expect, nil
 }
