--- /dev/null
+++ b/editor/outcome_test.go
@@ -0,0 +1,223 @@
+package editor
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/matryer/is"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/auditor"
+	"github.com/kingcuphook/kingcuphook/differ"
+	"github.com/kingcuphook/kingcuphook/emulator/storer"
+	"github.com/kingcuphook/kingcuphook/encoder"
+	"github.com/kingcuphook/kingcuphook/historian"
+	"github.com/kingcuphook/kingcuphook/parser"
+)
+
+func TestStoreDownMeansNotMade(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var s storer.Store
+		s.SetFault(storer.Fault{Down: true})
+		e := Editor{Store: &s}
+		_, err := e.Apply(t.Context(), edit(t, "1", 0, "a"))
+		var notMade *NotMadeError
+		is.True(errors.As(err, &notMade))
+		is.Equal(notMade.EditID, "1")
+		is.True(!errors.Is(err, kingcuphook.ErrOutcomeUnknown))
+	})
+}
+
+// The store goes down just as the head was swapped: the outcome is unknown, and
+// can be asked for and settled later.
+func TestUnknownOutcomeIsSettledLater(t *testing.T) {
+	for _, lost := range []storer.Fault{{LoseReply: true}, {LoseRequest: true}} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			var down bool
+			s := storer.Store{}
+			s.Hook = func(op, key string) storer.Fault {
+				if op == storer.OpPut && key == encoder.HeadKey && !down {
+					down = true
+					return lost
+				}
+				return storer.Fault{Down: down}
+			}
+			e := Editor{Store: &s}
+			_, err := e.Apply(t.Context(), edit(t, "1", 0, "a"))
+			var unknown *UnknownError
+			is.True(errors.As(err, &unknown))
+			is.True(strings.Contains(err.Error(), "edit 1 "))
+
+			s.Hook = nil
+			h := historian.Historian{Store: &s}
+			o, err := h.Find(t.Context(), "1", unknown.Expect)
+			is.NoErr(err)
+			is.Equal(o.Fate == historian.FateAccepted, lost.LoseReply)
+			r, err := e.Apply(t.Context(), edit(t, "1", 0, "a"))
+			is.NoErr(err)
+			is.Equal(r.Revision, int64(1))
+			is.Equal(r.Repeated, lost.LoseReply)
+		})
+	}
+}
+
+func TestRefusalsAreAudited(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	var s storer.Store
+	e := Editor{Store: &s, Audit: &auditor.Auditor{Store: &s}}
+	_, err := e.Apply(ctx, edit(t, "1", 0, "a"))
+	is.NoErr(err)
+	bad := edit(t, "2", 1, "a")
+	bad.Pools = parser.NewPoolTable("pools.toml", nil)
+	_, err = e.Apply(ctx, bad)
+	is.True(errors.Is(err, kingcuphook.ErrInvalid))
+	is.Equal(names(t, &s), "a:1")
+
+	h := historian.Historian{Store: &s}
+	records, readErr := h.Refused(ctx)
+	is.NoErr(readErr)
+	is.Equal(len(records), 1)
+	is.Equal(records[0].Fields().Author, "nour")
+	is.Equal(records[0].Fields().Cause, err.Error())
+	o, err := h.Find(ctx, "2", 0)
+	is.NoErr(err)
+	is.Equal(o.Fate, historian.FateRefused)
+}
+
+// Pools and routes are validated together after a rebase too: one operator
+// deletes a pool while the other makes a route to it.
+func TestRebaseIsValidated(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	var s storer.Store
+	e := Editor{Store: &s}
+	first := edit(t, "1", 0)
+	second, err := parser.ParsePools("pools.toml", []byte(poolsText+strings.ReplaceAll(poolsText, `"p"`, `"q"`)))
+	is.NoErr(err)
+	first.Pools = second
+	_, err = e.Apply(ctx, first)
+	is.NoErr(err)
+	_, err = e.Apply(ctx, edit(t, "2", 1))
+	is.NoErr(err)
+	late := edit(t, "3", 1, "a")
+	late.Pools = second
+	late.Routes, err = parser.ParseRoutes("routes.toml", []byte(strings.ReplaceAll(routesText("a"), `"p"`, `"q"`)))
+	is.NoErr(err)
+	_, err = e.Apply(ctx, late)
+	is.True(errors.Is(err, kingcuphook.ErrInvalid))
+	is.True(strings.Contains(err.Error(), `there is no pool "q"`))
+}
+
+func TestHistoryDiffAndRollback(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	var s storer.Store
+	e := Editor{Store: &s}
+	const edits = 300
+	for i := range edits {
+		_, err := e.Apply(ctx, edit(t, fmt.Sprint(i), int64(i), "a", fmt.Sprintf("r%d", i)))
+		is.NoErr(err)
+	}
+	h := historian.Historian{Store: &s}
+	cs, err := h.History(ctx, 0, 1000)
+	is.NoErr(err)
+	is.Equal(len(cs), edits)
+	is.Equal(cs[0].Revision(), int64(edits))
+	is.Equal(cs[edits-1].EditID(), "0")
+	cs, err = h.History(ctx, 20, 2)
+	is.NoErr(err)
+	is.Equal(len(cs), 2)
+	is.Equal(cs[0].Revision(), int64(20))
+
+	rows, err := h.Diff(ctx, 10, 12)
+	is.NoErr(err)
+	is.Equal(len(rows), 2)
+	is.Equal(rows[0].Key(), differ.Key{Kind: differ.RowKindRoute, Name: "r9"})
+	is.Equal(rows[1].Key(), differ.Key{Kind: differ.RowKindRoute, Name: "r11"})
+
+	r, err := e.Rollback(ctx, Edit{ID: "back", Author: "omar", Base: edits}, 7)
+	is.NoErr(err)
+	is.Equal(r.Revision, int64(edits+1))
+	is.Equal(names(t, &s), "a:1 r6:1")
+	_, err = h.At(ctx, 1000)
+	is.True(errors.Is(err, kingcuphook.ErrNotFound))
+}
+
+// Values that an editor left behind are swept, those in use are not, and the
+// number of keys stays bounded over many edits.
+func TestGarbageIsBounded(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	var s storer.Store
+	e := Editor{Store: &s}
+	_, err := s.Put(ctx, encoder.SegmentPrefix+"0000000000000001-ab-cd", []byte("x"), kingcuphook.RevisionAbsent, 0)
+	is.NoErr(err)
+	for i := range 400 {
+		_, err := e.Apply(ctx, edit(t, fmt.Sprint(i), int64(i), "a", fmt.Sprintf("r%d", i)))
+		is.NoErr(err)
+	}
+	before := names(t, &s)
+	n, err := e.Sweep(ctx)
+	is.NoErr(err)
+	is.Equal(n, 1)
+	is.Equal(names(t, &s), before)
+	entries, err := s.List(ctx, "tables/")
+	is.NoErr(err)
+	// A manifest, a segment and a page are written at most once per revision and
+	// live on for retiredRevisions.
+	is.True(len(entries) <= 3*retiredRevisions+10)
+}
+
+// A store that comes back older is brought up to the state in force before the
+// next edit, and only if every region was asked.
+func TestOlderStoreIsBroughtUpToDate(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	var s storer.Store
+	e := Editor{Store: &s}
+	_, err := e.Apply(ctx, edit(t, "1", 0, "a"))
+	is.NoErr(err)
+	old := s.Snapshot()
+	_, err = e.Apply(ctx, edit(t, "2", 1, "a", "b"))
+	is.NoErr(err)
+	high := e.last
+	s.Restore(old)
+
+	complete := false
+	e.InForce = func() (*differ.Snapshot, bool) { return high, complete }
+	_, err = e.Apply(ctx, edit(t, "3", 2, "a", "b", "c"))
+	var older *OlderStoreError
+	is.True(errors.As(err, &older))
+	is.True(errors.Is(err, kingcuphook.ErrUnavailable))
+	is.Equal(names(t, &s), "a:1")
+
+	complete = true
+	r, err := e.Apply(ctx, edit(t, "4", 2, "a", "b", "c"))
+	is.NoErr(err)
+	is.Equal(r.Revision, int64(4))
+	is.Equal(names(t, &s), "a:1 b:1 c:1")
+	h := historian.Historian{Store: &s}
+	o, err := h.Find(ctx, "2", 0)
+	is.NoErr(err)
+	is.Equal(o.Fate, historian.FateAccepted)
+}
+
+func TestEditWithoutEffectMakesNoRevision(t *testing.T) {
+	is := is.New(t)
+	var s storer.Store
+	e := Editor{Store: &s}
+	_, err := e.Apply(context.Background(), edit(t, "1", 0, "a"))
+	is.NoErr(err)
+	r, err := e.Apply(context.Background(), edit(t, "2", 1, "a"))
+	is.NoErr(err)
+	is.Equal(r, Result{EditID: "2", Revision: 1})
+	_, err = e.Apply(context.Background(), Edit{ID: "3"})
+	is.True(errors.Is(err, kingcuphook.ErrInvalid))
+}
