--- a/exchanger/client.go
+++ b/exchanger/client.go
@@ -108,7 +108,7 @@
 func (c *Client) Close() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var errs []error
+	errs := make([]error, 0, len(c.conns))
 	for _, cc := range c.conns {
 		errs = append(errs, cc.grpc.Close())
 	}
@@ -165,7 +165,8 @@
 		}
 	}
 	if oldest != "" {
-		c.conns[oldest].grpc.Close()
+		// The error says only that the connection is closed already.
+		_ = c.conns[oldest].grpc.Close()
 		delete(c.conns, oldest)
 	}
 }
--- /dev/null
+++ b/exchanger/exchanger_test.go
@@ -0,0 +1,215 @@
+package exchanger_test
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"errors"
+	"math/big"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/grpc/credentials"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/exchanger"
+	"github.com/kingcuphook/kingcuphook/gossiper"
+)
+
+// authority issues certificates for one fleet.
+type authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+func newAuthority(t testing.TB) *authority {
+	is := is.New(t)
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	is.NoErr(err)
+	template := &x509.Certificate{
+		SerialNumber:          big.NewInt(1),
+		NotAfter:              time.Now().Add(time.Hour),
+		IsCA:                  true,
+		BasicConstraintsValid: true,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	is.NoErr(err)
+	cert, err := x509.ParseCertificate(der)
+	is.NoErr(err)
+	return &authority{cert: cert, key: key}
+}
+
+// credentials returns mutual TLS credentials of one router.
+func (a *authority) credentials(t testing.TB) credentials.TransportCredentials {
+	is := is.New(t)
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	is.NoErr(err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(2),
+		Subject:      pkix.Name{CommonName: "router"},
+		NotAfter:     time.Now().Add(time.Hour),
+		IPAddresses:  []net.IP{net.IPv4(127, 0, 0, 1)},
+		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
+	is.NoErr(err)
+	pool := x509.NewCertPool()
+	pool.AddCert(a.cert)
+	return credentials.NewTLS(&tls.Config{
+		Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}},
+		RootCAs:      pool,
+		ClientCAs:    pool,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		MinVersion:   tls.VersionTLS13,
+	})
+}
+
+// handler answers exchanges with their own digest.
+type handler struct {
+	tables []byte
+}
+
+func (h *handler) Exchange(_ context.Context, digest []byte) ([]byte, error) {
+	if _, err := exchanger.Decode(digest); err != nil {
+		return nil, err
+	}
+	return digest, nil
+}
+
+func (h *handler) Pull(_ context.Context, revision int64) ([]byte, error) {
+	if revision >= 7 {
+		return nil, kingcuphook.ErrNotFound
+	}
+	return h.tables, nil
+}
+
+// countingListener counts the bytes and calls of all its connections.
+type countingListener struct {
+	net.Listener
+	bytes, packets atomic.Int64
+}
+
+type countingConn struct {
+	net.Conn
+	l *countingListener
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countingConn{Conn: c, l: l}, nil
+}
+
+func (c *countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.l.bytes.Add(int64(n))
+	c.l.packets.Add(1)
+	return n, err
+}
+
+func (c *countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.l.bytes.Add(int64(n))
+	c.l.packets.Add(1)
+	return n, err
+}
+
+// serve runs a server until the test ends.
+func serve(t testing.TB, h exchanger.Handler, creds credentials.TransportCredentials) *countingListener {
+	is := is.New(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	l := &countingListener{Listener: inner}
+	server := (&exchanger.Server{Handler: h, Credentials: creds}).NewGRPC()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = server.Serve(l)
+	}()
+	t.Cleanup(func() {
+		server.Stop()
+		<-done
+	})
+	return l
+}
+
+func digest(t testing.TB) []byte {
+	d := &gossiper.Digest{
+		Sender:    gossiper.Entry{Address: "10.0.0.1:7000", Location: 7, Incarnation: 1_790_000_000, State: gossiper.StateAlive},
+		Revision:  123_456,
+		Checksum:  42,
+		Locations: []gossiper.Location{{Region: "cairo", DataCentre: "cairo-1"}},
+	}
+	b, err := exchanger.Encode(d)
+	is.New(t).NoErr(err)
+	return b
+}
+
+func TestExchangeAndPullOverMutualTLS(t *testing.T) {
+	is := is.New(t)
+	a := newAuthority(t)
+	tables := make([]byte, 300<<10)
+	_, _ = rand.Read(tables)
+	l := serve(t, &handler{tables: tables}, a.credentials(t))
+	c := &exchanger.Client{Credentials: a.credentials(t)}
+	defer c.Close()
+
+	sent := digest(t)
+	got, err := c.Exchange(t.Context(), l.Addr().String(), sent)
+	is.NoErr(err)
+	is.Equal(got, sent)
+
+	got, err = c.Pull(t.Context(), l.Addr().String(), 6)
+	is.NoErr(err)
+	is.Equal(got, tables)
+
+	_, err = c.Pull(t.Context(), l.Addr().String(), 7)
+	is.True(errors.Is(err, kingcuphook.ErrNotFound))
+
+	_, err = c.Exchange(t.Context(), l.Addr().String(), []byte{1, 2, 3})
+	is.True(errors.Is(err, kingcuphook.ErrInvalid))
+}
+
+func TestForeignCertificateIsRefused(t *testing.T) {
+	is := is.New(t)
+	l := serve(t, &handler{}, newAuthority(t).credentials(t))
+	c := &exchanger.Client{Credentials: newAuthority(t).credentials(t), Timeout: 5 * time.Second}
+	defer c.Close()
+	_, err := c.Exchange(t.Context(), l.Addr().String(), digest(t))
+	is.True(errors.Is(err, kingcuphook.ErrUnavailable))
+}
+
+// BenchmarkExchange reports the bytes of an exchange besides both digests, TLS
+// records included, and the reads and writes of the server's connection.
+func BenchmarkExchange(b *testing.B) {
+	a := newAuthority(b)
+	l := serve(b, &handler{}, a.credentials(b))
+	c := &exchanger.Client{Credentials: a.credentials(b)}
+	defer c.Close()
+	d := digest(b)
+	call := func() {
+		if _, err := c.Exchange(b.Context(), l.Addr().String(), d); err != nil {
+			b.Fatal(err)
+		}
+	}
+	call()
+	handshake := l.bytes.Load()
+	l.packets.Store(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		call()
+	}
+	n := float64(b.N)
+	b.ReportMetric(float64(l.bytes.Load()-handshake)/n-2*float64(len(d)), "header-B/op")
+	b.ReportMetric(float64(l.packets.Load())/n, "packets/op")
+	b.ReportMetric(float64(handshake), "first-B")
+}
--- a/gossiper/build.go
+++ b/gossiper/build.go
@@ -95,7 +95,7 @@
 
 // addSlice adds the members that follow the last slice, up to the bound.
 func (g *Gossiper) addSlice(d *Digest) {
-	all := g.ranks().byAddress
+	all := g.roster.byAddress
 	i := after(all, g.cursor)
 	for range all {
 		if len(d.Members) >= MaxMembers {
@@ -113,7 +113,7 @@
 // addList answers a joining router with the members that follow address.
 func (g *Gossiper) addList(d *Digest, address string) {
 	d.After = address
-	all := g.ranks().byAddress
+	all := g.roster.byAddress
 	for _, m := range all[after(all, address):] {
 		if len(d.Members) >= MaxJoinMembers {
 			break
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -73,14 +73,15 @@
 	locations map[uint32]Location
 	// hints are the addresses of the platform's list.
 	hints map[string]Location
-	// roster is derived from members; nil when it must be built again.
-	roster *roster
+	// roster orders self and members.
+	roster roster
 	// cursor is the address after which the next slice of members begins.
 	cursor     string
 	joining    bool
 	joinCursor string
 
 	lastPoll    time.Time
+	lastExpire  time.Time
 	nextTick    time.Time
 	lastSuccess time.Time
 	ticks       int
@@ -138,19 +139,23 @@
 	g.members = make(map[string]*member)
 	g.queue = nil
 	g.checksum = e.hash()
-	g.roster = nil
+	g.roster = roster{centres: make(map[uint32][]*member)}
+	g.roster.know(g.self)
+	g.roster.enter(g.self)
 	g.joining = true
 	g.joinCursor = ""
 	g.enqueue(g.self)
+	g.adopt(now)
 }
 
 func newMember(e Entry, now time.Time) *member {
 	return &member{entry: e, order: orderOf(e.Address), since: now}
 }
 
-// SetHints takes the routers of the platform's list of VMs. The list lags: its
-// addresses are tried when they are not known as members, and an unreachable
-// member that the list no longer has is forgotten.
+// SetHints takes the routers of the platform's list of VMs, without other VMs.
+// The list lags: an address not known before is taken for a member until it
+// fails to answer, what the peers say of one goes before the list, and an
+// unreachable member that the list no longer has is forgotten.
 func (g *Gossiper) SetHints(now time.Time, vms []kingcuphook.VM) {
 	g.start(now)
 	g.hints = make(map[string]Location, len(vms))
@@ -162,6 +167,7 @@
 		g.hints[vm.Address()] = l
 		g.learn(l)
 	}
+	g.adopt(now)
 }
 
 // SetRevision takes the revision of the tables now in force and the peer that
@@ -172,7 +178,7 @@
 		return
 	}
 	g.revision = revision
-	g.startPush(now, from)
+	g.startPush(from)
 }
 
 // Leave announces the planned stop of this router: digests built from now on
@@ -198,10 +204,14 @@
 	if !e.State.gone() {
 		g.checksum += e.hash()
 	}
-	if m.entry.State.gone() != e.State.gone() || m.entry.Location != e.Location {
-		g.roster = nil
+	moved := m.entry.State.gone() != e.State.gone() || m.entry.Location != e.Location
+	if moved && m != g.self && !m.entry.State.gone() {
+		g.roster.leave(m)
 	}
 	m.entry = e
+	if moved && m != g.self && !e.State.gone() {
+		g.roster.enter(m)
+	}
 	m.since = now
 	g.enqueue(m)
 }
@@ -211,17 +221,28 @@
 	m := newMember(e, now)
 	g.members[e.Address] = m
 	g.checksum += e.hash()
-	g.roster = nil
-	g.enqueue(m)
+	g.roster.know(m)
+	g.roster.enter(m)
 	return m
 }
 
+// adopt takes up the routers of the platform's list that are not known. Their
+// incarnation of 0 gives way to all that they say themselves.
+func (g *Gossiper) adopt(now time.Time) {
+	for a, l := range g.hints {
+		if g.members[a] == nil && len(g.members) < maxKnown {
+			g.add(Entry{Address: a, Location: l.ID(), State: StateAlive}, now)
+		}
+	}
+}
+
 // remove forgets a member.
 func (g *Gossiper) remove(m *member) {
 	if !m.entry.State.gone() {
 		g.checksum -= m.entry.hash()
-		g.roster = nil
+		g.roster.leave(m)
 	}
+	g.roster.forget(m)
 	delete(g.members, m.entry.Address)
 }
 
@@ -240,7 +261,6 @@
 	}
 	if _, ok := g.locations[l.ID()]; !ok {
 		g.locations[l.ID()] = l
-		g.roster = nil
 	}
 }
 
--- a/gossiper/merge.go
+++ b/gossiper/merge.go
@@ -61,7 +61,9 @@
 		if e.State.gone() || len(g.members) >= maxKnown {
 			return nil
 		}
-		return g.add(e, now)
+		m = g.add(e, now)
+		g.enqueue(m)
+		return m
 	}
 	if e.newer(m.entry) {
 		g.replace(m, e, now)
--- a/gossiper/pick.go
+++ b/gossiper/pick.go
@@ -21,92 +21,78 @@
 		g.retry = ""
 		return a
 	}
-	r := g.ranks()
-	if g.joining || len(r.alive) == 1 || g.ticks%probeEvery == 0 {
+	if g.roster.alive == 1 || g.ticks%probeEvery == 0 {
 		if a := g.pickStranger(); a != "" {
 			return a
 		}
 	}
-	if r.rank < watchersPerDataCentre && g.ticks%4 != 0 && len(r.order) > 1 {
-		return g.pickCentre(r)
+	local, rank := g.local()
+	if rank < watchersPerDataCentre && g.ticks%4 != 0 && len(g.roster.order) > 1 {
+		return g.pickCentre(rank)
 	}
 	switch g.ticks % 4 {
 	case 1:
-		if a := g.pickNear(r); a != "" {
+		if a := g.pickNear(rank); a != "" {
 			return a
 		}
-		return g.pickRemote(r)
+		return g.pickRemote(rank)
 	case 3:
-		return g.pickRemote(r)
+		return g.pickRemote(rank)
 	}
-	if a := g.pickLocal(r); a != "" {
-		return a
+	if len(local) > 1 {
+		return pickLocal(g, local, rank)
 	}
-	return g.pickRemote(r)
+	return g.pickRemote(rank)
 }
 
-// pickStranger returns an address of the platform's list, or of a member that
-// is gone, that is not a member now. It prefers this data centre.
+// pickStranger returns a listed address that is not a member, or a member that
+// is dead and may have come back.
 func (g *Gossiper) pickStranger() string {
-	var near, far []string
-	for a, l := range g.hints {
-		if m := g.members[a]; m != nil && !m.entry.State.gone() && !g.joining {
-			continue
-		}
-		if l == g.Location {
-			near = append(near, a)
-		} else {
-			far = append(far, a)
+	var strangers []string
+	for a := range g.hints {
+		if g.members[a] == nil {
+			strangers = append(strangers, a)
 		}
 	}
 	for a, m := range g.members {
 		if m.entry.State == StateDead {
-			far = append(far, a)
+			strangers = append(strangers, a)
 		}
 	}
-	if len(near) > 0 && (len(far) == 0 || g.Rand.IntN(4) > 0) {
-		return g.choose(near)
-	}
-	return g.choose(far)
-}
-
-// choose returns a random one of addresses, which it sorts first so that the
-// outcome depends on the source of randomness only.
-func (g *Gossiper) choose(addresses []string) string {
-	if len(addresses) == 0 {
+	if len(strangers) == 0 {
 		return ""
 	}
-	slices.Sort(addresses)
-	return addresses[g.Rand.IntN(len(addresses))]
+	// The order of a map is random; the outcome must depend on Rand only.
+	slices.Sort(strangers)
+	return strangers[g.Rand.IntN(len(strangers))]
 }
 
 // pickLocal returns a partner of this data centre.
-func (g *Gossiper) pickLocal(r *roster) string {
-	n := len(r.local)
-	if n < 2 {
-		return ""
-	}
+func pickLocal(g *Gossiper, local []*member, rank int) string {
+	n := len(local)
 	offset := localOffsets[g.Rand.IntN(len(localOffsets))] % n
 	if offset == 0 {
 		offset = 1
 	}
-	return r.local[(r.rank+offset)%n].entry.Address
+	return at(local, rank+offset)
 }
 
 // pickCentre returns a root of another data centre, for a root of this one.
-func (g *Gossiper) pickCentre(r *roster) string {
-	n := len(r.order)
+func (g *Gossiper) pickCentre(rank int) string {
+	order := g.roster.order
+	n := len(order)
 	offset := centreOffsets[g.Rand.IntN(len(centreOffsets))] % n
 	if offset == 0 {
 		offset = 1
 	}
-	return g.at(r.centres[r.order[(r.at+offset)%n]], r.rank)
+	own, _ := slices.BinarySearch(order, g.self.entry.Location)
+	return at(g.roster.centres[order[(own+offset)%n]], rank)
 }
 
 // pickNear returns a partner of another data centre of this region.
-func (g *Gossiper) pickNear(r *roster) string {
+func (g *Gossiper) pickNear(rank int) string {
 	var near []uint32
-	for _, l := range r.order {
+	for _, l := range g.roster.order {
 		if l != g.self.entry.Location && g.locations[l].Region == g.Location.Region {
 			near = append(near, l)
 		}
@@ -114,19 +100,25 @@
 	if len(near) == 0 {
 		return ""
 	}
-	return g.at(r.centres[near[g.Rand.IntN(len(near))]], r.rank)
+	return at(g.roster.centres[near[g.Rand.IntN(len(near))]], rank)
 }
 
-// pickRemote returns a partner of another region.
-func (g *Gossiper) pickRemote(r *roster) string {
-	if len(r.regionOrder) == 0 {
-		return g.pickLocal(r)
+// pickRemote returns a partner of another region, or an empty address.
+func (g *Gossiper) pickRemote(rank int) string {
+	var far []uint32
+	for _, l := range g.roster.order {
+		if g.locations[l].Region != g.Location.Region {
+			far = append(far, l)
+		}
+	}
+	if len(far) == 0 {
+		return ""
 	}
-	region := r.regionOrder[g.Rand.IntN(len(r.regionOrder))]
-	return g.at(r.regions[region], r.rank+r.at+g.failedRegions[region].count)
+	l := far[g.Rand.IntN(len(far))]
+	return at(g.roster.centres[l], rank+g.failedRegions[g.locations[l].Region].count)
 }
 
 // at returns the address at position i of members, wrapped around.
-func (g *Gossiper) at(members []*member, i int) string {
+func at(members []*member, i int) string {
 	return members[i%len(members)].entry.Address
 }
--- a/gossiper/poll.go
+++ b/gossiper/poll.go
@@ -8,6 +8,9 @@
 // maxSkipped is how many rounds in a row pushes may stand in for.
 const maxSkipped = 2
 
+// expirePause separates two looks at all members.
+const expirePause = time.Second
+
 // Poll returns the addresses to exchange digests with now. It is called at
 // least every 100 ms, and after SetRevision.
 func (g *Gossiper) Poll(now time.Time) []string {
@@ -66,14 +69,19 @@
 	return now.Sub(g.lastSuccess) > isolationTimeout
 }
 
-// expire ends the time of suspects and of tombstones.
+// expire ends the time of suspects and of tombstones. The tombstone of a member
+// that the platform still lists is kept.
 func (g *Gossiper) expire(now time.Time) {
+	if now.Sub(g.lastExpire) < expirePause {
+		return
+	}
+	g.lastExpire = now
 	isolated := g.isolated(now)
 	for _, m := range g.members {
 		age := now.Sub(m.since)
 		switch {
 		case m.entry.State.gone():
-			if age > g.TombstoneTTL {
+			if _, listed := g.hints[m.entry.Address]; !listed && age > g.TombstoneTTL {
 				g.remove(m)
 			}
 		case !g.judges(m):
--- a/gossiper/push.go
+++ b/gossiper/push.go
@@ -22,7 +22,7 @@
 }
 
 // startPush queues the neighbours in the tree for the revision in force.
-func (g *Gossiper) startPush(now time.Time, from string) {
+func (g *Gossiper) startPush(from string) {
 	p := &g.push
 	if p.sent == nil {
 		p.sent = make(map[string]int64)
@@ -33,12 +33,12 @@
 	if from == "" {
 		p.pause = g.Interval
 	}
-	r := g.ranks()
-	for _, i := range neighbours(r.rank, len(r.local)) {
-		if from == "" && r.rank < watchersPerDataCentre && i < watchersPerDataCentre {
+	local, rank := g.local()
+	for _, i := range neighbours(rank, len(local)) {
+		if from == "" && rank < watchersPerDataCentre && i < watchersPerDataCentre {
 			continue
 		}
-		g.wait(r.local[i].entry.Address, false)
+		g.wait(local[i].entry.Address, false)
 	}
 }
 
@@ -83,14 +83,15 @@
 		return
 	}
 	delete(p.sent, m.entry.Address)
-	r := g.ranks()
-	i := slices.Index(r.local, m)
+	local, rank := g.local()
+	i := slices.Index(local, m)
 	if i < 0 {
 		return
 	}
-	for _, j := range neighbours(i, len(r.local)) {
-		if j != r.rank && r.local[j].entry.Address != p.from && p.sent[r.local[j].entry.Address] != g.revision {
-			g.wait(r.local[j].entry.Address, true)
+	for _, j := range neighbours(i, len(local)) {
+		a := local[j].entry.Address
+		if j != rank && a != p.from && p.sent[a] != g.revision {
+			g.wait(a, true)
 		}
 	}
 }
--- a/gossiper/query.go
+++ b/gossiper/query.go
@@ -6,9 +6,8 @@
 // of their addresses.
 func (g *Gossiper) Members(now time.Time) []Member {
 	g.start(now)
-	r := g.ranks()
-	members := make([]Member, 0, len(r.byAddress))
-	for _, m := range r.byAddress {
+	members := make([]Member, 0, g.roster.alive)
+	for _, m := range g.roster.byAddress {
 		if m.entry.State.gone() {
 			continue
 		}
@@ -32,14 +31,14 @@
 // harmless.
 func (g *Gossiper) Watches(now time.Time) bool {
 	g.start(now)
-	r := g.ranks()
-	return r.rank < watchersPerDataCentre
+	_, rank := g.local()
+	return rank < watchersPerDataCentre
 }
 
 // Count returns the number of members that are not gone, this router included.
 func (g *Gossiper) Count(now time.Time) int {
 	g.start(now)
-	return len(g.ranks().alive)
+	return g.roster.alive
 }
 
 // reachable reports whether the latest exchanges with the region succeeded.
--- a/gossiper/roster.go
+++ b/gossiper/roster.go
@@ -11,76 +11,78 @@
 // maxLocations bounds the names of locations kept.
 const maxLocations = 256
 
-// roster orders the members that are not gone. It is built again after a
-// change of membership.
+// roster keeps the members in the orders in which partners are chosen.
 type roster struct {
-	// alive holds self and all members not gone, in rank order.
-	alive []*member
-	// byAddress holds self and all members, gone ones included.
+	// byAddress holds self and all members, gone ones included, by address.
 	byAddress []*member
-	// local holds the members of this data centre in rank order; rank is the
-	// position of self in it.
-	local []*member
-	rank  int
-	// centres holds the members of each data centre; order lists their
-	// locations, and at is the position of this one.
+	// alive counts self and all members not gone.
+	alive int
+	// centres holds self and the members not gone of each data centre by rank;
+	// none is empty. order lists their locations.
 	centres map[uint32][]*member
 	order   []uint32
-	at      int
-	// regions holds the members of each other region.
-	regions     map[string][]*member
-	regionOrder []string
 }
 
 func orderOf(address string) uint64 { return mix(xxhash.Sum64String(address)) }
 
-// ranks returns the roster, building it if needed.
-func (g *Gossiper) ranks() *roster {
-	if g.roster == nil {
-		g.roster = g.buildRoster()
+func byAddress(m *member, address string) int { return strings.Compare(m.entry.Address, address) }
+
+func byRank(a, b *member) int {
+	if c := cmp.Compare(a.order, b.order); c != 0 {
+		return c
 	}
-	return g.roster
+	return strings.Compare(a.entry.Address, b.entry.Address)
 }
 
-func (g *Gossiper) buildRoster() *roster {
-	r := &roster{centres: make(map[uint32][]*member), regions: make(map[string][]*member)}
-	r.byAddress = append(r.byAddress, g.self)
-	for _, m := range g.members {
-		r.byAddress = append(r.byAddress, m)
-	}
-	slices.SortFunc(r.byAddress, func(a, b *member) int { return strings.Compare(a.entry.Address, b.entry.Address) })
-	for _, m := range r.byAddress {
-		if m == g.self || !m.entry.State.gone() {
-			r.alive = append(r.alive, m)
-		}
-	}
-	slices.SortFunc(r.alive, func(a, b *member) int { return cmp.Compare(a.order, b.order) })
-	for _, m := range r.alive {
-		g.place(r, m)
+// know enters a member that was not known.
+func (r *roster) know(m *member) {
+	i, _ := slices.BinarySearchFunc(r.byAddress, m.entry.Address, byAddress)
+	r.byAddress = slices.Insert(r.byAddress, i, m)
+}
+
+// forget takes out a member that is gone.
+func (r *roster) forget(m *member) {
+	i, found := slices.BinarySearchFunc(r.byAddress, m.entry.Address, byAddress)
+	if found {
+		r.byAddress = slices.Delete(r.byAddress, i, i+1)
 	}
-	r.local = r.centres[g.self.entry.Location]
-	r.rank = slices.Index(r.local, g.self)
-	slices.Sort(r.order)
-	r.at = slices.Index(r.order, g.self.entry.Location)
-	slices.Sort(r.regionOrder)
-	return r
 }
 
-// place enters m in the lists of its data centre and region.
-func (g *Gossiper) place(r *roster, m *member) {
+// enter counts m among the members of its data centre.
+func (r *roster) enter(m *member) {
 	l := m.entry.Location
-	if _, ok := r.centres[l]; !ok {
-		r.order = append(r.order, l)
+	centre, ok := r.centres[l]
+	if !ok {
+		i, _ := slices.BinarySearch(r.order, l)
+		r.order = slices.Insert(r.order, i, l)
 	}
-	r.centres[l] = append(r.centres[l], m)
-	region := g.locations[l].Region
-	if region == "" || region == g.Location.Region {
+	i, _ := slices.BinarySearchFunc(centre, m, byRank)
+	r.centres[l] = slices.Insert(centre, i, m)
+	r.alive++
+}
+
+// leave takes m out of the members of its data centre.
+func (r *roster) leave(m *member) {
+	l := m.entry.Location
+	i, found := slices.BinarySearchFunc(r.centres[l], m, byRank)
+	if !found {
 		return
 	}
-	if _, ok := r.regions[region]; !ok {
-		r.regionOrder = append(r.regionOrder, region)
+	r.alive--
+	r.centres[l] = slices.Delete(r.centres[l], i, i+1)
+	if len(r.centres[l]) > 0 {
+		return
 	}
-	r.regions[region] = append(r.regions[region], m)
+	delete(r.centres, l)
+	j, _ := slices.BinarySearch(r.order, l)
+	r.order = slices.Delete(r.order, j, j+1)
+}
+
+// local returns the members of this router's data centre and its own position.
+func (g *Gossiper) local() (members []*member, rank int) {
+	members = g.roster.centres[g.self.entry.Location]
+	rank, _ = slices.BinarySearchFunc(members, g.self, byRank)
+	return members, rank
 }
 
 // neighbours returns the positions next to position i in the tree of a data
