--- a/cmd/kingcuphook/script_test.go
+++ b/cmd/kingcuphook/script_test.go
@@ -56,6 +56,7 @@
 //	kingcuphook ARG... runs the command line against the first router
 //	attempt ARG...     is kingcuphook, whatever the exit code
 //	call N CLASS TEXT  calls router N and prints status and body
+//	limited N          calls router 0 N times and prints how many passed
 //	stream N TEXT      begins a stream on router N and returns at its first token
 //	rest               prints what is left of the stream
 //	redeem N KEY BODY  calls the redemption service through router N
@@ -78,6 +79,7 @@
 			"kingcuphook": withFleet(commandLine),
 			"attempt":     withFleet(attemptCmd),
 			"call":        withFleet(callCmd),
+			"limited":     withFleet(limitedCmd),
 			"stream":      withFleet(streamCmd),
 			"rest":        withFleet(restCmd),
 			"redeem":      withFleet(redeemCmd),
@@ -238,6 +240,24 @@
 	printAnswer(ts, resp, err)
 }
 
+func limitedCmd(ts *testscript.TestScript, _ bool, args []string, f *fleet) {
+	calls, passed := index(ts, args[0]), 0
+	var last []byte
+	for range calls {
+		resp, err := f.post(0, responder.PathChat, chatBody("hello", false), "X-Class", "till", "X-Organisation", "cafe-1")
+		ts.Check(err)
+		body, err := io.ReadAll(resp.Body)
+		ts.Check(err)
+		_ = resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			passed++
+			continue
+		}
+		last = body
+	}
+	fmt.Fprintf(ts.Stdout(), "of %d calls %d passed\n%s", calls, passed, last)
+}
+
 func redeemCmd(ts *testscript.TestScript, _ bool, args []string, f *fleet) {
 	resp, err := f.post(index(ts, args[0]), "/redemptions", args[2], "Idempotency-Key", args[1], "X-Organisation", "cafe-1") //nolint:bodyclose // printAnswer closes it
 	printAnswer(ts, resp, err)
@@ -303,7 +323,7 @@
 	if !strings.Contains(text, args[1]) {
 		ts.Fatalf("%s has no %q", args[0], args[1])
 	}
-	ts.Check(os.WriteFile(ts.MkAbs(args[0]), []byte(strings.Replace(text, args[1], args[2], 1)), filePermissions))
+	ts.Check(os.WriteFile(ts.MkAbs(args[0]), []byte(strings.Replace(text, args[1], strings.ReplaceAll(args[2], `\n`, "\n"), 1)), filePermissions))
 }
 
 // TestExampleTablesAreValid checks the embedded example against the parser.
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/subtle"
 	"errors"
+	"fmt"
 	"strconv"
 
 	"goa.design/goa/v3/security"
@@ -76,15 +77,14 @@
 		edit.Base = *p.BaseRevision
 	}
 	if err := parse(&edit, string(p.Table), p.Text); err != nil {
+		c.Editor.Refused(ctx, edit, err)
 		return nil, c.refused(err, edit)
 	}
 	result, err := c.Editor.Apply(ctx, edit)
 	if err != nil {
 		return nil, c.refused(err, edit)
 	}
-	c.Log.Log(logger.EditAccepted, "edit", result.EditID, "author", edit.Author, "table", string(p.Table),
-		"revision", result.Revision, "rows", result.Rows)
-	return &commands.Applied{Revision: result.Revision, EditID: result.EditID}, nil
+	return c.accepted(edit, result), nil
 }
 
 func parse(edit *editor.Edit, table, text string) error {
@@ -98,8 +98,24 @@
 }
 
 // Rollback implements commands.Service.
-func (c *Commander) Rollback(context.Context, *commands.RollbackPayload) (*commands.Applied, error) {
-	return nil, &commands.Problem{Name: nameNotFound, Message: "rollback is not available"}
+func (c *Commander) Rollback(ctx context.Context, p *commands.RollbackPayload) (*commands.Applied, error) {
+	edit := editor.Edit{
+		Author: p.Author,
+		Base:   editor.BaseNewest,
+		Reason: fmt.Sprintf("rollback to revision %d", p.Revision),
+	}
+	result, err := c.Editor.Rollback(ctx, edit, p.Revision)
+	if err != nil {
+		return nil, c.refused(err, edit)
+	}
+	return c.accepted(edit, result), nil
+}
+
+// accepted logs an accepted edit and returns the API's answer for it.
+func (c *Commander) accepted(edit editor.Edit, result editor.Result) *commands.Applied {
+	c.Log.Log(logger.EditAccepted, "edit", result.EditID, "author", edit.Author,
+		"revision", result.Revision, "rows", result.Rows)
+	return &commands.Applied{Revision: result.Revision, EditID: result.EditID}
 }
 
 // Lift implements commands.Service.
--- /dev/null
+++ b/reporter/history.go
@@ -0,0 +1,116 @@
+package reporter
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/auditor"
+	"github.com/kingcuphook/kingcuphook/differ"
+	"github.com/kingcuphook/kingcuphook/gen/queries"
+)
+
+// Values of the outcome of a change.
+const outcomeAccepted = "accepted"
+
+// History implements queries.Service.
+func (p *Reporter) History(ctx context.Context, q *queries.HistoryPayload) ([]*queries.Change, error) {
+	accepted, err := p.Historian.History(ctx, 0, q.Limit)
+	if err != nil {
+		return nil, problem(err)
+	}
+	refused, err := p.Historian.Refused(ctx)
+	if err != nil {
+		return nil, problem(err)
+	}
+	changes := make([]*queries.Change, 0, len(accepted)+len(refused))
+	for _, c := range accepted {
+		if ch := newChange(c, q.Table); ch != nil {
+			changes = append(changes, ch)
+		}
+	}
+	for _, r := range refused {
+		changes = append(changes, newRecord(r.Fields()))
+	}
+	slices.SortStableFunc(changes, func(a, b *queries.Change) int { return cmp.Compare(b.Time, a.Time) })
+	return changes[:min(len(changes), q.Limit)], nil
+}
+
+// newChange returns an accepted edit, or nil if it changed no row of the table.
+func newChange(c differ.Change, table *queries.TableName) *queries.Change {
+	rows := newRows(c.Rows())
+	if table != nil {
+		rows = slices.DeleteFunc(rows, func(r *queries.Row) bool { return r.Table != *table })
+	}
+	if len(rows) == 0 && len(c.Rows()) > 0 {
+		return nil
+	}
+	ch := &queries.Change{
+		Revision: c.Revision(),
+		EditID:   c.EditID(),
+		Author:   c.Author(),
+		Time:     c.Time().UTC().Format(time.RFC3339Nano),
+		Outcome:  outcomeAccepted,
+		Rows:     rows,
+	}
+	if reason := c.Reason(); reason != "" {
+		ch.Reason = &reason
+	}
+	return ch
+}
+
+func newRecord(f auditor.RecordFields) *queries.Change {
+	return &queries.Change{
+		EditID:  f.EditID,
+		Author:  f.Author,
+		Time:    f.Time.UTC().Format(time.RFC3339Nano),
+		Outcome: string(f.Kind),
+		Reason:  &f.Cause,
+	}
+}
+
+// Diff implements queries.Service.
+func (p *Reporter) Diff(ctx context.Context, q *queries.DiffPayload) ([]*queries.Row, error) {
+	var to int64
+	if q.To != nil {
+		to = *q.To
+	}
+	rows, err := p.Historian.Diff(ctx, q.From, to)
+	if err != nil {
+		return nil, problem(err)
+	}
+	return newRows(rows), nil
+}
+
+func newRows(rows []differ.Row) []*queries.Row {
+	out := make([]*queries.Row, 0, len(rows))
+	for _, r := range rows {
+		key := r.Key()
+		row := &queries.Row{Table: queries.TableName("pools"), Name: key.String()}
+		if key.Kind == differ.RowKindRoute {
+			row.Table = "routes"
+		}
+		if r.Before().Exists() {
+			text := differ.Describe(r.Before())
+			row.Before = &text
+		}
+		if r.After().Exists() {
+			text := differ.Describe(r.After())
+			row.After = &text
+		}
+		out = append(out, row)
+	}
+	return out
+}
+
+// problem returns the API's error for an error of the store.
+func problem(err error) error {
+	name := nameUnavailable
+	if errors.Is(err, kingcuphook.ErrCompacted) || errors.Is(err, kingcuphook.ErrNotFound) {
+		name = nameNotFound
+	}
+	return &queries.Problem{Name: name, Message: err.Error()}
+}
--- a/reporter/reporter.go
+++ b/reporter/reporter.go
@@ -14,6 +14,7 @@
 	"github.com/kingcuphook/kingcuphook/commander"
 	"github.com/kingcuphook/kingcuphook/encoder"
 	"github.com/kingcuphook/kingcuphook/gen/queries"
+	"github.com/kingcuphook/kingcuphook/historian"
 	"github.com/kingcuphook/kingcuphook/recorder"
 )
 
@@ -21,6 +22,7 @@
 const (
 	nameUnauthorized = "unauthorized"
 	nameNotFound     = "not-found"
+	nameUnavailable  = "unavailable"
 )
 
 // Source is what the reporter reads from.
@@ -42,6 +44,8 @@
 	Source Source
 	// Recorder keeps the paths of requests; never nil.
 	Recorder *recorder.Recorder
+	// Historian reads the history of the tables; never nil.
+	Historian *historian.Historian
 	// Token is what callers must show; never empty.
 	Token string
 }
@@ -73,16 +77,6 @@
 	return encoder.PoolsTOML(t.Pools())
 }
 
-// History implements queries.Service.
-func (p *Reporter) History(context.Context, *queries.HistoryPayload) ([]*queries.Change, error) {
-	return nil, &queries.Problem{Name: nameNotFound, Message: "history is not available"}
-}
-
-// Diff implements queries.Service.
-func (p *Reporter) Diff(context.Context, *queries.DiffPayload) ([]*queries.Row, error) {
-	return nil, &queries.Problem{Name: nameNotFound, Message: "diff is not available"}
-}
-
 // Status implements queries.Service.
 func (p *Reporter) Status(context.Context, *queries.StatusPayload) (*queries.StatusReport, error) {
 	return p.Source.Status(), nil
--- a/router/control.go
+++ b/router/control.go
@@ -19,6 +19,8 @@
 const (
 	// tickInterval is how often the control loop looks at the clock.
 	tickInterval = 100 * time.Millisecond
+	// slowInterval is how often what need not be at once is done.
+	slowInterval = 500 * time.Millisecond
 	// vmListInterval is how often the list of VMs is read by a small fleet; a
 	// larger one reads it less often, so that its reads stay at vmListRate a
 	// second.
@@ -55,6 +57,9 @@
 	// pulling is set while tables are being pulled from a peer.
 	pulling  bool
 	nextList time.Time
+	nextSlow time.Time
+	// known has the addresses of the other routers as last published.
+	known map[string]bool
 
 	// view is what others may read; it is replaced, never changed.
 	view atomic.Pointer[view]
@@ -128,6 +133,11 @@
 	c.listVMs(ctx, now)
 	c.exchange(ctx, now)
 	c.ask(ctx, now)
+	if now.Before(c.nextSlow) {
+		return
+	}
+	c.nextSlow = now.Add(slowInterval)
+	c.tellRates(now)
 	c.publish(now)
 }
 
@@ -139,7 +149,6 @@
 	}
 	c.revision = s.Revision()
 	c.router.allocator.Update(s.Tables())
-	c.router.allocator.SetRouters(max(c.gossip.Count(now), 1))
 	c.gossip.SetRevision(now, s.Revision(), "")
 	c.takeUpstreams(s.Tables())
 	if !c.router.stopping.Load() && c.router.ready.CompareAndSwap(false, true) {
@@ -296,22 +305,59 @@
 		routers: make([]follower.Router, 0, len(members)),
 		reports: make(map[string]kingcuphook.LoadReport, len(c.reports)),
 	}
+	near := 0
+	known := make(map[string]bool, len(members))
 	for _, m := range members {
+		known[m.Address()] = true
+		if m.Region() == c.router.Settings.Node.Region {
+			near++
+		}
 		v.routers = append(v.routers, follower.Router{Address: m.Address(), DataCentre: m.DataCentre()})
 	}
 	for a, l := range c.reports {
 		v.reports[a] = l
 	}
 	c.view.Store(v)
+	c.router.allocator.SetRouters(max(near, 1))
+	c.compareMembers(known)
+}
+
+// compareMembers logs the routers that came and went, and forgets the latter.
+func (c *control) compareMembers(known map[string]bool) {
+	for a := range known {
+		if !c.known[a] {
+			c.router.Log.Log(logger.PeerJoined, "peer", a)
+		}
+	}
+	for a := range c.known {
+		if !known[a] {
+			c.router.Log.Log(logger.PeerLeft, "peer", a)
+			c.router.throttle.forget(a)
+		}
+	}
+	c.known = known
 }
 
 // routers returns the routers thought to be alive.
 func (c *control) routers() []follower.Router { return c.view.Load().routers }
 
-// inForce returns the newest state of the tables known here and whether every
-// region was asked for a newer one.
+// inForce returns the newest state of the tables known here, and whether a
+// router of every region has told its revision and none told a higher one.
 func (c *control) inForce() (*differ.Snapshot, bool) {
-	return c.router.follower.Current(), false
+	s := c.router.follower.Current()
+	heard := make(map[string]bool)
+	for _, m := range c.view.Load().members {
+		if m.Revision() > s.Revision() {
+			return s, false
+		}
+		heard[m.Region()] = heard[m.Region()] || m.Revision() > 0
+	}
+	for _, h := range heard {
+		if !h {
+			return s, false
+		}
+	}
+	return s, true
 }
 
 // tablesEvent logs what happens to the tables.
--- a/router/operators.go
+++ b/router/operators.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	goahttp "goa.design/goa/v3/http"
@@ -12,17 +13,26 @@
 	commandsserver "github.com/kingcuphook/kingcuphook/gen/http/commands/server"
 	queriesserver "github.com/kingcuphook/kingcuphook/gen/http/queries/server"
 	"github.com/kingcuphook/kingcuphook/gen/queries"
+	"github.com/kingcuphook/kingcuphook/historian"
 	"github.com/kingcuphook/kingcuphook/reporter"
 )
 
+// hexBase is the base in which fingerprints are written.
+const hexBase = 16
+
 // maxOperatorBodyBytes bounds the body of a call of an operator.
 const maxOperatorBodyBytes = 32 << 20
 
 // operatorsHandler serves the operators' API.
 func (r *Router) operatorsHandler() http.Handler {
 	token := r.Settings.Operators.Token
-	commandEnds := commands.NewEndpoints(&commander.Commander{Editor: r.editor, Token: token, Log: r.Log})
-	queryEnds := queries.NewEndpoints(&reporter.Reporter{Source: r, Recorder: r.recorder, Token: token})
+	commandEnds := commands.NewEndpoints(&commander.Commander{Editor: r.editor, Lifter: r, Token: token, Log: r.Log})
+	queryEnds := queries.NewEndpoints(&reporter.Reporter{
+		Source:    r,
+		Recorder:  r.recorder,
+		Historian: &historian.Historian{Store: r.platform},
+		Token:     token,
+	})
 	mux := goahttp.NewMuxer()
 	dec, enc := goahttp.RequestDecoder, goahttp.ResponseEncoder
 	commandsserver.Mount(mux, commandsserver.New(commandEnds, mux, dec, enc, nil, nil))
@@ -39,7 +49,26 @@
 }
 
 // Quarantine implements reporter.Source.
-func (r *Router) Quarantine() []*queries.Quarantined { return []*queries.Quarantined{} }
+func (r *Router) Quarantine() []*queries.Quarantined {
+	entries := r.quarantine.List(time.Now())
+	list := make([]*queries.Quarantined, 0, len(entries))
+	for _, e := range entries {
+		state := "suspect"
+		if e.Quarantined() {
+			state = "quarantined"
+		}
+		list = append(list, &queries.Quarantined{
+			Fingerprint: strconv.FormatUint(e.Fingerprint(), hexBase),
+			State:       state,
+		})
+	}
+	return list
+}
+
+// Lift implements commander.Lifter.
+func (r *Router) Lift(fingerprint uint64) bool {
+	return r.quarantine.Lift(time.Now(), fingerprint)
+}
 
 // Status implements reporter.Source.
 func (r *Router) Status() *queries.StatusReport {
--- a/router/peers.go
+++ b/router/peers.go
@@ -88,6 +88,7 @@
 		c.router.Log.Log(logger.PeerFailed, "peer", peer, "error", err)
 		return
 	}
+	c.learnRates(now, d)
 	if !behind {
 		return
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -18,6 +18,8 @@
 
 	"github.com/kingcuphook/kingcuphook"
 	"github.com/kingcuphook/kingcuphook/allocator"
+	"github.com/kingcuphook/kingcuphook/auditor"
+	"github.com/kingcuphook/kingcuphook/claimer"
 	"github.com/kingcuphook/kingcuphook/configurer"
 	"github.com/kingcuphook/kingcuphook/connector"
 	"github.com/kingcuphook/kingcuphook/dialer"
@@ -28,6 +30,7 @@
 	"github.com/kingcuphook/kingcuphook/logger"
 	"github.com/kingcuphook/kingcuphook/meter"
 	"github.com/kingcuphook/kingcuphook/observer"
+	"github.com/kingcuphook/kingcuphook/quarantiner"
 	"github.com/kingcuphook/kingcuphook/recorder"
 	"github.com/kingcuphook/kingcuphook/server"
 )
@@ -37,6 +40,12 @@
 	// tables.
 	storeCallsPerSecond = 4
 	storeCallsBurst     = 8
+	// auditRecordsPerSecond and auditRecordsBurst bound the records of refused
+	// edits.
+	auditRecordsPerSecond = 1
+	auditRecordsBurst     = 10
+	// claimDrainTimeout bounds writing the last outcomes of claims.
+	claimDrainTimeout = 5 * time.Second
 	// headerTimeout bounds reading the headers of operators.
 	headerTimeout = 5 * time.Second
 )
@@ -59,11 +68,15 @@
 	follower  *follower.Follower
 	editor    *editor.Editor
 	recorder  *recorder.Recorder
+	claims    *claimer.Claimer
+	throttle  *throttle
 	meter     *meter.Meter
 	server    *server.Server
 	peers     *grpc.Server
 	links     *exchanger.Client
 	control   *control
+	// quarantine knows the request bodies that crashed upstreams.
+	quarantine *quarantiner.Quarantiner
 
 	// ready is false before the first tables and from the begin of a stop.
 	ready atomic.Bool
@@ -175,6 +188,9 @@
 	time.Sleep(r.Settings.Stop.DrainDelay.Value())
 	_ = r.server.Stop(context.Background())
 	r.allocator.Close()
+	drain, cancel := context.WithTimeout(context.Background(), claimDrainTimeout)
+	defer cancel()
+	_ = r.claims.Drain(drain)
 }
 
 func (r *Router) close() {
@@ -219,20 +235,33 @@
 		Budget:  rate.NewLimiter(storeCallsPerSecond, storeCallsBurst),
 		OnEvent: r.control.tablesEvent,
 	}
-	r.editor = &editor.Editor{Store: r.platform, InForce: r.control.inForce}
+	r.editor = &editor.Editor{
+		Store:   r.platform,
+		InForce: r.control.inForce,
+		Audit: &auditor.Auditor{
+			Store: r.platform,
+			Limit: rate.NewLimiter(auditRecordsPerSecond, auditRecordsBurst),
+		},
+	}
 }
 
 func (r *Router) buildServer() {
 	s := r.Settings
 	watch := &observer.Observer{Recorder: r.recorder, Meter: r.meter}
+	r.claims = &claimer.Claimer{Store: r.platform, Rand: r.newRand()}
+	r.quarantine = &quarantiner.Quarantiner{}
+	r.throttle = newThrottle(r.newRand())
 	r.server = &server.Server{
 		Dispatcher: &dispatcher.Dispatcher{
-			Allocator: &observer.Allocator{Next: r.allocator, Observer: watch},
-			Engine:    &observer.Engine{Next: r.upstreams, Observer: watch},
-			Store:     r.platform,
-			Owner:     r.PeersAddress(),
-			Rand:      r.newRand(),
+			Allocator:   &observer.Allocator{Next: r.allocator, Observer: watch},
+			Engine:      &observer.Engine{Next: r.upstreams, Observer: watch},
+			Store:       r.platform,
+			Claimer:     r.claims,
+			Quarantiner: r.quarantine,
+			Owner:       r.PeersAddress(),
+			Rand:        r.newRand(),
 		},
+		Throttle:   r.throttle,
 		Tables:     r.tables,
 		Observer:   watch,
 		Log:        r.Log,
