--- /dev/null
+++ b/quarantiner/quarantiner_test.go
@@ -0,0 +1,144 @@
+package quarantiner
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/kingcuphook/kingcuphook"
+)
+
+const poison, friend, other = 1, 2, 3
+
+var start = time.Unix(1000, 0)
+
+func after(d time.Duration) time.Time { return start.Add(d) }
+
+func TestElimination(t *testing.T) {
+	is := is.New(t)
+	var q Quarantiner
+	is.Equal(q.Judge(start, poison), VerdictClear)
+	q.Crashed(start, poison, "u1")
+	q.Crashed(start, friend, "u1")
+	is.Equal(q.Judge(start, poison), VerdictSuspect)
+	q.Crashed(after(time.Second), poison, "u2")
+	q.Crashed(after(time.Second), other, "u2")
+	is.Equal(q.Judge(after(10*time.Second), poison), VerdictHeld) // two crashes, each with another suspect
+	q.Cleared(after(10*time.Second), other)
+	is.Equal(q.Judge(after(10*time.Second), poison), VerdictQuarantined)
+	is.Equal(q.Judge(after(10*time.Second), friend), VerdictClear) // its crash is explained
+	is.Equal(len(q.List(after(10 * time.Second))[0].Crashes()), 2)
+	q.Crashed(after(10*time.Second), friend, "u1")
+	is.Equal(q.Judge(after(10*time.Second), friend), VerdictClear) // heard late of the same crash
+	is.True(!q.set(after(11*time.Second), poison, stateCleared))
+	is.True(q.Lift(after(11*time.Second), poison))
+	is.Equal(q.Judge(after(11*time.Second), poison), VerdictClear)
+	is.True(!q.Lift(after(11*time.Second), poison))
+}
+
+func TestSettle(t *testing.T) {
+	is := is.New(t)
+	var q Quarantiner
+	q.Crashed(start, poison, "u1")
+	q.Crashed(start, poison, "u2")
+	is.Equal(q.Judge(after(defaultSettle-1), poison), VerdictHeld)
+	is.Equal(q.Judge(after(defaultSettle), poison), VerdictQuarantined)
+	is.Equal(q.Judge(after(defaultSettle+defaultQuarantine), poison), VerdictQuarantined)
+	is.Equal(q.Judge(after(defaultSettle+defaultQuarantine+1), poison), VerdictClear)
+}
+
+func TestTrials(t *testing.T) {
+	is := is.New(t)
+	var q Quarantiner
+	is.True(q.Begin(poison, "u1"))
+	is.True(!q.Begin(friend, "u1"))
+	q.End(friend, "u1") // not its own
+	is.Equal(q.Busy(), []string{"u1"})
+	q.End(poison, "u1")
+	is.True(q.Begin(friend, "u1"))
+}
+
+// TestBounds keeps the quarantined entry whatever else comes in.
+func TestBounds(t *testing.T) {
+	is := is.New(t)
+	q := Quarantiner{Entries: 10}
+	q.Crashed(start, poison, "u1")
+	q.Crashed(start, poison, "u2")
+	is.Equal(q.Judge(after(defaultSettle), poison), VerdictQuarantined)
+	for i := range 100 {
+		q.Crashed(after(defaultSettle), uint64(10+i), "u3")
+	}
+	is.Equal(len(q.List(after(defaultSettle))), 10)
+	is.Equal(q.Judge(after(defaultSettle), poison), VerdictQuarantined)
+	for i := range 100 {
+		is.True(len(q.Export(after(defaultSettle), i)) <= i)
+	}
+}
+
+// TestExchange gives random events to three routers that exchange at random,
+// and wants them to agree in the end.
+func TestExchange(t *testing.T) {
+	is := is.New(t)
+	r := rand.New(rand.NewPCG(1, 1))
+	for range 300 {
+		now := start
+		routers := make([]*Quarantiner, 3)
+		for i := range routers {
+			routers[i] = &Quarantiner{}
+		}
+		for range 30 {
+			now = now.Add(time.Duration(r.IntN(3000)) * time.Millisecond)
+			q, fingerprint := routers[r.IntN(3)], uint64(r.IntN(4))
+			switch r.IntN(6) {
+			case 0:
+				q.Cleared(now, fingerprint)
+			case 1:
+				q.Lift(now, fingerprint)
+			case 2:
+				is.NoErr(q.Import(now, routers[r.IntN(3)].Export(now, 1<<16)))
+			default:
+				q.Crashed(now, fingerprint, fmt.Sprint("u", r.IntN(3)))
+			}
+		}
+		now = now.Add(defaultSettle)
+		for range 3 {
+			for _, q := range routers {
+				for _, p := range routers {
+					is.NoErr(q.Import(now, p.Export(now, 1<<16)))
+				}
+			}
+		}
+		for fingerprint := range uint64(4) {
+			is.Equal(routers[0].Judge(now, fingerprint) == VerdictQuarantined, routers[1].Judge(now, fingerprint) == VerdictQuarantined)
+			is.Equal(routers[0].Judge(now, fingerprint) == VerdictQuarantined, routers[2].Judge(now, fingerprint) == VerdictQuarantined)
+		}
+	}
+}
+
+// FuzzImport takes any payload of a peer.
+func FuzzImport(f *testing.F) {
+	var q Quarantiner
+	q.Crashed(start, poison, "10.0.0.1:80")
+	q.Crashed(start, poison, "10.0.0.2:80")
+	q.Crashed(start, friend, "10.0.0.1:80")
+	f.Add(q.Export(after(defaultSettle), 1<<16))
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var q Quarantiner
+		if err := q.Import(start, b); err != nil {
+			if !errors.Is(err, kingcuphook.ErrInvalid) || len(q.List(start)) > 0 {
+				t.Fatal("not refused whole")
+			}
+			return
+		}
+		for _, e := range q.List(start) {
+			if len(e.Crashes()) > MaxCrashes || e.Changed().After(start) {
+				t.Fatal("over a bound")
+			}
+		}
+	})
+}
--- /dev/null
+++ b/retrier/retrier_test.go
@@ -0,0 +1,60 @@
+package retrier
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestNoStorm lets every call of a pool that is down ask for retries: 1,000
+// calls a second for a minute.
+func TestNoStorm(t *testing.T) {
+	is := is.New(t)
+	b := Budget{Rand: rand.New(rand.NewPCG(1, 1))}
+	now := time.Unix(0, 0)
+	retries := 0
+	for range 60_000 {
+		now = now.Add(time.Millisecond)
+		for range 3 {
+			if b.Spend(now) {
+				retries++
+			}
+		}
+	}
+	is.True(retries <= defaultBurst+60*defaultRefill) // the budget without successes
+	is.True(retries > 0)
+}
+
+func TestShareOfSuccesses(t *testing.T) {
+	is := is.New(t)
+	b := Budget{Refill: 1e-9}
+	now := time.Unix(0, 0)
+	for b.Spend(now) {
+		continue
+	}
+	retries := 0
+	for range 1000 {
+		b.Succeeded(now)
+		if b.Spend(now) {
+			retries++
+		}
+	}
+	is.True(retries >= 99 && retries <= 100) // a tenth of the successes
+}
+
+func TestDelay(t *testing.T) {
+	is := is.New(t)
+	b := Budget{Rand: rand.New(rand.NewPCG(1, 1)), Base: 100 * time.Millisecond, Most: time.Second}
+	for n, most := range map[int]time.Duration{1: 100 * time.Millisecond, 3: 400 * time.Millisecond, 9: time.Second} {
+		var least, longest time.Duration = time.Hour, 0
+		for range 1000 {
+			d := b.Delay(n)
+			least, longest = min(least, d), max(longest, d)
+		}
+		is.True(longest < most && longest > most*9/10)
+		is.True(least < most/10) // full jitter
+	}
+	is.Equal((&Budget{}).Delay(5), time.Duration(0))
+}
--- /dev/null
+++ b/tracker/tracker_test.go
@@ -0,0 +1,69 @@
+package tracker
+
+import (
+	"errors"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/kingcuphook/kingcuphook"
+)
+
+var events = []Event{EventClaim, EventReplay, EventDispatch, EventRefuse, EventFrame, EventBreak, EventWhole, EventFail}
+
+// TestWalks follows random events and compares with what really happened: an
+// attempt that was dispatched and not refused may have run.
+func TestWalks(t *testing.T) {
+	is := is.New(t)
+	r := rand.New(rand.NewPCG(1, 1))
+	for range 20_000 {
+		tr := Tracker{Once: r.IntN(2) == 0, Claims: r.IntN(2) == 0}
+		claimed, running, begun, attempts := false, false, false, 0
+		for range 12 {
+			e := events[r.IntN(len(events))]
+			before, allowed := tr, tr.Allows(e)
+			err := tr.Apply(e)
+			is.Equal(err == nil, allowed)
+			if err != nil {
+				is.True(errors.Is(err, ErrEvent))
+				is.Equal(tr, before) // a refused event changes nothing
+				continue
+			}
+			switch e {
+			case EventClaim:
+				claimed = true
+			case EventDispatch:
+				is.True(!tr.Claims || claimed)
+				is.True(!tr.Once || !begun) // at most one attempt that may have run
+				running, attempts = true, attempts+1
+			case EventRefuse:
+				running, attempts = false, attempts-1
+			case EventBreak:
+				running, begun = false, true
+			case EventReplay:
+				is.Equal(attempts, 0)
+			}
+			if tr.Says() == kingcuphook.RunStateNotRun {
+				is.True(!running && !begun)
+			}
+			if tr.State() == StateDone || tr.State() == StateFailed {
+				break
+			}
+		}
+	}
+}
+
+func TestRefusalLeadsBack(t *testing.T) {
+	for _, from := range []State{StateQueued, StateClaimed, StateInterrupted} {
+		is := is.New(t)
+		tr := Tracker{state: from}
+		is.NoErr(tr.Apply(EventDispatch))
+		is.Equal(tr.Says(), kingcuphook.RunStateUnknown)
+		is.NoErr(tr.Apply(EventRefuse))
+		is.Equal(tr.State(), from)
+		says := tr.Says()
+		is.NoErr(tr.Apply(EventFail))
+		is.Equal(tr.Says(), says) // fixed by the failure
+	}
+}
