--- a/editor/attempt.go
+++ b/editor/attempt.go
@@ -78,7 +78,7 @@
 // an error.
 func (a *attempt) try(ctx context.Context) (Result, bool, error) {
 	high, complete := a.editor.inForce()
-	s, err := a.editor.load(ctx)
+	s, err := a.editor.load(ctx, high)
 	if err != nil {
 		return Result{}, transient(err), err
 	}
--- /dev/null
+++ b/editor/bench_test.go
@@ -0,0 +1,210 @@
+package editor
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/differ"
+	"github.com/kingcuphook/kingcuphook/emulator/storer"
+	"github.com/kingcuphook/kingcuphook/encoder"
+	"github.com/kingcuphook/kingcuphook/loader"
+	"github.com/kingcuphook/kingcuphook/parser"
+)
+
+// size is how many rows the tables have.
+type size struct{ organisations, runners int }
+
+// sizes are from today's to the size to design for.
+var sizes = []size{{10, 12}, {230, 1200}, {2300, 12000}}
+
+const (
+	routesPerOrganisation = 4
+	models                = 16
+	regions               = 10
+)
+
+// tablesOf returns tables of the given size: a pool per model and region.
+func tablesOf(n size) *kingcuphook.Tables {
+	pools := make([]kingcuphook.PoolFields, min(models*regions, n.runners))
+	for i := range n.runners {
+		p := &pools[i%len(pools)]
+		model, region := fmt.Sprintf("model-%d", i%models), fmt.Sprintf("region-%d", i/models%regions)
+		p.Name = model + "-" + region
+		p.Upstreams = append(p.Upstreams, kingcuphook.NewUpstream(kingcuphook.UpstreamFields{
+			Address: fmt.Sprintf("10.%d.%d.%d:9000", i>>16, i>>8&255, i&255), Region: region,
+			DataCentre: region + "-1", Kind: kingcuphook.UpstreamKindEngine, Models: []string{model}, Slots: 32,
+			ChecksFence: true, Resumes: true,
+		}))
+		p.Placements = []kingcuphook.PlacementFields{{Model: model, Region: region, Min: 1, Max: 100}}
+	}
+	ps := make([]*kingcuphook.Pool, len(pools))
+	for i, f := range pools {
+		ps[i] = kingcuphook.NewPool(f)
+	}
+	routes := make([]*kingcuphook.Route, 0, n.organisations*routesPerOrganisation)
+	for i := range n.organisations {
+		for j := range routesPerOrganisation {
+			routes = append(routes, kingcuphook.NewRoute(kingcuphook.RouteFields{
+				Name: fmt.Sprintf("organisation-%d-class-%d", i, j), Class: fmt.Sprintf("class-%d", j),
+				Organisation: fmt.Sprintf("organisation-%d", i), Pool: ps[(i+j)%len(ps)].Name(),
+				Tier: kingcuphook.Tier(1 + j), Target: 1500 * time.Millisecond, TokenTarget: 31 * time.Millisecond,
+				OrganisationRate: 100,
+			}))
+		}
+	}
+	return kingcuphook.NewTables(0, routes, ps)
+}
+
+// countingStore counts the bytes that pass.
+type countingStore struct {
+	*storer.Store
+	read, written int
+}
+
+func (s *countingStore) Get(ctx context.Context, key string) (kingcuphook.Entry, error) {
+	e, err := s.Store.Get(ctx, key)
+	s.read += len(e.Value())
+	return e, err
+}
+
+func (s *countingStore) Put(ctx context.Context, key string, value []byte, expect int64, id kingcuphook.LeaseID) (int64, error) {
+	s.written += len(value)
+	return s.Store.Put(ctx, key, value, expect, id)
+}
+
+// full returns a store with tables of the given size.
+func full(b *testing.B, n size) (*countingStore, *Editor) {
+	b.Helper()
+	s := &countingStore{Store: &storer.Store{History: 100}}
+	e := &Editor{Store: s}
+	t := tablesOf(n)
+	_, err := e.Apply(b.Context(), Edit{
+		Author: "nour", Routes: parser.NewRouteTable("routes", t.Routes()), Pools: parser.NewPoolTable("pools", t.Pools()),
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	return s, e
+}
+
+// nextEdit changes one row of the newest tables.
+func nextEdit(e *Editor, rng *rand.Rand, i int) Edit {
+	t := e.last.Tables()
+	edit := Edit{Author: "nour", Base: t.Revision(), Reason: "opening time"}
+	if i%2 == 0 {
+		routes := append([]*kingcuphook.Route{}, t.Routes()...)
+		k := rng.IntN(len(routes))
+		f := routes[k].Fields()
+		f.Rate = float64(i + 100)
+		routes[k] = kingcuphook.NewRoute(f)
+		edit.Routes = parser.NewRouteTable("routes", routes)
+		return edit
+	}
+	pools := append([]*kingcuphook.Pool{}, t.Pools()...)
+	k := rng.IntN(len(pools))
+	f := pools[k].Fields()
+	j := rng.IntN(len(f.Upstreams))
+	u := f.Upstreams[j].Fields()
+	u.Slots = i + 100
+	f.Upstreams[j] = kingcuphook.NewUpstream(u)
+	pools[k] = kingcuphook.NewPool(f)
+	edit.Pools = parser.NewPoolTable("pools", pools)
+	return edit
+}
+
+// BenchmarkEdit makes edits of one row each.
+func BenchmarkEdit(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("routes=%d/upstreams=%d", n.organisations*routesPerOrganisation, n.runners), func(b *testing.B) {
+			s, e := full(b, n)
+			rng := rand.New(rand.NewPCG(1, 1))
+			calls, written, read := s.Counts(), s.written, s.read
+			head, i := 0, 0
+			for b.Loop() {
+				if _, err := e.Apply(b.Context(), nextEdit(e, rng, i)); err != nil {
+					b.Fatal(err)
+				}
+				i++
+				h, err := s.Store.Get(b.Context(), encoder.HeadKey)
+				if err != nil {
+					b.Fatal(err)
+				}
+				head += len(h.Value())
+			}
+			after := s.Counts()
+			per := func(v int) float64 { return float64(v) / float64(i) }
+			b.ReportMetric(per(after.Writes-calls.Writes), "writes/op")
+			b.ReportMetric(per(after.Reads-calls.Reads)-1, "reads/op")
+			b.ReportMetric(per(s.written-written), "written-B/op")
+			b.ReportMetric(per(s.read-read), "read-B/op")
+			b.ReportMetric(per(head), "head-B")
+		})
+	}
+}
+
+// BenchmarkLoad reads the whole tables, as a router does that starts.
+func BenchmarkLoad(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("routes=%d/upstreams=%d", n.organisations*routesPerOrganisation, n.runners), func(b *testing.B) {
+			s, _ := full(b, n)
+			calls, i := s.Counts().Reads, 0
+			l := loader.Loader{Store: s.Store}
+			var state *loader.State
+			for b.Loop() {
+				var err error
+				if state, err = l.Load(b.Context(), nil); err != nil {
+					b.Fatal(err)
+				}
+				i++
+			}
+			b.ReportMetric(float64(s.Counts().Reads-calls)/float64(i), "reads/op")
+			data, err := encoder.EncodeSnapshot(state.Snapshot)
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.ReportMetric(float64(len(data)), "whole-B")
+		})
+	}
+}
+
+// BenchmarkAdvance applies changes of one row each, as every router does.
+func BenchmarkAdvance(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("routes=%d/upstreams=%d", n.organisations*routesPerOrganisation, n.runners), func(b *testing.B) {
+			_, e := full(b, n)
+			rng := rand.New(rand.NewPCG(1, 1))
+			base := e.last
+			var updates [][]byte
+			bytes := 0
+			for i := range 64 {
+				if _, err := e.Apply(b.Context(), nextEdit(e, rng, i)); err != nil {
+					b.Fatal(err)
+				}
+				data, err := encoder.EncodeUpdate(e.last, e.last.Revision()-1)
+				if err != nil {
+					b.Fatal(err)
+				}
+				updates = append(updates, data)
+				bytes += len(data)
+			}
+			s, i := base, 0
+			for b.Loop() {
+				u, err := encoder.DecodeUpdate("peer", updates[i%len(updates)])
+				if err != nil {
+					b.Fatal(err)
+				}
+				if s, err = differ.Advance(s, u.Changes[0], loader.DefaultKeep); err != nil {
+					b.Fatal(err)
+				}
+				if i++; i%len(updates) == 0 {
+					s = base
+				}
+			}
+			b.ReportMetric(float64(bytes)/float64(len(updates)), "update-B")
+		})
+	}
+}
--- a/editor/editor.go
+++ b/editor/editor.go
@@ -174,9 +174,14 @@
 	return &kingcuphook.InputError{File: "edit", Reason: reason, Err: kingcuphook.ErrInvalid}
 }
 
-func (e *Editor) load(ctx context.Context) (*loader.State, error) {
+// load reads the head and what neither the last state nor high has of the tables.
+func (e *Editor) load(ctx context.Context, high *differ.Snapshot) (*loader.State, error) {
+	have := high
+	if e.last != nil && e.last.Revision() >= high.Revision() {
+		have = e.last
+	}
 	l := loader.Loader{Store: e.Store}
-	s, err := l.Load(ctx, e.last)
+	s, err := l.Load(ctx, have)
 	if err != nil {
 		return nil, err
 	}
