--- /dev/null
+++ b/gossiper/query.go
@@ -0,0 +1,52 @@
+package gossiper
+
+import "time"
+
+// Members returns this router and all members that are not gone, in the order
+// of their addresses.
+func (g *Gossiper) Members(now time.Time) []Member {
+	g.start(now)
+	members := make([]Member, 0, g.roster.alive)
+	for _, m := range g.roster.byAddress {
+		if m.entry.State.gone() {
+			continue
+		}
+		members = append(members, g.view(m))
+	}
+	return members
+}
+
+func (g *Gossiper) view(m *member) Member {
+	l := g.locations[m.entry.Location]
+	revision := m.revision
+	if m == g.self {
+		revision = g.revision
+	}
+	return Member{
+		revision:  revision,
+		address:   m.entry.Address,
+		location:  l,
+		state:     m.entry.State,
+		reachable: g.reachable(l.Region),
+	}
+}
+
+// Watches reports whether this router is one of those of its data centre that
+// watch the store. Two routers may disagree for a few seconds, which is
+// harmless.
+func (g *Gossiper) Watches(now time.Time) bool {
+	g.start(now)
+	_, rank := g.local()
+	return rank < watchersPerDataCentre
+}
+
+// Count returns the number of members that are not gone, this router included.
+func (g *Gossiper) Count(now time.Time) int {
+	g.start(now)
+	return g.roster.alive
+}
+
+// reachable reports whether the latest exchanges with the region succeeded.
+func (g *Gossiper) reachable(region string) bool {
+	return g.failedRegions[region].count < suspectFailures
+}
