--- a/certifier/certifier_test.go
+++ b/certifier/certifier_test.go
@@ -1,82 +1,33 @@
 package certifier
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
-	"math/big"
-	"net"
 	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
-)
 
-// authority signs certificates for tests.
-type authority struct {
-	cert *x509.Certificate
-	key  *ecdsa.PrivateKey
-	pem  []byte
-}
+	"github.com/kingcuphook/kingcuphook/emulator/signer"
+)
 
-func newAuthority(t *testing.T) *authority {
+func newSigner(t *testing.T) *signer.Signer {
 	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"},
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	cert, err := x509.ParseCertificate(der)
+	s, err := signer.New()
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &authority{cert: cert, key: key, pem: pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})}
+	return s
 }
 
-// issue writes a key pair and the authority into dir.
-func (a *authority) issue(t *testing.T, dir string, serial int64) *Certifier {
+// issue writes files into dir and returns a certifier that has not loaded them.
+func issue(t *testing.T, s *signer.Signer, dir string, serial int64) *Certifier {
 	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: "router"},
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
+	f, err := s.Issue(dir, serial)
 	if err != nil {
 		t.Fatal(err)
 	}
-	keyDER, err := x509.MarshalECPrivateKey(key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	c := &Certifier{
-		CertificateFile: filepath.Join(dir, "cert.pem"),
-		KeyFile:         filepath.Join(dir, "key.pem"),
-		AuthorityFile:   filepath.Join(dir, "authority.pem"),
-	}
-	write(t, c.CertificateFile, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}))
-	write(t, c.KeyFile, pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: keyDER}))
-	write(t, c.AuthorityFile, a.pem)
-	return c
+	return &Certifier{CertificateFile: f.Certificate, KeyFile: f.Key, AuthorityFile: f.Authority}
 }
 
 func write(t *testing.T, file string, text []byte) {
@@ -118,9 +69,9 @@
 
 func TestBothSidesMustShowTheAuthoritysCertificate(t *testing.T) {
 	is := is.New(t)
-	good, other := newAuthority(t), newAuthority(t)
-	server, client := good.issue(t, t.TempDir(), 2), good.issue(t, t.TempDir(), 3)
-	stranger := other.issue(t, t.TempDir(), 4)
+	good, other := newSigner(t), newSigner(t)
+	server, client := issue(t, good, t.TempDir(), 2), issue(t, good, t.TempDir(), 3)
+	stranger := issue(t, other, t.TempDir(), 4)
 	for _, c := range []*Certifier{server, client, stranger} {
 		is.NoErr(c.Load())
 	}
@@ -139,14 +90,14 @@
 
 func TestChangedFilesAreTakenUpAndBadOnesRefused(t *testing.T) {
 	is := is.New(t)
-	a := newAuthority(t)
+	a := newSigner(t)
 	dir := t.TempDir()
-	c := a.issue(t, dir, 2)
+	c := issue(t, a, dir, 2)
 	is.NoErr(c.Load())
-	client := a.issue(t, t.TempDir(), 9)
+	client := issue(t, a, t.TempDir(), 9)
 	is.NoErr(client.Load())
 
-	a.issue(t, dir, 3)
+	issue(t, a, dir, 3)
 	touch(t, c, time.Minute)
 	serial, _, _ := handshake(t, c.Server(), client.Client())
 	is.Equal(serial, int64(3)) // the new certificate is shown
@@ -170,7 +121,7 @@
 
 func TestBadFilesAreNamed(t *testing.T) {
 	is := is.New(t)
-	c := newAuthority(t).issue(t, t.TempDir(), 2)
+	c := issue(t, newSigner(t), t.TempDir(), 2)
 	write(t, c.AuthorityFile, []byte("nothing"))
 	is.True(c.Load() != nil)
 	c.AuthorityFile = ""
--- a/cmd/kingcuphook/client.go
+++ b/cmd/kingcuphook/client.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"fmt"
 	"net/http"
@@ -42,10 +44,15 @@
 		return nil, fmt.Errorf("no token: set --token-file or KINGCUPHOOK_TOKEN: %w", kingcuphook.ErrInvalid)
 	}
 	scheme := "http"
+	doer := &http.Client{Timeout: callTimeout}
 	if global.TLS {
 		scheme = "https"
+		cfg, err := clientTLS(global.Authority)
+		if err != nil {
+			return nil, err
+		}
+		doer.Transport = &http.Transport{TLSClientConfig: cfg}
 	}
-	doer := &http.Client{Timeout: callTimeout}
 	enc, dec := goahttp.RequestEncoder, goahttp.ResponseDecoder
 	c := commandsclient.NewClient(scheme, global.API, doer, enc, dec, false)
 	q := queriesclient.NewClient(scheme, global.API, doer, enc, dec, false)
@@ -56,6 +63,24 @@
 	}, nil
 }
 
+// clientTLS returns the TLS settings of the client; the file of the authority may
+// be empty.
+func clientTLS(authority string) (*tls.Config, error) {
+	cfg := &tls.Config{MinVersion: tls.VersionTLS13}
+	if authority == "" {
+		return cfg, nil
+	}
+	text, err := os.ReadFile(authority)
+	if err != nil {
+		return nil, &kingcuphook.InputError{File: authority, Reason: err.Error(), Err: kingcuphook.ErrInvalid}
+	}
+	cfg.RootCAs = x509.NewCertPool()
+	if !cfg.RootCAs.AppendCertsFromPEM(text) {
+		return nil, &kingcuphook.InputError{File: authority, Reason: "holds no certificate in PEM", Err: kingcuphook.ErrInvalid}
+	}
+	return cfg, nil
+}
+
 // callError is an error that the operators' API named.
 type callError struct {
 	// message is what the API said.
--- a/cmd/kingcuphook/main.go
+++ b/cmd/kingcuphook/main.go
@@ -35,6 +35,7 @@
 type options struct {
 	API       string `long:"api" env:"KINGCUPHOOK_API" default:"127.0.0.1:8081" description:"IP number and port of a router's operators' API"`
 	TLS       bool   `long:"tls" env:"KINGCUPHOOK_API_TLS" description:"Call the operators' API over TLS"`
+	Authority string `long:"authority" env:"KINGCUPHOOK_API_AUTHORITY" description:"With --tls: file with what the API's certificate must be signed by; the system's authorities if left out"`
 	TokenFile string `long:"token-file" env:"KINGCUPHOOK_TOKEN_FILE" description:"File with the operators' token"`
 	Token     string `long:"token" env:"KINGCUPHOOK_TOKEN" default-mask:"-" description:"The operators' token itself; prefer the file or the environment"`
 	Author    string `long:"author" env:"USER" description:"Who makes an edit"`
--- a/cmd/kingcuphook/script_test.go
+++ b/cmd/kingcuphook/script_test.go
@@ -14,10 +14,13 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
 
 	"github.com/kingcuphook/kingcuphook"
 	"github.com/kingcuphook/kingcuphook/configurer"
 	"github.com/kingcuphook/kingcuphook/emulator/responder"
+	"github.com/kingcuphook/kingcuphook/emulator/signer"
 	"github.com/kingcuphook/kingcuphook/emulator/storer"
 	"github.com/kingcuphook/kingcuphook/parser"
 	"github.com/kingcuphook/kingcuphook/router"
@@ -37,6 +40,9 @@
 	pools     string
 	routers   []*member
 	stream    chan string
+	// files are the certificates of a fleet with TLS, else empty.
+	files signer.Files
+	http  *http.Client
 	// losesReplies makes the store lose the replies of its writes.
 	losesReplies atomic.Bool
 }
@@ -53,6 +59,7 @@
 // TestScripts runs the scenarios of testdata/script. Their commands:
 //
 //	fleet N            starts N routers before three engines and a service
+//	fleet N tls        the same with TLS everywhere
 //	kingcuphook ARG... runs the command line against the first router
 //	attempt ARG...     is kingcuphook, whatever the exit code
 //	call N CLASS TEXT  calls router N and prints status and body
@@ -118,9 +125,13 @@
 	f.store = &storer.Store{WatchWait: time.Second, Hook: func(op, _ string) storer.Fault {
 		return storer.Fault{LoseReply: op == storer.OpPut && f.losesReplies.Load()}
 	}}
-	var err error
-	f.platform, err = servePlatform(ctx, anyPort, f.store)
+	f.http = http.DefaultClient
+	if len(args) > 1 {
+		f.secure(ts)
+	}
+	platform, err := servePlatform(ctx, anyPort, f.store, f.serverOptions(ts)...)
 	ts.Check(err)
+	f.platform = platform
 	f.pools = examplePools
 	for _, name := range []string{"ENGINE-1", "ENGINE-2", "ENGINE-3", "SERVICE-1"} {
 		u := &responder.Upstream{StepTime: 5 * time.Millisecond}
@@ -142,6 +153,47 @@
 	ts.Setenv("KINGCUPHOOK_API", f.routers[0].router.OperatorsAddress())
 }
 
+// secure gives the fleet certificates of one authority.
+func (f *fleet) secure(ts *testscript.TestScript) {
+	s, err := signer.New()
+	ts.Check(err)
+	f.files, err = s.Issue(ts.MkAbs("."), 2)
+	ts.Check(err)
+	cfg, err := clientTLS(f.files.Authority)
+	ts.Check(err)
+	f.http = &http.Client{Transport: &http.Transport{TLSClientConfig: cfg}}
+}
+
+// serverOptions returns those of the stand-in of the platform.
+func (f *fleet) serverOptions(ts *testscript.TestScript) []grpc.ServerOption {
+	if f.files.Certificate == "" {
+		return nil
+	}
+	creds, err := credentials.NewServerTLSFromFile(f.files.Certificate, f.files.Key)
+	ts.Check(err)
+	return []grpc.ServerOption{grpc.Creds(creds)}
+}
+
+// tlsSettings returns the TLS settings of a router.
+func (f *fleet) tlsSettings() configurer.TLS {
+	if f.files.Certificate == "" {
+		return configurer.TLS{PlainText: true}
+	}
+	return configurer.TLS{
+		CallersCertificate: f.files.Certificate, CallersKey: f.files.Key,
+		PeersCertificate: f.files.Certificate, PeersKey: f.files.Key, PeersAuthority: f.files.Authority,
+		PlatformAuthority: f.files.Authority,
+	}
+}
+
+// url returns the URL of the callers' API of router n.
+func (f *fleet) url(n int) string {
+	if f.files.Certificate != "" {
+		return "https://" + f.routers[n].router.CallersAddress()
+	}
+	return "http://" + f.routers[n].router.CallersAddress()
+}
+
 // start starts router i and waits until it is ready.
 func (f *fleet) start(ts *testscript.TestScript, i int) {
 	s := configurer.Default()
@@ -152,7 +204,7 @@
 		s.Listen.Peers = m.router.PeersAddress()
 	}
 	s.Platform.Address = f.platform
-	s.TLS.PlainText = true
+	s.TLS = f.tlsSettings()
 	s.Operators.Token = tryToken
 	s.Stop.DrainDelay = configurer.Duration(100 * time.Millisecond)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -196,6 +248,9 @@
 	if len(f.routers) > 0 {
 		prefix = append(prefix, "--api", f.routers[0].router.OperatorsAddress())
 	}
+	if f.files.Certificate != "" {
+		prefix = append(prefix, "--tls", "--authority", f.files.Authority)
+	}
 	code := run(append(prefix, args...))
 	fmt.Fprintf(&errOut, "exit code %d\n", code)
 	fmt.Fprint(ts.Stdout(), out.String())
@@ -205,7 +260,7 @@
 
 func (f *fleet) post(n int, path, body string, headers ...string) (*http.Response, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), scriptTimeout)
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.routers[n].router.CallersAddress()+path, strings.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, f.url(n)+path, strings.NewReader(body))
 	if err != nil {
 		cancel()
 		return nil, err
@@ -213,7 +268,7 @@
 	for i := 0; i < len(headers); i += 2 {
 		req.Header.Set(headers[i], headers[i+1])
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := f.http.Do(req)
 	if err != nil {
 		cancel()
 		return nil, err
--- a/cmd/kingcuphook/standin.go
+++ b/cmd/kingcuphook/standin.go
@@ -69,12 +69,12 @@
 }
 
 // servePlatform serves a stand-in of the platform until ctx ends.
-func servePlatform(ctx context.Context, address string, store *storer.Store) (string, error) {
+func servePlatform(ctx context.Context, address string, store *storer.Store, opts ...grpc.ServerOption) (string, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return "", err
 	}
-	g := grpc.NewServer(grpc.MaxRecvMsgSize(2 * kingcuphook.MaxValueBytes))
+	g := grpc.NewServer(append(opts, grpc.MaxRecvMsgSize(2*kingcuphook.MaxValueBytes))...)
 	(&storer.Server{Store: store}).Register(g)
 	go func() { _ = g.Serve(l) }()
 	context.AfterFunc(ctx, g.Stop)
