Steer the limits by the time between tokens; bound what preemption loses

The limit of an upstream now follows the gap of running requests, a few tokens at a time, towards 0.72 of the tightest target there; before, it followed finished requests that missed their own target. Waiting for an upstream that keeps the gaps, and an aim that learns from misses, were worth nothing and are not in.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -19,10 +19,10 @@
 const (
 	defaultMaxQueued       = 10_000
 	defaultMaxBytes        = 64 << 20
-	defaultGuaranteedShare = 0.02
+	defaultGuaranteedShare = 0.005
 	// maxGuaranteedSum bounds the share of freed slots that all guarantees take
 	// together.
-	maxGuaranteedSum = 0.1
+	maxGuaranteedSum = 0.025
 	// untargetedDelay is the target used to order requests that have none.
 	untargetedDelay = 30 * time.Second
 )
@@ -35,8 +35,8 @@
 	// MaxBytes bounds the sum of their bodies; 0 means 64 MiB.
 	MaxBytes int
 	// GuaranteedShare is the share of the freed slots that each waiting class
-	// gets at least, 0 to 1; 0 means 0.02 and a negative one means none. With
-	// many classes waiting all their shares together are at most a tenth.
+	// gets at least, 0 to 1; 0 means 0.005 and a negative one means none.
+	// With many classes waiting all their shares together are at most a fortieth.
 	GuaranteedShare float64
 	// Margin is how long before its target a waiting request counts as late.
 	Margin time.Duration
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -77,21 +77,32 @@
 // Started implements kingcuphook.Limiter.
 func (l *Limiter) Started(now time.Time, address string, r *kingcuphook.Request) {
 	u := l.upstream(address)
-	u.running[r.ID()] = now
-	u.lastUse = now
+	u.running[r.ID()] = &attempt{started: now}
+	if len(u.running) >= l.allowance(now, u, r.Tier()) {
+		u.fullAt = now
+	}
+}
+
+// Progress takes that the n-th token of a running request has come.
+func (l *Limiter) Progress(now time.Time, address string, r *kingcuphook.Request, n int) {
+	u := l.upstreams[address]
+	if u == nil || u.running[r.ID()] == nil {
+		return
+	}
+	u.tighten(now, r.TokenTarget())
+	u.progress(now, u.running[r.ID()], n)
 }
 
 // Finished implements kingcuphook.Limiter.
 func (l *Limiter) Finished(now time.Time, address string, r *kingcuphook.Request, s kingcuphook.Sample) {
 	u := l.upstream(address)
-	started, ok := u.running[r.ID()]
-	if !ok {
+	a := u.running[r.ID()]
+	if a == nil {
 		return
 	}
-	full := len(u.running) >= l.allowance(now, u, r.Tier())
 	delete(u.running, r.ID())
-	u.ended.add(span{started: started, ended: now})
-	u.learn(now, r, s, full)
+	u.ended.add(span{started: a.started, ended: now})
+	u.learn(now, r, s)
 }
 
 // Report implements kingcuphook.Limiter. A report older than the last one is
@@ -111,6 +122,15 @@
 // Limit returns the learned limit of all routers together.
 func (l *Limiter) Limit(address string) float64 { return l.upstream(address).limit }
 
+// Gap returns the mean time between tokens of the last attempts; 0 if unknown.
+func (l *Limiter) Gap(address string) time.Duration {
+	u := l.upstreams[address]
+	if u == nil {
+		return 0
+	}
+	return time.Duration(u.gap * float64(time.Second))
+}
+
 // Running returns the requests of this router that run on the upstream.
 func (l *Limiter) Running(address string) int { return len(l.upstream(address).running) }
 
--- a/preemptor/preemptor.go
+++ b/preemptor/preemptor.go
@@ -11,6 +11,13 @@
 const (
 	defaultMaxPerRequest = 1
 	defaultLead          = 100 * time.Millisecond
+	defaultMaxWaste      = 0.07
+	// startBudget is what may be lost before anything was served, and maxBudget
+	// bounds what may be lost at once after a quiet time.
+	startBudget = 500
+	maxBudget   = 5000
+	// prefillCost is the work of a prompt token in that of a generated token.
+	prefillCost = 0.1
 	// remembered bounds the requests whose preemptions are counted.
 	remembered = 4096
 )
@@ -36,12 +43,19 @@
 	// token; 0 means 100 ms.
 	Lead time.Duration
 
+	// MaxWaste bounds the work lost to preemptions to a share of the tokens
+	// served; 0 means 0.07.
+	MaxWaste float64
+
+	// spent is what was lost less what was earned since the start; it is at least
+	// startBudget - maxBudget.
+	spent float64
 	// counts has the preemptions of the requests in order.
 	counts map[string]int
 	// order has the keys of counts, the oldest first.
 	order  []string
 	count  int
-	wasted int
+	wasted float64
 }
 
 // Due returns when the waiting request must preempt at the latest to meet its
@@ -86,20 +100,27 @@
 	p.counts[id]++
 	p.count++
 	p.wasted += Lost(run)
+	p.spent += Lost(run)
+}
+
+// Served earns the budget of tokens that were served.
+func (p *Preemptor) Served(tokens int) {
+	p.spent = max(p.spent-p.maxWaste()*float64(tokens), startBudget-maxBudget)
 }
 
 // Count returns the number of preemptions so far.
 func (p *Preemptor) Count() int { return p.count }
 
-// WastedTokens returns the tokens lost to preemptions so far: prompt tokens to
-// be prefilled again, and generated tokens that can't be kept.
-func (p *Preemptor) WastedTokens() int { return p.wasted }
+// WastedTokens returns the work lost to preemptions so far, in generated tokens.
+func (p *Preemptor) WastedTokens() float64 { return p.wasted }
 
-// Lost returns the tokens of work that preempting the run loses.
-func Lost(run Run) int {
-	lost := run.Request.PromptTokens()
+// Lost returns the work that preempting the run loses, in generated tokens: the
+// prompt, which must be prefilled again, and the answer where the upstream can't
+// resume it.
+func Lost(run Run) float64 {
+	lost := prefillCost * float64(run.Request.PromptTokens())
 	if !run.Upstream.Resumes() {
-		lost += run.Tokens
+		lost += float64(run.Tokens)
 	}
 	return lost
 }
@@ -110,7 +131,8 @@
 		!run.Request.NonIdempotent() &&
 		!run.Upstream.Priorities() &&
 		run.Upstream.Kind() == kingcuphook.UpstreamKindEngine &&
-		p.counts[run.Request.ID()] < p.maxPerRequest()
+		p.counts[run.Request.ID()] < p.maxPerRequest() &&
+		p.spent+Lost(run) <= startBudget
 }
 
 // before reports whether a is preempted rather than b: the lower tier goes first,
@@ -141,6 +163,13 @@
 	return defaultMaxPerRequest
 }
 
+func (p *Preemptor) maxWaste() float64 {
+	if p.MaxWaste > 0 {
+		return p.MaxWaste
+	}
+	return defaultMaxWaste
+}
+
 func (p *Preemptor) lead() time.Duration {
 	if p.Lead > 0 {
 		return p.Lead
--- /dev/null
+++ b/preemptor/preemptor_test.go
@@ -0,0 +1,80 @@
+package preemptor
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/kingcuphook/kingcuphook"
+)
+
+var start = time.Date(2026, 1, 1, 8, 0, 0, 0, time.UTC)
+
+func request(id string, tier kingcuphook.Tier, prompt int) *kingcuphook.Request {
+	return kingcuphook.NewRequest(kingcuphook.RequestFields{
+		ID: id, Tier: tier, PromptTokens: prompt, Arrived: start, Target: time.Second,
+	})
+}
+
+func run(id string, tier kingcuphook.Tier, prompt, tokens int, resumes bool) Run {
+	return Run{
+		Request:  request(id, tier, prompt),
+		Upstream: kingcuphook.NewUpstream(kingcuphook.UpstreamFields{Kind: kingcuphook.UpstreamKindEngine, Resumes: resumes}),
+		Tokens:   tokens,
+	}
+}
+
+func TestChooseTakesLowestTierThenLeastLoss(t *testing.T) {
+	is := is.New(t)
+	p := &Preemptor{}
+	top := request("top", 1, 10)
+	is.Equal(p.Choose(top, nil), -1)
+	is.Equal(p.Choose(top, []Run{run("a", 1, 10, 0, true)}), -1)
+	is.Equal(p.Choose(top, []Run{run("a", 3, 10, 0, true), run("b", 5, 100, 200, false), run("c", 5, 100, 50, false)}), 2)
+	is.Equal(p.Choose(top, []Run{run("b", 5, 100, 200, true), run("c", 5, 100, 50, false)}), 0)
+	service := run("a", 5, 10, 0, true)
+	service.Upstream = kingcuphook.NewUpstream(kingcuphook.UpstreamFields{Kind: kingcuphook.UpstreamKindService})
+	is.Equal(p.Choose(top, []Run{service}), -1)
+}
+
+func TestLossesStayWithinTheBudget(t *testing.T) {
+	is := is.New(t)
+	p := &Preemptor{MaxWaste: 0.02}
+	top := request("top", 1, 10)
+	lost, served := 0.0, 0
+	for i := range 5000 {
+		runs := []Run{run(fmt.Sprint(i), 5, 1000, 0, true)}
+		if p.Choose(top, runs) == 0 {
+			p.Preempted(runs[0])
+			lost += Lost(runs[0])
+		}
+		p.Served(100)
+		served += 100
+	}
+	is.Equal(p.WastedTokens(), lost)
+	is.True(lost <= 0.02*float64(served)+startBudget)
+	is.True(lost >= 0.02*float64(served))
+	p.Served(1_000_000_000)
+	for i := range 100 {
+		r := run(fmt.Sprint("burst", i), 5, 1000, 0, true)
+		if p.Choose(top, []Run{r}) == 0 {
+			p.Preempted(r)
+		}
+	}
+	is.True(p.WastedTokens()-lost <= maxBudget)
+}
+
+func TestPreemptionsAreRememberedInBounds(t *testing.T) {
+	is := is.New(t)
+	p := &Preemptor{}
+	r := run("first", 5, 0, 0, true)
+	p.Preempted(r)
+	is.Equal(p.Choose(request("top", 1, 10), []Run{r}), -1)
+	for i := range remembered {
+		p.Preempted(run(fmt.Sprint(i), 5, 0, 0, true))
+	}
+	is.Equal(len(p.counts), remembered)
+	is.Equal(p.Choose(request("top", 1, 10), []Run{r}), 0)
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -38,6 +38,19 @@
 	Update(now time.Time, p *kingcuphook.Pool)
 }
 
+// Progresser is a Limiter that times the tokens of running requests.
+type Progresser interface {
+	// Progress takes that the n-th token of a running request has come.
+	Progress(now time.Time, upstream string, r *kingcuphook.Request, n int)
+}
+
+// GapTeller is a Limiter that knows the time between tokens.
+type GapTeller interface {
+	// Gap returns the mean time between tokens of the last attempts on the
+	// upstream; 0 if unknown.
+	Gap(address string) time.Duration
+}
+
 // UsableSelector is a Selector that can ask which upstreams are usable, which
 // saves building a list of those that are not.
 type UsableSelector interface {
@@ -136,9 +149,13 @@
 }
 
 // Progress implements kingcuphook.Scheduler.
-func (s *Scheduler) Progress(_ time.Time, r *kingcuphook.Request, n int) {
+func (s *Scheduler) Progress(now time.Time, r *kingcuphook.Request, n int) {
+	p, ok := s.Limiter.(Progresser)
 	for _, run := range s.running[r.ID()] {
 		s.serve(run, n)
+		if ok {
+			p.Progress(now, run.upstream.Address(), r, n)
+		}
 	}
 }
 
@@ -229,6 +246,9 @@
 		return
 	}
 	s.Admitter.Served(run.request, tokens-run.tokens)
+	if s.Preemptor != nil {
+		s.Preemptor.Served(tokens - run.tokens)
+	}
 	run.tokens = tokens
 }
 
