Reach pools whose upstreams all stand in another region

Cause: without spilling, a router used upstreams of its own region only; a pool with none there made requests wait until their deadline. Ruled out: TLS, claims. Conclusion: spill-regions bounds overflow; a region without an upstream of its own uses the others.

--- a/selector/selector.go
+++ b/selector/selector.go
@@ -64,6 +64,8 @@
 	near, region, remote group
 	index                *index
 	spills               bool
+	// abroad says that the pool has no upstream in the region of the router.
+	abroad bool
 	// lastSpill is when a request last went to another region.
 	lastSpill time.Time
 	// pace is the smoothed time between two local slots becoming free.
@@ -100,6 +102,10 @@
 	s.near = group{}
 	s.region = group{delay: orDuration(s.CentreDelay, defaultCentreDelay)}
 	s.remote = group{delay: orDuration(s.RegionDelay, defaultRegionDelay)}
+	s.abroad = !s.servesHere(p)
+	if s.abroad {
+		s.region.delay = s.remote.delay
+	}
 	wanted := make(map[string]bool, len(p.Upstreams()))
 	for _, u := range p.Upstreams() {
 		wanted[u.Address()] = true
@@ -134,12 +140,21 @@
 	return t
 }
 
-// groupOf returns the group of the tracker by distance.
+// servesHere reports whether the region of the router has an upstream of the
+// pool that takes work.
+func (s *Selector) servesHere(p *kingcuphook.Pool) bool {
+	return slices.ContainsFunc(p.Upstreams(), func(u *kingcuphook.Upstream) bool {
+		return !u.Leaving() && (s.Region == "" || s.Region == u.Region())
+	})
+}
+
+// groupOf returns the group of the tracker by distance. Without an upstream in
+// the region, those of other regions are all there is and count as its own.
 func (s *Selector) groupOf(t *tracker) *group {
 	switch {
 	case s.Region == "" || s.Region == t.upstream.Region() && s.DataCentre == t.upstream.DataCentre():
 		return &s.near
-	case s.Region == t.upstream.Region():
+	case s.abroad || s.Region == t.upstream.Region():
 		return &s.region
 	default:
 		return &s.remote
