Put an edit in force on the router that made it before saying accepted

Cause: the scenario conflict.txtar read the table right after an edit and saw the old one, since the watch is paced at 250 ms. Conclusion: one read of the store an edit.

--- a/commander/commander.go
+++ b/commander/commander.go
@@ -44,6 +44,9 @@
 type Commander struct {
 	// Editor applies edits; never nil.
 	Editor *editor.Editor
+	// Refresh puts an accepted edit in force on this router; nil leaves that to
+	// the router's watch.
+	Refresh func(ctx context.Context)
 	// Lifter lifts quarantines; nil knows none.
 	Lifter Lifter
 	// Token is what callers must show; never empty.
@@ -84,7 +87,7 @@
 	if err != nil {
 		return nil, c.refused(err, edit)
 	}
-	return c.accepted(edit, result), nil
+	return c.accepted(ctx, edit, result), nil
 }
 
 func parse(edit *editor.Edit, table, text string) error {
@@ -108,11 +111,15 @@
 	if err != nil {
 		return nil, c.refused(err, edit)
 	}
-	return c.accepted(edit, result), nil
+	return c.accepted(ctx, edit, result), nil
 }
 
-// accepted logs an accepted edit and returns the API's answer for it.
-func (c *Commander) accepted(edit editor.Edit, result editor.Result) *commands.Applied {
+// accepted logs an accepted edit, puts it in force here and returns the API's
+// answer for it.
+func (c *Commander) accepted(ctx context.Context, edit editor.Edit, result editor.Result) *commands.Applied {
+	if c.Refresh != nil {
+		c.Refresh(ctx)
+	}
 	c.Log.Log(logger.EditAccepted, "edit", result.EditID, "author", edit.Author,
 		"revision", result.Revision, "rows", result.Rows)
 	return &commands.Applied{Revision: result.Revision, EditID: result.EditID}
--- a/router/operators.go
+++ b/router/operators.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"time"
@@ -26,7 +27,13 @@
 // operatorsHandler serves the operators' API.
 func (r *Router) operatorsHandler() http.Handler {
 	token := r.Settings.Operators.Token
-	commandEnds := commands.NewEndpoints(&commander.Commander{Editor: r.editor, Lifter: r, Token: token, Log: r.Log})
+	commandEnds := commands.NewEndpoints(&commander.Commander{
+		Editor:  r.editor,
+		Refresh: r.refresh,
+		Lifter:  r,
+		Token:   token,
+		Log:     r.Log,
+	})
 	queryEnds := queries.NewEndpoints(&reporter.Reporter{
 		Source:    r,
 		Recorder:  r.recorder,
@@ -40,6 +47,14 @@
 	return http.MaxBytesHandler(mux, maxOperatorBodyBytes)
 }
 
+// refresh puts an edit made here in force. If the store can't be read, the watch
+// brings it later.
+func (r *Router) refresh(ctx context.Context) {
+	if r.follower.Refresh(ctx) == nil {
+		_ = r.control.call(ctx, r.control.takeTables)
+	}
+}
+
 // Tables implements reporter.Source.
 func (r *Router) Tables() *kingcuphook.Tables { return r.follower.Tables() }
 
