--- /dev/null
+++ b/measurer/report.go
@@ -0,0 +1,159 @@
+package measurer
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+)
+
+// Stated targets of the policy.
+const (
+	// targetTop is the least attainment of the highest tier.
+	targetTop = 0.99
+	// targetBound is the least share of the upper bound of goodput at the load
+	// boundLoad.
+	targetBound = 0.95
+	boundLoad   = 1.5
+	// targetWaste and targetCrashWaste bound the share of wasted work without
+	// and with crashes.
+	targetWaste      = 0.01
+	targetCrashWaste = 0.05
+)
+
+// write prints a table for every case.
+func (m *measurement) write(w io.Writer) {
+	fmt.Fprintf(w, "seeds %d to %d; each figure is minimum/median/maximum over the seeds\n", m.seeds[0], m.seeds[len(m.seeds)-1])
+	for i := range m.cases {
+		m.writeCase(w, &m.cases[i])
+	}
+}
+
+func (m *measurement) writeCase(w io.Writer, c *measuredCase) {
+	fmt.Fprintf(w, "\n%s\n", c.spec.Name)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	head := []string{"policy"}
+	for _, class := range m.f.Classes {
+		head = append(head, class.Name+" %")
+	}
+	head = append(head, "goodput /s", "wasted %", "cached %", "cross MB", "preempted", "lost", "served")
+	fmt.Fprintln(t, strings.Join(head, "\t"))
+	for _, p := range c.policies {
+		fmt.Fprintln(t, strings.Join(m.row(p), "\t"))
+	}
+	fmt.Fprintln(t, strings.Join(m.boundRow("bound-by-tier", c.strict, c.classes), "\t"))
+	fmt.Fprintln(t, strings.Join(m.boundRow("bound", c.free, nil), "\t"))
+	t.Flush()
+}
+
+func (m *measurement) row(p measuredPolicy) []string {
+	cells := []string{p.name}
+	for class := range m.f.Classes {
+		cells = append(cells, p.spread(100, func(r *result) float64 { return r.attainment(class) }))
+	}
+	return append(cells,
+		p.spread(1, func(r *result) float64 { return r.goodput }),
+		p.spread(100, func(r *result) float64 { return r.wasted }),
+		p.spread(100, func(r *result) float64 { return r.hit }),
+		p.spread(1e-6, func(r *result) float64 { return float64(r.crossBytes) }),
+		p.spread(1, func(r *result) float64 { return float64(r.preempted) }),
+		p.spread(1, func(r *result) float64 { return float64(r.shed + r.gone + r.failed) }),
+		p.served(),
+	)
+}
+
+func (m *measurement) boundRow(name string, goodput []float64, classes [][]float64) []string {
+	cells := []string{name}
+	for class := range m.f.Classes {
+		var values []float64
+		for _, seed := range classes {
+			values = append(values, 100*seed[class])
+		}
+		cells = append(cells, spread(values))
+	}
+	return append(cells, spread(goodput), "", "", "", "", "", "")
+}
+
+func (p measuredPolicy) spread(factor float64, figure func(r *result) float64) string {
+	var values []float64
+	for i := range p.results {
+		values = append(values, factor*figure(&p.results[i]))
+	}
+	return spread(values)
+}
+
+func (p measuredPolicy) served() string {
+	for i := range p.results {
+		if !p.results[i].served() {
+			return "no"
+		}
+	}
+	return "all"
+}
+
+// spread returns the minimum, median and maximum.
+func spread(values []float64) string {
+	if len(values) == 0 {
+		return ""
+	}
+	slices.Sort(values)
+	return fmt.Sprintf("%.1f/%.1f/%.1f", values[0], values[len(values)/2], values[len(values)-1])
+}
+
+// miss is a stated target that was missed.
+type miss struct {
+	scenario string
+	seed     uint64
+	what     string
+}
+
+// misses compares the whole policy, which is the first one, with the targets.
+func (m *measurement) misses() []miss {
+	var all []miss
+	for i := range m.cases {
+		c := &m.cases[i]
+		for n := range m.seeds {
+			for _, what := range m.missed(c, n) {
+				all = append(all, miss{scenario: c.spec.Name, seed: m.seeds[n], what: what})
+			}
+		}
+	}
+	return all
+}
+
+func (m *measurement) missed(c *measuredCase, n int) []string {
+	var all []string
+	r := &c.policies[0].results[n]
+	for class, spec := range m.f.Classes {
+		if spec.Tier == 1 && r.attainment(class) < targetTop {
+			all = append(all, fmt.Sprintf("attainment of %s %.2f%% is below %.0f%%", spec.Name, 100*r.attainment(class), 100*targetTop))
+		}
+	}
+	if c.spec.Burst != nil && c.spec.Burst.Load == boundLoad && r.goodput < targetBound*c.free[n] {
+		all = append(all, fmt.Sprintf("goodput %.1f/s is %.1f%% of the bound %.1f/s", r.goodput, 100*r.goodput/c.free[n], c.free[n]))
+	}
+	for _, p := range c.policies[1:] {
+		if r.goodput < p.results[n].goodput {
+			all = append(all, fmt.Sprintf("goodput %.1f/s is below %s with %.1f/s", r.goodput, p.name, p.results[n].goodput))
+		}
+	}
+	limit := targetWaste
+	if c.spec.Crash != nil {
+		limit = targetCrashWaste
+	}
+	if r.wasted >= limit {
+		all = append(all, fmt.Sprintf("wasted work %.2f%% is not below %.0f%%", 100*r.wasted, 100*limit))
+	}
+	if !r.served() {
+		all = append(all, "a class was not served")
+	}
+	return all
+}
+
+func writeMisses(w io.Writer, all []miss) {
+	fmt.Fprintf(w, "\nmissed targets: %d\n", len(all))
+	for _, m := range all {
+		fmt.Fprintf(w, "%s seed %d: %s\n", m.scenario, m.seed, m.what)
+	}
+}
