--- a/measurer/workload.go
+++ b/measurer/workload.go
@@ -130,7 +130,7 @@
 	class := g.class()
 	spec := g.f.Classes[class]
 	organisation := g.organisation(at)
-	prefix, key := spec.PrefixTokens, uint64(organisation)<<16|uint64(class)
+	prefix, key := spec.PrefixTokens, uint64(organisation+1)<<16|uint64(class)
 	if g.c.HotPrefix != nil && g.rand.Float64() < g.c.HotPrefix.Share {
 		prefix, key = g.c.HotPrefix.Tokens, 1<<32
 	}
--- a/selector/cache.go
+++ b/selector/cache.go
@@ -1,5 +1,7 @@
 package selector
 
+import "github.com/kingcuphook/kingcuphook/hasher"
+
 // Bounds of the prefix index.
 const (
 	// defaultMaxPrefixes bounds the blocks remembered.
@@ -124,11 +126,18 @@
 	}
 }
 
-// confirm remembers that the upstream has a block and those before it.
+// confirm remembers that the upstream has a block and those before it. The walk
+// is bounded, since hashes come from outside and could form a ring.
 func (x *index) confirm(hash uint64, h holder) {
-	x.touch(hash).hold(h)
-	for b := x.find(x.find(hash).parent); b != nil; b = x.find(b.parent) {
+	b := x.touch(hash)
+	for range hasher.MaxBlocks {
 		b.hold(h)
+		if b.parent == 0 {
+			return
+		}
+		if b = x.find(b.parent); b == nil {
+			return
+		}
 	}
 }
 
--- a/selector/selector_test.go
+++ b/selector/selector_test.go
@@ -71,6 +71,17 @@
 	}
 }
 
+func TestRingOfHashesEnds(t *testing.T) {
+	is := is.New(t)
+	s := newSelector(upstreams(1, "cairo")...)
+	r := kingcuphook.NewRequest(kingcuphook.RequestFields{ID: "a", Arrived: start, PromptTokens: 400, Prefix: []uint64{5, 6, 5}})
+	s.Started(start, "cairo-0", r)
+	s.Cached(start, kingcuphook.NewCacheEvent("cairo-0", 1, 5, true))
+	c, err := s.Select(start, r, nil)
+	is.NoErr(err)
+	is.Equal(c.UncachedTokens, 400-3*128)
+}
+
 // BenchmarkSelect selects among 600 upstreams for prompts of 60 blocks of which
 // 56 are shared.
 func BenchmarkSelect(b *testing.B) {
