--- a/measurer/report.go
+++ b/measurer/report.go
@@ -37,7 +37,7 @@
 	for _, class := range m.f.Classes {
 		head = append(head, class.Name+" %")
 	}
-	head = append(head, "goodput /s", "wasted %", "cached %", "cross MB", "preempted", "lost", "served")
+	head = append(head, "late %", "slow %", "goodput /s", "wasted %", "cached %", "cross MB", "preempted", "lost", "served")
 	fmt.Fprintln(t, strings.Join(head, "\t"))
 	for _, p := range c.policies {
 		fmt.Fprintln(t, strings.Join(m.row(p), "\t"))
@@ -53,6 +53,8 @@
 		cells = append(cells, p.spread(100, func(r *result) float64 { return r.attainment(class) }))
 	}
 	return append(cells,
+		p.spread(100, func(r *result) float64 { return r.late }),
+		p.spread(100, func(r *result) float64 { return r.slow }),
 		p.spread(1, func(r *result) float64 { return r.goodput }),
 		p.spread(100, func(r *result) float64 { return r.wasted }),
 		p.spread(100, func(r *result) float64 { return r.hit }),
@@ -72,7 +74,7 @@
 		}
 		cells = append(cells, spread(values))
 	}
-	return append(cells, spread(goodput), "", "", "", "", "", "")
+	return append(cells, "", "", spread(goodput), "", "", "", "", "", "")
 }
 
 func (p measuredPolicy) spread(factor float64, figure func(r *result) float64) string {
--- a/measurer/result.go
+++ b/measurer/result.go
@@ -1,6 +1,10 @@
 package measurer
 
-import "time"
+import (
+	"time"
+
+	"github.com/kingcuphook/kingcuphook"
+)
 
 // result is what one run of one policy gave.
 type result struct {
@@ -14,6 +18,9 @@
 	hit float64
 	// crossBytes counts bytes moved between regions.
 	crossBytes int
+	// late and slow are the shares of the highest tier's requests that missed the
+	// target of the first token, and that kept it but missed that of the gaps.
+	late, slow float64
 	// shed, gone, failed and preempted count requests.
 	shed, gone, failed, preempted int
 	// wait is by class the longest time from arrival to the first token.
@@ -29,6 +36,7 @@
 	}
 	var all, wasted time.Duration
 	hit, prompt, attained := 0, 0, 0
+	top, late, slow := 0, 0, 0
 	for _, j := range w.all {
 		r.arrived[j.class]++
 		r.count(j)
@@ -36,6 +44,16 @@
 			r.attained[j.class]++
 			attained++
 		}
+		if j.request.Tier() == kingcuphook.HighestTier {
+			top++
+			switch {
+			case j.attained():
+			case j.punctual():
+				slow++
+			default:
+				late++
+			}
+		}
 		work, lost := j.work()
 		all += work
 		wasted += lost
@@ -46,6 +64,7 @@
 			r.wait[j.class] = max(r.wait[j.class], j.first-j.at)
 		}
 	}
+	r.late, r.slow = share(float64(late), float64(top)), share(float64(slow), float64(top))
 	r.goodput = float64(attained) / w.f.Horizon.std().Seconds()
 	r.wasted = share(wasted.Seconds(), all.Seconds())
 	r.hit = share(float64(hit), float64(prompt))
--- a/measurer/router.go
+++ b/measurer/router.go
@@ -82,9 +82,14 @@
 	}
 }
 
+// punctual reports whether the answer was whole and began within its target.
+func (j *job) punctual() bool {
+	return j.state == stateWhole && j.first-j.at <= j.request.Target()
+}
+
 // attained reports whether the answer was whole and kept both targets.
 func (j *job) attained() bool {
-	if j.state != stateWhole || j.first-j.at > j.request.Target() {
+	if !j.punctual() {
 		return false
 	}
 	return j.length < 2 || (j.last-j.first)/time.Duration(j.length-1) <= j.request.TokenTarget()
