End the trial of a suspect once it got past where it stood

Two routers with the same seed took each other's claims for their own; the number of a process no longer depends on the seed.

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -43,8 +43,8 @@
 type Claimer struct {
 	// Store keeps the claims; never nil.
 	Store kingcuphook.Store
-	// Rand is the source of the process's number and of jitter; nil means a
-	// random seed. It is used by the Claimer only.
+	// Rand is the source of jitter; nil means a random seed. It is used by the
+	// Claimer only.
 	Rand *rand.Rand
 	// Prefix starts every key; empty means "claims/".
 	Prefix string
@@ -129,7 +129,9 @@
 	setDefaultDuration(&c.Retention, defaultRetention)
 	setDefaultDuration(&c.CallTimeout, defaultCallTimeout)
 	setDefaultDuration(&c.Wait, defaultWait)
-	c.process = c.Rand.Uint64()
+	// Two processes with one number would take each other's claims for their
+	// own, so it does not depend on the seed of Rand.
+	c.process = rand.Uint64()
 	for i := range c.Shards {
 		c.shards = append(c.shards, &shard{
 			claimer: c,
--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -270,3 +270,14 @@
 		f.True(f.claim(1).Held())
 	})
 }
+
+// TestSameSeed gives two routers the same source of randomness.
+func TestSameSeed(t *testing.T) {
+	test(t, 2, func(f *fleet) {
+		for _, c := range f.claimers {
+			c.Rand = rand.New(rand.NewPCG(1, 1))
+		}
+		f.True(f.claim(0).Held())
+		f.True(!f.claim(1).Held())
+	})
+}
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -14,6 +14,10 @@
 	"github.com/kingcuphook/kingcuphook/tracker"
 )
 
+// overloadWait is the least time before a retry after an upstream that said it
+// has too much work.
+const overloadWait = 100 * time.Millisecond
+
 // run is one call on its way. It is used by one goroutine.
 type run struct {
 	d       *Dispatcher
@@ -26,6 +30,8 @@
 	ticket claimer.Ticket
 	// replayed says that the outcome of an earlier call is returned.
 	replayed bool
+	// trial is that of the running attempt; nil if the call is no suspect.
+	trial *trial
 	// attempts counts the dispatches that were not preempted.
 	attempts int
 	// failed are the upstreams that failed this call; they are tried again when
@@ -87,6 +93,9 @@
 		return err
 	}
 	wait, ok := r.d.spend(r.request.Class(), time.Now(), max(r.attempts, 1))
+	if errors.Is(err, kingcuphook.ErrOverloaded) || errors.Is(err, kingcuphook.ErrRateLimited) {
+		wait += overloadWait
+	}
 	if !ok {
 		r.d.count(func(n *Counts) { n.NoBudget++ })
 		return err
@@ -106,9 +115,8 @@
 	sample := kingcuphook.Sample{Cancelled: true}
 	defer func() { slot.Release(sample) }()
 	upstream := slot.Choice().Upstream
-	if t != nil {
-		defer t.end()
-	}
+	r.trial = t
+	defer t.end()
 	if err := r.dispatch(); err != nil {
 		return kingcuphook.Outcome{}, err
 	}
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -176,6 +176,7 @@
 			return err
 		}
 		last = observe(sample, began, last)
+		r.trial.survived(sample.Tokens)
 		slot.Progress(r.answer.Position())
 	}
 	return nil
--- a/dispatcher/trial.go
+++ b/dispatcher/trial.go
@@ -14,6 +14,9 @@
 	trialPrefix = "trials/"
 	// trialLease is how long a reservation outlives a router that crashed.
 	trialLease = 2 * time.Minute
+	// trialFrames is the number of frames after which a suspect has survived: it
+	// was resumed where it stood when its upstream crashed.
+	trialFrames = 3
 	// trialTimeout bounds one call to the store.
 	trialTimeout = 500 * time.Millisecond
 )
@@ -27,6 +30,8 @@
 	lease kingcuphook.LeaseID
 	// upstream is reserved at this router; empty before.
 	upstream string
+	// ended says that everything is given back.
+	ended bool
 }
 
 // newTrial reserves the body of a suspect. It returns nil if the body runs
@@ -68,14 +73,28 @@
 	return err == nil || errors.Is(err, kingcuphook.ErrUnavailable)
 }
 
-// end gives everything back.
+// survived ends the trial of a suspect that got past where it stood before.
+func (t *trial) survived(frames int) {
+	if t != nil && frames == trialFrames {
+		t.end()
+	}
+}
+
+// end gives everything back, once. It does not wait for the store.
 func (t *trial) end() {
+	if t == nil || t.ended {
+		return
+	}
+	t.ended = true
 	if t.upstream != "" {
 		t.d.Quarantiner.End(t.fingerprint, t.upstream)
 	}
-	if t.lease == 0 {
-		return
+	if t.lease != 0 {
+		go t.revoke()
 	}
+}
+
+func (t *trial) revoke() {
 	ctx, cancel := context.WithTimeout(context.Background(), trialTimeout)
 	defer cancel()
 	// A lease that cannot be revoked ends by itself.
--- a/prover/scenario.go
+++ b/prover/scenario.go
@@ -29,6 +29,7 @@
 //
 //	world ROUTERS UPSTREAMS          begins a world
 //	fault NAME STEP ROUTER           lets a fault happen at the next call
+//	crash-upstreams                  ends every run of every upstream
 //	poison BODY                      lets a body crash every upstream
 //	call NAME KIND ROUTER KEY BODY   sends a call and waits for its end
 //	start NAME KIND ROUTER KEY BODY  sends a call and goes on
@@ -47,19 +48,20 @@
 		args int
 		f    func(s *scenario, ts *testscript.TestScript, args []string)
 	}{
-		"world":       {2, (*scenario).begin},
-		"fault":       {3, (*scenario).fault},
-		"poison":      {1, (*scenario).poison},
-		"call":        {5, (*scenario).call},
-		"start":       {5, (*scenario).start},
-		"join":        {0, (*scenario).join},
-		"pass":        {1, (*scenario).pass},
-		"expect":      {2, (*scenario).expect},
-		"within":      {2, (*scenario).within},
-		"runs":        {2, (*scenario).runs},
-		"quarantined": {2, (*scenario).quarantined},
-		"lift":        {2, (*scenario).lift},
-		"check":       {0, (*scenario).check},
+		"world":           {2, (*scenario).begin},
+		"fault":           {3, (*scenario).fault},
+		"crash-upstreams": {0, (*scenario).crash},
+		"poison":          {1, (*scenario).poison},
+		"call":            {5, (*scenario).call},
+		"start":           {5, (*scenario).start},
+		"join":            {0, (*scenario).join},
+		"pass":            {1, (*scenario).pass},
+		"expect":          {2, (*scenario).expect},
+		"within":          {2, (*scenario).within},
+		"runs":            {2, (*scenario).runs},
+		"quarantined":     {2, (*scenario).quarantined},
+		"lift":            {2, (*scenario).lift},
+		"check":           {0, (*scenario).check},
 	}
 	out := make(map[string]func(*testscript.TestScript, bool, []string))
 	for name, c := range commands {
@@ -103,6 +105,8 @@
 	s.world.inject(number(ts, args[2]), f, step, func() {})
 }
 
+func (s *scenario) crash(*testscript.TestScript, []string) { s.world.CrashUpstreams() }
+
 func (s *scenario) poison(_ *testscript.TestScript, args []string) { s.world.Poison(args[0]) }
 
 func (s *scenario) call(ts *testscript.TestScript, args []string) {
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -109,8 +109,12 @@
 	trials map[string]uint64
 }
 
-// Crashed notes that the request was in flight on an upstream that crashed.
+// Crashed notes that the request was in flight on an upstream that crashed. A
+// request whose fingerprint is 0, which means unknown, is never a suspect.
 func (q *Quarantiner) Crashed(now time.Time, fingerprint uint64, upstream string) {
+	if fingerprint == 0 {
+		return
+	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.expire(now)
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -67,6 +67,14 @@
 	is.Equal(b.Judge(after(4*time.Second), poison), VerdictClear)
 }
 
+func TestUnknownFingerprint(t *testing.T) {
+	is := is.New(t)
+	var q Quarantiner
+	q.Crashed(start, 0, "u1")
+	q.Crashed(start, 0, "u2")
+	is.Equal(q.Judge(after(defaultSettle), 0), VerdictClear)
+}
+
 func TestTrials(t *testing.T) {
 	is := is.New(t)
 	var q Quarantiner
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -1,5 +1,5 @@
-// Package retrier bounds retries and hedges to a share of the successes, so
-// that a pool that goes down does not get more work from them. It is a pure
+// Package retrier bounds retries to a share of the successes, so that a pool
+// that goes down does not get more work from them. It is a pure
 // decision.
 package retrier
 
@@ -20,9 +20,6 @@
 	defaultMost   = 2 * time.Second
 )
 
-// HedgeShare is the share of successes that may be hedged.
-const HedgeShare = 0.02
-
 // Budget implements kingcuphook.RetryBudget for one class. It is used by one
 // goroutine at a time.
 type Budget struct {
