--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -22,7 +22,7 @@
 	defaultInterval        = 125 * time.Millisecond
 	defaultOutcomeInterval = time.Second
 	defaultRetention       = time.Hour
-	defaultHeadBytes       = 64 << 10
+	defaultHeadBytes       = 128 << 10
 	defaultCallTimeout     = 500 * time.Millisecond
 	defaultWait            = 2 * time.Second
 	defaultOutcomeBytes    = 2 << 10
@@ -43,8 +43,8 @@
 type Claimer struct {
 	// Store keeps the claims; never nil.
 	Store kingcuphook.Store
-	// Rand is the source of the process's number and of jitter; nil means a
-	// random seed. It is used by the Claimer only.
+	// Rand is the source of jitter; nil means a random seed. It is used by the
+	// Claimer only.
 	Rand *rand.Rand
 	// Prefix starts every key; empty means "claims/".
 	Prefix string
@@ -59,7 +59,7 @@
 	// Retention is how long a claim counts; 0 means an hour. It must be equal
 	// on all routers and more than twice the time in which callers resend.
 	Retention time.Duration
-	// HeadBytes is the size at which a head is sealed; 0 means 64 KiB.
+	// HeadBytes is the size at which a head is sealed; 0 means 128 KiB.
 	HeadBytes int
 	// CallTimeout bounds one call to the store; 0 means 500 ms.
 	CallTimeout time.Duration
@@ -129,7 +129,9 @@
 	setDefaultDuration(&c.Retention, defaultRetention)
 	setDefaultDuration(&c.CallTimeout, defaultCallTimeout)
 	setDefaultDuration(&c.Wait, defaultWait)
-	c.process = c.Rand.Uint64()
+	// Two processes with one number would take each other's claims for their
+	// own, so it does not depend on the seed of Rand.
+	c.process = rand.Uint64()
 	for i := range c.Shards {
 		c.shards = append(c.shards, &shard{
 			claimer: c,
--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -108,7 +108,8 @@
 		for n := range 2 {
 			go func() { held <- f.claim(n + 1).Held() }()
 		}
-		f.True(<-held != <-held) // exactly one
+		first, second := <-held, <-held
+		f.True(first != second) // exactly one
 	})
 }
 
@@ -269,3 +270,14 @@
 		f.True(f.claim(1).Held())
 	})
 }
+
+// TestSameSeed gives two routers the same source of randomness.
+func TestSameSeed(t *testing.T) {
+	test(t, 2, func(f *fleet) {
+		for _, c := range f.claimers {
+			c.Rand = rand.New(rand.NewPCG(1, 1))
+		}
+		f.True(f.claim(0).Held())
+		f.True(!f.claim(1).Held())
+	})
+}
