--- a/editor/writer.go
+++ b/editor/writer.go
@@ -17,7 +17,7 @@
 const (
 	// maxHeadChangesBytes bounds the changes in the head, which every watcher
 	// receives with every edit.
-	maxHeadChangesBytes = 1024
+	maxHeadChangesBytes = 512
 	// maxChangeBytes is the largest change that is kept with its rows.
 	maxChangeBytes = kingcuphook.MaxValueBytes / 4
 	// pageBytes is the size up to which changes are added to the newest page.
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -99,8 +99,9 @@
 	// OnEvent is told what happens, one event at a time; may be nil. It must not
 	// call the follower.
 	OnEvent func(Event)
-	// WatchAlways makes the router watch whatever the others do.
-	WatchAlways bool
+	// IsWatcher reports whether this router watches the store; nil means that
+	// Watches decides from Routers. It must not block.
+	IsWatcher func() bool
 
 	mu      sync.Mutex
 	applier applier.Applier
@@ -239,6 +240,22 @@
 	return nil
 }
 
+// advance takes the changes of heads that a newer one has replaced, so that
+// nothing has to be read for a gap. What does not fit is left to the newest.
+func (f *Follower) advance(entries []kingcuphook.Entry) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range entries {
+		h, err := encoder.DecodeHead(e.Value())
+		if err != nil {
+			continue
+		}
+		if v, err := f.applier.Advance(h.Changes); err == nil && v == applier.VerdictApplied {
+			f.publish(sourceStore, v, h.Revision)
+		}
+	}
+}
+
 // older reports a head that is older than what is in force, once.
 func (f *Follower) older(storeRevision, seen int64) {
 	f.mu.Lock()
--- a/follower/runner.go
+++ b/follower/runner.go
@@ -54,7 +54,10 @@
 }
 
 func (r *runner) watches() bool {
-	if r.f.WatchAlways || r.f.Routers == nil {
+	if r.f.IsWatcher != nil {
+		return r.f.IsWatcher()
+	}
+	if r.f.Routers == nil {
 		return true
 	}
 	return Watches(r.f.Self, r.f.Routers())
@@ -114,6 +117,7 @@
 		r.after = max(revision, r.after)
 		return nil
 	}
+	r.f.advance(entries[:len(entries)-1])
 	last := entries[len(entries)-1]
 	if last.Deleted() {
 		r.f.missing()
