--- a/exchanger/client.go
+++ b/exchanger/client.go
@@ -20,7 +20,7 @@
 )
 
 const (
-	defaultTimeout     = time.Second
+	defaultTimeout     = 500 * time.Millisecond
 	defaultPullTimeout = 10 * time.Second
 	defaultMaxConns    = 64
 	// maxPullBytes bounds the encoded tables of a pull.
@@ -32,7 +32,7 @@
 type Client struct {
 	// Credentials authenticate both sides; never nil.
 	Credentials credentials.TransportCredentials
-	// Timeout bounds an exchange; 0 means 1 s.
+	// Timeout bounds an exchange; 0 means 500 ms.
 	Timeout time.Duration
 	// PullTimeout bounds a pull; 0 means 10 s.
 	PullTimeout time.Duration
--- /dev/null
+++ b/gossiper/bench_test.go
@@ -0,0 +1,188 @@
+package gossiper_test
+
+import (
+	"fmt"
+	"runtime"
+	"slices"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const (
+	warmUp   = 40 * time.Second
+	measured = 60 * time.Second
+)
+
+// sizes are the fleets measured; the last is the full size.
+var sizes = []struct{ routers, centres, regions int }{
+	{8, 3, 3}, {70, 21, 10}, {275, 21, 10}, {1100, 21, 10},
+}
+
+// BenchmarkFleet reports what one router spends on digests, tables' changes
+// included, at the full rate of changes: bytes sent and received, processor
+// time with encoding, and heap.
+func BenchmarkFleet(b *testing.B) {
+	for _, s := range sizes {
+		b.Run(fmt.Sprintf("routers=%d", s.routers), func(b *testing.B) {
+			for b.Loop() {
+				before := heapBytes()
+				f := newFleet(s.routers, s.centres, s.regions, 1)
+				f.run(warmUp)
+				perRouter := float64(heapBytes()-before) / float64(s.routers)
+				f.resetBytes()
+				begin, cpu := f.now, cpuTime()
+				f.edit(measured)
+				spent, seconds := cpuTime()-cpu, f.now.Sub(begin).Seconds()
+				mean, most := f.bytesPerSecond(seconds)
+				b.ReportMetric(mean, "B/s-mean")
+				b.ReportMetric(most, "B/s-max")
+				b.ReportMetric(100*spent.Seconds()/seconds/float64(s.routers), "%core")
+				b.ReportMetric(perRouter/1024, "heap-KB")
+			}
+		})
+	}
+}
+
+// BenchmarkInForce reports how long a revision takes until all routers that
+// can be reached have it, under the full rate of changes.
+func BenchmarkInForce(b *testing.B) {
+	faults := []struct {
+		name  string
+		apply func(f *fleet)
+	}{
+		{"clean", func(*fleet) {}},
+		{"loss=10%", func(f *fleet) { f.loss = 0.1 }},
+		{"region-without-store", func(f *fleet) { f.storeCut = inRegion("region0") }},
+		{"region-cut", func(f *fleet) {
+			f.cut = func(x, y *router) bool { return inRegion("region0")(x) != inRegion("region0")(y) }
+			f.storeCut = inRegion("region0")
+			f.ignore(inRegion("region0"))
+		}},
+		{"centre-lost", func(f *fleet) { f.crash(inCentre("centre1")) }},
+		{"rack-lost", func(f *fleet) { f.crash(inRack) }},
+	}
+	for _, s := range []int{0, len(sizes) - 1} {
+		for _, fault := range faults {
+			b.Run(fmt.Sprintf("routers=%d/%s", sizes[s].routers, fault.name), func(b *testing.B) {
+				for b.Loop() {
+					f := newFleet(sizes[s].routers, sizes[s].centres, sizes[s].regions, 1)
+					f.run(warmUp)
+					fault.apply(f)
+					f.edit(measured)
+					f.until(measured, f.inForce)
+					report(b, f.latencies, len(f.puts))
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkConverge reports how long a change of membership takes until all
+// routers agree.
+func BenchmarkConverge(b *testing.B) {
+	changes := []struct {
+		name  string
+		apply func(f *fleet)
+	}{
+		{"crash", func(f *fleet) { f.routers[5].stopped = true }},
+		{"leave", func(f *fleet) { f.routers[5].g.Leave(f.now); f.poll(f.routers[5]); f.leave(f.routers[5]) }},
+		{"restart", func(f *fleet) { f.restart(f.routers[5], 2) }},
+		{"rack-lost", func(f *fleet) { f.crash(inRack) }},
+		{"centre-lost", func(f *fleet) { f.crash(inCentre("centre1")) }},
+		{"region-cut-60s", func(f *fleet) {
+			f.cut = func(x, y *router) bool { return inRegion("region0")(x) != inRegion("region0")(y) }
+			f.run(time.Minute)
+			f.cut = nil
+		}},
+	}
+	for _, s := range []int{0, len(sizes) - 1} {
+		for _, change := range changes {
+			b.Run(fmt.Sprintf("routers=%d/%s", sizes[s].routers, change.name), func(b *testing.B) {
+				for b.Loop() {
+					f := newFleet(sizes[s].routers, sizes[s].centres, sizes[s].regions, 1)
+					f.run(warmUp)
+					change.apply(f)
+					took := f.until(5*time.Minute, f.agrees)
+					b.ReportMetric(took.Seconds(), "s-to-agree")
+				}
+			})
+		}
+	}
+}
+
+func inRegion(region string) func(r *router) bool {
+	return func(r *router) bool { return r.location.Region == region }
+}
+
+func inCentre(centre string) func(r *router) bool {
+	return func(r *router) bool { return r.location.DataCentre == centre }
+}
+
+// inRack reports whether r is in a rack that holds a fifth of a data centre.
+func inRack(r *router) bool {
+	var a, b, c int
+	_, _ = fmt.Sscanf(r.address, "10.%d.%d.%d", &a, &b, &c)
+	return r.location.DataCentre == "centre2" && (b<<8+c)/21%5 == 0
+}
+
+func (f *fleet) ignore(cut func(r *router) bool) {
+	for _, r := range f.routers {
+		r.ignored = cut(r)
+	}
+}
+
+// leave lets a router that has left tell its partners and stop.
+func (f *fleet) leave(r *router) {
+	f.run(5 * time.Second)
+	r.stopped = true
+}
+
+func (f *fleet) resetBytes() {
+	for _, r := range f.routers {
+		r.bytes = 0
+	}
+}
+
+func (f *fleet) bytesPerSecond(seconds float64) (mean, most float64) {
+	for _, r := range f.routers {
+		mean += float64(r.bytes) / seconds / float64(len(f.routers))
+		most = max(most, float64(r.bytes)/seconds)
+	}
+	return mean, most
+}
+
+// report reports quantiles of latencies in seconds, and the share of all
+// revisions that came into force within 3 s.
+func report(b *testing.B, latencies []time.Duration, all int) {
+	slices.Sort(latencies)
+	n := len(latencies)
+	inTime := 0
+	for _, l := range latencies {
+		if l <= 3*time.Second {
+			inTime++
+		}
+	}
+	b.ReportMetric(100*float64(inTime)/float64(all), "%within-3s")
+	if n > 0 {
+		b.ReportMetric(latencies[n/2].Seconds(), "s-p50")
+		b.ReportMetric(latencies[n*99/100].Seconds(), "s-p99")
+		b.ReportMetric(latencies[n-1].Seconds(), "s-max")
+	}
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// cpuTime returns the processor time of the process so far.
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		panic(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/gossiper/build.go
+++ b/gossiper/build.go
@@ -10,8 +10,9 @@
 // Request returns the digest to be sent to a peer.
 func (g *Gossiper) Request(now time.Time, to string) *Digest {
 	g.start(now)
-	d := g.header(now)
 	m := g.members[to]
+	push := m != nil && m.revision < g.revision && g.push.sent[to] == g.revision
+	d := g.header(now, push)
 	if m != nil && m.revision > 0 {
 		g.addChanges(d, m.revision)
 	}
@@ -26,7 +27,7 @@
 // Reply returns the answer to a digest that was merged before.
 func (g *Gossiper) Reply(now time.Time, request *Digest) *Digest {
 	g.start(now)
-	d := g.header(now)
+	d := g.header(now, request.Revision > g.revision)
 	g.addChanges(d, request.Revision)
 	if request.Joining {
 		g.addList(d, request.After)
@@ -36,15 +37,20 @@
 	return d
 }
 
-// header returns a digest with all sections but members and changes.
-func (g *Gossiper) header(now time.Time) *Digest {
+// header returns a digest with all sections but members and changes. Those of
+// the load are left out when the exchange is about a new revision.
+func (g *Gossiper) header(now time.Time, push bool) *Digest {
 	d := &Digest{
-		Sender:    g.self.entry,
-		Revision:  g.revision,
-		Checksum:  g.checksum,
-		Locations: []Location{g.Location},
+		Sender:   g.self.entry,
+		Revision: g.revision,
+		Checksum: g.checksum,
+	}
+	if g.self.queued {
+		d.Locations = append(d.Locations, g.Location)
+	}
+	if !push {
+		g.load.fill(g, now, d)
 	}
-	g.load.fill(g, now, d)
 	return d
 }
 
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -20,6 +20,9 @@
 
 	// joinInterval replaces the interval while members are still unknown.
 	joinInterval = 500 * time.Millisecond
+	// sourcePause separates two pushes of a router that learned from the store;
+	// the changes in between go together.
+	sourcePause = 1200 * time.Millisecond
 	// relayPause separates two pushes of a router that learned from a peer.
 	relayPause = 500 * time.Millisecond
 	// isolationTimeout is how long without a successful exchange a router
@@ -85,8 +88,8 @@
 	nextTick    time.Time
 	lastSuccess time.Time
 	ticks       int
-	// pushed says that pushes went out since the last round; skipped counts the
-	// rounds in a row that they stood in for.
+	// pushed says that a push went out or came in since the last round; skipped
+	// counts the rounds in a row that pushes stood in for.
 	pushed  bool
 	skipped int
 	// retry is the address whose exchange failed last; empty if none.
--- a/gossiper/merge.go
+++ b/gossiper/merge.go
@@ -36,6 +36,7 @@
 	g.succeeded(m, now)
 	m.differs = d.Checksum != g.checksum
 	m.revision = max(m.revision, d.Revision)
+	g.pushed = g.pushed || d.Revision > g.revision
 	g.takeJoin(d)
 	g.load.take(g, now, d)
 	return d.Revision > g.revision, nil
--- a/gossiper/poll.go
+++ b/gossiper/poll.go
@@ -5,8 +5,11 @@
 	"time"
 )
 
-// maxSkipped is how many rounds in a row pushes may stand in for.
-const maxSkipped = 2
+// Numbers of rounds in a row that pushes may stand in for.
+const (
+	maxSkipped        = 2
+	maxSkippedWatcher = 1
+)
 
 // expirePause separates two looks at all members.
 const expirePause = time.Second
@@ -29,7 +32,7 @@
 		interval = joinInterval
 	}
 	g.nextTick = now.Add(g.jitter(interval))
-	if g.pushed && g.skipped < maxSkipped && !g.joining {
+	if g.pushed && g.skipped < g.maxSkipped(now) {
 		g.pushed = false
 		g.skipped++
 		return targets
@@ -43,6 +46,17 @@
 	return targets
 }
 
+// maxSkipped returns how many rounds in a row pushes may stand in for.
+func (g *Gossiper) maxSkipped(now time.Time) int {
+	switch {
+	case g.joining:
+		return 0
+	case g.Watches(now):
+		return maxSkippedWatcher
+	}
+	return maxSkipped
+}
+
 // wake notices a pause of this router: others had no chance to answer it. After
 // a long one its knowledge is stale, and it joins again.
 func (g *Gossiper) wake(now time.Time) {
--- a/gossiper/push.go
+++ b/gossiper/push.go
@@ -31,7 +31,7 @@
 	p.from = from
 	p.pause = relayPause
 	if from == "" {
-		p.pause = g.Interval
+		p.pause = sourcePause
 	}
 	local, rank := g.local()
 	for _, i := range neighbours(rank, len(local)) {
