--- /dev/null
+++ b/leaser/leaser_test.go
@@ -0,0 +1,225 @@
+package leaser_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/emulator/storer"
+	"github.com/kingcuphook/kingcuphook/leaser"
+)
+
+const (
+	key = "leases/pool-a"
+	ttl = 30 * time.Second
+)
+
+func newRunner(s kingcuphook.Store, owner string, seed uint64) *leaser.Runner {
+	return &leaser.Runner{Store: s, Leaser: &leaser.Leaser{
+		Key: key, Owner: owner, TTL: ttl, Rand: rand.New(rand.NewPCG(seed, 7)),
+	}}
+}
+
+// group runs goroutines until the test stops them.
+type group struct {
+	ctx  context.Context
+	stop context.CancelFunc
+	wg   sync.WaitGroup
+}
+
+func newGroup() *group {
+	ctx, stop := context.WithCancel(context.Background())
+	return &group{ctx: ctx, stop: stop}
+}
+
+func (g *group) run(f func(ctx context.Context)) { g.wg.Go(func() { f(g.ctx) }) }
+
+func (g *group) end() {
+	g.stop()
+	g.wg.Wait()
+}
+
+// pausingStore delays calls before and after they reach the store, as a pause
+// of the caller does.
+type pausingStore struct {
+	kingcuphook.Store
+	pause func() time.Duration
+}
+
+func (s *pausingStore) KeepAlive(ctx context.Context, id kingcuphook.LeaseID) error {
+	time.Sleep(s.pause())
+	err := s.Store.KeepAlive(ctx, id)
+	time.Sleep(s.pause())
+	return err
+}
+
+func (s *pausingStore) Put(ctx context.Context, k string, v []byte, expect int64, id kingcuphook.LeaseID) (int64, error) {
+	time.Sleep(s.pause())
+	revision, err := s.Store.Put(ctx, k, v, expect, id)
+	time.Sleep(s.pause())
+	return revision, err
+}
+
+func TestOneHolderAtATime(t *testing.T) {
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { checkOneHolder(t, seed) })
+		})
+	}
+}
+
+// checkOneHolder runs three candidates under random faults and pauses. It
+// checks that no two hold the lease at once, that the fencing number rises from
+// holder to holder and that the lease is held most of the time.
+func checkOneHolder(t *testing.T, seed uint64) {
+	is := is.New(t)
+	rng := rand.New(rand.NewPCG(seed, 3))
+	var mu sync.Mutex
+	chance := func(p float64) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return rng.Float64() < p
+	}
+	store := &storer.Store{Hook: func(string, string) storer.Fault {
+		return storer.Fault{
+			Delay:       10 * time.Millisecond,
+			Down:        chance(0.05),
+			LoseRequest: chance(0.05),
+			LoseReply:   chance(0.1),
+		}
+	}}
+	pause := func() time.Duration {
+		if !chance(0.02) {
+			return 0
+		}
+		return 2 * ttl
+	}
+	g := newGroup()
+	runners := make([]*leaser.Runner, 3)
+	for i := range runners {
+		r := newRunner(&pausingStore{Store: store, pause: pause}, fmt.Sprintf("10.0.0.%d:7000", i), uint64(i)+10*seed)
+		r.SetPosition(i)
+		runners[i] = r
+		g.run(r.Run)
+	}
+	held, highest, last := 0, int64(0), -1
+	const samples = 6000
+	for range samples {
+		time.Sleep(300 * time.Millisecond)
+		holders := 0
+		for i, r := range runners {
+			fence, _, err := r.Holding()
+			if err != nil {
+				continue
+			}
+			holders++
+			if fence < highest || i != last && fence == highest {
+				t.Fatalf("holder %d has fence %d after fence %d of holder %d", i, fence, highest, last)
+			}
+			highest, last = fence, i
+		}
+		is.True(holders <= 1) // two holders at once
+		held += holders
+	}
+	g.end()
+	is.True(held > samples/2) // the lease is held most of the time
+}
+
+func TestLostReplyOfPutIsReadBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		lost := false
+		store := &storer.Store{Hook: func(op, _ string) storer.Fault {
+			lose := op == storer.OpPut && !lost
+			lost = lost || lose
+			return storer.Fault{LoseReply: lose}
+		}}
+		g := newGroup()
+		r := newRunner(store, "a", 1)
+		g.run(r.Run)
+		time.Sleep(time.Second)
+		fence, _, err := r.Holding()
+		is.NoErr(err)
+		e, err := store.Get(t.Context(), key)
+		is.NoErr(err)
+		is.Equal(fence, e.Revision())
+		g.end()
+		_, err = store.Get(t.Context(), key)
+		is.True(errors.Is(err, kingcuphook.ErrNotFound)) // a planned stop gives the lease back
+	})
+}
+
+func TestHolderStopsBeforeTheLeaseCanEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &storer.Store{}
+		g := newGroup()
+		r := newRunner(store, "a", 1)
+		g.run(r.Run)
+		time.Sleep(time.Second)
+		_, until, err := r.Holding()
+		is.NoErr(err)
+		store.SetFault(storer.Fault{Down: true})
+		down := time.Now()
+		time.Sleep(time.Until(until) - time.Millisecond)
+		_, _, err = r.Holding()
+		is.NoErr(err) // an outage shorter than the lease harms nothing
+		time.Sleep(ttl)
+		_, _, err = r.Holding()
+		is.True(errors.Is(err, kingcuphook.ErrLeaseLost))
+		is.True(until.Sub(down) <= ttl-ttl/6)
+
+		store.SetFault(storer.Fault{})
+		time.Sleep(2 * time.Minute)
+		_, _, err = r.Holding()
+		is.NoErr(err)
+		g.end()
+	})
+}
+
+func TestRestoredStoreDoesNotLowerTheFence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &storer.Store{}
+		g := newGroup()
+		r := newRunner(store, "a", 1)
+		g.run(r.Run)
+		time.Sleep(time.Second)
+		r.Refused(500)
+		time.Sleep(time.Second)
+		fence, _, err := r.Holding()
+		is.NoErr(err)
+		is.Equal(fence, int64(501)) // the key is confirmed, so the number is exceeded
+
+		is.NoErr(store.Delete(t.Context(), key, kingcuphook.RevisionAny))
+		r.Refused(600)
+		time.Sleep(time.Second)
+		fence, _, err = r.Holding()
+		is.True(err != nil || fence < 600) // without the key it is not
+		g.end()
+	})
+}
+
+func TestFewCandidates(t *testing.T) {
+	is := is.New(t)
+	members := make([]string, 1100)
+	for i := range members {
+		members[i] = fmt.Sprintf("10.0.%d.%d:7000", i>>8, i&255)
+	}
+	candidates := 0
+	for _, m := range members {
+		if leaser.Position(key, m, members) != leaser.NoCandidate {
+			candidates++
+		}
+	}
+	is.Equal(candidates, leaser.Candidates)
+	is.Equal(leaser.Position(key, "10.9.9.9:7000", members), leaser.NoCandidate)
+}
