--- /dev/null
+++ b/orderer/orderer.go
@@ -0,0 +1,207 @@
+// Package orderer gives orders to the engines of one pool while this router
+// holds the pool's lease, reads back what the engines follow and corrects what
+// differs.
+package orderer
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/placer"
+)
+
+const (
+	defaultInterval     = 5 * time.Second
+	defaultOrderTimeout = 10 * time.Second
+	// callTimeout bounds one call to an upstream.
+	callTimeout = 2 * time.Second
+	// maxReads bounds the upstreams read back at once.
+	maxReads = 16
+)
+
+// Lease tells whether orders may be given. *leaser.Runner implements it.
+type Lease interface {
+	// Holding returns the fencing number and until when orders may be given,
+	// or an error that wraps ErrLeaseLost.
+	Holding() (fence int64, until time.Time, err error)
+	// Refused takes a fencing number that an upstream holds against the
+	// holder's.
+	Refused(fence int64)
+}
+
+// Orderer keeps the engines of one pool at what its placer wants. Its exported
+// fields are set before Run. SetPool and SetDemand are safe for concurrent use.
+type Orderer struct {
+	// Engines takes the orders; never nil.
+	Engines kingcuphook.Orderer
+	// Lease guards the pool; never nil.
+	Lease Lease
+	// Placer decides; never nil. It belongs to the Orderer.
+	Placer *placer.Placer
+	// Interval is the time between two rounds of reading back; 0 means 5 s.
+	Interval time.Duration
+	// OrderTimeout is the longest time from when an order is sent until it has
+	// taken effect or never will. A new holder waits that long before it orders
+	// an upstream that ignores fencing numbers; 0 means 10 s.
+	OrderTimeout time.Duration
+	// Ordered, if set, is called after each order for the audit trail.
+	Ordered func(o kingcuphook.Order, err error)
+
+	mu sync.Mutex
+	// pool is the pool in force; nil before the first.
+	pool *kingcuphook.Pool
+	// fence is the fencing number of the current holding and since when; 0 when
+	// not holding.
+	fence int64
+	since time.Time
+}
+
+// SetPool takes the pool in force.
+func (o *Orderer) SetPool(p *kingcuphook.Pool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.pool = p
+	o.Placer.Update(p)
+}
+
+// SetDemand takes the load of a model in a region, as the number of runners
+// that it would fill.
+func (o *Orderer) SetDemand(region, model string, runners float64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.Placer.Demand(time.Now(), region, model, runners)
+}
+
+// Run reads back and orders until ctx ends.
+func (o *Orderer) Run(ctx context.Context) {
+	interval := o.Interval
+	if interval == 0 {
+		interval = defaultInterval
+	}
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		o.round(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// round reads all upstreams back and gives the orders due.
+func (o *Orderer) round(ctx context.Context) {
+	upstreams := o.begin(time.Now())
+	if upstreams == nil {
+		return
+	}
+	o.readBack(ctx, upstreams)
+	o.mu.Lock()
+	now := time.Now()
+	moves := o.Placer.Plan(now, func(u *kingcuphook.Upstream) bool { return o.allowed(now, u) })
+	o.mu.Unlock()
+	for _, m := range moves {
+		o.order(ctx, m)
+	}
+}
+
+// begin returns the upstreams of the pool if this router holds the lease.
+func (o *Orderer) begin(now time.Time) []*kingcuphook.Upstream {
+	fence, _, err := o.Lease.Holding()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if err != nil {
+		o.fence = 0
+		return nil
+	}
+	if fence != o.fence {
+		o.fence = fence
+		o.since = now
+		o.Placer.Reset(now)
+	}
+	if o.pool == nil {
+		return nil
+	}
+	return o.pool.Upstreams()
+}
+
+// allowed reports whether an upstream may be ordered now. Orders of an earlier
+// holder may still be on their way to one that ignores fencing numbers.
+func (o *Orderer) allowed(now time.Time, u *kingcuphook.Upstream) bool {
+	wait := o.OrderTimeout
+	if wait == 0 {
+		wait = defaultOrderTimeout
+	}
+	return u.ChecksFence() || now.Sub(o.since) >= wait
+}
+
+// readBack asks each engine what it follows.
+func (o *Orderer) readBack(ctx context.Context, upstreams []*kingcuphook.Upstream) {
+	var g errgroup.Group
+	g.SetLimit(maxReads)
+	for _, u := range upstreams {
+		if u.Kind() != kingcuphook.UpstreamKindEngine {
+			continue
+		}
+		g.Go(func() error {
+			o.read(ctx, u)
+			return nil
+		})
+	}
+	_ = g.Wait() // The functions return no error.
+}
+
+func (o *Orderer) read(ctx context.Context, u *kingcuphook.Upstream) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	got, err := o.Engines.Loaded(ctx, u)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if err != nil {
+		o.Placer.Lose(u.Address())
+		return
+	}
+	o.Placer.Observe(u.Address(), got.Model(), got.Generation())
+}
+
+// order gives one order if the lease is still held. The call ends before the
+// lease can.
+func (o *Orderer) order(ctx context.Context, m placer.Move) {
+	fence, until, err := o.Lease.Holding()
+	if err != nil || fence != o.fence {
+		return
+	}
+	deadline := time.Now().Add(callTimeout)
+	if until.Before(deadline) {
+		deadline = until
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	order := kingcuphook.NewOrder(kingcuphook.OrderFields{
+		Upstream:   m.Upstream().Address(),
+		Model:      m.Model(),
+		Generation: m.Generation(),
+		Fence:      fence,
+	})
+	err = o.Engines.Order(ctx, order)
+	if errors.Is(err, kingcuphook.ErrStaleFence) {
+		o.exceed(ctx, m.Upstream())
+	}
+	if o.Ordered != nil {
+		o.Ordered(order, err)
+	}
+}
+
+// exceed tells the lease which fencing number the upstream has seen.
+func (o *Orderer) exceed(ctx context.Context, u *kingcuphook.Upstream) {
+	got, err := o.Engines.Loaded(ctx, u)
+	if err == nil {
+		o.Lease.Refused(got.Fence())
+	}
+}
--- /dev/null
+++ b/placer/plan.go
@@ -0,0 +1,157 @@
+package placer
+
+import (
+	"time"
+
+	"github.com/kingcuphook/kingcuphook"
+)
+
+// Plan returns the orders to be given now, the most wanted first. Allowed says
+// whether an upstream may take an order now; nil allows all. The moves count as
+// ordered: one that is lost on its way is repeated by a later Plan.
+func (p *Placer) Plan(now time.Time, allowed func(u *kingcuphook.Upstream) bool) []Move {
+	if p.pool == nil {
+		return nil
+	}
+	moves := p.repeat(now, allowed)
+	for _, s := range p.byNeed(now) {
+		for p.assigned(now, s.place) < s.want {
+			r := p.donor(now, s, allowed)
+			if r == nil || !p.admit(now, r) {
+				break
+			}
+			r.target = s.model
+			r.own = true
+			r.generation++
+			moves = append(moves, r.order(now))
+		}
+	}
+	return moves
+}
+
+// repeat orders again the runners that do not follow their order.
+func (p *Placer) repeat(now time.Time, allowed func(u *kingcuphook.Upstream) bool) []Move {
+	var moves []Move
+	for _, a := range p.order {
+		r := p.runners[a]
+		if !r.observed || r.loaded == r.target || r.upstream.Leaving() || !permits(allowed, r) {
+			continue
+		}
+		if !r.ordered.IsZero() && now.Sub(r.ordered) < retryAfter {
+			continue
+		}
+		if !p.declared(r) {
+			r.target = r.loaded
+			r.own = false
+			r.began = time.Time{}
+			continue
+		}
+		if r.ordered.IsZero() && !p.admit(now, r) {
+			continue
+		}
+		moves = append(moves, r.order(now))
+	}
+	return moves
+}
+
+// order notes an order and returns it.
+func (r *runner) order(now time.Time) Move {
+	r.ordered = now
+	r.previous = r.loaded
+	if r.began.IsZero() {
+		r.began = now
+	}
+	return Move{upstream: r.upstream, model: r.target, generation: r.generation}
+}
+
+// admit reports whether another runner may reload now, and takes its load of
+// weights from the budget.
+func (p *Placer) admit(now time.Time, r *runner) bool {
+	if !r.reloading(now) && p.Reloading(now) >= p.pool.MaxReloading() {
+		return false
+	}
+	return p.Loads == nil || p.Loads.AllowN(now, 1)
+}
+
+// donor returns the runner that can best be given to a share, or nil.
+func (p *Placer) donor(now time.Time, s *share, allowed func(u *kingcuphook.Upstream) bool) *runner {
+	var best *runner
+	cost := 0
+	for _, a := range p.order {
+		r := p.runners[a]
+		if !r.observed || r.upstream.Leaving() || r.upstream.Region() != s.region ||
+			r.target == s.model || !r.may(s.model) || !permits(allowed, r) {
+			continue
+		}
+		c, ok := p.cost(now, r, s)
+		if ok && (best == nil || c < cost) {
+			best, cost = r, c
+		}
+	}
+	return best
+}
+
+// Costs of taking a runner away from what it serves.
+const (
+	costUndeclared = iota
+	costReloading
+	costAboveMost
+	costAboveWant
+	costAboveLeast
+)
+
+// cost returns what taking r for a share costs, and false if it may not be
+// taken.
+func (p *Placer) cost(now time.Time, r *runner, to *share) (int, bool) {
+	if !p.declared(r) {
+		return costUndeclared, true
+	}
+	if p.last(r) || r.loaded == r.target && now.Before(p.settled) {
+		return 0, false
+	}
+	from := p.shares[place{region: r.upstream.Region(), model: r.target}]
+	if from == nil {
+		return costAboveMost, true
+	}
+	n := p.assigned(now, from.place)
+	switch {
+	case n > from.most:
+		return costAboveMost, true
+	case n > from.want && r.loaded != r.target:
+		return costReloading, true
+	case n > from.want:
+		return costAboveWant, true
+	case n > from.least && p.assigned(now, to.place) < to.least:
+		// Declared minimums go before demand.
+		return costAboveLeast, true
+	}
+	return 0, false
+}
+
+// declared reports whether the table places r's target anywhere.
+func (p *Placer) declared(r *runner) bool {
+	for _, s := range p.shares {
+		if s.model == r.target {
+			return true
+		}
+	}
+	return false
+}
+
+// last reports whether no other runner of the pool serves the model that r
+// serves.
+func (p *Placer) last(r *runner) bool {
+	if !r.observed || r.loaded != r.target {
+		return false
+	}
+	for _, o := range p.runners {
+		if o != r && o.serves(r.loaded) && !o.upstream.Leaving() {
+			return false
+		}
+	}
+	return true
+}
+
+func permits(allowed func(u *kingcuphook.Upstream) bool, r *runner) bool {
+	return allowed == nil || allowed(r.upstream)
+}
