Share suspects between routers in digests, at once after a crash

Cause: the quarantine was known to one router only. The digest's typed section held less than the quarantiner needs (no crashes), so it carries the quarantiner's own bounded form instead.

--- a/cmd/kingcuphook/script_test.go
+++ b/cmd/kingcuphook/script_test.go
@@ -72,6 +72,7 @@
 //	stop N             stops router N as planned, in the background
 //	stopped N          waits until router N has stopped without an error
 //	crash N            crashes upstream N
+//	crashes            prints how often upstreams crashed
 //	runs KEY           prints how often the service ran the key
 //	replace FILE A B   replaces the first A in FILE by B
 func TestScripts(t *testing.T) {
@@ -95,6 +96,7 @@
 			"stop":        withFleet(stopCmd),
 			"stopped":     withFleet(stoppedCmd),
 			"crash":       withFleet(crashCmd),
+			"crashes":     withFleet(crashesCmd),
 			"runs":        withFleet(runsCmd),
 			"replace":     withFleet(replaceCmd),
 		},
@@ -365,6 +367,14 @@
 	f.upstreams[index(ts, args[0])].Crash()
 }
 
+func crashesCmd(ts *testscript.TestScript, _ bool, _ []string, f *fleet) {
+	crashes := 0
+	for _, u := range f.upstreams {
+		crashes += u.Record().Crashes
+	}
+	fmt.Fprintf(ts.Stdout(), "%d crashes\n", crashes)
+}
+
 func runsCmd(ts *testscript.TestScript, _ bool, args []string, f *fleet) {
 	runs := 0
 	for _, u := range f.upstreams {
--- a/emulator/responder/responder.go
+++ b/emulator/responder/responder.go
@@ -98,6 +98,8 @@
 	Tokens int `json:"tokens"`
 	// Cancelled counts the answers whose reader went away.
 	Cancelled int `json:"cancelled"`
+	// Crashes counts the crashes.
+	Crashes int `json:"crashes"`
 }
 
 type loadSample struct {
@@ -161,6 +163,7 @@
 	u.init()
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.record.Crashes++
 	u.down = time.Now().Add(orDuration(u.RestartTime, defaultRestartTime))
 	close(u.crashed)
 	u.crashed = make(chan struct{})
--- a/exchanger/codec.go
+++ b/exchanger/codec.go
@@ -64,13 +64,7 @@
 	for _, p := range d.Pressures {
 		m.Pressures = append(m.Pressures, &peerpb.Pressure{Region: p.Region, Tiers: p.Tiers[:], AgeSeconds: seconds(p.Age)})
 	}
-	for _, q := range d.Quarantines {
-		m.Quarantines = append(m.Quarantines, &peerpb.Quarantine{
-			Fingerprint:      q.Fingerprint,
-			State:            uint32(q.State),
-			RemainingSeconds: seconds(q.Remaining),
-		})
-	}
+	m.Suspects = d.Suspects
 	for _, r := range d.Rates {
 		m.Rates = append(m.Rates, &peerpb.Rate{Key: r.Key, Rate: float32(r.Rate)})
 	}
@@ -157,16 +151,7 @@
 		}
 		d.Pressures = append(d.Pressures, dp)
 	}
-	for _, q := range m.GetQuarantines() {
-		if q.GetState() > 255 {
-			return invalid("quarantine state %d", q.GetState())
-		}
-		d.Quarantines = append(d.Quarantines, gossiper.Quarantine{
-			Fingerprint: q.GetFingerprint(),
-			State:       uint8(q.GetState()),
-			Remaining:   time.Duration(q.GetRemainingSeconds()) * time.Second,
-		})
-	}
+	d.Suspects = m.GetSuspects()
 	for _, r := range m.GetRates() {
 		d.Rates = append(d.Rates, gossiper.Rate{Key: r.GetKey(), Rate: float64(r.GetRate())})
 	}
--- a/gossiper/digest.go
+++ b/gossiper/digest.go
@@ -17,8 +17,8 @@
 	MaxLocations = 2
 	// MaxPressures bounds the reports of pressure, one a region.
 	MaxPressures = 3
-	// MaxQuarantines bounds the quarantine entries.
-	MaxQuarantines = 4
+	// MaxSuspectsBytes bounds the suspects and quarantines.
+	MaxSuspectsBytes = 512
 	// MaxRates bounds the rates.
 	MaxRates = 4
 	// MaxChangesBytes bounds the table changes.
@@ -55,16 +55,6 @@
 	Age time.Duration
 }
 
-// Quarantine is one quarantine entry of a request body.
-type Quarantine struct {
-	// Fingerprint is the hash of the body.
-	Fingerprint uint64
-	// State is the state's number in package quarantiner.
-	State uint8
-	// Remaining is the time until the entry ends.
-	Remaining time.Duration
-}
-
 // Rate is what one router spends of one limit.
 type Rate struct {
 	// Key is the hash of the limit's name.
@@ -89,9 +79,11 @@
 	OwnPressure [kingcuphook.TierCount]uint8
 	// Pressures are the newest reports for some regions.
 	Pressures []Pressure
-	// Quarantines and Rates are the sender's own.
-	Quarantines []Quarantine
-	Rates       []Rate
+	// Suspects are the suspects and quarantines that the sender knows, in the
+	// form of package quarantiner.
+	Suspects []byte
+	// Rates are the sender's own.
+	Rates []Rate
 	// Changes leads the tables from ChangesAfter to Revision; it may be empty.
 	Changes      []byte
 	ChangesAfter int64
--- a/gossiper/load.go
+++ b/gossiper/load.go
@@ -27,11 +27,9 @@
 	regions []string
 	next    int
 
-	quarantines     []Quarantine
-	quarantinesFrom time.Time
-	nextQuarantine  int
-	rates           []Rate
-	nextRate        int
+	suspects []byte
+	rates    []Rate
+	nextRate int
 }
 
 type report struct {
@@ -47,12 +45,9 @@
 	g.load.blend(tiers)
 }
 
-// SetQuarantines takes the quarantine entries to be told. Past the bound of a
-// digest each entry has its turn.
-func (g *Gossiper) SetQuarantines(now time.Time, entries []Quarantine) {
-	g.load.quarantines = entries
-	g.load.quarantinesFrom = now
-}
+// SetSuspects takes the suspects and quarantines to be told, at most
+// MaxSuspectsBytes.
+func (g *Gossiper) SetSuspects(suspects []byte) { g.load.suspects = suspects }
 
 // SetRates takes the rates to be told. Past the bound of a digest each rate has
 // its turn.
@@ -130,14 +125,7 @@
 			d.Pressures = append(d.Pressures, Pressure{Region: region, Tiers: r.tiers, Age: age})
 		}
 	}
-	for range min(len(l.quarantines), MaxQuarantines) {
-		q := l.quarantines[l.nextQuarantine%len(l.quarantines)]
-		l.nextQuarantine++
-		q.Remaining -= now.Sub(l.quarantinesFrom)
-		if q.Remaining > 0 {
-			d.Quarantines = append(d.Quarantines, q)
-		}
-	}
+	d.Suspects = l.suspects
 	for range min(len(l.rates), MaxRates) {
 		d.Rates = append(d.Rates, l.rates[l.nextRate%len(l.rates)])
 		l.nextRate++
--- a/gossiper/merge.go
+++ b/gossiper/merge.go
@@ -107,8 +107,8 @@
 		return invalid("%d locations", len(d.Locations))
 	case len(d.Pressures) > MaxPressures:
 		return invalid("%d pressures", len(d.Pressures))
-	case len(d.Quarantines) > MaxQuarantines:
-		return invalid("%d quarantine entries", len(d.Quarantines))
+	case len(d.Suspects) > MaxSuspectsBytes:
+		return invalid("%d bytes of suspects", len(d.Suspects))
 	case len(d.Rates) > MaxRates:
 		return invalid("%d rates", len(d.Rates))
 	case len(d.Changes) > MaxChangesBytes:
--- a/router/control.go
+++ b/router/control.go
@@ -138,6 +138,7 @@
 	}
 	c.nextSlow = now.Add(slowInterval)
 	c.tellRates(now)
+	c.tellSuspects(now)
 	c.publish(now)
 }
 
--- a/router/peers.go
+++ b/router/peers.go
@@ -4,8 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/kingcuphook/kingcuphook"
 	"github.com/kingcuphook/kingcuphook/exchanger"
 	"github.com/kingcuphook/kingcuphook/gossiper"
@@ -15,6 +18,57 @@
 // pullTimeout bounds a pull of the tables.
 const pullTimeout = 10 * time.Second
 
+// maxShared bounds the peers that are told of a new suspect at once.
+const maxShared = 16
+
+// share tells peers of the suspects known here, those of the own data centre
+// first, and returns when they know. The others learn from the exchanges.
+func (c *control) share(ctx context.Context) {
+	var g errgroup.Group
+	err := c.call(ctx, func(now time.Time) {
+		c.tellSuspects(now)
+		for _, address := range c.nearest(now, maxShared) {
+			payload, err := exchanger.Encode(c.gossip.Request(now, address))
+			if err != nil {
+				continue
+			}
+			g.Go(func() error {
+				c.exchangeOne(ctx, address, payload)
+				return nil
+			})
+		}
+	})
+	if err == nil {
+		_ = g.Wait()
+	}
+}
+
+// nearest returns at most n other routers, those of the own data centre first,
+// then those of the own region.
+func (c *control) nearest(now time.Time, n int) []string {
+	node := c.router.Settings.Node
+	distance := func(m gossiper.Member) int {
+		switch {
+		case m.DataCentre() == node.DataCentre:
+			return 0
+		case m.Region() == node.Region:
+			return 1
+		default:
+			return 2
+		}
+	}
+	members := c.gossip.Members(now)
+	c.rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	slices.SortStableFunc(members, func(a, b gossiper.Member) int { return distance(a) - distance(b) })
+	var nearest []string
+	for _, m := range members {
+		if m.Address() != c.gossip.Address && len(nearest) < n {
+			nearest = append(nearest, m.Address())
+		}
+	}
+	return nearest
+}
+
 // exchange begins the exchanges that are due.
 func (c *control) exchange(ctx context.Context, now time.Time) {
 	for _, address := range c.gossip.Poll(now) {
@@ -89,6 +143,9 @@
 		return
 	}
 	c.learnRates(now, d)
+	if err := c.router.quarantine.Import(now, d.Suspects); err != nil {
+		c.router.Log.Log(logger.PeerFailed, "peer", peer, "error", err)
+	}
 	if !behind {
 		return
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -258,6 +258,7 @@
 			Store:       r.platform,
 			Claimer:     r.claims,
 			Quarantiner: r.quarantine,
+			Share:       r.control.share,
 			Owner:       r.PeersAddress(),
 			Rand:        r.newRand(),
 		},
--- a/router/throttle.go
+++ b/router/throttle.go
@@ -54,6 +54,11 @@
 	c.gossip.SetRates(rates)
 }
 
+// tellSuspects gives the suspects known here to the next digests.
+func (c *control) tellSuspects(now time.Time) {
+	c.gossip.SetSuspects(c.router.quarantine.Export(now, gossiper.MaxSuspectsBytes))
+}
+
 // learnRates takes the demands in a peer's digest.
 func (c *control) learnRates(now time.Time, d *gossiper.Digest) {
 	rates := make([]throttler.Rate, len(d.Rates))
