--- a/server/call.go
+++ b/server/call.go
@@ -16,7 +16,6 @@
 		writeError(w, id, err)
 		return
 	}
-	defer a.cancel()
 	if a.call.Kind != kingcuphook.UpstreamKindService {
 		writeError(w, id, errNoRoute)
 		return
--- a/server/chat.go
+++ b/server/chat.go
@@ -21,7 +21,6 @@
 		writeError(w, id, err)
 		return
 	}
-	defer a.cancel()
 	if a.call.Kind != kingcuphook.UpstreamKindEngine {
 		s.answerCall(w, a)
 		return
--- a/server/request.go
+++ b/server/request.go
@@ -37,9 +37,8 @@
 type accepted struct {
 	call  *kingcuphook.Call
 	route *kingcuphook.Route
-	// ctx ends when the caller is gone or the deadline has passed.
-	ctx    context.Context
-	cancel context.CancelFunc
+	// ctx ends when the caller is gone.
+	ctx context.Context
 }
 
 // labels are what a caller says of its request in headers.
@@ -114,7 +113,6 @@
 	if kind == kingcuphook.UpstreamKindEngine {
 		fillPrompt(&f, model, body)
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), deadline)
 	return &accepted{
 		call: &kingcuphook.Call{
 			Request:     kingcuphook.NewRequest(f),
@@ -124,9 +122,8 @@
 			Body:        body,
 			Kind:        kind,
 		},
-		route:  route,
-		ctx:    ctx,
-		cancel: cancel,
+		route: route,
+		ctx:   r.Context(),
 	}
 }
 
