--- a/server/request.go
+++ b/server/request.go
@@ -57,7 +57,7 @@
 	if err != nil {
 		return nil, id, badRequest(err)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.Limits.MaxBodyBytes))
+	body, err := s.readBody(w, r)
 	if err != nil {
 		return nil, id, bodyError(err)
 	}
@@ -65,14 +65,14 @@
 	if tables == nil {
 		return nil, id, errNotReady
 	}
-	model := ""
+	var c chat
 	if r.URL.Path == PathChat {
 		if !gjson.ValidBytes(body) {
 			return nil, id, badRequest(errors.New("the body is not valid JSON"))
 		}
-		model = gjson.GetBytes(body, "model").String()
+		c = parseChat(body)
 	}
-	route := tables.Match(l.class, l.organisation, model, r.URL.Path)
+	route := tables.Match(l.class, l.organisation, c.model, r.URL.Path)
 	if route == nil {
 		return nil, id, errNoRoute
 	}
@@ -82,17 +82,17 @@
 			return nil, id, overRate(after)
 		}
 	}
-	return s.newAccepted(r, id, l, model, body, route, pool), id, nil
+	return s.newAccepted(r, id, l, c, body, route, pool), id, nil
 }
 
-func (s *Server) newAccepted(r *http.Request, id string, l labels, model string, body []byte, route *kingcuphook.Route, pool *kingcuphook.Pool) *accepted {
+func (s *Server) newAccepted(r *http.Request, id string, l labels, c chat, body []byte, route *kingcuphook.Route, pool *kingcuphook.Pool) *accepted {
 	now := time.Now()
 	deadline := now.Add(s.deadline(l, route))
 	f := kingcuphook.RequestFields{
 		ID:            id,
 		Class:         l.class,
 		Organisation:  l.organisation,
-		Model:         model,
+		Model:         c.model,
 		Pool:          route.Pool(),
 		Region:        s.Region,
 		DataCentre:    s.DataCentre,
@@ -111,7 +111,7 @@
 	}
 	kind := poolKind(pool)
 	if kind == kingcuphook.UpstreamKindEngine {
-		fillPrompt(&f, model, body)
+		c.fill(&f)
 	}
 	return &accepted{
 		call: &kingcuphook.Call{
@@ -127,14 +127,50 @@
 	}
 }
 
-// fillPrompt sets what is known of the prompt of a chat completion.
-func fillPrompt(f *kingcuphook.RequestFields, model string, body []byte) {
-	messages := gjson.GetBytes(body, "messages")
-	prompt := []byte(messages.Raw)
+// chat is what the router reads of a chat completion.
+type chat struct {
+	model, messages string
+	maxTokens       int
+	stream          bool
+}
+
+// parseChat reads a valid JSON body in one pass.
+func parseChat(body []byte) chat {
+	var c chat
+	gjson.ParseBytes(body).ForEach(func(key, value gjson.Result) bool {
+		switch key.Str {
+		case "model":
+			c.model = value.String()
+		case "messages":
+			c.messages = value.Raw
+		case "max_tokens":
+			c.maxTokens = int(value.Int())
+		case "stream":
+			c.stream = value.Bool()
+		}
+		return true
+	})
+	return c
+}
+
+// fill sets what is known of the prompt.
+func (c chat) fill(f *kingcuphook.RequestFields) {
+	prompt := []byte(c.messages)
 	f.PromptTokens = hasher.Tokens(len(prompt))
-	f.Prefix = hasher.Append(make([]uint64, 0, len(prompt)/hasher.BlockBytes), model, prompt)
-	f.MaxTokens = int(gjson.GetBytes(body, "max_tokens").Int())
-	f.Stream = gjson.GetBytes(body, "stream").Bool()
+	f.Prefix = hasher.Append(make([]uint64, 0, len(prompt)/hasher.BlockBytes), c.model, prompt)
+	f.MaxTokens = c.maxTokens
+	f.Stream = c.stream
+}
+
+// readBody reads the body within its bound.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	limited := http.MaxBytesReader(w, r.Body, s.Limits.MaxBodyBytes)
+	if r.ContentLength <= 0 || r.ContentLength > s.Limits.MaxBodyBytes {
+		return io.ReadAll(limited)
+	}
+	body := make([]byte, r.ContentLength)
+	_, err := io.ReadFull(limited, body)
+	return body, err
 }
 
 func (s *Server) deadline(l labels, route *kingcuphook.Route) time.Duration {
