--- a/selector/score.go
+++ b/selector/score.go
@@ -27,6 +27,17 @@
 	// widenShare is the share of the latency target from which on a prediction
 	// widens the candidates.
 	widenShare = 0.5
+	// safeGap is the share of the token target that a predicted gap may take up.
+	safeGap = 0.8
+	// overrunWeight is how many times the latency target an overrun of the whole
+	// token target counts for.
+	overrunWeight = 4
+	// shortAnswer is the number of tokens over which the delay by the prefill in
+	// front of a request is spread.
+	shortAnswer = 32
+	// fitWeight is the share of the latency target that a whole token target of
+	// unneeded speed counts for.
+	fitWeight = 0.2
 	// boundFactor is how much more than the mean load of its group an upstream
 	// may carry before the candidates are widened.
 	boundFactor = 1.25
@@ -44,7 +55,10 @@
 type scored struct {
 	tracker   *tracker
 	predicted time.Duration
-	cached    int
+	// cost is what candidates are compared by: the prediction, and more if the
+	// token target is in danger.
+	cost   time.Duration
+	cached int
 	// refused is empty for a usable candidate.
 	refused string
 	// remote says that the candidate is in another region.
@@ -277,7 +291,7 @@
 
 // crowded reports whether the prediction is long enough to look further.
 func (s *Selector) crowded(r *kingcuphook.Request, i int) bool {
-	return r.Target() > 0 && float64(s.scratch[i].predicted) > widenShare*float64(r.Target())
+	return r.Target() > 0 && float64(s.scratch[i].cost) > widenShare*float64(r.Target())
 }
 
 // rank fills dst with the upstreams of the highest rendezvous score, the
@@ -365,6 +379,7 @@
 	r := q.request
 	c := scored{tracker: t, cached: q.cached(t.id)}
 	c.predicted = 2*g.delay + t.predict(q.now, r.PromptTokens()-c.cached)
+	c.cost = c.predicted + s.overrun(q.now, r, t) + t.imposed(r.PromptTokens()-c.cached)
 	c.refused = s.refuse(q, g, t)
 	s.scratch = append(s.scratch, c)
 }
@@ -420,5 +435,21 @@
 	if s.NoPrediction {
 		return a.tracker.load()*b.tracker.slots < b.tracker.load()*a.tracker.slots
 	}
-	return a.predicted < b.predicted
+	return a.cost < b.cost
+}
+
+// overrun returns what the risk of missing the token target counts for. A
+// request with a lax token target pays for more speed than it needs, so that
+// fast upstreams stay free for requests with a tight one.
+func (s *Selector) overrun(now time.Time, r *kingcuphook.Request, t *tracker) time.Duration {
+	if r.TokenTarget() == 0 {
+		return 0
+	}
+	gap := t.predictGap() + t.blocking(now)/shortAnswer
+	over := float64(gap)/float64(r.TokenTarget()) - safeGap
+	if over > 0 {
+		return time.Duration(over * overrunWeight * float64(r.Target()))
+	}
+	lax := 1 - float64(s.tightest)/float64(r.TokenTarget())
+	return time.Duration(-over * lax * fitWeight * float64(r.Target()))
 }
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -66,6 +66,8 @@
 	spills               bool
 	// lastSpill is when a request last went to another region.
 	lastSpill time.Time
+	// tightest is the lowest token target dispatched; 0 if none was.
+	tightest time.Duration
 	// pace is the smoothed time between two local slots becoming free.
 	pace     time.Duration
 	lastFree time.Time
@@ -163,6 +165,9 @@
 		s.lastSpill = now
 	}
 	before := t.load()
+	if target := r.TokenTarget(); target > 0 && (s.tightest == 0 || target < s.tightest) {
+		s.tightest = target
+	}
 	q := query{request: r}
 	s.recall(&q)
 	t.started(now, r.ID(), r.PromptTokens()-q.cached(t.id))
--- a/selector/tracker.go
+++ b/selector/tracker.go
@@ -12,14 +12,23 @@
 	defaultFirstToken = 40 * time.Millisecond
 	// defaultTokenTime is the time to prefill one token.
 	defaultTokenTime = 100 * time.Microsecond
-	// minTokenTime bounds the learned time to prefill one token.
-	minTokenTime = time.Microsecond
+	// defaultGap is the time between tokens of a request alone, defaultLoadTime
+	// what each further one adds.
+	defaultGap      = 15 * time.Millisecond
+	defaultLoadTime = 500 * time.Microsecond
+	// minSlope bounds what is learned of both.
+	minSlope = time.Microsecond
 	// sampleDecay is the weight that the earlier samples keep at a new one.
 	sampleDecay = 0.95
 	// priorWeight is the number of samples that the defaults count for.
 	priorWeight = 4
 	// priorTokens is the prefill length around which the prior is spread.
 	priorTokens = 1000
+	// priorLoad is the load around which the prior is spread.
+	priorLoad = 8
+	// imposedWeight is what a delay of another request counts for, relative to
+	// one of the request itself.
+	imposedWeight = 0.5
 	// maxSent bounds the dispatches remembered after the last report.
 	maxSent = 64
 )
@@ -57,17 +66,27 @@
 	drained time.Time
 	// recent are the dispatches that a late report may not know of.
 	recent []sent
-	// flying has the prompt tokens in front of the first token of each running
-	// request of this router when it was dispatched, by request.
-	flying map[string]float64
-	fit    fit
+	// flying has the running requests of this router by identifier.
+	flying map[string]flight
+	// first is the time to the first token over the tokens to prefill, gap the
+	// time between tokens over the load.
+	first, gap fit
+}
+
+// flight is one running request as it was when it was dispatched.
+type flight struct {
+	// tokens are those to be prefilled before its first token.
+	tokens float64
+	// load is the number of requests on the upstream, this one included.
+	load int
 }
 
 func newTracker(u *kingcuphook.Upstream, id, epoch uint32, seed uint64) *tracker {
 	t := &tracker{upstream: u, id: id, epoch: epoch, born: epoch, seed: seed, slots: 1}
 	t.recent = make([]sent, 0, maxSent)
-	t.flying = make(map[string]float64)
-	t.fit.reset()
+	t.flying = make(map[string]flight)
+	t.first.reset(defaultFirstToken, defaultTokenTime, priorTokens)
+	t.gap.reset(defaultGap, defaultLoadTime, priorLoad)
 	t.take(u)
 	return t
 }
@@ -83,22 +102,37 @@
 
 // waiting returns the prompt tokens still to be prefilled at now.
 func (t *tracker) waiting(now time.Time) float64 {
-	done := now.Sub(t.drained).Seconds() / t.fit.slope
+	done := now.Sub(t.drained).Seconds() / t.first.slope
 	return max(t.backlog-done, 0)
 }
 
 // predict returns the time to the first token of a prompt with the given
 // number of tokens to prefill.
 func (t *tracker) predict(now time.Time, tokens int) time.Duration {
-	seconds := t.fit.base + t.fit.slope*(t.waiting(now)+float64(tokens))
-	return time.Duration(seconds * float64(time.Second))
+	return t.first.at(t.waiting(now) + float64(tokens))
+}
+
+// predictGap returns the time between tokens with one more request.
+func (t *tracker) predictGap() time.Duration { return t.gap.at(float64(t.load() + 1)) }
+
+// blocking returns the time that the prefill waiting at now takes from the
+// answers being written.
+func (t *tracker) blocking(now time.Time) time.Duration {
+	return time.Duration(t.waiting(now) * t.first.slope * float64(time.Second))
+}
+
+// imposed returns what the delay that prefilling the tokens means for the
+// answers being written counts for.
+func (t *tracker) imposed(tokens int) time.Duration {
+	each := float64(tokens) * t.first.slope * float64(time.Second)
+	return time.Duration(each * float64(t.load()) * imposedWeight)
 }
 
 func (t *tracker) started(now time.Time, id string, tokens int) {
 	t.own++
 	t.backlog = t.waiting(now) + float64(tokens)
 	t.drained = now
-	t.flying[id] = t.backlog
+	t.flying[id] = flight{tokens: t.backlog, load: t.load()}
 	if len(t.recent) == maxSent {
 		t.recent = append(t.recent[:0], t.recent[1:]...)
 	}
@@ -106,11 +140,15 @@
 }
 
 func (t *tracker) finished(id string, s kingcuphook.Sample) {
+	load := t.load()
 	t.own = max(t.own-1, 0)
-	tokens, ok := t.flying[id]
+	f, ok := t.flying[id]
 	delete(t.flying, id)
 	if ok && s.FirstToken > 0 {
-		t.fit.add(tokens, s.FirstToken.Seconds())
+		t.first.add(f.tokens, s.FirstToken.Seconds())
+	}
+	if ok && s.TokenGap > 0 {
+		t.gap.add(float64(f.load+load)/2, s.TokenGap.Seconds())
 	}
 }
 
@@ -143,24 +181,27 @@
 	t.recent = append(t.recent[:0], t.recent[n:]...)
 }
 
-// fit is a straight line through weighted samples: seconds to the first token
-// over tokens prefilled.
+// fit is a straight line through weighted samples of seconds over an amount.
 type fit struct {
 	weight, sumX, sumY, sumXX, sumXY float64
-	// base is in seconds, slope in seconds for one token; both above 0.
+	// base is in seconds, slope in seconds for one unit; both above 0.
 	base, slope float64
 }
 
-// reset starts from the default line.
-func (f *fit) reset() {
+// reset starts from a line with samples at 0 and at twice the usual amount.
+func (f *fit) reset(base, slope time.Duration, usual float64) {
 	*f = fit{}
-	base, slope := defaultFirstToken.Seconds(), defaultTokenTime.Seconds()
-	for _, x := range []float64{0, 2 * priorTokens} {
-		f.sum(x, base+slope*x, priorWeight/2)
+	for _, x := range []float64{0, 2 * usual} {
+		f.sum(x, base.Seconds()+slope.Seconds()*x, priorWeight/2)
 	}
 	f.solve()
 }
 
+// at returns the value of the line.
+func (f *fit) at(x float64) time.Duration {
+	return time.Duration((f.base + f.slope*x) * float64(time.Second))
+}
+
 func (f *fit) add(x, y float64) {
 	f.weight *= sampleDecay
 	f.sumX *= sampleDecay
@@ -184,6 +225,6 @@
 	if spread > f.weight*f.weight {
 		f.slope = (f.weight*f.sumXY - f.sumX*f.sumY) / spread
 	}
-	f.slope = max(f.slope, minTokenTime.Seconds())
-	f.base = max((f.sumY-f.slope*f.sumX)/f.weight, minTokenTime.Seconds())
+	f.slope = max(f.slope, minSlope.Seconds())
+	f.base = max((f.sumY-f.slope*f.sumX)/f.weight, minSlope.Seconds())
 }
