--- /dev/null
+++ b/dispatcher/run.go
@@ -0,0 +1,295 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/assembler"
+	"github.com/kingcuphook/kingcuphook/claimer"
+	"github.com/kingcuphook/kingcuphook/quarantiner"
+	"github.com/kingcuphook/kingcuphook/tracker"
+)
+
+// run is one call on its way. It is used by one goroutine.
+type run struct {
+	d       *Dispatcher
+	call    *kingcuphook.Call
+	request *kingcuphook.Request
+	w       kingcuphook.FrameWriter
+	tracker tracker.Tracker
+	answer  assembler.Assembler
+	// ticket is the held claim; its zero value is not held.
+	ticket claimer.Ticket
+	// replayed says that the outcome of an earlier call is returned.
+	replayed bool
+	// attempts counts the dispatches that were not preempted.
+	attempts int
+	// failed are the upstreams that failed this call; they are tried again when
+	// there is no other.
+	failed []string
+	// unable are the upstreams that cannot serve the rest of this call.
+	unable []string
+}
+
+func newRun(d *Dispatcher, c *kingcuphook.Call, w kingcuphook.FrameWriter) *run {
+	return &run{
+		d:       d,
+		call:    c,
+		request: c.Request,
+		w:       w,
+		tracker: tracker.Tracker{Once: c.Request.NonIdempotent(), Claims: claims(c.Request)},
+		answer:  assembler.Assembler{MaxBytes: d.Limits.AnswerBytes},
+	}
+}
+
+// do claims the call if it must, and attempts it until it is answered or may
+// not be attempted again.
+func (r *run) do(ctx context.Context) (kingcuphook.Outcome, error) {
+	if r.tracker.Claims {
+		out, err := r.claim(ctx)
+		if err != nil || r.replayed {
+			return out, err
+		}
+	}
+	for {
+		out, err := r.attempt(ctx)
+		if err == nil {
+			r.succeed(out)
+			return out, nil
+		}
+		if err := r.prepareRetry(ctx, err); err != nil {
+			return kingcuphook.Outcome{}, err
+		}
+	}
+}
+
+func (r *run) succeed(out kingcuphook.Outcome) {
+	now := time.Now()
+	r.d.succeeded(r.request.Class(), now)
+	r.d.Quarantiner.Cleared(now, r.request.Fingerprint())
+	r.settle(out)
+}
+
+// prepareRetry waits until another attempt may be made after err, or returns
+// the error that ends the call.
+func (r *run) prepareRetry(ctx context.Context, err error) error {
+	if ctx.Err() != nil || isFinal(err) || !r.tracker.Allows(tracker.EventDispatch) {
+		return err
+	}
+	if errors.Is(err, errPreempted) {
+		return nil
+	}
+	if r.attempts >= r.d.Limits.Attempts {
+		return err
+	}
+	wait, ok := r.d.spend(r.request.Class(), time.Now(), max(r.attempts, 1))
+	if !ok {
+		r.d.count(func(n *Counts) { n.NoBudget++ })
+		return err
+	}
+	if !pause(ctx, wait) {
+		return errors.Join(ctx.Err(), err)
+	}
+	return nil
+}
+
+// attempt acquires a slot and runs the call on it once.
+func (r *run) attempt(ctx context.Context) (kingcuphook.Outcome, error) {
+	slot, t, err := r.acquire(ctx)
+	if err != nil {
+		return kingcuphook.Outcome{}, &finalError{err}
+	}
+	sample := kingcuphook.Sample{Cancelled: true}
+	defer func() { slot.Release(sample) }()
+	upstream := slot.Choice().Upstream
+	if t != nil {
+		defer t.end()
+	}
+	if err := r.dispatch(); err != nil {
+		return kingcuphook.Outcome{}, err
+	}
+	if r.ticket.Held() {
+		var cancel context.CancelFunc
+		ctx, cancel = detach(ctx)
+		defer cancel()
+	}
+	var out kingcuphook.Outcome
+	if r.call.Kind == kingcuphook.UpstreamKindService {
+		out, sample, err = r.service(ctx, slot)
+	} else {
+		out, sample, err = r.stream(ctx, slot)
+	}
+	if err != nil {
+		return kingcuphook.Outcome{}, r.broke(ctx, upstream, err)
+	}
+	out.Attempts = r.attempts
+	return out, r.tracker.Apply(tracker.EventWhole)
+}
+
+// detach returns a context that ends at the deadline of ctx only. A claimed call
+// runs to its end also when its caller is gone, so that a resend finds its
+// outcome.
+func detach(ctx context.Context) (context.Context, context.CancelFunc) {
+	free := context.WithoutCancel(ctx)
+	if deadline, ok := ctx.Deadline(); ok {
+		return context.WithDeadline(free, deadline)
+	}
+	return context.WithCancel(free)
+}
+
+// dispatch notes that the first byte is about to go out.
+func (r *run) dispatch() error {
+	if r.tracker.Claims && !r.ticket.Usable(time.Now()) {
+		return &finalError{&kingcuphook.RequestError{
+			Code: codeClaimExpired,
+			Ran:  r.tracker.Says(),
+			Err:  fmt.Errorf("dispatcher: claim too old: %w", kingcuphook.ErrLeaseLost),
+		}}
+	}
+	if err := r.tracker.Apply(tracker.EventDispatch); err != nil {
+		return &finalError{err}
+	}
+	r.attempts++
+	r.d.count(func(n *Counts) {
+		n.Attempts++
+		if r.answer.Position() > 0 {
+			n.Resumed++
+		}
+	})
+	return nil
+}
+
+// broke notes the end of an attempt that gave no whole answer.
+func (r *run) broke(ctx context.Context, u *kingcuphook.Upstream, err error) error {
+	event := tracker.EventBreak
+	if errors.Is(err, kingcuphook.ErrUnavailable) && r.tracker.State() == tracker.StateDispatched {
+		event = tracker.EventRefuse
+	}
+	if e := r.tracker.Apply(event); e != nil {
+		return &finalError{errors.Join(err, e)}
+	}
+	switch {
+	case ctx.Err() != nil:
+		return err
+	case errors.Is(err, errPreempted):
+		r.attempts--
+		r.d.count(func(n *Counts) { n.Preempted++ })
+		return err
+	case errors.Is(err, errSilent):
+		r.d.count(func(n *Counts) { n.Silent++ })
+	case event == tracker.EventBreak && isCrash(err):
+		r.crashed(ctx, u)
+	}
+	r.failed = append(r.failed, u.Address())
+	return err
+}
+
+// acquire waits for a slot on which the call can go on. The trial is not nil if
+// the call is a suspect; it must be ended after the attempt.
+func (r *run) acquire(ctx context.Context) (kingcuphook.Slot, *trial, error) {
+	for {
+		suspect, err := r.judge(ctx)
+		if err != nil {
+			return nil, nil, err
+		}
+		if !suspect {
+			slot, err := r.slot(ctx, nil)
+			if slot != nil || err != nil {
+				return slot, nil, err
+			}
+			continue
+		}
+		slot, t, err := r.acquireAlone(ctx)
+		if slot != nil || err != nil {
+			return slot, t, err
+		}
+		if !pause(ctx, judgeInterval) {
+			return nil, nil, ctx.Err()
+		}
+	}
+}
+
+// acquireAlone tries once to get a slot for a suspect where no other one runs.
+// It returns neither slot nor error when the call must be judged again.
+func (r *run) acquireAlone(ctx context.Context) (kingcuphook.Slot, *trial, error) {
+	t := r.d.newTrial(r.request.Fingerprint())
+	if t == nil {
+		return nil, nil, nil
+	}
+	slot, err := r.slot(ctx, r.d.Quarantiner.Busy())
+	if slot == nil || err != nil {
+		t.end()
+		return nil, nil, err
+	}
+	// Another router may have lost an upstream to the body since it was judged.
+	verdict := r.d.Quarantiner.Judge(time.Now(), r.request.Fingerprint())
+	if t.on(slot.Choice().Upstream.Address()) && verdict == quarantiner.VerdictSuspect {
+		return slot, t, nil
+	}
+	slot.Release(kingcuphook.Sample{Cancelled: true})
+	t.end()
+	return nil, nil, nil
+}
+
+// stuckOn reports whether an upstream cannot continue what the caller already
+// has.
+func (r *run) stuckOn(u *kingcuphook.Upstream) bool {
+	return r.request.Stream() && r.answer.Position() > 0 && !u.Resumes()
+}
+
+// slot asks the allocator for a slot outside of busy upstreams. It returns no
+// slot and no error when the caller must ask again.
+func (r *run) slot(ctx context.Context, busy []string) (kingcuphook.Slot, error) {
+	excluded := slices.Concat(r.unable, r.failed, busy)
+	slot, err := r.d.Allocator.Acquire(ctx, r.request, excluded)
+	switch {
+	case err == nil && r.stuckOn(slot.Choice().Upstream):
+		r.unable = append(r.unable, slot.Choice().Upstream.Address())
+		slot.Release(kingcuphook.Sample{Cancelled: true})
+		return nil, nil
+	case err == nil || !errors.Is(err, kingcuphook.ErrNoUpstream):
+		return slot, err
+	case len(busy) > 0 && ctx.Err() == nil:
+		return nil, nil
+	case len(r.failed) == 0:
+		return nil, err
+	default:
+		r.failed = nil
+		return nil, nil
+	}
+}
+
+func (r *run) newAttempt() *kingcuphook.Attempt {
+	return kingcuphook.NewAttempt(kingcuphook.AttemptFields{
+		ID:          r.d.attemptID(r.request),
+		Request:     r.request,
+		Method:      r.call.Method,
+		Path:        r.call.Path,
+		Body:        r.call.Body,
+		ContentType: r.call.ContentType,
+		ResumeFrom:  r.answer.Position(),
+		Delivered:   r.answer.Text(),
+	})
+}
+
+// fail ends the call with the error that its caller is told.
+func (r *run) fail(err error) error {
+	told := &kingcuphook.RequestError{Code: code(err), Ran: r.tracker.Says(), Err: err}
+	_ = r.tracker.Apply(tracker.EventFail)
+	var inner *kingcuphook.RequestError
+	if errors.As(err, &inner) {
+		told.Code = inner.Code
+		told.RetryAfter = inner.RetryAfter
+		if inner.Ran == kingcuphook.RunStateUnknown {
+			told.Ran = inner.Ran
+		}
+	}
+	if told.Ran == kingcuphook.RunStateNotRun && r.d.Claimer != nil {
+		r.d.Claimer.Release(r.ticket)
+	}
+	return told
+}
