Give each router at least its equal share of a limit

Cause: with late reports a router was left with less than limit/routers, so the upstream that holds the prompt had no free slot (held no-free-slot was the first reason of misses), and prompts were prefilled elsewhere.

--- a/limiter/share.go
+++ b/limiter/share.go
@@ -29,7 +29,8 @@
 	if u.reportMade.IsZero() || now.Sub(u.reportMade) > l.staleAfter() {
 		return l.fixedShare(limit)
 	}
-	return int(math.Floor(l.reportedShare(u, limit) + u.dither))
+	share := max(l.reportedShare(u, limit), limit/float64(l.routers()))
+	return int(math.Floor(share + u.dither))
 }
 
 // dither returns what is added to shares of slots before they are rounded down.
