Let a request wait for an upstream that keeps its targets

Cause: whichever slot became free first was taken, so till answers ran on slow upstreams and prompts were prefilled where they were not cached. A request now waits a share of its latency target for a better upstream, and the scheduler passes over it meanwhile instead of blocking its model. Upstreams are grouped by model.

--- a/scheduler/assign.go
+++ b/scheduler/assign.go
@@ -75,11 +75,23 @@
 		return
 	}
 	p.park(r)
-	if len(s.excluded[r.ID()]) == 0 {
+	if len(s.excluded[r.ID()]) == 0 && !s.usable(r) {
 		p.blocked = append(p.blocked, r.Model())
 	}
 }
 
+// usable reports whether an upstream with a free slot serves the model of r. If
+// so, it was r that could not go there or does better to wait.
+func (s *Scheduler) usable(r *kingcuphook.Request) bool {
+	tier := tierOf(r).Index()
+	for _, row := range s.slots.rows {
+		if row.free[tier] > 0 && serves(row.upstream, r.Model()) {
+			return true
+		}
+	}
+	return false
+}
+
 func (p *pass) park(r *kingcuphook.Request) { p.parked = append(p.parked, r) }
 
 // isGuaranteed reports whether r, which was just taken, may use the slots of
--- a/selector/score.go
+++ b/selector/score.go
@@ -38,6 +38,13 @@
 	// fitWeight is the share of the latency target that a whole token target of
 	// unneeded speed counts for.
 	fitWeight = 0.2
+	// holdForGap and holdForCache are the shares of the latency target that a
+	// request waits for an upstream that keeps its token target, and for one that
+	// has its prompt cached.
+	holdForGap   = 0.4
+	holdForCache = 0.15
+	// holdGain is the prefill time that is worth such a wait.
+	holdGain = 50 * time.Millisecond
 	// boundFactor is how much more than the mean load of its group an upstream
 	// may carry before the candidates are widened.
 	boundFactor = 1.25
@@ -59,6 +66,9 @@
 	// token target is in danger.
 	cost   time.Duration
 	cached int
+	// gap is the predicted time between tokens as a share of its target; 0
+	// without a target.
+	gap float64
 	// refused is empty for a usable candidate.
 	refused string
 	// remote says that the candidate is in another region.
@@ -76,6 +86,34 @@
 	return s.choose(query{now: now, request: r, usable: usable})
 }
 
+// holds reports whether the request does better to wait for another upstream
+// than to take the best one that is free: one that keeps the token target, or
+// one that has the prompt cached.
+func (s *Selector) holds(q *query, best int) bool {
+	r, b := q.request, &s.scratch[best]
+	if s.NoHold || r.Target() == 0 {
+		return false
+	}
+	waited := float64(q.waited()) / float64(r.Target())
+	if waited > holdForGap {
+		return false
+	}
+	for i := range s.scratch {
+		c := &s.scratch[i]
+		if c.refused != reasonUnusable || c.remote != b.remote {
+			continue
+		}
+		if b.gap > 1 && c.gap < safeGap {
+			return true
+		}
+		gained := time.Duration(float64(c.cached-b.cached) * b.tracker.first.slope * float64(time.Second))
+		if waited < holdForCache && gained > holdGain {
+			return true
+		}
+	}
+	return false
+}
+
 // query is one selection.
 type query struct {
 	now      time.Time
@@ -83,6 +121,9 @@
 	excluded []string
 	// usable, if set, reports whether an upstream has a free slot.
 	usable func(address string) bool
+	// near, region and remote are the upstreams that serve the model; nil for
+	// none.
+	near, region, remote *group
 	// key is the rendezvous key of the request.
 	key uint64
 	// held has what is thought to be cached where, the longest first.
@@ -99,11 +140,12 @@
 func (s *Selector) choose(q query) (kingcuphook.Choice, error) {
 	s.init()
 	r := q.request
-	if len(s.near.trackers)+len(s.region.trackers)+len(s.remote.trackers) == 0 {
+	q.near, q.region, q.remote = s.near.group(r.Model()), s.region.group(r.Model()), s.remote.group(r.Model())
+	if q.near == nil && q.region == nil && q.remote == nil {
 		return kingcuphook.Choice{}, fmt.Errorf("selector: pool %q: %w", r.Pool(), kingcuphook.ErrNoUpstream)
 	}
 	best := s.weigh(&q)
-	if best < 0 {
+	if best < 0 || s.holds(&q, best) {
 		return kingcuphook.Choice{}, nil
 	}
 	c := s.scratch[best]
@@ -118,7 +160,9 @@
 // Explain appends the candidates that Select would weigh to dst.
 func (s *Selector) Explain(now time.Time, r *kingcuphook.Request, dst []kingcuphook.Candidate) []kingcuphook.Candidate {
 	s.init()
-	s.weigh(&query{now: now, request: r})
+	q := query{now: now, request: r}
+	q.near, q.region, q.remote = s.near.group(r.Model()), s.region.group(r.Model()), s.remote.group(r.Model())
+	s.weigh(&q)
 	for _, c := range s.scratch {
 		dst = append(dst, kingcuphook.Candidate{
 			Upstream:     c.tracker.upstream.Address(),
@@ -135,11 +179,11 @@
 	s.scratch = s.scratch[:0]
 	r := q.request
 	s.recall(q)
-	best := s.weighGroup(q, &s.near)
+	best := s.weighGroup(q, q.near)
 	if best < 0 {
-		best = s.weighGroup(q, &s.region)
+		best = s.weighGroup(q, q.region)
 	}
-	if !s.spills || len(s.remote.trackers) == 0 || r.Target() == 0 {
+	if !s.spills || q.remote == nil || r.Target() == 0 {
 		return best
 	}
 	local := s.localWait(q, best)
@@ -184,7 +228,7 @@
 // meets the target and gains enough, else the local one.
 func (s *Selector) spill(q *query, home int, local time.Duration) int {
 	from := len(s.scratch)
-	best := s.weighGroup(q, &s.remote)
+	best := s.weighGroup(q, q.remote)
 	for i := from; i < len(s.scratch); i++ {
 		s.scratch[i].remote = true
 	}
@@ -263,7 +307,7 @@
 
 // weighGroup weighs the upstreams of one group and returns the best one, or -1.
 func (s *Selector) weighGroup(q *query, g *group) int {
-	if len(g.trackers) == 0 {
+	if g == nil {
 		return -1
 	}
 	from := len(s.scratch)
@@ -338,7 +382,7 @@
 func (s *Selector) weighHolders(q *query, g *group) {
 	for _, h := range q.held[:q.nHeld] {
 		t := s.byID[h.upstream]
-		if !t.upstream.Leaving() && s.groupOf(t) == g {
+		if slices.Contains(t.groups, g) {
 			s.weighOne(q, g, t)
 		}
 	}
@@ -379,7 +423,8 @@
 	r := q.request
 	c := scored{tracker: t, cached: q.cached(t.id)}
 	c.predicted = 2*g.delay + t.predict(q.now, r.PromptTokens()-c.cached)
-	c.cost = c.predicted + s.overrun(q.now, r, t) + t.imposed(r.PromptTokens()-c.cached)
+	c.gap = t.gapShare(q.now, r)
+	c.cost = c.predicted + s.overrun(r, c.gap) + t.imposed(r.PromptTokens()-c.cached)
 	c.refused = s.refuse(q, g, t)
 	s.scratch = append(s.scratch, c)
 }
@@ -441,15 +486,23 @@
 // overrun returns what the risk of missing the token target counts for. A
 // request with a lax token target pays for more speed than it needs, so that
 // fast upstreams stay free for requests with a tight one.
-func (s *Selector) overrun(now time.Time, r *kingcuphook.Request, t *tracker) time.Duration {
-	if r.TokenTarget() == 0 {
+func (s *Selector) overrun(r *kingcuphook.Request, gap float64) time.Duration {
+	if gap == 0 {
 		return 0
 	}
-	gap := t.predictGap() + t.blocking(now)/shortAnswer
-	over := float64(gap)/float64(r.TokenTarget()) - safeGap
-	if over > 0 {
-		return time.Duration(over * overrunWeight * float64(r.Target()))
+	if gap > safeGap {
+		return time.Duration((gap - safeGap) * overrunWeight * float64(r.Target()))
 	}
 	lax := 1 - float64(s.tightest)/float64(r.TokenTarget())
-	return time.Duration(-over * lax * fitWeight * float64(r.Target()))
+	return time.Duration((safeGap - gap) * lax * fitWeight * float64(r.Target()))
+}
+
+// gapShare returns the predicted time between the tokens of r as a share of its
+// target; 0 without a target.
+func (t *tracker) gapShare(now time.Time, r *kingcuphook.Request) float64 {
+	if r.TokenTarget() == 0 {
+		return 0
+	}
+	gap := t.predictGap() + t.blocking(now)/shortAnswer
+	return float64(gap) / float64(r.TokenTarget())
 }
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -50,6 +50,8 @@
 	NoAffinity bool
 	// NoPrediction orders the candidates by load instead of by predicted time.
 	NoPrediction bool
+	// NoHold never lets a request wait for a better upstream than a free one.
+	NoHold bool
 	// NoBound lifts the bound on the load of a candidate.
 	NoBound bool
 
@@ -59,9 +61,8 @@
 	byID []*tracker
 	// epochs has the last epoch of each identifier.
 	epochs []uint32
-	// near, region and remote are the upstreams by distance. Upstreams whose
-	// row says that they leave are in none of them.
-	near, region, remote group
+	// near, region and remote are the upstreams by distance.
+	near, region, remote place
 	index                *index
 	spills               bool
 	// lastSpill is when a request last went to another region.
@@ -77,13 +78,20 @@
 
 var _ kingcuphook.Selector = (*Selector)(nil)
 
-// group is a set of upstreams at the same distance.
+// place has the upstreams at the same distance by model. Upstreams whose row
+// says that they leave are in no group.
+type place struct {
+	groups map[string]*group
+	// delay is the one-way link delay.
+	delay time.Duration
+}
+
+// group is the upstreams of a place that serve a model.
 type group struct {
 	trackers []*tracker
 	// load and slots are sums over trackers.
 	load, slots int
-	// delay is the one-way link delay.
-	delay time.Duration
+	delay       time.Duration
 }
 
 func (s *Selector) init() {
@@ -99,15 +107,16 @@
 func (s *Selector) Update(_ time.Time, p *kingcuphook.Pool) {
 	s.init()
 	s.spills = p.SpillRegions()
-	s.near = group{}
-	s.region = group{delay: orDuration(s.CentreDelay, defaultCentreDelay)}
-	s.remote = group{delay: orDuration(s.RegionDelay, defaultRegionDelay)}
+	s.near = newPlace(0)
+	s.region = newPlace(orDuration(s.CentreDelay, defaultCentreDelay))
+	s.remote = newPlace(orDuration(s.RegionDelay, defaultRegionDelay))
 	wanted := make(map[string]bool, len(p.Upstreams()))
 	for _, u := range p.Upstreams() {
 		wanted[u.Address()] = true
 		t := s.track(u)
+		t.groups = t.groups[:0]
 		if !u.Leaving() {
-			s.groupOf(t).add(t)
+			s.placeOf(t).add(t)
 		}
 	}
 	for address, t := range s.trackers {
@@ -136,8 +145,8 @@
 	return t
 }
 
-// groupOf returns the group of the tracker by distance.
-func (s *Selector) groupOf(t *tracker) *group {
+// placeOf returns the place of the tracker by distance.
+func (s *Selector) placeOf(t *tracker) *place {
 	switch {
 	case s.Region == "" || s.Region == t.upstream.Region() && s.DataCentre == t.upstream.DataCentre():
 		return &s.near
@@ -148,10 +157,36 @@
 	}
 }
 
-func (g *group) add(t *tracker) {
-	g.trackers = append(g.trackers, t)
-	g.load += t.load()
-	g.slots += t.slots
+func newPlace(delay time.Duration) place {
+	return place{groups: make(map[string]*group), delay: delay}
+}
+
+// add puts the tracker into the groups of its models; one without models goes
+// to the group of the empty model.
+func (p *place) add(t *tracker) {
+	models := t.upstream.Models()
+	if len(models) == 0 {
+		models = []string{""}
+	}
+	for _, model := range models {
+		g := p.groups[model]
+		if g == nil {
+			g = &group{delay: p.delay}
+			p.groups[model] = g
+		}
+		g.trackers = append(g.trackers, t)
+		g.load += t.load()
+		g.slots += t.slots
+		t.groups = append(t.groups, g)
+	}
+}
+
+// group returns the upstreams that serve the model, or nil.
+func (p *place) group(model string) *group {
+	if g := p.groups[model]; g != nil {
+		return g
+	}
+	return p.groups[""]
 }
 
 // Started tells that the request was dispatched to the upstream.
@@ -160,8 +195,7 @@
 	if t == nil {
 		return
 	}
-	g := s.groupOf(t)
-	if g == &s.remote {
+	if s.placeOf(t) == &s.remote {
 		s.lastSpill = now
 	}
 	before := t.load()
@@ -171,7 +205,7 @@
 	q := query{request: r}
 	s.recall(&q)
 	t.started(now, r.ID(), r.PromptTokens()-q.cached(t.id))
-	g.move(t, before)
+	t.moved(before)
 	s.index.learn(r.Prefix(), r.Fingerprint(), holder{upstream: t.id, epoch: t.epoch})
 }
 
@@ -181,13 +215,12 @@
 	if t == nil {
 		return
 	}
-	g := s.groupOf(t)
-	if g != &s.remote {
+	if s.placeOf(t) != &s.remote {
 		s.freed(now)
 	}
 	before := t.load()
 	t.finished(r.ID(), a)
-	g.move(t, before)
+	t.moved(before)
 	if a.Failed {
 		t.epoch++
 	}
@@ -210,12 +243,12 @@
 	}
 	before := t.load()
 	t.report(now, l)
-	s.groupOf(t).move(t, before)
+	t.moved(before)
 }
 
-// move corrects the sum of the group after the load of t has changed.
-func (g *group) move(t *tracker, before int) {
-	if !t.upstream.Leaving() {
+// moved corrects the sums of the groups after the load of t has changed.
+func (t *tracker) moved(before int) {
+	for _, g := range t.groups {
 		g.load += t.load() - before
 	}
 }
--- a/selector/tracker.go
+++ b/selector/tracker.go
@@ -42,6 +42,8 @@
 // tracker is what a router knows of one upstream.
 type tracker struct {
 	upstream *kingcuphook.Upstream
+	// groups are the groups that the upstream is in.
+	groups []*group
 	// id stands for the upstream in the prefix index; it may be used again
 	// after the upstream has left, with a higher epoch.
 	id uint32
