--- a/follower/fanout_test.go
+++ b/follower/fanout_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"sync/atomic"
@@ -33,9 +32,6 @@
 	pollInterval = 100 * time.Millisecond
 )
 
-// fanoutNodes is the larger fleet of TestFanOutStaysInBudget.
-var fanoutNodes = flag.Int("fanout-nodes", 63, "routers of the larger fleet; 1,100 is the size to design for")
-
 // warmUp is the time in which a new fleet gets to know its members.
 const warmUp = 60 * time.Second
 
@@ -240,7 +236,7 @@
 	for _, tt := range []struct {
 		nodes, centres, regions int
 		everyWatches            bool
-	}{{8, 3, 3, false}, {8, 3, 3, true}, {*fanoutNodes, 21, 10, false}, {*fanoutNodes, 21, 10, true}} {
+	}{{8, 3, 3, false}, {8, 3, 3, true}, {*follower.FleetNodes, 21, 10, false}, {*follower.FleetNodes, 21, 10, true}} {
 		name := fmt.Sprintf("nodes=%d/every-router-watches=%t", tt.nodes, tt.everyWatches)
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -30,6 +30,11 @@
 	// watchInterval is the least mean time between two watches, so that edits in
 	// quick succession come together.
 	watchInterval = 250 * time.Millisecond
+	// firstWatcherRead and firstRead bound the random wait of a starting router,
+	// in which peers may bring the tables, so that routers that start together
+	// spread their reads.
+	firstWatcherRead = 500 * time.Millisecond
+	firstRead        = 2 * time.Second
 	// watchBurst is how many watches may follow each other at once.
 	watchBurst = 4
 	// watchTimeout bounds a watch whose connection went silent.
@@ -204,6 +209,7 @@
 // Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	r := runner{f: f, pace: rate.NewLimiter(rate.Every(watchInterval), watchBurst)}
+	r.start(ctx)
 	for ctx.Err() == nil {
 		pause := r.step(ctx)
 		sleep(ctx, pause)
--- /dev/null
+++ b/follower/outage_test.go
@@ -0,0 +1,167 @@
+package follower
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/editor"
+	"github.com/kingcuphook/kingcuphook/emulator/storer"
+	"github.com/kingcuphook/kingcuphook/parser"
+)
+
+// FleetNodes is the size of the larger fleets.
+var FleetNodes = flag.Int("fleet-nodes", 63, "routers of the larger fleets; 1,100 is the size to design for")
+
+const (
+	outageCentres = 21
+	// maxCalls is a tenth of the store's reads a second.
+	maxCalls = 200
+)
+
+// crowd is a fleet of followers without peers before a store that fails.
+type crowd struct {
+	store     storer.Store
+	followers []*Follower
+
+	mu sync.Mutex
+	// fault is that of each call now.
+	fault storer.Fault
+	// calls are those of each second.
+	calls map[int64]int
+	// events counts the events of all followers.
+	events map[EventKind]int
+}
+
+func newCrowd(t *testing.T) *crowd {
+	c := &crowd{calls: make(map[int64]int), events: make(map[EventKind]int)}
+	c.store.Hook = func(string, string) storer.Fault {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.calls[time.Now().Unix()]++
+		return c.fault
+	}
+	routers := make([]Router, *FleetNodes)
+	for i := range routers {
+		routers[i] = Router{Address: fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250), DataCentre: fmt.Sprint(i % outageCentres)}
+	}
+	c.edit(t, "1")
+	for i, r := range routers {
+		watches := Watches(r, routers)
+		f := &Follower{
+			Store: &c.store, Self: r, IsWatcher: func() bool { return watches }, Rand: rand.New(rand.NewPCG(uint64(i), 3)),
+			OnEvent: func(e Event) {
+				c.mu.Lock()
+				defer c.mu.Unlock()
+				c.events[e.Kind]++
+			},
+		}
+		c.followers = append(c.followers, f)
+		go f.Run(t.Context())
+	}
+	time.Sleep(time.Minute)
+	c.reset()
+	return c
+}
+
+func (c *crowd) edit(t *testing.T, id string) {
+	t.Helper()
+	e := editor.Editor{Store: &c.store}
+	route := kingcuphook.NewRoute(kingcuphook.RouteFields{Name: id, Pool: "p", Tier: 1})
+	_, err := e.Apply(t.Context(), editor.Edit{
+		ID: id, Author: "nour", Base: editor.BaseNewest,
+		Routes: parser.NewRouteTable("", []*kingcuphook.Route{route}), Pools: parser.NewPoolTable("", testPools()),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (c *crowd) set(f storer.Fault) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.fault = f
+}
+
+// reset forgets the calls so far.
+func (c *crowd) reset() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	clear(c.calls)
+}
+
+// peak returns the most calls of a second.
+func (c *crowd) peak() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, v := range c.calls {
+		n = max(n, v)
+	}
+	return n
+}
+
+// lowest returns the lowest revision in force on a router that watches, and on
+// any.
+func (c *crowd) lowest() (watching, any int64) {
+	watching, any = c.followers[0].Current().Revision(), c.followers[0].Current().Revision()
+	for _, f := range c.followers {
+		any = min(any, f.Current().Revision())
+		if f.IsWatcher() {
+			watching = max(watching, f.Current().Revision())
+		}
+	}
+	return watching, any
+}
+
+// A store that fails for an hour, in any of three ways, changes nothing in force
+// and is not crowded, neither meanwhile nor on its return, and what it holds
+// then is in force on the watchers in time.
+func TestStoreOutage(t *testing.T) {
+	flap := func(c *crowd) {
+		for range 600 {
+			c.set(storer.Fault{Down: true})
+			time.Sleep(3 * time.Second)
+			c.set(storer.Fault{})
+			time.Sleep(3 * time.Second)
+		}
+	}
+	for name, fail := range map[string]func(c *crowd){
+		"down": func(c *crowd) {
+			c.set(storer.Fault{Down: true})
+			time.Sleep(time.Hour)
+		},
+		"slow": func(c *crowd) {
+			c.set(storer.Fault{Delay: 4 * time.Second})
+			time.Sleep(time.Hour)
+		},
+		"flapping": flap,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := newCrowd(t)
+				fail(c)
+				_, low := c.lowest()
+				is.Equal(low, int64(1))
+				c.set(storer.Fault{})
+				c.edit(t, "2")
+				time.Sleep(convergence)
+				high, low := c.lowest()
+				is.Equal(high, int64(2))
+				is.True(low >= 1)
+				t.Logf("most calls in a second: %d; events: %v", c.peak(), c.events)
+				is.True(c.peak() <= maxCalls)
+				is.True(name == "slow" || c.events[EventStoreFailed] >= 2*outageCentres)
+				is.True(name == "slow" || c.events[EventStoreBack] >= 2*outageCentres)
+			})
+		})
+	}
+}
--- a/follower/runner.go
+++ b/follower/runner.go
@@ -25,6 +25,15 @@
 	failures int
 }
 
+// start waits before the first read.
+func (r *runner) start(ctx context.Context) {
+	wait := time.Duration(r.f.Rand.Int64N(int64(firstRead)))
+	r.nextRead = time.Now().Add(wait)
+	if r.watches() {
+		sleep(ctx, min(wait, firstWatcherRead))
+	}
+}
+
 // step makes at most one call and returns how long to wait before the next.
 func (r *runner) step(ctx context.Context) time.Duration {
 	watches := r.watches()
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -23,6 +24,10 @@
 	// loadAttempts bounds how often a load starts again because an edit removed
 	// a value between the calls.
 	loadAttempts = 3
+	// getAttempts bounds the reads of one value, and rateDelay is the wait before
+	// the second; it grows by as much each time.
+	getAttempts = 5
+	rateDelay   = 100 * time.Millisecond
 )
 
 // State is what the store held when it was read.
@@ -139,7 +144,7 @@
 // value reads a value that a head or manifest names. If it is gone the error
 // wraps ErrCompacted: a newer head does not name it any more.
 func (l *Loader) value(ctx context.Context, key string) ([]byte, error) {
-	e, err := l.Store.Get(ctx, key)
+	e, err := l.get(ctx, key)
 	if errors.Is(err, kingcuphook.ErrNotFound) {
 		return nil, fmt.Errorf("loader: %s is gone: %w", key, kingcuphook.ErrCompacted)
 	}
@@ -149,6 +154,24 @@
 	return e.Value(), nil
 }
 
+// get reads a value, again a little later if the store is over its rate: a load
+// that began is better ended than begun anew.
+func (l *Loader) get(ctx context.Context, key string) (kingcuphook.Entry, error) {
+	for n := 1; ; n++ {
+		e, err := l.Store.Get(ctx, key)
+		if n == getAttempts || !errors.Is(err, kingcuphook.ErrRateLimited) {
+			return e, err
+		}
+		timer := time.NewTimer(time.Duration(n) * rateDelay)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return e, err
+		}
+	}
+}
+
 // whole returns the tables of a manifest. It reads only the segments that have
 // does not share.
 func (l *Loader) whole(ctx context.Context, m *encoder.Manifest, have *differ.Snapshot) (*differ.Snapshot, error) {
