--- /dev/null
+++ b/applier/applier_test.go
@@ -0,0 +1,60 @@
+package applier
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/differ"
+)
+
+// chain returns n states, each with a route more than the one before.
+func chain(t *testing.T, n int, name string) []*differ.Snapshot {
+	t.Helper()
+	out := []*differ.Snapshot{differ.EmptySnapshot()}
+	for i := range n {
+		s := out[len(out)-1]
+		id := fmt.Sprintf("%s-%d", name, i)
+		routes := append([]*kingcuphook.Route{}, s.Tables().Routes()...)
+		routes = append(routes, kingcuphook.NewRoute(kingcuphook.RouteFields{Name: id}))
+		next, err := differ.Advance(s, differ.NewChange(differ.ChangeFields{
+			Revision: s.Revision() + 1, EditID: id, Parent: s.Lineage(),
+			Lineage: differ.NextLineage(s.Lineage(), s.Revision()+1, id),
+			Rows:    differ.Diff(s.Tables(), kingcuphook.NewTables(0, routes, nil)),
+		}), defaultKeep)
+		if err != nil {
+			t.Fatal(err)
+		}
+		out = append(out, next)
+	}
+	return out
+}
+
+func TestOnlyHigherIsApplied(t *testing.T) {
+	is := is.New(t)
+	a, b := chain(t, 5, "a"), chain(t, 6, "b")
+	var p Applier
+	is.Equal(p.Offer(a[3]), VerdictApplied)
+	is.Equal(p.Offer(a[3]), VerdictCurrent)
+	is.Equal(p.Offer(a[2]), VerdictOlder)
+	is.Equal(p.Offer(b[3]), VerdictOlder)
+	is.Equal(p.InForce(), a[3])
+
+	advance := func(cs []differ.Change) Verdict {
+		v, err := p.Advance(cs)
+		is.NoErr(err)
+		return v
+	}
+	is.Equal(advance(a[2].Changes()), VerdictOlder)
+	is.Equal(advance(a[3].Changes()), VerdictCurrent)
+	is.Equal(advance(b[3].Changes()), VerdictOlder)
+	is.Equal(advance(b[5].Changes()), VerdictGap)
+	is.Equal(advance(a[5].Changes()[4:]), VerdictGap)
+	is.Equal(p.InForce(), a[3])
+	is.Equal(advance(a[5].Changes()), VerdictApplied)
+	is.Equal(p.InForce().Lineage(), a[5].Lineage())
+	is.Equal(p.Offer(b[6]), VerdictForked)
+	is.Equal(p.InForce(), b[6])
+}
--- a/editor/outcome_test.go
+++ b/editor/outcome_test.go
@@ -221,3 +221,47 @@
 	_, err = e.Apply(context.Background(), Edit{ID: "3"})
 	is.True(errors.Is(err, kingcuphook.ErrInvalid))
 }
+
+// staleStore returns the first head that it saw once it is told to.
+type staleStore struct {
+	*storer.Store
+	first kingcuphook.Entry
+	stale bool
+}
+
+// Get implements kingcuphook.Store.
+func (s *staleStore) Get(ctx context.Context, key string) (kingcuphook.Entry, error) {
+	if s.stale && key == encoder.HeadKey {
+		return s.first, nil
+	}
+	return s.Store.Get(ctx, key)
+}
+
+// A stale read must not let a write that may still take effect pass for one that
+// never will.
+func TestStaleReadKeepsTheOutcomeUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &staleStore{Store: &storer.Store{}}
+		e := Editor{Store: s}
+		_, err := e.Apply(t.Context(), edit(t, "1", 0, "a"))
+		is.NoErr(err)
+		s.first, err = s.Get(t.Context(), encoder.HeadKey)
+		is.NoErr(err)
+		_, err = e.Apply(t.Context(), edit(t, "2", 1, "a", "b"))
+		is.NoErr(err)
+		lost := false
+		s.Hook = func(op, key string) storer.Fault {
+			if op != storer.OpPut || key != encoder.HeadKey {
+				return storer.Fault{}
+			}
+			if !lost {
+				lost, s.stale = true, true
+				return storer.Fault{LoseRequest: true}
+			}
+			return storer.Fault{Down: true}
+		}
+		_, err = e.Apply(t.Context(), edit(t, "3", 2, "a", "b", "c"))
+		is.True(errors.Is(err, kingcuphook.ErrOutcomeUnknown))
+	})
+}
--- /dev/null
+++ b/follower/follower_test.go
@@ -0,0 +1,125 @@
+package follower
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/differ"
+	"github.com/kingcuphook/kingcuphook/emulator/storer"
+	"github.com/kingcuphook/kingcuphook/encoder"
+)
+
+func TestTwoRoutersOfEachCentreWatch(t *testing.T) {
+	is := is.New(t)
+	routers := make([]Router, 0, 60)
+	for i := range 60 {
+		routers = append(routers, Router{Address: fmt.Sprintf("10.0.0.%d:7000", i), DataCentre: fmt.Sprint(i % 3)})
+	}
+	watchers := make(map[string]int)
+	for _, r := range routers {
+		if Watches(r, routers) {
+			watchers[r.DataCentre]++
+		}
+	}
+	is.Equal(watchers, map[string]int{"0": Watchers, "1": Watchers, "2": Watchers})
+	is.True(Watches(routers[0], nil))
+}
+
+// single runs one follower that watches and records its events.
+func single(t *testing.T, s kingcuphook.Store) (*Follower, *[]Event) {
+	events := &[]Event{}
+	f := &Follower{Store: s, Rand: rand.New(rand.NewPCG(1, 1)), OnEvent: func(e Event) { *events = append(*events, e) }}
+	go f.Run(t.Context())
+	return f, events
+}
+
+func last(t *testing.T, events *[]Event) Event {
+	t.Helper()
+	if len(*events) == 0 {
+		t.Fatal("no event")
+	}
+	return (*events)[len(*events)-1]
+}
+
+func TestBadValuesChangeNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := crowd{}
+		c.edit(t, "1")
+		f, events := single(t, &c.store)
+		time.Sleep(convergence)
+		is.Equal(f.Current().Revision(), int64(1))
+		_, err := c.store.Put(t.Context(), encoder.HeadKey, []byte("not a head"), kingcuphook.RevisionAny, 0)
+		is.NoErr(err)
+		time.Sleep(convergence)
+		is.Equal(f.Current().Revision(), int64(1))
+		is.Equal(last(t, events).Kind, EventRefused)
+		var e *kingcuphook.InputError
+		is.True(errors.As(last(t, events).Err, &e))
+		is.Equal(e.File, encoder.HeadKey)
+
+		is.True(errors.Is(f.Offer("peer", []byte("not an update")), kingcuphook.ErrInvalid))
+		bad := kingcuphook.NewTables(9, []*kingcuphook.Route{kingcuphook.NewRoute(kingcuphook.RouteFields{Name: "a", Tier: 1})}, nil)
+		data, err := encoder.EncodeSnapshot(differ.NewSnapshot(bad, 1, nil))
+		is.NoErr(err)
+		is.True(errors.Is(f.Offer("peer", data), kingcuphook.ErrInvalid))
+		is.Equal(f.Current().Revision(), int64(1))
+	})
+}
+
+// A segment that was damaged in the store is refused by its hash.
+func TestDamagedSegmentIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := crowd{}
+		for i := range 9 {
+			c.edit(t, fmt.Sprint(i))
+		}
+		entries, err := c.store.List(t.Context(), encoder.SegmentPrefix)
+		is.NoErr(err)
+		for _, e := range entries {
+			_, err = c.store.Put(t.Context(), e.Key(), []byte{}, kingcuphook.RevisionAny, 0)
+			is.NoErr(err)
+		}
+		f, events := single(t, &c.store)
+		time.Sleep(convergence)
+		is.Equal(f.Current().Revision(), int64(0))
+		is.Equal(last(t, events).Kind, EventRefused)
+	})
+}
+
+func TestOlderStoreIsReportedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := crowd{}
+		c.edit(t, "1")
+		old := c.store.Snapshot()
+		c.edit(t, "2")
+		f, events := single(t, &c.store)
+		time.Sleep(convergence)
+		c.store.Restore(old)
+		time.Sleep(time.Minute)
+		is.Equal(f.Current().Revision(), int64(2))
+		is.Equal(last(t, events), Event{Kind: EventStoreOlder, Source: sourceStore, InForce: 2, Seen: 1})
+		n := 0
+		for _, e := range *events {
+			if e.Kind == EventStoreOlder {
+				n++
+			}
+		}
+		is.Equal(n, 1)
+
+		// An emptied store is older too.
+		c.store.Restore(storer.Snapshot{})
+		time.Sleep(time.Minute)
+		is.Equal(f.Current().Revision(), int64(2))
+		is.Equal(last(t, events), Event{Kind: EventStoreOlder, Source: sourceStore, InForce: 2})
+	})
+}
