Let a quarantine stand against suspicions; join peers before being ready

A suspicion of a router that had not heard of a quarantine replaced it by the rule that the later change holds; and a router that had not joined its peers was not told of suspects, so that a third upstream crashed. Ruled out: the reservation in the store, which only routers that know the suspicion make.

--- a/cmd/kingcuphook/script_test.go
+++ b/cmd/kingcuphook/script_test.go
@@ -50,6 +50,7 @@
 // member is one router of a fleet.
 type member struct {
 	router *router.Router
+	ctx    context.Context
 	stop   context.CancelFunc
 	ended  chan error
 }
@@ -144,14 +145,19 @@
 	}
 	ts.Check(applyExample(ctx, f.store, f.pools))
 	f.routers = make([]*member, index(ts, args[0]))
-	for i := range f.routers {
-		f.start(ts, i)
-	}
 	vms := make([]kingcuphook.VM, 0, len(f.routers))
-	for i, m := range f.routers {
-		vms = append(vms, kingcuphook.NewVM(m.router.PeersAddress(), regions[i%len(regions)], regions[i%len(regions)]+"-1", kingcuphook.VMStateLive))
+	for i := range f.routers {
+		f.listen(ts, i)
+		region := regions[i%len(regions)]
+		vms = append(vms, kingcuphook.NewVM(f.routers[i].router.PeersAddress(), region, region+"-1", kingcuphook.VMStateLive))
 	}
 	f.store.SetVMs(vms)
+	for i := range f.routers {
+		f.run(i)
+	}
+	for i := range f.routers {
+		f.waitReady(ts, i)
+	}
 	ts.Setenv("KINGCUPHOOK_API", f.routers[0].router.OperatorsAddress())
 }
 
@@ -196,8 +202,8 @@
 	return "http://" + f.routers[n].router.CallersAddress()
 }
 
-// start starts router i and waits until it is ready.
-func (f *fleet) start(ts *testscript.TestScript, i int) {
+// listen makes router i and opens its sockets.
+func (f *fleet) listen(ts *testscript.TestScript, i int) {
 	s := configurer.Default()
 	region := regions[i%len(regions)]
 	s.Node = configurer.Node{Region: region, DataCentre: region + "-1"}
@@ -210,12 +216,21 @@
 	s.Operators.Token = tryToken
 	s.Stop.DrainDelay = configurer.Duration(100 * time.Millisecond)
 	ctx, cancel := context.WithCancel(context.Background())
-	m := &member{router: &router.Router{Settings: &s}, stop: cancel, ended: make(chan error, 1)}
+	m := &member{router: &router.Router{Settings: &s}, ctx: ctx, stop: cancel, ended: make(chan error, 1)}
 	ts.Check(m.router.Listen())
-	go func() { m.ended <- m.router.Run(ctx) }()
 	f.routers[i] = m
 	ts.Defer(cancel)
-	if err := waitReady(ctx, m.router, m.ended); err != nil {
+}
+
+// run runs router i until it is stopped.
+func (f *fleet) run(i int) {
+	m := f.routers[i]
+	go func() { m.ended <- m.router.Run(m.ctx) }()
+}
+
+func (f *fleet) waitReady(ts *testscript.TestScript, i int) {
+	m := f.routers[i]
+	if err := waitReady(m.ctx, m.router, m.ended); err != nil {
 		ts.Fatalf("router %d: %v", i, err)
 	}
 }
@@ -360,7 +375,10 @@
 }
 
 func restartCmd(ts *testscript.TestScript, _ bool, args []string, f *fleet) {
-	f.start(ts, index(ts, args[0]))
+	i := index(ts, args[0])
+	f.listen(ts, i)
+	f.run(i)
+	f.waitReady(ts, i)
 }
 
 func crashCmd(ts *testscript.TestScript, _ bool, args []string, f *fleet) {
--- a/quarantiner/exchange.go
+++ b/quarantiner/exchange.go
@@ -69,19 +69,21 @@
 	return nil
 }
 
-// adopt merges the entry of a peer: two suspicions add up, and otherwise the
-// later change holds.
+// adopt merges the entry of a peer: two suspicions add up, a quarantine and a
+// suspicion make a quarantine, and otherwise the later change holds.
 func (q *Quarantiner) adopt(e Entry) {
 	own := q.entry(e.fingerprint)
-	if own.state == stateSuspect && e.state == stateSuspect {
-		own.crashes = merge(own.crashes, e.crashes)
+	switch {
+	case own.state == stateSuspect && e.state == stateSuspect:
+		own.join(&e)
 		own.crashes = slices.DeleteFunc(own.crashes, q.isExplained)
-		if e.changed.After(own.changed) {
-			own.changed = e.changed
-		}
 		return
-	}
-	if own.state != "" && !e.overrides(own) {
+	case own.state == stateQuarantined && e.state == stateSuspect:
+		own.changed = later(own.changed, e.changed)
+		return
+	case own.state == stateSuspect && e.state == stateQuarantined:
+		e.changed = later(own.changed, e.changed)
+	case own.state != "" && !e.overrides(own):
 		return
 	}
 	*own = e
@@ -93,6 +95,19 @@
 	}
 }
 
+// join adds the suspicion of a peer to e.
+func (e *Entry) join(peer *Entry) {
+	e.crashes = merge(e.crashes, peer.crashes)
+	e.changed = later(e.changed, peer.changed)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // overrides reports whether e is the later change. At the same millisecond the
 // operator's word holds, and then the order of codes.
 func (e *Entry) overrides(own *Entry) bool {
--- a/router/control.go
+++ b/router/control.go
@@ -21,6 +21,9 @@
 	tickInterval = 100 * time.Millisecond
 	// slowInterval is how often what need not be at once is done.
 	slowInterval = 500 * time.Millisecond
+	// joinTimeout is how long a router without an answer of any peer waits before
+	// it is ready.
+	joinTimeout = 5 * time.Second
 	// vmListInterval is how often the list of VMs is read by a small fleet; a
 	// larger one reads it less often, so that its reads stay at vmListRate a
 	// second.
@@ -56,6 +59,10 @@
 	revision int64
 	// pulling is set while tables are being pulled from a peer.
 	pulling  bool
+	// begun is when the loop began. joined says that a peer has answered, or that
+	// there is none.
+	begun    time.Time
+	joined   bool
 	nextList time.Time
 	nextSlow time.Time
 	// known has the addresses of the other routers as last published.
@@ -133,6 +140,7 @@
 	c.listVMs(ctx, now)
 	c.exchange(ctx, now)
 	c.ask(ctx, now)
+	c.becomeReady(now)
 	if now.Before(c.nextSlow) {
 		return
 	}
@@ -152,8 +160,19 @@
 	c.router.allocator.Update(s.Tables())
 	c.gossip.SetRevision(now, s.Revision(), "")
 	c.takeUpstreams(s.Tables())
-	if !c.router.stopping.Load() && c.router.ready.CompareAndSwap(false, true) {
-		c.router.Log.Log(logger.Ready, "revision", s.Revision())
+}
+
+// becomeReady makes the router ready once it has tables and has joined its
+// peers: it then knows of their suspects, and they tell it of new ones.
+func (c *control) becomeReady(now time.Time) {
+	if c.begun.IsZero() {
+		c.begun = now
+	}
+	if c.revision == 0 || !c.joined && now.Sub(c.begun) < joinTimeout || c.router.stopping.Load() {
+		return
+	}
+	if c.router.ready.CompareAndSwap(false, true) {
+		c.router.Log.Log(logger.Ready, "revision", c.revision)
 	}
 }
 
@@ -211,6 +230,9 @@
 		}
 	}
 	c.gossip.SetHints(now, routers)
+	if len(routers) == 0 || len(routers) == 1 && routers[0].Address() == c.gossip.Address {
+		c.joined = true
+	}
 	for a := range c.leaving {
 		if !left[a] {
 			c.router.Log.Log(logger.UpstreamLeaving, "upstream", a, "source", "vm-list")
--- a/router/peers.go
+++ b/router/peers.go
@@ -137,6 +137,7 @@
 // merge takes a peer's digest, and its tables if they are newer.
 func (c *control) merge(ctx context.Context, now time.Time, d *gossiper.Digest) {
 	peer := d.Sender.Address
+	c.joined = true
 	behind, err := c.gossip.Merge(now, d)
 	if err != nil {
 		c.router.Log.Log(logger.PeerFailed, "peer", peer, "error", err)
