--- a/follower/runner.go
+++ b/follower/runner.go
@@ -25,6 +25,15 @@
 	failures int
 }
 
+// start waits before the first read.
+func (r *runner) start(ctx context.Context) {
+	wait := time.Duration(r.f.Rand.Int64N(int64(firstRead)))
+	r.nextRead = time.Now().Add(wait)
+	if r.watches() {
+		sleep(ctx, min(wait, firstWatcherRead))
+	}
+}
+
 // step makes at most one call and returns how long to wait before the next.
 func (r *runner) step(ctx context.Context) time.Duration {
 	watches := r.watches()
@@ -54,7 +63,10 @@
 }
 
 func (r *runner) watches() bool {
-	if r.f.WatchAlways || r.f.Routers == nil {
+	if r.f.IsWatcher != nil {
+		return r.f.IsWatcher()
+	}
+	if r.f.Routers == nil {
 		return true
 	}
 	return Watches(r.f.Self, r.f.Routers())
@@ -114,6 +126,7 @@
 		r.after = max(revision, r.after)
 		return nil
 	}
+	r.f.advance(entries[:len(entries)-1])
 	last := entries[len(entries)-1]
 	if last.Deleted() {
 		r.f.missing()
