--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -22,7 +22,7 @@
 )
 
 // headroom is the share of the limit that a tier leaves free, by tier index.
-var headroom = [kingcuphook.TierCount]float64{0, 0.05, 0.1, 0.15, 0.2}
+var headroom = [kingcuphook.TierCount]float64{0, 0.15, 0.3, 0.4, 0.5}
 
 // Limiter is the limits of one pool at one router. It is used by one goroutine
 // at a time.
@@ -122,15 +122,6 @@
 // Limit returns the learned limit of all routers together.
 func (l *Limiter) Limit(address string) float64 { return l.upstream(address).limit }
 
-// Gap returns the mean time between tokens of the last attempts; 0 if unknown.
-func (l *Limiter) Gap(address string) time.Duration {
-	u := l.upstreams[address]
-	if u == nil {
-		return 0
-	}
-	return time.Duration(u.gap * float64(time.Second))
-}
-
 // Running returns the requests of this router that run on the upstream.
 func (l *Limiter) Running(address string) int { return len(l.upstream(address).running) }
 
--- a/limiter/share.go
+++ b/limiter/share.go
@@ -10,17 +10,9 @@
 	"github.com/kingcuphook/kingcuphook"
 )
 
-const (
-	// crowded is the share of the limit from which routers even out what they
-	// hold.
-	crowded = 0.9
-	// evenStep is the share of the difference that is evened out at a report.
-	evenStep = 1.0 / 32
-	// turnEvery is how long a router keeps its turn for a share of a slot. Shares
-	// that change often are all filled at their highest, since what runs is not
-	// taken back.
-	turnEvery = 8 * time.Second
-)
+// turnEvery is how long a router keeps its turn for a share of a slot. Shares that
+// change often are all filled at their highest, since what runs is not taken back.
+const turnEvery = 8 * time.Second
 
 // allowance returns how many requests the router may have running on u when the
 // next one is of tier t.
@@ -77,11 +69,7 @@
 		return own + spare*own/max(load, 1)
 	}
 	part := 0.5/n + 0.5*(own+1)/(load+n)
-	share := own + spare*part
-	if load >= crowded*limit {
-		share += evenStep * (load/n - own)
-	}
-	return share
+	return own + spare*part
 }
 
 func tierHeadroom(t kingcuphook.Tier) float64 {
--- a/scheduler/assign.go
+++ b/scheduler/assign.go
@@ -11,9 +11,6 @@
 	// maxParked bounds the requests passed over in one call because they can't
 	// use the slots that are free.
 	maxParked = 32
-	// gapShare is the part of the target for the gaps that an upstream may use up
-	// to be asked first.
-	gapShare = 0.95
 	// firstTokenStep weighs a new sample in the usual first-token delay.
 	firstTokenStep = 0.1
 )
@@ -136,38 +133,21 @@
 	if s.count(now, tier) == 0 {
 		return kingcuphook.Choice{}, false
 	}
-	choice, err := s.selectFree(now, r, tier.Index())
+	choice, err := s.selectUsable(now, r, tier.Index())
 	return choice, err == nil && choice.Upstream != nil
 }
 
-// selectFree asks first for an upstream whose gaps keep the request's target, then
-// for any with a free slot.
-func (s *Scheduler) selectFree(now time.Time, r *kingcuphook.Request, tier int) (kingcuphook.Choice, error) {
-	gaps, ok := s.Limiter.(GapTeller)
-	if !ok || r.TokenTarget() == 0 {
-		return s.selectUsable(now, r, func(row *slotRow) bool { return row.free[tier] > 0 })
-	}
-	most := time.Duration(gapShare * float64(r.TokenTarget()))
-	choice, err := s.selectUsable(now, r, func(row *slotRow) bool {
-		return row.free[tier] > 0 && gaps.Gap(row.upstream.Address()) <= most
-	})
-	if err != nil || choice.Upstream != nil {
-		return choice, err
-	}
-	return s.selectUsable(now, r, func(row *slotRow) bool { return row.free[tier] > 0 })
-}
-
-func (s *Scheduler) selectUsable(now time.Time, r *kingcuphook.Request, usable func(*slotRow) bool) (kingcuphook.Choice, error) {
+func (s *Scheduler) selectUsable(now time.Time, r *kingcuphook.Request, tier int) (kingcuphook.Choice, error) {
 	excluded := s.excluded[r.ID()]
 	if u, ok := s.Selector.(UsableSelector); ok {
 		return u.SelectUsable(now, r, func(address string) bool {
 			row := s.slots.byAddress[address]
-			return row != nil && usable(row) && !slices.Contains(excluded, address)
+			return row != nil && row.free[tier] > 0 && !slices.Contains(excluded, address)
 		})
 	}
 	s.barred = append(s.barred[:0], excluded...)
 	for _, row := range s.slots.rows {
-		if !usable(row) {
+		if row.free[tier] <= 0 {
 			s.barred = append(s.barred, row.upstream.Address())
 		}
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -44,13 +44,6 @@
 	Progress(now time.Time, upstream string, r *kingcuphook.Request, n int)
 }
 
-// GapTeller is a Limiter that knows the time between tokens.
-type GapTeller interface {
-	// Gap returns the mean time between tokens of the last attempts on the
-	// upstream; 0 if unknown.
-	Gap(address string) time.Duration
-}
-
 // UsableSelector is a Selector that can ask which upstreams are usable, which
 // saves building a list of those that are not.
 type UsableSelector interface {
