Reserve upstreams that are suited to the highest tier

Cause: upstreams fast enough for the token target of the highest tier were filled by long answers of lower tiers, so till answers ran where the gap was too long.

--- a/composer/composer.go
+++ b/composer/composer.go
@@ -27,6 +27,10 @@
 	MechanismPrediction Mechanism = "prediction"
 	// MechanismLoadBound keeps a cached prefix from overloading its upstream.
 	MechanismLoadBound Mechanism = "load-bound"
+	// MechanismHold lets a request wait for a better upstream.
+	MechanismHold Mechanism = "hold"
+	// MechanismReserve keeps suited upstreams free for the highest tier.
+	MechanismReserve Mechanism = "reserve"
 	// MechanismEjector takes slow and broken upstreams out.
 	MechanismEjector Mechanism = "ejector"
 	// MechanismGuarantee gives each class a share of the freed slots.
@@ -44,7 +48,7 @@
 // Mechanisms returns every mechanism that can be switched off.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
-		MechanismAffinity, MechanismPrediction, MechanismLoadBound, MechanismEjector, MechanismGuarantee,
+		MechanismAffinity, MechanismPrediction, MechanismLoadBound, MechanismHold, MechanismReserve, MechanismEjector, MechanismGuarantee,
 		MechanismPreemption, MechanismReports, MechanismCacheEvents, MechanismSpill,
 	}
 }
@@ -67,8 +71,8 @@
 // Scheduler is the standard scheduler of one pool, with its parts.
 type Scheduler struct {
 	scheduler.Scheduler
-	// limits bounds the work on each upstream.
 	limits *limiter.Limiter
+	places *selector.Selector
 	// noReports and noEvents drop what upstreams tell.
 	noReports, noEvents bool
 	// noSpill keeps requests in their region.
@@ -87,7 +91,8 @@
 	s.limits = &limiter.Limiter{Rand: rand.New(rand.NewPCG(c.Seed, 0)), Routers: c.Routers}
 	s.Limiter = s.limits
 	s.Admitter = c.admitter()
-	s.Selector = c.selector()
+	s.places = c.selector()
+	s.Selector = s.places
 	s.Predictor = &predictor.Predictor{}
 	if !c.off(MechanismEjector) {
 		s.Ejector = &ejector.Ejector{}
@@ -115,6 +120,9 @@
 		NoAffinity:   c.off(MechanismAffinity),
 		NoPrediction: c.off(MechanismPrediction),
 		NoBound:      c.off(MechanismLoadBound),
+		NoHold:       c.off(MechanismHold),
+		NoReserve:    c.off(MechanismReserve),
+		Routers:      c.Routers,
 	}
 }
 
@@ -128,7 +136,10 @@
 }
 
 // SetRouters tells how many routers share the upstreams now.
-func (s *Scheduler) SetRouters(n int) { s.limits.SetRouters(n) }
+func (s *Scheduler) SetRouters(n int) {
+	s.limits.SetRouters(n)
+	s.places.SetRouters(n)
+}
 
 // Update takes the pool in force.
 func (s *Scheduler) Update(now time.Time, p *kingcuphook.Pool) {
--- a/selector/score.go
+++ b/selector/score.go
@@ -439,6 +439,8 @@
 		return reasonLeaving
 	case q.usable != nil && !q.usable(address):
 		return reasonUnusable
+	case !s.NoReserve && s.reserve.full(q.now, q.request, t):
+		return reasonReserved
 	case !s.NoBound && g.over(t):
 		return reasonLoaded
 	default:
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -24,6 +24,7 @@
 	reasonExcluded = "excluded"
 	reasonLeaving  = "leaving"
 	reasonUnusable = "no-free-slot"
+	reasonReserved = "reserved"
 	reasonLoaded   = "over-load-bound"
 	reasonFar      = "remote-misses-target"
 	reasonPrice    = "gain-below-price"
@@ -50,6 +51,10 @@
 	NoAffinity bool
 	// NoPrediction orders the candidates by load instead of by predicted time.
 	NoPrediction bool
+	// Routers is how many routers share the upstreams; 0 means 1.
+	Routers int
+	// NoReserve keeps no slots for the highest tier.
+	NoReserve bool
 	// NoHold never lets a request wait for a better upstream than a free one.
 	NoHold bool
 	// NoBound lifts the bound on the load of a candidate.
@@ -67,6 +72,7 @@
 	spills               bool
 	// lastSpill is when a request last went to another region.
 	lastSpill time.Time
+	reserve   reserve
 	// tightest is the lowest token target dispatched; 0 if none was.
 	tightest time.Duration
 	// pace is the smoothed time between two local slots becoming free.
@@ -110,6 +116,9 @@
 	s.near = newPlace(0)
 	s.region = newPlace(orDuration(s.CentreDelay, defaultCentreDelay))
 	s.remote = newPlace(orDuration(s.RegionDelay, defaultRegionDelay))
+	for _, t := range s.trackers {
+		s.reserve.remove(t, s.Routers)
+	}
 	wanted := make(map[string]bool, len(p.Upstreams()))
 	for _, u := range p.Upstreams() {
 		wanted[u.Address()] = true
@@ -126,6 +135,18 @@
 			delete(s.trackers, address)
 		}
 	}
+	for _, t := range s.trackers {
+		s.reserve.add(t, s.Routers)
+	}
+}
+
+// SetRouters tells how many routers share the upstreams now.
+func (s *Selector) SetRouters(n int) {
+	for _, t := range s.trackers {
+		s.reserve.remove(t, s.Routers)
+		s.reserve.add(t, n)
+	}
+	s.Routers = n
 }
 
 func (s *Selector) track(u *kingcuphook.Upstream) *tracker {
@@ -204,7 +225,10 @@
 	}
 	q := query{request: r}
 	s.recall(&q)
-	t.started(now, r.ID(), r.PromptTokens()-q.cached(t.id))
+	s.reserve.remove(t, s.Routers)
+	t.started(now, r, r.PromptTokens()-q.cached(t.id))
+	s.reserve.add(t, s.Routers)
+	s.reserve.use(now, r)
 	t.moved(before)
 	s.index.learn(r.Prefix(), r.Fingerprint(), holder{upstream: t.id, epoch: t.epoch})
 }
@@ -219,7 +243,10 @@
 		s.freed(now)
 	}
 	before := t.load()
-	t.finished(r.ID(), a)
+	s.reserve.remove(t, s.Routers)
+	t.finished(r, a)
+	s.reserve.judge(t)
+	s.reserve.add(t, s.Routers)
 	t.moved(before)
 	if a.Failed {
 		t.epoch++
--- a/selector/tracker.go
+++ b/selector/tracker.go
@@ -59,6 +59,11 @@
 	slots int
 	// own is the number of requests of this router on the upstream.
 	own int
+	// top is the number of those of the highest tier.
+	top int
+	// suited says that the upstream keeps the token target of the highest tier
+	// when it is full.
+	suited bool
 	// reported is the last report; others is how much of it was not ours.
 	reported time.Time
 	others   int
@@ -130,26 +135,35 @@
 	return time.Duration(each * float64(t.load()) * imposedWeight)
 }
 
-func (t *tracker) started(now time.Time, id string, tokens int) {
+func (t *tracker) started(now time.Time, r *kingcuphook.Request, tokens int) {
 	t.own++
+	if r.Tier() == kingcuphook.HighestTier {
+		t.top++
+	}
 	t.backlog = t.waiting(now) + float64(tokens)
 	t.drained = now
-	t.flying[id] = flight{tokens: t.backlog, load: t.load()}
+	t.flying[r.ID()] = flight{tokens: t.backlog, load: t.load()}
 	if len(t.recent) == maxSent {
 		t.recent = append(t.recent[:0], t.recent[1:]...)
 	}
 	t.recent = append(t.recent, sent{at: now, tokens: tokens})
 }
 
-func (t *tracker) finished(id string, s kingcuphook.Sample) {
+func (t *tracker) finished(r *kingcuphook.Request, s kingcuphook.Sample) {
 	load := t.load()
-	t.own = max(t.own-1, 0)
-	f, ok := t.flying[id]
-	delete(t.flying, id)
-	if ok && s.FirstToken > 0 {
+	f, ok := t.flying[r.ID()]
+	if !ok {
+		return
+	}
+	delete(t.flying, r.ID())
+	t.own--
+	if r.Tier() == kingcuphook.HighestTier {
+		t.top--
+	}
+	if s.FirstToken > 0 {
 		t.first.add(f.tokens, s.FirstToken.Seconds())
 	}
-	if ok && s.TokenGap > 0 {
+	if s.TokenGap > 0 {
 		t.gap.add(float64(f.load+load)/2, s.TokenGap.Seconds())
 	}
 }
