Count slots by region in the reserve; bound answers by the caller's max tokens

Without a bound the heavy-tailed case held answers that no policy can end before the caller gives up.

--- a/composer/composer.go
+++ b/composer/composer.go
@@ -57,7 +57,7 @@
 type Composer struct {
 	// Region and DataCentre are where the router is.
 	Region, DataCentre string
-	// Routers is how many routers share the upstreams; 0 means 1.
+	// Routers is how many routers share the upstreams of the region; 0 means 1.
 	Routers int
 	// Seed is the seed of all randomness; routers must differ in it.
 	Seed uint64
@@ -135,7 +135,7 @@
 	return false
 }
 
-// SetRouters tells how many routers share the upstreams now.
+// SetRouters tells how many routers share the upstreams of the region now.
 func (s *Scheduler) SetRouters(n int) {
 	s.limits.SetRouters(n)
 	s.places.SetRouters(n)
--- a/measurer/cases.go
+++ b/measurer/cases.go
@@ -87,6 +87,8 @@
 	// of its logarithm.
 	AnswerTokens int     `toml:"answer-tokens"`
 	AnswerSpread float64 `toml:"answer-spread"`
+	// AnswerMax is the bound that the caller sets; 0 means none.
+	AnswerMax int `toml:"answer-max"`
 }
 
 // caseSpec is one case. Zero values leave the common ones.
--- a/measurer/workload.go
+++ b/measurer/workload.go
@@ -144,7 +144,7 @@
 			ID: fmt.Sprintf("r%d", n), Class: spec.Name, Organisation: fmt.Sprintf("org-%d", organisation),
 			Model: "m", Pool: poolName, Region: region, DataCentre: region, Tier: spec.Tier,
 			Arrived: epoch.Add(at), Target: spec.Target.std(), TokenTarget: spec.TokenTarget.std(),
-			Deadline: epoch.Add(at + spec.Deadline.std()), PromptTokens: prompt, Bytes: prompt * hasher.BytesPerToken,
+			Deadline: epoch.Add(at + spec.Deadline.std()), PromptTokens: prompt, MaxTokens: spec.AnswerMax, Bytes: prompt * hasher.BytesPerToken,
 			Prefix: chain(key, fingerprint, shared, prompt/hasher.BlockTokens), Fingerprint: fingerprint, Stream: true,
 		},
 	}
@@ -208,5 +208,9 @@
 		spread = g.c.AnswerSpread
 	}
 	mean := math.Log(float64(spec.AnswerTokens)) - spread*spread/2
-	return max(int(math.Exp(mean+spread*g.rand.NormFloat64())), 2)
+	length := max(int(math.Exp(mean+spread*g.rand.NormFloat64())), 2)
+	if spec.AnswerMax > 0 {
+		return min(length, spec.AnswerMax)
+	}
+	return length
 }
--- a/selector/reserve.go
+++ b/selector/reserve.go
@@ -46,7 +46,7 @@
 
 func (v *reserve) count(t *tracker, routers, sign int) {
 	v.top += sign * t.top
-	if t.suited && !t.upstream.Leaving() {
+	if t.suited && !t.remote && !t.upstream.Leaving() {
 		v.slots += float64(sign*t.slots) / float64(max(routers, 1))
 		v.rest += sign * (t.own - t.top)
 	}
@@ -74,7 +74,7 @@
 
 // full reports whether a request of another tier finds no unreserved slot on t.
 func (v *reserve) full(now time.Time, r *kingcuphook.Request, t *tracker) bool {
-	if !t.suited || r.Tier() == kingcuphook.HighestTier {
+	if !t.suited || t.remote || r.Tier() == kingcuphook.HighestTier {
 		return false
 	}
 	rest := v.slots - reserveFactor*v.wanted(now) - reserveSlack
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -124,6 +124,7 @@
 		wanted[u.Address()] = true
 		t := s.track(u)
 		t.groups = t.groups[:0]
+		t.remote = s.placeOf(t) == &s.remote
 		if !u.Leaving() {
 			s.placeOf(t).add(t)
 		}
@@ -216,7 +217,7 @@
 	if t == nil {
 		return
 	}
-	if s.placeOf(t) == &s.remote {
+	if t.remote {
 		s.lastSpill = now
 	}
 	before := t.load()
@@ -239,7 +240,7 @@
 	if t == nil {
 		return
 	}
-	if s.placeOf(t) != &s.remote {
+	if !t.remote {
 		s.freed(now)
 	}
 	before := t.load()
--- a/selector/tracker.go
+++ b/selector/tracker.go
@@ -53,6 +53,8 @@
 	epoch uint32
 	// born is the epoch at which id was given to this upstream.
 	born uint32
+	// remote says that the upstream is in another region.
+	remote bool
 	// sequence is that of the last cache event; 0 if none came.
 	sequence int64
 	// slots is the capacity hint, at least 1.
