--- a/applier/applier_test.go
+++ b/applier/applier_test.go
@@ -13,7 +13,7 @@
 // chain returns n states, each with a route more than the one before.
 func chain(t *testing.T, n int, name string) []*differ.Snapshot {
 	t.Helper()
-	out := []*differ.Snapshot{differ.EmptySnapshot()}
+	out := append(make([]*differ.Snapshot, 0, n+1), differ.EmptySnapshot())
 	for i := range n {
 		s := out[len(out)-1]
 		id := fmt.Sprintf("%s-%d", name, i)
--- a/editor/bench_test.go
+++ b/editor/bench_test.go
@@ -178,7 +178,7 @@
 			_, e := full(b, n)
 			rng := rand.New(rand.NewPCG(1, 1))
 			base := e.last
-			var updates [][]byte
+			updates := make([][]byte, 0, 64)
 			bytes := 0
 			for i := range 64 {
 				if _, err := e.Apply(b.Context(), nextEdit(e, rng, i)); err != nil {
--- a/editor/outcome_test.go
+++ b/editor/outcome_test.go
@@ -159,7 +159,7 @@
 	e := Editor{Store: &s}
 	_, err := s.Put(ctx, encoder.SegmentPrefix+"0000000000000001-ab-cd", []byte("x"), kingcuphook.RevisionAbsent, 0)
 	is.NoErr(err)
-	for i := range 400 {
+	for i := range 1000 {
 		_, err := e.Apply(ctx, edit(t, fmt.Sprint(i), int64(i), "a", fmt.Sprintf("r%d", i)))
 		is.NoErr(err)
 	}
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,10 +33,11 @@
 	is.True(Watches(routers[0], nil))
 }
 
-// single runs one follower that watches and records its events.
-func single(t *testing.T, s kingcuphook.Store) (*Follower, *[]Event) {
+// single runs one follower and records its events.
+func single(t *testing.T, s kingcuphook.Store, watches func() bool) (*Follower, *[]Event) {
 	events := &[]Event{}
-	f := &Follower{Store: s, Rand: rand.New(rand.NewPCG(1, 1)), OnEvent: func(e Event) { *events = append(*events, e) }}
+	f := &Follower{Store: s, Rand: rand.New(rand.NewPCG(1, 1)), IsWatcher: watches}
+	f.OnEvent = func(e Event) { *events = append(*events, e) }
 	go f.Run(t.Context())
 	return f, events
 }
@@ -53,7 +55,7 @@
 		is := is.New(t)
 		c := crowd{}
 		c.edit(t, "1")
-		f, events := single(t, &c.store)
+		f, events := single(t, &c.store, nil)
 		time.Sleep(convergence)
 		is.Equal(f.Current().Revision(), int64(1))
 		_, err := c.store.Put(t.Context(), encoder.HeadKey, []byte("not a head"), kingcuphook.RevisionAny, 0)
@@ -88,7 +90,7 @@
 			_, err = c.store.Put(t.Context(), e.Key(), []byte{}, kingcuphook.RevisionAny, 0)
 			is.NoErr(err)
 		}
-		f, events := single(t, &c.store)
+		f, events := single(t, &c.store, nil)
 		time.Sleep(convergence)
 		is.Equal(f.Current().Revision(), int64(0))
 		is.Equal(last(t, events).Kind, EventRefused)
@@ -102,10 +104,14 @@
 		c.edit(t, "1")
 		old := c.store.Snapshot()
 		c.edit(t, "2")
-		f, events := single(t, &c.store)
+		var watches atomic.Bool
+		watches.Store(true)
+		f, events := single(t, &c.store, watches.Load)
 		time.Sleep(convergence)
 		c.store.Restore(old)
-		time.Sleep(time.Minute)
+		// It reads again and again, since it no longer watches.
+		watches.Store(false)
+		time.Sleep(10 * time.Minute)
 		is.Equal(f.Current().Revision(), int64(2))
 		is.Equal(last(t, events), Event{Kind: EventStoreOlder, Source: sourceStore, InForce: 2, Seen: 1})
 		n := 0
