--- a/cmd/kingcuphook/main.go
+++ b/cmd/kingcuphook/main.go
@@ -35,6 +35,7 @@
 type options struct {
 	API       string `long:"api" env:"KINGCUPHOOK_API" default:"127.0.0.1:8081" description:"IP number and port of a router's operators' API"`
 	TLS       bool   `long:"tls" env:"KINGCUPHOOK_API_TLS" description:"Call the operators' API over TLS"`
+	Authority string `long:"authority" env:"KINGCUPHOOK_API_AUTHORITY" description:"With --tls: file with what the API's certificate must be signed by; the system's authorities if left out"`
 	TokenFile string `long:"token-file" env:"KINGCUPHOOK_TOKEN_FILE" description:"File with the operators' token"`
 	Token     string `long:"token" env:"KINGCUPHOOK_TOKEN" default-mask:"-" description:"The operators' token itself; prefer the file or the environment"`
 	Author    string `long:"author" env:"USER" description:"Who makes an edit"`
@@ -90,6 +91,7 @@
 		{"explain", "show the path of a request", "Shows the path of a request through the router: class, tier, queue, candidates, attempts, outcome.", &explainCommand{}},
 		{"quarantine", "show and lift quarantines", "Shows the request bodies that are refused because they crashed upstreams, or lifts one.", &quarantineCommand{}},
 		{"check", "validate settings and tables", "Validates files of settings, routes or pools. Routes and pools given together are checked against each other.", &checkCommand{}},
+		{"measure", "measure the policy", "Measures the policy and its baselines on a fake engine, in virtual time; the same seed gives the same figures.", &measureCommand{}},
 		{"stand-in", "run stand-ins of the platform and of upstreams", "Runs a stand-in of the platform and stand-in upstreams on loopback.", &standInCommand{}},
 		{"try", "run everything in one process", "Runs a router with stand-ins and example tables in one process, and prints a call that works.", &tryCommand{}},
 		{"completion", "print the shell completion", "Prints a completion script for bash.", &completionCommand{}},
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -50,6 +50,8 @@
 	NoAffinity bool
 	// NoPrediction orders the candidates by load instead of by predicted time.
 	NoPrediction bool
+	// NoHold never lets a request wait for a better upstream than a free one.
+	NoHold bool
 	// NoBound lifts the bound on the load of a candidate.
 	NoBound bool
 
@@ -59,13 +61,16 @@
 	byID []*tracker
 	// epochs has the last epoch of each identifier.
 	epochs []uint32
-	// near, region and remote are the upstreams by distance. Upstreams whose
-	// row says that they leave are in none of them.
-	near, region, remote group
+	// near, region and remote are the upstreams by distance.
+	near, region, remote place
 	index                *index
 	spills               bool
+	// abroad says that the pool has no upstream in the region of the router.
+	abroad bool
 	// lastSpill is when a request last went to another region.
 	lastSpill time.Time
+	// tightest is the lowest token target dispatched; 0 if none was.
+	tightest time.Duration
 	// pace is the smoothed time between two local slots becoming free.
 	pace     time.Duration
 	lastFree time.Time
@@ -75,13 +80,20 @@
 
 var _ kingcuphook.Selector = (*Selector)(nil)
 
-// group is a set of upstreams at the same distance.
+// place has the upstreams at the same distance by model. Upstreams whose row
+// says that they leave are in no group.
+type place struct {
+	groups map[string]*group
+	// delay is the one-way link delay.
+	delay time.Duration
+}
+
+// group is the upstreams of a place that serve a model.
 type group struct {
 	trackers []*tracker
 	// load and slots are sums over trackers.
 	load, slots int
-	// delay is the one-way link delay.
-	delay time.Duration
+	delay       time.Duration
 }
 
 func (s *Selector) init() {
@@ -97,15 +109,20 @@
 func (s *Selector) Update(_ time.Time, p *kingcuphook.Pool) {
 	s.init()
 	s.spills = p.SpillRegions()
-	s.near = group{}
-	s.region = group{delay: orDuration(s.CentreDelay, defaultCentreDelay)}
-	s.remote = group{delay: orDuration(s.RegionDelay, defaultRegionDelay)}
+	s.near = newPlace(0)
+	s.region = newPlace(orDuration(s.CentreDelay, defaultCentreDelay))
+	s.remote = newPlace(orDuration(s.RegionDelay, defaultRegionDelay))
+	s.abroad = !s.servesHere(p)
+	if s.abroad {
+		s.region.delay = s.remote.delay
+	}
 	wanted := make(map[string]bool, len(p.Upstreams()))
 	for _, u := range p.Upstreams() {
 		wanted[u.Address()] = true
 		t := s.track(u)
+		t.groups = t.groups[:0]
 		if !u.Leaving() {
-			s.groupOf(t).add(t)
+			s.placeOf(t).add(t)
 		}
 	}
 	for address, t := range s.trackers {
@@ -134,22 +151,57 @@
 	return t
 }
 
-// groupOf returns the group of the tracker by distance.
-func (s *Selector) groupOf(t *tracker) *group {
+// servesHere reports whether the region of the router has an upstream of the
+// pool that takes work.
+func (s *Selector) servesHere(p *kingcuphook.Pool) bool {
+	return slices.ContainsFunc(p.Upstreams(), func(u *kingcuphook.Upstream) bool {
+		return !u.Leaving() && (s.Region == "" || s.Region == u.Region())
+	})
+}
+
+// placeOf returns the place of the tracker by distance. Without an upstream in
+// the region, those of other regions are all there is and count as its own.
+func (s *Selector) placeOf(t *tracker) *place {
 	switch {
 	case s.Region == "" || s.Region == t.upstream.Region() && s.DataCentre == t.upstream.DataCentre():
 		return &s.near
-	case s.Region == t.upstream.Region():
+	case s.abroad || s.Region == t.upstream.Region():
 		return &s.region
 	default:
 		return &s.remote
 	}
 }
 
-func (g *group) add(t *tracker) {
-	g.trackers = append(g.trackers, t)
-	g.load += t.load()
-	g.slots += t.slots
+func newPlace(delay time.Duration) place {
+	return place{groups: make(map[string]*group), delay: delay}
+}
+
+// add puts the tracker into the groups of its models; one without models goes
+// to the group of the empty model.
+func (p *place) add(t *tracker) {
+	models := t.upstream.Models()
+	if len(models) == 0 {
+		models = []string{""}
+	}
+	for _, model := range models {
+		g := p.groups[model]
+		if g == nil {
+			g = &group{delay: p.delay}
+			p.groups[model] = g
+		}
+		g.trackers = append(g.trackers, t)
+		g.load += t.load()
+		g.slots += t.slots
+		t.groups = append(t.groups, g)
+	}
+}
+
+// group returns the upstreams that serve the model, or nil.
+func (p *place) group(model string) *group {
+	if g := p.groups[model]; g != nil {
+		return g
+	}
+	return p.groups[""]
 }
 
 // Started tells that the request was dispatched to the upstream.
@@ -158,15 +210,17 @@
 	if t == nil {
 		return
 	}
-	g := s.groupOf(t)
-	if g == &s.remote {
+	if s.placeOf(t) == &s.remote {
 		s.lastSpill = now
 	}
 	before := t.load()
+	if target := r.TokenTarget(); target > 0 && (s.tightest == 0 || target < s.tightest) {
+		s.tightest = target
+	}
 	q := query{request: r}
 	s.recall(&q)
 	t.started(now, r.ID(), r.PromptTokens()-q.cached(t.id))
-	g.move(t, before)
+	t.moved(before)
 	s.index.learn(r.Prefix(), r.Fingerprint(), holder{upstream: t.id, epoch: t.epoch})
 }
 
@@ -176,13 +230,12 @@
 	if t == nil {
 		return
 	}
-	g := s.groupOf(t)
-	if g != &s.remote {
+	if s.placeOf(t) != &s.remote {
 		s.freed(now)
 	}
 	before := t.load()
 	t.finished(r.ID(), a)
-	g.move(t, before)
+	t.moved(before)
 	if a.Failed {
 		t.epoch++
 	}
@@ -205,12 +258,12 @@
 	}
 	before := t.load()
 	t.report(now, l)
-	s.groupOf(t).move(t, before)
+	t.moved(before)
 }
 
-// move corrects the sum of the group after the load of t has changed.
-func (g *group) move(t *tracker, before int) {
-	if !t.upstream.Leaving() {
+// moved corrects the sums of the groups after the load of t has changed.
+func (t *tracker) moved(before int) {
+	for _, g := range t.groups {
 		g.load += t.load() - before
 	}
 }
