--- a/editor/bench_test.go
+++ b/editor/bench_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -208,3 +209,65 @@
 		})
 	}
 }
+
+// BenchmarkText writes the tables as text, reads and validates them, as an
+// operator's edit of whole tables does.
+func BenchmarkText(b *testing.B) {
+	for _, n := range sizes {
+		t := tablesOf(n)
+		b.Run(fmt.Sprintf("routes=%d/upstreams=%d", len(t.Routes()), n.runners), func(b *testing.B) {
+			routes, err := encoder.RoutesTOML(t.Routes())
+			if err != nil {
+				b.Fatal(err)
+			}
+			pools, err := encoder.PoolsTOML(t.Pools())
+			if err != nil {
+				b.Fatal(err)
+			}
+			for b.Loop() {
+				r, err := parser.ParseRoutes("routes", routes)
+				if err != nil {
+					b.Fatal(err)
+				}
+				p, err := parser.ParsePools("pools", pools)
+				if err != nil {
+					b.Fatal(err)
+				}
+				if err := parser.Validate(r, p); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(routes)+len(pools)), "text-B")
+		})
+	}
+}
+
+// BenchmarkMemory reports the memory of the tables and the changes that a router
+// keeps for its peers.
+func BenchmarkMemory(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("routes=%d/upstreams=%d", n.organisations*routesPerOrganisation, n.runners), func(b *testing.B) {
+			s, e := full(b, n)
+			rng := rand.New(rand.NewPCG(1, 1))
+			for i := range loader.DefaultKeep {
+				if _, err := e.Apply(b.Context(), nextEdit(e, rng, i)); err != nil {
+					b.Fatal(err)
+				}
+			}
+			var before, after runtime.MemStats
+			l := loader.Loader{Store: s.Store}
+			for b.Loop() {
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				state, err := l.Load(b.Context(), nil)
+				if err != nil {
+					b.Fatal(err)
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				runtime.KeepAlive(state)
+			}
+			b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "tables-B")
+		})
+	}
+}
