--- a/editor/attempt.go
+++ b/editor/attempt.go
@@ -224,6 +224,9 @@
 	case err == nil:
 		a.pending = false
 		a.editor.last = next
+		if a.editor.OnAccept != nil {
+			a.editor.OnAccept(next)
+		}
 		w.clean(ctx)
 		return Result{EditID: a.edit.ID, Revision: revision, Rows: len(rows), Rebased: rebased}, false, nil
 	case definite(err):
--- a/editor/editor.go
+++ b/editor/editor.go
@@ -74,6 +74,9 @@
 	// InForce returns the highest state in force that is known, and whether every
 	// region was asked. Nil means that nothing is known beside the store.
 	InForce func() (s *differ.Snapshot, complete bool)
+	// OnAccept is told the state that an accepted edit made, so that its router
+	// has it in force at once; may be nil.
+	OnAccept func(s *differ.Snapshot)
 	// Audit takes a record of each edit that is refused; may be nil.
 	Audit *auditor.Auditor
 
--- a/follower/fleet_test.go
+++ b/follower/fleet_test.go
@@ -207,12 +207,14 @@
 	return a.router.DataCentre == b.router.DataCentre || f.cut != a.router.DataCentre && f.cut != b.router.DataCentre
 }
 
-func (f *fleet) current(m *member) *differ.Snapshot {
+func (f *fleet) follower(m *member) *Follower {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return m.follower.Current()
+	return m.follower
 }
 
+func (f *fleet) current(m *member) *differ.Snapshot { return f.follower(m).Current() }
+
 // inForce is what an editor beside m learns of the fleet.
 func (f *fleet) inForce(m *member) func() (*differ.Snapshot, bool) {
 	return func() (*differ.Snapshot, bool) {
@@ -232,6 +234,7 @@
 // shared one.
 func (f *fleet) operate(m *member, name string, n int) {
 	e := editor.Editor{Store: lateStore{Store: f.store, f: f}, InForce: f.inForce(m)}
+	e.OnAccept = func(s *differ.Snapshot) { f.follower(m).Accept(s) }
 	for i := range n {
 		base := f.current(m)
 		id := fmt.Sprintf("%s-%d", name, i)
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -74,7 +74,7 @@
 type Event struct {
 	// Kind is what happened.
 	Kind EventKind
-	// Source is "store" or what the peer was called in Offer.
+	// Source is "store", "edit" or what the peer was called in Offer.
 	Source string
 	// InForce is the revision in force afterwards.
 	InForce int64
@@ -84,8 +84,11 @@
 	Err error
 }
 
-// sourceStore names the store in events.
-const sourceStore = "store"
+// Names of sources in events, beside those of peers.
+const (
+	sourceStore = "store"
+	sourceEdit  = "edit"
+)
 
 // Follower keeps the tables of one router up to date. Its fields are set before
 // first use. All methods are safe for concurrent use; Current takes no lock.
@@ -162,6 +165,13 @@
 	return nil
 }
 
+// Accept takes the state that an edit made through this router.
+func (f *Follower) Accept(s *differ.Snapshot) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.publish(sourceEdit, f.applier.Offer(s), s.Revision())
+}
+
 // offerWhole takes the whole state of a peer; mu is held.
 func (f *Follower) offerWhole(source string, s *differ.Snapshot) error {
 	if s.Revision() <= f.applier.InForce().Revision() {
