--- a/router/control.go
+++ b/router/control.go
@@ -58,7 +58,7 @@
 	// revision is that of the tables handed to the schedulers.
 	revision int64
 	// pulling is set while tables are being pulled from a peer.
-	pulling  bool
+	pulling bool
 	// begun is when the loop began. joined says that a peer has answered, or that
 	// there is none.
 	begun    time.Time
