Let a new holder announce its fencing number and own what it finds

A late order of an earlier holder took effect on an engine that the new holder had not yet ordered, since that engine knew no newer fencing number. A holder whose key was gone while its lease lived went on renewing beside the next one; now only reading the key after a renewal extends the holding. Both were found by the test of three holders with late orders.

--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -161,7 +161,7 @@
 	_, _ = rand.Read(tables)
 	l := serve(t, &handler{tables: tables}, a.credentials(t))
 	c := &exchanger.Client{Credentials: a.credentials(t)}
-	defer c.Close()
+	defer func() { _ = c.Close() }()
 
 	sent := digest(t)
 	got, err := c.Exchange(t.Context(), l.Addr().String(), sent)
@@ -183,7 +183,7 @@
 	is := is.New(t)
 	l := serve(t, &handler{}, newAuthority(t).credentials(t))
 	c := &exchanger.Client{Credentials: newAuthority(t).credentials(t), Timeout: 5 * time.Second}
-	defer c.Close()
+	defer func() { _ = c.Close() }()
 	_, err := c.Exchange(t.Context(), l.Addr().String(), digest(t))
 	is.True(errors.Is(err, kingcuphook.ErrUnavailable))
 }
@@ -194,7 +194,7 @@
 	a := newAuthority(b)
 	l := serve(b, &handler{}, a.credentials(b))
 	c := &exchanger.Client{Credentials: a.credentials(b)}
-	defer c.Close()
+	defer func() { _ = c.Close() }()
 	d := digest(b)
 	call := func() {
 		if _, err := c.Exchange(b.Context(), l.Addr().String(), d); err != nil {
--- a/gossiper/fleet_test.go
+++ b/gossiper/fleet_test.go
@@ -306,8 +306,15 @@
 	return d
 }
 
+// pull fetches the tables; a pull that fails is repeated while it is needed.
 func (f *fleet) pull(r, peer *router) {
+	if r.stopped || r.paused || r.revision >= peer.revision {
+		return
+	}
 	if f.fails(r, peer) {
+		if !peer.stopped {
+			f.after(callTimeout, func() { f.pull(r, peer) })
+		}
 		return
 	}
 	f.pulls++
--- a/gossiper/push.go
+++ b/gossiper/push.go
@@ -76,13 +76,17 @@
 	return due
 }
 
-// bypass tells the neighbours beyond a member that could not be told.
+// bypass repeats a push that failed, and tells the neighbours beyond the member
+// in its place.
 func (g *Gossiper) bypass(m *member) {
 	p := &g.push
 	if p.sent[m.entry.Address] != g.revision || m.revision >= g.revision {
 		return
 	}
 	delete(p.sent, m.entry.Address)
+	if m.failures < suspectFailures {
+		g.wait(m.entry.Address, true)
+	}
 	local, rank := g.local()
 	i := slices.Index(local, m)
 	if i < 0 {
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -110,6 +110,9 @@
 	// refused is the highest fencing number that an upstream has shown to be
 	// newer than fence; it is to be exceeded once the key is confirmed.
 	refused int64
+	// renewed is when the latest successful renewal was sent; zero once the key
+	// was read after it.
+	renewed time.Time
 	retry   time.Duration
 }
 
@@ -237,9 +240,11 @@
 func (l *Leaser) KeptAlive(now, sent time.Time, err error) {
 	switch {
 	case err == nil:
-		l.retry = 0
-		l.extend(sent)
-		l.wait(now, ActionKeepAlive, l.TTL/renewals)
+		// The key may be gone although the lease lives, as after a restore of
+		// the store: only reading it again extends the holding.
+		l.renewed = sent
+		l.next = ActionGet
+		l.notUntil = now
 	case errors.Is(err, kingcuphook.ErrLeaseLost):
 		l.forget()
 		l.wait(now, ActionGet, firstRetry)
@@ -272,8 +277,12 @@
 
 // hold takes the key as this router's.
 func (l *Leaser) hold(now time.Time, revision int64) {
-	confirmed := l.held
+	confirmed := l.held && l.renewed.IsZero()
 	l.held = true
+	if !l.renewed.IsZero() {
+		l.extend(l.renewed)
+		l.renewed = time.Time{}
+	}
 	l.fence = max(l.fence, revision)
 	if l.refused >= l.fence {
 		l.fence = l.refused + 1
@@ -306,6 +315,7 @@
 	l.lease = 0
 	l.fence = 0
 	l.refused = 0
+	l.renewed = time.Time{}
 	l.until = time.Time{}
 }
 
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -59,6 +59,8 @@
 	// not holding.
 	fence int64
 	since time.Time
+	// seen holds what each upstream followed when it was last read back.
+	seen map[string]kingcuphook.Order
 }
 
 // SetPool takes the pool in force.
@@ -105,12 +107,44 @@
 	o.mu.Lock()
 	now := time.Now()
 	moves := o.Placer.Plan(now, func(u *kingcuphook.Upstream) bool { return o.allowed(now, u) })
-	o.mu.Unlock()
+	orders := make([]kingcuphook.Order, 0, len(moves))
 	for _, m := range moves {
-		o.order(ctx, m)
+		orders = append(orders, o.newOrder(m.Upstream(), m.Model(), m.Generation()))
+		delete(o.seen, m.Upstream().Address())
+	}
+	orders = append(orders, o.claims(now, upstreams)...)
+	o.mu.Unlock()
+	for _, order := range orders {
+		o.order(ctx, order)
 	}
 }
 
+func (o *Orderer) newOrder(u *kingcuphook.Upstream, model string, generation int64) kingcuphook.Order {
+	return kingcuphook.NewOrder(kingcuphook.OrderFields{
+		Upstream:   u.Address(),
+		Model:      model,
+		Generation: generation,
+		Fence:      o.fence,
+	})
+}
+
+// claims returns an order for each upstream that has not yet seen the fencing
+// number. It changes nothing there but that orders of earlier holders are
+// refused from then on: the model ordered is the one it follows, or none.
+func (o *Orderer) claims(now time.Time, upstreams []*kingcuphook.Upstream) []kingcuphook.Order {
+	if !o.Placer.Settled(now) {
+		return nil
+	}
+	var orders []kingcuphook.Order
+	for _, u := range upstreams {
+		got, ok := o.seen[u.Address()]
+		if ok && u.ChecksFence() && got.Fence() < o.fence {
+			orders = append(orders, o.newOrder(u, got.Model(), got.Generation()))
+		}
+	}
+	return orders
+}
+
 // begin returns the upstreams of the pool if this router holds the lease.
 func (o *Orderer) begin(now time.Time) []*kingcuphook.Upstream {
 	fence, _, err := o.Lease.Holding()
@@ -164,17 +198,22 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if err != nil {
+		delete(o.seen, u.Address())
 		o.Placer.Lose(u.Address())
 		return
 	}
+	if o.seen == nil {
+		o.seen = make(map[string]kingcuphook.Order)
+	}
+	o.seen[u.Address()] = got
 	o.Placer.Observe(u.Address(), got.Model(), got.Generation())
 }
 
 // order gives one order if the lease is still held. The call ends before the
 // lease can.
-func (o *Orderer) order(ctx context.Context, m placer.Move) {
+func (o *Orderer) order(ctx context.Context, order kingcuphook.Order) {
 	fence, until, err := o.Lease.Holding()
-	if err != nil || fence != o.fence {
+	if err != nil || fence != order.Fence() {
 		return
 	}
 	deadline := time.Now().Add(callTimeout)
@@ -183,15 +222,9 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	order := kingcuphook.NewOrder(kingcuphook.OrderFields{
-		Upstream:   m.Upstream().Address(),
-		Model:      m.Model(),
-		Generation: m.Generation(),
-		Fence:      fence,
-	})
 	err = o.Engines.Order(ctx, order)
 	if errors.Is(err, kingcuphook.ErrStaleFence) {
-		o.exceed(ctx, m.Upstream())
+		o.exceed(ctx, order.Upstream())
 	}
 	if o.Ordered != nil {
 		o.Ordered(order, err)
@@ -199,9 +232,25 @@
 }
 
 // exceed tells the lease which fencing number the upstream has seen.
-func (o *Orderer) exceed(ctx context.Context, u *kingcuphook.Upstream) {
+func (o *Orderer) exceed(ctx context.Context, address string) {
+	o.mu.Lock()
+	u := o.upstream(address)
+	o.mu.Unlock()
+	if u == nil {
+		return
+	}
 	got, err := o.Engines.Loaded(ctx, u)
 	if err == nil {
 		o.Lease.Refused(got.Fence())
 	}
 }
+
+// upstream returns the upstream of the pool with the given address, or nil.
+func (o *Orderer) upstream(address string) *kingcuphook.Upstream {
+	for _, u := range o.pool.Upstreams() {
+		if u.Address() == address {
+			return u
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/orderer/orderer_test.go
@@ -0,0 +1,306 @@
+package orderer_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/emulator/storer"
+	"github.com/kingcuphook/kingcuphook/leaser"
+	"github.com/kingcuphook/kingcuphook/orderer"
+	"github.com/kingcuphook/kingcuphook/placer"
+)
+
+const (
+	reloadTime = 20 * time.Second
+	// settleTime is how long a new holder takes over what it finds.
+	settleTime = 30 * time.Second
+	// correctTime is the stated time in which a late order is corrected: its own
+	// reload, the reload of the correction, and a repeat with two rounds for
+	// each of up to four corrections that are lost as well.
+	correctTime = 2*reloadTime + 4*(30*time.Second+10*time.Second)
+)
+
+// engine is a fake upstream.
+type engine struct {
+	checks bool
+	model  string
+	next   string
+	ready  time.Time
+	order  kingcuphook.Order
+	// stale is since when it follows an order of an earlier holder; zero if it
+	// does not.
+	stale time.Time
+}
+
+// engines implements kingcuphook.Orderer.
+type engines struct {
+	mu  sync.Mutex
+	rng *rand.Rand
+	all map[string]*engine
+	// highest is the highest fencing number of any holder, and since when.
+	highest int64
+	since   time.Time
+	// late is the share of orders to change the model that arrive late, as
+	// those of a paused holder do; lost the share whose reply is lost.
+	late, lost float64
+	// lateOrders counts the orders of an earlier holder that took effect after
+	// the new one had settled; refused those that were turned away.
+	lateOrders, refused int
+	problem             string
+	wg                  sync.WaitGroup
+}
+
+func (e *engines) Order(ctx context.Context, o kingcuphook.Order) error {
+	e.mu.Lock()
+	late := e.rng.Float64() < e.late && o.Model() != e.all[o.Upstream()].model
+	lost := e.rng.Float64() < e.lost
+	e.mu.Unlock()
+	if late {
+		e.wg.Go(func() {
+			time.Sleep(150 * time.Second)
+			_ = e.take(o, false)
+		})
+		<-ctx.Done()
+		return kingcuphook.ErrOutcomeUnknown
+	}
+	time.Sleep(3 * time.Millisecond)
+	return e.take(o, lost)
+}
+
+func (e *engines) take(o kingcuphook.Order, lost bool) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if err := e.accept(e.all[o.Upstream()], o); err != nil {
+		return err
+	}
+	if lost {
+		return kingcuphook.ErrOutcomeUnknown
+	}
+	return nil
+}
+
+func (e *engines) accept(u *engine, o kingcuphook.Order) error {
+	if u.checks && o.Fence() < u.order.Fence() {
+		e.refused++
+		return kingcuphook.ErrStaleFence
+	}
+	switch {
+	case o.Fence() > e.highest:
+		e.raise(o.Fence())
+	case o.Fence() == e.highest:
+		u.stale = time.Time{}
+	case o.Model() == u.follows() || u.follows() == "":
+		// It changes nothing that anyone has decided.
+	case time.Since(e.since) > settleTime+30*time.Second:
+		e.lateOrders++
+		u.stale = time.Now()
+	}
+	u.order = o
+	if o.Model() != u.model || u.next != "" {
+		u.next = o.Model()
+		u.ready = time.Now().Add(reloadTime)
+	}
+	return nil
+}
+
+func (e *engines) Loaded(_ context.Context, u *kingcuphook.Upstream) (kingcuphook.Order, error) {
+	time.Sleep(3 * time.Millisecond)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	g := e.all[u.Address()]
+	g.settle()
+	return kingcuphook.NewOrder(kingcuphook.OrderFields{
+		Upstream: u.Address(), Model: g.model, Generation: g.order.Generation(), Fence: g.order.Fence(),
+	}), nil
+}
+
+// raise notes a new holder, which takes over what it finds.
+func (e *engines) raise(fence int64) {
+	if fence <= e.highest {
+		return
+	}
+	e.highest = fence
+	e.since = time.Now()
+	for _, g := range e.all {
+		g.stale = time.Time{}
+	}
+}
+
+// follows returns the model that is served or being loaded.
+func (g *engine) follows() string {
+	if g.next != "" {
+		return g.next
+	}
+	return g.model
+}
+
+func (g *engine) settle() {
+	if g.next != "" && !time.Now().Before(g.ready) {
+		g.model, g.next = g.next, ""
+	}
+}
+
+func (e *engines) count(model string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, g := range e.all {
+		g.settle()
+		if g.model == model && g.next == "" {
+			n++
+		}
+	}
+	return n
+}
+
+func pool(checks bool) *kingcuphook.Pool {
+	upstreams := make([]*kingcuphook.Upstream, 6)
+	for i := range upstreams {
+		upstreams[i] = kingcuphook.NewUpstream(kingcuphook.UpstreamFields{
+			Address: fmt.Sprintf("10.1.0.%d:80", i), Region: "luzon", DataCentre: "luzon-1",
+			Kind: kingcuphook.UpstreamKindEngine, ChecksFence: checks,
+		})
+	}
+	return kingcuphook.NewPool(kingcuphook.PoolFields{
+		Name: "p", Upstreams: upstreams, MaxReloading: 2,
+		Placements: []kingcuphook.PlacementFields{
+			{Model: "a", Region: "luzon", Min: 1, Max: 4},
+			{Model: "b", Region: "luzon", Min: 1, Max: 4},
+		},
+	})
+}
+
+func newEngines(p *kingcuphook.Pool, seed uint64) *engines {
+	e := &engines{rng: rand.New(rand.NewPCG(seed, 9)), all: make(map[string]*engine)}
+	for _, u := range p.Upstreams() {
+		e.all[u.Address()] = &engine{checks: u.ChecksFence()}
+	}
+	return e
+}
+
+// holder is one router: a lease runner and an orderer.
+type holder struct {
+	lease   *leaser.Runner
+	orderer *orderer.Orderer
+}
+
+func newHolder(s kingcuphook.Store, e *engines, p *kingcuphook.Pool, i int) *holder {
+	l := &leaser.Runner{Store: s, Leaser: &leaser.Leaser{
+		Key: "leases/p", Owner: fmt.Sprintf("10.0.0.%d:7000", i), Rand: rand.New(rand.NewPCG(uint64(i), 1)),
+	}}
+	l.SetPosition(i)
+	o := &orderer.Orderer{Engines: e, Lease: l, Placer: &placer.Placer{Settle: settleTime}}
+	o.SetPool(p)
+	return &holder{lease: l, orderer: o}
+}
+
+func TestOrdersOfOldHoldersDoNotLast(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		for seed := range uint64(25) {
+			t.Run(fmt.Sprintf("checks=%v/%d", checks, seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { checkHolders(t, checks, seed) })
+			})
+		}
+	}
+}
+
+// checkHolders runs three holders while demand swings, leases are lost, and
+// orders come late or lose their replies.
+func checkHolders(t *testing.T, checks bool, seed uint64) {
+	is := is.New(t)
+	p := pool(checks)
+	e := newEngines(p, seed)
+	e.late, e.lost = 0.3, 0.2
+	store := &storer.Store{}
+	rng := rand.New(rand.NewPCG(seed, 4))
+	ctx, stop := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	holders := make([]*holder, 3)
+	for i := range holders {
+		h := newHolder(store, e, p, i)
+		holders[i] = h
+		wg.Go(func() { h.lease.Run(ctx) })
+		wg.Go(func() { h.orderer.Run(ctx) })
+	}
+	for round := range 720 {
+		time.Sleep(5 * time.Second)
+		a := 4.0 * float64(round/60%2)
+		for _, h := range holders {
+			h.orderer.SetDemand("luzon", "a", a)
+			h.orderer.SetDemand("luzon", "b", 4-a)
+			if fence, _, err := h.lease.Holding(); err == nil {
+				e.mu.Lock()
+				e.raise(fence)
+				e.mu.Unlock()
+			}
+		}
+		if rng.IntN(20) == 0 {
+			loseLeases(t, store)
+		}
+		e.watch(checks)
+	}
+	e.mu.Lock()
+	e.late, e.lost = 0, 0
+	e.mu.Unlock()
+	time.Sleep(15 * time.Minute)
+	t.Logf("late orders %d, refused %d", e.lateOrders, e.refused)
+	is.Equal(e.problem, "")
+	is.True(!checks || e.lateOrders == 0) // an engine that checks takes no old order
+	is.True(e.count("a") >= 1 && e.count("a") <= 4)
+	is.True(e.count("b") >= 1 && e.count("b") <= 4)
+	stop()
+	wg.Wait()
+	e.wg.Wait()
+}
+
+// loseLeases deletes the lease's key, as an expiry that its holder misses.
+func loseLeases(t *testing.T, s *storer.Store) {
+	err := s.Delete(t.Context(), "leases/p", kingcuphook.RevisionAny)
+	if err != nil && !errors.Is(err, kingcuphook.ErrNotFound) {
+		t.Fatal(err)
+	}
+}
+
+// watch notes an engine that follows a late order for too long.
+func (e *engines) watch(checks bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for a, g := range e.all {
+		if !g.stale.IsZero() && !checks && time.Since(g.stale) > correctTime {
+			e.problem = fmt.Sprintf("%s follows a late order for %v", a, time.Since(g.stale))
+		}
+	}
+}
+
+func TestNewHolderWaitsForEnginesThatIgnoreFences(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			p := pool(checks)
+			e := newEngines(p, 1)
+			h := newHolder(&storer.Store{}, e, p, 0)
+			ctx, stop := context.WithCancel(t.Context())
+			var wg sync.WaitGroup
+			wg.Go(func() { h.lease.Run(ctx) })
+			wg.Go(func() { h.orderer.Run(ctx) })
+			time.Sleep(9 * time.Second)
+			e.mu.Lock()
+			ordered := e.highest > 0
+			e.mu.Unlock()
+			is.Equal(ordered, checks)
+			time.Sleep(time.Minute)
+			is.True(e.count("a") >= 1)
+			stop()
+			wg.Wait()
+		})
+	}
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -63,7 +63,7 @@
 
 	// settled is when the latest Settle ends.
 	settled time.Time
-	pool *kingcuphook.Pool
+	pool    *kingcuphook.Pool
 	// runners holds the state of each engine of the pool by address; order
 	// lists the addresses.
 	runners map[string]*runner
@@ -159,6 +159,9 @@
 	}
 }
 
+// Settled reports whether the orders of earlier holders have shown their effect.
+func (p *Placer) Settled(now time.Time) bool { return !now.Before(p.settled) }
+
 // Observe takes what an upstream was seen to follow. A runner that was ordered
 // to serve another model is ordered again; so is one that started anew.
 func (p *Placer) Observe(address, model string, generation int64) {
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -15,7 +15,8 @@
 
 const reloadTime = 20 * time.Second
 
-// engine is a runner under test; it serves its model once it is loaded.
+// engine is a runner under test. While it loads the next model it serves
+// nothing, but still reports the old one.
 type engine struct {
 	model      string
 	generation int64
@@ -100,7 +101,7 @@
 	}
 	c.loads++
 	e.generation = m.Generation()
-	e.model, e.next = "", m.Model()
+	e.next = m.Model()
 	e.ready = c.now.Add(reloadTime)
 }
 
@@ -128,7 +129,7 @@
 func (c *cluster) count(model string) int {
 	n := 0
 	for _, e := range c.engines {
-		if e.model == model && !e.gone {
+		if e.model == model && e.next == "" && !e.gone {
 			n++
 		}
 	}
@@ -216,6 +217,39 @@
 	is.Equal(c.count("a"), 2)
 }
 
+func TestLastRunnerOfAModelIsNotTaken(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 2, 1, declared("a", 0, 2), declared("b", 0, 2))
+	c.engines["10.1.0.0:80"].model = "a"
+	c.engines["10.1.0.1:80"].model = "b"
+	for range 30 {
+		c.p.Demand(c.now, "cairo", "b", 5)
+		c.run(10 * time.Second)
+	}
+	is.Equal(c.p.Want("cairo", "b"), 2)
+	is.Equal(c.count("a"), 1)
+}
+
+func TestNewHolderWaitsForTheOrdersOfTheOld(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 3, 1, declared("a", 0, 3), declared("b", 0, 3))
+	c.engines["10.1.0.0:80"].model = "a"
+	c.engines["10.1.0.1:80"].model = "b"
+	// The old holder has moved this one to b; it still reports a.
+	c.engines["10.1.0.2:80"].model = "a"
+	c.engines["10.1.0.2:80"].next = "b"
+	c.engines["10.1.0.2:80"].ready = c.now.Add(100 * time.Second)
+	for range 10 {
+		c.p.Demand(c.now, "cairo", "b", 9)
+		c.now = c.now.Add(10 * time.Second)
+	}
+	c.p.Reset(c.now.Add(-100 * time.Second))
+	c.now = c.now.Add(-100 * time.Second)
+	c.run(10 * time.Minute)
+	is.Equal(c.count("a"), 1)
+	is.Equal(c.count("b"), 2)
+}
+
 // TestPlacementUnderFaults lets tables, demand, runners and replies change at
 // random. The invariants are checked in every round.
 func TestPlacementUnderFaults(t *testing.T) {
@@ -228,12 +262,13 @@
 			for _, m := range []string{"a", "b", "c"} {
 				c.p.Demand(c.now, "cairo", m, 6*rng.Float64())
 			}
-			if rng.IntN(5) == 0 {
+			c.run(time.Duration(rng.IntN(90)) * time.Second)
+			if rng.IntN(3) == 0 {
 				c.p.Reset(c.now)
 			}
 			if rng.IntN(5) == 0 {
 				c.declare(c.pool.Upstreams(), 2, []kingcuphook.PlacementFields{
-					declared("a", 1+rng.IntN(3), 5), declared("b", 1+rng.IntN(2), 4), declared("c", 1, 2),
+					declared("a", 1+rng.IntN(3), 5), declared("b", 1+rng.IntN(2), 4), declared("c", rng.IntN(2), 2),
 				})
 			}
 			c.run(time.Minute)
--- a/placer/plan.go
+++ b/placer/plan.go
@@ -13,6 +13,9 @@
 	if p.pool == nil {
 		return nil
 	}
+	if p.Settled(now) {
+		p.own()
+	}
 	moves := p.repeat(now, allowed)
 	for _, s := range p.byNeed(now) {
 		for p.assigned(now, s.place) < s.want {
@@ -29,6 +32,16 @@
 	return moves
 }
 
+// own takes what the runners follow for this holder's decision: what changes it
+// from now on is corrected.
+func (p *Placer) own() {
+	for _, r := range p.runners {
+		if r.observed {
+			r.own = true
+		}
+	}
+}
+
 // repeat orders again the runners that do not follow their order.
 func (p *Placer) repeat(now time.Time, allowed func(u *kingcuphook.Upstream) bool) []Move {
 	var moves []Move
@@ -42,7 +55,6 @@
 		}
 		if !p.declared(r) {
 			r.target = r.loaded
-			r.own = false
 			r.began = time.Time{}
 			continue
 		}
@@ -106,7 +118,7 @@
 	if !p.declared(r) {
 		return costUndeclared, true
 	}
-	if p.last(r) || r.loaded == r.target && now.Before(p.settled) {
+	if p.last(r) || r.loaded == r.target && !p.Settled(now) {
 		return 0, false
 	}
 	from := p.shares[place{region: r.upstream.Region(), model: r.target}]
