Wire leases, placement and orders into the router

The scenario placement.txtar: two engines get the declared model from the holder of the lease; after a planned stop of the holder, another router restores it on engines that forgot their orders.

--- a/cmd/kingcuphook/script_test.go
+++ b/cmd/kingcuphook/script_test.go
@@ -75,6 +75,8 @@
 //	crash N            crashes upstream N
 //	crashes            prints how often upstreams crashed
 //	runs KEY           prints how often the service ran the key
+//	serving MODEL N    waits until N engines follow an order for the model
+//	forget             makes all engines forget their orders
 //	replace FILE A B   replaces the first A in FILE by B
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{
@@ -99,6 +101,8 @@
 			"crash":       withFleet(crashCmd),
 			"crashes":     withFleet(crashesCmd),
 			"runs":        withFleet(runsCmd),
+			"serving":     withFleet(servingCmd),
+			"forget":      withFleet(forgetCmd),
 			"replace":     withFleet(replaceCmd),
 		},
 	})
@@ -401,6 +405,28 @@
 	fmt.Fprintf(ts.Stdout(), "%d runs\n", runs)
 }
 
+func servingCmd(ts *testscript.TestScript, _ bool, args []string, f *fleet) {
+	want, serving := index(ts, args[1]), 0
+	for until := time.Now().Add(2 * scriptTimeout); time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
+		serving = 0
+		for _, u := range f.upstreams {
+			if u.Model() == args[0] {
+				serving++
+			}
+		}
+		if serving == want {
+			return
+		}
+	}
+	ts.Fatalf("%d engines serve %s", serving, args[0])
+}
+
+func forgetCmd(_ *testscript.TestScript, _ bool, _ []string, f *fleet) {
+	for _, u := range f.upstreams {
+		u.Forget()
+	}
+}
+
 func replaceCmd(ts *testscript.TestScript, _ bool, args []string, _ *fleet) {
 	text := ts.ReadFile(args[0])
 	if !strings.Contains(text, args[1]) {
--- a/emulator/responder/responder.go
+++ b/emulator/responder/responder.go
@@ -158,6 +158,20 @@
 	u.leaving = leaving
 }
 
+// Model returns the model of the order that the upstream follows; empty for none.
+func (u *Upstream) Model() string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.order.Model
+}
+
+// Forget makes the upstream forget its order, as a restart does.
+func (u *Upstream) Forget() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.order = kingcuphook.OrderFields{}
+}
+
 // Crash breaks every open answer and refuses work for RestartTime.
 func (u *Upstream) Crash() {
 	u.init()
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -35,7 +35,7 @@
 }
 
 // Orderer keeps the engines of one pool at what its placer wants. Its exported
-// fields are set before Run. SetPool and SetDemand are safe for concurrent use.
+// fields are set before Run. SetPool, SetDemand and SetLoads are safe for concurrent use.
 type Orderer struct {
 	// Engines takes the orders; never nil.
 	Engines kingcuphook.Orderer
@@ -79,6 +79,14 @@
 	o.Placer.Demand(time.Now(), region, model, runners)
 }
 
+// SetLoads takes how full the engines are, as the share of its slots that each
+// uses or that wait at it, by address.
+func (o *Orderer) SetLoads(shares map[string]float64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.Placer.Load(time.Now(), shares)
+}
+
 // Run reads back and orders until ctx ends.
 func (o *Orderer) Run(ctx context.Context) {
 	interval := o.Interval
--- a/router/control.go
+++ b/router/control.go
@@ -68,6 +68,8 @@
 	// known has the addresses of the other routers as last published.
 	known map[string]bool
 
+	placement placement
+
 	// view is what others may read; it is replaced, never changed.
 	view atomic.Pointer[view]
 }
@@ -147,6 +149,7 @@
 	c.nextSlow = now.Add(slowInterval)
 	c.tellRates(now)
 	c.tellSuspects(now)
+	c.place(ctx)
 	c.publish(now)
 }
 
