Reserve more for the highest tier and wait from nine tenths of the token target

Cause: the reserve followed the use with little room, so a burst found fast upstreams full, and a request waited only when the gap was predicted over its target.

--- a/selector/reserve.go
+++ b/selector/reserve.go
@@ -13,8 +13,8 @@
 	suitedShare = 0.9
 	// reserveFactor and reserveSlack say how many slots are kept for the highest
 	// tier, from what it has used lately.
-	reserveFactor = 1.3
-	reserveSlack  = 1
+	reserveFactor = 2.0
+	reserveSlack  = 2
 	// reserveFade is the time constant with which that use fades.
 	reserveFade = 5 * time.Second
 	// minRest is the share of the suited slots that other tiers may always use.
--- a/selector/score.go
+++ b/selector/score.go
@@ -29,6 +29,8 @@
 	widenShare = 0.5
 	// safeGap is the share of the token target that a predicted gap may take up.
 	safeGap = 0.8
+	// riskyGap is the share from which on a request rather waits.
+	riskyGap = 0.9
 	// overrunWeight is how many times the latency target an overrun of the whole
 	// token target counts for.
 	overrunWeight = 4
@@ -103,7 +105,7 @@
 		if c.refused != reasonUnusable || c.remote != b.remote {
 			continue
 		}
-		if b.gap > 1 && c.gap < safeGap {
+		if b.gap > riskyGap && c.gap < safeGap {
 			return true
 		}
 		gained := time.Duration(float64(c.cached-b.cached) * b.tracker.first.slope * float64(time.Second))
