--- a/follower/follower.go
+++ b/follower/follower.go
@@ -30,6 +30,11 @@
 	// watchInterval is the least mean time between two watches, so that edits in
 	// quick succession come together.
 	watchInterval = 250 * time.Millisecond
+	// firstWatcherRead and firstRead bound the random wait of a starting router,
+	// in which peers may bring the tables, so that routers that start together
+	// spread their reads.
+	firstWatcherRead = 500 * time.Millisecond
+	firstRead        = 2 * time.Second
 	// watchBurst is how many watches may follow each other at once.
 	watchBurst = 4
 	// watchTimeout bounds a watch whose connection went silent.
@@ -99,8 +104,9 @@
 	// OnEvent is told what happens, one event at a time; may be nil. It must not
 	// call the follower.
 	OnEvent func(Event)
-	// WatchAlways makes the router watch whatever the others do.
-	WatchAlways bool
+	// IsWatcher reports whether this router watches the store; nil means that
+	// Watches decides from Routers. It must not block.
+	IsWatcher func() bool
 
 	mu      sync.Mutex
 	applier applier.Applier
@@ -203,6 +209,7 @@
 // Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	r := runner{f: f, pace: rate.NewLimiter(rate.Every(watchInterval), watchBurst)}
+	r.start(ctx)
 	for ctx.Err() == nil {
 		pause := r.step(ctx)
 		sleep(ctx, pause)
@@ -239,6 +246,22 @@
 	return nil
 }
 
+// advance takes the changes of heads that a newer one has replaced, so that
+// nothing has to be read for a gap. What does not fit is left to the newest.
+func (f *Follower) advance(entries []kingcuphook.Entry) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range entries {
+		h, err := encoder.DecodeHead(e.Value())
+		if err != nil {
+			continue
+		}
+		if v, err := f.applier.Advance(h.Changes); err == nil && v == applier.VerdictApplied {
+			f.publish(sourceStore, v, h.Revision)
+		}
+	}
+}
+
 // older reports a head that is older than what is in force, once.
 func (f *Follower) older(storeRevision, seen int64) {
 	f.mu.Lock()
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -70,6 +70,8 @@
 	near, region, remote place
 	index                *index
 	spills               bool
+	// abroad says that the pool has no upstream in the region of the router.
+	abroad bool
 	// lastSpill is when a request last went to another region.
 	lastSpill time.Time
 	reserve   reserve
@@ -116,6 +118,10 @@
 	s.near = newPlace(0)
 	s.region = newPlace(orDuration(s.CentreDelay, defaultCentreDelay))
 	s.remote = newPlace(orDuration(s.RegionDelay, defaultRegionDelay))
+	s.abroad = !s.servesHere(p)
+	if s.abroad {
+		s.region.delay = s.remote.delay
+	}
 	for _, t := range s.trackers {
 		s.reserve.remove(t, s.Routers)
 	}
@@ -167,12 +173,21 @@
 	return t
 }
 
-// placeOf returns the place of the tracker by distance.
+// servesHere reports whether the region of the router has an upstream of the
+// pool that takes work.
+func (s *Selector) servesHere(p *kingcuphook.Pool) bool {
+	return slices.ContainsFunc(p.Upstreams(), func(u *kingcuphook.Upstream) bool {
+		return !u.Leaving() && (s.Region == "" || s.Region == u.Region())
+	})
+}
+
+// placeOf returns the place of the tracker by distance. Without an upstream in
+// the region, those of other regions are all there is and count as its own.
 func (s *Selector) placeOf(t *tracker) *place {
 	switch {
 	case s.Region == "" || s.Region == t.upstream.Region() && s.DataCentre == t.upstream.DataCentre():
 		return &s.near
-	case s.Region == t.upstream.Region():
+	case s.abroad || s.Region == t.upstream.Region():
 		return &s.region
 	default:
 		return &s.remote
