--- a/editor/editor.go
+++ b/editor/editor.go
@@ -185,6 +185,11 @@
 	}
 	l := loader.Loader{Store: e.Store}
 	s, err := l.Load(ctx, have)
+	if errors.Is(err, kingcuphook.ErrInvalid) && high.Revision() > 0 && (s.Head == nil || s.Head.Revision <= high.Revision()) {
+		// What is damaged is brought up to date like an older head, unless it may be
+		// newer than what is in force.
+		return &loader.State{StoreRevision: s.StoreRevision, Snapshot: s.Snapshot}, nil
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/editor/outcome_test.go
+++ b/editor/outcome_test.go
@@ -265,3 +265,50 @@
 		is.True(errors.Is(err, kingcuphook.ErrOutcomeUnknown))
 	})
 }
+
+func TestDamagedHeadIsWrittenAnew(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	var s storer.Store
+	e := Editor{Store: &s}
+	_, err := e.Apply(ctx, edit(t, "1", 0, "a"))
+	is.NoErr(err)
+	high := e.last
+	_, err = s.Put(ctx, encoder.HeadKey, []byte("damaged"), kingcuphook.RevisionAny, 0)
+	is.NoErr(err)
+	_, err = e.Apply(ctx, edit(t, "2", 1, "a", "b"))
+	is.True(errors.Is(err, kingcuphook.ErrInvalid))
+	e.InForce = func() (*differ.Snapshot, bool) { return high, true }
+	r, err := e.Apply(ctx, edit(t, "3", 1, "a", "b"))
+	is.NoErr(err)
+	is.Equal(r.Revision, int64(3))
+	is.Equal(names(t, &s), "a:1 b:1")
+}
+
+// A damaged segment under a head that is newer than what this router has in force
+// must not be overwritten.
+func TestDamagedSegmentOfNewerHeadIsLeftAlone(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	var s storer.Store
+	e := Editor{Store: &s}
+	for i := range 9 {
+		_, err := e.Apply(ctx, edit(t, fmt.Sprint(i), int64(i), "a", fmt.Sprint(i)))
+		is.NoErr(err)
+	}
+	high := differ.NewSnapshot(kingcuphook.NewTables(2, nil, nil), 7, nil)
+	entries, err := s.List(ctx, encoder.SegmentPrefix)
+	is.NoErr(err)
+	for _, entry := range entries {
+		_, err = s.Put(ctx, entry.Key(), []byte{}, kingcuphook.RevisionAny, 0)
+		is.NoErr(err)
+	}
+	before, err := s.Get(ctx, encoder.HeadKey)
+	is.NoErr(err)
+	late := Editor{Store: &s, InForce: func() (*differ.Snapshot, bool) { return high, true }}
+	_, err = late.Apply(ctx, edit(t, "late", BaseNewest, "b"))
+	is.True(errors.Is(err, kingcuphook.ErrInvalid))
+	after, err := s.Get(ctx, encoder.HeadKey)
+	is.NoErr(err)
+	is.Equal(after.Revision(), before.Revision())
+}
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -51,7 +51,7 @@
 
 // Load reads the head and what have lacks of the tables. Have is any earlier
 // snapshot, or nil. An error is that of the store, or a *kingcuphook.InputError
-// for a value that is refused.
+// for a value that is refused; the state then has the store's revision and, if it can be read, the head.
 func (l *Loader) Load(ctx context.Context, have *differ.Snapshot) (*State, error) {
 	for n := 1; ; n++ {
 		s, err := l.load(ctx, have)
@@ -75,6 +75,16 @@
 // Complete reads what have lacks of the tables under the given entry of the
 // head. It makes no call if the entry's changes follow have.
 func (l *Loader) Complete(ctx context.Context, e kingcuphook.Entry, have *differ.Snapshot) (*State, error) {
+	s, err := l.complete(ctx, e, have)
+	if errors.Is(err, kingcuphook.ErrInvalid) {
+		// An undecodable head is nil here.
+		h, _ := encoder.DecodeHead(e.Value())
+		return &State{Head: h, StoreRevision: e.Revision(), Snapshot: differ.EmptySnapshot()}, err
+	}
+	return s, err
+}
+
+func (l *Loader) complete(ctx context.Context, e kingcuphook.Entry, have *differ.Snapshot) (*State, error) {
 	h, err := encoder.DecodeHead(e.Value())
 	if err != nil {
 		return nil, fmt.Errorf("loader: %w", err)
