--- a/editor/attempt.go
+++ b/editor/attempt.go
@@ -176,12 +176,9 @@
 			return nil, false, err
 		}
 	}
-	routes, pools := a.edit.Routes, a.edit.Pools
-	if routes == nil {
-		routes = parser.NewRouteTable("routes", base.Routes())
-	}
-	if pools == nil {
-		pools = parser.NewPoolTable("pools", base.Pools())
+	routes, pools, err := a.edit.tables(base)
+	if err != nil {
+		return nil, false, err
 	}
 	if err := parser.Validate(routes, pools); err != nil {
 		return nil, false, err
@@ -199,6 +196,21 @@
 	return next, true, err
 }
 
+// tables returns the tables that the edit makes of base.
+func (e Edit) tables(base *kingcuphook.Tables) (*parser.RouteTable, *parser.PoolTable, error) {
+	if e.Patch != nil {
+		return e.Patch.Apply(base)
+	}
+	routes, pools := e.Routes, e.Pools
+	if routes == nil {
+		routes = parser.NewRouteTable("routes", base.Routes())
+	}
+	if pools == nil {
+		pools = parser.NewPoolTable("pools", base.Pools())
+	}
+	return routes, pools, nil
+}
+
 // swap writes the rows on top of s.
 func (a *attempt) swap(ctx context.Context, s *loader.State, rows []differ.Row, rebased bool) (Result, bool, error) {
 	revision := s.Snapshot.Revision() + 1
--- a/editor/bench_test.go
+++ b/editor/bench_test.go
@@ -271,3 +271,29 @@
 		})
 	}
 }
+
+// BenchmarkPatch reads and applies patches of one upstream each.
+func BenchmarkPatch(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("routes=%d/upstreams=%d", n.organisations*routesPerOrganisation, n.runners), func(b *testing.B) {
+			_, e := full(b, n)
+			i, bytes := 0, 0
+			for b.Loop() {
+				p := e.last.Tables().Pools()[i%len(e.last.Tables().Pools())]
+				u := p.Upstreams()[0]
+				text := fmt.Sprintf("[[pool]]\nname = %q\n[[pool.upstream]]\naddress = %q\nregion = %q\ndata-centre = %q\nslots = %d\n",
+					p.Name(), u.Address(), u.Region(), u.DataCentre(), 100+i)
+				patch, err := parser.ParsePatch("patch", []byte(text))
+				if err != nil {
+					b.Fatal(err)
+				}
+				if _, err := e.Apply(b.Context(), Edit{Author: "nour", Base: BaseNewest, Patch: patch}); err != nil {
+					b.Fatal(err)
+				}
+				bytes += len(text)
+				i++
+			}
+			b.ReportMetric(float64(bytes)/float64(i), "text-B")
+		})
+	}
+}
--- a/editor/editor.go
+++ b/editor/editor.go
@@ -49,6 +49,9 @@
 	// Routes and Pools are the whole new tables; nil leaves a table as it is.
 	Routes *parser.RouteTable
 	Pools  *parser.PoolTable
+	// Patch, if set, is applied to the tables of the base in place of Routes and
+	// Pools.
+	Patch *parser.Patch
 }
 
 // Result is what became of an accepted edit.
--- a/editor/editor_test.go
+++ b/editor/editor_test.go
@@ -103,3 +103,23 @@
 	is.True(r.Repeated)
 	is.Equal(r.Revision, int64(1))
 }
+
+func TestPatchIsRebasedLikeAnyEdit(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	var s storer.Store
+	e := Editor{Store: &s}
+	_, err := e.Apply(ctx, edit(t, "1", 0, "a", "b"))
+	is.NoErr(err)
+	patch := func(id string, base int64, rows ...string) error {
+		p, err := parser.ParsePatch("patch.toml", []byte(routesText(rows...)))
+		is.NoErr(err)
+		_, err = e.Apply(ctx, Edit{ID: id, Author: "omar", Base: base, Patch: p})
+		return err
+	}
+	is.NoErr(patch("2", 1, "a:2"))
+	is.NoErr(patch("3", 1, "b:3", "c"))
+	is.True(errors.Is(patch("4", 1, "a:4"), kingcuphook.ErrConflict))
+	is.NoErr(patch("5", BaseNewest, "a:5"))
+	is.Equal(names(t, &s), "a:5 b:3 c:1")
+}
--- a/parser/lines.go
+++ b/parser/lines.go
@@ -14,6 +14,7 @@
 	arrayPool      = "pool"
 	arrayUpstream  = "upstream"
 	arrayPlacement = "placement"
+	arrayRemove    = "remove"
 )
 
 // header is one header of an array of tables, such as [[pool.upstream]].
@@ -54,12 +55,12 @@
 	return hs
 }
 
-// routeLines returns the lines of n routes, or nil if the table is not written
-// as an array of tables.
-func routeLines(data []byte, n int) []int {
+// arrayLines returns the lines of the n rows of a name, or nil if they are not
+// written as an array of tables.
+func arrayLines(data []byte, name string, n int) []int {
 	var lines []int
 	for _, h := range headers(data) {
-		if h.outer == arrayRoute && h.inner == "" {
+		if h.outer == name && h.inner == "" {
 			lines = append(lines, h.line)
 		}
 	}
--- a/parser/parser.go
+++ b/parser/parser.go
@@ -68,7 +68,7 @@
 	for i, r := range d.Routes {
 		t.routes[i] = r.Route()
 	}
-	t.lines = routeLines(data, len(d.Routes))
+	t.lines = arrayLines(data, arrayRoute, len(d.Routes))
 	return t, nil
 }
 
--- /dev/null
+++ b/parser/patch_test.go
@@ -0,0 +1,107 @@
+package parser
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/differ"
+)
+
+func goodTables(t *testing.T) *kingcuphook.Tables {
+	t.Helper()
+	r, err := ParseRoutes("routes.toml", []byte(goodRoutes))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := ParsePools("pools.toml", []byte(goodPools))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return kingcuphook.NewTables(1, r.Routes(), p.Pools())
+}
+
+// patch applies a patch and validates the result.
+func patch(t *testing.T, text string) (*kingcuphook.Tables, error) {
+	t.Helper()
+	p, err := ParsePatch("patch.toml", []byte(text))
+	if err != nil {
+		return nil, err
+	}
+	r, pools, err := p.Apply(goodTables(t))
+	if err != nil {
+		return nil, err
+	}
+	return kingcuphook.NewTables(1, r.Routes(), pools.Pools()), Validate(r, pools)
+}
+
+func TestPatchTouchesOnlyItsRows(t *testing.T) {
+	is := is.New(t)
+	got, err := patch(t, `
+[[route]]
+name = "letters"
+class = "letters"
+pool = "cairo-till"
+tier = 4
+before = "rest"
+
+[[route]]
+name = "rest"
+pool = "cairo-till"
+tier = 3
+
+[[pool]]
+name = "cairo-till"
+max-queued = 7
+[[pool.upstream]]
+address = "[::1]:9002"
+region = "alex"
+data-centre = "alex-1"
+[[pool.upstream]]
+address = "127.0.0.1:9003"
+region = "cairo"
+data-centre = "cairo-1"
+
+[[remove]]
+pool = "cairo-till"
+model = "m"
+region = "cairo"
+`)
+	is.NoErr(err)
+	var keys []string
+	for _, r := range differ.Diff(goodTables(t), got) {
+		keys = append(keys, r.Key().String())
+	}
+	is.Equal(keys, []string{
+		"route letters", "route rest", "pool cairo-till", "upstream cairo-till/[::1]:9002",
+		"placement cairo-till/m@cairo", "upstream cairo-till/127.0.0.1:9003",
+	})
+	is.Equal(got.Routes()[2].Name(), "letters")
+	is.Equal(got.Pool("cairo-till").Fields().MaxReloading, 2)
+}
+
+func TestBadPatchesAreRefusedWithLineAndReason(t *testing.T) {
+	for text, want := range map[string]string{
+		"\n[[remove]]\nroute = \"x\"":                             `patch.toml:2: there is no route x to remove`,
+		"[[remove]]\npool = \"cups\"\nupstream = \"127.0.0.1:1\"": `patch.toml:1: there is no upstream cups/127.0.0.1:1 to remove`,
+		"[[remove]]\nroute = \"till\"\npool = \"cups\"":           `patch.toml:1: remove names either`,
+		"[[remove]]\n":                `patch.toml:1: there is no route`,
+		"[[remove]]\npool = \"cups\"": `patch.toml: route "redemption": there is no pool "cups"`,
+		"[[remove]]\npool = \"cups\"\nupstream = \"127.0.0.1:9100\"":                                         `patch.toml:1: pool "cups": it has no upstream`,
+		"[[route]]\nname = \"a\"\nbefore = \"b\"":                                                            `patch.toml:1: route "a": there is no route "b"`,
+		"[[route]]\nname = \"a\"\npool = \"cups\"\ntier = 1":                                                 `patch.toml:1: route "a" is never reached: route "rest"`,
+		"[[route]]\nnome = \"a\"":                                                                            `patch.toml:2: unknown key "nome"`,
+		"[[pool]]\nname = \"cups\"\n[[pool.upstream]]\naddress = \"127.0.0.1:1\"":                            `patch.toml:3: pool "cups": upstream "127.0.0.1:1": region is missing`,
+		"[[pool]]\nname = \"cups\"\n[[pool.placement]]\nmodel = \"m\"\nregion = \"cairo\"\nmin = 1\nmax = 1": `patch.toml:3: pool "cups": placement of "m" in "cairo": min is larger`,
+	} {
+		is := is.New(t)
+		_, err := patch(t, text)
+		is.True(errors.Is(err, kingcuphook.ErrInvalid))
+		if !strings.HasPrefix(err.Error(), want) {
+			t.Errorf("got  %s\nwant %s", err, want)
+		}
+	}
+}
