--- a/parser/patch_test.go
+++ b/parser/patch_test.go
@@ -71,7 +71,7 @@
 region = "cairo"
 `)
 	is.NoErr(err)
-	var keys []string
+	keys := make([]string, 0, 8)
 	for _, r := range differ.Diff(goodTables(t), got) {
 		keys = append(keys, r.Key().String())
 	}
