--- a/selector/selector.go
+++ b/selector/selector.go
@@ -24,6 +24,7 @@
 	reasonExcluded = "excluded"
 	reasonLeaving  = "leaving"
 	reasonUnusable = "no-free-slot"
+	reasonReserved = "reserved"
 	reasonLoaded   = "over-load-bound"
 	reasonFar      = "remote-misses-target"
 	reasonPrice    = "gain-below-price"
@@ -50,6 +51,10 @@
 	NoAffinity bool
 	// NoPrediction orders the candidates by load instead of by predicted time.
 	NoPrediction bool
+	// Routers is how many routers share the upstreams; 0 means 1.
+	Routers int
+	// NoReserve keeps no slots for the highest tier.
+	NoReserve bool
 	// NoHold never lets a request wait for a better upstream than a free one.
 	NoHold bool
 	// NoBound lifts the bound on the load of a candidate.
@@ -69,6 +74,7 @@
 	abroad bool
 	// lastSpill is when a request last went to another region.
 	lastSpill time.Time
+	reserve   reserve
 	// tightest is the lowest token target dispatched; 0 if none was.
 	tightest time.Duration
 	// pace is the smoothed time between two local slots becoming free.
@@ -116,11 +122,15 @@
 	if s.abroad {
 		s.region.delay = s.remote.delay
 	}
+	for _, t := range s.trackers {
+		s.reserve.remove(t, s.Routers)
+	}
 	wanted := make(map[string]bool, len(p.Upstreams()))
 	for _, u := range p.Upstreams() {
 		wanted[u.Address()] = true
 		t := s.track(u)
 		t.groups = t.groups[:0]
+		t.remote = s.placeOf(t) == &s.remote
 		if !u.Leaving() {
 			s.placeOf(t).add(t)
 		}
@@ -132,6 +142,18 @@
 			delete(s.trackers, address)
 		}
 	}
+	for _, t := range s.trackers {
+		s.reserve.add(t, s.Routers)
+	}
+}
+
+// SetRouters tells how many routers share the upstreams now.
+func (s *Selector) SetRouters(n int) {
+	for _, t := range s.trackers {
+		s.reserve.remove(t, s.Routers)
+		s.reserve.add(t, n)
+	}
+	s.Routers = n
 }
 
 func (s *Selector) track(u *kingcuphook.Upstream) *tracker {
@@ -210,7 +232,7 @@
 	if t == nil {
 		return
 	}
-	if s.placeOf(t) == &s.remote {
+	if t.remote {
 		s.lastSpill = now
 	}
 	before := t.load()
@@ -219,7 +241,10 @@
 	}
 	q := query{request: r}
 	s.recall(&q)
-	t.started(now, r.ID(), r.PromptTokens()-q.cached(t.id))
+	s.reserve.remove(t, s.Routers)
+	t.started(now, r, r.PromptTokens()-q.cached(t.id))
+	s.reserve.add(t, s.Routers)
+	s.reserve.use(now, r)
 	t.moved(before)
 	s.index.learn(r.Prefix(), r.Fingerprint(), holder{upstream: t.id, epoch: t.epoch})
 }
@@ -230,11 +255,14 @@
 	if t == nil {
 		return
 	}
-	if s.placeOf(t) != &s.remote {
+	if !t.remote {
 		s.freed(now)
 	}
 	before := t.load()
-	t.finished(r.ID(), a)
+	s.reserve.remove(t, s.Routers)
+	t.finished(r, a)
+	s.reserve.judge(t)
+	s.reserve.add(t, s.Routers)
 	t.moved(before)
 	if a.Failed {
 		t.epoch++
