--- a/differ/diff.go
+++ b/differ/diff.go
@@ -15,19 +15,22 @@
 }
 
 func diffRoutes(base, next []*kingcuphook.Route) []Row {
-	before := indexRoutes(base)
-	after := indexRoutes(next)
-	stays := unmoved(before, next)
+	head, tail := shared(base, next)
+	changedBase, changedNext := base[head:len(base)-tail], next[head:len(next)-tail]
+	before := indexRoutes(changedBase)
+	after := indexRoutes(changedNext)
+	stays := unmoved(before, changedNext)
 	var rows []Row
-	for i, r := range base {
+	for i, r := range changedBase {
 		if _, ok := after[r.Name()]; ok {
 			continue
 		}
 		rows = append(rows, NewRow(RowFields{
-			Before: Value{Route: r}, Placed: true, PreviousBefore: previous(base, i),
+			Before: Value{Route: r}, Placed: true, PreviousBefore: previous(base, head+i),
 		}))
 	}
-	for i, r := range next {
+	for i, r := range changedNext {
+		i += head
 		j, known := before[r.Name()]
 		if !known {
 			rows = append(rows, NewRow(RowFields{
@@ -35,6 +38,7 @@
 			}))
 			continue
 		}
+		j += head
 		placed := !stays[r.Name()]
 		if !placed && base[j].Fields() == r.Fields() {
 			continue
@@ -49,6 +53,19 @@
 	return rows
 }
 
+// shared returns how many routes at the start and at the end are the same
+// objects in both.
+func shared(a, b []*kingcuphook.Route) (head, tail int) {
+	n := min(len(a), len(b))
+	for head < n && a[head] == b[head] {
+		head++
+	}
+	for tail < n-head && a[len(a)-1-tail] == b[len(b)-1-tail] {
+		tail++
+	}
+	return head, tail
+}
+
 func indexRoutes(routes []*kingcuphook.Route) map[string]int {
 	m := make(map[string]int, len(routes))
 	for i, r := range routes {
--- a/editor/attempt.go
+++ b/editor/attempt.go
@@ -180,7 +180,7 @@
 	if err != nil {
 		return nil, false, err
 	}
-	if err := parser.Validate(routes, pools); err != nil {
+	if err := parser.ValidateChange(base, routes, pools); err != nil {
 		return nil, false, err
 	}
 	mine := kingcuphook.NewTables(base.Revision(), routes.Routes(), pools.Pools())
@@ -192,7 +192,7 @@
 		return nil, false, err
 	}
 	merged := parser.NewRouteTable("routes after rebase", next.Routes())
-	err = parser.Validate(merged, parser.NewPoolTable("pools after rebase", next.Pools()))
+	err = parser.ValidateChange(head, merged, parser.NewPoolTable("pools after rebase", next.Pools()))
 	return next, true, err
 }
 
--- a/editor/bench_test.go
+++ b/editor/bench_test.go
@@ -268,6 +268,13 @@
 				runtime.KeepAlive(state)
 			}
 			b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "tables-B")
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			e.last = nil
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			b.ReportMetric(float64(before.HeapAlloc)-float64(after.HeapAlloc), "with-changes-B")
+			runtime.KeepAlive(s)
 		})
 	}
 }
--- a/parser/patch_test.go
+++ b/parser/patch_test.go
@@ -31,11 +31,16 @@
 	if err != nil {
 		return nil, err
 	}
-	r, pools, err := p.Apply(goodTables(t))
+	base := goodTables(t)
+	r, pools, err := p.Apply(base)
 	if err != nil {
 		return nil, err
 	}
-	return kingcuphook.NewTables(1, r.Routes(), pools.Pools()), Validate(r, pools)
+	err = Validate(r, pools)
+	if change := ValidateChange(base, r, pools); (change == nil) != (err == nil) {
+		t.Errorf("Validate returned %v, ValidateChange %v", err, change)
+	}
+	return kingcuphook.NewTables(1, r.Routes(), pools.Pools()), err
 }
 
 func TestPatchTouchesOnlyItsRows(t *testing.T) {
--- a/parser/validate.go
+++ b/parser/validate.go
@@ -17,23 +17,32 @@
 // Validate checks both tables together. An error is a *kingcuphook.InputError
 // that names the first fault.
 func Validate(routes *RouteTable, pools *PoolTable) error {
-	if err := validatePools(pools); err != nil {
+	return ValidateChange(kingcuphook.NewTables(0, nil, nil), routes, pools)
+}
+
+// ValidateChange checks both tables together as Validate does. It spends less on
+// rows that are the same objects as in base, which must be valid.
+func ValidateChange(base *kingcuphook.Tables, routes *RouteTable, pools *PoolTable) error {
+	if err := validatePools(base, pools); err != nil {
 		return err
 	}
-	return validateRoutes(routes, pools)
+	return validateRoutes(base.Routes(), routes, pools)
 }
 
-func validateRoutes(t *RouteTable, pools *PoolTable) error {
+func validateRoutes(base []*kingcuphook.Route, t *RouteTable, pools *PoolTable) error {
 	known := make(map[string]bool, len(pools.pools))
 	for _, p := range pools.pools {
 		known[p.Name()] = true
 	}
 	names := make(map[string]int, len(t.routes))
 	var seen coverage
+	same := slices.Equal(base, t.routes)
 	for i, r := range t.routes {
 		line := t.line(i)
-		if reason := routeFault(r); reason != "" {
-			return refuse(t.file, line, "route %q: %s", r.Name(), reason)
+		if !unchanged(base, t.routes, i) {
+			if reason := routeFault(r); reason != "" {
+				return refuse(t.file, line, "route %q: %s", r.Name(), reason)
+			}
 		}
 		if first, ok := names[r.Name()]; ok {
 			return refuse(t.file, line, "route %q is already defined%s", r.Name(), onLine(t.line(first)))
@@ -42,6 +51,9 @@
 		if !known[r.Pool()] {
 			return refuse(t.file, line, "route %q: there is no pool %q in %s", r.Name(), r.Pool(), pools.file)
 		}
+		if same {
+			continue
+		}
 		if by := seen.add(r); by != nil {
 			return refuse(t.file, line, "route %q is never reached: route %q%s matches all its requests first",
 				r.Name(), by.Name(), onLine(t.line(names[by.Name()])))
@@ -50,6 +62,16 @@
 	return nil
 }
 
+// unchanged reports whether route i is the same object as in base, counted from
+// the start or from the end.
+func unchanged(base, routes []*kingcuphook.Route, i int) bool {
+	if i < len(base) && base[i] == routes[i] {
+		return true
+	}
+	j := len(base) - len(routes) + i
+	return j >= 0 && base[j] == routes[i]
+}
+
 // routeFault returns what is wrong with a route on its own; empty if nothing.
 func routeFault(r *kingcuphook.Route) string {
 	if reason := nameFault("name", r.Name(), true); reason != "" {
@@ -109,10 +131,11 @@
 	return " on line " + itoa(line)
 }
 
-func validatePools(t *PoolTable) error {
+func validatePools(base *kingcuphook.Tables, t *PoolTable) error {
 	names := make(map[string]int, len(t.pools))
 	addresses := make(map[string]place)
 	for i, p := range t.pools {
+		valid := base.Pool(p.Name()) == p
 		if reason := poolFault(p); reason != "" {
 			return refuse(t.file, t.line(i), "pool %q: %s", p.Name(), reason)
 		}
@@ -121,8 +144,10 @@
 		}
 		names[p.Name()] = i
 		for j, u := range p.Upstreams() {
-			if reason := upstreamFault(u); reason != "" {
-				return refuse(t.file, t.upstreamLine(i, j), "pool %q: upstream %q: %s", p.Name(), u.Address(), reason)
+			if !valid {
+				if reason := upstreamFault(u); reason != "" {
+					return refuse(t.file, t.upstreamLine(i, j), "pool %q: upstream %q: %s", p.Name(), u.Address(), reason)
+				}
 			}
 			first, ok := addresses[u.Address()]
 			if !ok {
@@ -138,6 +163,9 @@
 					p.Name(), u.Address(), t.pools[first.pool].Name(), onLine(t.upstreamLine(first.pool, first.upstream)))
 			}
 		}
+		if valid {
+			continue
+		}
 		if j, reason := placementsFault(p); reason != "" {
 			return refuse(t.file, t.placementLine(i, j), "pool %q: placement of %q in %q: %s",
 				p.Name(), p.Placements()[j].Model, p.Placements()[j].Region, reason)
