--- a/editor/attempt.go
+++ b/editor/attempt.go
@@ -176,14 +176,11 @@
 			return nil, false, err
 		}
 	}
-	routes, pools := a.edit.Routes, a.edit.Pools
-	if routes == nil {
-		routes = parser.NewRouteTable("routes", base.Routes())
-	}
-	if pools == nil {
-		pools = parser.NewPoolTable("pools", base.Pools())
+	routes, pools, err := a.edit.tables(base)
+	if err != nil {
+		return nil, false, err
 	}
-	if err := parser.Validate(routes, pools); err != nil {
+	if err := parser.ValidateChange(base, routes, pools); err != nil {
 		return nil, false, err
 	}
 	mine := kingcuphook.NewTables(base.Revision(), routes.Routes(), pools.Pools())
@@ -195,10 +192,25 @@
 		return nil, false, err
 	}
 	merged := parser.NewRouteTable("routes after rebase", next.Routes())
-	err = parser.Validate(merged, parser.NewPoolTable("pools after rebase", next.Pools()))
+	err = parser.ValidateChange(head, merged, parser.NewPoolTable("pools after rebase", next.Pools()))
 	return next, true, err
 }
 
+// tables returns the tables that the edit makes of base.
+func (e Edit) tables(base *kingcuphook.Tables) (*parser.RouteTable, *parser.PoolTable, error) {
+	if e.Patch != nil {
+		return e.Patch.Apply(base)
+	}
+	routes, pools := e.Routes, e.Pools
+	if routes == nil {
+		routes = parser.NewRouteTable("routes", base.Routes())
+	}
+	if pools == nil {
+		pools = parser.NewPoolTable("pools", base.Pools())
+	}
+	return routes, pools, nil
+}
+
 // swap writes the rows on top of s.
 func (a *attempt) swap(ctx context.Context, s *loader.State, rows []differ.Row, rebased bool) (Result, bool, error) {
 	revision := s.Snapshot.Revision() + 1
--- a/editor/editor.go
+++ b/editor/editor.go
@@ -49,6 +49,9 @@
 	// Routes and Pools are the whole new tables; nil leaves a table as it is.
 	Routes *parser.RouteTable
 	Pools  *parser.PoolTable
+	// Patch, if set, is applied to the tables of the base in place of Routes and
+	// Pools.
+	Patch *parser.Patch
 }
 
 // Result is what became of an accepted edit.
@@ -185,6 +188,11 @@
 	}
 	l := loader.Loader{Store: e.Store}
 	s, err := l.Load(ctx, have)
+	if errors.Is(err, kingcuphook.ErrInvalid) && high.Revision() > 0 && (s.Head == nil || s.Head.Revision <= high.Revision()) {
+		// What is damaged is brought up to date like an older head, unless it may be
+		// newer than what is in force.
+		return &loader.State{StoreRevision: s.StoreRevision, Snapshot: s.Snapshot}, nil
+	}
 	if err != nil {
 		return nil, err
 	}
