--- a/editor/bench_test.go
+++ b/editor/bench_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -178,7 +179,7 @@
 			_, e := full(b, n)
 			rng := rand.New(rand.NewPCG(1, 1))
 			base := e.last
-			var updates [][]byte
+			updates := make([][]byte, 0, 64)
 			bytes := 0
 			for i := range 64 {
 				if _, err := e.Apply(b.Context(), nextEdit(e, rng, i)); err != nil {
@@ -208,3 +209,98 @@
 		})
 	}
 }
+
+// BenchmarkText writes the tables as text, reads and validates them, as an
+// operator's edit of whole tables does.
+func BenchmarkText(b *testing.B) {
+	for _, n := range sizes {
+		t := tablesOf(n)
+		b.Run(fmt.Sprintf("routes=%d/upstreams=%d", len(t.Routes()), n.runners), func(b *testing.B) {
+			routes, err := encoder.RoutesTOML(t.Routes())
+			if err != nil {
+				b.Fatal(err)
+			}
+			pools, err := encoder.PoolsTOML(t.Pools())
+			if err != nil {
+				b.Fatal(err)
+			}
+			for b.Loop() {
+				r, err := parser.ParseRoutes("routes", routes)
+				if err != nil {
+					b.Fatal(err)
+				}
+				p, err := parser.ParsePools("pools", pools)
+				if err != nil {
+					b.Fatal(err)
+				}
+				if err := parser.Validate(r, p); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(routes)+len(pools)), "text-B")
+		})
+	}
+}
+
+// BenchmarkMemory reports the memory of the tables and the changes that a router
+// keeps for its peers.
+func BenchmarkMemory(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("routes=%d/upstreams=%d", n.organisations*routesPerOrganisation, n.runners), func(b *testing.B) {
+			s, e := full(b, n)
+			rng := rand.New(rand.NewPCG(1, 1))
+			for i := range loader.DefaultKeep {
+				if _, err := e.Apply(b.Context(), nextEdit(e, rng, i)); err != nil {
+					b.Fatal(err)
+				}
+			}
+			var before, after runtime.MemStats
+			l := loader.Loader{Store: s.Store}
+			for b.Loop() {
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				state, err := l.Load(b.Context(), nil)
+				if err != nil {
+					b.Fatal(err)
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				runtime.KeepAlive(state)
+			}
+			b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "tables-B")
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			e.last = nil
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			b.ReportMetric(float64(before.HeapAlloc)-float64(after.HeapAlloc), "with-changes-B")
+			runtime.KeepAlive(s)
+		})
+	}
+}
+
+// BenchmarkPatch reads and applies patches of one upstream each.
+func BenchmarkPatch(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("routes=%d/upstreams=%d", n.organisations*routesPerOrganisation, n.runners), func(b *testing.B) {
+			_, e := full(b, n)
+			i, bytes := 0, 0
+			for b.Loop() {
+				p := e.last.Tables().Pools()[i%len(e.last.Tables().Pools())]
+				u := p.Upstreams()[0]
+				text := fmt.Sprintf("[[pool]]\nname = %q\n[[pool.upstream]]\naddress = %q\nregion = %q\ndata-centre = %q\nslots = %d\n",
+					p.Name(), u.Address(), u.Region(), u.DataCentre(), 100+i)
+				patch, err := parser.ParsePatch("patch", []byte(text))
+				if err != nil {
+					b.Fatal(err)
+				}
+				if _, err := e.Apply(b.Context(), Edit{Author: "nour", Base: BaseNewest, Patch: patch}); err != nil {
+					b.Fatal(err)
+				}
+				bytes += len(text)
+				i++
+			}
+			b.ReportMetric(float64(bytes)/float64(i), "text-B")
+		})
+	}
+}
--- a/router/control.go
+++ b/router/control.go
@@ -58,7 +58,7 @@
 	// revision is that of the tables handed to the schedulers.
 	revision int64
 	// pulling is set while tables are being pulled from a peer.
-	pulling  bool
+	pulling bool
 	// begun is when the loop began. joined says that a peer has answered, or that
 	// there is none.
 	begun    time.Time
@@ -68,6 +68,8 @@
 	// known has the addresses of the other routers as last published.
 	known map[string]bool
 
+	placement placement
+
 	// view is what others may read; it is replaced, never changed.
 	view atomic.Pointer[view]
 }
@@ -147,6 +149,7 @@
 	c.nextSlow = now.Add(slowInterval)
 	c.tellRates(now)
 	c.tellSuspects(now)
+	c.place(ctx)
 	c.publish(now)
 }
 
