Leave a region whose upstreams all leave, and answer requests that nobody takes

With all upstreams of the region leaving, a request that had missed its target waited for its deadline though an upstream of another region was idle: spilling asked for the target to be met. With all upstreams of the pool leaving, it waited for its deadline of 2 minutes too. Ruled out: the limiter, which had free slots.

--- a/cmd/kingcuphook/script_test.go
+++ b/cmd/kingcuphook/script_test.go
@@ -37,12 +37,15 @@
 	store     *storer.Store
 	platform  string
 	upstreams []*responder.Upstream
+	addresses []string
 	pools     string
 	routers   []*member
 	stream    chan string
 	// files are the certificates of a fleet with TLS, else empty.
 	files signer.Files
 	http  *http.Client
+	// begun has the runs of each upstream as last counted.
+	begun []int
 	// losesReplies makes the store lose the replies of its writes.
 	losesReplies atomic.Bool
 }
@@ -77,6 +80,11 @@
 //	runs KEY           prints how often the service ran the key
 //	serving MODEL N    waits until N engines follow an order for the model
 //	forget             makes all engines forget their orders
+//	leave N WHO        makes upstream N leave, as itself or the vm-list says
+//	settle D           waits for D
+//	count              notes what the upstreams have run so far
+//	calls N COUNT      calls router N so often and wants every answer whole
+//	idle N             wants upstream N to have begun nothing since count
 //	replace FILE A B   replaces the first A in FILE by B
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{
@@ -103,6 +111,11 @@
 			"runs":        withFleet(runsCmd),
 			"serving":     withFleet(servingCmd),
 			"forget":      withFleet(forgetCmd),
+			"leave":       withFleet(leaveCmd),
+			"settle":      withFleet(settleCmd),
+			"count":       withFleet(countCmd),
+			"calls":       withFleet(callsCmd),
+			"idle":        withFleet(idleCmd),
 			"replace":     withFleet(replaceCmd),
 		},
 	})
@@ -145,6 +158,7 @@
 		address, err := serveUpstream(ctx, anyPort, u)
 		ts.Check(err)
 		f.upstreams = append(f.upstreams, u)
+		f.addresses = append(f.addresses, address)
 		f.pools = strings.ReplaceAll(f.pools, name, address)
 	}
 	ts.Check(applyExample(ctx, f.store, f.pools))
@@ -427,6 +441,57 @@
 	}
 }
 
+func leaveCmd(ts *testscript.TestScript, _ bool, args []string, f *fleet) {
+	n := index(ts, args[0])
+	if args[1] == "itself" {
+		f.upstreams[n].SetLeaving(true)
+		return
+	}
+	vms, err := f.store.VMs(context.Background())
+	ts.Check(err)
+	f.store.SetVMs(append(vms, kingcuphook.NewVM(f.addresses[n], "cairo", "cairo-1", kingcuphook.VMStateLeaving)))
+}
+
+func settleCmd(ts *testscript.TestScript, _ bool, args []string, _ *fleet) {
+	d, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	time.Sleep(d)
+}
+
+// runs returns how many runs upstream n has begun.
+func (f *fleet) runs(n int) int {
+	total := 0
+	for _, count := range f.upstreams[n].Record().Started {
+		total += count
+	}
+	return total
+}
+
+func countCmd(_ *testscript.TestScript, _ bool, _ []string, f *fleet) {
+	f.begun = nil
+	for n := range f.upstreams {
+		f.begun = append(f.begun, f.runs(n))
+	}
+}
+
+func callsCmd(ts *testscript.TestScript, _ bool, args []string, f *fleet) {
+	for range index(ts, args[1]) {
+		resp, err := f.post(index(ts, args[0]), responder.PathChat, chatBody("hello", false), "X-Class", "till")
+		ts.Check(err)
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			ts.Fatalf("status %d", resp.StatusCode)
+		}
+	}
+}
+
+func idleCmd(ts *testscript.TestScript, _ bool, args []string, f *fleet) {
+	n := index(ts, args[0])
+	if now := f.runs(n); now != f.begun[n] {
+		ts.Fatalf("upstream %d began %d runs", n, now-f.begun[n])
+	}
+}
+
 func replaceCmd(ts *testscript.TestScript, _ bool, args []string, _ *fleet) {
 	text := ts.ReadFile(args[0])
 	if !strings.Contains(text, args[1]) {
--- a/composer/composer.go
+++ b/composer/composer.go
@@ -95,7 +95,9 @@
 	s.Selector = s.places
 	s.Predictor = &predictor.Predictor{}
 	if !c.off(MechanismEjector) {
-		s.Ejector = &ejector.Ejector{}
+		e := &ejector.Ejector{}
+		s.Ejector = e
+		s.places.Live = func(now time.Time, address string) bool { return e.Weight(now, address) > 0 }
 	}
 	if !c.off(MechanismPreemption) {
 		s.Preemptor = &preemptor.Preemptor{}
--- a/scheduler/assign.go
+++ b/scheduler/assign.go
@@ -21,6 +21,9 @@
 	s.slots.reset()
 	p := pass{scheduler: s, now: now}
 	p.queue, _ = s.Admitter.(Queue)
+	if !s.slots.takesAny() {
+		p.free = anySlot
+	}
 	p.probe()
 	for s.Admitter.Len() > 0 && len(p.parked) < maxParked {
 		r := p.next()
@@ -39,6 +42,8 @@
 	scheduler   *Scheduler
 	now         time.Time
 	queue       Queue
+	// free, if set, stands for the free slots.
+	free func(kingcuphook.Tier) int
 	assignments []kingcuphook.Assignment
 	sheds       []kingcuphook.Shed
 	// parked has the requests to be given back, in the order they were taken.
@@ -48,13 +53,19 @@
 }
 
 func (p *pass) next() *kingcuphook.Request {
-	free := func(t kingcuphook.Tier) int { return p.scheduler.count(p.now, t) }
+	free := p.free
+	if free == nil {
+		free = func(t kingcuphook.Tier) int { return p.scheduler.count(p.now, t) }
+	}
 	if p.queue == nil {
 		return p.scheduler.Admitter.Next(p.now, free)
 	}
 	return p.queue.NextModel(p.now, free, p.skip())
 }
 
+// anySlot lets every waiting request be looked at.
+func anySlot(kingcuphook.Tier) int { return 1 }
+
 func (p *pass) skip() func(string) bool {
 	if len(p.blocked) == 0 {
 		return nil
@@ -74,8 +85,12 @@
 		p.assign(kingcuphook.Assignment{Request: r, Choice: choice}, guaranteed)
 		return
 	}
+	if s.isUnserved(p.now, r) {
+		p.sheds = append(p.sheds, s.shed([]kingcuphook.Shed{unserved(r)})...)
+		return
+	}
 	p.park(r)
-	if len(s.excluded[r.ID()]) == 0 && !s.usable(r) {
+	if len(s.excluded[r.ID()]) == 0 && s.slots.takes(r.Model()) && !s.usable(r) {
 		p.blocked = append(p.blocked, r.Model())
 	}
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -11,6 +11,14 @@
 	"github.com/kingcuphook/kingcuphook/preemptor"
 )
 
+const (
+	// unservedWait is how long a request waits for an upstream to appear when all
+	// that serve its model leave, as in a change of the table.
+	unservedWait = 5 * time.Second
+	// unservedRetryAfter is told to its caller then.
+	unservedRetryAfter = 5 * time.Second
+)
+
 // pollInterval is how often slots are looked for while requests wait, since
 // limits and ejections also change with time alone.
 const pollInterval = 50 * time.Millisecond
@@ -135,6 +143,17 @@
 	return s.Offer(now, r)
 }
 
+// isUnserved reports whether the request has waited for long while no upstream
+// that stays serves its model. Its caller is then told so, and does not wait
+// until the deadline.
+func (s *Scheduler) isUnserved(now time.Time, r *kingcuphook.Request) bool {
+	return now.Sub(r.Arrived()) >= unservedWait && !s.slots.takes(r.Model())
+}
+
+func unserved(r *kingcuphook.Request) kingcuphook.Shed {
+	return kingcuphook.NewShed(r, kingcuphook.ErrNoUpstream, unservedRetryAfter)
+}
+
 // Cancel implements kingcuphook.Scheduler.
 func (s *Scheduler) Cancel(_ time.Time, id string) bool {
 	delete(s.excluded, id)
--- a/scheduler/slots.go
+++ b/scheduler/slots.go
@@ -76,6 +76,18 @@
 	return barred
 }
 
+// takes reports whether some upstream that doesn't leave serves the model.
+func (t *slotTable) takes(model string) bool {
+	return slices.ContainsFunc(t.rows, func(row *slotRow) bool {
+		return !row.leaving && serves(row.upstream, model)
+	})
+}
+
+// takesAny reports whether some upstream doesn't leave.
+func (t *slotTable) takesAny() bool {
+	return slices.ContainsFunc(t.rows, func(row *slotRow) bool { return !row.leaving })
+}
+
 // reset forgets the free slots, which change with every event.
 func (t *slotTable) reset() { t.filled = [kingcuphook.TierCount]bool{} }
 
--- a/selector/abroad_test.go
+++ b/selector/abroad_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -24,3 +25,25 @@
 	is.NoErr(err)
 	is.Equal(c.Upstream.Region(), "cairo")
 }
+
+// TestDesertedRegionIsLeft makes the upstreams of the own region leave by their
+// own word or be ejected, for a request that has already missed its target.
+func TestDesertedRegionIsLeft(t *testing.T) {
+	is := is.New(t)
+	s := newSelector(append(upstreams(2, "cairo"), upstreams(1, "alex")...)...)
+	dead := map[string]bool{}
+	s.Live = func(_ time.Time, address string) bool { return !dead[address] }
+	late := start.Add(time.Minute)
+	usable := func(address string) bool { return address == "alex-0" }
+
+	c, err := s.SelectUsable(late, question(1, 7000, start), usable)
+	is.NoErr(err)
+	is.Equal(c.Upstream, nil) // a slot may still become free at home
+
+	s.Report(late, kingcuphook.NewLoadReport(kingcuphook.LoadReportFields{Upstream: "cairo-0", Made: late, Leaving: true}))
+	dead["cairo-1"] = true
+	c, err = s.SelectUsable(late, question(1, 7000, start), usable)
+	is.NoErr(err)
+	is.Equal(c.Upstream.Region(), "alex")
+	is.True(c.Spilled)
+}
--- a/selector/score.go
+++ b/selector/score.go
@@ -185,7 +185,13 @@
 	if best < 0 {
 		best = s.weighGroup(q, q.region)
 	}
-	if !s.spills || q.remote == nil || r.Target() == 0 {
+	if !s.spills || q.remote == nil {
+		return best
+	}
+	if best < 0 && s.deserted(q) {
+		return s.weighRemote(q)
+	}
+	if r.Target() == 0 {
 		return best
 	}
 	local := s.localWait(q, best)
@@ -229,11 +235,7 @@
 // spill weighs the upstreams of other regions and returns the best one if it
 // meets the target and gains enough, else the local one.
 func (s *Selector) spill(q *query, home int, local time.Duration) int {
-	from := len(s.scratch)
-	best := s.weighGroup(q, q.remote)
-	for i := from; i < len(s.scratch); i++ {
-		s.scratch[i].remote = true
-	}
+	best := s.weighRemote(q)
 	if best < 0 {
 		return home
 	}
@@ -251,6 +253,32 @@
 	return home
 }
 
+// weighRemote weighs the upstreams of other regions and returns the best one, or
+// -1.
+func (s *Selector) weighRemote(q *query) int {
+	from := len(s.scratch)
+	best := s.weighGroup(q, q.remote)
+	for i := from; i < len(s.scratch); i++ {
+		s.scratch[i].remote = true
+	}
+	return best
+}
+
+// deserted reports whether every upstream of the region that serves the model
+// leaves or gets no work at all, so that waiting for one is in vain.
+func (s *Selector) deserted(q *query) bool {
+	for _, g := range []*group{q.near, q.region} {
+		if g != nil && slices.ContainsFunc(g.trackers, func(t *tracker) bool { return s.live(q.now, t) }) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Selector) live(now time.Time, t *tracker) bool {
+	return !t.leaving && (s.Live == nil || s.Live(now, t.upstream.Address()))
+}
+
 // waited returns how long the request has waited.
 func (q *query) waited() time.Duration { return q.now.Sub(q.request.Arrived()) }
 
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -36,6 +36,8 @@
 	// Region and DataCentre are where the router is. Without a region every
 	// upstream counts as local.
 	Region, DataCentre string
+	// Live reports whether an upstream gets any work; nil means that all do.
+	Live func(now time.Time, address string) bool
 	// RegionDelay and CentreDelay are the one-way delays between regions and
 	// between the data centres of a region; 0 means the default.
 	RegionDelay, CentreDelay time.Duration
