--- a/scheduler/assign.go
+++ b/scheduler/assign.go
@@ -39,11 +39,11 @@
 
 // pass is one call of Assign.
 type pass struct {
-	scheduler   *Scheduler
-	now         time.Time
-	queue       Queue
+	scheduler *Scheduler
+	now       time.Time
+	queue     Queue
 	// free, if set, stands for the free slots.
-	free func(kingcuphook.Tier) int
+	free        func(kingcuphook.Tier) int
 	assignments []kingcuphook.Assignment
 	sheds       []kingcuphook.Shed
 	// parked has the requests to be given back, in the order they were taken.
