--- a/limiter/learn.go
+++ b/limiter/learn.go
@@ -24,7 +24,7 @@
 	targetShare = 0.8
 	// gapShare is the part of the tightest target for the gaps that the limit aims
 	// at.
-	gapShare = 0.68
+	gapShare = 0.82
 	// gapStep is the part of the way that the limit goes for one sample, and
 	// maxRoom bounds the way.
 	gapStep = 0.25
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -22,7 +22,7 @@
 )
 
 // headroom is the share of the limit that a tier leaves free, by tier index.
-var headroom = [kingcuphook.TierCount]float64{0, 0.15, 0.3, 0.4, 0.5}
+var headroom = [kingcuphook.TierCount]float64{0, 0.2, 0.4, 0.6, 0.7}
 
 // Limiter is the limits of one pool at one router. It is used by one goroutine
 // at a time.
