--- a/scheduler/assign.go
+++ b/scheduler/assign.go
@@ -11,6 +11,9 @@
 	// maxParked bounds the requests passed over in one call because they can't
 	// use the slots that are free.
 	maxParked = 32
+	// maxHeld bounds the requests of a tier that are looked at in one call though
+	// those before them do better to wait than to use the slots that are free.
+	maxHeld = 4
 	// firstTokenStep weighs a new sample in the usual first-token delay.
 	firstTokenStep = 0.1
 )
@@ -50,17 +53,28 @@
 	parked []*kingcuphook.Request
 	// blocked has the models without a usable upstream.
 	blocked []string
+	// held counts by tier the requests for which an upstream with a free slot was
+	// refused.
+	held [kingcuphook.TierCount]int
 }
 
 func (p *pass) next() *kingcuphook.Request {
-	free := p.free
-	if free == nil {
-		free = func(t kingcuphook.Tier) int { return p.scheduler.count(p.now, t) }
-	}
 	if p.queue == nil {
-		return p.scheduler.Admitter.Next(p.now, free)
+		return p.scheduler.Admitter.Next(p.now, p.count)
+	}
+	return p.queue.NextModel(p.now, p.count, p.skip())
+}
+
+// count returns the free slots of the tier; none once enough of its requests did
+// better to wait.
+func (p *pass) count(t kingcuphook.Tier) int {
+	if p.held[t.Index()] >= maxHeld {
+		return 0
+	}
+	if p.free != nil {
+		return p.free(t)
 	}
-	return p.queue.NextModel(p.now, free, p.skip())
+	return p.scheduler.count(p.now, t)
 }
 
 // anySlot lets every waiting request be looked at.
@@ -90,7 +104,11 @@
 		return
 	}
 	p.park(r)
-	if len(s.excluded[r.ID()]) == 0 && s.slots.takes(r.Model()) && !s.usable(r) {
+	switch {
+	case len(s.excluded[r.ID()]) > 0 || !s.slots.takes(r.Model()):
+	case s.usable(r):
+		p.held[tierOf(r).Index()]++
+	default:
 		p.blocked = append(p.blocked, r.Model())
 	}
 }
