--- a/router/control.go
+++ b/router/control.go
@@ -334,7 +334,9 @@
 	near := 0
 	known := make(map[string]bool, len(members))
 	for _, m := range members {
-		known[m.Address()] = true
+		if m.Address() != c.gossip.Address {
+			known[m.Address()] = true
+		}
 		if m.Region() == c.router.Settings.Node.Region {
 			near++
 		}
--- /dev/null
+++ b/router/gauges.go
@@ -0,0 +1,49 @@
+package router
+
+// addGauges adds the metrics whose values the parts keep themselves.
+func (r *Router) addGauges() {
+	for name, value := range map[string]func() float64{
+		"kingcuphook_ready":           func() float64 { return number(r.Ready()) },
+		"kingcuphook_tables_revision": func() float64 { return float64(r.follower.Tables().Revision()) },
+		"kingcuphook_store_available": func() float64 { return number(!r.follower.StoreFailing()) },
+		"kingcuphook_peers":           func() float64 { return float64(len(r.control.view.Load().members)) },
+		"kingcuphook_open_requests":   func() float64 { return float64(r.server.Open()) },
+
+		"kingcuphook_attempts_resumed_total":   func() float64 { return float64(r.dispatcher.Counts().Resumed) },
+		"kingcuphook_attempts_crashed_total":   func() float64 { return float64(r.dispatcher.Counts().Crashes) },
+		"kingcuphook_attempts_silent_total":    func() float64 { return float64(r.dispatcher.Counts().Silent) },
+		"kingcuphook_attempts_preempted_total": func() float64 { return float64(r.dispatcher.Counts().Preempted) },
+		"kingcuphook_retries_refused_total":    func() float64 { return float64(r.dispatcher.Counts().NoBudget) },
+		"kingcuphook_outcomes_replayed_total":  func() float64 { return float64(r.dispatcher.Counts().Replayed) },
+		"kingcuphook_frames_foreign_total":     func() float64 { return float64(r.dispatcher.Counts().Refused.Foreign) },
+		"kingcuphook_frames_repeated_total":    func() float64 { return float64(r.dispatcher.Counts().Refused.Repeated) },
+		"kingcuphook_claims_held_total":        func() float64 { return float64(r.claims.Counts().Held) },
+		"kingcuphook_claims_found_total":       func() float64 { return float64(r.claims.Counts().Found) },
+		"kingcuphook_claims_failed_total":      func() float64 { return float64(r.claims.Counts().Failed) },
+		"kingcuphook_claim_writes_total":       func() float64 { return float64(r.claims.Counts().Writes) },
+		"kingcuphook_claim_conflicts_total":    func() float64 { return float64(r.claims.Counts().Conflicts) },
+		"kingcuphook_rate_limited_total":       func() float64 { return float64(r.throttle.rejected()) },
+		"kingcuphook_quarantined_fingerprints": func() float64 { return float64(len(r.Quarantine())) },
+		"kingcuphook_audit_records_lost_total": func() float64 { return float64(r.editor.Audit.Dropped()) },
+		"kingcuphook_upstream_reports":         func() float64 { return float64(len(r.control.view.Load().reports)) },
+		"kingcuphook_requests_waiting":         func() float64 { return float64(r.waiting()) },
+	} {
+		r.meter.Gauge(name, value)
+	}
+}
+
+// waiting returns the requests that wait at this router.
+func (r *Router) waiting() int {
+	n := 0
+	for _, p := range r.follower.Tables().Pools() {
+		n += r.allocator.Waiting(p.Name())
+	}
+	return n
+}
+
+func number(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/router/router.go
+++ b/router/router.go
@@ -70,11 +70,13 @@
 	recorder  *recorder.Recorder
 	claims    *claimer.Claimer
 	throttle  *throttle
-	meter     *meter.Meter
-	server    *server.Server
-	peers     *grpc.Server
-	links     *exchanger.Client
-	control   *control
+	// dispatcher runs the calls.
+	dispatcher *dispatcher.Dispatcher
+	meter      *meter.Meter
+	server     *server.Server
+	peers      *grpc.Server
+	links      *exchanger.Client
+	control    *control
 	// quarantine knows the request bodies that crashed upstreams.
 	quarantine *quarantiner.Quarantiner
 
@@ -222,6 +224,7 @@
 	r.upstreams.Connect()
 	r.buildTables()
 	r.buildServer()
+	r.addGauges()
 	r.peers = (&exchanger.Server{Handler: r.control, Credentials: r.certs.peersServerCredentials()}).NewGRPC()
 	return nil
 }
@@ -251,17 +254,18 @@
 	r.claims = &claimer.Claimer{Store: r.platform, Rand: r.newRand()}
 	r.quarantine = &quarantiner.Quarantiner{}
 	r.throttle = newThrottle(r.newRand())
+	r.dispatcher = &dispatcher.Dispatcher{
+		Allocator:   &observer.Allocator{Next: r.allocator, Observer: watch},
+		Engine:      &observer.Engine{Next: r.upstreams, Observer: watch},
+		Store:       r.platform,
+		Claimer:     r.claims,
+		Quarantiner: r.quarantine,
+		Share:       r.control.share,
+		Owner:       r.PeersAddress(),
+		Rand:        r.newRand(),
+	}
 	r.server = &server.Server{
-		Dispatcher: &dispatcher.Dispatcher{
-			Allocator:   &observer.Allocator{Next: r.allocator, Observer: watch},
-			Engine:      &observer.Engine{Next: r.upstreams, Observer: watch},
-			Store:       r.platform,
-			Claimer:     r.claims,
-			Quarantiner: r.quarantine,
-			Share:       r.control.share,
-			Owner:       r.PeersAddress(),
-			Rand:        r.newRand(),
-		},
+		Dispatcher: r.dispatcher,
 		Throttle:   r.throttle,
 		Tables:     r.tables,
 		Observer:   watch,
--- a/router/throttle.go
+++ b/router/throttle.go
@@ -32,6 +32,13 @@
 	return t.throttler.Allow(time.Now(), limits)
 }
 
+// rejected returns how many requests were over their rates.
+func (t *throttle) rejected() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.throttler.Rejected()
+}
+
 // forget drops what was heard of a router that left.
 func (t *throttle) forget(address string) {
 	t.mu.Lock()
