Wait for a prefix that is being prefilled; spread new prefixes over routers

Cause: requests sent to an upstream before it had cached their prefix prefilled it once more, and eight routers met a new prefix at the same upstream at once. An entry now counts as cached from the first token on, a request waits for it, and each router begins with another of the first four rendezvous candidates.

--- a/composer/composer.go
+++ b/composer/composer.go
@@ -123,6 +123,7 @@
 		NoHold:       c.off(MechanismHold),
 		NoReserve:    c.off(MechanismReserve),
 		Routers:      c.Routers,
+		Seed:         c.Seed,
 	}
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -38,7 +38,7 @@
 	Update(now time.Time, p *kingcuphook.Pool)
 }
 
-// Progresser is a Limiter that times the tokens of running requests.
+// Progresser is a Limiter or Selector that follows the tokens of running requests.
 type Progresser interface {
 	// Progress takes that the n-th token of a running request has come.
 	Progress(now time.Time, upstream string, r *kingcuphook.Request, n int)
@@ -150,11 +150,15 @@
 
 // Progress implements kingcuphook.Scheduler.
 func (s *Scheduler) Progress(now time.Time, r *kingcuphook.Request, n int) {
-	p, ok := s.Limiter.(Progresser)
+	limits, _ := s.Limiter.(Progresser)
+	choices, _ := s.Selector.(Progresser)
 	for _, run := range s.running[r.ID()] {
 		s.serve(run, n)
-		if ok {
-			p.Progress(now, run.upstream.Address(), r, n)
+		if limits != nil {
+			limits.Progress(now, run.upstream.Address(), r, n)
+		}
+		if choices != nil {
+			choices.Progress(now, run.upstream.Address(), r, n)
 		}
 	}
 }
--- a/selector/cache.go
+++ b/selector/cache.go
@@ -17,6 +17,9 @@
 	// epoch is the cache epoch of the upstream when the entry was confirmed; 0
 	// marks an unused place.
 	epoch uint32
+	// pending says that the first prefill has not ended yet, so that another
+	// request would prefill the block once more.
+	pending bool
 }
 
 // block is one remembered element of a chain.
@@ -156,12 +159,18 @@
 	b.branched = b.branched || b.child != next
 }
 
-// hold puts h in front of the holders; the last one is forgotten if need be.
+// hold puts h in front of the holders; the last one is forgotten if need be. A
+// pending entry doesn't replace one that is cached.
 func (b *block) hold(h holder) {
 	last := len(b.holders) - 1
-	for i := range b.holders {
-		if b.holders[i].upstream == h.upstream || b.holders[i].epoch == 0 {
+	for i, old := range b.holders {
+		if old.epoch == 0 {
+			last = i
+			break
+		}
+		if old.upstream == h.upstream {
 			last = i
+			h.pending = h.pending && (old.pending || old.epoch != h.epoch)
 			break
 		}
 	}
--- a/selector/score.go
+++ b/selector/score.go
@@ -12,6 +12,9 @@
 const (
 	// narrow is the number of rendezvous candidates weighed at first.
 	narrow = 2
+	// spread is the number of rendezvous candidates over which routers spread a
+	// prefix that no upstream is known to have.
+	spread = 4
 	// wide is the number of rendezvous candidates weighed once the narrow ones
 	// are too loaded.
 	wide = 6
@@ -68,6 +71,8 @@
 	// token target is in danger.
 	cost   time.Duration
 	cached int
+	// coming is how much of the prompt is cached once a prefill under way ends.
+	coming int
 	// gap is the predicted time between tokens as a share of its target; 0
 	// without a target.
 	gap float64
@@ -102,20 +107,32 @@
 	}
 	for i := range s.scratch {
 		c := &s.scratch[i]
-		if c.refused != reasonUnusable || c.remote != b.remote {
+		if c.remote != b.remote {
+			continue
+		}
+		if b.saves(c.coming) {
+			return true
+		}
+		if c.refused != reasonUnusable {
 			continue
 		}
 		if b.gap > riskyGap && c.gap < safeGap {
 			return true
 		}
-		gained := time.Duration(float64(c.cached-b.cached) * b.tracker.first.slope * float64(time.Second))
-		if waited < holdForCache && gained > holdGain {
+		if waited < holdForCache && b.saves(c.cached) {
 			return true
 		}
 	}
 	return false
 }
 
+// saves reports whether having the given part of the prompt cached would save
+// enough prefill to be worth a wait.
+func (c *scored) saves(tokens int) bool {
+	gained := float64(tokens-c.cached) * c.tracker.first.slope
+	return gained > holdGain.Seconds()
+}
+
 // query is one selection.
 type query struct {
 	now      time.Time
@@ -137,6 +154,8 @@
 type held struct {
 	upstream uint32
 	tokens   int
+	// pending says that it is still being prefilled.
+	pending bool
 }
 
 func (s *Selector) choose(q query) (kingcuphook.Choice, error) {
@@ -285,10 +304,10 @@
 			return
 		}
 		t := s.byID[h.upstream]
-		if t == nil || h.epoch < t.born || q.cached(h.upstream) > 0 {
+		if t == nil || h.epoch < t.born || q.holding(h.upstream).tokens > 0 {
 			continue
 		}
-		q.held[q.nHeld] = held{upstream: h.upstream, tokens: tokens}
+		q.held[q.nHeld] = held{upstream: h.upstream, tokens: tokens, pending: h.pending}
 		if h.epoch < t.epoch {
 			q.held[q.nHeld].tokens = tokens / 2
 		}
@@ -296,15 +315,23 @@
 	}
 }
 
-// cached returns how many tokens of the prompt the upstream is thought to have
-// cached.
-func (q *query) cached(upstream uint32) int {
+// holding returns what the upstream is thought to have cached of the prompt.
+func (q *query) holding(upstream uint32) held {
 	for _, h := range q.held[:q.nHeld] {
 		if h.upstream == upstream {
-			return h.tokens
+			return h
 		}
 	}
-	return 0
+	return held{}
+}
+
+// cached returns how many tokens of the prompt need no prefill there now.
+func (q *query) cached(upstream uint32) int {
+	h := q.holding(upstream)
+	if h.pending {
+		return 0
+	}
+	return h.tokens
 }
 
 // weighGroup weighs the upstreams of one group and returns the best one, or -1.
@@ -315,8 +342,10 @@
 	from := len(s.scratch)
 	var ranked [wide]*tracker
 	n := g.rank(q.key, ranked[:])
+	if s.weighHolders(q, g) == 0 {
+		s.turn(q.key, ranked[:min(n, spread)])
+	}
 	s.weighAll(q, g, ranked[:min(n, narrow)])
-	s.weighHolders(q, g)
 	best := s.best(from)
 	if best >= 0 && !s.crowded(q.request, best) {
 		return best
@@ -380,14 +409,27 @@
 }
 
 // weighHolders weighs the upstreams that are thought to have a part of the
-// prompt cached.
-func (s *Selector) weighHolders(q *query, g *group) {
+// prompt cached, and returns their number.
+func (s *Selector) weighHolders(q *query, g *group) int {
+	n := 0
 	for _, h := range q.held[:q.nHeld] {
 		t := s.byID[h.upstream]
 		if slices.Contains(t.groups, g) {
 			s.weighOne(q, g, t)
+			n++
 		}
 	}
+	return n
+}
+
+// turn moves one of the candidates to the front, another one in each router.
+// Routers that meet a new prefix at once then don't all prefill it at the same
+// upstream.
+func (s *Selector) turn(key uint64, ranked []*tracker) {
+	i := mix(key^s.Seed) % uint64(max(len(ranked), 1))
+	if i > 0 {
+		ranked[0], ranked[i] = ranked[i], ranked[0]
+	}
 }
 
 // weighDraws weighs n upstreams drawn by the request's fingerprint and the
@@ -425,6 +467,9 @@
 	r := q.request
 	c := scored{tracker: t, cached: q.cached(t.id)}
 	c.predicted = 2*g.delay + t.predict(q.now, r.PromptTokens()-c.cached)
+	if h := q.holding(t.id); h.pending {
+		c.coming = h.tokens
+	}
 	c.gap = t.gapShare(q.now, r)
 	c.cost = c.predicted + s.overrun(r, c.gap) + t.imposed(r.PromptTokens()-c.cached)
 	c.refused = s.refuse(q, g, t)
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -45,6 +45,8 @@
 	// SpillHold is how long spilling goes on at a lower threshold after the
 	// last request that went to another region; 0 means the default.
 	SpillHold time.Duration
+	// Seed differs between routers, so that they spread prefixes that are new.
+	Seed uint64
 	// MaxPrefixes bounds the blocks of prompts remembered; 0 means the default.
 	MaxPrefixes int
 	// NoAffinity ignores prefixes and what is cached.
@@ -246,6 +248,22 @@
 	s.reserve.add(t, s.Routers)
 	s.reserve.use(now, r)
 	t.moved(before)
+	s.index.learn(r.Prefix(), r.Fingerprint(), holder{upstream: t.id, epoch: t.epoch, pending: true})
+}
+
+// Progress tells that the n-th token of a running request has come. The first
+// one shows that its prompt is cached now.
+func (s *Selector) Progress(_ time.Time, upstream string, r *kingcuphook.Request, n int) {
+	t := s.trackers[upstream]
+	if t == nil || n < 1 {
+		return
+	}
+	f, ok := t.flying[r.ID()]
+	if !ok || f.begun {
+		return
+	}
+	f.begun = true
+	t.flying[r.ID()] = f
 	s.index.learn(r.Prefix(), r.Fingerprint(), holder{upstream: t.id, epoch: t.epoch})
 }
 
@@ -258,6 +276,9 @@
 	if !t.remote {
 		s.freed(now)
 	}
+	if a.FirstToken > 0 {
+		s.Progress(now, upstream, r, 1)
+	}
 	before := t.load()
 	s.reserve.remove(t, s.Routers)
 	t.finished(r, a)
--- a/selector/selector_test.go
+++ b/selector/selector_test.go
@@ -109,3 +109,26 @@
 		n++
 	}
 }
+
+func TestPrefixUnderPrefillIsNotPrefilledTwice(t *testing.T) {
+	is := is.New(t)
+	s := newSelector(upstreams(2, "cairo")...)
+	first := question(1, 7000, start)
+	c, err := s.Select(start, first, nil)
+	is.NoErr(err)
+	s.Started(start, c.Upstream.Address(), first)
+
+	second := question(2, 7000, start)
+	waits, err := s.Select(start, second, nil)
+	is.NoErr(err)
+	is.Equal(waits.Upstream, nil) // the first prefill has not ended
+	late, err := s.Select(start.Add(900*time.Millisecond), second, nil)
+	is.NoErr(err)
+	is.True(late.Upstream != nil) // but it doesn't wait past its target
+
+	s.Progress(start.Add(100*time.Millisecond), c.Upstream.Address(), first, 1)
+	next, err := s.Select(start.Add(100*time.Millisecond), second, nil)
+	is.NoErr(err)
+	is.Equal(next.Upstream, c.Upstream)
+	is.Equal(next.UncachedTokens, 1100-7*128)
+}
--- a/selector/tracker.go
+++ b/selector/tracker.go
@@ -88,6 +88,8 @@
 	tokens float64
 	// load is the number of requests on the upstream, this one included.
 	load int
+	// begun says that its first token has come.
+	begun bool
 }
 
 func newTracker(u *kingcuphook.Upstream, id, epoch uint32, seed uint64) *tracker {
