Take the load bound out of the choice of an upstream

Cause: the bound on the load of a candidate sent requests away from the upstream that had their prompt cached; the predicted times and the limits already hold load down.

--- a/composer/composer.go
+++ b/composer/composer.go
@@ -25,8 +25,6 @@
 	MechanismAffinity Mechanism = "affinity"
 	// MechanismPrediction compares upstreams by predicted first-token time.
 	MechanismPrediction Mechanism = "prediction"
-	// MechanismLoadBound keeps a cached prefix from overloading its upstream.
-	MechanismLoadBound Mechanism = "load-bound"
 	// MechanismHold lets a request wait for a better upstream.
 	MechanismHold Mechanism = "hold"
 	// MechanismReserve keeps suited upstreams free for the highest tier.
@@ -48,7 +46,7 @@
 // Mechanisms returns every mechanism that can be switched off.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
-		MechanismAffinity, MechanismPrediction, MechanismLoadBound, MechanismHold, MechanismReserve, MechanismEjector, MechanismGuarantee,
+		MechanismAffinity, MechanismPrediction, MechanismHold, MechanismReserve, MechanismEjector, MechanismGuarantee,
 		MechanismPreemption, MechanismReports, MechanismCacheEvents, MechanismSpill,
 	}
 }
@@ -119,7 +117,6 @@
 		CentreDelay:  c.CentreDelay,
 		NoAffinity:   c.off(MechanismAffinity),
 		NoPrediction: c.off(MechanismPrediction),
-		NoBound:      c.off(MechanismLoadBound),
 		NoHold:       c.off(MechanismHold),
 		NoReserve:    c.off(MechanismReserve),
 		Routers:      c.Routers,
--- a/selector/score.go
+++ b/selector/score.go
@@ -50,11 +50,6 @@
 	holdForCache = 0.15
 	// holdGain is the prefill time that is worth such a wait.
 	holdGain = 50 * time.Millisecond
-	// boundFactor is how much more than the mean load of its group an upstream
-	// may carry before the candidates are widened.
-	boundFactor = 1.25
-	// boundSlack is the load in requests that is always allowed.
-	boundSlack = 1
 	// spillStop is the share of the target below which the local prediction
 	// must fall to stop spilling.
 	spillStop = 0.7
@@ -355,12 +350,7 @@
 	if best = s.best(from); best >= 0 {
 		return best
 	}
-	s.lift(from)
-	if best = s.best(from); best >= 0 {
-		return best
-	}
 	s.weighDraws(q, g, from, scanned)
-	s.lift(from)
 	return s.best(from)
 }
 
@@ -472,12 +462,12 @@
 	}
 	c.gap = t.gapShare(q.now, r)
 	c.cost = c.predicted + s.overrun(r, c.gap) + t.imposed(r.PromptTokens()-c.cached)
-	c.refused = s.refuse(q, g, t)
+	c.refused = s.refuse(q, t)
 	s.scratch = append(s.scratch, c)
 }
 
 // refuse returns why the upstream can't take the request now, or nothing.
-func (s *Selector) refuse(q *query, g *group, t *tracker) string {
+func (s *Selector) refuse(q *query, t *tracker) string {
 	address := t.upstream.Address()
 	switch {
 	case slices.Contains(q.excluded, address):
@@ -488,28 +478,11 @@
 		return reasonUnusable
 	case !s.NoReserve && s.reserve.full(q.now, q.request, t):
 		return reasonReserved
-	case !s.NoBound && g.over(t):
-		return reasonLoaded
 	default:
 		return ""
 	}
 }
 
-// over reports whether t carries more than its bounded share of the load.
-func (g *group) over(t *tracker) bool {
-	share := float64(g.load+1) * float64(t.slots) / float64(g.slots)
-	return float64(t.load()) > boundFactor*share+boundSlack
-}
-
-// lift takes the load bound away from the candidates of a group.
-func (s *Selector) lift(from int) {
-	for i := from; i < len(s.scratch); i++ {
-		if s.scratch[i].refused == reasonLoaded {
-			s.scratch[i].refused = ""
-		}
-	}
-}
-
 // best returns the usable candidate with the lowest prediction, or -1. Of equal
 // ones the first is taken.
 func (s *Selector) best(from int) int {
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -25,7 +25,6 @@
 	reasonLeaving  = "leaving"
 	reasonUnusable = "no-free-slot"
 	reasonReserved = "reserved"
-	reasonLoaded   = "over-load-bound"
 	reasonFar      = "remote-misses-target"
 	reasonPrice    = "gain-below-price"
 )
@@ -59,8 +58,6 @@
 	NoReserve bool
 	// NoHold never lets a request wait for a better upstream than a free one.
 	NoHold bool
-	// NoBound lifts the bound on the load of a candidate.
-	NoBound bool
 
 	// trackers has every upstream of the pool by address.
 	trackers map[string]*tracker
@@ -99,9 +96,7 @@
 // group is the upstreams of a place that serve a model.
 type group struct {
 	trackers []*tracker
-	// load and slots are sums over trackers.
-	load, slots int
-	delay       time.Duration
+	delay    time.Duration
 }
 
 func (s *Selector) init() {
@@ -214,8 +209,6 @@
 			p.groups[model] = g
 		}
 		g.trackers = append(g.trackers, t)
-		g.load += t.load()
-		g.slots += t.slots
 		t.groups = append(t.groups, g)
 	}
 }
@@ -237,7 +230,6 @@
 	if t.remote {
 		s.lastSpill = now
 	}
-	before := t.load()
 	if target := r.TokenTarget(); target > 0 && (s.tightest == 0 || target < s.tightest) {
 		s.tightest = target
 	}
@@ -247,7 +239,6 @@
 	t.started(now, r, r.PromptTokens()-q.cached(t.id))
 	s.reserve.add(t, s.Routers)
 	s.reserve.use(now, r)
-	t.moved(before)
 	s.index.learn(r.Prefix(), r.Fingerprint(), holder{upstream: t.id, epoch: t.epoch, pending: true})
 }
 
@@ -279,12 +270,10 @@
 	if a.FirstToken > 0 {
 		s.Progress(now, upstream, r, 1)
 	}
-	before := t.load()
 	s.reserve.remove(t, s.Routers)
 	t.finished(r, a)
 	s.reserve.judge(t)
 	s.reserve.add(t, s.Routers)
-	t.moved(before)
 	if a.Failed {
 		t.epoch++
 	}
@@ -305,16 +294,7 @@
 	if t == nil {
 		return
 	}
-	before := t.load()
 	t.report(now, l)
-	t.moved(before)
-}
-
-// moved corrects the sums of the groups after the load of t has changed.
-func (t *tracker) moved(before int) {
-	for _, g := range t.groups {
-		g.load += t.load() - before
-	}
 }
 
 // Cached takes a cache event. After a gap in the sequence all that was known
