Predict the gap of the highest tier on the cautious side

Cause: the mean gap leaves half of the answers above it near the target. One mean deviation is added for the highest tier.

--- a/selector/score.go
+++ b/selector/score.go
@@ -34,6 +34,9 @@
 	safeGap = 0.8
 	// riskyGap is the share from which on a request rather waits.
 	riskyGap = 0.9
+	// gapCaution is how many mean deviations above the mean the predicted gap of
+	// the highest tier lies.
+	gapCaution = 1.0
 	// overrunWeight is how many times the latency target an overrun of the whole
 	// token target counts for.
 	overrunWeight = 4
@@ -526,5 +529,8 @@
 		return 0
 	}
 	gap := t.predictGap() + t.blocking(now)/shortAnswer
+	if r.Tier() == kingcuphook.HighestTier {
+		gap += time.Duration(t.gap.deviation * gapCaution * float64(time.Second))
+	}
 	return float64(gap) / float64(r.TokenTarget())
 }
--- a/selector/tracker.go
+++ b/selector/tracker.go
@@ -1,6 +1,7 @@
 package selector
 
 import (
+	"math"
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
@@ -206,6 +207,9 @@
 	weight, sumX, sumY, sumXX, sumXY float64
 	// base is in seconds, slope in seconds for one unit; both above 0.
 	base, slope float64
+	// deviation is the smoothed distance of the samples from the line, in
+	// seconds.
+	deviation float64
 }
 
 // reset starts from a line with samples at 0 and at twice the usual amount.
@@ -223,6 +227,8 @@
 }
 
 func (f *fit) add(x, y float64) {
+	off := math.Abs(y - f.base - f.slope*x)
+	f.deviation += (1 - sampleDecay) * (off - f.deviation)
 	f.weight *= sampleDecay
 	f.sumX *= sampleDecay
 	f.sumY *= sampleDecay
