Bring those who lag up by pages, and pass large edits on by their rows

Before, an edit of more than 512 bytes made every watcher read the segments, and every other router the whole tables (1.67 MB at full size).

--- a/differ/advance.go
+++ b/differ/advance.go
@@ -42,6 +42,18 @@
 	return NewSnapshot(t, c.Lineage(), slices.Concat(recent, []Change{complete(s.Tables(), c)})), nil
 }
 
+// Fill returns s with the changes of base and c, if c is a truncated change that
+// leads from base to s; else s. Its rows are worked out from both. A nil or empty
+// base gives s.
+func Fill(base, s *Snapshot, c Change) *Snapshot {
+	if base == nil || base.Revision() == 0 || !c.Truncated() || !Follows(base, c) || c.Lineage() != s.lineage {
+		return s
+	}
+	f := c.Fields()
+	f.Rows, f.Truncated = Diff(base.Tables(), s.Tables()), false
+	return NewSnapshot(s.tables, s.lineage, slices.Concat(base.changes, []Change{NewChange(f)}))
+}
+
 // complete returns c with the former state of its rows taken from t.
 func complete(t *kingcuphook.Tables, c Change) Change {
 	f := c.f
--- /dev/null
+++ b/editor/large_test.go
@@ -0,0 +1,74 @@
+package editor
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/kingcuphook/kingcuphook/differ"
+	"github.com/kingcuphook/kingcuphook/emulator/storer"
+	"github.com/kingcuphook/kingcuphook/encoder"
+	"github.com/kingcuphook/kingcuphook/historian"
+	"github.com/kingcuphook/kingcuphook/loader"
+)
+
+// manyRoutes returns the names of n routes.
+func manyRoutes(n int, tier string) []string {
+	rows := make([]string, n)
+	for i := range rows {
+		rows[i] = fmt.Sprintf("route-%d:%s", i, tier)
+	}
+	return rows
+}
+
+// An edit of many rows reaches those who had the revision before as its rows, not
+// as the whole tables, and costs them few reads.
+func TestLargeEditsAreFollowedByTheirRows(t *testing.T) {
+	for _, tt := range []struct{ rows, maxReads int }{
+		// In the head.
+		{40, 1},
+		// Too large for the head: the head, the manifest, a page and the segments.
+		{2000, 3 + 2*2000/100},
+	} {
+		is := is.New(t)
+		ctx := context.Background()
+		var s storer.Store
+		e := Editor{Store: &s}
+		_, err := e.Apply(ctx, edit(t, "1", 0, manyRoutes(3000, "1")...))
+		is.NoErr(err)
+		l := loader.Loader{Store: &s}
+		before, err := l.Load(ctx, nil)
+		is.NoErr(err)
+		next := append(manyRoutes(tt.rows, "2"), manyRoutes(3000, "1")[tt.rows:]...)
+		_, err = e.Apply(ctx, edit(t, "2", 1, next...))
+		is.NoErr(err)
+
+		reads := s.Counts().Reads
+		after, err := l.Load(ctx, before.Snapshot)
+		is.NoErr(err)
+		is.True(s.Counts().Reads-reads <= tt.maxReads)
+		is.Equal(len(differ.Diff(e.last.Tables(), after.Snapshot.Tables())), 0)
+		data, err := encoder.EncodeUpdate(after.Snapshot, 1)
+		is.NoErr(err)
+		u, err := encoder.DecodeUpdate("peer", data)
+		is.NoErr(err)
+		is.Equal(u.Whole, nil)
+		is.Equal(len(u.Changes[0].Rows()), tt.rows)
+
+		// The next edit follows it, and it can be rolled back.
+		_, err = e.Apply(ctx, edit(t, "3", 2, append(next, "last")...))
+		is.NoErr(err)
+		after, err = l.Load(ctx, before.Snapshot)
+		is.NoErr(err)
+		_, known := after.Snapshot.Since(1)
+		is.True(known)
+		_, err = e.Rollback(ctx, Edit{Author: "omar", Base: 3}, 1)
+		is.NoErr(err)
+		h := historian.Historian{Store: &s}
+		rows, err := h.Diff(ctx, 1, 4)
+		is.NoErr(err)
+		is.Equal(len(rows), 0)
+	}
+}
--- a/editor/writer.go
+++ b/editor/writer.go
@@ -18,6 +18,9 @@
 	// maxHeadChangesBytes bounds the changes in the head, which every watcher
 	// receives with every edit.
 	maxHeadChangesBytes = 512
+	// maxHeadChangeBytes is the largest change that is in the head with its rows; one
+	// over maxHeadChangesBytes is there alone, until the next edit.
+	maxHeadChangeBytes = 64 << 10
 	// maxChangeBytes is the largest change that is kept with its rows.
 	maxChangeBytes = kingcuphook.MaxValueBytes / 4
 	// pageBytes is the size up to which changes are added to the newest page.
@@ -122,10 +125,11 @@
 // headChanges returns the changes of a head whose manifest is its own revision.
 func headChanges(s *loader.State, next *differ.Snapshot) []differ.Change {
 	c := newest(next).Compact()
-	if encoder.ChangeBytes(c) > maxHeadChangesBytes {
+	size := encoder.ChangeBytes(c)
+	if size > maxHeadChangeBytes {
 		return []differ.Change{truncate(c)}
 	}
-	if s.Head == nil || !differ.Follows(s.Snapshot, c) {
+	if size > maxHeadChangesBytes || s.Head == nil || !differ.Follows(s.Snapshot, c) {
 		return []differ.Change{c}
 	}
 	return trim(slices.Concat(s.Head.Changes, []differ.Change{c}))
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -34,7 +34,7 @@
 	// in which peers may bring the tables, so that routers that start together
 	// spread their reads.
 	firstWatcherRead = 500 * time.Millisecond
-	firstRead        = 2 * time.Second
+	firstRead        = 10 * time.Second
 	// watchBurst is how many watches may follow each other at once.
 	watchBurst = 4
 	// watchTimeout bounds a watch whose connection went silent.
--- a/historian/historian.go
+++ b/historian/historian.go
@@ -38,8 +38,7 @@
 	return found, nil
 }
 
-// Refused returns the other records of the audit trail, newest first: refused
-// edits and what befell the store.
+// Refused returns the refused edits of the audit trail, newest first.
 func (h *Historian) Refused(ctx context.Context) ([]auditor.Record, error) {
 	records, err := auditor.Read(ctx, h.Store)
 	if err != nil {
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -24,6 +24,8 @@
 	// loadAttempts bounds how often a load starts again because an edit removed
 	// a value between the calls.
 	loadAttempts = 3
+	// maxCatchUpPages bounds the pages that are read in place of the segments.
+	maxCatchUpPages = 2
 	// getAttempts bounds the reads of one value, and rateDelay is the wait before
 	// the second; it grows by as much each time.
 	getAttempts = 5
@@ -97,10 +99,16 @@
 	if err != nil {
 		return nil, err
 	}
+	if s.Snapshot = l.advance(l.catchUp(ctx, base, have), h); s.Snapshot != nil {
+		return s, nil
+	}
 	whole, err := l.whole(ctx, base, have)
 	if err != nil {
 		return nil, err
 	}
+	for _, c := range h.Changes {
+		whole = differ.Fill(have, whole, c)
+	}
 	if s.Snapshot = l.advance(whole, h); s.Snapshot == nil {
 		return nil, fmt.Errorf("loader: %w", &kingcuphook.InputError{
 			File: encoder.HeadKey, Reason: "its changes do not follow its manifest", Err: kingcuphook.ErrInvalid,
--- a/loader/past.go
+++ b/loader/past.go
@@ -22,6 +22,36 @@
 	return cs, nil
 }
 
+// catchUp returns the state that the pages of the manifest make of an earlier
+// one, or nil if they don't reach back to it in a few pages or can't be read.
+func (l *Loader) catchUp(ctx context.Context, m *encoder.Manifest, s *differ.Snapshot) *differ.Snapshot {
+	if s == nil || s.Revision() == 0 || s.Revision() >= m.Revision {
+		return nil
+	}
+	pages := m.Pages[max(0, len(m.Pages)-maxCatchUpPages):]
+	if len(pages) == 0 || pages[0].First > s.Revision()+1 {
+		return nil
+	}
+	for _, n := range pages {
+		if n.Last <= s.Revision() {
+			continue
+		}
+		cs, err := l.Page(ctx, n)
+		if err != nil {
+			return nil
+		}
+		for _, c := range cs {
+			if c.Revision() <= s.Revision() {
+				continue
+			}
+			if s, err = differ.Advance(s, c, l.keep()); err != nil {
+				return nil
+			}
+		}
+	}
+	return s
+}
+
 // Changes returns the reversible changes after the given revision up to s,
 // oldest first. An error wraps ErrCompacted if they are not all kept.
 func (l *Loader) Changes(ctx context.Context, s *State, after int64) ([]differ.Change, error) {
