--- a/follower/fanout_test.go
+++ b/follower/fanout_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -12,6 +13,7 @@
 	"github.com/kingcuphook/kingcuphook"
 	"github.com/kingcuphook/kingcuphook/editor"
 	"github.com/kingcuphook/kingcuphook/emulator/storer"
+	"github.com/kingcuphook/kingcuphook/encoder"
 	"github.com/kingcuphook/kingcuphook/exchanger"
 	"github.com/kingcuphook/kingcuphook/follower"
 	"github.com/kingcuphook/kingcuphook/gossiper"
@@ -76,6 +78,12 @@
 
 func newFanout(t *testing.T, n, centres, regions int, everyWatches bool) *fanout {
 	f := &fanout{t: t, store: &storer.Store{}, byAddr: make(map[string]*node)}
+	f.start(n, centres, regions, everyWatches)
+	return f
+}
+
+// start starts the routers.
+func (f *fanout) start(n, centres, regions int, everyWatches bool) {
 	vms := make([]kingcuphook.VM, n)
 	for i := range n {
 		centre := i % centres
@@ -102,9 +110,8 @@
 		nd.g.SetHints(time.Now(), vms)
 		f.nodes = append(f.nodes, nd)
 		f.byAddr[nd.address] = nd
-		go nd.f.Run(t.Context())
+		go nd.f.Run(f.t.Context())
 	}
-	return f
 }
 
 // poll does what the control loops of all routers do.
@@ -263,3 +270,40 @@
 		})
 	}
 }
+
+// Of a fleet that starts all at once, few routers load the tables from the store:
+// the others get them from their peers.
+func TestColdStartIsCarriedByPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const centres = 21
+		f := newFanout(t, *follower.FleetNodes, centres, 10, false)
+		rng := rand.New(rand.NewPCG(1, 1))
+		f.edit(rng, warmUp, false)
+		revision := f.lowest()
+		var loads, reads atomic.Int64
+		f.store.Hook = func(op, key string) storer.Fault {
+			if op == storer.OpGet {
+				reads.Add(1)
+			}
+			if strings.HasPrefix(key, encoder.ManifestPrefix) {
+				loads.Add(1)
+			}
+			return storer.Fault{}
+		}
+		g := &fanout{t: t, store: f.store, byAddr: make(map[string]*node)}
+		g.start(len(f.nodes), centres, 10, false)
+		start := time.Now()
+		for g.lowest() < revision {
+			time.Sleep(pollInterval)
+			synctest.Wait()
+			g.poll(false)
+			if time.Since(start) > time.Minute {
+				t.Fatal("not all routers have tables after a minute")
+			}
+		}
+		t.Logf("%d routers: all have tables after %v, %d loads and %d reads", len(g.nodes), time.Since(start), loads.Load(), reads.Load())
+		if loads.Load() > 4*centres {
+			t.Error("too many loads")
+		}
+	})
+}
