--- a/follower/fanout_test.go
+++ b/follower/fanout_test.go
@@ -1,33 +1,30 @@
-package follower_test
+package follower
 
 import (
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
-	"github.com/kingcuphook/kingcuphook/editor"
 	"github.com/kingcuphook/kingcuphook/emulator/storer"
+	"github.com/kingcuphook/kingcuphook/encoder"
 	"github.com/kingcuphook/kingcuphook/exchanger"
-	"github.com/kingcuphook/kingcuphook/follower"
 	"github.com/kingcuphook/kingcuphook/gossiper"
-	"github.com/kingcuphook/kingcuphook/parser"
 )
 
 const (
 	// changesPerDay is the rate of edits to design for.
 	changesPerDay = 110_000
-	// maxStoreReads and maxStoreWrites are a tenth of the store's calls a second.
-	maxStoreReads, maxStoreWrites = 200, 30
+	// maxWrites is a tenth of the store's writes a second.
+	maxWrites = 30
 	// maxStoreBytes is half of what a node may spend a second on control; the
 	// rest is for its peers.
 	maxStoreBytes = 1500
-	// maxInForce is the time in which a change must be in force everywhere.
-	maxInForce = 3 * time.Second
 	// pollInterval is how often the control loop of a router looks at the clock.
 	pollInterval = 100 * time.Millisecond
 )
@@ -37,7 +34,7 @@
 
 // node is one router: its follower, its gossiper and what passed its links.
 type node struct {
-	f       *follower.Follower
+	f       *Follower
 	g       *gossiper.Gossiper
 	address string
 	watches atomic.Bool
@@ -76,6 +73,12 @@
 
 func newFanout(t *testing.T, n, centres, regions int, everyWatches bool) *fanout {
 	f := &fanout{t: t, store: &storer.Store{}, byAddr: make(map[string]*node)}
+	f.start(n, centres, regions, everyWatches)
+	return f
+}
+
+// start starts the routers.
+func (f *fanout) start(n, centres, regions int, everyWatches bool) {
 	vms := make([]kingcuphook.VM, n)
 	for i := range n {
 		centre := i % centres
@@ -85,7 +88,7 @@
 	for i, vm := range vms {
 		nd := &node{address: vm.Address()}
 		nd.watches.Store(everyWatches)
-		nd.f = &follower.Follower{
+		nd.f = &Follower{
 			Store: meteredStore{Store: f.store, n: nd}, IsWatcher: nd.watches.Load, Rand: rand.New(rand.NewPCG(uint64(i), 1)),
 		}
 		nd.g = &gossiper.Gossiper{
@@ -102,9 +105,8 @@
 		nd.g.SetHints(time.Now(), vms)
 		f.nodes = append(f.nodes, nd)
 		f.byAddr[nd.address] = nd
-		go nd.f.Run(t.Context())
+		go nd.f.Run(f.t.Context())
 	}
-	return f
 }
 
 // poll does what the control loops of all routers do.
@@ -167,28 +169,14 @@
 // edit makes edits at the given rate for a while and returns the longest time
 // until one was in force everywhere.
 func (f *fanout) edit(rng *rand.Rand, d time.Duration, everyWatches bool) time.Duration {
-	e := editor.Editor{Store: f.store}
-	u := kingcuphook.NewUpstream(kingcuphook.UpstreamFields{
-		Address: "127.0.0.1:9001", Region: "region-0", DataCentre: "centre-0", Kind: kingcuphook.UpstreamKindEngine,
-	})
-	pools := []*kingcuphook.Pool{kingcuphook.NewPool(kingcuphook.PoolFields{Name: "p", Upstreams: []*kingcuphook.Upstream{u}})}
 	accepted := make(map[int64]time.Time)
 	var slowest time.Duration
 	next, revision := time.Now(), int64(0)
 	for end := time.Now().Add(d); time.Now().Before(end) || len(accepted) > 0; {
 		if !time.Now().Before(next) && time.Now().Before(end) {
-			route := kingcuphook.NewRoute(kingcuphook.RouteFields{
-				Name: "organisation-17-class-2", Organisation: "organisation-17", Class: "class-2", Pool: "p", Tier: 2,
-				Target: 1500 * time.Millisecond, Rate: rng.Float64(),
-			})
-			r, err := e.Apply(f.t.Context(), editor.Edit{
-				Author: "nour", Reason: "opening time", Base: editor.BaseNewest,
-				Routes: parser.NewRouteTable("routes", []*kingcuphook.Route{route}), Pools: parser.NewPoolTable("pools", pools),
+			revision = editRoute(f.t, f.store, kingcuphook.RouteFields{
+				Name: "organisation-17-class-2", Organisation: "organisation-17", Class: "class-2", Tier: 2, Rate: rng.Float64(),
 			})
-			if err != nil {
-				f.t.Fatal(err)
-			}
-			revision = r.Revision
 			accepted[revision] = time.Now()
 			next = next.Add(time.Duration(rng.ExpFloat64() * float64(24*time.Hour) / changesPerDay))
 		}
@@ -236,7 +224,7 @@
 	for _, tt := range []struct {
 		nodes, centres, regions int
 		everyWatches            bool
-	}{{8, 3, 3, false}, {8, 3, 3, true}, {*follower.FleetNodes, 21, 10, false}, {*follower.FleetNodes, 21, 10, true}} {
+	}{{8, 3, 3, false}, {8, 3, 3, true}, {*FleetNodes, 21, 10, false}, {*FleetNodes, 21, 10, true}} {
 		name := fmt.Sprintf("nodes=%d/every-router-watches=%t", tt.nodes, tt.everyWatches)
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -256,10 +244,47 @@
 				if tt.everyWatches {
 					return
 				}
-				if reads > maxStoreReads || writes > maxStoreWrites || float64(storeMax)/seconds > maxStoreBytes || slowest > maxInForce {
+				if reads > maxCalls || writes > maxWrites || float64(storeMax)/seconds > maxStoreBytes || slowest > convergence {
 					t.Error("over budget")
 				}
 			})
 		})
 	}
 }
+
+// Of a fleet that starts all at once, few routers load the tables from the store:
+// the others get them from their peers.
+func TestColdStartIsCarriedByPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const centres = 21
+		f := newFanout(t, *FleetNodes, centres, 10, false)
+		rng := rand.New(rand.NewPCG(1, 1))
+		f.edit(rng, warmUp, false)
+		revision := f.lowest()
+		var loads, reads atomic.Int64
+		f.store.Hook = func(op, key string) storer.Fault {
+			if op == storer.OpGet {
+				reads.Add(1)
+			}
+			if strings.HasPrefix(key, encoder.ManifestPrefix) {
+				loads.Add(1)
+			}
+			return storer.Fault{}
+		}
+		g := &fanout{t: t, store: f.store, byAddr: make(map[string]*node)}
+		g.start(len(f.nodes), centres, 10, false)
+		start := time.Now()
+		for g.lowest() < revision {
+			time.Sleep(pollInterval)
+			synctest.Wait()
+			g.poll(false)
+			if time.Since(start) > time.Minute {
+				t.Fatal("not all routers have tables after a minute")
+			}
+		}
+		t.Logf("%d routers: all have tables after %v, %d loads and %d reads", len(g.nodes), time.Since(start), loads.Load(), reads.Load())
+		if loads.Load() > 4*centres {
+			t.Error("too many loads")
+		}
+	})
+}
