--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -94,6 +94,8 @@
 	skipped int
 	// retry is the address whose exchange failed last; empty if none.
 	retry string
+	// probes are the suspects to be asked before they are removed.
+	probes []string
 	// failedRegions holds the other regions whose latest exchange failed.
 	failedRegions map[string]failure
 
--- a/gossiper/membership_test.go
+++ b/gossiper/membership_test.go
@@ -15,8 +15,8 @@
 // settleTime is more than suspicion and spreading take in a small fleet.
 const settleTime = 3 * time.Minute
 
-func settled(n, centres, regions int) *fleet {
-	f := newFleet(n, centres, regions)
+func settled(n, centres int) *fleet {
+	f := newFleet(n, centres, 3)
 	f.run(30 * time.Second)
 	return f
 }
@@ -33,7 +33,7 @@
 
 func TestShortPauseRemovesNobody(t *testing.T) {
 	is := is.New(t)
-	f := settled(12, 3, 3)
+	f := settled(12, 3)
 	f.routers[4].paused = true
 	is.True(f.alwaysCounts(6*time.Second, 12))
 	f.routers[4].paused = false
@@ -42,7 +42,7 @@
 
 func TestLongPauseIsRemovedAndComesBack(t *testing.T) {
 	is := is.New(t)
-	f := settled(12, 3, 3)
+	f := settled(12, 3)
 	f.routers[4].paused = true
 	is.True(f.until(settleTime, f.agrees) >= 0) // the others remove it
 	f.run(time.Minute)
@@ -52,7 +52,7 @@
 
 func TestSleeperBringsNoZombie(t *testing.T) {
 	is := is.New(t)
-	f := settled(12, 3, 3)
+	f := settled(12, 3)
 	sleeper, crashed := f.routers[4], f.routers[7]
 	sleeper.paused = true
 	f.run(time.Second)
@@ -67,7 +67,7 @@
 
 func TestRestartsKeepTheirPlace(t *testing.T) {
 	is := is.New(t)
-	f := settled(12, 3, 3)
+	f := settled(12, 3)
 	for i, incarnation := range []uint64{5, 3, 9} { // a clock may have stepped back
 		f.restart(f.routers[i], incarnation)
 		f.run(2 * time.Second)
@@ -78,7 +78,7 @@
 
 func TestReplacedRouterTakesANewAddress(t *testing.T) {
 	is := is.New(t)
-	f := settled(12, 3, 3)
+	f := settled(12, 3)
 	f.routers[5].stopped = true
 	f.add(200, f.routers[5].location, 7)
 	f.byAddr["10.0.0.200:7000"].g.SetHints(f.now, nil)
@@ -88,7 +88,7 @@
 
 func TestRegionCutRemovesNobody(t *testing.T) {
 	is := is.New(t)
-	f := settled(24, 6, 3)
+	f := settled(24, 6)
 	f.cut = func(a, b *router) bool { return inRegion0(a) != inRegion0(b) }
 	is.True(f.alwaysCounts(5*time.Minute, 24))
 	here := f.routers[0].g.Members(f.now)
@@ -103,14 +103,14 @@
 
 func TestLostDataCentreIsRemoved(t *testing.T) {
 	is := is.New(t)
-	f := settled(24, 6, 3)
+	f := settled(24, 6)
 	f.crash(inCentre("centre1"))
 	is.True(f.until(settleTime, f.agrees) >= 0)
 }
 
 func TestIsolatedRouterRemovesNobody(t *testing.T) {
 	is := is.New(t)
-	f := settled(12, 3, 3)
+	f := settled(12, 3)
 	alone := f.routers[4]
 	f.cut = func(a, b *router) bool { return a == alone || b == alone }
 	f.run(2 * time.Minute)
@@ -121,7 +121,7 @@
 
 func TestLeavingRouterIsForgottenAtOnce(t *testing.T) {
 	is := is.New(t)
-	f := settled(12, 3, 3)
+	f := settled(12, 3)
 	r := f.routers[4]
 	r.g.Leave(f.now)
 	f.run(5 * time.Second)
@@ -131,7 +131,7 @@
 
 func TestRevisionNeverFalls(t *testing.T) {
 	is := is.New(t)
-	f := settled(8, 3, 3)
+	f := settled(8, 3)
 	r := f.routers[0]
 	r.g.SetRevision(f.now, 9, "")
 	r.g.SetRevision(f.now, 4, "")
@@ -149,7 +149,7 @@
 func checkMembership(t *testing.T, seed uint64) {
 	is := is.New(t)
 	rng := rand.New(rand.NewPCG(seed, 8))
-	f := settled(18, 6, 3)
+	f := settled(18, 6)
 	for i := range 40 {
 		r := f.routers[rng.IntN(len(f.routers))]
 		switch rng.IntN(7) {
--- a/gossiper/poll.go
+++ b/gossiper/poll.go
@@ -24,6 +24,12 @@
 	if len(targets) > 0 {
 		g.pushed = true
 	}
+	for _, a := range g.probes {
+		if !slices.Contains(targets, a) {
+			targets = append(targets, a)
+		}
+	}
+	g.probes = nil
 	if now.Before(g.nextTick) {
 		return targets
 	}
@@ -107,8 +113,12 @@
 			e := m.entry
 			e.State = StateDead
 			g.replace(m, e, now)
+		case age > g.SuspectTimeout/2:
+			// Its answer may not have come this far: ask it before it is removed.
+			g.probes = append(g.probes, m.entry.Address)
 		}
 	}
+	slices.Sort(g.probes)
 }
 
 // forget drops a member of an unreachable region that the platform's list no
