--- /dev/null
+++ b/router/schedule.go
@@ -0,0 +1,16 @@
+package router
+
+import (
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/composer"
+)
+
+// newScheduler returns the scheduler of one pool.
+func (r *Router) newScheduler(string) kingcuphook.Scheduler {
+	c := composer.Composer{
+		Region:     r.Settings.Node.Region,
+		DataCentre: r.Settings.Node.DataCentre,
+		Seed:       r.newRand().Uint64(),
+	}
+	return c.Compose()
+}
