Close kept connections before upstreams do

Cause: an upstream that closes a kept connection just as it is used looks like a crash. The transport may now repeat what it never wrote, unless the request has an idempotency key or must run at most once, and kept connections live 3 s.

--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -30,11 +30,13 @@
 
 // Defaults and bounds of Dialer.
 const (
-	defaultDialTimeout   = time.Second
-	defaultMaxAnswer     = 8 << 20
-	keepAliveInterval    = 5 * time.Second
-	keepAliveProbes      = 3
-	idleTimeout          = 30 * time.Second
+	defaultDialTimeout = time.Second
+	defaultMaxAnswer   = 8 << 20
+	keepAliveInterval  = 5 * time.Second
+	keepAliveProbes    = 3
+	// idleTimeout is shorter than engines keep a connection without a request,
+	// so that they rarely close one just when it is used.
+	idleTimeout          = 3 * time.Second
 	maxIdlePerUpstream   = 64
 	maxResponseHeader    = 64 << 10
 	maxRefusalBodyBytes  = 4 << 10
@@ -168,15 +170,19 @@
 	return bytes.NewReader(body)
 }
 
-// newRequest builds the HTTP request. The body can't be read again by the
-// transport, which therefore never repeats a request that has one.
+// newRequest builds the HTTP request. The transport repeats a request on its own
+// if nothing of it was written to a kept connection. With an idempotency key it
+// would also do so after an answer that never came, which must be seen by the
+// dispatcher: then its body can't be read again.
 func newRequest(ctx context.Context, u *kingcuphook.Upstream, a *kingcuphook.Attempt) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, a.Method(), "http://"+u.Address()+a.Path(), newBody(a.Body()))
 	if err != nil {
 		return nil, err
 	}
-	req.GetBody = nil
 	r := a.Request()
+	if r.NonIdempotent() || r.Key() != "" {
+		req.GetBody = nil
+	}
 	req.Header.Set("Content-Type", a.ContentType())
 	req.Header.Set(headerAttempt, a.ID())
 	req.Header.Set(headerRequest, r.ID())
