Bound what a holder of a large pool spends on reading back

A holder read back every runner each round and counted the runners once for each declared model. Both grow with the pool, and each router recomputed the demand of every pool. Now a round reads at most 16 runners, urgent ones first, one pass counts them, and only the holder follows the demand. A new holder begins with the numbers that it finds.

--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -100,8 +100,11 @@
 	failedRegions map[string]failure
 
 	revision int64
-	push     pusher
-	load     loads
+	// shown is the highest revision in a digest, and shownBy its sender.
+	shown   int64
+	shownBy string
+	push    pusher
+	load    loads
 }
 
 // failure counts the exchanges with a region that failed in a row.
@@ -176,13 +179,17 @@
 }
 
 // SetRevision takes the revision of the tables now in force and the peer that
-// it came from, empty for the store. Lower revisions are ignored.
+// it came from. Empty stands for the store, unless a peer has shown the revision
+// before. Lower revisions are ignored.
 func (g *Gossiper) SetRevision(now time.Time, revision int64, from string) {
 	g.start(now)
 	if revision <= g.revision {
 		return
 	}
 	g.revision = revision
+	if from == "" && revision <= g.shown {
+		from = g.shownBy
+	}
 	g.startPush(from)
 }
 
--- a/gossiper/merge.go
+++ b/gossiper/merge.go
@@ -36,6 +36,9 @@
 	g.succeeded(m, now)
 	m.differs = d.Checksum != g.checksum
 	m.revision = max(m.revision, d.Revision)
+	if d.Revision > g.shown {
+		g.shown, g.shownBy = d.Revision, d.Sender.Address
+	}
 	g.pushed = g.pushed || d.Revision > g.revision
 	g.takeJoin(d)
 	g.load.take(g, now, d)
--- a/leaser/candidate.go
+++ b/leaser/candidate.go
@@ -1,11 +1,6 @@
 package leaser
 
-import (
-	"cmp"
-	"slices"
-
-	"github.com/cespare/xxhash/v2"
-)
+import "github.com/cespare/xxhash/v2"
 
 // Candidates is how many routers try to take one lease.
 const Candidates = 2
@@ -13,21 +8,32 @@
 // Position returns the place of self among the candidates for a key, or
 // NoCandidate. All routers that know the same members agree.
 func Position(key, self string, members []string) int {
-	ranked := slices.Clone(members)
-	slices.SortFunc(ranked, func(a, b string) int {
-		if c := cmp.Compare(score(key, b), score(key, a)); c != 0 {
-			return c
+	k := xxhash.Sum64String(key)
+	own := score(k, self)
+	position := 0
+	known := false
+	for _, m := range members {
+		if m == self {
+			known = true
+			continue
+		}
+		s := score(k, m)
+		if s > own || s == own && m < self {
+			position++
 		}
-		return cmp.Compare(a, b)
-	})
-	position := slices.Index(ranked, self)
-	if position >= Candidates {
+	}
+	if !known || position >= Candidates {
 		return NoCandidate
 	}
 	return position
 }
 
-// score is the rendezvous hash of a member for a key.
-func score(key, member string) uint64 {
-	return xxhash.Sum64String(key + "\x00" + member)
+// score is the rendezvous hash of a member for a key with hash k.
+func score(k uint64, member string) uint64 {
+	x := k ^ xxhash.Sum64String(member)
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
 }
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,7 +21,7 @@
 	defaultOrderTimeout = 10 * time.Second
 	// callTimeout bounds one call to an upstream.
 	callTimeout = 2 * time.Second
-	// maxReads bounds the upstreams read back at once.
+	// maxReads bounds the upstreams read back in a round.
 	maxReads = 16
 )
 
@@ -35,7 +36,8 @@
 }
 
 // Orderer keeps the engines of one pool at what its placer wants. Its exported
-// fields are set before Run. SetPool, SetDemand and SetLoads are safe for concurrent use.
+// fields are set before Run. SetPool, SetDemand and SetLoads are safe for
+// concurrent use.
 type Orderer struct {
 	// Engines takes the orders; never nil.
 	Engines kingcuphook.Orderer
@@ -61,6 +63,8 @@
 	since time.Time
 	// seen holds what each upstream followed when it was last read back.
 	seen map[string]kingcuphook.Order
+	// next is the position in the pool after the upstream read back last.
+	next int
 }
 
 // SetPool takes the pool in force.
@@ -80,10 +84,15 @@
 }
 
 // SetLoads takes how full the engines are, as the share of its slots that each
-// uses or that wait at it, by address.
+// uses or that wait at it, by address. It is ignored while the lease is not
+// held.
 func (o *Orderer) SetLoads(shares map[string]float64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.fence == 0 {
+		// Only the holder decides, and it begins with what it finds.
+		return
+	}
 	o.Placer.Load(time.Now(), shares)
 }
 
@@ -111,7 +120,8 @@
 	if upstreams == nil {
 		return
 	}
-	o.readBack(ctx, upstreams)
+	due := o.due(upstreams)
+	o.readBack(ctx, due)
 	o.mu.Lock()
 	now := time.Now()
 	moves := o.Placer.Plan(now, func(u *kingcuphook.Upstream) bool { return o.allowed(now, u) })
@@ -120,7 +130,7 @@
 		orders = append(orders, o.newOrder(m.Upstream(), m.Model(), m.Generation()))
 		delete(o.seen, m.Upstream().Address())
 	}
-	orders = append(orders, o.claims(now, upstreams)...)
+	orders = append(orders, o.claims(now, due)...)
 	o.mu.Unlock()
 	for _, order := range orders {
 		o.order(ctx, order)
@@ -136,15 +146,15 @@
 	})
 }
 
-// claims returns an order for each upstream that has not yet seen the fencing
-// number. It changes nothing there but that orders of earlier holders are
+// claims returns an order for each upstream just read back that has not yet
+// seen the fencing number. It changes nothing there but that orders of earlier holders are
 // refused from then on: the model ordered is the one it follows, or none.
-func (o *Orderer) claims(now time.Time, upstreams []*kingcuphook.Upstream) []kingcuphook.Order {
+func (o *Orderer) claims(now time.Time, read []*kingcuphook.Upstream) []kingcuphook.Order {
 	if !o.Placer.Settled(now) {
 		return nil
 	}
 	var orders []kingcuphook.Order
-	for _, u := range upstreams {
+	for _, u := range read {
 		got, ok := o.seen[u.Address()]
 		if ok && u.ChecksFence() && got.Fence() < o.fence {
 			orders = append(orders, o.newOrder(u, got.Model(), got.Generation()))
@@ -183,14 +193,35 @@
 	return u.ChecksFence() || now.Sub(o.since) >= wait
 }
 
-// readBack asks each engine what it follows.
+// due returns the engines to be read back in this round: those that are urgent,
+// then the others in turn.
+func (o *Orderer) due(upstreams []*kingcuphook.Upstream) []*kingcuphook.Upstream {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var due, others []*kingcuphook.Upstream
+	for i := range upstreams {
+		u := upstreams[(o.next+i)%len(upstreams)]
+		switch {
+		case u.Kind() != kingcuphook.UpstreamKindEngine:
+		case o.Placer.Urgent(u.Address()):
+			due = append(due, u)
+		default:
+			others = append(others, u)
+		}
+	}
+	// Urgent ones that never answer must not keep the others from their turn.
+	due = due[:min(len(due), maxReads/2+max(0, maxReads/2-len(others)))]
+	due = append(due, others[:min(len(others), maxReads-len(due))]...)
+	if len(due) > 0 {
+		o.next = slices.Index(upstreams, due[len(due)-1]) + 1
+	}
+	return due
+}
+
+// readBack asks engines what they follow.
 func (o *Orderer) readBack(ctx context.Context, upstreams []*kingcuphook.Upstream) {
 	var g errgroup.Group
-	g.SetLimit(maxReads)
 	for _, u := range upstreams {
-		if u.Kind() != kingcuphook.UpstreamKindEngine {
-			continue
-		}
 		g.Go(func() error {
 			o.read(ctx, u)
 			return nil
--- a/placer/load.go
+++ b/placer/load.go
@@ -6,13 +6,13 @@
 // or that wait at it, by address. The demand for a model in a region is what its
 // runners carry together.
 func (p *Placer) Load(now time.Time, shares map[string]float64) {
-	for k := range p.shares {
-		demand := 0.0
-		for address, r := range p.runners {
-			if r.serves(k.model) && r.upstream.Region() == k.region {
-				demand += shares[address]
-			}
+	demand := make(map[place]float64, len(p.shares))
+	for address, r := range p.runners {
+		if r.serves(r.loaded) {
+			demand[place{region: r.upstream.Region(), model: r.loaded}] += shares[address]
 		}
-		p.Demand(now, k.region, k.model, demand)
+	}
+	for k := range p.shares {
+		p.Demand(now, k.region, k.model, demand[k])
 	}
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -61,8 +61,10 @@
 	// means 2 minutes.
 	Settle time.Duration
 
-	// settled is when the latest Settle ends.
+	// settled is when the latest Settle ends; fresh says that what was found
+	// then is still to be taken for what is wanted.
 	settled time.Time
+	fresh   bool
 	pool    *kingcuphook.Pool
 	// runners holds the state of each engine of the pool by address; order
 	// lists the addresses.
@@ -90,6 +92,8 @@
 // runner is the state of one upstream.
 type runner struct {
 	upstream *kingcuphook.Upstream
+	// tried says that the upstream was read back, or could not be, since Reset.
+	tried bool
 	// observed says that the upstream was read back since it was last lost.
 	observed bool
 	// loaded is the model it was seen to follow.
@@ -151,8 +155,10 @@
 // taken over as it is read back.
 func (p *Placer) Reset(now time.Time) {
 	p.settled = now.Add(or(p.Settle, defaultSettle))
+	p.fresh = true
 	for _, r := range p.runners {
 		r.own = false
+		r.tried = false
 		r.observed = false
 		r.ordered = time.Time{}
 		r.began = time.Time{}
@@ -172,6 +178,7 @@
 	if !r.own {
 		r.target = model
 	}
+	r.tried = true
 	r.observed = true
 	r.loaded = model
 	switch {
@@ -189,11 +196,19 @@
 // Lose takes that an upstream could not be read back: it serves nothing.
 func (p *Placer) Lose(address string) {
 	if r := p.runners[address]; r != nil {
+		r.tried = true
 		r.observed = false
 		r.loaded = ""
 	}
 }
 
+// Urgent reports whether an upstream is to be read back before others: nothing
+// is known of it yet, or it has not followed its order yet.
+func (p *Placer) Urgent(address string) bool {
+	r := p.runners[address]
+	return r != nil && (!r.tried || r.observed && r.loaded != r.target)
+}
+
 // Demand takes the load of a model in a region, as the number of runners that
 // it would fill.
 func (p *Placer) Demand(now time.Time, region, model string, runners float64) {
@@ -276,17 +291,17 @@
 }
 
 // byNeed orders the shares that want runners most first.
-func (p *Placer) byNeed(now time.Time) []*share {
+func (p *Placer) byNeed(t *tally) []*share {
 	needs := make([]*share, 0, len(p.shares))
 	for _, s := range p.shares {
-		if p.assigned(now, s.place) < s.want {
+		if t.assigned[s.place] < s.want {
 			needs = append(needs, s)
 		}
 	}
 	slices.SortFunc(needs, func(a, b *share) int {
 		return cmp.Or(
-			cmp.Compare(min(p.Serving(a.region, a.model), 1), min(p.Serving(b.region, b.model), 1)),
-			cmp.Compare(p.spare(now, a), p.spare(now, b)),
+			cmp.Compare(min(t.serving[a.place], 1), min(t.serving[b.place], 1)),
+			cmp.Compare(t.spare(a), t.spare(b)),
 			cmp.Compare(b.demand, a.demand),
 			cmp.Compare(a.region, b.region),
 			cmp.Compare(a.model, b.model),
@@ -295,22 +310,6 @@
 	return needs
 }
 
-// spare returns how far a share is above its least, at most 0.
-func (p *Placer) spare(now time.Time, s *share) int {
-	return min(p.assigned(now, s.place)-s.least, 0)
-}
-
-// assigned returns how many runners are to serve a model in a region.
-func (p *Placer) assigned(now time.Time, k place) int {
-	n := 0
-	for _, r := range p.runners {
-		if r.observed && r.target == k.model && r.upstream.Region() == k.region && !r.upstream.Leaving() && !r.broken(now) {
-			n++
-		}
-	}
-	return n
-}
-
 func or(d, def time.Duration) time.Duration {
 	if d == 0 {
 		return def
--- a/placer/plan.go
+++ b/placer/plan.go
@@ -10,19 +10,21 @@
 // whether an upstream may take an order now; nil allows all. The moves count as
 // ordered: one that is lost on its way is repeated by a later Plan.
 func (p *Placer) Plan(now time.Time, allowed func(u *kingcuphook.Upstream) bool) []Move {
-	if p.pool == nil {
+	if p.pool == nil || !p.known() {
 		return nil
 	}
+	t := p.tally(now)
 	if p.Settled(now) {
-		p.own()
+		p.own(t)
 	}
-	moves := p.repeat(now, allowed)
-	for _, s := range p.byNeed(now) {
-		for p.assigned(now, s.place) < s.want {
-			r := p.donor(now, s, allowed)
-			if r == nil || !p.admit(now, r) {
+	moves := p.repeat(now, t, allowed)
+	for _, s := range p.byNeed(t) {
+		for t.assigned[s.place] < s.want && t.reloading < p.pool.MaxReloading() {
+			r := p.donor(now, t, s, allowed)
+			if r == nil || !p.admit(now, t, r) {
 				break
 			}
+			t.move(r, s.model, now)
 			r.target = s.model
 			r.own = true
 			r.generation++
@@ -32,9 +34,25 @@
 	return moves
 }
 
+// known reports whether every runner was read back, or could not be.
+func (p *Placer) known() bool {
+	for _, r := range p.runners {
+		if !r.tried {
+			return false
+		}
+	}
+	return true
+}
+
 // own takes what the runners follow for this holder's decision: what changes it
 // from now on is corrected.
-func (p *Placer) own() {
+func (p *Placer) own(t *tally) {
+	if p.fresh {
+		p.fresh = false
+		for _, s := range p.shares {
+			s.want = min(max(t.assigned[s.place], s.least), s.most)
+		}
+	}
 	for _, r := range p.runners {
 		if r.observed {
 			r.own = true
@@ -43,7 +61,7 @@
 }
 
 // repeat orders again the runners that do not follow their order.
-func (p *Placer) repeat(now time.Time, allowed func(u *kingcuphook.Upstream) bool) []Move {
+func (p *Placer) repeat(now time.Time, t *tally, allowed func(u *kingcuphook.Upstream) bool) []Move {
 	var moves []Move
 	for _, a := range p.order {
 		r := p.runners[a]
@@ -58,7 +76,7 @@
 			r.began = time.Time{}
 			continue
 		}
-		if r.ordered.IsZero() && !p.admit(now, r) {
+		if r.ordered.IsZero() && !p.admit(now, t, r) {
 			continue
 		}
 		moves = append(moves, r.order(now))
@@ -78,15 +96,19 @@
 
 // admit reports whether another runner may reload now, and takes its load of
 // weights from the budget.
-func (p *Placer) admit(now time.Time, r *runner) bool {
-	if !r.reloading(now) && p.Reloading(now) >= p.pool.MaxReloading() {
+func (p *Placer) admit(now time.Time, t *tally, r *runner) bool {
+	if r.reloading(now) {
+		return p.Loads == nil || p.Loads.AllowN(now, 1)
+	}
+	if t.reloading >= p.pool.MaxReloading() || p.Loads != nil && !p.Loads.AllowN(now, 1) {
 		return false
 	}
-	return p.Loads == nil || p.Loads.AllowN(now, 1)
+	t.reloading++
+	return true
 }
 
 // donor returns the runner that can best be given to a share, or nil.
-func (p *Placer) donor(now time.Time, s *share, allowed func(u *kingcuphook.Upstream) bool) *runner {
+func (p *Placer) donor(now time.Time, t *tally, s *share, allowed func(u *kingcuphook.Upstream) bool) *runner {
 	var best *runner
 	cost := 0
 	for _, a := range p.order {
@@ -95,7 +117,7 @@
 			r.target == s.model || !r.may(s.model) || !permits(allowed, r) {
 			continue
 		}
-		c, ok := p.cost(now, r, s)
+		c, ok := p.cost(now, t, r, s)
 		if ok && (best == nil || c < cost) {
 			best, cost = r, c
 		}
@@ -114,18 +136,18 @@
 
 // cost returns what taking r for a share costs, and false if it may not be
 // taken.
-func (p *Placer) cost(now time.Time, r *runner, to *share) (int, bool) {
+func (p *Placer) cost(now time.Time, t *tally, r *runner, to *share) (int, bool) {
 	if !p.declared(r) {
 		return costUndeclared, true
 	}
-	if p.last(r) || r.loaded == r.target && !p.Settled(now) {
+	if t.last(r) || r.loaded == r.target && !p.Settled(now) {
 		return 0, false
 	}
 	from := p.shares[place{region: r.upstream.Region(), model: r.target}]
 	if from == nil {
 		return costAboveMost, true
 	}
-	n := p.assigned(now, from.place)
+	n := t.assigned[from.place]
 	switch {
 	case n > from.most:
 		return costAboveMost, true
@@ -133,7 +155,7 @@
 		return costReloading, true
 	case n > from.want:
 		return costAboveWant, true
-	case n > from.least && p.assigned(now, to.place) < to.least:
+	case n > from.least && t.assigned[to.place] < to.least:
 		// Declared minimums go before demand.
 		return costAboveLeast, true
 	}
@@ -150,20 +172,6 @@
 	return false
 }
 
-// last reports whether no other runner of the pool serves the model that r
-// serves.
-func (p *Placer) last(r *runner) bool {
-	if !r.observed || r.loaded != r.target {
-		return false
-	}
-	for _, o := range p.runners {
-		if o != r && o.serves(r.loaded) && !o.upstream.Leaving() {
-			return false
-		}
-	}
-	return true
-}
-
 func permits(allowed func(u *kingcuphook.Upstream) bool, r *runner) bool {
 	return allowed == nil || allowed(r.upstream)
 }
