--- a/leaser/leaser_test.go
+++ b/leaser/leaser_test.go
@@ -208,18 +208,33 @@
 	})
 }
 
-func TestFewCandidates(t *testing.T) {
-	is := is.New(t)
-	members := make([]string, 1100)
-	for i := range members {
-		members[i] = fmt.Sprintf("10.0.%d.%d:7000", i>>8, i&255)
-	}
-	candidates := 0
-	for _, m := range members {
-		if leaser.Position(key, m, members) != leaser.NoCandidate {
-			candidates++
+// TestFewStoreCalls counts the calls for one lease in a fleet of full size.
+func TestFewStoreCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		members := make([]string, 1100)
+		for i := range members {
+			members[i] = fmt.Sprintf("10.0.%d.%d:7000", i>>8, i&255)
 		}
-	}
-	is.Equal(candidates, leaser.Candidates)
-	is.Equal(leaser.Position(key, "10.9.9.9:7000", members), leaser.NoCandidate)
+		store := &storer.Store{}
+		g := newGroup()
+		candidates := 0
+		for i, m := range members {
+			r := newRunner(store, m, uint64(i))
+			p := leaser.Position(key, m, members)
+			r.SetPosition(p)
+			if p != leaser.NoCandidate {
+				candidates++
+			}
+			g.run(r.Run)
+		}
+		const d = time.Hour
+		time.Sleep(d)
+		g.end()
+		c := store.Counts()
+		t.Logf("reads %.3f/s, writes %.3f/s", float64(c.Reads)/d.Seconds(), float64(c.Writes)/d.Seconds())
+		is.Equal(candidates, leaser.Candidates)
+		is.True(float64(c.Reads+c.Writes)/d.Seconds() < 0.3) // a few calls in each time-to-live
+		is.Equal(leaser.Position(key, "10.9.9.9:7000", members), leaser.NoCandidate)
+	})
 }
