--- a/selector/score.go
+++ b/selector/score.go
@@ -12,6 +12,9 @@
 const (
 	// narrow is the number of rendezvous candidates weighed at first.
 	narrow = 2
+	// spread is the number of rendezvous candidates over which routers spread a
+	// prefix that no upstream is known to have.
+	spread = 4
 	// wide is the number of rendezvous candidates weighed once the narrow ones
 	// are too loaded.
 	wide = 6
@@ -31,6 +34,9 @@
 	safeGap = 0.8
 	// riskyGap is the share from which on a request rather waits.
 	riskyGap = 0.9
+	// gapCaution is how many mean deviations above the mean the predicted gap of
+	// the highest tier lies.
+	gapCaution = 1.0
 	// overrunWeight is how many times the latency target an overrun of the whole
 	// token target counts for.
 	overrunWeight = 4
@@ -47,11 +53,6 @@
 	holdForCache = 0.15
 	// holdGain is the prefill time that is worth such a wait.
 	holdGain = 50 * time.Millisecond
-	// boundFactor is how much more than the mean load of its group an upstream
-	// may carry before the candidates are widened.
-	boundFactor = 1.25
-	// boundSlack is the load in requests that is always allowed.
-	boundSlack = 1
 	// spillStop is the share of the target below which the local prediction
 	// must fall to stop spilling.
 	spillStop = 0.7
@@ -68,6 +69,8 @@
 	// token target is in danger.
 	cost   time.Duration
 	cached int
+	// coming is how much of the prompt is cached once a prefill under way ends.
+	coming int
 	// gap is the predicted time between tokens as a share of its target; 0
 	// without a target.
 	gap float64
@@ -102,20 +105,32 @@
 	}
 	for i := range s.scratch {
 		c := &s.scratch[i]
-		if c.refused != reasonUnusable || c.remote != b.remote {
+		if c.remote != b.remote {
+			continue
+		}
+		if b.saves(c.coming) {
+			return true
+		}
+		if c.refused != reasonUnusable {
 			continue
 		}
 		if b.gap > riskyGap && c.gap < safeGap {
 			return true
 		}
-		gained := time.Duration(float64(c.cached-b.cached) * b.tracker.first.slope * float64(time.Second))
-		if waited < holdForCache && gained > holdGain {
+		if waited < holdForCache && b.saves(c.cached) {
 			return true
 		}
 	}
 	return false
 }
 
+// saves reports whether having the given part of the prompt cached would save
+// enough prefill to be worth a wait.
+func (c *scored) saves(tokens int) bool {
+	gained := float64(tokens-c.cached) * c.tracker.first.slope
+	return gained > holdGain.Seconds()
+}
+
 // query is one selection.
 type query struct {
 	now      time.Time
@@ -137,6 +152,8 @@
 type held struct {
 	upstream uint32
 	tokens   int
+	// pending says that it is still being prefilled.
+	pending bool
 }
 
 func (s *Selector) choose(q query) (kingcuphook.Choice, error) {
@@ -185,7 +202,13 @@
 	if best < 0 {
 		best = s.weighGroup(q, q.region)
 	}
-	if !s.spills || q.remote == nil || r.Target() == 0 {
+	if !s.spills || q.remote == nil {
+		return best
+	}
+	if best < 0 && s.deserted(q) {
+		return s.weighRemote(q)
+	}
+	if r.Target() == 0 {
 		return best
 	}
 	local := s.localWait(q, best)
@@ -229,11 +252,7 @@
 // spill weighs the upstreams of other regions and returns the best one if it
 // meets the target and gains enough, else the local one.
 func (s *Selector) spill(q *query, home int, local time.Duration) int {
-	from := len(s.scratch)
-	best := s.weighGroup(q, q.remote)
-	for i := from; i < len(s.scratch); i++ {
-		s.scratch[i].remote = true
-	}
+	best := s.weighRemote(q)
 	if best < 0 {
 		return home
 	}
@@ -251,6 +270,32 @@
 	return home
 }
 
+// weighRemote weighs the upstreams of other regions and returns the best one, or
+// -1.
+func (s *Selector) weighRemote(q *query) int {
+	from := len(s.scratch)
+	best := s.weighGroup(q, q.remote)
+	for i := from; i < len(s.scratch); i++ {
+		s.scratch[i].remote = true
+	}
+	return best
+}
+
+// deserted reports whether every upstream of the region that serves the model
+// leaves or gets no work at all, so that waiting for one is in vain.
+func (s *Selector) deserted(q *query) bool {
+	for _, g := range []*group{q.near, q.region} {
+		if g != nil && slices.ContainsFunc(g.trackers, func(t *tracker) bool { return s.live(q.now, t) }) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Selector) live(now time.Time, t *tracker) bool {
+	return !t.leaving && (s.Live == nil || s.Live(now, t.upstream.Address()))
+}
+
 // waited returns how long the request has waited.
 func (q *query) waited() time.Duration { return q.now.Sub(q.request.Arrived()) }
 
@@ -285,10 +330,10 @@
 			return
 		}
 		t := s.byID[h.upstream]
-		if t == nil || h.epoch < t.born || q.cached(h.upstream) > 0 {
+		if t == nil || h.epoch < t.born || q.holding(h.upstream).tokens > 0 {
 			continue
 		}
-		q.held[q.nHeld] = held{upstream: h.upstream, tokens: tokens}
+		q.held[q.nHeld] = held{upstream: h.upstream, tokens: tokens, pending: h.pending}
 		if h.epoch < t.epoch {
 			q.held[q.nHeld].tokens = tokens / 2
 		}
@@ -296,15 +341,23 @@
 	}
 }
 
-// cached returns how many tokens of the prompt the upstream is thought to have
-// cached.
-func (q *query) cached(upstream uint32) int {
+// holding returns what the upstream is thought to have cached of the prompt.
+func (q *query) holding(upstream uint32) held {
 	for _, h := range q.held[:q.nHeld] {
 		if h.upstream == upstream {
-			return h.tokens
+			return h
 		}
 	}
-	return 0
+	return held{}
+}
+
+// cached returns how many tokens of the prompt need no prefill there now.
+func (q *query) cached(upstream uint32) int {
+	h := q.holding(upstream)
+	if h.pending {
+		return 0
+	}
+	return h.tokens
 }
 
 // weighGroup weighs the upstreams of one group and returns the best one, or -1.
@@ -315,8 +368,10 @@
 	from := len(s.scratch)
 	var ranked [wide]*tracker
 	n := g.rank(q.key, ranked[:])
+	if s.weighHolders(q, g) == 0 {
+		s.turn(q.key, ranked[:min(n, spread)])
+	}
 	s.weighAll(q, g, ranked[:min(n, narrow)])
-	s.weighHolders(q, g)
 	best := s.best(from)
 	if best >= 0 && !s.crowded(q.request, best) {
 		return best
@@ -326,12 +381,7 @@
 	if best = s.best(from); best >= 0 {
 		return best
 	}
-	s.lift(from)
-	if best = s.best(from); best >= 0 {
-		return best
-	}
 	s.weighDraws(q, g, from, scanned)
-	s.lift(from)
 	return s.best(from)
 }
 
@@ -380,14 +430,27 @@
 }
 
 // weighHolders weighs the upstreams that are thought to have a part of the
-// prompt cached.
-func (s *Selector) weighHolders(q *query, g *group) {
+// prompt cached, and returns their number.
+func (s *Selector) weighHolders(q *query, g *group) int {
+	n := 0
 	for _, h := range q.held[:q.nHeld] {
 		t := s.byID[h.upstream]
 		if slices.Contains(t.groups, g) {
 			s.weighOne(q, g, t)
+			n++
 		}
 	}
+	return n
+}
+
+// turn moves one of the candidates to the front, another one in each router.
+// Routers that meet a new prefix at once then don't all prefill it at the same
+// upstream.
+func (s *Selector) turn(key uint64, ranked []*tracker) {
+	i := mix(key^s.Seed) % uint64(max(len(ranked), 1))
+	if i > 0 {
+		ranked[0], ranked[i] = ranked[i], ranked[0]
+	}
 }
 
 // weighDraws weighs n upstreams drawn by the request's fingerprint and the
@@ -425,14 +488,17 @@
 	r := q.request
 	c := scored{tracker: t, cached: q.cached(t.id)}
 	c.predicted = 2*g.delay + t.predict(q.now, r.PromptTokens()-c.cached)
+	if h := q.holding(t.id); h.pending {
+		c.coming = h.tokens
+	}
 	c.gap = t.gapShare(q.now, r)
 	c.cost = c.predicted + s.overrun(r, c.gap) + t.imposed(r.PromptTokens()-c.cached)
-	c.refused = s.refuse(q, g, t)
+	c.refused = s.refuse(q, t)
 	s.scratch = append(s.scratch, c)
 }
 
 // refuse returns why the upstream can't take the request now, or nothing.
-func (s *Selector) refuse(q *query, g *group, t *tracker) string {
+func (s *Selector) refuse(q *query, t *tracker) string {
 	address := t.upstream.Address()
 	switch {
 	case slices.Contains(q.excluded, address):
@@ -443,28 +509,11 @@
 		return reasonUnusable
 	case !s.NoReserve && s.reserve.full(q.now, q.request, t):
 		return reasonReserved
-	case !s.NoBound && g.over(t):
-		return reasonLoaded
 	default:
 		return ""
 	}
 }
 
-// over reports whether t carries more than its bounded share of the load.
-func (g *group) over(t *tracker) bool {
-	share := float64(g.load+1) * float64(t.slots) / float64(g.slots)
-	return float64(t.load()) > boundFactor*share+boundSlack
-}
-
-// lift takes the load bound away from the candidates of a group.
-func (s *Selector) lift(from int) {
-	for i := from; i < len(s.scratch); i++ {
-		if s.scratch[i].refused == reasonLoaded {
-			s.scratch[i].refused = ""
-		}
-	}
-}
-
 // best returns the usable candidate with the lowest prediction, or -1. Of equal
 // ones the first is taken.
 func (s *Selector) best(from int) int {
@@ -508,5 +557,8 @@
 		return 0
 	}
 	gap := t.predictGap() + t.blocking(now)/shortAnswer
+	if r.Tier() == kingcuphook.HighestTier {
+		gap += time.Duration(t.gap.deviation * gapCaution * float64(time.Second))
+	}
 	return float64(gap) / float64(r.TokenTarget())
 }
