--- a/parser/validate.go
+++ b/parser/validate.go
@@ -36,7 +36,7 @@
 	}
 	names := make(map[string]int, len(t.routes))
 	var seen coverage
-	same := slices.Equal(base, t.routes)
+	same := sameMatches(base, t.routes)
 	for i, r := range t.routes {
 		line := t.line(i)
 		if !unchanged(base, t.routes, i) {
@@ -72,6 +72,15 @@
 	return j >= 0 && base[j] == routes[i]
 }
 
+// sameMatches reports whether both have routes of the same names that match the
+// same requests, in the same order.
+func sameMatches(a, b []*kingcuphook.Route) bool {
+	return slices.EqualFunc(a, b, func(r, s *kingcuphook.Route) bool {
+		return r == s || r.Name() == s.Name() && r.Class() == s.Class() && r.Organisation() == s.Organisation() &&
+			r.Model() == s.Model() && r.Path() == s.Path()
+	})
+}
+
 // routeFault returns what is wrong with a route on its own; empty if nothing.
 func routeFault(r *kingcuphook.Route) string {
 	if reason := nameFault("name", r.Name(), true); reason != "" {
@@ -133,7 +142,8 @@
 
 func validatePools(base *kingcuphook.Tables, t *PoolTable) error {
 	names := make(map[string]int, len(t.pools))
-	addresses := make(map[string]place)
+	fresh := freshAddresses(base, t.pools)
+	addresses := make(map[string]place, len(fresh))
 	for i, p := range t.pools {
 		valid := base.Pool(p.Name()) == p
 		if reason := poolFault(p); reason != "" {
@@ -149,6 +159,9 @@
 					return refuse(t.file, t.upstreamLine(i, j), "pool %q: upstream %q: %s", p.Name(), u.Address(), reason)
 				}
 			}
+			if !fresh[u.Address()] {
+				continue
+			}
 			first, ok := addresses[u.Address()]
 			if !ok {
 				addresses[u.Address()] = place{pool: i, upstream: j}
@@ -174,6 +187,21 @@
 	return nil
 }
 
+// freshAddresses returns the addresses in pools that are not the same objects as
+// in base: only these can be wrong.
+func freshAddresses(base *kingcuphook.Tables, pools []*kingcuphook.Pool) map[string]bool {
+	fresh := make(map[string]bool)
+	for _, p := range pools {
+		if base.Pool(p.Name()) == p {
+			continue
+		}
+		for _, u := range p.Upstreams() {
+			fresh[u.Address()] = true
+		}
+	}
+	return fresh
+}
+
 // place is where an address was first seen.
 type place struct{ pool, upstream int }
 
