--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -22,7 +22,7 @@
 )
 
 // headroom is the share of the limit that a tier leaves free, by tier index.
-var headroom = [kingcuphook.TierCount]float64{0, 0.05, 0.1, 0.15, 0.2}
+var headroom = [kingcuphook.TierCount]float64{0, 0.15, 0.3, 0.4, 0.5}
 
 // Limiter is the limits of one pool at one router. It is used by one goroutine
 // at a time.
@@ -77,21 +77,32 @@
 // Started implements kingcuphook.Limiter.
 func (l *Limiter) Started(now time.Time, address string, r *kingcuphook.Request) {
 	u := l.upstream(address)
-	u.running[r.ID()] = now
-	u.lastUse = now
+	u.running[r.ID()] = &attempt{started: now}
+	if len(u.running) >= l.allowance(now, u, r.Tier()) {
+		u.fullAt = now
+	}
+}
+
+// Progress takes that the n-th token of a running request has come.
+func (l *Limiter) Progress(now time.Time, address string, r *kingcuphook.Request, n int) {
+	u := l.upstreams[address]
+	if u == nil || u.running[r.ID()] == nil {
+		return
+	}
+	u.tighten(now, r.TokenTarget())
+	u.progress(now, u.running[r.ID()], n)
 }
 
 // Finished implements kingcuphook.Limiter.
 func (l *Limiter) Finished(now time.Time, address string, r *kingcuphook.Request, s kingcuphook.Sample) {
 	u := l.upstream(address)
-	started, ok := u.running[r.ID()]
-	if !ok {
+	a := u.running[r.ID()]
+	if a == nil {
 		return
 	}
-	full := len(u.running) >= l.allowance(now, u, r.Tier())
 	delete(u.running, r.ID())
-	u.ended.add(span{started: started, ended: now})
-	u.learn(now, r, s, full)
+	u.ended.add(span{started: a.started, ended: now})
+	u.learn(now, r, s)
 }
 
 // Report implements kingcuphook.Limiter. A report older than the last one is
--- a/scheduler/assign.go
+++ b/scheduler/assign.go
@@ -21,6 +21,9 @@
 	s.slots.reset()
 	p := pass{scheduler: s, now: now}
 	p.queue, _ = s.Admitter.(Queue)
+	if !s.slots.takesAny() {
+		p.free = anySlot
+	}
 	p.probe()
 	for s.Admitter.Len() > 0 && len(p.parked) < maxParked {
 		r := p.next()
@@ -36,9 +39,11 @@
 
 // pass is one call of Assign.
 type pass struct {
-	scheduler   *Scheduler
-	now         time.Time
-	queue       Queue
+	scheduler *Scheduler
+	now       time.Time
+	queue     Queue
+	// free, if set, stands for the free slots.
+	free        func(kingcuphook.Tier) int
 	assignments []kingcuphook.Assignment
 	sheds       []kingcuphook.Shed
 	// parked has the requests to be given back, in the order they were taken.
@@ -48,13 +53,19 @@
 }
 
 func (p *pass) next() *kingcuphook.Request {
-	free := func(t kingcuphook.Tier) int { return p.scheduler.count(p.now, t) }
+	free := p.free
+	if free == nil {
+		free = func(t kingcuphook.Tier) int { return p.scheduler.count(p.now, t) }
+	}
 	if p.queue == nil {
 		return p.scheduler.Admitter.Next(p.now, free)
 	}
 	return p.queue.NextModel(p.now, free, p.skip())
 }
 
+// anySlot lets every waiting request be looked at.
+func anySlot(kingcuphook.Tier) int { return 1 }
+
 func (p *pass) skip() func(string) bool {
 	if len(p.blocked) == 0 {
 		return nil
@@ -74,8 +85,12 @@
 		p.assign(kingcuphook.Assignment{Request: r, Choice: choice}, guaranteed)
 		return
 	}
+	if s.isUnserved(p.now, r) {
+		p.sheds = append(p.sheds, s.shed([]kingcuphook.Shed{unserved(r)})...)
+		return
+	}
 	p.park(r)
-	if len(s.excluded[r.ID()]) == 0 && !s.usable(r) {
+	if len(s.excluded[r.ID()]) == 0 && s.slots.takes(r.Model()) && !s.usable(r) {
 		p.blocked = append(p.blocked, r.Model())
 	}
 }
@@ -133,11 +148,11 @@
 	if s.count(now, tier) == 0 {
 		return kingcuphook.Choice{}, false
 	}
-	choice, err := s.selectFree(now, r, tier.Index())
+	choice, err := s.selectUsable(now, r, tier.Index())
 	return choice, err == nil && choice.Upstream != nil
 }
 
-func (s *Scheduler) selectFree(now time.Time, r *kingcuphook.Request, tier int) (kingcuphook.Choice, error) {
+func (s *Scheduler) selectUsable(now time.Time, r *kingcuphook.Request, tier int) (kingcuphook.Choice, error) {
 	excluded := s.excluded[r.ID()]
 	if u, ok := s.Selector.(UsableSelector); ok {
 		return u.SelectUsable(now, r, func(address string) bool {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -11,6 +11,14 @@
 	"github.com/kingcuphook/kingcuphook/preemptor"
 )
 
+const (
+	// unservedWait is how long a request waits for an upstream to appear when all
+	// that serve its model leave, as in a change of the table.
+	unservedWait = 5 * time.Second
+	// unservedRetryAfter is told to its caller then.
+	unservedRetryAfter = 5 * time.Second
+)
+
 // pollInterval is how often slots are looked for while requests wait, since
 // limits and ejections also change with time alone.
 const pollInterval = 50 * time.Millisecond
@@ -38,6 +46,12 @@
 	Update(now time.Time, p *kingcuphook.Pool)
 }
 
+// Progresser is a Limiter or Selector that follows the tokens of running requests.
+type Progresser interface {
+	// Progress takes that the n-th token of a running request has come.
+	Progress(now time.Time, upstream string, r *kingcuphook.Request, n int)
+}
+
 // UsableSelector is a Selector that can ask which upstreams are usable, which
 // saves building a list of those that are not.
 type UsableSelector interface {
@@ -129,6 +143,17 @@
 	return s.Offer(now, r)
 }
 
+// isUnserved reports whether the request has waited for long while no upstream
+// that stays serves its model. Its caller is then told so, and does not wait
+// until the deadline.
+func (s *Scheduler) isUnserved(now time.Time, r *kingcuphook.Request) bool {
+	return now.Sub(r.Arrived()) >= unservedWait && !s.slots.takes(r.Model())
+}
+
+func unserved(r *kingcuphook.Request) kingcuphook.Shed {
+	return kingcuphook.NewShed(r, kingcuphook.ErrNoUpstream, unservedRetryAfter)
+}
+
 // Cancel implements kingcuphook.Scheduler.
 func (s *Scheduler) Cancel(_ time.Time, id string) bool {
 	delete(s.excluded, id)
@@ -136,9 +161,17 @@
 }
 
 // Progress implements kingcuphook.Scheduler.
-func (s *Scheduler) Progress(_ time.Time, r *kingcuphook.Request, n int) {
+func (s *Scheduler) Progress(now time.Time, r *kingcuphook.Request, n int) {
+	limits, _ := s.Limiter.(Progresser)
+	choices, _ := s.Selector.(Progresser)
 	for _, run := range s.running[r.ID()] {
 		s.serve(run, n)
+		if limits != nil {
+			limits.Progress(now, run.upstream.Address(), r, n)
+		}
+		if choices != nil {
+			choices.Progress(now, run.upstream.Address(), r, n)
+		}
 	}
 }
 
@@ -229,6 +262,9 @@
 		return
 	}
 	s.Admitter.Served(run.request, tokens-run.tokens)
+	if s.Preemptor != nil {
+		s.Preemptor.Served(tokens - run.tokens)
+	}
 	run.tokens = tokens
 }
 
