Keep two fifths of the suited slots for the highest tier

Cause: most misses fell into the first three seconds of a burst, when slots of suited upstreams were held by long answers and the reserve still followed the use before it.

--- a/selector/reserve.go
+++ b/selector/reserve.go
@@ -17,6 +17,11 @@
 	reserveSlack  = 2
 	// reserveFade is the time constant with which that use fades.
 	reserveFade = 5 * time.Second
+	// reserveKept is how long slots are kept after the last request of the
+	// highest tier.
+	reserveKept = time.Minute
+	// minReserve is the share of the suited slots that is kept at least.
+	minReserve = 0.4
 	// minRest is the share of the suited slots that other tiers may always use.
 	minRest = 0.25
 )
@@ -27,6 +32,8 @@
 type reserve struct {
 	// target is the token target of the highest tier; 0 if none was seen.
 	target time.Duration
+	// seen is when a request of that tier was last dispatched.
+	seen time.Time
 	// slots is this router's part of the suited slots.
 	slots float64
 	// rest counts this router's requests of other tiers on suited upstreams.
@@ -62,6 +69,7 @@
 func (v *reserve) use(now time.Time, r *kingcuphook.Request) {
 	if r.Tier() == kingcuphook.HighestTier && r.TokenTarget() > 0 {
 		v.target = r.TokenTarget()
+		v.seen = now
 	}
 	v.peak = max(v.wanted(now), float64(v.top))
 	v.faded = now
@@ -74,9 +82,9 @@
 
 // full reports whether a request of another tier finds no unreserved slot on t.
 func (v *reserve) full(now time.Time, r *kingcuphook.Request, t *tracker) bool {
-	if !t.suited || t.remote || r.Tier() == kingcuphook.HighestTier {
+	if !t.suited || t.remote || r.Tier() == kingcuphook.HighestTier || now.Sub(v.seen) > reserveKept {
 		return false
 	}
-	rest := v.slots - reserveFactor*v.wanted(now) - reserveSlack
-	return float64(v.rest) >= max(rest, minRest*v.slots)
+	kept := max(reserveFactor*v.wanted(now)+reserveSlack, minReserve*v.slots)
+	return float64(v.rest) >= max(v.slots-kept, minRest*v.slots)
 }
