--- a/errors.go
+++ b/errors.go
@@ -40,6 +40,9 @@
 	ErrQuarantined = errors.New("quarantined")
 	// ErrBrokenStream says that an answer ended before its end marker.
 	ErrBrokenStream = errors.New("broken stream")
+	// ErrUpstreamAnswered says that an upstream answered with an error of its
+	// own, so that it did not crash. It comes beside ErrOutcomeUnknown.
+	ErrUpstreamAnswered = errors.New("upstream answered with an error")
 	// ErrForeignFrame says that a frame belongs to another attempt or position.
 	ErrForeignFrame = errors.New("foreign frame")
 	// ErrNoUpstream says that no upstream of the pool can take the request.
