Share suspects through the store and the budget of one crash

An answer with an error or over its bound no longer counts as a crash. A budget of 10 retries left requests without one when an upstream with more of them crashed; it is 50 now.

--- a/dispatcher/fault.go
+++ b/dispatcher/fault.go
@@ -89,6 +89,9 @@
 	if errors.As(err, &guard) || isFinal(err) {
 		return false
 	}
+	if errors.Is(err, kingcuphook.ErrUpstreamAnswered) || errors.Is(err, kingcuphook.ErrTooLarge) {
+		return false
+	}
 	return errors.Is(err, kingcuphook.ErrBrokenStream) || errors.Is(err, kingcuphook.ErrOutcomeUnknown)
 }
 
--- a/prover/cell.go
+++ b/prover/cell.go
@@ -63,7 +63,7 @@
 		o.Last = w.resend(c.Kind)
 	}
 	time.Sleep(settleTime)
-	w.Drain()
+	w.Close()
 	o.Violations = Check(w.Reports(), w.Engine.Runs())
 	return o
 }
--- a/prover/mutation_test.go
+++ b/prover/mutation_test.go
@@ -134,12 +134,14 @@
 			w.Routers[i].Dispatcher.Store = nil
 			w.Call(i, KindStream, "", "bad")
 		}
+		w.Close()
 		is.Equal(CheckPoison(w)[0].Rule(), RuleTwoLost)
 
 		w = NewWorld(seed, 1, 2)
 		w.Fail(runner.Fault{Kind: runner.FaultCrash})
 		w.Fail(runner.Fault{Kind: runner.FaultCrash})
 		w.Call(0, KindStream, "", "unlucky")
+		w.Close()
 		is.Equal(CheckPoison(w)[0].Rule(), RuleNoBystand)
 	})
 }
--- a/prover/process.go
+++ b/prover/process.go
@@ -65,11 +65,13 @@
 type gateStore struct {
 	process *process
 	store   kingcuphook.Store
+	// cut reports whether the calls are cut off; nil means never.
+	cut func() bool
 }
 
 // do runs a call that neither starts nor returns in a dead process.
 func (g *gateStore) do(op string, f func() error) error {
-	if !g.process.alive() {
+	if !g.process.alive() || g.cut != nil && g.cut() {
 		return &kingcuphook.StoreError{Op: op, Err: kingcuphook.ErrUnavailable}
 	}
 	err := f()
--- a/prover/scenario.go
+++ b/prover/scenario.go
@@ -1,7 +1,6 @@
 package prover
 
 import (
-	"context"
 	"slices"
 	"strconv"
 	"strings"
@@ -87,7 +86,7 @@
 func (s *scenario) end() {
 	s.group.Wait()
 	if s.world != nil {
-		s.world.Drain()
+		s.world.Close()
 	}
 }
 
@@ -184,7 +183,7 @@
 	if !r.Dispatcher.Quarantiner.Lift(time.Now(), xxhash.Sum64String(args[1])) {
 		ts.Fatalf("lift: nothing is known against the body")
 	}
-	r.share(context.Background())
+	r.sharer.Share(s.world.ctx)
 }
 
 func (s *scenario) check(ts *testscript.TestScript, _ []string) {
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -14,7 +14,7 @@
 // Defaults of a Budget whose fields are zero.
 const (
 	defaultShare  = 0.1
-	defaultBurst  = 10
+	defaultBurst  = 50
 	defaultRefill = 0.5
 	defaultBase   = 50 * time.Millisecond
 	defaultMost   = 2 * time.Second
@@ -25,7 +25,8 @@
 type Budget struct {
 	// Share is what one success adds to the budget, in retries; 0 means 0.1.
 	Share float64
-	// Burst is the most retries that can be saved up; 0 means 10.
+	// Burst is the most retries that can be saved up; 0 means 50, so
+	// that the requests of an upstream that crashes can all be resumed.
 	Burst float64
 	// Refill is what a second adds to the budget, in retries, so that a class
 	// with few successes may retry at all; 0 means 0.5.
--- /dev/null
+++ b/sharer/sharer_test.go
@@ -0,0 +1,78 @@
+package sharer
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/kingcuphook/kingcuphook/emulator/storer"
+	"github.com/kingcuphook/kingcuphook/quarantiner"
+)
+
+// fleet starts n sharers on a store with delays.
+func fleet(ctx context.Context, store *storer.Store, n int) []*Sharer {
+	all := make([]*Sharer, 0, n)
+	for i := range n {
+		s := &Sharer{Store: store, Quarantiner: &quarantiner.Quarantiner{}, Owner: fmt.Sprint(i)}
+		all = append(all, s)
+		go func() { _ = s.Run(ctx) }()
+	}
+	return all
+}
+
+func TestShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store := &storer.Store{Hook: func(string, string) storer.Fault { return storer.Fault{Delay: 3 * time.Millisecond} }}
+		all := fleet(ctx, store, 8)
+		time.Sleep(time.Minute)
+		store.Compact()
+		time.Sleep(time.Minute)
+
+		all[0].Quarantiner.Crashed(time.Now(), 1, "u1")
+		all[0].Share(ctx)
+		for _, s := range all {
+			is.Equal(s.Quarantiner.Judge(time.Now(), 1), quarantiner.VerdictSuspect) // known when Share returns
+		}
+		all[5].Quarantiner.Crashed(time.Now(), 1, "u2")
+		all[5].Share(ctx)
+		time.Sleep(3 * time.Second)
+		for _, s := range all {
+			is.Equal(s.Quarantiner.Judge(time.Now(), 1), quarantiner.VerdictQuarantined)
+		}
+		late := fleet(ctx, store, 9)[8] // a router that starts now
+		time.Sleep(time.Second)
+		is.Equal(late.Quarantiner.Judge(time.Now(), 1), quarantiner.VerdictQuarantined)
+		is.True(all[3].Quarantiner.Lift(time.Now(), 1))
+		all[3].Share(ctx)
+		is.Equal(late.Quarantiner.Judge(time.Now(), 1), quarantiner.VerdictClear)
+	})
+}
+
+func TestOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store := &storer.Store{}
+		all := fleet(ctx, store, 2)
+		time.Sleep(time.Minute)
+		store.SetFault(storer.Fault{Down: true})
+		all[0].Quarantiner.Crashed(time.Now(), 1, "u1")
+		all[0].Share(ctx) // gives up
+		before := store.Counts().Reads
+		time.Sleep(time.Minute)
+		is.Equal(store.Counts().Reads, before)
+		store.SetFault(storer.Fault{})
+		all[0].Quarantiner.Crashed(time.Now(), 2, "u1")
+		time.Sleep(3 * time.Second)
+		all[0].Share(ctx)
+		is.Equal(all[1].Quarantiner.Judge(time.Now(), 2), quarantiner.VerdictSuspect)
+	})
+}
