--- a/claimer/ledger.go
+++ b/claimer/ledger.go
@@ -167,6 +167,9 @@
 		return nil, fmt.Errorf("claimer: %d segments in %d bytes: %w", n, len(b), kingcuphook.ErrInvalid)
 	}
 	l := &Ledger{}
+	if n > 0 {
+		l.segments = make([]sealed, 0, n)
+	}
 	for range n {
 		l.segments = append(l.segments, sealed{number: int64(binary.BigEndian.Uint64(b)), last: timeOf(b[8:])})
 		b = b[sealedBytes:]
@@ -174,6 +177,9 @@
 	if len(b)%recordBytes != 0 {
 		return nil, fmt.Errorf("claimer: %d bytes over: %w", len(b)%recordBytes, kingcuphook.ErrInvalid)
 	}
+	if len(b) > 0 {
+		l.records = make([]Record, 0, len(b)/recordBytes)
+	}
 	for ; len(b) > 0; b = b[recordBytes:] {
 		l.records = append(l.records, decodeRecord(b))
 	}
