--- a/editor/editor.go
+++ b/editor/editor.go
@@ -143,7 +143,9 @@
 }
 
 // Rollback makes a new edit that gives the tables the rows they had at an
-// earlier revision; the routes and pools of edit are ignored. Its errors are
+// earlier revision; the routes, pools and patch of edit are ignored. On
+// BaseNewest it undoes everything since. On the base that a single edit made, and
+// to the revision before, it undoes that edit alone. Its errors are
 // those of Apply; ErrCompacted says that the revision is no longer kept.
 func (e *Editor) Rollback(ctx context.Context, edit Edit, revision int64) (Result, error) {
 	l := loader.Loader{Store: e.Store}
@@ -158,6 +160,7 @@
 	name := fmt.Sprintf("revision %d", revision)
 	edit.Routes = parser.NewRouteTable(name, t.Routes())
 	edit.Pools = parser.NewPoolTable(name, t.Pools())
+	edit.Patch = nil
 	return e.Apply(ctx, edit)
 }
 
--- a/historian/historian_test.go
+++ b/historian/historian_test.go
@@ -68,6 +68,18 @@
 	is.NoErr(err)
 	is.Equal(len(differ.Diff(t7, newest)), 0)
 	is.Equal(newest.Routes()[1].Name(), "r6")
+
+	// A single edit is undone, those after it stay.
+	_, err = e.Apply(ctx, edit("wrong", edits+1, "a", "r6", "wrong"))
+	is.NoErr(err)
+	_, err = e.Apply(ctx, edit("later", edits+2, "later", "a", "r6", "wrong"))
+	is.NoErr(err)
+	_, err = e.Rollback(ctx, editor.Edit{Author: "omar", Base: edits + 2}, edits+1)
+	is.NoErr(err)
+	rows, err = h.Diff(ctx, edits+1, 0)
+	is.NoErr(err)
+	is.Equal(len(rows), 1)
+	is.Equal(rows[0].Key().Name, "later")
 	_, err = h.At(ctx, 1000)
 	is.True(errors.Is(err, kingcuphook.ErrNotFound))
 }
