--- a/parser/parser_test.go
+++ b/parser/parser_test.go
@@ -170,12 +170,13 @@
 }
 
 // FuzzTables checks that any text is either refused with an InputError or gives
-// tables that survive writing and reading.
+// tables that survive writing and reading, and that a patch on them is judged by
+// ValidateChange as by Validate.
 func FuzzTables(f *testing.F) {
-	f.Add(goodRoutes, goodPools)
-	f.Add("route = [{name=\"a\", pool=\"p\", tier=1}]", "pool = [{name=\"p\", upstream=[{address=\"127.0.0.1:1\"}]}]")
-	f.Add("[[route.x]]", "[[pool.upstream]]\n[pool]")
-	f.Fuzz(func(t *testing.T, routes, pools string) {
+	f.Add(goodRoutes, goodPools, "[[remove]]\nroute = \"rest\"\n[[route]]\nname = \"rest\"\npool = \"cups\"\ntier = 1\nbefore = \"till\"")
+	f.Add("route = [{name=\"a\", pool=\"p\", tier=1}]", "pool = [{name=\"p\", upstream=[{address=\"127.0.0.1:1\"}]}]", "")
+	f.Add(goodRoutes, goodPools, "[[pool]]\nname = \"cups\"\n[[pool.upstream]]\naddress = \"127.0.0.1:9001\"")
+	f.Fuzz(func(t *testing.T, routes, pools, patch string) {
 		err := validate(routes, pools)
 		var e *kingcuphook.InputError
 		if err != nil && !errors.As(err, &e) {
@@ -197,5 +198,17 @@
 		if err := validate(string(rt), string(pt)); err != nil {
 			t.Fatalf("its own text is refused: %v\n%s%s", err, rt, pt)
 		}
+		pp, err := ParsePatch("", []byte(patch))
+		if err != nil {
+			return
+		}
+		base := kingcuphook.NewTables(1, r.Routes(), p.Pools())
+		if r, p, err = pp.Apply(base); err != nil {
+			return
+		}
+		whole, change := Validate(r, p), ValidateChange(base, r, p)
+		if (whole == nil) != (change == nil) {
+			t.Fatalf("Validate returned %v, ValidateChange %v", whole, change)
+		}
 	})
 }
