--- a/follower/fanout_test.go
+++ b/follower/fanout_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/editor"
 	"github.com/kingcuphook/kingcuphook/emulator/storer"
 	"github.com/kingcuphook/kingcuphook/encoder"
 	"github.com/kingcuphook/kingcuphook/exchanger"
@@ -169,12 +170,13 @@
 // edit makes edits at the given rate for a while and returns the longest time
 // until one was in force everywhere.
 func (f *fanout) edit(rng *rand.Rand, d time.Duration, everyWatches bool) time.Duration {
+	e := editor.Editor{Store: f.store}
 	accepted := make(map[int64]time.Time)
 	var slowest time.Duration
 	next, revision := time.Now(), int64(0)
 	for end := time.Now().Add(d); time.Now().Before(end) || len(accepted) > 0; {
 		if !time.Now().Before(next) && time.Now().Before(end) {
-			revision = editRoute(f.t, f.store, kingcuphook.RouteFields{
+			revision = editRoute(f.t, &e, kingcuphook.RouteFields{
 				Name: "organisation-17-class-2", Organisation: "organisation-17", Class: "class-2", Tier: 2, Rate: rng.Float64(),
 			})
 			accepted[revision] = time.Now()
--- a/follower/outage_test.go
+++ b/follower/outage_test.go
@@ -73,14 +73,13 @@
 
 func (c *crowd) edit(t *testing.T, name string) {
 	t.Helper()
-	editRoute(t, &c.store, kingcuphook.RouteFields{Name: name, Tier: 1})
+	editRoute(t, &editor.Editor{Store: &c.store}, kingcuphook.RouteFields{Name: name, Tier: 1})
 }
 
 // editRoute makes tables of one route and returns their revision.
-func editRoute(t *testing.T, s kingcuphook.Store, f kingcuphook.RouteFields) int64 {
+func editRoute(t *testing.T, e *editor.Editor, f kingcuphook.RouteFields) int64 {
 	t.Helper()
 	f.Pool = "p"
-	e := editor.Editor{Store: s}
 	r, err := e.Apply(t.Context(), editor.Edit{
 		Author: "nour", Base: editor.BaseNewest, Reason: "opening time",
 		Routes: parser.NewRouteTable("", []*kingcuphook.Route{kingcuphook.NewRoute(f)}), Pools: parser.NewPoolTable("", testPools()),
