--- a/selector/selector.go
+++ b/selector/selector.go
@@ -25,7 +25,6 @@
 	reasonLeaving  = "leaving"
 	reasonUnusable = "no-free-slot"
 	reasonReserved = "reserved"
-	reasonLoaded   = "over-load-bound"
 	reasonFar      = "remote-misses-target"
 	reasonPrice    = "gain-below-price"
 )
@@ -47,6 +46,8 @@
 	// SpillHold is how long spilling goes on at a lower threshold after the
 	// last request that went to another region; 0 means the default.
 	SpillHold time.Duration
+	// Seed differs between routers, so that they spread prefixes that are new.
+	Seed uint64
 	// MaxPrefixes bounds the blocks of prompts remembered; 0 means the default.
 	MaxPrefixes int
 	// NoAffinity ignores prefixes and what is cached.
@@ -59,8 +60,6 @@
 	NoReserve bool
 	// NoHold never lets a request wait for a better upstream than a free one.
 	NoHold bool
-	// NoBound lifts the bound on the load of a candidate.
-	NoBound bool
 
 	// trackers has every upstream of the pool by address.
 	trackers map[string]*tracker
@@ -99,9 +98,7 @@
 // group is the upstreams of a place that serve a model.
 type group struct {
 	trackers []*tracker
-	// load and slots are sums over trackers.
-	load, slots int
-	delay       time.Duration
+	delay    time.Duration
 }
 
 func (s *Selector) init() {
@@ -214,8 +211,6 @@
 			p.groups[model] = g
 		}
 		g.trackers = append(g.trackers, t)
-		g.load += t.load()
-		g.slots += t.slots
 		t.groups = append(t.groups, g)
 	}
 }
@@ -237,7 +232,6 @@
 	if t.remote {
 		s.lastSpill = now
 	}
-	before := t.load()
 	if target := r.TokenTarget(); target > 0 && (s.tightest == 0 || target < s.tightest) {
 		s.tightest = target
 	}
@@ -247,7 +241,22 @@
 	t.started(now, r, r.PromptTokens()-q.cached(t.id))
 	s.reserve.add(t, s.Routers)
 	s.reserve.use(now, r)
-	t.moved(before)
+	s.index.learn(r.Prefix(), r.Fingerprint(), holder{upstream: t.id, epoch: t.epoch, pending: true})
+}
+
+// Progress tells that the n-th token of a running request has come. The first
+// one shows that its prompt is cached now.
+func (s *Selector) Progress(_ time.Time, upstream string, r *kingcuphook.Request, n int) {
+	t := s.trackers[upstream]
+	if t == nil || n < 1 {
+		return
+	}
+	f, ok := t.flying[r.ID()]
+	if !ok || f.begun {
+		return
+	}
+	f.begun = true
+	t.flying[r.ID()] = f
 	s.index.learn(r.Prefix(), r.Fingerprint(), holder{upstream: t.id, epoch: t.epoch})
 }
 
@@ -260,12 +269,13 @@
 	if !t.remote {
 		s.freed(now)
 	}
-	before := t.load()
+	if a.FirstToken > 0 {
+		s.Progress(now, upstream, r, 1)
+	}
 	s.reserve.remove(t, s.Routers)
 	t.finished(r, a)
 	s.reserve.judge(t)
 	s.reserve.add(t, s.Routers)
-	t.moved(before)
 	if a.Failed {
 		t.epoch++
 	}
@@ -286,16 +296,7 @@
 	if t == nil {
 		return
 	}
-	before := t.load()
 	t.report(now, l)
-	t.moved(before)
-}
-
-// moved corrects the sums of the groups after the load of t has changed.
-func (t *tracker) moved(before int) {
-	for _, g := range t.groups {
-		g.load += t.load() - before
-	}
 }
 
 // Cached takes a cache event. After a gap in the sequence all that was known
