--- a/selector/score.go
+++ b/selector/score.go
@@ -310,12 +310,16 @@
 	}
 	q.key = chain[0]
 	branched := false
+	var last [maxHolders]holder
 	for i := len(chain) - 1; i >= 0; i-- {
 		b := s.index.find(chain[i])
 		if b == nil {
 			continue
 		}
-		q.hold(s, b, min((i+1)*hasher.BlockTokens, q.request.PromptTokens()))
+		if b.holders != last {
+			q.hold(s, b, min((i+1)*hasher.BlockTokens, q.request.PromptTokens()))
+			last = b.holders
+		}
 		if b.branched && !branched {
 			q.key, branched = chain[i], true
 		}
@@ -366,13 +370,18 @@
 		return -1
 	}
 	from := len(s.scratch)
+	holders := s.weighHolders(q, g)
+	best := s.best(from)
+	if best >= 0 && s.scratch[best].cached > 0 && !s.crowded(q.request, best) {
+		return best
+	}
 	var ranked [wide]*tracker
 	n := g.rank(q.key, ranked[:])
-	if s.weighHolders(q, g) == 0 {
+	if holders == 0 {
 		s.turn(q.key, ranked[:min(n, spread)])
 	}
 	s.weighAll(q, g, ranked[:min(n, narrow)])
-	best := s.best(from)
+	best = s.best(from)
 	if best >= 0 && !s.crowded(q.request, best) {
 		return best
 	}
@@ -395,8 +404,8 @@
 func (g *group) rank(key uint64, dst []*tracker) int {
 	var scores [wide]uint64
 	n := 0
-	for _, t := range g.trackers {
-		score := mix(key ^ t.seed)
+	for at, seed := range g.seeds {
+		score := mix(key ^ seed)
 		if n == len(dst) && score <= scores[n-1] {
 			continue
 		}
@@ -408,7 +417,7 @@
 			scores[i], dst[i] = scores[i-1], dst[i-1]
 			i--
 		}
-		scores[i], dst[i] = score, t
+		scores[i], dst[i] = score, g.trackers[at]
 	}
 	return n
 }
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -98,7 +98,9 @@
 // group is the upstreams of a place that serve a model.
 type group struct {
 	trackers []*tracker
-	delay    time.Duration
+	// seeds has the seed of each tracker, side by side for ranking.
+	seeds []uint64
+	delay time.Duration
 }
 
 func (s *Selector) init() {
@@ -211,6 +213,7 @@
 			p.groups[model] = g
 		}
 		g.trackers = append(g.trackers, t)
+		g.seeds = append(g.seeds, t.seed)
 		t.groups = append(t.groups, g)
 	}
 }
--- a/selector/selector_test.go
+++ b/selector/selector_test.go
@@ -98,6 +98,7 @@
 		r := kingcuphook.NewRequest(f)
 		c, _ := s.Select(start, r, nil)
 		s.Started(start, c.Upstream.Address(), r)
+		s.Progress(start, c.Upstream.Address(), r, 1)
 		rs = append(rs, r)
 	}
 	b.ReportAllocs()
