--- /dev/null
+++ b/ejector/ejector_test.go
@@ -0,0 +1,76 @@
+package ejector
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/kingcuphook/kingcuphook"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func newEjector(n int) *Ejector {
+	var us []*kingcuphook.Upstream
+	for i := range n {
+		us = append(us, kingcuphook.NewUpstream(kingcuphook.UpstreamFields{Address: fmt.Sprint(i)}))
+	}
+	e := &Ejector{}
+	e.Update(start, kingcuphook.NewPool(kingcuphook.PoolFields{Upstreams: us}))
+	return e
+}
+
+// play finishes an attempt on every upstream each 200 ms; those of slow take ten
+// times as long between tokens.
+func play(e *Ejector, from time.Time, n, slow, rounds int) time.Time {
+	for range rounds {
+		from = from.Add(200 * time.Millisecond)
+		for i := range n {
+			gap := 20 * time.Millisecond
+			if i < slow {
+				gap *= 10
+			}
+			e.Finished(from, fmt.Sprint(i), kingcuphook.Sample{Tokens: 20, TokenGap: gap})
+		}
+	}
+	return from
+}
+
+func TestStragglerIsEjectedByStepsAndComesBackSlowly(t *testing.T) {
+	is := is.New(t)
+	e := newEjector(6)
+	now := play(e, start, 6, 1, 11)
+	is.Equal(e.Weight(now, "0"), 0.5)
+	now = play(e, now, 6, 1, 30)
+	is.Equal(e.Weight(now, "0"), 0.0)
+	is.Equal(e.Weight(now, "1"), 1.0)
+
+	now = now.Add(time.Second)
+	is.True(e.Probe(now, "0"))
+	is.True(!e.Probe(now, "0")) // one probe each ProbeEvery
+	is.True(!e.Probe(now, "1")) // not ejected
+
+	now = play(e, now, 6, 0, 15)
+	is.Equal(e.Weight(now, "0"), 0.2)
+	now = play(e, now, 6, 0, 40)
+	is.Equal(e.Weight(now, "0"), 1.0)
+}
+
+func TestEjectedShareIsBounded(t *testing.T) {
+	is := is.New(t)
+	e := newEjector(6)
+	for i := range 6 {
+		for range failureStreak {
+			e.Finished(start, fmt.Sprint(i), kingcuphook.Sample{Failed: true})
+		}
+	}
+	ejected := 0
+	for i := range 6 {
+		if e.Weight(start, fmt.Sprint(i)) == 0 {
+			ejected++
+		}
+	}
+	is.Equal(ejected, 2) // a third of six
+}
--- a/measurer/report.go
+++ b/measurer/report.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"text/tabwriter"
+
+	"github.com/kingcuphook/kingcuphook"
 )
 
 // Stated targets of the policy.
@@ -103,8 +105,21 @@
 	return fmt.Sprintf("%.1f/%.1f/%.1f", values[0], values[len(values)/2], values[len(values)-1])
 }
 
+// goal names a stated target.
+type goal string
+
+// Values of goal.
+const (
+	goalTopTier  goal = "top-tier"
+	goalBound    goal = "bound"
+	goalBaseline goal = "baseline"
+	goalWaste    goal = "waste"
+	goalService  goal = "service"
+)
+
 // miss is a stated target that was missed.
 type miss struct {
+	goal     goal
 	scenario string
 	seed     uint64
 	what     string
@@ -115,47 +130,59 @@
 	var all []miss
 	for i := range m.cases {
 		c := &m.cases[i]
-		for n := range m.seeds {
-			for _, what := range m.missed(c, n) {
-				all = append(all, miss{scenario: c.spec.Name, seed: m.seeds[n], what: what})
+		for n, seed := range m.seeds {
+			add := func(g goal, format string, args ...any) {
+				all = append(all, miss{goal: g, scenario: c.spec.Name, seed: seed, what: fmt.Sprintf(format, args...)})
 			}
+			m.judgeAttainment(c, n, add)
+			m.judgeGoodput(c, n, add)
+			m.judgeWork(c, n, add)
 		}
 	}
 	return all
 }
 
-func (m *measurement) missed(c *measuredCase, n int) []string {
-	var all []string
+// judgeAttainment checks the highest tier and that every class was served.
+func (m *measurement) judgeAttainment(c *measuredCase, n int, add func(goal, string, ...any)) {
 	r := &c.policies[0].results[n]
 	for class, spec := range m.f.Classes {
-		if spec.Tier == 1 && r.attainment(class) < targetTop {
-			all = append(all, fmt.Sprintf("attainment of %s %.2f%% is below %.0f%%", spec.Name, 100*r.attainment(class), 100*targetTop))
+		attained := r.attainment(class)
+		if spec.Tier == kingcuphook.HighestTier && attained < targetTop {
+			add(goalTopTier, "attainment of %s %.2f%% is below %.0f%%", spec.Name, 100*attained, 100*targetTop)
 		}
 	}
-	if c.spec.Burst != nil && c.spec.Burst.Load == boundLoad && r.goodput < targetBound*c.free[n] {
-		all = append(all, fmt.Sprintf("goodput %.1f/s is %.1f%% of the bound %.1f/s", r.goodput, 100*r.goodput/c.free[n], c.free[n]))
+	if !r.served() {
+		add(goalService, "a class was not served")
+	}
+}
+
+// judgeGoodput compares with the upper bound and with the baselines.
+func (m *measurement) judgeGoodput(c *measuredCase, n int, add func(goal, string, ...any)) {
+	goodput := c.policies[0].results[n].goodput
+	if c.spec.Burst != nil && c.spec.Burst.Load == boundLoad && goodput < targetBound*c.free[n] {
+		add(goalBound, "goodput %.1f/s is %.1f%% of the bound %.1f/s", goodput, 100*goodput/c.free[n], c.free[n])
 	}
 	for _, p := range c.policies[1:] {
-		if r.goodput < p.results[n].goodput {
-			all = append(all, fmt.Sprintf("goodput %.1f/s is below %s with %.1f/s", r.goodput, p.name, p.results[n].goodput))
+		if other := p.results[n].goodput; goodput < other {
+			add(goalBaseline, "goodput %.1f/s is below %s with %.1f/s", goodput, p.name, other)
 		}
 	}
+}
+
+// judgeWork checks the share of wasted work.
+func (m *measurement) judgeWork(c *measuredCase, n int, add func(goal, string, ...any)) {
 	limit := targetWaste
 	if c.spec.Crash != nil {
 		limit = targetCrashWaste
 	}
-	if r.wasted >= limit {
-		all = append(all, fmt.Sprintf("wasted work %.2f%% is not below %.0f%%", 100*r.wasted, 100*limit))
+	if wasted := c.policies[0].results[n].wasted; wasted >= limit {
+		add(goalWaste, "wasted work %.2f%% is not below %.0f%%", 100*wasted, 100*limit)
 	}
-	if !r.served() {
-		all = append(all, "a class was not served")
-	}
-	return all
 }
 
 func writeMisses(w io.Writer, all []miss) {
 	fmt.Fprintf(w, "\nmissed targets: %d\n", len(all))
 	for _, m := range all {
-		fmt.Fprintf(w, "%s seed %d: %s\n", m.scenario, m.seed, m.what)
+		fmt.Fprintf(w, "%s: %s seed %d: %s\n", m.goal, m.scenario, m.seed, m.what)
 	}
 }
