Keep long prefills away from answers of the highest tier

Cause: the misses of the highest tier that were left came from prompts of lower tiers prefilled in the same batch, most of them at the start of a burst. A router sends such a prompt elsewhere for a fifth of its latency target while it has answers of the highest tier on the upstream.

--- a/selector/score.go
+++ b/selector/score.go
@@ -53,6 +53,10 @@
 	holdForCache = 0.15
 	// holdGain is the prefill time that is worth such a wait.
 	holdGain = 50 * time.Millisecond
+	// disturbing is the prefill time that disturbs answers of the highest tier,
+	// disturbWait the share of the latency target that a request avoids it for.
+	disturbing  = 50 * time.Millisecond
+	disturbWait = 0.2
 	// spillStop is the share of the target below which the local prediction
 	// must fall to stop spilling.
 	spillStop = 0.7
@@ -502,12 +506,13 @@
 	}
 	c.gap = t.gapShare(q.now, r)
 	c.cost = c.predicted + s.overrun(r, c.gap) + t.imposed(r.PromptTokens()-c.cached)
-	c.refused = s.refuse(q, t)
+	c.refused = s.refuse(q, &c)
 	s.scratch = append(s.scratch, c)
 }
 
 // refuse returns why the upstream can't take the request now, or nothing.
-func (s *Selector) refuse(q *query, t *tracker) string {
+func (s *Selector) refuse(q *query, c *scored) string {
+	t := c.tracker
 	address := t.upstream.Address()
 	switch {
 	case slices.Contains(q.excluded, address):
@@ -516,6 +521,8 @@
 		return reasonLeaving
 	case q.usable != nil && !q.usable(address):
 		return reasonUnusable
+	case !s.NoProtect && s.disturbs(q, c):
+		return reasonDisturbs
 	case !s.NoReserve && s.reserve.full(q.now, q.request, t):
 		return reasonReserved
 	default:
@@ -523,6 +530,18 @@
 	}
 }
 
+// disturbs reports whether prefilling the prompt would delay answers of the
+// highest tier that this router has on the upstream. The request doesn't wait
+// long for their end.
+func (s *Selector) disturbs(q *query, c *scored) bool {
+	r := q.request
+	if r.Tier() == kingcuphook.HighestTier || c.tracker.top == 0 || r.Target() == 0 {
+		return false
+	}
+	prefill := float64(r.PromptTokens()-c.cached) * c.tracker.first.slope
+	return prefill > disturbing.Seconds() && float64(q.waited()) < disturbWait*float64(r.Target())
+}
+
 // best returns the usable candidate with the lowest prediction, or -1. Of equal
 // ones the first is taken.
 func (s *Selector) best(from int) int {
