--- a/ejector/ejector_test.go
+++ b/ejector/ejector_test.go
@@ -12,9 +12,11 @@
 
 var start = time.Unix(1_700_000_000, 0)
 
-func newEjector(n int) *Ejector {
-	var us []*kingcuphook.Upstream
-	for i := range n {
+const size = 6
+
+func newEjector() *Ejector {
+	us := make([]*kingcuphook.Upstream, 0, size)
+	for i := range size {
 		us = append(us, kingcuphook.NewUpstream(kingcuphook.UpstreamFields{Address: fmt.Sprint(i)}))
 	}
 	e := &Ejector{}
@@ -24,10 +26,10 @@
 
 // play finishes an attempt on every upstream each 200 ms; those of slow take ten
 // times as long between tokens.
-func play(e *Ejector, from time.Time, n, slow, rounds int) time.Time {
+func play(e *Ejector, from time.Time, slow, rounds int) time.Time {
 	for range rounds {
 		from = from.Add(200 * time.Millisecond)
-		for i := range n {
+		for i := range size {
 			gap := 20 * time.Millisecond
 			if i < slow {
 				gap *= 10
@@ -40,10 +42,10 @@
 
 func TestStragglerIsEjectedByStepsAndComesBackSlowly(t *testing.T) {
 	is := is.New(t)
-	e := newEjector(6)
-	now := play(e, start, 6, 1, 11)
+	e := newEjector()
+	now := play(e, start, 1, 11)
 	is.Equal(e.Weight(now, "0"), 0.5)
-	now = play(e, now, 6, 1, 30)
+	now = play(e, now, 1, 30)
 	is.Equal(e.Weight(now, "0"), 0.0)
 	is.Equal(e.Weight(now, "1"), 1.0)
 
@@ -52,15 +54,15 @@
 	is.True(!e.Probe(now, "0")) // one probe each ProbeEvery
 	is.True(!e.Probe(now, "1")) // not ejected
 
-	now = play(e, now, 6, 0, 15)
+	now = play(e, now, 0, 15)
 	is.Equal(e.Weight(now, "0"), 0.2)
-	now = play(e, now, 6, 0, 40)
+	now = play(e, now, 0, 40)
 	is.Equal(e.Weight(now, "0"), 1.0)
 }
 
 func TestEjectedShareIsBounded(t *testing.T) {
 	is := is.New(t)
-	e := newEjector(6)
+	e := newEjector()
 	for i := range 6 {
 		for range failureStreak {
 			e.Finished(start, fmt.Sprint(i), kingcuphook.Sample{Failed: true})
--- a/measurer/engine.go
+++ b/measurer/engine.go
@@ -86,7 +86,7 @@
 	e.down = true
 	e.generation++
 	e.stepping = false
-	lost := append(e.running, e.queue...)
+	lost := slices.Concat(e.running, e.queue)
 	e.running, e.queue = nil, nil
 	e.cache = newBlockCache(e.spec.CacheTokens / hasher.BlockTokens)
 	for _, s := range lost {
--- a/measurer/measurer_test.go
+++ b/measurer/measurer_test.go
@@ -69,7 +69,7 @@
 	good := string(defaultCases)
 	for name, text := range map[string]string{
 		"unknown key":      good + "\nspeed = 3\n",
-		"no classes":       good[:strings.Index(good, "[[class]]")],
+		"no classes":       strings.ReplaceAll(good, "[[class]]", "[[case]]"),
 		"negative time":    strings.Replace(good, `horizon = "30s"`, `horizon = "-30s"`, 1),
 		"unknown runner":   strings.Replace(good, "straggler = { runner = 1", "straggler = { runner = 12", 1),
 		"too many regions": strings.Replace(good, "regions = 2", "regions = 20", 1),
--- a/measurer/report.go
+++ b/measurer/report.go
@@ -24,6 +24,9 @@
 	targetCrashWaste = 0.05
 )
 
+// columns are the headings after those of the classes.
+var columns = []string{"late %", "slow %", "goodput /s", "wasted %", "cached %", "cross MB", "preempted", "lost", "served"}
+
 // write prints a table for every case.
 func (m *measurement) write(w io.Writer) {
 	fmt.Fprintf(w, "seeds %d to %d; each figure is minimum/median/maximum over the seeds\n", m.seeds[0], m.seeds[len(m.seeds)-1])
@@ -35,18 +38,19 @@
 func (m *measurement) writeCase(w io.Writer, c *measuredCase) {
 	fmt.Fprintf(w, "\n%s\n", c.spec.Name)
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	head := []string{"policy"}
+	head := make([]string, 0, len(m.f.Classes)+len(columns)+1)
+	head = append(head, "policy")
 	for _, class := range m.f.Classes {
 		head = append(head, class.Name+" %")
 	}
-	head = append(head, "late %", "slow %", "goodput /s", "wasted %", "cached %", "cross MB", "preempted", "lost", "served")
+	head = append(head, columns...)
 	fmt.Fprintln(t, strings.Join(head, "\t"))
 	for _, p := range c.policies {
 		fmt.Fprintln(t, strings.Join(m.row(p), "\t"))
 	}
 	fmt.Fprintln(t, strings.Join(m.boundRow("bound-by-tier", c.strict, c.classes), "\t"))
 	fmt.Fprintln(t, strings.Join(m.boundRow("bound", c.free, nil), "\t"))
-	t.Flush()
+	_ = t.Flush()
 }
 
 func (m *measurement) row(p measuredPolicy) []string {
@@ -70,7 +74,7 @@
 func (m *measurement) boundRow(name string, goodput []float64, classes [][]float64) []string {
 	cells := []string{name}
 	for class := range m.f.Classes {
-		var values []float64
+		values := make([]float64, 0, len(classes))
 		for _, seed := range classes {
 			values = append(values, 100*seed[class])
 		}
@@ -80,7 +84,7 @@
 }
 
 func (p measuredPolicy) spread(factor float64, figure func(r *result) float64) string {
-	var values []float64
+	values := make([]float64, 0, len(p.results))
 	for i := range p.results {
 		values = append(values, factor*figure(&p.results[i]))
 	}
--- a/measurer/world.go
+++ b/measurer/world.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
@@ -151,7 +152,7 @@
 	w.open = len(arrivals)
 	w.play()
 	for _, e := range w.engines {
-		for _, s := range append(e.running, e.queue...) {
+		for _, s := range slices.Concat(e.running, e.queue) {
 			s.job.settle(s)
 		}
 	}
--- a/selector/cache.go
+++ b/selector/cache.go
@@ -188,13 +188,3 @@
 		return
 	}
 }
-
-// epochOf returns the epoch of the upstream's entry; 0 if it has none.
-func (b *block) epochOf(upstream uint32) uint32 {
-	for _, h := range b.holders {
-		if h.epoch != 0 && h.upstream == upstream {
-			return h.epoch
-		}
-	}
-	return 0
-}
--- /dev/null
+++ b/selector/spill.go
@@ -0,0 +1,84 @@
+package selector
+
+import (
+	"slices"
+	"time"
+)
+
+// localWait predicts the time from arrival to the first token when the request
+// stays in its region.
+func (s *Selector) localWait(q *query, best int) time.Duration {
+	waited := q.waited()
+	if best >= 0 {
+		return waited + s.scratch[best].predicted
+	}
+	fastest := time.Duration(-1)
+	for _, c := range s.scratch {
+		if fastest < 0 || c.predicted < fastest {
+			fastest = c.predicted
+		}
+	}
+	if fastest < 0 {
+		return q.request.Target() + 1
+	}
+	return waited + s.pace + fastest
+}
+
+// spillFrom returns the local prediction above which a request may go to
+// another region. It is lower while spilling, so that a wait near the target
+// doesn't turn spilling on and off.
+func (s *Selector) spillFrom(q *query) time.Duration {
+	target := q.request.Target()
+	hold := orDuration(s.SpillHold, defaultSpillHold)
+	if !s.lastSpill.IsZero() && q.now.Sub(s.lastSpill) < hold {
+		return time.Duration(spillStop * float64(target))
+	}
+	return target
+}
+
+// spill weighs the upstreams of other regions and returns the best one if it
+// meets the target and gains enough, else the local one.
+func (s *Selector) spill(q *query, home int, local time.Duration) int {
+	best := s.weighRemote(q)
+	if best < 0 {
+		return home
+	}
+	c := &s.scratch[best]
+	r, waited := q.request, q.waited()
+	price := orDuration(s.SpillPrice, defaultSpillPrice) * time.Duration(r.Bytes()) / 1024
+	switch {
+	case float64(waited+c.predicted) > spillMargin*float64(r.Target()):
+		c.refused = reasonFar
+	case local-waited-c.predicted < price:
+		c.refused = reasonPrice
+	default:
+		return best
+	}
+	return home
+}
+
+// weighRemote weighs the upstreams of other regions and returns the best one, or
+// -1.
+func (s *Selector) weighRemote(q *query) int {
+	from := len(s.scratch)
+	best := s.weighGroup(q, q.remote)
+	for i := from; i < len(s.scratch); i++ {
+		s.scratch[i].remote = true
+	}
+	return best
+}
+
+// deserted reports whether every upstream of the region that serves the model
+// leaves or gets no work at all, so that waiting for one is in vain.
+func (s *Selector) deserted(q *query) bool {
+	for _, g := range []*group{q.near, q.region} {
+		if g != nil && slices.ContainsFunc(g.trackers, func(t *tracker) bool { return s.live(q.now, t) }) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Selector) live(now time.Time, t *tracker) bool {
+	return !t.leaving && (s.Live == nil || s.Live(now, t.upstream.Address()))
+}
