Send a retry away from a region in which it has failed everywhere

Cause: the scenario upstream-crash.txtar: a request that had failed on every upstream of its region waited for its deadline, since an excluded upstream still counted as one to wait for. Ruled out: the hold of suspects, which ends after 10 s.

--- a/cmd/kingcuphook/script_test.go
+++ b/cmd/kingcuphook/script_test.go
@@ -41,6 +41,9 @@
 	pools     string
 	routers   []*member
 	stream    chan string
+	load      *load
+	// mu guards routers while a load looks at them.
+	mu sync.Mutex
 	// files are the certificates of a fleet with TLS, else empty.
 	files signer.Files
 	http  *http.Client
@@ -80,6 +83,8 @@
 //	runs KEY           prints how often the service ran the key
 //	serving MODEL N    waits until N engines follow an order for the model
 //	forget             makes all engines forget their orders
+//	load begin|end     calls the routers that a balancer thinks ready, and prints
+//	                   how many calls were made and what failed
 //	leave N WHO        makes upstream N leave, as itself or the vm-list says
 //	settle D           waits for D
 //	count              notes what the upstreams have run so far
@@ -111,6 +116,7 @@
 			"runs":        withFleet(runsCmd),
 			"serving":     withFleet(servingCmd),
 			"forget":      withFleet(forgetCmd),
+			"load":        withFleet(loadCmd),
 			"leave":       withFleet(leaveCmd),
 			"settle":      withFleet(settleCmd),
 			"count":       withFleet(countCmd),
@@ -236,7 +242,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	m := &member{router: &router.Router{Settings: &s}, ctx: ctx, stop: cancel, ended: make(chan error, 1)}
 	ts.Check(m.router.Listen())
+	f.mu.Lock()
 	f.routers[i] = m
+	f.mu.Unlock()
 	ts.Defer(cancel)
 }
 
--- a/scheduler/assign.go
+++ b/scheduler/assign.go
@@ -155,9 +155,9 @@
 func (s *Scheduler) selectUsable(now time.Time, r *kingcuphook.Request, tier int) (kingcuphook.Choice, error) {
 	excluded := s.excluded[r.ID()]
 	if u, ok := s.Selector.(UsableSelector); ok {
-		return u.SelectUsable(now, r, func(address string) bool {
+		return u.SelectUsable(now, r, excluded, func(address string) bool {
 			row := s.slots.byAddress[address]
-			return row != nil && row.free[tier] > 0 && !slices.Contains(excluded, address)
+			return row != nil && row.free[tier] > 0
 		})
 	}
 	s.barred = append(s.barred[:0], excluded...)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -56,7 +56,8 @@
 // saves building a list of those that are not.
 type UsableSelector interface {
 	// SelectUsable is Select among the upstreams that usable reports.
-	SelectUsable(now time.Time, r *kingcuphook.Request, usable func(address string) bool) (kingcuphook.Choice, error)
+	// Excluded are addresses that the request must not go to, usable or not.
+	SelectUsable(now time.Time, r *kingcuphook.Request, excluded []string, usable func(address string) bool) (kingcuphook.Choice, error)
 }
 
 // Scheduler implements kingcuphook.Scheduler for one pool.
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"slices"
 	"os"
 	"strings"
 	"testing"
@@ -40,9 +41,9 @@
 func (s *firstSelector) Started(time.Time, string, *kingcuphook.Request)                      {}
 func (s *firstSelector) Finished(time.Time, string, *kingcuphook.Request, kingcuphook.Sample) {}
 func (s *firstSelector) Report(time.Time, kingcuphook.LoadReport)                             {}
-func (s *firstSelector) SelectUsable(_ time.Time, r *kingcuphook.Request, usable func(string) bool) (kingcuphook.Choice, error) {
+func (s *firstSelector) SelectUsable(_ time.Time, r *kingcuphook.Request, excluded []string, usable func(string) bool) (kingcuphook.Choice, error) {
 	for _, u := range s.pool.Upstreams() {
-		if serves(u, r.Model()) && usable(u.Address()) {
+		if serves(u, r.Model()) && usable(u.Address()) && !slices.Contains(excluded, u.Address()) {
 			return kingcuphook.Choice{Upstream: u}, nil
 		}
 	}
--- a/selector/abroad_test.go
+++ b/selector/abroad_test.go
@@ -36,14 +36,26 @@
 	late := start.Add(time.Minute)
 	usable := func(address string) bool { return address == "alex-0" }
 
-	c, err := s.SelectUsable(late, question(1, 7000, start), usable)
+	c, err := s.SelectUsable(late, question(1, 7000, start), nil, usable)
 	is.NoErr(err)
 	is.Equal(c.Upstream, nil) // a slot may still become free at home
 
 	s.Report(late, kingcuphook.NewLoadReport(kingcuphook.LoadReportFields{Upstream: "cairo-0", Made: late, Leaving: true}))
 	dead["cairo-1"] = true
-	c, err = s.SelectUsable(late, question(1, 7000, start), usable)
+	c, err = s.SelectUsable(late, question(1, 7000, start), nil, usable)
 	is.NoErr(err)
 	is.Equal(c.Upstream.Region(), "alex")
 	is.True(c.Spilled)
 }
+
+// TestRequestExcludedAtHomeGoesAway retries a request whose region has no
+// upstream that it has not failed on.
+func TestRequestExcludedAtHomeGoesAway(t *testing.T) {
+	is := is.New(t)
+	s := newSelector(append(upstreams(1, "cairo"), upstreams(1, "alex")...)...)
+	late := start.Add(time.Minute)
+	all := func(string) bool { return true }
+	c, err := s.SelectUsable(late, question(1, 7000, start), []string{"cairo-0"}, all)
+	is.NoErr(err)
+	is.Equal(c.Upstream.Region(), "alex")
+}
--- a/selector/score.go
+++ b/selector/score.go
@@ -87,8 +87,8 @@
 }
 
 // SelectUsable is Select among the upstreams that usable reports.
-func (s *Selector) SelectUsable(now time.Time, r *kingcuphook.Request, usable func(address string) bool) (kingcuphook.Choice, error) {
-	return s.choose(query{now: now, request: r, usable: usable})
+func (s *Selector) SelectUsable(now time.Time, r *kingcuphook.Request, excluded []string, usable func(address string) bool) (kingcuphook.Choice, error) {
+	return s.choose(query{now: now, request: r, excluded: excluded, usable: usable})
 }
 
 // holds reports whether the request does better to wait for another upstream
@@ -282,18 +282,19 @@
 }
 
 // deserted reports whether every upstream of the region that serves the model
-// leaves or gets no work at all, so that waiting for one is in vain.
+// leaves, gets no work at all or is excluded, so that waiting for one is in vain.
 func (s *Selector) deserted(q *query) bool {
 	for _, g := range []*group{q.near, q.region} {
-		if g != nil && slices.ContainsFunc(g.trackers, func(t *tracker) bool { return s.live(q.now, t) }) {
+		if g != nil && slices.ContainsFunc(g.trackers, func(t *tracker) bool { return s.live(q, t) }) {
 			return false
 		}
 	}
 	return true
 }
 
-func (s *Selector) live(now time.Time, t *tracker) bool {
-	return !t.leaving && (s.Live == nil || s.Live(now, t.upstream.Address()))
+func (s *Selector) live(q *query, t *tracker) bool {
+	a := t.upstream.Address()
+	return !t.leaving && !slices.Contains(q.excluded, a) && (s.Live == nil || s.Live(q.now, a))
 }
 
 // waited returns how long the request has waited.
