--- a/prover/world.go
+++ b/prover/world.go
@@ -150,6 +150,8 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	group  sync.WaitGroup
+	// closers are called at the end.
+	closers []func()
 	// lost is the number of writes whose replies are still to be lost.
 	lost atomic.Int64
 }
@@ -185,9 +187,11 @@
 	w.Store.Hook = w.storeFault
 	for i := range upstreams {
 		w.Upstreams = append(w.Upstreams, kingcuphook.NewUpstream(kingcuphook.UpstreamFields{
-			Address: fmt.Sprintf("10.0.0.%d:80", i+1),
-			Kind:    kingcuphook.UpstreamKindEngine,
-			Resumes: true,
+			Address:    fmt.Sprintf("10.0.0.%d:80", i+1),
+			Region:     regionName,
+			DataCentre: regionName,
+			Kind:       kingcuphook.UpstreamKindEngine,
+			Resumes:    true,
 		}))
 	}
 	for i := range routers {
@@ -204,7 +208,7 @@
 	}
 	source := rand.New(rand.NewPCG(seed, uint64(index)))
 	r.Dispatcher = &dispatcher.Dispatcher{
-		Allocator: &allocator{router: r, next: index},
+		Allocator: &unbounded{router: r, next: index},
 		Engine:    &gateEngine{router: r, engine: w.Engine},
 		Store:     &gateStore{process: r.process, store: w.Store},
 		Owner:     fmt.Sprintf("router-%d", index),
@@ -329,6 +333,9 @@
 // Close ends the world.
 func (w *World) Close() {
 	w.Drain()
+	for _, f := range w.closers {
+		f()
+	}
 	w.cancel()
 	w.group.Wait()
 }
@@ -427,6 +434,9 @@
 			ID:            r.Request,
 			Class:         "till",
 			Organisation:  "cafe",
+			Pool:          poolName,
+			Region:        regionName,
+			DataCentre:    regionName,
 			Tier:          kingcuphook.HighestTier,
 			Arrived:       r.Began,
 			Deadline:      r.Began.Add(deadline),
