--- a/editor/attempt.go
+++ b/editor/attempt.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/kingcuphook/kingcuphook"
 	"github.com/kingcuphook/kingcuphook/differ"
 	"github.com/kingcuphook/kingcuphook/loader"
@@ -27,7 +29,7 @@
 	var err error
 	for n := range maxAttempts {
 		if n > 0 {
-			if waitErr := wait(ctx, n); waitErr != nil {
+			if waitErr := wait(ctx, n, a.edit.ID); waitErr != nil {
 				return Result{}, a.fail(errors.Join(err, waitErr))
 			}
 		}
@@ -61,10 +63,12 @@
 	return fmt.Errorf("editor: %w", err)
 }
 
-// wait sleeps before attempt n.
-func wait(ctx context.Context, n int) error {
+// wait sleeps before attempt n: an exponential delay with a jitter that follows
+// from the name, so that editors that lost against each other spread.
+func wait(ctx context.Context, n int, name string) error {
 	d := min(retryDelay<<(n-1), maxRetryDelay)
-	timer := time.NewTimer(d)
+	jitter := xxhash.Sum64String(fmt.Sprint(name, n)) % uint64(d)
+	timer := time.NewTimer(d/2 + time.Duration(jitter))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/editor/large_test.go
+++ b/editor/large_test.go
@@ -3,7 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -72,3 +76,31 @@
 		is.Equal(len(rows), 0)
 	}
 }
+
+// Operators who edit through many routers at once are all served.
+func TestManyEditorsAtOnce(t *testing.T) {
+	for _, editors := range []int{2, 10, 50} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			s := storer.Store{Hook: func(string, string) storer.Fault { return storer.Fault{Delay: 3 * time.Millisecond} }}
+			first := Editor{Store: &s}
+			_, err := first.Apply(t.Context(), edit(t, "first", 0, "a"))
+			is.NoErr(err)
+			before, start := s.Counts(), time.Now()
+			var wg sync.WaitGroup
+			for i := range editors {
+				wg.Go(func() {
+					e := Editor{Store: &s}
+					if _, err := e.Apply(t.Context(), edit(t, fmt.Sprint(i), 1, "a", fmt.Sprint("r", i))); err != nil {
+						t.Error(err)
+					}
+				})
+			}
+			wg.Wait()
+			after := s.Counts()
+			t.Logf("%d editors: all accepted after %v, %.1f reads and %.1f writes an edit", editors, time.Since(start),
+				float64(after.Reads-before.Reads)/float64(editors), float64(after.Writes-before.Writes)/float64(editors))
+			is.Equal(len(strings.Fields(names(t, &s))), editors+1)
+		})
+	}
+}
--- a/editor/writer.go
+++ b/editor/writer.go
@@ -275,7 +275,7 @@
 		if n == putAttempts || !transient(err) {
 			return "", err
 		}
-		if err := wait(ctx, n); err != nil {
+		if err := wait(ctx, n, key); err != nil {
 			return "", err
 		}
 	}
