Show upstreams that the list of VMs calls leaving; wait for knowledge, not for time

Cause: the scenario leaving.txtar waited for fixed times, which a busy machine can break. It now waits until the router says that it knows, which showed that status left out what the list of VMs says.

--- a/cmd/kingcuphook/script_test.go
+++ b/cmd/kingcuphook/script_test.go
@@ -29,6 +29,9 @@
 // scriptTimeout bounds whatever a script waits for.
 const scriptTimeout = 20 * time.Second
 
+// pollPause is the time between two looks at what a script waits for.
+const pollPause = 50 * time.Millisecond
+
 // regions are those of the routers of a fleet, in order.
 var regions = []string{"cairo", "alex", "upper"}
 
@@ -87,6 +90,7 @@
 //	                   how many calls were made and what failed
 //	leave N WHO        makes upstream N leave, as itself or the vm-list says
 //	settle D           waits for D
+//	until-leaving N    waits until router 0 knows that upstream N leaves
 //	count              notes what the upstreams have run so far
 //	calls N COUNT      calls router N so often and wants every answer whole
 //	idle N             wants upstream N to have begun nothing since count
@@ -99,30 +103,31 @@
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"fleet":       withFleet(fleetCmd),
-			"kingcuphook": withFleet(commandLine),
-			"attempt":     withFleet(attemptCmd),
-			"call":        withFleet(callCmd),
-			"limited":     withFleet(limitedCmd),
-			"stream":      withFleet(streamCmd),
-			"rest":        withFleet(restCmd),
-			"redeem":      withFleet(redeemCmd),
-			"store":       withFleet(storeCmd),
-			"restart":     withFleet(restartCmd),
-			"stop":        withFleet(stopCmd),
-			"stopped":     withFleet(stoppedCmd),
-			"crash":       withFleet(crashCmd),
-			"crashes":     withFleet(crashesCmd),
-			"runs":        withFleet(runsCmd),
-			"serving":     withFleet(servingCmd),
-			"forget":      withFleet(forgetCmd),
-			"load":        withFleet(loadCmd),
-			"leave":       withFleet(leaveCmd),
-			"settle":      withFleet(settleCmd),
-			"count":       withFleet(countCmd),
-			"calls":       withFleet(callsCmd),
-			"idle":        withFleet(idleCmd),
-			"replace":     withFleet(replaceCmd),
+			"fleet":         withFleet(fleetCmd),
+			"kingcuphook":   withFleet(commandLine),
+			"attempt":       withFleet(attemptCmd),
+			"call":          withFleet(callCmd),
+			"limited":       withFleet(limitedCmd),
+			"stream":        withFleet(streamCmd),
+			"rest":          withFleet(restCmd),
+			"redeem":        withFleet(redeemCmd),
+			"store":         withFleet(storeCmd),
+			"restart":       withFleet(restartCmd),
+			"stop":          withFleet(stopCmd),
+			"stopped":       withFleet(stoppedCmd),
+			"crash":         withFleet(crashCmd),
+			"crashes":       withFleet(crashesCmd),
+			"runs":          withFleet(runsCmd),
+			"serving":       withFleet(servingCmd),
+			"forget":        withFleet(forgetCmd),
+			"load":          withFleet(loadCmd),
+			"leave":         withFleet(leaveCmd),
+			"settle":        withFleet(settleCmd),
+			"until-leaving": withFleet(untilLeavingCmd),
+			"count":         withFleet(countCmd),
+			"calls":         withFleet(callsCmd),
+			"idle":          withFleet(idleCmd),
+			"replace":       withFleet(replaceCmd),
 		},
 	})
 }
@@ -429,7 +434,7 @@
 
 func servingCmd(ts *testscript.TestScript, _ bool, args []string, f *fleet) {
 	want, serving := index(ts, args[1]), 0
-	for until := time.Now().Add(2 * scriptTimeout); time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
+	for until := time.Now().Add(2 * scriptTimeout); time.Now().Before(until); time.Sleep(pollPause) {
 		serving = 0
 		for _, u := range f.upstreams {
 			if u.Model() == args[0] {
@@ -466,6 +471,18 @@
 	time.Sleep(d)
 }
 
+func untilLeavingCmd(ts *testscript.TestScript, _ bool, args []string, f *fleet) {
+	address := f.addresses[index(ts, args[0])]
+	for until := time.Now().Add(scriptTimeout); time.Now().Before(until); time.Sleep(pollPause) {
+		for _, u := range f.routers[0].router.Status().Upstreams {
+			if u.Address == address && u.Leaving != nil && *u.Leaving {
+				return
+			}
+		}
+	}
+	ts.Fatalf("the router does not know that %s leaves", address)
+}
+
 // runs returns how many runs upstream n has begun.
 func (f *fleet) runs(n int) int {
 	total := 0
--- a/router/control.go
+++ b/router/control.go
@@ -79,6 +79,7 @@
 	members []gossiper.Member
 	routers []follower.Router
 	reports map[string]kingcuphook.LoadReport
+	leaving map[string]bool
 }
 
 func newControl(r *Router) *control {
@@ -330,6 +331,7 @@
 		members: members,
 		routers: make([]follower.Router, 0, len(members)),
 		reports: make(map[string]kingcuphook.LoadReport, len(c.reports)),
+		leaving: c.leaving,
 	}
 	near := 0
 	known := make(map[string]bool, len(members))
--- a/router/operators.go
+++ b/router/operators.go
@@ -113,16 +113,16 @@
 	for _, p := range tables.Pools() {
 		s.Pools = append(s.Pools, &queries.PoolStatus{Name: p.Name(), Waiting: r.allocator.Waiting(p.Name())})
 		for _, u := range p.Upstreams() {
-			s.Upstreams = append(s.Upstreams, upstreamStatus(p, u, v.reports))
+			s.Upstreams = append(s.Upstreams, upstreamStatus(p, u, v))
 		}
 	}
 	return s
 }
 
-func upstreamStatus(p *kingcuphook.Pool, u *kingcuphook.Upstream, reports map[string]kingcuphook.LoadReport) *queries.UpstreamStatus {
+func upstreamStatus(p *kingcuphook.Pool, u *kingcuphook.Upstream, v *view) *queries.UpstreamStatus {
 	s := &queries.UpstreamStatus{Pool: p.Name(), Address: u.Address(), Region: u.Region()}
-	leaving := u.Leaving()
-	if l, ok := reports[u.Address()]; ok {
+	leaving := u.Leaving() || v.leaving[u.Address()]
+	if l, ok := v.reports[u.Address()]; ok {
 		running, queued := l.Running(), l.Queued()
 		age := time.Since(l.Made()).Seconds()
 		leaving = leaving || l.Leaving()
