--- a/gossiper/push.go
+++ b/gossiper/push.go
@@ -49,7 +49,25 @@
 		if from == "" && rank < watchersPerDataCentre && i < watchersPerDataCentre {
 			continue
 		}
-		g.wait(local[i].entry.Address, false)
+		g.reach(local, i, rank)
+	}
+}
+
+// reach queues the member at position i. If it did not answer of late, the
+// neighbours beyond it, seen from position from, are queued as well.
+func (g *Gossiper) reach(local []*member, i, from int) {
+	m := local[i]
+	if m == g.self || m.entry.Address == g.push.from || slices.Contains(g.push.waiting, m.entry.Address) {
+		return
+	}
+	g.wait(m.entry.Address, false)
+	if m.failures == 0 && m.entry.State == StateAlive {
+		return
+	}
+	for _, j := range neighbours(i, len(local), g.revision) {
+		if j != from {
+			g.reach(local, j, i)
+		}
 	}
 }
 
