Replace silent connections to the platform and to peers

Cause: an open connection that went silent was found by pings after 12 s towards the platform and never towards peers, whose exchanges then failed for good while new connections would have worked. Before: the new tests fail (no second connection); after: the first call that times out opens another. A slow but answering platform keeps its connection.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -4,17 +4,14 @@
 
 import (
 	"context"
-	"fmt"
+	"sync"
+	"sync/atomic"
 	"time"
 
-	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
-	"google.golang.org/grpc/credentials/insecure"
-	"google.golang.org/grpc/keepalive"
 
 	"github.com/kingcuphook/kingcuphook"
 	"github.com/kingcuphook/kingcuphook/gen/platformpb"
-	"github.com/kingcuphook/kingcuphook/translator"
 )
 
 // Defaults of Connector.
@@ -39,8 +36,10 @@
 	// Credentials secure the connection; nil means plain text.
 	Credentials credentials.TransportCredentials
 
-	conn   *grpc.ClientConn
-	client platformpb.PlatformClient
+	// current is the connection that new calls use; never nil after Connect.
+	current atomic.Pointer[link]
+	// mu guards the replacement of current.
+	mu sync.Mutex
 }
 
 var (
@@ -49,43 +48,29 @@
 )
 
 // Connect prepares the connection; it is opened by the first call and again
-// whenever it breaks. Pings find a connection that has gone silent.
+// whenever it breaks.
 func (c *Connector) Connect() error {
-	creds := c.Credentials
-	if creds == nil {
-		creds = insecure.NewCredentials()
-	}
-	conn, err := grpc.NewClient("passthrough:///"+c.Address,
-		grpc.WithTransportCredentials(creds),
-		grpc.WithKeepaliveParams(keepalive.ClientParameters{
-			Time:                pingInterval,
-			Timeout:             pingTimeout,
-			PermitWithoutStream: true,
-		}),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
-		grpc.WithDisableServiceConfig(),
-		grpc.WithDisableRetry(),
-		grpc.WithNoProxy(),
-	)
+	l, err := c.open()
 	if err != nil {
-		return fmt.Errorf("connector: %w", err)
+		return err
 	}
-	c.conn = conn
-	c.client = platformpb.NewPlatformClient(conn)
+	c.current.Store(l)
 	return nil
 }
 
 // Close closes the connection.
-func (c *Connector) Close() error { return c.conn.Close() }
+func (c *Connector) Close() error { return c.current.Load().conn.Close() }
 
 // Get implements kingcuphook.Store.
 func (c *Connector) Get(ctx context.Context, key string) (kingcuphook.Entry, error) {
 	ctx, cancel := c.bound(ctx)
 	defer cancel()
-	reply, err := c.client.Get(ctx, &platformpb.GetRequest{Key: key})
+	l := c.current.Load()
+	reply, err := l.client.Get(ctx, &platformpb.GetRequest{Key: key})
 	if err != nil {
-		return kingcuphook.Entry{}, storeError(ctx, "get", key, err, false)
+		return kingcuphook.Entry{}, c.failed(ctx, l, "get", key, err, false)
 	}
+	l.answered()
 	return decodeEntry(reply.GetEntry()), nil
 }
 
@@ -93,10 +78,12 @@
 func (c *Connector) List(ctx context.Context, prefix string) ([]kingcuphook.Entry, error) {
 	ctx, cancel := c.bound(ctx)
 	defer cancel()
-	reply, err := c.client.List(ctx, &platformpb.ListRequest{Prefix: prefix})
+	l := c.current.Load()
+	reply, err := l.client.List(ctx, &platformpb.ListRequest{Prefix: prefix})
 	if err != nil {
-		return nil, storeError(ctx, "list", prefix, err, false)
+		return nil, c.failed(ctx, l, "list", prefix, err, false)
 	}
+	l.answered()
 	return decodeEntries(reply.GetEntries()), nil
 }
 
@@ -107,10 +94,12 @@
 	}
 	ctx, cancel := c.bound(ctx)
 	defer cancel()
-	reply, err := c.client.Put(ctx, &platformpb.PutRequest{Key: key, Value: value, Expect: expect, Lease: int64(lease)})
+	l := c.current.Load()
+	reply, err := l.client.Put(ctx, &platformpb.PutRequest{Key: key, Value: value, Expect: expect, Lease: int64(lease)})
 	if err != nil {
-		return 0, storeError(ctx, "put", key, err, true)
+		return 0, c.failed(ctx, l, "put", key, err, true)
 	}
+	l.answered()
 	return reply.GetRevision(), nil
 }
 
@@ -118,10 +107,12 @@
 func (c *Connector) Delete(ctx context.Context, key string, expect int64) error {
 	ctx, cancel := c.bound(ctx)
 	defer cancel()
-	_, err := c.client.Delete(ctx, &platformpb.DeleteRequest{Key: key, Expect: expect})
+	l := c.current.Load()
+	_, err := l.client.Delete(ctx, &platformpb.DeleteRequest{Key: key, Expect: expect})
 	if err != nil {
-		return storeError(ctx, "delete", key, err, true)
+		return c.failed(ctx, l, "delete", key, err, true)
 	}
+	l.answered()
 	return nil
 }
 
@@ -129,14 +120,16 @@
 func (c *Connector) Watch(ctx context.Context, prefix string, after int64) ([]kingcuphook.Entry, int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchWait+watchMargin)
 	defer cancel()
-	reply, err := c.client.Watch(ctx, &platformpb.WatchRequest{
+	l := c.current.Load()
+	reply, err := l.client.Watch(ctx, &platformpb.WatchRequest{
 		Prefix:           prefix,
 		After:            after,
 		WaitMilliseconds: watchWait.Milliseconds(),
 	})
 	if err != nil {
-		return nil, 0, storeError(ctx, "watch", prefix, err, false)
+		return nil, 0, c.failed(ctx, l, "watch", prefix, err, false)
 	}
+	l.answered()
 	return decodeEntries(reply.GetEntries()), reply.GetRevision(), nil
 }
 
@@ -144,10 +137,12 @@
 func (c *Connector) Grant(ctx context.Context, ttl time.Duration) (kingcuphook.LeaseID, error) {
 	ctx, cancel := c.bound(ctx)
 	defer cancel()
-	reply, err := c.client.Grant(ctx, &platformpb.GrantRequest{TtlMilliseconds: ttl.Milliseconds()})
+	l := c.current.Load()
+	reply, err := l.client.Grant(ctx, &platformpb.GrantRequest{TtlMilliseconds: ttl.Milliseconds()})
 	if err != nil {
-		return 0, storeError(ctx, "grant", "", err, true)
+		return 0, c.failed(ctx, l, "grant", "", err, true)
 	}
+	l.answered()
 	return kingcuphook.LeaseID(reply.GetLease()), nil
 }
 
@@ -155,10 +150,12 @@
 func (c *Connector) KeepAlive(ctx context.Context, id kingcuphook.LeaseID) error {
 	ctx, cancel := c.bound(ctx)
 	defer cancel()
-	_, err := c.client.KeepAlive(ctx, &platformpb.KeepAliveRequest{Lease: int64(id)})
+	l := c.current.Load()
+	_, err := l.client.KeepAlive(ctx, &platformpb.KeepAliveRequest{Lease: int64(id)})
 	if err != nil {
-		return storeError(ctx, "keep-alive", "", err, true)
+		return c.failed(ctx, l, "keep-alive", "", err, true)
 	}
+	l.answered()
 	return nil
 }
 
@@ -166,10 +163,12 @@
 func (c *Connector) Revoke(ctx context.Context, id kingcuphook.LeaseID) error {
 	ctx, cancel := c.bound(ctx)
 	defer cancel()
-	_, err := c.client.Revoke(ctx, &platformpb.RevokeRequest{Lease: int64(id)})
+	l := c.current.Load()
+	_, err := l.client.Revoke(ctx, &platformpb.RevokeRequest{Lease: int64(id)})
 	if err != nil {
-		return storeError(ctx, "revoke", "", err, true)
+		return c.failed(ctx, l, "revoke", "", err, true)
 	}
+	l.answered()
 	return nil
 }
 
@@ -177,10 +176,12 @@
 func (c *Connector) VMs(ctx context.Context) ([]kingcuphook.VM, error) {
 	ctx, cancel := c.bound(ctx)
 	defer cancel()
-	reply, err := c.client.ListVMs(ctx, &platformpb.ListVMsRequest{})
+	l := c.current.Load()
+	reply, err := l.client.ListVMs(ctx, &platformpb.ListVMsRequest{})
 	if err != nil {
-		return nil, storeError(ctx, "vms", "", err, false)
+		return nil, c.failed(ctx, l, "vms", "", err, false)
 	}
+	l.answered()
 	vms := make([]kingcuphook.VM, 0, len(reply.GetVms()))
 	for _, vm := range reply.GetVms() {
 		vms = append(vms, kingcuphook.NewVM(vm.GetAddress(), vm.GetRegion(), vm.GetDataCentre(), kingcuphook.VMState(vm.GetState())))
@@ -189,15 +190,14 @@
 }
 
 func (c *Connector) bound(ctx context.Context) (context.Context, context.CancelFunc) {
-	timeout := c.Timeout
-	if timeout == 0 {
-		timeout = defaultTimeout
-	}
-	return context.WithTimeout(ctx, timeout)
+	return context.WithTimeout(ctx, c.timeout())
 }
 
-func storeError(ctx context.Context, op, key string, err error, changes bool) error {
-	return &kingcuphook.StoreError{Op: op, Key: key, Err: translator.Sentinel(ctx, err, changes)}
+func (c *Connector) timeout() time.Duration {
+	if c.Timeout == 0 {
+		return defaultTimeout
+	}
+	return c.Timeout
 }
 
 func decodeEntry(e *platformpb.Entry) kingcuphook.Entry {
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -5,11 +5,13 @@
 	"errors"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"google.golang.org/grpc"
 
 	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/emulator/forwarder"
 	"github.com/kingcuphook/kingcuphook/emulator/storer"
 )
 
@@ -53,6 +55,28 @@
 	is.Equal(vms[0].Region(), "cairo")
 }
 
+// TestSilentConnectionIsReplaced makes the open connection silent for good.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	f := &forwarder.Forwarder{Target: connect(t, &storer.Store{}).Address}
+	address, err := f.Listen()
+	is.NoErr(err)
+	defer func() { _ = f.Close() }()
+	c := &Connector{Address: address, Timeout: 100 * time.Millisecond}
+	is.NoErr(c.Connect())
+	defer func() { _ = c.Close() }()
+	_, err = c.Put(ctx, "a", nil, kingcuphook.RevisionAny, 0)
+	is.NoErr(err)
+
+	f.Silence()
+	_, err = c.Put(ctx, "a", nil, kingcuphook.RevisionAny, 0)
+	is.True(errors.Is(err, kingcuphook.ErrOutcomeUnknown))
+	_, err = c.Get(ctx, "a") // on a new connection
+	is.NoErr(err)
+	is.Equal(f.Opened(), 2)
+}
+
 func TestOutageIsToldFromLostReply(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
--- a/exchanger/client.go
+++ b/exchanger/client.go
@@ -69,7 +69,7 @@
 	defer c.release(cc)
 	reply, err := peerpb.NewPeerClient(cc.grpc).Exchange(ctx, &peerpb.ExchangeRequest{Digest: digest})
 	if err != nil {
-		return nil, fromStatus("exchange", address, err)
+		return nil, c.failed(cc, "exchange", address, err)
 	}
 	return reply.GetDigest(), nil
 }
@@ -86,7 +86,7 @@
 	defer c.release(cc)
 	stream, err := peerpb.NewPeerClient(cc.grpc).Pull(ctx, &peerpb.PullRequest{Revision: revision})
 	if err != nil {
-		return nil, fromStatus("pull", address, err)
+		return nil, c.failed(cc, "pull", address, err)
 	}
 	var b []byte
 	for {
@@ -95,7 +95,7 @@
 			return b, nil
 		}
 		if err != nil {
-			return nil, fromStatus("pull", address, err)
+			return nil, c.failed(cc, "pull", address, err)
 		}
 		b = append(b, reply.GetChunk()...)
 		if len(b) > maxPullBytes {
@@ -149,6 +149,26 @@
 	cc.calls--
 }
 
+// failed returns the error of a call. A connection on which a call timed out is
+// dropped, so that the next call opens another: an open connection can be silent
+// for good while new ones work.
+func (c *Client) failed(cc *conn, op, address string, err error) error {
+	if status.Code(err) == codes.DeadlineExceeded {
+		c.drop(address, cc)
+	}
+	return fromStatus(op, address, err)
+}
+
+func (c *Client) drop(address string, cc *conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conns[address] == cc {
+		delete(c.conns, address)
+	}
+	// The error says only that the connection is closed already.
+	_ = cc.grpc.Close()
+}
+
 // evict closes the idle connection used longest ago if the bound is reached.
 func (c *Client) evict() {
 	limit := c.MaxConns
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -19,6 +19,7 @@
 	"google.golang.org/grpc/credentials"
 
 	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/emulator/forwarder"
 	"github.com/kingcuphook/kingcuphook/exchanger"
 	"github.com/kingcuphook/kingcuphook/gossiper"
 )
@@ -188,6 +189,26 @@
 	is.True(errors.Is(err, kingcuphook.ErrUnavailable))
 }
 
+// TestSilentConnectionIsReplaced makes the open connection silent for good.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	is := is.New(t)
+	a := newAuthority(t)
+	f := &forwarder.Forwarder{Target: serve(t, &handler{}, a.credentials(t)).Addr().String()}
+	address, err := f.Listen()
+	is.NoErr(err)
+	defer func() { _ = f.Close() }()
+	c := &exchanger.Client{Credentials: a.credentials(t), Timeout: 2 * time.Second}
+	defer func() { _ = c.Close() }()
+	_, err = c.Exchange(t.Context(), address, digest(t))
+	is.NoErr(err)
+
+	f.Silence()
+	_, err = c.Exchange(t.Context(), address, digest(t))
+	is.True(err != nil)
+	_, err = c.Exchange(t.Context(), address, digest(t)) // on a new connection
+	is.NoErr(err)
+}
+
 // BenchmarkExchange reports the bytes of an exchange besides both digests, TLS
 // records included, and the reads and writes of the server's connection.
 func BenchmarkExchange(b *testing.B) {
