--- a/limiter/share.go
+++ b/limiter/share.go
@@ -22,7 +22,7 @@
 		return l.fixedShare(limit)
 	}
 	share := l.reportedShare(u, limit)
-	if n := l.routers(); n > 1 {
+	if n := l.routers(); n > 1 && t == kingcuphook.HighestTier {
 		share = max(share, limit/float64(n))
 	}
 	return int(math.Floor(share + u.dither))
