--- a/editor/attempt.go
+++ b/editor/attempt.go
@@ -118,7 +118,7 @@
 		cs = s.Head.Changes
 	}
 	if c, ok := find(cs, a.edit.ID); ok {
-		return a.accepted(c), true, nil
+		return a.accepted(s, c), true, nil
 	}
 	after := a.edit.Base
 	if a.pending {
@@ -137,7 +137,7 @@
 		return Result{}, false, err
 	}
 	if c, ok := find(older, a.edit.ID); ok {
-		return a.accepted(c), true, nil
+		return a.accepted(s, c), true, nil
 	}
 	a.clear(s)
 	return Result{}, false, nil
@@ -163,8 +163,10 @@
 	return differ.Change{}, false
 }
 
-func (a *attempt) accepted(c differ.Change) Result {
+// accepted returns the result of an edit that is found in s.
+func (a *attempt) accepted(s *loader.State, c differ.Change) Result {
 	a.pending = false
+	a.editor.accept(s.Snapshot)
 	return Result{EditID: c.EditID(), Revision: c.Revision(), Rows: c.RowCount(), Repeated: true}
 }
 
@@ -239,10 +241,7 @@
 	switch {
 	case err == nil:
 		a.pending = false
-		a.editor.last = next
-		if a.editor.OnAccept != nil {
-			a.editor.OnAccept(next)
-		}
+		a.editor.accept(next)
 		w.clean(ctx)
 		return Result{EditID: a.edit.ID, Revision: revision, Rows: len(rows), Rebased: rebased}, false, nil
 	case definite(err):
--- a/editor/editor.go
+++ b/editor/editor.go
@@ -97,6 +97,14 @@
 	return e.turn.Acquire(ctx, 1)
 }
 
+// accept takes the state in which an edit is accepted.
+func (e *Editor) accept(s *differ.Snapshot) {
+	e.last = s
+	if e.OnAccept != nil {
+		e.OnAccept(s)
+	}
+}
+
 func (e *Editor) inForce() (*differ.Snapshot, bool) {
 	if e.InForce == nil {
 		return differ.EmptySnapshot(), true
--- a/editor/editor_test.go
+++ b/editor/editor_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/differ"
 	"github.com/kingcuphook/kingcuphook/emulator/storer"
 	"github.com/kingcuphook/kingcuphook/loader"
 	"github.com/kingcuphook/kingcuphook/parser"
@@ -97,11 +98,13 @@
 		}
 		return storer.Fault{}
 	}}
-	e := Editor{Store: &s}
+	var accepted *differ.Snapshot
+	e := Editor{Store: &s, OnAccept: func(s *differ.Snapshot) { accepted = s }}
 	r, err := e.Apply(ctx, edit(t, "1", 0, "a"))
 	is.NoErr(err)
 	is.True(r.Repeated)
 	is.Equal(r.Revision, int64(1))
+	is.Equal(accepted.Revision(), int64(1))
 }
 
 func TestPatchIsRebasedLikeAnyEdit(t *testing.T) {
--- a/follower/fleet_test.go
+++ b/follower/fleet_test.go
@@ -129,6 +129,10 @@
 	if !f.faulty || op == storer.OpWatch && f.rng.IntN(4) > 0 {
 		return storer.Fault{Delay: time.Millisecond}
 	}
+	if op == storer.OpWatch && f.rng.IntN(4) == 0 {
+		// The connection has gone silent for good.
+		return storer.Fault{Delay: time.Hour}
+	}
 	fault := storer.Fault{Delay: time.Duration(f.rng.IntN(40)) * time.Millisecond}
 	switch f.rng.IntN(8) {
 	case 0:
