--- a/editor/attempt.go
+++ b/editor/attempt.go
@@ -23,6 +23,8 @@
 	// revision is the revision that the pending write would have made, and expect
 	// the store's revision of the head that it expected.
 	revision, expect int64
+	// olderReads counts the heads read that were older than what is in force.
+	olderReads int
 }
 
 func (a *attempt) run(ctx context.Context) (Result, error) {
@@ -90,7 +92,8 @@
 		return Result{}, true, errStaleRead
 	}
 	if high.Revision() > s.Snapshot.Revision() && !complete {
-		return Result{}, false, &OlderStoreError{Store: s.Snapshot.Revision(), InForce: high.Revision()}
+		a.olderReads++
+		return Result{}, a.olderReads < maxOlderReads, &OlderStoreError{Store: s.Snapshot.Revision(), InForce: high.Revision()}
 	}
 	if high.Revision() > s.Snapshot.Revision() {
 		err := a.editor.repair(ctx, s, high)
--- a/editor/editor.go
+++ b/editor/editor.go
@@ -23,6 +23,9 @@
 const (
 	// maxAttempts bounds the compare-and-swaps of one edit.
 	maxAttempts = 16
+	// maxOlderReads is how often a head is read that is older than what is in force,
+	// before it is taken for more than a stale read.
+	maxOlderReads = 4
 	// retryDelay is the wait before a further attempt; it doubles each time.
 	retryDelay = 20 * time.Millisecond
 	// maxRetryDelay bounds the wait.
