--- a/editor/attempt.go
+++ b/editor/attempt.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/kingcuphook/kingcuphook"
 	"github.com/kingcuphook/kingcuphook/differ"
 	"github.com/kingcuphook/kingcuphook/loader"
@@ -21,13 +23,15 @@
 	// revision is the revision that the pending write would have made, and expect
 	// the store's revision of the head that it expected.
 	revision, expect int64
+	// olderReads counts the heads read that were older than what is in force.
+	olderReads int
 }
 
 func (a *attempt) run(ctx context.Context) (Result, error) {
 	var err error
 	for n := range maxAttempts {
 		if n > 0 {
-			if waitErr := wait(ctx, n); waitErr != nil {
+			if waitErr := wait(ctx, n, a.edit.ID); waitErr != nil {
 				return Result{}, a.fail(errors.Join(err, waitErr))
 			}
 		}
@@ -61,10 +65,12 @@
 	return fmt.Errorf("editor: %w", err)
 }
 
-// wait sleeps before attempt n.
-func wait(ctx context.Context, n int) error {
+// wait sleeps before attempt n: an exponential delay with a jitter that follows
+// from the name, so that editors that lost against each other spread.
+func wait(ctx context.Context, n int, name string) error {
 	d := min(retryDelay<<(n-1), maxRetryDelay)
-	timer := time.NewTimer(d)
+	jitter := xxhash.Sum64String(fmt.Sprint(name, n)) % uint64(d)
+	timer := time.NewTimer(d/2 + time.Duration(jitter))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -86,7 +92,8 @@
 		return Result{}, true, errStaleRead
 	}
 	if high.Revision() > s.Snapshot.Revision() && !complete {
-		return Result{}, false, &OlderStoreError{Store: s.Snapshot.Revision(), InForce: high.Revision()}
+		a.olderReads++
+		return Result{}, a.olderReads < maxOlderReads, &OlderStoreError{Store: s.Snapshot.Revision(), InForce: high.Revision()}
 	}
 	if high.Revision() > s.Snapshot.Revision() {
 		err := a.editor.repair(ctx, s, high)
@@ -114,7 +121,7 @@
 		cs = s.Head.Changes
 	}
 	if c, ok := find(cs, a.edit.ID); ok {
-		return a.accepted(c), true, nil
+		return a.accepted(s, c), true, nil
 	}
 	after := a.edit.Base
 	if a.pending {
@@ -133,7 +140,7 @@
 		return Result{}, false, err
 	}
 	if c, ok := find(older, a.edit.ID); ok {
-		return a.accepted(c), true, nil
+		return a.accepted(s, c), true, nil
 	}
 	a.clear(s)
 	return Result{}, false, nil
@@ -159,8 +166,10 @@
 	return differ.Change{}, false
 }
 
-func (a *attempt) accepted(c differ.Change) Result {
+// accepted returns the result of an edit that is found in s.
+func (a *attempt) accepted(s *loader.State, c differ.Change) Result {
 	a.pending = false
+	a.editor.accept(s.Snapshot)
 	return Result{EditID: c.EditID(), Revision: c.Revision(), Rows: c.RowCount(), Repeated: true}
 }
 
@@ -235,10 +244,7 @@
 	switch {
 	case err == nil:
 		a.pending = false
-		a.editor.last = next
-		if a.editor.OnAccept != nil {
-			a.editor.OnAccept(next)
-		}
+		a.editor.accept(next)
 		w.clean(ctx)
 		return Result{EditID: a.edit.ID, Revision: revision, Rows: len(rows), Rebased: rebased}, false, nil
 	case definite(err):
--- a/selector/score.go
+++ b/selector/score.go
@@ -89,8 +89,8 @@
 }
 
 // SelectUsable is Select among the upstreams that usable reports.
-func (s *Selector) SelectUsable(now time.Time, r *kingcuphook.Request, usable func(address string) bool) (kingcuphook.Choice, error) {
-	return s.choose(query{now: now, request: r, usable: usable})
+func (s *Selector) SelectUsable(now time.Time, r *kingcuphook.Request, excluded []string, usable func(address string) bool) (kingcuphook.Choice, error) {
+	return s.choose(query{now: now, request: r, excluded: excluded, usable: usable})
 }
 
 // holds reports whether the request does better to wait for another upstream
