--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -149,6 +149,9 @@
 // the guaranteed share of its class.
 func (a *Admitter) Guaranteed() bool { return a.guaranteed }
 
+// SetMargin changes how long before its target a waiting request counts as late.
+func (a *Admitter) SetMargin(d time.Duration) { a.Margin = d }
+
 // Len implements kingcuphook.Admitter.
 func (a *Admitter) Len() int { return len(a.byID) }
 
--- a/scheduler/assign.go
+++ b/scheduler/assign.go
@@ -14,6 +14,8 @@
 	// maxHeld bounds the requests of a tier that are looked at in one call though
 	// those before them do better to wait than to use the slots that are free.
 	maxHeld = 4
+	// maxMargin bounds how long before its target a request counts as late.
+	maxMargin = 2 * time.Second
 	// firstTokenStep weighs a new sample in the usual first-token delay.
 	firstTokenStep = 0.1
 )
@@ -21,6 +23,9 @@
 // Assign implements kingcuphook.Scheduler.
 func (s *Scheduler) Assign(now time.Time) ([]kingcuphook.Assignment, []kingcuphook.Shed) {
 	sheds := s.shed(s.Admitter.Expire(now))
+	if m, ok := s.Admitter.(MarginSetter); ok {
+		m.SetMargin(min(s.usualFirstToken(), maxMargin))
+	}
 	s.slots.reset()
 	p := pass{scheduler: s, now: now}
 	p.queue, _ = s.Admitter.(Queue)
@@ -208,6 +213,11 @@
 	}
 }
 
+// usualFirstToken returns the usual first-token delay; 0 if unknown.
+func (s *Scheduler) usualFirstToken() time.Duration {
+	return time.Duration(s.firstToken * float64(time.Second))
+}
+
 // learn takes what a sample tells of lengths and delays.
 func (s *Scheduler) learn(r *kingcuphook.Request, sample kingcuphook.Sample) {
 	if s.firstToken == 0 {
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -42,7 +42,7 @@
 // victim returns the run whose slot r takes, or nil. Requests that can wait, and
 // those that would be late even so, preempt nothing.
 func (s *Scheduler) victim(now time.Time, r *kingcuphook.Request) *run {
-	firstToken := time.Duration(s.firstToken * float64(time.Second))
+	firstToken := s.usualFirstToken()
 	due := s.Preemptor.Due(r, firstToken)
 	if due.IsZero() || now.Before(due) || s.Preemptor.Hopeless(now, r, firstToken) {
 		return nil
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -40,6 +40,12 @@
 	Resize(maxQueued int)
 }
 
+// MarginSetter is an Admitter that can be told when a request is as good as late.
+type MarginSetter interface {
+	// SetMargin sets how long before its target a waiting request counts as late.
+	SetMargin(d time.Duration)
+}
+
 // Updater is a Limiter that wants to know the pool in force.
 type Updater interface {
 	// Update takes the pool in force.
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -351,3 +351,19 @@
 	}
 	t.Fatal("the lowest class was never served")
 }
+
+// TestRequestThatCannotMeetItsTargetWaits covers a request whose first token would
+// come after its target, before one that has time left.
+func TestRequestThatCannotMeetItsTargetWaits(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(engine("a", 1))
+	s.Offer(start, request("0", 2))
+	is.Equal(assign(s, start), "0>a ")
+	now := start.Add(800 * time.Millisecond)
+	s.Finished(now, "a", request("0", 2), kingcuphook.Sample{FirstToken: 300 * time.Millisecond})
+	s.Offer(now, request("hopeless", 2))
+	later := fields("later", 2)
+	later.Target = 5 * time.Second
+	s.Offer(now, kingcuphook.NewRequest(later))
+	is.Equal(assign(s, now), "later>a ")
+}
