Look fewer blocks up for a selection

Looking up every block of a chain was half of a selection. Its deepest known block is now searched for by halves, and below the branch only some are looked up.

--- a/selector/recall.go
+++ b/selector/recall.go
@@ -1,12 +1,19 @@
 package selector
 
 import (
+	"sort"
+
 	"github.com/kingcuphook/kingcuphook/hasher"
 )
 
+// lookedUp is the number of blocks at the end of a chain that are looked up one
+// by one.
+const lookedUp = 8
+
 // recall fills in the rendezvous key of the request and what is cached of its
 // prompt. The key is the deepest block at which prompts branched, so that it
-// stays the same for every question after the same text.
+// stays the same for every question after the same text. Below it only some
+// blocks are looked up, for upstreams that have a shorter part.
 func (s *Selector) recall(q *query) {
 	chain := q.request.Prefix()
 	if len(chain) == 0 || s.NoAffinity {
@@ -15,20 +22,33 @@
 	}
 	q.key = chain[0]
 	branched := false
-	var last [maxHolders]holder
-	for i := len(chain) - 1; i >= 0; i-- {
+	step := 1
+	for i := s.deepest(chain); i >= 0; i -= step {
 		b := s.index.find(chain[i])
 		if b == nil {
 			continue
 		}
-		if b.holders != last {
-			q.hold(s, b, min((i+1)*hasher.BlockTokens, q.request.PromptTokens()))
-			last = b.holders
-		}
+		q.hold(s, b, min((i+1)*hasher.BlockTokens, q.request.PromptTokens()))
 		if b.branched && !branched {
 			q.key, branched = chain[i], true
 		}
+		if branched {
+			step *= 2
+		}
+	}
+}
+
+// deepest returns the position of the last known block of the chain, or -1. The
+// last blocks are looked up one by one, since an event may tell of one alone;
+// of the rest, those before a known block are known too.
+func (s *Selector) deepest(chain []uint64) int {
+	end := len(chain) - 1
+	for ; end >= 0 && end >= len(chain)-lookedUp; end-- {
+		if s.index.find(chain[end]) != nil {
+			return end
+		}
 	}
+	return sort.Search(end+1, func(i int) bool { return s.index.find(chain[i]) == nil }) - 1
 }
 
 // hold notes the holders of a block that end a longer part of the prompt than
