Predict the local wait from that of earlier requests for spilling

Cause: without a free slot the local wait was taken for what the request had waited so far, so it was predicted to miss only when the other region was too late as well, and nearly nothing was spilled.

--- a/selector/score.go
+++ b/selector/score.go
@@ -55,9 +55,12 @@
 	// disturbWait the share of the latency target that a request avoids it for.
 	disturbing  = 50 * time.Millisecond
 	disturbWait = 0.2
+	// spillStart is the share of the target from which the local prediction is
+	// taken for a miss.
+	spillStart = 0.8
 	// spillStop is the share of the target below which the local prediction
 	// must fall to stop spilling.
-	spillStop = 0.7
+	spillStop = 0.5
 	// spillMargin is the share of the target that the remote prediction must
 	// stay below.
 	spillMargin = 0.8
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -84,6 +84,7 @@
 	// pace is the smoothed time between two local slots becoming free.
 	pace     time.Duration
 	lastFree time.Time
+	waits    waits
 	// scratch is used again by every selection.
 	scratch []scored
 }
@@ -237,6 +238,8 @@
 	}
 	if t.remote {
 		s.lastSpill = now
+	} else {
+		s.waits.add(now, r.Tier(), now.Sub(r.Arrived()))
 	}
 	if target := r.TokenTarget(); target > 0 && (s.tightest == 0 || target < s.tightest) {
 		s.tightest = target
--- a/selector/spill.go
+++ b/selector/spill.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/kingcuphook/kingcuphook"
 )
 
 // localWait predicts the time from arrival to the first token when the request
@@ -21,7 +23,8 @@
 	if fastest < 0 {
 		return q.request.Target() + 1
 	}
-	return waited + s.pace + fastest
+	queued := max(waited+s.pace, s.waits.recent(q.now, q.request.Tier()))
+	return queued + fastest
 }
 
 // spillFrom returns the local prediction above which a request may go to
@@ -33,7 +36,7 @@
 	if !s.lastSpill.IsZero() && q.now.Sub(s.lastSpill) < hold {
 		return time.Duration(spillStop * float64(target))
 	}
-	return target
+	return time.Duration(spillStart * float64(target))
 }
 
 // spill weighs the upstreams of other regions and returns the best one if it
@@ -83,3 +86,37 @@
 	a := t.upstream.Address()
 	return !t.leaving && !slices.Contains(q.excluded, a) && (s.Live == nil || s.Live(q.now, a))
 }
+
+const (
+	// waitStep weighs a new sample in the recent waits.
+	waitStep = 0.2
+	// waitKept is how long a recent wait counts without a new sample.
+	waitKept = 3 * time.Second
+)
+
+// waits has the smoothed time that requests of each tier waited in this router
+// before they were sent to an upstream of its region.
+type waits struct {
+	mean [kingcuphook.TierCount]time.Duration
+	last [kingcuphook.TierCount]time.Time
+}
+
+func (w *waits) add(now time.Time, t kingcuphook.Tier, d time.Duration) {
+	if !t.Valid() {
+		return
+	}
+	i := t.Index()
+	if now.Sub(w.last[i]) > waitKept {
+		w.mean[i] = d
+	}
+	w.mean[i] += time.Duration(waitStep * float64(d-w.mean[i]))
+	w.last[i] = now
+}
+
+// recent returns the recent wait of the tier; 0 if there was none lately.
+func (w *waits) recent(now time.Time, t kingcuphook.Tier) time.Duration {
+	if !t.Valid() || now.Sub(w.last[t.Index()]) > waitKept {
+		return 0
+	}
+	return w.mean[t.Index()]
+}
