--- a/dialer/dialer_test.go
+++ b/dialer/dialer_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -93,12 +94,12 @@
 // idempotency key and no body, which the HTTP transport would send again.
 func TestNonIdempotentIsSentOnce(t *testing.T) {
 	is := is.New(t)
-	runs := 0
+	var runs atomic.Int64
 	d, u := start(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/warm" {
 			return
 		}
-		runs++
+		runs.Add(1)
 		c, _, err := http.NewResponseController(w).Hijack()
 		if err == nil {
 			c.Close()
@@ -115,7 +116,7 @@
 	}
 	is.NoErr(call("/warm"))
 	is.True(errors.Is(call("/redeem"), kingcuphook.ErrOutcomeUnknown))
-	is.Equal(runs, 1)
+	is.Equal(runs.Load(), int64(1))
 }
 
 func TestRefusalSaysNotStarted(t *testing.T) {
