--- a/server/errors.go
+++ b/server/errors.go
@@ -22,6 +22,12 @@
 	codeInternal    = "internal"
 )
 
+// Codes of the dispatcher that have a status of their own.
+const (
+	codeAlreadyClaimed = "already-claimed"
+	codeKeyReused      = "key-reused"
+)
+
 // retryWhenNotReady is when a caller of a router without tables comes back.
 const retryWhenNotReady = time.Second
 
@@ -124,6 +130,8 @@
 	switch {
 	case e.Code == codeNoRoute:
 		return http.StatusNotFound
+	case e.Code == codeAlreadyClaimed, e.Code == codeKeyReused:
+		return http.StatusConflict
 	case errors.Is(e.Err, kingcuphook.ErrTooLarge) && e.Ran == kingcuphook.RunStateNotRun:
 		return http.StatusRequestEntityTooLarge
 	case errors.Is(e.Err, kingcuphook.ErrInvalid):
@@ -136,7 +144,7 @@
 		return http.StatusUnprocessableEntity
 	case errors.Is(e.Err, kingcuphook.ErrDeadline):
 		return http.StatusGatewayTimeout
-	case e.Ran == kingcuphook.RunStateNotRun:
+	case e.Ran == kingcuphook.RunStateNotRun, errors.Is(e.Err, kingcuphook.ErrUnavailable) && e.RetryAfter > 0:
 		return http.StatusServiceUnavailable
 	default:
 		return http.StatusBadGateway
