--- a/throttler/throttler_test.go
+++ b/throttler/throttler_test.go
@@ -211,3 +211,64 @@
 	is.Equal(len(th.limits), 1)
 	is.Equal(len(th.peers), 0)
 }
+
+func TestForgetDropsWhatAPeerTold(t *testing.T) {
+	is := is.New(t)
+	th := &Throttler{}
+	th.SetRouters(2)
+	th.Allow(start, []Limit{{Key: 1, Rate: 1}})
+	th.Learn(start, "peer", []Rate{{Key: 1, Rate: 30}})
+	is.True(th.Demand(start, 1) >= 30)
+	th.SetRouters(1)
+	th.Forget("peer")
+	is.True(th.Demand(start, 1) < 1)
+	is.Equal(th.Demand(start, 2), 0.0)
+}
+
+func TestLimitsPastTheBoundPass(t *testing.T) {
+	is := is.New(t)
+	th := &Throttler{MaxKeys: 1}
+	th.Allow(start, []Limit{{Key: 1, Rate: 1}})
+	for range 100 {
+		ok, _ := th.Allow(start, []Limit{{Key: 2, Rate: 1}})
+		is.True(ok)
+	}
+	is.Equal(len(th.limits), 1)
+}
+
+func TestDemandIsExtendedToRoutersNotHeardOf(t *testing.T) {
+	is := is.New(t)
+	th := &Throttler{}
+	th.SetRouters(8)
+	th.Allow(start, []Limit{{Key: 1, Rate: 1}})
+	own := th.Demand(start, 1) / 8
+	th.Learn(start, "peer", []Rate{{Key: 1, Rate: 30}})
+	is.Equal(th.Demand(start, 1), (own+30)*8/2)
+}
+
+func TestDemandIsExtendedToRatesNotYetTold(t *testing.T) {
+	is := is.New(t)
+	th := &Throttler{DigestRates: 2}
+	th.SetRouters(2)
+	for key := range uint64(4) {
+		th.Allow(start, []Limit{{Key: key, Rate: 0.1}})
+	}
+	own := th.Demand(start, 1) / 2
+	is.Equal(len(th.Tell(start)), 4)
+	th.Learn(start, "peer", []Rate{{Key: 1, Rate: 30}, {Key: 2, Rate: 30}})
+	is.Equal(th.Demand(start, 1), own+60)
+}
+
+func TestPeersAreToldThatALimitHasCooledDown(t *testing.T) {
+	is := is.New(t)
+	th := &Throttler{}
+	th.SetRouters(2)
+	for range 100 {
+		th.Allow(start, []Limit{{Key: 1, Rate: 10}})
+	}
+	is.Equal(len(th.Tell(start)), 1)
+	told := th.Tell(start.Add(50 * time.Second))
+	is.Equal(len(told), 1)
+	is.True(told[0].Rate < 0.1)
+	is.Equal(len(th.Tell(start.Add(2*time.Minute))), 0)
+}
