--- a/limiter/learn.go
+++ b/limiter/learn.go
@@ -43,7 +43,7 @@
 	// usualStep weighs a new sample in the usual delays.
 	usualStep = 0.05
 	// endedCount bounds the ended attempts remembered for late reports.
-	endedCount = 512
+	endedCount = 128
 )
 
 // upstream is what is known of one upstream.
