--- a/editor/editor.go
+++ b/editor/editor.go
@@ -23,6 +23,9 @@
 const (
 	// maxAttempts bounds the compare-and-swaps of one edit.
 	maxAttempts = 16
+	// maxOlderReads is how often a head is read that is older than what is in force,
+	// before it is taken for more than a stale read.
+	maxOlderReads = 4
 	// retryDelay is the wait before a further attempt; it doubles each time.
 	retryDelay = 20 * time.Millisecond
 	// maxRetryDelay bounds the wait.
@@ -97,6 +100,14 @@
 	return e.turn.Acquire(ctx, 1)
 }
 
+// accept takes the state in which an edit is accepted.
+func (e *Editor) accept(s *differ.Snapshot) {
+	e.last = s
+	if e.OnAccept != nil {
+		e.OnAccept(s)
+	}
+}
+
 func (e *Editor) inForce() (*differ.Snapshot, bool) {
 	if e.InForce == nil {
 		return differ.EmptySnapshot(), true
--- a/selector/score.go
+++ b/selector/score.go
@@ -53,6 +53,10 @@
 	holdForCache = 0.15
 	// holdGain is the prefill time that is worth such a wait.
 	holdGain = 50 * time.Millisecond
+	// disturbing is the prefill time that disturbs answers of the highest tier,
+	// disturbWait the share of the latency target that a request avoids it for.
+	disturbing  = 50 * time.Millisecond
+	disturbWait = 0.2
 	// spillStop is the share of the target below which the local prediction
 	// must fall to stop spilling.
 	spillStop = 0.7
@@ -311,12 +315,16 @@
 	}
 	q.key = chain[0]
 	branched := false
+	var last [maxHolders]holder
 	for i := len(chain) - 1; i >= 0; i-- {
 		b := s.index.find(chain[i])
 		if b == nil {
 			continue
 		}
-		q.hold(s, b, min((i+1)*hasher.BlockTokens, q.request.PromptTokens()))
+		if b.holders != last {
+			q.hold(s, b, min((i+1)*hasher.BlockTokens, q.request.PromptTokens()))
+			last = b.holders
+		}
 		if b.branched && !branched {
 			q.key, branched = chain[i], true
 		}
@@ -367,13 +375,18 @@
 		return -1
 	}
 	from := len(s.scratch)
+	holders := s.weighHolders(q, g)
+	best := s.best(from)
+	if best >= 0 && s.scratch[best].cached > 0 && !s.crowded(q.request, best) {
+		return best
+	}
 	var ranked [wide]*tracker
 	n := g.rank(q.key, ranked[:])
-	if s.weighHolders(q, g) == 0 {
+	if holders == 0 {
 		s.turn(q.key, ranked[:min(n, spread)])
 	}
 	s.weighAll(q, g, ranked[:min(n, narrow)])
-	best := s.best(from)
+	best = s.best(from)
 	if best >= 0 && !s.crowded(q.request, best) {
 		return best
 	}
@@ -396,8 +409,8 @@
 func (g *group) rank(key uint64, dst []*tracker) int {
 	var scores [wide]uint64
 	n := 0
-	for _, t := range g.trackers {
-		score := mix(key ^ t.seed)
+	for at, seed := range g.seeds {
+		score := mix(key ^ seed)
 		if n == len(dst) && score <= scores[n-1] {
 			continue
 		}
@@ -409,7 +422,7 @@
 			scores[i], dst[i] = scores[i-1], dst[i-1]
 			i--
 		}
-		scores[i], dst[i] = score, t
+		scores[i], dst[i] = score, g.trackers[at]
 	}
 	return n
 }
@@ -494,12 +507,13 @@
 	}
 	c.gap = t.gapShare(q.now, r)
 	c.cost = c.predicted + s.overrun(r, c.gap) + t.imposed(r.PromptTokens()-c.cached)
-	c.refused = s.refuse(q, t)
+	c.refused = s.refuse(q, &c)
 	s.scratch = append(s.scratch, c)
 }
 
 // refuse returns why the upstream can't take the request now, or nothing.
-func (s *Selector) refuse(q *query, t *tracker) string {
+func (s *Selector) refuse(q *query, c *scored) string {
+	t := c.tracker
 	address := t.upstream.Address()
 	switch {
 	case slices.Contains(q.excluded, address):
@@ -508,6 +522,8 @@
 		return reasonLeaving
 	case q.usable != nil && !q.usable(address):
 		return reasonUnusable
+	case !s.NoProtect && s.disturbs(q, c):
+		return reasonDisturbs
 	case !s.NoReserve && s.reserve.full(q.now, q.request, t):
 		return reasonReserved
 	default:
@@ -515,6 +531,18 @@
 	}
 }
 
+// disturbs reports whether prefilling the prompt would delay answers of the
+// highest tier that this router has on the upstream. The request doesn't wait
+// long for their end.
+func (s *Selector) disturbs(q *query, c *scored) bool {
+	r := q.request
+	if r.Tier() == kingcuphook.HighestTier || c.tracker.top == 0 || r.Target() == 0 {
+		return false
+	}
+	prefill := float64(r.PromptTokens()-c.cached) * c.tracker.first.slope
+	return prefill > disturbing.Seconds() && float64(q.waited()) < disturbWait*float64(r.Target())
+}
+
 // best returns the usable candidate with the lowest prediction, or -1. Of equal
 // ones the first is taken.
 func (s *Selector) best(from int) int {
