Do not blame an upstream for a caller that takes its time

A caller that took 20 s for a piece of its stream had its attempt cut off as silent, and its time counted as the upstream's time between tokens. The wait now stands still while the router writes, and the gap counts from then on.

--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -51,6 +51,8 @@
 	faults []runner.Fault
 	text   strings.Builder
 	gone   bool
+	// slow is how long the caller takes for each piece.
+	slow time.Duration
 }
 
 func (r *rig) Acquire(ctx context.Context, _ *kingcuphook.Request, excluded []string) (kingcuphook.Slot, error) {
@@ -75,6 +77,7 @@
 	if r.gone {
 		return errors.New("gone")
 	}
+	time.Sleep(r.slow)
 	r.text.WriteString(text)
 	return nil
 }
@@ -286,6 +289,48 @@
 	return kingcuphook.Answer{}, f.err
 }
 
+// TestSlowCallerIsNoSilence wants the upstream not to be blamed for a caller that
+// takes its time.
+func TestSlowCallerIsNoSilence(t *testing.T) {
+	test(t, []bool{true, true}, func(r *rig) {
+		r.slow = 20 * time.Second
+		_, err := r.call(stream)
+		r.True(err == nil)
+		r.Equal(len(r.engine.Runs()), 1)
+		r.Equal(r.Counts().Silent, 0)
+		r.Equal(r.slots[0].sample.FirstToken, 10*time.Millisecond)
+		r.Equal(r.slots[0].sample.TokenGap, 10*time.Millisecond)
+	})
+}
+
+// chatter sends foreign frames for ever.
+type chatter struct{ instant }
+
+func (c chatter) Start(context.Context, *kingcuphook.Upstream, *kingcuphook.Attempt) (kingcuphook.Stream, error) {
+	return c, nil
+}
+
+func (chatter) Next(ctx context.Context) (kingcuphook.Frame, error) {
+	time.Sleep(100 * time.Millisecond)
+	return kingcuphook.NewFrame("other", 0, kingcuphook.FrameKindData, "x"), ctx.Err()
+}
+
+func (chatter) Close() error { return nil }
+
+// TestRefusedFramesAreSilence wants frames that do not count to be no sign of
+// life.
+func TestRefusedFramesAreSilence(t *testing.T) {
+	test(t, []bool{true}, func(r *rig) {
+		r.Engine = chatter{}
+		r.Limits.Attempts = 1
+		began := time.Now()
+		_, err := r.call(stream)
+		r.Equal(err.Ran, kingcuphook.RunStateUnknown)
+		r.Equal(r.Counts().Silent, 1)
+		r.True(time.Since(began) < 11*time.Second)
+	})
+}
+
 func TestCancelReachesTheEngine(t *testing.T) {
 	test(t, []bool{true}, func(r *rig) {
 		ctx, cancel := context.WithTimeout(context.Background(), 55*time.Millisecond)
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -83,6 +83,21 @@
 	w.timer.Reset(w.detector.Due().Sub(now))
 }
 
+// suspend stops the wait while the router itself is busy, as it is with a caller
+// that takes its time.
+func (w *watch) suspend() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer.Stop()
+}
+
+// resume goes on with the wait as it stood.
+func (w *watch) resume() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer.Reset(time.Until(w.detector.Due()))
+}
+
 func (w *watch) stop() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -158,6 +173,8 @@
 		if err != nil {
 			return cut(ctx, err)
 		}
+		arrived := time.Now()
+		w.suspend()
 		ok, err := r.answer.Accept(f)
 		if errors.Is(err, kingcuphook.ErrTooLarge) {
 			return &finalError{err}
@@ -166,18 +183,21 @@
 			return &guardError{err}
 		}
 		if !ok {
+			w.resume()
 			continue
 		}
-		w.heard()
 		if f.Kind() != kingcuphook.FrameKindData {
+			w.heard()
 			continue
 		}
 		if err := r.accepted(f); err != nil {
 			return err
 		}
-		last = observe(sample, began, last)
+		observe(sample, arrived.Sub(began), arrived.Sub(last))
+		last = time.Now()
 		r.trial.survived(sample.Tokens)
 		slot.Progress(r.answer.Position())
+		w.heard()
 	}
 	return nil
 }
@@ -201,14 +221,13 @@
 	return nil
 }
 
-// observe adds a token to the sample and returns its time.
-func observe(s *kingcuphook.Sample, began, last time.Time) time.Time {
-	now := time.Now()
+// observe adds a token to the sample. The gap counts from when the router was
+// ready for the token, so that a slow caller does not make its upstream slow.
+func observe(s *kingcuphook.Sample, first, gap time.Duration) {
 	s.Tokens++
 	if s.Tokens == 1 {
-		s.FirstToken = now.Sub(began)
-		return now
+		s.FirstToken = first
+		return
 	}
-	s.TokenGap += (now.Sub(last) - s.TokenGap) / time.Duration(s.Tokens-1)
-	return now
+	s.TokenGap += (gap - s.TokenGap) / time.Duration(s.Tokens-1)
 }
