--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -44,6 +44,7 @@
 
 func last(t *testing.T, events *[]Event) Event {
 	t.Helper()
+	synctest.Wait()
 	if len(*events) == 0 {
 		t.Fatal("no event")
 	}
--- a/follower/outage_test.go
+++ b/follower/outage_test.go
@@ -55,6 +55,7 @@
 	c.edit(t, "1")
 	c.start(*FleetNodes, outageCentres, 10, false)
 	time.Sleep(time.Minute)
+	synctest.Wait()
 	clear(c.calls)
 	return c
 }
@@ -138,6 +139,7 @@
 				c.set(storer.Fault{})
 				c.edit(t, "2")
 				time.Sleep(convergence)
+				synctest.Wait()
 				is.Equal(c.watching(), int64(2))
 				t.Logf("most calls in a second: %d; events: %v", c.peak(), c.events)
 				is.True(c.peak() <= maxCalls)
