--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -24,7 +24,7 @@
 	// the changes in between go together.
 	sourcePause = 1400 * time.Millisecond
 	// relayPause separates two pushes of a router that learned from a peer.
-	relayPause = 500 * time.Millisecond
+	relayPause = 200 * time.Millisecond
 	// isolationTimeout is how long without a successful exchange a router
 	// blames itself and not the others.
 	isolationTimeout = 6 * time.Second
