--- a/editor/editor.go
+++ b/editor/editor.go
@@ -23,6 +23,9 @@
 const (
 	// maxAttempts bounds the compare-and-swaps of one edit.
 	maxAttempts = 16
+	// maxOlderReads is how often a head is read that is older than what is in force,
+	// before it is taken for more than a stale read.
+	maxOlderReads = 4
 	// retryDelay is the wait before a further attempt; it doubles each time.
 	retryDelay = 20 * time.Millisecond
 	// maxRetryDelay bounds the wait.
@@ -97,6 +100,14 @@
 	return e.turn.Acquire(ctx, 1)
 }
 
+// accept takes the state in which an edit is accepted.
+func (e *Editor) accept(s *differ.Snapshot) {
+	e.last = s
+	if e.OnAccept != nil {
+		e.OnAccept(s)
+	}
+}
+
 func (e *Editor) inForce() (*differ.Snapshot, bool) {
 	if e.InForce == nil {
 		return differ.EmptySnapshot(), true
@@ -143,7 +154,9 @@
 }
 
 // Rollback makes a new edit that gives the tables the rows they had at an
-// earlier revision; the routes and pools of edit are ignored. Its errors are
+// earlier revision; the routes, pools and patch of edit are ignored. On
+// BaseNewest it undoes everything since. On the base that a single edit made, and
+// to the revision before, it undoes that edit alone. Its errors are
 // those of Apply; ErrCompacted says that the revision is no longer kept.
 func (e *Editor) Rollback(ctx context.Context, edit Edit, revision int64) (Result, error) {
 	l := loader.Loader{Store: e.Store}
@@ -158,6 +171,7 @@
 	name := fmt.Sprintf("revision %d", revision)
 	edit.Routes = parser.NewRouteTable(name, t.Routes())
 	edit.Pools = parser.NewPoolTable(name, t.Pools())
+	edit.Patch = nil
 	return e.Apply(ctx, edit)
 }
 
--- a/follower/fanout_test.go
+++ b/follower/fanout_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/editor"
 	"github.com/kingcuphook/kingcuphook/emulator/storer"
 	"github.com/kingcuphook/kingcuphook/encoder"
 	"github.com/kingcuphook/kingcuphook/exchanger"
@@ -69,6 +70,8 @@
 	store  *storer.Store
 	nodes  []*node
 	byAddr map[string]*node
+	// onEvent is told the events of all followers; may be nil.
+	onEvent func(Event)
 }
 
 func newFanout(t *testing.T, n, centres, regions int, everyWatches bool) *fanout {
@@ -87,9 +90,8 @@
 	}
 	for i, vm := range vms {
 		nd := &node{address: vm.Address()}
-		nd.watches.Store(everyWatches)
 		nd.f = &Follower{
-			Store: meteredStore{Store: f.store, n: nd}, IsWatcher: nd.watches.Load, Rand: rand.New(rand.NewPCG(uint64(i), 1)),
+			Store: meteredStore{Store: f.store, n: nd}, IsWatcher: nd.watches.Load, Rand: rand.New(rand.NewPCG(uint64(i), 1)), OnEvent: f.onEvent,
 		}
 		nd.g = &gossiper.Gossiper{
 			Address: vm.Address(), Location: gossiper.Location{Region: vm.Region(), DataCentre: vm.DataCentre()},
@@ -103,6 +105,7 @@
 			return data
 		}
 		nd.g.SetHints(time.Now(), vms)
+		nd.watches.Store(everyWatches || nd.g.Watches(time.Now()))
 		f.nodes = append(f.nodes, nd)
 		f.byAddr[nd.address] = nd
 		go nd.f.Run(f.t.Context())
@@ -169,12 +172,13 @@
 // edit makes edits at the given rate for a while and returns the longest time
 // until one was in force everywhere.
 func (f *fanout) edit(rng *rand.Rand, d time.Duration, everyWatches bool) time.Duration {
+	e := editor.Editor{Store: f.store}
 	accepted := make(map[int64]time.Time)
 	var slowest time.Duration
 	next, revision := time.Now(), int64(0)
 	for end := time.Now().Add(d); time.Now().Before(end) || len(accepted) > 0; {
 		if !time.Now().Before(next) && time.Now().Before(end) {
-			revision = editRoute(f.t, f.store, kingcuphook.RouteFields{
+			revision = editRoute(f.t, &e, kingcuphook.RouteFields{
 				Name: "organisation-17-class-2", Organisation: "organisation-17", Class: "class-2", Tier: 2, Rate: rng.Float64(),
 			})
 			accepted[revision] = time.Now()
