--- a/selector/score.go
+++ b/selector/score.go
@@ -29,9 +29,9 @@
 	// widens the candidates.
 	widenShare = 0.5
 	// safeGap is the share of the token target that a predicted gap may take up.
-	safeGap = 0.8
+	safeGap = 0.75
 	// riskyGap is the share from which on a request rather waits.
-	riskyGap = 0.9
+	riskyGap = 0.8
 	// gapCaution is how many mean deviations above the mean the predicted gap of
 	// the highest tier lies.
 	gapCaution = 1.0
@@ -47,7 +47,7 @@
 	// holdForGap and holdForCache are the shares of the latency target that a
 	// request waits for an upstream that keeps its token target, and for one that
 	// has its prompt cached.
-	holdForGap   = 0.4
+	holdForGap   = 0.6
 	holdForCache = 0.15
 	// holdGain is the prefill time that is worth such a wait.
 	holdGain = 50 * time.Millisecond
