--- a/selector/score.go
+++ b/selector/score.go
@@ -29,9 +29,9 @@
 	// widens the candidates.
 	widenShare = 0.5
 	// safeGap is the share of the token target that a predicted gap may take up.
-	safeGap = 0.75
+	safeGap = 0.65
 	// riskyGap is the share from which on a request rather waits.
-	riskyGap = 0.8
+	riskyGap = 0.7
 	// gapCaution is how many mean deviations above the mean the predicted gap of
 	// the highest tier lies.
 	gapCaution = 1.0
