--- a/selector/reserve.go
+++ b/selector/reserve.go
@@ -10,7 +10,7 @@
 const (
 	// suitedShare is the share of the highest tier's token target that a full
 	// upstream may take to be suited to that tier.
-	suitedShare = 0.9
+	suitedShare = 0.75
 	// reserveFactor and reserveSlack say how many slots are kept for the highest
 	// tier, from what it has used lately.
 	reserveFactor = 2.0
