--- a/cmd/kingcuphook/client.go
+++ b/cmd/kingcuphook/client.go
@@ -57,8 +57,8 @@
 	c := commandsclient.NewClient(scheme, global.API, doer, enc, dec, false)
 	q := queriesclient.NewClient(scheme, global.API, doer, enc, dec, false)
 	return &client{
-		commands: commands.NewClient(c.Apply(), c.Rollback(), c.Lift()),
-		queries:  queries.NewClient(q.Table(), q.History(), q.Diff(), q.Status(), q.Explain(), q.Quarantine()),
+		commands: commands.NewClient(c.Apply(), c.Patch(), c.Rollback(), c.Lift()),
+		queries:  queries.NewClient(q.Table(), q.History(), q.Outcome(), q.Diff(), q.Status(), q.Explain(), q.Quarantine()),
 		token:    token,
 	}, nil
 }
--- a/cmd/kingcuphook/main.go
+++ b/cmd/kingcuphook/main.go
@@ -87,6 +87,8 @@
 		{"serve", "run a router", "Runs a router until SIGTERM or SIGINT, then stops as planned: requests in progress end whole.", &serveCommand{}},
 		{"routes", "show and edit the table of routes", "Shows and edits the table of routes.", newTableCommand("routes")},
 		{"pools", "show and edit the table of pools", "Shows and edits the table of pools.", newTableCommand("pools")},
+		{"patch", "put or remove single rows of the tables", "Puts single rows into the tables or removes them, as one edit. A row that is there is replaced.", &patchCommand{}},
+		{"outcome", "show what became of an edit", "Shows whether an edit was accepted or refused, by its identifier.", &outcomeCommand{}},
 		{"status", "show the state of a router", "Shows the state of a router, its peers, pools and upstreams.", &statusCommand{}},
 		{"explain", "show the path of a request", "Shows the path of a request through the router: class, tier, queue, candidates, attempts, outcome.", &explainCommand{}},
 		{"quarantine", "show and lift quarantines", "Shows the request bodies that are refused because they crashed upstreams, or lifts one.", &quarantineCommand{}},
--- a/cmd/kingcuphook/tables.go
+++ b/cmd/kingcuphook/tables.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -168,18 +167,7 @@
 		EditID:       &opts.EditID,
 		Author:       global.Author,
 	})
-	if err != nil {
-		err = explainError(err, true)
-		if errors.Is(err, kingcuphook.ErrOutcomeUnknown) {
-			return fmt.Errorf("it is not known whether edit %s was accepted; ask with history, or repeat with --edit-id %s: %w", opts.EditID, opts.EditID, err)
-		}
-		return err
-	}
-	fmt.Fprintf(stdout, "revision %d, edit %s\n", applied.Revision, applied.EditID)
-	if !opts.Wait {
-		return nil
-	}
-	return c.waitInForce(applied.Revision, opts.Timeout)
+	return c.report(applied, err, opts)
 }
 
 func readInput(file string) (string, error) {
@@ -325,25 +313,3 @@
 		fmt.Fprintln(stdout)
 	}
 }
-
-type rollbackCommand struct {
-	Args struct {
-		Revision int64 `positional-arg-name:"REVISION" description:"Revision to restore"`
-	} `positional-args:"yes" required:"yes"`
-}
-
-// Execute implements flags.Commander.
-func (c *rollbackCommand) Execute([]string) error {
-	cl, err := newClient()
-	if err != nil {
-		return err
-	}
-	ctx, cancel := bounded()
-	defer cancel()
-	applied, err := cl.commands.Rollback(ctx, &commands.RollbackPayload{Token: &cl.token, Revision: c.Args.Revision, Author: global.Author})
-	if err != nil {
-		return explainError(err, true)
-	}
-	fmt.Fprintf(stdout, "revision %d, edit %s\n", applied.Revision, applied.EditID)
-	return nil
-}
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -44,9 +44,6 @@
 type Commander struct {
 	// Editor applies edits; never nil.
 	Editor *editor.Editor
-	// Refresh puts an accepted edit in force on this router; nil leaves that to
-	// the router's watch.
-	Refresh func(ctx context.Context)
 	// Lifter lifts quarantines; nil knows none.
 	Lifter Lifter
 	// Token is what callers must show; never empty.
@@ -87,7 +84,7 @@
 	if err != nil {
 		return nil, c.refused(err, edit)
 	}
-	return c.accepted(ctx, edit, result), nil
+	return c.accepted(edit, result), nil
 }
 
 func parse(edit *editor.Edit, table, text string) error {
@@ -100,6 +97,24 @@
 	return err
 }
 
+// Patch implements commands.Service.
+func (c *Commander) Patch(ctx context.Context, p *commands.PatchPayload) (*commands.Applied, error) {
+	edit := editor.Edit{Author: p.Author, Base: editor.BaseNewest}
+	if p.EditID != nil {
+		edit.ID = *p.EditID
+	}
+	var err error
+	if edit.Patch, err = parser.ParsePatch("patch", []byte(p.Text)); err != nil {
+		c.Editor.Refused(ctx, edit, err)
+		return nil, c.refused(err, edit)
+	}
+	result, err := c.Editor.Apply(ctx, edit)
+	if err != nil {
+		return nil, c.refused(err, edit)
+	}
+	return c.accepted(edit, result), nil
+}
+
 // Rollback implements commands.Service.
 func (c *Commander) Rollback(ctx context.Context, p *commands.RollbackPayload) (*commands.Applied, error) {
 	edit := editor.Edit{
@@ -107,19 +122,19 @@
 		Base:   editor.BaseNewest,
 		Reason: fmt.Sprintf("rollback to revision %d", p.Revision),
 	}
+	if p.Only {
+		edit.Base = p.Revision + 1
+		edit.Reason = fmt.Sprintf("takes back revision %d", edit.Base)
+	}
 	result, err := c.Editor.Rollback(ctx, edit, p.Revision)
 	if err != nil {
 		return nil, c.refused(err, edit)
 	}
-	return c.accepted(ctx, edit, result), nil
+	return c.accepted(edit, result), nil
 }
 
-// accepted logs an accepted edit, puts it in force here and returns the API's
-// answer for it.
-func (c *Commander) accepted(ctx context.Context, edit editor.Edit, result editor.Result) *commands.Applied {
-	if c.Refresh != nil {
-		c.Refresh(ctx)
-	}
+// accepted logs an accepted edit and returns the API's answer for it.
+func (c *Commander) accepted(edit editor.Edit, result editor.Result) *commands.Applied {
 	c.Log.Log(logger.EditAccepted, "edit", result.EditID, "author", edit.Author,
 		"revision", result.Revision, "rows", result.Rows)
 	return &commands.Applied{Revision: result.Revision, EditID: result.EditID}
@@ -160,6 +175,7 @@
 	case errors.As(err, &unknown):
 		p.Name = nameUnknown
 		p.EditID = &unknown.EditID
+		p.Expect = &unknown.Expect
 	case errors.Is(err, kingcuphook.ErrInvalid), errors.Is(err, kingcuphook.ErrTooLarge):
 		p.Name = nameInvalid
 	case errors.Is(err, kingcuphook.ErrConflict), errors.Is(err, kingcuphook.ErrCompacted):
--- a/design/design.go
+++ b/design/design.go
@@ -31,6 +31,7 @@
 	Attribute("file", String, "File or table that was refused.")
 	Attribute("line", Int, "Line that was refused, counted from 1.")
 	Attribute("edit-id", String, "Identifier of the edit.")
+	Attribute("expect", Int64, "For an unknown outcome: what to ask for the edit with.")
 	Required("name", "message")
 })
 
@@ -186,11 +187,29 @@
 		})
 	})
 
+	Method("patch", func() {
+		Description("Puts single rows into the tables or removes them.")
+		Payload(func() {
+			APIKey("operator-token", "token", String)
+			Attribute("text", String, "The rows in TOML.", func() { MaxLength(16 << 20) })
+			Attribute("edit-id", String, "Identifier chosen by the operator; made up if empty.", func() { MaxLength(64) })
+			Attribute("author", String, "Who makes the edit.", func() { MaxLength(128) })
+			Required("text", "author")
+		})
+		Result(Applied)
+		HTTP(func() {
+			POST("/v1/patch")
+			Header("token:X-Operator-Token")
+			Response(StatusOK)
+		})
+	})
+
 	Method("rollback", func() {
-		Description("Makes a new edit that restores the tables of an older revision.")
+		Description("Makes a new edit that restores the tables of an older revision, or takes one edit back.")
 		Payload(func() {
 			APIKey("operator-token", "token", String)
 			Attribute("revision", Int64, "Revision to restore.")
+			Attribute("only", Boolean, "Take back the edit that made the next revision, and keep later ones.", func() { Default(false) })
 			Attribute("author", String, "Who makes the edit.", func() { MaxLength(128) })
 			Required("revision", "author")
 		})
@@ -270,6 +289,28 @@
 		})
 	})
 
+	Method("outcome", func() {
+		Description("Returns what became of an edit.")
+		Payload(func() {
+			APIKey("operator-token", "token", String)
+			Attribute("edit-id", String, "Identifier of the edit.", func() { MaxLength(64) })
+			Attribute("expect", Int64, "What an unknown outcome said to ask with; 0 if not known.")
+			Required("edit-id")
+		})
+		Result(func() {
+			Attribute("fate", String, "accepted, refused, not-accepted or unknown.")
+			Attribute("revision", Int64, "Revision that an accepted edit made.")
+			Attribute("reason", String, "Why it was refused.")
+			Required("fate")
+		})
+		HTTP(func() {
+			GET("/v1/edits/{edit-id}")
+			Param("expect")
+			Header("token:X-Operator-Token")
+			Response(StatusOK)
+		})
+	})
+
 	Method("diff", func() {
 		Description("Returns the rows that differ between two revisions.")
 		Payload(func() {
--- a/gen/commands/client.go
+++ b/gen/commands/client.go
@@ -16,14 +16,16 @@
 // Client is the "commands" service client.
 type Client struct {
 	ApplyEndpoint    goa.Endpoint
+	PatchEndpoint    goa.Endpoint
 	RollbackEndpoint goa.Endpoint
 	LiftEndpoint     goa.Endpoint
 }
 
 // NewClient initializes a "commands" service client given the endpoints.
-func NewClient(apply, rollback, lift goa.Endpoint) *Client {
+func NewClient(apply, patch, rollback, lift goa.Endpoint) *Client {
 	return &Client{
 		ApplyEndpoint:    apply,
+		PatchEndpoint:    patch,
 		RollbackEndpoint: rollback,
 		LiftEndpoint:     lift,
 	}
@@ -47,6 +49,24 @@
 	return ires.(*Applied), nil
 }
 
+// Patch calls the "patch" endpoint of the "commands" service.
+// Patch may return the following errors:
+//   - "invalid" (type *Problem): The edit was refused whole.
+//   - "conflict" (type *Problem): Another edit changed the same row.
+//   - "unavailable" (type *Problem): The store took no edit; nothing was changed.
+//   - "unknown" (type *Problem): The store's reply was lost; ask again for the edit by its identifier.
+//   - "unauthorized" (type *Problem): The token is missing or wrong.
+//   - "not-found" (type *Problem): There is no such thing.
+//   - error: internal error
+func (c *Client) Patch(ctx context.Context, p *PatchPayload) (res *Applied, err error) {
+	var ires any
+	ires, err = c.PatchEndpoint(ctx, p)
+	if err != nil {
+		return
+	}
+	return ires.(*Applied), nil
+}
+
 // Rollback calls the "rollback" endpoint of the "commands" service.
 // Rollback may return the following errors:
 //   - "invalid" (type *Problem): The edit was refused whole.
--- a/gen/commands/endpoints.go
+++ b/gen/commands/endpoints.go
@@ -17,6 +17,7 @@
 // Endpoints wraps the "commands" service endpoints.
 type Endpoints struct {
 	Apply    goa.Endpoint
+	Patch    goa.Endpoint
 	Rollback goa.Endpoint
 	Lift     goa.Endpoint
 }
@@ -27,6 +28,7 @@
 	a := s.(Auther)
 	return &Endpoints{
 		Apply:    NewApplyEndpoint(s, a.APIKeyAuth),
+		Patch:    NewPatchEndpoint(s, a.APIKeyAuth),
 		Rollback: NewRollbackEndpoint(s, a.APIKeyAuth),
 		Lift:     NewLiftEndpoint(s, a.APIKeyAuth),
 	}
@@ -35,6 +37,7 @@
 // Use applies the given middleware to all the "commands" service endpoints.
 func (e *Endpoints) Use(m func(goa.Endpoint) goa.Endpoint) {
 	e.Apply = m(e.Apply)
+	e.Patch = m(e.Patch)
 	e.Rollback = m(e.Rollback)
 	e.Lift = m(e.Lift)
 }
@@ -62,6 +65,29 @@
 	}
 }
 
+// NewPatchEndpoint returns an endpoint function that calls the method "patch"
+// of service "commands".
+func NewPatchEndpoint(s Service, authAPIKeyFn security.AuthAPIKeyFunc) goa.Endpoint {
+	return func(ctx context.Context, req any) (any, error) {
+		p := req.(*PatchPayload)
+		var err error
+		sc := security.APIKeyScheme{
+			Name:           "operator-token",
+			Scopes:         []string{},
+			RequiredScopes: []string{},
+		}
+		var key string
+		if p.Token != nil {
+			key = *p.Token
+		}
+		ctx, err = authAPIKeyFn(ctx, key, &sc)
+		if err != nil {
+			return nil, err
+		}
+		return s.Patch(ctx, p)
+	}
+}
+
 // NewRollbackEndpoint returns an endpoint function that calls the method
 // "rollback" of service "commands".
 func NewRollbackEndpoint(s Service, authAPIKeyFn security.AuthAPIKeyFunc) goa.Endpoint {
--- a/gen/commands/service.go
+++ b/gen/commands/service.go
@@ -17,7 +17,10 @@
 type Service interface {
 	// Replaces the text of one table, row by row against the base revision.
 	Apply(context.Context, *ApplyPayload) (res *Applied, err error)
-	// Makes a new edit that restores the tables of an older revision.
+	// Puts single rows into the tables or removes them.
+	Patch(context.Context, *PatchPayload) (res *Applied, err error)
+	// Makes a new edit that restores the tables of an older revision, or takes one
+	// edit back.
 	Rollback(context.Context, *RollbackPayload) (res *Applied, err error)
 	// Lifts the quarantine of a request fingerprint.
 	Lift(context.Context, *LiftPayload) (err error)
@@ -43,7 +46,7 @@
 // MethodNames lists the service method names as defined in the design. These
 // are the same values that are set in the endpoint request contexts under the
 // MethodKey key.
-var MethodNames = [3]string{"apply", "rollback", "lift"}
+var MethodNames = [4]string{"apply", "patch", "rollback", "lift"}
 
 // Applied is the result type of the commands service apply method.
 type Applied struct {
@@ -77,11 +80,24 @@
 	Fingerprint string
 }
 
+// PatchPayload is the payload type of the commands service patch method.
+type PatchPayload struct {
+	Token *string
+	// The rows in TOML.
+	Text string
+	// Identifier chosen by the operator; made up if empty.
+	EditID *string
+	// Who makes the edit.
+	Author string
+}
+
 // RollbackPayload is the payload type of the commands service rollback method.
 type RollbackPayload struct {
 	Token *string
 	// Revision to restore.
 	Revision int64
+	// Take back the edit that made the next revision, and keep later ones.
+	Only bool
 	// Who makes the edit.
 	Author string
 }
@@ -113,6 +129,8 @@
 	Line *int
 	// Identifier of the edit.
 	EditID *string
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64
 }
 
 // Error returns an error description.
--- a/gen/http/commands/client/cli.go
+++ b/gen/http/commands/client/cli.go
@@ -24,7 +24,7 @@
 	{
 		err = json.Unmarshal([]byte(commandsApplyBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"author\": \"vv4\",\n      \"base-revision\": 1399024102140474601,\n      \"edit-id\": \"vsm\",\n      \"text\": \"q4z\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"author\": \"wwv\",\n      \"base-revision\": 8000633935886117962,\n      \"edit-id\": \"oz5\",\n      \"text\": \"n18\"\n   }'")
 		}
 		if utf8.RuneCountInString(body.Text) > 16777216 {
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.text", body.Text, utf8.RuneCountInString(body.Text), 16777216, false))
@@ -69,6 +69,47 @@
 	return v, nil
 }
 
+// BuildPatchPayload builds the payload for the commands patch endpoint from
+// CLI flags.
+func BuildPatchPayload(commandsPatchBody string, commandsPatchToken string) (*commands.PatchPayload, error) {
+	var err error
+	var body PatchRequestBody
+	{
+		err = json.Unmarshal([]byte(commandsPatchBody), &body)
+		if err != nil {
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"author\": \"uks\",\n      \"edit-id\": \"x7l\",\n      \"text\": \"pb7\"\n   }'")
+		}
+		if utf8.RuneCountInString(body.Text) > 16777216 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.text", body.Text, utf8.RuneCountInString(body.Text), 16777216, false))
+		}
+		if body.EditID != nil {
+			if utf8.RuneCountInString(*body.EditID) > 64 {
+				err = goa.MergeErrors(err, goa.InvalidLengthError("body.edit-id", *body.EditID, utf8.RuneCountInString(*body.EditID), 64, false))
+			}
+		}
+		if utf8.RuneCountInString(body.Author) > 128 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.author", body.Author, utf8.RuneCountInString(body.Author), 128, false))
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	var token *string
+	{
+		if commandsPatchToken != "" {
+			token = &commandsPatchToken
+		}
+	}
+	v := &commands.PatchPayload{
+		Text:   body.Text,
+		EditID: body.EditID,
+		Author: body.Author,
+	}
+	v.Token = token
+
+	return v, nil
+}
+
 // BuildRollbackPayload builds the payload for the commands rollback endpoint
 // from CLI flags.
 func BuildRollbackPayload(commandsRollbackBody string, commandsRollbackToken string) (*commands.RollbackPayload, error) {
@@ -77,7 +118,7 @@
 	{
 		err = json.Unmarshal([]byte(commandsRollbackBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"author\": \"z3j\",\n      \"revision\": 4461580232160684595\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"author\": \"qrs\",\n      \"only\": true,\n      \"revision\": 906986496393186609\n   }'")
 		}
 		if utf8.RuneCountInString(body.Author) > 128 {
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.author", body.Author, utf8.RuneCountInString(body.Author), 128, false))
@@ -94,8 +135,15 @@
 	}
 	v := &commands.RollbackPayload{
 		Revision: body.Revision,
+		Only:     body.Only,
 		Author:   body.Author,
 	}
+	{
+		var zero bool
+		if v.Only == zero {
+			v.Only = false
+		}
+	}
 	v.Token = token
 
 	return v, nil
--- a/gen/http/commands/client/client.go
+++ b/gen/http/commands/client/client.go
@@ -20,6 +20,9 @@
 	// Apply Doer is the HTTP client used to make requests to the apply endpoint.
 	ApplyDoer goahttp.Doer
 
+	// Patch Doer is the HTTP client used to make requests to the patch endpoint.
+	PatchDoer goahttp.Doer
+
 	// Rollback Doer is the HTTP client used to make requests to the rollback
 	// endpoint.
 	RollbackDoer goahttp.Doer
@@ -48,6 +51,7 @@
 ) *Client {
 	return &Client{
 		ApplyDoer:           doer,
+		PatchDoer:           doer,
 		RollbackDoer:        doer,
 		LiftDoer:            doer,
 		RestoreResponseBody: restoreBody,
@@ -82,6 +86,30 @@
 	}
 }
 
+// Patch returns an endpoint that makes HTTP requests to the commands service
+// patch server.
+func (c *Client) Patch() goa.Endpoint {
+	var (
+		encodeRequest  = EncodePatchRequest(c.encoder)
+		decodeResponse = DecodePatchResponse(c.decoder, c.RestoreResponseBody)
+	)
+	return func(ctx context.Context, v any) (any, error) {
+		req, err := c.BuildPatchRequest(ctx, v)
+		if err != nil {
+			return nil, err
+		}
+		err = encodeRequest(req, v)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := c.PatchDoer.Do(req)
+		if err != nil {
+			return nil, goahttp.ErrRequestError("commands", "patch", err)
+		}
+		return decodeResponse(resp)
+	}
+}
+
 // Rollback returns an endpoint that makes HTTP requests to the commands
 // service rollback server.
 func (c *Client) Rollback() goa.Endpoint {
--- a/gen/http/commands/client/encode_decode.go
+++ b/gen/http/commands/client/encode_decode.go
@@ -195,6 +195,173 @@
 	}
 }
 
+// BuildPatchRequest instantiates a HTTP request object with method and path
+// set to call the "commands" service "patch" endpoint
+func (c *Client) BuildPatchRequest(ctx context.Context, v any) (*http.Request, error) {
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: PatchCommandsPath()}
+	req, err := http.NewRequest("POST", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("commands", "patch", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// EncodePatchRequest returns an encoder for requests sent to the commands
+// patch server.
+func EncodePatchRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+	return func(req *http.Request, v any) error {
+		p, ok := v.(*commands.PatchPayload)
+		if !ok {
+			return goahttp.ErrInvalidType("commands", "patch", "*commands.PatchPayload", v)
+		}
+		if p.Token != nil {
+			head := *p.Token
+			req.Header.Set("X-Operator-Token", head)
+		}
+		body := NewPatchRequestBody(p)
+		if err := encoder(req).Encode(&body); err != nil {
+			return goahttp.ErrEncodingError("commands", "patch", err)
+		}
+		return nil
+	}
+}
+
+// DecodePatchResponse returns a decoder for responses returned by the commands
+// patch endpoint. restoreBody controls whether the response body should be
+// restored after having been read.
+// DecodePatchResponse may return the following errors:
+//   - "invalid" (type *commands.Problem): http.StatusUnprocessableEntity
+//   - "conflict" (type *commands.Problem): http.StatusConflict
+//   - "unavailable" (type *commands.Problem): http.StatusServiceUnavailable
+//   - "unknown" (type *commands.Problem): http.StatusBadGateway
+//   - "unauthorized" (type *commands.Problem): http.StatusUnauthorized
+//   - "not-found" (type *commands.Problem): http.StatusNotFound
+//   - error: internal error
+func DecodePatchResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusOK:
+			var (
+				body PatchResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("commands", "patch", err)
+			}
+			err = ValidatePatchResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("commands", "patch", err)
+			}
+			res := NewPatchAppliedOK(&body)
+			return res, nil
+		case http.StatusUnprocessableEntity:
+			var (
+				body PatchInvalidResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("commands", "patch", err)
+			}
+			err = ValidatePatchInvalidResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("commands", "patch", err)
+			}
+			return nil, NewPatchInvalid(&body)
+		case http.StatusConflict:
+			var (
+				body PatchConflictResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("commands", "patch", err)
+			}
+			err = ValidatePatchConflictResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("commands", "patch", err)
+			}
+			return nil, NewPatchConflict(&body)
+		case http.StatusServiceUnavailable:
+			var (
+				body PatchUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("commands", "patch", err)
+			}
+			err = ValidatePatchUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("commands", "patch", err)
+			}
+			return nil, NewPatchUnavailable(&body)
+		case http.StatusBadGateway:
+			var (
+				body PatchUnknownResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("commands", "patch", err)
+			}
+			err = ValidatePatchUnknownResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("commands", "patch", err)
+			}
+			return nil, NewPatchUnknown(&body)
+		case http.StatusUnauthorized:
+			var (
+				body PatchUnauthorizedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("commands", "patch", err)
+			}
+			err = ValidatePatchUnauthorizedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("commands", "patch", err)
+			}
+			return nil, NewPatchUnauthorized(&body)
+		case http.StatusNotFound:
+			var (
+				body PatchNotFoundResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("commands", "patch", err)
+			}
+			err = ValidatePatchNotFoundResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("commands", "patch", err)
+			}
+			return nil, NewPatchNotFound(&body)
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("commands", "patch", resp.StatusCode, string(body))
+		}
+	}
+}
+
 // BuildRollbackRequest instantiates a HTTP request object with method and path
 // set to call the "commands" service "rollback" endpoint
 func (c *Client) BuildRollbackRequest(ctx context.Context, v any) (*http.Request, error) {
--- a/gen/http/commands/client/paths.go
+++ b/gen/http/commands/client/paths.go
@@ -16,6 +16,11 @@
 	return fmt.Sprintf("/v1/tables/%v", table)
 }
 
+// PatchCommandsPath returns the URL path to the commands service patch HTTP endpoint.
+func PatchCommandsPath() string {
+	return "/v1/patch"
+}
+
 // RollbackCommandsPath returns the URL path to the commands service rollback HTTP endpoint.
 func RollbackCommandsPath() string {
 	return "/v1/rollback"
--- a/gen/http/commands/client/types.go
+++ b/gen/http/commands/client/types.go
@@ -25,11 +25,24 @@
 	Author string `form:"author" json:"author" xml:"author"`
 }
 
+// PatchRequestBody is the type of the "commands" service "patch" endpoint HTTP
+// request body.
+type PatchRequestBody struct {
+	// The rows in TOML.
+	Text string `form:"text" json:"text" xml:"text"`
+	// Identifier chosen by the operator; made up if empty.
+	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// Who makes the edit.
+	Author string `form:"author" json:"author" xml:"author"`
+}
+
 // RollbackRequestBody is the type of the "commands" service "rollback"
 // endpoint HTTP request body.
 type RollbackRequestBody struct {
 	// Revision to restore.
 	Revision int64 `form:"revision" json:"revision" xml:"revision"`
+	// Take back the edit that made the next revision, and keep later ones.
+	Only bool `form:"only" json:"only" xml:"only"`
 	// Who makes the edit.
 	Author string `form:"author" json:"author" xml:"author"`
 }
@@ -45,6 +58,17 @@
 	Rows []*RowResponseBody `form:"rows,omitempty" json:"rows,omitempty" xml:"rows,omitempty"`
 }
 
+// PatchResponseBody is the type of the "commands" service "patch" endpoint
+// HTTP response body.
+type PatchResponseBody struct {
+	// Revision of the tables with the edit.
+	Revision *int64 `form:"revision,omitempty" json:"revision,omitempty" xml:"revision,omitempty"`
+	// Identifier of the edit.
+	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// Rows that were changed.
+	Rows []*RowResponseBody `form:"rows,omitempty" json:"rows,omitempty" xml:"rows,omitempty"`
+}
+
 // RollbackResponseBody is the type of the "commands" service "rollback"
 // endpoint HTTP response body.
 type RollbackResponseBody struct {
@@ -69,6 +93,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // ApplyConflictResponseBody is the type of the "commands" service "apply"
@@ -84,6 +110,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // ApplyUnavailableResponseBody is the type of the "commands" service "apply"
@@ -99,6 +127,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // ApplyUnknownResponseBody is the type of the "commands" service "apply"
@@ -114,6 +144,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // ApplyUnauthorizedResponseBody is the type of the "commands" service "apply"
@@ -129,6 +161,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // ApplyNotFoundResponseBody is the type of the "commands" service "apply"
@@ -144,6 +178,110 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
+}
+
+// PatchInvalidResponseBody is the type of the "commands" service "patch"
+// endpoint HTTP response body for the "invalid" error.
+type PatchInvalidResponseBody struct {
+	// Name of the error.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What went wrong.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// File or table that was refused.
+	File *string `form:"file,omitempty" json:"file,omitempty" xml:"file,omitempty"`
+	// Line that was refused, counted from 1.
+	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
+	// Identifier of the edit.
+	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
+}
+
+// PatchConflictResponseBody is the type of the "commands" service "patch"
+// endpoint HTTP response body for the "conflict" error.
+type PatchConflictResponseBody struct {
+	// Name of the error.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What went wrong.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// File or table that was refused.
+	File *string `form:"file,omitempty" json:"file,omitempty" xml:"file,omitempty"`
+	// Line that was refused, counted from 1.
+	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
+	// Identifier of the edit.
+	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
+}
+
+// PatchUnavailableResponseBody is the type of the "commands" service "patch"
+// endpoint HTTP response body for the "unavailable" error.
+type PatchUnavailableResponseBody struct {
+	// Name of the error.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What went wrong.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// File or table that was refused.
+	File *string `form:"file,omitempty" json:"file,omitempty" xml:"file,omitempty"`
+	// Line that was refused, counted from 1.
+	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
+	// Identifier of the edit.
+	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
+}
+
+// PatchUnknownResponseBody is the type of the "commands" service "patch"
+// endpoint HTTP response body for the "unknown" error.
+type PatchUnknownResponseBody struct {
+	// Name of the error.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What went wrong.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// File or table that was refused.
+	File *string `form:"file,omitempty" json:"file,omitempty" xml:"file,omitempty"`
+	// Line that was refused, counted from 1.
+	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
+	// Identifier of the edit.
+	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
+}
+
+// PatchUnauthorizedResponseBody is the type of the "commands" service "patch"
+// endpoint HTTP response body for the "unauthorized" error.
+type PatchUnauthorizedResponseBody struct {
+	// Name of the error.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What went wrong.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// File or table that was refused.
+	File *string `form:"file,omitempty" json:"file,omitempty" xml:"file,omitempty"`
+	// Line that was refused, counted from 1.
+	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
+	// Identifier of the edit.
+	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
+}
+
+// PatchNotFoundResponseBody is the type of the "commands" service "patch"
+// endpoint HTTP response body for the "not-found" error.
+type PatchNotFoundResponseBody struct {
+	// Name of the error.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What went wrong.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// File or table that was refused.
+	File *string `form:"file,omitempty" json:"file,omitempty" xml:"file,omitempty"`
+	// Line that was refused, counted from 1.
+	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
+	// Identifier of the edit.
+	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // RollbackInvalidResponseBody is the type of the "commands" service "rollback"
@@ -159,6 +297,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // RollbackConflictResponseBody is the type of the "commands" service
@@ -174,6 +314,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // RollbackUnavailableResponseBody is the type of the "commands" service
@@ -189,6 +331,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // RollbackUnknownResponseBody is the type of the "commands" service "rollback"
@@ -204,6 +348,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // RollbackUnauthorizedResponseBody is the type of the "commands" service
@@ -219,6 +365,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // RollbackNotFoundResponseBody is the type of the "commands" service
@@ -234,6 +382,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // LiftInvalidResponseBody is the type of the "commands" service "lift"
@@ -249,6 +399,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // LiftConflictResponseBody is the type of the "commands" service "lift"
@@ -264,6 +416,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // LiftUnavailableResponseBody is the type of the "commands" service "lift"
@@ -279,6 +433,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // LiftUnknownResponseBody is the type of the "commands" service "lift"
@@ -294,6 +450,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // LiftUnauthorizedResponseBody is the type of the "commands" service "lift"
@@ -309,6 +467,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // LiftNotFoundResponseBody is the type of the "commands" service "lift"
@@ -324,6 +484,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // RowResponseBody is used to define fields on response body types.
@@ -350,13 +512,31 @@
 	return body
 }
 
+// NewPatchRequestBody builds the HTTP request body from the payload of the
+// "patch" endpoint of the "commands" service.
+func NewPatchRequestBody(p *commands.PatchPayload) *PatchRequestBody {
+	body := &PatchRequestBody{
+		Text:   p.Text,
+		EditID: p.EditID,
+		Author: p.Author,
+	}
+	return body
+}
+
 // NewRollbackRequestBody builds the HTTP request body from the payload of the
 // "rollback" endpoint of the "commands" service.
 func NewRollbackRequestBody(p *commands.RollbackPayload) *RollbackRequestBody {
 	body := &RollbackRequestBody{
 		Revision: p.Revision,
+		Only:     p.Only,
 		Author:   p.Author,
 	}
+	{
+		var zero bool
+		if body.Only == zero {
+			body.Only = false
+		}
+	}
 	return body
 }
 
@@ -389,6 +569,7 @@
 		File:    body.File,
 		Line:    body.Line,
 		EditID:  body.EditID,
+		Expect:  body.Expect,
 	}
 
 	return v
@@ -402,6 +583,7 @@
 		File:    body.File,
 		Line:    body.Line,
 		EditID:  body.EditID,
+		Expect:  body.Expect,
 	}
 
 	return v
@@ -416,6 +598,7 @@
 		File:    body.File,
 		Line:    body.Line,
 		EditID:  body.EditID,
+		Expect:  body.Expect,
 	}
 
 	return v
@@ -429,6 +612,7 @@
 		File:    body.File,
 		Line:    body.Line,
 		EditID:  body.EditID,
+		Expect:  body.Expect,
 	}
 
 	return v
@@ -443,6 +627,7 @@
 		File:    body.File,
 		Line:    body.Line,
 		EditID:  body.EditID,
+		Expect:  body.Expect,
 	}
 
 	return v
@@ -456,6 +641,114 @@
 		File:    body.File,
 		Line:    body.Line,
 		EditID:  body.EditID,
+		Expect:  body.Expect,
+	}
+
+	return v
+}
+
+// NewPatchAppliedOK builds a "commands" service "patch" endpoint result from a
+// HTTP "OK" response.
+func NewPatchAppliedOK(body *PatchResponseBody) *commands.Applied {
+	v := &commands.Applied{
+		Revision: *body.Revision,
+		EditID:   *body.EditID,
+	}
+	if body.Rows != nil {
+		v.Rows = make([]*commands.Row, len(body.Rows))
+		for i, val := range body.Rows {
+			if val == nil {
+				v.Rows[i] = nil
+				continue
+			}
+			v.Rows[i] = unmarshalRowResponseBodyToCommandsRow(val)
+		}
+	}
+
+	return v
+}
+
+// NewPatchInvalid builds a commands service patch endpoint invalid error.
+func NewPatchInvalid(body *PatchInvalidResponseBody) *commands.Problem {
+	v := &commands.Problem{
+		Name:    *body.Name,
+		Message: *body.Message,
+		File:    body.File,
+		Line:    body.Line,
+		EditID:  body.EditID,
+		Expect:  body.Expect,
+	}
+
+	return v
+}
+
+// NewPatchConflict builds a commands service patch endpoint conflict error.
+func NewPatchConflict(body *PatchConflictResponseBody) *commands.Problem {
+	v := &commands.Problem{
+		Name:    *body.Name,
+		Message: *body.Message,
+		File:    body.File,
+		Line:    body.Line,
+		EditID:  body.EditID,
+		Expect:  body.Expect,
+	}
+
+	return v
+}
+
+// NewPatchUnavailable builds a commands service patch endpoint unavailable
+// error.
+func NewPatchUnavailable(body *PatchUnavailableResponseBody) *commands.Problem {
+	v := &commands.Problem{
+		Name:    *body.Name,
+		Message: *body.Message,
+		File:    body.File,
+		Line:    body.Line,
+		EditID:  body.EditID,
+		Expect:  body.Expect,
+	}
+
+	return v
+}
+
+// NewPatchUnknown builds a commands service patch endpoint unknown error.
+func NewPatchUnknown(body *PatchUnknownResponseBody) *commands.Problem {
+	v := &commands.Problem{
+		Name:    *body.Name,
+		Message: *body.Message,
+		File:    body.File,
+		Line:    body.Line,
+		EditID:  body.EditID,
+		Expect:  body.Expect,
+	}
+
+	return v
+}
+
+// NewPatchUnauthorized builds a commands service patch endpoint unauthorized
+// error.
+func NewPatchUnauthorized(body *PatchUnauthorizedResponseBody) *commands.Problem {
+	v := &commands.Problem{
+		Name:    *body.Name,
+		Message: *body.Message,
+		File:    body.File,
+		Line:    body.Line,
+		EditID:  body.EditID,
+		Expect:  body.Expect,
+	}
+
+	return v
+}
+
+// NewPatchNotFound builds a commands service patch endpoint not-found error.
+func NewPatchNotFound(body *PatchNotFoundResponseBody) *commands.Problem {
+	v := &commands.Problem{
+		Name:    *body.Name,
+		Message: *body.Message,
+		File:    body.File,
+		Line:    body.Line,
+		EditID:  body.EditID,
+		Expect:  body.Expect,
 	}
 
 	return v
@@ -490,6 +783,7 @@
 		File:    body.File,
 		Line:    body.Line,
 		EditID:  body.EditID,
+		Expect:  body.Expect,
 	}
 
 	return v
@@ -504,6 +798,7 @@
 		File:    body.File,
 		Line:    body.Line,
 		EditID:  body.EditID,
+		Expect:  body.Expect,
 	}
 
 	return v
@@ -518,6 +813,7 @@
 		File:    body.File,
 		Line:    body.Line,
 		EditID:  body.EditID,
+		Expect:  body.Expect,
 	}
 
 	return v
@@ -531,6 +827,7 @@
 		File:    body.File,
 		Line:    body.Line,
 		EditID:  body.EditID,
+		Expect:  body.Expect,
 	}
 
 	return v
@@ -545,6 +842,7 @@
 		File:    body.File,
 		Line:    body.Line,
 		EditID:  body.EditID,
+		Expect:  body.Expect,
 	}
 
 	return v
@@ -559,6 +857,7 @@
 		File:    body.File,
 		Line:    body.Line,
 		EditID:  body.EditID,
+		Expect:  body.Expect,
 	}
 
 	return v
@@ -572,6 +871,7 @@
 		File:    body.File,
 		Line:    body.Line,
 		EditID:  body.EditID,
+		Expect:  body.Expect,
 	}
 
 	return v
@@ -585,6 +885,7 @@
 		File:    body.File,
 		Line:    body.Line,
 		EditID:  body.EditID,
+		Expect:  body.Expect,
 	}
 
 	return v
@@ -598,6 +899,7 @@
 		File:    body.File,
 		Line:    body.Line,
 		EditID:  body.EditID,
+		Expect:  body.Expect,
 	}
 
 	return v
@@ -611,6 +913,7 @@
 		File:    body.File,
 		Line:    body.Line,
 		EditID:  body.EditID,
+		Expect:  body.Expect,
 	}
 
 	return v
@@ -625,6 +928,7 @@
 		File:    body.File,
 		Line:    body.Line,
 		EditID:  body.EditID,
+		Expect:  body.Expect,
 	}
 
 	return v
@@ -638,6 +942,7 @@
 		File:    body.File,
 		Line:    body.Line,
 		EditID:  body.EditID,
+		Expect:  body.Expect,
 	}
 
 	return v
@@ -661,6 +966,24 @@
 	return
 }
 
+// ValidatePatchResponseBody runs the validations defined on PatchResponseBody
+func ValidatePatchResponseBody(body *PatchResponseBody) (err error) {
+	if body.Revision == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("revision", "body"))
+	}
+	if body.EditID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("edit-id", "body"))
+	}
+	for _, e := range body.Rows {
+		if e != nil {
+			if err2 := ValidateRowResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
 // ValidateRollbackResponseBody runs the validations defined on
 // RollbackResponseBody
 func ValidateRollbackResponseBody(body *RollbackResponseBody) (err error) {
@@ -752,6 +1075,78 @@
 	return
 }
 
+// ValidatePatchInvalidResponseBody runs the validations defined on
+// patch_invalid_response_body
+func ValidatePatchInvalidResponseBody(body *PatchInvalidResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	return
+}
+
+// ValidatePatchConflictResponseBody runs the validations defined on
+// patch_conflict_response_body
+func ValidatePatchConflictResponseBody(body *PatchConflictResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	return
+}
+
+// ValidatePatchUnavailableResponseBody runs the validations defined on
+// patch_unavailable_response_body
+func ValidatePatchUnavailableResponseBody(body *PatchUnavailableResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	return
+}
+
+// ValidatePatchUnknownResponseBody runs the validations defined on
+// patch_unknown_response_body
+func ValidatePatchUnknownResponseBody(body *PatchUnknownResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	return
+}
+
+// ValidatePatchUnauthorizedResponseBody runs the validations defined on
+// patch_unauthorized_response_body
+func ValidatePatchUnauthorizedResponseBody(body *PatchUnauthorizedResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	return
+}
+
+// ValidatePatchNotFoundResponseBody runs the validations defined on
+// patch_not-found_response_body
+func ValidatePatchNotFoundResponseBody(body *PatchNotFoundResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	return
+}
+
 // ValidateRollbackInvalidResponseBody runs the validations defined on
 // rollback_invalid_response_body
 func ValidateRollbackInvalidResponseBody(body *RollbackInvalidResponseBody) (err error) {
--- a/gen/http/commands/server/encode_decode.go
+++ b/gen/http/commands/server/encode_decode.go
@@ -181,6 +181,157 @@
 	}
 }
 
+// EncodePatchResponse returns an encoder for responses returned by the
+// commands patch endpoint.
+func EncodePatchResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
+	return func(ctx context.Context, w http.ResponseWriter, v any) error {
+		res, _ := v.(*commands.Applied)
+		enc := encoder(ctx, w)
+		body := NewPatchResponseBody(res)
+		w.WriteHeader(http.StatusOK)
+		return enc.Encode(body)
+	}
+}
+
+// DecodePatchRequest returns a decoder for requests sent to the commands patch
+// endpoint.
+func DecodePatchRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*commands.PatchPayload, error) {
+	return func(r *http.Request) (*commands.PatchPayload, error) {
+		var payload *commands.PatchPayload
+		var (
+			body PatchRequestBody
+			err  error
+		)
+		err = decoder(r).Decode(&body)
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				return payload, goa.MissingPayloadError()
+			}
+			var gerr *goa.ServiceError
+			if errors.As(err, &gerr) {
+				return payload, gerr
+			}
+			return payload, goa.DecodePayloadError(err.Error())
+		}
+		err = ValidatePatchRequestBody(&body)
+		if err != nil {
+			return payload, err
+		}
+
+		var (
+			token *string
+		)
+		tokenRaw := r.Header.Get("X-Operator-Token")
+		if tokenRaw != "" {
+			token = &tokenRaw
+		}
+		payload = NewPatchPayload(&body, token)
+		if payload.Token != nil {
+			if strings.Contains(*payload.Token, " ") {
+				// Remove authorization scheme prefix (e.g. "Bearer")
+				cred := strings.SplitN(*payload.Token, " ", 2)[1]
+				payload.Token = &cred
+			}
+		}
+
+		return payload, nil
+	}
+}
+
+// EncodePatchError returns an encoder for errors returned by the patch
+// commands endpoint.
+func EncodePatchError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
+	encodeError := goahttp.ErrorEncoder(encoder, formatter)
+	return func(ctx context.Context, w http.ResponseWriter, v error) error {
+		var en goa.GoaErrorNamer
+		if !errors.As(v, &en) {
+			return encodeError(ctx, w, v)
+		}
+		switch en.GoaErrorName() {
+		case "invalid":
+			var res *commands.Problem
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewPatchInvalidResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnprocessableEntity)
+			return enc.Encode(body)
+		case "conflict":
+			var res *commands.Problem
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewPatchConflictResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusConflict)
+			return enc.Encode(body)
+		case "unavailable":
+			var res *commands.Problem
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewPatchUnavailableResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		case "unknown":
+			var res *commands.Problem
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewPatchUnknownResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadGateway)
+			return enc.Encode(body)
+		case "unauthorized":
+			var res *commands.Problem
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewPatchUnauthorizedResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnauthorized)
+			return enc.Encode(body)
+		case "not-found":
+			var res *commands.Problem
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewPatchNotFoundResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusNotFound)
+			return enc.Encode(body)
+		default:
+			return encodeError(ctx, w, v)
+		}
+	}
+}
+
 // EncodeRollbackResponse returns an encoder for responses returned by the
 // commands rollback endpoint.
 func EncodeRollbackResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
--- a/gen/http/commands/server/server.go
+++ b/gen/http/commands/server/server.go
@@ -20,6 +20,7 @@
 type Server struct {
 	Mounts   []*MountPoint
 	Apply    http.Handler
+	Patch    http.Handler
 	Rollback http.Handler
 	Lift     http.Handler
 }
@@ -52,10 +53,12 @@
 	return &Server{
 		Mounts: []*MountPoint{
 			{"Apply", "PUT", "/v1/tables/{table}"},
+			{"Patch", "POST", "/v1/patch"},
 			{"Rollback", "POST", "/v1/rollback"},
 			{"Lift", "DELETE", "/v1/quarantine/{fingerprint}"},
 		},
 		Apply:    NewApplyHandler(e.Apply, mux, decoder, encoder, errhandler, formatter),
+		Patch:    NewPatchHandler(e.Patch, mux, decoder, encoder, errhandler, formatter),
 		Rollback: NewRollbackHandler(e.Rollback, mux, decoder, encoder, errhandler, formatter),
 		Lift:     NewLiftHandler(e.Lift, mux, decoder, encoder, errhandler, formatter),
 	}
@@ -67,6 +70,7 @@
 // Use wraps the server handlers with the given middleware.
 func (s *Server) Use(m func(http.Handler) http.Handler) {
 	s.Apply = m(s.Apply)
+	s.Patch = m(s.Patch)
 	s.Rollback = m(s.Rollback)
 	s.Lift = m(s.Lift)
 }
@@ -77,6 +81,7 @@
 // Mount configures the mux to serve the commands endpoints.
 func Mount(mux goahttp.Muxer, h *Server) {
 	MountApplyHandler(mux, h.Apply)
+	MountPatchHandler(mux, h.Patch)
 	MountRollbackHandler(mux, h.Rollback)
 	MountLiftHandler(mux, h.Lift)
 }
@@ -139,6 +144,59 @@
 	})
 }
 
+// MountPatchHandler configures the mux to serve the "commands" service "patch"
+// endpoint.
+func MountPatchHandler(mux goahttp.Muxer, h http.Handler) {
+	f, ok := h.(http.HandlerFunc)
+	if !ok {
+		f = func(w http.ResponseWriter, r *http.Request) {
+			h.ServeHTTP(w, r)
+		}
+	}
+	mux.Handle("POST", "/v1/patch", f)
+}
+
+// NewPatchHandler creates a HTTP handler which loads the HTTP request and
+// calls the "commands" service "patch" endpoint.
+func NewPatchHandler(
+	endpoint goa.Endpoint,
+	mux goahttp.Muxer,
+	decoder func(*http.Request) goahttp.Decoder,
+	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
+	errhandler func(context.Context, http.ResponseWriter, error),
+	formatter func(ctx context.Context, err error) goahttp.Statuser,
+) http.Handler {
+	var (
+		decodeRequest  = DecodePatchRequest(mux, decoder)
+		encodeResponse = EncodePatchResponse(encoder)
+		encodeError    = EncodePatchError(encoder, formatter)
+	)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
+		ctx = context.WithValue(ctx, goa.MethodKey, "patch")
+		ctx = context.WithValue(ctx, goa.ServiceKey, "commands")
+		payload, err := decodeRequest(r)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		res, err := endpoint(ctx, payload)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		if err := encodeResponse(ctx, w, res); err != nil {
+			if errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+		}
+	})
+}
+
 // MountRollbackHandler configures the mux to serve the "commands" service
 // "rollback" endpoint.
 func MountRollbackHandler(mux goahttp.Muxer, h http.Handler) {
--- a/gen/http/commands/server/types.go
+++ b/gen/http/commands/server/types.go
@@ -27,11 +27,24 @@
 	Author *string `form:"author,omitempty" json:"author,omitempty" xml:"author,omitempty"`
 }
 
+// PatchRequestBody is the type of the "commands" service "patch" endpoint HTTP
+// request body.
+type PatchRequestBody struct {
+	// The rows in TOML.
+	Text *string `form:"text,omitempty" json:"text,omitempty" xml:"text,omitempty"`
+	// Identifier chosen by the operator; made up if empty.
+	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// Who makes the edit.
+	Author *string `form:"author,omitempty" json:"author,omitempty" xml:"author,omitempty"`
+}
+
 // RollbackRequestBody is the type of the "commands" service "rollback"
 // endpoint HTTP request body.
 type RollbackRequestBody struct {
 	// Revision to restore.
 	Revision *int64 `form:"revision,omitempty" json:"revision,omitempty" xml:"revision,omitempty"`
+	// Take back the edit that made the next revision, and keep later ones.
+	Only *bool `form:"only,omitempty" json:"only,omitempty" xml:"only,omitempty"`
 	// Who makes the edit.
 	Author *string `form:"author,omitempty" json:"author,omitempty" xml:"author,omitempty"`
 }
@@ -47,6 +60,17 @@
 	Rows []*RowResponseBody `form:"rows,omitempty" json:"rows,omitempty" xml:"rows,omitempty"`
 }
 
+// PatchResponseBody is the type of the "commands" service "patch" endpoint
+// HTTP response body.
+type PatchResponseBody struct {
+	// Revision of the tables with the edit.
+	Revision int64 `form:"revision" json:"revision" xml:"revision"`
+	// Identifier of the edit.
+	EditID string `form:"edit-id" json:"edit-id" xml:"edit-id"`
+	// Rows that were changed.
+	Rows []*RowResponseBody `form:"rows,omitempty" json:"rows,omitempty" xml:"rows,omitempty"`
+}
+
 // RollbackResponseBody is the type of the "commands" service "rollback"
 // endpoint HTTP response body.
 type RollbackResponseBody struct {
@@ -71,6 +95,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // ApplyConflictResponseBody is the type of the "commands" service "apply"
@@ -86,6 +112,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // ApplyUnavailableResponseBody is the type of the "commands" service "apply"
@@ -101,6 +129,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // ApplyUnknownResponseBody is the type of the "commands" service "apply"
@@ -116,6 +146,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // ApplyUnauthorizedResponseBody is the type of the "commands" service "apply"
@@ -131,6 +163,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // ApplyNotFoundResponseBody is the type of the "commands" service "apply"
@@ -146,6 +180,110 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
+}
+
+// PatchInvalidResponseBody is the type of the "commands" service "patch"
+// endpoint HTTP response body for the "invalid" error.
+type PatchInvalidResponseBody struct {
+	// Name of the error.
+	Name string `form:"name" json:"name" xml:"name"`
+	// What went wrong.
+	Message string `form:"message" json:"message" xml:"message"`
+	// File or table that was refused.
+	File *string `form:"file,omitempty" json:"file,omitempty" xml:"file,omitempty"`
+	// Line that was refused, counted from 1.
+	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
+	// Identifier of the edit.
+	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
+}
+
+// PatchConflictResponseBody is the type of the "commands" service "patch"
+// endpoint HTTP response body for the "conflict" error.
+type PatchConflictResponseBody struct {
+	// Name of the error.
+	Name string `form:"name" json:"name" xml:"name"`
+	// What went wrong.
+	Message string `form:"message" json:"message" xml:"message"`
+	// File or table that was refused.
+	File *string `form:"file,omitempty" json:"file,omitempty" xml:"file,omitempty"`
+	// Line that was refused, counted from 1.
+	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
+	// Identifier of the edit.
+	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
+}
+
+// PatchUnavailableResponseBody is the type of the "commands" service "patch"
+// endpoint HTTP response body for the "unavailable" error.
+type PatchUnavailableResponseBody struct {
+	// Name of the error.
+	Name string `form:"name" json:"name" xml:"name"`
+	// What went wrong.
+	Message string `form:"message" json:"message" xml:"message"`
+	// File or table that was refused.
+	File *string `form:"file,omitempty" json:"file,omitempty" xml:"file,omitempty"`
+	// Line that was refused, counted from 1.
+	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
+	// Identifier of the edit.
+	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
+}
+
+// PatchUnknownResponseBody is the type of the "commands" service "patch"
+// endpoint HTTP response body for the "unknown" error.
+type PatchUnknownResponseBody struct {
+	// Name of the error.
+	Name string `form:"name" json:"name" xml:"name"`
+	// What went wrong.
+	Message string `form:"message" json:"message" xml:"message"`
+	// File or table that was refused.
+	File *string `form:"file,omitempty" json:"file,omitempty" xml:"file,omitempty"`
+	// Line that was refused, counted from 1.
+	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
+	// Identifier of the edit.
+	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
+}
+
+// PatchUnauthorizedResponseBody is the type of the "commands" service "patch"
+// endpoint HTTP response body for the "unauthorized" error.
+type PatchUnauthorizedResponseBody struct {
+	// Name of the error.
+	Name string `form:"name" json:"name" xml:"name"`
+	// What went wrong.
+	Message string `form:"message" json:"message" xml:"message"`
+	// File or table that was refused.
+	File *string `form:"file,omitempty" json:"file,omitempty" xml:"file,omitempty"`
+	// Line that was refused, counted from 1.
+	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
+	// Identifier of the edit.
+	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
+}
+
+// PatchNotFoundResponseBody is the type of the "commands" service "patch"
+// endpoint HTTP response body for the "not-found" error.
+type PatchNotFoundResponseBody struct {
+	// Name of the error.
+	Name string `form:"name" json:"name" xml:"name"`
+	// What went wrong.
+	Message string `form:"message" json:"message" xml:"message"`
+	// File or table that was refused.
+	File *string `form:"file,omitempty" json:"file,omitempty" xml:"file,omitempty"`
+	// Line that was refused, counted from 1.
+	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
+	// Identifier of the edit.
+	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // RollbackInvalidResponseBody is the type of the "commands" service "rollback"
@@ -161,6 +299,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // RollbackConflictResponseBody is the type of the "commands" service
@@ -176,6 +316,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // RollbackUnavailableResponseBody is the type of the "commands" service
@@ -191,6 +333,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // RollbackUnknownResponseBody is the type of the "commands" service "rollback"
@@ -206,6 +350,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // RollbackUnauthorizedResponseBody is the type of the "commands" service
@@ -221,6 +367,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // RollbackNotFoundResponseBody is the type of the "commands" service
@@ -236,6 +384,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // LiftInvalidResponseBody is the type of the "commands" service "lift"
@@ -251,6 +401,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // LiftConflictResponseBody is the type of the "commands" service "lift"
@@ -266,6 +418,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // LiftUnavailableResponseBody is the type of the "commands" service "lift"
@@ -281,6 +435,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // LiftUnknownResponseBody is the type of the "commands" service "lift"
@@ -296,6 +452,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // LiftUnauthorizedResponseBody is the type of the "commands" service "lift"
@@ -311,6 +469,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // LiftNotFoundResponseBody is the type of the "commands" service "lift"
@@ -326,6 +486,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // RowResponseBody is used to define fields on response body types.
@@ -360,6 +522,26 @@
 	return body
 }
 
+// NewPatchResponseBody builds the HTTP response body from the result of the
+// "patch" endpoint of the "commands" service.
+func NewPatchResponseBody(res *commands.Applied) *PatchResponseBody {
+	body := &PatchResponseBody{
+		Revision: res.Revision,
+		EditID:   res.EditID,
+	}
+	if res.Rows != nil {
+		body.Rows = make([]*RowResponseBody, len(res.Rows))
+		for i, val := range res.Rows {
+			if val == nil {
+				body.Rows[i] = nil
+				continue
+			}
+			body.Rows[i] = marshalCommandsRowToRowResponseBody(val)
+		}
+	}
+	return body
+}
+
 // NewRollbackResponseBody builds the HTTP response body from the result of the
 // "rollback" endpoint of the "commands" service.
 func NewRollbackResponseBody(res *commands.Applied) *RollbackResponseBody {
@@ -389,6 +571,7 @@
 		File:    res.File,
 		Line:    res.Line,
 		EditID:  res.EditID,
+		Expect:  res.Expect,
 	}
 	return body
 }
@@ -402,6 +585,7 @@
 		File:    res.File,
 		Line:    res.Line,
 		EditID:  res.EditID,
+		Expect:  res.Expect,
 	}
 	return body
 }
@@ -415,6 +599,7 @@
 		File:    res.File,
 		Line:    res.Line,
 		EditID:  res.EditID,
+		Expect:  res.Expect,
 	}
 	return body
 }
@@ -428,6 +613,7 @@
 		File:    res.File,
 		Line:    res.Line,
 		EditID:  res.EditID,
+		Expect:  res.Expect,
 	}
 	return body
 }
@@ -441,6 +627,7 @@
 		File:    res.File,
 		Line:    res.Line,
 		EditID:  res.EditID,
+		Expect:  res.Expect,
 	}
 	return body
 }
@@ -454,6 +641,91 @@
 		File:    res.File,
 		Line:    res.Line,
 		EditID:  res.EditID,
+		Expect:  res.Expect,
+	}
+	return body
+}
+
+// NewPatchInvalidResponseBody builds the HTTP response body from the result of
+// the "patch" endpoint of the "commands" service.
+func NewPatchInvalidResponseBody(res *commands.Problem) *PatchInvalidResponseBody {
+	body := &PatchInvalidResponseBody{
+		Name:    res.Name,
+		Message: res.Message,
+		File:    res.File,
+		Line:    res.Line,
+		EditID:  res.EditID,
+		Expect:  res.Expect,
+	}
+	return body
+}
+
+// NewPatchConflictResponseBody builds the HTTP response body from the result
+// of the "patch" endpoint of the "commands" service.
+func NewPatchConflictResponseBody(res *commands.Problem) *PatchConflictResponseBody {
+	body := &PatchConflictResponseBody{
+		Name:    res.Name,
+		Message: res.Message,
+		File:    res.File,
+		Line:    res.Line,
+		EditID:  res.EditID,
+		Expect:  res.Expect,
+	}
+	return body
+}
+
+// NewPatchUnavailableResponseBody builds the HTTP response body from the
+// result of the "patch" endpoint of the "commands" service.
+func NewPatchUnavailableResponseBody(res *commands.Problem) *PatchUnavailableResponseBody {
+	body := &PatchUnavailableResponseBody{
+		Name:    res.Name,
+		Message: res.Message,
+		File:    res.File,
+		Line:    res.Line,
+		EditID:  res.EditID,
+		Expect:  res.Expect,
+	}
+	return body
+}
+
+// NewPatchUnknownResponseBody builds the HTTP response body from the result of
+// the "patch" endpoint of the "commands" service.
+func NewPatchUnknownResponseBody(res *commands.Problem) *PatchUnknownResponseBody {
+	body := &PatchUnknownResponseBody{
+		Name:    res.Name,
+		Message: res.Message,
+		File:    res.File,
+		Line:    res.Line,
+		EditID:  res.EditID,
+		Expect:  res.Expect,
+	}
+	return body
+}
+
+// NewPatchUnauthorizedResponseBody builds the HTTP response body from the
+// result of the "patch" endpoint of the "commands" service.
+func NewPatchUnauthorizedResponseBody(res *commands.Problem) *PatchUnauthorizedResponseBody {
+	body := &PatchUnauthorizedResponseBody{
+		Name:    res.Name,
+		Message: res.Message,
+		File:    res.File,
+		Line:    res.Line,
+		EditID:  res.EditID,
+		Expect:  res.Expect,
+	}
+	return body
+}
+
+// NewPatchNotFoundResponseBody builds the HTTP response body from the result
+// of the "patch" endpoint of the "commands" service.
+func NewPatchNotFoundResponseBody(res *commands.Problem) *PatchNotFoundResponseBody {
+	body := &PatchNotFoundResponseBody{
+		Name:    res.Name,
+		Message: res.Message,
+		File:    res.File,
+		Line:    res.Line,
+		EditID:  res.EditID,
+		Expect:  res.Expect,
 	}
 	return body
 }
@@ -467,6 +739,7 @@
 		File:    res.File,
 		Line:    res.Line,
 		EditID:  res.EditID,
+		Expect:  res.Expect,
 	}
 	return body
 }
@@ -480,6 +753,7 @@
 		File:    res.File,
 		Line:    res.Line,
 		EditID:  res.EditID,
+		Expect:  res.Expect,
 	}
 	return body
 }
@@ -493,6 +767,7 @@
 		File:    res.File,
 		Line:    res.Line,
 		EditID:  res.EditID,
+		Expect:  res.Expect,
 	}
 	return body
 }
@@ -506,6 +781,7 @@
 		File:    res.File,
 		Line:    res.Line,
 		EditID:  res.EditID,
+		Expect:  res.Expect,
 	}
 	return body
 }
@@ -519,6 +795,7 @@
 		File:    res.File,
 		Line:    res.Line,
 		EditID:  res.EditID,
+		Expect:  res.Expect,
 	}
 	return body
 }
@@ -532,6 +809,7 @@
 		File:    res.File,
 		Line:    res.Line,
 		EditID:  res.EditID,
+		Expect:  res.Expect,
 	}
 	return body
 }
@@ -545,6 +823,7 @@
 		File:    res.File,
 		Line:    res.Line,
 		EditID:  res.EditID,
+		Expect:  res.Expect,
 	}
 	return body
 }
@@ -558,6 +837,7 @@
 		File:    res.File,
 		Line:    res.Line,
 		EditID:  res.EditID,
+		Expect:  res.Expect,
 	}
 	return body
 }
@@ -571,6 +851,7 @@
 		File:    res.File,
 		Line:    res.Line,
 		EditID:  res.EditID,
+		Expect:  res.Expect,
 	}
 	return body
 }
@@ -584,6 +865,7 @@
 		File:    res.File,
 		Line:    res.Line,
 		EditID:  res.EditID,
+		Expect:  res.Expect,
 	}
 	return body
 }
@@ -597,6 +879,7 @@
 		File:    res.File,
 		Line:    res.Line,
 		EditID:  res.EditID,
+		Expect:  res.Expect,
 	}
 	return body
 }
@@ -610,6 +893,7 @@
 		File:    res.File,
 		Line:    res.Line,
 		EditID:  res.EditID,
+		Expect:  res.Expect,
 	}
 	return body
 }
@@ -628,12 +912,30 @@
 	return v
 }
 
+// NewPatchPayload builds a commands service patch endpoint payload.
+func NewPatchPayload(body *PatchRequestBody, token *string) *commands.PatchPayload {
+	v := &commands.PatchPayload{
+		Text:   *body.Text,
+		EditID: body.EditID,
+		Author: *body.Author,
+	}
+	v.Token = token
+
+	return v
+}
+
 // NewRollbackPayload builds a commands service rollback endpoint payload.
 func NewRollbackPayload(body *RollbackRequestBody, token *string) *commands.RollbackPayload {
 	v := &commands.RollbackPayload{
 		Revision: *body.Revision,
 		Author:   *body.Author,
 	}
+	if body.Only != nil {
+		v.Only = *body.Only
+	}
+	if body.Only == nil {
+		v.Only = false
+	}
 	v.Token = token
 
 	return v
@@ -674,6 +976,32 @@
 	return
 }
 
+// ValidatePatchRequestBody runs the validations defined on PatchRequestBody
+func ValidatePatchRequestBody(body *PatchRequestBody) (err error) {
+	if body.Text == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("text", "body"))
+	}
+	if body.Author == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("author", "body"))
+	}
+	if body.Text != nil {
+		if utf8.RuneCountInString(*body.Text) > 16777216 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.text", *body.Text, utf8.RuneCountInString(*body.Text), 16777216, false))
+		}
+	}
+	if body.EditID != nil {
+		if utf8.RuneCountInString(*body.EditID) > 64 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.edit-id", *body.EditID, utf8.RuneCountInString(*body.EditID), 64, false))
+		}
+	}
+	if body.Author != nil {
+		if utf8.RuneCountInString(*body.Author) > 128 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.author", *body.Author, utf8.RuneCountInString(*body.Author), 128, false))
+		}
+	}
+	return
+}
+
 // ValidateRollbackRequestBody runs the validations defined on
 // RollbackRequestBody
 func ValidateRollbackRequestBody(body *RollbackRequestBody) (err error) {
--- a/gen/http/queries/client/cli.go
+++ b/gen/http/queries/client/cli.go
@@ -97,6 +97,48 @@
 	return v, nil
 }
 
+// BuildOutcomePayload builds the payload for the queries outcome endpoint from
+// CLI flags.
+func BuildOutcomePayload(queriesOutcomeBody string, queriesOutcomeExpect string, queriesOutcomeToken string) (*queries.OutcomePayload, error) {
+	var err error
+	var body OutcomeRequestBody
+	{
+		err = json.Unmarshal([]byte(queriesOutcomeBody), &body)
+		if err != nil {
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"edit-id\": \"nxy\"\n   }'")
+		}
+		if utf8.RuneCountInString(body.EditID) > 64 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.edit-id", body.EditID, utf8.RuneCountInString(body.EditID), 64, false))
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	var expect *int64
+	{
+		if queriesOutcomeExpect != "" {
+			val, err := strconv.ParseInt(queriesOutcomeExpect, 10, 64)
+			expect = &val
+			if err != nil {
+				return nil, fmt.Errorf("invalid value for expect, must be INT64")
+			}
+		}
+	}
+	var token *string
+	{
+		if queriesOutcomeToken != "" {
+			token = &queriesOutcomeToken
+		}
+	}
+	v := &queries.OutcomePayload{
+		EditID: body.EditID,
+	}
+	v.Expect = expect
+	v.Token = token
+
+	return v, nil
+}
+
 // BuildDiffPayload builds the payload for the queries diff endpoint from CLI
 // flags.
 func BuildDiffPayload(queriesDiffFrom string, queriesDiffTo string, queriesDiffToken string) (*queries.DiffPayload, error) {
@@ -155,7 +197,7 @@
 	{
 		err = json.Unmarshal([]byte(queriesExplainBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"request-id\": \"epn\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"request-id\": \"51r\"\n   }'")
 		}
 		if utf8.RuneCountInString(body.RequestID) > 64 {
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.request-id", body.RequestID, utf8.RuneCountInString(body.RequestID), 64, false))
--- a/gen/http/queries/client/client.go
+++ b/gen/http/queries/client/client.go
@@ -24,6 +24,10 @@
 	// endpoint.
 	HistoryDoer goahttp.Doer
 
+	// Outcome Doer is the HTTP client used to make requests to the outcome
+	// endpoint.
+	OutcomeDoer goahttp.Doer
+
 	// Diff Doer is the HTTP client used to make requests to the diff endpoint.
 	DiffDoer goahttp.Doer
 
@@ -60,6 +64,7 @@
 	return &Client{
 		TableDoer:           doer,
 		HistoryDoer:         doer,
+		OutcomeDoer:         doer,
 		DiffDoer:            doer,
 		StatusDoer:          doer,
 		ExplainDoer:         doer,
@@ -120,6 +125,30 @@
 	}
 }
 
+// Outcome returns an endpoint that makes HTTP requests to the queries service
+// outcome server.
+func (c *Client) Outcome() goa.Endpoint {
+	var (
+		encodeRequest  = EncodeOutcomeRequest(c.encoder)
+		decodeResponse = DecodeOutcomeResponse(c.decoder, c.RestoreResponseBody)
+	)
+	return func(ctx context.Context, v any) (any, error) {
+		req, err := c.BuildOutcomeRequest(ctx, v)
+		if err != nil {
+			return nil, err
+		}
+		err = encodeRequest(req, v)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := c.OutcomeDoer.Do(req)
+		if err != nil {
+			return nil, goahttp.ErrRequestError("queries", "outcome", err)
+		}
+		return decodeResponse(resp)
+	}
+}
+
 // Diff returns an endpoint that makes HTTP requests to the queries service
 // diff server.
 func (c *Client) Diff() goa.Endpoint {
--- a/gen/http/queries/client/encode_decode.go
+++ b/gen/http/queries/client/encode_decode.go
@@ -278,6 +278,133 @@
 	}
 }
 
+// BuildOutcomeRequest instantiates a HTTP request object with method and path
+// set to call the "queries" service "outcome" endpoint
+func (c *Client) BuildOutcomeRequest(ctx context.Context, v any) (*http.Request, error) {
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: OutcomeQueriesPath()}
+	req, err := http.NewRequest("GET", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("queries", "outcome", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// EncodeOutcomeRequest returns an encoder for requests sent to the queries
+// outcome server.
+func EncodeOutcomeRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+	return func(req *http.Request, v any) error {
+		p, ok := v.(*queries.OutcomePayload)
+		if !ok {
+			return goahttp.ErrInvalidType("queries", "outcome", "*queries.OutcomePayload", v)
+		}
+		if p.Token != nil {
+			head := *p.Token
+			req.Header.Set("X-Operator-Token", head)
+		}
+		values := req.URL.Query()
+		if p.Expect != nil {
+			values.Add("expect", fmt.Sprintf("%v", *p.Expect))
+		}
+		req.URL.RawQuery = values.Encode()
+		body := NewOutcomeRequestBody(p)
+		if err := encoder(req).Encode(&body); err != nil {
+			return goahttp.ErrEncodingError("queries", "outcome", err)
+		}
+		return nil
+	}
+}
+
+// DecodeOutcomeResponse returns a decoder for responses returned by the
+// queries outcome endpoint. restoreBody controls whether the response body
+// should be restored after having been read.
+// DecodeOutcomeResponse may return the following errors:
+//   - "unavailable" (type *queries.Problem): http.StatusServiceUnavailable
+//   - "unauthorized" (type *queries.Problem): http.StatusUnauthorized
+//   - "not-found" (type *queries.Problem): http.StatusNotFound
+//   - error: internal error
+func DecodeOutcomeResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusOK:
+			var (
+				body OutcomeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("queries", "outcome", err)
+			}
+			err = ValidateOutcomeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("queries", "outcome", err)
+			}
+			res := NewOutcomeResultOK(&body)
+			return res, nil
+		case http.StatusServiceUnavailable:
+			var (
+				body OutcomeUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("queries", "outcome", err)
+			}
+			err = ValidateOutcomeUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("queries", "outcome", err)
+			}
+			return nil, NewOutcomeUnavailable(&body)
+		case http.StatusUnauthorized:
+			var (
+				body OutcomeUnauthorizedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("queries", "outcome", err)
+			}
+			err = ValidateOutcomeUnauthorizedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("queries", "outcome", err)
+			}
+			return nil, NewOutcomeUnauthorized(&body)
+		case http.StatusNotFound:
+			var (
+				body OutcomeNotFoundResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("queries", "outcome", err)
+			}
+			err = ValidateOutcomeNotFoundResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("queries", "outcome", err)
+			}
+			return nil, NewOutcomeNotFound(&body)
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("queries", "outcome", resp.StatusCode, string(body))
+		}
+	}
+}
+
 // BuildDiffRequest instantiates a HTTP request object with method and path set
 // to call the "queries" service "diff" endpoint
 func (c *Client) BuildDiffRequest(ctx context.Context, v any) (*http.Request, error) {
--- a/gen/http/queries/client/types.go
+++ b/gen/http/queries/client/types.go
@@ -12,6 +12,13 @@
 	goa "goa.design/goa/v3/pkg"
 )
 
+// OutcomeRequestBody is the type of the "queries" service "outcome" endpoint
+// HTTP request body.
+type OutcomeRequestBody struct {
+	// Identifier of the edit.
+	EditID string `form:"edit-id" json:"edit-id" xml:"edit-id"`
+}
+
 // ExplainRequestBody is the type of the "queries" service "explain" endpoint
 // HTTP request body.
 type ExplainRequestBody struct {
@@ -28,6 +35,17 @@
 	Text *string `form:"text,omitempty" json:"text,omitempty" xml:"text,omitempty"`
 }
 
+// OutcomeResponseBody is the type of the "queries" service "outcome" endpoint
+// HTTP response body.
+type OutcomeResponseBody struct {
+	// accepted, refused, not-accepted or unknown.
+	Fate *string `form:"fate,omitempty" json:"fate,omitempty" xml:"fate,omitempty"`
+	// Revision that an accepted edit made.
+	Revision *int64 `form:"revision,omitempty" json:"revision,omitempty" xml:"revision,omitempty"`
+	// Why it was refused.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+}
+
 // StatusResponseBody is the type of the "queries" service "status" endpoint
 // HTTP response body.
 type StatusResponseBody struct {
@@ -87,6 +105,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // TableUnauthorizedResponseBody is the type of the "queries" service "table"
@@ -102,6 +122,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // TableNotFoundResponseBody is the type of the "queries" service "table"
@@ -117,6 +139,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // HistoryUnavailableResponseBody is the type of the "queries" service
@@ -132,6 +156,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // HistoryUnauthorizedResponseBody is the type of the "queries" service
@@ -147,6 +173,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // HistoryNotFoundResponseBody is the type of the "queries" service "history"
@@ -162,6 +190,59 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
+}
+
+// OutcomeUnavailableResponseBody is the type of the "queries" service
+// "outcome" endpoint HTTP response body for the "unavailable" error.
+type OutcomeUnavailableResponseBody struct {
+	// Name of the error.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What went wrong.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// File or table that was refused.
+	File *string `form:"file,omitempty" json:"file,omitempty" xml:"file,omitempty"`
+	// Line that was refused, counted from 1.
+	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
+	// Identifier of the edit.
+	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
+}
+
+// OutcomeUnauthorizedResponseBody is the type of the "queries" service
+// "outcome" endpoint HTTP response body for the "unauthorized" error.
+type OutcomeUnauthorizedResponseBody struct {
+	// Name of the error.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What went wrong.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// File or table that was refused.
+	File *string `form:"file,omitempty" json:"file,omitempty" xml:"file,omitempty"`
+	// Line that was refused, counted from 1.
+	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
+	// Identifier of the edit.
+	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
+}
+
+// OutcomeNotFoundResponseBody is the type of the "queries" service "outcome"
+// endpoint HTTP response body for the "not-found" error.
+type OutcomeNotFoundResponseBody struct {
+	// Name of the error.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What went wrong.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// File or table that was refused.
+	File *string `form:"file,omitempty" json:"file,omitempty" xml:"file,omitempty"`
+	// Line that was refused, counted from 1.
+	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
+	// Identifier of the edit.
+	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // DiffUnavailableResponseBody is the type of the "queries" service "diff"
@@ -177,6 +258,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // DiffUnauthorizedResponseBody is the type of the "queries" service "diff"
@@ -192,6 +275,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // DiffNotFoundResponseBody is the type of the "queries" service "diff"
@@ -207,6 +292,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // StatusUnavailableResponseBody is the type of the "queries" service "status"
@@ -222,6 +309,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // StatusUnauthorizedResponseBody is the type of the "queries" service "status"
@@ -237,6 +326,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // StatusNotFoundResponseBody is the type of the "queries" service "status"
@@ -252,6 +343,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // ExplainUnavailableResponseBody is the type of the "queries" service
@@ -267,6 +360,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // ExplainUnauthorizedResponseBody is the type of the "queries" service
@@ -282,6 +377,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // ExplainNotFoundResponseBody is the type of the "queries" service "explain"
@@ -297,6 +394,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // QuarantineUnavailableResponseBody is the type of the "queries" service
@@ -312,6 +411,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // QuarantineUnauthorizedResponseBody is the type of the "queries" service
@@ -327,6 +428,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // QuarantineNotFoundResponseBody is the type of the "queries" service
@@ -342,6 +445,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // ChangeResponse is used to define fields on response body types.
@@ -438,6 +543,15 @@
 	Until *string `form:"until,omitempty" json:"until,omitempty" xml:"until,omitempty"`
 }
 
+// NewOutcomeRequestBody builds the HTTP request body from the payload of the
+// "outcome" endpoint of the "queries" service.
+func NewOutcomeRequestBody(p *queries.OutcomePayload) *OutcomeRequestBody {
+	body := &OutcomeRequestBody{
+		EditID: p.EditID,
+	}
+	return body
+}
+
 // NewExplainRequestBody builds the HTTP request body from the payload of the
 // "explain" endpoint of the "queries" service.
 func NewExplainRequestBody(p *queries.ExplainPayload) *ExplainRequestBody {
@@ -467,6 +581,7 @@
 		File:    body.File,
 		Line:    body.Line,
 		EditID:  body.EditID,
+		Expect:  body.Expect,
 	}
 
 	return v
@@ -481,6 +596,7 @@
 		File:    body.File,
 		Line:    body.Line,
 		EditID:  body.EditID,
+		Expect:  body.Expect,
 	}
 
 	return v
@@ -494,6 +610,7 @@
 		File:    body.File,
 		Line:    body.Line,
 		EditID:  body.EditID,
+		Expect:  body.Expect,
 	}
 
 	return v
@@ -523,6 +640,7 @@
 		File:    body.File,
 		Line:    body.Line,
 		EditID:  body.EditID,
+		Expect:  body.Expect,
 	}
 
 	return v
@@ -537,6 +655,7 @@
 		File:    body.File,
 		Line:    body.Line,
 		EditID:  body.EditID,
+		Expect:  body.Expect,
 	}
 
 	return v
@@ -550,6 +669,63 @@
 		File:    body.File,
 		Line:    body.Line,
 		EditID:  body.EditID,
+		Expect:  body.Expect,
+	}
+
+	return v
+}
+
+// NewOutcomeResultOK builds a "queries" service "outcome" endpoint result from
+// a HTTP "OK" response.
+func NewOutcomeResultOK(body *OutcomeResponseBody) *queries.OutcomeResult {
+	v := &queries.OutcomeResult{
+		Fate:     *body.Fate,
+		Revision: body.Revision,
+		Reason:   body.Reason,
+	}
+
+	return v
+}
+
+// NewOutcomeUnavailable builds a queries service outcome endpoint unavailable
+// error.
+func NewOutcomeUnavailable(body *OutcomeUnavailableResponseBody) *queries.Problem {
+	v := &queries.Problem{
+		Name:    *body.Name,
+		Message: *body.Message,
+		File:    body.File,
+		Line:    body.Line,
+		EditID:  body.EditID,
+		Expect:  body.Expect,
+	}
+
+	return v
+}
+
+// NewOutcomeUnauthorized builds a queries service outcome endpoint
+// unauthorized error.
+func NewOutcomeUnauthorized(body *OutcomeUnauthorizedResponseBody) *queries.Problem {
+	v := &queries.Problem{
+		Name:    *body.Name,
+		Message: *body.Message,
+		File:    body.File,
+		Line:    body.Line,
+		EditID:  body.EditID,
+		Expect:  body.Expect,
+	}
+
+	return v
+}
+
+// NewOutcomeNotFound builds a queries service outcome endpoint not-found error.
+func NewOutcomeNotFound(body *OutcomeNotFoundResponseBody) *queries.Problem {
+	v := &queries.Problem{
+		Name:    *body.Name,
+		Message: *body.Message,
+		File:    body.File,
+		Line:    body.Line,
+		EditID:  body.EditID,
+		Expect:  body.Expect,
 	}
 
 	return v
@@ -578,6 +754,7 @@
 		File:    body.File,
 		Line:    body.Line,
 		EditID:  body.EditID,
+		Expect:  body.Expect,
 	}
 
 	return v
@@ -592,6 +769,7 @@
 		File:    body.File,
 		Line:    body.Line,
 		EditID:  body.EditID,
+		Expect:  body.Expect,
 	}
 
 	return v
@@ -605,6 +783,7 @@
 		File:    body.File,
 		Line:    body.Line,
 		EditID:  body.EditID,
+		Expect:  body.Expect,
 	}
 
 	return v
@@ -665,6 +844,7 @@
 		File:    body.File,
 		Line:    body.Line,
 		EditID:  body.EditID,
+		Expect:  body.Expect,
 	}
 
 	return v
@@ -679,6 +859,7 @@
 		File:    body.File,
 		Line:    body.Line,
 		EditID:  body.EditID,
+		Expect:  body.Expect,
 	}
 
 	return v
@@ -692,6 +873,7 @@
 		File:    body.File,
 		Line:    body.Line,
 		EditID:  body.EditID,
+		Expect:  body.Expect,
 	}
 
 	return v
@@ -730,6 +912,7 @@
 		File:    body.File,
 		Line:    body.Line,
 		EditID:  body.EditID,
+		Expect:  body.Expect,
 	}
 
 	return v
@@ -744,6 +927,7 @@
 		File:    body.File,
 		Line:    body.Line,
 		EditID:  body.EditID,
+		Expect:  body.Expect,
 	}
 
 	return v
@@ -757,6 +941,7 @@
 		File:    body.File,
 		Line:    body.Line,
 		EditID:  body.EditID,
+		Expect:  body.Expect,
 	}
 
 	return v
@@ -786,6 +971,7 @@
 		File:    body.File,
 		Line:    body.Line,
 		EditID:  body.EditID,
+		Expect:  body.Expect,
 	}
 
 	return v
@@ -800,6 +986,7 @@
 		File:    body.File,
 		Line:    body.Line,
 		EditID:  body.EditID,
+		Expect:  body.Expect,
 	}
 
 	return v
@@ -814,6 +1001,7 @@
 		File:    body.File,
 		Line:    body.Line,
 		EditID:  body.EditID,
+		Expect:  body.Expect,
 	}
 
 	return v
@@ -830,6 +1018,15 @@
 	return
 }
 
+// ValidateOutcomeResponseBody runs the validations defined on
+// OutcomeResponseBody
+func ValidateOutcomeResponseBody(body *OutcomeResponseBody) (err error) {
+	if body.Fate == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fate", "body"))
+	}
+	return
+}
+
 // ValidateStatusResponseBody runs the validations defined on StatusResponseBody
 func ValidateStatusResponseBody(body *StatusResponseBody) (err error) {
 	if body.Address == nil {
@@ -986,6 +1183,42 @@
 	return
 }
 
+// ValidateOutcomeUnavailableResponseBody runs the validations defined on
+// outcome_unavailable_response_body
+func ValidateOutcomeUnavailableResponseBody(body *OutcomeUnavailableResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	return
+}
+
+// ValidateOutcomeUnauthorizedResponseBody runs the validations defined on
+// outcome_unauthorized_response_body
+func ValidateOutcomeUnauthorizedResponseBody(body *OutcomeUnauthorizedResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	return
+}
+
+// ValidateOutcomeNotFoundResponseBody runs the validations defined on
+// outcome_not-found_response_body
+func ValidateOutcomeNotFoundResponseBody(body *OutcomeNotFoundResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	return
+}
+
 // ValidateDiffUnavailableResponseBody runs the validations defined on
 // diff_unavailable_response_body
 func ValidateDiffUnavailableResponseBody(body *DiffUnavailableResponseBody) (err error) {
--- a/gen/http/queries/server/encode_decode.go
+++ b/gen/http/queries/server/encode_decode.go
@@ -249,6 +249,132 @@
 	}
 }
 
+// EncodeOutcomeResponse returns an encoder for responses returned by the
+// queries outcome endpoint.
+func EncodeOutcomeResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
+	return func(ctx context.Context, w http.ResponseWriter, v any) error {
+		res, _ := v.(*queries.OutcomeResult)
+		enc := encoder(ctx, w)
+		body := NewOutcomeResponseBody(res)
+		w.WriteHeader(http.StatusOK)
+		return enc.Encode(body)
+	}
+}
+
+// DecodeOutcomeRequest returns a decoder for requests sent to the queries
+// outcome endpoint.
+func DecodeOutcomeRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*queries.OutcomePayload, error) {
+	return func(r *http.Request) (*queries.OutcomePayload, error) {
+		var payload *queries.OutcomePayload
+		var (
+			body OutcomeRequestBody
+			err  error
+		)
+		err = decoder(r).Decode(&body)
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				return payload, goa.MissingPayloadError()
+			}
+			var gerr *goa.ServiceError
+			if errors.As(err, &gerr) {
+				return payload, gerr
+			}
+			return payload, goa.DecodePayloadError(err.Error())
+		}
+		err = ValidateOutcomeRequestBody(&body)
+		if err != nil {
+			return payload, err
+		}
+
+		var (
+			expect *int64
+			token  *string
+		)
+		{
+			expectRaw := r.URL.Query().Get("expect")
+			if expectRaw != "" {
+				v, err2 := strconv.ParseInt(expectRaw, 10, 64)
+				if err2 != nil {
+					err = goa.MergeErrors(err, goa.InvalidFieldTypeError("expect", expectRaw, "integer"))
+				}
+				expect = &v
+			}
+		}
+		tokenRaw := r.Header.Get("X-Operator-Token")
+		if tokenRaw != "" {
+			token = &tokenRaw
+		}
+		if err != nil {
+			return payload, err
+		}
+		payload = NewOutcomePayload(&body, expect, token)
+		if payload.Token != nil {
+			if strings.Contains(*payload.Token, " ") {
+				// Remove authorization scheme prefix (e.g. "Bearer")
+				cred := strings.SplitN(*payload.Token, " ", 2)[1]
+				payload.Token = &cred
+			}
+		}
+
+		return payload, nil
+	}
+}
+
+// EncodeOutcomeError returns an encoder for errors returned by the outcome
+// queries endpoint.
+func EncodeOutcomeError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
+	encodeError := goahttp.ErrorEncoder(encoder, formatter)
+	return func(ctx context.Context, w http.ResponseWriter, v error) error {
+		var en goa.GoaErrorNamer
+		if !errors.As(v, &en) {
+			return encodeError(ctx, w, v)
+		}
+		switch en.GoaErrorName() {
+		case "unavailable":
+			var res *queries.Problem
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewOutcomeUnavailableResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		case "unauthorized":
+			var res *queries.Problem
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewOutcomeUnauthorizedResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnauthorized)
+			return enc.Encode(body)
+		case "not-found":
+			var res *queries.Problem
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewOutcomeNotFoundResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusNotFound)
+			return enc.Encode(body)
+		default:
+			return encodeError(ctx, w, v)
+		}
+	}
+}
+
 // EncodeDiffResponse returns an encoder for responses returned by the queries
 // diff endpoint.
 func EncodeDiffResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
--- a/gen/http/queries/server/paths.go
+++ b/gen/http/queries/server/paths.go
@@ -21,6 +21,11 @@
 	return "/v1/history"
 }
 
+// OutcomeQueriesPath returns the URL path to the queries service outcome HTTP endpoint.
+func OutcomeQueriesPath() string {
+	return "/v1/edits/{edit-id}"
+}
+
 // DiffQueriesPath returns the URL path to the queries service diff HTTP endpoint.
 func DiffQueriesPath() string {
 	return "/v1/diff"
--- a/gen/http/queries/server/server.go
+++ b/gen/http/queries/server/server.go
@@ -21,6 +21,7 @@
 	Mounts     []*MountPoint
 	Table      http.Handler
 	History    http.Handler
+	Outcome    http.Handler
 	Diff       http.Handler
 	Status     http.Handler
 	Explain    http.Handler
@@ -56,6 +57,7 @@
 		Mounts: []*MountPoint{
 			{"Table", "GET", "/v1/tables/{table}"},
 			{"History", "GET", "/v1/history"},
+			{"Outcome", "GET", "/v1/edits/{edit-id}"},
 			{"Diff", "GET", "/v1/diff"},
 			{"Status", "GET", "/v1/status"},
 			{"Explain", "GET", "/v1/requests/{request-id}"},
@@ -63,6 +65,7 @@
 		},
 		Table:      NewTableHandler(e.Table, mux, decoder, encoder, errhandler, formatter),
 		History:    NewHistoryHandler(e.History, mux, decoder, encoder, errhandler, formatter),
+		Outcome:    NewOutcomeHandler(e.Outcome, mux, decoder, encoder, errhandler, formatter),
 		Diff:       NewDiffHandler(e.Diff, mux, decoder, encoder, errhandler, formatter),
 		Status:     NewStatusHandler(e.Status, mux, decoder, encoder, errhandler, formatter),
 		Explain:    NewExplainHandler(e.Explain, mux, decoder, encoder, errhandler, formatter),
@@ -77,6 +80,7 @@
 func (s *Server) Use(m func(http.Handler) http.Handler) {
 	s.Table = m(s.Table)
 	s.History = m(s.History)
+	s.Outcome = m(s.Outcome)
 	s.Diff = m(s.Diff)
 	s.Status = m(s.Status)
 	s.Explain = m(s.Explain)
@@ -90,6 +94,7 @@
 func Mount(mux goahttp.Muxer, h *Server) {
 	MountTableHandler(mux, h.Table)
 	MountHistoryHandler(mux, h.History)
+	MountOutcomeHandler(mux, h.Outcome)
 	MountDiffHandler(mux, h.Diff)
 	MountStatusHandler(mux, h.Status)
 	MountExplainHandler(mux, h.Explain)
@@ -207,6 +212,59 @@
 	})
 }
 
+// MountOutcomeHandler configures the mux to serve the "queries" service
+// "outcome" endpoint.
+func MountOutcomeHandler(mux goahttp.Muxer, h http.Handler) {
+	f, ok := h.(http.HandlerFunc)
+	if !ok {
+		f = func(w http.ResponseWriter, r *http.Request) {
+			h.ServeHTTP(w, r)
+		}
+	}
+	mux.Handle("GET", "/v1/edits/{edit-id}", f)
+}
+
+// NewOutcomeHandler creates a HTTP handler which loads the HTTP request and
+// calls the "queries" service "outcome" endpoint.
+func NewOutcomeHandler(
+	endpoint goa.Endpoint,
+	mux goahttp.Muxer,
+	decoder func(*http.Request) goahttp.Decoder,
+	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
+	errhandler func(context.Context, http.ResponseWriter, error),
+	formatter func(ctx context.Context, err error) goahttp.Statuser,
+) http.Handler {
+	var (
+		decodeRequest  = DecodeOutcomeRequest(mux, decoder)
+		encodeResponse = EncodeOutcomeResponse(encoder)
+		encodeError    = EncodeOutcomeError(encoder, formatter)
+	)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
+		ctx = context.WithValue(ctx, goa.MethodKey, "outcome")
+		ctx = context.WithValue(ctx, goa.ServiceKey, "queries")
+		payload, err := decodeRequest(r)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		res, err := endpoint(ctx, payload)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		if err := encodeResponse(ctx, w, res); err != nil {
+			if errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+		}
+	})
+}
+
 // MountDiffHandler configures the mux to serve the "queries" service "diff"
 // endpoint.
 func MountDiffHandler(mux goahttp.Muxer, h http.Handler) {
--- a/gen/http/queries/server/types.go
+++ b/gen/http/queries/server/types.go
@@ -14,6 +14,13 @@
 	goa "goa.design/goa/v3/pkg"
 )
 
+// OutcomeRequestBody is the type of the "queries" service "outcome" endpoint
+// HTTP request body.
+type OutcomeRequestBody struct {
+	// Identifier of the edit.
+	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+}
+
 // ExplainRequestBody is the type of the "queries" service "explain" endpoint
 // HTTP request body.
 type ExplainRequestBody struct {
@@ -34,6 +41,17 @@
 // HTTP response body.
 type HistoryResponseBody []*ChangeResponse
 
+// OutcomeResponseBody is the type of the "queries" service "outcome" endpoint
+// HTTP response body.
+type OutcomeResponseBody struct {
+	// accepted, refused, not-accepted or unknown.
+	Fate string `form:"fate" json:"fate" xml:"fate"`
+	// Revision that an accepted edit made.
+	Revision *int64 `form:"revision,omitempty" json:"revision,omitempty" xml:"revision,omitempty"`
+	// Why it was refused.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+}
+
 // DiffResponseBody is the type of the "queries" service "diff" endpoint HTTP
 // response body.
 type DiffResponseBody []*RowResponse
@@ -101,6 +119,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // TableUnauthorizedResponseBody is the type of the "queries" service "table"
@@ -116,6 +136,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // TableNotFoundResponseBody is the type of the "queries" service "table"
@@ -131,6 +153,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // HistoryUnavailableResponseBody is the type of the "queries" service
@@ -146,6 +170,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // HistoryUnauthorizedResponseBody is the type of the "queries" service
@@ -161,6 +187,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // HistoryNotFoundResponseBody is the type of the "queries" service "history"
@@ -176,6 +204,59 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
+}
+
+// OutcomeUnavailableResponseBody is the type of the "queries" service
+// "outcome" endpoint HTTP response body for the "unavailable" error.
+type OutcomeUnavailableResponseBody struct {
+	// Name of the error.
+	Name string `form:"name" json:"name" xml:"name"`
+	// What went wrong.
+	Message string `form:"message" json:"message" xml:"message"`
+	// File or table that was refused.
+	File *string `form:"file,omitempty" json:"file,omitempty" xml:"file,omitempty"`
+	// Line that was refused, counted from 1.
+	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
+	// Identifier of the edit.
+	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
+}
+
+// OutcomeUnauthorizedResponseBody is the type of the "queries" service
+// "outcome" endpoint HTTP response body for the "unauthorized" error.
+type OutcomeUnauthorizedResponseBody struct {
+	// Name of the error.
+	Name string `form:"name" json:"name" xml:"name"`
+	// What went wrong.
+	Message string `form:"message" json:"message" xml:"message"`
+	// File or table that was refused.
+	File *string `form:"file,omitempty" json:"file,omitempty" xml:"file,omitempty"`
+	// Line that was refused, counted from 1.
+	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
+	// Identifier of the edit.
+	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
+}
+
+// OutcomeNotFoundResponseBody is the type of the "queries" service "outcome"
+// endpoint HTTP response body for the "not-found" error.
+type OutcomeNotFoundResponseBody struct {
+	// Name of the error.
+	Name string `form:"name" json:"name" xml:"name"`
+	// What went wrong.
+	Message string `form:"message" json:"message" xml:"message"`
+	// File or table that was refused.
+	File *string `form:"file,omitempty" json:"file,omitempty" xml:"file,omitempty"`
+	// Line that was refused, counted from 1.
+	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
+	// Identifier of the edit.
+	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // DiffUnavailableResponseBody is the type of the "queries" service "diff"
@@ -191,6 +272,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // DiffUnauthorizedResponseBody is the type of the "queries" service "diff"
@@ -206,6 +289,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // DiffNotFoundResponseBody is the type of the "queries" service "diff"
@@ -221,6 +306,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // StatusUnavailableResponseBody is the type of the "queries" service "status"
@@ -236,6 +323,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // StatusUnauthorizedResponseBody is the type of the "queries" service "status"
@@ -251,6 +340,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // StatusNotFoundResponseBody is the type of the "queries" service "status"
@@ -266,6 +357,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // ExplainUnavailableResponseBody is the type of the "queries" service
@@ -281,6 +374,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // ExplainUnauthorizedResponseBody is the type of the "queries" service
@@ -296,6 +391,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // ExplainNotFoundResponseBody is the type of the "queries" service "explain"
@@ -311,6 +408,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // QuarantineUnavailableResponseBody is the type of the "queries" service
@@ -326,6 +425,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // QuarantineUnauthorizedResponseBody is the type of the "queries" service
@@ -341,6 +442,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // QuarantineNotFoundResponseBody is the type of the "queries" service
@@ -356,6 +459,8 @@
 	Line *int `form:"line,omitempty" json:"line,omitempty" xml:"line,omitempty"`
 	// Identifier of the edit.
 	EditID *string `form:"edit-id,omitempty" json:"edit-id,omitempty" xml:"edit-id,omitempty"`
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64 `form:"expect,omitempty" json:"expect,omitempty" xml:"expect,omitempty"`
 }
 
 // ChangeResponse is used to define fields on response body types.
@@ -476,6 +581,17 @@
 	return body
 }
 
+// NewOutcomeResponseBody builds the HTTP response body from the result of the
+// "outcome" endpoint of the "queries" service.
+func NewOutcomeResponseBody(res *queries.OutcomeResult) *OutcomeResponseBody {
+	body := &OutcomeResponseBody{
+		Fate:     res.Fate,
+		Revision: res.Revision,
+		Reason:   res.Reason,
+	}
+	return body
+}
+
 // NewDiffResponseBody builds the HTTP response body from the result of the
 // "diff" endpoint of the "queries" service.
 func NewDiffResponseBody(res []*queries.Row) DiffResponseBody {
@@ -585,6 +701,7 @@
 		File:    res.File,
 		Line:    res.Line,
 		EditID:  res.EditID,
+		Expect:  res.Expect,
 	}
 	return body
 }
@@ -598,6 +715,7 @@
 		File:    res.File,
 		Line:    res.Line,
 		EditID:  res.EditID,
+		Expect:  res.Expect,
 	}
 	return body
 }
@@ -611,6 +729,7 @@
 		File:    res.File,
 		Line:    res.Line,
 		EditID:  res.EditID,
+		Expect:  res.Expect,
 	}
 	return body
 }
@@ -624,6 +743,7 @@
 		File:    res.File,
 		Line:    res.Line,
 		EditID:  res.EditID,
+		Expect:  res.Expect,
 	}
 	return body
 }
@@ -637,6 +757,7 @@
 		File:    res.File,
 		Line:    res.Line,
 		EditID:  res.EditID,
+		Expect:  res.Expect,
 	}
 	return body
 }
@@ -650,6 +771,49 @@
 		File:    res.File,
 		Line:    res.Line,
 		EditID:  res.EditID,
+		Expect:  res.Expect,
+	}
+	return body
+}
+
+// NewOutcomeUnavailableResponseBody builds the HTTP response body from the
+// result of the "outcome" endpoint of the "queries" service.
+func NewOutcomeUnavailableResponseBody(res *queries.Problem) *OutcomeUnavailableResponseBody {
+	body := &OutcomeUnavailableResponseBody{
+		Name:    res.Name,
+		Message: res.Message,
+		File:    res.File,
+		Line:    res.Line,
+		EditID:  res.EditID,
+		Expect:  res.Expect,
+	}
+	return body
+}
+
+// NewOutcomeUnauthorizedResponseBody builds the HTTP response body from the
+// result of the "outcome" endpoint of the "queries" service.
+func NewOutcomeUnauthorizedResponseBody(res *queries.Problem) *OutcomeUnauthorizedResponseBody {
+	body := &OutcomeUnauthorizedResponseBody{
+		Name:    res.Name,
+		Message: res.Message,
+		File:    res.File,
+		Line:    res.Line,
+		EditID:  res.EditID,
+		Expect:  res.Expect,
+	}
+	return body
+}
+
+// NewOutcomeNotFoundResponseBody builds the HTTP response body from the result
+// of the "outcome" endpoint of the "queries" service.
+func NewOutcomeNotFoundResponseBody(res *queries.Problem) *OutcomeNotFoundResponseBody {
+	body := &OutcomeNotFoundResponseBody{
+		Name:    res.Name,
+		Message: res.Message,
+		File:    res.File,
+		Line:    res.Line,
+		EditID:  res.EditID,
+		Expect:  res.Expect,
 	}
 	return body
 }
@@ -663,6 +827,7 @@
 		File:    res.File,
 		Line:    res.Line,
 		EditID:  res.EditID,
+		Expect:  res.Expect,
 	}
 	return body
 }
@@ -676,6 +841,7 @@
 		File:    res.File,
 		Line:    res.Line,
 		EditID:  res.EditID,
+		Expect:  res.Expect,
 	}
 	return body
 }
@@ -689,6 +855,7 @@
 		File:    res.File,
 		Line:    res.Line,
 		EditID:  res.EditID,
+		Expect:  res.Expect,
 	}
 	return body
 }
@@ -702,6 +869,7 @@
 		File:    res.File,
 		Line:    res.Line,
 		EditID:  res.EditID,
+		Expect:  res.Expect,
 	}
 	return body
 }
@@ -715,6 +883,7 @@
 		File:    res.File,
 		Line:    res.Line,
 		EditID:  res.EditID,
+		Expect:  res.Expect,
 	}
 	return body
 }
@@ -728,6 +897,7 @@
 		File:    res.File,
 		Line:    res.Line,
 		EditID:  res.EditID,
+		Expect:  res.Expect,
 	}
 	return body
 }
@@ -741,6 +911,7 @@
 		File:    res.File,
 		Line:    res.Line,
 		EditID:  res.EditID,
+		Expect:  res.Expect,
 	}
 	return body
 }
@@ -754,6 +925,7 @@
 		File:    res.File,
 		Line:    res.Line,
 		EditID:  res.EditID,
+		Expect:  res.Expect,
 	}
 	return body
 }
@@ -767,6 +939,7 @@
 		File:    res.File,
 		Line:    res.Line,
 		EditID:  res.EditID,
+		Expect:  res.Expect,
 	}
 	return body
 }
@@ -780,6 +953,7 @@
 		File:    res.File,
 		Line:    res.Line,
 		EditID:  res.EditID,
+		Expect:  res.Expect,
 	}
 	return body
 }
@@ -793,6 +967,7 @@
 		File:    res.File,
 		Line:    res.Line,
 		EditID:  res.EditID,
+		Expect:  res.Expect,
 	}
 	return body
 }
@@ -806,6 +981,7 @@
 		File:    res.File,
 		Line:    res.Line,
 		EditID:  res.EditID,
+		Expect:  res.Expect,
 	}
 	return body
 }
@@ -832,6 +1008,17 @@
 	return v
 }
 
+// NewOutcomePayload builds a queries service outcome endpoint payload.
+func NewOutcomePayload(body *OutcomeRequestBody, expect *int64, token *string) *queries.OutcomePayload {
+	v := &queries.OutcomePayload{
+		EditID: *body.EditID,
+	}
+	v.Expect = expect
+	v.Token = token
+
+	return v
+}
+
 // NewDiffPayload builds a queries service diff endpoint payload.
 func NewDiffPayload(from int64, to *int64, token *string) *queries.DiffPayload {
 	v := &queries.DiffPayload{}
@@ -868,6 +1055,19 @@
 	return v
 }
 
+// ValidateOutcomeRequestBody runs the validations defined on OutcomeRequestBody
+func ValidateOutcomeRequestBody(body *OutcomeRequestBody) (err error) {
+	if body.EditID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("edit-id", "body"))
+	}
+	if body.EditID != nil {
+		if utf8.RuneCountInString(*body.EditID) > 64 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.edit-id", *body.EditID, utf8.RuneCountInString(*body.EditID), 64, false))
+		}
+	}
+	return
+}
+
 // ValidateExplainRequestBody runs the validations defined on ExplainRequestBody
 func ValidateExplainRequestBody(body *ExplainRequestBody) (err error) {
 	if body.RequestID == nil {
--- a/gen/queries/client.go
+++ b/gen/queries/client.go
@@ -17,6 +17,7 @@
 type Client struct {
 	TableEndpoint      goa.Endpoint
 	HistoryEndpoint    goa.Endpoint
+	OutcomeEndpoint    goa.Endpoint
 	DiffEndpoint       goa.Endpoint
 	StatusEndpoint     goa.Endpoint
 	ExplainEndpoint    goa.Endpoint
@@ -24,10 +25,11 @@
 }
 
 // NewClient initializes a "queries" service client given the endpoints.
-func NewClient(table, history, diff, status, explain, quarantine goa.Endpoint) *Client {
+func NewClient(table, history, outcome, diff, status, explain, quarantine goa.Endpoint) *Client {
 	return &Client{
 		TableEndpoint:      table,
 		HistoryEndpoint:    history,
+		OutcomeEndpoint:    outcome,
 		DiffEndpoint:       diff,
 		StatusEndpoint:     status,
 		ExplainEndpoint:    explain,
@@ -65,6 +67,21 @@
 	return ires.([]*Change), nil
 }
 
+// Outcome calls the "outcome" endpoint of the "queries" service.
+// Outcome may return the following errors:
+//   - "unavailable" (type *Problem): The store can't be reached.
+//   - "unauthorized" (type *Problem): The token is missing or wrong.
+//   - "not-found" (type *Problem): There is no such thing.
+//   - error: internal error
+func (c *Client) Outcome(ctx context.Context, p *OutcomePayload) (res *OutcomeResult, err error) {
+	var ires any
+	ires, err = c.OutcomeEndpoint(ctx, p)
+	if err != nil {
+		return
+	}
+	return ires.(*OutcomeResult), nil
+}
+
 // Diff calls the "diff" endpoint of the "queries" service.
 // Diff may return the following errors:
 //   - "unavailable" (type *Problem): The store can't be reached.
--- a/gen/queries/endpoints.go
+++ b/gen/queries/endpoints.go
@@ -18,6 +18,7 @@
 type Endpoints struct {
 	Table      goa.Endpoint
 	History    goa.Endpoint
+	Outcome    goa.Endpoint
 	Diff       goa.Endpoint
 	Status     goa.Endpoint
 	Explain    goa.Endpoint
@@ -31,6 +32,7 @@
 	return &Endpoints{
 		Table:      NewTableEndpoint(s, a.APIKeyAuth),
 		History:    NewHistoryEndpoint(s, a.APIKeyAuth),
+		Outcome:    NewOutcomeEndpoint(s, a.APIKeyAuth),
 		Diff:       NewDiffEndpoint(s, a.APIKeyAuth),
 		Status:     NewStatusEndpoint(s, a.APIKeyAuth),
 		Explain:    NewExplainEndpoint(s, a.APIKeyAuth),
@@ -42,6 +44,7 @@
 func (e *Endpoints) Use(m func(goa.Endpoint) goa.Endpoint) {
 	e.Table = m(e.Table)
 	e.History = m(e.History)
+	e.Outcome = m(e.Outcome)
 	e.Diff = m(e.Diff)
 	e.Status = m(e.Status)
 	e.Explain = m(e.Explain)
@@ -94,6 +97,29 @@
 	}
 }
 
+// NewOutcomeEndpoint returns an endpoint function that calls the method
+// "outcome" of service "queries".
+func NewOutcomeEndpoint(s Service, authAPIKeyFn security.AuthAPIKeyFunc) goa.Endpoint {
+	return func(ctx context.Context, req any) (any, error) {
+		p := req.(*OutcomePayload)
+		var err error
+		sc := security.APIKeyScheme{
+			Name:           "operator-token",
+			Scopes:         []string{},
+			RequiredScopes: []string{},
+		}
+		var key string
+		if p.Token != nil {
+			key = *p.Token
+		}
+		ctx, err = authAPIKeyFn(ctx, key, &sc)
+		if err != nil {
+			return nil, err
+		}
+		return s.Outcome(ctx, p)
+	}
+}
+
 // NewDiffEndpoint returns an endpoint function that calls the method "diff" of
 // service "queries".
 func NewDiffEndpoint(s Service, authAPIKeyFn security.AuthAPIKeyFunc) goa.Endpoint {
--- a/gen/queries/service.go
+++ b/gen/queries/service.go
@@ -19,6 +19,8 @@
 	Table(context.Context, *TablePayload) (res *TableResult, err error)
 	// Returns the audit trail, newest first.
 	History(context.Context, *HistoryPayload) (res []*Change, err error)
+	// Returns what became of an edit.
+	Outcome(context.Context, *OutcomePayload) (res *OutcomeResult, err error)
 	// Returns the rows that differ between two revisions.
 	Diff(context.Context, *DiffPayload) (res []*Row, err error)
 	// Returns the state of this router.
@@ -49,7 +51,7 @@
 // MethodNames lists the service method names as defined in the design. These
 // are the same values that are set in the endpoint request contexts under the
 // MethodKey key.
-var MethodNames = [6]string{"table", "history", "diff", "status", "explain", "quarantine"}
+var MethodNames = [7]string{"table", "history", "outcome", "diff", "status", "explain", "quarantine"}
 
 // One entry of the audit trail.
 type Change struct {
@@ -130,6 +132,25 @@
 	HeardSeconds *float64
 }
 
+// OutcomePayload is the payload type of the queries service outcome method.
+type OutcomePayload struct {
+	Token *string
+	// Identifier of the edit.
+	EditID string
+	// What an unknown outcome said to ask with; 0 if not known.
+	Expect *int64
+}
+
+// OutcomeResult is the result type of the queries service outcome method.
+type OutcomeResult struct {
+	// accepted, refused, not-accepted or unknown.
+	Fate string
+	// Revision that an accepted edit made.
+	Revision *int64
+	// Why it was refused.
+	Reason *string
+}
+
 // One pool as this router knows it.
 type PoolStatus struct {
 	// Name.
@@ -255,6 +276,8 @@
 	Line *int
 	// Identifier of the edit.
 	EditID *string
+	// For an unknown outcome: what to ask for the edit with.
+	Expect *int64
 }
 
 // Error returns an error description.
--- a/reporter/history.go
+++ b/reporter/history.go
@@ -11,6 +11,7 @@
 	"github.com/kingcuphook/kingcuphook/auditor"
 	"github.com/kingcuphook/kingcuphook/differ"
 	"github.com/kingcuphook/kingcuphook/gen/queries"
+	"github.com/kingcuphook/kingcuphook/historian"
 )
 
 // Values of the outcome of a change.
@@ -72,6 +73,28 @@
 	}
 }
 
+// Outcome implements queries.Service.
+func (p *Reporter) Outcome(ctx context.Context, q *queries.OutcomePayload) (*queries.OutcomeResult, error) {
+	var expect int64
+	if q.Expect != nil {
+		expect = *q.Expect
+	}
+	o, err := p.Historian.Find(ctx, q.EditID, expect)
+	if err != nil {
+		return nil, problem(err)
+	}
+	result := &queries.OutcomeResult{Fate: string(o.Fate)}
+	switch o.Fate {
+	case historian.FateAccepted:
+		revision := o.Change.Revision()
+		result.Revision = &revision
+	case historian.FateRefused:
+		cause := o.Record.Fields().Cause
+		result.Reason = &cause
+	}
+	return result, nil
+}
+
 // Diff implements queries.Service.
 func (p *Reporter) Diff(ctx context.Context, q *queries.DiffPayload) ([]*queries.Row, error) {
 	var to int64
--- a/router/control.go
+++ b/router/control.go
@@ -57,6 +57,8 @@
 	reports map[string]kingcuphook.LoadReport
 	// revision is that of the tables handed to the schedulers.
 	revision int64
+	// source is the peer that the newest tables came from; empty for none.
+	source string
 	// pulling is set while tables are being pulled from a peer.
 	pulling bool
 	// begun is when the loop began. joined says that a peer has answered, or that
@@ -77,7 +79,8 @@
 // view is a copy of the control state.
 type view struct {
 	members []gossiper.Member
-	routers []follower.Router
+	// watches says that this router is a watcher of its data centre.
+	watches bool
 	reports map[string]kingcuphook.LoadReport
 	leaving map[string]bool
 }
@@ -101,7 +104,7 @@
 		reports:   make(map[string]kingcuphook.LoadReport),
 	}
 	c.gossip.Changes = c.changes
-	c.view.Store(&view{})
+	c.view.Store(&view{watches: true})
 	return c
 }
 
@@ -157,12 +160,14 @@
 // takeTables hands the tables in force to the schedulers and to the peers.
 func (c *control) takeTables(now time.Time) {
 	s := c.router.follower.Current()
+	source := c.source
+	c.source = ""
 	if s.Revision() == c.revision {
 		return
 	}
 	c.revision = s.Revision()
 	c.router.allocator.Update(s.Tables())
-	c.gossip.SetRevision(now, s.Revision(), "")
+	c.gossip.SetRevision(now, s.Revision(), source)
 	c.takeUpstreams(s.Tables())
 }
 
@@ -329,7 +334,7 @@
 	members := c.gossip.Members(now)
 	v := &view{
 		members: members,
-		routers: make([]follower.Router, 0, len(members)),
+		watches: c.gossip.Watches(now),
 		reports: make(map[string]kingcuphook.LoadReport, len(c.reports)),
 		leaving: c.leaving,
 	}
@@ -342,7 +347,6 @@
 		if m.Region() == c.router.Settings.Node.Region {
 			near++
 		}
-		v.routers = append(v.routers, follower.Router{Address: m.Address(), DataCentre: m.DataCentre()})
 	}
 	for a, l := range c.reports {
 		v.reports[a] = l
@@ -368,8 +372,8 @@
 	c.known = known
 }
 
-// routers returns the routers thought to be alive.
-func (c *control) routers() []follower.Router { return c.view.Load().routers }
+// watches reports whether this router watches the store.
+func (c *control) watches() bool { return c.view.Load().watches }
 
 // inForce returns the newest state of the tables known here, and whether a
 // router of every region has told its revision and none told a higher one.
@@ -380,7 +384,7 @@
 		if m.Revision() > s.Revision() {
 			return s, false
 		}
-		heard[m.Region()] = heard[m.Region()] || m.Revision() > 0
+		heard[m.Region()] = heard[m.Region()] || m.Revision() > 0 && m.Reachable()
 	}
 	for _, h := range heard {
 		if !h {
--- a/router/operators.go
+++ b/router/operators.go
@@ -10,6 +10,7 @@
 
 	"github.com/kingcuphook/kingcuphook"
 	"github.com/kingcuphook/kingcuphook/commander"
+	"github.com/kingcuphook/kingcuphook/differ"
 	"github.com/kingcuphook/kingcuphook/gen/commands"
 	commandsserver "github.com/kingcuphook/kingcuphook/gen/http/commands/server"
 	queriesserver "github.com/kingcuphook/kingcuphook/gen/http/queries/server"
@@ -21,6 +22,9 @@
 // hexBase is the base in which fingerprints are written.
 const hexBase = 16
 
+// acceptTimeout bounds the wait for the control loop after an edit.
+const acceptTimeout = time.Second
+
 // maxOperatorBodyBytes bounds the body of a call of an operator.
 const maxOperatorBodyBytes = 32 << 20
 
@@ -28,11 +32,10 @@
 func (r *Router) operatorsHandler() http.Handler {
 	token := r.Settings.Operators.Token
 	commandEnds := commands.NewEndpoints(&commander.Commander{
-		Editor:  r.editor,
-		Refresh: r.refresh,
-		Lifter:  r,
-		Token:   token,
-		Log:     r.Log,
+		Editor: r.editor,
+		Lifter: r,
+		Token:  token,
+		Log:    r.Log,
 	})
 	queryEnds := queries.NewEndpoints(&reporter.Reporter{
 		Source:    r,
@@ -47,12 +50,13 @@
 	return http.MaxBytesHandler(mux, maxOperatorBodyBytes)
 }
 
-// refresh puts an edit made here in force. If the store can't be read, the watch
-// brings it later.
-func (r *Router) refresh(ctx context.Context) {
-	if r.follower.Refresh(ctx) == nil {
-		_ = r.control.call(ctx, r.control.takeTables)
-	}
+// accept puts an edit made here in force, so that its operator sees it in force
+// when told that it was accepted.
+func (r *Router) accept(s *differ.Snapshot) {
+	r.follower.Accept(s)
+	ctx, cancel := context.WithTimeout(context.Background(), acceptTimeout)
+	defer cancel()
+	_ = r.control.call(ctx, r.control.takeTables)
 }
 
 // Tables implements reporter.Source.
--- a/router/peers.go
+++ b/router/peers.go
@@ -152,6 +152,7 @@
 	}
 	if len(d.Changes) > 0 && d.ChangesAfter <= c.revision {
 		if c.router.follower.Offer(peer, d.Changes) == nil {
+			c.source = peer
 			c.takeTables(now)
 			return
 		}
@@ -165,6 +166,7 @@
 		c.pull(context.WithoutCancel(ctx), peer, revision)
 		c.send(func(now time.Time) {
 			c.pulling = false
+			c.source = peer
 			c.takeTables(now)
 		})
 	}()
--- a/router/placement.go
+++ b/router/placement.go
@@ -52,9 +52,10 @@
 	if len(p.managers) == 0 {
 		return
 	}
-	var members []string
-	for _, r := range c.routers() {
-		members = append(members, r.Address)
+	known := c.view.Load().members
+	members := make([]string, 0, len(known))
+	for _, m := range known {
+		members = append(members, m.Address())
 	}
 	loads := c.loads()
 	for name, m := range p.managers {
--- a/router/router.go
+++ b/router/router.go
@@ -159,6 +159,7 @@
 	g.Go(func() error { return r.peers.Serve(r.listeners.peers) })
 	g.Go(func() error { r.follower.Run(parts); return nil })
 	g.Go(func() error { r.control.run(parts); return nil })
+	g.Go(func() error { r.sweep(parts); return nil })
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -231,16 +232,17 @@
 
 func (r *Router) buildTables() {
 	r.follower = &follower.Follower{
-		Store:   r.platform,
-		Self:    follower.Router{Address: r.PeersAddress(), DataCentre: r.Settings.Node.DataCentre},
-		Routers: r.control.routers,
-		Rand:    r.newRand(),
-		Budget:  rate.NewLimiter(storeCallsPerSecond, storeCallsBurst),
-		OnEvent: r.control.tablesEvent,
+		Store:     r.platform,
+		Self:      follower.Router{Address: r.PeersAddress(), DataCentre: r.Settings.Node.DataCentre},
+		IsWatcher: r.control.watches,
+		Rand:      r.newRand(),
+		Budget:    rate.NewLimiter(storeCallsPerSecond, storeCallsBurst),
+		OnEvent:   r.control.tablesEvent,
 	}
 	r.editor = &editor.Editor{
-		Store:   r.platform,
-		InForce: r.control.inForce,
+		Store:    r.platform,
+		InForce:  r.control.inForce,
+		OnAccept: r.accept,
 		Audit: &auditor.Auditor{
 			Store: r.platform,
 			Limit: rate.NewLimiter(auditRecordsPerSecond, auditRecordsBurst),
