Export held suspects before others

The exchange between peers has room for about ten entries; with thirty companions of a crash the one that may not run any more was left out.

--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -243,13 +243,15 @@
 
 // rank orders entries by how much they matter to others.
 func (e *Entry) rank() int {
-	switch e.state {
-	case stateQuarantined, stateLifted:
+	switch {
+	case e.state == stateQuarantined || e.state == stateLifted:
 		return 0
-	case stateSuspect:
+	case e.state == stateSuspect && len(e.crashes) >= MaxCrashes:
 		return 1
-	default:
+	case e.state == stateSuspect:
 		return 2
+	default:
+		return 3
 	}
 }
 
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -103,6 +103,19 @@
 	}
 }
 
+// TestSmallExport wants a small export to hold what must be known first.
+func TestSmallExport(t *testing.T) {
+	is := is.New(t)
+	var a, b Quarantiner
+	a.Crashed(start, poison, "10.0.0.1:80")
+	a.Crashed(after(time.Second), poison, "10.0.0.2:80")
+	for i := range 30 {
+		a.Crashed(after(2*time.Second), uint64(10+i), "10.0.0.2:80")
+	}
+	is.NoErr(b.Import(after(2*time.Second), a.Export(after(2*time.Second), 100)))
+	is.Equal(b.Judge(after(2*time.Second), poison), VerdictHeld)
+}
+
 // TestExchange gives random events to three routers that exchange at random,
 // and wants them to agree in the end.
 func TestExchange(t *testing.T) {
