Hedge idempotent calls of engines before their first frame

Off unless Limits.HedgeAfter is set. When both legs fail, the one that may have run decides what the caller is told.

--- a/dispatcher/counts.go
+++ b/dispatcher/counts.go
@@ -12,6 +12,8 @@
 	Attempts, Resumed int
 	// Crashes, Silent and Preempted count attempts by how they were cut off.
 	Crashes, Silent, Preempted int
+	// Hedged counts the second attempts at a first frame.
+	Hedged int
 	// NoBudget counts the retries that the budget refused.
 	NoBudget int
 	// Refused are the frames that the guard refused.
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -31,6 +31,10 @@
 	BetweenTokens time.Duration
 	// Reply is how long a plain service may take; default 30 s.
 	Reply time.Duration
+	// HedgeAfter is how long an idempotent call of an engine waits for its first
+	// frame before it is tried on a second upstream as well; 0 means that it is
+	// not.
+	HedgeAfter time.Duration
 	// ShareWait bounds the wait for Share; default 1 s.
 	ShareWait time.Duration
 	// HoldWait bounds the wait of a suspect; default 10 s.
@@ -78,6 +82,7 @@
 	mu       sync.Mutex
 	sequence uint64
 	budgets  map[string]kingcuphook.RetryBudget
+	hedges   map[string]kingcuphook.RetryBudget
 	counts   Counts
 }
 
@@ -97,6 +102,7 @@
 		d.NewBudget = func(string) kingcuphook.RetryBudget { return &retrier.Budget{Rand: d.newRand()} }
 	}
 	d.budgets = make(map[string]kingcuphook.RetryBudget)
+	d.hedges = make(map[string]kingcuphook.RetryBudget)
 	l := &d.Limits
 	setDefault(&l.Attempts, defaultAttempts)
 	setDefault(&l.AnswerBytes, defaultAnswerBytes)
@@ -146,6 +152,25 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.budget(class).Succeeded(now)
+	d.hedgeBudget(class).Succeeded(now)
+}
+
+// spendHedge takes a hedge out of the budget of a class and reports whether it
+// is allowed.
+func (d *Dispatcher) spendHedge(class string, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.hedgeBudget(class).Spend(now)
+}
+
+// hedgeBudget returns the hedge budget of a class; mu is held.
+func (d *Dispatcher) hedgeBudget(class string) kingcuphook.RetryBudget {
+	b, ok := d.hedges[class]
+	if !ok {
+		b = newHedgeBudget()
+		d.hedges[class] = b
+	}
+	return b
 }
 
 // spend takes retry number n out of the budget of a class. It returns how long
--- /dev/null
+++ b/dispatcher/hedge_test.go
@@ -0,0 +1,98 @@
+package dispatcher_test
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/emulator/runner"
+)
+
+const hedgeAfter = 25 * time.Millisecond
+
+var straggle = runner.Fault{Kind: runner.FaultStraggle}
+
+func TestHedgeWins(t *testing.T) {
+	for _, fault := range []runner.Fault{straggle, {Kind: runner.FaultSilence}} {
+		test(t, []bool{true, true}, func(r *rig) {
+			r.Limits.HedgeAfter = hedgeAfter
+			r.faults = []runner.Fault{fault}
+			began := time.Now()
+			_, err := r.call(stream)
+			r.True(err == nil)
+			r.Equal(r.text.String(), runner.Text([]byte(body), words))
+			r.Equal(time.Since(began), hedgeAfter+(words+1)*10*time.Millisecond)
+			r.Equal(len(r.engine.Runs()), 2)
+			r.Equal(r.Counts().Hedged, 1)
+			time.Sleep(time.Second)
+			r.True(r.slots[0].sample.Cancelled && !r.slots[0].sample.Failed)
+			r.Equal(r.slots[1].sample.Tokens, words)
+			r.Equal(r.slots[1].sample.FirstToken, 10*time.Millisecond)
+			if fault == straggle {
+				r.True(!r.engine.Runs()[0].Finished) // the loser stops
+			}
+		})
+	}
+}
+
+// TestHedgeLoses lets the first attempt answer after all.
+func TestHedgeLoses(t *testing.T) {
+	test(t, []bool{true, true}, func(r *rig) {
+		r.Limits.HedgeAfter = hedgeAfter
+		r.faults = []runner.Fault{straggle, {Kind: runner.FaultSilence}}
+		_, err := r.call(plain)
+		r.True(err == nil)
+		r.Equal(r.text.String(), runner.Text([]byte(body), words))
+		time.Sleep(time.Second)
+		r.Equal(r.slots[0].sample.Tokens, words)
+		r.True(r.slots[1].sample.Cancelled)
+		r.True(r.engine.Runs()[1].Cancelled || !r.engine.Runs()[1].Finished)
+	})
+}
+
+// TestBothLegsFail wants what may have run not to be told not-run, whichever leg
+// says that it did not begin.
+func TestBothLegsFail(t *testing.T) {
+	refuse, crash := runner.Fault{Kind: runner.FaultRefuse}, runner.Fault{Kind: runner.FaultCrash}
+	for _, faults := range [][]runner.Fault{{crash, refuse}, {crash, crash}} {
+		test(t, []bool{true, true}, func(r *rig) {
+			r.engine.Gap = 50 * time.Millisecond
+			r.Limits.HedgeAfter = hedgeAfter
+			r.Limits.Attempts = 1
+			r.faults = faults
+			_, err := r.call(stream)
+			r.Equal(err.Ran, kingcuphook.RunStateUnknown)
+			r.Equal(r.Counts().Hedged, 1)
+			r.Equal(r.Counts().Crashes, r.engine.Crashes())
+			for _, s := range r.slots {
+				r.True(s.sample.Failed)
+			}
+		})
+	}
+}
+
+func TestNeverHedged(t *testing.T) {
+	for _, f := range []kingcuphook.RequestFields{{NonIdempotent: true}, {NonIdempotent: true, Key: "k"}} {
+		test(t, []bool{true, true}, func(r *rig) {
+			r.Limits.HedgeAfter = hedgeAfter
+			r.faults = []runner.Fault{straggle}
+			_, err := r.call(f)
+			r.True(err == nil)
+			r.Equal(len(r.engine.Runs()), 1)
+		})
+	}
+}
+
+func TestHedgeBudget(t *testing.T) {
+	test(t, []bool{true, true}, func(r *rig) {
+		r.engine.Gap = 100 * time.Millisecond
+		r.Limits.HedgeAfter = hedgeAfter
+		var group sync.WaitGroup
+		for range 100 {
+			group.Go(func() { _, _ = r.call(plain) })
+		}
+		group.Wait()
+		r.Equal(r.Counts().Hedged, 5) // all that were saved up
+	})
+}
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -30,6 +30,8 @@
 	ticket claimer.Ticket
 	// replayed says that the outcome of an earlier call is returned.
 	replayed bool
+	// slot is that of the running attempt.
+	slot kingcuphook.Slot
 	// trial is that of the running attempt; nil if the call is no suspect.
 	trial *trial
 	// attempts counts the dispatches that were not preempted.
@@ -113,8 +115,8 @@
 		return kingcuphook.Outcome{}, &finalError{err}
 	}
 	sample := kingcuphook.Sample{Cancelled: true}
-	defer func() { slot.Release(sample) }()
-	upstream := slot.Choice().Upstream
+	r.slot = slot
+	defer func() { r.slot.Release(sample) }()
 	r.trial = t
 	defer t.end()
 	if err := r.dispatch(); err != nil {
@@ -132,7 +134,7 @@
 		out, sample, err = r.stream(ctx, slot)
 	}
 	if err != nil {
-		return kingcuphook.Outcome{}, r.broke(ctx, upstream, err)
+		return kingcuphook.Outcome{}, r.broke(ctx, r.slot.Choice().Upstream, err)
 	}
 	out.Attempts = r.attempts
 	return out, r.tracker.Apply(tracker.EventWhole)
@@ -205,7 +207,7 @@
 			return nil, nil, err
 		}
 		if !suspect {
-			slot, err := r.slot(ctx, nil)
+			slot, err := r.ask(ctx, nil)
 			if slot != nil || err != nil {
 				return slot, nil, err
 			}
@@ -228,7 +230,7 @@
 	if t == nil {
 		return nil, nil, nil
 	}
-	slot, err := r.slot(ctx, r.d.Quarantiner.Busy())
+	slot, err := r.ask(ctx, r.d.Quarantiner.Busy())
 	if slot == nil || err != nil {
 		t.end()
 		return nil, nil, err
@@ -249,9 +251,9 @@
 	return r.request.Stream() && r.answer.Position() > 0 && !u.Resumes()
 }
 
-// slot asks the allocator for a slot outside of busy upstreams. It returns no
+// ask asks the allocator for a slot outside of busy upstreams. It returns no
 // slot and no error when the caller must ask again.
-func (r *run) slot(ctx context.Context, busy []string) (kingcuphook.Slot, error) {
+func (r *run) ask(ctx context.Context, busy []string) (kingcuphook.Slot, error) {
 	excluded := slices.Concat(r.unable, r.failed, busy)
 	slot, err := r.d.Allocator.Acquire(ctx, r.request, excluded)
 	switch {
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -132,22 +132,19 @@
 
 // stream runs the call on a model engine.
 func (r *run) stream(ctx context.Context, slot kingcuphook.Slot) (kingcuphook.Outcome, kingcuphook.Sample, error) {
-	u := slot.Choice().Upstream
-	if !u.Resumes() {
+	if !slot.Choice().Upstream.Resumes() {
 		r.answer.Restart()
 	}
-	a := r.newAttempt()
-	r.answer.Begin(a.ID())
-	ctx, w := r.watch(ctx, slot)
-	defer w.stop()
-	sample := kingcuphook.Sample{UncachedTokens: slot.Choice().UncachedTokens}
-	s, err := r.d.Engine.Start(ctx, u, a)
-	if err != nil {
-		return kingcuphook.Outcome{}, failedSample(ctx, sample), cut(ctx, err)
+	l := r.race(ctx, r.newLeg(ctx, slot))
+	defer l.watch.stop()
+	sample := kingcuphook.Sample{UncachedTokens: l.slot.Choice().UncachedTokens}
+	if l.err != nil {
+		return kingcuphook.Outcome{}, failedSample(l.ctx, sample), l.err
 	}
-	defer func() { _ = s.Close() }()
-	if err := r.forward(ctx, slot, s, w, &sample); err != nil {
-		return kingcuphook.Outcome{}, failedSample(ctx, sample), err
+	defer func() { _ = l.stream.Close() }()
+	r.answer.Begin(l.attempt.ID())
+	if err := r.forward(l, &sample); err != nil {
+		return kingcuphook.Outcome{}, failedSample(l.ctx, sample), err
 	}
 	out := kingcuphook.Outcome{Finish: r.answer.Finish(), Tokens: r.answer.Position()}
 	if r.request.Stream() {
@@ -165,13 +162,13 @@
 }
 
 // forward takes frames until the answer is whole.
-func (r *run) forward(ctx context.Context, slot kingcuphook.Slot, s kingcuphook.Stream, w *watch, sample *kingcuphook.Sample) error {
-	began := time.Now()
+func (r *run) forward(l *leg, sample *kingcuphook.Sample) error {
+	w := l.watch
 	var last time.Time
 	for !r.answer.Whole() {
-		f, err := s.Next(ctx)
+		f, err := l.stream.Next(l.ctx)
 		if err != nil {
-			return cut(ctx, err)
+			return cut(l.ctx, err)
 		}
 		arrived := time.Now()
 		w.suspend()
@@ -193,10 +190,10 @@
 		if err := r.accepted(f); err != nil {
 			return err
 		}
-		observe(sample, arrived.Sub(began), arrived.Sub(last))
+		observe(sample, arrived.Sub(l.began), arrived.Sub(last))
 		last = time.Now()
 		r.trial.survived(sample.Tokens)
-		slot.Progress(r.answer.Position())
+		l.slot.Progress(r.answer.Position())
 		w.heard()
 	}
 	return nil
--- a/prover/scheduled_test.go
+++ b/prover/scheduled_test.go
@@ -3,16 +3,17 @@
 import (
 	"testing"
 	"testing/synctest"
+	"time"
 )
 
-// TestScheduled tries the cells with the scheduler of the routers in place of
-// the stand-in, and all at once on a pool that is too small for a part of them.
-func TestScheduled(t *testing.T) {
+// tryIn tries the cells of one fault in worlds that are prepared first.
+func tryIn(t *testing.T, prepare func(w *World)) {
+	t.Helper()
 	for _, c := range Singles() {
 		var o Observation
 		synctest.Test(t, func(*testing.T) {
 			w := NewWorld(seed, cellRouters, cellUpstreams)
-			w.Schedule(seed)
+			prepare(w)
 			o = c.RunIn(w)
 		})
 		first, last := Expect(c)
@@ -24,3 +25,22 @@
 		}
 	}
 }
+
+// TestScheduled uses the scheduler of the routers in place of the stand-in.
+func TestScheduled(t *testing.T) {
+	tryIn(t, func(w *World) { w.Schedule(seed) })
+}
+
+// TestHedged hedges every call whose first frame is late.
+func TestHedged(t *testing.T) {
+	tryIn(t, func(w *World) {
+		w.Schedule(seed)
+		w.hedge()
+	})
+}
+
+func (w *World) hedge() {
+	for _, r := range w.Routers {
+		r.Dispatcher.Limits.HedgeAfter = 15 * time.Millisecond
+	}
+}
--- a/prover/storm_test.go
+++ b/prover/storm_test.go
@@ -73,6 +73,9 @@
 		synctest.Test(t, func(t *testing.T) {
 			w := NewWorld(seed, stormRouters, cellUpstreams)
 			w.Schedule(seed)
+			if seed%2 == 1 {
+				w.hedge()
+			}
 			storm(rand.New(rand.NewPCG(seed, seed)), w)
 			for _, v := range Check(w.Reports(), w.Engine.Runs()) {
 				t.Errorf("seed %d: %s", seed, v)
