--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -183,6 +184,22 @@
 	is.Equal(c.count("a"), 2)
 }
 
+func TestLeavingRunnerIsReplacedAndNotOrdered(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 3, 1, declared("a", 2, 2))
+	c.run(5 * time.Minute)
+	upstreams := slices.Clone(c.pool.Upstreams())
+	i := slices.IndexFunc(upstreams, func(u *kingcuphook.Upstream) bool { return c.engines[u.Address()].model == "a" })
+	f := upstreams[i].Fields()
+	f.Leaving = true
+	upstreams[i] = kingcuphook.NewUpstream(f)
+	c.declare(upstreams, 1, c.pool.Placements())
+	before := c.engines[f.Address].generation
+	c.run(5 * time.Minute)
+	is.Equal(c.count("a"), 3) // two besides the one that leaves
+	is.Equal(c.engines[f.Address].generation, before)
+}
+
 func TestLoadsStayUnderTheRateOfTheWeightStore(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(t, 20, 20, declared("a", 10, 10), declared("b", 10, 10))
