Read a long list of VMs less often

Cause: at full size the list has 13,100 VMs; read every 11 s it costs each router 52 KB/s (docs/CAPACITY.md), 17 times the bound of all control work. Now a read is paid for at 512 B/s: every 2 s up to 23 VMs, every 19 minutes at 13,100 (worked out). Peers tell of routers meanwhile, and tables and the engines themselves of upstreams that leave.

--- a/router/control.go
+++ b/router/control.go
@@ -24,11 +24,14 @@
 	// joinTimeout is how long a router without an answer of any peer waits before
 	// it is ready.
 	joinTimeout = 5 * time.Second
-	// vmListInterval is how often the list of VMs is read by a small fleet; a
-	// larger one reads it less often, so that its reads stay at vmListRate a
-	// second.
+	// vmListInterval is the mean time between two reads of a short list of VMs. A
+	// longer list is read less often, so that it costs a router vmListBytes a
+	// second and the platform, together, vmListReads a second.
 	vmListInterval = 2 * time.Second
-	vmListRate     = 100
+	vmListBytes    = 512
+	vmListReads    = 50
+	// vmBytes is the size of one VM in the list.
+	vmBytes = 44
 	// vmListTimeout and questionTimeout bound one call.
 	vmListTimeout   = 5 * time.Second
 	questionTimeout = 2 * time.Second
@@ -63,8 +66,10 @@
 	pulling bool
 	// begun is when the loop began. joined says that a peer has answered, or that
 	// there is none.
-	begun    time.Time
-	joined   bool
+	begun  time.Time
+	joined bool
+	// listed is the length of the list of VMs when last read.
+	listed   int
 	nextList time.Time
 	nextSlow time.Time
 	// known has the addresses of the other routers as last published.
@@ -210,7 +215,12 @@
 	if now.Before(c.nextList) {
 		return
 	}
-	interval := max(vmListInterval, time.Duration(c.gossip.Count(now))*time.Second/vmListRate)
+	interval := vmListInterval
+	if c.joined {
+		interval = max(interval,
+			time.Duration(c.gossip.Count(now))*time.Second/vmListReads,
+			time.Duration(c.listed)*vmBytes*time.Second/vmListBytes)
+	}
 	c.nextList = now.Add(interval/2 + time.Duration(c.rand.Int64N(int64(interval))))
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, vmListTimeout)
@@ -225,6 +235,7 @@
 
 // takeVMs splits the list into routers and upstreams.
 func (c *control) takeVMs(now time.Time, vms []kingcuphook.VM) {
+	c.listed = len(vms)
 	var routers []kingcuphook.VM
 	left := c.leaving
 	c.leaving = make(map[string]bool)
