--- a/observer/observer.go
+++ b/observer/observer.go
@@ -3,8 +3,10 @@
 package observer
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
@@ -72,14 +74,19 @@
 	Next kingcuphook.Allocator
 	// Observer is told; never nil.
 	Observer *Observer
+	// Explain returns the candidates that a request has now; nil means none.
+	Explain func(r *kingcuphook.Request) []kingcuphook.Candidate
 }
 
+// maxCandidates bounds the candidates that are kept of a request.
+const maxCandidates = 4
+
 var _ kingcuphook.Allocator = (*Allocator)(nil)
 
 // Acquire implements kingcuphook.Allocator.
 func (a *Allocator) Acquire(ctx context.Context, r *kingcuphook.Request, excluded []string) (kingcuphook.Slot, error) {
 	rec := a.Observer.Recorder
-	rec.Add(r, recorder.Step{Kind: recorder.StepQueued})
+	rec.Add(r, recorder.Step{Kind: recorder.StepQueued, Candidates: a.candidates(r)})
 	begun := time.Now()
 	s, err := a.Next.Acquire(ctx, r, excluded)
 	if err != nil {
@@ -97,6 +104,16 @@
 	return &slot{Slot: s, request: r, observer: a.Observer}, nil
 }
 
+// candidates returns the best candidates of the request.
+func (a *Allocator) candidates(r *kingcuphook.Request) []kingcuphook.Candidate {
+	if a.Explain == nil {
+		return nil
+	}
+	found := a.Explain(r)
+	slices.SortStableFunc(found, func(x, y kingcuphook.Candidate) int { return cmp.Compare(x.Predicted, y.Predicted) })
+	return found[:min(len(found), maxCandidates)]
+}
+
 type slot struct {
 	kingcuphook.Slot
 
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -52,6 +52,9 @@
 	Tokens int
 	// Err is why the step failed; nil if it did not.
 	Err error
+	// Candidates are the upstreams weighed when the request was queued, the one
+	// with the lowest prediction first.
+	Candidates []kingcuphook.Candidate
 }
 
 // Trace is the path of one request.
--- a/reporter/reporter.go
+++ b/reporter/reporter.go
@@ -109,9 +109,10 @@
 	}
 	for _, s := range t.Steps() {
 		e.Steps = append(e.Steps, newStep(s))
+		e.Steps = append(e.Steps, newCandidates(s.At, s.Candidates)...)
 	}
 	if t.Outcome() == "" {
-		e.Steps = append(e.Steps, p.candidates(r)...)
+		e.Steps = append(e.Steps, newCandidates(time.Since(r.Arrived()), p.Source.Explain(r))...)
 	}
 	return e, nil
 }
@@ -144,22 +145,15 @@
 	return strings.Join(parts, "; ")
 }
 
-// candidates returns the upstreams that a waiting request would be sent to now.
-func (p *Reporter) candidates(r *kingcuphook.Request) []*queries.Step {
-	found := p.Source.Explain(r)
-	steps := make([]*queries.Step, 0, len(found))
-	for _, c := range found {
+// newCandidates returns a step for each upstream that was weighed.
+func newCandidates(at time.Duration, candidates []kingcuphook.Candidate) []*queries.Step {
+	steps := make([]*queries.Step, 0, len(candidates))
+	for _, c := range candidates {
 		text := fmt.Sprintf("predicted first token after %s; %d prompt tokens cached", c.Predicted.Round(time.Millisecond), c.CachedTokens)
 		if c.Refused != "" {
 			text += "; refused: " + c.Refused
 		}
-		address := c.Upstream
-		steps = append(steps, &queries.Step{
-			AtMs:     milliseconds(time.Since(r.Arrived())),
-			Name:     "candidate",
-			Upstream: &address,
-			Detail:   &text,
-		})
+		steps = append(steps, &queries.Step{AtMs: milliseconds(at), Name: "candidate", Upstream: &c.Upstream, Detail: &text})
 	}
 	return steps
 }
--- a/router/router.go
+++ b/router/router.go
@@ -257,7 +257,7 @@
 	r.quarantine = &quarantiner.Quarantiner{}
 	r.throttle = newThrottle(r.newRand())
 	r.dispatcher = &dispatcher.Dispatcher{
-		Allocator:   &observer.Allocator{Next: r.allocator, Observer: watch},
+		Allocator:   &observer.Allocator{Next: r.allocator, Observer: watch, Explain: r.allocator.Explain},
 		Engine:      &observer.Engine{Next: r.upstreams, Observer: watch},
 		Store:       r.platform,
 		Claimer:     r.claims,
