--- a/encoder/rows.go
+++ b/encoder/rows.go
@@ -77,6 +77,15 @@
 	Priorities  bool     `toml:"priorities,omitempty"`
 }
 
+// NewUpstreamRow returns the row of an upstream.
+func NewUpstreamRow(u *kingcuphook.Upstream) UpstreamRow {
+	return UpstreamRow{
+		Address: u.Address(), Region: u.Region(), DataCentre: u.DataCentre(), Kind: string(u.Kind()),
+		Models: u.Models(), Slots: u.Slots(), Leaving: u.Leaving(), ChecksFence: u.ChecksFence(),
+		Resumes: u.Resumes(), Priorities: u.Priorities(),
+	}
+}
+
 // PlacementRow is a placement as it is written in TOML.
 type PlacementRow struct {
 	Model  string `toml:"model"`
@@ -104,11 +113,7 @@
 		Placements: make([]PlacementRow, len(f.Placements)),
 	}
 	for i, u := range f.Upstreams {
-		row.Upstreams[i] = UpstreamRow{
-			Address: u.Address(), Region: u.Region(), DataCentre: u.DataCentre(), Kind: string(u.Kind()),
-			Models: u.Models(), Slots: u.Slots(), Leaving: u.Leaving(), ChecksFence: u.ChecksFence(),
-			Resumes: u.Resumes(), Priorities: u.Priorities(),
-		}
+		row.Upstreams[i] = NewUpstreamRow(u)
 	}
 	for i, p := range f.Placements {
 		row.Placements[i] = PlacementRow(p)
--- a/reporter/history.go
+++ b/reporter/history.go
@@ -10,6 +10,7 @@
 	"github.com/kingcuphook/kingcuphook"
 	"github.com/kingcuphook/kingcuphook/auditor"
 	"github.com/kingcuphook/kingcuphook/differ"
+	"github.com/kingcuphook/kingcuphook/encoder"
 	"github.com/kingcuphook/kingcuphook/gen/queries"
 	"github.com/kingcuphook/kingcuphook/historian"
 )
@@ -116,19 +117,26 @@
 		if key.Kind == differ.RowKindRoute {
 			row.Table = "routes"
 		}
-		if r.Before().Exists() {
-			text := differ.Describe(r.Before())
-			row.Before = &text
-		}
-		if r.After().Exists() {
-			text := differ.Describe(r.After())
-			row.After = &text
-		}
+		row.Before = rowText(r.Before())
+		row.After = rowText(r.After())
 		out = append(out, row)
 	}
 	return out
 }
 
+// rowText returns the content of a row in TOML; nil if it does not exist.
+func rowText(v differ.Value) *string {
+	if !v.Exists() {
+		return nil
+	}
+	data, err := encoder.ValueTOML(v)
+	if err != nil {
+		data = []byte(differ.Describe(v))
+	}
+	text := string(data)
+	return &text
+}
+
 // problem returns the API's error for an error of the store.
 func problem(err error) error {
 	name := nameUnavailable
