--- a/differ/rebase.go
+++ b/differ/rebase.go
@@ -113,19 +113,3 @@
 	_, ok := m[name]
 	return ok
 }
-
-// Describe returns a value on one line, for messages to operators.
-func Describe(v Value) string {
-	switch {
-	case v.Route != nil:
-		return fmt.Sprintf("%+v", v.Route.Fields())
-	case v.Pool != nil:
-		f := v.Pool.Fields()
-		return fmt.Sprintf("{max-queued:%d max-reloading:%d spill-regions:%t}", f.MaxQueued, f.MaxReloading, f.SpillRegions)
-	case v.Upstream != nil:
-		return fmt.Sprintf("%+v", v.Upstream.Fields())
-	case v.Placement != nil:
-		return fmt.Sprintf("{min:%d max:%d}", v.Placement.Min, v.Placement.Max)
-	}
-	return "removed"
-}
