--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -195,10 +195,14 @@
 }
 
 // Leave announces the planned stop of this router: digests built from now on
-// say that it has left.
+// say that it has left, and the next Poll asks for some at once.
 func (g *Gossiper) Leave(now time.Time) {
 	g.start(now)
 	g.setSelf(g.self.entry.Incarnation, StateLeft, now)
+	local, rank := g.local()
+	for _, i := range neighbours(rank, len(local), g.revision) {
+		g.probes = append(g.probes, local[i].entry.Address)
+	}
 }
 
 // setSelf changes what this router says of itself.
