--- a/router/control.go
+++ b/router/control.go
@@ -349,7 +349,7 @@
 		reports: make(map[string]kingcuphook.LoadReport, len(c.reports)),
 		leaving: c.leaving,
 	}
-	near := 0
+	near, place := 0, 0
 	known := make(map[string]bool, len(members))
 	for _, m := range members {
 		if m.Address() != c.gossip.Address {
@@ -357,6 +357,9 @@
 		}
 		if m.Region() == c.router.Settings.Node.Region {
 			near++
+			if m.Address() < c.gossip.Address {
+				place++
+			}
 		}
 	}
 	for a, l := range c.reports {
@@ -364,6 +367,7 @@
 	}
 	c.view.Store(v)
 	c.router.allocator.SetRouters(max(near, 1))
+	c.router.allocator.SetPlace(place, max(near, 1))
 	c.compareMembers(known)
 }
 
