--- a/dialer/stream.go
+++ b/dialer/stream.go
@@ -34,8 +34,6 @@
 	// which carries none of its own.
 	attempt  string
 	position int
-	// done is set by the end marker.
-	done bool
 }
 
 func newStream(body io.ReadCloser, cancel context.CancelFunc) *stream {
@@ -115,7 +113,6 @@
 
 func (s *stream) frame(data []byte) (kingcuphook.Frame, error) {
 	if bytes.Equal(data, endMarker) {
-		s.done = true
 		return kingcuphook.NewFrame(s.attempt, s.position, kingcuphook.FrameKindEnd, ""), nil
 	}
 	if !gjson.ValidBytes(data) {
