Show members of a region that can't be reached, and count them as behind

Cause: a trial with three processes, one of them killed: the only router of its region was shown as alive for good, since a region can't tell a dead router of another one from a cut.

--- a/cmd/kingcuphook/tables.go
+++ b/cmd/kingcuphook/tables.go
@@ -211,7 +211,7 @@
 	reported := map[string]bool{s.Region: s.Revision >= revision}
 	older := map[string]bool{s.Region: s.Revision < revision}
 	for _, m := range s.Members {
-		if m.State != "alive" {
+		if m.State != "alive" && m.State != "unreachable" {
 			continue
 		}
 		reported[m.Region] = reported[m.Region] || m.Revision >= revision
--- a/design/design.go
+++ b/design/design.go
@@ -73,7 +73,7 @@
 	Attribute("address", String, "Address of its peer link.")
 	Attribute("region", String, "Region.")
 	Attribute("data-centre", String, "Data centre.")
-	Attribute("state", String, "alive, suspect, leaving or gone.")
+	Attribute("state", String, "alive, suspect, leaving, left, dead or unreachable.")
 	Attribute("revision", Int64, "Revision in force there, as last heard.")
 	Attribute("heard-seconds", Float64, "How long ago it was heard of, in seconds.")
 	Required("address", "region", "data-centre", "state", "revision")
--- a/gen/http/queries/client/types.go
+++ b/gen/http/queries/client/types.go
@@ -487,7 +487,7 @@
 	Region *string `form:"region,omitempty" json:"region,omitempty" xml:"region,omitempty"`
 	// Data centre.
 	DataCentre *string `form:"data-centre,omitempty" json:"data-centre,omitempty" xml:"data-centre,omitempty"`
-	// alive, suspect, leaving or gone.
+	// alive, suspect, leaving, left, dead or unreachable.
 	State *string `form:"state,omitempty" json:"state,omitempty" xml:"state,omitempty"`
 	// Revision in force there, as last heard.
 	Revision *int64 `form:"revision,omitempty" json:"revision,omitempty" xml:"revision,omitempty"`
--- a/gen/http/queries/server/types.go
+++ b/gen/http/queries/server/types.go
@@ -501,7 +501,7 @@
 	Region string `form:"region" json:"region" xml:"region"`
 	// Data centre.
 	DataCentre string `form:"data-centre" json:"data-centre" xml:"data-centre"`
-	// alive, suspect, leaving or gone.
+	// alive, suspect, leaving, left, dead or unreachable.
 	State string `form:"state" json:"state" xml:"state"`
 	// Revision in force there, as last heard.
 	Revision int64 `form:"revision" json:"revision" xml:"revision"`
--- a/gen/queries/service.go
+++ b/gen/queries/service.go
@@ -124,7 +124,7 @@
 	Region string
 	// Data centre.
 	DataCentre string
-	// alive, suspect, leaving or gone.
+	// alive, suspect, leaving, left, dead or unreachable.
 	State string
 	// Revision in force there, as last heard.
 	Revision int64
--- a/router/operators.go
+++ b/router/operators.go
@@ -15,6 +15,7 @@
 	commandsserver "github.com/kingcuphook/kingcuphook/gen/http/commands/server"
 	queriesserver "github.com/kingcuphook/kingcuphook/gen/http/queries/server"
 	"github.com/kingcuphook/kingcuphook/gen/queries"
+	"github.com/kingcuphook/kingcuphook/gossiper"
 	"github.com/kingcuphook/kingcuphook/historian"
 	"github.com/kingcuphook/kingcuphook/reporter"
 )
@@ -110,7 +111,7 @@
 			Address:    m.Address(),
 			Region:     m.Region(),
 			DataCentre: m.DataCentre(),
-			State:      string(m.State()),
+			State:      stateOf(m),
 			Revision:   m.Revision(),
 		})
 	}
@@ -123,6 +124,16 @@
 	return s
 }
 
+// stateUnreachable is shown for a member of a region whose routers don't answer.
+const stateUnreachable = "unreachable"
+
+func stateOf(m gossiper.Member) string {
+	if m.State() == gossiper.StateAlive && !m.Reachable() {
+		return stateUnreachable
+	}
+	return string(m.State())
+}
+
 func upstreamStatus(p *kingcuphook.Pool, u *kingcuphook.Upstream, v *view) *queries.UpstreamStatus {
 	s := &queries.UpstreamStatus{Pool: p.Name(), Address: u.Address(), Region: u.Region()}
 	leaving := u.Leaving() || v.leaving[u.Address()]
