--- a/dispatcher/hedge_test.go
+++ b/dispatcher/hedge_test.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
@@ -26,6 +27,7 @@
 			r.Equal(len(r.engine.Runs()), 2)
 			r.Equal(r.Counts().Hedged, 1)
 			time.Sleep(time.Second)
+			synctest.Wait()
 			r.True(r.slots[0].sample.Cancelled && !r.slots[0].sample.Failed)
 			r.Equal(r.slots[1].sample.Tokens, words)
 			r.Equal(r.slots[1].sample.FirstToken, 10*time.Millisecond)
@@ -45,6 +47,7 @@
 		r.True(err == nil)
 		r.Equal(r.text.String(), runner.Text([]byte(body), words))
 		time.Sleep(time.Second)
+		synctest.Wait()
 		r.Equal(r.slots[0].sample.Tokens, words)
 		r.True(r.slots[1].sample.Cancelled)
 		r.True(r.engine.Runs()[1].Cancelled || !r.engine.Runs()[1].Finished)
@@ -65,6 +68,7 @@
 			r.Equal(err.Ran, kingcuphook.RunStateUnknown)
 			r.Equal(r.Counts().Hedged, 1)
 			r.Equal(r.Counts().Crashes, r.engine.Crashes())
+			synctest.Wait()
 			for _, s := range r.slots {
 				r.True(s.sample.Failed)
 			}
