--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -78,6 +78,8 @@
 		return errors.New("gone")
 	}
 	time.Sleep(r.slow)
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.text.WriteString(text)
 	return nil
 }
