--- a/prover/storm_test.go
+++ b/prover/random_test.go
@@ -13,49 +13,49 @@
 )
 
 const (
-	stormSeeds   = 15
-	stormCalls   = 150
-	stormFaults  = 40
-	stormTime    = 20 * time.Second
-	stormRouters = 8
-	stormKeys    = 20
+	randomSeeds      = 15
+	randomCalls      = 150
+	randomFaultCount = 40
+	randomTime       = 20 * time.Second
+	randomRouters    = 8
+	randomKeys       = 20
 )
 
-// storm sends calls at random times through random routers, many of them with
+// randomRun sends calls at random times through random routers, many of them with
 // the same keys, and lets random faults happen meanwhile.
-func storm(r *rand.Rand, w *World) {
+func randomRun(r *rand.Rand, w *World) {
 	var group sync.WaitGroup
 	at := func(f func()) {
-		wait := time.Duration(r.Int64N(int64(stormTime)))
+		wait := time.Duration(r.Int64N(int64(randomTime)))
 		group.Go(func() {
 			time.Sleep(wait)
 			f()
 		})
 	}
-	for range stormCalls {
-		router, kind := r.IntN(stormRouters), Kinds[r.IntN(len(Kinds))]
-		key := fmt.Sprintf("%s-%d", kind, r.IntN(stormKeys))
+	for range randomCalls {
+		router, kind := r.IntN(randomRouters), Kinds[r.IntN(len(Kinds))]
+		key := fmt.Sprintf("%s-%d", kind, r.IntN(randomKeys))
 		at(func() { w.Call(router, kind, key, "body of "+key) })
 	}
-	for range stormFaults {
-		f, router := Faults[1+r.IntN(len(Faults)-1)], r.IntN(stormRouters)
+	for range randomFaultCount {
+		f, router := Faults[1+r.IntN(len(Faults)-1)], r.IntN(randomRouters)
 		if f == FaultRouterCrash && router > 2 {
 			continue // some routers live to the end
 		}
-		at(func() { w.strike(f, router) })
+		at(func() { w.failNow(f, router) })
 	}
 	group.Wait()
 	w.FailStore(storer.Fault{})
 	time.Sleep(lastAfter)
-	for n := range stormKeys {
+	for n := range randomKeys {
 		key := fmt.Sprintf("%s-%d", KindClaimed, n)
-		w.Call(stormRouters-1, KindClaimed, key, "body of "+key)
+		w.Call(randomRouters-1, KindClaimed, key, "body of "+key)
 	}
 	w.Close()
 }
 
-// strike lets a fault happen now.
-func (w *World) strike(f Fault, router int) {
+// failNow lets a fault happen now.
+func (w *World) failNow(f Fault, router int) {
 	if kind, ok := attemptFaults[f]; ok {
 		w.Fail(runner.Fault{Kind: kind, At: streamMiddle})
 		return
@@ -67,16 +67,16 @@
 	w.happen(w.Routers[router], f, func() {})
 }
 
-func TestStorm(t *testing.T) {
+func TestRandomFaults(t *testing.T) {
 	results := make(map[string]int)
-	for seed := range uint64(stormSeeds) {
+	for seed := range uint64(randomSeeds) {
 		synctest.Test(t, func(t *testing.T) {
-			w := NewWorld(seed, stormRouters, cellUpstreams)
+			w := NewWorld(seed, randomRouters, cellUpstreams)
 			w.Schedule(seed)
 			if seed%2 == 1 {
 				w.hedge()
 			}
-			storm(rand.New(rand.NewPCG(seed, seed)), w)
+			randomRun(rand.New(rand.NewPCG(seed, seed)), w)
 			for _, v := range Check(w.Reports(), w.Engine.Runs()) {
 				t.Errorf("seed %d: %s", seed, v)
 			}
