--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -22,7 +23,8 @@
 	generation int64
 	next       string
 	ready      time.Time
-	gone       bool
+	// gone runners do not answer; stuck ones never finish their reload.
+	gone, stuck bool
 }
 
 // cluster drives a placer against engines in virtual time.
@@ -108,7 +110,7 @@
 func (c *cluster) check() {
 	reloading := 0
 	for _, e := range c.engines {
-		if e.next != "" && !e.gone {
+		if e.next != "" && !e.gone && !e.stuck {
 			reloading++
 		}
 	}
@@ -182,6 +184,22 @@
 	is.Equal(c.count("a"), 2)
 }
 
+func TestLeavingRunnerIsReplacedAndNotOrdered(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 3, 1, declared("a", 2, 2))
+	c.run(5 * time.Minute)
+	upstreams := slices.Clone(c.pool.Upstreams())
+	i := slices.IndexFunc(upstreams, func(u *kingcuphook.Upstream) bool { return c.engines[u.Address()].model == "a" })
+	f := upstreams[i].Fields()
+	f.Leaving = true
+	upstreams[i] = kingcuphook.NewUpstream(f)
+	c.declare(upstreams, 1, c.pool.Placements())
+	before := c.engines[f.Address].generation
+	c.run(5 * time.Minute)
+	is.Equal(c.count("a"), 3) // two besides the one that leaves
+	is.Equal(c.engines[f.Address].generation, before)
+}
+
 func TestLoadsStayUnderTheRateOfTheWeightStore(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(t, 20, 20, declared("a", 10, 10), declared("b", 10, 10))
@@ -198,22 +216,10 @@
 	for _, e := range c.engines {
 		if e.next != "" {
 			e.ready = c.now.Add(24 * time.Hour)
+			e.stuck = true
 		}
 	}
-	stuck := 0
-	for c.count("a") < 2 && stuck < 300 {
-		c.now = c.now.Add(5 * time.Second)
-		for a, e := range c.engines {
-			if e.next != "" && !c.now.Before(e.ready) {
-				e.model, e.next = e.next, ""
-			}
-			c.p.Observe(a, e.model, e.generation)
-		}
-		for _, m := range c.p.Plan(c.now, nil) {
-			c.order(m)
-		}
-		stuck++
-	}
+	c.run(15 * time.Minute)
 	is.Equal(c.count("a"), 2)
 }
 
--- a/router/control.go
+++ b/router/control.go
@@ -24,11 +24,14 @@
 	// joinTimeout is how long a router without an answer of any peer waits before
 	// it is ready.
 	joinTimeout = 5 * time.Second
-	// vmListInterval is how often the list of VMs is read by a small fleet; a
-	// larger one reads it less often, so that its reads stay at vmListRate a
-	// second.
+	// vmListInterval is the mean time between two reads of a short list of VMs. A
+	// longer list is read less often, so that it costs a router vmListBytes a
+	// second and the platform, together, vmListReads a second.
 	vmListInterval = 2 * time.Second
-	vmListRate     = 100
+	vmListBytes    = 512
+	vmListReads    = 50
+	// vmBytes is the size of one VM in the list.
+	vmBytes = 44
 	// vmListTimeout and questionTimeout bound one call.
 	vmListTimeout   = 5 * time.Second
 	questionTimeout = 2 * time.Second
@@ -57,12 +60,16 @@
 	reports map[string]kingcuphook.LoadReport
 	// revision is that of the tables handed to the schedulers.
 	revision int64
+	// source is the peer that the newest tables came from; empty for none.
+	source string
 	// pulling is set while tables are being pulled from a peer.
 	pulling bool
 	// begun is when the loop began. joined says that a peer has answered, or that
 	// there is none.
-	begun    time.Time
-	joined   bool
+	begun  time.Time
+	joined bool
+	// listed is the length of the list of VMs when last read.
+	listed   int
 	nextList time.Time
 	nextSlow time.Time
 	// known has the addresses of the other routers as last published.
@@ -77,7 +84,8 @@
 // view is a copy of the control state.
 type view struct {
 	members []gossiper.Member
-	routers []follower.Router
+	// watches says that this router is a watcher of its data centre.
+	watches bool
 	reports map[string]kingcuphook.LoadReport
 	leaving map[string]bool
 }
@@ -101,7 +109,7 @@
 		reports:   make(map[string]kingcuphook.LoadReport),
 	}
 	c.gossip.Changes = c.changes
-	c.view.Store(&view{})
+	c.view.Store(&view{watches: true})
 	return c
 }
 
@@ -157,12 +165,14 @@
 // takeTables hands the tables in force to the schedulers and to the peers.
 func (c *control) takeTables(now time.Time) {
 	s := c.router.follower.Current()
+	source := c.source
+	c.source = ""
 	if s.Revision() == c.revision {
 		return
 	}
 	c.revision = s.Revision()
 	c.router.allocator.Update(s.Tables())
-	c.gossip.SetRevision(now, s.Revision(), "")
+	c.gossip.SetRevision(now, s.Revision(), source)
 	c.takeUpstreams(s.Tables())
 }
 
@@ -205,7 +215,12 @@
 	if now.Before(c.nextList) {
 		return
 	}
-	interval := max(vmListInterval, time.Duration(c.gossip.Count(now))*time.Second/vmListRate)
+	interval := vmListInterval
+	if c.joined {
+		interval = max(interval,
+			time.Duration(c.gossip.Count(now))*time.Second/vmListReads,
+			time.Duration(c.listed)*vmBytes*time.Second/vmListBytes)
+	}
 	c.nextList = now.Add(interval/2 + time.Duration(c.rand.Int64N(int64(interval))))
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, vmListTimeout)
@@ -220,6 +235,7 @@
 
 // takeVMs splits the list into routers and upstreams.
 func (c *control) takeVMs(now time.Time, vms []kingcuphook.VM) {
+	c.listed = len(vms)
 	var routers []kingcuphook.VM
 	left := c.leaving
 	c.leaving = make(map[string]bool)
@@ -329,11 +345,11 @@
 	members := c.gossip.Members(now)
 	v := &view{
 		members: members,
-		routers: make([]follower.Router, 0, len(members)),
+		watches: c.gossip.Watches(now),
 		reports: make(map[string]kingcuphook.LoadReport, len(c.reports)),
 		leaving: c.leaving,
 	}
-	near := 0
+	near, place := 0, 0
 	known := make(map[string]bool, len(members))
 	for _, m := range members {
 		if m.Address() != c.gossip.Address {
@@ -341,14 +357,17 @@
 		}
 		if m.Region() == c.router.Settings.Node.Region {
 			near++
+			if m.Address() < c.gossip.Address {
+				place++
+			}
 		}
-		v.routers = append(v.routers, follower.Router{Address: m.Address(), DataCentre: m.DataCentre()})
 	}
 	for a, l := range c.reports {
 		v.reports[a] = l
 	}
 	c.view.Store(v)
 	c.router.allocator.SetRouters(max(near, 1))
+	c.router.allocator.SetPlace(place, max(near, 1))
 	c.compareMembers(known)
 }
 
@@ -368,8 +387,8 @@
 	c.known = known
 }
 
-// routers returns the routers thought to be alive.
-func (c *control) routers() []follower.Router { return c.view.Load().routers }
+// watches reports whether this router watches the store.
+func (c *control) watches() bool { return c.view.Load().watches }
 
 // inForce returns the newest state of the tables known here, and whether a
 // router of every region has told its revision and none told a higher one.
@@ -380,7 +399,7 @@
 		if m.Revision() > s.Revision() {
 			return s, false
 		}
-		heard[m.Region()] = heard[m.Region()] || m.Revision() > 0
+		heard[m.Region()] = heard[m.Region()] || m.Revision() > 0 && m.Reachable()
 	}
 	for _, h := range heard {
 		if !h {
