--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -83,6 +83,21 @@
 	w.timer.Reset(w.detector.Due().Sub(now))
 }
 
+// suspend stops the wait while the router itself is busy, as it is with a caller
+// that takes its time.
+func (w *watch) suspend() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer.Stop()
+}
+
+// resume goes on with the wait as it stood.
+func (w *watch) resume() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer.Reset(time.Until(w.detector.Due()))
+}
+
 func (w *watch) stop() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -117,22 +132,19 @@
 
 // stream runs the call on a model engine.
 func (r *run) stream(ctx context.Context, slot kingcuphook.Slot) (kingcuphook.Outcome, kingcuphook.Sample, error) {
-	u := slot.Choice().Upstream
-	if !u.Resumes() {
+	if !slot.Choice().Upstream.Resumes() {
 		r.answer.Restart()
 	}
-	a := r.newAttempt()
-	r.answer.Begin(a.ID())
-	ctx, w := r.watch(ctx, slot)
-	defer w.stop()
-	sample := kingcuphook.Sample{UncachedTokens: slot.Choice().UncachedTokens}
-	s, err := r.d.Engine.Start(ctx, u, a)
-	if err != nil {
-		return kingcuphook.Outcome{}, failedSample(ctx, sample), cut(ctx, err)
+	l := r.race(ctx, r.newLeg(ctx, slot))
+	defer l.watch.stop()
+	sample := kingcuphook.Sample{UncachedTokens: l.slot.Choice().UncachedTokens}
+	if l.err != nil {
+		return kingcuphook.Outcome{}, failedSample(l.ctx, sample), l.err
 	}
-	defer func() { _ = s.Close() }()
-	if err := r.forward(ctx, slot, s, w, &sample); err != nil {
-		return kingcuphook.Outcome{}, failedSample(ctx, sample), err
+	defer func() { _ = l.stream.Close() }()
+	r.answer.Begin(l.attempt.ID())
+	if err := r.forward(l, &sample); err != nil {
+		return kingcuphook.Outcome{}, failedSample(l.ctx, sample), err
 	}
 	out := kingcuphook.Outcome{Finish: r.answer.Finish(), Tokens: r.answer.Position()}
 	if r.request.Stream() {
@@ -150,14 +162,16 @@
 }
 
 // forward takes frames until the answer is whole.
-func (r *run) forward(ctx context.Context, slot kingcuphook.Slot, s kingcuphook.Stream, w *watch, sample *kingcuphook.Sample) error {
-	began := time.Now()
+func (r *run) forward(l *leg, sample *kingcuphook.Sample) error {
+	w := l.watch
 	var last time.Time
 	for !r.answer.Whole() {
-		f, err := s.Next(ctx)
+		f, err := l.stream.Next(l.ctx)
 		if err != nil {
-			return cut(ctx, err)
+			return cut(l.ctx, err)
 		}
+		arrived := time.Now()
+		w.suspend()
 		ok, err := r.answer.Accept(f)
 		if errors.Is(err, kingcuphook.ErrTooLarge) {
 			return &finalError{err}
@@ -166,18 +180,21 @@
 			return &guardError{err}
 		}
 		if !ok {
+			w.resume()
 			continue
 		}
-		w.heard()
 		if f.Kind() != kingcuphook.FrameKindData {
+			w.heard()
 			continue
 		}
 		if err := r.accepted(f); err != nil {
 			return err
 		}
-		last = observe(sample, began, last)
+		observe(sample, arrived.Sub(l.began), arrived.Sub(last))
+		last = time.Now()
 		r.trial.survived(sample.Tokens)
-		slot.Progress(r.answer.Position())
+		l.slot.Progress(r.answer.Position())
+		w.heard()
 	}
 	return nil
 }
@@ -201,14 +218,13 @@
 	return nil
 }
 
-// observe adds a token to the sample and returns its time.
-func observe(s *kingcuphook.Sample, began, last time.Time) time.Time {
-	now := time.Now()
+// observe adds a token to the sample. The gap counts from when the router was
+// ready for the token, so that a slow caller does not make its upstream slow.
+func observe(s *kingcuphook.Sample, first, gap time.Duration) {
 	s.Tokens++
 	if s.Tokens == 1 {
-		s.FirstToken = now.Sub(began)
-		return now
+		s.FirstToken = first
+		return
 	}
-	s.TokenGap += (now.Sub(last) - s.TokenGap) / time.Duration(s.Tokens-1)
-	return now
+	s.TokenGap += (gap - s.TokenGap) / time.Duration(s.Tokens-1)
 }
