--- a/reporter/history.go
+++ b/reporter/history.go
@@ -10,7 +10,9 @@
 	"github.com/kingcuphook/kingcuphook"
 	"github.com/kingcuphook/kingcuphook/auditor"
 	"github.com/kingcuphook/kingcuphook/differ"
+	"github.com/kingcuphook/kingcuphook/encoder"
 	"github.com/kingcuphook/kingcuphook/gen/queries"
+	"github.com/kingcuphook/kingcuphook/historian"
 )
 
 // Values of the outcome of a change.
@@ -72,6 +74,28 @@
 	}
 }
 
+// Outcome implements queries.Service.
+func (p *Reporter) Outcome(ctx context.Context, q *queries.OutcomePayload) (*queries.OutcomeResult, error) {
+	var expect int64
+	if q.Expect != nil {
+		expect = *q.Expect
+	}
+	o, err := p.Historian.Find(ctx, q.EditID, expect)
+	if err != nil {
+		return nil, problem(err)
+	}
+	result := &queries.OutcomeResult{Fate: string(o.Fate)}
+	switch o.Fate {
+	case historian.FateAccepted:
+		revision := o.Change.Revision()
+		result.Revision = &revision
+	case historian.FateRefused:
+		cause := o.Record.Fields().Cause
+		result.Reason = &cause
+	}
+	return result, nil
+}
+
 // Diff implements queries.Service.
 func (p *Reporter) Diff(ctx context.Context, q *queries.DiffPayload) ([]*queries.Row, error) {
 	var to int64
@@ -93,19 +117,26 @@
 		if key.Kind == differ.RowKindRoute {
 			row.Table = "routes"
 		}
-		if r.Before().Exists() {
-			text := differ.Describe(r.Before())
-			row.Before = &text
-		}
-		if r.After().Exists() {
-			text := differ.Describe(r.After())
-			row.After = &text
-		}
+		row.Before = rowText(r.Before())
+		row.After = rowText(r.After())
 		out = append(out, row)
 	}
 	return out
 }
 
+// rowText returns the content of a row in TOML; nil if it does not exist.
+func rowText(v differ.Value) *string {
+	if !v.Exists() {
+		return nil
+	}
+	data, err := encoder.ValueTOML(v)
+	if err != nil {
+		data = []byte(differ.Describe(v))
+	}
+	text := string(data)
+	return &text
+}
+
 // problem returns the API's error for an error of the store.
 func problem(err error) error {
 	name := nameUnavailable
