Probe an upstream that stays broken less and less often

Cause: eight routers each sent a request a second to a dead upstream, and each cost an attempt. The time between probes now doubles until one goes well.

--- a/ejector/ejector.go
+++ b/ejector/ejector.go
@@ -26,6 +26,8 @@
 	failureFactor = 2
 	// keep is the weight of the earlier value at each new sample.
 	keep = 0.8
+	// maxDoublings bounds how often the time between two probes is doubled.
+	maxDoublings = 5
 	// silence is how long without a sample until the figures count no more.
 	silence = 30 * time.Second
 )
@@ -42,8 +44,8 @@
 	// Slow is how many times the pool's median time between tokens an upstream
 	// may take; 0 means the default.
 	Slow float64
-	// ProbeEvery is the time between two probes of an ejected upstream; 0 means
-	// the default.
+	// ProbeEvery is the time between two probes of an ejected upstream; it doubles
+	// with every probe until one goes well. 0 means the default.
 	ProbeEvery time.Duration
 	// Step is how long an upstream keeps a weight at least; 0 means the default.
 	Step time.Duration
@@ -71,8 +73,10 @@
 	samples int
 	// last is when the last attempt ended.
 	last time.Time
-	// probed is when the upstream was last probed.
+	// probed is when the upstream was last probed, probes how often since its
+	// last attempt that went well.
 	probed time.Time
+	probes int
 }
 
 // Update takes the pool in force.
@@ -107,6 +111,7 @@
 		u.streak++
 	} else {
 		u.streak = 0
+		u.probes = 0
 	}
 	u.failure = keep*u.failure + (1-keep)*failed
 	gap := s.TokenGap.Seconds()
@@ -227,10 +232,12 @@
 	if every == 0 {
 		every = defaultProbe
 	}
+	every <<= min(u.probes, maxDoublings)
 	if now.Sub(later(u.probed, u.changed)) < every {
 		return false
 	}
 	u.probed = now
+	u.probes++
 	return true
 }
 
--- a/ejector/ejector_test.go
+++ b/ejector/ejector_test.go
@@ -60,6 +60,24 @@
 	is.Equal(e.Weight(now, "0"), 1.0)
 }
 
+func TestProbesOfADeadUpstreamGetRarer(t *testing.T) {
+	is := is.New(t)
+	e := newEjector()
+	failed := kingcuphook.Sample{Failed: true}
+	for range failureStreak {
+		e.Finished(start, "0", failed)
+	}
+	probes := 0
+	for n := range 60 {
+		now := start.Add(time.Duration(n+1) * time.Second)
+		if e.Probe(now, "0") {
+			probes++
+			e.Finished(now, "0", failed)
+		}
+	}
+	is.Equal(probes, 5) // after 1, 3, 7, 15 and 31 seconds
+}
+
 func TestEjectedShareIsBounded(t *testing.T) {
 	is := is.New(t)
 	e := newEjector()
