Share suspects through the store, requeue without shedding, refuse keyed requests honestly

Four findings of the work on request integrity: - An engine that answers with an error counted as crashed; it now has a sentinel. - The digest holds about ten suspects; a crash with 30 companions needs more, so fleets of up to 64 routers also share them through the store. - A request that comes back after a crash or preemption could be shed by a full queue after part of its answer was sent; it now returns to its place. - A refusal by rate, overload or missing tables said not-run to what may be the resend of a request that ran; with an idempotency key it now says unknown.

--- a/allocator/pool.go
+++ b/allocator/pool.go
@@ -80,7 +80,7 @@
 	now := time.Now()
 	w := &waiter{request: r, result: make(chan result, 1)}
 	p.waiters[r.ID()] = w
-	if len(excluded) > 0 {
+	if excluded != nil {
 		p.answer(p.scheduler.Requeue(now, r, excluded))
 	} else {
 		p.answer(p.scheduler.Offer(now, r))
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -207,7 +207,8 @@
 		return nil
 	}
 	defer resp.Body.Close()
-	return fmt.Errorf("dialer: %s answered %d: %w: %s", u.Address(), resp.StatusCode, kingcuphook.ErrOutcomeUnknown, readRefusal(resp.Body))
+	return fmt.Errorf("dialer: %s answered %d: %w: %w: %s", u.Address(), resp.StatusCode,
+		kingcuphook.ErrUpstreamAnswered, kingcuphook.ErrOutcomeUnknown, readRefusal(resp.Body))
 }
 
 func readRefusal(body io.Reader) string {
--- a/dialer/dialer_test.go
+++ b/dialer/dialer_test.go
@@ -119,6 +119,18 @@
 	is.Equal(runs.Load(), int64(1))
 }
 
+// TestErrorOfAnEngineIsNoCrash keeps an engine that answers with an error apart
+// from one that crashes.
+func TestErrorOfAnEngineIsNoCrash(t *testing.T) {
+	is := is.New(t)
+	d, u := start(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusInternalServerError)
+	}), kingcuphook.UpstreamKindEngine)
+	_, err := d.Start(context.Background(), u, attempt("{}"))
+	is.True(errors.Is(err, kingcuphook.ErrUpstreamAnswered))
+	is.True(errors.Is(err, kingcuphook.ErrOutcomeUnknown))
+}
+
 func TestRefusalSaysNotStarted(t *testing.T) {
 	is := is.New(t)
 	d, u := start(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -36,6 +36,8 @@
 	trial *trial
 	// attempts counts the dispatches that were not preempted.
 	attempts int
+	// begun says that the request had a slot before.
+	begun bool
 	// failed are the upstreams that failed this call; they are tried again when
 	// there is no other.
 	failed []string
@@ -164,6 +166,7 @@
 		return &finalError{err}
 	}
 	r.attempts++
+	r.begun = true
 	r.d.count(func(n *Counts) {
 		n.Attempts++
 		if r.answer.Position() > 0 {
@@ -255,6 +258,9 @@
 // slot and no error when the caller must ask again.
 func (r *run) ask(ctx context.Context, busy []string) (kingcuphook.Slot, error) {
 	excluded := slices.Concat(r.unable, r.failed, busy)
+	if excluded == nil && r.begun {
+		excluded = []string{}
+	}
 	slot, err := r.d.Allocator.Acquire(ctx, r.request, excluded)
 	switch {
 	case err == nil && r.stuckOn(slot.Choice().Upstream):
--- a/router/operators.go
+++ b/router/operators.go
@@ -87,7 +87,13 @@
 
 // Lift implements commander.Lifter.
 func (r *Router) Lift(fingerprint uint64) bool {
-	return r.quarantine.Lift(time.Now(), fingerprint)
+	if !r.quarantine.Lift(time.Now(), fingerprint) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), acceptTimeout)
+	defer cancel()
+	r.share(ctx)
+	return true
 }
 
 // Status implements reporter.Source.
--- a/router/router.go
+++ b/router/router.go
@@ -33,6 +33,7 @@
 	"github.com/kingcuphook/kingcuphook/quarantiner"
 	"github.com/kingcuphook/kingcuphook/recorder"
 	"github.com/kingcuphook/kingcuphook/server"
+	"github.com/kingcuphook/kingcuphook/sharer"
 )
 
 const (
@@ -79,6 +80,8 @@
 	control    *control
 	// quarantine knows the request bodies that crashed upstreams.
 	quarantine *quarantiner.Quarantiner
+	// sharer tells suspects through the store.
+	sharer *sharer.Sharer
 
 	// ready is false before the first tables and from the begin of a stop.
 	ready atomic.Bool
@@ -160,6 +163,7 @@
 	g.Go(func() error { r.follower.Run(parts); return nil })
 	g.Go(func() error { r.control.run(parts); return nil })
 	g.Go(func() error { r.sweep(parts); return nil })
+	g.Go(func() error { r.shareThroughStore(parts); return nil })
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -255,6 +259,7 @@
 	watch := &observer.Observer{Recorder: r.recorder, Meter: r.meter}
 	r.claims = &claimer.Claimer{Store: r.platform, Rand: r.newRand()}
 	r.quarantine = &quarantiner.Quarantiner{}
+	r.sharer = &sharer.Sharer{Store: r.platform, Quarantiner: r.quarantine, Owner: r.PeersAddress()}
 	r.throttle = newThrottle(r.newRand())
 	r.dispatcher = &dispatcher.Dispatcher{
 		Allocator:   &observer.Allocator{Next: r.allocator, Observer: watch, Explain: r.allocator.Explain},
@@ -262,7 +267,7 @@
 		Store:       r.platform,
 		Claimer:     r.claims,
 		Quarantiner: r.quarantine,
-		Share:       r.control.share,
+		Share:       r.share,
 		Owner:       r.PeersAddress(),
 		Rand:        r.newRand(),
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -147,6 +147,10 @@
 		}
 		s.excluded[r.ID()] = excluded
 	}
+	if q, ok := s.Admitter.(Queue); ok {
+		q.Return(now, r)
+		return nil
+	}
 	return s.Offer(now, r)
 }
 
--- a/server/errors.go
+++ b/server/errors.go
@@ -71,7 +71,7 @@
 	return badRequest(err)
 }
 
-func overRate(after time.Duration) error {
+func overRate(after time.Duration) *kingcuphook.RequestError {
 	return &kingcuphook.RequestError{
 		Code:       codeRateLimited,
 		Ran:        kingcuphook.RunStateNotRun,
@@ -80,6 +80,15 @@
 	}
 }
 
+// beforeClaim returns the refusal of a request with an idempotency key whose
+// claim was not looked at. The request itself was not run, but it may be the
+// resend of one that was, so that "not run" would mislead its caller.
+func beforeClaim(err *kingcuphook.RequestError) *kingcuphook.RequestError {
+	e := *err
+	e.Ran = kingcuphook.RunStateUnknown
+	return &e
+}
+
 // errorBody is the JSON form of an error.
 type errorBody struct {
 	Error errorDetail `json:"error"`
@@ -144,7 +153,7 @@
 		return http.StatusUnprocessableEntity
 	case errors.Is(e.Err, kingcuphook.ErrDeadline):
 		return http.StatusGatewayTimeout
-	case e.Ran == kingcuphook.RunStateNotRun, errors.Is(e.Err, kingcuphook.ErrUnavailable) && e.RetryAfter > 0:
+	case e.Ran == kingcuphook.RunStateNotRun, errors.Is(e.Err, kingcuphook.ErrOverloaded), errors.Is(e.Err, kingcuphook.ErrUnavailable) && e.RetryAfter > 0:
 		return http.StatusServiceUnavailable
 	default:
 		return http.StatusBadGateway
--- a/server/request.go
+++ b/server/request.go
@@ -48,6 +48,15 @@
 	deadline                 time.Duration
 }
 
+// refused returns the error of a request that is refused before its claim, if it
+// has one, is looked at.
+func (l labels) refused(err *kingcuphook.RequestError) error {
+	if l.key != "" {
+		return beforeClaim(err)
+	}
+	return err
+}
+
 // accept reads a request, matches it and applies its rates. The identifier is
 // valid also when an error is returned.
 func (s *Server) accept(w http.ResponseWriter, r *http.Request) (*accepted, string, error) {
@@ -63,7 +72,7 @@
 	}
 	tables := s.Tables()
 	if tables == nil {
-		return nil, id, errNotReady
+		return nil, id, l.refused(errNotReady)
 	}
 	var c chat
 	if r.URL.Path == PathChat {
@@ -74,12 +83,13 @@
 	}
 	route := tables.Match(l.class, l.organisation, c.model, r.URL.Path)
 	if route == nil {
-		return nil, id, errNoRoute
+		return nil, id, l.refused(errNoRoute)
 	}
+	l.nonIdempotent = l.nonIdempotent || route.NonIdempotent()
 	pool := tables.Pool(route.Pool())
 	if s.Throttle != nil {
 		if ok, after := s.Throttle.Allow(route, l.organisation); !ok {
-			return nil, id, overRate(after)
+			return nil, id, l.refused(overRate(after))
 		}
 	}
 	return s.newAccepted(r, id, l, c, body, route, pool), id, nil
@@ -101,7 +111,7 @@
 		Target:        route.Target(),
 		TokenTarget:   route.TokenTarget(),
 		Deadline:      deadline,
-		NonIdempotent: l.nonIdempotent || route.NonIdempotent(),
+		NonIdempotent: l.nonIdempotent,
 		Key:           l.key,
 		Bytes:         len(body),
 		Fingerprint:   xxhash.Sum64(body),
--- a/server/server.go
+++ b/server/server.go
@@ -123,7 +123,8 @@
 		n := s.open.Add(1)
 		defer s.open.Add(-1)
 		if s.Limits.MaxRequests > 0 && n > int64(s.Limits.MaxRequests) {
-			writeError(w, "", errTooManyRequests)
+			l := labels{key: r.Header.Get(HeaderKey)}
+			writeError(w, "", l.refused(errTooManyRequests))
 			return
 		}
 		next.ServeHTTP(w, r)
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -39,7 +39,7 @@
 }
 
 // serve returns a running server and its URL.
-func serve(t *testing.T, d kingcuphook.Dispatcher, limits Limits) (*Server, string) {
+func serve(t *testing.T, d kingcuphook.Dispatcher, limits Limits, options ...func(*Server)) (*Server, string) {
 	t.Helper()
 	defaults := Limits{
 		MaxBodyBytes: 1 << 10, MaxHeaderBytes: 8 << 10, MaxRequests: 8, Deadline: time.Minute,
@@ -49,6 +49,9 @@
 		defaults = limits
 	}
 	s := &Server{Dispatcher: d, Tables: testTables, Region: "cairo", DataCentre: "cairo-1", Limits: defaults}
+	for _, o := range options {
+		o(s)
+	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -123,6 +126,25 @@
 	}
 }
 
+// TestKeyedRefusalDoesNotSayNotRun refuses what may be the resend of a request
+// that ran.
+func TestKeyedRefusalDoesNotSayNotRun(t *testing.T) {
+	is := is.New(t)
+	_, url := serve(t, never(t), Limits{}, func(s *Server) { s.Throttle = closedThrottle{} })
+	status, body, _ := send(t, url+"/redeem", "{}", HeaderKey, "k")
+	is.Equal(status, http.StatusTooManyRequests)
+	is.True(strings.Contains(body, `"ran":"unknown"`))
+	_, body, _ = send(t, url+"/redeem", "{}")
+	is.True(strings.Contains(body, `"ran":"not-run"`))
+}
+
+// closedThrottle lets nothing pass.
+type closedThrottle struct{}
+
+func (closedThrottle) Allow(*kingcuphook.Route, string) (bool, time.Duration) {
+	return false, time.Second
+}
+
 func TestRequestCarriesWhatTheRouteSays(t *testing.T) {
 	is := is.New(t)
 	var got *kingcuphook.Call
