--- a/gossiper/bench_test.go
+++ b/gossiper/bench_test.go
@@ -58,6 +58,7 @@
 	}{
 		{"clean", func(*fleet) {}},
 		{"loss=10%", func(f *fleet) { f.loss = 0.1 }},
+		{"loss=10%-prompt", func(f *fleet) { f.loss, f.prompt = 0.1, true }},
 		{"region-without-store", func(f *fleet) { f.storeCut = inRegion0 }},
 		{"region-cut", func(f *fleet) {
 			f.cut = func(x, y *router) bool { return inRegion0(x) != inRegion0(y) }
--- a/gossiper/fleet_test.go
+++ b/gossiper/fleet_test.go
@@ -45,6 +45,9 @@
 	events []event
 	// loss is the share of calls that fail.
 	loss float64
+	// prompt routers are polled at once after a new revision, not only every
+	// stepTime.
+	prompt bool
 	// cut reports whether a call between two routers fails.
 	cut func(a, b *router) bool
 	// storeCut reports whether a router does not reach the store.
@@ -232,6 +235,9 @@
 	}
 	r.revision = revision
 	r.g.SetRevision(f.now, revision, "")
+	if f.prompt {
+		f.poll(r)
+	}
 }
 
 // fails reports whether a call between two routers is lost.
--- a/gossiper/poll.go
+++ b/gossiper/poll.go
@@ -7,7 +7,7 @@
 
 // Numbers of rounds in a row that pushes may stand in for.
 const (
-	maxSkipped = 2
+	maxSkipped = 3
 	// maxSkippedCutOff holds for a watcher that learned the latest revision from
 	// a peer: it may have lost the store.
 	maxSkippedCutOff = 0
