--- a/selector/weigh.go
+++ b/selector/weigh.go
@@ -47,9 +47,10 @@
 func (g *group) rank(key uint64, dst []*tracker) int {
 	var scores [wide]uint64
 	n := 0
+	least := uint64(0)
 	for at, seed := range g.seeds {
 		score := mix(key ^ seed)
-		if n == len(dst) && score <= scores[n-1] {
+		if score <= least {
 			continue
 		}
 		if n < len(dst) {
@@ -61,6 +62,9 @@
 			i--
 		}
 		scores[i], dst[i] = score, g.trackers[at]
+		if n == len(dst) {
+			least = scores[n-1]
+		}
 	}
 	return n
 }
