--- a/composer/composer.go
+++ b/composer/composer.go
@@ -29,6 +29,8 @@
 	MechanismHold Mechanism = "hold"
 	// MechanismReserve keeps suited upstreams free for the highest tier.
 	MechanismReserve Mechanism = "reserve"
+	// MechanismProtect keeps long prefills away from answers of the highest tier.
+	MechanismProtect Mechanism = "protect"
 	// MechanismEjector takes slow and broken upstreams out.
 	MechanismEjector Mechanism = "ejector"
 	// MechanismGuarantee gives each class a share of the freed slots.
@@ -46,7 +48,7 @@
 // Mechanisms returns every mechanism that can be switched off.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
-		MechanismAffinity, MechanismPrediction, MechanismHold, MechanismReserve, MechanismEjector, MechanismGuarantee,
+		MechanismAffinity, MechanismPrediction, MechanismHold, MechanismReserve, MechanismProtect, MechanismEjector, MechanismGuarantee,
 		MechanismPreemption, MechanismReports, MechanismCacheEvents, MechanismSpill,
 	}
 }
@@ -121,6 +123,7 @@
 		NoPrediction: c.off(MechanismPrediction),
 		NoHold:       c.off(MechanismHold),
 		NoReserve:    c.off(MechanismReserve),
+		NoProtect:    c.off(MechanismProtect),
 		Routers:      c.Routers,
 		Seed:         c.Seed,
 	}
--- a/selector/score.go
+++ b/selector/score.go
@@ -51,6 +51,10 @@
 	holdForCache = 0.15
 	// holdGain is the prefill time that is worth such a wait.
 	holdGain = 50 * time.Millisecond
+	// disturbing is the prefill time that disturbs answers of the highest tier,
+	// disturbWait the share of the latency target that a request avoids it for.
+	disturbing  = 50 * time.Millisecond
+	disturbWait = 0.2
 	// spillStart is the share of the target from which the local prediction is
 	// taken for a miss.
 	spillStart = 0.8
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -24,6 +24,7 @@
 	reasonExcluded = "excluded"
 	reasonLeaving  = "leaving"
 	reasonUnusable = "no-free-slot"
+	reasonDisturbs = "disturbs-highest-tier"
 	reasonReserved = "reserved"
 	reasonFar      = "remote-misses-target"
 	reasonPrice    = "gain-below-price"
@@ -56,6 +57,8 @@
 	NoPrediction bool
 	// Routers is how many routers share the upstreams; 0 means 1.
 	Routers int
+	// NoProtect prefills next to answers of the highest tier without a wait.
+	NoProtect bool
 	// NoReserve keeps no slots for the highest tier.
 	NoReserve bool
 	// NoHold never lets a request wait for a better upstream than a free one.
--- a/selector/weigh.go
+++ b/selector/weigh.go
@@ -149,12 +149,13 @@
 	}
 	c.gap = t.gapShare(q.now, r)
 	c.cost = c.predicted + s.overrun(r, c.gap) + t.imposed(r.PromptTokens()-c.cached)
-	c.refused = s.refuse(q, t)
+	c.refused = s.refuse(q, &c)
 	s.scratch = append(s.scratch, c)
 }
 
 // refuse returns why the upstream can't take the request now, or nothing.
-func (s *Selector) refuse(q *query, t *tracker) string {
+func (s *Selector) refuse(q *query, c *scored) string {
+	t := c.tracker
 	address := t.upstream.Address()
 	switch {
 	case slices.Contains(q.excluded, address):
@@ -163,6 +164,8 @@
 		return reasonLeaving
 	case q.usable != nil && !q.usable(address):
 		return reasonUnusable
+	case !s.NoProtect && s.disturbs(q, c):
+		return reasonDisturbs
 	case !s.NoReserve && s.reserve.full(q.now, q.request, t):
 		return reasonReserved
 	default:
@@ -170,6 +173,18 @@
 	}
 }
 
+// disturbs reports whether prefilling the prompt would delay answers of the
+// highest tier that this router has on the upstream. The request doesn't wait
+// long for their end.
+func (s *Selector) disturbs(q *query, c *scored) bool {
+	r := q.request
+	if r.Tier() == kingcuphook.HighestTier || c.tracker.top == 0 || r.Target() == 0 {
+		return false
+	}
+	prefill := float64(r.PromptTokens()-c.cached) * c.tracker.first.slope
+	return prefill > disturbing.Seconds() && float64(q.waited()) < disturbWait*float64(r.Target())
+}
+
 // best returns the usable candidate with the lowest prediction, or -1. Of equal
 // ones the first is taken.
 func (s *Selector) best(from int) int {
