Serve classes in time that no other request makes room for

Cause: a router with requests of a low tier only earned them no guaranteed share, since that grows with the slots that others get. While other routers kept the load over what the tier may use, they waited for ever though slots were free. A waiting class whose tier has no free slot is now owed two slots a second at each router, or one in 50 s while a higher tier waits there.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -58,6 +58,8 @@
 	drain       drainRate
 	// taken remembers the latest requests that Next returned.
 	taken takenRing
+	// accrued is when what the classes are owed was last calculated.
+	accrued time.Time
 	// guaranteed says how the request taken last was taken.
 	guaranteed bool
 }
@@ -85,6 +87,7 @@
 
 // NextModel is Next without the models that skip reports.
 func (a *Admitter) NextModel(now time.Time, free func(kingcuphook.Tier) int, skip func(model string) bool) *kingcuphook.Request {
+	a.accrue(now)
 	it := a.pickGuaranteed(free, skip)
 	a.guaranteed = it != nil
 	if it == nil {
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -246,3 +246,46 @@
 		}
 	})
 }
+
+// TestClassWithoutSlotsOfItsTierIsServedInTime covers a class that no other request
+// at this router makes room for, with slots that only the highest tier may use.
+func TestClassWithoutSlotsOfItsTierIsServedInTime(t *testing.T) {
+	is := is.New(t)
+	a := &Admitter{}
+	for i := range 20 {
+		a.Offer(start, request(fmt.Sprint(i), 5, "o", time.Second))
+	}
+	served := 0
+	for ms := range 5000 {
+		if a.Next(start.Add(time.Duration(ms)*time.Millisecond), highestOnly) != nil {
+			served++
+			is.True(a.Guaranteed())
+		}
+	}
+	is.True(served >= 9 && served <= 10)
+	off := &Admitter{GuaranteedShare: -1}
+	off.Offer(start, request("0", 5, "o", time.Second))
+	off.Next(start, highestOnly)
+	is.Equal(off.Next(start.Add(time.Minute), highestOnly), nil)
+}
+
+// TestTimeOwedChangesNoOrder covers classes that waited long enough to be owed a
+// slot while their tier has free ones.
+func TestTimeOwedChangesNoOrder(t *testing.T) {
+	is := is.New(t)
+	a := &Admitter{}
+	a.Offer(start, request("late", 1, "o", time.Second))
+	a.Offer(start, request("good", 1, "o", time.Hour))
+	a.Return(start, a.Next(start, always))
+	is.Equal(a.Next(start.Add(time.Minute), always).ID(), "good")
+}
+
+func TestReturnKeepsWhatIsOwedForTime(t *testing.T) {
+	is := is.New(t)
+	a := &Admitter{}
+	a.Offer(start, request("low", 5, "o", time.Second))
+	is.Equal(a.Next(start, highestOnly), nil)
+	now := start.Add(time.Second)
+	a.Return(now, a.Next(now, highestOnly))
+	is.Equal(a.Next(now, highestOnly).ID(), "low")
+}
--- a/admitter/guarantee.go
+++ b/admitter/guarantee.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/kingcuphook/kingcuphook"
 )
@@ -10,6 +11,14 @@
 	// maxLanes bounds the classes with a guarantee of their own; those beyond
 	// share one lane a tier.
 	maxLanes = 256
+	// busyRate and idleRate are the slots a second that a waiting class is owed at
+	// one router, besides its share, while higher tiers wait and while none does.
+	// Slots that no higher tier asks for thus go to lower tiers in the end, also
+	// where the limits keep them free.
+	busyRate = 0.02
+	idleRate = 2.0
+	// accrueEvery is the least time between two calculations of what is owed.
+	accrueEvery = 10 * time.Millisecond
 	// maxDeficit bounds the slots that a class can be owed.
 	maxDeficit = 2
 	// takenCount is how many requests Return can put back after one another.
@@ -27,8 +36,9 @@
 	key laneKey
 	// first and last end the list; the lane is dropped when it is empty.
 	first, last *item
-	// deficit counts the slots that the class is owed, from 0 to maxDeficit.
-	deficit float64
+	// deficit counts the slots that the class is owed for those that others got,
+	// from 0 to maxDeficit; owed counts those for the time it waited, from 0 to 1.
+	deficit, owed float64
 }
 
 // takenRing has the latest requests that were taken, the oldest overwritten
@@ -41,8 +51,8 @@
 // taken is what is needed to undo that a request was taken.
 type taken struct {
 	id string
-	// deficit is what the lane was owed before, share what the others gained.
-	deficit, share float64
+	// deficit and owed are those of the lane before, share what the others gained.
+	deficit, owed, share float64
 }
 
 // lane returns the lane of r and makes it if there is none.
@@ -67,15 +77,21 @@
 }
 
 // pickGuaranteed returns the oldest request of the class that is owed the most,
-// or nil if none is owed a whole slot or no slot is free.
+// or nil if none is owed a whole slot or no slot is free. What is owed for time
+// counts only while the tier of the class has no free slot.
 func (a *Admitter) pickGuaranteed(free func(kingcuphook.Tier) int, skip func(string) bool) *item {
 	var best *classLane
+	most := 0.0
 	for _, l := range a.lanes {
-		if l.deficit < 1 || skip != nil && skip(l.key.model) {
+		if skip != nil && skip(l.key.model) {
 			continue
 		}
-		if best == nil || l.deficit > best.deficit {
-			best = l
+		due := l.deficit
+		if due < 1 && l.owed >= 1 && free(l.tier()) <= 0 {
+			due = l.owed
+		}
+		if due >= 1 && due > most {
+			best, most = l, due
 		}
 	}
 	if best == nil || free(kingcuphook.HighestTier) <= 0 {
@@ -84,6 +100,10 @@
 	return best.first
 }
 
+func (l *classLane) tier() kingcuphook.Tier {
+	return kingcuphook.HighestTier + kingcuphook.Tier(l.key.tier)
+}
+
 // share is what each waiting class is owed for a slot that another one got.
 func (a *Admitter) share() float64 {
 	share := a.GuaranteedShare
@@ -93,16 +113,48 @@
 	return max(0, min(share, maxGuaranteedSum/float64(max(len(a.lanes), 1))))
 }
 
+// accrue adds what the waiting classes are owed for the time that has passed.
+func (a *Admitter) accrue(now time.Time) {
+	passed := now.Sub(a.accrued)
+	if passed < accrueEvery {
+		return
+	}
+	first := a.accrued.IsZero()
+	a.accrued = now
+	if first || a.GuaranteedShare < 0 {
+		return
+	}
+	highest := a.highestWaiting()
+	for _, l := range a.lanes {
+		rate := idleRate
+		if l.key.tier > highest {
+			rate = busyRate
+		}
+		l.owed = min(l.owed+rate*passed.Seconds(), 1)
+	}
+}
+
+// highestWaiting returns the index of the highest tier with a waiting request.
+func (a *Admitter) highestWaiting() int {
+	for i := range a.tiers {
+		if a.tiers[i].waiting > 0 {
+			return i
+		}
+	}
+	return len(a.tiers)
+}
+
 // grant books a slot for it, which has been removed already.
 func (a *Admitter) grant(it *item) {
 	share := a.share()
-	a.taken.add(taken{id: it.request.ID(), deficit: it.lane.deficit, share: share})
+	a.taken.add(taken{id: it.request.ID(), deficit: it.lane.deficit, owed: it.lane.owed, share: share})
 	for _, l := range a.lanes {
 		if l != it.lane {
 			l.deficit = min(l.deficit+share, maxDeficit)
 		}
 	}
 	it.lane.deficit = max(it.lane.deficit-1, 0)
+	it.lane.owed = 0
 }
 
 // revoke undoes the grant of it, which has been inserted again already.
@@ -116,7 +168,7 @@
 			l.deficit = max(l.deficit-t.share, 0)
 		}
 	}
-	it.lane.deficit = t.deficit
+	it.lane.deficit, it.lane.owed = t.deficit, t.owed
 }
 
 // unlink takes it out of its lane and drops the lane if it is empty.
