--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -4,6 +4,7 @@
 package claimer
 
 import (
+	"cmp"
 	"context"
 	"encoding/binary"
 	"errors"
@@ -121,14 +122,14 @@
 	if c.Prefix == "" {
 		c.Prefix = defaultPrefix
 	}
-	setDefault(&c.Shards, defaultShards)
-	setDefault(&c.HeadBytes, defaultHeadBytes)
-	setDefault(&c.OutcomeBytes, defaultOutcomeBytes)
-	setDefaultDuration(&c.Interval, defaultInterval)
-	setDefaultDuration(&c.OutcomeInterval, defaultOutcomeInterval)
-	setDefaultDuration(&c.Retention, defaultRetention)
-	setDefaultDuration(&c.CallTimeout, defaultCallTimeout)
-	setDefaultDuration(&c.Wait, defaultWait)
+	c.Shards = cmp.Or(c.Shards, defaultShards)
+	c.HeadBytes = cmp.Or(c.HeadBytes, defaultHeadBytes)
+	c.OutcomeBytes = cmp.Or(c.OutcomeBytes, defaultOutcomeBytes)
+	c.Interval = cmp.Or(c.Interval, defaultInterval)
+	c.OutcomeInterval = cmp.Or(c.OutcomeInterval, defaultOutcomeInterval)
+	c.Retention = cmp.Or(c.Retention, defaultRetention)
+	c.CallTimeout = cmp.Or(c.CallTimeout, defaultCallTimeout)
+	c.Wait = cmp.Or(c.Wait, defaultWait)
 	// Two processes with one number would take each other's claims for their
 	// own, so it does not depend on the seed of Rand.
 	c.process = rand.Uint64()
@@ -142,18 +143,6 @@
 	c.book.claimer = c
 }
 
-func setDefault(n *int, value int) {
-	if *n == 0 {
-		*n = value
-	}
-}
-
-func setDefaultDuration(d *time.Duration, value time.Duration) {
-	if *d == 0 {
-		*d = value
-	}
-}
-
 // Claim creates the claim of a key, or finds the one that exists. It waits at
 // most for the bound of Wait. After an error no claim is held by the caller, and
 // whether one exists is not known; the error wraps kingcuphook.ErrUnavailable.
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -5,6 +5,7 @@
 package dispatcher
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -104,13 +105,13 @@
 	d.budgets = make(map[string]kingcuphook.RetryBudget)
 	d.hedges = make(map[string]kingcuphook.RetryBudget)
 	l := &d.Limits
-	setDefault(&l.Attempts, defaultAttempts)
-	setDefault(&l.AnswerBytes, defaultAnswerBytes)
-	setDefaultDuration(&l.FirstByte, defaultFirstByte)
-	setDefaultDuration(&l.BetweenTokens, defaultBetweenTokens)
-	setDefaultDuration(&l.Reply, defaultReply)
-	setDefaultDuration(&l.ShareWait, defaultShareWait)
-	setDefaultDuration(&l.HoldWait, defaultHoldWait)
+	l.Attempts = cmp.Or(l.Attempts, defaultAttempts)
+	l.AnswerBytes = cmp.Or(l.AnswerBytes, defaultAnswerBytes)
+	l.FirstByte = cmp.Or(l.FirstByte, defaultFirstByte)
+	l.BetweenTokens = cmp.Or(l.BetweenTokens, defaultBetweenTokens)
+	l.Reply = cmp.Or(l.Reply, defaultReply)
+	l.ShareWait = cmp.Or(l.ShareWait, defaultShareWait)
+	l.HoldWait = cmp.Or(l.HoldWait, defaultHoldWait)
 }
 
 // newRand returns a source of randomness of its own; mu is held or not needed.
@@ -118,18 +119,6 @@
 	return rand.New(rand.NewPCG(d.Rand.Uint64(), d.Rand.Uint64()))
 }
 
-func setDefault(n *int, value int) {
-	if *n == 0 {
-		*n = value
-	}
-}
-
-func setDefaultDuration(d *time.Duration, value time.Duration) {
-	if *d == 0 {
-		*d = value
-	}
-}
-
 // Dispatch implements kingcuphook.Dispatcher.
 func (d *Dispatcher) Dispatch(ctx context.Context, c *kingcuphook.Call, w kingcuphook.FrameWriter) (kingcuphook.Outcome, error) {
 	d.once.Do(d.start)
--- a/emulator/responder/call.go
+++ b/emulator/responder/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -62,7 +63,7 @@
 func (u *Upstream) sample() {
 	running, queued := u.slots.load()
 	now := time.Now()
-	lag := orDuration(u.ReportLag, defaultReportLag)
+	lag := cmp.Or(u.ReportLag, defaultReportLag)
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.history = append(u.history, loadSample{at: now, running: running, queued: queued})
--- a/emulator/responder/chat.go
+++ b/emulator/responder/chat.go
@@ -1,6 +1,7 @@
 package responder
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net/http"
@@ -87,7 +88,7 @@
 func (u *Upstream) prefill(r *http.Request, c run, crashed <-chan struct{}) bool {
 	cachedBlocks, blocks := u.cache.use(c.body)
 	uncached := (blocks - cachedBlocks) * hasher.BlockTokens
-	wait := time.Duration(uncached) * orDuration(u.PrefillTime, defaultPrefillTime)
+	wait := time.Duration(uncached) * cmp.Or(u.PrefillTime, defaultPrefillTime)
 	return u.pause(r, wait, crashed)
 }
 
@@ -112,7 +113,7 @@
 	flush := http.NewResponseController(w)
 	made := 0
 	for i := c.resumeFrom; i < c.tokens; i++ {
-		if !u.pause(r, orDuration(u.StepTime, defaultStepTime), crashed) {
+		if !u.pause(r, cmp.Or(u.StepTime, defaultStepTime), crashed) {
 			u.cancelled(made)
 			return
 		}
--- a/emulator/responder/responder.go
+++ b/emulator/responder/responder.go
@@ -5,6 +5,7 @@
 package responder
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/http"
 	"sync"
@@ -109,8 +110,8 @@
 
 func (u *Upstream) init() {
 	u.once.Do(func() {
-		u.slots = newPriorityGate(orInt(u.Slots, defaultSlots), defaultMaxQueued)
-		u.cache = newPrefixCache(orInt(u.CacheBlocks, defaultCacheBlocks), u.SkipEvents)
+		u.slots = newPriorityGate(cmp.Or(u.Slots, defaultSlots), defaultMaxQueued)
+		u.cache = newPrefixCache(cmp.Or(u.CacheBlocks, defaultCacheBlocks), u.SkipEvents)
 		u.record = Record{
 			Started:  make(map[string]int),
 			Finished: make(map[string]int),
@@ -178,7 +179,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.record.Crashes++
-	u.down = time.Now().Add(orDuration(u.RestartTime, defaultRestartTime))
+	u.down = time.Now().Add(cmp.Or(u.RestartTime, defaultRestartTime))
 	close(u.crashed)
 	u.crashed = make(chan struct{})
 }
@@ -235,17 +236,3 @@
 	}
 	return c
 }
-
-func orInt(n, other int) int {
-	if n == 0 {
-		return other
-	}
-	return n
-}
-
-func orDuration(d, other time.Duration) time.Duration {
-	if d == 0 {
-		return other
-	}
-	return d
-}
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -296,8 +296,8 @@
 
 // expire forgets what is too old.
 func (q *Quarantiner) expire(now time.Time) {
-	suspicion := orDuration(q.Suspicion, defaultSuspicion)
-	quarantine := orDuration(q.Quarantine, defaultQuarantine)
+	suspicion := cmp.Or(q.Suspicion, defaultSuspicion)
+	quarantine := cmp.Or(q.Quarantine, defaultQuarantine)
 	for fingerprint, e := range q.entries {
 		age := now.Sub(e.changed)
 		if e.state == stateQuarantined && age > quarantine || e.state != stateQuarantined && age > suspicion {
@@ -318,13 +318,13 @@
 		// The time is the same at every router that knows the crashes, so that a
 		// lift that comes later holds everywhere.
 		e.state = stateQuarantined
-		e.changed = latest(e.crashes).Add(orDuration(q.Settle, defaultSettle))
+		e.changed = latest(e.crashes).Add(cmp.Or(q.Settle, defaultSettle))
 		q.explain(e.crashes)
 	}
 }
 
 func (q *Quarantiner) culprit(now time.Time) *Entry {
-	settle := orDuration(q.Settle, defaultSettle)
+	settle := cmp.Or(q.Settle, defaultSettle)
 	for _, e := range q.entries {
 		if e.state != stateSuspect || len(e.crashes) < MaxCrashes {
 			continue
@@ -392,10 +392,3 @@
 	}
 	return last
 }
-
-func orDuration(d, fallback time.Duration) time.Duration {
-	if d == 0 {
-		return fallback
-	}
-	return d
-}
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -4,6 +4,7 @@
 package retrier
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -48,7 +49,7 @@
 // Succeeded implements kingcuphook.RetryBudget.
 func (b *Budget) Succeeded(now time.Time) {
 	b.advance(now)
-	b.saved = min(b.saved+or(b.Share, defaultShare), or(b.Burst, defaultBurst))
+	b.saved = min(b.saved+cmp.Or(b.Share, defaultShare), cmp.Or(b.Burst, defaultBurst))
 }
 
 // Spend implements kingcuphook.RetryBudget.
@@ -68,26 +69,19 @@
 		return 0
 	}
 	base, most := float64(b.Base), float64(b.Most)
-	bound := min(or(base, float64(defaultBase))*math.Pow(2, float64(n-1)), or(most, float64(defaultMost)))
+	bound := min(cmp.Or(base, float64(defaultBase))*math.Pow(2, float64(n-1)), cmp.Or(most, float64(defaultMost)))
 	return time.Duration(b.Rand.Float64() * bound)
 }
 
 // advance adds what the time since the last call is worth. A new budget is full.
 func (b *Budget) advance(now time.Time) {
-	burst := or(b.Burst, defaultBurst)
+	burst := cmp.Or(b.Burst, defaultBurst)
 	if b.seen.IsZero() {
 		b.saved = burst
 		b.seen = now
 	}
 	if passed := now.Sub(b.seen); passed > 0 {
-		b.saved = min(b.saved+passed.Seconds()*or(b.Refill, defaultRefill), burst)
+		b.saved = min(b.saved+passed.Seconds()*cmp.Or(b.Refill, defaultRefill), burst)
 		b.seen = now
 	}
 }
-
-func or(value, fallback float64) float64 {
-	if value == 0 {
-		return fallback
-	}
-	return value
-}
--- a/schedule.go
+++ b/schedule.go
@@ -70,7 +70,8 @@
 type Allocator interface {
 	// Acquire waits until the request may run on an upstream that is not
 	// excluded. A request that had a slot before passes a list that is not nil;
-	// it keeps its place and is not refused by a full queue. Its error is a *RequestError that says not-run, or ctx.Err().
+	// it keeps its place and is not refused by a full queue. Its error is a
+	// *RequestError that says not-run, or ctx.Err().
 	Acquire(ctx context.Context, r *Request, excluded []string) (Slot, error)
 }
 
