--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
 	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
-	"crypto/x509/pkix"
 	"errors"
-	"math/big"
 	"net"
+	"os"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -20,51 +17,35 @@
 
 	"github.com/kingcuphook/kingcuphook"
 	"github.com/kingcuphook/kingcuphook/emulator/forwarder"
+	"github.com/kingcuphook/kingcuphook/emulator/signer"
 	"github.com/kingcuphook/kingcuphook/exchanger"
 	"github.com/kingcuphook/kingcuphook/gossiper"
 )
 
 // authority issues certificates for one fleet.
 type authority struct {
-	cert *x509.Certificate
-	key  *ecdsa.PrivateKey
+	signer *signer.Signer
 }
 
 func newAuthority(t testing.TB) *authority {
-	is := is.New(t)
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	is.NoErr(err)
-	template := &x509.Certificate{
-		SerialNumber:          big.NewInt(1),
-		NotAfter:              time.Now().Add(time.Hour),
-		IsCA:                  true,
-		BasicConstraintsValid: true,
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	is.NoErr(err)
-	cert, err := x509.ParseCertificate(der)
-	is.NoErr(err)
-	return &authority{cert: cert, key: key}
+	s, err := signer.New()
+	is.New(t).NoErr(err)
+	return &authority{signer: s}
 }
 
 // credentials returns mutual TLS credentials of one router.
 func (a *authority) credentials(t testing.TB) credentials.TransportCredentials {
 	is := is.New(t)
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	f, err := a.signer.Issue(t.TempDir(), 2)
 	is.NoErr(err)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(2),
-		Subject:      pkix.Name{CommonName: "router"},
-		NotAfter:     time.Now().Add(time.Hour),
-		IPAddresses:  []net.IP{net.IPv4(127, 0, 0, 1)},
-		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
+	pair, err := tls.LoadX509KeyPair(f.Certificate, f.Key)
+	is.NoErr(err)
+	text, err := os.ReadFile(f.Authority)
 	is.NoErr(err)
 	pool := x509.NewCertPool()
-	pool.AddCert(a.cert)
+	is.True(pool.AppendCertsFromPEM(text))
 	return credentials.NewTLS(&tls.Config{
-		Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}},
+		Certificates: []tls.Certificate{pair},
 		RootCAs:      pool,
 		ClientCAs:    pool,
 		ClientAuth:   tls.RequireAndVerifyClientCert,
