--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -22,7 +22,7 @@
 	joinInterval = 500 * time.Millisecond
 	// sourcePause separates two pushes of a router that learned from the store;
 	// the changes in between go together.
-	sourcePause = 1400 * time.Millisecond
+	sourcePause = 1200 * time.Millisecond
 	// relayPause separates two pushes of a router that learned from a peer.
 	relayPause = 200 * time.Millisecond
 	// isolationTimeout is how long without a successful exchange a router
