--- a/composer/composer.go
+++ b/composer/composer.go
@@ -59,6 +59,9 @@
 	Region, DataCentre string
 	// Routers is how many routers share the upstreams of the region; 0 means 1.
 	Routers int
+	// Place is the place of the router among Routers, from 0, in an order that all
+	// agree on.
+	Place int
 	// Seed is the seed of all randomness; routers must differ in it.
 	Seed uint64
 	// RegionDelay and CentreDelay are the one-way delays between regions and
@@ -89,6 +92,9 @@
 		region:    c.Region,
 	}
 	s.limits = &limiter.Limiter{Rand: rand.New(rand.NewPCG(c.Seed, 0)), Routers: c.Routers}
+	if c.Routers > 1 {
+		s.limits.SetPlace(c.Place, c.Routers)
+	}
 	s.Limiter = s.limits
 	s.Admitter = c.admitter()
 	s.places = c.selector()
--- a/measurer/world.go
+++ b/measurer/world.go
@@ -74,7 +74,7 @@
 	pool := w.pool()
 	for n := range f.Routers {
 		r := &router{w: w, region: regionName(n % c.regions())}
-		r.scheduler = schedule(place{region: r.region, number: n, seed: seed, routers: f.Routers / c.regions(), slots: w.spec.Batch})
+		r.scheduler = schedule(place{region: r.region, number: n, rank: n / c.regions(), seed: seed, routers: f.Routers / c.regions(), slots: w.spec.Batch})
 		r.scheduler.Update(w.time(), pool)
 		w.routers = append(w.routers, r)
 	}
@@ -88,7 +88,9 @@
 	// number is its number among all routers, routers how many share the engines
 	// of its region.
 	number, routers int
-	seed            uint64
+	// rank is its number among those.
+	rank int
+	seed uint64
 	// slots is the batch of an engine.
 	slots int
 }
