--- a/router/control.go
+++ b/router/control.go
@@ -46,6 +46,8 @@
 	revision int64
 	// source is the peer that the newest tables came from; empty for none.
 	source string
+	// untold says that the peers have not been told of the revision yet.
+	untold bool
 	// pulling is set while tables are being pulled from a peer.
 	pulling bool
 	// begun is when the loop began. joined says that a peer has answered, or that
@@ -108,12 +110,23 @@
 			return
 		case event := <-c.inbox:
 			event(time.Now())
+			c.tell(ctx)
 		case now := <-ticker.C:
 			c.tick(ctx, now)
 		}
 	}
 }
 
+// tell begins the exchanges that a new revision makes due, without waiting for
+// the next tick.
+func (c *control) tell(ctx context.Context) {
+	if !c.untold {
+		return
+	}
+	c.untold = false
+	c.exchange(ctx, time.Now())
+}
+
 // send queues an event. It reports false if the loop has ended or is behind; the
 // event is then lost, as any message may be.
 func (c *control) send(event func(now time.Time)) bool {
--- a/router/peers.go
+++ b/router/peers.go
@@ -15,8 +15,13 @@
 	"github.com/kingcuphook/kingcuphook/logger"
 )
 
-// pullTimeout bounds a pull of the tables.
-const pullTimeout = 10 * time.Second
+const (
+	// pullTimeout bounds a pull of the tables.
+	pullTimeout = 10 * time.Second
+	// pullTries and pullPause say how a pull that failed is repeated.
+	pullTries = 3
+	pullPause = 500 * time.Millisecond
+)
 
 // maxShared bounds the peers that are told of a new suspect at once.
 const maxShared = 16
@@ -163,7 +168,7 @@
 	c.pulling = true
 	revision := c.revision
 	go func() {
-		c.pull(context.WithoutCancel(ctx), peer, revision)
+		c.pullAgain(context.WithoutCancel(ctx), peer, revision)
 		c.send(func(now time.Time) {
 			c.pulling = false
 			c.source = peer
@@ -172,24 +177,37 @@
 	}()
 }
 
-// pull brings the tables of a peer into force.
-func (c *control) pull(ctx context.Context, peer string, revision int64) {
+// pullAgain pulls the tables of a peer, again if that fails.
+func (c *control) pullAgain(ctx context.Context, peer string, revision int64) {
+	for n := range pullTries {
+		if n > 0 {
+			time.Sleep(pullPause)
+		}
+		if c.pull(ctx, peer, revision) {
+			return
+		}
+	}
+}
+
+// pull brings the tables of a peer into force, and reports false if it must be
+// tried again.
+func (c *control) pull(ctx context.Context, peer string, revision int64) bool {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	payload, err := c.router.links.Pull(ctx, peer, revision)
 	if errors.Is(err, kingcuphook.ErrNotFound) {
-		return
+		return true
 	}
 	if err != nil {
 		c.router.Log.Log(logger.PeerFailed, "peer", peer, "error", err)
-		return
+		return false
 	}
 	err = c.router.follower.Offer(peer, payload)
 	if errors.Is(err, kingcuphook.ErrConflict) && revision > 0 {
-		c.pull(ctx, peer, 0)
-		return
+		return c.pull(ctx, peer, 0)
 	}
 	if err != nil {
 		c.router.Log.Log(logger.PeerFailed, "peer", peer, "error", err)
 	}
+	return true
 }
--- a/router/tables.go
+++ b/router/tables.go
@@ -24,6 +24,7 @@
 	c.revision = s.Revision()
 	c.router.allocator.Update(s.Tables())
 	c.gossip.SetRevision(now, s.Revision(), source)
+	c.untold = true
 	c.takeUpstreams(s.Tables())
 }
 
