Ask fewer questions of upstreams in large fleets; measure what control asks

Cause: 4 questions a second, each for load and cache events, take 1,836 B/s (256 and 203 B, go test -bench Question ./dialer), with digests far over 3 KB/s. After: worked out 115 B/s at 1,100 routers; unchanged with 8.

--- /dev/null
+++ b/dialer/report_test.go
@@ -0,0 +1,110 @@
+package dialer
+
+import (
+	"context"
+	"net"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/emulator/responder"
+)
+
+// countingListener counts the bytes of its connections, both ways.
+type countingListener struct {
+	net.Listener
+
+	bytes atomic.Int64
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return &countingConn{Conn: c, bytes: &l.bytes}, err
+}
+
+type countingConn struct {
+	net.Conn
+
+	bytes *atomic.Int64
+}
+
+func (c *countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c *countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func TestReportsComeWithAnswersAndWhenAsked(t *testing.T) {
+	is := is.New(t)
+	up := &responder.Upstream{StepTime: time.Millisecond}
+	up.SetLeaving(true)
+	d, u := start(t, up, kingcuphook.UpstreamKindEngine)
+	reports := make(chan kingcuphook.LoadReport, 1)
+	d.OnReport = func(l kingcuphook.LoadReport) { reports <- l }
+	s, err := d.Start(context.Background(), u, attempt(`{"messages":[]}`))
+	is.NoErr(err)
+	defer func() { _ = s.Close() }()
+	l := <-reports
+	is.Equal(l.Upstream(), u.Address())
+	is.True(l.Leaving())
+	l, err = d.Load(context.Background(), u)
+	is.NoErr(err)
+	is.True(l.Leaving())
+	_, err = d.Events(context.Background(), u, 0)
+	is.NoErr(err)
+}
+
+func TestOrdersAreGivenAndReadBack(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	d, u := start(t, &responder.Upstream{}, kingcuphook.UpstreamKindEngine)
+	order := func(fence int64) error {
+		return d.Order(ctx, kingcuphook.NewOrder(kingcuphook.OrderFields{Upstream: u.Address(), Model: "m", Generation: 1, Fence: fence}))
+	}
+	is.NoErr(order(5))
+	is.True(order(4) != nil) // an old fencing number is refused
+	got, err := d.Loaded(ctx, u)
+	is.NoErr(err)
+	is.Equal(got.Model(), "m")
+	is.Equal(got.Fence(), int64(5))
+}
+
+// BenchmarkQuestion reports the bytes on the connection for each question that a
+// router asks an upstream on a kept connection.
+func BenchmarkQuestion(b *testing.B) {
+	srv := httptest.NewUnstartedServer(&responder.Upstream{})
+	l := &countingListener{Listener: srv.Listener}
+	srv.Listener = l
+	srv.Start()
+	defer srv.Close()
+	d := &Dialer{}
+	d.Connect()
+	defer d.Close()
+	u := kingcuphook.NewUpstream(kingcuphook.UpstreamFields{Address: l.Addr().String(), Kind: kingcuphook.UpstreamKindEngine})
+	ctx := context.Background()
+	for name, ask := range map[string]func() error{
+		"load":   func() error { _, err := d.Load(ctx, u); return err },
+		"events": func() error { _, err := d.Events(ctx, u, 0); return err },
+		"order":  func() error { _, err := d.Loaded(ctx, u); return err },
+	} {
+		b.Run(name, func(b *testing.B) {
+			before := l.bytes.Load()
+			for b.Loop() {
+				if err := ask(); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(l.bytes.Load()-before)/float64(b.N), "B/question")
+		})
+	}
+}
--- a/router/control.go
+++ b/router/control.go
@@ -39,6 +39,8 @@
 	upstreams map[string]*kingcuphook.Upstream
 	// sequences has the last cache event taken from each upstream.
 	sequences map[string]int64
+	// used has the upstreams that answered requests since they were last asked.
+	used map[string]bool
 	// leaving has the upstreams that the list of VMs calls leaving.
 	leaving map[string]bool
 	reports map[string]kingcuphook.LoadReport
@@ -91,6 +93,7 @@
 		poll:      &poller.Poller{},
 		upstreams: make(map[string]*kingcuphook.Upstream),
 		sequences: make(map[string]int64),
+		used:      make(map[string]bool),
 		leaving:   make(map[string]bool),
 		reports:   make(map[string]kingcuphook.LoadReport),
 	}
@@ -185,6 +188,7 @@
 		v.reports[a] = l
 	}
 	c.view.Store(v)
+	c.poll.Rate = min(max(fleetQuestions/float64(max(len(members), 1)), leastQuestions), questionsPerSecond)
 	c.router.allocator.SetRouters(max(near, 1))
 	c.router.allocator.SetPlace(place, max(near, 1))
 	c.compareMembers(known)
--- a/router/overhead_test.go
+++ b/router/overhead_test.go
@@ -11,9 +11,11 @@
 	"runtime"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 
 	"github.com/kingcuphook/kingcuphook/configurer"
@@ -68,7 +70,12 @@
 // startBench starts a router before an engine and returns the URLs of both.
 func startBench(b *testing.B, tokens int) (direct, routed string) {
 	b.Helper()
-	engine := httptest.NewServer(serveInstant(tokens))
+	return startBenchWith(b, serveInstant(tokens))
+}
+
+func startBenchWith(b *testing.B, h http.Handler) (direct, routed string) {
+	b.Helper()
+	engine := httptest.NewServer(h)
 	b.Cleanup(engine.Close)
 	store := &storer.Store{}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -108,6 +115,69 @@
 	return engine.URL, "http://" + r.CallersAddress()
 }
 
+// serveHeld answers with one token and holds the stream until its caller leaves.
+func serveHeld() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/v1/chat/completions" {
+			http.NotFound(w, r)
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("Content-Type", "text/event-stream")
+		fmt.Fprintf(w, `data: {"id":%q,"position":0,"choices":[{"index":0,"delta":{"content":"word "},"finish_reason":null}]}`+"\n\n", r.Header.Get("X-Attempt-Id"))
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	})
+}
+
+// heldStreams is how many streams BenchmarkOpenStreams holds open; the deadline
+// of a stream between tokens bounds how long that may take.
+const heldStreams = 1000
+
+// BenchmarkOpenStreams reports the memory of an open stream in bytes, the ends of
+// caller and engine included. It runs once whatever b.N is.
+func BenchmarkOpenStreams(b *testing.B) {
+	_, routed := startBenchWith(b, serveHeld())
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	before := inUse()
+	var g errgroup.Group
+	g.SetLimit(64)
+	var mu sync.Mutex
+	var open []io.Closer
+	for range heldStreams {
+		g.Go(func() error {
+			req, err := http.NewRequestWithContext(ctx, http.MethodPost, routed+"/v1/chat/completions", bytes.NewReader(benchBody))
+			if err != nil {
+				return err
+			}
+			resp, err := http.DefaultClient.Do(req) //nolint:bodyclose // closed at the end
+			if err != nil {
+				return err
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			open = append(open, resp.Body)
+			return nil
+		})
+	}
+	if err := g.Wait(); err != nil {
+		b.Fatal(err)
+	}
+	b.ReportMetric(float64(inUse()-before)/heldStreams, "B/stream")
+	for _, c := range open {
+		_ = c.Close()
+	}
+}
+
+// inUse returns the memory of heap and stacks after a collection.
+func inUse() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapInuse + m.StackInuse
+}
+
 func applyBench(b *testing.B, store *storer.Store, engine string) {
 	b.Helper()
 	routes, err := parser.ParseRoutes("routes", []byte(benchRoutes))
--- a/router/tables.go
+++ b/router/tables.go
@@ -58,6 +58,7 @@
 		if c.upstreams[a] == nil {
 			delete(c.reports, a)
 			delete(c.sequences, a)
+			delete(c.used, a)
 		}
 	}
 }
--- a/router/upstreams.go
+++ b/router/upstreams.go
@@ -15,6 +15,12 @@
 	vmListInterval = 2 * time.Second
 	vmListBytes    = 512
 	vmListReads    = 50
+	// questionsPerSecond bounds the questions to upstreams of a small fleet. The
+	// routers of a larger one share fleetQuestions a second, but each keeps
+	// leastQuestions.
+	questionsPerSecond = 4
+	fleetQuestions     = 32
+	leastQuestions     = 0.25
 	// vmBytes is the size of one VM in the list.
 	vmBytes = 44
 	// vmListTimeout and questionTimeout bound one call.
@@ -90,6 +96,7 @@
 func (c *control) reported(l kingcuphook.LoadReport) {
 	c.send(func(now time.Time) {
 		c.poll.Heard(now, l.Upstream())
+		c.used[l.Upstream()] = true
 		c.takeReport(now, l)
 	})
 }
@@ -115,16 +122,19 @@
 	c.router.allocator.Report(l)
 }
 
-// ask asks the upstreams that are due for their load and cache events.
+// ask asks the upstreams that are due for their load, and those that this router
+// has used since for their cache events.
 func (c *control) ask(ctx context.Context, now time.Time) {
 	for _, address := range c.poll.Next(now) {
 		u := c.upstreams[address]
 		after := c.sequences[address]
-		go c.askOne(ctx, u, after)
+		withEvents := c.used[address] && u.Kind() == kingcuphook.UpstreamKindEngine
+		delete(c.used, address)
+		go c.askOne(ctx, u, after, withEvents)
 	}
 }
 
-func (c *control) askOne(ctx context.Context, u *kingcuphook.Upstream, after int64) {
+func (c *control) askOne(ctx context.Context, u *kingcuphook.Upstream, after int64, withEvents bool) {
 	ctx, cancel := context.WithTimeout(ctx, questionTimeout)
 	defer cancel()
 	l, err := c.router.upstreams.Load(ctx, u)
@@ -132,7 +142,7 @@
 		return
 	}
 	c.send(func(now time.Time) { c.takeReport(now, l) })
-	if u.Kind() != kingcuphook.UpstreamKindEngine {
+	if !withEvents {
 		return
 	}
 	events, err := c.router.upstreams.Events(ctx, u, after)
