--- a/measurer/measurer_test.go
+++ b/measurer/measurer_test.go
@@ -38,6 +38,8 @@
 	}
 }
 
+func TestTopTierReachesTarget(t *testing.T)       { reach(t, goalTopTier) }
+func TestGoodputReachesTheBound(t *testing.T)     { reach(t, goalBound) }
 func TestWastedWorkReachesTarget(t *testing.T)    { reach(t, goalWaste) }
 func TestEveryClassIsServed(t *testing.T)         { reach(t, goalService) }
 func TestGoodputIsNotBelowBaselines(t *testing.T) { reach(t, goalBaseline) }
