Read a short list of VMs every 1.5 s on average

A read is at most one and a half intervals after the last: with the 20 VMs of today 2.6 s, so that an upstream that the list calls leaving gets no new work after 3 s.

--- a/router/upstreams.go
+++ b/router/upstreams.go
@@ -12,7 +12,7 @@
 	// vmListInterval is the mean time between two reads of a short list of VMs. A
 	// longer list is read less often, so that it costs a router vmListBytes a
 	// second and the platform, together, vmListReads a second.
-	vmListInterval = 2 * time.Second
+	vmListInterval = 1500 * time.Millisecond
 	vmListBytes    = 512
 	vmListReads    = 50
 	// questionsPerSecond bounds the questions to upstreams of a small fleet. The
