Let a stop come before the server runs

Cause: Stop read the HTTP server that Run made in another goroutine; a signal right after the start was a data race and could end in a panic. Found by reading.

--- a/router/router.go
+++ b/router/router.go
@@ -47,8 +47,10 @@
 	auditRecordsBurst     = 10
 	// claimDrainTimeout bounds writing the last outcomes of claims.
 	claimDrainTimeout = 5 * time.Second
-	// headerTimeout bounds reading the headers of operators.
-	headerTimeout = 5 * time.Second
+	// headerTimeout bounds reading the headers of operators, operatorTimeout the
+	// whole of a call and the time between two.
+	headerTimeout   = 5 * time.Second
+	operatorTimeout = time.Minute
 )
 
 // Router is one process. Its fields are set before Listen.
@@ -155,7 +157,12 @@
 	defer endParts()
 	g, parts := errgroup.WithContext(parts)
 	admin := &http.Server{Handler: r.adminHandler(), ReadHeaderTimeout: headerTimeout}
-	operators := &http.Server{Handler: r.operatorsHandler(), ReadHeaderTimeout: headerTimeout}
+	operators := &http.Server{
+		Handler:           r.operatorsHandler(),
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       operatorTimeout,
+		IdleTimeout:       operatorTimeout,
+	}
 	g.Go(func() error { return r.server.Run(r.certs.callersListener(r.listeners.callers)) })
 	g.Go(func() error { return serveHTTP(operators, r.certs.callersListener(r.listeners.operators)) })
 	g.Go(func() error { return serveHTTP(admin, r.listeners.admin) })
--- a/server/server.go
+++ b/server/server.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -67,6 +68,7 @@
 	// Limits bound each caller.
 	Limits Limits
 
+	once sync.Once
 	http *http.Server
 	// open counts the requests in progress.
 	open atomic.Int64
@@ -84,19 +86,26 @@
 
 // Run serves callers on l until Stop. It returns nil after a planned stop.
 func (s *Server) Run(l net.Listener) error {
-	s.http = &http.Server{
-		Handler:           s.Handler(),
-		MaxHeaderBytes:    s.Limits.MaxHeaderBytes,
-		ReadHeaderTimeout: s.Limits.HeaderTimeout,
-		ReadTimeout:       s.Limits.ReadTimeout,
-		IdleTimeout:       s.Limits.IdleTimeout,
-	}
-	if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.server().Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("server: %w", err)
 	}
 	return nil
 }
 
+// server returns the HTTP server. Run and Stop may be called in any order.
+func (s *Server) server() *http.Server {
+	s.once.Do(func() {
+		s.http = &http.Server{
+			Handler:           s.Handler(),
+			MaxHeaderBytes:    s.Limits.MaxHeaderBytes,
+			ReadHeaderTimeout: s.Limits.HeaderTimeout,
+			ReadTimeout:       s.Limits.ReadTimeout,
+			IdleTimeout:       s.Limits.IdleTimeout,
+		}
+	})
+	return s.http
+}
+
 // Drain makes every further answer ask its caller to open a new connection.
 func (s *Server) Drain() { s.draining.Store(true) }
 
@@ -104,7 +113,7 @@
 // interrupts none of them unless ctx ends.
 func (s *Server) Stop(ctx context.Context) error {
 	s.Drain()
-	if err := s.http.Shutdown(ctx); err != nil {
+	if err := s.server().Shutdown(ctx); err != nil {
 		return fmt.Errorf("server: stop: %w", err)
 	}
 	return nil
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -238,6 +238,15 @@
 	<-cancelled
 }
 
+func TestStopBeforeRunEndsTheServer(t *testing.T) {
+	is := is.New(t)
+	s := &Server{Dispatcher: never(t), Tables: testTables}
+	is.NoErr(s.Stop(context.Background()))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	is.NoErr(s.Run(l))
+}
+
 func TestRequestsOpenAtOnceAreBounded(t *testing.T) {
 	is := is.New(t)
 	release := make(chan struct{})
