--- a/meter/meter.go
+++ b/meter/meter.go
@@ -39,16 +39,16 @@
 	wasted  *metrics.Counter
 	useful  *metrics.Counter
 	mu      sync.RWMutex
-	byRoute map[routeKey]*Route
+	byClass map[classKey]*Class
 }
 
-type routeKey struct {
+type classKey struct {
 	name string
 	tier kingcuphook.Tier
 }
 
-// Route holds the metrics of one route.
-type Route struct {
+// Class holds the metrics of one class.
+type Class struct {
 	requests   map[Outcome]*metrics.Counter
 	firstToken *metrics.Histogram
 	queue      *metrics.Histogram
@@ -62,35 +62,35 @@
 		set:     set,
 		wasted:  set.NewCounter("kingcuphook_wasted_tokens_total"),
 		useful:  set.NewCounter("kingcuphook_useful_tokens_total"),
-		byRoute: make(map[routeKey]*Route),
+		byClass: make(map[classKey]*Class),
 	}
 }
 
 // Gauge adds a gauge whose value is asked for when metrics are read.
 func (m *Meter) Gauge(name string, value func() float64) { m.set.NewGauge(name, value) }
 
-// Route returns the metrics of a route.
-func (m *Meter) Route(name string, tier kingcuphook.Tier) *Route {
-	key := routeKey{name: name, tier: tier}
+// Class returns the metrics of a class.
+func (m *Meter) Class(name string, tier kingcuphook.Tier) *Class {
+	key := classKey{name: name, tier: tier}
 	m.mu.RLock()
-	r := m.byRoute[key]
+	r := m.byClass[key]
 	m.mu.RUnlock()
 	if r != nil {
 		return r
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if r := m.byRoute[key]; r != nil {
+	if r := m.byClass[key]; r != nil {
 		return r
 	}
-	r = m.newRoute(key)
-	m.byRoute[key] = r
+	r = m.newClass(key)
+	m.byClass[key] = r
 	return r
 }
 
-func (m *Meter) newRoute(key routeKey) *Route {
-	labels := fmt.Sprintf("route=%q,tier=\"%d\"", key.name, key.tier)
-	r := &Route{
+func (m *Meter) newClass(key classKey) *Class {
+	labels := fmt.Sprintf("class=%q,tier=\"%d\"", key.name, key.tier)
+	r := &Class{
 		requests:   make(map[Outcome]*metrics.Counter),
 		firstToken: m.set.GetOrCreateHistogram("kingcuphook_first_token_seconds{" + labels + "}"),
 		queue:      m.set.GetOrCreateHistogram("kingcuphook_queue_seconds{" + labels + "}"),
@@ -103,18 +103,18 @@
 }
 
 // Ended counts a request that ended.
-func (r *Route) Ended(o Outcome, firstToken time.Duration) {
-	r.requests[o].Inc()
+func (c *Class) Ended(o Outcome, firstToken time.Duration) {
+	c.requests[o].Inc()
 	if firstToken > 0 {
-		r.firstToken.Update(firstToken.Seconds())
+		c.firstToken.Update(firstToken.Seconds())
 	}
 }
 
 // Queued counts the time that a request waited for a slot.
-func (r *Route) Queued(d time.Duration) { r.queue.Update(d.Seconds()) }
+func (c *Class) Queued(d time.Duration) { c.queue.Update(d.Seconds()) }
 
 // Attempted counts an attempt.
-func (r *Route) Attempted() { r.attempts.Inc() }
+func (c *Class) Attempted() { c.attempts.Inc() }
 
 // Tokens counts the tokens of an attempt that ended; wasted ones are those of an
 // attempt that was broken off.
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -12,14 +12,14 @@
 func TestMetricsNameTheirUnits(t *testing.T) {
 	is := is.New(t)
 	m := New()
-	r := m.Route("till", 1)
+	r := m.Class("till", 1)
 	r.Ended(OutcomeAttained, time.Second)
 	r.Queued(time.Millisecond)
 	m.Tokens(7, true)
-	is.Equal(m.Route("till", 1), r)
+	is.Equal(m.Class("till", 1), r)
 	var out bytes.Buffer
 	m.Write(&out)
-	is.True(strings.Contains(out.String(), `kingcuphook_requests_total{route="till",tier="1",outcome="attained"} 1`))
+	is.True(strings.Contains(out.String(), `kingcuphook_requests_total{class="till",tier="1",outcome="attained"} 1`))
 	is.True(strings.Contains(out.String(), "kingcuphook_wasted_tokens_total 7"))
 	is.True(strings.Contains(out.String(), "kingcuphook_first_token_seconds_bucket"))
 }
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -36,7 +36,7 @@
 		text = failure.Error()
 	}
 	o.Recorder.End(r, text)
-	o.Meter.Route(r.Class(), r.Tier()).Ended(outcome, firstToken)
+	o.Meter.Class(r.Class(), r.Tier()).Ended(outcome, firstToken)
 }
 
 func outcomeOf(r *kingcuphook.Request, out kingcuphook.Outcome, err error, firstToken, total time.Duration) meter.Outcome {
@@ -93,7 +93,7 @@
 		rec.Add(r, recorder.Step{Kind: recorder.StepNotAssigned, Err: err})
 		return nil, err
 	}
-	a.Observer.Meter.Route(r.Class(), r.Tier()).Queued(time.Since(begun))
+	a.Observer.Meter.Class(r.Class(), r.Tier()).Queued(time.Since(begun))
 	c := s.Choice()
 	rec.Add(r, recorder.Step{
 		Kind:      recorder.StepAssigned,
@@ -163,5 +163,5 @@
 		kind = recorder.StepRefused
 	}
 	e.Observer.Recorder.Add(r, recorder.Step{Kind: kind, Upstream: u.Address(), Tokens: a.ResumeFrom(), Err: err})
-	e.Observer.Meter.Route(r.Class(), r.Tier()).Attempted()
+	e.Observer.Meter.Class(r.Class(), r.Tier()).Attempted()
 }
