--- a/router/control.go
+++ b/router/control.go
@@ -39,6 +39,8 @@
 	upstreams map[string]*kingcuphook.Upstream
 	// sequences has the last cache event taken from each upstream.
 	sequences map[string]int64
+	// used has the upstreams that answered requests since they were last asked.
+	used map[string]bool
 	// leaving has the upstreams that the list of VMs calls leaving.
 	leaving map[string]bool
 	reports map[string]kingcuphook.LoadReport
@@ -46,6 +48,8 @@
 	revision int64
 	// source is the peer that the newest tables came from; empty for none.
 	source string
+	// untold says that the peers have not been told of the revision yet.
+	untold bool
 	// pulling is set while tables are being pulled from a peer.
 	pulling bool
 	// begun is when the loop began. joined says that a peer has answered, or that
@@ -89,6 +93,7 @@
 		poll:      &poller.Poller{},
 		upstreams: make(map[string]*kingcuphook.Upstream),
 		sequences: make(map[string]int64),
+		used:      make(map[string]bool),
 		leaving:   make(map[string]bool),
 		reports:   make(map[string]kingcuphook.LoadReport),
 	}
@@ -108,12 +113,23 @@
 			return
 		case event := <-c.inbox:
 			event(time.Now())
+			c.tell(ctx)
 		case now := <-ticker.C:
 			c.tick(ctx, now)
 		}
 	}
 }
 
+// tell begins the exchanges that a new revision makes due, without waiting for
+// the next tick.
+func (c *control) tell(ctx context.Context) {
+	if !c.untold {
+		return
+	}
+	c.untold = false
+	c.exchange(ctx, time.Now())
+}
+
 // send queues an event. It reports false if the loop has ended or is behind; the
 // event is then lost, as any message may be.
 func (c *control) send(event func(now time.Time)) bool {
@@ -172,6 +188,7 @@
 		v.reports[a] = l
 	}
 	c.view.Store(v)
+	c.poll.Rate = min(max(fleetQuestions/float64(max(len(members), 1)), leastQuestions), questionsPerSecond)
 	c.router.allocator.SetRouters(max(near, 1))
 	c.router.allocator.SetPlace(place, max(near, 1))
 	c.compareMembers(known)
--- a/router/tables.go
+++ b/router/tables.go
@@ -24,6 +24,7 @@
 	c.revision = s.Revision()
 	c.router.allocator.Update(s.Tables())
 	c.gossip.SetRevision(now, s.Revision(), source)
+	c.untold = true
 	c.takeUpstreams(s.Tables())
 }
 
@@ -57,6 +58,7 @@
 		if c.upstreams[a] == nil {
 			delete(c.reports, a)
 			delete(c.sequences, a)
+			delete(c.used, a)
 		}
 	}
 }
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -152,13 +152,14 @@
 		got = c
 		return kingcuphook.Outcome{Answer: kingcuphook.NewAnswer(http.StatusCreated, "text/plain", []byte("paid"))}, nil
 	}), Limits{})
-	status, body, _ := send(t, url+"/redeem/cup?x=1", "{}", HeaderKey, "k", HeaderDeadline, "5s")
+	status, body, _ := send(t, url+"/redeem/cup?x=1", "{}", HeaderKey, "k", HeaderDeadline, "5s", HeaderClass, "made-up")
 	is.Equal(status, http.StatusCreated)
 	is.Equal(body, "paid")
 	is.Equal(got.Kind, kingcuphook.UpstreamKindService)
 	is.Equal(got.Path, "/redeem/cup?x=1")
 	is.Equal(got.Request.Key(), "k")
-	is.True(got.Request.NonIdempotent()) // the route marks it
+	is.Equal(got.Request.Class(), "redeem") // not what the caller made up
+	is.True(got.Request.NonIdempotent())    // the route marks it
 	is.True(got.Request.Deadline().Sub(got.Request.Arrived()) <= 5*time.Second)
 }
 
@@ -238,6 +239,15 @@
 	<-cancelled
 }
 
+func TestStopBeforeRunEndsTheServer(t *testing.T) {
+	is := is.New(t)
+	s := &Server{Dispatcher: never(t), Tables: testTables}
+	is.NoErr(s.Stop(context.Background()))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	is.NoErr(s.Run(l))
+}
+
 func TestRequestsOpenAtOnceAreBounded(t *testing.T) {
 	is := is.New(t)
 	release := make(chan struct{})
