--- a/exchanger/client.go
+++ b/exchanger/client.go
@@ -3,6 +3,7 @@
 package exchanger
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -60,7 +61,7 @@
 // Exchange implements kingcuphook.PeerLink. The error wraps ErrUnavailable,
 // ErrInvalid or ErrOutcomeUnknown.
 func (c *Client) Exchange(ctx context.Context, address string, digest []byte) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, orDefault(c.Timeout, defaultTimeout))
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(c.Timeout, defaultTimeout))
 	defer cancel()
 	cc, err := c.open(address)
 	if err != nil {
@@ -77,7 +78,7 @@
 // Pull implements kingcuphook.PeerLink. The error wraps ErrNotFound if the peer
 // has nothing newer.
 func (c *Client) Pull(ctx context.Context, address string, revision int64) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, orDefault(c.PullTimeout, defaultPullTimeout))
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(c.PullTimeout, defaultPullTimeout))
 	defer cancel()
 	cc, err := c.open(address)
 	if err != nil {
@@ -206,10 +207,3 @@
 	}
 	return fmt.Errorf("exchanger: %s with %s: %w: %w", op, address, cause, err)
 }
-
-func orDefault(d, def time.Duration) time.Duration {
-	if d == 0 {
-		return def
-	}
-	return d
-}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -154,7 +154,7 @@
 // Reset forgets all decisions, for a new holder: what the upstreams follow is
 // taken over as it is read back.
 func (p *Placer) Reset(now time.Time) {
-	p.settled = now.Add(or(p.Settle, defaultSettle))
+	p.settled = now.Add(cmp.Or(p.Settle, defaultSettle))
 	p.fresh = true
 	for _, r := range p.runners {
 		r.own = false
@@ -217,10 +217,10 @@
 		return
 	}
 	s.demand = runners
-	if s.passed(now, &s.above, runners > highUse*float64(s.want) && s.want < s.most, or(p.GrowAfter, defaultGrowAfter)) {
+	if s.passed(now, &s.above, runners > highUse*float64(s.want) && s.want < s.most, cmp.Or(p.GrowAfter, defaultGrowAfter)) {
 		s.want++
 	}
-	if s.passed(now, &s.below, runners < lowUse*float64(s.want-1) && s.want > s.least, or(p.ShrinkAfter, defaultShrinkAfter)) {
+	if s.passed(now, &s.below, runners < lowUse*float64(s.want-1) && s.want > s.least, cmp.Or(p.ShrinkAfter, defaultShrinkAfter)) {
 		s.want--
 	}
 }
@@ -309,10 +309,3 @@
 	})
 	return needs
 }
-
-func or(d, def time.Duration) time.Duration {
-	if d == 0 {
-		return def
-	}
-	return d
-}
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -3,6 +3,7 @@
 package selector
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -112,7 +113,7 @@
 		return
 	}
 	s.trackers = make(map[string]*tracker)
-	s.index = newIndex(orInt(s.MaxPrefixes, defaultMaxPrefixes))
+	s.index = newIndex(cmp.Or(s.MaxPrefixes, defaultMaxPrefixes))
 	s.scratch = make([]scored, 0, scratchSize)
 }
 
@@ -121,8 +122,8 @@
 	s.init()
 	s.spills = p.SpillRegions()
 	s.near = newPlace(0)
-	s.region = newPlace(orDuration(s.CentreDelay, defaultCentreDelay))
-	s.remote = newPlace(orDuration(s.RegionDelay, defaultRegionDelay))
+	s.region = newPlace(cmp.Or(s.CentreDelay, defaultCentreDelay))
+	s.remote = newPlace(cmp.Or(s.RegionDelay, defaultRegionDelay))
 	s.abroad = !s.servesHere(p)
 	if s.abroad {
 		s.region.delay = s.remote.delay
@@ -325,17 +326,3 @@
 	}
 	s.index.drop(e.Prefix(), t.id)
 }
-
-func orInt(n, otherwise int) int {
-	if n == 0 {
-		return otherwise
-	}
-	return n
-}
-
-func orDuration(d, otherwise time.Duration) time.Duration {
-	if d == 0 {
-		return otherwise
-	}
-	return d
-}
--- a/selector/spill.go
+++ b/selector/spill.go
@@ -1,6 +1,7 @@
 package selector
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -32,7 +33,7 @@
 // doesn't turn spilling on and off.
 func (s *Selector) spillFrom(q *query) time.Duration {
 	target := q.request.Target()
-	hold := orDuration(s.SpillHold, defaultSpillHold)
+	hold := cmp.Or(s.SpillHold, defaultSpillHold)
 	if !s.lastSpill.IsZero() && q.now.Sub(s.lastSpill) < hold {
 		return time.Duration(spillStop * float64(target))
 	}
@@ -48,7 +49,7 @@
 	}
 	c := &s.scratch[best]
 	r, waited := q.request, q.waited()
-	price := orDuration(s.SpillPrice, defaultSpillPrice) * time.Duration(r.Bytes()) / 1024
+	price := cmp.Or(s.SpillPrice, defaultSpillPrice) * time.Duration(r.Bytes()) / 1024
 	switch {
 	case float64(waited+c.predicted) > spillMargin*float64(r.Target()):
 		c.refused = reasonFar
