Serve requests by one handler; refuse paths that leave their route

Two handlers began with the same lines. Without the multiplexer, which redirected them, paths with .. would reach a service outside of the prefix of its route: they get 400 now, also when encoded.

--- a/server/call.go
+++ b/server/call.go
@@ -3,26 +3,8 @@
 import (
 	"net/http"
 	"time"
-
-	"github.com/kingcuphook/kingcuphook"
-	"github.com/kingcuphook/kingcuphook/logger"
 )
 
-// serveCall passes a call on to the plain service that its route names.
-func (s *Server) serveCall(w http.ResponseWriter, r *http.Request) {
-	a, id, err := s.accept(w, r)
-	if err != nil {
-		s.Log.Log(logger.RequestFailed, "request", id, "error", err)
-		writeError(w, id, err)
-		return
-	}
-	if a.call.Kind != kingcuphook.UpstreamKindService {
-		writeError(w, id, errNoRoute)
-		return
-	}
-	s.answerCall(w, a)
-}
-
 // answerCall writes the answer of a plain service as it came.
 func (s *Server) answerCall(w http.ResponseWriter, a *accepted) {
 	o, err := s.dispatch(a, nil, untimed{})
--- a/server/chat.go
+++ b/server/chat.go
@@ -13,25 +13,6 @@
 	"github.com/kingcuphook/kingcuphook/logger"
 )
 
-// serveChat serves a chat completion, plain or streamed.
-func (s *Server) serveChat(w http.ResponseWriter, r *http.Request) {
-	a, id, err := s.accept(w, r)
-	if err != nil {
-		s.Log.Log(logger.RequestFailed, "request", id, "error", err)
-		writeError(w, id, err)
-		return
-	}
-	if a.call.Kind != kingcuphook.UpstreamKindEngine {
-		s.answerCall(w, a)
-		return
-	}
-	if a.call.Request.Stream() {
-		s.answerStream(w, a)
-		return
-	}
-	s.answerChat(w, a)
-}
-
 // answerChat writes the answer once it is whole.
 func (s *Server) answerChat(w http.ResponseWriter, a *accepted) {
 	text := &textWriter{limit: s.Limits.MaxBodyBytes}
--- a/server/request.go
+++ b/server/request.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"path"
 	"strconv"
 	"time"
 
@@ -48,6 +49,13 @@
 	deadline                 time.Duration
 }
 
+// isClean reports whether a path means to an upstream what it means to the
+// routes: one with .. would leave the prefix that a route matched.
+func isClean(p string) bool {
+	clean := path.Clean(p)
+	return p == clean || p == clean+"/"
+}
+
 // refused returns the error of a request that is refused before its claim, if it
 // has one, is looked at.
 func (l labels) refused(err *kingcuphook.RequestError) error {
@@ -66,6 +74,9 @@
 	if err != nil {
 		return nil, id, badRequest(err)
 	}
+	if !isClean(r.URL.Path) {
+		return nil, id, badRequest(errors.New("the path holds empty, . or .. elements"))
+	}
 	body, err := s.readBody(w, r)
 	if err != nil {
 		return nil, id, bodyError(err)
@@ -75,7 +86,7 @@
 		return nil, id, l.refused(errNotReady)
 	}
 	var c chat
-	if r.URL.Path == PathChat {
+	if isChat(r) {
 		if !gjson.ValidBytes(body) {
 			return nil, id, badRequest(errors.New("the body is not valid JSON"))
 		}
--- /dev/null
+++ b/server/serve.go
@@ -0,0 +1,34 @@
+package server
+
+import (
+	"net/http"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/logger"
+)
+
+// serve answers a request by what serves its route: a model engine answers chat
+// completions, a plain service any call.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	a, id, err := s.accept(w, r)
+	if err != nil {
+		s.Log.Log(logger.RequestFailed, "request", id, "error", err)
+		writeError(w, id, err)
+		return
+	}
+	switch {
+	case a.call.Kind == kingcuphook.UpstreamKindService:
+		s.answerCall(w, a)
+	case !isChat(r):
+		writeError(w, id, errNoRoute)
+	case a.call.Request.Stream():
+		s.answerStream(w, a)
+	default:
+		s.answerChat(w, a)
+	}
+}
+
+// isChat reports whether a request is a chat completion.
+func isChat(r *http.Request) bool {
+	return r.Method == http.MethodPost && r.URL.Path == PathChat
+}
--- a/server/server.go
+++ b/server/server.go
@@ -78,10 +78,7 @@
 
 // Handler returns the handler of the callers' API.
 func (s *Server) Handler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+PathChat, s.serveChat)
-	mux.HandleFunc("/", s.serveCall)
-	return s.guard(mux)
+	return s.guard(http.HandlerFunc(s.serve))
 }
 
 // Run serves callers on l until Stop. It returns nil after a planned stop.
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -107,6 +107,8 @@
 		{"no route", PathChat, "{}", []string{HeaderClass, "other"}, http.StatusNotFound, "no-route"},
 		{"no path", "/other", "{}", nil, http.StatusNotFound, "no-route"},
 		{"too large", PathChat, strings.Repeat("x", 2<<10), []string{HeaderClass, "till"}, http.StatusRequestEntityTooLarge, "too-large"},
+		{"path out of its route", "/redeem/../admin", "{}", nil, http.StatusBadRequest, "bad-request"},
+		{"encoded path out of its route", "/redeem/%2e%2e/admin", "{}", nil, http.StatusBadRequest, "bad-request"},
 		{"long class", PathChat, "{}", []string{HeaderClass, strings.Repeat("c", 200)}, http.StatusBadRequest, "bad-request"},
 		{"long key", "/redeem", "{}", []string{HeaderKey, strings.Repeat("k", 300)}, http.StatusBadRequest, "bad-request"},
 		{"bad mark", "/redeem", "{}", []string{HeaderNonIdempotent, "maybe"}, http.StatusBadRequest, "bad-request"},
