--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -4,7 +4,7 @@
 // The order is strict by tier. Inside a tier, requests that can still meet
 // their target go before those that are late; among organisations the one that
 // has been served the fewest tokens goes first; inside an organisation the
-// earliest target goes first. Each class has a small guaranteed share of the
+// earliest target goes first. Each class is guaranteed a small part of the
 // freed slots, so that none starves.
 package admitter
 
--- a/cmd/kingcuphook/main.go
+++ b/cmd/kingcuphook/main.go
@@ -78,7 +78,7 @@
 	global = options{}
 	parser := flags.NewNamedParser("kingcuphook", flags.HelpFlag|flags.PassDoubleDash)
 	parser.ShortDescription = "router for language-model traffic"
-	parser.LongDescription = "Routes language-model traffic with service levels and priorities. Operators edit two tables, routes and pools; the router owns the outcome. Exit codes: 0 done, 1 failed, 2 wrong command line or refused input, 3 conflict with another edit, 4 outcome unknown, 5 router or store unavailable."
+	parser.LongDescription = "Routes requests to language models by service level. Operators edit two tables, routes and pools; the router owns the outcome. Exit codes: 0 done, 1 failed, 2 wrong command line or refused input, 3 conflict with another edit, 4 outcome unknown, 5 router or store unavailable."
 	must(parser.AddGroup("Options", "", &global))
 	for _, c := range []struct {
 		name, short, long string
--- a/connector/link.go
+++ b/connector/link.go
@@ -62,8 +62,8 @@
 }
 
 // failed returns the error of a call. A call that timed out on a connection on
-// which nothing is heard replaces it, since an open connection can be silent for
-// good while new ones work.
+// which nothing is heard replaces it, since an open connection can stay silent
+// forever although a new one would work.
 func (c *Connector) failed(ctx context.Context, l *link, op, key string, err error, changes bool) error {
 	switch status.Code(err) {
 	case codes.DeadlineExceeded:
--- a/editor/outcome_test.go
+++ b/editor/outcome_test.go
@@ -140,7 +140,7 @@
 	is.True(len(entries) <= 3*retiredRevisions+10)
 }
 
-// A store that comes back older is brought up to the state in force before the
+// A store restored from an older copy is brought up to the state in force before the
 // next edit, and only if every region was asked.
 func TestOlderStoreIsBroughtUpToDate(t *testing.T) {
 	is := is.New(t)
--- a/emulator/forwarder/forwarder.go
+++ b/emulator/forwarder/forwarder.go
@@ -1,5 +1,5 @@
 // Package forwarder is a stand-in for the network between two processes: it
-// forwards connections and can make the open ones silent for good while new ones
+// forwards connections and can make the open ones silent forever; new ones still
 // work. It is used by tests, never by a router.
 package forwarder
 
--- a/exchanger/client.go
+++ b/exchanger/client.go
@@ -151,8 +151,8 @@
 }
 
 // failed returns the error of a call. A connection on which a call timed out is
-// dropped, so that the next call opens another: an open connection can be silent
-// for good while new ones work.
+// dropped, so that the next call opens another: an open connection can stay
+// silent forever although a new one would work.
 func (c *Client) failed(cc *conn, op, address string, err error) error {
 	if status.Code(err) == codes.DeadlineExceeded {
 		c.drop(address, cc)
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -2,7 +2,7 @@
 // were in flight with it. A request is known by the hash of its body, so that a
 // resend counts as the same. It is a pure decision: time is passed in.
 //
-// Every request in flight on an upstream that crashes is a suspect of that
+// Every request that runs on a crashing upstream is a suspect of that
 // crash until it is answered whole. A suspect of two crashes runs no more. It
 // is quarantined once every other suspect of one of them has been cleared, which
 // explains its crashes and so frees the others.
