Pass on what an engine rejects, once

Cause: a request that an engine refused with a 4xx status was tried on up to four engines and counted as their failure, so that one caller's bad requests could get engines ejected. Found by reading. It is now final, code rejected, status 400, and says nothing against the engine.

--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -207,8 +207,20 @@
 		return nil
 	}
 	defer resp.Body.Close()
-	return fmt.Errorf("dialer: %s answered %d: %w: %w: %s", u.Address(), resp.StatusCode,
-		kingcuphook.ErrUpstreamAnswered, kingcuphook.ErrOutcomeUnknown, readRefusal(resp.Body))
+	cause := errors.Join(kingcuphook.ErrUpstreamAnswered, kingcuphook.ErrOutcomeUnknown)
+	if isRejection(resp.StatusCode) {
+		cause = errors.Join(kingcuphook.ErrRejected, cause)
+	}
+	return fmt.Errorf("dialer: %s answered %d: %w: %s", u.Address(), resp.StatusCode, cause, readRefusal(resp.Body))
+}
+
+// isRejection reports whether a status blames the request and not the moment.
+func isRejection(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusTooManyRequests:
+		return false
+	}
+	return status >= http.StatusBadRequest && status < http.StatusInternalServerError
 }
 
 func readRefusal(body io.Reader) string {
--- a/dialer/dialer_test.go
+++ b/dialer/dialer_test.go
@@ -129,6 +129,18 @@
 	_, err := d.Start(context.Background(), u, attempt("{}"))
 	is.True(errors.Is(err, kingcuphook.ErrUpstreamAnswered))
 	is.True(errors.Is(err, kingcuphook.ErrOutcomeUnknown))
+	is.True(!errors.Is(err, kingcuphook.ErrRejected))
+}
+
+func TestRejectionBlamesTheRequest(t *testing.T) {
+	is := is.New(t)
+	for status, rejected := range map[int]bool{400: true, 413: true, 408: false, 429: false, 503: false} {
+		d, u := start(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(status)
+		}), kingcuphook.UpstreamKindEngine)
+		_, err := d.Start(context.Background(), u, attempt("{}"))
+		is.Equal(errors.Is(err, kingcuphook.ErrRejected), rejected)
+	}
 }
 
 func TestRefusalSaysNotStarted(t *testing.T) {
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -280,6 +280,18 @@
 	}
 }
 
+// TestRejectedRequestIsTriedOnce wants a request that its upstream refuses as it
+// is to be tried nowhere else and to say nothing against the upstream.
+func TestRejectedRequestIsTriedOnce(t *testing.T) {
+	test(t, []bool{true, true}, func(r *rig) {
+		r.Engine = failing{errors.Join(kingcuphook.ErrRejected, kingcuphook.ErrUpstreamAnswered, kingcuphook.ErrOutcomeUnknown)}
+		_, err := r.call(stream)
+		r.Equal(err.Code, "rejected")
+		r.Equal(r.Counts().Attempts, 1)
+		r.Equal(r.Counts().Crashes, 0)
+	})
+}
+
 // failing fails every call with an error.
 type failing struct{ err error }
 
--- a/dispatcher/fault.go
+++ b/dispatcher/fault.go
@@ -32,6 +32,7 @@
 	code string
 }{
 	{kingcuphook.ErrQuarantined, codeQuarantined},
+	{kingcuphook.ErrRejected, "rejected"},
 	{kingcuphook.ErrTooLarge, "answer-too-large"},
 	{kingcuphook.ErrDeadline, "deadline"},
 	{context.DeadlineExceeded, "deadline"},
--- a/dispatcher/hedge.go
+++ b/dispatcher/hedge.go
@@ -62,7 +62,7 @@
 
 // drop cancels an attempt that is not needed and gives its slot back.
 func (l *leg) drop() {
-	sample := failedSample(l.ctx, kingcuphook.Sample{})
+	sample := failedSample(l.ctx, l.err, kingcuphook.Sample{})
 	if l.err == nil {
 		sample = kingcuphook.Sample{Cancelled: true}
 		_ = l.stream.Close()
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -87,7 +87,7 @@
 // prepareRetry waits until another attempt may be made after err, or returns
 // the error that ends the call.
 func (r *run) prepareRetry(ctx context.Context, err error) error {
-	if ctx.Err() != nil || isFinal(err) || !r.tracker.Allows(tracker.EventDispatch) {
+	if ctx.Err() != nil || isFinal(err) || errors.Is(err, kingcuphook.ErrRejected) || !r.tracker.Allows(tracker.EventDispatch) {
 		return err
 	}
 	if errors.Is(err, errPreempted) {
--- /dev/null
+++ b/dispatcher/sample_test.go
@@ -0,0 +1,17 @@
+package dispatcher
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/kingcuphook/kingcuphook"
+)
+
+func TestRejectionSaysNothingAgainstTheUpstream(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	is.True(!failedSample(ctx, kingcuphook.ErrRejected, kingcuphook.Sample{}).Failed)
+	is.True(failedSample(ctx, kingcuphook.ErrBrokenStream, kingcuphook.Sample{}).Failed)
+}
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -124,7 +124,7 @@
 	began := time.Now()
 	answer, err := r.d.Engine.Call(ctx, slot.Choice().Upstream, r.newAttempt())
 	if err != nil {
-		return kingcuphook.Outcome{}, failedSample(ctx, kingcuphook.Sample{}), cut(ctx, err)
+		return kingcuphook.Outcome{}, failedSample(ctx, err, kingcuphook.Sample{}), cut(ctx, err)
 	}
 	sample := kingcuphook.Sample{FirstToken: time.Since(began), Tokens: 1}
 	return kingcuphook.Outcome{Answer: answer}, sample, nil
@@ -139,12 +139,12 @@
 	defer l.watch.stop()
 	sample := kingcuphook.Sample{UncachedTokens: l.slot.Choice().UncachedTokens}
 	if l.err != nil {
-		return kingcuphook.Outcome{}, failedSample(l.ctx, sample), l.err
+		return kingcuphook.Outcome{}, failedSample(l.ctx, l.err, sample), l.err
 	}
 	defer func() { _ = l.stream.Close() }()
 	r.answer.Begin(l.attempt.ID())
 	if err := r.forward(l, &sample); err != nil {
-		return kingcuphook.Outcome{}, failedSample(l.ctx, sample), err
+		return kingcuphook.Outcome{}, failedSample(l.ctx, err, sample), err
 	}
 	out := kingcuphook.Outcome{Finish: r.answer.Finish(), Tokens: r.answer.Position()}
 	if r.request.Stream() {
@@ -153,10 +153,11 @@
 	return out, sample, r.write(r.answer.Text())
 }
 
-// failedSample says who broke an attempt off: the upstream or the router.
-func failedSample(ctx context.Context, s kingcuphook.Sample) kingcuphook.Sample {
+// failedSample says who broke an attempt off: the upstream or the router. A
+// request that the upstream rejects says nothing against the upstream.
+func failedSample(ctx context.Context, err error, s kingcuphook.Sample) kingcuphook.Sample {
 	cause := context.Cause(ctx)
-	s.Failed = cause == nil || errors.Is(cause, errSilent)
+	s.Failed = (cause == nil || errors.Is(cause, errSilent)) && !errors.Is(err, kingcuphook.ErrRejected)
 	s.Cancelled = !s.Failed
 	return s
 }
--- a/errors.go
+++ b/errors.go
@@ -43,6 +43,9 @@
 	// ErrUpstreamAnswered says that an upstream answered with an error of its
 	// own, so that it did not crash. It comes beside ErrOutcomeUnknown.
 	ErrUpstreamAnswered = errors.New("upstream answered with an error")
+	// ErrRejected says that an upstream refuses a request as it is: it would be
+	// refused anywhere, and the upstream is well.
+	ErrRejected = errors.New("rejected by the upstream")
 	// ErrForeignFrame says that a frame belongs to another attempt or position.
 	ErrForeignFrame = errors.New("foreign frame")
 	// ErrNoUpstream says that no upstream of the pool can take the request.
--- a/server/errors.go
+++ b/server/errors.go
@@ -143,7 +143,7 @@
 		return http.StatusConflict
 	case errors.Is(e.Err, kingcuphook.ErrTooLarge) && e.Ran == kingcuphook.RunStateNotRun:
 		return http.StatusRequestEntityTooLarge
-	case errors.Is(e.Err, kingcuphook.ErrInvalid):
+	case errors.Is(e.Err, kingcuphook.ErrInvalid), errors.Is(e.Err, kingcuphook.ErrRejected):
 		return http.StatusBadRequest
 	case errors.Is(e.Err, kingcuphook.ErrRateLimited):
 		return http.StatusTooManyRequests
