Run the planned stops of the scenarios: the command had the name of a built-in one

Cause: the scenario language has a built-in command stop, which ends a script as passed; four scenarios ended there and proved nothing of what followed. Found when a longer scenario ended too soon.

--- a/cmd/kingcuphook/script_test.go
+++ b/cmd/kingcuphook/script_test.go
@@ -79,7 +79,7 @@
 //	redeem N KEY BODY  calls the redemption service through router N
 //	store STATE        makes the store up, down or lose-reply
 //	restart N          starts router N again after a planned stop
-//	stop N             stops router N as planned, in the background
+//	shutdown N         stops router N as planned, in the background
 //	stopped N          waits until router N has stopped without an error
 //	crash N            crashes upstream N
 //	crashes            prints how often upstreams crashed
@@ -113,7 +113,7 @@
 			"redeem":        withFleet(redeemCmd),
 			"store":         withFleet(storeCmd),
 			"restart":       withFleet(restartCmd),
-			"stop":          withFleet(stopCmd),
+			"shutdown":      withFleet(shutdownCmd),
 			"stopped":       withFleet(stoppedCmd),
 			"crash":         withFleet(crashCmd),
 			"crashes":       withFleet(crashesCmd),
@@ -392,7 +392,7 @@
 	f.losesReplies.Store(args[0] == "lose-reply")
 }
 
-func stopCmd(ts *testscript.TestScript, _ bool, args []string, f *fleet) {
+func shutdownCmd(ts *testscript.TestScript, _ bool, args []string, f *fleet) {
 	f.routers[index(ts, args[0])].stop()
 }
 
