Give leases back in a planned stop

Cause: the process closed its connection to the platform before the goroutine of a lease had given it back, so that the next holder waited for its end. The control loop now waits for its leases.

--- a/cmd/kingcuphook/script_test.go
+++ b/cmd/kingcuphook/script_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http"
 	"os"
+	"path/filepath"
+	"regexp"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -132,6 +134,25 @@
 	})
 }
 
+// TestNoScriptEndsEarly keeps the built-in commands out of the scripts that end
+// one as passed.
+func TestNoScriptEndsEarly(t *testing.T) {
+	scripts, err := filepath.Glob("testdata/script/*.txtar")
+	if err != nil || len(scripts) == 0 {
+		t.Fatal("no scripts", err)
+	}
+	early := regexp.MustCompile(`(?m)^(stop|skip)\b`)
+	for _, file := range scripts {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if early.Match(text) {
+			t.Errorf("%s ends early", file)
+		}
+	}
+}
+
 func withFleet(f func(*testscript.TestScript, bool, []string, *fleet)) func(*testscript.TestScript, bool, []string) {
 	return func(ts *testscript.TestScript, neg bool, args []string) {
 		fl, ok := ts.Value(fleetKey{}).(*fleet)
--- a/router/control.go
+++ b/router/control.go
@@ -105,6 +105,8 @@
 // run is the control loop.
 func (c *control) run(ctx context.Context) {
 	defer close(c.done)
+	// Leases are given back before the connection to the platform is closed.
+	defer c.placement.running.Wait()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
--- a/router/placement.go
+++ b/router/placement.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 
 	"golang.org/x/time/rate"
 
@@ -30,6 +31,8 @@
 	// revision is that of the tables that the managers follow.
 	revision int64
 	managers map[string]*manager
+	// running counts the goroutines of the managers.
+	running sync.WaitGroup
 }
 
 // manager keeps the engines of one pool at the declared models, while this
@@ -107,8 +110,8 @@
 		},
 		stop: cancel,
 	}
-	go lease.Run(ctx)
-	go m.orders.Run(ctx)
+	c.placement.running.Go(func() { lease.Run(ctx) })
+	c.placement.running.Go(func() { m.orders.Run(ctx) })
 	return m
 }
 
