--- a/cmd/kingcuphook/script_test.go
+++ b/cmd/kingcuphook/script_test.go
@@ -31,6 +31,9 @@
 // scriptTimeout bounds whatever a script waits for.
 const scriptTimeout = 20 * time.Second
 
+// slowStore is the time of a call while the store is slow.
+const slowStore = 300 * time.Millisecond
+
 // pollPause is the time between two looks at what a script waits for.
 const pollPause = 50 * time.Millisecond
 
@@ -79,7 +82,7 @@
 //	stream N TEXT      begins a stream on router N and returns at its first token
 //	rest               prints what is left of the stream
 //	redeem N KEY BODY  calls the redemption service through router N
-//	store STATE        makes the store up, down or lose-reply
+//	store STATE        makes the store up, down, slow or lose-reply
 //	restart N          starts router N again after a planned stop
 //	shutdown N         stops router N as planned, in the background
 //	stopped N          waits until router N has stopped without an error
@@ -87,6 +90,7 @@
 //	crashes            prints how often upstreams crashed
 //	runs KEY           prints how often the service ran the key
 //	serving MODEL N    waits until N engines follow an order for the model
+//	keys PREFIX        prints how many keys of the store begin so
 //	forget             makes all engines forget their orders
 //	load begin|end     calls the routers that a balancer thinks ready, and prints
 //	                   how many calls were made and what failed
@@ -121,6 +125,7 @@
 			"crashes":       withFleet(crashesCmd),
 			"runs":          withFleet(runsCmd),
 			"serving":       withFleet(servingCmd),
+			"keys":          withFleet(keysCmd),
 			"forget":        withFleet(forgetCmd),
 			"load":          withFleet(loadCmd),
 			"leave":         withFleet(leaveCmd),
@@ -409,7 +414,11 @@
 }
 
 func storeCmd(_ *testscript.TestScript, _ bool, args []string, f *fleet) {
-	f.store.SetFault(storer.Fault{Down: args[0] == "down"})
+	fault := storer.Fault{Down: args[0] == "down"}
+	if args[0] == "slow" {
+		fault.Delay = slowStore
+	}
+	f.store.SetFault(fault)
 	f.losesReplies.Store(args[0] == "lose-reply")
 }
 
@@ -469,6 +478,12 @@
 	ts.Fatalf("%d engines serve %s", serving, args[0])
 }
 
+func keysCmd(ts *testscript.TestScript, _ bool, args []string, f *fleet) {
+	entries, err := f.store.List(context.Background(), args[0])
+	ts.Check(err)
+	fmt.Fprintf(ts.Stdout(), "%d keys\n", len(entries))
+}
+
 func forgetCmd(_ *testscript.TestScript, _ bool, _ []string, f *fleet) {
 	for _, u := range f.upstreams {
 		u.Forget()
