Wait for what regions say after an edit, not for what was heard before it

Routers exchange with fixed partners, so that one that is no partner keeps the revision it was last heard with. A member now counts as behind only if it said so after the edit, and a region as done once one of its routers has reported the revision.

--- a/cmd/kingcuphook/tables.go
+++ b/cmd/kingcuphook/tables.go
@@ -192,7 +192,7 @@
 		if err != nil {
 			return explainError(err, false)
 		}
-		behind := regionsBehind(s, revision)
+		behind := regionsBehind(s, revision, time.Since(begun))
 		if len(behind) == 0 {
 			fmt.Fprintf(stdout, "in force in every region after %s\n", time.Since(begun).Round(time.Millisecond))
 			return nil
@@ -206,8 +206,9 @@
 }
 
 // regionsBehind returns the regions, in order, that have not reported the
-// revision: one of their routers reported an older one, or none reported yet.
-func regionsBehind(s *queries.StatusReport, revision int64) []string {
+// revision: one of their routers reported an older one within the time since the
+// edit was accepted, or none reported the revision yet.
+func regionsBehind(s *queries.StatusReport, revision int64, since time.Duration) []string {
 	reported := map[string]bool{s.Region: s.Revision >= revision}
 	older := map[string]bool{s.Region: s.Revision < revision}
 	for _, m := range s.Members {
@@ -215,7 +216,8 @@
 			continue
 		}
 		reported[m.Region] = reported[m.Region] || m.Revision >= revision
-		older[m.Region] = older[m.Region] || m.Revision > 0 && m.Revision < revision
+		fresh := m.HeardSeconds != nil && *m.HeardSeconds < since.Seconds()
+		older[m.Region] = older[m.Region] || fresh && m.Revision < revision
 	}
 	var behind []string
 	for region := range reported {
--- a/gossiper/member.go
+++ b/gossiper/member.go
@@ -52,6 +52,7 @@
 	state     State
 	reachable bool
 	revision  int64
+	heard     time.Time
 }
 
 // Address returns the IP number and port of the peer link.
@@ -70,6 +71,10 @@
 // 0 if it was not heard.
 func (m Member) Revision() int64 { return m.revision }
 
+// Heard returns when the member itself was last heard; zero for never. Others
+// tell of it meanwhile.
+func (m Member) Heard() time.Time { return m.heard }
+
 // Reachable reports whether the latest exchange with the member's region, if
 // there was one, succeeded.
 func (m Member) Reachable() bool { return m.reachable }
@@ -91,6 +96,8 @@
 	differs bool
 	// revision is the tables' revision last seen from the member.
 	revision int64
+	// heard is when the member itself was last heard; zero for never.
+	heard time.Time
 }
 
 // newer reports whether e replaces old.
--- a/gossiper/merge.go
+++ b/gossiper/merge.go
@@ -36,6 +36,7 @@
 	g.succeeded(m, now)
 	m.differs = d.Checksum != g.checksum
 	m.revision = max(m.revision, d.Revision)
+	m.heard = now
 	if d.Revision > g.shown {
 		g.shown, g.shownBy = d.Revision, d.Sender.Address
 	}
--- a/gossiper/query.go
+++ b/gossiper/query.go
@@ -24,6 +24,7 @@
 	}
 	return Member{
 		revision:  revision,
+		heard:     m.heard,
 		address:   m.entry.Address,
 		location:  l,
 		state:     m.entry.State,
--- a/router/operators.go
+++ b/router/operators.go
@@ -114,11 +114,12 @@
 	}
 	for _, m := range v.members {
 		s.Members = append(s.Members, &queries.Member{
-			Address:    m.Address(),
-			Region:     m.Region(),
-			DataCentre: m.DataCentre(),
-			State:      stateOf(m),
-			Revision:   m.Revision(),
+			HeardSeconds: heardSeconds(m),
+			Address:      m.Address(),
+			Region:       m.Region(),
+			DataCentre:   m.DataCentre(),
+			State:        stateOf(m),
+			Revision:     m.Revision(),
 		})
 	}
 	for _, p := range tables.Pools() {
@@ -130,6 +131,15 @@
 	return s
 }
 
+// heardSeconds returns how long ago a member itself was heard; nil for never.
+func heardSeconds(m gossiper.Member) *float64 {
+	if m.Heard().IsZero() {
+		return nil
+	}
+	age := time.Since(m.Heard()).Seconds()
+	return &age
+}
+
 // stateUnreachable is shown for a member of a region whose routers don't answer.
 const stateUnreachable = "unreachable"
 
