Try routers that left and are listed again; steady the scenarios

A router that stops as planned and starts again while the whole platform is down knows no peer, and its peers tried a dead router again but not one that had left. They do now, while the list that they know has it. Two faults of the scenarios besides: a port taken by an outgoing connection meanwhile (peer links now have ports that the system gives to none), and a resend that came before the outcome was written (the caller now comes back, as it is told to).

--- a/cmd/kingcuphook/script_test.go
+++ b/cmd/kingcuphook/script_test.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -12,6 +14,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -34,6 +37,9 @@
 // slowStore is the time of a call while the store is slow.
 const slowStore = 300 * time.Millisecond
 
+// claimedPause is when a caller comes back for an outcome that is not known yet.
+const claimedPause = time.Second
+
 // pollPause is the time between two looks at what a script waits for.
 const pollPause = 50 * time.Millisecond
 
@@ -200,13 +206,10 @@
 	}
 	ts.Check(applyExample(ctx, f.store, f.pools))
 	f.routers = make([]*member, index(ts, args[0]))
-	vms := make([]kingcuphook.VM, 0, len(f.routers))
 	for i := range f.routers {
 		f.listen(ts, i)
-		region := regions[i%len(regions)]
-		vms = append(vms, kingcuphook.NewVM(f.routers[i].router.PeersAddress(), region, region+"-1", kingcuphook.VMStateLive))
 	}
-	f.store.SetVMs(vms)
+	f.listVMs()
 	for i := range f.routers {
 		f.run(i)
 	}
@@ -257,12 +260,25 @@
 	return "http://" + f.routers[n].router.CallersAddress()
 }
 
+// Ports that the system gives to no outgoing connection, so that a router that is
+// started again finds its own free.
+const (
+	lastingPort  = 20_000
+	lastingPorts = 12_000
+	lastingTries = 20
+)
+
+// lastingAddress returns an address for the peer link of a router.
+func lastingAddress() string {
+	return fmt.Sprintf("127.0.0.1:%d", lastingPort+rand.IntN(lastingPorts))
+}
+
 // listen makes router i and opens its sockets.
 func (f *fleet) listen(ts *testscript.TestScript, i int) {
 	s := configurer.Default()
 	region := regions[i%len(regions)]
 	s.Node = configurer.Node{Region: region, DataCentre: region + "-1"}
-	s.Listen = configurer.Listen{Callers: anyPort, Operators: anyPort, Admin: anyPort, Peers: anyPort}
+	s.Listen = configurer.Listen{Callers: anyPort, Operators: anyPort, Admin: anyPort, Peers: lastingAddress()}
 	if m := f.routers[i]; m != nil {
 		s.Listen.Peers = m.router.PeersAddress()
 	}
@@ -272,13 +288,28 @@
 	s.Stop.DrainDelay = configurer.Duration(100 * time.Millisecond)
 	ctx, cancel := context.WithCancel(context.Background())
 	m := &member{router: &router.Router{Settings: &s}, ctx: ctx, stop: cancel, ended: make(chan error, 1)}
-	ts.Check(m.router.Listen())
+	err := m.router.Listen()
+	for n := 0; errors.Is(err, syscall.EADDRINUSE) && f.routers[i] == nil && n < lastingTries; n++ {
+		s.Listen.Peers = lastingAddress()
+		err = m.router.Listen()
+	}
+	ts.Check(err)
 	f.mu.Lock()
 	f.routers[i] = m
 	f.mu.Unlock()
 	ts.Defer(cancel)
 }
 
+// listVMs puts the routers into the platform's list of VMs.
+func (f *fleet) listVMs() {
+	vms := make([]kingcuphook.VM, 0, len(f.routers))
+	for i, m := range f.routers {
+		region := regions[i%len(regions)]
+		vms = append(vms, kingcuphook.NewVM(m.router.PeersAddress(), region, region+"-1", kingcuphook.VMStateLive))
+	}
+	f.store.SetVMs(vms)
+}
+
 // run runs router i until it is stopped.
 func (f *fleet) run(i int) {
 	m := f.routers[i]
@@ -387,9 +418,21 @@
 	fmt.Fprintf(ts.Stdout(), "of %d calls %d passed\n%s", calls, passed, last)
 }
 
+// redeemCmd sends the redemption again while it is told that the outcome of
+// another call with the key is not known yet, as callers do.
 func redeemCmd(ts *testscript.TestScript, _ bool, args []string, f *fleet) {
-	resp, err := f.post(index(ts, args[0]), "/redemptions", args[2], "Idempotency-Key", args[1], "X-Organisation", "cafe-1") //nolint:bodyclose // printAnswer closes it
-	printAnswer(ts, resp, err)
+	for until := time.Now().Add(scriptTimeout); time.Now().Before(until); time.Sleep(claimedPause) {
+		resp, err := f.post(index(ts, args[0]), "/redemptions", args[2], "Idempotency-Key", args[1], "X-Organisation", "cafe-1")
+		ts.Check(err)
+		body, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		ts.Check(err)
+		if !strings.Contains(string(body), "already-claimed") {
+			fmt.Fprintf(ts.Stdout(), "%d %s\n%s", resp.StatusCode, resp.Header.Get("X-Request-Id"), body)
+			return
+		}
+	}
+	ts.Fatalf("the outcome stays unknown")
 }
 
 func streamCmd(ts *testscript.TestScript, _ bool, args []string, f *fleet) {
--- a/gossiper/pick.go
+++ b/gossiper/pick.go
@@ -47,7 +47,8 @@
 }
 
 // pickStranger returns a listed address that is not a member, or a member that
-// is dead and may have come back.
+// is dead or has left and may have come back. One that left is tried while it is
+// listed: started again without the platform, it knows nobody to ask.
 func (g *Gossiper) pickStranger() string {
 	var strangers []string
 	for a := range g.hints {
@@ -56,7 +57,8 @@
 		}
 	}
 	for a, m := range g.members {
-		if m.entry.State == StateDead {
+		_, listed := g.hints[a]
+		if m.entry.State == StateDead || m.entry.State == StateLeft && listed {
 			strangers = append(strangers, a)
 		}
 	}
