--- a/cmd/kingcuphook/tables.go
+++ b/cmd/kingcuphook/tables.go
@@ -6,7 +6,6 @@
 	"io"
 	"os"
 	"regexp"
-	"slices"
 	"strconv"
 	"strings"
 	"text/tabwriter"
@@ -17,6 +16,7 @@
 	"github.com/kingcuphook/kingcuphook"
 	"github.com/kingcuphook/kingcuphook/gen/commands"
 	"github.com/kingcuphook/kingcuphook/gen/queries"
+	"github.com/kingcuphook/kingcuphook/historian"
 )
 
 const (
@@ -209,23 +209,24 @@
 // revision: one of their routers reported an older one within the time since the
 // edit was accepted, or none reported the revision yet.
 func regionsBehind(s *queries.StatusReport, revision int64, since time.Duration) []string {
-	reported := map[string]bool{s.Region: s.Revision >= revision}
-	older := map[string]bool{s.Region: s.Revision < revision}
+	now := time.Now()
+	routers := []historian.RouterStatus{{Address: s.Address, Region: s.Region, Revision: s.Revision, Seen: now}}
 	for _, m := range s.Members {
 		if m.State != "alive" && m.State != "unreachable" {
 			continue
 		}
-		reported[m.Region] = reported[m.Region] || m.Revision >= revision
-		fresh := m.HeardSeconds != nil && *m.HeardSeconds < since.Seconds()
-		older[m.Region] = older[m.Region] || fresh && m.Revision < revision
+		r := historian.RouterStatus{Address: m.Address, Region: m.Region, Revision: m.Revision}
+		if m.HeardSeconds != nil {
+			r.Seen = now.Add(-time.Duration(*m.HeardSeconds * float64(time.Second)))
+		}
+		routers = append(routers, r)
 	}
 	var behind []string
-	for region := range reported {
-		if older[region] || !reported[region] {
-			behind = append(behind, region)
+	for _, c := range historian.Coverage(now, revision, routers, since) {
+		if !c.Done() {
+			behind = append(behind, c.Region)
 		}
 	}
-	slices.Sort(behind)
 	return behind
 }
 
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -76,7 +76,13 @@
 	if p.BaseRevision != nil && *p.BaseRevision > 0 {
 		edit.Base = *p.BaseRevision
 	}
-	if err := parse(&edit, string(p.Table), p.Text); err != nil {
+	err := parse(&edit, string(p.Table), p.Text)
+	return c.apply(ctx, edit, err)
+}
+
+// apply makes an edit whose text was parsed with the given error.
+func (c *Commander) apply(ctx context.Context, edit editor.Edit, err error) (*commands.Applied, error) {
+	if err != nil {
 		c.Editor.Refused(ctx, edit, err)
 		return nil, c.refused(err, edit)
 	}
@@ -104,15 +110,8 @@
 		edit.ID = *p.EditID
 	}
 	var err error
-	if edit.Patch, err = parser.ParsePatch("patch", []byte(p.Text)); err != nil {
-		c.Editor.Refused(ctx, edit, err)
-		return nil, c.refused(err, edit)
-	}
-	result, err := c.Editor.Apply(ctx, edit)
-	if err != nil {
-		return nil, c.refused(err, edit)
-	}
-	return c.accepted(edit, result), nil
+	edit.Patch, err = parser.ParsePatch("patch", []byte(p.Text))
+	return c.apply(ctx, edit, err)
 }
 
 // Rollback implements commands.Service.
--- a/logger/events.go
+++ b/logger/events.go
@@ -40,7 +40,6 @@
 	TablesForked     = Event{1108, LevelError, "tables in force do not descend from those before"}
 	RequestFailed    = Event{1201, LevelInfo, "request failed"}
 	RequestPanicked  = Event{1202, LevelError, "request handler panicked"}
-	UpstreamFailed   = Event{1301, LevelWarn, "attempt failed on an upstream"}
 	UpstreamLeaving  = Event{1302, LevelInfo, "upstream says that it is leaving"}
 	PeerFailed       = Event{1401, LevelDebug, "exchange with a peer failed"}
 	PeerJoined       = Event{1402, LevelInfo, "peer joined"}
@@ -49,7 +48,6 @@
 	LeaseLost        = Event{1502, LevelWarn, "lease lost"}
 	OrderGiven       = Event{1503, LevelInfo, "order given to an upstream"}
 	OrderFailed      = Event{1504, LevelWarn, "order to an upstream failed"}
-	QuarantineBegun  = Event{1601, LevelWarn, "request quarantined after it crashed upstreams"}
 	QuarantineLifted = Event{1602, LevelInfo, "quarantine lifted by an operator"}
 )
 
@@ -59,9 +57,9 @@
 		Started, Ready, Stopping, Stopped, ListenFailed, CertificateRead, CertificateBad,
 		TablesInForce, TablesBad, TablesOlder, StoreUnavailable, StoreAvailable, EditAccepted, EditRefused, TablesForked,
 		RequestFailed, RequestPanicked,
-		UpstreamFailed, UpstreamLeaving,
+		UpstreamLeaving,
 		PeerFailed, PeerJoined, PeerLeft,
 		LeaseTaken, LeaseLost, OrderGiven, OrderFailed,
-		QuarantineBegun, QuarantineLifted,
+		QuarantineLifted,
 	}
 }
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -31,9 +31,7 @@
 	StepNotAssigned StepKind = "not-assigned"
 	StepStarted     StepKind = "started"
 	StepRefused     StepKind = "refused"
-	StepFirstToken  StepKind = "first-token"
 	StepReleased    StepKind = "released"
-	StepPreempted   StepKind = "preempted"
 )
 
 // Step is one step in the life of a request.
