--- /dev/null
+++ b/attacher/attacher.go
@@ -0,0 +1,269 @@
+// Package attacher joins the parts of a router that runs on the users' host
+// platform: callers' calls are passed on as they came, and what must be agreed
+// stands in the platform's store.
+package attacher
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/admitter"
+	"github.com/kingcuphook/kingcuphook/allocator"
+	"github.com/kingcuphook/kingcuphook/bounder"
+	"github.com/kingcuphook/kingcuphook/dispatcher"
+	"github.com/kingcuphook/kingcuphook/ejector"
+	"github.com/kingcuphook/kingcuphook/forwarder"
+	"github.com/kingcuphook/kingcuphook/locator"
+	"github.com/kingcuphook/kingcuphook/logger"
+	"github.com/kingcuphook/kingcuphook/meter"
+	"github.com/kingcuphook/kingcuphook/narrator"
+	"github.com/kingcuphook/kingcuphook/observer"
+	"github.com/kingcuphook/kingcuphook/platform"
+	"github.com/kingcuphook/kingcuphook/puller"
+	"github.com/kingcuphook/kingcuphook/quarantiner"
+	"github.com/kingcuphook/kingcuphook/receiver"
+	"github.com/kingcuphook/kingcuphook/recorder"
+	"github.com/kingcuphook/kingcuphook/retrier"
+	"github.com/kingcuphook/kingcuphook/scheduler"
+	"github.com/kingcuphook/kingcuphook/sharer"
+	"github.com/kingcuphook/kingcuphook/watcher"
+)
+
+// Attacher is one router on the platform. Its fields are set before Run.
+type Attacher struct {
+	// Settings are those of the process; never nil.
+	Settings *platform.Settings
+	// Log takes events; nil means none.
+	Log *logger.Logger
+	// Dropped returns how many log lines were dropped; nil means none.
+	Dropped func() int64
+
+	listeners  listeners
+	store      *platform.Store
+	control    *control
+	allocator  *allocator.Allocator
+	forwarder  *forwarder.Forwarder
+	dispatcher *dispatcher.Dispatcher
+	receiver   *receiver.Receiver
+	meter      *meter.Meter
+	quarantine *quarantiner.Quarantiner
+	sharer     *sharer.Sharer
+	// routers is how many routers there are, this one included.
+	routers atomic.Int64
+	// closing is until when new calls can be finished; nil before a planned stop.
+	closing atomic.Pointer[time.Time]
+}
+
+type listeners struct {
+	callers, ready, metrics, peers net.Listener
+}
+
+// Run serves until ctx ends, and then stops as planned.
+func (a *Attacher) Run(ctx context.Context) error {
+	if err := a.listen(); err != nil {
+		return err
+	}
+	a.build()
+	defer a.store.Close()
+	defer a.forwarder.Close()
+	s := a.Settings
+	a.Log.Log(logger.Started, "name", s.Name(), "region", s.Region(), "data-centre", s.DataCentre(),
+		"callers", s.CallersAddress(), "store", s.StoreAddress())
+	parts, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	g, parts := errgroup.WithContext(parts)
+	g.Go(func() error { a.control.run(parts); return nil })
+	g.Go(func() error { a.follow(parts); return nil })
+	g.Go(func() error { a.enrol(parts); return nil })
+	g.Go(func() error { return a.receiver.Run(a.listeners.callers) })
+	for _, served := range []struct {
+		listener net.Listener
+		handler  http.Handler
+	}{
+		{a.listeners.ready, http.HandlerFunc(a.answerReady)},
+		{a.listeners.metrics, http.HandlerFunc(a.answerMetrics)},
+		{a.listeners.peers, &puller.Handler{Export: a.control.export}},
+	} {
+		server := &http.Server{Handler: served.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+		g.Go(func() error { return serve(server, served.listener) })
+		defer server.Close()
+		context.AfterFunc(parts, func() { _ = server.Close() })
+	}
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+			a.stop()
+		case <-parts.Done():
+		}
+		end()
+		return nil
+	})
+	if err := g.Wait(); err != nil {
+		return fmt.Errorf("attacher: %w", err)
+	}
+	a.Log.Log(logger.Stopped)
+	return nil
+}
+
+const (
+	headerTimeout = 2 * time.Second
+	idleTimeout   = time.Minute
+)
+
+func serve(s *http.Server, l net.Listener) error {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+func (a *Attacher) listen() error {
+	s := a.Settings
+	for _, l := range []struct {
+		name, address string
+		listener      *net.Listener
+	}{
+		{"callers", s.CallersAddress(), &a.listeners.callers},
+		{"ready", s.ReadyAddress(), &a.listeners.ready},
+		{"metrics", s.MetricsAddress(), &a.listeners.metrics},
+		{"peers", s.PeerAddress(), &a.listeners.peers},
+	} {
+		opened, err := net.Listen("tcp", l.address)
+		if err != nil {
+			a.Log.Log(logger.ListenFailed, "listen", l.name, "address", l.address, "error", err)
+			return fmt.Errorf("attacher: listen for %s: %w", l.name, err)
+		}
+		*l.listener = opened
+	}
+	return nil
+}
+
+func (a *Attacher) build() {
+	s := a.Settings
+	a.routers.Store(1)
+	a.store = &platform.Store{Address: s.StoreAddress()}
+	a.store.Connect()
+	a.meter = meter.New()
+	a.allocator = &allocator.Allocator{NewScheduler: a.newScheduler}
+	a.forwarder = &forwarder.Forwarder{Codec: platform.Calls{}}
+	a.control = newControl(a)
+	a.quarantine = &quarantiner.Quarantiner{}
+	a.sharer = &sharer.Sharer{Store: a.store, Quarantiner: a.quarantine, Owner: s.Name()}
+	watch := &observer.Observer{Recorder: &recorder.Recorder{}, Meter: a.meter}
+	a.dispatcher = &dispatcher.Dispatcher{
+		Allocator:   &narrator.Allocator{Next: &observer.Allocator{Next: a.allocator, Observer: watch}, Log: a.Log},
+		Engine:      &narrator.Engine{Next: &observer.Engine{Next: a.forwarder, Observer: watch}, Log: a.Log},
+		Quarantiner: a.quarantine,
+		Share:       a.share,
+		NewBudget:   a.newBudget,
+		BudgetKey:   (*kingcuphook.Request).Pool,
+		Owner:       s.Name(),
+	}
+	a.receiver = &receiver.Receiver{
+		Dispatcher: a.dispatcher,
+		Codec:      platform.Calls{},
+		Directory:  a.control.directory,
+		Closing:    a.closingAt,
+		Observer:   watch,
+		Log:        a.Log,
+		Region:     s.Region(),
+		DataCentre: s.DataCentre(),
+	}
+}
+
+func (a *Attacher) newScheduler(string) kingcuphook.Scheduler {
+	return &scheduler.Scheduler{
+		Admitter: &admitter.Admitter{},
+		Limiter:  &bounder.Bounder{},
+		Selector: &locator.Locator{Region: a.Settings.Region(), DataCentre: a.Settings.DataCentre()},
+		Ejector:  &ejector.Ejector{},
+	}
+}
+
+func (a *Attacher) newBudget(string) kingcuphook.RetryBudget {
+	s := a.Settings
+	return &retrier.Window{Length: s.RetryWindow(), Ratio: s.RetryRatio(), Slack: s.RetrySlack(), Routers: &a.routers}
+}
+
+// share tells the other routers of suspects, without making the call wait.
+func (a *Attacher) share(context.Context) {
+	go a.sharer.Share(context.Background())
+}
+
+// follow feeds the control loop with what stands in the store.
+func (a *Attacher) follow(ctx context.Context) {
+	w := &watcher.Watcher{Store: a.store, OnEvent: a.control.take}
+	w.Run(ctx)
+}
+
+const (
+	// routersPrefix starts the keys of the routers, which hold nothing.
+	routersPrefix = "routers/"
+	// enrolLease is how long the key of a router outlives it, enrolEvery how often
+	// its lease is renewed.
+	enrolLease = 10 * time.Second
+	enrolEvery = 3500 * time.Millisecond
+)
+
+// enrol keeps a key of this router in the store, by which the others know it.
+func (a *Attacher) enrol(ctx context.Context) {
+	var lease kingcuphook.LeaseID
+	for ctx.Err() == nil {
+		lease = a.renew(ctx, lease)
+		wait := time.NewTimer(enrolEvery + rand.N(enrolEvery/8))
+		select {
+		case <-wait.C:
+		case <-ctx.Done():
+			wait.Stop()
+		}
+	}
+}
+
+// renew renews the lease, or takes a new one if there is none. It returns the
+// lease that holds; 0 if there is none. What failed is tried again next time.
+func (a *Attacher) renew(ctx context.Context, lease kingcuphook.LeaseID) kingcuphook.LeaseID {
+	if lease != 0 {
+		if err := a.store.KeepAlive(ctx, lease); !errors.Is(err, kingcuphook.ErrLeaseLost) {
+			return lease
+		}
+	}
+	lease, err := a.store.Grant(ctx, enrolLease)
+	if err != nil {
+		return 0
+	}
+	key := routersPrefix + a.Settings.PeerAddress()
+	if _, err := a.store.Put(ctx, key, nil, kingcuphook.RevisionAny, lease); err != nil {
+		return 0
+	}
+	return lease
+}
+
+func (a *Attacher) answerReady(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != platform.PathReady {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if a.closing.Load() != nil || a.control.directory().Tables == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (a *Attacher) answerMetrics(w http.ResponseWriter, _ *http.Request) { a.meter.Write(w) }
+
+func (a *Attacher) closingAt() time.Time {
+	if at := a.closing.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
--- /dev/null
+++ b/attacher/stop.go
@@ -0,0 +1,40 @@
+package attacher
+
+import (
+	"context"
+	"time"
+
+	"github.com/kingcuphook/kingcuphook/logger"
+)
+
+const (
+	// killMargin is how long before the kill a planned stop ends.
+	killMargin = 350 * time.Millisecond
+	// callersLag is how long callers go on coming after the process said that it
+	// is not ready.
+	callersLag = 3500 * time.Millisecond
+	// stopPoll is how often the end of the open calls is looked for.
+	stopPoll = 50 * time.Millisecond
+	// closeTime bounds closing the connections that are left.
+	closeTime = 150 * time.Millisecond
+)
+
+// stop takes the process out of use: it is not ready from now on, serves what
+// comes until its callers have gone elsewhere, and waits for what is open.
+func (a *Attacher) stop() {
+	begun := time.Now()
+	last := begun.Add(a.Settings.Grace() - killMargin)
+	a.closing.Store(&last)
+	a.Log.Log(logger.Stopping, "open-requests", a.receiver.Open(), "until-ms", time.Until(last).Milliseconds())
+	for time.Now().Before(last) {
+		if time.Since(begun) >= callersLag && a.receiver.Open() == 0 {
+			break
+		}
+		time.Sleep(stopPoll)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), closeTime)
+	defer cancel()
+	if err := a.receiver.Stop(ctx); err != nil {
+		a.Log.Log(logger.StopCut, "open-requests", a.receiver.Open(), "error", err)
+	}
+}
--- a/cmd/kingcuphook/main.go
+++ b/cmd/kingcuphook/main.go
@@ -85,6 +85,7 @@
 		data              any
 	}{
 		{"serve", "run a router", "Runs a router until SIGTERM or SIGINT, then stops as planned: requests in progress end whole.", &serveCommand{}},
+		{"attach", "run a router on a host platform", "Runs a router that takes its settings, tables and upstreams from the platform it runs on and passes calls on as they came. SIGTERM stops it as planned.", &attachCommand{}},
 		{"routes", "show and edit the table of routes", "Shows and edits the table of routes.", newTableCommand("routes")},
 		{"pools", "show and edit the table of pools", "Shows and edits the table of pools.", newTableCommand("pools")},
 		{"patch", "put or remove single rows of the tables", "Puts single rows into the tables or removes them, as one edit. A row that is there is replaced.", &patchCommand{}},
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -71,6 +71,9 @@
 	// NewBudget makes the retry budget of a class; nil means one with the
 	// defaults.
 	NewBudget func(class string) kingcuphook.RetryBudget
+	// BudgetKey names what shares a retry budget with the request; nil means its
+	// class.
+	BudgetKey func(r *kingcuphook.Request) string
 	// Owner is the identifier of this router.
 	Owner string
 	// Rand is the source of jitter and identifiers; nil means a random seed.
@@ -128,6 +131,7 @@
 		defer cancel()
 	}
 	r := newRun(d, c, w)
+	d.requested(c.Request, time.Now())
 	out, err := r.do(ctx)
 	d.count(func(n *Counts) { n.add(r, err) })
 	if err != nil {
@@ -136,50 +140,74 @@
 	return out, nil
 }
 
-// succeeded adds a success to the retry budget of a class.
-func (d *Dispatcher) succeeded(class string, now time.Time) {
+// RequestCounter is a RetryBudget that is told of every request.
+type RequestCounter interface {
+	// Requested notes a request that may be retried later.
+	Requested(now time.Time)
+}
+
+// requested tells the retry budget of a request that it has begun.
+func (d *Dispatcher) requested(r *kingcuphook.Request, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if c, ok := d.budget(d.budgetKey(r)).(RequestCounter); ok {
+		c.Requested(now)
+	}
+}
+
+// budgetKey returns what names the retry budget of a request.
+func (d *Dispatcher) budgetKey(r *kingcuphook.Request) string {
+	if d.BudgetKey == nil {
+		return r.Class()
+	}
+	return d.BudgetKey(r)
+}
+
+// succeeded adds a success to the retry budget of a request.
+func (d *Dispatcher) succeeded(r *kingcuphook.Request, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.budget(class).Succeeded(now)
-	d.hedgeBudget(class).Succeeded(now)
+	key := d.budgetKey(r)
+	d.budget(key).Succeeded(now)
+	d.hedgeBudget(key).Succeeded(now)
 }
 
-// spendHedge takes a hedge out of the budget of a class and reports whether it
+// spendHedge takes a hedge out of the budget of a request and reports whether it
 // is allowed.
-func (d *Dispatcher) spendHedge(class string, now time.Time) bool {
+func (d *Dispatcher) spendHedge(r *kingcuphook.Request, now time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.hedgeBudget(class).Spend(now)
+	return d.hedgeBudget(d.budgetKey(r)).Spend(now)
 }
 
-// hedgeBudget returns the hedge budget of a class; mu is held.
-func (d *Dispatcher) hedgeBudget(class string) kingcuphook.RetryBudget {
-	b, ok := d.hedges[class]
+// hedgeBudget returns the hedge budget of a key; mu is held.
+func (d *Dispatcher) hedgeBudget(key string) kingcuphook.RetryBudget {
+	b, ok := d.hedges[key]
 	if !ok {
 		b = newHedgeBudget()
-		d.hedges[class] = b
+		d.hedges[key] = b
 	}
 	return b
 }
 
-// spend takes retry number n out of the budget of a class. It returns how long
+// spend takes retry number n out of the budget of a request. It returns how long
 // to wait before it and whether it is allowed.
-func (d *Dispatcher) spend(class string, now time.Time, n int) (time.Duration, bool) {
+func (d *Dispatcher) spend(r *kingcuphook.Request, now time.Time, n int) (time.Duration, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	b := d.budget(class)
+	b := d.budget(d.budgetKey(r))
 	if !b.Spend(now) {
 		return 0, false
 	}
 	return b.Delay(n), true
 }
 
-// budget returns the retry budget of a class; mu is held.
-func (d *Dispatcher) budget(class string) kingcuphook.RetryBudget {
-	b, ok := d.budgets[class]
+// budget returns the retry budget of a key; mu is held.
+func (d *Dispatcher) budget(key string) kingcuphook.RetryBudget {
+	b, ok := d.budgets[key]
 	if !ok {
-		b = d.NewBudget(class)
-		d.budgets[class] = b
+		b = d.NewBudget(key)
+		d.budgets[key] = b
 	}
 	return b
 }
--- a/dispatcher/hedge.go
+++ b/dispatcher/hedge.go
@@ -33,7 +33,9 @@
 	began   time.Time
 	// stream gives the first frame again; nil if err is not.
 	stream kingcuphook.Stream
-	err    error
+	// head is that of the answer, if it is passed on as it came.
+	head kingcuphook.Answer
+	err  error
 }
 
 // newLeg prepares an attempt on a slot.
@@ -57,6 +59,9 @@
 		return
 	}
 	l.watch.suspend()
+	if h, ok := s.(kingcuphook.HeadedStream); ok {
+		l.head = h.Head()
+	}
 	l.stream = &begunStream{Stream: s, first: &f}
 }
 
@@ -123,7 +128,7 @@
 
 // hedge takes a free slot on another upstream, or returns nil.
 func (r *run) hedge(ctx context.Context, busy *kingcuphook.Upstream) *leg {
-	if !r.d.spendHedge(r.request.Class(), time.Now()) {
+	if !r.d.spendHedge(r.request, time.Now()) {
 		return nil
 	}
 	waiting, cancel := context.WithTimeout(ctx, hedgeSlotWait)
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -18,6 +18,9 @@
 // has too much work.
 const overloadWait = 100 * time.Millisecond
 
+// maxUnsent bounds the upstreams of one call that could not be reached.
+const maxUnsent = 6
+
 // run is one call on its way. It is used by one goroutine.
 type run struct {
 	d       *Dispatcher
@@ -34,8 +37,11 @@
 	slot kingcuphook.Slot
 	// trial is that of the running attempt; nil if the call is no suspect.
 	trial *trial
-	// attempts counts the dispatches that were not preempted.
+	// attempts counts the dispatches that were not preempted, and did not fail
+	// before anything was sent.
 	attempts int
+	// unsent counts the dispatches that failed before anything was sent.
+	unsent int
 	// begun says that the request had a slot before.
 	begun bool
 	// failed are the upstreams that failed this call; they are tried again when
@@ -43,6 +49,10 @@
 	failed []string
 	// unable are the upstreams that cannot serve the rest of this call.
 	unable []string
+	// headed says that the caller has the head of the answer.
+	headed bool
+	// lastEvent is the id of the last event that the caller has.
+	lastEvent string
 }
 
 func newRun(d *Dispatcher, c *kingcuphook.Call, w kingcuphook.FrameWriter) *run {
@@ -79,7 +89,7 @@
 
 func (r *run) succeed(out kingcuphook.Outcome) {
 	now := time.Now()
-	r.d.succeeded(r.request.Class(), now)
+	r.d.succeeded(r.request, now)
 	r.d.Quarantiner.Cleared(now, r.request.Fingerprint())
 	r.settle(out)
 }
@@ -93,10 +103,13 @@
 	if errors.Is(err, errPreempted) {
 		return nil
 	}
-	if r.attempts >= r.d.Limits.Attempts {
+	if r.attempts >= r.maxAttempts() || r.unsent >= maxUnsent {
 		return err
 	}
-	wait, ok := r.d.spend(r.request.Class(), time.Now(), max(r.attempts, 1))
+	if r.attempts == 0 && errors.Is(err, kingcuphook.ErrNotSent) {
+		return nil
+	}
+	wait, ok := r.d.spend(r.request, time.Now(), max(r.attempts, 1))
 	if errors.Is(err, kingcuphook.ErrOverloaded) || errors.Is(err, kingcuphook.ErrRateLimited) {
 		wait += overloadWait
 	}
@@ -110,6 +123,14 @@
 	return nil
 }
 
+// maxAttempts returns the bound of the upstreams that the call is sent to.
+func (r *run) maxAttempts() int {
+	if r.call.Opaque != nil {
+		return max(r.call.Opaque.MaxAttempts, 1)
+	}
+	return r.d.Limits.Attempts
+}
+
 // attempt acquires a slot and runs the call on it once.
 func (r *run) attempt(ctx context.Context) (kingcuphook.Outcome, error) {
 	slot, t, err := r.acquire(ctx)
@@ -185,6 +206,10 @@
 	if e := r.tracker.Apply(event); e != nil {
 		return &finalError{errors.Join(err, e)}
 	}
+	if errors.Is(err, kingcuphook.ErrNotSent) {
+		r.attempts--
+		r.unsent++
+	}
 	switch {
 	case ctx.Err() != nil:
 		return err
@@ -204,6 +229,10 @@
 // acquire waits for a slot on which the call can go on. The trial is not nil if
 // the call is a suspect; it must be ended after the attempt.
 func (r *run) acquire(ctx context.Context) (kingcuphook.Slot, *trial, error) {
+	if r.call.Opaque != nil {
+		slot, err := r.acquireOpaque(ctx)
+		return slot, nil, err
+	}
 	for {
 		suspect, err := r.judge(ctx)
 		if err != nil {
@@ -226,6 +255,21 @@
 	}
 }
 
+// acquireOpaque waits for a slot for a call that is passed on as it came. Such a
+// call has no trial: it is refused once it is held to crash upstreams.
+func (r *run) acquireOpaque(ctx context.Context) (kingcuphook.Slot, error) {
+	switch r.d.Quarantiner.Judge(time.Now(), r.request.Fingerprint()) {
+	case quarantiner.VerdictHeld, quarantiner.VerdictQuarantined:
+		return nil, fmt.Errorf("dispatcher: call %016x: %w", r.request.Fingerprint(), kingcuphook.ErrQuarantined)
+	}
+	for {
+		slot, err := r.ask(ctx, nil)
+		if slot != nil || err != nil {
+			return slot, err
+		}
+	}
+}
+
 // acquireAlone tries once to get a slot for a suspect where no other one runs.
 // It returns neither slot nor error when the call must be judged again.
 func (r *run) acquireAlone(ctx context.Context) (kingcuphook.Slot, *trial, error) {
@@ -289,6 +333,8 @@
 		ContentType: r.call.ContentType,
 		ResumeFrom:  r.answer.Position(),
 		Delivered:   r.answer.Text(),
+		Opaque:      r.call.Opaque,
+		ResumeAfter: r.lastEvent,
 	})
 }
 
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -1,9 +1,11 @@
 package dispatcher
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"sync"
 	"time"
 
@@ -34,6 +36,10 @@
 	if r.call.Kind == kingcuphook.UpstreamKindService {
 		w.detector.First = r.d.Limits.Reply
 	}
+	if o := r.call.Opaque; o != nil {
+		w.detector.First = cmp.Or(o.FirstByte, w.detector.First)
+		w.detector.Between = cmp.Or(o.Silence, w.detector.Between)
+	}
 	now := time.Now()
 	w.detector.Sent(now)
 	w.mu.Lock()
@@ -127,6 +133,10 @@
 		return kingcuphook.Outcome{}, failedSample(ctx, err, kingcuphook.Sample{}), cut(ctx, err)
 	}
 	sample := kingcuphook.Sample{FirstToken: time.Since(began), Tokens: 1}
+	if r.call.Opaque != nil && answer.Status() >= http.StatusInternalServerError {
+		sample.Failed = true
+		return kingcuphook.Outcome{}, sample, &kingcuphook.AnswerError{Answer: answer}
+	}
 	return kingcuphook.Outcome{Answer: answer}, sample, nil
 }
 
@@ -148,7 +158,7 @@
 	}
 	out := kingcuphook.Outcome{Finish: r.answer.Finish(), Tokens: r.answer.Position()}
 	if r.request.Stream() {
-		return out, sample, nil
+		return out, sample, r.writeHead(l)
 	}
 	return out, sample, r.write(r.answer.Text())
 }
@@ -188,7 +198,7 @@
 			w.heard()
 			continue
 		}
-		if err := r.accepted(f); err != nil {
+		if err := r.accepted(l, f); err != nil {
 			return err
 		}
 		observe(sample, arrived.Sub(l.began), arrived.Sub(last))
@@ -201,14 +211,35 @@
 }
 
 // accepted passes an accepted data frame on.
-func (r *run) accepted(f kingcuphook.Frame) error {
+func (r *run) accepted(l *leg, f kingcuphook.Frame) error {
 	if err := r.tracker.Apply(tracker.EventFrame); err != nil {
 		return &finalError{err}
 	}
 	if !r.request.Stream() {
 		return nil
 	}
-	return r.write(f.Text())
+	if err := r.writeHead(l); err != nil {
+		return err
+	}
+	if err := r.write(f.Text()); err != nil {
+		return err
+	}
+	r.lastEvent = cmp.Or(f.Event(), r.lastEvent)
+	return nil
+}
+
+// writeHead passes the head of the answer on, once. An answer that goes on at
+// another upstream keeps the head of the first.
+func (r *run) writeHead(l *leg) error {
+	w, ok := r.w.(kingcuphook.HeadWriter)
+	if !ok || r.headed || r.call.Opaque == nil {
+		return nil
+	}
+	r.headed = true
+	if err := w.WriteHead(l.head); err != nil {
+		return &finalError{fmt.Errorf("dispatcher: write to caller: %w: %w", context.Canceled, err)}
+	}
+	return nil
 }
 
 // write passes text to the caller. A claimed call goes on without its caller.
--- a/errors.go
+++ b/errors.go
@@ -46,6 +46,9 @@
 	// ErrRejected says that an upstream refuses a request as it is: it would be
 	// refused anywhere, and the upstream is well.
 	ErrRejected = errors.New("rejected by the upstream")
+	// ErrNotSent says that no upstream of the pool got anything of the request. It
+	// comes beside ErrUnavailable.
+	ErrNotSent = errors.New("not sent")
 	// ErrForeignFrame says that a frame belongs to another attempt or position.
 	ErrForeignFrame = errors.New("foreign frame")
 	// ErrNoUpstream says that no upstream of the pool can take the request.
--- /dev/null
+++ b/forwarder/forwarder.go
@@ -0,0 +1,290 @@
+// Package forwarder runs opaque calls on upstreams over HTTP: the call goes out
+// and the answer comes back as they are. It keeps connections open and knows of
+// each failure whether the upstream can have got the call.
+package forwarder
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/kingcuphook/kingcuphook"
+)
+
+// Defaults and bounds of Forwarder.
+const (
+	defaultDialTimeout = 250 * time.Millisecond
+	defaultIdleTimeout = 4 * time.Second
+	defaultMaxAnswer   = 8 << 20
+	keepAliveInterval  = time.Second
+	keepAliveProbes    = 3
+	maxIdlePerUpstream = 64
+	maxResponseHeader  = 64 << 10
+)
+
+// Forwarder implements kingcuphook.Engine. It is safe for concurrent use.
+type Forwarder struct {
+	// Codec writes calls and reads replies; never nil.
+	Codec kingcuphook.OpaqueCodec
+	// DialTimeout bounds opening a connection; 0 means 250 ms.
+	DialTimeout time.Duration
+	// IdleTimeout bounds how long a connection is kept without a call; 0 means
+	// 4 s.
+	IdleTimeout time.Duration
+	// MaxAnswerBytes bounds an answer that is kept in memory; 0 means 8 MiB.
+	MaxAnswerBytes int64
+	// OnDial is told of every new connection; nil tells nobody. It must be safe
+	// for concurrent use and return at once.
+	OnDial func(u *kingcuphook.Upstream, err error)
+
+	mu sync.Mutex
+	// transports has the connections to each running program.
+	transports map[program]*http.Transport
+}
+
+var _ kingcuphook.Engine = (*Forwarder)(nil)
+
+// program is one start of the program at an address.
+type program struct {
+	address, instance string
+	born              int64
+}
+
+func programOf(u *kingcuphook.Upstream) program {
+	return program{address: u.Address(), instance: u.Instance(), born: u.Born()}
+}
+
+// Keep closes the idle connections to all programs but those of the tables.
+func (f *Forwarder) Keep(t *kingcuphook.Tables) {
+	wanted := make(map[program]bool)
+	for _, p := range t.Pools() {
+		for _, u := range p.Upstreams() {
+			wanted[programOf(u)] = true
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for p, transport := range f.transports {
+		if !wanted[p] {
+			transport.CloseIdleConnections()
+			delete(f.transports, p)
+		}
+	}
+}
+
+// Close closes all idle connections.
+func (f *Forwarder) Close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, transport := range f.transports {
+		transport.CloseIdleConnections()
+	}
+	f.transports = nil
+}
+
+// Start implements kingcuphook.Engine. An answer that is no stream is returned
+// as a *kingcuphook.AnswerError, which wraps ErrRejected where the upstream
+// blames the call.
+func (f *Forwarder) Start(ctx context.Context, u *kingcuphook.Upstream, a *kingcuphook.Attempt) (kingcuphook.Stream, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	resp, err := f.send(ctx, u, a) //nolint:bodyclose // the stream closes it
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	if resp.StatusCode == http.StatusOK {
+		return newStream(resp, a, cancel), nil
+	}
+	defer cancel()
+	defer resp.Body.Close()
+	answer, err := f.readAnswer(u, resp)
+	if err != nil {
+		return nil, err
+	}
+	err = &kingcuphook.AnswerError{Answer: answer}
+	if resp.StatusCode < http.StatusInternalServerError {
+		err = fmt.Errorf("forwarder: %s: %w: %w", u.Address(), kingcuphook.ErrRejected, err)
+	}
+	return nil, err
+}
+
+// Call implements kingcuphook.Engine.
+func (f *Forwarder) Call(ctx context.Context, u *kingcuphook.Upstream, a *kingcuphook.Attempt) (kingcuphook.Answer, error) {
+	resp, err := f.send(ctx, u, a)
+	if err != nil {
+		return kingcuphook.Answer{}, err
+	}
+	defer resp.Body.Close()
+	return f.readAnswer(u, resp)
+}
+
+// readAnswer reads an answer whole.
+func (f *Forwarder) readAnswer(u *kingcuphook.Upstream, resp *http.Response) (kingcuphook.Answer, error) {
+	limit := cmp.Or(f.MaxAnswerBytes, defaultMaxAnswer)
+	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if err != nil {
+		return kingcuphook.Answer{}, fmt.Errorf("forwarder: read answer of %s: %w: %w", u.Address(), kingcuphook.ErrOutcomeUnknown, err)
+	}
+	if int64(len(body)) > limit {
+		return kingcuphook.Answer{}, fmt.Errorf("forwarder: answer of %s over %d bytes: %w: %w", u.Address(), limit, kingcuphook.ErrTooLarge, kingcuphook.ErrOutcomeUnknown)
+	}
+	return kingcuphook.NewOpaqueAnswer(resp.StatusCode, endToEnd(resp.Header), body), nil
+}
+
+// send sends the attempt and returns the head of the answer to it.
+func (f *Forwarder) send(ctx context.Context, u *kingcuphook.Upstream, a *kingcuphook.Attempt) (*http.Response, error) {
+	var connected atomic.Bool
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	resp, err := f.transport(u).RoundTrip(f.newRequest(traced, u, a))
+	if err != nil && !connected.Load() {
+		return nil, fmt.Errorf("forwarder: %s: %w: %w: %w", u.Address(), kingcuphook.ErrUnavailable, kingcuphook.ErrNotSent, err)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("forwarder: %s: %w: %w", u.Address(), kingcuphook.ErrOutcomeUnknown, err)
+	}
+	if err := f.judge(u, a, resp); err != nil {
+		_ = resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
+}
+
+// judge returns an error for a reply that is no answer to the attempt.
+func (f *Forwarder) judge(u *kingcuphook.Upstream, a *kingcuphook.Attempt, resp *http.Response) error {
+	switch f.Codec.Decode(a, resp.StatusCode, resp.Header) {
+	case kingcuphook.ReplyKindAnswer:
+		return nil
+	case kingcuphook.ReplyKindNotRun:
+		return fmt.Errorf("forwarder: %s did not run the call, status %d: %w: %w", u.Address(), resp.StatusCode, kingcuphook.ErrUnavailable, kingcuphook.ErrOverloaded)
+	case kingcuphook.ReplyKindMisdirected:
+		return fmt.Errorf("forwarder: another instance has %s: %w: %w", u.Address(), kingcuphook.ErrUnavailable, kingcuphook.ErrNotSent)
+	default:
+		return fmt.Errorf("forwarder: %s replied with status %d of another call: %w: %w", u.Address(), resp.StatusCode, kingcuphook.ErrOutcomeUnknown, kingcuphook.ErrForeignFrame)
+	}
+}
+
+// newRequest builds the HTTP request of an attempt. The transport repeats a call
+// of which nothing was written, for which it must be able to read the body again.
+// It would repeat some calls also after they were written: their body can't be
+// read again, since every such repetition is a decision of the dispatcher.
+func (f *Forwarder) newRequest(ctx context.Context, u *kingcuphook.Upstream, a *kingcuphook.Attempt) *http.Request {
+	header := a.Opaque().Header.Clone()
+	f.Codec.Encode(header, u, a, time.Now())
+	if header.Get("User-Agent") == "" {
+		// An empty value keeps the transport from adding its own.
+		header.Set("User-Agent", "")
+	}
+	r := &http.Request{
+		Method:        a.Method(),
+		URL:           requestURL(u.Address(), a.Path()),
+		Host:          a.Opaque().Host,
+		Header:        header,
+		Body:          io.NopCloser(bytes.NewReader(a.Body())),
+		ContentLength: int64(len(a.Body())),
+	}
+	if !repeatable(r) {
+		r.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(a.Body())), nil }
+	}
+	return r.WithContext(ctx)
+}
+
+// repeatable reports whether the transport would repeat the request after it was
+// written, if it could read the body again.
+func repeatable(r *http.Request) bool {
+	switch r.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	}
+	return r.Header.Get("Idempotency-Key") != "" || r.Header.Get("X-Idempotency-Key") != ""
+}
+
+// requestURL returns a URL that is written as the caller wrote it.
+func requestURL(address, path string) *url.URL {
+	if strings.HasPrefix(path, "//") {
+		// An opaque part of this form would be taken for a host.
+		path, query, _ := strings.Cut(path, "?")
+		return &url.URL{Scheme: "http", Host: address, Path: path, RawQuery: query}
+	}
+	return &url.URL{Scheme: "http", Host: address, Opaque: path}
+}
+
+// transport returns the connections to the running program of an upstream.
+func (f *Forwarder) transport(u *kingcuphook.Upstream) *http.Transport {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := programOf(u)
+	if t := f.transports[p]; t != nil {
+		return t
+	}
+	if f.transports == nil {
+		f.transports = make(map[program]*http.Transport)
+	}
+	t := f.newTransport(u)
+	f.transports[p] = t
+	return t
+}
+
+func (f *Forwarder) newTransport(u *kingcuphook.Upstream) *http.Transport {
+	dial := &net.Dialer{
+		Timeout: cmp.Or(f.DialTimeout, defaultDialTimeout),
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     keepAliveInterval,
+			Interval: keepAliveInterval,
+			Count:    keepAliveProbes,
+		},
+	}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := dial.DialContext(ctx, network, address)
+			if f.OnDial != nil && !errors.Is(err, context.Canceled) {
+				f.OnDial(u, err)
+			}
+			return c, err
+		},
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    maxIdlePerUpstream,
+		IdleConnTimeout:        cmp.Or(f.IdleTimeout, defaultIdleTimeout),
+		MaxResponseHeaderBytes: maxResponseHeader,
+	}
+}
+
+// perConnection are the headers that concern one connection only.
+var perConnection = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// StripConnection removes the headers that concern one connection only.
+func StripConnection(h http.Header) {
+	for _, list := range h["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range perConnection {
+		h.Del(name)
+	}
+}
+
+// endToEnd returns the headers of an answer that are passed on. The length of
+// the body is told by who writes it.
+func endToEnd(h http.Header) http.Header {
+	kept := h.Clone()
+	StripConnection(kept)
+	kept.Del("Content-Length")
+	return kept
+}
--- /dev/null
+++ b/forwarder/stream.go
@@ -0,0 +1,140 @@
+package forwarder
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/kingcuphook/kingcuphook"
+)
+
+const (
+	// maxEventBytes bounds one event of a stream.
+	maxEventBytes = 256 << 10
+	// streamBuffer is the size of the buffer that events are read through.
+	streamBuffer = 4 << 10
+	// finishEnded is the finish reason of a stream whose body ended whole.
+	finishEnded = "ended"
+)
+
+var idField = []byte("id:")
+
+// stream reads the events of one attempt. Events keep their bytes.
+type stream struct {
+	body   io.ReadCloser
+	reader *bufio.Reader
+	cancel context.CancelFunc
+	head   kingcuphook.Answer
+	// attempt and position are those of the next frame.
+	attempt  string
+	position int
+	// event gathers the bytes of the event that is being read.
+	event []byte
+	// ended says that the body ended whole; finished that this was told.
+	ended, finished bool
+	// followed is the context whose end cancels the attempt; stop undoes that.
+	followed context.Context
+	stop     func() bool
+}
+
+var _ kingcuphook.HeadedStream = (*stream)(nil)
+
+func newStream(resp *http.Response, a *kingcuphook.Attempt, cancel context.CancelFunc) *stream {
+	return &stream{
+		body:     resp.Body,
+		reader:   bufio.NewReaderSize(resp.Body, streamBuffer),
+		cancel:   cancel,
+		head:     kingcuphook.NewOpaqueAnswer(resp.StatusCode, endToEnd(resp.Header), nil),
+		attempt:  a.ID(),
+		position: a.ResumeFrom(),
+	}
+}
+
+// Head implements kingcuphook.HeadedStream.
+func (s *stream) Head() kingcuphook.Answer { return s.head }
+
+// Next implements kingcuphook.Stream. When ctx ends, the attempt is cancelled
+// and can't be read any more.
+func (s *stream) Next(ctx context.Context) (kingcuphook.Frame, error) {
+	s.follow(ctx)
+	if s.ended {
+		return s.endFrame(), nil
+	}
+	id, err := s.readEvent()
+	if errors.Is(err, io.EOF) && len(s.event) == 0 {
+		s.ended = true
+		return s.endFrame(), nil
+	}
+	if ctx.Err() != nil {
+		return kingcuphook.Frame{}, ctx.Err()
+	}
+	if err != nil {
+		return kingcuphook.Frame{}, fmt.Errorf("forwarder: %w: %w", kingcuphook.ErrBrokenStream, err)
+	}
+	f := kingcuphook.NewEventFrame(s.attempt, s.position, id, string(s.event))
+	s.position++
+	return f, nil
+}
+
+// endFrame returns the finish frame and then the end frame.
+func (s *stream) endFrame() kingcuphook.Frame {
+	kind := kingcuphook.FrameKindFinish
+	if s.finished {
+		kind = kingcuphook.FrameKindEnd
+	}
+	s.finished = true
+	return kingcuphook.NewFrame(s.attempt, s.position, kind, finishEnded)
+}
+
+// readEvent reads the bytes of one event, up to and with the empty line that
+// ends it, and returns its id.
+func (s *stream) readEvent() (id string, err error) {
+	s.event = s.event[:0]
+	for {
+		line, err := s.reader.ReadSlice('\n')
+		s.event = append(s.event, line...)
+		if len(s.event) > maxEventBytes {
+			return "", kingcuphook.ErrTooLarge
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
+		if err != nil {
+			return "", err
+		}
+		if value, ok := bytes.CutPrefix(line, idField); ok {
+			id = string(bytes.TrimSpace(value))
+		}
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			return id, nil
+		}
+	}
+}
+
+// follow cancels the attempt when ctx ends. Callers mostly pass the same ctx
+// again, for which nothing is to be done.
+func (s *stream) follow(ctx context.Context) {
+	if ctx == s.followed {
+		return
+	}
+	s.unfollow()
+	s.followed = ctx
+	s.stop = context.AfterFunc(ctx, s.cancel)
+}
+
+func (s *stream) unfollow() {
+	if s.stop != nil {
+		s.stop()
+	}
+}
+
+// Close implements kingcuphook.Stream.
+func (s *stream) Close() error {
+	s.unfollow()
+	s.cancel()
+	return s.body.Close()
+}
--- /dev/null
+++ b/locator/locator.go
@@ -0,0 +1,370 @@
+// Package locator chooses the upstream of an opaque call by what the choice
+// costs its caller and the others: the way there, the prompt that must be read,
+// what is running there, and how the upstream did lately. Routers agree on where
+// the shared part of a prompt is kept without talking, by rendezvous hashing.
+package locator
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/kingcuphook/kingcuphook"
+)
+
+// Costs that choices are compared by, as times.
+const (
+	// regionDelay and centreDelay are the round trips to another region and to
+	// another data centre of the region.
+	regionDelay = 60 * time.Millisecond
+	centreDelay = 3 * time.Millisecond
+	// regionPrice and centrePrice stand for what a KiB costs on the way to
+	// another region and to another data centre.
+	regionPrice = 15 * time.Millisecond
+	centrePrice = 4 * time.Millisecond
+	// tokenTime is the time to read a token of a prompt.
+	tokenTime = 18 * time.Microsecond
+	// rereadPrice stands for what it costs the upstreams to read a token of a
+	// shared part that another upstream has.
+	rereadPrice = 60 * time.Microsecond
+	// loadCost is the delay that a request means for those beside it.
+	loadCost = 8 * time.Millisecond
+	// serviceCost is the same on plain services.
+	serviceCost = 15 * time.Millisecond
+	// failureCost is added after a failure and fades within failureFade.
+	failureCost = 600 * time.Millisecond
+	failureFade = 2 * time.Second
+	// answerBytes is the expected size of an answer.
+	answerBytes = 4 << 10
+	// keptFor is how long an upstream is thought to keep what it read.
+	keptFor = 30 * time.Second
+	// maxKept bounds the parts of prompts remembered for an upstream.
+	maxKept = 4096
+)
+
+// Reasons why a candidate is refused.
+const (
+	reasonLeaving = "leaving"
+)
+
+// Locator implements kingcuphook.Selector for one pool. It is used by one
+// goroutine at a time.
+type Locator struct {
+	// Region and DataCentre are where the router is.
+	Region, DataCentre string
+
+	upstreams []*upstream
+	byAddress map[string]*upstream
+}
+
+// upstream is what the router knows of one upstream.
+type upstream struct {
+	row  *kingcuphook.Upstream
+	seed uint64
+	// running counts the requests of this router.
+	running int
+	// reading is the number of prompt tokens of this router that are being read.
+	reading int
+	// flights has the running requests by identifier.
+	flights map[string]flight
+	// kept has when each part of a prompt was last used there, by hash.
+	kept map[uint64]time.Time
+	// failed is when a request last failed there, failures how many in a row.
+	failed   time.Time
+	failures int
+}
+
+// flight is a running request.
+type flight struct {
+	// tokens are those to be read.
+	tokens int
+	// begun says that its first token has come.
+	begun bool
+}
+
+var _ kingcuphook.Selector = (*Locator)(nil)
+
+// Update takes the pool in force. A program that started again keeps nothing.
+func (l *Locator) Update(_ time.Time, p *kingcuphook.Pool) {
+	known := l.byAddress
+	l.byAddress = make(map[string]*upstream, len(p.Upstreams()))
+	l.upstreams = l.upstreams[:0]
+	for _, row := range p.Upstreams() {
+		u := known[row.Address()]
+		if u == nil || u.row.Instance() != row.Instance() || u.row.Born() != row.Born() {
+			u = newUpstream(row)
+		}
+		u.row = row
+		l.byAddress[row.Address()] = u
+		l.upstreams = append(l.upstreams, u)
+	}
+}
+
+func newUpstream(row *kingcuphook.Upstream) *upstream {
+	return &upstream{
+		row:     row,
+		seed:    xxhash.Sum64String(row.Instance() + row.Address()),
+		flights: make(map[string]flight),
+		kept:    make(map[uint64]time.Time),
+	}
+}
+
+// Select implements kingcuphook.Selector.
+func (l *Locator) Select(now time.Time, r *kingcuphook.Request, excluded []string) (kingcuphook.Choice, error) {
+	return l.SelectUsable(now, r, excluded, func(string) bool { return true })
+}
+
+// SelectUsable is Select among the upstreams that usable reports. The error wraps
+// ErrNoUpstream if no upstream can take the request at all.
+func (l *Locator) SelectUsable(now time.Time, r *kingcuphook.Request, excluded []string, usable func(address string) bool) (kingcuphook.Choice, error) {
+	home := l.home(r)
+	var best *upstream
+	var least weight
+	possible := false
+	for _, u := range l.upstreams {
+		address := u.row.Address()
+		if u.row.Leaving() || slices.Contains(excluded, address) {
+			continue
+		}
+		possible = true
+		if !usable(address) {
+			continue
+		}
+		if w := l.weigh(now, r, u, u == home); best == nil || w.less(least) {
+			best, least = u, w
+		}
+	}
+	if !possible {
+		return kingcuphook.Choice{}, fmt.Errorf("locator: %w", kingcuphook.ErrNoUpstream)
+	}
+	if best == nil {
+		return kingcuphook.Choice{}, nil
+	}
+	return kingcuphook.Choice{
+		Upstream:       best.row,
+		Predicted:      least.first,
+		UncachedTokens: least.uncached,
+		Spilled:        best.row.Region() != l.Region,
+	}, nil
+}
+
+// weight is what the choice of an upstream costs.
+type weight struct {
+	// cost is what choices are compared by, tie decides between equal ones.
+	cost time.Duration
+	tie  uint64
+	// first is the predicted time to the first token.
+	first time.Duration
+	// uncached is the number of prompt tokens to be read.
+	uncached int
+}
+
+func (w weight) less(v weight) bool {
+	return cmp.Or(cmp.Compare(w.cost, v.cost), cmp.Compare(w.tie, v.tie)) < 0
+}
+
+func (l *Locator) weigh(now time.Time, r *kingcuphook.Request, u *upstream, isHome bool) weight {
+	w := weight{tie: mix(u.seed ^ r.Fingerprint() ^ xxhash.Sum64String(r.ID()))}
+	shared := sharedTokens(r)
+	cached := u.cached(now, r)
+	if isHome {
+		cached = max(cached, shared)
+	}
+	w.uncached = max(r.PromptTokens()-cached, 0)
+	w.first = l.delay(u.row) + time.Duration(w.uncached+u.reading)*tokenTime
+	w.cost = w.first + l.price(r, u.row) + u.penalty(now)
+	if u.row.Kind() == kingcuphook.UpstreamKindService {
+		w.cost += time.Duration(u.running) * serviceCost
+	} else {
+		w.cost += time.Duration(u.running)*loadCost + time.Duration(max(shared-cached, 0))*rereadPrice
+	}
+	return w
+}
+
+// delay returns the round trip to the upstream.
+func (l *Locator) delay(u *kingcuphook.Upstream) time.Duration {
+	switch {
+	case u.Region() != l.Region:
+		return regionDelay
+	case u.DataCentre() != l.DataCentre:
+		return centreDelay
+	default:
+		return 0
+	}
+}
+
+// price returns what the bytes of the request and its answer count for.
+func (l *Locator) price(r *kingcuphook.Request, u *kingcuphook.Upstream) time.Duration {
+	each := time.Duration(0)
+	switch {
+	case u.Region() != l.Region:
+		each = regionPrice
+	case u.DataCentre() != l.DataCentre:
+		each = centrePrice
+	}
+	return each * time.Duration(r.Bytes()+answerBytes) / 1024
+}
+
+// penalty returns what a failure of late counts for.
+func (u *upstream) penalty(now time.Time) time.Duration {
+	age := now.Sub(u.failed)
+	if u.failures == 0 || age >= failureFade {
+		return 0
+	}
+	left := 1 - age.Seconds()/failureFade.Seconds()
+	return time.Duration(left * float64(failureCost) * float64(min(u.failures, 4)))
+}
+
+// cached returns how many tokens of the prompt the upstream is thought to keep.
+func (u *upstream) cached(now time.Time, r *kingcuphook.Request) int {
+	chain, tokens := r.Prefix(), r.PrefixTokens()
+	for i := min(len(chain), len(tokens)) - 1; i >= 0; i-- {
+		if used, ok := u.kept[chain[i]]; ok && now.Sub(used) < keptFor {
+			return tokens[i]
+		}
+	}
+	return 0
+}
+
+// sharedPart returns the position of the last part of the prompt that other
+// requests share, or -1. The last part belongs to the request itself.
+func sharedPart(r *kingcuphook.Request) int { return min(len(r.Prefix()), len(r.PrefixTokens())) - 2 }
+
+// sharedTokens returns the tokens of the parts that other requests share.
+func sharedTokens(r *kingcuphook.Request) int {
+	if i := sharedPart(r); i >= 0 {
+		return r.PrefixTokens()[i]
+	}
+	return 0
+}
+
+// home returns the upstream of the region that keeps the shared part of the
+// prompt, or nil.
+func (l *Locator) home(r *kingcuphook.Request) *upstream {
+	i := sharedPart(r)
+	if i < 0 {
+		return nil
+	}
+	key := r.Prefix()[i]
+	var home *upstream
+	highest := uint64(0)
+	for _, u := range l.upstreams {
+		if u.row.Leaving() || u.row.Region() != l.Region {
+			continue
+		}
+		if score := mix(key ^ u.seed); home == nil || score > highest {
+			home, highest = u, score
+		}
+	}
+	return home
+}
+
+// mix spreads the bits of x.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+// Explain implements kingcuphook.Selector.
+func (l *Locator) Explain(now time.Time, r *kingcuphook.Request, dst []kingcuphook.Candidate) []kingcuphook.Candidate {
+	home := l.home(r)
+	for _, u := range l.upstreams {
+		w := l.weigh(now, r, u, u == home)
+		c := kingcuphook.Candidate{
+			Upstream:     u.row.Address(),
+			Predicted:    w.first,
+			CachedTokens: max(r.PromptTokens()-w.uncached, 0),
+		}
+		if u.row.Leaving() {
+			c.Refused = reasonLeaving
+		}
+		dst = append(dst, c)
+	}
+	return dst
+}
+
+// Started implements kingcuphook.Selector.
+func (l *Locator) Started(now time.Time, address string, r *kingcuphook.Request) {
+	u := l.byAddress[address]
+	if u == nil {
+		return
+	}
+	f := flight{tokens: max(r.PromptTokens()-u.cached(now, r), 0)}
+	u.flights[r.ID()] = f
+	u.running++
+	u.reading += f.tokens
+	u.keep(now, r)
+}
+
+// keep notes that the upstream reads the prompt.
+func (u *upstream) keep(now time.Time, r *kingcuphook.Request) {
+	if len(u.kept) >= maxKept {
+		u.forget(now)
+	}
+	for _, part := range r.Prefix() {
+		u.kept[part] = now
+	}
+}
+
+// forget drops what was not used for long, and all if that is not enough.
+func (u *upstream) forget(now time.Time) {
+	for part, used := range u.kept {
+		if now.Sub(used) >= keptFor {
+			delete(u.kept, part)
+		}
+	}
+	if len(u.kept) >= maxKept {
+		clear(u.kept)
+	}
+}
+
+// Progress tells that the n-th token of a running request has come.
+func (l *Locator) Progress(_ time.Time, address string, r *kingcuphook.Request, _ int) {
+	if u := l.byAddress[address]; u != nil {
+		u.begin(r)
+	}
+}
+
+// begin notes that the prompt of a running request has been read.
+func (u *upstream) begin(r *kingcuphook.Request) {
+	f, ok := u.flights[r.ID()]
+	if !ok || f.begun {
+		return
+	}
+	u.reading -= f.tokens
+	f.begun = true
+	u.flights[r.ID()] = f
+}
+
+// Finished implements kingcuphook.Selector.
+func (l *Locator) Finished(now time.Time, address string, r *kingcuphook.Request, s kingcuphook.Sample) {
+	u := l.byAddress[address]
+	if u == nil {
+		return
+	}
+	if _, ok := u.flights[r.ID()]; !ok {
+		return
+	}
+	u.begin(r)
+	delete(u.flights, r.ID())
+	u.running--
+	switch {
+	case s.Failed:
+		u.failed = now
+		u.failures++
+	case !s.Cancelled:
+		u.failures = 0
+	}
+}
+
+// Report implements kingcuphook.Selector.
+func (*Locator) Report(time.Time, kingcuphook.LoadReport) {}
+
+// Cached implements kingcuphook.Selector.
+func (*Locator) Cached(time.Time, kingcuphook.CacheEvent) {}
--- a/logger/events.go
+++ b/logger/events.go
@@ -38,6 +38,16 @@
 	EditAccepted     = Event{1106, LevelInfo, "edit of the tables accepted"}
 	EditRefused      = Event{1107, LevelWarn, "edit of the tables refused"}
 	TablesForked     = Event{1108, LevelError, "tables in force do not descend from those before"}
+	RequestAnswered  = Event{1203, LevelInfo, "request answered"}
+	RequestAssigned  = Event{1204, LevelInfo, "upstream chosen for a request"}
+	AttemptFailed    = Event{1205, LevelInfo, "attempt failed"}
+	UpstreamsChanged = Event{1303, LevelInfo, "upstreams in force"}
+	UpstreamBad      = Event{1304, LevelWarn, "registration of an upstream refused; it names no upstream"}
+	SettingsRead     = Event{1008, LevelInfo, "settings read again"}
+	SettingsBad      = Event{1009, LevelError, "changed settings refused; the old ones stay in force"}
+	LinesDropped     = Event{1010, LevelWarn, "log lines dropped since the last such line"}
+	PeerAsked        = Event{1404, LevelInfo, "news of the store taken from a peer"}
+	StopCut          = Event{1011, LevelWarn, "planned stop ends with requests open"}
 	RequestFailed    = Event{1201, LevelInfo, "request failed"}
 	RequestPanicked  = Event{1202, LevelError, "request handler panicked"}
 	UpstreamLeaving  = Event{1302, LevelInfo, "upstream says that it is leaving"}
@@ -54,12 +64,41 @@
 // Catalogue returns every event in order of number.
 func Catalogue() []Event {
 	return []Event{
-		Started, Ready, Stopping, Stopped, ListenFailed, CertificateRead, CertificateBad,
-		TablesInForce, TablesBad, TablesOlder, StoreUnavailable, StoreAvailable, EditAccepted, EditRefused, TablesForked,
-		RequestFailed, RequestPanicked,
+		Started,
+		Ready,
+		Stopping,
+		Stopped,
+		ListenFailed,
+		CertificateRead,
+		CertificateBad,
+		SettingsRead,
+		SettingsBad,
+		LinesDropped,
+		StopCut,
+		TablesInForce,
+		TablesBad,
+		TablesOlder,
+		StoreUnavailable,
+		StoreAvailable,
+		EditAccepted,
+		EditRefused,
+		TablesForked,
+		RequestFailed,
+		RequestPanicked,
+		RequestAnswered,
+		RequestAssigned,
+		AttemptFailed,
 		UpstreamLeaving,
-		PeerFailed, PeerJoined, PeerLeft,
-		LeaseTaken, LeaseLost, OrderGiven, OrderFailed,
+		UpstreamsChanged,
+		UpstreamBad,
+		PeerFailed,
+		PeerJoined,
+		PeerLeft,
+		PeerAsked,
+		LeaseTaken,
+		LeaseLost,
+		OrderGiven,
+		OrderFailed,
 		QuarantineLifted,
 	}
 }
--- /dev/null
+++ b/receiver/answer.go
@@ -0,0 +1,220 @@
+package receiver
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/logger"
+)
+
+// Times after which callers are told to come back.
+const (
+	retryNotReady = 500 * time.Millisecond
+	retryStopping = 100 * time.Millisecond
+	retryDefault  = 300 * time.Millisecond
+)
+
+var (
+	errNotReady = &kingcuphook.RequestError{Code: "not-ready", Ran: kingcuphook.RunStateNotRun, RetryAfter: retryNotReady, Err: kingcuphook.ErrUnavailable}
+	errStopping = &kingcuphook.RequestError{Code: "stopping", Ran: kingcuphook.RunStateNotRun, RetryAfter: retryStopping, Err: kingcuphook.ErrUnavailable}
+	errNoRoute  = &kingcuphook.RequestError{Code: "no-route", Ran: kingcuphook.RunStateNotRun, Err: kingcuphook.ErrNotFound}
+	errNoKey    = &kingcuphook.RequestError{Code: "no-key", Ran: kingcuphook.RunStateNotRun, Err: errUnknownKey}
+	errTooLarge = &kingcuphook.RequestError{Code: "too-large", Ran: kingcuphook.RunStateNotRun, Err: kingcuphook.ErrTooLarge}
+
+	errUnknownKey = errors.New("no organisation holds the key")
+)
+
+// badBody returns the error of a body that could not be read.
+func badBody(err error) error {
+	return &kingcuphook.RequestError{
+		Code: "bad-body",
+		Ran:  kingcuphook.RunStateNotRun,
+		Err:  fmt.Errorf("receiver: read body: %w: %w", kingcuphook.ErrInvalid, err),
+	}
+}
+
+// answer runs a call and writes what became of it.
+func (s *Receiver) answer(w http.ResponseWriter, r *http.Request, c *accepted) {
+	request := c.call.Request
+	out := &writer{w: w, control: http.NewResponseController(w), deadline: request.Deadline()}
+	if s.Observer != nil {
+		s.Observer.Begun(request, c.route)
+	}
+	o, err := s.Dispatcher.Dispatch(r.Context(), c.call, out)
+	first := time.Duration(0)
+	if !out.first.IsZero() {
+		first = out.first.Sub(request.Arrived())
+	}
+	total := time.Since(request.Arrived())
+	if s.Observer != nil {
+		s.Observer.Ended(request, o, err, first, total)
+	}
+	status := s.finish(out, c, o, err)
+	s.log(c, o, err, status, first, total)
+	if err != nil && out.begun {
+		// The connection is broken off, so that a partial answer never looks whole.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// finish writes the end of an answer and returns its status.
+func (s *Receiver) finish(out *writer, c *accepted, o kingcuphook.Outcome, err error) int {
+	var answered *kingcuphook.AnswerError
+	switch {
+	case out.begun:
+		return out.status
+	case err == nil && c.call.Request.Stream():
+		return http.StatusOK
+	case err == nil:
+		return out.writeAnswer(o.Answer)
+	case errors.As(err, &answered):
+		return out.writeAnswer(answered.Answer)
+	default:
+		return writeError(out.w, err)
+	}
+}
+
+func (s *Receiver) log(c *accepted, o kingcuphook.Outcome, err error, status int, first, total time.Duration) {
+	r := c.call.Request
+	fields := []any{
+		"request", r.ID(), "route", c.route.Name(), "pool", r.Pool(), "organisation", r.Organisation(), "tier", r.Tier(),
+		"status", status, "first-ms", first.Milliseconds(), "total-ms", total.Milliseconds(), "pieces", o.Tokens, "attempts", o.Attempts,
+	}
+	if err == nil {
+		s.Log.Log(logger.RequestAnswered, fields...)
+		return
+	}
+	e := requestError(err)
+	s.Log.Log(logger.RequestFailed, append(fields, "code", e.Code, "ran", e.Ran, "retry-after", e.RetryAfter, "error", e.Err)...)
+}
+
+// refuse answers a call that was not accepted.
+func (s *Receiver) refuse(w http.ResponseWriter, r *http.Request, err error) {
+	status := writeError(w, err)
+	e := requestError(err)
+	s.Log.Log(logger.RequestFailed, "request", s.Codec.Labels(r.Header).ID, "status", status,
+		"code", e.Code, "ran", e.Ran, "retry-after", e.RetryAfter, "error", e.Err)
+}
+
+func requestError(err error) *kingcuphook.RequestError {
+	var e *kingcuphook.RequestError
+	if errors.As(err, &e) {
+		return e
+	}
+	return &kingcuphook.RequestError{Code: "internal", Ran: kingcuphook.RunStateUnknown, Err: err}
+}
+
+// statusOf returns the status of a failure.
+func statusOf(e *kingcuphook.RequestError) int {
+	switch {
+	case e.Code == errNoRoute.Code:
+		return http.StatusNotFound
+	case e.Code == errNoKey.Code:
+		return http.StatusUnauthorized
+	case e.Code == errTooLarge.Code:
+		return http.StatusRequestEntityTooLarge
+	case errors.Is(e.Err, kingcuphook.ErrInvalid):
+		return http.StatusBadRequest
+	case e.Ran == kingcuphook.RunStateNotRun:
+		return http.StatusServiceUnavailable
+	case e.Code == "deadline":
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusBadGateway
+	}
+}
+
+// writeError writes a failure of the router and returns its status.
+func writeError(w http.ResponseWriter, err error) int {
+	e := requestError(err)
+	status := statusOf(e)
+	if status == http.StatusServiceUnavailable {
+		wait := e.RetryAfter
+		if wait <= 0 {
+			wait = retryDefault
+		}
+		w.Header().Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
+	}
+	w.Header().Set("Content-Type", "text/plain")
+	body := e.Code + "\n"
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	_, _ = w.Write([]byte(body))
+	return status
+}
+
+// promises reports whether a status promises that a call has not run. An upstream
+// that ran a call may answer with one, which says less there.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// writer writes the answer to a call. It implements kingcuphook.HeadWriter.
+type writer struct {
+	w       http.ResponseWriter
+	control *http.ResponseController
+	// deadline bounds writing.
+	deadline time.Time
+	// begun says that the head was written.
+	begun  bool
+	status int
+	first  time.Time
+}
+
+var _ kingcuphook.HeadWriter = (*writer)(nil)
+
+// WriteHead implements kingcuphook.HeadWriter.
+func (w *writer) WriteHead(head kingcuphook.Answer) error {
+	if err := w.control.SetWriteDeadline(w.deadline); err != nil {
+		return err
+	}
+	h := w.w.Header()
+	for name, values := range head.Header() {
+		h[name] = values
+	}
+	if _, ok := h["Content-Type"]; !ok {
+		// An entry without values keeps the server from guessing a type.
+		h["Content-Type"] = nil
+	}
+	w.begun = true
+	w.status = head.Status()
+	w.w.WriteHeader(head.Status())
+	return nil
+}
+
+// WriteData implements kingcuphook.FrameWriter.
+func (w *writer) WriteData(text string) error {
+	if w.first.IsZero() {
+		w.first = time.Now()
+	}
+	if _, err := w.w.Write([]byte(text)); err != nil {
+		return err
+	}
+	return w.control.Flush()
+}
+
+// writeAnswer writes a whole answer and returns its status.
+func (w *writer) writeAnswer(a kingcuphook.Answer) int {
+	if promises(a.Status()) {
+		return writeError(w.w, &kingcuphook.RequestError{
+			Code: "upstream-failed", Ran: kingcuphook.RunStateUnknown, Err: kingcuphook.ErrUpstreamAnswered,
+		})
+	}
+	w.w.Header().Set("Content-Length", strconv.Itoa(len(a.Body())))
+	if err := w.WriteHead(a); err != nil {
+		return a.Status()
+	}
+	w.first = time.Now()
+	// A caller that is gone needs no answer.
+	_, _ = w.w.Write(a.Body())
+	w.begun = false
+	return a.Status()
+}
--- a/request.go
+++ b/request.go
@@ -57,6 +57,9 @@
 	// Prefix is the chain of block hashes of the prompt: element i covers
 	// blocks 0 to i.
 	Prefix []uint64
+	// PrefixTokens has, for each element of Prefix, the tokens that it covers;
+	// nil if all blocks have the standard length.
+	PrefixTokens []int
 	// Fingerprint is the hash of the whole body, equal for resends.
 	Fingerprint uint64
 	// Stream says that the caller asked for a stream.
@@ -134,6 +137,10 @@
 // Prefix returns the chain of block hashes; the caller must not change it.
 func (r *Request) Prefix() []uint64 { return r.f.Prefix }
 
+// PrefixTokens returns the tokens that each element of the chain covers; nil if
+// all blocks have the standard length. The caller must not change it.
+func (r *Request) PrefixTokens() []int { return r.f.PrefixTokens }
+
 // Fingerprint returns the hash of the whole body.
 func (r *Request) Fingerprint() uint64 { return r.f.Fingerprint }
 
--- a/schedule.go
+++ b/schedule.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 )
 
@@ -85,6 +86,25 @@
 	Body                      []byte
 	// Kind says what serves the call.
 	Kind UpstreamKind
+	// Opaque is what a call carries that is passed on as it came; nil for calls
+	// that the router understands.
+	Opaque *Opaque
+}
+
+// Opaque is the part of a call that is passed on unchanged, and how it may be
+// attempted.
+type Opaque struct {
+	// Host is the host that the caller addressed.
+	Host string
+	// Header has the headers that are passed on; it must not be changed.
+	Header http.Header
+	// MaxAttempts bounds the upstreams that the call is sent to; at least 1.
+	MaxAttempts int
+	// Resumable says that a stream may go on at another upstream.
+	Resumable bool
+	// Silence bounds the time between two pieces of a stream, and FirstByte that
+	// before the first; 0 means the limits of the Dispatcher.
+	FirstByte, Silence time.Duration
 }
 
 // Outcome is the end of a call that was answered whole.
@@ -107,6 +127,14 @@
 	WriteData(text string) error
 }
 
+// HeadWriter is a FrameWriter that is told of the head of an answer before its
+// first piece. It is told at most once.
+type HeadWriter interface {
+	FrameWriter
+	// WriteHead takes the status and the headers of the answer.
+	WriteHead(head Answer) error
+}
+
 // Dispatcher runs a call to its final answer. It is safe for concurrent use.
 type Dispatcher interface {
 	// Dispatch returns when the answer is whole or the call has failed for good.
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -112,14 +113,14 @@
 	if err != nil {
 		return
 	}
-	s.adopt(known)
+	s.Adopt(known)
 	after, err := s.put(ctx)
 	if err != nil {
 		return
 	}
 	entries, err := s.list(ctx)
 	for err == nil {
-		s.adopt(entries)
+		s.Adopt(entries)
 		entries, after, err = s.Store.Watch(ctx, Prefix, after)
 	}
 }
@@ -130,12 +131,12 @@
 	return s.Store.List(ctx, Prefix)
 }
 
-// adopt takes what others know. What is not understood is left out: it is of a
-// router of another version.
-func (s *Sharer) adopt(entries []kingcuphook.Entry) {
+// Adopt takes what others know from those of the entries that are theirs. What is
+// not understood is left out: it is of a router of another version.
+func (s *Sharer) Adopt(entries []kingcuphook.Entry) {
 	now := time.Now()
 	for _, e := range entries {
-		if !e.Deleted() {
+		if !e.Deleted() && strings.HasPrefix(e.Key(), Prefix) {
 			_ = s.Quarantiner.Import(now, e.Value())
 		}
 	}
--- a/table.go
+++ b/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -38,6 +39,16 @@
 	Resumes bool
 	// Priorities says that it orders its own queue by request priority.
 	Priorities bool
+	// Instance is the identity of the running program; empty if it has none. An
+	// address can be taken over by another one.
+	Instance string
+	// Born is the start of the program in Unix milliseconds; 0 means unknown. One
+	// Instance may start more than once.
+	Born int64
+	// Capacity is the memory for prompts and answers, in tokens; 0 means unknown.
+	Capacity int
+	// MaxConns bounds the connections of all callers together; 0 means unknown.
+	MaxConns int
 }
 
 // Upstream is one row of a pool. It is immutable.
@@ -81,6 +92,18 @@
 // Priorities reports whether the upstream orders its queue by priority.
 func (u *Upstream) Priorities() bool { return u.f.Priorities }
 
+// Instance returns the identity of the running program; may be empty.
+func (u *Upstream) Instance() string { return u.f.Instance }
+
+// Born returns the start of the program in Unix milliseconds; 0 means unknown.
+func (u *Upstream) Born() int64 { return u.f.Born }
+
+// Capacity returns the memory for prompts and answers in tokens; 0 means unknown.
+func (u *Upstream) Capacity() int { return u.f.Capacity }
+
+// MaxConns returns the bound of the connections of all callers; 0 means unknown.
+func (u *Upstream) MaxConns() int { return u.f.MaxConns }
+
 // Fields returns a copy of the fields of u.
 func (u *Upstream) Fields() UpstreamFields {
 	f := u.f
@@ -183,6 +206,39 @@
 	// Rate bounds the requests a second of the route over the whole fleet; 0
 	// means no bound.
 	Rate float64
+	// Host is the host that the route matches; empty matches every host.
+	Host string
+	// Split shares the requests of the route out among pools; nil means that all
+	// go to Pool.
+	Split *Split
+	// Timeout bounds the time of every request, whatever its caller gives; 0
+	// means no bound.
+	Timeout time.Duration
+	// MaxAttempts bounds the upstreams that a request is sent to; 0 means the
+	// default.
+	MaxAttempts int
+	// Stream says that answers are streams of events.
+	Stream bool
+	// Resumable says that a stream may go on at another upstream.
+	Resumable bool
+	// Public says that callers need no key.
+	Public bool
+}
+
+// Split says how the requests of a route are shared out. It is immutable.
+type Split struct {
+	shares []PoolShare
+}
+
+// NewSplit returns a split with the given shares.
+func NewSplit(shares []PoolShare) *Split { return &Split{shares: slices.Clone(shares)} }
+
+// PoolShare is the part of the requests of a route that goes to a pool.
+type PoolShare struct {
+	// Pool is the name of the pool.
+	Pool string
+	// Weight is the part in proportion to the other weights; not negative.
+	Weight float64
 }
 
 // Route is one row of the table of routes. It is immutable.
@@ -232,6 +288,44 @@
 // Rate returns the bound of requests a second of the route.
 func (r *Route) Rate() float64 { return r.f.Rate }
 
+// Host returns the host that the route matches.
+func (r *Route) Host() string { return r.f.Host }
+
+// Timeout returns the bound of the time of every request; 0 means none.
+func (r *Route) Timeout() time.Duration { return r.f.Timeout }
+
+// MaxAttempts returns the bound of the upstreams of a request; 0 means the
+// default.
+func (r *Route) MaxAttempts() int { return r.f.MaxAttempts }
+
+// Stream reports whether answers are streams of events.
+func (r *Route) Stream() bool { return r.f.Stream }
+
+// Resumable reports whether a stream may go on at another upstream.
+func (r *Route) Resumable() bool { return r.f.Resumable }
+
+// Public reports whether callers need no key.
+func (r *Route) Public() bool { return r.f.Public }
+
+// PoolFor returns the pool of a request that falls at the given point of the
+// shares; 0 <= point < 1.
+func (r *Route) PoolFor(point float64) string {
+	if r.f.Split == nil {
+		return r.f.Pool
+	}
+	total := 0.0
+	for _, s := range r.f.Split.shares {
+		total += s.Weight
+	}
+	at := point * total
+	for _, s := range r.f.Split.shares {
+		if at -= s.Weight; at < 0 {
+			return s.Pool
+		}
+	}
+	return r.f.Pool
+}
+
 // Fields returns a copy of the fields of r.
 func (r *Route) Fields() RouteFields { return r.f }
 
@@ -245,6 +339,18 @@
 	pools []*Pool
 	// poolsByName indexes pools; it is never changed once built.
 	poolsByName map[string]*Pool
+	// byHost has the routes of each host, the longest path first.
+	byHost map[string][]*Route
+	// organisations has the organisation of each key; nil if callers need none.
+	organisations map[string]Organisation
+}
+
+// Organisation is a caller that is known by its keys.
+type Organisation struct {
+	// Name identifies the organisation.
+	Name string
+	// Tier goes before that of the route; 0 means that the route's holds.
+	Tier Tier
 }
 
 // NewTables returns both tables at the given revision. It does not validate
@@ -259,9 +365,51 @@
 	for _, p := range t.pools {
 		t.poolsByName[p.Name()] = p
 	}
+	t.byHost = routesByHost(t.routes)
 	return t
 }
 
+// routesByHost returns the routes that name a host, the longest path first.
+func routesByHost(routes []*Route) map[string][]*Route {
+	byHost := make(map[string][]*Route)
+	for _, r := range routes {
+		if r.f.Host != "" {
+			byHost[r.f.Host] = append(byHost[r.f.Host], r)
+		}
+	}
+	for _, list := range byHost {
+		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.f.Path) - len(a.f.Path) })
+	}
+	return byHost
+}
+
+// WithOrganisations returns tables with the given organisation for each key.
+func (t *Tables) WithOrganisations(byKey map[string]Organisation) *Tables {
+	c := *t
+	c.organisations = byKey
+	return &c
+}
+
+// HasKeys reports whether callers need a key.
+func (t *Tables) HasKeys() bool { return t.organisations != nil }
+
+// Organisation returns the organisation that holds the key.
+func (t *Tables) Organisation(key string) (Organisation, bool) {
+	o, ok := t.organisations[key]
+	return o, ok
+}
+
+// MatchHost returns the route of the host with the longest prefix of the path,
+// or nil.
+func (t *Tables) MatchHost(host, path string) *Route {
+	for _, r := range t.byHost[host] {
+		if strings.HasPrefix(path, r.f.Path) {
+			return r
+		}
+	}
+	return nil
+}
+
 // Revision returns the revision of the tables; 0 means none yet.
 func (t *Tables) Revision() int64 { return t.revision }
 
--- a/upstream.go
+++ b/upstream.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"net/http"
 	"time"
 )
 
@@ -21,6 +23,12 @@
 	ResumeFrom int
 	// Delivered is the text delivered so far, for the engine to continue from.
 	Delivered string
+	// Opaque is the part of the call that is passed on as it came; nil for calls
+	// that the router understands.
+	Opaque *Opaque
+	// ResumeAfter is the id of the last event that the caller has; empty if it
+	// has none.
+	ResumeAfter string
 }
 
 // Attempt is one try of a request on one upstream. It is immutable.
@@ -55,6 +63,12 @@
 // Delivered returns the text that earlier attempts delivered.
 func (a *Attempt) Delivered() string { return a.f.Delivered }
 
+// Opaque returns the part of the call that is passed on as it came, or nil.
+func (a *Attempt) Opaque() *Opaque { return a.f.Opaque }
+
+// ResumeAfter returns the id of the last event that the caller has.
+func (a *Attempt) ResumeAfter() string { return a.f.ResumeAfter }
+
 // FrameKind says what a frame carries.
 type FrameKind string
 
@@ -74,6 +88,8 @@
 	position int
 	kind     FrameKind
 	text     string
+	// event is the id of the event in the stream; empty if it has none.
+	event string
 }
 
 // NewFrame returns a frame. Position counts data frames from 0 over the whole
@@ -83,6 +99,14 @@
 	return Frame{attempt: attempt, position: position, kind: kind, text: text}
 }
 
+// NewEventFrame returns a data frame that is an event of a stream with ids.
+func NewEventFrame(attempt string, position int, event, text string) Frame {
+	return Frame{attempt: attempt, position: position, kind: FrameKindData, text: text, event: event}
+}
+
+// Event returns the id of the event in the stream; empty if it has none.
+func (f Frame) Event() string { return f.event }
+
 // Attempt returns the identifier of the attempt that the frame answers.
 func (f Frame) Attempt() string { return f.attempt }
 
@@ -104,11 +128,48 @@
 	Close() error
 }
 
-// Answer is the whole answer of a plain service.
+// HeadedStream is a Stream whose answer has a head that callers are to see.
+type HeadedStream interface {
+	Stream
+	// Head returns the status and the headers of the answer.
+	Head() Answer
+}
+
+// Answer is the whole answer of a plain service, or the head of a stream.
 type Answer struct {
 	status      int
 	contentType string
 	body        []byte
+	// header has the headers that are passed on; nil for an answer that the
+	// router understands.
+	header http.Header
+}
+
+// NewOpaqueAnswer returns an answer that is passed on as it came. The header
+// must not be changed afterwards.
+func NewOpaqueAnswer(status int, header http.Header, body []byte) Answer {
+	return Answer{status: status, contentType: header.Get("Content-Type"), body: body, header: header}
+}
+
+// Header returns the headers that are passed on; the caller must not change
+// them. It is nil for an answer that the router understands.
+func (a Answer) Header() http.Header { return a.header }
+
+// AnswerError says that an upstream answered with a failure of its own, which
+// is the answer to the caller unless another attempt is made.
+type AnswerError struct {
+	// Answer is what the upstream answered.
+	Answer Answer
+}
+
+// Error implements error.
+func (e *AnswerError) Error() string {
+	return fmt.Sprintf("upstream answered with status %d", e.Answer.Status())
+}
+
+// Is implements the matching of errors.Is.
+func (*AnswerError) Is(target error) bool {
+	return target == ErrUpstreamAnswered || target == ErrOutcomeUnknown
 }
 
 // NewAnswer returns an answer with the given HTTP status.
@@ -247,3 +308,29 @@
 	// Loaded returns the order that the upstream follows now.
 	Loaded(ctx context.Context, u *Upstream) (Order, error)
 }
+
+// ReplyKind says what the head of a reply to an opaque call means.
+type ReplyKind string
+
+// Values of ReplyKind.
+const (
+	// ReplyKindAnswer is the answer of the upstream to the call.
+	ReplyKindAnswer ReplyKind = "answer"
+	// ReplyKindNotRun says that the upstream did not run the call and never will.
+	ReplyKindNotRun ReplyKind = "not-run"
+	// ReplyKindMisdirected says that another instance has the address, which did
+	// not run the call.
+	ReplyKindMisdirected ReplyKind = "misdirected"
+	// ReplyKindForeign belongs to another call, or is no reply of an upstream.
+	ReplyKindForeign ReplyKind = "foreign"
+)
+
+// OpaqueCodec writes opaque calls for upstreams and reads what they reply. It is
+// safe for concurrent use.
+type OpaqueCodec interface {
+	// Encode adds to h what the upstream must be told beside the headers of the
+	// caller.
+	Encode(h http.Header, u *Upstream, a *Attempt, now time.Time)
+	// Decode says what the head of a reply means.
+	Decode(a *Attempt, status int, h http.Header) ReplyKind
+}
--- /dev/null
+++ b/watcher/watcher.go
@@ -0,0 +1,104 @@
+// Package watcher follows the keys of the store under a prefix: it reads them
+// whole, then watches for changes, and reads them whole again whenever the watch
+// fails or the store has forgotten what came after the last change.
+package watcher
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/kingcuphook/kingcuphook"
+)
+
+// EventKind says what a Watcher tells.
+type EventKind string
+
+// Values of EventKind.
+const (
+	// EventSnapshot has every entry under the prefix.
+	EventSnapshot EventKind = "snapshot"
+	// EventChanges has entries that changed.
+	EventChanges EventKind = "changes"
+	// EventLost says that the store can't be followed at the moment.
+	EventLost EventKind = "lost"
+)
+
+// Event is what a Watcher tells.
+type Event struct {
+	// Kind says what it is.
+	Kind EventKind
+	// Prefix is that of the Watcher.
+	Prefix string
+	// Entries are in the order in which they changed.
+	Entries []kingcuphook.Entry
+	// Revision is the revision of the store up to which the entries are complete.
+	Revision int64
+	// Err is why the store can't be followed; nil but for EventLost.
+	Err error
+}
+
+const (
+	// retryLeast and retryMost bound the wait after a failed call; it doubles with
+	// each one.
+	retryLeast = 150 * time.Millisecond
+	retryMost  = 1200 * time.Millisecond
+)
+
+// Watcher follows one prefix. Its fields are set before Run.
+type Watcher struct {
+	// Store holds the keys; never nil.
+	Store kingcuphook.Snapshotter
+	// Prefix starts the keys.
+	Prefix string
+	// OnEvent takes the events, one at a time; never nil.
+	OnEvent func(Event)
+}
+
+// Run follows the prefix until ctx ends.
+func (w *Watcher) Run(ctx context.Context) {
+	wait := retryLeast
+	for ctx.Err() == nil {
+		followed, err := w.follow(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if errors.Is(err, kingcuphook.ErrCompacted) {
+			continue
+		}
+		w.OnEvent(Event{Kind: EventLost, Prefix: w.Prefix, Err: err})
+		if followed {
+			wait = retryLeast
+		}
+		pause(ctx, wait/2+rand.N(wait/2))
+		wait = min(2*wait, retryMost)
+	}
+}
+
+// follow reads the prefix and then its changes until a call fails. It reports
+// whether the prefix was read at all.
+func (w *Watcher) follow(ctx context.Context) (bool, error) {
+	entries, revision, err := w.Store.Snapshot(ctx, w.Prefix)
+	if err != nil {
+		return false, err
+	}
+	w.OnEvent(Event{Kind: EventSnapshot, Prefix: w.Prefix, Entries: entries, Revision: revision})
+	for {
+		entries, next, err := w.Store.Watch(ctx, w.Prefix, revision)
+		if err != nil {
+			return true, err
+		}
+		revision = next
+		w.OnEvent(Event{Kind: EventChanges, Prefix: w.Prefix, Entries: entries, Revision: revision})
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
