--- a/attacher/attacher.go
+++ b/attacher/attacher.go
@@ -59,8 +59,8 @@
 	sharer     *sharer.Sharer
 	// routers is how many routers there are, this one included.
 	routers atomic.Int64
-	// closing is until when new calls can be finished; nil before a planned stop.
-	closing atomic.Pointer[time.Time]
+	// closing are the times of the planned stop; nil before it.
+	closing atomic.Pointer[closing]
 }
 
 type listeners struct {
@@ -261,9 +261,9 @@
 
 func (a *Attacher) answerMetrics(w http.ResponseWriter, _ *http.Request) { a.meter.Write(w) }
 
-func (a *Attacher) closingAt() time.Time {
-	if at := a.closing.Load(); at != nil {
-		return *at
+func (a *Attacher) closingAt() (streams, end time.Time) {
+	if c := a.closing.Load(); c != nil {
+		return c.streams, c.end
 	}
-	return time.Time{}
+	return time.Time{}, time.Time{}
 }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -202,6 +202,21 @@
 	return b.Delay(n), true
 }
 
+// BudgetViewer is a RetryBudget that can be asked without using it up.
+type BudgetViewer interface {
+	// Left reports whether a retry is left.
+	Left(now time.Time) bool
+}
+
+// canSpend reports whether a retry is left for a request, as far as its budget
+// tells.
+func (d *Dispatcher) canSpend(r *kingcuphook.Request, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	v, ok := d.budget(d.budgetKey(r)).(BudgetViewer)
+	return !ok || v.Left(now)
+}
+
 // budget returns the retry budget of a key; mu is held.
 func (d *Dispatcher) budget(key string) kingcuphook.RetryBudget {
 	b, ok := d.budgets[key]
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -131,6 +131,11 @@
 	return r.d.Limits.Attempts
 }
 
+// mayRepeat reports whether another attempt could follow the running one.
+func (r *run) mayRepeat() bool {
+	return r.attempts < r.maxAttempts() && r.d.canSpend(r.request, time.Now())
+}
+
 // attempt acquires a slot and runs the call on it once.
 func (r *run) attempt(ctx context.Context) (kingcuphook.Outcome, error) {
 	slot, t, err := r.acquire(ctx)
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -18,6 +18,9 @@
 // connection is silent or its slot is taken back.
 type watch struct {
 	cancel context.CancelCauseFunc
+	// mayRepeat reports whether another attempt could follow; it is not used up
+	// by asking. Nil means that it always could.
+	mayRepeat func() bool
 
 	// mu guards what follows.
 	mu       sync.Mutex
@@ -39,6 +42,7 @@
 	if o := r.call.Opaque; o != nil {
 		w.detector.First = cmp.Or(o.FirstByte, w.detector.First)
 		w.detector.Between = cmp.Or(o.Silence, w.detector.Between)
+		w.mayRepeat = r.mayRepeat
 	}
 	now := time.Now()
 	w.detector.Sent(now)
@@ -71,8 +75,11 @@
 	defer w.mu.Unlock()
 	now := time.Now()
 	if w.detector.Silent(now) {
-		w.cancel(errSilent)
-		return
+		if w.mayRepeat == nil || w.mayRepeat() {
+			w.cancel(errSilent)
+			return
+		}
+		w.detector.Resume(now)
 	}
 	if !now.Before(w.detector.Due()) {
 		w.detector.Resume(now)
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -15,34 +16,54 @@
 	"github.com/kingcuphook/kingcuphook"
 )
 
-// Costs that choices are compared by, as times.
+// Costs that choices are compared by. The unit is the worth of an answer in time.
+const (
+	// regionPrice and centrePrice stand for a KiB on the way to another region
+	// and to another data centre.
+	regionPrice = 0.006
+	centrePrice = 0.0015
+	// rereadPrice stands for a token of a shared part that is read though another
+	// upstream has it.
+	rereadPrice = 0.00037
+	// loadCost is what a running request means for those beside it.
+	loadCost = 0.01
+	// serviceCost is the same on plain services.
+	serviceCost = 0.04
+	// failureCost is added after a failure and fades within failureFade.
+	failureCost = 0.6
+	failureFade = 2 * time.Second
+	// disturbCost is what a long prompt on a quiet upstream costs the streams
+	// there, for 1,000 tokens to be read.
+	disturbCost = 0.15
+	// noiseCost is what a stream with a tight pause pays on an upstream that reads
+	// long prompts.
+	noiseCost = 0.25
+)
+
 const (
 	// regionDelay and centreDelay are the round trips to another region and to
 	// another data centre of the region.
 	regionDelay = 60 * time.Millisecond
 	centreDelay = 3 * time.Millisecond
-	// regionPrice and centrePrice stand for what a KiB costs on the way to
-	// another region and to another data centre.
-	regionPrice = 15 * time.Millisecond
-	centrePrice = 4 * time.Millisecond
 	// tokenTime is the time to read a token of a prompt.
 	tokenTime = 18 * time.Microsecond
-	// rereadPrice stands for what it costs the upstreams to read a token of a
-	// shared part that another upstream has.
-	rereadPrice = 60 * time.Microsecond
-	// loadCost is the delay that a request means for those beside it.
-	loadCost = 8 * time.Millisecond
-	// serviceCost is the same on plain services.
-	serviceCost = 15 * time.Millisecond
-	// failureCost is added after a failure and fades within failureFade.
-	failureCost = 600 * time.Millisecond
-	failureFade = 2 * time.Second
+	// slotTime is the delay of a first token by a request that runs already.
+	slotTime = time.Millisecond
 	// answerBytes is the expected size of an answer.
 	answerBytes = 4 << 10
 	// keptFor is how long an upstream is thought to keep what it read.
 	keptFor = 30 * time.Second
 	// maxKept bounds the parts of prompts remembered for an upstream.
 	maxKept = 4096
+	// longPrompt is the number of tokens to be read from which on a prompt is long.
+	longPrompt = 3000
+	// tightPause is the target for pauses below which a stream wants a quiet
+	// upstream.
+	tightPause = 500 * time.Millisecond
+	// quietShare is the part of the upstreams of a region that is kept quiet.
+	quietShare = 0.33
+	// defaultTarget is used for requests without a target.
+	defaultTarget = time.Second
 )
 
 // Reasons why a candidate is refused.
@@ -64,6 +85,8 @@
 type upstream struct {
 	row  *kingcuphook.Upstream
 	seed uint64
+	// quiet says that long prompts are kept away from it.
+	quiet bool
 	// running counts the requests of this router.
 	running int
 	// reading is the number of prompt tokens of this router that are being read.
@@ -101,6 +124,7 @@
 		l.byAddress[row.Address()] = u
 		l.upstreams = append(l.upstreams, u)
 	}
+	l.chooseQuiet()
 }
 
 func newUpstream(row *kingcuphook.Upstream) *upstream {
@@ -154,7 +178,7 @@
 // weight is what the choice of an upstream costs.
 type weight struct {
 	// cost is what choices are compared by, tie decides between equal ones.
-	cost time.Duration
+	cost float64
 	tie  uint64
 	// first is the predicted time to the first token.
 	first time.Duration
@@ -173,17 +197,32 @@
 	if isHome {
 		cached = max(cached, shared)
 	}
-	w.uncached = max(r.PromptTokens()-cached, 0)
-	w.first = l.delay(u.row) + time.Duration(w.uncached+u.reading)*tokenTime
-	w.cost = w.first + l.price(r, u.row) + u.penalty(now)
+	w.uncached = max(r.PromptTokens()+shared-cached, 0)
+	w.first = l.delay(u.row) + time.Duration(w.uncached+u.reading)*tokenTime + time.Duration(u.running)*slotTime
+	late := w.first.Seconds() / cmp.Or(r.Target(), defaultTarget).Seconds()
+	w.cost = late*late + l.price(r, u.row) + u.penalty(now)
 	if u.row.Kind() == kingcuphook.UpstreamKindService {
-		w.cost += time.Duration(u.running) * serviceCost
-	} else {
-		w.cost += time.Duration(u.running)*loadCost + time.Duration(max(shared-cached, 0))*rereadPrice
+		w.cost += float64(u.running) * serviceCost
+		return w
 	}
+	w.cost += float64(u.running) * loadCost
+	w.cost += float64(max(shared-cached, 0)) * rereadPrice
+	w.cost += u.disturbance(r, w.uncached)
 	return w
 }
 
+// disturbance returns what long prompts and streams with tight pauses cost one
+// another.
+func (u *upstream) disturbance(r *kingcuphook.Request, uncached int) float64 {
+	switch {
+	case u.quiet && uncached >= longPrompt:
+		return float64(uncached) / 1000 * disturbCost
+	case !u.quiet && r.Stream() && r.TokenTarget() > 0 && r.TokenTarget() < tightPause:
+		return noiseCost
+	}
+	return 0
+}
+
 // delay returns the round trip to the upstream.
 func (l *Locator) delay(u *kingcuphook.Upstream) time.Duration {
 	switch {
@@ -197,25 +236,25 @@
 }
 
 // price returns what the bytes of the request and its answer count for.
-func (l *Locator) price(r *kingcuphook.Request, u *kingcuphook.Upstream) time.Duration {
-	each := time.Duration(0)
+func (l *Locator) price(r *kingcuphook.Request, u *kingcuphook.Upstream) float64 {
+	each := 0.0
 	switch {
 	case u.Region() != l.Region:
 		each = regionPrice
 	case u.DataCentre() != l.DataCentre:
 		each = centrePrice
 	}
-	return each * time.Duration(r.Bytes()+answerBytes) / 1024
+	return each * float64(r.Bytes()+answerBytes) / 1024
 }
 
 // penalty returns what a failure of late counts for.
-func (u *upstream) penalty(now time.Time) time.Duration {
+func (u *upstream) penalty(now time.Time) float64 {
 	age := now.Sub(u.failed)
 	if u.failures == 0 || age >= failureFade {
 		return 0
 	}
 	left := 1 - age.Seconds()/failureFade.Seconds()
-	return time.Duration(left * float64(failureCost) * float64(min(u.failures, 4)))
+	return left * failureCost * float64(min(u.failures, 4))
 }
 
 // cached returns how many tokens of the prompt the upstream is thought to keep.
@@ -241,18 +280,19 @@
 	return 0
 }
 
-// home returns the upstream of the region that keeps the shared part of the
-// prompt, or nil.
+// home returns the upstream that keeps the shared part of the prompt, or nil.
+// Long prompts live apart from the quiet upstreams.
 func (l *Locator) home(r *kingcuphook.Request) *upstream {
 	i := sharedPart(r)
 	if i < 0 {
 		return nil
 	}
 	key := r.Prefix()[i]
+	long := r.PromptTokens() >= longPrompt || sharedTokens(r) >= longPrompt
 	var home *upstream
 	highest := uint64(0)
 	for _, u := range l.upstreams {
-		if u.row.Leaving() || u.row.Region() != l.Region {
+		if u.row.Leaving() || u.quiet == long {
 			continue
 		}
 		if score := mix(key ^ u.seed); home == nil || score > highest {
@@ -262,6 +302,25 @@
 	return home
 }
 
+// chooseQuiet decides which upstreams are kept free of long prompts: in each
+// region those of the lowest seeds, so that all routers agree.
+func (l *Locator) chooseQuiet() {
+	regions := make(map[string][]*upstream)
+	for _, u := range l.upstreams {
+		u.quiet = false
+		if !u.row.Leaving() && u.row.Kind() == kingcuphook.UpstreamKindEngine {
+			regions[u.row.Region()] = append(regions[u.row.Region()], u)
+		}
+	}
+	for _, list := range regions {
+		slices.SortFunc(list, func(a, b *upstream) int { return cmp.Compare(a.seed, b.seed) })
+		n := int(math.Round(float64(len(list)) * quietShare))
+		for _, u := range list[:n] {
+			u.quiet = true
+		}
+	}
+}
+
 // mix spreads the bits of x.
 func mix(x uint64) uint64 {
 	x ^= x >> 33
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -56,9 +56,9 @@
 	Codec kingcuphook.CallCodec
 	// Directory returns what is in force.
 	Directory func() Directory
-	// Closing says until when new calls can be finished in a planned stop; the
-	// zero time means that none has begun. Nil means never.
-	Closing func() time.Time
+	// Closing says when a planned stop begins to turn streams away, and when it
+	// ends; zero times mean that none has begun. Nil means never.
+	Closing func() (streams, end time.Time)
 	// Observer sees every call; nil means nobody.
 	Observer Observer
 	// Log takes events; nil means none.
@@ -119,7 +119,14 @@
 	s.answer(w, r, c)
 }
 
-func (s *Receiver) closes() bool { return s.Closing != nil && !s.Closing().IsZero() }
+// closes reports whether a planned stop has begun.
+func (s *Receiver) closes() bool {
+	if s.Closing == nil {
+		return false
+	}
+	_, end := s.Closing()
+	return !end.IsZero()
+}
 
 // accepted is a call that matched a route.
 type accepted struct {
@@ -162,19 +169,15 @@
 // finishes reports whether a call of the route that begins now can be expected
 // to end before the process does.
 func (s *Receiver) finishes(route *kingcuphook.Route) bool {
-	left := time.Until(s.Closing())
+	streams, end := s.Closing()
 	if route.Stream() {
-		return left > streamTime
+		return time.Now().Before(streams)
 	}
-	return left > callTime
+	return time.Until(end) > max(route.Timeout(), callTime)
 }
 
-const (
-	// streamTime and callTime are how long a stream and another call usually take
-	// at most.
-	streamTime = 2500 * time.Millisecond
-	callTime   = 500 * time.Millisecond
-)
+// callTime is how long a call of a route without a bound takes at most.
+const callTime = time.Second
 
 // allowed returns how long a call may take.
 func allowed(l kingcuphook.CallLabels, route *kingcuphook.Route) time.Duration {
--- a/retrier/window.go
+++ b/retrier/window.go
@@ -49,12 +49,17 @@
 // Succeeded implements kingcuphook.RetryBudget. Requests count when they begin.
 func (*Window) Succeeded(time.Time) {}
 
-// Spend implements kingcuphook.RetryBudget.
-func (w *Window) Spend(now time.Time) bool {
+// Left reports whether a repetition is left.
+func (w *Window) Left(now time.Time) bool {
 	w.advance(now)
 	routers := float64(max(w.Routers.Load(), fewestRouters))
 	allowed := windowSafety * (w.Ratio*float64(sum(w.requests)) + w.Slack/routers)
-	if float64(sum(w.repeats)+1) > allowed {
+	return float64(sum(w.repeats)+1) <= allowed
+}
+
+// Spend implements kingcuphook.RetryBudget.
+func (w *Window) Spend(now time.Time) bool {
+	if !w.Left(now) {
 		return false
 	}
 	w.repeats[w.at]++
