--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -89,6 +89,17 @@
 	}
 }
 
+// ReportAll takes load reports at once.
+func (a *Allocator) ReportAll(reports []kingcuphook.LoadReport) {
+	for _, p := range a.list() {
+		p.event(func(now time.Time) {
+			for _, l := range reports {
+				p.scheduler.Report(now, l)
+			}
+		})
+	}
+}
+
 // Cached takes a cache event.
 func (a *Allocator) Cached(e kingcuphook.CacheEvent) {
 	for _, p := range a.list() {
--- a/attacher/attacher.go
+++ b/attacher/attacher.go
@@ -35,6 +35,7 @@
 	"github.com/kingcuphook/kingcuphook/retrier"
 	"github.com/kingcuphook/kingcuphook/scheduler"
 	"github.com/kingcuphook/kingcuphook/sharer"
+	"github.com/kingcuphook/kingcuphook/tallier"
 	"github.com/kingcuphook/kingcuphook/watcher"
 )
 
@@ -48,6 +49,8 @@
 	Dropped func() int64
 
 	listeners  listeners
+	loads      *net.UDPConn
+	tally      *tallier.Tally
 	store      *platform.Store
 	control    *control
 	allocator  *allocator.Allocator
@@ -84,6 +87,8 @@
 	g.Go(func() error { a.control.run(parts); return nil })
 	g.Go(func() error { a.follow(parts); return nil })
 	g.Go(func() error { a.enrol(parts); return nil })
+	g.Go(func() error { a.tellLoads(parts); return nil })
+	g.Go(a.hearLoads)
 	g.Go(func() error { return a.receiver.Run(a.listeners.callers) })
 	for _, served := range []struct {
 		listener net.Listener
@@ -144,6 +149,14 @@
 		}
 		*l.listener = opened
 	}
+	address, err := net.ResolveUDPAddr("udp", s.PeerAddress())
+	if err == nil {
+		a.loads, err = net.ListenUDP("udp", address)
+	}
+	if err != nil {
+		a.Log.Log(logger.ListenFailed, "listen", "loads", "address", s.PeerAddress(), "error", err)
+		return fmt.Errorf("attacher: listen for loads: %w", err)
+	}
 	return nil
 }
 
@@ -154,13 +167,14 @@
 	a.store.Connect()
 	a.meter = meter.New()
 	a.allocator = &allocator.Allocator{NewScheduler: a.newScheduler}
+	a.tally = &tallier.Tally{Next: a.allocator}
 	a.forwarder = &forwarder.Forwarder{Codec: platform.Calls{}}
 	a.control = newControl(a)
 	a.quarantine = &quarantiner.Quarantiner{}
 	a.sharer = &sharer.Sharer{Store: a.store, Quarantiner: a.quarantine, Owner: s.Name()}
 	watch := &observer.Observer{Recorder: &recorder.Recorder{}, Meter: a.meter}
 	a.dispatcher = &dispatcher.Dispatcher{
-		Allocator:   &narrator.Allocator{Next: &observer.Allocator{Next: a.allocator, Observer: watch}, Log: a.Log},
+		Allocator:   &narrator.Allocator{Next: &observer.Allocator{Next: a.tally, Observer: watch}, Log: a.Log},
 		Engine:      &narrator.Engine{Next: &observer.Engine{Next: a.forwarder, Observer: watch}, Log: a.Log},
 		Quarantiner: a.quarantine,
 		Share:       a.share,
--- a/attacher/control.go
+++ b/attacher/control.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -42,6 +44,8 @@
 	published *kingcuphook.Tables
 	// view is what others may read; it is replaced, never changed.
 	view atomic.Pointer[receiver.Directory]
+	// addresses are those of peers, for others to read.
+	addresses atomic.Pointer[[]string]
 }
 
 func newControl(a *Attacher) *control {
@@ -59,9 +63,19 @@
 		c.peers[address] = true
 	}
 	c.view.Store(&receiver.Directory{})
+	c.publishPeers()
 	return c
 }
 
+// peerAddresses returns a copy of the addresses of the other routers.
+func (c *control) peerAddresses() []string { return slices.Clone(*c.addresses.Load()) }
+
+func (c *control) publishPeers() {
+	addresses := slices.Sorted(maps.Keys(c.peers))
+	c.addresses.Store(&addresses)
+	c.a.routers.Store(int64(len(addresses) + 1))
+}
+
 // directory returns what is in force.
 func (c *control) directory() receiver.Directory { return *c.view.Load() }
 
@@ -157,7 +171,7 @@
 		c.peers[address] = true
 		c.a.Log.Log(logger.PeerJoined, "peer", address)
 	}
-	c.a.routers.Store(int64(len(c.peers) + 1))
+	c.publishPeers()
 }
 
 // ask asks a peer for news of the store, if the store can't be followed.
--- a/bounder/bounder.go
+++ b/bounder/bounder.go
@@ -1,6 +1,7 @@
-// Package bounder bounds the requests that one router has on each upstream by
-// the slots that the upstream registered. It answers pools whose upstreams queue
-// a little by themselves: what several routers send at once waits there.
+// Package bounder bounds the requests on each upstream by the slots that the
+// upstream registered, as far as routers know of one another. It answers pools
+// whose upstreams queue a little by themselves: what routers send at the same
+// moment waits there.
 package bounder
 
 import (
@@ -23,6 +24,8 @@
 	slots int
 	// running counts the requests of this router.
 	running int
+	// others counts those of the other routers, as last heard.
+	others int
 }
 
 var _ kingcuphook.Limiter = (*Bounder)(nil)
@@ -49,7 +52,7 @@
 	if slots == 0 {
 		slots = defaultSlots
 	}
-	return max(0, slots-u.running)
+	return max(0, slots-u.running-u.others)
 }
 
 // Started implements kingcuphook.Limiter.
@@ -62,8 +65,11 @@
 	b.upstream(address).running--
 }
 
-// Report implements kingcuphook.Limiter.
-func (*Bounder) Report(time.Time, kingcuphook.LoadReport) {}
+// Report implements kingcuphook.Limiter. The report tells what the other routers
+// have on the upstream.
+func (b *Bounder) Report(_ time.Time, r kingcuphook.LoadReport) {
+	b.upstream(r.Upstream()).others = r.Running()
+}
 
 func (b *Bounder) upstream(address string) *upstream {
 	if u := b.upstreams[address]; u != nil {
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -25,8 +25,10 @@
 	// rereadPrice stands for a token of a shared part that is read though another
 	// upstream has it.
 	rereadPrice = 0.00037
-	// loadCost is what a running request means for those beside it.
-	loadCost = 0.01
+	// crowdCost is what a full upstream means for those that run there, fullCost
+	// what it adds that one more must wait.
+	crowdCost = 0.3
+	fullCost  = 1.0
 	// serviceCost is the same on plain services.
 	serviceCost = 0.04
 	// failureCost is added after a failure and fades within failureFade.
@@ -36,8 +38,9 @@
 	// there, for 1,000 tokens to be read.
 	disturbCost = 0.15
 	// noiseCost is what a stream with a tight pause pays on an upstream that reads
-	// long prompts.
-	noiseCost = 0.25
+	// long prompts, and backlogCost what it pays for 1,000 tokens that wait there.
+	noiseCost   = 0.15
+	backlogCost = 0.02
 )
 
 const (
@@ -91,6 +94,8 @@
 	running int
 	// reading is the number of prompt tokens of this router that are being read.
 	reading int
+	// others and othersReading are the same of the other routers, as last heard.
+	others, othersReading int
 	// flights has the running requests by identifier.
 	flights map[string]flight
 	// kept has when each part of a prompt was last used there, by hash.
@@ -198,14 +203,14 @@
 		cached = max(cached, shared)
 	}
 	w.uncached = max(r.PromptTokens()+shared-cached, 0)
-	w.first = l.delay(u.row) + time.Duration(w.uncached+u.reading)*tokenTime + time.Duration(u.running)*slotTime
+	w.first = l.delay(u.row) + time.Duration(w.uncached+u.backlog())*tokenTime + time.Duration(u.load())*slotTime
 	late := w.first.Seconds() / cmp.Or(r.Target(), defaultTarget).Seconds()
 	w.cost = late*late + l.price(r, u.row) + u.penalty(now)
 	if u.row.Kind() == kingcuphook.UpstreamKindService {
-		w.cost += float64(u.running) * serviceCost
+		w.cost += float64(u.load()) * serviceCost
 		return w
 	}
-	w.cost += float64(u.running) * loadCost
+	w.cost += u.crowding()
 	w.cost += float64(max(shared-cached, 0)) * rereadPrice
 	w.cost += u.disturbance(r, w.uncached)
 	return w
@@ -218,11 +223,21 @@
 	case u.quiet && uncached >= longPrompt:
 		return float64(uncached) / 1000 * disturbCost
 	case !u.quiet && r.Stream() && r.TokenTarget() > 0 && r.TokenTarget() < tightPause:
-		return noiseCost
+		return noiseCost + float64(u.backlog())/1000*backlogCost
 	}
 	return 0
 }
 
+// crowding returns what the requests that run on the upstream mean for one more.
+func (u *upstream) crowding() float64 {
+	full := float64(u.load()) / float64(max(u.row.Slots(), 1))
+	cost := crowdCost * full * full
+	if full >= 1 {
+		cost += fullCost
+	}
+	return cost
+}
+
 // delay returns the round trip to the upstream.
 func (l *Locator) delay(u *kingcuphook.Upstream) time.Duration {
 	switch {
@@ -422,8 +437,20 @@
 	}
 }
 
-// Report implements kingcuphook.Selector.
-func (*Locator) Report(time.Time, kingcuphook.LoadReport) {}
+// Report implements kingcuphook.Selector. The report tells what the other routers
+// have on the upstream.
+func (l *Locator) Report(_ time.Time, r kingcuphook.LoadReport) {
+	if u := l.byAddress[r.Upstream()]; u != nil {
+		u.others = r.Running()
+		u.othersReading = r.QueuedTokens()
+	}
+}
+
+// load returns the requests of all routers on the upstream.
+func (u *upstream) load() int { return u.running + u.others }
+
+// backlog returns the prompt tokens that are being read for all routers.
+func (u *upstream) backlog() int { return u.reading + u.othersReading }
 
 // Cached implements kingcuphook.Selector.
 func (*Locator) Cached(time.Time, kingcuphook.CacheEvent) {}
