--- a/attacher/attacher.go
+++ b/attacher/attacher.go
@@ -199,10 +199,14 @@
 		Admitter: &admitter.Admitter{},
 		Limiter:  &bounder.Bounder{},
 		Selector: &locator.Locator{Region: a.Settings.Region(), DataCentre: a.Settings.DataCentre()},
-		Ejector:  &ejector.Ejector{},
+		Ejector:  &ejector.Ejector{Keep: failureKeep},
 	}
 }
 
+// failureKeep is the weight of what an ejector knows at each new sample: some
+// calls fail at every upstream.
+const failureKeep = 0.9
+
 func (a *Attacher) newBudget(string) kingcuphook.RetryBudget {
 	s := a.Settings
 	return &retrier.Window{Length: s.RetryWindow(), Ratio: s.RetryRatio(), Slack: s.RetrySlack(), Routers: &a.routers}
--- a/decision.go
+++ b/decision.go
@@ -57,6 +57,9 @@
 	UncachedTokens int
 	// Failed says that the upstream broke the attempt off.
 	Failed bool
+	// Answered says, of a failed attempt, that the upstream answered with an error
+	// of its own.
+	Answered bool
 	// Cancelled says that the router or the caller broke the attempt off.
 	Cancelled bool
 }
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -141,7 +141,7 @@
 	}
 	sample := kingcuphook.Sample{FirstToken: time.Since(began), Tokens: 1}
 	if r.call.Opaque != nil && answer.Status() >= http.StatusInternalServerError {
-		sample.Failed = true
+		sample.Failed, sample.Answered = true, true
 		return kingcuphook.Outcome{}, sample, &kingcuphook.AnswerError{Answer: answer}
 	}
 	return kingcuphook.Outcome{Answer: answer}, sample, nil
@@ -176,6 +176,7 @@
 	cause := context.Cause(ctx)
 	s.Failed = (cause == nil || errors.Is(cause, errSilent)) && !errors.Is(err, kingcuphook.ErrRejected)
 	s.Cancelled = !s.Failed
+	s.Answered = s.Failed && errors.Is(err, kingcuphook.ErrUpstreamAnswered)
 	return s
 }
 
--- a/ejector/ejector.go
+++ b/ejector/ejector.go
@@ -3,6 +3,7 @@
 package ejector
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -24,8 +25,8 @@
 	// it is also failureFactor times the pool's median.
 	failureShare  = 0.3
 	failureFactor = 2
-	// keep is the weight of the earlier value at each new sample.
-	keep = 0.8
+	// defaultKeep is the weight of the earlier value at each new sample.
+	defaultKeep = 0.8
 	// maxDoublings bounds how often the time between two probes is doubled.
 	maxDoublings = 5
 	// silence is how long without a sample until the figures count no more.
@@ -49,6 +50,10 @@
 	ProbeEvery time.Duration
 	// Step is how long an upstream keeps a weight at least; 0 means the default.
 	Step time.Duration
+	// Keep is the weight of the earlier value at each new sample; 0 means the
+	// default. Upstreams that answer some calls with errors as a matter of course
+	// need more than that.
+	Keep float64
 
 	upstreams map[string]*upstream
 	// gaps and failures are used again by every judgement.
@@ -98,17 +103,19 @@
 	if u == nil || s.Cancelled && s.Tokens == 0 {
 		return
 	}
-	u.learn(now, s)
+	u.learn(now, s, cmp.Or(e.Keep, defaultKeep))
 	e.judge(now, u)
 }
 
-func (u *upstream) learn(now time.Time, s kingcuphook.Sample) {
+func (u *upstream) learn(now time.Time, s kingcuphook.Sample, keep float64) {
 	u.last = now
 	u.samples++
 	failed := 0.0
 	if s.Failed {
 		failed = 1
-		u.streak++
+		if !s.Answered {
+			u.streak++
+		}
 	} else {
 		u.streak = 0
 		u.probes = 0
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -25,9 +25,11 @@
 	// rereadPrice stands for a token of a shared part that is read though another
 	// upstream has it.
 	rereadPrice = 0.00037
-	// crowdCost is what a full upstream means for those that run there, fullCost
-	// what it adds that one more must wait.
-	crowdCost = 0.3
+	// crowdCost is what a full upstream means for those that run there, longCost
+	// the same beside long prompts, whose reading slows all streams down. fullCost
+	// is added where one more must wait.
+	crowdCost = 0.4
+	longCost  = 2.0
 	fullCost  = 1.0
 	// serviceCost is the same on plain services.
 	serviceCost = 0.04
@@ -63,6 +65,8 @@
 	// tightPause is the target for pauses below which a stream wants a quiet
 	// upstream.
 	tightPause = 500 * time.Millisecond
+	// secondShare is how much of a shared part its second home is thought to have.
+	secondShare = 0.5
 	// quietShare is the part of the upstreams of a region that is kept quiet.
 	quietShare = 0.33
 	// defaultTarget is used for requests without a target.
@@ -149,7 +153,7 @@
 // SelectUsable is Select among the upstreams that usable reports. The error wraps
 // ErrNoUpstream if no upstream can take the request at all.
 func (l *Locator) SelectUsable(now time.Time, r *kingcuphook.Request, excluded []string, usable func(address string) bool) (kingcuphook.Choice, error) {
-	home := l.home(r)
+	homes := l.homesOf(r)
 	var best *upstream
 	var least weight
 	possible := false
@@ -162,7 +166,7 @@
 		if !usable(address) {
 			continue
 		}
-		if w := l.weigh(now, r, u, u == home); best == nil || w.less(least) {
+		if w := l.weigh(now, r, u, homes.has(u)); best == nil || w.less(least) {
 			best, least = u, w
 		}
 	}
@@ -195,14 +199,12 @@
 	return cmp.Or(cmp.Compare(w.cost, v.cost), cmp.Compare(w.tie, v.tie)) < 0
 }
 
-func (l *Locator) weigh(now time.Time, r *kingcuphook.Request, u *upstream, isHome bool) weight {
+func (l *Locator) weigh(now time.Time, r *kingcuphook.Request, u *upstream, has float64) weight {
 	w := weight{tie: mix(u.seed ^ r.Fingerprint() ^ xxhash.Sum64String(r.ID()))}
 	shared := sharedTokens(r)
 	cached := u.cached(now, r)
-	if isHome {
-		cached = max(cached, shared)
-	}
-	w.uncached = max(r.PromptTokens()+shared-cached, 0)
+	cached = max(cached, int(has*float64(shared)))
+	w.uncached = max(r.PromptTokens()-cached, 0)
 	w.first = l.delay(u.row) + time.Duration(w.uncached+u.backlog())*tokenTime + time.Duration(u.load())*slotTime
 	late := w.first.Seconds() / cmp.Or(r.Target(), defaultTarget).Seconds()
 	w.cost = late*late + l.price(r, u.row) + u.penalty(now)
@@ -210,7 +212,7 @@
 		w.cost += float64(u.load()) * serviceCost
 		return w
 	}
-	w.cost += u.crowding()
+	w.cost += u.crowding(r)
 	w.cost += float64(max(shared-cached, 0)) * rereadPrice
 	w.cost += u.disturbance(r, w.uncached)
 	return w
@@ -229,9 +231,12 @@
 }
 
 // crowding returns what the requests that run on the upstream mean for one more.
-func (u *upstream) crowding() float64 {
+func (u *upstream) crowding(r *kingcuphook.Request) float64 {
 	full := float64(u.load()) / float64(max(u.row.Slots(), 1))
 	cost := crowdCost * full * full
+	if isLong(r) {
+		cost = longCost * full * full
+	}
 	if full >= 1 {
 		cost += fullCost
 	}
@@ -295,26 +300,52 @@
 	return 0
 }
 
-// home returns the upstream that keeps the shared part of the prompt, or nil.
-// Long prompts live apart from the quiet upstreams.
-func (l *Locator) home(r *kingcuphook.Request) *upstream {
+// homes are the upstreams that keep the shared part of a prompt: the first is
+// thought to have it, the second to have it when the first is crowded.
+type homes struct{ first, second *upstream }
+
+// has returns how much of the shared part the upstream is thought to have.
+func (h homes) has(u *upstream) float64 {
+	switch u {
+	case h.first:
+		return 1
+	case h.second:
+		return secondShare
+	default:
+		return 0
+	}
+}
+
+// homesOf returns the homes of the shared part of the prompt. Long prompts live
+// apart from the quiet upstreams.
+func (l *Locator) homesOf(r *kingcuphook.Request) homes {
+	var h homes
 	i := sharedPart(r)
 	if i < 0 {
-		return nil
+		return h
 	}
 	key := r.Prefix()[i]
-	long := r.PromptTokens() >= longPrompt || sharedTokens(r) >= longPrompt
-	var home *upstream
-	highest := uint64(0)
+	long := isLong(r)
+	first, second := uint64(0), uint64(0)
 	for _, u := range l.upstreams {
 		if u.row.Leaving() || u.quiet == long {
 			continue
 		}
-		if score := mix(key ^ u.seed); home == nil || score > highest {
-			home, highest = u, score
+		score := mix(key ^ u.seed)
+		switch {
+		case h.first == nil || score > first:
+			h.second, second = h.first, first
+			h.first, first = u, score
+		case h.second == nil || score > second:
+			h.second, second = u, score
 		}
 	}
-	return home
+	return h
+}
+
+// isLong reports whether a prompt is one that quiet upstreams are kept from.
+func isLong(r *kingcuphook.Request) bool {
+	return r.PromptTokens() >= longPrompt || sharedTokens(r) >= longPrompt
 }
 
 // chooseQuiet decides which upstreams are kept free of long prompts: in each
@@ -347,9 +378,9 @@
 
 // Explain implements kingcuphook.Selector.
 func (l *Locator) Explain(now time.Time, r *kingcuphook.Request, dst []kingcuphook.Candidate) []kingcuphook.Candidate {
-	home := l.home(r)
+	homes := l.homesOf(r)
 	for _, u := range l.upstreams {
-		w := l.weigh(now, r, u, u == home)
+		w := l.weigh(now, r, u, homes.has(u))
 		c := kingcuphook.Candidate{
 			Upstream:     u.row.Address(),
 			Predicted:    w.first,
@@ -429,6 +460,8 @@
 	delete(u.flights, r.ID())
 	u.running--
 	switch {
+	case s.Failed && s.Answered:
+		// It is well enough to answer.
 	case s.Failed:
 		u.failed = now
 		u.failures++
