--- a/locator/locator.go
+++ b/locator/locator.go
@@ -29,7 +29,7 @@
 	// the same beside long prompts, whose reading slows all streams down. fullCost
 	// is added where one more must wait.
 	crowdCost = 0.4
-	longCost  = 2.0
+	longCost  = 8.0
 	fullCost  = 1.0
 	// serviceCost is the same on plain services.
 	serviceCost = 0.04
