--- a/dispatcher/fault.go
+++ b/dispatcher/fault.go
@@ -42,6 +42,7 @@
 	{kingcuphook.ErrRateLimited, "rate-limited"},
 	{kingcuphook.ErrNoUpstream, "no-upstream"},
 	{kingcuphook.ErrUnavailable, "upstream-unavailable"},
+	{kingcuphook.ErrUpstreamAnswered, "upstream-answered"},
 	{kingcuphook.ErrOutcomeUnknown, "outcome-unknown"},
 }
 
--- a/emulator/storer/storer.go
+++ b/emulator/storer/storer.go
@@ -192,6 +192,16 @@
 	return entries, nil
 }
 
+// ListAt implements kingcuphook.RevisionLister.
+func (s *Store) ListAt(ctx context.Context, prefix string) ([]kingcuphook.Entry, int64, error) {
+	s.mu.Lock()
+	revision := s.revision
+	s.mu.Unlock()
+	// Changes made meanwhile are in the list and told again by a watch.
+	entries, err := s.List(ctx, prefix)
+	return entries, revision, err
+}
+
 // Put implements kingcuphook.Store.
 func (s *Store) Put(ctx context.Context, key string, value []byte, expect int64, id kingcuphook.LeaseID) (int64, error) {
 	var revision int64
--- /dev/null
+++ b/receiver/receiver_test.go
@@ -0,0 +1,258 @@
+package receiver
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/kingcuphook/kingcuphook"
+)
+
+// dispatch answers calls as its function says.
+type dispatch func(ctx context.Context, c *kingcuphook.Call, w kingcuphook.FrameWriter) (kingcuphook.Outcome, error)
+
+func (f dispatch) Dispatch(ctx context.Context, c *kingcuphook.Call, w kingcuphook.FrameWriter) (kingcuphook.Outcome, error) {
+	return f(ctx, c, w)
+}
+
+// codec reads the headers of the tests.
+type codec struct{}
+
+func (codec) Labels(h http.Header) kingcuphook.CallLabels {
+	d, err := time.ParseDuration(h.Get("X-Deadline"))
+	if err != nil {
+		d = 0
+	}
+	return kingcuphook.CallLabels{ID: h.Get("X-Id"), Key: h.Get("X-Key"), Deadline: d}
+}
+
+func (codec) Forwarded(h http.Header) http.Header {
+	kept := h.Clone()
+	kept.Del("X-Key")
+	return kept
+}
+
+func tables() *kingcuphook.Tables {
+	route := func(f kingcuphook.RouteFields) *kingcuphook.Route {
+		f.Host, f.Pool, f.MaxAttempts = "a.example", "pool", 2
+		return kingcuphook.NewRoute(f)
+	}
+	return kingcuphook.NewTables(1, []*kingcuphook.Route{
+		route(kingcuphook.RouteFields{Name: "plain", Path: "/plain/", Timeout: 2 * time.Second}),
+		route(kingcuphook.RouteFields{Name: "stream", Path: "/stream/", Stream: true, NonIdempotent: true, Tier: 3}),
+		route(kingcuphook.RouteFields{Name: "open", Path: "/open/", Public: true}),
+	}, nil).WithOrganisations(map[string]kingcuphook.Organisation{"secret": {Name: "org", Tier: 2}})
+}
+
+// rig is a receiver under test.
+type rig struct {
+	*is.I
+	Receiver
+	url string
+}
+
+func newRig(t *testing.T, d dispatch) *rig {
+	t.Helper()
+	r := &rig{I: is.New(t)}
+	r.Dispatcher = d
+	r.Codec = codec{}
+	current := tables()
+	r.Directory = func() Directory { return Directory{Tables: current, MaxBodyBytes: 100} }
+	server := httptest.NewServer(&r.Receiver)
+	t.Cleanup(server.Close)
+	r.url = server.URL
+	return r
+}
+
+func (r *rig) call(method, path string, body string, header ...string) (*http.Response, string, error) {
+	q, err := http.NewRequest(method, r.url+path, strings.NewReader(body))
+	r.NoErr(err)
+	q.Host = "a.example"
+	q.Header.Set("X-Key", "secret")
+	q.Header.Set("X-Id", "id-1")
+	for i := 0; i < len(header); i += 2 {
+		q.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultTransport.RoundTrip(q)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return resp, string(text), err
+}
+
+func answered(status int, body string) dispatch {
+	return func(context.Context, *kingcuphook.Call, kingcuphook.FrameWriter) (kingcuphook.Outcome, error) {
+		h := http.Header{"X-Stamp": {"s"}}
+		return kingcuphook.Outcome{Answer: kingcuphook.NewOpaqueAnswer(status, h, []byte(body))}, nil
+	}
+}
+
+func TestPassesCallsAndAnswersOn(t *testing.T) {
+	var got *kingcuphook.Call
+	r := newRig(t, func(ctx context.Context, c *kingcuphook.Call, w kingcuphook.FrameWriter) (kingcuphook.Outcome, error) {
+		got = c
+		return answered(http.StatusCreated, "whole")(ctx, c, w)
+	})
+	resp, text, err := r.call("POST", "/plain/../x?q=%2F", "body", "Connection", "X-Hop", "X-Hop", "1", "X-Kept", "1", "X-Deadline", "1s")
+	r.NoErr(err)
+	r.Equal(resp.StatusCode, http.StatusCreated)
+	r.Equal(resp.Header.Get("X-Stamp"), "s")
+	r.Equal(resp.Header.Values("Content-Type"), nil) // none was given, none is guessed
+	r.Equal(text, "whole")
+	r.Equal(got.Path, "/plain/../x?q=%2F")
+	r.Equal(string(got.Body), "body")
+	r.Equal(got.Opaque.Header.Get("X-Kept"), "1")
+	r.Equal(got.Opaque.Header.Get("X-Hop"), "")
+	r.Equal(got.Opaque.Header.Get("X-Key"), "")
+	r.Equal(got.Request.ID(), "id-1")
+	r.Equal(got.Request.Organisation(), "org")
+	r.Equal(got.Request.Tier(), kingcuphook.Tier(2)) // that of the organisation
+	r.True(!got.Request.NonIdempotent())
+	left := got.Request.Deadline().Sub(got.Request.Arrived())
+	r.Equal(left, time.Second) // the caller's, which is shorter than the route's
+}
+
+func TestRefusals(t *testing.T) {
+	for name, test := range map[string]struct {
+		path, key, body string
+		want            int
+	}{
+		"no route":        {"/other/", "secret", "", http.StatusNotFound},
+		"unknown key":     {"/plain/", "wrong", "", http.StatusUnauthorized},
+		"no key":          {"/plain/", "", "", http.StatusUnauthorized},
+		"public":          {"/open/", "", "", http.StatusOK},
+		"public with key": {"/open/", "wrong", "", http.StatusOK},
+		"large body":      {"/plain/", "secret", strings.Repeat("x", 101), http.StatusRequestEntityTooLarge},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, answered(http.StatusOK, ""))
+			resp, _, err := r.call("POST", test.path, test.body, "X-Key", test.key)
+			r.NoErr(err)
+			r.Equal(resp.StatusCode, test.want)
+		})
+	}
+}
+
+func TestKnowsNothingYet(t *testing.T) {
+	r := newRig(t, answered(http.StatusOK, ""))
+	r.Receiver.Directory = func() Directory { return Directory{} }
+	resp, _, err := r.call("POST", "/other/", "", "X-Key", "wrong")
+	r.NoErr(err)
+	r.Equal(resp.StatusCode, http.StatusServiceUnavailable) // and neither 401 nor 404
+	r.True(resp.Header.Get("Retry-After") != "")
+}
+
+func TestFailures(t *testing.T) {
+	own := func(code string, ran kingcuphook.RunState, err error, wait time.Duration) error {
+		return &kingcuphook.RequestError{Code: code, Ran: ran, Err: err, RetryAfter: wait}
+	}
+	upstream := func(status int) error {
+		a := kingcuphook.NewOpaqueAnswer(status, http.Header{"X-Stamp": {"s"}}, []byte("why"))
+		return own("upstream-answered", kingcuphook.RunStateUnknown, &kingcuphook.AnswerError{Answer: a}, 0)
+	}
+	for name, test := range map[string]struct {
+		err    error
+		status int
+		after  string
+		stamp  string
+	}{
+		"not run":             {own("overloaded", kingcuphook.RunStateNotRun, kingcuphook.ErrOverloaded, 1500*time.Millisecond), 503, "1.500", ""},
+		"not run, no time":    {own("no-upstream", kingcuphook.RunStateNotRun, kingcuphook.ErrNoUpstream, 0), 503, "0.300", ""},
+		"may have run":        {own("outcome-unknown", kingcuphook.RunStateUnknown, kingcuphook.ErrOutcomeUnknown, 0), 502, "", ""},
+		"deadline":            {own("deadline", kingcuphook.RunStateUnknown, context.DeadlineExceeded, 0), 504, "", ""},
+		"answer of upstream":  {upstream(500), 500, "", "s"},
+		"rejected":            {upstream(400), 400, "", "s"},
+		"promise of upstream": {upstream(503), 502, "", ""}, // it ran, or may have
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, func(context.Context, *kingcuphook.Call, kingcuphook.FrameWriter) (kingcuphook.Outcome, error) {
+				return kingcuphook.Outcome{}, test.err
+			})
+			resp, _, err := r.call("POST", "/plain/", "")
+			r.NoErr(err)
+			r.Equal(resp.StatusCode, test.status)
+			r.Equal(resp.Header.Get("Retry-After"), test.after)
+			r.Equal(resp.Header.Get("X-Stamp"), test.stamp)
+		})
+	}
+}
+
+func TestStreams(t *testing.T) {
+	pieces := []string{"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"}
+	for _, fails := range []bool{false, true} {
+		r := newRig(t, func(_ context.Context, _ *kingcuphook.Call, w kingcuphook.FrameWriter) (kingcuphook.Outcome, error) {
+			head := kingcuphook.NewOpaqueAnswer(http.StatusOK, http.Header{"X-Stamp": {"s"}, "Content-Type": {"text/event-stream"}}, nil)
+			if err := w.(kingcuphook.HeadWriter).WriteHead(head); err != nil {
+				return kingcuphook.Outcome{}, err
+			}
+			for _, p := range pieces {
+				if err := w.WriteData(p); err != nil {
+					return kingcuphook.Outcome{}, err
+				}
+			}
+			if fails {
+				return kingcuphook.Outcome{}, &kingcuphook.RequestError{Code: "broken-stream", Ran: kingcuphook.RunStateUnknown, Err: kingcuphook.ErrBrokenStream}
+			}
+			return kingcuphook.Outcome{Tokens: 2}, nil
+		})
+		resp, text, err := r.call("POST", "/stream/x", "")
+		r.Equal(err != nil, fails) // a broken stream never looks whole
+		r.Equal(resp.Header.Get("X-Stamp"), "s")
+		r.Equal(text, strings.Join(pieces, ""))
+	}
+}
+
+func TestCallerThatLeaves(t *testing.T) {
+	left := make(chan struct{})
+	r := newRig(t, func(ctx context.Context, _ *kingcuphook.Call, _ kingcuphook.FrameWriter) (kingcuphook.Outcome, error) {
+		<-ctx.Done()
+		close(left)
+		return kingcuphook.Outcome{}, &kingcuphook.RequestError{Code: "caller-gone", Ran: kingcuphook.RunStateUnknown, Err: ctx.Err()}
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, r.url+"/plain/", strings.NewReader("body"))
+	r.NoErr(err)
+	q.Host = "a.example"
+	q.Header.Set("X-Key", "secret")
+	resp, err := http.DefaultTransport.RoundTrip(q)
+	if err == nil {
+		resp.Body.Close()
+	}
+	r.True(errors.Is(err, context.DeadlineExceeded))
+	select {
+	case <-left:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the call goes on though its caller has left")
+	}
+}
+
+func TestPlannedStop(t *testing.T) {
+	r := newRig(t, answered(http.StatusOK, "whole"))
+	var streams, end time.Time
+	r.Receiver.Closing = func() (time.Time, time.Time) { return streams, end }
+	status := func(path string) int {
+		resp, _, err := r.call("POST", path, "")
+		r.NoErr(err)
+		r.Equal(resp.Close, !end.IsZero()) // callers are asked to go elsewhere
+		return resp.StatusCode
+	}
+	r.Equal(status("/plain/"), http.StatusOK)
+	streams, end = time.Now().Add(time.Minute), time.Now().Add(time.Minute)
+	r.Equal(status("/plain/"), http.StatusOK)
+	r.Equal(status("/stream/"), http.StatusOK)
+	streams = time.Now()
+	r.Equal(status("/stream/"), http.StatusServiceUnavailable) // it might not end in time
+	r.Equal(status("/plain/"), http.StatusOK)
+	end = time.Now().Add(time.Second)
+	r.Equal(status("/plain/"), http.StatusServiceUnavailable)
+}
--- /dev/null
+++ b/retrier/window_test.go
@@ -0,0 +1,83 @@
+package retrier
+
+import (
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+const (
+	ratio  = 0.2
+	slack  = 56.0
+	length = 10 * time.Second
+)
+
+func newWindow(routers *atomic.Int64) *Window {
+	return &Window{Length: length, Ratio: ratio, Slack: slack, Routers: routers}
+}
+
+func TestWindowAllowsItsShare(t *testing.T) {
+	is := is.New(t)
+	var routers atomic.Int64
+	routers.Store(8)
+	w := newWindow(&routers)
+	now := time.Unix(0, 0)
+	for range 100 {
+		w.Requested(now)
+	}
+	n := 0
+	for w.Left(now) && w.Spend(now) {
+		n++
+	}
+	is.Equal(n, 21) // 0.8 of 0.2 of 100 and an eighth of 56
+	is.True(!w.Spend(now.Add(length / 2)))
+	is.True(w.Spend(now.Add(2 * length))) // the slack of another window
+}
+
+// TestWindowsTogether plays routers that repeat whatever they may, with requests
+// that come in bursts, and checks the bound in every window of time.
+func TestWindowsTogether(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 12).Draw(t, "routers")
+		var routers atomic.Int64
+		routers.Store(int64(n))
+		windows := make([]*Window, n)
+		for i := range windows {
+			windows[i] = newWindow(&routers)
+		}
+		const step = 100 * time.Millisecond
+		steps := int(3 * length / step)
+		requests, repeats := make([]int, steps), make([]int, steps)
+		burst := rapid.SliceOfN(rapid.IntRange(0, 5), steps/10+1, steps/10+1).Draw(t, "burst")
+		for i := range steps {
+			now := time.Unix(100, 0).Add(time.Duration(i) * step)
+			for _, w := range windows {
+				for range burst[i/10] {
+					w.Requested(now)
+					requests[i]++
+				}
+				for w.Spend(now) {
+					repeats[i]++
+				}
+			}
+		}
+		span := int(length / step)
+		for i := 0; i+span <= steps; i++ {
+			most := max(total(requests[i:i+span]), total(requests[max(i-span, 0):i]), total(requests[max(i-span/2, 0):max(i+span/2, 0)]))
+			if got, bound := float64(total(repeats[i:i+span])), ratio*float64(most)+slack; got > bound {
+				t.Fatalf("window at step %d: %v repetitions, %v allowed", i, got, bound)
+			}
+		}
+	})
+}
+
+func total(counts []int) int {
+	n := 0
+	for _, c := range counts {
+		n += c
+	}
+	return n
+}
--- a/store.go
+++ b/store.go
@@ -74,12 +74,13 @@
 	Revoke(ctx context.Context, id LeaseID) error
 }
 
-// Snapshotter is a Store that tells with a list from which revision on to watch.
-type Snapshotter interface {
+// RevisionLister is a Store that tells with a list from which revision on to
+// watch.
+type RevisionLister interface {
 	Store
-	// Snapshot returns the entries whose key starts with prefix and a revision:
+	// ListAt returns the entries whose key starts with prefix and a revision:
 	// every change that is not in the entries comes after it.
-	Snapshot(ctx context.Context, prefix string) ([]Entry, int64, error)
+	ListAt(ctx context.Context, prefix string) ([]Entry, int64, error)
 }
 
 // VMState says what the platform's list knows of a VM.
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -49,7 +49,7 @@
 // Watcher follows one prefix. Its fields are set before Run.
 type Watcher struct {
 	// Store holds the keys; never nil.
-	Store kingcuphook.Snapshotter
+	Store kingcuphook.RevisionLister
 	// Prefix starts the keys.
 	Prefix string
 	// OnEvent takes the events, one at a time; never nil.
@@ -79,7 +79,7 @@
 // follow reads the prefix and then its changes until a call fails. It reports
 // whether the prefix was read at all.
 func (w *Watcher) follow(ctx context.Context) (bool, error) {
-	entries, revision, err := w.Store.Snapshot(ctx, w.Prefix)
+	entries, revision, err := w.Store.ListAt(ctx, w.Prefix)
 	if err != nil {
 		return false, err
 	}
