--- a/attacher/attacher.go
+++ b/attacher/attacher.go
@@ -224,7 +224,7 @@
 }
 
 const (
-	// routersPrefix starts the keys of the routers, which hold nothing.
+	// routersPrefix starts the keys of the routers, which hold their names.
 	routersPrefix = "routers/"
 	// enrolLease is how long the key of a router outlives it, enrolEvery how often
 	// its lease is renewed.
@@ -250,16 +250,23 @@
 // lease that holds; 0 if there is none. What failed is tried again next time.
 func (a *Attacher) renew(ctx context.Context, lease kingcuphook.LeaseID) kingcuphook.LeaseID {
 	if lease != 0 {
-		if err := a.store.KeepAlive(ctx, lease); !errors.Is(err, kingcuphook.ErrLeaseLost) {
+		err := a.store.KeepAlive(ctx, lease)
+		if err == nil {
+			return lease
+		}
+		a.Log.Log(logger.EnrolFailed, "lease", lease, "error", err)
+		if !errors.Is(err, kingcuphook.ErrLeaseLost) {
 			return lease
 		}
 	}
 	lease, err := a.store.Grant(ctx, enrolLease)
 	if err != nil {
+		a.Log.Log(logger.EnrolFailed, "lease", lease, "error", err)
 		return 0
 	}
 	key := routersPrefix + a.Settings.PeerAddress()
-	if _, err := a.store.Put(ctx, key, nil, kingcuphook.RevisionAny, lease); err != nil {
+	if _, err := a.store.Put(ctx, key, []byte(a.Settings.Name()), kingcuphook.RevisionAny, lease); err != nil {
+		a.Log.Log(logger.EnrolFailed, "lease", lease, "key", key, "error", err)
 		return 0
 	}
 	return lease
--- a/decision.go
+++ b/decision.go
@@ -100,6 +100,11 @@
 	UncachedTokens int
 	// Spilled says that the upstream is in another region.
 	Spilled bool
+	// Running and Reading are the requests of all routers on the upstream and
+	// their prompt tokens still to be read, as the choice took them to be; Heard is
+	// when the router last heard of the others, zero if it never did.
+	Running, Reading int
+	Heard            time.Time
 }
 
 // Selector chooses an upstream for a request. It is used by one goroutine at a
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -100,6 +100,8 @@
 	reading int
 	// others and othersReading are the same of the other routers, as last heard.
 	others, othersReading int
+	// heard is when they were last heard; zero if they never were.
+	heard time.Time
 	// flights has the running requests by identifier.
 	flights map[string]flight
 	// kept has when each part of a prompt was last used there, by hash.
@@ -181,6 +183,9 @@
 		Predicted:      least.first,
 		UncachedTokens: least.uncached,
 		Spilled:        best.row.Region() != l.Region,
+		Running:        best.load(),
+		Reading:        best.backlog(),
+		Heard:          best.heard,
 	}, nil
 }
 
@@ -476,6 +481,7 @@
 	if u := l.byAddress[r.Upstream()]; u != nil {
 		u.others = r.Running()
 		u.othersReading = r.QueuedTokens()
+		u.heard = r.Made()
 	}
 }
 
--- a/narrator/narrator.go
+++ b/narrator/narrator.go
@@ -30,10 +30,20 @@
 	c := s.Choice()
 	a.Log.Log(logger.RequestAssigned, "request", r.ID(), "pool", r.Pool(), "upstream", c.Upstream.Address(),
 		"instance", c.Upstream.Instance(), "waited-ms", time.Since(begun).Milliseconds(),
-		"predicted-ms", c.Predicted.Milliseconds(), "uncached", c.UncachedTokens, "spilled", c.Spilled, "excluded", len(excluded))
+		"predicted-ms", c.Predicted.Milliseconds(), "uncached", c.UncachedTokens, "spilled", c.Spilled, "excluded", len(excluded),
+		"running", c.Running, "reading", c.Reading, "heard-ms-ago", heardAgo(begun, c.Heard))
 	return s, nil
 }
 
+// heardAgo returns the age of what was heard of other routers in milliseconds; -1
+// if nothing was.
+func heardAgo(now, heard time.Time) int64 {
+	if heard.IsZero() {
+		return -1
+	}
+	return now.Sub(heard).Milliseconds()
+}
+
 // Engine logs the failures of an engine.
 type Engine struct {
 	// Next runs the attempts; never nil.
