--- a/attacher/attacher.go
+++ b/attacher/attacher.go
@@ -34,7 +34,6 @@
 	"github.com/kingcuphook/kingcuphook/recorder"
 	"github.com/kingcuphook/kingcuphook/retrier"
 	"github.com/kingcuphook/kingcuphook/scheduler"
-	"github.com/kingcuphook/kingcuphook/sharer"
 	"github.com/kingcuphook/kingcuphook/tallier"
 	"github.com/kingcuphook/kingcuphook/watcher"
 )
@@ -49,7 +48,7 @@
 	Dropped func() int64
 
 	listeners  listeners
-	loads      *net.UDPConn
+	datagrams  *net.UDPConn
 	tally      *tallier.Tally
 	store      *platform.Store
 	control    *control
@@ -59,7 +58,6 @@
 	receiver   *receiver.Receiver
 	meter      *meter.Meter
 	quarantine *quarantiner.Quarantiner
-	sharer     *sharer.Sharer
 	// routers is how many routers there are, this one included.
 	routers atomic.Int64
 	// closing are the times of the planned stop; nil before it.
@@ -86,9 +84,8 @@
 	g, parts := errgroup.WithContext(parts)
 	g.Go(func() error { a.control.run(parts); return nil })
 	g.Go(func() error { a.follow(parts); return nil })
-	g.Go(func() error { a.enrol(parts); return nil })
-	g.Go(func() error { a.tellLoads(parts); return nil })
-	g.Go(a.hearLoads)
+	g.Go(func() error { a.tell(parts); return nil })
+	g.Go(a.hear)
 	g.Go(func() error { return a.receiver.Run(a.listeners.callers) })
 	for _, served := range []struct {
 		listener net.Listener
@@ -151,11 +148,11 @@
 	}
 	address, err := net.ResolveUDPAddr("udp", s.PeerAddress())
 	if err == nil {
-		a.loads, err = net.ListenUDP("udp", address)
+		a.datagrams, err = net.ListenUDP("udp", address)
 	}
 	if err != nil {
-		a.Log.Log(logger.ListenFailed, "listen", "loads", "address", s.PeerAddress(), "error", err)
-		return fmt.Errorf("attacher: listen for loads: %w", err)
+		a.Log.Log(logger.ListenFailed, "listen", "datagrams", "address", s.PeerAddress(), "error", err)
+		return fmt.Errorf("attacher: listen for datagrams: %w", err)
 	}
 	return nil
 }
@@ -171,13 +168,11 @@
 	a.forwarder = &forwarder.Forwarder{Codec: platform.Calls{}}
 	a.control = newControl(a)
 	a.quarantine = &quarantiner.Quarantiner{}
-	a.sharer = &sharer.Sharer{Store: a.store, Quarantiner: a.quarantine, Owner: s.Name()}
 	watch := &observer.Observer{Recorder: &recorder.Recorder{}, Meter: a.meter}
 	a.dispatcher = &dispatcher.Dispatcher{
 		Allocator:   &narrator.Allocator{Next: &observer.Allocator{Next: a.tally, Observer: watch}, Log: a.Log},
 		Engine:      &narrator.Engine{Next: &observer.Engine{Next: a.forwarder, Observer: watch}, Log: a.Log},
 		Quarantiner: a.quarantine,
-		Share:       a.share,
 		NewBudget:   a.newBudget,
 		BudgetKey:   (*kingcuphook.Request).Pool,
 		Owner:       s.Name(),
@@ -212,64 +207,31 @@
 	return &retrier.Window{Length: s.RetryWindow(), Ratio: s.RetryRatio(), Slack: s.RetrySlack(), Routers: &a.routers}
 }
 
-// share tells the other routers of suspects, without making the call wait.
-func (a *Attacher) share(context.Context) {
-	go a.sharer.Share(context.Background())
-}
-
 // follow feeds the control loop with what stands in the store.
 func (a *Attacher) follow(ctx context.Context) {
-	w := &watcher.Watcher{Store: a.store, OnEvent: a.control.take}
+	// The store has few keys that are not for routers, so that one watch of all
+	// costs the least.
+	w := &watcher.Watcher{Store: a.store, OnEvent: a.control.take, Wait: a.watchWait, Rest: watchRest}
 	w.Run(ctx)
 }
 
 const (
-	// routersPrefix starts the keys of the routers, which hold their names.
-	routersPrefix = "routers/"
-	// enrolLease is how long the key of a router outlives it, enrolEvery how often
-	// its lease is renewed.
-	enrolLease = 10 * time.Second
-	enrolEvery = 3500 * time.Millisecond
+	// watchLeast and watchMost bound how long a watch is held without a change.
+	watchLeast = 2 * time.Second
+	watchMost  = 15 * time.Second
+	// watchRest is how long changes are gathered.
+	watchRest = 300 * time.Millisecond
+	// watchPerRouter is the part of the longest wait for each router: however many
+	// they are, one of them soon finds that its connection is dead, and tells the
+	// others what it missed.
+	watchPerRouter = 600 * time.Millisecond
 )
 
-// enrol keeps a key of this router in the store, by which the others know it.
-func (a *Attacher) enrol(ctx context.Context) {
-	var lease kingcuphook.LeaseID
-	for ctx.Err() == nil {
-		lease = a.renew(ctx, lease)
-		wait := time.NewTimer(enrolEvery + rand.N(enrolEvery/8))
-		select {
-		case <-wait.C:
-		case <-ctx.Done():
-			wait.Stop()
-		}
-	}
-}
-
-// renew renews the lease, or takes a new one if there is none. It returns the
-// lease that holds; 0 if there is none. What failed is tried again next time.
-func (a *Attacher) renew(ctx context.Context, lease kingcuphook.LeaseID) kingcuphook.LeaseID {
-	if lease != 0 {
-		err := a.store.KeepAlive(ctx, lease)
-		if err == nil {
-			return lease
-		}
-		a.Log.Log(logger.EnrolFailed, "lease", lease, "error", err)
-		if !errors.Is(err, kingcuphook.ErrLeaseLost) {
-			return lease
-		}
-	}
-	lease, err := a.store.Grant(ctx, enrolLease)
-	if err != nil {
-		a.Log.Log(logger.EnrolFailed, "lease", lease, "error", err)
-		return 0
-	}
-	key := routersPrefix + a.Settings.PeerAddress()
-	if _, err := a.store.Put(ctx, key, []byte(a.Settings.Name()), kingcuphook.RevisionAny, lease); err != nil {
-		a.Log.Log(logger.EnrolFailed, "lease", lease, "key", key, "error", err)
-		return 0
-	}
-	return lease
+// watchWait returns how long the next watch is held without a change. It differs
+// between routers, which all see a change at the same time.
+func (a *Attacher) watchWait() time.Duration {
+	most := min(max(time.Duration(a.routers.Load())*watchPerRouter, 2*watchLeast), watchMost)
+	return watchLeast + rand.N(most-watchLeast)
 }
 
 func (a *Attacher) answerReady(w http.ResponseWriter, r *http.Request) {
--- a/attacher/control.go
+++ b/attacher/control.go
@@ -3,10 +3,7 @@
 import (
 	"context"
 	"errors"
-	"maps"
-	"math/rand/v2"
-	"slices"
-	"strings"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -34,8 +31,9 @@
 	inbox chan func(now time.Time)
 	// store is what stands in the store.
 	store *subscriber.Subscriber
-	// peers has the addresses of the other routers.
-	peers map[string]bool
+	// self is the address of this router.
+	self  netip.Addr
+	peers *peers
 	pull  puller.Puller
 	// nextAsk is when a peer may be asked again; asking is set while one is.
 	nextAsk time.Time
@@ -44,8 +42,6 @@
 	published *kingcuphook.Tables
 	// view is what others may read; it is replaced, never changed.
 	view atomic.Pointer[receiver.Directory]
-	// addresses are those of peers, for others to read.
-	addresses atomic.Pointer[[]string]
 }
 
 func newControl(a *Attacher) *control {
@@ -57,25 +53,13 @@
 			DeclarationKey:     platform.DeclarationKey,
 			RegistrationPrefix: platform.RegistrationPrefix,
 		},
-		peers: make(map[string]bool),
-	}
-	for _, address := range a.Settings.SeedAddresses() {
-		c.peers[address] = true
+		self:  a.Settings.Address(),
+		peers: newPeers(a.Settings.Seeds()),
 	}
 	c.view.Store(&receiver.Directory{})
-	c.publishPeers()
 	return c
 }
 
-// peerAddresses returns a copy of the addresses of the other routers.
-func (c *control) peerAddresses() []string { return slices.Clone(*c.addresses.Load()) }
-
-func (c *control) publishPeers() {
-	addresses := slices.Sorted(maps.Keys(c.peers))
-	c.addresses.Store(&addresses)
-	c.a.routers.Store(int64(len(addresses) + 1))
-}
-
 // directory returns what is in force.
 func (c *control) directory() receiver.Directory { return *c.view.Load() }
 
@@ -135,9 +119,7 @@
 func (c *control) takeEntries(now time.Time, e watcher.Event) {
 	for _, entry := range e.Entries {
 		c.declare(entry)
-		c.meet(entry)
 	}
-	c.a.sharer.Adopt(e.Entries)
 	take := c.store.Register
 	if e.Kind == watcher.EventSnapshot {
 		take = c.store.Replace
@@ -157,48 +139,32 @@
 	}
 }
 
-// meet notes that a router came or went.
-func (c *control) meet(e kingcuphook.Entry) {
-	address, ok := strings.CutPrefix(e.Key(), routersPrefix)
-	if !ok || address == c.a.Settings.PeerAddress() {
-		return
-	}
-	switch {
-	case e.Deleted():
-		delete(c.peers, address)
-		c.a.Log.Log(logger.PeerLeft, "peer", address)
-	case !c.peers[address]:
-		c.peers[address] = true
-		c.a.Log.Log(logger.PeerJoined, "peer", address)
-	}
-	c.publishPeers()
-}
-
-// ask asks a peer for news of the store, if the store can't be followed.
+// ask asks a peer for news of the store, if the store can't be followed or the
+// peer knows more of it.
 func (c *control) ask(ctx context.Context, now time.Time) {
-	if !c.store.IsLost() || c.asking || now.Before(c.nextAsk) || len(c.peers) == 0 {
+	peer := c.peers.ahead
+	if !peer.IsValid() && c.store.IsLost() {
+		for _, a := range c.peers.pick(1) {
+			peer = a
+		}
+	}
+	late := c.store.IsLost() || now.Sub(c.peers.aheadSince) >= behindAfter
+	if !peer.IsValid() || !late || c.asking || now.Before(c.nextAsk) {
 		return
 	}
 	c.asking = true
 	c.nextAsk = now.Add(askEvery)
-	peer, revision := c.pickPeer(), c.store.Revision()
+	c.peers.ahead = netip.Addr{}
+	address, revision := c.a.Settings.PeerAddressOf(peer), c.store.Revision()
+	if !c.store.Declared() {
+		revision = 0
+	}
 	go func() {
-		payload, err := c.pull.Pull(ctx, peer, revision)
-		c.do(ctx, func(now time.Time) { c.answered(now, peer, payload, err) })
+		payload, err := c.pull.Pull(ctx, address, revision)
+		c.do(ctx, func(now time.Time) { c.answered(now, address, payload, err) })
 	}()
 }
 
-func (c *control) pickPeer() string {
-	n := rand.N(len(c.peers))
-	for address := range c.peers {
-		if n == 0 {
-			return address
-		}
-		n--
-	}
-	return ""
-}
-
 // answered takes the answer of a peer.
 func (c *control) answered(now time.Time, peer string, payload []byte, err error) {
 	c.asking = false
@@ -237,18 +203,36 @@
 	if t == nil || t == c.published {
 		return
 	}
+	c.logPools(t)
 	c.published = t
 	c.a.allocator.Update(t)
 	c.a.forwarder.Keep(t)
 	c.view.Store(&receiver.Directory{Tables: t, MaxBodyBytes: c.store.MaxBodyBytes()})
+}
+
+// logPools logs the pools whose upstreams are not those published last.
+func (c *control) logPools(t *kingcuphook.Tables) {
 	for _, p := range t.Pools() {
-		leaving := 0
-		for _, u := range p.Upstreams() {
-			if u.Leaving() {
-				leaving++
-			}
+		now, before := statesOf(p), poolStates{}
+		if c.published != nil && c.published.Pool(p.Name()) != nil {
+			before = statesOf(c.published.Pool(p.Name()))
+		}
+		if now != before {
+			c.a.Log.Log(logger.UpstreamsChanged, "pool", p.Name(), "version", t.Revision(), "revision", c.store.Revision(),
+				"upstreams", now.upstreams, "leaving", now.leaving, "upstreams-before", before.upstreams, "leaving-before", before.leaving)
+		}
+	}
+}
+
+// poolStates counts the upstreams of a pool.
+type poolStates struct{ upstreams, leaving int }
+
+func statesOf(p *kingcuphook.Pool) poolStates {
+	s := poolStates{upstreams: len(p.Upstreams())}
+	for _, u := range p.Upstreams() {
+		if u.Leaving() {
+			s.leaving++
 		}
-		c.a.Log.Log(logger.UpstreamsChanged, "pool", p.Name(), "version", t.Revision(), "revision", c.store.Revision(),
-			"upstreams", len(p.Upstreams()), "leaving", leaving)
 	}
+	return s
 }
--- /dev/null
+++ b/attacher/peers.go
@@ -0,0 +1,193 @@
+package attacher
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/kingcuphook/kingcuphook/digester"
+	"github.com/kingcuphook/kingcuphook/logger"
+)
+
+const (
+	// digestEvery is how often digests are sent, and the loads of others are
+	// handed to the schedulers.
+	digestEvery = 300 * time.Millisecond
+	// digestPeers bounds the routers that one digest is sent to.
+	digestPeers = 12
+	// memberKept is how long a router is remembered that is not heard of.
+	memberKept = 10 * time.Second
+	// suspectBytes bounds the suspects in a digest.
+	suspectBytes = 400
+	// behindAfter is how long a router waits for the store to tell it what a peer
+	// knows already.
+	behindAfter = 600 * time.Millisecond
+)
+
+// peers are the other routers as the control loop knows them.
+type peers struct {
+	// heard has when each router was last heard or heard of.
+	heard map[netip.Addr]time.Time
+	// seeds are asked as long as nobody else is known.
+	seeds []netip.Addr
+	// ahead is a peer that knows more of the store than this router, since when;
+	// the zero address means that there is none.
+	ahead      netip.Addr
+	aheadSince time.Time
+}
+
+func newPeers(seeds []netip.Addr) *peers {
+	return &peers{heard: make(map[netip.Addr]time.Time), seeds: seeds}
+}
+
+// meet notes that a router was heard, or heard of. It reports whether it is new.
+func (p *peers) meet(now time.Time, a netip.Addr) bool {
+	_, known := p.heard[a]
+	p.heard[a] = now
+	return !known
+}
+
+// expire forgets routers that were not heard of for long, and returns them.
+func (p *peers) expire(now time.Time) []netip.Addr {
+	var left []netip.Addr
+	for a, at := range p.heard {
+		if now.Sub(at) > memberKept {
+			delete(p.heard, a)
+			left = append(left, a)
+		}
+	}
+	return left
+}
+
+// pick returns at most n routers by chance, and the seeds if fewer are known.
+func (p *peers) pick(n int) []netip.Addr {
+	list := make([]netip.Addr, 0, len(p.heard)+len(p.seeds))
+	for a := range p.heard {
+		list = append(list, a)
+	}
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	for _, a := range p.seeds {
+		if len(list) < n && !slices.Contains(list, a) {
+			list = append(list, a)
+		}
+	}
+	return list[:min(len(list), n)]
+}
+
+// recent returns at most n routers that were heard last.
+func (p *peers) recent(n int) []netip.Addr {
+	list := make([]netip.Addr, 0, len(p.heard))
+	for a := range p.heard {
+		list = append(list, a)
+	}
+	slices.SortFunc(list, func(a, b netip.Addr) int {
+		return cmp.Or(p.heard[b].Compare(p.heard[a]), a.Compare(b))
+	})
+	return list[:min(len(list), n)]
+}
+
+// hear takes the digests of other routers until the socket is closed.
+func (a *Attacher) hear() error {
+	buffer := make([]byte, digester.MaxBytes)
+	for {
+		n, from, err := a.datagrams.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			return nil //nolint:nilerr // the socket is closed at the end of the process
+		}
+		d, err := digester.Decode(slices.Clone(buffer[:n]))
+		if err == nil {
+			err = a.tally.Take(time.Now(), from.Addr().String(), d.Loads())
+		}
+		if err == nil && len(d.Suspects()) > 0 {
+			err = a.quarantine.Import(time.Now(), d.Suspects())
+		}
+		if err != nil {
+			a.Log.Log(logger.PeerFailed, "peer", from.String(), "error", err)
+			continue
+		}
+		a.control.heard(from.Addr().Unmap(), d)
+	}
+}
+
+// tell sends digests and hands what others run to the schedulers, until ctx ends.
+func (a *Attacher) tell(ctx context.Context) {
+	ticker := time.NewTicker(digestEvery)
+	defer ticker.Stop()
+	defer a.datagrams.Close()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			a.control.do(ctx, a.control.tell)
+			a.takeOthers(now)
+		}
+	}
+}
+
+func (a *Attacher) takeOthers(now time.Time) {
+	tables := a.control.directory().Tables
+	if tables == nil {
+		return
+	}
+	a.allocator.ReportAll(a.tally.Others(now, tables, int(a.routers.Load())-1))
+}
+
+// tell sends the digest of this router to some of the others. A datagram that is
+// lost is made up for by the next one.
+func (c *control) tell(now time.Time) {
+	for _, left := range c.peers.expire(now) {
+		c.a.Log.Log(logger.PeerLeft, "peer", left, "silent-ms", memberKept.Milliseconds())
+	}
+	c.a.routers.Store(int64(len(c.peers.heard) + 1))
+	message := digester.New(digester.Fields{
+		Version:  c.store.Version(),
+		Revision: c.store.Revision(),
+		Members:  c.peers.recent(digester.MaxMembers),
+		Loads:    c.a.tally.Encode(),
+		Suspects: c.a.quarantine.Export(now, suspectBytes),
+	}).Encode()
+	port := uint16(c.a.datagrams.LocalAddr().(*net.UDPAddr).Port)
+	for _, peer := range c.peers.pick(digestPeers) {
+		_, _ = c.a.datagrams.WriteToUDPAddrPort(message, netip.AddrPortFrom(peer, port))
+	}
+}
+
+// heard takes the digest of a peer. What comes faster than the control loop takes
+// it is dropped.
+func (c *control) heard(from netip.Addr, d digester.Digest) {
+	event := func(now time.Time) {
+		if c.peers.meet(now, from) {
+			c.a.Log.Log(logger.PeerJoined, "peer", from)
+		}
+		for _, m := range d.Members() {
+			if _, known := c.peers.heard[m]; !known && m != c.self {
+				c.peers.meet(now, m)
+				c.a.Log.Log(logger.PeerJoined, "peer", m, "told-by", from)
+			}
+		}
+		c.compare(now, from, d)
+	}
+	select {
+	case c.inbox <- event:
+	default:
+	}
+}
+
+// compare notes a peer that knows more of the store than this router.
+func (c *control) compare(now time.Time, from netip.Addr, d digester.Digest) {
+	if d.Version() <= c.store.Version() && d.Revision() <= c.store.Revision() {
+		if from == c.peers.ahead {
+			c.peers.ahead = netip.Addr{}
+		}
+		return
+	}
+	if !c.peers.ahead.IsValid() {
+		c.peers.aheadSince = now
+	}
+	c.peers.ahead = from
+}
--- /dev/null
+++ b/digester/digester_test.go
@@ -0,0 +1,59 @@
+package digester
+
+import (
+	"errors"
+	"net/netip"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/kingcuphook/kingcuphook"
+)
+
+func TestWhatIsEncodedIsDecoded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := Fields{
+			Version:  rapid.Int64().Draw(t, "version"),
+			Revision: rapid.Int64().Draw(t, "revision"),
+			Loads:    rapid.SliceOfN(rapid.Byte(), 0, 841).Draw(t, "loads"),
+			Suspects: rapid.SliceOfN(rapid.Byte(), 0, 400).Draw(t, "suspects"),
+		}
+		for range rapid.IntRange(0, MaxMembers).Draw(t, "members") {
+			f.Members = append(f.Members, netip.AddrFrom4([4]byte(rapid.SliceOfN(rapid.Byte(), 4, 4).Draw(t, "member"))))
+		}
+		b := New(f).Encode()
+		if len(b) > MaxBytes {
+			t.Fatalf("%d bytes", len(b))
+		}
+		d, err := Decode(b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if d.Version() != f.Version || d.Revision() != f.Revision || len(d.Members()) != len(f.Members) ||
+			string(d.Loads()) != string(f.Loads) || string(d.Suspects()) != string(f.Suspects) {
+			t.Fatalf("got %+v, want %+v", d, f)
+		}
+	})
+}
+
+func TestRefusesWhatIsNoDigest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := rapid.SliceOf(rapid.Byte()).Draw(t, "message")
+		if _, err := Decode(b); err != nil && !errors.Is(err, kingcuphook.ErrInvalid) {
+			t.Fatal(err)
+		}
+	})
+	is := is.New(t)
+	_, err := Decode(nil)
+	is.True(errors.Is(err, kingcuphook.ErrInvalid))
+}
+
+func TestSuspectsThatDoNotFitAreLeftOut(t *testing.T) {
+	is := is.New(t)
+	b := New(Fields{Loads: make([]byte, 800), Suspects: make([]byte, 700)}).Encode()
+	d, err := Decode(b)
+	is.NoErr(err)
+	is.Equal(len(d.Suspects()), 0)
+	is.Equal(len(d.Loads()), 800)
+}
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -25,12 +25,15 @@
 	// rereadPrice stands for a token of a shared part that is read though another
 	// upstream has it.
 	rereadPrice = 0.00037
-	// crowdCost is what a full upstream means for those that run there, longCost
-	// the same beside long prompts, whose reading slows all streams down. fullCost
-	// is added where one more must wait.
+	// crowdCost is what crowdSize streams on an upstream mean for one more, longCost
+	// the same beside long prompts, whose reading slows all streams down. Both grow
+	// with the square of the streams.
 	crowdCost = 0.4
 	longCost  = 8.0
-	fullCost  = 1.0
+	// fullCost is added where all slots are taken; it begins at fullFrom of them
+	// and grows with the square.
+	fullCost = 1.5
+	fullFrom = 0.75
 	// serviceCost is the same on plain services.
 	serviceCost = 0.04
 	// failureCost is added after a failure and fades within failureFade.
@@ -68,7 +71,9 @@
 	// secondShare is how much of a shared part its second home is thought to have.
 	secondShare = 0.5
 	// quietShare is the part of the upstreams of a region that is kept quiet.
-	quietShare = 0.33
+	quietShare = 0.25
+	// crowdSize is the number of streams that crowdCost and longCost are told for.
+	crowdSize = 64
 	// defaultTarget is used for requests without a target.
 	defaultTarget = time.Second
 )
@@ -237,15 +242,14 @@
 
 // crowding returns what the requests that run on the upstream mean for one more.
 func (u *upstream) crowding(r *kingcuphook.Request) float64 {
-	full := float64(u.load()) / float64(max(u.row.Slots(), 1))
-	cost := crowdCost * full * full
+	streams := float64(u.load()) / crowdSize
+	cost := crowdCost * streams * streams
 	if isLong(r) {
-		cost = longCost * full * full
-	}
-	if full >= 1 {
-		cost += fullCost
+		cost = longCost * streams * streams
 	}
-	return cost
+	full := float64(u.load()) / float64(max(u.row.Slots(), 1))
+	over := max(full-fullFrom, 0) / (1 - fullFrom)
+	return cost + fullCost*over*over
 }
 
 // delay returns the round trip to the upstream.
@@ -365,7 +369,7 @@
 	}
 	for _, list := range regions {
 		slices.SortFunc(list, func(a, b *upstream) int { return cmp.Compare(a.seed, b.seed) })
-		n := int(math.Round(float64(len(list)) * quietShare))
+		n := int(math.Ceil(float64(len(list)) * quietShare))
 		for _, u := range list[:n] {
 			u.quiet = true
 		}
--- a/logger/events.go
+++ b/logger/events.go
@@ -48,7 +48,6 @@
 	LinesDropped     = Event{1010, LevelWarn, "log lines dropped since the last such line"}
 	PeerAsked        = Event{1404, LevelInfo, "news of the store taken from a peer"}
 	StopCut          = Event{1011, LevelWarn, "planned stop ends with requests open"}
-	EnrolFailed      = Event{1405, LevelWarn, "the key of this router in the store could not be kept; tried again"}
 	RequestFailed    = Event{1201, LevelInfo, "request failed"}
 	RequestPanicked  = Event{1202, LevelError, "request handler panicked"}
 	UpstreamLeaving  = Event{1302, LevelInfo, "upstream says that it is leaving"}
@@ -96,7 +95,6 @@
 		PeerJoined,
 		PeerLeft,
 		PeerAsked,
-		EnrolFailed,
 		LeaseTaken,
 		LeaseLost,
 		OrderGiven,
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -101,6 +101,9 @@
 	return true, nil
 }
 
+// Declared reports whether there is a declaration in force.
+func (s *Subscriber) Declared() bool { return s.declaration != nil }
+
 // Version returns the version of the declaration in force; 0 before the first.
 func (s *Subscriber) Version() int64 {
 	if s.declaration == nil {
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -54,6 +54,11 @@
 	Prefix string
 	// OnEvent takes the events, one at a time; never nil.
 	OnEvent func(Event)
+	// Wait returns how long the store may hold the next watch; nil leaves it to
+	// the store.
+	Wait func() time.Duration
+	// Rest is the pause after a change: what changes meanwhile comes with one call.
+	Rest time.Duration
 }
 
 // Run follows the prefix until ctx ends.
@@ -85,13 +90,30 @@
 	}
 	w.OnEvent(Event{Kind: EventSnapshot, Prefix: w.Prefix, Entries: entries, Revision: revision})
 	for {
-		entries, next, err := w.Store.Watch(ctx, w.Prefix, revision)
+		entries, next, err := w.watch(ctx, revision)
 		if err != nil {
 			return true, err
 		}
 		revision = next
 		w.OnEvent(Event{Kind: EventChanges, Prefix: w.Prefix, Entries: entries, Revision: revision})
+		if len(entries) > 0 {
+			pause(ctx, w.Rest)
+		}
+	}
+}
+
+func (w *Watcher) watch(ctx context.Context, after int64) ([]kingcuphook.Entry, int64, error) {
+	s, ok := w.Store.(WaitWatcher)
+	if !ok || w.Wait == nil {
+		return w.Store.Watch(ctx, w.Prefix, after)
 	}
+	return s.WatchFor(ctx, w.Prefix, after, w.Wait())
+}
+
+// WaitWatcher is a Store that can be told how long to hold a watch.
+type WaitWatcher interface {
+	// WatchFor is Watch that returns after the wait if nothing changes.
+	WatchFor(ctx context.Context, prefix string, after int64, wait time.Duration) ([]kingcuphook.Entry, int64, error)
 }
 
 func pause(ctx context.Context, d time.Duration) {
