--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -41,6 +41,13 @@
 	// Margin is how long before its target a waiting request counts as late.
 	Margin time.Duration
 
+	// WaitShare is the share of its time that a request may wait before it is given
+	// up, so that its caller hears of it while it can still come back; 0 means all
+	// of it.
+	WaitShare float64
+
+	// base is the time that times are counted from.
+	base  time.Time
 	tiers [kingcuphook.TierCount]tierQueue
 	// byID has every waiting request once.
 	byID map[string]*item
@@ -121,7 +128,7 @@
 // Expire implements kingcuphook.Admitter.
 func (a *Admitter) Expire(now time.Time) []kingcuphook.Shed {
 	var sheds []kingcuphook.Shed
-	for len(a.deadlines) > 0 && a.deadlines[0].deadline <= now.UnixNano() {
+	for len(a.deadlines) > 0 && a.deadlines[0].deadline <= a.nanos(now) {
 		it := a.deadlines[0].item
 		a.remove(it)
 		sheds = append(sheds, a.newShed(now, it.request, kingcuphook.ErrDeadline))
@@ -170,7 +177,7 @@
 	if len(a.deadlines) == 0 {
 		return time.Time{}
 	}
-	return a.deadlines[0].item.request.Deadline()
+	return a.base.Add(time.Duration(a.deadlines[0].deadline))
 }
 
 // insert puts r into every structure but the list of its lane.
@@ -178,7 +185,7 @@
 	if a.byID == nil {
 		a.byID = make(map[string]*item)
 	}
-	it := newItem(r, seq)
+	it := a.newItem(r, seq)
 	it.load = a.pressure(r)
 	it.lane = a.lane(r)
 	a.byID[r.ID()] = it
@@ -218,7 +225,7 @@
 }
 
 // lateLimit returns the due time up to which requests count as late.
-func (a *Admitter) lateLimit(now time.Time) int64 { return now.Add(a.Margin).UnixNano() }
+func (a *Admitter) lateLimit(now time.Time) int64 { return a.nanos(now.Add(a.Margin)) }
 
 func (a *Admitter) charge(r *kingcuphook.Request, tokens float64) {
 	a.tiers[tierIndex(r)].charge(r.Organisation(), tokens)
--- a/admitter/item.go
+++ b/admitter/item.go
@@ -11,8 +11,9 @@
 	request *kingcuphook.Request
 	// seq orders equal due times; returned requests go before others.
 	seq int64
-	// due is when the first token is due, deadline when the caller gives up; both
-	// in nanoseconds of Unix time. A deadline of 0 means never.
+	// due is when the first token is due, deadline when the request is given up;
+	// both in nanoseconds of the steady clock of the Admitter. A deadline of 0
+	// means never.
 	due, deadline int64
 	// queue is the queue of its organisation and model; never nil while the
 	// request waits.
@@ -29,14 +30,38 @@
 }
 
 // newItem returns an item outside of every structure.
-func newItem(r *kingcuphook.Request, seq int64) *item {
-	it := &item{request: r, seq: seq, due: dueTime(r).UnixNano()}
+func (a *Admitter) newItem(r *kingcuphook.Request, seq int64) *item {
+	it := &item{request: r, seq: seq, due: a.nanos(dueTime(r))}
 	if !r.Deadline().IsZero() {
-		it.deadline = r.Deadline().UnixNano()
+		it.deadline = a.nanos(a.waitsUntil(r))
 	}
 	return it
 }
 
+// waitsUntil returns when a waiting request with a deadline is given up.
+func (a *Admitter) waitsUntil(r *kingcuphook.Request) time.Time {
+	if a.WaitShare <= 0 || r.Arrived().IsZero() {
+		return r.Deadline()
+	}
+	allowed := r.Deadline().Sub(r.Arrived())
+	return r.Arrived().Add(time.Duration(a.WaitShare * float64(allowed)))
+}
+
+// nanos returns the time since the Admitter was first used, by the steady clock: a
+// time of day that jumps changes nothing. It is never 0.
+func (a *Admitter) nanos(t time.Time) int64 {
+	if a.base.IsZero() {
+		a.base = t.Add(-baseLead)
+	}
+	if d := t.Sub(a.base); d != 0 {
+		return int64(d)
+	}
+	return 1
+}
+
+// baseLead keeps the times that are counted from the first use positive.
+const baseLead = time.Hour
+
 // dueTime returns the target time, or a late one without a target.
 func dueTime(r *kingcuphook.Request) time.Time {
 	if r.Target() == 0 {
--- a/attacher/attacher.go
+++ b/attacher/attacher.go
@@ -191,17 +191,25 @@
 
 func (a *Attacher) newScheduler(string) kingcuphook.Scheduler {
 	return &scheduler.Scheduler{
-		Admitter: &admitter.Admitter{},
-		Limiter:  &bounder.Bounder{},
-		Selector: &locator.Locator{Region: a.Settings.Region(), DataCentre: a.Settings.DataCentre()},
-		Ejector:  &ejector.Ejector{Keep: failureKeep},
+		Admitter:   &admitter.Admitter{WaitShare: waitShare},
+		HoldModels: true,
+		Limiter:    &bounder.Bounder{},
+		Selector:   &locator.Locator{Region: a.Settings.Region(), DataCentre: a.Settings.DataCentre()},
+		Ejector:    &ejector.Ejector{Keep: failureKeep, Slow: slowFactor},
 	}
 }
 
+// waitShare is the share of its time that a request may wait for an upstream.
+const waitShare = 0.4
+
 // failureKeep is the weight of what an ejector knows at each new sample: some
 // calls fail at every upstream.
 const failureKeep = 0.9
 
+// slowFactor keeps ejectors from comparing the pace of upstreams, which differs
+// with what they are given.
+const slowFactor = 1000
+
 func (a *Attacher) newBudget(string) kingcuphook.RetryBudget {
 	s := a.Settings
 	return &retrier.Window{Length: s.RetryWindow(), Ratio: s.RetryRatio(), Slack: s.RetrySlack(), Routers: &a.routers}
--- a/decision.go
+++ b/decision.go
@@ -105,6 +105,9 @@
 	// when the router last heard of the others, zero if it never did.
 	Running, Reading int
 	Heard            time.Time
+	// Home is the place of the upstream among those that keep the shared part of
+	// the prompt, from 1; 0 means that it is none of them.
+	Home int
 }
 
 // Selector chooses an upstream for a request. It is used by one goroutine at a
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -29,7 +29,7 @@
 	// the same beside long prompts, whose reading slows all streams down. Both grow
 	// with the square of the streams.
 	crowdCost = 0.4
-	longCost  = 8.0
+	longCost  = 2.0
 	// fullCost is added where all slots are taken; it begins at fullFrom of them
 	// and grows with the square.
 	fullCost = 1.5
@@ -61,15 +61,21 @@
 	answerBytes = 4 << 10
 	// keptFor is how long an upstream is thought to keep what it read.
 	keptFor = 30 * time.Second
+	// warmAfter is how long an upstream takes to read what it is home to.
+	warmAfter = 8 * time.Second
 	// maxKept bounds the parts of prompts remembered for an upstream.
 	maxKept = 4096
 	// longPrompt is the number of tokens to be read from which on a prompt is long.
 	longPrompt = 3000
+	// quietRest bounds the streams on a quiet upstream beside which a long prompt is
+	// read.
+	quietRest = 4
+	// foreignStreams bounds the streams beside which a shared part is read that is
+	// at home elsewhere.
+	foreignStreams = 8
 	// tightPause is the target for pauses below which a stream wants a quiet
 	// upstream.
 	tightPause = 500 * time.Millisecond
-	// secondShare is how much of a shared part its second home is thought to have.
-	secondShare = 0.5
 	// quietShare is the part of the upstreams of a region that is kept quiet.
 	quietShare = 0.25
 	// crowdSize is the number of streams that crowdCost and longCost are told for.
@@ -78,6 +84,12 @@
 	defaultTarget = time.Second
 )
 
+// homeRanks is how many homes a shared part has.
+const homeRanks = 4
+
+// homeShares is how much of a shared part each of its homes is thought to have.
+var homeShares = [homeRanks]float64{1, 0.5, 0.35, 0.2}
+
 // Reasons why a candidate is refused.
 const (
 	reasonLeaving = "leaving"
@@ -109,6 +121,8 @@
 	heard time.Time
 	// flights has the running requests by identifier.
 	flights map[string]flight
+	// since is when the router first knew of it.
+	since time.Time
 	// kept has when each part of a prompt was last used there, by hash.
 	kept map[uint64]time.Time
 	// failed is when a request last failed there, failures how many in a row.
@@ -127,14 +141,14 @@
 var _ kingcuphook.Selector = (*Locator)(nil)
 
 // Update takes the pool in force. A program that started again keeps nothing.
-func (l *Locator) Update(_ time.Time, p *kingcuphook.Pool) {
+func (l *Locator) Update(now time.Time, p *kingcuphook.Pool) {
 	known := l.byAddress
 	l.byAddress = make(map[string]*upstream, len(p.Upstreams()))
 	l.upstreams = l.upstreams[:0]
 	for _, row := range p.Upstreams() {
 		u := known[row.Address()]
 		if u == nil || u.row.Instance() != row.Instance() || u.row.Born() != row.Born() {
-			u = newUpstream(row)
+			u = newUpstream(now, row)
 		}
 		u.row = row
 		l.byAddress[row.Address()] = u
@@ -143,9 +157,10 @@
 	l.chooseQuiet()
 }
 
-func newUpstream(row *kingcuphook.Upstream) *upstream {
+func newUpstream(now time.Time, row *kingcuphook.Upstream) *upstream {
 	return &upstream{
 		row:     row,
+		since:   now,
 		seed:    xxhash.Sum64String(row.Instance() + row.Address()),
 		flights: make(map[string]flight),
 		kept:    make(map[uint64]time.Time),
@@ -170,7 +185,7 @@
 			continue
 		}
 		possible = true
-		if !usable(address) {
+		if !usable(address) || u.barred(now, r, &homes) {
 			continue
 		}
 		if w := l.weigh(now, r, u, homes.has(u)); best == nil || w.less(least) {
@@ -191,9 +206,34 @@
 		Running:        best.load(),
 		Reading:        best.backlog(),
 		Heard:          best.heard,
+		Home:           homes.rank(best) + 1,
 	}, nil
 }
 
+// warmth returns how much an upstream can have read of what it is home to: one that
+// was started lately has little.
+func (u *upstream) warmth(now time.Time) float64 {
+	return min(now.Sub(u.since).Seconds()/warmAfter.Seconds(), 1)
+}
+
+// barred reports whether a long prompt must wait for another upstream: what is
+// quiet is kept for streams with tight pauses as long as there are some, and
+// reading the shared part once more takes what the upstreams lack when they are
+// busy.
+func (u *upstream) barred(now time.Time, r *kingcuphook.Request, h *homes) bool {
+	if !isLong(r) {
+		return false
+	}
+	most := max(u.row.Slots(), 1)
+	switch {
+	case u.quiet:
+		most = quietRest
+	case h.has(u) == 0 && h[0] != nil && u.cached(now, r) == 0:
+		most = min(most, foreignStreams)
+	}
+	return u.load() >= most
+}
+
 // weight is what the choice of an upstream costs.
 type weight struct {
 	// cost is what choices are compared by, tie decides between equal ones.
@@ -212,9 +252,9 @@
 func (l *Locator) weigh(now time.Time, r *kingcuphook.Request, u *upstream, has float64) weight {
 	w := weight{tie: mix(u.seed ^ r.Fingerprint() ^ xxhash.Sum64String(r.ID()))}
 	shared := sharedTokens(r)
-	cached := u.cached(now, r)
-	cached = max(cached, int(has*float64(shared)))
-	w.uncached = max(r.PromptTokens()-cached, 0)
+	known := u.cached(now, r)
+	cached := max(known, int(has*float64(shared)))
+	w.uncached = max(r.PromptTokens()-max(known, int(has*u.warmth(now)*float64(shared))), 0)
 	w.first = l.delay(u.row) + time.Duration(w.uncached+u.backlog())*tokenTime + time.Duration(u.load())*slotTime
 	late := w.first.Seconds() / cmp.Or(r.Target(), defaultTarget).Seconds()
 	w.cost = late*late + l.price(r, u.row) + u.penalty(now)
@@ -234,10 +274,13 @@
 	switch {
 	case u.quiet && uncached >= longPrompt:
 		return float64(uncached) / 1000 * disturbCost
-	case !u.quiet && r.Stream() && r.TokenTarget() > 0 && r.TokenTarget() < tightPause:
+	case !r.Stream() || r.TokenTarget() == 0 || r.TokenTarget() >= tightPause:
+		return 0
+	case u.quiet:
+		return float64(u.backlog()) / 1000 * backlogCost
+	default:
 		return noiseCost + float64(u.backlog())/1000*backlogCost
 	}
-	return 0
 }
 
 // crowding returns what the requests that run on the upstream mean for one more.
@@ -309,20 +352,20 @@
 	return 0
 }
 
-// homes are the upstreams that keep the shared part of a prompt: the first is
-// thought to have it, the second to have it when the first is crowded.
-type homes struct{ first, second *upstream }
+// homes are the upstreams that keep the shared part of a prompt, by rank: the
+// first is thought to have it, the next ones to have it when those before them are
+// crowded, gone or slow. Nil ends the list.
+type homes [homeRanks]*upstream
+
+// rank returns the place of an upstream among the homes, or -1.
+func (h *homes) rank(u *upstream) int { return slices.Index(h[:], u) }
 
 // has returns how much of the shared part the upstream is thought to have.
-func (h homes) has(u *upstream) float64 {
-	switch u {
-	case h.first:
-		return 1
-	case h.second:
-		return secondShare
-	default:
-		return 0
+func (h *homes) has(u *upstream) float64 {
+	if i := h.rank(u); i >= 0 {
+		return homeShares[i]
 	}
+	return 0
 }
 
 // homesOf returns the homes of the shared part of the prompt. Long prompts live
@@ -335,18 +378,19 @@
 	}
 	key := r.Prefix()[i]
 	long := isLong(r)
-	first, second := uint64(0), uint64(0)
+	var scores [homeRanks]uint64
 	for _, u := range l.upstreams {
 		if u.row.Leaving() || u.quiet == long {
 			continue
 		}
 		score := mix(key ^ u.seed)
-		switch {
-		case h.first == nil || score > first:
-			h.second, second = h.first, first
-			h.first, first = u, score
-		case h.second == nil || score > second:
-			h.second, second = u, score
+		for i := range h {
+			if h[i] == nil || score > scores[i] {
+				copy(h[i+1:], h[i:])
+				copy(scores[i+1:], scores[i:])
+				h[i], scores[i] = u, score
+				break
+			}
 		}
 	}
 	return h
@@ -438,7 +482,7 @@
 	}
 }
 
-// Progress tells that the n-th token of a running request has come.
+// Progress tells that the n-th piece of a running request has come.
 func (l *Locator) Progress(_ time.Time, address string, r *kingcuphook.Request, _ int) {
 	if u := l.byAddress[address]; u != nil {
 		u.begin(r)
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -219,10 +219,12 @@
 
 func (s *Receiver) newRequest(r *http.Request, l kingcuphook.CallLabels, route *kingcuphook.Route, o kingcuphook.Organisation, body []byte, arrived, deadline time.Time) *kingcuphook.Request {
 	f := kingcuphook.RequestFields{
-		ID:            l.ID,
-		Class:         route.Name(),
-		Organisation:  o.Name,
-		Model:         l.Model,
+		ID:           l.ID,
+		Class:        route.Name(),
+		Organisation: o.Name,
+		// Upstreams of a pool serve all models; what differs between the requests
+		// that wait for it is their route.
+		Model:         route.Name(),
 		Region:        s.Region,
 		DataCentre:    s.DataCentre,
 		Tier:          route.Tier(),
--- a/scheduler/assign.go
+++ b/scheduler/assign.go
@@ -61,6 +61,8 @@
 	// held counts by tier the requests for which an upstream with a free slot was
 	// refused.
 	held [kingcuphook.TierCount]int
+	// heldModels counts them by model instead, if the scheduler wants it.
+	heldModels map[string]int
 }
 
 func (p *pass) next() *kingcuphook.Request {
@@ -111,6 +113,8 @@
 	p.park(r)
 	switch {
 	case len(s.excluded[r.ID()]) > 0 || !s.slots.takes(r.Model()):
+	case s.usable(r) && s.HoldModels:
+		p.holdModel(r.Model())
 	case s.usable(r):
 		p.held[tierOf(r).Index()]++
 	default:
@@ -118,6 +122,18 @@
 	}
 }
 
+// holdModel counts a request that does better to wait. After a few of them no
+// further request of the model is looked at.
+func (p *pass) holdModel(model string) {
+	if p.heldModels == nil {
+		p.heldModels = make(map[string]int)
+	}
+	p.heldModels[model]++
+	if p.heldModels[model] >= maxHeld {
+		p.blocked = append(p.blocked, model)
+	}
+}
+
 // usable reports whether an upstream with a free slot serves the model of r. If
 // so, it was r that could not go there or does better to wait.
 func (s *Scheduler) usable(r *kingcuphook.Request) bool {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -81,6 +81,10 @@
 	// Preemptor chooses what is preempted; nil preempts nothing.
 	Preemptor *preemptor.Preemptor
 
+	// HoldModels makes a request that does better to wait hold up those of its model
+	// only, and not all of its tier.
+	HoldModels bool
+
 	slots slotTable
 	// excluded has the addresses barred for a waiting request, by identifier.
 	excluded map[string][]string
