--- a/attacher/attacher.go
+++ b/attacher/attacher.go
@@ -163,6 +163,7 @@
 	a.store = &platform.Store{Address: s.StoreAddress()}
 	a.store.Connect()
 	a.meter = meter.New()
+	a.addGauges()
 	a.allocator = &allocator.Allocator{NewScheduler: a.newScheduler}
 	a.tally = &tallier.Tally{Next: a.allocator}
 	a.forwarder = &forwarder.Forwarder{Codec: platform.Calls{}}
@@ -181,6 +182,7 @@
 		Dispatcher: a.dispatcher,
 		Codec:      platform.Calls{},
 		Directory:  a.control.directory,
+		Known:      a.control.known,
 		Closing:    a.closingAt,
 		Observer:   watch,
 		Log:        a.Log,
@@ -189,6 +191,17 @@
 	}
 }
 
+func (a *Attacher) addGauges() {
+	a.meter.Gauge("kingcuphook_routers", func() float64 { return float64(a.routers.Load()) })
+	a.meter.Gauge("kingcuphook_open_requests", func() float64 { return float64(a.receiver.Open()) })
+	a.meter.Gauge("kingcuphook_log_lines_dropped_total", func() float64 {
+		if a.Dropped == nil {
+			return 0
+		}
+		return float64(a.Dropped())
+	})
+}
+
 func (a *Attacher) newScheduler(string) kingcuphook.Scheduler {
 	return &scheduler.Scheduler{
 		Admitter:   &admitter.Admitter{WaitShare: waitShare},
--- a/attacher/control.go
+++ b/attacher/control.go
@@ -38,6 +38,8 @@
 	// nextAsk is when a peer may be asked again; asking is set while one is.
 	nextAsk time.Time
 	asking  bool
+	// known is closed once there are tables.
+	known chan struct{}
 	// published are the tables handed out last.
 	published *kingcuphook.Tables
 	// view is what others may read; it is replaced, never changed.
@@ -48,6 +50,7 @@
 	c := &control{
 		a:     a,
 		inbox: make(chan func(time.Time), inboxSize),
+		known: make(chan struct{}),
 		store: &subscriber.Subscriber{
 			Codec:              platform.Directory{Regions: a.Settings.Regions()},
 			DeclarationKey:     platform.DeclarationKey,
@@ -204,10 +207,15 @@
 		return
 	}
 	c.logPools(t)
+	first := c.published == nil
 	c.published = t
 	c.a.allocator.Update(t)
 	c.a.forwarder.Keep(t)
 	c.view.Store(&receiver.Directory{Tables: t, MaxBodyBytes: c.store.MaxBodyBytes()})
+	if first {
+		close(c.known)
+		c.a.Log.Log(logger.Ready, "version", t.Revision(), "revision", c.store.Revision())
+	}
 }
 
 // logPools logs the pools whose upstreams are not those published last.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -17,8 +17,11 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/kingcuphook/kingcuphook"
 )
 
@@ -28,6 +31,7 @@
 	defaultIdleTimeout = 4 * time.Second
 	defaultMaxAnswer   = 8 << 20
 	keepAliveInterval  = time.Second
+	unacknowledged     = 1200 * time.Millisecond
 	keepAliveProbes    = 3
 	maxIdlePerUpstream = 64
 	maxResponseHeader  = 64 << 10
@@ -240,6 +244,7 @@
 func (f *Forwarder) newTransport(u *kingcuphook.Upstream) *http.Transport {
 	dial := &net.Dialer{
 		Timeout: cmp.Or(f.DialTimeout, defaultDialTimeout),
+		Control: limitUnacknowledged,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
 			Idle:     keepAliveInterval,
@@ -262,6 +267,16 @@
 	}
 }
 
+// limitUnacknowledged ends a connection whose other side no longer acknowledges
+// what is sent, so that the death of a VM is seen.
+func limitUnacknowledged(_, _ string, c syscall.RawConn) error {
+	var failed error
+	err := c.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledged.Milliseconds()))
+	})
+	return errors.Join(err, failed)
+}
+
 // perConnection are the headers that concern one connection only.
 var perConnection = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
--- /dev/null
+++ b/locator/home.go
@@ -0,0 +1,77 @@
+package locator
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/kingcuphook/kingcuphook"
+)
+
+// homes are the upstreams that keep the shared part of a prompt, by rank: the
+// first is thought to have it, the next ones to have it when those before them are
+// crowded, gone or slow. Nil ends the list.
+type homes [homeRanks]*upstream
+
+// rank returns the place of an upstream among the homes, or -1.
+func (h *homes) rank(u *upstream) int { return slices.Index(h[:], u) }
+
+// has returns how much of the shared part the upstream is thought to have.
+func (h *homes) has(u *upstream) float64 {
+	if i := h.rank(u); i >= 0 {
+		return homeShares[i]
+	}
+	return 0
+}
+
+// homesOf returns the homes of the shared part of the prompt. Long prompts live
+// apart from the quiet upstreams.
+func (l *Locator) homesOf(r *kingcuphook.Request) homes {
+	var h homes
+	i := sharedPart(r)
+	if i < 0 {
+		return h
+	}
+	key := r.Prefix()[i]
+	long := isLong(r)
+	var scores [homeRanks]uint64
+	for _, u := range l.upstreams {
+		if u.row.Leaving() || u.quiet == long {
+			continue
+		}
+		score := mix(key ^ u.seed)
+		for i := range h {
+			if h[i] == nil || score > scores[i] {
+				copy(h[i+1:], h[i:])
+				copy(scores[i+1:], scores[i:])
+				h[i], scores[i] = u, score
+				break
+			}
+		}
+	}
+	return h
+}
+
+// isLong reports whether a prompt is one that quiet upstreams are kept from.
+func isLong(r *kingcuphook.Request) bool {
+	return r.PromptTokens() >= longPrompt || sharedTokens(r) >= longPrompt
+}
+
+// chooseQuiet decides which upstreams are kept free of long prompts: in each
+// region those of the lowest seeds, so that all routers agree.
+func (l *Locator) chooseQuiet() {
+	regions := make(map[string][]*upstream)
+	for _, u := range l.upstreams {
+		u.quiet = false
+		if !u.row.Leaving() && u.row.Kind() == kingcuphook.UpstreamKindEngine {
+			regions[u.row.Region()] = append(regions[u.row.Region()], u)
+		}
+	}
+	for _, list := range regions {
+		slices.SortFunc(list, func(a, b *upstream) int { return cmp.Compare(a.seed, b.seed) })
+		n := int(math.Ceil(float64(len(list)) * quietShare))
+		for _, u := range list[:n] {
+			u.quiet = true
+		}
+	}
+}
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -7,7 +7,6 @@
 import (
 	"cmp"
 	"fmt"
-	"math"
 	"slices"
 	"time"
 
@@ -16,38 +15,6 @@
 	"github.com/kingcuphook/kingcuphook"
 )
 
-// Costs that choices are compared by. The unit is the worth of an answer in time.
-const (
-	// regionPrice and centrePrice stand for a KiB on the way to another region
-	// and to another data centre.
-	regionPrice = 0.006
-	centrePrice = 0.0015
-	// rereadPrice stands for a token of a shared part that is read though another
-	// upstream has it.
-	rereadPrice = 0.00037
-	// crowdCost is what crowdSize streams on an upstream mean for one more, longCost
-	// the same beside long prompts, whose reading slows all streams down. Both grow
-	// with the square of the streams.
-	crowdCost = 0.4
-	longCost  = 2.0
-	// fullCost is added where all slots are taken; it begins at fullFrom of them
-	// and grows with the square.
-	fullCost = 1.5
-	fullFrom = 0.75
-	// serviceCost is the same on plain services.
-	serviceCost = 0.04
-	// failureCost is added after a failure and fades within failureFade.
-	failureCost = 0.6
-	failureFade = 2 * time.Second
-	// disturbCost is what a long prompt on a quiet upstream costs the streams
-	// there, for 1,000 tokens to be read.
-	disturbCost = 0.15
-	// noiseCost is what a stream with a tight pause pays on an upstream that reads
-	// long prompts, and backlogCost what it pays for 1,000 tokens that wait there.
-	noiseCost   = 0.15
-	backlogCost = 0.02
-)
-
 const (
 	// regionDelay and centreDelay are the round trips to another region and to
 	// another data centre of the region.
@@ -123,7 +90,7 @@
 	flights map[string]flight
 	// since is when the router first knew of it.
 	since time.Time
-	// kept has when each part of a prompt was last used there, by hash.
+	// kept has when each shared part was last used there, by hash.
 	kept map[uint64]time.Time
 	// failed is when a request last failed there, failures how many in a row.
 	failed   time.Time
@@ -175,7 +142,7 @@
 // SelectUsable is Select among the upstreams that usable reports. The error wraps
 // ErrNoUpstream if no upstream can take the request at all.
 func (l *Locator) SelectUsable(now time.Time, r *kingcuphook.Request, excluded []string, usable func(address string) bool) (kingcuphook.Choice, error) {
-	homes := l.homesOf(r)
+	q := l.newQuery(now, r)
 	var best *upstream
 	var least weight
 	possible := false
@@ -185,10 +152,10 @@
 			continue
 		}
 		possible = true
-		if !usable(address) || u.barred(now, r, &homes) {
+		if !usable(address) || q.bars(u) {
 			continue
 		}
-		if w := l.weigh(now, r, u, homes.has(u)); best == nil || w.less(least) {
+		if w := l.weigh(&q, u); best == nil || w.less(least) {
 			best, least = u, w
 		}
 	}
@@ -206,138 +173,72 @@
 		Running:        best.load(),
 		Reading:        best.backlog(),
 		Heard:          best.heard,
-		Home:           homes.rank(best) + 1,
+		Home:           q.homes.rank(best) + 1,
 	}, nil
 }
 
-// warmth returns how much an upstream can have read of what it is home to: one that
-// was started lately has little.
-func (u *upstream) warmth(now time.Time) float64 {
-	return min(now.Sub(u.since).Seconds()/warmAfter.Seconds(), 1)
+// query is what a choice needs to know of the request.
+type query struct {
+	now     time.Time
+	request *kingcuphook.Request
+	// homes are those of its shared part.
+	homes homes
+	// part is the hash of the last shared part; 0 if there is none. shared and
+	// common are the tokens up to it and before it.
+	part           uint64
+	shared, common int
+	// long says that the prompt is kept from quiet upstreams.
+	long bool
+	// target is the time in which the first token is due, in seconds.
+	target float64
+	// kibs is what is moved for it, in KiB.
+	kibs float64
+	// tie decides between equal choices.
+	tie uint64
+}
+
+func (l *Locator) newQuery(now time.Time, r *kingcuphook.Request) query {
+	q := query{
+		now:     now,
+		request: r,
+		homes:   l.homesOf(r),
+		shared:  sharedTokens(r),
+		long:    isLong(r),
+		target:  cmp.Or(r.Target(), defaultTarget).Seconds(),
+		kibs:    float64(r.Bytes()+answerBytes) / 1024,
+		tie:     r.Fingerprint() ^ xxhash.Sum64String(r.ID()),
+	}
+	if i := sharedPart(r); i >= 0 {
+		q.part = r.Prefix()[i]
+		if i > 0 {
+			q.common = r.PrefixTokens()[i-1]
+		}
+	}
+	return q
 }
 
-// barred reports whether a long prompt must wait for another upstream: what is
+// bars reports whether a long prompt must wait for another upstream: what is
 // quiet is kept for streams with tight pauses as long as there are some, and
 // reading the shared part once more takes what the upstreams lack when they are
 // busy.
-func (u *upstream) barred(now time.Time, r *kingcuphook.Request, h *homes) bool {
-	if !isLong(r) {
+func (q *query) bars(u *upstream) bool {
+	if !q.long {
 		return false
 	}
 	most := max(u.row.Slots(), 1)
 	switch {
 	case u.quiet:
 		most = quietRest
-	case h.has(u) == 0 && h[0] != nil && u.cached(now, r) == 0:
+	case q.homes[0] != nil && q.homes.has(u) == 0 && !u.keeps(q):
 		most = min(most, foreignStreams)
 	}
 	return u.load() >= most
 }
 
-// weight is what the choice of an upstream costs.
-type weight struct {
-	// cost is what choices are compared by, tie decides between equal ones.
-	cost float64
-	tie  uint64
-	// first is the predicted time to the first token.
-	first time.Duration
-	// uncached is the number of prompt tokens to be read.
-	uncached int
-}
-
-func (w weight) less(v weight) bool {
-	return cmp.Or(cmp.Compare(w.cost, v.cost), cmp.Compare(w.tie, v.tie)) < 0
-}
-
-func (l *Locator) weigh(now time.Time, r *kingcuphook.Request, u *upstream, has float64) weight {
-	w := weight{tie: mix(u.seed ^ r.Fingerprint() ^ xxhash.Sum64String(r.ID()))}
-	shared := sharedTokens(r)
-	known := u.cached(now, r)
-	cached := max(known, int(has*float64(shared)))
-	w.uncached = max(r.PromptTokens()-max(known, int(has*u.warmth(now)*float64(shared))), 0)
-	w.first = l.delay(u.row) + time.Duration(w.uncached+u.backlog())*tokenTime + time.Duration(u.load())*slotTime
-	late := w.first.Seconds() / cmp.Or(r.Target(), defaultTarget).Seconds()
-	w.cost = late*late + l.price(r, u.row) + u.penalty(now)
-	if u.row.Kind() == kingcuphook.UpstreamKindService {
-		w.cost += float64(u.load()) * serviceCost
-		return w
-	}
-	w.cost += u.crowding(r)
-	w.cost += float64(max(shared-cached, 0)) * rereadPrice
-	w.cost += u.disturbance(r, w.uncached)
-	return w
-}
-
-// disturbance returns what long prompts and streams with tight pauses cost one
-// another.
-func (u *upstream) disturbance(r *kingcuphook.Request, uncached int) float64 {
-	switch {
-	case u.quiet && uncached >= longPrompt:
-		return float64(uncached) / 1000 * disturbCost
-	case !r.Stream() || r.TokenTarget() == 0 || r.TokenTarget() >= tightPause:
-		return 0
-	case u.quiet:
-		return float64(u.backlog()) / 1000 * backlogCost
-	default:
-		return noiseCost + float64(u.backlog())/1000*backlogCost
-	}
-}
-
-// crowding returns what the requests that run on the upstream mean for one more.
-func (u *upstream) crowding(r *kingcuphook.Request) float64 {
-	streams := float64(u.load()) / crowdSize
-	cost := crowdCost * streams * streams
-	if isLong(r) {
-		cost = longCost * streams * streams
-	}
-	full := float64(u.load()) / float64(max(u.row.Slots(), 1))
-	over := max(full-fullFrom, 0) / (1 - fullFrom)
-	return cost + fullCost*over*over
-}
-
-// delay returns the round trip to the upstream.
-func (l *Locator) delay(u *kingcuphook.Upstream) time.Duration {
-	switch {
-	case u.Region() != l.Region:
-		return regionDelay
-	case u.DataCentre() != l.DataCentre:
-		return centreDelay
-	default:
-		return 0
-	}
-}
-
-// price returns what the bytes of the request and its answer count for.
-func (l *Locator) price(r *kingcuphook.Request, u *kingcuphook.Upstream) float64 {
-	each := 0.0
-	switch {
-	case u.Region() != l.Region:
-		each = regionPrice
-	case u.DataCentre() != l.DataCentre:
-		each = centrePrice
-	}
-	return each * float64(r.Bytes()+answerBytes) / 1024
-}
-
-// penalty returns what a failure of late counts for.
-func (u *upstream) penalty(now time.Time) float64 {
-	age := now.Sub(u.failed)
-	if u.failures == 0 || age >= failureFade {
-		return 0
-	}
-	left := 1 - age.Seconds()/failureFade.Seconds()
-	return left * failureCost * float64(min(u.failures, 4))
-}
-
-// cached returns how many tokens of the prompt the upstream is thought to keep.
-func (u *upstream) cached(now time.Time, r *kingcuphook.Request) int {
-	chain, tokens := r.Prefix(), r.PrefixTokens()
-	for i := min(len(chain), len(tokens)) - 1; i >= 0; i-- {
-		if used, ok := u.kept[chain[i]]; ok && now.Sub(used) < keptFor {
-			return tokens[i]
-		}
-	}
-	return 0
+// warmth returns how much an upstream can have read of what it is home to: one that
+// was started lately has little.
+func (u *upstream) warmth(now time.Time) float64 {
+	return min(now.Sub(u.since).Seconds()/warmAfter.Seconds(), 1)
 }
 
 // sharedPart returns the position of the last part of the prompt that other
@@ -352,74 +253,6 @@
 	return 0
 }
 
-// homes are the upstreams that keep the shared part of a prompt, by rank: the
-// first is thought to have it, the next ones to have it when those before them are
-// crowded, gone or slow. Nil ends the list.
-type homes [homeRanks]*upstream
-
-// rank returns the place of an upstream among the homes, or -1.
-func (h *homes) rank(u *upstream) int { return slices.Index(h[:], u) }
-
-// has returns how much of the shared part the upstream is thought to have.
-func (h *homes) has(u *upstream) float64 {
-	if i := h.rank(u); i >= 0 {
-		return homeShares[i]
-	}
-	return 0
-}
-
-// homesOf returns the homes of the shared part of the prompt. Long prompts live
-// apart from the quiet upstreams.
-func (l *Locator) homesOf(r *kingcuphook.Request) homes {
-	var h homes
-	i := sharedPart(r)
-	if i < 0 {
-		return h
-	}
-	key := r.Prefix()[i]
-	long := isLong(r)
-	var scores [homeRanks]uint64
-	for _, u := range l.upstreams {
-		if u.row.Leaving() || u.quiet == long {
-			continue
-		}
-		score := mix(key ^ u.seed)
-		for i := range h {
-			if h[i] == nil || score > scores[i] {
-				copy(h[i+1:], h[i:])
-				copy(scores[i+1:], scores[i:])
-				h[i], scores[i] = u, score
-				break
-			}
-		}
-	}
-	return h
-}
-
-// isLong reports whether a prompt is one that quiet upstreams are kept from.
-func isLong(r *kingcuphook.Request) bool {
-	return r.PromptTokens() >= longPrompt || sharedTokens(r) >= longPrompt
-}
-
-// chooseQuiet decides which upstreams are kept free of long prompts: in each
-// region those of the lowest seeds, so that all routers agree.
-func (l *Locator) chooseQuiet() {
-	regions := make(map[string][]*upstream)
-	for _, u := range l.upstreams {
-		u.quiet = false
-		if !u.row.Leaving() && u.row.Kind() == kingcuphook.UpstreamKindEngine {
-			regions[u.row.Region()] = append(regions[u.row.Region()], u)
-		}
-	}
-	for _, list := range regions {
-		slices.SortFunc(list, func(a, b *upstream) int { return cmp.Compare(a.seed, b.seed) })
-		n := int(math.Ceil(float64(len(list)) * quietShare))
-		for _, u := range list[:n] {
-			u.quiet = true
-		}
-	}
-}
-
 // mix spreads the bits of x.
 func mix(x uint64) uint64 {
 	x ^= x >> 33
@@ -431,9 +264,9 @@
 
 // Explain implements kingcuphook.Selector.
 func (l *Locator) Explain(now time.Time, r *kingcuphook.Request, dst []kingcuphook.Candidate) []kingcuphook.Candidate {
-	homes := l.homesOf(r)
+	q := l.newQuery(now, r)
 	for _, u := range l.upstreams {
-		w := l.weigh(now, r, u, homes.has(u))
+		w := l.weigh(&q, u)
 		c := kingcuphook.Candidate{
 			Upstream:     u.row.Address(),
 			Predicted:    w.first,
@@ -453,21 +286,23 @@
 	if u == nil {
 		return
 	}
-	f := flight{tokens: max(r.PromptTokens()-u.cached(now, r), 0)}
+	q := l.newQuery(now, r)
+	f := flight{tokens: l.weigh(&q, u).uncached}
 	u.flights[r.ID()] = f
 	u.running++
 	u.reading += f.tokens
-	u.keep(now, r)
+	u.keep(now, q.part)
 }
 
-// keep notes that the upstream reads the prompt.
-func (u *upstream) keep(now time.Time, r *kingcuphook.Request) {
+// keep notes that the upstream reads a shared part; 0 is none.
+func (u *upstream) keep(now time.Time, part uint64) {
+	if part == 0 {
+		return
+	}
 	if len(u.kept) >= maxKept {
 		u.forget(now)
 	}
-	for _, part := range r.Prefix() {
-		u.kept[part] = now
-	}
+	u.kept[part] = now
 }
 
 // forget drops what was not used for long, and all if that is not enough.
--- /dev/null
+++ b/locator/locator_test.go
@@ -0,0 +1,173 @@
+package locator
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/kingcuphook/kingcuphook"
+)
+
+var (
+	start   = time.Unix(1_000, 0)
+	regions = []string{"cairo", "alex", "upper"}
+)
+
+// pool returns engines in each region.
+func pool(each int) *kingcuphook.Pool {
+	var f kingcuphook.PoolFields
+	for _, region := range regions {
+		for i := range each {
+			f.Upstreams = append(f.Upstreams, kingcuphook.NewUpstream(kingcuphook.UpstreamFields{
+				Address: fmt.Sprintf("%s-%d", region, i), Instance: fmt.Sprintf("i-%s-%d", region, i),
+				Region: region, DataCentre: region, Kind: kingcuphook.UpstreamKindEngine, Slots: 64,
+			}))
+		}
+	}
+	return kingcuphook.NewPool(f)
+}
+
+func newLocator(region string, p *kingcuphook.Pool) *Locator {
+	l := &Locator{Region: region, DataCentre: region}
+	l.Update(start, p)
+	return l
+}
+
+// letter is a long prompt with a large shared part of the thing; answer is a short
+// one whose stream has a tight target for pauses.
+func letter(id string, thing uint64) *kingcuphook.Request {
+	return kingcuphook.NewRequest(kingcuphook.RequestFields{
+		ID: id, Class: "letter", Tier: 3, Target: 2500 * time.Millisecond, TokenTarget: 1500 * time.Millisecond, Stream: true,
+		PromptTokens: 12_000, Bytes: 12_000, Prefix: []uint64{1, 1000 + thing, hash(id)}, PrefixTokens: []int{512, 5382, 12_000},
+	})
+}
+
+func answer(id string, thing uint64) *kingcuphook.Request {
+	return kingcuphook.NewRequest(kingcuphook.RequestFields{
+		ID: id, Class: "answer", Tier: 1, Target: 500 * time.Millisecond, TokenTarget: 400 * time.Millisecond, Stream: true,
+		PromptTokens: 826, Bytes: 830, Prefix: []uint64{2, 9000 + thing, hash(id)}, PrefixTokens: []int{119, 198, 826},
+	})
+}
+
+func hash(id string) uint64 {
+	h := uint64(14695981039346656037)
+	for _, b := range []byte(id) {
+		h = (h ^ uint64(b)) * 1099511628211
+	}
+	return h
+}
+
+func choose(t *testing.T, l *Locator, now time.Time, r *kingcuphook.Request, excluded ...string) string {
+	t.Helper()
+	c, err := l.Select(now, r, excluded)
+	if err != nil || c.Upstream == nil {
+		t.Fatalf("no choice: %v", err)
+	}
+	return c.Upstream.Address()
+}
+
+func TestRoutersAgreeOnHomes(t *testing.T) {
+	is := is.New(t)
+	p := pool(4)
+	homes := make(map[string]bool)
+	for thing := range uint64(50) {
+		first := ""
+		for _, region := range regions {
+			at := choose(t, newLocator(region, p), start.Add(time.Minute), letter("r", thing))
+			if first == "" {
+				first = at
+			}
+			is.Equal(at, first) // without having told one another
+		}
+		homes[first] = true
+	}
+	is.True(len(homes) >= 7) // of the nine that are not kept quiet
+}
+
+func TestStreamsWithTightPausesGoToQuietUpstreams(t *testing.T) {
+	is := is.New(t)
+	l := newLocator("cairo", pool(4))
+	for thing := range uint64(50) {
+		is.True(!l.byAddress[choose(t, l, start, letter("r", thing))].quiet)
+		at := l.byAddress[choose(t, l, start, answer("r", thing))]
+		is.True(at.quiet)
+		is.Equal(at.row.Region(), "cairo") // its shared part is not worth the way
+	}
+}
+
+func TestGoesElsewhereAfterAFailure(t *testing.T) {
+	is := is.New(t)
+	l := newLocator("cairo", pool(4))
+	r := letter("r", 1)
+	home := choose(t, l, start, r)
+	second := choose(t, l, start, r, home)
+	is.True(second != home)
+	for range 3 {
+		l.Started(start, home, r)
+		l.Finished(start, home, r, kingcuphook.Sample{Failed: true})
+	}
+	is.Equal(choose(t, l, start, r), second)
+	is.Equal(choose(t, l, start.Add(failureFade), r), home) // the failure has faded
+
+	// An upstream that answers with errors of its own is well.
+	l.Started(start, home, r)
+	l.Finished(start.Add(failureFade), home, r, kingcuphook.Sample{Failed: true, Answered: true})
+	is.Equal(choose(t, l, start.Add(failureFade), r), home)
+}
+
+func TestLeavingUpstreamGetsNothing(t *testing.T) {
+	is := is.New(t)
+	p := pool(4)
+	l := newLocator("cairo", p)
+	r := letter("r", 1)
+	home := choose(t, l, start, r)
+	f := p.Fields()
+	for i, u := range f.Upstreams {
+		if u.Address() == home {
+			leaving := u.Fields()
+			leaving.Leaving = true
+			f.Upstreams[i] = kingcuphook.NewUpstream(leaving)
+		}
+	}
+	l.Update(start, kingcuphook.NewPool(f))
+	is.True(choose(t, l, start, r) != home)
+}
+
+func TestCountsWhatOthersRun(t *testing.T) {
+	is := is.New(t)
+	l := newLocator("cairo", pool(4))
+	r := letter("r", 1)
+	home := choose(t, l, start, r)
+	l.Report(start, kingcuphook.NewLoadReport(kingcuphook.LoadReportFields{Upstream: home, Made: start, Running: 64, QueuedTokens: 300_000}))
+	is.True(choose(t, l, start, r) != home)
+	l.Report(start, kingcuphook.NewLoadReport(kingcuphook.LoadReportFields{Upstream: home, Made: start}))
+	is.Equal(choose(t, l, start, r), home)
+}
+
+func TestNoUpstream(t *testing.T) {
+	is := is.New(t)
+	l := newLocator("cairo", kingcuphook.NewPool(kingcuphook.PoolFields{}))
+	_, err := l.Select(start, letter("r", 1), nil)
+	is.True(err != nil)
+	l = newLocator("cairo", pool(1))
+	c, err := l.SelectUsable(start, letter("r", 1), nil, func(string) bool { return false })
+	is.NoErr(err)
+	is.True(c.Upstream == nil) // it can wait
+}
+
+func BenchmarkSelect(b *testing.B) {
+	l := newLocator("cairo", pool(40))
+	requests := make([]*kingcuphook.Request, 64)
+	for i := range requests {
+		requests[i] = letter(fmt.Sprint(i), uint64(i))
+	}
+	usable := func(string) bool { return true }
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		if _, err := l.SelectUsable(start, requests[i%len(requests)], nil, usable); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/logger/events.go
+++ b/logger/events.go
@@ -45,7 +45,6 @@
 	UpstreamBad      = Event{1304, LevelWarn, "registration of an upstream refused; it names no upstream"}
 	SettingsRead     = Event{1008, LevelInfo, "settings read again"}
 	SettingsBad      = Event{1009, LevelError, "changed settings refused; the old ones stay in force"}
-	LinesDropped     = Event{1010, LevelWarn, "log lines dropped since the last such line"}
 	PeerAsked        = Event{1404, LevelInfo, "news of the store taken from a peer"}
 	StopCut          = Event{1011, LevelWarn, "planned stop ends with requests open"}
 	RequestFailed    = Event{1201, LevelInfo, "request failed"}
@@ -73,7 +72,6 @@
 		CertificateBad,
 		SettingsRead,
 		SettingsBad,
-		LinesDropped,
 		StopCut,
 		TablesInForce,
 		TablesBad,
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -56,6 +56,8 @@
 	Codec kingcuphook.CallCodec
 	// Directory returns what is in force.
 	Directory func() Directory
+	// Known is closed once there are tables; nil means that nobody waits for them.
+	Known <-chan struct{}
 	// Closing says when a planned stop begins to turn streams away, and when it
 	// ends; zero times mean that none has begun. Nil means never.
 	Closing func() (streams, end time.Time)
@@ -137,7 +139,7 @@
 // accept reads a call and finds its route and organisation.
 func (s *Receiver) accept(w http.ResponseWriter, r *http.Request) (*accepted, error) {
 	arrived := time.Now()
-	d := s.Directory()
+	d := s.awaitDirectory(r.Context())
 	if d.Tables == nil {
 		return nil, errNotReady
 	}
@@ -166,6 +168,26 @@
 	return &accepted{route: route, call: s.newCall(r, d.Tables, route, request, body)}, nil
 }
 
+// knownWait bounds how long a call waits for the first tables, which come soon
+// after the start of the process.
+const knownWait = 400 * time.Millisecond
+
+// awaitDirectory returns what is in force, or waits a little for the first tables.
+func (s *Receiver) awaitDirectory(ctx context.Context) Directory {
+	d := s.Directory()
+	if d.Tables != nil || s.Known == nil {
+		return d
+	}
+	timer := time.NewTimer(knownWait)
+	defer timer.Stop()
+	select {
+	case <-s.Known:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return s.Directory()
+}
+
 // finishes reports whether a call of the route that begins now can be expected
 // to end before the process does.
 func (s *Receiver) finishes(route *kingcuphook.Route) bool {
--- a/receiver/receiver_test.go
+++ b/receiver/receiver_test.go
@@ -256,3 +256,25 @@
 	end = time.Now().Add(time.Second)
 	r.Equal(status("/plain/"), http.StatusServiceUnavailable)
 }
+
+func TestWaitsALittleForTheFirstTables(t *testing.T) {
+	r := newRig(t, answered(http.StatusOK, "whole"))
+	known := make(chan struct{})
+	r.Receiver.Known = known
+	current := r.Receiver.Directory
+	r.Receiver.Directory = func() Directory {
+		select {
+		case <-known:
+			return current()
+		default:
+			return Directory{}
+		}
+	}
+	resp, _, err := r.call("POST", "/plain/", "")
+	r.NoErr(err)
+	r.Equal(resp.StatusCode, http.StatusServiceUnavailable) // it does not wait for long
+	time.AfterFunc(50*time.Millisecond, func() { close(known) })
+	resp, _, err = r.call("POST", "/plain/", "")
+	r.NoErr(err)
+	r.Equal(resp.StatusCode, http.StatusOK)
+}
