--- a/cmd/kingcuphook/main.go
+++ b/cmd/kingcuphook/main.go
@@ -96,6 +96,7 @@
 		{"check", "validate settings and tables", "Validates files of settings, routes or pools. Routes and pools given together are checked against each other.", &checkCommand{}},
 		{"measure", "measure the policy", "Measures the policy and its baselines on a fake engine, in virtual time; the same seed gives the same figures.", &measureCommand{}},
 		{"stand-in", "run stand-ins of the platform and of upstreams", "Runs a stand-in of the platform and stand-in upstreams on loopback.", &standInCommand{}},
+		{"soak", "run routers under faults", "Runs routers as processes of their own with stand-ins of the platform and of upstreams, injects faults drawn from a seed, and checks what callers and upstreams see.", &soakCommand{}},
 		{"try", "run everything in one process", "Runs a router with stand-ins and example tables in one process, and prints a call that works.", &tryCommand{}},
 		{"completion", "print the shell completion", "Prints a completion script for bash.", &completionCommand{}},
 	} {
--- /dev/null
+++ b/cmd/kingcuphook/soak.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/kingcuphook/kingcuphook/soaker"
+)
+
+type soakCommand struct {
+	Seed      uint64        `long:"seed" default:"1" description:"Seed of the first run"`
+	Seeds     int           `long:"seeds" default:"1" description:"How many runs, each with the next seed"`
+	For       time.Duration `long:"for" default:"20s" description:"How long faults are injected in a run"`
+	Routers   int           `long:"routers" default:"4" description:"Router processes"`
+	Upstreams int           `long:"upstreams" default:"4" description:"Stand-in upstreams"`
+	Callers   int           `long:"callers" default:"16" description:"Callers that call at once"`
+	Host      int           `long:"host" default:"1" description:"Third byte of the loopback addresses; differs between runs beside one another"`
+	Keep      string        `long:"keep" description:"Directory for settings and logs; a temporary one if left out, which is kept if a promise is broken"`
+}
+
+// Execute implements flags.Commander.
+func (c *soakCommand) Execute([]string) error {
+	binary, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := stopSignal()
+	defer cancel()
+	var failed error
+	for i := range c.Seeds {
+		if err := c.one(ctx, binary, c.Seed+uint64(i)); err != nil {
+			failed = err
+		}
+	}
+	return failed
+}
+
+func (c *soakCommand) one(ctx context.Context, binary string, seed uint64) error {
+	dir := c.Keep
+	if dir == "" {
+		made, err := os.MkdirTemp("", "kingcuphook-soak-")
+		if err != nil {
+			return err
+		}
+		dir = made
+	}
+	s := &soaker.Soak{
+		Binary: binary, Seed: seed, Faults: c.For, Routers: c.Routers, Upstreams: c.Upstreams, Callers: c.Callers, Dir: dir, Host: c.Host,
+	}
+	result, err := s.Run(ctx)
+	fmt.Fprintf(stdout, "seed %d: %d calls, %d served, %d runs, %d faults\n", seed, result.Calls, result.Served, result.Runs, len(result.Events))
+	if err != nil {
+		for _, e := range result.Events {
+			fmt.Fprintln(stdout, "  ", e)
+		}
+		fmt.Fprintf(stdout, "%v\nlogs in %s\n", err, dir)
+		return fmt.Errorf("seed %d: %w", seed, err)
+	}
+	if c.Keep == "" {
+		return os.RemoveAll(dir)
+	}
+	return nil
+}
