--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -124,8 +124,12 @@
 	return errors.Join(errs...)
 }
 
-// Replace takes all entries of upstreams as they are at the revision.
+// Replace takes all entries of upstreams as they are at the revision. What is older
+// than what a peer has told takes nothing out.
 func (s *Subscriber) Replace(now time.Time, entries []kingcuphook.Entry, revision int64) error {
+	if revision < s.revision {
+		return s.Register(now, entries, revision)
+	}
 	present := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		present[e.Key()] = true
@@ -275,7 +279,11 @@
 	}
 	x := export{Declared: newExportEntry(s.declared), Revision: s.revision}
 	for _, key := range slices.Sorted(maps.Keys(s.upstreams)) {
-		x.Upstreams = append(x.Upstreams, newExportEntry(s.upstreams[key].entry))
+		// An entry that is only held on to is not in the store any more: a peer that
+		// has seen it go would never see it go again.
+		if u := s.upstreams[key]; !u.gone {
+			x.Upstreams = append(x.Upstreams, newExportEntry(u.entry))
+		}
 	}
 	return json.Marshal(x)
 }
--- a/subscriber/subscriber_test.go
+++ b/subscriber/subscriber_test.go
@@ -165,3 +165,34 @@
 	_, err = ahead.Import(start, []byte("nonsense"))
 	is.True(errors.Is(err, kingcuphook.ErrInvalid))
 }
+
+func TestHeldRegistrationsAreNotToldToPeers(t *testing.T) {
+	is := is.New(t)
+	holder, peer := newSubscriber(), newSubscriber()
+	for _, s := range []*Subscriber{holder, peer} {
+		_, err := s.Declare(put("op/config", "1", 1))
+		is.NoErr(err)
+		is.NoErr(s.Register(start, []kingcuphook.Entry{put("servers/a", "a@1", 2), put("servers/b", "b@1", 3)}, 3))
+	}
+	holder.Lost()
+	holder.Found(start)
+	is.NoErr(holder.Register(start, []kingcuphook.Entry{gone("servers/a", 4)}, 6))
+	is.Equal(addresses(holder), "a b") // it may have lapsed
+	is.NoErr(peer.Register(start, []kingcuphook.Entry{gone("servers/a", 4)}, 5))
+	is.Equal(addresses(peer), "b")
+	payload, err := holder.Export(peer.Revision())
+	is.NoErr(err)
+	_, err = peer.Import(start, payload)
+	is.NoErr(err)
+	is.Equal(addresses(peer), "b") // the peer has seen it go
+}
+
+func TestOldSnapshotTakesNothingOut(t *testing.T) {
+	is := is.New(t)
+	s := newSubscriber()
+	_, err := s.Declare(put("op/config", "1", 1))
+	is.NoErr(err)
+	is.NoErr(s.Register(start, []kingcuphook.Entry{put("servers/a", "a@1", 9)}, 9))
+	is.NoErr(s.Replace(start, []kingcuphook.Entry{put("servers/b", "b@1", 3)}, 5))
+	is.Equal(addresses(s), "a b")
+}
