--- a/decision.go
+++ b/decision.go
@@ -60,6 +60,8 @@
 	// Answered says, of a failed attempt, that the upstream answered with an error
 	// of its own.
 	Answered bool
+	// Displaced says, of a failed attempt, that another program has the address.
+	Displaced bool
 	// Cancelled says that the router or the caller broke the attempt off.
 	Cancelled bool
 }
--- a/dispatcher/opaque_test.go
+++ b/dispatcher/opaque_test.go
@@ -42,6 +42,7 @@
 
 var (
 	errUnsent  = errors.Join(kingcuphook.ErrUnavailable, kingcuphook.ErrNotSent)
+	errWrong   = errors.Join(kingcuphook.ErrUnavailable, kingcuphook.ErrMisdirected)
 	errRefused = errors.Join(kingcuphook.ErrUnavailable, kingcuphook.ErrOverloaded)
 	errBroken  = errors.Join(kingcuphook.ErrOutcomeUnknown, errors.New("connection reset"))
 	errAnswer  = &kingcuphook.AnswerError{Answer: kingcuphook.NewOpaqueAnswer(http.StatusInternalServerError, http.Header{}, []byte("why"))}
@@ -111,6 +112,36 @@
 	})
 }
 
+// counting is a retry budget without end that counts what is spent.
+type counting struct{ spent int }
+
+func (*counting) Succeeded(time.Time)     {}
+func (c *counting) Spend(time.Time) bool  { c.spent++; return true }
+func (*counting) Delay(int) time.Duration { return 0 }
+
+func TestWhatSpendsTheRetryBudget(t *testing.T) {
+	for name, test := range map[string]struct {
+		errs  []error
+		spent int
+	}{
+		"nothing that was not sent":         {[]error{errUnsent, errUnsent}, 0},
+		"what a wrong program got":          {[]error{errWrong, errWrong}, 2},
+		"what follows something that was":   {[]error{errWrong, errUnsent}, 2},
+		"what an upstream refused":          {[]error{errRefused}, 1},
+		"what comes after a broken attempt": {[]error{errBroken}, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withScript(t, func(r *rig, engine *scripted) {
+				budget := &counting{}
+				r.NewBudget = func(string) kingcuphook.RetryBudget { return budget }
+				engine.errs = test.errs
+				r.True(r.dispatchOpaque(plain, 4) == nil)
+				r.Equal(budget.spent, test.spent)
+			})
+		})
+	}
+}
+
 func TestRefusesACallThatCrashesUpstreams(t *testing.T) {
 	withScript(t, func(r *rig, engine *scripted) {
 		for range 2 {
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -40,8 +40,10 @@
 	// attempts counts the dispatches that were not preempted, and did not fail
 	// before anything was sent.
 	attempts int
-	// unsent counts the dispatches that failed before anything was sent.
+	// unsent counts the dispatches that no upstream of the pool got.
 	unsent int
+	// arrived says that a dispatch reached a program, also if it was a wrong one.
+	arrived bool
 	// begun says that the request had a slot before.
 	begun bool
 	// failed are the upstreams that failed this call; they are tried again when
@@ -106,7 +108,7 @@
 	if r.attempts >= r.maxAttempts() || r.unsent >= maxUnsent {
 		return err
 	}
-	if r.attempts == 0 && errors.Is(err, kingcuphook.ErrNotSent) {
+	if !r.arrived && errors.Is(err, kingcuphook.ErrNotSent) {
 		return nil
 	}
 	wait, ok := r.d.spend(r.request, time.Now(), max(r.attempts, 1))
@@ -211,10 +213,11 @@
 	if e := r.tracker.Apply(event); e != nil {
 		return &finalError{errors.Join(err, e)}
 	}
-	if errors.Is(err, kingcuphook.ErrNotSent) {
+	if errors.Is(err, kingcuphook.ErrNotSent) || errors.Is(err, kingcuphook.ErrMisdirected) {
 		r.attempts--
 		r.unsent++
 	}
+	r.arrived = r.arrived || !errors.Is(err, kingcuphook.ErrNotSent)
 	switch {
 	case ctx.Err() != nil:
 		return err
--- a/errors.go
+++ b/errors.go
@@ -49,6 +49,9 @@
 	// ErrNotSent says that no upstream of the pool got anything of the request. It
 	// comes beside ErrUnavailable.
 	ErrNotSent = errors.New("not sent")
+	// ErrMisdirected says that another instance has the address of an upstream. It
+	// comes beside ErrUnavailable.
+	ErrMisdirected = errors.New("misdirected")
 	// ErrForeignFrame says that a frame belongs to another attempt or position.
 	ErrForeignFrame = errors.New("foreign frame")
 	// ErrNoUpstream says that no upstream of the pool can take the request.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -174,7 +174,7 @@
 	case kingcuphook.ReplyKindNotRun:
 		return fmt.Errorf("forwarder: %s did not run the call, status %d: %w: %w", u.Address(), resp.StatusCode, kingcuphook.ErrUnavailable, kingcuphook.ErrOverloaded)
 	case kingcuphook.ReplyKindMisdirected:
-		return fmt.Errorf("forwarder: another instance has %s: %w: %w", u.Address(), kingcuphook.ErrUnavailable, kingcuphook.ErrNotSent)
+		return fmt.Errorf("forwarder: another instance has %s: %w: %w", u.Address(), kingcuphook.ErrUnavailable, kingcuphook.ErrMisdirected)
 	default:
 		return fmt.Errorf("forwarder: %s replied with status %d of another call: %w: %w", u.Address(), resp.StatusCode, kingcuphook.ErrOutcomeUnknown, kingcuphook.ErrForeignFrame)
 	}
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -122,7 +122,7 @@
 		not   []error
 	}{
 		"not run":      {reply("X-Reply: not-run\r\n", ""), []error{kingcuphook.ErrUnavailable, kingcuphook.ErrOverloaded}, []error{kingcuphook.ErrNotSent}},
-		"misdirected":  {reply("X-Reply: misdirected\r\n", ""), []error{kingcuphook.ErrUnavailable, kingcuphook.ErrNotSent}, nil},
+		"misdirected":  {reply("X-Reply: misdirected\r\n", ""), []error{kingcuphook.ErrUnavailable, kingcuphook.ErrMisdirected}, []error{kingcuphook.ErrNotSent}},
 		"foreign":      {reply("X-Reply: foreign\r\n", ""), []error{kingcuphook.ErrOutcomeUnknown, kingcuphook.ErrForeignFrame}, []error{kingcuphook.ErrUnavailable}},
 		"no reply":     {"", []error{kingcuphook.ErrOutcomeUnknown}, []error{kingcuphook.ErrUnavailable}},
 		"no HTTP":      {"nonsense\r\n\r\n", []error{kingcuphook.ErrOutcomeUnknown}, []error{kingcuphook.ErrUnavailable}},
--- a/locator/home.go
+++ b/locator/home.go
@@ -36,7 +36,7 @@
 	long := isLong(r)
 	var scores [homeRanks]uint64
 	for _, u := range l.upstreams {
-		if u.row.Leaving() || u.quiet == long {
+		if u.row.Leaving() || u.displaced || u.quiet == long {
 			continue
 		}
 		score := mix(key ^ u.seed)
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -34,12 +34,12 @@
 	maxKept = 4096
 	// longPrompt is the number of tokens to be read from which on a prompt is long.
 	longPrompt = 3000
-	// quietRest bounds the streams on a quiet upstream beside which a long prompt is
-	// read.
-	quietRest = 4
-	// foreignStreams bounds the streams beside which a shared part is read that is
+	// quietRest is the part of the slots of a quiet upstream up to which a long prompt
+	// is read there.
+	quietRest = 1.0 / 16
+	// foreignRest is the part of the slots up to which a shared part is read that is
 	// at home elsewhere.
-	foreignStreams = 8
+	foreignRest = 1.0 / 8
 	// tightPause is the target for pauses below which a stream wants a quiet
 	// upstream.
 	tightPause = 500 * time.Millisecond
@@ -92,6 +92,8 @@
 	since time.Time
 	// kept has when each shared part was last used there, by hash.
 	kept map[uint64]time.Time
+	// displaced says that another program has its address.
+	displaced bool
 	// failed is when a request last failed there, failures how many in a row.
 	failed   time.Time
 	failures int
@@ -148,7 +150,7 @@
 	possible := false
 	for _, u := range l.upstreams {
 		address := u.row.Address()
-		if u.row.Leaving() || slices.Contains(excluded, address) {
+		if u.row.Leaving() || u.displaced || slices.Contains(excluded, address) {
 			continue
 		}
 		possible = true
@@ -225,14 +227,15 @@
 	if !q.long {
 		return false
 	}
-	most := max(u.row.Slots(), 1)
+	slots := float64(max(u.row.Slots(), 1))
+	most := slots
 	switch {
 	case u.quiet:
-		most = quietRest
+		most = slots * quietRest
 	case q.homes[0] != nil && q.homes.has(u) == 0 && !u.keeps(q):
-		most = min(most, foreignStreams)
+		most = slots * foreignRest
 	}
-	return u.load() >= most
+	return float64(u.load()) >= most
 }
 
 // warmth returns how much an upstream can have read of what it is home to: one that
@@ -348,6 +351,8 @@
 	delete(u.flights, r.ID())
 	u.running--
 	switch {
+	case s.Displaced:
+		u.displaced = true
 	case s.Failed && s.Answered:
 		// It is well enough to answer.
 	case s.Failed:
--- a/locator/locator_test.go
+++ b/locator/locator_test.go
@@ -117,6 +117,17 @@
 	is.Equal(choose(t, l, start.Add(failureFade), r), home)
 }
 
+func TestUpstreamThatLostItsAddressGetsNothing(t *testing.T) {
+	is := is.New(t)
+	p := pool(4)
+	l := newLocator("cairo", p)
+	r := letter("r", 1)
+	home := choose(t, l, start, r)
+	l.Started(start, home, r)
+	l.Finished(start, home, r, kingcuphook.Sample{Failed: true, Displaced: true})
+	is.True(choose(t, l, start.Add(time.Hour), r) != home)
+}
+
 func TestLeavingUpstreamGetsNothing(t *testing.T) {
 	is := is.New(t)
 	p := pool(4)
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -266,14 +266,30 @@
 	if f.ID == "" {
 		f.ID = xid.New().String()
 	}
-	if o.Tier.Valid() {
-		f.Tier = o.Tier
-	}
+	f.Tier, f.Urgency = rank(o, route)
 	point := float64(xxhash.Sum64String(f.ID)>>11) / (1 << 53)
 	f.Pool = route.PoolFor(point)
 	return kingcuphook.NewRequest(f)
 }
 
+const (
+	// routeLevels is how many tiers of routes there are inside one of organisations.
+	routeLevels = 3
+	// usualTier is that of an organisation that has none.
+	usualTier = kingcuphook.HighestTier + 1
+)
+
+// rank returns the tier and the urgency of a request. The tier of the organisation
+// goes first; among those of equal organisations that of the route decides.
+func rank(o kingcuphook.Organisation, route *kingcuphook.Route) (kingcuphook.Tier, int) {
+	organisation := o.Tier
+	if !organisation.Valid() {
+		organisation = usualTier
+	}
+	urgency := organisation.Index()*routeLevels + min(route.Tier().Index(), routeLevels-1)
+	return min(kingcuphook.HighestTier+kingcuphook.Tier(urgency), kingcuphook.LowestTier), urgency
+}
+
 // fingerprint returns what a call has in common with its repetitions.
 func fingerprint(r *http.Request, organisation string, body []byte) uint64 {
 	var d xxhash.Digest
--- a/receiver/receiver_test.go
+++ b/receiver/receiver_test.go
@@ -45,7 +45,7 @@
 		return kingcuphook.NewRoute(f)
 	}
 	return kingcuphook.NewTables(1, []*kingcuphook.Route{
-		route(kingcuphook.RouteFields{Name: "plain", Path: "/plain/", Timeout: 2 * time.Second}),
+		route(kingcuphook.RouteFields{Name: "plain", Path: "/plain/", Tier: 1, Timeout: 2 * time.Second}),
 		route(kingcuphook.RouteFields{Name: "stream", Path: "/stream/", Stream: true, NonIdempotent: true, Tier: 3}),
 		route(kingcuphook.RouteFields{Name: "open", Path: "/open/", Public: true}),
 	}, nil).WithOrganisations(map[string]kingcuphook.Organisation{"secret": {Name: "org", Tier: 2}})
@@ -115,12 +115,33 @@
 	r.Equal(got.Opaque.Header.Get("X-Key"), "")
 	r.Equal(got.Request.ID(), "id-1")
 	r.Equal(got.Request.Organisation(), "org")
-	r.Equal(got.Request.Tier(), kingcuphook.Tier(2)) // that of the organisation
+	r.Equal(got.Request.Urgency(), 3) // that of the organisation first, then the route's
+	r.Equal(got.Request.Tier(), kingcuphook.Tier(4))
 	r.True(!got.Request.NonIdempotent())
 	left := got.Request.Deadline().Sub(got.Request.Arrived())
 	r.Equal(left, time.Second) // the caller's, which is shorter than the route's
 }
 
+func TestRank(t *testing.T) {
+	is := is.New(t)
+	route := func(t kingcuphook.Tier) *kingcuphook.Route {
+		return kingcuphook.NewRoute(kingcuphook.RouteFields{Tier: t})
+	}
+	first, second, none := kingcuphook.Organisation{Tier: 1}, kingcuphook.Organisation{Tier: 2}, kingcuphook.Organisation{}
+	last := -1
+	for _, o := range []kingcuphook.Organisation{first, second} {
+		for tier := kingcuphook.Tier(1); tier <= 3; tier++ {
+			got, urgency := rank(o, route(tier))
+			is.True(urgency > last) // the organisation goes first, then the route
+			is.True(got.Valid())
+			last = urgency
+		}
+	}
+	_, usual := rank(none, route(1))
+	_, want := rank(second, route(1))
+	is.Equal(usual, want)
+}
+
 func TestRefusals(t *testing.T) {
 	for name, test := range map[string]struct {
 		path, key, body string
--- a/request.go
+++ b/request.go
@@ -36,6 +36,9 @@
 	DataCentre string
 	// Tier is the tier of the route.
 	Tier Tier
+	// Urgency orders requests at upstreams that do so: 0 is first. It is finer than
+	// Tier.
+	Urgency int
 	// Arrived is when the request was accepted by this router.
 	Arrived time.Time
 	// Target is the latency target to the first token; 0 means none.
@@ -99,6 +102,9 @@
 // Tier returns the tier of the request.
 func (r *Request) Tier() Tier { return r.f.Tier }
 
+// Urgency returns the place of the request at upstreams; 0 is first.
+func (r *Request) Urgency() int { return r.f.Urgency }
+
 // Arrived returns when the request was accepted.
 func (r *Request) Arrived() time.Time { return r.f.Arrived }
 
