--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -41,11 +41,6 @@
 	// Margin is how long before its target a waiting request counts as late.
 	Margin time.Duration
 
-	// WaitShare is the share of its time that a request may wait before it is given
-	// up, so that its caller hears of it while it can still come back; 0 means all
-	// of it.
-	WaitShare float64
-
 	// base is the time that times are counted from.
 	base  time.Time
 	tiers [kingcuphook.TierCount]tierQueue
--- a/admitter/item.go
+++ b/admitter/item.go
@@ -33,20 +33,11 @@
 func (a *Admitter) newItem(r *kingcuphook.Request, seq int64) *item {
 	it := &item{request: r, seq: seq, due: a.nanos(dueTime(r))}
 	if !r.Deadline().IsZero() {
-		it.deadline = a.nanos(a.waitsUntil(r))
+		it.deadline = a.nanos(r.Deadline())
 	}
 	return it
 }
 
-// waitsUntil returns when a waiting request with a deadline is given up.
-func (a *Admitter) waitsUntil(r *kingcuphook.Request) time.Time {
-	if a.WaitShare <= 0 || r.Arrived().IsZero() {
-		return r.Deadline()
-	}
-	allowed := r.Deadline().Sub(r.Arrived())
-	return r.Arrived().Add(time.Duration(a.WaitShare * float64(allowed)))
-}
-
 // nanos returns the time since the Admitter was first used, by the steady clock: a
 // time of day that jumps changes nothing. It is never 0.
 func (a *Admitter) nanos(t time.Time) int64 {
--- a/attacher/attacher.go
+++ b/attacher/attacher.go
@@ -177,6 +177,7 @@
 		NewBudget:   a.newBudget,
 		BudgetKey:   (*kingcuphook.Request).Pool,
 		Owner:       s.Name(),
+		Limits:      dispatcher.Limits{WaitShare: waitShare},
 	}
 	a.receiver = &receiver.Receiver{
 		Dispatcher: a.dispatcher,
@@ -204,7 +205,7 @@
 
 func (a *Attacher) newScheduler(string) kingcuphook.Scheduler {
 	return &scheduler.Scheduler{
-		Admitter:   &admitter.Admitter{WaitShare: waitShare},
+		Admitter:   &admitter.Admitter{},
 		HoldModels: true,
 		Limiter:    &bounder.Bounder{},
 		Selector:   &locator.Locator{Region: a.Settings.Region(), DataCentre: a.Settings.DataCentre()},
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -36,6 +36,10 @@
 	// frame before it is tried on a second upstream as well; 0 means that it is
 	// not.
 	HedgeAfter time.Duration
+	// WaitShare is the share of its time that an opaque call may wait for its first
+	// upstream, so that its caller hears of it while it can still come back; 0
+	// means all of it.
+	WaitShare float64
 	// ShareWait bounds the wait for Share; default 1 s.
 	ShareWait time.Duration
 	// HoldWait bounds the wait of a suspect; default 10 s.
--- a/dispatcher/fault.go
+++ b/dispatcher/fault.go
@@ -17,6 +17,7 @@
 	codeKeyReused         = "key-reused"
 	codeClaimExpired      = "claim-expired"
 	codeUpstreamFailed    = "upstream-failed"
+	codeOverloaded        = "overloaded"
 )
 
 // Times after which callers are told to come back.
@@ -38,7 +39,7 @@
 	{context.DeadlineExceeded, "deadline"},
 	{context.Canceled, "caller-gone"},
 	{kingcuphook.ErrBrokenStream, "broken-stream"},
-	{kingcuphook.ErrOverloaded, "overloaded"},
+	{kingcuphook.ErrOverloaded, codeOverloaded},
 	{kingcuphook.ErrRateLimited, "rate-limited"},
 	{kingcuphook.ErrNoUpstream, "no-upstream"},
 	{kingcuphook.ErrUnavailable, "upstream-unavailable"},
--- a/dispatcher/opaque_test.go
+++ b/dispatcher/opaque_test.go
@@ -168,3 +168,31 @@
 		r.True(r.dispatchOpaque(plain, 1) == nil)
 	})
 }
+
+func TestWaitsForItsFirstUpstreamInBounds(t *testing.T) {
+	for _, begun := range []bool{false, true} {
+		withScript(t, func(r *rig, engine *scripted) {
+			r.Limits.WaitShare = 0.4
+			if begun {
+				engine.errs = []error{errBroken}
+			}
+			r.acquire = func(ctx context.Context) error {
+				if begun && engine.calls == 0 {
+					return nil
+				}
+				<-ctx.Done()
+				return ctx.Err()
+			}
+			now := time.Now()
+			err := r.dispatchOpaque(kingcuphook.RequestFields{Arrived: now, Deadline: now.Add(10 * time.Second)}, 2)
+			if begun {
+				r.Equal(time.Since(now), 10*time.Second) // what had begun waits on
+				r.Equal(err.Ran, kingcuphook.RunStateUnknown)
+				return
+			}
+			r.Equal(time.Since(now), 4*time.Second)
+			r.Equal(err.Ran, kingcuphook.RunStateNotRun)
+			r.True(err.RetryAfter >= 500*time.Millisecond)
+		})
+	}
+}
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -18,6 +18,13 @@
 // has too much work.
 const overloadWait = 100 * time.Millisecond
 
+// comeBackLeast and comeBackSpread say when callers of calls that found no upstream
+// in time come back.
+const (
+	comeBackLeast  = 500 * time.Millisecond
+	comeBackSpread = time.Second
+)
+
 // maxUnsent bounds the upstreams of one call that could not be reached.
 const maxUnsent = 6
 
@@ -270,14 +277,43 @@
 	case quarantiner.VerdictHeld, quarantiner.VerdictQuarantined:
 		return nil, fmt.Errorf("dispatcher: call %016x: %w", r.request.Fingerprint(), kingcuphook.ErrQuarantined)
 	}
+	waiting, cancel := r.boundWait(ctx)
+	defer cancel()
 	for {
-		slot, err := r.ask(ctx, nil)
+		slot, err := r.ask(waiting, nil)
+		if err != nil && ctx.Err() == nil && waiting.Err() != nil {
+			return nil, &kingcuphook.RequestError{
+				Code:       codeOverloaded,
+				Ran:        r.tracker.Says(),
+				RetryAfter: r.comeBack(),
+				Err:        fmt.Errorf("dispatcher: no slot in time: %w", kingcuphook.ErrOverloaded),
+			}
+		}
 		if slot != nil || err != nil {
 			return slot, err
 		}
 	}
 }
 
+// boundWait bounds the wait of a call for its first upstream. One that had an
+// upstream before waits on: its caller may have a part of the answer.
+func (r *run) boundWait(ctx context.Context) (context.Context, context.CancelFunc) {
+	share, deadline := r.d.Limits.WaitShare, r.request.Deadline()
+	if r.begun || share <= 0 || deadline.IsZero() {
+		return context.WithCancel(ctx)
+	}
+	allowed := deadline.Sub(r.request.Arrived())
+	return context.WithDeadline(ctx, r.request.Arrived().Add(time.Duration(share*float64(allowed))))
+}
+
+// comeBack returns when the caller of a call that found no upstream in time should
+// come back. Callers are spread, so that they don't all come at once.
+func (r *run) comeBack() time.Duration {
+	r.d.mu.Lock()
+	defer r.d.mu.Unlock()
+	return comeBackLeast + time.Duration(r.d.Rand.Int64N(int64(comeBackSpread)))
+}
+
 // acquireAlone tries once to get a slot for a suspect where no other one runs.
 // It returns neither slot nor error when the call must be judged again.
 func (r *run) acquireAlone(ctx context.Context) (kingcuphook.Slot, *trial, error) {
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -52,10 +52,10 @@
 )
 
 // homeRanks is how many homes a shared part has.
-const homeRanks = 4
+const homeRanks = 2
 
 // homeShares is how much of a shared part each of its homes is thought to have.
-var homeShares = [homeRanks]float64{1, 0.5, 0.35, 0.2}
+var homeShares = [homeRanks]float64{1, 0.25}
 
 // Reasons why a candidate is refused.
 const (
--- a/locator/weigh.go
+++ b/locator/weigh.go
@@ -23,8 +23,8 @@
 	longCost  = 2.0
 	// fullCost is added where all slots are taken; it begins at fullFrom of them
 	// and grows with the square.
-	fullCost = 1.5
-	fullFrom = 0.75
+	fullCost = 0.7
+	fullFrom = 0.92
 	// serviceCost is the same on plain services.
 	serviceCost = 0.04
 	// failureCost is added after a failure and fades within failureFade.
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -331,8 +331,8 @@
 const (
 	// firstPatience and silencePatience are how many times its target an upstream
 	// may take before a call that can be repeated goes elsewhere.
-	firstPatience   = 2
-	silencePatience = 2
+	firstPatience   = 3
+	silencePatience = 3
 	// leastPatience bounds both from below.
 	leastPatience = 400 * time.Millisecond
 	// unlimited is for calls that can't be repeated: only their deadline ends them.
