--- a/attacher/attacher.go
+++ b/attacher/attacher.go
@@ -97,7 +97,6 @@
 	} {
 		server := &http.Server{Handler: served.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 		g.Go(func() error { return serve(server, served.listener) })
-		defer server.Close()
 		context.AfterFunc(parts, func() { _ = server.Close() })
 	}
 	g.Go(func() error {
--- a/attacher/attacher_test.go
+++ b/attacher/attacher_test.go
@@ -117,7 +117,7 @@
 // as seeds.
 func (w *world) start(ip string, store string, seeds ...string) *process {
 	w.t.Helper()
-	var seedAddresses []string
+	seedAddresses := make([]string, 0, len(seeds))
 	for _, s := range seeds {
 		seedAddresses = append(seedAddresses, s+":1")
 	}
@@ -139,7 +139,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	p.stop = cancel
 	go func() { p.ended <- a.Run(ctx); close(p.ended) }()
-	w.t.Cleanup(func() { cancel(); <-p.ended })
+	w.t.Cleanup(func() {
+		cancel()
+		if err := <-p.ended; err != nil {
+			w.t.Error(err)
+		}
+	})
 	return p
 }
 
@@ -249,14 +254,13 @@
 		status, _, err := p.call("/letters/1", "secret")
 		return err == nil && status == http.StatusUnauthorized
 	})
-	address := ""
 	entries, err := w.store.List(t.Context(), platform.RegistrationPrefix+"i-0")
 	w.NoErr(err)
 	var e struct {
 		Address string `json:"address"`
 	}
 	w.NoErr(json.Unmarshal(entries[0].Value(), &e))
-	address = e.Address
+	address := e.Address
 	w.register("i-0", address, "draining")
 	w.eventually("the news that an upstream leaves", func() bool { return strings.Contains(p.log.String(), "leaving=1") })
 	before := len(w.upstreams[0].Runs())
--- a/attacher/peers.go
+++ b/attacher/peers.go
@@ -117,7 +117,7 @@
 func (a *Attacher) tell(ctx context.Context) {
 	ticker := time.NewTicker(digestEvery)
 	defer ticker.Stop()
-	defer a.datagrams.Close()
+	defer func() { _ = a.datagrams.Close() }()
 	for {
 		select {
 		case <-ctx.Done():
--- a/dialer/stream.go
+++ b/dialer/stream.go
@@ -12,6 +12,7 @@
 	"github.com/tidwall/gjson"
 
 	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/canceller"
 )
 
 // maxEventBytes bounds one server-sent event of an engine.
@@ -26,10 +27,8 @@
 type stream struct {
 	body   io.ReadCloser
 	reader *bufio.Reader
-	cancel context.CancelFunc
-	// followed is the context whose end cancels the attempt; stop undoes that.
-	followed context.Context
-	stop     func() bool
+	// canceller cancels the attempt with the context of the reader.
+	canceller canceller.Canceller
 	// attempt and position are those of the latest frame, for the end marker,
 	// which carries none of its own.
 	attempt  string
@@ -37,13 +36,13 @@
 }
 
 func newStream(body io.ReadCloser, cancel context.CancelFunc) *stream {
-	return &stream{body: body, reader: bufio.NewReaderSize(body, 4<<10), cancel: cancel}
+	return &stream{body: body, reader: bufio.NewReaderSize(body, 4<<10), canceller: canceller.Canceller{Cancel: cancel}}
 }
 
 // Next implements kingcuphook.Stream. When ctx ends, the attempt is cancelled
 // and can't be read any more.
 func (s *stream) Next(ctx context.Context) (kingcuphook.Frame, error) {
-	s.follow(ctx)
+	s.canceller.Follow(ctx)
 	data, err := s.readData()
 	if err != nil {
 		if ctx.Err() != nil {
@@ -54,27 +53,9 @@
 	return s.frame(data)
 }
 
-// follow cancels the attempt when ctx ends. Callers mostly pass the same ctx
-// again, for which nothing is to be done.
-func (s *stream) follow(ctx context.Context) {
-	if ctx == s.followed {
-		return
-	}
-	s.unfollow()
-	s.followed = ctx
-	s.stop = context.AfterFunc(ctx, s.cancel)
-}
-
-func (s *stream) unfollow() {
-	if s.stop != nil {
-		s.stop()
-	}
-}
-
 // Close implements kingcuphook.Stream.
 func (s *stream) Close() error {
-	s.unfollow()
-	s.cancel()
+	s.canceller.Close()
 	return s.body.Close()
 }
 
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -198,7 +198,7 @@
 			defer f.Close()
 			s, err := f.Start(t.Context(), u.row, attempt("POST", "/", ""))
 			is.NoErr(err)
-			defer s.Close()
+			defer func() { _ = s.Close() }()
 			is.Equal(s.(kingcuphook.HeadedStream).Head().Header().Get("X-Own"), "1")
 			got, raw := "", ""
 			for {
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -10,6 +10,7 @@
 	"net/http"
 
 	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/canceller"
 )
 
 const (
@@ -27,8 +28,9 @@
 type stream struct {
 	body   io.ReadCloser
 	reader *bufio.Reader
-	cancel context.CancelFunc
-	head   kingcuphook.Answer
+	// canceller cancels the attempt with the context of the reader.
+	canceller canceller.Canceller
+	head      kingcuphook.Answer
 	// attempt and position are those of the next frame.
 	attempt  string
 	position int
@@ -36,21 +38,18 @@
 	event []byte
 	// ended says that the body ended whole; finished that this was told.
 	ended, finished bool
-	// followed is the context whose end cancels the attempt; stop undoes that.
-	followed context.Context
-	stop     func() bool
 }
 
 var _ kingcuphook.HeadedStream = (*stream)(nil)
 
 func newStream(resp *http.Response, a *kingcuphook.Attempt, cancel context.CancelFunc) *stream {
 	return &stream{
-		body:     resp.Body,
-		reader:   bufio.NewReaderSize(resp.Body, streamBuffer),
-		cancel:   cancel,
-		head:     kingcuphook.NewOpaqueAnswer(resp.StatusCode, endToEnd(resp.Header), nil),
-		attempt:  a.ID(),
-		position: a.ResumeFrom(),
+		body:      resp.Body,
+		reader:    bufio.NewReaderSize(resp.Body, streamBuffer),
+		canceller: canceller.Canceller{Cancel: cancel},
+		head:      kingcuphook.NewOpaqueAnswer(resp.StatusCode, endToEnd(resp.Header), nil),
+		attempt:   a.ID(),
+		position:  a.ResumeFrom(),
 	}
 }
 
@@ -60,7 +59,7 @@
 // Next implements kingcuphook.Stream. When ctx ends, the attempt is cancelled
 // and can't be read any more.
 func (s *stream) Next(ctx context.Context) (kingcuphook.Frame, error) {
-	s.follow(ctx)
+	s.canceller.Follow(ctx)
 	if s.ended {
 		return s.endFrame(), nil
 	}
@@ -115,26 +114,8 @@
 	}
 }
 
-// follow cancels the attempt when ctx ends. Callers mostly pass the same ctx
-// again, for which nothing is to be done.
-func (s *stream) follow(ctx context.Context) {
-	if ctx == s.followed {
-		return
-	}
-	s.unfollow()
-	s.followed = ctx
-	s.stop = context.AfterFunc(ctx, s.cancel)
-}
-
-func (s *stream) unfollow() {
-	if s.stop != nil {
-		s.stop()
-	}
-}
-
 // Close implements kingcuphook.Stream.
 func (s *stream) Close() error {
-	s.unfollow()
-	s.cancel()
+	s.canceller.Close()
 	return s.body.Close()
 }
--- a/receiver/answer.go
+++ b/receiver/answer.go
@@ -80,16 +80,14 @@
 
 func (s *Receiver) log(c *accepted, o kingcuphook.Outcome, err error, status int, first, total time.Duration) {
 	r := c.call.Request
-	fields := []any{
-		"request", r.ID(), "route", c.route.Name(), "pool", r.Pool(), "organisation", r.Organisation(), "tier", r.Tier(),
-		"status", status, "first-ms", first.Milliseconds(), "total-ms", total.Milliseconds(), "pieces", o.Tokens, "attempts", o.Attempts,
-	}
+	log := s.Log.With("request", r.ID(), "route", c.route.Name(), "pool", r.Pool(), "organisation", r.Organisation(),
+		"urgency", r.Urgency(), "status", status, "first-ms", first.Milliseconds(), "total-ms", total.Milliseconds())
 	if err == nil {
-		s.Log.Log(logger.RequestAnswered, fields...)
+		log.Log(logger.RequestAnswered, "pieces", o.Tokens, "attempts", o.Attempts)
 		return
 	}
 	e := requestError(err)
-	s.Log.Log(logger.RequestFailed, append(fields, "code", e.Code, "ran", e.Ran, "retry-after", e.RetryAfter, "error", e.Err)...)
+	log.Log(logger.RequestFailed, "code", e.Code, "ran", e.Ran, "retry-after", e.RetryAfter, "error", e.Err)
 }
 
 // refuse answers a call that was not accepted.
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -165,7 +165,7 @@
 		return nil, err
 	}
 	request := s.newRequest(r, labels, route, organisation, body, arrived, deadline)
-	return &accepted{route: route, call: s.newCall(r, d.Tables, route, request, body)}, nil
+	return &accepted{route: route, call: s.newCall(r, route, request, body)}, nil
 }
 
 // knownWait bounds how long a call waits for the first tables, which come soon
@@ -302,7 +302,7 @@
 	return d.Sum64()
 }
 
-func (s *Receiver) newCall(r *http.Request, t *kingcuphook.Tables, route *kingcuphook.Route, request *kingcuphook.Request, body []byte) *kingcuphook.Call {
+func (s *Receiver) newCall(r *http.Request, route *kingcuphook.Route, request *kingcuphook.Request, body []byte) *kingcuphook.Call {
 	header := s.Codec.Forwarded(r.Header)
 	forwarder.StripConnection(header)
 	header.Del("Content-Length")
--- a/receiver/receiver_test.go
+++ b/receiver/receiver_test.go
@@ -71,8 +71,8 @@
 	return r
 }
 
-func (r *rig) call(method, path string, body string, header ...string) (*http.Response, string, error) {
-	q, err := http.NewRequest(method, r.url+path, strings.NewReader(body))
+func (r *rig) call(path, body string, header ...string) (reply, string, error) {
+	q, err := http.NewRequest(http.MethodPost, r.url+path, strings.NewReader(body))
 	r.NoErr(err)
 	q.Host = "a.example"
 	q.Header.Set("X-Key", "secret")
@@ -82,11 +82,19 @@
 	}
 	resp, err := http.DefaultTransport.RoundTrip(q)
 	if err != nil {
-		return nil, "", err
+		return reply{}, "", err
 	}
 	defer resp.Body.Close()
 	text, err := io.ReadAll(resp.Body)
-	return resp, string(text), err
+	return reply{StatusCode: resp.StatusCode, Header: resp.Header, Close: resp.Close}, string(text), err
+}
+
+// reply is the head of an answer.
+type reply struct {
+	StatusCode int
+	Header     http.Header
+	// Close says that the connection ends with the answer.
+	Close bool
 }
 
 func answered(status int, body string) dispatch {
@@ -102,7 +110,7 @@
 		got = c
 		return answered(http.StatusCreated, "whole")(ctx, c, w)
 	})
-	resp, text, err := r.call("POST", "/plain/../x?q=%2F", "body", "Connection", "X-Hop", "X-Hop", "1", "X-Kept", "1", "X-Deadline", "1s")
+	resp, text, err := r.call("/plain/../x?q=%2F", "body", "Connection", "X-Hop", "X-Hop", "1", "X-Kept", "1", "X-Deadline", "1s")
 	r.NoErr(err)
 	r.Equal(resp.StatusCode, http.StatusCreated)
 	r.Equal(resp.Header.Get("X-Stamp"), "s")
@@ -156,7 +164,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := newRig(t, answered(http.StatusOK, ""))
-			resp, _, err := r.call("POST", test.path, test.body, "X-Key", test.key)
+			resp, _, err := r.call(test.path, test.body, "X-Key", test.key)
 			r.NoErr(err)
 			r.Equal(resp.StatusCode, test.want)
 		})
@@ -165,8 +173,8 @@
 
 func TestKnowsNothingYet(t *testing.T) {
 	r := newRig(t, answered(http.StatusOK, ""))
-	r.Receiver.Directory = func() Directory { return Directory{} }
-	resp, _, err := r.call("POST", "/other/", "", "X-Key", "wrong")
+	r.Directory = func() Directory { return Directory{} }
+	resp, _, err := r.call("/other/", "", "X-Key", "wrong")
 	r.NoErr(err)
 	r.Equal(resp.StatusCode, http.StatusServiceUnavailable) // and neither 401 nor 404
 	r.True(resp.Header.Get("Retry-After") != "")
@@ -198,7 +206,7 @@
 			r := newRig(t, func(context.Context, *kingcuphook.Call, kingcuphook.FrameWriter) (kingcuphook.Outcome, error) {
 				return kingcuphook.Outcome{}, test.err
 			})
-			resp, _, err := r.call("POST", "/plain/", "")
+			resp, _, err := r.call("/plain/", "")
 			r.NoErr(err)
 			r.Equal(resp.StatusCode, test.status)
 			r.Equal(resp.Header.Get("Retry-After"), test.after)
@@ -225,7 +233,7 @@
 			}
 			return kingcuphook.Outcome{Tokens: 2}, nil
 		})
-		resp, text, err := r.call("POST", "/stream/x", "")
+		resp, text, err := r.call("/stream/x", "")
 		r.Equal(err != nil, fails) // a broken stream never looks whole
 		r.Equal(resp.Header.Get("X-Stamp"), "s")
 		r.Equal(text, strings.Join(pieces, ""))
@@ -260,9 +268,9 @@
 func TestPlannedStop(t *testing.T) {
 	r := newRig(t, answered(http.StatusOK, "whole"))
 	var streams, end time.Time
-	r.Receiver.Closing = func() (time.Time, time.Time) { return streams, end }
+	r.Closing = func() (time.Time, time.Time) { return streams, end }
 	status := func(path string) int {
-		resp, _, err := r.call("POST", path, "")
+		resp, _, err := r.call(path, "")
 		r.NoErr(err)
 		r.Equal(resp.Close, !end.IsZero()) // callers are asked to go elsewhere
 		return resp.StatusCode
@@ -281,9 +289,9 @@
 func TestWaitsALittleForTheFirstTables(t *testing.T) {
 	r := newRig(t, answered(http.StatusOK, "whole"))
 	known := make(chan struct{})
-	r.Receiver.Known = known
-	current := r.Receiver.Directory
-	r.Receiver.Directory = func() Directory {
+	r.Known = known
+	current := r.Directory
+	r.Directory = func() Directory {
 		select {
 		case <-known:
 			return current()
@@ -291,11 +299,11 @@
 			return Directory{}
 		}
 	}
-	resp, _, err := r.call("POST", "/plain/", "")
+	resp, _, err := r.call("/plain/", "")
 	r.NoErr(err)
 	r.Equal(resp.StatusCode, http.StatusServiceUnavailable) // it does not wait for long
 	time.AfterFunc(50*time.Millisecond, func() { close(known) })
-	resp, _, err = r.call("POST", "/plain/", "")
+	resp, _, err = r.call("/plain/", "")
 	r.NoErr(err)
 	r.Equal(resp.StatusCode, http.StatusOK)
 }
--- /dev/null
+++ b/soaker/soaker_test.go
@@ -0,0 +1,50 @@
+package soaker
+
+import (
+	"errors"
+	"net"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// build builds the program of the routers.
+func build(t *testing.T) string {
+	t.Helper()
+	if l, err := net.Listen("tcp", "127.1.200.1:0"); err != nil {
+		t.Skipf("loopback has one address only: %v", err)
+	} else {
+		l.Close()
+	}
+	binary := filepath.Join(t.TempDir(), "kingcuphook")
+	out, err := exec.Command("go", "build", "-o", binary, "../cmd/kingcuphook").CombinedOutput()
+	if err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return binary
+}
+
+// TestSeeds runs short soaks. Seeds that failed once stay here, each with a line on
+// the cause.
+func TestSeeds(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs processes for half a minute")
+	}
+	binary := build(t)
+	for i, seed := range []uint64{1, 3} {
+		s := &Soak{
+			Binary: binary, Seed: seed, Faults: 6 * time.Second, Routers: 3, Upstreams: 3, Callers: 8, Dir: t.TempDir(), Host: 200 + i,
+		}
+		result, err := s.Run(t.Context())
+		t.Logf("seed %d: %d calls, %d served, %d runs, faults %v", seed, result.Calls, result.Served, result.Runs, result.Events)
+		if errors.Is(err, ErrBroken) {
+			t.Errorf("seed %d: %v", seed, err)
+		} else if err != nil {
+			t.Fatal(err)
+		}
+		if result.Served == 0 {
+			t.Errorf("seed %d: nothing was served", seed)
+		}
+	}
+}
--- a/soaker/world.go
+++ b/soaker/world.go
@@ -261,7 +261,7 @@
 	if err != nil {
 		return fmt.Errorf("soaker: %w", err)
 	}
-	defer out.Close()
+	defer func() { _ = out.Close() }()
 	r.command = exec.Command(binary, "attach", "--settings", r.settings)
 	r.command.Stdout, r.command.Stderr = out, out
 	if err := r.command.Start(); err != nil {
@@ -284,9 +284,8 @@
 	_ = r.command.Process.Signal(s)
 }
 
-// await waits for the end of the process, and kills it after d. It reports whether
-// it ended by itself.
-func (r *router) await(d time.Duration) bool {
+// await waits for the end of the process, and kills it after d.
+func (r *router) await(d time.Duration) {
 	r.mu.Lock()
 	ended := r.ended
 	r.mu.Unlock()
@@ -294,11 +293,9 @@
 	defer timer.Stop()
 	select {
 	case <-ended:
-		return true
 	case <-timer.C:
 		r.signal(syscall.SIGKILL)
 		<-ended
-		return false
 	}
 }
 
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -116,7 +116,7 @@
 // revision. The error joins those of the entries that were not understood, each
 // of which wraps ErrInvalid; such an entry names no upstream.
 func (s *Subscriber) Register(now time.Time, entries []kingcuphook.Entry, revision int64) error {
-	var errs []error
+	errs := make([]error, 0, len(entries))
 	for _, e := range entries {
 		errs = append(errs, s.register(now, e))
 	}
@@ -240,7 +240,7 @@
 		f.Models = nil
 		upstreams[r.Pool] = append(upstreams[r.Pool], kingcuphook.NewUpstream(f))
 	}
-	var pools []*kingcuphook.Pool
+	pools := make([]*kingcuphook.Pool, 0, len(s.declaration.Pools()))
 	for _, name := range slices.Sorted(maps.Keys(s.declaration.Pools())) {
 		pools = append(pools, kingcuphook.NewPool(kingcuphook.PoolFields{
 			Name: name, Upstreams: upstreams[name], SpillRegions: true,
