--- a/attacher/attacher_test.go
+++ b/attacher/attacher_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -34,6 +33,8 @@
 	refuseAll atomic.Bool
 	server    *httptest.Server
 	upstreams []*standin.Upstream
+	// addresses are those of the upstreams.
+	addresses []string
 	// version is that of the last declaration, keys are those of the organisation.
 	version int
 	keys    []string
@@ -54,38 +55,32 @@
 		server := httptest.NewServer(u)
 		t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
 		w.upstreams = append(w.upstreams, u)
-		w.register(u.Instance, server.Listener.Addr().String(), "ready")
+		w.addresses = append(w.addresses, server.Listener.Addr().String())
+		w.register(u.Instance, server.Listener.Addr().String(), false)
 	}
 	w.declare()
 	return w
 }
 
-func (w *world) put(key string, value any) {
+func (w *world) put(key string, value []byte, err error) {
 	w.t.Helper()
-	text, err := json.Marshal(value)
 	w.NoErr(err)
-	_, err = w.store.Put(w.t.Context(), key, text, kingcuphook.RevisionAny, 0)
+	_, err = w.store.Put(w.t.Context(), key, value, kingcuphook.RevisionAny, 0)
 	w.NoErr(err)
 }
 
-func (w *world) register(instance, address, state string) {
-	w.put(platform.RegistrationPrefix+instance, map[string]any{
-		"service": "writers", "address": address, "zone": "zone-a", "batchSlots": 8, "state": state, "born": 1700000000000,
-	})
+func (w *world) register(instance, address string, leaving bool) {
+	w.t.Helper()
+	value, err := standin.EncodeRegistration(address, leaving, time.Unix(1_700_000_000, 0))
+	w.put(platform.RegistrationPrefix+instance, value, err)
 }
 
 // declare writes the next version of the configuration.
 func (w *world) declare() {
+	w.t.Helper()
 	w.version += 3
-	w.put(platform.DeclarationKey, map[string]any{
-		"version": w.version,
-		"routes": []map[string]any{
-			{"name": "answers", "host": "a.example", "pathPrefix": "/answers/", "kind": "streaming", "service": "writers", "maxAttempts": 2, "resumable": true, "timeoutMs": 10000, "sloMs": 500, "gapAimMs": 400},
-			{"name": "letters", "host": "a.example", "pathPrefix": "/letters/", "kind": "streaming", "service": "writers", "maxAttempts": 1, "timeoutMs": 10000, "sloMs": 2500, "gapAimMs": 1500},
-		},
-		"services": []map[string]any{{"name": "writers", "engine": map[string]any{"batchSlots": 8, "kvCapacity": 1000}}},
-		"tenants":  []map[string]any{{"name": "org", "apiKeys": w.keys}},
-	})
+	value, err := standin.EncodeDeclaration(w.version, w.keys...)
+	w.put(platform.DeclarationKey, value, err)
 }
 
 // process is a running router.
@@ -117,17 +112,9 @@
 // as seeds.
 func (w *world) start(ip string, store string, seeds ...string) *process {
 	w.t.Helper()
-	seedAddresses := make([]string, 0, len(seeds))
-	for _, s := range seeds {
-		seedAddresses = append(seedAddresses, s+":1")
-	}
-	text, err := json.Marshal(map[string]any{
-		"nodeName": "router-" + ip, "ip": ip, "zone": "zone-a", "region": "region", "zones": map[string]string{"zone-a": "region"},
-		"listen":        map[string]string{"front": ip + ":17827", "ready": ip + ":17820"},
-		"internalPorts": []int{17840, 17855}, "seeds": seedAddresses,
-		"bounds":   map[string]any{"graceS": 3, "retryBudgetRatio": 0.2, "retryWindowS": 10, "retrySlack": 56},
-		"provider": map[string]any{"address": store, "ttlMinMs": 1000},
-	})
+	text, err := standin.Settings{
+		Name: "router-" + ip, IP: ip, CallersPort: 17827, ReadyPort: 17820, FirstPort: 17840, Store: store, Seeds: seeds, Grace: 3 * time.Second,
+	}.Encode()
 	w.NoErr(err)
 	file := filepath.Join(w.t.TempDir(), "settings.json")
 	w.NoErr(os.WriteFile(file, text, 0o600))
@@ -171,16 +158,14 @@
 
 // call sends a call and returns the status and the body; a broken answer has an
 // error.
-func (p *process) call(path, key string) (int, string, error) {
-	r, err := http.NewRequest(http.MethodPost, "http://"+p.front+path, strings.NewReader("question"))
+func (p *process) call(kind standin.Kind, key string) (int, string, error) {
+	c := standin.Call{
+		Kind: kind, ID: fmt.Sprintf("%016x", time.Now().UnixNano()), Key: key, Deadline: 8 * time.Second, Body: strings.NewReader("question"),
+	}
+	r, err := c.Request(context.Background(), p.front)
 	if err != nil {
 		return 0, "", err
 	}
-	r.Host = "a.example"
-	r.Header.Set("X-Kingcuphook-Attempt-Id", fmt.Sprintf("%016x", time.Now().UnixNano()))
-	r.Header.Set("X-Kingcuphook-Deadline-Ms", "8000")
-	r.Header.Set("X-Kingcuphook-Tenant", "forged")
-	r.Header.Set("Authorization", "Token "+key)
 	resp, err := http.DefaultTransport.RoundTrip(r)
 	if err != nil {
 		return 0, "", err
@@ -211,7 +196,7 @@
 	w := newWorld(t)
 	p := w.start("127.0.10.1", w.server.Listener.Addr().String())
 	w.eventually("readiness", p.isReady)
-	status, body, err := p.call("/answers/1", "secret")
+	status, body, err := p.call(standin.KindResumable, "secret")
 	w.NoErr(err)
 	w.Equal(status, http.StatusOK)
 	w.Equal(body, wholeStream())
@@ -221,22 +206,22 @@
 			seen = r
 		}
 	}
-	w.Equal(seen.Header.Get("X-Kingcuphook-Tenant"), "org")
-	w.Equal(seen.Header.Get("Authorization"), "")
+	w.Equal(seen.Organisation(), "org")
+	w.True(!seen.HasKey())
 
 	// The upstream that takes the next stream breaks off within an event.
 	var broken atomic.Bool
 	for _, u := range w.upstreams {
 		u.Break = func(_ *http.Request, event int) bool { return event == 7 && broken.CompareAndSwap(false, true) }
 	}
-	status, body, err = p.call("/answers/2", "secret")
+	status, body, err = p.call(standin.KindResumable, "secret")
 	w.NoErr(err)
 	w.Equal(status, http.StatusOK)
 	w.True(broken.Load())
 	w.Equal(body, wholeStream()) // no piece is missing or comes twice
 
 	broken.Store(false)
-	_, body, err = p.call("/letters/1", "secret")
+	_, body, err = p.call(standin.KindLetter, "secret")
 	w.True(err != nil) // it can't be resumed, and never looks whole
 	w.True(strings.HasPrefix(wholeStream(), body))
 }
@@ -245,27 +230,20 @@
 	w := newWorld(t)
 	p := w.start("127.0.10.2", w.server.Listener.Addr().String())
 	w.eventually("readiness", p.isReady)
-	status, _, err := p.call("/answers/1", "wrong")
+	status, _, err := p.call(standin.KindResumable, "wrong")
 	w.NoErr(err)
 	w.Equal(status, http.StatusUnauthorized)
 	w.keys = []string{"other"}
 	w.declare()
 	w.eventually("the end of the key", func() bool {
-		status, _, err := p.call("/letters/1", "secret")
+		status, _, err := p.call(standin.KindLetter, "secret")
 		return err == nil && status == http.StatusUnauthorized
 	})
-	entries, err := w.store.List(t.Context(), platform.RegistrationPrefix+"i-0")
-	w.NoErr(err)
-	var e struct {
-		Address string `json:"address"`
-	}
-	w.NoErr(json.Unmarshal(entries[0].Value(), &e))
-	address := e.Address
-	w.register("i-0", address, "draining")
+	w.register("i-0", w.addresses[0], true)
 	w.eventually("the news that an upstream leaves", func() bool { return strings.Contains(p.log.String(), "leaving=1") })
 	before := len(w.upstreams[0].Runs())
 	for range 10 {
-		status, _, err := p.call("/answers/1", "other")
+		status, _, err := p.call(standin.KindResumable, "other")
 		w.NoErr(err)
 		w.Equal(status, http.StatusOK)
 	}
@@ -280,7 +258,7 @@
 	w.refuseAll.Store(true)
 	second := w.start("127.0.10.4", w.server.Listener.Addr().String(), "127.0.10.3")
 	w.eventually("readiness from what a peer knows", second.isReady)
-	status, _, err := second.call("/answers/1", "secret")
+	status, _, err := second.call(standin.KindResumable, "secret")
 	w.NoErr(err)
 	w.Equal(status, http.StatusOK)
 }
@@ -296,7 +274,7 @@
 	results := make(chan result, 5)
 	for range 5 {
 		go func() {
-			_, body, err := p.call("/letters/1", "secret")
+			_, body, err := p.call(standin.KindLetter, "secret")
 			results <- result{body, err}
 		}()
 	}
@@ -323,7 +301,7 @@
 	w.refuseAll.Store(true)
 	w.eventually("the loss of the store", func() bool { return strings.Contains(p.log.String(), "KCH1104") })
 	for range 3 {
-		status, body, err := p.call("/answers/1", "secret")
+		status, body, err := p.call(standin.KindResumable, "secret")
 		w.NoErr(err)
 		w.Equal(status, http.StatusOK)
 		w.Equal(body, wholeStream())
--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -10,27 +10,17 @@
 	"strings"
 	"sync"
 	"time"
-)
-
-// kind is a kind of call; its value is the first part of its path.
-type kind string
 
-const (
-	kindPlain  kind = "plain"
-	kindOnce   kind = "plain/once"
-	kindStream kind = "stream"
-	kindLetter kind = "letter"
+	"github.com/kingcuphook/kingcuphook/platform/standin"
 )
 
-var kinds = []kind{kindPlain, kindOnce, kindStream, kindLetter}
-
 // once reports whether a call of the kind may run at most once.
-func (k kind) once() bool { return k == kindOnce || k == kindLetter }
+func once(k standin.Kind) bool { return k == standin.KindOnce || k == standin.KindLetter }
 
 // call is one attempt of a caller and what it got.
 type call struct {
 	id     string
-	kind   kind
+	kind   standin.Kind
 	router *router
 	sent   time.Time
 	status int
@@ -73,7 +63,7 @@
 		transport := &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, DisableCompression: true}
 		for range keptCalls {
 			n++
-			k := kinds[rng.IntN(len(kinds))]
+			k := standin.Kinds()[rng.IntN(len(standin.Kinds()))]
 			c.call(ctx, transport, &call{id: fmt.Sprintf("%016x", rng.Uint64()), kind: k, router: r}, rng.IntN(20) == 0)
 			sleep(ctx, between(rng, 5*time.Millisecond, 60*time.Millisecond))
 		}
@@ -90,19 +80,12 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), most)
 	defer cancel()
 	key := c.world.currentKey()
-	method := http.MethodPost
-	if x.kind == kindPlain {
-		method = http.MethodGet
-	}
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+x.router.callers+"/"+string(x.kind)+"/"+x.id, http.NoBody)
+	sent := standin.Call{Kind: x.kind, ID: x.id, Key: key, Deadline: most, Body: http.NoBody}
+	r, err := sent.Request(ctx, x.router.callers)
 	if err != nil {
 		x.wrong = err.Error()
 		return
 	}
-	r.Host = "soak.example"
-	r.Header.Set("X-Kingcuphook-Attempt-Id", x.id)
-	r.Header.Set("X-Kingcuphook-Deadline-Ms", fmt.Sprint(most.Milliseconds()))
-	r.Header.Set("Authorization", "Token "+key)
 	x.sent = time.Now()
 	c.add(x)
 	resp, err := transport.RoundTrip(r)
@@ -144,18 +127,17 @@
 
 // wrongIn returns what is wrong with a whole answer, or nothing.
 func (c *callers) wrongIn(x *call, key string, resp *http.Response, body string) string {
-	stamp := resp.Header.Get("X-Kingcuphook-Response-Stamp")
 	revoked := c.world.revoked(key)
 	switch {
-	case stamp == "":
+	case !standin.IsSigned(resp.Header):
 		return "a success without the stamp of an upstream"
-	case resp.Header.Get("X-Kingcuphook-Attempt-Id") != x.id:
+	case standin.IDOf(resp.Header) != x.id:
 		return "the answer of another call"
 	case !revoked.IsZero() && x.sent.After(revoked.Add(keyTime)) && x.router.calmSince(revoked):
 		return fmt.Sprintf("%s was honoured %v after it was taken away", key, x.sent.Sub(revoked))
-	case (x.kind == kindPlain || x.kind == kindOnce) && !strings.HasSuffix(body, " to "+x.id):
+	case (x.kind == standin.KindSafe || x.kind == standin.KindOnce) && !strings.HasSuffix(body, " to "+x.id):
 		return fmt.Sprintf("the answer %q", body)
-	case (x.kind == kindStream || x.kind == kindLetter) && body != wholeStream():
+	case (x.kind == standin.KindResumable || x.kind == standin.KindLetter) && body != wholeStream():
 		return fmt.Sprintf("a stream that looks whole and has %d bytes", len(body))
 	}
 	return ""
--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -157,7 +157,7 @@
 // serves on for a while and goes.
 func (w *world) leave(i int) {
 	old := w.replace(i)
-	if old == nil || w.register(old, "draining") != nil {
+	if old == nil || w.register(old, true) != nil {
 		return
 	}
 	w.mu.Lock()
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -131,10 +131,10 @@
 	runs := s.world.runs()
 	for _, c := range s.calls.all() {
 		n := len(runs[c.id])
-		if c.kind.once() && n > 1 {
+		if once(c.kind) && n > 1 {
 			broken("%s %s ran %d times", c.kind, c.id, n)
 		}
-		if c.saidNotRun && c.kind.once() && n > 0 {
+		if c.saidNotRun && once(c.kind) && n > 0 {
 			broken("%s %s was answered %d and ran", c.kind, c.id, c.status)
 		}
 		if c.wrong != "" {
--- a/soaker/world.go
+++ b/soaker/world.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -34,7 +33,6 @@
 	pieces = 12
 	// piecePause is the time between two of them.
 	piecePause = 15 * time.Millisecond
-	pool       = "models"
 )
 
 // world is everything around the callers.
@@ -144,21 +142,19 @@
 	if u.address, err = u.network.Listen(); err != nil {
 		return nil, fmt.Errorf("soaker: %w", err)
 	}
-	return u, w.register(u, "ready")
+	return u, w.register(u, false)
 }
 
-func (w *world) register(u *upstream, state string) error {
-	return w.put(platform.RegistrationPrefix+u.name, map[string]any{
-		"service": pool, "address": u.address, "zone": "zone", "batchSlots": 16, "state": state, "born": time.Now().UnixMilli(),
-	})
-}
-
-func (w *world) put(key string, value any) error {
-	text, err := json.Marshal(value)
+func (w *world) register(u *upstream, leaving bool) error {
+	value, err := standin.EncodeRegistration(u.address, leaving, time.Now())
 	if err != nil {
 		return fmt.Errorf("soaker: %w", err)
 	}
-	if _, err := w.store.Put(context.Background(), key, text, kingcuphook.RevisionAny, 0); err != nil {
+	return w.put(platform.RegistrationPrefix+u.name, value)
+}
+
+func (w *world) put(key string, value []byte) error {
+	if _, err := w.store.Put(context.Background(), key, value, kingcuphook.RevisionAny, 0); err != nil {
 		return fmt.Errorf("soaker: %w", err)
 	}
 	return nil
@@ -171,22 +167,10 @@
 	w.version += 2
 	old := w.key
 	w.key = fmt.Sprintf("key-%d", w.version)
-	route := func(name, kind string, more map[string]any) map[string]any {
-		r := map[string]any{"name": name, "host": "soak.example", "pathPrefix": "/" + name + "/", "kind": kind, "service": pool, "timeoutMs": 5000, "sloMs": 500, "gapAimMs": 400, "maxAttempts": 2}
-		for k, v := range more {
-			r[k] = v
-		}
-		return r
+	value, err := standin.EncodeDeclaration(w.version, w.key)
+	if err == nil {
+		err = w.put(platform.DeclarationKey, value)
 	}
-	err := w.put(platform.DeclarationKey, map[string]any{
-		"version": w.version,
-		"routes": []any{
-			route("plain", "safe", nil), route("plain/once", "unsafe", nil),
-			route("stream", "streaming", map[string]any{"resumable": true}), route("letter", "streaming", nil),
-		},
-		"services": []any{map[string]any{"name": pool, "engine": map[string]any{"batchSlots": 16, "kvCapacity": 1000}}},
-		"tenants":  []any{map[string]any{"name": "org", "apiKeys": []string{w.key}}},
-	})
 	if err == nil && old != "" {
 		w.keys[old] = time.Now()
 	}
@@ -216,7 +200,10 @@
 }
 
 const (
+	// portCallers, portReady and portPeers are those of every router.
 	portCallers, portReady, portPeers = 21827, 21820, 21840
+	// seedCount is how many routers a new one is told of.
+	seedCount = 3
 )
 
 func (w *world) newRouter(i int, store string) (*router, error) {
@@ -228,17 +215,14 @@
 	}
 	r.callers = fmt.Sprintf("%s:%d", r.ip, portCallers)
 	r.ready = fmt.Sprintf("%s:%d", r.ip, portReady)
-	var seeds []string
-	for n := range min(w.soak.Routers, 3) {
-		seeds = append(seeds, fmt.Sprintf("127.1.%d.%d:1", w.soak.Host, n+1))
+	seeds := make([]string, 0, seedCount)
+	for n := range min(w.soak.Routers, seedCount) {
+		seeds = append(seeds, fmt.Sprintf("127.1.%d.%d", w.soak.Host, n+1))
 	}
-	text, err := json.Marshal(map[string]any{
-		"nodeName": r.name, "ip": r.ip, "zone": "zone", "region": "region", "zones": map[string]string{"zone": "region"},
-		"listen":        map[string]string{"front": r.callers, "ready": r.ready},
-		"internalPorts": []int{portPeers, portPeers + 9}, "seeds": seeds,
-		"bounds":   map[string]any{"graceS": grace.Seconds(), "retryBudgetRatio": 0.2, "retryWindowS": 10, "retrySlack": 56},
-		"provider": map[string]any{"address": address},
-	})
+	text, err := standin.Settings{
+		Name: r.name, IP: r.ip, CallersPort: portCallers, ReadyPort: portReady, FirstPort: portPeers,
+		Store: address, Seeds: seeds, Grace: grace,
+	}.Encode()
 	if err != nil {
 		return nil, fmt.Errorf("soaker: %w", err)
 	}
