--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -135,7 +135,9 @@
 		defer cancel()
 	}
 	r := newRun(d, c, w)
-	d.requested(c.Request, time.Now())
+	if c.Opaque != nil {
+		d.requested(c.Request, time.Now())
+	}
 	out, err := r.do(ctx)
 	d.count(func(n *Counts) { n.add(r, err) })
 	if err != nil {
