--- a/attacher/attacher.go
+++ b/attacher/attacher.go
@@ -232,7 +232,7 @@
 func (a *Attacher) follow(ctx context.Context) {
 	// The store has few keys that are not for routers, so that one watch of all
 	// costs the least.
-	w := &watcher.Watcher{Store: a.store, OnEvent: a.control.take, Wait: a.watchWait, Rest: watchRest}
+	w := &watcher.Watcher{Store: a.store, OnEvent: a.control.take, Wait: a.watchWait, Rest: a.watchRest}
 	w.Run(ctx)
 }
 
@@ -240,14 +240,23 @@
 	// watchLeast and watchMost bound how long a watch is held without a change.
 	watchLeast = 2 * time.Second
 	watchMost  = 15 * time.Second
-	// watchRest is how long changes are gathered.
-	watchRest = 300 * time.Millisecond
+	// restLeast and restMost bound how long changes are gathered; restPerRouter is
+	// the part of it for each router, so that the calls of all of them to the store
+	// grow slower than they do.
+	restLeast     = 300 * time.Millisecond
+	restMost      = 1200 * time.Millisecond
+	restPerRouter = 8 * time.Millisecond
 	// watchPerRouter is the part of the longest wait for each router: however many
 	// they are, one of them soon finds that its connection is dead, and tells the
 	// others what it missed.
 	watchPerRouter = 600 * time.Millisecond
 )
 
+// watchRest returns how long changes are gathered before they are asked for again.
+func (a *Attacher) watchRest() time.Duration {
+	return min(restLeast+time.Duration(a.routers.Load())*restPerRouter, restMost)
+}
+
 // watchWait returns how long the next watch is held without a change. It differs
 // between routers, which all see a change at the same time.
 func (a *Attacher) watchWait() time.Duration {
--- a/attacher/control.go
+++ b/attacher/control.go
@@ -151,7 +151,7 @@
 			peer = a
 		}
 	}
-	late := c.store.IsLost() || now.Sub(c.peers.aheadSince) >= behindAfter
+	late := c.store.IsLost() || now.Sub(c.peers.aheadSince) >= c.a.watchRest()+behindAfter
 	if !peer.IsValid() || !late || c.asking || now.Before(c.nextAsk) {
 		return
 	}
--- a/attacher/peers.go
+++ b/attacher/peers.go
@@ -24,7 +24,7 @@
 	// suspectBytes bounds the suspects in a digest.
 	suspectBytes = 400
 	// behindAfter is how long a router waits for the store to tell it what a peer
-	// knows already.
+	// knows already, beyond the time for which it gathers changes.
 	behindAfter = 600 * time.Millisecond
 )
 
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -57,8 +57,9 @@
 	// Wait returns how long the store may hold the next watch; nil leaves it to
 	// the store.
 	Wait func() time.Duration
-	// Rest is the pause after a change: what changes meanwhile comes with one call.
-	Rest time.Duration
+	// Rest returns the pause after a change: what changes meanwhile comes with one
+	// call. Nil means none.
+	Rest func() time.Duration
 }
 
 // Run follows the prefix until ctx ends.
@@ -96,8 +97,8 @@
 		}
 		revision = next
 		w.OnEvent(Event{Kind: EventChanges, Prefix: w.Prefix, Entries: entries, Revision: revision})
-		if len(entries) > 0 {
-			pause(ctx, w.Rest)
+		if len(entries) > 0 && w.Rest != nil {
+			pause(ctx, w.Rest())
 		}
 	}
 }
