--- a/attacher/control.go
+++ b/attacher/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -189,12 +190,24 @@
 }
 
 // export returns what this router has of the store, for a peer.
-func (c *control) export(revision int64) (payload []byte, err error) {
+func (c *control) export(revision int64) ([]byte, error) {
+	type result struct {
+		payload []byte
+		err     error
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), exportTimeout)
 	defer cancel()
-	err = kingcuphook.ErrUnavailable
-	c.do(ctx, func(time.Time) { payload, err = c.store.Export(revision) })
-	return payload, err
+	results := make(chan result, 1)
+	c.do(ctx, func(time.Time) {
+		payload, err := c.store.Export(revision)
+		results <- result{payload, err}
+	})
+	select {
+	case r := <-results:
+		return r.payload, r.err
+	default:
+		return nil, fmt.Errorf("attacher: the control loop is behind: %w", kingcuphook.ErrUnavailable)
+	}
 }
 
 // exportTimeout bounds the wait for the control loop.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -48,11 +48,7 @@
 	IdleTimeout time.Duration
 	// MaxAnswerBytes bounds an answer that is kept in memory; 0 means 8 MiB.
 	MaxAnswerBytes int64
-	// OnDial is told of every new connection; nil tells nobody. It must be safe
-	// for concurrent use and return at once.
-	OnDial func(u *kingcuphook.Upstream, err error)
-
-	mu sync.Mutex
+	mu             sync.Mutex
 	// transports has the connections to each running program.
 	transports map[program]*http.Transport
 }
@@ -236,12 +232,12 @@
 	if f.transports == nil {
 		f.transports = make(map[program]*http.Transport)
 	}
-	t := f.newTransport(u)
+	t := f.newTransport()
 	f.transports[p] = t
 	return t
 }
 
-func (f *Forwarder) newTransport(u *kingcuphook.Upstream) *http.Transport {
+func (f *Forwarder) newTransport() *http.Transport {
 	dial := &net.Dialer{
 		Timeout: cmp.Or(f.DialTimeout, defaultDialTimeout),
 		Control: limitUnacknowledged,
@@ -253,13 +249,7 @@
 		},
 	}
 	return &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			c, err := dial.DialContext(ctx, network, address)
-			if f.OnDial != nil && !errors.Is(err, context.Canceled) {
-				f.OnDial(u, err)
-			}
-			return c, err
-		},
+		DialContext:            dial.DialContext,
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdlePerUpstream,
 		IdleConnTimeout:        cmp.Or(f.IdleTimeout, defaultIdleTimeout),
