--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -75,6 +75,7 @@
 		s.SetFault(storer.Fault{Down: true})
 		events := follow(t.Context(), s)
 		time.Sleep(5 * time.Second)
+		synctest.Wait()
 		n := len(*events)
 		is.True(n >= 4 && n <= 20) // it tries on, without a storm
 		for _, e := range *events {
