--- a/soaker/world.go
+++ b/soaker/world.go
@@ -37,7 +37,9 @@
 
 // world is everything around the callers.
 type world struct {
-	soak      *Soak
+	soak *Soak
+	// lock keeps other runs from the addresses of this one.
+	lock      net.Listener
 	store     *storer.Store
 	storeHTTP *http.Server
 	// storeRefuses has the store refuse everybody.
@@ -83,8 +85,27 @@
 	disturbed time.Time
 }
 
+// takeHost opens a port that stands for the loopback addresses of a run, from the
+// wanted third byte on, so that runs beside one another never share any.
+func takeHost(wanted int) (net.Listener, int, error) {
+	var failed error
+	for host := wanted; host < min(wanted+hostTries, maxHost); host++ {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.1.%d.250:%d", host, portPeers))
+		if err == nil {
+			return l, host, nil
+		}
+		failed = err
+	}
+	return nil, 0, fmt.Errorf("soaker: no free addresses: %w", failed)
+}
+
 func newWorld(s *Soak) (*world, error) {
-	w := &world{soak: s, store: &storer.Store{WatchWait: 2 * time.Second}, keys: make(map[string]time.Time)}
+	lock, host, err := takeHost(s.Host)
+	if err != nil {
+		return nil, err
+	}
+	s.Host = host
+	w := &world{lock: lock, soak: s, store: &storer.Store{WatchWait: 2 * time.Second}, keys: make(map[string]time.Time)}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("soaker: %w", err)
@@ -202,6 +223,9 @@
 const (
 	// portCallers, portReady and portPeers are those of every router.
 	portCallers, portReady, portPeers = 21827, 21820, 21840
+	// hostTries bounds the third bytes that are tried, maxHost the byte.
+	hostTries = 20
+	maxHost   = 255
 	// seedCount is how many routers a new one is told of.
 	seedCount = 3
 )
@@ -283,6 +307,18 @@
 	}
 }
 
+// hasEnded reports whether the process has ended.
+func (r *router) hasEnded() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	select {
+	case <-r.ended:
+		return true
+	default:
+		return false
+	}
+}
+
 // disturb notes that the router is disturbed for d, and some time after.
 func (r *router) disturb(d time.Duration) {
 	r.mu.Lock()
@@ -314,7 +350,7 @@
 	until := time.Now().Add(most)
 	for _, r := range w.routers {
 		for !r.isReady() {
-			if time.Now().After(until) || ctx.Err() != nil {
+			if time.Now().After(until) || ctx.Err() != nil || r.hasEnded() {
 				return fmt.Errorf("soaker: %s is not ready: %w", r.name, ErrBroken)
 			}
 			sleep(ctx, 50*time.Millisecond)
@@ -379,4 +415,5 @@
 		_ = u.network.Close()
 	}
 	_ = w.storeHTTP.Close()
+	_ = w.lock.Close()
 }
