--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"strings"
 	"sync"
 	"time"
 
@@ -113,14 +112,14 @@
 	if err != nil {
 		return
 	}
-	s.Adopt(known)
+	s.adopt(known)
 	after, err := s.put(ctx)
 	if err != nil {
 		return
 	}
 	entries, err := s.list(ctx)
 	for err == nil {
-		s.Adopt(entries)
+		s.adopt(entries)
 		entries, after, err = s.Store.Watch(ctx, Prefix, after)
 	}
 }
@@ -131,12 +130,12 @@
 	return s.Store.List(ctx, Prefix)
 }
 
-// Adopt takes what others know from those of the entries that are theirs. What is
-// not understood is left out: it is of a router of another version.
-func (s *Sharer) Adopt(entries []kingcuphook.Entry) {
+// adopt takes what others know. What is not understood is left out: it is of a
+// router of another version.
+func (s *Sharer) adopt(entries []kingcuphook.Entry) {
 	now := time.Now()
 	for _, e := range entries {
-		if !e.Deleted() && strings.HasPrefix(e.Key(), Prefix) {
+		if !e.Deleted() {
 			_ = s.Quarantiner.Import(now, e.Value())
 		}
 	}
