--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -240,6 +240,7 @@
 }
 
 func (s *Receiver) newRequest(r *http.Request, l kingcuphook.CallLabels, route *kingcuphook.Route, o kingcuphook.Organisation, body []byte, arrived, deadline time.Time) *kingcuphook.Request {
+	tier, urgency := rank(o, route)
 	f := kingcuphook.RequestFields{
 		ID:           l.ID,
 		Class:        route.Name(),
@@ -249,7 +250,8 @@
 		Model:         route.Name(),
 		Region:        s.Region,
 		DataCentre:    s.DataCentre,
-		Tier:          route.Tier(),
+		Tier:          tier,
+		Urgency:       urgency,
 		Arrived:       arrived,
 		Target:        route.Target(),
 		TokenTarget:   route.TokenTarget(),
@@ -266,7 +268,6 @@
 	if f.ID == "" {
 		f.ID = xid.New().String()
 	}
-	f.Tier, f.Urgency = rank(o, route)
 	point := float64(xxhash.Sum64String(f.ID)>>11) / (1 << 53)
 	f.Pool = route.PoolFor(point)
 	return kingcuphook.NewRequest(f)
