--- a/locator/locator.go
+++ b/locator/locator.go
@@ -57,10 +57,8 @@
 // homeShares is how much of a shared part each of its homes is thought to have.
 var homeShares = [homeRanks]float64{1, 0.25}
 
-// Reasons why a candidate is refused.
-const (
-	reasonLeaving = "leaving"
-)
+// reasonLeaving is why an upstream that leaves is refused as a candidate.
+const reasonLeaving = "leaving"
 
 // Locator implements kingcuphook.Selector for one pool. It is used by one
 // goroutine at a time.
