Tell the peers of suspects that are cleared

A call that was a suspect of a crash and is then answered was told to peers only with the next crash. Another suspect of that crash, held at another router, then stayed held until it was given up as suspect after 10 s, in place of being quarantined once it is the only one left.

Ruled out: two suspects on one upstream, a crash seen as two.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -69,8 +69,8 @@
 	Claimer *claimer.Claimer
 	// Quarantiner knows the suspects; nil means one with the defaults.
 	Quarantiner *quarantiner.Quarantiner
-	// Share tells the peers of new suspects and returns when they know; nil
-	// tells nobody. It must be safe for concurrent use.
+	// Share tells the peers of suspects that are new or cleared and returns when
+	// they know; nil tells nobody. It must be safe for concurrent use.
 	Share func(ctx context.Context)
 	// NewBudget makes the retry budget of a class; nil means one with the
 	// defaults.
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -266,6 +266,28 @@
 	})
 }
 
+// TestTellsPeersOfClearedSuspects wants the peers to hear of a call that is no
+// suspect any more: they may hold another one until they do.
+func TestTellsPeersOfClearedSuspects(t *testing.T) {
+	test(t, []bool{true, true}, func(r *rig) {
+		var mu sync.Mutex
+		var told []int
+		r.Share = func(context.Context) {
+			mu.Lock()
+			defer mu.Unlock()
+			told = append(told, len(r.Quarantiner.Export(time.Now(), 1000)))
+		}
+		r.faults = []runner.Fault{{Kind: runner.FaultEarlyEnd, At: 7}}
+		_, err := r.call(stream)
+		r.True(err == nil)
+		synctest.Wait()
+		mu.Lock()
+		defer mu.Unlock()
+		r.Equal(len(told), 2) // the suspicion, and that it is over
+		r.True(told[1] < told[0])
+	})
+}
+
 // TestErrorAnswerIsNoCrash wants an upstream that answers with an error to make
 // nobody a suspect.
 func TestErrorAnswerIsNoCrash(t *testing.T) {
--- a/dispatcher/poison.go
+++ b/dispatcher/poison.go
@@ -18,12 +18,18 @@
 func (r *run) crashed(ctx context.Context, u *kingcuphook.Upstream) {
 	r.d.count(func(n *Counts) { n.Crashes++ })
 	r.d.Quarantiner.Crashed(time.Now(), r.request.Fingerprint(), u.Address())
-	if r.d.Share == nil {
+	r.d.share(ctx)
+}
+
+// share tells the peers of the suspects and returns when they know, or after a
+// bounded time.
+func (d *Dispatcher) share(ctx context.Context) {
+	if d.Share == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, r.d.Limits.ShareWait)
+	ctx, cancel := context.WithTimeout(ctx, d.Limits.ShareWait)
 	defer cancel()
-	r.d.Share(ctx)
+	d.Share(ctx)
 }
 
 // judge waits until the call may run, and reports whether it is a suspect.
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -99,7 +99,10 @@
 func (r *run) succeed(out kingcuphook.Outcome) {
 	now := time.Now()
 	r.d.succeeded(r.request, now)
-	r.d.Quarantiner.Cleared(now, r.request.Fingerprint())
+	if r.d.Quarantiner.Cleared(now, r.request.Fingerprint()) {
+		// Another suspect of the same crash may be held until the peers know.
+		go r.d.share(context.Background())
+	}
 	r.settle(out)
 }
 
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -134,9 +134,10 @@
 	e.crashes = merge(e.crashes, []Crash{c})
 }
 
-// Cleared notes that the request was answered whole: it crashes nothing.
-func (q *Quarantiner) Cleared(now time.Time, fingerprint uint64) {
-	q.set(now, fingerprint, stateCleared)
+// Cleared notes that the request was answered whole: it crashes nothing. It
+// reports whether the request was a suspect.
+func (q *Quarantiner) Cleared(now time.Time, fingerprint uint64) bool {
+	return q.set(now, fingerprint, stateCleared)
 }
 
 // Lift ends the quarantine or suspicion of a request and reports whether there
