Let calls wait for the first tables for a share of their time

A call waited 400 ms, whatever time it had.

A longer Retry-After (1 s) changes nothing. Left: the tables come 0.9 s after the store, since a read that began before its return runs into its timeout of 1.2 s; reads that overlap would cost the store three times the calls when a large fleet starts.

--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -139,11 +139,11 @@
 // accept reads a call and finds its route and organisation.
 func (s *Receiver) accept(w http.ResponseWriter, r *http.Request) (*accepted, error) {
 	arrived := time.Now()
-	d := s.awaitDirectory(r.Context())
+	labels := s.Codec.Labels(r.Header)
+	d := s.awaitDirectory(r.Context(), labels.Deadline)
 	if d.Tables == nil {
 		return nil, errNotReady
 	}
-	labels := s.Codec.Labels(r.Header)
 	route := d.Tables.MatchHost(r.Host, r.URL.EscapedPath())
 	if route == nil {
 		return nil, errNoRoute
@@ -168,17 +168,24 @@
 	return &accepted{route: route, call: s.newCall(r, route, request, body)}, nil
 }
 
-// knownWait bounds how long a call waits for the first tables, which come soon
-// after the start of the process.
-const knownWait = 400 * time.Millisecond
+const (
+	// knownShare is the share of its time that a call waits for the first tables,
+	// which come soon after the start of the process; few callers ask a second time.
+	knownShare = 0.2
+	// knownLeast and knownMost bound that wait.
+	knownLeast = 400 * time.Millisecond
+	knownMost  = 3 * time.Second
+)
 
-// awaitDirectory returns what is in force, or waits a little for the first tables.
-func (s *Receiver) awaitDirectory(ctx context.Context) Directory {
+// awaitDirectory returns what is in force, or waits a while for the first tables
+// on behalf of a call that may take the given time; 0 means unknown.
+func (s *Receiver) awaitDirectory(ctx context.Context, allowed time.Duration) Directory {
 	d := s.Directory()
 	if d.Tables != nil || s.Known == nil {
 		return d
 	}
-	timer := time.NewTimer(knownWait)
+	wait := time.Duration(knownShare * float64(allowed))
+	timer := time.NewTimer(min(max(wait, knownLeast), knownMost))
 	defer timer.Stop()
 	select {
 	case <-s.Known:
--- a/receiver/receiver_test.go
+++ b/receiver/receiver_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -302,8 +303,28 @@
 	resp, _, err := r.call("/plain/", "")
 	r.NoErr(err)
 	r.Equal(resp.StatusCode, http.StatusServiceUnavailable) // it does not wait for long
-	time.AfterFunc(50*time.Millisecond, func() { close(known) })
-	resp, _, err = r.call("/plain/", "")
+	resp, _, err = r.call("/plain/", "", "X-Deadline", "100ms")
+	r.NoErr(err)
+	r.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	// A call that has more time waits longer.
+	time.AfterFunc(3*knownLeast/2, func() { close(known) })
+	resp, _, err = r.call("/plain/", "", "X-Deadline", "15s")
 	r.NoErr(err)
 	r.Equal(resp.StatusCode, http.StatusOK)
 }
+
+// TestWaitForTablesIsBounded wants a call to be refused while its caller can still
+// come back.
+func TestWaitForTablesIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &Receiver{Directory: func() Directory { return Directory{} }, Known: make(chan struct{})}
+		for _, tc := range []struct{ allowed, waited time.Duration }{
+			{0, knownLeast}, {time.Second, knownLeast}, {5 * time.Second, time.Second}, {time.Hour, knownMost},
+		} {
+			began := time.Now()
+			s.awaitDirectory(t.Context(), tc.allowed)
+			is.Equal(time.Since(began), tc.waited)
+		}
+	})
+}
