--- a/locator/locator.go
+++ b/locator/locator.go
@@ -68,12 +68,27 @@
 
 	upstreams []*upstream
 	byAddress map[string]*upstream
+	// chosen is the last choice, which is mostly the one that is started next.
+	chosen chosen
+}
+
+// chosen is a choice with what its start needs to know.
+type chosen struct {
+	request  *kingcuphook.Request
+	upstream *upstream
+	// uncached is the number of prompt tokens to be read, part the hash of the
+	// shared part.
+	uncached int
+	part     uint64
 }
 
 // upstream is what the router knows of one upstream.
 type upstream struct {
 	row  *kingcuphook.Upstream
 	seed uint64
+	// delay is the round trip to it, price what a KiB counts for on the way.
+	delay time.Duration
+	price float64
 	// quiet says that long prompts are kept away from it.
 	quiet bool
 	// running counts the requests of this router.
@@ -118,6 +133,7 @@
 			u = newUpstream(now, row)
 		}
 		u.row = row
+		u.delay, u.price = l.distance(row)
 		l.byAddress[row.Address()] = u
 		l.upstreams = append(l.upstreams, u)
 	}
@@ -165,6 +181,7 @@
 	if best == nil {
 		return kingcuphook.Choice{}, nil
 	}
+	l.chosen = chosen{request: r, upstream: best, uncached: least.uncached, part: q.part}
 	return kingcuphook.Choice{
 		Upstream:       best.row,
 		Predicted:      least.first,
@@ -192,7 +209,7 @@
 	sources sources
 	// long says that the prompt is kept from quiet upstreams.
 	long bool
-	// target is the time in which the first token is due, in seconds.
+	// target is the time in which the first token is due, in nanoseconds.
 	target float64
 	// kibs is what is moved for it, in KiB.
 	kibs float64
@@ -207,7 +224,7 @@
 		homes:   l.homesOf(r),
 		shared:  sharedTokens(r),
 		long:    isLong(r),
-		target:  cmp.Or(r.Target(), defaultTarget).Seconds(),
+		target:  float64(cmp.Or(r.Target(), defaultTarget)),
 		kibs:    float64(r.Bytes()+answerBytes) / 1024,
 		tie:     r.Fingerprint() ^ xxhash.Sum64String(r.ID()),
 	}
@@ -243,7 +260,11 @@
 // warmth returns how much an upstream can have read of what it is home to: one that
 // was started lately has little.
 func (u *upstream) warmth(now time.Time) float64 {
-	return min(now.Sub(u.since).Seconds()/warmAfter.Seconds(), 1)
+	age := now.Sub(u.since)
+	if age >= warmAfter {
+		return 1
+	}
+	return float64(age) / float64(warmAfter)
 }
 
 // sharedPart returns the position of the last part of the prompt that other
@@ -291,12 +312,15 @@
 	if u == nil {
 		return
 	}
-	q := l.newQuery(now, r)
-	f := flight{tokens: l.weigh(&q, u).uncached}
-	u.flights[r.ID()] = f
+	c := l.chosen
+	if c.request != r || c.upstream != u {
+		q := l.newQuery(now, r)
+		c = chosen{uncached: l.weigh(&q, u).uncached, part: q.part}
+	}
+	u.flights[r.ID()] = flight{tokens: c.uncached}
 	u.running++
-	u.reading += f.tokens
-	u.keep(now, q.part)
+	u.reading += c.uncached
+	u.keep(now, c.part)
 }
 
 // keep notes that the upstream reads a shared part; 0 is none.
--- a/locator/weigh.go
+++ b/locator/weigh.go
@@ -62,9 +62,9 @@
 	}
 	prompt := q.request.PromptTokens()
 	w.uncached = max(prompt-max(known, int(u.warmth(q.now)*float64(cached))), 0)
-	w.first = l.delay(u.row) + time.Duration(w.uncached+u.backlog())*tokenTime + time.Duration(u.load())*slotTime
-	late := w.first.Seconds() / q.target
-	w.cost = late*late + l.price(u.row)*q.kibs + u.penalty(q.now)
+	w.first = u.delay + time.Duration(w.uncached+u.backlog())*tokenTime + time.Duration(u.load())*slotTime
+	late := float64(w.first) / q.target
+	w.cost = late*late + u.price*q.kibs + u.penalty(q.now)
 	if u.row.Kind() == kingcuphook.UpstreamKindService {
 		w.cost += float64(u.load()) * serviceCost
 		return w
@@ -101,34 +101,26 @@
 	return cost + fullCost*over*over
 }
 
-// delay returns the round trip to the upstream.
-func (l *Locator) delay(u *kingcuphook.Upstream) time.Duration {
+// distance returns the round trip to an upstream and what a KiB counts for on the
+// way there and back.
+func (l *Locator) distance(u *kingcuphook.Upstream) (delay time.Duration, price float64) {
 	switch {
 	case u.Region() != l.Region:
-		return regionDelay
+		return regionDelay, regionPrice
 	case u.DataCentre() != l.DataCentre:
-		return centreDelay
+		return centreDelay, centrePrice
 	default:
-		return 0
-	}
-}
-
-// price returns what a KiB counts for on the way to the upstream and back.
-func (l *Locator) price(u *kingcuphook.Upstream) float64 {
-	switch {
-	case u.Region() != l.Region:
-		return regionPrice
-	case u.DataCentre() != l.DataCentre:
-		return centrePrice
-	default:
-		return 0
+		return 0, 0
 	}
 }
 
 // penalty returns what a failure of late counts for.
 func (u *upstream) penalty(now time.Time) float64 {
+	if u.failures == 0 {
+		return 0
+	}
 	age := now.Sub(u.failed)
-	if u.failures == 0 || age >= failureFade {
+	if age >= failureFade {
 		return 0
 	}
 	left := 1 - age.Seconds()/failureFade.Seconds()
