One copy of the codes of errors; failures tell their attempts

The codes that callers see stood as literals and constants in four packages. The line of a failed request now has how often it was sent. The labels of a call are decoded once also when it is refused. Entries of suspects that can't be read are logged in place of being dropped without a word.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -11,11 +11,8 @@
 	"github.com/kingcuphook/kingcuphook"
 )
 
-// Codes of the errors that Acquire returns.
+// Codes of errors that only Acquire returns.
 const (
-	CodeOverloaded   = "overloaded"
-	CodeDeadline     = "deadline"
-	CodeNoUpstream   = "no-upstream"
 	CodeShuttingDown = "shutting-down"
 	CodeDuplicate    = "duplicate-request"
 )
@@ -55,7 +52,7 @@
 	for name, p := range a.pools {
 		if t.Pool(name) == nil {
 			delete(a.pools, name)
-			p.close(CodeNoUpstream, kingcuphook.ErrNoUpstream, 0)
+			p.close(kingcuphook.CodeNoUpstream, kingcuphook.ErrNoUpstream, 0)
 		}
 	}
 }
@@ -188,7 +185,7 @@
 	if p := a.pools[name]; p != nil {
 		return p, nil
 	}
-	return nil, notRun(CodeNoUpstream, kingcuphook.ErrNoUpstream, 0)
+	return nil, notRun(kingcuphook.CodeNoUpstream, kingcuphook.ErrNoUpstream, 0)
 }
 
 func (a *Allocator) list() []*pool {
@@ -225,11 +222,11 @@
 func codeOf(err error) string {
 	switch {
 	case errors.Is(err, kingcuphook.ErrDeadline):
-		return CodeDeadline
+		return kingcuphook.CodeDeadline
 	case errors.Is(err, kingcuphook.ErrNoUpstream):
-		return CodeNoUpstream
+		return kingcuphook.CodeNoUpstream
 	case errors.Is(err, kingcuphook.ErrConflict):
 		return CodeDuplicate
 	}
-	return CodeOverloaded
+	return kingcuphook.CodeOverloaded
 }
--- a/allocator/allocator_test.go
+++ b/allocator/allocator_test.go
@@ -186,7 +186,7 @@
 			ID: "b", Pool: "pool", Tier: 1, Arrived: begun, Deadline: begun.Add(730 * time.Millisecond),
 		}), nil)
 		is.Equal(time.Since(begun), 730*time.Millisecond)
-		is.True(isNotRun(err, CodeDeadline))
+		is.True(isNotRun(err, kingcuphook.CodeDeadline))
 		var re *kingcuphook.RequestError
 		is.True(errors.As(err, &re) && re.RetryAfter > 0)
 	})
@@ -206,7 +206,7 @@
 		synctest.Wait()
 		acquire(t.Context(), a, request("top", 1))
 		begun := time.Now()
-		is.True(isNotRun((<-low).err, CodeOverloaded))
+		is.True(isNotRun((<-low).err, kingcuphook.CodeOverloaded))
 		is.Equal(time.Since(begun), time.Duration(0))
 	})
 }
@@ -243,10 +243,10 @@
 		second := acquire(t.Context(), a, request("b", 1))
 		synctest.Wait()
 		a.Update(kingcuphook.NewTables(3, nil, nil))
-		is.True(isNotRun((<-second).err, CodeNoUpstream))
+		is.True(isNotRun((<-second).err, kingcuphook.CodeNoUpstream))
 		got.slot.Release(kingcuphook.Sample{})
 		_, err := a.Acquire(t.Context(), request("c", 1), nil)
-		is.True(isNotRun(err, CodeNoUpstream))
+		is.True(isNotRun(err, kingcuphook.CodeNoUpstream))
 	})
 }
 
@@ -280,7 +280,7 @@
 		is.NoErr(err)
 		is.True(first.Choice().Upstream != second.Choice().Upstream)
 		_, err = a.Acquire(t.Context(), r, []string{"10.0.0.0:80", "10.0.0.1:80"})
-		is.True(isNotRun(err, CodeNoUpstream))
+		is.True(isNotRun(err, kingcuphook.CodeNoUpstream))
 		waiting := acquire(t.Context(), a, r)
 		synctest.Wait()
 		_, err = a.Acquire(t.Context(), r, nil)
--- a/dispatcher/claim.go
+++ b/dispatcher/claim.go
@@ -30,11 +30,11 @@
 		return kingcuphook.Outcome{}, r.tracker.Apply(tracker.EventClaim)
 	}
 	if t.Fingerprint() != r.request.Fingerprint() {
-		return kingcuphook.Outcome{}, claimError(codeKeyReused, 0, kingcuphook.ErrConflict)
+		return kingcuphook.Outcome{}, claimError(kingcuphook.CodeKeyReused, 0, kingcuphook.ErrConflict)
 	}
 	stored, ok := t.Outcome()
 	if !ok {
-		return kingcuphook.Outcome{}, claimError(codeClaimed, claimedRetryAfter, kingcuphook.ErrOutcomeUnknown)
+		return kingcuphook.Outcome{}, claimError(kingcuphook.CodeAlreadyClaimed, claimedRetryAfter, kingcuphook.ErrOutcomeUnknown)
 	}
 	return r.replay(stored)
 }
--- a/dispatcher/fault.go
+++ b/dispatcher/fault.go
@@ -13,11 +13,7 @@
 	codeQuarantined       = "quarantined"
 	codeSuspect           = "suspect"
 	codeClaimsUnavailable = "claims-unavailable"
-	codeClaimed           = "already-claimed"
-	codeKeyReused         = "key-reused"
 	codeClaimExpired      = "claim-expired"
-	codeUpstreamFailed    = "upstream-failed"
-	codeOverloaded        = "overloaded"
 )
 
 // Times after which callers are told to come back.
@@ -35,13 +31,13 @@
 	{kingcuphook.ErrQuarantined, codeQuarantined},
 	{kingcuphook.ErrRejected, "rejected"},
 	{kingcuphook.ErrTooLarge, "answer-too-large"},
-	{kingcuphook.ErrDeadline, "deadline"},
-	{context.DeadlineExceeded, "deadline"},
+	{kingcuphook.ErrDeadline, kingcuphook.CodeDeadline},
+	{context.DeadlineExceeded, kingcuphook.CodeDeadline},
 	{context.Canceled, "caller-gone"},
 	{kingcuphook.ErrBrokenStream, "broken-stream"},
-	{kingcuphook.ErrOverloaded, codeOverloaded},
-	{kingcuphook.ErrRateLimited, "rate-limited"},
-	{kingcuphook.ErrNoUpstream, "no-upstream"},
+	{kingcuphook.ErrOverloaded, kingcuphook.CodeOverloaded},
+	{kingcuphook.ErrRateLimited, kingcuphook.CodeRateLimited},
+	{kingcuphook.ErrNoUpstream, kingcuphook.CodeNoUpstream},
 	{kingcuphook.ErrUnavailable, "upstream-unavailable"},
 	{kingcuphook.ErrUpstreamAnswered, "upstream-answered"},
 	{kingcuphook.ErrOutcomeUnknown, "outcome-unknown"},
@@ -53,7 +49,7 @@
 			return c.code
 		}
 	}
-	return codeUpstreamFailed
+	return kingcuphook.CodeUpstreamFailed
 }
 
 // Causes for which an attempt is cut off by the router.
--- a/dispatcher/opaque_test.go
+++ b/dispatcher/opaque_test.go
@@ -96,6 +96,14 @@
 					return
 				}
 				r.Equal(err.Ran, test.ran)
+				// The error tells how often an upstream had the call.
+				unsent := 0
+				for _, e := range test.errs {
+					if errors.Is(e, kingcuphook.ErrNotSent) {
+						unsent++
+					}
+				}
+				r.Equal(err.Attempts, test.calls-min(unsent, test.calls))
 			})
 		})
 	}
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -286,7 +286,7 @@
 		slot, err := r.ask(waiting, nil)
 		if err != nil && ctx.Err() == nil && waiting.Err() != nil {
 			return nil, &kingcuphook.RequestError{
-				Code:       codeOverloaded,
+				Code:       kingcuphook.CodeOverloaded,
 				Ran:        r.tracker.Says(),
 				RetryAfter: r.comeBack(),
 				Err:        fmt.Errorf("dispatcher: no slot in time: %w", kingcuphook.ErrOverloaded),
@@ -388,7 +388,7 @@
 
 // fail ends the call with the error that its caller is told.
 func (r *run) fail(err error) error {
-	told := &kingcuphook.RequestError{Code: code(err), Ran: r.tracker.Says(), Err: err}
+	told := &kingcuphook.RequestError{Code: code(err), Ran: r.tracker.Says(), Attempts: r.attempts, Err: err}
 	_ = r.tracker.Apply(tracker.EventFail)
 	var inner *kingcuphook.RequestError
 	if errors.As(err, &inner) {
--- a/errors.go
+++ b/errors.go
@@ -81,6 +81,8 @@
 	Ran RunState
 	// RetryAfter tells the caller when to come back; zero says nothing.
 	RetryAfter time.Duration
+	// Attempts is how often the request was sent to an upstream.
+	Attempts int
 	// Err is the cause; never nil.
 	Err error
 }
--- a/receiver/answer.go
+++ b/receiver/answer.go
@@ -19,11 +19,11 @@
 )
 
 var (
-	errNotReady = &kingcuphook.RequestError{Code: "not-ready", Ran: kingcuphook.RunStateNotRun, RetryAfter: retryNotReady, Err: kingcuphook.ErrUnavailable}
+	errNotReady = &kingcuphook.RequestError{Code: kingcuphook.CodeNotReady, Ran: kingcuphook.RunStateNotRun, RetryAfter: retryNotReady, Err: kingcuphook.ErrUnavailable}
 	errStopping = &kingcuphook.RequestError{Code: "stopping", Ran: kingcuphook.RunStateNotRun, RetryAfter: retryStopping, Err: kingcuphook.ErrUnavailable}
-	errNoRoute  = &kingcuphook.RequestError{Code: "no-route", Ran: kingcuphook.RunStateNotRun, Err: kingcuphook.ErrNotFound}
+	errNoRoute  = &kingcuphook.RequestError{Code: kingcuphook.CodeNoRoute, Ran: kingcuphook.RunStateNotRun, Err: kingcuphook.ErrNotFound}
 	errNoKey    = &kingcuphook.RequestError{Code: "no-key", Ran: kingcuphook.RunStateNotRun, Err: errUnknownKey}
-	errTooLarge = &kingcuphook.RequestError{Code: "too-large", Ran: kingcuphook.RunStateNotRun, Err: kingcuphook.ErrTooLarge}
+	errTooLarge = &kingcuphook.RequestError{Code: kingcuphook.CodeTooLarge, Ran: kingcuphook.RunStateNotRun, Err: kingcuphook.ErrTooLarge}
 
 	errUnknownKey = errors.New("no organisation holds the key")
 )
@@ -87,14 +87,14 @@
 		return
 	}
 	e := requestError(err)
-	log.Log(logger.RequestFailed, "code", e.Code, "ran", e.Ran, "retry-after", e.RetryAfter, "error", e.Err)
+	log.Log(logger.RequestFailed, "attempts", e.Attempts, "code", e.Code, "ran", e.Ran, "retry-after", e.RetryAfter, "error", e.Err)
 }
 
 // refuse answers a call that was not accepted.
-func (s *Receiver) refuse(w http.ResponseWriter, r *http.Request, err error) {
+func (s *Receiver) refuse(w http.ResponseWriter, id string, err error) {
 	status := writeError(w, err)
 	e := requestError(err)
-	s.Log.Log(logger.RequestFailed, "request", s.Codec.Labels(r.Header).ID, "status", status,
+	s.Log.Log(logger.RequestFailed, "request", id, "status", status,
 		"code", e.Code, "ran", e.Ran, "retry-after", e.RetryAfter, "error", e.Err)
 }
 
@@ -103,7 +103,7 @@
 	if errors.As(err, &e) {
 		return e
 	}
-	return &kingcuphook.RequestError{Code: "internal", Ran: kingcuphook.RunStateUnknown, Err: err}
+	return &kingcuphook.RequestError{Code: kingcuphook.CodeInternal, Ran: kingcuphook.RunStateUnknown, Err: err}
 }
 
 // statusOf returns the status of a failure.
@@ -119,7 +119,7 @@
 		return http.StatusBadRequest
 	case e.Ran == kingcuphook.RunStateNotRun:
 		return http.StatusServiceUnavailable
-	case e.Code == "deadline":
+	case e.Code == kingcuphook.CodeDeadline:
 		return http.StatusGatewayTimeout
 	default:
 		return http.StatusBadGateway
@@ -203,7 +203,7 @@
 func (w *writer) writeAnswer(a kingcuphook.Answer) int {
 	if promises(a.Status()) {
 		return writeError(w.w, &kingcuphook.RequestError{
-			Code: "upstream-failed", Ran: kingcuphook.RunStateUnknown, Err: kingcuphook.ErrUpstreamAnswered,
+			Code: kingcuphook.CodeUpstreamFailed, Ran: kingcuphook.RunStateUnknown, Err: kingcuphook.ErrUpstreamAnswered,
 		})
 	}
 	w.w.Header().Set("Content-Length", strconv.Itoa(len(a.Body())))
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -113,9 +113,10 @@
 	if s.closes() {
 		w.Header().Set("Connection", "close")
 	}
-	c, err := s.accept(w, r)
+	labels := s.Codec.Labels(r.Header)
+	c, err := s.accept(w, r, labels)
 	if err != nil {
-		s.refuse(w, r, err)
+		s.refuse(w, labels.ID, err)
 		return
 	}
 	s.answer(w, r, c)
@@ -137,9 +138,8 @@
 }
 
 // accept reads a call and finds its route and organisation.
-func (s *Receiver) accept(w http.ResponseWriter, r *http.Request) (*accepted, error) {
+func (s *Receiver) accept(w http.ResponseWriter, r *http.Request, labels kingcuphook.CallLabels) (*accepted, error) {
 	arrived := time.Now()
-	labels := s.Codec.Labels(r.Header)
 	d := s.awaitDirectory(r.Context(), labels.Deadline)
 	if d.Tables == nil {
 		return nil, errNotReady
--- a/router/router.go
+++ b/router/router.go
@@ -266,7 +266,14 @@
 	watch := &observer.Observer{Recorder: r.recorder, Meter: r.meter}
 	r.claims = &claimer.Claimer{Store: r.platform, Rand: r.newRand()}
 	r.quarantine = &quarantiner.Quarantiner{}
-	r.sharer = &sharer.Sharer{Store: r.platform, Quarantiner: r.quarantine, Owner: r.PeersAddress()}
+	r.sharer = &sharer.Sharer{
+		Store:       r.platform,
+		Quarantiner: r.quarantine,
+		Owner:       r.PeersAddress(),
+		OnBad: func(key string, err error) {
+			r.Log.Log(logger.PeerFailed, "key", key, "error", err)
+		},
+	}
 	r.throttle = newThrottle(r.newRand())
 	r.dispatcher = &dispatcher.Dispatcher{
 		Allocator:   &observer.Allocator{Next: r.allocator, Observer: watch, Explain: r.allocator.Explain},
--- a/server/errors.go
+++ b/server/errors.go
@@ -11,40 +11,26 @@
 	"github.com/kingcuphook/kingcuphook"
 )
 
-// Codes of errors that the server itself makes.
-const (
-	codeBadRequest  = "bad-request"
-	codeTooLarge    = "too-large"
-	codeNoRoute     = "no-route"
-	codeNotReady    = "not-ready"
-	codeRateLimited = "rate-limited"
-	codeOverloaded  = "overloaded"
-	codeInternal    = "internal"
-)
-
-// Codes of the dispatcher that have a status of their own.
-const (
-	codeAlreadyClaimed = "already-claimed"
-	codeKeyReused      = "key-reused"
-)
+// codeBadRequest is told for a request that can't be read.
+const codeBadRequest = "bad-request"
 
 // retryWhenNotReady is when a caller of a router without tables comes back.
 const retryWhenNotReady = time.Second
 
 var (
 	errNoRoute = &kingcuphook.RequestError{
-		Code: codeNoRoute,
+		Code: kingcuphook.CodeNoRoute,
 		Ran:  kingcuphook.RunStateNotRun,
 		Err:  kingcuphook.ErrNotFound,
 	}
 	errNotReady = &kingcuphook.RequestError{
-		Code:       codeNotReady,
+		Code:       kingcuphook.CodeNotReady,
 		Ran:        kingcuphook.RunStateNotRun,
 		RetryAfter: retryWhenNotReady,
 		Err:        kingcuphook.ErrUnavailable,
 	}
 	errTooManyRequests = &kingcuphook.RequestError{
-		Code:       codeOverloaded,
+		Code:       kingcuphook.CodeOverloaded,
 		Ran:        kingcuphook.RunStateNotRun,
 		RetryAfter: retryWhenNotReady,
 		Err:        kingcuphook.ErrOverloaded,
@@ -63,7 +49,7 @@
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return &kingcuphook.RequestError{
-			Code: codeTooLarge,
+			Code: kingcuphook.CodeTooLarge,
 			Ran:  kingcuphook.RunStateNotRun,
 			Err:  kingcuphook.ErrTooLarge,
 		}
@@ -73,7 +59,7 @@
 
 func overRate(after time.Duration) *kingcuphook.RequestError {
 	return &kingcuphook.RequestError{
-		Code:       codeRateLimited,
+		Code:       kingcuphook.CodeRateLimited,
 		Ran:        kingcuphook.RunStateNotRun,
 		RetryAfter: after,
 		Err:        kingcuphook.ErrRateLimited,
@@ -110,7 +96,7 @@
 	if errors.As(err, &e) {
 		return e
 	}
-	return &kingcuphook.RequestError{Code: codeInternal, Ran: kingcuphook.RunStateUnknown, Err: err}
+	return &kingcuphook.RequestError{Code: kingcuphook.CodeInternal, Ran: kingcuphook.RunStateUnknown, Err: err}
 }
 
 func newErrorBody(id string, e *kingcuphook.RequestError) errorBody {
@@ -137,9 +123,9 @@
 
 func statusOf(e *kingcuphook.RequestError) int {
 	switch {
-	case e.Code == codeNoRoute:
+	case e.Code == kingcuphook.CodeNoRoute:
 		return http.StatusNotFound
-	case e.Code == codeAlreadyClaimed, e.Code == codeKeyReused:
+	case e.Code == kingcuphook.CodeAlreadyClaimed, e.Code == kingcuphook.CodeKeyReused:
 		return http.StatusConflict
 	case errors.Is(e.Err, kingcuphook.ErrTooLarge) && e.Ran == kingcuphook.RunStateNotRun:
 		return http.StatusRequestEntityTooLarge
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -40,6 +40,9 @@
 	Quarantiner *quarantiner.Quarantiner
 	// Owner names the key of the router; unique over the fleet.
 	Owner string
+	// OnBad takes the key of entries that can't be read, and why; nil means that
+	// nobody wants to know.
+	OnBad func(key string, err error)
 
 	once sync.Once
 	// writing has one place, held while the key is written.
@@ -135,8 +138,11 @@
 func (s *Sharer) adopt(entries []kingcuphook.Entry) {
 	now := time.Now()
 	for _, e := range entries {
-		if !e.Deleted() {
-			_ = s.Quarantiner.Import(now, e.Value())
+		if e.Deleted() {
+			continue
+		}
+		if err := s.Quarantiner.Import(now, e.Value()); err != nil && s.OnBad != nil {
+			s.OnBad(e.Key(), err)
 		}
 	}
 }
--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -9,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/kingcuphook/kingcuphook"
 	"github.com/kingcuphook/kingcuphook/emulator/storer"
 	"github.com/kingcuphook/kingcuphook/quarantiner"
 )
@@ -55,6 +57,17 @@
 	})
 }
 
+func TestTellsOfEntriesThatCannotBeRead(t *testing.T) {
+	is := is.New(t)
+	var bad []string
+	s := &Sharer{Quarantiner: &quarantiner.Quarantiner{}, OnBad: func(key string, err error) {
+		is.True(errors.Is(err, kingcuphook.ErrInvalid))
+		bad = append(bad, key)
+	}}
+	s.adopt([]kingcuphook.Entry{kingcuphook.NewEntry(Prefix+"one", []byte("?"), 1, false), kingcuphook.NewEntry(Prefix+"two", nil, 2, false)})
+	is.Equal(bad, []string{Prefix + "one"})
+}
+
 func TestOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
