One wait with a context, one bit mixer, the waiting watch in the root package

No behaviour changes; the interface of a watch that can be told how long it is held stands beside those of the store.

--- a/dispatcher/fault.go
+++ b/dispatcher/fault.go
@@ -93,15 +93,3 @@
 	}
 	return errors.Is(err, kingcuphook.ErrBrokenStream) || errors.Is(err, kingcuphook.ErrOutcomeUnknown)
 }
-
-// pause waits for d, and reports whether ctx is still alive.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/dispatcher/poison.go
+++ b/dispatcher/poison.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/pauser"
 	"github.com/kingcuphook/kingcuphook/quarantiner"
 )
 
@@ -53,7 +54,7 @@
 				Err:        fmt.Errorf("dispatcher: suspect of crashes: %w", kingcuphook.ErrUnavailable),
 			}
 		}
-		if !pause(ctx, judgeInterval) {
+		if !pauser.Pause(ctx, judgeInterval) {
 			return false, ctx.Err()
 		}
 	}
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -10,6 +10,7 @@
 	"github.com/kingcuphook/kingcuphook"
 	"github.com/kingcuphook/kingcuphook/assembler"
 	"github.com/kingcuphook/kingcuphook/claimer"
+	"github.com/kingcuphook/kingcuphook/pauser"
 	"github.com/kingcuphook/kingcuphook/quarantiner"
 	"github.com/kingcuphook/kingcuphook/tracker"
 )
@@ -129,7 +130,7 @@
 		r.d.count(func(n *Counts) { n.NoBudget++ })
 		return err
 	}
-	if !pause(ctx, wait) {
+	if !pauser.Pause(ctx, wait) {
 		return errors.Join(ctx.Err(), err)
 	}
 	return nil
@@ -267,7 +268,7 @@
 		if slot != nil || err != nil {
 			return slot, t, err
 		}
-		if !pause(ctx, judgeInterval) {
+		if !pauser.Pause(ctx, judgeInterval) {
 			return nil, nil, ctx.Err()
 		}
 	}
--- a/follower/fleet_test.go
+++ b/follower/fleet_test.go
@@ -16,6 +16,7 @@
 	"github.com/kingcuphook/kingcuphook/encoder"
 	"github.com/kingcuphook/kingcuphook/historian"
 	"github.com/kingcuphook/kingcuphook/parser"
+	"github.com/kingcuphook/kingcuphook/pauser"
 )
 
 // fleet is a few routers in three regions before one store, with a model of what
@@ -175,7 +176,7 @@
 		for range 2 {
 			f.pull(m, own)
 		}
-		sleep(ctx, time.Second)
+		pauser.Pause(ctx, time.Second)
 	}
 }
 
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -19,6 +19,7 @@
 	"github.com/kingcuphook/kingcuphook/differ"
 	"github.com/kingcuphook/kingcuphook/encoder"
 	"github.com/kingcuphook/kingcuphook/loader"
+	"github.com/kingcuphook/kingcuphook/pauser"
 )
 
 const (
@@ -222,7 +223,7 @@
 	r.start(ctx)
 	for ctx.Err() == nil {
 		pause := r.step(ctx)
-		sleep(ctx, pause)
+		pauser.Pause(ctx, pause)
 	}
 }
 
@@ -282,15 +283,3 @@
 	f.warned = storeRevision
 	f.publish(sourceStore, applier.VerdictOlder, seen)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/follower/runner.go
+++ b/follower/runner.go
@@ -9,6 +9,7 @@
 
 	"github.com/kingcuphook/kingcuphook"
 	"github.com/kingcuphook/kingcuphook/encoder"
+	"github.com/kingcuphook/kingcuphook/pauser"
 )
 
 // runner is the state of Run. It belongs to one goroutine.
@@ -30,7 +31,7 @@
 	wait := time.Duration(r.f.Rand.Int64N(int64(firstRead)))
 	r.nextRead = time.Now().Add(wait)
 	if r.watches() {
-		sleep(ctx, min(wait, firstWatcherRead))
+		pauser.Pause(ctx, min(wait, firstWatcherRead))
 	}
 }
 
@@ -96,7 +97,7 @@
 
 // idle waits where there is no head to watch from yet.
 func (r *runner) idle(ctx context.Context) error {
-	sleep(ctx, checkInterval)
+	pauser.Pause(ctx, checkInterval)
 	return nil
 }
 
--- a/gossiper/member.go
+++ b/gossiper/member.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/kingcuphook/kingcuphook/hasher"
 )
 
 // State is what is known of a member.
@@ -110,16 +112,7 @@
 
 // hash returns a hash of all that e says.
 func (e Entry) hash() uint64 {
-	return mix(xxhash.Sum64String(e.Address) + mix(e.Incarnation<<2|uint64(e.State.Rank())))
-}
-
-// mix scatters the bits of x.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
+	return hasher.Mix(xxhash.Sum64String(e.Address) + hasher.Mix(e.Incarnation<<2|uint64(e.State.Rank())))
 }
 
 // ID returns the hash that stands for l in an Entry.
--- a/gossiper/pick.go
+++ b/gossiper/pick.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"github.com/kingcuphook/kingcuphook/hasher"
 )
 
 // Offsets around a ring at which a router has its partners. Partners stay the
@@ -120,9 +122,9 @@
 		return ""
 	}
 	l := far[g.Rand.IntN(len(far))]
-	salt := mix(g.self.order + uint64(g.failedRegions[g.locations[l].Region].count))
+	salt := hasher.Mix(g.self.order + uint64(g.failedRegions[g.locations[l].Region].count))
 	partner := slices.MaxFunc(g.roster.centres[l], func(a, b *member) int {
-		return cmp.Compare(mix(a.order^salt), mix(b.order^salt))
+		return cmp.Compare(hasher.Mix(a.order^salt), hasher.Mix(b.order^salt))
 	})
 	return partner.entry.Address
 }
--- a/gossiper/roster.go
+++ b/gossiper/roster.go
@@ -6,6 +6,8 @@
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/kingcuphook/kingcuphook/hasher"
 )
 
 // maxLocations bounds the names of locations kept.
@@ -23,7 +25,7 @@
 	order   []uint32
 }
 
-func orderOf(address string) uint64 { return mix(xxhash.Sum64String(address)) }
+func orderOf(address string) uint64 { return hasher.Mix(xxhash.Sum64String(address)) }
 
 func byAddress(m *member, address string) int { return strings.Compare(m.entry.Address, address) }
 
--- a/hasher/hasher.go
+++ b/hasher/hasher.go
@@ -46,3 +46,12 @@
 
 // Tokens returns the estimated number of tokens in n bytes.
 func Tokens(n int) int { return (n + BytesPerToken - 1) / BytesPerToken }
+
+// Mix spreads the bits of x.
+func Mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
--- a/leaser/candidate.go
+++ b/leaser/candidate.go
@@ -1,6 +1,10 @@
 package leaser
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/kingcuphook/kingcuphook/hasher"
+)
 
 // Candidates is how many routers try to take one lease.
 const Candidates = 2
@@ -30,10 +34,5 @@
 
 // score is the rendezvous hash of a member for a key with hash k.
 func score(k uint64, member string) uint64 {
-	x := k ^ xxhash.Sum64String(member)
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
+	return hasher.Mix(k ^ xxhash.Sum64String(member))
 }
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -14,6 +14,7 @@
 	"github.com/kingcuphook/kingcuphook/differ"
 	"github.com/kingcuphook/kingcuphook/encoder"
 	"github.com/kingcuphook/kingcuphook/parser"
+	"github.com/kingcuphook/kingcuphook/pauser"
 )
 
 const (
@@ -180,11 +181,7 @@
 		if n == getAttempts || !errors.Is(err, kingcuphook.ErrRateLimited) {
 			return e, err
 		}
-		timer := time.NewTimer(time.Duration(n) * rateDelay)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
+		if !pauser.Pause(ctx, time.Duration(n)*rateDelay) {
 			return e, err
 		}
 	}
--- a/locator/home.go
+++ b/locator/home.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/hasher"
 )
 
 // homes are the upstreams that keep the shared part of a prompt, by rank: the
@@ -39,7 +40,7 @@
 		if u.row.Leaving() || u.displaced || u.quiet == long {
 			continue
 		}
-		score := mix(key ^ u.seed)
+		score := hasher.Mix(key ^ u.seed)
 		for i := range h {
 			if h[i] == nil || score > scores[i] {
 				copy(h[i+1:], h[i:])
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -279,15 +279,6 @@
 	return 0
 }
 
-// mix spreads the bits of x.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
-
 // Explain implements kingcuphook.Selector.
 func (l *Locator) Explain(now time.Time, r *kingcuphook.Request, dst []kingcuphook.Candidate) []kingcuphook.Candidate {
 	q := l.newQuery(now, r)
--- a/locator/weigh.go
+++ b/locator/weigh.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/hasher"
 )
 
 // Costs that choices are compared by. The unit is the worth of an answer in time.
@@ -55,7 +56,7 @@
 }
 
 func (l *Locator) weigh(q *query, u *upstream) weight {
-	w := weight{tie: mix(u.seed ^ q.tie)}
+	w := weight{tie: hasher.Mix(u.seed ^ q.tie)}
 	known, cached := q.common, max(q.common, int(q.homes.has(u)*float64(q.shared)))
 	if u.keeps(q) {
 		known, cached = q.shared, q.shared
--- a/router/share.go
+++ b/router/share.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/kingcuphook/kingcuphook/pauser"
 )
 
 const (
@@ -33,12 +35,7 @@
 			r.shareWhileSmall(ctx)
 			continue
 		}
-		timer := time.NewTimer(sharerCheck)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
-		}
+		pauser.Pause(ctx, sharerCheck)
 	}
 }
 
--- a/router/sweep.go
+++ b/router/sweep.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/kingcuphook/kingcuphook/pauser"
 )
 
 const (
@@ -17,12 +19,8 @@
 func (r *Router) sweep(ctx context.Context) {
 	random := r.newRand()
 	for {
-		timer := time.NewTimer(sweepInterval/2 + time.Duration(random.Int64N(int64(sweepInterval))))
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if !pauser.Pause(ctx, sweepInterval/2+time.Duration(random.Int64N(int64(sweepInterval)))) {
 			return
-		case <-timer.C:
 		}
 		if r.control.watches() {
 			r.sweepOnce(ctx)
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/pauser"
 	"github.com/kingcuphook/kingcuphook/quarantiner"
 )
 
@@ -59,12 +60,7 @@
 	if _, err := s.put(ctx); err != nil {
 		return
 	}
-	timer := time.NewTimer(spread)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	pauser.Pause(ctx, spread)
 }
 
 // put writes the entries and returns the revision.
@@ -102,7 +98,8 @@
 func (s *Sharer) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		s.follow(ctx)
-		s.rest(ctx)
+		// Routers don't come back all at once.
+		pauser.Pause(ctx, rand.N(retryWait))
 	}
 	return fmt.Errorf("sharer: %w", ctx.Err())
 }
@@ -146,13 +143,3 @@
 		}
 	}
 }
-
-// rest waits for a random time, so that routers do not come back all at once.
-func (s *Sharer) rest(ctx context.Context) {
-	timer := time.NewTimer(rand.N(retryWait))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/kingcuphook/kingcuphook/pauser"
 	"github.com/kingcuphook/kingcuphook/platform/standin"
 )
 
@@ -57,7 +58,7 @@
 	for n := 0; ctx.Err() == nil; {
 		r := c.world.routers[rng.IntN(len(c.world.routers))]
 		if !r.isReady() {
-			sleep(ctx, 20*time.Millisecond)
+			pauser.Pause(ctx, 20*time.Millisecond)
 			continue
 		}
 		transport := &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, DisableCompression: true}
@@ -65,7 +66,7 @@
 			n++
 			k := standin.Kinds()[rng.IntN(len(standin.Kinds()))]
 			c.call(ctx, transport, &call{id: fmt.Sprintf("%016x", rng.Uint64()), kind: k, router: r}, rng.IntN(20) == 0)
-			sleep(ctx, between(rng, 5*time.Millisecond, 60*time.Millisecond))
+			pauser.Pause(ctx, between(rng, 5*time.Millisecond, 60*time.Millisecond))
 		}
 		transport.CloseIdleConnections()
 	}
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -12,6 +12,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/kingcuphook/kingcuphook/pauser"
 )
 
 // Soak is one run. Its fields are set before Run.
@@ -80,9 +82,9 @@
 	}
 	events := s.injectFaults(ctx)
 	w.heal()
-	sleep(ctx, recoverTime)
+	pauser.Pause(ctx, recoverTime)
 	s.calls.beginCalm()
-	sleep(ctx, calmTime)
+	pauser.Pause(ctx, calmTime)
 	stop()
 	wg.Wait()
 	result := s.calls.result(w)
@@ -100,10 +102,10 @@
 		events = append(events, fmt.Sprintf("%s %s for %v", time.Now().Format("05.000"), f.name, f.lasts.Round(time.Millisecond)))
 		wg.Go(func() {
 			f.begin()
-			sleep(ctx, f.lasts)
+			pauser.Pause(ctx, f.lasts)
 			f.end()
 		})
-		sleep(ctx, between(s.rng, 200*time.Millisecond, 1200*time.Millisecond))
+		pauser.Pause(ctx, between(s.rng, 200*time.Millisecond, 1200*time.Millisecond))
 	}
 	wg.Wait()
 	return events
@@ -113,15 +115,6 @@
 	return least + time.Duration(rng.Int64N(int64(most-least)))
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // check returns the broken promises of the whole run.
 func (s *Soak) check() error {
 	var errs []error
--- a/soaker/world.go
+++ b/soaker/world.go
@@ -17,6 +17,7 @@
 	"github.com/kingcuphook/kingcuphook"
 	"github.com/kingcuphook/kingcuphook/emulator/forwarder"
 	"github.com/kingcuphook/kingcuphook/emulator/storer"
+	"github.com/kingcuphook/kingcuphook/pauser"
 	"github.com/kingcuphook/kingcuphook/platform"
 	"github.com/kingcuphook/kingcuphook/platform/standin"
 )
@@ -353,7 +354,7 @@
 			if time.Now().After(until) || ctx.Err() != nil || r.hasEnded() {
 				return fmt.Errorf("soaker: %s is not ready: %w", r.name, ErrBroken)
 			}
-			sleep(ctx, 50*time.Millisecond)
+			pauser.Pause(ctx, 50*time.Millisecond)
 		}
 	}
 	return nil
--- a/store.go
+++ b/store.go
@@ -83,6 +83,12 @@
 	ListAt(ctx context.Context, prefix string) ([]Entry, int64, error)
 }
 
+// WaitWatcher is a Store that can be told how long to hold a watch.
+type WaitWatcher interface {
+	// WatchFor is Watch that returns after the wait if nothing changes.
+	WatchFor(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Entry, int64, error)
+}
+
 // VMState says what the platform's list knows of a VM.
 type VMState string
 
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/pauser"
 )
 
 // EventKind says what a Watcher tells.
@@ -77,7 +78,7 @@
 		if followed {
 			wait = retryLeast
 		}
-		pause(ctx, wait/2+rand.N(wait/2))
+		pauser.Pause(ctx, wait/2+rand.N(wait/2))
 		wait = min(2*wait, retryMost)
 	}
 }
@@ -98,30 +99,15 @@
 		revision = next
 		w.OnEvent(Event{Kind: EventChanges, Prefix: w.Prefix, Entries: entries, Revision: revision})
 		if len(entries) > 0 && w.Rest != nil {
-			pause(ctx, w.Rest())
+			pauser.Pause(ctx, w.Rest())
 		}
 	}
 }
 
 func (w *Watcher) watch(ctx context.Context, after int64) ([]kingcuphook.Entry, int64, error) {
-	s, ok := w.Store.(WaitWatcher)
+	s, ok := w.Store.(kingcuphook.WaitWatcher)
 	if !ok || w.Wait == nil {
 		return w.Store.Watch(ctx, w.Prefix, after)
 	}
 	return s.WatchFor(ctx, w.Prefix, after, w.Wait())
 }
-
-// WaitWatcher is a Store that can be told how long to hold a watch.
-type WaitWatcher interface {
-	// WatchFor is Watch that returns after the wait if nothing changes.
-	WatchFor(ctx context.Context, prefix string, after int64, wait time.Duration) ([]kingcuphook.Entry, int64, error)
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
