--- a/decision.go
+++ b/decision.go
@@ -122,7 +122,7 @@
 	// Update takes the pool in force.
 	Update(now time.Time, p *Pool)
 	// Select chooses an upstream; excluded are addresses that were tried. It
-	// changes nothing but the source of randomness.
+	// changes nothing that a later choice depends on but the source of randomness.
 	Select(now time.Time, r *Request, excluded []string) (Choice, error)
 	// Explain appends the candidates that Select would weigh to dst.
 	Explain(now time.Time, r *Request, dst []Candidate) []Candidate
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -68,7 +68,8 @@
 
 	upstreams []*upstream
 	byAddress map[string]*upstream
-	// chosen is the last choice, which is mostly the one that is started next.
+	// chosen is the last choice, which is mostly the one that is started next. No
+	// choice depends on it.
 	chosen chosen
 }
 
