--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -89,7 +89,16 @@
 	wg.Wait()
 	result := s.calls.result(w)
 	result.Events = events
-	return result, s.check()
+	return result, s.judge(ctx)
+}
+
+// judge returns the broken promises of a run that was not interrupted: one that was
+// has not waited for what must come back after the faults.
+func (s *Soak) judge(ctx context.Context) error {
+	if err := ctx.Err(); err != nil {
+		return fmt.Errorf("soaker: interrupted: %w", err)
+	}
+	return s.check()
 }
 
 // injectFaults draws faults until their time is over, several at once.
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"context"
 	"errors"
 	"net"
 	"os/exec"
@@ -48,3 +49,14 @@
 		}
 	}
 }
+
+// TestInterruptedRunHasNoVerdict wants a run that was stopped, as seed 9005 once was
+// while callers waited for what had failed, to report no broken promise.
+func TestInterruptedRunHasNoVerdict(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	err := (&Soak{calls: &callers{}}).judge(ctx)
+	if !errors.Is(err, context.Canceled) || errors.Is(err, ErrBroken) {
+		t.Errorf("judged as %v, want it interrupted", err)
+	}
+}
