Work out the source of a copy after the choice, and a query's parts once

Every choice looked for sources over all upstreams before it was made, and kept them in a type of their own; only the chosen upstream needs one, and mostly the first home is it. The position and the tokens of the shared part, and whether a prompt is long, were worked out up to three times for a query.

--- a/locator/home.go
+++ b/locator/home.go
@@ -25,22 +25,16 @@
 	return 0
 }
 
-// homesOf returns the homes of the shared part of the prompt. Long prompts live
-// apart from the quiet upstreams.
-func (l *Locator) homesOf(r *kingcuphook.Request) homes {
+// homesOf returns the homes of a shared part. Those of long prompts live apart from
+// the quiet upstreams.
+func (l *Locator) homesOf(part uint64, long bool) homes {
 	var h homes
-	i := sharedPart(r)
-	if i < 0 {
-		return h
-	}
-	key := r.Prefix()[i]
-	long := isLong(r)
 	var scores [homeRanks]uint64
 	for _, u := range l.upstreams {
 		if u.row.Leaving() || u.displaced || u.quiet == long {
 			continue
 		}
-		score := hasher.Mix(key ^ u.seed)
+		score := hasher.Mix(part ^ u.seed)
 		for i := range h {
 			if h[i] == nil || score > scores[i] {
 				copy(h[i+1:], h[i:])
@@ -53,11 +47,6 @@
 	return h
 }
 
-// isLong reports whether a prompt is one that quiet upstreams are kept from.
-func isLong(r *kingcuphook.Request) bool {
-	return r.PromptTokens() >= longPrompt || sharedTokens(r) >= longPrompt
-}
-
 // chooseQuiet decides which upstreams are kept free of long prompts: in each
 // region those of the lowest seeds, so that all routers agree.
 func (l *Locator) chooseQuiet() {
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -192,7 +192,7 @@
 		Reading:        best.backlog(),
 		Heard:          best.heard,
 		Home:           q.homes.rank(best) + 1,
-		CopyFrom:       q.sources.copyFrom(best),
+		CopyFrom:       l.copyFrom(&q, best),
 	}, nil
 }
 
@@ -206,8 +206,6 @@
 	// common are the tokens up to it and before it.
 	part           uint64
 	shared, common int
-	// sources are where it can be copied from.
-	sources sources
 	// long says that the prompt is kept from quiet upstreams.
 	long bool
 	// target is the time in which the first token is due, in nanoseconds.
@@ -222,19 +220,20 @@
 	q := query{
 		now:     now,
 		request: r,
-		homes:   l.homesOf(r),
-		shared:  sharedTokens(r),
-		long:    isLong(r),
 		target:  float64(cmp.Or(r.Target(), defaultTarget)),
 		kibs:    float64(r.Bytes()+answerBytes) / 1024,
 		tie:     r.Fingerprint() ^ xxhash.Sum64String(r.ID()),
 	}
-	if i := sharedPart(r); i >= 0 {
-		q.part = r.Prefix()[i]
-		if i > 0 {
-			q.common = r.PrefixTokens()[i-1]
-		}
-		q.sources = l.sourcesOf(&q)
+	i := sharedPart(r)
+	if i >= 0 {
+		q.part, q.shared = r.Prefix()[i], r.PrefixTokens()[i]
+	}
+	if i > 0 {
+		q.common = r.PrefixTokens()[i-1]
+	}
+	q.long = max(r.PromptTokens(), q.shared) >= longPrompt
+	if i >= 0 {
+		q.homes = l.homesOf(q.part, q.long)
 	}
 	return q
 }
@@ -272,14 +271,6 @@
 // requests share, or -1. The last part belongs to the request itself.
 func sharedPart(r *kingcuphook.Request) int { return min(len(r.Prefix()), len(r.PrefixTokens())) - 2 }
 
-// sharedTokens returns the tokens of the parts that other requests share.
-func sharedTokens(r *kingcuphook.Request) int {
-	if i := sharedPart(r); i >= 0 {
-		return r.PrefixTokens()[i]
-	}
-	return 0
-}
-
 // Explain implements kingcuphook.Selector.
 func (l *Locator) Explain(now time.Time, r *kingcuphook.Request, dst []kingcuphook.Candidate) []kingcuphook.Candidate {
 	q := l.newQuery(now, r)
--- a/locator/source.go
+++ b/locator/source.go
@@ -6,24 +6,22 @@
 	"github.com/kingcuphook/kingcuphook"
 )
 
-// sources are the upstreams that a shared part of a prompt can be copied from, the
-// most likely one first; nil ends the list.
-type sources [2]*upstream
-
-// sourcesOf returns the first home of the shared part, to which all routers send
-// those that share it, and the upstream that this router sent one to last.
-func (l *Locator) sourcesOf(q *query) sources {
-	var s sources
-	if q.part == 0 {
-		return s
+// copyFrom returns the address that u can copy the shared part from, should it not
+// have it: that of the first home, to which all routers send what shares the part,
+// or of the upstream that this router sent it to last. It is empty if neither is
+// another one that can be asked.
+func (l *Locator) copyFrom(q *query, u *upstream) string {
+	if q.part == 0 || u.row.Kind() != kingcuphook.UpstreamKindEngine {
+		return ""
 	}
-	if h := q.homes[0]; h != nil && h.sound(q.now) {
-		s.add(h)
+	source := q.homes[0]
+	if source == nil || source == u || !source.sound(q.now) {
+		source = l.latest(q, source)
 	}
-	if u := l.latest(q, s[0]); u != nil {
-		s.add(u)
+	if source == nil || source == u {
+		return ""
 	}
-	return s
+	return source.row.Address()
 }
 
 // latest returns the upstream that this router sent the shared part to last, or nil;
@@ -42,27 +40,6 @@
 	return latest
 }
 
-// add puts an upstream behind those that are there.
-func (s *sources) add(u *upstream) {
-	for i, v := range s {
-		if v == nil {
-			s[i] = u
-			return
-		}
-	}
-}
-
-// copyFrom returns the address that u can copy the shared part from, should it not
-// have it; empty if no other upstream is thought to have it.
-func (s *sources) copyFrom(u *upstream) string {
-	for _, v := range s {
-		if v != nil && v != u && v.row.Kind() == kingcuphook.UpstreamKindEngine {
-			return v.row.Address()
-		}
-	}
-	return ""
-}
-
 // sound reports whether the upstream can be asked for what it keeps.
 func (u *upstream) sound(now time.Time) bool {
 	return !u.displaced && u.penalty(now) == 0
