--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -4,18 +4,17 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/transporter"
 )
 
 // Headers sent to upstreams.
@@ -33,12 +32,9 @@
 	defaultDialTimeout = time.Second
 	defaultMaxAnswer   = 8 << 20
 	keepAliveInterval  = 5 * time.Second
-	keepAliveProbes    = 3
 	// idleTimeout is shorter than engines keep a connection without a request,
 	// so that they rarely close one just when it is used.
 	idleTimeout          = 3 * time.Second
-	maxIdlePerUpstream   = 64
-	maxResponseHeader    = 64 << 10
 	maxRefusalBodyBytes  = 4 << 10
 	refusalBodyForErrors = 200
 )
@@ -79,27 +75,12 @@
 func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
 func (d *Dialer) transport(fresh bool) *http.Transport {
-	timeout := d.DialTimeout
-	if timeout == 0 {
-		timeout = defaultDialTimeout
-	}
-	dial := &net.Dialer{
-		Timeout: timeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable:   true,
-			Idle:     keepAliveInterval,
-			Interval: keepAliveInterval,
-			Count:    keepAliveProbes,
-		},
-	}
-	return &http.Transport{
-		DialContext:            dial.DialContext,
-		DisableKeepAlives:      fresh,
-		DisableCompression:     true,
-		MaxIdleConnsPerHost:    maxIdlePerUpstream,
-		IdleConnTimeout:        idleTimeout,
-		MaxResponseHeaderBytes: maxResponseHeader,
-	}
+	return transporter.Transporter{
+		DialTimeout: cmp.Or(d.DialTimeout, defaultDialTimeout),
+		IdleTimeout: idleTimeout,
+		KeepAlive:   keepAliveInterval,
+		Fresh:       fresh,
+	}.New()
 }
 
 // Start implements kingcuphook.Engine.
@@ -136,11 +117,7 @@
 
 // send sends the attempt and returns a response that was not refused.
 func (d *Dialer) send(ctx context.Context, u *kingcuphook.Upstream, a *kingcuphook.Attempt) (*http.Response, error) {
-	var connected atomic.Bool
-	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	})
-	req, err := newRequest(traced, u, a)
+	req, err := newRequest(ctx, u, a)
 	if err != nil {
 		return nil, fmt.Errorf("dialer: %w: %w", kingcuphook.ErrUnavailable, err)
 	}
@@ -148,9 +125,9 @@
 	if a.Request().NonIdempotent() {
 		client = d.fresh
 	}
-	resp, err := client.Do(req)
+	resp, connected, err := transporter.Send(req, client.Do)
 	if err != nil {
-		if connected.Load() {
+		if connected {
 			return nil, fmt.Errorf("dialer: %s: %w: %w", u.Address(), kingcuphook.ErrOutcomeUnknown, err)
 		}
 		return nil, fmt.Errorf("dialer: %s: %w: %w", u.Address(), kingcuphook.ErrUnavailable, err)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -10,19 +10,17 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
 
 	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/transporter"
 )
 
 // Defaults and bounds of Forwarder.
@@ -32,9 +30,6 @@
 	defaultMaxAnswer   = 8 << 20
 	keepAliveInterval  = time.Second
 	unacknowledged     = 1200 * time.Millisecond
-	keepAliveProbes    = 3
-	maxIdlePerUpstream = 64
-	maxResponseHeader  = 64 << 10
 )
 
 // Forwarder implements kingcuphook.Engine. It is safe for concurrent use.
@@ -48,7 +43,8 @@
 	IdleTimeout time.Duration
 	// MaxAnswerBytes bounds an answer that is kept in memory; 0 means 8 MiB.
 	MaxAnswerBytes int64
-	mu             sync.Mutex
+
+	mu sync.Mutex
 	// transports has the connections to each running program.
 	transports map[program]*http.Transport
 }
@@ -144,12 +140,8 @@
 
 // send sends the attempt and returns the head of the answer to it.
 func (f *Forwarder) send(ctx context.Context, u *kingcuphook.Upstream, a *kingcuphook.Attempt) (*http.Response, error) {
-	var connected atomic.Bool
-	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	})
-	resp, err := f.transport(u).RoundTrip(f.newRequest(traced, u, a))
-	if err != nil && !connected.Load() {
+	resp, connected, err := transporter.Send(f.newRequest(ctx, u, a), f.transport(u).RoundTrip)
+	if err != nil && !connected {
 		return nil, fmt.Errorf("forwarder: %s: %w: %w: %w", u.Address(), kingcuphook.ErrUnavailable, kingcuphook.ErrNotSent, err)
 	}
 	if err != nil {
@@ -238,23 +230,12 @@
 }
 
 func (f *Forwarder) newTransport() *http.Transport {
-	dial := &net.Dialer{
-		Timeout: cmp.Or(f.DialTimeout, defaultDialTimeout),
-		Control: limitUnacknowledged,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable:   true,
-			Idle:     keepAliveInterval,
-			Interval: keepAliveInterval,
-			Count:    keepAliveProbes,
-		},
-	}
-	return &http.Transport{
-		DialContext:            dial.DialContext,
-		DisableCompression:     true,
-		MaxIdleConnsPerHost:    maxIdlePerUpstream,
-		IdleConnTimeout:        cmp.Or(f.IdleTimeout, defaultIdleTimeout),
-		MaxResponseHeaderBytes: maxResponseHeader,
-	}
+	return transporter.Transporter{
+		DialTimeout: cmp.Or(f.DialTimeout, defaultDialTimeout),
+		IdleTimeout: cmp.Or(f.IdleTimeout, defaultIdleTimeout),
+		KeepAlive:   keepAliveInterval,
+		Control:     limitUnacknowledged,
+	}.New()
 }
 
 // limitUnacknowledged ends a connection whose other side no longer acknowledges
