Take out declared capacity and connections, which nothing reads

The platform's folder decoded slots, memory and connections of a pool, the subscriber copied two of them into each upstream, and no decision used any (slots come with the registration of each upstream). A declaration in which just these fields have a wrong type is no longer refused; the store takes only valid ones.

--- a/directory.go
+++ b/directory.go
@@ -29,12 +29,6 @@
 type DeclaredPool struct {
 	// Kind says what its upstreams are.
 	Kind UpstreamKind
-	// Slots is how many requests an upstream runs at once; 0 means unknown.
-	Slots int
-	// Capacity is the memory of an upstream in tokens; 0 means unknown.
-	Capacity int
-	// MaxConns bounds the connections of an upstream; 0 means unknown.
-	MaxConns int
 }
 
 // NewDeclaration returns a declaration with the given fields, which must not be
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -234,8 +234,6 @@
 		}
 		f := r.Upstream
 		f.Kind = declared.Kind
-		f.Capacity = declared.Capacity
-		f.MaxConns = declared.MaxConns
 		f.Resumes = declared.Kind == kingcuphook.UpstreamKindEngine
 		f.Models = nil
 		upstreams[r.Pool] = append(upstreams[r.Pool], kingcuphook.NewUpstream(f))
--- a/table.go
+++ b/table.go
@@ -45,10 +45,6 @@
 	// Born is the start of the program in Unix milliseconds; 0 means unknown. One
 	// Instance may start more than once.
 	Born int64
-	// Capacity is the memory for prompts and answers, in tokens; 0 means unknown.
-	Capacity int
-	// MaxConns bounds the connections of all callers together; 0 means unknown.
-	MaxConns int
 }
 
 // Upstream is one row of a pool. It is immutable.
@@ -98,12 +94,6 @@
 // Born returns the start of the program in Unix milliseconds; 0 means unknown.
 func (u *Upstream) Born() int64 { return u.f.Born }
 
-// Capacity returns the memory for prompts and answers in tokens; 0 means unknown.
-func (u *Upstream) Capacity() int { return u.f.Capacity }
-
-// MaxConns returns the bound of the connections of all callers; 0 means unknown.
-func (u *Upstream) MaxConns() int { return u.f.MaxConns }
-
 // Fields returns a copy of the fields of u.
 func (u *Upstream) Fields() UpstreamFields {
 	f := u.f
