--- a/attacher/peers.go
+++ b/attacher/peers.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -65,10 +66,7 @@
 
 // pick returns at most n routers by chance, and the seeds if fewer are known.
 func (p *peers) pick(n int) []netip.Addr {
-	list := make([]netip.Addr, 0, len(p.heard)+len(p.seeds))
-	for a := range p.heard {
-		list = append(list, a)
-	}
+	list := slices.Collect(maps.Keys(p.heard))
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	for _, a := range p.seeds {
 		if len(list) < n && !slices.Contains(list, a) {
@@ -80,10 +78,7 @@
 
 // recent returns at most n routers that were heard last.
 func (p *peers) recent(n int) []netip.Addr {
-	list := make([]netip.Addr, 0, len(p.heard))
-	for a := range p.heard {
-		list = append(list, a)
-	}
+	list := slices.Collect(maps.Keys(p.heard))
 	slices.SortFunc(list, func(a, b netip.Addr) int {
 		return cmp.Or(p.heard[b].Compare(p.heard[a]), a.Compare(b))
 	})
--- a/editor/attempt.go
+++ b/editor/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/kingcuphook/kingcuphook/differ"
 	"github.com/kingcuphook/kingcuphook/loader"
 	"github.com/kingcuphook/kingcuphook/parser"
+	"github.com/kingcuphook/kingcuphook/pauser"
 )
 
 // attempt is the work on one edit.
@@ -70,14 +71,8 @@
 func wait(ctx context.Context, n int, name string) error {
 	d := min(retryDelay<<(n-1), maxRetryDelay)
 	jitter := xxhash.Sum64String(fmt.Sprint(name, n)) % uint64(d)
-	timer := time.NewTimer(d/2 + time.Duration(jitter))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	pauser.Pause(ctx, d/2+time.Duration(jitter))
+	return ctx.Err()
 }
 
 // try reads the head and swaps it once. It reports whether to try again after
--- a/logger/queue.go
+++ b/logger/queue.go
@@ -1,6 +1,7 @@
 package logger
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"sync/atomic"
@@ -23,7 +24,7 @@
 // Write implements io.Writer.
 func (q *Queue) Write(line []byte) (int, error) {
 	select {
-	case q.lines <- append([]byte(nil), line...):
+	case q.lines <- bytes.Clone(line):
 	default:
 		q.dropped.Add(1)
 	}
--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -67,30 +67,24 @@
 }
 
 // stop stops a router as planned and starts it again.
-func (w *world) stop(r *router) {
-	if !r.take() {
-		return
-	}
-	r.disturb(grace + afterFault)
-	r.signal(syscall.SIGTERM)
-	go func() {
-		defer r.give()
-		r.await(grace)
-		_ = r.start(w.soak.Binary)
-	}()
-}
+func (w *world) stop(r *router) { w.restart(r, syscall.SIGTERM, grace, 0) }
 
 // kill kills a router and starts it again after a while.
-func (w *world) kill(r *router, down time.Duration) {
+func (w *world) kill(r *router, down time.Duration) { w.restart(r, syscall.SIGKILL, down, down/2) }
+
+// restart signals a router, waits for its end and starts it again after the pause.
+// It is disturbed for the given time and a while after; one that is being restarted
+// already is left alone.
+func (w *world) restart(r *router, s syscall.Signal, disturbed, pause time.Duration) {
 	if !r.take() {
 		return
 	}
-	r.disturb(down + afterFault)
-	r.signal(syscall.SIGKILL)
+	r.disturb(disturbed + afterFault)
+	r.signal(s)
 	go func() {
 		defer r.give()
 		r.await(grace)
-		time.Sleep(down / 2)
+		time.Sleep(pause)
 		_ = r.start(w.soak.Binary)
 	}()
 }
--- a/tallier/tallier.go
+++ b/tallier/tallier.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/binary"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -130,10 +131,7 @@
 func (t *Tally) Encode() []byte {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	keys := make([]key, 0, len(t.own))
-	for k := range t.own {
-		keys = append(keys, k)
-	}
+	keys := slices.Collect(maps.Keys(t.own))
 	slices.SortFunc(keys, func(a, b key) int {
 		return cmp.Or(cmp.Compare(t.own[b].running, t.own[a].running), cmp.Compare(a, b))
 	})
