Count requests for the retry budget of every call

The budget of serve counts successes and is not told of requests, so that its decisions stay as they are.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -135,9 +135,7 @@
 		defer cancel()
 	}
 	r := newRun(d, c, w)
-	if c.Opaque != nil {
-		d.requested(c.Request, time.Now())
-	}
+	d.requested(c.Request, time.Now())
 	out, err := r.do(ctx)
 	d.count(func(n *Counts) { n.add(r, err) })
 	if err != nil {
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -241,7 +241,7 @@
 // another upstream keeps the head of the first.
 func (r *run) writeHead(l *leg) error {
 	w, ok := r.w.(kingcuphook.HeadWriter)
-	if !ok || r.headed || r.call.Opaque == nil {
+	if !ok || r.headed {
 		return nil
 	}
 	r.headed = true
