Let three routers of each data centre follow the store, the others hear from them

Change: delegator ranks the routers of a data centre by hash; candidates and their ages go with the digests, so that all agree within a second or two. The first three follow the store; the others wait at one of them for what came after the revision that they have (puller with a wait, subscriber's changes with removals in place of whole exports). A router whose delegates don't answer follows the store itself; one that the store refuses leaves it to others for 10 s; while nobody can follow, all try, the slower the more they are. A router that starts reads the store once and settles before it takes a role. Removed keys are remembered, so that an older export of a peer can't bring one back.

Ruled out: one watcher for a data centre (its loss costs all of them a time-out); a lock or lease (costs writes, and two followers do no harm); whole exports for each change (80 kB to each router).

--- a/attacher/attacher.go
+++ b/attacher/attacher.go
@@ -7,7 +7,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -35,7 +34,6 @@
 	"github.com/kingcuphook/kingcuphook/retrier"
 	"github.com/kingcuphook/kingcuphook/scheduler"
 	"github.com/kingcuphook/kingcuphook/tallier"
-	"github.com/kingcuphook/kingcuphook/watcher"
 )
 
 // Attacher is one router on the platform. Its fields are set before Run.
@@ -228,42 +226,6 @@
 	return &retrier.Window{Length: s.RetryWindow(), Ratio: s.RetryRatio(), Slack: s.RetrySlack(), Routers: &a.routers}
 }
 
-// follow feeds the control loop with what stands in the store.
-func (a *Attacher) follow(ctx context.Context) {
-	// The store has few keys that are not for routers, so that one watch of all
-	// costs the least.
-	w := &watcher.Watcher{Store: a.store, OnEvent: a.control.take, Wait: a.watchWait, Rest: a.watchRest}
-	w.Run(ctx)
-}
-
-const (
-	// watchLeast and watchMost bound how long a watch is held without a change.
-	watchLeast = 2 * time.Second
-	watchMost  = 15 * time.Second
-	// restLeast and restMost bound how long changes are gathered; restPerRouter is
-	// the part of it for each router, so that the calls of all of them to the store
-	// grow slower than they do.
-	restLeast     = 300 * time.Millisecond
-	restMost      = 1200 * time.Millisecond
-	restPerRouter = 8 * time.Millisecond
-	// watchPerRouter is the part of the longest wait for each router: however many
-	// they are, one of them soon finds that its connection is dead, and tells the
-	// others what it missed.
-	watchPerRouter = 600 * time.Millisecond
-)
-
-// watchRest returns how long changes are gathered before they are asked for again.
-func (a *Attacher) watchRest() time.Duration {
-	return min(restLeast+time.Duration(a.routers.Load())*restPerRouter, restMost)
-}
-
-// watchWait returns how long the next watch is held without a change. It differs
-// between routers, which all see a change at the same time.
-func (a *Attacher) watchWait() time.Duration {
-	most := min(max(time.Duration(a.routers.Load())*watchPerRouter, 2*watchLeast), watchMost)
-	return watchLeast + rand.N(most-watchLeast)
-}
-
 func (a *Attacher) answerReady(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != platform.PathReady {
 		w.WriteHeader(http.StatusNotFound)
--- a/attacher/attacher_test.go
+++ b/attacher/attacher_test.go
@@ -31,8 +31,10 @@
 	store *storer.Store
 	// refuseAll has the store refuse everybody.
 	refuseAll atomic.Bool
-	server    *httptest.Server
-	upstreams []*standin.Upstream
+	// watches counts the open watches of the store, calls all calls to it.
+	watches, calls atomic.Int64
+	server         *httptest.Server
+	upstreams      []*standin.Upstream
 	// addresses are those of the upstreams.
 	addresses []string
 	// version is that of the last declaration, keys are those of the organisation.
@@ -43,12 +45,20 @@
 func newWorld(t *testing.T) *world {
 	t.Helper()
 	w := &world{I: is.New(t), t: t, store: &storer.Store{WatchWait: 200 * time.Millisecond}, keys: []string{"secret"}}
-	w.server = httptest.NewServer(&standin.Store{Store: w.store, Refuse: func(*http.Request) int {
+	served := &standin.Store{Store: w.store, Refuse: func(*http.Request) int {
 		if w.refuseAll.Load() {
 			return http.StatusServiceUnavailable
 		}
 		return 0
-	}})
+	}}
+	w.server = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		w.calls.Add(1)
+		if strings.Contains(r.URL.Path, "watch") {
+			w.watches.Add(1)
+			defer w.watches.Add(-1)
+		}
+		served.ServeHTTP(rw, r)
+	}))
 	t.Cleanup(w.server.Close)
 	for i := range 2 {
 		u := &standin.Upstream{Instance: fmt.Sprintf("i-%d", i), Events: 20, Pause: 20 * time.Millisecond}
--- a/attacher/control.go
+++ b/attacher/control.go
@@ -3,12 +3,13 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/netip"
 	"sync/atomic"
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/delegator"
+	"github.com/kingcuphook/kingcuphook/digester"
 	"github.com/kingcuphook/kingcuphook/logger"
 	"github.com/kingcuphook/kingcuphook/platform"
 	"github.com/kingcuphook/kingcuphook/puller"
@@ -36,6 +37,13 @@
 	self  netip.Addr
 	peers *peers
 	pull  puller.Puller
+	// delegator decides which routers of the data centre follow the store.
+	delegator delegator.Delegator
+	// failed is when this router last failed to follow the store; zero if it could
+	// since.
+	failed time.Time
+	// waiting are the peers that wait for news.
+	waiting []waiter
 	// nextAsk is when a peer may be asked again; asking is set while one is.
 	nextAsk time.Time
 	asking  bool
@@ -58,8 +66,9 @@
 			RegistrationPrefix: platform.RegistrationPrefix,
 		},
 		self:  a.Settings.Address(),
-		peers: newPeers(a.Settings.Seeds()),
+		peers: newPeers(a.Settings.Seeds(), digester.HashDataCentre(a.Settings.DataCentre())),
 	}
+	c.delegator.Self = c.self
 	c.view.Store(&receiver.Directory{})
 	return c
 }
@@ -80,6 +89,7 @@
 			c.tick(ctx, time.Now())
 		}
 		c.publish()
+		c.answerWaiting(time.Now())
 	}
 }
 
@@ -101,25 +111,51 @@
 	if n := c.store.Expire(now); n > 0 {
 		c.a.Log.Log(logger.UpstreamsChanged, "reason", "registrations-stayed-away", "count", n)
 	}
+	c.delegator.SetAway(c.away(now))
 	c.ask(ctx, now)
 }
 
+// awayFor is how long a router leaves the store to others after it failed to follow
+// it.
+const awayFor = 10 * time.Second
+
+// away reports whether this router leaves it to others to follow the store: it
+// could not lately, or is about to stop.
+func (c *control) away(now time.Time) bool {
+	return c.a.closing.Load() != nil || !c.failed.IsZero() && now.Sub(c.failed) < awayFor
+}
+
 // take takes an event of the store.
 func (c *control) take(e watcher.Event) {
 	c.inbox <- func(now time.Time) {
 		if e.Kind == watcher.EventLost {
+			c.failed = now
 			if c.store.Lost() {
 				c.a.Log.Log(logger.StoreUnavailable, "revision", c.store.Revision(), "error", e.Err)
 			}
 			return
 		}
-		if c.store.Found(now) {
-			c.a.Log.Log(logger.StoreAvailable, "revision", e.Revision)
-		}
+		c.failed = time.Time{}
+		c.found(now)
 		c.takeEntries(now, e)
 	}
 }
 
+// found notes that what stands in the store is known again.
+func (c *control) found(now time.Time) {
+	if c.store.Found(now) {
+		c.a.Log.Log(logger.StoreAvailable, "revision", c.store.Revision())
+	}
+}
+
+// wanted returns the revision from which on news of the store are wanted.
+func (c *control) wanted() int64 {
+	if !c.store.Declared() {
+		return 0
+	}
+	return c.store.Revision()
+}
+
 func (c *control) takeEntries(now time.Time, e watcher.Event) {
 	for _, entry := range e.Entries {
 		c.declare(entry)
@@ -159,12 +195,9 @@
 	c.asking = true
 	c.nextAsk = now.Add(askEvery)
 	c.peers.ahead = netip.Addr{}
-	address, revision := c.a.Settings.PeerAddressOf(peer), c.store.Revision()
-	if !c.store.Declared() {
-		revision = 0
-	}
+	address, revision := c.a.Settings.PeerAddressOf(peer), c.wanted()
 	go func() {
-		payload, err := c.pull.Pull(ctx, address, revision)
+		payload, err := c.pull.Pull(ctx, address, revision, 0)
 		c.do(ctx, func(now time.Time) { c.answered(now, address, payload, err) })
 	}()
 }
@@ -179,6 +212,11 @@
 		c.a.Log.Log(logger.PeerFailed, "peer", peer, "error", err)
 		return
 	}
+	c.importFrom(now, peer, payload)
+}
+
+// importFrom takes what a peer has of the store.
+func (c *control) importFrom(now time.Time, peer string, payload []byte) {
 	before := c.store.Version()
 	changed, err := c.store.Import(now, payload)
 	if err != nil {
@@ -189,30 +227,6 @@
 	}
 }
 
-// export returns what this router has of the store, for a peer.
-func (c *control) export(revision int64) ([]byte, error) {
-	type result struct {
-		payload []byte
-		err     error
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), exportTimeout)
-	defer cancel()
-	results := make(chan result, 1)
-	c.do(ctx, func(time.Time) {
-		payload, err := c.store.Export(revision)
-		results <- result{payload, err}
-	})
-	select {
-	case r := <-results:
-		return r.payload, r.err
-	default:
-		return nil, fmt.Errorf("attacher: the control loop is behind: %w", kingcuphook.ErrUnavailable)
-	}
-}
-
-// exportTimeout bounds the wait for the control loop.
-const exportTimeout = 500 * time.Millisecond
-
 // publish hands out the tables if they have changed.
 func (c *control) publish() {
 	t := c.store.Tables()
--- a/attacher/peers.go
+++ b/attacher/peers.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"github.com/kingcuphook/kingcuphook/delegator"
 	"github.com/kingcuphook/kingcuphook/digester"
 	"github.com/kingcuphook/kingcuphook/logger"
 )
@@ -18,8 +19,10 @@
 	// digestEvery is how often digests are sent, and the loads of others are
 	// handed to the schedulers.
 	digestEvery = 300 * time.Millisecond
-	// digestPeers bounds the routers that one digest is sent to.
+	// digestPeers bounds the routers that one digest is sent to, nearPeers those of
+	// the data centre that a short one is sent to besides.
 	digestPeers = 12
+	nearPeers   = 2
 	// memberKept is how long a router is remembered that is not heard of.
 	memberKept = 10 * time.Second
 	// suspectBytes bounds the suspects in a digest.
@@ -33,6 +36,11 @@
 type peers struct {
 	// heard has when each router was last heard or heard of.
 	heard map[netip.Addr]time.Time
+	// near has those of the own data centre, which centre stands for.
+	near   map[netip.Addr]bool
+	centre uint32
+	// joined is when a router was met last that was new.
+	joined time.Time
 	// seeds are asked as long as nobody else is known.
 	seeds []netip.Addr
 	// ahead is a peer that knows more of the store than this router, since when;
@@ -41,14 +49,17 @@
 	aheadSince time.Time
 }
 
-func newPeers(seeds []netip.Addr) *peers {
-	return &peers{heard: make(map[netip.Addr]time.Time), seeds: seeds}
+func newPeers(seeds []netip.Addr, centre uint32) *peers {
+	return &peers{heard: make(map[netip.Addr]time.Time), near: make(map[netip.Addr]bool), seeds: seeds, centre: centre}
 }
 
 // meet notes that a router was heard, or heard of. It reports whether it is new.
 func (p *peers) meet(now time.Time, a netip.Addr) bool {
 	_, known := p.heard[a]
 	p.heard[a] = now
+	if !known {
+		p.joined = now
+	}
 	return !known
 }
 
@@ -58,16 +69,28 @@
 	for a, at := range p.heard {
 		if now.Sub(at) > memberKept {
 			delete(p.heard, a)
+			delete(p.near, a)
 			left = append(left, a)
 		}
 	}
 	return left
 }
 
+// pickNear returns at most n routers of the data centre by chance.
+func (p *peers) pickNear(n int) []netip.Addr {
+	list := slices.Collect(maps.Keys(p.near))
+	shuffle(list)
+	return list[:min(len(list), n)]
+}
+
+func shuffle(list []netip.Addr) {
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+}
+
 // pick returns at most n routers by chance, and the seeds if fewer are known.
 func (p *peers) pick(n int) []netip.Addr {
 	list := slices.Collect(maps.Keys(p.heard))
-	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	shuffle(list)
 	for _, a := range p.seeds {
 		if len(list) < n && !slices.Contains(list, a) {
 			list = append(list, a)
@@ -94,7 +117,7 @@
 			return nil //nolint:nilerr // the socket is closed at the end of the process
 		}
 		d, err := digester.Decode(slices.Clone(buffer[:n]))
-		if err == nil {
+		if err == nil && len(d.Loads()) > 0 {
 			err = a.tally.Take(time.Now(), from.Addr().String(), d.Loads())
 		}
 		if err == nil && len(d.Suspects()) > 0 {
@@ -139,15 +162,29 @@
 		c.a.Log.Log(logger.PeerLeft, "peer", left, "silent-ms", memberKept.Milliseconds())
 	}
 	c.a.routers.Store(int64(len(c.peers.heard) + 1))
-	message := digester.New(digester.Fields{
-		Version:  c.store.Version(),
-		Revision: c.store.Revision(),
-		Members:  c.peers.recent(digester.MaxMembers),
-		Loads:    c.a.tally.Encode(),
-		Suspects: c.a.quarantine.Export(now, suspectBytes),
-	}).Encode()
+	f := c.short(now)
+	c.send(f, c.peers.pickNear(nearPeers))
+	f.Loads = c.a.tally.Encode()
+	f.Suspects = c.a.quarantine.Export(now, suspectBytes)
+	c.send(f, c.peers.pick(digestPeers))
+}
+
+// short returns a digest without loads and suspects.
+func (c *control) short(now time.Time) digester.Fields {
+	return digester.Fields{
+		Version:    c.store.Version(),
+		Revision:   c.store.Revision(),
+		DataCentre: c.peers.centre,
+		Follows:    !c.away(now),
+		Delegates:  c.delegator.Told(now),
+		Members:    c.peers.recent(digester.MaxMembers),
+	}
+}
+
+func (c *control) send(f digester.Fields, peers []netip.Addr) {
+	message := digester.New(f).Encode()
 	port := uint16(c.a.datagrams.LocalAddr().(*net.UDPAddr).Port)
-	for _, peer := range c.peers.pick(digestPeers) {
+	for _, peer := range peers {
 		_, _ = c.a.datagrams.WriteToUDPAddrPort(message, netip.AddrPortFrom(peer, port))
 	}
 }
@@ -158,6 +195,8 @@
 	event := func(now time.Time) {
 		if c.peers.meet(now, from) {
 			c.a.Log.Log(logger.PeerJoined, "peer", from)
+			// One that has just started knows hardly anybody.
+			c.send(c.short(now), []netip.Addr{from})
 		}
 		for _, m := range d.Members() {
 			if _, known := c.peers.heard[m]; !known && m != c.self {
@@ -165,6 +204,7 @@
 				c.a.Log.Log(logger.PeerJoined, "peer", m, "told-by", from)
 			}
 		}
+		c.delegates(now, from, d)
 		c.compare(now, from, d)
 	}
 	select {
@@ -173,6 +213,23 @@
 	}
 }
 
+// delegates notes what a router of the data centre says of those that can follow
+// the store.
+func (c *control) delegates(now time.Time, from netip.Addr, d digester.Digest) {
+	if d.DataCentre() != c.peers.centre {
+		return
+	}
+	c.peers.near[from] = true
+	if d.Follows() {
+		c.delegator.Heard(now, delegator.Candidate{Address: from})
+	} else {
+		c.delegator.Withdrawn(now, from)
+	}
+	for _, candidate := range d.Delegates() {
+		c.delegator.Heard(now, candidate)
+	}
+}
+
 // compare notes a peer that knows more of the store than this router.
 func (c *control) compare(now time.Time, from netip.Addr, d digester.Digest) {
 	if d.Version() <= c.store.Version() && d.Revision() <= c.store.Revision() {
--- a/digester/digester.go
+++ b/digester/digester.go
@@ -8,8 +8,12 @@
 	"encoding/binary"
 	"fmt"
 	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/delegator"
 )
 
 const (
@@ -18,12 +22,19 @@
 	// MaxMembers bounds the addresses of other routers in a message.
 	MaxMembers = 6
 	// formatVersion is the first byte of a message.
-	formatVersion = 2
+	formatVersion = 3
 	// fixedBytes is the length of what every message has: format, version,
-	// revision, number of members, length of the loads.
-	fixedBytes = 1 + 8 + 8 + 1 + 2
-	// memberBytes is the length of a member.
-	memberBytes = 4
+	// revision, data centre, flags, number of members and of delegates, length of
+	// the loads.
+	fixedBytes = 1 + 8 + 8 + 4 + 1 + 1 + 1 + 2
+	// memberBytes is the length of a member, delegateBytes that of a delegate with
+	// its age.
+	memberBytes   = 4
+	delegateBytes = memberBytes + 1
+	// ageUnit is the unit in which ages are told.
+	ageUnit = 20 * time.Millisecond
+	// flagFollows is set if the sender can follow the store.
+	flagFollows = 1
 )
 
 // Fields are the fields a Digest is made from.
@@ -31,8 +42,14 @@
 	// Version is that of the declaration in force at the sender, Revision that of
 	// the store up to which it knows the upstreams; 0 means none.
 	Version, Revision int64
+	// DataCentre stands for that of the sender, as HashDataCentre returns it.
+	DataCentre uint32
+	// Follows says that the sender can follow the store.
+	Follows bool
 	// Members are addresses of routers that the sender has heard of lately.
 	Members []netip.Addr
+	// Delegates are routers of the data centre that can follow the store.
+	Delegates []delegator.Candidate
 	// Loads is what the sender runs, as package tallier encodes it.
 	Loads []byte
 	// Suspects are calls that crash upstreams, as package quarantiner encodes them.
@@ -53,6 +70,19 @@
 // Revision returns the revision of the store that the sender knows.
 func (d Digest) Revision() int64 { return d.f.Revision }
 
+// DataCentre stands for the data centre of the sender.
+func (d Digest) DataCentre() uint32 { return d.f.DataCentre }
+
+// Follows reports whether the sender can follow the store.
+func (d Digest) Follows() bool { return d.f.Follows }
+
+// Delegates returns routers of the sender's data centre that can follow the store;
+// the caller must not change the slice.
+func (d Digest) Delegates() []delegator.Candidate { return d.f.Delegates }
+
+// HashDataCentre returns what stands for a data centre in digests.
+func HashDataCentre(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
+
 // Members returns routers that the sender has heard of; the caller must not
 // change the slice.
 func (d Digest) Members() []netip.Addr { return d.f.Members }
@@ -70,19 +100,47 @@
 	b = append(b, formatVersion)
 	b = binary.BigEndian.AppendUint64(b, uint64(d.f.Version))
 	b = binary.BigEndian.AppendUint64(b, uint64(d.f.Revision))
+	b = binary.BigEndian.AppendUint32(b, d.f.DataCentre)
+	flags := byte(0)
+	if d.f.Follows {
+		flags |= flagFollows
+	}
+	b = append(b, flags)
+	b = appendMembers(b, d.f.Members)
+	b = appendDelegates(b, d.f.Delegates)
+	b = binary.BigEndian.AppendUint16(b, uint16(len(d.f.Loads)))
+	b = append(b, d.f.Loads...)
+	if len(b)+len(d.f.Suspects) <= MaxBytes {
+		b = append(b, d.f.Suspects...)
+	}
+	return b
+}
+
+// appendMembers appends the number of members and their addresses.
+func appendMembers(b []byte, members []netip.Addr) []byte {
 	at := len(b)
 	b = append(b, 0)
-	for _, m := range d.f.Members {
+	for _, m := range members {
 		if m.Is4() && b[at] < MaxMembers {
 			a4 := m.As4()
 			b = append(b, a4[:]...)
 			b[at]++
 		}
 	}
-	b = binary.BigEndian.AppendUint16(b, uint16(len(d.f.Loads)))
-	b = append(b, d.f.Loads...)
-	if len(b)+len(d.f.Suspects) <= MaxBytes {
-		b = append(b, d.f.Suspects...)
+	return b
+}
+
+// appendDelegates appends the number of delegates, their addresses and ages.
+func appendDelegates(b []byte, delegates []delegator.Candidate) []byte {
+	at := len(b)
+	b = append(b, 0)
+	for _, c := range delegates {
+		if c.Address.Is4() && b[at] < delegator.MaxTold {
+			a4 := c.Address.As4()
+			b = append(b, a4[:]...)
+			b = append(b, byte(min((c.Age+ageUnit-1)/ageUnit, 255)))
+			b[at]++
+		}
 	}
 	return b
 }
@@ -96,15 +154,29 @@
 		Version:  int64(binary.BigEndian.Uint64(b[1:])),
 		Revision: int64(binary.BigEndian.Uint64(b[9:])),
 	}
-	n := int(b[17])
-	b = b[18:]
-	if n > MaxMembers || len(b) < n*memberBytes+2 {
+	f.DataCentre = binary.BigEndian.Uint32(b[17:])
+	f.Follows = b[21]&flagFollows != 0
+	b = b[22:]
+	n := int(b[0])
+	b = b[1:]
+	if n > MaxMembers || len(b) < n*memberBytes+1 {
 		return Digest{}, fmt.Errorf("digester: %d members: %w", n, kingcuphook.ErrInvalid)
 	}
 	for range n {
 		f.Members = append(f.Members, netip.AddrFrom4([4]byte(b)))
 		b = b[memberBytes:]
 	}
+	n = int(b[0])
+	b = b[1:]
+	if n > delegator.MaxTold || len(b) < n*delegateBytes+2 {
+		return Digest{}, fmt.Errorf("digester: %d delegates: %w", n, kingcuphook.ErrInvalid)
+	}
+	for range n {
+		f.Delegates = append(f.Delegates, delegator.Candidate{
+			Address: netip.AddrFrom4([4]byte(b)), Age: time.Duration(b[memberBytes]) * ageUnit,
+		})
+		b = b[delegateBytes:]
+	}
 	length := int(binary.BigEndian.Uint16(b))
 	b = b[2:]
 	if length > len(b) {
--- a/digester/digester_test.go
+++ b/digester/digester_test.go
@@ -3,12 +3,15 @@
 import (
 	"errors"
 	"net/netip"
+	"slices"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
 	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/delegator"
 )
 
 func TestWhatIsEncodedIsDecoded(t *testing.T) {
@@ -19,6 +22,14 @@
 			Loads:    rapid.SliceOfN(rapid.Byte(), 0, 841).Draw(t, "loads"),
 			Suspects: rapid.SliceOfN(rapid.Byte(), 0, 400).Draw(t, "suspects"),
 		}
+		f.DataCentre = rapid.Uint32().Draw(t, "data-centre")
+		f.Follows = rapid.Bool().Draw(t, "follows")
+		for range rapid.IntRange(0, delegator.MaxTold).Draw(t, "delegates") {
+			f.Delegates = append(f.Delegates, delegator.Candidate{
+				Address: netip.AddrFrom4([4]byte(rapid.SliceOfN(rapid.Byte(), 4, 4).Draw(t, "delegate"))),
+				Age:     time.Duration(rapid.IntRange(0, 255).Draw(t, "age")) * ageUnit,
+			})
+		}
 		for range rapid.IntRange(0, MaxMembers).Draw(t, "members") {
 			f.Members = append(f.Members, netip.AddrFrom4([4]byte(rapid.SliceOfN(rapid.Byte(), 4, 4).Draw(t, "member"))))
 		}
@@ -31,6 +42,7 @@
 			t.Fatal(err)
 		}
 		if d.Version() != f.Version || d.Revision() != f.Revision || len(d.Members()) != len(f.Members) ||
+			d.DataCentre() != f.DataCentre || d.Follows() != f.Follows || !slices.Equal(d.Delegates(), f.Delegates) ||
 			string(d.Loads()) != string(f.Loads) || string(d.Suspects()) != string(f.Suspects) {
 			t.Fatalf("got %+v, want %+v", d, f)
 		}
--- a/logger/events.go
+++ b/logger/events.go
@@ -38,6 +38,8 @@
 	EditAccepted     = Event{1106, LevelInfo, "edit of the tables accepted"}
 	EditRefused      = Event{1107, LevelWarn, "edit of the tables refused"}
 	TablesForked     = Event{1108, LevelError, "tables in force do not descend from those before"}
+	StoreFollowed    = Event{1109, LevelInfo, "the router follows the store itself"}
+	StoreLeft        = Event{1110, LevelInfo, "the router leaves it to others to follow the store"}
 	RequestAnswered  = Event{1203, LevelInfo, "request answered"}
 	RequestAssigned  = Event{1204, LevelInfo, "upstream chosen for a request"}
 	AttemptFailed    = Event{1205, LevelInfo, "attempt failed"}
@@ -81,6 +83,8 @@
 		EditAccepted,
 		EditRefused,
 		TablesForked,
+		StoreFollowed,
+		StoreLeft,
 		RequestFailed,
 		RequestPanicked,
 		RequestAnswered,
--- a/puller/puller.go
+++ b/puller/puller.go
@@ -1,5 +1,5 @@
 // Package puller hands what routers know of the store from one to another, for
-// those that the store does not serve.
+// those that don't follow it themselves.
 package puller
 
 import (
@@ -18,19 +18,24 @@
 const Path = "/store"
 
 const (
-	// paramRevision is the revision that the caller has.
+	// paramRevision is the revision that the caller has, paramWait how many
+	// milliseconds the answer may wait for news.
 	paramRevision = "after-revision"
-	// pullTimeout bounds a pull.
+	paramWait     = "wait-ms"
+	// pullTimeout bounds a pull beyond its wait.
 	pullTimeout = 700 * time.Millisecond
+	// maxWait bounds the wait of a pull.
+	maxWait = 10 * time.Second
 	// maxExportBytes bounds what a peer hands over.
 	maxExportBytes = 16 << 20
 )
 
 // Handler answers the pulls of peers.
 type Handler struct {
-	// Export returns what this router knows; its error wraps ErrNotFound if that
-	// is not newer than the revision.
-	Export func(revision int64) ([]byte, error)
+	// Export returns what this router knows that is newer than the revision, and
+	// waits for it if need be. Its error wraps ErrNotFound if there is nothing, and
+	// ErrUnavailable if the router can't know.
+	Export func(ctx context.Context, revision int64, wait time.Duration) ([]byte, error)
 }
 
 // ServeHTTP implements http.Handler.
@@ -40,10 +45,17 @@
 		http.Error(w, "the revision is not a number", http.StatusBadRequest)
 		return
 	}
-	payload, err := h.Export(revision)
+	wait, err := strconv.ParseInt(r.URL.Query().Get(paramWait), 10, 64)
+	if err != nil || wait < 0 {
+		http.Error(w, "the wait is not a number of milliseconds", http.StatusBadRequest)
+		return
+	}
+	payload, err := h.Export(r.Context(), revision, min(time.Duration(wait)*time.Millisecond, maxWait))
 	switch {
 	case errors.Is(err, kingcuphook.ErrNotFound):
 		w.WriteHeader(http.StatusNoContent)
+	case errors.Is(err, kingcuphook.ErrUnavailable):
+		w.WriteHeader(http.StatusServiceUnavailable)
 	case err != nil:
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 	default:
@@ -58,12 +70,13 @@
 	Client http.Client
 }
 
-// Pull returns what the peer at the address knows. The error wraps ErrNotFound if
-// that is not newer than the revision, and ErrUnavailable if it can't be asked.
-func (p *Puller) Pull(ctx context.Context, address string, revision int64) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+// Pull returns what the peer at the address knows that is newer than the revision;
+// the peer waits for it for the given time. The error wraps ErrNotFound if there is
+// nothing, and ErrUnavailable if the peer can't be asked or can't know.
+func (p *Puller) Pull(ctx context.Context, address string, revision int64, wait time.Duration) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+pullTimeout)
 	defer cancel()
-	target := fmt.Sprintf("http://%s%s?%s=%d", address, Path, paramRevision, revision)
+	target := fmt.Sprintf("http://%s%s?%s=%d&%s=%d", address, Path, paramRevision, revision, paramWait, wait.Milliseconds())
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	if err != nil {
 		return nil, fmt.Errorf("puller: %w: %w", kingcuphook.ErrInvalid, err)
--- /dev/null
+++ b/subscriber/export_test.go
@@ -0,0 +1,152 @@
+package subscriber
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/kingcuphook/kingcuphook"
+)
+
+// hand passes what one router has on to another.
+func hand(t interface{ Fatal(...any) }, now time.Time, from, to *Subscriber) {
+	payload, err := from.Export(now, to.Revision())
+	if errors.Is(err, kingcuphook.ErrNotFound) {
+		return
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := to.Import(now, payload); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestOnlyChangesAreHandedOver(t *testing.T) {
+	is := is.New(t)
+	s, peer := newSubscriber(), newSubscriber()
+	_, err := s.Declare(put("op/config", "1", 1))
+	is.NoErr(err)
+	for i := range 100 {
+		is.NoErr(s.Register(start, []kingcuphook.Entry{put(fmt.Sprintf("servers/%d", i), "a@1", int64(2+i))}, int64(2+i)))
+	}
+	hand(t, start, s, peer)
+	is.NoErr(s.Register(start, []kingcuphook.Entry{put("servers/x", "x@1", 200), gone("servers/3", 201)}, 201))
+	is.True(s.News(peer.Revision()))
+	payload, err := s.Export(start, peer.Revision())
+	is.NoErr(err)
+	is.True(len(payload) < 300) // two changes, and not 100 registrations
+	_, err = peer.Import(start, payload)
+	is.NoErr(err)
+	is.Equal(addresses(peer), addresses(s))
+	is.True(!s.News(peer.Revision()))
+}
+
+func TestRemovedKeyDoesNotComeBackFromAPeer(t *testing.T) {
+	is := is.New(t)
+	s, late := newSubscriber(), newSubscriber()
+	for _, x := range []*Subscriber{s, late} {
+		_, err := x.Declare(put("op/config", "1", 1))
+		is.NoErr(err)
+		is.NoErr(x.Register(start, []kingcuphook.Entry{put("servers/a", "a@1", 2), put("servers/b", "b@1", 3)}, 3))
+	}
+	is.NoErr(late.Register(start, []kingcuphook.Entry{put("servers/c", "c@1", 4)}, 4))
+	payload, err := late.Export(start, 1) // a change after 1, as of 4
+	is.NoErr(err)
+	is.NoErr(s.Register(start, []kingcuphook.Entry{gone("servers/a", 5)}, 3)) // told by a watch that is ahead of the rest
+	_, err = s.Import(start, payload)
+	is.NoErr(err)
+	is.Equal(addresses(s), "b c")
+}
+
+func TestWhoHearsFromAPeerHoldsWhatThePeerHolds(t *testing.T) {
+	is := is.New(t)
+	s, peer := newSubscriber(), newSubscriber()
+	_, err := s.Declare(put("op/config", "1", 1))
+	is.NoErr(err)
+	is.NoErr(s.Register(start, []kingcuphook.Entry{put("servers/a", "a@1", 2)}, 2))
+	hand(t, start, s, peer)
+	s.Lost()
+	s.Found(start)
+	is.NoErr(s.Replace(start, nil, 9)) // lapsed while the store was away
+	hand(t, start.Add(time.Second), s, peer)
+	is.Equal(addresses(peer), "a")
+	end := start.Add(lapseHold)
+	is.Equal(peer.Expire(end.Add(-50*time.Millisecond)), 0)
+	is.Equal(peer.Expire(end), 1)
+}
+
+// TestChangesThroughPeersEndAtTheStore hands changes through a chain of routers, some
+// of which read the store themselves now and then, and compares all with the store.
+func TestChangesThroughPeersEndAtTheStore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		stored := map[string]kingcuphook.Entry{}
+		var history []kingcuphook.Entry
+		routers := []*Subscriber{newSubscriber(), newSubscriber(), newSubscriber()}
+		revision := int64(1)
+		declaration := put("op/config", "1", 1)
+		for _, s := range routers {
+			if _, err := s.Declare(declaration); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			key := fmt.Sprint("servers/", rapid.IntRange(0, 4).Draw(t, "key"))
+			s := routers[rapid.IntRange(0, 2).Draw(t, "router")]
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0:
+				revision++
+				stored[key] = put(key, fmt.Sprintf("v%d@1", revision), revision)
+				history = append(history, stored[key])
+			case 1:
+				revision++
+				delete(stored, key)
+				history = append(history, gone(key, revision))
+			case 2:
+				follow(t, s, history, revision)
+			case 3:
+				snapshot(t, s, stored, revision)
+			default:
+				hand(t, start, s, routers[rapid.IntRange(0, 2).Draw(t, "to")])
+			}
+		}
+		snapshot(t, routers[0], stored, revision)
+		hand(t, start, routers[0], routers[1])
+		hand(t, start, routers[1], routers[2])
+		for i, s := range routers {
+			if got, want := addresses(s), addresses(routers[0]); got != want {
+				t.Fatalf("router %d has %q, the store %q", i, got, want)
+			}
+		}
+		if got := len(routers[2].upstreams); got != len(stored) {
+			t.Fatalf("%d upstreams, %d registrations", got, len(stored))
+		}
+	})
+}
+
+// follow tells a router of the changes that it has not seen, as a watch does.
+func follow(t *rapid.T, s *Subscriber, history []kingcuphook.Entry, revision int64) {
+	var entries []kingcuphook.Entry
+	for _, e := range history {
+		if e.Revision() > s.Revision() {
+			entries = append(entries, e)
+		}
+	}
+	if err := s.Register(start, entries, revision); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func snapshot(t *rapid.T, s *Subscriber, stored map[string]kingcuphook.Entry, revision int64) {
+	var entries []kingcuphook.Entry
+	for _, e := range stored {
+		entries = append(entries, e)
+	}
+	if err := s.Replace(start, entries, revision); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -4,9 +4,7 @@
 package subscriber
 
 import (
-	"encoding/json"
 	"errors"
-	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -36,14 +34,17 @@
 	declaration *kingcuphook.Declaration
 	// upstreams has the registrations by key.
 	upstreams map[string]*upstream
-	// revision is that of the store up to which the registrations are complete.
-	revision int64
+	// revision is that of the store up to which the registrations are complete,
+	// newest that of the newest change of anything that is kept here.
+	revision, newest int64
 	// lost says that the store can't be followed; regained is when it could be
 	// again, zero if it never was lost.
 	lost     bool
 	regained time.Time
 	// tables are the join of both; nil after a change until they are asked for.
 	tables *kingcuphook.Tables
+	// removed tells peers which keys went.
+	removed removals
 }
 
 // upstream is one registration.
@@ -97,6 +98,7 @@
 	}
 	s.declaration = d
 	s.declared = e
+	s.newest = max(s.newest, e.Revision())
 	s.tables = nil
 	return true, nil
 }
@@ -136,9 +138,11 @@
 	}
 	for key, u := range s.upstreams {
 		if !present[key] {
-			s.remove(now, key, u)
+			s.remove(now, key, u, revision)
 		}
 	}
+	// What came and went since the last revision was not seen.
+	s.removed.from = max(s.removed.from, revision)
 	return s.Register(now, entries, revision)
 }
 
@@ -149,16 +153,20 @@
 	known := s.upstreams[e.Key()]
 	if e.Deleted() {
 		if known != nil && e.Revision() > known.entry.Revision() {
-			s.remove(now, e.Key(), known)
+			s.remove(now, e.Key(), known, e.Revision())
 		}
 		return nil
 	}
+	if e.Revision() <= s.removed.revision(e.Key()) {
+		return nil
+	}
 	if known != nil && !known.gone && e.Revision() <= known.entry.Revision() {
 		return nil
 	}
 	r, err := s.Codec.Registration(e.Key(), e.Value())
 	if err != nil {
 		if known != nil {
+			s.noteRemoval(e.Key(), e.Revision())
 			s.drop(e.Key())
 		}
 		return err
@@ -170,13 +178,16 @@
 		s.upstreams = make(map[string]*upstream)
 	}
 	s.upstreams[e.Key()] = &upstream{entry: e, registration: r}
+	s.newest = max(s.newest, e.Revision())
 	s.tables = nil
 	return nil
 }
 
-// remove takes an upstream out whose entry is gone. An entry may have lapsed
-// because the store was away, while its upstream lives and will register again.
-func (s *Subscriber) remove(now time.Time, key string, u *upstream) {
+// remove takes an upstream out whose entry is gone since the revision or before it.
+// An entry may have lapsed because the store was away, while its upstream lives and
+// will register again.
+func (s *Subscriber) remove(now time.Time, key string, u *upstream, revision int64) {
+	s.noteRemoval(key, revision)
 	until := s.regained.Add(lapseHold)
 	if s.regained.IsZero() || !now.Before(until) || u.registration.Upstream.Leaving {
 		s.drop(key)
@@ -186,6 +197,11 @@
 	u.until = until
 }
 
+func (s *Subscriber) noteRemoval(key string, revision int64) {
+	s.removed.add(key, revision)
+	s.newest = max(s.newest, revision)
+}
+
 func (s *Subscriber) drop(key string) {
 	delete(s.upstreams, key)
 	s.tables = nil
@@ -247,60 +263,3 @@
 	t := kingcuphook.NewTables(s.declaration.Version(), s.declaration.Routes(), pools)
 	return t.WithOrganisations(s.declaration.Organisations())
 }
-
-// export is what routers tell one another of the store.
-type export struct {
-	Declared  exportEntry   `json:"declared"`
-	Upstreams []exportEntry `json:"upstreams"`
-	Revision  int64         `json:"revision"`
-}
-
-type exportEntry struct {
-	Key      string `json:"key"`
-	Value    []byte `json:"value"`
-	Revision int64  `json:"revision"`
-}
-
-func newExportEntry(e kingcuphook.Entry) exportEntry {
-	return exportEntry{Key: e.Key(), Value: e.Value(), Revision: e.Revision()}
-}
-
-func (e exportEntry) entry() kingcuphook.Entry {
-	return kingcuphook.NewEntry(e.Key, e.Value, e.Revision, false)
-}
-
-// Export returns what this router has of the store. The error wraps ErrNotFound
-// if it is not newer than the revision that the peer has.
-func (s *Subscriber) Export(revision int64) ([]byte, error) {
-	if s.declaration == nil || s.revision <= revision && s.declared.Revision() <= revision {
-		return nil, fmt.Errorf("subscriber: nothing newer than revision %d: %w", revision, kingcuphook.ErrNotFound)
-	}
-	x := export{Declared: newExportEntry(s.declared), Revision: s.revision}
-	for _, key := range slices.Sorted(maps.Keys(s.upstreams)) {
-		// An entry that is only held on to is not in the store any more: a peer that
-		// has seen it go would never see it go again.
-		if u := s.upstreams[key]; !u.gone {
-			x.Upstreams = append(x.Upstreams, newExportEntry(u.entry))
-		}
-	}
-	return json.Marshal(x)
-}
-
-// Import takes what a peer has of the store, where that is newer. It reports
-// whether anything changed.
-func (s *Subscriber) Import(now time.Time, payload []byte) (bool, error) {
-	var x export
-	if err := json.Unmarshal(payload, &x); err != nil {
-		return false, fmt.Errorf("subscriber: export of a peer: %w: %w", kingcuphook.ErrInvalid, err)
-	}
-	changed, err := s.Declare(x.Declared.entry())
-	if x.Revision <= s.revision {
-		return changed, err
-	}
-	entries := make([]kingcuphook.Entry, 0, len(x.Upstreams))
-	for _, e := range x.Upstreams {
-		entries = append(entries, e.entry())
-	}
-	err = errors.Join(err, s.Replace(now, entries, x.Revision))
-	return true, err
-}
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -41,10 +41,10 @@
 }
 
 const (
-	// retryLeast and retryMost bound the wait after a failed call; it doubles with
-	// each one.
-	retryLeast = 150 * time.Millisecond
-	retryMost  = 1200 * time.Millisecond
+	// retryLeast and defaultRetryMost bound the wait after a failed call; it doubles
+	// with each one.
+	retryLeast       = 150 * time.Millisecond
+	defaultRetryMost = 1200 * time.Millisecond
 )
 
 // Watcher follows one prefix. Its fields are set before Run.
@@ -61,13 +61,19 @@
 	// Rest returns the pause after a change: what changes meanwhile comes with one
 	// call. Nil means none.
 	Rest func() time.Duration
+	// RetryMost returns the longest wait after a failed call; nil means 1.2 s.
+	RetryMost func() time.Duration
+	// After is the revision from which on the first watch begins, without reading
+	// the prefix; 0 means that nothing is known yet.
+	After int64
 }
 
 // Run follows the prefix until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
-	wait := retryLeast
+	wait, after := retryLeast, w.After
 	for ctx.Err() == nil {
-		followed, err := w.follow(ctx)
+		followed, err := w.follow(ctx, after)
+		after = 0
 		if ctx.Err() != nil {
 			return
 		}
@@ -79,24 +85,35 @@
 			wait = retryLeast
 		}
 		pauser.Pause(ctx, wait/2+rand.N(wait/2))
-		wait = min(2*wait, retryMost)
+		wait = min(2*wait, w.retryMost())
 	}
 }
 
-// follow reads the prefix and then its changes until a call fails. It reports
-// whether the prefix was read at all.
-func (w *Watcher) follow(ctx context.Context) (bool, error) {
-	entries, revision, err := w.Store.ListAt(ctx, w.Prefix)
-	if err != nil {
-		return false, err
+func (w *Watcher) retryMost() time.Duration {
+	if w.RetryMost == nil {
+		return defaultRetryMost
+	}
+	return w.RetryMost()
+}
+
+// follow reads the prefix, unless what stands there is known up to a revision, and
+// then its changes until a call fails. It reports whether any call succeeded.
+func (w *Watcher) follow(ctx context.Context, known int64) (bool, error) {
+	followed, revision := false, known
+	if known == 0 {
+		entries, at, err := w.Store.ListAt(ctx, w.Prefix)
+		if err != nil {
+			return false, err
+		}
+		followed, revision = true, at
+		w.OnEvent(Event{Kind: EventSnapshot, Prefix: w.Prefix, Entries: entries, Revision: revision})
 	}
-	w.OnEvent(Event{Kind: EventSnapshot, Prefix: w.Prefix, Entries: entries, Revision: revision})
 	for {
 		entries, next, err := w.watch(ctx, revision)
 		if err != nil {
-			return true, err
+			return followed, err
 		}
-		revision = next
+		followed, revision = true, next
 		w.OnEvent(Event{Kind: EventChanges, Prefix: w.Prefix, Entries: entries, Revision: revision})
 		if len(entries) > 0 && w.Rest != nil {
 			pauser.Pause(ctx, w.Rest())
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -83,8 +83,26 @@
 			is.True(errors.Is(e.Err, kingcuphook.ErrUnavailable))
 		}
 		s.SetFault(storer.Fault{})
-		time.Sleep(retryMost)
+		time.Sleep(defaultRetryMost)
 		synctest.Wait()
 		is.Equal((*events)[len(*events)-1].Kind, EventSnapshot)
 	})
 }
+
+func TestBeginsAfterWhatIsKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &storer.Store{}
+		write(t, s, "a")
+		_, known, err := s.ListAt(t.Context(), "")
+		is.NoErr(err)
+		var events []Event
+		w := &Watcher{Store: s, OnEvent: func(e Event) { events = append(events, e) }, After: known}
+		go w.Run(t.Context())
+		synctest.Wait()
+		write(t, s, "b")
+		is.Equal(len(events), 1) // nothing is read that is known
+		is.Equal(events[0].Kind, EventChanges)
+		is.Equal(events[0].Entries[0].Key(), "b")
+	})
+}
