Learn how upstreams work, and send no more to one than ends in time

Cause: locator predicted with the rates of one engine (18 us a prompt token, 1 ms a running request, crowding for 64 streams, 60 ms between regions) and bounded upstreams by registered slots only.

Change: estimator learns the time to read a token, what a first piece takes besides, the undisturbed pause between pieces, the length of long answers by class, and what streams bring along. From these follow how many streams crowd an upstream and beside how many a long answer of a class still ends in time (room). Above its room a class waits or goes elsewhere; quiet upstreams open for long prompts as the others get crowded; shared parts are read away from home up to a part of a learned crowd and no longer of the slots.

--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -35,7 +35,7 @@
 	// longShare is the quantile that stands for a long answer of its class.
 	longShare = 0.9
 	// meanStep weighs a new sample in what requests bring along on average.
-	meanStep = 0.02
+	meanStep = 0.04
 	// readingShare is how much of the time to the first piece must be reading for the
 	// sample to tell of it.
 	readingShare = 0.5
@@ -52,10 +52,32 @@
 	// token is the time to read a token of a prompt, first what a first piece takes
 	// besides, gap the pause between pieces beside which nothing is read; in seconds.
 	token, first, gap quantile
-	// tokens and pieces are what a stream brings along on average: prompt tokens to
-	// be read, and pieces of its answer.
+	classes           map[string]*class
+}
+
+// Mix is what the streams on a group of upstreams bring along on average. Its zero
+// value is ready for use.
+type Mix struct {
+	// tokens are prompt tokens to be read, pieces those of the answer.
 	tokens, pieces float64
-	classes        map[string]*class
+}
+
+// Started takes the prompt tokens that a stream brings along.
+func (m *Mix) Started(tokens int) {
+	m.start()
+	m.tokens += meanStep * (float64(tokens) - m.tokens)
+}
+
+// Ended takes the pieces of an answer that ended whole.
+func (m *Mix) Ended(pieces int) {
+	m.start()
+	m.pieces += meanStep * (float64(pieces) - m.pieces)
+}
+
+func (m *Mix) start() {
+	if m.tokens == 0 && m.pieces == 0 {
+		m.tokens, m.pieces = assumedTokens, assumedPieces
+	}
 }
 
 // class is what the requests of one class have in common.
@@ -72,7 +94,6 @@
 	e.token = newQuantile(usualShare, assumedTokenTime.Seconds())
 	e.first = newQuantile(usualShare, assumedFirstTime.Seconds())
 	e.gap = newQuantile(undisturbedShare, assumedGap.Seconds())
-	e.tokens, e.pieces = assumedTokens, assumedPieces
 	e.classes = make(map[string]*class)
 }
 
@@ -88,16 +109,9 @@
 	e.first.add(took.Seconds() - reading)
 }
 
-// Started takes the prompt tokens that a request brings along.
-func (e *Estimator) Started(tokens int) {
-	e.start()
-	e.tokens += meanStep * (float64(tokens) - e.tokens)
-}
-
 // Ended takes the answer of a stream that ended whole.
 func (e *Estimator) Ended(r *kingcuphook.Request, s kingcuphook.Sample) {
 	e.start()
-	e.pieces += meanStep * (float64(s.Tokens) - e.pieces)
 	e.class(r).pieces.add(float64(s.Tokens))
 	if s.Tokens > 1 {
 		e.gap.add(s.TokenGap.Seconds())
@@ -110,52 +124,45 @@
 		if len(e.classes) >= maxClasses {
 			clear(e.classes)
 		}
-		c = &class{pieces: newQuantile(longShare, e.pieces)}
+		c = &class{pieces: newQuantile(longShare, assumedPieces)}
 		e.classes[r.Class()] = c
 	}
 	return c
 }
 
-// ReadTime returns how long an upstream takes to read prompt tokens.
-func (e *Estimator) ReadTime(tokens int) time.Duration {
-	e.start()
-	return seconds(float64(tokens) * e.token.value)
-}
-
-// FirstTime returns what a first piece takes besides reading, on an upstream with
-// the given streams.
-func (e *Estimator) FirstTime(streams int) time.Duration {
+// TokenTime returns how long an upstream takes to read a token of a prompt.
+func (e *Estimator) TokenTime() time.Duration {
 	e.start()
-	return seconds(e.first.value + e.busy(streams)*e.tokens*e.token.value)
+	return seconds(e.token.value)
 }
 
-// AnswerTime returns how long a long answer of the class takes after its first piece,
-// on an upstream with the given streams.
-func (e *Estimator) AnswerTime(r *kingcuphook.Request, streams int) time.Duration {
+// FirstTime returns what a first piece takes besides reading.
+func (e *Estimator) FirstTime() time.Duration {
 	e.start()
-	return seconds(e.class(r).pieces.value * e.gap.value * e.Stretch(streams))
+	return seconds(e.first.value)
 }
 
-// Gap returns the usual pause between pieces on an upstream with the given streams.
-func (e *Estimator) Gap(streams int) time.Duration {
+// Room returns the number of streams on an upstream beside which a long answer of the
+// class ends in the given time.
+func (e *Estimator) Room(r *kingcuphook.Request, m *Mix, allowed time.Duration) float64 {
 	e.start()
-	return seconds(e.gap.value * e.Stretch(streams))
+	answer := e.class(r).pieces.value * e.gap.value
+	stretch := (allowed.Seconds() - e.first.value) / answer
+	return max(stretch-1, 0) / e.load(m)
 }
 
-// Stretch returns how many times longer an answer takes on an upstream with the
-// given streams than beside none.
-func (e *Estimator) Stretch(streams int) float64 {
+// Crowd returns the number of streams that make an upstream read most of its time.
+func (e *Estimator) Crowd(m *Mix) float64 {
 	e.start()
-	return 1 + float64(streams)*e.tokens*e.token.value/(e.pieces*e.gap.value)
+	return busyShare / (1 - busyShare) / e.load(m)
 }
 
-// busy returns the part of its time that an upstream with the given streams reads.
-func (e *Estimator) busy(streams int) float64 { return 1 - 1/e.Stretch(streams) }
-
-// Crowd returns the number of streams that make an upstream read most of its time.
-func (e *Estimator) Crowd() float64 {
-	e.start()
-	return busyShare / (1 - busyShare) * e.pieces * e.gap.value / (e.tokens * e.token.value)
+// load returns the time that a stream makes the upstream read, as a share of the time
+// that its answer takes beside no other. With n streams in hand, answers take 1 + n
+// times that share longer.
+func (e *Estimator) load(m *Mix) float64 {
+	m.start()
+	return max(m.tokens, 1) * e.token.value / (max(m.pieces, 1) * e.gap.value)
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/locator/home.go
+++ b/locator/home.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 
 	"github.com/kingcuphook/kingcuphook"
@@ -59,9 +58,32 @@
 	}
 	for _, list := range regions {
 		slices.SortFunc(list, func(a, b *upstream) int { return cmp.Compare(a.seed, b.seed) })
-		n := int(math.Ceil(float64(len(list)) * quietShare))
+		n := max(int(float64(len(list))*quietShare), min(len(list)-1, 1))
 		for _, u := range list[:n] {
 			u.quiet = true
 		}
 	}
 }
+
+const (
+	// openFrom and openAll are the parts of a crowd on the usual upstreams from which
+	// on quiet ones take long prompts, and at which they take as many as the usual
+	// ones.
+	openFrom = 0.25
+	openAll  = 0.75
+)
+
+// quietRoom returns the number of requests on a quiet upstream up to which a long
+// prompt may be sent there, where a crowd is the given number of streams.
+func (l *Locator) quietRoom(crowd float64) float64 {
+	sum, n := 0, 0
+	for _, u := range l.upstreams {
+		if u.isEngine() && !u.quiet && !u.row.Leaving() {
+			sum += u.load()
+			n++
+		}
+	}
+	mean := float64(sum) / float64(max(n, 1))
+	open := (mean/crowd - openFrom) / (openAll - openFrom)
+	return mean * min(max(open, 0), 1)
+}
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -7,23 +7,17 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/estimator"
 )
 
 const (
-	// regionDelay and centreDelay are the round trips to another region and to
-	// another data centre of the region.
-	regionDelay = 60 * time.Millisecond
-	centreDelay = 3 * time.Millisecond
-	// tokenTime is the time to read a token of a prompt.
-	tokenTime = 18 * time.Microsecond
-	// slotTime is the delay of a first token by a request that runs already.
-	slotTime = time.Millisecond
 	// answerBytes is the expected size of an answer.
 	answerBytes = 4 << 10
 	// keptFor is how long an upstream is thought to keep what it read.
@@ -34,19 +28,20 @@
 	maxKept = 4096
 	// longPrompt is the number of tokens to be read from which on a prompt is long.
 	longPrompt = 3000
-	// quietRest is the part of the slots of a quiet upstream up to which a long prompt
-	// is read there.
+	// quietRest is the part of a crowd on a quiet upstream up to which a long prompt is
+	// read there.
 	quietRest = 1.0 / 16
-	// foreignRest is the part of the slots up to which a shared part is read that is
-	// at home elsewhere.
+	// foreignRest is the part of a crowd up to which a shared part is read that is at
+	// home elsewhere.
 	foreignRest = 1.0 / 8
 	// tightPause is the target for pauses below which a stream wants a quiet
 	// upstream.
 	tightPause = 500 * time.Millisecond
 	// quietShare is the part of the upstreams of a region that is kept quiet.
 	quietShare = 0.25
-	// crowdSize is the number of streams that crowdCost and longCost are told for.
-	crowdSize = 64
+	// finishShare is the part of its time in which a long answer of a class must be
+	// expected to end for the class to be sent to an upstream.
+	finishShare = 0.6
 	// defaultTarget is used for requests without a target.
 	defaultTarget = time.Second
 )
@@ -65,6 +60,14 @@
 type Locator struct {
 	// Region and DataCentre are where the router is.
 	Region, DataCentre string
+	// Delay returns the round trip to the upstreams of a region and data centre; nil
+	// means that it isn't known.
+	Delay func(region, dataCentre string) time.Duration
+
+	// model has learned how the upstreams work, mixes what runs on them: first on the
+	// usual ones, then on the quiet ones.
+	model estimator.Estimator
+	mixes [2]estimator.Mix
 
 	upstreams []*upstream
 	byAddress map[string]*upstream
@@ -119,6 +122,9 @@
 	tokens int
 	// begun says that its first token has come.
 	begun bool
+	// at is when it was sent, ahead the tokens to be read before its first token.
+	at    time.Time
+	ahead int
 }
 
 var _ kingcuphook.Selector = (*Locator)(nil)
@@ -214,6 +220,15 @@
 	kibs float64
 	// tie decides between equal choices.
 	tie uint64
+	// tokenTime is the time to read a token, first what a first token takes besides,
+	// in nanoseconds.
+	tokenTime, first float64
+	// crowd is the number of streams that crowd an upstream, room that beside which a
+	// long answer of the class still ends in time; for usual and for quiet upstreams.
+	crowd, room [2]float64
+	// quietRoom is the number of requests on a quiet upstream up to which a long
+	// prompt is sent there because the others are crowded.
+	quietRoom float64
 }
 
 func (l *Locator) newQuery(now time.Time, r *kingcuphook.Request) query {
@@ -235,6 +250,19 @@
 	if i >= 0 {
 		q.homes = l.homesOf(q.part, q.long)
 	}
+	q.tokenTime = float64(l.model.TokenTime())
+	q.first = float64(l.model.FirstTime())
+	allowed := time.Duration(math.MaxInt64)
+	if r.Stream() && !r.Deadline().IsZero() {
+		allowed = time.Duration(finishShare * float64(r.Deadline().Sub(r.Arrived())))
+	}
+	for i := range l.mixes {
+		q.crowd[i] = l.model.Crowd(&l.mixes[i])
+		q.room[i] = l.model.Room(r, &l.mixes[i], allowed)
+	}
+	if q.long {
+		q.quietRoom = l.quietRoom(q.crowd[0])
+	}
 	return q
 }
 
@@ -243,16 +271,20 @@
 // reading the shared part once more takes what the upstreams lack when they are
 // busy.
 func (q *query) bars(u *upstream) bool {
+	if u.isEngine() && u.load() > 0 && float64(u.load()) >= q.room[u.group()] {
+		return true
+	}
 	if !q.long {
 		return false
 	}
 	slots := float64(max(u.row.Slots(), 1))
+	crowd := min(slots, q.crowd[0])
 	most := slots
 	switch {
 	case u.quiet:
-		most = slots * quietRest
+		most = max(crowd*quietRest, q.quietRoom)
 	case q.homes[0] != nil && q.homes.has(u) == 0 && !u.keeps(q):
-		most = slots * foreignRest
+		most = crowd * foreignRest
 	}
 	return float64(u.load()) >= most
 }
@@ -300,7 +332,10 @@
 		q := l.newQuery(now, r)
 		c = chosen{uncached: l.weigh(&q, u).uncached, part: q.part}
 	}
-	u.flights[r.ID()] = flight{tokens: c.uncached}
+	u.flights[r.ID()] = flight{tokens: c.uncached, at: now, ahead: u.backlog() + c.uncached}
+	if u.isEngine() {
+		l.mixes[u.group()].Started(c.uncached)
+	}
 	u.running++
 	u.reading += c.uncached
 	u.keep(now, c.part)
@@ -330,10 +365,15 @@
 }
 
 // Progress tells that the n-th piece of a running request has come.
-func (l *Locator) Progress(_ time.Time, address string, r *kingcuphook.Request, _ int) {
-	if u := l.byAddress[address]; u != nil {
-		u.begin(r)
+func (l *Locator) Progress(now time.Time, address string, r *kingcuphook.Request, _ int) {
+	u := l.byAddress[address]
+	if u == nil {
+		return
 	}
+	if f, ok := u.flights[r.ID()]; ok && !f.begun && u.isEngine() {
+		l.model.Began(f.ahead, now.Sub(f.at)-u.delay)
+	}
+	u.begin(r)
 }
 
 // begin notes that the prompt of a running request has been read.
@@ -369,6 +409,10 @@
 		u.failures++
 	case !s.Cancelled:
 		u.failures = 0
+		if u.isEngine() {
+			l.model.Ended(r, s)
+			l.mixes[u.group()].Ended(s.Tokens)
+		}
 	}
 }
 
@@ -376,12 +420,23 @@
 // have on the upstream.
 func (l *Locator) Report(_ time.Time, r kingcuphook.LoadReport) {
 	if u := l.byAddress[r.Upstream()]; u != nil {
+		u.delay, u.price = l.distance(u.row)
 		u.others = r.Running()
 		u.othersReading = r.QueuedTokens()
 		u.heard = r.Made()
 	}
 }
 
+// group returns which of the mixes is that of the upstream.
+func (u *upstream) group() int {
+	if u.quiet {
+		return 1
+	}
+	return 0
+}
+
+func (u *upstream) isEngine() bool { return u.row.Kind() == kingcuphook.UpstreamKindEngine }
+
 // load returns the requests of all routers on the upstream.
 func (u *upstream) load() int { return u.running + u.others }
 
--- a/locator/weigh.go
+++ b/locator/weigh.go
@@ -17,9 +17,9 @@
 	// rereadPrice stands for a token of a shared part that is read though another
 	// upstream has it.
 	rereadPrice = 0.00037
-	// crowdCost is what crowdSize streams on an upstream mean for one more, longCost
-	// the same beside long prompts, whose reading slows all streams down. Both grow
-	// with the square of the streams.
+	// crowdCost is what a crowd of streams on an upstream means for one more,
+	// longCost the same beside long prompts, whose reading slows all streams down.
+	// Both grow with the square of the streams.
 	crowdCost = 0.4
 	longCost  = 2.0
 	// fullCost is added where all slots are taken; it begins at fullFrom of them
@@ -63,7 +63,7 @@
 	}
 	prompt := q.request.PromptTokens()
 	w.uncached = max(prompt-max(known, int(u.warmth(q.now)*float64(cached))), 0)
-	w.first = u.delay + time.Duration(w.uncached+u.backlog())*tokenTime + time.Duration(u.load())*slotTime
+	w.first = u.delay + time.Duration(q.first+float64(w.uncached+u.backlog())*q.tokenTime)
 	late := float64(w.first) / q.target
 	w.cost = late*late + u.price*q.kibs + u.penalty(q.now)
 	if u.row.Kind() == kingcuphook.UpstreamKindService {
@@ -92,7 +92,7 @@
 
 // crowding returns what the requests that run on the upstream mean for one more.
 func (u *upstream) crowding(q *query) float64 {
-	streams := float64(u.load()) / crowdSize
+	streams := float64(u.load()) / q.crowd[u.group()]
 	cost := crowdCost * streams * streams
 	if q.long {
 		cost = longCost * streams * streams
@@ -105,16 +105,29 @@
 // distance returns the round trip to an upstream and what a KiB counts for on the
 // way there and back.
 func (l *Locator) distance(u *kingcuphook.Upstream) (delay time.Duration, price float64) {
+	delay, price = assumedCentreDelay, 0
 	switch {
 	case u.Region() != l.Region:
-		return regionDelay, regionPrice
+		delay, price = assumedRegionDelay, regionPrice
 	case u.DataCentre() != l.DataCentre:
-		return centreDelay, centrePrice
+		price = centrePrice
 	default:
-		return 0, 0
+		delay = 0
 	}
+	if l.Delay != nil {
+		if learned := l.Delay(u.Region(), u.DataCentre()); learned > 0 {
+			delay = learned
+		}
+	}
+	return delay, price
 }
 
+// Round trips that are assumed before a connection has shown them.
+const (
+	assumedRegionDelay = 50 * time.Millisecond
+	assumedCentreDelay = 2 * time.Millisecond
+)
+
 // penalty returns what a failure of late counts for.
 func (u *upstream) penalty(now time.Time) float64 {
 	if u.failures == 0 {
