Long shared parts at few homes; quiet upstreams open for a share of the parts

Change: a long shared part is read at six homes at most, the later ones only up to a part of a crowd; the more crowded the usual upstreams are, the more parts, by their hash, may go to two quiet homes; a crowd is what makes an upstream read 0.87 of its time; a long answer is expected to end in 0.9 of its time.

--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -40,7 +40,7 @@
 	// sample to tell of it.
 	readingShare = 0.5
 	// busyShare is the part of its time that a crowded upstream reads.
-	busyShare = 0.75
+	busyShare = 0.87
 	// maxClasses bounds the classes that are kept apart.
 	maxClasses = 256
 )
--- a/locator/home.go
+++ b/locator/home.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/kingcuphook/kingcuphook"
@@ -24,9 +25,9 @@
 	return 0
 }
 
-// homesOf returns the homes of a shared part. Those of long prompts live apart from
-// the quiet upstreams.
-func (l *Locator) homesOf(part uint64, long bool) homes {
+// homesOf returns the first homes of a shared part. Those of long prompts live apart
+// from the quiet upstreams.
+func (l *Locator) homesOf(part uint64, long bool, ranks int) homes {
 	var h homes
 	var scores [homeRanks]uint64
 	for _, u := range l.upstreams {
@@ -34,10 +35,10 @@
 			continue
 		}
 		score := hasher.Mix(part ^ u.seed)
-		for i := range h {
+		for i := range h[:ranks] {
 			if h[i] == nil || score > scores[i] {
-				copy(h[i+1:], h[i:])
-				copy(scores[i+1:], scores[i:])
+				copy(h[i+1:ranks], h[i:])
+				copy(scores[i+1:ranks], scores[i:])
 				h[i], scores[i] = u, score
 				break
 			}
@@ -67,15 +68,16 @@
 
 const (
 	// openFrom and openAll are the parts of a crowd on the usual upstreams from which
-	// on quiet ones take long prompts, and at which they take as many as the usual
-	// ones.
+	// on some shared parts may be read at quiet ones, and at which all may.
 	openFrom = 0.25
 	openAll  = 0.75
 )
 
 // quietRoom returns the number of requests on a quiet upstream up to which a long
-// prompt may be sent there, where a crowd is the given number of streams.
-func (l *Locator) quietRoom(crowd float64) float64 {
+// prompt with the shared part may be sent there, where a crowd is the given number of
+// streams. The more crowded the usual upstreams are, the more parts may go to quiet
+// ones: all routers let the same parts.
+func (l *Locator) quietRoom(part uint64, crowd float64) float64 {
 	sum, n := 0, 0
 	for _, u := range l.upstreams {
 		if u.isEngine() && !u.quiet && !u.row.Leaving() {
@@ -85,5 +87,8 @@
 	}
 	mean := float64(sum) / float64(max(n, 1))
 	open := (mean/crowd - openFrom) / (openAll - openFrom)
-	return mean * min(max(open, 0), 1)
+	if float64(hasher.Mix(part))/math.MaxUint64 >= open {
+		return 0
+	}
+	return mean
 }
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -41,13 +41,19 @@
 	quietShare = 0.25
 	// finishShare is the part of its time in which a long answer of a class must be
 	// expected to end for the class to be sent to an upstream.
-	finishShare = 0.6
+	finishShare = 0.9
 	// defaultTarget is used for requests without a target.
 	defaultTarget = time.Second
 )
 
-// homeRanks is how many homes a shared part has.
-const homeRanks = 2
+const (
+	// homeRanks is how many homes a shared part has, those included that it is read
+	// at only while the first ones are crowded.
+	homeRanks = 6
+	// quietRanks is how many quiet upstreams may read a long shared part while the
+	// others are crowded.
+	quietRanks = 2
+)
 
 // homeShares is how much of a shared part each of its homes is thought to have.
 var homeShares = [homeRanks]float64{1, 0.25}
@@ -206,8 +212,9 @@
 type query struct {
 	now     time.Time
 	request *kingcuphook.Request
-	// homes are those of its shared part.
-	homes homes
+	// homes are those of its shared part, quietHomes the quiet upstreams that a long
+	// one goes to if they are crowded.
+	homes, quietHomes homes
 	// part is the hash of the last shared part; 0 if there is none. shared and
 	// common are the tokens up to it and before it.
 	part           uint64
@@ -248,7 +255,7 @@
 	}
 	q.long = max(r.PromptTokens(), q.shared) >= longPrompt
 	if i >= 0 {
-		q.homes = l.homesOf(q.part, q.long)
+		q.homes = l.homesOf(q.part, q.long, homeRanks)
 	}
 	q.tokenTime = float64(l.model.TokenTime())
 	q.first = float64(l.model.FirstTime())
@@ -261,15 +268,18 @@
 		q.room[i] = l.model.Room(r, &l.mixes[i], allowed)
 	}
 	if q.long {
-		q.quietRoom = l.quietRoom(q.crowd[0])
+		q.quietHomes = l.homesOf(q.part, !q.long, quietRanks)
+		q.quietRoom = l.quietRoom(q.part, q.crowd[0])
 	}
 	return q
 }
 
-// bars reports whether a long prompt must wait for another upstream: what is
-// quiet is kept for streams with tight pauses as long as there are some, and
-// reading the shared part once more takes what the upstreams lack when they are
-// busy.
+// bars reports whether a request must wait for another upstream or go to one. Above
+// the room of its class it would not end in time. A long prompt is kept from what is
+// quiet, for streams with tight pauses, as long as the others are not crowded, and
+// from upstreams that are no home of its shared part: reading that once more takes
+// what upstreams lack when they are busy, and routers that all choose the upstream
+// with the least load, as they heard of it, would all choose the same one.
 func (q *query) bars(u *upstream) bool {
 	if u.isEngine() && u.load() > 0 && float64(u.load()) >= q.room[u.group()] {
 		return true
@@ -277,16 +287,31 @@
 	if !q.long {
 		return false
 	}
+	return float64(u.load()) >= q.most(u)
+}
+
+// most returns the number of requests on an upstream up to which it takes a long
+// prompt.
+func (q *query) most(u *upstream) float64 {
 	slots := float64(max(u.row.Slots(), 1))
 	crowd := min(slots, q.crowd[0])
-	most := slots
-	switch {
-	case u.quiet:
-		most = max(crowd*quietRest, q.quietRoom)
-	case q.homes[0] != nil && q.homes.has(u) == 0 && !u.keeps(q):
-		most = crowd * foreignRest
+	if q.homes[0] == nil || u.keeps(q) && !u.quiet {
+		return slots
+	}
+	if u.quiet {
+		if q.quietHomes.rank(u) < 0 {
+			return 0
+		}
+		return max(crowd*quietRest, q.quietRoom)
+	}
+	switch rank := q.homes.rank(u); {
+	case rank < 0:
+		return 0
+	case homeShares[rank] > 0:
+		return slots
+	default:
+		return crowd * foreignRest
 	}
-	return float64(u.load()) >= most
 }
 
 // warmth returns how much an upstream can have read of what it is home to: one that
