--- a/locator/home.go
+++ b/locator/home.go
@@ -67,10 +67,10 @@
 }
 
 const (
-	// openFrom and openAll are the parts of a crowd on the usual upstreams from which
+	// openFrom and openAll are how many crowds there are on the usual upstreams from which
 	// on some shared parts may be read at quiet ones, and at which all may.
-	openFrom = 0.25
-	openAll  = 0.75
+	openFrom = 1.0
+	openAll  = 2.0
 )
 
 // quietRoom returns the number of requests on a quiet upstream up to which a long
