Learn distances; bound what answers without end cost; a reply must name its call

Causes: 60 ms and 3 ms stood for the way to another region and data centre. Each answer could take 8 MiB, so that 200 upstreams that send bodies without end took 143 MiB or more of a 184 MB VM (TestBytesWithoutEnd failed at 96). A reply that names no call was taken for one to the call that waits: a late second copy of a refusal would have had a call repeated that runs. A second copy without a body left its connection to the next call (TestLateSecondAnswers).

Change: connections tell how long they took to open, by data centre. Replies that don't name the call are foreign, and idle connections to that upstream are closed then.

Ruled out: heads, interim answers, chunk lengths, extensions and trailers without end: the library bounds them already, the test shows it.

--- a/attacher/attacher.go
+++ b/attacher/attacher.go
@@ -20,6 +20,7 @@
 	"github.com/kingcuphook/kingcuphook/bounder"
 	"github.com/kingcuphook/kingcuphook/dispatcher"
 	"github.com/kingcuphook/kingcuphook/ejector"
+	"github.com/kingcuphook/kingcuphook/estimator"
 	"github.com/kingcuphook/kingcuphook/forwarder"
 	"github.com/kingcuphook/kingcuphook/locator"
 	"github.com/kingcuphook/kingcuphook/logger"
@@ -56,6 +57,7 @@
 	receiver   *receiver.Receiver
 	meter      *meter.Meter
 	quarantine *quarantiner.Quarantiner
+	distances  estimator.Distances
 	// routers is how many routers there are, this one included.
 	routers atomic.Int64
 	// closing are the times of the planned stop; nil before it.
@@ -163,7 +165,10 @@
 	a.addGauges()
 	a.allocator = &allocator.Allocator{NewScheduler: a.newScheduler}
 	a.tally = &tallier.Tally{Next: a.allocator}
-	a.forwarder = &forwarder.Forwarder{Codec: platform.Calls{}}
+	a.forwarder = &forwarder.Forwarder{
+		Codec:  platform.Calls{},
+		Dialed: func(u *kingcuphook.Upstream, took time.Duration) { a.distances.Connected(u.DataCentre(), took) },
+	}
 	a.control = newControl(a)
 	a.quarantine = &quarantiner.Quarantiner{}
 	watch := &observer.Observer{Recorder: &recorder.Recorder{}, Meter: a.meter}
@@ -205,8 +210,10 @@
 		Admitter:   &admitter.Admitter{},
 		HoldModels: true,
 		Limiter:    &bounder.Bounder{},
-		Selector:   &locator.Locator{Region: a.Settings.Region(), DataCentre: a.Settings.DataCentre()},
-		Ejector:    &ejector.Ejector{Keep: failureKeep, Slow: slowFactor},
+		Selector: &locator.Locator{
+			Region: a.Settings.Region(), DataCentre: a.Settings.DataCentre(), RoundTrip: a.distances.RoundTrip,
+		},
+		Ejector: &ejector.Ejector{Keep: failureKeep, Slow: slowFactor},
 	}
 }
 
--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -36,9 +36,6 @@
 	longShare = 0.9
 	// meanStep weighs a new sample in what requests bring along on average.
 	meanStep = 0.04
-	// readingShare is how much of the time to the first piece must be reading for the
-	// sample to tell of it.
-	readingShare = 0.5
 	// busyShare is the part of its time that a crowded upstream reads.
 	busyShare = 0.87
 	// maxClasses bounds the classes that are kept apart.
@@ -52,7 +49,10 @@
 	// token is the time to read a token of a prompt, first what a first piece takes
 	// besides, gap the pause between pieces beside which nothing is read; in seconds.
 	token, first, gap quantile
-	classes           map[string]*class
+	// tokens is how much is usually read before a first piece: long prompts tell of
+	// the time to read a token, short ones of the rest.
+	tokens  float64
+	classes map[string]*class
 }
 
 // Mix is what the streams on a group of upstreams bring along on average. Its zero
@@ -94,6 +94,7 @@
 	e.token = newQuantile(usualShare, assumedTokenTime.Seconds())
 	e.first = newQuantile(usualShare, assumedFirstTime.Seconds())
 	e.gap = newQuantile(undisturbedShare, assumedGap.Seconds())
+	e.tokens = assumedTokens
 	e.classes = make(map[string]*class)
 }
 
@@ -101,12 +102,12 @@
 // many prompt tokens had to be read before it, those ahead of the request included.
 func (e *Estimator) Began(tokens int, took time.Duration) {
 	e.start()
-	reading := float64(tokens) * e.token.value
-	if reading >= readingShare*(reading+e.first.value) {
+	e.tokens += meanStep * (float64(tokens) - e.tokens)
+	if tokens > 0 && float64(tokens) >= e.tokens {
 		e.token.add((took.Seconds() - e.first.value) / float64(tokens))
 		return
 	}
-	e.first.add(took.Seconds() - reading)
+	e.first.add(took.Seconds() - float64(tokens)*e.token.value)
 }
 
 // Ended takes the answer of a stream that ended whole.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -14,6 +14,7 @@
 	"net/url"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -28,8 +29,12 @@
 	defaultDialTimeout = 250 * time.Millisecond
 	defaultIdleTimeout = 4 * time.Second
 	defaultMaxAnswer   = 8 << 20
-	keepAliveInterval  = time.Second
-	unacknowledged     = 1200 * time.Millisecond
+	defaultMaxBuffered = 16 << 20
+	// freeAnswer is the part of an answer that needs no share of the memory for
+	// answers: large ones can't take it from small ones.
+	freeAnswer        = 32 << 10
+	keepAliveInterval = time.Second
+	unacknowledged    = 1200 * time.Millisecond
 )
 
 // Forwarder implements kingcuphook.Engine. It is safe for concurrent use.
@@ -41,9 +46,19 @@
 	// IdleTimeout bounds how long a connection is kept without a call; 0 means
 	// 4 s.
 	IdleTimeout time.Duration
+	// Dialed is told how long each connection to an upstream took to open; nil is told
+	// nothing. It must be safe for concurrent use.
+	Dialed func(u *kingcuphook.Upstream, took time.Duration)
 	// MaxAnswerBytes bounds an answer that is kept in memory; 0 means 8 MiB.
 	MaxAnswerBytes int64
 
+	// MaxBufferedBytes bounds the answers in memory together, but for the first
+	// 16 KiB of each; 0 means 16 MiB.
+	MaxBufferedBytes int64
+
+	// buffered is how much of it is taken.
+	buffered atomic.Int64
+
 	mu sync.Mutex
 	// transports has the connections to each running program.
 	transports map[program]*http.Transport
@@ -125,19 +140,47 @@
 	return f.readAnswer(u, resp)
 }
 
-// readAnswer reads an answer whole.
+// readAnswer reads an answer whole. One that is larger than there is memory for, or
+// has no end, is given up.
 func (f *Forwarder) readAnswer(u *kingcuphook.Upstream, resp *http.Response) (kingcuphook.Answer, error) {
 	limit := cmp.Or(f.MaxAnswerBytes, defaultMaxAnswer)
-	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	body := bounded{r: io.LimitReader(resp.Body, limit+1), taken: &f.buffered, most: cmp.Or(f.MaxBufferedBytes, defaultMaxBuffered)}
+	defer body.release()
+	text, err := io.ReadAll(&body)
 	if err != nil {
 		return kingcuphook.Answer{}, fmt.Errorf("forwarder: read answer of %s: %w: %w", u.Address(), kingcuphook.ErrOutcomeUnknown, err)
 	}
-	if int64(len(body)) > limit {
+	if int64(len(text)) > limit {
 		return kingcuphook.Answer{}, fmt.Errorf("forwarder: answer of %s over %d bytes: %w: %w", u.Address(), limit, kingcuphook.ErrTooLarge, kingcuphook.ErrOutcomeUnknown)
 	}
-	return kingcuphook.NewOpaqueAnswer(resp.StatusCode, endToEnd(resp.Header), body), nil
+	return kingcuphook.NewOpaqueAnswer(resp.StatusCode, endToEnd(resp.Header), text), nil
+}
+
+// bounded reads an answer as long as there is memory for it.
+type bounded struct {
+	r io.Reader
+	// taken is how much memory all answers have taken, most its bound.
+	taken *atomic.Int64
+	most  int64
+	// read is what was read here, own what of it counts in taken.
+	read, own int64
+}
+
+// Read implements io.Reader. The error wraps ErrTooLarge if there is no memory.
+func (b *bounded) Read(p []byte) (int, error) {
+	n, err := b.r.Read(p)
+	b.read += int64(n)
+	if more := b.read - freeAnswer - b.own; more > 0 {
+		b.own += more
+		if b.taken.Add(more) > b.most {
+			return n, fmt.Errorf("no memory for %d bytes of an answer: %w", b.read, kingcuphook.ErrTooLarge)
+		}
+	}
+	return n, err
 }
 
+func (b *bounded) release() { b.taken.Add(-b.own) }
+
 // send sends the attempt and returns the head of the answer to it.
 func (f *Forwarder) send(ctx context.Context, u *kingcuphook.Upstream, a *kingcuphook.Attempt) (*http.Response, error) {
 	resp, connected, err := transporter.Send(f.newRequest(ctx, u, a), f.transport(u).RoundTrip)
@@ -149,6 +192,11 @@
 	}
 	if err := f.judge(u, a, resp); err != nil {
 		_ = resp.Body.Close()
+		if errors.Is(err, kingcuphook.ErrForeignFrame) {
+			// A reply without a body has left its connection to the next call, though
+			// more replies that nobody waits for may come there.
+			f.transport(u).CloseIdleConnections()
+		}
 		return nil, err
 	}
 	return resp, nil
@@ -224,18 +272,22 @@
 	if f.transports == nil {
 		f.transports = make(map[program]*http.Transport)
 	}
-	t := f.newTransport()
+	t := f.newTransport(u)
 	f.transports[p] = t
 	return t
 }
 
-func (f *Forwarder) newTransport() *http.Transport {
-	return transporter.Transporter{
+func (f *Forwarder) newTransport(u *kingcuphook.Upstream) *http.Transport {
+	t := transporter.Transporter{
 		DialTimeout: cmp.Or(f.DialTimeout, defaultDialTimeout),
 		IdleTimeout: cmp.Or(f.IdleTimeout, defaultIdleTimeout),
 		KeepAlive:   keepAliveInterval,
 		Control:     limitUnacknowledged,
-	}.New()
+	}
+	if f.Dialed != nil {
+		t.Dialed = func(took time.Duration) { f.Dialed(u, took) }
+	}
+	return t.New()
 }
 
 // limitUnacknowledged ends a connection whose other side no longer acknowledges
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -15,7 +15,7 @@
 
 const (
 	// maxEventBytes bounds one event of a stream.
-	maxEventBytes = 256 << 10
+	maxEventBytes = 64 << 10
 	// streamBuffer is the size of the buffer that events are read through.
 	streamBuffer = 4 << 10
 	// finishEnded is the finish reason of a stream whose body ended whole.
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -66,9 +66,9 @@
 type Locator struct {
 	// Region and DataCentre are where the router is.
 	Region, DataCentre string
-	// Delay returns the round trip to the upstreams of a region and data centre; nil
-	// means that it isn't known.
-	Delay func(region, dataCentre string) time.Duration
+	// RoundTrip returns the round trip to a data centre, or 0 if it isn't known; nil
+	// knows none.
+	RoundTrip func(dataCentre string) time.Duration
 
 	// model has learned how the upstreams work, mixes what runs on them: first on the
 	// usual ones, then on the quiet ones.
--- a/locator/weigh.go
+++ b/locator/weigh.go
@@ -114,8 +114,8 @@
 	default:
 		delay = 0
 	}
-	if l.Delay != nil {
-		if learned := l.Delay(u.Region(), u.DataCentre()); learned > 0 {
+	if l.RoundTrip != nil {
+		if learned := l.RoundTrip(u.DataCentre()); learned > 0 {
 			delay = learned
 		}
 	}
--- a/transporter/transporter.go
+++ b/transporter/transporter.go
@@ -3,6 +3,7 @@
 package transporter
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -27,6 +28,9 @@
 	KeepAlive time.Duration
 	// Fresh opens a connection for each call.
 	Fresh bool
+	// Dialed is told how long each connection took to open; nil is told nothing. It
+	// must be safe for concurrent use.
+	Dialed func(took time.Duration)
 	// Control sets options of a new connection; nil sets none.
 	Control func(network, address string, c syscall.RawConn) error
 }
@@ -44,7 +48,7 @@
 		},
 	}
 	return &http.Transport{
-		DialContext:            dial.DialContext,
+		DialContext:            t.timed(dial.DialContext),
 		DisableKeepAlives:      t.Fresh,
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdlePerUpstream,
@@ -53,6 +57,24 @@
 	}
 }
 
+// dialer opens a connection.
+type dialer func(ctx context.Context, network, address string) (net.Conn, error)
+
+// timed returns a dialer that tells Dialed how long it took.
+func (t Transporter) timed(dial dialer) dialer {
+	if t.Dialed == nil {
+		return dial
+	}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		begun := time.Now()
+		c, err := dial(ctx, network, address)
+		if err == nil {
+			t.Dialed(time.Since(begun))
+		}
+		return c, err
+	}
+}
+
 // Send sends a call with do. It reports whether there was a connection to send it
 // on: without one, nobody can have got it.
 func Send(r *http.Request, do func(*http.Request) (*http.Response, error)) (resp *http.Response, connected bool, err error) {
