Count the first samples of a mix in full; tell the played load what routers see

Cause: the mean of what streams bring along moved by 0.04 a sample from what is assumed, so that a router of 83 with three prompts a second needed eight seconds to learn that prompts of 9,000 tokens come, and let too many in at a cold start.

Change: a mean weighs all samples alike until there are 25 of them.

--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -34,8 +34,11 @@
 	undisturbedShare = 0.2
 	// longShare is the quantile that stands for a long answer of its class.
 	longShare = 0.9
-	// meanStep weighs a new sample in what requests bring along on average.
-	meanStep = 0.04
+	// meanStep weighs a new sample in what requests bring along on average, once there
+	// are enough of them; before that all weigh the same, and what is assumed as much
+	// as assumedSamples of them.
+	meanStep       = 0.04
+	assumedSamples = 2
 	// busyShare is the part of its time that a crowded upstream reads.
 	busyShare = 0.87
 	// maxClasses bounds the classes that are kept apart.
@@ -51,7 +54,7 @@
 	token, first, gap quantile
 	// tokens is how much is usually read before a first piece: long prompts tell of
 	// the time to read a token, short ones of the rest.
-	tokens  float64
+	tokens  mean
 	classes map[string]*class
 }
 
@@ -59,25 +62,31 @@
 // value is ready for use.
 type Mix struct {
 	// tokens are prompt tokens to be read, pieces those of the answer.
-	tokens, pieces float64
+	tokens, pieces mean
 }
 
 // Started takes the prompt tokens that a stream brings along.
-func (m *Mix) Started(tokens int) {
-	m.start()
-	m.tokens += meanStep * (float64(tokens) - m.tokens)
-}
+func (m *Mix) Started(tokens int) { m.tokens.add(float64(tokens)) }
 
 // Ended takes the pieces of an answer that ended whole.
-func (m *Mix) Ended(pieces int) {
-	m.start()
-	m.pieces += meanStep * (float64(pieces) - m.pieces)
+func (m *Mix) Ended(pieces int) { m.pieces.add(float64(pieces)) }
+
+// mean follows the mean of samples. Its zero value is ready for use.
+type mean struct {
+	// value is that of the samples so far.
+	value   float64
+	samples int
 }
 
-func (m *Mix) start() {
-	if m.tokens == 0 && m.pieces == 0 {
-		m.tokens, m.pieces = assumedTokens, assumedPieces
-	}
+func (m *mean) add(sample float64) {
+	m.samples++
+	m.value += max(1/float64(m.samples), meanStep) * (sample - m.value)
+}
+
+// or returns the mean, or what is assumed as long as there are few samples.
+func (m *mean) or(assumed float64) float64 {
+	n := float64(m.samples)
+	return max((n*m.value+assumedSamples*assumed)/(n+assumedSamples), 1)
 }
 
 // class is what the requests of one class have in common.
@@ -94,7 +103,6 @@
 	e.token = newQuantile(usualShare, assumedTokenTime.Seconds())
 	e.first = newQuantile(usualShare, assumedFirstTime.Seconds())
 	e.gap = newQuantile(undisturbedShare, assumedGap.Seconds())
-	e.tokens = assumedTokens
 	e.classes = make(map[string]*class)
 }
 
@@ -102,8 +110,8 @@
 // many prompt tokens had to be read before it, those ahead of the request included.
 func (e *Estimator) Began(tokens int, took time.Duration) {
 	e.start()
-	e.tokens += meanStep * (float64(tokens) - e.tokens)
-	if tokens > 0 && float64(tokens) >= e.tokens {
+	e.tokens.add(float64(tokens))
+	if tokens > 0 && float64(tokens) >= e.tokens.or(assumedTokens) {
 		e.token.add((took.Seconds() - e.first.value) / float64(tokens))
 		return
 	}
@@ -162,8 +170,7 @@
 // that its answer takes beside no other. With n streams in hand, answers take 1 + n
 // times that share longer.
 func (e *Estimator) load(m *Mix) float64 {
-	m.start()
-	return max(m.tokens, 1) * e.token.value / (max(m.pieces, 1) * e.gap.value)
+	return m.tokens.or(assumedTokens) * e.token.value / (m.pieces.or(assumedPieces) * e.gap.value)
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/locator/load_test.go
+++ b/locator/load_test.go
@@ -69,7 +69,7 @@
 	tell(router int, u *kingcuphook.Upstream, now time.Time, others, reading int)
 	// progress tells of a piece, finished of the end of a request.
 	progress(router int, address string, now time.Time, r *kingcuphook.Request)
-	finished(router int, address string, now time.Time, r *kingcuphook.Request)
+	finished(router int, address string, now time.Time, r *kingcuphook.Request, s kingcuphook.Sample)
 }
 
 // result is what the callers of a played load got.
@@ -207,7 +207,7 @@
 			kept = append(kept, x)
 			continue
 		}
-		y.policy.finished(x.router, address, start.Add(e.busyUntil), x.request)
+		y.policy.finished(x.router, address, start.Add(e.busyUntil), x.request, x.sample())
 		class := 0
 		if x.size == letterSize {
 			class = 1
@@ -224,6 +224,12 @@
 	}
 }
 
+// sample returns what a router saw of the request.
+func (x *run) sample() kingcuphook.Sample {
+	pieces := x.made / pieceTokens
+	return kingcuphook.Sample{Tokens: pieces, FirstToken: x.first, TokenGap: (x.last - x.first) / time.Duration(max(pieces-1, 1))}
+}
+
 func (x *run) piece(now time.Duration) {
 	if x.first == 0 {
 		x.first = now - x.arrived
@@ -270,8 +276,8 @@
 	l.locators[router].Progress(now, address, r, 1)
 }
 
-func (l *located) finished(router int, address string, now time.Time, r *kingcuphook.Request) {
-	l.locators[router].Finished(now, address, r, kingcuphook.Sample{Tokens: 1})
+func (l *located) finished(router int, address string, now time.Time, r *kingcuphook.Request, s kingcuphook.Sample) {
+	l.locators[router].Finished(now, address, r, s)
 }
 
 // leastLoaded is the policy of a plain choice: the upstream of the region with the
@@ -299,7 +305,7 @@
 
 func (*leastLoaded) tell(int, *kingcuphook.Upstream, time.Time, int, int)  {}
 func (*leastLoaded) progress(int, string, time.Time, *kingcuphook.Request) {}
-func (l *leastLoaded) finished(i int, at string, _ time.Time, _ *kingcuphook.Request) {
+func (l *leastLoaded) finished(i int, at string, _ time.Time, _ *kingcuphook.Request, _ kingcuphook.Sample) {
 	l.loads[i][at]--
 }
 
