Serve classes whose answers hardly end in time anywhere; follow the linter

Cause: room was 0 for a class whose long answers take longer than their time, so that it was sent to empty upstreams only and starved on a busy pool.

TestNoClassStarves fails without it; TestClosedHomesDontSendAllToOne keeps long prompts from going to the one upstream that looks free.

--- a/attacher/follow.go
+++ b/attacher/follow.go
@@ -185,19 +185,19 @@
 }
 
 // watchers returns how many routers follow the store.
-func (a *Attacher) watchers() time.Duration {
-	return time.Duration(min(a.routers.Load(), int64(delegator.Count*len(a.Settings.Regions()))))
+func (a *Attacher) watchers() int64 {
+	return min(a.routers.Load(), int64(delegator.Count*len(a.Settings.Regions())))
 }
 
 // watchRest returns how long changes are gathered before they are asked for again.
 func (a *Attacher) watchRest() time.Duration {
-	return min(restLeast+a.watchers()*restPerRouter, restMost)
+	return min(restLeast+time.Duration(a.watchers())*restPerRouter, restMost)
 }
 
 // watchWait returns how long the next watch is held without a change. It differs
 // between routers, which all see a change at the same time.
 func (a *Attacher) watchWait() time.Duration {
-	most := min(max(a.watchers()*watchPerRouter, 2*watchLeast), watchMost)
+	most := min(max(time.Duration(a.watchers())*watchPerRouter, 2*watchLeast), watchMost)
 	return watchLeast + rand.N(most-watchLeast)
 }
 
--- a/delegator/delegator_test.go
+++ b/delegator/delegator_test.go
@@ -39,9 +39,12 @@
 	return f
 }
 
-// run lets the routers tell one another for the given time.
-func (f *fleet) run(d time.Duration) {
-	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(interval) {
+// settleTime is how long a fleet takes to agree.
+const settleTime = 4 * time.Second
+
+// settle lets the routers tell one another until they agree.
+func (f *fleet) settle() {
+	for end := f.now.Add(settleTime); f.now.Before(end); f.now = f.now.Add(interval) {
 		for i, r := range f.routers {
 			if f.down[i] {
 				continue
@@ -86,7 +89,7 @@
 		is := is.New(t)
 		f := newFleet(n)
 		is.Equal(len(f.following()), n) // nobody is known at the start
-		f.run(4 * time.Second)
+		f.settle()
 		is.Equal(len(f.following()), min(n, Count))
 		for _, r := range f.routers {
 			is.Equal(r.Delegates(f.now), f.routers[0].Delegates(f.now)) // all agree
@@ -97,30 +100,30 @@
 func TestNextTakesThePlaceOfOneThatIsGone(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(50)
-	f.run(4 * time.Second)
+	f.settle()
 	first := f.following()
 	for _, i := range first {
 		f.down[i] = true
 	}
-	f.run(4 * time.Second)
+	f.settle()
 	next := f.following()
 	is.Equal(len(next), Count)
 	for _, i := range next {
 		is.True(!slices.Contains(first, i))
 	}
 	f.down = map[int]bool{}
-	f.run(4 * time.Second)
+	f.settle()
 	is.Equal(f.following(), first) // ranks don't change
 }
 
 func TestRefusedRoutersGiveWay(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(50)
-	f.run(4 * time.Second)
+	f.settle()
 	for _, i := range f.following() {
 		f.refused[i] = true
 	}
-	f.run(4 * time.Second)
+	f.settle()
 	next := f.following()
 	is.Equal(len(next), Count)
 	for _, i := range next {
@@ -131,13 +134,13 @@
 func TestAllTryWhileTheStoreRefusesAll(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(20)
-	f.run(4 * time.Second)
+	f.settle()
 	for i := range f.routers {
 		f.refused[i] = true
 	}
-	f.run(4 * time.Second)
+	f.settle()
 	is.Equal(len(f.following()), 20)
 	f.refused = map[int]bool{}
-	f.run(4 * time.Second)
+	f.settle()
 	is.Equal(len(f.following()), Count)
 }
--- a/estimator/estimator_test.go
+++ b/estimator/estimator_test.go
@@ -19,9 +19,11 @@
 
 // engines are slow and fast ones, with small and large steps.
 func engines() []engine {
-	var list []engine
-	for _, rate := range []float64{10, 36, 57, 200} {
-		for _, gap := range []time.Duration{4 * time.Millisecond, 25 * time.Millisecond, 120 * time.Millisecond} {
+	rates := []float64{10, 36, 57, 200}
+	gaps := []time.Duration{4 * time.Millisecond, 25 * time.Millisecond, 120 * time.Millisecond}
+	list := make([]engine, 0, len(rates)*len(gaps))
+	for _, rate := range rates {
+		for _, gap := range gaps {
 			list = append(list, engine{tokensPerMS: rate, first: 20 * time.Millisecond, gap: gap})
 		}
 	}
--- a/forwarder/endless_test.go
+++ b/forwarder/endless_test.go
@@ -58,7 +58,7 @@
 			u.seen = make(chan string, troubled)
 			f := &Forwarder{Codec: codec{}, DialTimeout: 10 * time.Second}
 			defer f.Close()
-			most := callMany(t, f, u, func(ctx context.Context) error {
+			most := callMany(t, func(ctx context.Context) error {
 				_, err := f.Call(ctx, u.row, attempt("POST", "/", ""))
 				return err
 			})
@@ -83,12 +83,12 @@
 			u.seen = make(chan string, troubled)
 			f := &Forwarder{Codec: codec{}, DialTimeout: 10 * time.Second}
 			defer f.Close()
-			most := callMany(t, f, u, func(ctx context.Context) error {
+			most := callMany(t, func(ctx context.Context) error {
 				s, err := f.Start(ctx, u.row, attempt("POST", "/", ""))
 				if err != nil {
 					return err
 				}
-				defer s.Close()
+				defer func() { _ = s.Close() }()
 				for {
 					if _, err := s.Next(ctx); err != nil {
 						return err
@@ -104,7 +104,7 @@
 
 // callMany makes calls at the same time that all must end with an error and soon. It
 // returns the most memory that was in use meanwhile beyond that before.
-func callMany(t *testing.T, f *Forwarder, u *upstream, call func(context.Context) error) uint64 {
+func callMany(t *testing.T, call func(context.Context) error) uint64 {
 	t.Helper()
 	before := heap()
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -265,7 +265,8 @@
 	}
 	for i := range l.mixes {
 		q.crowd[i] = l.model.Crowd(&l.mixes[i])
-		q.room[i] = l.model.Room(r, &l.mixes[i], allowed)
+		// Also a class whose answers hardly end in time anywhere is served.
+		q.room[i] = max(l.model.Room(r, &l.mixes[i], allowed), q.crowd[i]*foreignRest, 1)
 	}
 	if q.long {
 		q.quietHomes = l.homesOf(q.part, !q.long, quietRanks)
@@ -281,7 +282,7 @@
 // what upstreams lack when they are busy, and routers that all choose the upstream
 // with the least load, as they heard of it, would all choose the same one.
 func (q *query) bars(u *upstream) bool {
-	if u.isEngine() && u.load() > 0 && float64(u.load()) >= q.room[u.group()] {
+	if u.isEngine() && float64(u.load()) >= q.room[u.group()] {
 		return true
 	}
 	if !q.long {
--- a/locator/locator_test.go
+++ b/locator/locator_test.go
@@ -203,3 +203,55 @@
 		}
 	}
 }
+
+// TestNoClassStarves asks for an upstream for answers that take longer than they are
+// given, while others are on every upstream.
+func TestNoClassStarves(t *testing.T) {
+	is := is.New(t)
+	p := pool(4)
+	l := newLocator("cairo", p)
+	slow := func(id string) *kingcuphook.Request {
+		return kingcuphook.NewRequest(kingcuphook.RequestFields{
+			ID: id, Class: "report", Stream: true, PromptTokens: 500, Arrived: start, Deadline: start.Add(time.Second),
+		})
+	}
+	for i := range 50 { // each takes 10 s
+		at := choose(t, l, start, slow(fmt.Sprint("s", i)))
+		l.Started(start, at, slow(fmt.Sprint("s", i)))
+		l.Progress(start.Add(50*time.Millisecond), at, slow(fmt.Sprint("s", i)), 1)
+		l.Finished(start.Add(10*time.Second), at, slow(fmt.Sprint("s", i)), kingcuphook.Sample{Tokens: 100, TokenGap: 100 * time.Millisecond})
+	}
+	for _, u := range p.Upstreams() {
+		r := answer("a-"+u.Address(), 1)
+		l.Started(start, u.Address(), r)
+	}
+	choose(t, l, start.Add(20*time.Second), slow("last"))
+	_, err := l.Select(start, slow("last"), nil)
+	is.NoErr(err)
+}
+
+// TestClosedHomesDontSendAllToOne fills the homes of many shared parts, and looks how
+// routers that know the same spread the long prompts that come then.
+func TestClosedHomesDontSendAllToOne(t *testing.T) {
+	p := pool(20)
+	l := newLocator("cairo", p)
+	for i, u := range p.Upstreams() {
+		running := 60
+		if i%6 == 0 {
+			running = 1 // these look free
+		}
+		l.Report(start, kingcuphook.NewLoadReport(kingcuphook.LoadReportFields{Upstream: u.Address(), Made: start, Running: running}))
+	}
+	chosen := make(map[string]int)
+	for thing := range uint64(200) {
+		c, err := l.Select(start, letter(fmt.Sprint("l", thing), thing), nil)
+		if err == nil && c.Upstream != nil {
+			chosen[c.Upstream.Address()]++
+		}
+	}
+	for at, n := range chosen {
+		if n > 200/5 {
+			t.Errorf("%d of 200 long prompts go to %s", n, at)
+		}
+	}
+}
--- a/subscriber/export_test.go
+++ b/subscriber/export_test.go
@@ -142,7 +142,7 @@
 }
 
 func snapshot(t *rapid.T, s *Subscriber, stored map[string]kingcuphook.Entry, revision int64) {
-	var entries []kingcuphook.Entry
+	entries := make([]kingcuphook.Entry, 0, len(stored))
 	for _, e := range stored {
 		entries = append(entries, e)
 	}
