Read answers piece by piece, so that those without end leave little garbage

Change: an answer is read into pieces that are joined once, 16 KiB of it don't count. TestCutAnswersAreNotWhole shows that a cut answer still fails at every length.

--- a/forwarder/endless_test.go
+++ b/forwarder/endless_test.go
@@ -62,6 +62,7 @@
 				_, err := f.Call(ctx, u.row, attempt("POST", "/", ""))
 				return err
 			})
+			t.Logf("%d MiB", most>>20)
 			if most > memory {
 				t.Errorf("%d MiB for %d such answers, want at most %d MiB", most>>20, troubled, memory>>20)
 			}
@@ -196,3 +197,23 @@
 		})
 	}
 }
+
+// TestCutAnswersAreNotWhole cuts answers short at several lengths.
+func TestCutAnswersAreNotWhole(t *testing.T) {
+	for _, length := range []int{1, firstChunk, firstChunk + 1, firstChunk + nextChunk, 100_000} {
+		is := is.New(t)
+		whole := strings.Repeat("x", length)
+		u := newUpstream(t, func(n int64, w net.Conn) bool {
+			text := reply("", whole)
+			fmt.Fprint(w, text[:len(text)-int(n%2)])
+			return false
+		})
+		f := &Forwarder{Codec: codec{}}
+		defer f.Close()
+		_, err := f.Call(t.Context(), u.row, attempt("POST", "/", ""))
+		is.True(errors.Is(err, kingcuphook.ErrOutcomeUnknown))
+		a, err := f.Call(t.Context(), u.row, attempt("POST", "/", ""))
+		is.NoErr(err)
+		is.Equal(string(a.Body()), whole)
+	}
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -12,6 +12,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -32,7 +33,11 @@
 	defaultMaxBuffered = 16 << 20
 	// freeAnswer is the part of an answer that needs no share of the memory for
 	// answers: large ones can't take it from small ones.
-	freeAnswer        = 32 << 10
+	freeAnswer = 16 << 10
+	// firstChunk and nextChunk are the sizes of the pieces of memory that an answer is
+	// read into.
+	firstChunk        = 1 << 10
+	nextChunk         = 16 << 10
 	keepAliveInterval = time.Second
 	unacknowledged    = 1200 * time.Millisecond
 )
@@ -146,7 +151,7 @@
 	limit := cmp.Or(f.MaxAnswerBytes, defaultMaxAnswer)
 	body := bounded{r: io.LimitReader(resp.Body, limit+1), taken: &f.buffered, most: cmp.Or(f.MaxBufferedBytes, defaultMaxBuffered)}
 	defer body.release()
-	text, err := io.ReadAll(&body)
+	text, err := readAll(&body)
 	if err != nil {
 		return kingcuphook.Answer{}, fmt.Errorf("forwarder: read answer of %s: %w: %w", u.Address(), kingcuphook.ErrOutcomeUnknown, err)
 	}
@@ -156,6 +161,27 @@
 	return kingcuphook.NewOpaqueAnswer(resp.StatusCode, endToEnd(resp.Header), text), nil
 }
 
+// readAll reads to the end. It takes memory piece by piece and copies what it has once,
+// so that an answer without end leaves little garbage behind.
+func readAll(r io.Reader) ([]byte, error) {
+	chunks := [][]byte{make([]byte, 0, firstChunk)}
+	for {
+		last := &chunks[len(chunks)-1]
+		if len(*last) == cap(*last) {
+			chunks = append(chunks, make([]byte, 0, nextChunk))
+			continue
+		}
+		n, err := r.Read((*last)[len(*last):cap(*last)])
+		*last = (*last)[:len(*last)+n]
+		if err == io.EOF { //nolint:errorlint // a wrapped one is no end
+			return slices.Concat(chunks...), nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
 // bounded reads an answer as long as there is memory for it.
 type bounded struct {
 	r io.Reader
