--- a/attacher/follow_test.go
+++ b/attacher/follow_test.go
@@ -50,21 +50,31 @@
 	return err == nil && status == http.StatusUnauthorized
 }
 
-func TestFewRoutersFollowTheStore(t *testing.T) {
-	w := newWorld(t)
-	fleet := w.startFleet(11, 7)
-	w.eventually("the end of the other watches", func() bool { return w.mostWatches() <= delegator.Count })
+// applyTime is how long a change may take until it is in force everywhere.
+const applyTime = 3 * time.Second
+
+// withdrawKey withdraws the key of the organisation, and looks how long the routers
+// take it.
+func (w *world) withdrawKey(fleet []*process) {
+	w.t.Helper()
 	w.keys = []string{"other"}
 	w.declare()
 	changed := time.Now()
 	for _, p := range fleet {
 		w.eventually("the end of the key", func() bool { return p.refuses("secret") })
 	}
-	if d := time.Since(changed); d > 3*time.Second {
-		t.Errorf("a change was in force everywhere after %v, want at most 3 s", d)
+	if d := time.Since(changed); d > applyTime {
+		w.t.Errorf("a change was in force everywhere after %v, want at most %v", d, applyTime)
 	}
 }
 
+func TestFewRoutersFollowTheStore(t *testing.T) {
+	w := newWorld(t)
+	fleet := w.startFleet(11, 7)
+	w.eventually("the end of the other watches", func() bool { return w.mostWatches() <= delegator.Count })
+	w.withdrawKey(fleet)
+}
+
 func TestRoutersOutliveThoseThatFollowTheStore(t *testing.T) {
 	w := newWorld(t)
 	fleet := w.startFleet(12, 6)
@@ -75,15 +85,7 @@
 	for _, p := range fleet[:4] {
 		w.NoErr(<-p.ended)
 	}
-	w.keys = []string{"other"}
-	w.declare()
-	changed := time.Now()
-	for _, p := range fleet[4:] {
-		w.eventually("the end of the key", func() bool { return p.refuses("secret") })
-	}
-	if d := time.Since(changed); d > 3*time.Second {
-		t.Errorf("a change was in force everywhere after %v, want at most 3 s", d)
-	}
+	w.withdrawKey(fleet[4:])
 }
 
 func TestFleetComesBackWithTheStore(t *testing.T) {
