--- a/locator/home.go
+++ b/locator/home.go
@@ -67,8 +67,8 @@
 }
 
 const (
-	// openFrom and openAll are how many crowds there are on the usual upstreams from which
-	// on some shared parts may be read at quiet ones, and at which all may.
+	// openFrom is the load of the usual upstreams, in crowds, from which on some shared
+	// parts may be read at quiet ones; at openAll all may.
 	openFrom = 1.0
 	openAll  = 2.0
 )
@@ -76,7 +76,7 @@
 // quietRoom returns the number of requests on a quiet upstream up to which a long
 // prompt with the shared part may be sent there, where a crowd is the given number of
 // streams. The more crowded the usual upstreams are, the more parts may go to quiet
-// ones: all routers let the same parts.
+// ones, by their hash, so that all routers choose the same parts.
 func (l *Locator) quietRoom(part uint64, crowd float64) float64 {
 	sum, n := 0, 0
 	for _, u := range l.upstreams {
