Compress whole exports and give them time

Change: exports from 64 KiB on are compressed; one of everything may take 6 s.

Tests: TestWholeExportsMayTakeLonger, TestLargeExportsAreCompressed.

--- a/puller/puller.go
+++ b/puller/puller.go
@@ -3,6 +3,7 @@
 package puller
 
 import (
+	"compress/gzip"
 	"context"
 	"errors"
 	"fmt"
@@ -22,8 +23,12 @@
 	// milliseconds the answer may wait for news.
 	paramRevision = "after-revision"
 	paramWait     = "wait-ms"
-	// pullTimeout bounds a pull beyond its wait.
-	pullTimeout = 700 * time.Millisecond
+	// pullTimeout bounds a pull beyond its wait, wholeTimeout one of everything, which
+	// many may ask of the same peer at the start of a fleet.
+	pullTimeout  = 700 * time.Millisecond
+	wholeTimeout = 6 * time.Second
+	// compressFrom is the size from which on an export is compressed.
+	compressFrom = 64 << 10
 	// maxWait bounds the wait of a pull.
 	maxWait = 10 * time.Second
 	// maxExportBytes bounds what a peer hands over.
@@ -59,9 +64,24 @@
 	case err != nil:
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 	default:
-		// A peer that is gone needs no answer.
+		write(w, payload)
+	}
+}
+
+// write writes an export. A peer that is gone needs none.
+func write(w http.ResponseWriter, payload []byte) {
+	if len(payload) < compressFrom {
 		_, _ = w.Write(payload)
+		return
 	}
+	w.Header().Set("Content-Encoding", "gzip")
+	z, err := gzip.NewWriterLevel(w, gzip.BestSpeed)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	_, _ = z.Write(payload)
+	_ = z.Close()
 }
 
 // Puller asks peers. It is safe for concurrent use.
@@ -74,7 +94,11 @@
 // the peer waits for it for the given time. The error wraps ErrNotFound if there is
 // nothing, and ErrUnavailable if the peer can't be asked or can't know.
 func (p *Puller) Pull(ctx context.Context, address string, revision int64, wait time.Duration) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+pullTimeout)
+	timeout := pullTimeout
+	if revision == 0 {
+		timeout = wholeTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+timeout)
 	defer cancel()
 	target := fmt.Sprintf("http://%s%s?%s=%d&%s=%d", address, Path, paramRevision, revision, paramWait, wait.Milliseconds())
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
--- /dev/null
+++ b/puller/puller_test.go
@@ -0,0 +1,69 @@
+package puller
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/kingcuphook/kingcuphook"
+)
+
+func serve(t *testing.T, export func(revision int64) ([]byte, error)) string {
+	t.Helper()
+	h := &Handler{Export: func(_ context.Context, revision int64, _ time.Duration) ([]byte, error) { return export(revision) }}
+	server := httptest.NewServer(h)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func TestWholeExportsMayTakeLonger(t *testing.T) {
+	is := is.New(t)
+	address := serve(t, func(int64) ([]byte, error) {
+		time.Sleep(2 * pullTimeout) // many ask at the same time
+		return []byte("all"), nil
+	})
+	p := &Puller{}
+	got, err := p.Pull(t.Context(), address, 0, 0)
+	is.NoErr(err)
+	is.Equal(string(got), "all")
+	_, err = p.Pull(t.Context(), address, 7, 0) // changes are small
+	is.True(errors.Is(err, kingcuphook.ErrUnavailable))
+}
+
+func TestLargeExportsAreCompressed(t *testing.T) {
+	is := is.New(t)
+	whole := bytes.Repeat([]byte(`{"key":"servers/i-1","value":"e30="},`), 40_000)
+	address := serve(t, func(int64) ([]byte, error) { return whole, nil })
+	got, err := (&Puller{}).Pull(t.Context(), address, 0, 0)
+	is.NoErr(err)
+	is.True(bytes.Equal(got, whole))
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+address+Path+"?after-revision=0&wait-ms=0", nil)
+	is.NoErr(err)
+	r.Header.Set("Accept-Encoding", "gzip") // the client leaves the body as it comes
+	resp, err := http.DefaultClient.Do(r)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	var wire bytes.Buffer
+	_, err = wire.ReadFrom(resp.Body)
+	is.NoErr(err)
+	is.True(wire.Len() < len(whole)/4)
+}
+
+func TestSaysWhatThePeerDoesNotHave(t *testing.T) {
+	is := is.New(t)
+	for want, err := range map[error]error{
+		kingcuphook.ErrNotFound:    kingcuphook.ErrNotFound,
+		kingcuphook.ErrUnavailable: kingcuphook.ErrUnavailable,
+	} {
+		address := serve(t, func(int64) ([]byte, error) { return nil, err })
+		_, got := (&Puller{}).Pull(t.Context(), address, 7, 0)
+		is.True(errors.Is(got, want))
+	}
+}
