Heed upstreams that say they leave, or ask for a rest

Cause: an upstream tells with Server-Leaving that it leaves, and with Retry-After on a 503 that it wants nothing for a time; neither was read. In serve, a new table took back that an upstream had said that it leaves, until its next report.

Change: the forwarder and the dialer tell what an upstream says with an answer to a call of its own. Leaving: withdrawer marks the program as leaving in the tables in force, for good, until another program has the address; digests tell peers first-hand news, which hold for 10 s. Rest: the scheduler keeps work away until the time is over by the steady clock, then lets it grow for a second; a pool of which all rest refuses at once with the time of the first return. Nothing is copied from an upstream that leaves. Digests have format 4; a router refuses those of another format.

Ruled out: writing leaving to the store; telling other routers of a rest, which the upstream asked of the routers that it turned away.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -97,6 +98,28 @@
 	}
 }
 
+// Rester is a Scheduler that keeps work from upstreams that ask for a rest.
+type Rester interface {
+	// Rest notes that a program wants nothing new until the given time.
+	Rest(now time.Time, p kingcuphook.Program, until time.Time)
+}
+
+// restSpread is the part of a rest by which routers prolong it at most, so that they
+// don't all return in the same moment.
+const restSpread = 0.1
+
+// Rest notes that a program wants nothing new of this router for the given time.
+func (a *Allocator) Rest(program kingcuphook.Program, rest time.Duration) {
+	rest += time.Duration(rand.Float64() * restSpread * float64(rest))
+	for _, p := range a.list() {
+		p.event(func(now time.Time) {
+			if s, ok := p.scheduler.(Rester); ok {
+				s.Rest(now, program, now.Add(rest))
+			}
+		})
+	}
+}
+
 // Cached takes a cache event.
 func (a *Allocator) Cached(e kingcuphook.CacheEvent) {
 	for _, p := range a.list() {
--- a/attacher/attacher.go
+++ b/attacher/attacher.go
@@ -35,6 +35,7 @@
 	"github.com/kingcuphook/kingcuphook/retrier"
 	"github.com/kingcuphook/kingcuphook/scheduler"
 	"github.com/kingcuphook/kingcuphook/tallier"
+	"github.com/kingcuphook/kingcuphook/withdrawer"
 )
 
 // Attacher is one router on the platform. Its fields are set before Run.
@@ -58,6 +59,10 @@
 	meter      *meter.Meter
 	quarantine *quarantiner.Quarantiner
 	distances  estimator.Distances
+	// withdrawn has the upstreams that leave by their own word.
+	withdrawn withdrawer.Withdrawer
+	// rests counts how often upstreams asked for a rest.
+	rests atomic.Int64
 	// routers is how many routers there are, this one included.
 	routers atomic.Int64
 	// closing are the times of the planned stop; nil before it.
@@ -166,8 +171,9 @@
 	a.allocator = &allocator.Allocator{NewScheduler: a.newScheduler}
 	a.tally = &tallier.Tally{Next: a.allocator}
 	a.forwarder = &forwarder.Forwarder{
-		Codec:  platform.Calls{},
-		Dialed: func(u *kingcuphook.Upstream, took time.Duration) { a.distances.Connected(u.DataCentre(), took) },
+		Codec:   platform.Calls{},
+		Dialed:  func(u *kingcuphook.Upstream, took time.Duration) { a.distances.Connected(u.DataCentre(), took) },
+		Noticed: a.noticed,
 	}
 	a.control = newControl(a)
 	a.quarantine = &quarantiner.Quarantiner{}
@@ -197,6 +203,8 @@
 func (a *Attacher) addGauges() {
 	a.meter.Gauge("kingcuphook_routers", func() float64 { return float64(a.routers.Load()) })
 	a.meter.Gauge("kingcuphook_open_requests", func() float64 { return float64(a.receiver.Open()) })
+	a.meter.Gauge("kingcuphook_upstreams_withdrawn", func() float64 { return float64(a.withdrawn.Count()) })
+	a.meter.Gauge("kingcuphook_upstream_rests_total", func() float64 { return float64(a.rests.Load()) })
 	a.meter.Gauge("kingcuphook_log_lines_dropped_total", func() float64 {
 		if a.Dropped == nil {
 			return 0
--- a/attacher/control.go
+++ b/attacher/control.go
@@ -107,6 +107,15 @@
 	}
 }
 
+// wake has the control loop publish what has changed beside it. A loop that is busy
+// does so anyway.
+func (c *control) wake() {
+	select {
+	case c.inbox <- func(time.Time) {}:
+	default:
+	}
+}
+
 func (c *control) tick(ctx context.Context, now time.Time) {
 	if n := c.store.Expire(now); n > 0 {
 		c.a.Log.Log(logger.UpstreamsChanged, "reason", "registrations-stayed-away", "count", n)
@@ -229,7 +238,7 @@
 
 // publish hands out the tables if they have changed.
 func (c *control) publish() {
-	t := c.store.Tables()
+	t := c.a.withdrawn.Apply(time.Now(), c.store.Tables())
 	if t == nil || t == c.published {
 		return
 	}
--- a/attacher/peers.go
+++ b/attacher/peers.go
@@ -120,6 +120,9 @@
 		if err == nil && len(d.Loads()) > 0 {
 			err = a.tally.Take(time.Now(), from.Addr().String(), d.Loads())
 		}
+		if err == nil && len(d.Leaving()) > 0 {
+			err = a.toldLeaving(from.Addr(), d.Leaving())
+		}
 		if err == nil && len(d.Suspects()) > 0 {
 			err = a.quarantine.Import(time.Now(), d.Suspects())
 		}
@@ -164,12 +167,13 @@
 	c.a.routers.Store(int64(len(c.peers.heard) + 1))
 	f := c.short(now)
 	c.send(f, c.peers.pickNear(nearPeers))
+	f.Leaving = c.a.withdrawn.Encode()
 	f.Loads = c.a.tally.Encode()
 	f.Suspects = c.a.quarantine.Export(now, suspectBytes)
 	c.send(f, c.peers.pick(digestPeers))
 }
 
-// short returns a digest without loads and suspects.
+// short returns a digest that tells of the store and of routers only.
 func (c *control) short(now time.Time) digester.Fields {
 	return digester.Fields{
 		Version:    c.store.Version(),
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -49,6 +49,9 @@
 	// OnReport, if set, takes the load reports that come with answers. It must
 	// be safe for concurrent use and return at once.
 	OnReport func(kingcuphook.LoadReport)
+	// OnNotice, if set, takes what upstreams say of themselves with answers. It must
+	// be safe for concurrent use and return at once.
+	OnNotice func(*kingcuphook.Upstream, kingcuphook.Notice)
 
 	// shared keeps connections open for idempotent work and for queries.
 	shared *http.Client
@@ -133,6 +136,7 @@
 		return nil, fmt.Errorf("dialer: %s: %w: %w", u.Address(), kingcuphook.ErrUnavailable, err)
 	}
 	d.report(u, resp.Header)
+	d.notice(u, resp)
 	if err := refusal(u, resp); err != nil {
 		return nil, err
 	}
--- a/dialer/report.go
+++ b/dialer/report.go
@@ -12,6 +12,7 @@
 	"github.com/tidwall/gjson"
 
 	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/transporter"
 )
 
 // Paths of what upstreams report and of the orders they take.
@@ -27,6 +28,7 @@
 	headerQueued    = "X-Load-Queued"
 	headerReportAge = "X-Load-Age-Ms"
 	headerLeaving   = "X-Leaving"
+	headerRest      = "Retry-After"
 )
 
 const (
@@ -153,6 +155,21 @@
 	return resp.StatusCode, text, nil
 }
 
+// notice tells OnNotice what the headers of an answer say of the upstream.
+func (d *Dialer) notice(u *kingcuphook.Upstream, resp *http.Response) {
+	if d.OnNotice == nil {
+		return
+	}
+	rest := time.Duration(0)
+	if resp.StatusCode == http.StatusServiceUnavailable {
+		rest = transporter.Rest(resp.Header.Values(headerRest))
+	}
+	n := kingcuphook.NewNotice(resp.Header.Get(headerLeaving) == "true", rest)
+	if n != (kingcuphook.Notice{}) {
+		d.OnNotice(u, n)
+	}
+}
+
 // report tells OnReport what the headers of an answer say of the load.
 func (d *Dialer) report(u *kingcuphook.Upstream, h http.Header) {
 	if d.OnReport == nil || h.Get(headerRunning) == "" {
--- a/dialer/report_test.go
+++ b/dialer/report_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
@@ -108,3 +109,25 @@
 		})
 	}
 }
+
+func TestTellsWhatUpstreamsSayOfThemselves(t *testing.T) {
+	is := is.New(t)
+	status := http.StatusOK
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Leaving", "true") // without a load report
+		w.Header().Set("Retry-After", "1.5")
+		w.WriteHeader(status)
+	}))
+	defer server.Close()
+	u := kingcuphook.NewUpstream(kingcuphook.UpstreamFields{Address: server.Listener.Addr().String(), Kind: kingcuphook.UpstreamKindService})
+	var told []kingcuphook.Notice
+	d := &Dialer{OnNotice: func(_ *kingcuphook.Upstream, n kingcuphook.Notice) { told = append(told, n) }}
+	d.Connect()
+	defer d.Close()
+	_, err := d.Call(context.Background(), u, attempt(""))
+	is.NoErr(err)
+	status = http.StatusServiceUnavailable
+	_, err = d.Call(context.Background(), u, attempt(""))
+	is.NoErr(err)
+	is.Equal(told, []kingcuphook.Notice{kingcuphook.NewNotice(true, 0), kingcuphook.NewNotice(true, 1500*time.Millisecond)})
+}
--- a/digester/digester.go
+++ b/digester/digester.go
@@ -14,6 +14,7 @@
 
 	"github.com/kingcuphook/kingcuphook"
 	"github.com/kingcuphook/kingcuphook/delegator"
+	"github.com/kingcuphook/kingcuphook/withdrawer"
 )
 
 const (
@@ -22,11 +23,11 @@
 	// MaxMembers bounds the addresses of other routers in a message.
 	MaxMembers = 6
 	// formatVersion is the first byte of a message.
-	formatVersion = 3
+	formatVersion = 4
 	// fixedBytes is the length of what every message has: format, version,
 	// revision, data centre, flags, number of members and of delegates, length of
-	// the loads.
-	fixedBytes = 1 + 8 + 8 + 4 + 1 + 1 + 1 + 2
+	// what tells of leaving upstreams and of the loads.
+	fixedBytes = 1 + 8 + 8 + 4 + 1 + 1 + 1 + 1 + 2
 	// memberBytes is the length of a member, delegateBytes that of a delegate with
 	// its age.
 	memberBytes   = 4
@@ -50,6 +51,9 @@
 	Members []netip.Addr
 	// Delegates are routers of the data centre that can follow the store.
 	Delegates []delegator.Candidate
+	// Leaving are upstreams that told the sender that they leave, as package
+	// withdrawer encodes them.
+	Leaving []byte
 	// Loads is what the sender runs, as package tallier encodes it.
 	Loads []byte
 	// Suspects are calls that crash upstreams, as package quarantiner encodes them.
@@ -87,6 +91,9 @@
 // change the slice.
 func (d Digest) Members() []netip.Addr { return d.f.Members }
 
+// Leaving returns the upstreams that told the sender that they leave.
+func (d Digest) Leaving() []byte { return d.f.Leaving }
+
 // Loads returns what the sender runs.
 func (d Digest) Loads() []byte { return d.f.Loads }
 
@@ -108,6 +115,8 @@
 	b = append(b, flags)
 	b = appendMembers(b, d.f.Members)
 	b = appendDelegates(b, d.f.Delegates)
+	b = append(b, byte(len(d.f.Leaving)))
+	b = append(b, d.f.Leaving...)
 	b = binary.BigEndian.AppendUint16(b, uint16(len(d.f.Loads)))
 	b = append(b, d.f.Loads...)
 	if len(b)+len(d.f.Suspects) <= MaxBytes {
@@ -168,7 +177,7 @@
 	}
 	n = int(b[0])
 	b = b[1:]
-	if n > delegator.MaxTold || len(b) < n*delegateBytes+2 {
+	if n > delegator.MaxTold || len(b) < n*delegateBytes+3 {
 		return Digest{}, fmt.Errorf("digester: %d delegates: %w", n, kingcuphook.ErrInvalid)
 	}
 	for range n {
@@ -177,6 +186,12 @@
 		})
 		b = b[delegateBytes:]
 	}
+	n = int(b[0])
+	b = b[1:]
+	if n > withdrawer.MaxBytes || len(b) < n+2 {
+		return Digest{}, fmt.Errorf("digester: %d bytes of leaving upstreams: %w", n, kingcuphook.ErrInvalid)
+	}
+	f.Leaving, b = b[:n], b[n:]
 	length := int(binary.BigEndian.Uint16(b))
 	b = b[2:]
 	if length > len(b) {
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -359,6 +359,10 @@
 		r.unable = append(r.unable, slot.Choice().Upstream.Address())
 		slot.Release(kingcuphook.Sample{Cancelled: true})
 		return nil, nil
+	case err != nil && errors.Is(err, kingcuphook.ErrResting) && r.answer.Position() > 0:
+		// What the caller has of the answer is of no use to it without the rest.
+		pauser.Pause(ctx, retryAfter(err))
+		return nil, nil
 	case err == nil || !errors.Is(err, kingcuphook.ErrNoUpstream):
 		return slot, err
 	case len(busy) > 0 && ctx.Err() == nil:
@@ -371,6 +375,15 @@
 	}
 }
 
+// retryAfter returns when a refusal says that the request may come back.
+func retryAfter(err error) time.Duration {
+	var told *kingcuphook.RequestError
+	if !errors.As(err, &told) {
+		return 0
+	}
+	return told.RetryAfter
+}
+
 func (r *run) newAttempt(c kingcuphook.Choice) *kingcuphook.Attempt {
 	return kingcuphook.NewAttempt(kingcuphook.AttemptFields{
 		ID:          r.d.attemptID(r.request),
--- a/errors.go
+++ b/errors.go
@@ -56,6 +56,9 @@
 	ErrForeignFrame = errors.New("foreign frame")
 	// ErrNoUpstream says that no upstream of the pool can take the request.
 	ErrNoUpstream = errors.New("no upstream")
+	// ErrResting says that all upstreams of the pool want no work for a time. It
+	// comes beside ErrOverloaded.
+	ErrResting = errors.New("all upstreams want a rest")
 	// ErrDeadline says that the deadline of the request passed.
 	ErrDeadline = errors.New("deadline passed")
 )
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -54,6 +54,10 @@
 	// Dialed is told how long each connection to an upstream took to open; nil is told
 	// nothing. It must be safe for concurrent use.
 	Dialed func(u *kingcuphook.Upstream, took time.Duration)
+	// Noticed is told what an upstream says of itself with a reply to a call of its
+	// own, before that reply is passed on; nil is told nothing. It must be safe for
+	// concurrent use.
+	Noticed func(u *kingcuphook.Upstream, n kingcuphook.Notice)
 	// MaxAnswerBytes bounds an answer that is kept in memory; 0 means 8 MiB.
 	MaxAnswerBytes int64
 
@@ -66,27 +70,17 @@
 
 	mu sync.Mutex
 	// transports has the connections to each running program.
-	transports map[program]*http.Transport
+	transports map[kingcuphook.Program]*http.Transport
 }
 
 var _ kingcuphook.Engine = (*Forwarder)(nil)
 
-// program is one start of the program at an address.
-type program struct {
-	address, instance string
-	born              int64
-}
-
-func programOf(u *kingcuphook.Upstream) program {
-	return program{address: u.Address(), instance: u.Instance(), born: u.Born()}
-}
-
 // Keep closes the idle connections to all programs but those of the tables.
 func (f *Forwarder) Keep(t *kingcuphook.Tables) {
-	wanted := make(map[program]bool)
+	wanted := make(map[kingcuphook.Program]bool)
 	for _, p := range t.Pools() {
 		for _, u := range p.Upstreams() {
-			wanted[programOf(u)] = true
+			wanted[u.Program()] = true
 		}
 	}
 	f.mu.Lock()
@@ -230,7 +224,11 @@
 
 // judge returns an error for a reply that is no answer to the attempt.
 func (f *Forwarder) judge(u *kingcuphook.Upstream, a *kingcuphook.Attempt, resp *http.Response) error {
-	switch f.Codec.Decode(a, resp.StatusCode, resp.Header) {
+	kind := f.Codec.Decode(a, resp.StatusCode, resp.Header)
+	if kind != kingcuphook.ReplyKindForeign {
+		f.notice(u, resp)
+	}
+	switch kind {
 	case kingcuphook.ReplyKindAnswer:
 		return nil
 	case kingcuphook.ReplyKindNotRun:
@@ -242,6 +240,16 @@
 	}
 }
 
+// notice tells what the upstream says of itself.
+func (f *Forwarder) notice(u *kingcuphook.Upstream, resp *http.Response) {
+	if f.Noticed == nil {
+		return
+	}
+	if n := f.Codec.Notice(resp.StatusCode, resp.Header); n != (kingcuphook.Notice{}) {
+		f.Noticed(u, n)
+	}
+}
+
 // newRequest builds the HTTP request of an attempt. The transport repeats a call
 // of which nothing was written, for which it must be able to read the body again.
 // It would repeat some calls also after they were written: their body can't be
@@ -291,12 +299,12 @@
 func (f *Forwarder) transport(u *kingcuphook.Upstream) *http.Transport {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	p := programOf(u)
+	p := u.Program()
 	if t := f.transports[p]; t != nil {
 		return t
 	}
 	if f.transports == nil {
-		f.transports = make(map[program]*http.Transport)
+		f.transports = make(map[kingcuphook.Program]*http.Transport)
 	}
 	t := f.newTransport(u)
 	f.transports[p] = t
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -31,6 +31,10 @@
 	return kingcuphook.ReplyKindAnswer
 }
 
+func (codec) Notice(status int, h http.Header) kingcuphook.Notice {
+	return kingcuphook.NewNotice(h.Get("X-Leaves") != "", time.Duration(status-http.StatusOK)*time.Second)
+}
+
 // upstream serves raw connections: each request is answered by the next reply,
 // after which the connection is closed if the reply says so.
 type upstream struct {
@@ -114,6 +118,35 @@
 	is.Equal(u.conns.Load(), int64(1))
 }
 
+func TestTellsWhatUpstreamsSayOfThemselves(t *testing.T) {
+	is := is.New(t)
+	u := newUpstream(t, func(n int64, w net.Conn) bool {
+		switch n {
+		case 1:
+			fmt.Fprint(w, reply("X-Leaves: 1\r\n", "answer"))
+		case 2:
+			fmt.Fprint(w, "HTTP/1.1 203 Other\r\nX-Reply: not-run\r\nContent-Length: 0\r\n\r\n")
+		case 3:
+			// It answers another call, perhaps of another time.
+			fmt.Fprint(w, reply("X-Leaves: 1\r\nX-Reply: foreign\r\n", ""))
+		default:
+			fmt.Fprint(w, reply("", "answer"))
+		}
+		return true
+	})
+	var told []kingcuphook.Notice
+	f := &Forwarder{Codec: codec{}, Noticed: func(at *kingcuphook.Upstream, n kingcuphook.Notice) {
+		is.Equal(at, u.row)
+		told = append(told, n)
+	}}
+	defer f.Close()
+	for range 4 {
+		_, err := f.Call(t.Context(), u.row, attempt("POST", "/", ""))
+		is.True(err == nil || errors.Is(err, kingcuphook.ErrUnavailable) || errors.Is(err, kingcuphook.ErrForeignFrame))
+	}
+	is.Equal(told, []kingcuphook.Notice{kingcuphook.NewNotice(true, 0), kingcuphook.NewNotice(false, 3*time.Second)})
+}
+
 func TestWhatIsKnownOfAFailure(t *testing.T) {
 	dead := kingcuphook.NewUpstream(kingcuphook.UpstreamFields{Address: "127.0.0.1:1"})
 	for name, test := range map[string]struct {
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -142,7 +142,7 @@
 	l.upstreams = l.upstreams[:0]
 	for _, row := range p.Upstreams() {
 		u := known[row.Address()]
-		if u == nil || u.row.Instance() != row.Instance() || u.row.Born() != row.Born() {
+		if u == nil || u.row.Program() != row.Program() {
 			u = newUpstream(now, row)
 		}
 		u.row = row
--- a/locator/locator_test.go
+++ b/locator/locator_test.go
@@ -160,7 +160,8 @@
 // The second home of a shared part, or any other upstream, copies it from the first.
 func TestCopiesFromWhereThePartIsKept(t *testing.T) {
 	is := is.New(t)
-	l := newLocator("cairo", pool(4))
+	p := pool(4)
+	l := newLocator("cairo", p)
 	now := start.Add(time.Minute)
 	home := choose(t, l, now, letter("a", 1))
 	c, err := l.Select(now, letter("b", 1), []string{home})
@@ -176,6 +177,17 @@
 	other, err := l.Select(now, letter("e", 1), []string{home, c.Upstream.Address()})
 	is.NoErr(err)
 	is.Equal(other.CopyFrom, c.Upstream.Address()) // the home has just failed
+
+	rows := p.Fields()
+	for i, u := range rows.Upstreams {
+		f := u.Fields()
+		f.Leaving = f.Address == c.Upstream.Address()
+		rows.Upstreams[i] = kingcuphook.NewUpstream(f)
+	}
+	l.Update(start, kingcuphook.NewPool(rows))
+	leaving, err := l.SelectUsable(start.Add(time.Second), letter("4", 7), nil, func(a string) bool { return a != home })
+	is.NoErr(err)
+	is.True(leaving.CopyFrom != c.Upstream.Address()) // nothing is copied from an upstream that leaves
 }
 
 func TestNoUpstream(t *testing.T) {
--- a/locator/source.go
+++ b/locator/source.go
@@ -42,5 +42,5 @@
 
 // sound reports whether the upstream can be asked for what it keeps.
 func (u *upstream) sound(now time.Time) bool {
-	return !u.displaced && u.penalty(now) == 0
+	return !u.displaced && !u.row.Leaving() && u.penalty(now) == 0
 }
--- a/logger/events.go
+++ b/logger/events.go
@@ -44,6 +44,7 @@
 	RequestAssigned  = Event{1204, LevelInfo, "upstream chosen for a request"}
 	AttemptFailed    = Event{1205, LevelInfo, "attempt failed"}
 	UpstreamsChanged = Event{1303, LevelInfo, "upstreams in force"}
+	UpstreamRests    = Event{1305, LevelInfo, "upstream wants no new work for a time"}
 	UpstreamBad      = Event{1304, LevelWarn, "registration of an upstream refused; it names no upstream"}
 	SettingsRead     = Event{1008, LevelInfo, "settings read again"}
 	SettingsBad      = Event{1009, LevelError, "changed settings refused; the old ones stay in force"}
@@ -93,6 +94,7 @@
 		UpstreamLeaving,
 		UpstreamsChanged,
 		UpstreamBad,
+		UpstreamRests,
 		PeerFailed,
 		PeerJoined,
 		PeerLeft,
--- a/router/router.go
+++ b/router/router.go
@@ -232,7 +232,7 @@
 	r.allocator = &allocator.Allocator{NewScheduler: r.newScheduler}
 	r.links = &exchanger.Client{Credentials: r.certs.peersClientCredentials()}
 	r.control = newControl(r)
-	r.upstreams = &dialer.Dialer{OnReport: r.control.reported}
+	r.upstreams = &dialer.Dialer{OnReport: r.control.reported, OnNotice: r.control.noticed}
 	r.upstreams.Connect()
 	r.buildTables()
 	r.buildServer()
--- a/router/upstreams.go
+++ b/router/upstreams.go
@@ -101,6 +101,38 @@
 	})
 }
 
+// noticed takes what an upstream says of itself with an answer.
+func (c *control) noticed(u *kingcuphook.Upstream, n kingcuphook.Notice) {
+	if n.Rest() > 0 {
+		c.router.Log.Log(logger.UpstreamRests, "upstream", u.Address(), "source", "answer", "rest-ms", n.Rest().Milliseconds())
+		c.router.allocator.Rest(u.Program(), n.Rest())
+	}
+	if !n.Leaving() {
+		return
+	}
+	c.send(func(now time.Time) {
+		last := c.reportOf(u.Address(), now)
+		if last.Leaving() || c.upstreams[u.Address()] == nil {
+			return
+		}
+		c.router.Log.Log(logger.UpstreamLeaving, "upstream", u.Address(), "source", "answer")
+		c.takeReport(now, asLeaving(last, now))
+	})
+}
+
+// asLeaving returns a report that says besides that the upstream leaves.
+func asLeaving(l kingcuphook.LoadReport, made time.Time) kingcuphook.LoadReport {
+	return kingcuphook.NewLoadReport(kingcuphook.LoadReportFields{
+		Upstream:     l.Upstream(),
+		Made:         made,
+		Running:      l.Running(),
+		Queued:       l.Queued(),
+		QueuedTokens: l.QueuedTokens(),
+		CachedTokens: l.CachedTokens(),
+		Leaving:      true,
+	})
+}
+
 // takeReport hands a report to the schedulers. An upstream that the list of VMs
 // calls leaving is leaving whatever it says itself.
 func (c *control) takeReport(_ time.Time, l kingcuphook.LoadReport) {
@@ -109,15 +141,7 @@
 	}
 	c.reports[l.Upstream()] = l
 	if c.leaving[l.Upstream()] && !l.Leaving() {
-		l = kingcuphook.NewLoadReport(kingcuphook.LoadReportFields{
-			Upstream:     l.Upstream(),
-			Made:         l.Made(),
-			Running:      l.Running(),
-			Queued:       l.Queued(),
-			QueuedTokens: l.QueuedTokens(),
-			CachedTokens: l.CachedTokens(),
-			Leaving:      true,
-		})
+		l = asLeaving(l, l.Made())
 	}
 	c.router.allocator.Report(l)
 }
--- a/scheduler/assign.go
+++ b/scheduler/assign.go
@@ -29,7 +29,7 @@
 	s.slots.reset()
 	p := pass{scheduler: s, now: now}
 	p.queue, _ = s.Admitter.(Queue)
-	if !s.slots.takesAny() {
+	if !s.slots.takesAny(now) {
 		p.free = anySlot
 	}
 	p.probe()
@@ -107,7 +107,11 @@
 		return
 	}
 	if s.isUnserved(p.now, r) {
-		p.sheds = append(p.sheds, s.shed([]kingcuphook.Shed{unserved(r)})...)
+		p.shed(unserved(r))
+		return
+	}
+	if refusal, ok := s.refuseForRest(p.now, r); ok {
+		p.shed(refusal)
 		return
 	}
 	p.park(r)
@@ -146,6 +150,11 @@
 	return false
 }
 
+// shed refuses a request that was taken out of the queue.
+func (p *pass) shed(refusal kingcuphook.Shed) {
+	p.sheds = append(p.sheds, p.scheduler.shed([]kingcuphook.Shed{refusal})...)
+}
+
 func (p *pass) park(r *kingcuphook.Request) { p.parked = append(p.parked, r) }
 
 // isGuaranteed reports whether r, which was just taken, may use the slots of
--- /dev/null
+++ b/scheduler/rest_test.go
@@ -0,0 +1,115 @@
+package scheduler
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/kingcuphook/kingcuphook"
+)
+
+func programOf(f kingcuphook.UpstreamFields) kingcuphook.Program {
+	return kingcuphook.NewUpstream(f).Program()
+}
+
+func TestRestingUpstreamGetsNothing(t *testing.T) {
+	is := is.New(t)
+	a, b := engine("a", 4), engine("b", 4)
+	a.Instance, a.Born = "i-a", 1
+	s := newScheduler(a, b)
+	s.Rest(start, programOf(a), start.Add(3*time.Second))
+	s.Rest(start, programOf(a), start.Add(time.Second)) // a shorter rest changes nothing
+	s.Offer(start, request("0", 1))
+	is.Equal(assign(s, start), "0>b ")
+
+	// Neither a table without it nor its return to the table ends the rest.
+	s.Update(start, pool(b))
+	s.Update(start, pool(a, b))
+	s.Offer(start, request("1", 1))
+	is.Equal(assign(s, start.Add(2900*time.Millisecond)), "1>b ")
+	s.Offer(start, request("2", 1))
+	is.Equal(assign(s, start.Add(5*time.Second)), "2>a ")
+
+	// Another program at the address has not asked for it.
+	s.Rest(start, programOf(a), start.Add(time.Hour))
+	s.Offer(start, request("3", 1))
+	is.Equal(assign(s, start.Add(6*time.Second)), "3>b ")
+	a.Born = 2
+	s.Update(start, pool(a, b))
+	s.Offer(start, request("4", 1))
+	is.Equal(assign(s, start.Add(6*time.Second)), "4>a ")
+}
+
+func TestReturnsGentlyAfterARest(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(engine("a", 50))
+	s.Rest(start, programOf(engine("a", 50)), start.Add(time.Second))
+	for i := range 50 {
+		f := fields(fmt.Sprint(i), 1)
+		f.Target = 5 * time.Second
+		s.Offer(start, kingcuphook.NewRequest(f))
+	}
+	begun := func(at time.Duration) int {
+		assignments, sheds := s.Assign(start.Add(at))
+		is.Equal(len(sheds), 0)
+		return len(assignments)
+	}
+	is.Equal(begun(999*time.Millisecond), 0)
+	first := begun(time.Second)
+	is.True(first >= 1 && first <= 3)
+	half := first + begun(1500*time.Millisecond)
+	is.True(half > 10 && half < 40)
+	is.True(half+begun(2*time.Second) >= 40)
+}
+
+func TestCallersAreToldWhenAllRest(t *testing.T) {
+	is := is.New(t)
+	a, b, leaves := engine("a", 4), engine("b", 4), engine("c", 4)
+	leaves.Leaving = true
+	s := newScheduler(a, b, leaves)
+	s.Rest(start, programOf(a), start.Add(9*time.Second))
+	s.Rest(start, programOf(b), start.Add(6*time.Second))
+	told := make(map[time.Duration]bool)
+	for i := range 10 {
+		s.Offer(start, request(fmt.Sprint(i), 1))
+		assignments, sheds := s.Assign(start)
+		is.Equal(len(assignments), 0)
+		is.Equal(len(sheds), 1) // at once
+		is.Equal(s.Len(), 0)
+		shed := sheds[0]
+		is.True(errors.Is(shed.Err(), kingcuphook.ErrOverloaded))
+		is.True(errors.Is(shed.Err(), kingcuphook.ErrResting))
+		is.True(shed.RetryAfter() >= 6*time.Second && shed.RetryAfter() <= 6*time.Second+returnTime)
+		told[shed.RetryAfter()] = true
+	}
+	is.True(len(told) > 5) // they don't all return in the same moment
+	s.Offer(start, kingcuphook.NewRequest(lateArrival(start.Add(5500*time.Millisecond))))
+	assignments, sheds := s.Assign(start.Add(5500 * time.Millisecond))
+	is.Equal(len(assignments)+len(sheds), 0) // it can still be in time, and waits
+	assignments, _ = s.Assign(start.Add(6100 * time.Millisecond))
+	is.Equal(len(assignments), 1)
+}
+
+func lateArrival(at time.Time) kingcuphook.RequestFields {
+	f := fields("late-arrival", 1)
+	f.Arrived = at
+	return f
+}
+
+// TestUpstreamThatSaidItLeavesStaysOut takes new tables that don't know of it.
+func TestUpstreamThatSaidItLeavesStaysOut(t *testing.T) {
+	is := is.New(t)
+	a, b := engine("a", 4), engine("b", 4)
+	s := newScheduler(a, b)
+	s.Report(start, kingcuphook.NewLoadReport(kingcuphook.LoadReportFields{Upstream: "a", Made: start, Leaving: true}))
+	s.Update(start, pool(a, b))
+	s.Offer(start, request("0", 1))
+	is.Equal(assign(s, start), "0>b ")
+	a.Born = 7
+	s.Update(start, pool(a, b))
+	s.Offer(start, request("1", 1))
+	is.Equal(assign(s, start), "1>a ") // another program
+}
--- a/scheduler/slots.go
+++ b/scheduler/slots.go
@@ -17,13 +17,19 @@
 	filled [kingcuphook.TierCount]bool
 	// total is the sum of the free slots of the rows.
 	total [kingcuphook.TierCount]int
+	// rests has until when programs want nothing new, also of those that are not in
+	// the pool now.
+	rests map[kingcuphook.Program]time.Time
 }
 
 // slotRow is one upstream of the pool.
 type slotRow struct {
 	upstream *kingcuphook.Upstream
-	// leaving says that the table or the upstream itself wants no new work.
-	leaving bool
+	// leaving says that the table or the upstream itself wants no new work, said that
+	// the upstream does.
+	leaving, said bool
+	// rest is until when the upstream wants nothing new; zero if it asked for no rest.
+	rest time.Time
 	// running counts the attempts of this router.
 	running int
 	// free has the free slots by tier.
@@ -37,9 +43,11 @@
 	t.rows = make([]*slotRow, 0, len(p.Upstreams()))
 	t.byAddress = make(map[string]*slotRow, len(p.Upstreams()))
 	for _, u := range p.Upstreams() {
-		row := &slotRow{upstream: u, leaving: u.Leaving()}
+		row := &slotRow{upstream: u, leaving: u.Leaving(), rest: t.rests[u.Program()]}
 		if was := old[u.Address()]; was != nil {
 			row.running = was.running
+			row.said = was.said && was.upstream.Program() == u.Program()
+			row.leaving = row.leaving || row.said
 		}
 		t.rows = append(t.rows, row)
 		t.byAddress[u.Address()] = row
@@ -53,6 +61,7 @@
 	if row == nil {
 		return false
 	}
+	row.said = leaving
 	row.leaving = leaving || row.upstream.Leaving()
 	return true
 }
@@ -83,9 +92,9 @@
 	})
 }
 
-// takesAny reports whether some upstream doesn't leave.
-func (t *slotTable) takesAny() bool {
-	return slices.ContainsFunc(t.rows, func(row *slotRow) bool { return !row.leaving })
+// takesAny reports whether some upstream neither leaves nor rests.
+func (t *slotTable) takesAny(now time.Time) bool {
+	return slices.ContainsFunc(t.rows, func(row *slotRow) bool { return !row.leaving && !row.resting(now) })
 }
 
 // reset forgets the free slots, which change with every event.
@@ -123,10 +132,10 @@
 // free returns the slots of row that requests of the tier may use.
 func (s *Scheduler) free(now time.Time, row *slotRow, tier kingcuphook.Tier) int {
 	row.ejected = false
-	if row.leaving {
+	if row.leaving || row.resting(now) {
 		return 0
 	}
-	weight := s.weight(now, row)
+	weight := min(s.weight(now, row), row.returned(now))
 	if weight <= 0 {
 		row.ejected = true
 		return 0
--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -47,6 +47,8 @@
 			}, nothing}
 		},
 		func() fault { return fault{"upstream leaves", 0, func() { w.leave(i) }, nothing} },
+		func() fault { return fault{"upstream leaves by its word", 0, func() { w.leaveByWord(i) }, nothing} },
+		func() fault { return fault{"upstream rests", lasts, func() { w.upstream(i).Rest(lasts) }, nothing} },
 		func() fault { return fault{"upstream crashes", 0, func() { w.crash(i) }, nothing} },
 		func() fault { return w.storeFault(r, s.rng.IntN(4), lasts) },
 		func() fault { return w.upstreamFault(i, s.rng.IntN(5), lasts) },
@@ -163,6 +165,14 @@
 	}()
 }
 
+// leaveByWord replaces an upstream: the new one starts, the old one says with its
+// answers that it leaves, its registration stays, and it serves on.
+func (w *world) leaveByWord(i int) {
+	if old := w.replace(i); old != nil {
+		old.Leave()
+	}
+}
+
 // crash ends an upstream in the middle of its work; another one takes over.
 func (w *world) crash(i int) {
 	old := w.replace(i)
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -146,6 +146,11 @@
 	for _, late := range s.world.lateRuns(runs) {
 		broken("%s", late)
 	}
+	for _, u := range s.world.allUpstreams() {
+		for _, late := range s.world.unheeded(u) {
+			broken("%s", late)
+		}
+	}
 	if all, served := s.calls.calm(); served < int(leastServed*float64(all)) {
 		broken("%d of %d calls were served after the faults had ended", served, all)
 	}
--- a/table.go
+++ b/table.go
@@ -346,17 +346,9 @@
 // NewTables returns both tables at the given revision. It does not validate
 // them; package parser does.
 func NewTables(revision int64, routes []*Route, pools []*Pool) *Tables {
-	t := &Tables{
-		revision:    revision,
-		routes:      slices.Clone(routes),
-		pools:       slices.Clone(pools),
-		poolsByName: make(map[string]*Pool, len(pools)),
-	}
-	for _, p := range t.pools {
-		t.poolsByName[p.Name()] = p
-	}
+	t := &Tables{revision: revision, routes: slices.Clone(routes)}
 	t.byHost = routesByHost(t.routes)
-	return t
+	return t.WithPools(pools)
 }
 
 // routesByHost returns the routes that name a host, the longest path first.
@@ -380,6 +372,17 @@
 	return &c
 }
 
+// WithPools returns tables with other pools.
+func (t *Tables) WithPools(pools []*Pool) *Tables {
+	c := *t
+	c.pools = slices.Clone(pools)
+	c.poolsByName = make(map[string]*Pool, len(pools))
+	for _, p := range c.pools {
+		c.poolsByName[p.Name()] = p
+	}
+	return &c
+}
+
 // HasKeys reports whether callers need a key.
 func (t *Tables) HasKeys() bool { return t.organisations != nil }
 
--- a/upstream.go
+++ b/upstream.go
@@ -340,4 +340,6 @@
 	Encode(h http.Header, u *Upstream, a *Attempt, now time.Time)
 	// Decode says what the head of a reply means.
 	Decode(a *Attempt, status int, h http.Header) ReplyKind
+	// Notice returns what the upstream says of itself with a reply.
+	Notice(status int, h http.Header) Notice
 }
