Sum what routers run by data centre, in place of samples in digests

Cause: a router heard of 12 others by chance every 300 ms and scaled that up; with 83 routers what it knew of an upstream was up to 2.5 s old and not exact, while a prompt is read in a tenth of a second.

Change: gatherer, a pure decision: the routers of a data centre tell the first by rendezvous hash, it exchanges sums with those of the other data centres and tells its own the total. Digests no longer carry loads. tallier counts and takes the own loads out.

Ruled out: all to all within a data centre (bytes), questions to upstreams.

Result: in played fleets of 1, 9, 84 and 294 routers all know the exact sum within a second, also after the first two by rank of each data centre are killed (TestAllKnowTheSumWithinASecond, TestOutlivesThoseThatSum).

--- a/attacher/control.go
+++ b/attacher/control.go
@@ -10,6 +10,7 @@
 	"github.com/kingcuphook/kingcuphook"
 	"github.com/kingcuphook/kingcuphook/delegator"
 	"github.com/kingcuphook/kingcuphook/digester"
+	"github.com/kingcuphook/kingcuphook/gatherer"
 	"github.com/kingcuphook/kingcuphook/logger"
 	"github.com/kingcuphook/kingcuphook/platform"
 	"github.com/kingcuphook/kingcuphook/puller"
@@ -36,6 +37,8 @@
 	// self is the address of this router.
 	self  netip.Addr
 	peers *peers
+	// loads sums what the routers run.
+	loads gatherer.Gatherer
 	pull  puller.Puller
 	// delegator decides which routers of the data centre follow the store.
 	delegator delegator.Delegator
@@ -69,6 +72,7 @@
 		peers: newPeers(a.Settings.Seeds(), digester.HashDataCentre(a.Settings.DataCentre())),
 	}
 	c.delegator.Self = c.self
+	c.loads.Self, c.loads.Centre = c.self, c.peers.centre
 	c.view.Store(&receiver.Directory{})
 	return c
 }
--- a/attacher/peers.go
+++ b/attacher/peers.go
@@ -12,13 +12,14 @@
 
 	"github.com/kingcuphook/kingcuphook/delegator"
 	"github.com/kingcuphook/kingcuphook/digester"
+	"github.com/kingcuphook/kingcuphook/gatherer"
 	"github.com/kingcuphook/kingcuphook/logger"
+	"github.com/kingcuphook/kingcuphook/tallier"
 )
 
 const (
-	// digestEvery is how often digests are sent, and the loads of others are
-	// handed to the schedulers.
-	digestEvery = 300 * time.Millisecond
+	// ticksPerDigest is how often loads are told for each digest.
+	ticksPerDigest = 2
 	// digestPeers bounds the routers that one digest is sent to, nearPeers those of
 	// the data centre that a short one is sent to besides.
 	digestPeers = 12
@@ -36,8 +37,10 @@
 type peers struct {
 	// heard has when each router was last heard or heard of.
 	heard map[netip.Addr]time.Time
-	// near has those of the own data centre, which centre stands for.
+	// near has those of the own data centre, which centre stands for; far has the last
+	// few that were heard of each other one.
 	near   map[netip.Addr]bool
+	far    map[uint32][]netip.Addr
 	centre uint32
 	// joined is when a router was met last that was new.
 	joined time.Time
@@ -50,7 +53,7 @@
 }
 
 func newPeers(seeds []netip.Addr, centre uint32) *peers {
-	return &peers{heard: make(map[netip.Addr]time.Time), near: make(map[netip.Addr]bool), seeds: seeds, centre: centre}
+	return &peers{heard: make(map[netip.Addr]time.Time), near: make(map[netip.Addr]bool), far: make(map[uint32][]netip.Addr), seeds: seeds, centre: centre}
 }
 
 // meet notes that a router was heard, or heard of. It reports whether it is new.
@@ -73,9 +76,37 @@
 			left = append(left, a)
 		}
 	}
+	for centre, list := range p.far {
+		p.far[centre] = slices.DeleteFunc(list, func(a netip.Addr) bool { return slices.Contains(left, a) })
+	}
 	return left
 }
 
+const (
+	// maxFar bounds the routers that are kept of another data centre, maxCentres the
+	// data centres.
+	maxFar     = 4
+	maxCentres = 64
+)
+
+// place notes the data centre of a router that was heard.
+func (p *peers) place(a netip.Addr, centre uint32) {
+	if centre == p.centre {
+		p.near[a] = true
+		return
+	}
+	list := slices.DeleteFunc(p.far[centre], func(b netip.Addr) bool { return a == b })
+	if len(list) == 0 && len(p.far) >= maxCentres {
+		return
+	}
+	p.far[centre] = append(list[max(len(list)-maxFar+1, 0):], a)
+}
+
+// known returns the routers of each data centre.
+func (p *peers) known() gatherer.Peers {
+	return gatherer.Peers{Near: slices.Collect(maps.Keys(p.near)), Far: p.far}
+}
+
 // pickNear returns at most n routers of the data centre by chance.
 func (p *peers) pickNear(n int) []netip.Addr {
 	list := slices.Collect(maps.Keys(p.near))
@@ -108,7 +139,7 @@
 	return list[:min(len(list), n)]
 }
 
-// hear takes the digests of other routers until the socket is closed.
+// hear takes the messages of other routers until the socket is closed.
 func (a *Attacher) hear() error {
 	buffer := make([]byte, digester.MaxBytes)
 	for {
@@ -116,46 +147,89 @@
 		if err != nil {
 			return nil //nolint:nilerr // the socket is closed at the end of the process
 		}
-		d, err := digester.Decode(slices.Clone(buffer[:n]))
-		if err == nil && len(d.Loads()) > 0 {
-			err = a.tally.Take(time.Now(), from.Addr().String(), d.Loads())
-		}
-		if err == nil && len(d.Leaving()) > 0 {
-			err = a.toldLeaving(from.Addr(), d.Leaving())
-		}
-		if err == nil && len(d.Suspects()) > 0 {
-			err = a.quarantine.Import(time.Now(), d.Suspects())
+		message, peer := slices.Clone(buffer[:n]), from.Addr().Unmap()
+		if gatherer.IsMessage(message) {
+			a.control.heardLoads(peer, message)
+			continue
 		}
-		if err != nil {
+		if err := a.heardDigest(peer, message); err != nil {
 			a.Log.Log(logger.PeerFailed, "peer", from.String(), "error", err)
-			continue
 		}
-		a.control.heard(from.Addr().Unmap(), d)
 	}
 }
 
-// tell sends digests and hands what others run to the schedulers, until ctx ends.
+// heardDigest takes a digest.
+func (a *Attacher) heardDigest(peer netip.Addr, message []byte) error {
+	d, err := digester.Decode(message)
+	if err != nil {
+		return err
+	}
+	if err := a.toldLeaving(peer, d.Leaving()); err != nil {
+		return err
+	}
+	if len(d.Suspects()) > 0 {
+		if err := a.quarantine.Import(time.Now(), d.Suspects()); err != nil {
+			return err
+		}
+	}
+	a.control.heard(peer, d)
+	return nil
+}
+
+// tell sends digests and loads, and hands what others run to the schedulers, until ctx
+// ends.
 func (a *Attacher) tell(ctx context.Context) {
-	ticker := time.NewTicker(digestEvery)
+	ticker := time.NewTicker(gatherer.Every)
 	defer ticker.Stop()
 	defer func() { _ = a.datagrams.Close() }()
-	for {
+	for n := 0; ; n++ {
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-ticker.C:
-			a.control.do(ctx, a.control.tell)
-			a.takeOthers(now)
+		case <-ticker.C:
+			if n%ticksPerDigest == 0 {
+				a.control.do(ctx, a.control.tell)
+			}
+			a.tellLoads(ctx)
 		}
 	}
 }
 
-func (a *Attacher) takeOthers(now time.Time) {
-	tables := a.control.directory().Tables
-	if tables == nil {
-		return
+// tellLoads sends what this router runs, and takes what the others do.
+func (a *Attacher) tellLoads(ctx context.Context) {
+	own := a.tally.Own()
+	var sum tallier.Sum
+	a.control.do(ctx, func(now time.Time) {
+		a.control.sendAll(a.control.loads.Tick(now, own, a.control.peers.known()))
+		sum = a.control.loads.Sum(now, int(a.routers.Load()))
+	})
+	if tables := a.control.directory().Tables; tables != nil && !sum.Made.IsZero() {
+		a.allocator.ReportAll(sum.Reports(tables))
+	}
+}
+
+// heardLoads takes what a peer tells of loads. What comes faster than the control loop
+// takes it is dropped.
+func (c *control) heardLoads(from netip.Addr, message []byte) {
+	event := func(now time.Time) {
+		messages, err := c.loads.Take(now, from, message, c.peers.known())
+		if err != nil {
+			c.a.Log.Log(logger.PeerFailed, "peer", from, "error", err)
+			return
+		}
+		c.sendAll(messages)
+	}
+	select {
+	case c.inbox <- event:
+	default:
+	}
+}
+
+// sendAll sends messages of the gatherer. One that is lost is made up for by the next.
+func (c *control) sendAll(messages []gatherer.Message) {
+	for _, m := range messages {
+		c.sendTo(m.To, m.Payload)
 	}
-	a.allocator.ReportAll(a.tally.Others(now, tables, int(a.routers.Load())-1))
 }
 
 // tell sends the digest of this router to some of the others. A datagram that is
@@ -168,7 +242,6 @@
 	f := c.short(now)
 	c.send(f, c.peers.pickNear(nearPeers))
 	f.Leaving = c.a.withdrawn.Encode()
-	f.Loads = c.a.tally.Encode()
 	f.Suspects = c.a.quarantine.Export(now, suspectBytes)
 	c.send(f, c.peers.pick(digestPeers))
 }
@@ -187,12 +260,16 @@
 
 func (c *control) send(f digester.Fields, peers []netip.Addr) {
 	message := digester.New(f).Encode()
-	port := uint16(c.a.datagrams.LocalAddr().(*net.UDPAddr).Port)
 	for _, peer := range peers {
-		_, _ = c.a.datagrams.WriteToUDPAddrPort(message, netip.AddrPortFrom(peer, port))
+		c.sendTo(peer, message)
 	}
 }
 
+func (c *control) sendTo(peer netip.Addr, message []byte) {
+	port := uint16(c.a.datagrams.LocalAddr().(*net.UDPAddr).Port)
+	_, _ = c.a.datagrams.WriteToUDPAddrPort(message, netip.AddrPortFrom(peer, port))
+}
+
 // heard takes the digest of a peer. What comes faster than the control loop takes
 // it is dropped.
 func (c *control) heard(from netip.Addr, d digester.Digest) {
@@ -220,10 +297,10 @@
 // delegates notes what a router of the data centre says of those that can follow
 // the store.
 func (c *control) delegates(now time.Time, from netip.Addr, d digester.Digest) {
+	c.peers.place(from, d.DataCentre())
 	if d.DataCentre() != c.peers.centre {
 		return
 	}
-	c.peers.near[from] = true
 	if d.Follows() {
 		c.delegator.Heard(now, delegator.Candidate{Address: from})
 	} else {
