Refuse sooner what upstreams can't take in time

Change: a call waits for its first upstream for at most 0.15 of its time, and is then told when to come back; an upstream is full for a class where its long answers would not end within 0.6 of the time.

--- a/attacher/attacher.go
+++ b/attacher/attacher.go
@@ -226,7 +226,7 @@
 }
 
 // waitShare is the share of its time that a request may wait for an upstream.
-const waitShare = 0.4
+const waitShare = 0.15
 
 // failureKeep is the weight of what an ejector knows at each new sample: some
 // calls fail at every upstream.
--- a/attacher/notice_test.go
+++ b/attacher/notice_test.go
@@ -9,8 +9,8 @@
 	"github.com/kingcuphook/kingcuphook/platform/standin"
 )
 
-// runsOf returns how many calls the i-th upstream has run.
-func (w *world) runsOf(i int) int { return len(w.upstreams[i].Runs()) }
+// runsOfFirst returns how many calls the first upstream has run.
+func (w *world) runsOfFirst() int { return len(w.upstreams[0].Runs()) }
 
 // callUntil calls until f holds.
 func (w *world) callUntil(p *process, what string, f func() bool) {
@@ -21,16 +21,17 @@
 	})
 }
 
-// callsAvoid calls some times, and fails if the i-th upstream gets one of the calls.
-func (w *world) callsAvoid(p *process, i int) {
+// callsAvoidFirst calls some times, and fails if the first upstream gets one of the
+// calls.
+func (w *world) callsAvoidFirst(p *process) {
 	w.t.Helper()
-	before := w.runsOf(i)
+	before := w.runsOfFirst()
 	for range 20 {
 		status, _, err := p.call(standin.KindSafe, "secret")
 		w.NoErr(err)
 		w.Equal(status, http.StatusOK)
 	}
-	w.Equal(w.runsOf(i), before)
+	w.Equal(w.runsOfFirst(), before)
 }
 
 // leaveByWord has the first upstream say that it leaves, and calls until the router
@@ -47,26 +48,26 @@
 	p := w.start("127.0.14.1", w.server.Listener.Addr().String())
 	w.eventually("readiness", p.isReady)
 	w.leaveByWord(p)
-	w.callsAvoid(p, 0)
+	w.callsAvoidFirst(p)
 
 	// Its registration still says that it is ready, also when it comes anew.
 	w.register("i-0", w.addresses[0], false)
 	w.declare()
 	w.eventually("the new declaration", func() bool { return strings.Contains(p.log.String(), "version=6") })
-	w.callsAvoid(p, 0)
+	w.callsAvoidFirst(p)
 
 	// The store is silent.
 	w.refuseAll.Store(true)
 	w.eventually("the loss of the store", func() bool { return strings.Contains(p.log.String(), "KCH1104") })
-	w.callsAvoid(p, 0)
+	w.callsAvoidFirst(p)
 	w.refuseAll.Store(false)
 	w.eventually("the return of the store", func() bool { return strings.Contains(p.log.String(), "KCH1105") })
 
 	// Another start of the program has not said so.
 	value, err := standin.EncodeRegistration(w.addresses[0], false, time.Unix(1_700_000_100, 0))
 	w.put("servers/i-0", value, err)
-	before := w.runsOf(0)
-	w.callUntil(p, "the use of the program that started again", func() bool { return w.runsOf(0) > before })
+	before := w.runsOfFirst()
+	w.callUntil(p, "the use of the program that started again", func() bool { return w.runsOfFirst() > before })
 }
 
 func TestPeersHearThatAnUpstreamLeaves(t *testing.T) {
@@ -80,7 +81,7 @@
 	w.eventually("the news from the peer", func() bool {
 		return strings.Contains(second.log.String(), "source=peer") && strings.Contains(second.log.String(), "leaving=1")
 	})
-	w.callsAvoid(second, 0)
+	w.callsAvoidFirst(second)
 }
 
 func TestUpstreamHasItsRest(t *testing.T) {
@@ -98,8 +99,8 @@
 		w.Equal(status, http.StatusOK)
 	}
 	w.Equal(len(u.Refused()), 1)
-	before := w.runsOf(0)
-	w.callUntil(p, "its return", func() bool { return w.runsOf(0) > before })
+	before := w.runsOfFirst()
+	w.callUntil(p, "its return", func() bool { return w.runsOfFirst() > before })
 }
 
 func TestCallersHearWhenAllUpstreamsRest(t *testing.T) {
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -35,7 +35,7 @@
 	quietShare = 0.25
 	// finishShare is the part of its time in which a long answer of a class must be
 	// expected to end for the class to be sent to an upstream.
-	finishShare = 0.9
+	finishShare = 0.6
 	// leastRoom is the part of a crowd that a class gets whose answers hardly end in
 	// time anywhere.
 	leastRoom = 1.0 / 8
--- a/withdrawer/withdrawer_test.go
+++ b/withdrawer/withdrawer_test.go
@@ -117,7 +117,7 @@
 func TestPayloadsAreBoundedAndTellAllInTurn(t *testing.T) {
 	is := is.New(t)
 	var teller, hearer Withdrawer
-	var rows []kingcuphook.UpstreamFields
+	rows := make([]kingcuphook.UpstreamFields, 0, 3*MaxEntries)
 	for i := range 3 * MaxEntries {
 		r := row(fmt.Sprintf("10.0.0.%d:80", i), "i", 1)
 		rows = append(rows, r)
