Don't take comments of a stream for its progress

Cause: a comment (lines that begin with a colon, and an empty line) was handed on as a piece of the stream, so that a stalled upstream that sends one now and then was never found silent, and its stream held its caller until the deadline.

Change: comments are read along with the event after them, or the end of the stream; their bytes still reach the caller. More than 64 KiB without an event break the stream.

--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -256,6 +256,47 @@
 	}
 }
 
+// TestCommentsAreNoPieces has an upstream send comments between its events: they reach
+// the caller, but don't stand for the progress of the stream.
+func TestCommentsAreNoPieces(t *testing.T) {
+	const comments = ": still here\n\n: still here\n\n"
+	for name, test := range map[string]struct {
+		body  string
+		want  []string
+		whole bool
+	}{
+		"before an event":  {comments + "id: 1\ndata: a\n\n", []string{comments + "id: 1\ndata: a\n\n"}, true},
+		"between":          {"id: 1\ndata: a\n\n" + comments + "id: 2\ndata: b\n\n", []string{"id: 1\ndata: a\n\n", comments + "id: 2\ndata: b\n\n"}, true},
+		"at the end":       {"id: 1\ndata: a\n\n" + comments, []string{"id: 1\ndata: a\n\n", comments}, true},
+		"within a comment": {"id: 1\ndata: a\n\n: st", []string{"id: 1\ndata: a\n\n"}, false},
+		"without end":      {"id: 1\ndata: a\n\n" + strings.Repeat(comments, maxEventBytes/len(comments)+1) + "id: 2\n\n", []string{"id: 1\ndata: a\n\n"}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			u := newUpstream(t, func(_ int64, w net.Conn) bool {
+				fmt.Fprint(w, reply("Content-Type: text/event-stream\r\n", test.body))
+				return false
+			})
+			f := &Forwarder{Codec: codec{}}
+			defer f.Close()
+			s, err := f.Start(t.Context(), u.row, attempt("POST", "/", ""))
+			is.NoErr(err)
+			defer func() { _ = s.Close() }()
+			for _, want := range test.want {
+				fr, err := s.Next(t.Context())
+				is.NoErr(err)
+				is.Equal(fr.Kind(), kingcuphook.FrameKindData)
+				is.Equal(fr.Text(), want)
+			}
+			fr, err := s.Next(t.Context())
+			is.Equal(err == nil, test.whole)
+			if test.whole {
+				is.Equal(fr.Kind(), kingcuphook.FrameKindFinish)
+			}
+		})
+	}
+}
+
 func TestAnswerInPlaceOfAStream(t *testing.T) {
 	is := is.New(t)
 	u := newUpstream(t, func(n int64, w net.Conn) bool {
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -34,8 +34,10 @@
 	// attempt and position are those of the next frame.
 	attempt  string
 	position int
-	// event gathers the bytes of the event that is being read.
-	event []byte
+	// event gathers the bytes of the event that is being read, of which the first ones
+	// are whole comments.
+	event    []byte
+	comments int
 	// ended says that the body ended whole; finished that this was told.
 	ended, finished bool
 }
@@ -64,9 +66,12 @@
 		return s.endFrame(), nil
 	}
 	id, err := s.readEvent()
-	if errors.Is(err, io.EOF) && len(s.event) == 0 {
+	if errors.Is(err, io.EOF) && len(s.event) == s.comments {
 		s.ended = true
-		return s.endFrame(), nil
+		if s.comments == 0 {
+			return s.endFrame(), nil
+		}
+		err = nil
 	}
 	if ctx.Err() != nil {
 		return kingcuphook.Frame{}, ctx.Err()
@@ -90,12 +95,18 @@
 }
 
 // readEvent reads the bytes of one event, up to and with the empty line that
-// ends it, and returns its id.
+// ends it, and returns its id. Comments before it are taken along: by themselves they
+// are no event, and don't show that the stream goes on.
 func (s *stream) readEvent() (id string, err error) {
 	s.event = s.event[:0]
+	s.comments = 0
+	hasField, begun := false, true
 	for {
 		line, err := s.reader.ReadSlice('\n')
 		s.event = append(s.event, line...)
+		blank := begun && len(bytes.TrimRight(line, "\r\n")) == 0
+		hasField = hasField || begun && !blank && line[0] != ':'
+		begun = !errors.Is(err, bufio.ErrBufferFull)
 		if len(s.event) > maxEventBytes {
 			return "", kingcuphook.ErrTooLarge
 		}
@@ -108,9 +119,12 @@
 		if value, ok := bytes.CutPrefix(line, idField); ok {
 			id = string(bytes.TrimSpace(value))
 		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+		if blank && hasField {
 			return id, nil
 		}
+		if blank {
+			s.comments = len(s.event)
+		}
 	}
 }
 
