Soak: judge what routers heed after their last disturbance

Change: calls that a router sent after its last disturbance are judged, and an upstream asks for a rest in the calm part of each run.

--- a/soaker/notice.go
+++ b/soaker/notice.go
@@ -26,6 +26,8 @@
 	}
 	var late []string
 	for r, runs := range byRouter {
+		// A router that was disturbed may have forgotten what it was told before.
+		runs = slices.DeleteFunc(runs, func(run standin.Run) bool { return !r.calmSince(run.At) })
 		slices.SortFunc(runs, func(a, b standin.Run) int { return a.At.Compare(b.At) })
 		if at := slices.IndexFunc(runs, func(run standin.Run) bool { return run.Leaving }); at >= 0 {
 			late = append(late, w.lateAfter(u, r, runs[at:])...)
@@ -39,9 +41,6 @@
 // answer told the router that the upstream leaves.
 func (w *world) lateAfter(u *upstream, r *router, runs []standin.Run) []string {
 	told := runs[0].At
-	if !r.calmSince(told) {
-		return nil
-	}
 	var late []string
 	for _, run := range runs {
 		if w.soak.calls.byID(run.ID).sent.After(told.Add(leaveTime)) {
@@ -55,7 +54,7 @@
 func (r *router) restless(u *upstream, runs []standin.Run) []string {
 	var broken []string
 	for i, asked := range runs {
-		if asked.Rest.IsZero() || !r.calmSince(asked.At) {
+		if asked.Rest.IsZero() {
 			continue
 		}
 		n := 0
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -46,6 +46,8 @@
 	recoverTime = 12 * time.Second
 	// calmTime is how long the last part of a run is, in which all is checked again.
 	calmTime = 4 * time.Second
+	// calmRest is for how long an upstream turns calls away in it.
+	calmRest = 2 * time.Second
 	// leastServed is the share of calls that is served in that part.
 	leastServed = 0.95
 )
@@ -84,6 +86,7 @@
 	w.heal()
 	pauser.Pause(ctx, recoverTime)
 	s.calls.beginCalm()
+	w.upstream(0).Rest(calmRest)
 	pauser.Pause(ctx, calmTime)
 	stop()
 	wg.Wait()
