One way to hand an event to the control loop, one test of a sound upstream

Cause: the last read of the change: three places dropped an event for a busy control loop by a select of their own, and the choice of a home asked for a penalty where sound stands.

Change: control.offer; reach calls sound. Homes neither leave nor are displaced, so that the choice stays as it was.

--- a/attacher/control.go
+++ b/attacher/control.go
@@ -111,15 +111,18 @@
 	}
 }
 
-// wake has the control loop publish what has changed beside it. A loop that is busy
-// does so anyway.
-func (c *control) wake() {
+// offer hands an event to the control loop, or drops it if the loop is behind.
+func (c *control) offer(event func(now time.Time)) {
 	select {
-	case c.inbox <- func(time.Time) {}:
+	case c.inbox <- event:
 	default:
 	}
 }
 
+// wake has the control loop publish what has changed beside it. A loop that is busy
+// does so anyway.
+func (c *control) wake() { c.offer(func(time.Time) {}) }
+
 func (c *control) tick(ctx context.Context, now time.Time) {
 	if n := c.store.Expire(now); n > 0 {
 		c.a.Log.Log(logger.UpstreamsChanged, "reason", "registrations-stayed-away", "count", n)
--- a/attacher/peers.go
+++ b/attacher/peers.go
@@ -219,10 +219,7 @@
 		}
 		c.sendAll(messages)
 	}
-	select {
-	case c.inbox <- event:
-	default:
-	}
+	c.offer(event)
 }
 
 // sendAll sends messages of the gatherer. One that is lost is made up for by the next.
@@ -288,10 +285,7 @@
 		c.delegates(now, from, d)
 		c.compare(now, from, d)
 	}
-	select {
-	case c.inbox <- event:
-	default:
-	}
+	c.offer(event)
 }
 
 // delegates notes what a router of the data centre says of those that can follow
--- a/locator/home.go
+++ b/locator/home.go
@@ -93,7 +93,7 @@
 		if !usable(u) {
 			continue
 		}
-		if float64(u.load()) < bound && u.penalty(now) == 0 {
+		if float64(u.load()) < bound && u.sound(now) {
 			return i
 		}
 		if first < 0 {
