Log and count the rate limits that upstreams announce

Each reply is now reported with the time at which its call was sent, so that the reply of an earlier, slower call doesn't end a limit. KCH1306 says on each router when a limit begins, changes and ends; two gauges count the limited upstreams and sum their limits. The value is read in one place, transporter.RateLimit: one decimal number, anything else is no limit. Replies of another program at the address no longer count as a notice of the upstream that the call was for. Nothing acts on a limit yet.

The tests of forwarder and dialer now check each reply, where they checked those with a notice.

--- a/attacher/attacher.go
+++ b/attacher/attacher.go
@@ -29,6 +29,7 @@
 	"github.com/kingcuphook/kingcuphook/meter"
 	"github.com/kingcuphook/kingcuphook/narrator"
 	"github.com/kingcuphook/kingcuphook/observer"
+	"github.com/kingcuphook/kingcuphook/permitter"
 	"github.com/kingcuphook/kingcuphook/platform"
 	"github.com/kingcuphook/kingcuphook/puller"
 	"github.com/kingcuphook/kingcuphook/quarantiner"
@@ -64,6 +65,8 @@
 	roundTrips estimator.RoundTrips
 	// withdrawn has the upstreams that announced in a reply that they are leaving.
 	withdrawn withdrawer.Withdrawer
+	// permits has the rate limits that upstreams announced.
+	permits permitter.Permitter
 	// pauses counts the requests of upstreams to be paused.
 	pauses atomic.Int64
 	// routers is the number of known routers, including this one.
@@ -208,6 +211,8 @@
 	a.meter.Gauge("kingcuphook_open_requests", func() float64 { return float64(a.receiver.InFlight()) })
 	a.meter.Gauge("kingcuphook_upstreams_withdrawn", func() float64 { return float64(a.withdrawn.Count()) })
 	a.meter.Gauge("kingcuphook_upstream_rests_total", func() float64 { return float64(a.pauses.Load()) })
+	a.meter.Gauge("kingcuphook_upstreams_rate_limited", func() float64 { return float64(a.permits.Count()) })
+	a.meter.Gauge("kingcuphook_upstream_rate_limits_per_second", a.permits.Sum)
 	a.meter.Gauge("kingcuphook_log_lines_dropped_total", func() float64 {
 		if a.Dropped == nil {
 			return 0
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -53,10 +53,10 @@
 	// OnReport, if set, is called with the load reports in response headers. It must
 	// be safe for concurrent use and must not block.
 	OnReport func(kingcuphook.LoadReport)
-	// OnNotice, if set, is called when response headers report that the upstream is
-	// leaving or request a pause. It must be safe for concurrent use and must not
-	// block.
-	OnNotice func(*kingcuphook.Upstream, kingcuphook.Notice)
+	// OnNotice, if set, is called for each response with the state that the upstream
+	// reports in its headers, and with when the request was sent. It must be safe for
+	// concurrent use and must not block.
+	OnNotice func(u *kingcuphook.Upstream, n kingcuphook.Notice, sentAt time.Time)
 
 	// shared reuses connections; idempotent requests, queries and orders use it.
 	shared *http.Client
@@ -134,6 +134,7 @@
 	if a.Request().NonIdempotent() {
 		client = d.fresh
 	}
+	sentAt := time.Now()
 	resp, connected, err := transporter.Send(req, client.Do)
 	if err != nil {
 		if connected {
@@ -142,7 +143,7 @@
 		return nil, fmt.Errorf("dialer: %s: %w: %w", u.Address(), kingcuphook.ErrUnavailable, err)
 	}
 	d.reportLoad(u, resp.Header)
-	d.reportNotice(u, resp)
+	d.reportNotice(u, resp, sentAt)
 	if err := checkResponse(u, resp); err != nil {
 		return nil, err
 	}
--- a/dialer/report.go
+++ b/dialer/report.go
@@ -29,6 +29,7 @@
 	headerReportAge  = "X-Load-Age-Ms"
 	headerLeaving    = "X-Leaving"
 	headerRetryAfter = "Retry-After"
+	headerRateLimit  = "X-Rate-Limit"
 )
 
 const (
@@ -158,9 +159,9 @@
 	return resp.StatusCode, text, nil
 }
 
-// reportNotice calls OnNotice if the response reports that the upstream is leaving or
-// requests a pause. Retry-After counts only with status 503.
-func (d *Dialer) reportNotice(u *kingcuphook.Upstream, resp *http.Response) {
+// reportNotice calls OnNotice with the state that the upstream reports in a response.
+// Retry-After counts only with status 503.
+func (d *Dialer) reportNotice(u *kingcuphook.Upstream, resp *http.Response, sentAt time.Time) {
 	if d.OnNotice == nil {
 		return
 	}
@@ -168,10 +169,9 @@
 	if resp.StatusCode == http.StatusServiceUnavailable {
 		pause = transporter.RetryAfter(resp.Header.Values(headerRetryAfter))
 	}
-	n := kingcuphook.NewNotice(resp.Header.Get(headerLeaving) == "true", pause)
-	if n != (kingcuphook.Notice{}) {
-		d.OnNotice(u, n)
-	}
+	n := kingcuphook.NewNotice(resp.Header.Get(headerLeaving) == "true", pause).
+		WithRateLimit(transporter.RateLimit(resp.Header.Values(headerRateLimit)))
+	d.OnNotice(u, n, sentAt)
 }
 
 // reportLoad calls OnReport with the load report in response headers. It ignores a
--- a/dialer/report_test.go
+++ b/dialer/report_test.go
@@ -122,12 +122,13 @@
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("X-Leaving", "true") // no load report headers
 		w.Header().Set("Retry-After", "1.5")
+		w.Header().Set("X-Rate-Limit", "2.5")
 		w.WriteHeader(status)
 	}))
 	defer server.Close()
 	u := kingcuphook.NewUpstream(kingcuphook.UpstreamFields{Address: server.Listener.Addr().String(), Kind: kingcuphook.UpstreamKindService})
 	var notices []kingcuphook.Notice
-	d := &Dialer{OnNotice: func(_ *kingcuphook.Upstream, n kingcuphook.Notice) { notices = append(notices, n) }}
+	d := &Dialer{OnNotice: func(_ *kingcuphook.Upstream, n kingcuphook.Notice, _ time.Time) { notices = append(notices, n) }}
 	d.Init()
 	defer d.Close()
 	_, err := d.Call(context.Background(), u, attempt(""))
@@ -135,5 +136,8 @@
 	status = http.StatusServiceUnavailable
 	_, err = d.Call(context.Background(), u, attempt(""))
 	is.NoErr(err)
-	is.Equal(notices, []kingcuphook.Notice{kingcuphook.NewNotice(true, 0), kingcuphook.NewNotice(true, 1500*time.Millisecond)})
+	is.Equal(notices, []kingcuphook.Notice{
+		kingcuphook.NewNotice(true, 0).WithRateLimit(kingcuphook.NewRateLimit(2.5)),
+		kingcuphook.NewNotice(true, 1500*time.Millisecond).WithRateLimit(kingcuphook.NewRateLimit(2.5)),
+	})
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -56,10 +56,11 @@
 	// OnDial, if set, is called with the time that each successful dial to an upstream
 	// took. It must be safe for concurrent use.
 	OnDial func(u *kingcuphook.Upstream, took time.Duration)
-	// OnNotice, if set, is called with the state that an upstream reports in a reply,
-	// before the reply is returned; replies that belong to another call are left out.
+	// OnNotice, if set, is called for each reply with the state that the upstream reports
+	// in it, and with when the call was sent, before the reply is returned. Replies that
+	// belong to another call, or come from another program at the address, are left out.
 	// It must be safe for concurrent use.
-	OnNotice func(u *kingcuphook.Upstream, n kingcuphook.Notice)
+	OnNotice func(u *kingcuphook.Upstream, n kingcuphook.Notice, sentAt time.Time)
 	// MaxAnswerBytes limits the body of an answer that is not streamed; 0 means 8 MiB.
 	MaxAnswerBytes int64
 
@@ -210,6 +211,7 @@
 // send sends the attempt and returns the response, whose body is still to be read.
 // Replies that are not an answer to the attempt are returned as errors.
 func (f *Forwarder) send(ctx context.Context, u *kingcuphook.Upstream, a *kingcuphook.Attempt) (*http.Response, error) {
+	sentAt := time.Now()
 	resp, connected, err := transporter.Send(f.newRequest(ctx, u, a), f.transport(u).RoundTrip)
 	if err != nil && !connected {
 		return nil, fmt.Errorf("forwarder: %s: %w: %w: %w", u.Address(), kingcuphook.ErrUnavailable, kingcuphook.ErrNotSent, err)
@@ -217,7 +219,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("forwarder: %s: %w: %w", u.Address(), kingcuphook.ErrOutcomeUnknown, err)
 	}
-	if err := f.checkReply(u, a, resp); err != nil {
+	if err := f.checkReply(u, a, resp, sentAt); err != nil {
 		_ = resp.Body.Close()
 		if errors.Is(err, kingcuphook.ErrForeignFrame) {
 			// The connection of a reply without a body is idle again and would be
@@ -230,11 +232,12 @@
 }
 
 // checkReply returns an error for a reply that is not an answer to the attempt. It
-// reports the upstream's notice unless the reply belongs to another call.
-func (f *Forwarder) checkReply(u *kingcuphook.Upstream, a *kingcuphook.Attempt, resp *http.Response) error {
+// reports the upstream's notice unless the reply belongs to another call or comes from
+// another program.
+func (f *Forwarder) checkReply(u *kingcuphook.Upstream, a *kingcuphook.Attempt, resp *http.Response, sentAt time.Time) error {
 	kind := f.Codec.Decode(a, resp.StatusCode, resp.Header)
-	if kind != kingcuphook.ReplyKindForeign {
-		f.reportNotice(u, resp)
+	if f.OnNotice != nil && kind != kingcuphook.ReplyKindForeign && kind != kingcuphook.ReplyKindMisdirected {
+		f.OnNotice(u, f.Codec.Notice(resp.StatusCode, resp.Header), sentAt)
 	}
 	switch kind {
 	case kingcuphook.ReplyKindAnswer:
@@ -248,16 +251,6 @@
 	}
 }
 
-// reportNotice calls OnNotice if the reply headers report a state of the upstream.
-func (f *Forwarder) reportNotice(u *kingcuphook.Upstream, resp *http.Response) {
-	if f.OnNotice == nil {
-		return
-	}
-	if n := f.Codec.Notice(resp.StatusCode, resp.Header); n != (kingcuphook.Notice{}) {
-		f.OnNotice(u, n)
-	}
-}
-
 // newRequest builds the HTTP request of an attempt. The transport retries a request
 // of which nothing was written to the connection, for which it needs GetBody. It
 // retries requests that it considers idempotent even after they were written. Those
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -128,7 +128,7 @@
 }
 
 // TestNoticesAreReported checks that notices in answers and in not-run replies reach
-// OnNotice, and that those in replies to another call don't.
+// OnNotice, and that those in replies to another call or from another program don't.
 func TestNoticesAreReported(t *testing.T) {
 	is := is.New(t)
 	u := newUpstream(t, func(n int64, w net.Conn) bool {
@@ -140,22 +140,26 @@
 		case 3:
 			// The reply belongs to another call, so its notice may be stale.
 			fmt.Fprint(w, reply("X-Leaves: 1\r\nX-Reply: foreign\r\n", ""))
+		case 4:
+			fmt.Fprint(w, reply("X-Leaves: 1\r\nX-Reply: misdirected\r\n", ""))
 		default:
 			fmt.Fprint(w, reply("", "answer"))
 		}
 		return true
 	})
 	var notices []kingcuphook.Notice
-	f := &Forwarder{Codec: codec{}, OnNotice: func(at *kingcuphook.Upstream, n kingcuphook.Notice) {
+	start := time.Now()
+	f := &Forwarder{Codec: codec{}, OnNotice: func(at *kingcuphook.Upstream, n kingcuphook.Notice, sentAt time.Time) {
 		is.Equal(at, u.entry)
+		is.True(sentAt.After(start))
 		notices = append(notices, n)
 	}}
 	defer f.Close()
-	for range 4 {
+	for range 5 {
 		_, err := f.Call(t.Context(), u.entry, attempt("POST", "/", ""))
 		is.True(err == nil || errors.Is(err, kingcuphook.ErrUnavailable) || errors.Is(err, kingcuphook.ErrForeignFrame))
 	}
-	is.Equal(notices, []kingcuphook.Notice{kingcuphook.NewNotice(true, 0), kingcuphook.NewNotice(false, 3*time.Second)})
+	is.Equal(notices, []kingcuphook.Notice{kingcuphook.NewNotice(true, 0), kingcuphook.NewNotice(false, 3*time.Second), {}})
 }
 
 // TestFailedCallErrors checks that the error of a failed call shows whether the call
--- a/logger/events.go
+++ b/logger/events.go
@@ -54,6 +54,7 @@
 	RequestFailed        = Event{1201, LevelInfo, "request failed"}
 	RequestPanicked      = Event{1202, LevelError, "request handler panicked"}
 	UpstreamLeaving      = Event{1302, LevelInfo, "upstream is leaving"}
+	RateLimitChanged     = Event{1306, LevelInfo, "rate limit of an upstream changed"}
 	PeerFailed           = Event{1401, LevelDebug, "exchange with a peer failed"}
 	PeerJoined           = Event{1402, LevelInfo, "peer joined"}
 	PeerLeft             = Event{1403, LevelInfo, "peer left"}
@@ -96,6 +97,7 @@
 		UpstreamsUpdated,
 		RegistrationRejected,
 		UpstreamPaused,
+		RateLimitChanged,
 		PeerFailed,
 		PeerJoined,
 		PeerLeft,
--- a/notice.go
+++ b/notice.go
@@ -2,10 +2,29 @@
 
 import "time"
 
+// RateLimit is the number of requests per second that an upstream accepts from all
+// routers together. The zero value means that there is no limit.
+type RateLimit struct {
+	perSecond float64
+	set       bool
+}
+
+// NewRateLimit returns a limit in requests per second; 0 accepts no requests.
+func NewRateLimit(perSecond float64) RateLimit {
+	return RateLimit{perSecond: perSecond, set: true}
+}
+
+// IsSet reports whether there is a limit.
+func (l RateLimit) IsSet() bool { return l.set }
+
+// PerSecond returns the limit in requests per second.
+func (l RateLimit) PerSecond() float64 { return l.perSecond }
+
 // Notice is the status that an upstream announces in the headers of a reply.
 type Notice struct {
 	leaving bool
 	pause   time.Duration
+	limit   RateLimit
 }
 
 // NewNotice returns a notice. Leaving is true if the upstream will accept no new
@@ -14,6 +33,12 @@
 	return Notice{leaving: leaving, pause: pause}
 }
 
+// WithRateLimit returns a copy of the notice that announces a rate limit.
+func (n Notice) WithRateLimit(l RateLimit) Notice {
+	n.limit = l
+	return n
+}
+
 // Leaving reports whether the upstream will accept no new work.
 func (n Notice) Leaving() bool { return n.leaving }
 
@@ -21,6 +46,9 @@
 // means no pause.
 func (n Notice) Pause() time.Duration { return n.pause }
 
+// RateLimit returns the limit that the upstream announces.
+func (n Notice) RateLimit() RateLimit { return n.limit }
+
 // Program identifies one run of an upstream's program at an address; a restart or
 // another instance there is another Program. It is comparable.
 type Program struct {
--- a/router/router.go
+++ b/router/router.go
@@ -32,6 +32,7 @@
 	"github.com/kingcuphook/kingcuphook/logger"
 	"github.com/kingcuphook/kingcuphook/meter"
 	"github.com/kingcuphook/kingcuphook/observer"
+	"github.com/kingcuphook/kingcuphook/permitter"
 	"github.com/kingcuphook/kingcuphook/quarantiner"
 	"github.com/kingcuphook/kingcuphook/recorder"
 	"github.com/kingcuphook/kingcuphook/server"
@@ -81,6 +82,8 @@
 	// dispatcher runs the callers' requests on upstreams.
 	dispatcher *dispatcher.Dispatcher
 	meter      *meter.Meter
+	// permits has the rate limits that upstreams announced.
+	permits    permitter.Permitter
 	server     *server.Server
 	peerServer *grpc.Server
 	peerClient *exchanger.Client
