--- /dev/null
+++ b/attacher/ratelimit_test.go
@@ -0,0 +1,89 @@
+package attacher
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/kingcuphook/kingcuphook/platform/standin"
+)
+
+// fleet starts n routers on the addresses 127.0.HOST.1 and later, and waits until all of
+// them are ready.
+func (w *testPlatform) fleet(host, n int) []*process {
+	w.t.Helper()
+	requireLoopback(w.t, fmt.Sprintf("127.0.%d.%d", host, n))
+	seed := fmt.Sprintf("127.0.%d.1", host)
+	routers := make([]*process, 0, n)
+	for i := range n {
+		routers = append(routers, w.start(fmt.Sprintf("127.0.%d.%d", host, i+1), w.server.Listener.Addr().String(), seed))
+	}
+	for _, p := range routers {
+		w.waitFor("readiness", p.isReady)
+	}
+	return routers
+}
+
+// load sends calls through each router for d, one every interval, and returns how many
+// were answered with each status.
+func (w *testPlatform) load(routers []*process, d, interval time.Duration) map[int]int {
+	var mu sync.Mutex
+	statuses := make(map[int]int)
+	var group sync.WaitGroup
+	until := time.Now().Add(d)
+	for _, p := range routers {
+		for n := 0; n < int(d/interval); n++ {
+			group.Go(func() {
+				time.Sleep(time.Until(until.Add(-d + time.Duration(n)*interval)))
+				status, _, err := p.call(standin.KindIdempotent, "secret")
+				mu.Lock()
+				defer mu.Unlock()
+				if err != nil {
+					status = 0
+				}
+				statuses[status]++
+			})
+		}
+	}
+	group.Wait()
+	return statuses
+}
+
+// callsSince returns the arrival times of the calls to an upstream after a time.
+func callsSince(u *standin.Upstream, since time.Time) []time.Time {
+	var times []time.Time
+	for _, r := range u.Runs() {
+		if r.At.After(since) {
+			times = append(times, r.At)
+		}
+	}
+	return times
+}
+
+// Eight routers, each of which keeps to its own view, sent an upstream several times the
+// rate that it had announced to all of them.
+func TestRoutersTogetherKeepRateLimitOfUpstream(t *testing.T) {
+	for i, perSecond := range []float64{4, 1, 0.5} {
+		t.Run(fmt.Sprint(perSecond), func(t *testing.T) {
+			t.Parallel()
+			w := newTestPlatform(t)
+			routers := w.fleet(16+i, 8)
+			w.upstreams[0].SetRateLimit(strconv.FormatFloat(perSecond, 'f', -1, 64))
+			w.load(routers, time.Second, 25*time.Millisecond)
+			told := time.Now().Add(standin.RateLimitDelay)
+			statuses := w.load(routers, 8*time.Second, 100*time.Millisecond)
+			times := callsSince(w.upstreams[0], told)
+			t.Logf("%d calls in 8 s, at most %d in a window, statuses %v", len(times), standin.MostCalls(times), statuses)
+			if most, allowed := standin.MostCalls(times), standin.AllowedCalls(perSecond); most > allowed {
+				t.Errorf("%d calls in a window of %v, %d are allowed", most, standin.RateLimitWindow, allowed)
+			}
+			w.Equal(statuses[http.StatusOK], 8*80) // the other upstream serves the rest
+			for _, p := range routers {
+				p.stop()
+			}
+		})
+	}
+}
