Keep an upstream's announced rate limit over all routers of serve, and use it

Cause: as in attach, no router read the announcement; besides, each router polls the load of upstreams at a rate of its own, of which other routers know nothing.

Requests for permits go over the peer link, as a call of their own. Queries and orders to an upstream announce a limit like answers do. A limited upstream is not polled for its load; it can report it with its answers. Orders and the reading back of models need a permit too; without one the order is given again later, and the last state read stands.

Now requests that go elsewhere are offered to the limited upstreams of their region in turn, and a permit that no other request needs is issued for them.

--- a/attacher/attacher.go
+++ b/attacher/attacher.go
@@ -65,10 +65,8 @@
 	roundTrips estimator.RoundTrips
 	// withdrawn has the upstreams that announced in a reply that they are leaving.
 	withdrawn withdrawer.Withdrawer
-	// permits keeps the rate limits that upstreams announced. permitsDue has a value when
-	// its messages should be sent at once.
-	permits    *permitter.Permitter
-	permitsDue chan struct{}
+	// permits keeps the rate limits that upstreams announced.
+	permits *permitter.Permitter
 	// pauses counts the requests of upstreams to be paused.
 	pauses atomic.Int64
 	// routers is the number of known routers, including this one.
@@ -177,8 +175,7 @@
 	a.store.Connect()
 	a.meter = meter.New()
 	a.addGauges()
-	a.permitsDue = make(chan struct{}, 1)
-	a.permits = &permitter.Permitter{Self: s.Address().String(), Wake: a.wakePermits, OnChange: a.logRateLimit}
+	a.permits = &permitter.Permitter{Self: s.Address().String(), OnChange: a.logRateLimit}
 	a.allocator = &allocator.Allocator{NewScheduler: a.newScheduler}
 	a.tally = &tallier.Tally{Next: a.allocator}
 	a.forwarder = &forwarder.Forwarder{
--- a/attacher/permits.go
+++ b/attacher/permits.go
@@ -9,37 +9,13 @@
 	"github.com/kingcuphook/kingcuphook/permitter"
 )
 
-// permitInterval is how often requests for permits are sent while an upstream has a rate
-// limit.
-const permitInterval = 100 * time.Millisecond
-
-// runPermits sends the requests for permits until ctx ends.
+// runPermits sends the requests for permits to peers until ctx ends.
 func (a *Attacher) runPermits(ctx context.Context) {
-	for {
-		var tick <-chan time.Time
-		if a.permits.Active() {
-			tick = time.After(permitInterval)
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick:
-		case <-a.permitsDue:
+	a.permits.Run(ctx, func(m permitter.Message) {
+		if to, err := netip.ParseAddr(m.To); err == nil {
+			a.control.sendTo(to, m.Payload)
 		}
-		for _, m := range a.permits.Messages(time.Now()) {
-			if to, err := netip.ParseAddr(m.To); err == nil {
-				a.control.sendTo(to, m.Payload)
-			}
-		}
-	}
-}
-
-// wakePermits makes runPermits send the requests that are due.
-func (a *Attacher) wakePermits() {
-	select {
-	case a.permitsDue <- struct{}{}:
-	default:
-	}
+	})
 }
 
 // handlePermits handles the request for permits of a peer, or its reply to one.
@@ -56,6 +32,5 @@
 
 // logRateLimit logs a change of the rate limit of an upstream.
 func (a *Attacher) logRateLimit(c permitter.Change) {
-	a.Log.Log(logger.RateLimitChanged, "upstream", c.Program.Address(), "instance", c.Program.Instance(), "change", c.Kind,
-		"source", c.Source, "per-second", c.PerSecond, "age-ms", c.Age.Milliseconds(), "issuer", c.Issuer, "own-share", c.OwnShare)
+	a.Log.Log(logger.RateLimitChanged, c.LogFields()...)
 }
--- a/dialer/report.go
+++ b/dialer/report.go
@@ -97,15 +97,15 @@
 	if err != nil {
 		return fmt.Errorf("dialer: order: %w", err)
 	}
-	status, _, err := d.do(ctx, http.MethodPut, o.Upstream(), pathOrder, body)
+	a, err := d.do(ctx, http.MethodPut, o.Upstream(), pathOrder, body)
 	if err != nil {
 		return err
 	}
 	switch {
-	case status == http.StatusConflict:
+	case a.status == http.StatusConflict:
 		return fmt.Errorf("dialer: order to %s: %w", o.Upstream(), kingcuphook.ErrStaleFence)
-	case status != http.StatusOK:
-		return fmt.Errorf("dialer: order to %s: unexpected status %d: %w", o.Upstream(), status, kingcuphook.ErrOutcomeUnknown)
+	case a.status != http.StatusOK:
+		return fmt.Errorf("dialer: order to %s: unexpected status %d: %w", o.Upstream(), a.status, kingcuphook.ErrOutcomeUnknown)
 	}
 	return nil
 }
@@ -128,35 +128,47 @@
 	}), nil
 }
 
-// query sends a GET request to an upstream and returns the body of a 200 response.
+// query sends a GET request to an upstream and returns the body of a 200 response. It
+// reports the rate limit that the response announces.
 func (d *Dialer) query(ctx context.Context, u *kingcuphook.Upstream, path string) ([]byte, error) {
-	status, body, err := d.do(ctx, http.MethodGet, u.Address(), path, nil)
+	sentAt := time.Now()
+	a, err := d.do(ctx, http.MethodGet, u.Address(), path, nil)
 	if err != nil {
 		return nil, err
 	}
-	if status != http.StatusOK {
-		return nil, fmt.Errorf("dialer: %s%s: unexpected status %d: %w", u.Address(), path, status, kingcuphook.ErrUnavailable)
+	if d.OnNotice != nil {
+		d.OnNotice(u, kingcuphook.Notice{}.WithRateLimit(a.limit), sentAt)
 	}
-	return body, nil
+	if a.status != http.StatusOK {
+		return nil, fmt.Errorf("dialer: %s%s: unexpected status %d: %w", u.Address(), path, a.status, kingcuphook.ErrUnavailable)
+	}
+	return a.body, nil
+}
+
+// answer is the response to a query or an order.
+type answer struct {
+	status int
+	limit  kingcuphook.RateLimit
+	body   []byte
 }
 
-// do sends a request and returns the status and the body of the response. Every
-// failure to do so wraps ErrUnavailable, except for an invalid URL.
-func (d *Dialer) do(ctx context.Context, method, address, path string, body []byte) (int, []byte, error) {
+// do sends a request and returns the response. Every failure to do so wraps
+// ErrUnavailable, except for an invalid URL.
+func (d *Dialer) do(ctx context.Context, method, address, path string, body []byte) (answer, error) {
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, newBody(body))
 	if err != nil {
-		return 0, nil, fmt.Errorf("dialer: %w", err)
+		return answer{}, fmt.Errorf("dialer: %w", err)
 	}
 	resp, err := d.shared.Do(req)
 	if err != nil {
-		return 0, nil, fmt.Errorf("dialer: %s: %w: %w", address, kingcuphook.ErrUnavailable, err)
+		return answer{}, fmt.Errorf("dialer: %s: %w: %w", address, kingcuphook.ErrUnavailable, err)
 	}
 	defer resp.Body.Close()
 	text, err := io.ReadAll(io.LimitReader(resp.Body, maxReportBytes))
 	if err != nil {
-		return 0, nil, fmt.Errorf("dialer: %s: %w: %w", address, kingcuphook.ErrUnavailable, err)
+		return answer{}, fmt.Errorf("dialer: %s: %w: %w", address, kingcuphook.ErrUnavailable, err)
 	}
-	return resp.StatusCode, text, nil
+	return answer{status: resp.StatusCode, limit: transporter.RateLimit(resp.Header.Values(headerRateLimit)), body: text}, nil
 }
 
 // reportNotice calls OnNotice with the state that the upstream reports in a response.
--- a/emulator/responder/responder.go
+++ b/emulator/responder/responder.go
@@ -8,6 +8,7 @@
 	"cmp"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,6 +23,7 @@
 	HeaderPriority   = "X-Priority"
 	HeaderNotStarted = "X-Not-Started"
 	HeaderKey        = "Idempotency-Key"
+	HeaderRateLimit  = "X-Rate-Limit"
 
 	PathChat   = "/v1/chat/completions"
 	PathLoad   = "/load"
@@ -89,6 +91,11 @@
 	// history holds load samples in order; the first is the one to report.
 	history []loadSample
 	leaving bool
+	// rateLimit is the value of HeaderRateLimit in answers; empty if there is none.
+	rateLimit string
+	// arrivals has when each request arrived, of every kind but for records, while there
+	// is a rate limit.
+	arrivals []time.Time
 }
 
 // Record counts the runs of an upstream and their results.
@@ -129,6 +136,9 @@
 // ServeHTTP implements http.Handler.
 func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	u.init()
+	if r.URL.Path != PathRecord {
+		u.announceRateLimit(w)
+	}
 	switch r.URL.Path {
 	case PathLoad:
 		u.serveLoad(w)
@@ -164,6 +174,33 @@
 	u.leaving = leaving
 }
 
+// SetRateLimit sets the value with which further answers announce a rate limit; with an
+// empty value they announce none. The upstream doesn't enforce the limit.
+func (u *Upstream) SetRateLimit(value string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.rateLimit = value
+}
+
+// Arrivals returns when requests of any kind arrived while there was a rate limit.
+func (u *Upstream) Arrivals() []time.Time {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return slices.Clone(u.arrivals)
+}
+
+// announceRateLimit announces the rate limit in an answer and records the arrival of the
+// request.
+func (u *Upstream) announceRateLimit(w http.ResponseWriter) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.rateLimit == "" {
+		return
+	}
+	u.arrivals = append(u.arrivals, time.Now())
+	w.Header().Set(HeaderRateLimit, u.rateLimit)
+}
+
 // Model returns the model of the current order; empty if there is none.
 func (u *Upstream) Model() string {
 	u.mu.Lock()
--- a/exchanger/client.go
+++ b/exchanger/client.go
@@ -77,6 +77,23 @@
 	return reply.GetDigest(), nil
 }
 
+// Permits implements kingcuphook.PeerLink. The error wraps ErrUnavailable, ErrInvalid or
+// ErrOutcomeUnknown.
+func (c *Client) Permits(ctx context.Context, address, sender string, message []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(c.Timeout, defaultTimeout))
+	defer cancel()
+	cc, err := c.acquire(address)
+	if err != nil {
+		return nil, err
+	}
+	defer c.release(cc)
+	reply, err := peerpb.NewPeerClient(cc.grpc).Permits(ctx, &peerpb.PermitsRequest{Sender: sender, Message: message})
+	if err != nil {
+		return nil, c.callError(cc, "permits", address, err)
+	}
+	return reply.GetMessage(), nil
+}
+
 // Pull implements kingcuphook.PeerLink. The error wraps ErrNotFound if the peer's
 // tables are not newer than revision.
 func (c *Client) Pull(ctx context.Context, address string, revision int64) ([]byte, error) {
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -67,6 +67,13 @@
 	return digest, nil
 }
 
+func (h *handler) Permits(_ context.Context, sender string, message []byte) ([]byte, error) {
+	if sender == "" {
+		return nil, kingcuphook.ErrInvalid
+	}
+	return append([]byte(sender+" "), message...), nil
+}
+
 func (h *handler) Pull(_ context.Context, revision int64) ([]byte, error) {
 	if revision >= 7 {
 		return nil, kingcuphook.ErrNotFound
@@ -162,6 +169,12 @@
 
 	_, err = c.Exchange(t.Context(), l.Addr().String(), []byte{1, 2, 3})
 	is.True(errors.Is(err, kingcuphook.ErrInvalid))
+
+	got, err = c.Permits(t.Context(), l.Addr().String(), "10.0.0.1:7000", []byte("request"))
+	is.NoErr(err)
+	is.Equal(string(got), "10.0.0.1:7000 request")
+	_, err = c.Permits(t.Context(), l.Addr().String(), "", []byte("request"))
+	is.True(errors.Is(err, kingcuphook.ErrInvalid))
 }
 
 func TestCertificateOfAnotherAuthorityIsRejected(t *testing.T) {
--- a/exchanger/server.go
+++ b/exchanger/server.go
@@ -26,6 +26,9 @@
 type Handler interface {
 	// Exchange merges an encoded digest and returns this router's encoded reply.
 	Exchange(ctx context.Context, digest []byte) ([]byte, error)
+	// Permits handles a message of package permitter from the router at the address of
+	// the sender and returns the reply.
+	Permits(ctx context.Context, sender string, message []byte) ([]byte, error)
 	// Pull returns the encoded tables if they are newer than revision. Otherwise
 	// the error wraps ErrNotFound.
 	Pull(ctx context.Context, revision int64) ([]byte, error)
@@ -63,6 +66,15 @@
 	return &peerpb.ExchangeReply{Digest: d}, nil
 }
 
+// Permits implements peerpb.PeerServer.
+func (s *Server) Permits(ctx context.Context, r *peerpb.PermitsRequest) (*peerpb.PermitsReply, error) {
+	m, err := s.Handler.Permits(ctx, r.GetSender(), r.GetMessage())
+	if err != nil {
+		return nil, toStatus(err)
+	}
+	return &peerpb.PermitsReply{Message: m}, nil
+}
+
 // Pull implements peerpb.PeerServer.
 func (s *Server) Pull(r *peerpb.PullRequest, stream grpc.ServerStreamingServer[peerpb.PullReply]) error {
 	b, err := s.Handler.Pull(stream.Context(), r.GetRevision())
--- a/permit.go
+++ b/permit.go
@@ -9,7 +9,7 @@
 	Limited bool
 	// Held is the number of permits that can be used now.
 	Held int
-	// Expiring means that one of them expires soon.
+	// Expiring means that one of them would expire unless the next request uses it.
 	Expiring bool
 	// Requested means that permits have been requested from another router, whose reply
 	// is awaited.
@@ -40,4 +40,7 @@
 	// Acquire takes a permit for one request that is about to be sent, and reports whether
 	// there was one or none is needed. Otherwise it requests one, for a later call.
 	Acquire(now time.Time, p Program, t Tier) bool
+	// Offer records that a request could have been sent to the program but prefers
+	// another one. If the limit is not used otherwise, it requests a permit.
+	Offer(now time.Time, p Program)
 }
--- a/permitter/change.go
+++ b/permitter/change.go
@@ -43,6 +43,14 @@
 	OwnShare float64
 }
 
+// LogFields returns the fields of the log event for the change.
+func (c Change) LogFields() []any {
+	return []any{
+		"upstream", c.Program.Address(), "instance", c.Program.Instance(), "change", c.Kind, "source", c.Source,
+		"per-second", c.PerSecond, "age-ms", c.Age.Milliseconds(), "issuer", c.Issuer, "own-share", c.OwnShare,
+	}
+}
+
 // changeOf returns the change of a limit. The caller holds mu.
 func (p *Permitter) changeOf(now time.Time, l *limit, kind ChangeKind, source Source) Change {
 	return Change{
--- a/permitter/exchange.go
+++ b/permitter/exchange.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"github.com/kingcuphook/kingcuphook"
 )
 
 const (
@@ -15,8 +17,7 @@
 	maxPermitWait = 30 * time.Second
 )
 
-// Messages returns the messages to be sent now: requests for permits. It must be called
-// periodically while Active returns true, and after Wake.
+// Messages returns the messages to be sent now: requests for permits. Run calls it.
 func (p *Permitter) Messages(now time.Time) []Message {
 	p.mu.Lock()
 	messages, changes := p.requests(now)
@@ -80,7 +81,7 @@
 
 // restore makes a request that failed due again.
 func (p *Permitter) restore(l *limit) {
-	if l.request.wanted == 0 {
+	if l.request.wanted == 0 || l.request.spare {
 		return
 	}
 	if l.needed == 0 || l.request.tier < l.tier {
@@ -99,7 +100,7 @@
 			e.unused = 0
 		}
 		b = e.append(b, now)
-		l.request = permitRequest{pending: true, to: issuer, sequence: p.sequence, sentAt: now, wanted: e.wanted, tier: e.tier}
+		l.request = permitRequest{pending: true, to: issuer, sequence: p.sequence, sentAt: now, wanted: e.wanted, tier: e.tier, spare: e.spare}
 		l.nextRequest = now.Add(requestInterval)
 		l.clearNews()
 	}
@@ -107,7 +108,11 @@
 }
 
 func (p *Permitter) entryOf(now time.Time, l *limit) requestEntry {
-	return requestEntry{key: l.key, evidence: l.evidence(), tier: max(l.tier, 1), wanted: l.wanted(now), unused: l.unused}
+	e := requestEntry{key: l.key, evidence: l.evidence(), tier: max(l.tier, kingcuphook.HighestTier), wanted: l.wanted(now), unused: l.unused}
+	if l.wantsSpare() {
+		e.spare, e.tier, e.wanted = true, kingcuphook.LowestTier, 1
+	}
+	return e
 }
 
 // issueToSelf issues permits to this router. If the limit has ended, it returns the change.
@@ -117,7 +122,7 @@
 	if l.issuedBy != p.Self {
 		e.unused = 0
 	}
-	l.request = permitRequest{to: p.Self, sentAt: now, wanted: e.wanted, tier: e.tier}
+	l.request = permitRequest{to: p.Self, sentAt: now, wanted: e.wanted, tier: e.tier, spare: e.spare}
 	l.clearNews()
 	return p.applyEntry(now, l, p.Self, p.issue(now, p.Self, e))
 }
@@ -133,7 +138,10 @@
 		r.ended = true
 	default:
 		b.putBack(now, e.unused)
-		if e.wanted > 0 {
+		switch {
+		case e.spare:
+			r.issued, r.retry = b.drawSpare(), b.spreadRetry(router, len(p.routers), maxSpareRetry)
+		case !e.spare && e.wanted > 0:
 			r.surplus = b.full(now)
 			r.issued = b.draw(now, router, e.tier, e.wanted)
 			r.wait, r.retry = b.waitOf(now), b.retryOf(now, router)
@@ -233,7 +241,9 @@
 		p.remove(l)
 		return c, true
 	case e.issued > 0:
-		l.addPermits(now, issuer, e.issued, e.surplus)
+		l.addPermits(now, issuer, e.issued, e.surplus, l.request.spare)
+	case l.request.spare:
+		l.nextOffer = now.Add(min(e.retry, maxPermitWait))
 	case l.request.wanted > 0:
 		l.denial = newDenial(now, l.request.tier, min(e.wait, maxPermitWait), min(e.retry, maxPermitWait))
 	}
--- a/permitter/issuer.go
+++ b/permitter/issuer.go
@@ -25,6 +25,8 @@
 	reservedTokens  = 0.5
 	tierClaimTTL    = 2 * time.Second
 	guaranteedEvery = 8
+	// spareReserve is what the draw of a spare permit leaves in the bucket.
+	spareReserve = 0.2
 	// prefetchShare is the share of the tokens that one request gets if it needs less, up to
 	// maxPrefetch permits.
 	prefetchShare = 0.25
@@ -42,12 +44,14 @@
 	rampUpFactor = 4
 
 	// retriesPerWait is how often a router asks again while it waits for a permit. minRetry
-	// and maxRetry bound the time between two requests. The bound grows with the number of
-	// waiting routers beyond waitingPerSecond, to limit their messages.
+	// and maxRetry bound the time between two requests, maxSpareRetry that between two
+	// requests for spare permits. The bounds grow with the number of
+	// waiting routers, so that they ask at most retriesPerSecond times a second.
 	retriesPerWait   = 4
 	minRetry         = 100 * time.Millisecond
 	maxRetry         = 2 * time.Second
-	waitingPerSecond = 50
+	maxSpareRetry    = 500 * time.Millisecond
+	retriesPerSecond = 50
 	// waitingTTL is how long a denied router counts as waiting.
 	waitingTTL = 30 * time.Second
 	// maxBuckets bounds the token buckets of an issuer, maxWaiting the waiting routers of
@@ -223,8 +227,25 @@
 // so that no token stays unused because others need none. The bound differs between routers,
 // so that they don't all ask at the same moment.
 func (b *bucket) retryOf(now time.Time, router string) time.Duration {
-	longest := max(maxRetry, time.Duration(len(b.waiting))*time.Second/waitingPerSecond)
+	return min(max(b.waitOf(now)/retriesPerWait, minRetry), b.spreadRetry(router, len(b.waiting), maxRetry))
+}
+
+// drawSpare issues a permit that no request needs, and returns the number of permits. It
+// leaves more in the bucket than other draws, so that these come first.
+func (b *bucket) drawSpare() int {
+	if b.tokens < 1+spareReserve {
+		return 0
+	}
+	b.tokens--
+	b.issued++
+	return 1
+}
+
+// spreadRetry returns after which time one of n routers may ask again: at most longest, or
+// longer if all together would ask more often than retriesPerSecond. It differs between
+// routers, so that they don't all ask at the same moment.
+func (b *bucket) spreadRetry(router string, n int, longest time.Duration) time.Duration {
 	spread := float64(score(uint64(b.issued), router)) / math.MaxUint64
-	bound := time.Duration((1 + spread) / 2 * float64(longest))
-	return min(max(b.waitOf(now)/retriesPerWait, minRetry), bound)
+	longest = max(longest, time.Duration(n)*time.Second/retriesPerSecond)
+	return time.Duration((1 + spread) / 2 * float64(longest))
 }
--- a/permitter/limit.go
+++ b/permitter/limit.go
@@ -52,6 +52,10 @@
 	needed int
 	tier   kingcuphook.Tier
 	denial denial
+	// offered means that a request could use a permit although none needs one, nextOffer
+	// is the earliest time of the next such offer.
+	offered   bool
+	nextOffer time.Time
 
 	request permitRequest
 	// nextRequest is the earliest time of the next request for permits.
@@ -65,8 +69,8 @@
 // permit allows one request.
 type permit struct {
 	expires time.Time
-	// surplus means that it was issued from a full bucket.
-	surplus bool
+	// surplus means that it was issued from a full bucket, spare that no request needed it.
+	surplus, spare bool
 }
 
 // denial is the last reply of the issuer that it has no permits.
@@ -89,6 +93,8 @@
 	sentAt   time.Time
 	wanted   int
 	tier     kingcuphook.Tier
+	// spare means that it asks only for a permit that is not used otherwise.
+	spare bool
 }
 
 // keyOf returns the hash that identifies a program in messages.
@@ -138,11 +144,11 @@
 }
 
 // addPermits adds permits that a router issued now.
-func (l *limit) addPermits(now time.Time, issuer string, n int, surplus bool) {
+func (l *limit) addPermits(now time.Time, issuer string, n int, surplus, spare bool) {
 	if issuer != l.issuedBy {
 		l.issuedBy, l.unused = issuer, 0
 	}
-	p := permit{expires: now.Add(permitTTL)}
+	p := permit{expires: now.Add(permitTTL), spare: spare}
 	if surplus {
 		p = permit{expires: now.Add(surplusTTL), surplus: true}
 	}
@@ -160,9 +166,14 @@
 	}
 }
 
-// expiring reports whether a permit expires soon that another router could have used.
+// expiring reports whether the next request should use a permit: no request needed it, or
+// it expires soon and another router could have used it.
 func (l *limit) expiring(now time.Time) bool {
-	return len(l.permits) > 0 && !l.permits[0].surplus && l.permits[0].expires.Sub(now) <= permitTTL/2
+	if len(l.permits) == 0 {
+		return false
+	}
+	p := l.permits[0]
+	return p.spare || !p.surplus && p.expires.Sub(now) <= permitTTL/2
 }
 
 // denialOf returns the denial that applies to requests of the tier; zero if none does.
@@ -178,9 +189,12 @@
 	if l.request.pending || now.Before(l.nextRequest) {
 		return false
 	}
-	return l.newAnnouncement || l.newNone || l.unused > 0 || l.wanted(now) > 0
+	return l.newAnnouncement || l.newNone || l.unused > 0 || l.wanted(now) > 0 || l.wantsSpare()
 }
 
+// wantsSpare reports whether to ask for a permit only if it is not used otherwise.
+func (l *limit) wantsSpare() bool { return l.offered && l.needed == 0 && len(l.permits) == 0 }
+
 // wanted returns how many permits to ask for now.
 func (l *limit) wanted(now time.Time) int {
 	if l.needed == 0 || now.Before(l.denialOf(l.tier).retryAt) {
@@ -205,4 +219,5 @@
 func (l *limit) clearNews() {
 	l.newAnnouncement, l.newNone = false, false
 	l.needed, l.unused = 0, 0
+	l.offered = false
 }
--- a/permitter/message.go
+++ b/permitter/message.go
@@ -25,8 +25,8 @@
 	// headerBytes is the length of the header: kind, sequence number and flags.
 	headerBytes = 1 + 2 + 1
 	// requestEntryBytes is the length of an entry of a request: key, limit, age of the
-	// last announcement, age of the latest request without one, tier, number of permits
-	// wanted and returned.
+	// last announcement, age of the latest request without one, tier and flag, number of
+	// permits wanted and returned.
 	requestEntryBytes = 8 + 4 + 2 + 2 + 1 + 1 + 1
 	// replyEntryBytes is the length of an entry of a reply: key, number of permits, flags,
 	// time to wait and time until the next request.
@@ -43,6 +43,8 @@
 
 	// flagDeclined is the flag of a reply of a router that issues no permits.
 	flagDeclined = 1
+	// flagSpare is the flag beside the tier of an entry that asks for a spare permit.
+	flagSpare = 0x80
 	// flagEnded is the flag of an entry whose limit has ended, flagSurplus that of one
 	// whose permits were issued from a full bucket.
 	flagEnded   = 1
@@ -67,6 +69,8 @@
 	tier     kingcuphook.Tier
 	wanted   int
 	unused   int
+	// spare means that the permit is to be issued only if no request needs it.
+	spare bool
 }
 
 // replyEntry answers a requestEntry.
@@ -92,7 +96,11 @@
 	b = binary.BigEndian.AppendUint32(b, math.Float32bits(float32(e.evidence.perSecond)))
 	b = appendAge(b, now, e.evidence.announcedAt)
 	b = appendAge(b, now, e.evidence.noneSentAt)
-	return append(b, byte(e.tier), byte(e.wanted), byte(e.unused))
+	tier := byte(e.tier)
+	if e.spare {
+		tier |= flagSpare
+	}
+	return append(b, tier, byte(e.wanted), byte(e.unused))
 }
 
 // appendAge appends the time since at in milliseconds, or noAge if at is zero.
@@ -136,7 +144,8 @@
 			announcedAt: decodeAge(b[12:], now),
 			noneSentAt:  decodeAge(b[14:], now),
 		},
-		tier:   kingcuphook.Tier(b[16]),
+		tier:   kingcuphook.Tier(b[16] &^ flagSpare),
+		spare:  b[16]&flagSpare != 0,
 		wanted: int(b[17]),
 		unused: int(b[18]),
 	}
--- a/permitter/permitter.go
+++ b/permitter/permitter.go
@@ -38,8 +38,6 @@
 type Permitter struct {
 	// Self is the address of this router, as the other routers know it.
 	Self string
-	// Wake, if set, is called when Messages should be called at once. It must not block.
-	Wake func()
 	// OnChange, if set, is called when the limit of an upstream changes. It must not block.
 	OnChange func(Change)
 
@@ -64,6 +62,10 @@
 	peers    map[string]*peer
 	sequence uint16
 	budget   *rate.Limiter
+
+	// due has a value when requests should be sent at once; wakeOnce guards its creation.
+	due      chan struct{}
+	wakeOnce sync.Once
 }
 
 var _ kingcuphook.PermitSource = (*Permitter)(nil)
@@ -228,6 +230,15 @@
 	return acquired
 }
 
+// Offer implements kingcuphook.PermitSource.
+func (p *Permitter) Offer(now time.Time, program kingcuphook.Program) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l := p.limits[program]; l != nil && !now.Before(l.nextOffer) {
+		l.offered = true
+	}
+}
+
 // prepare records that a request needs a permit, and issues one if this router is the
 // issuer. If the limit has ended, it returns the change. The caller holds mu.
 func (p *Permitter) prepare(now time.Time, l *limit, t kingcuphook.Tier) (Change, bool) {
@@ -245,20 +256,20 @@
 	return Change{}, false
 }
 
-func (p *Permitter) wake() {
-	if p.Wake != nil {
-		p.Wake()
+// IsLimited reports whether a program has a rate limit.
+func (p *Permitter) IsLimited(program kingcuphook.Program) bool {
+	if p.count.Load() == 0 {
+		return false
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.limits[program] != nil
 }
 
-// Active reports whether Messages must be called periodically.
-func (p *Permitter) Active() bool { return p.count.Load() > 0 }
-
 // Count returns the number of limited upstreams.
 func (p *Permitter) Count() int { return int(p.count.Load()) }
 
-// Sent returns the number of requests that were sent to limited upstreams, Withheld how
-// often a limit kept a request from an upstream.
+// Sent returns the number of requests that were sent to limited upstreams.
 func (p *Permitter) Sent() int64 { return p.sent.Load() }
 
 // Withheld returns how often a limit kept a request from an upstream.
--- a/router/control.go
+++ b/router/control.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -204,6 +206,7 @@
 	c.poller.Rate = min(max(fleetPollsPerSecond/float64(max(len(members), 1)), minPollsPerSecond), maxPollsPerSecond)
 	c.router.allocator.SetRouters(max(regionRouters, 1))
 	c.router.allocator.SetRouterIndex(index, max(regionRouters, 1))
+	c.router.permits.SetRouters(now, slices.Collect(maps.Keys(peers)))
 	c.updatePeers(peers)
 }
 
--- a/router/placement.go
+++ b/router/placement.go
@@ -104,7 +104,7 @@
 	m := &manager{
 		lease: lease,
 		orders: &orderer.Orderer{
-			Engines: r.upstreams,
+			Engines: &limitedEngines{Orderer: r.upstreams, permits: r.permits, program: r.programAt},
 			Lease:   lease,
 			Placer:  &placer.Placer{LoadLimiter: rate.NewLimiter(weightLoadsPerSecond, weightLoadsBurst)},
 			OnOrder: r.logOrder,
--- a/router/router.go
+++ b/router/router.go
@@ -82,8 +82,8 @@
 	// dispatcher runs the callers' requests on upstreams.
 	dispatcher *dispatcher.Dispatcher
 	meter      *meter.Meter
-	// permits has the rate limits that upstreams announced.
-	permits    permitter.Permitter
+	// permits keeps the rate limits that upstreams announced.
+	permits    *permitter.Permitter
 	server     *server.Server
 	peerServer *grpc.Server
 	peerClient *exchanger.Client
@@ -181,6 +181,7 @@
 	g.Go(func() error { return r.peerServer.Serve(r.listeners.peers) })
 	g.Go(func() error { r.follower.Run(componentsCtx); return nil })
 	g.Go(func() error { r.control.run(componentsCtx); return nil })
+	g.Go(func() error { r.runPermits(componentsCtx); return nil })
 	g.Go(func() error { r.sweep(componentsCtx); return nil })
 	g.Go(func() error { r.receiveStoreSuspects(componentsCtx); return nil })
 	g.Go(func() error {
@@ -209,6 +210,7 @@
 func (r *Router) stop() {
 	r.stopping.Store(true)
 	r.ready.Store(false)
+	r.permits.Stop()
 	r.Log.Log(logger.Stopping, "open-requests", r.server.Open())
 	r.server.Drain()
 	r.control.leave()
@@ -242,6 +244,7 @@
 	}
 	r.recorder = &recorder.Recorder{}
 	r.meter = meter.New()
+	r.permits = &permitter.Permitter{Self: r.PeersAddress(), OnChange: r.logRateLimit}
 	r.allocator = &allocator.Allocator{NewScheduler: r.newScheduler}
 	r.peerClient = &exchanger.Client{Credentials: r.certs.peersClientCredentials()}
 	r.control = newControl(r)
--- a/router/schedule.go
+++ b/router/schedule.go
@@ -12,5 +12,7 @@
 		DataCentre: r.Settings.Node.DataCentre,
 		Seed:       r.newRand().Uint64(),
 	}
-	return c.Compose()
+	s := c.Compose()
+	s.Permits = r.permits
+	return s
 }
--- a/router/tables.go
+++ b/router/tables.go
@@ -24,6 +24,7 @@
 	}
 	c.revision = s.Revision()
 	c.router.allocator.Update(s.Tables())
+	c.router.permits.Update(s.Tables())
 	c.gossip.SetRevision(now, s.Revision(), source)
 	c.unannounced = true
 	c.applyUpstreams(s.Tables())
--- a/router/upstreams.go
+++ b/router/upstreams.go
@@ -157,10 +157,14 @@
 }
 
 // pollUpstreams requests load reports from the upstreams that are due, and cache
-// events from those engines that have answered this router since the last poll.
+// events from those engines that have answered this router since the last poll. An
+// upstream with a rate limit is not polled; it can report its load with its answers.
 func (c *control) pollUpstreams(ctx context.Context, now time.Time) {
 	for _, address := range c.poller.Next(now) {
 		u := c.upstreams[address]
+		if c.router.permits.IsLimited(u.Program()) {
+			continue
+		}
 		after := c.lastSequences[address]
 		withEvents := c.usedSincePoll[address] && u.Kind() == kingcuphook.UpstreamKindEngine
 		delete(c.usedSincePoll, address)
--- a/scheduler/permit.go
+++ b/scheduler/permit.go
@@ -80,6 +80,7 @@
 		}
 		if s.acquirePermit(now, choice.Upstream, tier) {
 			choice.RateLimited = withheldFrom
+			s.offerLimited(now, r, choice.Upstream)
 			return choice, true
 		}
 		if withheldFrom == "" {
@@ -102,12 +103,25 @@
 		return kingcuphook.Choice{}, false
 	}
 	choice, err := s.selectUsable(now, r, expiring)
-	if err != nil || choice.Upstream == nil || !s.acquirePermit(now, choice.Upstream, tier) {
+	if err != nil || choice.Upstream == nil || choice.Spilled || !s.acquirePermit(now, choice.Upstream, tier) {
 		return kingcuphook.Choice{}, false
 	}
 	return choice, true
 }
 
+// offerLimited offers the request, which was assigned to an upstream, to one of the limited
+// upstreams in the same region, so that their limits are used.
+func (s *Scheduler) offerLimited(now time.Time, r *kingcuphook.Request, assigned *kingcuphook.Upstream) {
+	if !s.slots.limited {
+		return
+	}
+	s.slots.offered++
+	row := s.slots.rows[s.slots.offered%len(s.slots.rows)]
+	if row.upstream.Region() == assigned.Region() && serves(row.upstream, r.Model()) && !row.leaving {
+		s.Permits.Offer(now, row.upstream.Program())
+	}
+}
+
 // rejectLimitedCandidates marks the candidates for which there is no permit.
 func (s *Scheduler) rejectLimitedCandidates(now time.Time, r *kingcuphook.Request, candidates []kingcuphook.Candidate) {
 	for i, c := range candidates {
--- a/scheduler/permit_test.go
+++ b/scheduler/permit_test.go
@@ -16,6 +16,8 @@
 	states map[string]kingcuphook.PermitState
 	// requested counts the permits that were acquired or requested, by address.
 	requested map[string]int
+	// offered has the addresses of the programs that requests were offered to.
+	offered []string
 }
 
 func (p *fixedPermits) State(_ time.Time, program kingcuphook.Program, _ kingcuphook.Tier) kingcuphook.PermitState {
@@ -36,6 +38,10 @@
 	return true
 }
 
+func (p *fixedPermits) Offer(_ time.Time, program kingcuphook.Program) {
+	p.offered = append(p.offered, program.Address())
+}
+
 func newLimitedScheduler(states map[string]kingcuphook.PermitState, upstreams ...kingcuphook.UpstreamFields) (*Scheduler, *fixedPermits) {
 	permits := &fixedPermits{states: states, requested: make(map[string]int)}
 	s := newScheduler(upstreams...)
@@ -67,6 +73,18 @@
 	is.Equal(assign(s, start), "0>b ")
 }
 
+// Requests that prefer other upstreams are offered to all limited ones in turn.
+func TestLimitedUpstreamIsOfferedRequests(t *testing.T) {
+	is := is.New(t)
+	states := map[string]kingcuphook.PermitState{"b": {Limited: true}, "c": {Limited: true}}
+	s, permits := newLimitedScheduler(states, engine("a", 8), engine("b", 8), engine("c", 8))
+	for _, id := range []string{"0", "1", "2"} {
+		s.Offer(start, request(id, 1))
+	}
+	is.Equal(assign(s, start), "0>a 1>a 2>a ")
+	is.Equal(permits.offered, []string{"b", "c", "a"})
+}
+
 // A request that no upstream can take in time is rejected at once, with the time until a
 // permit can be expected.
 func TestRequestIsRejectedIfAllUpstreamsAreLimited(t *testing.T) {
--- a/scheduler/slots.go
+++ b/scheduler/slots.go
@@ -22,6 +22,8 @@
 	pauses map[kingcuphook.Program]time.Time
 	// limited means that an upstream had a rate limit when the free slots were read.
 	limited bool
+	// offered counts the requests that were offered to limited upstreams in turn.
+	offered int
 	// withheld has the rows that are marked as withheld.
 	withheld []*slotRow
 }
