Let the soak name, change and drop rate limits, and count the calls at the upstream

Two of its sixteen kinds of fault now make an upstream announce limits, some of which are none, which change and are dropped beside restarts, pauses and cuts. The calls are counted at the upstream, those of routers that had passed on a limited reply half a second before; only a router that was itself stopped or paused is excused, not one whose store is away. After the recovery each upstream must get calls again.

--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -185,6 +185,14 @@
 	return all, served
 }
 
+// reached reports whether the upstream ran a call in the verification phase.
+func (c *callers) reached(u *upstream) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	runs := u.Runs()
+	return len(runs) > 0 && runs[len(runs)-1].At.After(c.recoveredAt)
+}
+
 func (c *callers) all() []*call {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -35,7 +35,7 @@
 		func() fault { return fault{"stop " + r.name, 0, func() { env.stop(r) }, nothing} },
 		func() fault { return fault{"kill " + r.name, 0, func() { env.kill(r, duration) }, nothing} },
 		func() fault {
-			return fault{"pause " + r.name, duration, func() { r.disturb(duration + disturbedAfter); r.signal(syscall.SIGSTOP) }, func() { r.signal(syscall.SIGCONT) }}
+			return fault{"pause " + r.name, duration, func() { r.interrupt(duration); r.signal(syscall.SIGSTOP) }, func() { r.signal(syscall.SIGCONT) }}
 		},
 		func() fault { return fault{"reload " + r.name, 0, func() { r.signal(syscall.SIGHUP) }, nothing} },
 		func() fault {
@@ -57,6 +57,8 @@
 			return fault{"upstream is paused", duration, func() { env.upstream(i).Pause(duration) }, nothing}
 		},
 		func() fault { return fault{"upstream crashes", 0, func() { env.crash(i) }, nothing} },
+		func() fault { return env.limitFault(i, s.rng, duration) },
+		func() fault { return env.limitFault(i, s.rng, duration) },
 		func() fault { return env.storeFault(r, s.rng.IntN(4), duration) },
 		func() fault { return env.upstreamFault(i, s.rng.IntN(5), duration) },
 		func() fault {
@@ -90,7 +92,7 @@
 	if !r.acquire() {
 		return
 	}
-	r.disturb(disturbed + disturbedAfter)
+	r.interrupt(disturbed)
 	r.signal(s)
 	go func() {
 		defer r.release()
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -164,6 +164,14 @@
 		for _, late := range s.env.ignoredNotices(u) {
 			addViolation("%s", late)
 		}
+		for _, exceeded := range s.env.exceededLimits(u) {
+			addViolation("%s", exceeded)
+		}
+	}
+	for i := range s.Upstreams {
+		if u := s.env.upstream(i); !s.calls.reached(u) {
+			addViolation("%s received no call after the recovery", u.name)
+		}
 	}
 	if all, served := s.calls.verification(); served < int(minServedShare*float64(all)) {
 		addViolation("only %d of %d calls were served after the recovery", served, all)
--- a/soaker/world.go
+++ b/soaker/world.go
@@ -71,6 +71,10 @@
 	address string
 	// leftAt is when its registration as leaving was written; zero if it was not.
 	leftAt time.Time
+
+	limitMu sync.Mutex
+	// limits has the limits that it announced, in order of time.
+	limits []limitPeriod
 }
 
 // router is a router process.
@@ -87,6 +91,8 @@
 	// disturbedUntil is the time until which the router or its connections are
 	// considered disturbed by a fault.
 	disturbedUntil time.Time
+	// interruptions has the times in which the router was stopped or paused.
+	interruptions []interruption
 }
 
 // reserveHost reserves the loopback addresses of a run by opening a port on one of them,
@@ -377,6 +383,7 @@
 	}
 	for _, u := range env.allUpstreams() {
 		u.network.Set(forwarder.FaultNone, 0)
+		u.limit("")
 	}
 }
 
