Share the fixed part of the retry budget also while routers don't know each other

No caller has reported it.

Cause: the budget divided by the routers known at the moment, also when that number meant only that none was known. Now a router uses none of the fixed part in its first three seconds, in which routers find each other, and counts the highest number of routers of the last 30 to 60 s, so that one that is out of reach still counts. The share of its own requests stays.

--- a/attacher/attacher.go
+++ b/attacher/attacher.go
@@ -69,8 +69,10 @@
 	permits *permitter.Permitter
 	// pauses counts the requests of upstreams to be paused.
 	pauses atomic.Int64
-	// routers is the number of known routers, including this one.
+	// routers is the number of known routers, including this one; fleet the number that
+	// share the retry budgets.
 	routers atomic.Int64
+	fleet   retrier.Fleet
 	// stopping has the deadlines of the graceful shutdown; nil before it.
 	stopping atomic.Pointer[stopDeadlines]
 }
@@ -252,7 +254,7 @@
 
 func (a *Attacher) newBudget(string) kingcuphook.RetryBudget {
 	s := a.Settings
-	return &retrier.Window{Length: s.RetryWindow(), Ratio: s.RetryRatio(), Slack: s.RetrySlack(), Routers: &a.routers}
+	return &retrier.Window{Length: s.RetryWindow(), Ratio: s.RetryRatio(), Slack: s.RetrySlack(), Fleet: &a.fleet}
 }
 
 func (a *Attacher) answerReady(w http.ResponseWriter, r *http.Request) {
--- a/attacher/peers.go
+++ b/attacher/peers.go
@@ -259,6 +259,7 @@
 		c.a.Log.Log(logger.PeerLeft, "peer", left, "silent-ms", memberTimeout.Milliseconds())
 	}
 	c.a.routers.Store(int64(len(c.peers.lastSeen) + 1))
+	c.a.fleet.Set(now, len(c.peers.lastSeen)+1)
 	c.a.permits.SetRouters(now, c.peers.addresses())
 	f := c.shortDigest(now)
 	c.send(f, c.peers.pickRandomNear(nearPeers))
--- a/retrier/window.go
+++ b/retrier/window.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"sync/atomic"
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
@@ -23,7 +22,7 @@
 // Window implements kingcuphook.RetryBudget for one pool over a sliding window: in
 // every window of time, all routers together may retry a share of the requests,
 // plus a fixed number. Each router uses the share of its own requests and an equal
-// part of the fixed number. Except for Routers it is not safe for concurrent use.
+// part of the fixed number. Except for Fleet it is not safe for concurrent use.
 type Window struct {
 	// Length is the length of the window; 0 means 10 s.
 	Length time.Duration
@@ -31,8 +30,9 @@
 	Ratio float64
 	// Slack is the number of further retries that all routers together may make.
 	Slack float64
-	// Routers is the number of routers in the fleet.
-	Routers *atomic.Int64
+	// Fleet counts the routers that share the fixed number; while it doesn't know them, this
+	// router uses none of it.
+	Fleet *Fleet
 
 	requests, retries [bucketCount]int
 	// current is the index of the current bucket; bucketEnd is when it ends.
@@ -55,11 +55,19 @@
 // CanSpend reports whether a retry is available.
 func (w *Window) CanSpend(now time.Time) bool {
 	w.advance(now)
-	routers := float64(max(w.Routers.Load(), minRouters))
-	allowed := safetyFactor * (w.Ratio*float64(sum(w.requests)) + w.Slack/routers)
+	allowed := safetyFactor * (w.Ratio*float64(sum(w.requests)) + w.ownSlack(now))
 	return float64(sum(w.retries)+1) <= allowed
 }
 
+// ownSlack returns this router's part of Slack.
+func (w *Window) ownSlack(now time.Time) float64 {
+	routers := w.Fleet.Size(now)
+	if routers == 0 {
+		return 0
+	}
+	return w.Slack / float64(max(routers, minRouters))
+}
+
 // Spend implements kingcuphook.RetryBudget.
 func (w *Window) Spend(now time.Time) bool {
 	if !w.CanSpend(now) {
--- a/retrier/window_test.go
+++ b/retrier/window_test.go
@@ -1,7 +1,6 @@
 package retrier
 
 import (
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,16 +14,21 @@
 	length = 10 * time.Second
 )
 
-func newWindow(routers *atomic.Int64) *Window {
-	return &Window{Length: length, Ratio: ratio, Slack: slack, Routers: routers}
+func newWindow(f *Fleet) *Window {
+	return &Window{Length: length, Ratio: ratio, Slack: slack, Fleet: f}
+}
+
+// settledFleet returns a fleet whose size has been known for a while.
+func settledFleet(now time.Time, n int) *Fleet {
+	f := &Fleet{}
+	f.Set(now.Add(-settleTime), n)
+	return f
 }
 
 func TestWindowAllowsItsShare(t *testing.T) {
 	is := is.New(t)
-	var routers atomic.Int64
-	routers.Store(8)
-	w := newWindow(&routers)
-	now := time.Unix(0, 0)
+	now := time.Unix(100, 0)
+	w := newWindow(settledFleet(now, 8))
 	for range 100 {
 		w.Requested(now)
 	}
@@ -44,11 +48,10 @@
 func TestWindowsTogether(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(2, 12).Draw(t, "routers")
-		var routers atomic.Int64
-		routers.Store(int64(n))
+		f := settledFleet(time.Unix(100, 0), n)
 		windows := make([]*Window, n)
 		for i := range windows {
-			windows[i] = newWindow(&routers)
+			windows[i] = newWindow(f)
 		}
 		const step = 100 * time.Millisecond
 		steps := int(3 * length / step)
