--- a/prover/allocator.go
+++ b/prover/allocator.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/kingcuphook/kingcuphook"
 	"github.com/kingcuphook/kingcuphook/allocator"
@@ -35,6 +36,9 @@
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
+	if d := a.router.env.limitedFor(); d > 0 {
+		return nil, rateLimited(d)
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	upstreams := a.router.env.Upstreams
@@ -56,6 +60,16 @@
 	}
 }
 
+// rateLimited returns the error of a request for which no upstream has a permit for d.
+func rateLimited(d time.Duration) error {
+	return &kingcuphook.RequestError{
+		Code:       kingcuphook.CodeOverloaded,
+		Ran:        kingcuphook.RunStateNotRun,
+		RetryAfter: d,
+		Err:        fmt.Errorf("prover: %w: %w", kingcuphook.ErrOverloaded, kingcuphook.ErrUpstreamsLimited),
+	}
+}
+
 // scheduledAllocator acquires slots from an allocator with the routers' scheduler.
 type scheduledAllocator struct {
 	router *Router
@@ -71,6 +85,27 @@
 	return a.next.Acquire(ctx, r, excluded)
 }
 
+// limitedPermits has no permits while all upstreams are at their rate limit. It implements
+// kingcuphook.PermitSource.
+type limitedPermits struct{ env *Environment }
+
+// State implements kingcuphook.PermitSource.
+func (p limitedPermits) State(now time.Time, _ kingcuphook.Program, _ kingcuphook.Tier) kingcuphook.PermitState {
+	d := p.env.limitedFor()
+	if d <= 0 {
+		return kingcuphook.PermitState{}
+	}
+	return kingcuphook.PermitState{Limited: true, NextRequest: now.Add(d), DeniedUntil: now.Add(d)}
+}
+
+// Acquire implements kingcuphook.PermitSource.
+func (p limitedPermits) Acquire(time.Time, kingcuphook.Program, kingcuphook.Tier) bool {
+	return p.env.limitedFor() <= 0
+}
+
+// Offer implements kingcuphook.PermitSource.
+func (limitedPermits) Offer(time.Time, kingcuphook.Program) {}
+
 // Schedule replaces the unbounded allocator of every router by one with the scheduler
 // that routers use in production. It must be called before the first call.
 func (env *Environment) Schedule(seed uint64) {
@@ -78,7 +113,11 @@
 	tables := kingcuphook.NewTables(1, nil, []*kingcuphook.Pool{pool})
 	for _, r := range env.Routers {
 		c := composer.Composer{Region: regionName, DataCentre: regionName, Seed: seed}
-		a := &allocator.Allocator{NewScheduler: func(string) kingcuphook.Scheduler { return c.Compose() }}
+		a := &allocator.Allocator{NewScheduler: func(string) kingcuphook.Scheduler {
+			s := c.Compose()
+			s.Permits = limitedPermits{env}
+			return s
+		}}
 		a.Update(tables)
 		r.Dispatcher.Allocator = &scheduledAllocator{router: r, next: a}
 		env.closers = append(env.closers, a.Close)
--- a/prover/fault.go
+++ b/prover/fault.go
@@ -16,6 +16,7 @@
 	FaultNone             Fault = "none"
 	FaultUpstreamRefuse   Fault = "upstream-refuse"
 	FaultUpstreamCrash    Fault = "upstream-crash"
+	FaultRateLimit        Fault = "upstream-rate-limit"
 	FaultStraggle         Fault = "straggle"
 	FaultSilence          Fault = "silence"
 	FaultGarbage          Fault = "garbage"
@@ -40,7 +41,7 @@
 
 // Faults lists all faults, FaultNone first.
 var Faults = []Fault{
-	FaultNone, FaultUpstreamRefuse, FaultUpstreamCrash, FaultStraggle, FaultSilence, FaultGarbage,
+	FaultNone, FaultUpstreamRefuse, FaultUpstreamCrash, FaultRateLimit, FaultStraggle, FaultSilence, FaultGarbage,
 	FaultEarlyEnd, FaultFalseEnd, FaultDuplicateEnd, FaultLateFrame, FaultReorderedFrame,
 	FaultForeignFrame, FaultReplyLost, FaultRouterCrash, FaultRouterPause, FaultRouterStop, FaultStoreDown,
 	FaultStoreSlow, FaultStoreReplyLost, FaultLeaseExpired, FaultPeerCut, FaultCallerGone,
@@ -53,6 +54,8 @@
 	outageTime  = 30 * time.Second
 	slowDelay   = 150 * time.Millisecond
 	lostReplies = 2
+	// limitTime is how long all upstreams are at their rate limit.
+	limitTime = 3 * time.Second
 )
 
 // attemptFaults maps the faults of a single attempt at an upstream to those of the
@@ -139,6 +142,8 @@
 		env.RevokeLeases()
 	case FaultPeerCut:
 		env.CutPeers()
+	case FaultRateLimit:
+		env.limitUpstreams(time.Now().Add(limitTime))
 	case FaultCallerGone:
 		r.cancelCall()
 	case FaultCallerSendsTwice:
--- a/prover/matrix.go
+++ b/prover/matrix.go
@@ -77,6 +77,10 @@
 		if k.claimed() && s == StepQueued {
 			return "answered|unknown|replayed"
 		}
+	case FaultRateLimit:
+		if !dispatched {
+			return "not-run"
+		}
 	case FaultUpstreamCrash, FaultSilence, FaultGarbage, FaultEarlyEnd, FaultFalseEnd, FaultReorderedFrame, FaultReplyLost:
 		if dispatched && (k.claimed() || k == KindOnce) {
 			return "unknown"
@@ -120,6 +124,9 @@
 		return "unknown|replayed"
 	case f == FaultStoreDown && s == StepQueued:
 		return "answered"
+	case f == FaultRateLimit && first == "not-run":
+		// The resends at the same time end while the limit still holds.
+		return "answered"
 	case f == FaultRouterCrash && s == StepDone:
 		// Outcomes are stored after the caller received its answer.
 		return "unknown|replayed"
--- a/prover/world.go
+++ b/prover/world.go
@@ -54,7 +54,9 @@
 	poison map[uint64]bool
 	// peersCut reports that the routers can't share suspects through the store.
 	peersCut bool
-	calls    int
+	// limitedUntil is until when all upstreams are at their rate limit.
+	limitedUntil time.Time
+	calls        int
 	// store is the fault that every call to the store has.
 	store storer.Fault
 	// ctx ends the background goroutines; group waits for them.
@@ -156,6 +158,21 @@
 	env.peersCut = true
 }
 
+// limitUpstreams makes all upstreams accept no more requests until a time, because of a rate
+// limit.
+func (env *Environment) limitUpstreams(until time.Time) {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	env.limitedUntil = until
+}
+
+// limitedFor returns for how much longer all upstreams are at their rate limit.
+func (env *Environment) limitedFor() time.Duration {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	return time.Until(env.limitedUntil)
+}
+
 // RevokeLeases revokes every lease of the store with an ID up to maxLeases, as if the
 // platform had lost its leases.
 func (env *Environment) RevokeLeases() {
