--- a/retrier/window.go
+++ b/retrier/window.go
@@ -17,6 +17,9 @@
 	// minRouters is the minimum number of routers assumed to share the slack, while
 	// few or no other routers are known.
 	minRouters = 2
+	// unknownSlack is the part of Slack that a router uses while it does not know the
+	// others: one retry, so that a request that breaks just after the start can go on.
+	unknownSlack = 1 / safetyFactor
 )
 
 // Window implements kingcuphook.RetryBudget for one pool over a sliding window: in
@@ -31,7 +34,7 @@
 	// Slack is the number of further retries that all routers together may make.
 	Slack float64
 	// Fleet counts the routers that share the fixed number; while it doesn't know them, this
-	// router uses none of it.
+	// router makes at most one retry of it.
 	Fleet *Fleet
 
 	requests, retries [bucketCount]int
@@ -63,7 +66,7 @@
 func (w *Window) ownSlack(now time.Time) float64 {
 	routers := w.Fleet.Size(now)
 	if routers == 0 {
-		return 0
+		return min(w.Slack, unknownSlack)
 	}
 	return w.Slack / float64(max(routers, minRouters))
 }
