Use low rate limits by at least half

With a limit of 0.5 a second and 0.3 permits a second, ten seconds had two calls in one of seven runs of TestRoutersTogetherKeepRateLimitOfUpstream in attacher; 2.5 are wanted. Up to 0.15 permits a second are issued in addition, 0.45 at a limit of 0.5.

--- a/permitter/issuer.go
+++ b/permitter/issuer.go
@@ -12,6 +12,10 @@
 	// issuers at once, while routers know different routers or messages are lost, and for
 	// permits that are used late.
 	issuedShare = 0.6
+	// lowLimitShare is the share that is issued in addition, up to lowLimitPerSecond permits
+	// a second, so that low limits are used although permits are whole numbers.
+	lowLimitShare     = 0.3
+	lowLimitPerSecond = 0.15
 	// minPerSecond is the least rate of permits. It lets some requests through to an
 	// upstream that accepts none, so that the end of its limit is noticed.
 	minPerSecond = 0.25
@@ -151,7 +155,9 @@
 }
 
 // issuedPerSecond returns the rate of permits for a limit that holds.
-func issuedPerSecond(limit float64) float64 { return max(limit*issuedShare, minPerSecond) }
+func issuedPerSecond(limit float64) float64 {
+	return max(limit*issuedShare+min(limit*lowLimitShare, lowLimitPerSecond), minPerSecond)
+}
 
 // rate returns the rate of permits per second.
 func (b *bucket) rate(now time.Time) float64 {
