--- a/attacher/attacher_test.go
+++ b/attacher/attacher_test.go
@@ -225,7 +225,7 @@
 	// The upstream that gets the next stream closes the connection within an event.
 	var broken atomic.Bool
 	for _, u := range w.upstreams {
-		u.Abort = func(_ *http.Request, event int) bool { return event == 7 && broken.CompareAndSwap(false, true) }
+		u.SetAbort(func(_ *http.Request, event int) bool { return event == 7 && broken.CompareAndSwap(false, true) })
 	}
 	status, body, err = p.call(standin.KindResumableStream, "secret")
 	w.NoErr(err)
