--- a/attacher/control.go
+++ b/attacher/control.go
@@ -99,17 +99,20 @@
 	}
 }
 
-// do runs f in the control loop and returns when f has returned or ctx has ended.
-func (c *control) do(ctx context.Context, f func(now time.Time)) {
+// do runs f in the control loop and returns when f has returned or ctx has ended. It
+// reports whether f has returned; otherwise f may still run, now or later.
+func (c *control) do(ctx context.Context, f func(now time.Time)) bool {
 	done := make(chan struct{})
 	select {
 	case c.inbox <- func(now time.Time) { f(now); close(done) }:
 	case <-ctx.Done():
-		return
+		return false
 	}
 	select {
 	case <-done:
+		return true
 	case <-ctx.Done():
+		return false
 	}
 }
 
--- a/attacher/peers.go
+++ b/attacher/peers.go
@@ -221,10 +221,13 @@
 func (a *Attacher) exchangeLoads(ctx context.Context) {
 	own := a.tally.Own()
 	var sum tallier.Sum
-	a.control.do(ctx, func(now time.Time) {
+	done := a.control.do(ctx, func(now time.Time) {
 		a.control.sendAll(a.control.loads.Tick(now, own, a.control.peers.byDataCentre()))
 		sum = a.control.loads.Sum(now, int(a.routers.Load()))
 	})
+	if !done {
+		return
+	}
 	if tables := a.control.directory().Tables; tables != nil && !sum.Made.IsZero() {
 		a.allocator.ReportAll(sum.Reports(tables))
 	}
