--- a/attacher/attacher_test.go
+++ b/attacher/attacher_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -193,21 +192,12 @@
 	return b.String()
 }
 
-func requireLoopback(t *testing.T, ip string) {
-	t.Helper()
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		t.Skipf("no address %s on loopback: %v", ip, err)
-	}
-	l.Close()
-}
-
 // A resumable stream is continued at another upstream if its upstream closes the
 // connection within an event: no event is missing or repeated. A stream that can't be
 // resumed ends with an error, so that it doesn't look complete.
 func TestServesAndResumes(t *testing.T) {
 	w := newTestPlatform(t)
-	p := w.start("127.0.10.1", w.server.Listener.Addr().String())
+	p := w.start(loopback("10.1"), w.server.Listener.Addr().String())
 	w.waitFor("readiness", p.isReady)
 	status, body, err := p.call(standin.KindResumableStream, "secret")
 	w.NoErr(err)
@@ -243,7 +233,7 @@
 // key, and sends no more calls to an upstream whose registration marks it as leaving.
 func TestRevokedKeyAndLeavingUpstream(t *testing.T) {
 	w := newTestPlatform(t)
-	p := w.start("127.0.10.2", w.server.Listener.Addr().String())
+	p := w.start(loopback("10.2"), w.server.Listener.Addr().String())
 	w.waitFor("readiness", p.isReady)
 	status, _, err := p.call(standin.KindResumableStream, "wrong")
 	w.NoErr(err)
@@ -267,12 +257,12 @@
 
 // A router that starts while the store is unavailable must get the tables from a peer.
 func TestStartFromPeerDuringOutage(t *testing.T) {
-	requireLoopback(t, "127.0.10.4")
+	requireLoopback(t, loopback("10.4"))
 	w := newTestPlatform(t)
-	first := w.start("127.0.10.3", w.server.Listener.Addr().String(), "127.0.10.4")
+	first := w.start(loopback("10.3"), w.server.Listener.Addr().String(), loopback("10.4"))
 	w.waitFor("readiness", first.isReady)
 	w.storeDown.Store(true)
-	second := w.start("127.0.10.4", w.server.Listener.Addr().String(), "127.0.10.3")
+	second := w.start(loopback("10.4"), w.server.Listener.Addr().String(), loopback("10.3"))
 	w.waitFor("readiness with the tables of a peer", second.isReady)
 	status, _, err := second.call(standin.KindResumableStream, "secret")
 	w.NoErr(err)
@@ -281,7 +271,7 @@
 
 func TestPlannedStopCompletesOpenCalls(t *testing.T) {
 	w := newTestPlatform(t)
-	p := w.start("127.0.10.5", w.server.Listener.Addr().String())
+	p := w.start(loopback("10.5"), w.server.Listener.Addr().String())
 	w.waitFor("readiness", p.isReady)
 	type result struct {
 		body string
@@ -312,7 +302,7 @@
 
 func TestServesDuringStoreOutage(t *testing.T) {
 	w := newTestPlatform(t)
-	p := w.start("127.0.10.6", w.server.Listener.Addr().String())
+	p := w.start(loopback("10.6"), w.server.Listener.Addr().String())
 	w.waitFor("readiness", p.isReady)
 	w.storeDown.Store(true)
 	w.waitFor("the log event of the unavailable store", func() bool { return strings.Contains(p.log.String(), "KCH1104") })
--- a/attacher/follow_test.go
+++ b/attacher/follow_test.go
@@ -16,7 +16,7 @@
 	w.t.Helper()
 	ips := make([]string, n)
 	for i := range ips {
-		ips[i] = fmt.Sprintf("127.0.%d.%d", network, i+1)
+		ips[i] = loopback(fmt.Sprintf("%d.%d", network, i+1))
 		requireLoopback(w.t, ips[i])
 	}
 	fleet := make([]*process, n)
--- a/attacher/notice_test.go
+++ b/attacher/notice_test.go
@@ -47,7 +47,7 @@
 // if its registration in the store lacks this, until it has started again.
 func TestLeavingUpstreamGetsNoCalls(t *testing.T) {
 	w := newTestPlatform(t)
-	p := w.start("127.0.14.1", w.server.Listener.Addr().String())
+	p := w.start(loopback("14.1"), w.server.Listener.Addr().String())
 	w.waitFor("readiness", p.isReady)
 	w.announceLeaving(p)
 	w.callsAvoidFirst(p)
@@ -75,10 +75,10 @@
 // The announcement reaches the other routers in digests: they must send the upstream no
 // calls either.
 func TestPeersOfRouterAvoidLeavingUpstream(t *testing.T) {
-	requireLoopback(t, "127.0.14.3")
+	requireLoopback(t, loopback("14.3"))
 	w := newTestPlatform(t)
-	first := w.start("127.0.14.2", w.server.Listener.Addr().String(), "127.0.14.3")
-	second := w.start("127.0.14.3", w.server.Listener.Addr().String(), "127.0.14.2")
+	first := w.start(loopback("14.2"), w.server.Listener.Addr().String(), loopback("14.3"))
+	second := w.start(loopback("14.3"), w.server.Listener.Addr().String(), loopback("14.2"))
 	w.waitFor("readiness", first.isReady)
 	w.waitFor("readiness", second.isReady)
 	w.announceLeaving(first)
@@ -91,7 +91,7 @@
 func TestPausedUpstreamGetsNoCalls(t *testing.T) {
 	const pause = 2 * time.Second
 	w := newTestPlatform(t)
-	p := w.start("127.0.14.4", w.server.Listener.Addr().String())
+	p := w.start(loopback("14.4"), w.server.Listener.Addr().String())
 	w.waitFor("readiness", p.isReady)
 	u := w.upstreams[0]
 	u.Pause(pause)
@@ -110,7 +110,7 @@
 func TestCallFailsAtOnceIfAllUpstreamsArePaused(t *testing.T) {
 	const pause = 5 * time.Second
 	w := newTestPlatform(t)
-	p := w.start("127.0.14.5", w.server.Listener.Addr().String())
+	p := w.start(loopback("14.5"), w.server.Listener.Addr().String())
 	w.waitFor("readiness", p.isReady)
 	for _, u := range w.upstreams {
 		u.Pause(pause)
--- a/attacher/ratelimit_test.go
+++ b/attacher/ratelimit_test.go
@@ -11,22 +11,6 @@
 	"github.com/kingcuphook/kingcuphook/platform/standin"
 )
 
-// fleet starts n routers on the addresses 127.0.HOST.1 and later, and waits until all of
-// them are ready.
-func (w *testPlatform) fleet(host, n int) []*process {
-	w.t.Helper()
-	requireLoopback(w.t, fmt.Sprintf("127.0.%d.%d", host, n))
-	seed := fmt.Sprintf("127.0.%d.1", host)
-	routers := make([]*process, 0, n)
-	for i := range n {
-		routers = append(routers, w.start(fmt.Sprintf("127.0.%d.%d", host, i+1), w.server.Listener.Addr().String(), seed))
-	}
-	for _, p := range routers {
-		w.waitFor("readiness", p.isReady)
-	}
-	return routers
-}
-
 // load sends calls through each router for d, one every interval, and returns how many
 // were answered with each status.
 func (w *testPlatform) load(routers []*process, d, interval time.Duration) map[int]int {
@@ -70,7 +54,7 @@
 		t.Run(fmt.Sprint(perSecond), func(t *testing.T) {
 			t.Parallel()
 			w := newTestPlatform(t)
-			routers := w.fleet(16+i, 8)
+			routers := w.startFleet(16+i, 8)
 			time.Sleep(3 * time.Second) // until the routers issue permits
 			w.upstreams[0].SetRateLimit(strconv.FormatFloat(perSecond, 'f', -1, 64))
 			w.load(routers, time.Second, 25*time.Millisecond)
@@ -86,9 +70,6 @@
 				t.Errorf("%.2f calls a second, at least half of the limit is to be used", used)
 			}
 			w.Equal(statuses[http.StatusOK], 8*100) // the other upstream serves the rest
-			for _, p := range routers {
-				p.stop()
-			}
 		})
 	}
 }
