Pass the routers to the permits only when they change

Every 300 ms each router copied and sorted its list of routers for the issuers of permits, also while no upstream had a limit. The list now counts its changes. A router that declines to issue permits, since it starts or stops, is asked again after 2 s, not 0.5 s.

--- a/attacher/control.go
+++ b/attacher/control.go
@@ -39,6 +39,9 @@
 	// self is the address of this router.
 	self  netip.Addr
 	peers *peers
+	// issuersOf is the count of changes of peers that the issuers of permits were last
+	// updated to; -1 before the first update.
+	issuersOf int
 	// loads gathers and sums the loads of all routers.
 	loads gatherer.Gatherer
 	pull  puller.Puller
@@ -73,6 +76,7 @@
 		self:  a.Settings.Address(),
 		peers: newPeers(a.Settings.Seeds(), digester.HashDataCentre(a.Settings.DataCentre())),
 	}
+	c.issuersOf = -1
 	c.delegator.Self = c.self
 	c.loads.Self, c.loads.Centre = c.self, c.peers.centre
 	c.view.Store(&receiver.Directory{})
--- a/attacher/peers.go
+++ b/attacher/peers.go
@@ -46,6 +46,8 @@
 	centre uint32
 	// joined is when a new router was last seen.
 	joined time.Time
+	// changes counts the routers that were added to the list or removed from it.
+	changes int
 	// seeds are the configured addresses, which are used while few routers are known.
 	seeds []netip.Addr
 	// ahead is a peer with a newer revision of the store than this router, since
@@ -65,6 +67,7 @@
 	p.lastSeen[a] = now
 	if !known {
 		p.joined = now
+		p.changes++
 	}
 	return !known
 }
@@ -77,6 +80,7 @@
 			delete(p.lastSeen, a)
 			delete(p.near, a)
 			left = append(left, a)
+			p.changes++
 		}
 	}
 	for centre, list := range p.far {
@@ -263,7 +267,7 @@
 	}
 	c.a.routers.Store(int64(len(c.peers.lastSeen) + 1))
 	c.a.fleet.Set(now, len(c.peers.lastSeen)+1)
-	c.a.permits.SetRouters(now, c.peers.addresses())
+	c.updateIssuers(now)
 	f := c.shortDigest(now)
 	c.send(f, c.peers.pickRandomNear(nearPeers))
 	f.Leaving = c.a.withdrawn.Encode()
@@ -271,6 +275,15 @@
 	c.send(f, c.peers.pickRandom(digestPeers))
 }
 
+// updateIssuers passes the routers to those that issue permits if their list has changed.
+func (c *control) updateIssuers(now time.Time) {
+	if c.peers.changes == c.issuersOf {
+		return
+	}
+	c.issuersOf = c.peers.changes
+	c.a.permits.SetRouters(now, c.peers.addresses())
+}
+
 // shortDigest returns the fields of a digest without leaving and suspected upstreams.
 func (c *control) shortDigest(now time.Time) digester.Fields {
 	return digester.Fields{
--- a/permitter/peer.go
+++ b/permitter/peer.go
@@ -17,7 +17,7 @@
 	// asked for timeoutPause. One that declined is not asked for declinePause.
 	maxTimeouts  = 2
 	timeoutPause = 3 * time.Second
-	declinePause = 500 * time.Millisecond
+	declinePause = 2 * time.Second
 )
 
 // peer is what this router knows about the replies of another one.
