Identify programs in messages by one hash

withdrawer and permitter each had the same hash of an address, instance and start; it is Program.Key now. The encoding of digests stays as it was.

--- a/notice.go
+++ b/notice.go
@@ -1,6 +1,11 @@
 package kingcuphook
 
-import "time"
+import (
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // RateLimit is the number of requests per second that an upstream accepts from all
 // routers together. The zero value means that there is no limit.
@@ -70,3 +75,8 @@
 // StartTime returns when the program was started, in Unix milliseconds; 0 means
 // unknown.
 func (p Program) StartTime() int64 { return p.startTime }
+
+// Key returns a hash that identifies the program in messages between routers.
+func (p Program) Key() uint64 {
+	return xxhash.Sum64String(p.address + " " + p.instance + " " + strconv.FormatInt(p.startTime, 10))
+}
--- a/permitter/issuer_test.go
+++ b/permitter/issuer_test.go
@@ -100,11 +100,11 @@
 	messages := p.Messages(now)
 	is.Equal(len(messages), 1)
 	is.Equal(messages[0].To, "b") // this router does not issue permits yet
-	reply := replyEntry{key: keyOf(u), issued: 4}.append(newHeader(KindReply, 1, 0))
+	reply := replyEntry{key: u.Key(), issued: 4}.append(newHeader(KindReply, 1, 0))
 	_, more, err := p.Receive(now, "c", reply)
 	is.NoErr(err)
 	is.True(!more)
-	_, more, err = p.Receive(now, "b", replyEntry{key: keyOf(u), issued: 4}.append(newHeader(KindReply, 2, 0)))
+	_, more, err = p.Receive(now, "b", replyEntry{key: u.Key(), issued: 4}.append(newHeader(KindReply, 2, 0)))
 	is.NoErr(err)
 	is.True(!more)
 	is.True(!p.Acquire(now, u, 1))
--- a/permitter/limit.go
+++ b/permitter/limit.go
@@ -2,11 +2,8 @@
 
 import (
 	"slices"
-	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/kingcuphook/kingcuphook"
 )
 
@@ -97,11 +94,6 @@
 	spare bool
 }
 
-// keyOf returns the hash that identifies a program in messages.
-func keyOf(p kingcuphook.Program) uint64 {
-	return xxhash.Sum64String(p.Address() + " " + p.Instance() + " " + strconv.FormatInt(p.StartTime(), 10))
-}
-
 // observe records an announced limit, and reports whether its change is to be reported.
 func (l *limit) observe(now time.Time, perSecond float64, sentAt time.Time) bool {
 	l.announcedAt = now
--- a/permitter/permitter.go
+++ b/permitter/permitter.go
@@ -166,7 +166,7 @@
 		p.limits = make(map[kingcuphook.Program]*limit)
 		p.byKey = make(map[uint64]*limit)
 	}
-	l := &limit{program: program, key: keyOf(program)}
+	l := &limit{program: program, key: program.Key()}
 	p.limits[program] = l
 	p.byKey[l.key] = l
 	p.count.Store(int64(len(p.limits)))
--- a/withdrawer/withdrawer.go
+++ b/withdrawer/withdrawer.go
@@ -9,12 +9,9 @@
 	"fmt"
 	"maps"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/kingcuphook/kingcuphook"
 )
 
@@ -57,11 +54,6 @@
 	ownKeys []uint64
 }
 
-// keyOf returns the hash that identifies a program in payloads.
-func keyOf(p kingcuphook.Program) uint64 {
-	return xxhash.Sum64String(p.Address() + " " + p.Instance() + " " + strconv.FormatInt(p.StartTime(), 10))
-}
-
 // RecordAnnouncement records that a program announced to this router that it is
 // leaving. It reports whether the announcement is new.
 func (w *Withdrawer) RecordAnnouncement(now time.Time, p kingcuphook.Program) bool {
@@ -207,13 +199,13 @@
 	if _, announced := w.announced[p]; announced {
 		w.announced[p] = now
 		if !u.Leaving() {
-			w.ownKeys = append(w.ownKeys, keyOf(p))
+			w.ownKeys = append(w.ownKeys, p.Key())
 		}
 		return true
 	}
 	if len(w.reported) == 0 {
 		return false
 	}
-	_, reported := w.reported[keyOf(p)]
+	_, reported := w.reported[p.Key()]
 	return reported
 }
