--- a/router/overhead_test.go
+++ b/router/overhead_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"runtime"
@@ -16,12 +15,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
-	"google.golang.org/grpc"
 
-	"github.com/kingcuphook/kingcuphook/configurer"
-	"github.com/kingcuphook/kingcuphook/editor"
 	"github.com/kingcuphook/kingcuphook/emulator/storer"
-	"github.com/kingcuphook/kingcuphook/parser"
 )
 
 // benchmarkTokens is the length of the long answers in the benchmarks.
@@ -80,40 +75,10 @@
 	engine := httptest.NewServer(h)
 	b.Cleanup(engine.Close)
 	store := &storer.Store{}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		b.Fatal(err)
-	}
-	g := grpc.NewServer()
-	(&storer.Server{Store: store}).Register(g)
-	go func() { _ = g.Serve(l) }()
-	b.Cleanup(g.Stop)
-	applyBenchmarkTables(b, store, engine.Listener.Addr().String())
-
-	s := configurer.Default()
-	s.Node = configurer.Node{Region: "cairo", DataCentre: "cairo-1"}
-	anyPort := "127.0.0.1:0"
-	s.Listen = configurer.Listen{Callers: anyPort, Operators: anyPort, Admin: anyPort, Peers: anyPort}
-	s.Platform.Address = l.Addr().String()
-	s.TLS.PlainText = true
-	s.Operators.Token = "benchmark-token-0"
-	s.Stop.DrainDelay = 0
-	r := &Router{Settings: &s, Seed: 1}
-	if err := r.Listen(); err != nil {
-		b.Fatal(err)
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- r.Run(ctx) }()
-	b.Cleanup(func() {
-		cancel()
-		if err := <-ended; err != nil {
-			b.Error(err)
-		}
-	})
-	for !r.Ready() {
-		time.Sleep(time.Millisecond)
-	}
+	platform := servePlatform(b, store)
+	applyTables(b, store, benchmarkRoutes, fmt.Sprintf(benchmarkPools, engine.Listener.Addr().String()))
+	r := listen(b, platform, 1)
+	run(b, r)
 	return engine.URL, "http://" + r.CallersAddress()
 }
 
@@ -181,22 +146,6 @@
 	return m.HeapInuse + m.StackInuse
 }
 
-func applyBenchmarkTables(b *testing.B, store *storer.Store, engine string) {
-	b.Helper()
-	routes, err := parser.ParseRoutes("routes", []byte(benchmarkRoutes))
-	if err != nil {
-		b.Fatal(err)
-	}
-	pools, err := parser.ParsePools("pools", fmt.Appendf(nil, benchmarkPools, engine))
-	if err != nil {
-		b.Fatal(err)
-	}
-	e := editor.Editor{Store: store}
-	if _, err := e.Apply(context.Background(), editor.Edit{Author: "bench", Base: editor.BaseNewest, Routes: routes, Pools: pools}); err != nil {
-		b.Fatal(err)
-	}
-}
-
 // benchmarkBody is a request with a prompt of about 4 KB.
 var benchmarkBody = []byte(`{"model":"m","stream":true,"messages":[{"role":"user","content":"` + strings.Repeat("long text ", 400) + `"}]}`)
 
--- a/router/ratelimit_test.go
+++ b/router/ratelimit_test.go
@@ -3,10 +3,8 @@
 import (
 	"bytes"
 	"cmp"
-	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -14,14 +12,9 @@
 	"testing"
 	"time"
 
-	"google.golang.org/grpc"
-
 	"github.com/kingcuphook/kingcuphook"
-	"github.com/kingcuphook/kingcuphook/configurer"
-	"github.com/kingcuphook/kingcuphook/editor"
 	"github.com/kingcuphook/kingcuphook/emulator/responder"
 	"github.com/kingcuphook/kingcuphook/emulator/storer"
-	"github.com/kingcuphook/kingcuphook/parser"
 	"github.com/kingcuphook/kingcuphook/platform/standin"
 )
 
@@ -54,14 +47,7 @@
 func startFleet(t *testing.T, n int, upstreams ...*responder.Upstream) []*Router {
 	t.Helper()
 	store := &storer.Store{}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	g := grpc.NewServer()
-	(&storer.Server{Store: store}).Register(g)
-	go func() { _ = g.Serve(l) }()
-	t.Cleanup(g.Stop)
+	platform := servePlatform(t, store)
 	addresses := make([]any, 0, len(upstreams))
 	for _, u := range upstreams {
 		s := httptest.NewServer(u)
@@ -73,18 +59,7 @@
 	routers := make([]*Router, 0, n)
 	vms := make([]kingcuphook.VM, 0, n)
 	for i := range n {
-		s := configurer.Default()
-		s.Node = configurer.Node{Region: "cairo", DataCentre: "cairo-1"}
-		anyPort := "127.0.0.1:0"
-		s.Listen = configurer.Listen{Callers: anyPort, Operators: anyPort, Admin: anyPort, Peers: anyPort}
-		s.Platform.Address = l.Addr().String()
-		s.TLS.PlainText = true
-		s.Operators.Token = "rate-limit-token-0"
-		s.Stop.DrainDelay = 0
-		r := &Router{Settings: &s, Seed: uint64(i) + 1}
-		if err := r.Listen(); err != nil {
-			t.Fatal(err)
-		}
+		r := listen(t, platform, uint64(i)+1)
 		routers = append(routers, r)
 		vms = append(vms, kingcuphook.NewVM(r.PeersAddress(), "cairo", "cairo-1", kingcuphook.VMStateLive))
 	}
@@ -95,41 +70,6 @@
 	return routers
 }
 
-// run runs a router until the test ends, and waits until it is ready.
-func run(t *testing.T, r *Router) {
-	t.Helper()
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- r.Run(ctx) }()
-	t.Cleanup(func() {
-		cancel()
-		if err := <-ended; err != nil {
-			t.Error(err)
-		}
-	})
-	for until := time.Now().Add(10 * time.Second); !r.Ready(); time.Sleep(10 * time.Millisecond) {
-		if time.Now().After(until) {
-			t.Fatal("timed out waiting for readiness")
-		}
-	}
-}
-
-func applyTables(t *testing.T, store *storer.Store, routes, pools string) {
-	t.Helper()
-	r, err := parser.ParseRoutes("routes", []byte(routes))
-	if err != nil {
-		t.Fatal(err)
-	}
-	p, err := parser.ParsePools("pools", []byte(pools))
-	if err != nil {
-		t.Fatal(err)
-	}
-	e := editor.Editor{Store: store}
-	if _, err := e.Apply(t.Context(), editor.Edit{Author: "test", Base: editor.BaseNewest, Routes: r, Pools: p}); err != nil {
-		t.Fatal(err)
-	}
-}
-
 // load sends calls through each router for d, one every interval, and returns how many
 // were answered with each status.
 func load(t *testing.T, routers []*Router, d, interval time.Duration) map[int]int {
