Bound what the issuer of a wanted upstream sends

An issuer answered each request for permits, however many routers asked: simulated fleets of 30 to 1,103 routers before one limited upstream made it send up to 13.7 KB/s (3 KB/s are allowed for control). Routers now ask for permits of an upstream the less often the more there are, 60 times a second together; reports of what an upstream announced and returned permits get no reply. Permits that no other router needs last for two such intervals, while those issued stay within a second of the limit.

--- a/permitter/exchange.go
+++ b/permitter/exchange.go
@@ -9,8 +9,14 @@
 )
 
 const (
-	// requestInterval is the least time between two requests for permits of an upstream.
-	requestInterval = 100 * time.Millisecond
+	// minRequestInterval is the least time between two requests of a router for permits of
+	// an upstream. All routers together make at most requestsPerSecond requests.
+	minRequestInterval = 100 * time.Millisecond
+	requestsPerSecond  = 60
+	// reportInterval is the least time between two reports of a router on an upstream.
+	reportInterval = 200 * time.Millisecond
+	// minSurplusTTL is the least time in which a surplus permit can be used.
+	minSurplusTTL = 5 * time.Second
 	// replyTimeout is how long a router waits for the reply to a request.
 	replyTimeout = 300 * time.Millisecond
 	// maxPermitWait bounds for how long a reply can deny permits.
@@ -35,8 +41,8 @@
 	}
 }
 
-// requests returns the requests that are due, and the changes of limits for which this
-// router is the issuer itself. The caller holds mu.
+// requests returns the requests and reports that are due, and the changes of limits for which
+// this router is the issuer itself. The caller holds mu.
 func (p *Permitter) requests(now time.Time) ([]Message, []Change) {
 	if p.budget == nil {
 		p.budget = rate.NewLimiter(requestBytesPerSecond, requestBytesBurst)
@@ -46,7 +52,7 @@
 	for _, l := range p.limits {
 		p.checkTimeout(now, l)
 		l.expirePermits(now)
-		if !l.requestDue(now) {
+		if !l.requestDue(now) && !l.reportDue(now) {
 			continue
 		}
 		issuer := p.issuerOf(now, l)
@@ -90,40 +96,58 @@
 	l.needed = max(l.needed, l.request.wanted)
 }
 
-// newRequest returns a request for permits of several upstreams.
+// newRequest returns a message with requests for permits of several upstreams, or reports.
 func (p *Permitter) newRequest(now time.Time, issuer string, limits []*limit) Message {
 	p.sequence++
 	b := newHeader(KindRequest, p.sequence, 0)
 	for _, l := range limits {
-		e := p.entryOf(now, l)
-		if l.issuedBy != issuer {
-			e.unused = 0
-		}
+		e := p.newEntry(now, l, issuer)
 		b = e.append(b, now)
-		l.request = permitRequest{pending: true, to: issuer, sequence: p.sequence, sentAt: now, wanted: e.wanted, tier: e.tier, spare: e.spare}
-		l.nextRequest = now.Add(requestInterval)
-		l.clearNews()
+		l.request.pending = e.wanted > 0
+		l.request.sequence = p.sequence
 	}
 	return Message{To: issuer, Payload: b}
 }
 
-func (p *Permitter) entryOf(now time.Time, l *limit) requestEntry {
-	e := requestEntry{key: l.key, evidence: l.evidence(), tier: max(l.tier, kingcuphook.HighestTier), wanted: l.wanted(now), unused: l.unused}
+// newEntry returns the entry for a limit of a request to an issuer, and records that it is
+// sent.
+func (p *Permitter) newEntry(now time.Time, l *limit, issuer string) requestEntry {
+	e := requestEntry{key: l.key, evidence: l.evidence(), tier: max(l.tier, kingcuphook.HighestTier)}
+	if l.issuedBy == issuer {
+		e.unused = l.unused
+	}
+	l.clearReport()
+	l.nextReport = now.Add(reportInterval)
+	l.request = permitRequest{to: issuer, sentAt: now}
+	if !l.requestDue(now) {
+		return e
+	}
+	e.wanted = l.wanted(now)
 	if l.wantsSpare() {
 		e.spare, e.tier, e.wanted = true, kingcuphook.LowestTier, 1
 	}
+	l.clearNeed()
+	l.nextRequest = now.Add(p.requestInterval())
+	l.request.wanted, l.request.tier, l.request.spare = e.wanted, e.tier, e.spare
 	return e
 }
 
+// requestInterval returns the least time between two requests of this router for permits of
+// an upstream. It grows with the fleet, since the issuer answers all routers.
+func (p *Permitter) requestInterval() time.Duration {
+	return max(minRequestInterval, time.Duration(len(p.routers))*time.Second/requestsPerSecond)
+}
+
+// surplusTTL returns how long a surplus permit can be used. Routers that ask seldom need it
+// for longer.
+func (p *Permitter) surplusTTL() time.Duration {
+	return max(minSurplusTTL, 2*p.requestInterval())
+}
+
 // issueToSelf issues permits to this router. If the limit has ended, it returns the change.
 // The caller holds mu.
 func (p *Permitter) issueToSelf(now time.Time, l *limit) (Change, bool) {
-	e := p.entryOf(now, l)
-	if l.issuedBy != p.Self {
-		e.unused = 0
-	}
-	l.request = permitRequest{to: p.Self, sentAt: now, wanted: e.wanted, tier: e.tier, spare: e.spare}
-	l.clearNews()
+	e := p.newEntry(now, l, p.Self)
 	return p.applyEntry(now, l, p.Self, p.issue(now, p.Self, e))
 }
 
@@ -136,16 +160,14 @@
 		r.wait, r.retry = maxRetry, maxRetry
 	case b.ended(now):
 		r.ended = true
+	case e.spare:
+		b.putBack(now, e.unused)
+		r.issued, r.retry = b.drawSpare(), b.spreadRetry(router, maxSpareRetry)
 	default:
 		b.putBack(now, e.unused)
-		switch {
-		case e.spare:
-			r.issued, r.retry = b.drawSpare(), b.spreadRetry(router, len(p.routers), maxSpareRetry)
-		case !e.spare && e.wanted > 0:
-			r.surplus = b.full(now)
-			r.issued = b.draw(now, router, e.tier, e.wanted)
-			r.wait, r.retry = b.waitOf(now), b.retryOf(now, router)
-		}
+		r.surplus = b.hasSurplus(now, p.surplusTTL())
+		r.issued = b.draw(now, router, e.tier, e.wanted, r.surplus)
+		r.wait, r.retry = b.waitOf(now), b.retryOf(now, router)
 	}
 	return r
 }
@@ -178,7 +200,12 @@
 		if err != nil {
 			return nil, err
 		}
-		b = p.issue(now, from, e).append(b)
+		if r := p.issue(now, from, e); e.wanted > 0 {
+			b = r.append(b)
+		}
+	}
+	if len(b) == headerBytes {
+		return nil, nil
 	}
 	return b, nil
 }
@@ -241,7 +268,11 @@
 		p.remove(l)
 		return c, true
 	case e.issued > 0:
-		l.addPermits(now, issuer, e.issued, e.surplus, l.request.spare)
+		ttl := permitTTL
+		if e.surplus {
+			ttl = p.surplusTTL()
+		}
+		l.addPermits(issuer, e.issued, permit{expires: now.Add(ttl), surplus: e.surplus, spare: l.request.spare})
 	case l.request.spare:
 		l.nextOffer = now.Add(min(e.retry, maxPermitWait))
 	case l.request.wanted > 0:
--- a/permitter/fleet_test.go
+++ b/permitter/fleet_test.go
@@ -15,6 +15,8 @@
 	step        = 10 * time.Millisecond
 	linkDelay   = 30 * time.Millisecond
 	answerDelay = 100 * time.Millisecond
+	// maxControlBytes is what a router may send a second for control.
+	maxControlBytes = 3 << 10
 )
 
 // fleet simulates routers that send requests to one upstream, which announces a limit.
@@ -35,7 +37,6 @@
 	replies  int
 	events   []event
 	arrivals []arrival
-	bytes    int
 }
 
 // simulated is one router of a fleet.
@@ -46,6 +47,8 @@
 	down    bool
 	// told is when the router first passed on a reply with a limit; zero if it has not.
 	told time.Time
+	// bytes counts what it sent to other routers.
+	bytes int
 }
 
 type event struct {
@@ -150,7 +153,7 @@
 }
 
 func (f *fleet) send(from *simulated, to string, payload []byte) {
-	f.bytes += datagramBytes + len(payload)
+	from.bytes += datagramBytes + len(payload)
 	if f.rng.Float64() < f.loss {
 		return
 	}
@@ -202,8 +205,9 @@
 
 // The routers of a fleet of any size together keep a limit, and use at least half of it.
 func TestFleetKeepsAndUsesLimit(t *testing.T) {
-	for _, routers := range []int{1, 8, 30, 300} {
-		for _, perSecond := range []float64{0, 0.1, 0.5, 1, 4, 40, 10_000} {
+	all, some := []float64{0, 0.1, 0.5, 1, 4, 40, 10_000}, []float64{0.5, 10_000}
+	for routers, limits := range map[int][]float64{1: all, 8: all, 30: all, 300: all, 1103: some} {
+		for _, perSecond := range limits {
 			t.Run(fmt.Sprintf("%d/%v", routers, perSecond), func(t *testing.T) {
 				t.Parallel()
 				const requests = 200
@@ -211,12 +215,18 @@
 				start := f.now
 				f.announce(perSecond)
 				f.run(5 * time.Second)
-				loaded, bytes := f.now, f.bytes
+				loaded := f.now
+				for _, r := range f.routers {
+					r.bytes = 0
+				}
 				f.run(20 * time.Second)
 				f.checkWindows(start, perSecond)
 				used := float64(f.arrived(loaded)) / 20
-				control := float64(f.bytes-bytes) / 20 / float64(routers)
-				t.Logf("%.2f calls a second, %.0f bytes a second and router", used, control)
+				control := slices.MaxFunc(f.routers, func(a, b *simulated) int { return a.bytes - b.bytes }).bytes / 20
+				t.Logf("%.2f calls a second, at most %d bytes a second from a router", used, control)
+				if control > maxControlBytes {
+					t.Errorf("%d bytes a second from a router, %d are allowed", control, maxControlBytes)
+				}
 				if wanted := min(perSecond, requests) / 2; used < wanted {
 					t.Errorf("%.2f calls a second, want at least %.2f", used, wanted)
 				}
--- a/permitter/issuer.go
+++ b/permitter/issuer.go
@@ -31,8 +31,8 @@
 	guaranteedEvery = 8
 	// spareReserve is what the draw of a spare permit leaves in the bucket.
 	spareReserve = 0.2
-	// prefetchShare is the share of the tokens that one request gets if it needs less, up to
-	// maxPrefetch permits.
+	// prefetchShare is the share of the tokens that one request gets of a surplus if it needs
+	// less, up to maxPrefetch permits.
 	prefetchShare = 0.25
 	maxPrefetch   = 4
 
@@ -49,13 +49,11 @@
 
 	// retriesPerWait is how often a router asks again while it waits for a permit. minRetry
 	// and maxRetry bound the time between two requests, maxSpareRetry that between two
-	// requests for spare permits. The bounds grow with the number of
-	// waiting routers, so that they ask at most retriesPerSecond times a second.
-	retriesPerWait   = 4
-	minRetry         = 100 * time.Millisecond
-	maxRetry         = 2 * time.Second
-	maxSpareRetry    = 500 * time.Millisecond
-	retriesPerSecond = 50
+	// requests for spare permits.
+	retriesPerWait = 4
+	minRetry       = 100 * time.Millisecond
+	maxRetry       = 2 * time.Second
+	maxSpareRetry  = 500 * time.Millisecond
 	// waitingTTL is how long a denied router counts as waiting.
 	waitingTTL = 30 * time.Second
 	// maxBuckets bounds the token buckets of an issuer, maxWaiting the waiting routers of
@@ -93,8 +91,10 @@
 
 	tokens   float64
 	filledAt time.Time
-	// issued counts the permits.
-	issued int
+	// issued counts the permits, surplus those of them since surplusSince that no other
+	// router needed.
+	issued, surplus int
+	surplusSince    time.Time
 	// claimedTier is the highest tier that was denied, until claimedUntil.
 	claimedTier  kingcuphook.Tier
 	claimedUntil time.Time
@@ -180,9 +180,15 @@
 // capacity returns the capacity of a bucket that is filled at a rate.
 func capacity(perSecond float64) float64 { return max(minBurst, perSecond*burstTime.Seconds()) }
 
-// full reports whether the bucket can take no more tokens, because less is used than the
-// limit allows.
-func (b *bucket) full(now time.Time) bool { return b.tokens >= capacity(b.rate(now)) }
+// hasSurplus reports whether less is used than the limit allows: the bucket is full, and the
+// surplus permits that were issued within their time to live stay within one second of the
+// limit.
+func (b *bucket) hasSurplus(now time.Time, ttl time.Duration) bool {
+	if now.Sub(b.surplusSince) >= ttl {
+		b.surplus, b.surplusSince = 0, now
+	}
+	return b.tokens >= capacity(b.rate(now)) && float64(b.surplus) <= b.perSecond
+}
 
 // putBack adds permits that a router returned unused.
 func (b *bucket) putBack(now time.Time, n int) {
@@ -190,17 +196,25 @@
 }
 
 // draw issues permits to a router that wants some for requests up to the given tier, and
-// returns their number.
-func (b *bucket) draw(now time.Time, router string, tier kingcuphook.Tier, wanted int) int {
+// returns their number. Surplus permits are issued in larger numbers.
+func (b *bucket) draw(now time.Time, router string, tier kingcuphook.Tier, wanted int, surplus bool) int {
+	if wanted == 0 {
+		return 0
+	}
 	available := b.tokens
 	if tier > b.claimedTier && now.Before(b.claimedUntil) && b.issued%guaranteedEvery != 0 {
 		available -= reservedTokens
 	}
-	prefetched := min(int(available*prefetchShare), maxPrefetch)
-	n := min(int(available), max(wanted, prefetched), maxNeeded)
+	if surplus {
+		wanted = max(wanted, min(int(available*prefetchShare), maxPrefetch))
+	}
+	n := min(int(available), wanted)
 	if n > 0 {
 		b.tokens -= float64(n)
 		b.issued += n
+		if surplus {
+			b.surplus += n
+		}
 		delete(b.waiting, router)
 		return n
 	}
@@ -230,10 +244,9 @@
 }
 
 // retryOf returns after which time a waiting router may ask again. That is before its turn,
-// so that no token stays unused because others need none. The bound differs between routers,
-// so that they don't all ask at the same moment.
+// so that no token stays unused because others need none.
 func (b *bucket) retryOf(now time.Time, router string) time.Duration {
-	return min(max(b.waitOf(now)/retriesPerWait, minRetry), b.spreadRetry(router, len(b.waiting), maxRetry))
+	return min(max(b.waitOf(now)/retriesPerWait, minRetry), b.spreadRetry(router, maxRetry))
 }
 
 // drawSpare issues a permit that no request needs, and returns the number of permits. It
@@ -247,11 +260,9 @@
 	return 1
 }
 
-// spreadRetry returns after which time one of n routers may ask again: at most longest, or
-// longer if all together would ask more often than retriesPerSecond. It differs between
-// routers, so that they don't all ask at the same moment.
-func (b *bucket) spreadRetry(router string, n int, longest time.Duration) time.Duration {
+// spreadRetry returns a time from half of longest to longest. It differs between routers, so
+// that they don't all ask at the same moment.
+func (b *bucket) spreadRetry(router string, longest time.Duration) time.Duration {
 	spread := float64(score(uint64(b.issued), router)) / math.MaxUint64
-	longest = max(longest, time.Duration(n)*time.Second/retriesPerSecond)
 	return time.Duration((1 + spread) / 2 * float64(longest))
 }
--- a/permitter/issuer_test.go
+++ b/permitter/issuer_test.go
@@ -14,8 +14,8 @@
 func drawFor(b *bucket, now time.Time, d time.Duration) (high, low int) {
 	for until := now.Add(d); now.Before(until); now = now.Add(50 * time.Millisecond) {
 		b.refill(now)
-		low += b.draw(now, "low", 3, 1)
-		high += b.draw(now, "high", 1, 1)
+		low += b.draw(now, "low", 3, 1, false)
+		high += b.draw(now, "high", 1, 1, false)
 	}
 	return high, low
 }
@@ -38,13 +38,13 @@
 	now := time.Unix(1_700_000_000, 0)
 	i := issuer{}
 	b := i.bucket(now, 1, evidence{perSecond: 1})
-	is.Equal(b.draw(now, "a", 1, 1), 0)
+	is.Equal(b.draw(now, "a", 1, 1, false), 0)
 	wait := b.waitOf(now)
 	is.True(wait >= time.Second && wait <= 2*time.Second)
 	is.True(b.retryOf(now, "a") < wait)
 	now = now.Add(wait + time.Millisecond)
 	b.refill(now)
-	is.Equal(b.draw(now, "a", 1, 1), 1)
+	is.Equal(b.draw(now, "a", 1, 1, false), 1)
 }
 
 // A bucket whose limit ended long ago has a finite number of tokens.
--- a/permitter/limit.go
+++ b/permitter/limit.go
@@ -8,10 +8,9 @@
 )
 
 const (
-	// permitTTL is how long after its arrival a permit can be used, surplusTTL the same for
-	// permits that were issued from a full bucket, for which there is no competition.
-	permitTTL  = time.Second
-	surplusTTL = 5 * time.Second
+	// permitTTL is how long after its arrival a permit can be used. That of surplus permits
+	// depends on the fleet.
+	permitTTL = 1500 * time.Millisecond
 	// maxNeeded bounds the permits that one request can ask for.
 	maxNeeded = 255
 	// minChangeInterval is the least time between two reports of a changed value, which
@@ -55,8 +54,9 @@
 	nextOffer time.Time
 
 	request permitRequest
-	// nextRequest is the earliest time of the next request for permits.
-	nextRequest time.Time
+	// nextRequest is the earliest time of the next request for permits, nextReport that of
+	// the next message that only reports to the issuer.
+	nextRequest, nextReport time.Time
 	// ranked has the first routers by rendezvous hashing, which are the issuer and its
 	// substitutes, as of generation.
 	ranked     []string
@@ -66,7 +66,7 @@
 // permit allows one request.
 type permit struct {
 	expires time.Time
-	// surplus means that it was issued from a full bucket, spare that no request needed it.
+	// surplus means that no other router needed it, spare that no request did.
 	surplus, spare bool
 }
 
@@ -135,15 +135,11 @@
 	return true
 }
 
-// addPermits adds permits that a router issued now.
-func (l *limit) addPermits(now time.Time, issuer string, n int, surplus, spare bool) {
+// addPermits adds permits that a router issued.
+func (l *limit) addPermits(issuer string, n int, p permit) {
 	if issuer != l.issuedBy {
 		l.issuedBy, l.unused = issuer, 0
 	}
-	p := permit{expires: now.Add(permitTTL), spare: spare}
-	if surplus {
-		p = permit{expires: now.Add(surplusTTL), surplus: true}
-	}
 	for range n {
 		l.permits = append(l.permits, p)
 	}
@@ -176,12 +172,15 @@
 	return l.denial
 }
 
-// requestDue reports whether the issuer is to be asked for permits, or told something.
+// requestDue reports whether the issuer is to be asked for permits.
 func (l *limit) requestDue(now time.Time) bool {
-	if l.request.pending || now.Before(l.nextRequest) {
-		return false
-	}
-	return l.newAnnouncement || l.newNone || l.unused > 0 || l.wanted(now) > 0 || l.wantsSpare()
+	return !l.request.pending && !now.Before(l.nextRequest) && (l.wanted(now) > 0 || l.wantsSpare())
+}
+
+// reportDue reports whether the issuer is to be told what this router observed, or gets back
+// permits.
+func (l *limit) reportDue(now time.Time) bool {
+	return !l.request.pending && !now.Before(l.nextReport) && (l.newAnnouncement || l.newNone || l.unused > 0)
 }
 
 // wantsSpare reports whether to ask for a permit only if it is not used otherwise.
@@ -207,9 +206,14 @@
 	return e
 }
 
-// clearNews records that the issuer was told what this router observed.
-func (l *limit) clearNews() {
+// clearReport records that the issuer was told what this router observed.
+func (l *limit) clearReport() {
 	l.newAnnouncement, l.newNone = false, false
-	l.needed, l.unused = 0, 0
+	l.unused = 0
+}
+
+// clearNeed records that the issuer was asked for the permits needed.
+func (l *limit) clearNeed() {
+	l.needed = 0
 	l.offered = false
 }
