Accept that a report to an issuer has no reply in serve

Reports get no reply since the issuer's messages are bounded; serve took the empty reply for an invalid message and logged a failed exchange (KCH1401, debug level) for each. Names in permitter: notify for the callback, report for what the issuer is told.

--- a/permitter/exchange.go
+++ b/permitter/exchange.go
@@ -28,11 +28,12 @@
 	p.mu.Lock()
 	messages, changes := p.requests(now)
 	p.mu.Unlock()
-	p.report(changes)
+	p.notify(changes)
 	return messages
 }
 
-func (p *Permitter) report(changes []Change) {
+// notify calls OnChange for each change. The caller doesn't hold mu.
+func (p *Permitter) notify(changes []Change) {
 	if p.OnChange == nil {
 		return
 	}
@@ -222,7 +223,7 @@
 		more = more || e.issued > 0 || e.ended
 	}
 	p.mu.Unlock()
-	p.report(changes)
+	p.notify(changes)
 	return more, nil
 }
 
--- a/permitter/limit.go
+++ b/permitter/limit.go
@@ -13,8 +13,8 @@
 	permitTTL = 1500 * time.Millisecond
 	// maxNeeded bounds the permits that one request can ask for.
 	maxNeeded = 255
-	// minChangeInterval is the least time between two reports of a changed value, which
-	// may differ in each reply.
+	// minChangeInterval is the least time between two calls of OnChange for a changed
+	// value, which may differ in each reply.
 	minChangeInterval = time.Second
 )
 
@@ -33,9 +33,10 @@
 	announcedAt, noneSentAt time.Time
 	// newAnnouncement and newNone mean that the issuer has not been told these yet.
 	newAnnouncement, newNone bool
-	// reported and reportedAt are the value and the time of the last change reported.
-	reported   float64
-	reportedAt time.Time
+	// notified and notifiedAt are the value and the time of the last change that OnChange was
+	// called for.
+	notified   float64
+	notifiedAt time.Time
 
 	// permits has the permits that can be used, the one that expires first at the start.
 	permits []permit
@@ -94,7 +95,7 @@
 	spare bool
 }
 
-// observe records an announced limit, and reports whether its change is to be reported.
+// observe records an announced limit, and reports whether OnChange is to be called.
 func (l *limit) observe(now time.Time, perSecond float64, sentAt time.Time) bool {
 	l.announcedAt = now
 	l.newAnnouncement = true
@@ -103,10 +104,10 @@
 		return false
 	}
 	l.perSecond, l.sentAt = perSecond, sentAt
-	if !l.reportedAt.IsZero() && (perSecond == l.reported || now.Sub(l.reportedAt) < minChangeInterval) {
+	if !l.notifiedAt.IsZero() && (perSecond == l.notified || now.Sub(l.notifiedAt) < minChangeInterval) {
 		return false
 	}
-	l.reported, l.reportedAt = perSecond, now
+	l.notified, l.notifiedAt = perSecond, now
 	return true
 }
 
--- a/permitter/permitter.go
+++ b/permitter/permitter.go
@@ -132,9 +132,7 @@
 	if !changed {
 		return
 	}
-	if p.OnChange != nil {
-		p.OnChange(change)
-	}
+	p.notify([]Change{change})
 	p.wake()
 }
 
@@ -217,7 +215,7 @@
 	due := !ended && l.requestDue(now)
 	p.mu.Unlock()
 	if ended {
-		p.report([]Change{change})
+		p.notify([]Change{change})
 	}
 	if due {
 		p.wake()
--- a/router/permits.go
+++ b/router/permits.go
@@ -24,7 +24,7 @@
 func (r *Router) requestPermits(ctx context.Context, m permitter.Message) {
 	reply, err := r.peerClient.Permits(ctx, m.To, r.PeersAddress(), m.Payload)
 	more := false
-	if err == nil {
+	if err == nil && len(reply) > 0 {
 		_, more, err = r.permits.Receive(time.Now(), m.To, reply)
 	}
 	if err != nil {
