--- a/permitter/issuer_test.go
+++ b/permitter/issuer_test.go
@@ -113,3 +113,16 @@
 	is.True(more)
 	is.True(p.Acquire(now, u, 1))
 }
+
+// Reports would otherwise double what the issuer of a wanted upstream sends.
+func TestReportGetsNoReply(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_700_000_000, 0)
+	p := &Permitter{Self: "a", started: now.Add(-time.Hour)}
+	report := requestEntry{key: 1, evidence: evidence{perSecond: 4, announcedAt: now}, tier: 1, unused: 2}
+	reply, more, err := p.Receive(now, "b", report.append(newHeader(KindRequest, 1, 0), now))
+	is.NoErr(err)
+	is.True(!more)
+	is.Equal(reply, nil)
+	is.Equal(p.issuer.buckets[1].perSecond, 4.0)
+}
