Split the choice of upstream, the acquiring of slots and the soak's routers into files

The state of an upstream and the query of a selection, the acquiring of slots and the router processes stand in files of their own now; nothing in them has changed.

--- /dev/null
+++ b/locator/query.go
@@ -0,0 +1,101 @@
+package locator
+
+import (
+	"cmp"
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/kingcuphook/kingcuphook"
+)
+
+// query holds the properties of a request that its selection depends on.
+type query struct {
+	now     time.Time
+	request *kingcuphook.Request
+	// preferred holds the preferred upstreams of its shared prefix.
+	preferred preferredUpstreams
+	// prefix is the hash of the longest shared prefix, 0 if there is none. sharedTokens
+	// is its length, commonTokens that of the next shorter shared prefix.
+	prefix                     uint64
+	sharedTokens, commonTokens int
+	// maxRank is the highest rank of a preferred upstream that the request may go to.
+	maxRank int
+	// long means that the prompt is kept off reserved upstreams.
+	long bool
+	// target is the target for the first token, in nanoseconds.
+	target float64
+	// transferKiB is the expected size of request and answer, in KiB.
+	transferKiB float64
+	// tie breaks ties between upstreams of equal cost.
+	tie uint64
+	// prefillTokenTime is the time to prefill a token, firstTokenOverhead the time to
+	// the first token without prefill, both in nanoseconds.
+	prefillTokenTime, firstTokenOverhead float64
+	// saturation is the number of streams that saturates an upstream, maxStreams the
+	// number beside which a long answer of the class still meets its deadline; for
+	// unreserved and for reserved upstreams.
+	saturation, maxStreams [2]float64
+}
+
+func (l *Locator) newQuery(now time.Time, r *kingcuphook.Request) query {
+	q := query{
+		now:         now,
+		request:     r,
+		target:      float64(cmp.Or(r.Target(), defaultTarget)),
+		transferKiB: float64(r.Bytes()+answerBytes) / 1024,
+		tie:         r.Fingerprint() ^ xxhash.Sum64String(r.ID()),
+	}
+	i := sharedPrefixIndex(r)
+	if i >= 0 {
+		q.prefix, q.sharedTokens = r.Prefix()[i], r.PrefixTokens()[i]
+	}
+	if i > 0 {
+		q.commonTokens = r.PrefixTokens()[i-1]
+	}
+	q.long = max(r.PromptTokens(), q.sharedTokens) >= longPrompt
+	if i >= 0 {
+		q.preferred = l.preferredFor(q.prefix, q.long)
+	}
+	q.prefillTokenTime = float64(l.estimates.PrefillTokenTime())
+	q.firstTokenOverhead = float64(l.estimates.FirstTokenOverhead())
+	allowed := time.Duration(math.MaxInt64)
+	if r.Stream() && !r.Deadline().IsZero() {
+		allowed = time.Duration(deadlineShare * float64(r.Deadline().Sub(r.Arrived())))
+	}
+	for i := range l.workloads {
+		q.saturation[i] = l.estimates.SaturatingStreams(&l.workloads[i])
+		// The lower bounds keep classes served whose answers would miss their deadlines
+		// on nearly any upstream.
+		q.maxStreams[i] = max(l.estimates.MaxStreams(r, &l.workloads[i], allowed), q.saturation[i]*minStreamShare, 1)
+	}
+	return q
+}
+
+// excludes reports whether the request must not go to the upstream. It must not exceed
+// the number of streams beside which its class meets the deadline. A long prompt with a
+// shared prefix is also kept off reserved upstreams, which serve streams with tight token
+// targets, and off upstreams that neither have the prefix cached nor are preferred up to
+// maxRank: prefilling the prefix once more takes capacity that busy upstreams lack, so
+// that all requests would be late.
+func (q *query) excludes(u *upstream) bool {
+	if u.isEngine() && float64(u.load()) >= q.maxStreams[u.group()] {
+		return true
+	}
+	if !q.long || q.preferred[0] == nil {
+		return false
+	}
+	if u.reserved {
+		return true
+	}
+	rank := q.preferred.rank(u)
+	return (rank < 0 || rank > q.maxRank) && !u.hasCached(q)
+}
+
+// sharedPrefixIndex returns the index of the longest prefix that other requests share,
+// negative if there is none. The last entry is the whole prompt, which is the request's
+// own.
+func sharedPrefixIndex(r *kingcuphook.Request) int {
+	return min(len(r.Prefix()), len(r.PrefixTokens())) - 2
+}
--- a/soaker/ratelimit.go
+++ b/soaker/ratelimit.go
@@ -97,22 +97,3 @@
 	}
 	return times
 }
-
-// interruption is a time in which a router was stopped or paused, or has just been.
-type interruption struct{ begin, end time.Time }
-
-// interrupt records that the router is stopped or paused for d.
-func (r *router) interrupt(d time.Duration) {
-	now := time.Now()
-	r.disturb(d + disturbedAfter)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.interruptions = append(r.interruptions, interruption{now, now.Add(d + disturbedAfter)})
-}
-
-// interruptedAt reports whether the router was interrupted at a time.
-func (r *router) interruptedAt(at time.Time) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return slices.ContainsFunc(r.interruptions, func(i interruption) bool { return !at.Before(i.begin) && at.Before(i.end) })
-}
