--- a/scheduler/permit_test.go
+++ b/scheduler/permit_test.go
@@ -131,3 +131,23 @@
 	assignments, _ := s.Assign(start)
 	is.Equal(assignments[0].Choice.CopyFrom, "")
 }
+
+// An upstream may ask for a pause and be at its rate limit at once: the longer one counts.
+func TestPauseAndLimitAtOnce(t *testing.T) {
+	is := is.New(t)
+	denied := kingcuphook.PermitState{Limited: true, NextRequest: start.Add(3 * time.Second), DeniedUntil: start.Add(3 * time.Second)}
+	s, permits := newLimitedScheduler(map[string]kingcuphook.PermitState{"a": denied}, engine("a", 8))
+	s.Pause(start, programOf(engine("a", 8)), start.Add(6*time.Second))
+	s.Offer(start, request("0", 1))
+	_, sheds := s.Assign(start)
+	is.Equal(len(sheds), 1)
+	is.True(errors.Is(sheds[0].Err(), kingcuphook.ErrPaused))
+	is.True(sheds[0].RetryAfter() >= 6*time.Second)
+
+	denied.DeniedUntil = start.Add(20 * time.Second)
+	permits.states["a"] = denied
+	s.Offer(start, request("1", 1))
+	_, sheds = s.Assign(start)
+	is.True(errors.Is(sheds[0].Err(), kingcuphook.ErrUpstreamsLimited))
+	is.True(sheds[0].RetryAfter() >= 20*time.Second)
+}
