--- a/attacher/ratelimit_test.go
+++ b/attacher/ratelimit_test.go
@@ -1,6 +1,7 @@
 package attacher
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -73,3 +74,68 @@
 		})
 	}
 }
+
+// While all upstreams are at their rate limit, what they take is used and the rest is rejected
+// as not run, with a time to retry after, before it has waited longer than for a slot.
+func TestCallsAreRejectedWhileAllUpstreamsAreLimited(t *testing.T) {
+	t.Parallel()
+	const perSecond, loaded, deadline = 2, 10 * time.Second, 8 * time.Second
+	w := newTestPlatform(t)
+	routers := w.startFleet(19, 3)
+	time.Sleep(3 * time.Second) // until the routers issue permits
+	for _, u := range w.upstreams {
+		u.SetRateLimit(strconv.Itoa(perSecond))
+	}
+	w.load(routers, time.Second, 25*time.Millisecond)
+	told := time.Now().Add(standin.RateLimitDelay)
+
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	served, rejected := 0, 0
+	for n := range 100 {
+		group.Go(func() {
+			time.Sleep(time.Duration(n) * loaded / 100)
+			sent := time.Now()
+			resp, err := routers[n%len(routers)].send(standin.Call{Kind: standin.KindIdempotent, ID: fmt.Sprintf("%016x", n), Key: "secret", Deadline: deadline})
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer resp.Body.Close()
+			mu.Lock()
+			defer mu.Unlock()
+			if resp.StatusCode == http.StatusOK {
+				served++
+				return
+			}
+			rejected++
+			after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+			if resp.StatusCode != http.StatusServiceUnavailable || err != nil || after <= 0 {
+				t.Errorf("status %d, Retry-After %q", resp.StatusCode, resp.Header.Get("Retry-After"))
+			}
+			if waited := time.Since(sent); waited > time.Duration(waitShare*float64(deadline))+500*time.Millisecond {
+				t.Errorf("rejected after %v", waited)
+			}
+		})
+	}
+	group.Wait()
+	t.Logf("%d served, %d rejected", served, rejected)
+	if least := int(perSecond * loaded.Seconds() * float64(len(w.upstreams)) / 2); served < least {
+		t.Errorf("%d calls served, want at least %d", served, least)
+	}
+	for _, u := range w.upstreams {
+		if most, allowed := standin.MostCalls(callsSince(u, told)), standin.AllowedCalls(perSecond); most > allowed {
+			t.Errorf("%d calls in a window, %d are allowed", most, allowed)
+		}
+	}
+}
+
+// send sends a call and returns the response.
+func (p *process) send(c standin.Call) (*http.Response, error) {
+	c.Body = http.NoBody
+	r, err := c.Request(context.Background(), p.front)
+	if err != nil {
+		return nil, err
+	}
+	return http.DefaultTransport.RoundTrip(r)
+}
