Let at most two routers issue the permits of an upstream

The rate of a bucket is made for two at once. While the first two by hash are both lost nobody issues until they leave the lists.

--- a/permitter/limit.go
+++ b/permitter/limit.go
@@ -59,7 +59,7 @@
 	// the next message that only reports to the issuer.
 	nextRequest, nextReport time.Time
 	// ranked has the first routers by rendezvous hashing, which are the issuer and its
-	// substitutes, as of generation.
+	// substitute, as of generation.
 	ranked     []string
 	generation int
 }
--- a/permitter/peer.go
+++ b/permitter/peer.go
@@ -11,8 +11,8 @@
 
 const (
 	// maxIssuers is the number of routers that can issue the permits of an upstream: the
-	// first by rendezvous hashing and its substitutes.
-	maxIssuers = 3
+	// first by rendezvous hashing and its substitute. More could exceed a limit together.
+	maxIssuers = 2
 	// maxTimeouts is the number of requests without a reply after which a router is not
 	// asked for timeoutPause. One that declined is not asked for declinePause.
 	maxTimeouts  = 2
