--- a/permitter/issuer.go
+++ b/permitter/issuer.go
@@ -67,10 +67,10 @@
 type evidence struct {
 	// perSecond is the limit that was announced last.
 	perSecond float64
-	// announcedAt is when that was; zero if the issuer was told before. noneSentAt is when
+	// announcedAt is when that was; zero if the issuer was told before. unlimitedSentAt is when
 	// the latest request was sent whose reply announced no limit; zero if there was none
 	// or the issuer was told before.
-	announcedAt, noneSentAt time.Time
+	announcedAt, unlimitedSentAt time.Time
 }
 
 // issuer issues permits for the upstreams that this router is responsible for.
@@ -82,10 +82,10 @@
 type bucket struct {
 	perSecond   float64
 	announcedAt time.Time
-	// noneSentAt is when the latest request was sent whose reply announced no limit, and
-	// nones the number of such replies since one announced it.
-	noneSentAt time.Time
-	nones      int
+	// unlimitedSentAt is when the latest request was sent whose reply announced no limit, and
+	// unlimitedReplies the number of such replies since one announced it.
+	unlimitedSentAt  time.Time
+	unlimitedReplies int
 	// endedAt is when the limit ended; zero while it holds.
 	endedAt time.Time
 
@@ -135,15 +135,15 @@
 	if e.announcedAt.After(b.announcedAt) {
 		b.perSecond, b.announcedAt = e.perSecond, e.announcedAt
 	}
-	if e.announcedAt.After(b.noneSentAt) {
-		b.nones = 0
+	if e.announcedAt.After(b.unlimitedSentAt) {
+		b.unlimitedReplies = 0
 		b.endedAt = time.Time{}
 	}
-	if e.noneSentAt.After(b.announcedAt) && e.noneSentAt.After(b.noneSentAt) {
-		b.noneSentAt = e.noneSentAt
-		b.nones++
+	if e.unlimitedSentAt.After(b.announcedAt) && e.unlimitedSentAt.After(b.unlimitedSentAt) {
+		b.unlimitedSentAt = e.unlimitedSentAt
+		b.unlimitedReplies++
 	}
-	if b.endedAt.IsZero() && b.nones >= endReplies && now.Sub(b.announcedAt) >= minEndTime {
+	if b.endedAt.IsZero() && b.unlimitedReplies >= endReplies && now.Sub(b.announcedAt) >= minEndTime {
 		b.endedAt = now
 	}
 	b.tokens = min(b.tokens, capacity(b.rate(now)))
@@ -162,7 +162,7 @@
 // rate returns the rate of permits per second.
 func (b *bucket) rate(now time.Time) float64 {
 	r := issuedPerSecond(b.perSecond)
-	if b.nones > 0 {
+	if b.unlimitedReplies > 0 {
 		r = max(r, confirmPerSecond)
 	}
 	if !b.endedAt.IsZero() {
--- a/permitter/issuer_test.go
+++ b/permitter/issuer_test.go
@@ -55,7 +55,7 @@
 	b := i.bucket(now, 1, evidence{perSecond: 4})
 	for range endReplies {
 		now = now.Add(time.Second)
-		b = i.bucket(now, 1, evidence{perSecond: 4, noneSentAt: now})
+		b = i.bucket(now, 1, evidence{perSecond: 4, unlimitedSentAt: now})
 	}
 	now = now.Add(24 * time.Hour)
 	b.refill(now)
--- a/permitter/limit.go
+++ b/permitter/limit.go
@@ -27,12 +27,12 @@
 	// announced it.
 	perSecond float64
 	sentAt    time.Time
-	// announcedAt is when the last reply arrived that announced a limit. noneSentAt is when
+	// announcedAt is when the last reply arrived that announced a limit. unlimitedSentAt is when
 	// the latest request was sent whose reply announced none; it is after announcedAt or
 	// not used.
-	announcedAt, noneSentAt time.Time
-	// newAnnouncement and newNone mean that the issuer has not been told these yet.
-	newAnnouncement, newNone bool
+	announcedAt, unlimitedSentAt time.Time
+	// newAnnouncement and newUnlimited mean that the issuer has not been told these yet.
+	newAnnouncement, newUnlimited bool
 	// notified and notifiedAt are the value and the time of the last change that OnChange was
 	// called for.
 	notified   float64
@@ -99,7 +99,7 @@
 func (l *limit) observe(now time.Time, perSecond float64, sentAt time.Time) bool {
 	l.announcedAt = now
 	l.newAnnouncement = true
-	l.newNone = false
+	l.newUnlimited = false
 	if sentAt.Before(l.sentAt) {
 		return false
 	}
@@ -111,13 +111,13 @@
 	return true
 }
 
-// observeNone records that a reply announced no limit.
-func (l *limit) observeNone(sentAt time.Time) {
-	if sentAt.Before(l.announcedAt) || !sentAt.After(l.noneSentAt) {
+// observeUnlimited records that a reply announced no limit.
+func (l *limit) observeUnlimited(sentAt time.Time) {
+	if sentAt.Before(l.announcedAt) || !sentAt.After(l.unlimitedSentAt) {
 		return
 	}
-	l.noneSentAt = sentAt
-	l.newNone = true
+	l.unlimitedSentAt = sentAt
+	l.newUnlimited = true
 }
 
 // need records that a request of the tier needs a permit.
@@ -181,7 +181,7 @@
 // reportDue reports whether the issuer is to be told what this router observed, or gets back
 // permits.
 func (l *limit) reportDue(now time.Time) bool {
-	return !l.request.pending && !now.Before(l.nextReport) && (l.newAnnouncement || l.newNone || l.unused > 0)
+	return !l.request.pending && !now.Before(l.nextReport) && (l.newAnnouncement || l.newUnlimited || l.unused > 0)
 }
 
 // wantsSpare reports whether to ask for a permit only if it is not used otherwise.
@@ -201,15 +201,15 @@
 	if l.newAnnouncement {
 		e.announcedAt = l.announcedAt
 	}
-	if l.newNone {
-		e.noneSentAt = l.noneSentAt
+	if l.newUnlimited {
+		e.unlimitedSentAt = l.unlimitedSentAt
 	}
 	return e
 }
 
 // clearReport records that the issuer was told what this router observed.
 func (l *limit) clearReport() {
-	l.newAnnouncement, l.newNone = false, false
+	l.newAnnouncement, l.newUnlimited = false, false
 	l.unused = 0
 }
 
--- a/permitter/message.go
+++ b/permitter/message.go
@@ -95,7 +95,7 @@
 	b = binary.BigEndian.AppendUint64(b, e.key)
 	b = binary.BigEndian.AppendUint32(b, math.Float32bits(float32(e.evidence.perSecond)))
 	b = appendAge(b, now, e.evidence.announcedAt)
-	b = appendAge(b, now, e.evidence.noneSentAt)
+	b = appendAge(b, now, e.evidence.unlimitedSentAt)
 	tier := byte(e.tier)
 	if e.spare {
 		tier |= flagSpare
@@ -140,9 +140,9 @@
 	e := requestEntry{
 		key: binary.BigEndian.Uint64(b),
 		evidence: evidence{
-			perSecond:   float64(math.Float32frombits(binary.BigEndian.Uint32(b[8:]))),
-			announcedAt: decodeAge(b[12:], now),
-			noneSentAt:  decodeAge(b[14:], now),
+			perSecond:       float64(math.Float32frombits(binary.BigEndian.Uint32(b[8:]))),
+			announcedAt:     decodeAge(b[12:], now),
+			unlimitedSentAt: decodeAge(b[14:], now),
 		},
 		tier:   kingcuphook.Tier(b[16] &^ flagSpare),
 		spare:  b[16]&flagSpare != 0,
--- a/permitter/permitter.go
+++ b/permitter/permitter.go
@@ -1,13 +1,8 @@
 // Package permitter keeps the rate limits that upstreams announce in their replies, over
-// all routers. For each limited upstream one router, the issuer, holds a token bucket. It
-// is the first by rendezvous hashing among the known routers. The others request permits
-// from it, each of which allows one request within a short time. A router without a permit
-// sends nothing to the upstream, so lost messages and unknown routers make the fleet send
-// less, not more.
-//
-// The limit ends when several replies to later requests no longer announce it; the issuer
-// decides that, since it is informed of what upstreams announce to all routers. The package
-// does no I/O: messages and the time are passed in, and messages to be sent are returned.
+// all routers. For each limited upstream one router, the issuer, holds a token bucket; it is
+// the first by rendezvous hashing among the known routers. The others request permits from
+// it, each of which allows one request within a short time. Apart from Run the package does
+// no I/O and starts no timers: messages and the time are passed in, messages are returned.
 package permitter
 
 import (
@@ -141,7 +136,7 @@
 	l := p.limits[program]
 	if !r.IsSet() {
 		if l != nil {
-			l.observeNone(sentAt)
+			l.observeUnlimited(sentAt)
 		}
 		return Change{}, false
 	}
