Log which requests are suspected of a crash, with the parts of their prompts

KCH1206 names, for each request that was on an upstream when that broke off, the fingerprint and the hashes of the parts of its prompt that others may share; attach now also has the gauges of crashed attempts and of quarantined fingerprints that serve has. Nothing decides by the parts yet.

--- a/attacher/attacher.go
+++ b/attacher/attacher.go
@@ -192,6 +192,7 @@
 		Allocator:   &narrator.Allocator{Next: &observer.Allocator{Next: a.tally, Observer: watch}, Log: a.Log},
 		Engine:      &narrator.Engine{Next: &observer.Engine{Next: a.forwarder, Observer: watch}, Log: a.Log},
 		Quarantiner: a.quarantine,
+		OnCrash:     narrator.LogCrash(a.Log),
 		NewBudget:   a.newBudget,
 		BudgetKey:   (*kingcuphook.Request).Pool,
 		Owner:       s.Name(),
@@ -219,6 +220,8 @@
 	a.meter.Gauge("kingcuphook_upstream_rate_limits_per_second", func() float64 { return a.permits.Sum() })
 	a.meter.Gauge("kingcuphook_rate_limited_requests_sent_total", func() float64 { return float64(a.permits.Sent()) })
 	a.meter.Gauge("kingcuphook_rate_limited_requests_withheld_total", func() float64 { return float64(a.permits.Withheld()) })
+	a.meter.Gauge("kingcuphook_attempts_crashed_total", func() float64 { return float64(a.dispatcher.Counts().Crashes) })
+	a.meter.Gauge("kingcuphook_quarantined_fingerprints", func() float64 { return float64(len(a.quarantine.List(time.Now()))) })
 	a.meter.Gauge("kingcuphook_log_lines_dropped_total", func() float64 {
 		if a.Dropped == nil {
 			return 0
--- a/directory.go
+++ b/directory.go
@@ -87,6 +87,8 @@
 	// Prefix and PrefixTokens are the fields of RequestFields of the same names.
 	Prefix       []uint64
 	PrefixTokens []int
+	// Parts is the field of RequestFields of the same name.
+	Parts []uint64
 	// ResumeAfter is the ID of the last event that the caller received.
 	ResumeAfter string
 }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -78,6 +78,9 @@
 	// ShareSuspects sends new and cleared suspects to the peers and returns when they
 	// have them; nil means that nothing is sent. It must be safe for concurrent use.
 	ShareSuspects func(ctx context.Context)
+	// OnCrash, if set, is called for each request that is suspected of the crash of an
+	// upstream. It must be safe for concurrent use.
+	OnCrash func(r *kingcuphook.Request, u *kingcuphook.Upstream)
 	// NewBudget creates the retry budget for a key that BudgetKey returned; nil
 	// means one with the defaults.
 	NewBudget func(key string) kingcuphook.RetryBudget
--- a/dispatcher/quarantine.go
+++ b/dispatcher/quarantine.go
@@ -19,6 +19,9 @@
 func (r *run) recordCrash(ctx context.Context, u *kingcuphook.Upstream) {
 	r.d.count(func(n *Counts) { n.Crashes++ })
 	r.d.Quarantiner.RecordCrash(time.Now(), r.request.Fingerprint(), u.Address())
+	if r.d.OnCrash != nil {
+		r.d.OnCrash(r.request, u)
+	}
 	r.d.notifyPeers(ctx)
 }
 
--- a/logger/events.go
+++ b/logger/events.go
@@ -44,6 +44,7 @@
 	RequestAnswered      = Event{1203, LevelInfo, "request answered"}
 	RequestAssigned      = Event{1204, LevelInfo, "request assigned to an upstream"}
 	AttemptFailed        = Event{1205, LevelInfo, "attempt failed"}
+	CrashSuspected       = Event{1206, LevelInfo, "request suspected of the crash of its upstream"}
 	UpstreamsUpdated     = Event{1303, LevelInfo, "upstreams updated"}
 	UpstreamPaused       = Event{1305, LevelInfo, "upstream asked for a pause"}
 	RegistrationRejected = Event{1304, LevelWarn, "registration of an upstream rejected; the upstream is not used"}
@@ -93,6 +94,7 @@
 		RequestAnswered,
 		RequestAssigned,
 		AttemptFailed,
+		CrashSuspected,
 		UpstreamLeaving,
 		UpstreamsUpdated,
 		RegistrationRejected,
--- /dev/null
+++ b/narrator/crash.go
@@ -0,0 +1,31 @@
+package narrator
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/logger"
+)
+
+// hexBase is the base in which fingerprints and hashes of prompt parts are logged.
+const hexBase = 16
+
+// LogCrash returns a function that logs that a request is suspected of the crash of an
+// upstream, with what identifies the request and the parts of its prompt.
+func LogCrash(l *logger.Logger) func(r *kingcuphook.Request, u *kingcuphook.Upstream) {
+	return func(r *kingcuphook.Request, u *kingcuphook.Upstream) {
+		l.Log(logger.CrashSuspected, "request", r.ID(), "upstream", u.Address(), "instance", u.Instance(), "born", u.StartTime(),
+			"route", r.Class(), "organisation", r.Organisation(), "fingerprint", strconv.FormatUint(r.Fingerprint(), hexBase),
+			"parts", FormatParts(r.Parts()))
+	}
+}
+
+// FormatParts returns the hashes of prompt parts as a comma-separated list.
+func FormatParts(parts []uint64) string {
+	list := make([]string, 0, len(parts))
+	for _, p := range parts {
+		list = append(list, strconv.FormatUint(p, hexBase))
+	}
+	return strings.Join(list, ",")
+}
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -275,6 +275,7 @@
 		Bytes:         len(body),
 		Prefix:        l.Prefix,
 		PrefixTokens:  l.PrefixTokens,
+		Parts:         l.Parts,
 		Fingerprint:   fingerprint(r, o.Name, body),
 		Stream:        route.Stream(),
 	}
--- a/request.go
+++ b/request.go
@@ -63,6 +63,10 @@
 	// PrefixTokens holds the number of tokens that each element of Prefix covers;
 	// nil if all blocks have the standard length.
 	PrefixTokens []int
+	// Parts holds a hash of each part of the prompt that other requests may share,
+	// whatever comes before it. The last part of a prompt, which is the request's own, is
+	// left out.
+	Parts []uint64
 	// Fingerprint is a hash of the call, its whole body included; a repetition by
 	// the caller has the same one.
 	Fingerprint uint64
@@ -153,6 +157,10 @@
 // nil if all blocks have the standard length. The caller must not change it.
 func (r *Request) PrefixTokens() []int { return r.f.PrefixTokens }
 
+// Parts returns a hash of each part of the prompt that other requests may share. The caller
+// must not change it.
+func (r *Request) Parts() []uint64 { return r.f.Parts }
+
 // Fingerprint returns a hash of the call, its whole body included; a repetition by
 // the caller has the same one.
 func (r *Request) Fingerprint() uint64 { return r.f.Fingerprint }
--- a/router/router.go
+++ b/router/router.go
@@ -31,6 +31,7 @@
 	"github.com/kingcuphook/kingcuphook/follower"
 	"github.com/kingcuphook/kingcuphook/logger"
 	"github.com/kingcuphook/kingcuphook/meter"
+	"github.com/kingcuphook/kingcuphook/narrator"
 	"github.com/kingcuphook/kingcuphook/observer"
 	"github.com/kingcuphook/kingcuphook/permitter"
 	"github.com/kingcuphook/kingcuphook/quarantiner"
@@ -298,6 +299,7 @@
 		Claimer:       r.claims,
 		Quarantiner:   r.quarantine,
 		ShareSuspects: r.shareSuspects,
+		OnCrash:       narrator.LogCrash(r.Log),
 		Owner:         r.PeersAddress(),
 		Rand:          r.newRand(),
 	}
