--- a/attacher/follow_test.go
+++ b/attacher/follow_test.go
@@ -21,7 +21,7 @@
 	}
 	fleet := make([]*process, n)
 	for i, ip := range ips {
-		fleet[i] = w.start(ip, w.server.Listener.Addr().String(), ips[0], ips[1])
+		fleet[i] = w.start(ip, w.server.Listener.Addr().String(), ips[:min(len(ips), 2)]...)
 	}
 	// All routers stop at the same time at the end of the test.
 	w.t.Cleanup(func() {
