Keep quarantined prompt parts in the store, and try them again at most twice

A delegate that follows the store writes a record of the part, once, the others only if it stays missing; routers that start read it with the tables. Deleting a record lifts nothing: it is written again; an operator lifts a quarantine by the state in it.

--- a/attacher/control.go
+++ b/attacher/control.go
@@ -45,6 +45,8 @@
 	// loads gathers and sums the loads of all routers.
 	loads gatherer.Gatherer
 	pull  puller.Puller
+	// parts are the records of prompt parts in the store.
+	parts partRecords
 	// delegator decides which routers of the data centre follow the store.
 	delegator delegator.Delegator
 	// failedAt is when a call to the store last failed; zero after a successful one.
@@ -138,6 +140,8 @@
 	}
 	c.delegator.SetUnable(c.ineligible(now))
 	c.askPeer(ctx, now)
+	c.writeParts(ctx, now)
+	c.tryParts(ctx, now)
 }
 
 // ineligibleFor is how long a router does not count as able to follow the store after a
@@ -183,6 +187,7 @@
 }
 
 func (c *control) applyEntries(now time.Time, e watcher.Event) {
+	c.applyParts(now, e)
 	for _, entry := range e.Entries {
 		c.applyDeclaration(entry)
 	}
--- a/dispatcher/errors.go
+++ b/dispatcher/errors.go
@@ -21,6 +21,7 @@
 	claimsRetryAfter  = 5 * time.Second
 	claimedRetryAfter = 2 * time.Second
 	suspectRetryAfter = 10 * time.Second
+	partRetryAfter    = 15 * time.Second
 )
 
 // codes maps sentinel errors to error codes. The first match applies.
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -45,6 +45,8 @@
 	slot kingcuphook.Slot
 	// trial is the trial of the running attempt; nil if the call is not a suspect.
 	trial *trial
+	// onTrial is set if the running attempt was let through although a part is quarantined.
+	onTrial bool
 	// isolated is the running attempt as the isolator follows it; nil before the first.
 	isolated *isolator.Attempt
 	// attempts counts the dispatches, except those that were preempted or are
@@ -156,6 +158,7 @@
 
 // attempt acquires a slot and runs the call once on its upstream.
 func (r *run) attempt(ctx context.Context) (kingcuphook.Outcome, error) {
+	r.onTrial = false
 	if err := r.checkParts(); err != nil {
 		return kingcuphook.Outcome{}, err
 	}
--- a/isolator/attempt.go
+++ b/isolator/attempt.go
@@ -192,8 +192,8 @@
 func (i *Isolator) addCandidate(now time.Time, a *Attempt) {
 	i.addOutcome(outcome{at: now, broken: true, program: a.program})
 	crash := Crash{program: a.program, at: now, knownAt: now}
-	if p, ok := i.quarantinedOf(a.parts); ok {
-		i.entries[p].addCrash(crash)
+	if quarantined := i.quarantinedOf(a.parts); len(quarantined) > 0 {
+		quarantined[0].addCrash(crash)
 		return
 	}
 	for _, p := range a.parts {
--- a/isolator/exchange.go
+++ b/isolator/exchange.go
@@ -182,10 +182,7 @@
 	if e.state == StateQuarantined && len(e.crashes) < defaultMinCrashes {
 		return false
 	}
-	if e.generation != own.generation {
-		return e.generation > own.generation
-	}
-	return e.state == StateLifted && own.state != StateLifted
+	return e.state != StateSuspect && isLater(e.generation, e.state, own)
 }
 
 func decode(now time.Time, b []byte) ([]Entry, error) {
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -121,6 +121,13 @@
 	crashes []Crash
 	// changedAt is when the entry last changed here, in state or crashes.
 	changedAt time.Time
+	// refusedAt is when this router last rejected a request of which no other part is
+	// quarantined.
+	refusedAt time.Time
+	// trialAfter is the earliest time of the next trial by this router; onTrial is set
+	// until the request of a trial comes.
+	trialAfter time.Time
+	onTrial    bool
 }
 
 // Part returns the hash of the part.
@@ -136,29 +143,54 @@
 // the slice.
 func (e Entry) Crashes() []Crash { return e.crashes }
 
-// Quarantined returns the first of the parts that is quarantined, and whether there is one.
-func (i *Isolator) Quarantined(now time.Time, parts []uint64) (uint64, bool) {
+// Verdict indicates whether a request may run.
+type Verdict string
+
+// Values of Verdict.
+const (
+	// VerdictClear means that no part of the request is quarantined.
+	VerdictClear Verdict = "clear"
+	// VerdictTrial means that the request may run although a part is quarantined, to find out
+	// whether it still crashes upstreams.
+	VerdictTrial Verdict = "trial"
+	// VerdictQuarantined means that the request is rejected.
+	VerdictQuarantined Verdict = "quarantined"
+)
+
+// Check returns the verdict on a request with the parts, and the first part that is
+// quarantined.
+func (i *Isolator) Check(now time.Time, parts []uint64) (Verdict, uint64) {
 	if len(parts) == 0 {
-		return 0, false
+		return VerdictClear, 0
 	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if len(i.entries) == 0 {
-		return 0, false
+		return VerdictClear, 0
 	}
 	if now.Sub(i.updatedAt) >= updateInterval {
 		i.update(now)
 	}
-	return i.quarantinedOf(parts)
+	quarantined := i.quarantinedOf(parts)
+	if len(quarantined) == 0 {
+		return VerdictClear, 0
+	}
+	e := quarantined[0]
+	if len(quarantined) == 1 && i.startTrial(now, e) {
+		return VerdictTrial, e.part
+	}
+	return VerdictQuarantined, e.part
 }
 
-func (i *Isolator) quarantinedOf(parts []uint64) (uint64, bool) {
+// quarantinedOf returns the entries of the parts that are quarantined.
+func (i *Isolator) quarantinedOf(parts []uint64) []*Entry {
+	var list []*Entry
 	for _, p := range parts {
-		if e, ok := i.entries[p]; ok && e.state == StateQuarantined {
-			return p, true
+		if e, ok := i.entries[p]; ok && e.state == StateQuarantined && !slices.Contains(list, e) {
+			list = append(list, e)
 		}
 	}
-	return 0, false
+	return list
 }
 
 // Lift ends the quarantine or suspicion of a part on behalf of an operator. It reports
@@ -315,10 +347,14 @@
 	}
 }
 
+func (i *Isolator) quarantineTTL() time.Duration {
+	return cmp.Or(i.QuarantineTTL, defaultQuarantineTTL)
+}
+
 func (i *Isolator) ttl(e *Entry) time.Duration {
 	switch {
 	case e.state != StateSuspect:
-		return cmp.Or(i.QuarantineTTL, defaultQuarantineTTL)
+		return i.quarantineTTL()
 	case e.counted() == 0:
 		return excusedTTL
 	default:
--- /dev/null
+++ b/isolator/record.go
@@ -0,0 +1,119 @@
+package isolator
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/kingcuphook/kingcuphook"
+)
+
+// hexBase and wordBits are the base and the size of the hash of a part in records.
+const (
+	hexBase  = 16
+	wordBits = 64
+)
+
+// Record is the state of a part that is kept in the store, for routers that start. An operator
+// ends a quarantine by changing the state to "lifted".
+type Record struct {
+	// Part is the hash of the part, as in logs.
+	Part string `json:"part"`
+	// State is quarantined or lifted.
+	State State `json:"state"`
+	// Generation counts the changes of the state.
+	Generation uint8 `json:"generation"`
+	// Since is when the part got its state.
+	Since time.Time `json:"since"`
+	// Crashes is the number of crashes that were counted against the part.
+	Crashes int `json:"crashes"`
+	// Trials is the number of requests that were let through while the part was
+	// quarantined, TriedAt when the last of them was.
+	Trials  int       `json:"trials,omitempty"`
+	TriedAt time.Time `json:"tried-at,omitzero"`
+}
+
+// Record returns the record of the entry.
+func (e Entry) Record() Record {
+	return Record{
+		Part: FormatPart(e.part), State: e.state, Generation: e.generation, Since: e.since.UTC(), Crashes: len(e.crashes),
+	}
+}
+
+// FormatPart returns the hash of a part as it stands in logs and records.
+func FormatPart(part uint64) string { return strconv.FormatUint(part, hexBase) }
+
+// Encode returns the encoded record.
+func (r Record) Encode() ([]byte, error) {
+	b, err := json.Marshal(r)
+	if err != nil {
+		return nil, fmt.Errorf("isolator: %w", err)
+	}
+	return b, nil
+}
+
+// DecodeRecord decodes a record. The error wraps kingcuphook.ErrInvalid.
+func DecodeRecord(b []byte) (Record, error) {
+	var r Record
+	if err := json.Unmarshal(b, &r); err != nil {
+		return Record{}, fmt.Errorf("isolator: record: %w: %w", kingcuphook.ErrInvalid, err)
+	}
+	if _, err := r.part(); err != nil || r.State != StateQuarantined && r.State != StateLifted {
+		return Record{}, fmt.Errorf("isolator: record of part %q in state %q: %w", r.Part, r.State, kingcuphook.ErrInvalid)
+	}
+	return r, nil
+}
+
+func (r Record) part() (uint64, error) { return strconv.ParseUint(r.Part, hexBase, wordBits) }
+
+// Apply applies a record of the store, unless it is older than what this router knows.
+func (i *Isolator) Apply(now time.Time, r Record) {
+	part, err := r.part()
+	if err != nil || now.Sub(r.Since) > i.quarantineTTL() {
+		return
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	e := i.entry(part)
+	if !isLater(r.Generation, r.State, e) {
+		return
+	}
+	e.state, e.generation = r.State, r.Generation
+	e.since = r.Since
+	if e.since.After(now) {
+		e.since = now
+	}
+	e.changedAt = now
+	if e.state == StateLifted {
+		e.excuse(now)
+	}
+	i.changed(e)
+}
+
+// Records returns the records of the parts that are quarantined or lifted.
+func (i *Isolator) Records() []Record {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	var list []Record
+	for _, e := range i.entries {
+		if e.state != StateSuspect {
+			list = append(list, e.Record())
+		}
+	}
+	return list
+}
+
+// Replaces reports whether r is to replace the stored record of the same part.
+func (r Record) Replaces(stored Record) bool {
+	return isLater(r.Generation, r.State, &Entry{state: stored.State, generation: stored.Generation})
+}
+
+// isLater reports whether a state replaces that of an entry: it is of a later generation, or the
+// lift in the same one.
+func isLater(generation uint8, state State, e *Entry) bool {
+	if generation != e.generation {
+		return generation > e.generation
+	}
+	return state == StateLifted && e.state != StateLifted
+}
--- a/logger/events.go
+++ b/logger/events.go
@@ -64,6 +64,9 @@
 	OrderSent            = Event{1503, LevelInfo, "order sent to an upstream"}
 	OrderFailed          = Event{1504, LevelWarn, "order to an upstream failed"}
 	PartStateChanged     = Event{1603, LevelWarn, "state of a prompt part changed that is suspected of crashing upstreams"}
+	PartRecordFailed     = Event{1604, LevelWarn, "record of a quarantined prompt part not written"}
+	PartRecordRejected   = Event{1605, LevelWarn, "record of a prompt part in the store rejected"}
+	PartTried            = Event{1606, LevelWarn, "request with a quarantined prompt part let through on trial"}
 	QuarantineLifted     = Event{1602, LevelInfo, "quarantine lifted by an operator"}
 )
 
@@ -111,5 +114,8 @@
 		OrderFailed,
 		QuarantineLifted,
 		PartStateChanged,
+		PartRecordFailed,
+		PartRecordRejected,
+		PartTried,
 	}
 }
--- a/narrator/crash.go
+++ b/narrator/crash.go
@@ -34,7 +34,7 @@
 			programs = append(programs, strconv.FormatUint(uint64(c.Program()), hexBase))
 			oldest = max(oldest, now.Sub(c.At()))
 		}
-		l.Log(logger.PartStateChanged, "part", strconv.FormatUint(e.Part(), hexBase), "state", e.State(),
+		l.Log(logger.PartStateChanged, "part", isolator.FormatPart(e.Part()), "state", e.State(),
 			"since-ms-ago", now.Sub(e.Since()).Milliseconds(), "crashes", len(programs), "first-crash-ms-ago", oldest.Milliseconds(),
 			"programs", strings.Join(programs, ","))
 	}
@@ -44,7 +44,7 @@
 func FormatParts(parts []uint64) string {
 	list := make([]string, 0, len(parts))
 	for _, p := range parts {
-		list = append(list, strconv.FormatUint(p, hexBase))
+		list = append(list, isolator.FormatPart(p))
 	}
 	return strings.Join(list, ",")
 }
