Refuse chats of which one message crashes engines in serve too

Twin of the fault in attach: routers with APIs of their own knew whole bodies only. The parts are the messages of a chat without the last; what is known of them goes with the digests between peers, at most 180 bytes. Operators list and lift them like bodies.

--- a/design/design.go
+++ b/design/design.go
@@ -143,8 +143,8 @@
 // Quarantined is the fingerprint of a suspect or quarantined request.
 var Quarantined = Type("quarantined", func() {
 	Description("A request that is suspect or quarantined because upstreams crashed while they processed it.")
-	Attribute("fingerprint", String, "Fingerprint of the body, in hexadecimal.")
-	Attribute("state", String, "State: suspect or quarantined.")
+	Attribute("fingerprint", String, "Fingerprint of the body or of the prompt part, in hexadecimal.")
+	Attribute("state", String, "State: suspect or quarantined for a body, part-suspect or part-quarantined for a prompt part.")
 	Attribute("until", String, "Time at which the entry expires, in RFC 3339.")
 	Required("fingerprint", "state")
 })
--- a/exchanger/codec.go
+++ b/exchanger/codec.go
@@ -67,6 +67,7 @@
 		m.Pressures = append(m.Pressures, &peerpb.Pressure{Region: p.Region, Tiers: p.Tiers[:], AgeSeconds: seconds(p.Age)})
 	}
 	m.Suspects = d.Suspects
+	m.Parts = d.Parts
 	for _, r := range d.Rates {
 		m.Rates = append(m.Rates, &peerpb.Rate{Key: r.Key, Rate: float32(r.Rate)})
 	}
@@ -154,6 +155,7 @@
 		d.Pressures = append(d.Pressures, dp)
 	}
 	d.Suspects = m.GetSuspects()
+	d.Parts = m.GetParts()
 	for _, r := range m.GetRates() {
 		d.Rates = append(d.Rates, gossiper.Rate{Key: r.GetKey(), Rate: float64(r.GetRate())})
 	}
--- a/gen/http/queries/client/types.go
+++ b/gen/http/queries/client/types.go
@@ -556,9 +556,10 @@
 
 // QuarantinedResponse is used to define fields on response body types.
 type QuarantinedResponse struct {
-	// Fingerprint of the body, in hexadecimal.
+	// Fingerprint of the body or of the prompt part, in hexadecimal.
 	Fingerprint *string `form:"fingerprint,omitempty" json:"fingerprint,omitempty" xml:"fingerprint,omitempty"`
-	// State: suspect or quarantined.
+	// State: suspect or quarantined for a body, part-suspect or part-quarantined
+	// for a prompt part.
 	State *string `form:"state,omitempty" json:"state,omitempty" xml:"state,omitempty"`
 	// Time at which the entry expires, in RFC 3339.
 	Until *string `form:"until,omitempty" json:"until,omitempty" xml:"until,omitempty"`
--- a/gen/queries/service.go
+++ b/gen/queries/service.go
@@ -168,9 +168,10 @@
 // A request that is suspect or quarantined because upstreams crashed while
 // they processed it.
 type Quarantined struct {
-	// Fingerprint of the body, in hexadecimal.
+	// Fingerprint of the body or of the prompt part, in hexadecimal.
 	Fingerprint string
-	// State: suspect or quarantined.
+	// State: suspect or quarantined for a body, part-suspect or part-quarantined
+	// for a prompt part.
 	State string
 	// Time at which the entry expires, in RFC 3339.
 	Until *string
--- a/gossiper/digest.go
+++ b/gossiper/digest.go
@@ -17,8 +17,10 @@
 	MaxLocations = 2
 	// MaxPressures limits the pressure reports, one per region.
 	MaxPressures = 3
-	// MaxSuspectsBytes limits the encoded suspects and quarantines.
+	// MaxSuspectsBytes limits the encoded suspects and quarantines, MaxPartsBytes the
+	// message about prompt parts.
 	MaxSuspectsBytes = 512
+	MaxPartsBytes    = 180
 	// MaxRates limits the rates.
 	MaxRates = 4
 	// MaxChangesBytes limits the encoded table changes.
@@ -85,6 +87,9 @@
 	// Suspects are the suspects and quarantines known to the sender, in the
 	// encoding of package quarantiner.
 	Suspects []byte
+	// Parts is what the sender knows of prompt parts that may crash upstreams, a message of
+	// package isolator; may be empty.
+	Parts []byte
 	// Rates are some of the sender's own rates.
 	Rates []Rate
 	// Changes holds the encoded table changes from ChangesAfter to Revision; it
--- a/gossiper/load.go
+++ b/gossiper/load.go
@@ -32,6 +32,8 @@
 	next    int
 
 	suspects []byte
+	// parts is the message about prompt parts to be sent.
+	parts    []byte
 	rates    []Rate
 	nextRate int
 }
@@ -53,6 +55,9 @@
 // MaxSuspectsBytes.
 func (g *Gossiper) SetSuspects(suspects []byte) { g.load.suspects = suspects }
 
+// SetParts sets the message about prompt parts to be sent, at most MaxPartsBytes.
+func (g *Gossiper) SetParts(message []byte) { g.load.parts = message }
+
 // SetRates sets the rates to be sent. If there are more than MaxRates, successive
 // digests send them in rotation.
 func (g *Gossiper) SetRates(rates []Rate) { g.load.rates = rates }
@@ -131,6 +136,7 @@
 		}
 	}
 	d.Suspects = l.suspects
+	d.Parts = l.parts
 	for range min(len(l.rates), MaxRates) {
 		d.Rates = append(d.Rates, l.rates[l.nextRate%len(l.rates)])
 		l.nextRate++
--- a/gossiper/merge.go
+++ b/gossiper/merge.go
@@ -115,6 +115,8 @@
 		return invalid("too many pressure reports: %d", len(d.Pressures))
 	case len(d.Suspects) > MaxSuspectsBytes:
 		return invalid("%d bytes of suspects", len(d.Suspects))
+	case len(d.Parts) > MaxPartsBytes:
+		return invalid("%d bytes about prompt parts", len(d.Parts))
 	case len(d.Rates) > MaxRates:
 		return invalid("too many rates: %d", len(d.Rates))
 	case len(d.Changes) > MaxChangesBytes:
--- a/router/gauges.go
+++ b/router/gauges.go
@@ -24,6 +24,8 @@
 		"kingcuphook_claim_conflicts_total":                func() float64 { return float64(r.claims.Counts().Conflicts) },
 		"kingcuphook_rate_limited_total":                   func() float64 { return float64(r.throttle.rejected()) },
 		"kingcuphook_quarantined_fingerprints":             func() float64 { return float64(len(r.Quarantine())) },
+		"kingcuphook_quarantined_parts":                    func() float64 { n, _ := r.isolator.Count(); return float64(n) },
+		"kingcuphook_suspected_parts":                      func() float64 { _, n := r.isolator.Count(); return float64(n) },
 		"kingcuphook_audit_records_lost_total":             func() float64 { return float64(r.editor.Audit.Dropped()) },
 		"kingcuphook_upstreams_rate_limited":               func() float64 { return float64(r.permits.Count()) },
 		"kingcuphook_upstream_rate_limits_per_second":      r.permits.Sum,
--- a/router/operators.go
+++ b/router/operators.go
@@ -17,6 +17,7 @@
 	"github.com/kingcuphook/kingcuphook/gen/queries"
 	"github.com/kingcuphook/kingcuphook/gossiper"
 	"github.com/kingcuphook/kingcuphook/historian"
+	"github.com/kingcuphook/kingcuphook/isolator"
 	"github.com/kingcuphook/kingcuphook/reporter"
 )
 
@@ -83,12 +84,22 @@
 			State:       state,
 		})
 	}
+	for _, e := range r.isolator.List(time.Now()) {
+		if e.State() != isolator.StateLifted {
+			list = append(list, &queries.Quarantined{Fingerprint: isolator.FormatPart(e.Part()), State: partStatePrefix + string(e.State())})
+		}
+	}
 	return list
 }
 
+// partStatePrefix tells the states of prompt parts from those of bodies.
+const partStatePrefix = "part-"
+
 // Lift implements commander.Lifter.
 func (r *Router) Lift(fingerprint uint64) bool {
-	if !r.quarantine.Lift(time.Now(), fingerprint) {
+	now := time.Now()
+	body, part := r.quarantine.Lift(now, fingerprint), r.isolator.Lift(now, fingerprint)
+	if !body && !part {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), acceptTimeout)
--- a/router/peers.go
+++ b/router/peers.go
@@ -155,6 +155,11 @@
 	if err := c.router.quarantine.Import(now, d.Suspects); err != nil {
 		c.router.Log.Log(logger.PeerFailed, "peer", peer, "error", err)
 	}
+	if len(d.Parts) > 0 {
+		if err := c.router.isolator.Import(now, d.Parts); err != nil {
+			c.router.Log.Log(logger.PeerFailed, "peer", peer, "error", err)
+		}
+	}
 	if !behind {
 		return
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -29,6 +29,7 @@
 	"github.com/kingcuphook/kingcuphook/editor"
 	"github.com/kingcuphook/kingcuphook/exchanger"
 	"github.com/kingcuphook/kingcuphook/follower"
+	"github.com/kingcuphook/kingcuphook/isolator"
 	"github.com/kingcuphook/kingcuphook/logger"
 	"github.com/kingcuphook/kingcuphook/meter"
 	"github.com/kingcuphook/kingcuphook/narrator"
@@ -92,6 +93,7 @@
 	// quarantine holds the suspects and quarantines: the fingerprints of request
 	// bodies that were in flight on an upstream when it crashed.
 	quarantine *quarantiner.Quarantiner
+	isolator   *isolator.Isolator
 	// sharer exchanges suspects and quarantines with other routers through the store.
 	sharer *sharer.Sharer
 
@@ -283,6 +285,7 @@
 	obs := &observer.Observer{Recorder: r.recorder, Meter: r.meter}
 	r.claims = &claimer.Claimer{Store: r.platform, Rand: r.newRand()}
 	r.quarantine = &quarantiner.Quarantiner{}
+	r.isolator = &isolator.Isolator{OnChange: narrator.LogPart(r.Log)}
 	r.sharer = &sharer.Sharer{
 		Store:       r.platform,
 		Quarantiner: r.quarantine,
@@ -298,6 +301,7 @@
 		Store:         r.platform,
 		Claimer:       r.claims,
 		Quarantiner:   r.quarantine,
+		Isolator:      r.isolator,
 		ShareSuspects: r.shareSuspects,
 		OnCrash:       narrator.LogCrash(r.Log),
 		Owner:         r.PeersAddress(),
--- a/router/throttle.go
+++ b/router/throttle.go
@@ -61,10 +61,15 @@
 	c.gossip.SetRates(rates)
 }
 
-// publishSuspects puts the suspects and quarantines of this router into the next
-// digests.
+// publishSuspects puts the suspects and quarantines of this router, of bodies and of prompt
+// parts, into the next digests.
 func (c *control) publishSuspects(now time.Time) {
 	c.gossip.SetSuspects(c.router.quarantine.Export(now, gossiper.MaxSuspectsBytes))
+	parts := c.router.isolator.Export(now, gossiper.MaxPartsBytes)
+	if parts == nil {
+		parts = c.router.isolator.ExportStates(now, gossiper.MaxPartsBytes)
+	}
+	c.gossip.SetParts(parts)
 }
 
 // recordPeerRates records the demand rates from a peer's digest.
--- a/server/request.go
+++ b/server/request.go
@@ -188,10 +188,25 @@
 	prompt := []byte(c.messages)
 	f.PromptTokens = hasher.Tokens(len(prompt))
 	f.Prefix = hasher.Append(make([]uint64, 0, len(prompt)/hasher.BlockBytes), c.model, prompt)
+	f.Parts = messageParts(c.messages)
 	f.MaxTokens = c.maxTokens
 	f.Stream = c.stream
 }
 
+// maxParts bounds the messages of a prompt that are told apart.
+const maxParts = 64
+
+// messageParts returns a hash of each message of a prompt without the last one, which is the
+// request's own.
+func messageParts(messages string) []uint64 {
+	var parts []uint64
+	gjson.Parse(messages).ForEach(func(_, message gjson.Result) bool {
+		parts = append(parts, xxhash.Sum64String(message.Raw))
+		return len(parts) <= maxParts
+	})
+	return parts[:max(len(parts)-1, 0)]
+}
+
 // readBody reads the body up to MaxBodyBytes, with a single allocation if its
 // length is declared.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
