Clear requests whose crashes a prompt part explains

Cause: a crash had requests as a whole as its only possible cause. Once a part is quarantined, its crashes count against no body any more, and bodies that were quarantined for these alone are clear again. Crashes are told apart by the upstream's program rather than its address, in both packages alike.

The new test fails without the attribution: the body stays held.

--- a/attacher/attacher.go
+++ b/attacher/attacher.go
@@ -189,7 +189,8 @@
 	}
 	a.control = newControl(a)
 	a.quarantine = &quarantiner.Quarantiner{}
-	a.isolator = &isolator.Isolator{OnChange: narrator.LogPart(a.Log)}
+	a.isolator = &isolator.Isolator{}
+	a.isolator.OnChange = a.partChanged
 	watch := &observer.Observer{Recorder: &recorder.Recorder{}, Meter: a.meter}
 	a.dispatcher = &dispatcher.Dispatcher{
 		Allocator:   &narrator.Allocator{Next: &observer.Allocator{Next: a.tally, Observer: watch}, Log: a.Log},
--- a/attacher/parts.go
+++ b/attacher/parts.go
@@ -3,6 +3,10 @@
 import (
 	"net/netip"
 	"time"
+
+	"github.com/kingcuphook/kingcuphook/dispatcher"
+	"github.com/kingcuphook/kingcuphook/isolator"
+	"github.com/kingcuphook/kingcuphook/narrator"
 )
 
 const (
@@ -41,3 +45,10 @@
 		c.sendTo(peer, message)
 	}
 }
+
+// partChanged logs a change of the state of a prompt part, and clears the requests of the crashes
+// that it explains.
+func (a *Attacher) partChanged(e isolator.Entry) {
+	narrator.LogPart(a.Log)(e)
+	dispatcher.Explain(a.quarantine)(e)
+}
--- a/dispatcher/quarantine.go
+++ b/dispatcher/quarantine.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/isolator"
 	"github.com/kingcuphook/kingcuphook/pauser"
 	"github.com/kingcuphook/kingcuphook/quarantiner"
 )
@@ -18,7 +19,7 @@
 // this with the peers before the call is retried here or resent by its caller.
 func (r *run) recordCrash(ctx context.Context, u *kingcuphook.Upstream) {
 	r.d.count(func(n *Counts) { n.Crashes++ })
-	r.d.Quarantiner.RecordCrash(time.Now(), r.request.Fingerprint(), u.Address())
+	r.d.Quarantiner.RecordCrash(time.Now(), r.request.Fingerprint(), isolator.FormatProgram(u.Program()))
 	if r.d.OnCrash != nil {
 		r.d.OnCrash(r.request, u)
 	}
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -8,6 +8,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -102,8 +103,13 @@
 	knownAt time.Time
 }
 
-// Program returns the hash of the program that crashed.
-func (c Crash) Program() uint32 { return c.program }
+// Program returns the program that crashed, in the format of FormatProgram.
+func (c Crash) Program() string { return strconv.FormatUint(uint64(c.program), hexBase) }
+
+// FormatProgram returns the hash by which crashes of a program are told apart.
+func FormatProgram(p kingcuphook.Program) string {
+	return strconv.FormatUint(uint64(hashProgram(p)), hexBase)
+}
 
 // At returns when the crash was detected.
 func (c Crash) At() time.Time { return c.at }
--- a/narrator/crash.go
+++ b/narrator/crash.go
@@ -31,7 +31,7 @@
 		programs := make([]string, 0, len(e.Crashes()))
 		oldest := time.Duration(0)
 		for _, c := range e.Crashes() {
-			programs = append(programs, strconv.FormatUint(uint64(c.Program()), hexBase))
+			programs = append(programs, c.Program())
 			oldest = max(oldest, now.Sub(c.At()))
 		}
 		l.Log(logger.PartStateChanged, "part", isolator.FormatPart(e.Part()), "state", e.State(),
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -55,7 +55,10 @@
 	at       time.Time
 }
 
-// Upstream returns the address of the upstream.
+// NewCrash returns the crash of an upstream.
+func NewCrash(upstream string, at time.Time) Crash { return Crash{upstream: upstream, at: at} }
+
+// Upstream returns the upstream, as it was passed to RecordCrash.
 func (c Crash) Upstream() string { return c.upstream }
 
 // At returns when the crash was detected.
@@ -171,6 +174,22 @@
 	return true
 }
 
+// Attribute records that the crashes have another cause than a request as a whole. Requests
+// that were suspected or quarantined for these alone are so no more.
+func (q *Quarantiner) Attribute(now time.Time, crashes []Crash) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, e := range q.entries {
+		explained := !slices.ContainsFunc(e.crashes, func(c Crash) bool { return !contains(crashes, c) })
+		if e.state == stateQuarantined && explained {
+			e.state = stateLifted
+			e.changedAt = now
+			e.crashes = nil
+		}
+	}
+	q.attribute(crashes)
+}
+
 // Check returns the verdict on a request.
 func (q *Quarantiner) Check(now time.Time, fingerprint uint64) Verdict {
 	q.mu.Lock()
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -186,3 +186,25 @@
 		}
 	})
 }
+
+// Sound requests that were broken off twice with others were rejected after the cause of the
+// crashes had been found.
+func TestRequestsOfExplainedCrashesAreCleared(t *testing.T) {
+	is := is.New(t)
+	var q Quarantiner
+	for n, upstream := range []string{"u1", "u2"} {
+		q.RecordCrash(after(time.Duration(n)*time.Second), harmless, upstream)
+		q.RecordCrash(after(time.Duration(n)*time.Second), harmless2, upstream)
+	}
+	q.RecordCrash(after(time.Second), crashing, "u3")
+	q.RecordCrash(after(2*time.Second), crashing, "u4")
+	now := after(5 * time.Second)
+	is.Equal(q.Check(now, harmless), VerdictHeld)
+	is.Equal(q.Check(now, crashing), VerdictQuarantined)
+	q.Attribute(now, []Crash{NewCrash("u1", start), NewCrash("u2", after(time.Second)), NewCrash("u3", after(time.Second))})
+	is.Equal(q.Check(now, harmless), VerdictClear)
+	is.Equal(q.Check(now, harmless2), VerdictClear)
+	is.Equal(q.Check(now, crashing), VerdictQuarantined) // one of its crashes is not explained
+	q.Attribute(now, []Crash{NewCrash("u3", after(time.Second)), NewCrash("u4", after(2*time.Second))})
+	is.Equal(q.Check(now, crashing), VerdictClear)
+}
--- a/router/router.go
+++ b/router/router.go
@@ -285,7 +285,8 @@
 	obs := &observer.Observer{Recorder: r.recorder, Meter: r.meter}
 	r.claims = &claimer.Claimer{Store: r.platform, Rand: r.newRand()}
 	r.quarantine = &quarantiner.Quarantiner{}
-	r.isolator = &isolator.Isolator{OnChange: narrator.LogPart(r.Log)}
+	r.isolator = &isolator.Isolator{}
+	r.isolator.OnChange = r.partChanged
 	r.sharer = &sharer.Sharer{
 		Store:       r.platform,
 		Quarantiner: r.quarantine,
--- a/router/share.go
+++ b/router/share.go
@@ -5,6 +5,9 @@
 	"sync"
 	"time"
 
+	"github.com/kingcuphook/kingcuphook/dispatcher"
+	"github.com/kingcuphook/kingcuphook/isolator"
+	"github.com/kingcuphook/kingcuphook/narrator"
 	"github.com/kingcuphook/kingcuphook/pauser"
 )
 
@@ -69,3 +72,10 @@
 
 // fleetSize returns the number of routers in the published view.
 func (r *Router) fleetSize() int { return len(r.control.view.Load().members) }
+
+// partChanged logs a change of the state of a prompt part, and clears the requests of the crashes
+// that it explains.
+func (r *Router) partChanged(e isolator.Entry) {
+	narrator.LogPart(r.Log)(e)
+	dispatcher.Explain(r.quarantine)(e)
+}
