--- a/isolator/fleet_test.go
+++ b/isolator/fleet_test.go
@@ -83,6 +83,10 @@
 	// crashes are those by each crashing part.
 	crashes   map[uint64][]time.Time
 	lateCalls int
+	// suspects are the parts of the requests that each crash by a crashing part broke off.
+	suspects []map[uint64]bool
+	// foundAt is the number of crashes by crashing parts when a router first quarantined one.
+	foundAt int
 	// falseParts are sound parts that a router has quarantined.
 	falseParts map[uint64]bool
 	bytes      int
@@ -111,6 +115,9 @@
 
 func (f *simFleet) newRouter() *Isolator {
 	return &Isolator{OnChange: func(e Entry) {
+		if isBad(e.Part()) && f.foundAt == 0 {
+			f.foundAt = len(f.suspects)
+		}
 		if e.State() == StateQuarantined && !isBad(e.Part()) {
 			f.falseParts[e.Part()] = true
 		}
@@ -186,8 +193,16 @@
 	if bad != 0 {
 		f.crashes[bad] = append(f.crashes[bad], f.now)
 	}
+	suspects := make(map[uint64]bool)
 	for _, c := range u.calls {
-		c.attempt.BrokenOff(f.now.Add(latency))
+		if c.attempt.BrokenOff(f.now.Add(latency)) {
+			for _, p := range c.attempt.parts {
+				suspects[p] = true
+			}
+		}
+	}
+	if bad != 0 {
+		f.suspects = append(f.suspects, suspects)
 	}
 	u.calls = nil
 	u.downTill = f.now.Add(restartTime)
@@ -378,3 +393,62 @@
 		})
 	}
 }
+
+// countAlone returns after how many crashes a count without elimination reaches MinCrashes for a
+// crashing part, and how many sound parts have reached it by then.
+func (f *simFleet) countAlone() (crashes, falseParts int) {
+	counts := make(map[uint64]int)
+	for n, suspects := range f.suspects {
+		found := false
+		for p := range suspects {
+			counts[p]++
+			found = found || isBad(p) && counts[p] >= defaultMinCrashes
+		}
+		if !found {
+			continue
+		}
+		for p, count := range counts {
+			if !isBad(p) && count >= defaultMinCrashes {
+				falseParts++
+			}
+		}
+		return n + 1, falseParts
+	}
+	return len(f.suspects), 0
+}
+
+// testEach returns how many parts a test of one suspect at a time would hold after the first
+// crash, and the share of sound calls that have one of them.
+func (f *simFleet) testEach() (suspects int, held float64) {
+	if len(f.suspects) == 0 {
+		return 0, 0
+	}
+	const calls = 1000
+	n := 0
+	for range calls {
+		if slices.ContainsFunc(f.soundParts(), func(p uint64) bool { return f.suspects[0][p] }) {
+			n++
+		}
+	}
+	return len(f.suspects[0]), float64(n) / calls
+}
+
+// TestWaysOfFinding logs what the ways weighed in docs/design/prompt-parts.md cost.
+func TestWaysOfFinding(t *testing.T) {
+	for _, routers := range []int{1, 8, 30, 300} {
+		for _, parts := range []int{1, 2, 8} {
+			for _, others := range []float64{0, 0.2} {
+				s := scenario{
+					routers: routers, upstreams: max(12, routers), sound: max(64, 3*float64(routers)), bad: 3, parts: parts, badParts: 1,
+					otherCrashes: others / (1 - others) * 3, length: 15 * time.Second,
+				}
+				f := newSimFleet(s, 1)
+				f.run()
+				alone, falseAlone := f.countAlone()
+				suspects, held := f.testEach()
+				t.Logf("| %d | %d | %.0f%% | %d, %d | %d, %d | 2, %d, %.0f%% |", routers, parts, 100*others,
+					alone, falseAlone, f.foundAt, len(f.falseParts), suspects, 100*held)
+			}
+		}
+	}
+}
