--- a/attacher/attacher_test.go
+++ b/attacher/attacher_test.go
@@ -28,6 +28,10 @@
 	*is.I
 	t     *testing.T
 	store *storer.Store
+	// served serves the store over HTTP.
+	served *standin.Store
+	// seq counts the writes of registrations.
+	seq atomic.Int64
 	// storeDown makes the store reject all calls.
 	storeDown atomic.Bool
 	// watches counts the open watch calls to the store, calls all calls to it.
@@ -44,7 +48,7 @@
 func newTestPlatform(t *testing.T) *testPlatform {
 	t.Helper()
 	w := &testPlatform{I: is.New(t), t: t, store: &storer.Store{WatchWait: 200 * time.Millisecond}, keys: []string{"secret"}}
-	served := &standin.Store{Store: w.store, RejectStatus: func(*http.Request) int {
+	w.served = &standin.Store{Store: w.store, RejectStatus: func(*http.Request) int {
 		if w.storeDown.Load() {
 			return http.StatusServiceUnavailable
 		}
@@ -56,7 +60,7 @@
 			w.watches.Add(1)
 			defer w.watches.Add(-1)
 		}
-		served.ServeHTTP(rw, r)
+		w.served.ServeHTTP(rw, r)
 	}))
 	t.Cleanup(w.server.Close)
 	for i := range 2 {
@@ -80,7 +84,7 @@
 
 func (w *testPlatform) register(instance, address string, leaving bool) {
 	w.t.Helper()
-	value, err := standin.EncodeRegistration(address, leaving, time.Unix(1_700_000_000, 0))
+	value, err := standin.EncodeRegistration(address, leaving, time.Unix(1_700_000_000, 0), w.seq.Add(1))
 	w.put(platform.RegistrationPrefix+instance, value, err)
 }
 
--- a/attacher/crash_test.go
+++ b/attacher/crash_test.go
@@ -77,7 +77,7 @@
 }
 
 func (f *crashFleet) registerBorn(instance, address string, born time.Time) {
-	value, err := standin.EncodeRegistration(address, false, born)
+	value, err := standin.EncodeRegistration(address, false, born, f.seq.Add(1))
 	if err == nil {
 		_, err = f.store.Put(context.Background(), platform.RegistrationPrefix+instance, value, kingcuphook.RevisionAny, 0)
 	}
--- a/attacher/notice_test.go
+++ b/attacher/notice_test.go
@@ -66,7 +66,7 @@
 	w.waitFor("the log event of the available store", func() bool { return strings.Contains(p.log.String(), "KCH1105") })
 
 	// The announcement does not hold for a later start of the upstream.
-	value, err := standin.EncodeRegistration(w.addresses[0], false, time.Unix(1_700_000_100, 0))
+	value, err := standin.EncodeRegistration(w.addresses[0], false, time.Unix(1_700_000_100, 0), 1)
 	w.put("servers/i-0", value, err)
 	before := w.runsOfFirst()
 	w.callUntil(p, "a call to the upstream that started again", func() bool { return w.runsOfFirst() > before })
--- a/soaker/world.go
+++ b/soaker/world.go
@@ -66,6 +66,8 @@
 	server  *http.Server
 	network *forwarder.Forwarder
 	address string
+	// seq counts the writes of its registration.
+	seq atomic.Int64
 	// leftAt is when its registration as leaving was written; zero if it was not.
 	leftAt time.Time
 
@@ -157,7 +159,7 @@
 }
 
 func (env *environment) register(u *upstream, leaving bool) error {
-	value, err := standin.EncodeRegistration(u.address, leaving, time.Now())
+	value, err := standin.EncodeRegistration(u.address, leaving, time.Now(), u.seq.Add(1))
 	if err != nil {
 		return fmt.Errorf("soaker: %w", err)
 	}
