Order registrations of one program by their sequence, not by revision alone

A store that comes back from an older copy gives its registrations higher revisions than those that a router knows, once routers tell the two apart. Registrations now carry the sequence that the program writes; one that is not later than that which marked it as leaving, or than the last before its removal, is ignored for 10 minutes. A later start of the program counts.

The new test fails without the order: a b c in place of a c.

--- a/directory.go
+++ b/directory.go
@@ -58,6 +58,8 @@
 	Pool string
 	// Upstream describes the upstream; Leaving is set if it accepts no new work.
 	Upstream UpstreamFields
+	// Sequence rises with each write of the registration by the same program; 0 means unknown.
+	Sequence int64
 	// Warmup is the time left until the upstream has warmed up after its start.
 	Warmup time.Duration
 }
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -47,6 +47,8 @@
 	// tables are built from the declaration and the registrations on the first call
 	// of Tables after a change; nil until then.
 	tables *kingcuphook.Tables
+	// departed has the upstreams that were removed lately, by key.
+	departed map[string]departure
 	// recentRemovals has the latest removals of registrations, for exports to peers.
 	recentRemovals removals
 }
@@ -61,6 +63,19 @@
 	keptUntil time.Time
 }
 
+const (
+	// departedTTL is how long the registration of an upstream that was removed is
+	// remembered; maxDeparted bounds how many are.
+	departedTTL = 10 * time.Minute
+	maxDeparted = 1024
+)
+
+// departure is the last registration of an upstream that was removed.
+type departure struct {
+	startTime, sequence int64
+	at                  time.Time
+}
+
 // SetUnavailable records that the store is unavailable. It reports whether it was available
 // before.
 func (s *Subscriber) SetUnavailable() bool {
@@ -178,18 +193,48 @@
 		}
 		return err
 	}
-	if known != nil && r.Upstream.StartTime < known.registration.Upstream.StartTime {
+	if known != nil && r.Upstream.StartTime < known.registration.Upstream.StartTime || s.isPast(e.Key(), known, r) {
 		return nil
 	}
 	if s.upstreams == nil {
 		s.upstreams = make(map[string]*upstream)
 	}
 	s.upstreams[e.Key()] = &upstream{entry: e, registration: r}
+	delete(s.departed, e.Key())
 	s.latestChange = max(s.latestChange, e.Revision())
 	s.tables = nil
 	return nil
 }
 
+// isPast reports whether a registration is from before one that marked its upstream as leaving, or
+// from before the removal of the upstream. The store has such a registration after it came back
+// from an older copy.
+func (s *Subscriber) isPast(key string, known *upstream, r kingcuphook.Registration) bool {
+	if r.Sequence == 0 {
+		return false
+	}
+	if known != nil && !known.removed {
+		last := known.registration
+		return last.Upstream.Leaving && !r.Upstream.Leaving &&
+			r.Upstream.StartTime == last.Upstream.StartTime && r.Sequence <= last.Sequence
+	}
+	d, ok := s.departed[key]
+	return ok && r.Upstream.StartTime == d.startTime && r.Sequence <= d.sequence
+}
+
+// recordDeparture remembers the last registration of an upstream that is removed.
+func (s *Subscriber) recordDeparture(now time.Time, key string, r kingcuphook.Registration) {
+	if s.departed == nil {
+		s.departed = make(map[string]departure)
+	}
+	for other, d := range s.departed {
+		if now.Sub(d.at) > departedTTL || len(s.departed) >= maxDeparted {
+			delete(s.departed, other)
+		}
+	}
+	s.departed[key] = departure{startTime: r.Upstream.StartTime, sequence: r.Sequence, at: now}
+}
+
 // remove removes an upstream whose entry was removed at the revision or earlier. If
 // the store became available shortly before, the upstream is kept for a while: its
 // registration may have expired only because of the outage and will come again.
@@ -197,6 +242,7 @@
 	s.recordRemoval(key, revision)
 	until := s.recovered.Add(expiredHold)
 	if s.recovered.IsZero() || !now.Before(until) || u.registration.Upstream.Leaving {
+		s.recordDeparture(now, key, u.registration)
 		s.deleteUpstream(key)
 		return
 	}
@@ -220,6 +266,7 @@
 	n := 0
 	for key, u := range s.upstreams {
 		if u.removed && !now.Before(u.keptUntil) {
+			s.recordDeparture(now, key, u.registration)
 			s.deleteUpstream(key)
 			n++
 		}
--- a/subscriber/subscriber_test.go
+++ b/subscriber/subscriber_test.go
@@ -14,7 +14,7 @@
 )
 
 // codec decodes declarations that are just a version, and registrations of the form
-// address@start.
+// address@start, address@start#sequence or address@start#sequence leaving.
 type codec struct{}
 
 func (codec) Declaration(value []byte) (*kingcuphook.Declaration, error) {
@@ -29,13 +29,17 @@
 }
 
 func (codec) Registration(key string, value []byte) (kingcuphook.Registration, error) {
-	address, startTime, ok := strings.Cut(string(value), "@")
+	text, leaving := strings.CutSuffix(string(value), " leaving")
+	text, sequence, _ := strings.Cut(text, "#")
+	address, startTime, ok := strings.Cut(text, "@")
 	n, err := strconv.ParseInt(startTime, 10, 64)
 	if !ok || err != nil {
 		return kingcuphook.Registration{}, fmt.Errorf("%s: %w", key, kingcuphook.ErrInvalid)
 	}
-	f := kingcuphook.UpstreamFields{Address: address, Instance: key, StartTime: n}
-	return kingcuphook.Registration{Pool: "models", Upstream: f}, nil
+	f := kingcuphook.UpstreamFields{Address: address, Instance: key, StartTime: n, Leaving: leaving}
+	r := kingcuphook.Registration{Pool: "models", Upstream: f}
+	r.Sequence, _ = strconv.ParseInt(sequence, 10, 64)
+	return r, nil
 }
 
 func newSubscriber() *Subscriber {
@@ -196,3 +200,24 @@
 	is.NoErr(s.ApplySnapshot(start, []kingcuphook.Entry{put("servers/b", "b@1", 3)}, 5))
 	is.Equal(addresses(s), "a b")
 }
+
+// The registrations of an older copy of the store were taken for newer ones, since their
+// revisions were higher: upstreams that leave or had left got new work.
+func TestRegistrationsOfOlderCopyAreIgnored(t *testing.T) {
+	is := is.New(t)
+	s := newSubscriber()
+	_, err := s.ApplyDeclaration(put("op/config", "1", 1))
+	is.NoErr(err)
+	is.NoErr(s.ApplyChanges(start, []kingcuphook.Entry{
+		put("servers/a", "a@1#3 leaving", 5), put("servers/b", "b@1#3", 6), put("servers/c", "c@1#3", 7),
+	}, 7))
+	is.NoErr(s.ApplyChanges(start, []kingcuphook.Entry{deletion("servers/b", 8)}, 8))
+	older := []kingcuphook.Entry{put("servers/a", "a@1#2", 104), put("servers/b", "b@1#3", 105), put("servers/c", "c@1#2", 106)}
+	is.NoErr(s.ApplySnapshot(start, older, 106))
+	is.Equal(addresses(s), "a c")
+	is.True(s.upstreams["servers/a"].registration.Upstream.Leaving)
+	// What the upstreams write again themselves counts, and so does a later start.
+	is.NoErr(s.ApplyChanges(start, []kingcuphook.Entry{put("servers/a", "a@2#1", 107), put("servers/b", "b@1#4", 108)}, 108))
+	is.Equal(addresses(s), "a b c")
+	is.True(!s.upstreams["servers/a"].registration.Upstream.Leaving)
+}
