--- a/attacher/control.go
+++ b/attacher/control.go
@@ -49,6 +49,8 @@
 	parts partRecords
 	// delegator decides which routers of the data centre follow the store.
 	delegator delegator.Delegator
+	// storeEra is the latest era of the store that an event was seen in; 0 before the first.
+	storeEra int64
 	// failedAt is when a call to the store last failed; zero after a successful one.
 	failedAt time.Time
 	// waiting are the pending requests of peers for updates.
@@ -166,10 +168,24 @@
 		}
 		c.failedAt = time.Time{}
 		c.storeAvailable(now)
+		c.updateEra(now, e)
 		c.applyEntries(now, e)
 	}
 }
 
+// updateEra records the era of the store, and logs if it has come back from an older copy.
+func (c *control) updateEra(now time.Time, e watcher.Event) {
+	era := c.a.store.Era()
+	if era == c.storeEra {
+		return
+	}
+	if c.storeEra != 0 {
+		c.store.MarkRestored(now)
+		c.a.Log.Log(logger.StoreRestored, "era", era, "era-before", c.storeEra, "revision", e.Revision, "revision-before", c.store.Revision(), "version", c.store.Version())
+	}
+	c.storeEra = era
+}
+
 // storeAvailable records that the store is available, directly or through a delegate.
 func (c *control) storeAvailable(now time.Time) {
 	if c.store.SetAvailable(now) {
--- a/logger/events.go
+++ b/logger/events.go
@@ -41,6 +41,7 @@
 	TablesForked         = Event{1108, LevelError, "applied tables do not descend from the previous ones"}
 	StoreWatchStarted    = Event{1109, LevelInfo, "the router started watching the store"}
 	StoreWatchStopped    = Event{1110, LevelInfo, "the router stopped watching the store"}
+	StoreRestored        = Event{1111, LevelWarn, "the store has come back from an older copy"}
 	RequestAnswered      = Event{1203, LevelInfo, "request answered"}
 	RequestAssigned      = Event{1204, LevelInfo, "request assigned to an upstream"}
 	AttemptFailed        = Event{1205, LevelInfo, "attempt failed"}
@@ -93,6 +94,7 @@
 		TablesForked,
 		StoreWatchStarted,
 		StoreWatchStopped,
+		StoreRestored,
 		RequestFailed,
 		RequestPanicked,
 		RequestAnswered,
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -95,6 +95,10 @@
 	return was
 }
 
+// MarkRestored records that the store has come back from an older copy. Registrations that the
+// copy lacks are kept for a while, since their upstreams write them again.
+func (s *Subscriber) MarkRestored(now time.Time) { s.recovered = now }
+
 // IsUnavailable reports whether the store is unavailable.
 func (s *Subscriber) IsUnavailable() bool { return s.unavailable }
 
