Let a router that starts take the newest configuration that a peer has

A router that started while the store had an older copy began with that, and accepted keys that had been withdrawn, until it heard of a newer version; a peer's declaration, whose revision is of an earlier era, was not even in the peer's export. Cause: what the store says was taken for the newest at the start. Now a router waits up to 300 ms for the version of a peer, and up to 1.5 s for a newer declaration, before it is ready; it sends its first digest at once, and asks for everything if only the declaration of a peer is newer.

--- a/attacher/control.go
+++ b/attacher/control.go
@@ -27,6 +27,10 @@
 	// minAskInterval is the shortest time between two requests to peers for updates of the
 	// store.
 	minAskInterval = 700 * time.Millisecond
+	// peerWait is how long a router that starts waits for the first peer to tell its version,
+	// and newerWait how long for a newer declaration of a peer: the store may have an older one.
+	peerWait  = 300 * time.Millisecond
+	newerWait = 1500 * time.Millisecond
 )
 
 // control is the control loop. It owns the router's state of the store and of its
@@ -61,6 +65,10 @@
 	asking  bool
 	// tablesLoaded is closed once there are tables.
 	tablesLoaded chan struct{}
+	// startedAt is when the router was started; peerVersion is the highest version of the
+	// declaration that a peer has told, 0 before the first.
+	startedAt   time.Time
+	peerVersion int64
 	// published are the tables that were published last.
 	published *kingcuphook.Tables
 	// view is the directory that other goroutines read; it is replaced, never changed.
@@ -81,6 +89,7 @@
 		peers: newPeers(a.Settings.Seeds(), digester.HashDataCentre(a.Settings.DataCentre())),
 	}
 	c.issuersOf = -1
+	c.startedAt = time.Now()
 	c.delegator.Self = c.self
 	c.loads.Self, c.loads.Centre = c.self, c.peers.centre
 	c.view.Store(&receiver.Directory{})
@@ -235,7 +244,7 @@
 			peer = a
 		}
 	}
-	late := c.store.IsUnavailable() || now.Sub(c.peers.aheadSince) >= c.a.batchDelay()+aheadTolerance
+	late := c.store.IsUnavailable() || c.published == nil || now.Sub(c.peers.aheadSince) >= c.a.batchDelay()+aheadTolerance
 	if !peer.IsValid() || !late || c.asking || now.Before(c.nextAsk) {
 		return
 	}
@@ -243,6 +252,10 @@
 	c.nextAsk = now.Add(minAskInterval)
 	c.peers.ahead = netip.Addr{}
 	address, revision := c.a.Settings.PeerAddressOf(peer), c.pullAfter()
+	if c.peers.aheadVersion > c.store.Version() && c.peers.aheadRevision <= c.store.Revision() {
+		// The peer's declaration has an earlier revision than this router's entries.
+		revision = 0
+	}
 	go func() {
 		payload, err := c.pull.Pull(ctx, address, revision, 0)
 		c.do(ctx, func(now time.Time) { c.handleAnswer(now, address, payload, err) })
@@ -277,7 +290,7 @@
 // publish passes the tables to the other parts of the router if they have changed.
 func (c *control) publish() {
 	t := c.a.withdrawn.Apply(time.Now(), c.store.Tables())
-	if t == nil || t == c.published {
+	if t == nil || t == c.published || c.published == nil && c.awaitsPeer(time.Now()) {
 		return
 	}
 	c.logPools(t)
@@ -293,6 +306,15 @@
 	}
 }
 
+// awaitsPeer reports whether a router that starts has to wait before it uses its first tables,
+// because a peer has newer ones or may have.
+func (c *control) awaitsPeer(now time.Time) bool {
+	if c.peerVersion > c.store.Version() {
+		return now.Sub(c.startedAt) < newerWait
+	}
+	return c.peerVersion == 0 && len(c.peers.seeds) > 0 && now.Sub(c.startedAt) < peerWait
+}
+
 // logPools logs the pools whose numbers of upstreams differ from those in the tables
 // that were published last.
 func (c *control) logPools(t *kingcuphook.Tables) {
--- a/attacher/peers.go
+++ b/attacher/peers.go
@@ -55,6 +55,8 @@
 	// aheadSince; the zero address means that there is none.
 	ahead      netip.Addr
 	aheadSince time.Time
+	// aheadVersion and aheadRevision are the version and the revision in its last digest.
+	aheadVersion, aheadRevision int64
 }
 
 func newPeers(seeds []netip.Addr, centre uint32) *peers {
@@ -210,6 +212,7 @@
 	ticker := time.NewTicker(gatherer.Interval)
 	defer ticker.Stop()
 	defer func() { _ = a.datagrams.Close() }()
+	a.control.do(ctx, a.control.sendDigests)
 	for n := 0; ; n++ {
 		select {
 		case <-ctx.Done():
@@ -351,6 +354,7 @@
 
 // compareRevision records whether a peer has a newer revision of the store than this router.
 func (c *control) compareRevision(now time.Time, from netip.Addr, d digester.Digest) {
+	c.peerVersion = max(c.peerVersion, d.Version())
 	if d.Version() <= c.store.Version() && d.Revision() <= c.store.Revision() {
 		if from == c.peers.ahead {
 			c.peers.ahead = netip.Addr{}
@@ -361,4 +365,5 @@
 		c.peers.aheadSince = now
 	}
 	c.peers.ahead = from
+	c.peers.aheadVersion, c.peers.aheadRevision = d.Version(), d.Revision()
 }
