Soak prompt parts that crash upstreams

A new fault of the soak: calls with one part crash the upstreams that begin to answer them. Checked by the calls that reach upstreams later than 4 s after its fifth crash, from routers that were not disturbed.

--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -25,6 +25,8 @@
 	id     string
 	kind   standin.Kind
 	router *router
+	// parts are the IDs of the parts of the prompt.
+	parts  []string
 	sent   time.Time
 	status int
 	// served reports that the caller received a complete answer, reportedNotRun that
@@ -71,7 +73,9 @@
 		for range callsPerConnection {
 			n++
 			k := standin.Kinds()[rng.IntN(len(standin.Kinds()))]
-			c.send(ctx, transport, &call{id: fmt.Sprintf("%016x", rng.Uint64()), kind: k, router: r}, rng.IntN(20) == 0)
+			x := &call{id: fmt.Sprintf("%016x", rng.Uint64()), kind: k, router: r}
+			x.parts = c.env.promptParts(rng, k, x.id)
+			c.send(ctx, transport, x, rng.IntN(20) == 0)
 			pauser.Pause(ctx, between(rng, 5*time.Millisecond, 60*time.Millisecond))
 		}
 		transport.CloseIdleConnections()
@@ -88,7 +92,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
 	defer cancel()
 	key := c.env.currentKey()
-	sent := standin.Call{Kind: x.kind, ID: x.id, Key: key, Deadline: timeout, Body: http.NoBody}
+	sent := standin.Call{Kind: x.kind, ID: x.id, Key: key, Deadline: timeout, Body: http.NoBody, Parts: x.parts}
 	r, err := sent.Request(ctx, x.router.callers)
 	if err != nil {
 		x.violation = err.Error()
--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -59,6 +59,7 @@
 		func() fault { return fault{"upstream crashes", 0, func() { env.crash(i) }, nothing} },
 		func() fault { return env.limitFault(i, s.rng, duration) },
 		func() fault { return env.limitFault(i, s.rng, duration) },
+		func() fault { return env.partFault(s.rng) },
 		func() fault { return env.storeFault(r, s.rng.IntN(4), duration) },
 		func() fault { return env.upstreamFault(i, s.rng.IntN(5), duration) },
 		func() fault {
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -160,6 +160,9 @@
 	for _, late := range s.env.lateRuns(runs) {
 		addViolation("%s", late)
 	}
+	for _, often := range s.env.crashedTooOften(runs) {
+		addViolation("%s", often)
+	}
 	for _, u := range s.env.allUpstreams() {
 		for _, late := range s.env.ignoredNotices(u) {
 			addViolation("%s", late)
--- a/soaker/world.go
+++ b/soaker/world.go
@@ -39,8 +39,8 @@
 	soak *Soak
 	// lock is a listener whose port reserves the loopback addresses of this run, so that
 	// concurrent runs use others.
-	lock      net.Listener
-	store     *storer.Store
+	lock  net.Listener
+	store *storer.Store
 	storeHTTP *http.Server
 	// storeRefuses makes the store respond to every request with status 503.
 	storeRefuses atomic.Bool
@@ -54,6 +54,10 @@
 	key     string
 	// declaredAt is when the last declaration was written.
 	declaredAt time.Time
+	// part is the part that crashes upstreams now, nil if there is none; parts are all of
+	// the run.
+	part  *crashingPart
+	parts []*crashingPart
 	// keys holds the time at which each key was revoked; zero while it is valid.
 	keys map[string]time.Time
 }
@@ -149,6 +153,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("soaker: %w", err)
 	}
+	u.SetAbort(env.crashOnPart(i, u))
 	u.server = &http.Server{Handler: u.Upstream, ReadHeaderTimeout: time.Second}
 	go func() { _ = u.server.Serve(l) }()
 	u.network = &forwarder.Forwarder{Target: l.Addr().String()}
