Soak a store that comes back older

A new fault of the soak: the store comes back from a copy, after which operator and upstreams write again what was lost. Registrations of one upstream now have one start time.

--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -60,6 +60,7 @@
 		func() fault { return env.limitFault(i, s.rng, duration) },
 		func() fault { return env.limitFault(i, s.rng, duration) },
 		func() fault { return env.partFault(s.rng) },
+		func() fault { return env.restoreFault(duration) },
 		func() fault { return env.storeFault(r, s.rng.IntN(4), duration) },
 		func() fault { return env.upstreamFault(i, s.rng.IntN(5), duration) },
 		func() fault {
--- a/soaker/world.go
+++ b/soaker/world.go
@@ -41,6 +41,8 @@
 	// concurrent runs use others.
 	lock  net.Listener
 	store *storer.Store
+	// served serves the store.
+	served    *standin.Store
 	storeHTTP *http.Server
 	// storeRefuses makes the store respond to every request with status 503.
 	storeRefuses atomic.Bool
@@ -70,6 +72,7 @@
 	server  *http.Server
 	network *forwarder.Forwarder
 	address string
+	born    time.Time
 	// seq counts the writes of its registration.
 	seq atomic.Int64
 	// leftAt is when its registration as leaving was written; zero if it was not.
@@ -106,12 +109,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("soaker: %w", err)
 	}
-	env.storeHTTP = &http.Server{ReadHeaderTimeout: time.Second, Handler: &standin.Store{Store: env.store, RejectStatus: func(*http.Request) int {
+	env.served = &standin.Store{Store: env.store, RejectStatus: func(*http.Request) int {
 		if env.storeRefuses.Load() {
 			return http.StatusServiceUnavailable
 		}
 		return 0
-	}}}
+	}}
+	env.storeHTTP = &http.Server{ReadHeaderTimeout: time.Second, Handler: env.served}
 	go func() { _ = env.storeHTTP.Serve(l) }()
 	for i := range s.Upstreams {
 		u, err := env.newUpstream(i, 0)
@@ -147,7 +151,7 @@
 
 // newUpstream starts and registers an upstream for position i. n makes its name unique.
 func (env *environment) newUpstream(i, n int) (*upstream, error) {
-	u := &upstream{name: fmt.Sprintf("i-%d-%d", i, n)}
+	u := &upstream{name: fmt.Sprintf("i-%d-%d", i, n), born: time.Now()}
 	u.Upstream = &standin.Upstream{Instance: u.name, Events: streamEvents, EventInterval: eventInterval}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -164,7 +168,7 @@
 }
 
 func (env *environment) register(u *upstream, leaving bool) error {
-	value, err := standin.EncodeRegistration(u.address, leaving, time.Now(), u.seq.Add(1))
+	value, err := standin.EncodeRegistration(u.address, leaving, u.born, u.seq.Add(1))
 	if err != nil {
 		return fmt.Errorf("soaker: %w", err)
 	}
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -223,7 +223,7 @@
 			r.Upstream.StartTime == last.Upstream.StartTime && r.Sequence <= last.Sequence
 	}
 	d, ok := s.departed[key]
-	return ok && r.Upstream.StartTime == d.startTime && r.Sequence <= d.sequence
+	return ok && (r.Upstream.StartTime < d.startTime || r.Upstream.StartTime == d.startTime && r.Sequence <= d.sequence)
 }
 
 // recordDeparture remembers the last registration of an upstream that is removed.
