Write claims again that a store has lost when it came back older

Callers could have had a non-idempotent call run twice: a store that comes back from an older copy has lost the claims of the last seconds, and a resend through any router found none. Cause: that a claim was written was taken for good. Each router now compares the latest claim that it wrote with every head it reads, writes its lost claims again, and holds new ones for 2 s so that all routers can.

The new test fails without the comparison: the resend holds the claim.

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -15,10 +15,12 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/pauser"
 )
 
 // Defaults of a Claimer whose fields are zero.
@@ -32,6 +34,8 @@
 	defaultCallTimeout     = 500 * time.Millisecond
 	defaultMaxWait         = 2 * time.Second
 	defaultMaxOutcomeBytes = 2 << 10
+	// drainPoll is how often Drain checks whether the writers have ended.
+	drainPoll = 5 * time.Millisecond
 )
 
 // Factors of the retention of a claim.
@@ -97,6 +101,8 @@
 	// Writes counts the compare-and-swaps of heads, Conflicts those that failed
 	// because another router wrote first, and Lost those whose result is unknown.
 	Writes, Conflicts, Lost int
+	// Restored counts how often claims of this router were found to be lost by the store.
+	Restored int
 	// Sealed counts the segments written.
 	Sealed int
 	// OutcomeWrites counts the writes of outcomes.
@@ -213,16 +219,21 @@
 	}
 }
 
-// Drain waits until no outcome is waiting to be written, for a graceful
-// shutdown. Outcomes are given up if the store fails for the whole Retention.
+// Drain waits until no claim and no outcome is waiting to be written, for a graceful
+// shutdown, after which claims are not verified any more. Outcomes are given up if the store fails for the whole Retention.
 func (c *Claimer) Drain(ctx context.Context) error {
 	c.once.Do(c.start)
 	select {
 	case <-c.outcomes.idle():
-		return nil
 	case <-ctx.Done():
 		return fmt.Errorf("claimer: drain: %w", ctx.Err())
 	}
+	for slices.ContainsFunc(c.shards, func(s *shard) bool { return !s.drain() }) {
+		if !pauser.Pause(ctx, drainPoll) {
+			return fmt.Errorf("claimer: drain: %w", ctx.Err())
+		}
+	}
+	return nil
 }
 
 // Counts returns a copy of the counters.
--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -292,3 +292,30 @@
 		f.True(!f.claim(1).Held())
 	})
 }
+
+// A store that came back from an older copy had lost claims, and a resend through any router
+// ran again.
+func TestClaimsAreWrittenAgainAfterStoreCameBackOlder(t *testing.T) {
+	for _, resendAfter := range []time.Duration{0, 100 * time.Millisecond, 5 * time.Second} {
+		runTest(t, 3, func(f *fleet) {
+			older := f.store.Snapshot()
+			f.True(f.claim(0).Held())
+			for n := range f.claimers {
+				other, err := f.claimers[n].Claim(context.Background(), claimer.HashOf("cafe", string(rune('a'+n))), 7)
+				f.NoErr(err)
+				f.True(other.Held())
+			}
+			time.Sleep(time.Second)
+			f.store.Restore(older)
+			time.Sleep(resendAfter)
+			for n := range f.claimers {
+				again, err := f.claimers[n].Claim(context.Background(), key, 7)
+				f.True(err != nil || !again.Held()) // unknown, but never run again
+			}
+			time.Sleep(10 * time.Second)
+			for n := range f.claimers {
+				f.True(!f.claim(n).Held())
+			}
+		})
+	}
+}
--- a/claimer/shard.go
+++ b/claimer/shard.go
@@ -51,6 +51,13 @@
 	mu      sync.Mutex
 	waiting []*waiter
 	running bool
+	// verifyDue is set if the head is to be read though no claim is waiting, verifyScheduled
+	// until then.
+	verifyDue, verifyScheduled bool
+	// draining is set by a graceful shutdown, after which the head is not verified.
+	draining bool
+	// history holds the claims that may have to be written again.
+	history history
 	// pace limits the rate of commits; used only by the writer goroutine.
 	pace pacer
 	// sealed caches the hash prefixes of each sealed segment, by segment number;
@@ -108,16 +115,19 @@
 		}
 		batch = append(batch, s.take(maxBatch-len(batch))...)
 		maxWait = s.commit(batch)
+		s.scheduleVerify()
 	}
 }
 
-// nextBatch takes waiting claims. If there are none, it returns nil and marks the
-// writer as ended.
+// nextBatch takes waiting claims. If there are none and the head need not be read, it
+// returns nil and marks the writer as ended.
 func (s *shard) nextBatch() []*waiter {
 	batch := s.take(maxBatch)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(batch) == 0 && len(s.waiting) == 0 {
+	due := s.verifyDue
+	s.verifyDue = false
+	if len(batch) == 0 && len(s.waiting) == 0 && !due {
 		s.running = false
 		return nil
 	}
@@ -157,15 +167,27 @@
 		return 0
 	}
 	s.loadSegments(head)
+	now := time.Now()
+	lost := s.lost(head, now)
+	if len(lost) > 0 {
+		s.recover(head, now)
+	}
 	next := s.seal(head, entry.Revision())
-	p := s.plan(next, batch)
+	for _, r := range lost {
+		next.add(r.hash, r.nonce, r.createdAt, r.fingerprint)
+	}
+	p := plan{later: batch, failed: true}
+	if !now.Before(s.history.holdUntil) {
+		p = s.plan(next, batch)
+	}
 	s.requeue(p.later)
+	s.remember(p.found)
 	s.finish(p.found)
 	wait := time.Duration(0)
 	if p.failed {
 		wait = outageWait
 	}
-	if len(p.added) == 0 {
+	if len(p.added)+len(lost) == 0 {
 		return wait
 	}
 	s.markWritten(p.added)
@@ -190,6 +212,7 @@
 		}
 	})
 	if err == nil {
+		s.remember(added)
 		s.finish(added)
 		return 0
 	}
--- a/router/gauges.go
+++ b/router/gauges.go
@@ -21,6 +21,7 @@
 		"kingcuphook_claims_found_total":                   func() float64 { return float64(r.claims.Counts().Found) },
 		"kingcuphook_claims_failed_total":                  func() float64 { return float64(r.claims.Counts().Failed) },
 		"kingcuphook_claim_writes_total":                   func() float64 { return float64(r.claims.Counts().Writes) },
+		"kingcuphook_claims_restored_total":                func() float64 { return float64(r.claims.Counts().Restored) },
 		"kingcuphook_claim_conflicts_total":                func() float64 { return float64(r.claims.Counts().Conflicts) },
 		"kingcuphook_rate_limited_total":                   func() float64 { return float64(r.throttle.rejected()) },
 		"kingcuphook_quarantined_fingerprints":             func() float64 { return float64(len(r.Quarantine())) },
