--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -17,23 +17,6 @@
 	"time"
 )
 
-// Verdict indicates whether and how a request may run.
-type Verdict string
-
-// Values of Verdict.
-const (
-	// VerdictClear means that the request is not suspected of a crash.
-	VerdictClear Verdict = "clear"
-	// VerdictSuspect means that the request may run on an upstream that runs no
-	// other suspect.
-	VerdictSuspect Verdict = "suspect"
-	// VerdictHeld means that the request may not run for now: it is suspected of
-	// MaxCrashes crashes, but is not quarantined.
-	VerdictHeld Verdict = "held"
-	// VerdictQuarantined means that the request is rejected.
-	VerdictQuarantined Verdict = "quarantined"
-)
-
 // MaxCrashes is the number of crashes after which a suspect is held, and the
 // maximum number of crashes in an entry.
 const MaxCrashes = 2
@@ -49,56 +32,6 @@
 	sameCrashWindow = 10 * time.Second
 )
 
-// Crash is one crash of an upstream.
-type Crash struct {
-	upstream string
-	at       time.Time
-}
-
-// NewCrash returns the crash of an upstream.
-func NewCrash(upstream string, at time.Time) Crash { return Crash{upstream: upstream, at: at} }
-
-// Upstream returns the upstream, as it was passed to RecordCrash.
-func (c Crash) Upstream() string { return c.upstream }
-
-// At returns when the crash was detected.
-func (c Crash) At() time.Time { return c.at }
-
-// Entry is the state of a request that is or was a suspect of crashes.
-type Entry struct {
-	fingerprint uint64
-	// crashes are those that are not attributed to another request; at most
-	// MaxCrashes.
-	crashes []Crash
-	// changedAt is when the entry last changed. It decides which of the entries of two
-	// routers is current.
-	changedAt time.Time
-	state     state
-}
-
-// state is the stored state of a request, from which its verdict follows.
-type state string
-
-const (
-	stateSuspect     state = "suspect"
-	stateCleared     state = "cleared"
-	stateQuarantined state = "quarantined"
-	stateLifted      state = "lifted"
-)
-
-// Fingerprint returns the hash of the body.
-func (e Entry) Fingerprint() uint64 { return e.fingerprint }
-
-// Crashes returns the crashes that the request is a suspect of or that are
-// attributed to it. The caller must not change the slice.
-func (e Entry) Crashes() []Crash { return e.crashes }
-
-// Changed returns when the entry last changed.
-func (e Entry) Changed() time.Time { return e.changedAt }
-
-// Quarantined reports whether requests with the fingerprint are rejected.
-func (e Entry) Quarantined() bool { return e.state == stateQuarantined }
-
 // Quarantiner holds the entries of one router. Its zero value is ready for use.
 // It is safe for concurrent use.
 type Quarantiner struct {
@@ -174,44 +107,6 @@
 	return true
 }
 
-// Attribute records that the crashes have another cause than a request as a whole. Requests
-// that were suspected or quarantined for these alone are so no more.
-func (q *Quarantiner) Attribute(now time.Time, crashes []Crash) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	for _, e := range q.entries {
-		explained := !slices.ContainsFunc(e.crashes, func(c Crash) bool { return !contains(crashes, c) })
-		if e.state == stateQuarantined && explained {
-			e.state = stateLifted
-			e.changedAt = now
-			e.crashes = nil
-		}
-	}
-	q.attribute(crashes)
-}
-
-// Check returns the verdict on a request.
-func (q *Quarantiner) Check(now time.Time, fingerprint uint64) Verdict {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if len(q.entries) == 0 {
-		return VerdictClear
-	}
-	q.expire(now)
-	q.quarantineDue(now)
-	e, ok := q.entries[fingerprint]
-	switch {
-	case !ok || e.state == stateCleared || e.state == stateLifted || len(e.crashes) == 0:
-		return VerdictClear
-	case e.state == stateQuarantined:
-		return VerdictQuarantined
-	case len(e.crashes) >= MaxCrashes:
-		return VerdictHeld
-	default:
-		return VerdictSuspect
-	}
-}
-
 // Reserve reserves an upstream for a suspect. It reports false if the upstream is
 // reserved already.
 func (q *Quarantiner) Reserve(fingerprint uint64, upstream string) bool {
@@ -264,26 +159,6 @@
 	return list
 }
 
-func (e *Entry) clone() Entry {
-	c := *e
-	c.crashes = slices.Clone(e.crashes)
-	return c
-}
-
-// rank orders entries by their importance for other routers; 0 is the highest.
-func (e *Entry) rank() int {
-	switch {
-	case e.state == stateQuarantined || e.state == stateLifted:
-		return 0
-	case e.state == stateSuspect && len(e.crashes) >= MaxCrashes:
-		return 1
-	case e.state == stateSuspect:
-		return 2
-	default:
-		return 3
-	}
-}
-
 // entry returns the entry of a fingerprint. It creates a missing one, and evicts
 // another if there are too many.
 func (q *Quarantiner) entry(fingerprint uint64) *Entry {
@@ -317,15 +192,6 @@
 	delete(q.entries, evicted.fingerprint)
 }
 
-// evictedBefore reports whether e is evicted before f.
-func (e *Entry) evictedBefore(f *Entry) bool {
-	return cmp.Or(
-		cmp.Compare(f.rank(), e.rank()),
-		e.changedAt.Compare(f.changedAt),
-		cmp.Compare(e.fingerprint, f.fingerprint),
-	) < 0
-}
-
 // expire deletes entries and attributed crashes that are too old.
 func (q *Quarantiner) expire(now time.Time) {
 	suspectTTL := cmp.Or(q.SuspectTTL, defaultSuspectTTL)
@@ -338,95 +204,3 @@
 	}
 	q.attributed = slices.DeleteFunc(q.attributed, func(c Crash) bool { return now.Sub(c.at) > suspectTTL })
 }
-
-// quarantineDue quarantines every suspect that nextDue returns. It takes one at a time
-// because each quarantine removes crashes from the other suspects.
-func (q *Quarantiner) quarantineDue(now time.Time) {
-	for {
-		e := q.nextDue(now)
-		if e == nil {
-			return
-		}
-		// Every router that has the same crashes computes the same time, so that a later
-		// Lift overrides the quarantine on all of them.
-		e.state = stateQuarantined
-		e.changedAt = latest(e.crashes).Add(cmp.Or(q.SettleTime, defaultSettleTime))
-		q.attribute(e.crashes)
-	}
-}
-
-// nextDue returns a suspect of MaxCrashes crashes that is the only suspect left of at
-// least one of them, once SettleTime has passed since the last of them. It returns nil
-// if there is none.
-func (q *Quarantiner) nextDue(now time.Time) *Entry {
-	settleTime := cmp.Or(q.SettleTime, defaultSettleTime)
-	for _, e := range q.entries {
-		if e.state != stateSuspect || len(e.crashes) < MaxCrashes {
-			continue
-		}
-		if now.Sub(latest(e.crashes)) < settleTime {
-			continue
-		}
-		if slices.ContainsFunc(e.crashes, func(c Crash) bool { return q.isOnlySuspect(e, c) }) {
-			return e
-		}
-	}
-	return nil
-}
-
-// isOnlySuspect reports whether e is the only suspect left of the crash.
-func (q *Quarantiner) isOnlySuspect(e *Entry, c Crash) bool {
-	for _, other := range q.entries {
-		if other != e && other.state == stateSuspect && contains(other.crashes, c) {
-			return false
-		}
-	}
-	return true
-}
-
-// attribute attributes the crashes to a quarantined request, and removes them from
-// all suspects.
-func (q *Quarantiner) attribute(crashes []Crash) {
-	q.attributed = append(q.attributed, crashes...)
-	for _, e := range q.entries {
-		if e.state == stateSuspect {
-			e.crashes = slices.DeleteFunc(e.crashes, q.isAttributed)
-		}
-	}
-}
-
-func (q *Quarantiner) isAttributed(c Crash) bool { return contains(q.attributed, c) }
-
-func contains(crashes []Crash, c Crash) bool {
-	return slices.ContainsFunc(crashes, func(d Crash) bool { return sameCrash(c, d) })
-}
-
-// sameCrash reports whether c and d count as one crash, possibly detected by two
-// routers.
-func sameCrash(c, d Crash) bool {
-	return c.upstream == d.upstream && c.at.Sub(d.at).Abs() <= sameCrashWindow
-}
-
-// mergeCrashes returns the crashes of a and b without duplicates in order of time, and
-// at most the MaxCrashes earliest.
-func mergeCrashes(a, b []Crash) []Crash {
-	for _, c := range b {
-		if !contains(a, c) {
-			a = append(a, c)
-		}
-	}
-	slices.SortFunc(a, func(c, d Crash) int {
-		return cmp.Or(c.at.Compare(d.at), cmp.Compare(c.upstream, d.upstream))
-	})
-	return a[:min(len(a), MaxCrashes)]
-}
-
-func latest(crashes []Crash) time.Time {
-	var last time.Time
-	for _, c := range crashes {
-		if c.at.After(last) {
-			last = c.at
-		}
-	}
-	return last
-}
