--- a/router/crash_test.go
+++ b/router/crash_test.go
@@ -26,6 +26,12 @@
 	minServedShare = 0.95
 )
 
+// Sizes of the fleet of TestMessageThatCrashesEnginesIsRefused.
+const (
+	routerCount = 4
+	engineCount = 10
+)
+
 const enginePool = `
 [[pool]]
 name = "models"
@@ -44,7 +50,7 @@
 
 // chat sends a chat with the messages, and returns the status; 0 if the answer breaks off.
 func chat(r *Router, messages ...string) int {
-	var list []string
+	list := make([]string, 0, len(messages))
 	for _, m := range messages {
 		list = append(list, fmt.Sprintf(`{"role":"user","content":%q}`, m))
 	}
@@ -66,8 +72,8 @@
 	store := &storer.Store{}
 	platform := servePlatform(t, store)
 	pools := enginePool
-	var engines []*responder.Upstream
-	for range 10 {
+	engines := make([]*responder.Upstream, 0, engineCount)
+	for range engineCount {
 		u := &responder.Upstream{RestartTime: 2 * time.Second}
 		s := httptest.NewServer(u)
 		t.Cleanup(s.Close)
@@ -75,9 +81,9 @@
 		pools += fmt.Sprintf(engine, s.Listener.Addr().String())
 	}
 	applyTables(t, store, benchmarkRoutes, pools)
-	var routers []*Router
-	var vms []kingcuphook.VM
-	for i := range 4 {
+	routers := make([]*Router, 0, routerCount)
+	vms := make([]kingcuphook.VM, 0, routerCount)
+	for i := range routerCount {
 		r := listen(t, platform, uint64(i)+1)
 		routers = append(routers, r)
 		vms = append(vms, kingcuphook.NewVM(r.PeersAddress(), "cairo", "cairo-1", kingcuphook.VMStateLive))
