Judge crashing prompt parts by the requests of their own pool

While all engines crash, plain services go on: their answers counted as sound beginnings between the crashes, so that a release that crashes every engine could have got parts refused that sound calls have. Crashes and outcomes now name their pool. Explained crashes are collected once for each update, and all parts share one bound.

--- a/isolator/attempt.go
+++ b/isolator/attempt.go
@@ -13,8 +13,6 @@
 	maxOutcomes = 512
 	// maxUnsettled bounds the ended attempts that are kept until they count as sound.
 	maxUnsettled = 256
-	// maxSoundTimes bounds the times at which requests have begun soundly.
-	maxSoundTimes = 64
 	// maxSound bounds the parts in each half of those that have begun soundly.
 	maxSound = 2048
 	// sameCrashWindow is the maximum difference between the times at which routers detect
@@ -26,6 +24,7 @@
 type Attempt struct {
 	isolator *Isolator
 	program  uint32
+	pool     uint16
 	parts    []uint64
 	// first and last are when the first and the latest piece of the answer arrived; zero
 	// before.
@@ -37,6 +36,7 @@
 // outcome is how the beginning of an attempt ended.
 type outcome struct {
 	at     time.Time
+	pool   uint16
 	broken bool
 	// program is the one that broke off the attempt.
 	program uint32
@@ -44,7 +44,7 @@
 
 // Begin returns an attempt at an upstream.
 func (i *Isolator) Begin(u *kingcuphook.Upstream, r *kingcuphook.Request) *Attempt {
-	return &Attempt{isolator: i, program: hashProgram(u.Program()), parts: r.Parts()}
+	return &Attempt{isolator: i, program: hashProgram(u.Program()), pool: hashPool(r.Pool()), parts: r.Parts()}
 }
 
 // Progress records that a piece of the answer has arrived.
@@ -95,17 +95,13 @@
 func (i *Isolator) recordSound(a *Attempt) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.addOutcome(outcome{at: a.first})
+	i.addOutcome(outcome{at: a.first, pool: a.pool})
 	i.markSound(a.first, a.parts)
 	i.liftSound(a.last, a.first, a.parts)
 }
 
 // markSound records that requests with the parts have begun soundly at the given time.
 func (i *Isolator) markSound(at time.Time, parts []uint64) {
-	if len(i.soundTimes) >= maxSoundTimes {
-		i.soundTimes = slices.Delete(i.soundTimes, 0, 1)
-	}
-	i.soundTimes = append(i.soundTimes, at)
 	for _, p := range parts {
 		if len(i.sound) >= maxSound || i.sound == nil {
 			i.soundBefore = i.sound
@@ -155,7 +151,7 @@
 		if now.Sub(a.last) < settleTime {
 			return false
 		}
-		i.addOutcome(outcome{at: a.first})
+		i.addOutcome(outcome{at: a.first, pool: a.pool})
 		i.markSound(a.first, a.parts)
 		return true
 	})
@@ -190,8 +186,8 @@
 // addCandidate counts a crash against the parts of an attempt. If one of them is
 // quarantined, that explains the crash.
 func (i *Isolator) addCandidate(now time.Time, a *Attempt) {
-	i.addOutcome(outcome{at: now, broken: true, program: a.program})
-	crash := Crash{program: a.program, at: now, knownAt: now}
+	i.addOutcome(outcome{at: now, pool: a.pool, broken: true, program: a.program})
+	crash := Crash{program: a.program, pool: a.pool, at: now, knownAt: now}
 	if quarantined := i.quarantinedOf(a.parts); len(quarantined) > 0 {
 		quarantined[0].addCrash(crash)
 		return
--- a/isolator/entry.go
+++ b/isolator/entry.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/kingcuphook/kingcuphook"
 )
 
@@ -27,6 +29,8 @@
 type Crash struct {
 	// program is the hash of the program.
 	program uint32
+	// pool is the hash of the pool that the program serves.
+	pool uint16
 	// at is when the crash was detected.
 	at time.Time
 	// excused is set once a request with the part has begun soundly after the crash.
@@ -172,5 +176,8 @@
 	return changed
 }
 
+// hashPool returns the hash by which pools are told apart.
+func hashPool(name string) uint16 { return uint16(xxhash.Sum64String(name)) }
+
 // hashProgram returns the hash by which crashes of a program are told apart.
 func hashProgram(p kingcuphook.Program) uint32 { return uint32(p.Key()) }
--- a/isolator/exchange.go
+++ b/isolator/exchange.go
@@ -27,7 +27,7 @@
 	// entryBytes and crashBytes are the lengths of the encodings of an entry without crashes
 	// and of a crash.
 	entryBytes = 8 + 1 + 1 + 4 + 1
-	crashBytes = 4 + 2 + 1
+	crashBytes = 4 + 2 + 2 + 1
 )
 
 // Flags of a crash in a message.
@@ -115,6 +115,7 @@
 	b = append(b, byte(len(crashes)))
 	for _, c := range crashes {
 		b = binary.BigEndian.AppendUint32(b, c.program)
+		b = binary.BigEndian.AppendUint16(b, c.pool)
 		b = binary.BigEndian.AppendUint16(b, uint16(encodeAge(now.Sub(c.at), crashAgeUnit, math.MaxUint16)))
 		b = append(b, c.flags())
 	}
@@ -219,10 +220,11 @@
 	for range n {
 		c := Crash{
 			program:  binary.BigEndian.Uint32(b),
-			at:       now.Add(-time.Duration(binary.BigEndian.Uint16(b[4:])) * crashAgeUnit),
+			pool:     binary.BigEndian.Uint16(b[4:]),
+			at:       now.Add(-time.Duration(binary.BigEndian.Uint16(b[6:])) * crashAgeUnit),
 			knownAt:  now,
-			excused:  b[6]&flagExcused != 0,
-			followed: b[6]&flagFollowed != 0,
+			excused:  b[8]&flagExcused != 0,
+			followed: b[8]&flagFollowed != 0,
 		}
 		e.crashes = append(e.crashes, c)
 		b = b[crashBytes:]
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -20,14 +20,12 @@
 	defaultSuspectTTL    = 30 * time.Minute
 	defaultQuarantineTTL = 24 * time.Hour
 	defaultMaxEntries    = 512
-	// maxQuarantined bounds the entries that are quarantined or lifted.
-	maxQuarantined = 128
 	// maxCrashes bounds the crashes in an entry.
 	maxCrashes = 24
 	// excusedTTL is how long an entry is kept whose crashes are all excused.
 	excusedTTL = time.Minute
 	// updateInterval is the shortest time between two updates of the states by checks.
-	updateInterval = 20 * time.Millisecond
+	updateInterval = 50 * time.Millisecond
 )
 
 // Isolator holds what one router knows about the parts. Its zero value is ready for use. It
@@ -47,7 +45,7 @@
 	SuspectTTL time.Duration
 	// QuarantineTTL is how long a part stays quarantined; 0 means 24 h.
 	QuarantineTTL time.Duration
-	// MaxEntries bounds the parts that are not quarantined; 0 means 512.
+	// MaxEntries bounds the parts that are known; 0 means 512.
 	MaxEntries int
 	// OnChange, if set, is called when the state of a part changes, except that it becomes a
 	// suspect. It must not call the Isolator.
@@ -58,8 +56,8 @@
 	// sound and soundBefore have when a request with a part last began soundly on this
 	// router. soundBefore is the older half.
 	sound, soundBefore map[uint64]time.Time
-	// soundTimes has when requests last began soundly here, whatever their parts.
-	soundTimes []time.Time
+	// explained has the crashes of quarantined parts, by program.
+	explained map[uint32][]Crash
 	// outcomes are those of the latest requests.
 	outcomes []outcome
 	// unsettled are ended requests that have begun less than SettleTime ago, and whose
@@ -191,7 +189,7 @@
 	if i.entries == nil {
 		i.entries = make(map[uint64]*Entry)
 	}
-	if len(i.entries) >= cmp.Or(i.MaxEntries, defaultMaxEntries)+maxQuarantined {
+	if len(i.entries) >= cmp.Or(i.MaxEntries, defaultMaxEntries) {
 		i.evict()
 	}
 	e := &Entry{part: part, state: StateSuspect}
--- a/isolator/isolator_test.go
+++ b/isolator/isolator_test.go
@@ -145,7 +145,7 @@
 		sound.Progress(now)
 		sound.Complete(now, true)
 	}
-	is.True(len(i.entries) <= defaultMaxEntries+maxQuarantined)
+	is.True(len(i.entries) <= defaultMaxEntries)
 	is.True(len(i.sound)+len(i.soundBefore) <= 2*maxSound)
 	is.True(len(i.outcomes) <= maxOutcomes)
 	is.True(isQuarantined(&i, now, crashing))
@@ -160,3 +160,18 @@
 		}
 	})
 }
+
+// Requests to a pool that went on made crashes of all upstreams of another pool count apart.
+func TestOtherPoolsShowNoSoundBeginnings(t *testing.T) {
+	is := is.New(t)
+	var i Isolator
+	now := start
+	for c := range 3 * defaultMinCrashes {
+		i.Begin(upstream(c), request(shared)).BrokenOff(now)
+		other := i.Begin(upstream(1000), kingcuphook.NewRequest(kingcuphook.RequestFields{Pool: "other"}))
+		other.Progress(now.Add(100 * time.Millisecond))
+		other.Complete(now.Add(200*time.Millisecond), true)
+		now = now.Add(time.Second)
+	}
+	is.True(!isQuarantined(&i, now.Add(defaultSettleTime), shared))
+}
--- a/isolator/verdict.go
+++ b/isolator/verdict.go
@@ -32,6 +32,7 @@
 	i.updatedAt = now
 	i.settle(now)
 	i.expire(now)
+	i.explain()
 	for _, e := range i.entries {
 		i.weigh(now, e)
 	}
@@ -49,7 +50,7 @@
 	}
 	for n := range e.crashes {
 		c := &e.crashes[n]
-		if !c.followed && i.beganSoundly(c.at, e.nextCrash(n)) {
+		if !c.followed && i.beganSoundly(c.pool, c.at, e.nextCrash(n)) {
 			c.followed = true
 			e.changedAt = now
 		}
@@ -66,10 +67,10 @@
 }
 
 // beganSoundly reports whether a request began soundly on this router after the first and before
-// the second time; a zero time is no limit.
-func (i *Isolator) beganSoundly(after, before time.Time) bool {
-	return slices.ContainsFunc(i.soundTimes, func(at time.Time) bool {
-		return at.After(after) && (before.IsZero() || at.Before(before))
+// the second time, in the pool; a zero time is no limit.
+func (i *Isolator) beganSoundly(pool uint16, after, before time.Time) bool {
+	return slices.ContainsFunc(i.outcomes, func(o outcome) bool {
+		return !o.broken && o.pool == pool && o.at.After(after) && (before.IsZero() || o.at.Before(before))
 	})
 }
 
@@ -105,9 +106,23 @@
 	for _, e := range due {
 		i.setState(now, e, StateQuarantined)
 	}
+	i.explain()
 	return true
 }
 
+// explain collects the crashes that quarantined parts explain.
+func (i *Isolator) explain() {
+	i.explained = make(map[uint32][]Crash)
+	for _, e := range i.entries {
+		if e.state != StateQuarantined {
+			continue
+		}
+		for _, c := range e.crashes {
+			i.explained[c.program] = append(i.explained[c.program], c)
+		}
+	}
+}
+
 // counting returns the crashes that count against a part: those that are known for SettleTime,
 // not excused, and that no quarantined part explains.
 func (i *Isolator) counting(now time.Time, e *Entry) []Crash {
@@ -129,12 +144,7 @@
 
 // isExplained reports whether a quarantined part explains the crash.
 func (i *Isolator) isExplained(c Crash) bool {
-	for _, e := range i.entries {
-		if e.state == StateQuarantined && slices.ContainsFunc(e.crashes, c.same) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(i.explained[c.program], c.same)
 }
 
 // same reports whether c and d are the same crash, possibly detected by two routers.
@@ -172,13 +182,13 @@
 	return n
 }
 
-// share returns the share of the crashes in all that are known since the first of them and that
-// no quarantined part explains.
+// share returns the share of the crashes in all of their pool that are known since the first of
+// them and that no quarantined part explains.
 func (i *Isolator) share(crashes []Crash) float64 {
 	all := make(map[uint32]bool)
 	for _, e := range i.entries {
 		for _, c := range e.crashes {
-			if !c.at.Before(crashes[0].at) && !all[c.program] && !i.isExplained(c) {
+			if c.pool == crashes[0].pool && !c.at.Before(crashes[0].at) && !all[c.program] && !i.isExplained(c) {
 				all[c.program] = true
 			}
 		}
@@ -193,7 +203,7 @@
 	sound, broken := priorSound, priorBroken
 	for _, o := range i.outcomes {
 		switch {
-		case o.at.Before(counting[0].at) || o.at.After(counting[len(counting)-1].at):
+		case o.pool != counting[0].pool || o.at.Before(counting[0].at) || o.at.After(counting[len(counting)-1].at):
 		case !o.broken:
 			sound++
 		case !e.hasCrash(o.program) && !i.isExplained(Crash{program: o.program, at: o.at}):
