Count each crash of an upstream, and store what was written of a part at once

Crashes of calls that are no suspects of them were left out of the counter of crashed attempts, and a delegate wrote a record once more before the store's watch had told it of the first.

--- a/attacher/partrecords.go
+++ b/attacher/partrecords.go
@@ -101,34 +101,38 @@
 	return time.Duration(max(slices.Index(c.delegator.Delegates(now), c.self), 0)) * partWriteStep
 }
 
-// writePart writes a record if that in the store still has the revision; 0 means none.
+// writePart writes a record if that in the store still has the revision; 0 means none. If it has
+// another one, that is read.
 func (c *control) writePart(ctx context.Context, record isolator.Record, revision int64) {
 	c.parts.writing = true
 	go func() {
-		err := c.a.putPart(ctx, record, revision)
+		written, err := c.a.putPart(ctx, record, revision)
 		var found kingcuphook.Entry
 		if errors.Is(err, kingcuphook.ErrConflict) {
 			found, err = c.a.store.Get(ctx, partPrefix+record.Part)
 		}
 		c.do(ctx, func(now time.Time) {
 			c.parts.writing = false
-			if err != nil {
+			switch {
+			case err != nil:
 				c.a.Log.Log(logger.PartRecordFailed, "part", record.Part, "state", record.State, "error", err)
 				c.parts.missingSince[record.Part] = now.Add(partWriteStep)
-				return
+			case written != 0:
+				c.parts.stored[record.Part] = storedPart{record: record, revision: written}
+			default:
+				c.applyPart(now, found)
 			}
-			c.applyPart(now, found)
 		})
 	}()
 }
 
-func (a *Attacher) putPart(ctx context.Context, record isolator.Record, revision int64) error {
+// putPart writes a record if that in the store has the revision, and returns the new revision.
+func (a *Attacher) putPart(ctx context.Context, record isolator.Record, revision int64) (int64, error) {
 	value, err := record.Encode()
 	if err != nil {
-		return err
+		return 0, err
 	}
-	_, err = a.store.Put(ctx, partPrefix+record.Part, value, revision, 0)
-	return err
+	return a.store.Put(ctx, partPrefix+record.Part, value, revision, 0)
 }
 
 // tryParts lets one request of the fleet with a quarantined part through, if trials are due.
@@ -153,7 +157,10 @@
 		return
 	}
 	record, due := stored.NextTrial(time.Now())
-	if !due || a.putPart(ctx, record, entry.Revision()) != nil {
+	if !due {
+		return
+	}
+	if _, err := a.putPart(ctx, record, entry.Revision()); err != nil {
 		return
 	}
 	a.isolator.AllowTrial(record)
--- a/dispatcher/hedge.go
+++ b/dispatcher/hedge.go
@@ -179,8 +179,8 @@
 	u := a.slot.Choice().Upstream
 	r.failed = append(r.failed, u.Address())
 	a.discard()
-	r.recordBroken(a.isolated, u, a.err)
+	suspect := r.recordBroken(a.isolated, u, a.err)
 	if isCrash(a.err) && !errors.Is(a.err, kingcuphook.ErrUnavailable) && !errors.Is(a.err, errUnresponsive) {
-		r.recordCrash(ctx, u)
+		r.recordCrash(ctx, u, suspect)
 	}
 }
--- a/dispatcher/quarantine.go
+++ b/dispatcher/quarantine.go
@@ -16,9 +16,13 @@
 const verdictInterval = 100 * time.Millisecond
 
 // recordCrash records that the upstream crashed while it ran the call, and shares
-// this with the peers before the call is retried here or resent by its caller.
-func (r *run) recordCrash(ctx context.Context, u *kingcuphook.Upstream) {
+// this with the peers before the call is retried here or resent by its caller. An opaque
+// call is no suspect of the crash if the upstream had gone on after it began the answer.
+func (r *run) recordCrash(ctx context.Context, u *kingcuphook.Upstream, suspect bool) {
 	r.d.count(func(n *Counts) { n.Crashes++ })
+	if !suspect && r.call.Opaque != nil {
+		return
+	}
 	r.d.Quarantiner.RecordCrash(time.Now(), r.request.Fingerprint(), isolator.FormatProgram(u.Program()))
 	if r.d.OnCrash != nil {
 		r.d.OnCrash(r.request, u)
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -256,8 +256,8 @@
 		return err
 	case errors.Is(err, errUnresponsive):
 		r.d.count(func(n *Counts) { n.Unresponsive++ })
-	case event == tracker.EventBreak && isCrash(err) && (suspect || r.call.Opaque == nil):
-		r.recordCrash(ctx, u)
+	case event == tracker.EventBreak && isCrash(err):
+		r.recordCrash(ctx, u, suspect)
 	}
 	r.failed = append(r.failed, u.Address())
 	return err
