Keep quarantined prompt parts of serve in the store

Each router writes its quarantined parts beside its suspects, under the same lease of 5 min, and reads all of them when it starts; a verdict is told to the peers at once. The new test fails without the reading: clear in place of quarantined.

--- a/router/router.go
+++ b/router/router.go
@@ -290,6 +290,7 @@
 	r.sharer = &sharer.Sharer{
 		Store:       r.platform,
 		Quarantiner: r.quarantine,
+		Isolator:    r.isolator,
 		Owner:       r.PeersAddress(),
 		OnDecodeError: func(key string, err error) {
 			r.Log.Log(logger.PeerFailed, "key", key, "error", err)
--- a/router/share.go
+++ b/router/share.go
@@ -73,9 +73,14 @@
 // fleetSize returns the number of routers in the published view.
 func (r *Router) fleetSize() int { return len(r.control.view.Load().members) }
 
-// partChanged logs a change of the state of a prompt part, and clears the requests of the crashes
-// that it explains.
+// partChanged logs a change of the state of a prompt part, clears the requests of the crashes that
+// it explains and tells the peers.
 func (r *Router) partChanged(e isolator.Entry) {
 	narrator.LogPart(r.Log)(e)
 	dispatcher.Explain(r.quarantine)(e)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), acceptTimeout)
+		defer cancel()
+		r.shareSuspects(ctx)
+	}()
 }
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/isolator"
 	"github.com/kingcuphook/kingcuphook/pauser"
 	"github.com/kingcuphook/kingcuphook/quarantiner"
 )
@@ -20,6 +21,9 @@
 // Prefix is the common prefix of the keys of all processes.
 const Prefix = "suspects/"
 
+// partsPrefix is the prefix of the keys with the quarantined prompt parts of all processes.
+const partsPrefix = "parts/"
+
 const (
 	// maxBytes bounds the encoded entries of one process.
 	maxBytes = 16 << 10
@@ -42,6 +46,9 @@
 	Store kingcuphook.Store
 	// Quarantiner holds the entries of this process; never nil.
 	Quarantiner *quarantiner.Quarantiner
+	// Isolator holds the quarantined prompt parts of this process, which outlive it in the store;
+	// nil means none. Between running processes they are exchanged by other means.
+	Isolator *isolator.Isolator
 	// Owner identifies this process in its key; unique in the fleet.
 	Owner string
 	// OnDecodeError, if set, is called with the key of entries that can't be decoded and the
@@ -91,12 +98,42 @@
 	if errors.Is(err, kingcuphook.ErrLeaseLost) {
 		s.lease = 0
 	}
+	if err == nil {
+		err = s.putParts(ctx, now)
+	}
 	if err != nil {
 		return 0, fmt.Errorf("sharer: %w", err)
 	}
 	return revision, nil
 }
 
+// putParts writes the quarantined prompt parts, if there are any.
+func (s *Sharer) putParts(ctx context.Context, now time.Time) error {
+	if s.Isolator == nil {
+		return nil
+	}
+	value := s.Isolator.ExportStates(now, maxBytes)
+	if value == nil {
+		return nil
+	}
+	_, err := s.Store.Put(ctx, partsPrefix+s.Owner, value, kingcuphook.RevisionAny, s.lease)
+	return err
+}
+
+// importParts imports the quarantined prompt parts of all processes.
+func (s *Sharer) importParts(ctx context.Context) error {
+	if s.Isolator == nil {
+		return nil
+	}
+	entries, err := s.list(ctx, partsPrefix)
+	for _, e := range entries {
+		if err := s.Isolator.Import(time.Now(), e.Value()); err != nil && s.OnDecodeError != nil {
+			s.OnDecodeError(e.Key(), err)
+		}
+	}
+	return err
+}
+
 // Run imports the entries of the other processes until ctx ends, and returns the error
 // of ctx.
 func (s *Sharer) Run(ctx context.Context) error {
@@ -114,8 +151,8 @@
 // process wrote before a restart, and after it, since the watch starts at the revision
 // of the write and reports no earlier changes.
 func (s *Sharer) follow(ctx context.Context) {
-	existing, err := s.list(ctx)
-	if err != nil {
+	existing, err := s.list(ctx, Prefix)
+	if err != nil || s.importParts(ctx) != nil {
 		return
 	}
 	s.importEntries(existing)
@@ -123,17 +160,17 @@
 	if err != nil {
 		return
 	}
-	entries, err := s.list(ctx)
+	entries, err := s.list(ctx, Prefix)
 	for err == nil {
 		s.importEntries(entries)
 		entries, after, err = s.Store.Watch(ctx, Prefix, after)
 	}
 }
 
-func (s *Sharer) list(ctx context.Context) ([]kingcuphook.Entry, error) {
+func (s *Sharer) list(ctx context.Context, prefix string) ([]kingcuphook.Entry, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return s.Store.List(ctx, Prefix)
+	return s.Store.List(ctx, prefix)
 }
 
 // importEntries imports the quarantine entries in the given values of the store. Values
--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/kingcuphook/kingcuphook"
 	"github.com/kingcuphook/kingcuphook/emulator/storer"
+	"github.com/kingcuphook/kingcuphook/isolator"
 	"github.com/kingcuphook/kingcuphook/quarantiner"
 )
 
@@ -93,3 +94,44 @@
 		is.Equal(all[1].Quarantiner.Check(time.Now(), 2), quarantiner.VerdictSuspect)
 	})
 }
+
+// crashPart makes the isolator quarantine a part, with crashes between which requests with another
+// part begin soundly.
+func crashPart(i *isolator.Isolator, part uint64) {
+	begin := func(address string, part uint64) *isolator.Attempt {
+		u := kingcuphook.NewUpstream(kingcuphook.UpstreamFields{Address: address})
+		return i.Begin(u, kingcuphook.NewRequest(kingcuphook.RequestFields{Parts: []uint64{part}}))
+	}
+	for n := range 8 {
+		begin(fmt.Sprint(n), part).BrokenOff(time.Now())
+		time.Sleep(time.Second)
+		begin("sound", part+1).Complete(time.Now(), true)
+		time.Sleep(time.Second)
+	}
+}
+
+// Quarantined prompt parts were gone once all processes had ended.
+func TestQuarantinedPartsOutliveAllProcesses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &storer.Store{}
+		const part = 7
+		start := func() (*Sharer, context.CancelFunc) {
+			ctx, cancel := context.WithCancel(t.Context())
+			s := &Sharer{Store: store, Quarantiner: &quarantiner.Quarantiner{}, Isolator: &isolator.Isolator{}, Owner: "0"}
+			go func() { _ = s.Run(ctx) }()
+			time.Sleep(10 * time.Second)
+			return s, cancel
+		}
+		first, end := start()
+		crashPart(first.Isolator, part)
+		verdict, _ := first.Isolator.Check(time.Now(), []uint64{part})
+		is.Equal(verdict, isolator.VerdictQuarantined)
+		first.Share(t.Context())
+		end()
+		second, end := start()
+		defer end()
+		verdict, _ = second.Isolator.Check(time.Now(), []uint64{part})
+		is.Equal(verdict, isolator.VerdictQuarantined)
+	})
+}
