--- a/isolator/scenario_test.go
+++ b/isolator/scenario_test.go
@@ -10,6 +10,9 @@
 // seeds is the number of seeds of each scenario.
 var seeds = flag.Uint64("fleet-seeds", 2, "seeds of each simulated fleet")
 
+// maxRouters bounds the size of the simulated fleets.
+var maxRouters = flag.Int("fleet-routers", 300, "most routers of a simulated fleet")
+
 // maxLateCalls is how many calls with a crashing part may reach upstreams after the bound.
 const maxLateCalls = 3
 
@@ -26,6 +29,7 @@
 		{"one-router", func(s *scenario) { s.routers = 1 }},
 		{"30-routers", func(s *scenario) { s.routers, s.upstreams, s.sound = 30, 40, 200 }},
 		{"300-routers", func(s *scenario) { s.routers, s.upstreams, s.sound, s.length = 300, 300, 900, 20*time.Second }},
+		{"1103-routers", func(s *scenario) { s.routers, s.upstreams, s.sound, s.length = 1103, 1200, 2200, 16*time.Second }},
 		{"one-part", func(s *scenario) { s.parts = 1 }},
 		{"eight-parts", func(s *scenario) { s.parts = 8 }},
 		{"two-bad-parts", func(s *scenario) { s.badParts, s.bad = 2, 5 }},
@@ -41,6 +45,9 @@
 			for seed := range *seeds {
 				s := base
 				c.change(&s)
+				if s.routers > *maxRouters {
+					return
+				}
 				f := newSimFleet(s, seed)
 				f.run()
 				t.Logf("seed %d: %s", seed, f.result())
