--- a/claimer/lost.go
+++ b/claimer/lost.go
@@ -104,40 +104,44 @@
 // verify reads the head, unless the writer goroutine does so anyway, and lets that compare it if
 // the latest claim isn't there.
 func (s *shard) verify() {
-	s.mu.Lock()
-	s.verifyScheduled = false
-	skip := s.running || s.draining || len(s.history.written) == 0 || time.Since(s.history.readAt) < verifyInterval
-	var latest Record
-	if !skip {
-		latest = s.history.written[len(s.history.written)-1]
-	}
-	s.mu.Unlock()
 	defer s.scheduleVerify()
-	if skip {
+	latest, ok := s.beginVerify()
+	if !ok {
 		return
 	}
-	entry, err := s.claimer.get(s.prefix + "head")
-	if err != nil {
-		return
-	}
-	if head, err := s.decode(entry); err == nil {
-		if _, found := head.Find(latest.hash); found {
-			return
-		}
+	found := true
+	if entry, err := s.claimer.get(s.prefix + "head"); err == nil {
+		head, err := s.decode(entry)
+		found = err == nil && slices.ContainsFunc(head.records, func(r Record) bool { return r.hash == latest.hash })
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.running && !s.draining {
+	s.verifying = false
+	if !found && !s.running && !s.draining {
 		s.verifyDue = true
 		s.running = true
 		go s.write()
 	}
 }
 
-// drain ends the verification, and reports whether the writer goroutine has ended.
+// beginVerify returns the latest claim, and reports whether the head is to be read.
+func (s *shard) beginVerify() (Record, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.verifyScheduled = false
+	n := len(s.history.written)
+	if s.running || s.draining || n == 0 || time.Since(s.history.readAt) < verifyInterval {
+		return Record{}, false
+	}
+	s.verifying = true
+	return s.history.written[n-1], true
+}
+
+// drain ends the verification, and reports whether the writer goroutine and the verification have
+// ended.
 func (s *shard) drain() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.draining = true
-	return !s.running
+	return !s.running && !s.verifying
 }
--- a/claimer/shard.go
+++ b/claimer/shard.go
@@ -51,9 +51,9 @@
 	mu      sync.Mutex
 	waiting []*waiter
 	running bool
-	// verifyDue is set if the head is to be read though no claim is waiting, verifyScheduled
-	// until then.
-	verifyDue, verifyScheduled bool
+	// verifyScheduled is set until the head is to be verified, verifying while it is read, and
+	// verifyDue if the writer goroutine has to compare it though no claim is waiting.
+	verifyScheduled, verifying, verifyDue bool
 	// draining is set by a graceful shutdown, after which the head is not verified.
 	draining bool
 	// history holds the claims that may have to be written again.
