Find crashing prompt parts in storms of crashes without refusing sound ones

Cause: messages of 180 bytes held two entries, so that news of sound beginnings came late; the culprit's oldest crashes were dropped for new ones, so that it had too few groups; the one trial was broken off by another crash.

An entry now takes 11 bytes and 7 a crash, of 15 and 9; the earliest crashes are kept; a crash counts after 2 s, of 1.5 s; trials wait until no crash is known for 5 s.

--- a/isolator/attempt.go
+++ b/isolator/attempt.go
@@ -24,7 +24,7 @@
 type Attempt struct {
 	isolator *Isolator
 	program  uint32
-	pool     uint16
+	pool     uint8
 	parts    []uint64
 	// first and last are when the first and the latest piece of the answer arrived; zero
 	// before.
@@ -36,7 +36,7 @@
 // outcome is how the beginning of an attempt ended.
 type outcome struct {
 	at     time.Time
-	pool   uint16
+	pool   uint8
 	broken bool
 	// program is the one that broke off the attempt.
 	program uint32
--- a/isolator/entry.go
+++ b/isolator/entry.go
@@ -30,7 +30,7 @@
 	// program is the hash of the program.
 	program uint32
 	// pool is the hash of the pool that the program serves.
-	pool uint16
+	pool uint8
 	// at is when the crash was detected.
 	at time.Time
 	// excused is set once a request with the part has begun soundly after the crash.
@@ -145,7 +145,8 @@
 }
 
 // addCrash adds a crash to an entry, or merges it with the same one. It reports whether the
-// entry has changed.
+// entry has changed. Of too many crashes the earliest are kept that are not excused: they were
+// told to more routers.
 func (e *Entry) addCrash(c Crash) bool {
 	for n := range e.crashes {
 		own := &e.crashes[n]
@@ -153,14 +154,17 @@
 			return own.merge(c)
 		}
 	}
+	if len(e.crashes) == maxCrashes {
+		n := slices.IndexFunc(e.crashes, func(c Crash) bool { return c.excused })
+		if n < 0 {
+			return false
+		}
+		e.crashes = slices.Delete(e.crashes, n, n+1)
+	}
 	e.crashes = append(e.crashes, c)
 	slices.SortFunc(e.crashes, func(a, b Crash) int {
 		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.program, b.program))
 	})
-	if len(e.crashes) > maxCrashes {
-		n := max(slices.IndexFunc(e.crashes, func(c Crash) bool { return c.excused }), 0)
-		e.crashes = slices.Delete(e.crashes, n, n+1)
-	}
 	return true
 }
 
@@ -177,7 +181,7 @@
 }
 
 // hashPool returns the hash by which pools are told apart.
-func hashPool(name string) uint16 { return uint16(xxhash.Sum64String(name)) }
+func hashPool(name string) uint8 { return uint8(xxhash.Sum64String(name)) }
 
 // hashProgram returns the hash by which crashes of a program are told apart.
 func hashProgram(p kingcuphook.Program) uint32 { return uint32(p.Key()) }
--- a/isolator/exchange.go
+++ b/isolator/exchange.go
@@ -22,17 +22,21 @@
 	changedTTL = 5 * time.Second
 	// crashAgeUnit and stateAgeUnit are the units of the ages in messages. Ages are sent
 	// since the clocks of two VMs differ.
-	crashAgeUnit = 2 * time.Millisecond
+	crashAgeUnit = 8 * time.Millisecond
 	stateAgeUnit = time.Second
-	// entryBytes and crashBytes are the lengths of the encodings of an entry without crashes
-	// and of a crash.
-	entryBytes = 8 + 1 + 1 + 4 + 1
-	crashBytes = 4 + 2 + 2 + 1
+	// entryBytes, sinceBytes and crashBytes are the lengths of the encodings of an entry without
+	// crashes, of when it got its state, which suspects lack, and of a crash.
+	entryBytes = 8 + 1 + 1 + 1
+	sinceBytes = 4
+	crashBytes = 4 + 1 + 2
+	// maxCrashAge is the greatest age of a crash in a message, in crashAgeUnit; the bits above
+	// it have the flags.
+	maxCrashAge = 1<<14 - 1
 )
 
 // Flags of a crash in a message.
 const (
-	flagExcused = 1 << iota
+	flagExcused = 1 << (14 + iota)
 	flagFollowed
 )
 
@@ -92,7 +96,11 @@
 }
 
 func (e *Entry) encodedBytes() int {
-	return entryBytes + len(e.reported())*crashBytes
+	n := entryBytes + len(e.reported())*crashBytes
+	if e.state != StateSuspect {
+		n += sinceBytes
+	}
+	return n
 }
 
 // reported returns the crashes for a message: the latest excused one, before which all are
@@ -110,20 +118,20 @@
 func (e *Entry) append(b []byte, now time.Time) []byte {
 	crashes := e.reported()
 	b = binary.BigEndian.AppendUint64(b, e.part)
-	b = append(b, byte(slices.Index(stateCodes, e.state)), e.generation)
-	b = binary.BigEndian.AppendUint32(b, uint32(encodeAge(now.Sub(e.since), stateAgeUnit, math.MaxUint32)))
-	b = append(b, byte(len(crashes)))
+	b = append(b, byte(slices.Index(stateCodes, e.state)), e.generation, byte(len(crashes)))
+	if e.state != StateSuspect {
+		b = binary.BigEndian.AppendUint32(b, uint32(encodeAge(now.Sub(e.since), stateAgeUnit, math.MaxUint32)))
+	}
 	for _, c := range crashes {
 		b = binary.BigEndian.AppendUint32(b, c.program)
-		b = binary.BigEndian.AppendUint16(b, c.pool)
-		b = binary.BigEndian.AppendUint16(b, uint16(encodeAge(now.Sub(c.at), crashAgeUnit, math.MaxUint16)))
-		b = append(b, c.flags())
+		b = append(b, c.pool)
+		b = binary.BigEndian.AppendUint16(b, uint16(encodeAge(now.Sub(c.at), crashAgeUnit, maxCrashAge))|c.flags())
 	}
 	return b
 }
 
-func (c Crash) flags() byte {
-	var flags byte
+func (c Crash) flags() uint16 {
+	var flags uint16
 	if c.excused {
 		flags |= flagExcused
 	}
@@ -203,31 +211,37 @@
 }
 
 func decodeEntry(now time.Time, b []byte) (Entry, []byte, bool) {
-	if len(b) < entryBytes || int(b[8]) >= len(stateCodes) || int(b[14]) > maxReported {
+	if len(b) < entryBytes || int(b[8]) >= len(stateCodes) || int(b[10]) > maxReported {
 		return Entry{}, nil, false
 	}
-	e := Entry{
-		part:       binary.BigEndian.Uint64(b),
-		state:      stateCodes[b[8]],
-		generation: b[9],
-		since:      now.Add(-time.Duration(binary.BigEndian.Uint32(b[10:])) * stateAgeUnit),
-	}
-	n := int(b[14])
+	e := Entry{part: binary.BigEndian.Uint64(b), state: stateCodes[b[8]], generation: b[9]}
+	n := int(b[10])
 	b = b[entryBytes:]
+	if e.state != StateSuspect {
+		if len(b) < sinceBytes {
+			return Entry{}, nil, false
+		}
+		e.since = now.Add(-time.Duration(binary.BigEndian.Uint32(b)) * stateAgeUnit)
+		b = b[sinceBytes:]
+	}
 	if len(b) < n*crashBytes {
 		return Entry{}, nil, false
 	}
 	for range n {
-		c := Crash{
-			program:  binary.BigEndian.Uint32(b),
-			pool:     binary.BigEndian.Uint16(b[4:]),
-			at:       now.Add(-time.Duration(binary.BigEndian.Uint16(b[6:])) * crashAgeUnit),
-			knownAt:  now,
-			excused:  b[8]&flagExcused != 0,
-			followed: b[8]&flagFollowed != 0,
-		}
-		e.crashes = append(e.crashes, c)
+		e.crashes = append(e.crashes, decodeCrash(now, b))
 		b = b[crashBytes:]
 	}
 	return e, b, true
 }
+
+func decodeCrash(now time.Time, b []byte) Crash {
+	ageAndFlags := binary.BigEndian.Uint16(b[5:])
+	return Crash{
+		program:  binary.BigEndian.Uint32(b),
+		pool:     b[4],
+		at:       now.Add(-time.Duration(ageAndFlags&maxCrashAge) * crashAgeUnit),
+		knownAt:  now,
+		excused:  ageAndFlags&flagExcused != 0,
+		followed: ageAndFlags&flagFollowed != 0,
+	}
+}
--- a/isolator/fleet_test.go
+++ b/isolator/fleet_test.go
@@ -1,6 +1,7 @@
 package isolator
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -18,8 +19,8 @@
 	exchangeBytes    = 180
 	// latency is the time of a message or of the news of a crash.
 	latency = 30 * time.Millisecond
-	// restartTime is how long a crashed upstream is down.
-	restartTime = 3 * time.Second
+	// defaultRestartTime is how long a crashed upstream is down.
+	defaultRestartTime = 3 * time.Second
 	// contactTime is the bound from the fifth crash on.
 	contactTime = 4 * time.Second
 	knownAfter  = 5
@@ -41,7 +42,9 @@
 	loss float64
 	// restarts restarts a router each second.
 	restarts bool
-	length   time.Duration
+	// restartTime is how long a crashed upstream is down; 0 means 3 s.
+	restartTime time.Duration
+	length      time.Duration
 }
 
 // simUpstream is a simulated upstream.
@@ -203,7 +206,7 @@
 		f.suspects = append(f.suspects, suspects)
 	}
 	u.calls = nil
-	u.downTill = f.now.Add(restartTime)
+	u.downTill = f.now.Add(cmp.Or(f.restartTime, defaultRestartTime))
 	f.restart(n, u)
 }
 
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -16,7 +16,7 @@
 const (
 	defaultMinCrashes    = 5
 	defaultSurvivalTime  = 300 * time.Millisecond
-	defaultSettleTime    = 1500 * time.Millisecond
+	defaultSettleTime    = 2000 * time.Millisecond
 	defaultSuspectTTL    = 30 * time.Minute
 	defaultQuarantineTTL = 24 * time.Hour
 	defaultMaxEntries    = 512
@@ -38,7 +38,7 @@
 	// that the request counts as sound; 0 means 300 ms.
 	SurvivalTime time.Duration
 	// SettleTime is how long a crash is known before it counts, during which requests
-	// with the same parts may begin soundly elsewhere; 0 means 1.5 s.
+	// with the same parts may begin soundly elsewhere; 0 means 2 s.
 	SettleTime time.Duration
 	// SuspectTTL is how long entries are kept that are not quarantined, counted from
 	// their last crash; 0 means 30 min.
--- a/isolator/isolator_test.go
+++ b/isolator/isolator_test.go
@@ -175,3 +175,19 @@
 	}
 	is.True(!isQuarantined(&i, now.Add(defaultSettleTime), shared))
 }
+
+// A trial was broken off by crashes of another cause, and a sound part stayed quarantined until
+// the next trial.
+func TestNoTrialWhileUpstreamsCrash(t *testing.T) {
+	is := is.New(t)
+	var i Isolator
+	now := crashEach(&i, start, 0, defaultMinCrashes, crashing)
+	is.True(isQuarantined(&i, now, crashing))
+	now = now.Add(firstTrial)
+	is.True(isQuarantined(&i, now, crashing)) // a request for a trial comes
+	i.Begin(upstream(900), request(shared)).BrokenOff(now.Add(-time.Second))
+	is.Equal(len(i.TrialsWanted(now)), 0)
+	now = now.Add(calmTime)
+	is.True(isQuarantined(&i, now, crashing))
+	is.Equal(i.TrialsWanted(now), []string{FormatPart(crashing)})
+}
--- a/isolator/scenario_test.go
+++ b/isolator/scenario_test.go
@@ -37,6 +37,7 @@
 		{"loss", func(s *scenario) { s.loss = 0.4 }},
 		{"restarts", func(s *scenario) { s.restarts = true }},
 		{"few-upstreams", func(s *scenario) { s.upstreams, s.sound = 6, 40 }},
+		{"storm", func(s *scenario) { s.upstreams, s.restartTime, s.bad, s.sound = 4, 10*time.Millisecond, 10, 60 }},
 		{"slow", func(s *scenario) { s.bad, s.length = 0.3, 90*time.Second }},
 		{"fast", func(s *scenario) { s.bad = 6 }},
 	} {
--- a/isolator/trial.go
+++ b/isolator/trial.go
@@ -10,6 +10,9 @@
 	maxTrials   = 2
 	// wantedTime is how long a rejected request shows that a trial would find one to run.
 	wantedTime = 2 * time.Second
+	// calmTime is how long no upstream has crashed before a trial, which another crash would
+	// break off.
+	calmTime = 5 * time.Second
 	// retryTrial is the shortest time between two proposals of a trial by one router.
 	retryTrial = 20 * time.Second
 )
@@ -30,6 +33,9 @@
 func (i *Isolator) TrialsWanted(now time.Time) []string {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	if i.crashedSince(now.Add(-calmTime)) {
+		return nil
+	}
 	var list []string
 	for _, e := range i.entries {
 		if e.state != StateQuarantined || now.Sub(e.since) < firstTrial || now.Before(e.trialAfter) || now.Sub(e.refusedAt) > wantedTime {
@@ -62,3 +68,13 @@
 		e.onTrial = true
 	}
 }
+
+// crashedSince reports whether a crash is known that was detected after the given time.
+func (i *Isolator) crashedSince(at time.Time) bool {
+	for _, e := range i.entries {
+		if e.latest().After(at) {
+			return true
+		}
+	}
+	return false
+}
--- a/isolator/verdict.go
+++ b/isolator/verdict.go
@@ -68,7 +68,7 @@
 
 // beganSoundly reports whether a request began soundly on this router after the first and before
 // the second time, in the pool; a zero time is no limit.
-func (i *Isolator) beganSoundly(pool uint16, after, before time.Time) bool {
+func (i *Isolator) beganSoundly(pool uint8, after, before time.Time) bool {
 	return slices.ContainsFunc(i.outcomes, func(o outcome) bool {
 		return !o.broken && o.pool == pool && o.at.After(after) && (before.IsZero() || o.at.Before(before))
 	})
