--- a/attacher/control.go
+++ b/attacher/control.go
@@ -100,6 +100,7 @@
 func (c *control) directory() receiver.Directory { return *c.view.Load() }
 
 func (c *control) run(ctx context.Context) {
+	time.AfterFunc(peerWait, c.wake)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
