--- a/isolator/verdict.go
+++ b/isolator/verdict.go
@@ -77,23 +77,7 @@
 // quarantineDue quarantines the part with the most crashes that are enough for a verdict,
 // and those parts with it that have the same crashes. It reports whether there was one.
 func (i *Isolator) quarantineDue(now time.Time) bool {
-	var worst *Entry
-	var evidence []Crash
-	for _, e := range i.entries {
-		if e.state == StateQuarantined || len(e.crashes) < cmp.Or(i.MinCrashes, defaultMinCrashes) {
-			continue
-		}
-		counting := i.counting(now, e)
-		if len(counting) == 0 {
-			continue
-		}
-		if len(counting) < i.needed(e, counting) || e.groups(counting) < minGroups || i.share(counting) < minShare {
-			continue
-		}
-		if worst == nil || cmp.Or(cmp.Compare(len(evidence), len(counting)), cmp.Compare(e.part, worst.part)) < 0 {
-			worst, evidence = e, counting
-		}
-	}
+	worst, evidence := i.worst(now)
 	if worst == nil {
 		return false
 	}
@@ -110,6 +94,30 @@
 	return true
 }
 
+// worst returns the part with the most crashes that are enough for a verdict, and these. It
+// returns nil if there is none.
+func (i *Isolator) worst(now time.Time) (worst *Entry, evidence []Crash) {
+	for _, e := range i.entries {
+		if e.state == StateQuarantined || len(e.crashes) < cmp.Or(i.MinCrashes, defaultMinCrashes) {
+			continue
+		}
+		counting := i.counting(now, e)
+		if !i.isEnough(e, counting) {
+			continue
+		}
+		if worst == nil || cmp.Or(cmp.Compare(len(evidence), len(counting)), cmp.Compare(e.part, worst.part)) < 0 {
+			worst, evidence = e, counting
+		}
+	}
+	return worst, evidence
+}
+
+// isEnough reports whether the crashes that count against a part are enough for a verdict.
+func (i *Isolator) isEnough(e *Entry, counting []Crash) bool {
+	return len(counting) > 0 && len(counting) >= i.needed(e, counting) &&
+		e.groups(counting) >= minGroups && i.share(counting) >= minShare
+}
+
 // explain collects the crashes that quarantined parts explain.
 func (i *Isolator) explain() {
 	i.explained = make(map[uint32][]Crash)
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -34,7 +34,10 @@
 		t.Skip("runs processes for half a minute")
 	}
 	binary := build(t)
-	for i, seed := range []uint64{1, 3} {
+	for i, seed := range []uint64{
+		1, 3,
+		31009, // sound prompt parts were quarantined while another one crashed all upstreams
+	} {
 		s := &Soak{
 			Binary: binary, Seed: seed, FaultTime: 6 * time.Second, Routers: 3, Upstreams: 3, Callers: 8, Dir: t.TempDir(), Host: 200 + i,
 		}
