Show how old the list of ready routers was in scripts under load

The list of the test's load balancer was 75 to 147 ms old in the failing runs, where 100 ms lie between a router's not being ready and its end.

--- a/cmd/kingcuphook/load_test.go
+++ b/cmd/kingcuphook/load_test.go
@@ -35,6 +35,9 @@
 	mu       sync.Mutex
 	calls    int
 	failures []string
+	// updated is when the list was last updated, oldest the greatest time between two updates.
+	updated time.Time
+	oldest  time.Duration
 }
 
 // start starts the load balancer and the callers.
@@ -76,6 +79,12 @@
 		}
 	}
 	l.ready.Store(&ready)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.updated.IsZero() {
+		l.oldest = max(l.oldest, time.Since(l.updated))
+	}
+	l.updated = time.Now()
 }
 
 // call makes one call and counts it, with a failure unless its answer is complete
@@ -147,4 +156,5 @@
 	for _, failure := range f.load.failures {
 		fmt.Fprintln(ts.Stdout(), failure)
 	}
+	fmt.Fprintf(ts.Stdout(), "the list of ready routers was up to %v old\n", f.load.oldest.Round(time.Millisecond))
 }
