Simplify the quarantine: one way to take over a state, fewer fields

The Isolator had six exported fields that nothing outside its tests set; taking over a state of a part was written three times; the attacher, the router and the simulation each called Export and then ExportStates, which brought the records up to date twice; and every attempt hashed its program and pool although only those that crash or end need the hashes.

Change: the fields are constants; adopt takes over a state everywhere; Export returns the states itself if no records are to be sent; an Attempt keeps its upstream and its request, and hashes when it is judged. No decision changes.

Measured: the tests of isolator, attacher, router, sharer and dispatcher pass.

--- a/attacher/parts.go
+++ b/attacher/parts.go
@@ -24,12 +24,13 @@
 // sendParts sends what has changed about suspected prompt parts to random routers, or the
 // quarantined parts to another one.
 func (c *control) sendParts(now time.Time) {
-	if message := c.a.isolator.Export(now, partBytes); message != nil {
-		c.sendToAll(message, c.peers.pickRandom(partPeers))
-		return
+	message, changed := c.a.isolator.Export(now, partBytes)
+	peers := partStatePeers
+	if changed {
+		peers = partPeers
 	}
-	if message := c.a.isolator.ExportStates(now, partBytes); message != nil {
-		c.sendToAll(message, c.peers.pickRandom(partStatePeers))
+	if message != nil {
+		c.sendToAll(message, c.peers.pickRandom(peers))
 	}
 }
 
--- a/isolator/attempt.go
+++ b/isolator/attempt.go
@@ -1,7 +1,6 @@
 package isolator
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -23,9 +22,8 @@
 // Attempt follows one attempt of a request at an upstream. It is used by one goroutine.
 type Attempt struct {
 	isolator *Isolator
-	program  uint32
-	pool     uint8
-	parts    []uint64
+	upstream *kingcuphook.Upstream
+	request  *kingcuphook.Request
 	// first and last are when the first and the latest piece of the answer arrived; zero
 	// before.
 	first, last time.Time
@@ -44,7 +42,7 @@
 
 // Begin returns an attempt at an upstream.
 func (i *Isolator) Begin(u *kingcuphook.Upstream, r *kingcuphook.Request) *Attempt {
-	return &Attempt{isolator: i, program: hashProgram(u.Program()), pool: hashPool(r.Pool()), parts: r.Parts()}
+	return &Attempt{isolator: i, upstream: u, request: r}
 }
 
 // Progress records that a piece of the answer has arrived.
@@ -61,7 +59,7 @@
 
 // survived reports whether the upstream has gone on long enough after it began the answer.
 func (a *Attempt) survived() bool {
-	return !a.first.IsZero() && a.last.Sub(a.first) >= cmp.Or(a.isolator.SurvivalTime, defaultSurvivalTime)
+	return !a.first.IsZero() && a.last.Sub(a.first) >= survivalTime
 }
 
 // Complete records that the attempt was answered completely. An answer whose end is not
@@ -95,33 +93,33 @@
 func (i *Isolator) recordSound(a *Attempt) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.addOutcome(outcome{at: a.first, pool: a.pool})
-	i.markSound(a.first, a.parts)
-	i.liftSound(a.last, a.first, a.parts)
+	i.markSound(a)
+	i.liftSound(a)
 }
 
-// markSound records that requests with the parts have begun soundly at the given time.
-func (i *Isolator) markSound(at time.Time, parts []uint64) {
-	for _, p := range parts {
+// markSound records that a request with the parts of the attempt has begun soundly.
+func (i *Isolator) markSound(a *Attempt) {
+	i.addOutcome(outcome{at: a.first, pool: hashPool(a.request.Pool())})
+	for _, p := range a.request.Parts() {
 		if len(i.sound) >= maxSound || i.sound == nil {
 			i.soundBefore = i.sound
 			i.sound = make(map[uint64]time.Time)
 		}
-		if at.After(i.sound[p]) {
-			i.sound[p] = at
+		if a.first.After(i.sound[p]) {
+			i.sound[p] = a.first
 		}
-		if e, ok := i.entries[p]; ok && e.state != StateQuarantined && e.excuse(at) {
-			e.changedAt = at
+		if e, ok := i.entries[p]; ok && e.state != StateQuarantined && e.excuse(a.first) {
+			e.changedAt = a.first
 		}
 	}
 }
 
-// liftSound lifts the quarantine of parts with which a request has begun soundly after the
+// liftSound lifts the quarantine of parts with which the attempt has begun soundly after the
 // last crash.
-func (i *Isolator) liftSound(now, at time.Time, parts []uint64) {
-	for _, p := range parts {
-		if e, ok := i.entries[p]; ok && e.state == StateQuarantined && at.After(e.latest()) {
-			i.setState(now, e, StateLifted)
+func (i *Isolator) liftSound(a *Attempt) {
+	for _, e := range i.quarantinedOf(a.request.Parts()) {
+		if a.first.After(e.latest()) {
+			i.setState(a.last, e, StateLifted)
 		}
 	}
 }
@@ -144,15 +142,13 @@
 	}
 }
 
-// settle records the unsettled attempts as sound that ended SettleTime ago.
+// settle records the unsettled attempts as sound that ended settleTime ago.
 func (i *Isolator) settle(now time.Time) {
-	settleTime := cmp.Or(i.SettleTime, defaultSettleTime)
 	i.unsettled = slices.DeleteFunc(i.unsettled, func(a *Attempt) bool {
 		if now.Sub(a.last) < settleTime {
 			return false
 		}
-		i.addOutcome(outcome{at: a.first, pool: a.pool})
-		i.markSound(a.first, a.parts)
+		i.markSound(a)
 		return true
 	})
 }
@@ -161,7 +157,7 @@
 func (i *Isolator) recordBroken(now time.Time, a *Attempt) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.recordCrash(now, a.program)
+	i.recordCrash(now, hashProgram(a.upstream.Program()))
 	i.addCandidate(now, a)
 }
 
@@ -175,7 +171,7 @@
 // recordCrash makes the unsettled attempts at the program suspects of its crash.
 func (i *Isolator) recordCrash(now time.Time, program uint32) {
 	i.unsettled = slices.DeleteFunc(i.unsettled, func(a *Attempt) bool {
-		if a.program != program {
+		if hashProgram(a.upstream.Program()) != program {
 			return false
 		}
 		i.addCandidate(now, a)
@@ -186,13 +182,13 @@
 // addCandidate counts a crash against the parts of an attempt. If one of them is
 // quarantined, that explains the crash.
 func (i *Isolator) addCandidate(now time.Time, a *Attempt) {
-	i.addOutcome(outcome{at: now, pool: a.pool, broken: true, program: a.program})
-	crash := Crash{program: a.program, pool: a.pool, at: now, knownAt: now}
-	if quarantined := i.quarantinedOf(a.parts); len(quarantined) > 0 {
+	crash := Crash{program: hashProgram(a.upstream.Program()), pool: hashPool(a.request.Pool()), at: now, knownAt: now}
+	i.addOutcome(outcome{at: now, pool: crash.pool, broken: true, program: crash.program})
+	if quarantined := i.quarantinedOf(a.request.Parts()); len(quarantined) > 0 {
 		quarantined[0].addCrash(crash)
 		return
 	}
-	for _, p := range a.parts {
+	for _, p := range a.request.Parts() {
 		if e := i.entry(p); e.addCrash(crash) {
 			e.changedAt = now
 		}
--- a/isolator/exchange.go
+++ b/isolator/exchange.go
@@ -46,26 +46,34 @@
 // IsMessage reports whether a message of a peer is one of this package.
 func IsMessage(b []byte) bool { return len(b) > 0 && b[0] == messageType }
 
-// Export encodes, in at most limit bytes, the entries that have changed lately, quarantined ones
-// and those with the most crashes first. If they don't fit, successive calls return
-// them in turn. It returns nil if there are none.
-func (i *Isolator) Export(now time.Time, limit int) []byte {
-	return i.export(now, limit, func(e *Entry) bool { return now.Sub(e.changedAt) <= changedTTL })
+// Export encodes, in at most limit bytes, the entries that have changed lately, or else those
+// of ExportStates. It reports whether something has changed.
+func (i *Isolator) Export(now time.Time, limit int) (message []byte, changed bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.update(now)
+	message = i.export(now, limit, func(e *Entry) bool { return now.Sub(e.changedAt) <= changedTTL })
+	if message != nil {
+		return message, true
+	}
+	return i.exportStates(now, limit), false
 }
 
-// ExportStates encodes the entries that are quarantined or lifted like Export, whenever they
-// have changed.
+// ExportStates encodes, in at most limit bytes, the entries that are quarantined or lifted.
 func (i *Isolator) ExportStates(now time.Time, limit int) []byte {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.update(now)
+	return i.exportStates(now, limit)
+}
+
+func (i *Isolator) exportStates(now time.Time, limit int) []byte {
 	return i.export(now, limit, func(e *Entry) bool { return e.state != StateSuspect })
 }
 
+// export encodes the wanted entries, quarantined ones and those with the most crashes first. If
+// they don't fit, successive calls return them in turn. It returns nil if there are none.
 func (i *Isolator) export(now time.Time, limit int, wanted func(*Entry) bool) []byte {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if len(i.entries) == 0 {
-		return nil
-	}
-	i.update(now)
 	var list []*Entry
 	for _, e := range i.entries {
 		if wanted(e) {
@@ -177,18 +185,13 @@
 	if !received.overrides(e) {
 		return
 	}
-	e.state, e.generation, e.since = received.state, received.generation, received.since
-	e.changedAt = now
-	if e.state == StateLifted {
-		e.excuse(e.since)
-	}
-	i.changed(e)
+	i.adopt(now, e, received, received.since)
 }
 
 // overrides reports whether the state of e replaces that of own. A quarantine without the
 // crashes that it needs doesn't.
 func (e *Entry) overrides(own *Entry) bool {
-	if e.state == StateQuarantined && len(e.crashes) < defaultMinCrashes {
+	if e.state == StateQuarantined && len(e.crashes) < minCrashes {
 		return false
 	}
 	return e.state != StateSuspect && isLater(e.generation, e.state, own)
--- a/isolator/fleet_test.go
+++ b/isolator/fleet_test.go
@@ -197,7 +197,7 @@
 	suspects := make(map[uint64]bool)
 	for _, c := range u.calls {
 		if c.attempt.BrokenOff(f.now.Add(latency)) {
-			for _, p := range c.attempt.parts {
+			for _, p := range c.attempt.request.Parts() {
 				suspects[p] = true
 			}
 		}
@@ -280,9 +280,10 @@
 		if (tick+n*7)%every != 0 {
 			continue
 		}
-		payload, peers := r.Export(f.now, exchangeBytes), exchangePeers
-		if payload == nil {
-			payload, peers = r.ExportStates(f.now, exchangeBytes), 1
+		payload, changed := r.Export(f.now, exchangeBytes)
+		peers := 1
+		if changed {
+			peers = exchangePeers
 		}
 		for range peers {
 			to := f.rng.IntN(len(f.routers))
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -6,24 +6,30 @@
 package isolator
 
 import (
-	"cmp"
 	"slices"
 	"sync"
 	"time"
 )
 
-// Defaults of the fields of Isolator, and limits that are fixed.
 const (
-	defaultMinCrashes    = 5
-	defaultSurvivalTime  = 300 * time.Millisecond
-	defaultSettleTime    = 2000 * time.Millisecond
-	defaultSuspectTTL    = 30 * time.Minute
-	defaultQuarantineTTL = 24 * time.Hour
-	defaultMaxEntries    = 512
-	// maxCrashes bounds the crashes in an entry.
-	maxCrashes = 24
-	// excusedTTL is how long an entry is kept whose crashes are all excused.
+	// minCrashes is the least number of crashes, of different upstream programs, for which a
+	// part is quarantined.
+	minCrashes = 5
+	// survivalTime is how long an upstream has to go on after it has begun an answer, so
+	// that the request counts as sound.
+	survivalTime = 300 * time.Millisecond
+	// settleTime is how long a crash is known before it counts, during which requests
+	// with the same parts may begin soundly elsewhere.
+	settleTime = 2 * time.Second
+	// suspectTTL is how long entries are kept that are not quarantined, counted from their
+	// last crash, and excusedTTL how long those whose crashes are all excused.
+	suspectTTL = 30 * time.Minute
 	excusedTTL = time.Minute
+	// quarantineTTL is how long a part stays quarantined.
+	quarantineTTL = 24 * time.Hour
+	// maxEntries bounds the parts that are known, maxCrashes the crashes in an entry.
+	maxEntries = 512
+	maxCrashes = 24
 	// updateInterval is the shortest time between two updates of the states by checks.
 	updateInterval = 50 * time.Millisecond
 )
@@ -31,22 +37,6 @@
 // Isolator holds what one router knows about the parts. Its zero value is ready for use. It
 // is safe for concurrent use.
 type Isolator struct {
-	// MinCrashes is the least number of crashes, of different upstream programs, for which a
-	// part is quarantined; 0 means 5.
-	MinCrashes int
-	// SurvivalTime is how long an upstream has to go on after it has begun an answer, so
-	// that the request counts as sound; 0 means 300 ms.
-	SurvivalTime time.Duration
-	// SettleTime is how long a crash is known before it counts, during which requests
-	// with the same parts may begin soundly elsewhere; 0 means 2 s.
-	SettleTime time.Duration
-	// SuspectTTL is how long entries are kept that are not quarantined, counted from
-	// their last crash; 0 means 30 min.
-	SuspectTTL time.Duration
-	// QuarantineTTL is how long a part stays quarantined; 0 means 24 h.
-	QuarantineTTL time.Duration
-	// MaxEntries bounds the parts that are known; 0 means 512.
-	MaxEntries int
 	// OnChange, if set, is called when the state of a part changes, except that it becomes a
 	// suspect. It must not call the Isolator.
 	OnChange func(Entry)
@@ -60,7 +50,7 @@
 	explained map[uint32][]Crash
 	// outcomes are those of the latest requests.
 	outcomes []outcome
-	// unsettled are ended requests that have begun less than SettleTime ago, and whose
+	// unsettled are ended requests that have begun less than settleTime ago, and whose
 	// answers had no marked end.
 	unsettled []*Attempt
 	// updatedAt is when the states were last brought up to date.
@@ -162,19 +152,17 @@
 
 // setState changes the state of a part. A part that is lifted starts without crashes.
 func (i *Isolator) setState(now time.Time, e *Entry, s State) {
-	e.state = s
-	e.since = now
-	e.changedAt = now
-	if e.generation < maxGeneration {
-		e.generation++
-	}
-	if s == StateLifted {
-		e.excuse(now)
-	}
-	i.changed(e)
+	i.adopt(now, e, Entry{state: s, generation: min(e.generation, maxGeneration-1) + 1, since: now}, now)
 }
 
-func (i *Isolator) changed(e *Entry) {
+// adopt takes over the state of received. The crashes of a part that is lifted are excused until
+// the given time.
+func (i *Isolator) adopt(now time.Time, e *Entry, received Entry, excusedUntil time.Time) {
+	e.state, e.generation, e.since = received.state, received.generation, received.since
+	e.changedAt = now
+	if e.state == StateLifted {
+		e.excuse(excusedUntil)
+	}
 	if i.OnChange != nil {
 		i.OnChange(e.clone())
 	}
@@ -189,7 +177,7 @@
 	if i.entries == nil {
 		i.entries = make(map[uint64]*Entry)
 	}
-	if len(i.entries) >= cmp.Or(i.MaxEntries, defaultMaxEntries) {
+	if len(i.entries) >= maxEntries {
 		i.evict()
 	}
 	e := &Entry{part: part, state: StateSuspect}
@@ -211,23 +199,19 @@
 // expire deletes entries that are too old.
 func (i *Isolator) expire(now time.Time) {
 	for part, e := range i.entries {
-		if now.Sub(e.changedAt) > i.ttl(e) {
+		if now.Sub(e.changedAt) > e.ttl() {
 			delete(i.entries, part)
 		}
 	}
 }
 
-func (i *Isolator) quarantineTTL() time.Duration {
-	return cmp.Or(i.QuarantineTTL, defaultQuarantineTTL)
-}
-
-func (i *Isolator) ttl(e *Entry) time.Duration {
+func (e *Entry) ttl() time.Duration {
 	switch {
 	case e.state != StateSuspect:
-		return i.quarantineTTL()
+		return quarantineTTL
 	case e.counted() == 0:
 		return excusedTTL
 	default:
-		return cmp.Or(i.SuspectTTL, defaultSuspectTTL)
+		return suspectTTL
 	}
 }
--- a/isolator/isolator_test.go
+++ b/isolator/isolator_test.go
@@ -35,7 +35,7 @@
 		sound.Complete(now.Add(200*time.Millisecond), true)
 		now = now.Add(time.Second)
 	}
-	return now.Add(defaultSettleTime)
+	return now.Add(settleTime)
 }
 
 func isQuarantined(i *Isolator, now time.Time, part uint64) bool {
@@ -46,14 +46,14 @@
 func TestPartOfEveryCrashIsQuarantined(t *testing.T) {
 	is := is.New(t)
 	var i Isolator
-	now := crashEach(&i, start, 0, defaultMinCrashes-1, crashing)
+	now := crashEach(&i, start, 0, minCrashes-1, crashing)
 	is.True(!isQuarantined(&i, now, crashing))
 	now = crashEach(&i, now, 10, 1, crashing)
 	is.True(isQuarantined(&i, now, crashing))
 	is.True(!isQuarantined(&i, now, 99))
 	e := i.List(now)[0]
 	is.Equal(e.Part(), uint64(crashing))
-	is.Equal(len(e.Crashes()), defaultMinCrashes)
+	is.Equal(len(e.Crashes()), minCrashes)
 }
 
 // A part that began soundly elsewhere after each crash isn't refused with the crashing one.
@@ -61,7 +61,7 @@
 	is := is.New(t)
 	var i Isolator
 	now := start
-	for c := range 2 * defaultMinCrashes {
+	for c := range 2 * minCrashes {
 		i.Begin(upstream(c), request(shared, crashing)).BrokenOff(now)
 		sound := i.Begin(upstream(1000), request(shared))
 		sound.Progress(now.Add(100 * time.Millisecond))
@@ -77,7 +77,7 @@
 	is := is.New(t)
 	var i Isolator
 	now := start
-	for c := range defaultMinCrashes {
+	for c := range minCrashes {
 		a := i.Begin(upstream(c), request(crashing))
 		a.Progress(now)
 		a.Complete(now.Add(20*time.Millisecond), false)
@@ -88,7 +88,7 @@
 		sound.Complete(now, true)
 		now = now.Add(time.Second)
 	}
-	is.True(isQuarantined(&i, now.Add(defaultSettleTime), crashing))
+	is.True(isQuarantined(&i, now.Add(settleTime), crashing))
 }
 
 // A request that was broken off long after it began crashes nothing by its parts.
@@ -97,7 +97,7 @@
 	var i Isolator
 	a := i.Begin(upstream(1), request(crashing))
 	a.Progress(start)
-	a.Progress(start.Add(defaultSurvivalTime))
+	a.Progress(start.Add(survivalTime))
 	is.True(!a.BrokenOff(start.Add(time.Second)))
 	is.Equal(len(i.List(start.Add(time.Second))), 0)
 }
@@ -107,20 +107,22 @@
 func TestLiftOverridesOlderQuarantine(t *testing.T) {
 	is := is.New(t)
 	var first, second Isolator
-	now := crashEach(&first, start, 0, defaultMinCrashes, crashing)
+	now := crashEach(&first, start, 0, minCrashes, crashing)
 	is.True(isQuarantined(&first, now, crashing))
-	quarantine := first.Export(now, 1000)
+	quarantine, _ := first.Export(now, 1000)
 	is.NoErr(second.Import(now, quarantine))
 	is.True(isQuarantined(&second, now, crashing))
 	is.True(second.Lift(now, crashing))
 	is.True(!second.Lift(now, crashing))
 	is.NoErr(second.Import(now.Add(time.Second), quarantine))
 	is.True(!isQuarantined(&second, now.Add(time.Second), crashing))
-	is.NoErr(first.Import(now.Add(time.Second), second.Export(now.Add(time.Second), 1000)))
+	lift, _ := second.Export(now.Add(time.Second), 1000)
+	is.NoErr(first.Import(now.Add(time.Second), lift))
 	is.True(!isQuarantined(&first, now.Add(time.Second), crashing))
-	now = crashEach(&first, now.Add(2*time.Second), 50, defaultMinCrashes, crashing)
+	now = crashEach(&first, now.Add(2*time.Second), 50, minCrashes, crashing)
 	is.True(isQuarantined(&first, now, crashing))
-	is.NoErr(second.Import(now, first.Export(now, 1000)))
+	quarantine, _ = first.Export(now, 1000)
+	is.NoErr(second.Import(now, quarantine))
 	is.True(isQuarantined(&second, now, crashing))
 }
 
@@ -137,7 +139,7 @@
 func TestManyPartsTakeBoundedMemory(t *testing.T) {
 	is := is.New(t)
 	var i Isolator
-	now := crashEach(&i, start, 0, defaultMinCrashes, crashing)
+	now := crashEach(&i, start, 0, minCrashes, crashing)
 	is.True(isQuarantined(&i, now, crashing))
 	for n := range uint64(10_000) {
 		i.Begin(upstream(500), request(1000+n)).BrokenOff(now)
@@ -145,7 +147,7 @@
 		sound.Progress(now)
 		sound.Complete(now, true)
 	}
-	is.True(len(i.entries) <= defaultMaxEntries)
+	is.True(len(i.entries) <= maxEntries)
 	is.True(len(i.sound)+len(i.soundBefore) <= 2*maxSound)
 	is.True(len(i.outcomes) <= maxOutcomes)
 	is.True(isQuarantined(&i, now, crashing))
@@ -166,14 +168,14 @@
 	is := is.New(t)
 	var i Isolator
 	now := start
-	for c := range 3 * defaultMinCrashes {
+	for c := range 3 * minCrashes {
 		i.Begin(upstream(c), request(shared)).BrokenOff(now)
 		other := i.Begin(upstream(1000), kingcuphook.NewRequest(kingcuphook.RequestFields{Pool: "other"}))
 		other.Progress(now.Add(100 * time.Millisecond))
 		other.Complete(now.Add(200*time.Millisecond), true)
 		now = now.Add(time.Second)
 	}
-	is.True(!isQuarantined(&i, now.Add(defaultSettleTime), shared))
+	is.True(!isQuarantined(&i, now.Add(settleTime), shared))
 }
 
 // A trial was broken off by crashes of another cause, and a sound part stayed quarantined until
@@ -181,7 +183,7 @@
 func TestNoTrialWhileUpstreamsCrash(t *testing.T) {
 	is := is.New(t)
 	var i Isolator
-	now := crashEach(&i, start, 0, defaultMinCrashes, crashing)
+	now := crashEach(&i, start, 0, minCrashes, crashing)
 	is.True(isQuarantined(&i, now, crashing))
 	now = now.Add(firstTrial)
 	is.True(isQuarantined(&i, now, crashing)) // a request for a trial comes
--- a/isolator/record.go
+++ b/isolator/record.go
@@ -70,7 +70,7 @@
 // Apply applies a record of the store, unless it is older than what this router knows.
 func (i *Isolator) Apply(now time.Time, r Record) {
 	part, err := r.part()
-	if err != nil || now.Sub(r.Since) > i.quarantineTTL() {
+	if err != nil || now.Sub(r.Since) > quarantineTTL {
 		return
 	}
 	i.mu.Lock()
@@ -79,16 +79,11 @@
 	if !isLater(r.Generation, r.State, e) {
 		return
 	}
-	e.state, e.generation = r.State, r.Generation
-	e.since = r.Since
-	if e.since.After(now) {
-		e.since = now
+	since := r.Since
+	if since.After(now) {
+		since = now
 	}
-	e.changedAt = now
-	if e.state == StateLifted {
-		e.excuse(now)
-	}
-	i.changed(e)
+	i.adopt(now, e, Entry{state: r.State, generation: r.Generation, since: since}, now)
 }
 
 // Records returns the records of the parts that are quarantined or lifted.
--- a/isolator/scenario_test.go
+++ b/isolator/scenario_test.go
@@ -101,13 +101,13 @@
 		found := false
 		for p := range suspects {
 			counts[p]++
-			found = found || isBad(p) && counts[p] >= defaultMinCrashes
+			found = found || isBad(p) && counts[p] >= minCrashes
 		}
 		if !found {
 			continue
 		}
 		for p, count := range counts {
-			if !isBad(p) && count >= defaultMinCrashes {
+			if !isBad(p) && count >= minCrashes {
 				falseParts++
 			}
 		}
--- a/isolator/verdict.go
+++ b/isolator/verdict.go
@@ -98,7 +98,7 @@
 // returns nil if there is none.
 func (i *Isolator) worst(now time.Time) (worst *Entry, evidence []Crash) {
 	for _, e := range i.entries {
-		if e.state == StateQuarantined || len(e.crashes) < cmp.Or(i.MinCrashes, defaultMinCrashes) {
+		if e.state == StateQuarantined || len(e.crashes) < minCrashes {
 			continue
 		}
 		counting := i.counting(now, e)
@@ -131,10 +131,9 @@
 	}
 }
 
-// counting returns the crashes that count against a part: those that are known for SettleTime,
+// counting returns the crashes that count against a part: those that are known for settleTime,
 // not excused, and that no quarantined part explains.
 func (i *Isolator) counting(now time.Time, e *Entry) []Crash {
-	settleTime := cmp.Or(i.SettleTime, defaultSettleTime)
 	var list []Crash
 	for _, c := range e.crashes {
 		if c.excused || now.Sub(c.knownAt) < settleTime || i.isExplained(c) {
@@ -223,5 +222,5 @@
 	if n > maxNeeded {
 		return math.MaxInt
 	}
-	return max(n, cmp.Or(i.MinCrashes, defaultMinCrashes))
+	return max(n, minCrashes)
 }
--- a/narrator/crash.go
+++ b/narrator/crash.go
@@ -19,7 +19,7 @@
 	return func(r *kingcuphook.Request, u *kingcuphook.Upstream) {
 		l.Log(logger.CrashSuspected, "request", r.ID(), "upstream", u.Address(), "instance", u.Instance(), "born", u.StartTime(),
 			"route", r.Class(), "organisation", r.Organisation(), "fingerprint", strconv.FormatUint(r.Fingerprint(), hexBase),
-			"parts", FormatParts(r.Parts()))
+			"parts", formatParts(r.Parts()))
 	}
 }
 
@@ -40,8 +40,8 @@
 	}
 }
 
-// FormatParts returns the hashes of prompt parts as a comma-separated list.
-func FormatParts(parts []uint64) string {
+// formatParts returns the hashes of prompt parts as a comma-separated list.
+func formatParts(parts []uint64) string {
 	list := make([]string, 0, len(parts))
 	for _, p := range parts {
 		list = append(list, isolator.FormatPart(p))
--- a/router/throttle.go
+++ b/router/throttle.go
@@ -65,10 +65,7 @@
 // parts, into the next digests.
 func (c *control) publishSuspects(now time.Time) {
 	c.gossip.SetSuspects(c.router.quarantine.Export(now, gossiper.MaxSuspectsBytes))
-	parts := c.router.isolator.Export(now, gossiper.MaxPartsBytes)
-	if parts == nil {
-		parts = c.router.isolator.ExportStates(now, gossiper.MaxPartsBytes)
-	}
+	parts, _ := c.router.isolator.Export(now, gossiper.MaxPartsBytes)
 	c.gossip.SetParts(parts)
 }
 
