Look claims up in a head by the ledger's own search

Cause: the check whether the store has lost claims searched the records of a head itself, beside Ledger.Find, which does the same.

Change: it calls Find; the long line of a doc comment is wrapped. Behaviour is unchanged.

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -220,7 +220,8 @@
 }
 
 // Drain waits until no claim and no outcome is waiting to be written, for a graceful
-// shutdown, after which claims are not verified any more. Outcomes are given up if the store fails for the whole Retention.
+// shutdown, after which claims are not verified any more. Outcomes are given up if the
+// store fails for the whole Retention.
 func (c *Claimer) Drain(ctx context.Context) error {
 	c.once.Do(c.start)
 	select {
--- a/claimer/lost.go
+++ b/claimer/lost.go
@@ -4,6 +4,8 @@
 	"encoding/binary"
 	"slices"
 	"time"
+
+	"github.com/kingcuphook/kingcuphook"
 )
 
 const (
@@ -111,8 +113,7 @@
 	}
 	found := true
 	if entry, err := s.claimer.get(s.prefix + "head"); err == nil {
-		head, err := s.decode(entry)
-		found = err == nil && slices.ContainsFunc(head.records, func(r Record) bool { return r.hash == latest.hash })
+		found = s.holds(entry, latest.hash)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -124,6 +125,16 @@
 	}
 }
 
+// holds reports whether a head has a claim itself; false if the head can't be read.
+func (s *shard) holds(entry kingcuphook.Entry, h Hash) bool {
+	head, err := s.decode(entry)
+	if err != nil {
+		return false
+	}
+	_, found := head.Find(h)
+	return found
+}
+
 // beginVerify returns the latest claim, and reports whether the head is to be read.
 func (s *shard) beginVerify() (Record, bool) {
 	s.mu.Lock()
