--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -53,15 +53,14 @@
 
 func newStream(resp *http.Response, a *kingcuphook.Attempt, cancel context.CancelFunc) *stream {
 	return &stream{
+		body:           resp.Body,
+		reader:         bufio.NewReaderSize(resp.Body, streamBufferBytes),
+		canceller:      canceller.Canceller{Cancel: cancel},
+		head:           kingcuphook.NewOpaqueAnswer(resp.StatusCode, endToEndHeaders(resp.Header), nil),
+		attempt:        a.ID(),
+		position:       a.ResumeFrom(),
+		first:          a.ResumeFrom(),
 		closeDelimited: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
-
-		body:      resp.Body,
-		reader:    bufio.NewReaderSize(resp.Body, streamBufferBytes),
-		canceller: canceller.Canceller{Cancel: cancel},
-		head:      kingcuphook.NewOpaqueAnswer(resp.StatusCode, endToEndHeaders(resp.Header), nil),
-		attempt:   a.ID(),
-		position:  a.ResumeFrom(),
-		first:     a.ResumeFrom(),
 	}
 }
 
--- a/request.go
+++ b/request.go
@@ -18,6 +18,10 @@
 // Valid reports whether t is inside the bounds.
 func (t Tier) Valid() bool { return t >= HighestTier && t <= LowestTier }
 
+// MaxParts is the maximum number of parts of a prompt that are told apart; the later ones are
+// ignored.
+const MaxParts = 64
+
 // RequestFields are the fields a Request is made from.
 type RequestFields struct {
 	// ID identifies the request; unique in the fleet.
@@ -65,7 +69,7 @@
 	PrefixTokens []int
 	// Parts holds a hash of each part of the prompt that other requests may share,
 	// whatever comes before it. The last part of a prompt, which is the request's own, is
-	// left out.
+	// left out. There are at most MaxParts.
 	Parts []uint64
 	// Fingerprint is a hash of the call, its whole body included; a repetition by
 	// the caller has the same one.
--- a/server/request.go
+++ b/server/request.go
@@ -193,16 +193,13 @@
 	f.Stream = c.stream
 }
 
-// maxParts bounds the messages of a prompt that are told apart.
-const maxParts = 64
-
 // messageParts returns a hash of each message of a prompt without the last one, which is the
 // request's own.
 func messageParts(messages string) []uint64 {
 	var parts []uint64
 	gjson.Parse(messages).ForEach(func(_, message gjson.Result) bool {
 		parts = append(parts, xxhash.Sum64String(message.Raw))
-		return len(parts) <= maxParts
+		return len(parts) <= kingcuphook.MaxParts
 	})
 	return parts[:max(len(parts)-1, 0)]
 }
