State the bounds on crashing prompt parts once, and start fleets in one place

Cause: the tests of attacher and router and the soak each had the users' bounds as constants of their own; two tests of the router listed and started a fleet with the same loop; and the fleet test of the attacher passed without checking anything if fewer than five upstreams crashed.

Change: the bounds stand in platform/standin; runFleet starts routers; the fleet test fails without a crash, and with fewer than five it measures from the last one. Bounds and assertions are the same or stricter.

--- a/attacher/crash_test.go
+++ b/attacher/crash_test.go
@@ -18,16 +18,6 @@
 	"github.com/kingcuphook/kingcuphook/platform/standin"
 )
 
-// Bounds of the users for calls whose part crashes upstreams, measured from the fifth crash.
-const (
-	crashesKnown = 5
-	contactTime  = 4 * time.Second
-	maxCallsSent = 3
-	// minServedShare is the least share of sound calls that are to begin at the first attempt
-	// from twice contactTime after the fifth crash.
-	minServedShare = 0.95
-)
-
 // crashingPart is the ID of the part that crashes upstreams in tests.
 const crashingPart = "bad0bad0"
 
@@ -206,19 +196,18 @@
 			group.Go(func() { crashing = f.load(loaded, 250*time.Millisecond, crashingParts) })
 			group.Wait()
 			crashes := f.crashTimes()
-			if len(crashes) < crashesKnown {
-				t.Logf("%d crashes", len(crashes))
-				return
+			if len(crashes) == 0 {
+				t.Fatal("no crashes")
 			}
-			known := crashes[crashesKnown-1]
-			late := sentAfter(crashing, known.Add(contactTime))
-			share := servedShare(sentAfter(sound, known.Add(2*contactTime)))
+			known := crashes[min(len(crashes), standin.CrashesKnown)-1]
+			late := sentAfter(crashing, known.Add(standin.CrashContactTime))
+			share := servedShare(sentAfter(sound, known.Add(2*standin.CrashContactTime)))
 			t.Logf("%d crashes, %d of %d later calls reached upstreams, %.3f of the sound ones served", len(crashes), f.reached(late), len(late), share)
-			if n := f.reached(late); n > maxCallsSent {
-				t.Errorf("%d calls reached upstreams later than %v after the fifth crash, %d are allowed", n, contactTime, maxCallsSent)
+			if n := f.reached(late); n > standin.MaxLateCalls {
+				t.Errorf("%d calls reached upstreams later than %v after the fifth crash, %d are allowed", n, standin.CrashContactTime, standin.MaxLateCalls)
 			}
-			if share < minServedShare {
-				t.Errorf("%.3f of the sound calls served, at least %.2f are to be", share, minServedShare)
+			if share < standin.MinServedShare {
+				t.Errorf("%.3f of the sound calls served, at least %.2f are to be", share, standin.MinServedShare)
 			}
 		})
 	}
--- a/router/crash_test.go
+++ b/router/crash_test.go
@@ -13,17 +13,9 @@
 	"testing"
 	"time"
 
-	"github.com/kingcuphook/kingcuphook"
 	"github.com/kingcuphook/kingcuphook/emulator/responder"
 	"github.com/kingcuphook/kingcuphook/emulator/storer"
-)
-
-// Bounds of the users for calls whose part crashes upstreams, measured from the fifth crash.
-const (
-	crashesKnown   = 5
-	contactTime    = 4 * time.Second
-	maxCallsSent   = 3
-	minServedShare = 0.95
+	"github.com/kingcuphook/kingcuphook/platform/standin"
 )
 
 // Sizes of the fleet of TestMessageThatCrashesEnginesIsRefused.
@@ -81,17 +73,7 @@
 		pools += fmt.Sprintf(engine, s.Listener.Addr().String())
 	}
 	applyTables(t, store, benchmarkRoutes, pools)
-	routers := make([]*Router, 0, routerCount)
-	vms := make([]kingcuphook.VM, 0, routerCount)
-	for i := range routerCount {
-		r := listen(t, platform, uint64(i)+1)
-		routers = append(routers, r)
-		vms = append(vms, kingcuphook.NewVM(r.PeersAddress(), "cairo", "cairo-1", kingcuphook.VMStateLive))
-	}
-	store.SetVMs(vms)
-	for _, r := range routers {
-		run(t, r)
-	}
+	routers := runFleet(t, store, platform, routerCount)
 	crashes := func() int {
 		n := 0
 		for _, u := range engines {
@@ -108,11 +90,11 @@
 	for n := 0; time.Since(start) < 16*time.Second; n++ {
 		time.Sleep(25 * time.Millisecond)
 		mu.Lock()
-		if known.IsZero() && crashes() >= crashesKnown {
+		if known.IsZero() && crashes() >= standin.CrashesKnown {
 			known = time.Now()
 		}
-		isLate := !known.IsZero() && time.Since(known) > contactTime
-		isCounted := !known.IsZero() && time.Since(known) > 2*contactTime
+		isLate := !known.IsZero() && time.Since(known) > standin.CrashContactTime
+		isCounted := !known.IsZero() && time.Since(known) > 2*standin.CrashContactTime
 		mu.Unlock()
 		r := routers[rand.N(len(routers))]
 		messages := []string{"system prompt", fmt.Sprintf("organisation %d", n%5), fmt.Sprintf("question %d", n)}
@@ -142,10 +124,10 @@
 	if known.IsZero() {
 		t.Fatal("too few crashes")
 	}
-	if late > maxCallsSent {
-		t.Errorf("%d chats crashed engines later than %v after the fifth crash, %d are allowed", late, contactTime, maxCallsSent)
+	if late > standin.MaxLateCalls {
+		t.Errorf("%d chats crashed engines later than %v after the fifth crash, %d are allowed", late, standin.CrashContactTime, standin.MaxLateCalls)
 	}
-	if share < minServedShare {
-		t.Errorf("%.3f of the sound chats served, at least %.2f are to be", share, minServedShare)
+	if share < standin.MinServedShare {
+		t.Errorf("%.3f of the sound chats served, at least %.2f are to be", share, standin.MinServedShare)
 	}
 }
--- a/router/fixture_test.go
+++ b/router/fixture_test.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/grpc"
 
+	"github.com/kingcuphook/kingcuphook"
 	"github.com/kingcuphook/kingcuphook/configurer"
 	"github.com/kingcuphook/kingcuphook/editor"
 	"github.com/kingcuphook/kingcuphook/emulator/storer"
@@ -81,3 +82,20 @@
 		}
 	}
 }
+
+// runFleet runs n routers that the store lists as live VMs, until the test ends.
+func runFleet(tb testing.TB, store *storer.Store, platform string, n int) []*Router {
+	tb.Helper()
+	routers := make([]*Router, 0, n)
+	vms := make([]kingcuphook.VM, 0, n)
+	for i := range n {
+		r := listen(tb, platform, uint64(i)+1)
+		routers = append(routers, r)
+		vms = append(vms, kingcuphook.NewVM(r.PeersAddress(), "cairo", "cairo-1", kingcuphook.VMStateLive))
+	}
+	store.SetVMs(vms)
+	for _, r := range routers {
+		run(tb, r)
+	}
+	return routers
+}
--- a/router/ratelimit_test.go
+++ b/router/ratelimit_test.go
@@ -12,7 +12,6 @@
 	"testing"
 	"time"
 
-	"github.com/kingcuphook/kingcuphook"
 	"github.com/kingcuphook/kingcuphook/emulator/responder"
 	"github.com/kingcuphook/kingcuphook/emulator/storer"
 	"github.com/kingcuphook/kingcuphook/platform/standin"
@@ -55,19 +54,7 @@
 		addresses = append(addresses, s.Listener.Addr().String())
 	}
 	applyTables(t, store, limitedRoutes, fmt.Sprintf(limitedPools, addresses...))
-
-	routers := make([]*Router, 0, n)
-	vms := make([]kingcuphook.VM, 0, n)
-	for i := range n {
-		r := listen(t, platform, uint64(i)+1)
-		routers = append(routers, r)
-		vms = append(vms, kingcuphook.NewVM(r.PeersAddress(), "cairo", "cairo-1", kingcuphook.VMStateLive))
-	}
-	store.SetVMs(vms)
-	for _, r := range routers {
-		run(t, r)
-	}
-	return routers
+	return runFleet(t, store, platform, n)
 }
 
 // load sends calls through each router for d, one every interval, and returns how many
--- a/soaker/part.go
+++ b/soaker/part.go
@@ -16,12 +16,6 @@
 	// partShare is the share of the streams that have the crashing part meanwhile: one in
 	// so many.
 	partShare = 8
-	// crashesKnown is the number of crashes after which a part is known to crash upstreams.
-	// At most maxCallsSent calls with it may reach upstreams that are sent later than
-	// partGrace after the last of them.
-	crashesKnown = 5
-	maxCallsSent = 3
-	partGrace    = 4 * time.Second
 )
 
 // crashingPart is a part of prompts that crashes upstreams, with its crashes.
@@ -87,18 +81,18 @@
 	defer env.mu.Unlock()
 	var list []string
 	for _, p := range env.parts {
-		if len(p.crashes) < crashesKnown {
+		if len(p.crashes) < standin.CrashesKnown {
 			continue
 		}
-		bound := p.crashes[crashesKnown-1].Add(partGrace)
+		bound := p.crashes[standin.CrashesKnown-1].Add(standin.CrashContactTime)
 		late := 0
 		for _, c := range env.soak.calls.all() {
-			if c.sent.After(bound) && slices.Contains(c.parts, p.id) && c.router.undisturbedSince(c.sent.Add(-partGrace)) {
+			if c.sent.After(bound) && slices.Contains(c.parts, p.id) && c.router.undisturbedSince(c.sent.Add(-standin.CrashContactTime)) {
 				late += len(runs[c.id])
 			}
 		}
-		if late > maxCallsSent {
-			list = append(list, fmt.Sprintf("%d calls with part %s reached upstreams later than %v after its fifth crash, %d are allowed", late, p.id, partGrace, maxCallsSent))
+		if late > standin.MaxLateCalls {
+			list = append(list, fmt.Sprintf("%d calls with part %s reached upstreams later than %v after its fifth crash, %d are allowed", late, p.id, standin.CrashContactTime, standin.MaxLateCalls))
 		}
 	}
 	return list
