--- a/isolator/isolator_test.go
+++ b/isolator/isolator_test.go
@@ -126,6 +126,19 @@
 	is.True(isQuarantined(&second, now, crashing))
 }
 
+// Once the part that had explained crashes was lifted, a part that shared them was refused.
+func TestLiftedPartStillExplainsItsCrashes(t *testing.T) {
+	is := is.New(t)
+	var i Isolator
+	now := crashEach(&i, start, 0, minCrashes+1, crashing, shared)
+	now = crashEach(&i, now.Add(-settleTime), 10, 2, crashing)
+	is.True(isQuarantined(&i, now, crashing))
+	is.True(!isQuarantined(&i, now, shared))
+	is.True(i.Lift(now, crashing))
+	is.True(!isQuarantined(&i, now.Add(time.Second), crashing))
+	is.True(!isQuarantined(&i, now.Add(time.Second), shared))
+}
+
 // The word of one peer without crashes quarantines nothing.
 func TestQuarantineWithoutCrashesIsIgnored(t *testing.T) {
 	is := is.New(t)
