--- a/exchanger/client.go
+++ b/exchanger/client.go
@@ -63,51 +63,46 @@
 // Exchange implements kingcuphook.PeerLink. The error wraps ErrUnavailable,
 // ErrInvalid or ErrOutcomeUnknown.
 func (c *Client) Exchange(ctx context.Context, address string, digest []byte) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, cmp.Or(c.Timeout, defaultTimeout))
-	defer cancel()
-	cc, err := c.acquire(address)
-	if err != nil {
-		return nil, err
-	}
-	defer c.release(cc)
-	reply, err := peerpb.NewPeerClient(cc.grpc).Exchange(ctx, &peerpb.ExchangeRequest{Digest: digest})
-	if err != nil {
-		return nil, c.callError(cc, "exchange", address, err)
-	}
-	return reply.GetDigest(), nil
+	var reply *peerpb.ExchangeReply
+	err := c.call(ctx, "exchange", address, c.timeout(), func(ctx context.Context, peer peerpb.PeerClient) (err error) {
+		reply, err = peer.Exchange(ctx, &peerpb.ExchangeRequest{Digest: digest})
+		return err
+	})
+	return reply.GetDigest(), err
 }
 
 // Permits implements kingcuphook.PeerLink. The error wraps ErrUnavailable, ErrInvalid or
 // ErrOutcomeUnknown.
 func (c *Client) Permits(ctx context.Context, address, sender string, message []byte) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, cmp.Or(c.Timeout, defaultTimeout))
-	defer cancel()
-	cc, err := c.acquire(address)
-	if err != nil {
-		return nil, err
-	}
-	defer c.release(cc)
-	reply, err := peerpb.NewPeerClient(cc.grpc).Permits(ctx, &peerpb.PermitsRequest{Sender: sender, Message: message})
-	if err != nil {
-		return nil, c.callError(cc, "permits", address, err)
-	}
-	return reply.GetMessage(), nil
+	var reply *peerpb.PermitsReply
+	err := c.call(ctx, "permits", address, c.timeout(), func(ctx context.Context, peer peerpb.PeerClient) (err error) {
+		reply, err = peer.Permits(ctx, &peerpb.PermitsRequest{Sender: sender, Message: message})
+		return err
+	})
+	return reply.GetMessage(), err
 }
 
 // Pull implements kingcuphook.PeerLink. The error wraps ErrNotFound if the peer's
 // tables are not newer than revision.
 func (c *Client) Pull(ctx context.Context, address string, revision int64) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, cmp.Or(c.PullTimeout, defaultPullTimeout))
-	defer cancel()
-	cc, err := c.acquire(address)
+	var tables []byte
+	timeout := cmp.Or(c.PullTimeout, defaultPullTimeout)
+	err := c.call(ctx, "pull", address, timeout, func(ctx context.Context, peer peerpb.PeerClient) error {
+		stream, err := peer.Pull(ctx, &peerpb.PullRequest{Revision: revision})
+		if err != nil {
+			return err
+		}
+		tables, err = receiveChunks(stream)
+		return err
+	})
 	if err != nil {
 		return nil, err
 	}
-	defer c.release(cc)
-	stream, err := peerpb.NewPeerClient(cc.grpc).Pull(ctx, &peerpb.PullRequest{Revision: revision})
-	if err != nil {
-		return nil, c.callError(cc, "pull", address, err)
-	}
+	return tables, nil
+}
+
+// receiveChunks returns the chunks of a pull until its end. They may have maxPullBytes together.
+func receiveChunks(stream peerpb.Peer_PullClient) ([]byte, error) {
 	var b []byte
 	for {
 		reply, err := stream.Recv()
@@ -115,15 +110,33 @@
 			return b, nil
 		}
 		if err != nil {
-			return nil, c.callError(cc, "pull", address, err)
+			return nil, err
 		}
 		b = append(b, reply.GetChunk()...)
 		if len(b) > maxPullBytes {
-			return nil, fmt.Errorf("exchanger: pull from %s: %w", address, kingcuphook.ErrTooLarge)
+			return nil, status.Errorf(codes.ResourceExhausted, "tables exceed %d bytes", maxPullBytes)
 		}
 	}
 }
 
+// timeout returns the timeout of an exchange.
+func (c *Client) timeout() time.Duration { return cmp.Or(c.Timeout, defaultTimeout) }
+
+// call runs f with a connection to the peer and returns its error for the operation op.
+func (c *Client) call(ctx context.Context, op, address string, timeout time.Duration, f func(context.Context, peerpb.PeerClient) error) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	cc, err := c.acquire(address)
+	if err != nil {
+		return err
+	}
+	defer c.release(cc)
+	if err := f(ctx, peerpb.NewPeerClient(cc.grpc)); err != nil {
+		return c.callError(cc, op, address, err)
+	}
+	return nil
+}
+
 // Close closes all connections.
 func (c *Client) Close() error {
 	c.mu.Lock()
