Log and count requests that end without a complete response

A stream that was cut has the status 200 in its KCH1201; whether the retry budget was what ended a call was not said; an answer that could not be written left no trace; and lines of net/http (a panic is one) had no event number.

Change: KCH1203 and KCH1201 have 'aborted' and 'write-error', the error of a call ends in '(retry budget spent)' if that refused its retry, KCH1207 carries the lines of the HTTP server, and kingcuphook_requests_unanswered_total counts calls that ended without a complete response while their caller was connected.

--- a/attacher/attacher.go
+++ b/attacher/attacher.go
@@ -219,6 +219,7 @@
 func (a *Attacher) addGauges() {
 	a.meter.Gauge("kingcuphook_routers", func() float64 { return float64(a.routers.Load()) })
 	a.meter.Gauge("kingcuphook_open_requests", func() float64 { return float64(a.receiver.InFlight()) })
+	a.meter.Gauge("kingcuphook_requests_unanswered_total", func() float64 { return float64(a.receiver.Unanswered()) })
 	a.meter.Gauge("kingcuphook_upstreams_withdrawn", func() float64 { return float64(a.withdrawn.Count()) })
 	a.meter.Gauge("kingcuphook_upstream_rests_total", func() float64 { return float64(a.pauses.Load()) })
 	a.meter.Gauge("kingcuphook_upstreams_rate_limited", func() float64 { return float64(a.permits.Count()) })
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -135,7 +135,7 @@
 	}
 	if !ok {
 		r.d.count(func(n *Counts) { n.RetriesRejected++ })
-		return err
+		return fmt.Errorf("%w (retry budget spent)", err)
 	}
 	if !pauser.Pause(ctx, wait) {
 		return errors.Join(ctx.Err(), err)
--- a/logger/events.go
+++ b/logger/events.go
@@ -46,6 +46,7 @@
 	RequestAssigned      = Event{1204, LevelInfo, "request assigned to an upstream"}
 	AttemptFailed        = Event{1205, LevelInfo, "attempt failed"}
 	CrashSuspected       = Event{1206, LevelInfo, "request suspected of the crash of its upstream"}
+	ServerError          = Event{1207, LevelWarn, "HTTP server reported an error"}
 	UpstreamsUpdated     = Event{1303, LevelInfo, "upstreams updated"}
 	UpstreamPaused       = Event{1305, LevelInfo, "upstream asked for a pause"}
 	RegistrationRejected = Event{1304, LevelWarn, "registration of an upstream rejected; the upstream is not used"}
@@ -101,6 +102,7 @@
 		RequestAssigned,
 		AttemptFailed,
 		CrashSuspected,
+		ServerError,
 		UpstreamLeaving,
 		UpstreamsUpdated,
 		RegistrationRejected,
--- a/receiver/answer.go
+++ b/receiver/answer.go
@@ -54,8 +54,12 @@
 		s.Observer.RequestEnded(request, o, err, first, total)
 	}
 	status := s.finish(out, c, o, err)
-	s.log(c, o, err, status, first, total)
-	if err != nil && out.streaming {
+	aborted := err != nil && out.streaming
+	if (aborted || out.err != nil) && r.Context().Err() == nil {
+		s.unanswered.Add(1)
+	}
+	s.log(c, o, err, out, status, first, total)
+	if aborted {
 		// Aborts the connection, so that a partial answer can't be taken for a complete
 		// one.
 		panic(http.ErrAbortHandler)
@@ -76,14 +80,15 @@
 	case errors.As(err, &answered):
 		return out.writeAnswer(answered.Answer)
 	default:
-		return writeError(out.w, err)
+		return out.writeError(err)
 	}
 }
 
-func (s *Receiver) log(c *acceptedCall, o kingcuphook.Outcome, err error, status int, first, total time.Duration) {
+func (s *Receiver) log(c *acceptedCall, o kingcuphook.Outcome, err error, out *writer, status int, first, total time.Duration) {
 	r := c.call.Request
 	log := s.Log.With("request", r.ID(), "route", c.route.Name(), "pool", r.Pool(), "organisation", r.Organisation(),
-		"urgency", r.Urgency(), "status", status, "first-ms", first.Milliseconds(), "total-ms", total.Milliseconds())
+		"urgency", r.Urgency(), "status", status, "aborted", err != nil && out.streaming, "write-error", out.err,
+		"first-ms", first.Milliseconds(), "total-ms", total.Milliseconds())
 	if err == nil {
 		log.Log(logger.RequestAnswered, "pieces", o.Tokens, "attempts", o.Attempts)
 		return
@@ -171,6 +176,8 @@
 	status    int
 	// first is when the first part of the body was written.
 	first time.Time
+	// err is the error with which a response in one piece was not written.
+	err error
 }
 
 var _ kingcuphook.HeadWriter = (*writer)(nil)
@@ -209,17 +216,27 @@
 // whose status would imply that the call has not run by an error.
 func (w *writer) writeAnswer(a kingcuphook.Answer) int {
 	if impliesNotRun(a.Status()) {
-		return writeError(w.w, &kingcuphook.RequestError{
+		return w.writeError(&kingcuphook.RequestError{
 			Code: kingcuphook.CodeUpstreamFailed, Ran: kingcuphook.RunStateUnknown, Err: kingcuphook.ErrUpstreamAnswered,
 		})
 	}
 	w.w.Header().Set("Content-Length", strconv.Itoa(len(a.Body())))
-	if err := w.WriteHead(a); err != nil {
+	if w.err = w.WriteHead(a); w.err != nil {
 		return a.Status()
 	}
 	w.first = time.Now()
-	// A write error means that the caller is gone.
-	_, _ = w.w.Write(a.Body())
+	_, err := w.w.Write(a.Body())
+	if errors.Is(err, http.ErrBodyNotAllowed) {
+		err = nil
+	}
+	w.err = errors.Join(err, w.control.Flush())
 	w.streaming = false
 	return a.Status()
 }
+
+// writeError writes an error response and returns its status.
+func (w *writer) writeError(err error) int {
+	status := writeError(w.w, err)
+	w.err = w.control.Flush()
+	return status
+}
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -8,8 +8,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"log"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -72,8 +74,9 @@
 
 	once sync.Once
 	http *http.Server
-	// inFlight counts the calls in flight.
-	inFlight atomic.Int64
+	// inFlight counts the calls in flight, unanswered those that ended without a complete
+	// response although their callers were still connected.
+	inFlight, unanswered atomic.Int64
 }
 
 // Run serves callers on l until Stop. It returns nil after a graceful shutdown.
@@ -91,11 +94,21 @@
 			MaxHeaderBytes:    maxHeaderBytes,
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       idleTimeout,
+			ErrorLog:          log.New(serverLog{s.Log}, "", 0),
 		}
 	})
 	return s.http
 }
 
+// serverLog logs the lines of the HTTP server as events.
+type serverLog struct{ log *logger.Logger }
+
+// Write implements io.Writer.
+func (s serverLog) Write(line []byte) (int, error) {
+	s.log.Log(logger.ServerError, "error", strings.TrimSpace(string(line)))
+	return len(line), nil
+}
+
 // Stop closes the listener and waits for the calls in flight until ctx ends. It
 // returns an error if ctx ends first; it doesn't interrupt the calls itself.
 func (s *Receiver) Stop(ctx context.Context) error {
@@ -108,6 +121,10 @@
 // InFlight returns the number of calls in flight.
 func (s *Receiver) InFlight() int { return int(s.inFlight.Load()) }
 
+// Unanswered returns the number of calls that ended without a complete response although
+// their callers were still connected.
+func (s *Receiver) Unanswered() int { return int(s.unanswered.Load()) }
+
 // ServeHTTP implements http.Handler.
 func (s *Receiver) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
