End calls that are still open at the end of a planned stop with an error

Callers saw: their connection closed without a response at the end of the grace time of a router that stops, and in rare cases right after it had no calls.

Cause: the stop waited for open calls, then closed connections for 150 ms and let the process end; nothing ended the calls themselves. A call that arrived when the wait had just found none had only these 150 ms. And net/http closes connections as idle whose next request it has just read: that request went on to an upstream although its answer could no longer reach the caller.

Change: Receiver.Stop waits for calls until the end of the stop and rejects calls that begin after it; Receiver.EndCalls then ends open calls with ErrStopping as the cause, so that the dispatcher returns and callers get 503 with Retry-After if the call surely did not run, else 502. A stream that has begun is aborted as before. KCH1012 counts them.

--- a/attacher/stop.go
+++ b/attacher/stop.go
@@ -19,8 +19,9 @@
 	streamsAccepted = 2800 * time.Millisecond
 	// stopPoll is how often a graceful shutdown checks whether calls are still open.
 	stopPoll = 50 * time.Millisecond
-	// closeTimeout bounds the time for closing the remaining connections.
-	closeTimeout = 150 * time.Millisecond
+	// closeTimeout bounds the time in which calls that are still open at the end are ended
+	// and their callers get an error.
+	closeTimeout = 200 * time.Millisecond
 )
 
 // stopDeadlines are the deadlines of a graceful shutdown: streams for accepting
@@ -29,7 +30,7 @@
 
 // stop shuts down gracefully. The process reports that it is not ready, serves the calls
 // that callers still send for callersLag, and waits for open calls until shortly before
-// the end of the grace time.
+// the end of the grace time. It ends those that are open then with an error.
 func (a *Attacher) stop() {
 	begun := time.Now()
 	last := begun.Add(a.Settings.Grace() - killMargin)
@@ -42,9 +43,22 @@
 		}
 		time.Sleep(stopPoll)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
-	defer cancel()
-	if err := a.receiver.Stop(ctx); err != nil {
+	if a.stopReceiver(last) == nil {
+		return
+	}
+	if n := a.receiver.InFlight(); n > 0 {
+		a.Log.Log(logger.CallsEnded, "open-requests", n)
+	}
+	a.receiver.EndCalls()
+	if err := a.stopReceiver(last.Add(closeTimeout)); err != nil {
 		a.Log.Log(logger.StopIncomplete, "open-requests", a.receiver.InFlight(), "error", err)
 	}
 }
+
+// stopReceiver stops the receiver and waits for its calls until a time. It returns an error
+// if calls are still open then.
+func (a *Attacher) stopReceiver(until time.Time) error {
+	ctx, cancel := context.WithDeadline(context.Background(), until)
+	defer cancel()
+	return a.receiver.Stop(ctx)
+}
--- a/codes.go
+++ b/codes.go
@@ -12,6 +12,7 @@
 	CodeNotReady       = "not-ready"
 	CodeOverloaded     = "overloaded"
 	CodeRateLimited    = "rate-limited"
+	CodeStopping       = "stopping"
 	CodeTooLarge       = "too-large"
 	CodeUpstreamFailed = "upstream-failed"
 )
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -8,6 +8,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -157,11 +158,19 @@
 	out, err := r.do(ctx)
 	d.count(func(n *Counts) { n.add(r, err) })
 	if err != nil {
-		return kingcuphook.Outcome{}, r.fail(err)
+		return kingcuphook.Outcome{}, r.fail(stopError(ctx, err))
 	}
 	return out, nil
 }
 
+// stopError wraps the error of a call that was ended because the router is stopping.
+func stopError(ctx context.Context, err error) error {
+	if errors.Is(context.Cause(ctx), kingcuphook.ErrStopping) {
+		return fmt.Errorf("dispatcher: %w: %w", kingcuphook.ErrStopping, err)
+	}
+	return err
+}
+
 // RequestCounter is implemented by retry budgets that count every request.
 type RequestCounter interface {
 	// Requested counts a request that may be retried later.
--- a/dispatcher/errors.go
+++ b/dispatcher/errors.go
@@ -30,6 +30,7 @@
 	code string
 }{
 	{kingcuphook.ErrQuarantined, codeQuarantined},
+	{kingcuphook.ErrStopping, kingcuphook.CodeStopping},
 	{kingcuphook.ErrRejected, "rejected"},
 	{kingcuphook.ErrTooLarge, "answer-too-large"},
 	{kingcuphook.ErrDeadline, kingcuphook.CodeDeadline},
--- a/errors.go
+++ b/errors.go
@@ -56,6 +56,9 @@
 	// ErrForeignFrame means that a frame or reply belongs to another attempt or call,
 	// or that a frame has an unexpected position.
 	ErrForeignFrame = errors.New("foreign frame")
+	// ErrStopping means that the router is stopping. As the cause of a context it ends calls
+	// that are still open at the end of a graceful shutdown.
+	ErrStopping = errors.New("router is stopping")
 	// ErrNoUpstream means that no upstream of the pool can take the request.
 	ErrNoUpstream = errors.New("no upstream")
 	// ErrPaused means that all upstreams of the pool that serve the model and are
--- a/logger/events.go
+++ b/logger/events.go
@@ -54,6 +54,7 @@
 	SettingsRejected     = Event{1009, LevelError, "settings file is invalid; the process keeps its settings"}
 	StoreUpdateReceived  = Event{1404, LevelInfo, "store update received from a peer"}
 	StopIncomplete       = Event{1011, LevelWarn, "graceful shutdown ended with requests in flight"}
+	CallsEnded           = Event{1012, LevelWarn, "requests still in flight at the end of a graceful shutdown were ended with an error"}
 	RequestFailed        = Event{1201, LevelInfo, "request failed"}
 	RequestPanicked      = Event{1202, LevelError, "request handler panicked"}
 	UpstreamLeaving      = Event{1302, LevelInfo, "upstream is leaving"}
@@ -85,6 +86,7 @@
 		SettingsChecked,
 		SettingsRejected,
 		StopIncomplete,
+		CallsEnded,
 		TablesApplied,
 		TablesRejected,
 		TablesOlder,
--- a/receiver/answer.go
+++ b/receiver/answer.go
@@ -1,6 +1,7 @@
 package receiver
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net/http"
@@ -20,7 +21,7 @@
 
 var (
 	errNotReady = &kingcuphook.RequestError{Code: kingcuphook.CodeNotReady, Ran: kingcuphook.RunStateNotRun, RetryAfter: retryNotReady, Err: kingcuphook.ErrUnavailable}
-	errStopping = &kingcuphook.RequestError{Code: "stopping", Ran: kingcuphook.RunStateNotRun, RetryAfter: retryStopping, Err: kingcuphook.ErrUnavailable}
+	errStopping = &kingcuphook.RequestError{Code: kingcuphook.CodeStopping, Ran: kingcuphook.RunStateNotRun, RetryAfter: retryStopping, Err: kingcuphook.ErrStopping}
 	errNoRoute  = &kingcuphook.RequestError{Code: kingcuphook.CodeNoRoute, Ran: kingcuphook.RunStateNotRun, Err: kingcuphook.ErrNotFound}
 	errNoKey    = &kingcuphook.RequestError{Code: "no-key", Ran: kingcuphook.RunStateNotRun, Err: errUnknownKey}
 	errTooLarge = &kingcuphook.RequestError{Code: kingcuphook.CodeTooLarge, Ran: kingcuphook.RunStateNotRun, Err: kingcuphook.ErrTooLarge}
@@ -37,14 +38,15 @@
 	}
 }
 
-// run dispatches a call and writes its answer or error.
-func (s *Receiver) run(w http.ResponseWriter, r *http.Request, c *acceptedCall) {
+// run dispatches a call and writes its answer or error. The context ctx of the call also
+// ends with its caller's connection, for which that of r stands alone.
+func (s *Receiver) run(ctx context.Context, w http.ResponseWriter, r *http.Request, c *acceptedCall) {
 	request := c.call.Request
 	out := &writer{w: w, control: http.NewResponseController(w), deadline: request.Deadline()}
 	if s.Observer != nil {
 		s.Observer.RequestStarted(request, c.route)
 	}
-	o, err := s.Dispatcher.Dispatch(r.Context(), c.call, out)
+	o, err := s.Dispatcher.Dispatch(ctx, c.call, out)
 	first := time.Duration(0)
 	if !out.first.IsZero() {
 		first = out.first.Sub(request.Arrived())
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -74,6 +74,11 @@
 
 	once sync.Once
 	http *http.Server
+	// calls is a context that EndCalls ends with the function endCalls.
+	calls    context.Context
+	endCalls context.CancelFunc
+	// closing is set before idle connections are closed.
+	closing atomic.Bool
 	// inFlight counts the calls in flight, unanswered those that ended without a complete
 	// response although their callers were still connected.
 	inFlight, unanswered atomic.Int64
@@ -89,6 +94,7 @@
 
 func (s *Receiver) server() *http.Server {
 	s.once.Do(func() {
+		s.calls, s.endCalls = context.WithCancel(context.Background())
 		s.http = &http.Server{
 			Handler:           s,
 			MaxHeaderBytes:    maxHeaderBytes,
@@ -109,15 +115,37 @@
 	return len(line), nil
 }
 
-// Stop closes the listener and waits for the calls in flight until ctx ends. It
-// returns an error if ctx ends first; it doesn't interrupt the calls itself.
+// Stop closes the listener and the idle connections, and waits for the calls in flight
+// until ctx ends. It returns an error if ctx ends first; it doesn't interrupt the calls
+// itself. Calls that begin after it has been called are rejected: their connections may be
+// closed.
 func (s *Receiver) Stop(ctx context.Context) error {
+	s.closing.Store(true)
 	if err := s.server().Shutdown(ctx); err != nil {
 		return fmt.Errorf("receiver: stop: %w", err)
 	}
 	return nil
 }
 
+// EndCalls ends the calls in flight and all later ones with an error, which their callers
+// get unless part of an answer was written. It returns at once.
+func (s *Receiver) EndCalls() {
+	s.server()
+	s.endCalls()
+}
+
+// callContext returns a context that ends with the caller's connection or, with the cause
+// ErrStopping, when EndCalls is called.
+func (s *Receiver) callContext(r *http.Request) (context.Context, context.CancelFunc) {
+	s.server()
+	ctx, cancel := context.WithCancelCause(r.Context())
+	stop := context.AfterFunc(s.calls, func() { cancel(kingcuphook.ErrStopping) })
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
 // InFlight returns the number of calls in flight.
 func (s *Receiver) InFlight() int { return int(s.inFlight.Load()) }
 
@@ -132,17 +160,22 @@
 	if s.stopping() {
 		w.Header().Set("Connection", "close")
 	}
+	ctx, cancel := s.callContext(r)
+	defer cancel()
 	labels := s.Codec.Labels(r.Header)
-	c, err := s.accept(w, r, labels)
+	c, err := s.accept(ctx, w, r, labels)
 	if err != nil {
 		s.reject(w, labels.ID, err)
 		return
 	}
-	s.run(w, r, c)
+	s.run(ctx, w, r, c)
 }
 
 // stopping reports whether a graceful shutdown was started.
 func (s *Receiver) stopping() bool {
+	if s.closing.Load() {
+		return true
+	}
 	if s.StopTimes == nil {
 		return false
 	}
@@ -158,9 +191,12 @@
 
 // accept finds the route and the organisation of a call and reads its body. It returns
 // a *kingcuphook.RequestError if the call can't be accepted.
-func (s *Receiver) accept(w http.ResponseWriter, r *http.Request, labels kingcuphook.CallLabels) (*acceptedCall, error) {
+func (s *Receiver) accept(ctx context.Context, w http.ResponseWriter, r *http.Request, labels kingcuphook.CallLabels) (*acceptedCall, error) {
 	arrived := time.Now()
-	d := s.awaitDirectory(r.Context(), labels.Deadline)
+	if s.closing.Load() {
+		return nil, errStopping
+	}
+	d := s.awaitDirectory(ctx, labels.Deadline)
 	if d.Tables == nil {
 		return nil, errNotReady
 	}
@@ -219,6 +255,9 @@
 // endsBeforeStop reports whether a call of the route that starts now is expected to
 // end before the graceful shutdown does.
 func (s *Receiver) endsBeforeStop(route *kingcuphook.Route) bool {
+	if s.StopTimes == nil {
+		return false
+	}
 	streams, end := s.StopTimes()
 	if route.Stream() {
 		return time.Now().Before(streams)
--- a/receiver/receiver_test.go
+++ b/receiver/receiver_test.go
@@ -310,6 +310,50 @@
 	r.Equal(status("/plain/"), http.StatusServiceUnavailable)
 }
 
+// A call whose connection was closed as idle by the stop ran although no answer could reach its caller.
+func TestCallAfterStopIsNotPassedOn(t *testing.T) {
+	passedOn := false
+	r := newHarness(t, func(ctx context.Context, c *kingcuphook.Call, w kingcuphook.FrameWriter) (kingcuphook.Outcome, error) {
+		passedOn = true
+		return respondWith(http.StatusOK, "whole")(ctx, c, w)
+	})
+	r.NoErr(r.Stop(t.Context()))
+	resp, _, err := r.call("/plain/", "")
+	r.NoErr(err)
+	r.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	r.True(resp.Close && !passedOn)
+}
+
+// TestEndedCallsGetTrueErrors checks that calls that EndCalls ends get an error that says
+// whether they may have run, and that a stream is aborted.
+func TestEndedCallsGetTrueErrors(t *testing.T) {
+	began, ran := make(chan struct{}), kingcuphook.RunStateNotRun
+	r := newHarness(t, func(ctx context.Context, c *kingcuphook.Call, w kingcuphook.FrameWriter) (kingcuphook.Outcome, error) {
+		if c.Request.Stream() {
+			_ = w.(kingcuphook.HeadWriter).WriteHead(kingcuphook.NewOpaqueAnswer(http.StatusOK, http.Header{}, nil))
+			_ = w.WriteData("id: 1\ndata: a\n\n")
+		}
+		close(began)
+		<-ctx.Done()
+		return kingcuphook.Outcome{}, &kingcuphook.RequestError{Code: kingcuphook.CodeStopping, Ran: ran, Err: context.Cause(ctx)}
+	})
+	go func() { <-began; r.EndCalls() }()
+	resp, text, err := r.call("/plain/", "")
+	r.NoErr(err)
+	r.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	r.True(resp.Header.Get("Retry-After") != "")
+	r.Equal(text, "stopping\n")
+	began, ran = make(chan struct{}), kingcuphook.RunStateUnknown
+	resp, _, err = r.call("/plain/", "")
+	r.NoErr(err)
+	r.Equal(resp.StatusCode, http.StatusBadGateway)
+	r.Equal(r.Unanswered(), 0)
+	began = make(chan struct{})
+	_, _, err = r.call("/stream/", "")
+	r.True(err != nil) // aborted, so that it doesn't look complete
+	r.Equal(r.Unanswered(), 1)
+}
+
 // TestCallsWaitForFirstTables checks that calls that arrive before the first tables
 // wait for them, longer if they have a later deadline.
 func TestCallsWaitForFirstTables(t *testing.T) {
