Reject requests that begin while the server of serve closes idle connections

Callers saw: in rare cases a connection closed without a response, for a request that ran.

Cause: Shutdown closes connections as idle whose next request net/http has just read; that request was dispatched although no answer could reach its caller.

Change: a request that begins after Stop is rejected with the code 'stopping', as unknown if it has an idempotency key.

Measured: TestRequestAfterStopIsNotDispatched failed before (the request was dispatched, 502) and passes; go test -race ./server passes.

--- a/server/errors.go
+++ b/server/errors.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"math"
 	"net/http"
 	"strconv"
@@ -30,6 +31,12 @@
 		RetryAfter: defaultRetryAfter,
 		Err:        kingcuphook.ErrUnavailable,
 	}
+	errStopping = &kingcuphook.RequestError{
+		Code:       kingcuphook.CodeStopping,
+		Ran:        kingcuphook.RunStateNotRun,
+		RetryAfter: defaultRetryAfter,
+		Err:        fmt.Errorf("%w: %w", kingcuphook.ErrUnavailable, kingcuphook.ErrStopping),
+	}
 	errTooManyRequests = &kingcuphook.RequestError{
 		Code:       kingcuphook.CodeOverloaded,
 		Ran:        kingcuphook.RunStateNotRun,
--- a/server/server.go
+++ b/server/server.go
@@ -79,6 +79,8 @@
 	open atomic.Int64
 	// draining adds Connection: close to every answer.
 	draining atomic.Bool
+	// closing is set before idle connections are closed.
+	closing atomic.Bool
 }
 
 // Handler returns the handler of the callers' API.
@@ -113,10 +115,12 @@
 // connection for their next request.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-// Stop closes the listener and waits for the requests in progress, or until ctx
-// ends.
+// Stop closes the listener and the idle connections, and waits for the requests in
+// progress, or until ctx ends. Requests that begin after it has been called are rejected:
+// their connections may be closed.
 func (s *Server) Stop(ctx context.Context) error {
 	s.Drain()
+	s.closing.Store(true)
 	if err := s.server().Shutdown(ctx); err != nil {
 		return fmt.Errorf("server: stop: %w", err)
 	}
@@ -136,15 +140,27 @@
 		}
 		n := s.open.Add(1)
 		defer s.open.Add(-1)
-		if s.Limits.MaxRequests > 0 && n > int64(s.Limits.MaxRequests) {
+		if err := s.refuse(n); err != nil {
 			h := callerHeaders{key: r.Header.Get(HeaderIdempotencyKey)}
-			writeError(w, "", h.rejectBeforeClaim(errTooManyRequests))
+			writeError(w, "", h.rejectBeforeClaim(err))
 			return
 		}
 		next.ServeHTTP(w, r)
 	})
 }
 
+// refuse returns the error for a request that is not served with n requests in progress;
+// nil if it is.
+func (s *Server) refuse(n int64) *kingcuphook.RequestError {
+	switch {
+	case s.closing.Load():
+		return errStopping
+	case s.Limits.MaxRequests > 0 && n > int64(s.Limits.MaxRequests):
+		return errTooManyRequests
+	}
+	return nil
+}
+
 // recoverPanic logs a panic and aborts the connection, so that a partial answer
 // can't be mistaken for a complete one.
 func (s *Server) recoverPanic() {
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -252,6 +253,19 @@
 	is.NoErr(s.Run(l))
 }
 
+// A request whose connection was closed as idle by the stop ran although no answer could reach its caller.
+func TestRequestAfterStopIsNotDispatched(t *testing.T) {
+	is := is.New(t)
+	s := &Server{Dispatcher: failOnDispatch(t), Tables: testTables, Limits: Limits{MaxBodyBytes: 100, Deadline: time.Minute}}
+	is.NoErr(s.Stop(t.Context()))
+	req := httptest.NewRequest(http.MethodPost, PathChat, strings.NewReader(`{"model":"m","messages":[]}`))
+	req.Header.Set(HeaderClass, "till")
+	w := httptest.NewRecorder()
+	s.Handler().ServeHTTP(w, req)
+	is.Equal(w.Code, http.StatusServiceUnavailable)
+	is.Equal(w.Header().Get("Connection"), "close")
+}
+
 func TestMaxRequestsLimitsOpenRequests(t *testing.T) {
 	is := is.New(t)
 	release := make(chan struct{})
