Log the end of a call before its response is sent, as before

Change: the line is written first, without the write error; a response that can't be written has an event of its own, KCH1208.

--- a/logger/events.go
+++ b/logger/events.go
@@ -47,6 +47,7 @@
 	AttemptFailed        = Event{1205, LevelInfo, "attempt failed"}
 	CrashSuspected       = Event{1206, LevelInfo, "request suspected of the crash of its upstream"}
 	ServerError          = Event{1207, LevelWarn, "HTTP server reported an error"}
+	ResponseFailed       = Event{1208, LevelWarn, "response could not be written although the caller is connected"}
 	UpstreamsUpdated     = Event{1303, LevelInfo, "upstreams updated"}
 	UpstreamPaused       = Event{1305, LevelInfo, "upstream asked for a pause"}
 	RegistrationRejected = Event{1304, LevelWarn, "registration of an upstream rejected; the upstream is not used"}
@@ -105,6 +106,7 @@
 		AttemptFailed,
 		CrashSuspected,
 		ServerError,
+		ResponseFailed,
 		UpstreamLeaving,
 		UpstreamsUpdated,
 		RegistrationRejected,
--- a/receiver/answer.go
+++ b/receiver/answer.go
@@ -57,10 +57,11 @@
 	}
 	status := s.finish(out, c, o, err)
 	aborted := err != nil && out.streaming
-	if (aborted || out.err != nil) && r.Context().Err() == nil {
-		s.unanswered.Add(1)
+	s.log(c, o, err, aborted, status, first, total)
+	if !aborted {
+		out.flush()
 	}
-	s.log(c, o, err, out, status, first, total)
+	s.checkWritten(r, request.ID(), out, aborted)
 	if aborted {
 		// Aborts the connection, so that a partial answer can't be taken for a complete
 		// one.
@@ -68,6 +69,20 @@
 	}
 }
 
+// checkWritten counts a call that ended without a complete response while its caller was
+// still connected, and logs a response that could not be written.
+func (s *Receiver) checkWritten(r *http.Request, id string, out *writer, aborted bool) {
+	if r.Context().Err() != nil {
+		return
+	}
+	if aborted || out.err != nil {
+		s.unanswered.Add(1)
+	}
+	if out.err != nil {
+		s.Log.Log(logger.ResponseFailed, "request", id, "error", out.err, "until-deadline-ms", time.Until(out.deadline).Milliseconds())
+	}
+}
+
 // finish writes the answer or the error of a call, unless a stream was already
 // started. It returns the status of the response.
 func (s *Receiver) finish(out *writer, c *acceptedCall, o kingcuphook.Outcome, err error) int {
@@ -82,14 +97,14 @@
 	case errors.As(err, &answered):
 		return out.writeAnswer(answered.Answer)
 	default:
-		return out.writeError(err)
+		return writeError(out.w, err)
 	}
 }
 
-func (s *Receiver) log(c *acceptedCall, o kingcuphook.Outcome, err error, out *writer, status int, first, total time.Duration) {
+func (s *Receiver) log(c *acceptedCall, o kingcuphook.Outcome, err error, aborted bool, status int, first, total time.Duration) {
 	r := c.call.Request
 	log := s.Log.With("request", r.ID(), "route", c.route.Name(), "pool", r.Pool(), "organisation", r.Organisation(),
-		"urgency", r.Urgency(), "status", status, "aborted", err != nil && out.streaming, "write-error", out.err,
+		"urgency", r.Urgency(), "status", status, "aborted", aborted,
 		"first-ms", first.Milliseconds(), "total-ms", total.Milliseconds())
 	if err == nil {
 		log.Log(logger.RequestAnswered, "pieces", o.Tokens, "attempts", o.Attempts)
@@ -218,7 +233,7 @@
 // whose status would imply that the call has not run by an error.
 func (w *writer) writeAnswer(a kingcuphook.Answer) int {
 	if impliesNotRun(a.Status()) {
-		return w.writeError(&kingcuphook.RequestError{
+		return writeError(w.w, &kingcuphook.RequestError{
 			Code: kingcuphook.CodeUpstreamFailed, Ran: kingcuphook.RunStateUnknown, Err: kingcuphook.ErrUpstreamAnswered,
 		})
 	}
@@ -231,14 +246,14 @@
 	if errors.Is(err, http.ErrBodyNotAllowed) {
 		err = nil
 	}
-	w.err = errors.Join(err, w.control.Flush())
+	w.err = err
 	w.streaming = false
 	return a.Status()
 }
 
-// writeError writes an error response and returns its status.
-func (w *writer) writeError(err error) int {
-	status := writeError(w.w, err)
-	w.err = w.control.Flush()
-	return status
+// flush sends what the server has buffered of the response.
+func (w *writer) flush() {
+	if err := w.control.Flush(); w.err == nil {
+		w.err = err
+	}
 }
