Reserve the retry before an attempt on a silent upstream is cancelled for it

Callers saw: several answers of one upstream end at the same moment, streams cut and 502, although the upstream was sound: it was silent for a moment and went on.

Cause: the watchdog cancelled an attempt if the retry budget had a retry left, and the retry was spent only afterwards. All attempts of a silent upstream look at the same moment; one got the retry, the others had been cancelled in vain. Attempts were also cancelled where no other upstream could go on: a pool of one, all others full, paused, without a permit, or none that can resume the stream.

Change: the watchdog spends the retry before it cancels the attempt, and only if the allocator has a slot elsewhere now; prepareRetry uses the reserved retry, and one that isn't used goes back (RetryBudget.Refund). A check that waits while a frame arrives does nothing any more.

--- a/attacher/attacher.go
+++ b/attacher/attacher.go
@@ -200,6 +200,7 @@
 		OnCrash:     narrator.LogCrash(a.Log),
 		NewBudget:   a.newBudget,
 		BudgetKey:   (*kingcuphook.Request).Pool,
+		HasVacancy:  a.allocator.HasVacancy,
 		Owner:       s.Name(),
 		Limits:      dispatcher.Limits{WaitShare: waitShare},
 	}
--- a/decision.go
+++ b/decision.go
@@ -172,6 +172,8 @@
 	Succeeded(now time.Time)
 	// Spend takes one retry from the budget and reports whether one was left.
 	Spend(now time.Time) bool
+	// Refund puts a retry back that was spent but not made.
+	Refund(now time.Time)
 	// Delay returns how long to wait before retry number n, counted from 1.
 	Delay(n int) time.Duration
 }
--- a/detector/detector.go
+++ b/detector/detector.go
@@ -34,6 +34,9 @@
 	d.received = true
 }
 
+// Received reports whether a frame was received since the dispatch.
+func (d *Detector) Received() bool { return d.received }
+
 // Deadline returns when the connection counts as unresponsive unless a frame is received
 // before.
 func (d *Detector) Deadline() time.Time {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -92,6 +92,11 @@
 	// BudgetKey returns the key of the retry budget that a request uses; nil means
 	// its class.
 	BudgetKey func(r *kingcuphook.Request) string
+	// HasVacancy reports whether an upstream that is not excluded could take the request now;
+	// if resumes is set, one that can resume its answer. An attempt on a silent upstream is
+	// cancelled for a retry only if one could. Nil means that one always could. It must be
+	// safe for concurrent use.
+	HasVacancy func(r *kingcuphook.Request, excluded []string, resumes bool) bool
 	// Owner is the identifier of this router.
 	Owner string
 	// Rand is the source of jitter and of attempt identifiers; nil means one with a
@@ -234,20 +239,11 @@
 	return b.Delay(n), true
 }
 
-// BudgetViewer is implemented by retry budgets that can be queried without
-// spending from them.
-type BudgetViewer interface {
-	// CanSpend reports whether the budget allows another retry.
-	CanSpend(now time.Time) bool
-}
-
-// canSpend reports whether the budget of a request allows another retry. It
-// returns true if the budget cannot be queried.
-func (d *Dispatcher) canSpend(r *kingcuphook.Request, now time.Time) bool {
+// refund returns a retry of a request to its budget.
+func (d *Dispatcher) refund(r *kingcuphook.Request, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	v, ok := d.budget(d.budgetKey(r)).(BudgetViewer)
-	return !ok || v.CanSpend(now)
+	d.budget(d.budgetKey(r)).Refund(now)
 }
 
 // budget returns the retry budget of a key. The caller must hold mu.
--- a/dispatcher/opaque_test.go
+++ b/dispatcher/opaque_test.go
@@ -128,6 +128,7 @@
 
 func (*countingBudget) Succeeded(time.Time)     {}
 func (c *countingBudget) Spend(time.Time) bool  { c.spent++; return true }
+func (c *countingBudget) Refund(time.Time)      { c.spent-- }
 func (*countingBudget) Delay(int) time.Duration { return 0 }
 
 // TestRetryBudgetSpent checks that a retry is free only as long as nothing was sent to
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -43,6 +43,8 @@
 	replayed bool
 	// slot is the slot of the running attempt.
 	slot kingcuphook.Slot
+	// reserved is the retry for which the running attempt was cancelled.
+	reserved reservation
 	// trial is the trial of the running attempt; nil if the call is not a suspect.
 	trial *trial
 	// onTrial is set if the running attempt was let through although a part is quarantined.
@@ -93,13 +95,17 @@
 	}
 	for {
 		out, err := r.attempt(ctx)
-		if err == nil {
-			r.succeed(out)
-			return out, nil
-		}
-		if err := r.prepareRetry(ctx, err); err != nil {
-			return kingcuphook.Outcome{}, err
+		if err != nil {
+			err = r.prepareRetry(ctx, err)
+			r.refundRetry()
+			if err != nil {
+				return kingcuphook.Outcome{}, err
+			}
+			continue
 		}
+		r.refundRetry()
+		r.succeed(out)
+		return out, nil
 	}
 }
 
@@ -129,7 +135,7 @@
 	if !r.reached && errors.Is(err, kingcuphook.ErrNotSent) {
 		return nil
 	}
-	wait, ok := r.d.spend(r.request, time.Now(), max(r.attempts, 1))
+	wait, ok := r.spendRetry()
 	if errors.Is(err, kingcuphook.ErrOverloaded) || errors.Is(err, kingcuphook.ErrRateLimited) {
 		wait += overloadWait
 	}
@@ -151,11 +157,6 @@
 	return r.d.Limits.MaxAttempts
 }
 
-// mayRetry reports whether another attempt could follow the running one.
-func (r *run) mayRetry() bool {
-	return r.attempts < r.maxAttempts() && r.d.canSpend(r.request, time.Now())
-}
-
 // attempt acquires a slot and runs the call once on its upstream.
 func (r *run) attempt(ctx context.Context) (kingcuphook.Outcome, error) {
 	r.onTrial = false
--- a/dispatcher/silent_test.go
+++ b/dispatcher/silent_test.go
@@ -38,11 +38,12 @@
 }
 
 // silentStreams runs streams whose upstream a falls silent, with a budget of one retry, and
-// returns how many fail and how many are retried.
-func silentStreams(t *testing.T, resumes []bool) (failed, retried int) {
+// returns how many fail and how many are retried. Vacancies are those of the pool, if not nil.
+func silentStreams(t *testing.T, vacancy func(*kingcuphook.Request, []string, bool) bool) (failed, retried int) {
 	const calls = 4
-	runTest(t, resumes, func(r *harness) {
+	runTest(t, []bool{true, true}, func(r *harness) {
 		r.Engine = silentEngine{r.engine}
+		r.HasVacancy = vacancy
 		r.NewBudget = func(string) kingcuphook.RetryBudget { return &retrier.Window{Slack: 1.25, Fleet: &retrier.Fleet{}} }
 		var group sync.WaitGroup
 		errs := make([]error, calls)
@@ -68,8 +69,41 @@
 
 // All streams of a silent upstream were cancelled for the one retry that the budget had left.
 func TestSilentUpstreamKeepsStreamsThatCannotBeRetried(t *testing.T) {
-	failed, retried := silentStreams(t, []bool{true, true})
+	failed, retried := silentStreams(t, nil)
 	if failed != 0 || retried != 1 {
 		t.Errorf("got %d failed and %d retried streams, want 0 and 1", failed, retried)
 	}
 }
+
+// A stream of a silent upstream was cancelled although no other upstream could go on with it.
+func TestSilentUpstreamKeepsStreamsThatNoOtherCanResume(t *testing.T) {
+	failed, retried := silentStreams(t, func(_ *kingcuphook.Request, excluded []string, resumes bool) bool {
+		return !resumes || len(excluded) != 1 || excluded[0] != "a"
+	})
+	if failed != 0 || retried != 0 {
+		t.Errorf("got %d failed and %d retried streams, want none", failed, retried)
+	}
+}
+
+// lateEngine answers calls just when they are cancelled.
+type lateEngine struct{ scriptedEngine }
+
+func (e *lateEngine) Call(ctx context.Context, u *kingcuphook.Upstream, a *kingcuphook.Attempt) (kingcuphook.Answer, error) {
+	<-ctx.Done()
+	return e.scriptedEngine.Call(ctx, u, a)
+}
+
+// TestUnusedRetryIsRefunded checks that a retry that was reserved goes back to the budget if
+// its attempt is answered after all.
+func TestUnusedRetryIsRefunded(t *testing.T) {
+	withScript(t, func(r *harness, _ *scriptedEngine) {
+		budget := &countingBudget{}
+		r.NewBudget = func(string) kingcuphook.RetryBudget { return budget }
+		r.Engine = &lateEngine{}
+		r.Limits.ReplyTimeout = time.Second
+		began := time.Now()
+		r.True(r.dispatchOpaque(plain, 2) == nil)
+		r.Equal(time.Since(began), time.Second) // cancelled by the timeout
+		r.Equal(budget.spent, 0)
+	})
+}
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -18,14 +18,18 @@
 // preempted.
 type watchdog struct {
 	cancel context.CancelCauseFunc
-	// mayRetry reports whether another attempt could follow. If it could not, an
-	// attempt on an unresponsive upstream is not cancelled. Nil means that it always could.
-	mayRetry func() bool
+	// reserve reserves the retry for which an attempt on an unresponsive upstream is
+	// cancelled. If it reports false, the attempt goes on. Nil means that the attempt is
+	// always cancelled.
+	reserve func(received bool) bool
 
 	// mu guards the fields below.
 	mu       sync.Mutex
 	detector detector.Detector
 	timer    *time.Timer
+	// active is set while the timer runs. A check that was already waiting for mu then does
+	// nothing.
+	active bool
 }
 
 // watch starts the watchdog of an attempt and returns the context of the attempt.
@@ -42,12 +46,13 @@
 	if o := r.call.Opaque; o != nil {
 		w.detector.FirstFrameTimeout = cmp.Or(o.FirstByte, w.detector.FirstFrameTimeout)
 		w.detector.IdleTimeout = cmp.Or(o.Silence, w.detector.IdleTimeout)
-		w.mayRetry = r.mayRetry
+		w.reserve = r.retryReserver(slot)
 	}
 	now := time.Now()
 	w.detector.RecordDispatch(now)
 	w.mu.Lock()
 	w.timer = time.AfterFunc(w.detector.Deadline().Sub(now), w.check)
+	w.active = true
 	w.mu.Unlock()
 	if r.preemptible(slot.Choice().Upstream) {
 		go awaitPreemption(ctx, slot, cancel)
@@ -74,9 +79,13 @@
 func (w *watchdog) check() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if !w.active {
+		return
+	}
 	now := time.Now()
 	if w.detector.Unresponsive(now) {
-		if w.mayRetry == nil || w.mayRetry() {
+		if w.reserve == nil || w.reserve(w.detector.Received()) {
+			w.active = false
 			w.cancel(errUnresponsive)
 			return
 		}
@@ -94,6 +103,7 @@
 	defer w.mu.Unlock()
 	now := time.Now()
 	w.detector.RecordFrame(now)
+	w.active = true
 	w.timer.Reset(w.detector.Deadline().Sub(now))
 }
 
@@ -103,12 +113,14 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.timer.Stop()
+	w.active = false
 }
 
 // resume restarts the timer without extending the timeout.
 func (w *watchdog) resume() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.active = true
 	w.timer.Reset(time.Until(w.detector.Deadline()))
 }
 
@@ -116,6 +128,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.timer.Stop()
+	w.active = false
 	w.cancel(context.Canceled)
 }
 
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -62,6 +62,12 @@
 	return true
 }
 
+// Refund implements kingcuphook.RetryBudget.
+func (b *Budget) Refund(now time.Time) {
+	b.advance(now)
+	b.available = min(b.available+1, cmp.Or(b.Burst, defaultBurst))
+}
+
 // Delay implements kingcuphook.RetryBudget with exponential backoff and full
 // jitter: the delay is uniformly distributed between 0 and its bound.
 func (b *Budget) Delay(n int) time.Duration {
--- a/retrier/window.go
+++ b/retrier/window.go
@@ -80,6 +80,19 @@
 	return true
 }
 
+// Refund implements kingcuphook.RetryBudget. The latest retry in the window is the one that
+// was not made.
+func (w *Window) Refund(now time.Time) {
+	w.advance(now)
+	for i := range bucketCount {
+		bucket := (w.current - i + bucketCount) % bucketCount
+		if w.retries[bucket] > 0 {
+			w.retries[bucket]--
+			return
+		}
+	}
+}
+
 // Delay implements kingcuphook.RetryBudget. It returns 0, since requests that did
 // not run are sent to another upstream at once.
 func (*Window) Delay(int) time.Duration { return 0 }
--- a/retrier/window_test.go
+++ b/retrier/window_test.go
@@ -86,3 +86,18 @@
 	}
 	return n
 }
+
+// TestWindowRefund checks that a retry that was put back can be made, once.
+func TestWindowRefund(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	w := newWindow(settledFleet(now, 8))
+	for w.Spend(now) {
+	}
+	now = now.Add(length / 4)
+	w.Refund(now)
+	is.True(w.Spend(now))
+	is.True(!w.Spend(now))
+	w.Refund(now.Add(2 * length)) // the window has passed
+	is.Equal(sum(w.retries), 0)
+}
--- a/scheduler/pause_test.go
+++ b/scheduler/pause_test.go
@@ -18,6 +18,7 @@
 // called.
 var (
 	_ allocator.Pauser        = (*Scheduler)(nil)
+	_ allocator.VacancyFinder = (*Scheduler)(nil)
 	_ allocator.RouterIndexer = (*Scheduler)(nil)
 	_ allocator.RouterCounter = (*Scheduler)(nil)
 	_ allocator.RouterIndexer = (*limiter.Limiter)(nil)
--- a/scheduler/requeue_test.go
+++ b/scheduler/requeue_test.go
@@ -24,3 +24,17 @@
 	is.Equal(len(s.Requeue(start, lower, []string{})), 0)
 	is.Equal(s.Len(), 3)
 }
+
+// TestVacancy checks that only an upstream that could take a request now counts as a vacancy.
+func TestVacancy(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(engine("a", 1), engine("b", 1))
+	r := request("r", 1)
+	is.True(s.HasVacancy(start, r, []string{"a"}, false))
+	is.True(!s.HasVacancy(start, r, []string{"a", "b"}, false))
+	is.True(!s.HasVacancy(start, r, []string{"a"}, true)) // b cannot resume
+	s.Offer(start, request("1", 1))
+	s.Offer(start, request("2", 1))
+	s.Assign(start)
+	is.True(!s.HasVacancy(start, r, []string{"a"}, false)) // b is full
+}
--- a/scheduler/slots.go
+++ b/scheduler/slots.go
@@ -127,6 +127,18 @@
 	return t.total[i]
 }
 
+// HasVacancy reports whether an upstream that is not excluded has a slot for the request
+// now; if resumes is set, one that can resume a partial answer.
+func (s *Scheduler) HasVacancy(now time.Time, r *kingcuphook.Request, excluded []string, resumes bool) bool {
+	return slices.ContainsFunc(s.slots.rows, func(row *slotRow) bool {
+		u := row.upstream
+		if slices.Contains(excluded, u.Address()) || resumes && !u.Resumes() || !serves(u, r.Model()) {
+			return false
+		}
+		return s.rowFreeSlots(now, row, tierOf(r)) > 0
+	})
+}
+
 // refreshRow reads the free slots of one row again.
 func (s *Scheduler) refreshRow(now time.Time, row *slotRow) {
 	t := &s.slots
