Answer a request whose handler panics, and log the panic as an event

Callers saw: a connection closed without a response.

Cause: a panic in the handler of attach reached net/http, which closes the connection; the log had a line of net/http without event number or request.

Change: the receiver recovers. KCH1202 has the request, the stack and whether a response was begun; the caller gets 502 with the code internal if none was, on a connection that closes, and an aborted connection otherwise, which kingcuphook_requests_unanswered_total counts. http.ErrAbortHandler passes.

--- a/receiver/answer.go
+++ b/receiver/answer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"time"
 
@@ -26,6 +27,7 @@
 	errNoKey    = &kingcuphook.RequestError{Code: "no-key", Ran: kingcuphook.RunStateNotRun, Err: errUnknownKey}
 	errTooLarge = &kingcuphook.RequestError{Code: kingcuphook.CodeTooLarge, Ran: kingcuphook.RunStateNotRun, Err: kingcuphook.ErrTooLarge}
 
+	errPanicked   = errors.New("request handler panicked")
 	errUnknownKey = errors.New("no organisation holds the key")
 )
 
@@ -40,9 +42,9 @@
 
 // run dispatches a call and writes its answer or error. The context ctx of the call also
 // ends with its caller's connection, for which that of r stands alone.
-func (s *Receiver) run(ctx context.Context, w http.ResponseWriter, r *http.Request, c *acceptedCall) {
+func (s *Receiver) run(ctx context.Context, out *writer, r *http.Request, c *acceptedCall) {
 	request := c.call.Request
-	out := &writer{w: w, control: http.NewResponseController(w), deadline: request.Deadline()}
+	out.id, out.deadline = request.ID(), request.Deadline()
 	if s.Observer != nil {
 		s.Observer.RequestStarted(request, c.route)
 	}
@@ -61,7 +63,7 @@
 	if !aborted {
 		out.flush()
 	}
-	s.checkWritten(r, request.ID(), out, aborted)
+	s.checkWritten(r, out, aborted)
 	if aborted {
 		// Aborts the connection, so that a partial answer can't be taken for a complete
 		// one.
@@ -71,7 +73,7 @@
 
 // checkWritten counts a call that ended without a complete response while its caller was
 // still connected, and logs a response that could not be written.
-func (s *Receiver) checkWritten(r *http.Request, id string, out *writer, aborted bool) {
+func (s *Receiver) checkWritten(r *http.Request, out *writer, aborted bool) {
 	if r.Context().Err() != nil {
 		return
 	}
@@ -79,10 +81,29 @@
 		s.unanswered.Add(1)
 	}
 	if out.err != nil {
-		s.Log.Log(logger.ResponseFailed, "request", id, "error", out.err, "until-deadline-ms", time.Until(out.deadline).Milliseconds())
+		s.Log.Log(logger.ResponseFailed, "request", out.id, "error", out.err, "until-deadline-ms", time.Until(out.deadline).Milliseconds())
 	}
 }
 
+// recoverPanic logs a panic of the handler. Its caller gets an error, unless a response was
+// begun; then the connection is aborted.
+func (s *Receiver) recoverPanic(out *writer) {
+	v := recover()
+	if v == nil {
+		return
+	}
+	if v == http.ErrAbortHandler { //nolint:errorlint // a panic value, not an error
+		panic(v)
+	}
+	s.Log.Log(logger.RequestPanicked, "request", out.id, "response-begun", out.began, "panic", fmt.Sprint(v), "stack", string(debug.Stack()))
+	if out.began {
+		s.unanswered.Add(1)
+		panic(http.ErrAbortHandler)
+	}
+	out.w.Header().Set("Connection", "close")
+	out.writeError(errPanicked)
+}
+
 // finish writes the answer or the error of a call, unless a stream was already
 // started. It returns the status of the response.
 func (s *Receiver) finish(out *writer, c *acceptedCall, o kingcuphook.Outcome, err error) int {
@@ -97,7 +118,7 @@
 	case errors.As(err, &answered):
 		return out.writeAnswer(answered.Answer)
 	default:
-		return writeError(out.w, err)
+		return out.writeError(err)
 	}
 }
 
@@ -115,10 +136,10 @@
 }
 
 // reject writes the error for a call that was not accepted, and logs it.
-func (s *Receiver) reject(w http.ResponseWriter, id string, err error) {
-	status := writeError(w, err)
+func (s *Receiver) reject(out *writer, err error) {
+	status := out.writeError(err)
 	e := requestError(err)
-	s.Log.Log(logger.RequestFailed, "request", id, "status", status,
+	s.Log.Log(logger.RequestFailed, "request", out.id, "status", status,
 		"code", e.Code, "ran", e.Ran, "retry-after", e.RetryAfter, "error", e.Err)
 }
 
@@ -153,7 +174,8 @@
 }
 
 // writeError writes an error response of the router and returns its status.
-func writeError(w http.ResponseWriter, err error) int {
+func (w *writer) writeError(err error) int {
+	w.began = true
 	e := requestError(err)
 	status := statusCode(e)
 	if status == http.StatusServiceUnavailable {
@@ -161,13 +183,13 @@
 		if wait <= 0 {
 			wait = retryDefault
 		}
-		w.Header().Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
+		w.w.Header().Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
 	}
-	w.Header().Set("Content-Type", "text/plain")
+	w.w.Header().Set("Content-Type", "text/plain")
 	body := e.Code + "\n"
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	w.WriteHeader(status)
-	_, _ = w.Write([]byte(body))
+	w.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.w.WriteHeader(status)
+	_, _ = w.w.Write([]byte(body))
 	return status
 }
 
@@ -183,10 +205,14 @@
 
 // writer writes the answer to a call. It implements kingcuphook.HeadWriter.
 type writer struct {
+	// id is the ID of the request; empty until it is known.
+	id      string
 	w       http.ResponseWriter
 	control *http.ResponseController
 	// deadline is the deadline for writes to the connection.
 	deadline time.Time
+	// began is set before a response is begun.
+	began bool
 	// streaming is set once the head of a stream was written. It stays unset for an
 	// answer that was written at once.
 	streaming bool
@@ -201,6 +227,7 @@
 
 // WriteHead implements kingcuphook.HeadWriter.
 func (w *writer) WriteHead(head kingcuphook.Answer) error {
+	w.began = true
 	if err := w.control.SetWriteDeadline(w.deadline); err != nil {
 		return err
 	}
@@ -233,7 +260,7 @@
 // whose status would imply that the call has not run by an error.
 func (w *writer) writeAnswer(a kingcuphook.Answer) int {
 	if impliesNotRun(a.Status()) {
-		return writeError(w.w, &kingcuphook.RequestError{
+		return w.writeError(&kingcuphook.RequestError{
 			Code: kingcuphook.CodeUpstreamFailed, Ran: kingcuphook.RunStateUnknown, Err: kingcuphook.ErrUpstreamAnswered,
 		})
 	}
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -162,13 +162,16 @@
 	}
 	ctx, cancel := s.callContext(r)
 	defer cancel()
+	out := &writer{w: w, control: http.NewResponseController(w)}
+	defer s.recoverPanic(out)
 	labels := s.Codec.Labels(r.Header)
+	out.id = labels.ID
 	c, err := s.accept(ctx, w, r, labels)
 	if err != nil {
-		s.reject(w, labels.ID, err)
+		s.reject(out, err)
 		return
 	}
-	s.run(ctx, w, r, c)
+	s.run(ctx, out, r, c)
 }
 
 // stopping reports whether a graceful shutdown was started.
