--- a/logger/events.go
+++ b/logger/events.go
@@ -46,6 +46,8 @@
 	RequestAssigned      = Event{1204, LevelInfo, "request assigned to an upstream"}
 	AttemptFailed        = Event{1205, LevelInfo, "attempt failed"}
 	CrashSuspected       = Event{1206, LevelInfo, "request suspected of the crash of its upstream"}
+	ServerError          = Event{1207, LevelWarn, "HTTP server reported an error"}
+	ResponseFailed       = Event{1208, LevelWarn, "response could not be written although the caller is connected"}
 	UpstreamsUpdated     = Event{1303, LevelInfo, "upstreams updated"}
 	UpstreamPaused       = Event{1305, LevelInfo, "upstream asked for a pause"}
 	RegistrationRejected = Event{1304, LevelWarn, "registration of an upstream rejected; the upstream is not used"}
@@ -53,6 +55,7 @@
 	SettingsRejected     = Event{1009, LevelError, "settings file is invalid; the process keeps its settings"}
 	StoreUpdateReceived  = Event{1404, LevelInfo, "store update received from a peer"}
 	StopIncomplete       = Event{1011, LevelWarn, "graceful shutdown ended with requests in flight"}
+	CallsEnded           = Event{1012, LevelWarn, "requests still in flight at the end of a graceful shutdown were ended with an error"}
 	RequestFailed        = Event{1201, LevelInfo, "request failed"}
 	RequestPanicked      = Event{1202, LevelError, "request handler panicked"}
 	UpstreamLeaving      = Event{1302, LevelInfo, "upstream is leaving"}
@@ -84,6 +87,7 @@
 		SettingsChecked,
 		SettingsRejected,
 		StopIncomplete,
+		CallsEnded,
 		TablesApplied,
 		TablesRejected,
 		TablesOlder,
@@ -101,6 +105,8 @@
 		RequestAssigned,
 		AttemptFailed,
 		CrashSuspected,
+		ServerError,
+		ResponseFailed,
 		UpstreamLeaving,
 		UpstreamsUpdated,
 		RegistrationRejected,
--- a/receiver/answer.go
+++ b/receiver/answer.go
@@ -1,9 +1,11 @@
 package receiver
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"time"
 
@@ -20,11 +22,12 @@
 
 var (
 	errNotReady = &kingcuphook.RequestError{Code: kingcuphook.CodeNotReady, Ran: kingcuphook.RunStateNotRun, RetryAfter: retryNotReady, Err: kingcuphook.ErrUnavailable}
-	errStopping = &kingcuphook.RequestError{Code: "stopping", Ran: kingcuphook.RunStateNotRun, RetryAfter: retryStopping, Err: kingcuphook.ErrUnavailable}
+	errStopping = &kingcuphook.RequestError{Code: kingcuphook.CodeStopping, Ran: kingcuphook.RunStateNotRun, RetryAfter: retryStopping, Err: kingcuphook.ErrStopping}
 	errNoRoute  = &kingcuphook.RequestError{Code: kingcuphook.CodeNoRoute, Ran: kingcuphook.RunStateNotRun, Err: kingcuphook.ErrNotFound}
 	errNoKey    = &kingcuphook.RequestError{Code: "no-key", Ran: kingcuphook.RunStateNotRun, Err: errUnknownKey}
 	errTooLarge = &kingcuphook.RequestError{Code: kingcuphook.CodeTooLarge, Ran: kingcuphook.RunStateNotRun, Err: kingcuphook.ErrTooLarge}
 
+	errPanicked   = errors.New("request handler panicked")
 	errUnknownKey = errors.New("no organisation holds the key")
 )
 
@@ -37,14 +40,15 @@
 	}
 }
 
-// run dispatches a call and writes its answer or error.
-func (s *Receiver) run(w http.ResponseWriter, r *http.Request, c *acceptedCall) {
+// run dispatches a call and writes its answer or error. The context ctx of the call also
+// ends with its caller's connection, for which that of r stands alone.
+func (s *Receiver) run(ctx context.Context, out *writer, r *http.Request, c *acceptedCall) {
 	request := c.call.Request
-	out := &writer{w: w, control: http.NewResponseController(w), deadline: request.Deadline()}
+	out.id, out.deadline = request.ID(), request.Deadline()
 	if s.Observer != nil {
 		s.Observer.RequestStarted(request, c.route)
 	}
-	o, err := s.Dispatcher.Dispatch(r.Context(), c.call, out)
+	o, err := s.Dispatcher.Dispatch(ctx, c.call, out)
 	first := time.Duration(0)
 	if !out.first.IsZero() {
 		first = out.first.Sub(request.Arrived())
@@ -54,14 +58,52 @@
 		s.Observer.RequestEnded(request, o, err, first, total)
 	}
 	status := s.finish(out, c, o, err)
-	s.log(c, o, err, status, first, total)
-	if err != nil && out.streaming {
+	aborted := err != nil && out.streaming
+	s.log(c, o, err, aborted, status, first, total)
+	if !aborted {
+		out.flush()
+	}
+	s.checkWritten(r, out, aborted)
+	if aborted {
 		// Aborts the connection, so that a partial answer can't be taken for a complete
 		// one.
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// checkWritten counts a call that ended without a complete response while its caller was
+// still connected, and logs a response that could not be written.
+func (s *Receiver) checkWritten(r *http.Request, out *writer, aborted bool) {
+	if r.Context().Err() != nil {
+		return
+	}
+	if aborted || out.err != nil {
+		s.unanswered.Add(1)
+	}
+	if out.err != nil {
+		s.Log.Log(logger.ResponseFailed, "request", out.id, "error", out.err, "until-deadline-ms", time.Until(out.deadline).Milliseconds())
+	}
+}
+
+// recoverPanic logs a panic of the handler. Its caller gets an error, unless a response was
+// begun; then the connection is aborted.
+func (s *Receiver) recoverPanic(out *writer) {
+	v := recover()
+	if v == nil {
+		return
+	}
+	if v == http.ErrAbortHandler { //nolint:errorlint // a panic value, not an error
+		panic(v)
+	}
+	s.Log.Log(logger.RequestPanicked, "request", out.id, "response-begun", out.began, "panic", fmt.Sprint(v), "stack", string(debug.Stack()))
+	if out.began {
+		s.unanswered.Add(1)
+		panic(http.ErrAbortHandler)
+	}
+	out.w.Header().Set("Connection", "close")
+	out.writeError(errPanicked)
+}
+
 // finish writes the answer or the error of a call, unless a stream was already
 // started. It returns the status of the response.
 func (s *Receiver) finish(out *writer, c *acceptedCall, o kingcuphook.Outcome, err error) int {
@@ -76,14 +118,15 @@
 	case errors.As(err, &answered):
 		return out.writeAnswer(answered.Answer)
 	default:
-		return writeError(out.w, err)
+		return out.writeError(err)
 	}
 }
 
-func (s *Receiver) log(c *acceptedCall, o kingcuphook.Outcome, err error, status int, first, total time.Duration) {
+func (s *Receiver) log(c *acceptedCall, o kingcuphook.Outcome, err error, aborted bool, status int, first, total time.Duration) {
 	r := c.call.Request
 	log := s.Log.With("request", r.ID(), "route", c.route.Name(), "pool", r.Pool(), "organisation", r.Organisation(),
-		"urgency", r.Urgency(), "status", status, "first-ms", first.Milliseconds(), "total-ms", total.Milliseconds())
+		"urgency", r.Urgency(), "status", status, "aborted", aborted,
+		"first-ms", first.Milliseconds(), "total-ms", total.Milliseconds())
 	if err == nil {
 		log.Log(logger.RequestAnswered, "pieces", o.Tokens, "attempts", o.Attempts)
 		return
@@ -93,10 +136,10 @@
 }
 
 // reject writes the error for a call that was not accepted, and logs it.
-func (s *Receiver) reject(w http.ResponseWriter, id string, err error) {
-	status := writeError(w, err)
+func (s *Receiver) reject(out *writer, err error) {
+	status := out.writeError(err)
 	e := requestError(err)
-	s.Log.Log(logger.RequestFailed, "request", id, "status", status,
+	s.Log.Log(logger.RequestFailed, "request", out.id, "status", status,
 		"code", e.Code, "ran", e.Ran, "retry-after", e.RetryAfter, "error", e.Err)
 }
 
@@ -131,7 +174,8 @@
 }
 
 // writeError writes an error response of the router and returns its status.
-func writeError(w http.ResponseWriter, err error) int {
+func (w *writer) writeError(err error) int {
+	w.began = true
 	e := requestError(err)
 	status := statusCode(e)
 	if status == http.StatusServiceUnavailable {
@@ -139,13 +183,13 @@
 		if wait <= 0 {
 			wait = retryDefault
 		}
-		w.Header().Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
+		w.w.Header().Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
 	}
-	w.Header().Set("Content-Type", "text/plain")
+	w.w.Header().Set("Content-Type", "text/plain")
 	body := e.Code + "\n"
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	w.WriteHeader(status)
-	_, _ = w.Write([]byte(body))
+	w.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.w.WriteHeader(status)
+	_, _ = w.w.Write([]byte(body))
 	return status
 }
 
@@ -161,22 +205,29 @@
 
 // writer writes the answer to a call. It implements kingcuphook.HeadWriter.
 type writer struct {
+	// id is the ID of the request; empty until it is known.
+	id      string
 	w       http.ResponseWriter
 	control *http.ResponseController
 	// deadline is the deadline for writes to the connection.
 	deadline time.Time
+	// began is set before a response is begun.
+	began bool
 	// streaming is set once the head of a stream was written. It stays unset for an
 	// answer that was written at once.
 	streaming bool
 	status    int
 	// first is when the first part of the body was written.
 	first time.Time
+	// err is the error with which a response in one piece was not written.
+	err error
 }
 
 var _ kingcuphook.HeadWriter = (*writer)(nil)
 
 // WriteHead implements kingcuphook.HeadWriter.
 func (w *writer) WriteHead(head kingcuphook.Answer) error {
+	w.began = true
 	if err := w.control.SetWriteDeadline(w.deadline); err != nil {
 		return err
 	}
@@ -209,17 +260,27 @@
 // whose status would imply that the call has not run by an error.
 func (w *writer) writeAnswer(a kingcuphook.Answer) int {
 	if impliesNotRun(a.Status()) {
-		return writeError(w.w, &kingcuphook.RequestError{
+		return w.writeError(&kingcuphook.RequestError{
 			Code: kingcuphook.CodeUpstreamFailed, Ran: kingcuphook.RunStateUnknown, Err: kingcuphook.ErrUpstreamAnswered,
 		})
 	}
 	w.w.Header().Set("Content-Length", strconv.Itoa(len(a.Body())))
-	if err := w.WriteHead(a); err != nil {
+	if w.err = w.WriteHead(a); w.err != nil {
 		return a.Status()
 	}
 	w.first = time.Now()
-	// A write error means that the caller is gone.
-	_, _ = w.w.Write(a.Body())
+	_, err := w.w.Write(a.Body())
+	if errors.Is(err, http.ErrBodyNotAllowed) {
+		err = nil
+	}
+	w.err = err
 	w.streaming = false
 	return a.Status()
 }
+
+// flush sends what the server has buffered of the response.
+func (w *writer) flush() {
+	if err := w.control.Flush(); w.err == nil {
+		w.err = err
+	}
+}
