Interface of the software version that a stream is bound to

Cause: a stream may continue only on upstreams of the software version that began it, and neither the version of an upstream nor that of a stream has a place yet.

Change: the version of an upstream, the restriction of a request to one, the interface StreamPinner, its two errors and their codes. Nothing uses them yet.

--- a/codes.go
+++ b/codes.go
@@ -13,5 +13,7 @@
 	CodeOverloaded     = "overloaded"
 	CodeRateLimited    = "rate-limited"
 	CodeTooLarge       = "too-large"
+	CodeVersionGone    = "stream-version-gone"
+	CodeVersionUnknown = "stream-version-unknown"
 	CodeUpstreamFailed = "upstream-failed"
 )
--- a/directory.go
+++ b/directory.go
@@ -93,6 +93,9 @@
 	Parts []uint64
 	// ResumeAfter is the ID of the last event that the caller received.
 	ResumeAfter string
+	// Resumes is the ID of the caller's attempt that brought the first event of the
+	// stream that this call takes up; empty if the caller names none.
+	Resumes string
 }
 
 // CallCodec interprets the headers of opaque calls. It is safe for concurrent use.
--- a/errors.go
+++ b/errors.go
@@ -66,6 +66,11 @@
 	// are not leaving are paused or accept no more requests now because of a rate limit.
 	// It is joined with ErrOverloaded.
 	ErrUpstreamsLimited = errors.New("all upstreams are at their rate limit")
+	// ErrVersionUnknown means that it is not known which software version began a stream.
+	ErrVersionUnknown = errors.New("software version of the stream unknown")
+	// ErrVersionGone means that no upstream of the software version that began a stream is
+	// in service.
+	ErrVersionGone = errors.New("software version of the stream gone")
 	// ErrDeadline means that the deadline of the request passed.
 	ErrDeadline = errors.New("deadline passed")
 )
--- /dev/null
+++ b/origin.go
@@ -0,0 +1,24 @@
+package kingcuphook
+
+import "context"
+
+// Origin is where a stream began.
+type Origin struct {
+	// Pool is the name of the pool, and Version the software version of the upstream in
+	// it that sent the first event.
+	Pool, Version string
+}
+
+// StreamPinner keeps track of the software version of the upstream that began each
+// stream. What two versions send doesn't fit together, so that only upstreams of that
+// version may continue the stream. It is safe for concurrent use.
+type StreamPinner interface {
+	// Begun records that an upstream of the version sends the first event of the request's
+	// stream.
+	Begun(r *Request, version string)
+	// Find returns the origin of the stream that a call takes up. Attempt is the ID of the
+	// caller's attempt that brought the first event; empty if the caller names none. Pool is
+	// used when only one version can have begun the stream. The error wraps
+	// ErrVersionUnknown if no origin is known.
+	Find(ctx context.Context, organisation, attempt, pool string) (Origin, error)
+}
--- a/request.go
+++ b/request.go
@@ -76,6 +76,9 @@
 	Fingerprint uint64
 	// Stream is true if the caller requested a streamed answer.
 	Stream bool
+	// OnlyVersion is the software version of the upstreams that may run the request; nil
+	// means any.
+	OnlyVersion *string
 }
 
 // Request holds the properties of a caller's request that scheduling decisions
@@ -171,3 +174,25 @@
 
 // Stream reports whether the caller requested a streamed answer.
 func (r *Request) Stream() bool { return r.f.Stream }
+
+// OnlyVersion returns the software version of the upstreams that may run the request; ok
+// is false if any may.
+func (r *Request) OnlyVersion() (version string, ok bool) {
+	if r.f.OnlyVersion == nil {
+		return "", false
+	}
+	return *r.f.OnlyVersion, true
+}
+
+// Restrict returns a copy of the request that only upstreams of the software version may
+// run.
+func (r *Request) Restrict(version string) *Request {
+	f := r.f
+	f.OnlyVersion = &version
+	return &Request{f: f}
+}
+
+// Allows reports whether the software version of the upstream lets it run the request.
+func (r *Request) Allows(u *Upstream) bool {
+	return r.f.OnlyVersion == nil || *r.f.OnlyVersion == u.SoftwareVersion()
+}
--- a/table.go
+++ b/table.go
@@ -47,6 +47,9 @@
 	// StartTime is when the program was started, in Unix milliseconds; 0 means
 	// unknown. The program of an instance may start more than once.
 	StartTime int64
+	// SoftwareVersion is the version of the software that it runs; empty if it reports
+	// none.
+	SoftwareVersion string
 }
 
 // Upstream is a server to which a pool sends requests. It is immutable.
@@ -75,6 +78,10 @@
 // Models returns the models that the upstream may serve.
 func (u *Upstream) Models() []string { return u.f.Models }
 
+// SoftwareVersion returns the version of the software that the upstream runs; empty if
+// it reports none.
+func (u *Upstream) SoftwareVersion() string { return u.f.SoftwareVersion }
+
 // Slots returns a hint how many requests the upstream runs at once; 0 means
 // unknown.
 func (u *Upstream) Slots() int { return u.f.Slots }
