--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -55,7 +55,7 @@
 	slow time.Duration
 }
 
-func (r *harness) Acquire(ctx context.Context, _ *kingcuphook.Request, excluded []string) (kingcuphook.Slot, error) {
+func (r *harness) Acquire(ctx context.Context, request *kingcuphook.Request, excluded []string) (kingcuphook.Slot, error) {
 	if r.acquire != nil {
 		if err := r.acquire(ctx); err != nil {
 			return nil, err
@@ -63,8 +63,11 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !slices.ContainsFunc(r.upstreams, request.Allows) {
+		return nil, &kingcuphook.RequestError{Code: kingcuphook.CodeVersionGone, Ran: kingcuphook.RunStateNotRun, Err: kingcuphook.ErrVersionGone}
+	}
 	for _, u := range r.upstreams {
-		if !slices.Contains(excluded, u.Address()) {
+		if request.Allows(u) && !slices.Contains(excluded, u.Address()) {
 			s := &slot{upstream: u, preempted: make(chan struct{})}
 			r.slots = append(r.slots, s)
 			return s, nil
