Restrict a request to the upstreams of one software version

Cause: the scheduler has no notion of a version. Every path that picks an upstream (selection, permits, probes, preemption, pauses, exclusions) goes by the model alone.

Change: each of them goes by Request.Allows too. A request whose version is at its limit, paused or full waits or is refused; it goes nowhere else, and doesn't hold back others, since the queue groups requests by model and version. Once no upstream of the version is in service, it is shed at once with ErrVersionGone. A long prompt has preferred upstreams within the version; else it waited in vain when all six had another.

Tests: the one on groups of the queue is only renamed, with the method.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -85,11 +85,11 @@
 // is returned only if its class is owed a guaranteed slot and the highest tier
 // has a free slot.
 func (a *Admitter) Next(now time.Time, free func(kingcuphook.Tier) int) *kingcuphook.Request {
-	return a.NextModel(now, free, nil)
+	return a.NextGroup(now, free, nil)
 }
 
-// NextModel is like Next but ignores the models for which skip returns true.
-func (a *Admitter) NextModel(now time.Time, free func(kingcuphook.Tier) int, skip func(model string) bool) *kingcuphook.Request {
+// NextGroup is like Next but ignores the groups of requests for which skip returns true.
+func (a *Admitter) NextGroup(now time.Time, free func(kingcuphook.Tier) int, skip func(group string) bool) *kingcuphook.Request {
 	a.accrue(now)
 	it := a.pickGuaranteed(free, skip)
 	a.guaranteed = it != nil
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -195,15 +195,15 @@
 	is.True(a.Guaranteed())
 }
 
-func TestNextModelSkipsExcludedModels(t *testing.T) {
+func TestNextGroupSkipsExcludedGroups(t *testing.T) {
 	is := is.New(t)
 	a := &Admitter{}
 	for i, model := range []string{"m", "m", "n"} {
 		a.Offer(start, kingcuphook.NewRequest(kingcuphook.RequestFields{ID: fmt.Sprint(i), Tier: 1, Model: model, Arrived: start}))
 	}
-	r := a.NextModel(start, always, func(model string) bool { return model == "m" })
+	r := a.NextGroup(start, always, func(model string) bool { return model == "m" })
 	is.Equal(r.ID(), "2")
-	is.Equal(a.NextModel(start, always, func(model string) bool { return model == "m" }), nil)
+	is.Equal(a.NextGroup(start, always, func(model string) bool { return model == "m" }), nil)
 }
 
 // TestEveryClassIsServedUnderEndlessTopTierLoad guards against starvation. It
--- a/admitter/guarantee.go
+++ b/admitter/guarantee.go
@@ -60,7 +60,7 @@
 
 // classQueue returns the class queue of r and creates it if necessary.
 func (a *Admitter) classQueue(r *kingcuphook.Request) *classQueue {
-	key := classKey{tier: tierIndex(r), class: r.Class(), model: r.Model()}
+	key := classKey{tier: tierIndex(r), class: r.Class(), model: r.Group()}
 	if c := a.classByKey[key]; c != nil {
 		return c
 	}
--- a/admitter/tier.go
+++ b/admitter/tier.go
@@ -73,7 +73,7 @@
 	acc.queued++
 	acc.load += it.load
 	heap.Fix(&t.byLoad, acc.loadIndex)
-	it.queue = t.queue(acc, r.Model())
+	it.queue = t.queue(acc, r.Group())
 	it.late = false
 	it.queue.push(it)
 }
--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -263,6 +263,8 @@
 		return kingcuphook.CodeDeadline
 	case errors.Is(err, kingcuphook.ErrNoUpstream):
 		return kingcuphook.CodeNoUpstream
+	case errors.Is(err, kingcuphook.ErrVersionGone):
+		return kingcuphook.CodeVersionGone
 	case errors.Is(err, kingcuphook.ErrConflict):
 		return CodeDuplicate
 	}
--- a/locator/preferred.go
+++ b/locator/preferred.go
@@ -27,13 +27,14 @@
 	return 0
 }
 
-// preferredFor returns the preferred upstreams of a shared prefix. Those of long prompts
-// are never reserved ones, those of other prompts always are.
-func (l *Locator) preferredFor(prefix uint64, long bool) preferredUpstreams {
+// preferredFor returns the preferred upstreams of a shared prefix among those that may run
+// the request. Those of long prompts are never reserved ones, those of other prompts
+// always are.
+func (l *Locator) preferredFor(r *kingcuphook.Request, prefix uint64, long bool) preferredUpstreams {
 	var p preferredUpstreams
 	var scores [preferredCount]uint64
 	for _, u := range l.upstreams {
-		if u.row.Leaving() || u.displaced || u.reserved == long {
+		if u.row.Leaving() || u.displaced || u.reserved == long || !r.Allows(u.row) {
 			continue
 		}
 		score := hasher.Mix(prefix ^ u.seed)
--- a/locator/query.go
+++ b/locator/query.go
@@ -56,7 +56,7 @@
 	}
 	q.long = max(r.PromptTokens(), q.sharedTokens) >= longPrompt
 	if i >= 0 {
-		q.preferred = l.preferredFor(q.prefix, q.long)
+		q.preferred = l.preferredFor(r, q.prefix, q.long)
 	}
 	q.prefillTokenTime = float64(l.estimates.PrefillTokenTime())
 	q.firstTokenOverhead = float64(l.estimates.FirstTokenOverhead())
--- a/request.go
+++ b/request.go
@@ -196,3 +196,12 @@
 func (r *Request) Allows(u *Upstream) bool {
 	return r.f.OnlyVersion == nil || *r.f.OnlyVersion == u.SoftwareVersion()
 }
+
+// Group returns a name that requests share if the same upstreams may run them: it stands
+// for the model and the software version.
+func (r *Request) Group() string {
+	if r.f.OnlyVersion == nil {
+		return r.f.Model
+	}
+	return r.f.Model + "\x00" + *r.f.OnlyVersion
+}
--- a/scheduler/assign.go
+++ b/scheduler/assign.go
@@ -11,7 +11,7 @@
 	// maxDeferred bounds the requests that one call defers because they can't use the
 	// free slots.
 	maxDeferred = 32
-	// maxHeld bounds the requests of a tier, or of a model with HoldPerModel, that one
+	// maxHeld bounds the requests of a tier, or of a group with HoldPerModel, that one
 	// call considers although those before them prefer waiting to the free slots.
 	maxHeld = 4
 	// maxMargin bounds how long before its target a request counts as late.
@@ -23,7 +23,8 @@
 
 // Assign implements kingcuphook.Scheduler.
 func (s *Scheduler) Assign(now time.Time) ([]kingcuphook.Assignment, []kingcuphook.Shed) {
-	sheds := s.forgetExclusions(s.Admitter.Expire(now))
+	sheds := s.forget(s.Admitter.Expire(now))
+	sheds = append(sheds, s.shedVersionsGone()...)
 	if m, ok := s.Admitter.(MarginSetter); ok {
 		m.SetMargin(min(s.averageFirstTokenTime(), maxMargin))
 	}
@@ -53,20 +54,20 @@
 	// deferred holds the requests to be returned to the queue, in the order they were
 	// taken.
 	deferred []*kingcuphook.Request
-	// blocked holds the models of which no further request is considered.
+	// blocked holds the groups of which no further request is considered.
 	blocked []string
 	// held counts by tier the requests that stay queued although an upstream with a free
-	// slot serves their model.
+	// slot may run them.
 	held [kingcuphook.TierCount]int
-	// heldModels counts them by model instead, with HoldPerModel.
-	heldModels map[string]int
+	// heldGroups counts them by group instead, with HoldPerModel.
+	heldGroups map[string]int
 }
 
 func (p *pass) next() *kingcuphook.Request {
 	if p.queue == nil {
 		return p.scheduler.Admitter.Next(p.now, p.freeSlots)
 	}
-	return p.queue.NextModel(p.now, p.freeSlots, p.skip())
+	return p.queue.NextGroup(p.now, p.freeSlots, p.skip())
 }
 
 // freeSlots returns the free slots of the tier; none once maxHeld of its requests are
@@ -86,7 +87,7 @@
 	if len(p.blocked) == 0 {
 		return nil
 	}
-	return func(model string) bool { return slices.Contains(p.blocked, model) }
+	return func(group string) bool { return slices.Contains(p.blocked, group) }
 }
 
 // assignOrDefer assigns, sheds or defers r.
@@ -111,34 +112,35 @@
 	}
 	p.deferRequest(r)
 	switch {
-	case len(s.excluded[r.ID()]) > 0 || !s.slots.servesModel(r.Model()):
-	case s.usable(r) && s.HoldPerModel:
-		p.holdModel(r.Model())
-	case s.usable(r):
+	case s.isVersionFull(p.now, r):
+		p.blocked = append(p.blocked, r.Group())
+	case len(s.excluded[r.ID()]) > 0 || !s.slots.serves(r):
+	case s.usable(r, tierOf(r)) && s.HoldPerModel:
+		p.holdGroup(r.Group())
+	case s.usable(r, tierOf(r)):
 		p.held[tierOf(r).Index()]++
 	default:
-		p.blocked = append(p.blocked, r.Model())
+		p.blocked = append(p.blocked, r.Group())
 	}
 }
 
-// holdModel counts a held request. After maxHeld of them no further request of the model
+// holdGroup counts a held request. After maxHeld of them no further request of the group
 // is considered.
-func (p *pass) holdModel(model string) {
-	if p.heldModels == nil {
-		p.heldModels = make(map[string]int)
+func (p *pass) holdGroup(group string) {
+	if p.heldGroups == nil {
+		p.heldGroups = make(map[string]int)
 	}
-	p.heldModels[model]++
-	if p.heldModels[model] >= maxHeld {
-		p.blocked = append(p.blocked, model)
+	p.heldGroups[group]++
+	if p.heldGroups[group] >= maxHeld {
+		p.blocked = append(p.blocked, group)
 	}
 }
 
-// usable reports whether an upstream with a free slot serves the model of r. If so, r
-// may not go there, or waiting is better for it.
-func (s *Scheduler) usable(r *kingcuphook.Request) bool {
-	tier := tierOf(r).Index()
+// usable reports whether an upstream with a free slot of the tier may run r. If so, r may
+// not go there, or waiting is better for it.
+func (s *Scheduler) usable(r *kingcuphook.Request, tier kingcuphook.Tier) bool {
 	for _, row := range s.slots.rows {
-		if row.free[tier] > 0 && serves(row.upstream, r.Model()) {
+		if row.free[tier.Index()] > 0 && mayRun(row.upstream, r) {
 			return true
 		}
 	}
@@ -147,7 +149,7 @@
 
 // shed sheds a request that was taken from the queue.
 func (p *pass) shed(rejection kingcuphook.Shed) {
-	p.sheds = append(p.sheds, p.scheduler.forgetExclusions([]kingcuphook.Shed{rejection})...)
+	p.sheds = append(p.sheds, p.scheduler.forget([]kingcuphook.Shed{rejection})...)
 }
 
 func (p *pass) deferRequest(r *kingcuphook.Request) { p.deferred = append(p.deferred, r) }
@@ -205,12 +207,12 @@
 	if u, ok := s.Selector.(UsableSelector); ok {
 		return u.SelectUsable(now, r, excluded, func(address string) bool {
 			row := s.slots.byAddress[address]
-			return row != nil && usable(row)
+			return row != nil && r.Allows(row.upstream) && usable(row)
 		})
 	}
 	s.unusable = append(s.unusable[:0], excluded...)
 	for _, row := range s.slots.rows {
-		if !usable(row) {
+		if !r.Allows(row.upstream) || !usable(row) {
 			s.unusable = append(s.unusable, row.upstream.Address())
 		}
 	}
@@ -220,7 +222,7 @@
 // start records an assignment.
 func (s *Scheduler) start(now time.Time, a kingcuphook.Assignment, guaranteed bool) {
 	r, u := a.Request, a.Choice.Upstream
-	delete(s.excluded, r.ID())
+	s.forgetID(r.ID())
 	if r.Tier() > kingcuphook.HighestTier {
 		s.lastLowerTier = now
 	}
--- a/scheduler/pause.go
+++ b/scheduler/pause.go
@@ -93,7 +93,7 @@
 func (s *Scheduler) firstBlock(now time.Time, r *kingcuphook.Request) block {
 	var first block
 	for _, row := range s.slots.rows {
-		if row.leaving || !serves(row.upstream, r.Model()) {
+		if row.leaving || !mayRun(row.upstream, r) {
 			continue
 		}
 		b := s.blockOf(now, row, tierOf(r))
--- a/scheduler/permit.go
+++ b/scheduler/permit.go
@@ -117,7 +117,7 @@
 	}
 	s.slots.offered++
 	row := s.slots.rows[s.slots.offered%len(s.slots.rows)]
-	if row.upstream.Region() == assigned.Region() && serves(row.upstream, r.Model()) && !row.leaving {
+	if row.upstream.Region() == assigned.Region() && mayRun(row.upstream, r) && !row.leaving {
 		s.Permits.Offer(now, row.upstream.Program())
 	}
 }
--- a/scheduler/probe.go
+++ b/scheduler/probe.go
@@ -64,7 +64,7 @@
 		return nil
 	}
 	for _, row := range s.slots.rows {
-		if !row.probeOnly() || !serves(row.upstream, r.Model()) {
+		if !row.probeOnly() || !mayRun(row.upstream, r) {
 			continue
 		}
 		if slices.Contains(s.excluded[r.ID()], row.upstream.Address()) {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -23,12 +23,13 @@
 // ejections also change with time alone.
 const pollInterval = 50 * time.Millisecond
 
-// Queue is an Admitter that can skip models and take requests back. With an Admitter
+// Queue is an Admitter that can skip groups of requests and take requests back. With an Admitter
 // that is no Queue there is no preemption.
 type Queue interface {
 	kingcuphook.Admitter
-	// NextModel is Next without the models for which skip returns true.
-	NextModel(now time.Time, free func(kingcuphook.Tier) int, skip func(model string) bool) *kingcuphook.Request
+	// NextGroup is Next without the groups, as Request.Group returns them, for which skip
+	// returns true.
+	NextGroup(now time.Time, free func(kingcuphook.Tier) int, skip func(group string) bool) *kingcuphook.Request
 	// Guaranteed reports whether the request taken last was taken on the guaranteed
 	// share of its class, so that it may use any free slot.
 	Guaranteed() bool
@@ -85,12 +86,15 @@
 	Preemptor *preemptor.Preemptor
 
 	// HoldPerModel makes requests that prefer waiting to the free slots hold back only
-	// other requests of their model, not all of their tier.
+	// other requests of their group, not all of their tier.
 	HoldPerModel bool
 
 	slots slotTable
 	// excluded holds the addresses excluded for a queued request, by its identifier.
 	excluded map[string][]string
+	// restricted holds the queued requests that are restricted to a software version, by
+	// version and identifier.
+	restricted map[string]map[string]*kingcuphook.Request
 	// running holds the attempts that were assigned and have not ended, by identifier of
 	// the request; a hedged request has two.
 	running map[string][]*run
@@ -139,13 +143,14 @@
 
 // Offer implements kingcuphook.Scheduler.
 func (s *Scheduler) Offer(now time.Time, r *kingcuphook.Request) []kingcuphook.Shed {
-	return s.forgetExclusions(s.Admitter.Offer(now, r))
+	s.trackVersion(r)
+	return s.forget(s.Admitter.Offer(now, r))
 }
 
 // Requeue implements kingcuphook.Scheduler. A request for which every upstream is
 // excluded is shed at once with ErrNoUpstream.
 func (s *Scheduler) Requeue(now time.Time, r *kingcuphook.Request, excluded []string) []kingcuphook.Shed {
-	if s.slots.allExcluded(r.Model(), excluded) {
+	if s.slots.allExcluded(r, excluded) {
 		return []kingcuphook.Shed{kingcuphook.NewShed(r, kingcuphook.ErrNoUpstream, 0)}
 	}
 	if len(excluded) > 0 {
@@ -155,6 +160,7 @@
 		s.excluded[r.ID()] = excluded
 	}
 	if q, ok := s.Admitter.(Queue); ok {
+		s.trackVersion(r)
 		q.Return(now, r)
 		return nil
 	}
@@ -165,7 +171,7 @@
 // leaving upstreams, or none, serve its model. It is then shed, so that its caller
 // doesn't wait until the deadline.
 func (s *Scheduler) isUnserved(now time.Time, r *kingcuphook.Request) bool {
-	return now.Sub(r.Arrived()) >= unservedWait && !s.slots.servesModel(r.Model())
+	return now.Sub(r.Arrived()) >= unservedWait && !s.slots.serves(r)
 }
 
 func unservedShed(r *kingcuphook.Request) kingcuphook.Shed {
@@ -174,7 +180,7 @@
 
 // Cancel implements kingcuphook.Scheduler.
 func (s *Scheduler) Cancel(_ time.Time, id string) bool {
-	delete(s.excluded, id)
+	s.forgetID(id)
 	return s.Admitter.Cancel(id)
 }
 
@@ -269,14 +275,19 @@
 // Running returns the number of running attempts.
 func (s *Scheduler) Running() int { return len(s.runOrder) }
 
-// forgetExclusions deletes the exclusions of requests that are no longer queued.
-func (s *Scheduler) forgetExclusions(sheds []kingcuphook.Shed) []kingcuphook.Shed {
+// forget deletes what is kept about requests that are no longer queued.
+func (s *Scheduler) forget(sheds []kingcuphook.Shed) []kingcuphook.Shed {
 	for _, shed := range sheds {
-		delete(s.excluded, shed.Request().ID())
+		s.forgetID(shed.Request().ID())
 	}
 	return sheds
 }
 
+func (s *Scheduler) forgetID(id string) {
+	delete(s.excluded, id)
+	s.untrackVersion(id)
+}
+
 // chargeTokens charges the tokens that came since the last call.
 func (s *Scheduler) chargeTokens(run *run, tokens int) {
 	if tokens <= run.tokens {
--- a/scheduler/slots.go
+++ b/scheduler/slots.go
@@ -75,15 +75,15 @@
 	return true
 }
 
-// allExcluded reports whether upstreams that are not leaving serve the model and all of
-// them are excluded.
-func (t *slotTable) allExcluded(model string, excluded []string) bool {
+// allExcluded reports whether upstreams that are not leaving may run r and all of them are
+// excluded.
+func (t *slotTable) allExcluded(r *kingcuphook.Request, excluded []string) bool {
 	if len(excluded) == 0 {
 		return false
 	}
 	served := false
 	for _, row := range t.rows {
-		if row.leaving || !serves(row.upstream, model) {
+		if row.leaving || !mayRun(row.upstream, r) {
 			continue
 		}
 		if !slices.Contains(excluded, row.upstream.Address()) {
@@ -94,10 +94,10 @@
 	return served
 }
 
-// servesModel reports whether an upstream that is not leaving serves the model.
-func (t *slotTable) servesModel(model string) bool {
+// serves reports whether an upstream that is not leaving may run r.
+func (t *slotTable) serves(r *kingcuphook.Request) bool {
 	return slices.ContainsFunc(t.rows, func(row *slotRow) bool {
-		return !row.leaving && serves(row.upstream, model)
+		return !row.leaving && mayRun(row.upstream, r)
 	})
 }
 
--- a/selector/evaluate.go
+++ b/selector/evaluate.go
@@ -163,7 +163,7 @@
 	t := c.tracker
 	address := t.upstream.Address()
 	switch {
-	case slices.Contains(q.excluded, address):
+	case slices.Contains(q.excluded, address) || !q.request.Allows(t.upstream):
 		return reasonExcluded
 	case t.leaving || t.upstream.Leaving():
 		return reasonLeaving
--- a/selector/spill.go
+++ b/selector/spill.go
@@ -86,7 +86,7 @@
 
 func (s *Selector) available(q *query, t *tracker) bool {
 	a := t.upstream.Address()
-	return !t.leaving && !slices.Contains(q.excluded, a) && (s.Live == nil || s.Live(q.now, a))
+	return !t.leaving && !slices.Contains(q.excluded, a) && q.request.Allows(t.upstream) && (s.Live == nil || s.Live(q.now, a))
 }
 
 const (
