Continue an answer only on upstreams of the version that began it

Callers got one answer, ending as complete, of which an upstream of one software version sent the first part and one of another version the rest.

Cause: an attempt that continues an answer went to any upstream of the pool.

Change: when the first whole frame is about to be delivered, the later attempts of the answer are restricted to the software version of its upstream, and the stream is recorded with Pins if a caller may take it up. Retries, hedges, preempted runs and trials all go through the restricted request. Without an upstream of the version in service the answer is broken off at once as stream-version-gone. An answer of which the caller has nothing yet begins anew at any version.

--- a/dispatcher/acquire.go
+++ b/dispatcher/acquire.go
@@ -131,6 +131,8 @@
 		r.cannotResume = append(r.cannotResume, slot.Choice().Upstream.Address())
 		slot.Release(kingcuphook.Sample{Cancelled: true})
 		return nil, nil
+	case errors.Is(err, kingcuphook.ErrVersionGone) && r.unpin():
+		return nil, nil
 	case err != nil && isBlocked(err) && r.answer.Position() > 0:
 		// The caller already has part of the answer, which is useless without the rest,
 		// so wait for the upstreams instead of failing.
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -85,6 +85,9 @@
 	// OnCrash, if set, is called for each request that is suspected of the crash of an
 	// upstream. It must be safe for concurrent use.
 	OnCrash func(r *kingcuphook.Request, u *kingcuphook.Upstream)
+	// Pins keeps track of the software version that began each stream; nil means nothing
+	// does.
+	Pins kingcuphook.StreamPinner
 	// NewBudget creates the retry budget for a key that BudgetKey returned; nil
 	// means one with the defaults.
 	NewBudget func(key string) kingcuphook.RetryBudget
--- a/dispatcher/errors.go
+++ b/dispatcher/errors.go
@@ -38,6 +38,7 @@
 	{kingcuphook.ErrBrokenStream, "broken-stream"},
 	{kingcuphook.ErrOverloaded, kingcuphook.CodeOverloaded},
 	{kingcuphook.ErrRateLimited, kingcuphook.CodeRateLimited},
+	{kingcuphook.ErrVersionGone, kingcuphook.CodeVersionGone},
 	{kingcuphook.ErrNoUpstream, kingcuphook.CodeNoUpstream},
 	{kingcuphook.ErrUnavailable, "upstream-unavailable"},
 	{kingcuphook.ErrUpstreamAnswered, "upstream-answered"},
--- /dev/null
+++ b/dispatcher/pin.go
@@ -0,0 +1,26 @@
+package dispatcher
+
+import "github.com/kingcuphook/kingcuphook"
+
+// pin restricts all later attempts to the software version of the upstream that sent the
+// first frame of the answer, since what two versions send doesn't fit together.
+func (r *run) pin(u *kingcuphook.Upstream) {
+	if _, ok := r.request.OnlyVersion(); ok {
+		return
+	}
+	r.request = r.request.Restrict(u.SoftwareVersion())
+	if r.d.Pins != nil && r.request.Stream() && r.call.Opaque != nil && r.call.Opaque.Resumable {
+		r.d.Pins.Begun(r.call.Request, u.SoftwareVersion())
+	}
+}
+
+// unpin discards an answer of which the caller has nothing yet, so that any software version
+// may begin it again. It reports whether it did.
+func (r *run) unpin() bool {
+	if r.request.Stream() || r.request == r.call.Request {
+		return false
+	}
+	r.request = r.call.Request
+	r.answer.Restart()
+	return true
+}
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -31,8 +31,10 @@
 
 // run is the execution of one call. It is used by one goroutine.
 type run struct {
-	d       *Dispatcher
-	call    *kingcuphook.Call
+	d    *Dispatcher
+	call *kingcuphook.Call
+	// request is the request of the call. Once the answer has begun, it is restricted to the
+	// software version that began it.
 	request *kingcuphook.Request
 	w       kingcuphook.FrameWriter
 	tracker tracker.Tracker
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -234,6 +234,7 @@
 	if err := r.tracker.Apply(tracker.EventFrame); err != nil {
 		return &finalError{err}
 	}
+	r.pin(a.slot.Choice().Upstream)
 	if !r.request.Stream() {
 		return nil
 	}
