Resume a stream only at the software version that began it

Callers that resumed a broken stream, at the same or another router, got an answer with status 200 that ended as complete, though another software version sent this part.

Cause: a call with Last-Event-ID was run like a new one: at any upstream, and on a split route in a pool that its own ID drew.

Change: where Pins is set, a call on a resumable stream route with Last-Event-ID or Resumes is restricted to the origin of the stream, in its pool. Without an attempt named, the origin is that of the only version that can have begun it. If the origin is unknown, or the route no longer uses its pool, the call is refused at once with status 503, as stream-version-unknown or stream-version-gone. KCH1207 and KCH1208 say what was found, KCH1204 the version of the chosen upstream.

Tests: the codec of the receiver's tests reads two more headers.

Without Pins nothing changes.

--- a/logger/events.go
+++ b/logger/events.go
@@ -46,6 +46,8 @@
 	RequestAssigned      = Event{1204, LevelInfo, "request assigned to an upstream"}
 	AttemptFailed        = Event{1205, LevelInfo, "attempt failed"}
 	CrashSuspected       = Event{1206, LevelInfo, "request suspected of the crash of its upstream"}
+	StreamResumed        = Event{1207, LevelInfo, "call resumes a stream"}
+	ResumptionRefused    = Event{1208, LevelInfo, "call that resumes a stream refused"}
 	UpstreamsUpdated     = Event{1303, LevelInfo, "upstreams updated"}
 	UpstreamPaused       = Event{1305, LevelInfo, "upstream asked for a pause"}
 	RegistrationRejected = Event{1304, LevelWarn, "registration of an upstream rejected; the upstream is not used"}
@@ -101,6 +103,8 @@
 		RequestAssigned,
 		AttemptFailed,
 		CrashSuspected,
+		StreamResumed,
+		ResumptionRefused,
 		UpstreamLeaving,
 		UpstreamsUpdated,
 		RegistrationRejected,
--- a/narrator/narrator.go
+++ b/narrator/narrator.go
@@ -28,8 +28,9 @@
 		return nil, err
 	}
 	c := s.Choice()
+	_, restricted := r.OnlyVersion()
 	a.Log.Log(logger.RequestAssigned, "request", r.ID(), "pool", r.Pool(), "upstream", c.Upstream.Address(),
-		"instance", c.Upstream.Instance(), "waited-ms", time.Since(start).Milliseconds(),
+		"instance", c.Upstream.Instance(), "version", c.Upstream.SoftwareVersion(), "restricted", restricted, "waited-ms", time.Since(start).Milliseconds(),
 		"predicted-ms", c.Predicted.Milliseconds(), "uncached", c.UncachedTokens, "home", c.PreferredRank, "copy-from", c.CopyFrom, "spilled", c.Spilled, "excluded", len(excluded),
 		"rate-limited", c.RateLimited, "running", c.Running, "reading", c.PrefillTokens, "heard-ms-ago", reportAge(start, c.ReportedAt))
 	return s, nil
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -63,6 +63,9 @@
 	// StopTimes returns when a graceful shutdown starts to reject new streams, and when
 	// it ends; zero times mean that none was started. Nil means never.
 	StopTimes func() (streams, end time.Time)
+	// Pins keeps track of the software version that began each stream; nil means that calls
+	// that resume a stream go to any upstream.
+	Pins kingcuphook.StreamPinner
 	// Observer is notified of accepted calls; nil means none.
 	Observer Observer
 	// Log receives events; nil means none.
@@ -167,7 +170,10 @@
 	if err != nil {
 		return nil, err
 	}
-	request := s.newRequest(r, labels, route, organisation, body, arrived, deadline)
+	request, err := s.newRequest(r, labels, route, organisation, body, arrived, deadline)
+	if err != nil {
+		return nil, err
+	}
 	return &acceptedCall{route: route, call: s.newCall(r, route, request, body)}, nil
 }
 
@@ -252,7 +258,7 @@
 	return body, nil
 }
 
-func (s *Receiver) newRequest(r *http.Request, l kingcuphook.CallLabels, route *kingcuphook.Route, o kingcuphook.Organisation, body []byte, arrived, deadline time.Time) *kingcuphook.Request {
+func (s *Receiver) newRequest(r *http.Request, l kingcuphook.CallLabels, route *kingcuphook.Route, o kingcuphook.Organisation, body []byte, arrived, deadline time.Time) (*kingcuphook.Request, error) {
 	tier, urgency := rank(o, route)
 	f := kingcuphook.RequestFields{
 		ID:           l.ID,
@@ -282,9 +288,21 @@
 	if f.ID == "" {
 		f.ID = xid.New().String()
 	}
-	point := float64(xxhash.Sum64String(f.ID)>>11) / (1 << 53)
-	f.Pool = route.PoolFor(point)
-	return kingcuphook.NewRequest(f)
+	if !s.resumesStream(l, route) {
+		f.Pool = poolFor(route, f.ID)
+		return kingcuphook.NewRequest(f), nil
+	}
+	origin, err := s.findOrigin(r.Context(), l, o.Name, route)
+	if err != nil {
+		return nil, err
+	}
+	f.Pool, f.OnlyVersion = origin.Pool, &origin.Version
+	return kingcuphook.NewRequest(f), nil
+}
+
+// poolFor returns the pool of the call with the ID, which is the same at every router.
+func poolFor(route *kingcuphook.Route, id string) string {
+	return route.PoolFor(float64(xxhash.Sum64String(id)>>11) / (1 << 53))
 }
 
 const (
--- a/receiver/receiver_test.go
+++ b/receiver/receiver_test.go
@@ -31,7 +31,9 @@
 	if err != nil {
 		d = 0
 	}
-	return kingcuphook.CallLabels{ID: h.Get("X-Id"), APIKey: h.Get("X-Key"), Deadline: d}
+	return kingcuphook.CallLabels{
+		ID: h.Get("X-Id"), APIKey: h.Get("X-Key"), Deadline: d, ResumeAfter: h.Get("Last-Event-Id"), Resumes: h.Get("Resumes"),
+	}
 }
 
 func (codec) Forwarded(h http.Header) http.Header {
--- a/route.go
+++ b/route.go
@@ -159,6 +159,21 @@
 	return r.f.Pool
 }
 
+// MayUse reports whether PoolFor can return the pool.
+func (r *Route) MayUse(pool string) bool {
+	if r.f.Split == nil {
+		return pool == r.f.Pool
+	}
+	total := 0.0
+	for _, s := range r.f.Split.shares {
+		if s.Weight > 0 && s.Pool == pool {
+			return true
+		}
+		total += s.Weight
+	}
+	return total <= 0 && pool == r.f.Pool
+}
+
 // Fields returns a copy of the fields of r.
 func (r *Route) Fields() RouteFields { return r.f }
 
