Copy cached prompts only between upstreams of one software version

An upstream was told to copy the cached part of a prompt from an upstream of another software version, whose cache has another form: a stream may then rest on both.

Cause: the source of a copy was chosen by the prefix and its health alone.

Change: the preferred upstream is a source only for those of its version, and so is the upstream that this router last sent the prefix to.

--- a/locator/source.go
+++ b/locator/source.go
@@ -9,14 +9,15 @@
 // copyFrom returns the address of the engine from which u can copy the shared prefix if
 // it doesn't have it cached: the first preferred upstream, to which all routers send
 // requests with the prefix, or the upstream that this router last sent the prefix to. It
-// returns "" if neither is a healthy upstream other than u.
+// returns "" if neither is a healthy upstream other than u with the same software version;
+// what another version has cached doesn't fit.
 func (l *Locator) copyFrom(q *query, u *upstream) string {
 	if q.prefix == 0 || u.row.Kind() != kingcuphook.UpstreamKindEngine {
 		return ""
 	}
 	source := q.preferred[0]
-	if source == nil || source == u || !source.healthy(q.now) {
-		source = l.lastSentTo(q, source)
+	if source == nil || source == u || !source.healthy(q.now) || !source.sameVersion(u) {
+		source = l.lastSentTo(q, u, source)
 	}
 	if source == nil || source == u {
 		return ""
@@ -24,22 +25,27 @@
 	return source.row.Address()
 }
 
-// lastSentTo returns the healthy upstream other than except that this router last sent
-// the shared prefix to, or nil.
-func (l *Locator) lastSentTo(q *query, except *upstream) *upstream {
+// lastSentTo returns the healthy upstream of u's software version, other than except, that
+// this router last sent the shared prefix to, or nil.
+func (l *Locator) lastSentTo(q *query, u, except *upstream) *upstream {
 	var latest *upstream
 	var used time.Time
-	for _, u := range l.upstreams {
-		if u == except || !u.hasCached(q) || !u.healthy(q.now) {
+	for _, o := range l.upstreams {
+		if o == except || !o.hasCached(q) || !o.healthy(q.now) || !o.sameVersion(u) {
 			continue
 		}
-		if at := u.prefixes[q.prefix]; latest == nil || at.After(used) {
-			latest, used = u, at
+		if at := o.prefixes[q.prefix]; latest == nil || at.After(used) {
+			latest, used = o, at
 		}
 	}
 	return latest
 }
 
+// sameVersion reports whether both upstreams run the same version of their software.
+func (u *upstream) sameVersion(o *upstream) bool {
+	return u.row.SoftwareVersion() == o.row.SoftwareVersion()
+}
+
 // healthy reports whether the upstream is neither displaced nor leaving and has no
 // failure within failureDecay that no success followed.
 func (u *upstream) healthy(now time.Time) bool {
--- a/locator/version_test.go
+++ b/locator/version_test.go
@@ -38,3 +38,28 @@
 		}
 	}
 }
+
+// The cached part of a prompt was copied from an upstream of another software version.
+func TestNothingIsCopiedFromAnotherVersion(t *testing.T) {
+	is := is.New(t)
+	copies := 0
+	now := start.Add(time.Minute)
+	for document := range uint64(100) {
+		l := newLocator("cairo", versionPool(12, func(i int) string { return fmt.Sprint(i % 2) }))
+		var used []string
+		for n := range 4 {
+			r := longRequest(fmt.Sprint(n), document)
+			c, err := l.Select(now.Add(time.Duration(n)*time.Second), r, used)
+			is.NoErr(err)
+			l.Started(now, c.Upstream.Address(), r)
+			used = append(used, c.Upstream.Address())
+			if c.CopyFrom == "" {
+				continue
+			}
+			copies++
+			is.Equal(l.byAddress[c.CopyFrom].row.SoftwareVersion(), c.Upstream.SoftwareVersion())
+		}
+	}
+	t.Logf("%d copies", copies)
+	is.True(copies > 100)
+}
