Inject every fault between upstreams of two software versions

Cause: all upstreams of the prover had the same version, so that no fault could show an answer that another version continues.

Change: its upstreams are of two versions, its allocator keeps to the version of a request, and the rule one-software-version compares the runs of each answer.

An allocator that ignores the version is found by the rule.

--- a/emulator/runner/runner.go
+++ b/emulator/runner/runner.go
@@ -61,6 +61,10 @@
 	Attempt, Request, Key string
 	// Upstream is the address of the upstream.
 	Upstream string
+	// Version is the software version of the upstream.
+	Version string
+	// From is the position of the first frame; not 0 if the run continues an answer.
+	From int
 	// Fingerprint is the fingerprint of the request.
 	Fingerprint uint64
 	// Started is the start time of the run.
@@ -223,6 +227,8 @@
 		Request:     r.ID(),
 		Key:         r.IdempotencyKey(),
 		Upstream:    u.Address(),
+		Version:     u.SoftwareVersion(),
+		From:        a.ResumeFrom(),
 		Fingerprint: r.Fingerprint(),
 		Started:     time.Now(),
 	}
--- a/prover/allocator.go
+++ b/prover/allocator.go
@@ -28,7 +28,7 @@
 }
 
 // Acquire implements kingcuphook.Allocator.
-func (a *unboundedAllocator) Acquire(ctx context.Context, _ *kingcuphook.Request, excluded []string) (kingcuphook.Slot, error) {
+func (a *unboundedAllocator) Acquire(ctx context.Context, r *kingcuphook.Request, excluded []string) (kingcuphook.Slot, error) {
 	a.router.reachStep(StepClaimed)
 	if !a.router.process.awaitRunning() {
 		return nil, notRun("router has crashed")
@@ -45,7 +45,7 @@
 	for range upstreams {
 		u := upstreams[a.next%len(upstreams)]
 		a.next++
-		if !slices.Contains(excluded, u.Address()) {
+		if r.Allows(u) && !slices.Contains(excluded, u.Address()) {
 			return &unboundedSlot{upstream: u}, nil
 		}
 	}
--- a/prover/check.go
+++ b/prover/check.go
@@ -29,6 +29,7 @@
 	RuleRan                  = "ran-did-run"
 	RuleTypedError           = "typed-error"
 	RuleDeadline             = "ends-in-time"
+	RuleOneVersion           = "one-software-version"
 	RuleWorkStops            = "discarded-work-stops"
 	RuleUpstreamsLost        = "two-upstreams-lost"
 	RuleOthersNotQuarantined = "companions-not-quarantined"
@@ -47,6 +48,7 @@
 	}
 	c.checkOnce(reports)
 	c.checkStopped(reports)
+	c.checkVersions()
 	return c.violations
 }
 
@@ -142,6 +144,20 @@
 	}
 }
 
+// checkVersions checks that each answer is continued only by the software version that
+// began it.
+func (c *checker) checkVersions() {
+	began := make(map[string]string)
+	for _, run := range c.runs {
+		switch {
+		case run.From == 0 && run.Tokens > 0:
+			began[run.Request] = run.Version
+		case run.From > 0 && run.Version != began[run.Request]:
+			c.add(RuleOneVersion, "%s on %s of version %s, begun by version %s", run.Attempt, run.Upstream, run.Version, began[run.Request])
+		}
+	}
+}
+
 // CheckPoison checks the limits for poison bodies, which crash every upstream that runs
 // them: each may crash at most two upstreams, and no other body may be quarantined.
 func CheckPoison(env *Environment) []Violation {
--- a/prover/mutation_test.go
+++ b/prover/mutation_test.go
@@ -38,6 +38,13 @@
 	return kingcuphook.Answer{}, fmt.Errorf("false report: %w", kingcuphook.ErrUnavailable)
 }
 
+// unrestrictedAllocator ignores the software version that requests are restricted to.
+type unrestrictedAllocator struct{ kingcuphook.Allocator }
+
+func (a unrestrictedAllocator) Acquire(ctx context.Context, r *kingcuphook.Request, excluded []string) (kingcuphook.Slot, error) {
+	return a.Allocator.Acquire(ctx, kingcuphook.NewRequest(kingcuphook.RequestFields{ID: r.ID()}), excluded)
+}
+
 // relabellingEngine gives every frame the attempt and position that the router's frame
 // check expects, which has the effect of a router without that check. With leaks,
 // closing a stream doesn't end the run.
@@ -103,6 +110,9 @@
 		{RuleCompleteAnswer, Cell{KindStream, StepStreaming, []Fault{FaultFalseEnd}}, func(env *Environment, r *Router) {
 			r.Dispatcher.Engine = relabellingEngine{Engine: &processEngine{router: r, engine: env.Engine}}
 		}},
+		{RuleOneVersion, Cell{KindStream, StepStreaming, []Fault{FaultEarlyEnd}}, func(_ *Environment, r *Router) {
+			r.Dispatcher.Allocator = unrestrictedAllocator{r.Dispatcher.Allocator}
+		}},
 		{RuleWorkStops, Cell{KindStream, StepStreaming, []Fault{FaultCallerGone}}, func(env *Environment, r *Router) {
 			r.Dispatcher.Engine = relabellingEngine{Engine: &processEngine{router: r, engine: env.Engine}, leaks: true}
 		}},
--- a/prover/world.go
+++ b/prover/world.go
@@ -87,6 +87,8 @@
 			DataCentre: regionName,
 			Kind:       kingcuphook.UpstreamKindEngine,
 			Resumes:    true,
+			// Two versions serve side by side.
+			SoftwareVersion: fmt.Sprint(i % 2),
 		}))
 	}
 	for i := range routers {
