--- a/directory.go
+++ b/directory.go
@@ -94,7 +94,7 @@
 	// ResumeAfter is the ID of the last event that the caller received.
 	ResumeAfter string
 	// Resumes is the ID of the caller's attempt that brought the first event of the
-	// stream that this call takes up; empty if the caller names none.
+	// stream that this call resumes; empty if the caller names none.
 	Resumes string
 }
 
--- a/dispatcher/version_test.go
+++ b/dispatcher/version_test.go
@@ -110,9 +110,9 @@
 		restricted, resumable bool
 		begun                 []string
 	}{
-		"begun":                 {false, true, []string{`r1 1 ""`}},
-		"taken up":              {true, true, nil},
-		"can never be taken up": {false, false, nil},
+		"begun":                {false, true, []string{`r1 1 ""`}},
+		"resumed":              {true, true, nil},
+		"can never be resumed": {false, false, nil},
 	} {
 		t.Run(name, func(t *testing.T) {
 			runVersions(t, []string{"1", "2", "1"}, func(r *harness) {
--- a/origin.go
+++ b/origin.go
@@ -16,7 +16,7 @@
 	// Begun records that an upstream of the version sends the first event of the request's
 	// stream.
 	Begun(r *Request, version string)
-	// Find returns the origin of the stream that a call takes up. Attempt is the ID of the
+	// Find returns the origin of the stream that a call resumes. Attempt is the ID of the
 	// caller's attempt that brought the first event; empty if the caller names none. Pool is
 	// used when only one version can have begun the stream. The error wraps
 	// ErrVersionUnknown if no origin is known.
