--- a/codes.go
+++ b/codes.go
@@ -14,5 +14,7 @@
 	CodeRateLimited    = "rate-limited"
 	CodeStopping       = "stopping"
 	CodeTooLarge       = "too-large"
+	CodeVersionGone    = "stream-version-gone"
+	CodeVersionUnknown = "stream-version-unknown"
 	CodeUpstreamFailed = "upstream-failed"
 )
--- a/logger/events.go
+++ b/logger/events.go
@@ -48,6 +48,8 @@
 	CrashSuspected       = Event{1206, LevelInfo, "request suspected of the crash of its upstream"}
 	ServerError          = Event{1207, LevelWarn, "HTTP server reported an error"}
 	ResponseFailed       = Event{1208, LevelWarn, "response could not be written although the caller is connected"}
+	StreamResumed        = Event{1209, LevelInfo, "call resumes a stream"}
+	ResumptionRefused    = Event{1210, LevelInfo, "call that resumes a stream refused"}
 	UpstreamsUpdated     = Event{1303, LevelInfo, "upstreams updated"}
 	UpstreamPaused       = Event{1305, LevelInfo, "upstream asked for a pause"}
 	RegistrationRejected = Event{1304, LevelWarn, "registration of an upstream rejected; the upstream is not used"}
@@ -107,6 +109,8 @@
 		CrashSuspected,
 		ServerError,
 		ResponseFailed,
+		StreamResumed,
+		ResumptionRefused,
 		UpstreamLeaving,
 		UpstreamsUpdated,
 		RegistrationRejected,
