--- /dev/null
+++ b/attacher/takeup_test.go
@@ -0,0 +1,199 @@
+package attacher
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/kingcuphook/kingcuphook/platform/standin"
+)
+
+// broken is a stream that its caller left after some events.
+type broken struct {
+	// id is the ID of the call, last that of the last event.
+	id   string
+	last int
+}
+
+// beginAtEach begins n streams at each upstream and leaves them after a few events.
+func (w *testPlatform) beginAtEach(p *process, n int) []broken {
+	w.t.Helper()
+	const pause = time.Second
+	list := make([]broken, 0, n*len(w.upstreams))
+	for i := range w.upstreams {
+		paused := time.Now()
+		w.upstreams[1-i].Pause(pause)
+		list = append(list, w.begin(p, n)...)
+		time.Sleep(time.Until(paused.Add(pause)))
+	}
+	return list
+}
+
+// begin begins n streams and leaves them after a few events.
+func (w *testPlatform) begin(p *process, n int) []broken {
+	w.t.Helper()
+	list := make([]broken, 0, n)
+	for range n {
+		s := broken{id: "call-" + strconv.FormatInt(time.Now().UnixNano(), 10), last: 3}
+		c := standin.Call{Kind: standin.KindResumableStream, ID: s.id, Key: "secret", Deadline: 4 * time.Second, Body: strings.NewReader("question")}
+		ctx, cancel := context.WithCancel(w.t.Context())
+		resp := w.request(ctx, p, c)
+		w.Equal(resp.StatusCode, http.StatusOK)
+		lines := bufio.NewScanner(resp.Body)
+		for lines.Scan() && lines.Text() != fmt.Sprintf("data: piece %d", s.last) {
+		}
+		cancel()
+		resp.Body.Close()
+		list = append(list, s)
+	}
+	return list
+}
+
+func (w *testPlatform) request(ctx context.Context, p *process, c standin.Call) *http.Response {
+	w.t.Helper()
+	r, err := c.Request(ctx, p.front)
+	w.NoErr(err)
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	w.NoErr(err)
+	return resp
+}
+
+// takeUp takes a stream up, naming the given attempt, and returns the status and the upstream
+// that ran the call. If it goes on, it must be whole.
+func (w *testPlatform) takeUp(p *process, s broken, resumes string) (int, string) {
+	w.t.Helper()
+	c := standin.Call{
+		Kind: standin.KindResumableStream, ID: s.id + "-again-" + strconv.FormatInt(time.Now().UnixNano(), 10), Key: "secret", Deadline: 4 * time.Second,
+		Body: strings.NewReader("question"), Resumes: resumes, LastEvent: strconv.Itoa(s.last),
+	}
+	resp := w.request(w.t.Context(), p, c)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	w.NoErr(err)
+	if resp.StatusCode != http.StatusOK {
+		w.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+		return resp.StatusCode, ""
+	}
+	w.True(strings.HasSuffix(completeStream(), string(body)) && strings.HasPrefix(string(body), fmt.Sprintf("id: %d\n", s.last+1)))
+	return resp.StatusCode, w.upstreamOf(c.ID)
+}
+
+// upstreamOf returns the upstream that ran a call.
+func (w *testPlatform) upstreamOf(id string) string {
+	for _, u := range w.upstreams {
+		for _, run := range u.Runs() {
+			if run.ID == id {
+				return u.Instance
+			}
+		}
+	}
+	return ""
+}
+
+// registerVersions registers the upstreams with the versions of their software.
+func (w *testPlatform) registerVersions(versions ...string) {
+	w.t.Helper()
+	for i, version := range versions {
+		w.registerVersion(w.upstreams[i].Instance, w.addresses[i], version)
+	}
+}
+
+// restart ends routers at the same time and starts them again.
+func (w *testPlatform) restart(network int, fleet []*process, which ...int) {
+	w.t.Helper()
+	for _, i := range which {
+		fleet[i].stop()
+	}
+	for _, i := range which {
+		w.NoErr(<-fleet[i].ended)
+	}
+	for _, i := range which {
+		fleet[i] = w.start(loopback(fmt.Sprintf("%d.%d", network, i+1)), w.server.Listener.Addr().String(), loopback(fmt.Sprintf("%d.1", network)), loopback(fmt.Sprintf("%d.2", network)))
+	}
+	for _, i := range which {
+		w.waitFor("readiness", fleet[i].isReady)
+	}
+}
+
+// countResumed takes up each stream at the router and returns how many go on, which must be at
+// the upstream that began them: each has another version.
+func (w *testPlatform) countResumed(p *process, streams []broken) int {
+	w.t.Helper()
+	n := 0
+	for _, s := range streams {
+		status, upstream := w.takeUp(p, s, s.id)
+		if status == http.StatusOK {
+			w.Equal(upstream, w.upstreamOf(s.id))
+			n++
+		}
+	}
+	return n
+}
+
+// A stream that was taken up at another router, or after all routers had ended at once, went on
+// at an upstream of another software version.
+func TestTakenUpStreamIsNotJoinedFromTwoVersions(t *testing.T) {
+	t.Parallel()
+	w := newTestPlatform(t)
+	w.registerVersions("1", "2")
+	fleet := w.startFleet(66, 2)
+	time.Sleep(2 * time.Second) // until the routers know each other
+	streams := w.beginAtEach(fleet[0], 5)
+	w.Equal(w.countResumed(fleet[1], streams), len(streams))
+	streams = w.beginAtEach(fleet[0], 5)
+	w.restart(66, fleet, 0, 1)
+	w.Equal(w.countResumed(fleet[1], streams), len(streams))
+	w.registerVersion("i-1", w.addresses[1], "3") // the version of some streams is gone
+	time.Sleep(2 * time.Second)
+	w.countResumed(fleet[1], streams)
+}
+
+// A router that had started while the store was away let streams go on at any version.
+func TestTakenUpStreamIsNotJoinedFromTwoVersionsWithoutStore(t *testing.T) {
+	t.Parallel()
+	w := newTestPlatform(t)
+	w.registerVersions("1", "2")
+	fleet := w.startFleet(67, 2)
+	time.Sleep(2 * time.Second)
+	known, lost := w.beginAtEach(fleet[0], 3), w.beginAtEach(fleet[1], 3)
+	w.storeDown.Store(true)
+	w.restart(67, fleet, 1)
+	w.Equal(w.countResumed(fleet[1], known), len(known))
+	w.countResumed(fleet[0], lost)
+}
+
+// A call that named no known attempt took a stream up at any version.
+func TestTakeUpOfUnknownStreamIsRefusedWithTwoVersions(t *testing.T) {
+	t.Parallel()
+	w := newTestPlatform(t)
+	w.registerVersions("1", "2")
+	fleet := w.startFleet(68, 2)
+	s := w.begin(fleet[0], 1)[0]
+	for _, resumes := range []string{"", "unknown", strings.Repeat("x", 16<<10)} {
+		began := time.Now()
+		status, _ := w.takeUp(fleet[0], s, resumes)
+		w.Equal(status, http.StatusServiceUnavailable)
+		w.True(time.Since(began) < time.Second)
+	}
+}
+
+// Streams must go on after all routers have ended at once if there is one version.
+func TestTakenUpStreamGoesOnIfThereIsOneVersion(t *testing.T) {
+	t.Parallel()
+	w := newTestPlatform(t)
+	w.registerVersions("1", "1")
+	fleet := w.startFleet(69, 2)
+	s := w.begin(fleet[0], 1)[0]
+	time.Sleep(2 * time.Second)
+	w.restart(69, fleet, 0, 1)
+	for _, resumes := range []string{s.id, "", "unknown"} {
+		status, _ := w.takeUp(fleet[1], s, resumes)
+		w.Equal(status, http.StatusOK)
+	}
+}
