Keep the software versions that began streams (package pinner)

Cause: no router knows which software version began a stream that a caller takes up.

Change: package pinner decides it, with the time passed in: streams that began at this router, what peers and the store report of others, and the versions that were in service in the last five minutes by the tables and a record in the store. One version alone is certain without memory. A stream that is told to have begun at two versions is unknown. Nothing uses the package yet.

--- /dev/null
+++ b/pinner/pinner.go
@@ -0,0 +1,144 @@
+// Package pinner keeps track of which software version of a pool's upstreams began each
+// stream. It remembers the streams that began at this router and what peers and the store
+// report of others, and knows which versions were in service lately: if there was only one,
+// it began every stream. It sends and receives nothing itself.
+package pinner
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/kingcuphook/kingcuphook"
+)
+
+// ErrAmbiguous means that a stream is reported to have begun at two versions.
+var ErrAmbiguous = fmt.Errorf("pinner: begun at two versions: %w", kingcuphook.ErrVersionUnknown)
+
+// Source is where the origin of a stream is known from.
+type Source string
+
+// Values of Source.
+const (
+	// SourceMemory means that the stream began at this router.
+	SourceMemory Source = "memory"
+	// SourceSingle means that only one version was in service.
+	SourceSingle Source = "single"
+	// SourcePeer and SourceStore mean that a peer or the store reported it.
+	SourcePeer  Source = "peer"
+	SourceStore Source = "store"
+)
+
+// Sources returns all values of Source.
+func Sources() []Source { return []Source{SourceMemory, SourceSingle, SourcePeer, SourceStore} }
+
+// Found is the origin of a stream.
+type Found struct {
+	Origin kingcuphook.Origin
+	Source Source
+	// Age is the time since the stream began; 0 if it is not known.
+	Age time.Duration
+}
+
+// Pinner keeps the origins of streams. The zero value is ready for use. It is safe for
+// concurrent use.
+type Pinner struct {
+	mu sync.Mutex
+	// begun has the streams that began at this router, learned those reported by others.
+	begun, learned memory
+	pools          map[string]*pool
+	// origins has the pool and the version of each mark in pools.
+	origins map[uint64]kingcuphook.Origin
+	// confirmedAt is when the tables were last known to be those in force.
+	confirmedAt time.Time
+	ledger      ledger
+}
+
+// Key identifies the stream that an attempt of a caller began.
+func Key(organisation, attempt string) uint64 {
+	return xxhash.Sum64String(organisation + "\x00" + attempt)
+}
+
+// markOf identifies a version of a pool. It is never ambiguous.
+func markOf(pool, version string) uint64 {
+	return max(xxhash.Sum64String(pool+"\x00"+version), ambiguous+1)
+}
+
+// Begun records that the stream with the key begins at an upstream of the version.
+func (p *Pinner) Begun(now time.Time, key uint64, pool, version string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.begun.add(now, key, entry{mark: markOf(pool, version), at: now, source: SourceMemory}) && p.pools[pool].isMixed() {
+		p.ledger.queue(key)
+	}
+}
+
+// Learn records that a stream began at the mark, age ago, as reported by the source.
+func (p *Pinner) Learn(now time.Time, r Report, source Source) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.learned.add(now, r.Key, entry{mark: r.Mark, at: now.Add(-r.Age), source: source})
+}
+
+// Known returns what this router knows of the streams with the keys.
+func (p *Pinner) Known(now time.Time, keys []uint64) []Report {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []Report
+	for _, key := range keys {
+		if e, ok := p.find(now, key); ok {
+			list = append(list, Report{Key: key, Mark: e.mark, Age: now.Sub(e.at)})
+		}
+	}
+	return list
+}
+
+// find returns the entry of a stream, which is ambiguous if the sources differ.
+func (p *Pinner) find(now time.Time, key uint64) (entry, bool) {
+	own, begun := p.begun.get(now, key)
+	other, learned := p.learned.get(now, key)
+	switch {
+	case !begun:
+		return other, learned
+	case learned && other.mark != own.mark:
+		own.mark = ambiguous
+	}
+	return own, true
+}
+
+// Find returns the origin of the stream with the key, or else the version of the pool, if
+// that is the only one. The error wraps kingcuphook.ErrVersionUnknown or
+// kingcuphook.ErrVersionGone.
+func (p *Pinner) Find(now time.Time, key uint64, pool string) (Found, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e, ok := p.find(now, key)
+	if !ok {
+		return p.findSingle(now, pool)
+	}
+	if e.mark == ambiguous {
+		return Found{}, ErrAmbiguous
+	}
+	origin, ok := p.origins[e.mark]
+	if !ok {
+		return Found{}, fmt.Errorf("pinner: begun %v ago, %s: %w", now.Sub(e.at), e.source, kingcuphook.ErrVersionGone)
+	}
+	return Found{Origin: origin, Source: e.source, Age: now.Sub(e.at)}, nil
+}
+
+func (p *Pinner) findSingle(now time.Time, pool string) (Found, error) {
+	version, ok := p.pools[pool].single(now, p.confirmedAt)
+	if !ok {
+		return Found{}, fmt.Errorf("pinner: %d versions in pool %q: %w", p.pools[pool].count(now), pool, kingcuphook.ErrVersionUnknown)
+	}
+	return Found{Origin: kingcuphook.Origin{Pool: pool, Version: version}, Source: SourceSingle}, nil
+}
+
+// Remembered returns the number of streams whose origin is kept.
+func (p *Pinner) Remembered() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.begun.entries) + len(p.learned.entries)
+}
--- /dev/null
+++ b/pinner/versions.go
@@ -0,0 +1,231 @@
+package pinner
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/kingcuphook/kingcuphook"
+)
+
+const (
+	// horizon is how long a version that has left is still taken for one that may have begun
+	// streams. It is far longer than a stream lasts.
+	horizon = 5 * time.Minute
+	// clockMargin is how far the clocks of two VMs may be apart.
+	clockMargin = 30 * time.Second
+	// freshFor is how long knowledge of the versions in service holds.
+	freshFor = 2 * time.Second
+	// maxPools bounds the pools that records add.
+	maxPools = 1024
+	// maxVersions bounds the versions of a pool that are kept. Those that left first yield.
+	maxVersions = 16
+)
+
+// pool has the versions of a pool.
+type pool struct {
+	// since is when the pool was first seen in the tables; zero before.
+	since time.Time
+	// left has when each version left the tables; zero if it is in them.
+	left map[string]time.Time
+	// record is the pool's record in the store; nil if there is none or it is not known.
+	// It has the revision, and was read at readAt.
+	record   *Record
+	revision int64
+	readAt   time.Time
+	// mixed is true if more than one version was in service within the horizon.
+	mixed bool
+}
+
+func newPool() *pool { return &pool{left: make(map[string]time.Time)} }
+
+// observe records the versions that are in the tables.
+func (p *pool) observe(now time.Time, inTables map[string]bool) {
+	if p.since.IsZero() {
+		p.since = now
+	}
+	for version, left := range p.left {
+		if left.IsZero() && !inTables[version] {
+			p.left[version] = now
+		}
+		if !left.IsZero() && now.Sub(left) > horizon {
+			delete(p.left, version)
+		}
+	}
+	for version := range inTables {
+		p.left[version] = time.Time{}
+	}
+	for len(p.left) > maxVersions {
+		delete(p.left, slices.MinFunc(slices.Collect(maps.Keys(p.left)), p.compareLeft))
+	}
+}
+
+// compareLeft orders versions by when they left, those in the tables last.
+func (p *pool) compareLeft(a, b string) int {
+	if p.left[a].IsZero() != p.left[b].IsZero() {
+		return cmp.Compare(btoi(p.left[a].IsZero()), btoi(p.left[b].IsZero()))
+	}
+	return p.left[a].Compare(p.left[b])
+}
+
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// recent returns the versions that were in service within the horizon, in order.
+func (p *pool) recent(now time.Time) []string {
+	versions := make(map[string]bool)
+	if p == nil {
+		return nil
+	}
+	for version, left := range p.left {
+		if left.IsZero() || now.Sub(left) <= horizon {
+			versions[version] = true
+		}
+	}
+	for version := range p.record.recent(now) {
+		versions[version] = true
+	}
+	return slices.Sorted(maps.Keys(versions))
+}
+
+func (p *pool) count(now time.Time) int { return len(p.recent(now)) }
+
+func (p *pool) isMixed() bool { return p != nil && p.mixed }
+
+// single returns the version in service if it was the only one during the horizon, as far as
+// the tables, which were those in force at confirmedAt, or the record show.
+func (p *pool) single(now, confirmedAt time.Time) (string, bool) {
+	versions := p.recent(now)
+	if len(versions) != 1 {
+		return "", false
+	}
+	isComplete := p.record != nil || !p.since.IsZero() && now.Sub(p.since) >= horizon
+	isFresh := now.Sub(confirmedAt) <= freshFor || p.record != nil && now.Sub(p.readAt) <= freshFor
+	return versions[0], isComplete && isFresh
+}
+
+// Observe records the versions in the tables, those of leaving upstreams included.
+func (p *Pinner) Observe(now time.Time, t *kingcuphook.Tables) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, pool := range p.pools {
+		if t.Pool(name) == nil {
+			pool.observe(now, nil)
+		}
+	}
+	for _, tp := range t.Pools() {
+		inTables := make(map[string]bool)
+		for _, u := range tp.Upstreams() {
+			inTables[u.SoftwareVersion()] = true
+		}
+		p.pool(tp.Name()).observe(now, inTables)
+	}
+	p.setRetention(t)
+	p.refresh(now)
+}
+
+// setRetention sets how long streams are kept: as long as one may last, within bounds.
+func (p *Pinner) setRetention(t *kingcuphook.Tables) {
+	longest := time.Duration(0)
+	for _, r := range t.Routes() {
+		longest = max(longest, r.Timeout())
+	}
+	longest = min(max(longest, minRetention), maxRetention)
+	p.begun.retention, p.learned.retention = longest, longest
+}
+
+// Retention returns how long the origins of streams are kept.
+func (p *Pinner) Retention() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(p.begun.retention, minRetention)
+}
+
+// Refresh takes the versions out of account that left too long ago.
+func (p *Pinner) Refresh(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refresh(now)
+}
+
+// Confirm records that the tables are those in force.
+func (p *Pinner) Confirm(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.confirmedAt = now
+}
+
+// pool returns the pool with the name, which is added if it is new.
+func (p *Pinner) pool(name string) *pool {
+	if p.pools == nil {
+		p.pools = make(map[string]*pool)
+	}
+	if p.pools[name] == nil {
+		p.pools[name] = newPool()
+	}
+	return p.pools[name]
+}
+
+// refresh derives what depends on the versions of the pools. Once several are in service, the
+// streams that have begun are queued for the ledger.
+func (p *Pinner) refresh(now time.Time) {
+	p.origins = make(map[uint64]kingcuphook.Origin)
+	for name, pool := range p.pools {
+		versions := pool.recent(now)
+		if len(versions) == 0 {
+			delete(p.pools, name)
+			continue
+		}
+		for _, version := range versions {
+			p.origins[markOf(name, version)] = kingcuphook.Origin{Pool: name, Version: version}
+		}
+		wasMixed := pool.mixed
+		pool.mixed = len(versions) > 1
+		if pool.mixed && !wasMixed {
+			p.queueAll(now, name)
+		}
+	}
+}
+
+// queueAll queues the streams that have begun in the pool for the ledger.
+func (p *Pinner) queueAll(now time.Time, name string) {
+	marks := make(map[uint64]bool)
+	for _, version := range p.pools[name].recent(now) {
+		marks[markOf(name, version)] = true
+	}
+	for _, key := range p.begun.order {
+		if e, ok := p.begun.get(now, key); ok && marks[e.mark] {
+			p.ledger.queue(key)
+		}
+	}
+}
+
+// IsMixed reports whether more than one version of the pool was in service lately.
+func (p *Pinner) IsMixed(pool string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.pools[pool].isMixed()
+}
+
+// Versions returns the versions of the pool that were in service lately.
+func (p *Pinner) Versions(now time.Time, pool string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.pools[pool].recent(now)
+}
+
+// MaxVersions returns the largest number of versions of a pool that were in service lately.
+func (p *Pinner) MaxVersions(now time.Time) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, pool := range p.pools {
+		n = max(n, pool.count(now))
+	}
+	return n
+}
