Tell peers and the store which software version began a stream

Cause: a stream may be taken up at another router than the one at which it began, or after all routers have ended.

Change: attach implements StreamPinner. A call waits at most 400 ms for the origin of its stream: queries to all peers, batched, and one read of the store at a time. While several versions of a pool are in service, each router writes its streams to the store in segments with a lease; the delegates write a record of the versions of a pool when these change. Events KCH1701 to KCH1705, gauges. Nothing asks for origins yet.

--- a/attacher/attacher.go
+++ b/attacher/attacher.go
@@ -63,6 +63,7 @@
 	meter      *meter.Meter
 	quarantine *quarantiner.Quarantiner
 	isolator   *isolator.Isolator
+	pins       *pins
 	// roundTrips has the round-trip times to the data centres.
 	roundTrips estimator.RoundTrips
 	// withdrawn has the upstreams that announced in a reply that they are leaving.
@@ -101,6 +102,7 @@
 	g.Go(func() error { a.follow(parts); return nil })
 	g.Go(func() error { a.runExchange(parts); return nil })
 	g.Go(func() error { a.runPermits(parts); return nil })
+	g.Go(func() error { a.runLedger(parts); return nil })
 	g.Go(a.receiveDatagrams)
 	g.Go(func() error { return a.receiver.Run(a.listeners.callers) })
 	for _, served := range []struct {
@@ -187,6 +189,8 @@
 		OnDial:   func(u *kingcuphook.Upstream, took time.Duration) { a.roundTrips.Observe(u.DataCentre(), took) },
 		OnNotice: a.handleNotice,
 	}
+	a.pins = newPins(a)
+	a.pins.addGauges()
 	a.control = newControl(a)
 	a.quarantine = &quarantiner.Quarantiner{}
 	a.isolator = &isolator.Isolator{}
--- a/attacher/control.go
+++ b/attacher/control.go
@@ -51,6 +51,10 @@
 	pull  puller.Puller
 	// parts are the records of prompt parts in the store.
 	parts partRecords
+	// versions is the state of the writes of the records of versions.
+	versions versionRecords
+	// isCurrent is true if the tables were found to be those in force since the last publish.
+	isCurrent bool
 	// delegator decides which routers of the data centre follow the store.
 	delegator delegator.Delegator
 	// storeEra is the latest era of the store that an event was seen in; 0 before the first.
@@ -113,6 +117,7 @@
 			c.tick(ctx, time.Now())
 		}
 		c.publish()
+		c.confirm(time.Now())
 		c.answerWaiting(time.Now())
 	}
 }
@@ -154,6 +159,16 @@
 	c.askPeer(ctx, now)
 	c.writeParts(ctx, now)
 	c.tryParts(ctx, now)
+	c.a.pins.pinner.Refresh(now)
+	c.writeVersions(ctx, now)
+}
+
+// confirm records that the tables are those in force.
+func (c *control) confirm(now time.Time) {
+	if c.isCurrent {
+		c.a.pins.pinner.Confirm(now)
+	}
+	c.isCurrent = false
 }
 
 // ineligibleFor is how long a router does not count as able to follow the store after a
@@ -180,6 +195,7 @@
 		c.storeAvailable(now)
 		c.updateEra(now, e)
 		c.applyEntries(now, e)
+		c.isCurrent = true
 	}
 }
 
@@ -214,6 +230,8 @@
 
 func (c *control) applyEntries(now time.Time, e watcher.Event) {
 	c.applyParts(now, e)
+	c.a.pins.applyEntries(e.Entries, e.Kind == watcher.EventSnapshot)
+	c.versions.isRead = true
 	for _, entry := range e.Entries {
 		c.applyDeclaration(entry)
 	}
@@ -295,6 +313,7 @@
 		return
 	}
 	c.logPools(t)
+	c.a.pins.pinner.Observe(time.Now(), t)
 	first := c.published == nil
 	c.published = t
 	c.a.allocator.Update(t)
--- a/attacher/exchange.go
+++ b/attacher/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/kingcuphook/kingcuphook/isolator"
 	"github.com/kingcuphook/kingcuphook/logger"
 	"github.com/kingcuphook/kingcuphook/permitter"
+	"github.com/kingcuphook/kingcuphook/pinner"
 	"github.com/kingcuphook/kingcuphook/tallier"
 )
 
@@ -39,6 +40,8 @@
 		return nil
 	case permitter.IsMessage(message):
 		return a.handlePermits(peer, message)
+	case pinner.IsMessage(message):
+		return a.pins.handleMessage(peer, message)
 	case isolator.IsMessage(message):
 		return a.isolator.Import(time.Now(), message)
 	default:
@@ -131,6 +134,8 @@
 	}
 	c.a.routers.Store(int64(len(c.peers.lastSeen) + 1))
 	c.a.fleet.Set(now, len(c.peers.lastSeen)+1)
+	others := c.peers.pickRandom(len(c.peers.lastSeen) + len(c.peers.seeds))
+	c.a.pins.peers.Store(&others)
 	c.updateIssuers(now)
 	f := c.shortDigest(now)
 	c.send(f, c.peers.pickRandomNear(nearPeers))
@@ -217,6 +222,7 @@
 		if from == c.peers.ahead {
 			c.peers.ahead = netip.Addr{}
 		}
+		c.isCurrent = c.isCurrent || d.CanFollow() && !c.store.IsUnavailable() && !c.peers.ahead.IsValid()
 		return
 	}
 	if !c.peers.ahead.IsValid() {
--- /dev/null
+++ b/attacher/ledger.go
@@ -0,0 +1,146 @@
+package attacher
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/logger"
+	"github.com/kingcuphook/kingcuphook/pauser"
+	"github.com/kingcuphook/kingcuphook/pinner"
+)
+
+const (
+	// minLedgerInterval is the shortest time between two writes of the ledger of a router, and
+	// ledgerIntervalPerRouter that between two writes of all routers together.
+	minLedgerInterval       = 150 * time.Millisecond
+	ledgerIntervalPerRouter = 25 * time.Millisecond
+	// recordRetryDelay is the delay after a failed write of a record of versions.
+	recordRetryDelay = 2 * time.Second
+	// keyBase is the base of numbers in keys.
+	keyBase = 36
+)
+
+// ledgerWriter writes the streams that began at this router to the store, while several
+// versions of a pool are or were in service.
+type ledgerWriter struct {
+	pins *pins
+	// prefix is the prefix of the keys of this run of the router. An earlier run's segments
+	// are kept until their lease ends.
+	prefix string
+	// lease is the lease of the segments, granted at grantedAt; 0 if there is none.
+	lease     kingcuphook.LeaseID
+	grantedAt time.Time
+}
+
+// runLedger writes the ledger until ctx ends.
+func (a *Attacher) runLedger(ctx context.Context) {
+	w := &ledgerWriter{
+		pins:   a.pins,
+		prefix: pinner.LedgerPrefix + a.Settings.Address().String() + "/" + strconv.FormatInt(time.Now().UnixMilli(), keyBase) + "/",
+	}
+	for pauser.Pause(ctx, max(minLedgerInterval, time.Duration(a.routers.Load())*ledgerIntervalPerRouter)) {
+		segment, ok := a.pins.pinner.NextSegment(time.Now(), int(a.routers.Load()))
+		for ok && ctx.Err() == nil {
+			err := w.write(ctx, segment)
+			if err == nil {
+				break
+			}
+			a.Log.Log(logger.VersionStoreFailed, "call", "put", "key", w.prefix, "error", err)
+			pauser.Pause(ctx, minLedgerInterval)
+		}
+	}
+}
+
+// write writes a segment with a lease that outlasts its streams.
+func (w *ledgerWriter) write(ctx context.Context, s pinner.Segment) error {
+	retention := w.pins.pinner.Retention()
+	if w.lease == 0 || time.Since(w.grantedAt) > retention {
+		lease, err := w.pins.a.store.Grant(ctx, 2*retention)
+		if err != nil {
+			return fmt.Errorf("attacher: lease of the ledger: %w", err)
+		}
+		w.lease, w.grantedAt = lease, time.Now()
+	}
+	_, err := w.pins.a.store.Put(ctx, w.prefix+strconv.Itoa(s.Number), s.Value, kingcuphook.RevisionAny, w.lease)
+	if err != nil {
+		w.lease = 0
+		return fmt.Errorf("attacher: ledger: %w", err)
+	}
+	w.pins.writes.Add(1)
+	return nil
+}
+
+// versionRecords is the state of the writes of the records of versions.
+type versionRecords struct {
+	// isRead is true once the store was read.
+	isRead bool
+	// missingSince is when this router found that a record has to be written; zero if none.
+	missingSince time.Time
+	// writing is true while a write is in flight, and nextWrite the earliest time of the next.
+	writing   bool
+	nextWrite time.Time
+}
+
+// writeVersions writes a record of versions that the store lacks, if this router follows the
+// store. The delegates of a data centre take their turns, so that mostly one of them writes.
+func (c *control) writeVersions(ctx context.Context, now time.Time) {
+	v := &c.versions
+	if v.writing || !v.isRead || now.Before(v.nextWrite) || c.store.IsUnavailable() || !c.delegator.Follows(now) {
+		return
+	}
+	writes := c.a.pins.pinner.Writes(now)
+	if len(writes) == 0 {
+		v.missingSince = time.Time{}
+		return
+	}
+	if v.missingSince.IsZero() {
+		v.missingSince = now
+	}
+	if now.Sub(v.missingSince) < c.partTurn(now) {
+		return
+	}
+	v.writing = true
+	go func() {
+		err := c.a.pins.writeRecord(ctx, writes[0])
+		c.do(ctx, func(now time.Time) {
+			v.writing = false
+			if err != nil {
+				c.a.Log.Log(logger.VersionStoreFailed, "call", "put", "key", writes[0].Record.Key(), "error", err)
+				v.nextWrite = now.Add(recordRetryDelay)
+			}
+		})
+	}()
+}
+
+// writeRecord writes a record if that in the store has the expected revision, and otherwise
+// reads that.
+func (s *pins) writeRecord(ctx context.Context, w pinner.Write) error {
+	value, err := w.Record.Encode()
+	if err != nil {
+		return err
+	}
+	s.writes.Add(1)
+	revision, err := s.a.store.Put(ctx, w.Record.Key(), value, w.Revision, 0)
+	if errors.Is(err, kingcuphook.ErrConflict) {
+		entry, err := s.a.store.Get(ctx, w.Record.Key())
+		if err != nil {
+			return fmt.Errorf("attacher: record of versions: %w", err)
+		}
+		record, err := pinner.DecodeRecord(entry.Key(), entry.Value())
+		if err != nil {
+			return err
+		}
+		s.pinner.Apply(time.Now(), record, entry.Revision())
+		return nil
+	}
+	if err != nil {
+		return fmt.Errorf("attacher: record of versions: %w", err)
+	}
+	s.pinner.Apply(time.Now(), w.Record, revision)
+	s.a.Log.Log(logger.VersionsRecorded, "pool", w.Record.Pool, "versions", w.Record.String(), "revision", revision, "revision-before", w.Revision)
+	return nil
+}
--- /dev/null
+++ b/attacher/pins.go
@@ -0,0 +1,329 @@
+package attacher
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/logger"
+	"github.com/kingcuphook/kingcuphook/pinner"
+)
+
+const (
+	// findTimeout bounds how long a call waits until the origin of its stream is found,
+	// peerTimeout how long it waits for peers.
+	findTimeout = 400 * time.Millisecond
+	peerTimeout = 150 * time.Millisecond
+	// queryDelay is how long queries for streams are batched before they are sent to the
+	// peers, and queryDelayPerRouter how much each router adds to it.
+	queryDelay          = 5 * time.Millisecond
+	queryDelayPerRouter = 50 * time.Microsecond
+	// minReadInterval is the shortest time between two reads of the ledger in the store, and
+	// readIntervalPerRouter how much each router adds to it.
+	minReadInterval       = 100 * time.Millisecond
+	readIntervalPerRouter = 2 * time.Millisecond
+	// maxAttemptBytes bounds the ID of an attempt. Longer ones name no stream.
+	maxAttemptBytes = 256
+)
+
+// pins finds the software versions that began streams: in the memory of this router, from
+// peers and in the store. It implements kingcuphook.StreamPinner.
+type pins struct {
+	a      *Attacher
+	pinner pinner.Pinner
+	// peers are the other routers.
+	peers atomic.Pointer[[]netip.Addr]
+	// found counts the origins found by source, unknown the calls whose stream has none.
+	found   map[pinner.Source]*atomic.Int64
+	unknown atomic.Int64
+	// reads counts the lists of the store, writes the segments and records written.
+	reads, writes atomic.Int64
+
+	// reading is held during a read of the store.
+	reading sync.Mutex
+
+	mu sync.Mutex
+	// inquiries are the streams whose origin calls wait for, by key.
+	inquiries map[uint64]*inquiry
+	// unsent are the keys for the next query to peers.
+	unsent []uint64
+	// nextRead is closed once the next read of the store has ended; nil if none is due.
+	nextRead chan struct{}
+	lastRead time.Time
+	// wanted are the pools that the next read is for.
+	wanted map[string]bool
+}
+
+// inquiry is a stream whose origin calls wait for.
+type inquiry struct {
+	// waiting is the number of calls.
+	waiting int
+	// reported is closed once the origin is reported.
+	reported chan struct{}
+	isDone   bool
+}
+
+var _ kingcuphook.StreamPinner = (*pins)(nil)
+
+func newPins(a *Attacher) *pins {
+	s := &pins{a: a, found: make(map[pinner.Source]*atomic.Int64), inquiries: make(map[uint64]*inquiry), wanted: make(map[string]bool)}
+	for _, source := range pinner.Sources() {
+		s.found[source] = &atomic.Int64{}
+	}
+	s.peers.Store(&[]netip.Addr{})
+	return s
+}
+
+// Begun implements kingcuphook.StreamPinner.
+func (s *pins) Begun(r *kingcuphook.Request, version string) {
+	if r.ID() == "" || len(r.ID()) > maxAttemptBytes {
+		return
+	}
+	s.pinner.Begun(time.Now(), pinner.Key(r.Organisation(), r.ID()), r.Pool(), version)
+}
+
+// Find implements kingcuphook.StreamPinner.
+func (s *pins) Find(ctx context.Context, organisation, attempt, pool string) (kingcuphook.Origin, error) {
+	began := time.Now()
+	found, err := s.find(ctx, pinner.Key(organisation, attempt), isAttempt(attempt), pool)
+	took := time.Since(began)
+	if err != nil {
+		s.unknown.Add(1)
+		s.a.Log.Log(logger.StreamOriginUnknown, "pool", pool, "organisation", organisation, "attempt", attempt[:min(len(attempt), maxAttemptBytes)],
+			"versions", strings.Join(s.pinner.Versions(began, pool), ","), "took-ms", took.Milliseconds(), "error", err)
+		return kingcuphook.Origin{}, err
+	}
+	s.found[found.Source].Add(1)
+	s.a.Log.Log(logger.StreamOriginFound, "pool", found.Origin.Pool, "version", found.Origin.Version, "source", found.Source,
+		"organisation", organisation, "attempt", attempt[:min(len(attempt), maxAttemptBytes)], "age-ms", found.Age.Milliseconds(), "took-ms", took.Milliseconds())
+	return found.Origin, nil
+}
+
+// isAttempt reports whether the ID can name a stream.
+func isAttempt(attempt string) bool { return attempt != "" && len(attempt) <= maxAttemptBytes }
+
+// find returns the origin of a stream. A call that names no attempt gets the only version in
+// service, if that is certain.
+func (s *pins) find(ctx context.Context, key uint64, named bool, pool string) (pinner.Found, error) {
+	found, err := s.pinner.Find(time.Now(), key, pool)
+	if !isUnknown(err) || !named && s.pinner.IsMixed(pool) {
+		return found, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	var reported <-chan struct{}
+	var silent <-chan time.Time
+	if named {
+		reported = s.ask(key)
+		defer s.release(key)
+		silent = time.After(peerTimeout)
+	}
+	read := s.read(pool)
+	for read != nil || silent != nil {
+		select {
+		case <-reported:
+			reported = nil
+		case <-read:
+			read = nil
+		case <-silent:
+			silent = nil
+		case <-ctx.Done():
+			read, silent = nil, nil
+		}
+		if found, err = s.pinner.Find(time.Now(), key, pool); !isUnknown(err) {
+			return found, err
+		}
+	}
+	return found, err
+}
+
+// isUnknown reports whether others may know the origin of a stream.
+func isUnknown(err error) bool {
+	return errors.Is(err, kingcuphook.ErrVersionUnknown) && !errors.Is(err, pinner.ErrAmbiguous)
+}
+
+// ask queues a query to all peers for a stream. The channel is closed once it is answered.
+func (s *pins) ask(key uint64) <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	q := s.inquiries[key]
+	if q == nil {
+		q = &inquiry{reported: make(chan struct{})}
+		s.inquiries[key] = q
+		s.unsent = append(s.unsent, key)
+		if len(s.unsent) == 1 {
+			time.AfterFunc(queryDelay+time.Duration(s.a.routers.Load())*queryDelayPerRouter, s.sendQueries)
+		}
+	}
+	q.waiting++
+	return q.reported
+}
+
+func (s *pins) release(key uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	q := s.inquiries[key]
+	q.waiting--
+	if q.waiting == 0 {
+		delete(s.inquiries, key)
+	}
+}
+
+// sendQueries sends the queued queries to all peers.
+func (s *pins) sendQueries() {
+	s.mu.Lock()
+	keys := s.unsent
+	s.unsent = nil
+	s.mu.Unlock()
+	for len(keys) > 0 {
+		n := min(len(keys), pinner.MaxKeys)
+		s.a.control.sendToAll(pinner.EncodeQuery(keys[:n]), *s.peers.Load())
+		keys = keys[n:]
+	}
+}
+
+// handleMessage handles the query or the answer of a peer.
+func (s *pins) handleMessage(peer netip.Addr, message []byte) error {
+	keys, reports, err := pinner.Decode(message)
+	if err != nil {
+		return err
+	}
+	if known := s.pinner.Known(time.Now(), keys); len(known) > 0 {
+		s.a.control.sendTo(peer, pinner.EncodeAnswer(known))
+	}
+	s.learn(reports, pinner.SourcePeer)
+	return nil
+}
+
+// learn records the reports of streams that calls wait for.
+func (s *pins) learn(reports []pinner.Report, source pinner.Source) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range reports {
+		q := s.inquiries[r.Key]
+		if q == nil {
+			continue
+		}
+		s.pinner.Learn(now, r, source)
+		if !q.isDone {
+			q.isDone = true
+			close(q.reported)
+		}
+	}
+}
+
+// read schedules a read of what the store has of the pool. The channel is closed once a read
+// that begins from now on has ended.
+func (s *pins) read(pool string) <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.wanted[pool] = true
+	if s.nextRead == nil {
+		s.nextRead = make(chan struct{})
+		interval := minReadInterval + time.Duration(s.a.routers.Load())*readIntervalPerRouter
+		time.AfterFunc(time.Until(s.lastRead.Add(interval)), s.readStore)
+	}
+	return s.nextRead
+}
+
+// readStore reads the records of versions, unless it is known that several versions are in
+// service, and then the ledger if they are.
+func (s *pins) readStore() {
+	s.reading.Lock()
+	defer s.reading.Unlock()
+	s.mu.Lock()
+	done, wanted := s.nextRead, s.wanted
+	s.nextRead, s.wanted, s.lastRead = nil, make(map[string]bool), time.Now()
+	s.mu.Unlock()
+	defer close(done)
+	ctx, cancel := context.WithTimeout(context.Background(), findTimeout)
+	defer cancel()
+	if mixed := s.countMixed(wanted); mixed < len(wanted) {
+		s.applyRecords(s.list(ctx, pinner.RecordPrefix))
+	}
+	if s.countMixed(wanted) == 0 {
+		return
+	}
+	for _, e := range s.list(ctx, pinner.LedgerPrefix) {
+		s.learn(s.decodeSegment(e), pinner.SourceStore)
+	}
+}
+
+func (s *pins) countMixed(pools map[string]bool) int {
+	n := 0
+	for pool := range pools {
+		if s.pinner.IsMixed(pool) {
+			n++
+		}
+	}
+	return n
+}
+
+// list returns the entries of the store with the prefix; nil if it can't be read.
+func (s *pins) list(ctx context.Context, prefix string) []kingcuphook.Entry {
+	s.reads.Add(1)
+	entries, err := s.a.store.List(ctx, prefix)
+	if err != nil {
+		s.a.Log.Log(logger.VersionStoreFailed, "call", "list", "key", prefix, "error", err)
+	}
+	return entries
+}
+
+// applyEntries applies the entries of the store that tell of versions, those of a snapshot or
+// changed ones.
+func (s *pins) applyEntries(entries []kingcuphook.Entry, snapshot bool) {
+	s.applyRecords(entries)
+	if !snapshot {
+		return
+	}
+	now := time.Now()
+	for _, e := range entries {
+		for _, r := range s.decodeSegment(e) {
+			s.pinner.Learn(now, r, pinner.SourceStore)
+		}
+	}
+}
+
+func (s *pins) applyRecords(entries []kingcuphook.Entry) {
+	for _, e := range entries {
+		if !strings.HasPrefix(e.Key(), pinner.RecordPrefix) || e.Deleted() {
+			continue
+		}
+		record, err := pinner.DecodeRecord(e.Key(), e.Value())
+		if err != nil {
+			s.a.Log.Log(logger.VersionRecordRejected, "key", e.Key(), "revision", e.Revision(), "error", err)
+			continue
+		}
+		s.pinner.Apply(time.Now(), record, e.Revision())
+	}
+}
+
+// decodeSegment returns the streams in an entry; nil if it is no segment of a ledger.
+func (s *pins) decodeSegment(e kingcuphook.Entry) []pinner.Report {
+	if !strings.HasPrefix(e.Key(), pinner.LedgerPrefix) || e.Deleted() {
+		return nil
+	}
+	reports, err := pinner.DecodeSegment(e.Value())
+	if err != nil {
+		s.a.Log.Log(logger.VersionRecordRejected, "key", e.Key(), "revision", e.Revision(), "error", err)
+	}
+	return reports
+}
+
+func (s *pins) addGauges() {
+	m := s.a.meter
+	m.Gauge("kingcuphook_streams_remembered", func() float64 { return float64(s.pinner.Remembered()) })
+	m.Gauge("kingcuphook_pool_versions_max", func() float64 { return float64(s.pinner.MaxVersions(time.Now())) })
+	for source, n := range s.found {
+		m.Gauge("kingcuphook_stream_origins_from_"+string(source)+"_total", func() float64 { return float64(n.Load()) })
+	}
+	m.Gauge("kingcuphook_stream_origins_unknown_total", func() float64 { return float64(s.unknown.Load()) })
+	m.Gauge("kingcuphook_version_store_reads_total", func() float64 { return float64(s.reads.Load()) })
+	m.Gauge("kingcuphook_version_store_writes_total", func() float64 { return float64(s.writes.Load()) })
+}
--- a/logger/events.go
+++ b/logger/events.go
@@ -24,51 +24,56 @@
 // The events of the router. docs/EVENTS.md lists them; TestCatalogueMatchesDocs keeps
 // both in step.
 var (
-	Started              = Event{1001, LevelInfo, "router started"}
-	Ready                = Event{1002, LevelInfo, "router is ready"}
-	Stopping             = Event{1003, LevelInfo, "graceful shutdown started; the router is no longer ready"}
-	Stopped              = Event{1004, LevelInfo, "router stopped"}
-	ListenFailed         = Event{1005, LevelError, "failed to listen on an address"}
-	CertificateReloaded  = Event{1006, LevelInfo, "certificate reloaded after a change"}
-	CertificateRejected  = Event{1007, LevelError, "failed to reload the certificate; the previous one stays in use"}
-	TablesApplied        = Event{1101, LevelInfo, "tables applied"}
-	TablesRejected       = Event{1102, LevelError, "tables rejected; the previous ones stay in use"}
-	TablesOlder          = Event{1103, LevelWarn, "the store holds older or conflicting tables; ignored"}
-	StoreUnavailable     = Event{1104, LevelWarn, "store unavailable; the router continues with its current tables"}
-	StoreAvailable       = Event{1105, LevelInfo, "store available again"}
-	EditAccepted         = Event{1106, LevelInfo, "edit of the tables accepted"}
-	EditRejected         = Event{1107, LevelWarn, "edit of the tables rejected"}
-	TablesForked         = Event{1108, LevelError, "applied tables do not descend from the previous ones"}
-	StoreWatchStarted    = Event{1109, LevelInfo, "the router started watching the store"}
-	StoreWatchStopped    = Event{1110, LevelInfo, "the router stopped watching the store"}
-	StoreRestored        = Event{1111, LevelWarn, "the store has come back from an older copy"}
-	RequestAnswered      = Event{1203, LevelInfo, "request answered"}
-	RequestAssigned      = Event{1204, LevelInfo, "request assigned to an upstream"}
-	AttemptFailed        = Event{1205, LevelInfo, "attempt failed"}
-	CrashSuspected       = Event{1206, LevelInfo, "request suspected of the crash of its upstream"}
-	UpstreamsUpdated     = Event{1303, LevelInfo, "upstreams updated"}
-	UpstreamPaused       = Event{1305, LevelInfo, "upstream asked for a pause"}
-	RegistrationRejected = Event{1304, LevelWarn, "registration of an upstream rejected; the upstream is not used"}
-	SettingsChecked      = Event{1008, LevelInfo, "settings file checked; changes take effect at the next start"}
-	SettingsRejected     = Event{1009, LevelError, "settings file is invalid; the process keeps its settings"}
-	StoreUpdateReceived  = Event{1404, LevelInfo, "store update received from a peer"}
-	StopIncomplete       = Event{1011, LevelWarn, "graceful shutdown ended with requests in flight"}
-	RequestFailed        = Event{1201, LevelInfo, "request failed"}
-	RequestPanicked      = Event{1202, LevelError, "request handler panicked"}
-	UpstreamLeaving      = Event{1302, LevelInfo, "upstream is leaving"}
-	RateLimitChanged     = Event{1306, LevelInfo, "rate limit of an upstream changed"}
-	PeerFailed           = Event{1401, LevelDebug, "exchange with a peer failed"}
-	PeerJoined           = Event{1402, LevelInfo, "peer joined"}
-	PeerLeft             = Event{1403, LevelInfo, "peer left"}
-	LeaseAcquired        = Event{1501, LevelInfo, "lease acquired"}
-	LeaseLost            = Event{1502, LevelWarn, "lease lost"}
-	OrderSent            = Event{1503, LevelInfo, "order sent to an upstream"}
-	OrderFailed          = Event{1504, LevelWarn, "order to an upstream failed"}
-	PartStateChanged     = Event{1603, LevelWarn, "state of a prompt part changed that is suspected of crashing upstreams"}
-	PartRecordFailed     = Event{1604, LevelWarn, "record of a quarantined prompt part not written"}
-	PartRecordRejected   = Event{1605, LevelWarn, "record of a prompt part in the store rejected"}
-	PartTried            = Event{1606, LevelWarn, "request with a quarantined prompt part let through on trial"}
-	QuarantineLifted     = Event{1602, LevelInfo, "quarantine lifted by an operator"}
+	Started               = Event{1001, LevelInfo, "router started"}
+	Ready                 = Event{1002, LevelInfo, "router is ready"}
+	Stopping              = Event{1003, LevelInfo, "graceful shutdown started; the router is no longer ready"}
+	Stopped               = Event{1004, LevelInfo, "router stopped"}
+	ListenFailed          = Event{1005, LevelError, "failed to listen on an address"}
+	CertificateReloaded   = Event{1006, LevelInfo, "certificate reloaded after a change"}
+	CertificateRejected   = Event{1007, LevelError, "failed to reload the certificate; the previous one stays in use"}
+	TablesApplied         = Event{1101, LevelInfo, "tables applied"}
+	TablesRejected        = Event{1102, LevelError, "tables rejected; the previous ones stay in use"}
+	TablesOlder           = Event{1103, LevelWarn, "the store holds older or conflicting tables; ignored"}
+	StoreUnavailable      = Event{1104, LevelWarn, "store unavailable; the router continues with its current tables"}
+	StoreAvailable        = Event{1105, LevelInfo, "store available again"}
+	EditAccepted          = Event{1106, LevelInfo, "edit of the tables accepted"}
+	EditRejected          = Event{1107, LevelWarn, "edit of the tables rejected"}
+	TablesForked          = Event{1108, LevelError, "applied tables do not descend from the previous ones"}
+	StoreWatchStarted     = Event{1109, LevelInfo, "the router started watching the store"}
+	StoreWatchStopped     = Event{1110, LevelInfo, "the router stopped watching the store"}
+	StoreRestored         = Event{1111, LevelWarn, "the store has come back from an older copy"}
+	RequestAnswered       = Event{1203, LevelInfo, "request answered"}
+	RequestAssigned       = Event{1204, LevelInfo, "request assigned to an upstream"}
+	AttemptFailed         = Event{1205, LevelInfo, "attempt failed"}
+	CrashSuspected        = Event{1206, LevelInfo, "request suspected of the crash of its upstream"}
+	UpstreamsUpdated      = Event{1303, LevelInfo, "upstreams updated"}
+	UpstreamPaused        = Event{1305, LevelInfo, "upstream asked for a pause"}
+	RegistrationRejected  = Event{1304, LevelWarn, "registration of an upstream rejected; the upstream is not used"}
+	SettingsChecked       = Event{1008, LevelInfo, "settings file checked; changes take effect at the next start"}
+	SettingsRejected      = Event{1009, LevelError, "settings file is invalid; the process keeps its settings"}
+	StoreUpdateReceived   = Event{1404, LevelInfo, "store update received from a peer"}
+	StopIncomplete        = Event{1011, LevelWarn, "graceful shutdown ended with requests in flight"}
+	RequestFailed         = Event{1201, LevelInfo, "request failed"}
+	RequestPanicked       = Event{1202, LevelError, "request handler panicked"}
+	UpstreamLeaving       = Event{1302, LevelInfo, "upstream is leaving"}
+	RateLimitChanged      = Event{1306, LevelInfo, "rate limit of an upstream changed"}
+	PeerFailed            = Event{1401, LevelDebug, "exchange with a peer failed"}
+	PeerJoined            = Event{1402, LevelInfo, "peer joined"}
+	PeerLeft              = Event{1403, LevelInfo, "peer left"}
+	LeaseAcquired         = Event{1501, LevelInfo, "lease acquired"}
+	LeaseLost             = Event{1502, LevelWarn, "lease lost"}
+	OrderSent             = Event{1503, LevelInfo, "order sent to an upstream"}
+	OrderFailed           = Event{1504, LevelWarn, "order to an upstream failed"}
+	PartStateChanged      = Event{1603, LevelWarn, "state of a prompt part changed that is suspected of crashing upstreams"}
+	PartRecordFailed      = Event{1604, LevelWarn, "record of a quarantined prompt part not written"}
+	PartRecordRejected    = Event{1605, LevelWarn, "record of a prompt part in the store rejected"}
+	PartTried             = Event{1606, LevelWarn, "request with a quarantined prompt part let through on trial"}
+	StreamOriginFound     = Event{1701, LevelInfo, "found which software version began a stream that a caller takes up"}
+	StreamOriginUnknown   = Event{1702, LevelInfo, "not known which software version began a stream that a caller takes up"}
+	VersionsRecorded      = Event{1703, LevelInfo, "record of the software versions of a pool written"}
+	VersionRecordRejected = Event{1704, LevelWarn, "record of software versions or of streams in the store rejected"}
+	VersionStoreFailed    = Event{1705, LevelInfo, "call to the store for software versions or streams failed"}
+	QuarantineLifted      = Event{1602, LevelInfo, "quarantine lifted by an operator"}
 )
 
 // Catalogue returns all events in ascending order of their numbers.
@@ -119,5 +124,10 @@
 		PartRecordFailed,
 		PartRecordRejected,
 		PartTried,
+		StreamOriginFound,
+		StreamOriginUnknown,
+		VersionsRecorded,
+		VersionRecordRejected,
+		VersionStoreFailed,
 	}
 }
