Let a stream taken up go on at the version that began it only

What callers saw: a stream that was taken up ran to its end with status 200, but the rest came from another software version than its first part.

Cause: a router had no record of who began a stream, so it sent a take-up to any upstream.

Change: attach passes its StreamPinner to the dispatcher, which reports the begin of each stream, and to the receiver, which asks for the origin of each take-up.

Why it works: the origin comes from the router that began the stream, from the store, or from the certainty that one version alone was in service; without any of them the call is refused.

--- a/attacher/attacher.go
+++ b/attacher/attacher.go
@@ -204,6 +204,7 @@
 		OnCrash:     narrator.LogCrash(a.Log),
 		NewBudget:   a.newBudget,
 		BudgetKey:   (*kingcuphook.Request).Pool,
+		Pins:        a.pins,
 		Owner:       s.Name(),
 		Limits:      dispatcher.Limits{WaitShare: waitShare},
 	}
@@ -213,6 +214,7 @@
 		Directory:    a.control.directory,
 		TablesLoaded: a.control.tablesLoaded,
 		StopTimes:    a.stopTimes,
+		Pins:         a.pins,
 		Observer:     watch,
 		Log:          a.Log,
 		Region:       s.Region(),
