--- a/pinner/pinner_test.go
+++ b/pinner/pinner_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -250,3 +251,20 @@
 		p.Begun(start.Add(time.Duration(n)*time.Millisecond), uint64(n), "models", "1")
 	}
 }
+
+// BenchmarkMemory measures the memory of a stream that is remembered, with full memories.
+func BenchmarkMemory(b *testing.B) {
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		p := fresh(start, nil, "1", "2")
+		for key := range uint64(maxEntries) {
+			p.Begun(start, key, "models", "1")
+			p.Learn(start, Report{Key: key, Mark: 1}, SourcePeer)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(p.Remembered()), "B/stream")
+	}
+}
