Treat an upstream's status below 200 as no answer

Callers saw: a closed connection without a response (000, 099), or status 101 as if it were an answer.

Cause: net/http reads any three digits as a status; the forwarder took what had the right headers for an answer, and writing it to the caller panics below 100.

Change: such a reply is an error of the attempt with unknown outcome, which is retried if the call may be, and otherwise answered with 502.

Measured: two new rows of TestFailedCallErrors failed before and pass. A trial on the receiver gave EOF for 000 and 099 and passed 101 on before; go test -race ./forwarder passes.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -219,6 +219,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("forwarder: %s: %w: %w", u.Address(), kingcuphook.ErrOutcomeUnknown, err)
 	}
+	if resp.StatusCode < http.StatusOK {
+		_ = resp.Body.Close()
+		return nil, fmt.Errorf("forwarder: %s sent status %d, which is no answer: %w", u.Address(), resp.StatusCode, kingcuphook.ErrOutcomeUnknown)
+	}
 	if err := f.checkReply(u, a, resp, sentAt); err != nil {
 		_ = resp.Body.Close()
 		if errors.Is(err, kingcuphook.ErrForeignFrame) {
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -179,6 +179,8 @@
 		"no HTTP":      {"nonsense\r\n\r\n", []error{kingcuphook.ErrOutcomeUnknown}, []error{kingcuphook.ErrUnavailable}},
 		"early end":    {"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf", []error{kingcuphook.ErrOutcomeUnknown}, []error{kingcuphook.ErrUnavailable}},
 		"unreachable":  {"-", []error{kingcuphook.ErrUnavailable, kingcuphook.ErrNotSent}, []error{kingcuphook.ErrOutcomeUnknown}},
+		"no status":    {"HTTP/1.1 000 Zero\r\nContent-Length: 2\r\n\r\nok", []error{kingcuphook.ErrOutcomeUnknown}, nil},
+		"switch":       {"HTTP/1.1 101 Switching Protocols\r\nContent-Length: 2\r\n\r\nok", []error{kingcuphook.ErrOutcomeUnknown}, nil},
 		"broken chunk": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhe", []error{kingcuphook.ErrOutcomeUnknown}, nil},
 	} {
 		t.Run(name, func(t *testing.T) {
