Write an answer that is ready when the deadline of its request passes

Callers saw: a closed connection without a response at the end of their time.

Cause: the deadline of the request was also that of the write; an answer that was complete just before it could not be written any more.

Change: the head has at least 200 ms to be written. A caller's deadline and a route's timeout still end the call itself at the same moment.

Measured: TestAnswerReadyAtDeadlineIsWritten failed before (EOF) and passes in 20 of 20 runs; go test -race ./receiver passes.

--- a/receiver/answer.go
+++ b/receiver/answer.go
@@ -203,13 +203,18 @@
 	return false
 }
 
+// minWriteTime is how long a response may at least be written, also one that was ready just
+// before its request's deadline.
+const minWriteTime = 200 * time.Millisecond
+
 // writer writes the answer to a call. It implements kingcuphook.HeadWriter.
 type writer struct {
 	// id is the ID of the request; empty until it is known.
 	id      string
 	w       http.ResponseWriter
 	control *http.ResponseController
-	// deadline is the deadline for writes to the connection.
+	// deadline is the deadline of the request, and of writes unless less than minWriteTime
+	// is left.
 	deadline time.Time
 	// began is set before a response is begun.
 	began bool
@@ -228,7 +233,11 @@
 // WriteHead implements kingcuphook.HeadWriter.
 func (w *writer) WriteHead(head kingcuphook.Answer) error {
 	w.began = true
-	if err := w.control.SetWriteDeadline(w.deadline); err != nil {
+	deadline := w.deadline
+	if least := time.Now().Add(minWriteTime); deadline.Before(least) {
+		deadline = least
+	}
+	if err := w.control.SetWriteDeadline(deadline); err != nil {
 		return err
 	}
 	h := w.w.Header()
--- a/receiver/receiver_test.go
+++ b/receiver/receiver_test.go
@@ -259,6 +259,18 @@
 	}
 }
 
+// An answer that was ready when the deadline passed could not be written, and the connection was closed.
+func TestAnswerReadyAtDeadlineIsWritten(t *testing.T) {
+	r := newHarness(t, func(ctx context.Context, c *kingcuphook.Call, w kingcuphook.FrameWriter) (kingcuphook.Outcome, error) {
+		time.Sleep(time.Until(c.Request.Deadline()) + time.Millisecond)
+		return respondWith(http.StatusOK, "whole")(ctx, c, w)
+	})
+	resp, text, err := r.call("/plain/", "", "X-Deadline", "50ms")
+	r.NoErr(err)
+	r.Equal(resp.StatusCode, http.StatusOK)
+	r.Equal(text, "whole")
+}
+
 // TestDisconnectedCallerCancelsCall checks that the context of a call ends when its
 // caller closes the connection.
 func TestDisconnectedCallerCancelsCall(t *testing.T) {
