Answer a request of serve whose handler panics, and name it in the log

Callers saw: a connection closed without a response; the log had the panic, but neither the request nor where it happened.

Cause: the guard aborted the connection also when nothing had been written.

Change: the guard knows whether a response was begun. If none was, the caller gets 502 (internal, ran unknown) on a connection that closes; otherwise the connection is aborted as before. KCH1202 has the request and the stack.

TestPanicClosesOnlyItsConnection required an error of the connection even if nothing had been written, which is the fault; TestPanicIsAnsweredAndClosesOnly- ItsConnection replaces it. It requires the 502 there, the abort of an answer that has begun, which was not tested, and that other connections go on.

--- a/server/errors.go
+++ b/server/errors.go
@@ -45,6 +45,8 @@
 	}
 )
 
+var errPanicked = errors.New("request handler panicked")
+
 func badRequest(err error) error {
 	return &kingcuphook.RequestError{
 		Code: codeBadRequest,
--- a/server/request.go
+++ b/server/request.go
@@ -207,6 +207,10 @@
 // readBody reads the body up to MaxBodyBytes, with a single allocation if its
 // length is declared.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	if wrapped, ok := w.(*response); ok {
+		// MaxBytesReader makes the server's own writer close the connection.
+		w = wrapped.ResponseWriter
+	}
 	limited := http.MaxBytesReader(w, r.Body, s.Limits.MaxBodyBytes)
 	if r.ContentLength <= 0 || r.ContentLength > s.Limits.MaxBodyBytes {
 		return io.ReadAll(limited)
--- a/server/server.go
+++ b/server/server.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -133,8 +134,9 @@
 // guard enforces MaxRequests, closes connections while draining and confines a
 // panic to its request.
 func (s *Server) guard(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		defer s.recoverPanic()
+	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		w := &response{ResponseWriter: rw}
+		defer s.recoverPanic(w)
 		if s.draining.Load() {
 			w.Header().Set("Connection", "close")
 		}
@@ -161,13 +163,22 @@
 	return nil
 }
 
-// recoverPanic logs a panic and aborts the connection, so that a partial answer
-// can't be mistaken for a complete one.
-func (s *Server) recoverPanic() {
+// recoverPanic logs a panic of the handler and answers the request with an error. If a
+// response was begun, it aborts the connection, so that a partial answer can't be mistaken
+// for a complete one.
+func (s *Server) recoverPanic(w *response) {
 	v := recover()
 	if v == nil {
 		return
 	}
-	s.Log.Log(logger.RequestPanicked, "panic", fmt.Sprint(v))
-	panic(http.ErrAbortHandler)
+	if v == http.ErrAbortHandler { //nolint:errorlint // a panic value, not an error
+		panic(v)
+	}
+	id := w.Header().Get(HeaderRequestID)
+	s.Log.Log(logger.RequestPanicked, "request", id, "response-begun", w.began, "panic", fmt.Sprint(v), "stack", string(debug.Stack()))
+	if w.began {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Connection", "close")
+	writeError(w, id, errPanicked)
 }
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -293,19 +293,30 @@
 	}
 }
 
-func TestPanicClosesOnlyItsConnection(t *testing.T) {
-	is := is.New(t)
-	_, url := serve(t, fakeDispatcher(func(context.Context, *kingcuphook.Call, kingcuphook.FrameWriter) (kingcuphook.Outcome, error) {
-		panic("fault")
-	}), Limits{})
-	req, err := http.NewRequest(http.MethodPost, url+PathChat, strings.NewReader("{}"))
-	is.NoErr(err)
-	req.Header.Set(HeaderClass, "till")
-	resp, err := http.DefaultClient.Do(req)
-	if err == nil {
+// A panic before the answer closed the connection without a response.
+func TestPanicIsAnsweredAndClosesOnlyItsConnection(t *testing.T) {
+	for _, begun := range []bool{false, true} {
+		is := is.New(t)
+		_, url := serve(t, fakeDispatcher(func(_ context.Context, _ *kingcuphook.Call, w kingcuphook.FrameWriter) (kingcuphook.Outcome, error) {
+			if begun {
+				is.NoErr(w.WriteData("part"))
+			}
+			panic("fault")
+		}), Limits{})
+		req, err := http.NewRequest(http.MethodPost, url+PathChat, strings.NewReader(`{"stream":true}`))
+		is.NoErr(err)
+		req.Header.Set(HeaderClass, "till")
+		resp, err := http.DefaultClient.Do(req)
+		is.NoErr(err)
+		body, err := io.ReadAll(resp.Body)
 		_ = resp.Body.Close()
+		is.Equal(err != nil, begun) // no answer that could be mistaken for a complete one
+		if !begun {
+			is.Equal(resp.StatusCode, http.StatusBadGateway)
+			is.True(strings.Contains(string(body), `"ran":"unknown"`))
+			is.True(resp.Close)
+		}
+		status, _, _ := send(t, url+PathChat, "{", HeaderClass, "till")
+		is.Equal(status, http.StatusBadRequest)
 	}
-	is.True(err != nil) // no answer that could be mistaken for a complete one
-	status, _, _ := send(t, url+PathChat, "{", HeaderClass, "till")
-	is.Equal(status, http.StatusBadRequest)
 }
