Test that addresses that move to another pool end no running call

Change: TestChangesOfTablesEndNoRunningCall has one more change: programs of another, declared pool take the addresses of all upstreams.

--- a/attacher/change_test.go
+++ b/attacher/change_test.go
@@ -1,6 +1,7 @@
 package attacher
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"testing"
@@ -33,6 +34,16 @@
 				w.NoErr(w.store.Delete(t.Context(), platform.RegistrationPrefix+u.Instance, kingcuphook.RevisionAny))
 			}
 		}},
+		{"addresses move to another pool", func(w *testPlatform) {
+			w.version += 3
+			value, err := standin.EncodeDeclaration(w.version, w.keys...)
+			w.put(platform.DeclarationKey, bytes.Replace(value, []byte(`"services":[`), []byte(`"services":[{"name":"other"},`), 1), err)
+			for i, u := range w.upstreams {
+				w.NoErr(w.store.Delete(t.Context(), platform.RegistrationPrefix+u.Instance, kingcuphook.RevisionAny))
+				value, err := standin.EncodeRegistration(w.addresses[i], false, time.Unix(1_800_000_000, 0), w.seq.Add(1))
+				w.put(platform.RegistrationPrefix+"other-"+u.Instance, bytes.Replace(value, []byte(`"models"`), []byte(`"other"`), 1), err)
+			}
+		}},
 		{"keys removed", func(w *testPlatform) { w.keys = nil; w.declare() }},
 	} {
 		t.Run(test.name, func(t *testing.T) {
