Draw software versions in the property test of the scheduler

Cause: its sequences had no restricted requests, so that no mixture of versions with tiers, exclusions, leaving upstreams and preemption was tried.

Change: two versions, requests restricted to one of them or to one that is never there, and three more checks: no assignment to another version, no waiting for a version that is gone, nothing kept about requests that are no longer queued. The checks that were there stay.

Measured: passes, also with -race; it fails without the restriction in the selection, without shedding what is gone and without forgetting what was assigned.

--- a/scheduler/property_test.go
+++ b/scheduler/property_test.go
@@ -25,13 +25,15 @@
 	running  []kingcuphook.Assignment
 	leaving  map[string]bool
 	models   map[string][]string
+	versions map[string]string
 }
 
 // TestSchedulerProperties covers sequences of about 30 (at most 100) steps over 3
-// upstreams of 2 slots with one or two of 2 models, all 5 tiers, requests with and
-// without targets and deadlines, a third of them non-idempotent, any set of excluded
-// upstreams, upstreams that leave and return, and preemption. The guaranteed shares are
-// off, so no lower tier may be assigned before a higher one.
+// upstreams of 2 slots with one or two of 2 models and 2 software versions, all 5 tiers,
+// requests with and without targets and deadlines, a third of them non-idempotent, some
+// restricted to a version, any set of excluded upstreams, upstreams that leave and return,
+// and preemption. The guaranteed shares are off, so no lower tier may be assigned before a
+// higher one.
 func TestSchedulerProperties(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := &machine{
@@ -46,10 +48,13 @@
 			excluded: map[string][]string{},
 			leaving:  map[string]bool{},
 			models:   map[string][]string{"a": {"m"}, "b": {"n"}, "c": {"m", "n"}},
+			versions: map[string]string{"a": "1", "b": "2", "c": "1"},
 		}
 		f := kingcuphook.PoolFields{Name: "pool", MaxQueued: 20}
 		for _, address := range []string{"a", "b", "c"} {
-			f.Upstreams = append(f.Upstreams, kingcuphook.NewUpstream(engine(address, 2, m.models[address]...)))
+			u := engine(address, 2, m.models[address]...)
+			u.SoftwareVersion = m.versions[address]
+			f.Upstreams = append(f.Upstreams, kingcuphook.NewUpstream(u))
 		}
 		m.s.Update(start, kingcuphook.NewPool(f))
 		t.Repeat(map[string]func(*rapid.T){
@@ -80,6 +85,9 @@
 		f.Deadline = m.now.Add(time.Duration(d) * time.Second)
 	}
 	r := kingcuphook.NewRequest(f)
+	if version := rapid.SampledFrom([]string{"", "", "1", "2", "3"}).Draw(t, "version"); version != "" {
+		r = r.Restrict(version)
+	}
 	m.waiting[r.ID()] = r
 	excluded := rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"a", "b", "c"}), 0, 3, rapid.ID).Draw(t, "excluded")
 	m.excluded[r.ID()] = excluded
@@ -115,6 +123,11 @@
 		}
 		m.running = append(m.running, a)
 	}
+	for _, w := range m.waiting {
+		if version, ok := w.OnlyVersion(); ok && !m.inService(version) {
+			t.Fatalf("%s waits for version %s, which is gone", w.ID(), version)
+		}
+	}
 	for _, a := range assignments {
 		for _, w := range m.waiting {
 			if w.Tier() < a.Request.Tier() && m.couldRun(w, a.Choice.Upstream.Address()) {
@@ -126,9 +139,22 @@
 
 // couldRun reports whether r could run on the upstream if it had a free slot.
 func (m *machine) couldRun(r *kingcuphook.Request, address string) bool {
+	if version, ok := r.OnlyVersion(); ok && version != m.versions[address] {
+		return false
+	}
 	return !m.leaving[address] && slices.Contains(m.models[address], r.Model()) && !slices.Contains(m.excluded[r.ID()], address)
 }
 
+// inService reports whether an upstream of the software version is not leaving.
+func (m *machine) inService(version string) bool {
+	for address, v := range m.versions {
+		if v == version && !m.leaving[address] {
+			return true
+		}
+	}
+	return false
+}
+
 // checkVictim checks which run was preempted, and that no run of a lower tier that could
 // have been preempted instead is left.
 func (m *machine) checkVictim(t *rapid.T, a kingcuphook.Assignment, before []kingcuphook.Assignment) {
@@ -183,6 +209,13 @@
 	if m.s.Len() != len(m.waiting) || m.s.Running() != len(m.running) {
 		t.Fatalf("%d wait and %d run, want %d and %d", m.s.Len(), m.s.Running(), len(m.waiting), len(m.running))
 	}
+	restricted := 0
+	for _, queued := range m.s.restricted {
+		restricted += len(queued)
+	}
+	if restricted > len(m.waiting) {
+		t.Fatalf("%d restricted requests are kept while %d wait", restricted, len(m.waiting))
+	}
 	if len(m.s.excluded) > len(m.waiting) {
 		t.Fatalf("exclusions of %d requests are kept while %d wait", len(m.s.excluded), len(m.waiting))
 	}
