Hold a second version back until it is recorded

What callers saw: with one version in service, all routers ended; a second version came before they were back. All streams taken up then were refused, although only one version had been in service. Besides, a router that didn't see a second version yet took the one that it saw for certain.

Cause: a version was in use from the moment at which the first router saw it, so that nothing in the store showed when streams could begin there.

Why it works: no stream begins at a version that the record lacks, so a record read since the take-up came, which shows one version, shows the one that began the stream.

--- a/attacher/attacher_test.go
+++ b/attacher/attacher_test.go
@@ -43,6 +43,8 @@
 	// version is the version of the last declaration, keys are the organisation's keys.
 	version int
 	keys    []string
+	// whileDown is called by restart while the routers are down; nil means nothing.
+	whileDown func()
 }
 
 func newTestPlatform(t *testing.T) *testPlatform {
--- a/attacher/control.go
+++ b/attacher/control.go
@@ -161,6 +161,7 @@
 	c.tryParts(ctx, now)
 	c.a.pins.pinner.Refresh(now)
 	c.writeVersions(ctx, now)
+	c.readHeld(now)
 }
 
 // confirm records that the tables are those in force.
--- /dev/null
+++ b/attacher/hold.go
@@ -0,0 +1,43 @@
+package attacher
+
+import (
+	"context"
+	"time"
+
+	"github.com/kingcuphook/kingcuphook"
+)
+
+// holdInterval is how often a router that doesn't follow the store reads the records of versions
+// while a version is held back.
+const holdInterval = time.Second
+
+// holdAllocator lets streams that may be taken up begin only at the recorded version of a pool, while
+// another one is held back.
+type holdAllocator struct {
+	next kingcuphook.Allocator
+	pins *pins
+}
+
+var _ kingcuphook.Allocator = (*holdAllocator)(nil)
+
+// Acquire implements kingcuphook.Allocator.
+func (a *holdAllocator) Acquire(ctx context.Context, r *kingcuphook.Request, excluded []string) (kingcuphook.Slot, error) {
+	if _, restricted := r.OnlyVersion(); !restricted && r.Stream() && !r.NonIdempotent() {
+		if version, ok := a.pins.pinner.Held(time.Now(), r.Pool()); ok {
+			r = r.Restrict(version)
+		}
+	}
+	return a.next.Acquire(ctx, r, excluded)
+}
+
+// readHeld reads the records of the pools in which a version is held back, if this router doesn't
+// learn of their changes by following the store.
+func (c *control) readHeld(now time.Time) {
+	if now.Before(c.versions.nextRead) || c.delegator.Follows(now) {
+		return
+	}
+	c.versions.nextRead = now.Add(holdInterval)
+	for _, pool := range c.a.pins.pinner.HeldPools(now) {
+		c.a.pins.read(pool)
+	}
+}
--- a/attacher/ledger.go
+++ b/attacher/ledger.go
@@ -83,6 +83,8 @@
 	// writing is true while a write is in flight, and nextWrite the earliest time of the next.
 	writing   bool
 	nextWrite time.Time
+	// nextRead is the earliest time of the next read for versions that are held back.
+	nextRead time.Time
 }
 
 // writeVersions writes a record of versions that the store lacks, if this router follows the
--- a/attacher/pins.go
+++ b/attacher/pins.go
@@ -110,8 +110,9 @@
 // find returns the origin of a stream. A call that names no attempt gets the only version in
 // service, if that is certain.
 func (s *pins) find(ctx context.Context, key uint64, named bool, pool string) (pinner.Found, error) {
-	found, err := s.pinner.Find(time.Now(), key, pool)
-	if !isUnknown(err) || !named && s.pinner.IsMixed(pool) {
+	began := time.Now()
+	found, err := s.pinner.Find(began, began, key, pool)
+	if !isUnknown(err) || !named && s.isCertainlyMixed(pool) {
 		return found, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
@@ -135,7 +136,7 @@
 		case <-ctx.Done():
 			read, silent = nil, nil
 		}
-		if found, err = s.pinner.Find(time.Now(), key, pool); !isUnknown(err) {
+		if found, err = s.pinner.Find(time.Now(), began, key, pool); !isUnknown(err) {
 			return found, err
 		}
 	}
@@ -244,10 +245,10 @@
 	defer close(done)
 	ctx, cancel := context.WithTimeout(context.Background(), findTimeout)
 	defer cancel()
-	if mixed := s.countMixed(wanted); mixed < len(wanted) {
+	if !s.all(wanted, s.isCertainlyMixed) {
 		s.applyRecords(s.list(ctx, pinner.RecordPrefix))
 	}
-	if s.countMixed(wanted) == 0 {
+	if s.all(wanted, func(pool string) bool { return !s.pinner.IsMixed(pool) }) {
 		return
 	}
 	for _, e := range s.list(ctx, pinner.LedgerPrefix) {
@@ -255,14 +256,20 @@
 	}
 }
 
-func (s *pins) countMixed(pools map[string]bool) int {
-	n := 0
+// isCertainlyMixed reports whether streams may have begun at several versions of the pool, which
+// the record in the store could not refute.
+func (s *pins) isCertainlyMixed(pool string) bool {
+	_, held := s.pinner.Held(time.Now(), pool)
+	return s.pinner.IsMixed(pool) && !held
+}
+
+func (s *pins) all(pools map[string]bool, is func(pool string) bool) bool {
 	for pool := range pools {
-		if s.pinner.IsMixed(pool) {
-			n++
+		if !is(pool) {
+			return false
 		}
 	}
-	return n
+	return true
 }
 
 // list returns the entries of the store with the prefix; nil if it can't be read.
--- a/attacher/takeup_test.go
+++ b/attacher/takeup_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"testing"
@@ -113,6 +114,9 @@
 	for _, i := range which {
 		w.NoErr(<-fleet[i].ended)
 	}
+	if w.whileDown != nil {
+		w.whileDown()
+	}
 	for _, i := range which {
 		fleet[i] = w.start(loopback(fmt.Sprintf("%d.%d", network, i+1)), w.server.Listener.Addr().String(), loopback(fmt.Sprintf("%d.1", network)), loopback(fmt.Sprintf("%d.2", network)))
 	}
@@ -183,6 +187,26 @@
 	}
 }
 
+// Streams were refused when a second version came while all routers were down, and went on at any
+// version before.
+func TestTakenUpStreamGoesOnIfSecondVersionComesMeanwhile(t *testing.T) {
+	t.Parallel()
+	w := newTestPlatform(t)
+	w.registerVersions("1", "1")
+	server := httptest.NewServer(&standin.Upstream{Instance: "i-2", Events: 20, EventInterval: 20 * time.Millisecond})
+	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
+	fleet := w.startFleet(70, 2)
+	time.Sleep(2 * time.Second)
+	streams := w.begin(fleet[0], 4)
+	w.whileDown = func() { w.registerVersion("i-2", server.Listener.Addr().String(), "2") }
+	w.restart(70, fleet, 0, 1)
+	for _, s := range streams {
+		status, upstream := w.takeUp(fleet[1], s, s.id)
+		w.Equal(status, http.StatusOK)
+		w.True(upstream != "") // i-0 or i-1
+	}
+}
+
 // Streams must go on after all routers have ended at once if there is one version.
 func TestTakenUpStreamGoesOnIfThereIsOneVersion(t *testing.T) {
 	t.Parallel()
--- a/pinner/pinner.go
+++ b/pinner/pinner.go
@@ -109,14 +109,14 @@
 }
 
 // Find returns the origin of the stream with the key, or else the version of the pool, if
-// that is the only one. The error wraps kingcuphook.ErrVersionUnknown or
-// kingcuphook.ErrVersionGone.
-func (p *Pinner) Find(now time.Time, key uint64, pool string) (Found, error) {
+// that is the only one; the search began at the given time. The error wraps
+// kingcuphook.ErrVersionUnknown or kingcuphook.ErrVersionGone.
+func (p *Pinner) Find(now, began time.Time, key uint64, pool string) (Found, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e, ok := p.find(now, key)
 	if !ok {
-		return p.findSingle(now, pool)
+		return p.findSingle(now, began, pool)
 	}
 	if e.mark == ambiguous {
 		return Found{}, ErrAmbiguous
@@ -128,8 +128,8 @@
 	return Found{Origin: origin, Source: e.source, Age: now.Sub(e.at)}, nil
 }
 
-func (p *Pinner) findSingle(now time.Time, pool string) (Found, error) {
-	version, ok := p.pools[pool].single(now, p.confirmedAt)
+func (p *Pinner) findSingle(now, began time.Time, pool string) (Found, error) {
+	version, ok := p.pools[pool].single(now, p.confirmedAt, began)
 	if !ok {
 		return Found{}, fmt.Errorf("pinner: %d versions in pool %q: %w", p.pools[pool].count(now), pool, kingcuphook.ErrVersionUnknown)
 	}
--- a/pinner/record.go
+++ b/pinner/record.go
@@ -140,6 +140,7 @@
 	for version, left := range p.left {
 		recorded, ok := leftMS[version]
 		switch {
+		case left.IsZero() && !ok && p.isWaiting(version, now):
 		case left.IsZero() && (!ok || recorded != 0):
 			leftMS[version], changed = 0, true
 		case !left.IsZero() && !ok:
--- a/pinner/versions.go
+++ b/pinner/versions.go
@@ -27,8 +27,11 @@
 type pool struct {
 	// since is when the pool was first seen in the tables; zero before.
 	since time.Time
-	// left has when each version left the tables; zero if it is in them.
-	left map[string]time.Time
+	// left has when each version left the tables; zero if it is in them. came has when each of
+	// these versions came, and ready how many of its upstreams take new work.
+	left  map[string]time.Time
+	came  map[string]time.Time
+	ready map[string]int
 	// record is the pool's record in the store; nil if there is none or it is not known.
 	// It has the revision, and was read at readAt.
 	record   *Record
@@ -38,29 +41,41 @@
 	mixed bool
 }
 
-func newPool() *pool { return &pool{left: make(map[string]time.Time)} }
+func newPool() *pool {
+	return &pool{left: make(map[string]time.Time), came: make(map[string]time.Time)}
+}
 
-// observe records the versions that are in the tables.
-func (p *pool) observe(now time.Time, inTables map[string]bool) {
+// observe records the versions that are in the tables, with the numbers of their upstreams
+// that take new work.
+func (p *pool) observe(now time.Time, ready map[string]int) {
 	if p.since.IsZero() {
 		p.since = now
 	}
+	p.ready = ready
 	for version, left := range p.left {
-		if left.IsZero() && !inTables[version] {
+		if _, ok := ready[version]; !ok && left.IsZero() {
 			p.left[version] = now
 		}
 		if !left.IsZero() && now.Sub(left) > horizon {
-			delete(p.left, version)
+			p.forget(version)
 		}
 	}
-	for version := range inTables {
+	for version := range ready {
+		if left, ok := p.left[version]; !ok || !left.IsZero() {
+			p.came[version] = now
+		}
 		p.left[version] = time.Time{}
 	}
 	for len(p.left) > maxVersions {
-		delete(p.left, slices.MinFunc(slices.Collect(maps.Keys(p.left)), p.compareLeft))
+		p.forget(slices.MinFunc(slices.Collect(maps.Keys(p.left)), p.compareLeft))
 	}
 }
 
+func (p *pool) forget(version string) {
+	delete(p.left, version)
+	delete(p.came, version)
+}
+
 // compareLeft orders versions by when they left, those in the tables last.
 func (p *pool) compareLeft(a, b string) int {
 	if p.left[a].IsZero() != p.left[b].IsZero() {
@@ -98,11 +113,13 @@
 func (p *pool) isMixed() bool { return p != nil && p.mixed }
 
 // single returns the version in service if it was the only one during the horizon, as far as
-// the tables, which were those in force at confirmedAt, or the record show.
-func (p *pool) single(now, confirmedAt time.Time) (string, bool) {
+// the tables, which were those in force at confirmedAt, or the record show. While another one is
+// held back, a record read since the time at which the search began shows it.
+func (p *pool) single(now, confirmedAt, began time.Time) (string, bool) {
 	versions := p.recent(now)
 	if len(versions) != 1 {
-		return "", false
+		version, ok := p.held(now, searching)
+		return version, ok && p.readAt.After(began)
 	}
 	isComplete := p.record != nil || !p.since.IsZero() && now.Sub(p.since) >= horizon
 	isFresh := now.Sub(confirmedAt) <= freshFor || p.record != nil && now.Sub(p.readAt) <= freshFor
@@ -119,16 +136,26 @@
 		}
 	}
 	for _, tp := range t.Pools() {
-		inTables := make(map[string]bool)
-		for _, u := range tp.Upstreams() {
-			inTables[u.SoftwareVersion()] = true
-		}
-		p.pool(tp.Name()).observe(now, inTables)
+		p.pool(tp.Name()).observe(now, countReady(tp))
 	}
 	p.setRetention(t)
 	p.refresh(now)
 }
 
+// countReady returns the versions of the upstreams of a pool, with the numbers of those that
+// take new work.
+func countReady(p *kingcuphook.Pool) map[string]int {
+	ready := make(map[string]int)
+	for _, u := range p.Upstreams() {
+		if u.Leaving() {
+			ready[u.SoftwareVersion()] += 0
+		} else {
+			ready[u.SoftwareVersion()]++
+		}
+	}
+	return ready
+}
+
 // setRetention sets how long streams are kept: as long as one may last, within bounds.
 func (p *Pinner) setRetention(t *kingcuphook.Tables) {
 	longest := time.Duration(0)
