Begin a stream at the version held back if the recorded one has left

What callers saw: nothing yet; found by reading. A stream that waits for a slot of the recorded version when its last upstream leaves is shed at once, and would be refused though others could serve it.

Cause: a stream that begins at the recorded version only was treated as one that must go on there.

Change: such a stream asks for a slot of any version then. No version is held back without an upstream of the recorded one.

Evidence: TestStreamBeginsAtHeldVersionIfRecordedOneHasLeft fails without the change, passes with it.

--- a/attacher/hold.go
+++ b/attacher/hold.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
@@ -22,11 +23,16 @@
 
 // Acquire implements kingcuphook.Allocator.
 func (a *holdAllocator) Acquire(ctx context.Context, r *kingcuphook.Request, excluded []string) (kingcuphook.Slot, error) {
-	if _, restricted := r.OnlyVersion(); !restricted && r.Stream() && !r.NonIdempotent() {
-		if version, ok := a.pins.pinner.Held(time.Now(), r.Pool()); ok {
-			r = r.Restrict(version)
+	if _, restricted := r.OnlyVersion(); restricted || !r.Stream() || r.NonIdempotent() {
+		return a.next.Acquire(ctx, r, excluded)
+	}
+	if version, ok := a.pins.pinner.Held(time.Now(), r.Pool()); ok {
+		slot, err := a.next.Acquire(ctx, r.Restrict(version), excluded)
+		if !errors.Is(err, kingcuphook.ErrVersionGone) {
+			return slot, err
 		}
 	}
+	// Without an upstream of the recorded version, no version is held back.
 	return a.next.Acquire(ctx, r, excluded)
 }
 
