Write the ledger again after a growing delay

What the operator saw: nothing yet; found by reading. While the store failed, each router tried to write its ledger six times a second, with a log line each.

Cause: the delay after a failed write was the shortest interval of the ledger, always.

Change: it doubles from 150 ms to 1.2 s, with a random part.

Measured: go test ./attacher -run 'TakenUp|TakeUp' passes, without the store among them.

--- a/attacher/ledger.go
+++ b/attacher/ledger.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"strconv"
 	"time"
 
@@ -18,6 +19,8 @@
 	// ledgerIntervalPerRouter that between two writes of all routers together.
 	minLedgerInterval       = 150 * time.Millisecond
 	ledgerIntervalPerRouter = 25 * time.Millisecond
+	// maxLedgerRetryDelay bounds the mean delay after a failed write of the ledger.
+	maxLedgerRetryDelay = 1200 * time.Millisecond
 	// recordRetryDelay is the delay after a failed write of a record of versions.
 	recordRetryDelay = 2 * time.Second
 	// keyBase is the base of numbers in keys.
@@ -43,15 +46,21 @@
 		prefix: pinner.LedgerPrefix + a.Settings.Address().String() + "/" + strconv.FormatInt(time.Now().UnixMilli(), keyBase) + "/",
 	}
 	for pauser.Pause(ctx, max(minLedgerInterval, time.Duration(a.routers.Load())*ledgerIntervalPerRouter)) {
-		segment, ok := a.pins.pinner.NextSegment(time.Now(), int(a.routers.Load()))
-		for ok && ctx.Err() == nil {
-			err := w.write(ctx, segment)
-			if err == nil {
-				break
-			}
-			a.Log.Log(logger.VersionStoreFailed, "call", "put", "key", w.prefix, "error", err)
-			pauser.Pause(ctx, minLedgerInterval)
+		if segment, ok := a.pins.pinner.NextSegment(time.Now(), int(a.routers.Load())); ok {
+			w.writeUntilDone(ctx, segment)
+		}
+	}
+}
+
+// writeUntilDone writes a segment, and again after a growing delay if that fails.
+func (w *ledgerWriter) writeUntilDone(ctx context.Context, s pinner.Segment) {
+	for delay := minLedgerInterval; ctx.Err() == nil; delay = min(2*delay, maxLedgerRetryDelay) {
+		err := w.write(ctx, s)
+		if err == nil {
+			return
 		}
+		w.pins.a.Log.Log(logger.VersionStoreFailed, "call", "put", "key", w.prefix, "error", err)
+		pauser.Pause(ctx, delay/2+rand.N(delay))
 	}
 }
 
