Soak counts lost calls at the client and changes the declaration

The soak ignored errors of its callers' transport, which also sends idempotent calls again by itself, so it could not see a request that got neither an answer nor a refusal. Callers now have connections of their own, and each call ends as complete, refused, failed, cut, unanswered, expired or unsent; the result prints the counts. A request that was written whole and got no answer is a violation at any time, unless its process was killed, paused or at the end of its grace, or the close and the request crossed (no upstream got it, and the connection ended within 200 ms, which is the stated slack). So is an answer that was cut or failed although every upstream that ran the call was sound.

--- a/cmd/kingcuphook/soak.go
+++ b/cmd/kingcuphook/soak.go
@@ -16,6 +16,7 @@
 	Routers   int           `long:"routers" default:"4" description:"Router processes"`
 	Upstreams int           `long:"upstreams" default:"4" description:"Stand-in upstreams"`
 	Callers   int           `long:"callers" default:"16" description:"Callers that call at once"`
+	Changes   bool          `long:"changes" description:"Also change the declaration, empty pools, silence upstreams and stop routers with long streams"`
 	Host      int           `long:"host" default:"1" description:"Third byte of the loopback addresses; differs between runs beside one another"`
 	Keep      string        `long:"keep" description:"Directory for settings and logs; a temporary one if left out, which is kept if a promise is broken"`
 }
@@ -47,10 +48,10 @@
 		dir = tempDir
 	}
 	s := &soaker.Soak{
-		Binary: binary, Seed: seed, FaultTime: c.For, Routers: c.Routers, Upstreams: c.Upstreams, Callers: c.Callers, Dir: dir, Host: c.Host,
+		Binary: binary, Seed: seed, FaultTime: c.For, Routers: c.Routers, Upstreams: c.Upstreams, Callers: c.Callers, Changes: c.Changes, Dir: dir, Host: c.Host,
 	}
 	result, err := s.Run(ctx)
-	fmt.Fprintf(stdout, "seed %d: %d calls, %d served, %d runs, %d faults\n", seed, result.Calls, result.Served, result.Runs, len(result.Faults))
+	fmt.Fprintf(stdout, "seed %d: %v\n", seed, result)
 	if err != nil {
 		for _, e := range result.Faults {
 			fmt.Fprintln(stdout, "  ", e)
--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -26,9 +24,17 @@
 	kind   standin.Kind
 	router *router
 	// parts are the IDs of the parts of the prompt.
-	parts  []string
-	sent   time.Time
-	status int
+	parts []string
+	// timeout is how long the caller waits for the complete answer; interval is the time after
+	// each event of a stream, 0 means eventInterval.
+	timeout, interval time.Duration
+	// slow makes the caller send a body in two halves.
+	slow *halves
+	// sent is when the caller began to send the request, written when the last byte was
+	// written, and ended when the caller had the answer or gave up.
+	sent, written, ended time.Time
+	outcome              Outcome
+	status               int
 	// served reports that the caller received a complete answer, reportedNotRun that
 	// the status states that the call did not run.
 	served, reportedNotRun bool
@@ -51,6 +57,8 @@
 const (
 	// callTimeout is how long a caller waits for the complete answer.
 	callTimeout = 5 * time.Second
+	// earlyTimeout is less than a complete stream takes.
+	earlyTimeout = 60 * time.Millisecond
 	// callsPerConnection is how many calls a caller sends before it closes its
 	// connections.
 	callsPerConnection = 6
@@ -69,30 +77,33 @@
 			pauser.Pause(ctx, 20*time.Millisecond)
 			continue
 		}
-		transport := &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, DisableCompression: true}
+		line := &line{router: r}
 		for range callsPerConnection {
 			n++
 			k := standin.Kinds()[rng.IntN(len(standin.Kinds()))]
-			x := &call{id: fmt.Sprintf("%016x", rng.Uint64()), kind: k, router: r}
+			x := &call{id: fmt.Sprintf("%016x", rng.Uint64()), kind: k, router: r, timeout: callTimeout}
 			x.parts = c.env.promptParts(rng, k, x.id)
-			c.send(ctx, transport, x, rng.IntN(20) == 0)
+			switch kind := rng.IntN(20); {
+			case kind == 0:
+				x.timeout = earlyTimeout
+			case kind < 3 && c.env.soak.Changes:
+				x.slow = newHalves(rng)
+			}
+			c.send(ctx, line, x)
 			pauser.Pause(ctx, between(rng, 5*time.Millisecond, 60*time.Millisecond))
 		}
-		transport.CloseIdleConnections()
+		line.close()
 	}
 }
 
-// send sends one call and records its result. With cancelEarly the caller waits only
-// 60 ms, which is less than a complete stream takes.
-func (c *callers) send(ctx context.Context, transport *http.Transport, x *call, cancelEarly bool) {
-	timeout := callTimeout
-	if cancelEarly {
-		timeout = 60 * time.Millisecond
-	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
-	defer cancel()
+// send sends one call and records its result. A call that was sent is not broken off at the
+// end of ctx.
+func (c *callers) send(ctx context.Context, line *line, x *call) {
 	key := c.env.currentKey()
-	sent := standin.Call{Kind: x.kind, ID: x.id, Key: key, Deadline: timeout, Body: http.NoBody, Parts: x.parts}
+	sent := standin.Call{Kind: x.kind, ID: x.id, Key: key, Deadline: x.timeout, Interval: x.interval, Body: http.NoBody, Parts: x.parts}
+	if x.slow != nil && x.kind != standin.KindIdempotent {
+		sent.Body = x.slow
+	}
 	r, err := sent.Request(ctx, x.router.callers)
 	if err != nil {
 		x.violation = err.Error()
@@ -100,13 +111,8 @@
 	}
 	x.sent = time.Now()
 	c.add(x)
-	resp, err := transport.RoundTrip(r)
-	if err != nil {
-		return
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	c.record(x, key, resp, string(body), err)
+	a := line.exchange(context.WithoutCancel(ctx), r, x.sent.Add(x.timeout))
+	c.record(x, key, a)
 }
 
 func (c *callers) add(x *call) {
@@ -116,41 +122,48 @@
 }
 
 // record records the result of a call and any guarantee that it violates.
-func (c *callers) record(x *call, key string, resp *http.Response, body string, err error) {
+func (c *callers) record(x *call, key string, a answer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	x.status = resp.StatusCode
-	switch resp.StatusCode {
+	x.written, x.ended, x.outcome, x.status = a.written, time.Now(), a.outcome, a.status
+	if a.malformed != nil {
+		x.violation = fmt.Sprintf("bytes that are no answer: %v", a.malformed)
+	}
+	if a.outcome == OutcomeComplete && a.status != http.StatusOK {
+		x.outcome = OutcomeFailed
+	}
+	switch a.status {
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
 		x.reportedNotRun = true
+		x.outcome = OutcomeRefused
 	case http.StatusUnauthorized:
 		if c.env.revoked(key).IsZero() && c.env.declaredBefore(x.sent.Add(-keyGrace)) && x.router.undisturbedSince(x.sent.Add(-keyGrace)) {
 			x.violation = "a valid key was rejected"
 		}
 	case http.StatusNotFound, http.StatusForbidden:
-		x.violation = fmt.Sprintf("status %d for a route that is declared", resp.StatusCode)
+		x.violation = fmt.Sprintf("status %d for a route that is declared", a.status)
 	case http.StatusOK:
-		x.served = err == nil
-		if err == nil {
-			x.violation = c.checkAnswer(x, key, resp, body)
+		x.served = a.outcome == OutcomeComplete
+		if x.served {
+			x.violation = c.checkAnswer(x, key, a)
 		}
 	}
 }
 
 // checkAnswer returns the guarantee that a complete answer violates, or an empty string.
-func (c *callers) checkAnswer(x *call, key string, resp *http.Response, body string) string {
+func (c *callers) checkAnswer(x *call, key string, a answer) string {
 	revoked := c.env.revoked(key)
 	switch {
-	case !standin.IsSigned(resp.Header):
+	case !standin.IsSigned(a.header):
 		return "a success that is not signed by an upstream"
-	case standin.CallID(resp.Header) != x.id:
+	case standin.CallID(a.header) != x.id:
 		return "the answer of another call"
 	case !revoked.IsZero() && x.sent.After(revoked.Add(keyGrace)) && x.router.undisturbedSince(revoked):
 		return fmt.Sprintf("%s was accepted %v after it was revoked", key, x.sent.Sub(revoked))
-	case (x.kind == standin.KindIdempotent || x.kind == standin.KindNonIdempotent) && !strings.HasSuffix(body, " to "+x.id):
-		return fmt.Sprintf("unexpected answer %q", body)
-	case (x.kind == standin.KindResumableStream || x.kind == standin.KindStream) && body != completeStream():
-		return fmt.Sprintf("a stream ended without an error after %d bytes", len(body))
+	case (x.kind == standin.KindIdempotent || x.kind == standin.KindNonIdempotent) && !strings.HasSuffix(a.body, " to "+x.id):
+		return fmt.Sprintf("unexpected answer %q", a.body)
+	case (x.kind == standin.KindResumableStream || x.kind == standin.KindStream) && a.body != completeStream():
+		return fmt.Sprintf("a stream ended without an error after %d bytes", len(a.body))
 	}
 	return ""
 }
@@ -215,9 +228,10 @@
 }
 
 func (c *callers) result(env *environment) Result {
-	var r Result
+	r := Result{Outcomes: make(map[Outcome]int)}
 	for _, x := range c.all() {
 		r.Calls++
+		r.Outcomes[x.outcome]++
 		if x.served {
 			r.Served++
 		}
--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -35,7 +35,7 @@
 		func() fault { return fault{"stop " + r.name, 0, func() { env.stop(r) }, nothing} },
 		func() fault { return fault{"kill " + r.name, 0, func() { env.kill(r, duration) }, nothing} },
 		func() fault {
-			return fault{"pause " + r.name, duration, func() { r.interrupt(duration); r.signal(syscall.SIGSTOP) }, func() { r.signal(syscall.SIGCONT) }}
+			return fault{"pause " + r.name, duration, func() { r.pause(duration) }, func() { r.signal(syscall.SIGCONT) }}
 		},
 		func() fault { return fault{"reload " + r.name, 0, func() { r.signal(syscall.SIGHUP) }, nothing} },
 		func() fault {
@@ -70,6 +70,16 @@
 			return fault{"store compacts its history", 0, func() { env.disturbAll(0); env.store.Compact() }, nothing}
 		},
 	}
+	if s.Changes {
+		kinds = append(kinds,
+			func() fault { return env.changeFault(s.rng) },
+			func() fault { return env.changeFault(s.rng) },
+			func() fault { return env.emptyFault(s.rng, duration) },
+			func() fault { return env.reuseFault(i) },
+			func() fault { return env.silenceFault(i, s.rng) },
+			func() fault { return env.longStopFault(r, s.rng) },
+		)
+	}
 	return kinds[s.rng.IntN(len(kinds))]()
 }
 
@@ -95,15 +105,28 @@
 		return
 	}
 	r.interrupt(disturbed)
+	ending := time.Now()
+	if s == syscall.SIGTERM {
+		ending = ending.Add(stopMargin)
+	}
 	r.signal(s)
 	go func() {
 		defer r.release()
 		r.await(stopGrace)
+		r.fail(ending, time.Now())
 		time.Sleep(pause)
 		_ = r.start(env.soak.Binary)
 	}()
 }
 
+// pause pauses the router's process until SIGCONT, d later.
+func (r *router) pause(d time.Duration) {
+	r.interrupt(d)
+	now := time.Now()
+	r.fail(now, now.Add(d))
+	r.signal(syscall.SIGSTOP)
+}
+
 // acquire reserves a router for a restart, and reports whether it was free.
 func (r *router) acquire() bool {
 	r.mu.Lock()
@@ -145,9 +168,14 @@
 // upstreamFault returns a fault of the connections to an upstream.
 func (env *environment) upstreamFault(i, kind int, duration time.Duration) fault {
 	u := env.upstream(i)
-	f := fault{"connection to " + u.name, duration, nil, func() { u.network.Set(forwarder.FaultNone, 0) }}
+	f := fault{"connection to " + u.name, duration, nil, func() { u.network.Set(forwarder.FaultNone, 0); u.calm() }}
 	set := func(kind forwarder.Fault, delay time.Duration) func() {
-		return func() { u.network.Set(kind, delay) }
+		return func() {
+			if kind != forwarder.FaultNone {
+				u.trouble()
+			}
+			u.network.Set(kind, delay)
+		}
 	}
 	switch kind {
 	case 0:
@@ -157,7 +185,7 @@
 	case 2:
 		f.name, f.begin = f.name+" refused", set(forwarder.FaultRefuse, 0)
 	case 3:
-		f.name, f.begin = f.name+" reset", u.network.Reset
+		f.name, f.begin = f.name+" reset", func() { u.trouble(); u.network.Reset() }
 	default:
 		f.name, f.begin = f.name+" slow", set(forwarder.FaultNone, 50*time.Millisecond)
 	}
@@ -196,6 +224,7 @@
 	if old == nil {
 		return
 	}
+	old.trouble()
 	_ = old.server.Close()
 	old.network.Set(forwarder.FaultRefuse, 0)
 	go func() {
--- a/soaker/part.go
+++ b/soaker/part.go
@@ -65,6 +65,7 @@
 		crashes := event == 0 && part != nil && standin.HasPart(r, part.id) && env.upstreams[i] == u
 		if crashes {
 			part.crashes = append(part.crashes, time.Now())
+			u.trouble()
 		}
 		env.mu.Unlock()
 		if crashes {
--- a/soaker/restore.go
+++ b/soaker/restore.go
@@ -31,7 +31,7 @@
 // registrations of upstreams that are gone.
 func (env *environment) rewrite() {
 	env.mu.Lock()
-	value, err := standin.EncodeDeclaration(env.version, env.key)
+	value, err := env.declared.Encode()
 	if err == nil {
 		err = env.put(platform.DeclarationKey, value)
 	}
@@ -44,6 +44,10 @@
 			_ = env.register(u, false)
 			continue
 		}
+		if u.pool == standin.SecondPool {
+			_ = env.register(u, false)
+			continue
+		}
 		env.remove(u)
 	}
 }
--- a/soaker/router.go
+++ b/soaker/router.go
@@ -31,7 +31,9 @@
 	// considered disturbed by a fault.
 	disturbedUntil time.Time
 	// interruptions has the times in which the router was stopped or paused.
-	interruptions []interruption
+	interruptions []period
+	// outages has the times in which the process did not run, or ends at its limit.
+	outages []period
 }
 
 const (
@@ -163,21 +165,18 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// interruption is a time in which a router was stopped or paused, or has just been.
-type interruption struct{ begin, end time.Time }
-
 // interrupt records that the router is stopped or paused for d.
 func (r *router) interrupt(d time.Duration) {
 	now := time.Now()
 	r.disturb(d + disturbedAfter)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.interruptions = append(r.interruptions, interruption{now, now.Add(d + disturbedAfter)})
+	r.interruptions = append(r.interruptions, period{now, now.Add(d + disturbedAfter)})
 }
 
 // interruptedAt reports whether the router was interrupted at a time.
 func (r *router) interruptedAt(at time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return slices.ContainsFunc(r.interruptions, func(i interruption) bool { return !at.Before(i.begin) && at.Before(i.end) })
+	return slices.ContainsFunc(r.interruptions, func(p period) bool { return !at.Before(p.begin) && at.Before(p.end) })
 }
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -30,6 +30,9 @@
 	Routers, Upstreams int
 	// Callers is the number of concurrent callers.
 	Callers int
+	// Changes adds changes of the declaration, empty pools, addresses that go to another pool,
+	// silent upstreams, stops with long streams, and bodies in two halves.
+	Changes bool
 	// Dir is the directory for settings and logs.
 	Dir string
 	// Host is the first value to try for the third byte of the loopback addresses. Run
@@ -67,6 +70,8 @@
 	// Calls counts the calls, Served those with a complete answer, and Runs the runs at
 	// upstreams.
 	Calls, Served, Runs int
+	// Outcomes counts the calls by how they ended for their callers.
+	Outcomes map[Outcome]int
 	// Faults describes the injected faults in order of time.
 	Faults []string
 }
@@ -157,6 +162,12 @@
 			addViolation("%s %s: %s", c.kind, c.id, c.violation)
 		}
 	}
+	for _, lost := range s.env.lostCalls() {
+		addViolation("%s", lost)
+	}
+	for _, misrouted := range s.env.misroutedRuns() {
+		addViolation("%s", misrouted)
+	}
 	for _, late := range s.env.lateRuns(runs) {
 		addViolation("%s", late)
 	}
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -34,15 +34,20 @@
 		t.Skip("runs processes for half a minute")
 	}
 	binary := build(t)
-	for i, seed := range []uint64{
-		1, 3,
-		31009, // sound prompt parts were quarantined while another one crashed all upstreams
+	for i, run := range []struct {
+		seed    uint64
+		changes bool
+	}{
+		{1, false}, {3, false},
+		{31009, false}, // sound prompt parts were quarantined while another one crashed all upstreams
+		{801, true},
 	} {
+		seed := run.seed
 		s := &Soak{
-			Binary: binary, Seed: seed, FaultTime: 6 * time.Second, Routers: 3, Upstreams: 3, Callers: 8, Dir: t.TempDir(), Host: 200 + i,
+			Binary: binary, Seed: seed, FaultTime: 6 * time.Second, Routers: 3, Upstreams: 3, Callers: 8, Changes: run.changes, Dir: t.TempDir(), Host: 200 + i,
 		}
 		result, err := s.Run(t.Context())
-		t.Logf("seed %d: %d calls, %d served, %d runs, faults %v", seed, result.Calls, result.Served, result.Runs, result.Faults)
+		t.Logf("seed %d: %v, faults %v", seed, result, result.Faults)
 		if errors.Is(err, ErrViolation) {
 			t.Errorf("seed %d: %v", seed, err)
 		} else if err != nil {
--- a/soaker/world.go
+++ b/soaker/world.go
@@ -27,6 +27,8 @@
 	keyGrace   = 10 * time.Second
 	// stopGrace is the time from SIGTERM to SIGKILL for a router.
 	stopGrace = 4 * time.Second
+	// otherUpstreams is the number of upstreams of the second pool.
+	otherUpstreams = 2
 	// streamEvents is the number of events of a stream.
 	streamEvents = 12
 	// eventInterval is the time between two events of a stream.
@@ -51,10 +53,12 @@
 	mu sync.Mutex
 	// upstreams holds the upstreams in use, followed by those that left or crashed.
 	upstreams []*upstream
-	// version is the version of the last declaration, key the valid key.
-	version int
-	key     string
-	// declaredAt is when the last declaration was written.
+	// others holds the upstreams of the second pool, which no other fault meets.
+	others []*upstream
+	// declared is the last declaration, key the valid key.
+	declared standin.Declaration
+	key      string
+	// declaredAt is when the last key was declared.
 	declaredAt time.Time
 	// part is the part that crashes upstreams now, nil if there is none; parts are all of
 	// the run.
@@ -68,16 +72,20 @@
 type upstream struct {
 	*standin.Upstream
 
-	name    string
-	server  *http.Server
-	network *forwarder.Forwarder
-	address string
-	born    time.Time
+	name, pool string
+	server     *http.Server
+	network    *forwarder.Forwarder
+	address    string
+	born       time.Time
 	// seq counts the writes of its registration.
 	seq atomic.Int64
 	// leftAt is when its registration as leaving was written; zero if it was not.
 	leftAt time.Time
 
+	troubleMu sync.Mutex
+	// troubles has the times in which it or the connections to it were in trouble.
+	troubles []period
+
 	limitMu sync.Mutex
 	// limits has the limits that it announced, in order of time.
 	limits []limitPeriod
@@ -124,6 +132,13 @@
 		}
 		env.upstreams = append(env.upstreams, u)
 	}
+	for i := range otherUpstreams {
+		u, err := env.serveUpstream(fmt.Sprintf("o-%d", i), standin.SecondPool, "")
+		if err != nil {
+			return nil, err
+		}
+		env.others = append(env.others, u)
+	}
 	env.rotateKey()
 	for i := range s.Routers {
 		r, err := env.newRouter(i, l.Addr().String())
@@ -142,25 +157,34 @@
 	return env.upstreams[i]
 }
 
-// allUpstreams returns the upstreams in use and those that left or crashed.
+// allUpstreams returns the upstreams in use, those that left or crashed, and those of the second
+// pool.
 func (env *environment) allUpstreams() []*upstream {
 	env.mu.Lock()
 	defer env.mu.Unlock()
-	return slices.Clone(env.upstreams)
+	return slices.Concat(env.upstreams, env.others)
 }
 
 // newUpstream starts and registers an upstream for position i. n makes its name unique.
 func (env *environment) newUpstream(i, n int) (*upstream, error) {
-	u := &upstream{name: fmt.Sprintf("i-%d-%d", i, n), born: time.Now()}
+	u, err := env.serveUpstream(fmt.Sprintf("i-%d-%d", i, n), standin.Pool, "")
+	if err == nil {
+		u.SetAbort(env.crashOnPart(i, u))
+	}
+	return u, err
+}
+
+// serveUpstream starts and registers an upstream; an empty address means a free one.
+func (env *environment) serveUpstream(name, pool, address string) (*upstream, error) {
+	u := &upstream{name: name, pool: pool, born: time.Now()}
 	u.Upstream = &standin.Upstream{Instance: u.name, Events: streamEvents, EventInterval: eventInterval}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("soaker: %w", err)
 	}
-	u.SetAbort(env.crashOnPart(i, u))
 	u.server = &http.Server{Handler: u.Upstream, ReadHeaderTimeout: time.Second}
 	go func() { _ = u.server.Serve(l) }()
-	u.network = &forwarder.Forwarder{Target: l.Addr().String()}
+	u.network = &forwarder.Forwarder{Target: l.Addr().String(), Address: address}
 	if u.address, err = u.network.Listen(); err != nil {
 		return nil, fmt.Errorf("soaker: %w", err)
 	}
@@ -168,7 +192,7 @@
 }
 
 func (env *environment) register(u *upstream, leaving bool) error {
-	value, err := standin.EncodeRegistration(u.address, leaving, u.born, u.seq.Add(1))
+	value, err := standin.Registration{Pool: u.pool, Address: u.address, Leaving: leaving, Born: u.born, Sequence: u.seq.Add(1)}.Encode()
 	if err != nil {
 		return fmt.Errorf("soaker: %w", err)
 	}
@@ -186,14 +210,9 @@
 func (env *environment) rotateKey() {
 	env.mu.Lock()
 	defer env.mu.Unlock()
-	env.version += 2
 	old := env.key
-	env.key = fmt.Sprintf("key-%d", env.version)
-	value, err := standin.EncodeDeclaration(env.version, env.key)
-	if err == nil {
-		err = env.put(platform.DeclarationKey, value)
-	}
-	if err == nil && old != "" {
+	env.key = fmt.Sprintf("key-%d", env.declared.Version+versionStep)
+	if err := env.declare(func(d *standin.Declaration) { d.Keys = []string{env.key} }); err == nil && old != "" {
 		env.keys[old] = time.Now()
 	}
 	env.keys[env.key] = time.Time{}
