--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -34,7 +35,13 @@
 	// written, and ended when the caller had the answer or gave up.
 	sent, written, ended time.Time
 	outcome              Outcome
-	status               int
+	// stream is what the caller has of a stream, over all its tries; nil for other kinds.
+	stream *stream
+	// lastEvent and resumes name what the call takes up; empty if it begins a stream.
+	lastEvent, resumes string
+	// leaveAfter is the number of events after which the caller breaks off; 0 means never.
+	leaveAfter int
+	status     int
 	// served reports that the caller received a complete answer, reportedNotRun that
 	// the status states that the call did not run.
 	served, reportedNotRun bool
@@ -50,6 +57,8 @@
 	mu sync.Mutex
 	// calls holds all calls by their IDs.
 	calls map[string]*call
+	// takeUps holds the calls that took up streams.
+	takeUps []takeUp
 	// recoveredAt is the time from which calls must be served again.
 	recoveredAt time.Time
 }
@@ -74,7 +83,7 @@
 	for n := 0; ctx.Err() == nil; {
 		r := c.env.routers[rng.IntN(len(c.env.routers))]
 		if !r.isReady() {
-			pauser.Pause(ctx, 20*time.Millisecond)
+			pauser.Pause(ctx, readyInterval)
 			continue
 		}
 		line := &line{router: r}
@@ -89,7 +98,12 @@
 			case kind < 3 && c.env.soak.Changes:
 				x.slow = newHalves(rng)
 			}
-			c.send(ctx, line, x)
+			switch {
+			case k == standin.KindResumableStream && c.env.soak.Versions > 0:
+				c.follow(ctx, rng, line, x)
+			default:
+				c.send(ctx, line, x)
+			}
 			pauser.Pause(ctx, between(rng, 5*time.Millisecond, 60*time.Millisecond))
 		}
 		line.close()
@@ -101,6 +115,10 @@
 func (c *callers) send(ctx context.Context, line *line, x *call) {
 	key := c.env.currentKey()
 	sent := standin.Call{Kind: x.kind, ID: x.id, Key: key, Deadline: x.timeout, Interval: x.interval, Body: http.NoBody, Parts: x.parts}
+	sent.LastEvent, sent.Resumes = x.lastEvent, x.resumes
+	if x.isStream() && x.stream == nil {
+		x.stream = &stream{}
+	}
 	if x.slow != nil && x.kind != standin.KindIdempotent {
 		sent.Body = x.slow
 	}
@@ -111,7 +129,7 @@
 	}
 	x.sent = time.Now()
 	c.add(x)
-	a := line.exchange(context.WithoutCancel(ctx), r, x.sent.Add(x.timeout))
+	a := line.exchange(context.WithoutCancel(ctx), r, x.sent.Add(x.timeout), x.leaveAfter)
 	c.record(x, key, a)
 }
 
@@ -147,6 +165,9 @@
 		if x.served {
 			x.violation = c.checkAnswer(x, key, a)
 		}
+		if x.stream != nil && x.violation == "" {
+			x.violation = x.stream.add(x, a)
+		}
 	}
 }
 
@@ -160,21 +181,22 @@
 		return "the answer of another call"
 	case !revoked.IsZero() && x.sent.After(revoked.Add(keyGrace)) && x.router.undisturbedSince(revoked):
 		return fmt.Sprintf("%s was accepted %v after it was revoked", key, x.sent.Sub(revoked))
-	case (x.kind == standin.KindIdempotent || x.kind == standin.KindNonIdempotent) && !strings.HasSuffix(a.body, " to "+x.id):
+	case !x.isStream() && !strings.HasSuffix(a.body, " to "+x.id):
 		return fmt.Sprintf("unexpected answer %q", a.body)
-	case (x.kind == standin.KindResumableStream || x.kind == standin.KindStream) && a.body != completeStream():
-		return fmt.Sprintf("a stream ended without an error after %d bytes", len(a.body))
 	}
 	return ""
 }
 
-// completeStream returns the complete stream that the emulated upstreams send.
-func completeStream() string {
-	var b strings.Builder
-	for n := range streamEvents {
-		fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", n, n)
-	}
-	return b.String()
+// isStream reports whether the answer to the call is a stream.
+func (c *call) isStream() bool {
+	return c.kind == standin.KindResumableStream || c.kind == standin.KindStream
+}
+
+// allTakeUps returns the calls that took up streams.
+func (c *callers) allTakeUps() []takeUp {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.takeUps)
 }
 
 // beginVerification starts the verification phase, in which calls must be served again.
@@ -186,12 +208,12 @@
 
 // verification returns the number of calls in the verification phase and how many of
 // them were served. Calls that got no status, for example because the caller cancelled
-// early, are not counted.
+// early, streams that the caller broke off, and take-ups are not counted.
 func (c *callers) verification() (all, served int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, x := range c.calls {
-		if x.sent.Before(c.recoveredAt) || x.status == 0 {
+		if x.sent.Before(c.recoveredAt) || x.status == 0 || x.outcome == OutcomeLeft || x.lastEvent != "" {
 			continue
 		}
 		all++
--- a/soaker/change.go
+++ b/soaker/change.go
@@ -160,7 +160,7 @@
 		old.trouble()
 		_ = old.server.Close()
 		_ = old.network.Close()
-		u, err := env.serveUpstream(old.name+"-again", standin.SecondPool, old.address)
+		u, err := env.serveUpstream(old.name+"-again", old.Version, standin.SecondPool, old.address)
 		if err != nil {
 			return
 		}
--- a/soaker/connection.go
+++ b/soaker/connection.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"time"
 )
 
@@ -28,6 +29,8 @@
 	// OutcomeUnanswered is a connection that ended without an answer to a request that was
 	// written whole.
 	OutcomeUnanswered Outcome = "unanswered"
+	// OutcomeLeft is an answer that the caller broke off.
+	OutcomeLeft Outcome = "left"
 	// OutcomeExpired is a call whose caller gave up at its deadline.
 	OutcomeExpired Outcome = "expired"
 	// OutcomeUnsent is a request that was not written whole.
@@ -36,7 +39,7 @@
 
 // Outcomes returns all values of Outcome.
 func Outcomes() []Outcome {
-	return []Outcome{OutcomeComplete, OutcomeRefused, OutcomeFailed, OutcomeCut, OutcomeUnanswered, OutcomeExpired, OutcomeUnsent}
+	return []Outcome{OutcomeComplete, OutcomeRefused, OutcomeFailed, OutcomeCut, OutcomeUnanswered, OutcomeLeft, OutcomeExpired, OutcomeUnsent}
 }
 
 const (
@@ -88,8 +91,9 @@
 	open *connection
 }
 
-// exchange sends a request and reads the answer until the deadline.
-func (l *line) exchange(ctx context.Context, r *http.Request, deadline time.Time) answer {
+// exchange sends a request and reads the answer until the deadline, or until the given number
+// of events if it is not 0.
+func (l *line) exchange(ctx context.Context, r *http.Request, deadline time.Time, events int) answer {
 	var unrequested error
 	if l.open != nil {
 		if err := l.open.check(); err != nil {
@@ -106,7 +110,7 @@
 		}
 		l.open = opened
 	}
-	a := l.open.exchange(r, deadline)
+	a := l.open.exchange(r, deadline, events)
 	if !a.reusable {
 		l.close()
 	}
@@ -140,8 +144,8 @@
 	reusable bool
 }
 
-// exchange sends a request and reads the answer until the deadline.
-func (c *connection) exchange(r *http.Request, deadline time.Time) answer {
+// exchange sends a request and reads the answer as line.exchange does.
+func (c *connection) exchange(r *http.Request, deadline time.Time, events int) answer {
 	_ = c.conn.SetDeadline(deadline)
 	var a answer
 	ended := OutcomeUnsent
@@ -163,6 +167,14 @@
 	}
 	defer resp.Body.Close()
 	a.status, a.header = resp.StatusCode, resp.Header
+	if events > 0 && a.status == http.StatusOK {
+		a.body, err = readEvents(resp.Body, events)
+		a.outcome = outcomeOf(err, OutcomeCut)
+		if err == nil {
+			a.outcome = OutcomeLeft
+		}
+		return a
+	}
 	body, err := io.ReadAll(resp.Body)
 	a.body = string(body)
 	a.outcome = outcomeOf(err, OutcomeCut)
@@ -170,6 +182,23 @@
 	return a
 }
 
+// readEvents reads the given number of events, or more that came with them.
+func readEvents(body io.Reader, events int) (string, error) {
+	var read strings.Builder
+	buffer := make([]byte, 1<<10)
+	for strings.Count(read.String(), "\n\n") < events {
+		n, err := body.Read(buffer)
+		read.Write(buffer[:n])
+		if err == io.EOF {
+			return read.String(), io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return read.String(), err
+		}
+	}
+	return read.String(), nil
+}
+
 // outcomeOf returns OutcomeComplete if there is no error, OutcomeExpired if the deadline was
 // reached, and otherwise the given outcome.
 func outcomeOf(err error, otherwise Outcome) Outcome {
--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -80,6 +80,9 @@
 			func() fault { return env.longStopFault(r, s.rng) },
 		)
 	}
+	if s.Versions > 0 {
+		kinds = append(kinds, s.versionFaults(duration)...)
+	}
 	return kinds[s.rng.IntN(len(kinds))]()
 }
 
@@ -239,6 +242,7 @@
 	env.mu.Lock()
 	defer env.mu.Unlock()
 	old := env.upstreams[i]
+	old.replacedAt = time.Now()
 	u, err := env.newUpstream(i, len(env.upstreams))
 	if err != nil {
 		return nil
--- a/soaker/lost.go
+++ b/soaker/lost.go
@@ -131,5 +131,8 @@
 	for _, o := range Outcomes() {
 		text += fmt.Sprintf(", %d %s", r.Outcomes[o], o)
 	}
+	if r.TakeUps.New.All > 0 {
+		text += fmt.Sprintf("; %v", r.TakeUps)
+	}
 	return text
 }
--- a/soaker/lost_test.go
+++ b/soaker/lost_test.go
@@ -32,7 +32,7 @@
 			t.Fatal(err)
 		}
 		line := &line{router: &router{callers: l.Addr().String()}}
-		a := line.exchange(context.Background(), r, time.Now().Add(5*time.Second))
+		a := line.exchange(context.Background(), r, time.Now().Add(5*time.Second), 0)
 		l.Close()
 		if n := <-requests; a.outcome != test.want || n != 1 {
 			t.Errorf("%s: outcome %q after %d requests, want %q after 1", name, a.outcome, n, test.want)
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -33,6 +33,9 @@
 	// Changes adds changes of the declaration, empty pools, addresses that go to another pool,
 	// silent upstreams, stops with long streams, and bodies in two halves.
 	Changes bool
+	// Versions is the number of software versions of the upstreams at the beginning. With one or
+	// more, callers take streams up, upstreams are released, and all routers are killed at once.
+	Versions int
 	// Dir is the directory for settings and logs.
 	Dir string
 	// Host is the first value to try for the third byte of the loopback addresses. Run
@@ -72,6 +75,8 @@
 	Calls, Served, Runs int
 	// Outcomes counts the calls by how they ended for their callers.
 	Outcomes map[Outcome]int
+	// TakeUps are the shares of streams that began and went on.
+	TakeUps TakeUps
 	// Faults describes the injected faults in order of time.
 	Faults []string
 }
@@ -106,6 +111,7 @@
 	wg.Wait()
 	result := s.calls.result(env)
 	result.Faults = events
+	result.TakeUps = s.takeUpShares()
 	return result, s.verify(ctx)
 }
 
@@ -162,6 +168,9 @@
 			addViolation("%s %s: %s", c.kind, c.id, c.violation)
 		}
 	}
+	if stopped := s.stoppedTakeUps(); stopped != "" {
+		addViolation("%s", stopped)
+	}
 	for _, lost := range s.env.lostCalls() {
 		addViolation("%s", lost)
 	}
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -59,6 +59,22 @@
 	}
 }
 
+// TestStreamsKeepTheirSoftwareVersion guards against streams that are joined from the events of
+// two software versions when callers or routers resume them.
+func TestStreamsKeepTheirSoftwareVersion(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs processes for half a minute")
+	}
+	s := &Soak{
+		Binary: build(t), Seed: 913, FaultTime: 8 * time.Second, Routers: 3, Upstreams: 4, Callers: 8, Versions: 2, Dir: t.TempDir(), Host: 220,
+	}
+	result, err := s.Run(t.Context())
+	t.Logf("seed %d: %v, faults %v", s.Seed, result, result.Faults)
+	if err != nil {
+		t.Error(err)
+	}
+}
+
 // TestInterruptedRunReportsNoViolation guards against a false failure: a run with seed
 // 9005 that was interrupted during the recovery was checked nevertheless, and reported
 // the calls that were not served yet as a violation.
--- a/soaker/world.go
+++ b/soaker/world.go
@@ -58,6 +58,11 @@
 	// declared is the last declaration, key the valid key.
 	declared standin.Declaration
 	key      string
+	// versions are the versions of the software that starts at each position, released counts
+	// all; killedAt is when all routers were killed.
+	versions []string
+	released int
+	killedAt []time.Time
 	// declaredAt is when the last key was declared.
 	declaredAt time.Time
 	// part is the part that crashes upstreams now, nil if there is none; parts are all of
@@ -79,6 +84,8 @@
 	born       time.Time
 	// seq counts the writes of its registration.
 	seq atomic.Int64
+	// replacedAt is when another one took its place; zero if none did.
+	replacedAt time.Time
 	// leftAt is when its registration as leaving was written; zero if it was not.
 	leftAt time.Time
 
@@ -125,6 +132,12 @@
 	}}
 	env.storeHTTP = &http.Server{ReadHeaderTimeout: time.Second, Handler: env.served}
 	go func() { _ = env.storeHTTP.Serve(l) }()
+	for i := range s.Upstreams {
+		if s.Versions > 0 {
+			env.versions = append(env.versions, versionName(i%s.Versions))
+		}
+	}
+	env.released = s.Versions
 	for i := range s.Upstreams {
 		u, err := env.newUpstream(i, 0)
 		if err != nil {
@@ -133,7 +146,7 @@
 		env.upstreams = append(env.upstreams, u)
 	}
 	for i := range otherUpstreams {
-		u, err := env.serveUpstream(fmt.Sprintf("o-%d", i), standin.SecondPool, "")
+		u, err := env.serveUpstream(fmt.Sprintf("o-%d", i), env.versionOf(0), standin.SecondPool, "")
 		if err != nil {
 			return nil, err
 		}
@@ -167,7 +180,7 @@
 
 // newUpstream starts and registers an upstream for position i. n makes its name unique.
 func (env *environment) newUpstream(i, n int) (*upstream, error) {
-	u, err := env.serveUpstream(fmt.Sprintf("i-%d-%d", i, n), standin.Pool, "")
+	u, err := env.serveUpstream(fmt.Sprintf("i-%d-%d", i, n), env.versionOf(i), standin.Pool, "")
 	if err == nil {
 		u.SetAbort(env.crashOnPart(i, u))
 	}
@@ -175,9 +188,9 @@
 }
 
 // serveUpstream starts and registers an upstream; an empty address means a free one.
-func (env *environment) serveUpstream(name, pool, address string) (*upstream, error) {
+func (env *environment) serveUpstream(name, version, pool, address string) (*upstream, error) {
 	u := &upstream{name: name, pool: pool, born: time.Now()}
-	u.Upstream = &standin.Upstream{Instance: u.name, Events: streamEvents, EventInterval: eventInterval}
+	u.Upstream = &standin.Upstream{Instance: u.name, Version: version, Events: streamEvents, EventInterval: eventInterval}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("soaker: %w", err)
@@ -192,7 +205,7 @@
 }
 
 func (env *environment) register(u *upstream, leaving bool) error {
-	value, err := standin.Registration{Pool: u.pool, Address: u.address, Leaving: leaving, Born: u.born, Sequence: u.seq.Add(1)}.Encode()
+	value, err := standin.Registration{Pool: u.pool, Address: u.address, Version: u.Version, Leaving: leaving, Born: u.born, Sequence: u.seq.Add(1)}.Encode()
 	if err != nil {
 		return fmt.Errorf("soaker: %w", err)
 	}
