Soak with odd entries in the store and refusals written once more

Half of them stay until the end of the run, so that calls must be served and each upstream be found beside them. A faulty upstream refuses one call in three and writes each refusal once more, with the earlier ID, before its next answer on the connection. A router process that ends by itself is a violation, in all soaks.

--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -83,6 +83,15 @@
 	if s.Versions > 0 {
 		kinds = append(kinds, s.versionFaults(duration)...)
 	}
+	if s.Odd {
+		kinds = append(kinds,
+			func() fault { return env.oddFault(s.rng, duration) },
+			func() fault { return env.oddFault(s.rng, duration) },
+			func() fault { return env.oddFault(s.rng, duration) },
+			func() fault { return env.repeatFault(i) },
+			func() fault { return env.repeatFault(i) },
+		)
+	}
 	return kinds[s.rng.IntN(len(kinds))]()
 }
 
--- a/soaker/router.go
+++ b/soaker/router.go
@@ -27,6 +27,8 @@
 	command            *exec.Cmd
 	ended              chan struct{}
 	restarting, closed bool
+	// ownEnds are the times at which the process ended though nothing had ended it.
+	ownEnds []time.Time
 	// disturbedUntil is the time until which the router or its connections are
 	// considered disturbed by a fault.
 	disturbedUntil time.Time
@@ -97,11 +99,21 @@
 	go func(c *exec.Cmd, ended chan struct{}) {
 		// The exit status is ignored: the log shows how the process ended.
 		_ = c.Wait()
+		r.noteEnd()
 		close(ended)
 	}(r.command, r.ended)
 	return nil
 }
 
+// noteEnd records the end of the process if nothing had ended it.
+func (r *router) noteEnd() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.restarting && !r.closed {
+		r.ownEnds = append(r.ownEnds, time.Now())
+	}
+}
+
 // signal sends a signal to the router's process only, by its process ID.
 func (r *router) signal(s syscall.Signal) {
 	r.mu.Lock()
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -36,6 +36,8 @@
 	// Versions is the number of software versions of the upstreams at the beginning. With one or
 	// more, callers take streams up, upstreams are released, and all routers are killed at once.
 	Versions int
+	// Odd adds odd entries in the store and upstreams that write refusals once more.
+	Odd bool
 	// Dir is the directory for settings and logs.
 	Dir string
 	// Host is the first value to try for the third byte of the loopback addresses. Run
@@ -171,6 +173,9 @@
 	if stopped := s.stoppedTakeUps(); stopped != "" {
 		addViolation("%s", stopped)
 	}
+	for _, ended := range s.env.ownEnds() {
+		addViolation("%s", ended)
+	}
 	for _, lost := range s.env.lostCalls() {
 		addViolation("%s", lost)
 	}
