Soak releases upstreams without a version and take-ups that name nonsense

A release of a single upstream that is not to an older version starts one whose entry and events have no version; some take-ups name an attempt of 16 KB. Its refusal with a 4xx is no violation.

--- a/soaker/resume.go
+++ b/soaker/resume.go
@@ -137,13 +137,16 @@
 }
 
 // releaseFault returns a fault in which some upstreams, one after the other, are replaced by ones
-// of a newer or an older version.
+// of a newer or an older version, or a single one by one without a version.
 func (env *environment) releaseFault(rng *rand.Rand) fault {
 	count := 1 + rng.IntN(env.soak.Upstreams)
 	older := rng.IntN(3) == 0
 	first := rng.IntN(env.soak.Upstreams)
 	begin := func() {
-		version := env.nextVersion(older)
+		version := ""
+		if older || count > 1 {
+			version = env.nextVersion(older)
+		}
 		for n := range count {
 			i := (first + n) % env.soak.Upstreams
 			env.mu.Lock()
--- a/soaker/stream.go
+++ b/soaker/stream.go
@@ -22,8 +22,10 @@
 	readyInterval = 20 * time.Millisecond
 	// leaveOneIn is the share of the streams that their callers break off: one in so many.
 	leaveOneIn = 4
-	// unknownOneIn is the share of the take-ups that name no or an unknown attempt.
-	unknownOneIn = 20
+	// unknownOneIn is the share of the take-ups that name no attempt, an unknown one or
+	// nonsense of longAttempt bytes: one in so many.
+	unknownOneIn = 15
+	longAttempt  = 16 << 10
 )
 
 // stream is what a caller has of a stream over all its tries.
@@ -124,18 +126,21 @@
 	y := &call{id: fmt.Sprintf("%016x", rng.Uint64()), kind: x.kind, router: r, timeout: callTimeout, stream: x.stream, parts: x.parts}
 	y.leaveAfter = leaveAfter(rng, y.stream)
 	y.lastEvent, y.resumes = strconv.Itoa(y.stream.next-1), y.stream.first
-	switch rng.IntN(2 * unknownOneIn) {
+	switch rng.IntN(3 * unknownOneIn) {
 	case 0:
 		y.resumes = ""
 	case 1:
 		y.resumes = fmt.Sprintf("%016x", rng.Uint64())
+	case 2:
+		y.resumes = strings.Repeat("x", longAttempt)
 	}
 	t := takeUp{call: y, version: y.stream.version, begun: y.stream.begun, known: y.resumes == y.stream.first}
 	c.send(ctx, l, y)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.takeUps = append(c.takeUps, t)
-	if y.status >= http.StatusBadRequest && y.status < http.StatusInternalServerError && y.outcome != OutcomeRefused && y.status != http.StatusUnauthorized {
+	rejected := y.outcome == OutcomeFailed && y.status >= http.StatusBadRequest && y.status < http.StatusInternalServerError && y.status != http.StatusUnauthorized
+	if rejected && len(y.resumes) < longAttempt {
 		y.violation = fmt.Sprintf("status %d for a proper take-up", y.status)
 	}
 	return y
