--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -3,10 +3,9 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -26,9 +25,23 @@
 	kind   standin.Kind
 	router *router
 	// parts are the IDs of the parts of the prompt.
-	parts  []string
-	sent   time.Time
-	status int
+	parts []string
+	// timeout is how long the caller waits for the complete answer; interval is the time after
+	// each event of a stream, 0 means eventInterval.
+	timeout, interval time.Duration
+	// slow makes the caller send a body in two halves.
+	slow *halves
+	// sent is when the caller began to send the request, written when the last byte was
+	// written, and ended when the caller had the answer or gave up.
+	sent, written, ended time.Time
+	outcome              Outcome
+	// stream is what the caller has of a stream, over all its tries; nil for other kinds.
+	stream *stream
+	// lastEvent and resumes name what the call takes up; empty if it begins a stream.
+	lastEvent, resumes string
+	// leaveAfter is the number of events after which the caller breaks off; 0 means never.
+	leaveAfter int
+	status     int
 	// served reports that the caller received a complete answer, reportedNotRun that
 	// the status states that the call did not run.
 	served, reportedNotRun bool
@@ -44,6 +57,8 @@
 	mu sync.Mutex
 	// calls holds all calls by their IDs.
 	calls map[string]*call
+	// takeUps holds the calls that took up streams.
+	takeUps []takeUp
 	// recoveredAt is the time from which calls must be served again.
 	recoveredAt time.Time
 }
@@ -51,6 +66,8 @@
 const (
 	// callTimeout is how long a caller waits for the complete answer.
 	callTimeout = 5 * time.Second
+	// earlyTimeout is less than a complete stream takes.
+	earlyTimeout = 60 * time.Millisecond
 	// callsPerConnection is how many calls a caller sends before it closes its
 	// connections.
 	callsPerConnection = 6
@@ -66,33 +83,45 @@
 	for n := 0; ctx.Err() == nil; {
 		r := c.env.routers[rng.IntN(len(c.env.routers))]
 		if !r.isReady() {
-			pauser.Pause(ctx, 20*time.Millisecond)
+			pauser.Pause(ctx, readyInterval)
 			continue
 		}
-		transport := &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, DisableCompression: true}
+		line := &line{router: r}
 		for range callsPerConnection {
 			n++
 			k := standin.Kinds()[rng.IntN(len(standin.Kinds()))]
-			x := &call{id: fmt.Sprintf("%016x", rng.Uint64()), kind: k, router: r}
+			x := &call{id: fmt.Sprintf("%016x", rng.Uint64()), kind: k, router: r, timeout: callTimeout}
 			x.parts = c.env.promptParts(rng, k, x.id)
-			c.send(ctx, transport, x, rng.IntN(20) == 0)
+			switch kind := rng.IntN(20); {
+			case kind == 0:
+				x.timeout = earlyTimeout
+			case kind < 3 && c.env.soak.Changes:
+				x.slow = newHalves(rng)
+			}
+			switch {
+			case k == standin.KindResumableStream && c.env.soak.Versions > 0:
+				c.follow(ctx, rng, line, x)
+			default:
+				c.send(ctx, line, x)
+			}
 			pauser.Pause(ctx, between(rng, 5*time.Millisecond, 60*time.Millisecond))
 		}
-		transport.CloseIdleConnections()
+		line.close()
 	}
 }
 
-// send sends one call and records its result. With cancelEarly the caller waits only
-// 60 ms, which is less than a complete stream takes.
-func (c *callers) send(ctx context.Context, transport *http.Transport, x *call, cancelEarly bool) {
-	timeout := callTimeout
-	if cancelEarly {
-		timeout = 60 * time.Millisecond
-	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
-	defer cancel()
+// send sends one call and records its result. A call that was sent is not broken off at the
+// end of ctx.
+func (c *callers) send(ctx context.Context, line *line, x *call) {
 	key := c.env.currentKey()
-	sent := standin.Call{Kind: x.kind, ID: x.id, Key: key, Deadline: timeout, Body: http.NoBody, Parts: x.parts}
+	sent := standin.Call{Kind: x.kind, ID: x.id, Key: key, Deadline: x.timeout, Interval: x.interval, Body: http.NoBody, Parts: x.parts}
+	sent.LastEvent, sent.Resumes = x.lastEvent, x.resumes
+	if x.isStream() && x.stream == nil {
+		x.stream = &stream{}
+	}
+	if x.slow != nil && x.kind != standin.KindIdempotent {
+		sent.Body = x.slow
+	}
 	r, err := sent.Request(ctx, x.router.callers)
 	if err != nil {
 		x.violation = err.Error()
@@ -100,13 +129,8 @@
 	}
 	x.sent = time.Now()
 	c.add(x)
-	resp, err := transport.RoundTrip(r)
-	if err != nil {
-		return
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	c.record(x, key, resp, string(body), err)
+	a := line.exchange(context.WithoutCancel(ctx), r, x.sent.Add(x.timeout), x.leaveAfter)
+	c.record(x, key, a)
 }
 
 func (c *callers) add(x *call) {
@@ -116,52 +140,63 @@
 }
 
 // record records the result of a call and any guarantee that it violates.
-func (c *callers) record(x *call, key string, resp *http.Response, body string, err error) {
+func (c *callers) record(x *call, key string, a answer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	x.status = resp.StatusCode
-	switch resp.StatusCode {
+	x.written, x.ended, x.outcome, x.status = a.written, time.Now(), a.outcome, a.status
+	if a.malformed != nil {
+		x.violation = fmt.Sprintf("bytes that are no answer: %v", a.malformed)
+	}
+	if a.outcome == OutcomeComplete && a.status != http.StatusOK {
+		x.outcome = OutcomeFailed
+	}
+	switch a.status {
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
 		x.reportedNotRun = true
+		x.outcome = OutcomeRefused
 	case http.StatusUnauthorized:
 		if c.env.revoked(key).IsZero() && c.env.declaredBefore(x.sent.Add(-keyGrace)) && x.router.undisturbedSince(x.sent.Add(-keyGrace)) {
 			x.violation = "a valid key was rejected"
 		}
 	case http.StatusNotFound, http.StatusForbidden:
-		x.violation = fmt.Sprintf("status %d for a route that is declared", resp.StatusCode)
+		x.violation = fmt.Sprintf("status %d for a route that is declared", a.status)
 	case http.StatusOK:
-		x.served = err == nil
-		if err == nil {
-			x.violation = c.checkAnswer(x, key, resp, body)
+		x.served = a.outcome == OutcomeComplete
+		if x.served {
+			x.violation = c.checkAnswer(x, key, a)
+		}
+		if x.stream != nil && x.violation == "" {
+			x.violation = x.stream.add(x, a)
 		}
 	}
 }
 
 // checkAnswer returns the guarantee that a complete answer violates, or an empty string.
-func (c *callers) checkAnswer(x *call, key string, resp *http.Response, body string) string {
+func (c *callers) checkAnswer(x *call, key string, a answer) string {
 	revoked := c.env.revoked(key)
 	switch {
-	case !standin.IsSigned(resp.Header):
+	case !standin.IsSigned(a.header):
 		return "a success that is not signed by an upstream"
-	case standin.CallID(resp.Header) != x.id:
+	case standin.CallID(a.header) != x.id:
 		return "the answer of another call"
 	case !revoked.IsZero() && x.sent.After(revoked.Add(keyGrace)) && x.router.undisturbedSince(revoked):
 		return fmt.Sprintf("%s was accepted %v after it was revoked", key, x.sent.Sub(revoked))
-	case (x.kind == standin.KindIdempotent || x.kind == standin.KindNonIdempotent) && !strings.HasSuffix(body, " to "+x.id):
-		return fmt.Sprintf("unexpected answer %q", body)
-	case (x.kind == standin.KindResumableStream || x.kind == standin.KindStream) && body != completeStream():
-		return fmt.Sprintf("a stream ended without an error after %d bytes", len(body))
+	case !x.isStream() && !strings.HasSuffix(a.body, " to "+x.id):
+		return fmt.Sprintf("unexpected answer %q", a.body)
 	}
 	return ""
 }
 
-// completeStream returns the complete stream that the emulated upstreams send.
-func completeStream() string {
-	var b strings.Builder
-	for n := range streamEvents {
-		fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", n, n)
-	}
-	return b.String()
+// isStream reports whether the answer to the call is a stream.
+func (c *call) isStream() bool {
+	return c.kind == standin.KindResumableStream || c.kind == standin.KindStream
+}
+
+// allTakeUps returns the calls that took up streams.
+func (c *callers) allTakeUps() []takeUp {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.takeUps)
 }
 
 // beginVerification starts the verification phase, in which calls must be served again.
@@ -173,12 +208,12 @@
 
 // verification returns the number of calls in the verification phase and how many of
 // them were served. Calls that got no status, for example because the caller cancelled
-// early, are not counted.
+// early, streams that the caller broke off, and take-ups are not counted.
 func (c *callers) verification() (all, served int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, x := range c.calls {
-		if x.sent.Before(c.recoveredAt) || x.status == 0 {
+		if x.sent.Before(c.recoveredAt) || x.status == 0 || x.outcome == OutcomeLeft || x.lastEvent != "" {
 			continue
 		}
 		all++
@@ -215,9 +250,10 @@
 }
 
 func (c *callers) result(env *environment) Result {
-	var r Result
+	r := Result{Outcomes: make(map[Outcome]int)}
 	for _, x := range c.all() {
 		r.Calls++
+		r.Outcomes[x.outcome]++
 		if x.served {
 			r.Served++
 		}
--- a/soaker/router.go
+++ b/soaker/router.go
@@ -27,11 +27,15 @@
 	command            *exec.Cmd
 	ended              chan struct{}
 	restarting, closed bool
+	// ownEnds are the times at which the process ended though nothing had ended it.
+	ownEnds []time.Time
 	// disturbedUntil is the time until which the router or its connections are
 	// considered disturbed by a fault.
 	disturbedUntil time.Time
 	// interruptions has the times in which the router was stopped or paused.
-	interruptions []interruption
+	interruptions []period
+	// outages has the times in which the process did not run, or ends at its limit.
+	outages []period
 }
 
 const (
@@ -95,11 +99,21 @@
 	go func(c *exec.Cmd, ended chan struct{}) {
 		// The exit status is ignored: the log shows how the process ended.
 		_ = c.Wait()
+		r.noteEnd()
 		close(ended)
 	}(r.command, r.ended)
 	return nil
 }
 
+// noteEnd records the end of the process if nothing had ended it.
+func (r *router) noteEnd() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.restarting && !r.closed {
+		r.ownEnds = append(r.ownEnds, time.Now())
+	}
+}
+
 // signal sends a signal to the router's process only, by its process ID.
 func (r *router) signal(s syscall.Signal) {
 	r.mu.Lock()
@@ -163,21 +177,18 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// interruption is a time in which a router was stopped or paused, or has just been.
-type interruption struct{ begin, end time.Time }
-
 // interrupt records that the router is stopped or paused for d.
 func (r *router) interrupt(d time.Duration) {
 	now := time.Now()
 	r.disturb(d + disturbedAfter)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.interruptions = append(r.interruptions, interruption{now, now.Add(d + disturbedAfter)})
+	r.interruptions = append(r.interruptions, period{now, now.Add(d + disturbedAfter)})
 }
 
 // interruptedAt reports whether the router was interrupted at a time.
 func (r *router) interruptedAt(at time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return slices.ContainsFunc(r.interruptions, func(i interruption) bool { return !at.Before(i.begin) && at.Before(i.end) })
+	return slices.ContainsFunc(r.interruptions, func(p period) bool { return !at.Before(p.begin) && at.Before(p.end) })
 }
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -30,6 +30,14 @@
 	Routers, Upstreams int
 	// Callers is the number of concurrent callers.
 	Callers int
+	// Changes adds changes of the declaration, empty pools, addresses that go to another pool,
+	// silent upstreams, stops with long streams, and bodies in two halves.
+	Changes bool
+	// Versions is the number of software versions of the upstreams at the beginning. With one or
+	// more, callers take streams up, upstreams are released, and all routers are killed at once.
+	Versions int
+	// Odd adds odd entries in the store and upstreams that write refusals once more.
+	Odd bool
 	// Dir is the directory for settings and logs.
 	Dir string
 	// Host is the first value to try for the third byte of the loopback addresses. Run
@@ -67,6 +75,10 @@
 	// Calls counts the calls, Served those with a complete answer, and Runs the runs at
 	// upstreams.
 	Calls, Served, Runs int
+	// Outcomes counts the calls by how they ended for their callers.
+	Outcomes map[Outcome]int
+	// TakeUps are the shares of streams that began and went on.
+	TakeUps TakeUps
 	// Faults describes the injected faults in order of time.
 	Faults []string
 }
@@ -101,6 +113,7 @@
 	wg.Wait()
 	result := s.calls.result(env)
 	result.Faults = events
+	result.TakeUps = s.takeUpShares()
 	return result, s.verify(ctx)
 }
 
@@ -157,6 +170,18 @@
 			addViolation("%s %s: %s", c.kind, c.id, c.violation)
 		}
 	}
+	if stopped := s.stoppedTakeUps(); stopped != "" {
+		addViolation("%s", stopped)
+	}
+	for _, ended := range s.env.ownEnds() {
+		addViolation("%s", ended)
+	}
+	for _, lost := range s.env.lostCalls() {
+		addViolation("%s", lost)
+	}
+	for _, misrouted := range s.env.misroutedRuns() {
+		addViolation("%s", misrouted)
+	}
 	for _, late := range s.env.lateRuns(runs) {
 		addViolation("%s", late)
 	}
