Report an invalid entry of the store once

Operators saw an error of each invalid registration or configuration again whenever a router read the store, with all errors in one line: 2,000 entries gave a line of more than 1,000 bytes each time. Nothing counted them.

Cause: the subscriber kept nothing of an invalid entry. It now keeps the revisions of up to 1,024 of them, returns the error of a revision once, joins eight errors at most, and counts them until they are replaced, deleted or gone: kingcuphook_rejected_entries, and "rejected" in KCH1304. An export of a peer lacks invalid entries and says nothing about them. A revision is compared for equality, so that an earlier, valid configuration of a peer still counts.

--- a/attacher/attacher.go
+++ b/attacher/attacher.go
@@ -71,6 +71,8 @@
 	permits *permitter.Permitter
 	// pauses counts the requests of upstreams to be paused.
 	pauses atomic.Int64
+	// rejected is the number of entries of the store that are ignored as invalid.
+	rejected atomic.Int64
 	// routers is the number of known routers, including this one; fleet the number that
 	// share the retry budgets.
 	routers atomic.Int64
@@ -220,6 +222,7 @@
 	a.meter.Gauge("kingcuphook_routers", func() float64 { return float64(a.routers.Load()) })
 	a.meter.Gauge("kingcuphook_open_requests", func() float64 { return float64(a.receiver.InFlight()) })
 	a.meter.Gauge("kingcuphook_upstreams_withdrawn", func() float64 { return float64(a.withdrawn.Count()) })
+	a.meter.Gauge("kingcuphook_rejected_entries", func() float64 { return float64(a.rejected.Load()) })
 	a.meter.Gauge("kingcuphook_upstream_rests_total", func() float64 { return float64(a.pauses.Load()) })
 	a.meter.Gauge("kingcuphook_upstreams_rate_limited", func() float64 { return float64(a.permits.Count()) })
 	a.meter.Gauge("kingcuphook_upstream_rate_limits_per_second", func() float64 { return a.permits.Sum() })
--- a/attacher/control.go
+++ b/attacher/control.go
@@ -222,8 +222,9 @@
 		apply = c.store.ApplySnapshot
 	}
 	if err := apply(now, e.Entries, e.Revision); err != nil {
-		c.a.Log.Log(logger.RegistrationRejected, "revision", e.Revision, "error", err)
+		c.a.Log.Log(logger.RegistrationRejected, "revision", e.Revision, "rejected", c.store.RejectedCount(), "error", err)
 	}
+	c.a.rejected.Store(int64(c.store.RejectedCount()))
 }
 
 func (c *control) applyDeclaration(e kingcuphook.Entry) {
--- a/subscriber/export.go
+++ b/subscriber/export.go
@@ -108,7 +108,7 @@
 	for _, e := range x.Upstreams {
 		entries = append(entries, e.entry())
 	}
-	apply := s.ApplySnapshot
+	apply := s.applyAll
 	if x.After > 0 {
 		apply = s.ApplyChanges
 	}
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -5,7 +5,6 @@
 package subscriber
 
 import (
-	"errors"
 	"maps"
 	"slices"
 	"strings"
@@ -51,6 +50,8 @@
 	departed map[string]departure
 	// recentRemovals has the latest removals of registrations, for exports to peers.
 	recentRemovals removals
+	// rejected has the invalid entries that were reported.
+	rejected rejections
 }
 
 // upstream is one registration.
@@ -108,15 +109,17 @@
 
 // ApplyDeclaration applies the declaration in an entry if its version is higher than the
 // current one, and reports whether it did. It ignores entries of other keys and
-// deletions. The error wraps ErrInvalid; the current declaration then stays.
+// deletions. The error of an invalid entry, which is returned once, wraps ErrInvalid; the current
+// declaration then stays.
 func (s *Subscriber) ApplyDeclaration(e kingcuphook.Entry) (bool, error) {
-	if e.Key() != s.DeclarationKey || e.Deleted() {
+	if e.Key() != s.DeclarationKey || e.Deleted() || s.rejected.has(e) {
 		return false, nil
 	}
 	d, err := s.Codec.Declaration(e.Value())
 	if err != nil {
-		return false, err
+		return false, s.rejected.add(e, err)
 	}
+	delete(s.rejected, e.Key())
 	if s.declaration != nil && d.Version() <= s.declaration.Version() {
 		return false, nil
 	}
@@ -140,27 +143,38 @@
 
 // ApplyChanges applies changed entries of registrations, which are complete up to the
 // revision. An entry that can't be decoded removes the upstream that its key had
-// before. The error joins the errors of these entries, each of which wraps ErrInvalid.
+// before. The error joins the errors of these entries, each of which wraps ErrInvalid and is
+// returned once.
 func (s *Subscriber) ApplyChanges(now time.Time, entries []kingcuphook.Entry, revision int64) error {
-	errs := make([]error, 0, len(entries))
+	var errs []error
 	for _, e := range entries {
-		errs = append(errs, s.applyEntry(now, e))
+		if err := s.applyEntry(now, e); err != nil {
+			errs = append(errs, err)
+		}
 	}
 	s.revision = max(s.revision, revision)
-	return errors.Join(errs...)
+	return joinErrors(errs)
 }
 
+// RejectedCount returns the number of entries that are ignored as invalid, up to 1024.
+func (s *Subscriber) RejectedCount() int { return len(s.rejected) }
+
 // ApplySnapshot applies all entries of registrations as of the revision and removes the
-// others. A snapshot older than the current revision, which may come from a peer,
-// removes none.
+// others. A snapshot older than the current revision removes none.
 func (s *Subscriber) ApplySnapshot(now time.Time, entries []kingcuphook.Entry, revision int64) error {
+	if revision >= s.revision {
+		present := keys(entries)
+		maps.DeleteFunc(s.rejected, func(key string, _ int64) bool { return !present[key] && key != s.DeclarationKey })
+	}
+	return s.applyAll(now, entries, revision)
+}
+
+// applyAll is ApplySnapshot for entries of a peer too, which lack the invalid ones.
+func (s *Subscriber) applyAll(now time.Time, entries []kingcuphook.Entry, revision int64) error {
 	if revision < s.revision {
 		return s.ApplyChanges(now, entries, revision)
 	}
-	present := make(map[string]bool, len(entries))
-	for _, e := range entries {
-		present[e.Key()] = true
-	}
+	present := keys(entries)
 	for key, u := range s.upstreams {
 		if !present[key] {
 			s.remove(now, key, u, revision)
@@ -172,12 +186,25 @@
 	return s.ApplyChanges(now, entries, revision)
 }
 
+// keys returns the set of the keys of entries.
+func keys(entries []kingcuphook.Entry) map[string]bool {
+	set := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		set[e.Key()] = true
+	}
+	return set
+}
+
 func (s *Subscriber) applyEntry(now time.Time, e kingcuphook.Entry) error {
 	if !strings.HasPrefix(e.Key(), s.RegistrationPrefix) {
 		return nil
 	}
+	if s.rejected.has(e) {
+		return nil
+	}
 	known := s.upstreams[e.Key()]
 	if e.Deleted() {
+		delete(s.rejected, e.Key())
 		if known != nil && e.Revision() > known.entry.Revision() {
 			s.remove(now, e.Key(), known, e.Revision())
 		}
@@ -195,8 +222,9 @@
 			s.recordRemoval(e.Key(), e.Revision())
 			s.deleteUpstream(e.Key())
 		}
-		return err
+		return s.rejected.add(e, err)
 	}
+	delete(s.rejected, e.Key())
 	if known != nil && r.Upstream.StartTime < known.registration.Upstream.StartTime || s.isPast(e.Key(), known, r) {
 		return nil
 	}
--- a/subscriber/subscriber_test.go
+++ b/subscriber/subscriber_test.go
@@ -221,3 +221,59 @@
 	is.Equal(addresses(s), "a b c")
 	is.True(!s.upstreams["servers/a"].registration.Upstream.Leaving)
 }
+
+// An invalid entry must be reported once and not at every read, must not hide the entries beside it,
+// and many must not flood the log.
+func TestInvalidEntriesAreReportedOnce(t *testing.T) {
+	is := is.New(t)
+	s := newSubscriber()
+	entries := make([]kingcuphook.Entry, 0, 2003)
+	entries = append(entries, put("op/config", "1", 1), put("servers/a", "a@1", 2))
+	for i := range 2000 {
+		entries = append(entries, put(fmt.Sprint("servers/odd-", i), strings.Repeat("x", 1000), int64(3+i)))
+	}
+	entries = append(entries, put("servers/z", "z@1", 3000))
+	_, err := s.ApplyDeclaration(entries[0])
+	is.NoErr(err)
+	err = s.ApplySnapshot(start, entries, 3000)
+	is.True(errors.Is(err, kingcuphook.ErrInvalid))
+	is.True(len(err.Error()) < 1000)
+	is.Equal(addresses(s), "a z")
+	is.Equal(s.RejectedCount(), maxRejections)
+	is.NoErr(s.ApplySnapshot(start, entries, 3001)) // read again
+	is.NoErr(s.ApplyChanges(start, entries, 3001))
+	// A new value is reported, a valid or deleted one is no longer counted.
+	is.True(s.ApplyChanges(start, []kingcuphook.Entry{put("servers/odd-0", "x", 3002)}, 3002) != nil)
+	is.NoErr(s.ApplyChanges(start, []kingcuphook.Entry{put("servers/odd-0", "o@1", 3003), deletion("servers/odd-1", 3004)}, 3004))
+	is.Equal(addresses(s), "a o z")
+	is.Equal(s.RejectedCount(), maxRejections-2)
+	is.NoErr(s.ApplySnapshot(start, entries[:2], 3005))
+	is.Equal(s.RejectedCount(), 0)
+}
+
+// An invalid declaration must neither replace the current one, nor keep a later one out, also one
+// of a peer with an earlier revision.
+func TestInvalidDeclarationIsReportedOnce(t *testing.T) {
+	is := is.New(t)
+	s, peer := newSubscriber(), newSubscriber()
+	_, err := s.ApplyDeclaration(put("op/config", "odd", 9))
+	is.True(errors.Is(err, kingcuphook.ErrInvalid))
+	_, err = s.ApplyDeclaration(put("op/config", "odd", 9))
+	is.NoErr(err)
+	is.NoErr(s.ApplySnapshot(start, nil, 9))
+	is.Equal(s.RejectedCount(), 1)
+	_, err = peer.ApplyDeclaration(put("op/config", "1", 5))
+	is.NoErr(err)
+	payload, err := peer.Export(start, 0)
+	is.NoErr(err)
+	_, err = s.Import(start, payload)
+	is.NoErr(err)
+	is.Equal(s.Version(), int64(1))
+	_, err = s.ApplyDeclaration(put("op/config", "also odd", 10))
+	is.True(errors.Is(err, kingcuphook.ErrInvalid))
+	is.Equal(s.Version(), int64(1))
+	applied, err := s.ApplyDeclaration(put("op/config", "2", 11))
+	is.NoErr(err)
+	is.True(applied)
+	is.Equal(s.RejectedCount(), 0)
+}
