Replace an invalid record of a quarantined prompt part

After another writer had put something else in the place of a record, no router replaced it: the quarantine held only as long as the routers that knew it.

Cause: an invalid record was logged and otherwise left out, so that the routers kept the revision of the record before, or none, and a write with either fails. Now its revision is kept with a zero record, which any quarantine replaces by compare-and-swap; a revision that was logged before isn't logged again when the store is read.

--- a/attacher/partrecords.go
+++ b/attacher/partrecords.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -36,6 +37,7 @@
 	writing bool
 }
 
+// storedPart is the record of a part; the zero record stands for one that is invalid.
 type storedPart struct {
 	record   isolator.Record
 	revision int64
@@ -44,16 +46,18 @@
 // applyParts applies the records of prompt parts in an event of the store. A deleted record is
 // written again: only a record that says so lifts a quarantine.
 func (c *control) applyParts(now time.Time, e watcher.Event) {
+	known := c.parts.stored
 	if e.Kind == watcher.EventSnapshot || c.parts.stored == nil {
 		c.parts.stored = make(map[string]storedPart)
 	}
 	for _, entry := range e.Entries {
-		c.applyPart(now, entry)
+		c.applyPart(now, entry, known)
 	}
 }
 
-// applyPart applies an entry if it is the record of a prompt part.
-func (c *control) applyPart(now time.Time, entry kingcuphook.Entry) {
+// applyPart applies an entry if it is the record of a prompt part. An invalid record is logged
+// unless it is among the known ones, and its revision is kept, so that it can be replaced.
+func (c *control) applyPart(now time.Time, entry kingcuphook.Entry, known map[string]storedPart) {
 	name, ok := strings.CutPrefix(entry.Key(), partPrefix)
 	if !ok {
 		return
@@ -62,13 +66,26 @@
 		delete(c.parts.stored, name)
 		return
 	}
-	record, err := isolator.DecodeRecord(entry.Value())
-	if err != nil || record.Part != name {
+	record, err := decodePart(name, entry.Value())
+	if err != nil && known[name].revision != entry.Revision() {
 		c.a.Log.Log(logger.PartRecordRejected, "key", entry.Key(), "revision", entry.Revision(), "error", err)
-		return
 	}
 	c.parts.stored[name] = storedPart{record: record, revision: entry.Revision()}
-	c.a.isolator.Apply(now, record)
+	if err == nil {
+		c.a.isolator.Apply(now, record)
+	}
+}
+
+// decodePart decodes the record of the part whose hash is name.
+func decodePart(name string, value []byte) (isolator.Record, error) {
+	record, err := isolator.DecodeRecord(value)
+	if err != nil {
+		return isolator.Record{}, err
+	}
+	if record.Part != name {
+		return isolator.Record{}, fmt.Errorf("attacher: record of part %s: %w", record.Part, kingcuphook.ErrInvalid)
+	}
+	return record, nil
 }
 
 // writeParts writes a record that the store lacks, if this router follows the store. The
@@ -120,7 +137,7 @@
 			case written != 0:
 				c.parts.stored[record.Part] = storedPart{record: record, revision: written}
 			default:
-				c.applyPart(now, found)
+				c.applyPart(now, found, c.parts.stored)
 			}
 		})
 	}()
--- a/attacher/partrecords_test.go
+++ b/attacher/partrecords_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/kingcuphook/kingcuphook"
 	"github.com/kingcuphook/kingcuphook/isolator"
+	"github.com/kingcuphook/kingcuphook/logger"
 	"github.com/kingcuphook/kingcuphook/platform/standin"
 )
 
@@ -134,3 +135,23 @@
 	f.NoErr(err)
 	f.True(strings.Contains(f.routers[0].log.String(), "prompt part "+record.Part+" crashes upstreams"))
 }
+
+// An invalid record under the key of a quarantined part was never replaced, so that the quarantine
+// would have ended with the routers that knew it.
+func TestInvalidPartRecordIsReplaced(t *testing.T) {
+	t.Parallel()
+	f := newCrashFleet(t, 55, 3, 8, standin.CrashBeforeHead)
+	stored := f.quarantine()
+	f.crashing.Store(false)
+	f.put(stored.Key(), []byte("null"), nil)
+	f.waitFor("a valid record", func() bool {
+		e, err := f.store.Get(t.Context(), stored.Key())
+		f.NoErr(err)
+		_, err = isolator.DecodeRecord(e.Value())
+		return err == nil
+	})
+	for _, p := range f.routers {
+		f.True(p.count(logger.PartRecordRejected) <= 1)
+	}
+	f.True(!f.served())
+}
