Reject records of prompt parts that no router writes

A record with another spelling of the hash ("00ab" for "ab") named a part under a key that no router uses; negative trials allowed a trial every half hour for as long as the count was below 2; and the error of a record repeated its value, 1 MB of log for one of 1 MB.

Now one function checks a decoded record: the hash as routers spell it, a known state, no negative counts. An error repeats at most 100 bytes of a field.

--- a/isolator/isolator_test.go
+++ b/isolator/isolator_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -206,3 +207,25 @@
 	is.True(isQuarantined(&i, now, crashing))
 	is.Equal(i.TrialsWanted(now), []string{FormatPart(crashing)})
 }
+
+// An odd record in the store must not become a quarantine, allow endless trials or flood the log.
+func TestOddRecordIsInvalid(t *testing.T) {
+	is := is.New(t)
+	valid := `{"part":"ab","state":"quarantined","generation":1,"since":"2026-12-05T00:00:00Z","crashes":3,"trials":1,"tried-at":"2026-12-05T00:00:00Z"}`
+	_, err := DecodeRecord([]byte(valid))
+	is.NoErr(err)
+	huge := `"` + strings.Repeat("x", 1<<20) + `"`
+	for _, field := range []string{`"part":"ab"`, `"state":"quarantined"`, `"generation":1`, `"since":"2026-12-05T00:00:00Z"`, `"crashes":3`, `"trials":1`} {
+		name, _, _ := strings.Cut(field, ":")
+		for _, odd := range []string{`{}`, `-1`, `1e400`, `256.5`, `99999999999999999999`, `"00ab"`, `"AB"`, huge, strings.Repeat("[", 100_000)} {
+			_, err := DecodeRecord([]byte(strings.Replace(valid, field, name+":"+odd, 1)))
+			if !errors.Is(err, kingcuphook.ErrInvalid) || len(err.Error()) > 8*maxErrorBytes {
+				t.Errorf("%s:%.80s: %.900v", name, odd, err)
+			}
+		}
+	}
+	for _, odd := range []string{"", "null", "{}", "[]", "\xff", valid + valid} {
+		_, err := DecodeRecord([]byte(odd))
+		is.True(errors.Is(err, kingcuphook.ErrInvalid))
+	}
+}
--- a/isolator/record.go
+++ b/isolator/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"strconv"
 	"time"
@@ -13,6 +14,8 @@
 const (
 	hexBase  = 16
 	wordBits = 64
+	// maxErrorBytes bounds the part of a record that an error repeats.
+	maxErrorBytes = 100
 )
 
 // Record is the state of a part that is kept in the store, for routers that start. An operator
@@ -57,14 +60,28 @@
 func DecodeRecord(b []byte) (Record, error) {
 	var r Record
 	if err := json.Unmarshal(b, &r); err != nil {
-		return Record{}, fmt.Errorf("isolator: record: %w: %w", kingcuphook.ErrInvalid, err)
+		return Record{}, fmt.Errorf("isolator: record: %w: %.*s", kingcuphook.ErrInvalid, maxErrorBytes, err.Error())
 	}
-	if _, err := r.part(); err != nil || r.State != StateQuarantined && r.State != StateLifted {
-		return Record{}, fmt.Errorf("isolator: record of part %q in state %q: %w", r.Part, r.State, kingcuphook.ErrInvalid)
+	if err := r.check(); err != nil {
+		return Record{}, fmt.Errorf("isolator: record of part %.*q: %w: %w", maxErrorBytes, r.Part, kingcuphook.ErrInvalid, err)
 	}
 	return r, nil
 }
 
+// check returns an error if a field has a value that no router gives it.
+func (r Record) check() error {
+	part, err := r.part()
+	switch {
+	case err != nil || FormatPart(part) != r.Part:
+		return errors.New("the part is not a hash")
+	case r.State != StateQuarantined && r.State != StateLifted:
+		return fmt.Errorf("unknown state %.*q", maxErrorBytes, r.State)
+	case r.Crashes < 0 || r.Trials < 0:
+		return fmt.Errorf("%d crashes or %d trials are negative", r.Crashes, r.Trials)
+	}
+	return nil
+}
+
 func (r Record) part() (uint64, error) { return strconv.ParseUint(r.Part, hexBase, wordBits) }
 
 // Apply applies a record of the store, unless it is older than what this router knows.
