--- /dev/null
+++ b/gatherer/fuzz_test.go
@@ -0,0 +1,41 @@
+package gatherer
+
+import (
+	"errors"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/tallier"
+)
+
+// Whatever a peer sends, it is rejected, relayed once or summed within the bounds of the loads.
+func FuzzReceive(f *testing.F) {
+	self, peer := netip.MustParseAddr("10.0.0.1"), netip.MustParseAddr("10.0.0.2")
+	from := Gatherer{Self: peer, Centre: 1}
+	for _, kind := range []Kind{KindRouter, KindCentre, KindRelayed, KindFleet} {
+		for _, m := range from.encode(kind, self, 1<<16, tallier.Loads{1: {Running: 1 << 20, PrefillTokens: 1 << 40}}) {
+			f.Add(m.Payload, uint32(1))
+			f.Add(m.Payload, uint32(2))
+		}
+	}
+	f.Add([]byte{byte(KindRouter)}, uint32(1))
+	f.Fuzz(func(t *testing.T, b []byte, centre uint32) {
+		g := Gatherer{Self: self, Centre: centre}
+		peers := Peers{Near: []netip.Addr{peer}, Far: map[uint32][]netip.Addr{3: {peer}}}
+		messages, err := g.Receive(start, peer, b, peers)
+		if err != nil && !errors.Is(err, kingcuphook.ErrInvalid) {
+			t.Fatal(err)
+		}
+		if len(messages) > 1 {
+			t.Fatal(len(messages))
+		}
+		g.Tick(start.Add(time.Second), tallier.Loads{}, peers)
+		for key, l := range g.Sum(start.Add(time.Second), 2).Loads {
+			if l.Running < 0 || l.PrefillTokens < 0 {
+				t.Fatal(key, l)
+			}
+		}
+	})
+}
