Don't take two heads that run into each other for one reply

Callers were told "not run" for calls that the upstream ran, or got the status of an earlier refusal with the body of the answer. An upstream wrote a refusal once more on a kept connection, in two halves with the next answer between them, or within the head of that answer. HTTP/1.1 parses them as one head: "X-Kingcuphook-Not-Executed: tHTTP/1.1 200 OK", then the headers of the answer with its ID.

Now a head with a second status line in its status line or in a header belongs to no call, and so does one with two IDs, or one that claims a call has not run with a status that upstreams don't use for that.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -236,6 +236,9 @@
 // another program.
 func (f *Forwarder) checkReply(u *kingcuphook.Upstream, a *kingcuphook.Attempt, resp *http.Response, sentAt time.Time) error {
 	kind := f.Codec.Decode(a, resp.StatusCode, resp.Header)
+	if transporter.IsMerged(resp) {
+		kind = kingcuphook.ReplyKindForeign
+	}
 	if f.OnNotice != nil && kind != kingcuphook.ReplyKindForeign && kind != kingcuphook.ReplyKindMisdirected {
 		f.OnNotice(u, f.Codec.Notice(resp.StatusCode, resp.Header), sentAt)
 	}
