Send a call to an upstream again over a new connection

Callers were told "not run" for a call that the upstream ran, or it ran at a second upstream: the upstream had refused the call without a body, the router sent it there again on the same connection, and the upstream wrote the refusal once more. The copy has the ID of the call, since both attempts have the same one, so that nothing tells it from an answer.

Now the dispatcher marks an attempt at an upstream that had one of the call before (Attempt.Resent), and the forwarder sends it over a connection of its own. A connection carries no ID twice; a copy that arrives on the kept one belongs to no call there, by its ID. It costs a dial for each retry at the same upstream, which is made only when there is no other; the retry budget bounds them.

TestAttemptsAtSameUpstreamAreMarked covers the dispatcher.

--- a/dispatcher/opaque_test.go
+++ b/dispatcher/opaque_test.go
@@ -15,6 +15,8 @@
 type scriptedEngine struct {
 	errs  []error
 	calls int
+	// resent has whether the upstream of each call had had an attempt before.
+	resent []bool
 }
 
 func (s *scriptedEngine) next() error {
@@ -31,7 +33,8 @@
 	return nil, s.next()
 }
 
-func (s *scriptedEngine) Call(context.Context, *kingcuphook.Upstream, *kingcuphook.Attempt) (kingcuphook.Answer, error) {
+func (s *scriptedEngine) Call(_ context.Context, _ *kingcuphook.Upstream, a *kingcuphook.Attempt) (kingcuphook.Answer, error) {
+	s.resent = append(s.resent, a.Resent())
 	err := s.next()
 	var answered *kingcuphook.AnswerError
 	if errors.As(err, &answered) {
@@ -112,6 +115,19 @@
 	}
 }
 
+// A call that is sent to an upstream again must not go over a connection of its earlier attempt, on
+// which the upstream may repeat the refusal of that one.
+func TestAttemptsAtSameUpstreamAreMarked(t *testing.T) {
+	for upstreams, want := range map[int][]bool{1: {false, true, true}, 2: {false, false, true}} {
+		runTest(t, make([]bool, upstreams), func(r *harness) {
+			engine := &scriptedEngine{errs: []error{errOverloaded, errOverloaded}}
+			r.Engine, r.Store = engine, nil
+			r.True(r.dispatchOpaque(kingcuphook.RequestFields{NonIdempotent: true}, 3) == nil)
+			r.Equal(engine.resent, want)
+		})
+	}
+}
+
 // withScript runs f with upstreams a to h behind a scripted engine.
 func withScript(t *testing.T, f func(*harness, *scriptedEngine)) {
 	runTest(t, make([]bool, 8), func(r *harness) {
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
@@ -63,6 +64,8 @@
 	// failed holds the upstreams that failed this call. They are tried again when
 	// there is no other.
 	failed []string
+	// sent holds the addresses of the upstreams that the call was dispatched to.
+	sent []string
 	// cannotResume holds the upstreams that cannot resume this call.
 	cannotResume []string
 	// headWritten is set once the head of the answer was written to the caller.
@@ -264,6 +267,9 @@
 }
 
 func (r *run) newAttempt(c kingcuphook.Choice) *kingcuphook.Attempt {
+	address := c.Upstream.Address()
+	resent := slices.Contains(r.sent, address)
+	r.sent = append(r.sent, address)
 	return kingcuphook.NewAttempt(kingcuphook.AttemptFields{
 		ID:          r.d.attemptID(r.request),
 		Request:     r.request,
@@ -276,6 +282,7 @@
 		Opaque:      r.call.Opaque,
 		ResumeAfter: r.lastEvent,
 		CopyFrom:    c.CopyFrom,
+		Resent:      resent,
 	})
 }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -1,6 +1,7 @@
 // Package forwarder sends opaque calls to upstreams over HTTP and returns their
 // answers, without interpreting the content of either. It keeps connections open,
-// and its errors indicate whether the upstream may have received a call that failed.
+// and its errors indicate whether the upstream may have received a call that failed. No
+// connection carries a call twice, since the reply to the first one may arrive there again.
 package forwarder
 
 import (
@@ -212,7 +213,11 @@
 // Replies that are not an answer to the attempt are returned as errors.
 func (f *Forwarder) send(ctx context.Context, u *kingcuphook.Upstream, a *kingcuphook.Attempt) (*http.Response, error) {
 	sentAt := time.Now()
-	resp, connected, err := transporter.Send(f.newRequest(ctx, u, a), f.transport(u).RoundTrip)
+	transport := f.transport(u)
+	if a.Resent() {
+		transport = f.newTransport(u, true)
+	}
+	resp, connected, err := transporter.Send(f.newRequest(ctx, u, a), transport.RoundTrip)
 	if err != nil && !connected {
 		return nil, fmt.Errorf("forwarder: %s: %w: %w: %w", u.Address(), kingcuphook.ErrUnavailable, kingcuphook.ErrNotSent, err)
 	}
@@ -310,17 +315,20 @@
 	if f.transports == nil {
 		f.transports = make(map[kingcuphook.Program]*http.Transport)
 	}
-	t := f.newTransport(u)
+	t := f.newTransport(u, false)
 	f.transports[p] = t
 	return t
 }
 
-func (f *Forwarder) newTransport(u *kingcuphook.Upstream) *http.Transport {
+// newTransport returns a transport to an upstream. With fresh, it opens a connection for each
+// request and keeps none.
+func (f *Forwarder) newTransport(u *kingcuphook.Upstream, fresh bool) *http.Transport {
 	t := transporter.Transporter{
-		DialTimeout: cmp.Or(f.DialTimeout, defaultDialTimeout),
-		IdleTimeout: cmp.Or(f.IdleTimeout, defaultIdleTimeout),
-		KeepAlive:   keepAliveInterval,
-		Control:     setUserTimeout,
+		DialTimeout:       cmp.Or(f.DialTimeout, defaultDialTimeout),
+		IdleTimeout:       cmp.Or(f.IdleTimeout, defaultIdleTimeout),
+		KeepAlive:         keepAliveInterval,
+		DisableKeepAlives: fresh,
+		Control:           setUserTimeout,
 	}
 	if f.OnDial != nil {
 		t.Dialed = func(took time.Duration) { f.OnDial(u, took) }
--- a/upstream.go
+++ b/upstream.go
@@ -34,6 +34,8 @@
 	// CopyFrom is the address of an upstream from which the cached part of the
 	// prompt can be copied; empty means none.
 	CopyFrom string
+	// Resent is set if an attempt of the request was sent to the upstream before.
+	Resent bool
 }
 
 // Attempt is one attempt to run a request on an upstream. It is immutable.
@@ -80,6 +82,10 @@
 // prompt can be copied; empty means none.
 func (a *Attempt) CopyFrom() string { return a.f.CopyFrom }
 
+// Resent reports whether an attempt of the request was sent to the upstream before. An upstream may
+// repeat its reply to that one on the same connection.
+func (a *Attempt) Resent() bool { return a.f.Resent }
+
 // FrameKind is the kind of a frame.
 type FrameKind string
 
