Check that a response of an upstream in serve is that to the attempt

Callers were told "not run" for requests that their upstream ran, and one got the answer to an earlier request: an upstream had written a refusal, an answer or half of a refusal once more on a kept connection. Non-idempotent requests always had a connection of their own.

Cause: responses were taken in the order of arrival. Now the dialer compares X-Attempt-Id, which is unique for each attempt, where the response has it; on a connection that had other requests, a refusal counts only with it. A response that fails this, or whose head has two status lines, leaves the outcome unknown, and the idle connections are closed. The emulated upstreams repeat the ID. An upstream that doesn't can still write an earlier answer once more undetected.

TestRepeatedReplyIsNotTheAnswer failed in all 5 cases and passes; go test ./dialer ./dispatcher ./router passes.

--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -11,7 +11,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
@@ -25,7 +27,9 @@
 	headerResumeFrom = "X-Resume-From"
 	headerPriority   = "X-Priority"
 	headerKey        = "Idempotency-Key"
-	// headerNotStarted in a response means that the upstream didn't start the request.
+	// headerNotStarted in a response means that the upstream didn't start the request. On a
+	// connection that had other requests, it counts only beside headerAttempt: the response
+	// may be a late one to another request.
 	headerNotStarted = "X-Not-Started"
 )
 
@@ -135,6 +139,10 @@
 		client = d.fresh
 	}
 	sentAt := time.Now()
+	var reused atomic.Bool
+	req = req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(c httptrace.GotConnInfo) { reused.Store(c.Reused) },
+	}))
 	resp, connected, err := transporter.Send(req, client.Do)
 	if err != nil {
 		if connected {
@@ -142,6 +150,12 @@
 		}
 		return nil, fmt.Errorf("dialer: %s: %w: %w", u.Address(), kingcuphook.ErrUnavailable, err)
 	}
+	if isForeign(a, resp, reused.Load()) {
+		_ = resp.Body.Close()
+		// More unexpected responses may arrive on the connection.
+		client.CloseIdleConnections()
+		return nil, fmt.Errorf("dialer: %s responded to another request, status %d: %w: %w", u.Address(), resp.StatusCode, kingcuphook.ErrOutcomeUnknown, kingcuphook.ErrForeignFrame)
+	}
 	d.reportLoad(u, resp.Header)
 	d.reportNotice(u, resp, sentAt)
 	if err := checkResponse(u, resp); err != nil {
@@ -150,6 +164,21 @@
 	return resp, nil
 }
 
+// isForeign reports whether a response may not be that to the attempt: it has the ID of another
+// one, two responses run into each other in its head, or it is a refusal without an ID on a
+// connection that had other requests before.
+func isForeign(a *kingcuphook.Attempt, resp *http.Response, reused bool) bool {
+	ids := resp.Header.Values(headerAttempt)
+	switch {
+	case transporter.IsMerged(resp) || len(ids) > 1:
+		return true
+	case len(ids) == 1:
+		return ids[0] != a.ID()
+	default:
+		return reused && resp.Header.Get(headerNotStarted) != ""
+	}
+}
+
 // newBody returns a reader of body, or nil if it is empty.
 func newBody(body []byte) io.Reader {
 	if len(body) == 0 {
--- a/emulator/responder/responder.go
+++ b/emulator/responder/responder.go
@@ -136,6 +136,9 @@
 // ServeHTTP implements http.Handler.
 func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	u.init()
+	if id := r.Header.Get(HeaderAttempt); id != "" {
+		w.Header().Set(HeaderAttempt, id)
+	}
 	if r.URL.Path != PathRecord {
 		u.announceRateLimit(w)
 	}
