Don't count a reply to another call as a crash

A call that got the reply to another one, for example a refusal that its upstream wrote once more, was suspected of a crash of the upstream, with its prompt parts; enough of them are quarantined. Cause: the outcome of such a call is unknown, and that counted as a crash unless the upstream had answered. A reply shows that the upstream lives; frames of another attempt were left out already.

TestForeignReplyIsNoCrash counted 2 crashes without the change, 0 with it.

--- a/dispatcher/errors.go
+++ b/dispatcher/errors.go
@@ -90,8 +90,10 @@
 	if errors.As(err, &frameErr) || isFinal(err) {
 		return false
 	}
-	if errors.Is(err, kingcuphook.ErrUpstreamAnswered) || errors.Is(err, kingcuphook.ErrTooLarge) {
-		return false
+	for _, other := range []error{kingcuphook.ErrUpstreamAnswered, kingcuphook.ErrTooLarge, kingcuphook.ErrForeignFrame} {
+		if errors.Is(err, other) {
+			return false
+		}
 	}
 	return errors.Is(err, kingcuphook.ErrBrokenStream) || errors.Is(err, kingcuphook.ErrOutcomeUnknown)
 }
--- a/dispatcher/opaque_test.go
+++ b/dispatcher/opaque_test.go
@@ -128,6 +128,17 @@
 	}
 }
 
+// A call whose reply was that to another call was suspected of a crash of the upstream.
+func TestForeignReplyIsNoCrash(t *testing.T) {
+	withScript(t, func(r *harness, engine *scriptedEngine) {
+		foreign := errors.Join(kingcuphook.ErrOutcomeUnknown, kingcuphook.ErrForeignFrame)
+		engine.errs = []error{foreign, foreign}
+		r.True(r.dispatchOpaque(plain, 2) != nil)
+		r.Equal(engine.calls, 2)
+		r.Equal(r.Counts().Crashes, 0)
+	})
+}
+
 // withScript runs f with upstreams a to h behind a scripted engine.
 func withScript(t *testing.T, f func(*harness, *scriptedEngine)) {
 	runTest(t, make([]bool, 8), func(r *harness) {
