Ignore load reports of upstreams with numbers out of range

A report with a negative age was made in the future, so that every later one of the upstream was older and ignored; one whose age overflows was too; a negative load made an upstream look free. Now one function checks the numbers of reports, in bodies and headers: 0 to 2^40, or the report is ignored.

TestOddLoadReportIsIgnored failed without the change; go test ./dialer passes.

--- a/dialer/report.go
+++ b/dialer/report.go
@@ -36,6 +36,8 @@
 	// maxReportBytes limits the body of a response to a query or an order; the rest
 	// is cut off.
 	maxReportBytes = 1 << 20
+	// maxReported bounds each number of a report, so that sums and ages don't overflow.
+	maxReported = 1 << 40
 	// hexBase is the base in which cache events write prefix hashes.
 	hexBase = 16
 	// prefixHashBits is the size of a prefix hash.
@@ -52,16 +54,26 @@
 		return kingcuphook.LoadReport{}, fmt.Errorf("dialer: load report of %s: %w", u.Address(), kingcuphook.ErrInvalid)
 	}
 	v := gjson.ParseBytes(body)
-	age := time.Duration(v.Get("age-ms").Int()) * time.Millisecond
-	return kingcuphook.NewLoadReport(kingcuphook.LoadReportFields{
+	return newReport(kingcuphook.LoadReportFields{
 		Upstream:     u.Address(),
-		Made:         time.Now().Add(-age),
 		Running:      int(v.Get("running").Int()),
 		Queued:       int(v.Get("queued").Int()),
 		QueuedTokens: int(v.Get("queued-tokens").Int()),
 		CachedTokens: int(v.Get("cached-tokens").Int()),
 		Leaving:      v.Get("leaving").Bool(),
-	}), nil
+	}, int(v.Get("age-ms").Int()))
+}
+
+// newReport returns the report with the fields that an upstream made the given time ago, in
+// milliseconds. The error wraps ErrInvalid if a number is negative or beyond its bound.
+func newReport(f kingcuphook.LoadReportFields, ageMS int) (kingcuphook.LoadReport, error) {
+	for _, n := range []int{f.Running, f.Queued, f.QueuedTokens, f.CachedTokens, ageMS} {
+		if n < 0 || n > maxReported {
+			return kingcuphook.LoadReport{}, fmt.Errorf("dialer: load report of %s has the number %d: %w", f.Upstream, n, kingcuphook.ErrInvalid)
+		}
+	}
+	f.Made = time.Now().Add(-time.Duration(ageMS) * time.Millisecond)
+	return kingcuphook.NewLoadReport(f), nil
 }
 
 // Events queries the cache events of an engine after a sequence number.
@@ -187,7 +199,7 @@
 }
 
 // reportLoad calls OnReport with the load report in response headers. It ignores a
-// report that is incomplete or not numeric.
+// report that is incomplete, not numeric or out of range.
 func (d *Dialer) reportLoad(u *kingcuphook.Upstream, h http.Header) {
 	if d.OnReport == nil || h.Get(headerRunning) == "" {
 		return
@@ -204,11 +216,13 @@
 	if err != nil {
 		return
 	}
-	d.OnReport(kingcuphook.NewLoadReport(kingcuphook.LoadReportFields{
+	report, err := newReport(kingcuphook.LoadReportFields{
 		Upstream: u.Address(),
-		Made:     time.Now().Add(-time.Duration(age) * time.Millisecond),
 		Running:  running,
 		Queued:   queued,
 		Leaving:  h.Get(headerLeaving) == "true",
-	}))
+	}, age)
+	if err == nil {
+		d.OnReport(report)
+	}
 }
--- a/dialer/report_test.go
+++ b/dialer/report_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -141,3 +143,19 @@
 		kingcuphook.NewNotice(true, 1500*time.Millisecond).WithRateLimit(kingcuphook.NewRateLimit(2.5)),
 	})
 }
+
+// A report from the future kept out all later ones, and a negative load made an upstream look free.
+func TestOddLoadReportIsIgnored(t *testing.T) {
+	is := is.New(t)
+	for _, odd := range []string{`"running":-1`, `"queued":1e300`, `"age-ms":-9223372036854775808`, `"age-ms":9223372036854775807`, `"queued-tokens":1e18`} {
+		d, u := startUpstream(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			fmt.Fprintf(w, "{%s}", odd)
+		}), kingcuphook.UpstreamKindEngine)
+		_, err := d.Load(t.Context(), u)
+		is.True(errors.Is(err, kingcuphook.ErrInvalid))
+	}
+	d := &Dialer{OnReport: func(r kingcuphook.LoadReport) { t.Errorf("%+v", r) }}
+	for _, odd := range [][3]string{{"-1", "0", "0"}, {"0", "9223372036854775807", "0"}, {"0", "0", "-5000"}, {"0", "0", "9223372036854775807"}} {
+		d.reportLoad(&kingcuphook.Upstream{}, http.Header{headerRunning: {odd[0]}, headerQueued: {odd[1]}, headerReportAge: {odd[2]}})
+	}
+}
