Leave out stored outcomes that can't be answered

A stored outcome with the status 99999 would be written to the caller of a resend as it is, and net/http panics on it. The statuses and token counts of a block are now checked when it is decoded, and an invalid outcome is left out; the others in the block count.

The panic itself was not played.

--- a/claimer/outcome.go
+++ b/claimer/outcome.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -113,14 +115,32 @@
 	if err != nil {
 		return Outcome{}, false
 	}
-	var outcomes map[uint32]Outcome
-	if err := json.Unmarshal(e.Value(), &outcomes); err != nil {
+	outcomes, err := decodeOutcomes(e.Value())
+	if err != nil {
 		return Outcome{}, false
 	}
 	o, ok := outcomes[n.number()]
 	return o, ok
 }
 
+// decodeOutcomes decodes a block without its invalid outcomes. The error wraps ErrInvalid.
+func decodeOutcomes(value []byte) (map[uint32]Outcome, error) {
+	var outcomes map[uint32]Outcome
+	if err := json.Unmarshal(value, &outcomes); err != nil {
+		return nil, fmt.Errorf("claimer: outcomes: %w: %w", kingcuphook.ErrInvalid, err)
+	}
+	maps.DeleteFunc(outcomes, func(_ uint32, o Outcome) bool { return !o.isValid() })
+	return outcomes, nil
+}
+
+// maxStatus is the highest status that can be written.
+const maxStatus = 999
+
+// isValid reports whether the status is 0 or one of a final response, and the tokens are a count.
+func (o Outcome) isValid() bool {
+	return (o.Status == 0 || o.Status >= http.StatusOK && o.Status <= maxStatus) && o.Tokens >= 0
+}
+
 func (b *outcomeStore) findLocal(claim, number uint32) (Outcome, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
