Don't take a standstill of the router for silence of its upstreams

Cause: a router that stood still checks its attempts when it goes on; a check up to 1 s late counted as evidence that the upstream was silent, though its data had come meanwhile and was not read yet. Change: a check more than 100 ms late starts the timeout anew.

--- a/detector/detector.go
+++ b/detector/detector.go
@@ -5,9 +5,10 @@
 
 import "time"
 
-// maxDelay is how long after Deadline a check is still valid. A later check means
-// that this process was suspended, so it is no evidence about the connection.
-const maxDelay = time.Second
+// maxDelay is how long after Deadline a check is still valid. A later check means that this
+// process stood still, so it is no evidence about the connection: data may have come
+// meanwhile that is not read yet.
+const maxDelay = 100 * time.Millisecond
 
 // Detector monitors the connection of one attempt. It is used by one goroutine.
 type Detector struct {
