Test that a planned stop ends the search for a stream's origin (red, listed)

A call that resumes a stream and waits for the origin of the stream when EndCalls is called goes on waiting: go test ./receiver -run TestEndedCallThatWaitsForOriginIsRefused fails, the answer comes after the 2 s of the search instead of at once.

--- a/receiver/resumption_test.go
+++ b/receiver/resumption_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/pauser"
 )
 
 // pins knows the origin of the streams in it, by the attempt that began them.
@@ -120,3 +121,23 @@
 	}
 	r.Equal(len(drawn), 2)
 }
+
+// slowPins takes two seconds to find an origin.
+type slowPins struct{ pins }
+
+func (slowPins) Find(ctx context.Context, _, _, _ string) (kingcuphook.Origin, error) {
+	pauser.Pause(ctx, 2*time.Second)
+	return kingcuphook.Origin{}, kingcuphook.ErrVersionUnknown
+}
+
+// A call that waited for the origin of its stream at the end of a planned stop got no answer.
+func TestEndedCallThatWaitsForOriginIsRefused(t *testing.T) {
+	r := newResumptionHarness(t)
+	r.Pins = slowPins{}
+	time.AfterFunc(100*time.Millisecond, r.EndCalls)
+	began := time.Now()
+	resp, _, err := r.call("/stream/", "", "Resumes", "first", "Last-Event-Id", "4")
+	r.NoErr(err)
+	r.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	r.True(time.Since(began) < time.Second)
+}
