End the search for a stream's origin when the calls in flight are ended

What callers saw: a call that resumed a stream at the end of a planned stop could end without an answer, if the origin of its stream was being searched for. Cause: the search had the context of the connection, not that of the call, which EndCalls ends; it takes up to 400 ms, and the stop closes the connections after 200 ms. Why it works: the search has the call's context, and a call whose search was ended by the stop is refused with the code for that, so its caller knows that it has not run.

--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -226,7 +226,7 @@
 	if err != nil {
 		return nil, err
 	}
-	request, err := s.newRequest(r, labels, route, organisation, body, arrived, deadline)
+	request, err := s.newRequest(ctx, r, labels, route, organisation, body, arrived, deadline)
 	if err != nil {
 		return nil, err
 	}
@@ -317,7 +317,7 @@
 	return body, nil
 }
 
-func (s *Receiver) newRequest(r *http.Request, l kingcuphook.CallLabels, route *kingcuphook.Route, o kingcuphook.Organisation, body []byte, arrived, deadline time.Time) (*kingcuphook.Request, error) {
+func (s *Receiver) newRequest(ctx context.Context, r *http.Request, l kingcuphook.CallLabels, route *kingcuphook.Route, o kingcuphook.Organisation, body []byte, arrived, deadline time.Time) (*kingcuphook.Request, error) {
 	tier, urgency := rank(o, route)
 	f := kingcuphook.RequestFields{
 		ID:           l.ID,
@@ -351,7 +351,7 @@
 		f.Pool = poolFor(route, f.ID)
 		return kingcuphook.NewRequest(f), nil
 	}
-	origin, err := s.findOrigin(r.Context(), l, o.Name, route)
+	origin, err := s.findOrigin(ctx, l, o.Name, route)
 	if err != nil {
 		return nil, err
 	}
--- a/receiver/resumption.go
+++ b/receiver/resumption.go
@@ -35,6 +35,9 @@
 		"pool", origin.Pool, "version", origin.Version, "took-ms", time.Since(began).Milliseconds())
 	if err != nil {
 		log.Log(logger.ResumptionRefused, "error", err)
+		if errors.Is(context.Cause(ctx), kingcuphook.ErrStopping) {
+			return kingcuphook.Origin{}, errStopping
+		}
 		return kingcuphook.Origin{}, originError(err)
 	}
 	log.Log(logger.StreamResumed)
