--- a/attacher/takeup_test.go
+++ b/attacher/takeup_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -11,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/kingcuphook/kingcuphook/platform"
 	"github.com/kingcuphook/kingcuphook/platform/standin"
 )
 
@@ -197,3 +200,47 @@
 		w.Equal(status, http.StatusOK)
 	}
 }
+
+// declarePools declares a second pool, and lets the resumable stream use the given one.
+func (w *testPlatform) declarePools(pool string) {
+	w.t.Helper()
+	w.version += 3
+	value, err := standin.EncodeDeclaration(w.version, w.keys...)
+	w.NoErr(err)
+	value = bytes.Replace(value, []byte(`"services":[`), []byte(`"services":[{"name":"other","engine":{"batchSlots":16,"kvCapacity":1000}},`), 1)
+	var d map[string]any
+	w.NoErr(json.Unmarshal(value, &d))
+	for _, r := range d["routes"].([]any) {
+		if r := r.(map[string]any); r["name"] == string(standin.KindResumableStream) {
+			r["service"] = pool
+		}
+	}
+	value, err = json.Marshal(d)
+	w.put(platform.DeclarationKey, value, err)
+}
+
+// registerInPool registers an upstream with a version of its software in a pool.
+func (w *testPlatform) registerInPool(pool string, i int, version string) {
+	w.t.Helper()
+	value, err := json.Marshal(map[string]any{
+		"service": pool, "address": w.addresses[i], "zone": "zone", "batchSlots": 16, "state": "ready",
+		"born": 1_700_000_000_000, "seq": w.seq.Add(1), "version": version,
+	})
+	w.put(platform.RegistrationPrefix+w.upstreams[i].Instance, value, err)
+}
+
+// A stream whose route had moved to another pool was taken for one of the only version there.
+func TestTakenUpStreamIsNotJoinedFromTwoPools(t *testing.T) {
+	t.Parallel()
+	w := newTestPlatform(t)
+	w.registerInPool("models", 0, "1")
+	w.registerInPool("other", 1, "2")
+	w.declarePools("models")
+	fleet := w.startFleet(70, 2)
+	time.Sleep(2 * time.Second)
+	s := w.begin(fleet[0], 1)
+	w.declarePools("other")
+	time.Sleep(2 * time.Second)
+	w.countResumed(fleet[0], s)
+	w.countResumed(fleet[1], s)
+}
