--- a/attacher/restored_test.go
+++ b/attacher/restored_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/kingcuphook/kingcuphook/pinner"
 	"github.com/kingcuphook/kingcuphook/platform/standin"
 )
 
@@ -87,3 +88,20 @@
 	w.True(started.rejects("secret"))
 	w.True(!started.rejects("other"))
 }
+
+// The record of versions that an older copy of the store lacked was never written again.
+func TestVersionsAreRecordedAgainAfterStoreCameBackOlder(t *testing.T) {
+	t.Parallel()
+	w := newTestPlatform(t)
+	older := w.store.Snapshot()
+	w.startFleet(71, 2)
+	isRecorded := func() bool {
+		records, err := w.store.List(t.Context(), pinner.RecordPrefix)
+		w.NoErr(err)
+		return len(records) > 0
+	}
+	w.waitFor("a record", isRecorded)
+	time.Sleep(3 * time.Second) // until both routers have it
+	w.served.Restore(older)
+	w.waitFor("the record to be back", isRecorded)
+}
