Test that streams of a silent upstream don't all move to one free slot (red, listed)

Four streams of an upstream fall silent at the same moment, and one slot is free elsewhere. Each asks whether there is a vacancy before any of the others has taken it, so all four are cancelled, and three end with 'overloaded' although their upstream is sound: go test -race ./dispatcher -run Silent -count 10, 10 of 10 runs.

--- a/dispatcher/silent_test.go
+++ b/dispatcher/silent_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -38,13 +39,13 @@
 }
 
 // silentStreams runs streams whose upstream a falls silent, with a budget of one retry, and
-// returns how many fail and how many are retried. Vacancies are those of the pool, if not nil.
-func silentStreams(t *testing.T, vacancy func(*kingcuphook.Request, []string, bool) bool) (failed, retried int) {
+// returns how many fail and how many are retried. The function set changes the harness before.
+func silentStreams(t *testing.T, set func(*harness)) (failed, retried int) {
 	const calls = 4
 	runTest(t, []bool{true, true}, func(r *harness) {
 		r.Engine = silentEngine{r.engine}
-		r.HasVacancy = vacancy
 		r.NewBudget = func(string) kingcuphook.RetryBudget { return &retrier.Window{Slack: 1.25, Fleet: &retrier.Fleet{}} }
+		set(r)
 		var group sync.WaitGroup
 		errs := make([]error, calls)
 		for i := range calls {
@@ -69,7 +70,7 @@
 
 // All streams of a silent upstream were cancelled for the one retry that the budget had left.
 func TestSilentUpstreamKeepsStreamsThatCannotBeRetried(t *testing.T) {
-	failed, retried := silentStreams(t, nil)
+	failed, retried := silentStreams(t, func(*harness) {})
 	if failed != 0 || retried != 1 {
 		t.Errorf("got %d failed and %d retried streams, want 0 and 1", failed, retried)
 	}
@@ -77,8 +78,10 @@
 
 // A stream of a silent upstream was cancelled although no other upstream could go on with it.
 func TestSilentUpstreamKeepsStreamsThatNoOtherCanResume(t *testing.T) {
-	failed, retried := silentStreams(t, func(_ *kingcuphook.Request, excluded []string, resumes bool) bool {
-		return !resumes || len(excluded) != 1 || excluded[0] != "a"
+	failed, retried := silentStreams(t, func(r *harness) {
+		r.HasVacancy = func(_ *kingcuphook.Request, excluded []string, resumes bool) bool {
+			return !resumes || len(excluded) != 1 || excluded[0] != "a"
+		}
 	})
 	if failed != 0 || retried != 0 {
 		t.Errorf("got %d failed and %d retried streams, want none", failed, retried)
@@ -107,3 +110,32 @@
 		r.Equal(budget.spent, 0)
 	})
 }
+
+// narrowPool has one slot at the upstream b.
+type narrowPool struct{ *harness }
+
+func (p narrowPool) isFull() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.slots, func(s *slot) bool { return s.upstream.Address() == "b" && s.sample == nil })
+}
+
+func (p narrowPool) Acquire(ctx context.Context, r *kingcuphook.Request, excluded []string) (kingcuphook.Slot, error) {
+	if slices.Contains(excluded, "a") && p.isFull() {
+		return nil, kingcuphook.ErrOverloaded
+	}
+	return p.harness.Acquire(ctx, r, excluded)
+}
+
+// All streams of a silent upstream were cancelled for the one slot that was free elsewhere.
+func TestSilentUpstreamKeepsStreamsThatFindNoSlot(t *testing.T) {
+	failed, retried := silentStreams(t, func(r *harness) {
+		pool := narrowPool{r}
+		r.Allocator = pool
+		r.HasVacancy = func(*kingcuphook.Request, []string, bool) bool { return !pool.isFull() }
+		r.NewBudget = nil
+	})
+	if failed != 0 || retried == 0 {
+		t.Errorf("got %d failed and %d retried streams, want 0 and some", failed, retried)
+	}
+}
