Move no more streams off a silent upstream than there are free slots

What callers saw: several streams of a sound upstream that was silent for a moment ended with 502 'overloaded' at the same time. Cause: each asked whether a slot was free before any of the others had taken one, so all of them were cancelled for the same slot; the budget alone was reserved. Change: calls that left a silent upstream and have no other slot yet are counted by pool, and a further one is cancelled only if there is a slot for it beside them. Why it works: a call counts from before it asks until it holds its slot, so that a slot is promised once. TestVacancy passes the number of slots, and checks also that two are not found where one is.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -193,15 +193,15 @@
 
 // VacancyFinder is implemented by Schedulers that can be asked for a free slot.
 type VacancyFinder interface {
-	// HasVacancy reports whether an upstream that is not excluded has a slot for the request
-	// now; if resumes is set, one that can resume a partial answer.
-	HasVacancy(now time.Time, r *kingcuphook.Request, excluded []string, resumes bool) bool
+	// HasVacancy reports whether the upstreams that are not excluded have n slots for
+	// requests like r now; if resumes is set, those that can resume a partial answer.
+	HasVacancy(now time.Time, r *kingcuphook.Request, excluded []string, resumes bool, n int) bool
 }
 
-// HasVacancy reports whether an upstream of the request's pool that is not excluded has a
-// slot for it now; if resumes is set, one that can resume a partial answer. It returns true
-// if the Scheduler can't be asked.
-func (a *Allocator) HasVacancy(r *kingcuphook.Request, excluded []string, resumes bool) bool {
+// HasVacancy reports whether the upstreams of the request's pool that are not excluded have
+// n slots for requests like it now; if resumes is set, those that can resume a partial
+// answer. It returns true if the Scheduler can't be asked.
+func (a *Allocator) HasVacancy(r *kingcuphook.Request, excluded []string, resumes bool, n int) bool {
 	p, err := a.findPool(r.Pool())
 	if err != nil {
 		return false
@@ -209,7 +209,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s, ok := p.scheduler.(VacancyFinder)
-	return !ok || s.HasVacancy(time.Now(), r, excluded, resumes)
+	return !ok || s.HasVacancy(time.Now(), r, excluded, resumes, n)
 }
 
 // Queued returns the number of requests that are queued for the pool.
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -95,11 +95,12 @@
 	// BudgetKey returns the key of the retry budget that a request uses; nil means
 	// its class.
 	BudgetKey func(r *kingcuphook.Request) string
-	// HasVacancy reports whether an upstream that is not excluded could take the request now;
-	// if resumes is set, one that can resume its answer. An attempt on a silent upstream is
-	// cancelled for a retry only if one could. Nil means that one always could. It must be
-	// safe for concurrent use.
-	HasVacancy func(r *kingcuphook.Request, excluded []string, resumes bool) bool
+	// HasVacancy reports whether the upstreams that are not excluded could take n requests
+	// like r now; if resumes is set, those that can resume its answer. An attempt on a silent
+	// upstream is cancelled for a retry only if there is a slot for it and for each other
+	// retry that has none yet. Nil means that there always is. It must be safe for
+	// concurrent use.
+	HasVacancy func(r *kingcuphook.Request, excluded []string, resumes bool, n int) bool
 	// Owner is the identifier of this router.
 	Owner string
 	// Rand is the source of jitter and of attempt identifiers; nil means one with a
@@ -114,7 +115,10 @@
 	sequence uint64
 	budgets  map[string]kingcuphook.RetryBudget
 	hedges   map[string]kingcuphook.RetryBudget
-	counts   Counts
+	// moving counts by pool the calls that left a silent upstream, or are about to, and have
+	// no other slot yet.
+	moving map[string]int
+	counts Counts
 }
 
 var _ kingcuphook.Dispatcher = (*Dispatcher)(nil)
@@ -137,6 +141,7 @@
 	}
 	d.budgets = make(map[string]kingcuphook.RetryBudget)
 	d.hedges = make(map[string]kingcuphook.RetryBudget)
+	d.moving = make(map[string]int)
 	l := &d.Limits
 	l.MaxAttempts = cmp.Or(l.MaxAttempts, defaultMaxAttempts)
 	l.MaxAnswerBytes = cmp.Or(l.MaxAnswerBytes, defaultMaxAnswerBytes)
--- a/dispatcher/reservation.go
+++ b/dispatcher/reservation.go
@@ -15,6 +15,8 @@
 	mu sync.Mutex
 	// held is the reserved retry with its delay; nil if there is none.
 	held *time.Duration
+	// isMoving is set from the reservation until the call has another slot or ends.
+	isMoving bool
 }
 
 // reserve reserves a retry with spend, unless one is held, and reports whether one is held.
@@ -26,11 +28,20 @@
 	}
 	delay, ok := spend()
 	if ok {
-		v.held = &delay
+		v.held, v.isMoving = &delay, true
 	}
 	return ok
 }
 
+// endMove reports whether the call was moving, which ends.
+func (v *reservation) endMove() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	wasMoving := v.isMoving
+	v.isMoving = false
+	return wasMoving
+}
+
 // take ends the reservation. It returns the delay before the retry and whether one was
 // held.
 func (v *reservation) take() (time.Duration, bool) {
@@ -52,10 +63,42 @@
 	excluded := append(slices.Concat(r.cannotResume, r.failed), slot.Choice().Upstream.Address())
 	return func(received bool) bool {
 		resumes := r.request.Stream() && (partial || received)
-		if n >= r.maxAttempts() || r.d.HasVacancy != nil && !r.d.HasVacancy(r.request, excluded, resumes) {
+		if n >= r.maxAttempts() {
 			return false
 		}
-		return r.reserved.reserve(func() (time.Duration, bool) { return r.d.spend(r.request, time.Now(), max(n, 1)) })
+		return r.reserved.reserve(func() (time.Duration, bool) { return r.d.spendMove(r.request, excluded, resumes, max(n, 1)) })
+	}
+}
+
+// spendMove is like spend for a retry that needs a slot at once, beside the other calls that
+// are moving.
+func (d *Dispatcher) spendMove(r *kingcuphook.Request, excluded []string, resumes bool, n int) (time.Duration, bool) {
+	moving := d.addMoving(r, 1)
+	if d.HasVacancy == nil || d.HasVacancy(r, excluded, resumes, moving) {
+		if delay, ok := d.spend(r, time.Now(), n); ok {
+			return delay, true
+		}
+	}
+	d.addMoving(r, -1)
+	return 0, false
+}
+
+// addMoving adds n to the calls that are moving in the pool of r and returns their number.
+func (d *Dispatcher) addMoving(r *kingcuphook.Request, n int) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.moving[r.Pool()] += n
+	moving := d.moving[r.Pool()]
+	if moving == 0 {
+		delete(d.moving, r.Pool())
+	}
+	return moving
+}
+
+// endMove records that the call has another slot or needs none.
+func (r *run) endMove() {
+	if r.reserved.endMove() {
+		r.d.addMoving(r.request, -1)
 	}
 }
 
@@ -71,6 +114,7 @@
 // refundRetry returns the reserved retry to the budget if it was not made.
 func (r *run) refundRetry() {
 	if _, ok := r.reserved.take(); ok {
+		r.endMove()
 		r.d.refund(r.request, time.Now())
 	}
 }
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -95,6 +95,7 @@
 			return out, err
 		}
 	}
+	defer r.endMove()
 	for {
 		out, err := r.attempt(ctx)
 		if err != nil {
@@ -166,6 +167,7 @@
 		return kingcuphook.Outcome{}, err
 	}
 	slot, t, err := r.acquire(ctx)
+	r.endMove()
 	if err != nil {
 		return kingcuphook.Outcome{}, &finalError{err}
 	}
--- a/dispatcher/silent_test.go
+++ b/dispatcher/silent_test.go
@@ -79,7 +79,7 @@
 // A stream of a silent upstream was cancelled although no other upstream could go on with it.
 func TestSilentUpstreamKeepsStreamsThatNoOtherCanResume(t *testing.T) {
 	failed, retried := silentStreams(t, func(r *harness) {
-		r.HasVacancy = func(_ *kingcuphook.Request, excluded []string, resumes bool) bool {
+		r.HasVacancy = func(_ *kingcuphook.Request, excluded []string, resumes bool, _ int) bool {
 			return !resumes || len(excluded) != 1 || excluded[0] != "a"
 		}
 	})
@@ -132,7 +132,7 @@
 	failed, retried := silentStreams(t, func(r *harness) {
 		pool := narrowPool{r}
 		r.Allocator = pool
-		r.HasVacancy = func(*kingcuphook.Request, []string, bool) bool { return !pool.isFull() }
+		r.HasVacancy = func(_ *kingcuphook.Request, _ []string, _ bool, n int) bool { return n <= 1 && !pool.isFull() }
 		r.NewBudget = nil
 	})
 	if failed != 0 || retried == 0 {
--- a/scheduler/requeue_test.go
+++ b/scheduler/requeue_test.go
@@ -30,11 +30,13 @@
 	is := is.New(t)
 	s := newScheduler(engine("a", 1), engine("b", 1))
 	r := request("r", 1)
-	is.True(s.HasVacancy(start, r, []string{"a"}, false))
-	is.True(!s.HasVacancy(start, r, []string{"a", "b"}, false))
-	is.True(!s.HasVacancy(start, r, []string{"a"}, true)) // b cannot resume
+	is.True(s.HasVacancy(start, r, []string{"a"}, false, 1))
+	is.True(!s.HasVacancy(start, r, []string{"a"}, false, 2)) // b has one slot
+	is.True(s.HasVacancy(start, r, nil, false, 2))
+	is.True(!s.HasVacancy(start, r, []string{"a", "b"}, false, 1))
+	is.True(!s.HasVacancy(start, r, []string{"a"}, true, 1)) // b cannot resume
 	s.Offer(start, request("1", 1))
 	s.Offer(start, request("2", 1))
 	s.Assign(start)
-	is.True(!s.HasVacancy(start, r, []string{"a"}, false)) // b is full
+	is.True(!s.HasVacancy(start, r, []string{"a"}, false, 1)) // b is full
 }
--- a/scheduler/slots.go
+++ b/scheduler/slots.go
@@ -127,15 +127,16 @@
 	return t.total[i]
 }
 
-// HasVacancy reports whether an upstream that is not excluded has a slot for the request
-// now; if resumes is set, one that can resume a partial answer.
-func (s *Scheduler) HasVacancy(now time.Time, r *kingcuphook.Request, excluded []string, resumes bool) bool {
+// HasVacancy reports whether the upstreams that are not excluded have n slots for requests
+// like r now; if resumes is set, those that can resume a partial answer.
+func (s *Scheduler) HasVacancy(now time.Time, r *kingcuphook.Request, excluded []string, resumes bool, n int) bool {
 	return slices.ContainsFunc(s.slots.rows, func(row *slotRow) bool {
 		u := row.upstream
 		if slices.Contains(excluded, u.Address()) || resumes && !u.Resumes() || !mayRun(u, r) {
 			return false
 		}
-		return s.rowFreeSlots(now, row, tierOf(r)) > 0
+		n -= s.rowFreeSlots(now, row, tierOf(r))
+		return n <= 0
 	})
 }
 
