Take a version for the only one if all pools of the route have just it

What callers saw: a stream that was taken up after its route had moved to another pool, or, without the ID of its first attempt, on a split route, could go on at another software version, with 200 and joined text. No router need have ended. Cause: if one version was in service in the pool to which the call goes now, the stream was taken for one of it, before memory of peers or the store was asked; but it may have begun in another pool of the route. Change: the pinner keeps, for the horizon of versions, which pools resumable routes lead or led to; one version is certain only if all of them have just it, and they count as mixed otherwise, so that their streams are kept in the ledger. Why it works: what is certain without a record of the stream now covers each pool in which it can have begun. Open: a router that has just started doesn't know where routes led before its start.

--- a/pinner/pinner.go
+++ b/pinner/pinner.go
@@ -49,6 +49,8 @@
 	// begun has the streams that began at this router, learned those reported by others.
 	begun, learned memory
 	pools          map[string]*pool
+	// routes are those whose streams may be taken up.
+	routes routePools
 	// origins has the pool and the version of each mark in pools.
 	origins map[uint64]kingcuphook.Origin
 	// confirmedAt is when the tables were last known to be those in force.
@@ -129,9 +131,9 @@
 }
 
 func (p *Pinner) findSingle(now time.Time, pool string) (Found, error) {
-	version, ok := p.pools[pool].single(now, p.confirmedAt)
+	version, ok := p.single(now, pool)
 	if !ok {
-		return Found{}, fmt.Errorf("pinner: %d versions in pool %q: %w", p.pools[pool].count(now), pool, kingcuphook.ErrVersionUnknown)
+		return Found{}, fmt.Errorf("pinner: %d versions for pool %q: %w", len(p.versions(now, pool)), pool, kingcuphook.ErrVersionUnknown)
 	}
 	return Found{Origin: kingcuphook.Origin{Pool: pool, Version: version}, Source: SourceSingle}, nil
 }
--- a/pinner/pinner_test.go
+++ b/pinner/pinner_test.go
@@ -268,3 +268,39 @@
 		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(p.Remembered()), "B/stream")
 	}
 }
+
+// A stream whose route led, or had led, to another pool as well was taken for one of the only
+// version in a pool.
+func TestOnlyVersionIsCertainInAllPoolsOfRoute(t *testing.T) {
+	is := is.New(t)
+	route := func(f kingcuphook.RouteFields) []*kingcuphook.Route {
+		f.Name, f.Stream, f.Resumable = "stream", true, true
+		return []*kingcuphook.Route{kingcuphook.NewRoute(f)}
+	}
+	pools := func(version string) []*kingcuphook.Pool {
+		u := kingcuphook.NewUpstream(kingcuphook.UpstreamFields{SoftwareVersion: version})
+		other := kingcuphook.NewPool(kingcuphook.PoolFields{Name: "other", Upstreams: []*kingcuphook.Upstream{u}})
+		return append(tables("1").Pools(), other)
+	}
+	split := kingcuphook.NewSplit([]kingcuphook.PoolShare{{Pool: "models", Weight: 1}, {Pool: "other", Weight: 1}})
+	for other, want := range map[string]bool{"1": true, "2": false} {
+		certain := func(p *Pinner, now time.Time) bool {
+			p.Refresh(now)
+			p.Confirm(now)
+			_, err := p.Find(now, 1, "models")
+			return err == nil
+		}
+		moved := &Pinner{}
+		moved.Observe(start, kingcuphook.NewTables(1, route(kingcuphook.RouteFields{Pool: "other"}), pools(other)))
+		now := start.Add(horizon)
+		is.True(certain(moved, now)) // no route leads to both
+		moved.Observe(now, kingcuphook.NewTables(1, route(kingcuphook.RouteFields{Pool: "models"}), pools(other)))
+		is.Equal(certain(moved, now), want)
+		is.Equal(moved.IsMixed("models"), !want)
+		is.True(certain(moved, now.Add(horizon+time.Second)))
+
+		both := &Pinner{}
+		both.Observe(start, kingcuphook.NewTables(1, route(kingcuphook.RouteFields{Split: split}), pools(other)))
+		is.Equal(certain(both, now), want)
+	}
+}
--- a/pinner/versions.go
+++ b/pinner/versions.go
@@ -34,7 +34,10 @@
 	record   *Record
 	revision int64
 	readAt   time.Time
-	// mixed is true if more than one version was in service within the horizon.
+	// related are the names of the pools in which streams of the routes to this one may have
+	// begun, itself included.
+	related map[string]bool
+	// mixed is true if more than one version was in service in them within the horizon.
 	mixed bool
 }
 
@@ -97,16 +100,41 @@
 
 func (p *pool) isMixed() bool { return p != nil && p.mixed }
 
-// single returns the version in service if it was the only one during the horizon, as far as
-// the tables, which were those in force at confirmedAt, or the record show.
-func (p *pool) single(now, confirmedAt time.Time) (string, bool) {
-	versions := p.recent(now)
+// isComplete reports whether no version that was in service within the horizon is missing.
+func (p *pool) isComplete(now time.Time) bool {
+	return p.record != nil || !p.since.IsZero() && now.Sub(p.since) >= horizon
+}
+
+// single returns the version in service in the pool and those related to it, if it was the
+// only one during the horizon, as far as the tables, if they are those in force, or the
+// records show.
+func (p *Pinner) single(now time.Time, name string) (string, bool) {
+	versions := p.versions(now, name)
 	if len(versions) != 1 {
 		return "", false
 	}
-	isComplete := p.record != nil || !p.since.IsZero() && now.Sub(p.since) >= horizon
-	isFresh := now.Sub(confirmedAt) <= freshFor || p.record != nil && now.Sub(p.readAt) <= freshFor
-	return versions[0], isComplete && isFresh
+	for other := range p.pools[name].related {
+		if pool := p.pools[other]; pool != nil && !pool.isComplete(now) {
+			return "", false
+		}
+	}
+	pool := p.pools[name]
+	isFresh := now.Sub(p.confirmedAt) <= freshFor || pool.record != nil && now.Sub(pool.readAt) <= freshFor
+	return versions[0], isFresh
+}
+
+// versions returns the versions that were in service within the horizon in the pool and those
+// related to it, in order.
+func (p *Pinner) versions(now time.Time, name string) []string {
+	if p.pools[name] == nil {
+		return nil
+	}
+	var list []string
+	for other := range p.pools[name].related {
+		list = append(list, p.pools[other].recent(now)...)
+	}
+	slices.Sort(list)
+	return slices.Compact(list)
 }
 
 // Observe records the versions in the tables, those of leaving upstreams included.
@@ -125,6 +153,10 @@
 		}
 		p.pool(tp.Name()).observe(now, inTables)
 	}
+	if p.routes == nil {
+		p.routes = make(routePools)
+	}
+	p.routes.observe(now, t.Routes())
 	p.setRetention(t)
 	p.refresh(now)
 }
@@ -171,7 +203,7 @@
 	return p.pools[name]
 }
 
-// refresh derives what depends on the versions of the pools. Once several are in service, the
+// refresh derives what depends on the versions and the routes of the pools. Once several are in service, the
 // streams that have begun are queued for the ledger.
 func (p *Pinner) refresh(now time.Time) {
 	p.origins = make(map[uint64]kingcuphook.Origin)
@@ -184,8 +216,12 @@
 		for _, version := range versions {
 			p.origins[markOf(name, version)] = kingcuphook.Origin{Pool: name, Version: version}
 		}
+	}
+	p.routes.expire(now)
+	p.routes.relate(p.pools)
+	for name, pool := range p.pools {
 		wasMixed := pool.mixed
-		pool.mixed = len(versions) > 1
+		pool.mixed = len(p.versions(now, name)) > 1
 		if pool.mixed && !wasMixed {
 			p.queueAll(now, name)
 		}
@@ -205,7 +241,8 @@
 	}
 }
 
-// IsMixed reports whether more than one version of the pool was in service lately.
+// IsMixed reports whether more than one version was in service lately in the pools in which
+// a stream may have begun that is taken up in the pool.
 func (p *Pinner) IsMixed(pool string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/route.go
+++ b/route.go
@@ -160,18 +160,22 @@
 }
 
 // MayUse reports whether PoolFor can return the pool.
-func (r *Route) MayUse(pool string) bool {
-	if r.f.Split == nil {
-		return pool == r.f.Pool
-	}
-	total := 0.0
-	for _, s := range r.f.Split.shares {
-		if s.Weight > 0 && s.Pool == pool {
-			return true
+func (r *Route) MayUse(pool string) bool { return slices.Contains(r.Pools(), pool) }
+
+// Pools returns the pools that PoolFor can return.
+func (r *Route) Pools() []string {
+	var pools []string
+	if r.f.Split != nil {
+		for _, s := range r.f.Split.shares {
+			if s.Weight > 0 {
+				pools = append(pools, s.Pool)
+			}
 		}
-		total += s.Weight
 	}
-	return total <= 0 && pool == r.f.Pool
+	if len(pools) == 0 {
+		return []string{r.f.Pool}
+	}
+	return pools
 }
 
 // Fields returns a copy of the fields of r.
