Record versions again that the store has lost

What was seen: after the store had come back from a copy older than the record of a pool's versions, no router wrote it again; each later write failed, with two calls to the store every 2.2 s at each router that follows it, and after all routers had ended no take-up could be answered by the record. Cause: routers kept the revision of the lost record, and nothing told them that the store has none. Why it works: what the store lacks differs from what the tables show again, and is written with the condition that there is none.

--- a/attacher/ledger.go
+++ b/attacher/ledger.go
@@ -127,6 +127,10 @@
 	revision, err := s.a.store.Put(ctx, w.Record.Key(), value, w.Revision, 0)
 	if errors.Is(err, kingcuphook.ErrConflict) {
 		entry, err := s.a.store.Get(ctx, w.Record.Key())
+		if errors.Is(err, kingcuphook.ErrNotFound) {
+			s.pinner.Missing(time.Now(), w.Record.Key())
+			return nil
+		}
 		if err != nil {
 			return fmt.Errorf("attacher: record of versions: %w", err)
 		}
--- a/attacher/pins.go
+++ b/attacher/pins.go
@@ -283,6 +283,11 @@
 		return
 	}
 	now := time.Now()
+	present := make(map[string]bool)
+	for _, e := range entries {
+		present[e.Key()] = true
+	}
+	s.pinner.MissingExcept(now, present)
 	for _, e := range entries {
 		for _, r := range s.decodeSegment(e) {
 			s.pinner.Learn(now, r, pinner.SourceStore)
@@ -292,7 +297,11 @@
 
 func (s *pins) applyRecords(entries []kingcuphook.Entry) {
 	for _, e := range entries {
-		if !strings.HasPrefix(e.Key(), pinner.RecordPrefix) || e.Deleted() {
+		if !strings.HasPrefix(e.Key(), pinner.RecordPrefix) {
+			continue
+		}
+		if e.Deleted() {
+			s.pinner.Missing(time.Now(), e.Key())
 			continue
 		}
 		record, err := pinner.DecodeRecord(e.Key(), e.Value())
--- a/pinner/pinner_test.go
+++ b/pinner/pinner_test.go
@@ -304,3 +304,18 @@
 		is.Equal(certain(both, now), want)
 	}
 }
+
+// A version that only the lost record of a restored store had was forgotten with it.
+func TestVersionsOfLostRecordAreRecordedAgain(t *testing.T) {
+	is := is.New(t)
+	left := RecordedVersion{Version: "0", LeftMS: start.Add(-time.Minute).UnixMilli()}
+	p := fresh(start, []RecordedVersion{{Version: "1"}, left}, "1")
+	is.Equal(len(p.Writes(start)), 0)
+	p.MissingExcept(start, map[string]bool{RecordPrefix + "models": true})
+	is.Equal(len(p.Writes(start)), 0) // the store has it
+	p.MissingExcept(start, nil)
+	is.True(p.IsMixed("models"))
+	writes := p.Writes(start)
+	is.Equal(len(writes), 1)
+	is.Equal(writes[0], Write{Record: Record{Pool: "models", Versions: []RecordedVersion{{Version: "1"}, left}}})
+}
--- a/pinner/record.go
+++ b/pinner/record.go
@@ -108,6 +108,57 @@
 	p.refresh(now)
 }
 
+// Missing records that the store has no record with the key. The versions in the record that
+// was known are kept like those seen in the tables.
+func (p *Pinner) Missing(now time.Time, key string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, pool := range p.pools {
+		if pool.record == nil || (Record{Pool: name}).Key() != key {
+			continue
+		}
+		pool.keepRecorded(now)
+		pool.record, pool.revision = nil, 0
+	}
+	p.refresh(now)
+}
+
+// MissingExcept is like Missing for all records but those with the given keys.
+func (p *Pinner) MissingExcept(now time.Time, keys map[string]bool) {
+	for _, key := range p.recordKeys() {
+		if !keys[key] {
+			p.Missing(now, key)
+		}
+	}
+}
+
+// recordKeys returns the keys of the records that are known.
+func (p *Pinner) recordKeys() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var keys []string
+	for name, pool := range p.pools {
+		if pool.record != nil {
+			keys = append(keys, Record{Pool: name}.Key())
+		}
+	}
+	return keys
+}
+
+// keepRecorded adds the versions of the record to those that left the tables, unless they
+// are known.
+func (p *pool) keepRecorded(now time.Time) {
+	for _, v := range p.record.Versions {
+		if _, ok := p.left[v.Version]; ok || !v.isRecent(now) {
+			continue
+		}
+		p.left[v.Version] = now
+		if v.LeftMS != 0 {
+			p.left[v.Version] = time.UnixMilli(v.LeftMS)
+		}
+	}
+}
+
 // Write is a record that is to be written if that in the store has the revision; 0 means that
 // there is none.
 type Write struct {
