--- a/pinner/pinner_test.go
+++ b/pinner/pinner_test.go
@@ -319,3 +319,29 @@
 	is.Equal(len(writes), 1)
 	is.Equal(writes[0], Write{Record: Record{Pool: "models", Versions: []RecordedVersion{{Version: "1"}, left}}})
 }
+
+// With more versions than a record holds, some in service counted as gone, and the record was
+// written again with each change of the tables.
+func TestAllVersionsInServiceAreKept(t *testing.T) {
+	is := is.New(t)
+	var many []string
+	for n := range 2 * maxVersions {
+		many = append(many, fmt.Sprint(n))
+	}
+	p := fresh(start, nil, many...)
+	for n, version := range many {
+		p.Begun(start, uint64(n), "models", version)
+		_, err := p.Find(start, uint64(n), "models")
+		is.NoErr(err)
+	}
+	writes := 0
+	for second := range 60 {
+		now := start.Add(time.Duration(second) * time.Second)
+		p.Observe(now, tables(many...))
+		for _, w := range p.Writes(now) {
+			writes++
+			p.Apply(now, w.Record, int64(writes))
+		}
+	}
+	is.Equal(writes, 1)
+}
