Keep all software versions in service

What callers saw: in a pool with more than 16 versions, such as one with many registrations whose version is no text, some streams were refused as 'version gone' while their upstream served. Cause: the bound of the versions that are kept removed any of them, at random among those in service, so that the record in the store changed with each update of the tables too. Change: only versions that have left yield; those in service are bounded by the tables. The record still holds 16.

--- a/pinner/versions.go
+++ b/pinner/versions.go
@@ -19,7 +19,8 @@
 	freshFor = 2 * time.Second
 	// maxPools bounds the pools that records add.
 	maxPools = 1024
-	// maxVersions bounds the versions of a pool that are kept. Those that left first yield.
+	// maxVersions bounds the versions of a pool that are kept, unless more are in service, and
+	// those in its record. Those that left first yield.
 	maxVersions = 16
 )
 
@@ -59,7 +60,12 @@
 	for version := range inTables {
 		p.left[version] = time.Time{}
 	}
-	for len(p.left) > maxVersions {
+	p.trim(inTables)
+}
+
+// trim removes versions that are not in the tables, those that left first.
+func (p *pool) trim(inTables map[string]bool) {
+	for len(p.left) > max(maxVersions, len(inTables)) {
 		delete(p.left, slices.MinFunc(slices.Collect(maps.Keys(p.left)), p.compareLeft))
 	}
 }
