--- a/attacher/takeup_test.go
+++ b/attacher/takeup_test.go
@@ -7,7 +7,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"testing"
@@ -244,3 +246,43 @@
 	w.countResumed(fleet[0], s)
 	w.countResumed(fleet[1], s)
 }
+
+// lateWatches returns the address of a server that passes calls to the store on and holds the
+// replies to watches back.
+func (w *testPlatform) lateWatches(delay time.Duration) string {
+	server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		reply := httptest.NewRecorder()
+		w.served.ServeHTTP(reply, r)
+		if strings.Contains(r.URL.Path, "watch") {
+			time.Sleep(delay)
+		}
+		maps.Copy(rw.Header(), reply.Header())
+		rw.WriteHeader(reply.Code)
+		_, _ = rw.Write(reply.Body.Bytes())
+	}))
+	w.t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+// A router that learned of a second version a second late took streams of it for streams of the first.
+func TestTakenUpStreamIsNotJoinedFromTwoVersionsByLateRouter(t *testing.T) {
+	for network := range 6 {
+		t.Run(strconv.Itoa(network), func(t *testing.T) {
+			t.Parallel()
+			w := newTestPlatform(t)
+			w.registerVersions("1", "1")
+			first := loopback(strconv.Itoa(73+network) + ".1")
+			p := w.start(first, w.server.Listener.Addr().String())
+			late := w.start(loopback(strconv.Itoa(73+network)+".2"), w.lateWatches(1500*time.Millisecond), first)
+			w.waitFor("readiness", func() bool { return p.isReady() && late.isReady() })
+			time.Sleep(5 * time.Second) // until they know each other and have the record
+			w.registerVersions("1", "2")
+			time.Sleep(100 * time.Millisecond)
+			paused := time.Now()
+			w.upstreams[0].Pause(500 * time.Millisecond)
+			streams := w.begin(p, 2)
+			time.Sleep(time.Until(paused.Add(550 * time.Millisecond)))
+			w.countResumed(late, streams)
+		})
+	}
+}
