--- a/attacher/takeup_test.go
+++ b/attacher/takeup_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -12,6 +15,7 @@
 	"testing"
 	"time"
 
+	"github.com/kingcuphook/kingcuphook/platform"
 	"github.com/kingcuphook/kingcuphook/platform/standin"
 )
 
@@ -221,3 +225,87 @@
 		w.Equal(status, http.StatusOK)
 	}
 }
+
+// declarePools declares a second pool, and lets the resumable stream use the given one.
+func (w *testPlatform) declarePools(pool string) {
+	w.t.Helper()
+	w.version += 3
+	value, err := standin.EncodeDeclaration(w.version, w.keys...)
+	w.NoErr(err)
+	value = bytes.Replace(value, []byte(`"services":[`), []byte(`"services":[{"name":"other","engine":{"batchSlots":16,"kvCapacity":1000}},`), 1)
+	var d map[string]any
+	w.NoErr(json.Unmarshal(value, &d))
+	for _, r := range d["routes"].([]any) {
+		if r := r.(map[string]any); r["name"] == string(standin.KindResumableStream) {
+			r["service"] = pool
+		}
+	}
+	value, err = json.Marshal(d)
+	w.put(platform.DeclarationKey, value, err)
+}
+
+// registerInPool registers an upstream with a version of its software in a pool.
+func (w *testPlatform) registerInPool(pool string, i int, version string) {
+	w.t.Helper()
+	value, err := json.Marshal(map[string]any{
+		"service": pool, "address": w.addresses[i], "zone": "zone", "batchSlots": 16, "state": "ready",
+		"born": 1_700_000_000_000, "seq": w.seq.Add(1), "version": version,
+	})
+	w.put(platform.RegistrationPrefix+w.upstreams[i].Instance, value, err)
+}
+
+// A stream whose route had moved to another pool was taken for one of the only version there.
+func TestTakenUpStreamIsNotJoinedFromTwoPools(t *testing.T) {
+	t.Parallel()
+	w := newTestPlatform(t)
+	w.registerInPool("models", 0, "1")
+	w.registerInPool("other", 1, "2")
+	w.declarePools("models")
+	fleet := w.startFleet(70, 2)
+	time.Sleep(2 * time.Second)
+	s := w.begin(fleet[0], 1)
+	w.declarePools("other")
+	time.Sleep(2 * time.Second)
+	w.countResumed(fleet[0], s)
+	w.countResumed(fleet[1], s)
+}
+
+// lateWatches returns the address of a server that passes calls to the store on and holds the
+// replies to watches back.
+func (w *testPlatform) lateWatches(delay time.Duration) string {
+	server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		reply := httptest.NewRecorder()
+		w.served.ServeHTTP(reply, r)
+		if strings.Contains(r.URL.Path, "watch") {
+			time.Sleep(delay)
+		}
+		maps.Copy(rw.Header(), reply.Header())
+		rw.WriteHeader(reply.Code)
+		_, _ = rw.Write(reply.Body.Bytes())
+	}))
+	w.t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+// A router that learned of a second version a second late took streams of it for streams of the first.
+func TestTakenUpStreamIsNotJoinedFromTwoVersionsByLateRouter(t *testing.T) {
+	for network := range 6 {
+		t.Run(strconv.Itoa(network), func(t *testing.T) {
+			t.Parallel()
+			w := newTestPlatform(t)
+			w.registerVersions("1", "1")
+			first := loopback(strconv.Itoa(73+network) + ".1")
+			p := w.start(first, w.server.Listener.Addr().String())
+			late := w.start(loopback(strconv.Itoa(73+network)+".2"), w.lateWatches(1500*time.Millisecond), first)
+			w.waitFor("readiness", func() bool { return p.isReady() && late.isReady() })
+			time.Sleep(5 * time.Second) // until they know each other and have the record
+			w.registerVersions("1", "2")
+			time.Sleep(100 * time.Millisecond)
+			paused := time.Now()
+			w.upstreams[0].Pause(500 * time.Millisecond)
+			streams := w.begin(p, 2)
+			time.Sleep(time.Until(paused.Add(550 * time.Millisecond)))
+			w.countResumed(late, streams)
+		})
+	}
+}
