--- a/attacher/takeup_test.go
+++ b/attacher/takeup_test.go
@@ -261,7 +261,7 @@
 	w.registerInPool("models", 0, "1")
 	w.registerInPool("other", 1, "2")
 	w.declarePools("models")
-	fleet := w.startFleet(70, 2)
+	fleet := w.startFleet(72, 2)
 	time.Sleep(2 * time.Second)
 	s := w.begin(fleet[0], 1)
 	w.declarePools("other")
