Ask peers before one version is taken for the only one

What callers saw: soon after a second version had appeared, a router that learned of it late could send a stream of that version to the first one, with 200 and joined text. Cause: for 2 s after its tables were confirmed a router that sees one version takes every stream for one of it, without asking the peers, and replies of a slow store confirm tables that are older. Change: for a call that names an attempt, the peers are asked first, for up to 150 ms; what one reports counts. Why it works: the router that began a stream has its version from before the first event. Open: what no peer reports, because its router ended or can't be reached, is still taken for the one version for up to 2 s. A take-up that no peer knows waits 150 ms longer.

--- a/attacher/pins.go
+++ b/attacher/pins.go
@@ -111,6 +111,10 @@
 // service, if that is certain.
 func (s *pins) find(ctx context.Context, key uint64, named bool, pool string) (pinner.Found, error) {
 	found, err := s.pinner.Find(time.Now(), key, pool)
+	if named && found.Source == pinner.SourceSingle {
+		s.askPeers(ctx, key)
+		found, err = s.pinner.Find(time.Now(), key, pool)
+	}
 	if !isUnknown(err) || !named && s.pinner.IsMixed(pool) {
 		return found, err
 	}
@@ -142,6 +146,21 @@
 	return found, err
 }
 
+// askPeers returns once a peer has reported the origin of the stream, or after peerTimeout. A
+// peer may have learned of another version before this router.
+func (s *pins) askPeers(ctx context.Context, key uint64) {
+	if len(*s.peers.Load()) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	defer s.release(key)
+	select {
+	case <-s.ask(key):
+	case <-ctx.Done():
+	}
+}
+
 // isUnknown reports whether others may know the origin of a stream.
 func isUnknown(err error) bool {
 	return errors.Is(err, kingcuphook.ErrVersionUnknown) && !errors.Is(err, pinner.ErrAmbiguous)
