--- a/attacher/takeup_test.go
+++ b/attacher/takeup_test.go
@@ -327,3 +327,18 @@
 		})
 	}
 }
+
+// An upstream that changed its version under its ID got streams of its earlier version from a late router.
+func TestTakenUpStreamIsNotJoinedByUpstreamWithNewVersion(t *testing.T) {
+	for network := range 6 {
+		t.Run(strconv.Itoa(network), func(t *testing.T) {
+			t.Parallel()
+			w := newTestPlatform(t)
+			w.registerVersions("1", "1")
+			first, late := w.lateRouter(80 + network)
+			w.registerVersions("1", "2")
+			time.Sleep(300 * time.Millisecond) // until the first router has the version
+			w.countResumed(late, w.begin(first, 6))
+		})
+	}
+}
