--- a/pinner/pinner_test.go
+++ b/pinner/pinner_test.go
@@ -360,7 +360,7 @@
 // written again with each change of the tables.
 func TestAllVersionsInServiceAreKept(t *testing.T) {
 	is := is.New(t)
-	var many []string
+	many := make([]string, 0, 2*maxVersions)
 	for n := range 2 * maxVersions {
 		many = append(many, fmt.Sprint(n))
 	}
