Replace an invalid record of a pool's versions, and log it once

Callers would see: after another writer has put something else in the place of a record and all routers have ended, take-ups are refused although one version alone was in service. Change: a record that can't be read is replaced by compare-and-swap on its revision; an invalid entry is logged once a revision.

--- a/attacher/ledger.go
+++ b/attacher/ledger.go
@@ -128,30 +128,34 @@
 }
 
 // writeRecord writes a record if that in the store has the expected revision, and otherwise
-// reads that.
+// reads that. One that is invalid is replaced.
 func (s *pins) writeRecord(ctx context.Context, w pinner.Write) error {
+	err := s.putRecord(ctx, w)
+	if !errors.Is(err, kingcuphook.ErrConflict) {
+		return err
+	}
+	entry, err := s.a.store.Get(ctx, w.Record.Key())
+	if errors.Is(err, kingcuphook.ErrNotFound) {
+		s.pinner.Missing(time.Now(), w.Record.Key())
+		return nil
+	}
+	if err != nil {
+		return fmt.Errorf("attacher: record of versions: %w", err)
+	}
+	if s.applyRecord(entry) {
+		return nil
+	}
+	return s.putRecord(ctx, pinner.Write{Record: w.Record, Revision: entry.Revision()})
+}
+
+// putRecord writes a record if that in the store has the expected revision.
+func (s *pins) putRecord(ctx context.Context, w pinner.Write) error {
 	value, err := w.Record.Encode()
 	if err != nil {
 		return err
 	}
 	s.writes.Add(1)
 	revision, err := s.a.store.Put(ctx, w.Record.Key(), value, w.Revision, 0)
-	if errors.Is(err, kingcuphook.ErrConflict) {
-		entry, err := s.a.store.Get(ctx, w.Record.Key())
-		if errors.Is(err, kingcuphook.ErrNotFound) {
-			s.pinner.Missing(time.Now(), w.Record.Key())
-			return nil
-		}
-		if err != nil {
-			return fmt.Errorf("attacher: record of versions: %w", err)
-		}
-		record, err := pinner.DecodeRecord(entry.Key(), entry.Value())
-		if err != nil {
-			return err
-		}
-		s.pinner.Apply(time.Now(), record, entry.Revision())
-		return nil
-	}
 	if err != nil {
 		return fmt.Errorf("attacher: record of versions: %w", err)
 	}
--- a/attacher/pins.go
+++ b/attacher/pins.go
@@ -29,10 +29,13 @@
 	readIntervalPerRouter = 2 * time.Millisecond
 	// maxAttemptBytes bounds the ID of an attempt. Longer ones name no stream.
 	maxAttemptBytes = 256
+	// maxRejected bounds the invalid entries that are logged.
+	maxRejected = 1024
 )
 
 // pins finds the software versions that began streams: in the memory of this router, from
-// peers and in the store. It implements kingcuphook.StreamPinner.
+// peers and in the store. It does the calls, package pinner decides. It implements
+// kingcuphook.StreamPinner.
 type pins struct {
 	a      *Attacher
 	pinner pinner.Pinner
@@ -57,6 +60,8 @@
 	lastRead time.Time
 	// wanted are the pools that the next read is for.
 	wanted map[string]bool
+	// rejected are the revisions of invalid entries that were logged, by key.
+	rejected map[string]int64
 }
 
 // inquiry is a stream whose origin calls wait for.
@@ -71,7 +76,7 @@
 var _ kingcuphook.StreamPinner = (*pins)(nil)
 
 func newPins(a *Attacher) *pins {
-	s := &pins{a: a, found: make(map[pinner.Source]*atomic.Int64), inquiries: make(map[uint64]*inquiry), wanted: make(map[string]bool)}
+	s := &pins{a: a, found: make(map[pinner.Source]*atomic.Int64), inquiries: make(map[uint64]*inquiry), wanted: make(map[string]bool), rejected: make(map[string]int64)}
 	for _, source := range pinner.Sources() {
 		s.found[source] = &atomic.Int64{}
 	}
@@ -330,13 +335,30 @@
 			s.pinner.Missing(time.Now(), e.Key())
 			continue
 		}
-		record, err := pinner.DecodeRecord(e.Key(), e.Value())
-		if err != nil {
-			s.a.Log.Log(logger.VersionRecordRejected, "key", e.Key(), "revision", e.Revision(), "error", err)
-			continue
-		}
-		s.pinner.Apply(time.Now(), record, e.Revision())
+		s.applyRecord(e)
+	}
+}
+
+// applyRecord applies a record of versions. It reports whether the record is valid.
+func (s *pins) applyRecord(e kingcuphook.Entry) bool {
+	record, err := pinner.DecodeRecord(e.Key(), e.Value())
+	if err != nil {
+		s.logRejected(e, err)
+		return false
+	}
+	s.pinner.Apply(time.Now(), record, e.Revision())
+	return true
+}
+
+// logRejected logs an invalid entry once, although it is read again and again.
+func (s *pins) logRejected(e kingcuphook.Entry, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if revision, ok := s.rejected[e.Key()]; ok && revision == e.Revision() || !ok && len(s.rejected) >= maxRejected {
+		return
 	}
+	s.rejected[e.Key()] = e.Revision()
+	s.a.Log.Log(logger.VersionRecordRejected, "key", e.Key(), "revision", e.Revision(), "error", err)
 }
 
 // decodeSegment returns the streams in an entry; nil if it is no segment of a ledger.
@@ -346,7 +368,7 @@
 	}
 	reports, err := pinner.DecodeSegment(e.Value())
 	if err != nil {
-		s.a.Log.Log(logger.VersionRecordRejected, "key", e.Key(), "revision", e.Revision(), "error", err)
+		s.logRejected(e, err)
 	}
 	return reports
 }
--- a/attacher/takeup_test.go
+++ b/attacher/takeup_test.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/logger"
+	"github.com/kingcuphook/kingcuphook/pinner"
 	"github.com/kingcuphook/kingcuphook/platform"
 	"github.com/kingcuphook/kingcuphook/platform/standin"
 )
@@ -342,3 +344,21 @@
 		})
 	}
 }
+
+// An invalid record of a pool's versions was never replaced, so that no take-up was certain, and logged at each read.
+func TestInvalidVersionRecordIsReplaced(t *testing.T) {
+	t.Parallel()
+	w := newTestPlatform(t)
+	key := pinner.Record{Pool: standin.Pool}.Key()
+	w.put(key, []byte("null"), nil)
+	fleet := w.startFleet(87, 2)
+	w.waitFor("a valid record", func() bool {
+		e, err := w.store.Get(t.Context(), key)
+		w.NoErr(err)
+		_, err = pinner.DecodeRecord(key, e.Value())
+		return err == nil
+	})
+	for _, p := range fleet {
+		w.True(p.count(logger.VersionRecordRejected) <= 1)
+	}
+}
