Split the receiver and the search for origins into files by job

Change: requests, the planned stop, and what the store has of versions stand in files of their own; no statement changed. Measured: go vet, linter, and the tests of receiver and attacher pass.

--- /dev/null
+++ b/attacher/pinstore.go
@@ -0,0 +1,141 @@
+package attacher
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/logger"
+	"github.com/kingcuphook/kingcuphook/pinner"
+)
+
+// read schedules a read of what the store has of the pool. The channel is closed once a read
+// that begins from now on has ended.
+func (s *pins) read(pool string) <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.wanted[pool] = true
+	if s.nextRead == nil {
+		s.nextRead = make(chan struct{})
+		interval := minReadInterval + time.Duration(s.a.routers.Load())*readIntervalPerRouter
+		time.AfterFunc(time.Until(s.lastRead.Add(interval)), s.readStore)
+	}
+	return s.nextRead
+}
+
+// readStore reads the records of versions, unless it is known that several versions are in
+// service, and then the ledger if they are.
+func (s *pins) readStore() {
+	s.reading.Lock()
+	defer s.reading.Unlock()
+	s.mu.Lock()
+	done, wanted := s.nextRead, s.wanted
+	s.nextRead, s.wanted, s.lastRead = nil, make(map[string]bool), time.Now()
+	s.mu.Unlock()
+	defer close(done)
+	ctx, cancel := context.WithTimeout(context.Background(), findTimeout)
+	defer cancel()
+	if !s.all(wanted, s.isCertainlyMixed) {
+		s.applyRecords(s.list(ctx, pinner.RecordPrefix))
+	}
+	if s.all(wanted, func(pool string) bool { return !s.pinner.IsMixed(pool) }) {
+		return
+	}
+	for _, e := range s.list(ctx, pinner.LedgerPrefix) {
+		s.learn(s.decodeSegment(e), pinner.SourceStore)
+	}
+}
+
+// isCertainlyMixed reports whether streams may have begun at several versions of the pool, which
+// the record in the store could not refute.
+func (s *pins) isCertainlyMixed(pool string) bool {
+	_, held := s.pinner.Held(time.Now(), pool)
+	return s.pinner.IsMixed(pool) && !held
+}
+
+func (s *pins) all(pools map[string]bool, is func(pool string) bool) bool {
+	for pool := range pools {
+		if !is(pool) {
+			return false
+		}
+	}
+	return true
+}
+
+// list returns the entries of the store with the prefix; nil if it can't be read.
+func (s *pins) list(ctx context.Context, prefix string) []kingcuphook.Entry {
+	s.reads.Add(1)
+	entries, err := s.a.store.List(ctx, prefix)
+	if err != nil {
+		s.a.Log.Log(logger.VersionStoreFailed, "call", "list", "key", prefix, "error", err)
+	}
+	return entries
+}
+
+// applyEntries applies the entries of the store that tell of versions, those of a snapshot or
+// changed ones.
+func (s *pins) applyEntries(entries []kingcuphook.Entry, snapshot bool) {
+	s.applyRecords(entries)
+	if !snapshot {
+		return
+	}
+	now := time.Now()
+	present := make(map[string]bool)
+	for _, e := range entries {
+		present[e.Key()] = true
+	}
+	s.pinner.MissingExcept(now, present)
+	for _, e := range entries {
+		for _, r := range s.decodeSegment(e) {
+			s.pinner.Learn(now, r, pinner.SourceStore)
+		}
+	}
+}
+
+func (s *pins) applyRecords(entries []kingcuphook.Entry) {
+	for _, e := range entries {
+		if !strings.HasPrefix(e.Key(), pinner.RecordPrefix) {
+			continue
+		}
+		if e.Deleted() {
+			s.pinner.Missing(time.Now(), e.Key())
+			continue
+		}
+		s.applyRecord(e)
+	}
+}
+
+// applyRecord applies a record of versions. It reports whether the record is valid.
+func (s *pins) applyRecord(e kingcuphook.Entry) bool {
+	record, err := pinner.DecodeRecord(e.Key(), e.Value())
+	if err != nil {
+		s.logRejected(e, err)
+		return false
+	}
+	s.pinner.Apply(time.Now(), record, e.Revision())
+	return true
+}
+
+// logRejected logs an invalid entry once, although it is read again and again.
+func (s *pins) logRejected(e kingcuphook.Entry, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if revision, ok := s.rejected[e.Key()]; ok && revision == e.Revision() || !ok && len(s.rejected) >= maxRejected {
+		return
+	}
+	s.rejected[e.Key()] = e.Revision()
+	s.a.Log.Log(logger.VersionRecordRejected, "key", e.Key(), "revision", e.Revision(), "error", err)
+}
+
+// decodeSegment returns the streams in an entry; nil if it is no segment of a ledger.
+func (s *pins) decodeSegment(e kingcuphook.Entry) []pinner.Report {
+	if !strings.HasPrefix(e.Key(), pinner.LedgerPrefix) || e.Deleted() {
+		return nil
+	}
+	reports, err := pinner.DecodeSegment(e.Value())
+	if err != nil {
+		s.logRejected(e, err)
+	}
+	return reports
+}
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -16,11 +16,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/rs/xid"
-
 	"github.com/kingcuphook/kingcuphook"
-	"github.com/kingcuphook/kingcuphook/forwarder"
 	"github.com/kingcuphook/kingcuphook/logger"
 )
 
@@ -118,40 +114,6 @@
 	return len(line), nil
 }
 
-// Stop closes the listener and the idle connections, and waits for the calls in flight
-// until ctx ends. It returns an error if ctx ends first; it doesn't interrupt the calls
-// itself. Calls that begin after it has been called are rejected: their connections may be
-// closed.
-func (s *Receiver) Stop(ctx context.Context) error {
-	s.closing.Store(true)
-	if err := s.server().Shutdown(ctx); err != nil {
-		return fmt.Errorf("receiver: stop: %w", err)
-	}
-	return nil
-}
-
-// EndCalls ends the calls in flight and all later ones with an error, which their callers
-// get unless part of an answer was written. It returns at once.
-func (s *Receiver) EndCalls() {
-	s.server()
-	s.endCalls()
-}
-
-// callContext returns a context that ends with the caller's connection or, with the cause
-// ErrStopping, when EndCalls is called.
-func (s *Receiver) callContext(r *http.Request) (context.Context, context.CancelFunc) {
-	s.server()
-	ctx, cancel := context.WithCancelCause(r.Context())
-	stop := context.AfterFunc(s.calls, func() { cancel(kingcuphook.ErrStopping) })
-	return ctx, func() {
-		stop()
-		cancel(nil)
-	}
-}
-
-// InFlight returns the number of calls in flight.
-func (s *Receiver) InFlight() int { return int(s.inFlight.Load()) }
-
 // Unanswered returns the number of calls that ended without a complete response although
 // their callers were still connected.
 func (s *Receiver) Unanswered() int { return int(s.unanswered.Load()) }
@@ -177,18 +139,6 @@
 	s.run(ctx, out, r, c)
 }
 
-// stopping reports whether a graceful shutdown was started.
-func (s *Receiver) stopping() bool {
-	if s.closing.Load() {
-		return true
-	}
-	if s.StopTimes == nil {
-		return false
-	}
-	_, end := s.StopTimes()
-	return !end.IsZero()
-}
-
 // acceptedCall is a call that passed all checks, with its route.
 type acceptedCall struct {
 	call  *kingcuphook.Call
@@ -261,23 +211,6 @@
 	return s.Directory()
 }
 
-// endsBeforeStop reports whether a call of the route that starts now is expected to
-// end before the graceful shutdown does.
-func (s *Receiver) endsBeforeStop(route *kingcuphook.Route) bool {
-	if s.StopTimes == nil {
-		return false
-	}
-	streams, end := s.StopTimes()
-	if route.Stream() {
-		return time.Now().Before(streams)
-	}
-	return time.Until(end) > max(route.Timeout(), minCallTime)
-}
-
-// minCallTime is the time that a call needs at least before the end of a graceful
-// shutdown, also if its route has a shorter timeout or none.
-const minCallTime = time.Second
-
 // callTimeout returns how long a call may take: the timeout of its route or the
 // caller's deadline, whichever is shorter.
 func callTimeout(l kingcuphook.CallLabels, route *kingcuphook.Route) time.Duration {
@@ -316,130 +249,3 @@
 	}
 	return body, nil
 }
-
-func (s *Receiver) newRequest(ctx context.Context, r *http.Request, l kingcuphook.CallLabels, route *kingcuphook.Route, o kingcuphook.Organisation, body []byte, arrived, deadline time.Time) (*kingcuphook.Request, error) {
-	tier, urgency := rank(o, route)
-	f := kingcuphook.RequestFields{
-		ID:           l.ID,
-		Class:        route.Name(),
-		Organisation: o.Name,
-		// Every upstream of a pool serves all models. What differs between the requests
-		// that are queued for a pool is their route.
-		Model:         route.Name(),
-		Region:        s.Region,
-		DataCentre:    s.DataCentre,
-		Tier:          tier,
-		Urgency:       urgency,
-		Arrived:       arrived,
-		Target:        route.Target(),
-		TokenTarget:   route.TokenTarget(),
-		Deadline:      deadline,
-		NonIdempotent: route.NonIdempotent(),
-		PromptTokens:  l.PromptTokens,
-		MaxTokens:     l.MaxTokens,
-		Bytes:         len(body),
-		Prefix:        l.Prefix,
-		PrefixTokens:  l.PrefixTokens,
-		Parts:         l.Parts,
-		Fingerprint:   fingerprint(r, o.Name, body),
-		Stream:        route.Stream(),
-	}
-	if f.ID == "" {
-		f.ID = xid.New().String()
-	}
-	if !s.resumesStream(l, route) {
-		f.Pool = poolFor(route, f.ID)
-		return kingcuphook.NewRequest(f), nil
-	}
-	origin, err := s.findOrigin(ctx, l, o.Name, route)
-	if err != nil {
-		return nil, err
-	}
-	f.Pool, f.OnlyVersion = origin.Pool, &origin.Version
-	return kingcuphook.NewRequest(f), nil
-}
-
-// poolFor returns the pool of the call with the ID, which is the same at every router.
-func poolFor(route *kingcuphook.Route, id string) string {
-	return route.PoolFor(float64(xxhash.Sum64String(id)>>11) / (1 << 53))
-}
-
-const (
-	// routeLevels is the number of route tiers that are kept apart within one tier of
-	// organisations.
-	routeLevels = 3
-	// defaultTier is the tier of an organisation that has none.
-	defaultTier = kingcuphook.HighestTier + 1
-)
-
-// rank returns the tier and the urgency of a request; lower values go first. Requests
-// are ordered by the tier of the organisation and then by that of the route.
-func rank(o kingcuphook.Organisation, route *kingcuphook.Route) (kingcuphook.Tier, int) {
-	organisation := o.Tier
-	if !organisation.Valid() {
-		organisation = defaultTier
-	}
-	urgency := organisation.Index()*routeLevels + min(route.Tier().Index(), routeLevels-1)
-	return min(kingcuphook.HighestTier+kingcuphook.Tier(urgency), kingcuphook.LowestTier), urgency
-}
-
-// fingerprint returns a hash of a call that is the same when the call is repeated.
-func fingerprint(r *http.Request, organisation string, body []byte) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	for _, part := range []string{organisation, r.Method, r.RequestURI} {
-		_, _ = d.WriteString(part)
-		_, _ = d.WriteString("\n")
-	}
-	_, _ = d.Write(body)
-	return d.Sum64()
-}
-
-func (s *Receiver) newCall(r *http.Request, route *kingcuphook.Route, request *kingcuphook.Request, body []byte) *kingcuphook.Call {
-	header := s.Codec.Forwarded(r.Header)
-	forwarder.RemoveHopByHopHeaders(header)
-	header.Del("Content-Length")
-	header.Del("Expect")
-	o := &kingcuphook.Opaque{
-		Host:        r.Host,
-		Header:      header,
-		MaxAttempts: route.MaxAttempts(),
-		Resumable:   route.Resumable(),
-	}
-	o.FirstByte, o.Silence = silenceLimits(route)
-	kind := kingcuphook.UpstreamKindService
-	if route.Stream() {
-		kind = kingcuphook.UpstreamKindEngine
-	}
-	return &kingcuphook.Call{
-		Request: request,
-		Method:  r.Method,
-		Path:    r.RequestURI,
-		Body:    body,
-		Kind:    kind,
-		Opaque:  o,
-	}
-}
-
-const (
-	// firstByteFactor and silenceFactor are how many times the target of its route an
-	// upstream may stay silent before a retryable call is sent to another one.
-	firstByteFactor = 3
-	silenceFactor   = 3
-	// minSilence is the lower limit of both times.
-	minSilence = 400 * time.Millisecond
-	// unlimited is in effect no limit. It applies to calls that can't be retried: only
-	// their deadline ends them.
-	unlimited = time.Hour
-)
-
-// silenceLimits returns how long an upstream may stay silent before the first byte of
-// an answer and between two events of a stream.
-func silenceLimits(route *kingcuphook.Route) (firstByte, silence time.Duration) {
-	if route.NonIdempotent() || route.MaxAttempts() < 2 {
-		return unlimited, unlimited
-	}
-	firstByte = max(firstByteFactor*route.Target(), minSilence)
-	silence = max(silenceFactor*route.TokenTarget(), minSilence)
-	return firstByte, silence
-}
