--- a/attacher/takeup_test.go
+++ b/attacher/takeup_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -12,6 +15,8 @@
 	"testing"
 	"time"
 
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/platform"
 	"github.com/kingcuphook/kingcuphook/platform/standin"
 )
 
@@ -38,6 +43,14 @@
 
 // begin begins n streams and leaves them after a few events.
 func (w *testPlatform) begin(p *process, n int) []broken {
+	w.t.Helper()
+	list := w.beginServed(p, n)
+	w.Equal(len(list), n)
+	return list
+}
+
+// beginServed is like begin, but leaves out the streams that are refused.
+func (w *testPlatform) beginServed(p *process, n int) []broken {
 	w.t.Helper()
 	list := make([]broken, 0, n)
 	for range n {
@@ -45,13 +58,14 @@
 		c := standin.Call{Kind: standin.KindResumableStream, ID: s.id, Key: "secret", Deadline: 4 * time.Second, Body: strings.NewReader("question")}
 		ctx, cancel := context.WithCancel(w.t.Context())
 		resp := w.request(ctx, p, c)
-		w.Equal(resp.StatusCode, http.StatusOK)
 		lines := bufio.NewScanner(resp.Body)
 		for lines.Scan() && lines.Text() != fmt.Sprintf("data: piece %d", s.last) {
 		}
 		cancel()
 		resp.Body.Close()
-		list = append(list, s)
+		if resp.StatusCode == http.StatusOK {
+			list = append(list, s)
+		}
 	}
 	return list
 }
@@ -221,3 +235,110 @@
 		w.Equal(status, http.StatusOK)
 	}
 }
+
+// declarePools declares a second pool, and lets the resumable stream use the given one.
+func (w *testPlatform) declarePools(pool string) {
+	w.t.Helper()
+	w.version += 3
+	value, err := standin.EncodeDeclaration(w.version, w.keys...)
+	w.NoErr(err)
+	value = bytes.Replace(value, []byte(`"services":[`), []byte(`"services":[{"name":"other","engine":{"batchSlots":16,"kvCapacity":1000}},`), 1)
+	var d map[string]any
+	w.NoErr(json.Unmarshal(value, &d))
+	for _, r := range d["routes"].([]any) {
+		if r := r.(map[string]any); r["name"] == string(standin.KindResumableStream) {
+			r["service"] = pool
+		}
+	}
+	value, err = json.Marshal(d)
+	w.put(platform.DeclarationKey, value, err)
+}
+
+// registerInPool registers an upstream with a version of its software in a pool.
+func (w *testPlatform) registerInPool(pool string, i int, version string) {
+	w.t.Helper()
+	value, err := json.Marshal(map[string]any{
+		"service": pool, "address": w.addresses[i], "zone": "zone", "batchSlots": 16, "state": "ready",
+		"born": 1_700_000_000_000, "seq": w.seq.Add(1), "version": version,
+	})
+	w.put(platform.RegistrationPrefix+w.upstreams[i].Instance, value, err)
+}
+
+// A stream whose route had moved to another pool was taken for one of the only version there.
+func TestTakenUpStreamIsNotJoinedFromTwoPools(t *testing.T) {
+	t.Parallel()
+	w := newTestPlatform(t)
+	w.registerInPool("models", 0, "1")
+	w.registerInPool("other", 1, "2")
+	w.declarePools("models")
+	fleet := w.startFleet(72, 2)
+	time.Sleep(2 * time.Second)
+	s := w.begin(fleet[0], 1)
+	w.declarePools("other")
+	time.Sleep(2 * time.Second)
+	w.countResumed(fleet[0], s)
+	w.countResumed(fleet[1], s)
+}
+
+// lateWatches returns the address of a server that passes calls to the store on and holds the
+// replies to watches back.
+func (w *testPlatform) lateWatches(delay time.Duration) string {
+	server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		reply := httptest.NewRecorder()
+		w.served.ServeHTTP(reply, r)
+		if strings.Contains(r.URL.Path, "watch") {
+			time.Sleep(delay)
+		}
+		maps.Copy(rw.Header(), reply.Header())
+		rw.WriteHeader(reply.Code)
+		_, _ = rw.Write(reply.Body.Bytes())
+	}))
+	w.t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+// lateRouter starts two routers, to the second of which the store's watches reply 1.5 s late.
+func (w *testPlatform) lateRouter(network int) (first, late *process) {
+	w.t.Helper()
+	address := loopback(strconv.Itoa(network) + ".1")
+	first = w.start(address, w.server.Listener.Addr().String())
+	late = w.start(loopback(strconv.Itoa(network)+".2"), w.lateWatches(1500*time.Millisecond), address)
+	w.waitFor("readiness", func() bool { return first.isReady() && late.isReady() })
+	time.Sleep(5 * time.Second) // until they know each other and have the record
+	return first, late
+}
+
+// A router that learned of a second version a second late took streams of it for streams of the first.
+func TestTakenUpStreamIsNotJoinedFromTwoVersionsByLateRouter(t *testing.T) {
+	for network := range 6 {
+		t.Run(strconv.Itoa(network), func(t *testing.T) {
+			t.Parallel()
+			w := newTestPlatform(t)
+			w.registerVersions("1", "1")
+			w.NoErr(w.store.Delete(t.Context(), platform.RegistrationPrefix+"i-1", kingcuphook.RevisionAny))
+			first, late := w.lateRouter(73 + network)
+			w.registerVersions("1", "2")
+			time.Sleep(300 * time.Millisecond) // until the first router has the version
+			paused := time.Now()
+			w.upstreams[0].Pause(500 * time.Millisecond)
+			streams := w.beginServed(first, 2)
+			time.Sleep(time.Until(paused.Add(600 * time.Millisecond)))
+			w.countResumed(late, append(streams, w.begin(first, 2)...))
+		})
+	}
+}
+
+// An upstream that changed its version under its ID got streams of its earlier version from a late router.
+func TestTakenUpStreamIsNotJoinedByUpstreamWithNewVersion(t *testing.T) {
+	for network := range 6 {
+		t.Run(strconv.Itoa(network), func(t *testing.T) {
+			t.Parallel()
+			w := newTestPlatform(t)
+			w.registerVersions("1", "1")
+			first, late := w.lateRouter(80 + network)
+			w.registerVersions("1", "2")
+			time.Sleep(300 * time.Millisecond) // until the first router has the version
+			w.countResumed(late, w.begin(first, 6))
+		})
+	}
+}
--- a/pinner/pinner_test.go
+++ b/pinner/pinner_test.go
@@ -304,3 +304,80 @@
 		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(p.Remembered()), "B/stream")
 	}
 }
+
+// A stream whose route led, or had led, to another pool as well was taken for one of the only
+// version in a pool.
+func TestOnlyVersionIsCertainInAllPoolsOfRoute(t *testing.T) {
+	is := is.New(t)
+	route := func(f kingcuphook.RouteFields) []*kingcuphook.Route {
+		f.Name, f.Stream, f.Resumable = "stream", true, true
+		return []*kingcuphook.Route{kingcuphook.NewRoute(f)}
+	}
+	pools := func(version string) []*kingcuphook.Pool {
+		u := kingcuphook.NewUpstream(kingcuphook.UpstreamFields{SoftwareVersion: version})
+		other := kingcuphook.NewPool(kingcuphook.PoolFields{Name: "other", Upstreams: []*kingcuphook.Upstream{u}})
+		return append(tables("1").Pools(), other)
+	}
+	split := kingcuphook.NewSplit([]kingcuphook.PoolShare{{Pool: "models", Weight: 1}, {Pool: "other", Weight: 1}})
+	for other, want := range map[string]bool{"1": true, "2": false} {
+		certain := func(p *Pinner, now time.Time) bool {
+			p.Refresh(now)
+			p.Confirm(now)
+			_, err := p.Find(now, now, 1, "models")
+			return err == nil
+		}
+		moved := &Pinner{}
+		moved.Observe(start, kingcuphook.NewTables(1, route(kingcuphook.RouteFields{Pool: "other"}), pools(other)))
+		now := start.Add(horizon)
+		is.True(certain(moved, now)) // no route leads to both
+		moved.Observe(now, kingcuphook.NewTables(1, route(kingcuphook.RouteFields{Pool: "models"}), pools(other)))
+		is.Equal(certain(moved, now), want)
+		is.Equal(moved.IsMixed("models"), !want)
+		is.True(certain(moved, now.Add(horizon+time.Second)))
+
+		both := &Pinner{}
+		both.Observe(start, kingcuphook.NewTables(1, route(kingcuphook.RouteFields{Split: split}), pools(other)))
+		is.Equal(certain(both, now), want)
+	}
+}
+
+// A version that only the lost record of a restored store had was forgotten with it.
+func TestVersionsOfLostRecordAreRecordedAgain(t *testing.T) {
+	is := is.New(t)
+	left := RecordedVersion{Version: "0", LeftMS: start.Add(-time.Minute).UnixMilli()}
+	p := fresh(start, []RecordedVersion{{Version: "1"}, left}, "1")
+	is.Equal(len(p.Writes(start)), 0)
+	p.MissingExcept(start, map[string]bool{RecordPrefix + "models": true})
+	is.Equal(len(p.Writes(start)), 0) // the store has it
+	p.MissingExcept(start, nil)
+	is.True(p.IsMixed("models"))
+	writes := p.Writes(start)
+	is.Equal(len(writes), 1)
+	is.Equal(writes[0], Write{Record: Record{Pool: "models", Versions: []RecordedVersion{{Version: "1"}, left}}})
+}
+
+// With more versions than a record holds, some in service counted as gone, and the record was
+// written again with each change of the tables.
+func TestAllVersionsInServiceAreKept(t *testing.T) {
+	is := is.New(t)
+	many := make([]string, 0, 2*maxVersions)
+	for n := range 2 * maxVersions {
+		many = append(many, fmt.Sprint(n))
+	}
+	p := fresh(start, nil, many...)
+	for n, version := range many {
+		p.Begun(start, uint64(n), "models", version)
+		_, err := p.Find(start, start, uint64(n), "models")
+		is.NoErr(err)
+	}
+	writes := 0
+	for second := range 60 {
+		now := start.Add(time.Duration(second) * time.Second)
+		p.Observe(now, tables(many...))
+		for _, w := range p.Writes(now) {
+			writes++
+			p.Apply(now, w.Record, int64(writes))
+		}
+	}
+	is.Equal(writes, 1)
+}
