Call it resuming a stream everywhere

Cause: pinner, the soak and their pages said that a stream is taken up, where the rest of the code says that it is resumed. Change: comments, names of tests and of the soak's types, and the messages of KCH1701 and KCH1702; no other statement. Measured: go vet, linter, tests of logger, pinner, platform and cmd pass.

--- a/attacher/hold.go
+++ b/attacher/hold.go
@@ -12,7 +12,7 @@
 // while a version is held back.
 const holdInterval = time.Second
 
-// holdAllocator lets streams that may be taken up begin only at the recorded version of a pool, while
+// holdAllocator lets streams that may be resumed begin only at the recorded version of a pool, while
 // another one is held back.
 type holdAllocator struct {
 	next kingcuphook.Allocator
--- a/attacher/takeup_test.go
+++ b/attacher/resumption_test.go
@@ -81,9 +81,9 @@
 	return resp
 }
 
-// takeUp takes a stream up, naming the given attempt, and returns the status and the upstream
+// resumeStream resumes a stream, naming the given attempt, and returns the status and the upstream
 // that ran the call. If it goes on, it must be whole.
-func (w *testPlatform) takeUp(p *process, s broken, resumes string) (int, string) {
+func (w *testPlatform) resumeStream(p *process, s broken, resumes string) (int, string) {
 	w.t.Helper()
 	c := standin.Call{
 		Kind: standin.KindResumableStream, ID: s.id + "-again-" + strconv.FormatInt(time.Now().UnixNano(), 10), Key: "secret", Deadline: 4 * time.Second,
@@ -141,13 +141,13 @@
 	}
 }
 
-// countResumed takes up each stream at the router and returns how many go on, which must be at
+// countResumed resumes each stream at the router and returns how many go on, which must be at
 // the upstream that began them: each has another version.
 func (w *testPlatform) countResumed(p *process, streams []broken) int {
 	w.t.Helper()
 	n := 0
 	for _, s := range streams {
-		status, upstream := w.takeUp(p, s, s.id)
+		status, upstream := w.resumeStream(p, s, s.id)
 		if status == http.StatusOK {
 			w.Equal(upstream, w.upstreamOf(s.id))
 			n++
@@ -156,9 +156,9 @@
 	return n
 }
 
-// A stream that was taken up at another router, or after all routers had ended at once, went on
+// A stream that was resumed at another router, or after all routers had ended at once, went on
 // at an upstream of another software version.
-func TestTakenUpStreamIsNotJoinedFromTwoVersions(t *testing.T) {
+func TestResumedStreamIsNotJoinedFromTwoVersions(t *testing.T) {
 	t.Parallel()
 	w := newTestPlatform(t)
 	w.registerVersions("1", "2")
@@ -175,7 +175,7 @@
 }
 
 // A router that had started while the store was away let streams go on at any version.
-func TestTakenUpStreamIsNotJoinedFromTwoVersionsWithoutStore(t *testing.T) {
+func TestResumedStreamIsNotJoinedFromTwoVersionsWithoutStore(t *testing.T) {
 	t.Parallel()
 	w := newTestPlatform(t)
 	w.registerVersions("1", "2")
@@ -188,8 +188,8 @@
 	w.countResumed(fleet[0], lost)
 }
 
-// A call that named no known attempt took a stream up at any version.
-func TestTakeUpOfUnknownStreamIsRefusedWithTwoVersions(t *testing.T) {
+// A call that named no known attempt resumed a stream at any version.
+func TestResumptionOfUnknownStreamIsRefusedWithTwoVersions(t *testing.T) {
 	t.Parallel()
 	w := newTestPlatform(t)
 	w.registerVersions("1", "2")
@@ -197,7 +197,7 @@
 	s := w.begin(fleet[0], 1)[0]
 	for _, resumes := range []string{"", "unknown", strings.Repeat("x", 16<<10)} {
 		began := time.Now()
-		status, _ := w.takeUp(fleet[0], s, resumes)
+		status, _ := w.resumeStream(fleet[0], s, resumes)
 		w.Equal(status, http.StatusServiceUnavailable)
 		w.True(time.Since(began) < time.Second)
 	}
@@ -205,7 +205,7 @@
 
 // Streams were refused when a second version came while all routers were down, and went on at any
 // version before.
-func TestTakenUpStreamGoesOnIfSecondVersionComesMeanwhile(t *testing.T) {
+func TestResumedStreamGoesOnIfSecondVersionComesMeanwhile(t *testing.T) {
 	t.Parallel()
 	w := newTestPlatform(t)
 	w.registerVersions("1", "1")
@@ -217,14 +217,14 @@
 	w.whileDown = func() { w.registerVersion("i-2", server.Listener.Addr().String(), "2") }
 	w.restart(70, fleet, 0, 1)
 	for _, s := range streams {
-		status, upstream := w.takeUp(fleet[1], s, s.id)
+		status, upstream := w.resumeStream(fleet[1], s, s.id)
 		w.Equal(status, http.StatusOK)
 		w.True(upstream != "") // i-0 or i-1
 	}
 }
 
 // Streams must go on after all routers have ended at once if there is one version.
-func TestTakenUpStreamGoesOnIfThereIsOneVersion(t *testing.T) {
+func TestResumedStreamGoesOnIfThereIsOneVersion(t *testing.T) {
 	t.Parallel()
 	w := newTestPlatform(t)
 	w.registerVersions("1", "1")
@@ -233,7 +233,7 @@
 	time.Sleep(2 * time.Second)
 	w.restart(69, fleet, 0, 1)
 	for _, resumes := range []string{s.id, "", "unknown"} {
-		status, _ := w.takeUp(fleet[1], s, resumes)
+		status, _ := w.resumeStream(fleet[1], s, resumes)
 		w.Equal(status, http.StatusOK)
 	}
 }
@@ -267,7 +267,7 @@
 }
 
 // A stream whose route had moved to another pool was taken for one of the only version there.
-func TestTakenUpStreamIsNotJoinedFromTwoPools(t *testing.T) {
+func TestResumedStreamIsNotJoinedFromTwoPools(t *testing.T) {
 	t.Parallel()
 	w := newTestPlatform(t)
 	w.registerInPool("models", 0, "1")
@@ -311,7 +311,7 @@
 }
 
 // A router that learned of a second version a second late took streams of it for streams of the first.
-func TestTakenUpStreamIsNotJoinedFromTwoVersionsByLateRouter(t *testing.T) {
+func TestResumedStreamIsNotJoinedFromTwoVersionsByLateRouter(t *testing.T) {
 	for network := range 6 {
 		t.Run(strconv.Itoa(network), func(t *testing.T) {
 			t.Parallel()
@@ -331,7 +331,7 @@
 }
 
 // An upstream that changed its version under its ID got streams of its earlier version from a late router.
-func TestTakenUpStreamIsNotJoinedByUpstreamWithNewVersion(t *testing.T) {
+func TestResumedStreamIsNotJoinedByUpstreamWithNewVersion(t *testing.T) {
 	for network := range 6 {
 		t.Run(strconv.Itoa(network), func(t *testing.T) {
 			t.Parallel()
@@ -345,7 +345,7 @@
 	}
 }
 
-// An invalid record of a pool's versions was never replaced, so that no take-up was certain, and logged at each read.
+// An invalid record of a pool's versions was never replaced, so that no resumption was certain, and logged at each read.
 func TestInvalidVersionRecordIsReplaced(t *testing.T) {
 	t.Parallel()
 	w := newTestPlatform(t)
--- a/cmd/kingcuphook/soak.go
+++ b/cmd/kingcuphook/soak.go
@@ -17,7 +17,7 @@
 	Upstreams int           `long:"upstreams" default:"4" description:"Stand-in upstreams"`
 	Callers   int           `long:"callers" default:"16" description:"Callers that call at once"`
 	Changes   bool          `long:"changes" description:"Also change the declaration, empty pools, silence upstreams and stop routers with long streams"`
-	Versions  int           `long:"versions" description:"Software versions of the upstreams at the beginning; with one or more, streams are taken up, upstreams released and all routers killed"`
+	Versions  int           `long:"versions" description:"Software versions of the upstreams at the beginning; with one or more, streams are resumed, upstreams released and all routers killed"`
 	Odd       bool          `long:"odd" description:"Also write odd entries to the store and have upstreams write refusals once more"`
 	Host      int           `long:"host" default:"1" description:"Third byte of the loopback addresses; differs between runs beside one another"`
 	Keep      string        `long:"keep" description:"Directory for settings and logs; a temporary one if left out, which is kept if a promise is broken"`
--- a/logger/events.go
+++ b/logger/events.go
@@ -74,8 +74,8 @@
 	PartRecordRejected    = Event{1605, LevelWarn, "record of a prompt part in the store rejected"}
 	PartTried             = Event{1606, LevelWarn, "request with a quarantined prompt part let through on trial"}
 	QuarantineLifted      = Event{1602, LevelInfo, "quarantine lifted by an operator"}
-	StreamOriginFound     = Event{1701, LevelInfo, "found which software version began a stream that a caller takes up"}
-	StreamOriginUnknown   = Event{1702, LevelInfo, "not known which software version began a stream that a caller takes up"}
+	StreamOriginFound     = Event{1701, LevelInfo, "found which software version began a stream that a caller resumes"}
+	StreamOriginUnknown   = Event{1702, LevelInfo, "not known which software version began a stream that a caller resumes"}
 	VersionsRecorded      = Event{1703, LevelInfo, "record of the software versions of a pool written"}
 	VersionRecordRejected = Event{1704, LevelWarn, "record of software versions or of streams in the store rejected"}
 	VersionStoreFailed    = Event{1705, LevelInfo, "call to the store for software versions or streams failed"}
--- a/pinner/pinner.go
+++ b/pinner/pinner.go
@@ -49,7 +49,7 @@
 	// begun has the streams that began at this router, learned those reported by others.
 	begun, learned memory
 	pools          map[string]*pool
-	// routes are those whose streams may be taken up.
+	// routes are those whose streams may be resumed.
 	routes routePools
 	// origins has the pool and the version of each mark in pools.
 	origins map[uint64]kingcuphook.Origin
--- a/pinner/pinner_test.go
+++ b/pinner/pinner_test.go
@@ -46,7 +46,7 @@
 		record   []RecordedVersion
 		versions []string
 		after    time.Duration // from the start until the confirmation
-		unsure   time.Duration // from the confirmation until the take-up
+		unsure   time.Duration // from the confirmation until the resumption
 		want     bool
 	}{
 		"one version in record":          {[]RecordedVersion{{Version: "1"}}, []string{"1"}, 0, 0, true},
--- a/pinner/routes.go
+++ b/pinner/routes.go
@@ -46,7 +46,7 @@
 	}
 }
 
-// relate adds to each pool those in which a stream may have begun that is taken up in it, itself
+// relate adds to each pool those in which a stream may have begun that is resumed in it, itself
 // included.
 func (p routePools) relate(pools map[string]*pool) {
 	for name, pool := range pools {
--- a/pinner/versions.go
+++ b/pinner/versions.go
@@ -293,7 +293,7 @@
 }
 
 // IsMixed reports whether more than one version was in service lately in the pools in which
-// a stream may have begun that is taken up in the pool.
+// a stream may have begun that is resumed in the pool.
 func (p *Pinner) IsMixed(pool string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -37,7 +37,7 @@
 	outcome              Outcome
 	// stream is what the caller has of a stream, over all its tries; nil for other kinds.
 	stream *stream
-	// lastEvent and resumes name what the call takes up; empty if it begins a stream.
+	// lastEvent and resumes name what the call resumes; empty if it begins a stream.
 	lastEvent, resumes string
 	// leaveAfter is the number of events after which the caller breaks off; 0 means never.
 	leaveAfter int
@@ -57,8 +57,8 @@
 	mu sync.Mutex
 	// calls holds all calls by their IDs.
 	calls map[string]*call
-	// takeUps holds the calls that took up streams.
-	takeUps []takeUp
+	// resumptions holds the calls that resumed streams.
+	resumptions []resumption
 	// recoveredAt is the time from which calls must be served again.
 	recoveredAt time.Time
 }
@@ -192,11 +192,11 @@
 	return c.kind == standin.KindResumableStream || c.kind == standin.KindStream
 }
 
-// allTakeUps returns the calls that took up streams.
-func (c *callers) allTakeUps() []takeUp {
+// allResumptions returns the calls that resumed streams.
+func (c *callers) allResumptions() []resumption {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return slices.Clone(c.takeUps)
+	return slices.Clone(c.resumptions)
 }
 
 // beginVerification starts the verification phase, in which calls must be served again.
@@ -208,7 +208,7 @@
 
 // verification returns the number of calls in the verification phase and how many of
 // them were served. Calls that got no status, for example because the caller cancelled
-// early, streams that the caller broke off, and take-ups are not counted.
+// early, streams that the caller broke off, and resumptions are not counted.
 func (c *callers) verification() (all, served int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/soaker/lost.go
+++ b/soaker/lost.go
@@ -131,8 +131,8 @@
 	for _, o := range Outcomes() {
 		text += fmt.Sprintf(", %d %s", r.Outcomes[o], o)
 	}
-	if r.TakeUps.New.All > 0 {
-		text += fmt.Sprintf("; %v", r.TakeUps)
+	if r.Resumptions.New.All > 0 {
+		text += fmt.Sprintf("; %v", r.Resumptions)
 	}
 	return text
 }
--- a/soaker/resume.go
+++ b/soaker/resume.go
@@ -11,12 +11,12 @@
 )
 
 const (
-	// minTakeUps is the number of take-ups from which the share that goes on is checked;
-	// minTakeUpShare is the least, as a share of that of the new streams that begin.
-	minTakeUps     = 12
-	minTakeUpShare = 0.5
+	// minResumptions is the number of resumptions from which the share that goes on is checked;
+	// minResumptionShare is the least, as a share of that of the new streams that begin.
+	minResumptions     = 12
+	minResumptionShare = 0.5
 	// minSameVersion is the number of upstreams of the stream's version that must serve for a
-	// take-up to count.
+	// resumption to count.
 	minSameVersion = 2
 	// releaseGap is the time between two upstreams of a release.
 	releaseGap = 400 * time.Millisecond
@@ -36,32 +36,32 @@
 // String returns the share as text.
 func (s Share) String() string { return fmt.Sprintf("%d of %d", s.Good, s.All) }
 
-// TakeUps counts the streams that began and those that were taken up while at least two
+// Resumptions counts the streams that began and those that were resumed while at least two
 // upstreams of their version served and their router was not disturbed.
-type TakeUps struct {
+type Resumptions struct {
 	// New are the calls for new streams, Good those that began.
 	New Share
-	// Live are the take-ups of streams that began since all routers were killed last, Killed
+	// Live are the resumptions of streams that began since all routers were killed last, Killed
 	// those of older ones; Good are those that went on.
 	Live, Killed Share
-	// Unknown are the take-ups that named no or an unknown attempt.
+	// Unknown are the resumptions that named no or an unknown attempt.
 	Unknown Share
 }
 
 // String returns the shares as text.
-func (t TakeUps) String() string {
+func (t Resumptions) String() string {
 	return fmt.Sprintf("streams began %v, went on %v, after all routers were killed %v, with an unknown attempt %v", t.New, t.Live, t.Killed, t.Unknown)
 }
 
-// takeUpShares counts the take-ups of the run.
-func (s *Soak) takeUpShares() TakeUps {
-	var t TakeUps
+// resumptionShares counts the resumptions of the run.
+func (s *Soak) resumptionShares() Resumptions {
+	var t Resumptions
 	for _, x := range s.calls.all() {
 		if x.stream != nil && x.lastEvent == "" && x.kind == standin.KindResumableStream && x.wasAnswered() && !x.router.interruptedAt(x.sent) {
 			t.New.add(x.status == http.StatusOK)
 		}
 	}
-	for _, u := range s.calls.allTakeUps() {
+	for _, u := range s.calls.allResumptions() {
 		wentOn := u.call.status == http.StatusOK
 		switch {
 		case !u.known:
@@ -83,14 +83,14 @@
 	return answered && c.timeout >= callTimeout && !c.router.failed(c.sent, c.ended)
 }
 
-// stoppedTakeUps describes the share of the take-ups that went on, if it is too small.
-func (s *Soak) stoppedTakeUps() string {
-	t := s.takeUpShares()
+// stoppedResumptions describes the share of the resumptions that went on, if it is too small.
+func (s *Soak) stoppedResumptions() string {
+	t := s.resumptionShares()
 	took := Share{All: t.Live.All, Good: t.Live.Good}
-	if took.All < minTakeUps || float64(took.Good*t.New.All) >= minTakeUpShare*float64(t.New.Good*took.All) {
+	if took.All < minResumptions || float64(took.Good*t.New.All) >= minResumptionShare*float64(t.New.Good*took.All) {
 		return ""
 	}
-	return fmt.Sprintf("only %v take-ups went on, while %v new streams began", took, t.New)
+	return fmt.Sprintf("only %v resumptions went on, while %v new streams began", took, t.New)
 }
 
 // serving returns the number of upstreams of a version that were in service and sound in the
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -34,7 +34,7 @@
 	// silent upstreams, stops with long streams, and bodies in two halves.
 	Changes bool
 	// Versions is the number of software versions of the upstreams at the beginning. With one or
-	// more, callers take streams up, upstreams are released, and all routers are killed at once.
+	// more, callers resume streams, upstreams are released, and all routers are killed at once.
 	Versions int
 	// Odd adds odd entries in the store and upstreams that write refusals once more.
 	Odd bool
@@ -77,8 +77,8 @@
 	Calls, Served, Runs int
 	// Outcomes counts the calls by how they ended for their callers.
 	Outcomes map[Outcome]int
-	// TakeUps are the shares of streams that began and went on.
-	TakeUps TakeUps
+	// Resumptions are the shares of streams that began and went on.
+	Resumptions Resumptions
 	// Faults describes the injected faults in order of time.
 	Faults []string
 }
@@ -113,7 +113,7 @@
 	wg.Wait()
 	result := s.calls.result(env)
 	result.Faults = events
-	result.TakeUps = s.takeUpShares()
+	result.Resumptions = s.resumptionShares()
 	return result, s.verify(ctx)
 }
 
@@ -170,7 +170,7 @@
 			addViolation("%s %s: %s", c.kind, c.id, c.violation)
 		}
 	}
-	if stopped := s.stoppedTakeUps(); stopped != "" {
+	if stopped := s.stoppedResumptions(); stopped != "" {
 		addViolation("%s", stopped)
 	}
 	for _, ended := range s.env.ownEnds() {
--- a/soaker/stream.go
+++ b/soaker/stream.go
@@ -14,15 +14,15 @@
 )
 
 const (
-	// maxTakeUps is how often a caller takes a stream up again.
-	maxTakeUps = 3
-	// takeUpPause is the longest time before a caller takes a stream up.
-	takeUpPause = 400 * time.Millisecond
+	// maxResumptions is how often a caller resumes a stream again.
+	maxResumptions = 3
+	// resumePause is the longest time before a caller resumes a stream.
+	resumePause = 400 * time.Millisecond
 	// readyInterval is the time between two looks for a ready router.
 	readyInterval = 20 * time.Millisecond
 	// leaveOneIn is the share of the streams that their callers break off: one in so many.
 	leaveOneIn = 4
-	// unknownOneIn is the share of the take-ups that name no attempt, an unknown one or
+	// unknownOneIn is the share of the resumptions that name no attempt, an unknown one or
 	// nonsense of longAttempt bytes: one in so many.
 	unknownOneIn = 15
 	longAttempt  = 16 << 10
@@ -75,8 +75,8 @@
 	return version, event == standin.Event(n, version)
 }
 
-// takeUp is a call that took up a stream.
-type takeUp struct {
+// resumption is a call that resumed a stream.
+type resumption struct {
 	call    *call
 	version string
 	// begun is when the stream began.
@@ -91,16 +91,16 @@
 	x.stream = &stream{}
 	x.leaveAfter = leaveAfter(rng, x.stream)
 	c.send(ctx, l, x)
-	for range maxTakeUps {
+	for range maxResumptions {
 		if x.stream.first == "" || x.stream.complete || x.violation != "" || x.timeout < callTimeout {
 			return
 		}
-		pauser.Pause(ctx, between(rng, time.Millisecond, takeUpPause))
+		pauser.Pause(ctx, between(rng, time.Millisecond, resumePause))
 		r := c.awaitRouter(ctx, rng)
 		if r == nil {
 			return
 		}
-		x = c.takeUp(ctx, rng, r, x)
+		x = c.resumeStream(ctx, rng, r, x)
 	}
 }
 
@@ -119,8 +119,8 @@
 	return nil
 }
 
-// takeUp sends a call that takes up the stream of another, and returns it.
-func (c *callers) takeUp(ctx context.Context, rng *rand.Rand, r *router, x *call) *call {
+// resumeStream sends a call that resumes the stream of another, and returns it.
+func (c *callers) resumeStream(ctx context.Context, rng *rand.Rand, r *router, x *call) *call {
 	l := &line{router: r}
 	defer l.close()
 	y := &call{id: fmt.Sprintf("%016x", rng.Uint64()), kind: x.kind, router: r, timeout: callTimeout, stream: x.stream, parts: x.parts}
@@ -134,14 +134,14 @@
 	case 2:
 		y.resumes = strings.Repeat("x", longAttempt)
 	}
-	t := takeUp{call: y, version: y.stream.version, begun: y.stream.begun, known: y.resumes == y.stream.first}
+	t := resumption{call: y, version: y.stream.version, begun: y.stream.begun, known: y.resumes == y.stream.first}
 	c.send(ctx, l, y)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.takeUps = append(c.takeUps, t)
+	c.resumptions = append(c.resumptions, t)
 	rejected := y.outcome == OutcomeFailed && y.status >= http.StatusBadRequest && y.status < http.StatusInternalServerError && y.status != http.StatusUnauthorized
 	if rejected && len(y.resumes) < longAttempt {
-		y.violation = fmt.Sprintf("status %d for a proper take-up", y.status)
+		y.violation = fmt.Sprintf("status %d for a proper resumption", y.status)
 	}
 	return y
 }
--- a/soaker/stream_test.go
+++ b/soaker/stream_test.go
@@ -22,7 +22,7 @@
 	}{
 		"in one answer":           {[]string{events(0, 12, "1.0")}, false},
 		"without a version":       {[]string{events(0, 12, "")}, false},
-		"taken up":                {[]string{events(0, 4, "1.0") + "id: 4", events(4, 12, "1.0")}, false},
+		"resumed":                 {[]string{events(0, 4, "1.0") + "id: 4", events(4, 12, "1.0")}, false},
 		"other after no event":    {[]string{"id: 0\nda", events(0, 12, "1.1")}, false},
 		"two versions":            {[]string{events(0, 4, "1.0"), events(4, 12, "1.1")}, true},
 		"two in one answer":       {[]string{events(0, 4, "1.0") + events(4, 12, "1.1")}, true},
