Forget lost records of versions in one pass, and read a record once when a version is held

Cause: each lost record took the lock, looked over all pools and derived everything anew; Held, which each new stream asks while versions are mixed, built the record's versions twice, and the condition for being held back stood in two places. Change: forgetRecords and heldBack hold these; purpose is called holdLimits; a comment said taken up for resumed.

--- a/pinner/hold.go
+++ b/pinner/hold.go
@@ -1,17 +1,21 @@
 package pinner
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 const (
 	// holdFor is how long a second version is not recorded after it came. Meanwhile callers
-	// whose streams broke off with their routers take them up, and all routers see it.
+	// resume the streams that broke off with their routers, and all routers see it.
 	holdFor = 4 * time.Second
 	// maxHold is how long streams don't begin at a version that isn't recorded.
 	maxHold = 12 * time.Second
 )
 
-// purpose is what a version is held back for.
-type purpose struct {
+// holdLimits bound for how long a version is held back.
+type holdLimits struct {
 	// longest bounds the time since the other version came.
 	longest time.Duration
 	// share is the least share of the recorded version in the upstreams that take new work.
@@ -20,29 +24,30 @@
 
 // The bounds of a search are narrower, since other routers may see a change before this one.
 var (
-	beginning = purpose{longest: maxHold, share: 0.5}
-	searching = purpose{longest: maxHold - 4*time.Second, share: 0.66}
+	beginning = holdLimits{longest: maxHold, share: 0.5}
+	searching = holdLimits{longest: maxHold - 4*time.Second, share: 0.66}
 )
 
 // held returns the only version at which streams may begin: the one in the record, while
 // another one in the tables is not recorded yet.
-func (p *pool) held(now time.Time, f purpose) (string, bool) {
-	if p == nil || len(p.record.recent(now)) != 1 {
+func (p *pool) held(now time.Time, limits holdLimits) (string, bool) {
+	if p == nil {
 		return "", false
 	}
-	var version string
-	for v := range p.record.recent(now) {
-		version = v
+	recorded := slices.Collect(maps.Keys(p.record.recent(now)))
+	if len(recorded) != 1 {
+		return "", false
 	}
+	version := recorded[0]
 	all := 0
 	for _, n := range p.ready {
 		all += n
 	}
-	if p.ready[version] == 0 || float64(p.ready[version]) < f.share*float64(all) {
+	if p.ready[version] == 0 || float64(p.ready[version]) < limits.share*float64(all) {
 		return "", false
 	}
 	for other, came := range p.came {
-		if other != version && now.Sub(came) > f.longest {
+		if other != version && now.Sub(came) > limits.longest {
 			return "", false
 		}
 	}
@@ -60,10 +65,15 @@
 func (p *Pinner) Held(now time.Time, pool string) (version string, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.pools[pool].isMixed() {
+	return p.pools[pool].heldBack(now)
+}
+
+// heldBack is held for a pool in which streams may have begun at several versions.
+func (p *pool) heldBack(now time.Time) (string, bool) {
+	if !p.isMixed() {
 		return "", false
 	}
-	return p.pools[pool].held(now, beginning)
+	return p.held(now, beginning)
 }
 
 // HeldPools returns the pools in which a version is held back.
@@ -72,7 +82,7 @@
 	defer p.mu.Unlock()
 	var names []string
 	for name, pool := range p.pools {
-		if _, ok := pool.held(now, beginning); ok && pool.isMixed() {
+		if _, ok := pool.heldBack(now); ok {
 			names = append(names, name)
 		}
 	}
--- a/pinner/record.go
+++ b/pinner/record.go
@@ -111,38 +111,26 @@
 // Missing records that the store has no record with the key. The versions in the record that
 // was known are kept like those seen in the tables.
 func (p *Pinner) Missing(now time.Time, key string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for name, pool := range p.pools {
-		if pool.record == nil || (Record{Pool: name}).Key() != key {
-			continue
-		}
-		pool.keepRecorded(now)
-		pool.record, pool.revision = nil, 0
-	}
-	p.refresh(now)
+	p.forgetRecords(now, func(k string) bool { return k == key })
 }
 
 // MissingExcept is like Missing for all records but those with the given keys.
 func (p *Pinner) MissingExcept(now time.Time, keys map[string]bool) {
-	for _, key := range p.recordKeys() {
-		if !keys[key] {
-			p.Missing(now, key)
-		}
-	}
+	p.forgetRecords(now, func(k string) bool { return !keys[k] })
 }
 
-// recordKeys returns the keys of the records that are known.
-func (p *Pinner) recordKeys() []string {
+// forgetRecords forgets the records whose keys are missing in the store.
+func (p *Pinner) forgetRecords(now time.Time, isMissing func(key string) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var keys []string
 	for name, pool := range p.pools {
-		if pool.record != nil {
-			keys = append(keys, Record{Pool: name}.Key())
+		if pool.record == nil || !isMissing((Record{Pool: name}).Key()) {
+			continue
 		}
+		pool.keepRecorded(now)
+		pool.record, pool.revision = nil, 0
 	}
-	return keys
+	p.refresh(now)
 }
 
 // keepRecorded adds the versions of the record to those that left the tables, unless they
--- a/pinner/versions.go
+++ b/pinner/versions.go
@@ -229,7 +229,7 @@
 	return max(p.begun.retention, minRetention)
 }
 
-// Refresh takes the versions out of account that left too long ago.
+// Refresh forgets the versions that left too long ago.
 func (p *Pinner) Refresh(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -254,8 +254,8 @@
 	return p.pools[name]
 }
 
-// refresh derives what depends on the versions and the routes of the pools. Once several are in service, the
-// streams that have begun are queued for the ledger.
+// refresh derives what depends on the versions and the routes of the pools. Once several
+// versions are in service, the streams that have begun are queued for the ledger.
 func (p *Pinner) refresh(now time.Time) {
 	p.origins = make(map[uint64]kingcuphook.Origin)
 	for name, pool := range p.pools {
