State the greatest length of an attempt's ID once

Cause: receiver and attacher had the same constant each, and Begun a copy of isAttempt. Change: kingcuphook.MaxAttemptBytes; Begun calls isAttempt. Behaviour is the same. Measured: go vet, linter, and go test -race of receiver and root pass.

--- a/attacher/pins.go
+++ b/attacher/pins.go
@@ -27,8 +27,6 @@
 	// readIntervalPerRouter how much each router adds to it.
 	minReadInterval       = 100 * time.Millisecond
 	readIntervalPerRouter = 2 * time.Millisecond
-	// maxAttemptBytes bounds the ID of an attempt. Longer ones name no stream.
-	maxAttemptBytes = 256
 	// maxRejected bounds the invalid entries that are logged.
 	maxRejected = 1024
 )
@@ -86,7 +84,7 @@
 
 // Begun implements kingcuphook.StreamPinner.
 func (s *pins) Begun(r *kingcuphook.Request, version string) {
-	if r.ID() == "" || len(r.ID()) > maxAttemptBytes {
+	if !isAttempt(r.ID()) {
 		return
 	}
 	s.pinner.Begun(time.Now(), pinner.Key(r.Organisation(), r.ID()), r.Pool(), version)
@@ -99,18 +97,20 @@
 	took := time.Since(began)
 	if err != nil {
 		s.unknown.Add(1)
-		s.a.Log.Log(logger.StreamOriginUnknown, "pool", pool, "organisation", organisation, "attempt", attempt[:min(len(attempt), maxAttemptBytes)],
+		s.a.Log.Log(logger.StreamOriginUnknown, "pool", pool, "organisation", organisation, "attempt", attempt[:min(len(attempt), kingcuphook.MaxAttemptBytes)],
 			"versions", strings.Join(s.pinner.Versions(began, pool), ","), "took-ms", took.Milliseconds(), "error", err)
 		return kingcuphook.Origin{}, err
 	}
 	s.found[found.Source].Add(1)
 	s.a.Log.Log(logger.StreamOriginFound, "pool", found.Origin.Pool, "version", found.Origin.Version, "source", found.Source,
-		"organisation", organisation, "attempt", attempt[:min(len(attempt), maxAttemptBytes)], "age-ms", found.Age.Milliseconds(), "took-ms", took.Milliseconds())
+		"organisation", organisation, "attempt", attempt[:min(len(attempt), kingcuphook.MaxAttemptBytes)], "age-ms", found.Age.Milliseconds(), "took-ms", took.Milliseconds())
 	return found.Origin, nil
 }
 
 // isAttempt reports whether the ID can name a stream.
-func isAttempt(attempt string) bool { return attempt != "" && len(attempt) <= maxAttemptBytes }
+func isAttempt(attempt string) bool {
+	return attempt != "" && len(attempt) <= kingcuphook.MaxAttemptBytes
+}
 
 // find returns the origin of a stream. A call that names no attempt gets the only version in
 // service, if that is certain.
--- a/origin.go
+++ b/origin.go
@@ -2,6 +2,9 @@
 
 import "context"
 
+// MaxAttemptBytes is the greatest length of the ID of a caller's attempt that can name a stream.
+const MaxAttemptBytes = 256
+
 // Origin is where a stream began.
 type Origin struct {
 	// Pool is the name of the pool, and Version the software version of the upstream in
--- a/receiver/resumption.go
+++ b/receiver/resumption.go
@@ -11,14 +11,9 @@
 	"github.com/kingcuphook/kingcuphook/logger"
 )
 
-const (
-	// maxAttemptBytes bounds the ID of an attempt that a caller names; longer ones are
-	// unknown.
-	maxAttemptBytes = 256
-	// retryVersionUnknown is the Retry-After of a call that resumes an unknown stream. Other
-	// routers, or this one a little later, may know it.
-	retryVersionUnknown = 500 * time.Millisecond
-)
+// retryVersionUnknown is the Retry-After of a call that resumes an unknown stream. Other
+// routers, or this one a little later, may know it.
+const retryVersionUnknown = 500 * time.Millisecond
 
 // resumesStream reports whether the call resumes a stream that an earlier call began.
 func (s *Receiver) resumesStream(l kingcuphook.CallLabels, route *kingcuphook.Route) bool {
@@ -45,11 +40,11 @@
 }
 
 // clip returns the start of a text of the caller, for the log.
-func clip(text string) string { return text[:min(len(text), maxAttemptBytes)] }
+func clip(text string) string { return text[:min(len(text), kingcuphook.MaxAttemptBytes)] }
 
 // queryOrigin returns where the stream began, or a plain error.
 func (s *Receiver) queryOrigin(ctx context.Context, l kingcuphook.CallLabels, organisation string, route *kingcuphook.Route) (kingcuphook.Origin, error) {
-	if len(l.Resumes) > maxAttemptBytes {
+	if len(l.Resumes) > kingcuphook.MaxAttemptBytes {
 		return kingcuphook.Origin{}, fmt.Errorf("receiver: attempt ID of %d bytes: %w", len(l.Resumes), kingcuphook.ErrVersionUnknown)
 	}
 	origin, err := s.Pins.Find(ctx, organisation, l.Resumes, poolFor(route, cmp.Or(l.Resumes, l.ID)))
--- a/receiver/resumption_test.go
+++ b/receiver/resumption_test.go
@@ -68,7 +68,7 @@
 // A call that resumed a stream ran at any software version, also when nothing was known of
 // the version that began the stream.
 func TestStreamIsResumedAtTheVersionThatBeganIt(t *testing.T) {
-	long := strings.Repeat("x", maxAttemptBytes+1)
+	long := strings.Repeat("x", kingcuphook.MaxAttemptBytes+1)
 	for name, test := range map[string]struct {
 		path   string
 		header []string
