Open connections to upstreams from the VM's own address

Cause: a router's connections to upstreams came from whichever address the kernel chose; neither a stand-in nor a peer can tell the routers of one VM apart, which a test of a router that is cut off from its upstreams needs. Change: forwarder binds them to the address of the settings.

--- a/attacher/attacher.go
+++ b/attacher/attacher.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -187,9 +188,10 @@
 	a.allocator = &allocator.Allocator{NewScheduler: a.newScheduler}
 	a.tally = &tallier.Tally{Next: a.allocator}
 	a.forwarder = &forwarder.Forwarder{
-		Codec:    platform.HeaderCodec{},
-		OnDial:   func(u *kingcuphook.Upstream, took time.Duration) { a.roundTrips.Observe(u.DataCentre(), took) },
-		OnNotice: a.handleNotice,
+		Codec:        platform.HeaderCodec{},
+		LocalAddress: net.TCPAddrFromAddrPort(netip.AddrPortFrom(s.Address(), 0)),
+		OnDial:       func(u *kingcuphook.Upstream, took time.Duration) { a.roundTrips.Observe(u.DataCentre(), took) },
+		OnNotice:     a.handleNotice,
 	}
 	a.pins = newPins(a)
 	a.pins.addGauges()
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -11,6 +11,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"slices"
@@ -54,6 +55,8 @@
 	DialTimeout time.Duration
 	// IdleTimeout is how long an unused connection is kept open; 0 means 4 s.
 	IdleTimeout time.Duration
+	// LocalAddress is the address that connections to upstreams come from; nil means any.
+	LocalAddress net.Addr
 	// OnDial, if set, is called with the time that each successful dial to an upstream
 	// took. It must be safe for concurrent use.
 	OnDial func(u *kingcuphook.Upstream, took time.Duration)
@@ -333,6 +336,7 @@
 		KeepAlive:         keepAliveInterval,
 		DisableKeepAlives: fresh,
 		Control:           setUserTimeout,
+		LocalAddress:      f.LocalAddress,
 	}
 	if f.OnDial != nil {
 		t.Dialed = func(took time.Duration) { f.OnDial(u, took) }
--- a/transporter/transporter.go
+++ b/transporter/transporter.go
@@ -32,6 +32,8 @@
 	// Dialed, if set, is called with the time that each new connection took to open.
 	// It must be safe for concurrent use.
 	Dialed func(took time.Duration)
+	// LocalAddress is the address that connections come from; nil means any.
+	LocalAddress net.Addr
 	// Control, if set, sets socket options of a new connection.
 	Control func(network, address string, c syscall.RawConn) error
 }
@@ -39,8 +41,9 @@
 // New returns an HTTP transport with these settings.
 func (t Transporter) New() *http.Transport {
 	dial := &net.Dialer{
-		Timeout: t.DialTimeout,
-		Control: t.Control,
+		Timeout:   t.DialTimeout,
+		LocalAddr: t.LocalAddress,
+		Control:   t.Control,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
 			Idle:     t.KeepAlive,
