Keep the calls of a sound upstream that is silent for 2.5 s

Cause: connections to upstreams had a TCP_USER_TIMEOUT of 1.2 s, by which the kernel also decides when keepalive probes give up. A peer that acknowledges nothing for longer loses its connections, and with them the calls that can't be made again. Change: a connection has a user timeout of 5 s while a call uses it, longer than a silence of 2.5 s and the kernel's next retransmission; an idle one keeps 1.2 s, since its end costs no call.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -18,11 +18,8 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/kingcuphook/kingcuphook"
 	"github.com/kingcuphook/kingcuphook/transporter"
 )
@@ -42,8 +39,12 @@
 	firstChunkBytes   = 1 << 10
 	nextChunkBytes    = 16 << 10
 	keepAliveInterval = time.Second
-	// userTimeout is the TCP_USER_TIMEOUT of connections to upstreams.
-	userTimeout = 1200 * time.Millisecond
+	// userTimeout is the TCP_USER_TIMEOUT of connections to upstreams that carry a call. A
+	// sound upstream may be silent for 2.5 s, and the kernel notices that it is back only at
+	// its next retransmission, up to 1.5 s later.
+	userTimeout = 5 * time.Second
+	// idleUserTimeout is that of idle connections.
+	idleUserTimeout = 1200 * time.Millisecond
 )
 
 // Forwarder implements kingcuphook.Engine for opaque calls. It is safe for
@@ -335,7 +336,8 @@
 		IdleTimeout:       cmp.Or(f.IdleTimeout, defaultIdleTimeout),
 		KeepAlive:         keepAliveInterval,
 		DisableKeepAlives: fresh,
-		Control:           setUserTimeout,
+		UserTimeout:       userTimeout,
+		IdleUserTimeout:   idleUserTimeout,
 		LocalAddress:      f.LocalAddress,
 	}
 	if f.OnDial != nil {
@@ -344,16 +346,6 @@
 	return t.New()
 }
 
-// setUserTimeout makes the kernel close a connection whose peer no longer
-// acknowledges sent data, so that the failure of a VM is detected.
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
-	var optErr error
-	err := c.Control(func(fd uintptr) {
-		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-	})
-	return errors.Join(err, optErr)
-}
-
 // hopByHopHeaders apply to a single connection and are not forwarded.
 var hopByHopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
--- a/transporter/transporter.go
+++ b/transporter/transporter.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
-	"syscall"
 	"time"
 )
 
@@ -34,8 +33,10 @@
 	Dialed func(took time.Duration)
 	// LocalAddress is the address that connections come from; nil means any.
 	LocalAddress net.Addr
-	// Control, if set, sets socket options of a new connection.
-	Control func(network, address string, c syscall.RawConn) error
+	// UserTimeout is the TCP_USER_TIMEOUT of a connection while a request uses it, and
+	// IdleUserTimeout that while none does; 0 means that of the kernel. It also decides when
+	// keepalive probes give up.
+	UserTimeout, IdleUserTimeout time.Duration
 }
 
 // New returns an HTTP transport with these settings.
@@ -43,7 +44,6 @@
 	dial := &net.Dialer{
 		Timeout:   t.DialTimeout,
 		LocalAddr: t.LocalAddress,
-		Control:   t.Control,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
 			Idle:     t.KeepAlive,
@@ -52,7 +52,7 @@
 		},
 	}
 	return &http.Transport{
-		DialContext:            t.timed(dial.DialContext),
+		DialContext:            t.timed(t.tracked(dial.DialContext)),
 		DisableKeepAlives:      t.DisableKeepAlives,
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdlePerUpstream,
@@ -82,9 +82,21 @@
 // Send sends a request with do. It reports whether a connection was obtained; without
 // one, the request can't have reached the upstream.
 func Send(r *http.Request, do func(*http.Request) (*http.Response, error)) (resp *http.Response, connected bool, err error) {
+	var used atomic.Pointer[conn]
 	var gotConn atomic.Bool
 	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { gotConn.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			gotConn.Store(true)
+			if c, ok := info.Conn.(*conn); ok {
+				used.Store(c)
+				c.acquire()
+			}
+		},
+		PutIdleConn: func(error) {
+			if c := used.Load(); c != nil {
+				c.release()
+			}
+		},
 	})
 	resp, err = do(r.WithContext(ctx))
 	return resp, gotConn.Load(), err
