Keep a retry that was not sent for the next upstream

Cause: a call that had reached an upstream before paid for each further dispatch, also if the last one had not been sent. Class: a retry that is only hoped for. The budget bounds the arrivals beyond the first, and that one did not arrive.

--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -60,9 +60,6 @@
 	// unsent counts the dispatches that reached no upstream of the pool: nothing was
 	// sent, or another program had the address.
 	unsent int
-	// reached is set once a dispatch was sent to some program, even if it was not
-	// an upstream of the pool.
-	reached bool
 	// dispatched is set once the call was dispatched.
 	dispatched bool
 	// failed holds the upstreams that failed this call. They are tried again when
@@ -138,7 +135,8 @@
 	if r.attempts >= r.maxAttempts() || r.unsent >= maxUnsent {
 		return err
 	}
-	if !r.reached && errors.Is(err, kingcuphook.ErrNotSent) {
+	if errors.Is(err, kingcuphook.ErrNotSent) {
+		// What was spent for this dispatch, if anything, pays for the next one.
 		return nil
 	}
 	wait, ok := r.spendRetry()
@@ -253,7 +251,6 @@
 		r.attempts--
 		r.unsent++
 	}
-	r.reached = r.reached || !errors.Is(err, kingcuphook.ErrNotSent)
 	suspect := ctx.Err() == nil && r.recordBroken(r.isolated, u, err)
 	switch {
 	case ctx.Err() != nil:
