Let a part that was quarantined explain its crashes after it is lifted

What callers saw: after an operator had lifted the quarantine of a part, calls with another, sound part were refused: with nothing begun soundly since, the same crashes counted against it. Cause: only parts that are in quarantine explain crashes. Class: a verdict that is forgotten with its sentence. Evidence: TestLiftedPartStillExplainsItsCrashes failed in 20 of 20 runs, and 5 of 6 failures of TestOperatorLiftsQuarantineInStore (6 of 128 runs) had this cause. Change: an entry that leaves quarantine explains its crashes until then; a suspect that is lifted never explained any. Measured: the tests of the package pass; TestOperatorLiftsQuarantineInStore fails in 0 of 128 runs, sixteen at a time.

--- a/isolator/entry.go
+++ b/isolator/entry.go
@@ -62,6 +62,9 @@
 	generation uint8
 	// since is when the part got its state.
 	since time.Time
+	// explainsUntil is the time until which the part explains its crashes although it was
+	// lifted; zero if it never was in quarantine.
+	explainsUntil time.Time
 	// crashes are ordered by time; at most one for each program.
 	crashes []Crash
 	// changedAt is when the entry last changed here, in state or crashes.
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -158,6 +158,9 @@
 // adopt takes over the state of received. The crashes of a part that is lifted are excused until
 // the given time.
 func (i *Isolator) adopt(now time.Time, e *Entry, received Entry, excusedUntil time.Time) {
+	if e.state == StateQuarantined && received.state == StateLifted {
+		e.explainsUntil = excusedUntil
+	}
 	e.state, e.generation, e.since = received.state, received.generation, received.since
 	e.changedAt = now
 	if e.state == StateLifted {
--- a/isolator/verdict.go
+++ b/isolator/verdict.go
@@ -118,15 +118,15 @@
 		e.groups(counting) >= minGroups && i.share(counting) >= minShare
 }
 
-// explain collects the crashes that quarantined parts explain.
+// explain collects the crashes that quarantined parts explain, and those that lifted parts
+// explained before.
 func (i *Isolator) explain() {
 	i.explained = make(map[uint32][]Crash)
 	for _, e := range i.entries {
-		if e.state != StateQuarantined {
-			continue
-		}
 		for _, c := range e.crashes {
-			i.explained[c.program] = append(i.explained[c.program], c)
+			if e.state == StateQuarantined || !c.at.After(e.explainsUntil) {
+				i.explained[c.program] = append(i.explained[c.program], c)
+			}
 		}
 	}
 }
@@ -149,7 +149,7 @@
 	return slices.ContainsFunc(e.crashes, func(c Crash) bool { return c.program == program })
 }
 
-// isExplained reports whether a quarantined part explains the crash.
+// isExplained reports whether a part that is or was quarantined explains the crash.
 func (i *Isolator) isExplained(c Crash) bool {
 	return slices.ContainsFunc(i.explained[c.program], c.same)
 }
