Take only events in chunks for the rest of a stream

Callers of a resumable stream whose upstream broke off after an event got the text of the next upstream's 200 as events whatever its type, or a clean end when it had no event. Start took any 200 for a stream, and a body that ended before an event of it for a stream that had ended.

The rest of a stream must now be unencoded text/event-stream in chunks, with at least one event. Anything else breaks the attempt with an unknown outcome, and the next one follows or the caller's connection ends without its last chunk. An answer that ends with its connection is no rest either, since its end can't be told from a cut. 4xx, 5xx, redirects and cut heads broke off before, and stay so by the same tests.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -123,6 +123,11 @@
 		return nil, err
 	}
 	if resp.StatusCode == http.StatusOK {
+		if err := checkRest(u, a, resp); err != nil {
+			cancel()
+			_ = resp.Body.Close()
+			return nil, err
+		}
 		return newStream(resp, a, cancel), nil
 	}
 	defer cancel()
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"mime"
 	"net/http"
 
 	"github.com/kingcuphook/kingcuphook"
@@ -20,6 +21,8 @@
 	streamBufferBytes = 4 << 10
 	// finishEnded is the finish reason of a stream whose body ended between events.
 	finishEnded = "ended"
+	// eventStreamType is the media type of a stream.
+	eventStreamType = "text/event-stream"
 )
 
 var idField = []byte("id:")
@@ -60,10 +63,31 @@
 		attempt:        a.ID(),
 		position:       a.ResumeFrom(),
 		first:          a.ResumeFrom(),
-		closeDelimited: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
+		closeDelimited: isCloseDelimited(resp),
 	}
 }
 
+// isCloseDelimited reports whether only the end of the connection marks the end of the body.
+func isCloseDelimited(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
+// checkRest returns an error for a response that can't be the rest of the stream that the attempt
+// resumes: its body must be unencoded events in chunks.
+func checkRest(u *kingcuphook.Upstream, a *kingcuphook.Attempt, resp *http.Response) error {
+	if a.ResumeFrom() == 0 {
+		return nil
+	}
+	mediaType, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+	isChunked := resp.ContentLength < 0 && len(resp.TransferEncoding) > 0
+	if err == nil && mediaType == eventStreamType && isChunked && resp.Header.Get("Content-Encoding") == "" {
+		return nil
+	}
+	return fmt.Errorf("forwarder: %s answered without the rest of the stream, type %.64q, encoding %.64q, length %d, transfer encoding %q: %w: %w",
+		u.Address(), resp.Header.Get("Content-Type"), resp.Header.Get("Content-Encoding"), resp.ContentLength, resp.TransferEncoding,
+		kingcuphook.ErrUpstreamAnswered, kingcuphook.ErrOutcomeUnknown)
+}
+
 // Head implements kingcuphook.HeadedStream.
 func (s *stream) Head() kingcuphook.Answer { return s.head }
 
@@ -93,8 +117,11 @@
 	return f, nil
 }
 
-// isEmpty reports whether the answer has ended with its connection before the first event.
-func (s *stream) isEmpty() bool { return s.closeDelimited && s.position == s.first }
+// isEmpty reports whether the answer has ended before the first event where it may not: with its
+// connection, or as the rest of a stream.
+func (s *stream) isEmpty() bool {
+	return s.position == s.first && (s.closeDelimited || s.first > 0)
+}
 
 // endFrame returns the finish frame on its first call and the end frame after that.
 func (s *stream) endFrame() kingcuphook.Frame {
