Try the next upstream when one answers a resumed stream with 4xx

A caller whose resumable stream broke off lost it when the next upstream answered with a 3xx or 4xx, since that counted as a verdict on the call that ends it (ErrRejected). Another upstream has begun the call, so that it is valid; the status is about the resumption. Such an answer is now a failed attempt like 5xx, and the next upstream follows within attempts and budget.

Before: the cases redirect, no content, partial and not found of TestOtherAnswerIsNoRestOfStream fail; after: none.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -114,7 +114,8 @@
 
 // Start implements kingcuphook.Engine. An answer with a status other than 200 is
 // returned as a *kingcuphook.AnswerError; the error also wraps ErrRejected if the
-// status is below 500, which means that the call itself is invalid.
+// status is below 500, which means that the call itself is invalid, unless another
+// upstream has begun the stream.
 func (f *Forwarder) Start(ctx context.Context, u *kingcuphook.Upstream, a *kingcuphook.Attempt) (kingcuphook.Stream, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	resp, err := f.send(ctx, u, a) //nolint:bodyclose // the stream closes it
@@ -137,7 +138,7 @@
 		return nil, err
 	}
 	err = &kingcuphook.AnswerError{Answer: answer}
-	if resp.StatusCode < http.StatusInternalServerError {
+	if resp.StatusCode < http.StatusInternalServerError && a.ResumeFrom() == 0 {
 		err = fmt.Errorf("forwarder: %s: %w: %w", u.Address(), kingcuphook.ErrRejected, err)
 	}
 	return nil, err
--- a/forwarder/resumed_test.go
+++ b/forwarder/resumed_test.go
@@ -57,7 +57,7 @@
 				_, err = s.Next(t.Context())
 			}
 			is.True(errors.Is(err, kingcuphook.ErrOutcomeUnknown) || errors.Is(err, kingcuphook.ErrBrokenStream))
-			is.True(!errors.Is(err, kingcuphook.ErrUnavailable))
+			is.True(!errors.Is(err, kingcuphook.ErrUnavailable) && !errors.Is(err, kingcuphook.ErrRejected))
 		})
 	}
 }
