End the connection of a stream that broke off in serve

Callers of serve whose stream broke off got the error event and then the last chunk of a complete response; only a caller that knew of the event or missed [DONE] could tell. The connection is now aborted after the event, as attach does.

TestPartialStreamEndsWithAnErrorEvent read the body without an error, which was the fault; it is replaced by one that has all its checks and requires that the body ends before its last chunk. It failed before.

--- a/server/chat.go
+++ b/server/chat.go
@@ -207,17 +207,16 @@
 	_ = e.flush()
 }
 
-// fail writes an error event without the end marker, so that a reader never
-// mistakes the partial answer for a complete one.
+// fail writes an error event without the end marker and aborts the connection, so that a
+// reader never mistakes the partial answer for a complete one.
 func (e *eventWriter) fail(id string, err error) {
-	body, marshalErr := json.Marshal(newErrorBody(id, asRequestError(err)))
-	if marshalErr != nil {
-		panic(http.ErrAbortHandler)
+	if body, err := json.Marshal(newErrorBody(id, asRequestError(err))); err == nil {
+		e.line = append(e.line[:0], "event: error\ndata: "...)
+		e.line = append(e.line, body...)
+		e.line = append(e.line, '\n', '\n')
+		_ = e.flush()
 	}
-	e.line = append(e.line[:0], "event: error\ndata: "...)
-	e.line = append(e.line, body...)
-	e.line = append(e.line, '\n', '\n')
-	_ = e.flush()
+	panic(http.ErrAbortHandler)
 }
 
 // chunkPrefix returns the start of an event, which is the same for all chunks of an
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -168,18 +169,30 @@
 	is.True(got.Request.Deadline().Sub(got.Request.Arrived()) <= 5*time.Second)
 }
 
-func TestPartialStreamEndsWithAnErrorEvent(t *testing.T) {
+// A stream that broke off ended like a complete response after its error event.
+func TestPartialStreamEndsWithAnErrorEventAndItsConnection(t *testing.T) {
 	is := is.New(t)
 	_, url := serve(t, fakeDispatcher(func(_ context.Context, _ *kingcuphook.Call, w kingcuphook.FrameWriter) (kingcuphook.Outcome, error) {
 		if err := w.WriteData("half"); err != nil {
 			return kingcuphook.Outcome{}, err
 		}
-		return kingcuphook.Outcome{}, &kingcuphook.RequestError{Code: "broken", Ran: kingcuphook.RunStateUnknown, Err: kingcuphook.ErrBrokenStream}
+		err := fmt.Errorf("answered 404: %w: why", kingcuphook.ErrBrokenStream)
+		return kingcuphook.Outcome{}, &kingcuphook.RequestError{Code: "broken", Ran: kingcuphook.RunStateUnknown, Err: err}
 	}), Limits{})
-	status, body, _ := send(t, url+PathChat, `{"stream":true}`, HeaderClass, "till")
-	is.Equal(status, http.StatusOK)
+	req, err := http.NewRequest(http.MethodPost, url+PathChat, strings.NewReader(`{"stream":true}`))
+	is.NoErr(err)
+	req.Header.Set(HeaderClass, "till")
+	resp, err := http.DefaultClient.Do(req)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	is.True(errors.Is(err, io.ErrUnexpectedEOF)) // no last chunk
+	body := string(text)
+	is.Equal(resp.StatusCode, http.StatusOK)
 	is.True(strings.Contains(body, `"half"`))
 	is.True(strings.Contains(body, "event: error"))
+	is.True(strings.HasSuffix(body, "}\n\n"))
+	is.True(strings.Contains(body, `"code":"broken"`))
 	is.True(strings.Contains(body, `"ran":"unknown"`))
 	is.True(!strings.Contains(body, "[DONE]"))
 	is.True(!strings.Contains(body, `"finish_reason":"`))
