Leave an upstream's text out of the error event of a stream

The message of the error event with which serve ends a stream that broke off was the error with all its causes, with up to 200 bytes of the body of the upstream that answered last, e.g. a 404 to the resumption. The check in TestPartialStreamEndsWithAnErrorEventAndItsConnection failed before.

--- a/server/chat.go
+++ b/server/chat.go
@@ -147,6 +147,9 @@
 	}
 }
 
+// brokenMessage is the message of the error event of a stream that broke off.
+const brokenMessage = "the answer broke off"
+
 // eventWriter writes an answer as server-sent events.
 type eventWriter struct {
 	w       http.ResponseWriter
@@ -208,9 +211,12 @@
 }
 
 // fail writes an error event without the end marker and aborts the connection, so that a
-// reader never mistakes the partial answer for a complete one.
+// reader never mistakes the partial answer for a complete one. The event has no text of an
+// upstream.
 func (e *eventWriter) fail(id string, err error) {
-	if body, err := json.Marshal(newErrorBody(id, asRequestError(err))); err == nil {
+	event := newErrorBody(id, asRequestError(err))
+	event.Error.Message = brokenMessage
+	if body, err := json.Marshal(event); err == nil {
 		e.line = append(e.line[:0], "event: error\ndata: "...)
 		e.line = append(e.line, body...)
 		e.line = append(e.line, '\n', '\n')
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -169,7 +169,8 @@
 	is.True(got.Request.Deadline().Sub(got.Request.Arrived()) <= 5*time.Second)
 }
 
-// A stream that broke off ended like a complete response after its error event.
+// A stream that broke off ended like a complete response after its error event, which had text of the
+// upstream that failed last.
 func TestPartialStreamEndsWithAnErrorEventAndItsConnection(t *testing.T) {
 	is := is.New(t)
 	_, url := serve(t, fakeDispatcher(func(_ context.Context, _ *kingcuphook.Call, w kingcuphook.FrameWriter) (kingcuphook.Outcome, error) {
@@ -194,6 +195,7 @@
 	is.True(strings.HasSuffix(body, "}\n\n"))
 	is.True(strings.Contains(body, `"code":"broken"`))
 	is.True(strings.Contains(body, `"ran":"unknown"`))
+	is.True(!strings.Contains(body, "why"))
 	is.True(!strings.Contains(body, "[DONE]"))
 	is.True(!strings.Contains(body, `"finish_reason":"`))
 }
