--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -114,7 +114,8 @@
 
 // Start implements kingcuphook.Engine. An answer with a status other than 200 is
 // returned as a *kingcuphook.AnswerError; the error also wraps ErrRejected if the
-// status is below 500, which means that the call itself is invalid.
+// status is below 500, which means that the call itself is invalid, unless another
+// upstream has begun the stream.
 func (f *Forwarder) Start(ctx context.Context, u *kingcuphook.Upstream, a *kingcuphook.Attempt) (kingcuphook.Stream, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	resp, err := f.send(ctx, u, a) //nolint:bodyclose // the stream closes it
@@ -123,6 +124,11 @@
 		return nil, err
 	}
 	if resp.StatusCode == http.StatusOK {
+		if err := checkRest(u, a, resp); err != nil {
+			cancel()
+			_ = resp.Body.Close()
+			return nil, err
+		}
 		return newStream(resp, a, cancel), nil
 	}
 	defer cancel()
@@ -132,7 +138,7 @@
 		return nil, err
 	}
 	err = &kingcuphook.AnswerError{Answer: answer}
-	if resp.StatusCode < http.StatusInternalServerError {
+	if resp.StatusCode < http.StatusInternalServerError && a.ResumeFrom() == 0 {
 		err = fmt.Errorf("forwarder: %s: %w: %w", u.Address(), kingcuphook.ErrRejected, err)
 	}
 	return nil, err
@@ -150,7 +156,8 @@
 
 // readAnswer reads a complete answer. It returns an error that wraps ErrTooLarge if
 // the answer exceeds MaxAnswerBytes, as an endless one does, or if all answers
-// together exceed MaxBufferedBytes.
+// together exceed MaxBufferedBytes. A success whose connection ended with its head is
+// an error too, since nothing shows that its body had no bytes.
 func (f *Forwarder) readAnswer(u *kingcuphook.Upstream, resp *http.Response) (kingcuphook.Answer, error) {
 	limit := cmp.Or(f.MaxAnswerBytes, defaultMaxAnswer)
 	body := budgetReader{r: io.LimitReader(resp.Body, limit+1), used: &f.buffered, budget: cmp.Or(f.MaxBufferedBytes, defaultMaxBuffered)}
@@ -162,6 +169,9 @@
 	if int64(len(text)) > limit {
 		return kingcuphook.Answer{}, fmt.Errorf("forwarder: answer of %s exceeds %d bytes: %w: %w", u.Address(), limit, kingcuphook.ErrTooLarge, kingcuphook.ErrOutcomeUnknown)
 	}
+	if len(text) == 0 && resp.StatusCode < http.StatusMultipleChoices && transporter.IsCloseDelimited(resp) {
+		return kingcuphook.Answer{}, fmt.Errorf("forwarder: connection to %s ended with the head of the answer: %w", u.Address(), kingcuphook.ErrOutcomeUnknown)
+	}
 	return kingcuphook.NewOpaqueAnswer(resp.StatusCode, endToEndHeaders(resp.Header), text), nil
 }
 
--- a/server/chat.go
+++ b/server/chat.go
@@ -147,6 +147,9 @@
 	}
 }
 
+// brokenMessage is the message of the error event of a stream that broke off.
+const brokenMessage = "the answer broke off"
+
 // eventWriter writes an answer as server-sent events.
 type eventWriter struct {
 	w       http.ResponseWriter
@@ -207,17 +210,19 @@
 	_ = e.flush()
 }
 
-// fail writes an error event without the end marker, so that a reader never
-// mistakes the partial answer for a complete one.
+// fail writes an error event without the end marker and aborts the connection, so that a
+// reader never mistakes the partial answer for a complete one. The event has no text of an
+// upstream.
 func (e *eventWriter) fail(id string, err error) {
-	body, marshalErr := json.Marshal(newErrorBody(id, asRequestError(err)))
-	if marshalErr != nil {
-		panic(http.ErrAbortHandler)
+	event := newErrorBody(id, asRequestError(err))
+	event.Error.Message = brokenMessage
+	if body, err := json.Marshal(event); err == nil {
+		e.line = append(e.line[:0], "event: error\ndata: "...)
+		e.line = append(e.line, body...)
+		e.line = append(e.line, '\n', '\n')
+		_ = e.flush()
 	}
-	e.line = append(e.line[:0], "event: error\ndata: "...)
-	e.line = append(e.line, body...)
-	e.line = append(e.line, '\n', '\n')
-	_ = e.flush()
+	panic(http.ErrAbortHandler)
 }
 
 // chunkPrefix returns the start of an event, which is the same for all chunks of an
