--- a/attacher/resumption_test.go
+++ b/attacher/resumption_test.go
@@ -56,22 +56,29 @@
 	w.t.Helper()
 	list := make([]broken, 0, n)
 	for range n {
-		s := broken{id: "call-" + strconv.FormatInt(time.Now().UnixNano(), 10), last: 3}
-		c := standin.Call{Kind: standin.KindResumableStream, ID: s.id, Key: "secret", Deadline: 4 * time.Second, Body: strings.NewReader("question")}
-		ctx, cancel := context.WithCancel(w.t.Context())
-		resp := w.request(ctx, p, c)
-		lines := bufio.NewScanner(resp.Body)
-		for lines.Scan() && lines.Text() != fmt.Sprintf("data: piece %d", s.last) {
-		}
-		cancel()
-		resp.Body.Close()
-		if resp.StatusCode == http.StatusOK {
+		if s, ok := w.beginOne(p, 3); ok {
 			list = append(list, s)
 		}
 	}
 	return list
 }
 
+// beginOne begins a stream and leaves it after the event with the given ID. ok is false if it is
+// refused.
+func (w *testPlatform) beginOne(p *process, last int) (s broken, ok bool) {
+	w.t.Helper()
+	s = broken{id: "call-" + strconv.FormatInt(time.Now().UnixNano(), 10) + "-" + strconv.FormatInt(w.seq.Add(1), 10), last: last}
+	c := standin.Call{Kind: standin.KindResumableStream, ID: s.id, Key: "secret", Deadline: 4 * time.Second, Body: strings.NewReader("question")}
+	ctx, cancel := context.WithCancel(w.t.Context())
+	resp := w.request(ctx, p, c)
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() && lines.Text() != fmt.Sprintf("data: piece %d", s.last) {
+	}
+	cancel()
+	resp.Body.Close()
+	return s, resp.StatusCode == http.StatusOK
+}
+
 func (w *testPlatform) request(ctx context.Context, p *process, c standin.Call) *http.Response {
 	w.t.Helper()
 	r, err := c.Request(ctx, p.front)
@@ -174,6 +181,33 @@
 	w.countResumed(fleet[1], streams)
 }
 
+// Streams of which callers had events were in no ledger when all routers lost power just after they had begun.
+func TestStreamJustBegunGoesOnAfterAllRoutersEnd(t *testing.T) {
+	t.Parallel()
+	w := newTestPlatform(t)
+	w.registerVersions("1", "2")
+	fleet := w.startFleet(88, 2)
+	time.Sleep(2 * time.Second) // until the routers know each other
+	var streams []broken
+	for range 4 {
+		begun := make(chan broken)
+		for i := range 8 {
+			go func() {
+				s, ok := w.beginOne(fleet[i%2], 0)
+				w.True(ok)
+				begun <- s
+			}()
+		}
+		for range 8 {
+			streams = append(streams, <-begun)
+		}
+	}
+	w.storeDown.Store(true) // the power is lost: no router writes anything from now on
+	w.whileDown = func() { w.storeDown.Store(false) }
+	w.restart(88, fleet, 0, 1)
+	w.Equal(w.countResumed(fleet[1], streams), len(streams))
+}
+
 // A router that had started while the store was away let streams go on at any version.
 func TestResumedStreamIsNotJoinedFromTwoVersionsWithoutStore(t *testing.T) {
 	t.Parallel()
