Hold the first event of a stream until the ledger has it

Cause: the first event went to the caller before the record that its resumption needs was durable: the ledger was written each 200 ms at 8 routers, after a pause. Change: StreamPinner.Begun returns once the store has acknowledged the segment with the stream, after 250 ms at most. The ledger is written as soon as a stream begins and back to back while some wait, 100 writes a second of all routers on average, in bursts of 4 at most. Nothing is held while the last write failed or is silent, nor when the ledger can't be expected to have the stream in time, as is the rule with 300 routers. A failed write is made again after 0.3 s (was up to 1.8 s). With one version in service nothing changes.

--- a/attacher/ledger.go
+++ b/attacher/ledger.go
@@ -15,12 +15,11 @@
 )
 
 const (
-	// minLedgerInterval is the shortest time between two writes of the ledger of a router, and
-	// ledgerIntervalPerRouter that between two writes of all routers together.
-	minLedgerInterval       = 150 * time.Millisecond
-	ledgerIntervalPerRouter = 25 * time.Millisecond
-	// maxLedgerRetryDelay bounds the mean delay after a failed write of the ledger.
-	maxLedgerRetryDelay = 1200 * time.Millisecond
+	// ledgerPoll is how often the writer of the ledger looks for streams that had begun before
+	// a second version came.
+	ledgerPoll = 150 * time.Millisecond
+	// minLedgerRetryDelay is the shortest mean delay after a failed write of the ledger.
+	minLedgerRetryDelay = 300 * time.Millisecond
 	// recordRetryDelay is the delay after a failed write of a record of versions.
 	recordRetryDelay = 2 * time.Second
 	// keyBase is the base of numbers in keys.
@@ -45,21 +44,45 @@
 		pins:   a.pins,
 		prefix: pinner.LedgerPrefix + a.Settings.Address().String() + "/" + strconv.FormatInt(time.Now().UnixMilli(), keyBase) + "/",
 	}
-	for pauser.Pause(ctx, max(minLedgerInterval, time.Duration(a.routers.Load())*ledgerIntervalPerRouter)) {
-		if segment, ok := a.pins.pinner.NextSegment(time.Now(), int(a.routers.Load())); ok {
+	for w.await(ctx) {
+		for {
+			wait := a.pins.recordings.untilWrite(a.pins.pinner.HasMixed(), int(a.routers.Load()))
+			if !pauser.Pause(ctx, wait) {
+				return
+			}
+			segment, ok := a.pins.pinner.NextSegment(time.Now(), int(a.routers.Load()))
+			if !ok {
+				break
+			}
 			w.writeUntilDone(ctx, segment)
 		}
 	}
 }
 
-// writeUntilDone writes a segment, and again after a growing delay if that fails.
+// await waits until streams may have to be written. It reports whether ctx is still active.
+func (w *ledgerWriter) await(ctx context.Context) bool {
+	poll := time.NewTimer(ledgerPoll)
+	defer poll.Stop()
+	select {
+	case <-w.pins.recordings.queued:
+	case <-poll.C:
+	case <-ctx.Done():
+	}
+	return ctx.Err() == nil
+}
+
+// writeUntilDone writes a segment, and again after a delay if that fails.
 func (w *ledgerWriter) writeUntilDone(ctx context.Context, s pinner.Segment) {
-	for delay := minLedgerInterval; ctx.Err() == nil; delay = min(2*delay, maxLedgerRetryDelay) {
+	for ctx.Err() == nil {
+		routers := int(w.pins.a.routers.Load())
+		w.pins.recordings.beginWrite(routers)
 		err := w.write(ctx, s)
+		w.pins.recordings.endWrite(s.Added, err)
 		if err == nil {
 			return
 		}
 		w.pins.a.Log.Log(logger.VersionStoreFailed, "call", "put", "key", w.prefix, "error", err)
+		delay := max(minLedgerRetryDelay, pinner.WriteInterval(routers))
 		pauser.Pause(ctx, delay/2+rand.N(delay))
 	}
 }
--- a/attacher/pins.go
+++ b/attacher/pins.go
@@ -44,6 +44,8 @@
 	unknown atomic.Int64
 	// reads counts the lists of the store, writes the segments and records written.
 	reads, writes atomic.Int64
+	// recordings holds back the first events of streams.
+	recordings *recordings
 
 	// reading is held during a read of the store.
 	reading sync.Mutex
@@ -74,7 +76,7 @@
 var _ kingcuphook.StreamPinner = (*pins)(nil)
 
 func newPins(a *Attacher) *pins {
-	s := &pins{a: a, found: make(map[pinner.Source]*atomic.Int64), inquiries: make(map[uint64]*inquiry), wanted: make(map[string]bool), rejected: make(map[string]int64)}
+	s := &pins{a: a, recordings: newRecordings(), found: make(map[pinner.Source]*atomic.Int64), inquiries: make(map[uint64]*inquiry), wanted: make(map[string]bool), rejected: make(map[string]int64)}
 	for _, source := range pinner.Sources() {
 		s.found[source] = &atomic.Int64{}
 	}
@@ -82,12 +84,31 @@
 	return s
 }
 
-// Begun implements kingcuphook.StreamPinner.
-func (s *pins) Begun(r *kingcuphook.Request, version string) {
+// Begun implements kingcuphook.StreamPinner. While several versions are or were in service, it
+// waits until the ledger has the stream: the caller may resume it once it has the first event,
+// also if all routers have ended since.
+func (s *pins) Begun(ctx context.Context, r *kingcuphook.Request, version string) {
 	if !isAttempt(r.ID()) {
 		return
 	}
-	s.pinner.Begun(time.Now(), pinner.Key(r.Organisation(), r.ID()), r.Pool(), version)
+	began := time.Now()
+	key := pinner.Key(r.Organisation(), r.ID())
+	var ended <-chan recording
+	if s.pinner.IsMixed(r.Pool()) {
+		ended = s.recordings.expect(key)
+		defer s.recordings.forget(key, ended)
+	}
+	if !s.pinner.Begun(began, key, r.Pool(), version) {
+		return
+	}
+	s.recordings.wake()
+	how := recordingDistant
+	if ended != nil {
+		how = s.recordings.hold(ctx, ended)
+	}
+	held := time.Since(began)
+	s.recordings.count(how, held)
+	s.a.Log.Log(logger.StreamHeld, "request", r.ID(), "pool", r.Pool(), "version", version, "held-ms", held.Milliseconds(), "recording", how)
 }
 
 // Find implements kingcuphook.StreamPinner.
@@ -253,4 +274,7 @@
 	m.Gauge("kingcuphook_stream_origins_unknown_total", func() float64 { return float64(s.unknown.Load()) })
 	m.Gauge("kingcuphook_version_store_reads_total", func() float64 { return float64(s.reads.Load()) })
 	m.Gauge("kingcuphook_version_store_writes_total", func() float64 { return float64(s.writes.Load()) })
+	m.Gauge("kingcuphook_streams_recorded_total", func() float64 { return float64(s.recordings.recorded.Load()) })
+	m.Gauge("kingcuphook_streams_unrecorded_total", func() float64 { return float64(s.recordings.unrecorded.Load()) })
+	m.Gauge("kingcuphook_stream_hold_seconds_total", func() float64 { return time.Duration(s.recordings.held.Load()).Seconds() })
 }
--- /dev/null
+++ b/attacher/recordings.go
@@ -0,0 +1,141 @@
+package attacher
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/kingcuphook/kingcuphook/pinner"
+)
+
+// recording is why the first event of a stream went to its caller.
+type recording string
+
+// Values of recording.
+const (
+	// recordingDone means that the ledger has the stream.
+	recordingDone recording = "recorded"
+	// recordingFailed means that the ledger could not be written.
+	recordingFailed recording = "store-failed"
+	// recordingDistant means that the ledger was not expected to have the stream in time.
+	recordingDistant recording = "not-expected"
+	// recordingLate means that the ledger did not have the stream in time.
+	recordingLate recording = "late"
+	// recordingLeft means that the caller left, or its deadline passed.
+	recordingLeft recording = "caller-left"
+)
+
+// recordings holds back the first events of streams until the ledger has the streams.
+type recordings struct {
+	// queued receives a value when a stream is queued for the ledger.
+	queued chan struct{}
+	// recorded counts the streams that the ledger had before their first event went to the
+	// caller, unrecorded the others, and held is for how long all of them were held back.
+	recorded, unrecorded, held atomic.Int64
+
+	mu    sync.Mutex
+	pacer pinner.Pacer
+	// waiting are the streams that are held back, by key. The channel of each has room for
+	// one value.
+	waiting map[uint64]chan recording
+}
+
+func newRecordings() *recordings {
+	return &recordings{queued: make(chan struct{}, 1), waiting: make(map[uint64]chan recording)}
+}
+
+// expect returns the channel on which it is told how the recording of the stream ends; nil if
+// that can't be expected soon, or another call waits for it. It is called before the stream is
+// queued.
+func (r *recordings) expect(key uint64) <-chan recording {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.waiting[key] != nil || !r.pacer.IsSoon(time.Now()) {
+		return nil
+	}
+	ended := make(chan recording, 1)
+	r.waiting[key] = ended
+	return ended
+}
+
+// forget ends the wait for a stream.
+func (r *recordings) forget(key uint64, ended <-chan recording) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.waiting[key] == ended {
+		delete(r.waiting, key)
+	}
+}
+
+// wake makes the writer of the ledger look for streams to be written.
+func (r *recordings) wake() {
+	select {
+	case r.queued <- struct{}{}:
+	default:
+	}
+}
+
+// hold waits until the recording of the stream ends, at most for pinner.MaxHold.
+func (r *recordings) hold(ctx context.Context, ended <-chan recording) recording {
+	timeout := time.NewTimer(pinner.MaxHold)
+	defer timeout.Stop()
+	select {
+	case how := <-ended:
+		return how
+	case <-timeout.C:
+		return recordingLate
+	case <-ctx.Done():
+		return recordingLeft
+	}
+}
+
+// count counts a stream that was held back.
+func (r *recordings) count(how recording, held time.Duration) {
+	r.held.Add(int64(held))
+	if how == recordingDone {
+		r.recorded.Add(1)
+	} else {
+		r.unrecorded.Add(1)
+	}
+}
+
+// beginWrite records that a write of the ledger begins.
+func (r *recordings) beginWrite(routers int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pacer.Begin(time.Now(), routers)
+}
+
+// endWrite records that a write has ended that adds the streams with the keys. After a failed
+// one no stream is held back until one has succeeded.
+func (r *recordings) endWrite(added []uint64, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pacer.End(time.Now(), err == nil)
+	if err != nil {
+		for key := range r.waiting {
+			r.end(key, recordingFailed)
+		}
+		return
+	}
+	for _, key := range added {
+		r.end(key, recordingDone)
+	}
+}
+
+// end ends the wait for a stream. The caller holds mu.
+func (r *recordings) end(key uint64, how recording) {
+	if ended, ok := r.waiting[key]; ok {
+		ended <- how
+		delete(r.waiting, key)
+	}
+}
+
+// untilWrite returns how long the next write of the ledger has to wait.
+func (r *recordings) untilWrite(mixed bool, routers int) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.pacer.Wait(time.Now(), mixed, routers, rand.Float64())
+}
--- a/attacher/resumption_test.go
+++ b/attacher/resumption_test.go
@@ -188,7 +188,7 @@
 	w.registerVersions("1", "2")
 	fleet := w.startFleet(88, 2)
 	time.Sleep(2 * time.Second) // until the routers know each other
-	var streams []broken
+	streams := make([]broken, 0, 32)
 	for range 4 {
 		begun := make(chan broken)
 		for i := range 8 {
--- a/dispatcher/pin.go
+++ b/dispatcher/pin.go
@@ -1,16 +1,21 @@
 package dispatcher
 
-import "github.com/kingcuphook/kingcuphook"
+import (
+	"context"
+
+	"github.com/kingcuphook/kingcuphook"
+)
 
 // pin restricts all later attempts to the software version of the upstream that sent the
-// first frame of the answer, since what two versions send doesn't fit together.
-func (r *run) pin(u *kingcuphook.Upstream) {
+// first frame of the answer, since what two versions send doesn't fit together. The caller of a
+// stream that may be resumed gets that frame once it is recorded which version began it.
+func (r *run) pin(ctx context.Context, u *kingcuphook.Upstream) {
 	if _, ok := r.request.OnlyVersion(); ok {
 		return
 	}
 	r.request = r.request.Restrict(u.SoftwareVersion())
 	if r.d.Pins != nil && r.request.Stream() && r.call.Opaque != nil && r.call.Opaque.Resumable {
-		r.d.Pins.Begun(r.call.Request, u.SoftwareVersion())
+		r.d.Pins.Begun(ctx, r.call.Request, u.SoftwareVersion())
 	}
 }
 
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -178,7 +178,7 @@
 	}
 	defer func() { _ = a.stream.Close() }()
 	r.answer.Begin(a.attempt.ID())
-	if err := r.forward(a, &sample); err != nil {
+	if err := r.forward(ctx, a, &sample); err != nil {
 		return kingcuphook.Outcome{}, failedSample(a.ctx, err, sample), err
 	}
 	out := kingcuphook.Outcome{Finish: r.answer.Finish(), Tokens: r.answer.Position()}
@@ -202,7 +202,7 @@
 }
 
 // forward reads frames and passes them on until the answer is complete.
-func (r *run) forward(a *openAttempt, sample *kingcuphook.Sample) error {
+func (r *run) forward(ctx context.Context, a *openAttempt, sample *kingcuphook.Sample) error {
 	w := a.watch
 	var last time.Time
 	for !r.answer.Complete() {
@@ -230,7 +230,7 @@
 			w.received()
 			continue
 		}
-		if err := r.deliver(a, f); err != nil {
+		if err := r.deliver(ctx, a, f); err != nil {
 			return err
 		}
 		addToken(sample, arrived.Sub(a.began), arrived.Sub(last))
@@ -243,11 +243,11 @@
 }
 
 // deliver writes an accepted data frame to the caller of a stream.
-func (r *run) deliver(a *openAttempt, f kingcuphook.Frame) error {
+func (r *run) deliver(ctx context.Context, a *openAttempt, f kingcuphook.Frame) error {
 	if err := r.tracker.Apply(tracker.EventFrame); err != nil {
 		return &finalError{err}
 	}
-	r.pin(a.slot.Choice().Upstream)
+	r.pin(ctx, a.slot.Choice().Upstream)
 	if !r.request.Stream() {
 		return nil
 	}
--- a/dispatcher/version_test.go
+++ b/dispatcher/version_test.go
@@ -99,7 +99,7 @@
 	text  func() string
 }
 
-func (p *pins) Begun(r *kingcuphook.Request, version string) {
+func (p *pins) Begun(_ context.Context, r *kingcuphook.Request, version string) {
 	p.begun = append(p.begun, fmt.Sprintf("%s %s %q", r.ID(), version, p.text()))
 }
 
--- a/logger/events.go
+++ b/logger/events.go
@@ -79,6 +79,7 @@
 	VersionsRecorded      = Event{1703, LevelInfo, "record of the software versions of a pool written"}
 	VersionRecordRejected = Event{1704, LevelWarn, "record of software versions or of streams in the store rejected"}
 	VersionStoreFailed    = Event{1705, LevelInfo, "call to the store for software versions or streams failed"}
+	StreamHeld            = Event{1706, LevelInfo, "first event of a stream passed on after the wait for the record of the stream"}
 )
 
 // Catalogue returns all events in ascending order of their numbers.
@@ -139,5 +140,6 @@
 		VersionsRecorded,
 		VersionRecordRejected,
 		VersionStoreFailed,
+		StreamHeld,
 	}
 }
--- a/pinner/ledger.go
+++ b/pinner/ledger.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
@@ -49,6 +50,8 @@
 	Number int
 	// Value is its encoding.
 	Value []byte
+	// Added are the keys of the streams that it adds to the ledger.
+	Added []uint64
 }
 
 // NextSegment returns the segment to be written next, which has the newest streams that were not
@@ -62,13 +65,14 @@
 	}
 	bytes := max(min(maxLedgerBytes, fleetLedgerBytes/max(routers, 1))/segments, minSegmentBytes)
 	most := (bytes - segmentHeaderBytes - maxVersions*markBytes) / loggedBytes
-	if len(l.current) >= most {
+	n := min(len(l.queued), most)
+	if len(l.current)+n > most {
 		l.current, l.number = nil, (l.number+1)%segments
 	}
-	n := min(len(l.queued), most-len(l.current))
-	l.current = append(l.current, l.queued[len(l.queued)-n:]...)
+	added := slices.Clone(l.queued[len(l.queued)-n:])
+	l.current = append(l.current, added...)
 	l.queued = l.queued[:len(l.queued)-n]
-	return Segment{Number: l.number, Value: p.encodeSegment(now, l.current)}, true
+	return Segment{Number: l.number, Value: p.encodeSegment(now, l.current), Added: added}, true
 }
 
 // encodeSegment encodes the streams that are still known.
--- a/pinner/pinner.go
+++ b/pinner/pinner.go
@@ -68,13 +68,17 @@
 	return max(xxhash.Sum64String(pool+"\x00"+version), ambiguous+1)
 }
 
-// Begun records that the stream with the key begins at an upstream of the version.
-func (p *Pinner) Begun(now time.Time, key uint64, pool, version string) {
+// Begun records that the stream with the key begins at an upstream of the version. It reports
+// whether the stream was queued for the ledger.
+func (p *Pinner) Begun(now time.Time, key uint64, pool, version string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.begun.add(now, key, entry{mark: markOf(pool, version), at: now, source: SourceMemory}) && p.pools[pool].isMixed() {
-		p.ledger.queue(key)
+	isNew := p.begun.add(now, key, entry{mark: markOf(pool, version), at: now, source: SourceMemory})
+	if !isNew || !p.pools[pool].isMixed() {
+		return false
 	}
+	p.ledger.queue(key)
+	return true
 }
 
 // Learn records that a stream began at the mark, age ago, as reported by the source.
--- a/pinner/versions.go
+++ b/pinner/versions.go
@@ -300,6 +300,18 @@
 	return p.pools[pool].isMixed()
 }
 
+// HasMixed reports whether IsMixed holds for any pool, so that the ledger is written.
+func (p *Pinner) HasMixed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, pool := range p.pools {
+		if pool.mixed {
+			return true
+		}
+	}
+	return false
+}
+
 // Versions returns the versions of the pool that were in service lately.
 func (p *Pinner) Versions(now time.Time, pool string) []string {
 	p.mu.Lock()
