--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -156,7 +156,8 @@
 
 // readAnswer reads a complete answer. It returns an error that wraps ErrTooLarge if
 // the answer exceeds MaxAnswerBytes, as an endless one does, or if all answers
-// together exceed MaxBufferedBytes.
+// together exceed MaxBufferedBytes. A success whose connection ended with its head is
+// an error too, since nothing shows that its body had no bytes.
 func (f *Forwarder) readAnswer(u *kingcuphook.Upstream, resp *http.Response) (kingcuphook.Answer, error) {
 	limit := cmp.Or(f.MaxAnswerBytes, defaultMaxAnswer)
 	body := budgetReader{r: io.LimitReader(resp.Body, limit+1), used: &f.buffered, budget: cmp.Or(f.MaxBufferedBytes, defaultMaxBuffered)}
@@ -168,6 +169,9 @@
 	if int64(len(text)) > limit {
 		return kingcuphook.Answer{}, fmt.Errorf("forwarder: answer of %s exceeds %d bytes: %w: %w", u.Address(), limit, kingcuphook.ErrTooLarge, kingcuphook.ErrOutcomeUnknown)
 	}
+	if len(text) == 0 && resp.StatusCode < http.StatusMultipleChoices && transporter.IsCloseDelimited(resp) {
+		return kingcuphook.Answer{}, fmt.Errorf("forwarder: connection to %s ended with the head of the answer: %w", u.Address(), kingcuphook.ErrOutcomeUnknown)
+	}
 	return kingcuphook.NewOpaqueAnswer(resp.StatusCode, endToEndHeaders(resp.Header), text), nil
 }
 
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -12,6 +12,7 @@
 
 	"github.com/kingcuphook/kingcuphook"
 	"github.com/kingcuphook/kingcuphook/canceller"
+	"github.com/kingcuphook/kingcuphook/transporter"
 )
 
 const (
@@ -63,15 +64,10 @@
 		attempt:        a.ID(),
 		position:       a.ResumeFrom(),
 		first:          a.ResumeFrom(),
-		closeDelimited: isCloseDelimited(resp),
+		closeDelimited: transporter.IsCloseDelimited(resp),
 	}
 }
 
-// isCloseDelimited reports whether only the end of the connection marks the end of the body.
-func isCloseDelimited(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-}
-
 // checkRest returns an error for a response that can't be the rest of the stream that the attempt
 // resumes: its body must be unencoded events in chunks.
 func checkRest(u *kingcuphook.Upstream, a *kingcuphook.Attempt, resp *http.Response) error {
--- a/transporter/head.go
+++ b/transporter/head.go
@@ -23,3 +23,10 @@
 	}
 	return false
 }
+
+// IsCloseDelimited reports whether a response has a body whose end only the end of the connection
+// marks.
+func IsCloseDelimited(resp *http.Response) bool {
+	isHead := resp.Request != nil && resp.Request.Method == http.MethodHead
+	return !isHead && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
