--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -125,6 +125,9 @@
 	if int64(len(body)) > limit {
 		return kingcuphook.Answer{}, fmt.Errorf("dialer: answer of %s over %d bytes: %w", u.Address(), limit, errors.Join(kingcuphook.ErrTooLarge, kingcuphook.ErrOutcomeUnknown))
 	}
+	if len(body) == 0 && resp.StatusCode < http.StatusMultipleChoices && transporter.IsCloseDelimited(resp) {
+		return kingcuphook.Answer{}, fmt.Errorf("dialer: connection to %s ended with the head of the answer: %w", u.Address(), kingcuphook.ErrOutcomeUnknown)
+	}
 	return kingcuphook.NewAnswer(resp.StatusCode, resp.Header.Get("Content-Type"), body), nil
 }
 
