--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -161,7 +161,7 @@
 	}
 	d.reportLoad(u, resp.Header)
 	d.reportNotice(u, resp, sentAt)
-	if err := checkResponse(u, resp); err != nil {
+	if err := checkResponse(u, a, resp); err != nil {
 		return nil, err
 	}
 	return resp, nil
@@ -218,8 +218,9 @@
 }
 
 // checkResponse returns an error if the upstream did not start the request, or if an
-// engine responds with a status other than 200. It closes the body in these cases.
-func checkResponse(u *kingcuphook.Upstream, resp *http.Response) error {
+// engine responds with a status other than 200. It closes the body in these cases. A
+// status doesn't reject a request that another engine has begun to answer.
+func checkResponse(u *kingcuphook.Upstream, a *kingcuphook.Attempt, resp *http.Response) error {
 	if resp.Header.Get(headerNotStarted) != "" {
 		defer resp.Body.Close()
 		return fmt.Errorf("dialer: %s did not start: %w: %s", u.Address(), kingcuphook.ErrUnavailable, readErrorText(resp.Body))
@@ -229,7 +230,7 @@
 	}
 	defer resp.Body.Close()
 	cause := errors.Join(kingcuphook.ErrUpstreamAnswered, kingcuphook.ErrOutcomeUnknown)
-	if isRejection(resp.StatusCode) {
+	if isRejection(resp.StatusCode) && a.ResumeFrom() == 0 {
 		cause = errors.Join(kingcuphook.ErrRejected, cause)
 	}
 	return fmt.Errorf("dialer: %s answered %d: %w: %s", u.Address(), resp.StatusCode, cause, readErrorText(resp.Body))
