Count what a router knows of versions from when it was true

A router that was out of step took a stream of a second version for one of the version that it saw, and joined it. Its tables counted as confirmed when a reply or a digest arrived: one of a peer that was cut off as well, one that had waited while this router was paused, or one that a cut link delivered seconds late. Two routers that were silently cut off from the store and all others confirmed each other's tables as long as their watches were held.

The watcher now states when a reply was certainly true: when its call was sent, or when a watch without a change was due. Digests carry the age of that, in bits of the flags that were 0, so that routers of both formats understand each other; those of the old one confirm nothing. Records of versions count from when they were asked for. For 600 ms after a standstill of the control loop, digests confirm nothing. Replies of delegates don't either: their digests do. In gaps the record is read, as before.

--- a/attacher/control.go
+++ b/attacher/control.go
@@ -53,8 +53,11 @@
 	parts partRecords
 	// versions is the state of the writes of the records of versions.
 	versions versionRecords
-	// isCurrent is true if the tables were found to be those in force since the last publish.
-	isCurrent bool
+	// currentAt is when the entries of the store certainly were those in force, or later.
+	currentAt time.Time
+	// turnAt is when the control loop last began to handle an event, standstillAt when it last
+	// found that the process had stood still.
+	turnAt, standstillAt time.Time
 	// delegator decides which routers of the data centre follow the store.
 	delegator delegator.Delegator
 	// storeEra is the latest era of the store that an event was seen in; 0 before the first.
@@ -112,12 +115,12 @@
 		case <-ctx.Done():
 			return
 		case event := <-c.inbox:
-			event(time.Now())
+			event(c.beginTurn(time.Now()))
 		case <-ticker.C:
-			c.tick(ctx, time.Now())
+			c.tick(ctx, c.beginTurn(time.Now()))
 		}
 		c.publish()
-		c.confirm(time.Now())
+		c.a.pins.pinner.Confirm(c.currentAt)
 		c.answerWaiting(time.Now())
 	}
 }
@@ -164,12 +167,34 @@
 	c.readHeld(now)
 }
 
-// confirm records that the tables are those in force.
-func (c *control) confirm(now time.Time) {
-	if c.isCurrent {
-		c.a.pins.pinner.Confirm(now)
+const (
+	// standstillAfter is the time without a turn of the control loop after which the process
+	// counts as having stood still. It is longer than the interval of its periodic work.
+	standstillAfter = 600 * time.Millisecond
+	// standstillDrain is how long after that datagrams may have arrived before.
+	standstillDrain = 600 * time.Millisecond
+)
+
+// beginTurn records that the control loop begins to handle an event, and returns the time.
+func (c *control) beginTurn(now time.Time) time.Time {
+	if !c.turnAt.IsZero() && now.Sub(c.turnAt) > standstillAfter {
+		c.standstillAt = now
+	}
+	c.turnAt = now
+	return now
+}
+
+// isDrained reports whether no datagram that is received now can have waited in the socket while
+// the process stood still.
+func (c *control) isDrained(now time.Time) bool {
+	return now.Sub(c.standstillAt) >= standstillDrain
+}
+
+// setCurrent records that the entries of the store were those in force at a time.
+func (c *control) setCurrent(at time.Time) {
+	if at.After(c.currentAt) {
+		c.currentAt = at
 	}
-	c.isCurrent = false
 }
 
 // ineligibleFor is how long a router does not count as able to follow the store after a
@@ -196,7 +221,7 @@
 		c.storeAvailable(now)
 		c.updateEra(now, e)
 		c.applyEntries(now, e)
-		c.isCurrent = true
+		c.setCurrent(e.CurrentAt)
 	}
 }
 
@@ -231,7 +256,7 @@
 
 func (c *control) applyEntries(now time.Time, e watcher.Event) {
 	c.applyParts(now, e)
-	c.a.pins.applyEntries(e.Entries, e.Kind == watcher.EventSnapshot)
+	c.a.pins.applyEntries(e.CurrentAt, e.Entries, e.Kind == watcher.EventSnapshot)
 	c.versions.isRead = true
 	for _, entry := range e.Entries {
 		c.applyDeclaration(entry)
--- a/attacher/exchange.go
+++ b/attacher/exchange.go
@@ -161,6 +161,8 @@
 		Revision:   c.store.Revision(),
 		DataCentre: c.peers.centre,
 		CanFollow:  !c.ineligible(now),
+		Current:    !c.currentAt.IsZero(),
+		CurrentAge: max(now.Sub(c.currentAt), 0),
 		Delegates:  c.delegator.Candidates(now),
 		Members:    c.peers.recent(digester.MaxMembers),
 	}
@@ -222,7 +224,9 @@
 		if from == c.peers.ahead {
 			c.peers.ahead = netip.Addr{}
 		}
-		c.isCurrent = c.isCurrent || d.CanFollow() && !c.store.IsUnavailable() && !c.peers.ahead.IsValid()
+		if age, ok := d.CurrentAge(); ok && c.isDrained(now) {
+			c.setCurrent(now.Add(-age))
+		}
 		return
 	}
 	if !c.peers.ahead.IsValid() {
--- a/attacher/follow.go
+++ b/attacher/follow.go
@@ -173,7 +173,6 @@
 	if err == nil {
 		c.importFrom(now, peer, payload)
 	}
-	c.isCurrent = true
 }
 
 // role returns the current role of this router.
--- a/attacher/hold_test.go
+++ b/attacher/hold_test.go
@@ -28,7 +28,7 @@
 	is := is.New(t)
 	now := time.Now()
 	p := &pins{}
-	p.pinner.Apply(now, pinner.Record{Pool: "models", Versions: []pinner.RecordedVersion{{Version: "1"}}}, 1)
+	p.pinner.Apply(now, now, pinner.Record{Pool: "models", Versions: []pinner.RecordedVersion{{Version: "1"}}}, 1)
 	upstreams := make([]*kingcuphook.Upstream, 0, 2)
 	for _, version := range []string{"1", "2"} {
 		upstreams = append(upstreams, kingcuphook.NewUpstream(kingcuphook.UpstreamFields{SoftwareVersion: version}))
--- a/attacher/ledger.go
+++ b/attacher/ledger.go
@@ -134,6 +134,7 @@
 	if !errors.Is(err, kingcuphook.ErrConflict) {
 		return err
 	}
+	sentAt := time.Now()
 	entry, err := s.a.store.Get(ctx, w.Record.Key())
 	if errors.Is(err, kingcuphook.ErrNotFound) {
 		s.pinner.Missing(time.Now(), w.Record.Key())
@@ -142,7 +143,7 @@
 	if err != nil {
 		return fmt.Errorf("attacher: record of versions: %w", err)
 	}
-	if s.applyRecord(entry) {
+	if s.applyRecord(sentAt, entry) {
 		return nil
 	}
 	return s.putRecord(ctx, pinner.Write{Record: w.Record, Revision: entry.Revision()})
@@ -155,11 +156,12 @@
 		return err
 	}
 	s.writes.Add(1)
+	sentAt := time.Now()
 	revision, err := s.a.store.Put(ctx, w.Record.Key(), value, w.Revision, 0)
 	if err != nil {
 		return fmt.Errorf("attacher: record of versions: %w", err)
 	}
-	s.pinner.Apply(time.Now(), w.Record, revision)
+	s.pinner.Apply(time.Now(), sentAt, w.Record, revision)
 	s.a.Log.Log(logger.VersionsRecorded, "pool", w.Record.Pool, "versions", w.Record.String(), "revision", revision, "revision-before", w.Revision)
 	return nil
 }
--- a/attacher/pinstore.go
+++ b/attacher/pinstore.go
@@ -37,7 +37,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), findTimeout)
 	defer cancel()
 	if !s.all(wanted, s.isCertainlyMixed) {
-		s.applyRecords(s.list(ctx, pinner.RecordPrefix))
+		sentAt := time.Now()
+		s.applyRecords(sentAt, s.list(ctx, pinner.RecordPrefix))
 	}
 	if s.all(wanted, func(pool string) bool { return !s.pinner.IsMixed(pool) }) {
 		return
@@ -74,9 +75,9 @@
 }
 
 // applyEntries applies the entries of the store that tell of versions, those of a snapshot or
-// changed ones.
-func (s *pins) applyEntries(entries []kingcuphook.Entry, snapshot bool) {
-	s.applyRecords(entries)
+// changed ones, as read by a call that was sent at the given time.
+func (s *pins) applyEntries(sentAt time.Time, entries []kingcuphook.Entry, snapshot bool) {
+	s.applyRecords(sentAt, entries)
 	if !snapshot {
 		return
 	}
@@ -93,7 +94,9 @@
 	}
 }
 
-func (s *pins) applyRecords(entries []kingcuphook.Entry) {
+// applyRecords applies the records of versions among entries, as read by a call that was sent at the
+// given time.
+func (s *pins) applyRecords(sentAt time.Time, entries []kingcuphook.Entry) {
 	for _, e := range entries {
 		if !strings.HasPrefix(e.Key(), pinner.RecordPrefix) {
 			continue
@@ -102,18 +105,18 @@
 			s.pinner.Missing(time.Now(), e.Key())
 			continue
 		}
-		s.applyRecord(e)
+		s.applyRecord(sentAt, e)
 	}
 }
 
 // applyRecord applies a record of versions. It reports whether the record is valid.
-func (s *pins) applyRecord(e kingcuphook.Entry) bool {
+func (s *pins) applyRecord(sentAt time.Time, e kingcuphook.Entry) bool {
 	record, err := pinner.DecodeRecord(e.Key(), e.Value())
 	if err != nil {
 		s.logRejected(e, err)
 		return false
 	}
-	s.pinner.Apply(time.Now(), record, e.Revision())
+	s.pinner.Apply(time.Now(), sentAt, record, e.Revision())
 	return true
 }
 
--- a/digester/digester.go
+++ b/digester/digester.go
@@ -36,8 +36,11 @@
 	delegateBytes = memberBytes + 1
 	// ageUnit is the unit in which ages are encoded.
 	ageUnit = 20 * time.Millisecond
-	// flagCanFollow is the flag bit for a sender that can follow the store.
+	// flagCanFollow is the flag bit for a sender that can follow the store. The other bits of
+	// the flags are 0, or 1 more than the age at which the sender's data were current.
 	flagCanFollow = 1
+	flagBits      = 1
+	maxAge        = (1<<7 - 2) * ageUnit
 )
 
 // Fields are the contents of a Digest.
@@ -50,6 +53,10 @@
 	DataCentre uint32
 	// CanFollow is set if the sender can follow the store.
 	CanFollow bool
+	// Current is set if the sender knows that the store had no revision after Revision at the
+	// time CurrentAge ago, which is at most 2.5 s.
+	Current    bool
+	CurrentAge time.Duration
 	// Members are addresses of other routers that the sender has seen most recently,
 	// directly or in a digest of another router.
 	Members []netip.Addr
@@ -86,6 +93,10 @@
 // CanFollow reports whether the sender can follow the store.
 func (d Digest) CanFollow() bool { return d.f.CanFollow }
 
+// CurrentAge returns how long ago, at most, the store had no revision after that of the sender, as
+// the sender knows; ok is false if it doesn't.
+func (d Digest) CurrentAge() (age time.Duration, ok bool) { return d.f.CurrentAge, d.f.Current }
+
 // Delegates returns routers in the sender's data centre that can follow the store;
 // the caller must not modify the slice.
 func (d Digest) Delegates() []delegator.Candidate { return d.f.Delegates }
@@ -116,6 +127,9 @@
 	if d.f.CanFollow {
 		flags |= flagCanFollow
 	}
+	if d.f.Current && d.f.CurrentAge <= maxAge {
+		flags |= (encodeAge(d.f.CurrentAge) + 1) << flagBits
+	}
 	b = append(b, flags)
 	b = appendMembers(b, d.f.Members)
 	b = appendDelegates(b, d.f.Delegates)
@@ -150,13 +164,16 @@
 		if c.Address.Is4() && b[countIndex] < delegator.MaxCandidates {
 			a4 := c.Address.As4()
 			b = append(b, a4[:]...)
-			b = append(b, byte(min((c.Age+ageUnit-1)/ageUnit, 255)))
+			b = append(b, encodeAge(c.Age))
 			b[countIndex]++
 		}
 	}
 	return b
 }
 
+// encodeAge returns an age in whole units, rounded up and limited to 255 of them.
+func encodeAge(age time.Duration) byte { return byte(min((age+ageUnit-1)/ageUnit, 255)) }
+
 // Decode decodes an encoded digest. The error wraps ErrInvalid.
 func Decode(b []byte) (Digest, error) {
 	if len(b) < fixedBytes || b[0] != formatVersion {
@@ -168,6 +185,9 @@
 	}
 	f.DataCentre = binary.BigEndian.Uint32(b[17:])
 	f.CanFollow = b[21]&flagCanFollow != 0
+	if age := b[21] >> flagBits; age > 0 {
+		f.Current, f.CurrentAge = true, time.Duration(age-1)*ageUnit
+	}
 	b = b[22:]
 	n := int(b[0])
 	b = b[1:]
--- a/pinner/pinner_test.go
+++ b/pinner/pinner_test.go
@@ -30,7 +30,7 @@
 func fresh(now time.Time, record []RecordedVersion, versions ...string) *Pinner {
 	p := &Pinner{}
 	if record != nil {
-		p.Apply(now, Record{Pool: "models", Versions: record}, 1)
+		p.Apply(now, now, Record{Pool: "models", Versions: record}, 1)
 	}
 	p.Observe(now, tables(versions...))
 	p.Confirm(now)
@@ -181,7 +181,7 @@
 		is.NoErr(err)
 		record, err := DecodeRecord(writes[0].Record.Key(), value)
 		is.NoErr(err)
-		p.Apply(now, record, revision)
+		p.Apply(now, now, record, revision)
 		is.Equal(len(p.Writes(now)), 0)
 		return record.String()
 	}
@@ -273,7 +273,7 @@
 		record, err := DecodeRecord(RecordPrefix+"models", b)
 		is.True(err == nil || errors.Is(err, kingcuphook.ErrInvalid))
 		if err == nil {
-			fresh(start, nil, "1").Apply(start, record, 1)
+			fresh(start, nil, "1").Apply(start, start, record, 1)
 		}
 	})
 }
@@ -376,8 +376,23 @@
 		p.Observe(now, tables(many...))
 		for _, w := range p.Writes(now) {
 			writes++
-			p.Apply(now, w.Record, int64(writes))
+			p.Apply(now, now, w.Record, int64(writes))
 		}
 	}
 	is.Equal(writes, 1)
 }
+
+// Knowledge that arrived late, as after a pause of the router, counted from its arrival.
+func TestLateKnowledgeIsNotFresh(t *testing.T) {
+	is := is.New(t)
+	p := fresh(start, []RecordedVersion{{Version: "1"}}, "1")
+	now := start.Add(5 * time.Second)
+	p.Confirm(start.Add(time.Second))
+	p.Apply(now, start.Add(2*time.Second), Record{Pool: "models", Versions: []RecordedVersion{{Version: "1"}}}, 1)
+	_, err := p.Find(now, now, 1, "models")
+	is.True(errors.Is(err, kingcuphook.ErrVersionUnknown))
+	p.Confirm(now.Add(-time.Second))
+	p.Confirm(start) // a later reply about an earlier time
+	_, err = p.Find(now, now, 1, "models")
+	is.NoErr(err)
+}
--- a/pinner/record.go
+++ b/pinner/record.go
@@ -95,8 +95,9 @@
 	return r, nil
 }
 
-// Apply applies the record that the store has at the revision, as read now.
-func (p *Pinner) Apply(now time.Time, r Record, revision int64) {
+// Apply applies the record that the store has at the revision, as read by a call that was sent at
+// the given time.
+func (p *Pinner) Apply(now, sentAt time.Time, r Record, revision int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known := p.pools[r.Pool]
@@ -104,7 +105,10 @@
 		return
 	}
 	pool := p.pool(r.Pool)
-	pool.record, pool.revision, pool.readAt = &r, revision, now
+	pool.record, pool.revision = &r, revision
+	if sentAt.After(pool.readAt) {
+		pool.readAt = sentAt
+	}
 	p.refresh(now)
 }
 
--- a/pinner/versions.go
+++ b/pinner/versions.go
@@ -34,7 +34,7 @@
 	came  map[string]time.Time
 	ready map[string]int
 	// record is the pool's record in the store; nil if there is none or it is not known.
-	// It has the revision, and was read at readAt.
+	// It has the revision, and the store had it at readAt or later.
 	record   *Record
 	revision int64
 	readAt   time.Time
@@ -236,11 +236,13 @@
 	p.refresh(now)
 }
 
-// Confirm records that the tables are those in force.
-func (p *Pinner) Confirm(now time.Time) {
+// Confirm records that the tables were those in force at a time, which may be in the past.
+func (p *Pinner) Confirm(at time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.confirmedAt = now
+	if at.After(p.confirmedAt) {
+		p.confirmedAt = at
+	}
 }
 
 // pool returns the pool with the name, which is added if it is new.
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -37,6 +37,10 @@
 	Entries []kingcuphook.Entry
 	// Revision is the store revision up to which the entries are complete.
 	Revision int64
+	// CurrentAt is when the store certainly had no later revision, or later: when the call was
+	// sent, or when a watch without a change was due. The reply may have arrived much later.
+	// It is zero for EventUnavailable.
+	CurrentAt time.Time
 	// Err is the error of the failed call; nil unless Kind is EventUnavailable.
 	Err error
 }
@@ -102,30 +106,40 @@
 func (w *Watcher) follow(ctx context.Context, known int64) (bool, error) {
 	followed, revision := false, known
 	if known == 0 {
+		sent := time.Now()
 		entries, at, err := w.Store.ListAt(ctx, w.Prefix)
 		if err != nil {
 			return false, err
 		}
 		followed, revision = true, at
-		w.OnEvent(Event{Kind: EventSnapshot, Prefix: w.Prefix, Entries: entries, Revision: revision})
+		w.OnEvent(Event{Kind: EventSnapshot, Prefix: w.Prefix, Entries: entries, Revision: revision, CurrentAt: sent})
 	}
 	for {
-		entries, next, err := w.watch(ctx, revision)
+		entries, next, currentAt, err := w.watch(ctx, revision)
 		if err != nil {
 			return followed, err
 		}
 		followed, revision = true, next
-		w.OnEvent(Event{Kind: EventChanges, Prefix: w.Prefix, Entries: entries, Revision: revision})
+		w.OnEvent(Event{Kind: EventChanges, Prefix: w.Prefix, Entries: entries, Revision: revision, CurrentAt: currentAt})
 		if len(entries) > 0 && w.BatchDelay != nil {
 			pauser.Pause(ctx, w.BatchDelay())
 		}
 	}
 }
 
-func (w *Watcher) watch(ctx context.Context, after int64) ([]kingcuphook.Entry, int64, error) {
+// watch watches for changes. It also returns since when, at the latest, the store has had no
+// revision after the one returned.
+func (w *Watcher) watch(ctx context.Context, after int64) (entries []kingcuphook.Entry, next int64, currentAt time.Time, err error) {
+	sent := time.Now()
 	s, ok := w.Store.(kingcuphook.WaitWatcher)
 	if !ok || w.WatchWait == nil {
-		return w.Store.Watch(ctx, w.Prefix, after)
+		entries, next, err = w.Store.Watch(ctx, w.Prefix, after)
+		return entries, next, sent, err
 	}
-	return s.WatchFor(ctx, w.Prefix, after, w.WatchWait())
+	wait := w.WatchWait()
+	entries, next, err = s.WatchFor(ctx, w.Prefix, after, wait)
+	if due := sent.Add(wait); len(entries) == 0 && !time.Now().Before(due) {
+		return entries, next, due, err
+	}
+	return entries, next, sent, err
 }
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/kingcuphook/kingcuphook"
 	"github.com/kingcuphook/kingcuphook/emulator/storer"
+	"github.com/kingcuphook/kingcuphook/pauser"
 )
 
 // startWatcher runs a watcher of all keys in s and returns its events.
@@ -106,3 +107,41 @@
 		is.Equal(events[0].Entries[0].Key(), "b")
 	})
 }
+
+// slowStore is a store whose replies to watches arrive late.
+type slowStore struct {
+	*storer.Store
+
+	late time.Duration
+}
+
+// WatchFor implements kingcuphook.WaitWatcher.
+func (s slowStore) WatchFor(ctx context.Context, prefix string, after int64, wait time.Duration) ([]kingcuphook.Entry, int64, error) {
+	s.WatchWait = wait
+	entries, next, err := s.Watch(ctx, prefix, after)
+	pauser.Pause(ctx, s.late)
+	return entries, next, err
+}
+
+// A reply that arrived late was taken for one about the time of its arrival.
+func TestLateReplyIsAboutTheTimeBefore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const wait, late = 2 * time.Second, 5 * time.Second
+		s := slowStore{&storer.Store{}, late}
+		var events []Event
+		began := time.Now()
+		w := &Watcher{Store: s, OnEvent: func(e Event) { events = append(events, e) }, WatchWait: func() time.Duration { return wait }}
+		go w.Run(t.Context())
+		time.Sleep(wait + late)
+		synctest.Wait()
+		is.Equal(len(events), 2)
+		is.Equal(events[1].CurrentAt, began.Add(wait)) // no change until then
+		time.Sleep(time.Second)
+		write(t, s.Store, "a")
+		time.Sleep(late)
+		synctest.Wait()
+		is.Equal(len(events), 3)
+		is.Equal(events[2].CurrentAt, began.Add(wait+late)) // when the call was sent
+	})
+}
