Rely for 5 s on a version being held back, not for 8 s

A router that saw a second version more than 4 s after the others, as after a pause or a cut of 5 s, still took streams that no router knows for those of the recorded version after the others had ceased to hold the second one back, if it could not be recorded for 12 s.

A search relies on it until 5 s after the version came, which leaves 7 s for seeing it late. TestLateRouterDoesNotRelyOnVersionHeldBack failed before. A version that can be recorded is, after 4 s, so that the shorter time changes nothing then.

--- a/pinner/hold.go
+++ b/pinner/hold.go
@@ -12,6 +12,9 @@
 	holdFor = 4 * time.Second
 	// maxHold is how long streams don't begin at a version that isn't recorded.
 	maxHold = 12 * time.Second
+	// maxLate is how much later than another router this one may see a version: it may have been
+	// paused or cut off.
+	maxLate = 7 * time.Second
 )
 
 // holdLimits bound for how long a version is held back.
@@ -25,7 +28,7 @@
 // The bounds of a search are narrower, since other routers may see a change before this one.
 var (
 	beginning = holdLimits{longest: maxHold, share: 0.5}
-	searching = holdLimits{longest: maxHold - 4*time.Second, share: 0.66}
+	searching = holdLimits{longest: maxHold - maxLate, share: 0.66}
 )
 
 // held returns the only version at which streams may begin: the one in the record, while
--- a/pinner/pinner_test.go
+++ b/pinner/pinner_test.go
@@ -396,3 +396,17 @@
 	_, err = p.Find(now, now, 1, "models")
 	is.NoErr(err)
 }
+
+// A router that saw a second version 5 s after the others took a stream for one of the recorded version
+// although the others no longer held the second one back.
+func TestLateRouterDoesNotRelyOnVersionHeldBack(t *testing.T) {
+	is := is.New(t)
+	came, seen := start, start.Add(5*time.Second)
+	p := fresh(seen, []RecordedVersion{{Version: "1"}}, "1", "1", "2")
+	for after := maxHold; after <= 2*maxHold; after += 100 * time.Millisecond {
+		now := came.Add(after)
+		p.Apply(now, now, Record{Pool: "models", Versions: []RecordedVersion{{Version: "1"}}}, 1)
+		_, err := p.Find(now, now.Add(-time.Millisecond), 1, "models")
+		is.True(errors.Is(err, kingcuphook.ErrVersionUnknown))
+	}
+}
