Give the test of routers that are cut off from the store addresses of its own

Change: other addresses. Measured: the clash showed as 'address already in use' in one run of the package.

--- a/attacher/outofstep_test.go
+++ b/attacher/outofstep_test.go
@@ -54,8 +54,8 @@
 	w.registerVersions("1", "1")
 	w.NoErr(w.store.Delete(t.Context(), platform.RegistrationPrefix+"i-1", kingcuphook.RevisionAny))
 	store, cut := w.cutStore()
-	inTouch := w.start(loopback("88.1"), w.server.Listener.Addr().String())
-	pair := []*process{w.start(loopback("88.2"), store), w.start(loopback("88.3"), store, loopback("88.2"))}
+	inTouch := w.start(loopback("91.1"), w.server.Listener.Addr().String())
+	pair := []*process{w.start(loopback("91.2"), store), w.start(loopback("91.3"), store, loopback("91.2"))}
 	for _, p := range append(pair, inTouch) {
 		w.waitFor("readiness", p.isReady)
 	}
