Leave the grant of a lease out of how long a write of the ledger takes

Cause: the first write of a router also grants a lease: two round trips, after which the next write was expected to take as long. Change: the time that is expected counts from the moment at which the segment is sent.

--- a/attacher/ledger.go
+++ b/attacher/ledger.go
@@ -96,6 +96,7 @@
 			return fmt.Errorf("attacher: lease of the ledger: %w", err)
 		}
 		w.lease, w.grantedAt = lease, time.Now()
+		w.pins.recordings.sent()
 	}
 	_, err := w.pins.a.store.Put(ctx, w.prefix+strconv.Itoa(s.Number), s.Value, kingcuphook.RevisionAny, w.lease)
 	if err != nil {
--- a/attacher/recordings.go
+++ b/attacher/recordings.go
@@ -108,6 +108,13 @@
 	r.pacer.Begin(time.Now(), routers)
 }
 
+// sent records that the segment of the write is sent after a lease was granted.
+func (r *recordings) sent() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pacer.Sent(time.Now())
+}
+
 // endWrite records that a write has ended that adds the streams with the keys. After a failed
 // one no stream is held back until one has succeeded.
 func (r *recordings) endWrite(added []uint64, err error) {
--- a/pinner/pacer.go
+++ b/pinner/pacer.go
@@ -27,7 +27,9 @@
 	early time.Duration
 	// began is when the write in flight began; zero if there is none.
 	began time.Time
-	// took is how long the last write took that succeeded.
+	// sent is when the segment was sent in that write, and took how long the store took to
+	// acknowledge the last one.
+	sent time.Time
 	took time.Duration
 	// failing is true from a failed write until one succeeds.
 	failing bool
@@ -58,13 +60,16 @@
 	if p.next.Before(now) {
 		p.next = now
 	}
-	p.began, p.next = now, p.next.Add(WriteInterval(routers))
+	p.began, p.sent, p.next = now, now, p.next.Add(WriteInterval(routers))
 }
 
+// Sent records that the write in flight sends the segment only now, after the grant of a lease.
+func (p *Pacer) Sent(now time.Time) { p.sent = now }
+
 // End records that the write in flight has ended.
 func (p *Pacer) End(now time.Time, succeeded bool) {
 	if succeeded {
-		p.took = now.Sub(p.began)
+		p.took = now.Sub(p.sent)
 	}
 	p.began, p.failing = time.Time{}, !succeeded
 }
--- a/pinner/pacer_test.go
+++ b/pinner/pacer_test.go
@@ -65,6 +65,12 @@
 	p.End(at(time.Hour), true)
 	is.True(p.IsSoon(at(time.Hour)))
 
+	leased := &Pacer{}
+	leased.Begin(start, routers)
+	leased.Sent(at(200 * time.Millisecond)) // after the grant of a lease
+	leased.End(at(270*time.Millisecond), true)
+	is.True(leased.IsSoon(at(270 * time.Millisecond)))
+
 	large := &Pacer{}
 	large.Begin(start, 300)
 	large.End(start, true)
