Write the ledger again when the store comes back from an older copy

What callers saw: beside two versions, a store that came back older lacked the segments written since its copy; after all routers had ended, the streams in them were unknown. Cause: a segment that was acknowledged was never written again. Change: when the store has another era, a router queues the streams that began at it again, and waits for a random part of the interval, since all routers do.

--- a/attacher/ledger.go
+++ b/attacher/ledger.go
@@ -36,6 +36,8 @@
 	// lease is the lease of the segments, granted at grantedAt; 0 if there is none.
 	lease     kingcuphook.LeaseID
 	grantedAt time.Time
+	// era is the latest era of the store that the ledger was written in; 0 before.
+	era int64
 }
 
 // runLedger writes the ledger until ctx ends.
@@ -46,6 +48,7 @@
 	}
 	for w.await(ctx) {
 		for {
+			w.followEra()
 			wait := a.pins.recordings.untilWrite(a.pins.pinner.HasMixed(), int(a.routers.Load()))
 			if !pauser.Pause(ctx, wait) {
 				return
@@ -59,6 +62,16 @@
 	}
 }
 
+// followEra has the ledger written again if the store has come back from an older copy.
+func (w *ledgerWriter) followEra() {
+	era := w.pins.a.store.Era()
+	if w.era != 0 && era != w.era {
+		w.pins.pinner.WriteAgain(time.Now())
+		w.pins.recordings.spread()
+	}
+	w.era = era
+}
+
 // await waits until streams may have to be written. It reports whether ctx is still active.
 func (w *ledgerWriter) await(ctx context.Context) bool {
 	poll := time.NewTimer(ledgerPoll)
--- a/attacher/recordings.go
+++ b/attacher/recordings.go
@@ -108,6 +108,13 @@
 	r.pacer.Begin(time.Now(), routers)
 }
 
+// spread makes the next write wait for a random part of the interval.
+func (r *recordings) spread() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pacer.Spread()
+}
+
 // sent records that the segment of the write is sent after a lease was granted.
 func (r *recordings) sent() {
 	r.mu.Lock()
--- a/attacher/restored_test.go
+++ b/attacher/restored_test.go
@@ -105,3 +105,18 @@
 	w.served.Restore(older)
 	w.waitFor("the record to be back", isRecorded)
 }
+
+// Streams were unknown whose segments of the ledger an older copy of the store lacked.
+func TestLedgerIsWrittenAgainAfterStoreCameBackOlder(t *testing.T) {
+	t.Parallel()
+	w := newTestPlatform(t)
+	w.registerVersions("1", "2")
+	fleet := w.startFleet(89, 2)
+	time.Sleep(2 * time.Second) // until the routers know each other
+	older := w.store.Snapshot()
+	streams := w.begin(fleet[0], 4)
+	w.served.Restore(older)
+	time.Sleep(2 * time.Second)
+	w.restart(89, fleet, 0, 1)
+	w.Equal(w.countResumed(fleet[1], streams), len(streams))
+}
--- a/pinner/ledger.go
+++ b/pinner/ledger.go
@@ -75,6 +75,19 @@
 	return Segment{Number: l.number, Value: p.encodeSegment(now, l.current), Added: added}, true
 }
 
+// WriteAgain queues all streams for the ledger that have begun in pools with several versions. It
+// is called when the store has come back from an older copy, which may lack segments.
+func (p *Pinner) WriteAgain(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ledger.queued, p.ledger.current = nil, nil
+	for name, pool := range p.pools {
+		if pool.mixed {
+			p.queueAll(now, name)
+		}
+	}
+}
+
 // encodeSegment encodes the streams that are still known.
 func (p *Pinner) encodeSegment(now time.Time, keys []uint64) []byte {
 	var marks []uint64
--- a/pinner/pacer.go
+++ b/pinner/pacer.go
@@ -63,6 +63,10 @@
 	p.began, p.sent, p.next = now, now, p.next.Add(WriteInterval(routers))
 }
 
+// Spread makes the next write wait for a random part of the interval, as after a second version
+// came, since all routers have to write at about the same time.
+func (p *Pacer) Spread() { p.mixed = false }
+
 // Sent records that the write in flight sends the segment only now, after the grant of a lease.
 func (p *Pacer) Sent(now time.Time) { p.sent = now }
 
