Take a connection's timeout for no crash of its upstream

Cause: isCrash took each end of a connection for that of the program. Evidence: their logs say 'connection timed out', which the kernel reports when packets are lost; a program that crashes resets its connections or ends them. Change: timeouts and unreachable hosts or networks count as no crash, of a body or a prompt part.

--- a/dispatcher/errors.go
+++ b/dispatcher/errors.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"syscall"
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
@@ -97,5 +98,19 @@
 			return false
 		}
 	}
+	if isPathError(err) {
+		return false
+	}
 	return errors.Is(err, kingcuphook.ErrBrokenStream) || errors.Is(err, kingcuphook.ErrOutcomeUnknown)
 }
+
+// isPathError reports whether an error shows that packets to or from the upstream are lost,
+// which says nothing of its program: a crashed one resets its connections.
+func isPathError(err error) bool {
+	for _, path := range []error{syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ENETUNREACH, syscall.EHOSTDOWN, syscall.ENETDOWN} {
+		if errors.Is(err, path) {
+			return true
+		}
+	}
+	return false
+}
--- a/dispatcher/opaque_test.go
+++ b/dispatcher/opaque_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -201,6 +202,21 @@
 	})
 }
 
+// Calls on sound upstreams that were silent were suspected of crashes.
+func TestTimeoutOfConnectionIsNotACrash(t *testing.T) {
+	for _, cause := range []error{syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ENETUNREACH} {
+		withScript(t, func(r *harness, engine *scriptedEngine) {
+			for range 2 {
+				engine.errs = []error{errors.Join(kingcuphook.ErrOutcomeUnknown, cause)}
+				r.True(r.dispatchOpaque(plain, 1) != nil)
+				r.upstreams = r.upstreams[1:]
+				time.Sleep(time.Second)
+			}
+			r.True(r.dispatchOpaque(plain, 1) == nil)
+		})
+	}
+}
+
 func TestOpaqueErrorAnswerIsNotACrash(t *testing.T) {
 	withScript(t, func(r *harness, engine *scriptedEngine) {
 		for range 4 {
