Withdraw crashes of upstreams that go on

Cause: a router took the end of a connection for that of the upstream's program, and told its peers so. Evidence: TestCutOfRouterQuarantinesNoSoundRequest, two routers each cut off for 0.3 s with one call on them: a router that was never cut refused the call as well. Change: a crash is withdrawn, here and at the peers, once its program answers a request that was sent after the crash had become known and less than 1.5 s after it. Why it works: a program that has crashed answers nothing; one that starts in its place isn't back before. Nothing is held back, so that real crashes are found as soon as before.

--- a/attacher/cut_test.go
+++ b/attacher/cut_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/kingcuphook/kingcuphook/emulator/forwarder"
+	"github.com/kingcuphook/kingcuphook/logger"
 	"github.com/kingcuphook/kingcuphook/platform/standin"
 )
 
@@ -86,9 +87,12 @@
 }
 
 // cut injects a fault between the first n routers and all upstreams.
-func (f *cutFleet) cut(n int, fault forwarder.Fault) {
+func (f *cutFleet) cut(n int, fault forwarder.Fault) { f.cutFrom(f.sources[:n], fault) }
+
+// cutFrom injects a fault between the routers with the addresses and all upstreams.
+func (f *cutFleet) cutFrom(sources []netip.Addr, fault forwarder.Fault) {
 	f.t.Helper()
-	for _, source := range f.sources[:n] {
+	for _, source := range sources {
 		for _, network := range f.networks {
 			f.NoErr(network.SetFrom(source, fault))
 		}
@@ -120,33 +124,34 @@
 // record sends a call to a router and records whether it was served.
 func (f *cutFleet) record(router int, kind standin.Kind) {
 	c := cutCall{router: router, kind: kind, at: time.Now()}
-	c.served, c.result = f.send(router, kind)
+	c.served, c.result = f.send(router, kind, strconv.FormatInt(f.sequence.Add(1), 10))
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.calls = append(f.calls, c)
 }
 
-func (f *cutFleet) send(router int, kind standin.Kind) (served bool, result string) {
+// send sends a call with a path to a router.
+func (f *cutFleet) send(router int, kind standin.Kind, path string) (served bool, result string) {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*callDeadline)
 	defer cancel()
-	n := f.sequence.Add(1)
 	c := standin.Call{
-		Kind: kind, ID: fmt.Sprintf("%016x", n), Key: "secret", Deadline: callDeadline, Body: strings.NewReader("question " + strconv.FormatInt(n, 10)),
+		Kind: kind, ID: fmt.Sprintf("%016x", f.sequence.Add(1)), Key: "secret", Deadline: callDeadline, Body: strings.NewReader("question"),
 	}
 	r, err := c.Request(ctx, f.routers[router].front)
 	if err != nil {
 		return false, err.Error()
 	}
+	r.URL.Path = "/" + string(kind) + "/" + path
 	resp, err := http.DefaultTransport.RoundTrip(r)
 	if err != nil {
 		return false, "no answer"
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
+	answer, err := io.ReadAll(resp.Body)
 	if err != nil {
 		return false, "cut"
 	}
-	whole := kind != standin.KindResumableStream || string(body) == completeStream()
+	whole := kind != standin.KindResumableStream || string(answer) == completeStream()
 	return resp.StatusCode == http.StatusOK && standin.IsSigned(resp.Header) && whole, strconv.Itoa(resp.StatusCode)
 }
 
@@ -233,3 +238,34 @@
 		f.t.Errorf("%s: from %v after the end %v at cut routers, %v at others", kind, healNoticed, &cut, &others)
 	}
 }
+
+// A router whose connections to all upstreams were reset took that for crashes, and a sound
+// request that it had sent to two of them was refused, also by other routers.
+func TestCutOfRouterQuarantinesNoSoundRequest(t *testing.T) {
+	const (
+		path   = "sound"
+		copies = 6
+		down   = 300 * time.Millisecond
+	)
+	t.Parallel()
+	f := newCutFleet(t, 110, 3)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go f.load(ctx)
+	for i := range f.upstreams {
+		f.upstreams[1-i].Pause(down) // the calls go to the other one
+		for range copies {
+			go f.send(i, standin.KindStream, path)
+		}
+		time.Sleep(10 * eventInterval)
+		f.cutFrom(f.sources[i:i+1], forwarder.FaultResetRefuse)
+		time.Sleep(down)
+		f.cutFrom(f.sources[i:i+1], forwarder.FaultNone)
+	}
+	time.Sleep(2500 * time.Millisecond) // until what is quarantined is refused by all
+	for i, p := range f.routers {
+		served, result := f.send(i, standin.KindStream, path)
+		f.t.Logf("router %d: %s, %d suspects", i, result, p.count(logger.CrashSuspected))
+		f.True(served)
+	}
+}
--- a/attacher/notice.go
+++ b/attacher/notice.go
@@ -5,12 +5,18 @@
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/isolator"
 	"github.com/kingcuphook/kingcuphook/logger"
 )
 
 // handleNotice handles the notice of an upstream in the reply to a call that was sent at
-// sentAt: that it is leaving, asks to be paused or limits the rate of calls.
+// sentAt: that it is leaving, asks to be paused or limits the rate of calls, and that it has not
+// crashed.
 func (a *Attacher) handleNotice(u *kingcuphook.Upstream, n kingcuphook.Notice, sentAt time.Time) {
+	if !a.quarantine.IsEmpty() {
+		a.quarantine.RecordAnswer(time.Now(), isolator.FormatProgram(u.Program()), sentAt)
+	}
+	a.isolator.RecordAnswer(time.Now(), u, sentAt)
 	a.permits.Observe(time.Now(), u.Program(), n.RateLimit(), sentAt)
 	if n.Leaving() && a.withdrawn.RecordAnnouncement(time.Now(), u.Program()) {
 		a.Log.Log(logger.UpstreamLeaving, "upstream", u.Address(), "instance", u.Instance(), "born", u.StartTime(), "source", "answer")
--- a/isolator/attempt.go
+++ b/isolator/attempt.go
@@ -188,6 +188,7 @@
 		quarantined[0].addCrash(crash)
 		return
 	}
+	i.noteCrash(crash)
 	for _, p := range a.request.Parts() {
 		if e := i.entry(p); e.addCrash(crash) {
 			e.changedAt = now
@@ -195,6 +196,13 @@
 	}
 }
 
+// noteCrash records when the last crash was detected.
+func (i *Isolator) noteCrash(c Crash) {
+	if c.at.After(i.lastCrash) {
+		i.lastCrash = c.at
+	}
+}
+
 func (i *Isolator) addOutcome(o outcome) {
 	if len(i.outcomes) >= maxOutcomes {
 		i.outcomes = slices.Delete(i.outcomes, 0, maxOutcomes/2)
--- a/isolator/exchange.go
+++ b/isolator/exchange.go
@@ -52,13 +52,28 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.update(now)
-	message = i.export(now, limit, func(e *Entry) bool { return now.Sub(e.changedAt) <= changedTTL })
+	message = i.exportChanged(now, limit)
 	if message != nil {
 		return message, true
 	}
 	return i.exportStates(now, limit), false
 }
 
+// exportChanged encodes the entries and the withdrawals that have changed lately. It returns nil
+// if there are none.
+func (i *Isolator) exportChanged(now time.Time, limit int) []byte {
+	changed := func(e *Entry) bool { return now.Sub(e.changedAt) <= changedTTL }
+	w := i.newWithdrawals(now)
+	if w == nil {
+		return i.export(now, limit, changed)
+	}
+	message := w.append([]byte{messageType}, now)
+	if entries := i.export(now, limit-len(message)+1, changed); entries != nil {
+		message = append(message, entries[1:]...)
+	}
+	return message
+}
+
 // ExportStates encodes, in at most limit bytes, the entries that are quarantined or lifted.
 func (i *Isolator) ExportStates(now time.Time, limit int) []byte {
 	i.mu.Lock()
@@ -172,9 +187,20 @@
 // mergeEntry merges the entry of a peer. The state of the later generation is current; in the
 // same generation, a lift is.
 func (i *Isolator) mergeEntry(now time.Time, received Entry) {
+	if received.part == withdrawnPart {
+		for _, c := range received.crashes {
+			i.withdraw(now, c.program, c.at)
+		}
+		return
+	}
+	received.crashes = slices.DeleteFunc(received.crashes, i.isWithdrawn)
+	if received.state == StateSuspect && len(received.crashes) == 0 {
+		return
+	}
 	e := i.entry(received.part)
 	for _, c := range received.crashes {
 		i.recordCrash(c.at, c.program)
+		i.noteCrash(c)
 		if e.addCrash(c) {
 			e.changedAt = now
 		}
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -48,6 +48,11 @@
 	sound, soundBefore map[uint64]time.Time
 	// explained has the crashes of quarantined parts, by program.
 	explained map[uint32][]Crash
+	// withdrawn has, by program, until when it certainly had not crashed. Crashes in entries
+	// are later.
+	withdrawn map[uint32]withdrawal
+	// lastCrash is when the last crash that was counted against a part was detected.
+	lastCrash time.Time
 	// outcomes are those of the latest requests.
 	outcomes []outcome
 	// unsettled are ended requests that have begun less than settleTime ago, and whose
@@ -198,6 +203,7 @@
 
 // expire deletes entries that are too old.
 func (i *Isolator) expire(now time.Time) {
+	i.expireWithdrawn(now)
 	for part, e := range i.entries {
 		if now.Sub(e.changedAt) > e.ttl() {
 			delete(i.entries, part)
--- a/quarantiner/entry.go
+++ b/quarantiner/entry.go
@@ -10,6 +10,8 @@
 type Crash struct {
 	upstream string
 	at       time.Time
+	// knownAt is when this router got to know of the crash.
+	knownAt time.Time
 }
 
 // NewCrash returns the crash of an upstream.
--- a/quarantiner/exchange.go
+++ b/quarantiner/exchange.go
@@ -13,6 +13,8 @@
 const (
 	// MaxExported is the maximum number of entries in an export.
 	MaxExported = 64
+	// maxWithdrawals is how many of these are withdrawals, each of up to MaxCrashes crashes.
+	maxWithdrawals = 8
 	// maxAddressBytes is the maximum length of the address of an upstream, in bytes.
 	maxAddressBytes = 64
 )
@@ -21,14 +23,15 @@
 // millisecond, the one with the higher code overrides the other.
 var stateCodes = []state{stateSuspect, stateCleared, stateQuarantined, stateLifted}
 
-// Export encodes entries for peers in at most limit bytes, in order of rank and of
-// these the last changed first. It returns nil if there are no entries.
+// Export encodes entries for peers in at most limit bytes: the latest withdrawals in at most
+// half of them, and suspects in order of rank and of these the last changed first. It returns
+// nil if there are none.
 func (q *Quarantiner) Export(now time.Time, limit int) []byte {
 	list := q.List(now)
 	slices.SortStableFunc(list, func(a, b Entry) int { return b.changedAt.Compare(a.changedAt) })
 	slices.SortStableFunc(list, func(a, b Entry) int { return a.rank() - b.rank() })
-	var b []byte
-	for _, e := range list[:min(len(list), MaxExported)] {
+	b := q.exportWithdrawn(limit / 2)
+	for _, e := range list[:min(len(list), MaxExported-maxWithdrawals)] {
 		next := e.append(b)
 		if len(next) > limit {
 			break
@@ -64,12 +67,32 @@
 		if e.changedAt.After(now) {
 			e.changedAt = now
 		}
-		q.mergeEntry(e)
+		if e.fingerprint == 0 {
+			q.importWithdrawn(now, e)
+			continue
+		}
+		for n := range e.crashes {
+			e.crashes[n].knownAt = now
+			q.lastCrash = later(q.lastCrash, e.crashes[n].at)
+		}
+		if !q.removeWithdrawn(&e) || len(e.crashes) > 0 {
+			q.mergeEntry(e)
+		}
 	}
 	q.expire(now)
 	return nil
 }
 
+// importWithdrawn applies the withdrawals of a peer.
+func (q *Quarantiner) importWithdrawn(now time.Time, e Entry) {
+	if e.state != stateCleared {
+		return
+	}
+	for _, c := range e.crashes {
+		q.withdraw(now, c.upstream, c.at)
+	}
+}
+
 // mergeEntry merges the entry of a peer. If both routers have a suspect, it gets the
 // crashes of both. A quarantine on one router isn't ended by a suspect on the other.
 // In all other cases the later change overrides the earlier one.
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -8,10 +8,13 @@
 // two crashes is held: it isn't sent to an upstream as long as it is one. It is
 // quarantined once it is the only suspect left of one of its crashes. Both crashes are
 // then attributed to it, so that their other suspects are no longer suspected of them.
+//
+// A crash is withdrawn if its upstream goes on: its connections broke for another reason.
 package quarantiner
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -50,6 +53,11 @@
 	entries map[uint64]*Entry
 	// attributed holds the crashes that are attributed to quarantined requests.
 	attributed []Crash
+	// lastCrash is when the last crash that this router knows of was detected.
+	lastCrash time.Time
+	// withdrawn has, by upstream, until when it certainly had not crashed. Crashes in entries
+	// and in attributed are later.
+	withdrawn map[string]time.Time
 	// reserved has the fingerprint of the suspect that runs on each upstream.
 	reserved map[string]uint64
 }
@@ -63,7 +71,8 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.expire(now)
-	c := Crash{upstream: upstream, at: now}
+	c := Crash{upstream: upstream, at: now, knownAt: now}
+	q.lastCrash = later(q.lastCrash, now)
 	if q.isAttributed(c) {
 		return
 	}
@@ -107,6 +116,13 @@
 	return true
 }
 
+// IsEmpty reports whether no request is or was suspected.
+func (q *Quarantiner) IsEmpty() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.entries) == 0
+}
+
 // Reserve reserves an upstream for a suspect. It reports false if the upstream is
 // reserved already.
 func (q *Quarantiner) Reserve(fingerprint uint64, upstream string) bool {
@@ -168,11 +184,7 @@
 	if q.entries == nil {
 		q.entries = make(map[uint64]*Entry)
 	}
-	maxEntries := q.MaxEntries
-	if maxEntries == 0 {
-		maxEntries = defaultMaxEntries
-	}
-	if len(q.entries) >= maxEntries {
+	if len(q.entries) >= q.maxEntries() {
 		q.evict()
 	}
 	e := &Entry{fingerprint: fingerprint}
@@ -180,6 +192,8 @@
 	return e
 }
 
+func (q *Quarantiner) maxEntries() int { return cmp.Or(q.MaxEntries, defaultMaxEntries) }
+
 // evict deletes the entry of the lowest rank, and of these the one that changed
 // first.
 func (q *Quarantiner) evict() {
@@ -203,4 +217,5 @@
 		}
 	}
 	q.attributed = slices.DeleteFunc(q.attributed, func(c Crash) bool { return now.Sub(c.at) > suspectTTL })
+	maps.DeleteFunc(q.withdrawn, func(_ string, until time.Time) bool { return now.Sub(until) > suspectTTL })
 }
