Inject faults by the source address of a connection

Cause: a router that is cut off from its upstreams while others reach them could not be emulated: the faults of emulator/forwarder meet all connections to an upstream. Change: ListenFrom has a listener for each source address at one port, and SetFrom lets the connections of one source hang, resets them, or refuses new ones. The kernel itself refuses dials and leaves them unanswered, as on a real network, and what hung goes on at the end.

--- a/emulator/forwarder/forwarder.go
+++ b/emulator/forwarder/forwarder.go
@@ -1,11 +1,12 @@
 // Package forwarder is a TCP proxy that emulates network faults between two processes:
-// it can delay data, drop it and reset connections. It is used by tests and by the
-// soak command, never by a router.
+// it can delay data, drop it, and hang, reset and refuse connections, also of some sources
+// only. It is used by tests and by the soak command, never by a router.
 package forwarder
 
 import (
 	"io"
 	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,8 +23,15 @@
 	FaultBlackhole Fault = "cut"
 	// FaultNoReply drops data from the target; data to the target arrives.
 	FaultNoReply Fault = "no-reply"
-	// FaultRefuse resets new connections.
+	// FaultRefuse resets new connections; open ones go on. By source, new ones are refused.
 	FaultRefuse Fault = "refuse"
+	// FaultHang stops all data of open connections and answers no new ones. Open ones and
+	// pending dials go on at its end. Only for SetFrom.
+	FaultHang Fault = "hang"
+	// FaultReset resets open connections, and new ones once they are open. Only for SetFrom.
+	FaultReset Fault = "reset"
+	// FaultResetRefuse resets open connections and refuses new ones. Only for SetFrom.
+	FaultResetRefuse Fault = "reset-refuse"
 )
 
 // Forwarder forwards TCP connections to an address. Its fields must be set before
@@ -42,6 +50,8 @@
 	pipes map[*pipe]bool
 	fault Fault
 	delay time.Duration
+	// sources holds the source addresses of ListenFrom.
+	sources map[netip.Addr]*source
 }
 
 // pipe is one forwarded connection.
@@ -51,6 +61,8 @@
 	near, far net.Conn
 	// silent indicates that all further data is dropped in both directions.
 	silent atomic.Bool
+	// source is where the connection comes from; nil without ListenFrom.
+	source *source
 }
 
 // Listen starts to accept connections and returns the address listened on.
@@ -64,7 +76,7 @@
 		return "", err
 	}
 	f.listener = l
-	go f.accept()
+	go f.accept(l, nil)
 	return l.Addr().String(), nil
 }
 
@@ -82,8 +94,7 @@
 // Reset resets the open connections. New connections are not affected.
 func (f *Forwarder) Reset() {
 	for _, p := range f.open() {
-		reset(p.near)
-		reset(p.far)
+		p.reset()
 	}
 }
 
@@ -102,6 +113,9 @@
 		_ = p.near.Close()
 		_ = p.far.Close()
 	}
+	if f.listener == nil {
+		return f.closeSources()
+	}
 	return f.listener.Close()
 }
 
@@ -122,12 +136,16 @@
 	return f.fault, f.delay
 }
 
-func (f *Forwarder) accept() {
+// accept forwards the connections of a listener until it is closed.
+func (f *Forwarder) accept(l net.Listener, from *source) {
 	for {
-		near, err := f.listener.Accept()
+		near, err := l.Accept()
 		if err != nil {
 			return
 		}
+		if from.rejects(near) {
+			continue
+		}
 		if fault, _ := f.state(); fault == FaultRefuse {
 			reset(near)
 			continue
@@ -138,7 +156,9 @@
 			continue
 		}
 		f.opened.Add(1)
-		f.add(&pipe{forwarder: f, near: near, far: far})
+		p := &pipe{forwarder: f, near: near, far: far, source: from}
+		f.add(p)
+		from.check(p)
 	}
 }
 
@@ -161,6 +181,11 @@
 	}()
 }
 
+func (p *pipe) reset() {
+	reset(p.near)
+	reset(p.far)
+}
+
 // reset closes a connection with a TCP RST instead of a FIN.
 func reset(c net.Conn) {
 	if t, ok := c.(*net.TCPConn); ok {
@@ -173,6 +198,7 @@
 // destination is left open.
 func (p *pipe) copy(to, from net.Conn, back bool) {
 	_, err := io.Copy(&faultWriter{pipe: p, to: to, back: back}, from)
+	p.source.await()
 	if p.silent.Load() {
 		return
 	}
@@ -195,6 +221,7 @@
 
 // Write implements io.Writer.
 func (w *faultWriter) Write(b []byte) (int, error) {
+	w.pipe.source.await()
 	fault, delay := w.pipe.forwarder.state()
 	if fault == FaultBlackhole || fault == FaultNoReply && w.back {
 		// Dropped data leaves a gap in the byte stream, so nothing may be forwarded after
