--- a/attacher/attacher.go
+++ b/attacher/attacher.go
@@ -65,6 +65,7 @@
 	quarantine *quarantiner.Quarantiner
 	isolator   *isolator.Isolator
 	pins       *pins
+	relays     *relays
 	// roundTrips has the round-trip times to the data centres.
 	roundTrips estimator.RoundTrips
 	// withdrawn has the upstreams that announced in a reply that they are leaving.
@@ -106,6 +107,7 @@
 	g.Go(func() error { a.runExchange(parts); return nil })
 	g.Go(func() error { a.runPermits(parts); return nil })
 	g.Go(func() error { a.runLedger(parts); return nil })
+	g.Go(func() error { a.forwarder.WatchPaths(parts); return nil })
 	g.Go(a.receiveDatagrams)
 	g.Go(func() error { return a.receiver.Run(a.listeners.callers) })
 	for _, served := range []struct {
@@ -114,7 +116,7 @@
 	}{
 		{a.listeners.ready, http.HandlerFunc(a.answerReady)},
 		{a.listeners.metrics, http.HandlerFunc(a.answerMetrics)},
-		{a.listeners.peers, &puller.Handler{Export: a.control.export}},
+		{a.listeners.peers, a.relays.handler(&puller.Handler{Export: a.control.export})},
 	} {
 		server := &http.Server{Handler: served.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 		g.Go(func() error { return serve(server, served.listener) })
@@ -187,12 +189,17 @@
 	a.permits = &permitter.Permitter{Self: s.Address().String(), OnChange: a.logRateLimit}
 	a.allocator = &allocator.Allocator{NewScheduler: a.newScheduler}
 	a.tally = &tallier.Tally{Next: a.allocator}
+	local := net.TCPAddrFromAddrPort(netip.AddrPortFrom(s.Address(), 0))
 	a.forwarder = &forwarder.Forwarder{
 		Codec:        platform.HeaderCodec{},
-		LocalAddress: net.TCPAddrFromAddrPort(netip.AddrPortFrom(s.Address(), 0)),
+		ProbePath:    platform.PathReport,
+		LocalAddress: local,
 		OnDial:       func(u *kingcuphook.Upstream, took time.Duration) { a.roundTrips.Observe(u.DataCentre(), took) },
 		OnNotice:     a.handleNotice,
 	}
+	a.relays = newRelays(a, local)
+	a.relays.equip(a.forwarder)
+	a.relays.addGauges()
 	a.pins = newPins(a)
 	a.pins.addGauges()
 	a.control = newControl(a)
--- a/attacher/control.go
+++ b/attacher/control.go
@@ -75,6 +75,8 @@
 	peerVersion int64
 	// published are the tables that were published last.
 	published *kingcuphook.Tables
+	// known has the addresses of the other routers; it is replaced, never changed.
+	known atomic.Pointer[map[netip.Addr]bool]
 	// view is the directory that other goroutines read; it is replaced, never changed.
 	view atomic.Pointer[receiver.Directory]
 }
@@ -319,6 +321,7 @@
 	first := c.published == nil
 	c.published = t
 	c.a.allocator.Update(t)
+	c.a.relays.update(t)
 	c.a.forwarder.CloseUnused(t)
 	c.a.permits.Update(t)
 	c.view.Store(&receiver.Directory{Tables: t, MaxBodyBytes: c.store.MaxBodyBytes()})
--- a/attacher/exchange.go
+++ b/attacher/exchange.go
@@ -137,6 +137,7 @@
 	others := c.peers.pickRandom(len(c.peers.lastSeen) + len(c.peers.seeds))
 	c.a.pins.peers.Store(&others)
 	c.updateIssuers(now)
+	c.updateHelpers()
 	f := c.shortDigest(now)
 	c.send(f, c.peers.pickRandomNear(nearPeers))
 	f.Leaving = c.a.withdrawn.Encode()
@@ -157,12 +158,13 @@
 // shortDigest returns the fields of a digest without leaving and suspected upstreams.
 func (c *control) shortDigest(now time.Time) digester.Fields {
 	return digester.Fields{
-		Version:    c.store.Version(),
-		Revision:   c.store.Revision(),
-		DataCentre: c.peers.centre,
-		CanFollow:  !c.ineligible(now),
-		Delegates:  c.delegator.Candidates(now),
-		Members:    c.peers.recent(digester.MaxMembers),
+		Version:     c.store.Version(),
+		Revision:    c.store.Revision(),
+		DataCentre:  c.peers.centre,
+		CanFollow:   !c.ineligible(now),
+		CarriesNone: c.a.relays.carriesNone(),
+		Delegates:   c.delegator.Candidates(now),
+		Members:     c.peers.recent(digester.MaxMembers),
 	}
 }
 
@@ -182,6 +184,7 @@
 	event := func(now time.Time) {
 		if c.peers.recordSeen(now, from) {
 			c.a.Log.Log(logger.PeerJoined, "peer", from)
+			c.updateHelpers()
 			// A router that has just started has a short list of others.
 			c.send(c.shortDigest(now), []netip.Addr{from})
 			c.greetWithParts(now, from)
@@ -193,6 +196,7 @@
 			}
 		}
 		c.updateDelegates(now, from, d)
+		c.updateCarries(now, from, d.CarriesNone())
 		c.compareRevision(now, from, d)
 	}
 	c.offer(event)
--- a/attacher/peers.go
+++ b/attacher/peers.go
@@ -41,6 +41,8 @@
 	joined time.Time
 	// changes counts the routers that were added to the list or removed from it.
 	changes int
+	// carriesNone has the routers that carry no connections for peers now.
+	carriesNone map[netip.Addr]bool
 	// seeds are the configured addresses, which are used while few routers are known.
 	seeds []netip.Addr
 	// ahead is a peer with a newer revision of the store than this router, since
@@ -52,7 +54,10 @@
 }
 
 func newPeers(seeds []netip.Addr, centre uint32) *peers {
-	return &peers{lastSeen: make(map[netip.Addr]time.Time), near: make(map[netip.Addr]bool), far: make(map[uint32][]netip.Addr), seeds: seeds, centre: centre}
+	return &peers{
+		lastSeen: make(map[netip.Addr]time.Time), near: make(map[netip.Addr]bool), far: make(map[uint32][]netip.Addr),
+		carriesNone: make(map[netip.Addr]bool), seeds: seeds, centre: centre,
+	}
 }
 
 // recordSeen records that a router was seen, directly or in the digest of another one.
@@ -74,6 +79,7 @@
 		if now.Sub(at) > memberTimeout {
 			delete(p.lastSeen, a)
 			delete(p.near, a)
+			delete(p.carriesNone, a)
 			left = append(left, a)
 			p.changes++
 		}
--- a/attacher/stop.go
+++ b/attacher/stop.go
@@ -36,9 +36,10 @@
 	last := begun.Add(a.Settings.Grace() - killMargin)
 	a.stopping.Store(&stopDeadlines{streams: begun.Add(streamsAccepted), end: last})
 	a.permits.Stop()
+	a.relays.announceStop()
 	a.Log.Log(logger.Stopping, "open-requests", a.receiver.InFlight(), "until-ms", time.Until(last).Milliseconds())
 	for time.Now().Before(last) {
-		if time.Since(begun) >= callersLag && a.receiver.InFlight() == 0 {
+		if time.Since(begun) >= callersLag && a.receiver.InFlight() == 0 && a.relays.door.Busy() == 0 {
 			break
 		}
 		time.Sleep(stopPoll)
--- a/digester/digester.go
+++ b/digester/digester.go
@@ -38,6 +38,9 @@
 	ageUnit = 20 * time.Millisecond
 	// flagCanFollow is the flag bit for a sender that can follow the store.
 	flagCanFollow = 1
+	// flagCarriesNone is the flag bit for a sender that carries no connections for peers.
+	// Routers that don't know it ignore it.
+	flagCarriesNone = 2
 )
 
 // Fields are the contents of a Digest.
@@ -50,6 +53,8 @@
 	DataCentre uint32
 	// CanFollow is set if the sender can follow the store.
 	CanFollow bool
+	// CarriesNone is set if the sender carries no connections to upstreams for peers now.
+	CarriesNone bool
 	// Members are addresses of other routers that the sender has seen most recently,
 	// directly or in a digest of another router.
 	Members []netip.Addr
@@ -86,6 +91,9 @@
 // CanFollow reports whether the sender can follow the store.
 func (d Digest) CanFollow() bool { return d.f.CanFollow }
 
+// CarriesNone reports whether the sender carries no connections to upstreams for peers now.
+func (d Digest) CarriesNone() bool { return d.f.CarriesNone }
+
 // Delegates returns routers in the sender's data centre that can follow the store;
 // the caller must not modify the slice.
 func (d Digest) Delegates() []delegator.Candidate { return d.f.Delegates }
@@ -116,6 +124,9 @@
 	if d.f.CanFollow {
 		flags |= flagCanFollow
 	}
+	if d.f.CarriesNone {
+		flags |= flagCarriesNone
+	}
 	b = append(b, flags)
 	b = appendMembers(b, d.f.Members)
 	b = appendDelegates(b, d.f.Delegates)
@@ -168,6 +179,7 @@
 	}
 	f.DataCentre = binary.BigEndian.Uint32(b[17:])
 	f.CanFollow = b[21]&flagCanFollow != 0
+	f.CarriesNone = b[21]&flagCarriesNone != 0
 	b = b[22:]
 	n := int(b[0])
 	b = b[1:]
--- a/digester/digester_test.go
+++ b/digester/digester_test.go
@@ -25,6 +25,7 @@
 		}
 		f.DataCentre = rapid.Uint32().Draw(t, "data-centre")
 		f.CanFollow = rapid.Bool().Draw(t, "follows")
+		f.CarriesNone = rapid.Bool().Draw(t, "carries-none")
 		for range rapid.IntRange(0, delegator.MaxCandidates).Draw(t, "delegates") {
 			f.Delegates = append(f.Delegates, delegator.Candidate{
 				Address: netip.AddrFrom4([4]byte(rapid.SliceOfN(rapid.Byte(), 4, 4).Draw(t, "delegate"))),
@@ -43,7 +44,7 @@
 			t.Fatal(err)
 		}
 		if d.Version() != f.Version || d.Revision() != f.Revision || len(d.Members()) != len(f.Members) ||
-			d.DataCentre() != f.DataCentre || d.CanFollow() != f.CanFollow || !slices.Equal(d.Delegates(), f.Delegates) ||
+			d.DataCentre() != f.DataCentre || d.CarriesNone() != f.CarriesNone || d.CanFollow() != f.CanFollow || !slices.Equal(d.Delegates(), f.Delegates) ||
 			string(d.Leaving()) != string(f.Leaving) || string(d.Suspects()) != string(f.Suspects) {
 			t.Fatalf("got %+v, want %+v", d, f)
 		}
--- a/dispatcher/part.go
+++ b/dispatcher/part.go
@@ -37,7 +37,7 @@
 func (r *run) recordBroken(a *isolator.Attempt, u *kingcuphook.Upstream, err error) bool {
 	now := time.Now()
 	switch {
-	case errors.Is(err, errPreempted):
+	case errors.Is(err, errPreempted), errors.Is(err, kingcuphook.ErrPathLost):
 		return false
 	case errors.Is(err, kingcuphook.ErrNotSent):
 		r.d.Isolator.RecordCrash(now, u)
--- a/errors.go
+++ b/errors.go
@@ -50,6 +50,9 @@
 	// ErrNotSent means that nothing of an attempt reached its upstream. It is joined
 	// with ErrUnavailable.
 	ErrNotSent = errors.New("not sent")
+	// ErrPathLost means that a connection broke because the path to the upstream is cut, while
+	// peers still reach the upstream. It is joined with the error of the connection.
+	ErrPathLost = errors.New("path to the upstream lost")
 	// ErrMisdirected means that another instance serves the address of an upstream.
 	// It is joined with ErrUnavailable.
 	ErrMisdirected = errors.New("misdirected")
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -13,6 +13,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"net/url"
 	"slices"
 	"strings"
@@ -21,6 +22,8 @@
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/pathfinder"
+	"github.com/kingcuphook/kingcuphook/relayer"
 	"github.com/kingcuphook/kingcuphook/transporter"
 )
 
@@ -73,13 +76,40 @@
 	// the first 16 KiB of each; 0 means 16 MiB.
 	MaxBufferedBytes int64
 
+	// Paths, if set, decides which upstreams are reached through a peer. Peers and Relayer
+	// must then be set as well.
+	Paths *pathfinder.Pathfinder
+	// Peers returns the peers that may reach an upstream, the best first.
+	Peers func(u *kingcuphook.Upstream) []netip.Addr
+	// PeerAddress returns the address at which a peer accepts relayed connections.
+	PeerAddress func(a netip.Addr) string
+	// Relayer opens connections through peers.
+	Relayer *relayer.Relayer
+	// Owner is the name of this router, which begins the identifiers of relayed connections.
+	Owner string
+	// ProbePath is the path that probes of an upstream request; any response will do.
+	ProbePath string
+	// OnRelayed, if set, is called for each attempt that is sent through a peer, with the
+	// identifier of the relayed connection. It must be safe for concurrent use.
+	OnRelayed func(u *kingcuphook.Upstream, a *kingcuphook.Attempt, peer netip.Addr, connection string)
+
 	// buffered is the number of bytes that count against MaxBufferedBytes.
 	buffered atomic.Int64
 
 	mu sync.Mutex
-	// transports holds one HTTP transport for each running upstream program. A
+	// transports holds one HTTP transport for each path to a running upstream program. A
 	// restarted program has a new key and so gets new connections.
-	transports map[kingcuphook.Program]*http.Transport
+	transports map[transportKey]*http.Transport
+	// checks are the checks of paths that are running.
+	checks map[kingcuphook.Program]*check
+	// relayed numbers the relayed connections.
+	relayed int
+}
+
+// transportKey is a path to a program: through a peer or, if that is the zero address, directly.
+type transportKey struct {
+	program kingcuphook.Program
+	peer    netip.Addr
 }
 
 var _ kingcuphook.Engine = (*Forwarder)(nil)
@@ -94,12 +124,15 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for p, transport := range f.transports {
-		if !wanted[p] {
+	for k, transport := range f.transports {
+		if !wanted[k.program] {
 			transport.CloseIdleConnections()
-			delete(f.transports, p)
+			delete(f.transports, k)
 		}
 	}
+	if f.Paths != nil {
+		f.Paths.Retain(wanted)
+	}
 }
 
 // Close closes all idle connections.
@@ -117,17 +150,19 @@
 // status is below 500, which means that the call itself is invalid.
 func (f *Forwarder) Start(ctx context.Context, u *kingcuphook.Upstream, a *kingcuphook.Attempt) (kingcuphook.Stream, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	resp, err := f.send(ctx, u, a) //nolint:bodyclose // the stream closes it
+	resp, peer, err := f.send(ctx, u, a) //nolint:bodyclose // the stream closes it
 	if err != nil {
 		cancel()
 		return nil, err
 	}
 	if resp.StatusCode == http.StatusOK {
-		return newStream(resp, a, cancel), nil
+		s := newStream(resp, a, cancel)
+		s.broken = func(ctx context.Context, err error) error { return f.explain(ctx, u, peer, err) }
+		return s, nil
 	}
 	defer cancel()
 	defer resp.Body.Close()
-	answer, err := f.readAnswer(u, resp)
+	answer, err := f.readAnswer(ctx, u, peer, resp)
 	if err != nil {
 		return nil, err
 	}
@@ -140,23 +175,26 @@
 
 // Call implements kingcuphook.Engine.
 func (f *Forwarder) Call(ctx context.Context, u *kingcuphook.Upstream, a *kingcuphook.Attempt) (kingcuphook.Answer, error) {
-	resp, err := f.send(ctx, u, a)
+	resp, peer, err := f.send(ctx, u, a)
 	if err != nil {
 		return kingcuphook.Answer{}, err
 	}
 	defer resp.Body.Close()
-	return f.readAnswer(u, resp)
+	return f.readAnswer(ctx, u, peer, resp)
 }
 
 // readAnswer reads a complete answer. It returns an error that wraps ErrTooLarge if
 // the answer exceeds MaxAnswerBytes, as an endless one does, or if all answers
 // together exceed MaxBufferedBytes.
-func (f *Forwarder) readAnswer(u *kingcuphook.Upstream, resp *http.Response) (kingcuphook.Answer, error) {
+func (f *Forwarder) readAnswer(ctx context.Context, u *kingcuphook.Upstream, peer netip.Addr, resp *http.Response) (kingcuphook.Answer, error) {
 	limit := cmp.Or(f.MaxAnswerBytes, defaultMaxAnswer)
 	body := budgetReader{r: io.LimitReader(resp.Body, limit+1), used: &f.buffered, budget: cmp.Or(f.MaxBufferedBytes, defaultMaxBuffered)}
 	defer body.release()
 	text, err := readAll(&body)
 	if err != nil {
+		if !errors.Is(err, kingcuphook.ErrTooLarge) {
+			err = f.explain(ctx, u, peer, err)
+		}
 		return kingcuphook.Answer{}, fmt.Errorf("forwarder: read answer of %s: %w: %w", u.Address(), kingcuphook.ErrOutcomeUnknown, err)
 	}
 	if int64(len(text)) > limit {
@@ -213,35 +251,29 @@
 // release returns the counted bytes to the budget.
 func (b *budgetReader) release() { b.used.Add(-b.counted) }
 
-// send sends the attempt and returns the response, whose body is still to be read.
-// Replies that are not an answer to the attempt are returned as errors.
-func (f *Forwarder) send(ctx context.Context, u *kingcuphook.Upstream, a *kingcuphook.Attempt) (*http.Response, error) {
+// send sends the attempt and returns the response, whose body is still to be read, and the peer
+// that it came through, if any. Replies that are not an answer to the attempt are returned as
+// errors.
+func (f *Forwarder) send(ctx context.Context, u *kingcuphook.Upstream, a *kingcuphook.Attempt) (*http.Response, netip.Addr, error) {
 	sentAt := time.Now()
-	transport := f.transport(u)
-	if a.Resent() {
-		transport = f.newTransport(u, true)
-	}
-	resp, connected, err := transporter.Send(f.newRequest(ctx, u, a), transport.RoundTrip)
-	if err != nil && !connected {
-		return nil, fmt.Errorf("forwarder: %s: %w: %w: %w", u.Address(), kingcuphook.ErrUnavailable, kingcuphook.ErrNotSent, err)
-	}
+	resp, peer, err := f.roundTrip(ctx, u, a)
 	if err != nil {
-		return nil, fmt.Errorf("forwarder: %s: %w: %w", u.Address(), kingcuphook.ErrOutcomeUnknown, err)
+		return nil, peer, err
 	}
 	if resp.StatusCode < http.StatusOK {
 		_ = resp.Body.Close()
-		return nil, fmt.Errorf("forwarder: %s sent status %d, which is no answer: %w", u.Address(), resp.StatusCode, kingcuphook.ErrOutcomeUnknown)
+		return nil, peer, fmt.Errorf("forwarder: %s sent status %d, which is no answer: %w", u.Address(), resp.StatusCode, kingcuphook.ErrOutcomeUnknown)
 	}
 	if err := f.checkReply(u, a, resp, sentAt); err != nil {
 		_ = resp.Body.Close()
 		if errors.Is(err, kingcuphook.ErrForeignFrame) {
 			// The connection of a reply without a body is idle again and would be
 			// reused, though more unexpected replies may arrive on it.
-			f.transport(u).CloseIdleConnections()
+			f.transport(u, peer).CloseIdleConnections()
 		}
-		return nil, err
+		return nil, peer, err
 	}
-	return resp, nil
+	return resp, peer, nil
 }
 
 // checkReply returns an error for a reply that is not an answer to the attempt. It
@@ -312,25 +344,25 @@
 	return &url.URL{Scheme: "http", Host: address, Opaque: path}
 }
 
-// transport returns the HTTP transport for the running program of an upstream.
-func (f *Forwarder) transport(u *kingcuphook.Upstream) *http.Transport {
+// transport returns the HTTP transport for a path to the running program of an upstream.
+func (f *Forwarder) transport(u *kingcuphook.Upstream, peer netip.Addr) *http.Transport {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	p := u.Program()
-	if t := f.transports[p]; t != nil {
+	k := transportKey{program: u.Program(), peer: peer}
+	if t := f.transports[k]; t != nil {
 		return t
 	}
 	if f.transports == nil {
-		f.transports = make(map[kingcuphook.Program]*http.Transport)
+		f.transports = make(map[transportKey]*http.Transport)
 	}
-	t := f.newTransport(u, false)
-	f.transports[p] = t
+	t := f.newTransport(u, peer, false)
+	f.transports[k] = t
 	return t
 }
 
-// newTransport returns a transport to an upstream. With fresh, it opens a connection for each
-// request and keeps none.
-func (f *Forwarder) newTransport(u *kingcuphook.Upstream, fresh bool) *http.Transport {
+// newTransport returns a transport to an upstream, through a peer if it is valid. With fresh, it
+// opens a connection for each request and keeps none.
+func (f *Forwarder) newTransport(u *kingcuphook.Upstream, peer netip.Addr, fresh bool) *http.Transport {
 	t := transporter.Transporter{
 		DialTimeout:       cmp.Or(f.DialTimeout, defaultDialTimeout),
 		IdleTimeout:       cmp.Or(f.IdleTimeout, defaultIdleTimeout),
@@ -343,6 +375,12 @@
 	if f.OnDial != nil {
 		t.Dialed = func(took time.Duration) { f.OnDial(u, took) }
 	}
+	if f.Paths != nil {
+		t.Received = func() { f.Paths.Heard(time.Now(), u.Program()) }
+	}
+	if peer.IsValid() {
+		t.Dial = func(ctx context.Context, _, _ string) (net.Conn, error) { return f.dialPeer(ctx, u, peer) }
+	}
 	return t.New()
 }
 
--- /dev/null
+++ b/forwarder/path.go
@@ -0,0 +1,382 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/pathfinder"
+	"github.com/kingcuphook/kingcuphook/relayer"
+	"github.com/kingcuphook/kingcuphook/transporter"
+)
+
+const (
+	// probeTimeout bounds a probe of a direct path, relayTimeout one through a peer, which
+	// takes two connections.
+	probeTimeout = 300 * time.Millisecond
+	relayTimeout = 400 * time.Millisecond
+	// directLead is how long a check waits for the direct path before it asks peers.
+	directLead = 120 * time.Millisecond
+	// peersPerRound is how many peers a check asks at the same time, checkRounds how often it
+	// asks others if none of them reaches the upstream.
+	peersPerRound = 4
+	checkRounds   = 2
+	// checkWait bounds how long a failed attempt waits for the verdict of a check. doubtWait
+	// replaces it while the router's own links are in doubt: the next upstream is then no
+	// better.
+	checkWait = 100 * time.Millisecond
+	doubtWait = 500 * time.Millisecond
+	// maxPaths is how many paths one attempt tries of which nothing could be sent.
+	maxPaths = 3
+	// watchInterval is the interval of WatchPaths.
+	watchInterval = 100 * time.Millisecond
+)
+
+// roundTrip sends an attempt on the path to its upstream, and on another path if nothing could be
+// sent on the first. It returns the response and the peer that it came through, if any.
+func (f *Forwarder) roundTrip(ctx context.Context, u *kingcuphook.Upstream, a *kingcuphook.Attempt) (*http.Response, netip.Addr, error) {
+	for tries := 1; ; tries++ {
+		peer := f.via(u)
+		resp, connected, err := f.sendVia(ctx, u, a, peer)
+		if err == nil {
+			return resp, peer, nil
+		}
+		if connected {
+			return nil, peer, fmt.Errorf("forwarder: %s: %w: %w", u.Address(), kingcuphook.ErrOutcomeUnknown, f.explain(ctx, u, peer, err))
+		}
+		if f.Paths == nil || ctx.Err() != nil || !f.recheck(ctx, u, peer, pathfinder.EvidenceDial, err) || tries >= maxPaths {
+			return nil, peer, fmt.Errorf("forwarder: %s: %w: %w: %w", u.Address(), kingcuphook.ErrUnavailable, kingcuphook.ErrNotSent, f.explainDial(u, err))
+		}
+	}
+}
+
+// via returns the peer through which an upstream is reached; the zero address means directly.
+func (f *Forwarder) via(u *kingcuphook.Upstream) netip.Addr {
+	if f.Paths == nil {
+		return netip.Addr{}
+	}
+	return f.Paths.Via(time.Now(), u)
+}
+
+// sendVia sends an attempt on one path. It reports whether a connection was obtained.
+func (f *Forwarder) sendVia(ctx context.Context, u *kingcuphook.Upstream, a *kingcuphook.Attempt, peer netip.Addr) (*http.Response, bool, error) {
+	transport := f.transport(u, peer)
+	if a.Resent() {
+		transport = f.newTransport(u, peer, true)
+	}
+	r := f.newRequest(ctx, u, a)
+	if f.Paths == nil {
+		return transporter.Send(r, transport.RoundTrip)
+	}
+	if peer.IsValid() {
+		return transporter.Send(r.WithContext(f.traceRelayed(ctx, u, a, peer)), transport.RoundTrip)
+	}
+	f.Paths.Began(time.Now(), u)
+	ended := sync.OnceFunc(func() { f.Paths.Ended(u.Program()) })
+	resp, connected, err := transporter.Send(r, transport.RoundTrip)
+	if err != nil {
+		ended()
+		return nil, connected, err
+	}
+	resp.Body = &trackedBody{ReadCloser: resp.Body, ended: ended}
+	return resp, connected, nil
+}
+
+// trackedBody reports when it is closed.
+type trackedBody struct {
+	io.ReadCloser
+
+	ended func()
+}
+
+// Close implements io.Closer.
+func (b *trackedBody) Close() error {
+	b.ended()
+	return b.ReadCloser.Close()
+}
+
+// traceRelayed returns a context that reports the relayed connection of an attempt.
+func (f *Forwarder) traceRelayed(ctx context.Context, u *kingcuphook.Upstream, a *kingcuphook.Attempt, peer netip.Addr) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if c, ok := info.Conn.(*relayer.Conn); ok && f.OnRelayed != nil {
+			f.OnRelayed(u, a, peer, c.ID())
+		}
+	}})
+}
+
+// dialPeer opens a connection to an upstream through a peer.
+func (f *Forwarder) dialPeer(ctx context.Context, u *kingcuphook.Upstream, peer netip.Addr) (net.Conn, error) {
+	f.mu.Lock()
+	f.relayed++
+	id := fmt.Sprintf("%s-%d", f.Owner, f.relayed)
+	f.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	c, err := f.Relayer.Dial(ctx, f.PeerAddress(peer), u.Program(), id)
+	if err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+// explain returns the error of a broken connection, joined with ErrPathLost if the path to the
+// upstream is cut and not the upstream at fault.
+func (f *Forwarder) explain(ctx context.Context, u *kingcuphook.Upstream, peer netip.Addr, err error) error {
+	if f.Paths == nil {
+		return err
+	}
+	if cause := context.Cause(ctx); cause != nil {
+		// An attempt that was cancelled for its caller says nothing about the path.
+		if !errors.Is(cause, context.Canceled) && !errors.Is(cause, context.DeadlineExceeded) {
+			f.suspect(u, pathfinder.EvidenceSilent)
+		}
+		return err
+	}
+	if f.recheck(ctx, u, peer, pathfinder.EvidenceBroken, err) {
+		return fmt.Errorf("%w: %w", kingcuphook.ErrPathLost, err)
+	}
+	return err
+}
+
+// explainDial returns the error of a connection that couldn't be opened, joined with ErrPathLost if
+// the router's own links are in doubt and the upstream wasn't found down.
+func (f *Forwarder) explainDial(u *kingcuphook.Upstream, err error) error {
+	if f.Paths == nil || !f.Paths.InDoubt(time.Now()) || f.Paths.State(u.Program()) == pathfinder.StateDown {
+		return err
+	}
+	return fmt.Errorf("%w: %w", kingcuphook.ErrPathLost, err)
+}
+
+// recheck records that an attempt failed on a path. It waits a short time for the verdict of a
+// check, and reports whether the upstream is reached on another path.
+func (f *Forwarder) recheck(ctx context.Context, u *kingcuphook.Upstream, peer netip.Addr, e pathfinder.Evidence, err error) bool {
+	now := time.Now()
+	var c *check
+	switch {
+	case peer.IsValid() && e == pathfinder.EvidenceDial:
+		if f.Paths.PeerFailed(now, u, peer, !errors.Is(err, relayer.ErrRefused)) {
+			return true
+		}
+		c = f.startCheck(u, peer)
+	case peer.IsValid():
+		c = f.startCheck(u, peer)
+	default:
+		c = f.suspect(u, e)
+	}
+	if c != nil {
+		f.awaitCheck(ctx, c)
+	}
+	return f.via(u) != peer
+}
+
+// awaitCheck waits a short time for the end of a check.
+func (f *Forwarder) awaitCheck(ctx context.Context, c *check) {
+	wait := checkWait
+	if f.Paths.InDoubt(time.Now()) {
+		wait = doubtWait
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-c.done:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// check is a running check of the path to an upstream.
+type check struct{ done chan struct{} }
+
+// suspect records evidence against the direct path to an upstream. It returns the running check
+// of the upstream, which it starts unless one was made lately; nil if there is none.
+func (f *Forwarder) suspect(u *kingcuphook.Upstream, e pathfinder.Evidence) *check {
+	if f.Paths.Failed(time.Now(), u, e) {
+		return f.startCheck(u, netip.Addr{})
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.checks[u.Program()]
+}
+
+// startCheck starts a check of an upstream, unless one is running, and returns it. The peer is the
+// one that is used now, if any, and asked first.
+func (f *Forwarder) startCheck(u *kingcuphook.Upstream, peer netip.Addr) *check {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if c := f.checks[u.Program()]; c != nil {
+		return c
+	}
+	if f.checks == nil {
+		f.checks = make(map[kingcuphook.Program]*check)
+	}
+	c := &check{done: make(chan struct{})}
+	f.checks[u.Program()] = c
+	go func() {
+		v := f.check(u, peer)
+		f.Paths.Resolve(time.Now(), u, v)
+		f.closeUnusedPaths(u)
+		f.mu.Lock()
+		delete(f.checks, u.Program())
+		f.mu.Unlock()
+		close(c.done)
+	}()
+	return c
+}
+
+// check probes an upstream directly and, unless it responds soon, through peers as well.
+func (f *Forwarder) check(u *kingcuphook.Upstream, current netip.Addr) pathfinder.Verdict {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	direct, relayed := make(chan bool, 1), make(chan netip.Addr, 1)
+	go func() { direct <- f.probe(ctx, u, netip.Addr{}) }()
+	findPeer := sync.OnceFunc(func() { go func() { relayed <- f.findPeer(ctx, u, current) }() })
+	timer := time.AfterFunc(directLead, findPeer)
+	defer timer.Stop()
+	if <-direct {
+		return pathfinder.Verdict{Direct: true}
+	}
+	findPeer()
+	return pathfinder.Verdict{Peer: <-relayed}
+}
+
+// findPeer returns a peer through which an upstream responds, or the zero address.
+func (f *Forwarder) findPeer(ctx context.Context, u *kingcuphook.Upstream, current netip.Addr) netip.Addr {
+	peers := f.usablePeers(u, current)
+	for range checkRounds {
+		round := peers[:min(len(peers), peersPerRound)]
+		peers = peers[len(round):]
+		found := make(chan netip.Addr, len(round))
+		for _, peer := range round {
+			go func() {
+				if f.probe(ctx, u, peer) {
+					found <- peer
+					return
+				}
+				found <- netip.Addr{}
+			}()
+		}
+		for range round {
+			if peer := <-found; peer.IsValid() {
+				return peer
+			}
+		}
+	}
+	return netip.Addr{}
+}
+
+// usablePeers returns the peers to be asked for a path to an upstream, the current one first.
+func (f *Forwarder) usablePeers(u *kingcuphook.Upstream, current netip.Addr) []netip.Addr {
+	now := time.Now()
+	var list []netip.Addr
+	if current.IsValid() && f.Paths.Usable(now, current, u.Program()) {
+		list = append(list, current)
+	}
+	for _, peer := range f.Peers(u) {
+		if peer != current && f.Paths.Usable(now, peer, u.Program()) {
+			list = append(list, peer)
+		}
+	}
+	return list
+}
+
+// probe reports whether an upstream responds on a new connection, directly or through a peer. A
+// connection through a peer stays open for the next request.
+func (f *Forwarder) probe(ctx context.Context, u *kingcuphook.Upstream, peer netip.Addr) bool {
+	timeout := probeTimeout
+	if peer.IsValid() {
+		timeout = relayTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	r := (&http.Request{
+		Method: http.MethodGet,
+		URL:    requestURL(u.Address(), f.ProbePath),
+		Header: http.Header{"User-Agent": {""}},
+	}).WithContext(ctx)
+	transport := f.transport(u, peer)
+	if !peer.IsValid() {
+		transport = f.newProbeTransport()
+	}
+	resp, err := transport.RoundTrip(r)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxProbeBytes))
+	return err == nil
+}
+
+// maxProbeBytes limits how much of the response to a probe is read.
+const maxProbeBytes = 1 << 20
+
+// newProbeTransport returns a transport for one probe of a direct path.
+func (f *Forwarder) newProbeTransport() *http.Transport {
+	return transporter.Transporter{
+		DialTimeout: probeTimeout, KeepAlive: keepAliveInterval, DisableKeepAlives: true, LocalAddress: f.LocalAddress,
+	}.New()
+}
+
+// closeUnusedPaths closes the idle connections to an upstream on the paths that aren't used now.
+func (f *Forwarder) closeUnusedPaths(u *kingcuphook.Upstream) {
+	used := f.via(u)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for k, t := range f.transports {
+		if k.program != u.Program() || k.peer == used {
+			continue
+		}
+		t.CloseIdleConnections()
+		if k.peer.IsValid() {
+			delete(f.transports, k)
+		}
+	}
+}
+
+// LeavePeer closes the idle connections through a peer. Requests that use others go on.
+func (f *Forwarder) LeavePeer(peer netip.Addr) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for k, t := range f.transports {
+		if k.peer == peer {
+			t.CloseIdleConnections()
+			delete(f.transports, k)
+		}
+	}
+}
+
+// WatchPaths checks upstreams from which nothing is received, and probes the direct paths that are
+// cut, until ctx ends.
+func (f *Forwarder) WatchPaths(ctx context.Context) {
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			for _, u := range f.Paths.Silent(now) {
+				f.startCheck(u, netip.Addr{})
+			}
+			for _, u := range f.Paths.Due(now) {
+				go f.probeDirect(ctx, u)
+			}
+		}
+	}
+}
+
+// probeDirect probes the direct path to an upstream that is cut.
+func (f *Forwarder) probeDirect(ctx context.Context, u *kingcuphook.Upstream) {
+	direct := f.probe(ctx, u, netip.Addr{})
+	f.Paths.ProbeDone(time.Now(), u, direct)
+	if direct {
+		f.closeUnusedPaths(u)
+	}
+}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -44,6 +44,8 @@
 	// closeDelimited is set if the body has neither a length nor chunks, so that only the
 	// end of the connection marks its end.
 	closeDelimited bool
+	// broken, if set, returns the error of a body that broke, with its cause.
+	broken func(ctx context.Context, err error) error
 	// ended is set when the body has ended between events, finishSent when the finish
 	// frame was returned.
 	ended, finishSent bool
@@ -83,8 +85,14 @@
 		err = nil
 	}
 	if ctx.Err() != nil {
+		if err != nil && s.broken != nil {
+			_ = s.broken(ctx, err)
+		}
 		return kingcuphook.Frame{}, ctx.Err()
 	}
+	if err != nil && s.broken != nil && !errors.Is(err, kingcuphook.ErrTooLarge) {
+		err = s.broken(ctx, err)
+	}
 	if err != nil {
 		return kingcuphook.Frame{}, fmt.Errorf("forwarder: %w: %w", kingcuphook.ErrBrokenStream, err)
 	}
--- a/logger/events.go
+++ b/logger/events.go
@@ -49,6 +49,7 @@
 	ServerError           = Event{1207, LevelWarn, "HTTP server reported an error"}
 	ResponseFailed        = Event{1208, LevelWarn, "response could not be written although the caller is connected"}
 	StreamResumed         = Event{1209, LevelInfo, "call resumes a stream"}
+	RequestRelayed        = Event{1211, LevelInfo, "request sent through a peer"}
 	ResumptionRefused     = Event{1210, LevelInfo, "call that resumes a stream refused"}
 	UpstreamsUpdated      = Event{1303, LevelInfo, "upstreams updated"}
 	UpstreamPaused        = Event{1305, LevelInfo, "upstream asked for a pause"}
@@ -56,12 +57,17 @@
 	SettingsChecked       = Event{1008, LevelInfo, "settings file checked; changes take effect at the next start"}
 	SettingsRejected      = Event{1009, LevelError, "settings file is invalid; the process keeps its settings"}
 	StoreUpdateReceived   = Event{1404, LevelInfo, "store update received from a peer"}
+	RelayEnded            = Event{1405, LevelInfo, "connection relayed for a peer ended"}
+	RelayRefused          = Event{1406, LevelInfo, "connection for a peer refused"}
 	StopIncomplete        = Event{1011, LevelWarn, "graceful shutdown ended with requests in flight"}
 	CallsEnded            = Event{1012, LevelWarn, "requests still in flight at the end of a graceful shutdown were ended with an error"}
 	RequestFailed         = Event{1201, LevelInfo, "request failed"}
 	RequestPanicked       = Event{1202, LevelError, "request handler panicked"}
 	UpstreamLeaving       = Event{1302, LevelInfo, "upstream is leaving"}
 	RateLimitChanged      = Event{1306, LevelInfo, "rate limit of an upstream changed"}
+	PathCut               = Event{1307, LevelWarn, "path to an upstream is cut; a peer reaches it"}
+	PathDirect            = Event{1308, LevelInfo, "upstream is reached directly again"}
+	PathDown              = Event{1309, LevelInfo, "upstream is reached neither directly nor through peers"}
 	PeerFailed            = Event{1401, LevelDebug, "exchange with a peer failed"}
 	PeerJoined            = Event{1402, LevelInfo, "peer joined"}
 	PeerLeft              = Event{1403, LevelInfo, "peer left"}
@@ -116,15 +122,21 @@
 		ResponseFailed,
 		StreamResumed,
 		ResumptionRefused,
+		RequestRelayed,
 		UpstreamLeaving,
 		UpstreamsUpdated,
 		RegistrationRejected,
 		UpstreamPaused,
 		RateLimitChanged,
+		PathCut,
+		PathDirect,
+		PathDown,
 		PeerFailed,
 		PeerJoined,
 		PeerLeft,
 		StoreUpdateReceived,
+		RelayEnded,
+		RelayRefused,
 		LeaseAcquired,
 		LeaseLost,
 		OrderSent,
--- a/notice.go
+++ b/notice.go
@@ -66,6 +66,11 @@
 	return Program{address: u.Address(), instance: u.Instance(), startTime: u.StartTime()}
 }
 
+// NewProgram returns the identity of a program as its accessors return it.
+func NewProgram(address, instance string, startTime int64) Program {
+	return Program{address: address, instance: instance, startTime: startTime}
+}
+
 // Address returns the IP number and port of the program.
 func (p Program) Address() string { return p.address }
 
--- /dev/null
+++ b/relayer/door.go
@@ -0,0 +1,424 @@
+package relayer
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/kingcuphook/kingcuphook"
+)
+
+// Defaults of Door.
+const (
+	defaultMax         = 256
+	defaultDialTimeout = 250 * time.Millisecond
+	defaultIdleTimeout = 2 * time.Minute
+	// endTimeout bounds how long a peer may take to close a connection that the upstream has
+	// closed.
+	endTimeout = 2 * time.Second
+)
+
+// Reasons for which connections are refused.
+const (
+	reasonForeign  = "the sender is not a known router"
+	reasonProtocol = "the request is not for a relayed connection"
+	reasonUnknown  = "the upstream is not in the tables"
+	reasonFull     = "too many relayed connections"
+	reasonNoPath   = "this router does not reach the upstream"
+	reasonStopping = "this router is stopping"
+)
+
+// Ends of relayed connections.
+const (
+	endUpstream = "upstream-closed"
+	endPeer     = "peer-closed"
+	endBroken   = "upstream-broken"
+	endIdle     = "idle"
+)
+
+// Relayed is a connection that has ended.
+type Relayed struct {
+	// ID is the identifier that the peer gave the connection.
+	ID string
+	// From is the peer, Upstream the address of the upstream.
+	From     netip.Addr
+	Upstream string
+	// Sent and Received are the numbers of bytes to and from the upstream.
+	Sent, Received int64
+	// Took is how long the connection was open, End what ended it.
+	Took time.Duration
+	End  string
+	// Err is the error that ended it; nil if there was none.
+	Err error
+}
+
+// Door accepts connections of peers and carries them to upstreams. Its exported fields are set
+// before use; then it is safe for concurrent use.
+type Door struct {
+	// IsRouter reports whether an address is that of a known router; never nil.
+	IsRouter func(a netip.Addr) bool
+	// IsUpstream reports whether the program is in the tables; never nil.
+	IsUpstream func(p kingcuphook.Program) bool
+	// Reaches reports whether this router has a direct path to the program; nil means that it
+	// has to all.
+	Reaches func(p kingcuphook.Program) bool
+	// IsStopping reports whether this router is stopping; nil means that it isn't.
+	IsStopping func() bool
+	// LocalAddress is the address that connections to upstreams come from; nil means any.
+	LocalAddress net.Addr
+	// OnFailure, if set, is called if a connection to an upstream can't be opened.
+	OnFailure func(p kingcuphook.Program, err error)
+	// OnRefused, if set, is called for each refused connection, OnEnd for each that has ended.
+	OnRefused func(from netip.Addr, id, upstream, reason string)
+	OnEnd     func(r Relayed)
+	// Max is the largest number of relayed connections; 0 means 256.
+	Max int64
+	// DialTimeout bounds opening a connection to an upstream; 0 means 250 ms.
+	DialTimeout time.Duration
+	// IdleTimeout is how long a connection on which nothing is sent is kept; 0 means 2 min.
+	IdleTimeout time.Duration
+
+	open, refused atomic.Int64
+
+	mu sync.Mutex
+	// tunnels are the open connections.
+	tunnels map[*tunnel]bool
+	// sources counts the open connections by peer.
+	sources map[netip.Addr]int
+}
+
+// Open returns the number of relayed connections that are open.
+func (d *Door) Open() int64 { return d.open.Load() }
+
+// Refused returns the number of connections that were refused.
+func (d *Door) Refused() int64 { return d.refused.Load() }
+
+// Busy returns the number of relayed connections on which an answer is due or bytes of one came
+// lately.
+func (d *Door) Busy() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := 0
+	for t := range d.tunnels {
+		if t.isBusy(time.Now()) {
+			n++
+		}
+	}
+	return n
+}
+
+// Sources returns the peers that have open connections.
+func (d *Door) Sources() []netip.Addr {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	list := make([]netip.Addr, 0, len(d.sources))
+	for a := range d.sources {
+		list = append(list, a)
+	}
+	return list
+}
+
+// ServeHTTP implements http.Handler.
+func (d *Door) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	from, id := peerOf(r.RemoteAddr), r.URL.Query().Get(paramID)
+	target, ok := parseProgram(r)
+	status, reason := d.check(from, id, target, ok && r.Header.Get("Upgrade") == protocol)
+	if status != 0 {
+		d.refuse(w, status, reason, from, id, target)
+		return
+	}
+	if d.open.Add(1) > d.max() {
+		d.open.Add(-1)
+		d.refuse(w, http.StatusTooManyRequests, reasonFull, from, id, target)
+		return
+	}
+	defer d.open.Add(-1)
+	upstream, err := d.dial(r.Context(), target)
+	if err != nil {
+		if d.OnFailure != nil {
+			d.OnFailure(target, err)
+		}
+		d.refuse(w, http.StatusBadGateway, err.Error(), from, id, target)
+		return
+	}
+	defer func() { _ = upstream.Close() }()
+	d.carry(w, upstream, Relayed{ID: id, From: from, Upstream: target.Address()})
+}
+
+// check returns the status and the reason of a refusal, or status 0.
+func (d *Door) check(from netip.Addr, id string, p kingcuphook.Program, valid bool) (status int, reason string) {
+	switch {
+	case !from.IsValid() || !d.IsRouter(from):
+		return http.StatusForbidden, reasonForeign
+	case !valid || id == "" || len(id) > maxIDBytes:
+		return http.StatusBadRequest, reasonProtocol
+	case d.IsStopping != nil && d.IsStopping():
+		return http.StatusServiceUnavailable, reasonStopping
+	case !d.IsUpstream(p):
+		return http.StatusNotFound, reasonUnknown
+	case d.Reaches != nil && !d.Reaches(p):
+		return http.StatusBadGateway, reasonNoPath
+	}
+	return 0, ""
+}
+
+func (d *Door) max() int64 {
+	if d.Max > 0 {
+		return d.Max
+	}
+	return defaultMax
+}
+
+func (d *Door) refuse(w http.ResponseWriter, status int, reason string, from netip.Addr, id string, p kingcuphook.Program) {
+	d.refused.Add(1)
+	if d.OnRefused != nil {
+		d.OnRefused(from, id, p.Address(), reason)
+	}
+	http.Error(w, reason, status)
+}
+
+func (d *Door) dial(ctx context.Context, p kingcuphook.Program) (*net.TCPConn, error) {
+	timeout := d.DialTimeout
+	if timeout == 0 {
+		timeout = defaultDialTimeout
+	}
+	dialer := net.Dialer{Timeout: timeout, LocalAddr: d.LocalAddress, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes,
+	}}
+	c, err := dialer.DialContext(ctx, "tcp", p.Address())
+	if err != nil {
+		return nil, err
+	}
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		c.Close()
+		return nil, errors.ErrUnsupported
+	}
+	return tcp, nil
+}
+
+// carry takes over the connection of the peer and copies until one side ends.
+func (d *Door) carry(w http.ResponseWriter, upstream *net.TCPConn, r Relayed) {
+	hijacked, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	defer hijacked.Close()
+	_ = hijacked.SetDeadline(time.Time{})
+	peer, ok := hijacked.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	const head = "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: " + protocol + "\r\n\r\n"
+	if _, err := peer.Write([]byte(head)); err != nil {
+		return
+	}
+	begun := time.Now()
+	t := &tunnel{peer: peer, upstream: upstream, early: buffered.Reader, idle: d.IdleTimeout}
+	if t.idle == 0 {
+		t.idle = defaultIdleTimeout
+	}
+	t.last.Store(begun.UnixNano())
+	d.add(t, r.From)
+	defer d.remove(t, r.From)
+	r.End, r.Err = t.run()
+	r.Sent, r.Received, r.Took = t.sent.Load(), t.received.Load(), time.Since(begun)
+	if d.OnEnd != nil {
+		d.OnEnd(r)
+	}
+}
+
+// add records an open connection of a peer, remove its end.
+func (d *Door) add(t *tunnel, from netip.Addr) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.sources == nil {
+		d.sources = make(map[netip.Addr]int)
+		d.tunnels = make(map[*tunnel]bool)
+	}
+	d.sources[from]++
+	d.tunnels[t] = true
+}
+
+func (d *Door) remove(t *tunnel, from netip.Addr) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.tunnels, t)
+	d.sources[from]--
+	if d.sources[from] == 0 {
+		delete(d.sources, from)
+	}
+}
+
+// parseProgram returns the program that a request asks for.
+func parseProgram(r *http.Request) (kingcuphook.Program, bool) {
+	q := r.URL.Query()
+	start, err := strconv.ParseInt(q.Get(paramStart), 10, 64)
+	return kingcuphook.NewProgram(q.Get(paramAddress), q.Get(paramInstance), start), err == nil && q.Get(paramAddress) != ""
+}
+
+// tunnel copies the bytes between a peer and an upstream.
+type tunnel struct {
+	peer, upstream *net.TCPConn
+	// early has the bytes of the peer that came with its request.
+	early io.Reader
+	idle  time.Duration
+
+	sent, received atomic.Int64
+	// last is when bytes were last copied, in Unix nanoseconds.
+	last atomic.Int64
+	// awaited is true if the last bytes were sent to the upstream.
+	awaited atomic.Bool
+}
+
+// busyFor is how long after the last bytes of an answer more of it may come.
+const busyFor = 500 * time.Millisecond
+
+// isBusy reports whether an answer is due or bytes of one came lately.
+func (t *tunnel) isBusy(now time.Time) bool {
+	return t.awaited.Load() || now.Sub(time.Unix(0, t.last.Load())) < busyFor
+}
+
+// run copies until one side ends, ends the other, and returns what ended the connection.
+func (t *tunnel) run() (end string, err error) {
+	peerDone, upstreamDone := make(chan struct{}), make(chan struct{})
+	var peerErr, upstreamErr error
+	go func() { peerErr = t.copyToUpstream(); close(peerDone) }()
+	go func() { upstreamErr = t.copyToPeer(); close(upstreamDone) }()
+	select {
+	case <-peerDone:
+		// The peer uses no half-closed connections: its request has ended or was cancelled.
+		end, err = endPeer, peerErr
+		_ = t.upstream.Close()
+		t.abort()
+	case <-upstreamDone:
+		end, err = endOf(upstreamErr), upstreamErr
+		if err != nil {
+			t.abort()
+		}
+		_ = t.upstream.Close()
+		_ = t.peer.SetReadDeadline(time.Now().Add(endTimeout))
+	}
+	<-peerDone
+	<-upstreamDone
+	return end, err
+}
+
+// endOf returns what ended a connection on which the upstream's bytes were copied until err.
+func endOf(err error) string {
+	switch {
+	case err == nil:
+		return endUpstream
+	case errors.Is(err, errIdle):
+		return endIdle
+	case errors.Is(err, errPeerGone):
+		return endPeer
+	default:
+		return endBroken
+	}
+}
+
+// abort resets the connection of the peer.
+func (t *tunnel) abort() {
+	_ = t.peer.SetLinger(0)
+	_ = t.peer.Close()
+}
+
+// copyToUpstream copies the bytes of the peer. Those that the upstream doesn't accept any more are
+// dropped, since it may have sent an answer before.
+func (t *tunnel) copyToUpstream() error {
+	buffer := make([]byte, blockBytes)
+	accepts := true
+	for {
+		n, err := t.early.Read(buffer)
+		if n > 0 {
+			t.copied(&t.sent, n)
+			t.awaited.Store(true)
+			if accepts {
+				_, err := t.upstream.Write(buffer[:n])
+				accepts = err == nil
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// copyToPeer copies the bytes of the upstream in blocks, and the end mark once the upstream has
+// closed the connection.
+func (t *tunnel) copyToPeer() error {
+	buffer := make([]byte, headerBytes+blockBytes)
+	for {
+		n, err := t.read(buffer[headerBytes:])
+		if n > 0 {
+			t.copied(&t.received, n)
+			t.awaited.Store(false)
+			if err := t.writeBlock(buffer, n); err != nil {
+				return err
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			if err := t.writeBlock(buffer, 0); err != nil {
+				return err
+			}
+			return t.peer.CloseWrite()
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// writeBlock writes a block with n bytes of data, which stand behind room for its header.
+func (t *tunnel) writeBlock(buffer []byte, n int) error {
+	binary.BigEndian.PutUint16(buffer, uint16(n))
+	if _, err := t.peer.Write(buffer[:headerBytes+n]); err != nil {
+		return fmt.Errorf("%w: %w", errPeerGone, err)
+	}
+	return nil
+}
+
+var (
+	// errIdle means that nothing was sent on a connection for its idle timeout.
+	errIdle = errors.New("nothing sent for long")
+	// errPeerGone means that nothing can be sent to the peer any more.
+	errPeerGone = errors.New("peer gone")
+)
+
+// read reads from the upstream. The error is errIdle if neither side has sent anything for the
+// idle timeout.
+func (t *tunnel) read(p []byte) (int, error) {
+	for {
+		left := time.Until(time.Unix(0, t.last.Load()).Add(t.idle))
+		if left <= 0 {
+			return 0, errIdle
+		}
+		_ = t.upstream.SetReadDeadline(time.Now().Add(left))
+		n, err := t.upstream.Read(p)
+		var timeout net.Error
+		if n == 0 && errors.As(err, &timeout) && timeout.Timeout() {
+			continue
+		}
+		return n, err
+	}
+}
+
+// copied counts bytes.
+func (t *tunnel) copied(count *atomic.Int64, n int) {
+	count.Add(int64(n))
+	t.last.Store(time.Now().UnixNano())
+}
--- a/transporter/conn.go
+++ b/transporter/conn.go
@@ -16,6 +16,8 @@
 	// busy and idle are the user timeouts while a request uses the connection and while none
 	// does.
 	busy, idle time.Duration
+	// received, if set, is called whenever bytes were received.
+	received func()
 
 	mu sync.Mutex
 	// users is the number of requests that use the connection. It is 2 for a moment if the
@@ -37,12 +39,21 @@
 		if !ok {
 			return opened, nil
 		}
-		c := &conn{TCPConn: tcp, busy: t.UserTimeout, idle: t.IdleUserTimeout}
+		c := &conn{TCPConn: tcp, busy: t.UserTimeout, idle: t.IdleUserTimeout, received: t.Received}
 		c.setUserTimeout(c.idle)
 		return c, nil
 	}
 }
 
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 0 && c.received != nil {
+		c.received()
+	}
+	return n, err
+}
+
 // acquire records that a request uses the connection.
 func (c *conn) acquire() {
 	c.mu.Lock()
--- a/transporter/transporter.go
+++ b/transporter/transporter.go
@@ -37,6 +37,12 @@
 	// IdleUserTimeout that while none does; 0 means that of the kernel. It also decides when
 	// keepalive probes give up.
 	UserTimeout, IdleUserTimeout time.Duration
+	// Dial opens the connections instead of the standard dialer, if it is set. The settings of
+	// a connection are then its own matter.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Received, if set, is called whenever bytes were received on a connection of the standard
+	// dialer. It must be safe for concurrent use.
+	Received func()
 }
 
 // New returns an HTTP transport with these settings.
@@ -51,8 +57,12 @@
 			Count:    keepAliveProbes,
 		},
 	}
+	opened := t.timed(t.tracked(dial.DialContext))
+	if t.Dial != nil {
+		opened = t.Dial
+	}
 	return &http.Transport{
-		DialContext:            t.timed(t.tracked(dial.DialContext)),
+		DialContext:            opened,
 		DisableKeepAlives:      t.DisableKeepAlives,
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdlePerUpstream,
