--- a/emulator/forwarder/forwarder.go
+++ b/emulator/forwarder/forwarder.go
@@ -39,7 +39,8 @@
 type Forwarder struct {
 	// Target is the IP address and port that connections are forwarded to.
 	Target string
-	// Address is the address to listen on; empty means a free port of 127.0.0.1.
+	// Address is the address to listen on; empty means a free port of 127.0.0.1. ListenFrom uses
+	// its port only.
 	Address string
 
 	listener net.Listener
--- a/emulator/forwarder/source.go
+++ b/emulator/forwarder/source.go
@@ -48,7 +48,7 @@
 }
 
 // ListenFrom starts to accept connections that come from the given loopback addresses, at
-// the same port of each, and returns the address to dial. The connections must be bound to
+// the same port of each, that of Address or a free one, and returns the address to dial. The connections must be bound to
 // one of the sources, by which SetFrom injects faults.
 func (f *Forwarder) ListenFrom(sources ...netip.Addr) (string, error) {
 	var failed error
@@ -67,6 +67,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.sources = make(map[netip.Addr]*source)
+	if a, err := netip.ParseAddrPort(f.Address); err == nil {
+		port = int(a.Port())
+	}
 	for _, address := range sources {
 		s := &source{forwarder: f, address: netip.AddrPortFrom(address, uint16(port)), fault: FaultNone}
 		if err := s.hold(); err != nil {
--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -76,13 +76,27 @@
 			func() fault { return env.changeFault(s.rng) },
 			func() fault { return env.emptyFault(s.rng, duration) },
 			func() fault { return env.reuseFault(i) },
-			func() fault { return env.silenceFault(i, s.rng) },
+			func() fault { return env.silenceFault(i, s.rng, maxSilence) },
 			func() fault { return env.longStopFault(r, s.rng) },
 		)
 	}
 	if s.Versions > 0 {
 		kinds = append(kinds, s.versionFaults(duration)...)
 	}
+	if s.Cuts {
+		kinds = append(kinds,
+			func() fault { return env.cutFault(s.rng) },
+			func() fault { return env.cutFault(s.rng) },
+			func() fault { return env.cutFault(s.rng) },
+			func() fault { return env.cutFault(s.rng) },
+			func() fault { return env.cutFault(s.rng) },
+			func() fault { return env.cutFault(s.rng) },
+			func() fault { return env.cutFault(s.rng) },
+			func() fault { return env.cutFault(s.rng) },
+			func() fault { return env.linkFault(i, s.rng) },
+			func() fault { return env.silenceFault(i, s.rng, maxLinkSilence) },
+		)
+	}
 	if s.Odd {
 		kinds = append(kinds,
 			func() fault { return env.oddFault(s.rng, duration) },
--- a/soaker/lost.go
+++ b/soaker/lost.go
@@ -99,7 +99,7 @@
 		if c.written.IsZero() || c.router.failed(c.sent, c.ended) {
 			continue
 		}
-		if why := c.lost(reached[c.id]); why != "" {
+		if why := env.lost(c, reached[c.id]); why != "" {
 			lost = append(lost, fmt.Sprintf("%s %s at %s, sent %s, %s %v later", c.kind, c.id, c.router.name, c.sent.Format("05.000"), why, c.ended.Sub(c.sent).Round(time.Millisecond)))
 		}
 	}
@@ -108,7 +108,7 @@
 
 // lost describes how the router lost the call; empty if it didn't. A call that no upstream ran
 // may have failed at one that is gone.
-func (c *call) lost(r reach) string {
+func (env *environment) lost(c *call, r reach) string {
 	if c.outcome == OutcomeUnanswered {
 		crossed := len(r.ran)+r.rejected == 0 && c.ended.Sub(c.written) <= crossingTime
 		if crossed {
@@ -118,7 +118,7 @@
 	}
 	broken := c.outcome == OutcomeCut || c.outcome == OutcomeFailed && c.status >= 500 && len(r.ran) > 0
 	late := c.ended.Sub(c.sent) >= time.Duration(deadlineShare*float64(c.timeout))
-	troubled := slices.ContainsFunc(r.ran, func(u *upstream) bool { return u.troubled(c.sent, c.ended) })
+	troubled := slices.ContainsFunc(r.ran, func(u *upstream) bool { return u.troubled(c.sent, c.ended) }) || env.isCut(c.router, c.sent, c.ended)
 	if !broken || late || troubled {
 		return ""
 	}
@@ -131,6 +131,9 @@
 	for _, o := range Outcomes() {
 		text += fmt.Sprintf(", %d %s", r.Outcomes[o], o)
 	}
+	if r.Cuts.Cut.All > 0 {
+		text += fmt.Sprintf("; %v", r.Cuts)
+	}
 	if r.Resumptions.New.All > 0 {
 		text += fmt.Sprintf("; %v", r.Resumptions)
 	}
--- a/soaker/router.go
+++ b/soaker/router.go
@@ -50,8 +50,11 @@
 	seedCount = 3
 )
 
+// routerIP returns the address of the i-th router of a run with the third byte host.
+func routerIP(host, i int) string { return fmt.Sprintf("127.1.%d.%d", host, i+1) }
+
 func (env *environment) newRouter(i int, store string) (*router, error) {
-	r := &router{name: fmt.Sprintf("router-%d", i), ip: fmt.Sprintf("127.1.%d.%d", env.soak.Host, i+1)}
+	r := &router{name: fmt.Sprintf("router-%d", i), ip: routerIP(env.soak.Host, i)}
 	r.store = &forwarder.Forwarder{Target: store}
 	address, err := r.store.Listen()
 	if err != nil {
@@ -61,7 +64,7 @@
 	r.ready = fmt.Sprintf("%s:%d", r.ip, portReady)
 	seeds := make([]string, 0, seedCount)
 	for n := range min(env.soak.Routers, seedCount) {
-		seeds = append(seeds, fmt.Sprintf("127.1.%d.%d", env.soak.Host, n+1))
+		seeds = append(seeds, routerIP(env.soak.Host, n))
 	}
 	text, err := standin.Settings{
 		Name: r.name, IP: r.ip, CallersPort: portCallers, ReadyPort: portReady, FirstPort: portPeers,
--- a/soaker/slow.go
+++ b/soaker/slow.go
@@ -18,7 +18,7 @@
 	longCalls    = 3
 	longInterval = 600 * time.Millisecond
 	longTimeout  = 9 * time.Second
-	// maxSilence is the longest time for which a sound upstream sends nothing.
+	// minSilence and maxSilence bound the time for which a sound upstream sends nothing.
 	minSilence = 500 * time.Millisecond
 	maxSilence = 1500 * time.Millisecond
 	// halfBytes is the size of each half of a body, halfPause the longest time between them.
@@ -28,8 +28,8 @@
 
 // silenceFault returns a fault in which a sound upstream sends nothing for a second or so and
 // goes on. It is no trouble: no call may end because of it.
-func (env *environment) silenceFault(i int, rng *rand.Rand) fault {
-	d := between(rng, minSilence, maxSilence)
+func (env *environment) silenceFault(i int, rng *rand.Rand, longest time.Duration) fault {
+	d := between(rng, minSilence, longest)
 	begin := func() { env.upstream(i).FallSilent(d) }
 	return fault{"upstream is silent", d, begin, func() {}}
 }
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -38,6 +38,8 @@
 	Versions int
 	// Odd adds odd entries in the store and upstreams that write refusals once more.
 	Odd bool
+	// Cuts adds routers that are cut off from upstreams, and longer silences of sound upstreams.
+	Cuts bool
 	// Dir is the directory for settings and logs.
 	Dir string
 	// Host is the first value to try for the third byte of the loopback addresses. Run
@@ -79,6 +81,8 @@
 	Outcomes map[Outcome]int
 	// Resumptions are the shares of streams that began and went on.
 	Resumptions Resumptions
+	// Cuts has the shares of the calls that were served during cuts.
+	Cuts CutShares
 	// Faults describes the injected faults in order of time.
 	Faults []string
 }
@@ -114,6 +118,7 @@
 	result := s.calls.result(env)
 	result.Faults = events
 	result.Resumptions = s.resumptionShares()
+	result.Cuts, _ = env.cutShares()
 	return result, s.verify(ctx)
 }
 
@@ -179,6 +184,10 @@
 	for _, lost := range s.env.lostCalls() {
 		addViolation("%s", lost)
 	}
+	_, unserved := s.env.cutShares()
+	for _, few := range unserved {
+		addViolation("%s", few)
+	}
 	for _, misrouted := range s.env.misroutedRuns() {
 		addViolation("%s", misrouted)
 	}
