--- /dev/null
+++ b/relayer/relayer_test.go
@@ -0,0 +1,202 @@
+package relayer
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/kingcuphook/kingcuphook"
+)
+
+// testDoor is a door before an upstream that hands its connections to the test.
+type testDoor struct {
+	*is.I
+	*Door
+	t       *testing.T
+	address string
+	program kingcuphook.Program
+	// accepted has the connections that the upstream accepted, ended what the door reported.
+	accepted chan *net.TCPConn
+	ended    chan Relayed
+	refused  chan string
+}
+
+func newTestDoor(t *testing.T) *testDoor {
+	d := &testDoor{I: is.New(t), t: t, accepted: make(chan *net.TCPConn, 8), ended: make(chan Relayed, 8), refused: make(chan string, 8)}
+	upstream, err := net.Listen("tcp", "127.0.0.1:0")
+	d.NoErr(err)
+	t.Cleanup(func() { upstream.Close() })
+	go func() {
+		for {
+			c, err := upstream.Accept()
+			if err != nil {
+				return
+			}
+			d.accepted <- c.(*net.TCPConn)
+		}
+	}()
+	d.program = kingcuphook.NewProgram(upstream.Addr().String(), "i-1", 17)
+	d.Door = &Door{
+		IsRouter:   func(a netip.Addr) bool { return a == netip.MustParseAddr("127.0.0.1") },
+		IsUpstream: func(p kingcuphook.Program) bool { return p == d.program },
+		OnEnd:      func(r Relayed) { d.ended <- r },
+		OnRefused:  func(_ netip.Addr, _, _, reason string) { d.refused <- reason },
+	}
+	server := httptest.NewServer(d.Door)
+	t.Cleanup(server.Close)
+	d.address = server.Listener.Addr().String()
+	return d
+}
+
+// open opens a connection through the door and returns both its ends.
+func (d *testDoor) open() (c *Conn, upstream *net.TCPConn) {
+	d.t.Helper()
+	c, err := (&Relayer{}).Dial(d.t.Context(), d.address, d.program, "c-1")
+	d.NoErr(err)
+	d.t.Cleanup(func() { c.Close() })
+	upstream = <-d.accepted
+	d.t.Cleanup(func() { upstream.Close() })
+	return c, upstream
+}
+
+// refuses checks that the door refuses a connection from a local address to a program.
+func (d *testDoor) refuses(source string, p kingcuphook.Program, reason string) {
+	d.t.Helper()
+	_, err := (&Relayer{LocalAddress: &net.TCPAddr{IP: net.ParseIP(source)}}).Dial(d.t.Context(), d.address, p, "c-2")
+	d.True(errors.Is(err, ErrRefused) && errors.Is(err, kingcuphook.ErrNotSent))
+	d.Equal(<-d.refused, reason)
+	select {
+	case <-d.accepted:
+		d.t.Error("the door opened a connection to the upstream")
+	default:
+	}
+}
+
+// Callers could otherwise reach upstreams, or what isn't one, past all rules of a router.
+func TestDoorOpensOnlyForRoutersAndToUpstreams(t *testing.T) {
+	d := newTestDoor(t)
+	d.refuses("127.0.0.2", d.program, reasonForeign)
+	d.refuses("127.0.0.1", kingcuphook.NewProgram(d.program.Address(), "i-2", 17), reasonUnknown)
+	d.refuses("127.0.0.1", kingcuphook.NewProgram(d.program.Address(), "i-1", 18), reasonUnknown)
+	d.refuses("127.0.0.1", kingcuphook.NewProgram("127.0.0.1:1", "i-1", 17), reasonUnknown)
+
+	resp, err := http.Get("http://" + d.address + Path)
+	d.NoErr(err)
+	resp.Body.Close()
+	d.Equal(resp.StatusCode, http.StatusBadRequest)
+	d.Equal(d.Refused(), int64(5))
+}
+
+// A helper would pass a connection on in a circle, or be swamped.
+func TestDoorRefusesWhatItCannotCarry(t *testing.T) {
+	d := newTestDoor(t)
+	stopping, reaches := false, true
+	d.IsStopping = func() bool { return stopping }
+	d.Reaches = func(kingcuphook.Program) bool { return reaches }
+	d.Max = 1
+	c, _ := d.open()
+	d.refuses("127.0.0.1", d.program, reasonFull)
+	c.Close()
+	<-d.ended
+	for d.Open() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	reaches = false
+	d.refuses("127.0.0.1", d.program, reasonNoPath)
+	stopping = true
+	d.refuses("127.0.0.1", d.program, reasonStopping)
+}
+
+// An answer without a length that the path cut off looked complete.
+func TestEndsCrossARelayedConnection(t *testing.T) {
+	t.Run("closed", func(t *testing.T) {
+		d := newTestDoor(t)
+		c, upstream := d.open()
+		long := strings.Repeat("answer ", 5000)
+		go func() { _, _ = io.WriteString(upstream, long); upstream.Close() }()
+		got, err := io.ReadAll(c)
+		d.NoErr(err)
+		d.Equal(string(got), long)
+		c.Close()
+		end := <-d.ended
+		d.Equal(end.End, endUpstream)
+		d.Equal(end.Received, int64(len(long)))
+		d.Equal(end.ID, "c-1")
+	})
+	t.Run("reset", func(t *testing.T) {
+		d := newTestDoor(t)
+		c, upstream := d.open()
+		_, _ = io.WriteString(upstream, "half")
+		buffer := make([]byte, 8)
+		n, err := c.Read(buffer)
+		d.NoErr(err)
+		d.Equal(string(buffer[:n]), "half")
+		d.NoErr(upstream.SetLinger(0))
+		upstream.Close()
+		_, err = c.Read(buffer)
+		d.True(errors.Is(err, syscall.ECONNRESET) || errors.Is(err, io.ErrUnexpectedEOF))
+		end := <-d.ended
+		d.Equal(end.End, endBroken)
+	})
+	t.Run("cancelled", func(t *testing.T) {
+		d := newTestDoor(t)
+		c, upstream := d.open()
+		_, err := io.WriteString(c, "request")
+		d.NoErr(err)
+		buffer := make([]byte, 7)
+		_, err = io.ReadFull(upstream, buffer)
+		d.NoErr(err)
+		d.Equal(d.Busy(), 1)
+		c.Close()
+		d.NoErr(upstream.SetReadDeadline(time.Now().Add(time.Second)))
+		_, err = upstream.Read(buffer)
+		d.True(errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET))
+		end := <-d.ended
+		d.Equal(end.End, endPeer)
+		d.Equal(end.Sent, int64(7))
+	})
+}
+
+// A helper whose process is killed closes its connections like an upstream that has ended an answer.
+func TestEndOfTheHelperIsNoEndOfAnAnswer(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = http.ReadRequest(bufio.NewReader(c))
+		_, _ = io.WriteString(c, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: "+protocol+"\r\n\r\n\x00\x04half")
+		c.Close()
+	}()
+	c, err := (&Relayer{}).Dial(t.Context(), l.Addr().String(), kingcuphook.NewProgram("10.0.0.1:1", "i", 0), "c-1")
+	is.NoErr(err)
+	defer c.Close()
+	got, err := io.ReadAll(c)
+	is.Equal(string(got), "half")
+	is.True(errors.Is(err, io.ErrUnexpectedEOF))
+}
+
+// Connections that nobody uses any more were kept for ever.
+func TestIdleConnectionsEnd(t *testing.T) {
+	d := newTestDoor(t)
+	d.IdleTimeout = 50 * time.Millisecond
+	c, _ := d.open()
+	_, err := c.Read(make([]byte, 1))
+	d.True(err != nil && !errors.Is(err, io.EOF))
+	end := <-d.ended
+	d.Equal(end.End, endIdle)
+}
