Notice cut paths within 0.2 s and report no load for requests on them

Change: requests without a connection for long, and silent ones on cut paths, are not reported as load; dials that take long are evidence; a check doesn't wait for its direct probe once a peer has reached the upstream.

--- a/attacher/exchange.go
+++ b/attacher/exchange.go
@@ -91,6 +91,7 @@
 // schedulers.
 func (a *Attacher) exchangeLoads(ctx context.Context) {
 	own := a.tally.Own()
+	own.Subtract(a.relays.paths.Lost(time.Now()))
 	var sum tallier.Sum
 	done := a.control.do(ctx, func(now time.Time) {
 		a.control.sendAll(a.control.loads.Tick(now, own, a.control.peers.byDataCentre()))
--- a/forwarder/path.go
+++ b/forwarder/path.go
@@ -7,8 +7,8 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,6 +25,9 @@
 	relayTimeout = 400 * time.Millisecond
 	// directLead is how long a check waits for the direct path before it asks peers.
 	directLead = 120 * time.Millisecond
+	// minGrace is how long a check at least waits for the direct path once a peer has reached the
+	// upstream.
+	minGrace = 40 * time.Millisecond
 	// peersPerRound is how many peers a check asks at the same time, checkRounds how often it
 	// asks others if none of them reaches the upstream.
 	peersPerRound = 4
@@ -37,7 +40,7 @@
 	// maxPaths is how many paths one attempt tries of which nothing could be sent.
 	maxPaths = 3
 	// watchInterval is the interval of WatchPaths.
-	watchInterval = 100 * time.Millisecond
+	watchInterval = 50 * time.Millisecond
 )
 
 // roundTrip sends an attempt on the path to its upstream, and on another path if nothing could be
@@ -77,11 +80,11 @@
 		return transporter.Send(r, transport.RoundTrip)
 	}
 	if peer.IsValid() {
-		return transporter.Send(r.WithContext(f.traceRelayed(ctx, u, a, peer)), transport.RoundTrip)
+		return transporter.SendOn(r, transport.RoundTrip, func(c net.Conn) { f.reportRelayed(u, a, peer, c) })
 	}
-	f.Paths.Began(time.Now(), u)
-	ended := sync.OnceFunc(func() { f.Paths.Ended(u.Program()) })
-	resp, connected, err := transporter.Send(r, transport.RoundTrip)
+	flight := f.Paths.Began(time.Now(), u)
+	ended := sync.OnceFunc(func() { f.Paths.Ended(flight) })
+	resp, connected, err := transporter.SendOn(r, transport.RoundTrip, func(net.Conn) { f.Paths.Connected(time.Now(), flight) })
 	if err != nil {
 		ended()
 		return nil, connected, err
@@ -103,13 +106,11 @@
 	return b.ReadCloser.Close()
 }
 
-// traceRelayed returns a context that reports the relayed connection of an attempt.
-func (f *Forwarder) traceRelayed(ctx context.Context, u *kingcuphook.Upstream, a *kingcuphook.Attempt, peer netip.Addr) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if c, ok := info.Conn.(*relayer.Conn); ok && f.OnRelayed != nil {
-			f.OnRelayed(u, a, peer, c.ID())
-		}
-	}})
+// reportRelayed reports the relayed connection of an attempt.
+func (f *Forwarder) reportRelayed(u *kingcuphook.Upstream, a *kingcuphook.Attempt, peer netip.Addr, c net.Conn) {
+	if relayed, ok := c.(*relayer.Conn); ok && f.OnRelayed != nil {
+		f.OnRelayed(u, a, peer, relayed.ID())
+	}
 }
 
 // dialPeer opens a connection to an upstream through a peer.
@@ -238,13 +239,35 @@
 	direct, relayed := make(chan bool, 1), make(chan netip.Addr, 1)
 	go func() { direct <- f.probe(ctx, u, netip.Addr{}) }()
 	findPeer := sync.OnceFunc(func() { go func() { relayed <- f.findPeer(ctx, u, current) }() })
-	timer := time.AfterFunc(directLead, findPeer)
-	defer timer.Stop()
-	if <-direct {
-		return pathfinder.Verdict{Direct: true}
+	begun := time.Now()
+	if f.Paths.InDoubt(begun) {
+		findPeer()
+	}
+	lead := time.AfterFunc(directLead, findPeer)
+	defer lead.Stop()
+	select {
+	case ok := <-direct:
+		if ok {
+			return pathfinder.Verdict{Direct: true}
+		}
+		findPeer()
+		return pathfinder.Verdict{Peer: <-relayed}
+	case peer := <-relayed:
+		// The way through a peer takes longer, so that the direct one has failed if it responds
+		// much later.
+		wait := 2 * probeTimeout
+		if peer.IsValid() {
+			wait = max(time.Since(begun)/2, minGrace)
+		}
+		grace := time.NewTimer(wait)
+		defer grace.Stop()
+		select {
+		case ok := <-direct:
+			return pathfinder.Verdict{Direct: ok, Peer: peer}
+		case <-grace.C:
+			return pathfinder.Verdict{Peer: peer}
+		}
 	}
-	findPeer()
-	return pathfinder.Verdict{Peer: <-relayed}
 }
 
 // findPeer returns a peer through which an upstream responds, or the zero address.
@@ -362,7 +385,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			for _, u := range f.Paths.Silent(now) {
+			for _, u := range slices.Concat(f.Paths.Silent(now), f.Paths.SlowDials(now)) {
 				f.startCheck(u, netip.Addr{})
 			}
 			for _, u := range f.Paths.Due(now) {
--- a/pathfinder/pathfinder.go
+++ b/pathfinder/pathfinder.go
@@ -39,6 +39,8 @@
 const (
 	// EvidenceDial means that no connection could be opened.
 	EvidenceDial Evidence = "dial-failed"
+	// EvidenceSlowDial means that opening connections takes much longer than usual.
+	EvidenceSlowDial Evidence = "dial-slow"
 	// EvidenceBroken means that a connection broke while a request used it.
 	EvidenceBroken Evidence = "connection-broken"
 	// EvidenceSilent means that nothing was received on the connections of requests in flight.
@@ -60,6 +62,10 @@
 	minSilence    = 300 * time.Millisecond
 	maxSilence    = 1500 * time.Millisecond
 	silenceFactor = 1.5
+	// longDial is from when on opening a connection takes long, unless it took more than
+	// 1/dialFactor of that before.
+	longDial   = 100 * time.Millisecond
+	dialFactor = 1.5
 	// gapHalfLife is how fast the longest time without any byte is forgotten.
 	gapHalfLife = 20 * time.Second
 	// maxSilentChecks is how many of the silent upstreams are checked.
@@ -173,6 +179,18 @@
 	// Pathfinder.
 	inFlight     int
 	begun, heard time.Time
+	// dial is the longest time that opening a connection took.
+	dial time.Duration
+	// flights are the requests that are counted by inFlight.
+	flights map[*Flight]bool
+}
+
+// Flight is a request on a direct path.
+type Flight struct {
+	path  *path
+	begun time.Time
+	// connected is set once the request has a connection.
+	connected bool
 }
 
 // peerKey is a peer that failed for one upstream, or for all if program is the zero value.
@@ -328,8 +346,9 @@
 	return n >= minCutOff
 }
 
-// Began records that a request uses a direct connection to an upstream, Ended that it has ended.
-func (f *Pathfinder) Began(now time.Time, u *kingcuphook.Upstream) {
+// Began records that a request is sent on the direct path to an upstream. Ended must be called for
+// it.
+func (f *Pathfinder) Began(now time.Time, u *kingcuphook.Upstream) *Flight {
 	f.mu.Lock()
 	defer f.unlock()
 	p := f.get(now, u)
@@ -341,16 +360,84 @@
 	}
 	p.inFlight++
 	f.inFlight++
+	if p.flights == nil {
+		p.flights = make(map[*Flight]bool)
+	}
+	flight := &Flight{path: p, begun: now}
+	p.flights[flight] = true
+	return flight
+}
+
+// Connected records that a request has a connection.
+func (f *Pathfinder) Connected(now time.Time, flight *Flight) {
+	f.mu.Lock()
+	defer f.unlock()
+	flight.connected = true
+	flight.path.dial = max(flight.path.dial, now.Sub(flight.begun))
+}
+
+// isLongDial reports whether opening a connection for a request takes unusually long.
+func (f *Flight) isLongDial(now time.Time) bool {
+	return !f.connected && now.Sub(f.begun) >= max(longDial, time.Duration(dialFactor*float64(f.path.dial)))
 }
 
-// Ended records the end of a request that Began was called for.
-func (f *Pathfinder) Ended(program kingcuphook.Program) {
+// SlowDials returns the upstreams to be checked because opening connections to several of them takes
+// unusually long.
+func (f *Pathfinder) SlowDials(now time.Time) []*kingcuphook.Upstream {
 	f.mu.Lock()
 	defer f.unlock()
-	if p := f.paths[program]; p != nil && p.inFlight > 0 {
-		p.inFlight--
-		f.inFlight--
+	if f.inFlight < minCutOff {
+		return nil
+	}
+	var slow []*path
+	for _, p := range f.paths {
+		for flight := range p.flights {
+			if p.state == StateDirect && flight.isLongDial(now) {
+				slow = append(slow, p)
+				break
+			}
+		}
+	}
+	if len(slow) < minCutOff {
+		return nil
+	}
+	var list []*kingcuphook.Upstream
+	for _, p := range slow {
+		if !now.Before(p.nextCheck) {
+			p.evidence, p.evidenceAt = EvidenceSlowDial, now
+			list = append(list, p.upstream)
+		}
+	}
+	return list
+}
+
+// Ended records the end of a request. It must be called once.
+func (f *Pathfinder) Ended(flight *Flight) {
+	f.mu.Lock()
+	defer f.unlock()
+	delete(flight.path.flights, flight)
+	flight.path.inFlight--
+	f.inFlight--
+}
+
+// Lost returns the numbers of requests that have a slot on an upstream and are no load on it: no
+// connection could be opened for long, or the direct path was found cut and nothing is received.
+func (f *Pathfinder) Lost(now time.Time) map[kingcuphook.Program]int {
+	f.mu.Lock()
+	defer f.unlock()
+	if f.inFlight == 0 {
+		return nil
+	}
+	lost := make(map[kingcuphook.Program]int)
+	for program, p := range f.paths {
+		isSilent := p.state == StateCut && p.verified && now.Sub(p.heard) >= minSilence
+		for flight := range p.flights {
+			if isSilent || flight.isLongDial(now) {
+				lost[program]++
+			}
+		}
 	}
+	return lost
 }
 
 // Heard records that bytes were received on a direct connection to a program.
--- a/pathfinder/pathfinder_test.go
+++ b/pathfinder/pathfinder_test.go
@@ -162,6 +162,42 @@
 	is.True(f.Failed(start, u[0], EvidenceDial))
 }
 
+// Requests on cut paths held slots of the upstreams, so that other routers took these for full.
+func TestRequestsOnCutPathsAreNoLoad(t *testing.T) {
+	is := is.New(t)
+	f, u, _ := newFinder(2)
+	dialing, sent, served := f.Began(start, u[0]), f.Began(start, u[0]), f.Began(start, u[1])
+	f.Connected(start, sent)
+	f.Connected(start, served)
+	is.Equal(len(f.Lost(start.Add(longDial/2))), 0)
+	now := start.Add(longDial)
+	is.Equal(f.Lost(now), map[kingcuphook.Program]int{u[0].Program(): 1})
+	cutAll(f, now, peerA, u...)
+	now = now.Add(time.Second)
+	f.Heard(now, u[1].Program())
+	is.Equal(f.Lost(now), map[kingcuphook.Program]int{u[0].Program(): 2})
+	f.Ended(dialing)
+	f.Ended(sent)
+	f.Ended(served)
+	is.Equal(len(f.Lost(now)), 0)
+}
+
+// A router that was cut off noticed it only at the end of its dials.
+func TestSlowDialsAreEvidence(t *testing.T) {
+	is := is.New(t)
+	f, u, _ := newFinder(3)
+	far := f.Began(start, u[0])
+	f.Connected(start.Add(200*time.Millisecond), far)
+	now := start.Add(time.Second)
+	for _, one := range u[:2] {
+		f.Began(now, one)
+	}
+	now = now.Add(longDial)
+	is.Equal(len(f.SlowDials(now)), 0) // the first one takes as long as ever
+	f.Began(now.Add(-longDial), u[2])
+	is.Equal(len(f.SlowDials(now)), 2)
+}
+
 // Paths to programs that are gone would be kept for ever.
 func TestRetainForgetsPaths(t *testing.T) {
 	is := is.New(t)
--- a/tallier/loads.go
+++ b/tallier/loads.go
@@ -49,6 +49,23 @@
 	}
 }
 
+// Subtract subtracts numbers of requests by program, with their share of the tokens in prefill.
+func (l Loads) Subtract(requests map[kingcuphook.Program]int) {
+	for p, n := range requests {
+		k := Key(p.Key())
+		o, known := l[k]
+		if !known {
+			continue
+		}
+		left := max(o.Running-n, 0)
+		if left == 0 {
+			delete(l, k)
+			continue
+		}
+		l[k] = Load{Running: left, PrefillTokens: o.PrefillTokens * left / o.Running}
+	}
+}
+
 // Encode returns the loads as one payload or, if there are more than MaxEntries, as
 // payloads of half of MaxEntries on average. The key alone decides which of the
 // payloads has its entry, so that a key that is missing there has no load. Entries
--- a/tallier/tallier_test.go
+++ b/tallier/tallier_test.go
@@ -109,3 +109,14 @@
 		}
 	})
 }
+
+// Requests that are no load on an upstream would make other routers take it for full.
+func TestSubtract(t *testing.T) {
+	is := is.New(t)
+	u := kingcuphook.NewUpstream(kingcuphook.UpstreamFields{Address: "a", Instance: "i", StartTime: 17})
+	l := Loads{KeyOf(u): {Running: 4, PrefillTokens: 100}}
+	l.Subtract(map[kingcuphook.Program]int{u.Program(): 1})
+	is.Equal(l, Loads{KeyOf(u): {Running: 3, PrefillTokens: 75}})
+	l.Subtract(map[kingcuphook.Program]int{u.Program(): 5, kingcuphook.NewProgram("b", "i", 17): 1})
+	is.Equal(len(l), 0)
+}
--- a/transporter/transporter.go
+++ b/transporter/transporter.go
@@ -92,11 +92,20 @@
 // Send sends a request with do. It reports whether a connection was obtained; without
 // one, the request can't have reached the upstream.
 func Send(r *http.Request, do func(*http.Request) (*http.Response, error)) (resp *http.Response, connected bool, err error) {
+	return SendOn(r, do, nil)
+}
+
+// SendOn is Send, which calls obtained, if it is set, with each connection that the request obtains.
+// A request obtains a second one if the first was closed before it was sent.
+func SendOn(r *http.Request, do func(*http.Request) (*http.Response, error), obtained func(c net.Conn)) (resp *http.Response, connected bool, err error) {
 	var used atomic.Pointer[conn]
 	var gotConn atomic.Bool
 	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			gotConn.Store(true)
+			if obtained != nil {
+				obtained(info.Conn)
+			}
 			if c, ok := info.Conn.(*conn); ok {
 				used.Store(c)
 				c.acquire()
