Withdraw crashes of upstreams that a peer still reaches

Cause: a router that is cut off gets no answers that show that its upstreams go on, and hears from a peer that they do only if one of them sends a request there in time. Change: when the path to an upstream turns out to be cut, since a peer reaches the same program, crashes of it are withdrawn at once, here and at the peers; only if the evidence is less than 1.5 s old, so that no restarted program is meant. Measured: go test ./attacher -run 'TestRouterCutOff|TestCutOf' -count=2 passes, with the relay at; go test ./quarantiner ./isolator -run 'Withdraw|Answering|Import|Fuzz|Exchange' passes.

--- a/attacher/relays.go
+++ b/attacher/relays.go
@@ -12,8 +12,10 @@
 	"github.com/kingcuphook/kingcuphook"
 	"github.com/kingcuphook/kingcuphook/digester"
 	"github.com/kingcuphook/kingcuphook/forwarder"
+	"github.com/kingcuphook/kingcuphook/isolator"
 	"github.com/kingcuphook/kingcuphook/logger"
 	"github.com/kingcuphook/kingcuphook/pathfinder"
+	"github.com/kingcuphook/kingcuphook/quarantiner"
 	"github.com/kingcuphook/kingcuphook/relayer"
 )
 
@@ -176,6 +178,17 @@
 	}
 	r.a.Log.Log(event, "upstream", c.Upstream.Address(), "instance", c.Upstream.Instance(), "before", c.Before,
 		"evidence", c.Evidence, "evidence-ms-ago", c.EvidenceAge.Milliseconds(), "peer", c.Peer, "lasted-ms", c.Lasted.Milliseconds(), "cut", c.Cut)
+	r.withdrawCrashes(c)
+}
+
+// withdrawCrashes withdraws the suspicion that an upstream has crashed if a peer still reaches it.
+func (r *relays) withdrawCrashes(c pathfinder.Change) {
+	if c.Now != pathfinder.StateCut || c.Before != pathfinder.StateDirect || c.EvidenceAge >= quarantiner.RestartTime {
+		return
+	}
+	now := time.Now()
+	r.a.quarantine.Withdraw(now, isolator.FormatProgram(c.Upstream.Program()), now)
+	r.a.isolator.Withdraw(now, c.Upstream, now)
 }
 
 // updateHelpers passes the peers to the relays.
--- a/isolator/withdraw.go
+++ b/isolator/withdraw.go
@@ -53,7 +53,13 @@
 func (i *Isolator) Withdraw(now time.Time, u *kingcuphook.Upstream, until time.Time) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.withdraw(now, hashProgram(u.Program()), until)
+	program := hashProgram(u.Program())
+	for _, e := range i.entries {
+		if slices.ContainsFunc(e.crashes, func(c Crash) bool { return c.program == program && !c.at.After(until) }) {
+			i.withdraw(now, program, until)
+			return
+		}
+	}
 }
 
 func (i *Isolator) withdraw(now time.Time, program uint32, until time.Time) {
--- a/quarantiner/withdraw.go
+++ b/quarantiner/withdraw.go
@@ -5,22 +5,22 @@
 	"time"
 )
 
-// restartTime is the least time after a crash for which the upstream is away. An answer after
+// RestartTime is the least time after a crash for which the upstream is away. An answer after
 // that may come from the program that was started next.
-const restartTime = 1500 * time.Millisecond
+const RestartTime = 1500 * time.Millisecond
 
 // RecordAnswer records that an upstream has answered a request that was sent at a time. What
 // this router took for crashes of it before are none.
 func (q *Quarantiner) RecordAnswer(now time.Time, upstream string, sentAt time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if sentAt.Sub(q.lastCrash) >= restartTime {
+	if sentAt.Sub(q.lastCrash) >= RestartTime {
 		return
 	}
 	var until time.Time
 	for _, e := range q.entries {
 		for _, c := range e.crashes {
-			if c.upstream == upstream && c.knownAt.Before(sentAt) && sentAt.Sub(c.at) < restartTime {
+			if c.upstream == upstream && c.knownAt.Before(sentAt) && sentAt.Sub(c.at) < RestartTime {
 				until = later(until, c.at)
 			}
 		}
@@ -36,7 +36,12 @@
 func (q *Quarantiner) Withdraw(now time.Time, upstream string, until time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.withdraw(now, upstream, until)
+	for _, e := range q.entries {
+		if slices.ContainsFunc(e.crashes, func(c Crash) bool { return c.upstream == upstream && !c.at.After(until) }) {
+			q.withdraw(now, upstream, until)
+			return
+		}
+	}
 }
 
 func (q *Quarantiner) withdraw(now time.Time, upstream string, until time.Time) {
--- a/quarantiner/withdraw_test.go
+++ b/quarantiner/withdraw_test.go
@@ -20,11 +20,11 @@
 	is.NoErr(other.Import(now, held))
 	peer.RecordAnswer(now, "u1", now.Add(-1)) // sent before the peer knew of the crash
 	is.Equal(peer.Check(now, harmless), VerdictHeld)
-	now = now.Add(restartTime)
+	now = now.Add(RestartTime)
 	peer.RecordAnswer(now, "u1", now) // the next program may have sent it
 	is.Equal(peer.Check(now, harmless), VerdictHeld)
-	peer.RecordAnswer(now, "u1", after(restartTime-1))
-	peer.RecordAnswer(now, "u2", after(restartTime-1))
+	peer.RecordAnswer(now, "u1", after(RestartTime-1))
+	peer.RecordAnswer(now, "u2", after(RestartTime-1))
 	is.Equal(peer.Check(now, harmless), VerdictClear)
 	now = now.Add(time.Second)
 	is.Equal(cut.Check(now, harmless), VerdictQuarantined)
