Add short silences and cut paths to the fault matrix

Change: a fault in which an upstream sends nothing for 2.5 s and goes on, and one in which the path of an attempt is cut while the upstream lives. The attempts behind a cut path need no relay here, since the matrix has no connections: it shows what callers get of an attempt that was running.

--- a/emulator/runner/runner.go
+++ b/emulator/runner/runner.go
@@ -29,6 +29,10 @@
 	FaultSlow FaultKind = "straggle"
 	// FaultSilence sends nothing more and keeps the stream open.
 	FaultSilence FaultKind = "silence"
+	// FaultPause sends nothing for 2.5 s and goes on.
+	FaultPause FaultKind = "pause"
+	// FaultPathLost ends the connection of the attempt, whose upstream lives.
+	FaultPathLost FaultKind = "path-lost"
 	// FaultGarbage sends a frame of an unknown kind.
 	FaultGarbage FaultKind = "garbage"
 	// FaultEarlyEnd ends the stream without an end marker.
@@ -82,6 +86,7 @@
 	defaultFrames    = 20
 	defaultFrameTime = 10 * time.Millisecond
 	slowFactor       = 10
+	pauseTime        = 2500 * time.Millisecond
 	foreignAttempt   = "foreign"
 	garbageKind      = "garbage"
 	finishReason     = "stop"
@@ -185,6 +190,9 @@
 	if fault.Kind == FaultSlow {
 		wait *= slowFactor
 	}
+	if fault.Kind == FaultPause {
+		wait += pauseTime
+	}
 	if err := e.work(ctx, wait, down); err != nil {
 		e.update(func() { run.Cancelled = ctx.Err() != nil })
 		return kingcuphook.Answer{}, fmt.Errorf("runner: %w: %w", kingcuphook.ErrOutcomeUnknown, err)
@@ -202,6 +210,8 @@
 		e.update(func() { run.Finished = true })
 		<-ctx.Done()
 		return kingcuphook.Answer{}, fmt.Errorf("runner: upstream is unresponsive: %w", kingcuphook.ErrOutcomeUnknown)
+	case FaultPathLost:
+		return kingcuphook.Answer{}, fmt.Errorf("runner: connection was cut: %w: %w", kingcuphook.ErrOutcomeUnknown, kingcuphook.ErrPathLost)
 	case FaultLoseReply, FaultGarbage, FaultEarlyEnd, FaultFalseEnd:
 		e.update(func() { run.Finished = true })
 		return kingcuphook.Answer{}, fmt.Errorf("runner: lost the answer: %w", kingcuphook.ErrOutcomeUnknown)
--- a/emulator/runner/stream.go
+++ b/emulator/runner/stream.go
@@ -81,6 +81,10 @@
 	case FaultSilence:
 		<-ctx.Done()
 		return true, fmt.Errorf("runner: %w", ctx.Err())
+	case FaultPause:
+		return false, s.engine.work(ctx, pauseTime, s.down)
+	case FaultPathLost:
+		return true, fmt.Errorf("runner: connection was cut: %w: %w", kingcuphook.ErrBrokenStream, kingcuphook.ErrPathLost)
 	case FaultGarbage:
 		s.push(s.run.Attempt, s.next, garbageKind, "")
 		return true, nil
--- a/prover/fault.go
+++ b/prover/fault.go
@@ -19,6 +19,8 @@
 	FaultRateLimit        Fault = "upstream-rate-limit"
 	FaultStraggle         Fault = "straggle"
 	FaultSilence          Fault = "silence"
+	FaultShortSilence     Fault = "short-silence"
+	FaultPathCut          Fault = "path-cut"
 	FaultGarbage          Fault = "garbage"
 	FaultEarlyEnd         Fault = "early-end"
 	FaultFalseEnd         Fault = "false-end"
@@ -41,7 +43,7 @@
 
 // Faults lists all faults, FaultNone first.
 var Faults = []Fault{
-	FaultNone, FaultUpstreamRefuse, FaultUpstreamCrash, FaultRateLimit, FaultStraggle, FaultSilence, FaultGarbage,
+	FaultNone, FaultUpstreamRefuse, FaultUpstreamCrash, FaultRateLimit, FaultStraggle, FaultSilence, FaultShortSilence, FaultPathCut, FaultGarbage,
 	FaultEarlyEnd, FaultFalseEnd, FaultDuplicateEnd, FaultLateFrame, FaultReorderedFrame,
 	FaultForeignFrame, FaultReplyLost, FaultRouterCrash, FaultRouterPause, FaultRouterStop, FaultStoreDown,
 	FaultStoreSlow, FaultStoreReplyLost, FaultLeaseExpired, FaultPeerCut, FaultCallerGone,
@@ -65,6 +67,8 @@
 	FaultUpstreamCrash:  runner.FaultCrash,
 	FaultStraggle:       runner.FaultSlow,
 	FaultSilence:        runner.FaultSilence,
+	FaultShortSilence:   runner.FaultPause,
+	FaultPathCut:        runner.FaultPathLost,
 	FaultGarbage:        runner.FaultGarbage,
 	FaultEarlyEnd:       runner.FaultEarlyEnd,
 	FaultFalseEnd:       runner.FaultFalseEnd,
--- a/prover/matrix.go
+++ b/prover/matrix.go
@@ -81,7 +81,7 @@
 		if !dispatched {
 			return "not-run"
 		}
-	case FaultUpstreamCrash, FaultSilence, FaultGarbage, FaultEarlyEnd, FaultFalseEnd, FaultReorderedFrame, FaultReplyLost:
+	case FaultUpstreamCrash, FaultPathCut, FaultSilence, FaultGarbage, FaultEarlyEnd, FaultFalseEnd, FaultReorderedFrame, FaultReplyLost:
 		if dispatched && (k.claimed() || k == KindOnce) {
 			return "unknown"
 		}
