--- a/attacher/exchange.go
+++ b/attacher/exchange.go
@@ -91,6 +91,7 @@
 // schedulers.
 func (a *Attacher) exchangeLoads(ctx context.Context) {
 	own := a.tally.Own()
+	own.Subtract(a.relays.paths.Lost(time.Now()))
 	var sum tallier.Sum
 	done := a.control.do(ctx, func(now time.Time) {
 		a.control.sendAll(a.control.loads.Tick(now, own, a.control.peers.byDataCentre()))
@@ -137,6 +138,7 @@
 	others := c.peers.pickRandom(len(c.peers.lastSeen) + len(c.peers.seeds))
 	c.a.pins.peers.Store(&others)
 	c.updateIssuers(now)
+	c.updateHelpers()
 	f := c.shortDigest(now)
 	c.send(f, c.peers.pickRandomNear(nearPeers))
 	f.Leaving = c.a.withdrawn.Encode()
@@ -157,14 +159,15 @@
 // shortDigest returns the fields of a digest without leaving and suspected upstreams.
 func (c *control) shortDigest(now time.Time) digester.Fields {
 	return digester.Fields{
-		Version:    c.store.Version(),
-		Revision:   c.store.Revision(),
-		DataCentre: c.peers.centre,
-		CanFollow:  !c.ineligible(now),
-		Current:    !c.currentAt.IsZero(),
-		CurrentAge: max(now.Sub(c.currentAt), 0),
-		Delegates:  c.delegator.Candidates(now),
-		Members:    c.peers.recent(digester.MaxMembers),
+		Version:     c.store.Version(),
+		Revision:    c.store.Revision(),
+		DataCentre:  c.peers.centre,
+		CanFollow:   !c.ineligible(now),
+		Current:     !c.currentAt.IsZero(),
+		CurrentAge:  max(now.Sub(c.currentAt), 0),
+		CarriesNone: c.a.relays.carriesNone(),
+		Delegates:   c.delegator.Candidates(now),
+		Members:     c.peers.recent(digester.MaxMembers),
 	}
 }
 
@@ -184,6 +187,7 @@
 	event := func(now time.Time) {
 		if c.peers.recordSeen(now, from) {
 			c.a.Log.Log(logger.PeerJoined, "peer", from)
+			c.updateHelpers()
 			// A router that has just started has a short list of others.
 			c.send(c.shortDigest(now), []netip.Addr{from})
 			c.greetWithParts(now, from)
@@ -195,6 +199,7 @@
 			}
 		}
 		c.updateDelegates(now, from, d)
+		c.updateCarries(now, from, d.CarriesNone())
 		c.compareRevision(now, from, d)
 	}
 	c.offer(event)
--- a/attacher/outofstep_test.go
+++ b/attacher/outofstep_test.go
@@ -85,7 +85,7 @@
 		digest digester.Fields
 		want   time.Time
 	}{
-		"current":               {[]time.Duration{200 * time.Millisecond}, digester.Fields{Current: true, CurrentAge: 100 * time.Millisecond}, now.Add(-100 * time.Millisecond)},
+		"current":               {[]time.Duration{200 * time.Millisecond}, digester.Fields{Current: true, CurrentAge: 120 * time.Millisecond}, now.Add(-120 * time.Millisecond)},
 		"sender doesn't know":   {[]time.Duration{200 * time.Millisecond}, digester.Fields{CanFollow: true}, time.Time{}},
 		"sender is out of step": {[]time.Duration{200 * time.Millisecond}, digester.Fields{CanFollow: true, Current: true, CurrentAge: time.Minute}, time.Time{}},
 		"newer revision":        {[]time.Duration{200 * time.Millisecond}, digester.Fields{Current: true, Revision: 1}, time.Time{}},
--- a/digester/digester.go
+++ b/digester/digester.go
@@ -36,11 +36,15 @@
 	delegateBytes = memberBytes + 1
 	// ageUnit is the unit in which ages are encoded.
 	ageUnit = 20 * time.Millisecond
-	// flagCanFollow is the flag bit for a sender that can follow the store. The other bits of
-	// the flags are 0, or 1 more than the age at which the sender's data were current.
-	flagCanFollow = 1
-	flagBits      = 1
-	maxAge        = (1<<7 - 2) * ageUnit
+	// flagCanFollow is the flag bit for a sender that can follow the store, flagCarriesNone that
+	// for one that carries no connections for peers. The bits after these flagBits are 0, or 1
+	// more than the age at which the sender's data were current.
+	flagCanFollow   = 1
+	flagCarriesNone = 2
+	flagBits        = 2
+	// currentUnit is the unit of that age, maxCurrentAge the largest one.
+	currentUnit   = 40 * time.Millisecond
+	maxCurrentAge = (1<<(8-flagBits) - 2) * currentUnit
 )
 
 // Fields are the contents of a Digest.
@@ -57,6 +61,8 @@
 	// time CurrentAge ago, which is at most 2.5 s.
 	Current    bool
 	CurrentAge time.Duration
+	// CarriesNone is set if the sender carries no connections to upstreams for peers now.
+	CarriesNone bool
 	// Members are addresses of other routers that the sender has seen most recently,
 	// directly or in a digest of another router.
 	Members []netip.Addr
@@ -97,6 +103,9 @@
 // the sender knows; ok is false if it doesn't.
 func (d Digest) CurrentAge() (age time.Duration, ok bool) { return d.f.CurrentAge, d.f.Current }
 
+// CarriesNone reports whether the sender carries no connections to upstreams for peers now.
+func (d Digest) CarriesNone() bool { return d.f.CarriesNone }
+
 // Delegates returns routers in the sender's data centre that can follow the store;
 // the caller must not modify the slice.
 func (d Digest) Delegates() []delegator.Candidate { return d.f.Delegates }
@@ -127,8 +136,11 @@
 	if d.f.CanFollow {
 		flags |= flagCanFollow
 	}
-	if d.f.Current && d.f.CurrentAge <= maxAge {
-		flags |= (encodeAge(d.f.CurrentAge) + 1) << flagBits
+	if d.f.Current && d.f.CurrentAge <= maxCurrentAge {
+		flags |= (encodeCurrentAge(d.f.CurrentAge) + 1) << flagBits
+	}
+	if d.f.CarriesNone {
+		flags |= flagCarriesNone
 	}
 	b = append(b, flags)
 	b = appendMembers(b, d.f.Members)
@@ -174,6 +186,11 @@
 // encodeAge returns an age in whole units, rounded up and limited to 255 of them.
 func encodeAge(age time.Duration) byte { return byte(min((age+ageUnit-1)/ageUnit, 255)) }
 
+// encodeCurrentAge returns an age of at most maxCurrentAge in whole units, rounded up.
+func encodeCurrentAge(age time.Duration) byte {
+	return byte((age + currentUnit - 1) / currentUnit)
+}
+
 // Decode decodes an encoded digest. The error wraps ErrInvalid.
 func Decode(b []byte) (Digest, error) {
 	if len(b) < fixedBytes || b[0] != formatVersion {
@@ -186,8 +203,9 @@
 	f.DataCentre = binary.BigEndian.Uint32(b[17:])
 	f.CanFollow = b[21]&flagCanFollow != 0
 	if age := b[21] >> flagBits; age > 0 {
-		f.Current, f.CurrentAge = true, time.Duration(age-1)*ageUnit
+		f.Current, f.CurrentAge = true, time.Duration(age-1)*currentUnit
 	}
+	f.CarriesNone = b[21]&flagCarriesNone != 0
 	b = b[22:]
 	n := int(b[0])
 	b = b[1:]
--- a/dispatcher/errors.go
+++ b/dispatcher/errors.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"syscall"
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
@@ -92,10 +93,24 @@
 	if errors.As(err, &frameErr) || isFinal(err) {
 		return false
 	}
-	for _, other := range []error{kingcuphook.ErrUpstreamAnswered, kingcuphook.ErrTooLarge, kingcuphook.ErrForeignFrame} {
+	for _, other := range []error{kingcuphook.ErrPathLost, kingcuphook.ErrUpstreamAnswered, kingcuphook.ErrTooLarge, kingcuphook.ErrForeignFrame} {
 		if errors.Is(err, other) {
 			return false
 		}
 	}
+	if isPathError(err) {
+		return false
+	}
 	return errors.Is(err, kingcuphook.ErrBrokenStream) || errors.Is(err, kingcuphook.ErrOutcomeUnknown)
 }
+
+// isPathError reports whether an error shows that packets to or from the upstream are lost,
+// which says nothing of its program: a crashed one resets its connections.
+func isPathError(err error) bool {
+	for _, path := range []error{syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ENETUNREACH, syscall.EHOSTDOWN, syscall.ENETDOWN} {
+		if errors.Is(err, path) {
+			return true
+		}
+	}
+	return false
+}
--- a/transporter/transporter.go
+++ b/transporter/transporter.go
@@ -37,6 +37,12 @@
 	// IdleUserTimeout that while none does; 0 means that of the kernel. It also decides when
 	// keepalive probes give up.
 	UserTimeout, IdleUserTimeout time.Duration
+	// Dial opens the connections instead of the standard dialer, if it is set. The settings of
+	// a connection are then its own matter.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Received, if set, is called whenever bytes were received on a connection of the standard
+	// dialer. It must be safe for concurrent use.
+	Received func()
 }
 
 // New returns an HTTP transport with these settings.
@@ -51,8 +57,12 @@
 			Count:    keepAliveProbes,
 		},
 	}
+	opened := t.timed(t.tracked(dial.DialContext))
+	if t.Dial != nil {
+		opened = t.Dial
+	}
 	return &http.Transport{
-		DialContext:            t.timed(t.tracked(dial.DialContext)),
+		DialContext:            opened,
 		DisableKeepAlives:      t.DisableKeepAlives,
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdlePerUpstream,
@@ -82,11 +92,20 @@
 // Send sends a request with do. It reports whether a connection was obtained; without
 // one, the request can't have reached the upstream.
 func Send(r *http.Request, do func(*http.Request) (*http.Response, error)) (resp *http.Response, connected bool, err error) {
+	return SendOn(r, do, nil)
+}
+
+// SendOn is Send, which calls obtained, if it is set, with each connection that the request obtains.
+// A request obtains a second one if the first was closed before it was sent.
+func SendOn(r *http.Request, do func(*http.Request) (*http.Response, error), obtained func(c net.Conn)) (resp *http.Response, connected bool, err error) {
 	var used atomic.Pointer[conn]
 	var gotConn atomic.Bool
 	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			gotConn.Store(true)
+			if obtained != nil {
+				obtained(info.Conn)
+			}
 			if c, ok := info.Conn.(*conn); ok {
 				used.Store(c)
 				c.acquire()
