--- a/soaker/connection.go
+++ b/soaker/connection.go
@@ -189,6 +189,9 @@
 	for strings.Count(read.String(), "\n\n") < events {
 		n, err := body.Read(buffer)
 		read.Write(buffer[:n])
+		if err == io.EOF && strings.Count(read.String(), "\n\n") >= events {
+			return read.String(), nil
+		}
 		if err == io.EOF {
 			return read.String(), io.ErrUnexpectedEOF
 		}
