--- a/cmd/kingcuphook/soak.go
+++ b/cmd/kingcuphook/soak.go
@@ -18,7 +18,7 @@
 	Callers   int           `long:"callers" default:"16" description:"Callers that call at once"`
 	Changes   bool          `long:"changes" description:"Also change the declaration, empty pools, silence upstreams and stop routers with long streams"`
 	Versions  int           `long:"versions" description:"Software versions of the upstreams at the beginning; with one or more, streams are resumed, upstreams released and all routers killed"`
-	Odd       bool          `long:"odd" description:"Also write odd entries to the store and have upstreams write refusals once more"`
+	Odd       bool          `long:"odd" description:"Also write odd entries to the store, have upstreams write refusals once more, cut the heads of answers and, without versions, break streams and answer with something else"`
 	Host      int           `long:"host" default:"1" description:"Third byte of the loopback addresses; differs between runs beside one another"`
 	Keep      string        `long:"keep" description:"Directory for settings and logs; a temporary one if left out, which is kept if a promise is broken"`
 }
--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -90,8 +90,13 @@
 			func() fault { return env.oddFault(s.rng, duration) },
 			func() fault { return env.repeatFault(i) },
 			func() fault { return env.repeatFault(i) },
+			func() fault { return env.cutHeadFault(i, s.rng) },
 		)
 	}
+	if s.Odd && s.Versions == 0 {
+		// A caller that resumes a stream itself would get these answers as they are.
+		kinds = append(kinds, func() fault { return env.brokenStreamFault(s.rng) })
+	}
 	return kinds[s.rng.IntN(len(kinds))]()
 }
 
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -36,7 +36,8 @@
 	// Versions is the number of software versions of the upstreams at the beginning. With one or
 	// more, callers resume streams, upstreams are released, and all routers are killed at once.
 	Versions int
-	// Odd adds odd entries in the store and upstreams that write refusals once more.
+	// Odd adds odd entries in the store, and upstreams that write refusals once more, cut the heads
+	// of answers and, with no Versions, break streams and answer with something else.
 	Odd bool
 	// Dir is the directory for settings and logs.
 	Dir string
