Distrust what a router knew of versions after its VM was suspended

The monotonic clock of Linux stands still while a VM is suspended, so that tables and records from before counted as up to 2 s old after any time, and a stream of a version that had come meanwhile was taken for one of the only version known. The control loop compares both clocks at each turn, at least each 0.2 s; if the wall clock gained 0.6 s, nothing counts as fresh until it is confirmed or read again. A step of the wall clock costs a read of the record.

TestSuspendedRouterDistrustsWhatItKnew fails without the comparison.

--- a/attacher/control.go
+++ b/attacher/control.go
@@ -177,13 +177,26 @@
 
 // beginTurn records that the control loop begins to handle an event, and returns the time.
 func (c *control) beginTurn(now time.Time) time.Time {
-	if !c.turnAt.IsZero() && now.Sub(c.turnAt) > standstillAfter {
-		c.standstillAt = now
+	if !c.turnAt.IsZero() {
+		c.recordGap(now, now.Sub(c.turnAt), now.Round(0).Sub(c.turnAt.Round(0)))
 	}
 	c.turnAt = now
 	return now
 }
 
+// recordGap records the time between two turns on the monotonic clock and on the wall clock. While
+// a VM is suspended, the former stands still.
+func (c *control) recordGap(now time.Time, monotonic, wall time.Duration) {
+	isSuspended := wall-monotonic > standstillAfter
+	if isSuspended || monotonic > standstillAfter {
+		c.standstillAt = now
+	}
+	if isSuspended {
+		c.currentAt = time.Time{}
+		c.a.pins.pinner.Distrust()
+	}
+}
+
 // isDrained reports whether no datagram that is received now can have waited in the socket while
 // the process stood still.
 func (c *control) isDrained(now time.Time) bool {
--- a/attacher/outofstep_test.go
+++ b/attacher/outofstep_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/kingcuphook/kingcuphook"
 	"github.com/kingcuphook/kingcuphook/digester"
+	"github.com/kingcuphook/kingcuphook/pinner"
 	"github.com/kingcuphook/kingcuphook/platform"
 	"github.com/kingcuphook/kingcuphook/platform/standin"
 	"github.com/kingcuphook/kingcuphook/subscriber"
@@ -107,3 +108,23 @@
 		})
 	}
 }
+
+// The monotonic clock stands still while a VM is suspended, so that what its router knew stayed fresh.
+func TestSuspendedRouterDistrustsWhatItKnew(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_700_000_000, 0)
+	upstream := kingcuphook.NewUpstream(kingcuphook.UpstreamFields{SoftwareVersion: "1"})
+	pool := kingcuphook.NewPool(kingcuphook.PoolFields{Name: "models", Upstreams: []*kingcuphook.Upstream{upstream}})
+	for _, wall := range []time.Duration{200 * time.Millisecond, 5 * time.Second} {
+		c := &control{a: &Attacher{pins: &pins{}}, currentAt: now}
+		p := &c.a.pins.pinner
+		p.Observe(now, kingcuphook.NewTables(1, nil, []*kingcuphook.Pool{pool}))
+		p.Apply(now, now, pinner.Record{Pool: "models", Versions: []pinner.RecordedVersion{{Version: "1"}}}, 1)
+		p.Confirm(now)
+		c.recordGap(now, 200*time.Millisecond, wall)
+		_, err := p.Find(now, now, 1, "models")
+		is.Equal(err == nil, wall < time.Second)
+		is.Equal(c.currentAt.IsZero(), wall > time.Second)
+		is.Equal(c.isDrained(now), wall < time.Second)
+	}
+}
--- a/pinner/versions.go
+++ b/pinner/versions.go
@@ -245,6 +245,16 @@
 	}
 }
 
+// Distrust records that it is not known how old the tables and the records are.
+func (p *Pinner) Distrust() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.confirmedAt = time.Time{}
+	for _, pool := range p.pools {
+		pool.readAt = time.Time{}
+	}
+}
+
 // pool returns the pool with the name, which is added if it is new.
 func (p *Pinner) pool(name string) *pool {
 	if p.pools == nil {
