--- a/attacher/relays.go
+++ b/attacher/relays.go
@@ -48,7 +48,7 @@
 		IsRouter:     r.isRouter,
 		IsUpstream:   func(p kingcuphook.Program) bool { known := r.programs.Load(); return known != nil && (*known)[p] },
 		Reaches:      func(p kingcuphook.Program) bool { return r.paths.Reaches(time.Now(), p) },
-		IsStopping:   func() bool { return a.stopping.Load() != nil },
+		CarriesNone:  r.carriesNone,
 		LocalAddress: local,
 		OnRefused: func(from netip.Addr, id, upstream, reason string) {
 			a.Log.Log(logger.RelayRefused, "connection", id, "peer", from, "upstream", upstream, "reason", reason)
--- a/forwarder/path.go
+++ b/forwarder/path.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"slices"
 	"sync"
 	"time"
@@ -163,7 +164,7 @@
 	var c *check
 	switch {
 	case peer.IsValid() && e == pathfinder.EvidenceDial:
-		if f.Paths.PeerFailed(now, u, peer, !errors.Is(err, relayer.ErrRefused)) {
+		if f.Paths.PeerFailed(now, u, peer, isForAll(err)) {
 			return true
 		}
 		c = f.startCheck(u, peer)
@@ -178,6 +179,15 @@
 	return f.via(u) != peer
 }
 
+// isForAll reports whether the error of a dial through a peer means that the peer can carry no
+// connection to any upstream. A dial that timed out may have done so beyond the peer.
+func isForAll(err error) bool {
+	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded) {
+		return false
+	}
+	return errors.Is(err, relayer.ErrCarriesNone) || errors.Is(err, kingcuphook.ErrNotSent) && !errors.Is(err, relayer.ErrRefused)
+}
+
 // awaitCheck waits a short time for the end of a check.
 func (f *Forwarder) awaitCheck(ctx context.Context, c *check) {
 	wait := checkWait
@@ -330,6 +340,9 @@
 	}
 	resp, err := transport.RoundTrip(r)
 	if err != nil {
+		if peer.IsValid() && !errors.Is(err, context.Canceled) {
+			f.Paths.Avoid(time.Now(), u, peer, isForAll(err))
+		}
 		return false
 	}
 	defer resp.Body.Close()
--- a/pathfinder/pathfinder.go
+++ b/pathfinder/pathfinder.go
@@ -556,6 +556,17 @@
 	return f.replacePeer(now, p)
 }
 
+// Avoid records that a peer failed for an upstream that was probed through it, or for all.
+func (f *Pathfinder) Avoid(now time.Time, u *kingcuphook.Upstream, peer netip.Addr, forAll bool) {
+	f.mu.Lock()
+	defer f.unlock()
+	key := peerKey{peer: peer}
+	if !forAll {
+		key.program = u.Program()
+	}
+	f.fail(now, key)
+}
+
 // Withdraw records that a peer carries no new connections.
 func (f *Pathfinder) Withdraw(now time.Time, peer netip.Addr) {
 	f.mu.Lock()
--- a/relayer/door.go
+++ b/relayer/door.go
@@ -19,7 +19,7 @@
 
 // Defaults of Door.
 const (
-	defaultMax         = 256
+	defaultMax         = 512
 	defaultDialTimeout = 250 * time.Millisecond
 	defaultIdleTimeout = 2 * time.Minute
 	// endTimeout bounds how long a peer may take to close a connection that the upstream has
@@ -34,7 +34,7 @@
 	reasonUnknown  = "the upstream is not in the tables"
 	reasonFull     = "too many relayed connections"
 	reasonNoPath   = "this router does not reach the upstream"
-	reasonStopping = "this router is stopping"
+	reasonClosed   = "this router carries no connections now"
 )
 
 // Ends of relayed connections.
@@ -71,8 +71,9 @@
 	// Reaches reports whether this router has a direct path to the program; nil means that it
 	// has to all.
 	Reaches func(p kingcuphook.Program) bool
-	// IsStopping reports whether this router is stopping; nil means that it isn't.
-	IsStopping func() bool
+	// CarriesNone reports whether this router carries no connections now, since it is stopping or
+	// is cut off itself; nil means that it does.
+	CarriesNone func() bool
 	// LocalAddress is the address that connections to upstreams come from; nil means any.
 	LocalAddress net.Addr
 	// OnFailure, if set, is called if a connection to an upstream can't be opened.
@@ -80,7 +81,8 @@
 	// OnRefused, if set, is called for each refused connection, OnEnd for each that has ended.
 	OnRefused func(from netip.Addr, id, upstream, reason string)
 	OnEnd     func(r Relayed)
-	// Max is the largest number of relayed connections; 0 means 256.
+	// Max is the largest number of relayed connections, of which one peer may have half; 0 means
+	// 512.
 	Max int64
 	// DialTimeout bounds opening a connection to an upstream; 0 means 250 ms.
 	DialTimeout time.Duration
@@ -116,6 +118,13 @@
 	return n
 }
 
+// countFrom returns the number of open connections of a peer.
+func (d *Door) countFrom(a netip.Addr) int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return int64(d.sources[a])
+}
+
 // Sources returns the peers that have open connections.
 func (d *Door) Sources() []netip.Addr {
 	d.mu.Lock()
@@ -161,8 +170,10 @@
 		return http.StatusForbidden, reasonForeign
 	case !valid || id == "" || len(id) > maxIDBytes:
 		return http.StatusBadRequest, reasonProtocol
-	case d.IsStopping != nil && d.IsStopping():
-		return http.StatusServiceUnavailable, reasonStopping
+	case d.CarriesNone != nil && d.CarriesNone():
+		return http.StatusServiceUnavailable, reasonClosed
+	case d.countFrom(from) >= (d.max()+1)/2 && d.max() > 1:
+		return http.StatusTooManyRequests, reasonFull
 	case !d.IsUpstream(p):
 		return http.StatusNotFound, reasonUnknown
 	case d.Reaches != nil && !d.Reaches(p):
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -7,6 +7,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/binary"
 	"errors"
@@ -43,14 +44,18 @@
 	// 0 is the end mark.
 	headerBytes = 2
 	// blockBytes is the largest length of the data of a block.
-	blockBytes = 8 << 10
+	blockBytes = 4 << 10
 	// keepAliveInterval and keepAliveProbes are those of connections to peers.
 	keepAliveInterval = time.Second
 	keepAliveProbes   = 3
 )
 
-// ErrRefused means that the peer is reached and refuses to carry the connection.
-var ErrRefused = errors.New("refused by the peer")
+var (
+	// ErrRefused means that the peer is reached and can't carry the connection to this upstream.
+	ErrRefused = errors.New("refused by the peer")
+	// ErrCarriesNone means that the peer is reached and carries no connections now.
+	ErrCarriesNone = errors.New("peer carries no connections now")
+)
 
 // Relayer opens connections to upstreams through peers. It is safe for concurrent use.
 type Relayer struct {
@@ -61,7 +66,7 @@
 
 // Dial opens a connection to the program of an upstream through the peer at an address. The
 // identifier names the connection in the logs of both routers. An error wraps
-// kingcuphook.ErrNotSent, and ErrRefused if the peer refuses.
+// kingcuphook.ErrNotSent, and ErrRefused or ErrCarriesNone if the peer refuses.
 func (r *Relayer) Dial(ctx context.Context, peer string, p kingcuphook.Program, id string) (*Conn, error) {
 	c, err := r.dial(ctx, peer, p, id)
 	if err != nil {
@@ -113,7 +118,11 @@
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusSwitchingProtocols {
 		reason, _ := io.ReadAll(io.LimitReader(resp.Body, maxReasonBytes))
-		return nil, fmt.Errorf("status %d, %s: %w", resp.StatusCode, reason, ErrRefused)
+		refusal := ErrCarriesNone
+		if resp.StatusCode == http.StatusNotFound || resp.StatusCode == http.StatusBadGateway {
+			refusal = ErrRefused
+		}
+		return nil, fmt.Errorf("status %d, %s: %w", resp.StatusCode, bytes.TrimSpace(reason), refusal)
 	}
 	return buffered, nil
 }
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -65,7 +65,7 @@
 	d.NoErr(err)
 	d.t.Cleanup(func() { c.Close() })
 	upstream = <-d.accepted
-	d.t.Cleanup(func() { upstream.Close() })
+	d.t.Cleanup(func() { _ = upstream.Close() })
 	return c, upstream
 }
 
@@ -73,7 +73,10 @@
 func (d *testDoor) refuses(source string, p kingcuphook.Program, reason string) {
 	d.t.Helper()
 	_, err := (&Relayer{LocalAddress: &net.TCPAddr{IP: net.ParseIP(source)}}).Dial(d.t.Context(), d.address, p, "c-2")
-	d.True(errors.Is(err, ErrRefused) && errors.Is(err, kingcuphook.ErrNotSent))
+	forAll := reason == reasonForeign || reason == reasonFull || reason == reasonClosed
+	d.Equal(errors.Is(err, ErrCarriesNone), forAll)
+	d.Equal(errors.Is(err, ErrRefused), !forAll)
+	d.True(errors.Is(err, kingcuphook.ErrNotSent))
 	d.Equal(<-d.refused, reason)
 	select {
 	case <-d.accepted:
@@ -100,8 +103,8 @@
 // A helper would pass a connection on in a circle, or be swamped.
 func TestDoorRefusesWhatItCannotCarry(t *testing.T) {
 	d := newTestDoor(t)
-	stopping, reaches := false, true
-	d.IsStopping = func() bool { return stopping }
+	closed, reaches := false, true
+	d.CarriesNone = func() bool { return closed }
 	d.Reaches = func(kingcuphook.Program) bool { return reaches }
 	d.Max = 1
 	c, _ := d.open()
@@ -113,8 +116,8 @@
 	}
 	reaches = false
 	d.refuses("127.0.0.1", d.program, reasonNoPath)
-	stopping = true
-	d.refuses("127.0.0.1", d.program, reasonStopping)
+	closed = true
+	d.refuses("127.0.0.1", d.program, reasonClosed)
 }
 
 // An answer without a length that the path cut off looked complete.
@@ -123,7 +126,7 @@
 		d := newTestDoor(t)
 		c, upstream := d.open()
 		long := strings.Repeat("answer ", 5000)
-		go func() { _, _ = io.WriteString(upstream, long); upstream.Close() }()
+		go func() { _, _ = io.WriteString(upstream, long); _ = upstream.Close() }()
 		got, err := io.ReadAll(c)
 		d.NoErr(err)
 		d.Equal(string(got), long)
@@ -142,7 +145,7 @@
 		d.NoErr(err)
 		d.Equal(string(buffer[:n]), "half")
 		d.NoErr(upstream.SetLinger(0))
-		upstream.Close()
+		_ = upstream.Close()
 		_, err = c.Read(buffer)
 		d.True(errors.Is(err, syscall.ECONNRESET) || errors.Is(err, io.ErrUnexpectedEOF))
 		end := <-d.ended
