Let the user timeout alone end connections to silent upstreams

Change: a connection with a user timeout has the most probes that Linux allows, 127, so that the user timeout decides: 5 s in use, 1.2 s idle. Why it works: on Linux the user timeout decides whatever the count is, so a dead machine is noticed as soon as before.

--- a/transporter/conn_test.go
+++ b/transporter/conn_test.go
@@ -46,16 +46,37 @@
 	is.Equal(len(opened), 1)
 }
 
+// Three keepalive probes ended calls on connections that were silent twice within 4 s.
+func TestKeepAliveEndsNoConnectionBeforeUserTimeout(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.NotFoundHandler())
+	defer server.Close()
+	for _, timeout := range []time.Duration{5 * time.Second, 20 * time.Second} {
+		settings := Transporter{DialTimeout: time.Second, KeepAlive: time.Second, UserTimeout: timeout, IdleUserTimeout: time.Second}
+		opened, err := settings.New().DialContext(t.Context(), "tcp", server.Listener.Addr().String())
+		is.NoErr(err)
+		probes := option(t, opened.(*conn), unix.TCP_KEEPCNT)
+		is.True(time.Duration(probes)*settings.KeepAlive > timeout)
+		is.NoErr(opened.Close())
+	}
+}
+
 // userTimeout returns the user timeout of a connection.
 func userTimeout(t *testing.T, c *conn) time.Duration {
+	t.Helper()
+	return time.Duration(option(t, c, unix.TCP_USER_TIMEOUT)) * time.Millisecond
+}
+
+// option returns the value of a TCP option of a connection.
+func option(t *testing.T, c *conn, name int) int {
 	t.Helper()
 	raw, err := c.SyscallConn()
 	if err != nil {
 		t.Fatal(err)
 	}
-	var ms int
-	if err := raw.Control(func(fd uintptr) { ms, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT) }); err != nil {
+	var value int
+	if err := raw.Control(func(fd uintptr) { value, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, name) }); err != nil {
 		t.Fatal(err)
 	}
-	return time.Duration(ms) * time.Millisecond
+	return value
 }
--- a/transporter/transporter.go
+++ b/transporter/transporter.go
@@ -12,7 +12,10 @@
 )
 
 const (
+	// keepAliveProbes is how many probes of a connection without a user timeout may get no
+	// answer. With one, that decides alone: maxKeepAliveProbes is the most that Linux allows.
 	keepAliveProbes    = 3
+	maxKeepAliveProbes = 127
 	maxIdlePerUpstream = 64
 	maxResponseHeader  = 64 << 10
 )
@@ -54,7 +57,7 @@
 			Enable:   true,
 			Idle:     t.KeepAlive,
 			Interval: t.KeepAlive,
-			Count:    keepAliveProbes,
+			Count:    t.keepAliveProbes(),
 		},
 	}
 	opened := t.timed(t.tracked(dial.DialContext))
@@ -71,6 +74,14 @@
 	}
 }
 
+// keepAliveProbes returns how many keepalive probes may get no answer.
+func (t Transporter) keepAliveProbes() int {
+	if t.UserTimeout > 0 {
+		return maxKeepAliveProbes
+	}
+	return keepAliveProbes
+}
+
 // dialer opens a connection.
 type dialer func(ctx context.Context, network, address string) (net.Conn, error)
 
