Log which crashes are withdrawn

Change: KCH1212 says that crashes of an upstream were withdrawn, why, and of how many requests and prompt parts.

--- a/attacher/notice.go
+++ b/attacher/notice.go
@@ -13,10 +13,7 @@
 // sentAt: that it is leaving, asks to be paused or limits the rate of calls, and that it has not
 // crashed.
 func (a *Attacher) handleNotice(u *kingcuphook.Upstream, n kingcuphook.Notice, sentAt time.Time) {
-	if !a.quarantine.IsEmpty() {
-		a.quarantine.RecordAnswer(time.Now(), isolator.FormatProgram(u.Program()), sentAt)
-	}
-	a.isolator.RecordAnswer(time.Now(), u, sentAt)
+	a.handleAnswer(u, sentAt)
 	a.permits.Observe(time.Now(), u.Program(), n.RateLimit(), sentAt)
 	if n.Leaving() && a.withdrawn.RecordAnnouncement(time.Now(), u.Program()) {
 		a.Log.Log(logger.UpstreamLeaving, "upstream", u.Address(), "instance", u.Instance(), "born", u.StartTime(), "source", "answer")
@@ -29,6 +26,26 @@
 	}
 }
 
+// handleAnswer withdraws what looked like a crash of an upstream before it answered a call that
+// was sent at sentAt.
+func (a *Attacher) handleAnswer(u *kingcuphook.Upstream, sentAt time.Time) {
+	now := time.Now()
+	requests := 0
+	if !a.quarantine.IsEmpty() {
+		requests = a.quarantine.RecordAnswer(now, isolator.FormatProgram(u.Program()), sentAt)
+	}
+	a.logWithdrawn(u, "answer", requests, a.isolator.RecordAnswer(now, u, sentAt))
+}
+
+// logWithdrawn logs that crashes of an upstream were withdrawn, if any request or prompt part had
+// been suspected of one.
+func (a *Attacher) logWithdrawn(u *kingcuphook.Upstream, source string, requests, parts int) {
+	if requests+parts > 0 {
+		a.Log.Log(logger.CrashWithdrawn, "upstream", u.Address(), "instance", u.Instance(), "born", u.StartTime(),
+			"program", isolator.FormatProgram(u.Program()), "source", source, "requests", requests, "parts", parts)
+	}
+}
+
 // handlePeerLeaving handles the upstreams that a peer reports as leaving.
 func (a *Attacher) handlePeerLeaving(peer netip.Addr, payload []byte) error {
 	n, err := a.withdrawn.RecordReports(time.Now(), payload)
--- a/attacher/relays.go
+++ b/attacher/relays.go
@@ -187,8 +187,8 @@
 		return
 	}
 	now := time.Now()
-	r.a.quarantine.Withdraw(now, isolator.FormatProgram(c.Upstream.Program()), now)
-	r.a.isolator.Withdraw(now, c.Upstream, now)
+	requests := r.a.quarantine.Withdraw(now, isolator.FormatProgram(c.Upstream.Program()), now)
+	r.a.logWithdrawn(c.Upstream, "peer", requests, r.a.isolator.Withdraw(now, c.Upstream, now))
 }
 
 // updateHelpers passes the peers to the relays.
--- a/isolator/withdraw.go
+++ b/isolator/withdraw.go
@@ -26,12 +26,13 @@
 }
 
 // RecordAnswer records that an upstream has answered a request that was sent at a time. What
-// this router took for crashes of it before are none.
-func (i *Isolator) RecordAnswer(now time.Time, u *kingcuphook.Upstream, sentAt time.Time) {
+// this router took for crashes of it before are none. It returns how many parts are no more
+// suspected of these.
+func (i *Isolator) RecordAnswer(now time.Time, u *kingcuphook.Upstream, sentAt time.Time) int {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if sentAt.Sub(i.lastCrash) >= restartTime {
-		return
+		return 0
 	}
 	program := hashProgram(u.Program())
 	var until time.Time
@@ -42,47 +43,53 @@
 			}
 		}
 	}
-	if !until.IsZero() {
-		i.withdraw(now, program, until)
+	if until.IsZero() {
+		return 0
 	}
+	return i.withdraw(now, program, until)
 }
 
 // Withdraw records that an upstream certainly had not crashed until a time, for which its
 // connections ended for another reason. Crashes of it until then count no more, here and at the
-// peers.
-func (i *Isolator) Withdraw(now time.Time, u *kingcuphook.Upstream, until time.Time) {
+// peers. It returns how many parts had such crashes here.
+func (i *Isolator) Withdraw(now time.Time, u *kingcuphook.Upstream, until time.Time) int {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	program := hashProgram(u.Program())
 	for _, e := range i.entries {
 		if slices.ContainsFunc(e.crashes, func(c Crash) bool { return c.program == program && !c.at.After(until) }) {
-			i.withdraw(now, program, until)
-			return
+			return i.withdraw(now, program, until)
 		}
 	}
+	return 0
 }
 
-func (i *Isolator) withdraw(now time.Time, program uint32, until time.Time) {
+func (i *Isolator) withdraw(now time.Time, program uint32, until time.Time) int {
 	known, ok := i.withdrawn[program]
 	if !ok && len(i.withdrawn) >= maxWithdrawn || ok && !until.After(known.until.Add(crashAgeUnit)) {
-		return
+		return 0
 	}
 	if i.withdrawn == nil {
 		i.withdrawn = make(map[uint32]withdrawal)
 	}
 	i.withdrawn[program] = withdrawal{until: until, changedAt: now}
 	i.outcomes = slices.DeleteFunc(i.outcomes, func(o outcome) bool { return o.broken && o.program == program && !o.at.After(until) })
+	cleared := 0
 	for part, e := range i.entries {
 		n := len(e.crashes)
 		e.crashes = slices.DeleteFunc(e.crashes, i.isWithdrawn)
+		if len(e.crashes) == n {
+			continue
+		}
+		cleared++
 		switch {
-		case len(e.crashes) == n:
 		case e.state == StateQuarantined && e.counted() < minCrashes:
 			i.setState(now, e, StateLifted)
 		case e.state == StateSuspect && len(e.crashes) == 0:
 			delete(i.entries, part)
 		}
 	}
+	return cleared
 }
 
 // isWithdrawn reports whether a crash is withdrawn. Peers know its age to crashAgeUnit.
--- a/logger/events.go
+++ b/logger/events.go
@@ -50,6 +50,7 @@
 	ResponseFailed        = Event{1208, LevelWarn, "response could not be written although the caller is connected"}
 	StreamResumed         = Event{1209, LevelInfo, "call resumes a stream"}
 	RequestRelayed        = Event{1211, LevelInfo, "request sent through a peer"}
+	CrashWithdrawn        = Event{1212, LevelInfo, "crash withdrawn, since its upstream goes on"}
 	ResumptionRefused     = Event{1210, LevelInfo, "call that resumes a stream refused"}
 	UpstreamsUpdated      = Event{1303, LevelInfo, "upstreams updated"}
 	UpstreamPaused        = Event{1305, LevelInfo, "upstream asked for a pause"}
@@ -123,6 +124,7 @@
 		StreamResumed,
 		ResumptionRefused,
 		RequestRelayed,
+		CrashWithdrawn,
 		UpstreamLeaving,
 		UpstreamsUpdated,
 		RegistrationRejected,
--- a/quarantiner/withdraw.go
+++ b/quarantiner/withdraw.go
@@ -10,12 +10,13 @@
 const RestartTime = 1500 * time.Millisecond
 
 // RecordAnswer records that an upstream has answered a request that was sent at a time. What
-// this router took for crashes of it before are none.
-func (q *Quarantiner) RecordAnswer(now time.Time, upstream string, sentAt time.Time) {
+// this router took for crashes of it before are none. It returns how many requests are no more
+// suspected of these.
+func (q *Quarantiner) RecordAnswer(now time.Time, upstream string, sentAt time.Time) int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if sentAt.Sub(q.lastCrash) >= RestartTime {
-		return
+		return 0
 	}
 	var until time.Time
 	for _, e := range q.entries {
@@ -25,43 +26,47 @@
 			}
 		}
 	}
-	if !until.IsZero() {
-		q.withdraw(now, upstream, until)
+	if until.IsZero() {
+		return 0
 	}
+	return q.withdraw(now, upstream, until)
 }
 
 // Withdraw records that an upstream certainly had not crashed until a time, for which its
 // connections ended for another reason. Requests that were suspected or quarantined for crashes
-// of it until then are no more suspected of these, here and at the peers.
-func (q *Quarantiner) Withdraw(now time.Time, upstream string, until time.Time) {
+// of it until then are no more suspected of these, here and at the peers. It returns how many
+// that are here.
+func (q *Quarantiner) Withdraw(now time.Time, upstream string, until time.Time) int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, e := range q.entries {
 		if slices.ContainsFunc(e.crashes, func(c Crash) bool { return c.upstream == upstream && !c.at.After(until) }) {
-			q.withdraw(now, upstream, until)
-			return
+			return q.withdraw(now, upstream, until)
 		}
 	}
+	return 0
 }
 
-func (q *Quarantiner) withdraw(now time.Time, upstream string, until time.Time) {
+func (q *Quarantiner) withdraw(now time.Time, upstream string, until time.Time) int {
 	if until.After(now) {
 		until = now
 	}
 	known, ok := q.withdrawn[upstream]
 	if !ok && len(q.withdrawn) >= q.maxEntries() {
-		return
+		return 0
 	}
 	if q.withdrawn == nil {
 		q.withdrawn = make(map[string]time.Time)
 	}
 	q.withdrawn[upstream] = later(known, until)
+	cleared := 0
 	for fingerprint, e := range q.entries {
 		quarantined := e.state == stateQuarantined
 		crashes := e.crashes
 		if !q.removeWithdrawn(e) {
 			continue
 		}
+		cleared++
 		if quarantined {
 			q.attributed = slices.DeleteFunc(q.attributed, func(c Crash) bool { return contains(crashes, c) })
 		}
@@ -69,6 +74,7 @@
 			delete(q.entries, fingerprint)
 		}
 	}
+	return cleared
 }
 
 // removeWithdrawn removes the withdrawn crashes from an entry, and reports whether there were
