--- a/relayer/bench_test.go
+++ b/relayer/bench_test.go
@@ -66,7 +66,7 @@
 		var before, after runtime.MemStats
 		runtime.GC()
 		runtime.ReadMemStats(&before)
-		var open []net.Conn
+		open := make([]net.Conn, 0, n)
 		for range n {
 			c, err := dial(b.Context(), "", "")
 			if err != nil {
