--- a/pathfinder/pathfinder.go
+++ b/pathfinder/pathfinder.go
@@ -66,6 +66,9 @@
 	// 1/dialFactor of that before.
 	longDial   = 100 * time.Millisecond
 	dialFactor = 1.5
+	// unsentDial replaces longDial for the load that is reported, once it is known how long opening
+	// a connection to the upstream takes.
+	unsentDial = 30 * time.Millisecond
 	// gapHalfLife is how fast the longest time without any byte is forgotten.
 	gapHalfLife = 20 * time.Second
 	// maxSilentChecks is how many of the silent upstreams are checked.
@@ -376,9 +379,10 @@
 	flight.path.dial = max(flight.path.dial, now.Sub(flight.begun))
 }
 
-// isLongDial reports whether opening a connection for a request takes unusually long.
-func (f *Flight) isLongDial(now time.Time) bool {
-	return !f.connected && now.Sub(f.begun) >= max(longDial, time.Duration(dialFactor*float64(f.path.dial)))
+// isLongDial reports whether opening a connection for a request takes unusually long, and at least as
+// long as given.
+func (f *Flight) isLongDial(now time.Time, least time.Duration) bool {
+	return !f.connected && now.Sub(f.begun) >= max(least, time.Duration(dialFactor*float64(f.path.dial)))
 }
 
 // SlowDials returns the upstreams to be checked because opening connections to several of them takes
@@ -392,7 +396,7 @@
 	var slow []*path
 	for _, p := range f.paths {
 		for flight := range p.flights {
-			if p.state == StateDirect && flight.isLongDial(now) {
+			if p.state == StateDirect && flight.isLongDial(now, longDial) {
 				slow = append(slow, p)
 				break
 			}
@@ -430,9 +434,13 @@
 	}
 	lost := make(map[kingcuphook.Program]int)
 	for program, p := range f.paths {
+		least := longDial
+		if p.dial > 0 {
+			least = unsentDial
+		}
 		isSilent := p.state == StateCut && p.verified && now.Sub(p.heard) >= minSilence
 		for flight := range p.flights {
-			if isSilent || flight.isLongDial(now) {
+			if isSilent || flight.isLongDial(now, least) {
 				lost[program]++
 			}
 		}
