Bound the open requests at brittle upstreams over all routers

Upstreams that name Server-Brittle: N fall over if they turn away more than N calls in a second. Callers saw 502 from upstreams that had fallen, and few answers: each router judged the free slots by sums of load that are 0.15 to 0.5 s old, so that several took the same free slot; and no router read the header.

While an upstream is brittle, a request now needs a place, which it holds until it ends. The issuer of its permits issues no more places than it has registered slots, fewer after refusals. Routers keep a place for their next request while no other waits for one, and for 1 s otherwise; they report what they hold every 0.5 s, so that a successor counts on it. The issuer tells the other routers. Answers without the header end it like a rate limit.

--- a/attacher/attacher.go
+++ b/attacher/attacher.go
@@ -184,7 +184,7 @@
 	a.store.Connect()
 	a.meter = meter.New()
 	a.addGauges()
-	a.permits = &permitter.Permitter{Self: s.Address().String(), OnChange: a.logRateLimit}
+	a.permits = &permitter.Permitter{Self: s.Address().String(), OnChange: a.logRateLimit, OnPlacesChange: a.logPlaces}
 	a.allocator = &allocator.Allocator{NewScheduler: a.newScheduler}
 	a.tally = &tallier.Tally{Next: a.allocator}
 	a.forwarder = &forwarder.Forwarder{
@@ -238,6 +238,9 @@
 	a.meter.Gauge("kingcuphook_upstream_rate_limits_per_second", func() float64 { return a.permits.Sum() })
 	a.meter.Gauge("kingcuphook_rate_limited_requests_sent_total", func() float64 { return float64(a.permits.Sent()) })
 	a.meter.Gauge("kingcuphook_rate_limited_requests_withheld_total", func() float64 { return float64(a.permits.Withheld()) })
+	a.meter.Gauge("kingcuphook_upstreams_brittle", func() float64 { return float64(a.permits.Brittle()) })
+	a.meter.Gauge("kingcuphook_brittle_places_held", func() float64 { held, _ := a.permits.Places(); return float64(held) })
+	a.meter.Gauge("kingcuphook_brittle_requests_refused_total", func() float64 { _, refused := a.permits.Places(); return float64(refused) })
 	a.meter.Gauge("kingcuphook_attempts_crashed_total", func() float64 { return float64(a.dispatcher.Counts().Crashes) })
 	a.meter.Gauge("kingcuphook_quarantined_fingerprints", func() float64 { return float64(len(a.quarantine.List(time.Now()))) })
 	a.meter.Gauge("kingcuphook_quarantined_parts", func() float64 { n, _ := a.isolator.Count(); return float64(n) })
--- a/attacher/notice.go
+++ b/attacher/notice.go
@@ -9,9 +9,10 @@
 )
 
 // handleNotice handles the notice of an upstream in the reply to a call that was sent at
-// sentAt: that it is leaving, asks to be paused or limits the rate of calls.
+// sentAt: that it is leaving, asks to be paused, limits the rate of calls or is brittle.
 func (a *Attacher) handleNotice(u *kingcuphook.Upstream, n kingcuphook.Notice, sentAt time.Time) {
 	a.permits.Observe(time.Now(), u.Program(), n.RateLimit(), sentAt)
+	a.permits.ObserveBrittleness(time.Now(), u, n.Brittleness(), n.Refused(), sentAt)
 	if n.Leaving() && a.withdrawn.RecordAnnouncement(time.Now(), u.Program()) {
 		a.Log.Log(logger.UpstreamLeaving, "upstream", u.Address(), "instance", u.Instance(), "born", u.StartTime(), "source", "answer")
 		a.control.wake()
--- a/attacher/permits.go
+++ b/attacher/permits.go
@@ -30,6 +30,11 @@
 	return err
 }
 
+// logPlaces logs a change of what is known about a brittle upstream.
+func (a *Attacher) logPlaces(c permitter.PlacesChange) {
+	a.Log.Log(logger.PlacesChanged, c.LogFields()...)
+}
+
 // logRateLimit logs a change of the rate limit of an upstream.
 func (a *Attacher) logRateLimit(c permitter.Change) {
 	a.Log.Log(logger.RateLimitChanged, c.LogFields()...)
--- a/logger/events.go
+++ b/logger/events.go
@@ -62,6 +62,7 @@
 	RequestPanicked       = Event{1202, LevelError, "request handler panicked"}
 	UpstreamLeaving       = Event{1302, LevelInfo, "upstream is leaving"}
 	RateLimitChanged      = Event{1306, LevelInfo, "rate limit of an upstream changed"}
+	PlacesChanged         = Event{1307, LevelInfo, "brittle upstream: what bounds its open requests changed"}
 	PeerFailed            = Event{1401, LevelDebug, "exchange with a peer failed"}
 	PeerJoined            = Event{1402, LevelInfo, "peer joined"}
 	PeerLeft              = Event{1403, LevelInfo, "peer left"}
@@ -121,6 +122,7 @@
 		RegistrationRejected,
 		UpstreamPaused,
 		RateLimitChanged,
+		PlacesChanged,
 		PeerFailed,
 		PeerJoined,
 		PeerLeft,
--- a/notice.go
+++ b/notice.go
@@ -25,11 +25,37 @@
 // PerSecond returns the limit in requests per second.
 func (l RateLimit) PerSecond() float64 { return l.perSecond }
 
+// Brittleness is what an upstream announces about the requests that it can turn away for want of
+// room before it falls over. The zero value announces nothing.
+type Brittleness struct {
+	tolerated int
+	known     bool
+	present   bool
+}
+
+// NewBrittleness returns the state of an upstream that falls over if it turns away more than
+// the tolerated number of requests in a second.
+func NewBrittleness(tolerated int) Brittleness {
+	return Brittleness{tolerated: tolerated, known: true, present: true}
+}
+
+// MalformedBrittleness returns what an upstream announces with a value that can't be read.
+func MalformedBrittleness() Brittleness { return Brittleness{present: true} }
+
+// IsPresent reports whether something was announced, readable or not.
+func (b Brittleness) IsPresent() bool { return b.present }
+
+// Tolerated returns the number of requests that may be turned away in a second, and false if
+// it is not known.
+func (b Brittleness) Tolerated() (int, bool) { return b.tolerated, b.known }
+
 // Notice is the status that an upstream announces in the headers of a reply.
 type Notice struct {
 	leaving bool
 	pause   time.Duration
 	limit   RateLimit
+	brittle Brittleness
+	refused bool
 }
 
 // NewNotice returns a notice. Leaving is true if the upstream will accept no new
@@ -44,6 +70,13 @@
 	return n
 }
 
+// WithBrittleness returns a copy of the notice that announces b. Refused means that the reply
+// turned a request away.
+func (n Notice) WithBrittleness(b Brittleness, refused bool) Notice {
+	n.brittle, n.refused = b, refused
+	return n
+}
+
 // Leaving reports whether the upstream will accept no new work.
 func (n Notice) Leaving() bool { return n.leaving }
 
@@ -54,6 +87,12 @@
 // RateLimit returns the limit that the upstream announces.
 func (n Notice) RateLimit() RateLimit { return n.limit }
 
+// Brittleness returns what the upstream announces about requests that it turns away.
+func (n Notice) Brittleness() Brittleness { return n.brittle }
+
+// Refused reports whether the reply turned a request away that was not run.
+func (n Notice) Refused() bool { return n.refused }
+
 // Program identifies one run of an upstream's program at an address; a restart or
 // another instance there is another Program. It is comparable.
 type Program struct {
--- a/permit.go
+++ b/permit.go
@@ -19,6 +19,10 @@
 	// DeniedUntil is the time before which no permit can be expected; zero if a request
 	// for one was not denied.
 	DeniedUntil time.Time
+	// Bounded means that the upstream is brittle, so that a permit stands for a place that
+	// the request holds until it ends. The permits then bound the requests instead of the
+	// registered slots.
+	Bounded bool
 }
 
 // Denied reports whether no permit can be expected now.
@@ -32,14 +36,16 @@
 	return !s.Limited || s.Held > 0 || !s.Requested && !now.Before(s.NextRequest)
 }
 
-// PermitSource issues permits for requests to upstreams that announced a rate limit, so
-// that all routers together keep it. It is safe for concurrent use.
+// PermitSource issues permits for requests to upstreams that announced a rate limit, or that
+// they are brittle, so that all routers together keep it. It is safe for concurrent use.
 type PermitSource interface {
 	// State returns the state of a program for requests of a tier.
 	State(now time.Time, p Program, t Tier) PermitState
 	// Acquire takes a permit for one request that is about to be sent, and reports whether
 	// there was one or none is needed. Otherwise it requests one, for a later call.
 	Acquire(now time.Time, p Program, t Tier) bool
+	// Release records that a request ended for which Acquire returned true.
+	Release(now time.Time, p Program, s Sample)
 	// Offer records that a request could have been sent to the program but prefers
 	// another one. If the limit is not used otherwise, it requests a permit.
 	Offer(now time.Time, p Program)
--- /dev/null
+++ b/permitter/brittle_test.go
@@ -0,0 +1,309 @@
+package permitter
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/platform/standin"
+)
+
+const (
+	brittleStep      = 2 * time.Millisecond
+	brittleLinkDelay = 4 * time.Millisecond
+	brittleRunTime   = 100 * time.Millisecond
+	// maxLargeIssuerBytes is what the issuer of an upstream sends a second in a fleet of 300
+	// routers that is loaded beyond what the upstream bears.
+	maxLargeIssuerBytes = 8 << 10
+	// brittlePatience is how long a request waits for a place at its router.
+	brittlePatience = 1200 * time.Millisecond
+
+	brittleUpstreams, brittleSlots = 4, 4
+	// borne is the number of requests a second that the upstreams bear together.
+	borne = brittleUpstreams * brittleSlots * int(time.Second/brittleRunTime)
+)
+
+// brittleFleet simulates routers that send requests to brittle upstreams.
+type brittleFleet struct {
+	t         *testing.T
+	rng       *rand.Rand
+	now       time.Time
+	tables    *kingcuphook.Tables
+	upstreams []*brittleUpstream
+	routers   []*brittleRouter
+	// requests is the rate of requests over all routers.
+	requests float64
+	// announced returns what the n-th reply announces; nil announces nothing.
+	announced func(n int) kingcuphook.Brittleness
+	// unreachable reports whether a message between two routers is lost.
+	unreachable func(from, to *brittleRouter) bool
+	// loss is the share of messages between routers that are lost.
+	loss float64
+	// cancelled is the share of requests that their callers give up while they run.
+	cancelled float64
+	replies   int
+	runs      int
+	events    map[int64][]func()
+}
+
+type brittleUpstream struct {
+	*kingcuphook.Upstream
+
+	room standin.Room
+}
+
+// brittleRouter is one router; its queue has the times at which its requests give up.
+type brittleRouter struct {
+	*Permitter
+
+	address string
+	down    bool
+	queue   []time.Time
+	bytes   int
+}
+
+func newBrittleFleet(t *testing.T, seed uint64, n int, requests float64) *brittleFleet {
+	f := &brittleFleet{
+		t: t, rng: rand.New(rand.NewPCG(seed, seed)), now: time.Unix(1_700_000_000, 0), requests: requests, events: make(map[int64][]func()),
+	}
+	upstreams := make([]*kingcuphook.Upstream, 0, brittleUpstreams)
+	for i := range brittleUpstreams {
+		u := kingcuphook.NewUpstream(kingcuphook.UpstreamFields{Address: fmt.Sprintf("10.0.0.%d:80", i), Instance: fmt.Sprint(i), Slots: brittleSlots})
+		upstreams = append(upstreams, u)
+		f.upstreams = append(f.upstreams, &brittleUpstream{Upstream: u, room: standin.Room{Slots: brittleSlots, Waiting: brittleSlots}})
+	}
+	pool := kingcuphook.NewPool(kingcuphook.PoolFields{Name: "pool", Upstreams: upstreams})
+	f.tables = kingcuphook.NewTables(1, nil, []*kingcuphook.Pool{pool})
+	for i := range n {
+		f.routers = append(f.routers, f.newRouter(fmt.Sprintf("10.1.%d.%d", i/250, i%250+1)))
+	}
+	f.meet()
+	return f
+}
+
+func (f *brittleFleet) newRouter(address string) *brittleRouter {
+	r := &brittleRouter{Permitter: &Permitter{Self: address}, address: address}
+	r.Update(f.tables)
+	return r
+}
+
+// meet makes all routers know those that are up.
+func (f *brittleFleet) meet() {
+	for _, r := range f.routers {
+		var others []string
+		for _, other := range f.routers {
+			if other != r && !other.down {
+				others = append(others, other.address)
+			}
+		}
+		r.SetRouters(f.now, others)
+	}
+}
+
+// announce makes the upstreams brittle.
+func (f *brittleFleet) announce(tolerated int) {
+	f.announced = func(int) kingcuphook.Brittleness { return kingcuphook.NewBrittleness(tolerated) }
+	for _, u := range f.upstreams {
+		u.room.SetBrittle(f.now, tolerated, 0)
+	}
+}
+
+func (f *brittleFleet) after(d time.Duration, do func()) {
+	at := f.now.Add(d).UnixNano() / int64(brittleStep)
+	f.events[at] = append(f.events[at], do)
+}
+
+func (f *brittleFleet) run(d time.Duration) {
+	for until := f.now.Add(d); f.now.Before(until); f.now = f.now.Add(brittleStep) {
+		at := f.now.UnixNano() / int64(brittleStep)
+		for i := 0; i < len(f.events[at]); i++ {
+			f.events[at][i]()
+		}
+		delete(f.events, at)
+		for n := f.requests * brittleStep.Seconds(); f.rng.Float64() < n; n-- {
+			r := f.routers[f.rng.IntN(len(f.routers))]
+			if !r.down {
+				r.queue = append(r.queue, f.now.Add(brittlePatience))
+			}
+		}
+		for _, r := range f.routers {
+			f.stepRouter(r)
+		}
+	}
+}
+
+func (f *brittleFleet) stepRouter(r *brittleRouter) {
+	if r.down {
+		return
+	}
+	for len(r.queue) > 0 && !f.now.Before(r.queue[0]) {
+		r.queue = r.queue[1:]
+	}
+	for len(r.queue) > 0 && f.assign(r) {
+		r.queue = r.queue[1:]
+	}
+	// Run looks at places in longer intervals unless it is woken.
+	for _, m := range r.Messages(f.now) {
+		f.send(r, m.To, m.Payload)
+	}
+}
+
+// assign sends a request to an upstream, as the scheduler does: to one with a place, or else it
+// asks for a place of one.
+func (f *brittleFleet) assign(r *brittleRouter) bool {
+	first := f.rng.IntN(len(f.upstreams))
+	var asked *brittleUpstream
+	requested := 0
+	for i := range f.upstreams {
+		u := f.upstreams[(first+i)%len(f.upstreams)]
+		s := r.State(f.now, u.Program(), 1)
+		if !s.Limited && r.running[u.Program()] >= brittleSlots {
+			continue
+		}
+		if !s.Limited || s.Held > 0 {
+			return r.Acquire(f.now, u.Program(), 1) && f.start(r, u)
+		}
+		if s.Requested {
+			requested++
+		}
+		if asked == nil && s.Available(f.now) {
+			asked = u
+		}
+	}
+	return asked != nil && requested < len(r.queue) && r.Acquire(f.now, asked.Program(), 1) && f.start(r, asked)
+}
+
+func (f *brittleFleet) start(r *brittleRouter, u *brittleUpstream) bool {
+	sentAt := f.now
+	cancelled := f.rng.Float64() < f.cancelled
+	f.after(brittleLinkDelay, func() {
+		admission, falls := u.room.Enter(f.now), u.room.Falls()
+		switch admission {
+		case standin.AdmissionOpen:
+			f.runs++
+			if cancelled {
+				// The caller leaves, and the upstream notices it some time later.
+				f.after(brittleRunTime/4, func() {
+					r.Release(f.now, u.Program(), kingcuphook.Sample{Cancelled: true})
+					f.after(10*brittleLinkDelay, func() {
+						if u.room.Falls() == falls {
+							u.room.Leave()
+						}
+					})
+				})
+				return
+			}
+			f.after(brittleRunTime, func() {
+				if u.room.Falls() == falls {
+					u.room.Leave()
+					f.reply(r, u, false, sentAt)
+					return
+				}
+				f.end(r, u)
+			})
+		case standin.AdmissionRefused:
+			f.reply(r, u, true, sentAt)
+		default:
+			f.end(r, u)
+		}
+	})
+	return true
+}
+
+// end ends a request without a reply.
+func (f *brittleFleet) end(r *brittleRouter, u *brittleUpstream) {
+	f.after(brittleLinkDelay, func() { r.Release(f.now, u.Program(), kingcuphook.Sample{Failed: true}) })
+}
+
+func (f *brittleFleet) reply(r *brittleRouter, u *brittleUpstream, refused bool, sentAt time.Time) {
+	f.replies++
+	announced := kingcuphook.Brittleness{}
+	if f.announced != nil {
+		announced = f.announced(f.replies)
+	}
+	f.after(brittleLinkDelay, func() {
+		r.ObserveBrittleness(f.now, u.Upstream, announced, refused, sentAt)
+		r.Release(f.now, u.Program(), kingcuphook.Sample{Failed: refused})
+	})
+}
+
+func (f *brittleFleet) send(from *brittleRouter, to string, payload []byte) {
+	from.bytes += datagramBytes + len(payload)
+	if f.rng.Float64() < f.loss {
+		return
+	}
+	f.after(brittleLinkDelay, func() {
+		i := slices.IndexFunc(f.routers, func(r *brittleRouter) bool { return r.address == to })
+		if f.routers[i].down || from.down || f.unreachable != nil && f.unreachable(from, f.routers[i]) {
+			return
+		}
+		reply, _, err := f.routers[i].Receive(f.now, from.address, payload)
+		if err != nil {
+			f.t.Error(err)
+		}
+		if reply != nil {
+			f.send(f.routers[i], from.address, reply)
+		}
+	})
+}
+
+func (f *brittleFleet) falls() (falls, refused int) {
+	for _, u := range f.upstreams {
+		falls += u.room.Falls()
+		refused += u.room.Refused()
+	}
+	return falls, refused
+}
+
+// Routers that judged by sums of load, which are a part of a second old, knocked brittle
+// upstreams over in steady load.
+func TestFleetKnocksNoBrittleUpstreamOver(t *testing.T) {
+	for _, routers := range []int{1, 8, 16, 300} {
+		for _, load := range []float64{0.5, 1, 1.5, 3} {
+			for _, tolerated := range []int{1, 3, 10} {
+				t.Run(fmt.Sprintf("%d/%v/%d", routers, load, tolerated), func(t *testing.T) {
+					t.Parallel()
+					f := newBrittleFleet(t, 1, routers, load*float64(borne))
+					f.run(settleTime)
+					f.announce(tolerated)
+					f.run(standin.BrittleDelay)
+					runs := f.runs
+					_, refusedBefore := f.falls()
+					for _, r := range f.routers {
+						r.bytes = 0
+					}
+					const loaded = 10 * time.Second
+					f.run(loaded)
+					falls, refused := f.falls()
+					refused -= refusedBefore
+					used := float64(f.runs-runs) / loaded.Seconds() / min(load, 1) / float64(borne)
+					control := slices.MaxFunc(f.routers, func(a, b *brittleRouter) int { return a.bytes - b.bytes }).bytes / int(loaded.Seconds())
+					sum := 0
+					for _, r := range f.routers {
+						sum += r.bytes / int(loaded.Seconds())
+					}
+					t.Logf("%d falls, %d refused, %.2f used, at most %d bytes a second from a router, %d on average", falls, refused, used, control, sum/routers)
+					if falls > 0 {
+						t.Errorf("%d falls, want none", falls)
+					}
+					if used < 0.7 {
+						t.Errorf("%.2f of what the upstreams bear was used, want at least 0.7", used)
+					}
+					allowed := maxControlBytes
+					if routers == 300 {
+						allowed = maxLargeIssuerBytes
+					}
+					if control > allowed {
+						t.Errorf("%d bytes a second from a router, %d are allowed", control, allowed)
+					}
+					if sum > maxControlBytes*routers/2 {
+						t.Errorf("%d bytes a second from %d routers", sum, routers)
+					}
+				})
+			}
+		}
+	}
+}
--- a/permitter/exchange.go
+++ b/permitter/exchange.go
@@ -27,9 +27,11 @@
 func (p *Permitter) Messages(now time.Time) []Message {
 	p.mu.Lock()
 	messages, changes := p.requests(now)
+	more, placesChanges := p.placeMessages(now)
 	p.mu.Unlock()
 	p.notify(changes)
-	return messages
+	p.notifyPlaces(placesChanges)
+	return append(messages, more...)
 }
 
 // notify calls OnChange for each change. The caller doesn't hold mu.
@@ -56,7 +58,7 @@
 		if !l.requestDue(now) && !l.reportDue(now) {
 			continue
 		}
-		issuer := p.issuerOf(now, l)
+		issuer := p.issuerOf(now, l.key, &l.ranking)
 		switch {
 		case issuer == "":
 		case issuer == p.Self:
@@ -166,6 +168,9 @@
 // nil if there is none, and whether more requests may be sent to upstreams than before. The
 // error wraps ErrInvalid.
 func (p *Permitter) Receive(now time.Time, from string, message []byte) (reply []byte, more bool, err error) {
+	if isPlaceMessage(message) {
+		return p.receivePlaces(now, from, message)
+	}
 	if !IsMessage(message) || Kind(message[0]) == KindReply {
 		more, err = p.receiveReply(now, from, message)
 		return nil, more, err
--- a/permitter/issuer.go
+++ b/permitter/issuer.go
@@ -76,6 +76,11 @@
 // issuer issues permits for the upstreams that this router is responsible for.
 type issuer struct {
 	buckets map[uint64]*bucket
+	// rooms are those of the brittle upstreams, of which the routers are told: the next one is
+	// that after nextNotice, and untold have not been told of the latest change.
+	rooms              map[uint64]*room
+	noticedAt          time.Time
+	nextNotice, untold int
 }
 
 // bucket is the token bucket of one upstream.
--- a/permitter/limit.go
+++ b/permitter/limit.go
@@ -58,10 +58,7 @@
 	// nextRequest is the earliest time of the next request for permits, nextReport that of
 	// the next message that only reports to the issuer.
 	nextRequest, nextReport time.Time
-	// ranked has the first routers by rendezvous hashing, which are the issuer and its
-	// substitute, as of generation.
-	ranked     []string
-	generation int
+	ranking                 ranking
 }
 
 // permit allows one request.
--- a/permitter/message.go
+++ b/permitter/message.go
@@ -53,7 +53,7 @@
 
 // IsMessage reports whether a datagram is a message of this package.
 func IsMessage(b []byte) bool {
-	return len(b) > 0 && (Kind(b[0]) == KindRequest || Kind(b[0]) == KindReply)
+	return len(b) > 0 && (Kind(b[0]) == KindRequest || Kind(b[0]) == KindReply) || isPlaceMessage(b)
 }
 
 // Message is a message to another router.
--- a/permitter/peer.go
+++ b/permitter/peer.go
@@ -57,13 +57,20 @@
 	return !p.stopping && !p.started.IsZero() && now.Sub(p.started) >= settleTime
 }
 
-// issuerOf returns the router to ask for permits of an upstream; empty if there is none.
-// The caller holds mu.
-func (p *Permitter) issuerOf(now time.Time, l *limit) string {
-	if l.ranked == nil || l.generation != p.generation {
-		l.ranked, l.generation = rank(l.key, p.routers), p.generation
+// ranking has the first routers for a key by rendezvous hashing, which are the issuer and its
+// substitute, as of generation.
+type ranking struct {
+	ranked     []string
+	generation int
+}
+
+// issuerOf returns the router to ask for permits of an upstream; empty if there is none. It
+// renews the ranking for the key. The caller holds mu.
+func (p *Permitter) issuerOf(now time.Time, key uint64, r *ranking) string {
+	if r.ranked == nil || r.generation != p.generation {
+		r.ranked, r.generation = rank(key, p.routers), p.generation
 	}
-	for _, address := range l.ranked {
+	for _, address := range r.ranked {
 		switch s := p.peers[address]; {
 		case address == p.Self:
 			if p.issues(now) {
--- a/permitter/permitter.go
+++ b/permitter/permitter.go
@@ -1,11 +1,14 @@
 // Package permitter keeps the rate limits that upstreams announce in their replies, over
-// all routers. For each limited upstream one router, the issuer, holds a token bucket; it is
+// all routers, and the number of requests that are open at upstreams which announce that they
+// are brittle. For each limited upstream one router, the issuer, holds a token bucket; it is
 // the first by rendezvous hashing among the known routers. The others request permits from
-// it, each of which allows one request within a short time. Apart from Run the package does
+// it, each of which allows one request within a short time; for a brittle upstream they request
+// places instead, each of which allows one request to be open. Apart from Run the package does
 // no I/O and starts no timers: messages and the time are passed in, messages are returned.
 package permitter
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -36,15 +39,36 @@
 	// OnChange, if set, is called when the limit of an upstream changes. It must not block.
 	OnChange func(Change)
 
-	// count is the length of limits, which saves taking mu while there are none.
-	count          atomic.Int64
-	sent, withheld atomic.Int64
+	// OnPlacesChange, if set, is called when an upstream becomes brittle, or no longer is. It
+	// must not block.
+	OnPlacesChange func(PlacesChange)
+
+	// count is the length of limits, which saves taking mu while there are none, and placesCount
+	// that of places.
+	count, placesCount atomic.Int64
+	sent, withheld     atomic.Int64
 
 	mu sync.Mutex
 	// limits has the limited upstreams, byKey the same by the keys used in messages.
 	limits map[kingcuphook.Program]*limit
 	byKey  map[uint64]*limit
 	issuer issuer
+	// places has the brittle upstreams, placesByKey the same by the keys used in messages.
+	places      map[kingcuphook.Program]*places
+	placesByKey map[uint64]*places
+	// running is the number of open requests by program.
+	running map[kingcuphook.Program]int
+	// malformed has the programs that announced something that can't be read.
+	malformed map[kingcuphook.Program]bool
+	// tables are the current tables; upstreams has those of them by key, nil if not needed yet.
+	tables    *kingcuphook.Tables
+	upstreams map[uint64]*kingcuphook.Upstream
+	// outbox has the messages that the next call of Messages returns. granted means that this
+	// router got places from its own issuer while a message was handled.
+	outbox []Message
+	// refused counts the requests that brittle upstreams refused.
+	refused int
+	granted bool
 	// routers are the addresses of all known routers, this one included, in order. Each
 	// change increments generation.
 	routers    []string
@@ -94,9 +118,12 @@
 	p.stopping = true
 }
 
-// Update forgets the limits of programs that are not in the tables.
+// Update forgets the programs that are not in the tables.
 func (p *Permitter) Update(t *kingcuphook.Tables) {
-	if p.count.Load() == 0 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.tables, p.upstreams = t, nil
+	if len(p.limits) == 0 && len(p.places) == 0 && len(p.running) == 0 && len(p.malformed) == 0 {
 		return
 	}
 	current := make(map[kingcuphook.Program]bool)
@@ -105,13 +132,18 @@
 			current[u.Program()] = true
 		}
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	for program, l := range p.limits {
 		if !current[program] {
 			p.remove(l)
 		}
 	}
+	for program, l := range p.places {
+		if !current[program] {
+			p.removePlaces(l)
+		}
+	}
+	maps.DeleteFunc(p.running, func(program kingcuphook.Program, _ int) bool { return !current[program] })
+	maps.DeleteFunc(p.malformed, func(program kingcuphook.Program, _ bool) bool { return !current[program] })
 }
 
 // Observe records the limit that an upstream announced in a reply, or that it announced
@@ -174,16 +206,32 @@
 
 // State implements kingcuphook.PermitSource.
 func (p *Permitter) State(now time.Time, program kingcuphook.Program, t kingcuphook.Tier) kingcuphook.PermitState {
-	if p.count.Load() == 0 {
+	if p.count.Load() == 0 && p.placesCount.Load() == 0 {
 		return kingcuphook.PermitState{}
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	var ofPlaces kingcuphook.PermitState
+	if l := p.places[program]; l != nil {
+		ofPlaces = l.state(now, t)
+	}
 	l := p.limits[program]
 	if l == nil {
-		return kingcuphook.PermitState{}
+		return ofPlaces
+	}
+	if ofPlaces.Bounded && ofPlaces.Held == 0 {
+		return ofPlaces
 	}
 	l.expirePermits(now)
+	state := l.state(now, t)
+	if ofPlaces.Bounded {
+		state.Bounded, state.Held = true, min(state.Held, ofPlaces.Held)
+	}
+	return state
+}
+
+// state returns what requests of a tier can get.
+func (l *limit) state(now time.Time, t kingcuphook.Tier) kingcuphook.PermitState {
 	return kingcuphook.PermitState{
 		Limited:     true,
 		Held:        len(l.permits),
@@ -196,31 +244,59 @@
 
 // Acquire implements kingcuphook.PermitSource.
 func (p *Permitter) Acquire(now time.Time, program kingcuphook.Program, t kingcuphook.Tier) bool {
-	if p.count.Load() == 0 {
-		return true
-	}
 	p.mu.Lock()
-	l := p.limits[program]
-	if l == nil {
-		p.mu.Unlock()
-		return true
+	a := p.acquire(now, program, t)
+	if a.acquired {
+		if p.running == nil {
+			p.running = make(map[kingcuphook.Program]int)
+		}
+		p.running[program]++
 	}
-	change, ended := p.prepare(now, l, t)
-	acquired := ended || l.takePermit()
-	due := !ended && l.requestDue(now)
 	p.mu.Unlock()
-	if ended {
-		p.notify([]Change{change})
-	}
-	if due {
+	p.notify(a.changes)
+	p.notifyPlaces(a.placesChanges)
+	if a.due {
 		p.wake()
 	}
-	if acquired {
+	if !a.limited {
+		return a.acquired
+	}
+	if a.acquired {
 		p.sent.Add(1)
 	} else {
 		p.withheld.Add(1)
 	}
-	return acquired
+	return a.acquired
+}
+
+// acquisition is the result of Acquire, with what is to be done without mu.
+type acquisition struct {
+	// limited means that the upstream has a rate limit or is brittle, due that a message is.
+	acquired, limited, due bool
+	changes                []Change
+	placesChanges          []PlacesChange
+}
+
+// acquire is Acquire while mu is held.
+func (p *Permitter) acquire(now time.Time, program kingcuphook.Program, t kingcuphook.Tier) acquisition {
+	a := acquisition{acquired: true}
+	l, bounded := p.limits[program], p.places[program]
+	if l != nil {
+		change, ended := p.prepare(now, l, t)
+		if ended {
+			a.changes = append(a.changes, change)
+		}
+		a.limited, a.acquired, a.due = true, ended || len(l.permits) > 0, !ended && l.requestDue(now)
+	}
+	if bounded != nil && a.acquired {
+		a.limited = true
+		a.acquired, a.placesChanges = p.acquirePlace(now, bounded, t)
+		a.due = a.due || !a.acquired && bounded.askDue(now) || len(p.outbox) > 0
+	}
+	if l != nil && a.acquired {
+		l.takePermit()
+	}
+	return a
 }
 
 // Offer implements kingcuphook.PermitSource.
@@ -240,7 +316,7 @@
 	if len(l.permits) > 0 {
 		return Change{}, false
 	}
-	switch p.issuerOf(now, l) {
+	switch p.issuerOf(now, l.key, &l.ranking) {
 	case "":
 		l.denial = newDenial(now, t, minRetry, minRetry)
 	case p.Self:
@@ -259,6 +335,20 @@
 	return p.limits[program] != nil
 }
 
+// Brittle returns the number of brittle upstreams.
+func (p *Permitter) Brittle() int { return int(p.placesCount.Load()) }
+
+// Places returns the number of places at brittle upstreams that this router holds, and the number
+// of requests that these refused.
+func (p *Permitter) Places() (held, refused int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.places {
+		held += l.held
+	}
+	return held, p.refused
+}
+
 // Count returns the number of limited upstreams.
 func (p *Permitter) Count() int { return int(p.count.Load()) }
 
--- a/permitter/run.go
+++ b/permitter/run.go
@@ -5,15 +5,23 @@
 	"time"
 )
 
-// messageInterval is how often requests for permits are sent while an upstream has a rate
-// limit.
-const messageInterval = 100 * time.Millisecond
+const (
+	// messageInterval is how often requests for permits are sent while an upstream has a rate
+	// limit, placesInterval how often places are looked at while one is brittle, and
+	// idlePlacesInterval that while places are unused for which other routers wait.
+	messageInterval    = 100 * time.Millisecond
+	placesInterval     = 20 * time.Millisecond
+	idlePlacesInterval = contendedIdleTime
+)
 
 // Run passes the requests for permits to send when they are due, until ctx ends.
 func (p *Permitter) Run(ctx context.Context, send func(Message)) {
 	for {
 		var tick <-chan time.Time
-		if p.count.Load() > 0 {
+		switch {
+		case p.placesCount.Load() > 0:
+			tick = time.After(p.placesInterval(time.Now()))
+		case p.count.Load() > 0:
 			tick = time.After(messageInterval)
 		}
 		select {
@@ -28,6 +36,18 @@
 	}
 }
 
+// placesInterval returns after which time places are to be looked at.
+func (p *Permitter) placesInterval(now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.places {
+		if l.contended && l.idle(now) > 0 {
+			return idlePlacesInterval
+		}
+	}
+	return placesInterval
+}
+
 // wake makes Run send the requests that are due at once.
 func (p *Permitter) wake() {
 	select {
--- a/permitter/trouble_test.go
+++ b/permitter/trouble_test.go
@@ -200,5 +200,5 @@
 func (r *simulated) issuerFor(f *fleet) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.issuerOf(f.now, r.limits[f.program])
+	return r.issuerOf(f.now, r.limits[f.program].key, &r.limits[f.program].ranking)
 }
--- a/prover/allocator.go
+++ b/prover/allocator.go
@@ -103,6 +103,9 @@
 	return p.env.limitedFor() <= 0
 }
 
+// Release implements kingcuphook.PermitSource.
+func (limitedPermits) Release(time.Time, kingcuphook.Program, kingcuphook.Sample) {}
+
 // Offer implements kingcuphook.PermitSource.
 func (limitedPermits) Offer(time.Time, kingcuphook.Program) {}
 
--- a/scheduler/permit.go
+++ b/scheduler/permit.go
@@ -34,9 +34,27 @@
 	}
 	state := s.permitState(now, row, tier)
 	s.slots.limited = s.slots.limited || state.Limited
+	if state.Bounded && state.Held == 0 && s.slots.requested >= s.slots.queued {
+		// What was asked for suffices for the queue. More would lie idle here while
+		// another router needs it.
+		return false
+	}
 	return !row.withheld && state.Available(now)
 }
 
+// countRequested counts the brittle upstreams of which a place has been requested.
+func (s *Scheduler) countRequested(now time.Time) {
+	s.slots.queued, s.slots.requested = s.Admitter.Len(), 0
+	if s.Permits == nil || s.slots.queued == 0 {
+		return
+	}
+	for _, row := range s.slots.rows {
+		if state := s.permitState(now, row, kingcuphook.HighestTier); state.Bounded && state.Requested {
+			s.slots.requested++
+		}
+	}
+}
+
 // acquirePermit takes a permit for a request, and reports whether it may be sent to the
 // upstream.
 func (s *Scheduler) acquirePermit(now time.Time, u *kingcuphook.Upstream, tier kingcuphook.Tier) bool {
@@ -86,8 +104,13 @@
 		if withheldFrom == "" {
 			withheldFrom = choice.Upstream.Address()
 		}
-		s.withhold(now, s.slots.byAddress[choice.Upstream.Address()])
-		if n == maxWithheld {
+		row := s.slots.byAddress[choice.Upstream.Address()]
+		bounded := s.permitState(now, row, tier).Bounded
+		if bounded {
+			s.slots.requested++
+		}
+		s.withhold(now, row)
+		if n == maxWithheld || bounded {
 			s.withholdWithoutPermit(now, tier)
 		}
 	}
--- a/scheduler/permit_test.go
+++ b/scheduler/permit_test.go
@@ -18,6 +18,8 @@
 	requested map[string]int
 	// offered has the addresses of the programs that requests were offered to.
 	offered []string
+	// released has the addresses of the programs whose requests ended.
+	released []string
 }
 
 func (p *fixedPermits) State(_ time.Time, program kingcuphook.Program, _ kingcuphook.Tier) kingcuphook.PermitState {
@@ -38,6 +40,10 @@
 	return true
 }
 
+func (p *fixedPermits) Release(_ time.Time, program kingcuphook.Program, _ kingcuphook.Sample) {
+	p.released = append(p.released, program.Address())
+}
+
 func (p *fixedPermits) Offer(_ time.Time, program kingcuphook.Program) {
 	p.offered = append(p.offered, program.Address())
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -206,6 +206,9 @@
 		return
 	}
 	s.removeRun(run)
+	if s.Permits != nil {
+		s.Permits.Release(now, run.upstream.Program(), sample)
+	}
 	s.chargeTokens(run, sample.Tokens)
 	s.Limiter.Finished(now, upstream, r, sample)
 	s.Selector.Finished(now, upstream, r, sample)
--- a/scheduler/slots.go
+++ b/scheduler/slots.go
@@ -24,6 +24,9 @@
 	limited bool
 	// offered counts the requests that were offered to limited upstreams in turn.
 	offered int
+	// queued is the number of queued requests, requested that of the brittle upstreams of which
+	// a place has been requested.
+	queued, requested int
 	// withheld has the rows that are marked as withheld.
 	withheld []*slotRow
 }
@@ -165,6 +168,10 @@
 		return 0
 	}
 	free := s.Limiter.Free(now, row.upstream.Address(), tier)
+	if state := s.permitState(now, row, tier); state.Bounded {
+		// With none held, one slot lets a request ask for a place.
+		free = max(state.Held, 1)
+	}
 	if weight >= 1 {
 		return free
 	}
