Count on the places that are out when routers start, are killed or lose messages

The second now asks the first whether it is there and issues only if it isn't, 2.5 s later, when the routers have reported to it. Routers that join are told at once. A router that starts uses only its share of the slots of upstreams that have not answered it in its first second. Places that get lost on the way come back after 0.75 s.

--- a/attacher/attacher.go
+++ b/attacher/attacher.go
@@ -184,7 +184,7 @@
 	a.store.Connect()
 	a.meter = meter.New()
 	a.addGauges()
-	a.permits = &permitter.Permitter{Self: s.Address().String(), OnChange: a.logRateLimit, OnPlacesChange: a.logPlaces}
+	a.permits = &permitter.Permitter{Self: s.Address().String(), OnChange: a.logRateLimit, OnPlacesChange: a.logPlaces, Careful: true}
 	a.allocator = &allocator.Allocator{NewScheduler: a.newScheduler}
 	a.tally = &tallier.Tally{Next: a.allocator}
 	a.forwarder = &forwarder.Forwarder{
--- a/permitter/issuer.go
+++ b/permitter/issuer.go
@@ -78,7 +78,9 @@
 	buckets map[uint64]*bucket
 	// rooms are those of the brittle upstreams, of which the routers are told: the next one is
 	// that after nextNotice, and untold have not been told of the latest change.
-	rooms              map[uint64]*room
+	rooms map[uint64]*room
+	// joined has the routers that are to be told first.
+	joined             []string
 	noticedAt          time.Time
 	nextNotice, untold int
 }
--- a/permitter/peer.go
+++ b/permitter/peer.go
@@ -25,19 +25,27 @@
 	timeouts int
 	// avoidUntil is until when the router is not asked.
 	avoidUntil time.Time
+	// away means that it did not answer, or declined, since it last answered.
+	away bool
+	// pingedAt is when it was last asked whether it is there; zero if it has answered.
+	pingedAt time.Time
 }
 
 func (p *peer) recordTimeout(now time.Time) {
 	p.timeouts++
 	if p.timeouts >= maxTimeouts {
 		p.timeouts = 0
+		p.away = true
 		p.avoidUntil = now.Add(timeoutPause)
 	}
 }
 
-func (p *peer) recordDecline(now time.Time) { p.avoidUntil = now.Add(declinePause) }
+func (p *peer) recordDecline(now time.Time) {
+	p.away = true
+	p.avoidUntil = now.Add(declinePause)
+}
 
-func (p *peer) recordReply() { p.timeouts = 0 }
+func (p *peer) recordReply() { p.timeouts, p.away, p.pingedAt = 0, false, time.Time{} }
 
 // peer returns the state of another router. The caller holds mu.
 func (p *Permitter) peer(address string) *peer {
--- a/permitter/permitter.go
+++ b/permitter/permitter.go
@@ -36,6 +36,9 @@
 type Permitter struct {
 	// Self is the address of this router, as the other routers know it.
 	Self string
+	// Careful makes the router that has started use only a share of the slots of upstreams that
+	// have not answered it yet. It requires that ObserveBrittleness is called for each answer.
+	Careful bool
 	// OnChange, if set, is called when the limit of an upstream changes. It must not block.
 	OnChange func(Change)
 
@@ -47,6 +50,8 @@
 	// that of places.
 	count, placesCount atomic.Int64
 	sent, withheld     atomic.Int64
+	// caution means that this router may have just started, with Careful.
+	caution atomic.Bool
 
 	mu sync.Mutex
 	// limits has the limited upstreams, byKey the same by the keys used in messages.
@@ -66,6 +71,8 @@
 	// outbox has the messages that the next call of Messages returns. granted means that this
 	// router got places from its own issuer while a message was handled.
 	outbox []Message
+	// answered has the upstreams that have answered while caution is set.
+	answered map[kingcuphook.Program]bool
 	// refused counts the requests that brittle upstreams refused.
 	refused int
 	granted bool
@@ -80,7 +87,9 @@
 	// peers has the routers that did not answer recent requests.
 	peers    map[string]*peer
 	sequence uint16
-	budget   *rate.Limiter
+	// placeSequence is the number of the last message about places.
+	placeSequence uint16
+	budget        *rate.Limiter
 
 	// due has a value when requests should be sent at once; wakeOnce guards its creation.
 	due      chan struct{}
@@ -98,10 +107,14 @@
 	defer p.mu.Unlock()
 	if p.started.IsZero() {
 		p.started = now
+		p.caution.Store(p.Careful)
+		// The messages of an earlier process at this address have other numbers.
+		p.placeSequence = uint16(now.UnixMilli())
 	}
 	if slices.Equal(routers, p.routers) {
 		return
 	}
+	p.issuer.welcome(p.routers, routers)
 	p.routers = routers
 	p.generation++
 	for address := range p.peers {
@@ -206,11 +219,14 @@
 
 // State implements kingcuphook.PermitSource.
 func (p *Permitter) State(now time.Time, program kingcuphook.Program, t kingcuphook.Tier) kingcuphook.PermitState {
-	if p.count.Load() == 0 && p.placesCount.Load() == 0 {
+	if p.count.Load() == 0 && p.placesCount.Load() == 0 && !p.caution.Load() {
 		return kingcuphook.PermitState{}
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.cautious(now, program) {
+		return p.cautiousState(program)
+	}
 	var ofPlaces kingcuphook.PermitState
 	if l := p.places[program]; l != nil {
 		ofPlaces = l.state(now, t)
@@ -280,6 +296,11 @@
 // acquire is Acquire while mu is held.
 func (p *Permitter) acquire(now time.Time, program kingcuphook.Program, t kingcuphook.Tier) acquisition {
 	a := acquisition{acquired: true}
+	if p.cautious(now, program) {
+		s := p.cautiousState(program)
+		a.acquired = !s.Limited || s.Held > 0
+		return a
+	}
 	l, bounded := p.limits[program], p.places[program]
 	if l != nil {
 		change, ended := p.prepare(now, l, t)
--- a/permitter/place.go
+++ b/permitter/place.go
@@ -20,7 +20,9 @@
 	// heartbeatInterval is how often a router that holds places reports them. Without replies
 	// for leaseTime it uses them for no further requests.
 	heartbeatInterval = 500 * time.Millisecond
-	leaseTime         = 2 * time.Second
+	// confirmDelay is how long after it got places a router reports them at first.
+	confirmDelay = 150 * time.Millisecond
+	leaseTime    = 3 * time.Second
 	// maxPlaces bounds the places of an upstream in messages.
 	maxPlaces = 1 << 15
 )
@@ -65,6 +67,8 @@
 	denial denial
 	// changed means that the issuer has to be told that fewer places are held.
 	changed bool
+	// repeat means that the last such message is to be sent again.
+	repeat  bool
 	request placeRequest
 	// nextRequest is the earliest time to ask for places again, lastState when the issuer was
 	// last told of the places, confirmedAt when the last such message was sent that it answered.
@@ -159,6 +163,7 @@
 	}
 	l.held += n
 	l.idleFrom = now
+	l.lastState = now.Add(confirmDelay - heartbeatInterval)
 	l.denial = denial{}
 }
 
@@ -185,7 +190,7 @@
 	if l.askDue(now) || l.changed {
 		return true
 	}
-	return (l.held > 0 || l.newAbsent) && now.Sub(l.lastState) >= heartbeatInterval
+	return (l.held > 0 || l.newAbsent || l.repeat) && now.Sub(l.lastState) >= heartbeatInterval
 }
 
 // state returns what requests of a tier can get.
--- a/permitter/placeexchange.go
+++ b/permitter/placeexchange.go
@@ -1,6 +1,7 @@
 package permitter
 
 import (
+	"slices"
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
@@ -11,10 +12,10 @@
 	// other. After a change it sends firstNotices in firstNoticeInterval until all are told.
 	noticeInterval      = 200 * time.Millisecond
 	firstNoticeInterval = 50 * time.Millisecond
-	firstNotices        = 20
+	firstNotices        = 40
 	// minPeerTTL is the least time for which a router believes an issuer that an upstream is
 	// brittle.
-	minPeerTTL = 10 * time.Second
+	minPeerTTL = time.Minute
 	// queuedReplyDelay is how long the issuer waits for a free place before it tells a router
 	// that there is none.
 	queuedReplyDelay = 100 * time.Millisecond
@@ -38,7 +39,7 @@
 // ObserveBrittleness records what an upstream announced in a reply about requests that it turns
 // away, whether it turned this one away, and when the request was sent.
 func (p *Permitter) ObserveBrittleness(now time.Time, u *kingcuphook.Upstream, b kingcuphook.Brittleness, refused bool, sentAt time.Time) {
-	if !b.IsPresent() && p.placesCount.Load() == 0 {
+	if !b.IsPresent() && p.placesCount.Load() == 0 && !p.caution.Load() {
 		return
 	}
 	p.mu.Lock()
@@ -50,6 +51,7 @@
 
 func (p *Permitter) observeBrittleness(now time.Time, u *kingcuphook.Upstream, b kingcuphook.Brittleness, refused bool, sentAt time.Time) []PlacesChange {
 	program := u.Program()
+	p.recordAnswer(program)
 	l := p.places[program]
 	if !b.IsPresent() {
 		if l != nil {
@@ -177,8 +179,8 @@
 	}
 	messages := make([]Message, 0, len(batches)+len(p.outbox))
 	for issuer, batch := range batches {
-		p.sequence++
-		b := newHeader(KindState, p.sequence, 0)
+		p.placeSequence++
+		b := newHeader(KindState, p.placeSequence, 0)
 		for _, l := range batch {
 			b = p.newState(now, l, issuer).append(b, now)
 		}
@@ -189,6 +191,7 @@
 		p.sendQueuedReplies(now, r)
 	}
 	changes = append(changes, p.sendNotices(now)...)
+	messages = append(messages, p.pings(now)...)
 	messages = append(messages, p.outbox...)
 	p.outbox = nil
 	return messages, changes
@@ -233,17 +236,19 @@
 		l.request.queuedUntil = now.Add(queueTTL)
 	}
 	e.wanted = wanted
+	// A message that returns the last places gets no reply and is sent again.
+	l.repeat = l.changed && e.held == 0 && e.wanted == 0
 	l.newAbsent, l.changed, l.needed = false, false, 0
 	l.lastState = now
-	l.request = placeRequest{to: issuer, sequence: p.sequence, sentAt: now, wanted: wanted, tier: e.tier, queuedUntil: l.request.queuedUntil, pending: e.isAnswered()}
+	l.request = placeRequest{to: issuer, sequence: p.placeSequence, sentAt: now, wanted: wanted, tier: e.tier, queuedUntil: l.request.queuedUntil, pending: e.isAnswered()}
 	return e
 }
 
 // tellSelf tells this router's own issuer the state. The caller holds mu.
 func (p *Permitter) tellSelf(now time.Time, l *places) []PlacesChange {
-	p.sequence++
+	p.placeSequence++
 	e := p.newState(now, l, p.Self)
-	g, answered := p.handleState(now, p.Self, p.sequence, e)
+	g, answered := p.handleState(now, p.Self, p.placeSequence, e)
 	if !answered {
 		l.request.pending = false
 		return nil
@@ -254,7 +259,11 @@
 // handleState handles the state of a router and returns the reply. The caller holds mu.
 func (p *Permitter) handleState(now time.Time, router string, sequence uint16, e stateEntry) (grantEntry, bool) {
 	r := p.issuer.room(now, e)
-	if r == nil || !r.record(now, router, sequence, e) {
+	if r == nil {
+		return grantEntry{}, false
+	}
+	r.act(now)
+	if !r.record(now, router, sequence, e) {
 		return grantEntry{}, false
 	}
 	g := grantEntry{key: e.key}
@@ -271,7 +280,10 @@
 // sendGrants issues the free places of a room. It returns the number of those for a router
 // whose state is being answered; the others are sent. The caller holds mu.
 func (p *Permitter) sendGrants(now time.Time, r *room, answered string) int {
-	if !r.endedAt.IsZero() || !p.issues(now) {
+	if r.acting && !p.acts(now, r) {
+		r.rest()
+	}
+	if !r.endedAt.IsZero() || !r.acting {
 		return 0
 	}
 	n := 0
@@ -304,8 +316,20 @@
 	}
 }
 
-// sendNotices tells routers which upstreams are brittle: at once those that have not been told
-// yet, and one after the other. The caller holds mu.
+// welcome has the routers told first that were not known before.
+func (i *issuer) welcome(known, routers []string) {
+	if len(i.rooms) == 0 {
+		return
+	}
+	for _, address := range routers {
+		if !slices.Contains(known, address) && len(i.joined) < maxWaiting {
+			i.joined = append(i.joined, address)
+		}
+	}
+}
+
+// sendNotices tells routers which upstreams are brittle: at once those that have joined or have
+// not been told yet, and one after the other. The caller holds mu.
 func (p *Permitter) sendNotices(now time.Time) (changes []PlacesChange) {
 	if len(p.issuer.rooms) == 0 || len(p.routers) == 0 || now.Sub(p.issuer.noticedAt) < firstNoticeInterval {
 		return nil
@@ -314,7 +338,7 @@
 	for _, r := range p.issuer.rooms {
 		changed = changed || !r.noticed || r.noticedBrittle != r.endedAt.IsZero()
 	}
-	if !changed && p.issuer.untold == 0 && now.Sub(p.issuer.noticedAt) < noticeInterval {
+	if !changed && p.issuer.untold == 0 && len(p.issuer.joined) == 0 && now.Sub(p.issuer.noticedAt) < noticeInterval {
 		return nil
 	}
 	p.issuer.noticedAt = now
@@ -335,6 +359,12 @@
 			changes = append(changes, c)
 		}
 	}
+	for _, to := range p.issuer.joined {
+		if to != p.Self {
+			p.outbox = append(p.outbox, Message{To: to, Payload: b})
+		}
+	}
+	p.issuer.joined = nil
 	n := 1
 	if p.issuer.untold > 0 {
 		n = min(firstNotices, p.issuer.untold)
@@ -401,15 +431,18 @@
 	if err != nil {
 		return nil, err
 	}
-	if !p.issues(now) {
-		return newHeader(KindGrant, sequence, flagDeclined), nil
-	}
 	b := newHeader(KindGrant, sequence, 0)
 	for ; len(entries) > 0; entries = entries[stateEntryBytes:] {
 		e, err := decodeStateEntry(entries, now)
 		if err != nil {
 			return nil, err
 		}
+		r := p.issuer.room(now, e)
+		if r == nil || !p.acts(now, r) {
+			r.decline(now, e)
+			b = newHeader(KindGrant, sequence, flagDeclined)
+			break
+		}
 		g, answered := p.handleState(now, from, sequence, e)
 		switch {
 		case !answered || !e.isAnswered():
@@ -419,7 +452,10 @@
 			b = g.append(b)
 		}
 	}
-	if len(b) == headerBytes {
+	if len(message) == headerBytes && !p.issues(now) {
+		return newHeader(KindGrant, sequence, flagDeclined), nil
+	}
+	if len(b) == headerBytes && len(message) > headerBytes {
 		return nil, nil
 	}
 	return b, nil
@@ -432,6 +468,9 @@
 	}
 	if flags&flagDeclined != 0 {
 		p.handlePlaceDecline(now, from, sequence)
+	} else if s := p.peers[from]; s != nil && len(message) == headerBytes {
+		s.recordReply()
+		s.avoidUntil = now
 	}
 	for ; len(entries) > 0; entries = entries[grantEntryBytes:] {
 		e := decodeGrantEntry(entries)
@@ -446,6 +485,63 @@
 	return more, changes, nil
 }
 
+// acts reports whether this router issues the places of an upstream: it is the first by
+// rendezvous hashing, or the second and the first did not answer it. The caller holds mu.
+func (p *Permitter) acts(now time.Time, r *room) bool {
+	if !p.issues(now) {
+		return false
+	}
+	p.issuerOf(now, r.key, &r.ranking)
+	if ranked := r.ranking.ranked; len(ranked) > 0 && ranked[0] == p.Self {
+		return true
+	}
+	first := p.firstOf(r)
+	return first != "" && p.peer(first).away
+}
+
+// firstOf returns the first router by rendezvous hashing if this one is the second; otherwise
+// empty. The caller holds mu and has renewed the ranking.
+func (p *Permitter) firstOf(r *room) string {
+	if ranked := r.ranking.ranked; len(ranked) > 1 && ranked[1] == p.Self {
+		return ranked[0]
+	}
+	return ""
+}
+
+// pings returns messages to the routers in whose place this one may have to issue places. The
+// caller holds mu.
+func (p *Permitter) pings(now time.Time) []Message {
+	var messages []Message
+	for _, r := range p.issuer.rooms {
+		p.issuerOf(now, r.key, &r.ranking)
+		first := p.firstOf(r)
+		if first == "" || now.Sub(r.activeAt) >= holderTTL {
+			continue
+		}
+		s := p.peer(first)
+		if now.Sub(s.pingedAt) < replyTimeout {
+			continue
+		}
+		if !s.pingedAt.IsZero() && now.Sub(s.pingedAt) < 2*replyTimeout {
+			s.recordTimeout(now)
+		}
+		s.pingedAt = now
+		p.placeSequence++
+		messages = append(messages, Message{To: first, Payload: newHeader(KindState, p.placeSequence, 0)})
+	}
+	return messages
+}
+
+// decline records the state of a router that gets no places, so that the others can be told that
+// the upstream is brittle. r may be nil.
+func (r *room) decline(now time.Time, e stateEntry) {
+	if r != nil {
+		r.rest()
+		r.activeAt = now
+		r.recordEvidence(now, e)
+	}
+}
+
 // handlePlaceDecline handles the reply of a router that issues no places. The caller holds mu.
 func (p *Permitter) handlePlaceDecline(now time.Time, from string, sequence uint16) {
 	for _, l := range p.places {
@@ -454,11 +550,20 @@
 			l.changed = true
 			l.needed = max(l.needed, l.request.wanted)
 			l.request.wanted, l.nextRequest = 0, time.Time{}
-			p.peer(from).recordDecline(now)
+			p.handlePlaceDeclineOf(now, l, from)
 		}
 	}
 }
 
+// handlePlaceDeclineOf avoids the router that declined. If that is the second by hash, the first
+// one answers it and is asked again. The caller holds mu.
+func (p *Permitter) handlePlaceDeclineOf(now time.Time, l *places, from string) {
+	p.peer(from).recordDecline(now)
+	if ranked := l.ranking.ranked; len(ranked) > 1 && ranked[1] == from && ranked[0] != p.Self {
+		p.peer(ranked[0]).avoidUntil = now
+	}
+}
+
 func (p *Permitter) receiveNotice(now time.Time, message []byte) (more bool, changes []PlacesChange, err error) {
 	_, _, entries, err := decodeHeader(message, noticeEntryBytes)
 	if err != nil {
--- a/permitter/placemessage.go
+++ b/permitter/placemessage.go
@@ -10,7 +10,8 @@
 
 // Kinds of messages about the places of brittle upstreams.
 const (
-	// KindState tells the issuer which places a router holds and needs.
+	// KindState tells the issuer which places a router holds and needs. Without entries it
+	// asks whether the issuer is there.
 	KindState Kind = 0x33
 	// KindGrant answers a KindState, or issues places that it asked for.
 	KindGrant Kind = 0x34
@@ -72,7 +73,7 @@
 }
 
 // isAnswered reports whether the issuer answers the entry: not if the router neither holds nor
-// wants places.
+// wants places, and only reports.
 func (e stateEntry) isAnswered() bool { return e.held > 0 || e.wanted > 0 }
 
 func (e stateEntry) append(b []byte, now time.Time) []byte {
--- a/permitter/room.go
+++ b/permitter/room.go
@@ -15,7 +15,10 @@
 	openDelay     = 300 * time.Millisecond
 	takeOverDelay = 2500 * time.Millisecond
 	// holderTTL is how long the places of a router count that reports nothing.
-	holderTTL = 3 * time.Second
+	holderTTL = 5 * time.Second
+	// grantTTL is after which time places are taken as lost on the way that a router does not
+	// report: it does so after confirmDelay, and then each heartbeatInterval.
+	grantTTL = confirmDelay + heartbeatInterval + 100*time.Millisecond
 	// queueTTL is how long a router waits for the places that it asked for.
 	queueTTL = 1500 * time.Millisecond
 	// growInterval is the time between two steps of the number of places up to the slots
@@ -47,7 +50,10 @@
 	grownAt, refusedAt, activeAt time.Time
 	holders                      map[string]*holder
 	// issued counts the times that places were issued.
-	issued int
+	issued  int
+	ranking ranking
+	// acting means that this router issued the places when it was last asked.
+	acting bool
 	// noticed means that the routers are being told of the state noticedBrittle.
 	noticed, noticedBrittle bool
 }
@@ -59,9 +65,12 @@
 	heardAt  time.Time
 	sequence uint16
 	refusals uint8
-	wanted   int
-	tier     kingcuphook.Tier
-	queuedAt time.Time
+	// unconfirmed is how many of the places were issued at grantedAt and not reported since.
+	unconfirmed int
+	grantedAt   time.Time
+	wanted      int
+	tier        kingcuphook.Tier
+	queuedAt    time.Time
 	// answerAt is when the router is to be told that there is no place; zero if it was told.
 	answerAt time.Time
 }
@@ -90,13 +99,31 @@
 		i.rooms = make(map[uint64]*room)
 	}
 	r := &room{
-		key: e.key, slots: e.slots, tolerated: e.tolerated, announcedAt: now, createdAt: now, openAt: now.Add(openDelay),
-		capacity: max(e.slots/2, 1), holders: make(map[string]*holder),
+		key: e.key, slots: e.slots, tolerated: e.tolerated, announcedAt: now, createdAt: now, holders: make(map[string]*holder),
 	}
 	i.rooms[e.key] = r
 	return r
 }
 
+// act records that this router issues the places from now on.
+func (r *room) act(now time.Time) {
+	if r.acting {
+		return
+	}
+	r.acting = true
+	r.capacity = max(r.slots/2, 1)
+	r.openAt = now.Add(takeOverDelay)
+	if now.Sub(r.createdAt) < openDelay {
+		r.openAt = r.createdAt.Add(openDelay)
+	}
+}
+
+// rest records that this router issues no places.
+func (r *room) rest() {
+	r.acting = false
+	clear(r.holders)
+}
+
 // record records the state of a router, and reports whether it is newer than the one before.
 func (r *room) record(now time.Time, router string, sequence uint16, e stateEntry) bool {
 	h := r.holders[router]
@@ -115,6 +142,7 @@
 		r.shrink(now, int(n))
 	}
 	h.sequence, h.refusals, h.held, h.heardAt, h.answerAt = sequence, e.refusals, e.held, now, time.Time{}
+	h.unconfirmed = 0
 	if e.wanted > 0 && h.wanted == 0 {
 		h.queuedAt = now
 	}
@@ -179,6 +207,9 @@
 			delete(r.holders, router)
 			continue
 		}
+		if h.unconfirmed > 0 && now.Sub(h.grantedAt) >= grantTTL {
+			h.held, h.unconfirmed = max(h.held-h.unconfirmed, 0), 0
+		}
 		free -= h.held
 		if h.wanted > 0 && now.Sub(h.heardAt) < queueTTL {
 			waiting = append(waiting, h)
@@ -202,6 +233,7 @@
 		}
 		free -= n
 		h.held += n
+		h.unconfirmed, h.grantedAt = n, now
 		h.wanted, h.answerAt = 0, time.Time{}
 		r.issued++
 		grants = append(grants, grant{h.router, h.sequence, n})
