Add brittle upstreams to the soak's faults

An upstream announces that it is brittle, with values of which some can't be read, beside the other faults; more than two falls in one such time are a violation.

--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -57,6 +57,7 @@
 			return fault{"upstream is paused", duration, func() { env.upstream(i).Pause(duration) }, nothing}
 		},
 		func() fault { return fault{"upstream crashes", 0, func() { env.crash(i) }, nothing} },
+		func() fault { return env.brittleFault(i, s.rng, duration) },
 		func() fault { return env.limitFault(i, s.rng, duration) },
 		func() fault { return env.limitFault(i, s.rng, duration) },
 		func() fault { return env.partFault(s.rng) },
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -195,6 +195,9 @@
 		for _, exceeded := range s.env.exceededLimits(u) {
 			addViolation("%s", exceeded)
 		}
+		for _, fallen := range s.env.fallenTooOften(u) {
+			addViolation("%s", fallen)
+		}
 	}
 	for i := range s.Upstreams {
 		if u := s.env.upstream(i); !s.calls.reached(u) {
--- a/soaker/world.go
+++ b/soaker/world.go
@@ -96,6 +96,8 @@
 	limitMu sync.Mutex
 	// limits has the limits that it announced, in order of time.
 	limits []limitPeriod
+	// brittleTimes counts the times in which it was brittle.
+	brittleTimes int
 }
 
 // reserveHost reserves the loopback addresses of a run by opening a port on one of them,
@@ -191,6 +193,7 @@
 func (env *environment) serveUpstream(name, version, pool, address string) (*upstream, error) {
 	u := &upstream{name: name, pool: pool, born: time.Now()}
 	u.Upstream = &standin.Upstream{Instance: u.name, Version: version, Events: streamEvents, EventInterval: eventInterval}
+	u.Limit(soakSlots, soakWaiting, 0)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("soaker: %w", err)
