--- a/logger/events.go
+++ b/logger/events.go
@@ -69,6 +69,7 @@
 	PathCut               = Event{1307, LevelWarn, "path to an upstream is cut; a peer reaches it"}
 	PathDirect            = Event{1308, LevelInfo, "upstream is reached directly again"}
 	PathDown              = Event{1309, LevelInfo, "upstream is reached neither directly nor through peers"}
+	PlacesChanged         = Event{1310, LevelInfo, "brittle upstream: what bounds its open requests changed"}
 	PeerFailed            = Event{1401, LevelDebug, "exchange with a peer failed"}
 	PeerJoined            = Event{1402, LevelInfo, "peer joined"}
 	PeerLeft              = Event{1403, LevelInfo, "peer left"}
@@ -134,6 +135,7 @@
 		PathCut,
 		PathDirect,
 		PathDown,
+		PlacesChanged,
 		PeerFailed,
 		PeerJoined,
 		PeerLeft,
--- a/permitter/peer.go
+++ b/permitter/peer.go
@@ -25,19 +25,27 @@
 	timeouts int
 	// avoidUntil is until when the router is not asked.
 	avoidUntil time.Time
+	// away means that it did not answer, or declined, since it last answered.
+	away bool
+	// pingedAt is when it was last asked whether it is there; zero if it has answered.
+	pingedAt time.Time
 }
 
 func (p *peer) recordTimeout(now time.Time) {
 	p.timeouts++
 	if p.timeouts >= maxTimeouts {
 		p.timeouts = 0
+		p.away = true
 		p.avoidUntil = now.Add(timeoutPause)
 	}
 }
 
-func (p *peer) recordDecline(now time.Time) { p.avoidUntil = now.Add(declinePause) }
+func (p *peer) recordDecline(now time.Time) {
+	p.away = true
+	p.avoidUntil = now.Add(declinePause)
+}
 
-func (p *peer) recordReply() { p.timeouts = 0 }
+func (p *peer) recordReply() { p.timeouts, p.away, p.pingedAt = 0, false, time.Time{} }
 
 // peer returns the state of another router. The caller holds mu.
 func (p *Permitter) peer(address string) *peer {
@@ -57,13 +65,20 @@
 	return !p.stopping && !p.started.IsZero() && now.Sub(p.started) >= settleTime
 }
 
-// issuerOf returns the router to ask for permits of an upstream; empty if there is none.
-// The caller holds mu.
-func (p *Permitter) issuerOf(now time.Time, l *limit) string {
-	if l.ranked == nil || l.generation != p.generation {
-		l.ranked, l.generation = rank(l.key, p.routers), p.generation
+// ranking has the first routers for a key by rendezvous hashing, which are the issuer and its
+// substitute, as of generation.
+type ranking struct {
+	ranked     []string
+	generation int
+}
+
+// issuerOf returns the router to ask for permits of an upstream; empty if there is none. It
+// renews the ranking for the key. The caller holds mu.
+func (p *Permitter) issuerOf(now time.Time, key uint64, r *ranking) string {
+	if r.ranked == nil || r.generation != p.generation {
+		r.ranked, r.generation = rank(key, p.routers), p.generation
 	}
-	for _, address := range l.ranked {
+	for _, address := range r.ranked {
 		switch s := p.peers[address]; {
 		case address == p.Self:
 			if p.issues(now) {
