--- a/dispatcher/unsent_test.go
+++ b/dispatcher/unsent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -35,3 +36,40 @@
 		r.Equal(len(r.engine.Runs()), 2)
 	})
 }
+
+// farEngine can't reach the upstreams of the given starts, counted from 1, and falls silent in the
+// streams of start 6.
+type farEngine struct {
+	silentEngine
+
+	started int
+	unsent  []int
+}
+
+func (e *farEngine) Start(ctx context.Context, u *kingcuphook.Upstream, a *kingcuphook.Attempt) (kingcuphook.Stream, error) {
+	e.started++
+	if slices.Contains(e.unsent, e.started) {
+		return nil, errUnsent
+	}
+	s, err := e.Engine.Start(ctx, u, a)
+	if err == nil && e.started == 6 {
+		s = &silentStream{Stream: s}
+	}
+	return s, err
+}
+
+// A stream of a sound upstream was cut since the upstreams that could not be reached before it
+// began left its retry one dispatch.
+func TestUnsentDispatchesBeforeStreamLeaveItsRetryWhole(t *testing.T) {
+	runTest(t, []bool{true, true, true, true, true, true, true, true, true}, func(r *harness) {
+		r.Engine = &farEngine{silentEngine: silentEngine{r.engine}, unsent: []int{1, 2, 3, 4, 5, 7}}
+		c := &kingcuphook.Call{
+			Request: kingcuphook.NewRequest(kingcuphook.RequestFields{ID: "1", Fingerprint: 1, Stream: true}),
+			Kind:    kingcuphook.UpstreamKindEngine,
+			Opaque:  &kingcuphook.Opaque{MaxAttempts: 2, FirstByte: time.Second, Silence: 400 * time.Millisecond},
+		}
+		_, err := r.Dispatch(context.Background(), c, r)
+		r.NoErr(err)
+		r.Equal(len(r.engine.Runs()), 2)
+	})
+}
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -200,3 +200,22 @@
 	end := <-d.ended
 	d.Equal(end.End, endIdle)
 }
+
+// A helper stopped under streams of sound upstreams whose next event was 0.5 s away.
+func TestPauseWithinStreamKeepsHelperBusy(t *testing.T) {
+	d := newTestDoor(t)
+	c, upstream := d.open()
+	_, err := c.Write([]byte("POST / HTTP/1.1\r\n\r\n"))
+	d.NoErr(err)
+	_, err = upstream.Read(make([]byte, 100))
+	d.NoErr(err)
+	_, err = upstream.Write([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ndata: 1\n\n\r\n"))
+	d.NoErr(err)
+	_, err = c.Read(make([]byte, 100))
+	d.NoErr(err)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for carried := range d.tunnels {
+		d.True(carried.isBusy(time.Now().Add(2500 * time.Millisecond))) // the stream has not ended
+	}
+}
