Give each retry of a call all its unsent dispatches

What callers would see: a stream cut in the middle although its upstream was sound. It was silent, the attempt was cancelled for a reserved retry, and the first upstream that could not be dialled ended the call. Cause: the limit of six dispatches that are not sent held for a whole call, so that those before the stream began left its retry fewer, down to one. Change: the count begins anew with each dispatch that reaches an upstream; the route's limit of attempts and the budget bound these. Evidence: TestUnsentDispatchesBeforeStreamLeaveItsRetryWhole failed before (unavailable, not sent) and passes; so do the other tests of the package.

--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -26,8 +26,8 @@
 	queueRetryAfterJitter = time.Second
 )
 
-// maxUnsent bounds the dispatches of one call that reached no upstream of the
-// pool.
+// maxUnsent bounds the dispatches in a row of one call that reached no upstream of
+// the pool.
 const maxUnsent = 6
 
 // run is the execution of one call. It is used by one goroutine.
@@ -57,8 +57,8 @@
 	// attempts counts the dispatches, except those that were preempted or are
 	// counted by unsent.
 	attempts int
-	// unsent counts the dispatches that reached no upstream of the pool: nothing was
-	// sent, or another program had the address.
+	// unsent counts the dispatches that reached no upstream of the pool, since the last one
+	// that did: nothing was sent, or another program had the address.
 	unsent int
 	// dispatched is set once the call was dispatched.
 	dispatched bool
@@ -250,6 +250,8 @@
 	if errors.Is(err, kingcuphook.ErrNotSent) || errors.Is(err, kingcuphook.ErrMisdirected) {
 		r.attempts--
 		r.unsent++
+	} else {
+		r.unsent = 0
 	}
 	suspect := ctx.Err() == nil && r.recordBroken(r.isolated, u, err)
 	switch {
