Carry relayed streams through their pauses at a planned stop

What callers would see: a stream through a peer cut when the peer is stopped as planned, though there is grace time left. Cause: the peer counted a relayed connection as unused 0.5 s after the last bytes. Events of a stream may be further apart, and a sound upstream may be silent for 2.5 s. The users of a peer close idle connections when it announces its stop, so that this seldom lengthens one; it takes 3.5 s at least for other reasons.

--- a/relayer/door.go
+++ b/relayer/door.go
@@ -281,8 +281,9 @@
 	awaited atomic.Bool
 }
 
-// busyFor is how long after the last bytes of an answer more of it may come.
-const busyFor = 500 * time.Millisecond
+// busyFor is how long after the last bytes of an answer more of it may come. A sound upstream
+// may be silent for 2.5 s.
+const busyFor = 3 * time.Second
 
 // isBusy reports whether an answer is due or bytes of one came lately.
 func (t *tunnel) isBusy(now time.Time) bool {
