Ask peers at once when a relayed call breaks

What callers would see: a call refused as suspected of crashes, after peers that carried it to a sound upstream had ended under it twice. Cause: a call that breaks through a peer is a lost path if another path reaches the upstream, and the verdict is awaited for 100 ms. The check gave the direct path a lead of 120 ms, although that was known to be cut; unless it refused, or two paths were cut, the verdict came too late, and the call was suspected of a crash. The change of a path from one peer to another withdraws no suspicion. Change: a check of an upstream that is reached through a peer asks peers at once. Evidence: TestEndOfPeerIsNoCrash failed before in 3 of 3 runs; it passed 10 times in a row, and 120 times with the race detector, six processes at a time.

--- a/forwarder/path.go
+++ b/forwarder/path.go
@@ -232,7 +232,8 @@
 	return c
 }
 
-// check probes an upstream directly and, unless it responds soon, through peers as well.
+// check probes an upstream directly and, unless it responds soon, through peers as well. If it was
+// reached through a peer, the direct path was cut, and peers are asked at once.
 func (f *Forwarder) check(u *kingcuphook.Upstream, current netip.Addr) pathfinder.Verdict {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -240,7 +241,7 @@
 	go func() { direct <- f.probe(ctx, u, netip.Addr{}) }()
 	findPeer := sync.OnceFunc(func() { go func() { relayed <- f.findPeer(ctx, u, current) }() })
 	begun := time.Now()
-	if f.Paths.InDoubt(begun) {
+	if current.IsValid() || f.Paths.InDoubt(begun) {
 		findPeer()
 	}
 	lead := time.AfterFunc(directLead, findPeer)
