--- a/dialer/dialer_test.go
+++ b/dialer/dialer_test.go
@@ -95,6 +95,19 @@
 	is.True(errors.Is(err, kingcuphook.ErrUnavailable))
 }
 
+// A dispatch that was refused its connection is paid for by the retry budget, and counts as an attempt.
+func TestRefusedConnectionIsNotSent(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	is.NoErr(l.Close())
+	d := &Dialer{}
+	d.Init()
+	u := kingcuphook.NewUpstream(kingcuphook.UpstreamFields{Address: l.Addr().String()})
+	_, err = d.Start(t.Context(), u, attempt("{}"))
+	is.True(errors.Is(err, kingcuphook.ErrNotSent))
+}
+
 // TestNonIdempotentIsSentOnce closes the connection under a non-idempotent request
 // with an idempotency key and no body. On a reused connection, the HTTP transport
 // would send such a request again.
--- a/dispatcher/unsent_test.go
+++ b/dispatcher/unsent_test.go
@@ -73,3 +73,55 @@
 		r.Equal(len(r.engine.Runs()), 2)
 	})
 }
+
+// restartingEngine breaks the first stream after some frames, and can't reach any upstream for a
+// while after that.
+type restartingEngine struct {
+	silentEngine
+
+	brokenAt time.Time
+}
+
+func (e *restartingEngine) Start(ctx context.Context, u *kingcuphook.Upstream, a *kingcuphook.Attempt) (kingcuphook.Stream, error) {
+	if !e.brokenAt.IsZero() && time.Since(e.brokenAt) < 500*time.Millisecond {
+		return nil, errUnsent
+	}
+	s, err := e.Engine.Start(ctx, u, a)
+	if err != nil || !e.brokenAt.IsZero() {
+		return s, err
+	}
+	return &endingStream{Stream: s, engine: e}, nil
+}
+
+// endingStream breaks at its fifth frame.
+type endingStream struct {
+	kingcuphook.Stream
+
+	engine *restartingEngine
+	frames int
+}
+
+func (s *endingStream) Next(ctx context.Context) (kingcuphook.Frame, error) {
+	s.frames++
+	if s.frames == 5 {
+		s.engine.brokenAt = time.Now()
+		return kingcuphook.Frame{}, kingcuphook.ErrBrokenStream
+	}
+	return s.Stream.Next(ctx)
+}
+
+// A stream was cut within a millisecond while all upstreams refused connections, though its deadline
+// was far.
+func TestStreamWaitsWhileConnectionsAreRefused(t *testing.T) {
+	runTest(t, []bool{true, true}, func(r *harness) {
+		r.Engine = &restartingEngine{silentEngine: silentEngine{r.engine}}
+		c := &kingcuphook.Call{
+			Request: kingcuphook.NewRequest(kingcuphook.RequestFields{ID: "1", Fingerprint: 1, Stream: true}),
+			Kind:    kingcuphook.UpstreamKindEngine,
+			Opaque:  &kingcuphook.Opaque{MaxAttempts: 2, FirstByte: time.Second, Silence: 400 * time.Millisecond},
+		}
+		_, err := r.Dispatch(context.Background(), c, r)
+		r.NoErr(err)
+		r.Equal(len(r.engine.Runs()), 2)
+	})
+}
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -207,6 +207,36 @@
 	is.NoErr(err)
 }
 
+// slowHandler answers no exchange, and a pull after a while.
+type slowHandler struct{ handler }
+
+func (slowHandler) Exchange(ctx context.Context, _ []byte) ([]byte, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+func (h *slowHandler) Pull(ctx context.Context, revision int64) ([]byte, error) {
+	time.Sleep(500 * time.Millisecond)
+	return h.handler.Pull(ctx, revision)
+}
+
+// An exchange that timed out ended a pull of tables from the same peer.
+func TestTimeoutOfExchangeEndsNoPull(t *testing.T) {
+	is := is.New(t)
+	a := newAuthority(t)
+	address := serve(t, &slowHandler{handler{tables: []byte("tables")}}, a.credentials(t)).Addr().String()
+	c := &exchanger.Client{Credentials: a.credentials(t), Timeout: 200 * time.Millisecond}
+	defer func() { _ = c.Close() }()
+	pulled := make(chan error, 1)
+	go func() {
+		_, err := c.Pull(t.Context(), address, 1)
+		pulled <- err
+	}()
+	_, err := c.Exchange(t.Context(), address, digest(t))
+	is.True(err != nil)
+	is.NoErr(<-pulled)
+}
+
 // BenchmarkExchange reports the bytes of an exchange on the wire, including TLS
 // records but without the two digests, the read and write calls on the server's
 // connection, and the bytes of the first exchange with its handshake.
