--- a/dispatcher/unsent_test.go
+++ b/dispatcher/unsent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -35,3 +36,92 @@
 		r.Equal(len(r.engine.Runs()), 2)
 	})
 }
+
+// farEngine can't reach the upstreams of the given starts, counted from 1, and falls silent in the
+// streams of start 6.
+type farEngine struct {
+	silentEngine
+
+	started int
+	unsent  []int
+}
+
+func (e *farEngine) Start(ctx context.Context, u *kingcuphook.Upstream, a *kingcuphook.Attempt) (kingcuphook.Stream, error) {
+	e.started++
+	if slices.Contains(e.unsent, e.started) {
+		return nil, errUnsent
+	}
+	s, err := e.Engine.Start(ctx, u, a)
+	if err == nil && e.started == 6 {
+		s = &silentStream{Stream: s}
+	}
+	return s, err
+}
+
+// A stream of a sound upstream was cut since the upstreams that could not be reached before it
+// began left its retry one dispatch.
+func TestUnsentDispatchesBeforeStreamLeaveItsRetryWhole(t *testing.T) {
+	runTest(t, []bool{true, true, true, true, true, true, true, true, true}, func(r *harness) {
+		r.Engine = &farEngine{silentEngine: silentEngine{r.engine}, unsent: []int{1, 2, 3, 4, 5, 7}}
+		c := &kingcuphook.Call{
+			Request: kingcuphook.NewRequest(kingcuphook.RequestFields{ID: "1", Fingerprint: 1, Stream: true}),
+			Kind:    kingcuphook.UpstreamKindEngine,
+			Opaque:  &kingcuphook.Opaque{MaxAttempts: 2, FirstByte: time.Second, Silence: 400 * time.Millisecond},
+		}
+		_, err := r.Dispatch(context.Background(), c, r)
+		r.NoErr(err)
+		r.Equal(len(r.engine.Runs()), 2)
+	})
+}
+
+// restartingEngine breaks the first stream after some frames, and can't reach any upstream for a
+// while after that.
+type restartingEngine struct {
+	silentEngine
+
+	brokenAt time.Time
+}
+
+func (e *restartingEngine) Start(ctx context.Context, u *kingcuphook.Upstream, a *kingcuphook.Attempt) (kingcuphook.Stream, error) {
+	if !e.brokenAt.IsZero() && time.Since(e.brokenAt) < 500*time.Millisecond {
+		return nil, errUnsent
+	}
+	s, err := e.Engine.Start(ctx, u, a)
+	if err != nil || !e.brokenAt.IsZero() {
+		return s, err
+	}
+	return &endingStream{Stream: s, engine: e}, nil
+}
+
+// endingStream breaks at its fifth frame.
+type endingStream struct {
+	kingcuphook.Stream
+
+	engine *restartingEngine
+	frames int
+}
+
+func (s *endingStream) Next(ctx context.Context) (kingcuphook.Frame, error) {
+	s.frames++
+	if s.frames == 5 {
+		s.engine.brokenAt = time.Now()
+		return kingcuphook.Frame{}, kingcuphook.ErrBrokenStream
+	}
+	return s.Stream.Next(ctx)
+}
+
+// A stream was cut within a millisecond while all upstreams refused connections, though its deadline
+// was far.
+func TestStreamWaitsWhileConnectionsAreRefused(t *testing.T) {
+	runTest(t, []bool{true, true}, func(r *harness) {
+		r.Engine = &restartingEngine{silentEngine: silentEngine{r.engine}}
+		c := &kingcuphook.Call{
+			Request: kingcuphook.NewRequest(kingcuphook.RequestFields{ID: "1", Fingerprint: 1, Stream: true}),
+			Kind:    kingcuphook.UpstreamKindEngine,
+			Opaque:  &kingcuphook.Opaque{MaxAttempts: 2, FirstByte: time.Second, Silence: 400 * time.Millisecond},
+		}
+		_, err := r.Dispatch(context.Background(), c, r)
+		r.NoErr(err)
+		r.Equal(len(r.engine.Runs()), 2)
+	})
+}
