--- a/permitter/caution.go
+++ b/permitter/caution.go
@@ -8,7 +8,7 @@
 
 // cautionTime is how long a router that has started uses only its share of the slots of the
 // upstreams that have not answered it yet, since they may be brittle.
-const cautionTime = time.Second
+const cautionTime = 1500 * time.Millisecond
 
 // cautious reports whether this router has just started and the upstream, which may be brittle,
 // has not answered it. The caller holds mu.
--- a/permitter/fuzz_test.go
+++ b/permitter/fuzz_test.go
@@ -16,6 +16,11 @@
 	f.Add(replyEntry{key: 1, issued: 255, wait: time.Hour, retry: time.Hour}.append(newHeader(KindReply, 1, 0)))
 	f.Add(newHeader(KindReply, 0, flagDeclined))
 	f.Add([]byte{byte(KindRequest)})
+	state := stateEntry{key: 1, slots: 4, tolerated: 3, begunAt: now, announcedAt: now, absentSentAt: now, held: 2, wanted: 255, tier: 1}
+	f.Add(state.append(newHeader(KindState, 1, 0), now))
+	f.Add(newHeader(KindState, 1, 0))
+	f.Add(grantEntry{key: 1, places: 4, ended: true, wait: time.Hour}.append(newHeader(KindGrant, 1, 0)))
+	f.Add(noticeEntry{key: 1, tolerated: 3, announcedAt: now}.append(newHeader(KindBrittle, 0, 0), now))
 	f.Fuzz(func(t *testing.T, message []byte) {
 		p := &Permitter{}
 		p.SetRouters(now, []string{"a", "b"})
@@ -30,7 +35,11 @@
 			if len(reply) == 0 {
 				continue
 			}
-			if _, _, entries, err := decodeHeader(reply, replyEntryBytes); err != nil || len(entries) > maxEntries*replyEntryBytes {
+			entryBytes := replyEntryBytes
+			if Kind(reply[0]) == KindGrant {
+				entryBytes = grantEntryBytes
+			}
+			if _, _, entries, err := decodeHeader(reply, entryBytes); err != nil || len(entries) > maxEntries*entryBytes {
 				t.Fatalf("reply %x: %v", reply, err)
 			}
 		}
--- a/scheduler/permit_test.go
+++ b/scheduler/permit_test.go
@@ -157,3 +157,20 @@
 	is.True(errors.Is(sheds[0].Err(), kingcuphook.ErrUpstreamsLimited))
 	is.True(sheds[0].RetryAfter() >= 20*time.Second)
 }
+
+// A place bounds the requests at a brittle upstream whatever sums of load say, and is released
+// when its request ends.
+func TestBrittleUpstreamGetsRequestsByPlaces(t *testing.T) {
+	is := is.New(t)
+	s, permits := newLimitedScheduler(map[string]kingcuphook.PermitState{"a": {Limited: true, Bounded: true, Held: 2}}, engine("a", 1))
+	for _, id := range []string{"0", "1", "2", "3"} {
+		s.Offer(start, request(id, 1))
+	}
+	is.Equal(assign(s, start), "0>a 1>a ")
+	is.Equal(permits.requested["a"], 3) // the third request asks for a place
+	permits.states["a"] = kingcuphook.PermitState{Limited: true, Bounded: true, Requested: true}
+	is.Equal(assign(s, start), "")
+	is.Equal(permits.requested["a"], 3)
+	s.Finished(start, "a", request("0", 1), kingcuphook.Sample{})
+	is.Equal(len(permits.released), 1)
+}
