--- a/attacher/outofstep_test.go
+++ b/attacher/outofstep_test.go
@@ -55,8 +55,8 @@
 	w.registerVersions("1", "1")
 	w.NoErr(w.store.Delete(t.Context(), platform.RegistrationPrefix+"i-1", kingcuphook.RevisionAny))
 	store, cut := w.cutStore()
-	inTouch := w.start(loopback("88.1"), w.server.Listener.Addr().String())
-	pair := []*process{w.start(loopback("88.2"), store), w.start(loopback("88.3"), store, loopback("88.2"))}
+	inTouch := w.start(loopback("91.1"), w.server.Listener.Addr().String())
+	pair := []*process{w.start(loopback("91.2"), store), w.start(loopback("91.3"), store, loopback("91.2"))}
 	for _, p := range append(pair, inTouch) {
 		w.waitFor("readiness", p.isReady)
 	}
@@ -86,7 +86,7 @@
 		digest digester.Fields
 		want   time.Time
 	}{
-		"current":               {[]time.Duration{200 * time.Millisecond}, digester.Fields{Current: true, CurrentAge: 100 * time.Millisecond}, now.Add(-100 * time.Millisecond)},
+		"current":               {[]time.Duration{200 * time.Millisecond}, digester.Fields{Current: true, CurrentAge: 120 * time.Millisecond}, now.Add(-120 * time.Millisecond)},
 		"sender doesn't know":   {[]time.Duration{200 * time.Millisecond}, digester.Fields{CanFollow: true}, time.Time{}},
 		"sender is out of step": {[]time.Duration{200 * time.Millisecond}, digester.Fields{CanFollow: true, Current: true, CurrentAge: time.Minute}, time.Time{}},
 		"newer revision":        {[]time.Duration{200 * time.Millisecond}, digester.Fields{Current: true, Revision: 1}, time.Time{}},
--- a/soaker/connection.go
+++ b/soaker/connection.go
@@ -190,7 +190,7 @@
 		n, err := body.Read(buffer)
 		read.Write(buffer[:n])
 		if err == io.EOF && strings.Count(read.String(), "\n\n") >= events {
-			return read.String(), nil
+			break // the last read brought the end as well
 		}
 		if err == io.EOF {
 			return read.String(), io.ErrUnexpectedEOF
--- a/soaker/connection_test.go
+++ b/soaker/connection_test.go
@@ -1,7 +1,6 @@
 package soaker
 
 import (
-	"errors"
 	"io"
 	"strings"
 	"testing"
@@ -10,15 +9,18 @@
 	"github.com/matryer/is"
 )
 
-// A stream whose last events came with its end, one of which its caller did not wait for, counted as cut.
-func TestEventsThatComeWithTheEndAreRead(t *testing.T) {
-	is := is.New(t)
-	const whole = "id: 0\n\nid: 1\n\nid: 2\n\n"
-	for events := 1; events <= 3; events++ {
-		body, err := readEvents(iotest.DataErrReader(strings.NewReader(whole)), events)
-		is.NoErr(err)
-		is.Equal(body, whole)
+// A whole stream that came in one read with its end counted as cut, if its caller meant to leave it.
+func TestStreamThatEndsWithLastReadIsNotCut(t *testing.T) {
+	const body = "data: 1\n\ndata: 2\n\ndata: 3\n\n"
+	for events, want := range map[int]error{1: nil, 3: nil, 4: io.ErrUnexpectedEOF} {
+		is := is.New(t)
+		read, err := readEvents(iotest.DataErrReader(strings.NewReader(body)), events)
+		is.Equal(err, want)
+		is.Equal(read, body)
+		_, err = readEvents(strings.NewReader(body), events)
+		is.Equal(err, want)
 	}
-	_, err := readEvents(iotest.DataErrReader(strings.NewReader(whole)), 4)
-	is.True(errors.Is(err, io.ErrUnexpectedEOF))
+	is := is.New(t)
+	_, err := readEvents(iotest.ErrReader(io.ErrUnexpectedEOF), 1)
+	is.Equal(err, io.ErrUnexpectedEOF)
 }
