Wait for checks only while the links are in doubt

Cause: where three upstreams crash, attempts waited up to 0.5 s for the verdict, with their slots, and each check had peers dial the crashed ones. Change: bytes that come after the evidence show that the links work, and a peer with evidence of its own refuses without a dial.

--- a/forwarder/path.go
+++ b/forwarder/path.go
@@ -36,7 +36,7 @@
 	// checkWait bounds how long a failed attempt waits for the verdict of a check. doubtWait
 	// replaces it while the router's own links are in doubt: the next upstream is then no
 	// better.
-	checkWait = 100 * time.Millisecond
+	checkWait = 50 * time.Millisecond
 	doubtWait = 500 * time.Millisecond
 	// maxPaths is how many paths one attempt tries of which nothing could be sent.
 	maxPaths = 3
@@ -190,16 +190,21 @@
 
 // awaitCheck waits a short time for the end of a check.
 func (f *Forwarder) awaitCheck(ctx context.Context, c *check) {
-	wait := checkWait
-	if f.Paths.InDoubt(time.Now()) {
-		wait = doubtWait
-	}
-	timer := time.NewTimer(wait)
+	until := time.Now().Add(doubtWait)
+	timer := time.NewTimer(checkWait)
 	defer timer.Stop()
-	select {
-	case <-c.done:
-	case <-timer.C:
-	case <-ctx.Done():
+	for {
+		select {
+		case <-c.done:
+			return
+		case <-ctx.Done():
+			return
+		case now := <-timer.C:
+			if !now.Before(until) || !f.Paths.InDoubt(now) {
+				return
+			}
+			timer.Reset(checkWait)
+		}
 	}
 }
 
--- a/pathfinder/pathfinder.go
+++ b/pathfinder/pathfinder.go
@@ -56,6 +56,8 @@
 	// doubtWindow is how long evidence against an upstream counts for the doubt about the
 	// router's own links.
 	doubtWindow = time.Second
+	// heardGrace is how long after the evidence bytes may come that were sent before.
+	heardGrace = 20 * time.Millisecond
 	// minSilence and maxSilence bound the time without any byte of an upstream, while requests
 	// are in flight, that counts as evidence. silenceFactor is the multiple of the
 	// longest such time of late that it is in between.
@@ -276,6 +278,8 @@
 	defer f.unlock()
 	p := f.paths[program]
 	switch {
+	case p != nil && p.state == StateDirect && p.isDoubted(now):
+		return false // its check decides
 	case p == nil || p.state == StateDirect:
 		return !f.isCutOff(now) || p != nil && p.checkedAt.After(f.cutSince)
 	case p.state == StateDown:
@@ -340,13 +344,22 @@
 // inDoubt is InDoubt. The caller must hold mu.
 func (f *Pathfinder) inDoubt(now time.Time) bool {
 	n := 0
+	first := now
 	for _, p := range f.paths {
-		refuted := p.state == StateDirect && p.checkedAt.After(p.evidenceAt)
-		if p.state == StateCut || !refuted && !p.evidenceAt.IsZero() && now.Sub(p.evidenceAt) < doubtWindow {
+		if p.isDoubted(now) {
 			n++
+			first = earlier(first, p.evidenceAt)
 		}
 	}
-	return n >= minCutOff
+	// Bytes that came after the evidence show that the links work.
+	return n >= minCutOff && !f.heard.After(first.Add(heardGrace))
+}
+
+// isDoubted reports whether there is recent evidence against the direct path that no check has
+// refuted.
+func (p *path) isDoubted(now time.Time) bool {
+	refuted := p.state == StateDirect && p.checkedAt.After(p.evidenceAt)
+	return !refuted && !p.evidenceAt.IsZero() && now.Sub(p.evidenceAt) < doubtWindow
 }
 
 // Began records that a request is sent on the direct path to an upstream. Ended must be called for
