Let begun streams wait while connections are refused

What callers would see: a stream cut in the middle, within a millisecond, while all its upstreams refuse connections for a moment, though there is time until its deadline. Cause: a dispatch that is not sent costs nothing since and is repeated at once; refused connections take no time, so that the six are spent before any upstream is back. Change: from the second such dispatch in a row on, a stream that has begun waits, 50 ms first and twice as long each time, 0.75 s in all. Calls that have not begun are refused as before. Evidence: TestStreamWaitsWhileConnectionsAreRefused failed before and passes, and so do the other tests of the package that are not listed, 3 times.

--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -30,6 +30,10 @@
 // the pool.
 const maxUnsent = 6
 
+// unsentDelay is the delay after the second dispatch in a row of a stream that has begun
+// which was not sent. It doubles with each further one.
+const unsentDelay = 50 * time.Millisecond
+
 // run is the execution of one call. It is used by one goroutine.
 type run struct {
 	d    *Dispatcher
@@ -137,6 +141,9 @@
 	}
 	if errors.Is(err, kingcuphook.ErrNotSent) {
 		// What was spent for this dispatch, if anything, pays for the next one.
+		if r.answer.Position() > 0 && r.unsent > 1 && !pauser.Pause(ctx, unsentDelay<<(r.unsent-2)) {
+			return errors.Join(ctx.Err(), err)
+		}
 		return nil
 	}
 	wait, ok := r.spendRetry()
