Log the end of a relayed connection as the upstream's if that came first

Cause: a peer that had read the end of an answer closed the connection, and the log named the peer. Change: the upstream's end goes first.

--- a/relayer/door.go
+++ b/relayer/door.go
@@ -290,6 +290,8 @@
 	last atomic.Int64
 	// awaited is true if the last bytes were sent to the upstream.
 	awaited atomic.Bool
+	// ended is true once the upstream has closed the connection.
+	ended atomic.Bool
 }
 
 // busyFor is how long after the last bytes of an answer more of it may come. A sound upstream
@@ -311,6 +313,9 @@
 	case <-peerDone:
 		// The peer uses no half-closed connections: its request has ended or was cancelled.
 		end, err = endPeer, peerErr
+		if t.ended.Load() {
+			end = endUpstream
+		}
 		_ = t.upstream.Close()
 		t.abort()
 	case <-upstreamDone:
@@ -384,6 +389,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
+			t.ended.Store(true)
 			if err := t.writeBlock(buffer, 0); err != nil {
 				return err
 			}
