--- a/permitter/brittle_test.go
+++ b/permitter/brittle_test.go
@@ -12,6 +12,7 @@
 )
 
 const (
+	brittleSeed      = 1
 	brittleStep      = 2 * time.Millisecond
 	brittleLinkDelay = 4 * time.Millisecond
 	brittleRunTime   = 100 * time.Millisecond
@@ -64,9 +65,9 @@
 	bytes    int
 }
 
-func newBrittleFleet(t *testing.T, seed uint64, n int, requests float64) *brittleFleet {
+func newBrittleFleet(t *testing.T, n int, requests float64) *brittleFleet {
 	f := &brittleFleet{
-		t: t, rng: rand.New(rand.NewPCG(seed, seed)), now: time.Unix(1_700_000_000, 0), requests: requests, events: make(map[int64][]func()),
+		t: t, rng: rand.New(rand.NewPCG(brittleSeed, brittleSeed)), now: time.Unix(1_700_000_000, 0), requests: requests, events: make(map[int64][]func()),
 	}
 	upstreams := make([]*kingcuphook.Upstream, 0, brittleUpstreams)
 	for i := range brittleUpstreams {
@@ -269,7 +270,7 @@
 			for _, tolerated := range tolerances[routers] {
 				t.Run(fmt.Sprintf("%d/%v/%d", routers, load, tolerated), func(t *testing.T) {
 					t.Parallel()
-					f := newBrittleFleet(t, 1, routers, load*float64(borne))
+					f := newBrittleFleet(t, routers, load*float64(borne))
 					f.run(settleTime)
 					f.announce(tolerated)
 					f.run(standin.BrittleDelay)
@@ -315,7 +316,7 @@
 // The issuer of a brittle upstream sends more than the control bytes of a router in a large fleet.
 func TestIssuerOfLargeFleetStaysWithinControlBytes(t *testing.T) {
 	t.Parallel()
-	f := newBrittleFleet(t, 1, 300, 1.5*float64(borne))
+	f := newBrittleFleet(t, 300, 1.5*float64(borne))
 	f.run(settleTime)
 	f.announce(1)
 	f.run(standin.BrittleDelay)
--- a/permitter/brittletrouble_test.go
+++ b/permitter/brittletrouble_test.go
@@ -10,7 +10,7 @@
 
 // newBrittleLoad returns a fleet under load whose upstreams have been brittle for some time.
 func newBrittleLoad(t *testing.T, routers, tolerated int, load float64) *brittleFleet {
-	f := newBrittleFleet(t, 1, routers, load*float64(borne))
+	f := newBrittleFleet(t, routers, load*float64(borne))
 	f.run(settleTime)
 	f.announce(tolerated)
 	f.run(standin.BrittleDelay)
@@ -106,7 +106,7 @@
 	for name, routers := range map[string]int{"8": 8, "300": 300} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			f := newBrittleFleet(t, 1, routers, 0)
+			f := newBrittleFleet(t, routers, 0)
 			f.announce(1)
 			f.run(2 * standin.BrittleDelay)
 			for n, r := range f.routers {
