--- a/permitter/placeexchange.go
+++ b/permitter/placeexchange.go
@@ -1,7 +1,6 @@
 package permitter
 
 import (
-	"slices"
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
@@ -256,129 +255,6 @@
 	return p.applyGrant(now, l, g)
 }
 
-// handleState handles the state of a router and returns the reply. The caller holds mu.
-func (p *Permitter) handleState(now time.Time, router string, sequence uint16, e stateEntry) (grantEntry, bool) {
-	r := p.issuer.room(now, e)
-	if r == nil {
-		return grantEntry{}, false
-	}
-	r.act(now)
-	if !r.record(now, router, sequence, e) {
-		return grantEntry{}, false
-	}
-	g := grantEntry{key: e.key}
-	if !r.endedAt.IsZero() {
-		g.ended = true
-		return g, true
-	}
-	g.places = p.sendGrants(now, r, router)
-	g.contended = r.waiting(now) > 0
-	g.wait = r.waitOf(now)
-	return g, true
-}
-
-// sendGrants issues the free places of a room. It returns the number of those for a router
-// whose state is being answered; the others are sent. The caller holds mu.
-func (p *Permitter) sendGrants(now time.Time, r *room, answered string) int {
-	if r.acting && !p.acts(now, r) {
-		r.rest()
-	}
-	if !r.endedAt.IsZero() || !r.acting {
-		return 0
-	}
-	n := 0
-	for _, g := range r.allot(now) {
-		switch g.router {
-		case answered:
-			n = g.places
-		case p.Self:
-			if l := p.placesByKey[r.key]; l != nil && l.request.sequence == g.sequence {
-				p.applyGrant(now, l, grantEntry{key: r.key, places: g.places, contended: r.waiting(now) > 0})
-				p.granted = true
-			}
-		default:
-			b := grantEntry{key: r.key, places: g.places, contended: r.waiting(now) > 0}.append(newHeader(KindGrant, g.sequence, 0))
-			p.outbox = append(p.outbox, Message{To: g.router, Payload: b})
-		}
-	}
-	return n
-}
-
-// sendQueuedReplies answers the routers that have been waiting for some time. The caller holds mu.
-func (p *Permitter) sendQueuedReplies(now time.Time, r *room) {
-	for _, h := range r.holders {
-		if h.answerAt.IsZero() || now.Before(h.answerAt) {
-			continue
-		}
-		h.answerAt = time.Time{}
-		e := grantEntry{key: r.key, contended: true, wait: r.waitOf(now)}
-		p.outbox = append(p.outbox, Message{To: h.router, Payload: e.append(newHeader(KindGrant, h.sequence, 0))})
-	}
-}
-
-// welcome has the routers told first that were not known before.
-func (i *issuer) welcome(known, routers []string) {
-	if len(i.rooms) == 0 {
-		return
-	}
-	for _, address := range routers {
-		if !slices.Contains(known, address) && len(i.joined) < maxWaiting {
-			i.joined = append(i.joined, address)
-		}
-	}
-}
-
-// sendNotices tells routers which upstreams are brittle: at once those that have joined or have
-// not been told yet, and one after the other. The caller holds mu.
-func (p *Permitter) sendNotices(now time.Time) (changes []PlacesChange) {
-	if len(p.issuer.rooms) == 0 || len(p.routers) == 0 || now.Sub(p.issuer.noticedAt) < firstNoticeInterval {
-		return nil
-	}
-	changed := false
-	for _, r := range p.issuer.rooms {
-		changed = changed || !r.noticed || r.noticedBrittle != r.endedAt.IsZero()
-	}
-	if !changed && p.issuer.untold == 0 && len(p.issuer.joined) == 0 && now.Sub(p.issuer.noticedAt) < noticeInterval {
-		return nil
-	}
-	p.issuer.noticedAt = now
-	b := newHeader(KindBrittle, 0, 0)
-	entries := 0
-	for key, r := range p.issuer.rooms {
-		if entries == maxEntries || now.Sub(r.activeAt) > bucketTTL {
-			continue
-		}
-		if known := r.endedAt.IsZero(); !r.noticed || r.noticedBrittle != known {
-			r.noticed, r.noticedBrittle = true, known
-			p.issuer.untold = len(p.routers)
-		}
-		entries++
-		e := noticeEntry{key: key, tolerated: r.tolerated, announcedAt: r.announcedAt, ended: !r.endedAt.IsZero()}
-		b = e.append(b, now)
-		if c, changed := p.applyNotice(now, e); changed {
-			changes = append(changes, c)
-		}
-	}
-	for _, to := range p.issuer.joined {
-		if to != p.Self {
-			p.outbox = append(p.outbox, Message{To: to, Payload: b})
-		}
-	}
-	p.issuer.joined = nil
-	n := 1
-	if p.issuer.untold > 0 {
-		n = min(firstNotices, p.issuer.untold)
-		p.issuer.untold -= n
-	}
-	for range min(n, len(p.routers)) {
-		p.issuer.nextNotice = (p.issuer.nextNotice + 1) % len(p.routers)
-		if to := p.routers[p.issuer.nextNotice]; to != p.Self {
-			p.outbox = append(p.outbox, Message{To: to, Payload: b})
-		}
-	}
-	return changes
-}
-
 // applyGrant applies the reply of an issuer. The caller holds mu.
 func (p *Permitter) applyGrant(now time.Time, l *places, e grantEntry) []PlacesChange {
 	if l.request.pending {
@@ -426,41 +302,6 @@
 	return reply, more, err
 }
 
-func (p *Permitter) receiveState(now time.Time, from string, message []byte) ([]byte, error) {
-	sequence, _, entries, err := decodeHeader(message, stateEntryBytes)
-	if err != nil {
-		return nil, err
-	}
-	b := newHeader(KindGrant, sequence, 0)
-	for ; len(entries) > 0; entries = entries[stateEntryBytes:] {
-		e, err := decodeStateEntry(entries, now)
-		if err != nil {
-			return nil, err
-		}
-		r := p.issuer.room(now, e)
-		if r == nil || !p.acts(now, r) {
-			r.decline(now, e)
-			b = newHeader(KindGrant, sequence, flagDeclined)
-			break
-		}
-		g, answered := p.handleState(now, from, sequence, e)
-		switch {
-		case !answered || !e.isAnswered():
-		case e.held == 0 && g.places == 0 && !g.ended:
-			p.issuer.rooms[e.key].holders[from].answerAt = now.Add(queuedReplyDelay)
-		default:
-			b = g.append(b)
-		}
-	}
-	if len(message) == headerBytes && !p.issues(now) {
-		return newHeader(KindGrant, sequence, flagDeclined), nil
-	}
-	if len(b) == headerBytes && len(message) > headerBytes {
-		return nil, nil
-	}
-	return b, nil
-}
-
 func (p *Permitter) receiveGrant(now time.Time, from string, message []byte) (more bool, changes []PlacesChange, err error) {
 	sequence, flags, entries, err := decodeHeader(message, grantEntryBytes)
 	if err != nil {
@@ -485,63 +326,6 @@
 	return more, changes, nil
 }
 
-// acts reports whether this router issues the places of an upstream: it is the first by
-// rendezvous hashing, or the second and the first did not answer it. The caller holds mu.
-func (p *Permitter) acts(now time.Time, r *room) bool {
-	if !p.issues(now) {
-		return false
-	}
-	p.issuerOf(now, r.key, &r.ranking)
-	if ranked := r.ranking.ranked; len(ranked) > 0 && ranked[0] == p.Self {
-		return true
-	}
-	first := p.firstOf(r)
-	return first != "" && p.peer(first).away
-}
-
-// firstOf returns the first router by rendezvous hashing if this one is the second; otherwise
-// empty. The caller holds mu and has renewed the ranking.
-func (p *Permitter) firstOf(r *room) string {
-	if ranked := r.ranking.ranked; len(ranked) > 1 && ranked[1] == p.Self {
-		return ranked[0]
-	}
-	return ""
-}
-
-// pings returns messages to the routers in whose place this one may have to issue places. The
-// caller holds mu.
-func (p *Permitter) pings(now time.Time) []Message {
-	var messages []Message
-	for _, r := range p.issuer.rooms {
-		p.issuerOf(now, r.key, &r.ranking)
-		first := p.firstOf(r)
-		if first == "" || now.Sub(r.activeAt) >= holderTTL {
-			continue
-		}
-		s := p.peer(first)
-		if now.Sub(s.pingedAt) < replyTimeout {
-			continue
-		}
-		if !s.pingedAt.IsZero() && now.Sub(s.pingedAt) < 2*replyTimeout {
-			s.recordTimeout(now)
-		}
-		s.pingedAt = now
-		p.placeSequence++
-		messages = append(messages, Message{To: first, Payload: newHeader(KindState, p.placeSequence, 0)})
-	}
-	return messages
-}
-
-// decline records the state of a router that gets no places, so that the others can be told that
-// the upstream is brittle. r may be nil.
-func (r *room) decline(now time.Time, e stateEntry) {
-	if r != nil {
-		r.rest()
-		r.activeAt = now
-		r.recordEvidence(now, e)
-	}
-}
-
 // handlePlaceDecline handles the reply of a router that issues no places. The caller holds mu.
 func (p *Permitter) handlePlaceDecline(now time.Time, from string, sequence uint16) {
 	for _, l := range p.places {
@@ -563,57 +347,3 @@
 		p.peer(ranked[0]).avoidUntil = now
 	}
 }
-
-func (p *Permitter) receiveNotice(now time.Time, message []byte) (more bool, changes []PlacesChange, err error) {
-	_, _, entries, err := decodeHeader(message, noticeEntryBytes)
-	if err != nil {
-		return false, nil, err
-	}
-	for ; len(entries) > 0; entries = entries[noticeEntryBytes:] {
-		c, changed := p.applyNotice(now, decodeNoticeEntry(entries, now))
-		if changed {
-			changes = append(changes, c)
-			more = more || c.Kind == ChangeKindEnded
-		}
-	}
-	return more, changes, nil
-}
-
-// applyNotice applies what an issuer knows of an upstream. The caller holds mu.
-func (p *Permitter) applyNotice(now time.Time, e noticeEntry) (PlacesChange, bool) {
-	l := p.placesByKey[e.key]
-	switch {
-	case l != nil && e.ended && !l.announcedAt.After(e.announcedAt):
-		p.removePlaces(l)
-		return p.placesChange(now, l, ChangeKindEnded, SourcePeer), true
-	case e.ended:
-		return PlacesChange{}, false
-	case l != nil:
-		l.toldAt = now
-		return PlacesChange{}, false
-	}
-	u := p.upstreamByKey(e.key)
-	if u == nil || len(p.places) >= maxLimits {
-		return PlacesChange{}, false
-	}
-	l = p.addPlaces(now, u.Program(), u.Slots(), e.tolerated)
-	l.toldAt = now
-	return p.placesChange(now, l, ChangeKindBegan, SourcePeer), true
-}
-
-// upstreamByKey returns the upstream of the tables whose program has the key, or nil. The caller
-// holds mu.
-func (p *Permitter) upstreamByKey(key uint64) *kingcuphook.Upstream {
-	if p.tables == nil {
-		return nil
-	}
-	if p.upstreams == nil {
-		p.upstreams = make(map[uint64]*kingcuphook.Upstream)
-		for _, pool := range p.tables.Pools() {
-			for _, u := range pool.Upstreams() {
-				p.upstreams[u.Program().Key()] = u
-			}
-		}
-	}
-	return p.upstreams[key]
-}
