--- a/forwarder/path.go
+++ b/forwarder/path.go
@@ -174,7 +174,7 @@
 		c = f.suspect(u, e)
 	}
 	if c != nil {
-		f.awaitCheck(ctx, c)
+		f.awaitCheck(ctx, c, peer.IsValid())
 	}
 	return f.via(u) != peer
 }
@@ -188,8 +188,9 @@
 	return errors.Is(err, relayer.ErrCarriesNone) || errors.Is(err, kingcuphook.ErrNotSent) && !errors.Is(err, relayer.ErrRefused)
 }
 
-// awaitCheck waits a short time for the end of a check.
-func (f *Forwarder) awaitCheck(ctx context.Context, c *check) {
+// awaitCheck waits a short time for the end of a check, longer if the attempt was relayed: the
+// direct path is known to be cut then.
+func (f *Forwarder) awaitCheck(ctx context.Context, c *check, relayed bool) {
 	until := time.Now().Add(doubtWait)
 	timer := time.NewTimer(checkWait)
 	defer timer.Stop()
@@ -200,7 +201,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-timer.C:
-			if !now.Before(until) || !f.Paths.InDoubt(now) {
+			if !now.Before(until) || !relayed && !f.Paths.InDoubt(now) {
 				return
 			}
 			timer.Reset(checkWait)
