--- a/permitter/brittle_test.go
+++ b/permitter/brittle_test.go
@@ -13,6 +13,7 @@
 
 const (
 	brittleSeed      = 1
+	largeFleet       = 300
 	brittleStep      = 2 * time.Millisecond
 	brittleLinkDelay = 4 * time.Millisecond
 	brittleRunTime   = 100 * time.Millisecond
@@ -65,7 +66,13 @@
 	bytes    int
 }
 
+// newBrittleFleet returns a fleet of n routers. A large one takes minutes with the race detector,
+// which has nothing to find in a simulation of one goroutine: CI runs it without.
 func newBrittleFleet(t *testing.T, n int, requests float64) *brittleFleet {
+	t.Helper()
+	if withRaceDetector && n >= largeFleet {
+		t.Skip("a large fleet is simulated without the race detector only")
+	}
 	f := &brittleFleet{
 		t: t, rng: rand.New(rand.NewPCG(brittleSeed, brittleSeed)), now: time.Unix(1_700_000_000, 0), requests: requests, events: make(map[int64][]func()),
 	}
--- /dev/null
+++ b/permitter/norace_test.go
@@ -0,0 +1,6 @@
+//go:build !race
+
+package permitter
+
+// withRaceDetector reports whether the tests run with the race detector.
+const withRaceDetector = false
