Collect the programs of the tables in one place

Cause: the forwarder and the relays built the same set with the same loop at each change of the tables, and three tests of retries that were not sent built the same call. Change: Tables.Programs, and one function for that call; behaviour, bounds and assertions are as before.

--- a/attacher/relays.go
+++ b/attacher/relays.go
@@ -102,12 +102,7 @@
 
 // update records the programs of the current tables.
 func (r *relays) update(t *kingcuphook.Tables) {
-	programs := make(map[kingcuphook.Program]bool)
-	for _, p := range t.Pools() {
-		for _, u := range p.Upstreams() {
-			programs[u.Program()] = true
-		}
-	}
+	programs := t.Programs()
 	r.programs.Store(&programs)
 }
 
--- a/dispatcher/unsent_test.go
+++ b/dispatcher/unsent_test.go
@@ -10,6 +10,15 @@
 	"github.com/kingcuphook/kingcuphook/retrier"
 )
 
+// movableStream returns a call for a stream that may move to a second upstream.
+func movableStream() *kingcuphook.Call {
+	return &kingcuphook.Call{
+		Request: kingcuphook.NewRequest(kingcuphook.RequestFields{ID: "1", Fingerprint: 1, Stream: true}),
+		Kind:    kingcuphook.UpstreamKindEngine,
+		Opaque:  &kingcuphook.Opaque{MaxAttempts: 2, FirstByte: time.Second, Silence: 400 * time.Millisecond},
+	}
+}
+
 // unreachableEngine makes upstream a fall silent like silentEngine, and can't reach upstream b.
 type unreachableEngine struct{ silentEngine }
 
@@ -26,12 +35,7 @@
 	runTest(t, []bool{true, true, true}, func(r *harness) {
 		r.Engine = unreachableEngine{silentEngine{r.engine}}
 		r.NewBudget = func(string) kingcuphook.RetryBudget { return &retrier.Window{Slack: 1.25, Fleet: &retrier.Fleet{}} }
-		c := &kingcuphook.Call{
-			Request: kingcuphook.NewRequest(kingcuphook.RequestFields{ID: "1", Fingerprint: 1, Stream: true}),
-			Kind:    kingcuphook.UpstreamKindEngine,
-			Opaque:  &kingcuphook.Opaque{MaxAttempts: 2, FirstByte: time.Second, Silence: 400 * time.Millisecond},
-		}
-		_, err := r.Dispatch(context.Background(), c, r)
+		_, err := r.Dispatch(context.Background(), movableStream(), r)
 		r.NoErr(err)
 		r.Equal(len(r.engine.Runs()), 2)
 	})
@@ -63,12 +67,7 @@
 func TestUnsentDispatchesBeforeStreamLeaveItsRetryWhole(t *testing.T) {
 	runTest(t, []bool{true, true, true, true, true, true, true, true, true}, func(r *harness) {
 		r.Engine = &farEngine{silentEngine: silentEngine{r.engine}, unsent: []int{1, 2, 3, 4, 5, 7}}
-		c := &kingcuphook.Call{
-			Request: kingcuphook.NewRequest(kingcuphook.RequestFields{ID: "1", Fingerprint: 1, Stream: true}),
-			Kind:    kingcuphook.UpstreamKindEngine,
-			Opaque:  &kingcuphook.Opaque{MaxAttempts: 2, FirstByte: time.Second, Silence: 400 * time.Millisecond},
-		}
-		_, err := r.Dispatch(context.Background(), c, r)
+		_, err := r.Dispatch(context.Background(), movableStream(), r)
 		r.NoErr(err)
 		r.Equal(len(r.engine.Runs()), 2)
 	})
@@ -115,12 +114,7 @@
 func TestStreamWaitsWhileConnectionsAreRefused(t *testing.T) {
 	runTest(t, []bool{true, true}, func(r *harness) {
 		r.Engine = &restartingEngine{silentEngine: silentEngine{r.engine}}
-		c := &kingcuphook.Call{
-			Request: kingcuphook.NewRequest(kingcuphook.RequestFields{ID: "1", Fingerprint: 1, Stream: true}),
-			Kind:    kingcuphook.UpstreamKindEngine,
-			Opaque:  &kingcuphook.Opaque{MaxAttempts: 2, FirstByte: time.Second, Silence: 400 * time.Millisecond},
-		}
-		_, err := r.Dispatch(context.Background(), c, r)
+		_, err := r.Dispatch(context.Background(), movableStream(), r)
 		r.NoErr(err)
 		r.Equal(len(r.engine.Runs()), 2)
 	})
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -116,12 +116,7 @@
 
 // CloseUnused closes the idle connections to all programs that are not in the tables.
 func (f *Forwarder) CloseUnused(t *kingcuphook.Tables) {
-	wanted := make(map[kingcuphook.Program]bool)
-	for _, p := range t.Pools() {
-		for _, u := range p.Upstreams() {
-			wanted[u.Program()] = true
-		}
-	}
+	wanted := t.Programs()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for k, transport := range f.transports {
--- a/table.go
+++ b/table.go
@@ -281,6 +281,17 @@
 // Pools returns the pools; the caller must not change the slice.
 func (t *Tables) Pools() []*Pool { return t.pools }
 
+// Programs returns the programs of all upstreams.
+func (t *Tables) Programs() map[Program]bool {
+	programs := make(map[Program]bool)
+	for _, p := range t.pools {
+		for _, u := range p.Upstreams() {
+			programs[u.Program()] = true
+		}
+	}
+	return programs
+}
+
 // Pool returns the pool of the given name, or nil.
 func (t *Tables) Pool(name string) *Pool { return t.poolsByName[name] }
 
