--- a/permitter/permitter.go
+++ b/permitter/permitter.go
@@ -139,12 +139,7 @@
 	if len(p.limits) == 0 && len(p.places) == 0 && len(p.running) == 0 && len(p.malformed) == 0 {
 		return
 	}
-	current := make(map[kingcuphook.Program]bool)
-	for _, pool := range t.Pools() {
-		for _, u := range pool.Upstreams() {
-			current[u.Program()] = true
-		}
-	}
+	current := t.Programs()
 	for program, l := range p.limits {
 		if !current[program] {
 			p.remove(l)
