--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -26,6 +27,8 @@
 type stream struct {
 	name  string
 	first string
+	// parts are the IDs of the parts of its prompt before the last; nil means one shared part.
+	parts []string
 	// begunAt is when its first event came, and events those that came.
 	begunAt time.Time
 	events  []event
@@ -66,7 +69,11 @@
 	req.Header.Set(headerAttempt, id)
 	req.Header.Set(headerModel, "m")
 	req.Header.Set(headerUsage, "200,290")
-	req.Header.Set(headerPrefix, "5c1e07a2:100,"+id[:8]+":100")
+	parts := s.parts
+	if parts == nil {
+		parts = []string{sharedPart}
+	}
+	req.Header.Set(headerPrefix, strings.Join(append(slices.Clone(parts), id[8:]), ":100,")+":100")
 	req.Header.Set(headerDeadline, strconv.FormatInt(left.Milliseconds(), 10))
 	req.Header.Set("Authorization", "Token "+apiKey)
 	if t.resumes {
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -28,9 +28,11 @@
 // was broken.
 var cases = map[string]func(ctx context.Context, w *world) (bool, error){
 	"restarted-version":  playRestartedVersion,
+	"silent-runner":      playSilentRunner,
 	"version-while-down": playVersionWhileDown,
 	"large-bodies":       playLargeBodies,
 	"crashing-body":      playCrashingBody,
+	"crashing-part":      playCrashingPart,
 	"changed-path":       playChangedPath,
 }
 
--- a/review/harness/runner.go
+++ b/review/harness/runner.go
@@ -4,8 +4,10 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -38,6 +40,10 @@
 	crashes   func(r *http.Request) bool
 	backAfter time.Duration
 
+	// silentUntil is until when the runner's program neither sends nor reads, in Unix
+	// nanoseconds, while it goes on with its work.
+	silentUntil atomic.Int64
+
 	mu      sync.Mutex
 	address string
 	version string
@@ -50,6 +56,9 @@
 	runs    []callRun
 }
 
+// runnerCount counts the runners of this process.
+var runnerCount atomic.Int64
+
 // callRun is a call that a runner began to run.
 type callRun struct {
 	runner, version string
@@ -57,6 +66,8 @@
 	lastEvent       string
 	at              time.Time
 	bytes           int64
+	// endedAt is when the runner stopped its work on the call; zero while it works.
+	endedAt time.Time
 }
 
 // start starts the runner with a version of its software and registers it. It keeps its address.
@@ -65,7 +76,8 @@
 	address := r.address
 	r.mu.Unlock()
 	if address == "" {
-		address = "127.0.0.1:0"
+		// An address of its own, so that no other connection takes its port while it is away.
+		address = fmt.Sprintf("127.3.%d.%d:0", 1+os.Getpid()%250, runnerCount.Add(1))
 	}
 	l, err := net.Listen("tcp", address)
 	if err != nil {
@@ -192,8 +204,14 @@
 			runner: r.id, version: version, id: id, path: req.RequestURI, lastEvent: req.Header.Get(headerLastEvent), at: time.Now(), bytes: body,
 		}
 		r.mu.Lock()
+		n := len(r.runs)
 		r.runs = append(r.runs, run)
 		r.mu.Unlock()
+		defer func() {
+			r.mu.Lock()
+			r.runs[n].endedAt = time.Now()
+			r.mu.Unlock()
+		}()
 		if r.crashes != nil && r.crashes(req) {
 			r.w.record.add("runner %s runs %s and crashes", r.id, id)
 			r.crash()
@@ -204,6 +222,9 @@
 	})
 }
 
+// fallSilent makes the runner neither send nor read for d.
+func (r *runner) fallSilent(d time.Duration) { r.silentUntil.Store(time.Now().Add(d).UnixNano()) }
+
 // back starts the runner again, unless the case has ended.
 func (r *runner) back(version string) {
 	r.w.mu.Lock()
@@ -245,6 +266,7 @@
 		first = last + 1
 	}
 	for n := first; n < r.events; n++ {
+		time.Sleep(time.Until(time.Unix(0, r.silentUntil.Load())))
 		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, version)
 		if control.Flush() != nil {
 			return
--- a/review/harness/world.go
+++ b/review/harness/world.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -177,6 +178,8 @@
 	timeout            time.Duration
 	attempts           int
 	resumable          bool
+	// gapAim is the longest pause between two events with which a stream is on time; 0 means 400 ms.
+	gapAim time.Duration
 }
 
 // config is the operator's configuration.
@@ -196,7 +199,7 @@
 			"timeoutMs": r.timeout.Milliseconds(), "sloMs": 500, "priority": 0, "maxAttempts": r.attempts, "public": false,
 		}
 		if r.kind == "streaming" {
-			value["affinity"], value["resumable"], value["gapAimMs"] = true, r.resumable, 400
+			value["affinity"], value["resumable"], value["gapAimMs"] = true, r.resumable, cmp.Or(r.gapAim, 400*time.Millisecond).Milliseconds()
 		}
 		routes = append(routes, value)
 	}
