--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -29,6 +29,8 @@
 	first string
 	// parts are the IDs of the parts of its prompt before the last; nil means one shared part.
 	parts []string
+	// client makes the attempts; nil means one with a new connection for each.
+	client *http.Client
 	// begunAt is when its first event came, and events those that came.
 	begunAt time.Time
 	events  []event
@@ -81,7 +83,11 @@
 		req.Header.Set(headerResumes, s.first)
 	}
 	wait := time.Duration(0)
-	resp, err := freshClient().Do(req)
+	client := s.client
+	if client == nil {
+		client = freshClient()
+	}
+	resp, err := client.Do(req)
 	if err == nil {
 		t.status = resp.StatusCode
 		if seconds, e := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); e == nil {
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -29,6 +29,8 @@
 var cases = map[string]func(ctx context.Context, w *world) (bool, error){
 	"restarted-version":  playRestartedVersion,
 	"silent-runner":      playSilentRunner,
+	"unrecorded-streams": playUnrecorded,
+	"busy-silence":       playBusySilence,
 	"version-while-down": playVersionWhileDown,
 	"large-bodies":       playLargeBodies,
 	"crashing-body":      playCrashingBody,
--- a/review/harness/runner.go
+++ b/review/harness/runner.go
@@ -36,6 +36,9 @@
 	// events and interval are those of its streams; 0 events answers in one piece after work.
 	events         int
 	interval, work time.Duration
+	// queue is how many calls wait beyond slots; a call beyond both is turned away. With 0, all
+	// calls run at once.
+	queue int
 	// crashes reports whether a call crashes the runner, which then is back after backAfter.
 	crashes   func(r *http.Request) bool
 	backAfter time.Duration
@@ -43,6 +46,9 @@
 	// silentUntil is until when the runner's program neither sends nor reads, in Unix
 	// nanoseconds, while it goes on with its work.
 	silentUntil atomic.Int64
+	// admitted counts the calls that run or wait, running holds a value for each that runs.
+	admitted atomic.Int64
+	running  chan struct{}
 
 	mu      sync.Mutex
 	address string
@@ -87,6 +93,7 @@
 	r.address, r.version = l.Addr().String(), version
 	r.born, r.seq = time.Now(), 0
 	r.conns = make(map[net.Conn]bool)
+	r.running = make(chan struct{}, max(r.slots, 1))
 	stopped := make(chan struct{})
 	r.stopped = stopped
 	server := &http.Server{ReadHeaderTimeout: time.Minute, Handler: r.handler(version), ConnState: r.track}
@@ -200,6 +207,14 @@
 			return
 		}
 		body := countBody(req)
+		if r.queue > 0 {
+			if !r.admit(req) {
+				w.Header().Set(headerNotExecuted, "1")
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			defer r.leave()
+		}
 		run := callRun{
 			runner: r.id, version: version, id: id, path: req.RequestURI, lastEvent: req.Header.Get(headerLastEvent), at: time.Now(), bytes: body,
 		}
@@ -222,6 +237,27 @@
 	})
 }
 
+// admit waits until the runner has a slot for a call. It reports false if the call is turned away,
+// or its connection was closed while it waited.
+func (r *runner) admit(req *http.Request) bool {
+	if r.admitted.Add(1) > int64(r.slots+r.queue) {
+		r.admitted.Add(-1)
+		return false
+	}
+	select {
+	case r.running <- struct{}{}:
+		return true
+	case <-req.Context().Done():
+		r.admitted.Add(-1)
+		return false
+	}
+}
+
+func (r *runner) leave() {
+	<-r.running
+	r.admitted.Add(-1)
+}
+
 // fallSilent makes the runner neither send nor read for d.
 func (r *runner) fallSilent(d time.Duration) { r.silentUntil.Store(time.Now().Add(d).UnixNano()) }
 
--- a/review/harness/world.go
+++ b/review/harness/world.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -44,6 +45,8 @@
 	store     *storer.Store
 	storeHTTP *http.Server
 	address   string
+	// storeStatus is the status with which the store turns all calls away; 0 if it serves them.
+	storeStatus atomic.Int64
 	// third is the third byte of the loopback addresses of the routers, port the first of their
 	// ports.
 	third, port int
@@ -127,14 +130,14 @@
 // serveStore serves the platform's store. Watches are held as long as they ask for.
 func (w *world) serveStore() error {
 	w.store = &storer.Store{WatchWait: 50 * time.Millisecond}
-	served := &standin.Store{Store: w.store}
+	served := &standin.Store{Store: w.store, RejectStatus: func(*http.Request) int { return int(w.storeStatus.Load()) }}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return fmt.Errorf("harness: %w", err)
 	}
 	w.address = l.Addr().String()
 	w.storeHTTP = &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == "/kingcuphook/kv-watch" {
+		if r.URL.Path == "/kingcuphook/kv-watch" && w.storeStatus.Load() == 0 {
 			w.awaitChange(r)
 		}
 		served.ServeHTTP(rw, r)
