--- a/review/harness/runner.go
+++ b/review/harness/runner.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -9,6 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/kingcuphook/kingcuphook"
 )
 
 // Headers of calls and answers.
@@ -53,13 +56,15 @@
 	mu      sync.Mutex
 	address string
 	version string
-	server  *http.Server
-	conns   map[net.Conn]bool
-	born    time.Time
-	seq     int64
-	stopped chan struct{}
-	fell    []time.Time
-	runs    []callRun
+	// draining is true once it reports that it is leaving.
+	draining bool
+	server   *http.Server
+	conns    map[net.Conn]bool
+	born     time.Time
+	seq      int64
+	stopped  chan struct{}
+	fell     []time.Time
+	runs     []callRun
 }
 
 // runnerCount counts the runners of this process.
@@ -123,13 +128,35 @@
 	r.seq++
 	value := map[string]any{
 		"service": r.service, "address": r.address, "zone": "cairo-a", "version": r.version, "batchSlots": r.slots,
-		"state": "ready", "warmupLeftMs": 0, "seq": r.seq, "born": r.born.UnixMilli(),
+		"state": r.state(), "warmupLeftMs": 0, "seq": r.seq, "born": r.born.UnixMilli(),
 		"stage": "both", "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []string{}}},
 	}
 	r.mu.Unlock()
 	return r.w.put("servers/"+r.id, value)
 }
 
+// state returns the state in its entry. The caller holds mu.
+func (r *runner) state() string {
+	if r.draining {
+		return "draining"
+	}
+	return "ready"
+}
+
+// drain reports that the runner is leaving, and takes it away after drainTime: its entry is removed,
+// and it ends.
+func (r *runner) drain(ctx context.Context) {
+	r.mu.Lock()
+	r.draining = true
+	r.mu.Unlock()
+	r.w.record.add("runner %s drains", r.id)
+	_ = r.register()
+	sleep(ctx, drainTime)
+	r.crash()
+	_ = r.w.store.Delete(context.Background(), "servers/"+r.id, kingcuphook.RevisionAny)
+	r.w.record.add("runner %s has left", r.id)
+}
+
 func (r *runner) track(c net.Conn, state http.ConnState) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/review/harness/whiledown.go
+++ b/review/harness/whiledown.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -19,6 +21,8 @@
 	streamRoute    = "/lohu930/"
 	modelService   = "huvo11a"
 	otherService   = "wuno96b"
+	// releaseGap is the time between two runners of a release, one of which is replaced at a time.
+	releaseGap = time.Second
 	// minTakenUp is the number of streams that are taken up again from which on the rule holds.
 	minTakenUp = 12
 )
@@ -31,10 +35,11 @@
 }
 
 // playVersionWhileDown kills all routers while streams run that began at the only version. While
-// they are down, runners of a second version start beside the first ones, which go on serving. The
-// clients take their streams up again at the routers that are back.
+// they are down, a release of half of the runners begins: one after the other, a runner of a second
+// version starts and one of the first drains and leaves. The others of the first version serve all
+// the time. The clients take their streams up again at the routers that are back.
 func playVersionWhileDown(ctx context.Context, w *world) (bool, error) {
-	const first, second, streams = 4, 4, 24
+	const first, replaced, streams = 8, 4, 24
 	newRunner := func(n int) *runner {
 		return &runner{id: fmt.Sprintf("i-%d", n), service: modelService, slots: 64, events: 58, interval: 200 * time.Millisecond}
 	}
@@ -62,21 +67,24 @@
 		for _, r := range w.routers {
 			r.kill()
 		}
-		sleep(ctx, downFor/4)
-		for n := range second {
-			if err := w.addRunner(newRunner(first+n), "2"); err != nil {
-				return false, err
-			}
-		}
-		sleep(ctx, downFor*3/4)
+		released := make(chan error, 1)
+		go func() {
+			released <- w.release(ctx, replaced, func() *runner { return newRunner(first + int(releasedCount.Add(1))) })
+		}()
+		sleep(ctx, downFor)
 		for _, r := range w.routers {
 			if err := r.start(); err != nil {
 				return false, err
 			}
 		}
+		if err := <-released; err != nil {
+			return false, err
+		}
+		sleep(ctx, contactTime+500*time.Millisecond-releaseGap*replaced+downFor)
+	} else {
+		sleep(ctx, downFor+contactTime+500*time.Millisecond)
 	}
 	// New streams, from when the machines are in touch again.
-	sleep(ctx, contactTime+500*time.Millisecond)
 	fresh := make([]*stream, streams)
 	for i := range fresh {
 		fresh[i] = &stream{name: fmt.Sprintf("n%d", i)}
@@ -87,6 +95,25 @@
 	return w.judgeResumptions(list, fresh), nil
 }
 
+// releasedCount numbers the runners that a release starts.
+var releasedCount atomic.Int64
+
+// release replaces the first n runners, one after the other: the new one starts first, the old one
+// drains.
+func (w *world) release(ctx context.Context, n int, newRunner func() *runner) error {
+	w.mu.Lock()
+	old := slices.Clone(w.runners[:n])
+	w.mu.Unlock()
+	for _, r := range old {
+		if err := w.addRunner(newRunner(), "2"); err != nil {
+			return err
+		}
+		go r.drain(ctx)
+		sleep(ctx, releaseGap)
+	}
+	return nil
+}
+
 // follow asks for a stream at a router and takes it up again at the others until it is whole, its
 // deadline has passed or the client has tried often enough.
 func (w *world) follow(ctx context.Context, s *stream, i int) {
--- a/review/harness/world.go
+++ b/review/harness/world.go
@@ -28,6 +28,8 @@
 	contactTime   = 4 * time.Second
 	heartbeatTime = 1200 * time.Millisecond
 	graceTime     = 8 * time.Second
+	// drainTime is drainMs and a little more.
+	drainTime = 3500 * time.Millisecond
 	// memoryMB is the memory of a machine in MB: a process with more is killed.
 	memoryMB = 284
 	host     = "models.example"
