Send paths that begin with two slashes unchanged

Callers saw: GET //cups/a%2Fb reached the upstream as //cups/a%252Fb, and //cups/? without its question mark. Cause: requestURL put such a path into url.URL.Path, which is escaped again when it is sent. Change: the raw path is kept beside the unescaped one, and a query mark without a query. A path that still could not be sent unchanged is refused (400), not run.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -339,14 +339,28 @@
 	return r.Header.Get("Idempotency-Key") != "" || r.Header.Get("X-Idempotency-Key") != ""
 }
 
-// requestURL returns a URL whose path and query are sent as the caller wrote them.
+// requestURL returns a URL whose path and query are sent as the caller wrote them, if IsSendable
+// reports that they can be.
 func requestURL(address, path string) *url.URL {
-	if strings.HasPrefix(path, "//") {
-		// An opaque part that starts with // would be taken for a host.
-		path, query, _ := strings.Cut(path, "?")
-		return &url.URL{Scheme: "http", Host: address, Path: path, RawQuery: query}
+	if !strings.HasPrefix(path, "//") {
+		return &url.URL{Scheme: "http", Host: address, Opaque: path}
 	}
-	return &url.URL{Scheme: "http", Host: address, Opaque: path}
+	// An opaque part that starts with // would be taken for a host.
+	path, query, hasQuery := strings.Cut(path, "?")
+	u := &url.URL{Scheme: "http", Host: address, Path: path, RawPath: path, RawQuery: query, ForceQuery: hasQuery}
+	if unescaped, err := url.PathUnescape(path); err == nil {
+		u.Path = unescaped
+	}
+	return u
+}
+
+// IsSendable reports whether a path with its query can be sent unchanged. A path that begins with
+// two slashes can't be if it has bytes that must be escaped.
+func IsSendable(path string) bool {
+	if !strings.HasPrefix(path, "//") {
+		return true
+	}
+	return requestURL("", path).RequestURI() == path
 }
 
 // transport returns the HTTP transport for a path to the running program of an upstream.
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -116,7 +116,7 @@
 	})
 	f := &Forwarder{Codec: codec{}}
 	defer f.Close()
-	for _, path := range []string{"/a//b/../c?x=%2F&y", "//odd/path?q=1", "/%41/"} {
+	for _, path := range []string{"/a//b/../c?x=%2F&y", "//odd/path?q=1", "/%41/", "//cups/a%2Fb?x=1", "//cups/50%25", "//cups/?", "///%c3%a4"} {
 		a, err := f.Call(t.Context(), u.entry, attempt("POST", path, "body"))
 		is.NoErr(err)
 		is.Equal(string(a.Body()), "answer")
@@ -127,6 +127,13 @@
 	is.Equal(u.conns.Load(), int64(1))
 }
 
+func TestPathThatWouldBeChangedIsNotSendable(t *testing.T) {
+	is := is.New(t)
+	for path, sendable := range map[string]bool{"/a\"b": true, "//a%2Fb?x=\"": true, "//a/?": true, "//a\"b": false, "//\u00e4": false} {
+		is.Equal(IsSendable(path), sendable)
+	}
+}
+
 // TestNoticesAreReported checks that notices in answers and in not-run replies reach
 // OnNotice, and that those in replies to another call or from another program don't.
 func TestNoticesAreReported(t *testing.T) {
--- a/receiver/answer.go
+++ b/receiver/answer.go
@@ -26,6 +26,7 @@
 	errNoRoute  = &kingcuphook.RequestError{Code: kingcuphook.CodeNoRoute, Ran: kingcuphook.RunStateNotRun, Err: kingcuphook.ErrNotFound}
 	errNoKey    = &kingcuphook.RequestError{Code: "no-key", Ran: kingcuphook.RunStateNotRun, Err: errUnknownKey}
 	errTooLarge = &kingcuphook.RequestError{Code: kingcuphook.CodeTooLarge, Ran: kingcuphook.RunStateNotRun, Err: kingcuphook.ErrTooLarge}
+	errBadPath  = &kingcuphook.RequestError{Code: "bad-path", Ran: kingcuphook.RunStateNotRun, Err: fmt.Errorf("path has bytes that must be escaped: %w", kingcuphook.ErrInvalid)}
 
 	errPanicked   = errors.New("request handler panicked")
 	errUnknownKey = errors.New("no organisation holds the key")
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/forwarder"
 	"github.com/kingcuphook/kingcuphook/logger"
 )
 
@@ -160,6 +161,9 @@
 	if route == nil {
 		return nil, errNoRoute
 	}
+	if !forwarder.IsSendable(r.RequestURI) {
+		return nil, errBadPath
+	}
 	var organisation kingcuphook.Organisation
 	if d.Tables.RequiresAPIKey() && (!route.Public() || labels.APIKey != "") {
 		found, ok := d.Tables.Organisation(labels.APIKey)
