Read the role of a router only where it was written

Cause: control.do returns once its context has ended, while its function may still run; role then returned a variable that the function went on writing. Change: without a result of the control loop, role returns that of a router without delegates. Evidence: TestRoleIsNotReadWhileItIsWritten fails before with the race detector.

--- a/attacher/follow.go
+++ b/attacher/follow.go
@@ -175,10 +175,11 @@
 	}
 }
 
-// role returns the current role of this router.
+// role returns the current role of this router, and that of one without delegates if ctx has
+// ended.
 func (c *control) role(ctx context.Context) role {
 	var r role
-	c.do(ctx, func(now time.Time) {
+	done := c.do(ctx, func(now time.Time) {
 		r = role{follows: c.delegator.Follows(now), revision: c.store.Revision(), pullAfter: c.pullAfter(), joined: c.peers.joined}
 		for _, a := range c.delegator.Delegates(now) {
 			if a != c.self {
@@ -186,6 +187,9 @@
 			}
 		}
 	})
+	if !done {
+		return role{}
+	}
 	return r
 }
 
--- a/attacher/follow_test.go
+++ b/attacher/follow_test.go
@@ -1,14 +1,19 @@
 package attacher
 
 import (
+	"context"
 	"fmt"
 	"net/http"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/kingcuphook/kingcuphook/delegator"
 	"github.com/kingcuphook/kingcuphook/platform/standin"
+	"github.com/kingcuphook/kingcuphook/subscriber"
 )
 
 // startFleet runs n routers of one data centre and waits until all are ready.
@@ -112,3 +117,25 @@
 	}
 	w.waitFor("all but the delegates to stop watching", func() bool { return w.maxWatches() <= delegator.Count })
 }
+
+// The control loop wrote the role while its reader, whose context had ended, read it: a data race.
+func TestRoleIsNotReadWhileItIsWritten(t *testing.T) {
+	is := is.New(t)
+	c := &control{
+		inbox: make(chan func(time.Time)),
+		store: &subscriber.Subscriber{},
+		peers: &peers{joined: time.Now()},
+	}
+	c.delegator.Self, c.self = netip.MustParseAddr("127.0.0.1"), netip.MustParseAddr("127.0.0.1")
+	for range 200 {
+		ctx, cancel := context.WithCancel(t.Context())
+		got := make(chan role)
+		go func() { got <- c.role(ctx) }()
+		event := <-c.inbox
+		cancel()
+		event(time.Now())
+		if r := <-got; !r.joined.IsZero() {
+			is.Equal(r.joined, c.peers.joined)
+		}
+	}
+}
