Let calls in flight end on a connection that gets no further ones

Callers saw nothing directly: a pull of tables ended early, so that a router was behind for longer. Cause: an exchange of 0.5 s that timed out closed the shared connection to its peer under a pull, which has a longer timeout. Change: the connection is retired: it gets no further calls, and is closed once those in flight have ended.

--- a/exchanger/client.go
+++ b/exchanger/client.go
@@ -44,8 +44,9 @@
 	MaxConns int
 
 	mu sync.Mutex
-	// conns holds the open connections by address.
-	conns map[string]*conn
+	// conns holds the open connections by address, retired those that get no further calls.
+	conns   map[string]*conn
+	retired map[*conn]bool
 	// uses counts the calls started; it orders the connections by use.
 	uses int64
 }
@@ -145,7 +146,10 @@
 	for _, cc := range c.conns {
 		errs = append(errs, cc.grpc.Close())
 	}
-	c.conns = nil
+	for cc := range c.retired {
+		errs = append(errs, cc.grpc.Close())
+	}
+	c.conns, c.retired = nil, nil
 	return errors.Join(errs...)
 }
 
@@ -181,26 +185,36 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	cc.calls--
+	if cc.calls == 0 && c.retired[cc] {
+		delete(c.retired, cc)
+		// Close fails only if the connection is already closed.
+		_ = cc.grpc.Close()
+	}
 }
 
 // callError returns the error for a failed call. If the call timed out, the
-// connection is dropped so that the next call opens a new one: an established
+// connection is retired so that the next call opens a new one: an established
 // connection can stay unresponsive forever although a new one would work.
 func (c *Client) callError(cc *conn, op, address string, err error) error {
 	if status.Code(err) == codes.DeadlineExceeded {
-		c.drop(address, cc)
+		c.retire(address, cc)
 	}
 	return fromStatus(op, address, err)
 }
 
-func (c *Client) drop(address string, cc *conn) {
+// retire gives a connection no further calls. It is closed once those in flight have ended,
+// which may have longer timeouts.
+func (c *Client) retire(address string, cc *conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.conns[address] == cc {
-		delete(c.conns, address)
+	if c.conns[address] != cc {
+		return
+	}
+	delete(c.conns, address)
+	if c.retired == nil {
+		c.retired = make(map[*conn]bool)
 	}
-	// Close fails only if the connection is already closed.
-	_ = cc.grpc.Close()
+	c.retired[cc] = true
 }
 
 // evict closes the least recently used idle connection if MaxConns is reached.
