Count a dispatch that is refused its connection as not sent in serve

Callers saw: a stream of serve that moved to an upstream which had just ended could be cut, since the refused connection counted as an attempt. Cause: Dialer reported a connection that could not be opened without ErrNotSent. Change: it does. Such dispatches are free, and wait for the delay of the retry budget, of which nothing is spent, so that six refusals don't follow each other at once.

--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -151,7 +151,7 @@
 		if connected {
 			return nil, fmt.Errorf("dialer: %s: %w: %w", u.Address(), kingcuphook.ErrOutcomeUnknown, err)
 		}
-		return nil, fmt.Errorf("dialer: %s: %w: %w", u.Address(), kingcuphook.ErrUnavailable, err)
+		return nil, fmt.Errorf("dialer: %s: %w: %w: %w", u.Address(), kingcuphook.ErrUnavailable, kingcuphook.ErrNotSent, err)
 	}
 	if isForeign(a, resp, reused.Load()) {
 		_ = resp.Body.Close()
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -247,6 +247,13 @@
 	return b.Delay(n), true
 }
 
+// delay returns the delay of the budget of a request before retry number n, and spends nothing.
+func (d *Dispatcher) delay(r *kingcuphook.Request, n int) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.budget(d.budgetKey(r)).Delay(n)
+}
+
 // refund returns a retry of a request to its budget.
 func (d *Dispatcher) refund(r *kingcuphook.Request, now time.Time) {
 	d.mu.Lock()
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -30,7 +30,7 @@
 // the pool.
 const maxUnsent = 6
 
-// unsentDelay is the delay after the second dispatch in a row of a stream that has begun
+// unsentDelay is the least delay after the second dispatch in a row of a stream that has begun
 // which was not sent. It doubles with each further one.
 const unsentDelay = 50 * time.Millisecond
 
@@ -141,7 +141,7 @@
 	}
 	if errors.Is(err, kingcuphook.ErrNotSent) {
 		// What was spent for this dispatch, if anything, pays for the next one.
-		if r.answer.Position() > 0 && r.unsent > 1 && !pauser.Pause(ctx, unsentDelay<<(r.unsent-2)) {
+		if !pauser.Pause(ctx, r.unsentWait()) {
 			return errors.Join(ctx.Err(), err)
 		}
 		return nil
@@ -160,6 +160,16 @@
 	return nil
 }
 
+// unsentWait returns the delay after a dispatch that was not sent: that of the retry budget, from
+// which nothing is spent, and more for a stream that has begun.
+func (r *run) unsentWait() time.Duration {
+	wait := r.d.delay(r.request, r.unsent)
+	if r.answer.Position() > 0 && r.unsent > 1 {
+		wait = max(wait, unsentDelay<<(r.unsent-2))
+	}
+	return wait
+}
+
 // maxAttempts returns the maximum number of attempts of the call.
 func (r *run) maxAttempts() int {
 	if r.call.Opaque != nil {
--- a/dispatcher/unsent_test.go
+++ b/dispatcher/unsent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -119,3 +120,52 @@
 		r.Equal(len(r.engine.Runs()), 2)
 	})
 }
+
+// refusingEngine refuses all connections and keeps when they were tried, and where.
+type refusingEngine struct {
+	kingcuphook.Engine
+
+	at        []time.Time
+	addresses []string
+}
+
+func (e *refusingEngine) Start(_ context.Context, u *kingcuphook.Upstream, _ *kingcuphook.Attempt) (kingcuphook.Stream, error) {
+	e.at = append(e.at, time.Now())
+	e.addresses = append(e.addresses, u.Address())
+	return nil, errUnsent
+}
+
+// Six refusals of one call followed each other at once, before any upstream could be back.
+func TestRefusedConnectionsAreSpreadOut(t *testing.T) {
+	runTest(t, []bool{true, true, true}, func(r *harness) {
+		e := &refusingEngine{Engine: r.engine}
+		r.Engine = e
+		budget := &retrier.Budget{Burst: 1, Rand: rand.New(rand.NewPCG(1, 1))}
+		r.NewBudget = func(string) kingcuphook.RetryBudget { return budget }
+		_, err := r.call(stream)
+		r.True(err != nil)
+		r.Equal(len(e.at), 6)
+		for i, bound := 1, 50*time.Millisecond; i < len(e.at); i, bound = i+1, 2*bound {
+			gap := e.at[i].Sub(e.at[i-1])
+			r.True(gap > 0 && gap <= bound)
+		}
+		r.Equal(len(slices.Compact(slices.Sorted(slices.Values(e.addresses[:3])))), 3) // one that refused is left out
+		r.True(budget.Spend(time.Now()))                                               // nothing was spent
+	})
+}
+
+// The delay before another dispatch must not outlast the deadline of its call.
+func TestDelayOfUnsentDispatchEndsAtDeadline(t *testing.T) {
+	runTest(t, []bool{true, true}, func(r *harness) {
+		r.Engine = &refusingEngine{Engine: r.engine}
+		r.NewBudget = func(string) kingcuphook.RetryBudget {
+			return &retrier.Budget{BaseDelay: time.Hour, MaxDelay: time.Hour, Rand: rand.New(rand.NewPCG(1, 1))}
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+		defer cancel()
+		start := time.Now()
+		_, err := r.callContext(ctx, kingcuphook.UpstreamKindEngine, stream)
+		r.True(err != nil)
+		r.Equal(time.Since(start), 200*time.Millisecond)
+	})
+}
