Measure the wait for a first upstream from the end of the body

Callers saw: a call whose long body had arrived late was refused as overloaded, although upstreams had free slots. Cause: the share of the time that a call may wait was taken from its arrival, so that it was over before the call was dispatched. Change: it is taken from the dispatch. Evidence: TestCallWithLateBodyFindsFreeSlot failed before.

--- a/dispatcher/acquire.go
+++ b/dispatcher/acquire.go
@@ -74,8 +74,8 @@
 	if r.dispatched || share <= 0 || deadline.IsZero() {
 		return context.WithCancel(ctx)
 	}
-	allowed := deadline.Sub(r.request.Arrived())
-	return context.WithDeadline(ctx, r.request.Arrived().Add(time.Duration(share*float64(allowed))))
+	allowed := deadline.Sub(r.begun)
+	return context.WithDeadline(ctx, r.begun.Add(time.Duration(share*float64(allowed))))
 }
 
 // queueRetryAfter returns the retry-after value for a call that got no slot in
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -41,7 +41,7 @@
 	// frame before a hedged attempt starts on a second upstream; 0 disables
 	// hedging.
 	HedgeAfter time.Duration
-	// WaitShare is the fraction of the time between arrival and deadline that an
+	// WaitShare is the fraction of the time from its dispatch to its deadline that an
 	// opaque call may wait for its first upstream, so that its caller still has
 	// time to retry after a rejection; 0 means no such limit.
 	WaitShare float64
--- a/dispatcher/opaque_test.go
+++ b/dispatcher/opaque_test.go
@@ -257,3 +257,13 @@
 		})
 	}
 }
+
+// A call whose body had arrived late was refused as overloaded, although upstreams had free slots.
+func TestCallWithLateBodyFindsFreeSlot(t *testing.T) {
+	withScript(t, func(r *harness, _ *scriptedEngine) {
+		r.Limits.WaitShare = 0.4
+		r.acquire = func(ctx context.Context) error { return ctx.Err() }
+		now := time.Now()
+		r.True(r.dispatchOpaque(kingcuphook.RequestFields{Arrived: now.Add(-8 * time.Second), Deadline: now.Add(2 * time.Second)}, 1) == nil)
+	})
+}
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -42,6 +42,8 @@
 	// software version that began it.
 	request *kingcuphook.Request
 	w       kingcuphook.FrameWriter
+	// begun is when the whole call was there; its body may have taken long to arrive.
+	begun   time.Time
 	tracker tracker.Tracker
 	answer  assembler.Assembler
 	// ticket is the held claim. The zero value is not held.
@@ -85,6 +87,7 @@
 		call:    c,
 		request: c.Request,
 		w:       w,
+		begun:   time.Now(),
 		tracker: tracker.Tracker{AtMostOnce: c.Request.NonIdempotent(), NeedsClaim: needsClaim(c.Request)},
 		answer:  assembler.Assembler{MaxBytes: d.Limits.MaxAnswerBytes},
 	}
