Keep the state of upstreams and pools that leave the tables and return

Callers saw: after a registration had lapsed for a moment, more requests at an upstream than it has slots, an announced rate limit exceeded, an ejected upstream with its full share, prompts prefilled anew. Cause: Class: what leaves the tables was forgotten at once, with its open requests, places, limits and weights, and came back as new. Change: allocator, scheduler, permitter, locator and ejector keep it for a minute, or as long as requests run there, unless another program has the address.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -31,6 +31,8 @@
 	mu sync.RWMutex
 	// pools holds the pools of the current tables by name.
 	pools map[string]*pool
+	// removed holds pools that are in the tables no more and whose slots are in use.
+	removed map[string]*pool
 	// closed means that new requests are rejected.
 	closed bool
 }
@@ -47,6 +49,7 @@
 	}
 	if a.pools == nil {
 		a.pools = make(map[string]*pool)
+		a.removed = make(map[string]*pool)
 	}
 	for _, p := range t.Pools() {
 		a.findOrCreatePool(p.Name()).update(p)
@@ -55,6 +58,12 @@
 		if t.Pool(name) == nil {
 			delete(a.pools, name)
 			p.close(kingcuphook.CodeNoUpstream, kingcuphook.ErrNoUpstream, 0)
+			a.removed[name] = p
+		}
+	}
+	for name, p := range a.removed {
+		if !p.inUse() {
+			delete(a.removed, name)
 		}
 	}
 }
@@ -256,14 +265,20 @@
 	return pools
 }
 
-// findOrCreatePool returns the pool with the name, and creates it if there is none.
-// The caller holds mu.
+// findOrCreatePool returns the pool with the name. A removed one returns with its slots in use;
+// without one, it creates the pool. The caller holds mu.
 func (a *Allocator) findOrCreatePool(name string) *pool {
 	p := a.pools[name]
-	if p == nil {
+	if p != nil {
+		return p
+	}
+	if p = a.removed[name]; p != nil {
+		delete(a.removed, name)
+		p.reopen()
+	} else {
 		p = newPool(a.NewScheduler(name))
-		a.pools[name] = p
 	}
+	a.pools[name] = p
 	return p
 }
 
--- a/allocator/allocator_test.go
+++ b/allocator/allocator_test.go
@@ -252,6 +252,29 @@
 	})
 }
 
+// The slots in use were forgotten when the pool was taken out of the tables and put back.
+func TestReturnedPoolKeepsSlotsInUse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := newAllocator(1, 1)
+		defer a.Close()
+		first, err := a.Acquire(t.Context(), request("a", 1), nil)
+		is.NoErr(err)
+		a.Update(kingcuphook.NewTables(2, nil, nil))
+		a.Update(tables(1, 1))
+		second := acquire(t.Context(), a, request("b", 1))
+		synctest.Wait()
+		is.Equal(a.Queued("pool"), 1)
+		first.Release(kingcuphook.Sample{})
+		got := <-second
+		is.NoErr(got.err)
+		got.slot.Release(kingcuphook.Sample{})
+		a.Update(kingcuphook.NewTables(3, nil, nil))
+		a.Update(tables(1, 1))
+		is.Equal(len(a.removed), 0)
+	})
+}
+
 func TestCloseRejectsQueuedAndKeepsRunning(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/allocator/pool.go
+++ b/allocator/pool.go
@@ -18,7 +18,7 @@
 	// timer calls assign at the time that the scheduler's Wake returned; it is stopped
 	// while no request is queued.
 	timer *time.Timer
-	// closed is never reset; closedErr is the error for requests after it is set.
+	// closed means that the pool is not in the tables; closedErr is then the error for requests.
 	closed    bool
 	closedErr error
 }
@@ -175,6 +175,20 @@
 	p.scheduler.Finished(now, s.assignment.Choice.Upstream.Address(), s.assignment.Request, sample)
 }
 
+// reopen makes a closed pool take requests again.
+func (p *pool) reopen() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed, p.closedErr = false, nil
+}
+
+// inUse reports whether slots of the pool are in use.
+func (p *pool) inUse() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.slots) > 0
+}
+
 // close rejects all queued and all later requests with the given error. Running
 // requests are not affected.
 func (p *pool) close(code string, err error, retryAfter time.Duration) {
--- a/ejector/ejector.go
+++ b/ejector/ejector.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -37,6 +38,8 @@
 	// staleAfter is how long after its last sample an upstream is left out of the
 	// pool's medians.
 	staleAfter = 30 * time.Second
+	// leftTime is how long the state of an upstream that left the pool is kept.
+	leftTime = time.Minute
 )
 
 // weights are the steps from full weight to ejected.
@@ -63,6 +66,8 @@
 	Decay float64
 
 	upstreams map[string]*upstream
+	// left holds the upstreams that left the pool and may return, by address.
+	left map[string]*upstream
 	// tokenGaps and failureRates are buffers that medians reuses.
 	tokenGaps, failureRates []float64
 }
@@ -71,6 +76,9 @@
 
 // upstream is the state of one upstream.
 type upstream struct {
+	program kingcuphook.Program
+	// leftAt is when it last left the pool.
+	leftAt time.Time
 	// step is an index into weights.
 	step int
 	// changedAt is when step last changed.
@@ -94,17 +102,66 @@
 }
 
 // Update sets the upstreams of the pool. Those that were in it before keep their
-// state.
+// state, also if they left it for leftTime at most, unless another program has their address.
 func (e *Ejector) Update(now time.Time, p *kingcuphook.Pool) {
 	known := e.upstreams
 	e.upstreams = make(map[string]*upstream, len(p.Upstreams()))
+	var returned []*kingcuphook.Upstream
 	for _, u := range p.Upstreams() {
 		state := known[u.Address()]
+		if state == nil && e.left[u.Address()] != nil {
+			returned = append(returned, u)
+			continue
+		}
 		if state == nil {
 			state = &upstream{changedAt: now}
 		}
+		state.program = u.Program()
 		e.upstreams[u.Address()] = state
 	}
+	for _, u := range returned {
+		e.upstreams[u.Address()] = e.takeLeft(now, u)
+	}
+	for _, u := range returned {
+		e.limitShare(e.upstreams[u.Address()])
+	}
+	e.keepLeft(now, known)
+}
+
+// takeLeft returns the state of an upstream that has returned. It is soon probed if it is ejected.
+func (e *Ejector) takeLeft(now time.Time, u *kingcuphook.Upstream) *upstream {
+	state := e.left[u.Address()]
+	delete(e.left, u.Address())
+	if state.program != u.Program() || now.Sub(state.leftAt) > leftTime {
+		return &upstream{changedAt: now, program: u.Program()}
+	}
+	state.probes = 0
+	return state
+}
+
+// limitShare gives an ejected upstream the lowest weight above 0 if it is ejected beyond the limit of MaxShare.
+func (e *Ejector) limitShare(u *upstream) {
+	if weights[u.step] > 0 {
+		return
+	}
+	u.step--
+	if e.canEject() {
+		u.step++
+	}
+}
+
+// keepLeft keeps the state of those of the known upstreams that have left, for leftTime.
+func (e *Ejector) keepLeft(now time.Time, known map[string]*upstream) {
+	if e.left == nil {
+		e.left = make(map[string]*upstream)
+	}
+	for address, u := range known {
+		if e.upstreams[address] == nil {
+			u.leftAt = now
+			e.left[address] = u
+		}
+	}
+	maps.DeleteFunc(e.left, func(_ string, u *upstream) bool { return now.Sub(u.leftAt) > leftTime })
 }
 
 // Finished records the result of an attempt and adjusts the weight of its upstream.
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -72,6 +73,8 @@
 
 	upstreams []*upstream
 	byAddress map[string]*upstream
+	// left holds the upstreams that left the pool and may return, by address.
+	left map[string]*upstream
 	// last is the most recent selection, which is usually the one that Started is called
 	// for next. It saves computing the cost again; no selection depends on it.
 	last selection
@@ -89,14 +92,21 @@
 
 var _ kingcuphook.Selector = (*Locator)(nil)
 
+// leftTime is how long the state of an upstream that left the pool is kept at least. It is kept while
+// requests run there.
+const leftTime = time.Minute
+
 // Update applies the current revision of the pool. An upstream that has restarted, and
-// so has a new program, starts with fresh state.
+// so has a new program, starts with fresh state; one that has left returns with its state.
 func (l *Locator) Update(now time.Time, p *kingcuphook.Pool) {
 	known := l.byAddress
 	l.byAddress = make(map[string]*upstream, len(p.Upstreams()))
 	l.upstreams = l.upstreams[:0]
 	for _, row := range p.Upstreams() {
 		u := known[row.Address()]
+		if u == nil {
+			u = l.takeLeft(row.Address())
+		}
 		if u == nil || u.row.Program() != row.Program() {
 			u = newUpstream(now, row)
 		}
@@ -105,9 +115,45 @@
 		l.byAddress[row.Address()] = u
 		l.upstreams = append(l.upstreams, u)
 	}
+	l.keepLeft(now, known)
 	l.chooseReserved()
 }
 
+// takeLeft returns the upstream that left and had the address; nil if there is none.
+func (l *Locator) takeLeft(address string) *upstream {
+	u := l.left[address]
+	if u == nil {
+		return nil
+	}
+	delete(l.left, address)
+	u.displaced = false // its program is registered again
+	return u
+}
+
+// keepLeft keeps those of the known upstreams that have left, and forgets those that left long ago.
+func (l *Locator) keepLeft(now time.Time, known map[string]*upstream) {
+	if l.left == nil {
+		l.left = make(map[string]*upstream)
+	}
+	for address, u := range known {
+		if l.byAddress[address] == nil {
+			u.leftAt = now
+			l.left[address] = u
+		}
+	}
+	maps.DeleteFunc(l.left, func(_ string, u *upstream) bool {
+		return len(u.inFlight) == 0 && now.Sub(u.leftAt) > leftTime
+	})
+}
+
+// find returns the upstream with the address, also one that has left; nil if there is none.
+func (l *Locator) find(address string) *upstream {
+	if u := l.byAddress[address]; u != nil {
+		return u
+	}
+	return l.left[address]
+}
+
 // Select implements kingcuphook.Selector.
 func (l *Locator) Select(now time.Time, r *kingcuphook.Request, excluded []string) (kingcuphook.Choice, error) {
 	return l.SelectUsable(now, r, excluded, func(string) bool { return true })
@@ -198,7 +244,7 @@
 // Progress records that a running request has produced output. The first call for a
 // request ends its prefill; its token count is not used.
 func (l *Locator) Progress(now time.Time, address string, r *kingcuphook.Request, _ int) {
-	u := l.byAddress[address]
+	u := l.find(address)
 	if u == nil {
 		return
 	}
@@ -210,7 +256,7 @@
 
 // Finished implements kingcuphook.Selector.
 func (l *Locator) Finished(now time.Time, address string, r *kingcuphook.Request, s kingcuphook.Sample) {
-	u := l.byAddress[address]
+	u := l.find(address)
 	if u == nil {
 		return
 	}
--- a/locator/upstream.go
+++ b/locator/upstream.go
@@ -34,6 +34,8 @@
 	firstSeen time.Time
 	// prefixes holds when each shared prefix was last sent there, by hash.
 	prefixes map[uint64]time.Time
+	// leftAt is when the upstream last left the pool.
+	leftAt time.Time
 	// displaced means that another program has the address of the upstream.
 	displaced bool
 	// failed is when a request last failed there, failures the number of failures in a
--- a/permitter/exchange.go
+++ b/permitter/exchange.go
@@ -53,6 +53,10 @@
 	var changes []Change
 	batches := make(map[string][]*limit)
 	for _, l := range p.limits {
+		if l.presence.isOver(now) {
+			p.remove(l)
+			continue
+		}
 		p.checkTimeout(now, l)
 		l.expirePermits(now)
 		if !l.requestDue(now) && !l.reportDue(now) {
--- a/permitter/limit.go
+++ b/permitter/limit.go
@@ -21,8 +21,9 @@
 // limit is the rate limit of an upstream as one router knows it, with the permits of this
 // router.
 type limit struct {
-	program kingcuphook.Program
-	key     uint64
+	program  kingcuphook.Program
+	key      uint64
+	presence presence
 	// perSecond is the announced limit, sentAt when the request was sent whose reply
 	// announced it.
 	perSecond float64
--- a/permitter/permitter.go
+++ b/permitter/permitter.go
@@ -131,26 +131,22 @@
 	p.stopping = true
 }
 
-// Update forgets the programs that are not in the tables.
+// Update records which programs are in the tables. Those that are not are forgotten after absentTTL,
+// since they may return.
 func (p *Permitter) Update(t *kingcuphook.Tables) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.tables, p.upstreams = t, nil
-	if len(p.limits) == 0 && len(p.places) == 0 && len(p.running) == 0 && len(p.malformed) == 0 {
+	if len(p.limits) == 0 && len(p.places) == 0 && len(p.malformed) == 0 {
 		return
 	}
 	current := t.Programs()
 	for program, l := range p.limits {
-		if !current[program] {
-			p.remove(l)
-		}
+		l.presence.update(current[program])
 	}
 	for program, l := range p.places {
-		if !current[program] {
-			p.removePlaces(l)
-		}
+		l.presence.update(current[program])
 	}
-	maps.DeleteFunc(p.running, func(program kingcuphook.Program, _ int) bool { return !current[program] })
 	maps.DeleteFunc(p.malformed, func(program kingcuphook.Program, _ bool) bool { return !current[program] })
 }
 
--- a/permitter/place.go
+++ b/permitter/place.go
@@ -30,9 +30,10 @@
 // places is what one router knows about a brittle upstream, with the places that it holds
 // there, each of which allows one request to be open.
 type places struct {
-	program kingcuphook.Program
-	key     uint64
-	ranking ranking
+	program  kingcuphook.Program
+	key      uint64
+	presence presence
+	ranking  ranking
 	// slots is the number of slots that the upstream registered, tolerated the number of
 	// refusals in a second that it announced, with the reply to a request sent at sentAt.
 	slots, tolerated int
--- a/permitter/placeexchange.go
+++ b/permitter/placeexchange.go
@@ -159,7 +159,7 @@
 	batches := make(map[string][]*places)
 	for _, l := range p.places {
 		p.checkPlaceTimeout(now, l)
-		if p.forgotten(now, l) {
+		if l.presence.isOver(now) || p.forgotten(now, l) {
 			p.removePlaces(l)
 			changes = append(changes, p.placesChange(now, l, ChangeKindEnded, SourcePeer))
 			continue
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -128,7 +128,7 @@
 
 // Update implements kingcuphook.Scheduler.
 func (s *Scheduler) Update(now time.Time, p *kingcuphook.Pool) {
-	s.slots.update(p)
+	s.slots.update(p, s.runOrder)
 	if q, ok := s.Admitter.(Queue); ok {
 		q.Resize(p.MaxQueued())
 	}
--- a/scheduler/slots.go
+++ b/scheduler/slots.go
@@ -50,20 +50,26 @@
 	withheld bool
 }
 
-func (t *slotTable) update(p *kingcuphook.Pool) {
+// update applies the current revision of the pool. The runs are counted again, since an upstream
+// may return after it has left the pool.
+func (t *slotTable) update(p *kingcuphook.Pool, runs []*run) {
 	old := t.byAddress
 	t.rows = make([]*slotRow, 0, len(p.Upstreams()))
 	t.byAddress = make(map[string]*slotRow, len(p.Upstreams()))
 	for _, u := range p.Upstreams() {
 		row := &slotRow{upstream: u, leaving: u.Leaving(), pausedUntil: t.pauses[u.Program()]}
 		if was := old[u.Address()]; was != nil {
-			row.running = was.running
 			row.reportedLeaving = was.reportedLeaving && was.upstream.Program() == u.Program()
 			row.leaving = row.leaving || row.reportedLeaving
 		}
 		t.rows = append(t.rows, row)
 		t.byAddress[u.Address()] = row
 	}
+	for _, run := range runs {
+		if row := t.byAddress[run.upstream.Address()]; row != nil {
+			row.running++
+		}
+	}
 }
 
 // setLeaving records whether the upstream reports that it is leaving. It returns whether
