Write hashes as text in one place

Four packages had a base of 16 and a conversion of their own for the hashes of bodies, parts and programs. hasher.Format and hasher.Parse serve all. No behaviour changes.

--- a/commander/commander.go
+++ b/commander/commander.go
@@ -7,13 +7,13 @@
 	"crypto/subtle"
 	"errors"
 	"fmt"
-	"strconv"
 
 	"goa.design/goa/v3/security"
 
 	"github.com/kingcuphook/kingcuphook"
 	"github.com/kingcuphook/kingcuphook/editor"
 	"github.com/kingcuphook/kingcuphook/gen/commands"
+	"github.com/kingcuphook/kingcuphook/hasher"
 	"github.com/kingcuphook/kingcuphook/logger"
 	"github.com/kingcuphook/kingcuphook/parser"
 )
@@ -28,11 +28,6 @@
 	nameNotFound     = "not-found"
 )
 
-const (
-	hexBase  = 16
-	wordBits = 64
-)
-
 // Lifter removes the quarantine of a request body.
 type Lifter interface {
 	// Lift removes the quarantine of a fingerprint and reports whether there was one.
@@ -141,7 +136,7 @@
 
 // Lift implements commands.Service.
 func (c *Commander) Lift(_ context.Context, p *commands.LiftPayload) error {
-	fingerprint, err := strconv.ParseUint(p.Fingerprint, hexBase, wordBits)
+	fingerprint, err := hasher.Parse(p.Fingerprint)
 	if err != nil {
 		return &commands.Problem{Name: nameInvalid, Message: "the fingerprint is not a hexadecimal number"}
 	}
--- a/hasher/hasher.go
+++ b/hasher/hasher.go
@@ -1,5 +1,5 @@
 // Package hasher computes the chain of block hashes of a prompt, which identifies
-// prefixes that several prompts share.
+// prefixes that several prompts share, and writes hashes as text.
 package hasher
 
 import (
--- a/isolator/entry.go
+++ b/isolator/entry.go
@@ -3,12 +3,12 @@
 import (
 	"cmp"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/hasher"
 )
 
 // State is the state of a part.
@@ -43,11 +43,11 @@
 }
 
 // Program returns the program that crashed, in the format of FormatProgram.
-func (c Crash) Program() string { return strconv.FormatUint(uint64(c.program), hexBase) }
+func (c Crash) Program() string { return hasher.Format(uint64(c.program)) }
 
 // FormatProgram returns the hash by which crashes of a program are told apart.
 func FormatProgram(p kingcuphook.Program) string {
-	return strconv.FormatUint(uint64(hashProgram(p)), hexBase)
+	return hasher.Format(uint64(hashProgram(p)))
 }
 
 // At returns when the crash was detected.
--- a/isolator/record.go
+++ b/isolator/record.go
@@ -4,19 +4,14 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"strconv"
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/hasher"
 )
 
-// hexBase and wordBits are the base and the size of the hash of a part in records.
-const (
-	hexBase  = 16
-	wordBits = 64
-	// maxErrorBytes bounds the part of a record that an error repeats.
-	maxErrorBytes = 100
-)
+// maxErrorBytes bounds the part of a record that an error repeats.
+const maxErrorBytes = 100
 
 // Record is the state of a part that is kept in the store, for routers that start. An operator
 // ends a quarantine by changing the state to "lifted".
@@ -45,7 +40,7 @@
 }
 
 // FormatPart returns the hash of a part as it stands in logs and records.
-func FormatPart(part uint64) string { return strconv.FormatUint(part, hexBase) }
+func FormatPart(part uint64) string { return hasher.Format(part) }
 
 // Encode returns the encoded record.
 func (r Record) Encode() ([]byte, error) {
@@ -82,7 +77,7 @@
 	return nil
 }
 
-func (r Record) part() (uint64, error) { return strconv.ParseUint(r.Part, hexBase, wordBits) }
+func (r Record) part() (uint64, error) { return hasher.Parse(r.Part) }
 
 // Apply applies a record of the store, unless it is older than what this router knows.
 func (i *Isolator) Apply(now time.Time, r Record) {
--- a/narrator/crash.go
+++ b/narrator/crash.go
@@ -1,24 +1,21 @@
 package narrator
 
 import (
-	"strconv"
 	"strings"
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/hasher"
 	"github.com/kingcuphook/kingcuphook/isolator"
 	"github.com/kingcuphook/kingcuphook/logger"
 )
 
-// hexBase is the base in which fingerprints and hashes of prompt parts are logged.
-const hexBase = 16
-
 // LogCrash returns a function that logs that a request is suspected of the crash of an
 // upstream, with what identifies the request and the parts of its prompt.
 func LogCrash(l *logger.Logger) func(r *kingcuphook.Request, u *kingcuphook.Upstream) {
 	return func(r *kingcuphook.Request, u *kingcuphook.Upstream) {
 		l.Log(logger.CrashSuspected, "request", r.ID(), "upstream", u.Address(), "instance", u.Instance(), "born", u.StartTime(),
-			"route", r.Class(), "organisation", r.Organisation(), "fingerprint", strconv.FormatUint(r.Fingerprint(), hexBase),
+			"route", r.Class(), "organisation", r.Organisation(), "fingerprint", hasher.Format(r.Fingerprint()),
 			"parts", formatParts(r.Parts()))
 	}
 }
--- a/router/operators.go
+++ b/router/operators.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"time"
 
 	goahttp "goa.design/goa/v3/http"
@@ -16,14 +15,12 @@
 	queriesserver "github.com/kingcuphook/kingcuphook/gen/http/queries/server"
 	"github.com/kingcuphook/kingcuphook/gen/queries"
 	"github.com/kingcuphook/kingcuphook/gossiper"
+	"github.com/kingcuphook/kingcuphook/hasher"
 	"github.com/kingcuphook/kingcuphook/historian"
 	"github.com/kingcuphook/kingcuphook/isolator"
 	"github.com/kingcuphook/kingcuphook/reporter"
 )
 
-// hexBase is the number base in which fingerprints are printed.
-const hexBase = 16
-
 // acceptTimeout limits how long an operator's request waits for the control loop
 // after an edit, and for other routers to receive that a quarantine was lifted.
 const acceptTimeout = time.Second
@@ -80,7 +77,7 @@
 			state = "quarantined"
 		}
 		list = append(list, &queries.Quarantined{
-			Fingerprint: strconv.FormatUint(e.Fingerprint(), hexBase),
+			Fingerprint: hasher.Format(e.Fingerprint()),
 			State:       state,
 		})
 	}
