Take calls late in a planned stop only if they can end

Cause: streams were taken for 2.8 s after the signal, a constant that knew neither the grace time nor how long streams of the route last. Class: a decision from a constant where the state that it depends on is known. Change: package forecaster bounds how long calls of a route take from those it has seen; package stopper refuses a call that might not end as not run, at once: when it comes, when its body is there, and while it waits for a slot. Later than 2.8 s only calls whose deadline comes first are taken. A stop waits for the next call on connections that were kept open, and follows the shorter grace time after SIGHUP.

--- a/attacher/attacher.go
+++ b/attacher/attacher.go
@@ -39,6 +39,7 @@
 	"github.com/kingcuphook/kingcuphook/recorder"
 	"github.com/kingcuphook/kingcuphook/retrier"
 	"github.com/kingcuphook/kingcuphook/scheduler"
+	"github.com/kingcuphook/kingcuphook/stopper"
 	"github.com/kingcuphook/kingcuphook/tallier"
 	"github.com/kingcuphook/kingcuphook/withdrawer"
 )
@@ -80,14 +81,20 @@
 	// share the retry budgets.
 	routers atomic.Int64
 	fleet   retrier.Fleet
-	// stopping has the deadlines of the graceful shutdown; nil before it.
-	stopping atomic.Pointer[stopDeadlines]
+	// stopping is the graceful shutdown.
+	stopping stopper.Stopper
+	// reloaded are the settings that were read last; nil means Settings.
+	reloaded atomic.Pointer[platform.Settings]
 }
 
 type listeners struct {
 	callers, ready, metrics, peers net.Listener
 }
 
+// Reload passes on settings that were read while the process runs. Only a shorter grace time takes
+// effect, for a graceful shutdown that has not begun; all others do at the next start.
+func (a *Attacher) Reload(s *platform.Settings) { a.reloaded.Store(s) }
+
 // Run serves calls until ctx ends, and then shuts down gracefully.
 func (a *Attacher) Run(ctx context.Context) error {
 	if err := a.listen(); err != nil {
@@ -96,6 +103,7 @@
 	a.build()
 	defer a.store.Close()
 	defer a.forwarder.Close()
+	defer a.relays.door.Close()
 	s := a.Settings
 	a.Log.Log(logger.Started, "name", s.Name(), "region", s.Region(), "data-centre", s.DataCentre(),
 		"callers", s.CallersAddress(), "store", s.StoreAddress())
@@ -217,6 +225,8 @@
 		BudgetKey:   (*kingcuphook.Request).Pool,
 		HasVacancy:  a.allocator.HasVacancy,
 		Pins:        a.pins,
+		Stopping:    a.stopping.Begun(),
+		LatestStart: func(r *kingcuphook.Request) time.Time { return a.receiver.LatestStart(r) },
 		Owner:       s.Name(),
 		Limits:      dispatcher.Limits{WaitShare: waitShare},
 	}
@@ -225,7 +235,7 @@
 		Codec:        platform.HeaderCodec{},
 		Directory:    a.control.directory,
 		TablesLoaded: a.control.tablesLoaded,
-		StopTimes:    a.stopTimes,
+		StopTimes:    a.stopping.Times,
 		Pins:         a.pins,
 		Observer:     watch,
 		Log:          a.Log,
@@ -238,6 +248,7 @@
 	a.meter.Gauge("kingcuphook_routers", func() float64 { return float64(a.routers.Load()) })
 	a.meter.Gauge("kingcuphook_open_requests", func() float64 { return float64(a.receiver.InFlight()) })
 	a.meter.Gauge("kingcuphook_requests_unanswered_total", func() float64 { return float64(a.receiver.Unanswered()) })
+	a.meter.Gauge("kingcuphook_requests_late_for_stop_total", func() float64 { return float64(a.receiver.Late()) })
 	a.meter.Gauge("kingcuphook_upstreams_withdrawn", func() float64 { return float64(a.withdrawn.Count()) })
 	a.meter.Gauge("kingcuphook_rejected_entries", func() float64 { return float64(a.rejected.Load()) })
 	a.meter.Gauge("kingcuphook_upstream_rests_total", func() float64 { return float64(a.pauses.Load()) })
@@ -295,7 +306,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	if a.stopping.Load() != nil || a.control.directory().Tables == nil {
+	if a.stopping.Started() || a.control.directory().Tables == nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -303,10 +314,3 @@
 }
 
 func (a *Attacher) answerMetrics(w http.ResponseWriter, _ *http.Request) { a.meter.Write(w) }
-
-func (a *Attacher) stopTimes() (streams, end time.Time) {
-	if c := a.stopping.Load(); c != nil {
-		return c.streams, c.end
-	}
-	return time.Time{}, time.Time{}
-}
--- a/attacher/attacher_test.go
+++ b/attacher/attacher_test.go
@@ -45,11 +45,13 @@
 	keys    []string
 	// whileDown is called by restart while the routers are down; nil means nothing.
 	whileDown func()
+	// grace is the grace time of routers.
+	grace time.Duration
 }
 
 func newTestPlatform(t *testing.T) *testPlatform {
 	t.Helper()
-	w := &testPlatform{I: is.New(t), t: t, store: &storer.Store{WatchWait: 200 * time.Millisecond}, keys: []string{"secret"}}
+	w := &testPlatform{I: is.New(t), t: t, store: &storer.Store{WatchWait: 200 * time.Millisecond}, keys: []string{"secret"}, grace: 3 * time.Second}
 	w.served = &standin.Store{Store: w.store, RejectStatus: func(*http.Request) int {
 		if w.storeDown.Load() {
 			return http.StatusServiceUnavailable
@@ -104,6 +106,8 @@
 	stop         context.CancelFunc
 	ended        chan error
 	log          *syncWriter
+	// reload passes on changed settings.
+	reload func(*platform.Settings)
 }
 
 type syncWriter struct {
@@ -127,17 +131,11 @@
 // routers as seeds.
 func (w *testPlatform) start(ip string, store string, seeds ...string) *process {
 	w.t.Helper()
-	text, err := standin.Settings{
-		Name: "router-" + ip, IP: ip, CallersPort: 17827, ReadyPort: 17820, FirstPort: 17840, Store: store, Seeds: seeds, Grace: 3 * time.Second,
-	}.Encode()
-	w.NoErr(err)
-	file := filepath.Join(w.t.TempDir(), "settings.json")
-	w.NoErr(os.WriteFile(file, text, 0o600))
-	settings, err := platform.LoadSettings(file)
-	w.NoErr(err)
+	settings := w.settings(ip, store, seeds...)
 	out := &syncWriter{}
 	p := &process{front: settings.CallersAddress(), ready: settings.ReadyAddress(), ended: make(chan error, 1), log: out}
 	a := &Attacher{Settings: settings, Log: logger.New(out, "logfmt", logger.LevelDebug)}
+	p.reload = a.Reload
 	ctx, cancel := context.WithCancel(context.Background())
 	p.stop = cancel
 	go func() { p.ended <- a.Run(ctx); close(p.ended) }()
@@ -150,6 +148,20 @@
 	return p
 }
 
+// settings returns the settings of a router with the current grace time.
+func (w *testPlatform) settings(ip string, store string, seeds ...string) *platform.Settings {
+	w.t.Helper()
+	text, err := standin.Settings{
+		Name: "router-" + ip, IP: ip, CallersPort: 17827, ReadyPort: 17820, FirstPort: 17840, Store: store, Seeds: seeds, Grace: w.grace,
+	}.Encode()
+	w.NoErr(err)
+	file := filepath.Join(w.t.TempDir(), "settings.json")
+	w.NoErr(os.WriteFile(file, text, 0o600))
+	settings, err := platform.LoadSettings(file)
+	w.NoErr(err)
+	return settings
+}
+
 // isReady checks readiness over HTTP, as the platform does.
 func (p *process) isReady() bool {
 	resp, err := http.Get("http://" + p.ready + platform.PathReady)
@@ -174,6 +186,11 @@
 // call sends a call and returns the status and the body. It returns an error if the
 // response breaks off.
 func (p *process) call(kind standin.Kind, key string) (int, string, error) {
+	return p.callOn(http.DefaultTransport, kind, key)
+}
+
+// callOn sends a call on the connections of a transport.
+func (p *process) callOn(t http.RoundTripper, kind standin.Kind, key string) (int, string, error) {
 	c := standin.Call{
 		Kind: kind, ID: fmt.Sprintf("%016x", time.Now().UnixNano()), Key: key, Deadline: 8 * time.Second, Body: strings.NewReader("question"),
 	}
@@ -181,7 +198,7 @@
 	if err != nil {
 		return 0, "", err
 	}
-	resp, err := http.DefaultTransport.RoundTrip(r)
+	resp, err := t.RoundTrip(r)
 	if err != nil {
 		return 0, "", err
 	}
--- a/attacher/control.go
+++ b/attacher/control.go
@@ -219,7 +219,7 @@
 // ineligible reports whether other routers should follow the store instead of this one,
 // because its last call to the store failed recently or it is stopping.
 func (c *control) ineligible(now time.Time) bool {
-	return c.a.stopping.Load() != nil || !c.failedAt.IsZero() && now.Sub(c.failedAt) < ineligibleFor
+	return c.a.stopping.Started() || !c.failedAt.IsZero() && now.Sub(c.failedAt) < ineligibleFor
 }
 
 // handleStoreEvent passes an event of the store to the control loop.
--- a/attacher/relays.go
+++ b/attacher/relays.go
@@ -141,7 +141,7 @@
 }
 
 // carriesNone reports whether this router carries no connections for peers.
-func (r *relays) carriesNone() bool { return r.a.stopping.Load() != nil || r.paths.IsCutOff() }
+func (r *relays) carriesNone() bool { return r.a.stopping.Started() || r.paths.IsCutOff() }
 
 // withdraw ends the use of a peer that carries no connections any more.
 func (r *relays) withdraw(now time.Time, peer netip.Addr) {
--- a/attacher/stop.go
+++ b/attacher/stop.go
@@ -14,9 +14,9 @@
 	// callersLag is how long callers may still send calls after the process has
 	// reported that it is not ready.
 	callersLag = 3500 * time.Millisecond
-	// streamsAccepted is how long new streams are accepted after the start of a graceful
-	// shutdown. Later ones might not end before the process is killed.
-	streamsAccepted = 2800 * time.Millisecond
+	// reuseTime is how long after a call its caller may send the next one on the connection that
+	// was kept open, because the answer began before the shutdown.
+	reuseTime = 500 * time.Millisecond
 	// stopPoll is how often a graceful shutdown checks whether calls are still open.
 	stopPoll = 50 * time.Millisecond
 	// closeTimeout bounds the time in which calls that are still open at the end are ended
@@ -24,26 +24,17 @@
 	closeTimeout = 200 * time.Millisecond
 )
 
-// stopDeadlines are the deadlines of a graceful shutdown: streams for accepting
-// new streams, end for open calls.
-type stopDeadlines struct{ streams, end time.Time }
-
 // stop shuts down gracefully. The process reports that it is not ready, serves the calls
-// that callers still send for callersLag, and waits for open calls until shortly before
-// the end of the grace time. It ends those that are open then with an error.
+// that callers still send for callersLag, and waits for open calls and reuseTime longer until
+// shortly before the end of the grace time. It ends those that are open then with an error.
 func (a *Attacher) stop() {
 	begun := time.Now()
-	last := begun.Add(a.Settings.Grace() - killMargin)
-	a.stopping.Store(&stopDeadlines{streams: begun.Add(streamsAccepted), end: last})
+	last := begun.Add(a.grace() - killMargin)
+	a.stopping.Start(begun, last)
 	a.permits.Stop()
 	a.relays.announceStop()
 	a.Log.Log(logger.Stopping, "open-requests", a.receiver.InFlight(), "until-ms", time.Until(last).Milliseconds())
-	for time.Now().Before(last) {
-		if time.Since(begun) >= callersLag && a.receiver.InFlight() == 0 && a.relays.door.Busy() == 0 {
-			break
-		}
-		time.Sleep(stopPoll)
-	}
+	a.awaitCallers(begun, last)
 	if a.stopReceiver(last) == nil {
 		return
 	}
@@ -56,6 +47,30 @@
 	}
 }
 
+// grace returns the grace time of a graceful shutdown that begins now. The platform may kill the
+// process by the settings with which it was started or by the later ones.
+func (a *Attacher) grace() time.Duration {
+	if s := a.reloaded.Load(); s != nil {
+		return min(a.Settings.Grace(), s.Grace())
+	}
+	return a.Settings.Grace()
+}
+
+// awaitCallers waits until callers send no more calls and none is open, or until last.
+func (a *Attacher) awaitCallers(begun, last time.Time) {
+	kept, idle := a.receiver.Kept(), begun
+	for now := begun; now.Before(last); now = time.Now() {
+		if n := a.receiver.Kept(); n != kept {
+			kept, idle = n, now
+		}
+		isUnused := now.Sub(begun) >= callersLag && now.Sub(idle) >= reuseTime
+		if isUnused && a.receiver.InFlight() == 0 && a.relays.door.Busy() == 0 {
+			return
+		}
+		time.Sleep(stopPoll)
+	}
+}
+
 // stopReceiver stops the receiver and waits for its calls until a time. It returns an error
 // if calls are still open then.
 func (a *Attacher) stopReceiver(until time.Time) error {
--- /dev/null
+++ b/attacher/stop_late_test.go
@@ -0,0 +1,107 @@
+package attacher
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/kingcuphook/kingcuphook/platform/standin"
+)
+
+// stopTrial counts what became of calls.
+type stopTrial struct {
+	mu                          sync.Mutex
+	whole, cut, refused, closed int
+}
+
+func (s *stopTrial) add(status int, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case status == 0: // nothing listened any more
+		s.closed++
+	case status == http.StatusServiceUnavailable:
+		s.refused++
+	case err != nil || status != http.StatusOK:
+		s.cut++
+	default:
+		s.whole++
+	}
+}
+
+// Streams that came late in the grace time were taken and cut at its end.
+func TestPlannedStopTakesOnlyCallsThatEnd(t *testing.T) {
+	const learned = 16
+	for i, test := range []struct{ grace, length time.Duration }{
+		{time.Second, 200 * time.Millisecond},
+		{3 * time.Second, 400 * time.Millisecond},
+		{3 * time.Second, 1200 * time.Millisecond},
+		{3 * time.Second, 2400 * time.Millisecond},
+		{5 * time.Second, 2400 * time.Millisecond},
+	} {
+		ip := loopback(fmt.Sprintf("70.%d", 1+i))
+		t.Run(fmt.Sprintf("%v of %v", test.length, test.grace), func(t *testing.T) {
+			t.Parallel()
+			w := newTestPlatform(t)
+			w.grace = test.grace
+			for _, u := range w.upstreams {
+				u.EventInterval = test.length / time.Duration(u.Events)
+			}
+			p := w.start(ip, w.server.Listener.Addr().String())
+			w.waitFor("readiness", p.isReady)
+			kinds := []standin.Kind{standin.KindStream, standin.KindResumableStream, standin.KindNonIdempotent}
+			var calls sync.WaitGroup
+			result := &stopTrial{}
+			send := func(into *stopTrial) {
+				for _, kind := range kinds {
+					calls.Go(func() {
+						status, _, err := p.call(kind, "secret")
+						into.add(status, err)
+					})
+				}
+			}
+			for range learned {
+				send(&stopTrial{})
+			}
+			calls.Wait()
+			p.stop()
+			end := time.Now().Add(test.grace)
+			for time.Now().Before(end) {
+				send(result)
+				time.Sleep(100 * time.Millisecond)
+			}
+			calls.Wait()
+			t.Logf("whole %d, cut %d, refused %d, closed %d", result.whole, result.cut, result.refused, result.closed)
+			w.Equal(result.cut, 0)
+			// What surely ends is taken.
+			early := int((test.grace - killMargin - 2*test.length - 100*time.Millisecond) / (100 * time.Millisecond))
+			w.True(result.whole >= len(kinds)*min(early, 20))
+		})
+	}
+}
+
+// A connection that was kept open after a long stream was closed under its caller's next call.
+func TestPlannedStopAnswersNextCallAfterLongStream(t *testing.T) {
+	t.Parallel()
+	w := newTestPlatform(t)
+	w.grace = 9 * time.Second
+	for _, u := range w.upstreams {
+		u.EventInterval = 200 * time.Millisecond
+	}
+	p := w.start(loopback("70.9"), w.server.Listener.Addr().String())
+	w.waitFor("readiness", p.isReady)
+	kept := &http.Transport{}
+	defer kept.CloseIdleConnections()
+	time.AfterFunc(300*time.Millisecond, p.stop)
+	for _, kind := range []standin.Kind{standin.KindStream, standin.KindNonIdempotent} {
+		status, _, err := p.callOn(kept, kind, "secret")
+		w.NoErr(err)
+		w.True(status == http.StatusOK || status == http.StatusServiceUnavailable)
+		time.Sleep(reuseTime / 2)
+	}
+	last := time.Now()
+	w.NoErr(<-p.ended)
+	w.True(time.Since(last) < time.Second)
+}
--- a/attacher/stop_test.go
+++ b/attacher/stop_test.go
@@ -1,11 +1,13 @@
 package attacher
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/kingcuphook/kingcuphook/logger"
 	"github.com/kingcuphook/kingcuphook/platform/standin"
 )
 
@@ -41,3 +43,34 @@
 		}
 	}
 }
+
+// A stop went by the grace time of the start, and the platform killed it by that of changed settings.
+func TestPlannedStopEndsWithinShorterGraceTime(t *testing.T) {
+	for i, test := range []struct{ start, before, during, want time.Duration }{
+		{5 * time.Second, time.Second, time.Second, time.Second},
+		{time.Second, 5 * time.Second, 5 * time.Second, time.Second},
+		{1500 * time.Millisecond, 1500 * time.Millisecond, 500 * time.Millisecond, 1500 * time.Millisecond},
+	} {
+		t.Run(fmt.Sprintf("%v then %v and %v", test.start, test.before, test.during), func(t *testing.T) {
+			t.Parallel()
+			w := newTestPlatform(t)
+			ip := loopback(fmt.Sprintf("71.%d", 1+i))
+			store := w.server.Listener.Addr().String()
+			w.grace = test.start
+			p := w.start(ip, store)
+			w.waitFor("readiness", p.isReady)
+			reload := func(grace time.Duration) {
+				w.grace = grace
+				p.reload(w.settings(ip, store))
+			}
+			reload(test.before)
+			stopped := time.Now()
+			p.stop()
+			w.waitFor("the stop", func() bool { return p.count(logger.Stopping) > 0 })
+			reload(test.during)
+			w.NoErr(<-p.ended)
+			took := time.Since(stopped)
+			w.True(took <= test.want && took >= test.want-2*killMargin)
+		})
+	}
+}
--- a/cmd/kingcuphook/attach.go
+++ b/cmd/kingcuphook/attach.go
@@ -43,24 +43,26 @@
 	defer cancel()
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	go c.reload(ctx, log, hup)
-	return (&attacher.Attacher{Settings: settings, Log: log, Dropped: queue.Dropped}).Run(ctx)
+	a := &attacher.Attacher{Settings: settings, Log: log, Dropped: queue.Dropped}
+	go c.reload(ctx, log, hup, a.Reload)
+	return a.Run(ctx)
 }
 
-// reload reads the settings again on each SIGHUP and logs whether they are valid.
-// Changes take no effect, because a router applies its settings only when it
-// starts.
-func (c *attachCommand) reload(ctx context.Context, log *logger.Logger, hup <-chan os.Signal) {
+// reload reads the settings again on each SIGHUP, logs whether they are valid, and passes them on
+// if they are.
+func (c *attachCommand) reload(ctx context.Context, log *logger.Logger, hup <-chan os.Signal, pass func(*platform.Settings)) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-hup:
 		}
-		if _, err := platform.LoadSettings(c.Settings); err != nil {
+		settings, err := platform.LoadSettings(c.Settings)
+		if err != nil {
 			log.Log(logger.SettingsRejected, "error", err)
 			continue
 		}
+		pass(settings)
 		log.Log(logger.SettingsChecked, "file", c.Settings)
 	}
 }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -101,6 +101,12 @@
 	// retry that has none yet. Nil means that there always is. It must be safe for
 	// concurrent use.
 	HasVacancy func(r *kingcuphook.Request, excluded []string, resumes bool, n int) bool
+	// Stopping ends when a graceful shutdown begins; nil means never.
+	Stopping context.Context
+	// LatestStart returns until when a request may be sent to its first upstream so that it
+	// ends before the graceful shutdown does; a zero time means that none was started. It is
+	// set if Stopping is. It must be safe for concurrent use.
+	LatestStart func(r *kingcuphook.Request) time.Time
 	// Owner is the identifier of this router.
 	Owner string
 	// Rand is the source of jitter and of attempt identifiers; nil means one with a
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -187,7 +187,7 @@
 	if err := r.checkParts(); err != nil {
 		return kingcuphook.Outcome{}, err
 	}
-	slot, t, err := r.acquire(ctx)
+	slot, t, err := r.acquireInTime(ctx)
 	r.endMove()
 	if err != nil {
 		return kingcuphook.Outcome{}, &finalError{err}
@@ -223,14 +223,25 @@
 }
 
 // detach returns a context that keeps the deadline of ctx but not its
-// cancellation. A call that holds a claim is completed even if its caller
-// disconnects, so that a resend finds its outcome.
+// cancellation, unless the router ends it because it is stopping. A call that holds
+// a claim is completed even if its caller disconnects, so that a resend finds its
+// outcome.
 func detach(ctx context.Context) (context.Context, context.CancelFunc) {
-	free := context.WithoutCancel(ctx)
+	free, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, func() {
+		if cause := context.Cause(ctx); errors.Is(cause, kingcuphook.ErrStopping) {
+			cancel(cause)
+		}
+	})
+	end := func() {}
 	if deadline, ok := ctx.Deadline(); ok {
-		return context.WithDeadline(free, deadline)
+		free, end = context.WithDeadline(free, deadline)
+	}
+	return free, func() {
+		stop()
+		end()
+		cancel(nil)
 	}
-	return context.WithCancel(free)
 }
 
 // dispatch records that the call is about to be sent to an upstream. It fails if
--- a/logger/events.go
+++ b/logger/events.go
@@ -55,7 +55,7 @@
 	UpstreamsUpdated      = Event{1303, LevelInfo, "upstreams updated"}
 	UpstreamPaused        = Event{1305, LevelInfo, "upstream asked for a pause"}
 	RegistrationRejected  = Event{1304, LevelWarn, "registration of an upstream rejected; the upstream is not used"}
-	SettingsChecked       = Event{1008, LevelInfo, "settings file checked; changes take effect at the next start"}
+	SettingsChecked       = Event{1008, LevelInfo, "settings file checked; a shorter grace time takes effect, other changes do at the next start"}
 	SettingsRejected      = Event{1009, LevelError, "settings file is invalid; the process keeps its settings"}
 	StoreUpdateReceived   = Event{1404, LevelInfo, "store update received from a peer"}
 	RelayEnded            = Event{1405, LevelInfo, "connection relayed for a peer ended"}
--- a/receiver/answer.go
+++ b/receiver/answer.go
@@ -49,7 +49,9 @@
 	if s.Observer != nil {
 		s.Observer.RequestStarted(request, c.route)
 	}
+	dispatched := time.Now()
 	o, err := s.Dispatcher.Dispatch(ctx, c.call, out)
+	s.observe(request, err, dispatched, time.Now())
 	first := time.Duration(0)
 	if !out.first.IsZero() {
 		first = out.first.Sub(request.Arrived())
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -17,8 +17,10 @@
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/forecaster"
 	"github.com/kingcuphook/kingcuphook/forwarder"
 	"github.com/kingcuphook/kingcuphook/logger"
+	"github.com/kingcuphook/kingcuphook/stopper"
 )
 
 const (
@@ -59,9 +61,9 @@
 	// TablesLoaded is closed once the first tables are loaded. If it is nil, calls don't
 	// wait for them.
 	TablesLoaded <-chan struct{}
-	// StopTimes returns when a graceful shutdown starts to reject new streams, and when
-	// it ends; zero times mean that none was started. Nil means never.
-	StopTimes func() (streams, end time.Time)
+	// StopTimes returns from when on a graceful shutdown takes only calls that surely end before
+	// it does, and when it ends; zero times mean that none was started. Nil means never.
+	StopTimes func() (late, end time.Time)
 	// Pins keeps track of the software version that began each stream; nil means that calls
 	// that resume a stream go to any upstream.
 	Pins kingcuphook.StreamPinner
@@ -74,14 +76,16 @@
 
 	once sync.Once
 	http *http.Server
-	// calls is a context that EndCalls ends with the function endCalls.
-	calls    context.Context
-	endCalls context.CancelFunc
+	// calls are those in flight, as they stand in a graceful shutdown.
+	calls stopper.Calls
 	// closing is set before idle connections are closed.
 	closing atomic.Bool
 	// inFlight counts the calls in flight, unanswered those that ended without a complete
-	// response although their callers were still connected.
-	inFlight, unanswered atomic.Int64
+	// response although their callers were still connected, and late those that were
+	// rejected because they might not end before the graceful shutdown does.
+	inFlight, unanswered, late atomic.Int64
+	// kept counts how often a connection was kept open after a call.
+	kept atomic.Int64
 }
 
 // Run serves callers on l until Stop. It returns nil after a graceful shutdown.
@@ -92,14 +96,22 @@
 	return nil
 }
 
+// observeState is the hook ConnState of the server.
+func (s *Receiver) observeState(_ net.Conn, state http.ConnState) {
+	if state == http.StateIdle {
+		s.kept.Add(1)
+	}
+}
+
 func (s *Receiver) server() *http.Server {
 	s.once.Do(func() {
-		s.calls, s.endCalls = context.WithCancel(context.Background())
+		s.calls.Times = s.stopTimes
 		s.http = &http.Server{
 			Handler:           s,
 			MaxHeaderBytes:    maxHeaderBytes,
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       idleTimeout,
+			ConnState:         s.observeState,
 			ErrorLog:          log.New(serverLog{s.Log}, "", 0),
 		}
 	})
@@ -126,7 +138,7 @@
 	if s.stopping() {
 		w.Header().Set("Connection", "close")
 	}
-	ctx, cancel := s.callContext(r)
+	ctx, cancel := s.stopCalls().Context(r.Context())
 	defer cancel()
 	out := &writer{w: w, control: http.NewResponseController(w)}
 	defer s.recoverPanic(out)
@@ -173,8 +185,9 @@
 		organisation = found
 	}
 	deadline := arrived.Add(callTimeout(labels, route))
-	if s.stopping() && !s.endsBeforeStop(route) {
-		return nil, errStopping
+	forecast := forecaster.Call{Route: route.Name(), PromptTokens: labels.PromptTokens, MaxTokens: labels.MaxTokens}
+	if err := s.checkStop(forecast, deadline); err != nil {
+		return nil, err
 	}
 	body, err := readBody(w, r, d.MaxBodyBytes)
 	if err != nil {
--- a/receiver/receiver_test.go
+++ b/receiver/receiver_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/matryer/is"
 
 	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/forecaster"
 )
 
 // dispatchFunc is a function that implements kingcuphook.Dispatcher.
@@ -300,28 +302,95 @@
 	}
 }
 
-// TestPlannedStop checks that calls are rejected once they might not end before the
-// graceful shutdown does, streams first, and that connections are closed after each
-// answer while a shutdown is in progress.
+// TestPlannedStop checks that calls are rejected once they might not end before the graceful
+// shutdown does, streams like others, and that connections are closed after each answer while a
+// shutdown is in progress.
 func TestPlannedStop(t *testing.T) {
 	r := newHarness(t, respondWith(http.StatusOK, "whole"))
-	var streams, end time.Time
-	r.StopTimes = func() (time.Time, time.Time) { return streams, end }
+	var end time.Time
+	late := time.Now().Add(time.Hour)
+	r.StopTimes = func() (time.Time, time.Time) { return late, end }
 	status := func(path string) int {
-		resp, _, err := r.call(path, "")
+		resp, text, err := r.call(path, "")
 		r.NoErr(err)
 		r.Equal(resp.Close, !end.IsZero()) // callers reconnect to another router
+		if resp.StatusCode != http.StatusOK {
+			r.Equal(text, "stopping\n")
+			r.True(resp.Header.Get("Retry-After") != "")
+		}
 		return resp.StatusCode
 	}
-	r.Equal(status("/plain/"), http.StatusOK)
-	streams, end = time.Now().Add(time.Minute), time.Now().Add(time.Minute)
-	r.Equal(status("/plain/"), http.StatusOK)
-	r.Equal(status("/stream/"), http.StatusOK)
-	streams = time.Now()
-	r.Equal(status("/stream/"), http.StatusServiceUnavailable) // a stream might not end in time
-	r.Equal(status("/plain/"), http.StatusOK)
+	end = time.Now().Add(time.Minute)
+	r.Equal(status("/stream/"), http.StatusOK) // ends by its deadline
+	end = time.Now().Add(time.Second)
+	r.Equal(status("/plain/"), http.StatusServiceUnavailable) // unknown, and its route has a timeout of 2 s
+	r.Equal(r.Late(), 1)
+	end = time.Time{}
+	for range 20 {
+		r.Equal(status("/plain/"), http.StatusOK)
+	}
 	end = time.Now().Add(time.Second)
-	r.Equal(status("/plain/"), http.StatusServiceUnavailable)
+	r.Equal(status("/plain/"), http.StatusOK) // known to be short
+	for range 20 {
+		r.stopCalls().Observe(time.Now(), forecaster.Call{Route: "stream"}, 400*time.Millisecond)
+	}
+	r.Equal(status("/stream/"), http.StatusOK)
+	end = time.Now().Add(500 * time.Millisecond)
+	r.Equal(status("/stream/"), http.StatusServiceUnavailable)
+}
+
+// A stream that came 4.4 s after the signal was taken, took longer than the forecast, and was cut.
+func TestPlannedStopTakesLateCallsOnlyIfTheySurelyEnd(t *testing.T) {
+	r := newHarness(t, respondWith(http.StatusOK, "whole"))
+	for range 40 {
+		r.stopCalls().Observe(time.Now(), forecaster.Call{Route: "stream"}, 10*time.Millisecond)
+	}
+	begun := time.Now()
+	for _, test := range []struct {
+		late, left time.Duration
+		status     int
+	}{
+		{time.Hour, time.Second, http.StatusOK},
+		{0, time.Second, http.StatusServiceUnavailable},
+		{0, time.Minute, http.StatusOK},
+	} {
+		r.StopTimes = func() (late, end time.Time) { return begun.Add(test.late), begun.Add(test.left) }
+		resp, _, err := r.call("/stream/", "")
+		r.NoErr(err)
+		r.Equal(resp.StatusCode, test.status)
+	}
+}
+
+// A call whose body came too late was passed on and cut, or its connection was closed.
+func TestStopRefusesCallsWithLateBodies(t *testing.T) {
+	r := newHarness(t, respondWith(http.StatusOK, "whole"))
+	var end atomic.Pointer[time.Time]
+	end.Store(&time.Time{})
+	r.StopTimes = func() (late, stop time.Time) { return *end.Load(), *end.Load() }
+	for _, whole := range []bool{true, false} {
+		body, sender := io.Pipe()
+		q, err := http.NewRequestWithContext(t.Context(), http.MethodPost, r.url+"/plain/", body)
+		r.NoErr(err)
+		q.Host = "a.example"
+		q.Header.Set("X-Key", "secret")
+		go func() {
+			_, _ = sender.Write([]byte("first"))
+			stop := time.Now().Add(time.Second)
+			end.Store(&stop)
+			if whole {
+				_ = sender.Close()
+				return
+			}
+			time.Sleep(100 * time.Millisecond) // until the body is being read
+			r.EndCalls()
+		}()
+		resp, err := http.DefaultTransport.RoundTrip(q)
+		r.NoErr(err)
+		resp.Body.Close()
+		r.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+		_ = sender.Close()
+		end.Store(&time.Time{})
+	}
 }
 
 // A call whose connection was closed as idle by the stop ran although no answer could reach its caller.
--- a/receiver/stop.go
+++ b/receiver/stop.go
@@ -3,10 +3,11 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/forecaster"
+	"github.com/kingcuphook/kingcuphook/stopper"
 )
 
 // Stop closes the listener and the idle connections, and waits for the calls in flight
@@ -23,51 +24,59 @@
 
 // EndCalls ends the calls in flight and all later ones with an error, which their callers
 // get unless part of an answer was written. It returns at once.
-func (s *Receiver) EndCalls() {
-	s.server()
-	s.endCalls()
-}
+func (s *Receiver) EndCalls() { s.stopCalls().End() }
 
-// callContext returns a context that ends with the caller's connection or, with the cause
-// ErrStopping, when EndCalls is called.
-func (s *Receiver) callContext(r *http.Request) (context.Context, context.CancelFunc) {
+// stopCalls returns the calls as they stand in a graceful shutdown.
+func (s *Receiver) stopCalls() *stopper.Calls {
 	s.server()
-	ctx, cancel := context.WithCancelCause(r.Context())
-	stop := context.AfterFunc(s.calls, func() { cancel(kingcuphook.ErrStopping) })
-	return ctx, func() {
-		stop()
-		cancel(nil)
-	}
+	return &s.calls
 }
 
 // InFlight returns the number of calls in flight.
 func (s *Receiver) InFlight() int { return int(s.inFlight.Load()) }
 
+// Kept returns how often a connection was kept open after a call.
+func (s *Receiver) Kept() int64 { return s.kept.Load() }
+
+// Late returns the number of calls that were rejected because they might not end before the
+// graceful shutdown does.
+func (s *Receiver) Late() int { return int(s.late.Load()) }
+
 // stopping reports whether a graceful shutdown was started.
-func (s *Receiver) stopping() bool {
-	if s.closing.Load() {
-		return true
+func (s *Receiver) stopping() bool { return s.closing.Load() || s.stopCalls().Started() }
+
+// checkStop returns an error for a call that might not end before the graceful shutdown does
+// if it starts now.
+func (s *Receiver) checkStop(c forecaster.Call, deadline time.Time) error {
+	err := s.stopCalls().Check(c, deadline)
+	if err == nil {
+		return nil
 	}
-	if s.StopTimes == nil {
-		return false
+	s.late.Add(1)
+	return &kingcuphook.RequestError{
+		Code:       kingcuphook.CodeStopping,
+		Ran:        kingcuphook.RunStateNotRun,
+		RetryAfter: retryStopping,
+		Err:        fmt.Errorf("receiver: %w", err),
 	}
-	_, end := s.StopTimes()
-	return !end.IsZero()
 }
 
-// endsBeforeStop reports whether a call of the route that starts now is expected to
-// end before the graceful shutdown does.
-func (s *Receiver) endsBeforeStop(route *kingcuphook.Route) bool {
-	if s.StopTimes == nil {
-		return false
-	}
-	streams, end := s.StopTimes()
-	if route.Stream() {
-		return time.Now().Before(streams)
+// LatestStart returns until when a request may be sent to its first upstream so that it ends
+// before the graceful shutdown does; a zero time means that none was started.
+func (s *Receiver) LatestStart(r *kingcuphook.Request) time.Time { return s.stopCalls().LatestStart(r) }
+
+// observe records how long a request took from its dispatch to its answer or deadline.
+func (s *Receiver) observe(r *kingcuphook.Request, err error, dispatched, now time.Time) {
+	if err != nil && requestError(err).Code != kingcuphook.CodeDeadline {
+		return
 	}
-	return time.Until(end) > max(route.Timeout(), minCallTime)
+	s.stopCalls().Observe(now, forecaster.Of(r), now.Sub(dispatched))
 }
 
-// minCallTime is the time that a call needs at least before the end of a graceful
-// shutdown, also if its route has a shorter timeout or none.
-const minCallTime = time.Second
+// stopTimes returns StopTimes; zero times if no graceful shutdown was started.
+func (s *Receiver) stopTimes() (late, end time.Time) {
+	if s.StopTimes == nil {
+		return time.Time{}, time.Time{}
+	}
+	return s.StopTimes()
+}
--- a/relayer/door.go
+++ b/relayer/door.go
@@ -136,6 +136,16 @@
 	return list
 }
 
+// Close ends all relayed connections.
+func (d *Door) Close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for t := range d.tunnels {
+		_ = t.peer.Close()
+		_ = t.upstream.Close()
+	}
+}
+
 // ServeHTTP implements http.Handler.
 func (d *Door) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	from, id := peerOf(r.RemoteAddr), r.URL.Query().Get(paramID)
