Bound the memory of what upstreams send by one budget

Cause: each head, event and answer was bounded by itself, and nothing bounded their sum. 64 KiB of head in short lines takes about 1 MB in the HTTP transport. Class: a limit for each call and none for their sum. Change: package rationer is the budget (two fifths of memoryMb). Heads are counted by lines and bytes as they arrive, interim answers with them; answers and events reserve memory before it is allocated. Small ones, and answers of what may have run, find room that large ones can't take. Replies of peers are bounded too. TestForeignReplyIsNoCrash is now TestUnusableReplyIsNoCrash, with the same checks for a second cause.

--- a/attacher/attacher.go
+++ b/attacher/attacher.go
@@ -35,6 +35,7 @@
 	"github.com/kingcuphook/kingcuphook/platform"
 	"github.com/kingcuphook/kingcuphook/puller"
 	"github.com/kingcuphook/kingcuphook/quarantiner"
+	"github.com/kingcuphook/kingcuphook/rationer"
 	"github.com/kingcuphook/kingcuphook/receiver"
 	"github.com/kingcuphook/kingcuphook/recorder"
 	"github.com/kingcuphook/kingcuphook/retrier"
@@ -63,6 +64,8 @@
 	dispatcher *dispatcher.Dispatcher
 	receiver   *receiver.Receiver
 	meter      *meter.Meter
+	// memory is the budget for what callers and upstreams make the router hold.
+	memory     *rationer.Rationer
 	quarantine *quarantiner.Quarantiner
 	isolator   *isolator.Isolator
 	pins       *pins
@@ -193,6 +196,7 @@
 	a.store = &platform.Store{Address: s.StoreAddress()}
 	a.store.Connect()
 	a.meter = meter.New()
+	a.memory = &rationer.Rationer{Bytes: memoryBudget(s.Memory())}
 	a.addGauges()
 	a.permits = &permitter.Permitter{Self: s.Address().String(), OnChange: a.logRateLimit, OnPlacesChange: a.logPlaces, Careful: true}
 	a.allocator = &allocator.Allocator{NewScheduler: a.newScheduler}
@@ -204,6 +208,7 @@
 		LocalAddress: local,
 		OnDial:       func(u *kingcuphook.Upstream, took time.Duration) { a.roundTrips.Observe(u.DataCentre(), took) },
 		OnNotice:     a.handleNotice,
+		Memory:       a.memory,
 	}
 	a.relays = newRelays(a, local)
 	a.relays.equip(a.forwarder)
@@ -263,6 +268,7 @@
 	a.meter.Gauge("kingcuphook_quarantined_fingerprints", func() float64 { return float64(len(a.quarantine.List(time.Now()))) })
 	a.meter.Gauge("kingcuphook_quarantined_parts", func() float64 { n, _ := a.isolator.Count(); return float64(n) })
 	a.meter.Gauge("kingcuphook_suspected_parts", func() float64 { _, n := a.isolator.Count(); return float64(n) })
+	a.meter.Gauge("kingcuphook_heads_rejected_total", func() float64 { return float64(a.forwarder.HeadsRejected()) })
 	a.meter.Gauge("kingcuphook_log_lines_dropped_total", func() float64 {
 		if a.Dropped == nil {
 			return 0
@@ -284,6 +290,21 @@
 	}
 }
 
+// memoryShare is the share of the memory of the process that callers' connections, heads, bodies and
+// events may use. The rest is for tables, other connections and garbage.
+const memoryShare = 0.4
+
+// defaultMemoryBudget is the budget in bytes if the settings don't state the memory of the process.
+const defaultMemoryBudget = 64 << 20
+
+// memoryBudget returns the budget in bytes of a process with that memory; 0 means unknown.
+func memoryBudget(memory int64) int64 {
+	if memory <= 0 {
+		return defaultMemoryBudget
+	}
+	return int64(memoryShare * float64(memory))
+}
+
 // waitShare is the share of the time until its deadline that a call may be queued for its
 // first upstream.
 const waitShare = 0.15
--- a/cmd/kingcuphook/attach.go
+++ b/cmd/kingcuphook/attach.go
@@ -20,6 +20,10 @@
 // VMs have little memory but spare processor time.
 const gcPercent = 40
 
+// memoryLimitShare is the share of the memory of the VM from which on the garbage collector runs as
+// often as it needs to. The rest is for what the runtime doesn't count, such as the program itself.
+const memoryLimitShare = 0.8
+
 type attachCommand struct {
 	Settings string `short:"s" long:"settings" env:"KINGCUPHOOK_SETTINGS" default:"/etc/kingcuphook/settings.json" description:"File of settings that the platform writes"`
 	Level    string `long:"log-level" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"Lowest level of log lines"`
@@ -32,6 +36,9 @@
 		return err
 	}
 	debug.SetGCPercent(gcPercent)
+	if memory := settings.Memory(); memory > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitShare * float64(memory)))
+	}
 	queue := logger.NewQueue(os.Stdout, logQueueSize)
 	log := logger.New(queue, "logfmt", logger.Level(c.Level))
 	logCtx, stopLog := context.WithCancel(context.Background())
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/rationer"
 	"github.com/kingcuphook/kingcuphook/transporter"
 )
 
@@ -62,12 +63,17 @@
 	// concurrent use and must not block.
 	OnNotice func(u *kingcuphook.Upstream, n kingcuphook.Notice, sentAt time.Time)
 
+	// Memory is the budget for heads, answers that are being read, and events; nil means no limit.
+	Memory *rationer.Rationer
+
 	// shared reuses connections; idempotent requests, queries and orders use it.
 	shared *http.Client
 	// fresh opens a new connection for each request. Non-idempotent requests use it,
 	// because the HTTP transport retries a request by itself only when a reused
 	// connection breaks.
 	fresh *http.Client
+	// headsRejected counts the heads of responses that were too long.
+	headsRejected atomic.Int64
 }
 
 var _ kingcuphook.Engine = (*Dialer)(nil)
@@ -84,6 +90,9 @@
 	d.fresh.CloseIdleConnections()
 }
 
+// HeadsRejected returns how many heads of responses were too long.
+func (d *Dialer) HeadsRejected() int64 { return d.headsRejected.Load() }
+
 // returnRedirect makes an HTTP client return redirects instead of following them.
 func returnRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
@@ -93,6 +102,8 @@
 		IdleTimeout:       idleTimeout,
 		KeepAlive:         keepAliveInterval,
 		DisableKeepAlives: fresh,
+		Memory:            d.Memory,
+		HeadsRejected:     &d.headsRejected,
 	}.New()
 }
 
@@ -104,7 +115,7 @@
 		cancel()
 		return nil, err
 	}
-	return newStream(resp.Body, cancel), nil
+	return newStream(resp.Body, cancel, d.Memory.OpenAnswer()), nil
 }
 
 // Call implements kingcuphook.Engine.
@@ -114,16 +125,11 @@
 		return kingcuphook.Answer{}, err
 	}
 	defer resp.Body.Close()
-	limit := d.MaxAnswerBytes
-	if limit == 0 {
-		limit = defaultMaxAnswer
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	memory := d.Memory.OpenAnswer()
+	defer memory.Close()
+	body, err := transporter.ReadBody(memory, resp, cmp.Or(d.MaxAnswerBytes, defaultMaxAnswer))
 	if err != nil {
-		return kingcuphook.Answer{}, fmt.Errorf("dialer: read answer of %s: %w", u.Address(), kingcuphook.ErrOutcomeUnknown)
-	}
-	if int64(len(body)) > limit {
-		return kingcuphook.Answer{}, fmt.Errorf("dialer: answer of %s over %d bytes: %w", u.Address(), limit, errors.Join(kingcuphook.ErrTooLarge, kingcuphook.ErrOutcomeUnknown))
+		return kingcuphook.Answer{}, fmt.Errorf("dialer: read answer of %s: %w", u.Address(), readError(err))
 	}
 	if len(body) == 0 && resp.StatusCode < http.StatusMultipleChoices && transporter.IsCloseDelimited(resp) {
 		return kingcuphook.Answer{}, fmt.Errorf("dialer: connection to %s ended with the head of the answer: %w", u.Address(), kingcuphook.ErrOutcomeUnknown)
@@ -131,6 +137,15 @@
 	return kingcuphook.NewAnswer(resp.StatusCode, resp.Header.Get("Content-Type"), body), nil
 }
 
+// readError returns the error of an answer that could not be read, with its cause if that is a limit
+// of this router.
+func readError(err error) error {
+	if errors.Is(err, kingcuphook.ErrTooLarge) || errors.Is(err, kingcuphook.ErrOutOfMemory) {
+		return errors.Join(kingcuphook.ErrOutcomeUnknown, err)
+	}
+	return kingcuphook.ErrOutcomeUnknown
+}
+
 // send sends the attempt and returns the response if checkResponse accepts it.
 func (d *Dialer) send(ctx context.Context, u *kingcuphook.Upstream, a *kingcuphook.Attempt) (*http.Response, error) {
 	req, err := newRequest(ctx, u, a)
--- a/dialer/report.go
+++ b/dialer/report.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -36,6 +35,8 @@
 	// maxReportBytes limits the body of a response to a query or an order; the rest
 	// is cut off.
 	maxReportBytes = 1 << 20
+	// unknownLength is the length of a body of which only the beginning may be read.
+	unknownLength = -1
 	// maxReported bounds each number of a report, so that sums and ages don't overflow.
 	maxReported = 1 << 40
 	// hexBase is the base in which cache events write prefix hashes.
@@ -171,12 +172,14 @@
 	if err != nil {
 		return answer{}, fmt.Errorf("dialer: %w", err)
 	}
-	resp, err := d.shared.Do(req)
+	resp, _, err := transporter.Send(req, d.shared.Do)
 	if err != nil {
 		return answer{}, fmt.Errorf("dialer: %s: %w: %w", address, kingcuphook.ErrUnavailable, err)
 	}
 	defer resp.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, maxReportBytes))
+	memory := d.Memory.OpenAnswer()
+	defer memory.Close()
+	text, err := memory.ReadAll(resp.Body, unknownLength, maxReportBytes)
 	if err != nil {
 		return answer{}, fmt.Errorf("dialer: %s: %w: %w", address, kingcuphook.ErrUnavailable, err)
 	}
--- a/dialer/stream.go
+++ b/dialer/stream.go
@@ -13,11 +13,17 @@
 
 	"github.com/kingcuphook/kingcuphook"
 	"github.com/kingcuphook/kingcuphook/canceller"
+	"github.com/kingcuphook/kingcuphook/rationer"
 )
 
-// maxEventBytes limits the length of one line of a stream. A line may exceed it by up
-// to the size of the read buffer.
-const maxEventBytes = 256 << 10
+const (
+	// maxEventBytes limits the length of one line of a stream.
+	maxEventBytes = 256 << 10
+	// streamBufferBytes is the size of the read buffer of a stream.
+	streamBufferBytes = 4 << 10
+	// eventCopies is how often a long event is in memory: as it is read and as it is decoded.
+	eventCopies = 2
+)
 
 var (
 	dataPrefix = []byte("data:")
@@ -30,14 +36,21 @@
 	reader *bufio.Reader
 	// canceller cancels the attempt when the context of Next ends.
 	canceller canceller.Canceller
+	// long holds a line that exceeds the read buffer.
+	long rationer.Buffer
 	// attempt and position are those of the latest frame. The end frame repeats them,
 	// since the end marker has none.
 	attempt  string
 	position int
 }
 
-func newStream(body io.ReadCloser, cancel context.CancelFunc) *stream {
-	return &stream{body: body, reader: bufio.NewReaderSize(body, 4<<10), canceller: canceller.Canceller{Cancel: cancel}}
+func newStream(body io.ReadCloser, cancel context.CancelFunc, memory *rationer.Account) *stream {
+	return &stream{
+		body:      body,
+		reader:    bufio.NewReaderSize(body, streamBufferBytes),
+		canceller: canceller.Canceller{Cancel: cancel},
+		long:      rationer.Buffer{Account: memory, Copies: eventCopies},
+	}
 }
 
 // Next implements kingcuphook.Stream. When ctx ends, the attempt is cancelled and
@@ -57,6 +70,7 @@
 // Close implements kingcuphook.Stream.
 func (s *stream) Close() error {
 	s.canceller.Close()
+	s.long.Account.Close()
 	return s.body.Close()
 }
 
@@ -83,15 +97,19 @@
 	if !errors.Is(err, bufio.ErrBufferFull) {
 		return nil, err
 	}
-	long := bytes.Clone(line)
-	for errors.Is(err, bufio.ErrBufferFull) {
-		if len(long) > maxEventBytes {
+	s.long.Reset()
+	for {
+		if s.long.Len()+len(line) > maxEventBytes {
 			return nil, kingcuphook.ErrTooLarge
 		}
+		if appendErr := s.long.Append(line); appendErr != nil {
+			return nil, appendErr
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return s.long.Bytes(), err
+		}
 		line, err = s.reader.ReadSlice('\n')
-		long = append(long, line...)
 	}
-	return long, err
 }
 
 // frame decodes the data of an event, which is a completion chunk in JSON or the end
--- a/dialer/stream_fuzz_test.go
+++ b/dialer/stream_fuzz_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/rationer"
 )
 
 // FuzzStream reads arbitrary bytes as the events of an engine. Reading must end with
@@ -22,7 +23,7 @@
 	f.Add(bytes.Repeat([]byte("data"), maxEventBytes))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		_, cancel := context.WithCancel(context.Background())
-		s := newStream(io.NopCloser(bytes.NewReader(b)), cancel)
+		s := newStream(io.NopCloser(bytes.NewReader(b)), cancel, (*rationer.Rationer)(nil).Open())
 		defer func() { _ = s.Close() }()
 		for n := 0; ; n++ {
 			frame, err := s.Next(context.Background())
--- a/dispatcher/errors.go
+++ b/dispatcher/errors.go
@@ -93,7 +93,7 @@
 	if errors.As(err, &frameErr) || isFinal(err) {
 		return false
 	}
-	for _, other := range []error{kingcuphook.ErrPathLost, kingcuphook.ErrUpstreamAnswered, kingcuphook.ErrTooLarge, kingcuphook.ErrForeignFrame} {
+	for _, other := range []error{kingcuphook.ErrPathLost, kingcuphook.ErrUpstreamAnswered, kingcuphook.ErrTooLarge, kingcuphook.ErrOutOfMemory, kingcuphook.ErrForeignFrame} {
 		if errors.Is(err, other) {
 			return false
 		}
--- a/dispatcher/opaque_test.go
+++ b/dispatcher/opaque_test.go
@@ -129,15 +129,17 @@
 	}
 }
 
-// A call whose reply was that to another call was suspected of a crash of the upstream.
-func TestForeignReplyIsNoCrash(t *testing.T) {
-	withScript(t, func(r *harness, engine *scriptedEngine) {
-		foreign := errors.Join(kingcuphook.ErrOutcomeUnknown, kingcuphook.ErrForeignFrame)
-		engine.errs = []error{foreign, foreign}
-		r.True(r.dispatchOpaque(plain, 2) != nil)
-		r.Equal(engine.calls, 2)
-		r.Equal(r.Counts().Crashes, 0)
-	})
+// A call whose reply was that to another call, or found no room here, was suspected of a crash of the upstream.
+func TestUnusableReplyIsNoCrash(t *testing.T) {
+	for _, cause := range []error{kingcuphook.ErrForeignFrame, kingcuphook.ErrOutOfMemory} {
+		withScript(t, func(r *harness, engine *scriptedEngine) {
+			failed := errors.Join(kingcuphook.ErrOutcomeUnknown, cause)
+			engine.errs = []error{failed, failed}
+			r.True(r.dispatchOpaque(plain, 2) != nil)
+			r.Equal(engine.calls, 2)
+			r.Equal(r.Counts().Crashes, 0)
+		})
+	}
 }
 
 // withScript runs f with upstreams a to h behind a scripted engine.
--- a/dispatcher/sample_test.go
+++ b/dispatcher/sample_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 
 	"github.com/matryer/is"
@@ -13,5 +14,6 @@
 	is := is.New(t)
 	ctx := context.Background()
 	is.True(!failedSample(ctx, kingcuphook.ErrRejected, kingcuphook.Sample{}).Failed)
+	is.True(!failedSample(ctx, errors.Join(kingcuphook.ErrOutcomeUnknown, kingcuphook.ErrOutOfMemory), kingcuphook.Sample{}).Failed)
 	is.True(failedSample(ctx, kingcuphook.ErrBrokenStream, kingcuphook.Sample{}).Failed)
 }
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -191,10 +191,12 @@
 
 // failedSample returns the sample of a failed attempt. It counts as failed if the
 // upstream is at fault, and otherwise as cancelled: a request that was rejected
-// as invalid is not a fault of the upstream, nor is a path that is cut.
+// as invalid is not a fault of the upstream, nor is a path that is cut or an answer for which this
+// router has no memory.
 func failedSample(ctx context.Context, err error, s kingcuphook.Sample) kingcuphook.Sample {
 	cause := context.Cause(ctx)
-	s.Failed = (cause == nil || errors.Is(cause, errUnresponsive)) && !errors.Is(err, kingcuphook.ErrRejected) && !errors.Is(err, kingcuphook.ErrPathLost)
+	s.Failed = (cause == nil || errors.Is(cause, errUnresponsive)) && !errors.Is(err, kingcuphook.ErrRejected) &&
+		!errors.Is(err, kingcuphook.ErrPathLost) && !errors.Is(err, kingcuphook.ErrOutOfMemory)
 	s.Cancelled = !s.Failed
 	s.Misdirected = errors.Is(err, kingcuphook.ErrMisdirected)
 	s.Answered = s.Failed && errors.Is(err, kingcuphook.ErrUpstreamAnswered)
--- a/errors.go
+++ b/errors.go
@@ -36,6 +36,9 @@
 	ErrLeaseLost = errors.New("lease lost")
 	// ErrOverloaded means that a request was shed before it ran.
 	ErrOverloaded = errors.New("overloaded")
+	// ErrOutOfMemory means that the memory budget of the router has no room for a request or
+	// an answer.
+	ErrOutOfMemory = errors.New("memory budget exceeded")
 	// ErrQuarantined means that a request was rejected because requests with its
 	// fingerprint crashed upstreams.
 	ErrQuarantined = errors.New("quarantined")
--- a/forwarder/endless_test.go
+++ b/forwarder/endless_test.go
@@ -17,6 +17,7 @@
 	"github.com/matryer/is"
 
 	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/rationer"
 )
 
 // writeEndless writes head once and then text repeatedly until a write fails.
@@ -32,6 +33,8 @@
 	// maxMemory the heap that they may use together.
 	endlessCalls = 200
 	maxMemory    = 96 << 20
+	// endlessBudget is the budget of memory of these calls.
+	endlessBudget = 16 << 20
 	// gcPercent is the setting of kingcuphook attach.
 	gcPercent = 40
 )
@@ -46,8 +49,10 @@
 		"status-line":     {"HTTP/1.1 200 ", line},
 		"no-protocol":     {"", line},
 		"head":            {"HTTP/1.1 200 OK\r\n", "X-More: " + line + "\r\n"},
+		"short-lines":     {"HTTP/1.1 200 OK\r\n", "X:\r\n"},
 		"one-header":      {"HTTP/1.1 200 OK\r\nX-More: ", line},
 		"interim-answers": {"", "HTTP/1.1 103 Early Hints\r\nX-More: " + line + "\r\n\r\n"},
+		"interim-lines":   {"", "HTTP/1.1 100 Continue\r\n\r\n"},
 		"body":            {"HTTP/1.1 200 OK\r\n\r\n", line},
 		"chunks":          {chunked, "3e8\r\n" + line + "\r\n"},
 		"chunk-length":    {chunked, "0"},
@@ -60,7 +65,7 @@
 		t.Run(name, func(t *testing.T) {
 			u := newUpstream(t, func(_ int64, w net.Conn) bool { writeEndless(w, bytes[0], bytes[1]); return false })
 			u.seen = make(chan string, endlessCalls)
-			f := &Forwarder{Codec: codec{}, DialTimeout: 10 * time.Second}
+			f := &Forwarder{Codec: codec{}, DialTimeout: 10 * time.Second, Memory: &rationer.Rationer{Bytes: endlessBudget}}
 			defer f.Close()
 			most := callConcurrently(t, func(ctx context.Context) error {
 				_, err := f.Call(ctx, u.entry, attempt("POST", "/", ""))
@@ -70,9 +75,7 @@
 			if most > maxMemory {
 				t.Errorf("%d MiB used by %d endless answers, want at most %d MiB", most>>20, endlessCalls, maxMemory>>20)
 			}
-			if left := f.buffered.Load(); left != 0 {
-				t.Errorf("%d bytes still count against the memory budget, want 0", left)
-			}
+			checkReleased(t, f.Memory)
 		})
 	}
 }
@@ -88,7 +91,7 @@
 				return false
 			})
 			u.seen = make(chan string, endlessCalls)
-			f := &Forwarder{Codec: codec{}, DialTimeout: 10 * time.Second}
+			f := &Forwarder{Codec: codec{}, DialTimeout: 10 * time.Second, Memory: &rationer.Rationer{Bytes: endlessBudget}}
 			defer f.Close()
 			most := callConcurrently(t, func(ctx context.Context) error {
 				s, err := f.Start(ctx, u.entry, attempt("POST", "/", ""))
@@ -105,10 +108,23 @@
 			if most > maxMemory {
 				t.Errorf("%d MiB used by %d endless streams, want at most %d MiB", most>>20, endlessCalls, maxMemory>>20)
 			}
+			checkReleased(t, f.Memory)
 		})
 	}
 }
 
+// checkReleased checks that all memory returns to the budget once the connections are closed.
+func checkReleased(t *testing.T, r *rationer.Rationer) {
+	t.Helper()
+	until := time.Now().Add(5 * time.Second)
+	for r.Usage().Held != 0 && time.Now().Before(until) {
+		time.Sleep(time.Millisecond)
+	}
+	if left := r.Usage().Held; left != 0 {
+		t.Errorf("%d bytes still count against the memory budget, want 0", left)
+	}
+}
+
 // callConcurrently makes endlessCalls calls at the same time, which must all fail
 // within 20 s. It returns by how much the heap grew at its peak.
 func callConcurrently(t *testing.T, call func(context.Context) error) uint64 {
@@ -144,27 +160,48 @@
 	return m.HeapInuse
 }
 
-// TestMemoryLimitExemptsSmallAnswers checks that large answers can't keep small ones
-// from being read: with a budget of one byte for all answers, one of uncountedBytes
-// passes, and one that exceeds both fails.
-func TestMemoryLimitExemptsSmallAnswers(t *testing.T) {
-	is := is.New(t)
-	f := &Forwarder{Codec: codec{}, MaxBufferedBytes: 1}
-	defer f.Close()
-	u := newUpstream(t, func(_ int64, w net.Conn) bool {
-		fmt.Fprint(w, reply("", strings.Repeat("x", uncountedBytes)))
-		return true
-	})
-	a, err := f.Call(t.Context(), u.entry, attempt("POST", "/", ""))
-	is.NoErr(err)
-	is.Equal(len(a.Body()), uncountedBytes)
-	large := newUpstream(t, func(_ int64, w net.Conn) bool {
-		fmt.Fprint(w, reply("", strings.Repeat("x", uncountedBytes+2)))
-		return true
-	})
-	_, err = f.Call(t.Context(), large.entry, attempt("POST", "/", ""))
-	is.True(errors.Is(err, kingcuphook.ErrTooLarge))
-	is.True(errors.Is(err, kingcuphook.ErrOutcomeUnknown)) // the upstream ran the call
+// TestLargeAnswersLeaveRoomForSmallOnes checks that large answers can't keep small ones from being
+// read: with the share of large accounts used up, a small one passes, and a large one fails until
+// there is room again.
+func TestLargeAnswersLeaveRoomForSmallOnes(t *testing.T) {
+	for form, test := range map[string]struct {
+		small  int
+		format func(text string) string
+	}{
+		"length": {16 << 10, func(text string) string { return reply("", text) }},
+		"chunks": {15 << 10, chunkedReply}, // counted with their copy
+	} {
+		t.Run(form, func(t *testing.T) {
+			is := is.New(t)
+			f := &Forwarder{Codec: codec{}, Memory: &rationer.Rationer{Bytes: 16 * rationer.SmallBytes}}
+			defer f.Close()
+			others := f.Memory.OpenAnswer()
+			is.NoErr(others.Grow(13 * rationer.SmallBytes))
+			call := func(size int) (int, error) {
+				u := newUpstream(t, func(_ int64, w net.Conn) bool {
+					fmt.Fprint(w, test.format(strings.Repeat("x", size)))
+					return false
+				})
+				a, err := f.Call(t.Context(), u.entry, attempt("POST", "/", ""))
+				return len(a.Body()), err
+			}
+			n, err := call(test.small)
+			is.NoErr(err)
+			is.Equal(n, test.small)
+			_, err = call(rationer.SmallBytes + 1)
+			is.True(errors.Is(err, kingcuphook.ErrOutOfMemory))
+			is.True(errors.Is(err, kingcuphook.ErrOutcomeUnknown)) // the upstream ran the call
+			others.Close()
+			n, err = call(rationer.SmallBytes + 1)
+			is.NoErr(err)
+			is.Equal(n, rationer.SmallBytes+1)
+		})
+	}
+}
+
+// chunkedReply returns a response of status 200 with the body in one chunk.
+func chunkedReply(body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
 }
 
 // TestDuplicateAnswerOnReusedConnection has an upstream send a second, late copy of an
@@ -207,23 +244,25 @@
 }
 
 // TestTruncatedAnswerFails checks for answers of several lengths, around the sizes of
-// the read chunks, that one without its last byte is an error and a complete one is
-// returned unchanged.
+// the read buffers, that one without its last byte is an error and a complete one is
+// returned unchanged, with a length and in chunks.
 func TestTruncatedAnswerFails(t *testing.T) {
-	for _, length := range []int{1, firstChunkBytes, firstChunkBytes + 1, firstChunkBytes + nextChunkBytes, 100_000} {
-		is := is.New(t)
-		whole := strings.Repeat("x", length)
-		u := newUpstream(t, func(n int64, w net.Conn) bool {
-			text := reply("", whole)
-			fmt.Fprint(w, text[:len(text)-int(n%2)])
-			return false
-		})
-		f := &Forwarder{Codec: codec{}}
-		defer f.Close()
-		_, err := f.Call(t.Context(), u.entry, attempt("POST", "/", ""))
-		is.True(errors.Is(err, kingcuphook.ErrOutcomeUnknown))
-		a, err := f.Call(t.Context(), u.entry, attempt("POST", "/", ""))
-		is.NoErr(err)
-		is.Equal(string(a.Body()), whole)
+	for _, length := range []int{1, 1 << 10, 1<<10 + 1, 4 << 10, 4<<10 + 1, 16 << 10, 17 << 10, 100_000} {
+		for _, format := range []func(body string) string{chunkedReply, func(body string) string { return reply("", body) }} {
+			is := is.New(t)
+			whole := strings.Repeat("x", length)
+			u := newUpstream(t, func(n int64, w net.Conn) bool {
+				text := format(whole)
+				fmt.Fprint(w, text[:len(text)-int(n%2)])
+				return false
+			})
+			f := &Forwarder{Codec: codec{}}
+			defer f.Close()
+			_, err := f.Call(t.Context(), u.entry, attempt("POST", "/", ""))
+			is.True(errors.Is(err, kingcuphook.ErrOutcomeUnknown))
+			a, err := f.Call(t.Context(), u.entry, attempt("POST", "/", ""))
+			is.NoErr(err)
+			is.Equal(string(a.Body()), whole)
+		}
 	}
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -15,7 +15,6 @@
 	"net/http"
 	"net/netip"
 	"net/url"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -23,6 +22,7 @@
 
 	"github.com/kingcuphook/kingcuphook"
 	"github.com/kingcuphook/kingcuphook/pathfinder"
+	"github.com/kingcuphook/kingcuphook/rationer"
 	"github.com/kingcuphook/kingcuphook/relayer"
 	"github.com/kingcuphook/kingcuphook/transporter"
 )
@@ -32,16 +32,7 @@
 	defaultDialTimeout = 250 * time.Millisecond
 	defaultIdleTimeout = 4 * time.Second
 	defaultMaxAnswer   = 8 << 20
-	defaultMaxBuffered = 16 << 20
-	// uncountedBytes is how much of each answer doesn't count against
-	// MaxBufferedBytes, so that small answers still pass when large ones have used up
-	// that memory.
-	uncountedBytes = 16 << 10
-	// An answer is read into one chunk of firstChunkBytes and then chunks of
-	// nextChunkBytes.
-	firstChunkBytes   = 1 << 10
-	nextChunkBytes    = 16 << 10
-	keepAliveInterval = time.Second
+	keepAliveInterval  = time.Second
 	// userTimeout is the TCP_USER_TIMEOUT of connections to upstreams that carry a call. A
 	// sound upstream may be silent for 2.5 s, and the kernel notices that it is back only at
 	// its next retransmission, up to 1.5 s later.
@@ -71,10 +62,8 @@
 	OnNotice func(u *kingcuphook.Upstream, n kingcuphook.Notice, sentAt time.Time)
 	// MaxAnswerBytes limits the body of an answer that is not streamed; 0 means 8 MiB.
 	MaxAnswerBytes int64
-
-	// MaxBufferedBytes limits the memory of all answers that are being read, without
-	// the first 16 KiB of each; 0 means 16 MiB.
-	MaxBufferedBytes int64
+	// Memory is the budget for heads, answers that are being read, and events; nil means no limit.
+	Memory *rationer.Rationer
 
 	// Paths, if set, decides which upstreams are reached through a peer. Peers and Relayer
 	// must then be set as well.
@@ -93,8 +82,8 @@
 	// identifier of the relayed connection. It must be safe for concurrent use.
 	OnRelayed func(u *kingcuphook.Upstream, a *kingcuphook.Attempt, peer netip.Addr, connection string)
 
-	// buffered is the number of bytes that count against MaxBufferedBytes.
-	buffered atomic.Int64
+	// headsRejected counts the heads of answers that were too long.
+	headsRejected atomic.Int64
 
 	mu sync.Mutex
 	// transports holds one HTTP transport for each path to a running upstream program. A
@@ -130,6 +119,9 @@
 	}
 }
 
+// HeadsRejected returns how many heads of answers were too long.
+func (f *Forwarder) HeadsRejected() int64 { return f.headsRejected.Load() }
+
 // Close closes all idle connections.
 func (f *Forwarder) Close() {
 	f.mu.Lock()
@@ -157,7 +149,7 @@
 			_ = resp.Body.Close()
 			return nil, err
 		}
-		s := newStream(resp, a, cancel)
+		s := newStream(resp, a, cancel, f.Memory.OpenAnswer())
 		s.broken = func(ctx context.Context, err error) error { return f.explain(ctx, u, peer, err) }
 		return s, nil
 	}
@@ -184,23 +176,16 @@
 	return f.readAnswer(ctx, u, peer, resp)
 }
 
-// readAnswer reads a complete answer. It returns an error that wraps ErrTooLarge if
-// the answer exceeds MaxAnswerBytes, as an endless one does, or if all answers
-// together exceed MaxBufferedBytes. A success whose connection ended with its head is
-// an error too, since nothing shows that its body had no bytes.
+// readAnswer reads a complete answer. It returns an error that wraps ErrTooLarge if the answer
+// exceeds MaxAnswerBytes, as an endless one does, and ErrOutOfMemory if there is no room for it. A
+// success whose connection ended with its head is an error too, since nothing shows that its body
+// had no bytes.
 func (f *Forwarder) readAnswer(ctx context.Context, u *kingcuphook.Upstream, peer netip.Addr, resp *http.Response) (kingcuphook.Answer, error) {
-	limit := cmp.Or(f.MaxAnswerBytes, defaultMaxAnswer)
-	body := budgetReader{r: io.LimitReader(resp.Body, limit+1), used: &f.buffered, budget: cmp.Or(f.MaxBufferedBytes, defaultMaxBuffered)}
-	defer body.release()
-	text, err := readAll(&body)
+	memory := f.Memory.OpenAnswer()
+	defer memory.Close()
+	text, err := transporter.ReadBody(memory, resp, cmp.Or(f.MaxAnswerBytes, defaultMaxAnswer))
 	if err != nil {
-		if !errors.Is(err, kingcuphook.ErrTooLarge) {
-			err = f.explain(ctx, u, peer, err)
-		}
-		return kingcuphook.Answer{}, fmt.Errorf("forwarder: read answer of %s: %w: %w", u.Address(), kingcuphook.ErrOutcomeUnknown, err)
-	}
-	if int64(len(text)) > limit {
-		return kingcuphook.Answer{}, fmt.Errorf("forwarder: answer of %s exceeds %d bytes: %w: %w", u.Address(), limit, kingcuphook.ErrTooLarge, kingcuphook.ErrOutcomeUnknown)
+		return kingcuphook.Answer{}, fmt.Errorf("forwarder: read answer of %s: %w: %w", u.Address(), kingcuphook.ErrOutcomeUnknown, f.explain(ctx, u, peer, err))
 	}
 	if len(text) == 0 && resp.StatusCode < http.StatusMultipleChoices && transporter.IsCloseDelimited(resp) {
 		return kingcuphook.Answer{}, fmt.Errorf("forwarder: connection to %s ended with the head of the answer: %w", u.Address(), kingcuphook.ErrOutcomeUnknown)
@@ -208,56 +193,8 @@
 	return kingcuphook.NewOpaqueAnswer(resp.StatusCode, endToEndHeaders(resp.Header), text), nil
 }
 
-// readAll reads until EOF. Unlike io.ReadAll it allocates in chunks and copies the
-// data only once at the end, so that an endless answer produces little garbage.
-func readAll(r io.Reader) ([]byte, error) {
-	chunks := [][]byte{make([]byte, 0, firstChunkBytes)}
-	for {
-		last := &chunks[len(chunks)-1]
-		if len(*last) == cap(*last) {
-			chunks = append(chunks, make([]byte, 0, nextChunkBytes))
-			continue
-		}
-		n, err := r.Read((*last)[len(*last):cap(*last)])
-		*last = (*last)[:len(*last)+n]
-		if err == io.EOF { //nolint:errorlint // only a bare io.EOF marks the end
-			return slices.Concat(chunks...), nil
-		}
-		if err != nil {
-			return nil, err
-		}
-	}
-}
-
-// budgetReader reads an answer and counts its bytes against a memory budget that
-// all answers share.
-type budgetReader struct {
-	r io.Reader
-	// used is the memory that all answers use of the budget.
-	used   *atomic.Int64
-	budget int64
-	// read is the number of bytes read here; counted is how many of them are in used.
-	read, counted int64
-}
-
-// Read implements io.Reader. The error wraps ErrTooLarge if the budget is exceeded.
-func (b *budgetReader) Read(p []byte) (int, error) {
-	n, err := b.r.Read(p)
-	b.read += int64(n)
-	if more := b.read - uncountedBytes - b.counted; more > 0 {
-		b.counted += more
-		if b.used.Add(more) > b.budget {
-			return n, fmt.Errorf("memory budget for answers exceeded after %d bytes: %w", b.read, kingcuphook.ErrTooLarge)
-		}
-	}
-	return n, err
-}
-
-// release returns the counted bytes to the budget.
-func (b *budgetReader) release() { b.used.Add(-b.counted) }
-
-// send sends the attempt and returns the response, whose body is still to be read, and the peer
-// that it came through, if any. Replies that are not an answer to the attempt are returned as
+// send sends the attempt and returns the response, whose body is still to be read, and the way
+// that it came. Replies that are not an answer to the attempt are returned as
 // errors.
 func (f *Forwarder) send(ctx context.Context, u *kingcuphook.Upstream, a *kingcuphook.Attempt) (*http.Response, netip.Addr, error) {
 	sentAt := time.Now()
@@ -390,6 +327,8 @@
 		UserTimeout:       userTimeout,
 		IdleUserTimeout:   idleUserTimeout,
 		LocalAddress:      f.LocalAddress,
+		Memory:            f.Memory,
+		HeadsRejected:     &f.headsRejected,
 	}
 	if f.OnDial != nil {
 		t.Dialed = func(took time.Duration) { f.OnDial(u, took) }
--- a/forwarder/path.go
+++ b/forwarder/path.go
@@ -132,7 +132,7 @@
 // explain returns the error of a broken connection, joined with ErrPathLost if the path to the
 // upstream is cut and not the upstream at fault.
 func (f *Forwarder) explain(ctx context.Context, u *kingcuphook.Upstream, peer netip.Addr, err error) error {
-	if f.Paths == nil {
+	if f.Paths == nil || isLimit(err) {
 		return err
 	}
 	if cause := context.Cause(ctx); cause != nil {
@@ -148,6 +148,11 @@
 	return err
 }
 
+// isLimit reports whether an error is that of a limit of this router, which an answer exceeded.
+func isLimit(err error) bool {
+	return errors.Is(err, kingcuphook.ErrTooLarge) || errors.Is(err, kingcuphook.ErrOutOfMemory) || errors.Is(err, transporter.ErrHead)
+}
+
 // explainDial returns the error of a connection that couldn't be opened, joined with ErrPathLost if
 // the router's own links are in doubt and the upstream wasn't found down.
 func (f *Forwarder) explainDial(u *kingcuphook.Upstream, err error) error {
@@ -345,7 +350,7 @@
 	if !peer.IsValid() {
 		transport = f.newProbeTransport()
 	}
-	resp, err := transport.RoundTrip(r)
+	resp, _, err := transporter.Send(r, transport.RoundTrip)
 	if err != nil {
 		if peer.IsValid() && !errors.Is(err, context.Canceled) {
 			f.Paths.Avoid(time.Now(), u, peer, isForAll(err))
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -12,6 +12,7 @@
 
 	"github.com/kingcuphook/kingcuphook"
 	"github.com/kingcuphook/kingcuphook/canceller"
+	"github.com/kingcuphook/kingcuphook/rationer"
 	"github.com/kingcuphook/kingcuphook/transporter"
 )
 
@@ -20,6 +21,8 @@
 	maxEventBytes = 64 << 10
 	// streamBufferBytes is the size of the read buffer of a stream.
 	streamBufferBytes = 4 << 10
+	// eventCopies is how often an event is in memory: as it is read and as it is passed on.
+	eventCopies = 2
 	// finishEnded is the finish reason of a stream whose body ended between events.
 	finishEnded = "ended"
 	// eventStreamType is the media type of a stream.
@@ -43,7 +46,7 @@
 	first int
 	// event holds the bytes of the event that is being read. Its first commentBytes
 	// bytes are complete comment blocks that precede the event.
-	event        []byte
+	event        rationer.Buffer
 	commentBytes int
 	// closeDelimited is set if the body has neither a length nor chunks, so that only the
 	// end of the connection marks its end.
@@ -57,7 +60,7 @@
 
 var _ kingcuphook.HeadedStream = (*stream)(nil)
 
-func newStream(resp *http.Response, a *kingcuphook.Attempt, cancel context.CancelFunc) *stream {
+func newStream(resp *http.Response, a *kingcuphook.Attempt, cancel context.CancelFunc, memory *rationer.Account) *stream {
 	return &stream{
 		body:           resp.Body,
 		reader:         bufio.NewReaderSize(resp.Body, streamBufferBytes),
@@ -66,6 +69,7 @@
 		attempt:        a.ID(),
 		position:       a.ResumeFrom(),
 		first:          a.ResumeFrom(),
+		event:          rationer.Buffer{Account: memory, Copies: eventCopies},
 		closeDelimited: transporter.IsCloseDelimited(resp),
 	}
 }
@@ -97,7 +101,7 @@
 		return s.endFrame(), nil
 	}
 	id, err := s.readEvent()
-	if errors.Is(err, io.EOF) && len(s.event) == s.commentBytes && !s.isEmpty() {
+	if errors.Is(err, io.EOF) && s.event.Len() == s.commentBytes && !s.isEmpty() {
 		s.ended = true
 		if s.commentBytes == 0 {
 			return s.endFrame(), nil
@@ -110,13 +114,13 @@
 		}
 		return kingcuphook.Frame{}, ctx.Err()
 	}
-	if err != nil && s.broken != nil && !errors.Is(err, kingcuphook.ErrTooLarge) {
+	if err != nil && s.broken != nil {
 		err = s.broken(ctx, err)
 	}
 	if err != nil {
 		return kingcuphook.Frame{}, fmt.Errorf("forwarder: %w: %w", kingcuphook.ErrBrokenStream, err)
 	}
-	f := kingcuphook.NewEventFrame(s.attempt, s.position, id, string(s.event))
+	f := kingcuphook.NewEventFrame(s.attempt, s.position, id, string(s.event.Bytes()))
 	s.position++
 	return f, nil
 }
@@ -146,18 +150,17 @@
 // event of their own, since they don't show progress of the stream. At io.EOF, s.event
 // holds the comments after the last event.
 func (s *stream) readEvent() (id string, err error) {
-	s.event = s.event[:0]
+	s.event.Reset()
 	s.commentBytes = 0
 	hasField, lineStart := false, true
 	for {
 		line, err := s.reader.ReadSlice('\n')
-		s.event = append(s.event, line...)
+		if appendErr := s.appendLine(line); appendErr != nil {
+			return "", appendErr
+		}
 		blank := lineStart && len(bytes.TrimRight(line, "\r\n")) == 0
 		hasField = hasField || lineStart && !blank && line[0] != ':'
 		lineStart = !errors.Is(err, bufio.ErrBufferFull)
-		if len(s.event) > maxEventBytes {
-			return "", kingcuphook.ErrTooLarge
-		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
@@ -171,13 +174,22 @@
 			return id, nil
 		}
 		if blank {
-			s.commentBytes = len(s.event)
+			s.commentBytes = s.event.Len()
 		}
 	}
 }
 
+// appendLine adds a line, or a part of one, to the event.
+func (s *stream) appendLine(line []byte) error {
+	if s.event.Len()+len(line) > maxEventBytes {
+		return kingcuphook.ErrTooLarge
+	}
+	return s.event.Append(line)
+}
+
 // Close implements kingcuphook.Stream.
 func (s *stream) Close() error {
 	s.canceller.Close()
+	s.event.Account.Close()
 	return s.body.Close()
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -13,6 +13,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -40,6 +41,8 @@
 	maxIDBytes = 200
 	// maxReasonBytes bounds the reason of a refusal that an error repeats.
 	maxReasonBytes = 200
+	// maxReplyBytes bounds the reply of a peer.
+	maxReplyBytes = 8 << 10
 	// headerBytes is the length of the header of a block, which has the length of its data;
 	// 0 is the end mark.
 	headerBytes = 2
@@ -110,7 +113,10 @@
 	if err := r.Write(c); err != nil {
 		return nil, err
 	}
-	buffered := bufio.NewReaderSize(c, blockBytes)
+	// The limit is that of the reply alone.
+	limited := &io.LimitedReader{R: c, N: maxReplyBytes}
+	defer func() { limited.N = math.MaxInt64 }()
+	buffered := bufio.NewReaderSize(limited, blockBytes)
 	resp, err := http.ReadResponse(buffered, r)
 	if err != nil {
 		return nil, err
--- a/transporter/conn.go
+++ b/transporter/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -18,6 +19,7 @@
 	busy, idle time.Duration
 	// received, if set, is called whenever bytes were received.
 	received func()
+	head     headLimit
 
 	mu sync.Mutex
 	// users is the number of requests that use the connection. It is 2 for a moment if the
@@ -25,11 +27,9 @@
 	users int
 }
 
-// tracked returns a dialer whose connections have the user timeouts, if they are set.
+// tracked returns a dialer whose connections have the user timeouts, if they are set, and bounded
+// heads of responses.
 func (t Transporter) tracked(dial dialer) dialer {
-	if t.UserTimeout == 0 {
-		return dial
-	}
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		opened, err := dial(ctx, network, address)
 		if err != nil {
@@ -37,27 +37,49 @@
 		}
 		tcp, ok := opened.(*net.TCPConn)
 		if !ok {
-			return opened, nil
+			b := &boundedConn{Conn: opened}
+			t.initHead(&b.head)
+			return b, nil
 		}
 		c := &conn{TCPConn: tcp, busy: t.UserTimeout, idle: t.IdleUserTimeout, received: t.Received}
+		t.initHead(&c.head)
 		c.setUserTimeout(c.idle)
 		return c, nil
 	}
 }
 
+// initHead sets the fields of the limit of a connection.
+func (t Transporter) initHead(h *headLimit) {
+	h.memory = t.Memory.OpenAnswer()
+	h.rejected = t.HeadsRejected
+	if h.rejected == nil {
+		h.rejected = new(atomic.Int64)
+	}
+}
+
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
 	if n > 0 && c.received != nil {
 		c.received()
 	}
+	if headErr := c.head.check(p[:n]); headErr != nil {
+		return 0, headErr
+	}
 	return n, err
 }
 
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.head.close()
+	return c.TCPConn.Close()
+}
+
 // acquire records that a request uses the connection.
 func (c *conn) acquire() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.head.begin()
 	c.users++
 	if c.users == 1 {
 		c.setUserTimeout(c.busy)
@@ -70,13 +92,52 @@
 	defer c.mu.Unlock()
 	c.users--
 	if c.users == 0 {
+		c.head.memory.Close()
 		c.setUserTimeout(c.idle)
 	}
 }
 
+// boundedConn is a connection that isn't one of TCP itself, such as a relayed one, with bounded heads
+// of responses.
+type boundedConn struct {
+	net.Conn
+
+	head headLimit
+}
+
+// Read implements net.Conn.
+func (c *boundedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if headErr := c.head.check(p[:n]); headErr != nil {
+		return 0, headErr
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *boundedConn) Close() error {
+	c.head.close()
+	return c.Conn.Close()
+}
+
+// acquire records that a request uses the connection.
+func (c *boundedConn) acquire() { c.head.begin() }
+
+// release records that a request that used the connection has ended.
+func (c *boundedConn) release() { c.head.memory.Close() }
+
+// tracker is a connection that records its use.
+type tracker interface {
+	acquire()
+	release()
+}
+
 // setUserTimeout makes the kernel close the connection once its peer has acknowledged
-// nothing for d, so that the failure of a VM is detected.
+// nothing for d, so that the failure of a VM is detected. If d is 0, it leaves that to the kernel.
 func (c *conn) setUserTimeout(d time.Duration) {
+	if d == 0 {
+		return
+	}
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return
--- a/transporter/head.go
+++ b/transporter/head.go
@@ -1,9 +1,13 @@
 package transporter
 
 import (
+	"fmt"
 	"net/http"
 	"regexp"
 	"slices"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/rationer"
 )
 
 // statusLine matches the beginning of a status line.
@@ -30,3 +34,26 @@
 	isHead := resp.Request != nil && resp.Request.Method == http.MethodHead
 	return !isHead && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
+
+// BodyLength returns the length of the body of a response, or -1 if only its end shows it.
+func BodyLength(resp *http.Response) int64 {
+	if resp.Request != nil && resp.Request.Method == http.MethodHead {
+		return 0
+	}
+	return resp.ContentLength
+}
+
+// ReadBody reads the body of a response into memory reserved on the account. The error wraps
+// kingcuphook.ErrTooLarge if the body exceeds limit bytes, and kingcuphook.ErrOutOfMemory if there is
+// no room for it.
+func ReadBody(memory *rationer.Account, resp *http.Response, limit int64) ([]byte, error) {
+	length := BodyLength(resp)
+	if length > limit {
+		return nil, fmt.Errorf("%d bytes, over %d: %w", length, limit, kingcuphook.ErrTooLarge)
+	}
+	body, err := memory.ReadAll(resp.Body, length, limit)
+	if err == nil && int64(len(body)) > limit {
+		err = fmt.Errorf("over %d bytes: %w", limit, kingcuphook.ErrTooLarge)
+	}
+	return body, err
+}
--- a/transporter/transporter.go
+++ b/transporter/transporter.go
@@ -9,6 +9,8 @@
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
+
+	"github.com/kingcuphook/kingcuphook/rationer"
 )
 
 const (
@@ -17,7 +19,9 @@
 	keepAliveProbes    = 3
 	maxKeepAliveProbes = 127
 	maxIdlePerUpstream = 64
-	maxResponseHeader  = 64 << 10
+	// maxResponseHeader is the limit of the HTTP transport, which also counts what comes behind the
+	// head. The connections keep MaxHeadBytes.
+	maxResponseHeader = 2 * MaxHeadBytes
 )
 
 // Transporter holds the settings of connections to upstreams. Its fields are set
@@ -46,6 +50,10 @@
 	// Received, if set, is called whenever bytes were received on a connection of the standard
 	// dialer. It must be safe for concurrent use.
 	Received func()
+	// Memory is the budget for the heads of responses; nil means no limit.
+	Memory *rationer.Rationer
+	// HeadsRejected, if set, counts the heads that exceeded MaxHeadLines or MaxHeadBytes.
+	HeadsRejected *atomic.Int64
 }
 
 // New returns an HTTP transport with these settings.
@@ -60,12 +68,12 @@
 			Count:    t.keepAliveProbes(),
 		},
 	}
-	opened := t.timed(t.tracked(dial.DialContext))
+	open := t.timed(dial.DialContext)
 	if t.Dial != nil {
-		opened = t.Dial
+		open = t.Dial
 	}
 	return &http.Transport{
-		DialContext:            opened,
+		DialContext:            t.tracked(open),
 		DisableKeepAlives:      t.DisableKeepAlives,
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdlePerUpstream,
@@ -106,25 +114,34 @@
 	return SendOn(r, do, nil)
 }
 
+// unwrap returns the connection that Transporter.Dial opened, or c.
+func unwrap(c net.Conn) net.Conn {
+	if b, ok := c.(*boundedConn); ok {
+		return b.Conn
+	}
+	return c
+}
+
 // SendOn is Send, which calls obtained, if it is set, with each connection that the request obtains.
 // A request obtains a second one if the first was closed before it was sent.
 func SendOn(r *http.Request, do func(*http.Request) (*http.Response, error), obtained func(c net.Conn)) (resp *http.Response, connected bool, err error) {
-	var used atomic.Pointer[conn]
+	var used atomic.Pointer[tracker]
 	var gotConn atomic.Bool
 	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			gotConn.Store(true)
+			c, ok := info.Conn.(tracker)
 			if obtained != nil {
-				obtained(info.Conn)
+				obtained(unwrap(info.Conn))
 			}
-			if c, ok := info.Conn.(*conn); ok {
-				used.Store(c)
+			if ok {
+				used.Store(&c)
 				c.acquire()
 			}
 		},
 		PutIdleConn: func(error) {
 			if c := used.Load(); c != nil {
-				c.release()
+				(*c).release()
 			}
 		},
 	})
