Bound the memory of what callers send, and deliver the refusals

Refusals that were written before the end of a body were lost, since the connection was reset. Cause: nothing bounded the sum of bodies, heads that are being read and connections; a body that never ended was waited for without end. A server that closes a connection with unread bytes resets it. Change: bodies, heads, connections and answers that callers read slowly draw on the budget; what finds no room is refused as not run before it is read, with the time to come back. Bodies end at the deadline of their call. Heads follow the operators' limits.

--- a/attacher/attacher.go
+++ b/attacher/attacher.go
@@ -243,6 +243,7 @@
 		StopTimes:    a.stopping.Times,
 		Pins:         a.pins,
 		Observer:     watch,
+		Memory:       a.memory,
 		Log:          a.Log,
 		Region:       s.Region(),
 		DataCentre:   s.DataCentre(),
--- a/attacher/control.go
+++ b/attacher/control.go
@@ -362,7 +362,7 @@
 	c.a.relays.update(t)
 	c.a.forwarder.CloseUnused(t)
 	c.a.permits.Update(t)
-	c.view.Store(&receiver.Directory{Tables: t, MaxBodyBytes: c.store.MaxBodyBytes()})
+	c.view.Store(&receiver.Directory{Tables: t, MaxBodyBytes: c.store.MaxBodyBytes(), HeadLimits: c.store.HeadLimits()})
 	if first {
 		close(c.tablesLoaded)
 		c.a.Log.Log(logger.Ready, "version", t.Revision(), "revision", c.store.Revision())
--- a/directory.go
+++ b/directory.go
@@ -23,6 +23,23 @@
 	Organisations map[string]Organisation
 	// MaxBodyBytes bounds the body of a call; 0 means no bound.
 	MaxBodyBytes int64
+	// HeadLimits bound the heads of calls.
+	HeadLimits HeadLimits
+}
+
+const (
+	// MaxHeadBytes is the highest bound of the length of a head.
+	MaxHeadBytes = 1 << 20
+	// MaxHeadTimeout is the highest bound of the time of a head.
+	MaxHeadTimeout = time.Minute
+)
+
+// HeadLimits bound the head of a call: its request line and headers.
+type HeadLimits struct {
+	// Bytes is the largest length, at most MaxHeadBytes; 0 means unknown.
+	Bytes int64
+	// Timeout is the longest time from its first byte to its last, at most MaxHeadTimeout; 0 means unknown.
+	Timeout time.Duration
 }
 
 // DeclaredPool is the part of a pool that operators declare.
@@ -51,6 +68,9 @@
 // MaxBodyBytes returns the largest allowed body of a call; 0 means no bound.
 func (d *Declaration) MaxBodyBytes() int64 { return d.f.MaxBodyBytes }
 
+// HeadLimits returns the bounds of the heads of calls.
+func (d *Declaration) HeadLimits() HeadLimits { return d.f.HeadLimits }
+
 // Registration is the entry that an upstream writes about itself to the store. It
 // must not be changed.
 type Registration struct {
--- /dev/null
+++ b/listener/listener.go
@@ -0,0 +1,135 @@
+// Package listener accepts the connections of HTTP servers. It draws their memory, and that of the heads of
+// requests while they are being read, on a budget, and refuses what finds no room.
+package listener
+
+import (
+	"crypto/tls"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/discarder"
+	"github.com/kingcuphook/kingcuphook/logger"
+	"github.com/kingcuphook/kingcuphook/rationer"
+)
+
+const (
+	// defaultHeadBytes and defaultHeadTimeout apply while the operators' limits are unknown.
+	defaultHeadBytes   = 64 << 10
+	defaultHeadTimeout = 5 * time.Second
+	// ConnectionBytes is the memory of a connection: its buffers and the stacks of its goroutines.
+	ConnectionBytes = 24 << 10
+	// tlsBytes is the memory that TLS takes beside it.
+	tlsBytes = 8 << 10
+	// maxStarting limits the accepted connections that are not served yet, so that calls on open
+	// connections never wait for a long queue of goroutines.
+	maxStarting = 32
+)
+
+// Listener accepts connections, for which it reserves memory, and on which the memory of heads is
+// reserved while they are being read. Its exported fields are set before use. The server must have
+// ObserveState as its hook ConnState.
+type Listener struct {
+	// Listener accepts the connections; required.
+	net.Listener
+
+	// TLS is the configuration of TLS; nil means plain text. The heads on connections over TLS are not
+	// seen, so that only the server bounds them.
+	TLS *tls.Config
+
+	// Memory is the budget; nil means no limit.
+	Memory *rationer.Rationer
+	// Limits returns the limits of heads in force; required. Zero values mean 64 KiB and 5 s.
+	Limits func() kingcuphook.HeadLimits
+	// Refusal returns the answer to a request that is refused with an error; required. The error wraps
+	// kingcuphook.ErrTooLarge, ErrDeadline or ErrOutOfMemory.
+	Refusal func(err error) Refusal
+	// Discards are the refused bodies that the server discards, whose connections make room for
+	// new ones; required.
+	Discards *discarder.Discarder
+	// Log receives events; nil means none.
+	Log *logger.Logger
+
+	once sync.Once
+	// starting has a value for each accepted connection that the server has not read from yet.
+	starting chan struct{}
+}
+
+// Refusal is the answer to a request whose head is not read to its end.
+type Refusal struct {
+	// Status is the HTTP status.
+	Status int
+	// RetryAfter is the value of the header of that name; empty if there is none.
+	RetryAfter string
+	// ContentType is the type of the body.
+	ContentType, Body string
+}
+
+// Accept implements net.Listener. It waits while too many connections are not served yet. A connection
+// without room is refused once a request comes, or closed before the handshake of TLS.
+func (l *Listener) Accept() (net.Conn, error) {
+	l.once.Do(func() { l.starting = make(chan struct{}, maxStarting) })
+	for {
+		l.starting <- struct{}{}
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			<-l.starting
+			return nil, err
+		}
+		c, ok := accepted.(closeWriter)
+		if !ok {
+			<-l.starting
+			return accepted, nil
+		}
+		h := l.newConn(c)
+		if l.TLS == nil {
+			return h, nil
+		}
+		if h.err == nil {
+			return tls.Server(tlsConn{h}, l.TLS), nil
+		}
+		h.logRefusal(h.err)
+		_ = h.Close()
+	}
+}
+
+// limits returns the limits of heads in force.
+func (l *Listener) limits() kingcuphook.HeadLimits {
+	limits := l.Limits()
+	if limits.Bytes <= 0 {
+		limits.Bytes = defaultHeadBytes
+	}
+	if limits.Timeout <= 0 {
+		limits.Timeout = defaultHeadTimeout
+	}
+	return limits
+}
+
+// newConn returns a connection with memory reserved for it. Its err is set if there is no room.
+func (l *Listener) newConn(c closeWriter) *conn {
+	h := &conn{closeWriter: c, listener: l, own: l.Memory.Open(), account: l.Memory.Open(), reading: true}
+	h.started = sync.OnceFunc(func() { <-l.starting })
+	h.own.SetTier(kingcuphook.LowestTier + 1) // so that there is room for calls on the connections
+	h.err = l.reserve(h.own, Bytes(l.TLS != nil))
+	return h
+}
+
+// Bytes returns the memory that is reserved for a connection.
+func Bytes(overTLS bool) int64 {
+	if overTLS {
+		return ConnectionBytes + tlsBytes
+	}
+	return ConnectionBytes
+}
+
+// reserve reserves the memory of a connection. Where there is no room it ends a discard, whose
+// connection returns its memory at once.
+func (l *Listener) reserve(account *rationer.Account, n int64) error {
+	err := account.Grow(n)
+	if err != nil && l.Discards.EndOldest() {
+		account.Take(n)
+		return nil
+	}
+	return err
+}
--- a/logger/events.go
+++ b/logger/events.go
@@ -52,6 +52,8 @@
 	RequestRelayed        = Event{1211, LevelInfo, "request sent through a peer"}
 	CrashWithdrawn        = Event{1212, LevelInfo, "crash withdrawn, since its upstream goes on"}
 	ResumptionRefused     = Event{1210, LevelInfo, "call that resumes a stream refused"}
+	MemoryRefused         = Event{1213, LevelInfo, "request refused, since the memory budget has no room for it"}
+	HeadRefused           = Event{1214, LevelInfo, "head of a request refused while it was being read"}
 	UpstreamsUpdated      = Event{1303, LevelInfo, "upstreams updated"}
 	UpstreamPaused        = Event{1305, LevelInfo, "upstream asked for a pause"}
 	RegistrationRejected  = Event{1304, LevelWarn, "registration of an upstream rejected; the upstream is not used"}
@@ -127,6 +129,8 @@
 		ResumptionRefused,
 		RequestRelayed,
 		CrashWithdrawn,
+		MemoryRefused,
+		HeadRefused,
 		UpstreamLeaving,
 		UpstreamsUpdated,
 		RegistrationRejected,
--- a/receiver/answer.go
+++ b/receiver/answer.go
@@ -11,6 +11,7 @@
 
 	"github.com/kingcuphook/kingcuphook"
 	"github.com/kingcuphook/kingcuphook/logger"
+	"github.com/kingcuphook/kingcuphook/rationer"
 )
 
 // Values of Retry-After.
@@ -18,6 +19,7 @@
 	retryNotReady = 500 * time.Millisecond
 	retryStopping = 100 * time.Millisecond
 	retryDefault  = 300 * time.Millisecond
+	retryNoMemory = 500 * time.Millisecond
 )
 
 var (
@@ -28,19 +30,13 @@
 	errTooLarge = &kingcuphook.RequestError{Code: kingcuphook.CodeTooLarge, Ran: kingcuphook.RunStateNotRun, Err: kingcuphook.ErrTooLarge}
 	errBadPath  = &kingcuphook.RequestError{Code: "bad-path", Ran: kingcuphook.RunStateNotRun, Err: fmt.Errorf("path has bytes that must be escaped: %w", kingcuphook.ErrInvalid)}
 
+	errNoMemory = &kingcuphook.RequestError{Code: "out-of-memory", Ran: kingcuphook.RunStateNotRun, RetryAfter: retryNoMemory, Err: kingcuphook.ErrOutOfMemory}
+	errBodyLate = &kingcuphook.RequestError{Code: "body-late", Ran: kingcuphook.RunStateNotRun, Err: kingcuphook.ErrDeadline}
+
 	errPanicked   = errors.New("request handler panicked")
 	errUnknownKey = errors.New("no organisation holds the key")
 )
 
-// bodyError returns the error for a request body that could not be read.
-func bodyError(err error) error {
-	return &kingcuphook.RequestError{
-		Code: "bad-body",
-		Ran:  kingcuphook.RunStateNotRun,
-		Err:  fmt.Errorf("receiver: read body: %w: %w", kingcuphook.ErrInvalid, err),
-	}
-}
-
 // run dispatches a call and writes its answer or error. The context ctx of the call also
 // ends with its caller's connection, for which that of r stands alone.
 func (s *Receiver) run(ctx context.Context, out *writer, r *http.Request, c *acceptedCall) {
@@ -117,9 +113,9 @@
 	case err == nil && c.call.Request.Stream():
 		return http.StatusOK
 	case err == nil:
-		return out.writeAnswer(o.Answer)
+		return out.writeHeld(o.Answer, c.memory)
 	case errors.As(err, &answered):
-		return out.writeAnswer(answered.Answer)
+		return out.writeHeld(answered.Answer, c.memory)
 	default:
 		return out.writeError(err)
 	}
@@ -165,6 +161,8 @@
 		return http.StatusUnauthorized
 	case e.Code == errTooLarge.Code:
 		return http.StatusRequestEntityTooLarge
+	case e.Code == errBodyLate.Code:
+		return http.StatusRequestTimeout
 	case errors.Is(e.Err, kingcuphook.ErrInvalid):
 		return http.StatusBadRequest
 	case e.Ran == kingcuphook.RunStateNotRun:
@@ -186,7 +184,7 @@
 		if wait <= 0 {
 			wait = retryDefault
 		}
-		w.w.Header().Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
+		w.w.Header().Set("Retry-After", formatSeconds(wait))
 	}
 	w.w.Header().Set("Content-Type", "text/plain")
 	body := e.Code + "\n"
@@ -196,6 +194,9 @@
 	return status
 }
 
+// formatSeconds returns the form of a delay in the header Retry-After.
+func formatSeconds(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 3, 64) }
+
 // impliesNotRun reports whether callers take a status to mean that the call has not
 // run. An upstream may respond with such a status although the call has run there.
 func impliesNotRun(status int) bool {
@@ -290,6 +291,12 @@
 	return a.Status()
 }
 
+// writeHeld is writeAnswer, with the memory of the answer held until the end of the call.
+func (w *writer) writeHeld(a kingcuphook.Answer, memory *rationer.Account) int {
+	memory.Take(int64(len(a.Body())))
+	return w.writeAnswer(a)
+}
+
 // flush sends what the server has buffered of the response.
 func (w *writer) flush() {
 	if err := w.control.Flush(); w.err == nil {
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -7,7 +7,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"log"
 	"net"
 	"net/http"
@@ -17,16 +16,16 @@
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/discarder"
 	"github.com/kingcuphook/kingcuphook/forecaster"
 	"github.com/kingcuphook/kingcuphook/forwarder"
 	"github.com/kingcuphook/kingcuphook/logger"
+	"github.com/kingcuphook/kingcuphook/rationer"
 	"github.com/kingcuphook/kingcuphook/stopper"
 )
 
 const (
-	headerTimeout  = 5 * time.Second
-	idleTimeout    = 2 * time.Minute
-	maxHeaderBytes = 64 << 10
+	idleTimeout = 2 * time.Minute
 	// defaultDeadline limits a call whose route has no timeout.
 	defaultDeadline = 30 * time.Second
 	// defaultMaxBody limits a request body unless Directory.MaxBodyBytes is set.
@@ -48,6 +47,8 @@
 	Tables *kingcuphook.Tables
 	// MaxBodyBytes limits the body of a call; 0 means 8 MiB.
 	MaxBodyBytes int64
+	// HeadLimits bound the head of a call; zero values mean 64 KiB and 5 s.
+	HeadLimits kingcuphook.HeadLimits
 }
 
 // Receiver serves callers. Its fields are set before Run.
@@ -69,6 +70,8 @@
 	Pins kingcuphook.StreamPinner
 	// Observer is notified of accepted calls; nil means none.
 	Observer Observer
+	// Memory is the budget for the heads and bodies of calls; nil means no limit.
+	Memory *rationer.Rationer
 	// Log receives events; nil means none.
 	Log *logger.Logger
 	// Region and DataCentre are the location of the router.
@@ -78,6 +81,8 @@
 	http *http.Server
 	// calls are those in flight, as they stand in a graceful shutdown.
 	calls stopper.Calls
+	// discards drops the bodies of refused calls.
+	discards discarder.Discarder
 	// closing is set before idle connections are closed.
 	closing atomic.Bool
 	// inFlight counts the calls in flight, unanswered those that ended without a complete
@@ -90,26 +95,19 @@
 
 // Run serves callers on l until Stop. It returns nil after a graceful shutdown.
 func (s *Receiver) Run(l net.Listener) error {
-	if err := s.server().Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.server().Serve(s.newListener(l)); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("receiver: %w", err)
 	}
 	return nil
 }
 
-// observeState is the hook ConnState of the server.
-func (s *Receiver) observeState(_ net.Conn, state http.ConnState) {
-	if state == http.StateIdle {
-		s.kept.Add(1)
-	}
-}
-
 func (s *Receiver) server() *http.Server {
 	s.once.Do(func() {
 		s.calls.Times = s.stopTimes
 		s.http = &http.Server{
 			Handler:           s,
-			MaxHeaderBytes:    maxHeaderBytes,
-			ReadHeaderTimeout: headerTimeout,
+			MaxHeaderBytes:    kingcuphook.MaxHeadBytes,
+			ReadHeaderTimeout: kingcuphook.MaxHeadTimeout,
 			IdleTimeout:       idleTimeout,
 			ConnState:         s.observeState,
 			ErrorLog:          log.New(serverLog{s.Log}, "", 0),
@@ -144,9 +142,12 @@
 	defer s.recoverPanic(out)
 	labels := s.Codec.Labels(r.Header)
 	out.id = labels.ID
-	c, err := s.accept(ctx, w, r, labels)
+	account := s.Memory.Open()
+	defer account.Close()
+	discarder.Track(r)
+	c, err := s.accept(ctx, out, r, labels, account)
 	if err != nil {
-		s.reject(out, err)
+		s.rejectUnread(out, r, err)
 		return
 	}
 	s.run(ctx, out, r, c)
@@ -156,11 +157,13 @@
 type acceptedCall struct {
 	call  *kingcuphook.Call
 	route *kingcuphook.Route
+	// memory is the memory held for the call.
+	memory *rationer.Account
 }
 
-// accept finds the route and the organisation of a call and reads its body. It returns
-// a *kingcuphook.RequestError if the call can't be accepted.
-func (s *Receiver) accept(ctx context.Context, w http.ResponseWriter, r *http.Request, labels kingcuphook.CallLabels) (*acceptedCall, error) {
+// accept finds the route and the organisation of a call and reads its body, both into memory
+// reserved on the account. It returns a *kingcuphook.RequestError if the call can't be accepted.
+func (s *Receiver) accept(ctx context.Context, out *writer, r *http.Request, labels kingcuphook.CallLabels, account *rationer.Account) (*acceptedCall, error) {
 	arrived := time.Now()
 	if s.closing.Load() {
 		return nil, errStopping
@@ -189,15 +192,26 @@
 	if err := s.checkStop(forecast, deadline); err != nil {
 		return nil, err
 	}
-	body, err := readBody(w, r, d.MaxBodyBytes)
+	tier, _ := rank(organisation, route)
+	account.SetTier(tier)
+	reader := &bodyReader{request: r, out: out, account: account, deadline: deadline, limit: d.MaxBodyBytes}
+	body, err := reader.read(ctx)
+	if errors.Is(err, kingcuphook.ErrOutOfMemory) {
+		s.logNoMemory(r, labels, route, tier, account)
+	}
 	if err != nil {
+		account.Close()
+		return nil, err
+	}
+	// The body may have been long on its way.
+	if err := s.checkStop(forecast, deadline); err != nil {
 		return nil, err
 	}
 	request, err := s.newRequest(ctx, r, labels, route, organisation, body, arrived, deadline)
 	if err != nil {
 		return nil, err
 	}
-	return &acceptedCall{route: route, call: s.newCall(r, route, request, body)}, nil
+	return &acceptedCall{route: route, call: s.newCall(r, route, request, body), memory: account}, nil
 }
 
 const (
@@ -240,29 +254,3 @@
 	}
 	return d
 }
-
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
-	if limit <= 0 {
-		limit = defaultMaxBody
-	}
-	limited := http.MaxBytesReader(w, r.Body, limit)
-	if r.ContentLength > limit {
-		return nil, errTooLarge
-	}
-	var body []byte
-	var err error
-	if r.ContentLength > 0 {
-		body = make([]byte, r.ContentLength)
-		_, err = io.ReadFull(limited, body)
-	} else {
-		body, err = io.ReadAll(limited)
-	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, errTooLarge
-	}
-	if err != nil {
-		return nil, bodyError(err)
-	}
-	return body, nil
-}
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -325,6 +325,14 @@
 	return s.declaration.MaxBodyBytes()
 }
 
+// HeadLimits returns the bounds of the heads of calls.
+func (s *Subscriber) HeadLimits() kingcuphook.HeadLimits {
+	if s.declaration == nil {
+		return kingcuphook.HeadLimits{}
+	}
+	return s.declaration.HeadLimits()
+}
+
 // buildTables builds tables in which each declared pool has the upstreams that registered
 // for it.
 func (s *Subscriber) buildTables() *kingcuphook.Tables {
