Bound the planned stop of serve

A stop ended at its last request, just when the caller of a stream sends the next one. Change: serve has a grace time (stop.grace), asks stopper whether a request can end, ends those that are open at its end with an error, and waits 0.5 s for the next request on connections that were kept. Evidence: TestStopRefusesLateRequestsAndEndsOpenOnes, TestPlannedStopEndsWithinItsGraceTime and TestPlannedStopAnswersNextRequestAfterLongStream failed before.

--- a/configurer/settings.go
+++ b/configurer/settings.go
@@ -125,6 +125,9 @@
 	// DrainDelay is how long the router still accepts requests after it reports
 	// that it is not ready, because the load balancer notices that with a delay.
 	DrainDelay Duration `toml:"drain-delay"`
+	// Grace is how long after its start the shutdown ends the requests that are still open.
+	// Requests that might take longer are rejected meanwhile.
+	Grace Duration `toml:"grace"`
 }
 
 // Log holds the format and the level of the log.
@@ -151,7 +154,7 @@
 			Deadline:       Duration(2 * time.Minute),
 			MaxRequests:    20_000,
 		},
-		Stop: Stop{DrainDelay: Duration(5 * time.Second)},
+		Stop: Stop{DrainDelay: Duration(5 * time.Second), Grace: Duration(150 * time.Second)},
 		Log:  Log{Format: "logfmt", Level: "info"},
 	}
 }
--- a/configurer/validate.go
+++ b/configurer/validate.go
@@ -114,6 +114,9 @@
 	if s.Stop.DrainDelay < 0 {
 		return &problem{"stop.drain-delay", "must not be negative"}
 	}
+	if s.Stop.Grace <= s.Stop.DrainDelay {
+		return &problem{"stop.grace", "must be longer than stop.drain-delay"}
+	}
 	return nil
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -39,6 +39,7 @@
 	"github.com/kingcuphook/kingcuphook/recorder"
 	"github.com/kingcuphook/kingcuphook/server"
 	"github.com/kingcuphook/kingcuphook/sharer"
+	"github.com/kingcuphook/kingcuphook/stopper"
 )
 
 const (
@@ -100,8 +101,8 @@
 	// ready is false until the router has tables and has joined its peers or waited
 	// joinTimeout for them, and again once a graceful shutdown starts.
 	ready atomic.Bool
-	// stopping is set when a graceful shutdown starts.
-	stopping atomic.Bool
+	// stopping is the graceful shutdown.
+	stopping stopper.Stopper
 }
 
 // listeners holds the listening sockets of a router.
@@ -207,24 +208,47 @@
 	return nil
 }
 
+// closeTimeout bounds the time in which requests that are still open at the end of a graceful
+// shutdown are ended and their callers get an error.
+const closeTimeout = 200 * time.Millisecond
+
 // stop shuts down gracefully. The router reports not ready and leaves its
 // peers, serves the requests that still arrive during the drain delay, and then
 // waits for those in progress.
 func (r *Router) stop() {
-	r.stopping.Store(true)
+	begun := time.Now()
+	end := begun.Add(r.Settings.Stop.Grace.Value())
+	r.stopping.Start(begun, end)
 	r.ready.Store(false)
 	r.permits.Stop()
 	r.Log.Log(logger.Stopping, "open-requests", r.server.Open())
 	r.server.Drain()
 	r.control.leave()
 	time.Sleep(r.Settings.Stop.DrainDelay.Value())
-	_ = r.server.Stop(context.Background())
+	r.stopServer(end)
 	r.allocator.Close()
 	drain, cancel := context.WithTimeout(context.Background(), claimDrainTimeout)
 	defer cancel()
 	_ = r.claims.Drain(drain)
 }
 
+// stopServer stops the server and waits for its requests until end. It ends those that are open
+// then with an error.
+func (r *Router) stopServer(end time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	if r.server.Stop(ctx) == nil {
+		return
+	}
+	r.Log.Log(logger.CallsEnded, "open-requests", r.server.Open())
+	r.server.EndCalls()
+	closing, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if err := r.server.Stop(closing); err != nil {
+		r.Log.Log(logger.StopIncomplete, "open-requests", r.server.Open(), "error", err)
+	}
+}
+
 func (r *Router) close() {
 	_ = r.peerClient.Close()
 	r.upstreams.Close()
@@ -306,6 +330,8 @@
 		Isolator:      r.isolator,
 		ShareSuspects: r.shareSuspects,
 		OnCrash:       narrator.LogCrash(r.Log),
+		Stopping:      r.stopping.Begun(),
+		LatestStart:   func(q *kingcuphook.Request) time.Time { return r.server.LatestStart(q) },
 		Owner:         r.PeersAddress(),
 		Rand:          r.newRand(),
 	}
@@ -315,6 +341,7 @@
 		Tables:     r.tables,
 		Observer:   obs,
 		Log:        r.Log,
+		StopTimes:  r.stopping.Times,
 		Region:     s.Node.Region,
 		DataCentre: s.Node.DataCentre,
 		Limits: server.Limits{
--- a/router/tables.go
+++ b/router/tables.go
@@ -37,7 +37,7 @@
 	if c.startTime.IsZero() {
 		c.startTime = now
 	}
-	if c.revision == 0 || !c.joined && now.Sub(c.startTime) < joinTimeout || c.router.stopping.Load() {
+	if c.revision == 0 || !c.joined && now.Sub(c.startTime) < joinTimeout || c.router.stopping.Started() {
 		return
 	}
 	if c.router.ready.CompareAndSwap(false, true) {
--- a/server/chat.go
+++ b/server/chat.go
@@ -60,7 +60,9 @@
 	if s.Observer != nil {
 		s.Observer.RequestStarted(r, a.route)
 	}
+	dispatched := time.Now()
 	o, err := s.Dispatcher.Dispatch(a.ctx, a.call, w)
+	s.observe(r, err, dispatched)
 	var first time.Duration
 	if at := t.firstWriteTime(); !at.IsZero() {
 		first = at.Sub(r.Arrived())
--- a/server/request.go
+++ b/server/request.go
@@ -39,7 +39,7 @@
 type acceptedRequest struct {
 	call  *kingcuphook.Call
 	route *kingcuphook.Route
-	// ctx ends when the caller disconnects.
+	// ctx ends when the caller disconnects, and with EndCalls.
 	ctx context.Context
 }
 
@@ -104,7 +104,11 @@
 			return nil, id, h.rejectBeforeClaim(rateLimitError(after))
 		}
 	}
-	return s.newAcceptedRequest(r, id, h, c, body, route, pool), id, nil
+	a := s.newAcceptedRequest(r, id, h, c, body, route, pool)
+	if err := s.checkStop(a.call.Request); err != nil {
+		return nil, id, h.rejectBeforeClaim(err)
+	}
+	return a, id, nil
 }
 
 func (s *Server) newAcceptedRequest(r *http.Request, id string, h callerHeaders, c chat, body []byte, route *kingcuphook.Route, pool *kingcuphook.Pool) *acceptedRequest {
--- a/server/serve.go
+++ b/server/serve.go
@@ -10,6 +10,9 @@
 // serve handles a request according to the kind of upstream behind its route:
 // engines serve only chat completions, plain services any call.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := s.stopCalls().Context(r.Context())
+	defer cancel()
+	r = r.WithContext(ctx)
 	a, id, err := s.accept(w, r)
 	if err != nil {
 		s.Log.Log(logger.RequestFailed, "request", id, "error", err)
--- a/server/server.go
+++ b/server/server.go
@@ -3,7 +3,6 @@
 package server
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -15,6 +14,7 @@
 
 	"github.com/kingcuphook/kingcuphook"
 	"github.com/kingcuphook/kingcuphook/logger"
+	"github.com/kingcuphook/kingcuphook/stopper"
 )
 
 // PathChat is the path of chat completions.
@@ -73,11 +73,18 @@
 	Region, DataCentre string
 	// Limits bound the resources that callers use.
 	Limits Limits
+	// StopTimes returns from when on a graceful shutdown takes only requests that surely end before
+	// it does, and when it ends; zero times mean that none was started. Nil means never.
+	StopTimes func() (late, end time.Time)
 
 	once sync.Once
 	http *http.Server
-	// open counts the requests in progress.
-	open atomic.Int64
+	// calls are those in flight, as they stand in a graceful shutdown.
+	calls stopper.Calls
+	// open counts the requests in progress, early those of them that began before Drain.
+	open, early atomic.Int64
+	// earlyEnd is when the last one of these ended after Drain, in Unix nanoseconds.
+	earlyEnd atomic.Int64
 	// draining adds Connection: close to every answer.
 	draining atomic.Bool
 	// closing is set before idle connections are closed.
@@ -101,6 +108,7 @@
 // called in any order.
 func (s *Server) server() *http.Server {
 	s.once.Do(func() {
+		s.calls.Times = s.stopTimes
 		s.http = &http.Server{
 			Handler:           s.Handler(),
 			MaxHeaderBytes:    s.Limits.MaxHeaderBytes,
@@ -112,22 +120,6 @@
 	return s.http
 }
 
-// Drain adds Connection: close to every later answer, so that callers open a new
-// connection for their next request.
-func (s *Server) Drain() { s.draining.Store(true) }
-
-// Stop closes the listener and the idle connections, and waits for the requests in
-// progress, or until ctx ends. Requests that begin after it has been called are rejected:
-// their connections may be closed.
-func (s *Server) Stop(ctx context.Context) error {
-	s.Drain()
-	s.closing.Store(true)
-	if err := s.server().Shutdown(ctx); err != nil {
-		return fmt.Errorf("server: stop: %w", err)
-	}
-	return nil
-}
-
 // Open returns the number of requests in progress.
 func (s *Server) Open() int { return int(s.open.Load()) }
 
@@ -137,7 +129,9 @@
 	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		w := &response{ResponseWriter: rw}
 		defer s.recoverPanic(w)
-		if s.draining.Load() {
+		if s.beginEarly() {
+			defer s.endEarly()
+		} else {
 			w.Header().Set("Connection", "close")
 		}
 		n := s.open.Add(1)
