Bound the memory of requests in serve, and deliver its refusals

Callers saw: the same as with attach: large bodies, slow heads and texts of answers were in no budget of serve; refusals before the end of a body were lost; bodies of the operators' API were read before the token was verified. Cause: the twin of the fault of attach. Change: serve uses the same packages rationer, listener and discarder (limits.max-held-bytes); an answer that exceeds its limit is an error instead of being cut; operators without a token are refused before their body is read. Evidence: TestLargeBodiesDoNotExceedBudget, TestHeadsDoNotExceedBudget, TestConnectionsDrawOnBudget, TestTextOfAnswersIsCountedAndNeverCut, TestRefusalsReachCallersThatAreSendingBodies, TestRefusalsBeforeHeadersReachCallersThatAreSendingBodies, TestDiscardedBodiesAreNoOpenRequests (server) and TestBodiesWithoutOperatorTokenAreNotRead failed before. Heads over TLS are in no budget.

--- a/configurer/settings.go
+++ b/configurer/settings.go
@@ -118,6 +118,9 @@
 	Deadline Duration `toml:"deadline"`
 	// MaxRequests bounds the number of requests open at the same time.
 	MaxRequests int `toml:"max-requests"`
+	// MaxHeldBytes bounds the memory for the connections, requests and answers that are held at the
+	// same time.
+	MaxHeldBytes int64 `toml:"max-held-bytes"`
 }
 
 // Stop holds the settings of a graceful shutdown.
@@ -153,6 +156,7 @@
 			IdleTimeout:    Duration(75 * time.Second),
 			Deadline:       Duration(2 * time.Minute),
 			MaxRequests:    20_000,
+			MaxHeldBytes:   256 << 20,
 		},
 		Stop: Stop{DrainDelay: Duration(5 * time.Second), Grace: Duration(150 * time.Second)},
 		Log:  Log{Format: "logfmt", Level: "info"},
--- a/configurer/validate.go
+++ b/configurer/validate.go
@@ -105,6 +105,7 @@
 		{"limits.idle-timeout", int64(s.Limits.IdleTimeout)},
 		{"limits.deadline", int64(s.Limits.Deadline)},
 		{"limits.max-requests", int64(s.Limits.MaxRequests)},
+		{"limits.max-held-bytes", s.Limits.MaxHeldBytes},
 	}
 	for _, l := range limits {
 		if l.value <= 0 {
--- a/router/certificates.go
+++ b/router/certificates.go
@@ -38,12 +38,21 @@
 	return nil
 }
 
-// callersListener wraps l in TLS unless the settings select plain text.
-func (c *certificates) callersListener(l net.Listener) net.Listener {
+// callersConfig returns the configuration of TLS with callers and operators; nil if the settings select
+// plain text.
+func (c *certificates) callersConfig() *tls.Config {
 	if c.callers == nil {
-		return l
+		return nil
+	}
+	return c.callers.ServerConfig()
+}
+
+// operatorsListener wraps l in TLS unless the settings select plain text.
+func (c *certificates) operatorsListener(l net.Listener) net.Listener {
+	if cfg := c.callersConfig(); cfg != nil {
+		return tls.NewListener(l, cfg)
 	}
-	return tls.NewListener(l, c.callers.ServerConfig())
+	return l
 }
 
 func (c *certificates) platformCredentials() credentials.TransportCredentials {
--- a/router/gauges.go
+++ b/router/gauges.go
@@ -9,6 +9,12 @@
 		"kingcuphook_peers":           func() float64 { return float64(len(r.control.view.Load().members)) },
 		"kingcuphook_open_requests":   func() float64 { return float64(r.server.Open()) },
 
+		"kingcuphook_memory_budget_bytes":    func() float64 { return float64(r.memory.Bytes) },
+		"kingcuphook_memory_held_bytes":      func() float64 { return float64(r.memory.Usage().Held) },
+		"kingcuphook_memory_held_peak_bytes": func() float64 { return float64(r.memory.Usage().Peak) },
+		"kingcuphook_heads_rejected_total":   func() float64 { return float64(r.upstreams.HeadsRejected()) },
+		"kingcuphook_memory_refused_total":   func() float64 { return float64(r.memory.Usage().Refused) },
+
 		"kingcuphook_attempts_resumed_total":               func() float64 { return float64(r.dispatcher.Counts().Resumed) },
 		"kingcuphook_attempts_crashed_total":               func() float64 { return float64(r.dispatcher.Counts().Crashes) },
 		"kingcuphook_attempts_silent_total":                func() float64 { return float64(r.dispatcher.Counts().Unresponsive) },
--- a/router/operators.go
+++ b/router/operators.go
@@ -10,6 +10,7 @@
 	"github.com/kingcuphook/kingcuphook"
 	"github.com/kingcuphook/kingcuphook/commander"
 	"github.com/kingcuphook/kingcuphook/differ"
+	"github.com/kingcuphook/kingcuphook/discarder"
 	"github.com/kingcuphook/kingcuphook/gen/commands"
 	commandsserver "github.com/kingcuphook/kingcuphook/gen/http/commands/server"
 	queriesserver "github.com/kingcuphook/kingcuphook/gen/http/queries/server"
@@ -31,12 +32,13 @@
 // operatorsHandler returns the handler of the operators' API.
 func (r *Router) operatorsHandler() http.Handler {
 	token := r.Settings.Operators.Token
-	commandEndpoints := commands.NewEndpoints(&commander.Commander{
+	commandService := &commander.Commander{
 		Editor: r.editor,
 		Lifter: r,
 		Token:  token,
 		Log:    r.Log,
-	})
+	}
+	commandEndpoints := commands.NewEndpoints(commandService)
 	queryEndpoints := queries.NewEndpoints(&reporter.Reporter{
 		Source:    r,
 		Recorder:  r.recorder,
@@ -47,7 +49,26 @@
 	dec, enc := goahttp.RequestDecoder, goahttp.ResponseEncoder
 	commandsserver.Mount(mux, commandsserver.New(commandEndpoints, mux, dec, enc, nil, nil))
 	queriesserver.Mount(mux, queriesserver.New(queryEndpoints, mux, dec, enc, nil, nil))
-	return http.MaxBytesHandler(mux, maxOperatorBodyBytes)
+	return requireToken(http.MaxBytesHandler(mux, maxOperatorBodyBytes), commandService)
+}
+
+// tokenHeader is the header of the operators' token.
+const tokenHeader = "X-Operator-Token"
+
+// requireToken refuses requests with a body but without the operators' token before their body is
+// read. The endpoints verify the token only after that.
+func requireToken(next http.Handler, service *commander.Commander) http.Handler {
+	encode := commandsserver.EncodeApplyError(goahttp.ResponseEncoder, nil)
+	var discards discarder.Discarder
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := context.WithoutCancel(r.Context()) // it ends if reading the body times out
+		_, err := service.APIKeyAuth(ctx, r.Header.Get(tokenHeader), nil)
+		if r.ContentLength == 0 || err == nil {
+			next.ServeHTTP(w, r)
+			return
+		}
+		discards.Refuse(ctx, w, r, err, func() { _ = encode(ctx, w, err) })
+	})
 }
 
 // accept applies an edit accepted by this router before the operator
--- a/router/router.go
+++ b/router/router.go
@@ -36,6 +36,7 @@
 	"github.com/kingcuphook/kingcuphook/observer"
 	"github.com/kingcuphook/kingcuphook/permitter"
 	"github.com/kingcuphook/kingcuphook/quarantiner"
+	"github.com/kingcuphook/kingcuphook/rationer"
 	"github.com/kingcuphook/kingcuphook/recorder"
 	"github.com/kingcuphook/kingcuphook/server"
 	"github.com/kingcuphook/kingcuphook/sharer"
@@ -85,6 +86,8 @@
 	// dispatcher runs the callers' requests on upstreams.
 	dispatcher *dispatcher.Dispatcher
 	meter      *meter.Meter
+	// memory is the budget for what callers and upstreams make the router hold.
+	memory *rationer.Rationer
 	// permits keeps the rate limits that upstreams announced.
 	permits    *permitter.Permitter
 	server     *server.Server
@@ -179,8 +182,8 @@
 		ReadTimeout:       operatorTimeout,
 		IdleTimeout:       operatorTimeout,
 	}
-	g.Go(func() error { return r.server.Run(r.certs.callersListener(r.listeners.callers)) })
-	g.Go(func() error { return serveHTTP(operators, r.certs.callersListener(r.listeners.operators)) })
+	g.Go(func() error { return r.server.Run(r.listeners.callers) })
+	g.Go(func() error { return serveHTTP(operators, r.certs.operatorsListener(r.listeners.operators)) })
 	g.Go(func() error { return serveHTTP(admin, r.listeners.admin) })
 	g.Go(func() error { return r.peerServer.Serve(r.listeners.peers) })
 	g.Go(func() error { r.follower.Run(componentsCtx); return nil })
@@ -214,7 +217,8 @@
 
 // stop shuts down gracefully. The router reports not ready and leaves its
 // peers, serves the requests that still arrive during the drain delay, and then
-// waits for those in progress.
+// waits for those in progress. It ends those that are open after the grace time with an
+// error.
 func (r *Router) stop() {
 	begun := time.Now()
 	end := begun.Add(r.Settings.Stop.Grace.Value())
@@ -271,11 +275,12 @@
 	}
 	r.recorder = &recorder.Recorder{}
 	r.meter = meter.New()
+	r.memory = &rationer.Rationer{Bytes: s.Limits.MaxHeldBytes}
 	r.permits = &permitter.Permitter{Self: r.PeersAddress(), OnChange: r.logRateLimit}
 	r.allocator = &allocator.Allocator{NewScheduler: r.newScheduler}
 	r.peerClient = &exchanger.Client{Credentials: r.certs.peersClientCredentials()}
 	r.control = newControl(r)
-	r.upstreams = &dialer.Dialer{OnReport: r.control.onReport, OnNotice: r.control.onNotice}
+	r.upstreams = &dialer.Dialer{OnReport: r.control.onReport, OnNotice: r.control.onNotice, Memory: r.memory}
 	r.upstreams.Init()
 	r.buildTables()
 	r.buildServer()
@@ -340,6 +345,8 @@
 		Throttle:   r.throttle,
 		Tables:     r.tables,
 		Observer:   obs,
+		TLS:        r.certs.callersConfig(),
+		Memory:     r.memory,
 		Log:        r.Log,
 		StopTimes:  r.stopping.Times,
 		Region:     s.Node.Region,
--- a/server/chat.go
+++ b/server/chat.go
@@ -1,7 +1,6 @@
 package server
 
 import (
-	"bytes"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -11,20 +10,26 @@
 
 	"github.com/kingcuphook/kingcuphook"
 	"github.com/kingcuphook/kingcuphook/logger"
+	"github.com/kingcuphook/kingcuphook/rationer"
 )
 
 // answerChat runs a chat completion and writes the answer as one JSON object once
 // it is complete.
 func (s *Server) answerChat(w http.ResponseWriter, a *acceptedRequest) {
-	text := &answerBuffer{limit: s.Limits.MaxBodyBytes}
+	account := s.Memory.OpenAnswer()
+	defer account.Close()
+	text := &answerBuffer{text: rationer.Buffer{Account: account, Copies: answerCopies}, limit: s.Limits.MaxBodyBytes}
 	o, err := s.dispatch(a, text, text)
+	if text.err != nil {
+		err = answerError(text.err)
+	}
 	if err != nil {
 		writeError(w, a.call.Request.ID(), err)
 		return
 	}
 	s.setWriteDeadline(w)
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(newChatBody(a.call.Request, text.String(), o))
+	_ = json.NewEncoder(w).Encode(newChatBody(a.call.Request, string(text.text.Bytes()), o))
 }
 
 // answerStream runs a chat completion and streams the answer as server-sent
@@ -82,12 +87,17 @@
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.Limits.WriteTimeout))
 }
 
+// answerCopies is how often an answer that is sent as one JSON object is in memory: as it is received,
+// as text and in the object.
+const answerCopies = 3
+
 // answerBuffer collects an answer that is sent only once it is complete.
 type answerBuffer struct {
-	bytes.Buffer
-
+	text  rationer.Buffer
 	limit int64
 	first time.Time
+	// err is the error with which the first piece was left out; nil if the answer is whole.
+	err error
 }
 
 // WriteData implements kingcuphook.FrameWriter.
@@ -95,11 +105,14 @@
 	if t.first.IsZero() {
 		t.first = time.Now()
 	}
-	if int64(t.Len()+len(text)) > t.limit {
-		return kingcuphook.ErrTooLarge
+	switch {
+	case t.err != nil:
+	case int64(t.text.Len()+len(text)) > t.limit:
+		t.err = kingcuphook.ErrTooLarge
+	default:
+		t.err = t.text.Append([]byte(text))
 	}
-	_, err := t.WriteString(text)
-	return err
+	return t.err
 }
 
 func (t *answerBuffer) firstWriteTime() time.Time { return t.first }
--- a/server/errors.go
+++ b/server/errors.go
@@ -12,8 +12,15 @@
 	"github.com/kingcuphook/kingcuphook"
 )
 
-// codeBadRequest is the error code of a malformed request.
-const codeBadRequest = "bad-request"
+// Error codes of this package.
+const (
+	// codeBadRequest is the code of a malformed request.
+	codeBadRequest = "bad-request"
+	// codeAnswerTooLarge and codeOutcomeUnknown are the codes of a request whose answer exceeded its
+	// limit, or the memory budget.
+	codeAnswerTooLarge = "answer-too-large"
+	codeOutcomeUnknown = "outcome-unknown"
+)
 
 // defaultRetryAfter is the delay after which a caller should retry when the router
 // has no tables or too many open requests.
@@ -37,6 +44,12 @@
 		RetryAfter: defaultRetryAfter,
 		Err:        fmt.Errorf("%w: %w", kingcuphook.ErrUnavailable, kingcuphook.ErrStopping),
 	}
+	errNoMemory = &kingcuphook.RequestError{
+		Code:       kingcuphook.CodeOverloaded,
+		Ran:        kingcuphook.RunStateNotRun,
+		RetryAfter: defaultRetryAfter,
+		Err:        fmt.Errorf("%w: %w", kingcuphook.ErrOverloaded, kingcuphook.ErrOutOfMemory),
+	}
 	errTooManyRequests = &kingcuphook.RequestError{
 		Code:       kingcuphook.CodeOverloaded,
 		Ran:        kingcuphook.RunStateNotRun,
@@ -67,6 +80,15 @@
 	return badRequest(err)
 }
 
+// answerError returns the error for a request whose answer could not be kept whole.
+func answerError(err error) error {
+	e := &kingcuphook.RequestError{Code: codeOutcomeUnknown, Ran: kingcuphook.RunStateUnknown, Err: err}
+	if errors.Is(err, kingcuphook.ErrTooLarge) {
+		e.Code = codeAnswerTooLarge
+	}
+	return e
+}
+
 func rateLimitError(after time.Duration) *kingcuphook.RequestError {
 	return &kingcuphook.RequestError{
 		Code:       kingcuphook.CodeRateLimited,
@@ -125,13 +147,25 @@
 	e := asRequestError(err)
 	w.Header().Set("Content-Type", "application/json")
 	if e.RetryAfter > 0 {
-		seconds := int(math.Ceil(e.RetryAfter.Seconds()))
-		w.Header().Set("Retry-After", strconv.Itoa(seconds))
+		w.Header().Set("Retry-After", formatSeconds(e.RetryAfter))
 	}
+	body := encodeError(id, e)
+	// With a length it ends before the rest of a refused body is discarded.
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(httpStatus(e))
-	_ = json.NewEncoder(w).Encode(newErrorBody(id, e))
+	_, _ = w.Write(body)
 }
 
+// encodeError returns the JSON form of an error.
+func encodeError(id string, e *kingcuphook.RequestError) []byte {
+	// The error is ignored: an error body has plain fields only.
+	body, _ := json.Marshal(newErrorBody(id, e))
+	return append(body, '\n')
+}
+
+// formatSeconds returns the form of a delay in the header Retry-After, which is never shorter.
+func formatSeconds(d time.Duration) string { return strconv.Itoa(int(math.Ceil(d.Seconds()))) }
+
 func httpStatus(e *kingcuphook.RequestError) int {
 	switch {
 	case e.Code == kingcuphook.CodeNoRoute:
--- a/server/request.go
+++ b/server/request.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"path"
 	"strconv"
@@ -16,6 +15,7 @@
 
 	"github.com/kingcuphook/kingcuphook"
 	"github.com/kingcuphook/kingcuphook/hasher"
+	"github.com/kingcuphook/kingcuphook/rationer"
 )
 
 // Headers of the callers' API.
@@ -66,49 +66,68 @@
 	return err
 }
 
-// accept reads a request, matches it to a route and applies the rate limits. The
-// returned request ID is valid even with an error.
-func (s *Server) accept(w http.ResponseWriter, r *http.Request) (*acceptedRequest, string, error) {
-	id := xid.New().String()
-	w.Header().Set(HeaderRequestID, id)
-	h, err := readCallerHeaders(r)
+// readRequest is a caller's request whose body was read.
+type readRequest struct {
+	id      string
+	headers callerHeaders
+	body    []byte
+}
+
+// read reads a request into memory reserved on the account. The returned request ID is valid even with an
+// error; the account is closed then.
+func (s *Server) read(w http.ResponseWriter, r *http.Request, account *rationer.Account) (*readRequest, error) {
+	c := &readRequest{id: xid.New().String()}
+	w.Header().Set(HeaderRequestID, c.id)
+	var err error
+	c.headers, err = readCallerHeaders(r)
 	if err != nil {
-		return nil, id, badRequest(err)
+		return c, badRequest(err)
 	}
 	if !isCleanPath(r.URL.Path) {
-		return nil, id, badRequest(errors.New("the path holds empty, . or .. elements"))
+		return c, badRequest(errors.New("the path holds empty, . or .. elements"))
 	}
-	body, err := s.readBody(w, r)
-	if err != nil {
-		return nil, id, bodyError(err)
+	c.body, err = s.readBody(w, r, account)
+	if err == nil {
+		return c, nil
+	}
+	defer account.Close()
+	if errors.Is(err, kingcuphook.ErrOutOfMemory) {
+		s.logNoMemory(r, c.id, account)
+		return c, c.headers.rejectBeforeClaim(errNoMemory)
 	}
+	return c, bodyError(err)
+}
+
+// accept matches a request to a route and applies the rate limits.
+func (s *Server) accept(r *http.Request, read *readRequest) (*acceptedRequest, error) {
+	h, body := read.headers, read.body
 	tables := s.Tables()
 	if tables == nil {
-		return nil, id, h.rejectBeforeClaim(errNotReady)
+		return nil, h.rejectBeforeClaim(errNotReady)
 	}
 	var c chat
 	if isChat(r) {
 		if !gjson.ValidBytes(body) {
-			return nil, id, badRequest(errors.New("the body is not valid JSON"))
+			return nil, badRequest(errors.New("the body is not valid JSON"))
 		}
 		c = parseChat(body)
 	}
 	route := tables.Match(h.class, h.organisation, c.model, r.URL.Path)
 	if route == nil {
-		return nil, id, h.rejectBeforeClaim(errNoRoute)
+		return nil, h.rejectBeforeClaim(errNoRoute)
 	}
 	h.nonIdempotent = h.nonIdempotent || route.NonIdempotent()
 	pool := tables.Pool(route.Pool())
 	if s.Throttle != nil {
 		if ok, after := s.Throttle.Allow(route, h.organisation); !ok {
-			return nil, id, h.rejectBeforeClaim(rateLimitError(after))
+			return nil, h.rejectBeforeClaim(rateLimitError(after))
 		}
 	}
-	a := s.newAcceptedRequest(r, id, h, c, body, route, pool)
+	a := s.newAcceptedRequest(r, read.id, h, c, body, route, pool)
 	if err := s.checkStop(a.call.Request); err != nil {
-		return nil, id, h.rejectBeforeClaim(err)
+		return nil, h.rejectBeforeClaim(err)
 	}
-	return a, id, nil
+	return a, nil
 }
 
 func (s *Server) newAcceptedRequest(r *http.Request, id string, h callerHeaders, c chat, body []byte, route *kingcuphook.Route, pool *kingcuphook.Pool) *acceptedRequest {
@@ -208,20 +227,21 @@
 	return parts[:max(len(parts)-1, 0)]
 }
 
-// readBody reads the body up to MaxBodyBytes, with a single allocation if its
-// length is declared.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+// readBody reads the head and the body, up to MaxBodyBytes, into memory reserved on the account.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, account *rationer.Account) ([]byte, error) {
 	if wrapped, ok := w.(*response); ok {
 		// MaxBytesReader makes the server's own writer close the connection.
 		w = wrapped.ResponseWriter
 	}
+	if err := account.Grow(rationer.RequestBytes(r)); err != nil {
+		return nil, err
+	}
 	limited := http.MaxBytesReader(w, r.Body, s.Limits.MaxBodyBytes)
-	if r.ContentLength <= 0 || r.ContentLength > s.Limits.MaxBodyBytes {
-		return io.ReadAll(limited)
+	length := r.ContentLength
+	if length > s.Limits.MaxBodyBytes {
+		length = -1
 	}
-	body := make([]byte, r.ContentLength)
-	_, err := io.ReadFull(limited, body)
-	return body, err
+	return account.ReadAll(limited, length, s.Limits.MaxBodyBytes)
 }
 
 func (s *Server) deadline(h callerHeaders, route *kingcuphook.Route) time.Duration {
--- a/server/server.go
+++ b/server/server.go
@@ -3,6 +3,7 @@
 package server
 
 import (
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -13,7 +14,10 @@
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/discarder"
+	"github.com/kingcuphook/kingcuphook/listener"
 	"github.com/kingcuphook/kingcuphook/logger"
+	"github.com/kingcuphook/kingcuphook/rationer"
 	"github.com/kingcuphook/kingcuphook/stopper"
 )
 
@@ -67,6 +71,10 @@
 	Throttle Throttle
 	// Observer is notified of every accepted request; may be nil.
 	Observer Observer
+	// TLS is the configuration of TLS; nil means plain text.
+	TLS *tls.Config
+	// Memory is the budget for connections and for the heads and bodies of requests; nil means no limit.
+	Memory *rationer.Rationer
 	// Log receives the log events; nil disables logging.
 	Log *logger.Logger
 	// Region and DataCentre are the location of the router.
@@ -81,7 +89,9 @@
 	http *http.Server
 	// calls are those in flight, as they stand in a graceful shutdown.
 	calls stopper.Calls
-	// open counts the requests in progress, early those of them that began before Drain.
+	// discards drops the bodies of refused requests.
+	discards discarder.Discarder
+	// open counts the requests in progress and those whose bodies are discarded, early those of them that began before Drain.
 	open, early atomic.Int64
 	// earlyEnd is when the last one of these ended after Drain, in Unix nanoseconds.
 	earlyEnd atomic.Int64
@@ -98,7 +108,7 @@
 
 // Run serves callers on l until Stop is called, after which it returns nil.
 func (s *Server) Run(l net.Listener) error {
-	if err := s.server().Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.server().Serve(s.newListener(l)); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("server: %w", err)
 	}
 	return nil
@@ -115,13 +125,14 @@
 			ReadHeaderTimeout: s.Limits.HeaderTimeout,
 			ReadTimeout:       s.Limits.ReadTimeout,
 			IdleTimeout:       s.Limits.IdleTimeout,
+			ConnState:         listener.ObserveState,
 		}
 	})
 	return s.http
 }
 
-// Open returns the number of requests in progress.
-func (s *Server) Open() int { return int(s.open.Load()) }
+// Open returns the number of requests in progress, without refused ones whose bodies are discarded.
+func (s *Server) Open() int { return int(s.open.Load()) - s.discards.Running() }
 
 // guard enforces MaxRequests, closes connections while draining and confines a
 // panic to its request.
@@ -134,11 +145,11 @@
 		} else {
 			w.Header().Set("Connection", "close")
 		}
-		n := s.open.Add(1)
+		s.open.Add(1)
 		defer s.open.Add(-1)
-		if err := s.refuse(n); err != nil {
+		if err := s.refuse(s.Open()); err != nil {
 			h := callerHeaders{key: r.Header.Get(HeaderIdempotencyKey)}
-			writeError(w, "", h.rejectBeforeClaim(err))
+			s.writeUnread(w, r, "", h.rejectBeforeClaim(err))
 			return
 		}
 		next.ServeHTTP(w, r)
@@ -147,11 +158,11 @@
 
 // refuse returns the error for a request that is not served with n requests in progress;
 // nil if it is.
-func (s *Server) refuse(n int64) *kingcuphook.RequestError {
+func (s *Server) refuse(n int) *kingcuphook.RequestError {
 	switch {
 	case s.closing.Load():
 		return errStopping
-	case s.Limits.MaxRequests > 0 && n > int64(s.Limits.MaxRequests):
+	case s.Limits.MaxRequests > 0 && n > s.Limits.MaxRequests:
 		return errTooManyRequests
 	}
 	return nil
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -59,6 +59,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	run(t, s, l)
+	return s, "http://" + l.Addr().String()
+}
+
+// run runs the server on l until the end of the test.
+func run(t *testing.T, s *Server, l net.Listener) {
+	t.Helper()
 	ended := make(chan error, 1)
 	go func() { ended <- s.Run(l) }()
 	t.Cleanup(func() {
@@ -66,7 +73,13 @@
 			t.Error(err)
 		}
 	})
-	return s, "http://" + l.Addr().String()
+}
+
+// answerDone returns a Dispatcher that answers every call.
+func answerDone() kingcuphook.Dispatcher {
+	return fakeDispatcher(func(context.Context, *kingcuphook.Call, kingcuphook.FrameWriter) (kingcuphook.Outcome, error) {
+		return kingcuphook.Outcome{Answer: kingcuphook.NewAnswer(http.StatusOK, "text/plain", []byte("done"))}, nil
+	})
 }
 
 func send(t *testing.T, url, body string, headers ...string) (int, string, http.Header) {
