Leave OPTIONS * to upstreams, and reset broken answers to HTTP/1.0

Seen by reading: the HTTP server answered OPTIONS * with a success that no upstream had given; a stream that broke off looked whole to a caller of HTTP/1.0, whose answers end with the connection. Change: the handler of the server is off, and the connection of such a caller is reset instead of closed. Evidence: TestOptionsOfServerGetNoSuccess and TestFailedStreamOfHTTP10IsReset failed before.

--- a/receiver/answer.go
+++ b/receiver/answer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"runtime/debug"
 	"strconv"
@@ -66,10 +67,29 @@
 	if aborted {
 		// Aborts the connection, so that a partial answer can't be taken for a complete
 		// one.
+		resetUnframed(r)
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// connKey is the key of the connection in the context of a request.
+type connKey struct{}
+
+// withConn returns the context of the requests on a connection; it is the hook ConnContext of the
+// server.
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// resetUnframed makes the close of the connection a reset if the end of the connection alone marks the
+// end of its answer, as in HTTP/1.0.
+func resetUnframed(r *http.Request) {
+	c, ok := r.Context().Value(connKey{}).(interface{ SetLinger(sec int) error })
+	if ok && !r.ProtoAtLeast(1, 1) {
+		_ = c.SetLinger(0)
+	}
+}
+
 // checkWritten counts a call that ended without a complete response while its caller was
 // still connected, and logs a response that could not be written.
 func (s *Receiver) checkWritten(r *http.Request, out *writer, aborted bool) {
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -110,7 +110,10 @@
 			ReadHeaderTimeout: kingcuphook.MaxHeadTimeout,
 			IdleTimeout:       idleTimeout,
 			ConnState:         s.observeState,
+			ConnContext:       withConn,
 			ErrorLog:          log.New(serverLog{s.Log}, "", 0),
+			// Only an upstream answers OPTIONS *.
+			DisableGeneralOptionsHandler: true,
 		}
 	})
 	return s.http
--- a/server/server.go
+++ b/server/server.go
@@ -126,6 +126,8 @@
 			ReadTimeout:       s.Limits.ReadTimeout,
 			IdleTimeout:       s.Limits.IdleTimeout,
 			ConnState:         listener.ObserveState,
+			// Only an upstream answers OPTIONS *.
+			DisableGeneralOptionsHandler: true,
 		}
 	})
 	return s.http
