--- a/attacher/control.go
+++ b/attacher/control.go
@@ -165,6 +165,7 @@
 	c.writeParts(ctx, now)
 	c.tryParts(ctx, now)
 	c.a.pins.pinner.Refresh(now)
+	c.judgeFleet(now)
 	c.writeVersions(ctx, now)
 	c.readHeld(now)
 }
--- a/attacher/exchange.go
+++ b/attacher/exchange.go
@@ -144,6 +144,7 @@
 	f.Leaving = c.a.withdrawn.Encode()
 	f.Suspects = c.a.quarantine.Export(now, suspectBytes)
 	c.send(f, c.peers.pickRandom(digestPeers))
+	c.announceGuard(now, others)
 	c.sendParts(now)
 }
 
--- a/attacher/hold.go
+++ b/attacher/hold.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"errors"
+	"net/netip"
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/logger"
+	"github.com/kingcuphook/kingcuphook/pinner"
 )
 
 // holdInterval is how often a router that doesn't follow the store reads the records of versions
@@ -13,7 +16,7 @@
 const holdInterval = time.Second
 
 // holdAllocator lets streams that may be resumed begin only at the recorded version of a pool, while
-// another one is held back.
+// another one is held back, or only at the base of its record, while the ledger can't be written.
 type holdAllocator struct {
 	next kingcuphook.Allocator
 	pins *pins
@@ -26,7 +29,7 @@
 	if _, restricted := r.OnlyVersion(); restricted || !r.Stream() || r.NonIdempotent() {
 		return a.next.Acquire(ctx, r, excluded)
 	}
-	if version, ok := a.pins.pinner.Held(time.Now(), r.Pool()); ok {
+	if version, ok := a.pins.onlyBegin(r.Pool()); ok {
 		slot, err := a.next.Acquire(ctx, r.Restrict(version), excluded)
 		if !errors.Is(err, kingcuphook.ErrVersionGone) {
 			return slot, err
@@ -36,14 +39,55 @@
 	return a.next.Acquire(ctx, r, excluded)
 }
 
+// onlyBegin returns the only version of the pool at which streams may begin now, if there is one.
+func (s *pins) onlyBegin(pool string) (version string, ok bool) {
+	now := time.Now()
+	if version, ok := s.pinner.Held(now, pool); ok {
+		return version, true
+	}
+	version, ok = s.pinner.Guarded(now, pool)
+	return version, ok && !s.recordings.canGuard()
+}
+
+// announceGuard tells the other routers that this one guards the bases of records, in fleets that have
+// bases.
+func (c *control) announceGuard(now time.Time, others []netip.Addr) {
+	if now.Before(c.versions.nextAnnouncement) || !pinner.HasBases(len(others)+1) {
+		return
+	}
+	c.versions.nextAnnouncement = now.Add(pinner.AnnounceInterval)
+	c.sendToAll(pinner.EncodeAnnouncement(), others)
+}
+
+// judgeFleet tells the pinner whether the other routers guard the bases of records. A router that has
+// just started doesn't know them all.
+func (c *control) judgeFleet(now time.Time) {
+	lastSeen := make(map[string]time.Time, len(c.peers.lastSeen))
+	for a, at := range c.peers.lastSeen {
+		lastSeen[a.String()] = at
+	}
+	f := c.peers.guards.Judge(lastSeen)
+	f.All = f.All && now.Sub(c.startedAt) >= maxDiscovery
+	if f != c.versions.fleet {
+		c.a.Log.Log(logger.BasesGuarded, "all", f.All, "broken", f.Broken, "odd", f.Odd, "routers", len(lastSeen)+1)
+		c.versions.fleet = f
+	}
+	c.a.pins.pinner.SetFleet(f)
+}
+
 // readHeld reads the records of the pools in which a version is held back, if this router doesn't
-// learn of their changes by following the store.
+// learn of their changes by following the store, and of those to which a version has come since they
+// were read.
 func (c *control) readHeld(now time.Time) {
-	if now.Before(c.versions.nextRead) || c.delegator.Follows(now) {
+	if now.Before(c.versions.nextRead) {
 		return
 	}
+	pools := c.a.pins.pinner.UnreadPools()
+	if !c.delegator.Follows(now) {
+		pools = append(pools, c.a.pins.pinner.HeldPools(now)...)
+	}
 	c.versions.nextRead = now.Add(holdInterval)
-	for _, pool := range c.a.pins.pinner.HeldPools(now) {
+	for _, pool := range pools {
 		c.a.pins.read(pool)
 	}
 }
--- a/attacher/ledger.go
+++ b/attacher/ledger.go
@@ -95,6 +95,7 @@
 			return
 		}
 		w.pins.a.Log.Log(logger.VersionStoreFailed, "call", "put", "key", w.prefix, "error", err)
+		w.pins.pinner.Seal()
 		delay := max(minLedgerRetryDelay, pinner.WriteInterval(routers))
 		pauser.Pause(ctx, delay/2+rand.N(delay))
 	}
@@ -131,6 +132,10 @@
 	nextWrite time.Time
 	// nextRead is the earliest time of the next read for versions that are held back.
 	nextRead time.Time
+	// nextAnnouncement is the earliest time of the next announcement to the other routers.
+	nextAnnouncement time.Time
+	// fleet is what was last found of the other routers.
+	fleet pinner.Fleet
 }
 
 // writeVersions writes a record of versions that the store lacks, if this router follows the
@@ -140,6 +145,7 @@
 	if v.writing || !v.isRead || now.Before(v.nextWrite) || c.store.IsUnavailable() || !c.delegator.Follows(now) {
 		return
 	}
+	c.a.pins.pinner.SetEra(c.a.store.Era())
 	writes := c.a.pins.pinner.Writes(now)
 	if len(writes) == 0 {
 		v.missingSince = time.Time{}
@@ -199,6 +205,6 @@
 		return fmt.Errorf("attacher: record of versions: %w", err)
 	}
 	s.pinner.Apply(time.Now(), sentAt, w.Record, revision)
-	s.a.Log.Log(logger.VersionsRecorded, "pool", w.Record.Pool, "versions", w.Record.String(), "revision", revision, "revision-before", w.Revision)
+	s.a.Log.Log(logger.VersionsRecorded, "pool", w.Record.Pool, "versions", w.Record.String(), "base", w.Record.Base, "revision", revision, "revision-before", w.Revision)
 	return nil
 }
--- a/attacher/peers.go
+++ b/attacher/peers.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/kingcuphook/kingcuphook/gatherer"
+	"github.com/kingcuphook/kingcuphook/pinner"
 )
 
 const (
@@ -43,6 +44,8 @@
 	changes int
 	// carriesNone has the routers that carry no connections for peers now.
 	carriesNone map[netip.Addr]bool
+	// guards has the announcements of those that guard the bases of records of versions.
+	guards pinner.Announcements
 	// seeds are the configured addresses, which are used while few routers are known.
 	seeds []netip.Addr
 	// ahead is a peer with a newer revision of the store than this router, since
--- a/attacher/pins.go
+++ b/attacher/pins.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/netip"
 	"strings"
 	"sync"
@@ -86,29 +87,63 @@
 
 // Begun implements kingcuphook.StreamPinner. While several versions are or were in service, it
 // waits until the ledger has the stream: the caller may resume it once it has the first event,
-// also if all routers have ended since.
-func (s *pins) Begun(ctx context.Context, r *kingcuphook.Request, version string) {
+// also if all routers have ended since. A stream that isn't in the ledger is taken for one of the base
+// of the pool's record: at another version, it begins only once the ledger has it as queued.
+func (s *pins) Begun(ctx context.Context, r *kingcuphook.Request, version string) error {
 	if !isAttempt(r.ID()) {
-		return
+		return nil
 	}
 	began := time.Now()
 	key := pinner.Key(r.Organisation(), r.ID())
+	base, guarded := s.pinner.Guarded(began, r.Pool())
+	how := recordingDone
+	if guarded && version != base {
+		how = s.queue(ctx, key)
+	}
+	queued := time.Since(began)
+	if how == recordingDone {
+		how = s.record(ctx, key, r.Pool(), version, pinner.MaxHold-queued)
+	} else {
+		how = recordingUnqueued
+	}
+	if how == recordingNone {
+		return nil
+	}
+	held := time.Since(began)
+	s.recordings.count(how, held)
+	s.a.Log.Log(logger.StreamHeld, "request", r.ID(), "pool", r.Pool(), "version", version, "base", base, "queued-ms", queued.Milliseconds(), "held-ms", held.Milliseconds(), "recording", how)
+	if how == recordingUnqueued {
+		return fmt.Errorf("attacher: stream of version %q is not in the ledger: %w", version, kingcuphook.ErrVersionUnrecorded)
+	}
+	return nil
+}
+
+// queue returns once the ledger has the stream without a version, or how it failed.
+func (s *pins) queue(ctx context.Context, key uint64) recording {
+	ended := s.recordings.expect(key, true)
+	defer s.recordings.forget(key, ended)
+	if !s.pinner.Queue(time.Now(), key) {
+		return recordingDone
+	}
+	s.recordings.wake()
+	return s.recordings.hold(ctx, ended, pinner.MaxGuard)
+}
+
+// record has the ledger record a stream that begins, and waits for that as long as it can be expected.
+func (s *pins) record(ctx context.Context, key uint64, pool, version string, longest time.Duration) recording {
 	var ended <-chan recording
-	if s.pinner.IsMixed(r.Pool()) {
-		ended = s.recordings.expect(key)
+	if s.pinner.IsMixed(pool) {
+		ended = s.recordings.expect(key, false)
 		defer s.recordings.forget(key, ended)
 	}
-	if !s.pinner.Begun(began, key, r.Pool(), version) {
-		return
+	if !s.pinner.Begun(time.Now(), key, pool, version) {
+		return recordingNone
 	}
 	s.recordings.wake()
-	how := recordingDistant
-	if ended != nil {
-		how = s.recordings.hold(ctx, ended)
+	if ended == nil {
+		return recordingDistant
 	}
-	held := time.Since(began)
-	s.recordings.count(how, held)
-	s.a.Log.Log(logger.StreamHeld, "request", r.ID(), "pool", r.Pool(), "version", version, "held-ms", held.Milliseconds(), "recording", how)
+	return s.recordings.hold(ctx, ended, longest)
 }
 
 // Find implements kingcuphook.StreamPinner.
@@ -116,14 +151,17 @@
 	began := time.Now()
 	found, err := s.find(ctx, pinner.Key(organisation, attempt), isAttempt(attempt), pool)
 	took := time.Since(began)
+	e := s.pinner.Evidence(time.Now(), pool)
+	log := s.a.Log.With("base", e.Base, "record-revision", e.Revision, "record-age-ms", e.RecordAge.Milliseconds(), "ledger-age-ms", e.LedgerAge.Milliseconds(),
+		"has-share", e.HasShare, "guarded", e.IsGuarded, "versions", strings.Join(s.pinner.Versions(began, pool), ","))
 	if err != nil {
 		s.unknown.Add(1)
-		s.a.Log.Log(logger.StreamOriginUnknown, "pool", pool, "organisation", organisation, "attempt", attempt[:min(len(attempt), kingcuphook.MaxAttemptBytes)],
-			"versions", strings.Join(s.pinner.Versions(began, pool), ","), "took-ms", took.Milliseconds(), "error", err)
+		log.Log(logger.StreamOriginUnknown, "pool", pool, "organisation", organisation, "attempt", attempt[:min(len(attempt), kingcuphook.MaxAttemptBytes)],
+			"took-ms", took.Milliseconds(), "error", err)
 		return kingcuphook.Origin{}, err
 	}
 	s.found[found.Source].Add(1)
-	s.a.Log.Log(logger.StreamOriginFound, "pool", found.Origin.Pool, "version", found.Origin.Version, "source", found.Source,
+	log.Log(logger.StreamOriginFound, "pool", found.Origin.Pool, "version", found.Origin.Version, "source", found.Source,
 		"organisation", organisation, "attempt", attempt[:min(len(attempt), kingcuphook.MaxAttemptBytes)], "age-ms", found.Age.Milliseconds(), "took-ms", took.Milliseconds())
 	return found.Origin, nil
 }
@@ -166,13 +204,24 @@
 		case <-ctx.Done():
 			read, silent = nil, nil
 		}
-		if found, err = s.pinner.Find(time.Now(), began, key, pool); !isUnknown(err) {
+		found, err = s.pinner.Find(time.Now(), began, key, pool)
+		isBase := err == nil && found.Source == pinner.SourceBase
+		if isBase && !named {
+			found, err = pinner.Found{}, errUnnamed
+		}
+		// Peers may know a stream that isn't in the ledger.
+		awaitsPeers := isBase && silent != nil
+		if !isUnknown(err) && !awaitsPeers {
 			return found, err
 		}
 	}
 	return found, err
 }
 
+// errUnnamed means that a call that resumes a stream names no attempt, while several versions are or were
+// in service.
+var errUnnamed = fmt.Errorf("attacher: no attempt is named: %w", kingcuphook.ErrVersionUnknown)
+
 // askPeers returns once a peer has reported the origin of the stream, or after peerTimeout. A
 // peer may have learned of another version before this router.
 func (s *pins) askPeers(ctx context.Context, key uint64) {
@@ -242,6 +291,10 @@
 	if known := s.pinner.Known(time.Now(), keys); len(known) > 0 {
 		s.a.control.sendTo(peer, pinner.EncodeAnswer(known))
 	}
+	if len(reports) == 1 && reports[0].IsAnnouncement() {
+		s.a.control.offer(func(now time.Time) { s.a.control.peers.guards.Received(now, peer.String()) })
+		return nil
+	}
 	s.learn(reports, pinner.SourcePeer)
 	return nil
 }
--- a/attacher/pinstore.go
+++ b/attacher/pinstore.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -36,15 +37,31 @@
 	defer close(done)
 	ctx, cancel := context.WithTimeout(context.Background(), findTimeout)
 	defer cancel()
-	if !s.all(wanted, s.isCertainlyMixed) {
+	if !s.all(wanted, s.needsNoRecord) {
 		sentAt := time.Now()
-		s.applyRecords(sentAt, s.list(ctx, pinner.RecordPrefix))
+		entries, ok := s.list(ctx, pinner.RecordPrefix)
+		s.applyRecords(sentAt, entries)
+		if ok {
+			s.pinner.RecordsRead(sentAt)
+		}
 	}
 	if s.all(wanted, func(pool string) bool { return !s.pinner.IsMixed(pool) }) {
 		return
 	}
-	for _, e := range s.list(ctx, pinner.LedgerPrefix) {
-		s.learn(s.decodeSegment(e), pinner.SourceStore)
+	s.readLedger(ctx)
+}
+
+// readLedger reads the ledger in the store.
+func (s *pins) readLedger(ctx context.Context) {
+	sentAt := time.Now()
+	entries, complete := s.list(ctx, pinner.LedgerPrefix)
+	for _, e := range entries {
+		reports, ok := s.decodeSegment(e)
+		s.learn(reports, pinner.SourceStore)
+		complete = complete && ok && !pinner.MayBeOverwritten(e.Key())
+	}
+	if complete {
+		s.pinner.LedgerRead(sentAt)
 	}
 }
 
@@ -55,6 +72,12 @@
 	return s.pinner.IsMixed(pool) && !held
 }
 
+// needsNoRecord reports whether the record of the pool in the store can't tell where a stream began, or
+// may begin.
+func (s *pins) needsNoRecord(pool string) bool {
+	return s.isCertainlyMixed(pool) && !s.pinner.HasBase(pool) && !slices.Contains(s.pinner.UnreadPools(), pool)
+}
+
 func (s *pins) all(pools map[string]bool, is func(pool string) bool) bool {
 	for pool := range pools {
 		if !is(pool) {
@@ -64,14 +87,14 @@
 	return true
 }
 
-// list returns the entries of the store with the prefix; nil if it can't be read.
-func (s *pins) list(ctx context.Context, prefix string) []kingcuphook.Entry {
+// list returns the entries of the store with the prefix; ok is false if it can't be read.
+func (s *pins) list(ctx context.Context, prefix string) (entries []kingcuphook.Entry, ok bool) {
 	s.reads.Add(1)
 	entries, err := s.a.store.List(ctx, prefix)
 	if err != nil {
 		s.a.Log.Log(logger.VersionStoreFailed, "call", "list", "key", prefix, "error", err)
 	}
-	return entries
+	return entries, err == nil
 }
 
 // applyEntries applies the entries of the store that tell of versions, those of a snapshot or
@@ -88,7 +111,8 @@
 	}
 	s.pinner.MissingExcept(now, present)
 	for _, e := range entries {
-		for _, r := range s.decodeSegment(e) {
+		reports, _ := s.decodeSegment(e)
+		for _, r := range reports {
 			s.pinner.Learn(now, r, pinner.SourceStore)
 		}
 	}
@@ -97,6 +121,7 @@
 // applyRecords applies the records of versions among entries, as read by a call that was sent at the
 // given time.
 func (s *pins) applyRecords(sentAt time.Time, entries []kingcuphook.Entry) {
+	s.pinner.SetEra(s.a.store.Era())
 	for _, e := range entries {
 		if !strings.HasPrefix(e.Key(), pinner.RecordPrefix) {
 			continue
@@ -131,14 +156,15 @@
 	s.a.Log.Log(logger.VersionRecordRejected, "key", e.Key(), "revision", e.Revision(), "error", err)
 }
 
-// decodeSegment returns the streams in an entry; nil if it is no segment of a ledger.
-func (s *pins) decodeSegment(e kingcuphook.Entry) []pinner.Report {
+// decodeSegment returns the streams in an entry, none if it is no segment of a ledger; ok is false if it
+// can't be read.
+func (s *pins) decodeSegment(e kingcuphook.Entry) (reports []pinner.Report, ok bool) {
 	if !strings.HasPrefix(e.Key(), pinner.LedgerPrefix) || e.Deleted() {
-		return nil
+		return nil, true
 	}
 	reports, err := pinner.DecodeSegment(e.Value())
 	if err != nil {
 		s.logRejected(e, err)
 	}
-	return reports
+	return reports, err == nil
 }
--- a/attacher/recordings.go
+++ b/attacher/recordings.go
@@ -23,6 +23,10 @@
 	recordingDistant recording = "not-expected"
 	// recordingLate means that the ledger did not have the stream in time.
 	recordingLate recording = "late"
+	// recordingNone means that there was none, recordingUnqueued that the stream did not begin, since the
+	// ledger doesn't have it as queued.
+	recordingNone     recording = "none"
+	recordingUnqueued recording = "not-queued"
 	// recordingLeft means that the caller left, or its deadline passed.
 	recordingLeft recording = "caller-left"
 )
@@ -47,12 +51,12 @@
 }
 
 // expect returns the channel on which it is told how the recording of the stream ends; nil if
-// that can't be expected soon, or another call waits for it. It is called before the stream is
-// queued.
-func (r *recordings) expect(key uint64) <-chan recording {
+// that can't be expected soon and isn't required, or another call waits for it. It is called before
+// the stream is queued.
+func (r *recordings) expect(key uint64, required bool) <-chan recording {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.waiting[key] != nil || !r.pacer.IsSoon(time.Now()) {
+	if r.waiting[key] != nil || !required && !r.pacer.IsSoon(time.Now()) {
 		return nil
 	}
 	ended := make(chan recording, 1)
@@ -77,9 +81,16 @@
 	}
 }
 
-// hold waits until the recording of the stream ends, at most for pinner.MaxHold.
-func (r *recordings) hold(ctx context.Context, ended <-chan recording) recording {
-	timeout := time.NewTimer(pinner.MaxHold)
+// canGuard reports whether the ledger can be expected to have a stream in time that must be in it.
+func (r *recordings) canGuard() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.pacer.CanGuard(time.Now())
+}
+
+// hold waits until the recording of the stream ends, at most for the given time.
+func (r *recordings) hold(ctx context.Context, ended <-chan recording, longest time.Duration) recording {
+	timeout := time.NewTimer(longest)
 	defer timeout.Stop()
 	select {
 	case how := <-ended:
--- a/attacher/recordings_test.go
+++ b/attacher/recordings_test.go
@@ -43,16 +43,16 @@
 				r.untilWrite(true, routers)
 				time.Sleep(time.Second)
 				r.beginWrite(routers)
-				ended := r.expect(1)
+				ended := r.expect(1, false)
 				is.True(ended != nil)
-				is.True(r.expect(1) == nil) // another call with the ID
+				is.True(r.expect(1, false) == nil) // another call with the ID
 				began := time.Now()
 				go test.write(r)
-				is.Equal(r.hold(t.Context(), ended), test.how)
+				is.Equal(r.hold(t.Context(), ended, pinner.MaxHold), test.how)
 				is.Equal(time.Since(began), test.held)
 				r.forget(1, ended)
 				time.Sleep(200 * time.Millisecond)
-				is.Equal(r.expect(3) != nil, test.next)
+				is.Equal(r.expect(3, false) != nil, test.next)
 			})
 		})
 	}
@@ -63,10 +63,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		r := newRecordings()
-		ended := r.expect(1)
+		ended := r.expect(1, false)
 		ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
 		defer cancel()
-		is.Equal(r.hold(ctx, ended), recordingLeft)
+		is.Equal(r.hold(ctx, ended, pinner.MaxHold), recordingLeft)
 		r.forget(1, ended)
 		is.Equal(len(r.waiting), 0)
 	})
--- a/attacher/version_test.go
+++ b/attacher/version_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/pinner"
 	"github.com/kingcuphook/kingcuphook/platform"
 	"github.com/kingcuphook/kingcuphook/platform/standin"
 )
@@ -45,3 +48,59 @@
 	w.True(strings.HasPrefix(completeStream(), body))
 	w.True(len(w.upstreams[0].Runs()) == 0 || len(w.upstreams[1].Runs()) == 0)
 }
+
+// Streams of the only version were in no ledger: none went on after all routers were killed while a release to a
+// second version began.
+func TestStreamsOfOnlyVersionGoOnAfterReleaseWhileAllRoutersAreDown(t *testing.T) {
+	t.Parallel()
+	w := newTestPlatform(t)
+	w.registerVersions("1", "1")
+	fleet := w.startFleet(96, 2)
+	w.waitFor("the base", func() bool { return w.base() == "1" })
+	streams := w.begin(fleet[0], 4)
+	w.whileDown = func() { w.registerVersion("i-1", w.addresses[1], "2") } // half of the upstreams
+	w.restart(96, fleet, 0, 1)
+	time.Sleep(6 * time.Second) // until the second version is recorded and streams begin there
+	for _, s := range streams {
+		status, upstream := w.resumeStream(fleet[1], s, s.id)
+		w.Equal(status, http.StatusOK)
+		w.Equal(upstream, "i-0")
+	}
+	w.Equal(w.base(), "1")
+	begun := w.beginAtEach(fleet[0], 3)
+	w.restart(96, fleet, 0, 1)
+	w.Equal(w.countResumed(fleet[1], begun), len(begun)) // those of the second version are in the ledger
+	status, _ := w.resumeStream(fleet[1], begun[0], "")
+	w.Equal(status, http.StatusServiceUnavailable)
+}
+
+// base returns the base in the record of the pool.
+func (w *testPlatform) base() string {
+	w.t.Helper()
+	key := pinner.Record{Pool: standin.Pool}.Key()
+	e, err := w.store.Get(w.t.Context(), key)
+	if errors.Is(err, kingcuphook.ErrNotFound) {
+		return ""
+	}
+	w.NoErr(err)
+	r, err := pinner.DecodeRecord(key, e.Value())
+	w.NoErr(err)
+	return r.Base
+}
+
+// A stream that began at the second version while the store rejected all calls was joined at the base.
+func TestStreamBeginsOnlyAtBaseWhileLedgerCannotBeWritten(t *testing.T) {
+	t.Parallel()
+	w := newTestPlatform(t)
+	w.registerVersions("1", "1")
+	fleet := w.startFleet(97, 2)
+	w.waitFor("the base", func() bool { return w.base() == "1" })
+	w.registerVersion("i-1", w.addresses[1], "2")
+	time.Sleep(6 * time.Second) // until the second version is recorded
+	w.storeDown.Store(true)
+	streams := w.beginServed(fleet[0], 12)
+	w.Equal(len(streams), 12) // one whose record failed begins again
+	w.whileDown = func() { w.storeDown.Store(false) }
+	w.restart(97, fleet, 0, 1)
+	w.Equal(w.countResumed(fleet[1], streams), len(streams))
+}
--- a/dispatcher/errors.go
+++ b/dispatcher/errors.go
@@ -23,6 +23,8 @@
 	claimedRetryAfter = 2 * time.Second
 	suspectRetryAfter = 10 * time.Second
 	partRetryAfter    = 15 * time.Second
+	// unrecordedRetryAfter is that of a stream that can't be recorded.
+	unrecordedRetryAfter = 500 * time.Millisecond
 )
 
 // codes maps sentinel errors to error codes. The first match applies.
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -66,6 +66,8 @@
 	// unsent counts the dispatches that reached no upstream of the pool, since the last one
 	// that did: nothing was sent, or another program had the address.
 	unsent int
+	// restarted is set once a stream that was not recorded had to begin again.
+	restarted bool
 	// dispatched is set once the call was dispatched.
 	dispatched bool
 	// failed holds the upstreams that failed this call. They are tried again when
@@ -293,15 +295,27 @@
 		r.attempts--
 		r.d.count(func(n *Counts) { n.Preempted++ })
 		return err
+	case errors.Is(err, kingcuphook.ErrVersionUnrecorded):
+		r.restarted = true
 	case errors.Is(err, errUnresponsive):
 		r.d.count(func(n *Counts) { n.Unresponsive++ })
 	case event == tracker.EventBreak && isCrash(err):
 		r.recordCrash(ctx, u, suspect)
+		r.replaceRestart()
 	}
 	r.failed = append(r.failed, u.Address())
 	return err
 }
 
+// replaceRestart gives back the attempt that was left for the crash of an upstream, if it was spent since
+// a stream could not be recorded. A crashed upstream doesn't count.
+func (r *run) replaceRestart() {
+	if r.restarted {
+		r.restarted = false
+		r.attempts--
+	}
+}
+
 func (r *run) newAttempt(c kingcuphook.Choice) *kingcuphook.Attempt {
 	address := c.Upstream.Address()
 	resent := slices.Contains(r.sent, address)
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -249,7 +249,9 @@
 	if err := r.tracker.Apply(tracker.EventFrame); err != nil {
 		return &finalError{err}
 	}
-	r.pin(ctx, a.slot.Choice().Upstream)
+	if err := r.pin(ctx, a.slot.Choice().Upstream); err != nil {
+		return r.unrecorded(a, err)
+	}
 	if !r.request.Stream() {
 		return nil
 	}
@@ -263,6 +265,16 @@
 	return nil
 }
 
+// unrecorded returns the error of an attempt whose stream must not begin for err. Its upstream is not at fault.
+func (r *run) unrecorded(a *openAttempt, err error) error {
+	reqErr := &kingcuphook.RequestError{Code: kingcuphook.CodeVersionUnknown, Ran: r.tracker.RunState(), RetryAfter: unrecordedRetryAfter, Err: err}
+	if !errors.Is(err, kingcuphook.ErrVersionUnrecorded) {
+		return &finalError{reqErr}
+	}
+	a.watch.cancel(err)
+	return reqErr
+}
+
 // writeHead writes the head of the answer to the caller, once. An answer that is
 // resumed on another upstream keeps the head from the first.
 func (r *run) writeHead(a *openAttempt) error {
--- a/dispatcher/version_test.go
+++ b/dispatcher/version_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"testing"
@@ -97,10 +98,12 @@
 	kingcuphook.StreamPinner
 	begun []string
 	text  func() string
+	err   error
 }
 
-func (p *pins) Begun(_ context.Context, r *kingcuphook.Request, version string) {
+func (p *pins) Begun(_ context.Context, r *kingcuphook.Request, version string) error {
 	p.begun = append(p.begun, fmt.Sprintf("%s %s %q", r.ID(), version, p.text()))
+	return p.err
 }
 
 // A stream was not known to be begun, or known by the version of a later attempt.
@@ -146,3 +149,69 @@
 		r.Equal(r.text.String(), runner.AnswerText([]byte(body), words))
 	})
 }
+
+// A stream that had to be recorded and wasn't went to its caller, or on to another version.
+func TestStreamThatCannotBeRecordedEnds(t *testing.T) {
+	runVersions(t, []string{"1", "2"}, func(r *harness) {
+		r.Pins = &pins{text: r.text.String, err: kingcuphook.ErrVersionUnknown}
+		_, err := r.Dispatch(context.Background(), &kingcuphook.Call{
+			Request: kingcuphook.NewRequest(kingcuphook.RequestFields{ID: "r1", Stream: true}), Body: []byte(body), Kind: kingcuphook.UpstreamKindEngine,
+			Opaque: &kingcuphook.Opaque{MaxAttempts: 2, Resumable: true},
+		}, r)
+		var ended *kingcuphook.RequestError
+		r.True(errors.As(err, &ended))
+		r.Equal(fmt.Sprint(ended.Code, " ", ended.Ran), "stream-version-unknown unknown")
+		r.Equal(r.text.String(), "")
+		r.Equal(r.ran(), "a")
+	})
+}
+
+// recordsOnly is a kingcuphook.StreamPinner that can record streams of one version only.
+type recordsOnly struct {
+	kingcuphook.StreamPinner
+	version string
+}
+
+func (p recordsOnly) Begun(_ context.Context, _ *kingcuphook.Request, version string) error {
+	if version != p.version {
+		return kingcuphook.ErrVersionUnrecorded
+	}
+	return nil
+}
+
+// A stream whose version could not be recorded ended with 502 at a sound upstream.
+func TestStreamThatIsNotRecordedBeginsAgain(t *testing.T) {
+	crash := runner.Fault{Kind: runner.FaultEarlyEnd}
+	for name, test := range map[string]struct {
+		versions []string
+		attempts int
+		faults   []runner.Fault
+		ran      string
+	}{
+		"begins again":               {[]string{"1", "2"}, 2, nil, "ab"},
+		"another one crashes":        {[]string{"1", "2", "2"}, 2, []runner.Fault{{}, crash}, "abc"},
+		"two others crash":           {[]string{"1", "2", "2", "2"}, 2, []runner.Fault{{}, crash, crash}, "abc"},
+		"no attempt is left":         {[]string{"1", "2"}, 1, nil, "a"},
+		"no version can be recorded": {[]string{"1", "1", "1"}, 2, nil, "ab"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runVersions(t, test.versions, func(r *harness) {
+				r.Pins, r.faults = recordsOnly{version: "2"}, test.faults
+				_, err := r.Dispatch(context.Background(), &kingcuphook.Call{
+					Request: kingcuphook.NewRequest(kingcuphook.RequestFields{ID: "r1", Stream: true}), Body: []byte(body), Kind: kingcuphook.UpstreamKindEngine,
+					Opaque: &kingcuphook.Opaque{MaxAttempts: test.attempts, Resumable: true},
+				}, r)
+				r.Equal(r.ran(), test.ran)
+				if name == "begins again" || name == "another one crashes" {
+					r.NoErr(err)
+					r.Equal(r.text.String(), runner.AnswerText([]byte(body), words)) // nothing of the first is kept
+					return
+				}
+				var ended *kingcuphook.RequestError
+				r.True(errors.As(err, &ended))
+				r.Equal(ended.Ran, kingcuphook.RunStateUnknown)
+				r.Equal(r.text.String(), "")
+			})
+		})
+	}
+}
--- a/errors.go
+++ b/errors.go
@@ -77,6 +77,9 @@
 	ErrUpstreamsLimited = errors.New("all upstreams are at their rate limit")
 	// ErrVersionUnknown means that it is not known which software version began a stream.
 	ErrVersionUnknown = errors.New("software version of the stream unknown")
+	// ErrVersionUnrecorded means that a stream can't begin at a software version, since that isn't
+	// recorded. It may begin at another one.
+	ErrVersionUnrecorded = errors.New("software version of the stream not recorded")
 	// ErrVersionGone means that no upstream of the software version that began a stream is
 	// in service.
 	ErrVersionGone = errors.New("software version of the stream gone")
--- a/logger/events.go
+++ b/logger/events.go
@@ -90,6 +90,7 @@
 	VersionRecordRejected = Event{1704, LevelWarn, "record of software versions or of streams in the store rejected"}
 	VersionStoreFailed    = Event{1705, LevelInfo, "call to the store for software versions or streams failed"}
 	StreamHeld            = Event{1706, LevelInfo, "first event of a stream passed on after the wait for the record of the stream"}
+	BasesGuarded          = Event{1707, LevelInfo, "found whether all routers guard the bases of records of versions"}
 )
 
 // Catalogue returns all events in ascending order of their numbers.
@@ -161,5 +162,6 @@
 		VersionRecordRejected,
 		VersionStoreFailed,
 		StreamHeld,
+		BasesGuarded,
 	}
 }
--- a/origin.go
+++ b/origin.go
@@ -18,8 +18,9 @@
 type StreamPinner interface {
 	// Begun records that an upstream of the version sends the first event of the request's
 	// stream. It returns once the caller may get that event: when the record outlasts this
-	// router, if that is needed and can be expected soon, or when ctx ends.
-	Begun(ctx context.Context, r *Request, version string)
+	// router, if that is needed and can be expected soon, or when ctx ends. The error means that the
+	// caller must not get it; if it wraps ErrVersionUnrecorded, the stream may begin again at any version.
+	Begun(ctx context.Context, r *Request, version string) error
 	// Find returns the origin of the stream that a call resumes. Attempt is the ID of the
 	// caller's attempt that brought the first event; empty if the caller names none. Pool is
 	// used when only one version can have begun the stream. The error wraps
--- /dev/null
+++ b/pinner/base_test.go
@@ -0,0 +1,259 @@
+package pinner
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/kingcuphook/kingcuphook"
+)
+
+const era = 3
+
+// Streams of the only version were unknown when a second one had come while all routers were down, or
+// were joined although another version may have begun them.
+func TestStreamInNoLedgerBeganAtBase(t *testing.T) {
+	single, both := []RecordedVersion{{Version: "1"}}, []RecordedVersion{{Version: "1"}, {Version: "2"}}
+	half := []string{"1", "1", "2", "2"}
+	later := start.Add(time.Minute)
+	based := func(versions []RecordedVersion) *Record {
+		return &Record{Pool: "models", Versions: versions, Base: "1", BaseEra: era}
+	}
+	for name, test := range map[string]struct {
+		record              *Record
+		recordRead, logRead time.Time
+		fleet               Fleet
+		versions            []string
+		want                Source
+	}{
+		"second version recorded":      {based(both), later, later, Fleet{}, half, SourceBase},
+		"second version not recorded":  {based(single), later, later, Fleet{}, half, SourceBase},
+		"no record":                    {nil, later, later, Fleet{}, half, ""},
+		"record of the earlier build":  {&Record{Pool: "models", Versions: both}, later, later, Fleet{}, half, ""},
+		"record of an earlier era":     {&Record{Pool: "models", Versions: both, Base: "1", BaseEra: era - 1}, later, later, Fleet{}, half, ""},
+		"record read before":           {based(both), start, later, Fleet{}, half, ""},
+		"ledger read before":           {based(both), later, start, Fleet{}, half, ""},
+		"router of the earlier build":  {based(both), later, later, Fleet{Broken: true}, half, ""},
+		"few upstreams have the base":  {based(both), later, later, Fleet{}, []string{"1", "2", "2"}, ""},
+		"base has left":                {based(both), later, later, Fleet{}, []string{"2"}, ""},
+		"a third version has come too": {based(both), later, later, Fleet{}, []string{"1", "1", "2", "3"}, SourceBase},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := &Pinner{}
+			p.SetEra(era)
+			p.SetFleet(test.fleet)
+			p.Observe(start, tables(test.versions...))
+			if test.record != nil {
+				p.Apply(start, test.recordRead, *test.record, 1)
+			}
+			p.LedgerRead(test.logRead)
+			p.Learn(later, Report{Key: 2, Mark: markOf("models", "2")}, SourceStore)
+			found, err := p.Find(later, later.Add(-time.Second), 1, "models")
+			is.Equal(found.Source, test.want)
+			is.Equal(err == nil, test.want != "")
+			is.True(err == nil || errors.Is(err, kingcuphook.ErrVersionUnknown))
+			found, err = p.Find(later, later.Add(-time.Second), 2, "models")
+			is.True(err != nil || found.Origin.Version == "2") // the ledger has it
+		})
+	}
+}
+
+// recordAll writes the records that p lacks, as a store would, and returns the last one.
+func recordAll(is *is.I, p *Pinner, now time.Time, revision *int64) Record {
+	for _, w := range p.Writes(now) {
+		*revision++
+		p.Apply(now, now, w.Record, *revision)
+	}
+	is.Equal(len(p.Writes(now)), 0)
+	return *p.pools["models"].record
+}
+
+// A record named a version as the one of all streams in no ledger while a router may have begun others so.
+func TestBaseEndsOnceStreamsMayBeginElsewhere(t *testing.T) {
+	half := []string{"1", "1", "2", "2"}
+	for name, test := range map[string]struct {
+		change func(p *Pinner, now time.Time)
+		want   string
+	}{
+		"second version":  {func(p *Pinner, now time.Time) { p.Observe(now, tables(half...)) }, "1"},
+		"most have it":    {func(p *Pinner, now time.Time) { p.Observe(now, tables("1", "2", "2")) }, ""},
+		"earlier build":   {func(p *Pinner, now time.Time) { p.Observe(now, tables(half...)); p.SetFleet(Fleet{Broken: true}) }, ""},
+		"older copy":      {func(p *Pinner, now time.Time) { p.Observe(now, tables(half...)); p.SetEra(era + 1) }, ""},
+		"only older copy": {func(p *Pinner, _ time.Time) { p.SetEra(era + 1) }, ""},
+		"record lost": {func(p *Pinner, now time.Time) {
+			p.Observe(now, tables(half...))
+			p.MissingExcept(now, nil)
+		}, ""},
+		"rewritten by the earlier build": {func(p *Pinner, now time.Time) {
+			p.Observe(now, tables(half...))
+			p.Apply(now, now, Record{Pool: "models", Versions: []RecordedVersion{{Version: "1"}, {Version: "2"}}}, 100)
+		}, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p, revision := &Pinner{}, int64(0)
+			p.SetEra(era)
+			p.Observe(start, tables("1"))
+			is.Equal(recordAll(is, p, start, &revision).Base, "") // not all routers are known to guard it
+			p.SetFleet(Fleet{All: true})
+			is.Equal(recordAll(is, p, start, &revision).Base, "1")
+			test.change(p, start)
+			revision = 200
+			recordAll(is, p, start.Add(holdFor), &revision)
+			is.Equal(p.pools["models"].base(p.era), test.want)
+			p.SetFleet(Fleet{All: true})
+			recordAll(is, p, start.Add(2*holdFor), &revision)
+			is.Equal(p.pools["models"].base(p.era), test.want)
+		})
+	}
+}
+
+// A router of the earlier build, which doesn't guard the base, was taken for one that does, or one that had ended
+// for one of the earlier build.
+func TestFleetGuardsBaseIfAllAnnounceIt(t *testing.T) {
+	is := is.New(t)
+	_, reports, err := Decode(EncodeAnnouncement())
+	is.NoErr(err)
+	is.True(len(reports) == 1 && reports[0].IsAnnouncement())
+	var a Announcements
+	seen := map[string]time.Time{"a": start}
+	is.Equal(a.Judge(nil), Fleet{All: true})
+	is.Equal(a.Judge(seen), Fleet{}) // it has just come
+	a.Received(start, "a")
+	is.Equal(a.Judge(seen), Fleet{All: true}) // also if it has ended
+	seen["a"] = start.Add(announceTimeout + 1)
+	is.Equal(a.Judge(seen), Fleet{Broken: true, Odd: "a"}) // its build was replaced
+	a.Received(seen["a"], "a")
+	seen["b"] = start
+	a.Judge(seen)
+	seen["b"] = start.Add(announceTimeout + 1)
+	is.Equal(a.Judge(seen), Fleet{Broken: true, Odd: "b"})
+	for n := range 100 {
+		seen[string(rune('c'+n))] = start
+	}
+	is.True(a.Judge(seen).Broken) // the ledger has streams too late
+}
+
+// Streams went out at another version than the base that the ledger lacked, or lost to a late write.
+func TestLedgerKeepsStreamsOfOtherVersions(t *testing.T) {
+	is := is.New(t)
+	p := fresh(start, []RecordedVersion{{Version: "1"}}, "1", "2")
+	version, guarded := p.Guarded(start.Add(time.Hour), "models") // recorded or not
+	is.True(guarded && version == "1")
+	p.RecordsRead(start)
+	p.Observe(start, tables("1", "2", "2"))
+	_, guarded = p.Guarded(start, "models")
+	is.True(!guarded)
+	now := start.Add(time.Second)
+	p.Observe(now, tables("2", "2", "3")) // version 2 may be the base by now
+	version, guarded = p.Guarded(now, "models")
+	is.True(guarded && version == "2")
+	is.Equal(p.UnreadPools(), []string{"models"})
+	p.RecordsRead(now)
+	_, guarded = p.Guarded(now, "models")
+	is.True(!guarded && len(p.UnreadPools()) == 0)
+	numbers := make([]int, 0, segments)
+	for key := range uint64(segments) {
+		p.Begun(start, key, "models", "2")
+		s, ok := p.NextSegment(start, 8)
+		is.True(ok)
+		numbers = append(numbers, s.Number)
+		p.Seal() // the write failed
+	}
+	is.Equal(numbers, []int{0, 1, 2, 3, 4, 5, 6, 7})
+	is.True(MayBeOverwritten("streams/a/b/7") && !MayBeOverwritten("streams/a/b/6"))
+
+	var pacer Pacer
+	is.True(pacer.CanGuard(start))
+	pacer.Begin(start, 8)
+	is.True(!pacer.CanGuard(start.Add(MaxHold + 1)))
+	pacer.End(start, false)
+	is.True(!pacer.CanGuard(start))
+	pacer.End(start, true)
+	is.True(pacer.CanGuard(start))
+	pacer.Begin(start, 8)
+	pacer.End(start.Add(MaxGuard/2+1), true)
+	is.True(!pacer.CanGuard(start)) // the store is slow
+}
+
+// A router that knew no record of a pool didn't read the one that had been written since, and began streams
+// beside its base that the ledger didn't have.
+func TestRouterWithoutRecordReadsItOnceVersionsAreMixed(t *testing.T) {
+	for _, hasRead := range []bool{true, false} {
+		is := is.New(t)
+		p := &Pinner{}
+		p.SetEra(era)
+		if hasRead {
+			p.RecordsRead(start) // there was none
+		}
+		p.Observe(start, tables("1", "1"))
+		p.SetFleet(Fleet{All: true})
+		now := start.Add(time.Minute)
+		p.Observe(now, tables("1", "2"))
+		is.Equal(p.UnreadPools(), []string{"models"})
+		version, guarded := p.Guarded(now, "models")
+		is.True(guarded && version == "1")
+		p.RecordsRead(now) // there is none
+		_, guarded = p.Guarded(now, "models")
+		is.True(!guarded && len(p.UnreadPools()) == 0)
+	}
+}
+
+func TestNoVersionIsFirstIfTwoCameAtOnce(t *testing.T) {
+	is := is.New(t)
+	p := &Pinner{}
+	p.Observe(start, tables("1", "2"))
+	p.Observe(start.Add(time.Second), tables("1", "2", "3"))
+	_, guarded := p.Guarded(start.Add(time.Second), "models")
+	is.True(!guarded)
+}
+
+// A stream that was queued for the ledger, and then began elsewhere or not at all, was taken for one of the version
+// it was queued for.
+func TestQueuedStreamBeginsAtAnyVersion(t *testing.T) {
+	first, second, queued := markOf("models", "1"), markOf("models", "2"), uint64(tentative)
+	for name, test := range map[string]struct {
+		segments []uint64
+		want     string
+	}{
+		"not begun":                    {[]uint64{queued}, ""},
+		"begun at the base":            {[]uint64{queued, first}, "1"},
+		"begun, older segment is late": {[]uint64{second, queued}, "2"},
+		"begun at two":                 {[]uint64{queued, first, second}, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := fresh(start, nil, "1", "2")
+			p.Apply(start, start, Record{Pool: "models", Versions: []RecordedVersion{{Version: "1"}, {Version: "2"}}, Base: "1"}, 1)
+			p.LedgerRead(start)
+			for _, mark := range test.segments {
+				p.Learn(start, Report{Key: 7, Mark: mark}, SourceStore)
+			}
+			found, err := p.Find(start, start.Add(-time.Second), 7, "models")
+			is.Equal(found.Origin.Version, test.want)
+			is.Equal(errors.Is(err, kingcuphook.ErrVersionUnknown), test.want == "")
+		})
+	}
+	t.Run("own", func(t *testing.T) {
+		is := is.New(t)
+		p := fresh(start, nil, "1", "2")
+		is.True(p.Queue(start, 7))
+		segment, ok := p.NextSegment(start, 3)
+		is.True(ok)
+		reports, err := DecodeSegment(segment.Value)
+		is.NoErr(err)
+		is.Equal(reports, []Report{{Key: 7, Mark: tentative}})
+		is.Equal(len(p.Known(start, []uint64{7})), 0)
+		_, err = p.Find(start, start, 7, "models")
+		is.True(errors.Is(err, kingcuphook.ErrVersionUnknown))
+		is.True(p.Begun(start, 7, "models", "2"))
+		is.True(!p.Queue(start, 7))
+		p.Learn(start, reports[0], SourceStore)
+		found, err := p.Find(start, start, 7, "models")
+		is.NoErr(err)
+		is.Equal(found.Origin.Version, "2")
+	})
+}
--- a/pinner/ledger.go
+++ b/pinner/ledger.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
@@ -35,6 +37,8 @@
 	// current are the streams in the segment with the number.
 	current []uint64
 	number  int
+	// sealed is true if no more streams are added to the current segment.
+	sealed bool
 }
 
 func (l *ledger) queue(key uint64) {
@@ -66,15 +70,33 @@
 	bytes := max(min(maxLedgerBytes, fleetLedgerBytes/max(routers, 1))/segments, minSegmentBytes)
 	most := (bytes - segmentHeaderBytes - maxVersions*markBytes) / loggedBytes
 	n := min(len(l.queued), most)
-	if len(l.current)+n > most {
-		l.current, l.number = nil, (l.number+1)%segments
+	if l.sealed || len(l.current)+n > most {
+		l.current, l.number, l.sealed = nil, (l.number+1)%segments, false
 	}
 	added := slices.Clone(l.queued[len(l.queued)-n:])
-	l.current = append(l.current, added...)
+	for _, key := range added {
+		if !slices.Contains(l.current, key) {
+			l.current = append(l.current, key)
+		}
+	}
 	l.queued = l.queued[:len(l.queued)-n]
 	return Segment{Number: l.number, Value: p.encodeSegment(now, l.current), Added: added}, true
 }
 
+// Seal begins another segment with the next stream. It is called after a failed write of the current
+// one, which the store may apply after a later write.
+func (p *Pinner) Seal() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ledger.sealed = true
+}
+
+// MayBeOverwritten reports whether the router that wrote the segment with the key may have overwritten
+// others.
+func MayBeOverwritten(key string) bool {
+	return strings.HasSuffix(key, "/"+strconv.Itoa(segments-1))
+}
+
 // WriteAgain queues all streams for the ledger that have begun in pools with several versions. It
 // is called when the store has come back from an older copy, which may lack segments.
 func (p *Pinner) WriteAgain(now time.Time) {
--- a/pinner/memory.go
+++ b/pinner/memory.go
@@ -11,6 +11,8 @@
 	maxEntries = 32_768
 	// ambiguous is the mark of a stream that is reported to have begun at two versions.
 	ambiguous = 0
+	// tentative is the mark of a stream that may begin at another version than the base of its pool.
+	tentative = 1
 )
 
 // entry is the origin of a stream.
@@ -30,10 +32,10 @@
 }
 
 // add adds an entry and reports whether it is new. If there is another one with the same key
-// and another mark, that becomes ambiguous.
+// and another mark, that becomes ambiguous. A tentative one yields to any other.
 func (m *memory) add(now time.Time, key uint64, e entry) bool {
-	if old, ok := m.get(now, key); ok {
-		if old.mark != e.mark {
+	if old, ok := m.get(now, key); ok && (old.mark != tentative || e.mark == tentative) {
+		if old.mark != e.mark && e.mark != tentative {
 			old.mark = ambiguous
 			m.entries[key] = old
 		}
--- a/pinner/pacer.go
+++ b/pinner/pacer.go
@@ -6,6 +6,8 @@
 	// MaxHold bounds for how long the first event of a stream is held back until the ledger
 	// has the stream.
 	MaxHold = 250 * time.Millisecond
+	// MaxGuard bounds it for a stream that has to be in the ledger. Otherwise the stream ends.
+	MaxGuard = time.Second
 	// minWriteInterval is the shortest mean time between the begins of two writes of the ledger
 	// of a router, and writeIntervalPerRouter that between two writes of all routers together.
 	minWriteInterval       = 20 * time.Millisecond
@@ -78,6 +80,12 @@
 	p.began, p.failing = time.Time{}, !succeeded
 }
 
+// CanGuard reports whether a stream can be expected in the ledger within MaxGuard, as far as earlier
+// writes show. It may have to wait for the end of one write and for the next one.
+func (p *Pacer) CanGuard(now time.Time) bool {
+	return !p.failing && 2*p.took <= MaxGuard && (p.began.IsZero() || now.Sub(p.began) <= MaxHold)
+}
+
 // IsSoon reports whether a stream that begins now can be expected in the ledger within MaxHold.
 func (p *Pacer) IsSoon(now time.Time) bool {
 	if p.failing || !p.began.IsZero() && now.Sub(p.began) > MaxHold {
--- a/pinner/pinner.go
+++ b/pinner/pinner.go
@@ -17,6 +17,9 @@
 // ErrAmbiguous means that a stream is reported to have begun at two versions.
 var ErrAmbiguous = fmt.Errorf("pinner: begun at two versions: %w", kingcuphook.ErrVersionUnknown)
 
+// errTentative means that a stream may have begun at another version than the base of its pool.
+var errTentative = fmt.Errorf("pinner: only queued to begin: %w", kingcuphook.ErrVersionUnknown)
+
 // Source is where the origin of a stream is known from.
 type Source string
 
@@ -29,10 +32,15 @@
 	// SourcePeer and SourceStore mean that a peer or the store reported it.
 	SourcePeer  Source = "peer"
 	SourceStore Source = "store"
+	// SourceBase means that neither a router nor the ledger has the stream, so that it began at
+	// the base of the pool's record.
+	SourceBase Source = "base"
 )
 
 // Sources returns all values of Source.
-func Sources() []Source { return []Source{SourceMemory, SourceSingle, SourcePeer, SourceStore} }
+func Sources() []Source {
+	return []Source{SourceMemory, SourceSingle, SourcePeer, SourceStore, SourceBase}
+}
 
 // Found is the origin of a stream.
 type Found struct {
@@ -56,6 +64,13 @@
 	// confirmedAt is when the tables were last known to be those in force.
 	confirmedAt time.Time
 	ledger      ledger
+	// era is that of the store, fleet what is known of the other routers, and ledgerReadAt and
+	// recordsReadAt are when the whole ledger and all records were last read.
+	era                         int64
+	fleet                       Fleet
+	ledgerReadAt, recordsReadAt time.Time
+	// lastsLong is true if a stream may last longer than its origin is kept.
+	lastsLong bool
 }
 
 // Key identifies the stream that an attempt of a caller began.
@@ -63,9 +78,9 @@
 	return xxhash.Sum64String(organisation + "\x00" + attempt)
 }
 
-// markOf identifies a version of a pool. It is never ambiguous.
+// markOf identifies a version of a pool. It is neither ambiguous nor tentative.
 func markOf(pool, version string) uint64 {
-	return max(xxhash.Sum64String(pool+"\x00"+version), ambiguous+1)
+	return max(xxhash.Sum64String(pool+"\x00"+version), tentative+1)
 }
 
 // Begun records that the stream with the key begins at an upstream of the version. It reports
@@ -81,6 +96,19 @@
 	return true
 }
 
+// Queue queues the stream with the key for the ledger before it begins. Whoever reads that doesn't
+// take it for one of the base, so that it may begin at any version, or at none. ok is false if it has begun.
+func (p *Pinner) Queue(now time.Time, key uint64) (ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e, known := p.begun.get(now, key); known && e.mark != tentative {
+		return false
+	}
+	p.begun.add(now, key, entry{mark: tentative, at: now, source: SourceMemory})
+	p.ledger.queue(key)
+	return true
+}
+
 // Learn records that a stream began at the mark, age ago, as reported by the source.
 func (p *Pinner) Learn(now time.Time, r Report, source Source) {
 	p.mu.Lock()
@@ -94,7 +122,7 @@
 	defer p.mu.Unlock()
 	var list []Report
 	for _, key := range keys {
-		if e, ok := p.find(now, key); ok {
+		if e, ok := p.find(now, key); ok && e.mark != tentative {
 			list = append(list, Report{Key: key, Mark: e.mark, Age: now.Sub(e.at)})
 		}
 	}
@@ -106,9 +134,9 @@
 	own, begun := p.begun.get(now, key)
 	other, learned := p.learned.get(now, key)
 	switch {
-	case !begun:
+	case !begun || own.mark == tentative && learned:
 		return other, learned
-	case learned && other.mark != own.mark:
+	case learned && other.mark != own.mark && other.mark != tentative:
 		own.mark = ambiguous
 	}
 	return own, true
@@ -124,8 +152,11 @@
 	if !ok {
 		return p.findSingle(now, began, pool)
 	}
-	if e.mark == ambiguous {
+	switch e.mark {
+	case ambiguous:
 		return Found{}, ErrAmbiguous
+	case tentative:
+		return Found{}, errTentative
 	}
 	origin, ok := p.origins[e.mark]
 	if !ok {
@@ -135,11 +166,14 @@
 }
 
 func (p *Pinner) findSingle(now, began time.Time, pool string) (Found, error) {
-	version, ok := p.single(now, began, pool)
+	if version, ok := p.single(now, began, pool); ok {
+		return Found{Origin: kingcuphook.Origin{Pool: pool, Version: version}, Source: SourceSingle}, nil
+	}
+	version, ok := p.findBase(now, began, pool)
 	if !ok {
 		return Found{}, fmt.Errorf("pinner: %d versions for pool %q: %w", len(p.versions(now, pool)), pool, kingcuphook.ErrVersionUnknown)
 	}
-	return Found{Origin: kingcuphook.Origin{Pool: pool, Version: version}, Source: SourceSingle}, nil
+	return Found{Origin: kingcuphook.Origin{Pool: pool, Version: version}, Source: SourceBase}, nil
 }
 
 // Remembered returns the number of streams whose origin is kept.
--- a/pinner/record.go
+++ b/pinner/record.go
@@ -35,6 +35,10 @@
 	Pool string `json:"pool"`
 	// Versions are the versions that are or were in service.
 	Versions []RecordedVersion `json:"versions"`
+	// Base is the version at which the streams began that no ledger has; empty if that is not
+	// known. It holds in the era BaseEra of the store.
+	Base    string `json:"base,omitempty"`
+	BaseEra int64  `json:"base-era,omitempty"`
 }
 
 // RecordedVersion is a version in a Record.
@@ -164,13 +168,28 @@
 	defer p.mu.Unlock()
 	var list []Write
 	for name, pool := range p.pools {
-		if versions := pool.next(now); versions != nil {
-			list = append(list, Write{Record: Record{Pool: name, Versions: versions}, Revision: pool.revision})
+		r := Record{Pool: name, Versions: pool.next(now)}
+		r.Base, r.BaseEra = p.nextBase(now, pool)
+		if pool.lacks(&r) {
+			list = append(list, Write{Record: r, Revision: pool.revision})
 		}
 	}
 	return list
 }
 
+// lacks reports whether the record differs from that in the store. If it has no versions, those there
+// are current.
+func (p *pool) lacks(r *Record) bool {
+	if r.Versions != nil {
+		return true
+	}
+	if p.record == nil || p.record.Base == r.Base && p.record.BaseEra == r.BaseEra {
+		return false
+	}
+	r.Versions = p.record.Versions
+	return true
+}
+
 // next returns the versions for the next record; nil if nothing has changed.
 func (p *pool) next(now time.Time) []RecordedVersion {
 	leftMS := make(map[string]int64)
--- a/pinner/versions.go
+++ b/pinner/versions.go
@@ -218,6 +218,7 @@
 	for _, r := range t.Routes() {
 		longest = max(longest, r.Timeout())
 	}
+	p.lastsLong = longest > maxRetention
 	longest = min(max(longest, minRetention), maxRetention)
 	p.begun.retention, p.learned.retention = longest, longest
 }
--- a/receiver/resumption_test.go
+++ b/receiver/resumption_test.go
@@ -15,7 +15,7 @@
 // pins knows the origin of the streams in it, by the attempt that began them.
 type pins map[string]kingcuphook.Origin
 
-func (pins) Begun(context.Context, *kingcuphook.Request, string) {}
+func (pins) Begun(context.Context, *kingcuphook.Request, string) error { return nil }
 
 func (p pins) Find(_ context.Context, organisation, attempt, pool string) (kingcuphook.Origin, error) {
 	if origin, ok := p[organisation+" "+attempt]; ok {
