Take a silent upstream for a sound one until evidence or time shows otherwise

Cause: a silence of three times the token target counted as the end of a run. Change: a silent upstream is in doubt first. Its call moves at once on evidence (its program has ended, the path is cut, it goes on with other requests and has dropped this one), else after 2.1 s, before its caller abandons it. A check that comes late doesn't end the count. In serve a stream that finds no retry is kept for four times its timeout.

--- a/attacher/attacher.go
+++ b/attacher/attacher.go
@@ -221,19 +221,20 @@
 	a.isolator.OnChange = a.partChanged
 	watch := &observer.Observer{Recorder: &recorder.Recorder{}, Meter: a.meter}
 	a.dispatcher = &dispatcher.Dispatcher{
-		Allocator:   &narrator.Allocator{Next: &observer.Allocator{Next: &holdAllocator{next: a.tally, pins: a.pins}, Observer: watch}, Log: a.Log},
-		Engine:      &narrator.Engine{Next: &observer.Engine{Next: a.forwarder, Observer: watch}, Log: a.Log},
-		Quarantiner: a.quarantine,
-		Isolator:    a.isolator,
-		OnCrash:     narrator.LogCrash(a.Log),
-		NewBudget:   a.newBudget,
-		BudgetKey:   (*kingcuphook.Request).Pool,
-		HasVacancy:  a.allocator.HasVacancy,
-		Pins:        a.pins,
-		Stopping:    a.stopping.Begun(),
-		LatestStart: func(r *kingcuphook.Request) time.Time { return a.receiver.LatestStart(r) },
-		Owner:       s.Name(),
-		Limits:      dispatcher.Limits{WaitShare: waitShare},
+		Allocator:     &narrator.Allocator{Next: &observer.Allocator{Next: &holdAllocator{next: a.tally, pins: a.pins}, Observer: watch}, Log: a.Log},
+		Engine:        &narrator.Engine{Next: &observer.Engine{Next: a.forwarder, Observer: watch}, Log: a.Log},
+		Quarantiner:   a.quarantine,
+		Isolator:      a.isolator,
+		OnCrash:       narrator.LogCrash(a.Log),
+		NewBudget:     a.newBudget,
+		BudgetKey:     (*kingcuphook.Request).Pool,
+		HasVacancy:    a.allocator.HasVacancy,
+		InquireSilent: a.forwarder.InquireSilent,
+		Pins:          a.pins,
+		Stopping:      a.stopping.Begun(),
+		LatestStart:   func(r *kingcuphook.Request) time.Time { return a.receiver.LatestStart(r) },
+		Owner:         s.Name(),
+		Limits:        dispatcher.Limits{WaitShare: waitShare},
 	}
 	a.receiver = &receiver.Receiver{
 		Dispatcher:   a.dispatcher,
@@ -265,6 +266,12 @@
 	a.meter.Gauge("kingcuphook_upstreams_brittle", func() float64 { return float64(a.permits.Brittle()) })
 	a.meter.Gauge("kingcuphook_brittle_places_held", func() float64 { held, _ := a.permits.Places(); return float64(held) })
 	a.meter.Gauge("kingcuphook_brittle_requests_refused_total", func() float64 { _, refused := a.permits.Places(); return float64(refused) })
+	a.meter.Gauge("kingcuphook_attempts_silent_total", func() float64 { return float64(a.dispatcher.Counts().Unresponsive) })
+	a.meter.Gauge("kingcuphook_attempts_silent_long_total", func() float64 { return float64(a.dispatcher.Counts().LongSilent) })
+	a.meter.Gauge("kingcuphook_memory_budget_bytes", func() float64 { return float64(a.memory.Bytes) })
+	a.meter.Gauge("kingcuphook_memory_held_bytes", func() float64 { return float64(a.memory.Usage().Held) })
+	a.meter.Gauge("kingcuphook_memory_held_peak_bytes", func() float64 { return float64(a.memory.Usage().Peak) })
+	a.meter.Gauge("kingcuphook_memory_refused_total", func() float64 { return float64(a.memory.Usage().Refused) })
 	a.meter.Gauge("kingcuphook_attempts_crashed_total", func() float64 { return float64(a.dispatcher.Counts().Crashes) })
 	a.meter.Gauge("kingcuphook_quarantined_fingerprints", func() float64 { return float64(len(a.quarantine.List(time.Now()))) })
 	a.meter.Gauge("kingcuphook_quarantined_parts", func() float64 { n, _ := a.isolator.Count(); return float64(n) })
--- a/attacher/silent_test.go
+++ b/attacher/silent_test.go
@@ -32,3 +32,33 @@
 		w.Equal(<-bodies, completeStream())
 	}
 }
+
+// Sound upstreams fell silent for two seconds, and streams went on elsewhere while they still ran
+// them.
+func TestSoundUpstreamThatIsSilentKeepsItsStreams(t *testing.T) {
+	w := newTestPlatform(t)
+	p := w.start(loopback("10.19"), w.server.Listener.Addr().String())
+	w.waitFor("readiness", p.isReady)
+	for _, u := range w.upstreams {
+		u.EventInterval = 40 * time.Millisecond
+	}
+	bodies := make(chan string, 20)
+	for range cap(bodies) {
+		go func() {
+			_, body, _ := p.call(standin.KindResumableStream, "secret")
+			bodies <- body
+		}()
+	}
+	time.Sleep(250 * time.Millisecond)
+	for _, u := range w.upstreams {
+		u.FallSilent(1900 * time.Millisecond)
+	}
+	for range cap(bodies) {
+		w.Equal(<-bodies, completeStream())
+	}
+	runs := 0
+	for _, u := range w.upstreams {
+		runs += len(u.Runs())
+	}
+	w.Equal(runs, cap(bodies))
+}
--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -40,3 +40,41 @@
 		is.True(!d.Unresponsive(d.Deadline().Add(late)))
 	}
 }
+
+// Where each tenth check came late, as on a busy machine, an upstream that was down was never given up.
+func TestLateChecksKeepTheSilence(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	d := Detector{IdleTimeout: 750 * time.Millisecond, Patience: 2100 * time.Millisecond}
+	d.RecordFrame(start)
+	now := start
+	for n := 1; d.IsPatient(now) || !d.Unresponsive(now); n++ {
+		now = d.Deadline()
+		if n%10 == 0 {
+			now = now.Add(maxDelay + 1)
+		}
+		switch {
+		case !d.Unresponsive(now):
+			d.RecordDelay(now)
+		case d.IsPatient(now):
+			d.Postpone(now)
+		}
+		if now.Sub(start) > 10*time.Second {
+			t.Fatal("not given up after 10 s")
+		}
+	}
+	is.True(now.Sub(start) >= d.Patience && now.Sub(start) < d.Patience+500*time.Millisecond)
+}
+
+// The time by which a check was late counted as silence.
+func TestDelayOfCheckIsNoSilence(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	d := Detector{IdleTimeout: time.Second, Patience: 10 * time.Second}
+	d.RecordFrame(start)
+	d.Postpone(start.Add(time.Second))
+	late := start.Add(5 * time.Second)
+	d.RecordDelay(late)
+	is.Equal(d.Silence(late), time.Second+checkInterval)
+	is.Equal(d.Deadline(), late.Add(checkInterval))
+}
--- a/dispatcher/counts.go
+++ b/dispatcher/counts.go
@@ -13,6 +13,9 @@
 	// Crashes, Unresponsive and Preempted count attempts that failed because the
 	// upstream crashed, was unresponsive, or the slot was preempted.
 	Crashes, Unresponsive, Preempted int
+	// LongSilent counts the unresponsive upstreams of which nothing but the length of their
+	// silence was known. It is included in Unresponsive.
+	LongSilent int
 	// Hedged counts the hedged attempts.
 	Hedged int
 	// RetriesRejected counts the retries that the retry budget rejected.
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -16,6 +16,7 @@
 
 	"github.com/kingcuphook/kingcuphook"
 	"github.com/kingcuphook/kingcuphook/claimer"
+	"github.com/kingcuphook/kingcuphook/detector"
 	"github.com/kingcuphook/kingcuphook/isolator"
 	"github.com/kingcuphook/kingcuphook/quarantiner"
 	"github.com/kingcuphook/kingcuphook/retrier"
@@ -107,6 +108,10 @@
 	// ends before the graceful shutdown does; a zero time means that none was started. It is
 	// set if Stopping is. It must be safe for concurrent use.
 	LatestStart func(r *kingcuphook.Request) time.Time
+	// InquireSilent returns what shows that an upstream from which a call got nothing since a time
+	// doesn't run it any more. It is called repeatedly and must not block. Nil means that
+	// nothing is known. It must be safe for concurrent use.
+	InquireSilent func(u *kingcuphook.Upstream, since time.Time) kingcuphook.SilenceEvidence
 	// Owner is the identifier of this router.
 	Owner string
 	// Rand is the source of jitter and of attempt identifiers; nil means one with a
@@ -125,6 +130,8 @@
 	// no other slot yet.
 	moving map[string]int
 	counts Counts
+	// activity has when the upstreams last sent data of an answer.
+	activity detector.Activity
 }
 
 var _ kingcuphook.Dispatcher = (*Dispatcher)(nil)
--- a/dispatcher/errors.go
+++ b/dispatcher/errors.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"syscall"
 	"time"
 
@@ -64,6 +65,25 @@
 	errPreempted    = errors.New("slot preempted")
 )
 
+// silenceError is the cause of an attempt that is cancelled because its upstream is unresponsive.
+type silenceError struct {
+	// evidence shows that the upstream may be given up after the silence.
+	evidence kingcuphook.SilenceEvidence
+	silence  time.Duration
+	program  kingcuphook.Program
+	// cancelledAt is when the attempt was cancelled, patientUntil from when on a sound upstream
+	// isn't silent any more.
+	cancelledAt, patientUntil time.Time
+}
+
+// Error implements error.
+func (e *silenceError) Error() string {
+	return fmt.Sprintf("%v for %d ms, evidence %s", errUnresponsive, e.silence.Milliseconds(), e.evidence)
+}
+
+// Unwrap returns errUnresponsive.
+func (e *silenceError) Unwrap() error { return errUnresponsive }
+
 // finalError is an error that must not be retried.
 type finalError struct{ err error }
 
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -34,6 +34,14 @@
 // which was not sent. It doubles with each further one.
 const unsentDelay = 50 * time.Millisecond
 
+const (
+	// closeTime is how long after it is cancelled an upstream that is not silent notices that the
+	// connection of an attempt is closed. dropInterval is the interval at which its data are
+	// looked for.
+	closeTime    = 50 * time.Millisecond
+	dropInterval = 20 * time.Millisecond
+)
+
 // run is the execution of one call. It is used by one goroutine.
 type run struct {
 	d    *Dispatcher
@@ -152,6 +160,9 @@
 		}
 		return nil
 	}
+	if !r.awaitDrop(ctx, err) {
+		return errors.Join(ctx.Err(), err)
+	}
 	wait, ok := r.spendRetry()
 	if errors.Is(err, kingcuphook.ErrOverloaded) || errors.Is(err, kingcuphook.ErrRateLimited) {
 		wait += overloadWait
@@ -176,6 +187,22 @@
 	return wait
 }
 
+// awaitDrop waits until an upstream whose other requests went on has dropped a cancelled attempt, as
+// further data of theirs shows. It reports false if ctx ends before.
+func (r *run) awaitDrop(ctx context.Context, err error) bool {
+	var silence *silenceError
+	if !errors.As(err, &silence) || silence.evidence != kingcuphook.SilenceEvidenceActive {
+		return true
+	}
+	noticed := silence.cancelledAt.Add(closeTime)
+	for time.Now().Before(silence.patientUntil) && !r.d.activity.Last(silence.program).After(noticed) {
+		if !pauser.Pause(ctx, dropInterval) {
+			return false
+		}
+	}
+	return true
+}
+
 // maxAttempts returns the maximum number of attempts of the call.
 func (r *run) maxAttempts() int {
 	if r.call.Opaque != nil {
@@ -298,7 +325,7 @@
 	case errors.Is(err, kingcuphook.ErrVersionUnrecorded):
 		r.restarted = true
 	case errors.Is(err, errUnresponsive):
-		r.d.count(func(n *Counts) { n.Unresponsive++ })
+		r.countSilence(err)
 	case event == tracker.EventBreak && isCrash(err):
 		r.recordCrash(ctx, u, suspect)
 		r.replaceRestart()
@@ -316,6 +343,18 @@
 	}
 }
 
+// countSilence counts an attempt that was cancelled because its upstream is unresponsive.
+func (r *run) countSilence(err error) {
+	var silence *silenceError
+	isLong := errors.As(err, &silence) && silence.evidence == kingcuphook.SilenceEvidenceLong
+	r.d.count(func(n *Counts) {
+		n.Unresponsive++
+		if isLong {
+			n.LongSilent++
+		}
+	})
+}
+
 func (r *run) newAttempt(c kingcuphook.Choice) *kingcuphook.Attempt {
 	address := c.Upstream.Address()
 	resent := slices.Contains(r.sent, address)
--- a/dispatcher/serve_silent_test.go
+++ b/dispatcher/serve_silent_test.go
@@ -30,3 +30,17 @@
 		}
 	})
 }
+
+// A stream that finds no retry must end although its upstream never goes on.
+func TestSilentEngineEndsStreamsThatCannotBeRetried(t *testing.T) {
+	runTest(t, []bool{true, true}, func(r *harness) {
+		e := &pausingEngine{Engine: r.engine, silence: time.Hour}
+		r.Engine = e
+		r.NewBudget = func(string) kingcuphook.RetryBudget { return &retrier.Budget{Burst: 0.5, Refill: 0.001} }
+		r.Limits.TokenTimeout = 400 * time.Millisecond
+		c := &kingcuphook.Call{Request: movableStream().Request, Kind: kingcuphook.UpstreamKindEngine}
+		_, err := r.Dispatch(context.Background(), c, r)
+		r.True(err != nil)
+		r.Equal(e.leftAt.Sub(e.silentAt), 1600*time.Millisecond)
+	})
+}
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -14,6 +14,10 @@
 	"github.com/kingcuphook/kingcuphook/tracker"
 )
 
+// unretriedFactor is how many times its timeout an attempt on an unresponsive upstream goes on if no
+// retry can follow.
+const unretriedFactor = 4
+
 // watchdog cancels an attempt when its upstream is unresponsive or its slot is
 // preempted.
 type watchdog struct {
@@ -22,6 +26,14 @@
 	// cancelled. If it reports false, the attempt goes on. Nil means that the attempt is
 	// always cancelled.
 	reserve func(received bool) bool
+	// hasEnd is set if the attempt is cancelled without a retry after unretriedFactor times its
+	// timeout.
+	hasEnd bool
+	// upstream is that of the attempt, activity when it last sent data of any answer.
+	upstream *kingcuphook.Upstream
+	activity *detector.Activity
+	// inquire is Dispatcher.InquireSilent.
+	inquire func(u *kingcuphook.Upstream, since time.Time) kingcuphook.SilenceEvidence
 
 	// mu guards the fields below.
 	mu       sync.Mutex
@@ -30,6 +42,8 @@
 	// active is set while the timer runs. A check that was already waiting for mu then does
 	// nothing.
 	active bool
+	// ended is set by stop.
+	ended bool
 }
 
 // watch starts the watchdog of an attempt and returns the context of the attempt.
@@ -39,14 +53,22 @@
 	w := &watchdog{
 		detector: detector.Detector{FirstFrameTimeout: r.d.Limits.FirstByteTimeout, IdleTimeout: r.d.Limits.TokenTimeout},
 		cancel:   cancel,
+		upstream: slot.Choice().Upstream,
+		activity: &r.d.activity,
+		inquire:  r.d.InquireSilent,
 	}
+	w.activity.Begin(w.upstream.Program())
 	if r.call.Kind == kingcuphook.UpstreamKindService {
 		w.detector.FirstFrameTimeout = r.d.Limits.ReplyTimeout
 	}
+	if !r.request.NonIdempotent() && r.attempts < r.maxAttempts() {
+		w.reserve, w.hasEnd = r.retryReserver(slot), true
+	}
 	if o := r.call.Opaque; o != nil {
 		w.detector.FirstFrameTimeout = cmp.Or(o.FirstByte, w.detector.FirstFrameTimeout)
 		w.detector.IdleTimeout = cmp.Or(o.Silence, w.detector.IdleTimeout)
-		w.reserve = r.retryReserver(slot)
+		w.detector.Patience = o.Patience
+		w.reserve, w.hasEnd = r.retryReserver(slot), false
 	}
 	now := time.Now()
 	w.detector.RecordDispatch(now)
@@ -83,25 +105,62 @@
 		return
 	}
 	now := time.Now()
-	if w.detector.Unresponsive(now) {
-		if w.reserve == nil || w.reserve(w.detector.Received()) {
+	switch {
+	case w.detector.Unresponsive(now):
+		e := w.evidence(now)
+		if e != kingcuphook.SilenceEvidenceNone && w.mayEnd(now) {
 			w.active = false
-			w.cancel(errUnresponsive)
+			w.cancel(w.silence(now, e))
 			return
 		}
-		w.detector.Restart(now)
-	}
-	if !now.Before(w.detector.Deadline()) {
-		w.detector.Restart(now)
+		w.detector.Postpone(now)
+	case !now.Before(w.detector.Deadline()):
+		w.detector.RecordDelay(now)
 	}
 	w.timer.Reset(w.detector.Deadline().Sub(now))
 }
 
+// mayEnd reports whether the attempt may be cancelled, and reserves the retry for it. The caller must
+// hold mu.
+func (w *watchdog) mayEnd(now time.Time) bool {
+	if w.reserve == nil || w.reserve(w.detector.Received()) {
+		return true
+	}
+	return w.hasEnd && w.detector.Silence(now) >= unretriedFactor*w.detector.Timeout()
+}
+
+// evidence returns what shows that the unresponsive upstream may be given up now. The caller must
+// hold mu.
+func (w *watchdog) evidence(now time.Time) kingcuphook.SilenceEvidence {
+	if w.inquire != nil {
+		if e := w.inquire(w.upstream, now.Add(-w.detector.Silence(now))); e != kingcuphook.SilenceEvidenceNone {
+			return e
+		}
+	}
+	if !w.detector.IsPatient(now) {
+		return kingcuphook.SilenceEvidenceLong
+	}
+	if w.activity.IsActive(now, w.upstream.Program()) {
+		return kingcuphook.SilenceEvidenceActive
+	}
+	return kingcuphook.SilenceEvidenceNone
+}
+
+// silence returns the cause with which the attempt is cancelled. The caller must hold mu.
+func (w *watchdog) silence(now time.Time, e kingcuphook.SilenceEvidence) *silenceError {
+	silent := w.detector.Silence(now)
+	return &silenceError{
+		evidence: e, silence: silent, program: w.upstream.Program(),
+		cancelledAt: now, patientUntil: now.Add(w.detector.Patience - silent),
+	}
+}
+
 // received restarts the timeout after data from the upstream.
 func (w *watchdog) received() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := time.Now()
+	w.activity.Record(now, w.upstream.Program())
 	w.detector.RecordFrame(now)
 	w.active = true
 	w.timer.Reset(w.detector.Deadline().Sub(now))
@@ -130,6 +189,10 @@
 	w.timer.Stop()
 	w.active = false
 	w.cancel(context.Canceled)
+	if !w.ended {
+		w.ended = true
+		w.activity.End(w.upstream.Program())
+	}
 }
 
 // attemptError wraps the error of an attempt, with the cause if its context was
@@ -156,6 +219,7 @@
 		return kingcuphook.Outcome{}, failedSample(ctx, err, kingcuphook.Sample{}), attemptError(ctx, err)
 	}
 	r.isolated.Complete(time.Now(), true)
+	r.d.activity.Record(time.Now(), slot.Choice().Upstream.Program())
 	sample := kingcuphook.Sample{FirstToken: time.Since(began), Tokens: 1}
 	if r.call.Opaque != nil && answer.Status() >= http.StatusInternalServerError {
 		sample.Failed, sample.Answered = true, true
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -229,6 +229,9 @@
 	if f.OnNotice != nil && kind != kingcuphook.ReplyKindForeign && kind != kingcuphook.ReplyKindMisdirected {
 		f.OnNotice(u, f.Codec.Notice(resp.StatusCode, resp.Header), sentAt)
 	}
+	if kind == kingcuphook.ReplyKindMisdirected && f.Paths != nil {
+		f.Paths.Gone(time.Now(), u)
+	}
 	switch kind {
 	case kingcuphook.ReplyKindAnswer:
 		return nil
--- a/forwarder/path.go
+++ b/forwarder/path.go
@@ -11,6 +11,7 @@
 	"os"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
@@ -53,6 +54,7 @@
 		if err == nil {
 			return resp, peer, nil
 		}
+		f.recordRefusal(u, peer, err)
 		if connected {
 			return nil, peer, fmt.Errorf("forwarder: %s: %w: %w", u.Address(), kingcuphook.ErrOutcomeUnknown, f.explain(ctx, u, peer, err))
 		}
@@ -228,6 +230,27 @@
 	return f.checks[u.Program()]
 }
 
+// recordRefusal records that a program has ended if its address refused a direct connection.
+func (f *Forwarder) recordRefusal(u *kingcuphook.Upstream, peer netip.Addr, err error) {
+	if f.Paths != nil && !peer.IsValid() && errors.Is(err, syscall.ECONNREFUSED) {
+		f.Paths.Gone(time.Now(), u)
+	}
+}
+
+// InquireSilent returns what shows that an upstream from which a call got nothing since a time doesn't
+// run it any more. It checks the path to the upstream unless that was done lately, and doesn't
+// wait for the verdict.
+func (f *Forwarder) InquireSilent(u *kingcuphook.Upstream, since time.Time) kingcuphook.SilenceEvidence {
+	if f.Paths == nil {
+		return kingcuphook.SilenceEvidenceNone
+	}
+	e, isDue := f.Paths.FindSilent(time.Now(), since, u)
+	if isDue {
+		f.suspect(u, pathfinder.EvidenceSilent)
+	}
+	return e
+}
+
 // startCheck starts a check of an upstream, unless one is running, and returns it. The peer is the
 // one that is used now, if any, and asked first.
 func (f *Forwarder) startCheck(u *kingcuphook.Upstream, peer netip.Addr) *check {
@@ -352,6 +375,7 @@
 	}
 	resp, _, err := transporter.Send(r, transport.RoundTrip)
 	if err != nil {
+		f.recordRefusal(u, peer, err)
 		if peer.IsValid() && !errors.Is(err, context.Canceled) {
 			f.Paths.Avoid(time.Now(), u, peer, isForAll(err))
 		}
--- a/pathfinder/pathfinder.go
+++ b/pathfinder/pathfinder.go
@@ -182,6 +182,8 @@
 	// Pathfinder.
 	inFlight     int
 	begun, heard time.Time
+	// goneAt is when the program was last found to have ended.
+	goneAt time.Time
 	// dial is the longest time that opening a connection took.
 	dial time.Duration
 	// flights are the requests that are counted by inFlight.
@@ -363,6 +365,30 @@
 	return p.state != StateCut && !now.Before(next)
 }
 
+// Gone records that the program of an upstream was found to have ended: its address refused a
+// connection, or another program has it.
+func (f *Pathfinder) Gone(now time.Time, u *kingcuphook.Upstream) {
+	f.mu.Lock()
+	defer f.unlock()
+	f.get(now, u).goneAt = now
+}
+
+// FindSilent returns what was found about an upstream since it is silent, and whether evidence is
+// to be recorded against its path, since nothing was found and no check is under way.
+func (f *Pathfinder) FindSilent(now, since time.Time, u *kingcuphook.Upstream) (e kingcuphook.SilenceEvidence, isDue bool) {
+	f.mu.Lock()
+	defer f.unlock()
+	p := f.get(now, u)
+	switch {
+	case p.goneAt.After(since):
+		return kingcuphook.SilenceEvidenceGone, false
+	case p.state == StateCut && p.since.After(since):
+		return kingcuphook.SilenceEvidenceCut, false
+	default:
+		return kingcuphook.SilenceEvidenceNone, !p.checkedAt.After(since) && now.Sub(p.evidenceAt) >= doubtPause
+	}
+}
+
 // Resolve applies the verdict of a check.
 func (f *Pathfinder) Resolve(now time.Time, u *kingcuphook.Upstream, v Verdict) {
 	f.mu.Lock()
--- a/receiver/request.go
+++ b/receiver/request.go
@@ -102,6 +102,7 @@
 		Resumable:   route.Resumable(),
 	}
 	o.FirstByte, o.Silence = silenceLimits(route)
+	o.Patience = patience(route)
 	kind := kingcuphook.UpstreamKindService
 	if route.Stream() {
 		kind = kingcuphook.UpstreamKindEngine
@@ -123,6 +124,18 @@
 	silenceFactor   = 3
 	// minSilence is the lower limit of both times.
 	minSilence = 400 * time.Millisecond
+	// soundSilence is how long a sound upstream may be silent.
+	soundSilence = 2500 * time.Millisecond
+	// dropTime is how long after a request has gone on at another upstream the one before may
+	// still run it.
+	dropTime = 400 * time.Millisecond
+	// A caller abandons a stream after a gap of abandonTime, abandonTargets times its target or
+	// abandonPauses times the token target, whichever is longest. moveTime is how long before
+	// that a stream is moved.
+	abandonTime    = 2 * time.Second
+	abandonTargets = 4
+	abandonPauses  = 8
+	moveTime       = 300 * time.Millisecond
 	// unlimited is in effect no limit. It applies to calls that can't be retried: only
 	// their deadline ends them.
 	unlimited = time.Hour
@@ -138,3 +151,10 @@
 	silence = max(silenceFactor*route.TokenTarget(), minSilence)
 	return firstByte, silence
 }
+
+// patience returns how long an upstream that nothing shows to have ended may stay silent before a
+// retryable call is sent to another one.
+func patience(route *kingcuphook.Route) time.Duration {
+	abandoned := max(abandonTime, abandonTargets*route.Target(), abandonPauses*route.TokenTarget())
+	return min(soundSilence-dropTime, abandoned-moveTime)
+}
--- a/schedule.go
+++ b/schedule.go
@@ -108,6 +108,10 @@
 	// FirstByte bounds the time until the first data of an answer, and Silence the
 	// time without data after it; 0 means the limits of the Dispatcher.
 	FirstByte, Silence time.Duration
+	// Patience is how long after its last data an upstream may still be sound and run the
+	// call: until then only evidence that it doesn't lets the call go on elsewhere. It is
+	// of no effect if it is shorter than the bound before.
+	Patience time.Duration
 }
 
 // FinishClosed is the finish reason of an answer whose end only the end of the connection
