Wait for room where a stream moves

Cause: each router counts the free slots elsewhere for itself, and others had taken them; the refusal counted as an attempt. Change: the rest of a stream that an upstream without room refuses waits for room and for the retry budget, until its deadline; the wait doubles up to eight times.

--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -19,6 +19,13 @@
 // a rate limit.
 const overloadWait = 100 * time.Millisecond
 
+// maxOverloadDoublings is how often overloadWait doubles for a stream that is turned away again.
+// budgetInterval is the interval at which it asks for a retry of a spent budget.
+const (
+	maxOverloadDoublings = 3
+	budgetInterval       = 100 * time.Millisecond
+)
+
 // minQueueRetryAfter and queueRetryAfterJitter determine the retry-after value of
 // calls that got no slot in time.
 const (
@@ -69,8 +76,10 @@
 	// isolated is the running attempt as the isolator follows it; nil before the first.
 	isolated *isolator.Attempt
 	// attempts counts the dispatches, except those that were preempted or are
-	// counted by unsent.
+	// counted by turnedAway or unsent.
 	attempts int
+	// turnedAway counts the attempts to resume the call that upstreams without room refused.
+	turnedAway int
 	// unsent counts the dispatches that reached no upstream of the pool, since the last one
 	// that did: nothing was sent, or another program had the address.
 	unsent int
@@ -163,9 +172,9 @@
 	if !r.awaitDrop(ctx, err) {
 		return errors.Join(ctx.Err(), err)
 	}
-	wait, ok := r.spendRetry()
+	wait, ok := r.awaitRetry(ctx, err)
 	if errors.Is(err, kingcuphook.ErrOverloaded) || errors.Is(err, kingcuphook.ErrRateLimited) {
-		wait += overloadWait
+		wait += overloadWait << min(max(r.turnedAway-1, 0), maxOverloadDoublings)
 	}
 	if !ok {
 		r.d.count(func(n *Counts) { n.RetriesRejected++ })
@@ -187,6 +196,24 @@
 	return wait
 }
 
+// isTurnedAway reports whether an upstream without room has refused the rest of a stream. The caller
+// already has part of the answer, which is useless without the rest, so that the call waits for room
+// instead of failing.
+func (r *run) isTurnedAway(err error) bool {
+	return r.request.Stream() && r.answer.Position() > 0 &&
+		errors.Is(err, kingcuphook.ErrUnavailable) && errors.Is(err, kingcuphook.ErrOverloaded)
+}
+
+// awaitRetry is like spendRetry, but waits for the budget if the call was turned away.
+func (r *run) awaitRetry(ctx context.Context, err error) (time.Duration, bool) {
+	for {
+		wait, ok := r.spendRetry()
+		if ok || !r.isTurnedAway(err) || !pauser.Pause(ctx, budgetInterval) {
+			return wait, ok
+		}
+	}
+}
+
 // awaitDrop waits until an upstream whose other requests went on has dropped a cancelled attempt, as
 // further data of theirs shows. It reports false if ctx ends before.
 func (r *run) awaitDrop(ctx context.Context, err error) bool {
@@ -314,6 +341,10 @@
 	} else {
 		r.unsent = 0
 	}
+	if r.isTurnedAway(err) {
+		r.attempts--
+		r.turnedAway++
+	}
 	suspect := ctx.Err() == nil && r.recordBroken(r.isolated, u, err)
 	switch {
 	case ctx.Err() != nil:
