Verify the version of a program that sends a stream on a new connection

Cause: which program sends an answer followed from the tables, which a router learns of later. Change: a stream that must go on at a version gets events only from a connection that was open while the tables were in force, or before its router read the registration of the upstream with that version; else the registration is read, once for all that wait. Without the store it goes on only if no connection was lost. Two tests of late routers wait for the version in the log instead of 0.3 s; without the check they are red as before.

--- a/attacher/attacher.go
+++ b/attacher/attacher.go
@@ -69,6 +69,7 @@
 	quarantine *quarantiner.Quarantiner
 	isolator   *isolator.Isolator
 	pins       *pins
+	senders    *senders
 	relays     *relays
 	// roundTrips has the round-trip times to the data centres.
 	roundTrips estimator.RoundTrips
@@ -215,6 +216,9 @@
 	a.relays.addGauges()
 	a.pins = newPins(a)
 	a.pins.addGauges()
+	a.senders = newSenders(a)
+	a.senders.addGauges()
+	a.forwarder.VerifySender = a.senders.verify
 	a.control = newControl(a)
 	a.quarantine = &quarantiner.Quarantiner{}
 	a.isolator = &isolator.Isolator{}
--- a/attacher/control.go
+++ b/attacher/control.go
@@ -362,6 +362,7 @@
 	c.a.allocator.Update(t)
 	c.a.relays.update(t)
 	c.a.forwarder.CloseUnused(t)
+	c.a.senders.retain(t)
 	c.a.permits.Update(t)
 	c.view.Store(&receiver.Directory{Tables: t, MaxBodyBytes: c.store.MaxBodyBytes(), HeadLimits: c.store.HeadLimits()})
 	if first {
--- a/attacher/resumption_test.go
+++ b/attacher/resumption_test.go
@@ -344,6 +344,16 @@
 	return first, late
 }
 
+// awaitVersion waits until the router's tables have an upstream with the version.
+func (w *testPlatform) awaitVersion(p *process, instance, version string) {
+	w.t.Helper()
+	w.waitFor("version "+version, func() bool {
+		_, _, err := p.call(standin.KindIdempotent, "secret")
+		w.NoErr(err)
+		return strings.Contains(p.log.String(), "instance="+instance+" version="+version+" ")
+	})
+}
+
 // A router that learned of a second version a second late took streams of it for streams of the first.
 func TestResumedStreamIsNotJoinedFromTwoVersionsByLateRouter(t *testing.T) {
 	for network := range 6 {
@@ -354,7 +364,7 @@
 			w.NoErr(w.store.Delete(t.Context(), platform.RegistrationPrefix+"i-1", kingcuphook.RevisionAny))
 			first, late := w.lateRouter(73 + network)
 			w.registerVersions("1", "2")
-			time.Sleep(300 * time.Millisecond) // until the first router has the version
+			w.awaitVersion(first, "i-1", "2")
 			paused := time.Now()
 			w.upstreams[0].Pause(500 * time.Millisecond)
 			streams := w.beginServed(first, 2)
@@ -373,7 +383,7 @@
 			w.registerVersions("1", "1")
 			first, late := w.lateRouter(80 + network)
 			w.registerVersions("1", "2")
-			time.Sleep(300 * time.Millisecond) // until the first router has the version
+			w.awaitVersion(first, "i-1", "2")
 			w.countResumed(late, w.begin(first, 6))
 		})
 	}
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -335,7 +335,7 @@
 	if e := r.tracker.Apply(event); e != nil {
 		return &finalError{errors.Join(err, e)}
 	}
-	if errors.Is(err, kingcuphook.ErrNotSent) || errors.Is(err, kingcuphook.ErrMisdirected) {
+	if errors.Is(err, kingcuphook.ErrNotSent) || errors.Is(err, kingcuphook.ErrMisdirected) && errors.Is(err, kingcuphook.ErrUnavailable) {
 		r.attempts--
 		r.unsent++
 	} else {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -11,6 +11,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
@@ -82,6 +83,10 @@
 	// identifier of the relayed connection. It must be safe for concurrent use.
 	OnRelayed func(u *kingcuphook.Upstream, a *kingcuphook.Attempt, peer netip.Addr, connection string)
 
+	// VerifySender, if set, returns an error unless the program that answers with a stream has the
+	// software version of its upstream. It must be safe for concurrent use.
+	VerifySender func(ctx context.Context, s Sender) error
+
 	// headsRejected counts the heads of answers that were too long.
 	headsRejected atomic.Int64
 
@@ -91,6 +96,8 @@
 	transports map[transportKey]*http.Transport
 	// checks are the checks of paths that are running.
 	checks map[kingcuphook.Program]*check
+	// lost has when a connection to each program was last lost or refused.
+	lost map[kingcuphook.Program]time.Time
 	// relayed numbers the relayed connections.
 	relayed int
 }
@@ -114,6 +121,7 @@
 			delete(f.transports, k)
 		}
 	}
+	maps.DeleteFunc(f.lost, func(p kingcuphook.Program, _ time.Time) bool { return !wanted[p] })
 	if f.Paths != nil {
 		f.Paths.Retain(wanted)
 	}
@@ -138,24 +146,28 @@
 // upstream has begun the stream.
 func (f *Forwarder) Start(ctx context.Context, u *kingcuphook.Upstream, a *kingcuphook.Attempt) (kingcuphook.Stream, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	resp, peer, err := f.send(ctx, u, a) //nolint:bodyclose // the stream closes it
+	resp, h, err := f.send(ctx, u, a) //nolint:bodyclose // the stream closes it
 	if err != nil {
 		cancel()
 		return nil, err
 	}
 	if resp.StatusCode == http.StatusOK {
-		if err := checkRest(u, a, resp); err != nil {
+		err := checkRest(u, a, resp)
+		if err == nil {
+			err = f.verify(ctx, u, a, h)
+		}
+		if err != nil {
 			cancel()
 			_ = resp.Body.Close()
 			return nil, err
 		}
 		s := newStream(resp, a, cancel, f.Memory.OpenAnswer())
-		s.broken = func(ctx context.Context, err error) error { return f.explain(ctx, u, peer, err) }
+		s.broken = func(ctx context.Context, err error) error { return f.explain(ctx, u, h.peer, err) }
 		return s, nil
 	}
 	defer cancel()
 	defer resp.Body.Close()
-	answer, err := f.readAnswer(ctx, u, peer, resp)
+	answer, err := f.readAnswer(ctx, u, h.peer, resp)
 	if err != nil {
 		return nil, err
 	}
@@ -168,12 +180,12 @@
 
 // Call implements kingcuphook.Engine.
 func (f *Forwarder) Call(ctx context.Context, u *kingcuphook.Upstream, a *kingcuphook.Attempt) (kingcuphook.Answer, error) {
-	resp, peer, err := f.send(ctx, u, a)
+	resp, h, err := f.send(ctx, u, a)
 	if err != nil {
 		return kingcuphook.Answer{}, err
 	}
 	defer resp.Body.Close()
-	return f.readAnswer(ctx, u, peer, resp)
+	return f.readAnswer(ctx, u, h.peer, resp)
 }
 
 // readAnswer reads a complete answer. It returns an error that wraps ErrTooLarge if the answer
@@ -196,26 +208,26 @@
 // send sends the attempt and returns the response, whose body is still to be read, and the way
 // that it came. Replies that are not an answer to the attempt are returned as
 // errors.
-func (f *Forwarder) send(ctx context.Context, u *kingcuphook.Upstream, a *kingcuphook.Attempt) (*http.Response, netip.Addr, error) {
+func (f *Forwarder) send(ctx context.Context, u *kingcuphook.Upstream, a *kingcuphook.Attempt) (*http.Response, hop, error) {
 	sentAt := time.Now()
-	resp, peer, err := f.roundTrip(ctx, u, a)
+	resp, h, err := f.roundTrip(ctx, u, a)
 	if err != nil {
-		return nil, peer, err
+		return nil, h, err
 	}
 	if resp.StatusCode < http.StatusOK {
 		_ = resp.Body.Close()
-		return nil, peer, fmt.Errorf("forwarder: %s sent status %d, which is no answer: %w", u.Address(), resp.StatusCode, kingcuphook.ErrOutcomeUnknown)
+		return nil, h, fmt.Errorf("forwarder: %s sent status %d, which is no answer: %w", u.Address(), resp.StatusCode, kingcuphook.ErrOutcomeUnknown)
 	}
 	if err := f.checkReply(u, a, resp, sentAt); err != nil {
 		_ = resp.Body.Close()
 		if errors.Is(err, kingcuphook.ErrForeignFrame) {
 			// The connection of a reply without a body is idle again and would be
 			// reused, though more unexpected replies may arrive on it.
-			f.transport(u, peer).CloseIdleConnections()
+			f.transport(u, h.peer).CloseIdleConnections()
 		}
-		return nil, peer, err
+		return nil, h, err
 	}
-	return resp, peer, nil
+	return resp, h, nil
 }
 
 // checkReply returns an error for a reply that is not an answer to the attempt. It
--- a/forwarder/path.go
+++ b/forwarder/path.go
@@ -46,20 +46,21 @@
 )
 
 // roundTrip sends an attempt on the path to its upstream, and on another path if nothing could be
-// sent on the first. It returns the response and the peer that it came through, if any.
-func (f *Forwarder) roundTrip(ctx context.Context, u *kingcuphook.Upstream, a *kingcuphook.Attempt) (*http.Response, netip.Addr, error) {
+// sent on the first. It returns the response and the way that it came.
+func (f *Forwarder) roundTrip(ctx context.Context, u *kingcuphook.Upstream, a *kingcuphook.Attempt) (*http.Response, hop, error) {
 	for tries := 1; ; tries++ {
-		peer := f.via(u)
-		resp, connected, err := f.sendVia(ctx, u, a, peer)
+		h := hop{peer: f.via(u)}
+		resp, connected, err := f.sendVia(ctx, u, a, &h)
 		if err == nil {
-			return resp, peer, nil
+			return resp, h, nil
 		}
+		peer := h.peer
 		f.recordRefusal(u, peer, err)
 		if connected {
-			return nil, peer, fmt.Errorf("forwarder: %s: %w: %w", u.Address(), kingcuphook.ErrOutcomeUnknown, f.explain(ctx, u, peer, err))
+			return nil, h, fmt.Errorf("forwarder: %s: %w: %w", u.Address(), kingcuphook.ErrOutcomeUnknown, f.explain(ctx, u, peer, err))
 		}
 		if f.Paths == nil || ctx.Err() != nil || !f.recheck(ctx, u, peer, pathfinder.EvidenceDial, err) || tries >= maxPaths {
-			return nil, peer, fmt.Errorf("forwarder: %s: %w: %w: %w", u.Address(), kingcuphook.ErrUnavailable, kingcuphook.ErrNotSent, f.explainDial(u, err))
+			return nil, h, fmt.Errorf("forwarder: %s: %w: %w: %w", u.Address(), kingcuphook.ErrUnavailable, kingcuphook.ErrNotSent, f.explainDial(u, err))
 		}
 	}
 }
@@ -72,22 +73,29 @@
 	return f.Paths.Via(time.Now(), u)
 }
 
-// sendVia sends an attempt on one path. It reports whether a connection was obtained.
-func (f *Forwarder) sendVia(ctx context.Context, u *kingcuphook.Upstream, a *kingcuphook.Attempt, peer netip.Addr) (*http.Response, bool, error) {
-	transport := f.transport(u, peer)
+// sendVia sends an attempt through the peer of the hop, if it has one, and sets when its connection was
+// opened. It reports whether a connection was obtained.
+func (f *Forwarder) sendVia(ctx context.Context, u *kingcuphook.Upstream, a *kingcuphook.Attempt, h *hop) (*http.Response, bool, error) {
+	transport := f.transport(u, h.peer)
 	if a.Resent() {
-		transport = f.newTransport(u, peer, true)
+		transport = f.newTransport(u, h.peer, true)
 	}
 	r := f.newRequest(ctx, u, a)
 	if f.Paths == nil {
-		return transporter.Send(r, transport.RoundTrip)
+		return transporter.SendOn(r, transport.RoundTrip, func(_ net.Conn, openedAt time.Time) { h.openedAt = openedAt })
 	}
-	if peer.IsValid() {
-		return transporter.SendOn(r, transport.RoundTrip, func(c net.Conn) { f.reportRelayed(u, a, peer, c) })
+	if h.peer.IsValid() {
+		return transporter.SendOn(r, transport.RoundTrip, func(c net.Conn, openedAt time.Time) {
+			h.openedAt = openedAt
+			f.reportRelayed(u, a, h.peer, c)
+		})
 	}
 	flight := f.Paths.Began(time.Now(), u)
 	ended := sync.OnceFunc(func() { f.Paths.Ended(flight) })
-	resp, connected, err := transporter.SendOn(r, transport.RoundTrip, func(net.Conn) { f.Paths.Connected(time.Now(), flight) })
+	resp, connected, err := transporter.SendOn(r, transport.RoundTrip, func(_ net.Conn, openedAt time.Time) {
+		h.openedAt = openedAt
+		f.Paths.Connected(time.Now(), flight)
+	})
 	if err != nil {
 		ended()
 		return nil, connected, err
@@ -144,6 +152,7 @@
 		}
 		return err
 	}
+	f.recordLoss(u)
 	if f.recheck(ctx, u, peer, pathfinder.EvidenceBroken, err) {
 		return fmt.Errorf("%w: %w", kingcuphook.ErrPathLost, err)
 	}
@@ -233,6 +242,7 @@
 // recordRefusal records that a program has ended if its address refused a direct connection.
 func (f *Forwarder) recordRefusal(u *kingcuphook.Upstream, peer netip.Addr, err error) {
 	if f.Paths != nil && !peer.IsValid() && errors.Is(err, syscall.ECONNREFUSED) {
+		f.recordLoss(u)
 		f.Paths.Gone(time.Now(), u)
 	}
 }
--- a/logger/events.go
+++ b/logger/events.go
@@ -91,6 +91,7 @@
 	VersionStoreFailed    = Event{1705, LevelInfo, "call to the store for software versions or streams failed"}
 	StreamHeld            = Event{1706, LevelInfo, "first event of a stream passed on after the wait for the record of the stream"}
 	BasesGuarded          = Event{1707, LevelInfo, "found whether all routers guard the bases of records of versions"}
+	SenderChecked         = Event{1708, LevelInfo, "registration read to find the software version of a program that sends a stream"}
 )
 
 // Catalogue returns all events in ascending order of their numbers.
@@ -163,5 +164,6 @@
 		VersionStoreFailed,
 		StreamHeld,
 		BasesGuarded,
+		SenderChecked,
 	}
 }
--- a/pinner/versions.go
+++ b/pinner/versions.go
@@ -246,6 +246,13 @@
 	}
 }
 
+// ConfirmedAt returns a time at which the tables were those in force; zero if there is none.
+func (p *Pinner) ConfirmedAt() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.confirmedAt
+}
+
 // Distrust records that it is not known how old the tables and the records are.
 func (p *Pinner) Distrust() {
 	p.mu.Lock()
--- a/transporter/conn.go
+++ b/transporter/conn.go
@@ -20,6 +20,7 @@
 	// received, if set, is called whenever bytes were received.
 	received func()
 	head     headLimit
+	openedAt time.Time
 
 	mu sync.Mutex
 	// users is the number of requests that use the connection. It is 2 for a moment if the
@@ -37,11 +38,11 @@
 		}
 		tcp, ok := opened.(*net.TCPConn)
 		if !ok {
-			b := &boundedConn{Conn: opened}
+			b := &boundedConn{Conn: opened, openedAt: time.Now()}
 			t.initHead(&b.head)
 			return b, nil
 		}
-		c := &conn{TCPConn: tcp, busy: t.UserTimeout, idle: t.IdleUserTimeout, received: t.Received}
+		c := &conn{TCPConn: tcp, busy: t.UserTimeout, idle: t.IdleUserTimeout, received: t.Received, openedAt: time.Now()}
 		t.initHead(&c.head)
 		c.setUserTimeout(c.idle)
 		return c, nil
@@ -102,7 +103,8 @@
 type boundedConn struct {
 	net.Conn
 
-	head headLimit
+	head     headLimit
+	openedAt time.Time
 }
 
 // Read implements net.Conn.
@@ -126,10 +128,18 @@
 // release records that a request that used the connection has ended.
 func (c *boundedConn) release() { c.head.memory.Close() }
 
+// opened implements tracker.
+func (c *boundedConn) opened() time.Time { return c.openedAt }
+
+// opened implements tracker.
+func (c *conn) opened() time.Time { return c.openedAt }
+
 // tracker is a connection that records its use.
 type tracker interface {
 	acquire()
 	release()
+	// opened returns when the connection was open at the latest.
+	opened() time.Time
 }
 
 // setUserTimeout makes the kernel close the connection once its peer has acknowledged
--- a/transporter/transporter.go
+++ b/transporter/transporter.go
@@ -122,17 +122,22 @@
 	return c
 }
 
-// SendOn is Send, which calls obtained, if it is set, with each connection that the request obtains.
+// SendOn is Send, which calls obtained, if it is set, with each connection that the request obtains and
+// with when that was open at the latest; zero if Transporter did not open it.
 // A request obtains a second one if the first was closed before it was sent.
-func SendOn(r *http.Request, do func(*http.Request) (*http.Response, error), obtained func(c net.Conn)) (resp *http.Response, connected bool, err error) {
+func SendOn(r *http.Request, do func(*http.Request) (*http.Response, error), obtained func(c net.Conn, openedAt time.Time)) (resp *http.Response, connected bool, err error) {
 	var used atomic.Pointer[tracker]
 	var gotConn atomic.Bool
 	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			gotConn.Store(true)
+			var openedAt time.Time
 			c, ok := info.Conn.(tracker)
+			if ok {
+				openedAt = c.opened()
+			}
 			if obtained != nil {
-				obtained(unwrap(info.Conn))
+				obtained(unwrap(info.Conn), openedAt)
 			}
 			if ok {
 				used.Store(&c)
