Tell the crash of an upstream behind a peer from a lost path

Seen: the crash of an upstream under a relayed call was taken for a lost path and counted as none, so that a crashing part was found later. Cause: a refusal of a peer didn't tell whether the peer itself reaches the upstream. Change: a peer whose own links are sound says so in the refusal; then the upstream is down, and the end of the call a crash.

--- a/attacher/relays.go
+++ b/attacher/relays.go
@@ -50,6 +50,8 @@
 		IsRouter:     r.isRouter,
 		IsUpstream:   func(p kingcuphook.Program) bool { known := r.programs.Load(); return known != nil && (*known)[p] },
 		Reaches:      func(p kingcuphook.Program) bool { return r.paths.Reaches(time.Now(), p) },
+		IsDown:       func(p kingcuphook.Program) bool { return r.paths.State(p) == pathfinder.StateDown },
+		LinksSound:   func() bool { return r.paths.CountCut() == 0 && !r.paths.InDoubt(time.Now()) },
 		CarriesNone:  r.carriesNone,
 		LocalAddress: local,
 		OnRefused: func(from netip.Addr, id, upstream, reason string) {
--- a/forwarder/path.go
+++ b/forwarder/path.go
@@ -153,7 +153,7 @@
 		return err
 	}
 	f.recordLoss(u)
-	if f.recheck(ctx, u, peer, pathfinder.EvidenceBroken, err) {
+	if f.recheck(ctx, u, peer, pathfinder.EvidenceBroken, err) && !f.Paths.IsDown(u.Program()) {
 		return fmt.Errorf("%w: %w", kingcuphook.ErrPathLost, err)
 	}
 	return err
@@ -291,8 +291,8 @@
 func (f *Forwarder) check(u *kingcuphook.Upstream, current netip.Addr) pathfinder.Verdict {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	direct, relayed := make(chan bool, 1), make(chan netip.Addr, 1)
-	go func() { direct <- f.probe(ctx, u, netip.Addr{}) }()
+	direct, relayed := make(chan bool, 1), make(chan pathfinder.Verdict, 1)
+	go func() { direct <- f.probe(ctx, u, netip.Addr{}) == nil }()
 	findPeer := sync.OnceFunc(func() { go func() { relayed <- f.findPeer(ctx, u, current) }() })
 	begun := time.Now()
 	if current.IsValid() || f.Paths.InDoubt(begun) {
@@ -306,48 +306,51 @@
 			return pathfinder.Verdict{Direct: true}
 		}
 		findPeer()
-		return pathfinder.Verdict{Peer: <-relayed}
-	case peer := <-relayed:
+		return <-relayed
+	case v := <-relayed:
 		// The way through a peer takes longer, so that the direct one has failed if it responds
 		// much later.
 		wait := 2 * probeTimeout
-		if peer.IsValid() {
+		if v.Peer.IsValid() {
 			wait = max(time.Since(begun)/2, minGrace)
 		}
 		grace := time.NewTimer(wait)
 		defer grace.Stop()
 		select {
-		case ok := <-direct:
-			return pathfinder.Verdict{Direct: ok, Peer: peer}
+		case v.Direct = <-direct:
 		case <-grace.C:
-			return pathfinder.Verdict{Peer: peer}
 		}
+		return v
 	}
 }
 
-// findPeer returns a peer through which an upstream responds, or the zero address.
-func (f *Forwarder) findPeer(ctx context.Context, u *kingcuphook.Upstream, current netip.Addr) netip.Addr {
+// findPeer looks for a peer through which an upstream responds. The verdict is confirmed if there is
+// none, and a peer has found itself that it doesn't reach the upstream.
+func (f *Forwarder) findPeer(ctx context.Context, u *kingcuphook.Upstream, current netip.Addr) pathfinder.Verdict {
+	confirmed := false
 	peers := f.usablePeers(u, current)
 	for range checkRounds {
 		round := peers[:min(len(peers), peersPerRound)]
 		peers = peers[len(round):]
-		found := make(chan netip.Addr, len(round))
+		found := make(chan probed, len(round))
 		for _, peer := range round {
-			go func() {
-				if f.probe(ctx, u, peer) {
-					found <- peer
-					return
-				}
-				found <- netip.Addr{}
-			}()
+			go func() { found <- probed{peer: peer, err: f.probe(ctx, u, peer)} }()
 		}
 		for range round {
-			if peer := <-found; peer.IsValid() {
-				return peer
+			p := <-found
+			if p.err == nil {
+				return pathfinder.Verdict{Peer: p.peer}
 			}
+			confirmed = confirmed || errors.Is(p.err, relayer.ErrUnreached)
 		}
 	}
-	return netip.Addr{}
+	return pathfinder.Verdict{Confirmed: confirmed}
+}
+
+// probed is the result of a probe through a peer.
+type probed struct {
+	peer netip.Addr
+	err  error
 }
 
 // usablePeers returns the peers to be asked for a path to an upstream, the current one first.
@@ -365,9 +368,9 @@
 	return list
 }
 
-// probe reports whether an upstream responds on a new connection, directly or through a peer. A
-// connection through a peer stays open for the next request.
-func (f *Forwarder) probe(ctx context.Context, u *kingcuphook.Upstream, peer netip.Addr) bool {
+// probe returns an error unless an upstream responds on a new connection, directly or through a peer.
+// A connection through a peer stays open for the next request.
+func (f *Forwarder) probe(ctx context.Context, u *kingcuphook.Upstream, peer netip.Addr) error {
 	timeout := probeTimeout
 	if peer.IsValid() {
 		timeout = relayTimeout
@@ -389,11 +392,11 @@
 		if peer.IsValid() && !errors.Is(err, context.Canceled) {
 			f.Paths.Avoid(time.Now(), u, peer, isForAll(err))
 		}
-		return false
+		return err
 	}
 	defer resp.Body.Close()
 	_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxProbeBytes))
-	return err == nil
+	return err
 }
 
 // maxProbeBytes limits how much of the response to a probe is read.
@@ -456,7 +459,7 @@
 
 // probeDirect probes the direct path to an upstream that is cut.
 func (f *Forwarder) probeDirect(ctx context.Context, u *kingcuphook.Upstream) {
-	direct := f.probe(ctx, u, netip.Addr{})
+	direct := f.probe(ctx, u, netip.Addr{}) == nil
 	f.Paths.ProbeDone(time.Now(), u, direct)
 	if direct {
 		f.closeUnusedPaths(u)
--- a/forwarder/relay_test.go
+++ b/forwarder/relay_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -68,10 +69,21 @@
 // another peer that carries connections.
 func newRelayed(t *testing.T, u *kingcuphook.Upstream, current netip.Addr) *Forwarder {
 	t.Helper()
-	door := httptest.NewServer(&relayer.Door{
+	return newRelayedBy(t, u, current, newDoor())
+}
+
+// newDoor returns the door of a peer that reaches all upstreams.
+func newDoor() *relayer.Door {
+	return &relayer.Door{
 		IsRouter: func(netip.Addr) bool { return true }, IsUpstream: func(kingcuphook.Program) bool { return true },
 		LocalAddress: net.TCPAddrFromAddrPort(netip.AddrPortFrom(soundPeer, 0)),
-	})
+	}
+}
+
+// newRelayedBy is newRelayed with the door of the other peer.
+func newRelayedBy(t *testing.T, u *kingcuphook.Upstream, current netip.Addr, d *relayer.Door) *Forwarder {
+	t.Helper()
+	door := httptest.NewServer(d)
 	t.Cleanup(door.Close)
 	addresses := map[netip.Addr]string{endingPeer: serveEndingPeer(t), soundPeer: door.Listener.Addr().String()}
 	f := &Forwarder{
@@ -95,11 +107,13 @@
 	}
 }
 
-// The crash of an upstream was taken for a lost path if the call came through a peer.
-func TestCrashBehindPeerIsNoLostPath(t *testing.T) {
-	is := is.New(t)
+// serveCrash starts an upstream that ends under the first call.
+func serveCrash(t *testing.T) *kingcuphook.Upstream {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
+	if err != nil {
+		t.Fatal(err)
+	}
 	go func() {
 		c, err := l.Accept()
 		if err != nil {
@@ -109,8 +123,48 @@
 		l.Close()
 		c.Close()
 	}()
-	u := kingcuphook.NewUpstream(kingcuphook.UpstreamFields{Address: l.Addr().String(), Instance: "i-1"})
-	_, err = newRelayed(t, u, soundPeer).Call(t.Context(), u, attempt("POST", "/", "body"))
+	return kingcuphook.NewUpstream(kingcuphook.UpstreamFields{Address: l.Addr().String(), Instance: "i-1"})
+}
+
+// The crash of an upstream was taken for a lost path if the call came through a peer.
+func TestCrashBehindPeerIsNoLostPath(t *testing.T) {
+	is := is.New(t)
+	u := serveCrash(t)
+	_, err := newRelayed(t, u, soundPeer).Call(t.Context(), u, attempt("POST", "/", "body"))
 	is.True(errors.Is(err, kingcuphook.ErrOutcomeUnknown))
 	is.True(!errors.Is(err, kingcuphook.ErrPathLost)) // nobody reaches the upstream
 }
+
+// A router whose peers are out of its reach as well, or in doubt about their own links, would take its
+// cut for a crash.
+func TestUnconfirmedEndBehindPeerIsLostPath(t *testing.T) {
+	for name, test := range map[string]struct {
+		noPeers, noPath, unsound, down bool
+		lost                           bool
+	}{
+		"no peer in reach":     {noPeers: true, lost: true},
+		"peer in doubt":        {unsound: true, lost: true},
+		"peer's check pending": {noPath: true, lost: true},
+		"peer found it down":   {noPath: true, down: true, lost: false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			u, d := serveCrash(t), newDoor()
+			var asked, opened atomic.Int64
+			d.Reaches = func(kingcuphook.Program) bool { return asked.Add(1) == 1 || !test.noPath }
+			d.IsDown = func(kingcuphook.Program) bool { return test.down }
+			d.LinksSound = func() bool { return !test.unsound }
+			f := newRelayedBy(t, u, soundPeer, d)
+			address := f.PeerAddress
+			f.PeerAddress = func(a netip.Addr) string {
+				if opened.Add(1) > 1 && test.noPeers {
+					return "127.0.0.1:1" // nothing listens there
+				}
+				return address(a)
+			}
+			_, err := f.Call(t.Context(), u, attempt("POST", "/", "body"))
+			is.True(errors.Is(err, kingcuphook.ErrOutcomeUnknown))
+			is.Equal(errors.Is(err, kingcuphook.ErrPathLost), test.lost)
+		})
+	}
+}
--- a/pathfinder/pathfinder.go
+++ b/pathfinder/pathfinder.go
@@ -108,6 +108,8 @@
 	// Peer is a peer through which the upstream responded, if it didn't directly; the zero
 	// address means none.
 	Peer netip.Addr
+	// Confirmed means that a peer was reached which doesn't reach the upstream either.
+	Confirmed bool
 }
 
 // Change is a change of the path to an upstream.
@@ -168,6 +170,8 @@
 	peer netip.Addr
 	// verified means that the state is the verdict of a check or a probe.
 	verified bool
+	// confirmed means that the upstream is down for a peer as well.
+	confirmed bool
 	// evidence is the last evidence against the direct path, evidenceAt its time.
 	evidence   Evidence
 	evidenceAt time.Time
@@ -258,6 +262,15 @@
 	return StateDirect
 }
 
+// IsDown reports whether a program was found down by this router and a peer, so that its own links
+// are not at fault.
+func (f *Pathfinder) IsDown(program kingcuphook.Program) bool {
+	f.mu.Lock()
+	defer f.unlock()
+	p := f.paths[program]
+	return p != nil && p.state == StateDown && p.confirmed
+}
+
 // Reaches reports whether this router reaches a program directly, as far as it knows now.
 func (f *Pathfinder) Reaches(now time.Time, program kingcuphook.Program) bool {
 	f.mu.Lock()
@@ -399,6 +412,7 @@
 	}
 	p.checkedAt = now
 	p.verified = true
+	p.confirmed = v.Confirmed
 	switch {
 	case v.Direct:
 		p.pause = min(max(2*p.pause, minCheckPause), maxCheckPause)
--- a/relayer/door.go
+++ b/relayer/door.go
@@ -37,6 +37,14 @@
 	reasonClosed   = "this router carries no connections now"
 )
 
+// Values of headerUnreached.
+const (
+	// unreachedDialed means that no connection could be opened now.
+	unreachedDialed = "dialed"
+	// unreachedChecked means that a check failed lately.
+	unreachedChecked = "checked"
+)
+
 // Ends of relayed connections.
 const (
 	endUpstream = "upstream-closed"
@@ -71,6 +79,12 @@
 	// Reaches reports whether this router has a direct path to the program; nil means that it
 	// has to all.
 	Reaches func(p kingcuphook.Program) bool
+	// IsDown reports whether this router has found that the program can't be reached; nil means that
+	// it has not.
+	IsDown func(p kingcuphook.Program) bool
+	// LinksSound reports whether nothing speaks against this router's own links to upstreams; nil
+	// means that nothing does.
+	LinksSound func() bool
 	// CarriesNone reports whether this router carries no connections now, since it is stopping or
 	// is cut off itself; nil means that it does.
 	CarriesNone func() bool
@@ -152,6 +166,9 @@
 	target, ok := parseProgram(r)
 	status, reason := d.check(from, id, target, ok && r.Header.Get("Upgrade") == protocol)
 	if status != 0 {
+		if reason == reasonNoPath && d.IsDown != nil && d.IsDown(target) {
+			d.confirm(w, unreachedChecked)
+		}
 		d.refuse(w, status, reason, from, id, target)
 		return
 	}
@@ -166,6 +183,7 @@
 		if d.OnFailure != nil {
 			d.OnFailure(target, err)
 		}
+		d.confirm(w, unreachedDialed)
 		d.refuse(w, http.StatusBadGateway, err.Error(), from, id, target)
 		return
 	}
@@ -207,6 +225,14 @@
 	http.Error(w, reason, status)
 }
 
+// confirm tells the peer that the upstream can't be reached from here either, unless the links of this
+// router may be at fault.
+func (d *Door) confirm(w http.ResponseWriter, how string) {
+	if d.LinksSound == nil || d.LinksSound() {
+		w.Header().Set(headerUnreached, how)
+	}
+}
+
 func (d *Door) dial(ctx context.Context, p kingcuphook.Program) (*net.TCPConn, error) {
 	timeout := d.DialTimeout
 	if timeout == 0 {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -37,6 +37,9 @@
 	paramInstance = "instance"
 	paramStart    = "start"
 	paramID       = "id"
+	// headerUnreached in a refusal means that the peer found itself that the upstream can't be
+	// reached.
+	headerUnreached = "Kingcuphook-Unreached"
 	// maxIDBytes bounds the identifier of a connection.
 	maxIDBytes = 200
 	// maxReasonBytes bounds the reason of a refusal that an error repeats.
@@ -56,6 +59,9 @@
 var (
 	// ErrRefused means that the peer is reached and can't carry the connection to this upstream.
 	ErrRefused = errors.New("refused by the peer")
+	// ErrUnreached means that the peer is reached and has found itself that the upstream can't be
+	// reached. It is joined with ErrRefused.
+	ErrUnreached = errors.New("not reached by the peer either")
 	// ErrCarriesNone means that the peer is reached and carries no connections now.
 	ErrCarriesNone = errors.New("peer carries no connections now")
 )
@@ -69,7 +75,8 @@
 
 // Dial opens a connection to the program of an upstream through the peer at an address. The
 // identifier names the connection in the logs of both routers. An error wraps
-// kingcuphook.ErrNotSent, and ErrRefused or ErrCarriesNone if the peer refuses.
+// kingcuphook.ErrNotSent, ErrRefused or ErrCarriesNone if the peer refuses, and ErrUnreached if the
+// peer doesn't reach the upstream either.
 func (r *Relayer) Dial(ctx context.Context, peer string, p kingcuphook.Program, id string) (*Conn, error) {
 	c, err := r.dial(ctx, peer, p, id)
 	if err != nil {
@@ -124,15 +131,22 @@
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusSwitchingProtocols {
 		reason, _ := io.ReadAll(io.LimitReader(resp.Body, maxReasonBytes))
-		refusal := ErrCarriesNone
-		if resp.StatusCode == http.StatusNotFound || resp.StatusCode == http.StatusBadGateway {
-			refusal = ErrRefused
-		}
-		return nil, fmt.Errorf("status %d, %s: %w", resp.StatusCode, bytes.TrimSpace(reason), refusal)
+		return nil, fmt.Errorf("status %d, %s: %w", resp.StatusCode, bytes.TrimSpace(reason), refusalOf(resp))
 	}
 	return buffered, nil
 }
 
+// refusalOf returns the error of a reply by which a peer refuses a connection.
+func refusalOf(resp *http.Response) error {
+	if resp.StatusCode != http.StatusNotFound && resp.StatusCode != http.StatusBadGateway {
+		return ErrCarriesNone
+	}
+	if resp.Header.Get(headerUnreached) != "" {
+		return errors.Join(ErrRefused, ErrUnreached)
+	}
+	return ErrRefused
+}
+
 // Conn is a connection to an upstream through a peer.
 type Conn struct {
 	net.Conn
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -222,3 +222,28 @@
 		d.True(carried.isBusy(time.Now().Add(2500 * time.Millisecond))) // the stream has not ended
 	}
 }
+
+// A router took the crash of an upstream for a lost path, since a refusal did not tell who is at fault.
+func TestRefusalTellsThatPeerDoesNotReachUpstream(t *testing.T) {
+	d := newTestDoor(t)
+	sound, down, reaches := true, false, true
+	d.LinksSound = func() bool { return sound }
+	d.IsDown = func(kingcuphook.Program) bool { return down }
+	d.Reaches = func(kingcuphook.Program) bool { return reaches }
+	unused, err := net.Listen("tcp", "127.0.0.1:0")
+	d.NoErr(err)
+	unused.Close()
+	d.program = kingcuphook.NewProgram(unused.Addr().String(), "i-1", 17)
+	confirms := func() bool {
+		_, err := (&Relayer{}).Dial(t.Context(), d.address, d.program, "c-1")
+		d.True(errors.Is(err, ErrRefused))
+		return errors.Is(err, ErrUnreached)
+	}
+	d.True(confirms()) // its dial fails
+	reaches = false
+	d.True(!confirms()) // its check decides
+	down = true
+	d.True(confirms()) // its check failed
+	sound = false
+	d.True(!confirms()) // its own links may be at fault
+}
