Find a part that crashes upstreams among few sound requests

Cause: a verdict needs crashes in four groups between requests that began soundly, of which there were too few among the 24 that are kept; crashes of two parts at once were attributed to the first one found. Change: many crashes in a row whose share is nearly all need one sound request amid them, unless another part is as suspected; crashes that a quarantined part explains count for a part that crashes upstreams without it too.

--- a/isolator/attempt.go
+++ b/isolator/attempt.go
@@ -36,8 +36,10 @@
 	at     time.Time
 	pool   uint8
 	broken bool
-	// program is the one that broke off the attempt.
+	// program is the one that broke off the attempt, parts are those of the request; set if it
+	// was broken off.
 	program uint32
+	parts   []uint64
 }
 
 // Begin returns an attempt at an upstream.
@@ -183,7 +185,7 @@
 // quarantined, that explains the crash.
 func (i *Isolator) addCandidate(now time.Time, a *Attempt) {
 	crash := Crash{program: hashProgram(a.upstream.Program()), pool: hashPool(a.request.Pool()), at: now, knownAt: now}
-	i.addOutcome(outcome{at: now, pool: crash.pool, broken: true, program: crash.program})
+	i.addOutcome(outcome{at: now, pool: crash.pool, broken: true, program: crash.program, parts: a.request.Parts()})
 	if quarantined := i.quarantinedOf(a.request.Parts()); len(quarantined) > 0 {
 		quarantined[0].addCrash(crash)
 		return
--- a/isolator/isolator_test.go
+++ b/isolator/isolator_test.go
@@ -229,3 +229,83 @@
 		is.True(errors.Is(err, kingcuphook.ErrInvalid))
 	}
 }
+
+// A part in nearly all requests was never found: between its crashes too few others began soundly.
+func TestPartIsFoundAmongFewSoundRequests(t *testing.T) {
+	const badInterval, soundInterval = 350 * time.Millisecond, 5 * time.Second
+	for _, first := range []time.Duration{50 * time.Millisecond, 2500 * time.Millisecond, 4950 * time.Millisecond} {
+		is := is.New(t)
+		var i Isolator
+		crashes := 0
+		for since := time.Duration(0); since < knownAfter*badInterval+contactTime+2*badInterval; since += 10 * time.Millisecond {
+			now := start.Add(since)
+			if since%badInterval == 0 && !isQuarantined(&i, now, crashing) {
+				i.Begin(upstream(crashes), request(shared, crashing, uint64(1000+crashes))).BrokenOff(now)
+				crashes++
+			}
+			if since%soundInterval == first {
+				sound := i.Begin(upstream(1000), request(shared, uint64(2000+crashes)))
+				sound.Progress(now)
+				sound.Complete(now.Add(survivalTime), true)
+			}
+		}
+		now := start.Add(knownAfter*badInterval + contactTime + 2*badInterval)
+		is.True(isQuarantined(&i, now, crashing))
+		is.True(!isQuarantined(&i, now, shared))
+	}
+}
+
+// A part of most requests was taken for the cause while requests without it were broken off too.
+func TestPartWithoutAllCrashesNeedsMoreSoundRequests(t *testing.T) {
+	is := is.New(t)
+	var i Isolator
+	now := start
+	for c := range maxCrashes {
+		parts := []uint64{shared}
+		if c%5 == 0 {
+			parts = []uint64{uint64(1000 + c)}
+		}
+		i.Begin(upstream(c), request(parts...)).BrokenOff(now)
+		if c == maxCrashes/2 {
+			sound := i.Begin(upstream(1000), request(99))
+			sound.Progress(now.Add(100 * time.Millisecond))
+			sound.Complete(now.Add(200*time.Millisecond), true)
+		}
+		now = now.Add(300 * time.Millisecond)
+	}
+	is.True(!isQuarantined(&i, now.Add(settleTime), shared))
+}
+
+// Where every request crashed upstreams, the parts of all were taken for the cause.
+func TestPartsOfDifferentRequestsNeedMoreSoundRequests(t *testing.T) {
+	is := is.New(t)
+	var i Isolator
+	now := start
+	for c := range maxCrashes {
+		for part := uint64(1); part <= 3; part++ {
+			i.Begin(upstream(c), request(part)).BrokenOff(now)
+		}
+		if c == maxCrashes/2 {
+			sound := i.Begin(upstream(1000), request(99))
+			sound.Progress(now.Add(100 * time.Millisecond))
+			sound.Complete(now.Add(200*time.Millisecond), true)
+		}
+		now = now.Add(300 * time.Millisecond)
+	}
+	for part := uint64(1); part <= 3; part++ {
+		is.True(!isQuarantined(&i, now.Add(settleTime), part))
+	}
+}
+
+// Of two parts that crashed upstreams at once, the crashes of both counted for the first one found.
+func TestPartIsFoundBesideQuarantinedOne(t *testing.T) {
+	is := is.New(t)
+	var i Isolator
+	now := crashEach(&i, start, 0, 1, crashing, shared)
+	now = crashEach(&i, now, 10, minCrashes, crashing)
+	is.True(isQuarantined(&i, now, crashing))
+	now = crashEach(&i, now, 20, minGroups-1, shared)
+	is.True(!isQuarantined(&i, now, shared))
+	now = crashEach(&i, now, 30, 1, shared)
+	is.True(isQuarantined(&i, now, shared))
+}
--- a/isolator/verdict.go
+++ b/isolator/verdict.go
@@ -16,6 +16,14 @@
 	// minShare is the least share that the crashes of a part have in all that no quarantined
 	// part explains. It keeps parts out whose requests are few of those that are broken off.
 	minShare = 0.25
+	// minOnlyCrashes is the least number of crashes, and minOnlyShare their least share, for a
+	// verdict with fewer groups. So many in a row, whose share is nearly all, leave it unlikely
+	// that the requests that began soundly lack the part by chance.
+	minOnlyCrashes = 2 * minCrashes
+	minOnlyShare   = 0.9
+	// followTime is how long ago a request began soundly amid the crashes, so that peers have
+	// reported the parts with which others did at about the same time.
+	followTime = time.Second
 	// significance is the greatest probability that requests of the parts of a verdict were
 	// broken off by chance.
 	significance = 0.001
@@ -77,13 +85,14 @@
 // quarantineDue quarantines the part with the most crashes that are enough for a verdict,
 // and those parts with it that have the same crashes. It reports whether there was one.
 func (i *Isolator) quarantineDue(now time.Time) bool {
-	worst, evidence := i.worst(now)
+	worst := i.worst(now)
 	if worst == nil {
 		return false
 	}
 	due := []*Entry{worst}
+	same := programs(i.counting(now, worst))
 	for _, e := range i.entries {
-		if e != worst && e.state != StateQuarantined && slices.Equal(programs(i.counting(now, e)), programs(evidence)) {
+		if e != worst && e.state != StateQuarantined && slices.Equal(programs(i.counting(now, e)), same) {
 			due = append(due, e)
 		}
 	}
@@ -94,28 +103,98 @@
 	return true
 }
 
-// worst returns the part with the most crashes that are enough for a verdict, and these. It
-// returns nil if there is none.
-func (i *Isolator) worst(now time.Time) (worst *Entry, evidence []Crash) {
+// worst returns the part with the most crashes that are enough for a verdict, or nil.
+func (i *Isolator) worst(now time.Time) (worst *Entry) {
+	most := 0
 	for _, e := range i.entries {
 		if e.state == StateQuarantined || len(e.crashes) < minCrashes {
 			continue
 		}
-		counting := i.counting(now, e)
-		if !i.isEnough(e, counting) {
+		evidence := i.evidence(now, e)
+		if !i.isEnough(now, e, evidence) {
 			continue
 		}
-		if worst == nil || cmp.Or(cmp.Compare(len(evidence), len(counting)), cmp.Compare(e.part, worst.part)) < 0 {
-			worst, evidence = e, counting
+		if worst == nil || cmp.Or(cmp.Compare(most, len(evidence)), cmp.Compare(e.part, worst.part)) < 0 {
+			worst, most = e, len(evidence)
 		}
 	}
-	return worst, evidence
+	return worst
 }
 
 // isEnough reports whether the crashes that count against a part are enough for a verdict.
-func (i *Isolator) isEnough(e *Entry, counting []Crash) bool {
-	return len(counting) > 0 && len(counting) >= i.needed(e, counting) &&
-		e.groups(counting) >= minGroups && i.share(counting) >= minShare
+func (i *Isolator) isEnough(now time.Time, e *Entry, counting []Crash) bool {
+	if len(counting) == 0 || len(counting) < i.needed(e, counting) {
+		return false
+	}
+	n, others := float64(len(counting)), i.others(e, counting)
+	if e.groups(counting) >= minGroups && n/float64(i.unexplained(e)+others) >= minShare {
+		return true
+	}
+	return len(counting) >= minOnlyCrashes && n/float64(len(counting)+others) >= minOnlyShare &&
+		moments(counting) >= minGroups && i.goesOn(now, e) && !i.hasRival(e, counting)
+}
+
+// hasRival reports whether another part is suspected of half of the crashes or more, though it
+// comes in other requests: then any request may crash upstreams.
+func (i *Isolator) hasRival(e *Entry, counting []Crash) bool {
+	for _, other := range i.entries {
+		n := 0
+		for _, c := range counting {
+			if other.suspects(c.program) {
+				n++
+			}
+		}
+		if other != e && other.state != StateQuarantined && 2*n >= len(counting) && !i.areTogether(e.part, other.part) {
+			return true
+		}
+	}
+	return false
+}
+
+// areTogether reports whether all requests that were broken off on this router had both parts or
+// neither, and some had both.
+func (i *Isolator) areTogether(a, b uint64) bool {
+	found := false
+	for _, o := range i.outcomes {
+		hasA, hasB := slices.Contains(o.parts, a), slices.Contains(o.parts, b)
+		if hasA != hasB {
+			return false
+		}
+		found = found || hasA
+	}
+	return found
+}
+
+// goesOn reports whether the part has crashed upstreams before and after a request without it
+// began soundly on this router, so that not all requests crash upstreams. The parts of requests
+// that peers alone know of may not be reported yet.
+func (i *Isolator) goesOn(now time.Time, e *Entry) bool {
+	for n, c := range e.crashes[:len(e.crashes)-1] {
+		if c.excused || i.isExplained(c) {
+			continue
+		}
+		before := e.crashes[n+1].at
+		if known := now.Add(-followTime); known.Before(before) {
+			before = known
+		}
+		if i.beganSoundly(c.pool, c.at, before) {
+			return true
+		}
+	}
+	return false
+}
+
+// moments returns the number of crashes that came more than groupWindow after the one before.
+func moments(crashes []Crash) int {
+	n := 0
+	var last time.Time
+	for _, c := range crashes {
+		if n == 0 || c.at.Sub(last) > groupWindow {
+			n++
+		}
+		last = c.at
+	}
+	return n
 }
 
 // explain collects the crashes that quarantined parts explain, and those that lifted parts
@@ -144,11 +223,32 @@
 	return list
 }
 
+// evidence returns the crashes that count against a part. If enough do, so that it crashes
+// upstreams without the quarantined parts, those count too that a quarantined part explains.
+func (i *Isolator) evidence(now time.Time, e *Entry) []Crash {
+	counting := i.counting(now, e)
+	if len(counting) < minGroups {
+		return counting
+	}
+	var list []Crash
+	for _, c := range e.crashes {
+		if !c.excused && now.Sub(c.knownAt) >= settleTime && c.at.After(e.explainsUntil) {
+			list = append(list, c)
+		}
+	}
+	return list
+}
+
 // hasCrash reports whether the crash of a program is in the entry.
 func (e *Entry) hasCrash(program uint32) bool {
 	return slices.ContainsFunc(e.crashes, func(c Crash) bool { return c.program == program })
 }
 
+// suspects reports whether the crash of a program is in the entry and isn't excused.
+func (e *Entry) suspects(program uint32) bool {
+	return slices.ContainsFunc(e.crashes, func(c Crash) bool { return c.program == program && !c.excused })
+}
+
 // isExplained reports whether a part that is or was quarantined explains the crash.
 func (i *Isolator) isExplained(c Crash) bool {
 	return slices.ContainsFunc(i.explained[c.program], c.same)
@@ -189,18 +289,29 @@
 	return n
 }
 
-// share returns the share of the crashes in all of their pool that are known since the first of
-// them and that no quarantined part explains.
-func (i *Isolator) share(crashes []Crash) float64 {
-	all := make(map[uint32]bool)
-	for _, e := range i.entries {
-		for _, c := range e.crashes {
-			if c.pool == crashes[0].pool && !c.at.Before(crashes[0].at) && !all[c.program] && !i.isExplained(c) {
-				all[c.program] = true
+// others returns the number of crashes in their pool, known since the first counting one, that
+// neither a quarantined part explains nor count against the entry now or later.
+func (i *Isolator) others(e *Entry, counting []Crash) int {
+	others := make(map[uint32]bool)
+	for _, other := range i.entries {
+		for _, c := range other.crashes {
+			if c.pool == counting[0].pool && !c.at.Before(counting[0].at) && !e.suspects(c.program) && !i.isExplained(c) {
+				others[c.program] = true
 			}
 		}
 	}
-	return float64(len(crashes)) / float64(max(len(all), 1))
+	return len(others)
+}
+
+// unexplained returns the number of crashes that count against a part now or later.
+func (i *Isolator) unexplained(e *Entry) int {
+	n := 0
+	for _, c := range e.crashes {
+		if !c.excused && !i.isExplained(c) {
+			n++
+		}
+	}
+	return n
 }
 
 // needed returns how many crashes a verdict on a part needs, so that its requests are unlikely
