Keep the quarantine of a body in the store

Cause: on the platform the quarantine of a body stood in the memory of routers only. Change: delegates write it to quarantine/bodies/, as they do for parts; routers that start read it. One folder of records serves both.

--- a/attacher/control.go
+++ b/attacher/control.go
@@ -50,7 +50,9 @@
 	loads gatherer.Gatherer
 	pull  puller.Puller
 	// parts are the records of prompt parts in the store.
-	parts partRecords
+	parts recordFolder
+	// bodies are the records of quarantined bodies in the store.
+	bodies recordFolder
 	// versions is the state of the writes of the records of versions.
 	versions versionRecords
 	// currentAt is when the entries of the store certainly were those in force, or later.
@@ -96,6 +98,9 @@
 		},
 		self:  a.Settings.Address(),
 		peers: newPeers(a.Settings.Seeds(), digester.HashDataCentre(a.Settings.DataCentre())),
+
+		parts:  newPartFolder(a),
+		bodies: newBodyFolder(a),
 	}
 	c.issuersOf = -1
 	c.startedAt = time.Now()
@@ -163,6 +168,7 @@
 	c.delegator.SetUnable(c.ineligible(now))
 	c.askPeer(ctx, now)
 	c.writeParts(ctx, now)
+	c.writeBodies(ctx, now)
 	c.tryParts(ctx, now)
 	c.a.pins.pinner.Refresh(now)
 	c.judgeFleet(now)
@@ -271,7 +277,8 @@
 }
 
 func (c *control) applyEntries(now time.Time, e watcher.Event) {
-	c.applyParts(now, e)
+	c.applyRecords(now, &c.parts, e)
+	c.applyRecords(now, &c.bodies, e)
 	c.a.pins.applyEntries(e.CurrentAt, e.Entries, e.Kind == watcher.EventSnapshot)
 	c.versions.isRead = true
 	for _, entry := range e.Entries {
--- a/attacher/ledger.go
+++ b/attacher/ledger.go
@@ -154,7 +154,7 @@
 	if v.missingSince.IsZero() {
 		v.missingSince = now
 	}
-	if now.Sub(v.missingSince) < c.partTurn(now) {
+	if now.Sub(v.missingSince) < c.recordTurn(now) {
 		return
 	}
 	v.writing = true
--- a/logger/events.go
+++ b/logger/events.go
@@ -83,6 +83,8 @@
 	PartRecordFailed      = Event{1604, LevelWarn, "record of a quarantined prompt part not written"}
 	PartRecordRejected    = Event{1605, LevelWarn, "record of a prompt part in the store rejected"}
 	PartTried             = Event{1606, LevelWarn, "request with a quarantined prompt part let through on trial"}
+	BodyRecordFailed      = Event{1607, LevelWarn, "record of a quarantined body not written"}
+	BodyRecordRejected    = Event{1608, LevelWarn, "record of a body in the store rejected"}
 	QuarantineLifted      = Event{1602, LevelInfo, "quarantine lifted by an operator"}
 	StreamOriginFound     = Event{1701, LevelInfo, "found which software version began a stream that a caller resumes"}
 	StreamOriginUnknown   = Event{1702, LevelInfo, "not known which software version began a stream that a caller resumes"}
@@ -157,6 +159,8 @@
 		PartRecordFailed,
 		PartRecordRejected,
 		PartTried,
+		BodyRecordFailed,
+		BodyRecordRejected,
 		StreamOriginFound,
 		StreamOriginUnknown,
 		VersionsRecorded,
--- a/quarantiner/exchange.go
+++ b/quarantiner/exchange.go
@@ -64,25 +64,30 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, e := range entries {
-		if e.changedAt.After(now) {
-			e.changedAt = now
-		}
-		if e.fingerprint == 0 {
-			q.importWithdrawn(now, e)
-			continue
-		}
-		for n := range e.crashes {
-			e.crashes[n].knownAt = now
-			q.lastCrash = later(q.lastCrash, e.crashes[n].at)
-		}
-		if !q.removeWithdrawn(&e) || len(e.crashes) > 0 {
-			q.mergeEntry(e)
-		}
+		q.importEntry(now, e)
 	}
 	q.expire(now)
 	return nil
 }
 
+// importEntry merges an entry of a peer or of the store.
+func (q *Quarantiner) importEntry(now time.Time, e Entry) {
+	if e.changedAt.After(now) {
+		e.changedAt = now
+	}
+	if e.fingerprint == 0 {
+		q.importWithdrawn(now, e)
+		return
+	}
+	for n := range e.crashes {
+		e.crashes[n].knownAt = now
+		q.lastCrash = later(q.lastCrash, e.crashes[n].at)
+	}
+	if !q.removeWithdrawn(&e) || len(e.crashes) > 0 {
+		q.mergeEntry(e)
+	}
+}
+
 // importWithdrawn applies the withdrawals of a peer.
 func (q *Quarantiner) importWithdrawn(now time.Time, e Entry) {
 	if e.state != stateCleared {
