Take back the places of requests that were open when an upstream became brittle

Cause (a log of the holders): requests that were open when an upstream became brittle held places beyond its slots, and only a router that waits took places back. Refusals of that surplus shrank the capacity; so did the counter of a restarted router, and the state of an earlier time. Class: what was granted before a bound was known is never taken back. Change: a surplus makes places contended; refusals of it, of requests from before, and of a counter that began anew don't shrink the capacity; a later time of brittleness begins anew.

--- a/permitter/issuer_test.go
+++ b/permitter/issuer_test.go
@@ -126,3 +126,25 @@
 	is.Equal(reply, nil)
 	is.Equal(p.issuer.buckets[1].perSecond, 4.0)
 }
+
+// Refusals of requests beyond the slots took the capacity of a sound upstream down to one place.
+func TestRefusalsOfSurplusPlacesKeepCapacity(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	for _, test := range []struct {
+		name           string
+		held, capacity int
+	}{
+		{"surplus", 8, 8},
+		{"none", 5, 6},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := &room{slots: 8, capacity: 8, holders: make(map[string]*holder)}
+			r.record(now, "10.1.0.1", 1, stateEntry{slots: 8, held: test.held / 2})
+			r.record(now, "10.1.0.2", 1, stateEntry{slots: 8, held: test.held - test.held/2 + 2})
+			r.record(now, "10.1.0.2", 2, stateEntry{slots: 8, held: test.held - test.held/2, refusals: 2})
+			if r.capacity != test.capacity {
+				t.Errorf("capacity %d after 2 refusals, want %d", r.capacity, test.capacity)
+			}
+		})
+	}
+}
--- a/permitter/place.go
+++ b/permitter/place.go
@@ -52,12 +52,12 @@
 	running, held int
 	// lingering has until when the places of requests that were broken off count as used.
 	lingering []time.Time
-	// refusals counts the requests that were refused; refusedOpen those that have not ended
-	// here.
+	// refusals counts the requests that were sent since begunAt and refused; refusedOpen all that
+	// were refused and have not ended here.
 	refusals    uint8
 	refusedOpen int
-	// contended means that other routers wait for places. tenureFrom is since when this router
-	// has used its places, idleFrom since when one of them is unused.
+	// contended means that other routers wait for places, or that too many are held. tenureFrom
+	// is since when this router has used its places, idleFrom since when one of them is unused.
 	contended            bool
 	tenureFrom, idleFrom time.Time
 
@@ -128,8 +128,10 @@
 }
 
 // refuse records that the upstream refused a request, whose place is lost.
-func (l *places) refuse() {
-	l.refusals++
+func (l *places) refuse(sentAt time.Time) {
+	if !sentAt.Before(l.begunAt) {
+		l.refusals++
+	}
 	if l.refusedOpen < l.running {
 		l.refusedOpen++
 	}
--- a/permitter/placeexchange.go
+++ b/permitter/placeexchange.go
@@ -57,7 +57,7 @@
 			l.observeAbsent(sentAt)
 			if refused {
 				p.refused++
-				l.refuse()
+				l.refuse(sentAt)
 			}
 		}
 		return nil
@@ -85,7 +85,7 @@
 	l.slots = u.Slots()
 	if refused {
 		p.refused++
-		l.refuse()
+		l.refuse(sentAt)
 	}
 	return changes
 }
--- a/permitter/placeissue.go
+++ b/permitter/placeissue.go
@@ -8,6 +8,7 @@
 	if r == nil {
 		return grantEntry{}, false
 	}
+	r.beginAnew(now, e)
 	r.act(now)
 	if !r.record(now, router, sequence, e) {
 		return grantEntry{}, false
@@ -18,7 +19,7 @@
 		return g, true
 	}
 	g.places = p.sendGrants(now, r, router)
-	g.contended = r.waiting(now) > 0
+	g.contended = r.contended(now)
 	g.wait = r.waitOf(now)
 	return g, true
 }
@@ -39,11 +40,11 @@
 			n = g.places
 		case p.Self:
 			if l := p.placesByKey[r.key]; l != nil && l.request.sequence == g.sequence {
-				p.applyGrant(now, l, grantEntry{key: r.key, places: g.places, contended: r.waiting(now) > 0})
+				p.applyGrant(now, l, grantEntry{key: r.key, places: g.places, contended: r.contended(now)})
 				p.granted = true
 			}
 		default:
-			b := grantEntry{key: r.key, places: g.places, contended: r.waiting(now) > 0}.append(newHeader(KindGrant, g.sequence, 0))
+			b := grantEntry{key: r.key, places: g.places, contended: r.contended(now)}.append(newHeader(KindGrant, g.sequence, 0))
 			p.outbox = append(p.outbox, Message{To: g.router, Payload: b})
 		}
 	}
--- a/permitter/room.go
+++ b/permitter/room.go
@@ -118,6 +118,16 @@
 	}
 }
 
+// beginAnew makes a room whose upstream is brittle again issue places as one that has just become so.
+// The places of the holders may be out of date.
+func (r *room) beginAnew(now time.Time, e stateEntry) {
+	if r.endedAt.IsZero() || !e.announcedAt.After(r.absentSentAt) {
+		return
+	}
+	r.acting = false
+	r.createdAt, r.refusedAt = now, time.Time{}
+}
+
 // rest records that this router issues no places.
 func (r *room) rest() {
 	r.acting = false
@@ -131,15 +141,15 @@
 		if len(r.holders) >= maxWaiting {
 			return false
 		}
-		h = &holder{router: router, refusals: e.refusals}
+		h = &holder{router: router, heardAt: now, refusals: e.refusals}
 		r.holders[router] = h
 	} else if gap := h.sequence - sequence; gap < maxSequenceGap {
 		return false
 	}
 	r.activeAt = now
 	r.recordEvidence(now, e)
-	if n := e.refusals - h.refusals; n > 0 {
-		r.shrink(now, int(n))
+	if n := h.newRefusals(e) - r.surplus(); n > 0 {
+		r.shrink(now, n)
 	}
 	h.sequence, h.refusals, h.held, h.heardAt, h.answerAt = sequence, e.refusals, e.held, now, time.Time{}
 	h.unconfirmed = 0
@@ -150,6 +160,15 @@
 	return true
 }
 
+// newRefusals returns how many refusals the router counted since its last message; none if it has
+// begun to count anew, as after a restart.
+func (h *holder) newRefusals(e stateEntry) int {
+	if e.begunAt.After(h.heardAt) {
+		return 0
+	}
+	return int(e.refusals - h.refusals)
+}
+
 func (r *room) recordEvidence(now time.Time, e stateEntry) {
 	if now.Sub(e.begunAt) >= 2*openDelay && now.Sub(r.createdAt) < openDelay {
 		r.openAt = r.createdAt.Add(takeOverDelay)
@@ -252,6 +271,21 @@
 	return n
 }
 
+// surplus returns how many places are held beyond those that may be issued: requests that were
+// open when the upstream became brittle hold places too.
+func (r *room) surplus() int {
+	held := 0
+	for _, h := range r.holders {
+		held += h.held
+	}
+	return max(held-r.capacity, 0)
+}
+
+// contended reports whether routers are to give up places.
+func (r *room) contended(now time.Time) bool {
+	return r.surplus() > 0 || r.waiting(now) > 0
+}
+
 // waitOf returns how long a router waits for a place.
 func (r *room) waitOf(now time.Time) time.Duration {
 	return time.Duration(r.waiting(now)) * maxTenure / time.Duration(max(r.capacity, 1))
