Answer waiting routers of large fleets only once places are free

Seen: with 300 routers the issuer of a brittle upstream sent up to 4,960 bytes a second; 3,072 are allowed for control. Cause: it told each router that waits that there is no place yet, though most get one soon.

--- a/permitter/brittle_test.go
+++ b/permitter/brittle_test.go
@@ -303,7 +303,7 @@
 					if used < 0.7 {
 						t.Errorf("%.2f of what the upstreams bear was used, want at least 0.7", used)
 					}
-					if control > maxControlBytes && routers < 300 { // 300 have a test of their own
+					if control > maxControlBytes {
 						t.Errorf("%d bytes a second from a router, %d are allowed", control, maxControlBytes)
 					}
 					if sum > maxControlBytes*routers/2 {
@@ -336,3 +336,147 @@
 		t.Errorf("%d bytes a second from a router, %d are allowed", control, maxControlBytes)
 	}
 }
+
+// An issuer told each router that waits that there was no place yet, though most get one soon. Routers of
+// earlier versions must still be told: they take an issuer that is silent for longer than replyTimeout for dead.
+func TestOnlyPatientRoutersAreAnsweredLate(t *testing.T) {
+	for flags, delay := range map[byte]time.Duration{0: queuedReplyDelay, flagPatient: patientReplyDelay} {
+		f := newBrittleFleet(t, 1, 0)
+		p, holder, other := f.routers[0].Permitter, "10.1.0.2", "10.1.0.3"
+		f.now = f.now.Add(settleTime)
+		p.SetRouters(f.now, []string{holder, other})
+		e := stateEntry{key: f.keyOf(p), slots: brittleSlots, tolerated: 1, begunAt: f.now, announcedAt: f.now, held: brittleSlots, tier: kingcuphook.HighestTier}
+		if _, _, err := p.Receive(f.now, holder, e.append(newHeader(KindState, 1, 0), f.now)); err != nil {
+			t.Fatal(err)
+		}
+		e.held, e.wanted = 0, 1
+		asked := f.now
+		reply, _, err := p.Receive(f.now, other, e.append(newHeader(KindState, 1, flags), f.now))
+		if err != nil || reply != nil {
+			t.Fatalf("a reply of %d bytes before a place is free, %v", len(reply), err)
+		}
+		for len(f.grantsTo(p, other)) == 0 && f.now.Sub(asked) < patientTimeout {
+			f.now = f.now.Add(brittleStep)
+		}
+		if took := f.now.Sub(asked); took < delay || took > delay+2*brittleStep {
+			t.Errorf("flags %d: told after %v, want %v", flags, took, delay)
+		}
+	}
+}
+
+// keyOf returns the key of an upstream whose places the router issues.
+func (f *brittleFleet) keyOf(p *Permitter) uint64 {
+	for _, u := range f.upstreams {
+		if rank(u.Program().Key(), p.routers)[0] == p.Self {
+			return u.Program().Key()
+		}
+	}
+	f.t.Fatal("the router issues the places of no upstream")
+	return 0
+}
+
+// grantsTo returns the grants that a router sends to another one now.
+func (f *brittleFleet) grantsTo(p *Permitter, to string) []Message {
+	return slices.DeleteFunc(p.Messages(f.now), func(m Message) bool { return m.To != to || Kind(m.Payload[0]) != KindGrant })
+}
+
+// Routers used the places of their open requests again and again, more than the slots together.
+func TestPlacesOfOpenRequestsDoNotExceedSlots(t *testing.T) {
+	const interval = brittleRunTime
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			f := newBrittleFleet(t, 8, 0)
+			f.rng = rand.New(rand.NewPCG(seed, seed))
+			f.run(settleTime)
+			f.announce(1)
+			for range 10 * time.Second / interval {
+				for _, r := range f.routers {
+					r.queue = append(r.queue, f.now.Add(brittlePatience))
+				}
+				f.run(interval)
+			}
+			if falls, refused := f.falls(); refused > 0 {
+				t.Errorf("%d falls, %d refused, want none", falls, refused)
+			}
+		})
+	}
+}
+
+// A router that restarted reported fewer refusals than before, which wrapped to hundreds.
+func TestRestartedRouterKeepsCapacity(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	r := &room{slots: 8, capacity: 8, holders: make(map[string]*holder)}
+	r.record(now, "10.1.0.1", 1, stateEntry{slots: 8, begunAt: now.Add(-time.Second), refusals: 5})
+	now = now.Add(time.Second)
+	r.record(now, "10.1.0.1", 1000, stateEntry{slots: 8, begunAt: now})
+	if r.capacity != 8 {
+		t.Errorf("capacity %d after a restart, want 8", r.capacity)
+	}
+}
+
+// The refusals and the capacity of an earlier time of brittleness were taken for those of the next.
+func TestLaterBrittlenessBeginsAnew(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	p := &Permitter{Self: "10.1.0.1"}
+	p.SetRouters(now, nil)
+	const slots, key = 8, 1
+	state := func(sequence uint16, e stateEntry) {
+		e.key, e.slots, e.tolerated = key, slots, 1
+		p.handleState(now, "10.1.0.2", sequence, e)
+	}
+	begunAt := now
+	state(1, stateEntry{begunAt: begunAt, announcedAt: now, held: 2, refusals: 5})
+	for i := range endReplies {
+		now = now.Add(minEndTime)
+		state(uint16(i+2), stateEntry{begunAt: begunAt, announcedAt: begunAt, absentSentAt: now, refusals: 5})
+	}
+	r := p.issuer.rooms[key]
+	if r.endedAt.IsZero() {
+		t.Fatal("the first time of brittleness has not ended")
+	}
+	now = now.Add(10 * time.Second)
+	state(10, stateEntry{begunAt: now, announcedAt: now, held: 1})
+	if r.capacity != slots/2 {
+		t.Errorf("capacity %d as the second time begins, want %d", r.capacity, slots/2)
+	}
+	if !r.openAt.Equal(now.Add(openDelay)) {
+		t.Errorf("places are issued %v after the second time has begun, want %v", r.openAt.Sub(now), openDelay)
+	}
+}
+
+// Refusals of requests that were sent before the router knew of any places took the capacity.
+func TestRefusalsOfEarlierRequestsAreNoRefusalsOfPlaces(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	p := &Permitter{Self: "10.1.0.1"}
+	u := kingcuphook.NewUpstream(kingcuphook.UpstreamFields{Address: "10.0.0.1:80", Instance: "1", Slots: brittleSlots})
+	for range 10 {
+		p.ObserveBrittleness(now, u, kingcuphook.NewBrittleness(1), true, now.Add(-time.Millisecond))
+	}
+	p.ObserveBrittleness(now.Add(time.Millisecond), u, kingcuphook.NewBrittleness(1), true, now)
+	if n := p.places[u.Program()].refusals; n != 1 {
+		t.Errorf("%d refusals of places, want 1", n)
+	}
+}
+
+// Requests at an upstream that left the tables and returned held no places there.
+func TestReturnedUpstreamKeepsPlacesOfOpenRequests(t *testing.T) {
+	f := newBrittleFleet(t, 1, 0)
+	p, u := f.routers[0].Permitter, f.upstreams[0]
+	p.Acquire(f.now, u.Program(), 1)
+	p.Acquire(f.now, u.Program(), 1)
+	p.Update(kingcuphook.NewTables(2, nil, nil))
+	p.Update(f.tables)
+	p.Acquire(f.now, u.Program(), 1)
+	p.Release(f.now, u.Program(), kingcuphook.Sample{})
+	p.ObserveBrittleness(f.now, u.Upstream, kingcuphook.NewBrittleness(1), false, f.now)
+	if n := p.places[u.Program()].held; n != 2 {
+		t.Errorf("%d places for 2 open requests", n)
+	}
+	for range 2 {
+		p.Release(f.now, u.Program(), kingcuphook.Sample{})
+	}
+	if len(p.running) != 0 {
+		t.Errorf("requests that have ended are counted: %v", p.running)
+	}
+}
--- a/permitter/place.go
+++ b/permitter/place.go
@@ -85,8 +85,8 @@
 	wanted      int
 	tier        kingcuphook.Tier
 	queuedUntil time.Time
-	// pending means that there was no reply yet.
-	pending bool
+	// pending means that there was no reply yet, patient that none is needed while places are awaited.
+	pending, patient bool
 }
 
 // used returns the number of places that can't be used for a further request.
--- a/permitter/placeexchange.go
+++ b/permitter/placeexchange.go
@@ -18,6 +18,10 @@
 	// queuedReplyDelay is how long the issuer waits for a free place before it tells a router
 	// that there is none.
 	queuedReplyDelay = 100 * time.Millisecond
+	// patientReplyDelay replaces queuedReplyDelay for a router that is patient, and patientTimeout
+	// its replyTimeout.
+	patientReplyDelay = queueTTL
+	patientTimeout    = queueTTL + replyTimeout
 	// asksPerSecond is how often all routers together ask for places of an upstream that they
 	// did not get.
 	asksPerSecond = 30
@@ -35,6 +39,14 @@
 	return max(minRequestInterval, time.Duration(len(p.routers))*time.Second/asksPerSecond)
 }
 
+// patient reports whether this router needs no reply of an issuer while it waits for places. In a large
+// fleet most requests for places wait for longer than replyTimeout, and the replies that say so would be
+// half of what the issuer sends. An issuer that did not answer is to answer the next one soon.
+func (p *Permitter) patient(issuer string) bool {
+	s := p.peers[issuer]
+	return p.askInterval() > queueTTL && (s == nil || s.timeouts == 0 && !s.away)
+}
+
 // ObserveBrittleness records what an upstream announced in a reply about requests that it turns
 // away, whether it turned this one away, and when the request was sent.
 func (p *Permitter) ObserveBrittleness(now time.Time, u *kingcuphook.Upstream, b kingcuphook.Brittleness, refused bool, sentAt time.Time) {
@@ -179,7 +191,11 @@
 	messages := make([]Message, 0, len(batches)+len(p.outbox))
 	for issuer, batch := range batches {
 		p.placeSequence++
-		b := newHeader(KindState, p.placeSequence, 0)
+		flags := byte(0)
+		if p.patient(issuer) {
+			flags |= flagPatient
+		}
+		b := newHeader(KindState, p.placeSequence, flags)
 		for _, l := range batch {
 			b = p.newState(now, l, issuer).append(b, now)
 		}
@@ -203,7 +219,11 @@
 
 // checkPlaceTimeout ends a request whose reply has not arrived in time.
 func (p *Permitter) checkPlaceTimeout(now time.Time, l *places) {
-	if !l.request.pending || now.Sub(l.request.sentAt) < replyTimeout {
+	timeout := replyTimeout
+	if l.request.patient {
+		timeout = patientTimeout
+	}
+	if !l.request.pending || now.Sub(l.request.sentAt) < timeout {
 		return
 	}
 	l.request.pending = false
@@ -240,6 +260,7 @@
 	l.newAbsent, l.changed, l.needed = false, false, 0
 	l.lastState = now
 	l.request = placeRequest{to: issuer, sequence: p.placeSequence, sentAt: now, wanted: wanted, tier: e.tier, queuedUntil: l.request.queuedUntil, pending: e.isAnswered()}
+	l.request.patient = e.held == 0 && p.patient(issuer)
 	return e
 }
 
--- a/permitter/placeissue.go
+++ b/permitter/placeissue.go
@@ -64,7 +64,7 @@
 }
 
 func (p *Permitter) receiveState(now time.Time, from string, message []byte) ([]byte, error) {
-	sequence, _, entries, err := decodeHeader(message, stateEntryBytes)
+	sequence, flags, entries, err := decodeHeader(message, stateEntryBytes)
 	if err != nil {
 		return nil, err
 	}
@@ -84,7 +84,7 @@
 		switch {
 		case !answered || !e.isAnswered():
 		case e.held == 0 && g.places == 0 && !g.ended:
-			p.issuer.rooms[e.key].holders[from].answerAt = now.Add(queuedReplyDelay)
+			p.issuer.rooms[e.key].holders[from].answerAt = now.Add(replyDelay(flags))
 		default:
 			b = g.append(b)
 		}
@@ -98,6 +98,14 @@
 	return b, nil
 }
 
+// replyDelay returns how long a router waits for the reply that there is no free place.
+func replyDelay(flags byte) time.Duration {
+	if flags&flagPatient != 0 {
+		return patientReplyDelay
+	}
+	return queuedReplyDelay
+}
+
 // acts reports whether this router issues the places of an upstream: it is the first by
 // rendezvous hashing, or the second and the first did not answer it. The caller holds mu.
 func (p *Permitter) acts(now time.Time, r *room) bool {
--- a/permitter/placemessage.go
+++ b/permitter/placemessage.go
@@ -31,6 +31,9 @@
 	// of the last announcement, flags.
 	noticeEntryBytes = 8 + 2 + 2 + 1
 
+	// flagPatient is the flag of a KindState whose sender needs no reply before
+	// patientReplyDelay while it waits for places.
+	flagPatient = 2
 	// flagContended is the flag of an entry for whose places other routers wait.
 	flagContended = 4
 )
