Give long prompts of a higher rank idle reserved upstreams

Cause: long prompts with a shared prefix were kept off reserved upstreams whatever their rank. Change: if long prompts of a lower rank began lately, one of a higher rank may go to a reserved upstream with little load that prefills it within half of a tight gap. KCH1215 logs the candidates of a request that found none in time.

--- a/attacher/attacher.go
+++ b/attacher/attacher.go
@@ -225,7 +225,7 @@
 	a.isolator.OnChange = a.partChanged
 	watch := &observer.Observer{Recorder: &recorder.Recorder{}, Meter: a.meter}
 	a.dispatcher = &dispatcher.Dispatcher{
-		Allocator:     &narrator.Allocator{Next: &observer.Allocator{Next: &holdAllocator{next: a.tally, pins: a.pins}, Observer: watch}, Log: a.Log},
+		Allocator:     &narrator.Allocator{Next: &observer.Allocator{Next: &holdAllocator{next: a.tally, pins: a.pins}, Observer: watch}, Log: a.Log, Explain: a.allocator.Explain},
 		Engine:        &narrator.Engine{Next: &observer.Engine{Next: a.forwarder, Observer: watch}, Log: a.Log},
 		Quarantiner:   a.quarantine,
 		Isolator:      a.isolator,
--- a/decision.go
+++ b/decision.go
@@ -93,6 +93,9 @@
 	// RejectReason is the reason why the upstream can't be chosen, in kebab case; empty
 	// if it can.
 	RejectReason string
+	// Running is the number of requests of all routers in flight at the upstream, and
+	// MaxRunning the number from which it takes no more like this one; 0 if unknown.
+	Running, MaxRunning int
 }
 
 // Choice is the result of a selection.
--- a/locator/load_test.go
+++ b/locator/load_test.go
@@ -9,11 +9,11 @@
 	"github.com/kingcuphook/kingcuphook"
 )
 
-// load is a simulated load of long and short requests, for ten seconds, over eight
+// load is a simulated load of long and short requests and of summaries, for ten seconds, over eight
 // routers and twelve engines in three regions.
 type load struct {
-	// long and short are requests per second.
-	long, short int
+	// long, short and summaries are requests per second.
+	long, short, summaries int
 }
 
 // Long requests at 2.4 and at 3.4 times their usual rate.
@@ -42,6 +42,13 @@
 	tokensPerChunk     = 5
 	longOutput         = 76 * tokensPerChunk
 	shortOutput        = 58 * tokensPerChunk
+	summaryOutput      = 5 * tokensPerChunk
+)
+
+// Summaries have a long prompt of their own, and wait for at most summaryWait.
+const (
+	summaryPrompt = 4000
+	summaryWait   = 450 * time.Millisecond
 )
 
 // run is a request on an engine.
@@ -76,8 +83,9 @@
 
 // result is the outcome of a simulated load.
 type result struct {
-	// short and long are the shares of the requests that met their targets.
-	short, long float64
+	// short and long are the shares of the requests that met their targets; summaries is
+	// the share that began.
+	short, long, summaries float64
 	// recomputed is the number of shared tokens prefilled although another engine had
 	// them cached.
 	recomputed int
@@ -98,6 +106,8 @@
 	// targets and the number of all.
 	counts [2][2]int
 	n      int
+	// summaries counts the summaries, refused those of them that found no engine.
+	summaries, refused int
 }
 
 func simulate(l load, p policy) result {
@@ -105,7 +115,7 @@
 	for _, u := range s.pool.Upstreams() {
 		s.engines[u.Address()] = &engine{cached: make(map[uint64]bool)}
 	}
-	nextLong, nextShort, nextReport := time.Duration(0), time.Duration(0), time.Duration(0)
+	nextLong, nextShort, nextSummary, nextReport := time.Duration(0), time.Duration(0), time.Duration(0), time.Duration(0)
 	for now := time.Duration(0); now < duration+20*time.Second; now += time.Millisecond {
 		for ; now < duration && nextLong <= now; nextLong += time.Second / time.Duration(l.long) {
 			s.arrive(now, true)
@@ -113,6 +123,9 @@
 		for ; now < duration && nextShort <= now; nextShort += time.Second / time.Duration(l.short) {
 			s.arrive(now, false)
 		}
+		for ; now < duration && l.summaries > 0 && nextSummary <= now; nextSummary += time.Second / time.Duration(l.summaries) {
+			s.arriveSummary(now)
+		}
 		s.dispatch(now)
 		if nextReport <= now {
 			nextReport += reportInterval
@@ -125,7 +138,15 @@
 		}
 	}
 	share := func(class int) float64 { return float64(s.counts[class][0]) / float64(s.counts[class][1]) }
-	return result{short: share(0), long: share(1), recomputed: s.recomputed}
+	began := 1 - float64(s.refused)/float64(max(s.summaries, 1))
+	return result{short: share(0), long: share(1), summaries: began, recomputed: s.recomputed}
+}
+
+func (s *simulation) arriveSummary(now time.Duration) {
+	s.n++
+	s.summaries++
+	r := summaryRequest(fmt.Sprint("s", s.n), start.Add(now), 1, summaryPrompt)
+	s.waiting = append(s.waiting, &run{request: r, router: s.rng.IntN(routers), arrived: now, outputTokens: summaryOutput, uncached: summaryPrompt})
 }
 
 func (s *simulation) arrive(now time.Duration, long bool) {
@@ -143,6 +164,10 @@
 	var left []*run
 	for _, x := range s.waiting {
 		at, copyFrom := s.policy.pick(x.router, start.Add(now), x.request)
+		if at == "" && x.outputTokens == summaryOutput && now-x.arrived >= summaryWait {
+			s.refused++
+			continue
+		}
 		if at == "" {
 			left = append(left, x)
 			continue
@@ -212,6 +237,9 @@
 			continue
 		}
 		s.policy.finished(x.router, address, start.Add(e.busyUntil), x.request, x.sample())
+		if x.outputTokens == summaryOutput {
+			continue
+		}
 		class := 0
 		if x.outputTokens == longOutput {
 			class = 1
@@ -359,3 +387,19 @@
 		}
 	}
 }
+
+// TestSummariesBeginBesideLongPromptOverload offers summaries beside more long prompts of a
+// lower rank than the upstreams can prefill: at most a twelfth may be refused, and the short
+// requests, which have the highest rank, must keep meeting their targets.
+func TestSummariesBeginBesideLongPromptOverload(t *testing.T) {
+	for _, rate := range []int{77, 100, 130} {
+		got := simulate(load{long: rate, short: 25, summaries: 6}, newLocatorPolicy(true))
+		t.Logf("%d long requests/s: %+v", rate, got)
+		if got.summaries < 11.0/12 {
+			t.Errorf("%d long requests/s: %.3f of the summaries began, want 11 of 12", rate, got.summaries)
+		}
+		if got.short < 0.99 {
+			t.Errorf("%d long requests/s: %.3f of the short requests met their targets, want 0.99", rate, got.short)
+		}
+	}
+}
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -7,6 +7,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -33,6 +34,12 @@
 	// reservedShare is the share of the upstreams of a region that are reserved for
 	// short prompts.
 	reservedShare = 0.25
+	// reservedPrefillTime is the longest time for which a reserved upstream is given prompts
+	// to prefill, if one of them is long. Its streams get no token in that time.
+	reservedPrefillTime = tightGap / 2
+	// reservedLoadShare is the share of its slots, and of its saturating number of streams,
+	// from which a reserved upstream takes no long prompt.
+	reservedLoadShare = 0.25
 	// deadlineShare is the share of the time to its deadline within which a long answer
 	// of a class must be expected to end on an upstream, or no request of the class is
 	// sent there.
@@ -53,8 +60,13 @@
 // assumed to have cached, by rank; those after the second are assumed to have nothing.
 var assumedCachedShares = [preferredCount]float64{1, 0.25}
 
-// reasonLeaving is why a leaving upstream is refused as a candidate.
-const reasonLeaving = "leaving"
+// Reasons why an upstream is refused as a candidate.
+const (
+	reasonLeaving         = "leaving"
+	reasonTooManyStreams  = "too-many-streams"
+	reasonReserved        = "reserved-for-short-prompts"
+	reasonPrefixElsewhere = "prefix-elsewhere"
+)
 
 // Locator implements kingcuphook.Selector for one pool. It is used by one goroutine at a
 // time.
@@ -78,6 +90,10 @@
 	// last is the most recent selection, which is usually the one that Started is called
 	// for next. It saves computing the cost again; no selection depends on it.
 	last selection
+	// lowest is the lowest rank of the long prompts that were started lately.
+	lowest lowestRank
+	// scratch is scratch space of candidates.
+	scratch []*upstream
 }
 
 // selection is a selected upstream with the values that Started needs.
@@ -167,25 +183,15 @@
 	q.maxRank = q.preferred.firstAvailable(now, l.boundedLoad(), func(u *upstream) bool {
 		return usable(u.row.Address()) && !slices.Contains(excluded, u.row.Address())
 	})
-	var best *upstream
-	var least candidateCost
-	possible := false
-	for _, u := range l.upstreams {
-		address := u.row.Address()
-		if u.row.Leaving() || u.displaced || slices.Contains(excluded, address) {
-			continue
-		}
-		possible = true
-		if !usable(address) || q.excludes(u) {
-			continue
-		}
-		if cost := l.costOf(&q, u); best == nil || cost.less(least) {
-			best, least = u, cost
-		}
-	}
-	if !possible {
+	candidates := l.candidates(excluded)
+	if len(candidates) == 0 {
 		return kingcuphook.Choice{}, fmt.Errorf("locator: %w", kingcuphook.ErrNoUpstream)
 	}
+	best, least := l.cheapest(&q, candidates, usable)
+	if best == nil && q.long && !q.sharesLong && l.lowest.isBelow(now, r) {
+		q.overflows = true
+		best, least = l.cheapest(&q, candidates, usable)
+	}
 	if best == nil {
 		return kingcuphook.Choice{}, nil
 	}
@@ -203,15 +209,49 @@
 	}, nil
 }
 
+// candidates returns the upstreams that could take a request now or later.
+func (l *Locator) candidates(excluded []string) []*upstream {
+	l.scratch = l.scratch[:0]
+	for _, u := range l.upstreams {
+		if u.row.Leaving() || u.displaced || slices.Contains(excluded, u.row.Address()) {
+			continue
+		}
+		l.scratch = append(l.scratch, u)
+	}
+	return l.scratch
+}
+
+// cheapest returns the usable candidate of the lowest cost that the request may go to; nil if
+// there is none.
+func (l *Locator) cheapest(q *query, candidates []*upstream, usable func(address string) bool) (*upstream, candidateCost) {
+	var best *upstream
+	var least candidateCost
+	for _, u := range candidates {
+		if !usable(u.row.Address()) || q.rejectReason(u) != "" {
+			continue
+		}
+		if cost := l.costOf(q, u); best == nil || cost.less(least) {
+			best, least = u, cost
+		}
+	}
+	return best, least
+}
+
 // Explain implements kingcuphook.Selector.
 func (l *Locator) Explain(now time.Time, r *kingcuphook.Request, dst []kingcuphook.Candidate) []kingcuphook.Candidate {
 	q := l.newQuery(now, r)
+	q.maxRank = q.preferred.firstAvailable(now, l.boundedLoad(), func(*upstream) bool { return true })
 	for _, u := range l.upstreams {
 		cost := l.costOf(&q, u)
 		c := kingcuphook.Candidate{
 			Upstream:     u.row.Address(),
 			Predicted:    cost.firstToken,
 			CachedTokens: max(r.PromptTokens()-cost.uncached, 0),
+			RejectReason: q.rejectReason(u),
+			Running:      u.load(),
+		}
+		if u.isEngine() {
+			c.MaxRunning = int(math.Ceil(q.maxStreams[u.group()]))
 		}
 		if u.row.Leaving() {
 			c.RejectReason = reasonLeaving
@@ -236,6 +276,9 @@
 	if u.isEngine() {
 		l.workloads[u.group()].ObservePrompt(c.uncached)
 	}
+	if r.PromptTokens() >= longPrompt {
+		l.lowest.observe(now, r)
+	}
 	u.running++
 	u.prefilling += c.uncached
 	u.recordPrefix(now, c.prefix)
--- a/locator/locator_test.go
+++ b/locator/locator_test.go
@@ -39,7 +39,7 @@
 // document; shortRequest has a short one and a stream with a tight token target.
 func longRequest(id string, document uint64) *kingcuphook.Request {
 	return kingcuphook.NewRequest(kingcuphook.RequestFields{
-		ID: id, Class: "letter", Tier: 3, Target: 2500 * time.Millisecond, TokenTarget: 1500 * time.Millisecond, Stream: true,
+		ID: id, Class: "letter", Tier: 3, Urgency: 2, Target: 2500 * time.Millisecond, TokenTarget: 1500 * time.Millisecond, Stream: true,
 		PromptTokens: 12_000, Bytes: 12_000, Prefix: []uint64{1, 1000 + document, hash(id)}, PrefixTokens: []int{512, 5382, 12_000},
 	})
 }
@@ -270,3 +270,75 @@
 		}
 	}
 }
+
+// summaryRequest has a long prompt of its own with a small shared prefix, and a short
+// deadline.
+func summaryRequest(id string, arrived time.Time, urgency, tokens int) *kingcuphook.Request {
+	return kingcuphook.NewRequest(kingcuphook.RequestFields{
+		ID: id, Class: "summary", Tier: 2, Urgency: urgency, Target: 800 * time.Millisecond, TokenTarget: 600 * time.Millisecond, Stream: true,
+		PromptTokens: tokens, Bytes: 2400, Prefix: []uint64{3, 7000, hash(id)}, PrefixTokens: []int{341, 568, tokens},
+		Arrived: arrived, Deadline: arrived.Add(3 * time.Second),
+	})
+}
+
+// reportLoads reports the load of other routers on all upstreams that are reserved, or on
+// all that aren't.
+func reportLoads(l *Locator, reserved bool, running, prefillTokens int) {
+	for _, u := range l.upstreams {
+		if u.reserved == reserved {
+			l.Report(start, kingcuphook.NewLoadReport(kingcuphook.LoadReportFields{
+				Upstream: u.row.Address(), Made: start, Running: running, QueuedTokens: prefillTokens,
+			}))
+		}
+	}
+}
+
+func TestExplainNamesWhyUpstreamsAreRefused(t *testing.T) {
+	is := is.New(t)
+	l := newLocator("cairo", pool(4))
+	reasons := func(r *kingcuphook.Request) map[string]int {
+		n := make(map[string]int)
+		for _, c := range l.Explain(start, r, nil) {
+			n[c.RejectReason]++
+			is.True(c.MaxRunning > 0)
+		}
+		return n
+	}
+	letter := longRequest("l", 1)
+	is.Equal(reasons(letter), map[string]int{"": 1, reasonPrefixElsewhere: 8, reasonReserved: 3})
+	reportLoads(l, false, 500, 0)
+	is.Equal(reasons(summaryRequest("s", start, 1, 4000)), map[string]int{reasonTooManyStreams: 9, reasonReserved: 3})
+	for _, c := range l.Explain(start, letter, nil) {
+		is.Equal(c.Running, l.byAddress[c.Upstream].load())
+	}
+}
+
+// TestLongPromptOfHigherRankIsNotRefusedBesideIdleReservedUpstreams guards against refusals
+// for want of an upstream while reserved ones are idle and prompts of lower ranks begin.
+func TestLongPromptOfHigherRankIsNotRefusedBesideIdleReservedUpstreams(t *testing.T) {
+	is := is.New(t)
+	l := newLocator("cairo", pool(4))
+	summary := summaryRequest("s", start, 1, 4000)
+	is.True(!l.byAddress[choose(t, l, start, summary)].reserved) // while another takes it
+
+	reportLoads(l, false, 500, 0)
+	reportLoads(l, true, 5, 1000)
+	waits := func(now time.Time, r *kingcuphook.Request) bool {
+		c, err := l.Select(now, r, nil)
+		is.NoErr(err)
+		return c.Upstream == nil
+	}
+	is.True(waits(start, summary)) // no prompt of a lower rank began lately
+	l.Started(start, l.upstreams[0].row.Address(), longRequest("l", 1))
+	at := l.byAddress[choose(t, l, start, summary)]
+	is.True(at.reserved)
+	is.Equal(at.row.Region(), "cairo")
+	is.True(waits(start.Add(rankTTL), summary))
+
+	is.True(waits(start, summaryRequest("t", start, 2, 4000)))   // it has the lowest rank
+	is.True(waits(start, summaryRequest("t", start, 1, 40_000))) // the streams there would pause too long
+	reportLoads(l, true, 5, 30_000)                              // so they would behind other prompts
+	is.True(waits(start, summary))
+	reportLoads(l, true, 16, 0)
+	is.True(waits(start, summary)) // a quarter of the slots is taken
+}
--- a/locator/query.go
+++ b/locator/query.go
@@ -22,8 +22,12 @@
 	sharedTokens, commonTokens int
 	// maxRank is the highest rank of a preferred upstream that the request may go to.
 	maxRank int
-	// long means that the prompt is kept off reserved upstreams.
-	long bool
+	// long means that the prompt is kept off reserved upstreams; sharesLong that its shared
+	// prefix alone is long.
+	long, sharesLong bool
+	// overflows means that no unreserved upstream takes the request now, so that a reserved
+	// one may.
+	overflows bool
 	// target is the target for the first token, in nanoseconds.
 	target float64
 	// transferKiB is the expected size of request and answer, in KiB.
@@ -54,7 +58,8 @@
 	if i > 0 {
 		q.commonTokens = r.PrefixTokens()[i-1]
 	}
-	q.long = max(r.PromptTokens(), q.sharedTokens) >= longPrompt
+	q.sharesLong = q.sharedTokens >= longPrompt
+	q.long = r.PromptTokens() >= longPrompt || q.sharesLong
 	if i >= 0 {
 		q.preferred = l.preferredFor(r, q.prefix, q.long)
 	}
@@ -73,24 +78,42 @@
 	return q
 }
 
-// excludes reports whether the request must not go to the upstream. It must not exceed
+// rejectReason returns why the request must not go to the upstream; empty if it may. It must not exceed
 // the number of streams beside which its class meets the deadline. A long prompt with a
 // shared prefix is also kept off reserved upstreams, which serve streams with tight token
 // targets, and off upstreams that neither have the prefix cached nor are preferred up to
 // maxRank: prefilling the prefix once more takes capacity that busy upstreams lack, so
 // that all requests would be late.
-func (q *query) excludes(u *upstream) bool {
+func (q *query) rejectReason(u *upstream) string {
 	if u.isEngine() && float64(u.load()) >= q.maxStreams[u.group()] {
-		return true
+		return reasonTooManyStreams
 	}
 	if !q.long || q.preferred[0] == nil {
-		return false
+		return ""
 	}
 	if u.reserved {
-		return true
+		if q.overflows && q.fitsReserved(u) {
+			return ""
+		}
+		return reasonReserved
 	}
 	rank := q.preferred.rank(u)
-	return (rank < 0 || rank > q.maxRank) && !u.hasCached(q)
+	if (rank < 0 || rank > q.maxRank) && !u.hasCached(q) {
+		return reasonPrefixElsewhere
+	}
+	return ""
+}
+
+// fitsReserved reports whether a reserved upstream has little load and can prefill the whole
+// prompt, and what waits there, in so short a time that its streams stay within their token
+// targets.
+func (q *query) fitsReserved(u *upstream) bool {
+	most := min(q.saturation[u.group()], float64(u.row.Slots()))
+	if float64(u.load()) >= most*reservedLoadShare {
+		return false
+	}
+	tokens := u.backlog() + q.request.PromptTokens()
+	return time.Duration(float64(tokens)*q.prefillTokenTime) <= reservedPrefillTime
 }
 
 // sharedPrefixIndex returns the index of the longest prefix that other requests share,
--- a/logger/events.go
+++ b/logger/events.go
@@ -66,6 +66,7 @@
 	CallsEnded            = Event{1012, LevelWarn, "requests still in flight at the end of a graceful shutdown were ended with an error"}
 	RequestFailed         = Event{1201, LevelInfo, "request failed"}
 	RequestPanicked       = Event{1202, LevelError, "request handler panicked"}
+	RequestNotAssigned    = Event{1215, LevelInfo, "request not assigned to an upstream in the time that it may wait"}
 	UpstreamLeaving       = Event{1302, LevelInfo, "upstream is leaving"}
 	RateLimitChanged      = Event{1306, LevelInfo, "rate limit of an upstream changed"}
 	PathCut               = Event{1307, LevelWarn, "path to an upstream is cut; a peer reaches it"}
@@ -135,6 +136,7 @@
 		CrashWithdrawn,
 		MemoryRefused,
 		HeadRefused,
+		RequestNotAssigned,
 		UpstreamLeaving,
 		UpstreamsUpdated,
 		RegistrationRejected,
--- a/narrator/narrator.go
+++ b/narrator/narrator.go
@@ -5,6 +5,9 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"strings"
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
@@ -16,6 +19,9 @@
 	// Next is the wrapped allocator; never nil.
 	Next kingcuphook.Allocator
 	Log  *logger.Logger
+	// Explain returns the candidates that a request has now; nil means that they are not
+	// logged.
+	Explain func(*kingcuphook.Request) []kingcuphook.Candidate
 }
 
 var _ kingcuphook.Allocator = (*Allocator)(nil)
@@ -25,6 +31,7 @@
 	start := time.Now()
 	s, err := a.Next.Acquire(ctx, r, excluded)
 	if err != nil {
+		a.logNotAssigned(ctx, r, start)
 		return nil, err
 	}
 	c := s.Choice()
@@ -36,6 +43,30 @@
 	return s, nil
 }
 
+// maxCandidates bounds the candidates in a line of the log.
+const maxCandidates = 16
+
+// logNotAssigned logs the candidates of a request whose time to wait has ended.
+func (a *Allocator) logNotAssigned(ctx context.Context, r *kingcuphook.Request, start time.Time) {
+	if a.Explain == nil || !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return
+	}
+	candidates := a.Explain(r)
+	a.Log.Log(logger.RequestNotAssigned, "request", r.ID(), "pool", r.Pool(), "route", r.Class(), "tier", int(r.Tier()),
+		"waited-ms", time.Since(start).Milliseconds(), "upstreams", len(candidates), "candidates", formatCandidates(candidates))
+}
+
+// formatCandidates returns the first candidates as a comma-separated list, each with its requests
+// in flight, the number from which it takes no more, and why it is refused.
+func formatCandidates(candidates []kingcuphook.Candidate) string {
+	candidates = candidates[:min(len(candidates), maxCandidates)]
+	list := make([]string, 0, len(candidates))
+	for _, c := range candidates {
+		list = append(list, fmt.Sprintf("%s=%d/%d:%s", c.Upstream, c.Running, c.MaxRunning, c.RejectReason))
+	}
+	return strings.Join(list, ",")
+}
+
 // reportAge returns the age in milliseconds of the last load report from another
 // router; -1 if there was none.
 func reportAge(now, reported time.Time) int64 {
