Read StopTimes of receiver and server directly

Change: stopTimes of both returned StopTimes or, if it is nil, zero times, as stopper.Calls does itself. It also served a test that set the field after the first use. That test now sets it before and changes the times that it returns; its cases are unchanged. Evidence: go test ./receiver ./server, and -race ./receiver -run 'PlannedStop|StopRefuses'.

--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -103,7 +103,7 @@
 
 func (s *Receiver) server() *http.Server {
 	s.once.Do(func() {
-		s.calls.Times = s.stopTimes
+		s.calls.Times = s.StopTimes
 		s.http = &http.Server{
 			Handler:           s,
 			MaxHeaderBytes:    kingcuphook.MaxHeadBytes,
--- a/receiver/receiver_test.go
+++ b/receiver/receiver_test.go
@@ -342,6 +342,8 @@
 // A stream that came 4.4 s after the signal was taken, took longer than the forecast, and was cut.
 func TestPlannedStopTakesLateCallsOnlyIfTheySurelyEnd(t *testing.T) {
 	r := newHarness(t, respondWith(http.StatusOK, "whole"))
+	var late, end time.Time
+	r.StopTimes = func() (time.Time, time.Time) { return late, end }
 	for range 40 {
 		r.stopCalls().Observe(time.Now(), forecaster.Call{Route: "stream"}, 10*time.Millisecond)
 	}
@@ -354,7 +356,7 @@
 		{0, time.Second, http.StatusServiceUnavailable},
 		{0, time.Minute, http.StatusOK},
 	} {
-		r.StopTimes = func() (late, end time.Time) { return begun.Add(test.late), begun.Add(test.left) }
+		late, end = begun.Add(test.late), begun.Add(test.left)
 		resp, _, err := r.call("/stream/", "")
 		r.NoErr(err)
 		r.Equal(resp.StatusCode, test.status)
--- a/receiver/stop.go
+++ b/receiver/stop.go
@@ -72,11 +72,3 @@
 	}
 	s.stopCalls().Observe(now, forecaster.Of(r), now.Sub(dispatched))
 }
-
-// stopTimes returns StopTimes; zero times if no graceful shutdown was started.
-func (s *Receiver) stopTimes() (late, end time.Time) {
-	if s.StopTimes == nil {
-		return time.Time{}, time.Time{}
-	}
-	return s.StopTimes()
-}
--- a/server/server.go
+++ b/server/server.go
@@ -118,7 +118,7 @@
 // called in any order.
 func (s *Server) server() *http.Server {
 	s.once.Do(func() {
-		s.calls.Times = s.stopTimes
+		s.calls.Times = s.StopTimes
 		s.http = &http.Server{
 			Handler:           s.Handler(),
 			MaxHeaderBytes:    s.Limits.MaxHeaderBytes,
--- a/server/stop.go
+++ b/server/stop.go
@@ -103,11 +103,3 @@
 	now := time.Now()
 	s.stopCalls().Observe(now, forecaster.Of(r), now.Sub(dispatched))
 }
-
-// stopTimes returns StopTimes; zero times if no graceful shutdown was started.
-func (s *Server) stopTimes() (late, end time.Time) {
-	if s.StopTimes == nil {
-		return time.Time{}, time.Time{}
-	}
-	return s.StopTimes()
-}
