Compose the log fields of a lack of memory in one place

Names, order and values of the fields are as before. Evidence: go test ./receiver ./server ./rationer.

--- a/rationer/read.go
+++ b/rationer/read.go
@@ -27,6 +27,15 @@
 // RequestBytes returns an upper estimate of the memory that the head of a request takes.
 func RequestBytes(r *http.Request) int64 { return int64(len(r.RequestURI)) + HeadBytes(r.Header) }
 
+// LogFields returns the fields of the log event for a request that found no room on the account.
+func (a *Account) LogFields(r *http.Request) []any {
+	u := a.rationer.Usage()
+	return []any{
+		"body-bytes", r.ContentLength, "head-bytes", RequestBytes(r), "held-for-call", a.Held(),
+		"held", u.Held, "peak", u.Peak, "budget", u.Bytes, "refused", u.Refused,
+	}
+}
+
 // LinesBytes returns an upper estimate of the memory that header lines take beside their text.
 func LinesBytes(lines int64) int64 { return lines * headerLineBytes }
 
--- a/receiver/body.go
+++ b/receiver/body.go
@@ -100,8 +100,5 @@
 
 // logNoMemory logs a call that found no room in the memory budget.
 func (s *Receiver) logNoMemory(r *http.Request, l kingcuphook.CallLabels, route *kingcuphook.Route, tier kingcuphook.Tier, account *rationer.Account) {
-	u := s.Memory.Usage()
-	s.Log.Log(logger.MemoryRefused, "request", l.ID, "route", route.Name(), "tier", tier,
-		"body-bytes", r.ContentLength, "head-bytes", rationer.RequestBytes(r), "held-for-call", account.Held(),
-		"held", u.Held, "peak", u.Peak, "budget", u.Bytes, "refused", u.Refused)
+	s.Log.Log(logger.MemoryRefused, append([]any{"request", l.ID, "route", route.Name(), "tier", tier}, account.LogFields(r)...)...)
 }
--- a/server/serve.go
+++ b/server/serve.go
@@ -72,9 +72,7 @@
 
 // logNoMemory logs a request that found no room in the memory budget.
 func (s *Server) logNoMemory(r *http.Request, id string, account *rationer.Account) {
-	u := s.Memory.Usage()
-	s.Log.Log(logger.MemoryRefused, "request", id, "body-bytes", r.ContentLength, "head-bytes", rationer.RequestBytes(r),
-		"held-for-call", account.Held(), "held", u.Held, "peak", u.Peak, "budget", u.Bytes, "refused", u.Refused)
+	s.Log.Log(logger.MemoryRefused, append([]any{"request", id}, account.LogFields(r)...)...)
 }
 
 // isChat reports whether a request is a chat completion.
