End the reads of a body with a context in one place

Change: receiver and discarder had the same steps that end the reads of a body when a context ends and let a later read deadline stand. The new package interrupter has them. Evidence: go test -race ./receiver ./server ./interrupter; go test ./platform ./attacher -run 'Refus|Endless|Unread|Body'. Without the wait in stop the race detector fails TestDeadlineAfterStopStands.

--- a/discarder/discarder.go
+++ b/discarder/discarder.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/interrupter"
 )
 
 const (
@@ -24,9 +25,6 @@
 	maxPostHandlerBytes = 256 << 10
 )
 
-// past is a deadline that has passed.
-var past = time.Unix(1, 0)
-
 // body is the body of a request that records whether it was read.
 type body struct {
 	io.ReadCloser
@@ -124,7 +122,7 @@
 func (d *Discarder) discard(ctx context.Context, w http.ResponseWriter, r *http.Request) {
 	x := &discard{control: http.NewResponseController(w), began: time.Now()}
 	if isAwaiting(r) {
-		_ = x.control.SetReadDeadline(past) // the caller sends no body after its refusal
+		interrupter.Interrupt(x.control) // the caller sends no body after its refusal
 		return
 	}
 	place := d.add(x)
@@ -139,15 +137,9 @@
 	if err := control.SetReadDeadline(time.Now().Add(limit)); err != nil {
 		return err
 	}
-	ended := make(chan struct{})
-	stop := context.AfterFunc(ctx, func() {
-		defer close(ended)
-		_ = control.SetReadDeadline(past)
-	})
+	stop := interrupter.InterruptAfter(ctx, control)
+	defer stop()
 	_, err := io.Copy(io.Discard, r)
-	if !stop() {
-		<-ended // a later read deadline must stand
-	}
 	return err
 }
 
@@ -187,6 +179,6 @@
 	}
 	d.running.Remove(oldest)
 	x.ended = true
-	_ = x.control.SetReadDeadline(past)
+	interrupter.Interrupt(x.control)
 	return true
 }
--- a/receiver/body.go
+++ b/receiver/body.go
@@ -9,13 +9,11 @@
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/interrupter"
 	"github.com/kingcuphook/kingcuphook/logger"
 	"github.com/kingcuphook/kingcuphook/rationer"
 )
 
-// past is a deadline that has passed.
-var past = time.Unix(1, 0)
-
 // bodyReader reads the body of a call into memory that is reserved before. It stops at the
 // deadline of the call and when the context of the call ends.
 type bodyReader struct {
@@ -43,18 +41,13 @@
 		return nil, nil
 	}
 	_ = b.out.control.SetReadDeadline(b.deadline)
-	ended := make(chan struct{})
-	stop := context.AfterFunc(ctx, func() {
-		defer close(ended)
-		_ = b.out.control.SetReadDeadline(past)
-	})
+	stop := interrupter.InterruptAfter(ctx, b.out.control)
 	limited := http.MaxBytesReader(b.out.w, b.request.Body, b.limit)
 	body, err := b.account.ReadAll(limited, b.request.ContentLength, b.limit)
 	switch {
-	case !stop():
-		<-ended // a later read deadline must stand
+	case !stop(): // the reads have ended
 	case err != nil:
-		_ = b.out.control.SetReadDeadline(past)
+		interrupter.Interrupt(b.out.control)
 	default:
 		_ = b.out.control.SetReadDeadline(time.Time{})
 	}
