Define the time in which a kept connection may be used again once

Change: attacher and server each had reuseTime with the same value and meaning; it is stopper.ReuseTime. How they wait for it differs, so that stays where it is. Evidence: go test ./server, and ./attacher -run Stop.

--- a/attacher/stop.go
+++ b/attacher/stop.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/kingcuphook/kingcuphook/logger"
+	"github.com/kingcuphook/kingcuphook/stopper"
 )
 
 const (
@@ -14,9 +15,6 @@
 	// callersLag is how long callers may still send calls after the process has
 	// reported that it is not ready.
 	callersLag = 3500 * time.Millisecond
-	// reuseTime is how long after a call its caller may send the next one on the connection that
-	// was kept open, because the answer began before the shutdown.
-	reuseTime = 500 * time.Millisecond
 	// stopPoll is how often a graceful shutdown checks whether calls are still open.
 	stopPoll = 50 * time.Millisecond
 	// closeTimeout bounds the time in which calls that are still open at the end are ended
@@ -25,7 +23,7 @@
 )
 
 // stop shuts down gracefully. The process reports that it is not ready, serves the calls
-// that callers still send for callersLag, and waits for open calls and reuseTime longer until
+// that callers still send for callersLag, and waits for open calls and stopper.ReuseTime longer until
 // shortly before the end of the grace time. It ends those that are open then with an error.
 func (a *Attacher) stop() {
 	begun := time.Now()
@@ -63,7 +61,7 @@
 		if n := a.receiver.Kept(); n != kept {
 			kept, idle = n, now
 		}
-		isUnused := now.Sub(begun) >= callersLag && now.Sub(idle) >= reuseTime
+		isUnused := now.Sub(begun) >= callersLag && now.Sub(idle) >= stopper.ReuseTime
 		if isUnused && a.receiver.InFlight() == 0 && a.relays.door.Busy() == 0 {
 			return
 		}
--- a/attacher/stop_late_test.go
+++ b/attacher/stop_late_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/kingcuphook/kingcuphook/platform/standin"
+	"github.com/kingcuphook/kingcuphook/stopper"
 )
 
 // stopTrial counts what became of calls.
@@ -99,7 +100,7 @@
 		status, _, err := p.callOn(kept, kind, "secret")
 		w.NoErr(err)
 		w.True(status == http.StatusOK || status == http.StatusServiceUnavailable)
-		time.Sleep(reuseTime / 2)
+		time.Sleep(stopper.ReuseTime / 2)
 	}
 	last := time.Now()
 	w.NoErr(<-p.ended)
--- a/server/stop.go
+++ b/server/stop.go
@@ -12,13 +12,8 @@
 	"github.com/kingcuphook/kingcuphook/stopper"
 )
 
-const (
-	// reuseTime is how long after a request its caller may send the next one on the connection that
-	// was kept open, because the answer began before Drain.
-	reuseTime = 500 * time.Millisecond
-	// stopPoll is how often a stop checks whether such a request may still come.
-	stopPoll = 10 * time.Millisecond
-)
+// stopPoll is how often a stop checks whether a request may still come on a connection that was kept open.
+const stopPoll = 10 * time.Millisecond
 
 // Drain adds Connection: close to every later answer, so that callers open a new
 // connection for their next request.
@@ -56,10 +51,10 @@
 	s.early.Add(-1)
 }
 
-// awaitReuse waits until the requests that began before Drain have ended, and reuseTime longer, or until
+// awaitReuse waits until the requests that began before Drain have ended, and stopper.ReuseTime longer, or until
 // ctx ends.
 func (s *Server) awaitReuse(ctx context.Context) {
-	for s.early.Load() > 0 || time.Since(time.Unix(0, s.earlyEnd.Load())) < reuseTime {
+	for s.early.Load() > 0 || time.Since(time.Unix(0, s.earlyEnd.Load())) < stopper.ReuseTime {
 		if !pauser.Pause(ctx, stopPoll) {
 			return
 		}
--- a/stopper/stopper.go
+++ b/stopper/stopper.go
@@ -8,9 +8,14 @@
 	"time"
 )
 
-// forecastTime is how long after the start of a shutdown a forecast decides which calls are taken.
-// Callers have had time to find another router then, so that a later call must surely end.
-const forecastTime = 2800 * time.Millisecond
+const (
+	// ReuseTime is how long after a call its caller may send the next one on the connection that was
+	// kept open, because the answer began before the shutdown.
+	ReuseTime = 500 * time.Millisecond
+	// forecastTime is how long after the start of a shutdown a forecast decides which calls are taken.
+	// Callers have had time to find another router then, so that a later call must surely end.
+	forecastTime = 2800 * time.Millisecond
+)
 
 // Stopper is the graceful shutdown of a process. Its zero value has not started and is ready
 // for use. It is safe for concurrent use.
