Keep announcements by netip.Addr

Change: judgeFleet copied all peers into a map of texts every 200 ms, and Judge built two further maps. Announcements now has the addresses of the routers and drops those that have gone in place; All and Broken are as before. If several routers guard no bases, the one named in the log is the highest by address instead of by text. Evidence: go test ./pinner, and ./attacher -run 'Base|Version|Restored'. The test has addresses for names, its checks are unchanged.

--- a/attacher/hold.go
+++ b/attacher/hold.go
@@ -62,14 +62,10 @@
 // judgeFleet tells the pinner whether the other routers guard the bases of records. A router that has
 // just started doesn't know them all.
 func (c *control) judgeFleet(now time.Time) {
-	lastSeen := make(map[string]time.Time, len(c.peers.lastSeen))
-	for a, at := range c.peers.lastSeen {
-		lastSeen[a.String()] = at
-	}
-	f := c.peers.guards.Judge(lastSeen)
+	f := c.peers.guards.Judge(c.peers.lastSeen)
 	f.All = f.All && now.Sub(c.startedAt) >= maxDiscovery
 	if f != c.versions.fleet {
-		c.a.Log.Log(logger.BasesGuarded, "all", f.All, "broken", f.Broken, "odd", f.Odd, "routers", len(lastSeen)+1)
+		c.a.Log.Log(logger.BasesGuarded, "all", f.All, "broken", f.Broken, "odd", f.Odd, "routers", len(c.peers.lastSeen)+1)
 		c.versions.fleet = f
 	}
 	c.a.pins.pinner.SetFleet(f)
--- a/attacher/pins.go
+++ b/attacher/pins.go
@@ -292,7 +292,7 @@
 		s.a.control.sendTo(peer, pinner.EncodeAnswer(known))
 	}
 	if len(reports) == 1 && reports[0].IsAnnouncement() {
-		s.a.control.offer(func(now time.Time) { s.a.control.peers.guards.Received(now, peer.String()) })
+		s.a.control.offer(func(now time.Time) { s.a.control.peers.guards.Received(now, peer) })
 		return nil
 	}
 	s.learn(reports, pinner.SourcePeer)
--- a/pinner/base.go
+++ b/pinner/base.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -32,8 +33,8 @@
 	All bool
 	// Broken is true if a router is known that doesn't, or the fleet is too large.
 	Broken bool
-	// Odd is the address of one that doesn't; empty if there is none.
-	Odd string
+	// Odd is the address of one that doesn't; the zero address if there is none.
+	Odd netip.Addr
 }
 
 // HasBases reports whether the records in a fleet of the given number of routers may have bases.
@@ -51,42 +52,57 @@
 // Announcements has when the other routers of a fleet were seen and sent announcements, by address.
 // The zero value is ready for use.
 type Announcements struct {
-	first, last map[string]time.Time
+	// first has when each router was first seen, last when its last announcement came.
+	first, last map[netip.Addr]time.Time
 }
 
 // Received records an announcement of a router.
-func (a *Announcements) Received(now time.Time, router string) {
+func (a *Announcements) Received(now time.Time, router netip.Addr) {
 	if a.last == nil {
-		a.last = make(map[string]time.Time)
+		a.last = make(map[netip.Addr]time.Time)
 	}
 	a.last[router] = now
 }
 
-// Judge returns the state of a fleet whose other routers were last seen at the given times.
-func (a *Announcements) Judge(lastSeen map[string]time.Time) Fleet {
+// Judge returns the state of a fleet whose other routers were last seen at the given times, and forgets
+// all others.
+func (a *Announcements) Judge(lastSeen map[netip.Addr]time.Time) Fleet {
+	a.retain(lastSeen)
 	f := Fleet{All: HasBases(len(lastSeen) + 1)}
 	f.Broken = !f.All
-	first := make(map[string]time.Time, len(lastSeen))
-	last := make(map[string]time.Time, len(lastSeen))
 	for router, seen := range lastSeen {
-		first[router] = seen
-		if at, ok := a.first[router]; ok {
-			first[router] = at
-		}
-		since := first[router]
-		if at, ok := a.last[router]; ok {
-			last[router], since = at, at
-		} else {
-			f.All = false
+		since, ok := a.last[router]
+		if !ok {
+			since, f.All = a.first[router], false
 		}
 		if seen.Sub(since) > announceTimeout {
-			f.All, f.Broken, f.Odd = false, true, max(f.Odd, router)
+			f.All, f.Broken = false, true
+			if f.Odd.Less(router) {
+				f.Odd = router
+			}
 		}
 	}
-	a.first, a.last = first, last
 	return f
 }
 
+// retain forgets the routers without a time, and records when the others were first seen.
+func (a *Announcements) retain(lastSeen map[netip.Addr]time.Time) {
+	if a.first == nil {
+		a.first = make(map[netip.Addr]time.Time)
+	}
+	isGone := func(router netip.Addr, _ time.Time) bool {
+		_, ok := lastSeen[router]
+		return !ok
+	}
+	maps.DeleteFunc(a.first, isGone)
+	maps.DeleteFunc(a.last, isGone)
+	for router, seen := range lastSeen {
+		if _, ok := a.first[router]; !ok {
+			a.first[router] = seen
+		}
+	}
+}
+
 // SetFleet records the state of the fleet.
 func (p *Pinner) SetFleet(f Fleet) {
 	p.mu.Lock()
--- a/pinner/base_test.go
+++ b/pinner/base_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -118,21 +119,22 @@
 	_, reports, err := Decode(EncodeAnnouncement())
 	is.NoErr(err)
 	is.True(len(reports) == 1 && reports[0].IsAnnouncement())
+	one, other := netip.MustParseAddr("127.0.0.1"), netip.MustParseAddr("127.0.0.2")
 	var a Announcements
-	seen := map[string]time.Time{"a": start}
+	seen := map[netip.Addr]time.Time{one: start}
 	is.Equal(a.Judge(nil), Fleet{All: true})
 	is.Equal(a.Judge(seen), Fleet{}) // it has just come
-	a.Received(start, "a")
+	a.Received(start, one)
 	is.Equal(a.Judge(seen), Fleet{All: true}) // also if it has ended
-	seen["a"] = start.Add(announceTimeout + 1)
-	is.Equal(a.Judge(seen), Fleet{Broken: true, Odd: "a"}) // its build was replaced
-	a.Received(seen["a"], "a")
-	seen["b"] = start
+	seen[one] = start.Add(announceTimeout + 1)
+	is.Equal(a.Judge(seen), Fleet{Broken: true, Odd: one}) // its build was replaced
+	a.Received(seen[one], one)
+	seen[other] = start
 	a.Judge(seen)
-	seen["b"] = start.Add(announceTimeout + 1)
-	is.Equal(a.Judge(seen), Fleet{Broken: true, Odd: "b"})
+	seen[other] = start.Add(announceTimeout + 1)
+	is.Equal(a.Judge(seen), Fleet{Broken: true, Odd: other})
 	for n := range 100 {
-		seen[string(rune('c'+n))] = start
+		seen[netip.AddrFrom4([4]byte{10, 0, 0, byte(n)})] = start
 	}
 	is.True(a.Judge(seen).Broken) // the ledger has streams too late
 }
