Let the late-stop test learn from staggered calls

The test sent the 48 calls that the router learns from at one moment, right after its start, so that they delayed each other. The forecast stands above the longest of them and rightly refused later calls that end in less time, which the test takes for refusals without a cause.

Send a call of each kind every 50 ms, 32 times instead of 16. What is demanded of the calls in the grace time stays as it is.

--- a/attacher/stop_late_test.go
+++ b/attacher/stop_late_test.go
@@ -34,7 +34,10 @@
 
 // Streams that came late in the grace time were taken and cut at its end.
 func TestPlannedStopTakesOnlyCallsThatEnd(t *testing.T) {
-	const learned = 16
+	const (
+		learned      = 32
+		sendInterval = 50 * time.Millisecond
+	)
 	for i, test := range []struct{ grace, length time.Duration }{
 		{time.Second, 200 * time.Millisecond},
 		{3 * time.Second, 400 * time.Millisecond},
@@ -65,6 +68,7 @@
 			}
 			for range learned {
 				send(&stopTrial{})
+				time.Sleep(sendInterval) // calls sent at one moment delay each other
 			}
 			calls.Wait()
 			p.stop()
