--- a/attacher/cut_test.go
+++ b/attacher/cut_test.go
@@ -67,7 +67,12 @@
 }
 
 func newCutFleet(t *testing.T, network, routers int) *cutFleet {
-	f := &cutFleet{testPlatform: newTestPlatform(t)}
+	return newCutFleetOn(newTestPlatform(t), network, routers)
+}
+
+// newCutFleetOn is newCutFleet on a platform.
+func newCutFleetOn(w *testPlatform, network, routers int) *cutFleet {
+	f := &cutFleet{testPlatform: w}
 	for i := range routers {
 		f.sources = append(f.sources, netip.MustParseAddr(loopback(fmt.Sprintf("%d.%d", network, i+1))))
 	}
@@ -76,7 +81,7 @@
 		n := &forwarder.Forwarder{Target: f.addresses[i]}
 		address, err := n.ListenFrom(f.sources...)
 		f.NoErr(err)
-		t.Cleanup(func() { f.NoErr(n.Close()) })
+		f.t.Cleanup(func() { f.NoErr(n.Close()) })
 		f.networks = append(f.networks, n)
 		f.addresses[i] = address
 		f.register(u.Instance, address, false)
--- a/attacher/stop.go
+++ b/attacher/stop.go
@@ -54,7 +54,8 @@
 	return a.Settings.Grace()
 }
 
-// awaitCallers waits until callers send no more calls and none is open, or until last.
+// awaitCallers waits until callers send no more calls and none is open, here or on a connection of a
+// peer, or until last.
 func (a *Attacher) awaitCallers(begun, last time.Time) {
 	kept, idle := a.receiver.Kept(), begun
 	for now := begun; now.Before(last); now = time.Now() {
@@ -62,7 +63,7 @@
 			kept, idle = n, now
 		}
 		isUnused := now.Sub(begun) >= callersLag && now.Sub(idle) >= stopper.ReuseTime
-		if isUnused && a.receiver.InFlight() == 0 && a.relays.door.Busy() == 0 {
+		if isUnused && a.receiver.InFlight() == 0 && a.relays.door.Open() == 0 {
 			return
 		}
 		time.Sleep(stopPoll)
--- a/attacher/stop_fleet_test.go
+++ b/attacher/stop_fleet_test.go
@@ -1,6 +1,8 @@
 package attacher
 
 import (
+	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -79,6 +81,48 @@
 	}
 }
 
+// A helper stopped under a relayed stream whose upstream had sent nothing for 3 s.
+func TestPlannedStopOfHelperAwaitsSilentUpstream(t *testing.T) {
+	w := newTestPlatform(t)
+	w.grace = 12 * time.Second
+	for _, u := range w.upstreams {
+		u.Events = 2
+	}
+	f := newCutFleetOn(w, 174, 3)
+	f.cut(1, forwarder.FaultHang)
+	time.Sleep(cutNoticed)
+	stopLoad(time.Second, f.routers[0])
+	for _, u := range f.upstreams {
+		u.EventInterval = 4 * time.Second
+	}
+	calls := make(chan error, 4)
+	for range cap(calls) {
+		go func() { calls <- f.readStream(f.routers[0]) }()
+	}
+	time.Sleep(200 * time.Millisecond)
+	f.helper(0).stop()
+	for range cap(calls) {
+		f.NoErr(<-calls)
+	}
+}
+
+// readStream sends a call for a stream and reads it to its end.
+func (f *cutFleet) readStream(p *process) error {
+	id := fmt.Sprintf("%016x", time.Now().UnixNano())
+	c := standin.Call{Kind: standin.KindStream, ID: id, Key: "secret", Deadline: 9 * time.Second, Body: strings.NewReader("question")}
+	r, err := c.Request(f.t.Context(), p.front)
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err
+}
+
 // Calls that were sent once more, or resumed, at a router that was stopped next were cut.
 func TestPlannedStopsInTurnCutNoCalls(t *testing.T) {
 	w := newTestPlatform(t)
--- a/relayer/door.go
+++ b/relayer/door.go
@@ -112,26 +112,13 @@
 	sources map[netip.Addr]int
 }
 
-// Open returns the number of relayed connections that are open.
+// Open returns the number of relayed connections that are open. Peers close those that they don't use
+// once they learn that this router carries none, or after some seconds.
 func (d *Door) Open() int64 { return d.open.Load() }
 
 // Refused returns the number of connections that were refused.
 func (d *Door) Refused() int64 { return d.refused.Load() }
 
-// Busy returns the number of relayed connections on which an answer is due or bytes of one came
-// lately.
-func (d *Door) Busy() int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	n := 0
-	for t := range d.tunnels {
-		if t.isBusy(time.Now()) {
-			n++
-		}
-	}
-	return n
-}
-
 // countFrom returns the number of open connections of a peer.
 func (d *Door) countFrom(a netip.Addr) int64 {
 	d.mu.Lock()
@@ -324,21 +311,10 @@
 	sent, received atomic.Int64
 	// last is when bytes were last copied, in Unix nanoseconds.
 	last atomic.Int64
-	// awaited is true if the last bytes were sent to the upstream.
-	awaited atomic.Bool
 	// ended is true once the upstream has closed the connection.
 	ended atomic.Bool
 }
 
-// busyFor is how long after the last bytes of an answer more of it may come. A sound upstream
-// may be silent for 2.5 s.
-const busyFor = 3 * time.Second
-
-// isBusy reports whether an answer is due or bytes of one came lately.
-func (t *tunnel) isBusy(now time.Time) bool {
-	return t.awaited.Load() || now.Sub(time.Unix(0, t.last.Load())) < busyFor
-}
-
 // run copies until one side ends, ends the other, and returns what ended the connection.
 func (t *tunnel) run() (end string, err error) {
 	peerDone, upstreamDone := make(chan struct{}), make(chan struct{})
@@ -396,7 +372,6 @@
 		n, err := t.early.Read(buffer)
 		if n > 0 {
 			t.copied(&t.sent, n)
-			t.awaited.Store(true)
 			if accepts {
 				_, err := t.upstream.Write(buffer[:n])
 				accepts = err == nil
@@ -419,7 +394,6 @@
 		n, err := t.read(buffer[headerBytes:])
 		if n > 0 {
 			t.copied(&t.received, n)
-			t.awaited.Store(false)
 			if err := t.writeBlock(buffer, n); err != nil {
 				return err
 			}
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -159,7 +159,7 @@
 		buffer := make([]byte, 7)
 		_, err = io.ReadFull(upstream, buffer)
 		d.NoErr(err)
-		d.Equal(d.Busy(), 1)
+		d.Equal(d.Open(), int64(1))
 		c.Close()
 		d.NoErr(upstream.SetReadDeadline(time.Now().Add(time.Second)))
 		_, err = upstream.Read(buffer)
@@ -204,22 +204,27 @@
 	d.Equal(end.End, endIdle)
 }
 
-// A helper stopped under streams of sound upstreams whose next event was 0.5 s away.
-func TestPauseWithinStreamKeepsHelperBusy(t *testing.T) {
-	d := newTestDoor(t)
-	c, upstream := d.open()
-	_, err := c.Write([]byte("POST / HTTP/1.1\r\n\r\n"))
-	d.NoErr(err)
-	_, err = upstream.Read(make([]byte, 100))
-	d.NoErr(err)
-	_, err = upstream.Write([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ndata: 1\n\n\r\n"))
-	d.NoErr(err)
-	_, err = c.Read(make([]byte, 100))
-	d.NoErr(err)
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for carried := range d.tunnels {
-		d.True(carried.isBusy(time.Now().Add(2500 * time.Millisecond))) // the stream has not ended
+// A helper stopped under streams whose upstreams were silent: only a connection that is closed carries none.
+func TestSilentConnectionIsOpen(t *testing.T) {
+	for _, answer := range []string{"", "HTTP/1.1 102 Processing\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ndata: 1\n\n\r\n"} {
+		d := newTestDoor(t)
+		c, upstream := d.open()
+		_, err := c.Write([]byte("POST / HTTP/1.1\r\n\r\n"))
+		d.NoErr(err)
+		_, err = upstream.Read(make([]byte, 100))
+		d.NoErr(err)
+		_, err = upstream.Write([]byte(answer))
+		d.NoErr(err)
+		_, err = io.ReadFull(c, make([]byte, len(answer)))
+		d.NoErr(err)
+		d.mu.Lock()
+		for carried := range d.tunnels {
+			carried.last.Add(-int64(time.Minute)) // the upstream has been silent since
+		}
+		d.mu.Unlock()
+		d.Equal(d.Open(), int64(1))
+		d.NoErr(c.Close())
+		<-d.ended
 	}
 }
 
