Look a program up in the tables by an index

Change: the check of the sender of a stream looked through the upstreams of all pools. Tables.HasProgram answers it from an index that is built with the pools; the answer is the same. Evidence: go test . ./withdrawer ./subscriber ./applier ./parser ./permitter, and ./attacher -run 'Sender|StreamsShare|NewVersion|CutCalls|Changes'; the cost of either was not measured.

--- a/attacher/senders.go
+++ b/attacher/senders.go
@@ -138,17 +138,7 @@
 // isInTables reports whether the tables have the program with the version of the upstream.
 func (s *senders) isInTables(u *kingcuphook.Upstream) bool {
 	tables := s.a.control.directory().Tables
-	if tables == nil {
-		return false
-	}
-	for _, pool := range tables.Pools() {
-		for _, known := range pool.Upstreams() {
-			if known.Program() == u.Program() && known.SoftwareVersion() == u.SoftwareVersion() {
-				return true
-			}
-		}
-	}
-	return false
+	return tables != nil && tables.HasProgram(u.Program(), u.SoftwareVersion())
 }
 
 func (s *senders) check(p kingcuphook.Program) *senderCheck {
--- a/table.go
+++ b/table.go
@@ -197,12 +197,20 @@
 	pools []*Pool
 	// poolsByName indexes pools by name; it is not changed once built.
 	poolsByName map[string]*Pool
+	// versions has the programs of all upstreams with their software versions; it is not changed once built.
+	versions map[programVersion]bool
 	// byHost holds the routes of each host, the longest path first.
 	byHost map[string][]*Route
 	// organisations maps API keys to organisations; nil if callers need no key.
 	organisations map[string]Organisation
 }
 
+// programVersion is a program and the version of its software.
+type programVersion struct {
+	program Program
+	version string
+}
+
 // Organisation is an organisation that is identified by its API keys.
 type Organisation struct {
 	// Name identifies the organisation.
@@ -246,8 +254,12 @@
 	c := *t
 	c.pools = slices.Clone(pools)
 	c.poolsByName = make(map[string]*Pool, len(pools))
+	c.versions = make(map[programVersion]bool)
 	for _, p := range c.pools {
 		c.poolsByName[p.Name()] = p
+		for _, u := range p.Upstreams() {
+			c.versions[programVersion{u.Program(), u.SoftwareVersion()}] = true
+		}
 	}
 	return &c
 }
@@ -292,6 +304,11 @@
 	return programs
 }
 
+// HasProgram reports whether an upstream runs the program with the software version.
+func (t *Tables) HasProgram(p Program, version string) bool {
+	return t.versions[programVersion{p, version}]
+}
+
 // Pool returns the pool of the given name, or nil.
 func (t *Tables) Pool(name string) *Pool { return t.poolsByName[name] }
 
