Share the bounds of heads between the two kinds of connections

Change: conn and boundedConn each checked the heads in what they read and had when they were opened; both embed bounds, which does so. Their use is counted differently, so acquire, release and Close stay apart. Evidence: go test ./transporter ./dialer ./forwarder.

--- a/transporter/conn.go
+++ b/transporter/conn.go
@@ -19,8 +19,7 @@
 	busy, idle time.Duration
 	// received, if set, is called whenever bytes were received.
 	received func()
-	head     headLimit
-	openedAt time.Time
+	bounds
 
 	mu sync.Mutex
 	// users is the number of requests that use the connection. It is 2 for a moment if the
@@ -38,17 +37,24 @@
 		}
 		tcp, ok := opened.(*net.TCPConn)
 		if !ok {
-			b := &boundedConn{Conn: opened, openedAt: time.Now()}
+			b := &boundedConn{Conn: opened, bounds: bounds{openedAt: time.Now()}}
 			t.initHead(&b.head)
 			return b, nil
 		}
-		c := &conn{TCPConn: tcp, busy: t.UserTimeout, idle: t.IdleUserTimeout, received: t.Received, openedAt: time.Now()}
+		c := &conn{TCPConn: tcp, busy: t.UserTimeout, idle: t.IdleUserTimeout, received: t.Received, bounds: bounds{openedAt: time.Now()}}
 		t.initHead(&c.head)
 		c.setUserTimeout(c.idle)
 		return c, nil
 	}
 }
 
+// bounds bound the heads of the responses on a connection.
+type bounds struct {
+	head headLimit
+	// openedAt is when the connection was open at the latest.
+	openedAt time.Time
+}
+
 // initHead sets the fields of the limit of a connection.
 func (t Transporter) initHead(h *headLimit) {
 	h.memory = t.Memory.OpenAnswer()
@@ -58,16 +64,24 @@
 	}
 }
 
+// opened implements tracker.
+func (b *bounds) opened() time.Time { return b.openedAt }
+
+// checkRead returns the result of a read into p after the check of the heads in it.
+func (b *bounds) checkRead(p []byte, n int, err error) (int, error) {
+	if headErr := b.head.check(p[:n]); headErr != nil {
+		return 0, headErr
+	}
+	return n, err
+}
+
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
 	if n > 0 && c.received != nil {
 		c.received()
 	}
-	if headErr := c.head.check(p[:n]); headErr != nil {
-		return 0, headErr
-	}
-	return n, err
+	return c.checkRead(p, n, err)
 }
 
 // Close implements net.Conn.
@@ -102,18 +116,13 @@
 // of responses.
 type boundedConn struct {
 	net.Conn
-
-	head     headLimit
-	openedAt time.Time
+	bounds
 }
 
 // Read implements net.Conn.
 func (c *boundedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if headErr := c.head.check(p[:n]); headErr != nil {
-		return 0, headErr
-	}
-	return n, err
+	return c.checkRead(p, n, err)
 }
 
 // Close implements net.Conn.
@@ -128,12 +137,6 @@
 // release records that a request that used the connection has ended.
 func (c *boundedConn) release() { c.head.memory.Close() }
 
-// opened implements tracker.
-func (c *boundedConn) opened() time.Time { return c.openedAt }
-
-// opened implements tracker.
-func (c *conn) opened() time.Time { return c.openedAt }
-
 // tracker is a connection that records its use.
 type tracker interface {
 	acquire()
