Repeat probes whose timeout passed while the router stood still

Callers of a router that was short of processor time, or that the hypervisor had stopped for a while, got errors though their upstreams were sound. The timeouts of its probes (300 ms, 400 ms through a peer) passed while the router itself did not run. It took that for a failure: it found the upstream down, avoided the peer for a second and kept the verdict for 1 to 4 s.

Add timekeeper, which measures by how much the timers of the process are late while a probe runs. A timeout beside timers that were late by more than 40 ms in total shows nothing, so the probe is repeated on a new connection, at most twice, and only the last failure is recorded. A check without a peer now waits for the end of its direct probe, which is bounded by itself. If timers are in time, a dead upstream is found as soon as before. A response through a peer that breaks off also lets the peer be avoided now.

--- a/forwarder/path.go
+++ b/forwarder/path.go
@@ -17,6 +17,7 @@
 	"github.com/kingcuphook/kingcuphook"
 	"github.com/kingcuphook/kingcuphook/pathfinder"
 	"github.com/kingcuphook/kingcuphook/relayer"
+	"github.com/kingcuphook/kingcuphook/timekeeper"
 	"github.com/kingcuphook/kingcuphook/transporter"
 )
 
@@ -25,6 +26,8 @@
 	// takes two connections.
 	probeTimeout = 300 * time.Millisecond
 	relayTimeout = 400 * time.Millisecond
+	// maxRepeats is how often a probe is repeated whose timeout shows nothing.
+	maxRepeats = 2
 	// directLead is how long a check waits for the direct path before it asks peers.
 	directLead = 120 * time.Millisecond
 	// minGrace is how long a check at least waits for the direct path once a peer has reached the
@@ -308,13 +311,13 @@
 		findPeer()
 		return <-relayed
 	case v := <-relayed:
+		if !v.Peer.IsValid() {
+			v.Direct = <-direct
+			return v
+		}
 		// The way through a peer takes longer, so that the direct one has failed if it responds
 		// much later.
-		wait := 2 * probeTimeout
-		if v.Peer.IsValid() {
-			wait = max(time.Since(begun)/2, minGrace)
-		}
-		grace := time.NewTimer(wait)
+		grace := time.NewTimer(max(time.Since(begun)/2, minGrace))
 		defer grace.Stop()
 		select {
 		case v.Direct = <-direct:
@@ -369,8 +372,32 @@
 }
 
 // probe returns an error unless an upstream responds on a new connection, directly or through a peer.
-// A connection through a peer stays open for the next request.
+// A connection through a peer stays open for the next request. A timeout that passed while this router
+// itself got too little processor time is no evidence, so that the probe is repeated.
 func (f *Forwarder) probe(ctx context.Context, u *kingcuphook.Upstream, peer netip.Addr) error {
+	for repeats := 0; ; repeats++ {
+		keeper := timekeeper.Start()
+		err := f.probeOnce(ctx, u, peer)
+		if keeper.Excuses(err) && repeats < maxRepeats && ctx.Err() == nil {
+			continue
+		}
+		if err != nil {
+			f.recordProbeFailure(u, peer, err)
+		}
+		return err
+	}
+}
+
+// recordProbeFailure records what a failed probe shows about the upstream and the peer.
+func (f *Forwarder) recordProbeFailure(u *kingcuphook.Upstream, peer netip.Addr, err error) {
+	f.recordRefusal(u, peer, err)
+	if peer.IsValid() && !errors.Is(err, context.Canceled) {
+		f.Paths.Avoid(time.Now(), u, peer, isForAll(err))
+	}
+}
+
+// probeOnce is probe without repeats. It records nothing.
+func (f *Forwarder) probeOnce(ctx context.Context, u *kingcuphook.Upstream, peer netip.Addr) error {
 	timeout := probeTimeout
 	if peer.IsValid() {
 		timeout = relayTimeout
@@ -388,10 +415,6 @@
 	}
 	resp, _, err := transporter.Send(r, transport.RoundTrip)
 	if err != nil {
-		f.recordRefusal(u, peer, err)
-		if peer.IsValid() && !errors.Is(err, context.Canceled) {
-			f.Paths.Avoid(time.Now(), u, peer, isForAll(err))
-		}
 		return err
 	}
 	defer resp.Body.Close()
