--- a/discarder/discarder.go
+++ b/discarder/discarder.go
@@ -38,8 +38,8 @@
 	return b.ReadCloser.Read(p)
 }
 
-// Track makes the body of a request record whether it was read. Without that, the caller of a request with the
-// header Expect is taken to send its body only once that is asked for.
+// Track makes the body of a request record whether it was read. A caller that sent the header Expect counts as
+// waiting to be asked for the body until then, or always if the request is not tracked.
 func Track(r *http.Request) {
 	if r.Header.Get("Expect") != "" {
 		r.Body = &body{ReadCloser: r.Body}
@@ -103,8 +103,8 @@
 }
 
 // Refuse refuses a request with err: write writes the response, and what was not read of the body is
-// dropped. It returns early if ctx ends. It panics with http.ErrAbortHandler, which closes the connection,
-// if EndOldest ends it.
+// dropped. The response must state its length, so that it ends before the body does. Refuse returns early if
+// ctx ends. It panics with http.ErrAbortHandler, which closes the connection, if EndOldest ends it.
 func (d *Discarder) Refuse(ctx context.Context, w http.ResponseWriter, r *http.Request, err error, write func()) {
 	if !errors.Is(err, kingcuphook.ErrOutOfMemory) && finish(ctx, w, r) {
 		write()
