Bound the heads and connections on ports that are not those of callers

Cause: the limit of net/http for each head, a megabyte, and none for their sum. Only the callers' port draws on a budget.

A relayed connection returns its memory when it is closed, since a connection that a handler takes over has no state of its end.

--- a/attacher/attacher.go
+++ b/attacher/attacher.go
@@ -33,7 +33,6 @@
 	"github.com/kingcuphook/kingcuphook/observer"
 	"github.com/kingcuphook/kingcuphook/permitter"
 	"github.com/kingcuphook/kingcuphook/platform"
-	"github.com/kingcuphook/kingcuphook/puller"
 	"github.com/kingcuphook/kingcuphook/quarantiner"
 	"github.com/kingcuphook/kingcuphook/rationer"
 	"github.com/kingcuphook/kingcuphook/receiver"
@@ -122,16 +121,9 @@
 	g.Go(func() error { a.forwarder.WatchPaths(parts); return nil })
 	g.Go(a.receiveDatagrams)
 	g.Go(func() error { return a.receiver.Run(a.listeners.callers) })
-	for _, served := range []struct {
-		listener net.Listener
-		handler  http.Handler
-	}{
-		{a.listeners.ready, http.HandlerFunc(a.answerReady)},
-		{a.listeners.metrics, http.HandlerFunc(a.answerMetrics)},
-		{a.listeners.peers, a.relays.handler(&puller.Handler{Export: a.control.export})},
-	} {
-		server := &http.Server{Handler: served.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-		g.Go(func() error { return serve(server, served.listener) })
+	for _, p := range a.ports() {
+		server := p.server()
+		g.Go(func() error { return serve(server, a.limited(p)) })
 		context.AfterFunc(parts, func() { _ = server.Close() })
 	}
 	g.Go(func() error {
@@ -150,11 +142,6 @@
 	return nil
 }
 
-const (
-	headerTimeout = 2 * time.Second
-	idleTimeout   = time.Minute
-)
-
 func serve(s *http.Server, l net.Listener) error {
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		return err
--- a/listener/conn.go
+++ b/listener/conn.go
@@ -64,7 +64,6 @@
 	}
 	h.account.Close()
 	if state == http.StateClosed {
-		h.own.Close()
 		return // the server may still be reading
 	}
 	h.reading = state == http.StateNew || state == http.StateIdle
@@ -78,6 +77,7 @@
 // Close implements net.Conn.
 func (h *conn) Close() error {
 	h.started()
+	defer h.own.Close() // a connection that was taken over has no state of its end
 	return h.closeWriter.Close()
 }
 
@@ -114,12 +114,6 @@
 	return c.closeWriter.Read(b)
 }
 
-// Close implements net.Conn.
-func (c tlsConn) Close() error {
-	defer c.own.Close()
-	return c.conn.Close()
-}
-
 // readHead reads a part of a head, within the limits of heads.
 func (h *conn) readHead(b []byte) (int, error) {
 	limits := h.listener.limits()
--- a/listener/listener_test.go
+++ b/listener/listener_test.go
@@ -1,7 +1,9 @@
 package listener
 
 import (
+	"io"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -9,6 +11,7 @@
 
 	"github.com/kingcuphook/kingcuphook"
 	"github.com/kingcuphook/kingcuphook/discarder"
+	"github.com/kingcuphook/kingcuphook/rationer"
 )
 
 func TestHeadEndsAtEmptyLine(t *testing.T) {
@@ -80,3 +83,38 @@
 	}
 	<-accepted
 }
+
+// A connection that the handler takes over has no state of its end, and would keep its memory.
+func TestTakenOverConnectionReturnsItsMemory(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	memory := &rationer.Rationer{Bytes: 1 << 20}
+	server := &http.Server{ReadHeaderTimeout: time.Second, ConnState: ObserveState, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		taken, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		_, _ = io.WriteString(taken, "taken")
+		_ = taken.Close()
+	})}
+	defer func() { is.NoErr(server.Close()) }()
+	limited := &Listener{
+		Listener: l, Memory: memory, Discards: &discarder.Discarder{},
+		Limits: func() kingcuphook.HeadLimits { return kingcuphook.HeadLimits{} },
+	}
+	go func() { _ = server.Serve(limited) }()
+	c, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	defer c.Close()
+	_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	is.NoErr(err)
+	text, err := io.ReadAll(c)
+	is.NoErr(err)
+	is.Equal(string(text), "taken")
+	for began := time.Now(); memory.Usage().Held > 0; time.Sleep(time.Millisecond) {
+		is.True(time.Since(began) < time.Second)
+	}
+	is.Equal(memory.Usage().Peak, int64(ConnectionBytes))
+}
--- a/receiver/head.go
+++ b/receiver/head.go
@@ -13,7 +13,7 @@
 func (s *Receiver) newListener(l net.Listener) *listener.Listener {
 	limits := func() kingcuphook.HeadLimits { return s.Directory().HeadLimits }
 	return &listener.Listener{
-		Listener: l, Memory: s.Memory, Limits: limits, Refusal: refusalOfHead, Discards: &s.discards, Log: s.Log,
+		Listener: l, Memory: s.Memory, Limits: limits, Refusal: RefusalOfHead, Discards: &s.discards, Log: s.Log,
 	}
 }
 
@@ -25,8 +25,8 @@
 	listener.ObserveState(c, state)
 }
 
-// refusalOfHead returns the answer to a request whose head is not read on.
-func refusalOfHead(err error) listener.Refusal {
+// RefusalOfHead returns the answer to a request whose head is not read on.
+func RefusalOfHead(err error) listener.Refusal {
 	r := listener.Refusal{ContentType: "text/plain"}
 	switch {
 	case errors.Is(err, kingcuphook.ErrTooLarge):
--- a/relayer/door.go
+++ b/relayer/door.go
@@ -220,6 +220,13 @@
 	}
 }
 
+// peerConn is a connection of a peer, of which one direction can be closed.
+type peerConn interface {
+	net.Conn
+	CloseWrite() error
+	SetLinger(sec int) error
+}
+
 func (d *Door) dial(ctx context.Context, p kingcuphook.Program) (*net.TCPConn, error) {
 	timeout := d.DialTimeout
 	if timeout == 0 {
@@ -249,7 +256,7 @@
 	}
 	defer hijacked.Close()
 	_ = hijacked.SetDeadline(time.Time{})
-	peer, ok := hijacked.(*net.TCPConn)
+	peer, ok := hijacked.(peerConn)
 	if !ok {
 		return
 	}
@@ -303,7 +310,8 @@
 
 // tunnel copies the bytes between a peer and an upstream.
 type tunnel struct {
-	peer, upstream *net.TCPConn
+	peer     peerConn
+	upstream *net.TCPConn
 	// early has the bytes of the peer that came with its request.
 	early io.Reader
 	idle  time.Duration
