Confirm no upstream as unreached after a dial whose timers were late

A router that reached an upstream through a peer took a lost path for a crash of the upstream: the peer had stood still during its own dial, the dial timed out, and the refusal told that the upstream isn't reached from there either. A crash that a peer confirms counts against the parts and the bodies of the requests.

The door now tells so only if the timers of the process were in time during the dial, like a probe. The refusal itself stays, and the router asks another peer.

Evidence: TestStandstillOfPeerConfirmsNothing stops the process during a dial that hangs.

--- a/relayer/door.go
+++ b/relayer/door.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/timekeeper"
 )
 
 // Defaults of Door.
@@ -165,12 +166,16 @@
 		return
 	}
 	defer d.open.Add(-1)
+	keeper := timekeeper.Start()
 	upstream, err := d.dial(r.Context(), target)
+	isExcused := keeper.Excuses(err)
 	if err != nil {
 		if d.OnFailure != nil {
 			d.OnFailure(target, err)
 		}
-		d.confirm(w, unreachedDialed)
+		if !isExcused {
+			d.confirm(w, unreachedDialed)
+		}
 		d.refuse(w, http.StatusBadGateway, err.Error(), from, id, target)
 		return
 	}
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"os/exec"
 	"strings"
 	"syscall"
 	"testing"
@@ -252,3 +254,62 @@
 	sound = false
 	d.True(!confirms()) // its own links may be at fault
 }
+
+// A peer that stood still during its dial told that it does not reach an upstream.
+func TestStandstillOfPeerConfirmsNothing(t *testing.T) {
+	d := newTestDoor(t)
+	d.program = kingcuphook.NewProgram(listenFull(t), "i-1", 17)
+	confirms := func() bool {
+		_, err := (&Relayer{}).Dial(t.Context(), d.address, d.program, "c-1")
+		d.True(errors.Is(err, ErrRefused))
+		return errors.Is(err, ErrUnreached)
+	}
+	d.Reaches = func(kingcuphook.Program) bool { return standStill(t) }
+	for tries := 1; confirms(); tries++ {
+		d.True(tries < 5) // the process may have been stopped before the dial
+	}
+	d.Reaches = nil
+	until := time.Now().Add(10 * time.Second)
+	for !confirms() { // as soon as timers are in time
+		d.True(time.Now().Before(until))
+	}
+}
+
+// standStill lets this process be stopped right after it returns, for longer than a dial may take.
+func standStill(t *testing.T) bool {
+	t.Helper()
+	stopper := exec.Command("sh", "-c", "echo; sleep 0.05; kill -STOP $PPID; sleep 0.6; kill -CONT $PPID")
+	out, err := stopper.StdoutPipe()
+	if err != nil {
+		t.Error(err)
+		return false
+	}
+	if err := stopper.Start(); err != nil {
+		t.Error(err)
+		return false
+	}
+	t.Cleanup(func() { _ = stopper.Wait() })
+	_, err = out.Read(make([]byte, 1))
+	return err == nil
+}
+
+// listenFull returns the address of a socket whose queue of connections is full: further dials hang.
+func listenFull(t *testing.T) string {
+	t.Helper()
+	is := is.New(t)
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	is.NoErr(err)
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	is.NoErr(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	is.NoErr(syscall.Listen(fd, 0))
+	bound, err := syscall.Getsockname(fd)
+	is.NoErr(err)
+	address := fmt.Sprintf("127.0.0.1:%d", bound.(*syscall.SockaddrInet4).Port)
+	for range 3 {
+		c, err := net.DialTimeout("tcp", address, 100*time.Millisecond)
+		if err == nil {
+			t.Cleanup(func() { c.Close() })
+		}
+	}
+	return address
+}
