Read answers that came before the end of a long body

Callers got 502 (outcome unknown) where an upstream had answered before it had read a long body and closed or reset the connection: an error such as 413, a refusal as not run, or a whole 200 was lost. And where such an answer had no length and no chunks, a part of it counted as whole.

The HTTP transport closes a connection whose write fails, with the response that has arrived on it or is being read. The failed write also takes the error of the connection from the kernel, so that the next read finds io.EOF, as after a close in order.

The connections to upstreams now keep the error of a write until nothing more can be read or the connection is closed. The transport thus reads what has arrived, and gets the error of the read if that is no whole response. A read that finds io.EOF ends the write that still waits, by its deadline, and returns the error of the write unless that shows a close in order.

Not changed: an answer without a length from an upstream that closes with bytes of the body unread is unknown, since the kernel resets that connection.

--- a/transporter/conn.go
+++ b/transporter/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -21,6 +22,8 @@
 	received func()
 	bounds
 
+	hold *writeHold
+
 	mu sync.Mutex
 	// users is the number of requests that use the connection. It is 2 for a moment if the
 	// next request gets the connection before the end of the last one is reported.
@@ -37,11 +40,11 @@
 		}
 		tcp, ok := opened.(*net.TCPConn)
 		if !ok {
-			b := &boundedConn{Conn: opened, bounds: bounds{openedAt: time.Now()}}
+			b := &boundedConn{Conn: opened, bounds: bounds{openedAt: time.Now()}, hold: newWriteHold()}
 			t.initHead(&b.head)
 			return b, nil
 		}
-		c := &conn{TCPConn: tcp, busy: t.UserTimeout, idle: t.IdleUserTimeout, received: t.Received, bounds: bounds{openedAt: time.Now()}}
+		c := &conn{TCPConn: tcp, busy: t.UserTimeout, idle: t.IdleUserTimeout, received: t.Received, bounds: bounds{openedAt: time.Now()}, hold: newWriteHold()}
 		t.initHead(&c.head)
 		c.setUserTimeout(c.idle)
 		return c, nil
@@ -81,12 +84,22 @@
 	if n > 0 && c.received != nil {
 		c.received()
 	}
-	return c.checkRead(p, n, err)
+	n, err = c.checkRead(p, n, err)
+	return n, c.hold.endRead(err, c.SetWriteDeadline)
+}
+
+// Write implements net.Conn. It returns an error only once nothing more can be read.
+func (c *conn) Write(p []byte) (int, error) { return c.hold.write(p, c.TCPConn.Write) }
+
+// ReadFrom implements io.ReaderFrom with Write.
+func (c *conn) ReadFrom(r io.Reader) (int64, error) {
+	return io.Copy(struct{ io.Writer }{c}, r)
 }
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.head.close()
+	c.hold.end()
 	return c.TCPConn.Close()
 }
 
@@ -117,17 +130,24 @@
 type boundedConn struct {
 	net.Conn
 	bounds
+
+	hold *writeHold
 }
 
 // Read implements net.Conn.
 func (c *boundedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	return c.checkRead(p, n, err)
+	n, err = c.checkRead(p, n, err)
+	return n, c.hold.endRead(err, c.SetWriteDeadline)
 }
 
+// Write implements net.Conn. It returns an error only once nothing more can be read.
+func (c *boundedConn) Write(p []byte) (int, error) { return c.hold.write(p, c.Conn.Write) }
+
 // Close implements net.Conn.
 func (c *boundedConn) Close() error {
 	c.head.close()
+	c.hold.end()
 	return c.Conn.Close()
 }
 
