Mark no end of relayed connections that were reset

A router that reaches an upstream through a peer could take a part of an answer for the whole one, if that had no length and no chunks: its connection was reset while the body of the call was still being sent, and the peer passed on the mark of an end in order.

The write that failed took the error of the connection from the kernel, so that the next read of the peer found io.EOF.

The peer keeps the error of a write. At io.EOF it ends a write that still waits, and breaks the relayed connection if a write had found it broken, unless the error is that of a connection closed in order.

--- a/relayer/door.go
+++ b/relayer/door.go
@@ -9,9 +9,11 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
@@ -321,6 +323,10 @@
 	early io.Reader
 	idle  time.Duration
 
+	// writing is held during each write to the upstream. It guards writeErr, the error of the last one.
+	writing  sync.Mutex
+	writeErr error
+
 	sent, received atomic.Int64
 	// last is when bytes were last copied, in Unix nanoseconds.
 	last atomic.Int64
@@ -385,10 +391,7 @@
 		n, err := t.early.Read(buffer)
 		if n > 0 {
 			t.copied(&t.sent, n)
-			if accepts {
-				_, err := t.upstream.Write(buffer[:n])
-				accepts = err == nil
-			}
+			accepts = accepts && t.write(buffer[:n]) == nil
 		}
 		if errors.Is(err, io.EOF) {
 			return nil
@@ -399,12 +402,36 @@
 	}
 }
 
+// write writes to the upstream and keeps the error.
+func (t *tunnel) write(p []byte) error {
+	t.writing.Lock()
+	defer t.writing.Unlock()
+	_, t.writeErr = t.upstream.Write(p)
+	return t.writeErr
+}
+
+// endError returns io.EOF if the upstream has closed the connection, and the error of a write if that
+// has broken it: such a write leaves an io.EOF to the reads. A write that still waits is ended, since the
+// connection is closed now.
+func (t *tunnel) endError() error {
+	_ = t.upstream.SetWriteDeadline(time.Unix(1, 0))
+	t.writing.Lock()
+	defer t.writing.Unlock()
+	if t.writeErr == nil || errors.Is(t.writeErr, os.ErrDeadlineExceeded) || errors.Is(t.writeErr, syscall.EPIPE) {
+		return io.EOF
+	}
+	return t.writeErr
+}
+
 // copyToPeer copies the bytes of the upstream in blocks, and the end mark once the upstream has
 // closed the connection.
 func (t *tunnel) copyToPeer() error {
 	buffer := make([]byte, headerBytes+blockBytes)
 	for {
 		n, err := t.read(buffer[headerBytes:])
+		if errors.Is(err, io.EOF) {
+			err = t.endError()
+		}
 		if n > 0 {
 			t.copied(&t.received, n)
 			if err := t.writeBlock(buffer, n); err != nil {
