Explain comments that were hard to follow

Change: comments only, of what has come since: checks of senders, the forecast, the memory budget, places, silences and records of versions. Evidence: go test ./pinner ./forecaster ./rationer ./dispatcher ./receiver ./server, and ./attacher -run 'Sender|Version'; of permitter go vet only.

--- a/attacher/pinstore.go
+++ b/attacher/pinstore.go
@@ -65,15 +65,15 @@
 	}
 }
 
-// isCertainlyMixed reports whether streams may have begun at several versions of the pool, which
-// the record in the store could not refute.
+// isCertainlyMixed reports whether streams may have begun at several versions of the pool, whatever its
+// record in the store is.
 func (s *pins) isCertainlyMixed(pool string) bool {
 	_, held := s.pinner.Held(time.Now(), pool)
 	return s.pinner.IsMixed(pool) && !held
 }
 
-// needsNoRecord reports whether the record of the pool in the store can't tell where a stream began, or
-// may begin.
+// needsNoRecord reports whether the record of the pool in the store can't show at which version a stream
+// began, or may begin.
 func (s *pins) needsNoRecord(pool string) bool {
 	return s.isCertainlyMixed(pool) && !s.pinner.HasBase(pool) && !slices.Contains(s.pinner.UnreadPools(), pool)
 }
--- a/attacher/senders.go
+++ b/attacher/senders.go
@@ -51,9 +51,10 @@
 	return &senders{a: a, checks: make(map[kingcuphook.Program]*senderCheck)}
 }
 
-// verify implements forwarder.Forwarder.VerifySender. The version is that of the tables if they were in
-// force, or if the registration was read, after the connection was open. Without the store, it
-// is taken for that unless a connection was lost since the tables were in force.
+// verify implements forwarder.Forwarder.VerifySender. The sender has the version of the tables if they were
+// confirmed, or its registration was read, after the connection was open. If the registration can't be read,
+// verify assumes that version, except for a stream that goes on if a connection was lost since the tables were
+// confirmed.
 func (s *senders) verify(ctx context.Context, sender forwarder.Sender) error {
 	confirmedAt := s.a.pins.pinner.ConfirmedAt()
 	if confirmedAt.After(sender.OpenedAt) && s.isInTables(sender.Upstream) {
@@ -76,8 +77,8 @@
 	return fmt.Errorf("attacher: version of %s after a lost connection: %w: %w: %s", sender.Upstream.Address(), kingcuphook.ErrUpstreamAnswered, kingcuphook.ErrOutcomeUnknown, err.Error())
 }
 
-// readAfter returns the registered version as a read shows that was sent after the connection of the sender
-// was open, or the error of that read. Senders of a program share reads: one waits for two at most.
+// readAfter returns the registered version, or the error of reading it. Only a read counts that was sent after
+// the connection of the sender was open. The senders of a program share reads, so that none waits for more than two.
 func (s *senders) readAfter(ctx context.Context, c *senderCheck, sender forwarder.Sender) (string, error) {
 	for {
 		r, isOwn := c.begin(sender)
--- a/dispatcher/errors.go
+++ b/dispatcher/errors.go
@@ -71,8 +71,8 @@
 	evidence kingcuphook.SilenceEvidence
 	silence  time.Duration
 	program  kingcuphook.Program
-	// cancelledAt is when the attempt was cancelled, patientUntil from when on a sound upstream
-	// isn't silent any more.
+	// cancelledAt is when the attempt was cancelled, patientUntil the time until which a sound upstream
+	// may be silent.
 	cancelledAt, patientUntil time.Time
 }
 
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -57,7 +57,7 @@
 	// software version that began it.
 	request *kingcuphook.Request
 	w       kingcuphook.FrameWriter
-	// begun is when the whole call was there; its body may have taken long to arrive.
+	// begun is when the whole call was received; its body may have taken long to arrive.
 	begun   time.Time
 	tracker tracker.Tracker
 	answer  assembler.Assembler
--- a/forecaster/forecaster.go
+++ b/forecaster/forecaster.go
@@ -11,15 +11,15 @@
 )
 
 const (
-	// windowTime and windowCalls are the least age and the least number of calls of a window
-	// when the next one replaces it. The calls of two windows count.
+	// windowTime and windowCalls are the age and the number of calls that a window must have reached
+	// before the next one replaces it. The calls of the current and the previous window count.
 	windowTime  = 30 * time.Second
 	windowCalls = 32
-	// exceeded is the share of the calls that take longer than the forecast if the time by
-	// which calls exceed the mean is distributed exponentially.
+	// exceeded is the share of the calls that take longer than the forecast would be without spread and
+	// unfamiliarity, if the time by which calls exceed the mean is distributed exponentially.
 	exceeded = 1.0 / 500
-	// spread is the ratio by which the forecast is longer besides. With few calls it is larger
-	// by the ratio unfamiliarity for a single one.
+	// spread multiplies that forecast. unfamiliarity times the longest time, divided by the number of
+	// calls, is added to it.
 	spread        = 1.1
 	unfamiliarity = 2
 	// endMargin is how long before a time a call ends that has to end by it.
--- a/permitter/place.go
+++ b/permitter/place.go
@@ -57,7 +57,8 @@
 	refusals    uint8
 	refusedOpen int
 	// contended means that other routers wait for places, or that too many are held. tenureFrom
-	// is since when this router has used its places, idleFrom since when one of them is unused.
+	// is when this router got its first place or last gave one up to them, idleFrom when a request last
+	// left its place or places were issued.
 	contended            bool
 	tenureFrom, idleFrom time.Time
 
@@ -109,7 +110,7 @@
 	return true
 }
 
-// release records that a request ended. Clean means that the upstream knows.
+// release records that a request ended; clean means that the upstream has seen its end.
 func (l *places) release(now time.Time, clean bool) {
 	l.running = max(l.running-1, 0)
 	switch {
--- a/pinner/pinner.go
+++ b/pinner/pinner.go
@@ -96,8 +96,9 @@
 	return true
 }
 
-// Queue queues the stream with the key for the ledger before it begins. Whoever reads that doesn't
-// take it for one of the base, so that it may begin at any version, or at none. ok is false if it has begun.
+// Queue queues the stream with the key for the ledger before it begins. A router that reads its entry doesn't
+// conclude that it began at the base, so that it may begin at any version, or not at all. ok is false if it has
+// begun.
 func (p *Pinner) Queue(now time.Time, key uint64) (ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -14,12 +14,13 @@
 	SmallBytes = 32 << 10
 	// smallShare is the share of the budget that only small accounts may use.
 	smallShare = 0.25
-	// answerShare is the part of smallShare that large accounts of answers leave. A request that
-	// finds no room has not run; the work of an answer would be lost.
+	// answerShare is the share that large accounts of answers leave to small ones. It is below smallShare,
+	// since a request that finds no room has not run, while the work of an answer would be lost.
 	answerShare = 0.15
 	// tierShare is the share of the budget that each tier leaves to those above it.
 	tierShare = 0.05
-	// belowShare is the share of the budget that memory below all calls finds beside large accounts.
+	// belowShare is the share of the budget up to which memory that is not held for a call has the room of
+	// the lowest tier.
 	belowShare = 0.05
 )
 
@@ -38,8 +39,8 @@
 	refused int64
 }
 
-// sums are the bytes that accounts hold. But for what is taken, the sum of small and large never exceeds
-// the budget, and large never exceeds what answerShare leaves.
+// sums are the bytes that accounts hold. Except for what Take has reserved, the sum of small and large never
+// exceeds the budget, and large never exceeds what answerShare leaves.
 type sums struct {
 	// small and large are the bytes of small and large accounts.
 	small, large int64
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -206,7 +206,7 @@
 		account.Close()
 		return nil, err
 	}
-	// The body may have been long on its way.
+	// Receiving the body may have taken long.
 	if err := s.checkStop(forecast, deadline); err != nil {
 		return nil, err
 	}
--- a/server/server.go
+++ b/server/server.go
@@ -91,7 +91,8 @@
 	calls stopper.Calls
 	// discards drops the bodies of refused requests.
 	discards discarder.Discarder
-	// open counts the requests in progress and those whose bodies are discarded, early those of them that began before Drain.
+	// open counts the requests in progress and those whose bodies are discarded, early those of them that
+	// began before Drain.
 	open, early atomic.Int64
 	// earlyEnd is when the last one of these ended after Drain, in Unix nanoseconds.
 	earlyEnd atomic.Int64
