--- a/forwarder/earlyanswer_test.go
+++ b/forwarder/earlyanswer_test.go
@@ -95,11 +95,17 @@
 	return nil
 }
 
-// checkEarly makes a call that is answered early and checks that its caller gets the answer.
+// checkEarly makes a call on a new connection that is answered early and checks that its caller gets the answer.
 func checkEarly(ctx context.Context, t *testing.T, u *kingcuphook.Upstream, want earlyAnswer, size int) {
 	t.Helper()
 	f := &Forwarder{Codec: codec{}, DialTimeout: 5 * time.Second}
 	defer f.Close()
+	checkEarlyOn(ctx, t, f, u, want, size)
+}
+
+// checkEarlyOn is checkEarly with a forwarder.
+func checkEarlyOn(ctx context.Context, t *testing.T, f *Forwarder, u *kingcuphook.Upstream, want earlyAnswer, size int) {
+	t.Helper()
 	answer, err := f.Call(ctx, u, attempt("POST", "/", strings.Repeat("b", size)))
 	switch {
 	case want.status == 0:
