Keep connections whose upstream answers and leaves the body unread

A stream was cut 5 s after its upstream had stopped reading a long body, though its events kept coming: "write: connection timed out".

The user timeout of a connection ends it once its peer has acknowledged nothing for that time. The kernel counts the time also while the peer answers that it has no room for more, so that an upstream which never reads the rest counted as gone.

A connection in use on which bytes come, and of whose request some are not acknowledged, now gets a user timeout of the age of its request and 5 s, checked at most once a second. Connections without such bytes keep 5 s, so that the failure of a VM is found as before.

Not changed: a call without any byte of an answer still ends with an unknown outcome once its upstream has read nothing for 5 s.

--- a/transporter/conn.go
+++ b/transporter/conn.go
@@ -28,8 +28,17 @@
 	// users is the number of requests that use the connection. It is 2 for a moment if the
 	// next request gets the connection before the end of the last one is reported.
 	users int
+	// begunAt is when the last request obtained the connection, timeout the user timeout that is set.
+	begunAt time.Time
+	timeout time.Duration
+
+	// checkedAt is when followUnread last looked; it belongs to the goroutine that reads.
+	checkedAt time.Time
 }
 
+// unreadInterval is how often a connection is checked for bytes that its peer has not acknowledged.
+const unreadInterval = time.Second
+
 // tracked returns a dialer whose connections have the user timeouts, if they are set, and bounded
 // heads of responses.
 func (t Transporter) tracked(dial dialer) dialer {
@@ -84,6 +93,9 @@
 	if n > 0 && c.received != nil {
 		c.received()
 	}
+	if n > 0 {
+		c.followUnread(time.Now())
+	}
 	n, err = c.checkRead(p, n, err)
 	return n, c.hold.endRead(err, c.SetWriteDeadline)
 }
@@ -108,6 +120,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.head.begin()
+	c.begunAt = time.Now()
 	c.users++
 	if c.users == 1 {
 		c.setUserTimeout(c.busy)
@@ -125,6 +138,39 @@
 	}
 }
 
+// followUnread extends the user timeout of a connection on which bytes were received while its peer
+// leaves some of the request unread. The kernel would end it, though its peer is there, once that has
+// acknowledged nothing for the timeout.
+func (c *conn) followUnread(now time.Time) {
+	if c.busy == 0 || now.Sub(c.checkedAt) < unreadInterval {
+		return
+	}
+	c.checkedAt = now
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.users == 0 {
+		return
+	}
+	d := c.busy
+	if c.hasUnread() {
+		d += now.Sub(c.begunAt)
+	}
+	if d != c.timeout {
+		c.setUserTimeout(d)
+	}
+}
+
+// hasUnread reports whether the peer has not acknowledged all that was written.
+func (c *conn) hasUnread() bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	_ = raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ) })
+	return err == nil && n > 0
+}
+
 // boundedConn is a connection that isn't one of TCP itself, such as a relayed one, with bounded heads
 // of responses.
 type boundedConn struct {
@@ -171,6 +217,7 @@
 	if d == 0 {
 		return
 	}
+	c.timeout = d
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return
