End an export that its peer doesn't read

Cause: the pull is bounded at the peer that asks, and the write of the export by nothing.

Change: a write deadline of 6 s, the longest time for which a peer waits.

Test: TestExportThatNobodyReadsEnds, red on the code before.

--- a/puller/puller.go
+++ b/puller/puller.go
@@ -3,6 +3,7 @@
 package puller
 
 import (
+	"cmp"
 	"compress/gzip"
 	"context"
 	"errors"
@@ -42,6 +43,8 @@
 	// waits for them up to the given time. Its error wraps ErrNotFound if there are still
 	// none, and ErrUnavailable if this process has no connection to the store.
 	Export func(ctx context.Context, revision int64, wait time.Duration) ([]byte, error)
+	// WriteTimeout bounds how long an export is written; 0 means 6 s, after which its peer has given up.
+	WriteTimeout time.Duration
 }
 
 // ServeHTTP implements http.Handler.
@@ -65,6 +68,8 @@
 	case err != nil:
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 	default:
+		// A peer that is paused reads nothing, and its connection stays open.
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(cmp.Or(h.WriteTimeout, fullTimeout)))
 		write(w, payload)
 	}
 }
--- a/puller/puller_test.go
+++ b/puller/puller_test.go
@@ -3,7 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"crypto/rand"
 	"errors"
+	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -70,3 +73,29 @@
 		is.True(errors.Is(got, want))
 	}
 }
+
+// Exports that paused peers did not read were kept in memory for as long as their connections were open.
+func TestExportThatNobodyReadsEnds(t *testing.T) {
+	is := is.New(t)
+	whole := make([]byte, maxExportBytes)
+	_, err := rand.Read(whole) // can't be compressed
+	is.NoErr(err)
+	h := &Handler{WriteTimeout: 100 * time.Millisecond, Export: func(context.Context, int64, time.Duration) ([]byte, error) { return whole, nil }}
+	ended := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer close(ended)
+		h.ServeHTTP(w, r)
+	}))
+	defer server.Close()
+	c, err := net.Dial("tcp", server.Listener.Addr().String())
+	is.NoErr(err)
+	defer c.Close()
+	_, err = fmt.Fprintf(c, "GET %s?%s=0&%s=0 HTTP/1.1\r\nHost: a\r\n\r\n", Path, paramRevision, paramWait)
+	is.NoErr(err)
+	select {
+	case <-ended:
+	case <-time.After(3 * time.Second):
+		t.Error("the export is still being written")
+		is.NoErr(c.Close())
+	}
+}
