--- a/timekeeper/timekeeper.go
+++ b/timekeeper/timekeeper.go
@@ -38,14 +38,25 @@
 	return k
 }
 
+// Late returns by how much timers were late in total so far.
+func (k *Timekeeper) Late() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.stopped {
+		return k.lateness.sum
+	}
+	return k.lateness.at(time.Now())
+}
+
 // Stop ends the measurement and returns by how much timers were late in total.
 func (k *Timekeeper) Stop() time.Duration {
+	late := k.Late()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if !k.stopped {
 		k.stopped = true
 		k.timer.Stop()
-		k.lateness.tick(time.Now())
+		k.lateness.sum = max(k.lateness.sum, late)
 	}
 	return k.lateness.sum
 }
@@ -76,10 +87,16 @@
 	sum time.Duration
 }
 
-// tick records a tick. One that comes before it is due is not late.
-func (l *lateness) tick(now time.Time) {
+// at returns the sum, with the time by which the next tick is late already.
+func (l *lateness) at(now time.Time) time.Duration {
 	if late := now.Sub(l.due); late > tolerance {
-		l.sum += late
+		return l.sum + late
 	}
+	return l.sum
+}
+
+// tick records a tick.
+func (l *lateness) tick(now time.Time) {
+	l.sum = l.at(now)
 	l.due = now.Add(tickInterval)
 }
