List faults of bodies and heads in the fault matrix

The matrix had no rows for answers, events and heads without end, large bodies, slow readers, refused bodies and answers before the end of a body. They need real connections, so that they have no cells: a table of their own names the tests that play them, and TestConnectionFaultsHaveTheirTests fails if one of those is gone. TestMatrix compares the page as before.

--- a/prover/page.go
+++ b/prover/page.go
@@ -27,6 +27,7 @@
 	}
 	b.WriteString(pagePairs)
 	writePairs(&b, pairs)
+	writeConnectionFaults(&b)
 	return b.String()
 }
 
