Judge an end of reads after a failed write in one place

The connections to upstreams and those that a peer relays each recorded the error of a failed write, and each had the same list of errors by which an io.EOF still shows a close in order. One list that changes without the other would let a cut answer pass for a whole one again. transporter.WriteRecord serves both; behaviour is as before. Runs: transporter, relayer, forwarder and dialer with the race detector, vet, linter.

--- a/relayer/door.go
+++ b/relayer/door.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"cmp"
 	"context"
 	"encoding/binary"
 	"errors"
@@ -9,15 +10,14 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
 	"github.com/kingcuphook/kingcuphook/timekeeper"
+	"github.com/kingcuphook/kingcuphook/transporter"
 )
 
 // Defaults of Door.
@@ -323,9 +323,8 @@
 	early io.Reader
 	idle  time.Duration
 
-	// writing is held during each write to the upstream. It guards writeErr, the error of the last one.
-	writing  sync.Mutex
-	writeErr error
+	// writes are those to the upstream.
+	writes transporter.WriteRecord
 
 	sent, received atomic.Int64
 	// last is when bytes were last copied, in Unix nanoseconds.
@@ -391,7 +390,10 @@
 		n, err := t.early.Read(buffer)
 		if n > 0 {
 			t.copied(&t.sent, n)
-			accepts = accepts && t.write(buffer[:n]) == nil
+			if accepts {
+				_, err := t.writes.Write(buffer[:n], t.upstream.Write)
+				accepts = err == nil
+			}
 		}
 		if errors.Is(err, io.EOF) {
 			return nil
@@ -402,27 +404,6 @@
 	}
 }
 
-// write writes to the upstream and keeps the error.
-func (t *tunnel) write(p []byte) error {
-	t.writing.Lock()
-	defer t.writing.Unlock()
-	_, t.writeErr = t.upstream.Write(p)
-	return t.writeErr
-}
-
-// endError returns io.EOF if the upstream has closed the connection, and the error of a write if that
-// has broken it: such a write leaves an io.EOF to the reads. A write that still waits is ended, since the
-// connection is closed now.
-func (t *tunnel) endError() error {
-	_ = t.upstream.SetWriteDeadline(time.Unix(1, 0))
-	t.writing.Lock()
-	defer t.writing.Unlock()
-	if t.writeErr == nil || errors.Is(t.writeErr, os.ErrDeadlineExceeded) || errors.Is(t.writeErr, syscall.EPIPE) {
-		return io.EOF
-	}
-	return t.writeErr
-}
-
 // copyToPeer copies the bytes of the upstream in blocks, and the end mark once the upstream has
 // closed the connection.
 func (t *tunnel) copyToPeer() error {
@@ -430,7 +411,7 @@
 	for {
 		n, err := t.read(buffer[headerBytes:])
 		if errors.Is(err, io.EOF) {
-			err = t.endError()
+			err = cmp.Or(t.writes.Broken(t.upstream.SetWriteDeadline), err)
 		}
 		if n > 0 {
 			t.copied(&t.received, n)
