--- a/transporter/conn.go
+++ b/transporter/conn.go
@@ -20,9 +20,7 @@
 	busy, idle time.Duration
 	// received, if set, is called whenever bytes were received.
 	received func()
-	bounds
-
-	hold *writeHold
+	exchange
 
 	mu sync.Mutex
 	// users is the number of requests that use the connection. It is 2 for a moment if the
@@ -49,24 +47,32 @@
 		}
 		tcp, ok := opened.(*net.TCPConn)
 		if !ok {
-			b := &boundedConn{Conn: opened, bounds: bounds{openedAt: time.Now()}, hold: newWriteHold()}
-			t.initHead(&b.head)
+			b := &boundedConn{Conn: opened}
+			t.initExchange(&b.exchange)
 			return b, nil
 		}
-		c := &conn{TCPConn: tcp, busy: t.UserTimeout, idle: t.IdleUserTimeout, received: t.Received, bounds: bounds{openedAt: time.Now()}, hold: newWriteHold()}
-		t.initHead(&c.head)
+		c := &conn{TCPConn: tcp, busy: t.UserTimeout, idle: t.IdleUserTimeout, received: t.Received}
+		t.initExchange(&c.exchange)
 		c.setUserTimeout(c.idle)
 		return c, nil
 	}
 }
 
-// bounds bound the heads of the responses on a connection.
-type bounds struct {
+// exchange is what both kinds of connections keep about requests and responses.
+type exchange struct {
 	head headLimit
+	hold writeHold
 	// openedAt is when the connection was open at the latest.
 	openedAt time.Time
 }
 
+// initExchange sets the fields of the exchange of a connection that was just opened.
+func (t Transporter) initExchange(e *exchange) {
+	e.openedAt = time.Now()
+	e.hold.over = make(chan struct{})
+	t.initHead(&e.head)
+}
+
 // initHead sets the fields of the limit of a connection.
 func (t Transporter) initHead(h *headLimit) {
 	h.memory = t.Memory.OpenAnswer()
@@ -77,14 +83,20 @@
 }
 
 // opened implements tracker.
-func (b *bounds) opened() time.Time { return b.openedAt }
+func (e *exchange) opened() time.Time { return e.openedAt }
 
-// checkRead returns the result of a read into p after the check of the heads in it.
-func (b *bounds) checkRead(p []byte, n int, err error) (int, error) {
-	if headErr := b.head.check(p[:n]); headErr != nil {
-		return 0, headErr
+// endRead returns the result of a read into p after the check of the heads in it.
+func (e *exchange) endRead(p []byte, n int, err error, setWriteDeadline func(time.Time) error) (int, error) {
+	if headErr := e.head.check(p[:n]); headErr != nil {
+		n, err = 0, headErr
 	}
-	return n, err
+	return n, e.hold.endRead(err, setWriteDeadline)
+}
+
+// finish ends what a connection holds when it is closed.
+func (e *exchange) finish() {
+	e.head.close()
+	e.hold.end()
 }
 
 // Read implements net.Conn.
@@ -96,8 +108,7 @@
 	if n > 0 {
 		c.followUnread(time.Now())
 	}
-	n, err = c.checkRead(p, n, err)
-	return n, c.hold.endRead(err, c.SetWriteDeadline)
+	return c.endRead(p, n, err, c.SetWriteDeadline)
 }
 
 // Write implements net.Conn. It returns an error only once nothing more can be read.
@@ -110,8 +121,7 @@
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
-	c.head.close()
-	c.hold.end()
+	c.finish()
 	return c.TCPConn.Close()
 }
 
@@ -175,16 +185,13 @@
 // of responses.
 type boundedConn struct {
 	net.Conn
-	bounds
-
-	hold *writeHold
+	exchange
 }
 
 // Read implements net.Conn.
 func (c *boundedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	n, err = c.checkRead(p, n, err)
-	return n, c.hold.endRead(err, c.SetWriteDeadline)
+	return c.endRead(p, n, err, c.SetWriteDeadline)
 }
 
 // Write implements net.Conn. It returns an error only once nothing more can be read.
@@ -192,8 +199,7 @@
 
 // Close implements net.Conn.
 func (c *boundedConn) Close() error {
-	c.head.close()
-	c.hold.end()
+	c.finish()
 	return c.Conn.Close()
 }
 
--- a/transporter/writehold.go
+++ b/transporter/writehold.go
@@ -14,12 +14,10 @@
 	writes WriteRecord
 
 	once sync.Once
-	// over is closed once nothing more can be read.
+	// over is closed once nothing more can be read; never nil.
 	over chan struct{}
 }
 
-func newWriteHold() *writeHold { return &writeHold{over: make(chan struct{})} }
-
 // write calls write with p and returns its error once nothing more can be read.
 func (h *writeHold) write(p []byte, write func([]byte) (int, error)) (int, error) {
 	n, err := h.writes.Write(p, write)
