Stop a timekeeper under one lock

Stop asked for the lateness under a lock of its own and then corrected for what might have come between; one lock needs no correction. Behaviour is as before. Runs: timekeeper, forwarder and relayer with the race detector.

--- a/timekeeper/timekeeper.go
+++ b/timekeeper/timekeeper.go
@@ -50,13 +50,12 @@
 
 // Stop ends the measurement and returns by how much timers were late in total.
 func (k *Timekeeper) Stop() time.Duration {
-	late := k.Late()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if !k.stopped {
 		k.stopped = true
 		k.timer.Stop()
-		k.lateness.sum = max(k.lateness.sum, late)
+		k.lateness.sum = k.lateness.at(time.Now())
 	}
 	return k.lateness.sum
 }
