Refuse calls that cross the close of their connection

What callers saw: a call that was sent on a kept connection in the moment in which a stopping router closed it ended without an answer; one that may not be repeated was lost, since its caller can't tell whether it ran.

Cause: callers whose last answer came before the stop have not been told of it by "Connection: close", so that the close of an idle connection may cross a call. net/http names it: "such is life with HTTP/1.1".

Change: before an idle connection is closed, 408 with "Connection: close" is written on it, as RFC 9110 (15.5.9) has it. A caller that has a call on its way takes it for the refusal of that call, which is true: nothing that is read from then on is served. The others take it for the end of an idle connection. The router reads on until the caller closes too, 0.5 s at most, since a close with unread bytes resets the connection.

Evidence: two cases each of TestCallsThatCrossCloseAreRefused (receiver) and TestRequestsThatCrossCloseAreRefused (server) end with "unexpected EOF" before. A call of serve may repeat one that ran, so that its run state is unknown.

--- a/listener/conn.go
+++ b/listener/conn.go
@@ -57,9 +57,9 @@
 	blank bool
 
 	// mu guards the fields below. A connection is idle from the end of a call to the first byte of the next
-	// request, unless its caller has closed it.
-	mu   sync.Mutex
-	idle bool
+	// request, unless its caller has closed it. It isn't idle any more once it is ended.
+	mu          sync.Mutex
+	idle, ended bool
 }
 
 // ObserveState follows the states of a connection; it is the hook ConnState of the server.
@@ -83,24 +83,47 @@
 	}
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. A request that crosses the close of an idle connection is refused.
 func (h *conn) Close() error {
 	h.started()
+	if h.endIdle() {
+		go h.refuseCrossing()
+	}
+	if h.isEnded() {
+		return nil
+	}
+	return h.close()
+}
+
+func (h *conn) close() error {
 	defer h.listener.Connections.remove(h)
 	defer h.own.Close() // a connection that was taken over has no state of its end
 	return h.closeWriter.Close()
 }
 
+// Write implements net.Conn.
+func (h *conn) Write(b []byte) (int, error) {
+	if h.isEnded() {
+		return 0, net.ErrClosed
+	}
+	return h.closeWriter.Write(b)
+}
+
 // Read implements net.Conn. It refuses a head that is too long or for which there is no room, and
 // then reports the end of the connection.
 func (h *conn) Read(b []byte) (int, error) {
 	h.started()
+	if h.isEnded() {
+		return 0, io.EOF
+	}
 	n, err := h.readOpen(b)
-	h.endWait(n, err)
+	if !h.endWait(n, err) {
+		return 0, io.EOF
+	}
 	return n, err
 }
 
-// readOpen reads from a connection that is open.
+// readOpen reads from a connection that is not ended.
 func (h *conn) readOpen(b []byte) (int, error) {
 	if h.err != nil {
 		// A refusal is the answer to a request, which may be on its way.
@@ -195,12 +218,17 @@
 func (h *conn) refuse(err error) {
 	h.logRefusal(err)
 	h.account.Close()
-	r := h.listener.Refusal(err)
+	h.writeRefusal(h.listener.Refusal(err), refusalTimeout)
+}
+
+// writeRefusal answers the request that is coming, or already here, and reads on until the caller closes
+// the connection or the timeout has passed.
+func (h *conn) writeRefusal(r Refusal, timeout time.Duration) {
 	retry := ""
 	if r.RetryAfter != "" {
 		retry = "Retry-After: " + r.RetryAfter + "\r\n"
 	}
-	_ = h.SetDeadline(time.Now().Add(refusalTimeout))
+	_ = h.SetDeadline(time.Now().Add(timeout))
 	_, _ = fmt.Fprintf(h.closeWriter, "HTTP/1.1 %d %s\r\n%sContent-Type: %s\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s",
 		r.Status, http.StatusText(r.Status), retry, r.ContentType, len(r.Body), r.Body)
 	_ = h.CloseWrite()
--- a/listener/connections.go
+++ b/listener/connections.go
@@ -13,13 +13,22 @@
 )
 
 const (
+	// crossingTimeout is how long a request may still come on an idle connection that is being closed: more
+	// than the round trip in which its caller learns of the close.
+	crossingTimeout = 500 * time.Millisecond
 	// closePoll is how often a graceful stop checks for connections that have become idle.
 	closePoll = 10 * time.Millisecond
 )
 
 // Connections are the open connections of a server, but for those over TLS. They are closed without losing
-// requests that are being read.
+// requests: one that crosses the close of an idle connection is refused. The refusal is written before the
+// close: a caller whose request was on its way takes it for the answer, any other one for the end of the
+// connection (status 408 in RFC 9110, section 15.5.9). Its exported field is set before use.
 type Connections struct {
+	// Refusal is the answer to a request that crosses the close. Its status is 408, which callers expect on
+	// an idle connection.
+	Refusal Refusal
+
 	// mu guards the fields below.
 	mu sync.Mutex
 	// listener accepts the connections; nil before it is used.
@@ -104,17 +113,30 @@
 func (h *conn) setIdle() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.idle = true
+	h.idle = !h.ended
 }
 
 // endWait records the result of a read: the connection waits no longer for a request unless the read
-// timed out.
-func (h *conn) endWait(n int, err error) {
+// timed out. It reports whether what was read may be served.
+func (h *conn) endWait(n int, err error) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 		h.idle = false
 	}
+	return !h.ended
+}
+
+// endIdle ends a connection that waits for a request, and reports whether it did. Nothing that is read from
+// now on is served.
+func (h *conn) endIdle() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.idle || h.listener.Connections == nil || h.listener.TLS != nil {
+		return false
+	}
+	h.idle, h.ended = false, true
+	return true
 }
 
 // isIdle reports whether the connection waits for a request.
@@ -123,3 +145,16 @@
 	defer h.mu.Unlock()
 	return h.idle
 }
+
+// isEnded reports whether the connection was ended while it waited for a request.
+func (h *conn) isEnded() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.ended
+}
+
+// refuseCrossing refuses a request that may be on its way, and closes the connection.
+func (h *conn) refuseCrossing() {
+	h.writeRefusal(h.listener.Connections.Refusal, crossingTimeout)
+	_ = h.close()
+}
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -48,7 +48,8 @@
 	// Discards are the refused bodies that the server discards, whose connections make room for
 	// new ones; required.
 	Discards *discarder.Discarder
-	// Connections are told of the accepted connections; may be nil.
+	// Connections are told of the accepted connections; nil means that a request that crosses the close
+	// of its connection gets no answer.
 	Connections *Connections
 	// Log receives events; nil means none.
 	Log *logger.Logger
--- a/receiver/crossing_test.go
+++ b/receiver/crossing_test.go
@@ -50,14 +50,16 @@
 	return reply{StatusCode: resp.StatusCode, Close: resp.Close}
 }
 
-// Calls that were half read when a planned stop closed their connection got neither an answer nor a refusal.
-func TestHalfReadCallsAreRefused(t *testing.T) {
+// Calls that were sent, or half read, while a planned stop closed their connection got neither an answer nor a refusal.
+func TestCallsThatCrossCloseAreRefused(t *testing.T) {
 	for name, test := range map[string]struct {
 		before func(c *caller)
 		rest   string
 		status int
 	}{
-		"half a head": {func(c *caller) { c.send(wholeCall[:20]); time.Sleep(closeTime) }, wholeCall[20:], http.StatusServiceUnavailable},
+		"kept connection": {func(c *caller) { c.send(wholeCall); c.Equal(c.answer().StatusCode, http.StatusOK) }, wholeCall, http.StatusRequestTimeout},
+		"new connection":  {func(*caller) { time.Sleep(closeTime) }, wholeCall, http.StatusRequestTimeout},
+		"half a head":     {func(c *caller) { c.send(wholeCall[:20]); time.Sleep(closeTime) }, wholeCall[20:], http.StatusServiceUnavailable},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := newHarness(t, respondWith(http.StatusOK, "done"))
--- a/receiver/head.go
+++ b/receiver/head.go
@@ -17,6 +17,11 @@
 	}
 }
 
+// refusalOfCrossing is the answer to a request that crosses the close of its connection.
+var refusalOfCrossing = listener.Refusal{
+	Status: http.StatusRequestTimeout, RetryAfter: formatSeconds(retryStopping), ContentType: "text/plain", Body: kingcuphook.CodeStopping + "\n",
+}
+
 // observeState is the hook ConnState of the server.
 func (s *Receiver) observeState(c net.Conn, state http.ConnState) {
 	if state == http.StateIdle {
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -107,6 +107,7 @@
 func (s *Receiver) server() *http.Server {
 	s.once.Do(func() {
 		s.calls.Times = s.StopTimes
+		s.connections.Refusal = refusalOfCrossing
 		s.http = &http.Server{
 			Handler:           s,
 			MaxHeaderBytes:    kingcuphook.MaxHeadBytes,
--- a/receiver/stop.go
+++ b/receiver/stop.go
@@ -12,8 +12,8 @@
 
 // Stop closes the listener and the idle connections, and waits for the calls in flight
 // until ctx ends. It returns an error if ctx ends first; it doesn't interrupt the calls
-// itself. Calls that begin after it has been called are rejected: their connections may be
-// closed.
+// itself. Calls that begin after it has been called are rejected, also those that cross the
+// close of their connection.
 func (s *Receiver) Stop(ctx context.Context) error {
 	s.closing.Store(true)
 	if err := s.connections.Stop(ctx, s.server()); err != nil {
--- a/server/crossing_test.go
+++ b/server/crossing_test.go
@@ -13,14 +13,16 @@
 	"github.com/matryer/is"
 )
 
-// Requests that were half read when a planned stop closed their connection got neither an answer nor a refusal.
-func TestHalfReadRequestsAreRefused(t *testing.T) {
+// Requests that were sent, or half read, while a planned stop closed their connection got neither an answer nor a refusal.
+func TestRequestsThatCrossCloseAreRefused(t *testing.T) {
 	const text, closeTime = "GET /nowhere HTTP/1.1\r\nHost: a.example\r\n\r\n", 100 * time.Millisecond
 	for name, test := range map[string]struct {
 		begun  string
 		status int
 	}{
-		"half a head": {begun: text[:20], status: http.StatusServiceUnavailable},
+		"kept connection": {begun: text, status: http.StatusRequestTimeout},
+		"new connection":  {status: http.StatusRequestTimeout},
+		"half a head":     {begun: text[:20], status: http.StatusServiceUnavailable},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/server/head.go
+++ b/server/head.go
@@ -42,3 +42,14 @@
 	r.Body = string(encodeError("", e))
 	return r
 }
+
+// refusalOfCrossing returns the answer to a request that crosses the close of its connection. It may repeat
+// one that ran, so that its run state is unknown.
+func refusalOfCrossing() listener.Refusal {
+	e := &kingcuphook.RequestError{
+		Code: kingcuphook.CodeStopping, Ran: kingcuphook.RunStateUnknown, RetryAfter: defaultRetryAfter, Err: kingcuphook.ErrStopping,
+	}
+	return listener.Refusal{
+		Status: http.StatusRequestTimeout, RetryAfter: formatSeconds(e.RetryAfter), ContentType: "application/json", Body: string(encodeError("", e)),
+	}
+}
--- a/server/server.go
+++ b/server/server.go
@@ -122,6 +122,7 @@
 func (s *Server) server() *http.Server {
 	s.once.Do(func() {
 		s.calls.Times = s.StopTimes
+		s.connections.Refusal = refusalOfCrossing()
 		s.http = &http.Server{
 			Handler:           s.Handler(),
 			MaxHeaderBytes:    s.Limits.MaxHeaderBytes,
--- a/server/stop.go
+++ b/server/stop.go
@@ -21,8 +21,8 @@
 
 // Stop serves on until the requests that began before Drain have ended and the next ones on their
 // connections have come. It then closes the listener and the idle connections, and waits for the
-// requests in progress, until ctx ends. Requests that begin after the listener is closed are rejected:
-// their connections may be closed.
+// requests in progress, until ctx ends. Requests that begin after the listener is closed are rejected, also
+// those that cross the close of their connection.
 func (s *Server) Stop(ctx context.Context) error {
 	s.Drain()
 	s.awaitReuse(ctx)
