Serve connections that are queued when a graceful shutdown begins

What callers saw: a connection that the kernel had accepted was reset, with the call that was sent on it.

Cause: closing a listening socket resets the connections in its queue, and those that the accept loop had not yet passed on were dropped.

Change: a stop accepts until the queue has been empty for 5 ms, 200 ms at most, and closes the listener then.

--- a/listener/listener.go
+++ b/listener/listener.go
@@ -3,9 +3,13 @@
 package listener
 
 import (
+	"context"
 	"crypto/tls"
+	"errors"
 	"net"
+	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
@@ -25,6 +29,10 @@
 	// maxStarting limits the accepted connections that are not served yet, so that calls on open
 	// connections never wait for a long queue of goroutines.
 	maxStarting = 32
+	// acceptPause is how long no connection comes until the queue of the kernel is taken for empty, and
+	// acceptTimeout limits how long connections from it are accepted after the end of accepting began.
+	acceptPause   = 5 * time.Millisecond
+	acceptTimeout = 200 * time.Millisecond
 )
 
 // Listener accepts connections, for which it reserves memory, and on which the memory of heads is
@@ -57,6 +65,9 @@
 	once sync.Once
 	// starting has a value for each accepted connection that the server has not read from yet.
 	starting chan struct{}
+	// draining is set once no more connections are to come, closed is closed when none does.
+	draining atomic.Bool
+	closed   chan struct{}
 	close    sync.Once
 }
 
@@ -76,7 +87,7 @@
 	l.init()
 	for {
 		l.starting <- struct{}{}
-		accepted, err := l.Listener.Accept()
+		accepted, err := l.acceptQueued()
 		if err != nil {
 			<-l.starting
 			return nil, err
@@ -102,10 +113,26 @@
 func (l *Listener) init() {
 	l.once.Do(func() {
 		l.starting = make(chan struct{}, maxStarting)
+		l.closed = make(chan struct{})
 		l.Connections.setListener(l)
 	})
 }
 
+// acceptQueued accepts a connection. At the end of accepting it closes the listener once the queue is empty,
+// since that resets the connections in it.
+func (l *Listener) acceptQueued() (net.Conn, error) {
+	if l.draining.Load() {
+		l.setDeadline(time.Now().Add(acceptPause))
+	}
+	accepted, err := l.Listener.Accept()
+	if errors.Is(err, os.ErrDeadlineExceeded) && l.draining.Load() {
+		_ = l.Close()
+		close(l.closed)
+		return nil, net.ErrClosed
+	}
+	return accepted, err
+}
+
 // Close implements net.Listener.
 func (l *Listener) Close() error {
 	var err error
@@ -113,6 +140,29 @@
 	return err
 }
 
+// endAccept accepts the connections that are queued already, and closes the listener.
+func (l *Listener) endAccept(ctx context.Context) {
+	if l.draining.Swap(true) {
+		return
+	}
+	l.setDeadline(time.Now().Add(acceptPause))
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
+	select {
+	case <-l.closed:
+	case <-ctx.Done():
+		_ = l.Close()
+	}
+}
+
+// setDeadline ends a wait for a connection. A listener that can't is closed.
+func (l *Listener) setDeadline(t time.Time) {
+	d, ok := l.Listener.(interface{ SetDeadline(t time.Time) error })
+	if !ok || d.SetDeadline(t) != nil {
+		_ = l.Close()
+	}
+}
+
 // limits returns the limits of heads in force.
 func (l *Listener) limits() kingcuphook.HeadLimits {
 	limits := l.Limits()
