Log calls that cross the close of their connection

What was missing: the tries that ended without an answer beside planned stops left no line at any router, so that a call that crossed a close could not be told from one that was dropped or never sent.

--- a/listener/conn.go
+++ b/listener/conn.go
@@ -222,8 +222,8 @@
 }
 
 // writeRefusal answers the request that is coming, or already here, and reads on until the caller closes
-// the connection or the timeout has passed.
-func (h *conn) writeRefusal(r Refusal, timeout time.Duration) {
+// the connection or the timeout has passed. It returns how many bytes came.
+func (h *conn) writeRefusal(r Refusal, timeout time.Duration) int64 {
 	retry := ""
 	if r.RetryAfter != "" {
 		retry = "Retry-After: " + r.RetryAfter + "\r\n"
@@ -233,7 +233,8 @@
 		r.Status, http.StatusText(r.Status), retry, r.ContentType, len(r.Body), r.Body)
 	_ = h.CloseWrite()
 	// Closing a connection with unread bytes would reset it.
-	_, _ = io.Copy(io.Discard, h.closeWriter)
+	n, _ := io.Copy(io.Discard, h.closeWriter)
+	return n
 }
 
 func (h *conn) logRefusal(err error) {
--- a/listener/connections.go
+++ b/listener/connections.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/kingcuphook/kingcuphook/logger"
 	"github.com/kingcuphook/kingcuphook/pauser"
 )
 
@@ -155,6 +156,9 @@
 
 // refuseCrossing refuses a request that may be on its way, and closes the connection.
 func (h *conn) refuseCrossing() {
-	h.writeRefusal(h.listener.Connections.Refusal, crossingTimeout)
+	r := h.listener.Connections.Refusal
+	if n := h.writeRefusal(r, crossingTimeout); n > 0 {
+		h.listener.Log.Log(logger.CrossingRefused, "caller", h.RemoteAddr(), "status", r.Status, "bytes", n)
+	}
 	_ = h.close()
 }
--- a/logger/events.go
+++ b/logger/events.go
@@ -54,6 +54,7 @@
 	ResumptionRefused     = Event{1210, LevelInfo, "call that resumes a stream refused"}
 	MemoryRefused         = Event{1213, LevelInfo, "request refused, since the memory budget has no room for it"}
 	HeadRefused           = Event{1214, LevelInfo, "head of a request refused while it was being read"}
+	CrossingRefused       = Event{1216, LevelInfo, "request that came while its idle connection was being closed refused"}
 	UpstreamsUpdated      = Event{1303, LevelInfo, "upstreams updated"}
 	UpstreamPaused        = Event{1305, LevelInfo, "upstream asked for a pause"}
 	RegistrationRejected  = Event{1304, LevelWarn, "registration of an upstream rejected; the upstream is not used"}
@@ -137,6 +138,7 @@
 		MemoryRefused,
 		HeadRefused,
 		RequestNotAssigned,
+		CrossingRefused,
 		UpstreamLeaving,
 		UpstreamsUpdated,
 		RegistrationRejected,
