Await the first call on a connection that has just been opened

What callers saw: a caller that had just connected to a stopping router, and had not yet sent its call, read the end of the connection and gave up: a try without an answer.

Cause: a stop closes the connections that wait for a request, and took new ones for such; their first request is on its way, where a kept one may be unused for long.

Change: while it stops, a router waits up to 0.5 s from the opening of a connection for the first request, which is refused (503 stopping), and closes it as idle only then.

--- a/listener/conn.go
+++ b/listener/conn.go
@@ -60,6 +60,8 @@
 	// request, unless its caller has closed it. It isn't idle any more once it is ended.
 	mu          sync.Mutex
 	idle, ended bool
+	// opened is when the connection was opened until the first call on it ends; zero after that.
+	opened time.Time
 }
 
 // ObserveState follows the states of a connection; it is the hook ConnState of the server.
@@ -79,7 +81,7 @@
 	}
 	h.read, h.lines, h.blank = 0, 0, false
 	if h.reading && h.err == nil {
-		h.setIdle()
+		h.setIdle(h.began)
 	}
 }
 
--- a/listener/connections.go
+++ b/listener/connections.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// crossingTimeout is how long a request may still come on an idle connection that is being closed: more
-	// than the round trip in which its caller learns of the close.
+	// crossingTimeout is how long a request may still come on an idle connection that is being closed, and the
+	// first one on a connection that has just been opened: more than a round trip.
 	crossingTimeout = 500 * time.Millisecond
 	// closePoll is how often a graceful stop checks for connections that have become idle.
 	closePoll = 10 * time.Millisecond
@@ -55,9 +55,9 @@
 
 // closeIdle closes the connections that wait for a request, and returns how many are open.
 func (c *Connections) closeIdle() int {
-	open := c.list()
+	open, now := c.list(), time.Now()
 	for _, h := range open {
-		if h.isIdle() {
+		if h.isIdle(now) {
 			_ = h.Close()
 		}
 	}
@@ -110,11 +110,12 @@
 	delete(c.open, h)
 }
 
-// setIdle records that the connection waits for a request.
-func (h *conn) setIdle() {
+// setIdle records that the connection waits for a request, the first one if it has just been opened.
+func (h *conn) setIdle(opened time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.idle = !h.ended
+	h.opened = opened
 }
 
 // endWait records the result of a read: the connection waits no longer for a request unless the read
@@ -140,11 +141,12 @@
 	return true
 }
 
-// isIdle reports whether the connection waits for a request.
-func (h *conn) isIdle() bool {
+// isIdle reports whether the connection waits for a request. A connection that has just been opened doesn't:
+// its first request is on its way.
+func (h *conn) isIdle(now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.idle
+	return h.idle && now.Sub(h.opened) >= crossingTimeout
 }
 
 // isEnded reports whether the connection was ended while it waited for a request.
