Serve queued connections also when a graceful shutdown has no time left

Cause: the time in which queued connections are accepted ended with that of the stop, which is over then.

--- a/listener/connections.go
+++ b/listener/connections.go
@@ -42,7 +42,7 @@
 // then is the server shut down: during that it drops requests that it has read.
 func (c *Connections) Stop(ctx context.Context, server *http.Server) error {
 	if l := c.ofListener(); l != nil {
-		l.endAccept(ctx)
+		l.endAccept()
 	}
 	server.SetKeepAlivesEnabled(false)
 	for n := c.closeIdle(); n > 0; n = c.closeIdle() {
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -3,7 +3,6 @@
 package listener
 
 import (
-	"context"
 	"crypto/tls"
 	"errors"
 	"net"
@@ -32,7 +31,7 @@
 	// acceptPause is how long no connection comes until the queue of the kernel is taken for empty, and
 	// acceptTimeout limits how long connections from it are accepted after the end of accepting began.
 	acceptPause   = 5 * time.Millisecond
-	acceptTimeout = 200 * time.Millisecond
+	acceptTimeout = 50 * time.Millisecond
 )
 
 // Listener accepts connections, for which it reserves memory, and on which the memory of heads is
@@ -141,16 +140,14 @@
 }
 
 // endAccept accepts the connections that are queued already, and closes the listener.
-func (l *Listener) endAccept(ctx context.Context) {
+func (l *Listener) endAccept() {
 	if l.draining.Swap(true) {
 		return
 	}
 	l.setDeadline(time.Now().Add(acceptPause))
-	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
-	defer cancel()
 	select {
 	case <-l.closed:
-	case <-ctx.Done():
+	case <-time.After(acceptTimeout):
 		_ = l.Close()
 	}
 }
--- a/receiver/crossing_test.go
+++ b/receiver/crossing_test.go
@@ -80,20 +80,30 @@
 // Connections that the kernel had accepted were reset when a planned stop closed the listener.
 func TestStopResetsNoQueuedConnection(t *testing.T) {
 	const callers = 200
-	r := newHarness(t, respondWith(http.StatusOK, "done"))
-	address := r.run(t)
-	dial(t, address).send(wholeCall) // the listener accepts
-	queued := make([]*caller, 0, callers)
-	for range callers {
-		c := dial(t, address)
-		c.send(wholeCall)
-		queued = append(queued, c)
-	}
-	stopped := make(chan error)
-	go func() { stopped <- r.Stop(context.Background()) }()
-	for _, c := range queued {
-		c.answer()
-		r.NoErr(c.Close())
+	for name, timesOut := range map[string]bool{"in time": false, "at the end of its time": true} {
+		t.Run(name, func(t *testing.T) {
+			r := newHarness(t, respondWith(http.StatusOK, "done"))
+			address := r.run(t)
+			dial(t, address).send(wholeCall) // the listener accepts
+			queued := make([]*caller, 0, callers)
+			for range callers {
+				c := dial(t, address)
+				c.send(wholeCall)
+				queued = append(queued, c)
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			if timesOut {
+				cancel()
+				r.True(r.Stop(ctx) != nil)
+			}
+			stopped := make(chan error)
+			go func() { stopped <- r.Stop(context.Background()) }()
+			for _, c := range queued {
+				c.answer()
+				r.NoErr(c.Close())
+			}
+			r.NoErr(<-stopped)
+		})
 	}
-	r.NoErr(<-stopped)
 }
