Serve calls that are read while a graceful shutdown closes connections

What callers saw: a call that came in the last moments of a stop was refused (503 stopping) although the router had time and upstreams for it; with one router after the other stopped, a caller could meet several such refusals.

Cause: calls were refused as soon as connections began to be closed, since the HTTP server could close theirs under them. Since the connections are followed, it can't: each one is closed after the answer.

--- a/listener/connections.go
+++ b/listener/connections.go
@@ -37,10 +37,10 @@
 	open     map[*conn]struct{}
 }
 
-// Stop closes the listener and then each connection once no request is under way on it, and waits for them
-// until ctx ends, with an error if it ends first. The server must refuse requests that it still reads. Only
-// then is the server shut down: during that it drops requests that it has read.
-func (c *Connections) Stop(ctx context.Context, server *http.Server) error {
+// Close closes the listener and then each connection once no request is under way on it, and waits for them
+// until ctx ends, with an error if it ends first. Requests that are read meanwhile are served. The server may
+// only be shut down afterwards: while it is, it drops requests that it has read.
+func (c *Connections) Close(ctx context.Context, server *http.Server) error {
 	if l := c.ofListener(); l != nil {
 		l.endAccept()
 	}
@@ -50,7 +50,7 @@
 			return fmt.Errorf("listener: %d connections are open: %w", n, context.Cause(ctx))
 		}
 	}
-	return server.Shutdown(ctx)
+	return nil
 }
 
 // closeIdle closes the connections that wait for a request, and returns how many are open.
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -86,8 +86,8 @@
 	discards discarder.Discarder
 	// connections are the open ones.
 	connections listener.Connections
-	// closing is set before idle connections are closed.
-	closing atomic.Bool
+	// closing is set before the listener is closed, closed once all connections are.
+	closing, closed atomic.Bool
 	// inFlight counts the calls in flight, unanswered those that ended without a complete
 	// response although their callers were still connected, and late those that were
 	// rejected because they might not end before the graceful shutdown does.
@@ -172,7 +172,7 @@
 // reserved on the account. It returns a *kingcuphook.RequestError if the call can't be accepted.
 func (s *Receiver) accept(ctx context.Context, out *writer, r *http.Request, labels kingcuphook.CallLabels, account *rationer.Account) (*acceptedCall, error) {
 	arrived := time.Now()
-	if s.closing.Load() {
+	if s.closed.Load() {
 		return nil, errStopping
 	}
 	d := s.awaitDirectory(ctx, labels.Deadline)
--- a/receiver/stop.go
+++ b/receiver/stop.go
@@ -12,11 +12,15 @@
 
 // Stop closes the listener and the idle connections, and waits for the calls in flight
 // until ctx ends. It returns an error if ctx ends first; it doesn't interrupt the calls
-// itself. Calls that begin after it has been called are rejected, also those that cross the
-// close of their connection.
+// itself. Calls that are read meanwhile are served if they end in time; those that cross the
+// close of their connection are rejected.
 func (s *Receiver) Stop(ctx context.Context) error {
 	s.closing.Store(true)
-	if err := s.connections.Stop(ctx, s.server()); err != nil {
+	if err := s.connections.Close(ctx, s.server()); err != nil {
+		return fmt.Errorf("receiver: stop: %w", err)
+	}
+	s.closed.Store(true)
+	if err := s.server().Shutdown(ctx); err != nil {
 		return fmt.Errorf("receiver: stop: %w", err)
 	}
 	return nil
--- a/server/server.go
+++ b/server/server.go
@@ -100,8 +100,8 @@
 	draining atomic.Bool
 	// connections are the open ones.
 	connections listener.Connections
-	// closing is set before idle connections are closed.
-	closing atomic.Bool
+	// closing is set before the listener is closed, closed once all connections are.
+	closing, closed atomic.Bool
 }
 
 // Handler returns the handler of the callers' API.
@@ -166,7 +166,7 @@
 // nil if it is.
 func (s *Server) refuse(n int) *kingcuphook.RequestError {
 	switch {
-	case s.closing.Load():
+	case s.closed.Load():
 		return errStopping
 	case s.Limits.MaxRequests > 0 && n > s.Limits.MaxRequests:
 		return errTooManyRequests
--- a/server/stop.go
+++ b/server/stop.go
@@ -21,13 +21,17 @@
 
 // Stop serves on until the requests that began before Drain have ended and the next ones on their
 // connections have come. It then closes the listener and the idle connections, and waits for the
-// requests in progress, until ctx ends. Requests that begin after the listener is closed are rejected, also
-// those that cross the close of their connection.
+// requests in progress, until ctx ends. Requests that are read meanwhile are served if they end in time;
+// those that cross the close of their connection are rejected.
 func (s *Server) Stop(ctx context.Context) error {
 	s.Drain()
 	s.awaitReuse(ctx)
 	s.closing.Store(true)
-	if err := s.connections.Stop(ctx, s.server()); err != nil {
+	if err := s.connections.Close(ctx, s.server()); err != nil {
+		return fmt.Errorf("server: stop: %w", err)
+	}
+	s.closed.Store(true)
+	if err := s.server().Shutdown(ctx); err != nil {
 		return fmt.Errorf("server: stop: %w", err)
 	}
 	return nil
