Stop the router under test only once its calls run

Cause: the test. Calls that have not begun when the stop does, and whose length the router can't forecast yet, are refused as not run; a goroutine of the test, or the router between assignment and dispatch, may be late.

Change: the test waits until the upstreams run all five calls.

--- a/attacher/attacher_test.go
+++ b/attacher/attacher_test.go
@@ -292,6 +292,15 @@
 	w.Equal(status, http.StatusOK)
 }
 
+// runs returns how many calls the upstreams have run.
+func (w *testPlatform) runs() int {
+	n := 0
+	for _, u := range w.upstreams {
+		n += len(u.Runs())
+	}
+	return n
+}
+
 func TestPlannedStopCompletesOpenCalls(t *testing.T) {
 	w := newTestPlatform(t)
 	p := w.start(loopback("10.5"), w.server.Listener.Addr().String())
@@ -301,13 +310,13 @@
 		err  error
 	}
 	results := make(chan result, 5)
-	for range 5 {
+	for range cap(results) {
 		go func() {
 			_, body, err := p.call(standin.KindStream, "secret")
 			results <- result{body, err}
 		}()
 	}
-	time.Sleep(100 * time.Millisecond)
+	w.waitFor("the calls to run", func() bool { return w.runs() == cap(results) })
 	p.stop()
 	w.waitFor("the router to become unready", func() bool { return !p.isReady() })
 	for range 5 {
