Leave connections over TLS to the shutdown of the HTTP server

What callers would have seen: over HTTP/2, the close of an idle connection before the GOAWAY that announces it.

Cause: a stop disabled keep-alives first, also for connections over TLS, which it doesn't follow; that closes idle ones at once.

Tests of serve pass; none sends over HTTP/2.

--- a/listener/connections.go
+++ b/listener/connections.go
@@ -39,11 +39,16 @@
 
 // Close closes the listener and then each connection once no request is under way on it, and waits for them
 // until ctx ends, with an error if it ends first. Requests that are read meanwhile are served. The server may
-// only be shut down afterwards: while it is, it drops requests that it has read.
+// only be shut down afterwards: while it is, it drops requests that it has read. Connections over TLS are left
+// to that shutdown, which tells callers over HTTP/2 of their end.
 func (c *Connections) Close(ctx context.Context, server *http.Server) error {
-	if l := c.ofListener(); l != nil {
+	l := c.ofListener()
+	if l != nil {
 		l.endAccept()
 	}
+	if l != nil && l.TLS != nil {
+		return nil
+	}
 	server.SetKeepAlivesEnabled(false)
 	for n := c.closeIdle(); n > 0; n = c.closeIdle() {
 		if !pauser.Pause(ctx, closePoll) {
