--- a/receiver/head_test.go
+++ b/receiver/head_test.go
@@ -22,13 +22,19 @@
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	r.NoErr(err)
+	r.serve(t, l)
+	return l.Addr().String()
+}
+
+// serve runs the receiver on l until the test ends.
+func (r *harness) serve(t *testing.T, l net.Listener) {
+	t.Helper()
 	ended := make(chan error, 1)
 	go func() { ended <- r.Run(l) }()
 	t.Cleanup(func() {
 		r.NoErr(r.Stop(context.Background()))
 		r.NoErr(<-ended)
 	})
-	return l.Addr().String()
 }
 
 // exchange sends text on a new connection and returns the response.
