Let a waiting call return to an upstream that it could not reach

What callers saw: a call whose connection to a sound upstream timed out once, or was refused, ended with its deadline, although that upstream served all others meanwhile.

Cause: the dispatcher excludes each upstream that failed a call until all have failed it. Beside one that has no room, for its rate limit or as it is full, the call waited for that one alone.

Change: upstreams to which surely nothing was sent are kept apart from those that failed the call. While the call waits for a slot, its exclusion of them ends after 100 ms, and after twice as long with each further such dispatch in a row; the Scheduler changes the excluded upstreams of the queued request, which keeps its place and its charges. The last of the six dispatches that a call may spend so is kept for another upstream, so that a dead one is tried five times at most and the call then waits as before. Nothing more is spent from the retry budget.

Evidence: TestCallReturnsToUpstreamItCouldNotReach (virtual time, with the allocator and scheduler) ends with the deadline after 8 s without the change, and tries again within 0.2 s with it. TestWaitingCallSparesDeadUpstream: the dead upstream is tried at most five times, 100 ms to 800 ms apart, and the call is served once the other one has room.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -221,6 +221,26 @@
 	return !ok || s.HasVacancy(time.Now(), r, excluded, resumes, n)
 }
 
+// Readmitter is implemented by Schedulers that can lift the exclusion of upstreams for a queued request.
+type Readmitter interface {
+	// Readmit replaces the upstreams that are excluded for a queued request. It does nothing if the request is
+	// not queued with any excluded.
+	Readmit(r *kingcuphook.Request, excluded []string)
+}
+
+// Readmit replaces the upstreams that Acquire excludes for a request, if it waits with any excluded.
+func (a *Allocator) Readmit(r *kingcuphook.Request, excluded []string) {
+	p, err := a.findPool(r.Pool())
+	if err != nil {
+		return
+	}
+	p.apply(func(time.Time) {
+		if s, ok := p.scheduler.(Readmitter); ok {
+			s.Readmit(r, excluded)
+		}
+	})
+}
+
 // Queued returns the number of requests that are queued for the pool.
 func (a *Allocator) Queued(pool string) int {
 	p, err := a.findPool(pool)
--- a/attacher/attacher.go
+++ b/attacher/attacher.go
@@ -220,6 +220,7 @@
 		NewBudget:     a.newBudget,
 		BudgetKey:     (*kingcuphook.Request).Pool,
 		HasVacancy:    a.allocator.HasVacancy,
+		Readmit:       a.allocator.Readmit,
 		InquireSilent: a.forwarder.InquireSilent,
 		Pins:          a.pins,
 		Stopping:      a.stopping.Begun(),
--- a/dispatcher/acquire.go
+++ b/dispatcher/acquire.go
@@ -120,12 +120,14 @@
 // call and can resume it. It returns neither a slot nor an error if the caller must
 // try again.
 func (r *run) tryAcquire(ctx context.Context, busy []string) (kingcuphook.Slot, error) {
-	excluded := slices.Concat(r.cannotResume, r.failed, busy)
+	excluded := append(r.excluded(), busy...)
 	if excluded == nil && r.dispatched {
 		// A list that is not nil marks a request that had a slot before.
 		excluded = []string{}
 	}
+	stop := r.readmitLater(busy)
 	slot, err := r.d.Allocator.Acquire(ctx, r.request, excluded)
+	stop()
 	switch {
 	case err == nil && r.blocksResume(slot.Choice().Upstream):
 		r.cannotResume = append(r.cannotResume, slot.Choice().Upstream.Address())
@@ -142,14 +144,38 @@
 		return slot, err
 	case len(busy) > 0 && ctx.Err() == nil:
 		return nil, nil
-	case len(r.failed) == 0:
+	case len(r.failed)+len(r.unreached) == 0:
 		return nil, err
 	default:
-		r.failed = nil
+		r.failed, r.unreached = nil, nil
 		return nil, nil
 	}
 }
 
+// excluded returns the upstreams that the next attempt leaves out.
+func (r *run) excluded() []string { return slices.Concat(r.cannotResume, r.failed, r.unreached) }
+
+// readmitLater lets the call, while it waits for a slot, be assigned to the upstreams that could not be reached
+// again after a delay: the others may stay without a slot until its deadline. The last dispatch is kept for
+// another upstream. The returned function ends that.
+func (r *run) readmitLater(busy []string) (stop func()) {
+	if r.d.Readmit == nil || len(r.unreached) == 0 || r.unsent >= maxUnsent-1 {
+		return func() {}
+	}
+	request, excluded := r.request, slices.Concat(r.cannotResume, r.failed, busy)
+	done := make(chan struct{})
+	timer := time.AfterFunc(readmitDelay<<max(r.unsent-1, 0), func() {
+		defer close(done)
+		r.d.Readmit(request, excluded)
+	})
+	return func() {
+		if !timer.Stop() {
+			<-done
+			r.unreached = nil
+		}
+	}
+}
+
 // isBlocked reports whether all upstreams are paused or at their rate limit.
 func isBlocked(err error) bool {
 	return errors.Is(err, kingcuphook.ErrPaused) || errors.Is(err, kingcuphook.ErrUpstreamsLimited)
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -102,6 +102,10 @@
 	// retry that has none yet. Nil means that there always is. It must be safe for
 	// concurrent use.
 	HasVacancy func(r *kingcuphook.Request, excluded []string, resumes bool, n int) bool
+	// Readmit replaces the upstreams that are excluded for a call that waits for a slot. It is called once one
+	// that could not be reached may be tried again; nil means that it is excluded as long as the call
+	// waits. It must be safe for concurrent use.
+	Readmit func(r *kingcuphook.Request, excluded []string)
 	// Stopping ends when a graceful shutdown begins; nil means never.
 	Stopping context.Context
 	// LatestStart returns until when a request may be sent to its first upstream so that it
--- a/dispatcher/hedge.go
+++ b/dispatcher/hedge.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
@@ -140,7 +139,7 @@
 	}
 	waiting, cancel := context.WithTimeout(ctx, hedgeSlotWait)
 	defer cancel()
-	excluded := append(slices.Concat(r.cannotResume, r.failed), busy.Address())
+	excluded := append(r.excluded(), busy.Address())
 	slot, err := r.d.Allocator.Acquire(waiting, r.request, excluded)
 	if err != nil {
 		return nil
--- a/dispatcher/reservation.go
+++ b/dispatcher/reservation.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -60,7 +59,7 @@
 // of the answer has come.
 func (r *run) retryReserver(slot kingcuphook.Slot) func(received bool) bool {
 	n, partial := r.attempts, r.answer.Position() > 0
-	excluded := append(slices.Concat(r.cannotResume, r.failed), slot.Choice().Upstream.Address())
+	excluded := append(r.excluded(), slot.Choice().Upstream.Address())
 	return func(received bool) bool {
 		resumes := r.request.Stream() && (partial || received)
 		if n >= r.maxAttempts() {
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -37,6 +37,10 @@
 // the pool.
 const maxUnsent = 6
 
+// readmitDelay is how long a call that waits for a slot leaves out the upstream that its first dispatch didn't
+// reach. It doubles with each further such dispatch in a row.
+const readmitDelay = 100 * time.Millisecond
+
 // unsentDelay is the least delay after the second dispatch in a row of a stream that has begun
 // which was not sent. It doubles with each further one.
 const unsentDelay = 50 * time.Millisecond
@@ -90,6 +94,9 @@
 	// failed holds the upstreams that failed this call. They are tried again when
 	// there is no other.
 	failed []string
+	// unreached holds the upstreams that could not be reached, so that nothing was sent. They are tried again
+	// after readmitDelay.
+	unreached []string
 	// sent holds the addresses of the upstreams that the call was dispatched to.
 	sent []string
 	// cannotResume holds the upstreams that cannot resume this call.
@@ -361,7 +368,11 @@
 		r.recordCrash(ctx, u, suspect)
 		r.replaceRestart()
 	}
-	r.failed = append(r.failed, u.Address())
+	if errors.Is(err, kingcuphook.ErrNotSent) {
+		r.unreached = append(r.unreached, u.Address())
+	} else {
+		r.failed = append(r.failed, u.Address())
+	}
 	return err
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -167,6 +167,15 @@
 	return s.Offer(now, r)
 }
 
+// Readmit replaces the upstreams that are excluded for a queued request. It does nothing if the request is not
+// queued with any excluded.
+func (s *Scheduler) Readmit(r *kingcuphook.Request, excluded []string) {
+	if len(s.excluded[r.ID()]) == 0 {
+		return
+	}
+	s.excluded[r.ID()] = excluded
+}
+
 // isUnserved reports whether the request has waited for at least unservedWait and only
 // leaving upstreams, or none, serve its model. It is then shed, so that its caller
 // doesn't wait until the deadline.
