Send nothing on a cut path whose peer has failed

What callers saw: at a router that was cut off, calls to an upstream that had crashed behind a peer ended with an unknown outcome, where routers that are not cut off are refused the connection and go elsewhere.

Cause: when the peer of a cut path failed or was withdrawn and no other one was in use, the path counted as direct until it was checked, 2 ms to 194 ms later. The direct path is cut: some cuts let connections open and then reset them.

Change: such a path stays cut, without a peer. The next call takes a peer that another path has found since, or waits, for 0.5 s at most, for a check. If that finds neither the direct path nor a peer, the call counts as not sent and goes to another upstream. The direct path is probed on, so that its end of the cut is noticed without calls.

--- a/forwarder/path.go
+++ b/forwarder/path.go
@@ -52,12 +52,15 @@
 // sent on the first. It returns the response and the way that it came.
 func (f *Forwarder) roundTrip(ctx context.Context, u *kingcuphook.Upstream, a *kingcuphook.Attempt) (*http.Response, hop, error) {
 	for tries := 1; ; tries++ {
-		h := hop{peer: f.via(u)}
+		peer, err := f.path(ctx, u)
+		h := hop{peer: peer}
+		if err != nil {
+			return nil, h, err
+		}
 		resp, connected, err := f.sendVia(ctx, u, a, &h)
 		if err == nil {
 			return resp, h, nil
 		}
-		peer := h.peer
 		f.recordRefusal(u, peer, err)
 		if connected {
 			return nil, h, fmt.Errorf("forwarder: %s: %w: %w", u.Address(), kingcuphook.ErrOutcomeUnknown, f.explain(ctx, u, peer, err))
@@ -76,6 +79,25 @@
 	return f.Paths.Via(time.Now(), u)
 }
 
+// errNoPath means that the direct path to an upstream is cut and no peer reaches it.
+var errNoPath = errors.New("no path")
+
+// path is like via, but waits a short time for a check if no path is known. It returns an error if none is found.
+func (f *Forwarder) path(ctx context.Context, u *kingcuphook.Upstream) (netip.Addr, error) {
+	if f.Paths == nil {
+		return netip.Addr{}, nil
+	}
+	if peer, ok := f.Paths.Path(time.Now(), u); ok {
+		return peer, nil
+	}
+	f.awaitCheck(ctx, f.startCheck(u, netip.Addr{}), true)
+	peer, ok := f.Paths.Path(time.Now(), u)
+	if !ok || f.Paths.State(u.Program()) == pathfinder.StateDown {
+		return netip.Addr{}, fmt.Errorf("forwarder: %s: %w: %w: %w", u.Address(), kingcuphook.ErrUnavailable, kingcuphook.ErrNotSent, f.explainDial(u, errNoPath))
+	}
+	return peer, nil
+}
+
 // sendVia sends an attempt through the peer of the hop, if it has one, and sets when its connection was
 // opened. It reports whether a connection was obtained.
 func (f *Forwarder) sendVia(ctx context.Context, u *kingcuphook.Upstream, a *kingcuphook.Attempt, h *hop) (*http.Response, bool, error) {
--- a/forwarder/relay_test.go
+++ b/forwarder/relay_test.go
@@ -168,3 +168,24 @@
 		})
 	}
 }
+
+// A call was sent on the direct path, which is cut, from the failure of its peer to the next check.
+func TestCallAfterLossOfPeerIsNotSentOnCutPath(t *testing.T) {
+	is := is.New(t)
+	u := serveCut(t, true)
+	f := newRelayed(t, u, endingPeer)
+	f.Paths.Withdraw(time.Now(), endingPeer)
+	_, err := f.Call(t.Context(), u, attempt("POST", "/", "body"))
+	is.NoErr(err) // the other peer was found
+}
+
+// Without another peer, the call must count as not sent.
+func TestCallWithoutPathIsNotSent(t *testing.T) {
+	is := is.New(t)
+	u := serveCut(t, false)
+	f := newRelayed(t, u, endingPeer)
+	f.Peers = func(*kingcuphook.Upstream) []netip.Addr { return nil }
+	f.Paths.Withdraw(time.Now(), endingPeer)
+	_, err := f.Call(t.Context(), u, attempt("POST", "/", "body"))
+	is.True(errors.Is(err, kingcuphook.ErrNotSent))
+}
--- a/pathfinder/pathfinder.go
+++ b/pathfinder/pathfinder.go
@@ -166,7 +166,8 @@
 	state    State
 	// since is when the state was entered.
 	since time.Time
-	// peer is the peer that is used while the path is cut.
+	// peer is the peer that is used while the path is cut; the zero address if it failed and no other is
+	// known.
 	peer netip.Addr
 	// verified means that the state is the verdict of a check or a probe.
 	verified bool
@@ -233,8 +234,15 @@
 }
 
 // Via returns the peer through which new connections to an upstream are opened; the zero
-// address means directly.
+// address means directly, or that the path is lost.
 func (f *Pathfinder) Via(now time.Time, u *kingcuphook.Upstream) netip.Addr {
+	peer, _ := f.Path(now, u)
+	return peer
+}
+
+// Path is like Via, and reports whether there is a path. If the direct one is cut, the peer failed and no other
+// is known, there is none until the upstream is checked.
+func (f *Pathfinder) Path(now time.Time, u *kingcuphook.Upstream) (peer netip.Addr, ok bool) {
 	f.mu.Lock()
 	defer f.unlock()
 	p := f.get(now, u)
@@ -246,12 +254,18 @@
 			p.verified = false
 		}
 	}
+	if p.isLost() {
+		f.replacePeer(now, p)
+	}
 	if p.state != StateCut {
-		return netip.Addr{}
+		return netip.Addr{}, true
 	}
-	return p.peer
+	return p.peer, p.peer.IsValid()
 }
 
+// isLost reports whether the direct path is cut and no peer is known.
+func (p *path) isLost() bool { return p.state == StateCut && !p.peer.IsValid() }
+
 // State returns the state of the path to a program.
 func (f *Pathfinder) State(p kingcuphook.Program) State {
 	f.mu.Lock()
@@ -375,7 +389,7 @@
 	if f.inDoubt(now) && !p.checkedAt.IsZero() {
 		next = earlier(next, p.checkedAt.Add(doubtPause))
 	}
-	return p.state != StateCut && !now.Before(next)
+	return (p.state != StateCut || p.isLost()) && !now.Before(next)
 }
 
 // Gone records that the program of an upstream was found to have ended: its address refused a
--- a/pathfinder/pathfinder_test.go
+++ b/pathfinder/pathfinder_test.go
@@ -207,3 +207,31 @@
 	is.Equal(f.CountCut(), 1)
 	is.Equal(f.State(u[0].Program()), StateDirect)
 }
+
+// A path whose peer had failed counted as direct until its check, although the direct one was cut.
+func TestPathWithoutPeerIsNotDirect(t *testing.T) {
+	is := is.New(t)
+	f, u, changes := newFinder(1)
+	cutAll(f, start, peerA, u[0])
+	f.Withdraw(start, peerA)
+	_, ok := f.Path(start, u[0])
+	is.True(!ok)
+	is.True(!f.PeerFailed(start, u[0], peerB, true))
+	is.Equal(len(f.Due(start.Add(time.Second))), 1) // the direct one is probed on
+	is.Equal(len(*changes), 1)
+	f.ProbeDone(start.Add(time.Second), u[0], true)
+	peer, ok := f.Path(start.Add(time.Second), u[0])
+	is.True(ok && !peer.IsValid())
+}
+
+// A lost path takes a peer that was found for another upstream.
+func TestLostPathTakesPeerOfOthers(t *testing.T) {
+	is := is.New(t)
+	f, u, _ := newFinder(2)
+	cutAll(f, start, peerA, u...)
+	f.Withdraw(start, peerA)
+	f.Resolve(start, u[1], Verdict{Peer: peerB})
+	peer, ok := f.Path(start, u[0])
+	is.True(ok)
+	is.Equal(peer, peerB)
+}
--- a/pathfinder/peer.go
+++ b/pathfinder/peer.go
@@ -27,7 +27,7 @@
 	f.fail(now, key)
 	p := f.get(now, u)
 	if p.state != StateCut || p.peer != peer {
-		return p.state == StateCut
+		return p.state == StateCut && !p.isLost()
 	}
 	return f.replacePeer(now, p)
 }
@@ -56,15 +56,15 @@
 }
 
 // replacePeer replaces the peer of a path by another one that is in use, and reports whether
-// there is one. Otherwise the path counts as direct until it is checked. The caller must hold mu.
+// there is one. Otherwise the path is lost until it is checked: nothing is to be sent on the direct one, which
+// is cut. The caller must hold mu.
 func (f *Pathfinder) replacePeer(now time.Time, p *path) bool {
-	if other := f.goodPeer(now, p); other.IsValid() {
-		p.peer = other
-		return true
+	p.peer = f.goodPeer(now, p)
+	if p.isLost() {
+		p.nextCheck = now
+		return false
 	}
-	p.nextCheck = now
-	f.enter(now, p, StateDirect, netip.Addr{})
-	return false
+	return true
 }
 
 // Usable reports whether a peer has not failed lately for an upstream.
@@ -92,7 +92,7 @@
 func (f *Pathfinder) goodPeer(now time.Time, p *path) netip.Addr {
 	var good []netip.Addr
 	for _, o := range f.paths {
-		if o != p && o.state == StateCut && o.verified && f.usable(now, o.peer, p.upstream.Program()) && !slices.Contains(good, o.peer) {
+		if o != p && o.state == StateCut && o.verified && !o.isLost() && f.usable(now, o.peer, p.upstream.Program()) && !slices.Contains(good, o.peer) {
 			good = append(good, o.peer)
 		}
 	}
