Let a call that was moved off a silent upstream wait for room

What callers saw: a call that its upstream ran, and that had no answer yet, ended with 502 after 2.3 s of its 8 s, though the upstream was sound and only silent.

Cause: the router ended the attempt for a slot elsewhere that other routers, or calls of the same one, had taken meanwhile. A stream with events waits for room then; the refusal of a call without any counted as an attempt and was its last one, and a rate limit of all upstreams ended it as well.

Change: once a router has ended an attempt because its upstream was silent, the call waits for room, a retry of the budget and the end of a rate limit, until its deadline, as streams with events do.

TestCallWithoutAnswerWaitsForRoomElsewhere and TestMovedCallWaitsForRateLimit failed before.

Why it works: the refusal says that nothing ran, so the wait makes no second run, and each further try is paid from the retry budget. Calls that may not be repeated are never moved.

--- a/dispatcher/acquire.go
+++ b/dispatcher/acquire.go
@@ -135,9 +135,8 @@
 		return nil, nil
 	case errors.Is(err, kingcuphook.ErrVersionGone) && r.unpin():
 		return nil, nil
-	case err != nil && isBlocked(err) && r.answer.Position() > 0:
-		// The caller already has part of the answer, which is useless without the rest,
-		// so wait for the upstreams instead of failing.
+	case err != nil && isBlocked(err) && (r.moved || r.answer.Position() > 0):
+		// The call must go on, so it waits for the upstreams instead of failing.
 		pauser.Pause(ctx, retryAfter(err))
 		return nil, nil
 	case err == nil || !errors.Is(err, kingcuphook.ErrNoUpstream):
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -19,7 +19,7 @@
 // a rate limit.
 const overloadWait = 100 * time.Millisecond
 
-// maxOverloadDoublings is how often overloadWait doubles for a stream that is turned away again.
+// maxOverloadDoublings is how often overloadWait doubles for a call that is turned away again.
 // budgetInterval is the interval at which it asks for a retry of a spent budget.
 const (
 	maxOverloadDoublings = 3
@@ -82,13 +82,15 @@
 	// attempts counts the dispatches, except those that were preempted or are
 	// counted by turnedAway or unsent.
 	attempts int
-	// turnedAway counts the attempts to resume the call that upstreams without room refused.
+	// turnedAway counts the attempts that upstreams without room refused while the call must go on.
 	turnedAway int
 	// unsent counts the dispatches that reached no upstream of the pool, since the last one
 	// that did: nothing was sent, or another program had the address.
 	unsent int
 	// restarted is set once a stream that was not recorded had to begin again.
 	restarted bool
+	// moved is set once an attempt was cancelled because its upstream was silent.
+	moved bool
 	// dispatched is set once the call was dispatched.
 	dispatched bool
 	// failed holds the upstreams that failed this call. They are tried again when
@@ -203,12 +205,16 @@
 	return wait
 }
 
-// isTurnedAway reports whether an upstream without room has refused the rest of a stream. The caller
-// already has part of the answer, which is useless without the rest, so that the call waits for room
-// instead of failing.
+// isTurnedAway reports whether an upstream without room has refused a call that must go on, so that it
+// waits for room instead of failing.
 func (r *run) isTurnedAway(err error) bool {
-	return r.request.Stream() && r.answer.Position() > 0 &&
-		errors.Is(err, kingcuphook.ErrUnavailable) && errors.Is(err, kingcuphook.ErrOverloaded)
+	return r.mustGoOn() && errors.Is(err, kingcuphook.ErrUnavailable) && errors.Is(err, kingcuphook.ErrOverloaded)
+}
+
+// mustGoOn reports whether the call waits for upstreams instead of failing: its caller has part of a
+// stream, which is useless without the rest, or this router ended an attempt that might have answered.
+func (r *run) mustGoOn() bool {
+	return r.moved || r.request.Stream() && r.answer.Position() > 0
 }
 
 // awaitRetry is like spendRetry, but waits for the budget if the call was turned away.
@@ -363,6 +369,7 @@
 	case errors.Is(err, kingcuphook.ErrVersionUnrecorded):
 		r.restarted = true
 	case errors.Is(err, errUnresponsive):
+		r.moved = true
 		r.countSilence(err)
 	case event == tracker.EventBreak && isCrash(err):
 		r.recordCrash(ctx, u, suspect)
--- a/dispatcher/turnedaway_test.go
+++ b/dispatcher/turnedaway_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
@@ -60,3 +62,75 @@
 		r.Equal(time.Since(began), 2*time.Second)
 	})
 }
+
+// quietEngine never answers the first attempt, and refuses the next ones for a while.
+type quietEngine struct {
+	silentEngine
+
+	until             time.Time
+	attempts, refused int
+}
+
+func (e *quietEngine) Start(ctx context.Context, u *kingcuphook.Upstream, a *kingcuphook.Attempt) (kingcuphook.Stream, error) {
+	e.attempts++
+	if e.attempts == 1 {
+		<-ctx.Done()
+		return nil, errors.Join(kingcuphook.ErrOutcomeUnknown, ctx.Err())
+	}
+	if time.Now().Before(e.until) {
+		e.refused++
+		return nil, errOverloaded
+	}
+	return e.Engine.Start(ctx, u, a)
+}
+
+func (e *quietEngine) Call(ctx context.Context, u *kingcuphook.Upstream, a *kingcuphook.Attempt) (kingcuphook.Answer, error) {
+	s, err := e.Start(ctx, u, a)
+	if err != nil {
+		return kingcuphook.Answer{}, err
+	}
+	return kingcuphook.NewOpaqueAnswer(http.StatusOK, http.Header{}, []byte("whole")), s.Close()
+}
+
+// Calls that were moved off an upstream which had not begun to answer were ended, since there was no room at
+// the next one.
+func TestCallWithoutAnswerWaitsForRoomElsewhere(t *testing.T) {
+	for _, kind := range []kingcuphook.UpstreamKind{kingcuphook.UpstreamKindEngine, kingcuphook.UpstreamKindService} {
+		t.Run(string(kind), func(t *testing.T) {
+			runTest(t, []bool{true, true}, func(r *harness) {
+				e := &quietEngine{silentEngine: silentEngine{r.engine}, until: time.Now().Add(3 * time.Second)}
+				r.Engine = e
+				r.NewBudget = func(string) kingcuphook.RetryBudget { return &countingBudget{} }
+				c := movableStream()
+				c.Kind = kind
+				ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
+				defer cancel()
+				_, err := r.Dispatch(ctx, c, r)
+				r.NoErr(err)
+				r.True(e.refused > 0 && e.refused <= 8)
+			})
+		})
+	}
+}
+
+// Calls that had been moved were ended, since the upstreams were at their rate limit.
+func TestMovedCallWaitsForRateLimit(t *testing.T) {
+	runTest(t, []bool{true, true}, func(r *harness) {
+		r.Engine = &quietEngine{silentEngine: silentEngine{r.engine}}
+		r.NewBudget = func(string) kingcuphook.RetryBudget { return &countingBudget{} }
+		acquired := 0
+		r.acquire = func(context.Context) error {
+			acquired++
+			if acquired == 1 || acquired > 4 {
+				return nil
+			}
+			return &kingcuphook.RequestError{
+				Code: kingcuphook.CodeOverloaded, Ran: kingcuphook.RunStateNotRun, RetryAfter: time.Second, Err: kingcuphook.ErrUpstreamsLimited,
+			}
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
+		defer cancel()
+		_, err := r.Dispatch(ctx, movableStream(), r)
+		r.NoErr(err)
+	})
+}
