Pass the records of versions on to peers

Callers: a stream that began while the store was away, at a router that had started meanwhile, could begin at another version than the base of the pool's record. Once all routers had ended, nobody knew it, and it was taken for one of the base: events of two versions in one stream.

Cause: peers pass on the declaration and the registrations only.

Change: exports have the records too, and the era of the store. A router that has never read the store applies them, keeps to their bases, and concludes nothing from them until it has read the record itself. Earlier builds ignore the field; a router whose peers are all of an earlier build is as before.

Evidence: TestRouterWithoutStoreKeepsToRecordsOfPeers, on the code before: "i-1 != i-0", a stream began at the second version; passes now. It works since the rule for beginning streams looks at the record only, wherever it is from, and conclusions need the time at which the store was read, which an import doesn't set.

The bytes of the records in exports, some 110 a pool, are worked out, not measured.

--- a/attacher/control.go
+++ b/attacher/control.go
@@ -95,6 +95,7 @@
 			Codec:              platform.DirectoryCodec{Regions: a.Settings.Regions()},
 			DeclarationKey:     platform.DeclarationKey,
 			RegistrationPrefix: platform.RegistrationPrefix,
+			Versions:           &a.pins.pinner,
 		},
 		self:  a.Settings.Address(),
 		peers: newPeers(a.Settings.Seeds(), digester.HashDataCentre(a.Settings.DataCentre())),
--- a/attacher/version_test.go
+++ b/attacher/version_test.go
@@ -104,3 +104,23 @@
 	w.restart(97, fleet, 0, 1)
 	w.Equal(w.countResumed(fleet[1], streams), len(streams))
 }
+
+// A router that started while the store was away began streams at another version than the base, or none.
+func TestRouterWithoutStoreKeepsToRecordsOfPeers(t *testing.T) {
+	t.Parallel()
+	w := newTestPlatform(t)
+	w.registerVersions("1", "1")
+	fleet := w.startFleet(104, 2)
+	w.waitFor("the base", func() bool { return w.base() == "1" })
+	w.registerVersion("i-1", w.addresses[1], "2")
+	time.Sleep(6 * time.Second) // until the second version is recorded
+	w.storeDown.Store(true)
+	w.restart(104, fleet, 1)
+	time.Sleep(time.Second)
+	streams := w.beginServed(fleet[1], 8)
+	w.Equal(len(streams), 8)
+	for _, s := range streams {
+		w.Equal(w.upstreamOf(s.id), "i-0")
+	}
+	w.storeDown.Store(false)
+}
--- a/origin.go
+++ b/origin.go
@@ -1,6 +1,9 @@
 package kingcuphook
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // MaxAttemptBytes is the greatest length of the ID of a caller's attempt that can name a stream.
 const MaxAttemptBytes = 256
@@ -27,3 +30,12 @@
 	// ErrVersionUnknown if no origin is known.
 	Find(ctx context.Context, organisation, attempt, pool string) (Origin, error)
 }
+
+// VersionRecords keeps the records of the software versions of pools, which routers pass on to each other with the
+// tables.
+type VersionRecords interface {
+	// ExportRecords returns the encoded records; nil if they are not known.
+	ExportRecords() []byte
+	// ImportRecords applies what a peer has exported. The error wraps ErrInvalid.
+	ImportRecords(now time.Time, records []byte) error
+}
--- a/pinner/base.go
+++ b/pinner/base.go
@@ -110,11 +110,11 @@
 	p.fleet = f
 }
 
-// SetEra records the era of the store. Bases of records that were written in another one don't hold.
+// SetEra records the era of the store, unless a later one is known. Bases of records that were written in another one don't hold.
 func (p *Pinner) SetEra(era int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.era = era
+	p.era = max(p.era, era)
 }
 
 // LedgerRead records that a call to the store that was sent at the given time has read all segments,
@@ -263,6 +263,7 @@
 func (p *Pinner) RecordsRead(sentAt time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.knowsRecords = true
 	if sentAt.After(p.recordsReadAt) {
 		p.recordsReadAt = sentAt
 	}
--- a/pinner/pinner.go
+++ b/pinner/pinner.go
@@ -69,6 +69,9 @@
 	era                         int64
 	fleet                       Fleet
 	ledgerReadAt, recordsReadAt time.Time
+	// knowsRecords is true if this router knows which pools had a record at some time, from the store or a
+	// peer.
+	knowsRecords bool
 	// lastsLong is true if a stream may last longer than its origin is kept.
 	lastsLong bool
 }
--- a/pinner/record.go
+++ b/pinner/record.go
@@ -109,7 +109,7 @@
 		return
 	}
 	pool := p.pool(r.Pool)
-	pool.record, pool.revision = &r, revision
+	pool.record, pool.revision, pool.isImported = &r, revision, false
 	if sentAt.After(pool.readAt) {
 		pool.readAt = sentAt
 	}
@@ -125,6 +125,9 @@
 // MissingExcept is like Missing for all records but those with the given keys.
 func (p *Pinner) MissingExcept(now time.Time, keys map[string]bool) {
 	p.forgetRecords(now, func(k string) bool { return !keys[k] })
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.knowsRecords = true
 }
 
 // forgetRecords forgets the records whose keys are missing in the store.
--- a/pinner/versions.go
+++ b/pinner/versions.go
@@ -38,6 +38,8 @@
 	record   *Record
 	revision int64
 	readAt   time.Time
+	// isImported is true if this router has never read the record, but has one of a peer.
+	isImported bool
 	// related are the names of the pools in which streams of the routes to this one may have
 	// begun, itself included.
 	related map[string]bool
@@ -123,7 +125,7 @@
 
 // isComplete reports whether no version that was in service within the horizon is missing.
 func (p *pool) isComplete(now time.Time) bool {
-	return p.record != nil || !p.since.IsZero() && now.Sub(p.since) >= horizon
+	return p.record != nil && !p.isImported || !p.since.IsZero() && now.Sub(p.since) >= horizon
 }
 
 // single returns the version in service in the pool and those related to it, if it was the
--- a/subscriber/export.go
+++ b/subscriber/export.go
@@ -27,6 +27,8 @@
 	// HoldMS is for how many more milliseconds the sender keeps upstreams whose
 	// registrations expired.
 	HoldMS int64 `json:"hold-ms,omitempty"`
+	// Versions has the records of versions; nil if the sender doesn't know them.
+	Versions json.RawMessage `json:"versions,omitempty"`
 }
 
 type exportEntry struct {
@@ -74,6 +76,9 @@
 			x.Upstreams = append(x.Upstreams, newExportEntry(u.entry))
 		}
 	}
+	if s.Versions != nil {
+		x.Versions = s.Versions.ExportRecords()
+	}
 	return json.Marshal(x)
 }
 
@@ -97,6 +102,9 @@
 	if x.Declared != nil {
 		changed, err = s.ApplyDeclaration(x.Declared.entry())
 	}
+	if s.Versions != nil && len(x.Versions) > 0 {
+		err = errors.Join(err, s.Versions.ImportRecords(now, x.Versions))
+	}
 	if x.Revision <= s.revision || x.After > s.revision {
 		return changed, err
 	}
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -28,6 +28,8 @@
 	// DeclarationKey is the key of the declaration, RegistrationPrefix the prefix of
 	// the keys of registrations.
 	DeclarationKey, RegistrationPrefix string
+	// Versions keeps the records of versions, which exports have too; nil if there are none.
+	Versions kingcuphook.VersionRecords
 
 	// declarationEntry is the entry of the current declaration.
 	declarationEntry kingcuphook.Entry
