Share the free slots of a report among the routers of a busy pool

What callers saw: in a burst, urgent calls got 503 (overloaded) from both of their attempts, while larger, less urgent ones began.

Cause: all routers get the same sum of loads, and each used every slot that it showed as free. With 88 routers and a sum 0.2 s old, 54 requests in 0.25 s were sent to an upstream with one to three free slots, whose queue of 25 refused the rest. The most urgent kind lost most: all routers prefer the same few upstreams for it.

Change: once 0.4 to 0.55 of a pool's slots are in use, a router adds to an upstream only an equal part of what the last report shows as free, rounded by a hash of router, upstream and report, so that together they add what is free; requests that are short against the age of a report count a slot several times. Higher tiers have higher limits. One router alone, and quiet pools, are bounded as before.

TestSameReportOverflowsNoUpstream, TestShortRequestsUseSlotsAgainBetweenReports.

--- a/attacher/attacher.go
+++ b/attacher/attacher.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/kingcuphook/kingcuphook"
@@ -281,7 +282,7 @@
 	return &scheduler.Scheduler{
 		Admitter:     &admitter.Admitter{},
 		HoldPerModel: true,
-		Limiter:      &bounder.Bounder{},
+		Limiter:      &bounder.Bounder{Seed: xxhash.Sum64String(a.Settings.Address().String())},
 		Selector: &locator.Locator{
 			Region: a.Settings.Region(), DataCentre: a.Settings.DataCentre(), RoundTrip: a.roundTrips.RoundTrip,
 		},
--- a/attacher/exchange.go
+++ b/attacher/exchange.go
@@ -101,6 +101,7 @@
 		return
 	}
 	if tables := a.control.directory().Tables; tables != nil && !sum.Made.IsZero() {
+		a.allocator.SetRouters(int(a.routers.Load()))
 		a.allocator.ReportAll(sum.Reports(tables))
 	}
 }
--- a/bounder/bounder.go
+++ b/bounder/bounder.go
@@ -2,6 +2,10 @@
 // upstream registered. The load of other routers is known only from reports, so the
 // limit may be exceeded for a moment. It suits pools whose upstreams have a short
 // queue of their own for requests that routers send at the same time.
+//
+// All routers get the same reports. While a pool is busy, each router uses only its share
+// of the slots that the last report shows as free, so that the routers together send no
+// more than these before the next report.
 package bounder
 
 import (
@@ -13,23 +17,47 @@
 // defaultSlots is the limit for an upstream that registered no slots.
 const defaultSlots = 8
 
+// maxInterval bounds the time between two reports that is taken into account: after a longer
+// one, it is not known how many requests have ended.
+const maxInterval = time.Second
+
 // Bounder implements kingcuphook.Limiter for one pool. It must be used by one
 // goroutine at a time.
 type Bounder struct {
+	// Seed differs between routers, so that each of them rounds other shares up.
+	Seed uint64
+
+	// routers is the number of routers that share the upstreams; 0 means 1.
+	routers int
+	usage   usage
+	// slots and load are the sums of the slots and of the requests of all upstreams.
+	slots, load int
+	// reported is when the last report was made, interval the time since the one before.
+	reported time.Time
+	interval time.Duration
 	// upstreams holds the limit and the load of each upstream by address.
 	upstreams map[string]*upstream
 }
 
 type upstream struct {
 	slots int
-	// ownRequests counts the requests of this router.
-	ownRequests int
+	// ownRequests counts the requests of this router, ownAtReport those at the time of
+	// the last report.
+	ownRequests, ownAtReport int
 	// otherRequests counts those of the other routers according to the last report.
 	otherRequests int
+	// reported is when the last report was made; zero if there was none.
+	reported time.Time
+	// dither is added to the share of this router before it is rounded down, 0 to 1. It
+	// changes with each report.
+	dither float64
 }
 
 var _ kingcuphook.Limiter = (*Bounder)(nil)
 
+// SetRouters sets how many routers share the upstreams.
+func (b *Bounder) SetRouters(n int) { b.routers = n }
+
 // Update applies the current revision of the pool. An upstream that is no longer
 // in the pool is removed once no request of this router runs there.
 func (b *Bounder) Update(_ time.Time, p *kingcuphook.Pool) {
@@ -43,32 +71,65 @@
 			delete(b.upstreams, address)
 		}
 	}
+	b.sum()
+}
+
+// sum computes the sums over the upstreams.
+func (b *Bounder) sum() {
+	b.slots, b.load = 0, 0
+	for _, u := range b.upstreams {
+		b.slots += u.limit()
+		b.load += u.ownRequests + u.otherRequests
+	}
 }
 
 // Free implements kingcuphook.Limiter.
-func (b *Bounder) Free(_ time.Time, address string, _ kingcuphook.Tier) int {
+func (b *Bounder) Free(_ time.Time, address string, t kingcuphook.Tier) int {
 	u := b.upstream(address)
-	slots := u.slots
-	if slots == 0 {
-		slots = defaultSlots
+	limit := b.limitFor(t, u)
+	free := max(0, int(limit)-u.ownRequests-u.otherRequests)
+	sharers := b.sharers()
+	if sharers <= 1 {
+		return free
 	}
-	return max(0, slots-u.ownRequests-u.otherRequests)
+	return min(free, max(0, b.share(u, limit, sharers)-u.ownRequests))
 }
 
 // Started implements kingcuphook.Limiter.
-func (b *Bounder) Started(_ time.Time, address string, _ *kingcuphook.Request) {
+func (b *Bounder) Started(now time.Time, address string, _ *kingcuphook.Request) {
+	b.usage.add(now, 1)
 	b.upstream(address).ownRequests++
+	b.load++
 }
 
 // Finished implements kingcuphook.Limiter.
-func (b *Bounder) Finished(_ time.Time, address string, _ *kingcuphook.Request, _ kingcuphook.Sample) {
+func (b *Bounder) Finished(now time.Time, address string, _ *kingcuphook.Request, _ kingcuphook.Sample) {
+	b.usage.add(now, -1)
 	b.upstream(address).ownRequests--
+	b.load--
 }
 
 // Report implements kingcuphook.Limiter. The running requests in the report are
 // those of the other routers.
 func (b *Bounder) Report(_ time.Time, r kingcuphook.LoadReport) {
-	b.upstream(r.Upstream()).otherRequests = r.Running()
+	u := b.upstream(r.Upstream())
+	b.load += r.Running() - u.otherRequests
+	u.otherRequests = r.Running()
+	if !r.Made().After(u.reported) {
+		return
+	}
+	b.observeInterval(r.Made())
+	u.reported = r.Made()
+	u.ownAtReport = u.ownRequests
+	u.dither = b.ditherFor(r)
+}
+
+// observeInterval records when a report was made; those of all upstreams have the same time.
+func (b *Bounder) observeInterval(made time.Time) {
+	if !b.reported.IsZero() && made.After(b.reported) {
+		b.interval = min(made.Sub(b.reported), maxInterval)
+	}
+	b.reported = made
 }
 
 func (b *Bounder) upstream(address string) *upstream {
--- /dev/null
+++ b/bounder/share.go
@@ -0,0 +1,71 @@
+package bounder
+
+import (
+	"math"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/hasher"
+)
+
+const (
+	// sharedFrom and sharedBy are the loads of a pool, as a share of its slots, from which
+	// some and by which all routers share its free slots.
+	sharedFrom = 0.4
+	sharedBy   = 0.55
+	// tierStep is the share of the slots by which the limit of a tier is higher than that
+	// of the tier below it.
+	tierStep = 0.25
+)
+
+// limitFor returns how many requests all routers together may have on an upstream when
+// one of the tier is added. That of the lowest tier is the slots. Routers that share an
+// upstream have higher limits for higher tiers, so that these get the slots that become
+// free before the next report.
+func (b *Bounder) limitFor(t kingcuphook.Tier, u *upstream) float64 {
+	if !t.Valid() || b.routers <= 1 {
+		t = kingcuphook.LowestTier
+	}
+	return float64(u.limit()) * (1 + tierStep*float64(kingcuphook.LowestTier-t))
+}
+
+// turnover returns how many requests, one after the other, can use a slot before their start
+// shows in a report; at least 1. Routers sum loads up at the interval at which they send them.
+func (b *Bounder) turnover() float64 {
+	mean := b.usage.meanTime()
+	if mean == 0 {
+		return 1
+	}
+	return max(1, 2*b.interval.Seconds()/mean)
+}
+
+func (u *upstream) limit() int {
+	if u.slots == 0 {
+		return defaultSlots
+	}
+	return u.slots
+}
+
+// sharers returns the number of routers among which free slots are shared. It
+// grows with the load of the pool, from none at sharedFrom to all routers at sharedBy.
+func (b *Bounder) sharers() float64 {
+	used := float64(b.load) / float64(max(b.slots, 1))
+	return float64(b.routers) * min(max((used-sharedFrom)/(sharedBy-sharedFrom), 0), 1)
+}
+
+// share returns how many requests this router may have on the upstream: those that it had
+// at the last report and an equal part of the rest of the limit, and of the slots that become
+// free again before the next report.
+func (b *Bounder) share(u *upstream, limit, sharers float64) int {
+	spare := limit - float64(u.ownAtReport+u.otherRequests)
+	spare += (b.turnover() - 1) * float64(u.limit())
+	return u.ownAtReport + int(math.Floor(spare/sharers+u.dither))
+}
+
+// ditherFor returns the offset for a report. It is spread evenly over the routers, so that
+// together they send about as many requests as the report shows free slots.
+func (b *Bounder) ditherFor(r kingcuphook.LoadReport) float64 {
+	h := hasher.Mix(b.Seed ^ xxhash.Sum64String(r.Upstream()) ^ hasher.Mix(uint64(r.Made().UnixNano())))
+	return float64(h>>11) / (1 << 53)
+}
--- /dev/null
+++ b/bounder/share_test.go
@@ -0,0 +1,93 @@
+package bounder
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/kingcuphook/kingcuphook"
+)
+
+var start = time.Unix(1000, 0)
+
+// fleet is a number of routers with the same reports about the same upstreams.
+type fleet struct {
+	routers   []*Bounder
+	addresses []string
+}
+
+func newFleet(routers, upstreams, slots int) *fleet {
+	f := &fleet{}
+	var p kingcuphook.PoolFields
+	for i := range upstreams {
+		f.addresses = append(f.addresses, fmt.Sprintf("10.0.0.%d:80", i))
+		p.Upstreams = append(p.Upstreams, kingcuphook.NewUpstream(kingcuphook.UpstreamFields{Address: f.addresses[i], Slots: slots}))
+	}
+	for i := range routers {
+		b := &Bounder{Seed: uint64(i)}
+		b.Update(start, kingcuphook.NewPool(p))
+		b.SetRouters(routers)
+		f.routers = append(f.routers, b)
+	}
+	return f
+}
+
+// report reports the same load of each upstream to all routers.
+func (f *fleet) report(now time.Time, running int) {
+	for _, b := range f.routers {
+		for _, a := range f.addresses {
+			b.Report(now, kingcuphook.NewLoadReport(kingcuphook.LoadReportFields{Upstream: a, Made: now, Running: running}))
+		}
+	}
+}
+
+// fill makes each router start all requests of a tier that it may, and returns their number.
+func (f *fleet) fill(now time.Time, t kingcuphook.Tier) int {
+	n := 0
+	for _, b := range f.routers {
+		for _, a := range f.addresses {
+			for b.Free(now, a, t) > 0 {
+				b.Started(now, a, nil)
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// TestSameReportOverflowsNoUpstream guards against the overflow when all routers use the same free slots.
+func TestSameReportOverflowsNoUpstream(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		routers := rapid.IntRange(2, 200).Draw(t, "routers")
+		slots := rapid.IntRange(4, 64).Draw(t, "slots")
+		used := rapid.IntRange(int(math.Ceil(sharedBy*float64(slots))), slots).Draw(t, "used")
+		tier := kingcuphook.Tier(rapid.IntRange(int(kingcuphook.HighestTier), int(kingcuphook.LowestTier)).Draw(t, "tier"))
+		f := newFleet(routers, 20, slots)
+		f.report(start, used)
+		spare := 20 * (float64(slots)*(1+tierStep*float64(kingcuphook.LowestTier-tier)) - float64(used))
+		tolerance := 6*math.Sqrt(spare+20) + 1
+		if n := float64(f.fill(start, tier)); math.Abs(n-spare) > tolerance {
+			t.Fatalf("%d routers started %.0f requests, want %.0f (±%.0f)", routers, n, spare, tolerance)
+		}
+	})
+}
+
+// TestShortRequestsUseSlotsAgainBetweenReports guards against upstreams that idle between two reports.
+func TestShortRequestsUseSlotsAgainBetweenReports(t *testing.T) {
+	f := newFleet(50, 10, 6)
+	for _, b := range f.routers {
+		for range 10 {
+			b.Started(start, f.addresses[0], nil)
+			b.Finished(start.Add(50*time.Millisecond), f.addresses[0], nil, kingcuphook.Sample{})
+		}
+	}
+	f.report(start.Add(100*time.Millisecond), 4)
+	now := start.Add(300 * time.Millisecond)
+	f.report(now, 4)
+	if n := f.fill(now, kingcuphook.LowestTier); n < 10*6 {
+		t.Errorf("%d requests begin, want more than the slots: each takes a quarter of the interval", n)
+	}
+}
