Let an urgent long prompt leave the upstreams that have its short shared prefix

What callers saw: calls with long prompts of their own were refused for want of a slot (503, overloaded) while larger, less urgent ones began at other upstreams.

Cause: a long prompt waits for its preferred upstreams, so that its shared prefix is not prefilled again, however short that prefix is. When those are full or not in the router's share, the bound on its wait ends it.

Change: if none of them takes it while less urgent long prompts were started lately, any upstream may. Prompts whose shared prefix is itself long still wait.

TestLongPromptOfHigherRankLeavesItsFullPreferredUpstreams.

--- a/locator/locator_test.go
+++ b/locator/locator_test.go
@@ -342,3 +342,27 @@
 	reportLoads(l, true, 16, 0)
 	is.True(waits(start, summary)) // a quarter of the slots is taken
 }
+
+// TestLongPromptOfHigherRankLeavesItsFullPreferredUpstreams guards against refusals while others have
+// free slots and prompts of lower ranks begin there.
+func TestLongPromptOfHigherRankLeavesItsFullPreferredUpstreams(t *testing.T) {
+	is := is.New(t)
+	l := newLocator("cairo", pool(4))
+	summary := summaryRequest("s", start, 1, 4000)
+	q := l.newQuery(start, summary)
+	isOther := func(address string) bool {
+		u := l.byAddress[address]
+		return !u.reserved && q.preferred.rank(u) < 0
+	}
+	c, err := l.SelectUsable(start, summary, nil, isOther)
+	is.NoErr(err)
+	is.Equal(c.Upstream, nil) // no prompt of a lower rank began lately
+	l.Started(start, l.upstreams[0].row.Address(), longRequest("l", 1))
+	c, err = l.SelectUsable(start, summary, nil, isOther)
+	is.NoErr(err)
+	is.True(c.Upstream != nil)
+	q = l.newQuery(start, longRequest("m", 9))
+	c, err = l.SelectUsable(start, longRequest("m", 9), nil, isOther)
+	is.NoErr(err)
+	is.Equal(c.Upstream, nil) // its shared prefix is long
+}
--- a/locator/query.go
+++ b/locator/query.go
@@ -25,8 +25,8 @@
 	// long means that the prompt is kept off reserved upstreams; sharesLong that its shared
 	// prefix alone is long.
 	long, sharesLong bool
-	// overflows means that no unreserved upstream takes the request now, so that a reserved
-	// one may.
+	// overflows means that no upstream that has its prefix takes the request now while less
+	// urgent long prompts begin, so that any other may.
 	overflows bool
 	// target is the target for the first token, in nanoseconds.
 	target float64
@@ -97,6 +97,9 @@
 		}
 		return reasonReserved
 	}
+	if q.overflows {
+		return ""
+	}
 	rank := q.preferred.rank(u)
 	if (rank < 0 || rank > q.maxRank) && !u.hasCached(q) {
 		return reasonPrefixElsewhere
