Leave slots to urgent requests that are queued at other routers

What callers saw: in a burst, calls were refused for want of a slot (503, overloaded) at one router while less urgent ones began at others.

Cause: a router knows only its own queue. Less urgent requests filled the slots whenever nothing urgent was queued there, and a class that was queued where no higher tier waits earned two slots a second: at 88 routers more than was left to it.

Change: the sums of loads carry how many requests of each tier are queued for each pool, as entries with keys of their own, which older builds sum up and ignore. The limits of lower tiers are lower by as many slots, but not below a quarter of them, and the guaranteed rate is the small one while a higher tier is queued at any router.

TestQueuedUrgentRequestsAnywhereKeepSlots, TestAnyQueueLeavesIdleUpstreamsToLowestTier, TestTimeCreditIsSmallWhileHigherTiersQueueAnywhere, TestQueuedRequestsAreInSums.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -61,6 +61,8 @@
 	// grants records the latest requests that Next returned, so that Return can
 	// undo their effect on the guarantees.
 	grants grantRing
+	// waiting has the number of queued requests of all routers by tier.
+	waiting [kingcuphook.TierCount]int
 	// lastAccrual is when the time credits of the classes were last updated.
 	lastAccrual time.Time
 	// guaranteed reports whether the last request taken used a guaranteed slot.
@@ -152,6 +154,9 @@
 // Offer sheds what exceeds the new bound.
 func (a *Admitter) Resize(maxQueued int) { a.MaxQueued = maxQueued }
 
+// SetWaiting sets how many requests of each tier are queued at all routers.
+func (a *Admitter) SetWaiting(n [kingcuphook.TierCount]int) { a.waiting = n }
+
 // Guaranteed reports whether the request that Next returned last used a
 // guaranteed slot of its class.
 func (a *Admitter) Guaranteed() bool { return a.guaranteed }
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -272,6 +272,24 @@
 	is.Equal(off.Next(start.Add(time.Minute), highestOnly), nil)
 }
 
+// TestTimeCreditIsSmallWhileHigherTiersQueueAnywhere guards against requests that begin at one router on
+// their guarantee while those of higher tiers are refused at others.
+func TestTimeCreditIsSmallWhileHigherTiersQueueAnywhere(t *testing.T) {
+	is := is.New(t)
+	a := &Admitter{}
+	a.SetWaiting([kingcuphook.TierCount]int{3: 1})
+	for i := range 20 {
+		a.Offer(start, request(fmt.Sprint(i), 5, "o", time.Second))
+	}
+	served := 0
+	for s := range 300 {
+		if a.Next(start.Add(time.Duration(s)*time.Second), highestOnly) != nil {
+			served++
+		}
+	}
+	is.True(served >= 5 && served <= 6) // one in 50 s
+}
+
 // TestTimeCreditKeepsTheOrder covers a class that was queued long enough to be
 // owed a slot while its tier has free slots: its oldest request must not overtake
 // others.
--- a/admitter/guarantee.go
+++ b/admitter/guarantee.go
@@ -138,11 +138,11 @@
 	}
 }
 
-// highestQueued returns the index of the highest tier with queued requests, or
-// the number of tiers if there is none.
+// highestQueued returns the index of the highest tier with queued requests at any
+// router, or the number of tiers if there is none.
 func (a *Admitter) highestQueued() int {
 	for i := range a.tiers {
-		if a.tiers[i].queued > 0 {
+		if a.tiers[i].queued > 0 || a.waiting[i] > 0 {
 			return i
 		}
 	}
--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -147,6 +147,27 @@
 	}
 }
 
+// WaitingSetter is implemented by Schedulers that depend on the queues of all routers.
+type WaitingSetter interface {
+	// SetWaiting sets how many requests of each tier are queued at all routers for the
+	// pool.
+	SetWaiting(n [kingcuphook.TierCount]int)
+}
+
+// SetWaiting passes to the Scheduler of each pool how many requests of each tier are queued
+// for it at all routers.
+func (a *Allocator) SetWaiting(waiting func(pool string) [kingcuphook.TierCount]int) {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	for name, p := range a.pools {
+		p.apply(func(time.Time) {
+			if s, ok := p.scheduler.(WaitingSetter); ok {
+				s.SetWaiting(waiting(name))
+			}
+		})
+	}
+}
+
 // RouterCounter is implemented by Schedulers that depend on how many routers share
 // their upstreams.
 type RouterCounter interface {
--- a/attacher/exchange.go
+++ b/attacher/exchange.go
@@ -102,6 +102,7 @@
 	}
 	if tables := a.control.directory().Tables; tables != nil && !sum.Made.IsZero() {
 		a.allocator.SetRouters(int(a.routers.Load()))
+		a.allocator.SetWaiting(sum.Waiting)
 		a.allocator.ReportAll(sum.Reports(tables))
 	}
 }
--- a/bounder/bounder.go
+++ b/bounder/bounder.go
@@ -30,6 +30,8 @@
 	// routers is the number of routers that share the upstreams; 0 means 1.
 	routers int
 	usage   usage
+	// waiting has the number of queued requests of all routers by tier.
+	waiting [kingcuphook.TierCount]int
 	// slots and load are the sums of the slots and of the requests of all upstreams.
 	slots, load int
 	// reported is when the last report was made, interval the time since the one before.
@@ -55,6 +57,9 @@
 
 var _ kingcuphook.Limiter = (*Bounder)(nil)
 
+// SetWaiting sets how many requests of each tier are queued at all routers.
+func (b *Bounder) SetWaiting(n [kingcuphook.TierCount]int) { b.waiting = n }
+
 // SetRouters sets how many routers share the upstreams.
 func (b *Bounder) SetRouters(n int) { b.routers = n }
 
--- a/bounder/share.go
+++ b/bounder/share.go
@@ -14,6 +14,9 @@
 	// some and by which all routers share its free slots.
 	sharedFrom = 0.4
 	sharedBy   = 0.55
+	// minLimitShare is the least limit of a tier as a share of the slots, however many
+	// requests of higher tiers are queued.
+	minLimitShare = 0.25
 	// tierStep is the share of the slots by which the limit of a tier is higher than that
 	// of the tier below it.
 	tierStep = 0.25
@@ -27,7 +30,18 @@
 	if !t.Valid() || b.routers <= 1 {
 		t = kingcuphook.LowestTier
 	}
-	return float64(u.limit()) * (1 + tierStep*float64(kingcuphook.LowestTier-t))
+	limit := float64(u.limit()) * (1 + tierStep*float64(kingcuphook.LowestTier-t))
+	return max(limit-b.reserved(t), minLimitShare*float64(u.limit()))
+}
+
+// reserved returns how many slots of each upstream are left to the requests of higher
+// tiers that are queued at all routers.
+func (b *Bounder) reserved(t kingcuphook.Tier) float64 {
+	n := 0
+	for higher := kingcuphook.HighestTier; higher < t; higher++ {
+		n += b.waiting[higher.Index()]
+	}
+	return float64(n) / float64(max(len(b.upstreams), 1))
 }
 
 // turnover returns how many requests, one after the other, can use a slot before their start
--- a/bounder/share_test.go
+++ b/bounder/share_test.go
@@ -44,6 +44,14 @@
 	}
 }
 
+func (f *fleet) setWaiting(t kingcuphook.Tier, n int) {
+	for _, b := range f.routers {
+		var waiting [kingcuphook.TierCount]int
+		waiting[t.Index()] = n
+		b.SetWaiting(waiting)
+	}
+}
+
 // fill makes each router start all requests of a tier that it may, and returns their number.
 func (f *fleet) fill(now time.Time, t kingcuphook.Tier) int {
 	n := 0
@@ -75,6 +83,38 @@
 	})
 }
 
+// TestQueuedUrgentRequestsAnywhereKeepSlots guards against less urgent requests that begin at one router
+// while more urgent ones, for which there are slots, are queued at others.
+func TestQueuedUrgentRequestsAnywhereKeepSlots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(4, 64).Draw(t, "slots")
+		used := rapid.IntRange(int(math.Ceil(minLimitShare*float64(slots))), slots).Draw(t, "used")
+		queuing := kingcuphook.Tier(rapid.IntRange(int(kingcuphook.HighestTier), int(kingcuphook.LowestTier)-1).Draw(t, "queuing"))
+		tier := kingcuphook.Tier(rapid.IntRange(int(queuing)+1, int(kingcuphook.LowestTier)).Draw(t, "tier"))
+		f := newFleet(rapid.IntRange(2, 100).Draw(t, "routers"), 10, slots)
+		f.report(start, used)
+		f.setWaiting(queuing, 10*slots*2)
+		if n := f.fill(start, tier); n > 0 {
+			t.Fatalf("%d requests of tier %d begin while more of tier %d are queued than there are slots", n, tier, queuing)
+		}
+		if f.fill(start, queuing) == 0 {
+			t.Fatalf("no request of tier %d begins with %d of %d slots used", queuing, used, slots)
+		}
+	})
+}
+
+// TestAnyQueueLeavesIdleUpstreamsToLowestTier guards against a number of a broken peer that closes a pool.
+func TestAnyQueueLeavesIdleUpstreamsToLowestTier(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(rapid.IntRange(1, 100).Draw(t, "routers"), 10, rapid.IntRange(4, 64).Draw(t, "slots"))
+		f.report(start, 0)
+		f.setWaiting(kingcuphook.HighestTier, rapid.IntRange(0, math.MaxUint16).Draw(t, "waiting"))
+		if f.fill(start, kingcuphook.LowestTier) == 0 {
+			t.Fatal("no request of the lowest tier begins though all upstreams are idle")
+		}
+	})
+}
+
 // TestShortRequestsUseSlotsAgainBetweenReports guards against upstreams that idle between two reports.
 func TestShortRequestsUseSlotsAgainBetweenReports(t *testing.T) {
 	f := newFleet(50, 10, 6)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -59,6 +59,12 @@
 	Progress(now time.Time, upstream string, r *kingcuphook.Request, n int)
 }
 
+// WaitingSetter is an Admitter or Limiter that depends on the queues of all routers.
+type WaitingSetter interface {
+	// SetWaiting sets how many requests of each tier are queued at all routers.
+	SetWaiting(n [kingcuphook.TierCount]int)
+}
+
 // UsableSelector is a Selector that accepts a function that reports which upstreams are
 // usable, which saves building a list of those that are not.
 type UsableSelector interface {
@@ -258,6 +264,16 @@
 	return at
 }
 
+// SetWaiting sets how many requests of each tier are queued at all routers for the pool.
+func (s *Scheduler) SetWaiting(n [kingcuphook.TierCount]int) {
+	if l, ok := s.Limiter.(WaitingSetter); ok {
+		l.SetWaiting(n)
+	}
+	if a, ok := s.Admitter.(WaitingSetter); ok {
+		a.SetWaiting(n)
+	}
+}
+
 // SetRouters sets how many routers share the upstreams.
 func (s *Scheduler) SetRouters(n int) {
 	if c, ok := s.Limiter.(interface{ SetRouters(n int) }); ok {
--- a/tallier/loads.go
+++ b/tallier/loads.go
@@ -31,6 +31,12 @@
 	return Key(xxhash.Sum64String(u.Address() + " " + u.Instance() + " " + strconv.FormatInt(u.StartTime(), 10)))
 }
 
+// WaitingKey returns the key of the requests of a tier that are queued for a pool. Routers of
+// older builds sum its entries up with the others and ignore them.
+func WaitingKey(pool string, t kingcuphook.Tier) Key {
+	return Key(xxhash.Sum64String("waiting " + pool + " " + strconv.Itoa(int(t))))
+}
+
 // Load is the load on one upstream.
 type Load struct {
 	// Running is the number of requests, PrefillTokens the number of their uncached
--- a/tallier/tallier.go
+++ b/tallier/tallier.go
@@ -26,7 +26,10 @@
 
 // Acquire implements kingcuphook.Allocator.
 func (t *Tally) Acquire(ctx context.Context, r *kingcuphook.Request, excluded []string) (kingcuphook.Slot, error) {
+	queue := WaitingKey(r.Pool(), r.Tier())
+	t.add(queue, 1, 0)
 	s, err := t.Next.Acquire(ctx, r, excluded)
+	t.add(queue, -1, 0)
 	if err != nil {
 		return nil, err
 	}
@@ -103,6 +106,15 @@
 	Made time.Time
 }
 
+// Waiting returns how many requests of each tier are queued for the pool at all routers.
+func (s Sum) Waiting(pool string) [kingcuphook.TierCount]int {
+	var n [kingcuphook.TierCount]int
+	for i := range n {
+		n[i] = s.Loads[WaitingKey(pool, kingcuphook.HighestTier+kingcuphook.Tier(i))].Running
+	}
+	return n
+}
+
 // maxScale limits the factor by which a sum over some of the routers is scaled up.
 const maxScale = 1.5
 
--- a/tallier/tallier_test.go
+++ b/tallier/tallier_test.go
@@ -56,6 +56,42 @@
 	is.Equal(len(tally.Own()), 0)
 }
 
+// blockingAllocator has no slot before the context ends.
+type blockingAllocator struct{ begun chan struct{} }
+
+func (a blockingAllocator) Acquire(ctx context.Context, _ *kingcuphook.Request, _ []string) (kingcuphook.Slot, error) {
+	close(a.begun)
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// TestQueuedRequestsAreInSums guards against routers that don't see what is queued at others.
+func TestQueuedRequestsAreInSums(t *testing.T) {
+	is := is.New(t)
+	a := blockingAllocator{begun: make(chan struct{})}
+	tally := &Tally{Next: a}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		_, _ = tally.Acquire(ctx, kingcuphook.NewRequest(kingcuphook.RequestFields{Pool: "models", Tier: 3}), nil)
+		close(ended)
+	}()
+	<-a.begun
+	received, err := Decode(tally.Own().Encode()[0])
+	is.NoErr(err)
+	sum := Sum{Loads: Loads{}, Included: 2, Routers: 2}
+	sum.Loads.Add(received)
+	sum.Loads.Add(received)
+	is.Equal(sum.Waiting("models"), [kingcuphook.TierCount]int{2: 2})
+	is.Equal(sum.Waiting("others"), [kingcuphook.TierCount]int{})
+	for _, r := range sum.Reports(tables) {
+		is.Equal(r.Running(), 0) // what older builds read of it
+	}
+	cancel()
+	<-ended
+	is.Equal(len(tally.Own()), 0)
+}
+
 func TestReportsScaleUpPartialSums(t *testing.T) {
 	is := is.New(t)
 	loads := Loads{KeyOf(first): {Running: 12, PrefillTokens: 1024}}
