--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -78,7 +78,7 @@
 }
 
 // lastLanding is the commit of the build that ran in production before this one.
-const lastLanding = "b11553a"
+const lastLanding = "e330c3e"
 
 // buildCommit builds the routers' program of a commit and returns its path.
 func buildCommit(t *testing.T, commit string) string {
