Serve calls whose heads are half read on kept connections when a stop begins

What callers saw: a call whose head was half read on a kept connection when a planned stop closed the idle connections got neither an answer nor a refusal, only the end of the connection.

Cause: Connections.Close disabled the keep-alives of the HTTP server, which closes the connections that it takes for idle. To it a kept connection is idle until a head was read whole. The connection itself was no longer idle, so it was closed without a refusal, also if the head had just been read to its end. In the same way, closeIdle looked whether a connection was idle and closed it later, so that a request could be read in between.

Change: keep-alives stay enabled. Answers whose heads are written while connections are being closed have Connection: close from the response writers of both servers. closeIdle checks and ends a connection under one lock. Connections that stay idle are closed as before.

--- a/listener/connections.go
+++ b/listener/connections.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
 	"os"
 	"sync"
 	"time"
@@ -40,8 +39,9 @@
 // Close closes the listener and then each connection once no request is under way on it, and waits for them
 // until ctx ends, with an error if it ends first. Requests that are read meanwhile are served. The server may
 // only be shut down afterwards: while it is, it drops requests that it has read. Connections over TLS are left
-// to that shutdown, which tells callers over HTTP/2 of their end.
-func (c *Connections) Close(ctx context.Context, server *http.Server) error {
+// to that shutdown, which tells callers over HTTP/2 of their end. Keep-alives of the server stay enabled:
+// disabling them would close kept connections on which a head is being read.
+func (c *Connections) Close(ctx context.Context) error {
 	l := c.ofListener()
 	if l != nil {
 		l.endAccept()
@@ -49,7 +49,6 @@
 	if l != nil && l.TLS != nil {
 		return nil
 	}
-	server.SetKeepAlivesEnabled(false)
 	for n := c.closeIdle(); n > 0; n = c.closeIdle() {
 		if !pauser.Pause(ctx, closePoll) {
 			return fmt.Errorf("listener: %d connections are open: %w", n, context.Cause(ctx))
@@ -62,8 +61,8 @@
 func (c *Connections) closeIdle() int {
 	open, now := c.list(), time.Now()
 	for _, h := range open {
-		if h.isIdle(now) {
-			_ = h.Close()
+		if h.endWaiting(now) {
+			go h.refuseCrossing()
 		}
 	}
 	return len(open)
@@ -146,12 +145,16 @@
 	return true
 }
 
-// isIdle reports whether the connection waits for a request. A connection that has just been opened doesn't:
-// its first request is on its way.
-func (h *conn) isIdle(now time.Time) bool {
+// endWaiting is like endIdle, but doesn't end a connection that has just been opened: its first request is on its
+// way.
+func (h *conn) endWaiting(now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.idle && now.Sub(h.opened) >= crossingTimeout
+	if !h.idle || now.Sub(h.opened) < crossingTimeout {
+		return false
+	}
+	h.idle, h.ended = false, true
+	return true
 }
 
 // isEnded reports whether the connection was ended while it waited for a request.
--- a/receiver/answer.go
+++ b/receiver/answer.go
@@ -209,6 +209,7 @@
 	w.w.Header().Set("Content-Type", "text/plain")
 	body := e.Code + "\n"
 	w.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.closeIfStopping()
 	w.w.WriteHeader(status)
 	_, _ = w.w.Write([]byte(body))
 	return status
@@ -240,6 +241,8 @@
 	// deadline is the deadline of the request, and of writes unless less than minWriteTime
 	// is left.
 	deadline time.Time
+	// closing reports whether a graceful shutdown closes the connections; nil means never.
+	closing func() bool
 	// began is set before a response is begun.
 	began bool
 	// streaming is set once the head of a stream was written. It stays unset for an
@@ -254,6 +257,13 @@
 
 var _ kingcuphook.HeadWriter = (*writer)(nil)
 
+// closeIfStopping tells the caller that a graceful shutdown closes the connection after the answer.
+func (w *writer) closeIfStopping() {
+	if w.closing != nil && w.closing() {
+		w.w.Header().Set("Connection", "close")
+	}
+}
+
 // WriteHead implements kingcuphook.HeadWriter.
 func (w *writer) WriteHead(head kingcuphook.Answer) error {
 	w.began = true
@@ -274,6 +284,7 @@
 	}
 	w.streaming = true
 	w.status = head.Status()
+	w.closeIfStopping()
 	w.w.WriteHeader(head.Status())
 	return nil
 }
--- a/receiver/crossing_test.go
+++ b/receiver/crossing_test.go
@@ -60,7 +60,13 @@
 		"kept connection": {func(c *caller) { c.send(wholeCall); c.Equal(c.answer().StatusCode, http.StatusOK) }, wholeCall, http.StatusRequestTimeout},
 		"new connection":  {func(*caller) { time.Sleep(closeTime) }, wholeCall, http.StatusOK},
 		"silent caller":   {func(*caller) { time.Sleep(time.Second) }, wholeCall, http.StatusRequestTimeout},
-		"half a head":     {func(c *caller) { c.send(wholeCall[:20]); time.Sleep(closeTime) }, wholeCall[20:], http.StatusOK},
+		"half a head on a kept connection": {func(c *caller) {
+			c.send(wholeCall)
+			c.Equal(c.answer().StatusCode, http.StatusOK)
+			c.send(wholeCall[:20])
+			time.Sleep(closeTime)
+		}, wholeCall[20:], http.StatusOK},
+		"half a head": {func(c *caller) { c.send(wholeCall[:20]); time.Sleep(closeTime) }, wholeCall[20:], http.StatusOK},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := newHarness(t, respondWith(http.StatusOK, "done"))
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -145,7 +145,7 @@
 	}
 	ctx, cancel := s.stopCalls().Context(r.Context())
 	defer cancel()
-	out := &writer{w: w, control: http.NewResponseController(w)}
+	out := &writer{w: w, control: http.NewResponseController(w), closing: s.closing.Load}
 	defer s.recoverPanic(out)
 	labels := s.Codec.Labels(r.Header)
 	out.id = labels.ID
--- a/receiver/stop.go
+++ b/receiver/stop.go
@@ -16,7 +16,7 @@
 // close of their connection are rejected.
 func (s *Receiver) Stop(ctx context.Context) error {
 	s.closing.Store(true)
-	if err := s.connections.Close(ctx, s.server()); err != nil {
+	if err := s.connections.Close(ctx); err != nil {
 		return fmt.Errorf("receiver: stop: %w", err)
 	}
 	s.closed.Store(true)
--- a/server/server.go
+++ b/server/server.go
@@ -144,7 +144,7 @@
 // panic to its request.
 func (s *Server) guard(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
-		w := &response{ResponseWriter: rw}
+		w := &response{ResponseWriter: rw, closing: s.closing.Load}
 		defer s.recoverPanic(w)
 		if s.beginEarly() {
 			defer s.endEarly()
--- a/server/stop.go
+++ b/server/stop.go
@@ -27,7 +27,7 @@
 	s.Drain()
 	s.awaitReuse(ctx)
 	s.closing.Store(true)
-	if err := s.connections.Close(ctx, s.server()); err != nil {
+	if err := s.connections.Close(ctx); err != nil {
 		return fmt.Errorf("server: stop: %w", err)
 	}
 	s.closed.Store(true)
