Answer pipelined calls that run while a stop closes connections

What callers saw: a call that had come with the one before it, and was running when a planned stop closed the idle connections, was refused with 408 and "stopping", which callers take for a call that has not run. Its answer was dropped.

Cause: a connection counted as idle from the end of a call to the next read that brought bytes. The HTTP server had the next call in its buffer already, and read nothing before it ran it.

Change: a connection is not idle any more once the server reports that a request is active, and a stop ends only idle connections of which the server reads, whose buffer has no whole request left.

--- a/listener/conn.go
+++ b/listener/conn.go
@@ -60,6 +60,8 @@
 	// request, unless its caller has closed it. It isn't idle any more once it is ended.
 	mu          sync.Mutex
 	idle, ended bool
+	// waiting is set while the server reads of an idle connection.
+	waiting bool
 	// opened is when the connection was opened until the first call on it ends; zero after that.
 	opened time.Time
 }
@@ -80,7 +82,10 @@
 		h.began = time.Now()
 	}
 	h.read, h.lines, h.blank = 0, 0, false
-	if h.reading && h.err == nil {
+	switch {
+	case !h.reading:
+		h.setActive()
+	case h.err == nil:
 		h.setIdle(h.began)
 	}
 }
@@ -118,6 +123,7 @@
 	if h.isEnded() {
 		return 0, io.EOF
 	}
+	h.beginWait()
 	n, err := h.readOpen(b)
 	if !h.endWait(n, err) {
 		return 0, io.EOF
--- a/listener/connections.go
+++ b/listener/connections.go
@@ -122,11 +122,26 @@
 	h.opened = opened
 }
 
+// setActive records that the connection waits for no request: one is served, or it was read with the last one.
+func (h *conn) setActive() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.idle = false
+}
+
+// beginWait records that a read begins. The connection is waiting if none of the next request has come.
+func (h *conn) beginWait() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.waiting = h.idle
+}
+
 // endWait records the result of a read: the connection waits no longer for a request unless the read
 // timed out. It reports whether what was read may be served.
 func (h *conn) endWait(n int, err error) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.waiting = false
 	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 		h.idle = false
 	}
@@ -145,12 +160,12 @@
 	return true
 }
 
-// endWaiting is like endIdle, but doesn't end a connection that has just been opened: its first request is on its
-// way.
+// endWaiting is like endIdle for a connection of which the server reads: a request that was read with the last
+// one is served. A connection that has just been opened isn't ended: its first request is on its way.
 func (h *conn) endWaiting(now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.idle || now.Sub(h.opened) < crossingTimeout {
+	if !h.idle || !h.waiting || now.Sub(h.opened) < crossingTimeout {
 		return false
 	}
 	h.idle, h.ended = false, true
--- a/receiver/crossing_test.go
+++ b/receiver/crossing_test.go
@@ -6,10 +6,14 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/kingcuphook/kingcuphook"
 )
 
 const (
@@ -83,6 +87,31 @@
 	}
 }
 
+// A planned stop refused a call that was running if it had come with the one before it.
+func TestStopAnswersPipelinedCall(t *testing.T) {
+	const calls = 2
+	var n atomic.Int64
+	running, finish := make(chan struct{}), make(chan struct{})
+	r := newHarness(t, func(ctx context.Context, c *kingcuphook.Call, w kingcuphook.FrameWriter) (kingcuphook.Outcome, error) {
+		if n.Add(1) == calls {
+			close(running)
+			<-finish
+		}
+		return respondWith(http.StatusOK, "done")(ctx, c, w)
+	})
+	c := dial(t, r.run(t))
+	c.send(strings.Repeat(wholeCall, calls))
+	r.Equal(c.answer(), reply{StatusCode: http.StatusOK})
+	<-running
+	stopped := make(chan error)
+	go func() { stopped <- r.Stop(context.Background()) }()
+	time.Sleep(closeTime)
+	close(finish)
+	r.Equal(c.answer(), reply{StatusCode: http.StatusOK, Close: true})
+	r.NoErr(c.Close())
+	r.NoErr(<-stopped)
+}
+
 // Connections that the kernel had accepted were reset when a planned stop closed the listener.
 func TestStopResetsNoQueuedConnection(t *testing.T) {
 	const callers = 200
