Log refused calls that the server has read across the close of their connection

What operators saw: calls that were refused because they crossed the close of their connection were not logged (KCH1216), unless they came in more than one part.

Cause: the HTTP server waits for a read when the connection is ended. That read gets the first bytes of the call and drops them, and only what came later was counted.

Change: the read counts what it drops. The count is taken once the connection is closed and the read has returned.

--- a/listener/conn.go
+++ b/listener/conn.go
@@ -56,12 +56,16 @@
 	// blank is set while the current line is empty.
 	blank bool
 
+	// readMu is held during a read.
+	readMu sync.Mutex
 	// mu guards the fields below. A connection is idle from the end of a call to the first byte of the next
 	// request, unless its caller has closed it. It isn't idle any more once it is ended.
 	mu          sync.Mutex
 	idle, ended bool
 	// waiting is set while the server reads of an idle connection.
 	waiting bool
+	// crossed counts the bytes that a read, which waited when the connection was ended, brought after that.
+	crossed int64
 	// opened is when the connection was opened until the first call on it ends; zero after that.
 	opened time.Time
 }
@@ -123,6 +127,8 @@
 	if h.isEnded() {
 		return 0, io.EOF
 	}
+	h.readMu.Lock()
+	defer h.readMu.Unlock()
 	h.beginWait()
 	n, err := h.readOpen(b)
 	if !h.endWait(n, err) {
--- a/listener/connections.go
+++ b/listener/connections.go
@@ -145,6 +145,9 @@
 	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 		h.idle = false
 	}
+	if h.ended {
+		h.crossed += int64(n)
+	}
 	return !h.ended
 }
 
@@ -179,10 +182,20 @@
 	return h.ended
 }
 
+// crossedBytes closes the connection and returns how many bytes the server had read of it after it was ended.
+func (h *conn) crossedBytes() int64 {
+	_ = h.closeWriter.Close()
+	h.readMu.Lock() // until the last read has ended
+	defer h.readMu.Unlock()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.crossed
+}
+
 // refuseCrossing refuses a request that may be on its way, and closes the connection.
 func (h *conn) refuseCrossing() {
 	r := h.listener.Connections.Refusal
-	if n := h.writeRefusal(r, crossingTimeout); n > 0 {
+	if n := h.writeRefusal(r, crossingTimeout) + h.crossedBytes(); n > 0 {
 		h.listener.Log.Log(logger.CrossingRefused, "caller", h.RemoteAddr(), "status", r.Status, "bytes", n)
 	}
 	_ = h.close()
--- a/receiver/crossing_test.go
+++ b/receiver/crossing_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"github.com/kingcuphook/kingcuphook"
+	"github.com/kingcuphook/kingcuphook/logger"
 )
 
 const (
@@ -87,6 +88,25 @@
 	}
 }
 
+// The usual refusal of a call that crosses a close was not logged: the server had read the call.
+func TestRefusalOfCrossingIsLogged(t *testing.T) {
+	out := &logBuffer{}
+	r := newHarness(t, respondWith(http.StatusOK, "done"))
+	r.Log = logger.New(out, "logfmt", logger.LevelInfo)
+	c := dial(t, r.run(t))
+	c.send(wholeCall)
+	r.Equal(c.answer().StatusCode, http.StatusOK)
+	stopped := make(chan error)
+	go func() { stopped <- r.Stop(context.Background()) }()
+	time.Sleep(closeTime)
+	c.send(wholeCall)
+	r.Equal(c.answer().StatusCode, http.StatusRequestTimeout)
+	r.NoErr(c.Close())
+	r.NoErr(<-stopped)
+	r.True(strings.Contains(out.String(), fmt.Sprintf("KCH%d", logger.CrossingRefused.Number)))
+	r.True(strings.Contains(out.String(), fmt.Sprintf("bytes=%d", len(wholeCall))))
+}
+
 // A planned stop refused a call that was running if it had come with the one before it.
 func TestStopAnswersPipelinedCall(t *testing.T) {
 	const calls = 2
