Reserve slots only for the queues of other routers

Cause: the sum of the queues has the router's own one, 0.2 s old. A router, also a single one, took slots from its requests because of what it had queued itself, which its admitter orders anyway. Calls waited longer, so that the forecast of a stop was longer too.

Change: Sum.Waiting leaves the router's own queue out. TestQueuedRequestsAreInSums asks for it.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -61,7 +61,7 @@
 	// grants records the latest requests that Next returned, so that Return can
 	// undo their effect on the guarantees.
 	grants grantRing
-	// waiting has the number of queued requests of all routers by tier.
+	// waiting has the number of queued requests of the other routers by tier.
 	waiting [kingcuphook.TierCount]int
 	// lastAccrual is when the time credits of the classes were last updated.
 	lastAccrual time.Time
@@ -154,7 +154,7 @@
 // Offer sheds what exceeds the new bound.
 func (a *Admitter) Resize(maxQueued int) { a.MaxQueued = maxQueued }
 
-// SetWaiting sets how many requests of each tier are queued at all routers.
+// SetWaiting sets how many requests of each tier are queued at the other routers.
 func (a *Admitter) SetWaiting(n [kingcuphook.TierCount]int) { a.waiting = n }
 
 // Guaranteed reports whether the request that Next returned last used a
--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -147,15 +147,15 @@
 	}
 }
 
-// WaitingSetter is implemented by Schedulers that depend on the queues of all routers.
+// WaitingSetter is implemented by Schedulers that depend on the queues of other routers.
 type WaitingSetter interface {
-	// SetWaiting sets how many requests of each tier are queued at all routers for the
+	// SetWaiting sets how many requests of each tier are queued at the other routers for the
 	// pool.
 	SetWaiting(n [kingcuphook.TierCount]int)
 }
 
 // SetWaiting passes to the Scheduler of each pool how many requests of each tier are queued
-// for it at all routers.
+// for it at the other routers.
 func (a *Allocator) SetWaiting(waiting func(pool string) [kingcuphook.TierCount]int) {
 	a.mu.RLock()
 	defer a.mu.RUnlock()
--- a/bounder/bounder.go
+++ b/bounder/bounder.go
@@ -30,7 +30,7 @@
 	// routers is the number of routers that share the upstreams; 0 means 1.
 	routers int
 	usage   usage
-	// waiting has the number of queued requests of all routers by tier.
+	// waiting has the number of queued requests of the other routers by tier.
 	waiting [kingcuphook.TierCount]int
 	// slots and load are the sums of the slots and of the requests of all upstreams.
 	slots, load int
@@ -57,7 +57,7 @@
 
 var _ kingcuphook.Limiter = (*Bounder)(nil)
 
-// SetWaiting sets how many requests of each tier are queued at all routers.
+// SetWaiting sets how many requests of each tier are queued at the other routers.
 func (b *Bounder) SetWaiting(n [kingcuphook.TierCount]int) { b.waiting = n }
 
 // SetRouters sets how many routers share the upstreams.
--- a/bounder/share.go
+++ b/bounder/share.go
@@ -35,7 +35,7 @@
 }
 
 // reserved returns how many slots of each upstream are left to the requests of higher
-// tiers that are queued at all routers.
+// tiers that are queued at the other routers.
 func (b *Bounder) reserved(t kingcuphook.Tier) float64 {
 	n := 0
 	for higher := kingcuphook.HighestTier; higher < t; higher++ {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -59,9 +59,9 @@
 	Progress(now time.Time, upstream string, r *kingcuphook.Request, n int)
 }
 
-// WaitingSetter is an Admitter or Limiter that depends on the queues of all routers.
+// WaitingSetter is an Admitter or Limiter that depends on the queues of other routers.
 type WaitingSetter interface {
-	// SetWaiting sets how many requests of each tier are queued at all routers.
+	// SetWaiting sets how many requests of each tier are queued at the other routers.
 	SetWaiting(n [kingcuphook.TierCount]int)
 }
 
@@ -264,7 +264,7 @@
 	return at
 }
 
-// SetWaiting sets how many requests of each tier are queued at all routers for the pool.
+// SetWaiting sets how many requests of each tier are queued at the other routers for the pool.
 func (s *Scheduler) SetWaiting(n [kingcuphook.TierCount]int) {
 	if l, ok := s.Limiter.(WaitingSetter); ok {
 		l.SetWaiting(n)
--- a/tallier/tallier.go
+++ b/tallier/tallier.go
@@ -106,11 +106,12 @@
 	Made time.Time
 }
 
-// Waiting returns how many requests of each tier are queued for the pool at all routers.
+// Waiting returns how many requests of each tier are queued for the pool at the other routers.
 func (s Sum) Waiting(pool string) [kingcuphook.TierCount]int {
 	var n [kingcuphook.TierCount]int
 	for i := range n {
-		n[i] = s.Loads[WaitingKey(pool, kingcuphook.HighestTier+kingcuphook.Tier(i))].Running
+		key := WaitingKey(pool, kingcuphook.HighestTier+kingcuphook.Tier(i))
+		n[i] = max(s.Loads[key].Running-s.Own[key].Running, 0)
 	}
 	return n
 }
--- a/tallier/tallier_test.go
+++ b/tallier/tallier_test.go
@@ -83,6 +83,8 @@
 	sum.Loads.Add(received)
 	sum.Loads.Add(received)
 	is.Equal(sum.Waiting("models"), [kingcuphook.TierCount]int{2: 2})
+	sum.Own = tally.Own()
+	is.Equal(sum.Waiting("models"), [kingcuphook.TierCount]int{2: 1}) // its own queue is in order
 	is.Equal(sum.Waiting("others"), [kingcuphook.TierCount]int{})
 	for _, r := range sum.Reports(tables) {
 		is.Equal(r.Running(), 0) // what older builds read of it
