Name the refusal of a crossing after the connection, not a stop

Cause: the refusal is that of the close of an idle connection, which a stop is only one reason for.

Change: its code is connection-closing, with status 408 and Retry-After as before. Found by review; the tests of crossings pass, and check the status and Retry-After only.

--- a/codes.go
+++ b/codes.go
@@ -4,6 +4,7 @@
 // to callers and must stay stable.
 const (
 	CodeAlreadyClaimed = "already-claimed"
+	CodeClosing        = "connection-closing"
 	CodeDeadline       = "deadline"
 	CodeInternal       = "internal"
 	CodeKeyReused      = "key-reused"
--- a/receiver/head.go
+++ b/receiver/head.go
@@ -19,7 +19,7 @@
 
 // refusalOfCrossing is the answer to a request that crosses the close of its connection.
 var refusalOfCrossing = listener.Refusal{
-	Status: http.StatusRequestTimeout, RetryAfter: formatSeconds(retryStopping), ContentType: "text/plain", Body: kingcuphook.CodeStopping + "\n",
+	Status: http.StatusRequestTimeout, RetryAfter: formatSeconds(retryStopping), ContentType: "text/plain", Body: kingcuphook.CodeClosing + "\n",
 }
 
 // observeState is the hook ConnState of the server.
--- a/server/head.go
+++ b/server/head.go
@@ -47,7 +47,7 @@
 // one that ran, so that its run state is unknown.
 func refusalOfCrossing() listener.Refusal {
 	e := &kingcuphook.RequestError{
-		Code: kingcuphook.CodeStopping, Ran: kingcuphook.RunStateUnknown, RetryAfter: defaultRetryAfter, Err: kingcuphook.ErrStopping,
+		Code: kingcuphook.CodeClosing, Ran: kingcuphook.RunStateUnknown, RetryAfter: defaultRetryAfter, Err: kingcuphook.ErrUnavailable,
 	}
 	return listener.Refusal{
 		Status: http.StatusRequestTimeout, RetryAfter: formatSeconds(e.RetryAfter), ContentType: "application/json", Body: string(encodeError("", e)),
