Assign slots without the lock on the pools when queues of other routers change

What was seen: reading the diff, Allocator.SetWaiting held the lock on the list of pools while each pool assigned its slots, where ReportAll, Pause and SetRouters list the pools first. A change of the tables that waits for that lock would hold up each call meanwhile.

Change: it copies the pools by name under the lock and applies the numbers without it. The numbers and the assignments are the same.

Tests of allocator, tallier and scheduler pass with the race detector.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -158,8 +159,9 @@
 // for it at the other routers.
 func (a *Allocator) SetWaiting(waiting func(pool string) [kingcuphook.TierCount]int) {
 	a.mu.RLock()
-	defer a.mu.RUnlock()
-	for name, p := range a.pools {
+	pools := maps.Clone(a.pools)
+	a.mu.RUnlock()
+	for name, p := range pools {
 		p.apply(func(time.Time) {
 			if s, ok := p.scheduler.(WaitingSetter); ok {
 				s.SetWaiting(waiting(name))
