Send calls of the tests through one function

What was seen: the test of silences and changes sent a call and read its answer in the same steps as callOn.

Change: roundTrip serves both, each with its own transport, call and context. No check is changed.

--- a/attacher/attacher_test.go
+++ b/attacher/attacher_test.go
@@ -194,7 +194,12 @@
 	c := standin.Call{
 		Kind: kind, ID: fmt.Sprintf("%016x", time.Now().UnixNano()), Key: key, Deadline: 8 * time.Second, Body: strings.NewReader("question"),
 	}
-	r, err := c.Request(context.Background(), p.front)
+	return roundTrip(context.Background(), t, c, p.front)
+}
+
+// roundTrip sends a call to a router on the connections of a transport and reads the whole answer.
+func roundTrip(ctx context.Context, t http.RoundTripper, c standin.Call, front string) (int, string, error) {
+	r, err := c.Request(ctx, front)
 	if err != nil {
 		return 0, "", err
 	}
--- a/attacher/silent_change_test.go
+++ b/attacher/silent_change_test.go
@@ -339,18 +339,8 @@
 
 // send sends a call on a connection of its own and reads the answer.
 func (c *silentCall) send(s *silentTrial, front string) (int, string, error) {
-	r, err := c.Request(s.t.Context(), front)
-	if err != nil {
-		return 0, "", err
-	}
 	t := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: 1 << 16}
-	resp, err := t.RoundTrip(r)
-	if err != nil {
-		return 0, "", err
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	return resp.StatusCode, string(body), err
+	return roundTrip(s.t.Context(), t, c.Call, front)
 }
 
 // isWhole reports whether the call got its whole answer.
