Show that a pipelined request gets no answer around a SIGTERM

Seen: a client sends a stream and an unsafe request together on a kept connection. If they come after a SIGTERM, the stream is answered with Connection: close, and the unsafe request, which was read with it, gets neither an answer nor a refusal.

Cause as far as known: after SIGTERM each answer closes its connection, and what net/http has read behind the request is dropped.

--- a/review/cases2/emptykey.go
+++ b/review/cases2/emptykey.go
@@ -52,7 +52,7 @@
 		return true
 	}
 	for n := range 3 {
-		if err := w.startRunner(n, run); err != nil {
+		if err := w.startRunner(n, ledgerService, run); err != nil {
 			return false, err
 		}
 	}
--- a/review/cases2/runner.go
+++ b/review/cases2/runner.go
@@ -26,8 +26,8 @@
 	run func(c net.Conn, s *runner, r *http.Request) bool
 }
 
-// startRunner starts and registers runner n, from 0, of the ledger.
-func (w *world) startRunner(n int, run func(c net.Conn, s *runner, r *http.Request) bool) error {
+// startRunner starts and registers runner n, from 0, of a service.
+func (w *world) startRunner(n int, service string, run func(c net.Conn, s *runner, r *http.Request) bool) error {
 	l, err := net.Listen("tcp", w.address(runnerHost+n, 0))
 	if err != nil {
 		return err
@@ -46,7 +46,7 @@
 	defer w.mu.Unlock()
 	w.seq++
 	return w.put("servers/"+s.id, map[string]any{
-		"service": ledgerService, "address": s.address, "zone": "cairo-a", "version": "1", "batchSlots": 64, "state": "ready", "warmupLeftMs": 0,
+		"service": service, "address": s.address, "zone": "cairo-a", "version": "1", "batchSlots": 64, "state": "ready", "warmupLeftMs": 0,
 		"seq": w.seq, "born": s.born.UnixMilli(),
 	})
 }
@@ -88,3 +88,17 @@
 	}
 	c.Close()
 }
+
+// stream answers a request with events, the first of which comes after a delay.
+func (s *runner) stream(c net.Conn, r *http.Request, first, gap time.Duration, events int) {
+	id := r.Header.Get(headerAttempt)
+	time.Sleep(first)
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s.%s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+		headerAttempt, id, headerStamp, s.id, id)
+	for n := 1; n <= events; n++ {
+		text := fmt.Sprintf("id: %d\ndata: piece %d\n\n", n, n)
+		fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text)
+		time.Sleep(gap)
+	}
+	fmt.Fprint(c, "0\r\n\r\n")
+}
