Show that a router refuses new connections beside idle ones

Seen: after the loss of seven of eight routers the last one gets the traffic of the sheet, each request on a new connection that its client leaves idle. About 40 s later it refuses every new connection with out-of-memory to the end of the run, and says all the while that it is ready (rule RECOVER).

Cause as far as known: idleTimeoutMs of the configuration isn't read; connections are kept idle for 2 minutes, each with 24 KiB of the memory budget, and none makes room.

--- a/review/cases2/main.go
+++ b/review/cases2/main.go
@@ -15,6 +15,7 @@
 // cases are the cases by name. Each returns whether the rule held.
 var cases = map[string]func(w *world, trouble bool) (bool, error){
 	"empty-key": emptyKey,
+	"idle":      idle,
 	"pipeline":  pipeline,
 }
 
