--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,3 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 go build -o target/ ./review/cases2
+go build -o target/review/ ./review/harness
