Log what kept a router from concluding the version of a stream

Callers saw 503 on resumptions after all routers had ended, and no line of the log told which of the ten conditions of a conclusion was missing, nor why a record of versions names no base. KCH1702 has it in "missing" now, and KCH1703 why the record has no base, in place of has-share and guarded. The conditions themselves are unchanged; the evidence, the announcements and the base have files of their own.

--- a/attacher/ledger.go
+++ b/attacher/ledger.go
@@ -189,7 +189,7 @@
 	if s.applyRecord(sentAt, entry) {
 		return nil
 	}
-	return s.putRecord(ctx, pinner.Write{Record: w.Record, Revision: entry.Revision()})
+	return s.putRecord(ctx, pinner.Write{Record: w.Record, Revision: entry.Revision(), Gap: w.Gap})
 }
 
 // putRecord writes a record if that in the store has the expected revision.
@@ -205,6 +205,6 @@
 		return fmt.Errorf("attacher: record of versions: %w", err)
 	}
 	s.pinner.Apply(time.Now(), sentAt, w.Record, revision)
-	s.a.Log.Log(logger.VersionsRecorded, "pool", w.Record.Pool, "versions", w.Record.String(), "base", w.Record.Base, "revision", revision, "revision-before", w.Revision)
+	s.a.Log.Log(logger.VersionsRecorded, "pool", w.Record.Pool, "versions", w.Record.String(), "base", w.Record.Base, "missing", w.Gap, "revision", revision, "revision-before", w.Revision)
 	return nil
 }
--- a/attacher/pins.go
+++ b/attacher/pins.go
@@ -151,13 +151,13 @@
 	began := time.Now()
 	found, err := s.find(ctx, pinner.Key(organisation, attempt), isAttempt(attempt), pool)
 	took := time.Since(began)
-	e := s.pinner.Evidence(time.Now(), pool)
+	e := s.pinner.Evidence(time.Now(), began, pool)
 	log := s.a.Log.With("base", e.Base, "record-revision", e.Revision, "record-age-ms", e.RecordAge.Milliseconds(), "ledger-age-ms", e.LedgerAge.Milliseconds(),
-		"has-share", e.HasShare, "guarded", e.IsGuarded, "versions", strings.Join(s.pinner.Versions(began, pool), ","))
+		"versions", strings.Join(s.pinner.Versions(began, pool), ","))
 	if err != nil {
 		s.unknown.Add(1)
 		log.Log(logger.StreamOriginUnknown, "pool", pool, "organisation", organisation, "attempt", attempt[:min(len(attempt), kingcuphook.MaxAttemptBytes)],
-			"took-ms", took.Milliseconds(), "error", err)
+			"took-ms", took.Milliseconds(), "missing", e.Gap, "error", err)
 		return kingcuphook.Origin{}, err
 	}
 	s.found[found.Source].Add(1)
--- a/pinner/base.go
+++ b/pinner/base.go
@@ -2,106 +2,13 @@
 
 import (
 	"maps"
-	"net/netip"
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
-)
-
-const (
-	// baseShare is the least share of the base version in the upstreams that take new work: streams
-	// begin only there while the ledger can't be written.
-	baseShare = 0.5
-	// AnnounceInterval is the time between two announcements of a router, announceTimeout how long after
-	// its last one a peer that is still seen counts as one that doesn't guard the base.
-	AnnounceInterval = time.Second
-	announceTimeout  = 5 * time.Second
 )
 
-// Keys and marks of reports that are announcements: their sender keeps to the rules for the base of
-// records. Routers that don't know them ignore them, since no call waits for such a stream.
-var (
-	announceKey  = xxhash.Sum64String("pinner: guards the base of records")
-	announceMark = max(announceKey, ambiguous+1)
-)
-
-// Fleet is what a router knows of the others that keep to the rules for the base of records.
-type Fleet struct {
-	// All is true if all known routers have announced that they do, and the fleet is so small that
-	// the ledger soon has each stream.
-	All bool
-	// Broken is true if a router is known that doesn't, or the fleet is too large.
-	Broken bool
-	// Odd is the address of one that doesn't; the zero address if there is none.
-	Odd netip.Addr
-}
-
-// HasBases reports whether the records in a fleet of the given number of routers may have bases.
-func HasBases(routers int) bool { return WriteInterval(routers) <= MaxHold }
-
-// EncodeAnnouncement encodes the announcement that this router guards the base of records. It has the
-// form of an answer.
-func EncodeAnnouncement() []byte {
-	return EncodeAnswer([]Report{{Key: announceKey, Mark: announceMark}})
-}
-
-// IsAnnouncement reports whether a report is an announcement.
-func (r Report) IsAnnouncement() bool { return r.Key == announceKey }
-
-// Announcements has when the other routers of a fleet were seen and sent announcements, by address.
-// The zero value is ready for use.
-type Announcements struct {
-	// first has when each router was first seen, last when its last announcement came.
-	first, last map[netip.Addr]time.Time
-}
-
-// Received records an announcement of a router.
-func (a *Announcements) Received(now time.Time, router netip.Addr) {
-	if a.last == nil {
-		a.last = make(map[netip.Addr]time.Time)
-	}
-	a.last[router] = now
-}
-
-// Judge returns the state of a fleet whose other routers were last seen at the given times, and forgets
-// all others.
-func (a *Announcements) Judge(lastSeen map[netip.Addr]time.Time) Fleet {
-	a.retain(lastSeen)
-	f := Fleet{All: HasBases(len(lastSeen) + 1)}
-	f.Broken = !f.All
-	for router, seen := range lastSeen {
-		since, ok := a.last[router]
-		if !ok {
-			since, f.All = a.first[router], false
-		}
-		if seen.Sub(since) > announceTimeout {
-			f.All, f.Broken = false, true
-			if f.Odd.Less(router) {
-				f.Odd = router
-			}
-		}
-	}
-	return f
-}
-
-// retain forgets the routers without a time, and records when the others were first seen.
-func (a *Announcements) retain(lastSeen map[netip.Addr]time.Time) {
-	if a.first == nil {
-		a.first = make(map[netip.Addr]time.Time)
-	}
-	isGone := func(router netip.Addr, _ time.Time) bool {
-		_, ok := lastSeen[router]
-		return !ok
-	}
-	maps.DeleteFunc(a.first, isGone)
-	maps.DeleteFunc(a.last, isGone)
-	for router, seen := range lastSeen {
-		if _, ok := a.first[router]; !ok {
-			a.first[router] = seen
-		}
-	}
-}
+// baseShare is the least share of the base version in the upstreams that take new work: streams
+// begin only there while the ledger can't be written.
+const baseShare = 0.5
 
 // SetFleet records the state of the fleet.
 func (p *Pinner) SetFleet(f Fleet) {
@@ -146,36 +53,43 @@
 	return p.ready[version] > 0 && float64(p.ready[version]) >= baseShare*float64(all)
 }
 
-// nextBase returns the base for the next record of the pool, and its era.
-func (p *Pinner) nextBase(now time.Time, pool *pool) (version string, era int64) {
-	if p.fleet.Broken || p.lastsLong {
-		return "", 0
+// nextBase returns the base for the next record of the pool and its era, or why that has none.
+func (p *Pinner) nextBase(now time.Time, pool *pool) (version string, era int64, gap Gap) {
+	switch {
+	case p.fleet.Broken:
+		return "", 0, GapRouters
+	case p.lastsLong:
+		return "", 0, GapLongStreams
 	}
 	recent := pool.recent(now)
 	if len(recent) == 1 {
 		return p.nextSingleBase(now, pool, recent[0])
 	}
-	if base := pool.base(p.era); base != "" && pool.hasBaseShare(base) {
-		return base, p.era
+	base := pool.base(p.era)
+	switch {
+	case base == "":
+		return "", 0, GapVersions
+	case !pool.hasBaseShare(base):
+		return "", 0, GapShare
 	}
-	return "", 0
+	return base, p.era, GapNone
 }
 
 // nextSingleBase returns the base for the next record of a pool of which only one version is known. A
 // record with a base of an earlier era may be older than what the store has lost: that base is kept,
 // so that routers which start see that it doesn't hold, until others have left too long ago.
-func (p *Pinner) nextSingleBase(now time.Time, pool *pool, version string) (base string, era int64) {
+func (p *Pinner) nextSingleBase(now time.Time, pool *pool, version string) (base string, era int64, gap Gap) {
 	if pool.base(p.era) == version {
-		return version, p.era
+		return version, p.era, GapNone
 	}
 	isOlder := pool.record != nil && pool.record.Base != "" && pool.record.BaseEra != p.era
 	switch {
 	case isOlder && (pool.since.IsZero() || now.Sub(pool.since) < horizon):
-		return pool.record.Base, pool.record.BaseEra
+		return pool.record.Base, pool.record.BaseEra, GapEra
 	case p.fleet.All:
-		return version, p.era
+		return version, p.era, GapNone
 	}
-	return "", 0
+	return "", 0, GapRouters
 }
 
 // Guarded returns the version of the pool at which streams may begin that the ledger doesn't have.
@@ -288,56 +202,3 @@
 	defer p.mu.Unlock()
 	return p.pools[pool].base(p.era) != ""
 }
-
-// Evidence is what a router can conclude from about streams that neither a router nor the ledger has.
-type Evidence struct {
-	// Base is that of the record of the pool, which has the revision; empty if there is none.
-	Base     string
-	Revision int64
-	// RecordAge and LedgerAge are the times since the record and all segments were read; negative if they were
-	// not.
-	RecordAge, LedgerAge time.Duration
-	// HasShare is true if enough upstreams have the base, IsGuarded if no router is known that
-	// doesn't keep to the rules for it.
-	HasShare, IsGuarded bool
-}
-
-// Evidence returns what this router can conclude from about streams of the pool.
-func (p *Pinner) Evidence(now time.Time, name string) Evidence {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	e := Evidence{RecordAge: -1, LedgerAge: -1, IsGuarded: !p.fleet.Broken}
-	if !p.ledgerReadAt.IsZero() {
-		e.LedgerAge = now.Sub(p.ledgerReadAt)
-	}
-	pool := p.pools[name]
-	if pool == nil {
-		return e
-	}
-	if !pool.readAt.IsZero() {
-		e.RecordAge = now.Sub(pool.readAt)
-	}
-	e.Base, e.Revision, e.HasShare = pool.base(p.era), pool.revision, pool.hasBaseShare(pool.base(p.era))
-	return e
-}
-
-// findBase returns the version at which a stream of the pool began that neither a router nor the
-// ledger has. The record and the ledger must have been read since the search began. The pools related
-// to it must have no other version.
-func (p *Pinner) findBase(now, began time.Time, name string) (string, bool) {
-	pool := p.pools[name]
-	version := pool.base(p.era)
-	if version == "" || p.fleet.Broken || p.lastsLong || !pool.readAt.After(began) || !p.ledgerReadAt.After(began) || !pool.hasBaseShare(version) {
-		return "", false
-	}
-	for other := range pool.related {
-		if other != name && !isOnly(p.pools[other].recent(now), version) {
-			return "", false
-		}
-	}
-	return version, true
-}
-
-func isOnly(versions []string, version string) bool {
-	return len(versions) == 1 && versions[0] == version
-}
--- a/pinner/pinner.go
+++ b/pinner/pinner.go
@@ -154,7 +154,7 @@
 	defer p.mu.Unlock()
 	e, ok := p.find(now, key)
 	if !ok {
-		return p.findSingle(now, began, pool)
+		return p.findUnreported(now, began, pool)
 	}
 	switch e.mark {
 	case ambiguous:
@@ -169,15 +169,17 @@
 	return Found{Origin: origin, Source: e.source, Age: now.Sub(e.at)}, nil
 }
 
-func (p *Pinner) findSingle(now, began time.Time, pool string) (Found, error) {
-	if version, ok := p.single(now, began, pool); ok {
-		return Found{Origin: kingcuphook.Origin{Pool: pool, Version: version}, Source: SourceSingle}, nil
+// findUnreported returns the origin of a stream that neither a router nor the ledger has.
+func (p *Pinner) findUnreported(now, began time.Time, pool string) (Found, error) {
+	found, gap := p.conclude(now, began, pool)
+	if gap != GapNone {
+		return Found{}, fmt.Errorf("pinner: %d versions for pool %q, %s: %w", len(p.versions(now, pool)), pool, gap, kingcuphook.ErrVersionUnknown)
 	}
-	version, ok := p.findBase(now, began, pool)
-	if !ok {
-		return Found{}, fmt.Errorf("pinner: %d versions for pool %q: %w", len(p.versions(now, pool)), pool, kingcuphook.ErrVersionUnknown)
-	}
-	return Found{Origin: kingcuphook.Origin{Pool: pool, Version: version}, Source: SourceBase}, nil
+	return found, nil
+}
+
+func originOf(pool, version string) kingcuphook.Origin {
+	return kingcuphook.Origin{Pool: pool, Version: version}
 }
 
 // Remembered returns the number of streams whose origin is kept.
--- a/pinner/record.go
+++ b/pinner/record.go
@@ -163,6 +163,8 @@
 type Write struct {
 	Record   Record
 	Revision int64
+	// Gap is why the record names no base that holds.
+	Gap Gap
 }
 
 // Writes returns the records that the store lacks, which differ from the versions in the tables.
@@ -172,9 +174,10 @@
 	var list []Write
 	for name, pool := range p.pools {
 		r := Record{Pool: name, Versions: pool.next(now)}
-		r.Base, r.BaseEra = p.nextBase(now, pool)
+		var gap Gap
+		r.Base, r.BaseEra, gap = p.nextBase(now, pool)
 		if pool.lacks(&r) {
-			list = append(list, Write{Record: r, Revision: pool.revision})
+			list = append(list, Write{Record: r, Revision: pool.revision, Gap: gap})
 		}
 	}
 	return list
