Judge by digests heard whether a router guards bases

A router counted as one of an older build if it was seen for 5 s without an announcement, also if only others told of it, or if announcements were lost while digests came. With datagrams lost one way, or four of five of them lost, every fleet was "broken" sooner or later.

A router counts so only if it was heard directly in 24 digests and for 5 s without an announcement; one of which only others tell is unknown, not broken. Large fleets are a state of their own.

TestLostAnnouncementsDoNotEndBase in the form of the former code: "half lost", "four of five lost" and "told by others" fail; all pass now.

--- a/attacher/exchange.go
+++ b/attacher/exchange.go
@@ -236,6 +236,7 @@
 // the inbox of the control loop is full.
 func (c *control) updatePeers(from netip.Addr, d digester.Digest) {
 	event := func(now time.Time) {
+		c.peers.guards.Heard(now, from)
 		if c.peers.recordSeen(now, from) {
 			c.a.Log.Log(logger.PeerJoined, "peer", from)
 			c.updateHelpers()
--- a/attacher/hold.go
+++ b/attacher/hold.go
@@ -49,10 +49,9 @@
 	return version, ok && !s.recordings.canGuard()
 }
 
-// announceGuard tells the other routers that this one guards the bases of records, in fleets that have
-// bases.
+// announceGuard tells the other routers that this one guards the bases of records, except in large fleets.
 func (c *control) announceGuard(now time.Time, others []netip.Addr) {
-	if now.Before(c.versions.nextAnnouncement) || !pinner.HasBases(len(others)+1) {
+	if now.Before(c.versions.nextAnnouncement) || pinner.IsLarge(len(others)+1) {
 		return
 	}
 	c.versions.nextAnnouncement = now.Add(pinner.AnnounceInterval)
@@ -62,10 +61,10 @@
 // judgeFleet tells the pinner whether the other routers guard the bases of records. A router that has
 // just started doesn't know them all.
 func (c *control) judgeFleet(now time.Time) {
-	f := c.peers.guards.Judge(c.peers.lastSeen)
+	f := c.peers.guards.Judge(now, c.peers.lastSeen)
 	f.All = f.All && now.Sub(c.startedAt) >= maxDiscovery
 	if f != c.versions.fleet {
-		c.a.Log.Log(logger.BasesGuarded, "all", f.All, "broken", f.Broken, "odd", f.Odd, "routers", len(c.peers.lastSeen)+1)
+		c.a.Log.Log(logger.BasesGuarded, "all", f.All, "broken", f.Broken, "odd", f.Odd, "half", f.Half, "large", f.Large, "routers", len(c.peers.lastSeen)+1)
 		c.versions.fleet = f
 	}
 	c.a.pins.pinner.SetFleet(f)
--- a/attacher/pins.go
+++ b/attacher/pins.go
@@ -291,8 +291,8 @@
 	if known := s.pinner.Known(time.Now(), keys); len(known) > 0 {
 		s.a.control.sendTo(peer, pinner.EncodeAnswer(known))
 	}
-	if len(reports) == 1 && reports[0].IsAnnouncement() {
-		s.a.control.offer(func(now time.Time) { s.a.control.peers.guards.Received(now, peer) })
+	if len(reports) == 1 && reports[0].Announced() != pinner.GuardNone {
+		s.a.control.offer(func(now time.Time) { s.a.control.peers.guards.Received(now, peer, reports[0].Announced()) })
 		return nil
 	}
 	s.learn(reports, pinner.SourcePeer)
--- a/pinner/base.go
+++ b/pinner/base.go
@@ -58,6 +58,8 @@
 	switch {
 	case p.fleet.Broken:
 		return "", 0, GapRouters
+	case p.fleet.Large:
+		return "", 0, GapFleet
 	case p.lastsLong:
 		return "", 0, GapLongStreams
 	}
@@ -119,7 +121,7 @@
 		return pool.firstInTables()
 	}
 	recorded := slices.Collect(maps.Keys(pool.record.recent(now)))
-	if len(recorded) == 1 && !p.fleet.Broken {
+	if len(recorded) == 1 && !p.fleet.Broken && !p.fleet.Large {
 		return recorded[0]
 	}
 	return ""
@@ -128,7 +130,7 @@
 // isUnread reports whether a version has come to the pool since its record was read. Routers that don't
 // follow the store don't learn of changes of the record, nor of the first one.
 func (p *Pinner) isUnread(pool *pool) bool {
-	if p.fleet.Broken {
+	if p.fleet.Broken || p.fleet.Large {
 		return false
 	}
 	for version := range pool.ready {
