Keep the base of a pool while any upstream has it

Callers got 503 for all streams when a release had replaced more than half of the upstreams while all routers were down (3 of 8, 2 of 6 and 2 of 8 left: 0 of 24 went on), and when one of four registrations came late for a moment. A base was taken to hold only while half of the upstreams have it, by those that search and by those that begin streams, and delegates removed it for good as soon as they had fewer.

The record tells so in base-any-share, which older builds drop and which is not set, or removed, once a router is known that guards half only.

TestBaseOutlastsItsShare can't compile on the code before; of the cases added to TestStreamInNoLedgerBeganAtBase the form with a base alone is "few upstreams have the base", which was and is unknown.

--- a/attacher/pins.go
+++ b/attacher/pins.go
@@ -88,7 +88,8 @@
 // Begun implements kingcuphook.StreamPinner. While several versions are or were in service, it
 // waits until the ledger has the stream: the caller may resume it once it has the first event,
 // also if all routers have ended since. A stream that isn't in the ledger is taken for one of the base
-// of the pool's record: at another version, it begins only once the ledger has it as queued.
+// of the pool's record: at another version, it begins only once the ledger has it as queued, while any upstream has
+// the base.
 func (s *pins) Begun(ctx context.Context, r *kingcuphook.Request, version string) error {
 	if !isAttempt(r.ID()) {
 		return nil
@@ -101,7 +102,7 @@
 		how = s.queue(ctx, key)
 	}
 	queued := time.Since(began)
-	if how == recordingDone {
+	if how == recordingDone || !s.pinner.TakesNew(r.Pool(), base) {
 		how = s.record(ctx, key, r.Pool(), version, pinner.MaxHold-queued)
 	} else {
 		how = recordingUnqueued
--- a/pinner/base.go
+++ b/pinner/base.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// baseShare is the least share of the base version in the upstreams that take new work: streams
-// begin only there while the ledger can't be written.
+// baseShare is the least share of the base version in the upstreams that take new work, unless its record says that
+// any share will do: streams begin only there while the ledger can't be written.
 const baseShare = 0.5
 
 // SetFleet records the state of the fleet.
@@ -53,6 +53,57 @@
 	return p.ready[version] > 0 && float64(p.ready[version]) >= baseShare*float64(all)
 }
 
+// keepsBase reports whether streams may go on beginning only at the base while the ledger can't be written. A base
+// that another version has overtaken is kept until the streams from before have ended, and one without an upstream
+// until that is no mere delay of registrations.
+func (p *Pinner) keepsBase(now time.Time, pool *pool, base string) bool {
+	switch {
+	case p.fleet.Half || !pool.record.AnyShare:
+		return pool.hasBaseShare(base)
+	case pool.ready[base] == 0:
+		return now.Sub(pool.behindSince) < absentFor
+	}
+	return pool.behindSince.IsZero() || now.Sub(pool.behindSince) < p.longest
+}
+
+// updateBehind records since when fewer upstreams that take new work have the base than another version.
+func (p *pool) updateBehind(now time.Time, base string) {
+	switch {
+	case base == "" || p.leads(base):
+		p.behindSince = time.Time{}
+	case p.behindSince.IsZero():
+		p.behindSince = now
+	}
+}
+
+// leads reports whether as many upstreams that take new work have the version as any other.
+func (p *pool) leads(version string) bool {
+	n := p.ready[version]
+	for _, others := range p.ready {
+		if others > n {
+			return false
+		}
+	}
+	return n > 0
+}
+
+// setBase sets the base in the next record of the pool, or returns why that has none.
+func (p *Pinner) setBase(now time.Time, pool *pool, r *Record) Gap {
+	version, era, gap := p.nextBase(now, pool)
+	r.Base, r.BaseEra = version, era
+	r.AnyShare = version != "" && p.nextAnyShare(now, pool)
+	return gap
+}
+
+// nextAnyShare reports whether the base in the next record of the pool holds at any share of the upstreams. Once the
+// pool has several versions, that can't be told any more of streams that have begun.
+func (p *Pinner) nextAnyShare(now time.Time, pool *pool) bool {
+	if p.fleet.Half || pool.record == nil || pool.record.AnyShare {
+		return !p.fleet.Half
+	}
+	return p.fleet.All && pool.count(now) == 1
+}
+
 // nextBase returns the base for the next record of the pool and its era, or why that has none.
 func (p *Pinner) nextBase(now time.Time, pool *pool) (version string, era int64, gap Gap) {
 	switch {
@@ -71,7 +122,7 @@
 	switch {
 	case base == "":
 		return "", 0, GapVersions
-	case !pool.hasBaseShare(base):
+	case !p.keepsBase(now, pool, base):
 		return "", 0, GapShare
 	}
 	return base, p.era, GapNone
@@ -105,7 +156,21 @@
 		return "", false
 	}
 	version = p.guarded(now, known)
-	return version, version != "" && known.hasBaseShare(version)
+	return version, version != "" && (p.isAnyShare(known, version) || known.hasBaseShare(version))
+}
+
+// isAnyShare reports whether the version is the base of the pool's record, and that holds at any share of the
+// upstreams.
+func (p *Pinner) isAnyShare(pool *pool, version string) bool {
+	return pool.base(p.era) == version && pool.record.AnyShare
+}
+
+// TakesNew reports whether any upstream of the pool with the version takes new work.
+func (p *Pinner) TakesNew(pool, version string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.pools[pool]
+	return known != nil && known.ready[version] > 0
 }
 
 // guarded returns the base of the record of a pool with several versions, or what may be the base that
--- a/pinner/base_test.go
+++ b/pinner/base_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -23,6 +24,11 @@
 	based := func(versions []RecordedVersion) *Record {
 		return &Record{Pool: "models", Versions: versions, Base: "1", BaseEra: era}
 	}
+	anyShare := func(versions []RecordedVersion) *Record {
+		r := based(versions)
+		r.AnyShare = true
+		return r
+	}
 	for name, test := range map[string]struct {
 		record              *Record
 		recordRead, logRead time.Time
@@ -39,6 +45,9 @@
 		"ledger read before":           {based(both), later, start, Fleet{}, half, ""},
 		"router of the earlier build":  {based(both), later, later, Fleet{Broken: true}, half, ""},
 		"few upstreams have the base":  {based(both), later, later, Fleet{}, []string{"1", "2", "2"}, ""},
+		"few, but any share will do":   {anyShare(both), later, later, Fleet{}, []string{"1", "1", "2", "2", "2", "2", "2", "2"}, SourceBase},
+		"one in three, any share":      {anyShare(both), later, later, Fleet{}, []string{"1", "2", "3"}, SourceBase},
+		"none, but any share will do":  {anyShare(both), later, later, Fleet{}, []string{"2", "3"}, ""},
 		"base has left":                {based(both), later, later, Fleet{}, []string{"2"}, ""},
 		"a third version has come too": {based(both), later, later, Fleet{}, []string{"1", "1", "2", "3"}, SourceBase},
 	} {
@@ -113,6 +122,46 @@
 	}
 }
 
+// The base was removed for good at a moment in which fewer than half of the upstreams had it, by a late registration or
+// amid a release, or streams began elsewhere while the record still named it.
+func TestBaseOutlastsItsShare(t *testing.T) {
+	few, none := []string{"1", "1", "2", "2", "2", "2", "2", "2"}, []string{"2", "2", "2"}
+	timeout := 15 * time.Second
+	for name, test := range map[string]struct {
+		versions []string
+		after    time.Duration
+		fleet    Fleet
+		want     string
+	}{
+		"another version has more":  {few, timeout - 1, Fleet{All: true}, "1"},
+		"for longer than a stream":  {few, timeout, Fleet{All: true}, ""},
+		"as many have another":      {[]string{"1", "2", "3"}, time.Hour, Fleet{All: true}, "1"},
+		"none has it for a moment":  {none, absentFor - 1, Fleet{All: true}, "1"},
+		"none has it":               {none, absentFor, Fleet{All: true}, ""},
+		"a router that guards half": {few, 0, Fleet{All: true, Half: true}, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p, revision := &Pinner{}, int64(0)
+			p.SetEra(era)
+			p.SetFleet(Fleet{All: true})
+			p.Observe(start, tables("1", "1"))
+			is.True(recordAll(is, p, start, &revision).AnyShare)
+			p.SetFleet(test.fleet)
+			p.Observe(start, tables(test.versions...))
+			p.RecordsRead(start)
+			p.longest = timeout
+			version, guarded := p.Guarded(start, "models")
+			is.True(guarded && version == "1")
+			is.Equal(p.TakesNew("models", "1"), slices.Contains(test.versions, "1"))
+			recordAll(is, p, start.Add(test.after), &revision)
+			is.Equal(p.pools["models"].base(p.era), test.want)
+			_, guarded = p.Guarded(start.Add(test.after), "models")
+			is.Equal(guarded, test.want != "")
+		})
+	}
+}
+
 // A router of the earlier build, which doesn't guard the base, was taken for one that does, or one that had ended
 // for one of the earlier build.
 func TestFleetGuardsBaseIfAllAnnounceIt(t *testing.T) {
--- a/pinner/evidence.go
+++ b/pinner/evidence.go
@@ -107,7 +107,7 @@
 		return "", GapRecordNotRead
 	case !p.ledgerReadAt.After(began):
 		return "", GapLedgerNotRead
-	case !pool.hasBaseShare(version):
+	case pool.ready[version] == 0 || !pool.record.AnyShare && !pool.hasBaseShare(version):
 		return "", GapShare
 	}
 	for other := range pool.related {
--- a/pinner/pinner.go
+++ b/pinner/pinner.go
@@ -72,6 +72,8 @@
 	// knowsRecords is true if this router knows which pools had a record at some time, from the store or a
 	// peer.
 	knowsRecords bool
+	// longest is how long a stream may last.
+	longest time.Duration
 	// lastsLong is true if a stream may last longer than its origin is kept.
 	lastsLong bool
 }
--- a/pinner/record.go
+++ b/pinner/record.go
@@ -39,6 +39,9 @@
 	// known. It holds in the era BaseEra of the store.
 	Base    string `json:"base,omitempty"`
 	BaseEra int64  `json:"base-era,omitempty"`
+	// AnyShare is true if all routers keep to the rules for the base while any upstream has it, not just while half
+	// of them have. Older builds drop it when they write the record.
+	AnyShare bool `json:"base-any-share,omitempty"`
 }
 
 // RecordedVersion is a version in a Record.
@@ -174,8 +177,7 @@
 	var list []Write
 	for name, pool := range p.pools {
 		r := Record{Pool: name, Versions: pool.next(now)}
-		var gap Gap
-		r.Base, r.BaseEra, gap = p.nextBase(now, pool)
+		gap := p.setBase(now, pool, &r)
 		if pool.lacks(&r) {
 			list = append(list, Write{Record: r, Revision: pool.revision, Gap: gap})
 		}
@@ -189,7 +191,7 @@
 	if r.Versions != nil {
 		return true
 	}
-	if p.record == nil || p.record.Base == r.Base && p.record.BaseEra == r.BaseEra {
+	if p.record == nil || p.record.Base == r.Base && p.record.BaseEra == r.BaseEra && p.record.AnyShare == r.AnyShare {
 		return false
 	}
 	r.Versions = p.record.Versions
--- a/pinner/versions.go
+++ b/pinner/versions.go
@@ -40,6 +40,9 @@
 	readAt   time.Time
 	// isImported is true if this router has never read the record, but has one of a peer.
 	isImported bool
+	// behindSince is when this router found that another version had overtaken the base of the record; zero if
+	// none has.
+	behindSince time.Time
 	// related are the names of the pools in which streams of the routes to this one may have
 	// begun, itself included.
 	related map[string]bool
@@ -226,7 +229,7 @@
 	for _, r := range t.Routes() {
 		longest = max(longest, r.Timeout())
 	}
-	p.lastsLong = longest > maxRetention
+	p.longest, p.lastsLong = longest, longest > maxRetention
 	longest = min(max(longest, minRetention), maxRetention)
 	p.begun.retention, p.learned.retention = longest, longest
 }
@@ -300,6 +303,7 @@
 	p.routes.relate(p.pools)
 	for name, pool := range p.pools {
 		wasMixed := pool.mixed
+		pool.updateBehind(now, pool.base(p.era))
 		pool.mixed = len(p.versions(now, name)) > 1
 		if pool.mixed && !wasMixed {
 			p.queueAll(now, name)
