Name the base in the first record of a pool, before streams begin

The cause of all: the base was named later than the first streams began, only for one version, and only by what living routers had told each other.

The first record of a pool now names a base at once: the version that came first, of several the one with the most upstreams. It is written if the key is absent, in the first era of the store, so that no earlier record can be missed. A router is ready once the first records of its pools are known, 2 s later at most. In fleets too large for the ledger the base is removed 4 s after a second version has come, in place of never being named.

Tests that asked for something else: "most have it" of TestBaseEndsOnceStreamsMayBeginElsewhere, now with a router that guards half only, and the base kept without one. TestNoVersionIsFirstIfTwoCameAtOnce asked that no rule be kept before a first record; the new test asks for more.

--- a/attacher/attacher.go
+++ b/attacher/attacher.go
@@ -390,7 +390,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	if a.stopping.Started() || a.control.directory().Tables == nil {
+	if a.stopping.Started() || a.control.directory().Tables == nil || !a.pins.hasStarted() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/attacher/hold.go
+++ b/attacher/hold.go
@@ -29,6 +29,7 @@
 	if _, restricted := r.OnlyVersion(); restricted || !r.Stream() || r.NonIdempotent() {
 		return a.next.Acquire(ctx, r, excluded)
 	}
+	a.pins.awaitRecord(ctx, r.Pool())
 	if version, ok := a.pins.onlyBegin(r.Pool()); ok {
 		slot, err := a.next.Acquire(ctx, r.Restrict(version), excluded)
 		if !errors.Is(err, kingcuphook.ErrVersionGone) {
@@ -39,6 +40,16 @@
 	return a.next.Acquire(ctx, r, excluded)
 }
 
+// awaitRecord returns once the first record of the pool is known, or need not be awaited any more, or ctx has ended.
+func (s *pins) awaitRecord(ctx context.Context, pool string) {
+	for s.pinner.AwaitsRecord(time.Now(), pool) && ctx.Err() == nil {
+		select {
+		case <-s.read(pool):
+		case <-ctx.Done():
+		}
+	}
+}
+
 // onlyBegin returns the only version of the pool at which streams may begin now, if there is one.
 func (s *pins) onlyBegin(pool string) (version string, ok bool) {
 	now := time.Now()
--- a/attacher/ledger.go
+++ b/attacher/ledger.go
@@ -22,6 +22,8 @@
 	minLedgerRetryDelay = 300 * time.Millisecond
 	// recordRetryDelay is the delay after a failed write of a record of versions.
 	recordRetryDelay = 2 * time.Second
+	// firstRecordRetryDelay is that delay while streams wait for the first record of a pool.
+	firstRecordRetryDelay = 300 * time.Millisecond
 	// keyBase is the base of numbers in keys.
 	keyBase = 36
 )
@@ -159,17 +161,35 @@
 	}
 	v.writing = true
 	go func() {
-		err := c.a.pins.writeRecord(ctx, writes[0])
+		err := c.a.pins.writeRecords(ctx, writes)
 		c.do(ctx, func(now time.Time) {
 			v.writing = false
 			if err != nil {
-				c.a.Log.Log(logger.VersionStoreFailed, "call", "put", "key", writes[0].Record.Key(), "error", err)
-				v.nextWrite = now.Add(recordRetryDelay)
+				c.a.Log.Log(logger.VersionStoreFailed, "call", "put", "key", pinner.RecordPrefix, "error", err)
+				v.nextWrite = now.Add(c.retryDelayOfRecords(now))
 			}
 		})
 	}()
 }
 
+// retryDelayOfRecords returns the delay after a failed write of a record.
+func (c *control) retryDelayOfRecords(now time.Time) time.Duration {
+	if c.a.pins.pinner.AwaitsRecords(now) {
+		return firstRecordRetryDelay
+	}
+	return recordRetryDelay
+}
+
+// writeRecords writes records one after the other, until one fails.
+func (s *pins) writeRecords(ctx context.Context, writes []pinner.Write) error {
+	for _, w := range writes {
+		if err := s.writeRecord(ctx, w); err != nil {
+			return fmt.Errorf("attacher: %s: %w", w.Record.Key(), err)
+		}
+	}
+	return nil
+}
+
 // writeRecord writes a record if that in the store has the expected revision, and otherwise
 // reads that. One that is invalid is replaced.
 func (s *pins) writeRecord(ctx context.Context, w pinner.Write) error {
@@ -189,7 +209,7 @@
 	if s.applyRecord(sentAt, entry) {
 		return nil
 	}
-	return s.putRecord(ctx, pinner.Write{Record: w.Record, Revision: entry.Revision(), Gap: w.Gap})
+	return s.putRecord(ctx, w.Replacing(entry.Revision()))
 }
 
 // putRecord writes a record if that in the store has the expected revision.
--- a/attacher/pins.go
+++ b/attacher/pins.go
@@ -45,6 +45,9 @@
 	unknown atomic.Int64
 	// reads counts the lists of the store, writes the segments and records written.
 	reads, writes atomic.Int64
+	// started is true once the first records of the pools of the first tables are known, or are not awaited any
+	// more.
+	started atomic.Bool
 	// recordings holds back the first events of streams.
 	recordings *recordings
 
@@ -167,6 +170,15 @@
 	return found.Origin, nil
 }
 
+// hasStarted reports whether streams that may be resumed begin at this router. Once they do, a new pool makes no
+// difference.
+func (s *pins) hasStarted() bool {
+	if !s.started.Load() && !s.pinner.AwaitsRecords(time.Now()) {
+		s.started.Store(true)
+	}
+	return s.started.Load()
+}
+
 // isAttempt reports whether the ID can name a stream.
 func isAttempt(attempt string) bool {
 	return attempt != "" && len(attempt) <= kingcuphook.MaxAttemptBytes
--- a/pinner/base.go
+++ b/pinner/base.go
@@ -10,6 +10,13 @@
 // any share will do: streams begin only there while the ledger can't be written.
 const baseShare = 0.5
 
+const (
+	// firstEra is the era of a store that has never come back from an older copy.
+	firstEra = 1
+	// maxAwait bounds how long streams don't begin in a new pool until its record is written.
+	maxAwait = 2 * time.Second
+)
+
 // SetFleet records the state of the fleet.
 func (p *Pinner) SetFleet(f Fleet) {
 	p.mu.Lock()
@@ -63,7 +70,7 @@
 	case pool.ready[base] == 0:
 		return now.Sub(pool.behindSince) < absentFor
 	}
-	return pool.behindSince.IsZero() || now.Sub(pool.behindSince) < p.longest
+	return pool.behindSince.IsZero() || now.Sub(pool.behindSince) < max(p.longest, maxHold)
 }
 
 // updateBehind records since when fewer upstreams that take new work have the base than another version.
@@ -109,11 +116,12 @@
 	switch {
 	case p.fleet.Broken:
 		return "", 0, GapRouters
-	case p.fleet.Large:
-		return "", 0, GapFleet
 	case p.lastsLong:
 		return "", 0, GapLongStreams
 	}
+	if p.namesFirst(pool) && pool.first != "" {
+		return pool.first, p.era, GapNone
+	}
 	recent := pool.recent(now)
 	if len(recent) == 1 {
 		return p.nextSingleBase(now, pool, recent[0])
@@ -122,23 +130,69 @@
 	switch {
 	case base == "":
 		return "", 0, GapVersions
+	case p.fleet.Large && !pool.hasNewVersion(now):
+		return "", 0, GapFleet
 	case !p.keepsBase(now, pool, base):
 		return "", 0, GapShare
 	}
 	return base, p.era, GapNone
 }
 
+// namesFirst reports whether the next record of the pool is its first one, which names a base whatever versions
+// there are: before it, streams begin only at that version or once the ledger has them as queued. In a later
+// era, the store may have lost an earlier record.
+func (p *Pinner) namesFirst(pool *pool) bool {
+	return pool.record == nil && !pool.hadRecord && p.era <= firstEra && !p.fleet.Broken && !p.lastsLong
+}
+
+// AwaitsRecord reports whether streams that may be resumed don't begin in the pool yet, since its first record is
+// about to be written.
+func (p *Pinner) AwaitsRecord(now time.Time, name string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pool := p.pools[name]
+	return pool != nil && p.awaitsRecord(now, name, pool)
+}
+
+// AwaitsRecords reports whether AwaitsRecord holds for any pool.
+func (p *Pinner) AwaitsRecords(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, pool := range p.pools {
+		if p.awaitsRecord(now, name, pool) {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Pinner) awaitsRecord(now time.Time, name string, pool *pool) bool {
+	return p.namesFirst(pool) && !pool.since.IsZero() && now.Sub(pool.since) < maxAwait && p.routes.lead(name)
+}
+
+// hasNewVersion reports whether a version has just come, so that callers may still take up streams from before.
+func (p *pool) hasNewVersion(now time.Time) bool {
+	for version := range p.ready {
+		if now.Sub(p.came[version]) < holdFor {
+			return true
+		}
+	}
+	return false
+}
+
 // nextSingleBase returns the base for the next record of a pool of which only one version is known. A
 // record with a base of an earlier era may be older than what the store has lost: that base is kept,
 // so that routers which start see that it doesn't hold, until others have left too long ago.
 func (p *Pinner) nextSingleBase(now time.Time, pool *pool, version string) (base string, era int64, gap Gap) {
-	if pool.base(p.era) == version {
+	if version != "" && pool.base(p.era) == version {
 		return version, p.era, GapNone
 	}
 	isOlder := pool.record != nil && pool.record.Base != "" && pool.record.BaseEra != p.era
 	switch {
 	case isOlder && (pool.since.IsZero() || now.Sub(pool.since) < horizon):
 		return pool.record.Base, pool.record.BaseEra, GapEra
+	case version == "":
+		return "", 0, GapNoBase
 	case p.fleet.All:
 		return version, p.era, GapNone
 	}
@@ -159,9 +213,12 @@
 	return version, version != "" && (p.isAnyShare(known, version) || known.hasBaseShare(version))
 }
 
-// isAnyShare reports whether the version is the base of the pool's record, and that holds at any share of the
-// upstreams.
+// isAnyShare reports whether the version is the base of the pool's record, or of its first one, and that holds at any
+// share of the upstreams.
 func (p *Pinner) isAnyShare(pool *pool, version string) bool {
+	if pool.record == nil {
+		return p.namesFirst(pool) && pool.first == version
+	}
 	return pool.base(p.era) == version && pool.record.AnyShare
 }
 
@@ -176,6 +233,9 @@
 // guarded returns the base of the record of a pool with several versions, or what may be the base that
 // the delegates have written since this router read the record; empty if there is none.
 func (p *Pinner) guarded(now time.Time, pool *pool) string {
+	if p.namesFirst(pool) {
+		return pool.first
+	}
 	if base := pool.base(p.era); base != "" && (pool.isInTables(base) || !p.isUnread(pool)) {
 		return base
 	}
--- a/pinner/evidence.go
+++ b/pinner/evidence.go
@@ -99,8 +99,6 @@
 		return "", GapEra
 	case p.fleet.Broken:
 		return "", GapRouters
-	case p.fleet.Large:
-		return "", GapFleet
 	case p.lastsLong:
 		return "", GapLongStreams
 	case !pool.readAt.After(began):
--- a/pinner/record.go
+++ b/pinner/record.go
@@ -142,7 +142,7 @@
 			continue
 		}
 		pool.keepRecorded(now)
-		pool.record, pool.revision = nil, 0
+		pool.record, pool.revision, pool.hadRecord = nil, 0, true
 	}
 	p.refresh(now)
 }
@@ -170,6 +170,14 @@
 	Gap Gap
 }
 
+// Replacing returns the write of the record in place of one with the revision that can't be read, and may have named
+// another base.
+func (w Write) Replacing(revision int64) Write {
+	w.Record.Base, w.Record.BaseEra, w.Record.AnyShare = "", 0, false
+	w.Revision, w.Gap = revision, GapNoRecord
+	return w
+}
+
 // Writes returns the records that the store lacks, which differ from the versions in the tables.
 func (p *Pinner) Writes(now time.Time) []Write {
 	p.mu.Lock()
--- a/pinner/routes.go
+++ b/pinner/routes.go
@@ -32,6 +32,16 @@
 	}
 }
 
+// lead reports whether any route leads to the pool.
+func (p routePools) lead(pool string) bool {
+	for _, pools := range p {
+		if left, ok := pools[pool]; ok && left.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
 // expire removes what was left longer ago than the horizon.
 func (p routePools) expire(now time.Time) {
 	for route, pools := range p {
--- a/pinner/versions.go
+++ b/pinner/versions.go
@@ -38,6 +38,11 @@
 	record   *Record
 	revision int64
 	readAt   time.Time
+	// hadRecord is true if a record was known that the store has lost.
+	hadRecord bool
+	// first is the version that the first record names as base: of those that came first, the one with
+	// the most upstreams then. It changes only when none of them takes new work.
+	first string
 	// isImported is true if this router has never read the record, but has one of a peer.
 	isImported bool
 	// behindSince is when this router found that another version had overtaken the base of the record; zero if
@@ -76,6 +81,21 @@
 		p.left[version] = time.Time{}
 	}
 	p.trim(len(ready))
+	if ready[p.first] == 0 {
+		p.first = p.earliest()
+	}
+}
+
+// earliest returns the version in the tables that came before all others; of several, the one with the
+// most upstreams that take new work, then the first by name; empty if there is none that has a name.
+func (p *pool) earliest() string {
+	versions := slices.DeleteFunc(slices.Sorted(maps.Keys(p.ready)), func(version string) bool { return version == "" })
+	if len(versions) == 0 {
+		return ""
+	}
+	return slices.MinFunc(versions, func(a, b string) int {
+		return cmp.Or(p.came[a].Compare(p.came[b]), cmp.Compare(p.ready[b], p.ready[a]))
+	})
 }
 
 // trim forgets versions that are not in the tables, those that left first. The tables have n.
