Read record and ledger at the same time, and wait for a slow store

Callers got 503 on resumptions while the store replied in 200 ms to 400 ms, though it had what tells the version of their streams: a search read the records and then the ledger, waited for a read under way before, and was given up after 400 ms in all.

Both are read at the same time now. It is enough that either call was sent after the search began: a stream at another version than the base is in the ledger before its caller has an event, and a record without a base was acknowledged before streams began without the ledger.

TestStreamsGoOnWithSlowStore (replies after 350 ms) fails before (503 for 200) and passes now.

--- a/attacher/attacher_test.go
+++ b/attacher/attacher_test.go
@@ -34,6 +34,8 @@
 	seq atomic.Int64
 	// storeDown makes the store reject all calls.
 	storeDown atomic.Bool
+	// storeDelay is by how much the store replies late.
+	storeDelay atomic.Int64
 	// watches counts the open watch calls to the store, calls all calls to it.
 	watches, calls atomic.Int64
 	server         *httptest.Server
@@ -70,6 +72,7 @@
 			w.watches.Add(1)
 			defer w.watches.Add(-1)
 		}
+		time.Sleep(time.Duration(w.storeDelay.Load()))
 		w.served.ServeHTTP(rw, r)
 	}))
 	t.Cleanup(w.server.Close)
--- a/attacher/origin_test.go
+++ b/attacher/origin_test.go
@@ -112,3 +112,23 @@
 		})
 	}
 }
+
+// Streams were refused although the store had what tells their version, since its replies took a third of a second.
+func TestStreamsGoOnWithSlowStore(t *testing.T) {
+	t.Parallel()
+	w := newTestPlatform(t)
+	w.registerVersions("1", "1")
+	fleet := w.startFleet(115, 2)
+	streams := w.begin(fleet[0], 4)
+	w.whileDown = func() {
+		w.registerVersion("i-1", w.addresses[1], "2")
+		w.storeDelay.Store(int64(350 * time.Millisecond))
+	}
+	w.restart(115, fleet, 0, 1)
+	time.Sleep(6 * time.Second) // until the second version is recorded
+	for _, s := range streams {
+		status, upstream := w.resumeStream(fleet[1], s, s.id)
+		w.Equal(status, http.StatusOK)
+		w.Equal(upstream, "i-0")
+	}
+}
--- a/attacher/pinstore.go
+++ b/attacher/pinstore.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/kingcuphook/kingcuphook"
@@ -25,35 +26,44 @@
 	return s.nextRead
 }
 
-// readStore reads the records of versions, unless it is known that several versions are in
-// service, and then the ledger if they are.
+// readStore reads the records of versions, unless they can't show anything, and the ledger if several versions
+// are in service. Both calls are sent at the same time: what counts is that either was sent after the searches began.
 func (s *pins) readStore() {
 	s.reading.Lock()
 	defer s.reading.Unlock()
 	s.mu.Lock()
-	done, wanted := s.nextRead, s.wanted
+	done, wanted, sentAt := s.nextRead, s.wanted, time.Now()
 	s.nextRead, s.wanted, s.lastRead = nil, make(map[string]bool), time.Now()
 	s.mu.Unlock()
 	defer close(done)
 	ctx, cancel := context.WithTimeout(context.Background(), findTimeout)
 	defer cancel()
+	var calls sync.WaitGroup
 	if !s.all(wanted, s.needsNoRecord) {
-		sentAt := time.Now()
-		entries, ok := s.list(ctx, pinner.RecordPrefix)
-		s.applyRecords(sentAt, entries)
-		if ok {
-			s.pinner.RecordsRead(sentAt)
-		}
+		calls.Go(func() { s.readRecords(ctx, sentAt) })
 	}
-	if s.all(wanted, func(pool string) bool { return !s.pinner.IsMixed(pool) }) {
-		return
+	isSingle := func(pool string) bool { return !s.pinner.IsMixed(pool) }
+	needsLedger := !s.all(wanted, isSingle)
+	if needsLedger {
+		calls.Go(func() { s.readLedger(ctx, sentAt) })
+	}
+	calls.Wait()
+	if !needsLedger && !s.all(wanted, isSingle) {
+		s.readLedger(ctx, sentAt)
+	}
+}
+
+// readRecords reads the records of versions in the store, not before the given time.
+func (s *pins) readRecords(ctx context.Context, sentAt time.Time) {
+	entries, ok := s.list(ctx, pinner.RecordPrefix)
+	s.applyRecords(sentAt, entries)
+	if ok {
+		s.pinner.RecordsRead(sentAt)
 	}
-	s.readLedger(ctx)
 }
 
-// readLedger reads the ledger in the store.
-func (s *pins) readLedger(ctx context.Context) {
-	sentAt := time.Now()
+// readLedger reads the ledger in the store, not before the given time.
+func (s *pins) readLedger(ctx context.Context, sentAt time.Time) {
 	entries, complete := s.list(ctx, pinner.LedgerPrefix)
 	for _, e := range entries {
 		reports, ok := s.decodeSegment(e)
