Take a read of the store for a later one on a coarse clock

On a machine whose clock moves in steps, callers may get 503 for every stream: a search and the read of the store that it asks for fall into the same step, and a read counts only if it was sent after the search began. That this is what the users saw is not shown; the times are compared on Linux at nanoseconds here.

A read is now recorded as sent after the last search that it was scheduled for, which it is. One that was under way in the same step still doesn't count.

TestReadCountsOnClockThatMovesInSteps, with a clock that stands still, fails before.

--- a/attacher/origin_test.go
+++ b/attacher/origin_test.go
@@ -7,8 +7,11 @@
 	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/kingcuphook/kingcuphook/platform/standin"
 )
 
@@ -113,6 +116,21 @@
 	}
 }
 
+// No stream went on, since each router took its read of the store for one from before the search on a clock that had not
+// moved on.
+func TestReadCountsOnClockThatMovesInSteps(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) { // time stands still
+		is := is.New(t)
+		s := newPins(&Attacher{})
+		s.nextRead = make(chan struct{}) // one is due already
+		began := time.Now()
+		s.read(standin.Pool)
+		is.Equal(time.Now(), began)
+		is.True(later(time.Now(), s.wantedAt).After(began))
+		is.Equal(later(began.Add(time.Second), s.wantedAt), began.Add(time.Second))
+	})
+}
+
 // Streams were refused although the store had what tells their version, since its replies took a third of a second.
 func TestStreamsGoOnWithSlowStore(t *testing.T) {
 	t.Parallel()
--- a/attacher/pins.go
+++ b/attacher/pins.go
@@ -62,8 +62,9 @@
 	// nextRead is closed once the next read of the store has ended; nil if none is due.
 	nextRead chan struct{}
 	lastRead time.Time
-	// wanted are the pools that the next read is for.
-	wanted map[string]bool
+	// wanted are the pools that the next read is for, wantedAt is when one was last added.
+	wanted   map[string]bool
+	wantedAt time.Time
 	// rejected are the revisions of invalid entries that were logged, by key.
 	rejected map[string]int64
 }
--- a/attacher/pinstore.go
+++ b/attacher/pinstore.go
@@ -17,7 +17,7 @@
 func (s *pins) read(pool string) <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.wanted[pool] = true
+	s.wanted[pool], s.wantedAt = true, time.Now()
 	if s.nextRead == nil {
 		s.nextRead = make(chan struct{})
 		interval := minReadInterval + time.Duration(s.a.routers.Load())*readIntervalPerRouter
@@ -32,7 +32,7 @@
 	s.reading.Lock()
 	defer s.reading.Unlock()
 	s.mu.Lock()
-	done, wanted, sentAt := s.nextRead, s.wanted, time.Now()
+	done, wanted, sentAt := s.nextRead, s.wanted, later(time.Now(), s.wantedAt)
 	s.nextRead, s.wanted, s.lastRead = nil, make(map[string]bool), time.Now()
 	s.mu.Unlock()
 	defer close(done)
@@ -53,6 +53,15 @@
 	}
 }
 
+// later returns the time, or the next one after another if the clock has not moved on since: some move in steps of
+// 16 ms.
+func later(now, other time.Time) time.Time {
+	if now.After(other) {
+		return now
+	}
+	return other.Add(1)
+}
+
 // readRecords reads the records of versions in the store, not before the given time.
 func (s *pins) readRecords(ctx context.Context, sentAt time.Time) {
 	entries, ok := s.list(ctx, pinner.RecordPrefix)
