--- a/soaker/stream.go
+++ b/soaker/stream.go
@@ -38,6 +38,9 @@
 	next int
 	// version is the version of the upstream that began it.
 	version string
+	// misnamed is true for what an answer brings to a call that names a made-up attempt: its events may come from any
+	// one version. The caller discards them.
+	misnamed bool
 	// complete reports that the caller has all events and the end.
 	complete bool
 }
@@ -53,6 +56,8 @@
 			return fmt.Sprintf("event %q where event %d of the stream that %s began is due", event, s.next, s.first)
 		case s.next == 0:
 			s.first, s.begun, s.version = x.id, x.sent, version
+		case s.misnamed:
+			s.version, s.misnamed = version, false
 		case version != s.version:
 			return fmt.Sprintf("event %d of version %q in the stream that %s began at version %q, sent %s to %s", s.next, version, s.first, s.version, x.sent.Format("05.000"), x.router.name)
 		}
@@ -135,7 +140,13 @@
 		y.resumes = strings.Repeat("x", longAttempt)
 	}
 	t := resumption{call: y, version: y.stream.version, begun: y.stream.begun, known: y.resumes == y.stream.first}
+	if !t.known && y.resumes != "" {
+		// Nothing tells a made-up attempt from one that began where no ledger has it. The caller goes on with what it
+		// had, by the right name: that must still go on at the version that began it.
+		y.stream = &stream{first: y.resumes, next: x.stream.next, misnamed: true}
+	}
 	c.send(ctx, l, y)
+	y.stream = x.stream
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.resumptions = append(c.resumptions, t)
