--- a/attacher/recordings_test.go
+++ b/attacher/recordings_test.go
@@ -71,3 +71,40 @@
 		is.Equal(len(r.waiting), 0)
 	})
 }
+
+// A stream ended with 502 at a sound upstream since the store turned one write of the ledger away: it had to be queued, was
+// given up at once, and the retry budget was spent.
+func TestStreamThatMustBeQueuedOutlastsFailedWrite(t *testing.T) {
+	gone := errors.New("gone")
+	for name, test := range map[string]struct {
+		failures int // 300 ms apart
+		how      recording
+		held     time.Duration
+	}{
+		"one write fails":   {1, recordingDone, 600 * time.Millisecond},
+		"two writes fail":   {2, recordingDone, 900 * time.Millisecond},
+		"the store is away": {5, recordingFailed, 900 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				r := newRecordings()
+				ended := r.expect(1, true)
+				began := time.Now()
+				go func() {
+					for n := range test.failures + 1 {
+						time.Sleep(300 * time.Millisecond)
+						if n < test.failures {
+							r.endWrite([]uint64{1}, gone)
+						} else {
+							r.endWrite([]uint64{1}, nil)
+						}
+					}
+				}()
+				is.Equal(r.hold(t.Context(), ended, pinner.MaxGuard), test.how)
+				is.Equal(time.Since(began), test.held)
+				time.Sleep(2 * time.Second)
+			})
+		})
+	}
+}
