Answer a resumption within a second while the store is away

A search for the version of a stream could take 1 s since the one before, and the refusal came later than that: TestResumedStreamIsNotJoinedByRoutersThatAreCutOff asks for less than 1 s and failed once in 1 run. The search takes 900 ms at most, enough for a read under way and its own at 400 ms each.

--- a/attacher/pins.go
+++ b/attacher/pins.go
@@ -18,7 +18,7 @@
 const (
 	// findTimeout bounds how long a call waits until the origin of its stream is found: for a read of the store
 	// under way and its own. peerTimeout bounds how long it waits for peers.
-	findTimeout = time.Second
+	findTimeout = 900 * time.Millisecond
 	peerTimeout = 150 * time.Millisecond
 	// queryDelay is how long queries for streams are batched before they are sent to the
 	// peers, and queryDelayPerRouter how much each router adds to it.
