Name a base again once streams from before have ended

For five minutes after each release, and after the store had come back from an older copy, a pool had no base: streams that began while the store was away were lost with their routers, though none of the earlier version was under way any more. A base was named only once a version had been alone for the horizon of 5 minutes, for which origins are kept at most.

It is enough that the version was alone for as long as the longest timeout of a route, also of one that was lowered since, and 5 s, by which a record tells late that a version has left; 12 s at least. The same time counts after the store has come back in a later era.

--- a/pinner/base.go
+++ b/pinner/base.go
@@ -70,7 +70,7 @@
 	case pool.ready[base] == 0:
 		return now.Sub(pool.behindSince) < absentFor
 	}
-	return pool.behindSince.IsZero() || now.Sub(pool.behindSince) < max(p.longest, maxHold)
+	return pool.behindSince.IsZero() || now.Sub(pool.behindSince) < p.settleTime()
 }
 
 // updateBehind records since when fewer upstreams that take new work have the base than another version.
@@ -108,7 +108,7 @@
 	if p.fleet.Half || pool.record == nil || pool.record.AnyShare {
 		return !p.fleet.Half
 	}
-	return p.fleet.All && pool.count(now) == 1
+	return p.fleet.All && len(pool.recentWithin(now, p.settleTime())) == 1
 }
 
 // nextBase returns the base for the next record of the pool and its era, or why that has none.
@@ -122,8 +122,7 @@
 	if p.namesFirst(pool) && pool.first != "" {
 		return pool.first, p.era, GapNone
 	}
-	recent := pool.recent(now)
-	if len(recent) == 1 {
+	if recent := pool.recentWithin(now, p.settleTime()); len(recent) == 1 {
 		return p.nextSingleBase(now, pool, recent[0])
 	}
 	base := pool.base(p.era)
@@ -180,16 +179,23 @@
 	return false
 }
 
-// nextSingleBase returns the base for the next record of a pool of which only one version is known. A
+// settleTime returns how long a version must have been alone in a pool until all streams that began at another one have
+// ended.
+func (p *Pinner) settleTime() time.Duration {
+	return min(max(p.longest+absentFor, maxHold), horizon)
+}
+
+// nextSingleBase returns the base for the next record of a pool in which one version was alone for the settle time. A
 // record with a base of an earlier era may be older than what the store has lost: that base is kept,
-// so that routers which start see that it doesn't hold, until others have left too long ago.
+// so that routers which start see that it doesn't hold, until streams from before have ended.
 func (p *Pinner) nextSingleBase(now time.Time, pool *pool, version string) (base string, era int64, gap Gap) {
 	if version != "" && pool.base(p.era) == version {
 		return version, p.era, GapNone
 	}
 	isOlder := pool.record != nil && pool.record.Base != "" && pool.record.BaseEra != p.era
+	isSettled := !pool.since.IsZero() && now.Sub(pool.since) >= p.settleTime() && now.Sub(p.eraAt) >= p.settleTime()
 	switch {
-	case isOlder && (pool.since.IsZero() || now.Sub(pool.since) < horizon):
+	case isOlder && !isSettled:
 		return pool.record.Base, pool.record.BaseEra, GapEra
 	case version == "":
 		return "", 0, GapNoBase
--- a/pinner/pinner.go
+++ b/pinner/pinner.go
@@ -72,8 +72,13 @@
 	// knowsRecords is true if this router knows which pools had a record at some time, from the store or a
 	// peer.
 	knowsRecords bool
-	// longest is how long a stream may last.
-	longest time.Duration
+	// seenEra is the era that was last found, at eraAt.
+	seenEra int64
+	eraAt   time.Time
+	// longest is how long a stream may last that is under way: the longest timeout of a route, which one
+	// had at longestAt.
+	longest   time.Duration
+	longestAt time.Time
 	// lastsLong is true if a stream may last longer than its origin is kept.
 	lastsLong bool
 }
--- a/pinner/record.go
+++ b/pinner/record.go
@@ -69,6 +69,19 @@
 	return versions
 }
 
+// leftAt returns when a version of the record left; ok is false if it is in service or not in the record.
+func (r *Record) leftAt(version string) (at time.Time, ok bool) {
+	if r == nil {
+		return time.Time{}, false
+	}
+	for _, v := range r.Versions {
+		if v.Version == version && v.LeftMS != 0 {
+			return time.UnixMilli(v.LeftMS), true
+		}
+	}
+	return time.Time{}, false
+}
+
 // Key returns the key of the record.
 func (r Record) Key() string {
 	name := url.PathEscape(r.Pool)
--- a/pinner/versions.go
+++ b/pinner/versions.go
@@ -142,6 +142,19 @@
 	return slices.Sorted(maps.Keys(versions))
 }
 
+// recentWithin is like recent for a shorter time than the horizon. What the record tells of a version yields to what
+// this router has seen of it.
+func (p *pool) recentWithin(now time.Time, d time.Duration) []string {
+	return slices.DeleteFunc(p.recent(now), func(version string) bool {
+		left, seen := p.left[version]
+		if seen {
+			return !left.IsZero() && now.Sub(left) > d
+		}
+		left, recorded := p.record.leftAt(version)
+		return recorded && now.Sub(left) > d+clockMargin
+	})
+}
+
 func (p *pool) count(now time.Time) int { return len(p.recent(now)) }
 
 func (p *pool) isMixed() bool { return p != nil && p.mixed }
@@ -225,7 +238,7 @@
 		p.routes = make(routePools)
 	}
 	p.routes.observe(now, t.Routes())
-	p.setRetention(t)
+	p.setRetention(now, t)
 	p.refresh(now)
 }
 
@@ -244,12 +257,18 @@
 }
 
 // setRetention sets how long streams are kept: as long as one may last, within bounds.
-func (p *Pinner) setRetention(t *kingcuphook.Tables) {
+func (p *Pinner) setRetention(now time.Time, t *kingcuphook.Tables) {
 	longest := time.Duration(0)
 	for _, r := range t.Routes() {
 		longest = max(longest, r.Timeout())
 	}
-	p.longest, p.lastsLong = longest, longest > maxRetention
+	if longest >= p.longest || now.Sub(p.longestAt) > p.longest {
+		p.longest = longest
+	}
+	if longest == p.longest {
+		p.longestAt = now
+	}
+	p.lastsLong = longest > maxRetention
 	longest = min(max(longest, minRetention), maxRetention)
 	p.begun.retention, p.learned.retention = longest, longest
 }
@@ -308,6 +327,9 @@
 // refresh derives what depends on the versions and the routes of the pools. Once several
 // versions are in service, the streams that have begun are queued for the ledger.
 func (p *Pinner) refresh(now time.Time) {
+	if p.era != p.seenEra {
+		p.seenEra, p.eraAt = p.era, now
+	}
 	p.origins = make(map[uint64]kingcuphook.Origin)
 	for name, pool := range p.pools {
 		versions := pool.recent(now)
