--- a/pinner/base.go
+++ b/pinner/base.go
@@ -61,7 +61,7 @@
 }
 
 // keepsBase reports whether streams may go on beginning only at the base while the ledger can't be written. A base
-// that another version has overtaken is kept until the streams from before have ended, and one without an upstream
+// that another version has overtaken is kept until attempts from before have timed out, and one without an upstream
 // until that is no mere delay of registrations.
 func (p *Pinner) keepsBase(now time.Time, pool *pool, base string) bool {
 	switch {
@@ -70,7 +70,7 @@
 	case pool.ready[base] == 0:
 		return now.Sub(pool.behindSince) < absentFor
 	}
-	return pool.behindSince.IsZero() || now.Sub(pool.behindSince) < p.settleTime()
+	return pool.behindSince.IsZero() || now.Sub(pool.behindSince) < max(p.longest+absentFor, maxHold)
 }
 
 // updateBehind records since when fewer upstreams that take new work have the base than another version.
@@ -179,10 +179,10 @@
 	return false
 }
 
-// settleTime returns how long a version must have been alone in a pool until all streams that began at another one have
-// ended.
+// settleTime returns how long a version must have been alone in a pool until no stream that began at another one is
+// taken up any more. Callers may wait for longer than the timeout of one attempt.
 func (p *Pinner) settleTime() time.Duration {
-	return min(max(p.longest+absentFor, maxHold), horizon)
+	return min(max(p.longest, minRetention)+absentFor, horizon)
 }
 
 // nextSingleBase returns the base for the next record of a pool in which one version was alone for the settle time. A
--- a/pinner/base_test.go
+++ b/pinner/base_test.go
@@ -169,8 +169,7 @@
 // For five minutes after each release, or after the store had come back from a copy, a pool had no base, so that streams were
 // lost with their routers while the store was away, though none from before was under way any more.
 func TestBaseIsNamedAgainOnceStreamsFromBeforeHaveEnded(t *testing.T) {
-	const timeout = 15 * time.Second
-	settled := timeout + absentFor
+	settled := minRetention + absentFor
 	for name, test := range map[string]struct {
 		before, after []string
 		era           int64
@@ -197,7 +196,6 @@
 			changed := start.Add(time.Minute)
 			p.SetEra(test.era)
 			p.Observe(changed, tables(test.after...))
-			p.longest = timeout
 			p.SetFleet(test.fleet)
 			recordAll(is, p, changed.Add(absentFor), &revision)
 			now := changed.Add(test.wait)
--- a/pinner/pinner_test.go
+++ b/pinner/pinner_test.go
@@ -353,7 +353,7 @@
 	is.True(p.IsMixed("models"))
 	writes := p.Writes(start)
 	is.Equal(len(writes), 1)
-	is.Equal(writes[0], Write{Record: Record{Pool: "models", Versions: []RecordedVersion{{Version: "1"}, left}}, Gap: GapRouters})
+	is.Equal(writes[0], Write{Record: Record{Pool: "models", Versions: []RecordedVersion{{Version: "1"}, left}}, Gap: GapVersions})
 }
 
 // With more versions than a record holds, some in service counted as gone, and the record was
