Queue a stream in the ledger before it runs at another version

Callers got 502 for a stream at a sound upstream while the store turned calls away: at another version than the base, it was queued in the ledger only when its first event came; when that failed, the answer was dropped, and the retry budget or the attempts were spent before it could begin at the base.

The stream is queued once it has a slot and before it is sent, for at most 500 ms and half of the time that it may wait for an upstream. One that can't be queued runs at the base, with no run wasted; KCH1709 tells so. It costs no time: the two acknowledgements followed one another before as well.

--- a/attacher/hold.go
+++ b/attacher/hold.go
@@ -15,6 +15,9 @@
 // while a version is held back.
 const holdInterval = time.Second
 
+// maxAdmitTimeout bounds how long a stream waits before it runs until the ledger has it as queued.
+const maxAdmitTimeout = 500 * time.Millisecond
+
 // holdAllocator lets streams that may be resumed begin only at the recorded version of a pool, while
 // another one is held back, or only at the base of its record, while the ledger can't be written.
 type holdAllocator struct {
@@ -37,7 +40,44 @@
 		}
 	}
 	// Without an upstream of the recorded version, no version is held back.
-	return a.next.Acquire(ctx, r, excluded)
+	slot, err := a.next.Acquire(ctx, r, excluded)
+	if err != nil {
+		return nil, err
+	}
+	base, ok := a.pins.admit(ctx, r, slot.Choice().Upstream.SoftwareVersion())
+	if ok {
+		return slot, nil
+	}
+	slot.Release(kingcuphook.Sample{Cancelled: true})
+	if excluded == nil {
+		excluded = []string{} // the request had a slot
+	}
+	return a.next.Acquire(ctx, r.Restrict(base), excluded)
+}
+
+// admit reports whether the request may run at the version. If the stream must be in the ledger to begin there, it is
+// queued before it runs: one that can't be runs at the base, and costs no upstream a run in vain.
+func (s *pins) admit(ctx context.Context, r *kingcuphook.Request, version string) (base string, ok bool) {
+	base, guarded := s.pinner.Guarded(time.Now(), r.Pool())
+	if !guarded || version == base || !isAttempt(r.ID()) || !s.pinner.TakesNew(r.Pool(), base) {
+		return base, true
+	}
+	began := time.Now()
+	how := s.queue(ctx, pinner.Key(r.Organisation(), r.ID()), admitTimeout(ctx))
+	if how != recordingDone {
+		s.a.Log.Log(logger.StreamNotQueued, "request", r.ID(), "pool", r.Pool(), "version", version, "base", base, "queued-ms", time.Since(began).Milliseconds(), "recording", how)
+	}
+	return base, how == recordingDone
+}
+
+// admitTimeout returns how long a stream waits to be queued before it runs. It may still have to wait for a slot at the
+// base in the time that the context leaves.
+func admitTimeout(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return maxAdmitTimeout
+	}
+	return min(maxAdmitTimeout, time.Until(deadline)/2)
 }
 
 // awaitRecord returns once the first record of the pool is known, or need not be awaited any more, or ctx has ended.
--- a/attacher/ledger.go
+++ b/attacher/ledger.go
@@ -92,6 +92,9 @@
 		routers := int(w.pins.a.routers.Load())
 		w.pins.recordings.beginWrite(routers)
 		err := w.write(ctx, s)
+		if err == nil {
+			w.pins.pinner.Logged(time.Now(), s.Added)
+		}
 		w.pins.recordings.endWrite(s.Added, err)
 		if err == nil {
 			return
--- a/attacher/pins.go
+++ b/attacher/pins.go
@@ -103,7 +103,7 @@
 	base, guarded := s.pinner.Guarded(began, r.Pool())
 	how := recordingDone
 	if guarded && version != base {
-		how = s.queue(ctx, key)
+		how = s.queue(ctx, key, pinner.MaxGuard)
 	}
 	queued := time.Since(began)
 	if how == recordingDone || !s.pinner.TakesNew(r.Pool(), base) {
@@ -123,15 +123,15 @@
 	return nil
 }
 
-// queue returns once the ledger has the stream without a version, or how it failed.
-func (s *pins) queue(ctx context.Context, key uint64) recording {
+// queue returns once the ledger has the stream without a version, or how it failed in the given time.
+func (s *pins) queue(ctx context.Context, key uint64, longest time.Duration) recording {
 	ended := s.recordings.expect(key, true)
 	defer s.recordings.forget(key, ended)
 	if !s.pinner.Queue(time.Now(), key) {
 		return recordingDone
 	}
 	s.recordings.wake()
-	return s.recordings.hold(ctx, ended, pinner.MaxGuard)
+	return s.recordings.hold(ctx, ended, longest)
 }
 
 // record has the ledger record a stream that begins, and waits for that as long as it can be expected.
--- a/attacher/recordings.go
+++ b/attacher/recordings.go
@@ -41,26 +41,13 @@
 
 	mu    sync.Mutex
 	pacer pinner.Pacer
-	// waiting are the streams that are held back, by key.
-	waiting map[uint64]awaited
-	// failingSince is when the first of the writes failed since the last successful one; zero if none has.
-	failingSince time.Time
+	// waiting are the streams that are held back, by key. The channel of each has room for
+	// one value.
+	waiting map[uint64]chan recording
 }
 
-// awaited is the wait for a stream to be in the ledger.
-type awaited struct {
-	// ended has room for one value.
-	ended chan recording
-	// required is true if the stream doesn't begin otherwise.
-	required bool
-}
-
-// maxFailing is for how long writes of the ledger may fail before streams are given up that must be in it. The store may
-// turn calls away for a moment, and a stream that is given up costs its upstream a second run.
-const maxFailing = 500 * time.Millisecond
-
 func newRecordings() *recordings {
-	return &recordings{queued: make(chan struct{}, 1), waiting: make(map[uint64]awaited)}
+	return &recordings{queued: make(chan struct{}, 1), waiting: make(map[uint64]chan recording)}
 }
 
 // expect returns the channel on which it is told how the recording of the stream ends; nil if
@@ -69,11 +56,11 @@
 func (r *recordings) expect(key uint64, required bool) <-chan recording {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.waiting[key].ended != nil || !required && !r.pacer.IsSoon(time.Now()) {
+	if r.waiting[key] != nil || !required && !r.pacer.IsSoon(time.Now()) {
 		return nil
 	}
 	ended := make(chan recording, 1)
-	r.waiting[key] = awaited{ended: ended, required: required}
+	r.waiting[key] = ended
 	return ended
 }
 
@@ -81,7 +68,7 @@
 func (r *recordings) forget(key uint64, ended <-chan recording) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.waiting[key].ended == ended {
+	if r.waiting[key] == ended {
 		delete(r.waiting, key)
 	}
 }
@@ -147,38 +134,26 @@
 }
 
 // endWrite records that a write has ended that adds the streams with the keys. After a failed
-// one no stream is held back until one has succeeded, except those that must be in the ledger.
+// one no stream is held back until one has succeeded.
 func (r *recordings) endWrite(added []uint64, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := time.Now()
-	r.pacer.End(now, err == nil)
+	r.pacer.End(time.Now(), err == nil)
 	if err != nil {
-		r.endFailed(now)
+		for key := range r.waiting {
+			r.end(key, recordingFailed)
+		}
 		return
 	}
-	r.failingSince = time.Time{}
 	for _, key := range added {
 		r.end(key, recordingDone)
 	}
 }
 
-// endFailed ends the waits for streams after a failed write. The caller holds mu.
-func (r *recordings) endFailed(now time.Time) {
-	if r.failingSince.IsZero() {
-		r.failingSince = now
-	}
-	for key, w := range r.waiting {
-		if !w.required || now.Sub(r.failingSince) >= maxFailing {
-			r.end(key, recordingFailed)
-		}
-	}
-}
-
 // end ends the wait for a stream. The caller holds mu.
 func (r *recordings) end(key uint64, how recording) {
-	if w, ok := r.waiting[key]; ok {
-		w.ended <- how
+	if ended, ok := r.waiting[key]; ok {
+		ended <- how
 		delete(r.waiting, key)
 	}
 }
--- a/logger/events.go
+++ b/logger/events.go
@@ -103,6 +103,7 @@
 	StreamHeld            = Event{1706, LevelInfo, "first event of a stream passed on after the wait for the record of the stream"}
 	BasesGuarded          = Event{1707, LevelInfo, "found whether all routers guard the bases of records of versions"}
 	SenderChecked         = Event{1708, LevelInfo, "registration read to find the software version of a program that sends a stream"}
+	StreamNotQueued       = Event{1709, LevelInfo, "stream runs at the base of its pool, since the ledger did not get it in time as queued for another version"}
 	UsageRejected         = Event{1801, LevelWarn, "counts of a router for a window of usage rejected"}
 	UsageRecordFailed     = Event{1802, LevelWarn, "record of the windows of usage not read or not written"}
 	UsageReportFailed     = Event{1803, LevelWarn, "report of a window of usage failed"}
@@ -192,6 +193,7 @@
 		StreamHeld,
 		BasesGuarded,
 		SenderChecked,
+		StreamNotQueued,
 		UsageRejected,
 		UsageRecordFailed,
 		UsageReportFailed,
--- a/pinner/ledger.go
+++ b/pinner/ledger.go
@@ -83,6 +83,18 @@
 	return Segment{Number: l.number, Value: p.encodeSegment(now, l.current), Added: added}, true
 }
 
+// Logged records that the ledger has the streams with the keys, as begun or as queued.
+func (p *Pinner) Logged(now time.Time, keys []uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, key := range keys {
+		if e, ok := p.begun.get(now, key); ok && e.mark == tentative {
+			e.isLogged = true
+			p.begun.entries[key] = e
+		}
+	}
+}
+
 // Seal begins another segment with the next stream. It is called after a failed write of the current
 // one, which the store may apply after a later write.
 func (p *Pinner) Seal() {
@@ -103,6 +115,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.ledger.queued, p.ledger.current = nil, nil
+	p.forgetLogged()
 	for name, pool := range p.pools {
 		if pool.mixed {
 			p.queueAll(now, name)
@@ -110,6 +123,14 @@
 	}
 }
 
+// forgetLogged forgets which queued streams the ledger has, since the store may have lost them.
+func (p *Pinner) forgetLogged() {
+	for key, e := range p.begun.entries {
+		e.isLogged = false
+		p.begun.entries[key] = e
+	}
+}
+
 // encodeSegment encodes the streams that are still known.
 func (p *Pinner) encodeSegment(now time.Time, keys []uint64) []byte {
 	var marks []uint64
--- a/pinner/memory.go
+++ b/pinner/memory.go
@@ -20,6 +20,8 @@
 	mark   uint64
 	at     time.Time
 	source Source
+	// isLogged is true for a tentative one that the ledger has.
+	isLogged bool
 }
 
 // memory holds the origins of streams by their keys. The zero value is ready for use.
--- a/pinner/pinner.go
+++ b/pinner/pinner.go
@@ -108,11 +108,11 @@
 
 // Queue queues the stream with the key for the ledger before it begins. A router that reads its entry doesn't
 // conclude that it began at the base, so that it may begin at any version, or not at all. ok is false if it has
-// begun.
+// begun, or the ledger has it as queued.
 func (p *Pinner) Queue(now time.Time, key uint64) (ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if e, known := p.begun.get(now, key); known && e.mark != tentative {
+	if e, known := p.begun.get(now, key); known && (e.mark != tentative || e.isLogged) {
 		return false
 	}
 	p.begun.add(now, key, entry{mark: tentative, at: now, source: SourceMemory})
