--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -77,8 +77,11 @@
 	}
 }
 
-// lastLanding is the commit of the build that ran in production before this one.
-const lastLanding = "e330c3e"
+// lastLanding is the commit of the build that ran in production before this one, earlierLanding that of one before.
+const (
+	lastLanding    = "c1ec04b"
+	earlierLanding = "e330c3e"
+)
 
 // buildCommit builds the routers' program of a commit and returns its path.
 func buildCommit(t *testing.T, commit string) string {
@@ -104,16 +107,18 @@
 	if testing.Short() {
 		t.Skip("runs processes for a minute")
 	}
-	binary, previous := build(t), buildCommit(t, lastLanding)
+	binary := build(t)
+	earlier, last := buildCommit(t, earlierLanding), buildCommit(t, lastLanding)
 	for i, run := range []struct {
 		seed     uint64
+		previous string
 		versions int
 		cuts     bool
-	}{{44001, 2, false}, {44011, 0, true}} {
+	}{{44001, earlier, 2, false}, {44011, last, 0, true}, {44021, last, 2, false}} {
 		t.Run(fmt.Sprint(run.seed), func(t *testing.T) {
 			t.Parallel()
 			s := &Soak{
-				Binary: binary, Previous: previous, Seed: run.seed, FaultTime: 8 * time.Second, Routers: 4, Upstreams: 4, Callers: 8,
+				Binary: binary, Previous: run.previous, Seed: run.seed, FaultTime: 8 * time.Second, Routers: 4, Upstreams: 4, Callers: 8,
 				Versions: run.versions, Cuts: run.cuts, Changes: true, Dir: t.TempDir(), Host: 230 + i,
 			}
 			result, err := s.Run(t.Context())
