--- a/attacher/follow_test.go
+++ b/attacher/follow_test.go
@@ -18,6 +18,12 @@
 
 // startFleet runs n routers of one data centre and waits until all are ready.
 func (w *testPlatform) startFleet(network, n int) []*process {
+	w.t.Helper()
+	return w.startAll(network, n, loopback(fmt.Sprintf("%d.1", network)), loopback(fmt.Sprintf("%d.%d", network, min(n, 2))))
+}
+
+// startAll starts n routers that know of the given others, and ends all at the same time at the end of the test.
+func (w *testPlatform) startAll(network, n int, seeds ...string) []*process {
 	w.t.Helper()
 	ips := make([]string, n)
 	for i := range ips {
@@ -26,9 +32,8 @@
 	}
 	fleet := make([]*process, n)
 	for i, ip := range ips {
-		fleet[i] = w.start(ip, w.server.Listener.Addr().String(), ips[:min(len(ips), 2)]...)
+		fleet[i] = w.start(ip, w.server.Listener.Addr().String(), seeds...)
 	}
-	// All routers stop at the same time at the end of the test.
 	w.t.Cleanup(func() {
 		for _, p := range fleet {
 			p.stop()
--- a/attacher/origin_test.go
+++ b/attacher/origin_test.go
@@ -1,7 +1,6 @@
 package attacher
 
 import (
-	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -23,26 +22,6 @@
 	return server.Listener.Addr().String()
 }
 
-// startStrangers starts routers that don't know of each other, as if all datagrams between them were lost.
-func (w *testPlatform) startStrangers(network, n int) []*process {
-	w.t.Helper()
-	fleet := make([]*process, n)
-	for i := range fleet {
-		ip := loopback(fmt.Sprintf("%d.%d", network, i+1))
-		requireLoopback(w.t, ip)
-		fleet[i] = w.start(ip, w.server.Listener.Addr().String())
-	}
-	w.t.Cleanup(func() {
-		for _, p := range fleet {
-			p.stop()
-		}
-	})
-	for _, p := range fleet {
-		w.waitFor("readiness", p.isReady)
-	}
-	return fleet
-}
-
 // linesWith returns the lines of a log that have any of the texts.
 func linesWith(log string, texts ...string) string {
 	var lines []string
@@ -77,11 +56,12 @@
 			t.Parallel()
 			w := newTestPlatform(t)
 			w.registerVersions(test.before...)
-			start := w.startFleet
+			var fleet []*process
 			if test.strangers {
-				start = w.startStrangers
+				fleet = w.startAll(110+i, 2) // as if all datagrams between them were lost
+			} else {
+				fleet = w.startFleet(110+i, 2)
 			}
-			fleet := start(110+i, 2)
 			time.Sleep(test.lives)
 			streams := w.begin(fleet[0], 4)
 			w.storeDown.Store(test.away)
--- a/pinner/evidence.go
+++ b/pinner/evidence.go
@@ -84,6 +84,50 @@
 	return Found{}, gap
 }
 
+// single returns the version in service in the pool and those related to it, if it was the
+// only one during the horizon, as far as the tables, if they are those in force, or the
+// records show, or what is missing. The search began at the given time.
+func (p *Pinner) single(now, began time.Time, name string) (string, Gap) {
+	versions := p.versions(now, name)
+	if len(versions) > 1 {
+		return p.singleHeld(now, began, name)
+	}
+	if len(versions) == 0 {
+		return "", GapNoRecord
+	}
+	for other := range p.pools[name].related {
+		if pool := p.pools[other]; pool != nil && !pool.isComplete(now) {
+			return "", GapNoRecord
+		}
+	}
+	pool := p.pools[name]
+	isFresh := now.Sub(p.confirmedAt) <= freshFor || pool.record != nil && now.Sub(pool.readAt) <= freshFor
+	if !isFresh {
+		return "", GapTables
+	}
+	return versions[0], GapNone
+}
+
+// singleHeld returns the only version at which streams began in the pool while another one is
+// held back, as its record shows that was read since the search began. The pools related to it
+// must have no other version either.
+func (p *Pinner) singleHeld(now, began time.Time, name string) (string, Gap) {
+	pool := p.pools[name]
+	version, ok := pool.held(now, searching)
+	if !ok {
+		return "", GapVersions
+	}
+	if !pool.readAt.After(began) {
+		return "", GapRecordNotRead
+	}
+	for other := range pool.related {
+		if other != name && !isOnly(p.pools[other].recent(now), version) {
+			return "", GapRelated
+		}
+	}
+	return version, GapNone
+}
+
 // findBase returns the version at which a stream of the pool began that neither a router nor the
 // ledger has. The record and the ledger must have been read since the search began. The pools related
 // to it must have no other version.
